Shared types: model, ports, records, wire formats and core protocol

Cause: the packages of the thin path are built side by side and need the same types first.

Ruled out: a module per layer (the layering is to be held by an architecture test instead); one stream for requests and control (replay of the control stream would grow with the request load).

--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/platform/MemberList.java
@@ -0,0 +1,42 @@
+package org.fescuehook.logic.platform;
+
+import java.util.List;
+
+/** The platform's lagging list of VMs. Blocks the calling thread. */
+public interface MemberList {
+
+  /**
+   * Fetches the list.
+   *
+   * @throws ListUnavailableException if the list cannot be fetched
+   */
+  List<Member> fetch() throws ListUnavailableException;
+
+  /** What a VM is for. */
+  enum Role {
+    ENTRY,
+    EXECUTOR,
+    WORKER
+  }
+
+  /**
+   * A VM on the list.
+   *
+   * @param name its name
+   * @param role what it is for
+   * @param leaving whether it is to receive no new work
+   * @param host IP address
+   * @param port peer port of an entry VM, service port of a backend server
+   */
+  record Member(String name, Role role, boolean leaving, String host, int port) {}
+
+  /** The list could not be fetched. */
+  final class ListUnavailableException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    /** Creates the exception; the message names the step and the peer. */
+    public ListUnavailableException(String step, String peer, Throwable cause) {
+      super(step + " at " + peer + ": " + cause.getMessage(), cause);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/job/Job.java
@@ -0,0 +1,28 @@
+package org.fescuehook.model.job;
+
+import java.util.Optional;
+import org.fescuehook.model.organisation.OrganisationId;
+
+/**
+ * A gang job as submitted.
+ *
+ * @param id identifier, given by the entry VM that accepted it
+ * @param organisation organisation that submitted it
+ * @param requestId the caller's own id, unique per organisation, if given
+ * @param shape what it needs at once
+ * @param urgent whether it has to start within the urgent bound
+ * @param checkpointable whether a checkpoint keeps its progress
+ * @param declaredSeconds run time that the caller declared, often far off
+ * @param submittedMillis time of submission, milliseconds since 1970 by the accepting VM's clock
+ * @param command what the worker runs
+ */
+public record Job(
+    JobId id,
+    OrganisationId organisation,
+    Optional<String> requestId,
+    Shape shape,
+    boolean urgent,
+    boolean checkpointable,
+    long declaredSeconds,
+    long submittedMillis,
+    String command) {}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/job/JobId.java
@@ -0,0 +1,26 @@
+package org.fescuehook.model.job;
+
+/**
+ * Identifier of a job, unique over the life of the system.
+ *
+ * @param value the name, not blank
+ */
+public record JobId(String value) implements Comparable<JobId> {
+
+  /** Checks that the name is not blank. */
+  public JobId {
+    if (value.isBlank()) {
+      throw new IllegalArgumentException("blank JobId");
+    }
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/log/package-info.java
@@ -0,0 +1,5 @@
+/** Records and offsets of the platform's log. */
+@NullMarked
+package org.fescuehook.model.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/rule/Rule.java
@@ -0,0 +1,18 @@
+package org.fescuehook.model.rule;
+
+import java.util.List;
+
+/**
+ * A when-then rule. Rules are tried in the order of their numbers; the first that matches counts.
+ *
+ * @param number position in the order, unique
+ * @param when conditions that all have to hold; empty matches every job
+ * @param then what is decided
+ */
+public record Rule(int number, List<Condition> when, Verdict then) {
+
+  /** Copies the conditions. */
+  public Rule {
+    when = List.copyOf(when);
+  }
+}
