--- a/fescuehook/src/main/java/org/fescuehook/cli/Main.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/Main.java
@@ -11,11 +11,7 @@
   /** Exit code for a command line that cannot be understood, as in sysexits.h. */
   private static final int EXIT_USAGE = 64;
 
-  @Option(
-      name = "--help",
-      aliases = "-h",
-      help = true,
-      usage = "print this text")
+  @Option(name = "--help", aliases = "-h", help = true, usage = "print this text")
   private boolean help;
 
   private Main() {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/package-info.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/package-info.java
@@ -1,4 +1,6 @@
-/** The decision core: folds the control stream and decides on ownership, gangs and configuration. */
+/**
+ * The decision core: folds the control stream and decides on ownership, gangs and configuration.
+ */
 @NullMarked
 package org.fescuehook.logic.control;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/event/EventLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/event/EventLog.java
@@ -35,8 +35,7 @@
     write(logger.atError(), event, arguments);
   }
 
-  private static void write(
-      LoggingEventBuilder builder, NumberedEvent event, Object... arguments) {
+  private static void write(LoggingEventBuilder builder, NumberedEvent event, Object... arguments) {
     builder.addKeyValue(NUMBER_KEY, event.number()).log(event.format(), arguments);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/platform/LogService.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/platform/LogService.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import org.fescuehook.model.log.LogPage;
 
-/** The platform's log. Implementations block the calling thread; they are called by duty threads only. */
+/**
+ * The platform's log. Implementations block the calling thread; they are called by duty threads
+ * only.
+ */
 public interface LogService {
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/worker/WorkerPort.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/worker/WorkerPort.java
@@ -16,8 +16,7 @@
   sealed interface WorkerCommand {
 
     /** Asks for a lease; the worker holds the resources and runs nothing. */
-    record Grant(
-        String key, int accelerators, int cores, long memoryMegabytes, long ttlMillis)
+    record Grant(String key, int accelerators, int cores, long memoryMegabytes, long ttlMillis)
         implements WorkerCommand {}
 
     /** Starts the task of a lease; idempotent. */
--- a/fescuehook/src/main/java/org/fescuehook/model/event/NumberedEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/event/NumberedEvent.java
@@ -1,8 +1,8 @@
 package org.fescuehook.model.event;
 
 /**
- * A kind of log line. Each package that logs has an enum of its own; numbers are unique over all
- * of them and stand in docs/EVENTS.md.
+ * A kind of log line. Each package that logs has an enum of its own; numbers are unique over all of
+ * them and stand in docs/EVENTS.md.
  */
 public interface NumberedEvent {
 
