--- a/build/launcher.sh
+++ b/build/launcher.sh
@@ -25,5 +25,4 @@
   exit 69
 fi
 # The options are split into words on purpose.
-exec "$java" -XX:-UsePerfData --enable-native-access=ALL-UNNAMED \
-  ${FESCUEHOOK_JAVA_OPTIONS--Xmx256m} -jar "$0" "$@"
+exec "$java" -XX:-UsePerfData ${FESCUEHOOK_JAVA_OPTIONS--Xmx256m} -jar "$0" "$@"
