--- /dev/null
+++ b/standins/src/main/java/org/fescuehook/standins/http/Json.java
@@ -0,0 +1,36 @@
+package org.fescuehook.standins.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Reads and writes the JSON bodies of all stand-ins. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+  private Json() {}
+
+  /** Reads a body. */
+  public static <T> T read(byte[] body, Class<T> type) throws IOException {
+    return MAPPER.readValue(body, type);
+  }
+
+  /** Converts a tree that was read already. */
+  public static <T> T convert(JsonNode tree, Class<T> type) throws JsonProcessingException {
+    return MAPPER.treeToValue(tree, type);
+  }
+
+  /** Writes a body. */
+  public static byte[] write(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException("a value of the stand-ins is always writable", e);
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/fescuehook/standins/worker/LeaseState.java
@@ -0,0 +1,18 @@
+package org.fescuehook.standins.worker;
+
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.Locale;
+
+/** State of a lease that is not gone. */
+enum LeaseState {
+  HELD,
+  RUNNING,
+  CHECKPOINTED,
+  FINISHED,
+  FAILED;
+
+  @JsonValue
+  String wireName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
