--- a/standins/src/main/java/org/fescuehook/standins/Journal.java
+++ b/standins/src/main/java/org/fescuehook/standins/Journal.java
@@ -6,8 +6,7 @@
 import java.util.concurrent.atomic.AtomicReferenceArray;
 
 /**
- * The last entries of what happened. Any thread may add; beyond the limit the oldest are
- * overwritten.
+ * The last entries of what happened. Any thread may add; the oldest are overwritten.
  *
  * @param <T> immutable entry
  */
@@ -20,24 +19,24 @@
     this.ring = new AtomicReferenceArray<>(limit);
   }
 
-  /** Adds an entry and returns its sequence number. */
-  public long add(T entry) {
-    long sequence = next.getAndIncrement();
-    ring.set(index(sequence), entry);
-    return sequence;
+  /** Adds an entry and returns its index, for {@link #replace}. */
+  public int add(T entry) {
+    int index = (int) (next.getAndIncrement() % ring.length());
+    ring.set(index, entry);
+    return index;
   }
 
   /** Replaces an entry, unless it was overwritten meanwhile. */
-  public void replace(long sequence, T old, T replacement) {
-    ring.compareAndSet(index(sequence), old, replacement);
+  public void replace(int index, T old, T replacement) {
+    ring.compareAndSet(index, old, replacement);
   }
 
   /** Returns the entries that are left, oldest first. */
   public List<T> entries() {
-    long end = next.get();
     List<T> entries = new ArrayList<>();
-    for (long s = Math.max(0, end - ring.length()); s < end; s++) {
-      T entry = ring.get(index(s));
+    long end = next.get();
+    for (long i = Math.max(0, end - ring.length()); i < end; i++) {
+      T entry = ring.get((int) (i % ring.length()));
       if (entry != null) {
         entries.add(entry);
       }
@@ -49,8 +48,4 @@
   public long dropped() {
     return Math.max(0, next.get() - ring.length());
   }
-
-  private int index(long sequence) {
-    return (int) (sequence % ring.length());
-  }
 }
--- a/standins/src/main/java/org/fescuehook/standins/StandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandIn.java
@@ -3,29 +3,56 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
-
-/** A stand-in, or a group of alike ones, as the control port sees it. */
-public interface StandIn extends AutoCloseable {
+import org.fescuehook.standins.http.Json;
+import org.fescuehook.standins.http.StandInServer;
+
+/**
+ * A stand-in, or a group of alike ones.
+ *
+ * @param <F> its faults; an absent field of their JSON stands for no fault
+ */
+public abstract class StandIn<F> implements AutoCloseable {
+  private final String target;
+  private final Class<F> faultsType;
+
+  /** Creates a stand-in that control calls address by {@code target}. */
+  protected StandIn(String target, Class<F> faultsType) {
+    this.target = target;
+    this.faultsType = faultsType;
+  }
 
   /** Returns the name by which control calls address it. */
-  String target();
+  public final String target() {
+    return target;
+  }
+
+  /** Replaces the faults in force by those given. */
+  public abstract void apply(F faults);
 
-  /**
-   * Replaces the faults in force by those given; what is absent is no fault.
-   *
-   * @throws JsonProcessingException if the faults are not of the expected form
-   */
-  void apply(JsonNode faults) throws JsonProcessingException;
+  /** Replaces the faults in force by those given as JSON. */
+  public final void applyJson(JsonNode faults) throws JsonProcessingException {
+    apply(Json.convert(faults, faultsType));
+  }
 
-  /** Returns what happened, oldest first; empty if nothing is recorded. */
-  List<?> journal();
+  /** Returns what happened, oldest first; empty if it keeps no journal. */
+  public List<?> journal() {
+    return List.of();
+  }
 
   /** Returns counts, as an object that Jackson can write. */
-  Object stats();
+  public abstract Object stats();
 
   /** Lets all open connections go silent: they stay open and nothing passes; new ones work. */
-  void silenceOpenConnections();
+  public final void silenceOpenConnections() {
+    servers().forEach(StandInServer::silenceOpenConnections);
+  }
 
+  /** Stops listening and closes all connections. */
   @Override
-  void close();
+  public void close() {
+    servers().forEach(StandInServer::close);
+  }
+
+  /** Returns the servers that it answers on. */
+  protected abstract List<StandInServer> servers();
 }
--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -2,48 +2,63 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
-import java.time.Clock;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.fescuehook.standins.StandInOptions.Kind;
+import java.util.function.LongSupplier;
 import org.fescuehook.standins.control.ControlServer;
-import org.fescuehook.standins.executor.ExecutorLimits;
 import org.fescuehook.standins.executor.ExecutorStandIns;
 import org.fescuehook.standins.list.ListStandIn;
 import org.fescuehook.standins.list.Member;
 import org.fescuehook.standins.log.LogStandIn;
-import org.fescuehook.standins.worker.Resources;
-import org.fescuehook.standins.worker.WorkerCapacity;
 import org.fescuehook.standins.worker.WorkerStandIns;
 
-/** All stand-ins of one process and their control port. */
-final class StandInProcess implements AutoCloseable {
+/** All stand-ins of one process, and their control port. */
+final class StandInProcess {
+  private static final LongSupplier WALL = System::currentTimeMillis;
+  private static final LongSupplier MONOTONIC = () -> System.nanoTime() / 1_000_000;
+
   private final EventLoopGroup group;
-  private final StandInOptions options;
-  private final List<StandIn> standIns = new ArrayList<>();
+  private final Sizes sizes;
+  private final List<StandIn<?>> standIns = new ArrayList<>();
   private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
-  private final ControlServer control;
 
-  StandInProcess(EventLoopGroup group, StandInOptions options, Kind kind) throws StandInException {
+  /** What a process stands in for. */
+  enum Kind {
+    LOG,
+    LIST,
+    EXECUTORS,
+    WORKERS,
+    ALL
+  }
+
+  /** How much of each is started. */
+  record Sizes(
+      int executors,
+      ExecutorStandIns.Limits executorLimits,
+      WorkerStandIns.Fleet fleet,
+      int journalLimit) {}
+
+  /** Starts stand-ins; with all in one process, only the log has the port that is given. */
+  StandInProcess(EventLoopGroup group, Kind kind, InetSocketAddress first, Sizes sizes)
+      throws StandInException {
     this.group = group;
-    this.options = options;
-    boolean all = kind == Kind.ALL;
-    if (all || kind == Kind.LOG) {
-      startLog();
+    this.sizes = sizes;
+    InetSocketAddress any = new InetSocketAddress(first.getAddress(), 0);
+    switch (kind) {
+      case LOG -> startLog(first);
+      case LIST -> startList(first);
+      case EXECUTORS -> startExecutors(first);
+      case WORKERS -> startWorkers(first);
+      case ALL -> {
+        startLog(first);
+        startExecutors(any);
+        startWorkers(any);
+        startList(any);
+      }
     }
-    if (all || kind == Kind.EXECUTORS) {
-      startExecutors();
-    }
-    if (all || kind == Kind.WORKERS) {
-      startWorkers();
-    }
-    if (all || kind == Kind.LIST) {
-      startList();
-    }
-    this.control = new ControlServer(group, address(0), standIns);
-    addresses.put("control", control.address());
+    addresses.put("control", new ControlServer(group, any, standIns).address());
   }
 
   /** Returns where everything listens, by name. */
@@ -51,69 +66,41 @@
     return addresses;
   }
 
-  @Override
-  public void close() {
-    control.close();
-    standIns.forEach(StandIn::close);
-  }
-
-  private void startLog() throws StandInException {
-    LogStandIn log = new LogStandIn(group, address(options.port), Clock.systemUTC());
+  private void startLog(InetSocketAddress address) throws StandInException {
+    LogStandIn log = new LogStandIn(group, address, WALL);
     standIns.add(log);
     addresses.put("log", log.address());
   }
 
-  private void startExecutors() throws StandInException {
-    ExecutorStandIns executors =
+  private void startExecutors(InetSocketAddress first) throws StandInException {
+    int journalLimit = sizes.journalLimit();
+    var executors =
         new ExecutorStandIns(
-            group,
-            address(portAfterLog()),
-            options.executors,
-            new ExecutorLimits(options.slots, options.connections),
-            MonotonicClock.system(),
-            options.journal);
+            group, first, sizes.executors(), sizes.executorLimits(), MONOTONIC, journalLimit);
     standIns.add(executors);
     addresses.putAll(executors.addresses());
   }
 
-  private void startWorkers() throws StandInException {
-    Resources total =
-        new Resources(options.accelerators, options.cores, options.memoryMegabytes);
-    WorkerStandIns workers =
-        new WorkerStandIns(
-            group,
-            address(portAfterLog()),
-            new WorkerStandIns.Names(options.firstWorker, options.workers),
-            new WorkerCapacity(total, options.usageLagMs),
-            MonotonicClock.system(),
-            options.journal);
+  private void startWorkers(InetSocketAddress first) throws StandInException {
+    int journalLimit = sizes.journalLimit();
+    var workers = new WorkerStandIns(group, first, sizes.fleet(), MONOTONIC, journalLimit);
     standIns.add(workers);
     addresses.putAll(workers.addresses());
   }
 
-  private void startList() throws StandInException {
+  /** Starts the list with the executors and workers of this process on it. */
+  private void startList(InetSocketAddress address) throws StandInException {
     List<Member> members = new ArrayList<>();
-    addresses.forEach((name, address) -> addMember(members, name, address));
-    ListStandIn list =
-        new ListStandIn(group, address(portAfterLog()), Clock.systemUTC(), members);
+    addresses.forEach(
+        (name, at) -> {
+          String role = name.replaceFirst("-\\d+$", "");
+          if (!role.equals(name)) {
+            String host = at.getAddress().getHostAddress();
+            members.add(new Member(name, role, "live", host, at.getPort()));
+          }
+        });
+    ListStandIn list = new ListStandIn(group, address, WALL, members);
     standIns.add(list);
     addresses.put("list", list.address());
   }
-
-  private static void addMember(List<Member> members, String name, InetSocketAddress address) {
-    int dash = name.lastIndexOf('-');
-    if (dash > 0) {
-      String host = address.getAddress().getHostAddress();
-      members.add(new Member(name, name.substring(0, dash), "live", host, address.getPort()));
-    }
-  }
-
-  /** With all in one process only the log has the port that was asked for. */
-  private int portAfterLog() {
-    return addresses.isEmpty() ? options.port : 0;
-  }
-
-  private InetSocketAddress address(int port) {
-    return new InetSocketAddress(options.host, port);
-  }
 }
--- a/standins/src/main/java/org/fescuehook/standins/executor/ExecutorStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/executor/ExecutorStandIn.java
@@ -7,21 +7,21 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
+import java.util.zip.CRC32;
 import org.fescuehook.standins.Journal;
-import org.fescuehook.standins.MonotonicClock;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
-import org.fescuehook.standins.http.ServerLimits;
 import org.fescuehook.standins.http.StandInServer;
 
 /** One executor with its slots. */
-final class ExecutorStandIn implements AutoCloseable {
-  static final String TOKEN = "Request-Token";
-  private static final String BEHAVIOUR = "Stand-In-Behaviour";
+final class ExecutorStandIn {
+  private static final String TOKEN = "Request-Token";
+  private static final int MAX_BODY_BYTES = 64 << 20;
 
   private final String name;
   private final int slots;
-  private final MonotonicClock clock;
+  private final LongSupplier clock;
   private final Journal<RequestRun> journal;
   private final StandInServer server;
   private final AtomicInteger running = new AtomicInteger();
@@ -29,86 +29,73 @@
   private final LongAdder runs = new LongAdder();
   private final LongAdder refusals = new LongAdder();
   private final AtomicReference<String> lastToken = new AtomicReference<>("crossed");
-  private volatile Behaviour behaviour = new Behaviour.Normal();
-  private volatile long behaviourSince;
+  private volatile ExecutorFaults faults;
+  private volatile long faultsSince;
   private volatile long lastRequestAt;
 
   ExecutorStandIn(
       EventLoopGroup group,
       InetSocketAddress address,
       String name,
-      ExecutorLimits limits,
-      MonotonicClock clock,
+      ExecutorStandIns.Limits limits,
+      ExecutorFaults faults,
+      LongSupplier clock,
       Journal<RequestRun> journal)
       throws StandInException {
     this.name = name;
     this.slots = limits.slots();
+    this.faults = faults;
     this.clock = clock;
     this.journal = journal;
-    this.server =
-        new StandInServer(
-            group, address, ServerLimits.connections(limits.connections()), this::handle);
+    var serverLimits = new StandInServer.Limits(limits.connections(), MAX_BODY_BYTES);
+    this.server = new StandInServer(group, address, serverLimits, this::handle);
   }
 
   String name() {
     return name;
   }
 
-  InetSocketAddress address() {
-    return server.address();
+  StandInServer server() {
+    return server;
   }
 
-  void apply(Behaviour next) {
-    behaviour = next;
-    behaviourSince = clock.millis();
+  void apply(ExecutorFaults next) {
+    faults = next;
+    faultsSince = clock.getAsLong();
   }
 
-  void silenceOpenConnections() {
-    server.silenceOpenConnections();
-  }
-
-  ExecutorStats stats() {
-    return new ExecutorStats(
+  ExecutorStandIns.Stats stats() {
+    return new ExecutorStandIns.Stats(
         runs.sum(),
         refusals.sum(),
         running.get(),
         maxRunning.get(),
         server.openConnections(),
         server.rejectedConnections(),
-        behaviourSince,
+        faultsSince,
         lastRequestAt);
   }
 
-  @Override
-  public void close() {
-    server.close();
-  }
-
   private void handle(Exchange exchange) {
-    lastRequestAt = clock.millis();
-    String asked = exchange.header(BEHAVIOUR);
-    Behaviour current = asked.isEmpty() ? behaviour : Behaviour.parse(asked);
-    if (current instanceof Behaviour.Refusing || current instanceof Behaviour.Leaving) {
-      refuse(exchange, current instanceof Behaviour.Leaving ? "leaving" : "refusing");
+    lastRequestAt = clock.getAsLong();
+    ExecutorFaults current = faults;
+    if (current.behaviour() == Behaviour.REFUSING || current.behaviour() == Behaviour.LEAVING) {
+      refuse(exchange, current.behaviour().name());
       return;
     }
-    if (deadlinePassed(exchange)) {
-      refuse(exchange, "deadline");
+    String deadline = exchange.header("Request-Deadline-Ms");
+    if (!deadline.isEmpty() && Long.parseLong(deadline) <= 0) {
+      refuse(exchange, "DEADLINE");
       return;
     }
-    int now = running.incrementAndGet();
-    if (now > slots) {
+    int concurrency = running.incrementAndGet();
+    if (concurrency > slots) {
       running.decrementAndGet();
-      refuse(exchange, "slots");
+      refuse(exchange, "SLOTS");
       return;
     }
-    maxRunning.accumulateAndGet(now, Math::max);
-    run(exchange, current, now);
-  }
-
-  private static boolean deadlinePassed(Exchange exchange) {
-    String left = exchange.header("Request-Deadline-Ms");
-    return !left.isEmpty() && Long.parseLong(left) <= 0;
+    maxRunning.accumulateAndGet(concurrency, Math::max);
+    run(exchange, current, concurrency);
   }
 
   private void refuse(Exchange exchange, String reason) {
@@ -117,7 +104,7 @@
     exchange.reply(503, fields, reason.getBytes(StandardCharsets.US_ASCII));
   }
 
-  private void run(Exchange exchange, Behaviour current, int concurrency) {
+  private void run(Exchange exchange, ExecutorFaults current, int concurrency) {
     runs.increment();
     RequestRun run =
         new RequestRun(
@@ -126,35 +113,56 @@
             exchange.header("Request-Id"),
             exchange.header("Organisation"),
             exchange.path(),
-            clock.millis(),
+            clock.getAsLong(),
             0,
             concurrency);
-    long sequence = journal.add(run);
-    long millis = exchange.path().equals("/sleep") ? exchange.number("ms", 0) : 0;
-    long extra = current instanceof Behaviour.Slow slow ? slow.delayMs() : 0;
+    int index = journal.add(run);
+    long extra = current.behaviour() == Behaviour.SLOW ? current.delayMs() : 0;
     exchange.later(
-        millis + extra,
+        exchange.number("ms", 0) + extra,
         () -> {
-          journal.replace(sequence, run, run.ended(clock.millis()));
+          journal.replace(index, run, run.ended(clock.getAsLong()));
           running.decrementAndGet();
           answer(exchange, current);
         });
   }
 
-  private void answer(Exchange exchange, Behaviour current) {
+  private void answer(Exchange exchange, ExecutorFaults current) {
     String token = exchange.header(TOKEN);
-    String other = lastToken.getAndSet(token);
-    Reply reply = Reply.to(exchange);
-    switch (current) {
-      case Behaviour.Silent s -> {}
-      case Behaviour.Cut c -> reply.cut(exchange, token);
-      case Behaviour.Crossed c -> reply.send(exchange, other);
-      case Behaviour.Late late ->
-          exchange.later(late.delayMs(), () -> reply.send(exchange, token));
-      case Behaviour.Normal n -> reply.send(exchange, token);
-      case Behaviour.Slow s -> reply.send(exchange, token);
-      case Behaviour.Refusing r -> reply.send(exchange, token);
-      case Behaviour.Leaving l -> reply.send(exchange, token);
+    String before = lastToken.getAndSet(token);
+    byte[] content = content(exchange);
+    switch (current.behaviour()) {
+      case SILENT -> {}
+      case CUT -> exchange.cut(fields(token, content), content);
+      case CROSSED -> send(exchange, before, content);
+      case LATE -> exchange.later(current.delayMs(), () -> send(exchange, token, content));
+      case NORMAL, SLOW, REFUSING, LEAVING -> send(exchange, token, content);
     }
   }
+
+  private static void send(Exchange exchange, String token, byte[] content) {
+    if (exchange.path().equals("/size")) {
+      exchange.replyChunked(fields(token, content), content);
+    } else {
+      exchange.reply(200, fields(token, content), content);
+    }
+  }
+
+  /** Returns bytes of the size asked for, or the request's own body. */
+  private static byte[] content(Exchange exchange) {
+    if (!exchange.path().equals("/size")) {
+      return exchange.body();
+    }
+    byte[] content = new byte[(int) Math.min(MAX_BODY_BYTES, exchange.number("bytes", 0))];
+    for (int i = 0; i < content.length; i++) {
+      content[i] = (byte) (i * 31 + i / 251);
+    }
+    return content;
+  }
+
+  private static Map<String, String> fields(String token, byte[] content) {
+    CRC32 checksum = new CRC32();
+    checksum.update(content);
+    return Map.of(TOKEN, token, "Checksum", Long.toHexString(checksum.getValue()));
+  }
 }
--- a/standins/src/main/java/org/fescuehook/standins/executor/RequestRun.java
+++ b/standins/src/main/java/org/fescuehook/standins/executor/RequestRun.java
@@ -1,14 +1,14 @@
 package org.fescuehook.standins.executor;
 
 /**
- * A request that an executor ran.
+ * A request that an executor ran. Texts are empty where nothing was sent.
  *
  * @param executor name of the executor
- * @param token the dispatch's token, empty if none was sent
- * @param requestId the caller's own id, empty if none was sent
+ * @param token the dispatch's token
+ * @param requestId the caller's own id
  * @param organisation whose request it is
  * @param path path it asked for
- * @param start when it began, by the machine's monotonic clock, in milliseconds
+ * @param start when it began, in monotonic milliseconds
  * @param end when it ended; 0 while it runs
  * @param concurrency how many requests the executor ran when it began, itself included
  */
@@ -23,7 +23,6 @@
     int concurrency) {
 
   RequestRun ended(long at) {
-    return new RequestRun(
-        executor, token, requestId, organisation, path, start, at, concurrency);
+    return new RequestRun(executor, token, requestId, organisation, path, start, at, concurrency);
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/http/Json.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Json.java
@@ -1,17 +1,19 @@
 package org.fescuehook.standins.http;
 
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 
-/** Reads and writes the JSON bodies of all stand-ins. */
+/** Reads and writes JSON bodies; unknown fields are errors, absent collections are empty. */
 public final class Json {
   private static final ObjectMapper MAPPER =
-      JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+      JsonMapper.builder()
+          .defaultSetterInfo(JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY))
+          .build();
 
   private Json() {}
 
@@ -25,12 +27,7 @@
     return MAPPER.treeToValue(tree, type);
   }
 
-  /** Writes a body. */
-  public static byte[] write(Object value) {
-    try {
-      return MAPPER.writeValueAsBytes(value);
-    } catch (JsonProcessingException e) {
-      throw new UncheckedIOException("a value of the stand-ins is always writable", e);
-    }
+  static byte[] write(Object value) throws JsonProcessingException {
+    return MAPPER.writeValueAsBytes(value);
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/log/LogStandIn.java
@@ -1,52 +1,52 @@
 package org.fescuehook.standins.log;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.fescuehook.standins.StandIn;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
-import org.fescuehook.standins.http.Json;
-import org.fescuehook.standins.http.Outage;
-import org.fescuehook.standins.http.ServerLimits;
 import org.fescuehook.standins.http.StandInServer;
 
 /** A log service in memory. */
-public final class LogStandIn implements StandIn {
-  private static final int DEFAULT_PAGE = 1000;
+public final class LogStandIn extends StandIn<LogFaults> {
+  private static final Pattern CALL = Pattern.compile("(GET|POST) /streams/([^/]+)/records");
+  private static final int MAX_RECORD_BYTES = 1 << 20;
 
-  private final Clock clock;
+  private final LongSupplier clock;
   private final StandInServer server;
   private final Map<String, RecordStream> streams = new HashMap<>();
-  private final Map<String, List<Runnable>> waiting = new HashMap<>();
-  private LogFaults faults = LogFaults.none();
+  private final List<Waiter> waiters = new ArrayList<>();
+  private LogFaults faults = LogFaults.NONE;
   private int repliesToLose;
   private long nextAppendAt;
-  private long appends;
-  private long reads;
-  private long lostReplies;
-  private long refusedCalls;
-
-  /**
-   * Counts of the log.
-   *
-   * @param next for each stream the offset after its last record
-   */
+  private Stats stats = new Stats(0, 0, 0, 0, Map.of());
+
+  /** Counts of the log; {@code next} gives for each stream the offset after its last record. */
   public record Stats(
-      long appends, long reads, long lostReplies, long refusedCalls, Map<String, Long> next) {}
+      long appends, long reads, long lostReplies, long failedCalls, Map<String, Long> next) {
 
-  /** Starts the log. */
-  public LogStandIn(EventLoopGroup group, InetSocketAddress address, Clock clock)
+    private Stats plus(int appended, int read, int lost, int failed) {
+      return new Stats(
+          appends + appended, reads + read, lostReplies + lost, failedCalls + failed, next);
+    }
+  }
+
+  /** Starts the log; the clock gives wall-clock milliseconds. */
+  public LogStandIn(EventLoopGroup group, InetSocketAddress address, LongSupplier clock)
       throws StandInException {
+    super("log", LogFaults.class);
     this.clock = clock;
-    this.server = new StandInServer(group, address, ServerLimits.unlimited(), this::handle);
+    var limits = new StandInServer.Limits(Integer.MAX_VALUE, MAX_RECORD_BYTES);
+    this.server = new StandInServer(group, address, limits, this::handle);
   }
 
   /** Returns where it listens. */
@@ -54,155 +54,108 @@
     return server.address();
   }
 
-  /** Replaces the faults in force. */
+  @Override
   public synchronized void apply(LogFaults next) {
     faults = next;
     repliesToLose = next.loseReplies();
   }
 
-  @Override
-  public String target() {
-    return "log";
-  }
-
-  @Override
-  public void apply(JsonNode tree) throws JsonProcessingException {
-    apply(Json.convert(tree, LogFaults.class));
-  }
-
-  @Override
-  public List<?> journal() {
-    return List.of();
-  }
-
   @Override
   public synchronized Stats stats() {
     Map<String, Long> next = new TreeMap<>();
     streams.forEach((name, stream) -> next.put(name, stream.next()));
-    return new Stats(appends, reads, lostReplies, refusedCalls, next);
+    return new Stats(stats.appends, stats.reads, stats.lostReplies, stats.failedCalls, next);
   }
 
   @Override
-  public void silenceOpenConnections() {
-    server.silenceOpenConnections();
+  protected List<StandInServer> servers() {
+    return List.of(server);
   }
 
-  @Override
-  public void close() {
-    server.close();
-  }
-
-  private void handle(Exchange exchange) {
-    List<String> path = exchange.segments();
-    if (path.size() != 3 || !path.get(0).equals("streams") || !path.get(2).equals("records")) {
-      exchange.error(404, "not-found", exchange.path());
+  private synchronized void handle(Exchange exchange) throws IOException {
+    Matcher call = CALL.matcher(exchange.call());
+    if (!call.matches()) {
+      exchange.error(404, "not-found", exchange.call());
       return;
     }
-    String stream = path.get(1);
-    if (inOutage(exchange)) {
+    if (failed(exchange)) {
       return;
     }
-    switch (exchange.method()) {
-      case "POST" -> exchange.later(appendDelay(), () -> append(exchange, stream));
-      case "GET" -> exchange.later(readDelay(), () -> read(exchange, stream));
-      default -> exchange.error(405, "method", exchange.method());
+    String stream = call.group(2);
+    if (call.group(1).equals("POST")) {
+      exchange.later(appendDelay(), () -> append(exchange, stream));
+    } else {
+      exchange.later(faults.delayMs(), () -> read(exchange, stream));
     }
   }
 
-  private synchronized boolean inOutage(Exchange exchange) {
-    if (faults.outage() == Outage.NONE) {
-      return false;
-    }
-    refusedCalls++;
-    if (faults.outage() == Outage.REFUSING) {
+  private boolean failed(Exchange exchange) throws IOException {
+    if (faults.refusing()) {
       exchange.error(503, "outage", "the log is down");
     }
-    return true;
-  }
-
-  private synchronized long readDelay() {
-    return faults.delayMs();
+    if (faults.refusing() || faults.silent()) {
+      stats = stats.plus(0, 0, 0, 1);
+      return true;
+    }
+    return false;
   }
 
-  private synchronized long appendDelay() {
+  private long appendDelay() {
     if (faults.appendsPerSecond() == 0) {
       return faults.delayMs();
     }
-    long now = clock.millis();
+    long now = clock.getAsLong();
     nextAppendAt = Math.max(now, nextAppendAt) + 1000 / faults.appendsPerSecond();
     return faults.delayMs() + nextAppendAt - now;
   }
 
-  private void append(Exchange exchange, String name) {
-    List<Runnable> readers;
-    synchronized (this) {
-      RecordStream stream = retained(name);
-      long offset = stream.append(clock.millis(), exchange.body());
-      appends++;
-      answerAppend(exchange, offset);
-      readers = waiting.remove(name);
-    }
-    if (readers != null) {
-      readers.forEach(Runnable::run);
-    }
-  }
-
-  private void answerAppend(Exchange exchange, long offset) {
+  private synchronized void append(Exchange exchange, String name) throws IOException {
+    long offset = retained(name).append(clock.getAsLong(), exchange.body());
     if (repliesToLose > 0) {
       repliesToLose--;
-      lostReplies++;
+      stats = stats.plus(1, 0, 1, 0);
       exchange.close();
-      return;
+    } else {
+      stats = stats.plus(1, 0, 0, 0);
+      exchange.reply(200, Map.of("offset", offset));
+    }
+    for (Waiter waiter : List.copyOf(waiters)) {
+      if (waiter.stream.equals(name)) {
+        finish(waiter);
+      }
     }
-    exchange.json(200, Map.of("offset", offset));
   }
 
-  private synchronized void read(Exchange exchange, String name) {
-    reads++;
+  private synchronized void read(Exchange exchange, String name) throws IOException {
+    stats = stats.plus(0, 1, 0, 0);
+    RecordStream.Page page = page(exchange, name);
     long waitMillis = exchange.number("wait-ms", 0);
-    if (waitMillis <= 0 || !page(exchange, name).records().isEmpty()) {
-      exchange.json(200, page(exchange, name));
+    if (waitMillis <= 0 || !page.records().isEmpty()) {
+      exchange.reply(200, page);
       return;
     }
     Waiter waiter = new Waiter(exchange, name);
-    waiting.computeIfAbsent(name, n -> new ArrayList<>()).add(waiter);
-    exchange.later(waitMillis, waiter);
+    waiters.add(waiter);
+    exchange.later(waitMillis, () -> finish(waiter));
+  }
+
+  /** Answers a waiting read once: at the first record, or when its time is over. */
+  private synchronized void finish(Waiter waiter) throws IOException {
+    if (waiters.remove(waiter) && !failed(waiter.exchange)) {
+      waiter.exchange.reply(200, page(waiter.exchange, waiter.stream));
+    }
   }
 
   private RecordStream.Page page(Exchange exchange, String name) {
-    int max = (int) exchange.number("max", DEFAULT_PAGE);
+    int max = (int) exchange.number("max", Integer.MAX_VALUE);
     return retained(name).read(exchange.number("from", 0), max);
   }
 
   private RecordStream retained(String name) {
     RecordStream stream = streams.computeIfAbsent(name, n -> new RecordStream());
-    stream.retain(clock.millis(), faults.retainCount(), faults.retainMs());
+    stream.retain(clock.getAsLong(), faults.retainCount(), faults.retainMs());
     return stream;
   }
 
-  /** Answers a waiting read once: at the first record, or when its time is over. */
-  private final class Waiter implements Runnable {
-    private final Exchange exchange;
-    private final String name;
-    private boolean answered;
-
-    Waiter(Exchange exchange, String name) {
-      this.exchange = exchange;
-      this.name = name;
-    }
-
-    @Override
-    public void run() {
-      synchronized (LogStandIn.this) {
-        if (answered) {
-          return;
-        }
-        answered = true;
-        waiting.getOrDefault(name, new ArrayList<>()).remove(this);
-        if (!inOutage(exchange)) {
-          exchange.json(200, page(exchange, name));
-        }
-      }
-    }
-  }
+  private record Waiter(Exchange exchange, String stream) {}
 }
--- a/standins/src/main/java/org/fescuehook/standins/log/RecordStream.java
+++ b/standins/src/main/java/org/fescuehook/standins/log/RecordStream.java
@@ -13,21 +13,10 @@
   private int head;
   private long next;
 
-  /**
-   * A record.
-   *
-   * @param offset its place
-   * @param appended wall-clock milliseconds
-   * @param data content
-   */
+  /** A record; {@code appended} is in milliseconds. */
   record StoredRecord(long offset, long appended, byte[] data) {}
 
-  /**
-   * An answer to a read.
-   *
-   * @param earliest oldest offset still kept
-   * @param next offset after the last record of the stream
-   */
+  /** An answer to a read; {@code next} is the offset after the last record of the stream. */
   record Page(long earliest, long next, List<StoredRecord> records) {}
 
   long append(long now, byte[] data) {
--- a/standins/src/main/java/org/fescuehook/standins/worker/Lease.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/Lease.java
@@ -1,6 +1,6 @@
 package org.fescuehook.standins.worker;
 
-/** State of one lease in the book of its worker. Not thread-safe. */
+/** One lease in the book of its worker; times are in milliseconds. Not thread-safe. */
 final class Lease {
   private static final long NEVER = Long.MAX_VALUE;
 
@@ -11,9 +11,9 @@
   String job = "";
   int exitCode;
   long expiresAt;
-  private int percent = 100;
+  long checkpointAt = NEVER;
   private long endsAt = NEVER;
-  private long checkpointAt = NEVER;
+  private int percent = 100;
 
   Lease(String id, String key, Resources resources, long expiresAt) {
     this.id = id;
@@ -22,51 +22,35 @@
     this.expiresAt = expiresAt;
   }
 
-  /** Returns when something happens by itself next. */
-  long nextEvent() {
-    return state == LeaseState.RUNNING
-        ? Math.min(expiresAt, Math.min(endsAt, checkpointAt))
-        : expiresAt;
-  }
-
-  void start(long now, String jobId, TaskCommand command) {
+  void start(long now, String ofJob, TaskCommand command) {
     state = LeaseState.RUNNING;
-    job = jobId;
-    switch (command) {
-      case TaskCommand.Run run -> {
-        endsAt = now + run.millis();
-        exitCode = run.exitCode();
-      }
-      case TaskCommand.Forever forever -> endsAt = NEVER;
-    }
-  }
-
-  void checkpoint(long at) {
-    if (state == LeaseState.RUNNING && checkpointAt == NEVER) {
-      checkpointAt = at;
-    }
+    job = ofJob;
+    endsAt = now + command.millis();
+    exitCode = command.exitCode();
   }
 
   void throttle(long now, int newPercent) {
-    if (endsAt != NEVER) {
-      endsAt = now + (endsAt - now) * percent / newPercent;
-    }
+    endsAt = endsAt == NEVER ? NEVER : now + (endsAt - now) / newPercent * percent;
     percent = newPercent;
   }
 
+  /** Returns when something happens by itself next. */
+  long nextEvent() {
+    return state == LeaseState.RUNNING
+        ? Math.min(expiresAt, Math.min(endsAt, checkpointAt))
+        : expiresAt;
+  }
+
   /** Ends the task if its time has come; returns whether it did. */
   boolean endTask(long now) {
-    if (state != LeaseState.RUNNING) {
+    if (state != LeaseState.RUNNING || Math.min(endsAt, checkpointAt) > now) {
       return false;
     }
-    if (endsAt <= now) {
-      state = exitCode == 0 ? LeaseState.FINISHED : LeaseState.FAILED;
-      return true;
-    }
-    if (checkpointAt <= now) {
+    if (endsAt > checkpointAt) {
       state = LeaseState.CHECKPOINTED;
-      return true;
+    } else {
+      state = exitCode == 0 ? LeaseState.FINISHED : LeaseState.FAILED;
     }
-    return false;
+    return true;
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/LeaseBook.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/LeaseBook.java
@@ -1,33 +1,27 @@
 package org.fescuehook.standins.worker;
 
 import java.util.Collection;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.fescuehook.standins.worker.WorkerEvent.Kind;
 
-/**
- * The leases of one worker. Time is an argument, in milliseconds; each call first lets lapse what
- * is due. Not thread-safe.
- */
+/** The leases of one worker; time is an argument, in milliseconds. Not thread-safe. */
 final class LeaseBook {
   private final String worker;
-  private final String incarnation;
+  private final String idPrefix;
   private final Consumer<WorkerEvent> journal;
   private final Map<String, Lease> leases = new LinkedHashMap<>();
   private Resources free;
   private long issued;
   private long nextEvent = Long.MAX_VALUE;
 
-  /**
-   * Creates an empty book.
-   *
-   * @param incarnation part of each lease id, different for each start of the worker
-   */
+  /** Creates an empty book; the incarnation tells its lease ids from those of earlier ones. */
   LeaseBook(String worker, String incarnation, Resources total, Consumer<WorkerEvent> journal) {
     this.worker = worker;
-    this.incarnation = incarnation;
+    this.idPrefix = worker + "." + incarnation + ".";
     this.free = total;
     this.journal = journal;
   }
@@ -35,24 +29,22 @@
   /** Holds resources; empty if there are not enough. */
   Optional<Lease> grant(long now, String key, Resources asked, long ttlMillis) {
     expire(now);
-    if (!free.fits(asked)) {
+    if (!free.covers(asked)) {
       refuse(now, key, asked);
       return Optional.empty();
     }
-    String id = worker + "." + incarnation + "." + ++issued;
-    Lease lease = new Lease(id, key, asked, now + ttlMillis);
-    leases.put(id, lease);
-    free = free.minus(asked);
-    schedule(lease);
-    record(now, WorkerEvent.Kind.GRANTED, lease);
+    Lease lease = new Lease(idPrefix + ++issued, key, asked, now + ttlMillis);
+    leases.put(lease.id, lease);
+    free = free.plus(asked, -1);
+    changed(lease);
+    record(now, Kind.GRANTED, lease);
     return Optional.of(lease);
   }
 
-  /** Notes a refusal of a grant. */
+  /** Notes that a lease was asked for and not given. */
   void refuse(long now, String key, Resources asked) {
-    journal.accept(
-        new WorkerEvent(
-            now, worker, WorkerEvent.Kind.REFUSED, "", key, "", asked.accelerators()));
+    int accelerators = asked.accelerators();
+    journal.accept(new WorkerEvent(now, worker, Kind.REFUSED, "", key, "", accelerators));
   }
 
   /** Returns a lease that is not gone. */
@@ -63,37 +55,21 @@
 
   /** Starts the task of a lease that is held; changes nothing otherwise. */
   void start(long now, Lease lease, String job, TaskCommand command) {
-    if (lease.state != LeaseState.HELD) {
-      return;
+    if (lease.state == LeaseState.HELD) {
+      lease.start(now, job, command);
+      changed(lease);
+      record(now, Kind.STARTED, lease);
     }
-    lease.start(now, job, command);
-    schedule(lease);
-    record(now, WorkerEvent.Kind.STARTED, lease);
-  }
-
-  /** Renews a lease that is not gone. */
-  void renew(long now, Lease lease, long ttlMillis) {
-    lease.expiresAt = now + ttlMillis;
-    schedule(lease);
-  }
-
-  /** Has the task saved and stopped at a time. */
-  void checkpoint(Lease lease, long at) {
-    lease.checkpoint(at);
-    schedule(lease);
-  }
-
-  /** Changes the speed of a task. */
-  void throttle(long now, Lease lease, int percent) {
-    lease.throttle(now, percent);
-    schedule(lease);
   }
 
   /** Stops the task and frees the resources. */
   void release(long now, Lease lease) {
-    leases.remove(lease.id);
-    free = free.plus(lease.resources);
-    record(now, WorkerEvent.Kind.RELEASED, lease);
+    remove(now, Kind.RELEASED, lease);
+  }
+
+  /** Notes that a time of the lease was changed. */
+  void changed(Lease lease) {
+    nextEvent = Math.min(nextEvent, lease.nextEvent());
   }
 
   /** Lets tasks end and leases lapse that are due. */
@@ -102,18 +78,15 @@
       return;
     }
     nextEvent = Long.MAX_VALUE;
-    for (Iterator<Lease> i = leases.values().iterator(); i.hasNext(); ) {
-      Lease lease = i.next();
+    for (Lease lease : List.copyOf(leases.values())) {
       if (lease.endTask(now)) {
-        record(now, ending(lease), lease);
+        record(now, Kind.valueOf(lease.state.name()), lease);
       }
       if (lease.expiresAt <= now) {
-        i.remove();
-        free = free.plus(lease.resources);
-        record(now, WorkerEvent.Kind.LAPSED, lease);
-        continue;
+        remove(now, Kind.LAPSED, lease);
+      } else {
+        changed(lease);
       }
-      schedule(lease);
     }
   }
 
@@ -122,21 +95,14 @@
     return leases.values();
   }
 
-  private static WorkerEvent.Kind ending(Lease lease) {
-    return switch (lease.state) {
-      case FINISHED -> WorkerEvent.Kind.FINISHED;
-      case FAILED -> WorkerEvent.Kind.FAILED;
-      default -> WorkerEvent.Kind.CHECKPOINTED;
-    };
-  }
-
-  private void schedule(Lease lease) {
-    nextEvent = Math.min(nextEvent, lease.nextEvent());
+  private void remove(long now, Kind kind, Lease lease) {
+    leases.remove(lease.id);
+    free = free.plus(lease.resources, 1);
+    record(now, kind, lease);
   }
 
-  private void record(long now, WorkerEvent.Kind kind, Lease lease) {
-    journal.accept(
-        new WorkerEvent(
-            now, worker, kind, lease.id, lease.key, lease.job, lease.resources.accelerators()));
+  private void record(long now, Kind kind, Lease l) {
+    int accelerators = l.resources.accelerators();
+    journal.accept(new WorkerEvent(now, worker, kind, l.id, l.key, l.job, accelerators));
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/Resources.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/Resources.java
@@ -1,29 +1,18 @@
 package org.fescuehook.standins.worker;
 
-/**
- * Accelerators, cores and memory.
- *
- * @param memoryMegabytes memory in MiB
- */
+/** Accelerators, cores and memory in MiB. */
 public record Resources(int accelerators, int cores, long memoryMegabytes) {
 
-  Resources minus(Resources other) {
-    return new Resources(
-        accelerators - other.accelerators,
-        cores - other.cores,
-        memoryMegabytes - other.memoryMegabytes);
+  boolean covers(Resources r) {
+    return accelerators >= r.accelerators
+        && cores >= r.cores
+        && memoryMegabytes >= r.memoryMegabytes;
   }
 
-  Resources plus(Resources other) {
+  Resources plus(Resources r, int sign) {
     return new Resources(
-        accelerators + other.accelerators,
-        cores + other.cores,
-        memoryMegabytes + other.memoryMegabytes);
-  }
-
-  boolean fits(Resources other) {
-    return accelerators >= other.accelerators
-        && cores >= other.cores
-        && memoryMegabytes >= other.memoryMegabytes;
+        accelerators + sign * r.accelerators,
+        cores + sign * r.cores,
+        memoryMegabytes + sign * r.memoryMegabytes);
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/TaskCommand.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/TaskCommand.java
@@ -1,24 +1,28 @@
 package org.fescuehook.standins.worker;
 
-/** What a task does. */
-sealed interface TaskCommand {
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
-  /** Ends by itself after a time, in milliseconds, with an exit code. */
-  record Run(long millis, int exitCode) implements TaskCommand {}
-
-  /** Never ends by itself. */
-  record Forever() implements TaskCommand {}
+/**
+ * What a task does.
+ *
+ * @param millis milliseconds until it ends by itself
+ * @param exitCode its exit code then
+ */
+record TaskCommand(long millis, int exitCode) {
+  private static final Pattern RUN = Pattern.compile("run:(\\d{1,15})(?::exit=(\\d{1,3}))?");
+  private static final long NEVER = Long.MAX_VALUE / 2;
 
   /** Reads {@code run:<millis>}, {@code run:<millis>:exit=<code>} or {@code forever}. */
   static TaskCommand parse(String text) {
     if (text.equals("forever")) {
-      return new Forever();
+      return new TaskCommand(NEVER, 0);
     }
-    String[] parts = text.split(":");
-    if (!parts[0].equals("run") || parts.length < 2 || parts.length > 3) {
+    Matcher run = RUN.matcher(text);
+    if (!run.matches()) {
       throw new IllegalArgumentException("unknown command " + text);
     }
-    int exitCode = parts.length == 2 ? 0 : Integer.parseInt(parts[2].replaceFirst("^exit=", ""));
-    return new Run(Long.parseLong(parts[1]), exitCode);
+    int exitCode = run.group(2) == null ? 0 : Integer.parseInt(run.group(2));
+    return new TaskCommand(Long.parseLong(run.group(1)), exitCode);
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerEvent.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerEvent.java
@@ -3,20 +3,18 @@
 /**
  * Something that happened to a lease.
  *
- * @param at when, by the machine's monotonic clock, in milliseconds
- * @param worker on which worker
- * @param kind what happened
+ * @param at when, in monotonic milliseconds
  * @param lease the lease, empty for a refused grant
- * @param key the key that the lease was asked for with, {@code <attempt>/<member>}
+ * @param key the key that it was asked for with, {@code <attempt>/<member>}
  * @param job the job, empty before the start
- * @param accelerators how many accelerators the lease holds, or asked for
+ * @param accelerators how many accelerators it holds, or asked for
  */
 public record WorkerEvent(
     long at, String worker, Kind kind, String lease, String key, String job, int accelerators) {
 
   /** Kinds of events. */
   public enum Kind {
-    /** A request for a lease was refused. */
+    /** A lease was asked for and not given. */
     REFUSED,
     /** Resources are held. */
     GRANTED,
@@ -33,4 +31,8 @@
     /** The lease was not renewed in time. */
     LAPSED
   }
+
+  String attempt() {
+    return key.substring(0, Math.max(0, key.lastIndexOf('/')));
+  }
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerMessages.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerMessages.java
@@ -30,10 +30,18 @@
       LeaseState state,
       int accelerators,
       int cores,
-      long memoryMegabytes) {}
+      long memoryMegabytes) {
+
+    static LeaseUsage of(Lease l) {
+      Resources r = l.resources;
+      return new LeaseUsage(l.id, l.key, l.state, r.accelerators(), r.cores(), r.memoryMegabytes());
+    }
+  }
 
   record Usage(
       long asOf, int accelerators, int cores, long memoryMegabytes, List<LeaseUsage> leases) {}
 
+  record Failure(String error, String detail) {}
+
   record Empty() {}
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
@@ -6,58 +6,64 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
-import org.fescuehook.standins.MonotonicClock;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
-import org.fescuehook.standins.http.Json;
-import org.fescuehook.standins.http.ServerLimits;
 import org.fescuehook.standins.http.StandInServer;
 import org.fescuehook.standins.worker.WorkerMessages.Empty;
+import org.fescuehook.standins.worker.WorkerMessages.Failure;
+import org.fescuehook.standins.worker.WorkerMessages.LeaseUsage;
+import org.fescuehook.standins.worker.WorkerMessages.State;
 import org.fescuehook.standins.worker.WorkerMessages.Usage;
 
 /** One worker on its port. */
-final class WorkerStandIn implements AutoCloseable {
-  private final String name;
-  private final WorkerCapacity capacity;
-  private final MonotonicClock clock;
+final class WorkerStandIn {
+  private static final Pattern LEASE_CALL =
+      Pattern.compile("(POST|DELETE) /leases/([^/]+)(/start|/checkpoint|/throttle|)");
+  private static final int MAX_BODY_BYTES = 1 << 20;
+
+  private final Resources total;
+  private final long usageLagMillis;
+  private final LongSupplier clock;
   private final LeaseBook book;
-  private final List<Exchange> heldBack = new ArrayList<>();
   private final StandInServer server;
-  private WorkerFaults faults = WorkerFaults.none();
-  private Usage usage;
+  private final List<Exchange> heldBack = new ArrayList<>();
+  private WorkerFaults faults = WorkerFaults.NONE;
+  private Usage usage = new Usage(Long.MIN_VALUE / 2, 0, 0, 0, List.of());
+
+  private record Answer(int status, Object body) {
+    static final Answer OK = new Answer(200, new Empty());
+
+    static Answer error(int status, String slug, String detail) {
+      return new Answer(status, new Failure(slug, detail));
+    }
+  }
 
   WorkerStandIn(
       EventLoopGroup group,
       InetSocketAddress address,
-      String name,
-      String incarnation,
-      WorkerCapacity capacity,
-      MonotonicClock clock,
-      Consumer<WorkerEvent> journal)
+      LeaseBook book,
+      Resources total,
+      long usageLagMillis,
+      LongSupplier clock)
       throws StandInException {
-    this.name = name;
-    this.capacity = capacity;
+    this.total = total;
+    this.usageLagMillis = usageLagMillis;
     this.clock = clock;
-    this.book = new LeaseBook(name, incarnation, capacity.total(), journal);
-    this.usage = usage(clock.millis());
-    this.server = new StandInServer(group, address, ServerLimits.unlimited(), this::handle);
-  }
-
-  String name() {
-    return name;
+    this.book = book;
+    var limits = new StandInServer.Limits(Integer.MAX_VALUE, MAX_BODY_BYTES);
+    this.server = new StandInServer(group, address, limits, this::handle);
   }
 
-  InetSocketAddress address() {
-    return server.address();
+  StandInServer server() {
+    return server;
   }
 
   synchronized void apply(WorkerFaults next) {
     faults = next;
-    if (next.frozen()) {
-      return;
-    }
-    book.expire(clock.millis());
+    tick();
     List<Exchange> held = List.copyOf(heldBack);
     heldBack.clear();
     held.forEach(this::handle);
@@ -66,7 +72,7 @@
   /** Lets tasks end and leases lapse that are due. */
   synchronized void tick() {
     if (!faults.frozen()) {
-      book.expire(clock.millis());
+      book.expire(clock.getAsLong());
     }
   }
 
@@ -74,116 +80,63 @@
     return book.leases().size();
   }
 
-  void silenceOpenConnections() {
-    server.silenceOpenConnections();
-  }
-
-  @Override
-  public void close() {
-    server.close();
-  }
-
   private synchronized void handle(Exchange exchange) {
     if (faults.frozen()) {
       heldBack.add(exchange);
-      return;
-    }
-    if (!faults.silent()) {
+    } else if (!faults.silent()) {
       exchange.later(faults.delayMs(), () -> answer(exchange));
     }
   }
 
-  private synchronized void answer(Exchange exchange) {
-    Result result;
-    try {
-      result = call(clock.millis(), exchange);
-    } catch (IOException | IllegalArgumentException e) {
-      result = Result.error(400, "bad-request", String.valueOf(e.getMessage()));
-    }
+  private synchronized void answer(Exchange exchange) throws IOException {
+    Answer answer = call(clock.getAsLong(), exchange);
     if (faults.loseReplies()) {
       exchange.close();
       return;
     }
-    exchange.json(result.status(), result.body());
+    exchange.reply(answer.status(), answer.body());
   }
 
-  private Result call(long now, Exchange exchange) throws IOException {
-    List<String> path = exchange.segments();
-    String call = exchange.method() + " " + String.join("/", path);
-    switch (call) {
-      case "POST leases" -> {
-        return grant(now, Json.read(exchange.body(), WorkerMessages.Grant.class));
-      }
-      case "POST renewals" -> {
-        return renew(now, Json.read(exchange.body(), WorkerMessages.Renewal.class));
-      }
-      case "GET usage" -> {
-        return new Result(200, laggingUsage(now));
-      }
-      default -> {
-        return leaseCall(now, exchange, path);
-      }
-    }
+  private Answer call(long now, Exchange exchange) throws IOException {
+    return switch (exchange.call()) {
+      case "POST /leases" -> grant(now, exchange.json(WorkerMessages.Grant.class));
+      case "POST /renewals" -> renew(now, exchange.json(WorkerMessages.Renewal.class));
+      case "GET /usage" -> usage(now);
+      default -> leaseCall(now, exchange);
+    };
   }
 
-  private Result leaseCall(long now, Exchange exchange, List<String> path) throws IOException {
-    if (path.size() < 2 || path.size() > 3 || !path.get(0).equals("leases")) {
-      return Result.error(404, "not-found", exchange.path());
-    }
-    Optional<Lease> found = book.find(now, path.get(1));
-    if (found.isEmpty()) {
-      return Result.error(404, "gone", path.get(1));
+  private Answer leaseCall(long now, Exchange exchange) throws IOException {
+    Matcher call = LEASE_CALL.matcher(exchange.call());
+    if (!call.matches()) {
+      return Answer.error(404, "not-found", exchange.call());
     }
-    Lease lease = found.get();
-    String call = exchange.method() + " " + (path.size() == 3 ? path.get(2) : "");
-    switch (call) {
-      case "POST start" -> {
-        return start(now, lease, Json.read(exchange.body(), WorkerMessages.Start.class));
-      }
-      case "POST checkpoint" -> {
-        return checkpoint(now, lease);
-      }
-      case "POST throttle" -> {
-        int percent = Json.read(exchange.body(), WorkerMessages.Throttle.class).percent();
-        book.throttle(now, lease, Math.clamp(percent, 1, 100));
-        return Result.ok();
-      }
-      case "DELETE " -> {
-        book.release(now, lease);
-        return Result.ok();
-      }
-      default -> {
-        return Result.error(405, "method", call);
-      }
+    Optional<Lease> lease = book.find(now, call.group(2));
+    if (lease.isEmpty()) {
+      return Answer.error(404, "gone", call.group(2));
     }
+    return switch (call.group(1) + call.group(3)) {
+      case "POST/start" -> start(now, lease.get(), exchange.json(WorkerMessages.Start.class));
+      case "POST/checkpoint" -> checkpoint(now, lease.get());
+      case "POST/throttle" ->
+          throttle(now, lease.get(), exchange.json(WorkerMessages.Throttle.class));
+      case "DELETE" -> release(now, lease.get());
+      default -> Answer.error(405, "method", exchange.call());
+    };
   }
 
-  private Result grant(long now, WorkerMessages.Grant grant) {
+  private Answer grant(long now, WorkerMessages.Grant grant) {
     if (faults.refuseGrants()) {
       book.refuse(now, grant.key(), grant.resources());
-      return Result.error(409, "insufficient", "refusing");
+      return Answer.error(409, "insufficient", "no grants");
     }
     return book.grant(now, grant.key(), grant.resources(), grant.ttlMs())
-        .map(l -> new Result(201, new WorkerMessages.Granted(l.id)))
-        .orElseGet(() -> Result.error(409, "insufficient", "not enough resources are free"));
-  }
-
-  private Result start(long now, Lease lease, WorkerMessages.Start start) {
-    TaskCommand asked = TaskCommand.parse(start.command());
-    TaskCommand command = faults.failTasks() ? new TaskCommand.Run(0, 1) : asked;
-    book.start(now, lease, start.job(), command);
-    return Result.ok();
+        .map(l -> new Answer(201, new WorkerMessages.Granted(l.id)))
+        .orElse(Answer.error(409, "insufficient", "not enough is free"));
   }
 
-  private Result checkpoint(long now, Lease lease) {
-    if (!faults.ignoreCheckpoint()) {
-      book.checkpoint(lease, now + faults.checkpointMs());
-    }
-    return new Result(202, new Empty());
-  }
-
-  private Result renew(long now, WorkerMessages.Renewal renewal) {
-    List<WorkerMessages.State> states = new ArrayList<>();
+  private Answer renew(long now, WorkerMessages.Renewal renewal) {
+    List<State> states = new ArrayList<>();
     List<String> gone = new ArrayList<>();
     for (String id : renewal.leases()) {
       Optional<Lease> found = book.find(now, id);
@@ -192,44 +145,43 @@
         continue;
       }
       Lease lease = found.get();
-      book.renew(now, lease, renewal.ttlMs());
-      states.add(new WorkerMessages.State(id, lease.state, lease.exitCode));
+      lease.expiresAt = now + renewal.ttlMs();
+      states.add(new State(id, lease.state, lease.exitCode));
     }
-    return new Result(200, new WorkerMessages.Renewed(states, gone));
+    return new Answer(200, new WorkerMessages.Renewed(states, gone));
   }
 
-  private Usage laggingUsage(long now) {
-    if (now - usage.asOf() >= capacity.usageLagMs()) {
-      usage = usage(now);
-    }
-    return usage;
+  private Answer start(long now, Lease lease, WorkerMessages.Start start) {
+    TaskCommand command = TaskCommand.parse(start.command());
+    book.start(now, lease, start.job(), faults.failTasks() ? new TaskCommand(0, 1) : command);
+    return Answer.OK;
   }
 
-  private Usage usage(long now) {
-    book.expire(now);
-    List<WorkerMessages.LeaseUsage> leases =
-        book.leases().stream().map(WorkerStandIn::leaseUsage).toList();
-    Resources total = capacity.total();
-    return new Usage(
-        now, total.accelerators(), total.cores(), total.memoryMegabytes(), leases);
+  private Answer checkpoint(long now, Lease lease) {
+    if (!faults.ignoreCheckpoint()) {
+      lease.checkpointAt = Math.min(lease.checkpointAt, now + faults.checkpointMs());
+      book.changed(lease);
+    }
+    return new Answer(202, new Empty());
   }
 
-  private static WorkerMessages.LeaseUsage leaseUsage(Lease lease) {
-    Resources r = lease.resources;
-    return new WorkerMessages.LeaseUsage(
-        lease.id, lease.key, lease.state, r.accelerators(), r.cores(), r.memoryMegabytes());
+  private Answer throttle(long now, Lease lease, WorkerMessages.Throttle throttle) {
+    lease.throttle(now, Math.clamp(throttle.percent(), 1, 100));
+    book.changed(lease);
+    return Answer.OK;
   }
 
-  /** An answer before it is sent or lost. */
-  private record Result(int status, Object body) {
-    static Result ok() {
-      return new Result(200, new Empty());
-    }
+  private Answer release(long now, Lease lease) {
+    book.release(now, lease);
+    return Answer.OK;
+  }
 
-    static Result error(int status, String slug, String detail) {
-      return new Result(status, new Failure(slug, detail));
+  private Answer usage(long now) {
+    if (now - usage.asOf() >= usageLagMillis) {
+      book.expire(now);
+      List<LeaseUsage> leases = book.leases().stream().map(LeaseUsage::of).toList();
+      usage = new Usage(now, total.accelerators(), total.cores(), total.memoryMegabytes(), leases);
     }
+    return new Answer(200, usage);
   }
-
-  private record Failure(String error, String detail) {}
 }
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIns.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIns.java
@@ -1,111 +1,93 @@
 package org.fescuehook.standins.worker;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.fescuehook.standins.Journal;
-import org.fescuehook.standins.MonotonicClock;
 import org.fescuehook.standins.StandIn;
 import org.fescuehook.standins.StandInException;
-import org.fescuehook.standins.http.Json;
+import org.fescuehook.standins.http.StandInServer;
 
-/** Workers named by consecutive numbers, with one journal. */
-public final class WorkerStandIns implements StandIn {
+/** Workers named {@code worker-1} and so on, with one journal. */
+public final class WorkerStandIns extends StandIn<WorkerFaults> {
   private static final long TICK_MILLIS = 10;
 
-  private final WorkerCapacity capacity;
   private final Journal<WorkerEvent> journal;
-  private final List<WorkerStandIn> workers = new ArrayList<>();
+  private final int accelerators;
+  private final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
   private final Future<?> ticker;
 
   /**
-   * Counts of the workers.
+   * The workers to start.
    *
-   * @param events how many events of each kind are in the journal
-   * @param dropped how many events have left the journal
+   * @param first number in the name of the first
+   * @param each resources of each worker
+   * @param usageLagMillis how old a reported usage can be
    */
+  public record Fleet(int first, int count, Resources each, long usageLagMillis) {}
+
+  /** Counts of the workers; {@code events} counts what is still in the journal. */
   public record Stats(
       int workers, int leases, Map<WorkerEvent.Kind, Integer> events, long dropped) {}
 
-  /**
-   * Names of the workers.
-   *
-   * @param firstNumber number in the name of the first, as in {@code worker-1}
-   */
-  public record Names(int firstNumber, int count) {}
-
   /**
    * Starts workers.
    *
    * @param first address of the first; the others follow on the next ports, or on any if it is 0
+   * @param clock gives monotonic milliseconds
    * @param journalLimit how many events are kept in the journal
    */
   public WorkerStandIns(
       EventLoopGroup group,
       InetSocketAddress first,
-      Names names,
-      WorkerCapacity capacity,
-      MonotonicClock clock,
+      Fleet fleet,
+      LongSupplier clock,
       int journalLimit)
       throws StandInException {
-    this.capacity = capacity;
+    super("workers", WorkerFaults.class);
     this.journal = new Journal<>(journalLimit);
+    this.accelerators = fleet.each().accelerators();
     String incarnation = Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
-    for (int i = 0; i < names.count(); i++) {
+    for (int i = 0; i < fleet.count(); i++) {
       int port = first.getPort() == 0 ? 0 : first.getPort() + i;
-      workers.add(
-          new WorkerStandIn(
-              group,
-              new InetSocketAddress(first.getAddress(), port),
-              "worker-" + (names.firstNumber() + i),
-              incarnation,
-              capacity,
-              clock,
-              journal::add));
+      var address = new InetSocketAddress(first.getAddress(), port);
+      String name = "worker-" + (fleet.first() + i);
+      LeaseBook book = new LeaseBook(name, incarnation, fleet.each(), journal::add);
+      long lag = fleet.usageLagMillis();
+      workers.put(name, new WorkerStandIn(group, address, book, fleet.each(), lag, clock));
     }
+    Runnable tick = () -> workers.values().forEach(WorkerStandIn::tick);
     this.ticker =
-        group
-            .next()
-            .scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        group.next().scheduleAtFixedRate(tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Returns where each worker listens, by name. */
   public Map<String, InetSocketAddress> addresses() {
     Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
-    workers.forEach(w -> addresses.put(w.name(), w.address()));
+    workers.forEach((name, worker) -> addresses.put(name, worker.server().address()));
     return addresses;
   }
 
-  /** Replaces the faults of those that they name. */
-  public void apply(WorkerFaults faults) {
-    workers.stream().filter(w -> faults.concerns(w.name())).forEach(w -> w.apply(faults));
-  }
-
-  /**
-   * Computes what went wrong.
-   *
-   * @param maxPartialMillis how long a gang may run in part
-   */
-  public WorkerReport report(long maxPartialMillis) {
-    return WorkerReport.of(journal(), capacity.total().accelerators(), maxPartialMillis);
-  }
-
-  @Override
-  public String target() {
-    return "workers";
+  /** Returns what went wrong, given how long a gang may run in part. */
+  public List<GangAudit.Finding> audit(long maxPartialMillis) {
+    return GangAudit.check(journal(), accelerators, maxPartialMillis);
   }
 
+  /** Replaces the faults of those that they name. */
   @Override
-  public void apply(JsonNode tree) throws JsonProcessingException {
-    apply(Json.convert(tree, WorkerFaults.class));
+  public void apply(WorkerFaults faults) {
+    workers.forEach(
+        (name, worker) -> {
+          if (faults.concerns(name)) {
+            worker.apply(faults);
+          }
+        });
   }
 
   @Override
@@ -117,22 +99,18 @@
   public Stats stats() {
     Map<WorkerEvent.Kind, Integer> events = new EnumMap<>(WorkerEvent.Kind.class);
     journal().forEach(e -> events.merge(e.kind(), 1, Integer::sum));
-    int leases = workers.stream().mapToInt(WorkerStandIn::leases).sum();
+    int leases = workers.values().stream().mapToInt(WorkerStandIn::leases).sum();
     return new Stats(workers.size(), leases, events, journal.dropped());
   }
 
-  @Override
-  public void silenceOpenConnections() {
-    workers.forEach(WorkerStandIn::silenceOpenConnections);
-  }
-
   @Override
   public void close() {
     ticker.cancel(false);
-    workers.forEach(WorkerStandIn::close);
+    super.close();
   }
 
-  private void tick() {
-    workers.forEach(WorkerStandIn::tick);
+  @Override
+  protected List<StandInServer> servers() {
+    return workers.values().stream().map(WorkerStandIn::server).toList();
   }
 }
