Settings, declarations and commands: first cut

Settings and declarations are read by commons-configuration2, which gives no line numbers; a scan of the lines finds them for the messages. Keys stand in one table each, from which they are parsed. Commands: entry, settings check, config check, publish and show. The entry program is not wired yet.

--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/client/EntryClient.java
@@ -0,0 +1,114 @@
+package org.fescuehook.cli.client;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.fescuehook.logic.ini.Addresses;
+
+/** Sends single requests to one port of an entry VM and reads JSON answers. */
+public final class EntryClient implements AutoCloseable {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(CONNECT_TIMEOUT)
+          .build();
+  private final String peer;
+  private final Optional<String> token;
+  private final Duration timeout;
+
+  /**
+   * Creates a client.
+   *
+   * @param address the port
+   * @param token bearer token, for the operators' port
+   * @param timeout longest wait for an answer
+   */
+  public EntryClient(InetSocketAddress address, Optional<String> token, Duration timeout) {
+    this.peer = Addresses.format(address);
+    this.token = token;
+    this.timeout = timeout;
+  }
+
+  /** Returns the address of the port. */
+  public String peer() {
+    return peer;
+  }
+
+  /** Sends a request without a body. */
+  public Response send(String method, String path) throws EntryUnreachableException {
+    return exchange(builder(path).method(method, BodyPublishers.noBody()).build());
+  }
+
+  /** Sends a request with a JSON body. */
+  public Response send(String method, String path, Object body, Map<String, String> headers)
+      throws EntryUnreachableException {
+    HttpRequest.Builder builder = builder(path).header("Content-Type", "application/json");
+    headers.forEach(builder::header);
+    try {
+      String json = MAPPER.writeValueAsString(body);
+      return exchange(builder.method(method, BodyPublishers.ofString(json)).build());
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("body is no JSON: " + body, e);
+    }
+  }
+
+  @Override
+  public void close() {
+    client.shutdownNow();
+  }
+
+  private HttpRequest.Builder builder(String path) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://" + peer + path)).timeout(timeout);
+    token.ifPresent(value -> builder.header("Authorization", "Bearer " + value));
+    return builder;
+  }
+
+  private Response exchange(HttpRequest request) throws EntryUnreachableException {
+    String step = request.method() + " " + request.uri().getRawPath();
+    try {
+      HttpResponse<String> response = client.send(request, BodyHandlers.ofString());
+      return new Response(response.statusCode(), parse(response.body()), retryAfter(response));
+    } catch (JsonProcessingException e) {
+      throw new EntryUnreachableException(step, peer, "the answer is no JSON");
+    } catch (IOException e) {
+      String problem = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+      throw new EntryUnreachableException(step, peer, problem);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new EntryUnreachableException(step, peer, "interrupted");
+    }
+  }
+
+  private static JsonNode parse(String body) throws JsonProcessingException {
+    return MAPPER.readTree(body);
+  }
+
+  private static OptionalInt retryAfter(HttpResponse<String> response) {
+    try {
+      OptionalLong seconds = response.headers().firstValueAsLong("Retry-After");
+      return seconds.isPresent()
+          ? OptionalInt.of(Math.toIntExact(seconds.getAsLong()))
+          : OptionalInt.empty();
+    } catch (NumberFormatException | ArithmeticException e) {
+      return OptionalInt.empty();
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigPublishCommand.java
@@ -0,0 +1,107 @@
+package org.fescuehook.cli.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.cli.client.EntryClient;
+import org.fescuehook.cli.client.EntryUnreachableException;
+import org.fescuehook.cli.client.Response;
+import org.fescuehook.logic.ini.FaultyInputException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** {@code config publish}: puts declarations in force; publishing the same again changes nothing. */
+public final class ConfigPublishCommand extends OperatorCommand {
+
+  private static final int CONFLICT = 409;
+  private static final String NO_BASE = "none";
+
+  @Argument(metaVar = "FILE", required = true, usage = "declarations, INI; several make up one")
+  private List<String> files = new ArrayList<>();
+
+  @Option(
+      name = "--base",
+      metaVar = "REV",
+      required = true,
+      usage = "revision that the change is based on; none for the first")
+  private String base = "";
+
+  @Option(name = "--author", metaVar = "NAME", required = true, usage = "who publishes")
+  private String author = "";
+
+  @Option(name = "--reason", metaVar = "TEXT", required = true, usage = "why, for the history")
+  private String reason = "";
+
+  @Override
+  ExitCode run(Console console, EntryClient client)
+      throws CommandException, EntryUnreachableException {
+    long baseRevision = baseRevision();
+    DeclarationFiles declarations = DeclarationFiles.read(files);
+    try {
+      new FaultWriter(console, Format.TEXT).write(List.of(), declarations.check().warnings());
+    } catch (FaultyInputException e) {
+      new FaultWriter(console, format()).write(e.faults(), List.of());
+      return ExitCode.FAULTY_INPUT;
+    }
+    String text = declarations.text();
+    Optional<PublishedConfiguration> current = PublishedConfiguration.fetchCurrent(client);
+    if (current.isPresent() && current.get().declarations().equals(text)) {
+      return report(console, new Result(current.get().revision(), false));
+    }
+    return publish(console, client, new Publication(baseRevision, author, reason, text));
+  }
+
+  private ExitCode publish(Console console, EntryClient client, Publication publication)
+      throws CommandException, EntryUnreachableException {
+    Response response = client.send("POST", "/configuration", publication, Map.of());
+    if (response.status() == CONFLICT) {
+      return conflict(console, client, publication, response);
+    }
+    long revision = granted(response).body().path("revision").asLong();
+    return report(console, new Result(revision, true));
+  }
+
+  private ExitCode conflict(
+      Console console, EntryClient client, Publication publication, Response response)
+      throws CommandException, EntryUnreachableException {
+    long winner = response.body().path("winner").asLong(-1);
+    Optional<PublishedConfiguration> winning = PublishedConfiguration.fetch(client, winner);
+    if (winning.isPresent() && winning.get().declarations().equals(publication.declarations())) {
+      return report(console, new Result(winner, false));
+    }
+    String by = response.body().path("author").asText("unknown");
+    throw new CommandException(
+        ExitCode.CONFLICT,
+        "conflict: revision %d by %s came first; look at config diff, then publish with --base %d"
+            .formatted(winner, by, winner));
+  }
+
+  private ExitCode report(Console console, Result result) {
+    if (format() == Format.JSON) {
+      console.out().println(Json.write(result));
+      return ExitCode.DONE;
+    }
+    String state = result.changed() ? "published and in force" : "already in force, no change";
+    console.out().println("revision " + result.revision() + ": " + state);
+    return ExitCode.DONE;
+  }
+
+  private long baseRevision() throws CommandException {
+    if (base.equals(NO_BASE)) {
+      return -1;
+    }
+    try {
+      return Long.parseLong(base);
+    } catch (NumberFormatException e) {
+      throw new CommandException(
+          ExitCode.FAULTY_INPUT, "--base " + base + " is no revision; see config history");
+    }
+  }
+
+  /** Body of a publication. */
+  private record Publication(long base, String author, String reason, String declarations) {}
+
+  /** What became of it. */
+  private record Result(long revision, boolean changed) {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigShowCommand.java
@@ -0,0 +1,46 @@
+package org.fescuehook.cli.command;
+
+import java.util.Optional;
+import org.fescuehook.cli.client.EntryClient;
+import org.fescuehook.cli.client.EntryUnreachableException;
+import org.kohsuke.args4j.Option;
+
+/** {@code config show}: prints published declarations. */
+public final class ConfigShowCommand extends OperatorCommand {
+
+  private static final long IN_FORCE = -1;
+
+  @Option(name = "--revision", metaVar = "R", usage = "revision to show; else the one in force")
+  private long revision = IN_FORCE;
+
+  @Override
+  ExitCode run(Console console, EntryClient client)
+      throws CommandException, EntryUnreachableException {
+    Optional<PublishedConfiguration> found =
+        revision == IN_FORCE
+            ? PublishedConfiguration.fetchCurrent(client)
+            : PublishedConfiguration.fetch(client, revision);
+    if (found.isEmpty()) {
+      throw new CommandException(
+          ExitCode.NOT_FOUND,
+          revision == IN_FORCE
+              ? "no configuration is published yet; run config publish"
+              : "revision " + revision + " is not known; see config history");
+    }
+    PublishedConfiguration configuration = found.get();
+    if (format() == Format.JSON) {
+      console.out().println(Json.write(configuration));
+      return ExitCode.DONE;
+    }
+    console
+        .out()
+        .printf(
+            "# revision %d, based on %d, by %s: %s%n",
+            configuration.revision(),
+            configuration.base(),
+            configuration.author(),
+            configuration.reason());
+    console.out().print(configuration.declarations());
+    return ExitCode.DONE;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/DeclarationFiles.java
@@ -0,0 +1,39 @@
+package org.fescuehook.cli.command;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.fescuehook.logic.configuration.CheckedDeclarations;
+import org.fescuehook.logic.configuration.DeclarationsParser;
+import org.fescuehook.logic.ini.FaultyInputException;
+import org.fescuehook.logic.ini.IniSource;
+
+/**
+ * Declaration files named on the command line, which make up one configuration.
+ *
+ * @param sources the files in the order of their names
+ */
+record DeclarationFiles(List<IniSource> sources) {
+
+  static DeclarationFiles read(List<String> names) throws CommandException {
+    return new DeclarationFiles(InputFiles.readAll(names.stream().sorted().distinct().toList()));
+  }
+
+  /** Parses and checks the files. */
+  CheckedDeclarations check() throws FaultyInputException {
+    return new DeclarationsParser().parse(sources);
+  }
+
+  /** Returns the text to publish: the files one after another. */
+  String text() {
+    StringBuilder text = new StringBuilder();
+    for (IniSource source : sources) {
+      String content = new String(source.content(), StandardCharsets.UTF_8);
+      text.append(content.lines().map(String::stripTrailing).reduce("", DeclarationFiles::join));
+    }
+    return text.toString();
+  }
+
+  private static String join(String text, String line) {
+    return text + line + "\n";
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/FaultWriter.java
@@ -0,0 +1,68 @@
+package org.fescuehook.cli.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import org.fescuehook.logic.ini.Fault;
+
+/** Writes faults and warnings of checked files, as lines or as JSON. */
+final class FaultWriter {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final Console console;
+  private final Format format;
+
+  FaultWriter(Console console, Format format) {
+    this.console = console;
+    this.format = format;
+  }
+
+  /** Writes the result of a check: faults to the error stream, or all as one JSON document. */
+  void write(List<Fault> faults, List<Fault> warnings) {
+    if (format == Format.JSON) {
+      Report report = new Report(faults.isEmpty(), lines(faults), lines(warnings));
+      console.out().println(json(report));
+      return;
+    }
+    faults.forEach(fault -> console.err().println(fault.message()));
+    warnings.forEach(warning -> console.err().println("warning: " + warning.message()));
+  }
+
+  private static List<Line> lines(List<Fault> faults) {
+    return faults.stream().map(Line::of).toList();
+  }
+
+  private static String json(Report report) {
+    try {
+      return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(report);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Result of a check. */
+  private record Report(boolean valid, List<Line> faults, List<Line> warnings) {}
+
+  /** One fault, flat. */
+  private record Line(
+      String file,
+      int line,
+      String section,
+      String key,
+      String value,
+      String problem,
+      String accepted) {
+
+    static Line of(Fault fault) {
+      return new Line(
+          fault.place().file(),
+          fault.place().line(),
+          fault.place().section(),
+          fault.place().key(),
+          fault.value(),
+          fault.problem(),
+          fault.accepted());
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/Json.java
@@ -0,0 +1,20 @@
+package org.fescuehook.cli.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Writes results as JSON. */
+final class Json {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private Json() {}
+
+  static String write(Object value) {
+    try {
+      return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("no JSON: " + value, e);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/package-info.java
@@ -0,0 +1,5 @@
+/** The {@code fescuehook} program: finds the command and runs it. */
+@NullMarked
+package org.fescuehook.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/FleetParser.java
@@ -0,0 +1,119 @@
+package org.fescuehook.logic.configuration;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.logic.ini.IniSection;
+import org.fescuehook.logic.ini.SectionReader;
+import org.fescuehook.model.fleet.Capacity;
+import org.fescuehook.model.fleet.Executor;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+import org.fescuehook.model.fleet.Worker;
+import org.fescuehook.model.fleet.WorkerId;
+
+/** Parses the sections on workers and executors, one each or a range of many alike. */
+final class FleetParser {
+
+  private static final long MEBIBYTE = 1L << 20;
+
+  private final DeclaredItems items;
+
+  FleetParser(DeclaredItems items) {
+    this.items = items;
+  }
+
+  /** Parses {@code [worker NAME]}. */
+  void parseWorker(IniSection section) {
+    SectionReader reader = new SectionReader(section, items.faults);
+    reader.refuseUnknown(DeclarationKeys.of(DeclarationKeys.WORKER));
+    readWorker(section, section.title(), reader);
+  }
+
+  /** Parses {@code [executor NAME]}. */
+  void parseExecutor(IniSection section) {
+    SectionReader reader = new SectionReader(section, items.faults);
+    reader.refuseUnknown(DeclarationKeys.of(DeclarationKeys.EXECUTOR));
+    readExecutor(section, section.title(), reader);
+  }
+
+  /** Parses {@code [workers NAME-{001..030}]}. */
+  void parseWorkers(IniSection section) {
+    parseRange(section, DeclarationKeys.WORKER, this::readWorker);
+  }
+
+  /** Parses {@code [executors NAME-{01..30}]}. */
+  void parseExecutors(IniSection section) {
+    parseRange(section, DeclarationKeys.EXECUTOR, this::readExecutor);
+  }
+
+  private void parseRange(IniSection section, String kind, ItemReader itemReader) {
+    new SectionReader(section, items.faults).refuseUnknown(DeclarationKeys.of(kind));
+    Optional<List<String>> names = NameRange.names(section.title());
+    if (names.isEmpty()) {
+      String accepted =
+          "[%ss NAME-{001..030}] with at most %d names".formatted(kind, NameRange.MOST);
+      items.faults.add(new Fault(section.place(), "", "has no range of names", accepted));
+      return;
+    }
+    for (int i = 0; i < names.get().size(); i++) {
+      int index = i;
+      int faultsBefore = items.faults.size();
+      SectionReader reader =
+          new SectionReader(section, items.faults, text -> Sequence.expand(text, index));
+      itemReader.read(section, names.get().get(i), reader);
+      if (items.faults.size() > faultsBefore) {
+        // one faulty item is enough: the others of the range share its lines
+        return;
+      }
+    }
+  }
+
+  private void readWorker(IniSection section, String name, SectionReader reader) {
+    Optional<InetSocketAddress> address = reader.read(DeclarationKeys.WORKER_ADDRESS);
+    Optional<FailureDomain> domain = reader.read(DeclarationKeys.WORKER_DOMAIN);
+    Optional<RackId> rack = reader.read(DeclarationKeys.RACK);
+    Optional<Integer> accelerators = reader.read(DeclarationKeys.ACCELERATORS);
+    Optional<Integer> cores = reader.read(DeclarationKeys.CORES);
+    Optional<Long> memory = reader.read(DeclarationKeys.MEMORY);
+    if (address.isEmpty() || domain.isEmpty() || rack.isEmpty()) {
+      return;
+    }
+    if (accelerators.isEmpty() || cores.isEmpty() || memory.isEmpty()) {
+      return;
+    }
+    Capacity capacity = new Capacity(accelerators.get(), cores.get(), memory.get() / MEBIBYTE);
+    Worker worker =
+        new Worker(new WorkerId(name), address.get(), domain.get(), rack.get(), capacity);
+    items.workers.add(new Placed<>(worker, section.place()));
+  }
+
+  private void readExecutor(IniSection section, String name, SectionReader reader) {
+    Optional<InetSocketAddress> address = reader.read(DeclarationKeys.EXECUTOR_ADDRESS);
+    Optional<FailureDomain> domain = reader.read(DeclarationKeys.EXECUTOR_DOMAIN);
+    Optional<Integer> slots = reader.read(DeclarationKeys.SLOTS);
+    Optional<Integer> connections = reader.read(DeclarationKeys.CONNECTIONS);
+    if (address.isEmpty() || domain.isEmpty() || slots.isEmpty() || connections.isEmpty()) {
+      return;
+    }
+    if (connections.get() < slots.get()) {
+      reader.fault(
+          DeclarationKeys.CONNECTIONS,
+          "is below slots; a connection carries one request at a time",
+          "a whole number of at least " + slots.get());
+      return;
+    }
+    Executor executor =
+        new Executor(
+            new ExecutorId(name), address.get(), domain.get(), slots.get(), connections.get());
+    items.executors.add(new Placed<>(executor, section.place()));
+  }
+
+  /** Reads one item of a range. */
+  @FunctionalInterface
+  private interface ItemReader {
+    void read(IniSection section, String name, SectionReader reader);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Addresses.java
@@ -0,0 +1,51 @@
+package org.fescuehook.logic.ini;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Addresses as {@code IP:port}; names are refused, since nothing is resolved. */
+public final class Addresses {
+
+  private static final Pattern FORM = Pattern.compile("(?:\\[([0-9A-Fa-f:.]+)]|([^:\\[\\]]+)):(\\d{1,5})");
+  private static final int LARGEST_PORT = 65_535;
+
+  private Addresses() {}
+
+  /** Returns the type of addresses with a port from {@code leastPort} on. */
+  public static ValueType<InetSocketAddress> fromPort(int leastPort) {
+    String accepted =
+        "IP:port with a port of %d to %d, as 10.0.0.5:7000 or [fd00::5]:7000"
+            .formatted(leastPort, LARGEST_PORT);
+    return new ValueType<>(accepted, text -> parse(text, leastPort), Addresses::format);
+  }
+
+  /** Returns the address as {@code IP:port}. */
+  public static String format(InetSocketAddress address) {
+    String host = address.getAddress().getHostAddress();
+    return host.contains(":") ? "[" + host + "]:" + address.getPort() : host + ":" + address.getPort();
+  }
+
+  private static InetSocketAddress parse(String text, int leastPort)
+      throws MalformedValueException {
+    Matcher matcher = FORM.matcher(text);
+    if (!matcher.matches()) {
+      throw new MalformedValueException("is not IP:port");
+    }
+    int port = Integer.parseInt(matcher.group(3));
+    if (port < leastPort || port > LARGEST_PORT) {
+      throw new MalformedValueException("has a port out of range");
+    }
+    String host = matcher.group(1) != null ? matcher.group(1) : matcher.group(2);
+    return new InetSocketAddress(literal(host), port);
+  }
+
+  private static InetAddress literal(String host) throws MalformedValueException {
+    try {
+      return InetAddress.ofLiteral(host);
+    } catch (IllegalArgumentException e) {
+      throw new MalformedValueException("\"" + host + "\" is no IP address");
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/FaultyInputException.java
@@ -0,0 +1,22 @@
+package org.fescuehook.logic.ini;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** An INI file was refused; carries every fault that was found. */
+public final class FaultyInputException extends Exception {
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<Fault> faults;
+
+  /** Creates the exception from at least one fault, which it sorts by place. */
+  public FaultyInputException(List<Fault> faults) {
+    super(faults.stream().sorted(Fault.BY_PLACE).map(Fault::message).collect(Collectors.joining("\n")));
+    this.faults = faults.stream().sorted(Fault.BY_PLACE).toList();
+  }
+
+  /** Returns the faults in the order of their places. */
+  public List<Fault> faults() {
+    return faults;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/IniParser.java
@@ -0,0 +1,103 @@
+package org.fescuehook.logic.ini;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+import org.apache.commons.configuration2.tree.ImmutableNode;
+
+/**
+ * Parses INI files in UTF-8 by the INI library. Keys and values are separated by {@code =},
+ * comments begin with {@code #} or {@code ;}. Values are taken as they stand, without interpolation.
+ */
+public final class IniParser {
+
+  private static final String SEPARATOR = "=";
+  private static final String COMMENT_MARKS = "#;";
+
+  /** Parses files that make up one document; a section may stand in one of them only. */
+  public IniDocument parse(List<IniSource> sources) {
+    List<IniSection> sections = new ArrayList<>();
+    List<Fault> faults = new ArrayList<>();
+    Map<String, Place> seen = new HashMap<>();
+    for (IniSource source : sources) {
+      try {
+        sections.addAll(parseFile(source, seen, faults));
+      } catch (FaultyInputException e) {
+        faults.addAll(e.faults());
+      }
+    }
+    return new IniDocument(sections, faults);
+  }
+
+  private static List<IniSection> parseFile(
+      IniSource source, Map<String, Place> seen, List<Fault> faults) throws FaultyInputException {
+    String text = new Utf8Decoder().decode(source);
+    LineScan scan = new LineScan(source.file(), text);
+    faults.addAll(scan.faults());
+    Map<String, ImmutableNode> nodes = new HashMap<>();
+    for (ImmutableNode node : load(source.file(), text).getChildren()) {
+      nodes.put(node.getNodeName(), node);
+    }
+    List<IniSection> sections = new ArrayList<>();
+    for (LineScan.Header header : scan.headers()) {
+      String name = header.place().section();
+      Place first = seen.putIfAbsent(name, header.place());
+      if (first != null) {
+        faults.add(repeatedSection(header.place(), first));
+        continue;
+      }
+      List<IniEntry> entries = entries(nodes.get(name), header.keys(), faults);
+      sections.add(new IniSection(header.place(), entries));
+    }
+    return sections;
+  }
+
+  private static ImmutableNode load(String file, String text) throws FaultyInputException {
+    INIConfiguration configuration = new INIConfiguration();
+    configuration.setSeparatorUsedInInput(SEPARATOR);
+    configuration.setCommentLeadingCharsUsedInInput(COMMENT_MARKS);
+    try {
+      configuration.read(new StringReader(text));
+    } catch (ConfigurationException | IOException e) {
+      String problem = "cannot be parsed: " + e.getMessage();
+      throw new FaultyInputException(
+          List.of(new Fault(Place.ofFile(file), "", problem, "INI text")));
+    }
+    return configuration.getNodeModel().getInMemoryRepresentation();
+  }
+
+  private static List<IniEntry> entries(
+      ImmutableNode node, List<Place> keys, List<Fault> faults) {
+    List<IniEntry> entries = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
+    for (Place key : keys) {
+      if (!seen.add(key.key())) {
+        faults.add(new Fault(key, "", "is given twice in this section", "one value for each key"));
+        continue;
+      }
+      entries.add(new IniEntry(key, value(node, key.key())));
+    }
+    return entries;
+  }
+
+  private static String value(ImmutableNode section, String key) {
+    for (ImmutableNode child : section.getChildren()) {
+      if (child.getNodeName().equals(key)) {
+        return String.valueOf(child.getValue());
+      }
+    }
+    return "";
+  }
+
+  private static Fault repeatedSection(Place header, Place first) {
+    String problem = "section is given twice; the first is at " + first.file() + ":" + first.line();
+    return new Fault(header, "", problem, "each section once");
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/LineScan.java
@@ -0,0 +1,72 @@
+package org.fescuehook.logic.ini;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Finds the lines of section headers and keys, which the INI library does not tell. */
+final class LineScan {
+
+  private final String file;
+  private final List<Header> headers = new ArrayList<>();
+  private final List<Fault> faults = new ArrayList<>();
+
+  /**
+   * A section header.
+   *
+   * @param place where it stands
+   * @param keys places of the keys up to the next header
+   */
+  record Header(Place place, List<Place> keys) {}
+
+  /** Scans the text. */
+  LineScan(String file, String text) {
+    this.file = file;
+    scan(text);
+  }
+
+  /** Returns the section headers in the order of their lines. */
+  List<Header> headers() {
+    return headers;
+  }
+
+  /** Returns a fault for each line that is neither header, key nor comment. */
+  List<Fault> faults() {
+    return faults;
+  }
+
+  private void scan(String text) {
+    boolean continued = false;
+    int number = 0;
+    for (String raw : text.lines().toList()) {
+      number++;
+      String line = raw.strip();
+      boolean continuation = continued;
+      continued = line.equals("\\") || line.endsWith(" \\");
+      if (continuation || line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
+        continue;
+      }
+      if (line.startsWith("[") && line.endsWith("]")) {
+        String name = line.substring(1, line.length() - 1);
+        headers.add(new Header(new Place(file, number, name, ""), new ArrayList<>()));
+        continue;
+      }
+      scanKey(number, line);
+    }
+  }
+
+  private void scanKey(int number, String line) {
+    String section = headers.isEmpty() ? "" : headers.getLast().place().section();
+    Place place = new Place(file, number, section, "");
+    int separator = line.indexOf('=');
+    if (separator <= 0) {
+      faults.add(new Fault(place, "", "\"" + line + "\" is no key with a value", "key = value"));
+      return;
+    }
+    Place key = place.withKey(line.substring(0, separator).strip());
+    if (headers.isEmpty()) {
+      faults.add(new Fault(key, "", "stands before any section", "a [section] line above it"));
+      return;
+    }
+    headers.getLast().keys().add(key);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/ValueType.java
@@ -0,0 +1,25 @@
+package org.fescuehook.logic.ini;
+
+import java.util.function.Function;
+
+/**
+ * Type of a value: how it is read, written and described.
+ *
+ * @param accepted what is accepted, for messages and documents
+ * @param reader reads a value from text
+ * @param writer writes a value as text that the reader accepts
+ */
+public record ValueType<T>(String accepted, Reader<T> reader, Function<T, String> writer) {
+
+  /** Reads values. */
+  @FunctionalInterface
+  public interface Reader<T> {
+
+    /**
+     * Reads a value.
+     *
+     * @throws MalformedValueException if the text is no value of this type
+     */
+    T read(String text) throws MalformedValueException;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsValues.java
@@ -0,0 +1,75 @@
+package org.fescuehook.logic.preferences;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.logic.ini.IniDocument;
+import org.fescuehook.logic.ini.IniSection;
+import org.fescuehook.logic.ini.Key;
+import org.fescuehook.logic.ini.Place;
+import org.fescuehook.logic.ini.SectionReader;
+
+/** Values of all keys of one settings file, with the faults of those that are malformed. */
+final class SettingsValues {
+
+  private final Map<Key<?>, Optional<?>> values = new HashMap<>();
+  private final Map<Key<?>, SectionReader> readers = new HashMap<>();
+  private final List<Fault> faults = new ArrayList<>();
+
+  /** Reads every key of {@link SettingKeys}. */
+  SettingsValues(String file, IniDocument document) {
+    faults.addAll(document.faults());
+    refuseUnknownSections(document);
+    for (String section : sections()) {
+      readSection(file, document, section);
+    }
+  }
+
+  /** Returns the value of a key; empty if it is missing or malformed. */
+  @SuppressWarnings("unchecked")
+  <T> Optional<T> find(Key<T> key) {
+    return (Optional<T>) values.get(key);
+  }
+
+  /** Returns the value of a key that was read without fault. */
+  <T> T get(Key<T> key) {
+    return find(key).orElseThrow();
+  }
+
+  /** Adds a fault at a key. */
+  void fault(Key<?> key, String problem, String accepted) {
+    readers.get(key).fault(key, problem, accepted);
+  }
+
+  /** Returns the faults found so far. */
+  List<Fault> faults() {
+    return faults;
+  }
+
+  private static List<String> sections() {
+    return SettingKeys.ALL.stream().<String>map(Key::section).distinct().toList();
+  }
+
+  private void refuseUnknownSections(IniDocument document) {
+    for (IniSection section : document.sections()) {
+      if (!sections().contains(section.name())) {
+        String accepted = "one of [" + String.join("], [", sections()) + "]";
+        faults.add(new Fault(section.place(), "", "unknown section", accepted));
+      }
+    }
+  }
+
+  private void readSection(String file, IniDocument document, String name) {
+    IniSection absent = new IniSection(new Place(file, 0, name, ""), List.of());
+    SectionReader reader = new SectionReader(document.section(name).orElse(absent), faults);
+    List<Key<?>> keys = SettingKeys.ALL.stream().filter(key -> key.section().equals(name)).toList();
+    reader.refuseUnknown(keys);
+    for (Key<?> key : keys) {
+      values.put(key, reader.read(key));
+      readers.put(key, reader);
+    }
+  }
+}
