--- a/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
@@ -124,7 +124,7 @@
     try {
       step.run();
     } catch (IOException | RuntimeException e) {
-      reply(400, Map.of(), String.valueOf(e.getMessage()).getBytes());
+      reply(400, Map.of(), String.valueOf(e.getMessage()).getBytes(java.nio.charset.StandardCharsets.UTF_8));
     }
   }
 
