--- /dev/null
+++ b/standins/src/main/java/org/fescuehook/standins/http/Json.java
@@ -0,0 +1,33 @@
+package org.fescuehook.standins.http;
+
+import com.fasterxml.jackson.annotation.JsonSetter;
+import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+
+/** Reads and writes JSON bodies; unknown fields are errors, absent collections are empty. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .defaultSetterInfo(JsonSetter.Value.forValueNulls(Nulls.AS_EMPTY))
+          .build();
+
+  private Json() {}
+
+  /** Reads a body. */
+  public static <T> T read(byte[] body, Class<T> type) throws IOException {
+    return MAPPER.readValue(body, type);
+  }
+
+  /** Converts a tree that was read already. */
+  public static <T> T convert(JsonNode tree, Class<T> type) throws JsonProcessingException {
+    return MAPPER.treeToValue(tree, type);
+  }
+
+  static byte[] write(Object value) throws JsonProcessingException {
+    return MAPPER.writeValueAsBytes(value);
+  }
+}
