--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/build/KnownRedTest.java
@@ -0,0 +1,70 @@
+package org.fescuehook.build;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Holds what build/known-red.sh accepts. */
+class KnownRedTest {
+
+  private static final String LINE = "org.example.LeaseTest#lapses | clock runs back | #7\n";
+
+  @TempDir Path root;
+
+  @BeforeEach
+  void writeTheTestThatIsListed() throws IOException {
+    Path tests = Files.createDirectories(root.resolve("module/src/test/java/org/example"));
+    Files.writeString(tests.resolve("LeaseTest.java"), "class LeaseTest { void lapses() {} }");
+  }
+
+  @Test
+  void threeLinesAreAcceptedAndEachNamesTheTestToLeaveOut() throws Exception {
+    String test = "org.example.LeaseTest#lapses";
+
+    assertEquals(
+        new Shell.Result(0, String.join("\n", test, test, test)), check(LINE + LINE + LINE));
+  }
+
+  @Test
+  void fourthLineIsRefused() throws Exception {
+    assertRefused("4 lines, at most 3 are accepted", LINE + LINE + LINE + LINE);
+  }
+
+  @Test
+  void lineWithoutIssueIsRefused() throws Exception {
+    String line = "org.example.LeaseTest#lapses | clock runs back";
+
+    assertRefused("not of the form 'Class#method | cause | issue': " + line, line);
+  }
+
+  @Test
+  void classWithoutMethodIsRefused() throws Exception {
+    String line = "org.example.LeaseTest | clock runs back | #7";
+
+    assertRefused("not of the form 'Class#method | cause | issue': " + line, line);
+  }
+
+  @Test
+  void testThatDoesNotExistIsRefused() throws Exception {
+    assertRefused("no such test: LeaseTest#renews", "LeaseTest#renews | gone | #7");
+  }
+
+  private void assertRefused(String problem, String list) throws Exception {
+    assertEquals(new Shell.Result(1, "KNOWN-RED.txt: " + problem), check(list));
+  }
+
+  private Shell.Result check(String list) throws Exception {
+    Files.writeString(root.resolve("KNOWN-RED.txt"), list);
+    String script =
+        "source "
+            + Shell.scripts().resolve("known-red.sh")
+            + "; known_red_check KNOWN-RED.txt; known_red_tests KNOWN-RED.txt";
+    return new Shell(root, Map.of("PATH", System.getenv("PATH"))).run("bash", "-euc", script);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/catalogue/MetricsCatalogueTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/catalogue/MetricsCatalogueTest.java
@@ -18,8 +18,10 @@
 
   private static final String PAGE = "METRICS.md";
 
-  /** A string literal that is a metric name. */
-  private static final Pattern NAME = Pattern.compile("\"(fescuehook\\.[a-z0-9.]*[a-z0-9])\"");
+  /** A string literal that begins as a metric name does. */
+  private static final Pattern LITERAL = Pattern.compile("\"(fescuehook\\.[^\"]*)\"");
+
+  private static final Pattern NAME = Pattern.compile("fescuehook(\\.[a-z0-9]+)+");
 
   @Test
   void pageListsEveryMetricAndNoOther() throws IOException {
@@ -28,6 +30,13 @@
     assertEquals(expected, found, () -> difference(expected, found));
   }
 
+  @Test
+  void metricNamesAreWholeLiteralsOfLowerCaseWords() throws IOException {
+    List<String> others =
+        namesInCode().stream().filter(name -> !NAME.matcher(name).matches()).toList();
+    assertEquals(List.of(), others, "a name put together from parts cannot be found here");
+  }
+
   @Test
   void pageGivesKindAndMeaningOfEachMetric() throws IOException {
     List<List<String>> bare =
@@ -41,7 +50,7 @@
     Set<String> names = new TreeSet<>();
     try (Stream<Path> files = Files.walk(Catalogue.module().resolve("src/main/java"))) {
       for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
-        Matcher matcher = NAME.matcher(Files.readString(file));
+        Matcher matcher = LITERAL.matcher(Files.readString(file));
         while (matcher.find()) {
           names.add(matcher.group(1));
         }
