Specification of ownership and gangs, checked by TLC in a test

The module Gang states claims, plans, commits, starts, stops and ends with lagging readers and with messages and appends that arrive late, twice or never.

Ruled out: running TLC in process (its statics forbid a second run), so each configuration takes a JVM of its own.

Each of eleven wrong variants is refused with the property named in the test; without its fault each of these properties holds in the same model.

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -0,0 +1,123 @@
+package org.fescuehook.spec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.fescuehook.spec.TlcRunner.Outcome;
+import org.fescuehook.spec.TlcRunner.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Checks the specification of the core protocol, and that TLC refuses each wrong variant of it. */
+class SpecificationTest {
+
+  private static final Path SPECIFICATIONS =
+      Path.of(System.getProperty("basedir", System.getProperty("user.dir")))
+          .resolveSibling("spec")
+          .normalize();
+
+  /** Configurations that must hold. */
+  static Stream<Holding> specifications() {
+    return Stream.of(
+        new Holding("Gang", "two owners, two attempts, two members: one attempt runs, whole"),
+        new Holding("Gang_takeovers", "a third claim changes nothing of that"),
+        new Holding("Gang_grants", "late and repeated grants change nothing of that"),
+        new Holding("Gang_liveness", "a gang that lost a member stops altogether"));
+  }
+
+  /** Variants that break one rule, each with the property that must fail. */
+  static Stream<Wrong> wrongVariants() {
+    return Stream.of(
+        new Wrong("Gang_epoch_not_checked", "OneAttemptRuns", "records of an old epoch count"),
+        new Wrong("Gang_start_before_commit", "StartNeedsCommit", "start before read-back"),
+        new Wrong("Gang_start_creates_lease", "OneAttemptRuns", "start revives a lapsed lease"),
+        new Wrong("Gang_lease_id_reused", "OneAttemptRuns", "a worker issues an id twice"),
+        new Wrong("Gang_lease_id_reused_again", "GoneForGood", "a lapsed lease comes back"),
+        new Wrong("Gang_end_without_word", "NoAcceleratorTwice", "one lease gone ends the attempt"),
+        new Wrong("Gang_end_overrides_commit", "EndedRunsNothing", "never-started after commit"),
+        new Wrong("Gang_release_without_stop", "ReleaseHasCause", "release with no stop record"),
+        new Wrong("Gang_release_before_end", "ReleaseHasCause", "release before the result"),
+        new Wrong("Gang_claim_without_base", "ClaimReplacesWhatItSaw", "a claim without a base"),
+        new Wrong("Gang_part_gang_kept", TEMPORAL, "a lost member is ignored by renewals"));
+  }
+
+  /** TLC names no temporal property that fails; such a configuration holds only one. */
+  private static final String TEMPORAL = "";
+
+  @TempDir private Path scratch;
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("specifications")
+  void theSpecificationHolds(Holding holding) throws IOException, InterruptedException {
+    Outcome outcome = check(holding.configuration());
+
+    assertEquals(Verdict.HOLDS, outcome.verdict(), outcome.output());
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("wrongVariants")
+  void theWrongVariantIsRefused(Wrong wrong) throws IOException, InterruptedException {
+    Outcome outcome = check(wrong.configuration());
+
+    assertEquals(Verdict.VIOLATED, outcome.verdict(), outcome.output());
+    assertEquals(wrong.violated(), outcome.violated(), outcome.output());
+  }
+
+  @Test
+  void everyConfigurationIsChecked() throws IOException {
+    Set<String> checked = new TreeSet<>();
+    specifications().forEach(holding -> checked.add(holding.configuration()));
+    wrongVariants().forEach(wrong -> checked.add(wrong.configuration()));
+
+    assertEquals(configurations(), checked);
+  }
+
+  private Outcome check(String configuration) throws IOException, InterruptedException {
+    String module = configuration.split("_", 2)[0];
+    TlcRunner runner = new TlcRunner(SPECIFICATIONS, scratch);
+    Outcome outcome = runner.run(module + ".tla", configuration + ".cfg");
+    System.out.printf(
+        "spec %s: %d states generated, %d distinct, %s %s%n",
+        configuration,
+        outcome.generated(),
+        outcome.distinct(),
+        outcome.verdict(),
+        outcome.violated());
+    return outcome;
+  }
+
+  private static Set<String> configurations() throws IOException {
+    try (Stream<Path> files = Files.list(SPECIFICATIONS)) {
+      List<String> names = files.map(file -> file.getFileName().toString()).toList();
+      return names.stream()
+          .filter(name -> name.endsWith(".cfg"))
+          .map(name -> name.substring(0, name.length() - ".cfg".length()))
+          .collect(Collectors.toCollection(TreeSet::new));
+    }
+  }
+
+  /** A configuration that must hold. */
+  record Holding(String configuration, String promise) {
+    @Override
+    public String toString() {
+      return configuration + ": " + promise;
+    }
+  }
+
+  /** A wrong variant. */
+  record Wrong(String configuration, String violated, String fault) {
+    @Override
+    public String toString() {
+      return configuration + ": " + fault;
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/spec/TlcRunner.java
@@ -0,0 +1,111 @@
+package org.fescuehook.spec;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+
+/**
+ * Runs TLC on one module and configuration.
+ *
+ * <p>TLC keeps its state in statics, so each run takes a JVM of its own.
+ */
+final class TlcRunner {
+
+  private static final Pattern COUNTS =
+      Pattern.compile("(?m)^(\\d+) states generated, (\\d+) distinct states found, (\\d+) ");
+  private static final Pattern VIOLATION =
+      Pattern.compile("Error: (?:Invariant|Action property) (\\w+) is violated");
+  private static final String TEMPORAL_VIOLATION = "Error: Temporal properties were violated";
+  private static final String COMPLETED = "Model checking completed. No error has been found.";
+  private static final int LIMIT_SECONDS = 110;
+
+  private final Path specifications;
+  private final Path scratch;
+
+  /**
+   * Creates a runner.
+   *
+   * @param specifications directory of the modules and their configurations
+   * @param scratch empty directory for the files of TLC
+   */
+  TlcRunner(Path specifications, Path scratch) {
+    this.specifications = specifications;
+    this.scratch = scratch;
+  }
+
+  /** What TLC found. */
+  enum Verdict {
+    HOLDS,
+    VIOLATED,
+    NOT_CHECKED
+  }
+
+  /**
+   * Outcome of a run.
+   *
+   * @param violated the property that failed; for a temporal one, which TLC does not name, empty
+   */
+  record Outcome(Verdict verdict, String violated, long generated, long distinct, String output) {}
+
+  /** Checks a module under a configuration. */
+  Outcome run(String module, String configuration) throws IOException, InterruptedException {
+    Path output = scratch.resolve("output.txt");
+    Process process =
+        new ProcessBuilder(command(module, configuration))
+            .directory(specifications.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(output.toFile())
+            .start();
+    boolean ended = process.waitFor(LIMIT_SECONDS, TimeUnit.SECONDS);
+    if (!ended) {
+      process.destroyForcibly().waitFor();
+    }
+    return parse(Files.readString(output, StandardCharsets.UTF_8));
+  }
+
+  private List<String> command(String module, String configuration) {
+    return List.of(
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-Xmx512m",
+        "-XX:+UseParallelGC",
+        "-Djava.io.tmpdir=" + scratch,
+        "-cp",
+        System.getProperty("java.class.path"),
+        "tlc2.TLC",
+        "-workers",
+        "4",
+        "-metadir",
+        scratch.resolve("states").toString(),
+        "-config",
+        configuration,
+        module);
+  }
+
+  private static Outcome parse(String output) {
+    List<MatchResult> counts = COUNTS.matcher(output).results().toList();
+    if (counts.isEmpty()) {
+      return new Outcome(Verdict.NOT_CHECKED, "", 0, 0, output);
+    }
+    long generated = Long.parseLong(counts.getLast().group(1));
+    long distinct = Long.parseLong(counts.getLast().group(2));
+    return VIOLATION
+        .matcher(output)
+        .results()
+        .findFirst()
+        .map(found -> new Outcome(Verdict.VIOLATED, found.group(1), generated, distinct, output))
+        .orElseGet(() -> withoutName(generated, distinct, output));
+  }
+
+  private static Outcome withoutName(long generated, long distinct, String output) {
+    if (output.contains(TEMPORAL_VIOLATION)) {
+      return new Outcome(Verdict.VIOLATED, "", generated, distinct, output);
+    }
+    Verdict verdict = output.contains(COMPLETED) ? Verdict.HOLDS : Verdict.NOT_CHECKED;
+    return new Outcome(verdict, "", generated, distinct, output);
+  }
+}
