--- a/standins/src/main/java/org/fescuehook/standins/control/ControlServer.java
+++ b/standins/src/main/java/org/fescuehook/standins/control/ControlServer.java
@@ -68,7 +68,7 @@
     exchange.reply(200, Map.of());
   }
 
-  private void audit(Exchange exchange) throws IOException {
+  private void audit(Exchange exchange) {
     if (find("workers") instanceof WorkerStandIns workers) {
       exchange.reply(200, workers.audit(exchange.number("part-ms", 0)));
     }
--- a/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
@@ -73,12 +73,12 @@
   }
 
   /** Answers with JSON. */
-  public void reply(int status, Object value) throws IOException {
+  public void reply(int status, Object value) {
     reply(status, Map.of("Content-Type", "application/json"), Json.write(value));
   }
 
   /** Answers with an error body. */
-  public void error(int status, String slug, String detail) throws IOException {
+  public void error(int status, String slug, String detail) {
     reply(status, Map.of("error", slug, "detail", detail));
   }
 
@@ -124,7 +124,7 @@
     try {
       step.run();
     } catch (IOException | RuntimeException e) {
-      reply(400, Map.of(), String.valueOf(e.getMessage()).getBytes());
+      error(400, "bad-request", String.valueOf(e.getMessage()));
     }
   }
 
--- a/standins/src/main/java/org/fescuehook/standins/http/Json.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Json.java
@@ -27,7 +27,11 @@
     return MAPPER.treeToValue(tree, type);
   }
 
-  static byte[] write(Object value) throws JsonProcessingException {
-    return MAPPER.writeValueAsBytes(value);
+  static byte[] write(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot be written as JSON: " + value, e);
+    }
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/list/ListStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/list/ListStandIn.java
@@ -1,7 +1,6 @@
 package org.fescuehook.standins.list;
 
 import io.netty.channel.EventLoopGroup;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -68,7 +67,7 @@
     return List.of(server);
   }
 
-  private synchronized void handle(Exchange exchange) throws IOException {
+  private synchronized void handle(Exchange exchange) {
     if (!exchange.call().equals("GET /members")) {
       exchange.error(404, "not-found", exchange.call());
       return;
--- a/standins/src/main/java/org/fescuehook/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/log/LogStandIn.java
@@ -1,7 +1,6 @@
 package org.fescuehook.standins.log;
 
 import io.netty.channel.EventLoopGroup;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -72,7 +71,7 @@
     return List.of(server);
   }
 
-  private synchronized void handle(Exchange exchange) throws IOException {
+  private synchronized void handle(Exchange exchange) {
     Matcher call = CALL.matcher(exchange.call());
     if (!call.matches()) {
       exchange.error(404, "not-found", exchange.call());
@@ -89,7 +88,7 @@
     }
   }
 
-  private boolean failed(Exchange exchange) throws IOException {
+  private boolean failed(Exchange exchange) {
     if (faults.refusing()) {
       exchange.error(503, "outage", "the log is down");
     }
@@ -109,7 +108,7 @@
     return faults.delayMs() + nextAppendAt - now;
   }
 
-  private synchronized void append(Exchange exchange, String name) throws IOException {
+  private synchronized void append(Exchange exchange, String name) {
     long offset = retained(name).append(clock.getAsLong(), exchange.body());
     if (repliesToLose > 0) {
       repliesToLose--;
@@ -126,7 +125,7 @@
     }
   }
 
-  private synchronized void read(Exchange exchange, String name) throws IOException {
+  private synchronized void read(Exchange exchange, String name) {
     stats = stats.plus(0, 1, 0, 0);
     RecordStream.Page page = page(exchange, name);
     long waitMillis = exchange.number("wait-ms", 0);
@@ -140,7 +139,7 @@
   }
 
   /** Answers a waiting read once: at the first record, or when its time is over. */
-  private synchronized void finish(Waiter waiter) throws IOException {
+  private synchronized void finish(Waiter waiter) {
     if (waiters.remove(waiter) && !failed(waiter.exchange)) {
       waiter.exchange.reply(200, page(waiter.exchange, waiter.stream));
     }
--- a/standins/src/main/java/org/fescuehook/standins/worker/LeaseBook.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/LeaseBook.java
@@ -62,6 +62,12 @@
     }
   }
 
+  /** Sets the time until the lease lapses. */
+  void renew(long now, Lease lease, long ttlMillis) {
+    lease.expiresAt = now + ttlMillis;
+    changed(lease);
+  }
+
   /** Stops the task and frees the resources. */
   void release(long now, Lease lease) {
     remove(now, Kind.RELEASED, lease);
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
@@ -31,7 +31,8 @@
   private final StandInServer server;
   private final List<Exchange> heldBack = new ArrayList<>();
   private WorkerFaults faults = WorkerFaults.NONE;
-  private Usage usage = new Usage(Long.MIN_VALUE / 2, 0, 0, 0, List.of());
+  private Usage usage = new Usage(0, 0, 0, 0, List.of());
+  private long usageExpiresAt = Long.MIN_VALUE;
 
   private record Answer(int status, Object body) {
     static final Answer OK = new Answer(200, new Empty());
@@ -63,7 +64,7 @@
 
   synchronized void apply(WorkerFaults next) {
     faults = next;
-    tick();
+
     List<Exchange> held = List.copyOf(heldBack);
     heldBack.clear();
     held.forEach(this::handle);
@@ -145,7 +146,7 @@
         continue;
       }
       Lease lease = found.get();
-      lease.expiresAt = now + renewal.ttlMs();
+      book.renew(now, lease, renewal.ttlMs());
       states.add(new State(id, lease.state, lease.exitCode));
     }
     return new Answer(200, new WorkerMessages.Renewed(states, gone));
@@ -177,10 +178,12 @@
   }
 
   private Answer usage(long now) {
-    if (now - usage.asOf() >= usageLagMillis) {
+    if (now >= usageExpiresAt) {
       book.expire(now);
+      usageExpiresAt = now + usageLagMillis;
+      long asOf = System.currentTimeMillis();
       List<LeaseUsage> leases = book.leases().stream().map(LeaseUsage::of).toList();
-      usage = new Usage(now, total.accelerators(), total.cores(), total.memoryMegabytes(), leases);
+      usage = new Usage(asOf, total.accelerators(), total.cores(), total.memoryMegabytes(), leases);
     }
     return new Answer(200, usage);
   }
