--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/event/package-info.java
@@ -0,0 +1,5 @@
+/** Writes numbered events to the log. */
+@NullMarked
+package org.fescuehook.logic.event;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -0,0 +1,215 @@
+package org.fescuehook.net.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/**
+ * One kept-alive connection with one request at a time. A connection on which a request had no
+ * whole answer in time is closed, so a late answer never meets the next request; the next request
+ * opens a new one. All state belongs to one event loop.
+ */
+public final class HttpClientConnection {
+
+  private static final int MAX_ANSWER_BYTES = 32 << 20;
+
+  private final EventLoop loop;
+  private final InetSocketAddress peer;
+  private final Duration connectTimeout;
+  private Optional<Channel> channel = Optional.empty();
+  private Optional<Exchange> current = Optional.empty();
+
+  /** Creates a connection that is opened by the first request. */
+  public HttpClientConnection(EventLoop loop, InetSocketAddress peer, Duration connectTimeout) {
+    this.loop = loop;
+    this.peer = peer;
+    this.connectTimeout = connectTimeout;
+  }
+
+  /**
+   * Sends a request. No other request may be under way.
+   *
+   * @param timeout longest time from now to the whole answer
+   * @param sink called once, on the event loop
+   */
+  public void send(HttpCall call, Duration timeout, Consumer<HttpResult> sink) {
+    loop.execute(() -> start(new Exchange(call, sink), timeout));
+  }
+
+  /** Closes the connection; a request under way fails. */
+  public void close() {
+    loop.execute(this::drop);
+  }
+
+  private void start(Exchange exchange, Duration timeout) {
+    if (current.isPresent()) {
+      exchange.sink.accept(
+          new HttpResult.Failed(new IllegalStateException("a request is under way"), false));
+      return;
+    }
+    current = Optional.of(exchange);
+    loop.schedule(
+        () -> fail(exchange, new TimeoutException("no answer within " + timeout.toMillis() + " ms")),
+        timeout.toMillis(),
+        TimeUnit.MILLISECONDS);
+    if (channel.isPresent() && channel.get().isActive()) {
+      write(exchange, channel.get());
+      return;
+    }
+    open().addListener((ChannelFuture opened) -> connected(exchange, opened));
+  }
+
+  private ChannelFuture open() {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis())
+        .handler(new Initializer())
+        .connect(peer);
+  }
+
+  private void connected(Exchange exchange, ChannelFuture opened) {
+    if (!opened.isSuccess()) {
+      fail(exchange, opened.cause());
+      return;
+    }
+    if (current.filter(exchange::equals).isEmpty()) {
+      opened.channel().close();
+      return;
+    }
+    channel = Optional.of(opened.channel());
+    write(exchange, opened.channel());
+  }
+
+  private void write(Exchange exchange, Channel open) {
+    exchange.maybeSent = true;
+    open.writeAndFlush(encode(exchange.call))
+        .addListener(
+            (ChannelFuture written) -> {
+              if (!written.isSuccess()) {
+                fail(exchange, written.cause());
+              }
+            });
+  }
+
+  private FullHttpRequest encode(HttpCall call) {
+    ByteBuf body = Unpooled.wrappedBuffer(call.body());
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.target(), body);
+    request
+        .headers()
+        .set(HttpHeaderNames.HOST, peer.getAddress().getHostAddress() + ":" + peer.getPort())
+        .set(HttpHeaderNames.CONTENT_TYPE, call.contentType());
+    HttpUtil.setContentLength(request, call.body().length);
+    return request;
+  }
+
+  private void fail(Exchange exchange, Throwable cause) {
+    if (current.filter(exchange::equals).isEmpty()) {
+      return;
+    }
+    current = Optional.empty();
+    drop();
+    exchange.sink.accept(new HttpResult.Failed(cause, exchange.maybeSent));
+  }
+
+  private void drop() {
+    Optional<Channel> dropped = channel;
+    channel = Optional.empty();
+    dropped.ifPresent(Channel::close);
+  }
+
+  private void answered(Channel from, FullHttpResponse response) {
+    if (channel.filter(from::equals).isEmpty() || current.isEmpty()) {
+      from.close();
+      return;
+    }
+    Exchange exchange = current.get();
+    current = Optional.empty();
+    if (!HttpUtil.isKeepAlive(response)) {
+      drop();
+    }
+    exchange.sink.accept(
+        new HttpResult.Answered(
+            response.status().code(), ByteBufUtil.getBytes(response.content())));
+  }
+
+  private void lost(Channel from, Throwable cause) {
+    if (channel.filter(from::equals).isEmpty()) {
+      return;
+    }
+    channel = Optional.empty();
+    from.close();
+    current.ifPresent(exchange -> fail(exchange, cause));
+  }
+
+  /** One request and where its result goes. */
+  private static final class Exchange {
+    private final HttpCall call;
+    private final Consumer<HttpResult> sink;
+    private boolean maybeSent;
+
+    Exchange(HttpCall call, Consumer<HttpResult> sink) {
+      this.call = call;
+      this.sink = sink;
+    }
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel opened) {
+      opened
+          .pipeline()
+          .addLast(new HttpClientCodec())
+          .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+          .addLast(new AnswerHandler());
+    }
+  }
+
+  private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      if (response.decoderResult().isFailure()) {
+        lost(context.channel(), response.decoderResult().cause());
+        return;
+      }
+      answered(context.channel(), response);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lost(context.channel(), new IOException("connection closed by the peer"));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      lost(context.channel(), cause);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/worker/WorkerConnections.java
@@ -0,0 +1,96 @@
+package org.fescuehook.net.worker;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.fescuehook.net.http.HttpCall;
+import org.fescuehook.net.http.HttpClientConnection;
+import org.fescuehook.net.http.HttpResult;
+
+/**
+ * Kept-alive connections to one worker, and the requests that wait for one. All state belongs to
+ * one event loop.
+ */
+final class WorkerConnections {
+
+  private static final int MAX_CONNECTIONS = 4;
+  private static final int MAX_WAITING = 512;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final Duration timeout;
+  private final Deque<HttpClientConnection> idle = new ArrayDeque<>();
+  private final Deque<Waiting> waiting = new ArrayDeque<>();
+  private int opened;
+
+  WorkerConnections(EventLoop loop, InetSocketAddress address, Duration timeout) {
+    this.loop = loop;
+    this.address = address;
+    this.timeout = timeout;
+  }
+
+  /** Returns the address that the connections lead to. */
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Sends a request when a connection is free; the time limit runs from now. */
+  void send(HttpCall call, Consumer<HttpResult> sink) {
+    long deadline = System.nanoTime() + timeout.toNanos();
+    loop.execute(() -> accept(new Waiting(call, deadline, sink)));
+  }
+
+  /** Closes all connections; requests under way fail. */
+  void close() {
+    loop.execute(() -> idle.forEach(HttpClientConnection::close));
+  }
+
+  private void accept(Waiting call) {
+    if (!idle.isEmpty()) {
+      dispatch(idle.pop(), call);
+      return;
+    }
+    if (opened < MAX_CONNECTIONS) {
+      opened++;
+      dispatch(new HttpClientConnection(loop, address, timeout), call);
+      return;
+    }
+    if (waiting.size() >= MAX_WAITING) {
+      call.sink.accept(new HttpResult.Failed(new TimeoutException("queue is full"), false));
+      return;
+    }
+    waiting.add(call);
+  }
+
+  private void dispatch(HttpClientConnection connection, Waiting call) {
+    long leftMillis = TimeUnit.NANOSECONDS.toMillis(call.deadlineNanos - System.nanoTime());
+    if (leftMillis <= 0) {
+      call.sink.accept(new HttpResult.Failed(new TimeoutException("waited too long"), false));
+      release(connection);
+      return;
+    }
+    connection.send(
+        call.call,
+        Duration.ofMillis(leftMillis),
+        result -> {
+          call.sink.accept(result);
+          release(connection);
+        });
+  }
+
+  private void release(HttpClientConnection connection) {
+    if (waiting.isEmpty()) {
+      idle.push(connection);
+      return;
+    }
+    Waiting next = waiting.poll();
+    loop.execute(() -> dispatch(connection, next));
+  }
+
+  private record Waiting(HttpCall call, long deadlineNanos, Consumer<HttpResult> sink) {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/worker/package-info.java
@@ -0,0 +1,5 @@
+/** Commands to workers over HTTP. */
+@NullMarked
+package org.fescuehook.net.worker;
+
+import org.jspecify.annotations.NullMarked;
