--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/PeerTable.java
@@ -0,0 +1,72 @@
+package org.fescuehook.logic.membership;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.fescuehook.model.fleet.VmId;
+
+/** The last heartbeat of each other entry VM. Immutable; times are monotonic nanoseconds. */
+public final class PeerTable {
+
+  /** No peer heard. */
+  public static final PeerTable EMPTY = new PeerTable(Map.of());
+
+  private final Map<VmId, Heard> peers;
+
+  private PeerTable(Map<VmId, Heard> peers) {
+    this.peers = peers;
+  }
+
+  /** Returns the table after a heartbeat. */
+  public PeerTable heard(PeerReport report, long nowNanos) {
+    Map<VmId, Heard> next = new HashMap<>(peers);
+    next.put(report.vm(), new Heard(report, nowNanos));
+    return new PeerTable(Map.copyOf(next));
+  }
+
+  /** Returns the table without the peers that were silent for longer than {@code limit}. */
+  public PeerTable withoutSilent(Duration limit, long nowNanos) {
+    Map<VmId, Heard> next =
+        peers.entrySet().stream()
+            .filter(peer -> nowNanos - peer.getValue().atNanos <= limit.toNanos())
+            .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+    return new PeerTable(next);
+  }
+
+  /** Returns the peers heard within {@code timeout}. */
+  public Set<VmId> alive(Duration timeout, long nowNanos) {
+    return select(timeout, nowNanos, report -> true);
+  }
+
+  /** Returns the peers heard within {@code timeout} that reach the log. */
+  public Set<VmId> reachingLog(Duration timeout, long nowNanos) {
+    return select(timeout, nowNanos, PeerReport::logReachable);
+  }
+
+  /** Returns a peer heard within {@code timeout} with the highest revision above another. */
+  public Optional<PeerReport> ahead(long revision, Duration timeout, long nowNanos) {
+    Optional<PeerReport> best = Optional.empty();
+    for (Heard heard : peers.values()) {
+      long known = best.map(PeerReport::revision).orElse(revision);
+      if (nowNanos - heard.atNanos <= timeout.toNanos() && heard.report.revision() > known) {
+        best = Optional.of(heard.report);
+      }
+    }
+    return best;
+  }
+
+  private Set<VmId> select(Duration timeout, long nowNanos, Predicate<PeerReport> condition) {
+    return peers.values().stream()
+        .filter(heard -> nowNanos - heard.atNanos <= timeout.toNanos())
+        .map(Heard::report)
+        .filter(condition)
+        .map(PeerReport::vm)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  private record Heard(PeerReport report, long atNanos) {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/operator/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' HTTP port. */
+@NullMarked
+package org.fescuehook.net.operator;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerLink.java
@@ -0,0 +1,273 @@
+package org.fescuehook.net.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.ConfigurationQuery;
+import org.fescuehook.wire.Hello;
+import org.fescuehook.wire.OutcomeQuery;
+import org.fescuehook.wire.OutcomeReply;
+import org.fescuehook.wire.PeerMessage;
+import org.fescuehook.wire.RequestKey;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The connection that this VM opened to one peer. It is closed when the peer has not answered a
+ * heartbeat within the timeout, and opened again. All state belongs to one event loop.
+ */
+final class PeerLink {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(PeerLink.class);
+  private static final int MAX_QUERIES = 4096;
+  private static final Duration LONGEST_BACK_OFF = Duration.ofSeconds(5);
+
+  private final EventLoop loop;
+  private final VmId peer;
+  private final InetSocketAddress address;
+  private final PeerMessage hello;
+  private final Duration timeout;
+  private final PeerListener listener;
+  private final Map<Long, Consumer<Optional<OutcomeReply>>> queries = new HashMap<>();
+  private Optional<Channel> channel = Optional.empty();
+  private Optional<Hello> greeted = Optional.empty();
+  private boolean connecting;
+  private boolean closed;
+  private int failures;
+  private long lastHeardNanos;
+  private long nextConnectNanos = System.nanoTime();
+  private long nextQuery;
+
+  PeerLink(
+      EventLoop loop,
+      VmId peer,
+      InetSocketAddress address,
+      PeerMessage hello,
+      Duration timeout,
+      PeerListener listener) {
+    this.loop = loop;
+    this.peer = peer;
+    this.address = address;
+    this.hello = hello;
+    this.timeout = timeout;
+    this.listener = listener;
+  }
+
+  /** Returns the address of the peer. */
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** Sends a heartbeat, or opens the connection. */
+  void heartbeat() {
+    loop.execute(this::beat);
+  }
+
+  /** Asks for a configuration above a revision plus one; does nothing while the link is down. */
+  void askConfiguration(long aboveRevisionPlusOne) {
+    ConfigurationQuery query =
+        ConfigurationQuery.newBuilder().setAboveRevisionPlusOne(aboveRevisionPlusOne).build();
+    loop.execute(() -> send(PeerMessage.newBuilder().setConfigurationQuery(query).build()));
+  }
+
+  /** Asks for an outcome; the sink is called once. */
+  void askOutcome(RequestKey key, Consumer<Optional<OutcomeReply>> sink) {
+    loop.execute(() -> ask(key, sink));
+  }
+
+  /** Closes the connection for good. */
+  void close() {
+    loop.execute(
+        () -> {
+          closed = true;
+          down("closed");
+        });
+  }
+
+  private void beat() {
+    if (channel.isEmpty()) {
+      connect();
+      return;
+    }
+    if (System.nanoTime() - lastHeardNanos > timeout.toNanos()) {
+      down("no answer within " + timeout.toMillis() + " ms");
+      connect();
+      return;
+    }
+    if (greeted.isPresent()) {
+      send(PeerMessage.newBuilder().setHeartbeat(listener.heartbeat()).build());
+    }
+  }
+
+  private void connect() {
+    if (closed || connecting || System.nanoTime() - nextConnectNanos < 0) {
+      return;
+    }
+    connecting = true;
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+        .handler(new Initializer())
+        .connect(address)
+        .addListener((ChannelFuture opened) -> connected(opened));
+  }
+
+  private void connected(ChannelFuture opened) {
+    connecting = false;
+    if (!opened.isSuccess()) {
+      backOff();
+      return;
+    }
+    if (closed) {
+      opened.channel().close();
+      return;
+    }
+    channel = Optional.of(opened.channel());
+    lastHeardNanos = System.nanoTime();
+    opened.channel().writeAndFlush(hello);
+  }
+
+  private void backOff() {
+    failures = Math.min(failures + 1, 10);
+    long ceiling =
+        Math.min(LONGEST_BACK_OFF.toNanos(), TimeUnit.MILLISECONDS.toNanos(100L << failures));
+    nextConnectNanos = System.nanoTime() + ThreadLocalRandom.current().nextLong(ceiling);
+  }
+
+  private void down(String cause) {
+    if (channel.isEmpty()) {
+      return;
+    }
+    Channel lost = channel.get();
+    channel = Optional.empty();
+    greeted = Optional.empty();
+    lost.close();
+    backOff();
+    Map<Long, Consumer<Optional<OutcomeReply>>> unanswered = Map.copyOf(queries);
+    queries.clear();
+    unanswered.values().forEach(sink -> sink.accept(Optional.empty()));
+    EventLog.info(LOGGER, PeerEvent.LINK_DOWN, peer, address, cause);
+  }
+
+  private void ask(RequestKey key, Consumer<Optional<OutcomeReply>> sink) {
+    if (greeted.isEmpty() || queries.size() >= MAX_QUERIES) {
+      sink.accept(Optional.empty());
+      return;
+    }
+    long query = nextQuery++;
+    queries.put(query, sink);
+    loop.schedule(
+        () -> resolve(query, Optional.empty()), timeout.toMillis(), TimeUnit.MILLISECONDS);
+    send(
+        PeerMessage.newBuilder()
+            .setOutcomeQuery(OutcomeQuery.newBuilder().setQuery(query).setKey(key))
+            .build());
+  }
+
+  private void resolve(long query, Optional<OutcomeReply> reply) {
+    Optional.ofNullable(queries.remove(query)).ifPresent(sink -> sink.accept(reply));
+  }
+
+  private void send(PeerMessage message) {
+    if (greeted.isPresent()) {
+      channel.ifPresent(open -> open.writeAndFlush(message));
+    }
+  }
+
+  private void received(Channel from, PeerMessage message) {
+    if (channel.filter(from::equals).isEmpty()) {
+      return;
+    }
+    lastHeardNanos = System.nanoTime();
+    if (greeted.isEmpty()) {
+      greet(message);
+      return;
+    }
+    switch (message.getBodyCase()) {
+      case HEARTBEAT ->
+          listener.heard(PeerReports.of(greeted.get(), message.getHeartbeat()));
+      case OUTCOME_REPLY ->
+          resolve(message.getOutcomeReply().getQuery(), Optional.of(message.getOutcomeReply()));
+      case CONFIGURATION_REPLY -> listener.configurationReceived(message.getConfigurationReply());
+      case REFUSED -> refusedBy(message.getRefused().getReason());
+      case BODY_NOT_SET -> {}
+      case HELLO, OUTCOME_QUERY, CONFIGURATION_QUERY ->
+          down("unexpected " + message.getBodyCase());
+    }
+  }
+
+  private void greet(PeerMessage message) {
+    if (message.hasRefused()) {
+      refusedBy(message.getRefused().getReason());
+      return;
+    }
+    Hello answer = message.getHello();
+    if (!message.hasHello() || answer.getProtocolVersion() != PeerPipeline.VERSION) {
+      down("no hello of version " + PeerPipeline.VERSION);
+      return;
+    }
+    if (!answer.getVm().equals(peer.value())) {
+      down("answered as " + answer.getVm());
+      return;
+    }
+    greeted = Optional.of(answer);
+    failures = 0;
+    EventLog.info(LOGGER, PeerEvent.LINK_UP, peer, address);
+    beat();
+  }
+
+  private void refusedBy(String reason) {
+    EventLog.warn(LOGGER, PeerEvent.REFUSED_BY_PEER, peer, address, reason);
+    down("refused: " + reason);
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel opened) {
+      PeerPipeline.assemble(opened.pipeline(), new Handler());
+    }
+  }
+
+  private final class Handler extends SimpleChannelInboundHandler<PeerMessage> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+      received(context.channel(), message);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      lost(context, "closed by the peer");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      lost(context, String.valueOf(cause.getMessage()));
+    }
+
+    private void lost(ChannelHandlerContext context, String cause) {
+      context.close();
+      if (channel.filter(context.channel()::equals).isPresent()) {
+        down(cause);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerReports.java
@@ -0,0 +1,23 @@
+package org.fescuehook.net.peer;
+
+import org.fescuehook.logic.membership.PeerReport;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.Heartbeat;
+import org.fescuehook.wire.Hello;
+
+/** Turns messages of peers into reports. */
+final class PeerReports {
+
+  private PeerReports() {}
+
+  /** Returns the report of a heartbeat on the connection that a hello opened. */
+  static PeerReport of(Hello hello, Heartbeat heartbeat) {
+    return new PeerReport(
+        new VmId(hello.getVm()),
+        hello.getIncarnation(),
+        heartbeat.getControlNext(),
+        heartbeat.getRevisionPlusOne() - 1,
+        heartbeat.getLogReachable(),
+        heartbeat.getDraining());
+  }
+}
