--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlEvent.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.control;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.fescuehook.logic.platform.MemberList;
 import org.fescuehook.logic.worker.WorkerPort;
@@ -31,6 +32,9 @@
   /** Which peers have been heard within their timeout, and which of those reach the log. */
   record PeersHeard(Set<VmId> alive, Set<VmId> reachingLog) implements ControlEvent {}
 
+  /** Offset after the last record that each peer heard lately has folded. */
+  record PeersFolded(Map<VmId, Long> nextOffsets) implements ControlEvent {}
+
   /** A caller or operator asks; the answer carries the same ticket. */
   record Asked(long ticket, ControlPort.Request request) implements ControlEvent {}
 
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/ControlState.java
@@ -0,0 +1,194 @@
+package org.fescuehook.logic.control.state;
+
+import static org.fescuehook.logic.control.state.FoldResult.COUNTED;
+import static org.fescuehook.logic.control.state.FoldResult.DUPLICATE;
+import static org.fescuehook.logic.control.state.FoldResult.NOT_APPLICABLE;
+import static org.fescuehook.logic.control.state.FoldResult.STALE_EPOCH;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescuehook.model.configuration.Configuration;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.ConfigurationPublished;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.ControlSnapshot;
+import org.fescuehook.wire.SlotShares;
+import org.fescuehook.wire.WorkerJudged;
+
+/**
+ * The state that the control stream tells. Every entry VM that folded the same records holds the
+ * same state: the fold depends on nothing but the records, their offsets and the log's clock.
+ */
+public final class ControlState {
+
+  /** Epoch before the first claim. */
+  public static final long NO_EPOCH = -1;
+
+  private final JobBook jobs = new JobBook();
+  private final WriterBook writers = new WriterBook();
+  private final TreeMap<String, WorkerJudged> judgements = new TreeMap<>();
+  private long epoch = NO_EPOCH;
+  private String owner = "";
+  private String ownerIncarnation = "";
+  private long revision = Configuration.NO_REVISION;
+  private ConfigurationPublished configuration = ConfigurationPublished.getDefaultInstance();
+  private Optional<SlotShares> shares = Optional.empty();
+
+  /** Returns the jobs. */
+  public JobBook jobs() {
+    return jobs;
+  }
+
+  /** Returns the offset of the claim in force. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the VM that decides; empty if none claimed or the last one released. */
+  public Optional<VmId> owner() {
+    return Optional.of(owner).filter(name -> !name.isEmpty()).map(VmId::new);
+  }
+
+  /** Tells whether this incarnation of a VM decides. */
+  public boolean ownedBy(VmId vm, String incarnation) {
+    return owner.equals(vm.value()) && ownerIncarnation.equals(incarnation);
+  }
+
+  /** Returns the revision of the configuration in force. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns the configuration in force; its default instance before the first. */
+  public ConfigurationPublished configuration() {
+    return configuration;
+  }
+
+  /** Returns judgements of workers. */
+  public Collection<WorkerJudged> judgements() {
+    return judgements.values();
+  }
+
+  /** Returns the shares of executors' slots published last. */
+  public Optional<SlotShares> shares() {
+    return shares;
+  }
+
+  /** Tells whether a record decides under the epoch in force. */
+  public boolean inForce(ControlRecord record) {
+    return epoch != NO_EPOCH && record.getEpochPlusOne() == epoch + 1;
+  }
+
+  /**
+   * Folds one record. Records have to come in the order of their offsets.
+   *
+   * @param millis time of the append by the log's clock
+   */
+  public FoldResult fold(ControlRecord record, long offset, long millis) {
+    if (!writers.note(record, offset)) {
+      return DUPLICATE;
+    }
+    return switch (record.getBodyCase()) {
+      case OWNER_CLAIM -> claim(record, offset);
+      case CONFIGURATION_PUBLISHED -> publish(record.getConfigurationPublished(), offset);
+      case JOB_SUBMITTED -> jobs.submit(record.getJobSubmitted(), offset);
+      case JOB_CANCEL_REQUESTED -> jobs.requestCancel(record.getJobCancelRequested());
+      default -> inForce(record) ? foldDecision(record, offset, millis) : STALE_EPOCH;
+    };
+  }
+
+  /** Implements {@code ReadClaim}: the first claim on an epoch in the log replaces it. */
+  private FoldResult claim(ControlRecord record, long offset) {
+    if (record.getOwnerClaim().getBasedOnEpochPlusOne() != epoch + 1) {
+      return STALE_EPOCH;
+    }
+    epoch = offset;
+    owner = record.getWriter();
+    ownerIncarnation = record.getIncarnation();
+    return COUNTED;
+  }
+
+  private FoldResult publish(ConfigurationPublished published, long offset) {
+    if (published.getBaseRevisionPlusOne() != revision + 1) {
+      return NOT_APPLICABLE;
+    }
+    revision = offset;
+    configuration = published;
+    return COUNTED;
+  }
+
+  private FoldResult foldDecision(ControlRecord record, long offset, long millis) {
+    return switch (record.getBodyCase()) {
+      case OWNER_HEARTBEAT, SNAPSHOT_PART -> COUNTED;
+      case OWNER_RELEASE -> release(record);
+      case ATTEMPT_PLANNED -> jobs.plan(record.getAttemptPlanned(), epoch, offset, millis);
+      case ATTEMPT_COMMITTED -> jobs.commit(record.getAttemptCommitted(), epoch, millis);
+      case ATTEMPT_STOPPING -> jobs.stop(record.getAttemptStopping());
+      case ATTEMPT_ENDED -> jobs.endAttempt(record.getAttemptEnded(), millis);
+      case JOB_ENDED -> jobs.endJob(record.getJobEnded(), offset, millis);
+      case WORKER_JUDGED -> judge(record.getWorkerJudged());
+      case SLOT_SHARES -> share(record.getSlotShares());
+      default -> NOT_APPLICABLE;
+    };
+  }
+
+  private FoldResult release(ControlRecord record) {
+    if (!record.getWriter().equals(owner)) {
+      return NOT_APPLICABLE;
+    }
+    owner = "";
+    ownerIncarnation = "";
+    return COUNTED;
+  }
+
+  private FoldResult judge(WorkerJudged judged) {
+    if (judged.getQuarantined()) {
+      judgements.put(judged.getWorker(), judged);
+    } else {
+      judgements.remove(judged.getWorker());
+    }
+    return COUNTED;
+  }
+
+  private FoldResult share(SlotShares published) {
+    shares = Optional.of(published);
+    return COUNTED;
+  }
+
+  /** Returns the whole state. Equal states give equal messages. */
+  public ControlSnapshot snapshot() {
+    ControlSnapshot.Builder snapshot =
+        ControlSnapshot.newBuilder()
+            .setEpochPlusOne(epoch + 1)
+            .setOwner(owner)
+            .setOwnerIncarnation(ownerIncarnation)
+            .setRevisionPlusOne(revision + 1)
+            .setConfigurationBasePlusOne(configuration.getBaseRevisionPlusOne())
+            .setConfiguration(configuration)
+            .addAllJobs(jobs.facts())
+            .addAllWorkers(judgements.values())
+            .addAllWriters(writers.facts());
+    shares.ifPresent(snapshot::setSlotShares);
+    return snapshot.build();
+  }
+
+  /** Creates the state that a snapshot tells. */
+  public static ControlState restore(ControlSnapshot snapshot) {
+    ControlState state = new ControlState();
+    state.epoch = snapshot.getEpochPlusOne() - 1;
+    state.owner = snapshot.getOwner();
+    state.ownerIncarnation = snapshot.getOwnerIncarnation();
+    state.revision = snapshot.getRevisionPlusOne() - 1;
+    state.configuration = snapshot.getConfiguration();
+    state.jobs.restore(snapshot.getJobsList());
+    state.writers.restore(snapshot.getWritersList());
+    if (snapshot.hasSlotShares()) {
+      state.shares = Optional.of(snapshot.getSlotShares());
+    }
+    for (WorkerJudged judged : snapshot.getWorkersList()) {
+      state.judgements.put(judged.getWorker(), judged);
+    }
+    return state;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/JobBook.java
@@ -0,0 +1,292 @@
+package org.fescuehook.logic.control.state;
+
+import static org.fescuehook.logic.control.state.FoldResult.COUNTED;
+import static org.fescuehook.logic.control.state.FoldResult.NOT_APPLICABLE;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.job.Shape;
+import org.fescuehook.wire.AttemptCommitted;
+import org.fescuehook.wire.AttemptEnded;
+import org.fescuehook.wire.AttemptPlanned;
+import org.fescuehook.wire.AttemptResult;
+import org.fescuehook.wire.AttemptStopping;
+import org.fescuehook.wire.JobCancelRequested;
+import org.fescuehook.wire.JobEnded;
+import org.fescuehook.wire.JobSnapshot;
+import org.fescuehook.wire.JobSubmitted;
+
+/** All jobs: which wait, which have a live attempt, and which have ended and are still shown. */
+public final class JobBook {
+
+  /** Ended jobs that are kept. */
+  static final int MOST_ENDED = 2000;
+
+  /** Time for which an ended job is kept, by the log's clock. */
+  static final long ENDED_KEPT_MILLIS = 24L * 60 * 60 * 1000;
+
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  private record RequestKey(String organisation, String requestId) {}
+
+  private final Map<JobId, JobState> jobs = new HashMap<>();
+  private final Map<RequestKey, JobId> byRequest = new HashMap<>();
+  private final TreeMap<Long, JobId> waiting = new TreeMap<>();
+  private final TreeMap<Long, JobId> live = new TreeMap<>();
+  private final TreeMap<Long, JobId> ended = new TreeMap<>();
+
+  /** Returns a job that is not forgotten. */
+  public Optional<JobState> find(JobId id) {
+    return Optional.ofNullable(jobs.get(id));
+  }
+
+  /** Returns the job that was first submitted under a caller's own id. */
+  public Optional<JobId> findByRequest(String organisation, String requestId) {
+    return Optional.ofNullable(byRequest.get(new RequestKey(organisation, requestId)));
+  }
+
+  /** Returns jobs without a live attempt and without a result, in the order of submission. */
+  public List<JobState> waiting() {
+    return states(waiting.values());
+  }
+
+  /** Returns jobs with a live attempt, in the order of their plans. */
+  public List<JobState> live() {
+    return states(live.values());
+  }
+
+  /** Returns the number of waiting jobs. */
+  public int waitingCount() {
+    return waiting.size();
+  }
+
+  /** Returns the number of live attempts. */
+  public int liveCount() {
+    return live.size();
+  }
+
+  private List<JobState> states(Collection<JobId> ids) {
+    List<JobState> states = new ArrayList<>(ids.size());
+    for (JobId id : ids) {
+      states.add(jobs.get(id));
+    }
+    return states;
+  }
+
+  FoldResult submit(JobSubmitted submitted, long offset) {
+    if (!wellFormed(submitted) || jobs.containsKey(new JobId(submitted.getJob()))) {
+      return NOT_APPLICABLE;
+    }
+    RequestKey key = new RequestKey(submitted.getOrganisation(), submitted.getRequestId());
+    if (!submitted.getRequestId().isEmpty() && byRequest.containsKey(key)) {
+      return NOT_APPLICABLE;
+    }
+    put(JobState.of(
+        JobSnapshot.newBuilder().setJob(submitted).setSubmittedOffset(offset).build()));
+    return COUNTED;
+  }
+
+  private static boolean wellFormed(JobSubmitted submitted) {
+    if (submitted.getJob().isBlank() || submitted.getOrganisation().isBlank()) {
+      return false;
+    }
+    org.fescuehook.wire.Shape shape = submitted.getShape();
+    boolean members = shape.getMembers() >= 1 && shape.getMembers() <= Shape.MAX_MEMBERS;
+    boolean resources = shape.getAccelerators() >= 0 && shape.getCores() >= 0;
+    return members && resources && shape.getMemoryMegabytes() >= 0 && shape.getMaxRacks() >= 0;
+  }
+
+  FoldResult requestCancel(JobCancelRequested request) {
+    Optional<JobState> found = find(request.getJob());
+    if (found.isEmpty() || found.get().over()) {
+      return NOT_APPLICABLE;
+    }
+    put(found.get().with(found.get().facts().toBuilder().setCancelRequested(true)));
+    return COUNTED;
+  }
+
+  /** An attempt counts only if it is the next of a job that waits and is not to be cancelled. */
+  FoldResult plan(AttemptPlanned planned, long epoch, long offset, long millis) {
+    Optional<JobState> found = find(planned.getJob());
+    if (found.isEmpty() || !found.get().waiting() || found.get().facts().getCancelRequested()) {
+      return NOT_APPLICABLE;
+    }
+    JobState state = found.get();
+    boolean next = planned.getAttempt() == state.attempt().number() + 1;
+    boolean whole = planned.getWorkersCount() == state.job().shape().members();
+    if (!next || !whole || planned.getWorkersList().stream().anyMatch(String::isBlank)) {
+      return NOT_APPLICABLE;
+    }
+    put(state.with(
+        state.facts().toBuilder()
+            .setPlanned(planned)
+            .clearCommitted()
+            .clearStopping()
+            .clearEnded()
+            .clearCommittedMillis()
+            .setPlannedEpochPlusOne(epoch + 1)
+            .setPlannedOffset(offset)
+            .setStartedMillis(millis)));
+    return COUNTED;
+  }
+
+  /** A commit counts only under the epoch of the plan, so no later owner can commit it. */
+  FoldResult commit(AttemptCommitted committed, long epoch, long millis) {
+    Optional<JobState> found = findLive(committed.getJob(), committed.getAttempt());
+    if (found.isEmpty() || found.get().committed() || found.get().stopping()) {
+      return NOT_APPLICABLE;
+    }
+    JobState state = found.get();
+    boolean whole = committed.getLeasesCount() == state.job().shape().members();
+    if (!whole || state.plannedEpoch() != epoch) {
+      return NOT_APPLICABLE;
+    }
+    put(state.with(
+        state.facts().toBuilder().setCommitted(committed).setCommittedMillis(millis)));
+    return COUNTED;
+  }
+
+  /** The first reason to stop stands; an attempt that was not committed is ended, not stopped. */
+  FoldResult stop(AttemptStopping stopping) {
+    Optional<JobState> found = findLive(stopping.getJob(), stopping.getAttempt());
+    if (found.isEmpty() || !found.get().committed() || found.get().stopping()) {
+      return NOT_APPLICABLE;
+    }
+    put(found.get().with(found.get().facts().toBuilder().setStopping(stopping)));
+    return COUNTED;
+  }
+
+  /** An attempt ends as never started exactly if it was not committed. */
+  FoldResult endAttempt(AttemptEnded end, long millis) {
+    Optional<JobState> found = findLive(end.getJob(), end.getAttempt());
+    if (found.isEmpty()) {
+      return NOT_APPLICABLE;
+    }
+    JobState state = found.get();
+    boolean neverStarted = end.getResult() == AttemptResult.ATTEMPT_RESULT_NEVER_STARTED;
+    if (neverStarted == state.committed()) {
+      return NOT_APPLICABLE;
+    }
+    JobSnapshot.Builder changed = state.facts().toBuilder().setEnded(end);
+    if (neverStarted) {
+      changed.setNeverStarted(changed.getNeverStarted() + 1);
+    }
+    if (end.getResult() == AttemptResult.ATTEMPT_RESULT_FAILED) {
+      changed.setFailures(changed.getFailures() + 1);
+      addAvoided(changed, end.getWorker());
+    }
+    if (end.getCheckpointed()) {
+      long ran = Math.max(0, millis - changed.getCommittedMillis()) / MILLIS_PER_SECOND;
+      changed.setKeptSeconds(changed.getKeptSeconds() + ran);
+    }
+    put(state.with(changed));
+    return COUNTED;
+  }
+
+  private static void addAvoided(JobSnapshot.Builder changed, String worker) {
+    if (!worker.isBlank() && !changed.getAvoidList().contains(worker)) {
+      changed.addAvoid(worker);
+    }
+  }
+
+  FoldResult endJob(JobEnded end, long offset, long millis) {
+    Optional<JobState> found = find(end.getJob());
+    if (found.isEmpty() || !found.get().waiting()) {
+      return NOT_APPLICABLE;
+    }
+    put(found.get().with(
+        found.get().facts().toBuilder()
+            .setJobEnded(end)
+            .setEndedOffset(offset)
+            .setEndedMillis(millis)));
+    forgetEnded(millis);
+    return COUNTED;
+  }
+
+  private void forgetEnded(long millis) {
+    while (!ended.isEmpty()) {
+      JobState oldest = jobs.get(ended.firstEntry().getValue());
+      boolean old = oldest.facts().getEndedMillis() < millis - ENDED_KEPT_MILLIS;
+      if (!old && ended.size() <= MOST_ENDED) {
+        return;
+      }
+      forget(oldest);
+    }
+  }
+
+  private void forget(JobState state) {
+    unlist(state);
+    jobs.remove(state.id());
+    state.job().requestId().ifPresent(id -> byRequest.remove(keyOf(state, id)));
+  }
+
+  private static RequestKey keyOf(JobState state, String requestId) {
+    return new RequestKey(state.job().organisation().value(), requestId);
+  }
+
+  private Optional<JobState> find(String name) {
+    if (name.isBlank()) {
+      return Optional.empty();
+    }
+    return find(new JobId(name));
+  }
+
+  private Optional<JobState> findLive(String name, int attempt) {
+    return find(name)
+        .filter(JobState::live)
+        .filter(state -> state.attempt().number() == attempt);
+  }
+
+  private void put(JobState state) {
+    JobState old = jobs.put(state.id(), state);
+    if (old != null) {
+      unlist(old);
+    }
+    state.job().requestId().ifPresent(id -> byRequest.put(keyOf(state, id), state.id()));
+    JobSnapshot facts = state.facts();
+    if (state.over()) {
+      ended.put(facts.getEndedOffset(), state.id());
+    } else if (state.live()) {
+      live.put(facts.getPlannedOffset(), state.id());
+    } else {
+      waiting.put(facts.getSubmittedOffset(), state.id());
+    }
+  }
+
+  private void unlist(JobState state) {
+    waiting.remove(state.facts().getSubmittedOffset(), state.id());
+    live.remove(state.facts().getPlannedOffset(), state.id());
+    ended.remove(state.facts().getEndedOffset(), state.id());
+  }
+
+  List<JobSnapshot> facts() {
+    List<JobSnapshot> facts = new ArrayList<>(jobs.size());
+    for (JobState state : states(ended.values())) {
+      facts.add(state.facts());
+    }
+    for (JobState state : live()) {
+      facts.add(state.facts());
+    }
+    for (JobState state : waiting()) {
+      facts.add(state.facts());
+    }
+    return facts;
+  }
+
+  void restore(List<JobSnapshot> facts) {
+    jobs.clear();
+    byRequest.clear();
+    waiting.clear();
+    live.clear();
+    ended.clear();
+    for (JobSnapshot fact : facts) {
+      put(JobState.of(fact));
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/WriterBook.java
@@ -0,0 +1,54 @@
+package org.fescuehook.logic.control.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.WriterSequence;
+
+/**
+ * Holds the last sequence of each incarnation. A record whose sequence is not above it is dropped:
+ * it is a duplicate, or was overtaken by a later record of its writer.
+ */
+final class WriterBook {
+
+  /** Incarnations remembered; the one that has been silent longest is forgotten first. */
+  static final int MOST_WRITERS = 256;
+
+  private record Writer(String name, String incarnation) {}
+
+  private final Map<Writer, WriterSequence> last = new LinkedHashMap<>();
+
+  /** Notes a record; returns false if it is dropped. */
+  boolean note(ControlRecord record, long offset) {
+    Writer writer = new Writer(record.getWriter(), record.getIncarnation());
+    WriterSequence before = last.get(writer);
+    if (before != null && record.getSequence() <= before.getSequence()) {
+      return false;
+    }
+    last.remove(writer);
+    last.put(
+        writer,
+        WriterSequence.newBuilder()
+            .setWriter(writer.name())
+            .setIncarnation(writer.incarnation())
+            .setSequence(record.getSequence())
+            .setOffset(offset)
+            .build());
+    if (last.size() > MOST_WRITERS) {
+      last.remove(last.keySet().iterator().next());
+    }
+    return true;
+  }
+
+  List<WriterSequence> facts() {
+    return List.copyOf(last.values());
+  }
+
+  void restore(List<WriterSequence> facts) {
+    last.clear();
+    for (WriterSequence fact : facts) {
+      last.put(new Writer(fact.getWriter(), fact.getIncarnation()), fact);
+    }
+  }
+}
