--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Scheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Scheduler.java
@@ -52,6 +52,7 @@
    * @param placement where it runs
    * @param borrowed whether it uses capacity beyond its organisation's guaranteed shapes
    * @param startedMillis when it was planned, milliseconds since 1970
+   * @param keptSeconds progress kept by checkpoints of earlier attempts
    * @param stopping whether it has been told to stop
    */
   record Running(
@@ -60,6 +61,7 @@
       Placement placement,
       boolean borrowed,
       long startedMillis,
+      long keptSeconds,
       boolean stopping) {}
 
   /**
@@ -77,9 +79,17 @@
   /**
    * Stop an attempt.
    *
+   * @param checkpointFirst whether a checkpoint is asked for before the stop
+   * @param noticeMillis time for the checkpoint, after which the attempt is stopped all the same; 0
+   *     without a checkpoint
    * @param beneficiary job for which it gives way
    */
-  record Stop(AttemptId attempt, StopCause cause, boolean checkpointFirst, JobId beneficiary) {}
+  record Stop(
+      AttemptId attempt,
+      StopCause cause,
+      boolean checkpointFirst,
+      long noticeMillis,
+      JobId beneficiary) {}
 
   /** Why an attempt is stopped. */
   enum StopCause {
