--- a/fescuehook/src/main/java/org/fescuehook/logic/control/state/ControlState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/ControlState.java
@@ -8,8 +8,15 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.fescuehook.logic.scheduling.EndedAttempt;
+import org.fescuehook.logic.scheduling.History;
 import org.fescuehook.model.configuration.Configuration;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.job.Placement;
+import org.fescuehook.wire.AttemptEnded;
+import org.fescuehook.wire.AttemptResult;
 import org.fescuehook.wire.ConfigurationPublished;
 import org.fescuehook.wire.ControlRecord;
 import org.fescuehook.wire.ControlSnapshot;
@@ -25,6 +32,8 @@
   /** Epoch before the first claim. */
   public static final long NO_EPOCH = -1;
 
+  private static final long MILLIS_PER_SECOND = 1000;
+
   private final JobBook jobs = new JobBook();
   private final WriterBook writers = new WriterBook();
   private final TreeMap<String, WorkerJudged> judgements = new TreeMap<>();
@@ -34,6 +43,7 @@
   private long revision = Configuration.NO_REVISION;
   private ConfigurationPublished configuration = ConfigurationPublished.getDefaultInstance();
   private Optional<SlotShares> shares = Optional.empty();
+  private History history = History.EMPTY;
 
   /** Returns the jobs. */
   public JobBook jobs() {
@@ -70,6 +80,11 @@
     return judgements.values();
   }
 
+  /** Returns what was learned from ended attempts. */
+  public History history() {
+    return history;
+  }
+
   /** Returns the shares of executors' slots published last. */
   public Optional<SlotShares> shares() {
     return shares;
@@ -98,7 +113,7 @@
     };
   }
 
-  /** Implements {@code ReadClaim}: the first claim on an epoch in the log replaces it. */
+  /** Implements {@code Land} for a claim: the first claim on an epoch in the log replaces it. */
   private FoldResult claim(ControlRecord record, long offset) {
     if (record.getOwnerClaim().getBasedOnEpochPlusOne() != epoch + 1) {
       return STALE_EPOCH;
@@ -125,7 +140,7 @@
       case ATTEMPT_PLANNED -> jobs.plan(record.getAttemptPlanned(), epoch, offset, millis);
       case ATTEMPT_COMMITTED -> jobs.commit(record.getAttemptCommitted(), epoch, millis);
       case ATTEMPT_STOPPING -> jobs.stop(record.getAttemptStopping());
-      case ATTEMPT_ENDED -> jobs.endAttempt(record.getAttemptEnded(), millis);
+      case ATTEMPT_ENDED -> endAttempt(record.getAttemptEnded(), millis);
       case JOB_ENDED -> jobs.endJob(record.getJobEnded(), offset, millis);
       case WORKER_JUDGED -> judge(record.getWorkerJudged());
       case SLOT_SHARES -> share(record.getSlotShares());
@@ -133,6 +148,31 @@
     };
   }
 
+  private FoldResult endAttempt(AttemptEnded end, long millis) {
+    FoldResult result = jobs.endAttempt(end, millis);
+    if (result == COUNTED && end.getResult() != AttemptResult.ATTEMPT_RESULT_NEVER_STARTED) {
+      jobs.find(new JobId(end.getJob())).ifPresent(job -> learn(job, end, millis));
+    }
+    return result;
+  }
+
+  private void learn(JobState job, AttemptEnded end, long millis) {
+    long ran = Math.max(0, millis - job.facts().getCommittedMillis()) / MILLIS_PER_SECOND;
+    long kept = job.facts().getKeptSeconds() - (end.getCheckpointed() ? ran : 0);
+    Optional<WorkerId> blamed =
+        Optional.of(end.getWorker()).filter(worker -> !worker.isBlank()).map(WorkerId::new);
+    EndedAttempt.Result result =
+        switch (end.getResult()) {
+          case ATTEMPT_RESULT_FINISHED -> EndedAttempt.Result.FINISHED;
+          case ATTEMPT_RESULT_FAILED -> EndedAttempt.Result.FAILED;
+          default -> EndedAttempt.Result.STOPPED;
+        };
+    Placement placement = new Placement(job.workers());
+    history =
+        history.afterAttempt(
+            new EndedAttempt(job.job(), placement, ran, kept, result, blamed, millis));
+  }
+
   private FoldResult release(ControlRecord record) {
     if (!record.getWriter().equals(owner)) {
       return NOT_APPLICABLE;
@@ -143,8 +183,13 @@
   }
 
   private FoldResult judge(WorkerJudged judged) {
+    if (judged.getWorker().isBlank()) {
+      return NOT_APPLICABLE;
+    }
     if (judged.getQuarantined()) {
       judgements.put(judged.getWorker(), judged);
+      WorkerId worker = new WorkerId(judged.getWorker());
+      history = history.afterQuarantine(worker, judged.getUntilMillis());
     } else {
       judgements.remove(judged.getWorker());
     }
@@ -168,7 +213,8 @@
             .setConfiguration(configuration)
             .addAllJobs(jobs.facts())
             .addAllWorkers(judgements.values())
-            .addAllWriters(writers.facts());
+            .addAllWriters(writers.facts())
+            .setHistory(history.toSnapshot());
     shares.ifPresent(snapshot::setSlotShares);
     return snapshot.build();
   }
@@ -183,6 +229,7 @@
     state.configuration = snapshot.getConfiguration();
     state.jobs.restore(snapshot.getJobsList());
     state.writers.restore(snapshot.getWritersList());
+    state.history = History.fromSnapshot(snapshot.getHistory());
     if (snapshot.hasSlotShares()) {
       state.shares = Optional.of(snapshot.getSlotShares());
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/state/JobState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/JobState.java
@@ -110,6 +110,7 @@
         new Placement(workers()),
         facts.getPlanned().getBorrowed(),
         facts.getStartedMillis(),
+        facts.getKeptSeconds(),
         facts.hasStopping() || facts.getCancelRequested());
   }
 }
