--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/rule/Extent.java
@@ -0,0 +1,139 @@
+package org.fescuehook.logic.rule;
+
+import java.util.Arrays;
+import java.util.Optional;
+import org.fescuehook.model.organisation.OrganisationId;
+import org.fescuehook.model.rule.Condition;
+import org.fescuehook.model.rule.Rule;
+
+/**
+ * All that a rule matches.
+ *
+ * @param organisation the only organisation, if one is named
+ * @param organisationsClash whether two organisations are named
+ * @param accelerators numbers of accelerators
+ * @param declaredSeconds declared run times
+ * @param load shares of the fleet's accelerators in use
+ * @param whenUrgent whether urgent jobs match
+ * @param whenNotUrgent whether other jobs match
+ * @param minutes whether each minute of the day matches
+ */
+record Extent(
+    Optional<OrganisationId> organisation,
+    boolean organisationsClash,
+    Range accelerators,
+    Range declaredSeconds,
+    Range load,
+    boolean whenUrgent,
+    boolean whenNotUrgent,
+    boolean[] minutes) {
+
+  private static final int MINUTES_PER_DAY = 24 * 60;
+
+  static Extent of(Rule rule) {
+    Extent extent =
+        new Extent(
+            Optional.empty(), false, Range.ALL, Range.ALL, new Range(0, 1), true, true, day());
+    for (Condition condition : rule.when()) {
+      extent = extent.and(condition);
+    }
+    return extent;
+  }
+
+  private static boolean[] day() {
+    boolean[] minutes = new boolean[MINUTES_PER_DAY];
+    Arrays.fill(minutes, true);
+    return minutes;
+  }
+
+  private Extent and(Condition condition) {
+    return switch (condition) {
+      case Condition.OfOrganisation(var id) ->
+          new Extent(
+              Optional.of(id),
+              organisationsClash || organisation.isPresent() && !organisation.get().equals(id),
+              accelerators,
+              declaredSeconds,
+              load,
+              whenUrgent,
+              whenNotUrgent,
+              minutes);
+      case Condition.AcceleratorsBetween(int least, int most) ->
+          withRanges(accelerators.and(least, most), declaredSeconds, load);
+      case Condition.DeclaredSecondsBetween(long least, long most) ->
+          withRanges(accelerators, declaredSeconds.and(least, most), load);
+      case Condition.LoadBetween(double least, double most) ->
+          withRanges(accelerators, declaredSeconds, load.and(least, most));
+      case Condition.Urgent(boolean urgent) -> withUrgency(urgent);
+      case Condition.MinuteOfDayBetween(int from, int until) -> withMinutes(from, until);
+    };
+  }
+
+  private Extent withRanges(Range accelerators, Range declaredSeconds, Range load) {
+    return new Extent(
+        organisation,
+        organisationsClash,
+        accelerators,
+        declaredSeconds,
+        load,
+        whenUrgent,
+        whenNotUrgent,
+        minutes);
+  }
+
+  private Extent withUrgency(boolean urgent) {
+    return new Extent(
+        organisation,
+        organisationsClash,
+        accelerators,
+        declaredSeconds,
+        load,
+        whenUrgent && urgent,
+        whenNotUrgent && !urgent,
+        minutes);
+  }
+
+  private Extent withMinutes(int from, int until) {
+    boolean[] kept = minutes.clone();
+    for (int m = 0; m < kept.length; m++) {
+      boolean inside = from <= until ? m >= from && m <= until : m >= from || m <= until;
+      kept[m] &= inside;
+    }
+    return new Extent(
+        organisation,
+        organisationsClash,
+        accelerators,
+        declaredSeconds,
+        load,
+        whenUrgent,
+        whenNotUrgent,
+        kept);
+  }
+
+  boolean isEmpty() {
+    boolean noMinute = true;
+    for (boolean m : minutes) {
+      noMinute &= !m;
+    }
+    return organisationsClash
+        || accelerators.isEmpty()
+        || declaredSeconds.isEmpty()
+        || load.isEmpty()
+        || noMinute
+        || !whenUrgent && !whenNotUrgent;
+  }
+
+  boolean contains(Extent other) {
+    for (int m = 0; m < minutes.length; m++) {
+      if (other.minutes[m] && !minutes[m]) {
+        return false;
+      }
+    }
+    return (organisation.isEmpty() || organisation.equals(other.organisation))
+        && accelerators.contains(other.accelerators)
+        && declaredSeconds.contains(other.declaredSeconds)
+        && load.contains(other.load)
+        && (whenUrgent || !other.whenUrgent)
+        && (whenNotUrgent || !other.whenNotUrgent);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/FleetIndex.java
@@ -0,0 +1,93 @@
+package org.fescuehook.logic.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.model.fleet.Fleet;
+import org.fescuehook.model.fleet.RackId;
+import org.fescuehook.model.fleet.Worker;
+import org.fescuehook.model.fleet.WorkerId;
+
+/** The declared workers by number, and their racks by number. */
+final class FleetIndex {
+
+  private final List<Worker> workers;
+  private final Map<WorkerId, Integer> numbers = new HashMap<>();
+  private final int[] rackOf;
+  private final int[][] workersOfRack;
+  private final int accelerators;
+
+  FleetIndex(Fleet fleet) {
+    workers = fleet.workers();
+    rackOf = new int[workers.size()];
+    Map<RackId, Integer> rackNumbers = new HashMap<>();
+    List<List<Integer>> racks = new ArrayList<>();
+    int sum = 0;
+    for (int w = 0; w < workers.size(); w++) {
+      Worker worker = workers.get(w);
+      numbers.put(worker.id(), w);
+      sum += worker.capacity().accelerators();
+      rackOf[w] = rackNumbers.computeIfAbsent(worker.rack(), r -> racks.size());
+      if (rackOf[w] == racks.size()) {
+        racks.add(new ArrayList<>());
+      }
+      racks.get(rackOf[w]).add(w);
+    }
+    accelerators = sum;
+    workersOfRack = new int[racks.size()][];
+    for (int r = 0; r < workersOfRack.length; r++) {
+      workersOfRack[r] = racks.get(r).stream().mapToInt(Integer::intValue).toArray();
+    }
+  }
+
+  int workerCount() {
+    return workers.size();
+  }
+
+  int rackCount() {
+    return workersOfRack.length;
+  }
+
+  /** Returns the number of all accelerators. */
+  int accelerators() {
+    return accelerators;
+  }
+
+  /** Returns the declared capacity of all workers. */
+  Room capacity() {
+    Room room = Room.empty(workers.size());
+    for (int w = 0; w < workers.size(); w++) {
+      room.give(w, workers.get(w).capacity());
+    }
+    return room;
+  }
+
+  Worker worker(int number) {
+    return workers.get(number);
+  }
+
+  /** Returns the number of a worker, or -1 if it is not declared. */
+  int number(WorkerId id) {
+    Integer number = numbers.get(id);
+    return number == null ? -1 : number;
+  }
+
+  int rackOf(int worker) {
+    return rackOf[worker];
+  }
+
+  /** Returns the workers of a rack; not to be changed. */
+  int[] workersOfRack(int rack) {
+    return workersOfRack[rack];
+  }
+
+  /** Returns the numbers of the members' workers; -1 for workers that are not declared any more. */
+  int[] numbers(List<WorkerId> members) {
+    int[] found = new int[members.size()];
+    for (int m = 0; m < found.length; m++) {
+      found[m] = number(members.get(m));
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/JobOrder.java
@@ -0,0 +1,88 @@
+package org.fescuehook.logic.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.logic.rule.RuleMatcher;
+import org.fescuehook.logic.scheduling.Scheduler.View;
+import org.fescuehook.logic.scheduling.Scheduler.Waiting;
+import org.fescuehook.model.job.Job;
+import org.fescuehook.model.organisation.Organisation;
+import org.fescuehook.model.organisation.OrganisationId;
+
+/**
+ * Orders waiting jobs: overdue ones, urgent ones, then by the priority of their rules; among equals
+ * by the slowdown that they have come to, weighed by the use of their organisations.
+ */
+final class JobOrder {
+
+  private static final Comparator<Candidate> ORDER =
+      Comparator.comparing((Candidate c) -> !c.overdue())
+          .thenComparing(c -> !c.job().urgent())
+          .thenComparing(c -> -c.priority())
+          .thenComparing(c -> -c.score())
+          .thenComparing(c -> c.job().submittedMillis())
+          .thenComparing(c -> c.job().id());
+
+  private static final double LEAST_OVERUSE = 0.25;
+  private static final double MOST_OVERUSE = 4;
+
+  private final PolicyParts parts;
+  private final RuleMatcher matcher;
+
+  JobOrder(PolicyParts parts, RuleMatcher matcher) {
+    this.parts = parts;
+    this.matcher = matcher;
+  }
+
+  /** Returns the waiting jobs in the order in which they are tried. */
+  List<Candidate> order(PlanState state) {
+    View view = state.view();
+    Map<OrganisationId, Double> overuse = parts.fairness() ? overuse(state) : Map.of();
+    List<Candidate> order = new ArrayList<>(view.waiting().size());
+    for (Waiting w : view.waiting()) {
+      order.add(candidate(w, state, overuse));
+    }
+    order.sort(ORDER);
+    return order;
+  }
+
+  private Candidate candidate(
+      Waiting waiting, PlanState state, Map<OrganisationId, Double> overuse) {
+    View view = state.view();
+    Job job = waiting.job();
+    RuleMatcher.Match match =
+        matcher.match(view.declarations().rules(), job, view.nowMillis(), state.load());
+    long waitedMillis = Math.max(0, view.nowMillis() - job.submittedMillis());
+    boolean overdue =
+        parts.ageing() && waitedMillis >= view.declarations().policy().maxWait().toMillis();
+    double left = state.estimator().left(job, waiting.ranSeconds());
+    double score = 0;
+    if (parts.ordering()) {
+      score = (waitedMillis / 1000.0 + left) / left;
+    }
+    score /= overuse.getOrDefault(job.organisation(), 1.0);
+    return new Candidate(waiting, match, overdue, left, overdue ? 0 : score);
+  }
+
+  /** Returns for each organisation its share of the use over its share of the weights. */
+  private static Map<OrganisationId, Double> overuse(PlanState state) {
+    Map<OrganisationId, Double> uses = state.weightedUse();
+    double useSum = 0;
+    double weightSum = 0;
+    for (Organisation o : state.view().declarations().organisations()) {
+      double use = uses.getOrDefault(o.id(), 0.0);
+      useSum += use;
+      weightSum += use > 0 ? o.weight() : 0;
+    }
+    Map<OrganisationId, Double> overuse = new HashMap<>();
+    for (Organisation o : state.view().declarations().organisations()) {
+      double fair = useSum * o.weight() / Math.max(weightSum, o.weight());
+      double ratio = fair > 0 ? uses.getOrDefault(o.id(), 0.0) / fair : 1;
+      overuse.put(o.id(), Math.clamp(ratio, LEAST_OVERUSE, MOST_OVERUSE));
+    }
+    return overuse;
+  }
+}
