--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
@@ -0,0 +1,188 @@
+package org.fescuehook.entry;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.control.ControlCommand;
+import org.fescuehook.logic.control.ControlCore;
+import org.fescuehook.logic.control.ControlEvent;
+import org.fescuehook.logic.control.ControlPort.Answer;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.platform.LogAppender;
+import org.fescuehook.logic.platform.LogAppender.AppendResult;
+import org.fescuehook.logic.worker.WorkerPort;
+import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.net.caller.RequestPath;
+import org.fescuehook.net.duty.DutyRing;
+import org.fescuehook.wire.ControlRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Work of the decision thread: feeds the decision core and carries out its commands. */
+final class DecisionDuty implements DutyRing.Handler<DecisionRing.Item> {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(DecisionDuty.class);
+  private static final String STREAM = "control";
+  private static final int RETRY_AFTER_SECONDS = 1;
+
+  private final ControlCore core;
+  private final DecisionRing ring;
+  private final LogAppender log;
+  private final WorkerPort workers;
+  private final RequestPath requests;
+  private final ConfigurationKeeper configuration;
+  private final VmState state;
+  private final MeterRegistry meters;
+  private final long tickNanos;
+  private final Map<Long, Consumer<Answer>> askers = new HashMap<>();
+  private final Deque<ControlEvent> followUps = new ArrayDeque<>();
+  private long lastTickNanos = System.nanoTime();
+  private boolean halted;
+
+  DecisionDuty(
+      ControlCore core,
+      DecisionRing ring,
+      LogAppender log,
+      WorkerPort workers,
+      RequestPath requests,
+      ConfigurationKeeper configuration,
+      VmState state,
+      Duration tick,
+      MeterRegistry meters) {
+    this.core = core;
+    this.ring = ring;
+    this.log = log;
+    this.workers = workers;
+    this.requests = requests;
+    this.configuration = configuration;
+    this.state = state;
+    this.tickNanos = tick.toNanos();
+    this.meters = meters;
+  }
+
+  @Override
+  public void accept(DecisionRing.Item item) {
+    switch (item) {
+      case DecisionRing.Item.Event event -> decide(event.event());
+      case DecisionRing.Item.Question question -> ask(question);
+    }
+    tickIfDue();
+  }
+
+  @Override
+  public void idle() {
+    tickIfDue();
+  }
+
+  private void ask(DecisionRing.Item.Question question) {
+    if (halted) {
+      question.sink().accept(notReady("decisions are halted"));
+      return;
+    }
+    askers.put(question.ticket(), question.sink());
+    decide(new ControlEvent.Asked(question.ticket(), question.request()));
+  }
+
+  private void tickIfDue() {
+    long now = System.nanoTime();
+    if (now - lastTickNanos < tickNanos) {
+      return;
+    }
+    lastTickNanos = now;
+    decide(new ControlEvent.Tick());
+  }
+
+  private void decide(ControlEvent event) {
+    apply(event);
+    while (!followUps.isEmpty()) {
+      apply(followUps.poll());
+    }
+  }
+
+  private void apply(ControlEvent event) {
+    if (halted) {
+      return;
+    }
+    long start = System.nanoTime();
+    try {
+      core.apply(event, start, System.currentTimeMillis()).forEach(this::carryOut);
+    } catch (RuntimeException e) {
+      fault(event, e);
+    }
+    state.folded(core.nextOffset());
+    if (event instanceof ControlEvent.CaughtUp) {
+      state.reachedEnd();
+    }
+    meters
+        .timer("fescuehook.decision", "event", event.getClass().getSimpleName())
+        .record(System.nanoTime() - start, TimeUnit.NANOSECONDS);
+  }
+
+  private void fault(ControlEvent event, RuntimeException fault) {
+    meters.counter("fescuehook.decision.fault").increment();
+    if (event instanceof ControlEvent.RecordRead read) {
+      // A record folded in part would make this VM's state differ from the others'.
+      halt(read.record().offset(), fault);
+      return;
+    }
+    EventLog.error(
+        LOGGER, EntryEvent.DECISION_FAULT, event.getClass().getSimpleName(), fault);
+    if (event instanceof ControlEvent.Asked asked) {
+      answer(asked.ticket(), notReady("the decision core met a fault"));
+    }
+  }
+
+  private void halt(long offset, RuntimeException fault) {
+    halted = true;
+    state.halt();
+    EventLog.error(LOGGER, EntryEvent.DECISIONS_HALTED, offset, fault);
+    askers.values().forEach(sink -> sink.accept(notReady("decisions are halted")));
+    askers.clear();
+  }
+
+  private static Answer notReady(String detail) {
+    return new Answer.Refused(RefusalReason.NOT_READY, detail, RETRY_AFTER_SECONDS);
+  }
+
+  private void carryOut(ControlCommand command) {
+    switch (command) {
+      case ControlCommand.Append append -> append(append.record());
+      case ControlCommand.Send send -> workers.send(send.worker(), send.command());
+      case ControlCommand.Reply reply -> answer(reply.ticket(), reply.answer());
+      case ControlCommand.ConfigurationInForce inForce ->
+          configuration.offer(inForce.configuration(), "log");
+      case ControlCommand.SharesInForce shares -> requests.sharesInForce(shares.shares());
+      case ControlCommand.Note note -> EventLog.info(LOGGER, note.event(), note.arguments());
+      case ControlCommand.Count count -> meters.counter(count.name(), count.tags()).increment();
+    }
+  }
+
+  private void append(ControlRecord record) {
+    long sequence = record.getSequence();
+    boolean taken =
+        log.offer(STREAM, record.toByteArray(), result -> appended(sequence, result));
+    if (!taken) {
+      followUps.add(new ControlEvent.AppendFailed(sequence, true));
+    }
+  }
+
+  private void appended(long sequence, AppendResult result) {
+    switch (result) {
+      case AppendResult.Appended appended -> {}
+      case AppendResult.NotAppended notAppended ->
+          ring.publish(new ControlEvent.AppendFailed(sequence, true));
+      case AppendResult.Unknown unknown ->
+          ring.publish(new ControlEvent.AppendFailed(sequence, false));
+    }
+  }
+
+  private void answer(long ticket, Answer answer) {
+    Optional.ofNullable(askers.remove(ticket)).ifPresent(sink -> sink.accept(answer));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
@@ -0,0 +1,85 @@
+package org.fescuehook.entry;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.fescuehook.logic.control.ControlPort;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.preferences.MembershipPreferences;
+import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.net.caller.RequestPath;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The steps of a planned stop, up to the point where nothing of callers is left in this VM. */
+final class GracefulStop {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(GracefulStop.class);
+  private static final Duration IN_FLIGHT_CHECK = Duration.ofMillis(10);
+  private static final Duration HAND_OVER_LIMIT = Duration.ofSeconds(5);
+
+  private final MembershipPreferences preferences;
+  private final VmState state;
+  private final RequestPath requests;
+  private final ControlPort control;
+  private final CountDownLatch cut = new CountDownLatch(1);
+
+  GracefulStop(
+      MembershipPreferences preferences,
+      VmState state,
+      RequestPath requests,
+      ControlPort control) {
+    this.preferences = preferences;
+    this.state = state;
+    this.requests = requests;
+    this.control = control;
+  }
+
+  /** Does all steps; blocks the calling thread up to the declared limits. */
+  void run() throws InterruptedException {
+    EventLog.info(LOGGER, EntryEvent.STOP_BEGAN);
+    state.beginDraining();
+    pause(preferences.drainDelay());
+    requests.ready(false, RefusalReason.DRAINING);
+    requests.drain();
+    EventLog.info(LOGGER, EntryEvent.DRAINING, requests.inFlight());
+    awaitAnswers();
+    handOver();
+  }
+
+  private void awaitAnswers() throws InterruptedException {
+    long deadline = System.nanoTime() + preferences.drainLimit().toNanos();
+    while (requests.inFlight() > 0) {
+      if (System.nanoTime() - deadline >= 0) {
+        EventLog.warn(
+            LOGGER,
+            EntryEvent.DRAIN_LIMIT,
+            preferences.drainLimit().toMillis(),
+            requests.inFlight());
+        return;
+      }
+      pause(IN_FLIGHT_CHECK);
+    }
+  }
+
+  private void handOver() throws InterruptedException {
+    CompletableFuture<ControlPort.Answer> done = new CompletableFuture<>();
+    if (!control.offer(new ControlPort.Request.HandOver(), done::complete)) {
+      EventLog.warn(LOGGER, EntryEvent.HANDED_OVER, "refused, the decision ring is full");
+      return;
+    }
+    try {
+      ControlPort.Answer answer = done.get(HAND_OVER_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
+      EventLog.info(LOGGER, EntryEvent.HANDED_OVER, answer);
+    } catch (TimeoutException | ExecutionException e) {
+      EventLog.warn(LOGGER, EntryEvent.HANDED_OVER, "no answer");
+    }
+  }
+
+  private void pause(Duration duration) throws InterruptedException {
+    cut.await(duration.toNanos(), TimeUnit.NANOSECONDS);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -0,0 +1,134 @@
+package org.fescuehook.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.fescuehook.logic.membership.PeerReport;
+import org.fescuehook.logic.membership.PeerTable;
+import org.fescuehook.logic.membership.Readiness;
+import org.fescuehook.logic.membership.Readiness.NotReady;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.preferences.MembershipPreferences;
+
+/**
+ * What the threads of this VM know of its contact to the log and to peers. Each field has one
+ * writing thread, but for the table of peers.
+ */
+final class VmState {
+
+  private final MembershipPreferences preferences;
+  private final Readiness readiness;
+  private final ConfigurationKeeper configuration;
+  private final AtomicReference<PeerTable> peers = new AtomicReference<>(PeerTable.EMPTY);
+  private volatile OptionalLong logContactNanos = OptionalLong.empty();
+  private volatile OptionalLong peerContactNanos = OptionalLong.empty();
+  private volatile OptionalLong behindSinceNanos = OptionalLong.empty();
+  private volatile boolean logReachable;
+  private volatile boolean caughtUp;
+  private volatile boolean draining;
+  private volatile boolean halted;
+  private volatile long controlNext;
+
+  VmState(MembershipPreferences preferences, ConfigurationKeeper configuration) {
+    this.preferences = preferences;
+    this.readiness = new Readiness(preferences.staleAfter());
+    this.configuration = configuration;
+  }
+
+  /** Takes the result of a read of the control stream. */
+  void logAnswered(boolean answered) {
+    if (answered) {
+      logContactNanos = OptionalLong.of(System.nanoTime());
+    }
+    logReachable = answered;
+  }
+
+  /** Takes a heartbeat. */
+  void heard(PeerReport report) {
+    long now = System.nanoTime();
+    peers.updateAndGet(table -> table.heard(report, now));
+    peerContactNanos = OptionalLong.of(now);
+  }
+
+  /** Forgets peers that were silent for long and notes whether one has a newer configuration. */
+  void reviewPeers() {
+    long now = System.nanoTime();
+    Duration keep = preferences.peerTimeout().multipliedBy(10);
+    peers.updateAndGet(table -> table.withoutSilent(keep, now));
+    if (ahead().isEmpty()) {
+      behindSinceNanos = OptionalLong.empty();
+    } else if (behindSinceNanos.isEmpty()) {
+      behindSinceNanos = OptionalLong.of(now);
+    }
+  }
+
+  /** Takes the offset after the last folded record of the control stream. */
+  void folded(long next) {
+    controlNext = next;
+  }
+
+  /** Notes that the end of the control stream was reached. */
+  void reachedEnd() {
+    caughtUp = true;
+  }
+
+  /** Notes that the graceful stop began. */
+  void beginDraining() {
+    draining = true;
+  }
+
+  /** Notes that this VM decides nothing any more. */
+  void halt() {
+    halted = true;
+  }
+
+  /** Returns a peer that has a newer configuration. */
+  Optional<PeerReport> ahead() {
+    return peers
+        .get()
+        .ahead(configuration.revision(), preferences.peerTimeout(), System.nanoTime());
+  }
+
+  /** Returns the peers heard within their timeout. */
+  Set<VmId> alivePeers() {
+    return peers.get().alive(preferences.peerTimeout(), System.nanoTime());
+  }
+
+  /** Returns the peers heard within their timeout that reach the log. */
+  Set<VmId> peersReachingLog() {
+    return peers.get().reachingLog(preferences.peerTimeout(), System.nanoTime());
+  }
+
+  /** Tells whether the last read of the control stream succeeded. */
+  boolean logReachable() {
+    return logReachable;
+  }
+
+  /** Tells whether the graceful stop began. */
+  boolean draining() {
+    return draining;
+  }
+
+  /** Returns the offset after the last folded record of the control stream. */
+  long controlNext() {
+    return controlNext;
+  }
+
+  /** Returns why this VM takes no work, as the word used on the wire; empty if it does. */
+  Optional<String> notReady() {
+    if (halted && !draining) {
+      return Optional.of("decisions-halted");
+    }
+    Readiness.Facts facts =
+        new Readiness.Facts(
+            draining,
+            configuration.current().isPresent(),
+            caughtUp,
+            logContactNanos,
+            peerContactNanos,
+            behindSinceNanos);
+    return readiness.judge(facts, System.nanoTime()).map(NotReady::slug);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyEvent.java
@@ -0,0 +1,29 @@
+package org.fescuehook.net.duty;
+
+import org.fescuehook.model.event.NumberedEvent;
+
+/** Log events of duty threads. */
+public enum DutyEvent implements NumberedEvent {
+  /** A step ended by a fault of the program; the duty goes on. */
+  STEP_FAULT(7201, "duty {} met a fault and goes on"),
+  /** A handler of a ring ended by a fault of the program; the ring goes on. */
+  RING_FAULT(7202, "ring {} met a fault and goes on");
+
+  private final int number;
+  private final String format;
+
+  DutyEvent(int number, String format) {
+    this.number = number;
+    this.format = format;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public String format() {
+    return format;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
@@ -0,0 +1,143 @@
+package org.fescuehook.net.duty;
+
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.ExceptionHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.event.EventLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A bounded ring in front of one duty thread. A full ring refuses and counts it; nobody waits.
+ *
+ * @param <T> what is handed over
+ */
+public final class DutyRing<T> {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(DutyRing.class);
+
+  private final String name;
+  private final Disruptor<Slot<T>> disruptor;
+  private final RingBuffer<Slot<T>> ring;
+  private final Counter refused;
+
+  /**
+   * Creates a ring whose thread has not started.
+   *
+   * @param size number of slots, a power of two
+   * @param idle time without an item after which the handler is told
+   */
+  public DutyRing(String name, int size, Duration idle, MeterRegistry meters) {
+    this.name = name;
+    this.disruptor =
+        new Disruptor<>(
+            Slot::new,
+            size,
+            task -> daemon(task, name),
+            ProducerType.MULTI,
+            new TimeoutBlockingWaitStrategy(idle.toNanos(), TimeUnit.NANOSECONDS));
+    this.ring = disruptor.getRingBuffer();
+    this.refused = meters.counter("fescuehook.ring.refused", "ring", name);
+    Gauge.builder("fescuehook.ring.used", ring, buffer -> size - buffer.remainingCapacity())
+        .tag("ring", name)
+        .register(meters);
+  }
+
+  /** Starts the thread. */
+  public void start(Handler<T> handler) {
+    disruptor.setDefaultExceptionHandler(new FaultLogger<>(name));
+    disruptor.handleEventsWith(new SlotHandler<>(handler));
+    disruptor.start();
+  }
+
+  /** Hands an item over; false if the ring is full. */
+  public boolean offer(T item) {
+    boolean taken = ring.tryPublishEvent((slot, sequence, given) -> slot.fill(given), item);
+    if (!taken) {
+      refused.increment();
+    }
+    return taken;
+  }
+
+  /** Lets the thread finish what the ring holds, up to a limit, and ends it. */
+  public void stop(Duration limit) {
+    try {
+      disruptor.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      disruptor.halt();
+    }
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /**
+   * Works on the items.
+   *
+   * @param <T> what is handed over
+   */
+  public interface Handler<T> {
+
+    /** Takes an item. */
+    void accept(T item);
+
+    /** Tells that nothing came for a while. */
+    void idle();
+  }
+
+  private static final class Slot<T> {
+    private Optional<T> item = Optional.empty();
+
+    void fill(T given) {
+      item = Optional.of(given);
+    }
+
+    Optional<T> take() {
+      Optional<T> taken = item;
+      item = Optional.empty();
+      return taken;
+    }
+  }
+
+  private record SlotHandler<T>(Handler<T> handler) implements EventHandler<Slot<T>> {
+    @Override
+    public void onEvent(Slot<T> slot, long sequence, boolean endOfBatch) {
+      slot.take().ifPresent(handler::accept);
+    }
+
+    @Override
+    public void onTimeout(long sequence) {
+      handler.idle();
+    }
+  }
+
+  private record FaultLogger<T>(String name) implements ExceptionHandler<Slot<T>> {
+    @Override
+    public void handleEventException(Throwable fault, long sequence, Slot<T> slot) {
+      EventLog.error(LOGGER, DutyEvent.RING_FAULT, name, fault);
+    }
+
+    @Override
+    public void handleOnStartException(Throwable fault) {
+      EventLog.error(LOGGER, DutyEvent.RING_FAULT, name, fault);
+    }
+
+    @Override
+    public void handleOnShutdownException(Throwable fault) {
+      EventLog.error(LOGGER, DutyEvent.RING_FAULT, name, fault);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/RepeatingDuty.java
@@ -0,0 +1,97 @@
+package org.fescuehook.net.duty;
+
+import java.time.Duration;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.fescuehook.logic.event.EventLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A thread that repeats one step, pausing between as long as the step says. */
+public final class RepeatingDuty {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(RepeatingDuty.class);
+  private static final Duration PAUSE_AFTER_FAULT = Duration.ofSeconds(1);
+
+  private final Step step;
+  private final Thread thread;
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Condition stopAsked = lock.newCondition();
+  private boolean stopping;
+
+  /** Creates a duty that has not started. */
+  public RepeatingDuty(String name, Step step) {
+    this.step = step;
+    this.thread = new Thread(this::run, name);
+    this.thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Asks the thread to stop: a pause ends, a step under way is interrupted. */
+  public void stop() {
+    lock.lock();
+    try {
+      stopping = true;
+      stopAsked.signalAll();
+    } finally {
+      lock.unlock();
+    }
+    thread.interrupt();
+  }
+
+  /** Waits for the thread to end. */
+  public void join(Duration limit) throws InterruptedException {
+    thread.join(limit);
+  }
+
+  private void run() {
+    while (!stopping()) {
+      pause(runStep());
+    }
+  }
+
+  private Duration runStep() {
+    try {
+      return step.run();
+    } catch (RuntimeException e) {
+      EventLog.error(LOGGER, DutyEvent.STEP_FAULT, thread.getName(), e);
+      return PAUSE_AFTER_FAULT;
+    }
+  }
+
+  private boolean stopping() {
+    lock.lock();
+    try {
+      return stopping;
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void pause(Duration duration) {
+    long left = duration.toNanos();
+    lock.lock();
+    try {
+      while (!stopping && left > 0) {
+        left = stopAsked.awaitNanos(left);
+      }
+    } catch (InterruptedException e) {
+      // Only stop() interrupts; the loop sees its flag.
+      Thread.currentThread().interrupt();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** One step of a duty. */
+  @FunctionalInterface
+  public interface Step {
+
+    /** Does the step and returns the pause after it. */
+    Duration run();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/platform/LogTail.java
@@ -0,0 +1,130 @@
+package org.fescuehook.net.platform;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.platform.LogService;
+import org.fescuehook.logic.platform.LogUnavailableException;
+import org.fescuehook.model.log.LogPage;
+import org.fescuehook.model.log.LogRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Follows one stream from its earliest kept record on. One duty thread calls {@link #step()}. */
+public final class LogTail {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(LogTail.class);
+  private static final int MOST_RECORDS = 256;
+  private static final Duration POLL = Duration.ofSeconds(1);
+  private static final Duration FULL_RING_PAUSE = Duration.ofMillis(5);
+  private static final Duration SHORTEST_BACK_OFF = Duration.ofMillis(50);
+  private static final Duration LONGEST_BACK_OFF = Duration.ofSeconds(1);
+
+  private final LogService log;
+  private final String stream;
+  private final Sink sink;
+  private final MeterRegistry meters;
+  private long next;
+  private int most = MOST_RECORDS;
+  private int failures;
+  private long failingSinceNanos;
+
+  /** Creates a follower that has read nothing. */
+  public LogTail(LogService log, String stream, Sink sink, MeterRegistry meters) {
+    this.log = log;
+    this.stream = stream;
+    this.sink = sink;
+    this.meters = meters;
+  }
+
+  /** Reads once and returns the pause before the next read. */
+  public Duration step() {
+    LogPage page;
+    try {
+      page = log.read(stream, next, most, POLL);
+    } catch (LogUnavailableException e) {
+      return failed(e);
+    }
+    succeeded();
+    if (page.next() < next) {
+      return wentBack(page);
+    }
+    return take(page);
+  }
+
+  private Duration take(LogPage page) {
+    skipExpired(page);
+    for (LogRecord record : page.records()) {
+      if (record.offset() < next) {
+        continue;
+      }
+      if (!sink.record(record)) {
+        return FULL_RING_PAUSE;
+      }
+      next = record.offset() + 1;
+    }
+    if (next >= page.next()) {
+      sink.caughtUp(page.earliest(), page.next());
+    }
+    return Duration.ZERO;
+  }
+
+  private void skipExpired(LogPage page) {
+    if (page.earliest() <= next) {
+      return;
+    }
+    EventLog.info(
+        LOGGER, PlatformEvent.RECORDS_EXPIRED, stream, page.earliest(), page.earliest() - next);
+    next = page.earliest();
+  }
+
+  private Duration wentBack(LogPage page) {
+    meters.counter("fescuehook.log.went.back", "stream", stream).increment();
+    EventLog.warn(LOGGER, PlatformEvent.LOG_WENT_BACK, stream, page.next(), next);
+    return LONGEST_BACK_OFF;
+  }
+
+  private void succeeded() {
+    if (failures > 0) {
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - failingSinceNanos);
+      EventLog.info(LOGGER, PlatformEvent.LOG_REACHABLE, stream, millis);
+    }
+    failures = 0;
+    most = Math.min(MOST_RECORDS, most * 2);
+    sink.reachable(true);
+  }
+
+  private Duration failed(LogUnavailableException cause) {
+    meters.counter("fescuehook.log.read.failed", "stream", stream).increment();
+    if (failures == 0) {
+      failingSinceNanos = System.nanoTime();
+      EventLog.warn(LOGGER, PlatformEvent.LOG_UNREACHABLE, stream, cause.getMessage());
+    }
+    failures++;
+    // A page of large records may be too large for one answer.
+    most = Math.max(1, most / 2);
+    sink.reachable(false);
+    return backOff();
+  }
+
+  private Duration backOff() {
+    long ceiling = SHORTEST_BACK_OFF.toMillis() << Math.min(failures, 10);
+    long bounded = Math.min(LONGEST_BACK_OFF.toMillis(), ceiling);
+    return Duration.ofMillis(1 + ThreadLocalRandom.current().nextLong(bounded));
+  }
+
+  /** Takes what is read. Called by the duty thread. */
+  public interface Sink {
+
+    /** Takes a record; false if it has no room, and the record is read again. */
+    boolean record(LogRecord record);
+
+    /** Tells that the end was reached. */
+    void caughtUp(long earliest, long next);
+
+    /** Tells whether the last read succeeded. */
+    void reachable(boolean reachable);
+  }
+}
