--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/Turn.java
@@ -0,0 +1,77 @@
+package org.fescuehook.logic.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
+import org.fescuehook.model.event.NumberedEvent;
+import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.wire.ControlRecord;
+
+/** One application of an event: its time, and the commands that it gives. */
+public final class Turn {
+  private final long nowNanos;
+  private final long wallMillis;
+  private final List<ControlCommand> commands = new ArrayList<>();
+
+  /**
+   * Starts a turn.
+   *
+   * @param nowNanos monotonic time
+   * @param wallMillis milliseconds since 1970
+   */
+  public Turn(long nowNanos, long wallMillis) {
+    this.nowNanos = nowNanos;
+    this.wallMillis = wallMillis;
+  }
+
+  /** Returns the monotonic time, in nanoseconds. */
+  public long now() {
+    return nowNanos;
+  }
+
+  /** Returns the time in milliseconds since 1970. */
+  public long wallMillis() {
+    return wallMillis;
+  }
+
+  /** Tells whether {@code wait} has passed since a monotonic time. */
+  public boolean passed(long sinceNanos, Duration wait) {
+    return nowNanos - sinceNanos >= wait.toNanos();
+  }
+
+  /** Adds a command. */
+  public void add(ControlCommand command) {
+    commands.add(command);
+  }
+
+  /** Adds the append of a record. */
+  public void append(ControlRecord record) {
+    add(new ControlCommand.Append(record));
+  }
+
+  /** Adds a command to a worker. */
+  public void send(WorkerId worker, WorkerCommand command) {
+    add(new ControlCommand.Send(worker, command));
+  }
+
+  /** Adds an answer. */
+  public void reply(long ticket, ControlPort.Answer answer) {
+    add(new ControlCommand.Reply(ticket, answer));
+  }
+
+  /** Adds a log line. */
+  public void note(NumberedEvent event, Object... arguments) {
+    add(new ControlCommand.Note(event, arguments));
+  }
+
+  /** Adds one to a counter. */
+  public void count(String name, String... tags) {
+    add(new ControlCommand.Count(name, tags));
+  }
+
+  /** Returns the commands in order. */
+  public List<ControlCommand> commands() {
+    return List.copyOf(commands);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/AttemptTrack.java
@@ -0,0 +1,50 @@
+package org.fescuehook.logic.control.gang;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.model.job.AttemptId;
+import org.fescuehook.wire.StopReason;
+
+/** What the driving VM knows of one live attempt beyond the log. */
+final class AttemptTrack {
+  final AttemptId attempt;
+  final List<MemberTrack> members = new ArrayList<>();
+  final long sinceNanos;
+  Optional<StopReason> abort = Optional.empty();
+  OptionalLong stoppingSince = OptionalLong.empty();
+  OptionalLong foldedSince = OptionalLong.empty();
+  OptionalLong startedSince = OptionalLong.empty();
+  long stoppingOffset;
+  long unread;
+  boolean committed;
+  boolean releasing;
+  boolean abandoned;
+
+  AttemptTrack(JobState job, long nowNanos) {
+    this.attempt = job.attempt();
+    this.sinceNanos = nowNanos;
+    int number = 0;
+    for (WorkerId worker : job.workers()) {
+      members.add(new MemberTrack(number, worker, nowNanos));
+      number++;
+    }
+  }
+
+  boolean all(Predicate<MemberTrack> condition) {
+    return members.stream().allMatch(condition);
+  }
+
+  Optional<MemberTrack> first(Predicate<MemberTrack> condition) {
+    return members.stream().filter(condition).findFirst();
+  }
+
+  /** Tells whether the leases of this attempt are to be renewed by this VM. */
+  boolean renewable() {
+    return committed && !releasing && !abandoned;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/LeaseRenewer.java
@@ -0,0 +1,136 @@
+package org.fescuehook.logic.control.gang;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescuehook.logic.control.ControlLimits;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
+import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.model.preferences.ControlPreferences;
+
+/**
+ * Renews leases, all of one worker in one command. A young attempt is renewed more often, so that
+ * the end of a short task is seen soon; the interval grows with its age up to the declared one.
+ */
+final class LeaseRenewer {
+
+  private static final int AGE_DIVISOR = 4;
+  private static final Duration ADOPTION_SPREAD = Duration.ofSeconds(1);
+  private static final Duration SILENT_RETRY = Duration.ofSeconds(2);
+
+  /** A lease and whose it is. */
+  record Holder(AttemptTrack attempt, MemberTrack member) {}
+
+  private static final class WorkerLeases {
+    final Map<String, Holder> holders = new HashMap<>();
+    long dueNanos;
+    boolean silent;
+  }
+
+  private final ControlPreferences preferences;
+  private final TreeMap<WorkerId, WorkerLeases> workers = new TreeMap<>();
+
+  LeaseRenewer(ControlPreferences preferences) {
+    this.preferences = preferences;
+  }
+
+  /** Adds the leases of a committed attempt; they are renewed at once. */
+  void add(AttemptTrack attempt, Turn turn) {
+    for (MemberTrack member : attempt.members) {
+      WorkerLeases leases = workers.computeIfAbsent(member.worker, id -> new WorkerLeases());
+      leases.holders.put(member.lease, new Holder(attempt, member));
+      leases.dueNanos = turn.now();
+    }
+  }
+
+  /** Adds the leases of an attempt that another VM committed; renewals are spread over a second. */
+  void adopt(AttemptTrack attempt, Turn turn) {
+    add(attempt, turn);
+    for (MemberTrack member : attempt.members) {
+      long spread = Math.floorMod(member.worker.value().hashCode(), ADOPTION_SPREAD.toMillis());
+      workers.get(member.worker).dueNanos =
+          turn.now() + Duration.ofMillis(spread).toNanos();
+    }
+  }
+
+  /** Removes the leases of an attempt. */
+  void remove(AttemptTrack attempt) {
+    for (MemberTrack member : attempt.members) {
+      WorkerLeases leases = workers.get(member.worker);
+      if (leases == null) {
+        continue;
+      }
+      leases.holders.remove(member.lease);
+      if (leases.holders.isEmpty()) {
+        workers.remove(member.worker);
+      }
+    }
+  }
+
+  /** Forgets all. */
+  void clear() {
+    workers.clear();
+  }
+
+  /** Returns whose a lease is. */
+  Optional<Holder> holder(WorkerId worker, String lease) {
+    return Optional.ofNullable(workers.get(worker)).map(leases -> leases.holders.get(lease));
+  }
+
+  /** A worker answered, or did not. */
+  void heard(WorkerId worker, boolean silent) {
+    WorkerLeases leases = workers.get(worker);
+    if (leases != null) {
+      leases.silent = silent;
+    }
+  }
+
+  /** Sends the renewals that are due. */
+  void step(Turn turn) {
+    workers.forEach((worker, leases) -> renewIfDue(worker, leases, turn));
+  }
+
+  private void renewIfDue(WorkerId worker, WorkerLeases leases, Turn turn) {
+    if (turn.now() < leases.dueNanos) {
+      return;
+    }
+    List<String> ids = new ArrayList<>();
+    long youngest = Long.MAX_VALUE;
+    for (Map.Entry<String, Holder> entry : leases.holders.entrySet()) {
+      Holder holder = entry.getValue();
+      if (holder.attempt().renewable() && !holder.member().gone) {
+        ids.add(entry.getKey());
+        holder.member().renewedNanos = turn.now();
+        youngest = Math.min(youngest, age(holder.attempt(), turn));
+      }
+    }
+    leases.dueNanos = turn.now() + interval(leases, youngest).toNanos();
+    if (ids.isEmpty()) {
+      return;
+    }
+    ids.sort(null);
+    turn.send(worker, new WorkerCommand.Renew(ids, preferences.leaseTtl().toMillis()));
+  }
+
+  /** An attempt whose checkpoint is awaited counts as young. */
+  private static long age(AttemptTrack attempt, Turn turn) {
+    return attempt.stoppingSince.isPresent() ? 0 : turn.now() - attempt.sinceNanos;
+  }
+
+  private Duration interval(WorkerLeases leases, long youngestNanos) {
+    Duration longest = preferences.renewInterval();
+    if (leases.silent && SILENT_RETRY.compareTo(longest) < 0) {
+      longest = SILENT_RETRY;
+    }
+    Duration byAge = Duration.ofNanos(youngestNanos / AGE_DIVISOR);
+    if (byAge.compareTo(ControlLimits.FASTEST_RENEWAL) < 0) {
+      byAge = ControlLimits.FASTEST_RENEWAL;
+    }
+    return byAge.compareTo(longest) < 0 ? byAge : longest;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -0,0 +1,140 @@
+package org.fescuehook.logic.control.ownership;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.fescuehook.logic.control.ControlLimits;
+import org.fescuehook.logic.control.ControlLogEvent;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.append.RecordWriter;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.preferences.ControlPreferences;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.OwnerClaim;
+import org.fescuehook.wire.OwnerHeartbeat;
+import org.fescuehook.wire.OwnerRelease;
+
+/** Claims ownership when the owner is silent, holds it by heartbeats, and gives it up when asked. */
+public final class OwnerDuty {
+  private final VmId vm;
+  private final String incarnation;
+  private final ControlPreferences preferences;
+  private final RecordWriter writer;
+  private final ReaderWatch reader;
+  private final PeerWatch peers;
+  private long lastSignNanos;
+  private long claim;
+  private long release;
+  private boolean handingOver;
+
+  /** Creates the duty of a VM that owns nothing. */
+  public OwnerDuty(
+      VmId vm,
+      String incarnation,
+      ControlPreferences preferences,
+      RecordWriter writer,
+      ReaderWatch reader,
+      PeerWatch peers,
+      long nowNanos) {
+    this.vm = vm;
+    this.incarnation = incarnation;
+    this.preferences = preferences;
+    this.writer = writer;
+    this.reader = reader;
+    this.peers = peers;
+    this.lastSignNanos = nowNanos;
+  }
+
+  /** A record that counted under the epoch in force, or changed it, was read. */
+  public void sign(Turn turn) {
+    lastSignNanos = turn.now();
+  }
+
+  /** Tells whether this VM is the owner as far as it has read. */
+  public boolean owns(ControlState state) {
+    return state.ownedBy(vm, incarnation);
+  }
+
+  /** Tells whether this VM may decide now: it owns, has read to the end, and stays owner. */
+  public boolean decides(ControlState state, Turn turn) {
+    return owns(state) && !handingOver && reader.current(turn);
+  }
+
+  /** Gives ownership up for good; this VM never claims again. */
+  public void handOver() {
+    handingOver = true;
+  }
+
+  /** Tells whether ownership was given up and nothing is left to do. */
+  public boolean handedOver(ControlState state) {
+    return handingOver && !owns(state);
+  }
+
+  /**
+   * Claims, holds or releases ownership as is due. Implements {@code Claim}.
+   *
+   * @param eligible whether this VM understands the state well enough to decide by it
+   */
+  public void step(ControlState state, boolean eligible, Turn turn) {
+    if (!reader.current(turn)) {
+      return;
+    }
+    if (owns(state)) {
+      hold(state, turn);
+      return;
+    }
+    if (!handingOver && eligible && !writer.isUnread(claim) && silent(state, turn)) {
+      claim(state, turn);
+    }
+  }
+
+  private void hold(ControlState state, Turn turn) {
+    if (handingOver) {
+      releaseOnce(state, turn);
+      return;
+    }
+    if (!turn.passed(writer.lastAppendNanos(), preferences.ownerHeartbeat())) {
+      return;
+    }
+    if (writer.hasRoom()) {
+      writer.append(
+          ControlRecord.newBuilder().setOwnerHeartbeat(OwnerHeartbeat.getDefaultInstance()),
+          state.epoch(),
+          turn);
+    }
+  }
+
+  private void releaseOnce(ControlState state, Turn turn) {
+    if (writer.isUnread(release)) {
+      return;
+    }
+    turn.note(ControlLogEvent.RELEASED_OWNERSHIP, state.epoch());
+    release =
+        writer.append(
+            ControlRecord.newBuilder().setOwnerRelease(OwnerRelease.getDefaultInstance()),
+            state.epoch(),
+            turn);
+  }
+
+  private boolean silent(ControlState state, Turn turn) {
+    Optional<VmId> owner = state.owner();
+    long since = Math.max(lastSignNanos, reader.currentSince());
+    if (owner.isEmpty()) {
+      return turn.passed(since, preferences.claimStagger().multipliedBy(peers.rank(vm)));
+    }
+    Duration timeout = preferences.ownerTimeout();
+    if (peers.reachesLog(owner.get())) {
+      timeout = timeout.multipliedBy(ControlLimits.HEARD_OWNER_FACTOR);
+    }
+    Duration stagger = preferences.claimStagger().multipliedBy(peers.rank(owner.get()));
+    return turn.passed(since, timeout.plus(stagger));
+  }
+
+  private void claim(ControlState state, Turn turn) {
+    String owner = state.owner().map(VmId::value).orElse("none");
+    turn.note(ControlLogEvent.CLAIMING, state.epoch(), owner);
+    turn.count("fescuehook.control.claims");
+    OwnerClaim body = OwnerClaim.newBuilder().setBasedOnEpochPlusOne(state.epoch() + 1).build();
+    claim = writer.append(ControlRecord.newBuilder().setOwnerClaim(body), turn);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
@@ -0,0 +1,144 @@
+package org.fescuehook.logic.control.ownership;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.fescuehook.logic.platform.MemberList;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.fleet.WorkerId;
+
+/** What this VM knows of the other entry VMs and of leaving workers, by heartbeats and the list. */
+public final class PeerWatch {
+  private final VmId self;
+  private final Map<VmId, Long> folded = new HashMap<>();
+  private Set<VmId> alive = Set.of();
+  private Set<VmId> reachingLog = Set.of();
+  private Set<VmId> listed = Set.of();
+  private Set<VmId> leaving = Set.of();
+  private Set<WorkerId> leavingWorkers = Set.of();
+  private boolean listFetched;
+
+  /** Creates a watch that has heard nothing. */
+  public PeerWatch(VmId self) {
+    this.self = self;
+  }
+
+  /** Takes in which peers are heard. */
+  public void heard(Set<VmId> alivePeers, Set<VmId> reaching) {
+    alive = withoutSelf(alivePeers);
+    reachingLog = withoutSelf(reaching);
+  }
+
+  private Set<VmId> withoutSelf(Set<VmId> vms) {
+    Set<VmId> others = new HashSet<>(vms);
+    others.remove(self);
+    return Set.copyOf(others);
+  }
+
+  /** Takes in how far peers have folded the stream. */
+  public void folded(Map<VmId, Long> nextOffsets) {
+    folded.putAll(nextOffsets);
+    folded.keySet().retainAll(known());
+  }
+
+  /** Takes in the list of VMs. */
+  public void listed(List<MemberList.Member> members) {
+    listFetched = true;
+    Set<VmId> entries = new HashSet<>();
+    Set<VmId> leavingEntries = new HashSet<>();
+    Set<WorkerId> workers = new HashSet<>();
+    for (MemberList.Member member : members) {
+      switch (member.role()) {
+        case ENTRY -> {
+          entries.add(new VmId(member.name()));
+          if (member.leaving()) {
+            leavingEntries.add(new VmId(member.name()));
+          }
+        }
+        case WORKER -> {
+          if (member.leaving()) {
+            workers.add(new WorkerId(member.name()));
+          }
+        }
+        case EXECUTOR -> {}
+      }
+    }
+    listed = Set.copyOf(entries);
+    leaving = Set.copyOf(leavingEntries);
+    leavingWorkers = Set.copyOf(workers);
+  }
+
+  /** Tells whether a peer is heard. */
+  public boolean alive(VmId vm) {
+    return alive.contains(vm);
+  }
+
+  /** Tells whether a peer is heard and says that it reaches the log. */
+  public boolean reachesLog(VmId vm) {
+    return alive.contains(vm) && reachingLog.contains(vm);
+  }
+
+  /** Tells whether any peer heard says that it reaches the log. */
+  public boolean anyReachesLog() {
+    return alive.stream().anyMatch(reachingLog::contains);
+  }
+
+  /** Returns the peers heard and this VM, in the order of their names. */
+  public TreeSet<VmId> present() {
+    TreeSet<VmId> present = new TreeSet<>(alive);
+    present.add(self);
+    return present;
+  }
+
+  /** Returns all entry VMs that may exist: listed, heard, and this one, in the order of names. */
+  public TreeSet<VmId> known() {
+    TreeSet<VmId> known = present();
+    known.addAll(listed);
+    return known;
+  }
+
+  /** Tells whether an entry VM is listed as leaving. */
+  public boolean leaving(VmId vm) {
+    return leaving.contains(vm);
+  }
+
+  /** Returns workers that are listed as leaving. */
+  public Set<WorkerId> leavingWorkers() {
+    return leavingWorkers;
+  }
+
+  /** Tells whether a peer is known to have folded the record at an offset. */
+  public boolean hasFolded(VmId vm, long offset) {
+    return vm.equals(self) || folded.getOrDefault(vm, 0L) > offset;
+  }
+
+  /** Tells whether every entry VM that may exist is known to have folded the record at an offset. */
+  public boolean allFolded(long offset) {
+    if (!listFetched) {
+      return false;
+    }
+    for (VmId vm : known()) {
+      if (!hasFolded(vm, offset)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns how many present VMs other than the owner come before this one. */
+  public int rank(VmId owner) {
+    int rank = 0;
+    for (VmId vm : present()) {
+      if (vm.equals(self)) {
+        return rank;
+      }
+      if (!vm.equals(owner)) {
+        rank++;
+      }
+    }
+    return rank;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
@@ -0,0 +1,86 @@
+package org.fescuehook.logic.control.planning;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.append.RecordWriter;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.wire.AttemptEnded;
+import org.fescuehook.wire.AttemptResult;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.JobEnded;
+import org.fescuehook.wire.JobResult;
+
+/** Ends jobs that finished, were cancelled, or failed too often. */
+public final class JobEndDuty {
+  private final RecordWriter writer;
+  private final Set<JobId> touched = new LinkedHashSet<>();
+  private final Map<JobId, Long> appended = new HashMap<>();
+
+  /** Creates a duty without work. */
+  public JobEndDuty(RecordWriter writer) {
+    this.writer = writer;
+  }
+
+  /** A record about a job was folded. */
+  public void folded(JobId job) {
+    touched.add(job);
+  }
+
+  /** Looks at every waiting job again, as a new owner has to. */
+  public void lookAtAll(ControlState state) {
+    state.jobs().waiting().forEach(job -> touched.add(job.id()));
+  }
+
+  /** Forgets what was touched while another VM decided. */
+  public void clear() {
+    touched.clear();
+    appended.clear();
+  }
+
+  /** Ends the jobs that are to end. */
+  public void step(ControlState state, Declarations declarations, Turn turn) {
+    List<JobId> jobs = new ArrayList<>(touched);
+    touched.clear();
+    for (JobId id : jobs) {
+      Optional<JobState> job = state.jobs().find(id).filter(JobState::waiting);
+      Optional<JobEnded.Builder> end = job.flatMap(found -> result(found, declarations));
+      if (end.isEmpty()) {
+        appended.remove(id);
+        continue;
+      }
+      touched.add(id);
+      if (!writer.isUnread(appended.getOrDefault(id, 0L)) && writer.hasRoom()) {
+        ControlRecord.Builder record =
+            ControlRecord.newBuilder().setJobEnded(end.get().setJob(id.value()));
+        appended.put(id, writer.append(record, state.epoch(), turn));
+      }
+    }
+  }
+
+  private static Optional<JobEnded.Builder> result(JobState job, Declarations declarations) {
+    AttemptEnded last = job.facts().getEnded();
+    JobEnded.Builder end = JobEnded.newBuilder();
+    if (last.getResult() == AttemptResult.ATTEMPT_RESULT_FINISHED) {
+      return Optional.of(end.setResult(JobResult.JOB_RESULT_FINISHED));
+    }
+    if (job.facts().getCancelRequested()) {
+      return Optional.of(end.setResult(JobResult.JOB_RESULT_CANCELLED));
+    }
+    if (ViewBuilder.gaveUp(job, declarations)) {
+      String detail =
+          "failed " + job.facts().getFailures() + " times, last with exit code "
+              + last.getExitCode() + " on " + last.getWorker();
+      return Optional.of(end.setResult(JobResult.JOB_RESULT_FAILED).setDetail(detail));
+    }
+    return Optional.empty();
+  }
+}
