--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/ReplayedJob.java
@@ -0,0 +1,76 @@
+package org.fescuehook.logic.trace;
+
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.fescuehook.logic.scheduling.Scheduler.Running;
+import org.fescuehook.logic.scheduling.Scheduler.Start;
+import org.fescuehook.logic.scheduling.Scheduler.Waiting;
+import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.model.job.AttemptId;
+import org.fescuehook.model.job.Job;
+
+/** State of one job in a replay. */
+final class ReplayedJob {
+
+  final Job job;
+  final JobCourse course;
+  final long order;
+  final Set<WorkerId> failedOn = new HashSet<>();
+  JobOutcome.End end = JobOutcome.End.UNFINISHED;
+  OptionalLong firstStartMillis = OptionalLong.empty();
+  OptionalLong endMillis = OptionalLong.empty();
+  long keptSeconds;
+  int failures;
+  int attempts;
+  int preemptions;
+  double lost;
+
+  /** Placement of the live attempt, as decided. */
+  Start start;
+
+  long plannedMillis;
+  long beganMillis;
+  boolean stopping;
+  boolean ending;
+
+  ReplayedJob(Job job, JobCourse course, long order, Start none) {
+    this.job = job;
+    this.course = course;
+    this.order = order;
+    this.start = none;
+  }
+
+  Waiting waiting() {
+    return new Waiting(job, failures, keptSeconds, Set.copyOf(failedOn));
+  }
+
+  Running running() {
+    return new Running(
+        job,
+        attempt(),
+        start.placement(),
+        start.borrowed(),
+        plannedMillis,
+        keptSeconds,
+        stopping || ending);
+  }
+
+  AttemptId attempt() {
+    return new AttemptId(job.id(), attempts);
+  }
+
+  boolean isOver() {
+    return end != JobOutcome.End.UNFINISHED;
+  }
+
+  /** Returns how long the live attempt has run. */
+  long ranSeconds(long nowMillis) {
+    return Math.max(0, nowMillis - beganMillis) / 1000;
+  }
+
+  JobOutcome outcome() {
+    return new JobOutcome(
+        job, course, end, firstStartMillis, endMillis, attempts, preemptions, lost);
+  }
+}
