--- a/fescuehook/src/main/java/org/fescuehook/cli/package-info.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/package-info.java
@@ -1,4 +1,4 @@
-/** The program: reads the command line and starts a command. */
+/** The {@code fescuehook} program: finds the command and runs it. */
 @NullMarked
 package org.fescuehook.cli;
 
