--- a/fescuehook/src/main/java/org/fescuehook/cli/Main.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/Main.java
@@ -3,6 +3,9 @@
 import org.fescuehook.cli.command.CommandException;
 import org.fescuehook.cli.command.Console;
 import org.fescuehook.cli.command.ExitCode;
+import org.fescuehook.entry.EntryProcess;
+import org.fescuehook.entry.ParsedDeclarations;
+import org.fescuehook.logic.scheduling.GuaranteeScheduler;
 import org.fescuehook.model.preferences.EntryPreferences;
 
 /** Entry point of the program. */
@@ -17,6 +20,11 @@
   }
 
   private static ExitCode runEntry(EntryPreferences preferences) throws CommandException {
-    throw new CommandException(ExitCode.INTERNAL, "this build has no entry program");
+    int code =
+        new EntryProcess(preferences, new GuaranteeScheduler(), new ParsedDeclarations()).run();
+    if (code != EntryProcess.EXIT_STOPPED) {
+      throw new CommandException(ExitCode.INTERNAL, "the entry VM did not start");
+    }
+    return ExitCode.DONE;
   }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/http/ScriptedServer.java
@@ -0,0 +1,137 @@
+package org.fescuehook.net.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** An HTTP server that answers requests by a script, whichever connection they come on. */
+public final class ScriptedServer implements Closeable {
+
+  private static final Pattern LENGTH =
+      Pattern.compile("content-length: (\\d+)", Pattern.CASE_INSENSITIVE);
+
+  private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private final Queue<Act> script = new ConcurrentLinkedQueue<>();
+  private final Queue<String> requests = new ConcurrentLinkedQueue<>();
+  private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger accepted = new AtomicInteger();
+
+  /** Opens the server on a free port of the loopback. */
+  public ScriptedServer() throws IOException {
+    start(this::acceptAll);
+  }
+
+  /** What to do on a request. */
+  public sealed interface Act {
+    /** Answers. */
+    record Answer(int status, String body) implements Act {}
+
+    /** Never answers. */
+    record Silence() implements Act {}
+
+    /** Closes the connection. */
+    record Close() implements Act {}
+  }
+
+  /** Adds acts to the script. */
+  public void then(Act... acts) {
+    script.addAll(List.of(acts));
+  }
+
+  /** Returns where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getLocalSocketAddress();
+  }
+
+  /** Returns the requests so far: request line, a space and the body. */
+  public Queue<String> requests() {
+    return requests;
+  }
+
+  /** Returns the connections accepted so far. */
+  public int accepted() {
+    return accepted.get();
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Socket connection : connections) {
+      connection.close();
+    }
+  }
+
+  private void acceptAll() {
+    try {
+      while (!server.isClosed()) {
+        Socket connection = server.accept();
+        accepted.incrementAndGet();
+        connections.add(connection);
+        start(() -> serve(connection));
+      }
+    } catch (IOException e) {
+      // Closed.
+    }
+  }
+
+  private void serve(Socket connection) {
+    try (connection) {
+      while (true) {
+        requests.add(read(connection.getInputStream()));
+        if (!act(connection, script.remove())) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      // Closed by either end.
+    }
+  }
+
+  private static boolean act(Socket connection, Act act) throws IOException {
+    return switch (act) {
+      case Act.Answer answer -> {
+        byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
+        String head = "HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n";
+        connection
+            .getOutputStream()
+            .write(head.formatted(answer.status(), body.length).getBytes(StandardCharsets.UTF_8));
+        connection.getOutputStream().write(body);
+        yield true;
+      }
+      case Act.Silence silence -> true;
+      case Act.Close close -> false;
+    };
+  }
+
+  private static String read(InputStream input) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = input.read();
+      if (next < 0) {
+        throw new IOException("closed");
+      }
+      head.append((char) next);
+    }
+    Matcher length = LENGTH.matcher(head);
+    int bytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
+    String body = new String(input.readNBytes(bytes), StandardCharsets.UTF_8);
+    return head.substring(0, head.indexOf(" HTTP/1.1")) + " " + body;
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "scripted-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
