--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/HealthWatch.java
@@ -0,0 +1,81 @@
+package org.fescuehook.logic.dispatch;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fescuehook.logic.dispatch.DispatchEnd.FailureKind;
+import org.fescuehook.logic.dispatch.DispatchEnd.NotSentCause;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** Ejects executors that fail, telling a dead path from a dead executor, under a cap. */
+final class HealthWatch {
+  private final ExecutorTable executors;
+  private final Consumer<DispatchCommand> out;
+
+  HealthWatch(ExecutorTable executors, Consumer<DispatchCommand> out) {
+    this.executors = executors;
+    this.out = out;
+  }
+
+  /** Notes how a dispatch ended. */
+  void ended(ExecutorId executor, DispatchEnd end, long nowMillis) {
+    Optional<ExecutorHealth> health = executors.health(executor);
+    if (health.isEmpty()) {
+      return;
+    }
+    switch (end) {
+      case DispatchEnd.Answered _ -> health.get().succeeded(nowMillis);
+      case DispatchEnd.RefusedNotRun _ -> health.get().pause(nowMillis);
+      case DispatchEnd.NotSent notSent -> {
+        if (notSent.cause() == NotSentCause.CONNECT_FAILED && health.get().failed()) {
+          eject(executor, health.get(), nowMillis);
+        }
+      }
+      case DispatchEnd.Failed failed -> failed(executor, health.get(), failed, nowMillis);
+    }
+  }
+
+  private void failed(
+      ExecutorId executor, ExecutorHealth health, DispatchEnd.Failed failed, long nowMillis) {
+    boolean enough = health.failed();
+    if (failed.kind() == FailureKind.BAD_ANSWER) {
+      if (enough) {
+        eject(executor, health, nowMillis);
+      }
+      return;
+    }
+    boolean suspectPath = failed.kind() == FailureKind.NO_PROGRESS || !failed.freshConnection();
+    if ((enough || suspectPath) && health.beginCheck()) {
+      out.accept(new DispatchCommand.CheckPath(executor));
+    }
+  }
+
+  /** Takes the result of trying a fresh connection. */
+  void checked(ExecutorId executor, boolean reachable, long nowMillis) {
+    Optional<ExecutorHealth> health = executors.health(executor);
+    if (health.isEmpty()) {
+      return;
+    }
+    if (health.get().checked(reachable)) {
+      eject(executor, health.get(), nowMillis);
+      return;
+    }
+    out.accept(new DispatchCommand.CloseIdle(executor));
+    out.accept(new DispatchCommand.Count("fescuehook.executors.paths.dead"));
+    out.accept(new DispatchCommand.Note(RequestEvent.EXECUTOR_PATH_DEAD, executor));
+  }
+
+  private void eject(ExecutorId executor, ExecutorHealth health, long nowMillis) {
+    if (health.ejected(nowMillis)) {
+      return;
+    }
+    if (!executors.mayEject(nowMillis)) {
+      out.accept(new DispatchCommand.Count("fescuehook.executors.ejections.capped"));
+      out.accept(new DispatchCommand.Note(RequestEvent.EJECTION_CAPPED, executor));
+      return;
+    }
+    long lasts = health.eject(nowMillis);
+    out.accept(new DispatchCommand.Count("fescuehook.executors.ejections"));
+    out.accept(new DispatchCommand.CloseIdle(executor));
+    out.accept(new DispatchCommand.Note(RequestEvent.EXECUTOR_EJECTED, executor, lasts));
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/model/request/RefusalReason.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/request/RefusalReason.java
@@ -30,6 +30,10 @@
   LOG_UNAVAILABLE(503, Ran.NO, true),
   /** The same request id is being run. */
   IN_PROGRESS(409, Ran.UNKNOWN, true),
+  /** The request id was used for another request; this one was not run. */
+  REQUEST_ID_REUSED(422, Ran.NO, false),
+  /** The same request id was run, and its answer was too large to be kept. */
+  OUTCOME_NOT_KEPT(410, Ran.YES, false),
   /** The same request id was claimed and its outcome is not known. */
   OUTCOME_UNKNOWN(502, Ran.UNKNOWN, false),
   /** The deadline passed before the request was sent to an executor. */
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
@@ -0,0 +1,268 @@
+package org.fescuehook.net.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.model.preferences.RequestPreferences;
+import org.fescuehook.model.request.RefusalReason;
+
+/** One connection of a caller: collects whole requests, one at a time, and keeps them in order. */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+  private enum Phase {
+    IDLE,
+    RECEIVING,
+    ANSWERING,
+    CLOSING
+  }
+
+  private final Channel channel;
+  private final RequestPreferences preferences;
+  private final RequestMetrics metrics;
+  private final ProblemWriter problems;
+  private final RequestHeadCheck check;
+  private final DrainState drain;
+  private final Consumer<CallerExchange> sink;
+  private final Deque<HttpObject> held = new ArrayDeque<>();
+  private Phase phase = Phase.IDLE;
+  private long phaseSinceNanos = System.nanoTime();
+  private boolean bytesWhileAnswering;
+  private boolean keepAlive = true;
+  private boolean headOnly;
+  private Optional<HttpRequest> head = Optional.empty();
+  private CompositeByteBuf body = Unpooled.compositeBuffer();
+  private Optional<CallerExchange> exchange = Optional.empty();
+
+  CallerConnection(
+      Channel channel,
+      RequestPreferences preferences,
+      RequestMetrics metrics,
+      ProblemWriter problems,
+      DrainState drain,
+      Consumer<CallerExchange> sink) {
+    this.channel = channel;
+    this.preferences = preferences;
+    this.metrics = metrics;
+    this.problems = problems;
+    this.check = new RequestHeadCheck(preferences);
+    this.drain = drain;
+    this.sink = sink;
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  /** Tells whether the request being answered wants no body. */
+  boolean headOnly() {
+    return headOnly;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    long shorter = Math.min(preferences.headerTimeout().toMillis(), idleMillis());
+    long every = Math.max(1, shorter / 4);
+    var sweep =
+        channel.eventLoop().scheduleAtFixedRate(this::sweep, every, every, TimeUnit.MILLISECONDS);
+    channel.closeFuture().addListener(closed -> sweep.cancel(false));
+  }
+
+  private long idleMillis() {
+    return preferences.idleTimeout().toMillis();
+  }
+
+  /** Closes the connection if the caller is too slow or idle for too long. */
+  private void sweep() {
+    long sinceMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - phaseSinceNanos);
+    if (phase == Phase.IDLE) {
+      boolean over = sinceMillis >= idleMillis();
+      if (over || drain.closesIdle(sinceMillis)) {
+        close();
+      }
+      return;
+    }
+    if (phase == Phase.RECEIVING && sinceMillis >= preferences.headerTimeout().toMillis()) {
+      refuseAndClose(RefusalReason.BAD_REQUEST, "the request did not arrive whole in time");
+    }
+  }
+
+  /** Notes that bytes came, before they are decoded. */
+  void bytesArrived() {
+    if (phase == Phase.IDLE) {
+      enter(Phase.RECEIVING);
+    } else if (phase == Phase.ANSWERING) {
+      bytesWhileAnswering = true;
+    }
+  }
+
+  private void enter(Phase next) {
+    phase = next;
+    phaseSinceNanos = System.nanoTime();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    HttpObject part = (HttpObject) message;
+    if (phase == Phase.ANSWERING) {
+      held.addLast(part);
+      channel.config().setAutoRead(false);
+      return;
+    }
+    read(part);
+  }
+
+  private void read(HttpObject part) {
+    if (phase == Phase.CLOSING) {
+      ReferenceCountUtil.release(part);
+      return;
+    }
+    if (part.decoderResult().isFailure()) {
+      ReferenceCountUtil.release(part);
+      Refusal refusal = RequestHeadCheck.refusal(part.decoderResult().cause());
+      refuseAndClose(refusal.reason(), refusal.detail());
+      return;
+    }
+    if (part instanceof HttpRequest request) {
+      begin(request);
+    }
+    if (part instanceof HttpContent content) {
+      receive(content);
+    }
+  }
+
+  private void begin(HttpRequest request) {
+    if (phase == Phase.IDLE) {
+      enter(Phase.RECEIVING);
+    }
+    headOnly = request.method().equals(HttpMethod.HEAD);
+    try {
+      check.check(request);
+    } catch (MalformedRequestException e) {
+      refuseAndClose(e.reason(), e.getMessage());
+      return;
+    }
+    head = Optional.of(request);
+    if (HttpUtil.is100ContinueExpected(request)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void receive(HttpContent content) {
+    if (phase != Phase.RECEIVING || head.isEmpty()) {
+      content.release();
+      return;
+    }
+    ByteBuf piece = content.content();
+    if (body.readableBytes() + piece.readableBytes() > preferences.maxBodyBytes()) {
+      content.release();
+      refuseAndClose(RefusalReason.TOO_LARGE, "the body is larger than the bound");
+      return;
+    }
+    body.addComponent(true, piece);
+    if (content instanceof LastHttpContent) {
+      complete();
+    }
+  }
+
+  private void complete() {
+    HttpRequest request = head.orElseThrow();
+    ByteBuf whole = body;
+    head = Optional.empty();
+    body = Unpooled.compositeBuffer();
+    keepAlive = HttpUtil.isKeepAlive(request);
+    bytesWhileAnswering = false;
+    enter(Phase.ANSWERING);
+    CallerExchange begun = new CallerExchange(this, request, whole, metrics, problems);
+    exchange = Optional.of(begun);
+    metrics.inFlight().incrementAndGet();
+    sink.accept(begun);
+  }
+
+  /** Sets the headers of an answer that concern the connection. */
+  void prepare(HttpResponse answer) {
+    keepAlive = keepAlive && !drain.draining();
+    if (!keepAlive) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  /** Goes on to the next request, or closes. The last piece of the answer was written before. */
+  void answered() {
+    exchange = Optional.empty();
+    metrics.inFlight().decrementAndGet();
+    if (!keepAlive) {
+      enter(Phase.CLOSING);
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
+    enter(bytesWhileAnswering ? Phase.RECEIVING : Phase.IDLE);
+    // Not in this call, so that a long row of held requests does not nest.
+    channel.eventLoop().execute(this::readHeld);
+  }
+
+  private void readHeld() {
+    while (!held.isEmpty() && phase != Phase.ANSWERING) {
+      read(held.removeFirst());
+    }
+    if (held.isEmpty() && phase != Phase.CLOSING) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  private void refuseAndClose(RefusalReason reason, String detail) {
+    metrics.refused(reason);
+    FullHttpResponse answer = problems.write(Refusal.of(reason, detail));
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    enter(Phase.CLOSING);
+    channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+  }
+
+  private void close() {
+    enter(Phase.CLOSING);
+    channel.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    enter(Phase.CLOSING);
+    held.forEach(ReferenceCountUtil::release);
+    held.clear();
+    body.release();
+    exchange.ifPresent(
+        left -> {
+          metrics.inFlight().decrementAndGet();
+          left.callerGone();
+        });
+    exchange = Optional.empty();
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CallerServer.java
@@ -0,0 +1,122 @@
+package org.fescuehook.net.caller;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fescuehook.model.preferences.RequestPreferences;
+import org.fescuehook.model.request.RefusalReason;
+
+/** The service port. */
+final class CallerServer {
+  private static final int BACKLOG = 1024;
+  private static final int MAX_LINE_BYTES = 8 << 10;
+  private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+  private final EventLoopGroup loops;
+  private final RequestPreferences preferences;
+  private final RequestMetrics metrics;
+  private final Consumer<CallerExchange> sink;
+  private final ProblemWriter problems = new ProblemWriter();
+  private final DrainState drain = new DrainState();
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private Optional<Channel> listening = Optional.empty();
+
+  CallerServer(
+      EventLoopGroup loops,
+      RequestPreferences preferences,
+      RequestMetrics metrics,
+      Consumer<CallerExchange> sink) {
+    this.loops = loops;
+    this.preferences = preferences;
+    this.metrics = metrics;
+    this.sink = sink;
+  }
+
+  InetSocketAddress start(InetSocketAddress address) throws ServicePortException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new PipelineInitializer())
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new ServicePortException("bind service port", address, bound.cause());
+    }
+    listening = Optional.of(bound.channel());
+    return (InetSocketAddress) bound.channel().localAddress();
+  }
+
+  /** Accepts no more connections; those that are open answer once more and close. */
+  void drain() {
+    drain.begin();
+    listening.ifPresent(Channel::close);
+  }
+
+  void close() {
+    listening.ifPresent(Channel::close);
+    connections.close();
+  }
+
+  private final class PipelineInitializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      int open = metrics.connections().incrementAndGet();
+      channel.closeFuture().addListener(closed -> metrics.connections().decrementAndGet());
+      if (open > preferences.maxCallerConnections()) {
+        metrics.refused(RefusalReason.QUEUE_FULL);
+        channel.close();
+        return;
+      }
+      connections.add(channel);
+      CallerConnection connection =
+          new CallerConnection(channel, preferences, metrics, problems, drain, sink);
+      HttpDecoderConfig decoding =
+          new HttpDecoderConfig()
+              .setMaxInitialLineLength(MAX_LINE_BYTES)
+              .setMaxHeaderSize(preferences.maxHeaderBytes())
+              .setMaxChunkSize(MAX_CHUNK_BYTES)
+              .setStrictLineParsing(true);
+      channel
+          .pipeline()
+          .addLast(new ArrivalWatch(connection))
+          .addLast(new StrictRequestDecoder(decoding))
+          .addLast(new AnswerEncoder(connection::headOnly))
+          .addLast(connection);
+    }
+  }
+
+  /** Tells the connection of bytes that make no whole head yet. */
+  private static final class ArrivalWatch extends ChannelInboundHandlerAdapter {
+    private final CallerConnection connection;
+
+    ArrivalWatch(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof ByteBuf bytes && bytes.isReadable()) {
+        connection.bytesArrived();
+      }
+      context.fireChannelRead(message);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CommandPerformer.java
@@ -0,0 +1,164 @@
+package org.fescuehook.net.caller;
+
+import io.netty.channel.EventLoop;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.dispatch.DispatchCommand;
+import org.fescuehook.logic.dispatch.DispatchEvent;
+import org.fescuehook.logic.dispatch.OutcomeFetcher;
+import org.fescuehook.logic.platform.LogAppender;
+import org.fescuehook.net.executor.ExecutorClient;
+import org.fescuehook.net.executor.ExecutorRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Does what the dispatch core decides. Used by the dispatch thread but where said otherwise. */
+final class CommandPerformer implements Consumer<DispatchCommand> {
+  private static final Logger LOGGER = LoggerFactory.getLogger(CommandPerformer.class);
+
+  /** Stream of claims and outcomes. */
+  static final String STREAM = "requests";
+
+  /** Largest answer that is recorded whole. */
+  static final int KEPT_BYTES = 4 << 10;
+
+  private final ExecutorClient executors;
+  private final LogAppender log;
+  private final OutcomeFetcher outcomes;
+  private final RequestMetrics metrics;
+  private final EventSink events;
+  // Filled by event loops, before the ring hears of the request.
+  private final Map<Long, OpenExchange> exchanges = new ConcurrentHashMap<>();
+
+  /** Where events go that the commands lead to. */
+  interface EventSink {
+
+    /** Delivers from an event loop. */
+    void deliver(DispatchEvent event, EventLoop loop);
+
+    /** Delivers from a thread that may wait. */
+    void put(DispatchEvent event);
+
+    /** Returns a loop for what belongs to no connection. */
+    EventLoop anyLoop();
+  }
+
+  CommandPerformer(
+      ExecutorClient executors,
+      LogAppender log,
+      OutcomeFetcher outcomes,
+      RequestMetrics metrics,
+      EventSink events) {
+    this.executors = executors;
+    this.log = log;
+    this.outcomes = outcomes;
+    this.metrics = metrics;
+    this.events = events;
+  }
+
+  /** Takes a request in, before the core hears of it. Any thread. */
+  void open(long ticket, OpenExchange exchange) {
+    exchanges.put(ticket, exchange);
+  }
+
+  /** Forgets a request of which the core will not hear. Any thread. */
+  void discard(long ticket) {
+    exchanges.remove(ticket);
+  }
+
+  /** Takes a connection back, before the core hears of the end. */
+  void dispatchEnded(long ticket) {
+    Optional.ofNullable(exchanges.get(ticket))
+        .flatMap(OpenExchange::takeSent)
+        .ifPresent(executors::putBack);
+  }
+
+  /** Returns the requests at the dispatch thread; any thread. */
+  int openRequests() {
+    return exchanges.size();
+  }
+
+  @Override
+  public void accept(DispatchCommand command) {
+    switch (command) {
+      case DispatchCommand.Send send -> send(send);
+      case DispatchCommand.Refuse refuse ->
+          close(refuse.ticket())
+              .refuse(new Refusal(refuse.reason(), refuse.detail(), refuse.retryAfterSeconds()));
+      case DispatchCommand.AnswerRecorded recorded ->
+          close(recorded.ticket())
+              .answer(Answers.whole(recorded.status(), recorded.contentType(), recorded.body()));
+      case DispatchCommand.Finish finish -> close(finish.ticket());
+      case DispatchCommand.Append append -> append(append);
+      case DispatchCommand.FetchOutcome fetch ->
+          outcomes.fetch(
+              fetch.claimant(),
+              fetch.key(),
+              reply ->
+                  events.deliver(
+                      new DispatchEvent.OutcomeFetched(fetch.ticket(), reply), events.anyLoop()));
+      case DispatchCommand.CheckPath check ->
+          executors.checkPath(
+              check.executor(),
+              reachable ->
+                  events.deliver(
+                      new DispatchEvent.PathChecked(check.executor(), reachable),
+                      events.anyLoop()));
+      case DispatchCommand.CloseIdle close -> executors.closeIdle(close.executor());
+      case DispatchCommand.CountRetry retry -> metrics.retried(retry.reason());
+      case DispatchCommand.Count count -> metrics.count(count.name(), count.tags());
+      case DispatchCommand.Note note ->
+          LOGGER.info(
+              "{} " + note.event().format(),
+              NumberedArguments.of(note.event().number(), note.arguments()));
+    }
+  }
+
+  private CallerExchange close(long ticket) {
+    OpenExchange exchange = exchanges.remove(ticket);
+    exchange.request().body().release();
+    return exchange.caller();
+  }
+
+  private void send(DispatchCommand.Send send) {
+    OpenExchange exchange = exchanges.get(send.ticket());
+    ServiceRequest.Pass pass = exchange.request();
+    EventLoop loop = exchange.caller().loop();
+    ExecutorRequest request =
+        new ExecutorRequest(
+            pass.method(),
+            pass.uri(),
+            pass.headers(),
+            pass.body(),
+            pass.facts().organisation(),
+            send.token(),
+            pass.facts().repeatable(),
+            TimeUnit.MILLISECONDS.toNanos(pass.facts().deadlineMillis()),
+            send.progressMillis(),
+            pass.facts().claimed() ? KEPT_BYTES : 0);
+    PassingListener listener =
+        new PassingListener(
+            exchange.caller(),
+            (end, tookMillis) ->
+                events.deliver(
+                    new DispatchEvent.DispatchEnded(send.ticket(), end, tookMillis), loop));
+    exchange.sent(executors.send(send.executor(), loop, request, listener));
+  }
+
+  private void append(DispatchCommand.Append append) {
+    boolean offered =
+        log.offer(
+            STREAM,
+            append.record().toByteArray(),
+            result -> events.put(new DispatchEvent.AppendEnded(append.append(), result)));
+    if (!offered) {
+      metrics.count("fescuehook.requests.appends.refused");
+      LogAppender.AppendResult result =
+          new LogAppender.AppendResult.NotAppended("the appender's ring is full");
+      events.deliver(new DispatchEvent.AppendEnded(append.append(), result), events.anyLoop());
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
@@ -0,0 +1,128 @@
+package org.fescuehook.net.caller;
+
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import io.netty.channel.EventLoop;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.fescuehook.logic.dispatch.DispatchEvent;
+import org.fescuehook.logic.dispatch.RequestEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The thread that decides on requests, fed by a bounded ring. */
+final class DispatchThread {
+  private static final Logger LOGGER = LoggerFactory.getLogger(DispatchThread.class);
+
+  /** Size of the ring. New requests use only half of it, so that the ends of others find room. */
+  static final int RING_SIZE = 1 << 14;
+
+  static final long TICK_MILLIS = 10;
+
+  private static final long AGAIN_MILLIS = 1;
+  private static final long WAIT_NANOS = 100_000;
+
+  private static final class Slot {
+    private Optional<DispatchEvent> event = Optional.empty();
+  }
+
+  private final Disruptor<Slot> disruptor;
+  private final RingBuffer<Slot> ring;
+  private final Consumer<DispatchEvent> handler;
+  private final RequestMetrics metrics;
+  private final int ringSize;
+  private volatile boolean halted;
+
+  /**
+   * Creates the thread.
+   *
+   * @param handler takes each event, and a tick at least every few milliseconds
+   */
+  DispatchThread(
+      String name, int ringSize, Consumer<DispatchEvent> handler, RequestMetrics metrics) {
+    this.handler = handler;
+    this.metrics = metrics;
+    this.ringSize = ringSize;
+    this.disruptor =
+        new Disruptor<>(
+            Slot::new,
+            ringSize,
+            task -> new Thread(task, name),
+            ProducerType.MULTI,
+            new TimeoutBlockingWaitStrategy(TICK_MILLIS, TimeUnit.MILLISECONDS));
+    disruptor.handleEventsWith(new Handler());
+    this.ring = disruptor.getRingBuffer();
+  }
+
+  void start() {
+    disruptor.start();
+  }
+
+  void halt() {
+    halted = true;
+    disruptor.halt();
+  }
+
+  /** Offers a new request; false if the ring is more than half full. */
+  boolean offer(DispatchEvent event) {
+    return ring.hasAvailableCapacity(ringSize / 2) && publish(event);
+  }
+
+  private boolean publish(DispatchEvent event) {
+    return ring.tryPublishEvent((slot, sequence) -> slot.event = Optional.of(event));
+  }
+
+  /** Delivers the end of something from an event loop, later if the ring is full now. */
+  void deliver(DispatchEvent event, EventLoop loop) {
+    if (halted || publish(event)) {
+      return;
+    }
+    metrics.count("fescuehook.requests.ring.full");
+    loop.schedule(() -> deliver(event, loop), AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Delivers an event from a thread that may wait for room. */
+  void put(DispatchEvent event) {
+    while (!halted && !publish(event)) {
+      LockSupport.parkNanos(WAIT_NANOS);
+    }
+  }
+
+  private final class Handler implements EventHandler<Slot> {
+    private long lastTickNanos = System.nanoTime();
+
+    @Override
+    public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+      Optional<DispatchEvent> event = slot.event;
+      slot.event = Optional.empty();
+      event.ifPresent(this::handle);
+      if (System.nanoTime() - lastTickNanos > TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS)) {
+        tick();
+      }
+    }
+
+    @Override
+    public void onTimeout(long sequence) {
+      tick();
+    }
+
+    private void tick() {
+      lastTickNanos = System.nanoTime();
+      handle(new DispatchEvent.Tick());
+    }
+
+    private void handle(DispatchEvent event) {
+      try {
+        handler.accept(event);
+      } catch (RuntimeException e) {
+        metrics.count("fescuehook.requests.unexpected");
+        LOGGER.error(RequestEvent.UNEXPECTED.format(), event.getClass().getSimpleName(), e);
+      }
+    }
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -1,12 +1,20 @@
 package org.fescuehook.net.caller;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.fescuehook.logic.control.ControlPort;
+import org.fescuehook.logic.dispatch.DispatchCore;
+import org.fescuehook.logic.dispatch.DispatchEvent;
 import org.fescuehook.logic.dispatch.OutcomeFetcher;
+import org.fescuehook.logic.dispatch.OwnOutcomes;
+import org.fescuehook.logic.dispatch.RequestEvent;
 import org.fescuehook.logic.platform.LogAppender;
 import org.fescuehook.model.configuration.Configuration;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -14,15 +22,33 @@
 import org.fescuehook.model.preferences.IdentityPreferences;
 import org.fescuehook.model.preferences.RequestPreferences;
 import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.net.executor.ExecutorClient;
 import org.fescuehook.wire.OutcomeReply;
 import org.fescuehook.wire.RequestKey;
 import org.fescuehook.wire.SlotShares;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The request path of one entry VM: the service port, the dispatch of requests, the executors. */
 public final class RequestPath implements AutoCloseable {
+  private static final Logger LOGGER = LoggerFactory.getLogger(RequestPath.class);
+
+  private final EventLoopGroup loops;
+  private final InetSocketAddress serviceAddress;
+  private final RequestMetrics metrics;
+  private final ServiceRequestParser parser;
+  private final JobsEndpoint jobs;
+  private final CallerServer server;
+  private final ExecutorClient executors;
+  private final OwnOutcomes own = new OwnOutcomes();
+  private final CommandPerformer performer;
+  private final DispatchCore core;
+  private final DispatchThread thread;
+  private final AtomicLong tickets = new AtomicLong();
+  private volatile Optional<RefusalReason> closedBecause = Optional.of(RefusalReason.NOT_READY);
 
   /**
-   * Creates the path; nothing is opened before {@link #start()}.
+   * Creates the path and starts its dispatch thread; no port is opened before {@link #start()}.
    *
    * @param incarnation distinguishes starts of the same VM
    * @param loops event loops for callers and executors, closed by their owner
@@ -37,7 +63,21 @@
       LogAppender log,
       OutcomeFetcher outcomes,
       MeterRegistry metrics,
-      InetSocketAddress serviceAddress) {}
+      InetSocketAddress serviceAddress) {
+    this.loops = loops;
+    this.serviceAddress = serviceAddress;
+    this.metrics = new RequestMetrics(metrics);
+    this.parser = new ServiceRequestParser(preferences);
+    this.jobs = new JobsEndpoint(control, preferences);
+    this.server = new CallerServer(loops, preferences, this.metrics, this::received);
+    this.executors = new ExecutorClient(loops, metrics);
+    this.thread =
+        new DispatchThread("dispatch", DispatchThread.RING_SIZE, this::handle, this.metrics);
+    this.performer = new CommandPerformer(executors, log, outcomes, this.metrics, new RingSink());
+    Random jitter = new Random(identity.hashCode() ^ incarnation.hashCode());
+    this.core = new DispatchCore(identity, incarnation, preferences, own, jitter, performer);
+    thread.start();
+  }
 
   /**
    * Opens the service port.
@@ -46,44 +86,158 @@
    * @throws ServicePortException if it cannot be opened
    */
   public InetSocketAddress start() throws ServicePortException {
-    throw new UnsupportedOperationException("start");
+    InetSocketAddress address = server.start(serviceAddress);
+    LOGGER.info(
+        "{} " + RequestEvent.SERVICE_PORT_OPEN.format(),
+        RequestEvent.SERVICE_PORT_OPEN.number(),
+        address);
+    return address;
+  }
+
+  /** Handles an event on the dispatch thread. */
+  private void handle(DispatchEvent event) {
+    switch (event) {
+      case DispatchEvent.DispatchEnded ended -> performer.dispatchEnded(ended.ticket());
+      case DispatchEvent.Configured configured ->
+          executors.configure(configured.configuration().declarations().fleet().executors());
+      default -> {}
+    }
+    core.handle(event, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    if (event instanceof DispatchEvent.Shared) {
+      executors.limitConnections(core.connectionLimits());
+    }
+  }
+
+  /** Takes a whole request of a caller, on its event loop. */
+  private void received(CallerExchange exchange) {
+    boolean handedOn = false;
+    try {
+      ServiceRequest request =
+          parser.parse(exchange.head(), exchange.body(), exchange.receivedNanos());
+      handedOn = handle(exchange, request);
+    } catch (MalformedRequestException e) {
+      exchange.refuse(Refusal.of(e.reason(), e.getMessage()));
+    } finally {
+      if (!handedOn) {
+        exchange.body().release();
+      }
+    }
+  }
+
+  /** Returns whether the body was handed on. */
+  private boolean handle(CallerExchange exchange, ServiceRequest request)
+      throws MalformedRequestException {
+    switch (request) {
+      case ServiceRequest.Pass pass -> {
+        return pass(exchange, pass);
+      }
+      case ServiceRequest.Submit submit -> submit(exchange, submit);
+      case ServiceRequest.Show show -> jobs.show(exchange, show);
+      case ServiceRequest.Cancel cancel -> jobs.cancel(exchange, cancel);
+    }
+    return false;
+  }
+
+  private boolean pass(CallerExchange exchange, ServiceRequest.Pass pass) {
+    long ticket = tickets.incrementAndGet();
+    performer.open(ticket, new OpenExchange(exchange, pass));
+    boolean offered = thread.offer(new DispatchEvent.Arrived(ticket, pass.facts()));
+    if (!offered) {
+      performer.discard(ticket);
+      exchange.refuse(Refusal.of(RefusalReason.QUEUE_FULL, "too many requests at once"));
+      return false;
+    }
+    exchange.whenGone(() -> thread.deliver(new DispatchEvent.Cancelled(ticket), exchange.loop()));
+    return true;
+  }
+
+  private void submit(CallerExchange exchange, ServiceRequest.Submit submit)
+      throws MalformedRequestException {
+    Optional<RefusalReason> closed = closedBecause;
+    if (closed.isPresent()) {
+      exchange.refuse(Refusal.of(closed.get(), "this entry VM takes no jobs now"));
+      return;
+    }
+    jobs.submit(exchange, submit);
   }
 
   /** Puts a configuration in force. */
-  public void configurationInForce(Configuration configuration) {}
+  public void configurationInForce(Configuration configuration) {
+    thread.put(new DispatchEvent.Configured(configuration));
+  }
 
   /** Puts shares of executors' slots in force. */
-  public void sharesInForce(SlotShares shares) {}
+  public void sharesInForce(SlotShares shares) {
+    thread.put(new DispatchEvent.Shared(shares));
+  }
 
   /** Names all executors that are leaving; they get nothing new. */
-  public void executorsLeaving(Set<ExecutorId> executors) {}
+  public void executorsLeaving(Set<ExecutorId> leaving) {
+    thread.put(new DispatchEvent.Leaving(Set.copyOf(leaving)));
+  }
 
   /** Takes a record of the stream {@code requests}; called by the thread that reads it. */
-  public void onRequestRecord(LogRecord record) {}
+  public void onRequestRecord(LogRecord record) {
+    thread.put(new DispatchEvent.RecordRead(record));
+  }
 
   /** Tells that a read reached the end of the stream {@code requests}. */
-  public void onRequestsCaughtUp(long earliest, long next) {}
+  public void onRequestsCaughtUp(long earliest, long next) {
+    thread.put(new DispatchEvent.CaughtUp(earliest, next));
+  }
 
   /** Tells whether the log answers. */
-  public void logReachable(boolean reachable) {}
+  public void logReachable(boolean reachable) {
+    thread.put(new DispatchEvent.LogReachable(reachable));
+  }
 
   /** Returns what this VM knows of a request id that it claimed; empty if it knows nothing. */
   public Optional<OutcomeReply> outcome(RequestKey key) {
-    return Optional.empty();
+    return own.find(key);
   }
 
   /** Opens or closes the path for new requests; {@code why} is the reason told while closed. */
-  public void ready(boolean ready, RefusalReason why) {}
+  public void ready(boolean ready, RefusalReason why) {
+    closedBecause = ready ? Optional.empty() : Optional.of(why);
+    thread.put(new DispatchEvent.Ready(ready, why));
+  }
 
   /** Accepts nothing new, answers what is in flight, and asks callers to close. */
-  public void drain() {}
+  public void drain() {
+    server.drain();
+    LOGGER.info(
+        "{} " + RequestEvent.SERVICE_PORT_DRAINING.format(),
+        RequestEvent.SERVICE_PORT_DRAINING.number(),
+        inFlight());
+  }
 
   /** Returns the requests accepted and not yet answered. */
   public int inFlight() {
-    return 0;
+    return Math.max(metrics.inFlight().get(), performer.openRequests());
   }
 
   /** Closes all connections at once. */
   @Override
-  public void close() {}
+  public void close() {
+    server.close();
+    thread.halt();
+    executors.close();
+  }
+
+  private final class RingSink implements CommandPerformer.EventSink {
+    @Override
+    public void deliver(DispatchEvent event, EventLoop loop) {
+      thread.deliver(event, loop);
+    }
+
+    @Override
+    public void put(DispatchEvent event) {
+      thread.put(event);
+    }
+
+    @Override
+    public EventLoop anyLoop() {
+      return loops.next();
+    }
+  }
 }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/Exchange.java
@@ -0,0 +1,190 @@
+package org.fescuehook.net.executor;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.dispatch.DispatchEnd;
+import org.fescuehook.logic.dispatch.DispatchEnd.FailureKind;
+
+/** One request and its answer on one connection. Event loop only. */
+final class Exchange {
+  private final Channel channel;
+  private final ExecutorRequest request;
+  private final AnswerListener listener;
+  private final boolean fresh;
+  private final ByteArrayOutputStream kept = new ByteArrayOutputStream(0);
+  private Optional<Future<?>> deadline = Optional.empty();
+  private Optional<Future<?>> progress = Optional.empty();
+  private Optional<HttpResponse> head = Optional.empty();
+  private final long begunNanos = System.nanoTime();
+  private boolean notRun;
+  private boolean keptWhole = true;
+
+  Exchange(Channel channel, ExecutorRequest request, AnswerListener listener, boolean fresh) {
+    this.channel = channel;
+    this.request = request;
+    this.listener = listener;
+    this.fresh = fresh;
+  }
+
+  /** Writes the request; from here on the executor may run it. */
+  void write(Consumer<DispatchEnd> finish) {
+    long leftNanos = request.deadlineNanos() - System.nanoTime();
+    deadline = Optional.of(after(leftNanos, () -> finish.accept(failed(FailureKind.DEADLINE))));
+    if (!fresh && request.progressMillis() > 0) {
+      long silentNanos = TimeUnit.MILLISECONDS.toNanos(request.progressMillis());
+      progress =
+          Optional.of(after(silentNanos, () -> finish.accept(failed(FailureKind.NO_PROGRESS))));
+    }
+    channel.writeAndFlush(message(leftNanos)).addListener(written -> closeUnless(written));
+  }
+
+  private void closeUnless(Future<?> written) {
+    if (!written.isSuccess()) {
+      channel.close();
+    }
+  }
+
+  private Future<?> after(long nanos, Runnable task) {
+    return channel.eventLoop().schedule(task, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+  }
+
+  private FullHttpRequest message(long leftNanos) {
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            request.body().retainedDuplicate(),
+            request.headers().copy(),
+            DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
+    message
+        .headers()
+        .set(ExecutorHeaders.REQUEST_TOKEN, request.token())
+        .set(ExecutorHeaders.REQUEST_DEADLINE, TimeUnit.NANOSECONDS.toMillis(leftNanos))
+        .set(ExecutorHeaders.ORGANISATION, request.organisation().value())
+        .set(ExecutorHeaders.REPEATABLE, request.repeatable());
+    boolean bodyExpected = request.body().isReadable() || takesBody(request.method());
+    if (bodyExpected) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
+    }
+    return message;
+  }
+
+  private static boolean takesBody(HttpMethod method) {
+    return method.equals(HttpMethod.POST)
+        || method.equals(HttpMethod.PUT)
+        || method.equals(HttpMethod.PATCH);
+  }
+
+  /** Takes the head of the answer; returns the end if it cannot be one to this request. */
+  Optional<DispatchEnd> head(HttpResponse answer) {
+    progress.ifPresent(timer -> timer.cancel(false));
+    boolean ours = request.token().equals(answer.headers().get(ExecutorHeaders.REQUEST_TOKEN));
+    if (!ours || head.isPresent() || !delimited(answer)) {
+      return Optional.of(failed(FailureKind.BAD_ANSWER));
+    }
+    notRun =
+        answer.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            && "true".equalsIgnoreCase(answer.headers().get(ExecutorHeaders.NOT_RUN));
+    if (!notRun) {
+      listener.onHead(answer, on -> channel.config().setAutoRead(on));
+    }
+    head = Optional.of(answer);
+    return Optional.empty();
+  }
+
+  /** An answer that ends with the connection cannot be told from a cut one. */
+  private boolean delimited(HttpResponse answer) {
+    if (HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer)) {
+      return true;
+    }
+    boolean withoutBody =
+        answer.status().equals(HttpResponseStatus.NO_CONTENT)
+            || answer.status().equals(HttpResponseStatus.NOT_MODIFIED)
+            || request.method().equals(HttpMethod.HEAD);
+    return withoutBody;
+  }
+
+  /** Takes a piece of the body; returns the end with the last piece. */
+  Optional<DispatchEnd> content(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    keep(content);
+    if (notRun) {
+      content.release();
+    } else {
+      listener.onContent(content);
+    }
+    if (!last) {
+      return Optional.empty();
+    }
+    return Optional.of(whole());
+  }
+
+  private void keep(HttpContent content) {
+    int size = content.content().readableBytes();
+    if (!keptWhole || size == 0) {
+      return;
+    }
+    if (kept.size() + size > request.keepBytes()) {
+      keptWhole = false;
+      kept.reset();
+      return;
+    }
+    kept.writeBytes(ByteBufUtil.getBytes(content.content()));
+  }
+
+  private DispatchEnd whole() {
+    if (notRun) {
+      return new DispatchEnd.RefusedNotRun();
+    }
+    HttpResponse answer = head.orElseThrow();
+    String type = answer.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return new DispatchEnd.Answered(answer.status().code(), type, kept.toByteArray(), keptWhole);
+  }
+
+  boolean hasHead() {
+    return head.isPresent();
+  }
+
+  /** Tells whether the executor keeps the connection open. */
+  boolean keepAlive() {
+    return head.isPresent()
+        && !head.get()
+            .headers()
+            .containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
+        && head.get().protocolVersion().isKeepAliveDefault();
+  }
+
+  /** Returns what a loss of the connection means at this point. */
+  FailureKind kindOfLoss() {
+    return head.isPresent() ? FailureKind.BAD_ANSWER : FailureKind.CONNECTION_LOST;
+  }
+
+  DispatchEnd failed(FailureKind kind) {
+    boolean passedOn = head.isPresent() && !notRun;
+    return new DispatchEnd.Failed(kind, passedOn, fresh);
+  }
+
+  void end(DispatchEnd end) {
+    deadline.ifPresent(timer -> timer.cancel(false));
+    progress.ifPresent(timer -> timer.cancel(false));
+    listener.onEnd(end, System.nanoTime() - begunNanos);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorClient.java
@@ -0,0 +1,180 @@
+package org.fescuehook.net.executor;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.dispatch.DispatchEnd;
+import org.fescuehook.logic.dispatch.DispatchEnd.NotSentCause;
+import org.fescuehook.model.fleet.Executor;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** Sends requests to executors over pooled connections. Used by the dispatch thread only. */
+public final class ExecutorClient {
+  /** Longest time for opening a connection. */
+  static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+  /** Longest silence of a pooled connection that carries a request which cannot be retried. */
+  static final long FRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private static final InetSocketAddress UNKNOWN_ADDRESS =
+      InetSocketAddress.createUnresolved("unknown", 0);
+
+  private final EventLoopGroup loops;
+  private final Bootstrap bootstrap;
+  private final ExchangeCounters counters;
+  private final Map<ExecutorId, ExecutorPool> pools = new HashMap<>();
+  private final Map<ExecutorId, Integer> limits = new HashMap<>();
+
+  /** Creates the client; connections are opened when needed. */
+  public ExecutorClient(EventLoopGroup loops, MeterRegistry metrics) {
+    this.loops = loops;
+    this.counters = ExchangeCounters.in(metrics);
+    this.bootstrap =
+        new Bootstrap()
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .handler(new PipelineInitializer());
+  }
+
+  /** Takes the executors of a configuration; pools of others, or at another address, are closed. */
+  public void configure(Iterable<Executor> executors) {
+    Map<ExecutorId, ExecutorPool> kept = new HashMap<>();
+    for (Executor executor : executors) {
+      kept.put(executor.id(), poolFor(executor));
+    }
+    HashSet<ExecutorPool> gone = new HashSet<>(pools.values());
+    gone.removeAll(kept.values());
+    gone.forEach(ExecutorPool::retire);
+    pools.clear();
+    pools.putAll(kept);
+  }
+
+  private ExecutorPool poolFor(Executor executor) {
+    ExecutorPool pool = pools.get(executor.id());
+    if (pool != null && pool.address().equals(executor.address())) {
+      return pool;
+    }
+    return new ExecutorPool(executor.address(), counters);
+  }
+
+  /** Sets the most connections to each executor; others get none. */
+  public void limitConnections(Map<ExecutorId, Integer> connections) {
+    limits.clear();
+    limits.putAll(connections);
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param loop event loop that is preferred
+   */
+  public SentRequest send(
+      ExecutorId executor, EventLoop loop, ExecutorRequest request, AnswerListener listener) {
+    ExecutorPool pool = pools.get(executor);
+    if (pool == null) {
+      ExecutorPool none = new ExecutorPool(UNKNOWN_ADDRESS, counters);
+      return notSent(new SentRequest(none), loop, listener);
+    }
+    SentRequest sent = new SentRequest(pool);
+    long freshNanos = request.repeatable() ? Long.MAX_VALUE : FRESH_NANOS;
+    Optional<ExecutorConnection> pooled = pool.take(loop, freshNanos);
+    if (pooled.isPresent()) {
+      sent.writtenTo(pooled.get());
+      pooled.get().send(request, listener);
+      return sent;
+    }
+    if (!pool.reserve(limits.getOrDefault(executor, 0))) {
+      return notSent(sent, loop, listener);
+    }
+    connect(pool, loop)
+        .addListener(
+            (ChannelFuture opened) -> {
+              if (!opened.isSuccess()) {
+                listener.onEnd(new DispatchEnd.NotSent(NotSentCause.CONNECT_FAILED), 0);
+                return;
+              }
+              ExecutorConnection connection =
+                  opened.channel().pipeline().get(ExecutorConnection.class);
+              sent.writtenTo(connection);
+              connection.send(request, listener);
+            });
+    return sent;
+  }
+
+  private static SentRequest notSent(SentRequest sent, EventLoop loop, AnswerListener listener) {
+    loop.execute(() -> listener.onEnd(new DispatchEnd.NotSent(NotSentCause.NO_CONNECTION), 0));
+    return sent;
+  }
+
+  private ChannelFuture connect(ExecutorPool pool, EventLoop loop) {
+    ChannelFuture opening = bootstrap.clone(loop).connect(pool.address());
+    opening.channel().closeFuture().addListener(closed -> pool.released());
+    opening.addListener(opened -> count(opened.isSuccess()));
+    return opening;
+  }
+
+  private void count(boolean opened) {
+    if (opened) {
+      counters.opened().increment();
+    } else {
+      counters.connectFailed().increment();
+    }
+  }
+
+  /** Takes back the connection of a dispatch that ended. */
+  public void putBack(SentRequest sent) {
+    sent.connection().ifPresent(connection -> sent.pool().putBack(connection));
+  }
+
+  /** Opens a connection and closes it again; tells whether it could be opened. */
+  public void checkPath(ExecutorId executor, Consumer<Boolean> sink) {
+    ExecutorPool pool = pools.get(executor);
+    if (pool == null) {
+      sink.accept(false);
+      return;
+    }
+    InetSocketAddress address = pool.address();
+    bootstrap
+        .clone(loops.next())
+        .connect(address)
+        .addListener(
+            (ChannelFuture opened) -> {
+              opened.channel().close();
+              sink.accept(opened.isSuccess());
+            });
+  }
+
+  /** Closes the idle connections to an executor. */
+  public void closeIdle(ExecutorId executor) {
+    Optional.ofNullable(pools.get(executor)).ifPresent(ExecutorPool::closeIdle);
+  }
+
+  /** Closes all idle connections. */
+  public void close() {
+    pools.values().forEach(ExecutorPool::closeIdle);
+  }
+
+  private final class PipelineInitializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel channel) {
+      channel.pipeline().addLast(new HttpClientCodec());
+      channel.pipeline().addLast(new ExecutorConnection(channel, counters));
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorConnection.java
@@ -0,0 +1,131 @@
+package org.fescuehook.net.executor;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import org.fescuehook.logic.dispatch.DispatchEnd;
+
+/** One connection to an executor; carries one exchange at a time. */
+final class ExecutorConnection extends ChannelInboundHandlerAdapter {
+  private final Channel channel;
+  private final ExchangeCounters counters;
+  private final long openedNanos = System.nanoTime();
+  private volatile long lastReadNanos = openedNanos;
+  private volatile boolean reusable = true;
+  private volatile boolean used;
+  // Touched by the event loop only.
+  private Optional<Exchange> exchange = Optional.empty();
+
+  ExecutorConnection(Channel channel, ExchangeCounters counters) {
+    this.channel = channel;
+    this.counters = counters;
+  }
+
+  /** Sends a request; any thread. The listener hears the end exactly once. */
+  void send(ExecutorRequest request, AnswerListener listener) {
+    boolean fresh = !used;
+    used = true;
+    channel.eventLoop().execute(() -> begin(request, listener, fresh));
+  }
+
+  private void begin(ExecutorRequest request, AnswerListener listener, boolean fresh) {
+    if (!channel.isActive() || exchange.isPresent()) {
+      listener.onEnd(new DispatchEnd.NotSent(DispatchEnd.NotSentCause.CONNECTION_CLOSED), 0);
+      return;
+    }
+    if (request.deadlineNanos() - System.nanoTime() <= 0) {
+      listener.onEnd(new DispatchEnd.NotSent(DispatchEnd.NotSentCause.DEADLINE), 0);
+      return;
+    }
+    Exchange begun = new Exchange(channel, request, listener, fresh);
+    exchange = Optional.of(begun);
+    begun.write(this::finish);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    lastReadNanos = System.nanoTime();
+    if (exchange.isEmpty()) {
+      counters.lateAnswer().increment();
+      ReferenceCountUtil.release(message);
+      context.close();
+      return;
+    }
+    Optional<DispatchEnd> end = read(exchange.get(), (HttpObject) message);
+    end.ifPresent(this::finish);
+  }
+
+  private Optional<DispatchEnd> read(Exchange running, HttpObject message) {
+    if (message.decoderResult().isFailure()) {
+      ReferenceCountUtil.release(message);
+      return Optional.of(running.failed(DispatchEnd.FailureKind.BAD_ANSWER));
+    }
+    Optional<DispatchEnd> end = Optional.empty();
+    if (message instanceof HttpResponse head
+        && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+      end = running.head(head);
+    }
+    if (end.isPresent() || !running.hasHead()) {
+      ReferenceCountUtil.release(message);
+      return end;
+    }
+    if (message instanceof HttpContent content) {
+      return running.content(content);
+    }
+    return Optional.empty();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    reusable = false;
+    exchange.ifPresent(running -> finish(running.failed(running.kindOfLoss())));
+    context.fireChannelInactive();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+
+  /** Ends the exchange in progress; a connection whose exchange failed is never used again. */
+  private void finish(DispatchEnd end) {
+    if (exchange.isEmpty()) {
+      return;
+    }
+    Exchange ended = exchange.get();
+    exchange = Optional.empty();
+    boolean whole = !(end instanceof DispatchEnd.Failed);
+    if (!whole || !ended.keepAlive()) {
+      reusable = false;
+      channel.close();
+    }
+    if (!channel.config().isAutoRead()) {
+      channel.config().setAutoRead(true);
+    }
+    ended.end(end);
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  /** Tells whether another request may be sent. */
+  boolean reusable() {
+    return reusable && channel.isActive();
+  }
+
+  long openedNanos() {
+    return openedNanos;
+  }
+
+  /** Returns when the executor last gave a sign of life on this connection. */
+  long lastReadNanos() {
+    return lastReadNanos;
+  }
+}
