--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -0,0 +1,28 @@
+package org.fescuehook.bench;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.fescuehook.bench.policy.MeasurePolicy;
+
+/** Runs one measurement by its name. */
+public final class Main {
+
+  private static final int USAGE = 2;
+
+  private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
+      new TreeMap<>(Map.of("policy", MeasurePolicy::new));
+
+  private Main() {}
+
+  /** Runs the subcommand that the first argument names. */
+  public static void main(String[] arguments) throws Exception {
+    if (arguments.length == 0 || !SUBCOMMANDS.containsKey(arguments[0])) {
+      System.err.println("usage: measure " + String.join("|", SUBCOMMANDS.keySet()));
+      System.exit(USAGE);
+    }
+    String[] rest = Arrays.copyOfRange(arguments, 1, arguments.length);
+    System.exit(SUBCOMMANDS.get(arguments[0]).get().run(rest));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements and proofs, each a subcommand of one program. */
+@NullMarked
+package org.fescuehook.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -0,0 +1,130 @@
+package org.fescuehook.bench.policy;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.logic.scheduling.Scheduler.Plan;
+import org.fescuehook.logic.scheduling.Scheduler.Running;
+import org.fescuehook.logic.scheduling.Scheduler.View;
+import org.fescuehook.logic.scheduling.Scheduler.Waiting;
+import org.fescuehook.logic.trace.ReplayListener;
+import org.fescuehook.model.fleet.Capacity;
+import org.fescuehook.model.job.Job;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.job.Shape;
+import org.fescuehook.model.organisation.GuaranteedShape;
+import org.fescuehook.model.organisation.OrganisationId;
+
+/**
+ * Measures how long demand waits that its organisation's guarantees cover. All running jobs of an
+ * organisation count against its guarantees, borrowed or not, so that a policy is not blamed for
+ * what its holder has already.
+ */
+final class GuaranteeWatch implements ReplayListener {
+
+  private final Map<JobId, Long> coveredSince = new HashMap<>();
+  private final Set<JobId> breached = new HashSet<>();
+  private final List<Long> reclaimMillis = new ArrayList<>();
+
+  @Override
+  public void decided(View view, Plan plan) {
+    long now = view.nowMillis();
+    long bound = view.declarations().policy().reclaimBound().toMillis();
+    Set<JobId> covered = covered(view);
+    coveredSince.keySet().retainAll(covered);
+    for (JobId id : covered) {
+      long since = coveredSince.computeIfAbsent(id, j -> now);
+      if (now - since > bound) {
+        breached.add(id);
+      }
+    }
+    plan.starts().forEach(s -> started(s.job(), now));
+  }
+
+  private void started(JobId id, long now) {
+    Long since = coveredSince.remove(id);
+    if (since != null && now > since) {
+      reclaimMillis.add(now - since);
+    }
+  }
+
+  /** Returns the jobs that waited longer than the bound while guarantees covered them. */
+  int breaches() {
+    return breached.size();
+  }
+
+  /** Returns the times that covered jobs waited, without those that started at once. */
+  List<Long> reclaimMillis() {
+    return reclaimMillis;
+  }
+
+  private static Set<JobId> covered(View view) {
+    Map<OrganisationId, List<Slot>> slots = new HashMap<>();
+    for (GuaranteedShape g : view.declarations().guarantees()) {
+      List<Slot> own = slots.computeIfAbsent(g.organisation(), o -> new ArrayList<>());
+      for (int i = 0; i < g.count() * g.shape().members(); i++) {
+        own.add(new Slot(g.name() + i / g.shape().members(), g.shape()));
+      }
+    }
+    QuotaBook quotas = new QuotaBook(view);
+    for (Running r : view.running()) {
+      cover(slots.getOrDefault(r.job().organisation(), List.of()), r.job().shape());
+    }
+    Set<JobId> covered = new HashSet<>();
+    for (Waiting w : view.waiting()) {
+      Job job = w.job();
+      List<Slot> own = slots.getOrDefault(job.organisation(), List.of());
+      if (quotas.allows(job) && cover(own, job.shape())) {
+        quotas.use(job);
+        covered.add(job.id());
+      }
+    }
+    return covered;
+  }
+
+  private static boolean cover(List<Slot> slots, Shape shape) {
+    boolean anywhere = shape.maxRacks() == 0 || shape.members() == 1;
+    if (anywhere) {
+      return coverBy(slots, shape);
+    }
+    Map<String, List<Slot>> copies = new HashMap<>();
+    for (Slot s : slots) {
+      if (s.shape.maxRacks() > 0 && s.shape.maxRacks() <= shape.maxRacks()
+          || s.shape.members() == 1) {
+        copies.computeIfAbsent(s.copy, c -> new ArrayList<>()).add(s);
+      }
+    }
+    return copies.values().stream().anyMatch(copy -> coverBy(copy, shape));
+  }
+
+  private static boolean coverBy(List<Slot> slots, Shape shape) {
+    int missing = shape.members();
+    List<Slot> used = new ArrayList<>();
+    for (Slot slot : slots) {
+      while (missing > 0 && slot.free.contains(shape.perMember())) {
+        slot.free = slot.free.minus(shape.perMember());
+        used.add(slot);
+        missing--;
+      }
+    }
+    if (missing > 0) {
+      used.forEach(s -> s.free = s.free.plus(shape.perMember()));
+    }
+    return missing == 0;
+  }
+
+  private static final class Slot {
+    private final String copy;
+    private final Shape shape;
+    private Capacity free;
+
+    private Slot(String copy, Shape shape) {
+      this.copy = copy;
+      this.shape = shape;
+      this.free = shape.perMember();
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/policy/package-info.java
@@ -0,0 +1,5 @@
+/** Measures scheduling policies on the same traces. */
+@NullMarked
+package org.fescuehook.bench.policy;
+
+import org.jspecify.annotations.NullMarked;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PolicyParts.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PolicyParts.java
@@ -28,4 +28,58 @@
   public static final PolicyParts ALL =
       new PolicyParts(
           true, true, RunTimeCorrection.MEDIAN, true, true, true, true, true, true);
+
+  /** Returns these parts with reclaim set. */
+  public PolicyParts withReclaim(boolean value) {
+    return new PolicyParts(
+        value, homes, correction, reservations, ordering, fairness, packing, moves, ageing);
+  }
+
+  /** Returns these parts with homes set. */
+  public PolicyParts withHomes(boolean value) {
+    return new PolicyParts(
+        reclaim, value, correction, reservations, ordering, fairness, packing, moves, ageing);
+  }
+
+  /** Returns these parts with correction set. */
+  public PolicyParts withCorrection(RunTimeCorrection value) {
+    return new PolicyParts(
+        reclaim, homes, value, reservations, ordering, fairness, packing, moves, ageing);
+  }
+
+  /** Returns these parts with reservations set. */
+  public PolicyParts withReservations(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, value, ordering, fairness, packing, moves, ageing);
+  }
+
+  /** Returns these parts with ordering set. */
+  public PolicyParts withOrdering(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, reservations, value, fairness, packing, moves, ageing);
+  }
+
+  /** Returns these parts with fairness set. */
+  public PolicyParts withFairness(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, reservations, ordering, value, packing, moves, ageing);
+  }
+
+  /** Returns these parts with packing set. */
+  public PolicyParts withPacking(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, reservations, ordering, fairness, value, moves, ageing);
+  }
+
+  /** Returns these parts with moves set. */
+  public PolicyParts withMoves(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, reservations, ordering, fairness, packing, value, ageing);
+  }
+
+  /** Returns these parts with ageing set. */
+  public PolicyParts withAgeing(boolean value) {
+    return new PolicyParts(
+        reclaim, homes, correction, reservations, ordering, fairness, packing, moves, value);
+  }
 }
