Checks, comparison and the remaining commands

Declarations are checked against one another: unknown organisations, shapes larger than a rack, guarantees beyond the fleet in sum and as shapes by racks, numbers, names and addresses that stand twice, rules that no job reaches. config diff, config history, submit, job, status, drain and explain call the ports of an entry VM; settings example is written from the table of keys.

--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
@@ -2,11 +2,20 @@
 
 import java.util.List;
 import org.fescuehook.cli.command.ConfigCheckCommand;
+import org.fescuehook.cli.command.ConfigDiffCommand;
+import org.fescuehook.cli.command.ConfigHistoryCommand;
 import org.fescuehook.cli.command.ConfigPublishCommand;
 import org.fescuehook.cli.command.ConfigShowCommand;
+import org.fescuehook.cli.command.DrainCommand;
 import org.fescuehook.cli.command.EntryCommand;
 import org.fescuehook.cli.command.EntryStarter;
+import org.fescuehook.cli.command.ExplainCommand;
+import org.fescuehook.cli.command.JobCancelCommand;
+import org.fescuehook.cli.command.JobShowCommand;
 import org.fescuehook.cli.command.SettingsCheckCommand;
+import org.fescuehook.cli.command.SettingsExampleCommand;
+import org.fescuehook.cli.command.StatusCommand;
+import org.fescuehook.cli.command.SubmitCommand;
 
 /** All commands. */
 final class CommandCatalogue {
@@ -18,8 +27,24 @@
     return List.of(
         new CommandSpec("entry", "run an entry VM", () -> new EntryCommand(starter)),
         new CommandSpec("settings check", "check a settings file", SettingsCheckCommand::new),
+        new CommandSpec(
+            "settings example",
+            "print a settings file that explains itself",
+            SettingsExampleCommand::new),
         new CommandSpec("config check", "check declarations", ConfigCheckCommand::new),
+        new CommandSpec(
+            "config diff", "compare declarations in force with files", ConfigDiffCommand::new),
         new CommandSpec("config publish", "put declarations in force", ConfigPublishCommand::new),
-        new CommandSpec("config show", "print published declarations", ConfigShowCommand::new));
+        new CommandSpec("config show", "print published declarations", ConfigShowCommand::new),
+        new CommandSpec(
+            "config history",
+            "list publications with author and reason",
+            ConfigHistoryCommand::new),
+        new CommandSpec("submit", "submit a gang job", SubmitCommand::new),
+        new CommandSpec("job show", "show the state of a job", JobShowCommand::new),
+        new CommandSpec("job cancel", "cancel a job", JobCancelCommand::new),
+        new CommandSpec("status", "show the state of the system", StatusCommand::new),
+        new CommandSpec("drain", "stop an entry VM gracefully", DrainCommand::new),
+        new CommandSpec("explain", "tell why a job waits or was refused", ExplainCommand::new));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigPublishCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigPublishCommand.java
@@ -11,7 +11,9 @@
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** {@code config publish}: puts declarations in force; publishing the same again changes nothing. */
+/**
+ * {@code config publish}: puts declarations in force; publishing the same again changes nothing.
+ */
 public final class ConfigPublishCommand extends OperatorCommand {
 
   private static final int CONFLICT = 409;
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/DeclarationFiles.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/DeclarationFiles.java
@@ -20,7 +20,7 @@
 
   /** Parses and checks the files. */
   CheckedDeclarations check() throws FaultyInputException {
-    return new DeclarationsParser().parse(sources);
+    return new DeclarationsParser().check(sources);
   }
 
   /** Returns the text to publish: the files one after another. */
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/EntryCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/EntryCommand.java
@@ -11,7 +11,11 @@
 
   private final EntryStarter starter;
 
-  @Option(name = "--settings", metaVar = "FILE", required = true, usage = "settings of this VM, INI")
+  @Option(
+      name = "--settings",
+      metaVar = "FILE",
+      required = true,
+      usage = "settings of this VM, INI")
   private String settings = "";
 
   /** Creates the command. */
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ExitCode.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ExitCode.java
@@ -9,7 +9,7 @@
   /** The command line, a settings file or a declarations file is faulty. */
   FAULTY_INPUT(2, "the command line, settings, declarations or trace is faulty; nothing was done"),
   /** No answer; what was asked may have been done. */
-  UNREACHABLE(3, "no answer from the entry VM; repeating the command is safe"),
+  UNREACHABLE(3, "no answer from the entry VM; what was asked may have been done"),
   /** Another publication came first. */
   CONFLICT(4, "another publication came first; its revision and author are named"),
   /** There is no such job, revision or request. */
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/Refusals.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/Refusals.java
@@ -34,7 +34,9 @@
     if (!ran.isEmpty()) {
       text.append(" (ran: ").append(ran).append(')');
     }
-    response.retryAfterSeconds().ifPresent(s -> text.append("; try again after ").append(s).append(" s"));
+    response
+        .retryAfterSeconds()
+        .ifPresent(s -> text.append("; try again after ").append(s).append(" s"));
     if (response.status() == FORBIDDEN && response.retryAfterSeconds().isEmpty()) {
       text.append("; ask an operator");
     }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ResultWriter.java
@@ -0,0 +1,22 @@
+package org.fescuehook.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Writes a JSON answer in the asked form. */
+final class ResultWriter {
+
+  private final Console console;
+  private final Format format;
+
+  ResultWriter(Console console, Format format) {
+    this.console = console;
+    this.format = format;
+  }
+
+  void write(JsonNode document) {
+    switch (format) {
+      case JSON -> console.out().println(document.toPrettyString());
+      case TEXT -> console.out().print(JsonText.write(document));
+    }
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/ConditionParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/ConditionParser.java
@@ -79,8 +79,7 @@
   private static Condition declared(String value) throws MalformedValueException {
     Range range = Range.of(value);
     long least = DURATION.reader().read(range.least()).toSeconds();
-    long most =
-        range.open() ? Long.MAX_VALUE : DURATION.reader().read(range.most()).toSeconds();
+    long most = range.open() ? Long.MAX_VALUE : DURATION.reader().read(range.most()).toSeconds();
     requireOrder(least <= most);
     return new Condition.DeclaredSecondsBetween(least, most);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationKeys.java
@@ -26,6 +26,8 @@
   static final String RULE = "rule";
   static final String WORKER = "worker";
   static final String EXECUTOR = "executor";
+  static final String WORKERS = "workers";
+  static final String EXECUTORS = "executors";
 
   private static final int MOST = 1_000_000;
   private static final long MEBIBYTE = 1L << 20;
@@ -78,29 +80,38 @@
           ORGANISATION,
           "quota-accelerators",
           Values.count(0, MOST),
+          "64",
           "Most accelerators in use at once, guaranteed and borrowed.");
   static final Key<Integer> REQUEST_SHARE =
       Key.required(
           ORGANISATION,
           "request-share",
           Values.count(0, MOST),
+          "100",
           "Most short requests in flight at one entry VM.");
 
   static final Key<OrganisationId> HOLDER =
       Key.required(
-          GUARANTEE, "organisation", Values.name(OrganisationId::new), "Organisation that holds it.");
+          GUARANTEE,
+          "organisation",
+          Values.name(OrganisationId::new),
+          "surveys",
+          "Organisation that holds it.");
   static final Key<Integer> MEMBERS =
       Key.required(
           GUARANTEE,
           "members",
           Values.count(1, Shape.MAX_MEMBERS),
+          "2",
           "Members of the shape; each stands on one worker.");
   static final Key<Integer> MEMBER_ACCELERATORS =
-      Key.required(GUARANTEE, "accelerators", Values.count(0, 1024), "Accelerators of each member.");
+      Key.required(
+          GUARANTEE, "accelerators", Values.count(0, 1024), "8", "Accelerators of each member.");
   static final Key<Integer> MEMBER_CORES =
-      Key.required(GUARANTEE, "cores", Values.count(0, 4096), "Processor cores of each member.");
+      Key.required(
+          GUARANTEE, "cores", Values.count(0, 4096), "32", "Processor cores of each member.");
   static final Key<Long> MEMBER_MEMORY =
-      Key.required(GUARANTEE, "memory", memory(), "Memory of each member.");
+      Key.required(GUARANTEE, "memory", memory(), "64GiB", "Memory of each member.");
   static final Key<Integer> MAX_RACKS =
       Key.optional(
           GUARANTEE,
@@ -110,7 +121,7 @@
           "Most racks over which the members may be spread; 0 for any number.");
   static final Key<Integer> COUNT =
       Key.optional(
-          GUARANTEE, "count", Values.count(1, MOST), 1, "How many of that shape at once.");
+          GUARANTEE, "count", Values.count(1, 10_000), 1, "How many of that shape at once.");
 
   static final Key<List<Condition>> WHEN =
       Key.optional(
@@ -120,7 +131,12 @@
           List.of(),
           "Conditions that all have to hold; a rule without any matches every job.");
   static final Key<Verdict> THEN =
-      Key.required(RULE, "then", VerdictParser.TYPE, "What is decided about the jobs it matches.");
+      Key.required(
+          RULE,
+          "then",
+          VerdictParser.TYPE,
+          "admit priority=10 borrow=yes",
+          "What is decided about the jobs it matches.");
 
   static final Key<InetSocketAddress> WORKER_ADDRESS = address(WORKER);
   static final Key<FailureDomain> WORKER_DOMAIN = domain(WORKER);
@@ -129,13 +145,14 @@
           WORKER,
           "rack",
           Values.name(RackId::new),
+          "rack-1",
           "Its rack; accelerators of one rack are adjacent.");
   static final Key<Integer> ACCELERATORS =
-      Key.required(WORKER, "accelerators", Values.count(0, 1024), "Accelerators that it has.");
+      Key.required(WORKER, "accelerators", Values.count(0, 1024), "8", "Accelerators that it has.");
   static final Key<Integer> CORES =
-      Key.required(WORKER, "cores", Values.count(1, 4096), "Processor cores that it has.");
+      Key.required(WORKER, "cores", Values.count(1, 4096), "64", "Processor cores that it has.");
   static final Key<Long> MEMORY =
-      Key.required(WORKER, "memory", memory(), "Memory that it has.");
+      Key.required(WORKER, "memory", memory(), "256GiB", "Memory that it has.");
 
   static final Key<InetSocketAddress> EXECUTOR_ADDRESS = address(EXECUTOR);
   static final Key<FailureDomain> EXECUTOR_DOMAIN = domain(EXECUTOR);
@@ -144,12 +161,14 @@
           EXECUTOR,
           "slots",
           Values.count(1, 4096),
+          "8",
           "Requests that it runs at once, summed over all entry VMs.");
   static final Key<Integer> CONNECTIONS =
       Key.required(
           EXECUTOR,
           "connections",
           Values.count(1, MOST),
+          "64",
           "Connections that it accepts at once, summed over all entry VMs; at least slots.");
 
   /** All keys in the order in which they are documented. */
@@ -196,12 +215,17 @@
   }
 
   private static Key<InetSocketAddress> address(String section) {
-    return Key.required(section, "address", Addresses.fromPort(1), "Where its HTTP port listens.");
+    return Key.required(
+        section, "address", Addresses.fromPort(1), "10.0.1.1:7200", "Where its HTTP port listens.");
   }
 
   private static Key<FailureDomain> domain(String section) {
     return Key.required(
-        section, "failure-domain", Values.name(FailureDomain::new), "Its failure domain.");
+        section,
+        "failure-domain",
+        Values.name(FailureDomain::new),
+        "domain-a",
+        "Its failure domain.");
   }
 
   private static ValueType<Long> memory() {
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsComparison.java
@@ -0,0 +1,120 @@
+package org.fescuehook.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.configuration.PolicyPreferences;
+
+/** Compares declarations in an operator's words. */
+public final class DeclarationsComparison {
+
+  private static final int NAMES_SHOWN = 3;
+
+  private final List<Difference> differences = new ArrayList<>();
+
+  /**
+   * Compares two declarations.
+   *
+   * @param before the declarations in force; empty if there are none yet
+   */
+  public DeclarationsComparison(Optional<Declarations> before, Declarations after) {
+    comparePolicy(before.map(Declarations::policy), after.policy());
+    compare(before, after, "organisation", DescribedItems::organisations);
+    compare(before, after, "guarantee", DescribedItems::guarantees);
+    compare(before, after, "rule", DescribedItems::rules);
+    compareMany(before, after, "worker", DescribedItems::workers);
+    compareMany(before, after, "executor", DescribedItems::executors);
+    compareAddresses(before, after, "worker", DescribedItems::workerAddresses);
+    compareAddresses(before, after, "executor", DescribedItems::executorAddresses);
+    compareTotals(before, after);
+  }
+
+  /** Returns the differences; empty if the declarations mean the same. */
+  public List<Difference> differences() {
+    return List.copyOf(differences);
+  }
+
+  private void comparePolicy(Optional<PolicyPreferences> before, PolicyPreferences after) {
+    Map<String, String> old = before.map(DescribedItems::policy).orElse(Map.of());
+    DescribedItems.policy(after)
+        .forEach((key, value) -> add("policy " + key, old.getOrDefault(key, ""), value));
+  }
+
+  private void compare(
+      Optional<Declarations> before,
+      Declarations after,
+      String kind,
+      Function<Declarations, Map<String, String>> items) {
+    Map<String, String> old = before.map(items).orElse(Map.of());
+    Map<String, String> current = items.apply(after);
+    for (String name : union(old, current)) {
+      add(kind + " " + name, old.getOrDefault(name, ""), current.getOrDefault(name, ""));
+    }
+  }
+
+  /** Compares backend servers and gathers those with the same difference into one line. */
+  private void compareMany(
+      Optional<Declarations> before,
+      Declarations after,
+      String kind,
+      Function<Declarations, Map<String, String>> items) {
+    Map<String, String> old = before.map(items).orElse(Map.of());
+    Map<String, String> current = items.apply(after);
+    Map<Difference, List<String>> alike = new LinkedHashMap<>();
+    for (String name : union(old, current)) {
+      Difference difference =
+          new Difference("", old.getOrDefault(name, ""), current.getOrDefault(name, ""));
+      if (!difference.before().equals(difference.after())) {
+        alike.computeIfAbsent(difference, unused -> new ArrayList<>()).add(name);
+      }
+    }
+    alike.forEach(
+        (difference, names) -> add(subject(kind, names), difference.before(), difference.after()));
+  }
+
+  private void compareAddresses(
+      Optional<Declarations> before,
+      Declarations after,
+      String kind,
+      Function<Declarations, Map<String, String>> items) {
+    Map<String, String> old = before.map(items).orElse(Map.of());
+    items
+        .apply(after)
+        .forEach(
+            (name, address) ->
+                add("address of " + kind + " " + name, old.getOrDefault(name, address), address));
+  }
+
+  private void compareTotals(Optional<Declarations> before, Declarations after) {
+    add("fleet in sum", before.map(DescribedItems::fleet).orElse(""), DescribedItems.fleet(after));
+    add(
+        "guaranteed in sum",
+        before.map(DescribedItems::held).orElse(""),
+        DescribedItems.held(after));
+  }
+
+  private void add(String subject, String before, String after) {
+    if (!before.equals(after)) {
+      differences.add(new Difference(subject, before, after));
+    }
+  }
+
+  private static List<String> union(Map<String, String> a, Map<String, String> b) {
+    Map<String, String> all = new LinkedHashMap<>(a);
+    all.putAll(b);
+    return List.copyOf(all.keySet());
+  }
+
+  private static String subject(String kind, List<String> names) {
+    if (names.size() == 1) {
+      return kind + " " + names.getFirst();
+    }
+    String shown = String.join(", ", names.subList(0, Math.min(NAMES_SHOWN, names.size())));
+    String more = names.size() > NAMES_SHOWN ? " to " + names.getLast() : "";
+    return names.size() + " " + kind + "s " + shown + more;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsParser.java
@@ -4,7 +4,6 @@
 import java.util.regex.Pattern;
 import org.fescuehook.logic.ini.Fault;
 import org.fescuehook.logic.ini.FaultyInputException;
-import org.fescuehook.logic.ini.IniDocument;
 import org.fescuehook.logic.ini.IniParser;
 import org.fescuehook.logic.ini.IniSection;
 import org.fescuehook.logic.ini.IniSource;
@@ -18,46 +17,63 @@
           + " [workers NAME-{001..030}], [executor NAME] or [executors NAME-{01..30}]";
 
   /**
-   * Parses declarations.
+   * Parses and checks declarations.
    *
    * @throws FaultyInputException if anything is wrong with them
    */
+  public CheckedDeclarations check(List<IniSource> sources) throws FaultyInputException {
+    CheckedDeclarations checked = parse(sources);
+    if (!checked.faults().isEmpty()) {
+      throw new FaultyInputException(checked.faults());
+    }
+    return checked;
+  }
+
+  /**
+   * Parses declarations; what they lack in sense stands in the result.
+   *
+   * @throws FaultyInputException if their form is wrong; it names the faults of sense as well
+   */
   public CheckedDeclarations parse(List<IniSource> sources) throws FaultyInputException {
-    DeclaredItems items = new DeclaredItems();
-    IniDocument document = new IniParser().parse(sources);
-    items.faults.addAll(document.faults());
-    for (IniSection section : document.sections()) {
+    DeclaredItems items = new DeclaredItems(new IniParser().parse(sources));
+    for (IniSection section : items.document().sections()) {
       parseSection(section, items);
     }
-    if (!items.faults.isEmpty()) {
-      throw new FaultyInputException(items.faults);
+    DeclarationsChecks checks = new DeclarationsChecks(items);
+    List<Fault> faults = checks.faults();
+    if (!items.faults().isEmpty()) {
+      items.faults().addAll(faults);
+      throw new FaultyInputException(items.faults());
     }
-    return new CheckedDeclarations(items.toDeclarations(), items.warnings);
+    return new CheckedDeclarations(items.toDeclarations(), faults, checks.warnings());
   }
 
   private static void parseSection(IniSection section, DeclaredItems items) {
     SectionsParser sections = new SectionsParser(items);
     FleetParser fleet = new FleetParser(items);
     switch (section.kind()) {
-      case "workers" -> fleet.parseWorkers(section);
-      case "executors" -> fleet.parseExecutors(section);
+      case DeclarationKeys.WORKERS -> fleet.parseWorkers(section);
+      case DeclarationKeys.EXECUTORS -> fleet.parseExecutors(section);
       case DeclarationKeys.RULE -> sections.parseRule(section);
       case DeclarationKeys.POLICY -> sections.parsePolicy(section);
       case DeclarationKeys.ORGANISATION,
-              DeclarationKeys.GUARANTEE,
-              DeclarationKeys.WORKER,
-              DeclarationKeys.EXECUTOR ->
+          DeclarationKeys.GUARANTEE,
+          DeclarationKeys.WORKER,
+          DeclarationKeys.EXECUTOR ->
           parseNamed(section, sections, fleet, items);
-      default ->
-          items.faults.add(new Fault(section.place(), "", "unknown section", "one of " + SECTIONS));
+      default -> {
+        Fault fault = new Fault(section.place(), "", "unknown section", "one of " + SECTIONS);
+        items.faults().add(fault);
+      }
     }
   }
 
   private static void parseNamed(
       IniSection section, SectionsParser sections, FleetParser fleet, DeclaredItems items) {
     if (!NAME.matcher(section.title()).matches()) {
-      String accepted = "[" + section.kind() + " NAME] with letters, digits, '.', '_' or '-'";
-      items.faults.add(new Fault(section.place(), "", "has no proper name", accepted));
+      String accepted =
+          "[" + section.kind() + " NAME] with a name of letters, digits, '.', '_' or '-'";
+      items.faults().add(new Fault(section.place(), "", "has no proper name", accepted));
       return;
     }
     switch (section.kind()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclaredItems.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclaredItems.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.logic.ini.IniDocument;
+import org.fescuehook.logic.ini.IniSection;
 import org.fescuehook.model.configuration.Declarations;
 import org.fescuehook.model.configuration.PolicyPreferences;
 import org.fescuehook.model.fleet.Executor;
@@ -11,19 +13,72 @@
 import org.fescuehook.model.fleet.Worker;
 import org.fescuehook.model.organisation.GuaranteedShape;
 import org.fescuehook.model.organisation.Organisation;
+import org.fescuehook.model.rule.Condition;
 import org.fescuehook.model.rule.Rule;
 
-/** Items of the declarations as they are read, with their places, and the faults met. */
+/** Items of the declarations with their sections, and the faults of form, while they are read. */
 final class DeclaredItems {
 
-  final List<Placed<Organisation>> organisations = new ArrayList<>();
-  final List<Placed<GuaranteedShape>> guarantees = new ArrayList<>();
-  final List<Placed<Rule>> rules = new ArrayList<>();
-  final List<Placed<Worker>> workers = new ArrayList<>();
-  final List<Placed<Executor>> executors = new ArrayList<>();
-  final List<Fault> faults = new ArrayList<>();
-  final List<Fault> warnings = new ArrayList<>();
-  PolicyPreferences policy = PolicyPreferences.DEFAULT;
+  private final IniDocument document;
+  private final List<Placed<Organisation>> organisations = new ArrayList<>();
+  private final List<Placed<GuaranteedShape>> guarantees = new ArrayList<>();
+  private final List<Placed<Rule>> rules = new ArrayList<>();
+  private final List<Placed<List<Condition>>> conditions = new ArrayList<>();
+  private final List<Placed<Worker>> workers = new ArrayList<>();
+  private final List<Placed<Executor>> executors = new ArrayList<>();
+  private final List<Fault> faults;
+  private PolicyPreferences policy = PolicyPreferences.DEFAULT;
+
+  DeclaredItems(IniDocument document) {
+    this.document = document;
+    this.faults = new ArrayList<>(document.faults());
+  }
+
+  IniDocument document() {
+    return document;
+  }
+
+  List<Placed<Organisation>> organisations() {
+    return organisations;
+  }
+
+  List<Placed<GuaranteedShape>> guarantees() {
+    return guarantees;
+  }
+
+  List<Placed<Rule>> rules() {
+    return rules;
+  }
+
+  /** Returns the conditions of all rules, also of those whose decision has a fault. */
+  List<Placed<List<Condition>>> conditions() {
+    return conditions;
+  }
+
+  List<Placed<Worker>> workers() {
+    return workers;
+  }
+
+  List<Placed<Executor>> executors() {
+    return executors;
+  }
+
+  /** Returns the faults of form; readers add to it. */
+  List<Fault> faults() {
+    return faults;
+  }
+
+  void declarePolicy(PolicyPreferences declared) {
+    policy = declared;
+  }
+
+  /** Tells whether a section of one of these kinds has a fault. */
+  boolean faulty(List<String> kinds) {
+    return document.sections().stream()
+        .filter(section -> kinds.contains(section.kind()))
+        .map(IniSection::name)
+        .anyMatch(name -> faults.stream().anyMatch(fault -> fault.place().section().equals(name)));
+  }
 
   /** Returns the items in their documented order. */
   Declarations toDeclarations() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/FleetParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/FleetParser.java
@@ -27,14 +27,14 @@
 
   /** Parses {@code [worker NAME]}. */
   void parseWorker(IniSection section) {
-    SectionReader reader = new SectionReader(section, items.faults);
+    SectionReader reader = new SectionReader(section, items.faults());
     reader.refuseUnknown(DeclarationKeys.of(DeclarationKeys.WORKER));
     readWorker(section, section.title(), reader);
   }
 
   /** Parses {@code [executor NAME]}. */
   void parseExecutor(IniSection section) {
-    SectionReader reader = new SectionReader(section, items.faults);
+    SectionReader reader = new SectionReader(section, items.faults());
     reader.refuseUnknown(DeclarationKeys.of(DeclarationKeys.EXECUTOR));
     readExecutor(section, section.title(), reader);
   }
@@ -50,21 +50,21 @@
   }
 
   private void parseRange(IniSection section, String kind, ItemReader itemReader) {
-    new SectionReader(section, items.faults).refuseUnknown(DeclarationKeys.of(kind));
+    new SectionReader(section, items.faults()).refuseUnknown(DeclarationKeys.of(kind));
     Optional<List<String>> names = NameRange.names(section.title());
     if (names.isEmpty()) {
       String accepted =
           "[%ss NAME-{001..030}] with at most %d names".formatted(kind, NameRange.MOST);
-      items.faults.add(new Fault(section.place(), "", "has no range of names", accepted));
+      items.faults().add(new Fault(section.place(), "", "has no range of names", accepted));
       return;
     }
     for (int i = 0; i < names.get().size(); i++) {
       int index = i;
-      int faultsBefore = items.faults.size();
+      int faultsBefore = items.faults().size();
       SectionReader reader =
-          new SectionReader(section, items.faults, text -> Sequence.expand(text, index));
+          new SectionReader(section, items.faults(), text -> Sequence.expand(text, index));
       itemReader.read(section, names.get().get(i), reader);
-      if (items.faults.size() > faultsBefore) {
+      if (items.faults().size() > faultsBefore) {
         // one faulty item is enough: the others of the range share its lines
         return;
       }
@@ -87,7 +87,7 @@
     Capacity capacity = new Capacity(accelerators.get(), cores.get(), memory.get() / MEBIBYTE);
     Worker worker =
         new Worker(new WorkerId(name), address.get(), domain.get(), rack.get(), capacity);
-    items.workers.add(new Placed<>(worker, section.place()));
+    items.workers().add(new Placed<>(worker, section));
   }
 
   private void readExecutor(IniSection section, String name, SectionReader reader) {
@@ -95,7 +95,7 @@
     Optional<FailureDomain> domain = reader.read(DeclarationKeys.EXECUTOR_DOMAIN);
     Optional<Integer> slots = reader.read(DeclarationKeys.SLOTS);
     Optional<Integer> connections = reader.read(DeclarationKeys.CONNECTIONS);
-    if (address.isEmpty() || domain.isEmpty() || slots.isEmpty() || connections.isEmpty()) {
+    if (slots.isEmpty() || connections.isEmpty()) {
       return;
     }
     if (connections.get() < slots.get()) {
@@ -105,10 +105,13 @@
           "a whole number of at least " + slots.get());
       return;
     }
+    if (address.isEmpty() || domain.isEmpty()) {
+      return;
+    }
     Executor executor =
         new Executor(
             new ExecutorId(name), address.get(), domain.get(), slots.get(), connections.get());
-    items.executors.add(new Placed<>(executor, section.place()));
+    items.executors().add(new Placed<>(executor, section));
   }
 
   /** Reads one item of a range. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/NameRange.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/NameRange.java
@@ -12,7 +12,8 @@
   /** Most items that one section may declare. */
   static final int MOST = 10_000;
 
-  private static final Pattern FORM = Pattern.compile("([^{}]*)\\{(\\d{1,6})\\.\\.(\\d{1,6})}([^{}]*)");
+  private static final Pattern FORM =
+      Pattern.compile("([^{}]*)\\{(\\d{1,6})\\.\\.(\\d{1,6})}([^{}]*)");
 
   private NameRange() {}
 
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/RuleChecks.java
@@ -0,0 +1,48 @@
+package org.fescuehook.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.rule.Rule;
+
+/** Checks that each rule has a number of its own and can match. */
+final class RuleChecks {
+
+  private final List<Placed<Rule>> rules;
+
+  RuleChecks(List<Placed<Rule>> rules) {
+    this.rules = rules;
+  }
+
+  /** Returns the faults. */
+  List<Fault> faults() {
+    List<Fault> faults = new ArrayList<>();
+    Map<Integer, Placed<Rule>> seen = new HashMap<>();
+    for (Placed<Rule> rule : rules) {
+      Placed<Rule> first = seen.putIfAbsent(rule.value().number(), rule);
+      if (first != null) {
+        String problem = "two rules have this number; the first is at " + first.where();
+        faults.add(rule.fault(problem, "a number of its own for each rule"));
+      }
+    }
+    return faults;
+  }
+
+  /** Returns a warning for each rule that can never match. */
+  List<Fault> warnings(Declarations declarations) {
+    RuleReach reach = new RuleReach(declarations);
+    List<Fault> warnings = new ArrayList<>();
+    for (Placed<Rule> rule : rules) {
+      reach
+          .whyNever(rule.value())
+          .ifPresent(
+              reason ->
+                  warnings.add(
+                      rule.fault("can never match: " + reason, "a rule that some job can reach")));
+    }
+    return warnings;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/SectionsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/SectionsParser.java
@@ -46,9 +46,9 @@
       return;
     }
     if (allPresent(weight, reclaim, notice, urgent, wait, attempts)) {
-      items.policy =
+      items.declarePolicy(
           new PolicyPreferences(
-              weight.get(), reclaim.get(), notice.get(), urgent.get(), wait.get(), attempts.get());
+              weight.get(), reclaim.get(), notice.get(), urgent.get(), wait.get(), attempts.get()));
     }
   }
 
@@ -61,7 +61,7 @@
     if (allPresent(weight, quota, share)) {
       OrganisationId id = new OrganisationId(section.title());
       Organisation organisation = new Organisation(id, weight.get(), quota.get(), share.get());
-      items.organisations.add(new Placed<>(organisation, section.place()));
+      items.organisations().add(new Placed<>(organisation, section));
     }
   }
 
@@ -80,7 +80,7 @@
       Shape shape = new Shape(members.get(), member, racks.get());
       GuaranteedShape guarantee =
           new GuaranteedShape(section.title(), holder.get(), shape, count.get());
-      items.guarantees.add(new Placed<>(guarantee, section.place()));
+      items.guarantees().add(new Placed<>(guarantee, section));
     }
   }
 
@@ -89,19 +89,21 @@
     SectionReader reader = reader(section, DeclarationKeys.RULE);
     Optional<List<Condition>> when = reader.read(DeclarationKeys.WHEN);
     Optional<Verdict> then = reader.read(DeclarationKeys.THEN);
+    when.ifPresent(conditions -> items.conditions().add(new Placed<>(conditions, section)));
     if (!NUMBER.matcher(section.title()).matches() || Integer.parseInt(section.title()) == 0) {
-      items.faults.add(
-          new Fault(section.place(), "", "has no number", "[rule N] with N of 1 to 999999"));
+      items
+          .faults()
+          .add(new Fault(section.place(), "", "has no number", "[rule N] with N of 1 to 999999"));
       return;
     }
     if (allPresent(when, then)) {
       Rule rule = new Rule(Integer.parseInt(section.title()), when.get(), then.get());
-      items.rules.add(new Placed<>(rule, section.place()));
+      items.rules().add(new Placed<>(rule, section));
     }
   }
 
   private SectionReader reader(IniSection section, String kind) {
-    SectionReader reader = new SectionReader(section, items.faults);
+    SectionReader reader = new SectionReader(section, items.faults());
     reader.refuseUnknown(DeclarationKeys.of(kind));
     return reader;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Addresses.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Addresses.java
@@ -8,7 +8,8 @@
 /** Addresses as {@code IP:port}; names are refused, since nothing is resolved. */
 public final class Addresses {
 
-  private static final Pattern FORM = Pattern.compile("(?:\\[([0-9A-Fa-f:.]+)]|([^:\\[\\]]+)):(\\d{1,5})");
+  private static final Pattern FORM =
+      Pattern.compile("(?:\\[([0-9A-Fa-f:.]+)]|([^:\\[\\]]+)):(\\d{1,5})");
   private static final int LARGEST_PORT = 65_535;
 
   private Addresses() {}
@@ -24,7 +25,9 @@
   /** Returns the address as {@code IP:port}. */
   public static String format(InetSocketAddress address) {
     String host = address.getAddress().getHostAddress();
-    return host.contains(":") ? "[" + host + "]:" + address.getPort() : host + ":" + address.getPort();
+    return host.contains(":")
+        ? "[" + host + "]:" + address.getPort()
+        : host + ":" + address.getPort();
   }
 
   private static InetSocketAddress parse(String text, int leastPort)
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Durations.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Durations.java
@@ -45,7 +45,8 @@
     if (millis == null) {
       throw new MalformedValueException("has the unknown unit \"" + unit + "\"");
     }
-    Duration duration = Duration.ofMillis(Math.round(Double.parseDouble(matcher.group(1)) * millis));
+    Duration duration =
+        Duration.ofMillis(Math.round(Double.parseDouble(matcher.group(1)) * millis));
     if (duration.compareTo(least) < 0) {
       throw new MalformedValueException("is below " + format(least));
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/FaultyInputException.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/FaultyInputException.java
@@ -11,7 +11,11 @@
 
   /** Creates the exception from at least one fault, which it sorts by place. */
   public FaultyInputException(List<Fault> faults) {
-    super(faults.stream().sorted(Fault.BY_PLACE).map(Fault::message).collect(Collectors.joining("\n")));
+    super(
+        faults.stream()
+            .sorted(Fault.BY_PLACE)
+            .map(Fault::message)
+            .collect(Collectors.joining("\n")));
     this.faults = faults.stream().sorted(Fault.BY_PLACE).toList();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/IniParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/IniParser.java
@@ -14,7 +14,8 @@
 
 /**
  * Parses INI files in UTF-8 by the INI library. Keys and values are separated by {@code =},
- * comments begin with {@code #} or {@code ;}. Values are taken as they stand, without interpolation.
+ * comments begin with {@code #} or {@code ;}. Values are taken as they stand, without
+ * interpolation.
  */
 public final class IniParser {
 
@@ -26,14 +27,17 @@
     List<IniSection> sections = new ArrayList<>();
     List<Fault> faults = new ArrayList<>();
     Map<String, Place> seen = new HashMap<>();
+    boolean complete = true;
     for (IniSource source : sources) {
       try {
         sections.addAll(parseFile(source, seen, faults));
       } catch (FaultyInputException e) {
         faults.addAll(e.faults());
+        complete = false;
       }
     }
-    return new IniDocument(sections, faults);
+    List<String> files = sources.stream().map(IniSource::file).toList();
+    return new IniDocument(files, complete, sections, faults);
   }
 
   private static List<IniSection> parseFile(
@@ -73,8 +77,7 @@
     return configuration.getNodeModel().getInMemoryRepresentation();
   }
 
-  private static List<IniEntry> entries(
-      ImmutableNode node, List<Place> keys, List<Fault> faults) {
+  private static List<IniEntry> entries(ImmutableNode node, List<Place> keys, List<Fault> faults) {
     List<IniEntry> entries = new ArrayList<>();
     Set<String> seen = new HashSet<>();
     for (Place key : keys) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Sizes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Sizes.java
@@ -13,7 +13,9 @@
 
   private Sizes() {}
 
-  /** Returns the type of sizes in a range, both ends included, that are whole multiples of a unit. */
+  /**
+   * Returns the type of sizes in a range, both ends included, that are whole multiples of a unit.
+   */
   public static ValueType<Long> between(long least, long most, long multiple) {
     String accepted =
         "a size of %s to %s in B, KiB, MiB or GiB, as 64KiB".formatted(format(least), format(most));
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
@@ -17,7 +17,8 @@
   /** Returns the type of names that become {@code T}. */
   public static <T> ValueType<T> name(Function<String, T> constructor) {
     String accepted = "a name of 1 to 63 letters, digits, '.', '_' or '-'";
-    return new ValueType<>(accepted, text -> constructor.apply(requireName(text)), Object::toString);
+    return new ValueType<>(
+        accepted, text -> constructor.apply(requireName(text)), Object::toString);
   }
 
   /** Returns the type of whole numbers in a range, both ends included. */
@@ -35,7 +36,8 @@
   /** Returns the type of bearer tokens. */
   public static ValueType<Optional<String>> secret() {
     String accepted = "at least " + LEAST_SECRET + " printable characters without spaces";
-    return new ValueType<>(accepted, Values::parseSecret, token -> token.isEmpty() ? "none" : "***");
+    return new ValueType<>(
+        accepted, Values::parseSecret, token -> token.isEmpty() ? "none" : "***");
   }
 
   private static String requireName(String text) throws MalformedValueException {
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/package-info.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/package-info.java
@@ -1,4 +1,6 @@
-/** INI text with the place of each section and key, typed values, and faults that name their place. */
+/**
+ * INI text with the place of each section and key, typed values, and faults that name their place.
+ */
 @NullMarked
 package org.fescuehook.logic.ini;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingKeys.java
@@ -21,20 +21,32 @@
 
   static final Key<VmId> VM =
       Key.required(
-          "identity", "vm", Values.name(VmId::new), "Name of this VM, as in the list of VMs.");
+          "identity",
+          "vm",
+          Values.name(VmId::new),
+          "entry-1",
+          "Name of this VM, as in the list of VMs.");
   static final Key<FailureDomain> FAILURE_DOMAIN =
       Key.required(
           "identity",
           "failure-domain",
           Values.name(FailureDomain::new),
+          "domain-a",
           "Failure domain that this VM stands in.");
 
   static final Key<InetSocketAddress> SERVICE =
-      listening("service", "Where callers connect. Port 0 lets the system choose one.");
+      listening(
+          "service", "0.0.0.0:7000", "Where callers connect. Port 0 lets the system choose one.");
   static final Key<InetSocketAddress> PEER =
-      listening("peer", "Where other entry VMs connect. Port 0 lets the system choose one.");
+      listening(
+          "peer",
+          "0.0.0.0:7001",
+          "Where other entry VMs connect. Port 0 lets the system choose one.");
   static final Key<InetSocketAddress> OPERATOR =
-      listening("operator", "Where operators connect; loopback unless operator-token is set.");
+      listening(
+          "operator",
+          "127.0.0.1:7002",
+          "Where operators connect; loopback unless operator-token is set.");
   static final Key<Optional<String>> OPERATOR_TOKEN =
       Key.optional(
           "addresses",
@@ -42,8 +54,10 @@
           Values.secret(),
           Optional.empty(),
           "Bearer token that operators have to present.");
-  static final Key<InetSocketAddress> LOG = remote("log", "The platform's log service.");
-  static final Key<InetSocketAddress> LIST = remote("list", "The platform's list of VMs.");
+  static final Key<InetSocketAddress> LOG =
+      remote("log", "10.0.0.10:7100", "The platform's log service.");
+  static final Key<InetSocketAddress> LIST =
+      remote("list", "10.0.0.10:7101", "The platform's list of VMs.");
 
   static final Key<Duration> OWNER_HEARTBEAT =
       control(
@@ -229,12 +243,12 @@
 
   private SettingKeys() {}
 
-  private static Key<InetSocketAddress> listening(String name, String meaning) {
-    return Key.required("addresses", name, Addresses.fromPort(0), meaning);
+  private static Key<InetSocketAddress> listening(String name, String example, String meaning) {
+    return Key.required("addresses", name, Addresses.fromPort(0), example, meaning);
   }
 
-  private static Key<InetSocketAddress> remote(String name, String meaning) {
-    return Key.required("addresses", name, Addresses.fromPort(1), meaning);
+  private static Key<InetSocketAddress> remote(String name, String example, String meaning) {
+    return Key.required("addresses", name, Addresses.fromPort(1), example, meaning);
   }
 
   private static Key<Duration> control(String name, Duration fallback, String meaning) {
