--- a/fescuehook/src/main/java/org/fescuehook/net/operator/OperatorHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/operator/OperatorHandler.java
@@ -20,6 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.event.EventLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,12 +30,14 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(OperatorHandler.class);
   private static final int MAX_PIPELINED = 16;
+  private static final int ANSWER_LIMIT_SECONDS = 20;
 
   private final OperatorToken token;
   private final OperatorRouter router;
   private final MeterRegistry meters;
   private final Deque<Call> waiting = new ArrayDeque<>();
   private boolean busy;
+  private long current;
 
   OperatorHandler(OperatorToken token, OperatorRouter router, MeterRegistry meters) {
     this.token = token;
@@ -77,11 +80,33 @@
     if (call.target.path().equals("/drain")) {
       EventLog.info(LOGGER, OperatorEvent.DRAIN_ASKED, context.channel().remoteAddress());
     }
+    long number = ++current;
+    context
+        .executor()
+        .schedule(() -> giveUp(context, call, number), ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS);
     router.route(
         call.method,
         call.target,
         call.body,
-        answer -> context.executor().execute(() -> answer(context, call, answer)));
+        answer -> context.executor().execute(() -> answerOnce(context, call, number, answer)));
+  }
+
+  private void answerOnce(
+      ChannelHandlerContext context, Call call, long number, OperatorAnswer answer) {
+    if (busy && number == current) {
+      answer(context, call, answer);
+    }
+  }
+
+  private void giveUp(ChannelHandlerContext context, Call call, long number) {
+    if (!busy || number != current) {
+      return;
+    }
+    count("no-answer");
+    answer(
+        context,
+        call,
+        OperatorAnswer.error(504, "no-answer", "no decision in time; what was asked may be done"));
   }
 
   private void answer(ChannelHandlerContext context, Call call, OperatorAnswer answer) {
@@ -100,6 +125,7 @@
     if (!call.keepAlive) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
+    current++;
     ChannelFuture written = context.writeAndFlush(response);
     if (!call.keepAlive) {
       written.addListener(ChannelFutureListener.CLOSE);
