--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
@@ -62,7 +62,9 @@
 
   /** A record about a job was folded. */
   public void folded(JobId job) {
-    touched.add(job);
+    if (mode != Mode.OFF) {
+      touched.add(job);
+    }
   }
 
   /** The policy wants an attempt ended that is not committed yet. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -22,7 +22,7 @@
   private final RecordWriter writer;
   private final ReaderWatch reader;
   private final PeerWatch peers;
-  private long lastSignNanos;
+  private long lastSignNanos = Long.MIN_VALUE / 2;
   private long claim;
   private long release;
   private boolean handingOver;
@@ -34,15 +34,13 @@
       ControlPreferences preferences,
       RecordWriter writer,
       ReaderWatch reader,
-      PeerWatch peers,
-      long nowNanos) {
+      PeerWatch peers) {
     this.vm = vm;
     this.incarnation = incarnation;
     this.preferences = preferences;
     this.writer = writer;
     this.reader = reader;
     this.peers = peers;
-    this.lastSignNanos = nowNanos;
   }
 
   /** A record that counted under the epoch in force, or changed it, was read. */
@@ -80,7 +78,7 @@
       return;
     }
     if (owns(state)) {
-      hold(state, turn);
+      hold(state, eligible, turn);
       return;
     }
     if (!handingOver && eligible && !writer.isUnread(claim) && silent(state, turn)) {
@@ -88,8 +86,8 @@
     }
   }
 
-  private void hold(ControlState state, Turn turn) {
-    if (handingOver) {
+  private void hold(ControlState state, boolean eligible, Turn turn) {
+    if (handingOver || !eligible) {
       releaseOnce(state, turn);
       return;
     }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PauseWatch.java
@@ -0,0 +1,34 @@
+package org.fescuehook.logic.control.ownership;
+
+import java.time.Duration;
+import org.fescuehook.logic.control.ControlLogEvent;
+import org.fescuehook.logic.control.Turn;
+
+/** Notices that the decision thread stood still, by the gap between two events. */
+public final class PauseWatch {
+  private final Duration limit;
+  private long lastNanos = Long.MIN_VALUE / 2;
+  private boolean started;
+
+  /**
+   * Creates a watch.
+   *
+   * @param limit gap between two events that counts as a pause
+   */
+  public PauseWatch(Duration limit) {
+    this.limit = limit;
+  }
+
+  /** Takes in the time of an event; tells whether a pause lies before it. */
+  public boolean wasPaused(Turn turn) {
+    boolean paused = started && turn.passed(lastNanos, limit);
+    if (paused) {
+      long millis = (turn.now() - lastNanos) / 1_000_000;
+      turn.note(ControlLogEvent.WOKE_AFTER_PAUSE, millis);
+      turn.count("fescuehook.control.pauses");
+    }
+    started = true;
+    lastNanos = turn.now();
+    return paused;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/ReaderWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/ReaderWatch.java
@@ -12,12 +12,14 @@
    */
   private static final int NEEDED_AFTER_PAUSE = 2;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final Duration freshness;
   private int needed = 1;
   private boolean reachable = true;
-  private long lastReadNanos;
-  private long currentSince;
-  private long wokenNanos;
+  private long lastReadNanos = NEVER;
+  private long currentSince = NEVER;
+  private long wokenNanos = NEVER;
   private boolean everCurrent;
 
   /**
@@ -25,11 +27,8 @@
    *
    * @param freshness longest time since the last end of the stream was reached
    */
-  public ReaderWatch(Duration freshness, long nowNanos) {
+  public ReaderWatch(Duration freshness) {
     this.freshness = freshness;
-    this.lastReadNanos = nowNanos;
-    this.currentSince = nowNanos;
-    this.wokenNanos = nowNanos;
   }
 
   /** The end of the stream was reached. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
@@ -24,6 +24,7 @@
   private final RecordWriter writer;
   private final Set<JobId> touched = new LinkedHashSet<>();
   private final Map<JobId, Long> appended = new HashMap<>();
+  private boolean deciding;
 
   /** Creates a duty without work. */
   public JobEndDuty(RecordWriter writer) {
@@ -32,16 +33,20 @@
 
   /** A record about a job was folded. */
   public void folded(JobId job) {
-    touched.add(job);
+    if (deciding) {
+      touched.add(job);
+    }
   }
 
-  /** Looks at every waiting job again, as a new owner has to. */
-  public void lookAtAll(ControlState state) {
+  /** This VM decides from now on, so every waiting job is looked at. */
+  public void begin(ControlState state) {
+    deciding = true;
     state.jobs().waiting().forEach(job -> touched.add(job.id()));
   }
 
-  /** Forgets what was touched while another VM decided. */
-  public void clear() {
+  /** This VM no longer decides. */
+  public void end() {
+    deciding = false;
     touched.clear();
     appended.clear();
   }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDesk.java
@@ -0,0 +1,109 @@
+package org.fescuehook.logic.control.request;
+
+import java.util.Optional;
+import org.fescuehook.logic.control.ControlPort.Answer;
+import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.request.AdmissionChecker.Admission;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.job.Job;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.JobCancelRequested;
+import org.fescuehook.wire.JobSubmitted;
+import org.fescuehook.wire.Shape;
+
+/** Takes submissions and cancellations of jobs. */
+public final class JobDesk {
+  private final String namePrefix;
+  private final RequestDesk desk;
+  private final AdmissionChecker admission = new AdmissionChecker();
+  private long lastJob;
+
+  /**
+   * Creates a desk.
+   *
+   * @param namePrefix makes the names of jobs unique over VMs and their incarnations
+   */
+  public JobDesk(String namePrefix, RequestDesk desk) {
+    this.namePrefix = namePrefix;
+    this.desk = desk;
+  }
+
+  /** Takes a submission; repeated under the same caller's id it gives the first one's job. */
+  public void submit(
+      long ticket, Request.Submit submit, Declarations declarations, ControlState state, Turn turn) {
+    Optional<JobId> first =
+        submit
+            .requestId()
+            .flatMap(id -> state.jobs().findByRequest(submit.organisation().value(), id));
+    if (first.isPresent()) {
+      turn.reply(ticket, new Answer.Accepted(first.get()));
+      return;
+    }
+    lastJob++;
+    Job job = job(submit, turn);
+    switch (admission.check(job, declarations, state, turn.wallMillis())) {
+      case Admission.Admitted(int rule) ->
+          desk.take(ticket, ControlRecord.newBuilder().setJobSubmitted(body(job, rule)), turn);
+      case Admission.Denied(RefusalReason reason, String detail) ->
+          Refusals.refuse(ticket, reason, detail, turn);
+    }
+  }
+
+  private Job job(Request.Submit submit, Turn turn) {
+    return new Job(
+        new JobId(namePrefix + "-" + lastJob),
+        submit.organisation(),
+        submit.requestId(),
+        submit.shape(),
+        submit.urgent(),
+        submit.checkpointable(),
+        submit.declaredSeconds(),
+        turn.wallMillis(),
+        submit.command());
+  }
+
+  private static JobSubmitted body(Job job, int rule) {
+    return JobSubmitted.newBuilder()
+        .setJob(job.id().value())
+        .setOrganisation(job.organisation().value())
+        .setRequestId(job.requestId().orElse(""))
+        .setShape(shape(job.shape()))
+        .setUrgent(job.urgent())
+        .setCheckpointable(job.checkpointable())
+        .setDeclaredSeconds(job.declaredSeconds())
+        .setSubmittedMillis(job.submittedMillis())
+        .setCommand(job.command())
+        .setRule(rule)
+        .build();
+  }
+
+  private static Shape shape(org.fescuehook.model.job.Shape shape) {
+    return Shape.newBuilder()
+        .setMembers(shape.members())
+        .setAccelerators(shape.perMember().accelerators())
+        .setCores(shape.perMember().cores())
+        .setMemoryMegabytes(shape.perMember().memoryMegabytes())
+        .setMaxRacks(shape.maxRacks())
+        .build();
+  }
+
+  /** Takes a cancellation; cancelling again, or a job that is over, changes nothing. */
+  public void cancel(long ticket, JobId id, ControlState state, Turn turn) {
+    Optional<JobState> job = state.jobs().find(id);
+    if (job.isEmpty()) {
+      Refusals.refuse(ticket, RefusalReason.NOT_FOUND, "no job " + id, turn);
+      return;
+    }
+    if (job.get().over() || job.get().facts().getCancelRequested()) {
+      turn.reply(ticket, new Answer.Done());
+      return;
+    }
+    JobCancelRequested body = JobCancelRequested.newBuilder().setJob(id.value()).build();
+    desk.take(ticket, ControlRecord.newBuilder().setJobCancelRequested(body), turn);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDocument.java
@@ -0,0 +1,59 @@
+package org.fescuehook.logic.control.request;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.wire.JobSnapshot;
+
+/** Writes the state of a job for callers, as JSON. */
+final class JobDocument {
+
+  private JobDocument() {}
+
+  static String json(JobState job) {
+    JobSnapshot facts = job.facts();
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("job", job.id().value());
+    node.put("organisation", job.job().organisation().value());
+    node.put("state", state(job));
+    node.put("submitted", job.job().submittedMillis());
+    node.put("members", job.job().shape().members());
+    node.put("attempt", job.attempt().number());
+    node.put("failures", facts.getFailures());
+    node.put("cancelRequested", facts.getCancelRequested());
+    if (job.live()) {
+      ArrayNode workers = node.putArray("workers");
+      job.workers().forEach(worker -> workers.add(worker.value()));
+      node.put("planned", facts.getStartedMillis());
+    }
+    if (facts.hasEnded()) {
+      node.put("lastResult", slug(facts.getEnded().getResult().name(), "ATTEMPT_RESULT_"));
+      node.put("lastReason", slug(facts.getEnded().getReason().name(), "STOP_REASON_"));
+      node.put("exitCode", facts.getEnded().getExitCode());
+    }
+    if (job.over()) {
+      node.put("ended", facts.getEndedMillis());
+      node.put("detail", facts.getJobEnded().getDetail());
+    }
+    return node.toString();
+  }
+
+  private static String state(JobState job) {
+    if (job.over()) {
+      return slug(job.facts().getJobEnded().getResult().name(), "JOB_RESULT_");
+    }
+    if (job.stopping()) {
+      return "stopping";
+    }
+    if (job.committed()) {
+      return "running";
+    }
+    return job.live() ? "starting" : "waiting";
+  }
+
+  private static String slug(String name, String prefix) {
+    return name.replace(prefix, "").toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/PublicationDesk.java
@@ -0,0 +1,51 @@
+package org.fescuehook.logic.control.request;
+
+import org.fescuehook.logic.control.ControlPort.Answer;
+import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.DeclarationsReader;
+import org.fescuehook.logic.control.DeclarationsReader.InvalidDeclarationsException;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.wire.ConfigurationPublished;
+import org.fescuehook.wire.ControlRecord;
+
+/** Takes publications of configurations. */
+public final class PublicationDesk {
+  private final DeclarationsReader reader;
+  private final RequestDesk desk;
+
+  /** Creates a desk. */
+  public PublicationDesk(DeclarationsReader reader, RequestDesk desk) {
+    this.reader = reader;
+    this.desk = desk;
+  }
+
+  /**
+   * Takes a publication. The declarations in force published again change nothing. Implements
+   * {@code Publish}.
+   */
+  public void publish(long ticket, Request.Publish publish, ControlState state, Turn turn) {
+    try {
+      reader.parse(publish.declarations());
+    } catch (InvalidDeclarationsException e) {
+      String faults = String.valueOf(e.getMessage());
+      Refusals.refuse(ticket, RefusalReason.BAD_REQUEST, faults, turn);
+      return;
+    }
+    ConfigurationPublished body =
+        ConfigurationPublished.newBuilder()
+            .setBaseRevisionPlusOne(publish.baseRevision() + 1)
+            .setAuthor(publish.author())
+            .setReason(publish.reason())
+            .setDeclarations(publish.declarations())
+            .build();
+    boolean stale = publish.baseRevision() != state.revision();
+    boolean same = RequestDesk.winner(body, state) instanceof Answer.Published;
+    if (stale || same) {
+      turn.reply(ticket, RequestDesk.winner(body, state));
+      return;
+    }
+    desk.take(ticket, ControlRecord.newBuilder().setConfigurationPublished(body), turn);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/Refusals.java
@@ -0,0 +1,18 @@
+package org.fescuehook.logic.control.request;
+
+import org.fescuehook.logic.control.ControlLimits;
+import org.fescuehook.logic.control.ControlPort.Answer;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.model.request.RefusalReason;
+
+/** Answers requests with a refusal, and counts each by its reason. */
+final class Refusals {
+
+  private Refusals() {}
+
+  static void refuse(long ticket, RefusalReason reason, String detail, Turn turn) {
+    int retryAfter = reason.retryable() ? ControlLimits.RETRY_AFTER_SECONDS : 0;
+    turn.count("fescuehook.control.refused", "reason", reason.slug());
+    turn.reply(ticket, new Answer.Refused(reason, detail, retryAfter));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/ShowDesk.java
@@ -0,0 +1,92 @@
+package org.fescuehook.logic.control.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.control.ControlLimits;
+import org.fescuehook.logic.control.ControlPort.Answer;
+import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.request.RefusalReason;
+
+/** Shows jobs, at once or when they end. */
+public final class ShowDesk {
+
+  private record Waiter(long ticket, JobId job, long untilNanos) {}
+
+  private final Map<JobId, List<Waiter>> waiters = new HashMap<>();
+  private long earliestNanos = Long.MAX_VALUE;
+
+  /** Takes a request to show a job. */
+  public void show(long ticket, Request.Show show, ControlState state, Turn turn) {
+    Optional<JobState> job = state.jobs().find(show.job());
+    if (job.isEmpty()) {
+      Refusals.refuse(ticket, RefusalReason.NOT_FOUND, "no job " + show.job(), turn);
+      return;
+    }
+    if (job.get().over() || show.waitMillis() <= 0) {
+      turn.reply(ticket, new Answer.Document(JobDocument.json(job.get())));
+      return;
+    }
+    long wait = Math.min(show.waitMillis(), ControlLimits.LONGEST_SHOW.toMillis());
+    long until = turn.now() + wait * 1_000_000;
+    earliestNanos = Math.min(earliestNanos, until);
+    waiters
+        .computeIfAbsent(show.job(), id -> new ArrayList<>())
+        .add(new Waiter(ticket, show.job(), until));
+  }
+
+  /** A record about a job was folded. */
+  public void folded(JobId id, ControlState state, Turn turn) {
+    List<Waiter> waiting = waiters.get(id);
+    if (waiting == null) {
+      return;
+    }
+    Optional<JobState> job = state.jobs().find(id);
+    if (job.filter(found -> !found.over()).isPresent()) {
+      return;
+    }
+    waiters.remove(id);
+    for (Waiter waiter : waiting) {
+      answer(waiter, job, turn);
+    }
+  }
+
+  /** Ends waits whose time has passed. */
+  public void step(ControlState state, Turn turn) {
+    if (turn.now() < earliestNanos) {
+      return;
+    }
+    List<Waiter> ended = new ArrayList<>();
+    earliestNanos = Long.MAX_VALUE;
+    for (List<Waiter> list : waiters.values()) {
+      for (Waiter waiter : list) {
+        if (turn.now() >= waiter.untilNanos()) {
+          ended.add(waiter);
+        } else {
+          earliestNanos = Math.min(earliestNanos, waiter.untilNanos());
+        }
+      }
+      list.removeAll(ended);
+    }
+    waiters.values().removeIf(List::isEmpty);
+    ended.sort((a, b) -> Long.compare(a.ticket(), b.ticket()));
+    for (Waiter waiter : ended) {
+      answer(waiter, state.jobs().find(waiter.job()), turn);
+    }
+  }
+
+  private static void answer(Waiter waiter, Optional<JobState> job, Turn turn) {
+    if (job.isEmpty()) {
+      Refusals.refuse(
+          waiter.ticket(), RefusalReason.NOT_FOUND, "job " + waiter.job() + " forgotten", turn);
+      return;
+    }
+    turn.reply(waiter.ticket(), new Answer.Document(JobDocument.json(job.get())));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
@@ -0,0 +1,54 @@
+package org.fescuehook.logic.control.shares;
+
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.fescuehook.logic.control.ControlLimits;
+import org.fescuehook.logic.control.ControlLogEvent;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.append.RecordWriter;
+import org.fescuehook.logic.control.ownership.PeerWatch;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.SlotShares;
+
+/** Publishes the owner's division of slots when the entry VMs or the executors change. */
+public final class ShareDuty {
+  private final RecordWriter writer;
+  private final PeerWatch peers;
+  private SortedSet<VmId> vms = new TreeSet<>();
+  private long stableSince = Long.MIN_VALUE / 2;
+  private long unread;
+
+  /** Creates a duty that has published nothing. */
+  public ShareDuty(RecordWriter writer, PeerWatch peers) {
+    this.writer = writer;
+    this.peers = peers;
+  }
+
+  /** Publishes a division if another one is in the log and the set of VMs stands still. */
+  public void step(ControlState state, Declarations declarations, Turn turn) {
+    SortedSet<VmId> known = peers.known();
+    if (!known.equals(vms)) {
+      vms = known;
+      stableSince = turn.now();
+    }
+    boolean stable = turn.passed(stableSince, ControlLimits.SHARE_DEBOUNCE);
+    if (!stable || writer.isUnread(unread) || !writer.hasRoom()) {
+      return;
+    }
+    SlotShares wanted =
+        SlotShareDivider.divide(
+            declarations.fleet().executors(),
+            vms,
+            (int) ControlLimits.SHARE_SETTLE.toMillis());
+    if (state.shares().filter(wanted::equals).isPresent()) {
+      stableSince = turn.now();
+      return;
+    }
+    turn.note(ControlLogEvent.SHARES_PUBLISHED, declarations.fleet().executors().size(), vms);
+    unread =
+        writer.append(ControlRecord.newBuilder().setSlotShares(wanted), state.epoch(), turn);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareHolder.java
@@ -0,0 +1,106 @@
+package org.fescuehook.logic.control.shares;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescuehook.logic.control.ControlCommand;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.ownership.PeerWatch;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.SlotShare;
+import org.fescuehook.wire.SlotShares;
+
+/**
+ * Holds the shares that this VM may use. A lowered share is in force as soon as its record is folded.
+ * A raised one is in force only when every entry VM that may exist is known to have folded that
+ * record, and the settling time has passed. So the shares in use never sum to more than was declared:
+ * while one VM has not folded a record, no other uses more than the division before it allowed.
+ */
+public final class ShareHolder {
+
+  private record Share(int slots, int connections) {
+    static final Share NONE = new Share(0, 0);
+
+    Share least(Share other) {
+      return new Share(
+          Math.min(slots, other.slots), Math.min(connections, other.connections));
+    }
+  }
+
+  private final VmId self;
+  private final PeerWatch peers;
+  private Map<String, Share> inForce = new TreeMap<>();
+  private Map<String, Share> target = Map.of();
+  private Optional<SlotShares> seen = Optional.empty();
+  private long offset;
+  private long sinceNanos;
+
+  /** Creates a holder of no shares. */
+  public ShareHolder(VmId self, PeerWatch peers) {
+    this.self = self;
+    this.peers = peers;
+  }
+
+  /**
+   * Takes the shares published last, if they changed.
+   *
+   * @param foldedUntil offset after the last folded record
+   */
+  public void folded(Optional<SlotShares> published, long foldedUntil, Turn turn) {
+    if (published.isEmpty() || published.equals(seen)) {
+      return;
+    }
+    seen = published;
+    offset = foldedUntil - 1;
+    sinceNanos = turn.now();
+    target = ownShares(published.get());
+    Map<String, Share> lowered = new TreeMap<>();
+    inForce.forEach(
+        (executor, share) -> {
+          Share least = share.least(target.getOrDefault(executor, Share.NONE));
+          if (!least.equals(Share.NONE)) {
+            lowered.put(executor, least);
+          }
+        });
+    put(lowered, turn);
+  }
+
+  private Map<String, Share> ownShares(SlotShares published) {
+    Map<String, Share> own = new TreeMap<>();
+    for (SlotShare share : published.getSharesList()) {
+      if (share.getVm().equals(self.value())) {
+        own.put(share.getExecutor(), new Share(share.getSlots(), share.getConnections()));
+      }
+    }
+    return own;
+  }
+
+  /** Raises shares if that is safe; called only while this VM has read to the end. */
+  public void step(Turn turn) {
+    if (seen.isEmpty() || inForce.equals(target)) {
+      return;
+    }
+    Duration settle = Duration.ofMillis(seen.get().getSettleMillis());
+    if (turn.passed(sinceNanos, settle) && peers.allFolded(offset)) {
+      put(new TreeMap<>(target), turn);
+    }
+  }
+
+  private void put(Map<String, Share> shares, Turn turn) {
+    if (shares.equals(inForce)) {
+      return;
+    }
+    inForce = shares;
+    SlotShares.Builder message = SlotShares.newBuilder();
+    shares.forEach(
+        (executor, share) ->
+            message.addShares(
+                SlotShare.newBuilder()
+                    .setExecutor(executor)
+                    .setVm(self.value())
+                    .setSlots(share.slots())
+                    .setConnections(share.connections())));
+    turn.add(new ControlCommand.SharesInForce(message.build()));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/SlotShareDivider.java
@@ -0,0 +1,42 @@
+package org.fescuehook.logic.control.shares;
+
+import java.util.List;
+import java.util.SortedSet;
+import org.fescuehook.model.fleet.Executor;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.SlotShare;
+import org.fescuehook.wire.SlotShares;
+
+/**
+ * Divides each executor's slots and connections evenly over entry VMs. What is left over after equal
+ * parts goes to VMs in turn, over all executors, so that every VM has about the same total.
+ */
+final class SlotShareDivider {
+
+  private SlotShareDivider() {}
+
+  static SlotShares divide(List<Executor> executors, SortedSet<VmId> vms, int settleMillis) {
+    List<VmId> names = List.copyOf(vms);
+    SlotShares.Builder shares = SlotShares.newBuilder().setSettleMillis(settleMillis);
+    int slotTurn = 0;
+    int connectionTurn = 0;
+    for (Executor executor : executors) {
+      for (int i = 0; i < names.size(); i++) {
+        shares.addShares(
+            SlotShare.newBuilder()
+                .setExecutor(executor.id().value())
+                .setVm(names.get(i).value())
+                .setSlots(part(executor.slots(), names.size(), slotTurn, i))
+                .setConnections(part(executor.connections(), names.size(), connectionTurn, i)));
+      }
+      slotTurn = (slotTurn + executor.slots()) % names.size();
+      connectionTurn = (connectionTurn + executor.connections()) % names.size();
+    }
+    return shares.build();
+  }
+
+  private static int part(int amount, int parts, int turn, int index) {
+    int extra = Math.floorMod(index - turn, parts) < amount % parts ? 1 : 0;
+    return amount / parts + extra;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/SnapshotAssembler.java
@@ -0,0 +1,62 @@
+package org.fescuehook.logic.control.snapshot;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescuehook.logic.control.ControlLogEvent;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.ControlSnapshot;
+import org.fescuehook.wire.SnapshotPart;
+
+/** Puts the parts of snapshots together. */
+public final class SnapshotAssembler {
+
+  private record Key(String writer, String incarnation, long coversUntil, int parts) {}
+
+  /**
+   * A snapshot of which all parts were read.
+   *
+   * @param coversUntil offset of the first record that it does not cover
+   */
+  public record Whole(long coversUntil, ControlSnapshot snapshot) {}
+
+  private final Map<Key, TreeMap<Integer, ByteString>> pieces = new HashMap<>();
+
+  /** Forgets all parts. */
+  public void clear() {
+    pieces.clear();
+  }
+
+  /** Adds a part; returns the snapshot if that made it whole. */
+  public Optional<Whole> add(ControlRecord record, Turn turn) {
+    SnapshotPart part = record.getSnapshotPart();
+    Key key =
+        new Key(
+            record.getWriter(), record.getIncarnation(), part.getCoversUntil(), part.getParts());
+    pieces.keySet().removeIf(old -> old.coversUntil() < part.getCoversUntil());
+    TreeMap<Integer, ByteString> parts = pieces.computeIfAbsent(key, k -> new TreeMap<>());
+    if (part.getPart() >= part.getParts()) {
+      return Optional.empty();
+    }
+    parts.put(part.getPart(), part.getData());
+    if (parts.size() < part.getParts()) {
+      return Optional.empty();
+    }
+    pieces.remove(key);
+    return parse(key, ByteString.copyFrom(parts.values()), turn);
+  }
+
+  private static Optional<Whole> parse(Key key, ByteString data, Turn turn) {
+    try {
+      return Optional.of(new Whole(key.coversUntil(), ControlSnapshot.parseFrom(data)));
+    } catch (InvalidProtocolBufferException e) {
+      turn.note(ControlLogEvent.SNAPSHOT_UNUSABLE, key.coversUntil(), e.getMessage());
+      turn.count("fescuehook.control.snapshots.unusable");
+      return Optional.empty();
+    }
+  }
+}
