Workers: a command that a worker cannot run is a failed task

Cause: a worker that answers 400 to start was taken for silent, so the job was attempted again and again without a failure being counted (5 attempts in 18 s, failures 0, seen end to end with the stand-in). Ruled out: taking every 4xx for a failure; 404 means that the lease is gone. Conclusion: 400 on start is the worker's word that the task failed, exit code 126.

--- a/fescuehook/src/main/java/org/fescuehook/net/worker/WorkerCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/worker/WorkerCodec.java
@@ -21,9 +21,13 @@
 /** Turns commands into HTTP requests and answers into replies. */
 final class WorkerCodec {
 
+  private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
 
+  /** Exit code of a shell whose command cannot be executed. */
+  private static final int CANNOT_EXECUTE = 126;
+
   private final ObjectMapper mapper = new ObjectMapper();
 
   /** Returns the request of a command. */
@@ -54,7 +58,7 @@
     return switch (command) {
       case WorkerCommand.Grant grant -> granted(worker, grant, answer);
       case WorkerCommand.Renew renew -> renewed(worker, renew, answer);
-      case WorkerCommand.Start start -> single(worker, start.lease(), LeaseState.RUNNING, answer);
+      case WorkerCommand.Start start -> started(worker, start, answer);
       case WorkerCommand.Checkpoint checkpoint ->
           single(worker, checkpoint.lease(), LeaseState.RUNNING, answer);
       case WorkerCommand.Throttle throttle ->
@@ -107,6 +111,16 @@
     }
   }
 
+  /** A command that the worker cannot run is a failed task by the worker's word. */
+  private static WorkerReply started(
+      WorkerId worker, WorkerCommand.Start start, HttpResult.Answered answer) throws IOException {
+    if (answer.status() == BAD_REQUEST) {
+      State failed = new State(start.lease(), LeaseState.FAILED, CANNOT_EXECUTE);
+      return new WorkerReply.States(worker, List.of(failed));
+    }
+    return single(worker, start.lease(), LeaseState.RUNNING, answer);
+  }
+
   private static WorkerReply single(
       WorkerId worker, String lease, LeaseState done, HttpResult.Answered answer)
       throws IOException {
--- a/fescuehook/src/test/java/org/fescuehook/net/worker/HttpWorkerPortTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/worker/HttpWorkerPortTest.java
@@ -88,6 +88,15 @@
     assertEquals(states(new State("x7", LeaseState.GONE, 0)), next());
   }
 
+  @Test
+  void aCommandThatTheWorkerCannotRunIsAFailedTask() throws InterruptedException {
+    server.then(new Act.Answer(400, "{\"error\":\"bad-request\"}"));
+
+    port(LONG).send(WORKER, new WorkerCommand.Start("x7", "j", "j.1", 0, "odd"));
+
+    assertEquals(states(new State("x7", LeaseState.FAILED, 126)), next());
+  }
+
   @Test
   void aRenewalTellsTheStateOfEachLease() throws InterruptedException {
     server.then(
