--- a/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
@@ -73,6 +73,7 @@
   private final HttpWorkerPort workers;
   private final DecisionDuty decisionDuty;
   private final OperatorServer operatorServer;
+  private final RepeatingDuty peerDuty;
   private final List<RepeatingDuty> duties;
   private final GracefulStop gracefulStop;
   private final AtomicBoolean stopBegun = new AtomicBoolean();
@@ -109,6 +110,7 @@
             meters);
     this.decisionDuty = decisionDuty(scheduler, reader);
     ListDuty listDuty = listDuty();
+    this.peerDuty = peerDuty();
     this.duties = duties(listDuty);
     this.gracefulStop = new GracefulStop(membership, state, requests, decisions);
     this.operatorServer = operatorServer(listDuty);
@@ -224,6 +226,7 @@
   private void configurationInForce(Configuration newest) {
     workers.configurationInForce(newest);
     requests.configurationInForce(newest);
+    peerDuty.wake();
   }
 
   private Optional<OutcomeReply> outcome(RequestKey key) {
@@ -276,6 +279,14 @@
     LogTail control =
         new LogTail(log(), "control", new ControlSink(decisions, state), meters);
     LogTail claims = new LogTail(log(), "requests", new RequestSink(requests), meters);
+    return List.of(
+        new RepeatingDuty("log-read-control", control::step),
+        new RepeatingDuty("log-read-requests", claims::step),
+        new RepeatingDuty("list", listDuty::step),
+        peerDuty);
+  }
+
+  private RepeatingDuty peerDuty() {
     PeerDuty peers =
         new PeerDuty(
             links,
@@ -284,11 +295,7 @@
             decisions,
             requests,
             preferences.membership().peerHeartbeat());
-    return List.of(
-        new RepeatingDuty("log-read-control", control::step),
-        new RepeatingDuty("log-read-requests", claims::step),
-        new RepeatingDuty("list", listDuty::step),
-        new RepeatingDuty("peers", peers::step));
+    return new RepeatingDuty("peers", peers::step);
   }
 
   private OperatorServer operatorServer(ListDuty listDuty) {
--- a/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
@@ -49,6 +49,7 @@
     Set<VmId> alive = state.alivePeers();
     Set<VmId> reachingLog = state.peersReachingLog();
     decisions.publish(new ControlEvent.PeersHeard(alive, reachingLog));
+    decisions.publish(new ControlEvent.PeersFolded(state.foldedByPeers()));
     fetchConfiguration();
     reviewReadiness();
     return interval;
--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -1,6 +1,7 @@
 package org.fescuehook.entry;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -101,6 +102,11 @@
     return peers.get().reachingLog(preferences.peerTimeout(), System.nanoTime());
   }
 
+  /** Returns how far the peers heard within their timeout have folded the control stream. */
+  Map<VmId, Long> foldedByPeers() {
+    return peers.get().folded(preferences.peerTimeout(), System.nanoTime());
+  }
+
   /** Tells whether the last read of the control stream succeeded. */
   boolean logReachable() {
     return logReachable;
--- a/fescuehook/src/main/java/org/fescuehook/logic/membership/PeerTable.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/PeerTable.java
@@ -47,6 +47,14 @@
     return select(timeout, nowNanos, PeerReport::logReachable);
   }
 
+  /** Returns how far the peers heard within {@code timeout} have folded the control stream. */
+  public Map<VmId, Long> folded(Duration timeout, long nowNanos) {
+    return peers.values().stream()
+        .filter(heard -> nowNanos - heard.atNanos <= timeout.toNanos())
+        .map(Heard::report)
+        .collect(Collectors.toUnmodifiableMap(PeerReport::vm, PeerReport::controlNext));
+  }
+
   /** Returns a peer heard within {@code timeout} with the highest revision above another. */
   public Optional<PeerReport> ahead(long revision, Duration timeout, long nowNanos) {
     Optional<PeerReport> best = Optional.empty();
--- a/fescuehook/src/main/java/org/fescuehook/net/duty/RepeatingDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/RepeatingDuty.java
@@ -16,8 +16,9 @@
   private final Step step;
   private final Thread thread;
   private final ReentrantLock lock = new ReentrantLock();
-  private final Condition stopAsked = lock.newCondition();
+  private final Condition changed = lock.newCondition();
   private boolean stopping;
+  private boolean woken;
 
   /** Creates a duty that has not started. */
   public RepeatingDuty(String name, Step step) {
@@ -36,16 +37,22 @@
     lock.lock();
     try {
       stopping = true;
-      stopAsked.signalAll();
+      changed.signalAll();
     } finally {
       lock.unlock();
     }
     thread.interrupt();
   }
 
-  /** Waits for the thread to end. */
-  public void join(Duration limit) throws InterruptedException {
-    thread.join(limit);
+  /** Ends the pause under way, or the next one. */
+  public void wake() {
+    lock.lock();
+    try {
+      woken = true;
+      changed.signalAll();
+    } finally {
+      lock.unlock();
+    }
   }
 
   private void run() {
@@ -76,9 +83,10 @@
     long left = duration.toNanos();
     lock.lock();
     try {
-      while (!stopping && left > 0) {
-        left = stopAsked.awaitNanos(left);
+      while (!stopping && !woken && left > 0) {
+        left = changed.awaitNanos(left);
       }
+      woken = false;
     } catch (InterruptedException e) {
       // Only stop() interrupts; the loop sees its flag.
       Thread.currentThread().interrupt();
