--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -255,6 +255,11 @@
     return owner.owns(stream.state());
   }
 
+  /** Returns the state as far as it was read. */
+  ControlState state() {
+    return stream.state();
+  }
+
   /** Returns the state at a glance. */
   public ControlSummary summary() {
     ControlState state = stream.state();
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/FakeLog.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/FakeLog.java
@@ -30,7 +30,7 @@
 
   LogPage read(long from, int max) {
     int start = (int) Math.max(0, from - earliest);
-    int end = Math.min(records.size(), start + max);
+    int end = (int) Math.min(records.size(), (long) start + max);
     return new LogPage(earliest, next(), records.subList(Math.min(start, end), end));
   }
 }
