Graceful stop: serve until the service port closes

Cause: a VM that began its stop refused requests with not-ready during the drain delay, seen end to end (7 refusals in one stop under load of 24 connections). Readiness for a balancer and fitness for work are now two questions. A reader stopped by interruption no longer reports the log as unreachable.

--- a/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
@@ -65,7 +65,7 @@
   }
 
   private void reviewReadiness() {
-    Optional<String> verdict = state.notReady();
+    Optional<String> verdict = state.unfit();
     if (verdict.equals(lastVerdict)) {
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -122,14 +122,24 @@
     return controlNext;
   }
 
-  /** Returns why this VM takes no work, as the word used on the wire; empty if it does. */
+  /** Returns why a balancer should send nothing here, as the word used on the wire. */
   Optional<String> notReady() {
-    if (halted && !draining) {
+    if (draining) {
+      return Optional.of(NotReady.DRAINING.slug());
+    }
+    return unfit();
+  }
+
+  /**
+   * Returns why this VM cannot do work that it receives. A VM that began its graceful stop still
+   * can, until its service port is closed.
+   */
+  Optional<String> unfit() {
+    if (halted) {
       return Optional.of("decisions-halted");
     }
     Readiness.Facts facts =
         new Readiness.Facts(
-            draining,
             configuration.current().isPresent(),
             caughtUp,
             logContactNanos,
--- a/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
@@ -21,11 +21,8 @@
     this.staleAfter = staleAfter;
   }
 
-  /** Returns why this VM is not ready; empty if it is ready. */
+  /** Returns why this VM cannot do work; empty if it can. */
   public Optional<NotReady> judge(Facts facts, long nowNanos) {
-    if (facts.draining) {
-      return Optional.of(NotReady.DRAINING);
-    }
     if (!facts.configured) {
       return Optional.of(NotReady.NO_CONFIGURATION);
     }
@@ -74,7 +71,6 @@
   /**
    * What the verdict depends on. Times are monotonic nanoseconds.
    *
-   * @param draining whether this VM is stopping
    * @param configured whether a configuration is in force
    * @param caughtUp whether the reader of the control stream has reached its end since the start
    * @param logContactNanos when the log last answered
@@ -83,7 +79,6 @@
    * @param behindSinceNanos since when a peer has had a newer configuration
    */
   public record Facts(
-      boolean draining,
       boolean configured,
       boolean caughtUp,
       OptionalLong logContactNanos,
--- a/fescuehook/src/main/java/org/fescuehook/net/platform/LogTail.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/platform/LogTail.java
@@ -97,6 +97,10 @@
   }
 
   private Duration failed(LogUnavailableException cause) {
+    if (Thread.currentThread().isInterrupted()) {
+      // The duty is being stopped; this says nothing about the log.
+      return Duration.ZERO;
+    }
     meters.counter("fescuehook.log.read.failed", "stream", stream).increment();
     if (failures == 0) {
       failingSinceNanos = System.nanoTime();
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
@@ -0,0 +1,52 @@
+package org.fescuehook.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.configuration.Configuration;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.configuration.PolicyPreferences;
+import org.fescuehook.model.fleet.Fleet;
+import org.fescuehook.model.preferences.MembershipPreferences;
+import org.junit.jupiter.api.Test;
+
+class VmStateTest {
+
+  private final ConfigurationKeeper keeper = new ConfigurationKeeper(configuration -> {});
+  private final VmState state = new VmState(MembershipPreferences.DEFAULT, keeper);
+
+  @Test
+  void aVmThatBeganItsStopIsUnreadyAtOnceAndStillDoesItsWork() {
+    keeper.offer(configuration(7), "log");
+    state.logAnswered(true);
+    state.reachedEnd();
+    assertEquals(Optional.empty(), state.notReady());
+
+    state.beginDraining();
+
+    assertEquals(Optional.of("draining"), state.notReady());
+    assertEquals(Optional.empty(), state.unfit());
+  }
+
+  @Test
+  void anOlderConfigurationNeverReplacesANewerOne() {
+    keeper.offer(configuration(7), "log");
+
+    keeper.offer(configuration(5), "peer");
+
+    assertEquals(7, keeper.revision());
+    assertEquals(1, keeper.history().size());
+  }
+
+  private static Configuration configuration(long revision) {
+    Declarations declarations =
+        new Declarations(
+            List.of(),
+            List.of(),
+            List.of(),
+            new Fleet(List.of(), List.of()),
+            PolicyPreferences.DEFAULT);
+    return new Configuration(revision, -1, "author", "reason", "", declarations);
+  }
+}
