--- a/fescuehook/src/main/java/org/fescuehook/cli/client/EntryClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/client/EntryClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -88,6 +89,8 @@
       return new Response(response.statusCode(), parse(response.body()), retryAfter(response));
     } catch (JsonProcessingException e) {
       throw new EntryUnreachableException(step, peer, "the answer is no JSON");
+    } catch (ConnectException e) {
+      throw new EntryUnreachableException(step, peer, "connection refused");
     } catch (IOException e) {
       String problem = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
       throw new EntryUnreachableException(step, peer, problem);
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigPublishCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigPublishCommand.java
@@ -56,7 +56,12 @@
 
   private ExitCode publish(Console console, EntryClient client, Publication publication)
       throws CommandException, EntryUnreachableException {
-    Response response = client.send("POST", "/configuration", publication, Map.of());
+    Response response;
+    try {
+      response = client.send("POST", "/configuration", publication, Map.of());
+    } catch (EntryUnreachableException e) {
+      return afterLostAnswer(console, client, publication, e);
+    }
     if (response.status() == CONFLICT) {
       return conflict(console, client, publication, response);
     }
@@ -64,6 +69,22 @@
     return report(console, new Result(revision, true));
   }
 
+  /** The publication may have taken effect; what is in force tells. */
+  private ExitCode afterLostAnswer(
+      Console console,
+      EntryClient client,
+      Publication publication,
+      EntryUnreachableException failure)
+      throws CommandException, EntryUnreachableException {
+    Optional<PublishedConfiguration> current = PublishedConfiguration.fetchCurrent(client);
+    if (current.isPresent() && current.get().declarations().equals(publication.declarations())) {
+      return report(console, new Result(current.get().revision(), true));
+    }
+    throw new CommandException(
+        ExitCode.UNREACHABLE,
+        failure.getMessage() + "; it may have been accepted: publish again, which is safe");
+  }
+
   private ExitCode conflict(
       Console console, EntryClient client, Publication publication, Response response)
       throws CommandException, EntryUnreachableException {
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigShowCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigShowCommand.java
@@ -3,27 +3,26 @@
 import java.util.Optional;
 import org.fescuehook.cli.client.EntryClient;
 import org.fescuehook.cli.client.EntryUnreachableException;
+import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Option;
 
 /** {@code config show}: prints published declarations. */
 public final class ConfigShowCommand extends OperatorCommand {
 
-  private static final long IN_FORCE = -1;
-
   @Option(name = "--revision", metaVar = "R", usage = "revision to show; else the one in force")
-  private long revision = IN_FORCE;
+  private @Nullable Long revision;
 
   @Override
   ExitCode run(Console console, EntryClient client)
       throws CommandException, EntryUnreachableException {
     Optional<PublishedConfiguration> found =
-        revision == IN_FORCE
+        revision == null
             ? PublishedConfiguration.fetchCurrent(client)
             : PublishedConfiguration.fetch(client, revision);
     if (found.isEmpty()) {
       throw new CommandException(
           ExitCode.NOT_FOUND,
-          revision == IN_FORCE
+          revision == null
               ? "no configuration is published yet; run config publish"
               : "revision " + revision + " is not known; see config history");
     }
@@ -33,9 +32,9 @@
       return ExitCode.DONE;
     }
     console
-        .out()
+        .err()
         .printf(
-            "# revision %d, based on %d, by %s: %s%n",
+            "revision %d, based on %d, by %s: %s%n",
             configuration.revision(),
             configuration.base(),
             configuration.author(),
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/DeclarationFiles.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/DeclarationFiles.java
@@ -28,12 +28,8 @@
     StringBuilder text = new StringBuilder();
     for (IniSource source : sources) {
       String content = new String(source.content(), StandardCharsets.UTF_8);
-      text.append(content.lines().map(String::stripTrailing).reduce("", DeclarationFiles::join));
+      content.lines().forEach(line -> text.append(line.stripTrailing()).append('\n'));
     }
     return text.toString();
   }
-
-  private static String join(String text, String line) {
-    return text + line + "\n";
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/JsonText.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/JsonText.java
@@ -81,7 +81,7 @@
   }
 
   private static String cell(String name, JsonNode value) {
-    if (value.isMissingNode() || value.isNull() || value.isContainerNode() && value.isEmpty()) {
+    if (value.isMissingNode() || value.isNull() || (value.isContainerNode() && value.isEmpty())) {
       return EMPTY;
     }
     if (value.isArray()) {
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/OperatorCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/OperatorCommand.java
@@ -9,6 +9,7 @@
 import org.fescuehook.cli.client.EntryClient;
 import org.fescuehook.cli.client.EntryUnreachableException;
 import org.fescuehook.cli.client.Response;
+import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Option;
 
 /** A command that goes to the operators' port of an entry VM. */
@@ -27,7 +28,7 @@
       name = "--token-file",
       metaVar = "FILE",
       usage = "file with the operators' token; else the variable " + TOKEN_VARIABLE)
-  private String tokenFile = "";
+  private @Nullable String tokenFile;
 
   @Option(name = "--format", usage = "form of the result")
   private Format format = Format.TEXT;
@@ -61,7 +62,7 @@
   }
 
   private Optional<String> token(Console console) throws CommandException {
-    if (tokenFile.isEmpty()) {
+    if (tokenFile == null) {
       return Optional.ofNullable(console.environment().get(TOKEN_VARIABLE));
     }
     try {
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ResultWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ResultWriter.java
@@ -14,9 +14,11 @@
   }
 
   void write(JsonNode document) {
-    switch (format) {
-      case JSON -> console.out().println(document.toPrettyString());
-      case TEXT -> console.out().print(JsonText.write(document));
-    }
+    String text =
+        switch (format) {
+          case JSON -> document.toPrettyString() + "\n";
+          case TEXT -> JsonText.write(document);
+        };
+    console.out().print(text);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/SubmitCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/SubmitCommand.java
@@ -6,6 +6,7 @@
 import org.fescuehook.cli.client.EntryClient;
 import org.fescuehook.cli.client.EntryUnreachableException;
 import org.fescuehook.cli.client.Response;
+import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
@@ -49,7 +50,7 @@
       name = "--request-id",
       metaVar = "ID",
       usage = "id of this submission; submitting again with it gives the same job")
-  private String requestId = UUID.randomUUID().toString();
+  private @Nullable String requestId;
 
   @Argument(metaVar = "COMMAND", required = true, usage = "what the workers run, as one argument")
   private String command = "";
@@ -57,6 +58,7 @@
   @Override
   ExitCode run(Console console, EntryClient client)
       throws CommandException, EntryUnreachableException {
+    requestId = requestId == null ? UUID.randomUUID().toString() : requestId;
     Submission submission =
         new Submission(
             organisation,
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/ConditionWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/ConditionWriter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import org.fescuehook.logic.ini.Durations;
+import org.fescuehook.logic.ini.Values;
 import org.fescuehook.model.rule.Condition;
 
 /** Writes conditions as {@link ConditionParser} reads them. */
@@ -25,7 +26,8 @@
       case Condition.Urgent(boolean urgent) -> "urgent=" + urgent;
       case Condition.MinuteOfDayBetween(int from, int until) ->
           "time=" + clock(from) + "-" + clock(until);
-      case Condition.LoadBetween(double least, double most) -> "load=" + least + "-" + most;
+      case Condition.LoadBetween(double least, double most) ->
+          "load=" + share(least) + "-" + share(most);
     };
   }
 
@@ -33,6 +35,10 @@
     return seconds == 0 ? "0s" : Durations.format(Duration.ofSeconds(seconds));
   }
 
+  private static String share(double share) {
+    return Values.decimal(0, 1).writer().apply(share);
+  }
+
   private static String clock(int minute) {
     return "%02d:%02d".formatted(minute / 60, minute % 60);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsComparison.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsComparison.java
@@ -113,8 +113,10 @@
     if (names.size() == 1) {
       return kind + " " + names.getFirst();
     }
-    String shown = String.join(", ", names.subList(0, Math.min(NAMES_SHOWN, names.size())));
-    String more = names.size() > NAMES_SHOWN ? " to " + names.getLast() : "";
-    return names.size() + " " + kind + "s " + shown + more;
+    if (names.size() <= NAMES_SHOWN) {
+      return names.size() + " " + kind + "s " + String.join(", ", names);
+    }
+    return "%d %ss %s, %s ... %s"
+        .formatted(names.size(), kind, names.getFirst(), names.get(1), names.getLast());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/GuaranteeChecks.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/GuaranteeChecks.java
@@ -49,9 +49,11 @@
       return;
     }
     String room =
-        shape.maxRacks() == 0
-            ? "the fleet"
-            : "the largest " + Descriptions.plural(shape.maxRacks(), "rack");
+        switch (shape.maxRacks()) {
+          case 0 -> "the fleet";
+          case 1 -> "the largest rack";
+          default -> "the largest " + shape.maxRacks() + " racks";
+        };
     String problem =
         "needs %s at once; %s can hold %d"
             .formatted(Descriptions.plural(shape.members(), "member"), room, fit);
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/IniParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/IniParser.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -57,7 +58,7 @@
         faults.add(repeatedSection(header.place(), first));
         continue;
       }
-      List<IniEntry> entries = entries(nodes.get(name), header.keys(), faults);
+      List<IniEntry> entries = entries(Optional.ofNullable(nodes.get(name)), header.keys(), faults);
       sections.add(new IniSection(header.place(), entries));
     }
     return sections;
@@ -77,7 +78,8 @@
     return configuration.getNodeModel().getInMemoryRepresentation();
   }
 
-  private static List<IniEntry> entries(ImmutableNode node, List<Place> keys, List<Fault> faults) {
+  private static List<IniEntry> entries(
+      Optional<ImmutableNode> node, List<Place> keys, List<Fault> faults) {
     List<IniEntry> entries = new ArrayList<>();
     Set<String> seen = new HashSet<>();
     for (Place key : keys) {
@@ -85,18 +87,23 @@
         faults.add(new Fault(key, "", "is given twice in this section", "one value for each key"));
         continue;
       }
-      entries.add(new IniEntry(key, value(node, key.key())));
+      Optional<String> value = node.flatMap(section -> value(section, key.key()));
+      if (value.isEmpty()) {
+        faults.add(new Fault(key, "", "cannot be read", "a plain key = value"));
+        continue;
+      }
+      entries.add(new IniEntry(key, value.get()));
     }
     return entries;
   }
 
-  private static String value(ImmutableNode section, String key) {
+  private static Optional<String> value(ImmutableNode section, String key) {
     for (ImmutableNode child : section.getChildren()) {
       if (child.getNodeName().equals(key)) {
-        return String.valueOf(child.getValue());
+        return Optional.of(String.valueOf(child.getValue()));
       }
     }
-    return "";
+    return Optional.empty();
   }
 
   private static Fault repeatedSection(Place header, Place first) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/LineScan.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/LineScan.java
@@ -35,14 +35,12 @@
   }
 
   private void scan(String text) {
-    boolean continued = false;
     int number = 0;
     for (String raw : text.lines().toList()) {
       number++;
-      String line = raw.strip();
-      boolean continuation = continued;
-      continued = line.equals("\\") || line.endsWith(" \\");
-      if (continuation || line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
+      // the same blanks as the INI library cuts off
+      String line = raw.trim();
+      if (line.isEmpty() || line.startsWith("#") || line.startsWith(";")) {
         continue;
       }
       if (line.startsWith("[") && line.endsWith("]")) {
@@ -62,11 +60,22 @@
       faults.add(new Fault(place, "", "\"" + line + "\" is no key with a value", "key = value"));
       return;
     }
-    Place key = place.withKey(line.substring(0, separator).strip());
+    Place key = place.withKey(line.substring(0, separator).trim());
     if (headers.isEmpty()) {
       faults.add(new Fault(key, "", "stands before any section", "a [section] line above it"));
       return;
     }
     headers.getLast().keys().add(key);
+    scanValue(key, line.substring(separator + 1).trim());
+  }
+
+  /** Refuses what the INI library would read as more or less than the line shows. */
+  private void scanValue(Place key, String value) {
+    if (value.endsWith("\\")) {
+      faults.add(new Fault(key, value, "goes on in the next line", "each value on one line"));
+    }
+    if (value.startsWith("\"") || value.startsWith("'")) {
+      faults.add(new Fault(key, value, "begins with a quote", "the value without quotes"));
+    }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/SectionReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/SectionReader.java
@@ -45,7 +45,8 @@
     try {
       return Optional.of(key.type().reader().read(text));
     } catch (MalformedValueException e) {
-      faults.add(new Fault(place(key), text, e.getMessage(), key.type().accepted()));
+      faults.add(
+          new Fault(place(key), key.type().shown(text), e.getMessage(), key.type().accepted()));
       return Optional.empty();
     }
   }
@@ -69,9 +70,14 @@
         .orElse(section.place().withKey(key.name()));
   }
 
+  /** Tells whether the section gives the key. */
+  public boolean gives(Key<?> key) {
+    return section.entry(key.name()).isPresent();
+  }
+
   /** Adds a fault at a key. */
   public void fault(Key<?> key, String problem, String accepted) {
     String value = section.entry(key.name()).map(IniEntry::value).orElse("");
-    faults.add(new Fault(place(key), value, problem, accepted));
+    faults.add(new Fault(place(key), key.type().shown(value), problem, accepted));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/ValueType.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/ValueType.java
@@ -8,8 +8,22 @@
  * @param accepted what is accepted, for messages and documents
  * @param reader reads a value from text
  * @param writer writes a value as text that the reader accepts
+ * @param confidential whether messages hide the value
  */
-public record ValueType<T>(String accepted, Reader<T> reader, Function<T, String> writer) {
+public record ValueType<T>(
+    String accepted, Reader<T> reader, Function<T, String> writer, boolean confidential) {
+
+  private static final String HIDDEN = "***";
+
+  /** Creates a type whose values are shown in messages. */
+  public ValueType(String accepted, Reader<T> reader, Function<T, String> writer) {
+    this(accepted, reader, writer, false);
+  }
+
+  /** Returns the text as messages show it. */
+  public String shown(String text) {
+    return confidential && !text.isEmpty() ? HIDDEN : text;
+  }
 
   /** Reads values. */
   @FunctionalInterface
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
@@ -36,8 +36,7 @@
   /** Returns the type of bearer tokens. */
   public static ValueType<Optional<String>> secret() {
     String accepted = "at least " + LEAST_SECRET + " printable characters without spaces";
-    return new ValueType<>(
-        accepted, Values::parseSecret, token -> token.isEmpty() ? "none" : "***");
+    return new ValueType<>(accepted, Values::parseSecret, token -> token.orElse("none"), true);
   }
 
   private static String requireName(String text) throws MalformedValueException {
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsChecks.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsChecks.java
@@ -51,9 +51,9 @@
     }
     String times = factor == 1 ? "" : factor + " times ";
     String problem =
-        "%s is not above %s%s.%s (%s)"
+        "%sis not above %s%s.%s (%s)"
             .formatted(
-                Durations.format(value.get()),
+                unlessGiven(key),
                 times,
                 other.section(),
                 other.name(),
@@ -69,11 +69,15 @@
     }
     String most = Durations.format(bound.get());
     String problem =
-        "%s is above %s.%s (%s)"
-            .formatted(Durations.format(value.get()), other.section(), other.name(), most);
+        "%sis above %s.%s (%s)".formatted(unlessGiven(key), other.section(), other.name(), most);
     values.fault(key, problem, "a duration of at most " + most);
   }
 
+  /** Returns the default of a key that is not given, since the message shows no value then. */
+  private String unlessGiven(Key<Duration> key) {
+    return values.given(key) ? "" : "its default " + Durations.format(values.get(key)) + " ";
+  }
+
   private void checkPortsDiffer() {
     for (int i = 0; i < LISTENING.size(); i++) {
       for (int j = i + 1; j < LISTENING.size(); j++) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsValues.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsValues.java
@@ -39,6 +39,11 @@
     return find(key).orElseThrow();
   }
 
+  /** Tells whether the file gives the key. */
+  boolean given(Key<?> key) {
+    return readers.get(key).gives(key);
+  }
+
   /** Adds a fault at a key. */
   void fault(Key<?> key, String problem, String accepted) {
     readers.get(key).fault(key, problem, accepted);
