--- a/fescuehook/src/main/java/org/fescuehook/logic/rule/Extent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/rule/Extent.java
@@ -51,7 +51,7 @@
       case Condition.OfOrganisation(var id) ->
           new Extent(
               Optional.of(id),
-              organisationsClash || organisation.isPresent() && !organisation.get().equals(id),
+              organisationsClash || (organisation.isPresent() && !organisation.get().equals(id)),
               accelerators,
               declaredSeconds,
               load,
@@ -120,7 +120,7 @@
         || declaredSeconds.isEmpty()
         || load.isEmpty()
         || noMinute
-        || !whenUrgent && !whenNotUrgent;
+        || (!whenUrgent && !whenNotUrgent);
   }
 
   boolean contains(Extent other) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Entitlements.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Entitlements.java
@@ -27,7 +27,9 @@
     }
   }
 
-  /** One guaranteed shape: as many slots as it has members, each with what is not yet used of it. */
+  /**
+   * One guaranteed shape: as many slots as it has members, each with what is not yet used of it.
+   */
   static final class Copy {
     final int number;
     final OrganisationId organisation;
@@ -128,7 +130,7 @@
 
   private static boolean isAdjacentEnough(Copy copy, Shape shape) {
     boolean oneWorker = copy.shape.members() == 1;
-    return oneWorker || copy.shape.maxRacks() > 0 && copy.shape.maxRacks() <= shape.maxRacks();
+    return oneWorker || (copy.shape.maxRacks() > 0 && copy.shape.maxRacks() <= shape.maxRacks());
   }
 
   private static Optional<List<Part>> cover(List<Copy> copies, Shape shape) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
@@ -62,6 +62,8 @@
     return true;
   }
 
+  // The cache is by identity: comparing declarations of 810 workers would cost more than a plan.
+  @SuppressWarnings("ReferenceEquality")
   private Known known(Declarations declarations) {
     if (known.isPresent() && known.get().declarations() == declarations) {
       return known.get();
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -39,7 +39,7 @@
     return startNow(candidate, covered.get(), own, avoid)
         || startElsewhere(candidate, covered.get(), avoid)
         || awaitStops(candidate, covered.get(), own, avoid)
-        || parts.reclaim() && reclaim(candidate, covered.get(), own, avoid);
+        || (parts.reclaim() && reclaim(candidate, covered.get(), own, avoid));
   }
 
   private boolean startNow(
@@ -83,8 +83,7 @@
       Candidate candidate, List<Entitlements.Part> covered, Room own, boolean[] avoid) {
     Job job = candidate.job();
     Optional<Selection> selection =
-        new VictimSelector(state.index())
-            .select(job.shape(), state.soon(), own, avoid, victims());
+        new VictimSelector(state.index()).select(job.shape(), state.soon(), own, avoid, victims());
     if (selection.isEmpty()) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
@@ -36,6 +36,7 @@
    * @param loop event loop that is preferred
    * @param freshNanos longest time since the last sign of life
    */
+  @SuppressWarnings("ReferenceEquality") // event loops have identity, not value
   Optional<ExecutorConnection> take(EventLoop loop, long freshNanos) {
     long now = System.nanoTime();
     Optional<ExecutorConnection> found = Optional.empty();
