--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIn.java
@@ -81,6 +81,10 @@
     return book.leases().size();
   }
 
+  synchronized int heldBack() {
+    return heldBack.size();
+  }
+
   private synchronized void handle(Exchange exchange) {
     if (faults.frozen()) {
       heldBack.add(exchange);
--- a/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIns.java
+++ b/standins/src/main/java/org/fescuehook/standins/worker/WorkerStandIns.java
@@ -32,9 +32,14 @@
    */
   public record Fleet(int first, int count, Resources each, long usageLagMillis) {}
 
-  /** Counts of the workers; {@code events} counts what is still in the journal. */
+  /**
+   * Counts of the workers.
+   *
+   * @param heldBack calls that wait for a frozen worker
+   * @param events what is still in the journal
+   */
   public record Stats(
-      int workers, int leases, Map<WorkerEvent.Kind, Integer> events, long dropped) {}
+      int workers, int leases, int heldBack, Map<WorkerEvent.Kind, Integer> events, long dropped) {}
 
   /**
    * Starts workers.
@@ -100,7 +105,8 @@
     Map<WorkerEvent.Kind, Integer> events = new EnumMap<>(WorkerEvent.Kind.class);
     journal().forEach(e -> events.merge(e.kind(), 1, Integer::sum));
     int leases = workers.values().stream().mapToInt(WorkerStandIn::leases).sum();
-    return new Stats(workers.size(), leases, events, journal.dropped());
+    int heldBack = workers.values().stream().mapToInt(WorkerStandIn::heldBack).sum();
+    return new Stats(workers.size(), leases, heldBack, events, journal.dropped());
   }
 
   @Override
