--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/Main.java
@@ -0,0 +1,30 @@
+package org.fescuehook.cli;
+
+import org.fescuehook.cli.command.CommandException;
+import org.fescuehook.cli.command.Console;
+import org.fescuehook.cli.command.ExitCode;
+import org.fescuehook.entry.EntryProcess;
+import org.fescuehook.entry.ParsedDeclarations;
+import org.fescuehook.logic.scheduling.GuaranteeScheduler;
+import org.fescuehook.model.preferences.EntryPreferences;
+
+/** Entry point of the program. */
+public final class Main {
+
+  private Main() {}
+
+  /** Runs the command that the arguments name and ends the process with its exit code. */
+  public static void main(String[] arguments) {
+    Console console = new Console(System.out, System.err, System.getenv());
+    System.exit(new CommandRunner(Main::runEntry).run(arguments, console).code());
+  }
+
+  private static ExitCode runEntry(EntryPreferences preferences) throws CommandException {
+    int code =
+        new EntryProcess(preferences, new GuaranteeScheduler(), new ParsedDeclarations()).run();
+    if (code != EntryProcess.EXIT_STOPPED) {
+      throw new CommandException(ExitCode.INTERNAL, "the entry VM did not start");
+    }
+    return ExitCode.DONE;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclaredItems.java
@@ -0,0 +1,98 @@
+package org.fescuehook.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.logic.ini.IniDocument;
+import org.fescuehook.logic.ini.IniSection;
+import org.fescuehook.model.configuration.Declarations;
+import org.fescuehook.model.configuration.PolicyPreferences;
+import org.fescuehook.model.fleet.Executor;
+import org.fescuehook.model.fleet.Fleet;
+import org.fescuehook.model.fleet.Worker;
+import org.fescuehook.model.organisation.GuaranteedShape;
+import org.fescuehook.model.organisation.Organisation;
+import org.fescuehook.model.rule.Condition;
+import org.fescuehook.model.rule.Rule;
+
+/** Items of the declarations with their sections, and the faults of form, while they are read. */
+final class DeclaredItems {
+
+  private final IniDocument document;
+  private final List<Placed<Organisation>> organisations = new ArrayList<>();
+  private final List<Placed<GuaranteedShape>> guarantees = new ArrayList<>();
+  private final List<Placed<Rule>> rules = new ArrayList<>();
+  private final List<Placed<List<Condition>>> conditions = new ArrayList<>();
+  private final List<Placed<Worker>> workers = new ArrayList<>();
+  private final List<Placed<Executor>> executors = new ArrayList<>();
+  private final List<Fault> faults;
+  private PolicyPreferences policy = PolicyPreferences.DEFAULT;
+
+  DeclaredItems(IniDocument document) {
+    this.document = document;
+    this.faults = new ArrayList<>(document.faults());
+  }
+
+  IniDocument document() {
+    return document;
+  }
+
+  List<Placed<Organisation>> organisations() {
+    return organisations;
+  }
+
+  List<Placed<GuaranteedShape>> guarantees() {
+    return guarantees;
+  }
+
+  List<Placed<Rule>> rules() {
+    return rules;
+  }
+
+  /** Returns the conditions of all rules, also of those whose decision has a fault. */
+  List<Placed<List<Condition>>> conditions() {
+    return conditions;
+  }
+
+  List<Placed<Worker>> workers() {
+    return workers;
+  }
+
+  List<Placed<Executor>> executors() {
+    return executors;
+  }
+
+  /** Returns the faults of form; readers add to it. */
+  List<Fault> faults() {
+    return faults;
+  }
+
+  void declarePolicy(PolicyPreferences declared) {
+    policy = declared;
+  }
+
+  /** Tells whether a section of one of these kinds has a fault. */
+  boolean faulty(List<String> kinds) {
+    return document.sections().stream()
+        .filter(section -> kinds.contains(section.kind()))
+        .map(IniSection::name)
+        .anyMatch(name -> faults.stream().anyMatch(fault -> fault.place().section().equals(name)));
+  }
+
+  /** Returns the items in their documented order. */
+  Declarations toDeclarations() {
+    return new Declarations(
+        values(organisations, Comparator.comparing(Organisation::id)),
+        values(guarantees, Comparator.comparing(GuaranteedShape::name)),
+        values(rules, Comparator.comparing(Rule::number)),
+        new Fleet(
+            values(workers, Comparator.comparing(Worker::id)),
+            values(executors, Comparator.comparing(Executor::id))),
+        policy);
+  }
+
+  private static <T> List<T> values(List<Placed<T>> items, Comparator<T> order) {
+    return items.stream().map(Placed::value).sorted(order).toList();
+  }
+}
