--- a/standins/src/test/java/org/fescuehook/standins/StandInLoops.java
+++ b/standins/src/test/java/org/fescuehook/standins/StandInLoops.java
@@ -5,6 +5,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /** Event loops and addresses of a test. */
 public final class StandInLoops implements AutoCloseable {
@@ -19,6 +21,17 @@
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
   }
 
+  /** Waits for what another thread does; fails after a long time. */
+  public static void await(BooleanSupplier condition) {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("the awaited state was not reached");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
   @Override
   public void close() {
     group.shutdownGracefully();
--- a/standins/src/test/java/org/fescuehook/standins/executor/ExecutorStandInsTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/executor/ExecutorStandInsTest.java
@@ -46,9 +46,7 @@
   void requestBeyondTheSlotsIsRefusedAndNotInTheJournal() throws Exception {
     client.getLater("/sleep?ms=60000");
     client.getLater("/sleep?ms=60000");
-    while (stats().running() < SLOTS) {
-      Thread.onSpinWait();
-    }
+    StandInLoops.await(() -> stats().running() >= SLOTS);
 
     var refused = client.get("/echo");
 
@@ -64,9 +62,7 @@
     for (int i = 0; i < CONNECTIONS; i++) {
       open[i] = new Socket(address.getAddress(), address.getPort());
     }
-    while (stats().openConnections() < CONNECTIONS) {
-      Thread.onSpinWait();
-    }
+    StandInLoops.await(() -> stats().openConnections() >= CONNECTIONS);
 
     try (Socket extra = new Socket(address.getAddress(), address.getPort())) {
       assertEquals(-1, extra.getInputStream().read());
--- a/standins/src/test/java/org/fescuehook/standins/log/LogStandInTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/log/LogStandInTest.java
@@ -67,9 +67,7 @@
   void waitingReadIsAnsweredByTheFirstAppend() throws Exception {
     var waiting = client.getLater(RECORDS + "?from=0&wait-ms=3600000");
 
-    while (log.stats().reads() == 0) {
-      Thread.onSpinWait();
-    }
+    StandInLoops.await(() -> log.stats().reads() != 0);
     client.post(RECORDS, "a");
 
     assertEquals(200, waiting.orTimeout(20, TimeUnit.SECONDS).join().statusCode());
--- a/standins/src/test/java/org/fescuehook/standins/worker/WorkerStandInsTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/worker/WorkerStandInsTest.java
@@ -8,14 +8,12 @@
 import org.fescuehook.standins.StandInClient;
 import org.fescuehook.standins.StandInLoops;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 class WorkerStandInsTest {
   private static final String GRANT =
       "{\"key\":\"j.1/0\",\"accelerators\":2,\"cores\":4,\"memoryMegabytes\":1024,\"ttlMs\":100}";
 
   @Test
-  @Timeout(20)
   void thawedWorkerLetsLapseWhatWasDueBeforeItAnswers() throws Exception {
     AtomicLong clock = new AtomicLong();
     var fleet = new WorkerStandIns.Fleet(1, 1, new Resources(8, 64, 4096), 0);
@@ -25,9 +23,7 @@
       String lease = client.post("/leases", GRANT).body().replaceAll(".*:\"|\"}", "");
       workers.apply(frozen());
       var renewal = client.postLater("/renewals", "{\"leases\":[\"" + lease + "\"],\"ttlMs\":100}");
-      while (workers.stats().heldBack() == 0) {
-        Thread.onSpinWait();
-      }
+      StandInLoops.await(() -> workers.stats().heldBack() != 0);
       clock.set(1000);
       workers.apply(WorkerFaults.NONE);
 
