--- a/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
@@ -30,6 +30,7 @@
   private final Capacity capacity;
   private final LongSupplier clock;
   private final Map<String, Lease> leases = new LinkedHashMap<>();
+  final List<String> started = new ArrayList<>();
   private int lastLease;
   boolean refusing;
   boolean dead;
@@ -78,6 +79,7 @@
     Lease lease = leases.get(start.lease());
     if (lease != null && lease.state == LeaseState.HELD) {
       lease.state = LeaseState.RUNNING;
+      started.add(start.attempt());
       lease.job = start.job();
       lease.attempt = start.attempt();
       lease.command = start.command();
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -0,0 +1,187 @@
+package org.fescuehook.logic.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.fescuehook.logic.control.VirtualCluster.SendFault;
+import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.preferences.ControlPreferences;
+import org.fescuehook.wire.AttemptResult;
+import org.fescuehook.wire.StopReason;
+import org.junit.jupiter.api.Test;
+
+class GangTest {
+  private static final ControlPreferences PREFERENCES = ControlPreferences.DEFAULT;
+
+  @Test
+  void aNewOwnerStartsTheMembersThatADeadOwnerDidNotReach() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm old = s.owner();
+    s.cluster.sendFault =
+        (vm, c) ->
+            vm == old && c instanceof WorkerCommand.Start start && start.member() > 0
+                ? SendFault.COMMAND_LOST
+                : SendFault.NONE;
+    JobId job = s.submit(4, "finish 30");
+    s.until(5, "one member runs", x -> x.running(job) == 1);
+    s.cluster.kill(old);
+    s.until(6, "all members run", x -> x.running(job) == 4);
+    assertEquals("FINISHED", s.result(job, 60));
+    assertEquals(1, s.job(job).attempt().number());
+  }
+
+  @Test
+  void anAttemptThatADeadOwnerDidNotCommitNeverStartsAndIsTriedAgain() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm old = s.owner();
+    s.cluster.sendFault =
+        (vm, c) ->
+            vm == old && c instanceof WorkerCommand.Grant ? SendFault.REPLY_LOST : SendFault.NONE;
+    JobId job = s.submit(2, "finish 5");
+    s.until(2, "planned", x -> x.job(job).live());
+    s.cluster.kill(old);
+    assertEquals("FINISHED", s.result(job, 60));
+    assertTrue(s.job(job).facts().getNeverStarted() >= 1);
+    assertEquals(0, s.sent(old, WorkerCommand.Start.class));
+  }
+
+  @Test
+  void whenAWorkerDiesTheOthersStopWithinRenewalIntervalPlusLeaseAndTheJobRunsAgain() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(3, "finish 200");
+    s.untilRunning(job);
+    s.run(60);
+    s.cluster.workers.get(TestDeclarations.worker(1)).die();
+    assertEquals("FINISHED", s.result(job, 600));
+    long bound = PREFERENCES.leaseTtl().plus(PREFERENCES.renewInterval()).toNanos();
+    long part = s.invariants.longestPartNanos;
+    System.out.printf("worker dead: part gang for %d ms%n", part / VirtualCluster.MILLI);
+    assertTrue(part <= bound, () -> part / VirtualCluster.MILLI + " ms");
+    assertEquals(2, s.job(job).attempt().number());
+  }
+
+  @Test
+  void whenALeaseLapsedTheOthersAreReleasedAtTheNextRenewal() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(3, "finish 200");
+    s.untilRunning(job);
+    s.run(60);
+    FakeWorker worker = s.cluster.workers.get(TestDeclarations.worker(1));
+    worker.die();
+    worker.dead = false;
+    s.until(9, "no member runs", x -> x.running(job) == 0);
+    assertEquals("FINISHED", s.result(job, 300));
+  }
+
+  @Test
+  void aCancellationInTheStartLeavesNoTaskAndNoLease() {
+    for (int millis = 0; millis < 60; millis += 2) {
+      Scenario s = new Scenario(3, 4);
+      JobId job = s.submit(4, "finish 60");
+      s.cluster.run(Duration.ofMillis(millis));
+      s.cancel(job);
+      assertEquals("CANCELLED", s.result(job, 30));
+      s.run(1);
+      assertEquals(0, s.held(), "leases after a cancellation at " + millis + " ms");
+    }
+  }
+
+  @Test
+  void aStopWhoseReplyIsLostEndsOnlyByTheWorkersWord() {
+    Scenario s = new Scenario(3, 2);
+    JobId first = s.submit(2, "finish 600");
+    s.untilRunning(first);
+    s.cluster.sendFault =
+        (vm, c) ->
+            c instanceof WorkerCommand.Release ? SendFault.REPLY_LOST : SendFault.NONE;
+    s.cancel(first);
+    s.run(10);
+    assertTrue(s.job(first).live(), "ended without the word of the workers");
+    s.cluster.sendFault = (vm, c) -> SendFault.NONE;
+    assertEquals("CANCELLED", s.result(first, 5));
+  }
+
+  @Test
+  void aGangThatAWorkerRefusesIsTriedElsewhere() {
+    Scenario s = new Scenario(3, 4);
+    s.cluster.workers.get(TestDeclarations.worker(0)).refusing = true;
+    JobId job = s.submit(3, "finish 5");
+    assertEquals("FINISHED", s.result(job, 20));
+    assertEquals(2, s.job(job).attempt().number());
+    assertFalse(s.job(job).workers().contains(TestDeclarations.worker(0)));
+    assertEquals(0, s.held());
+  }
+
+  @Test
+  void aBorrowerIsAskedForACheckpointBeforeItIsStopped() {
+    Scenario s = new Scenario(3, 2);
+    JobId job = s.submit(2, "finish 100");
+    s.untilRunning(job);
+    s.run(20);
+    s.cluster.scheduler.reclaim.add(s.job(job).attempt());
+    s.until(5, "the attempt ended", x -> x.job(job).facts().hasEnded());
+    JobState ended = s.job(job);
+    assertEquals(AttemptResult.ATTEMPT_RESULT_STOPPED, ended.facts().getEnded().getResult());
+    assertTrue(ended.facts().getEnded().getCheckpointed());
+    assertTrue(ended.facts().getKeptSeconds() >= 19, () -> "" + ended.facts().getKeptSeconds());
+  }
+
+  @Test
+  void aBorrowerThatIgnoresTheCheckpointIsStoppedAfterItsNotice() {
+    Scenario s = new Scenario(3, 2);
+    s.cluster.workers.get(TestDeclarations.worker(1)).ignoresCheckpoint = true;
+    JobId job = s.submit(2, "finish 100");
+    s.untilRunning(job);
+    s.cluster.scheduler.reclaim.add(s.job(job).attempt());
+    s.run(4);
+    assertTrue(s.job(job).stopping());
+    s.until(3, "the attempt ended", x -> x.job(job).facts().hasEnded());
+    assertFalse(s.job(job).facts().getEnded().getCheckpointed());
+  }
+
+  @Test
+  void aFailedMemberStopsTheGangAndTheJobIsGivenUpAfterItsAttempts() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(1, "fail 3");
+    assertEquals("FAILED", s.result(job, 120));
+    assertEquals(3, s.job(job).facts().getFailures());
+    assertEquals(
+        StopReason.STOP_REASON_MEMBER_FAILED, s.job(job).facts().getEnded().getReason());
+  }
+
+  @Test
+  void aFinishedGangIsNotRunAgainWhenTheOwnerDiesBeforeTheEndIsInTheLog() {
+    for (int millis = 0; millis < 1200; millis += 40) {
+      Scenario s = new Scenario(3, 2);
+      JobId job = s.submit(2, "finish 20");
+      s.untilRunning(job);
+      s.run(19);
+      s.cluster.run(Duration.ofMillis(millis));
+      s.cluster.kill(s.owner());
+      assertEquals("FINISHED", s.result(job, 30));
+      assertEquals(1, s.job(job).attempt().number(), "owner killed after " + millis + " ms");
+    }
+  }
+
+  @Test
+  void aJobOnASilentWorkerIsNotStartedAgainWhileACutOwnerMayRenewIt() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(1, "finish 3000");
+    s.untilRunning(job);
+    VirtualVm old = s.owner();
+    old.cutFromLog = true;
+    old.cutFromPeers = true;
+    s.cluster.sendFault = (vm, c) -> vm == old ? SendFault.NONE : SendFault.COMMAND_LOST;
+    s.run(600);
+    assertEquals(1, s.running(job), "the cut owner renews");
+    assertEquals(1, s.job(job).attempt().number());
+    old.cutFromLog = false;
+    old.cutFromPeers = false;
+    s.cluster.sendFault = (vm, c) -> SendFault.NONE;
+    s.until(60, "stopped", x -> x.job(job).attempt().number() == 2 || x.job(job).waiting());
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
@@ -0,0 +1,170 @@
+package org.fescuehook.logic.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.VirtualCluster.AppendFault;
+import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.wire.ControlRecord;
+import org.junit.jupiter.api.Test;
+
+class OwnershipTest {
+
+  @Test
+  void aDeadOwnerIsReplacedWithinThreeSeconds() {
+    List<Long> millis = new ArrayList<>();
+    for (int offset = 0; offset < 20; offset++) {
+      Scenario s = new Scenario(7, 2);
+      s.cluster.run(java.time.Duration.ofMillis(37L * offset));
+      long died = s.cluster.now();
+      s.cluster.kill(s.owner());
+      s.until(10, "a new owner decides", x -> x.cluster.owner().isPresent());
+      millis.add((s.cluster.now() - died) / VirtualCluster.MILLI);
+    }
+    Collections.sort(millis);
+    System.out.printf("take-over: least %d, median %d, most %d ms of virtual time%n",
+        millis.getFirst(), millis.get(millis.size() / 2), millis.getLast());
+    assertTrue(millis.getLast() < 3000, () -> "take-over times " + millis);
+  }
+
+  @Test
+  void anOwnerThatHandsOverIsReplacedAtOnce() {
+    Scenario s = new Scenario(3, 2);
+    VirtualVm old = s.owner();
+    s.cluster.answer(old, new Request.HandOver());
+    s.until(1, "another VM owns", x -> x.cluster.owner().filter(vm -> vm != old).isPresent());
+    s.run(30);
+    assertNotEquals(old, s.owner());
+  }
+
+  @Test
+  void ofTwoClaimantsTheFirstInTheLogOwnsAndTheOtherWritesNoDecision() {
+    Scenario s = new Scenario(3, 2);
+    VirtualVm old = s.owner();
+    s.cluster.vms.forEach(vm -> vm.cutFromPeers = true);
+    s.run(1);
+    s.cluster.kill(old);
+    s.run(4);
+    List<VirtualVm> claimants =
+        s.cluster.vms.stream()
+            .filter(vm -> vm != old && !s.appends(vm, ControlRecord::hasOwnerClaim).isEmpty())
+            .toList();
+    assertEquals(2, claimants.size());
+    assertEquals(1, s.cluster.vms.stream().filter(vm -> !vm.dead && vm.core.owner()).count());
+    VirtualVm loser = claimants.stream().filter(vm -> !vm.core.owner()).findFirst().orElseThrow();
+    assertTrue(s.appends(loser, r -> r.getEpochPlusOne() != 0).isEmpty());
+  }
+
+  @Test
+  void aPausedOwnerThatWakesAfterATakeOverHarmsNoGang() {
+    Scenario s = new Scenario(3, 2);
+    JobId first = s.submit(2, "finish 300");
+    s.untilRunning(first);
+    VirtualVm old = s.owner();
+    s.cluster.pause(old);
+    s.until(10, "take-over", x -> x.cluster.vms.stream().anyMatch(vm -> vm != old && vm.core.owner()));
+    s.cancel(first);
+    assertEquals("CANCELLED", s.result(first, 10));
+    JobId second = s.submit(2, "finish 60");
+    s.untilRunning(second);
+    int sent = old.sent.size();
+    int appended = old.appended.size();
+    s.cluster.wake(old);
+    s.run(5);
+    assertFalse(old.core.owner());
+    assertEquals(sent, old.sent.size(), "commands of the woken VM");
+    assertEquals(appended, old.appended.size(), "appends of the woken VM");
+    assertEquals("FINISHED", s.result(second, 70));
+    assertEquals(1, s.job(second).attempt().number());
+  }
+
+  @Test
+  void aStopThatAPausedOwnerSendsAfterATakeOverDoesNotCount() {
+    Scenario s = new Scenario(3, 2);
+    JobId job = s.submit(2, "finish 60");
+    s.untilRunning(job);
+    VirtualVm old = s.owner();
+    s.cluster.scheduler.reclaim.add(s.job(job).attempt());
+    s.until(5, "stop appended", x -> !x.appends(old, ControlRecord::hasAttemptStopping).isEmpty());
+    s.cluster.pause(old);
+    s.cluster.scheduler.reclaim.clear();
+    assertFalse(s.job(job).stopping());
+    s.run(10);
+    s.cluster.wake(old);
+    assertEquals("FINISHED", s.result(job, 70));
+    assertEquals(1, s.job(job).attempt().number());
+  }
+
+  @Test
+  void aVmThatDoesNotUnderstandTheOwnersDecisionsDoesNotClaim() {
+    Scenario s = new Scenario(2, 2);
+    VirtualVm old = s.owner();
+    byte[] newer =
+        ControlRecord.newBuilder()
+            .setVersion(99)
+            .setWriter(old.id.value())
+            .setIncarnation("newer")
+            .setSequence(1)
+            .setEpochPlusOne(s.invariants.observer().epoch() + 1)
+            .build()
+            .toByteArray();
+    s.cluster.log.append(newer, VirtualCluster.WALL_START);
+    s.run(1);
+    s.cluster.kill(old);
+    s.run(20);
+    VirtualVm other = s.cluster.vms.get(1);
+    assertTrue(s.appends(other, ControlRecord::hasOwnerClaim).stream().allMatch(
+        r -> r.getOwnerClaim().getBasedOnEpochPlusOne() == 0));
+    assertTrue(other.notes.stream().anyMatch(note -> note.startsWith("NEWER_RECORD")));
+  }
+
+  @Test
+  void damagedAndForeignRecordsAreSkippedAndCounted() {
+    Scenario s = new Scenario(2, 2);
+    s.cluster.log.append(new byte[] {(byte) 0xff, 1, 2, 3}, VirtualCluster.WALL_START);
+    s.cluster.log.append(new byte[0], VirtualCluster.WALL_START);
+    s.run(1);
+    assertEquals(2, s.owner().core.summary().skippedRecords());
+    assertEquals("FINISHED", s.result(s.submit(1, "finish 1"), 20));
+  }
+
+  @Test
+  void anIdleOwnerAppendsItsHeartbeatAndOthersNothing() {
+    Scenario s = new Scenario(7, 2);
+    s.run(30);
+    long before = s.cluster.log.next();
+    s.run(60);
+    double perSecond = (s.cluster.log.next() - before) / 60.0;
+    System.out.printf("idle: %.2f appends per second over 7 VMs%n", perSecond);
+    assertTrue(perSecond <= 2.1, () -> perSecond + " appends per second");
+  }
+
+  @Test
+  void aSlowLogMakesNoTakeOverWhileTheOwnerIsHeard() {
+    Scenario s = new Scenario(3, 2);
+    VirtualVm old = s.owner();
+    s.cluster.appendMillis = 2500;
+    s.run(60);
+    assertEquals(old, s.owner());
+  }
+
+  @Test
+  void aClaimWhoseReplyIsLostIsNotTakenForAFailure() {
+    Scenario s = new Scenario(2, 2);
+    s.cluster.appendFault =
+        (vm, r) -> r.hasOwnerClaim() ? AppendFault.REPLY_LOST : AppendFault.NONE;
+    s.cluster.kill(s.owner());
+    s.run(10);
+    VirtualVm owner = s.owner();
+    assertEquals(1, s.appends(owner, r -> r.hasOwnerClaim()).stream()
+        .filter(r -> r.getOwnerClaim().getBasedOnEpochPlusOne() != 0).count());
+    assertEquals(0, s.sent(owner, WorkerCommand.Start.class));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
@@ -0,0 +1,75 @@
+package org.fescuehook.logic.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.fescuehook.model.job.JobId;
+import org.junit.jupiter.api.Test;
+
+class SnapshotTest {
+
+  @Test
+  void aReaderThatStartsAtASnapshotHoldsTheStateOfTheWholeLog() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(2, "finish 900");
+    s.result(s.submit(1, "finish 5"), 30);
+    s.run(700);
+    s.cluster.log.dropUntil(lastCovered(s));
+    VirtualVm fresh = s.cluster.addVm("fresh");
+    s.run(5);
+    assertTrue(fresh.core.summary().current());
+    s.invariants.checkSameState();
+    assertEquals("FINISHED", s.result(job, 400));
+  }
+
+  @Test
+  void aSnapshotIsPublishedBeforeRetentionTakesTheLastOne() {
+    Scenario s = new Scenario(3, 4);
+    s.run(100);
+    s.cluster.log.dropUntil(10);
+    s.run(20);
+    assertTrue(lastCovered(s) > 10);
+    VirtualVm fresh = s.cluster.addVm("fresh");
+    s.run(5);
+    assertTrue(fresh.core.summary().current());
+    s.invariants.checkSameState();
+  }
+
+  @Test
+  void aSnapshotWithAGapBehindItIsNotUsedAndItsReaderDecidesNothing() {
+    Scenario s = new Scenario(2, 4);
+    s.run(100);
+    s.cluster.log.dropUntil(10);
+    s.run(20);
+    s.cluster.vms.forEach(vm -> s.cluster.kill(vm));
+    s.cluster.log.dropUntil(lastCovered(s) + 1);
+    VirtualVm fresh = s.cluster.addVm("fresh");
+    s.run(60);
+    assertFalse(fresh.core.summary().current());
+    assertTrue(fresh.appended.isEmpty());
+  }
+
+  @Test
+  void aVmThatWokeAfterItsRecordsVanishedGoesOnFromASnapshot() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm vm = s.standBy();
+    s.cluster.pause(vm);
+    vm.backlog.clear();
+    s.run(700);
+    s.cluster.log.dropUntil(lastCovered(s));
+    s.cluster.wake(vm);
+    s.run(5);
+    assertTrue(vm.core.summary().current());
+    s.invariants.checkSameState();
+  }
+
+  private static long lastCovered(Scenario s) {
+    return s.cluster.vms.stream()
+        .flatMap(vm -> vm.appended.stream())
+        .filter(r -> r.hasSnapshotPart())
+        .mapToLong(r -> r.getSnapshotPart().getCoversUntil())
+        .max()
+        .orElseThrow();
+  }
+}
