Readiness: a VM without a share of the executors' slots is not ready

Cause: a VM restarted during an outage of the log was ready by the configuration of a peer, and refused every short request for want of slots; seen end to end.

--- a/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
@@ -21,6 +21,7 @@
 import org.fescuehook.net.caller.RequestPath;
 import org.fescuehook.net.duty.DutyRing;
 import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.SlotShares;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -157,12 +158,17 @@
       case ControlCommand.Reply reply -> answer(reply.ticket(), reply.answer());
       case ControlCommand.ConfigurationInForce inForce ->
           configuration.offer(inForce.configuration(), "log");
-      case ControlCommand.SharesInForce shares -> requests.sharesInForce(shares.shares());
+      case ControlCommand.SharesInForce inForce -> share(inForce.shares());
       case ControlCommand.Note note -> EventLog.info(LOGGER, note.event(), note.arguments());
       case ControlCommand.Count count -> meters.counter(count.name(), count.tags()).increment();
     }
   }
 
+  private void share(SlotShares shares) {
+    requests.sharesInForce(shares);
+    state.shared(shares);
+  }
+
   private void append(ControlRecord record) {
     long sequence = record.getSequence();
     boolean taken =
--- a/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
@@ -86,7 +86,7 @@
     MembershipPreferences membership = preferences.membership();
     this.decisions = new DecisionRing(preferences.control().tick(), meters);
     this.configuration = new ConfigurationKeeper(this::configurationInForce);
-    this.state = new VmState(membership, configuration);
+    this.state = new VmState(preferences.identity().vm(), membership, configuration);
     this.appends =
         new LogAppendRing("log-append", APPEND_RING_SIZE, log(), PLATFORM_TIMEOUT, meters);
     PeerAnswers answers = new PeerAnswers(state, configuration, reader, this::outcome);
--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.membership.Readiness.NotReady;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.MembershipPreferences;
+import org.fescuehook.wire.SlotShares;
 
 /**
  * What the threads of this VM know of its contact to the log and to peers. Each field has one
@@ -19,6 +20,7 @@
  */
 final class VmState {
 
+  private final VmId self;
   private final MembershipPreferences preferences;
   private final Readiness readiness;
   private final ConfigurationKeeper configuration;
@@ -30,9 +32,11 @@
   private volatile boolean caughtUp;
   private volatile boolean draining;
   private volatile boolean halted;
+  private volatile boolean hasSlots;
   private volatile long controlNext;
 
-  VmState(MembershipPreferences preferences, ConfigurationKeeper configuration) {
+  VmState(VmId self, MembershipPreferences preferences, ConfigurationKeeper configuration) {
+    this.self = self;
     this.preferences = preferences;
     this.readiness = new Readiness(preferences.staleAfter());
     this.configuration = configuration;
@@ -70,6 +74,13 @@
     controlNext = next;
   }
 
+  /** Takes the shares of executors' slots in force. */
+  void shared(SlotShares shares) {
+    hasSlots =
+        shares.getSharesList().stream()
+            .anyMatch(share -> share.getVm().equals(self.value()) && share.getSlots() > 0);
+  }
+
   /** Notes that the end of the control stream was reached. */
   void reachedEnd() {
     caughtUp = true;
@@ -141,10 +152,18 @@
     Readiness.Facts facts =
         new Readiness.Facts(
             configuration.current().isPresent(),
+            hasSlots || !executorsDeclared(),
             caughtUp,
             logContactNanos,
             peerContactNanos,
             behindSinceNanos);
     return readiness.judge(facts, System.nanoTime()).map(NotReady::slug);
   }
+
+  private boolean executorsDeclared() {
+    return configuration
+        .current()
+        .map(current -> !current.declarations().fleet().executors().isEmpty())
+        .orElse(false);
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
@@ -26,6 +26,9 @@
     if (!facts.configured) {
       return Optional.of(NotReady.NO_CONFIGURATION);
     }
+    if (!facts.slots) {
+      return Optional.of(NotReady.NO_SLOTS);
+    }
     boolean logContact = recent(facts.logContactNanos, nowNanos);
     if (!facts.caughtUp && logContact) {
       return Optional.of(NotReady.CATCHING_UP);
@@ -49,6 +52,8 @@
     DRAINING("draining"),
     /** It has no configuration. */
     NO_CONFIGURATION("no-configuration"),
+    /** It has no share of the executors' slots, or does not know its share. */
+    NO_SLOTS("no-slots"),
     /** It reads the log and has not reached the end yet. */
     CATCHING_UP("catching-up"),
     /** It hears neither the log nor a peer. */
@@ -72,6 +77,7 @@
    * What the verdict depends on. Times are monotonic nanoseconds.
    *
    * @param configured whether a configuration is in force
+   * @param slots whether it has a share of executors' slots, or no executor is declared
    * @param caughtUp whether the reader of the control stream has reached its end since the start
    * @param logContactNanos when the log last answered
    * @param peerContactNanos when a peer was last heard: one that reaches the log keeps this VM
@@ -80,6 +86,7 @@
    */
   public record Facts(
       boolean configured,
+      boolean slots,
       boolean caughtUp,
       OptionalLong logContactNanos,
       OptionalLong peerContactNanos,
--- a/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
@@ -8,13 +8,14 @@
 import org.fescuehook.model.configuration.Declarations;
 import org.fescuehook.model.configuration.PolicyPreferences;
 import org.fescuehook.model.fleet.Fleet;
+import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.MembershipPreferences;
 import org.junit.jupiter.api.Test;
 
 class VmStateTest {
 
   private final ConfigurationKeeper keeper = new ConfigurationKeeper(configuration -> {});
-  private final VmState state = new VmState(MembershipPreferences.DEFAULT, keeper);
+  private final VmState state = new VmState(new VmId("entry-1"), MembershipPreferences.DEFAULT, keeper);
 
   @Test
   void aVmThatBeganItsStopIsUnreadyAtOnceAndStillDoesItsWork() {
--- a/fescuehook/src/test/java/org/fescuehook/logic/membership/ReadinessTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/membership/ReadinessTest.java
@@ -23,11 +23,18 @@
 
   @Test
   void aVmWithoutConfigurationIsNotReady() {
-    Facts facts = new Facts(false, true, secondsAgo(0), secondsAgo(0), NEVER);
+    Facts facts = new Facts(false, true, true, secondsAgo(0), secondsAgo(0), NEVER);
 
     assertEquals(Optional.of(NotReady.NO_CONFIGURATION), judge(facts));
   }
 
+  @Test
+  void aVmWithoutAShareOfTheExecutorsSlotsIsNotReady() {
+    Facts facts = new Facts(true, false, true, secondsAgo(0), secondsAgo(0), NEVER);
+
+    assertEquals(Optional.of(NotReady.NO_SLOTS), judge(facts));
+  }
+
   @Test
   void aVmThatStillReadsOldRecordsIsNotReady() {
     assertEquals(
@@ -66,7 +73,7 @@
 
   private static Facts facts(
       boolean caughtUp, OptionalLong logContact, OptionalLong peerContact, OptionalLong behind) {
-    return new Facts(true, caughtUp, logContact, peerContact, behind);
+    return new Facts(true, true, caughtUp, logContact, peerContact, behind);
   }
 
   private static OptionalLong secondsAgo(long seconds) {
