--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimBatcher.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimBatcher.java
@@ -87,6 +87,13 @@
     return inFlight;
   }
 
+  /** Returns how many outcomes and releases are not known to be in the log. */
+  int unrecorded() {
+    int begun =
+        inFlight.map(record -> record.getOutcomesCount() + record.getReleasesCount()).orElse(0);
+    return begun + outcomes.size() + releases.size();
+  }
+
   private boolean isEmpty() {
     return claims.isEmpty() && outcomes.isEmpty() && releases.isEmpty();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimDesk.java
@@ -68,12 +68,21 @@
   }
 
   private static RequestKey key(OpenRequest request) {
+    return key(request.facts);
+  }
+
+  private static RequestKey key(RequestFacts facts) {
     return RequestKey.newBuilder()
-        .setOrganisation(request.facts.organisation().value())
-        .setRequestId(request.facts.requestId().orElseThrow())
+        .setOrganisation(facts.organisation().value())
+        .setRequestId(facts.requestId().orElseThrow())
         .build();
   }
 
+  /** Tells whether the request's id is claimed. */
+  boolean knows(RequestFacts facts) {
+    return book.find(key(facts)).isPresent();
+  }
+
   /**
    * Takes a request with an id.
    *
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchCore.java
@@ -74,6 +74,7 @@
           requests
               .find(ended.ticket())
               .ifPresent(request -> slots.ended(request, ended.end(), ended.tookMillis(), now));
+      case DispatchEvent.PathSuspected suspected -> slots.pathSuspected(suspected.executor());
       case DispatchEvent.PathChecked checked ->
           slots.pathChecked(checked.executor(), checked.reachable(), now);
       case DispatchEvent.Configured configured -> configured(configured.configuration());
@@ -95,8 +96,10 @@
   }
 
   private void arrived(long ticket, RequestFacts facts) {
+    // What is known of an id is told whatever the load: a refusal as not run would mislead.
+    boolean known = facts.claimed() && claims.knows(facts);
     Optional<RefusalReason> refusal = refusal(facts);
-    if (refusal.isPresent()) {
+    if (refusal.isPresent() && !known) {
       requests.refuseUnopened(ticket, refusal.get(), detail(refusal.get()));
       return;
     }
@@ -218,6 +221,11 @@
         : RefusalReason.DEADLINE_BEFORE_DISPATCH;
   }
 
+  /** Returns how many outcomes and releases are not yet known to be in the log. */
+  public int unrecorded() {
+    return batcher.unrecorded();
+  }
+
   /** Returns the connections that may be opened to each executor. */
   public Map<ExecutorId, Integer> connectionLimits() {
     return executors.connectionLimits();
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchEvent.java
@@ -22,6 +22,9 @@
   /** A dispatch ended. */
   record DispatchEnded(long ticket, DispatchEnd end, long tookMillis) implements DispatchEvent {}
 
+  /** A pooled connection to an executor gave no sign of life. */
+  record PathSuspected(ExecutorId executor) implements DispatchEvent {}
+
   /** A fresh connection to an executor was tried. */
   record PathChecked(ExecutorId executor, boolean reachable) implements DispatchEvent {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/HealthWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/HealthWatch.java
@@ -49,6 +49,14 @@
     }
   }
 
+  /** Has a fresh connection tried, since a pooled one gave no sign of life. */
+  void suspected(ExecutorId executor) {
+    boolean begun = executors.health(executor).map(ExecutorHealth::beginCheck).orElse(false);
+    if (begun) {
+      out.accept(new DispatchCommand.CheckPath(executor));
+    }
+  }
+
   /** Takes the result of trying a fresh connection. */
   void checked(ExecutorId executor, boolean reachable, long nowMillis) {
     Optional<ExecutorHealth> health = executors.health(executor);
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ServiceTime.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ServiceTime.java
@@ -15,11 +15,11 @@
     seen = Math.min(ENOUGH, seen + 1);
   }
 
-  /** Returns the expected wait behind so many requests, in milliseconds; 0 while unknown. */
-  double waitMillis(double ahead, int slots) {
+  /** Returns the expected time until so many requests have ended; 0 while unknown. */
+  double millis(double requests, int slots) {
     if (seen < ENOUGH || slots == 0) {
       return 0;
     }
-    return ahead * meanMillis / slots;
+    return requests * meanMillis / slots;
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/SlotDispatcher.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/SlotDispatcher.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.dispatch;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -7,6 +8,7 @@
 import org.fescuehook.logic.dispatch.DispatchEnd.FailureKind;
 import org.fescuehook.logic.dispatch.DispatchEnd.NotSentCause;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.organisation.OrganisationId;
 import org.fescuehook.model.preferences.RequestPreferences;
 import org.fescuehook.model.request.RefusalReason;
 
@@ -49,7 +51,7 @@
     this.normal = new FairQueue(preferences.queueLength());
   }
 
-  void weigh(java.util.Map<org.fescuehook.model.organisation.OrganisationId, Double> weights) {
+  void weigh(Map<OrganisationId, Double> weights) {
     urgent.weigh(weights);
     normal.weigh(weights);
   }
@@ -64,11 +66,12 @@
     if (slots == 0) {
       return Optional.of(RefusalReason.NO_EXECUTOR);
     }
-    double waitMillis = serviceTime.waitMillis(queue.ahead(facts.organisation()), slots);
-    if (nowMillis + waitMillis > facts.deadlineMillis()) {
-      return Optional.of(RefusalReason.NO_EXECUTOR);
+    if (executors.hasFree(facts.urgent(), nowMillis)) {
+      return Optional.empty();
     }
-    return Optional.empty();
+    double ends = queue.ahead(facts.organisation()) + 1;
+    boolean late = nowMillis + serviceTime.millis(ends, slots) > facts.deadlineMillis();
+    return late ? Optional.of(RefusalReason.NO_EXECUTOR) : Optional.empty();
   }
 
   private FairQueue queue(RequestFacts facts) {
@@ -258,6 +261,11 @@
     }
   }
 
+  /** Takes that a pooled connection gave no sign of life. */
+  void pathSuspected(ExecutorId executor) {
+    health.suspected(executor);
+  }
+
   /** Takes the result of trying a fresh connection. */
   void pathChecked(ExecutorId executor, boolean reachable, long nowMillis) {
     health.checked(executor, reachable, nowMillis);
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/CommandPerformer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CommandPerformer.java
@@ -9,6 +9,7 @@
 import org.fescuehook.logic.dispatch.DispatchCommand;
 import org.fescuehook.logic.dispatch.DispatchEvent;
 import org.fescuehook.logic.dispatch.OutcomeFetcher;
+import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.platform.LogAppender;
 import org.fescuehook.net.executor.ExecutorClient;
 import org.fescuehook.net.executor.ExecutorRequest;
@@ -110,10 +111,7 @@
       case DispatchCommand.CloseIdle close -> executors.closeIdle(close.executor());
       case DispatchCommand.CountRetry retry -> metrics.retried(retry.reason());
       case DispatchCommand.Count count -> metrics.count(count.name(), count.tags());
-      case DispatchCommand.Note note ->
-          LOGGER.info(
-              "{} " + note.event().format(),
-              NumberedArguments.of(note.event().number(), note.arguments()));
+      case DispatchCommand.Note note -> EventLog.info(LOGGER, note.event(), note.arguments());
     }
   }
 
@@ -138,6 +136,7 @@
             pass.facts().repeatable(),
             TimeUnit.MILLISECONDS.toNanos(pass.facts().deadlineMillis()),
             send.progressMillis(),
+            false,
             pass.facts().claimed() ? KEPT_BYTES : 0);
     PassingListener listener =
         new PassingListener(
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.fescuehook.logic.dispatch.DispatchEvent;
 import org.fescuehook.logic.dispatch.RequestEvent;
+import org.fescuehook.logic.event.EventLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -121,7 +122,7 @@
         handler.accept(event);
       } catch (RuntimeException e) {
         metrics.count("fescuehook.requests.unexpected");
-        LOGGER.error(RequestEvent.UNEXPECTED.format(), event.getClass().getSimpleName(), e);
+        EventLog.error(LOGGER, RequestEvent.UNEXPECTED, event.getClass().getSimpleName(), e);
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -15,6 +16,7 @@
 import org.fescuehook.logic.dispatch.OutcomeFetcher;
 import org.fescuehook.logic.dispatch.OwnOutcomes;
 import org.fescuehook.logic.dispatch.RequestEvent;
+import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.platform.LogAppender;
 import org.fescuehook.model.configuration.Configuration;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -44,7 +46,9 @@
   private final CommandPerformer performer;
   private final DispatchCore core;
   private final DispatchThread thread;
+  private final Duration probeInterval;
   private final AtomicLong tickets = new AtomicLong();
+  private volatile int unrecorded;
   private volatile Optional<RefusalReason> closedBecause = Optional.of(RefusalReason.NOT_READY);
 
   /**
@@ -65,6 +69,7 @@
       MeterRegistry metrics,
       InetSocketAddress serviceAddress) {
     this.loops = loops;
+    this.probeInterval = preferences.probeInterval();
     this.serviceAddress = serviceAddress;
     this.metrics = new RequestMetrics(metrics);
     this.parser = new ServiceRequestParser(preferences);
@@ -87,10 +92,7 @@
    */
   public InetSocketAddress start() throws ServicePortException {
     InetSocketAddress address = server.start(serviceAddress);
-    LOGGER.info(
-        "{} " + RequestEvent.SERVICE_PORT_OPEN.format(),
-        RequestEvent.SERVICE_PORT_OPEN.number(),
-        address);
+    EventLog.info(LOGGER, RequestEvent.SERVICE_PORT_OPEN, address);
     return address;
   }
 
@@ -103,11 +105,19 @@
       default -> {}
     }
     core.handle(event, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
-    if (event instanceof DispatchEvent.Shared) {
-      executors.limitConnections(core.connectionLimits());
+    unrecorded = core.unrecorded();
+    switch (event) {
+      case DispatchEvent.Shared _ -> executors.limitConnections(core.connectionLimits());
+      case DispatchEvent.Tick _ -> executors.probe(probeInterval, this::suspect);
+      default -> {}
     }
   }
 
+  /** Takes that a connection to an executor gave no sign of life; called on event loops. */
+  private void suspect(ExecutorId executor) {
+    thread.deliver(new DispatchEvent.PathSuspected(executor), loops.next());
+  }
+
   /** Takes a whole request of a caller, on its event loop. */
   private void received(CallerExchange exchange) {
     boolean handedOn = false;
@@ -205,15 +215,12 @@
   /** Accepts nothing new, answers what is in flight, and asks callers to close. */
   public void drain() {
     server.drain();
-    LOGGER.info(
-        "{} " + RequestEvent.SERVICE_PORT_DRAINING.format(),
-        RequestEvent.SERVICE_PORT_DRAINING.number(),
-        inFlight());
+    EventLog.info(LOGGER, RequestEvent.SERVICE_PORT_DRAINING, inFlight());
   }
 
-  /** Returns the requests accepted and not yet answered. */
+  /** Returns the requests not yet answered, and the outcomes not yet known to be in the log. */
   public int inFlight() {
-    return Math.max(metrics.inFlight().get(), performer.openRequests());
+    return Math.max(metrics.inFlight().get(), performer.openRequests()) + unrecorded;
   }
 
   /** Closes all connections at once. */
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/Exchange.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/Exchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -72,12 +73,12 @@
             request.method(),
             request.uri(),
             request.body().retainedDuplicate(),
-            request.headers().copy(),
+            new DefaultHttpHeaders().add(request.headers()),
             DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
     message
         .headers()
         .set(ExecutorHeaders.REQUEST_TOKEN, request.token())
-        .set(ExecutorHeaders.REQUEST_DEADLINE, TimeUnit.NANOSECONDS.toMillis(leftNanos))
+        .set(ExecutorHeaders.REQUEST_DEADLINE, statedMillis(leftNanos))
         .set(ExecutorHeaders.ORGANISATION, request.organisation().value())
         .set(ExecutorHeaders.REPEATABLE, request.repeatable());
     boolean bodyExpected = request.body().isReadable() || takesBody(request.method());
@@ -87,6 +88,10 @@
     return message;
   }
 
+  private long statedMillis(long leftNanos) {
+    return request.probe() ? 0 : TimeUnit.NANOSECONDS.toMillis(leftNanos);
+  }
+
   private static boolean takesBody(HttpMethod method) {
     return method.equals(HttpMethod.POST)
         || method.equals(HttpMethod.PUT)
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorClient.java
@@ -11,10 +11,13 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fescuehook.logic.dispatch.DispatchEnd;
@@ -30,6 +33,9 @@
   /** Longest silence of a pooled connection that carries a request which cannot be retried. */
   static final long FRESH_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Longest time for the answer to a probe. */
+  static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private static final InetSocketAddress UNKNOWN_ADDRESS =
       InetSocketAddress.createUnresolved("unknown", 0);
 
@@ -38,6 +44,9 @@
   private final ExchangeCounters counters;
   private final Map<ExecutorId, ExecutorPool> pools = new HashMap<>();
   private final Map<ExecutorId, Integer> limits = new HashMap<>();
+  // Filled by event loops, emptied by the dispatch thread.
+  private final Queue<SentRequest> alive = new ConcurrentLinkedQueue<>();
+  private long probes;
 
   /** Creates the client; connections are opened when needed. */
   public ExecutorClient(EventLoopGroup loops, MeterRegistry metrics) {
@@ -137,6 +146,38 @@
     }
   }
 
+  /**
+   * Probes the connections that have been silent for so long. Those that answered the last time go
+   * back to their pools.
+   *
+   * @param dead hears, on an event loop, of an executor whose connection did not answer
+   */
+  public void probe(Duration silence, Consumer<ExecutorId> dead) {
+    for (SentRequest probe = alive.poll(); probe != null; probe = alive.poll()) {
+      putBack(probe);
+    }
+    pools.forEach((id, pool) -> probe(id, pool, silence.toNanos(), dead));
+  }
+
+  private void probe(
+      ExecutorId executor, ExecutorPool pool, long silentNanos, Consumer<ExecutorId> dead) {
+    for (ExecutorConnection connection : pool.takeSilent(silentNanos)) {
+      SentRequest sent = new SentRequest(pool);
+      sent.writtenTo(connection);
+      probes++;
+      ExecutorRequest request =
+          ExecutorRequest.probe("probe-" + probes, System.nanoTime() + PROBE_NANOS);
+      connection.send(
+          request,
+          new ProbeListener(
+              () -> alive.add(sent),
+              () -> {
+                counters.probeFailed().increment();
+                dead.accept(executor);
+              }));
+    }
+  }
+
   /** Takes back the connection of a dispatch that ended. */
   public void putBack(SentRequest sent) {
     sent.connection().ifPresent(connection -> sent.pool().putBack(connection));
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
@@ -49,7 +49,7 @@
       if (now - connection.lastReadNanos() > freshNanos) {
         continue;
       }
-      if (connection.channel().eventLoop() == loop) {
+      if (connection.channel().eventLoop().equals(loop)) {
         connections.remove();
         return Optional.of(connection);
       }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ProbeListener.java
@@ -0,0 +1,37 @@
+package org.fescuehook.net.executor;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpResponse;
+import org.fescuehook.logic.dispatch.DispatchEnd;
+
+/** Judges a connection by the answer to a probe. */
+final class ProbeListener implements AnswerListener {
+  private final Runnable alive;
+  private final Runnable dead;
+
+  ProbeListener(Runnable alive, Runnable dead) {
+    this.alive = alive;
+    this.dead = dead;
+  }
+
+  @Override
+  public void onHead(HttpResponse head, AnswerFlow flow) {
+    // Any whole answer will do.
+  }
+
+  @Override
+  public void onContent(HttpContent content) {
+    content.release();
+  }
+
+  @Override
+  public void onEnd(DispatchEnd end, long executorNanos) {
+    switch (end) {
+      case DispatchEnd.Answered _, DispatchEnd.RefusedNotRun _ -> alive.run();
+      case DispatchEnd.Failed _ -> dead.run();
+      case DispatchEnd.NotSent _ -> {
+        // The executor closed it in the meantime; that is no silence.
+      }
+    }
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/RawCaller.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/RawCaller.java
@@ -74,8 +74,8 @@
     socket.getOutputStream().write(bytes);
   }
 
-  /** Reads one answer; one without a head has status 0. */
-  Answer read() throws IOException {
+  /** Reads the head of an answer. */
+  Answer readHead() throws IOException {
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     String first = line();
     if (first.isEmpty()) {
@@ -85,7 +85,17 @@
       int colon = field.indexOf(':');
       headers.put(field.substring(0, colon), field.substring(colon + 1).trim());
     }
-    int status = Integer.parseInt(first.split(" ")[1]);
+    return new Answer(Integer.parseInt(first.split(" ")[1]), headers, "", true);
+  }
+
+  /** Reads one answer; one without a head has status 0. */
+  Answer read() throws IOException {
+    Answer head = readHead();
+    if (head.status() == 0) {
+      return head;
+    }
+    Map<String, String> headers = head.headers();
+    int status = head.status();
     if ("chunked".equals(headers.get("Transfer-Encoding"))) {
       return chunked(status, headers);
     }
