--- a/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
@@ -132,8 +132,7 @@
       halt(read.record().offset(), fault);
       return;
     }
-    EventLog.error(
-        LOGGER, EntryEvent.DECISION_FAULT, event.getClass().getSimpleName(), fault);
+    EventLog.error(LOGGER, EntryEvent.DECISION_FAULT, event.getClass().getSimpleName(), fault);
     if (event instanceof ControlEvent.Asked asked) {
       answer(asked.ticket(), notReady("the decision core met a fault"));
     }
@@ -171,8 +170,7 @@
 
   private void append(ControlRecord record) {
     long sequence = record.getSequence();
-    boolean taken =
-        log.offer(STREAM, record.toByteArray(), result -> appended(sequence, result));
+    boolean taken = log.offer(STREAM, record.toByteArray(), result -> appended(sequence, result));
     if (!taken) {
       followUps.add(new ControlEvent.AppendFailed(sequence, true));
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
@@ -201,7 +201,10 @@
     InetSocketAddress peer =
         open("bind peer port", wanted.peer(), () -> peerServer.start(wanted.peer()));
     InetSocketAddress operator =
-        open("bind operators' port", wanted.operator(), () -> operatorServer.start(wanted.operator()));
+        open(
+            "bind operators' port",
+            wanted.operator(),
+            () -> operatorServer.start(wanted.operator()));
     InetSocketAddress service = open("bind service port", wanted.service(), this::startRequests);
     return new EntryAddresses(service, peer, operator);
   }
@@ -276,8 +279,7 @@
   }
 
   private List<RepeatingDuty> duties(ListDuty listDuty) {
-    LogTail control =
-        new LogTail(log(), "control", new ControlSink(decisions, state), meters);
+    LogTail control = new LogTail(log(), "control", new ControlSink(decisions, state), meters);
     LogTail claims = new LogTail(log(), "requests", new RequestSink(requests), meters);
     return List.of(
         new RepeatingDuty("log-read-control", control::step),
--- a/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
@@ -28,10 +28,7 @@
   private final CountDownLatch cut = new CountDownLatch(1);
 
   GracefulStop(
-      MembershipPreferences preferences,
-      VmState state,
-      RequestPath requests,
-      ControlPort control) {
+      MembershipPreferences preferences, VmState state, RequestPath requests, ControlPort control) {
     this.preferences = preferences;
     this.state = state;
     this.requests = requests;
--- a/fescuehook/src/main/java/org/fescuehook/entry/ListDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/ListDuty.java
@@ -120,8 +120,7 @@
     InetAddress host = NetUtil.createInetAddressFromIpAddressString(member.host());
     if (host == null) {
       meters.counter("fescuehook.list.without.address").increment();
-      EventLog.warn(
-          LOGGER, PlatformEvent.MEMBER_WITHOUT_ADDRESS, member.name(), member.host());
+      EventLog.warn(LOGGER, PlatformEvent.MEMBER_WITHOUT_ADDRESS, member.name(), member.host());
       return Optional.empty();
     }
     return Optional.of(new InetSocketAddress(host, member.port()));
--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -74,7 +74,8 @@
     }
     current = Optional.of(exchange);
     loop.schedule(
-        () -> fail(exchange, new TimeoutException("no answer within " + timeout.toMillis() + " ms")),
+        () ->
+            fail(exchange, new TimeoutException("no answer within " + timeout.toMillis() + " ms")),
         timeout.toMillis(),
         TimeUnit.MILLISECONDS);
     if (channel.isPresent() && channel.get().isActive()) {
--- a/fescuehook/src/main/java/org/fescuehook/net/operator/OperatorRouter.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/operator/OperatorRouter.java
@@ -51,7 +51,8 @@
   void route(
       HttpMethod method, QueryStringDecoder target, String body, Consumer<OperatorAnswer> sink) {
     String path = target.path();
-    if (path.equals("/drain") || (path.equals("/configuration") && method.equals(HttpMethod.POST))) {
+    if (path.equals("/drain")
+        || (path.equals("/configuration") && method.equals(HttpMethod.POST))) {
       change(method, path, body, sink);
       return;
     }
@@ -71,8 +72,7 @@
     }
   }
 
-  private void change(
-      HttpMethod method, String path, String body, Consumer<OperatorAnswer> sink) {
+  private void change(HttpMethod method, String path, String body, Consumer<OperatorAnswer> sink) {
     if (!method.equals(HttpMethod.POST)) {
       sink.accept(OperatorAnswer.error(BAD_METHOD, "method", "use POST"));
       return;
@@ -212,8 +212,7 @@
   private OperatorAnswer published(Answer answer) {
     return switch (answer) {
       case Answer.Published published ->
-          OperatorAnswer.json(
-              OK, mapper.createObjectNode().put("revision", published.revision()));
+          OperatorAnswer.json(OK, mapper.createObjectNode().put("revision", published.revision()));
       case Answer.Conflict conflict ->
           OperatorAnswer.json(
               CONFLICT,
--- a/fescuehook/src/main/java/org/fescuehook/net/peer/PeerLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerLink.java
@@ -203,15 +203,13 @@
       return;
     }
     switch (message.getBodyCase()) {
-      case HEARTBEAT ->
-          listener.heard(PeerReports.of(greeted.get(), message.getHeartbeat()));
+      case HEARTBEAT -> listener.heard(PeerReports.of(greeted.get(), message.getHeartbeat()));
       case OUTCOME_REPLY ->
           resolve(message.getOutcomeReply().getQuery(), Optional.of(message.getOutcomeReply()));
       case CONFIGURATION_REPLY -> listener.configurationReceived(message.getConfigurationReply());
       case REFUSED -> refusedBy(message.getRefused().getReason());
       case BODY_NOT_SET -> {}
-      case HELLO, OUTCOME_QUERY, CONFIGURATION_QUERY ->
-          down("unexpected " + message.getBodyCase());
+      case HELLO, OUTCOME_QUERY, CONFIGURATION_QUERY -> down("unexpected " + message.getBodyCase());
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/net/peer/PeerLinks.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerLinks.java
@@ -83,8 +83,7 @@
     if (known != null && known.address().equals(address)) {
       return;
     }
-    links.put(
-        peer, new PeerLink(loops.next(), peer, address, hello, timeout, listener));
+    links.put(peer, new PeerLink(loops.next(), peer, address, hello, timeout, listener));
     if (known != null) {
       known.close();
     }
--- a/fescuehook/src/main/java/org/fescuehook/net/peer/PeerServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerServer.java
@@ -99,8 +99,7 @@
       channels.add(channel);
       PeerPipeline.assemble(
           channel.pipeline(),
-          new PeerServerHandler(
-              PeerServer.this, identity, incarnation, silence, listener));
+          new PeerServerHandler(PeerServer.this, identity, incarnation, silence, listener));
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/net/peer/PeerServerHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/peer/PeerServerHandler.java
@@ -117,8 +117,7 @@
   }
 
   private void outcome(ChannelHandlerContext context, OutcomeQuery query) {
-    OutcomeReply reply =
-        listener.outcome(query.getKey()).orElse(OutcomeReply.getDefaultInstance());
+    OutcomeReply reply = listener.outcome(query.getKey()).orElse(OutcomeReply.getDefaultInstance());
     context.writeAndFlush(
         PeerMessage.newBuilder()
             .setOutcomeReply(reply.toBuilder().setQuery(query.getQuery()))
--- a/fescuehook/src/main/java/org/fescuehook/net/platform/HttpLogService.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/platform/HttpLogService.java
@@ -42,8 +42,7 @@
   @Override
   public long append(String stream, byte[] data) throws LogUnavailableException {
     String step = "append " + stream;
-    HttpCall call =
-        new HttpCall(HttpMethod.POST, "/streams/" + stream + "/records", OCTETS, data);
+    HttpCall call = new HttpCall(HttpMethod.POST, "/streams/" + stream + "/records", OCTETS, data);
     JsonNode offset = parse(step, call(step, call, timeout), true).path("offset");
     if (!offset.isIntegralNumber()) {
       throw unavailable(step, true, new IOException("answer without an offset"));
--- a/fescuehook/src/main/java/org/fescuehook/net/worker/WorkerCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/worker/WorkerCodec.java
@@ -34,8 +34,7 @@
   HttpCall encode(WorkerCommand command) {
     return switch (command) {
       case WorkerCommand.Grant grant -> post("/leases", grantBody(grant));
-      case WorkerCommand.Start start ->
-          post(lease(start.lease(), "/start"), startBody(start));
+      case WorkerCommand.Start start -> post(lease(start.lease(), "/start"), startBody(start));
       case WorkerCommand.Renew renew -> post("/renewals", renewBody(renew));
       case WorkerCommand.Checkpoint checkpoint ->
           post(lease(checkpoint.lease(), "/checkpoint"), mapper.createObjectNode());
@@ -69,8 +68,7 @@
   }
 
   private WorkerReply granted(
-      WorkerId worker, WorkerCommand.Grant grant, HttpResult.Answered answer)
-      throws IOException {
+      WorkerId worker, WorkerCommand.Grant grant, HttpResult.Answered answer) throws IOException {
     if (answer.status() == CONFLICT) {
       return new WorkerReply.GrantRefused(worker, grant.key(), errorOf(answer));
     }
@@ -83,8 +81,7 @@
   }
 
   private WorkerReply renewed(
-      WorkerId worker, WorkerCommand.Renew renew, HttpResult.Answered answer)
-      throws IOException {
+      WorkerId worker, WorkerCommand.Renew renew, HttpResult.Answered answer) throws IOException {
     requireSuccess(answer);
     JsonNode body = mapper.readTree(answer.body());
     List<State> states = new ArrayList<>();
@@ -146,8 +143,7 @@
   }
 
   private HttpCall post(String target, ObjectNode body) {
-    return HttpCall.json(
-        HttpMethod.POST, target, body.toString().getBytes(StandardCharsets.UTF_8));
+    return HttpCall.json(HttpMethod.POST, target, body.toString().getBytes(StandardCharsets.UTF_8));
   }
 
   private static String lease(String lease, String action) {
--- a/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
@@ -15,7 +15,8 @@
 class VmStateTest {
 
   private final ConfigurationKeeper keeper = new ConfigurationKeeper(configuration -> {});
-  private final VmState state = new VmState(new VmId("entry-1"), MembershipPreferences.DEFAULT, keeper);
+  private final VmState state =
+      new VmState(new VmId("entry-1"), MembershipPreferences.DEFAULT, keeper);
 
   @Test
   void aVmThatBeganItsStopIsUnreadyAtOnceAndStillDoesItsWork() {
--- a/fescuehook/src/test/java/org/fescuehook/logic/membership/PeerTableTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/membership/PeerTableTest.java
@@ -24,8 +24,7 @@
 
   @Test
   void onlyPeersThatSaySoReachTheLog() {
-    PeerTable table =
-        PeerTable.EMPTY.heard(report(A, 1, true), 0).heard(report(B, 1, false), 0);
+    PeerTable table = PeerTable.EMPTY.heard(report(A, 1, true), 0).heard(report(B, 1, false), 0);
 
     assertEquals(Set.of(A, B), table.alive(TIMEOUT, 0));
     assertEquals(Set.of(A), table.reachingLog(TIMEOUT, 0));
@@ -33,16 +32,14 @@
 
   @Test
   void aNewerHeartbeatReplacesTheOlder() {
-    PeerTable table =
-        PeerTable.EMPTY.heard(report(A, 1, true), 0).heard(report(A, 1, false), 1);
+    PeerTable table = PeerTable.EMPTY.heard(report(A, 1, true), 0).heard(report(A, 1, false), 1);
 
     assertEquals(Set.of(), table.reachingLog(TIMEOUT, 1));
   }
 
   @Test
   void thePeerWithTheHighestRevisionAboveOursIsAhead() {
-    PeerTable table =
-        PeerTable.EMPTY.heard(report(A, 5, true), 0).heard(report(B, 7, true), 0);
+    PeerTable table = PeerTable.EMPTY.heard(report(A, 5, true), 0).heard(report(B, 7, true), 0);
 
     assertEquals(Optional.of(B), table.ahead(4, TIMEOUT, 0).map(PeerReport::vm));
     assertEquals(Optional.empty(), table.ahead(7, TIMEOUT, 0));
--- a/fescuehook/src/test/java/org/fescuehook/net/peer/PeerLinkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/peer/PeerLinkTest.java
@@ -29,7 +29,8 @@
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final PeerLinks links =
-      new PeerLinks(loops, identity("entry-2"), "c1", Duration.ofMillis(50), new RecordingListener());
+      new PeerLinks(
+          loops, identity("entry-2"), "c1", Duration.ofMillis(50), new RecordingListener());
 
   @AfterEach
   void close() {
--- a/fescuehook/src/test/java/org/fescuehook/net/peer/PeerProtocolTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/peer/PeerProtocolTest.java
@@ -77,8 +77,7 @@
 
     assertTrue(ask(RecordingListener.KNOWN).orElseThrow().getInProgress());
     assertEquals(
-        Optional.of(false),
-        ask(RequestKey.getDefaultInstance()).map(OutcomeReply::getInProgress));
+        Optional.of(false), ask(RequestKey.getDefaultInstance()).map(OutcomeReply::getInProgress));
   }
 
   @Test
@@ -94,8 +93,7 @@
     links.askConfiguration(SERVER, 0);
 
     assertEquals(
-        RecordingListener.REVISION_PLUS_ONE,
-        take(clientSide.configurations).getRevisionPlusOne());
+        RecordingListener.REVISION_PLUS_ONE, take(clientSide.configurations).getRevisionPlusOne());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/net/platform/HttpLogServiceTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/platform/HttpLogServiceTest.java
@@ -46,8 +46,7 @@
     server.then(new Act.Silence());
 
     LogUnavailableException lost =
-        assertThrows(
-            LogUnavailableException.class, () -> log(SHORT).append("control", RECORD));
+        assertThrows(LogUnavailableException.class, () -> log(SHORT).append("control", RECORD));
 
     assertTrue(lost.mayHaveTakenEffect());
     assertEquals("append control", lost.step());
@@ -120,8 +119,7 @@
     assertEquals(3, page.earliest());
     assertEquals(5, page.next());
     assertEquals(4, page.records().getFirst().offset());
-    assertEquals(
-        "GET /streams/control/records?from=2&max=10&wait-ms=5 ", server.requests().peek());
+    assertEquals("GET /streams/control/records?from=2&max=10&wait-ms=5 ", server.requests().peek());
   }
 
   @Test
