Specification of request claims

Cause: at most one dispatch per request id was prose only. Ruled out: keeping records that do not count in the modelled log (over a minute; they change nothing for a whole reader).

--- a/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -31,7 +31,8 @@
         new Holding("Gang", "two owners, two attempts, two members: one attempt runs, whole"),
         new Holding("Gang_takeovers", "a third claim changes nothing of that"),
         new Holding("Gang_grants", "late and repeated grants change nothing of that"),
-        new Holding("Gang_liveness", "a gang that lost a member stops altogether"));
+        new Holding("Gang_liveness", "a gang that lost a member stops altogether"),
+        new Holding("RequestClaims", "three askings with one id: one dispatch, true answers"));
   }
 
   /** Variants that break one rule, each with the property that must fail. */
@@ -47,12 +48,26 @@
         new Wrong("Gang_release_without_stop", "ReleaseHasCause", "release with no stop record"),
         new Wrong("Gang_release_before_end", "ReleaseHasCause", "release before the result"),
         new Wrong("Gang_claim_without_base", "ClaimReplacesWhatItSaw", "a claim without a base"),
-        new Wrong("Gang_part_gang_kept", TEMPORAL, "a lost member is ignored by renewals"));
+        new Wrong("Gang_part_gang_kept", TEMPORAL, "a lost member is ignored by renewals"),
+        new Wrong("RequestClaims_dispatch_before_claim_read", ONE, "dispatch before read-back"),
+        new Wrong("RequestClaims_release_while_won", ONE, "release, then a paused dispatch"),
+        new Wrong("RequestClaims_dispatch_on_silence", ONE, "a duplicate runs for a dead claimant"),
+        new Wrong("RequestClaims_claim_without_replay", ONE, "a new VM claims without a replay"),
+        new Wrong("RequestClaims_id_used_after_retention", ONE, "an id outlives its claim"),
+        new Wrong(
+            "RequestClaims_release_after_dispatch", "ReleaseOnlyUndispatched", "release of a run"),
+        new Wrong("RequestClaims_dispatch_after_giving_up", "NotRunIsTrue", "token kept too long"),
+        new Wrong(
+            "RequestClaims_lost_claim_wins_later", "DuplicateRunsNothing", "a loser wins later"),
+        new Wrong(
+            "RequestClaims_outcome_before_answer", "OutcomeIsOfARun", "an outcome is guessed"));
   }
 
   /** TLC names no temporal property that fails; such a configuration holds only one. */
   private static final String TEMPORAL = "";
 
+  private static final String ONE = "AtMostOneDispatch";
+
   @TempDir private Path scratch;
 
   @ParameterizedTest(name = "{0}")
