Traces of the decision core and their replay; fold rules tested

Random histories now hold retention, publication races, parted workers, a slow log and stubborn workers as well.

--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/ControlReplayer.java
@@ -0,0 +1,113 @@
+package org.fescuehook.logic.control.trace;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.fescuehook.logic.control.ControlCommand;
+import org.fescuehook.logic.control.ControlCore;
+import org.fescuehook.logic.control.DeclarationsReader;
+import org.fescuehook.logic.control.trace.ControlTraceParser.Line;
+import org.fescuehook.logic.scheduling.Scheduler;
+
+/** Replays a trace and compares what a core decides now with what was decided then. */
+public final class ControlReplayer {
+
+  /**
+   * What a replay came to.
+   *
+   * @param events events replayed
+   * @param commands commands compared
+   * @param difference the first difference; empty if there is none
+   */
+  public record Replay(long events, long commands, Optional<Difference> difference) {}
+
+  /**
+   * A difference.
+   *
+   * @param line number of the line, from 1 on
+   * @param recorded command in the trace; empty if there is none
+   * @param replayed command of the replay; empty if there is none
+   */
+  public record Difference(long line, String recorded, String replayed) {}
+
+  private final Supplier<Scheduler> schedulers;
+  private final DeclarationsReader declarations;
+  private final ControlTraceParser parser = new ControlTraceParser();
+  private final Deque<String> expected = new ArrayDeque<>();
+  private Optional<ControlCore> core = Optional.empty();
+  private long events;
+  private long commands;
+  private Optional<Difference> difference = Optional.empty();
+
+  /**
+   * Creates a replayer of one trace.
+   *
+   * @param schedulers gives the policy with which the trace was recorded
+   */
+  public ControlReplayer(Supplier<Scheduler> schedulers, DeclarationsReader declarations) {
+    this.schedulers = schedulers;
+    this.declarations = declarations;
+  }
+
+  /** Replays the next line. */
+  public void next(String text) throws InvalidTraceException {
+    Optional<Line> parsed = parser.parse(text);
+    if (parsed.isEmpty()) {
+      return;
+    }
+    switch (parsed.get()) {
+      case Line.Format format -> {}
+      case Line.Core recorded ->
+          core =
+              Optional.of(
+                  new ControlCore(
+                      recorded.identity(),
+                      recorded.incarnation(),
+                      recorded.preferences(),
+                      schedulers.get(),
+                      declarations));
+      case Line.Event event -> replay(event);
+      case Line.Command(String recorded) -> compare(recorded);
+    }
+  }
+
+  private void replay(Line.Event event) throws InvalidTraceException {
+    expectNothing();
+    if (core.isEmpty()) {
+      throw new InvalidTraceException(parser.lines(), "event", "no core line before it");
+    }
+    events++;
+    for (ControlCommand command :
+        core.get().apply(event.event(), event.nowNanos(), event.wallMillis())) {
+      expected.addLast(ControlTraceWriter.commandLine(command));
+    }
+  }
+
+  private void compare(String recorded) {
+    commands++;
+    String replayed = expected.isEmpty() ? "" : expected.removeFirst();
+    if (!recorded.equals(replayed)) {
+      differ(recorded, replayed);
+    }
+  }
+
+  private void expectNothing() {
+    if (!expected.isEmpty()) {
+      differ("", expected.removeFirst());
+    }
+    expected.clear();
+  }
+
+  private void differ(String recorded, String replayed) {
+    if (difference.isEmpty()) {
+      difference = Optional.of(new Difference(parser.lines(), recorded, replayed));
+    }
+  }
+
+  /** Ends the replay. */
+  public Replay end() {
+    expectNothing();
+    return new Replay(events, commands, difference);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ClusterInvariants.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ClusterInvariants.java
@@ -11,12 +11,14 @@
 import org.fescuehook.logic.control.record.DecodedRecord;
 import org.fescuehook.logic.control.record.RecordCodec;
 import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.logic.control.state.FoldResult;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.logic.worker.WorkerPort.LeaseState;
 import org.fescuehook.model.fleet.Capacity;
 import org.fescuehook.model.fleet.WorkerId;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.log.LogRecord;
+import org.fescuehook.wire.ControlRecord;
 
 /** What must hold in every state of a virtual cluster. Folds the log on its own. */
 final class ClusterInvariants {
@@ -24,7 +26,10 @@
   private final ControlState observer = new ControlState();
   private final Map<String, Long> partSince = new HashMap<>();
   private long next;
+  private long covered;
   long longestPartNanos;
+  long claims;
+  long attempts;
 
   ClusterInvariants(VirtualCluster cluster) {
     this.cluster = cluster;
@@ -34,13 +39,29 @@
   ControlState observer() {
     for (LogRecord record : cluster.log.read(next, Integer.MAX_VALUE).records()) {
       if (RecordCodec.decode(record.data()) instanceof DecodedRecord.Known(var known)) {
-        observer.fold(known, record.offset(), record.appendedMillis());
+        FoldResult result =
+            observer.fold(known, record.offset(), record.appendedMillis());
+        note(known, result == FoldResult.COUNTED);
       }
       next = record.offset() + 1;
     }
     return observer;
   }
 
+  private void note(ControlRecord record, boolean counted) {
+    claims += counted && record.hasOwnerClaim() ? 1 : 0;
+    attempts += counted && record.hasAttemptPlanned() ? 1 : 0;
+    if (record.hasSnapshotPart() && record.getSnapshotPart().getParts() == 1) {
+      covered = Math.max(covered, record.getSnapshotPart().getCoversUntil());
+    }
+  }
+
+  /** Drops all that the last whole snapshot covers. */
+  void dropCovered() {
+    observer();
+    cluster.log.dropUntil(covered);
+  }
+
   void check() {
     observer();
     checkRunningTasks();
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ConfigurationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ConfigurationTest.java
@@ -81,8 +81,9 @@
     Scenario s = new Scenario(3, 4);
     VirtualVm vm = s.standBy();
     s.cluster.pause(vm);
-    publish(s, 0, s.invariants.observer().revision(), "4 3 second");
-    publish(s, 0, s.invariants.observer().revision(), "4 3 third");
+    int owner = s.cluster.vms.indexOf(s.owner());
+    publish(s, owner, s.invariants.observer().revision(), "4 3 second");
+    publish(s, owner, s.invariants.observer().revision(), "4 3 third");
     s.cluster.wake(vm);
     s.run(2);
     assertEquals(s.invariants.observer().revision(), vm.revisions.getLast());
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import org.fescuehook.logic.control.VirtualCluster.AppendFault;
 import org.fescuehook.logic.control.VirtualCluster.SendFault;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
@@ -154,17 +155,19 @@
   }
 
   @Test
-  void aFinishedGangIsNotRunAgainWhenTheOwnerDiesBeforeTheEndIsInTheLog() {
-    for (int millis = 0; millis < 1200; millis += 40) {
-      Scenario s = new Scenario(3, 2);
-      JobId job = s.submit(2, "finish 20");
-      s.untilRunning(job);
-      s.run(19);
-      s.cluster.run(Duration.ofMillis(millis));
-      s.cluster.kill(s.owner());
-      assertEquals("FINISHED", s.result(job, 30));
-      assertEquals(1, s.job(job).attempt().number(), "owner killed after " + millis + " ms");
-    }
+  void aFinishedGangIsNotRunAgainWhenItsEndIsLostTogetherWithTheOwner() {
+    Scenario s = new Scenario(3, 2);
+    JobId job = s.submit(2, "finish 20");
+    s.untilRunning(job);
+    VirtualVm old = s.owner();
+    s.cluster.appendFault =
+        (vm, r) ->
+            vm == old && r.hasAttemptEnded() ? AppendFault.RECORD_LOST : AppendFault.NONE;
+    s.until(30, "end appended", x -> !x.appends(old, r -> r.hasAttemptEnded()).isEmpty());
+    s.cluster.run(Duration.ofMillis(20));
+    s.cluster.kill(old);
+    assertEquals("FINISHED", s.result(job, 30));
+    assertEquals(1, s.job(job).attempt().number());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import org.fescuehook.logic.control.ControlPort.Request;
 import org.fescuehook.logic.control.VirtualCluster.AppendFault;
+import org.fescuehook.logic.control.record.DecodedRecord;
+import org.fescuehook.logic.control.record.RecordCodec;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.wire.ControlRecord;
@@ -58,10 +60,22 @@
             .toList();
     assertEquals(2, claimants.size());
     assertEquals(1, s.cluster.vms.stream().filter(vm -> !vm.dead && vm.core.owner()).count());
+    assertEquals(firstClaimAfter(s, old), s.owner().id.value());
     VirtualVm loser = claimants.stream().filter(vm -> !vm.core.owner()).findFirst().orElseThrow();
     assertTrue(s.appends(loser, r -> r.getEpochPlusOne() != 0).isEmpty());
   }
 
+  private static String firstClaimAfter(Scenario s, VirtualVm old) {
+    return s.cluster.log.read(0, Integer.MAX_VALUE).records().stream()
+        .map(record -> RecordCodec.decode(record.data()))
+        .map(decoded -> ((DecodedRecord.Known) decoded).record())
+        .filter(r -> r.hasOwnerClaim() && r.getOwnerClaim().getBasedOnEpochPlusOne() != 0)
+        .map(ControlRecord::getWriter)
+        .filter(writer -> !writer.equals(old.id.value()))
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void aPausedOwnerThatWakesAfterATakeOverHarmsNoGang() {
     Scenario s = new Scenario(3, 2);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
@@ -32,6 +32,9 @@
   @Test
   void noHistoryWithPairsOfFaultsBreaksAPromise() {
     long longest = 0;
+    long faults = 0;
+    long claims = 0;
+    long attempts = 0;
     for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
       RandomHistory history = new RandomHistory(seed);
       try {
@@ -41,10 +44,21 @@
         throw new AssertionError("seed " + seed + ", faults " + history.faults, e);
       }
       longest = Math.max(longest, history.invariants.longestPartNanos);
+      faults += history.faults.size();
+      claims += history.invariants.claims;
+      attempts += history.invariants.attempts;
     }
     System.out.printf(
-        "%d histories, seeds %d to %d, longest part gang %d ms%n",
-        HISTORIES, FIRST_SEED, FIRST_SEED + HISTORIES - 1, longest / VirtualCluster.MILLI);
+        "%d histories, seeds %d to %d: %d faults, %d claims, %d attempts of %d jobs;"
+            + " longest part gang %d ms%n",
+        HISTORIES,
+        FIRST_SEED,
+        FIRST_SEED + HISTORIES - 1,
+        faults,
+        claims,
+        attempts,
+        HISTORIES * RandomHistory.JOBS,
+        longest / VirtualCluster.MILLI);
   }
 
   private static void checkEnd(RandomHistory history) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
@@ -11,22 +11,41 @@
 import org.fescuehook.logic.control.VirtualCluster.AppendFault;
 import org.fescuehook.logic.control.VirtualCluster.SendFault;
 import org.fescuehook.logic.control.state.JobState;
+import org.fescuehook.model.fleet.WorkerId;
 import org.fescuehook.model.job.AttemptId;
 import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.preferences.ControlPreferences;
 
 /** A history of a virtual cluster with jobs and faults at random times, told by its seed. */
 final class RandomHistory {
-  private static final int MOST_FAULTS = 5;
-  private static final int FAULT_KINDS = 13;
+  private static final int MOST_FAULTS = 6;
+  private static final int MOST_FAULTS_DENSE = 25;
+  static final int JOBS = 6;
+  private static final int FAULT_KINDS = 18;
   private static final int BUSY_MILLIS = 120_000;
 
-  final VirtualCluster cluster = new VirtualCluster(3, 4);
+  private static final ControlPreferences PREFERENCES = preferences();
+
+  final VirtualCluster cluster = new VirtualCluster(3, 4, PREFERENCES);
   final ClusterInvariants invariants = new ClusterInvariants(cluster);
   final Map<Long, String> submissions = new HashMap<>();
   final List<String> faults = new ArrayList<>();
   private final Random random;
   private int replaced;
 
+  private static ControlPreferences preferences() {
+    ControlPreferences base = ControlPreferences.DEFAULT;
+    return new ControlPreferences(
+        base.ownerHeartbeat(),
+        base.ownerTimeout(),
+        base.claimStagger(),
+        base.leaseTtl(),
+        base.renewInterval(),
+        base.grantTimeout(),
+        Duration.ofSeconds(15),
+        base.tick());
+  }
+
   RandomHistory(long seed) {
     random = new Random(seed);
   }
@@ -34,11 +53,12 @@
   void play() {
     cluster.run(Duration.ofSeconds(2));
     cluster.answer(cluster.vms.get(0), TestDeclarations.publish(-1, "4 3 first"));
-    for (int i = 0; i < 6; i++) {
+    for (int i = 0; i < JOBS; i++) {
       String requestId = "request-" + i;
       cluster.after(random.nextInt(BUSY_MILLIS / 2), () -> submit(requestId));
     }
-    int count = 2 + random.nextInt(MOST_FAULTS - 1);
+    int most = random.nextBoolean() ? MOST_FAULTS : MOST_FAULTS_DENSE;
+    int count = 2 + random.nextInt(most - 1);
     for (int i = 0; i < count; i++) {
       cluster.after(random.nextInt(BUSY_MILLIS), this::fault);
     }
@@ -108,7 +128,15 @@
         cluster.after(millis, () -> worker.dead = false);
       }
       case 11 -> cancelOne();
-      default -> reclaimOne();
+      case 12 -> reclaimOne();
+      case 13 -> invariants.dropCovered();
+      case 14 -> publishRace();
+      case 15 -> partWorker(vm, millis);
+      case 16 -> {
+        cluster.appendMillis = 100 + random.nextInt(2000);
+        cluster.after(millis, () -> cluster.appendMillis = 3);
+      }
+      default -> stubbornWorker(millis);
     }
   }
 
@@ -130,6 +158,26 @@
     cluster.after(millis, () -> cluster.sendFault = (vm, c) -> SendFault.NONE);
   }
 
+  private void publishRace() {
+    long base = invariants.observer().revision();
+    int change = random.nextInt();
+    cluster.ask(anyVm(), TestDeclarations.publish(base, "4 3 left " + change));
+    cluster.ask(anyVm(), TestDeclarations.publish(base, "4 2 right " + change));
+  }
+
+  private void partWorker(VirtualVm vm, int millis) {
+    WorkerId worker = TestDeclarations.worker(random.nextInt(4));
+    vm.partedFrom.add(worker);
+    cluster.after(millis, () -> vm.partedFrom.remove(worker));
+  }
+
+  private void stubbornWorker(int millis) {
+    FakeWorker worker = cluster.workers.get(TestDeclarations.worker(random.nextInt(4)));
+    worker.refusing = true;
+    worker.ignoresCheckpoint = true;
+    cluster.after(millis, () -> worker.refusing = false);
+  }
+
   private void cancelOne() {
     List<JobState> live = invariants.observer().jobs().live();
     if (!live.isEmpty()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
@@ -14,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.trace.ControlTraceWriter;
 import org.fescuehook.logic.platform.MemberList;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
 import org.fescuehook.logic.worker.WorkerPort.WorkerReply;
@@ -161,7 +162,12 @@
       }
       return;
     }
-    for (ControlCommand command : vm.core.apply(event, now, WALL_START + now / MILLI)) {
+    long wall = WALL_START + now / MILLI;
+    List<ControlCommand> commands = vm.core.apply(event, now, wall);
+    if (vm.recording) {
+      vm.trace.addAll(ControlTraceWriter.lines(event, now, wall, commands));
+    }
+    for (ControlCommand command : commands) {
       vm.noteCommand(command);
       execute(vm, command);
     }
@@ -216,7 +222,8 @@
   }
 
   private void arrive(VirtualVm vm, FakeWorker worker, WorkerCommand command) {
-    SendFault fault = sendFault.apply(vm, command);
+    boolean parted = vm.partedFrom.contains(worker.id);
+    SendFault fault = parted ? SendFault.COMMAND_LOST : sendFault.apply(vm, command);
     Optional<WorkerReply> reply = Optional.empty();
     if (!worker.dead && fault != SendFault.COMMAND_LOST) {
       reply = Optional.of(worker.handle(command));
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
@@ -1,12 +1,15 @@
 package org.fescuehook.logic.control;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.fleet.WorkerId;
 import org.fescuehook.wire.ControlRecord;
 import org.fescuehook.wire.SlotShare;
 
@@ -22,6 +25,9 @@
   final List<ControlRecord> appended = new ArrayList<>();
   final List<ControlCommand.Send> sent = new ArrayList<>();
   final List<String> notes = new ArrayList<>();
+  final List<String> trace = new ArrayList<>();
+  final Set<WorkerId> partedFrom = new HashSet<>();
+  boolean recording;
   boolean paused;
   boolean dead;
   boolean cutFromLog;
