Slow log: heartbeats do not fill it up, leases live until their commit is read

An owner appended a heartbeat every 500 ms however long the log took, so at 3 s an append the queue grew to 64 records and decisions came minutes late; it now waits for its last record to be read. The short lease of a grant lapsed before a slow commit was read. A stand-by without the log no longer waits for a checkpoint.

--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
@@ -29,6 +29,9 @@
   /** Added to the grant timeout for the first, short time of a lease. */
   public static final Duration GRANT_TTL_MARGIN = Duration.ofSeconds(3);
 
+  /** Interval between renewals of the short leases of an attempt whose commit is not read yet. */
+  public static final Duration COMMIT_KEEP = Duration.ofSeconds(2);
+
   /** Interval between repetitions of a start, checkpoint or release that was not answered. */
   public static final Duration COMMAND_RETRY = Duration.ofMillis(500);
 
@@ -51,7 +54,7 @@
   public static final Duration SLOWEST_PLAN = Duration.ofSeconds(1);
 
   /** Multiple of the owner's timeout while the owner's peer heartbeats say that it has the log. */
-  public static final int HEARD_OWNER_FACTOR = 4;
+  public static final int HEARD_OWNER_FACTOR = 10;
 
   /** Shortest time after which a raised slot share is used. */
   public static final Duration SHARE_SETTLE = Duration.ofSeconds(2);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
@@ -59,6 +59,11 @@
     return unread.containsKey(sequence);
   }
 
+  /** Tells whether a record is on its way to the log, or there and not read yet. */
+  public boolean onItsWay() {
+    return unread.values().stream().anyMatch(entry -> !entry.unknown());
+  }
+
   /** Returns the monotonic time of the last append. */
   public long lastAppendNanos() {
     return lastAppendNanos;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/AttemptTrack.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/AttemptTrack.java
@@ -22,6 +22,7 @@
   long stoppingOffset;
   long unread;
   boolean committed;
+  boolean awaitsCheckpoint;
   boolean releasing;
   boolean abandoned;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.control.gang;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.fescuehook.logic.control.ControlLimits;
 import org.fescuehook.logic.control.Turn;
@@ -29,7 +30,11 @@
 
   /** Takes the next step of an attempt that is planned and not committed. */
   void advance(AttemptTrack track, JobState job, long epoch, Turn turn) {
-    if (writer.isUnread(track.unread) || !writer.hasRoom()) {
+    if (writer.isUnread(track.unread)) {
+      keepLeases(track, turn);
+      return;
+    }
+    if (!writer.hasRoom()) {
       return;
     }
     Optional<StopReason> reason = reasonToAbort(track, job, epoch, turn);
@@ -68,7 +73,6 @@
    */
   private void ask(AttemptTrack track, JobState job, Turn turn) {
     Capacity unit = job.job().shape().perMember();
-    Duration ttl = preferences.grantTimeout().plus(ControlLimits.GRANT_TTL_MARGIN);
     for (MemberTrack member : track.members) {
       if (member.asked) {
         continue;
@@ -81,10 +85,26 @@
               unit.accelerators(),
               unit.cores(),
               unit.memoryMegabytes(),
-              ttl.toMillis()));
+              grantTtl().toMillis()));
     }
   }
 
+  /** While a slow log holds the commit up, the leases that it names must not lapse. */
+  private void keepLeases(AttemptTrack track, Turn turn) {
+    for (MemberTrack member : track.members) {
+      if (member.granted() && turn.passed(member.renewedNanos, ControlLimits.COMMIT_KEEP)) {
+        member.renewedNanos = turn.now();
+        turn.send(
+            member.worker,
+            new WorkerCommand.Renew(List.of(member.lease), grantTtl().toMillis()));
+      }
+    }
+  }
+
+  private Duration grantTtl() {
+    return preferences.grantTimeout().plus(ControlLimits.GRANT_TTL_MARGIN);
+  }
+
   /** Implements {@code Commit}. */
   private void commit(AttemptTrack track, long epoch, Turn turn) {
     AttemptCommitted.Builder body =
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -49,6 +49,7 @@
     if (track.stoppingSince.isEmpty()) {
       track.stoppingSince = OptionalLong.of(turn.now());
       track.stoppingOffset = foldedUntil - 1;
+      track.awaitsCheckpoint = stopping.getCheckpointFirst() && mode == Mode.DECIDE;
       turn.note(
           ControlLogEvent.ATTEMPT_STOPPING,
           track.attempt,
@@ -66,9 +67,10 @@
     }
   }
 
+  /** Only an owner waits, and from when it read the stop, so renewals end with the notice. */
   private static boolean awaitsCheckpoint(
       AttemptTrack track, AttemptStopping stopping, Turn turn) {
-    if (!stopping.getCheckpointFirst() || track.releasing) {
+    if (!track.awaitsCheckpoint || track.releasing) {
       return false;
     }
     boolean broken = track.first(member -> member.gone || member.failed).isPresent();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -86,15 +86,14 @@
     }
   }
 
+  /** A record on its way will show that the owner lives, so a slow log is not filled up. */
   private void hold(ControlState state, boolean eligible, Turn turn) {
     if (handingOver || !eligible) {
       releaseOnce(state, turn);
       return;
     }
-    if (!turn.passed(writer.lastAppendNanos(), preferences.ownerHeartbeat())) {
-      return;
-    }
-    if (writer.hasRoom()) {
+    boolean due = turn.passed(writer.lastAppendNanos(), preferences.ownerHeartbeat());
+    if (due && !writer.onItsWay()) {
       writer.append(
           ControlRecord.newBuilder().setOwnerHeartbeat(OwnerHeartbeat.getDefaultInstance()),
           state.epoch(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
@@ -88,6 +88,20 @@
     s.until(60, "a second attempt", x -> x.job(job).attempt().number() == 2);
   }
 
+  @Test
+  void aGangWhoseLeaseLapsedInTheOutageIsReleasedAtTheNextRenewal() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(3, "finish 900");
+    s.untilRunning(job);
+    s.run(60);
+    s.cluster.log.down = true;
+    s.run(30);
+    FakeWorker worker = s.cluster.workers.get(TestDeclarations.worker(0));
+    worker.die();
+    worker.dead = false;
+    s.until(9, "no member runs", x -> x.running(job) == 0);
+  }
+
   @Test
   void aSubmissionWhoseReplyIsLostIsAcceptedOnceWhenItTookEffect() {
     Scenario s = new Scenario(3, 4);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
@@ -161,12 +161,16 @@
   }
 
   @Test
-  void aSlowLogMakesNoTakeOverWhileTheOwnerIsHeard() {
+  void aSlowLogMakesNoTakeOverWhileTheOwnerIsHeardAndJobsStillRun() {
     Scenario s = new Scenario(3, 2);
     VirtualVm old = s.owner();
-    s.cluster.appendMillis = 2500;
+    s.cluster.appendMillis = 3000;
+    JobId job = s.submit(2, "finish 5");
+    assertEquals("FINISHED", s.result(job, 60));
+    assertEquals(1, s.job(job).attempt().number());
     s.run(60);
     assertEquals(old, s.owner());
+    assertTrue(old.core.summary().unreadAppends() <= 2);
   }
 
   @Test
