--- a/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -111,11 +112,7 @@
       return;
     }
     long start = System.nanoTime();
-    try {
-      core.apply(event, start, System.currentTimeMillis()).forEach(this::carryOut);
-    } catch (RuntimeException e) {
-      fault(event, e);
-    }
+    commandsFor(event, start).forEach(this::carryOut);
     state.folded(core.nextOffset());
     if (event instanceof ControlEvent.CaughtUp) {
       state.reachedEnd();
@@ -125,6 +122,15 @@
         .record(System.nanoTime() - start, TimeUnit.NANOSECONDS);
   }
 
+  private List<ControlCommand> commandsFor(ControlEvent event, long nowNanos) {
+    try {
+      return core.apply(event, nowNanos, System.currentTimeMillis());
+    } catch (RuntimeException e) {
+      fault(event, e);
+      return List.of();
+    }
+  }
+
   private void fault(ControlEvent event, RuntimeException fault) {
     meters.counter("fescuehook.decision.fault").increment();
     if (event instanceof ControlEvent.RecordRead read) {
@@ -150,7 +156,17 @@
     return new Answer.Refused(RefusalReason.NOT_READY, detail, RETRY_AFTER_SECONDS);
   }
 
+  /** A command that fails leaves the others to be carried out. */
   private void carryOut(ControlCommand command) {
+    try {
+      perform(command);
+    } catch (RuntimeException e) {
+      meters.counter("fescuehook.decision.fault").increment();
+      EventLog.error(LOGGER, EntryEvent.COMMAND_FAULT, command.getClass().getSimpleName(), e);
+    }
+  }
+
+  private void perform(ControlCommand command) {
     switch (command) {
       case ControlCommand.Append append -> append(append.record());
       case ControlCommand.Send send -> workers.send(send.worker(), send.command());
--- a/fescuehook/src/main/java/org/fescuehook/entry/EntryEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/EntryEvent.java
@@ -29,7 +29,9 @@
   /** A configuration came into force. */
   CONFIGURATION_IN_FORCE(7012, "configuration {} of {} is in force, from the {}"),
   /** A configuration sent by a peer cannot be read. */
-  PEER_CONFIGURATION_REFUSED(7013, "configuration {} sent by a peer cannot be read: {}");
+  PEER_CONFIGURATION_REFUSED(7013, "configuration {} sent by a peer cannot be read: {}"),
+  /** A command of the decision core could not be carried out. */
+  COMMAND_FAULT(7014, "command {} of the decision core met a fault");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/net/platform/LogTail.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/platform/LogTail.java
@@ -47,10 +47,10 @@
     } catch (LogUnavailableException e) {
       return failed(e);
     }
-    succeeded();
     if (page.next() < next) {
       return wentBack(page);
     }
+    succeeded();
     return take(page);
   }
 
@@ -83,6 +83,8 @@
   private Duration wentBack(LogPage page) {
     meters.counter("fescuehook.log.went.back", "stream", stream).increment();
     EventLog.warn(LOGGER, PlatformEvent.LOG_WENT_BACK, stream, page.next(), next);
+    // What a lagging replica says is no knowledge of the log as it is now.
+    sink.reachable(false);
     return LONGEST_BACK_OFF;
   }
 
