--- a/fescuehook/src/test/java/org/fescuehook/net/caller/RequestPathTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/RequestPathTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import java.nio.charset.StandardCharsets;
 import org.fescuehook.logic.control.ControlPort;
 import org.fescuehook.model.job.JobId;
 import org.junit.jupiter.api.Test;
@@ -15,7 +16,7 @@
         FakeExecutor executor =
             new FakeExecutor(
                 FakeExecutor.answering(
-                    request -> FakeExecutor.ok(request, new String(request.body()) + "!")));
+                    request -> FakeExecutor.ok(request, new String(request.body(), StandardCharsets.UTF_8) + "!")));
         PathFixture fixture = new PathFixture(log, 2, executor)) {
       RawCaller.Answer answer =
           fixture.post("/requests/price?stop=7", "Connection: x-drop\r\nX-Drop: 1\r\n", "hello");
--- a/fescuehook/src/test/java/org/fescuehook/net/platform/LogAppendRingTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/platform/LogAppendRingTest.java
@@ -114,7 +114,7 @@
       if (loseReplies) {
         throw new LogUnavailableException("append", "fake", true, new IOException("lost"));
       }
-      return appended.size() - 1;
+      return appended.size() - 1L;
     }
 
     @Override
