--- a/standins/src/test/java/org/fescuehook/standins/worker/WorkerStandInsTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/worker/WorkerStandInsTest.java
@@ -23,6 +23,7 @@
       String lease = client.post("/leases", GRANT).body().replaceAll(".*:\"|\"}", "");
       workers.apply(frozen());
       var renewal = client.postLater("/renewals", "{\"leases\":[\"" + lease + "\"],\"ttlMs\":100}");
+      StandInLoops.await(() -> workers.stats().heldBack() != 0);
       clock.set(1000);
       workers.apply(WorkerFaults.NONE);
 
