--- a/build/java-home.sh
+++ b/build/java-home.sh
@@ -14,7 +14,7 @@
 
 find_java_home() {
   local candidate on_path
-  on_path=$(command -v javac || true)
+  on_path=$(command -v java || true)
   [[ -n "$on_path" ]] && on_path=$(dirname "$(dirname "$(readlink -f "$on_path")")")
   for candidate in "${JAVA_HOME:-}" "$on_path" \
     /usr/lib/jvm/*"$required_java"* /usr/java/*"$required_java"* /opt/*jdk*"$required_java"*; do
@@ -27,7 +27,7 @@
 }
 
 if ! JAVA_HOME=$(find_java_home); then
-  echo "needs a JDK of version $required_java or newer: set JAVA_HOME or put javac on the PATH" >&2
+  echo "needs a JDK of version $required_java or newer: set JAVA_HOME or put its java on the PATH" >&2
   exit 69
 fi
 export JAVA_HOME
