--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/BackPressureTest.java
@@ -0,0 +1,58 @@
+package org.fescuehook.net.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class BackPressureTest {
+  private static final int BLOCK = 64 << 10;
+  private static final int BLOCKS = 1024;
+  private static final long ENOUGH_BYTES = 24L << 20;
+
+  @Test
+  void makesAFastExecutorWaitForASlowCaller() throws Exception {
+    AtomicLong written = new AtomicLong();
+    FakeExecutor.Behaviour large =
+        (executor, socket, in) -> {
+          FakeExecutor.Request request = FakeExecutor.read(in);
+          String head =
+              "HTTP/1.1 200 X\r\nContent-Length: "
+                  + (long) BLOCK * BLOCKS
+                  + "\r\nRequest-Token: "
+                  + request.token()
+                  + "\r\n\r\n";
+          socket.getOutputStream().write(head.getBytes());
+          for (int i = 0; i < BLOCKS; i++) {
+            socket.getOutputStream().write(new byte[BLOCK]);
+            written.addAndGet(BLOCK);
+          }
+        };
+    try (FakeLog log = new FakeLog();
+        FakeExecutor executor = new FakeExecutor(large);
+        PathFixture fixture = new PathFixture(log, 1, executor);
+        RawCaller caller = new RawCaller(fixture.address)) {
+      caller.send(RawCaller.request("GET", "/requests/x", PathFixture.ORGANISATION, ""));
+      awaitStandstill(written);
+      // What lies in the sockets' buffers on both sides is far below the answer's 64 MiB.
+      assertTrue(written.get() < ENOUGH_BYTES, "read ahead: " + written.get());
+
+      RawCaller.Answer answer = caller.read();
+      assertEquals("200 true", answer.status() + " " + answer.whole());
+      assertEquals(BLOCK * BLOCKS, answer.body().length());
+    }
+  }
+
+  /** Waits until the executor has written and then wrote nothing more for many looks. */
+  private static void awaitStandstill(AtomicLong written) {
+    long[] last = {0, 0};
+    Await.until(
+        () -> {
+          long now = written.get();
+          last[1] = now > 0 && now == last[0] ? last[1] + 1 : 0;
+          last[0] = now;
+          return last[1] >= 200;
+        });
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/DrainTest.java
@@ -0,0 +1,89 @@
+package org.fescuehook.net.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+class DrainTest {
+
+  @Test
+  void answersWhatIsInFlightAndTellsCallersToClose() throws Exception {
+    CountDownLatch free = new CountDownLatch(1);
+    FakeExecutor.Answering slow =
+        request -> {
+          free.await();
+          return FakeExecutor.ok(request, request.uri());
+        };
+    try (FakeLog log = new FakeLog();
+        FakeExecutor executor = new FakeExecutor(FakeExecutor.answering(slow));
+        PathFixture fixture = new PathFixture(log, 1, executor);
+        RawCaller running = new RawCaller(fixture.address);
+        RawCaller waiting = new RawCaller(fixture.address);
+        RawCaller idle = new RawCaller(fixture.address)) {
+      running.send(RawCaller.request("POST", "/requests/1", PathFixture.ORGANISATION, ""));
+      Await.until(() -> executor.journal.size() == 1);
+      waiting.send(RawCaller.request("POST", "/requests/2", PathFixture.ORGANISATION, ""));
+      Await.until(() -> fixture.path.inFlight() == 2);
+
+      fixture.path.drain();
+      free.countDown();
+      for (RawCaller caller : List.of(running, waiting)) {
+        RawCaller.Answer answer = caller.read();
+        assertEquals("200 close", answer.status() + " " + answer.headers().get("Connection"));
+        assertTrue(caller.closedByPeer());
+      }
+      Await.until(() -> fixture.path.inFlight() == 0);
+      assertThrows(IOException.class, () -> new RawCaller(fixture.address).close());
+      idle.close();
+    }
+  }
+
+  @Test
+  void cutsNoRequestWhenItDrainsUnderLoad() throws Exception {
+    for (int round = 0; round < 20; round++) {
+      drainUnderLoad();
+    }
+  }
+
+  private static void drainUnderLoad() throws Exception {
+    List<Throwable> faults = new CopyOnWriteArrayList<>();
+    AtomicInteger answered = new AtomicInteger();
+    try (FakeLog log = new FakeLog();
+        FakeExecutor executor = new FakeExecutor(FakeExecutor.echoing());
+        PathFixture fixture = new PathFixture(log, 8, executor)) {
+      Thread drain =
+          Thread.ofVirtual()
+              .start(
+                  () -> {
+                    Await.until(() -> answered.get() > 100);
+                    fixture.path.drain();
+                  });
+      Concurrently.run(8, 8, i -> callUntilToldToClose(fixture, answered), faults);
+      drain.join();
+      assertEquals(List.of(), faults);
+      Await.until(() -> fixture.path.inFlight() == 0);
+    }
+  }
+
+  private static void callUntilToldToClose(PathFixture fixture, AtomicInteger answered)
+      throws IOException {
+    try (RawCaller caller = new RawCaller(fixture.address)) {
+      while (true) {
+        caller.send(RawCaller.request("POST", "/requests/x", PathFixture.ORGANISATION, ""));
+        RawCaller.Answer answer = caller.read();
+        assertEquals("200 true", answer.status() + " " + answer.whole());
+        answered.incrementAndGet();
+        if ("close".equals(answer.headers().get("Connection"))) {
+          return;
+        }
+      }
+    }
+  }
+}
