--- a/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -97,7 +97,7 @@
     }
     Map<String, List<Slot>> copies = new HashMap<>();
     for (Slot s : slots) {
-      if (s.shape.maxRacks() > 0 && s.shape.maxRacks() <= shape.maxRacks()
+      if ((s.shape.maxRacks() > 0 && s.shape.maxRacks() <= shape.maxRacks())
           || s.shape.members() == 1) {
         copies.computeIfAbsent(s.copy, c -> new ArrayList<>()).add(s);
       }
--- a/bench/src/main/java/org/fescuehook/bench/policy/MeasurePolicy.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/MeasurePolicy.java
@@ -47,7 +47,7 @@
     Reference reference = Reference.of(trace, ours);
     notes.add(table.describe(name, trace, reference));
     for (Contender c : contenders()) {
-      PolicyRun run = c == Contender.OURS ? ours : new PolicyRun(trace, c).run();
+      PolicyRun run = c.equals(Contender.OURS) ? ours : new PolicyRun(trace, c).run();
       rows.add(table.row(name, trace, reference, run));
     }
   }
