./try: entry VMs as processes, used, killed and stopped under load

Cause: the tests of the parts do not show that the programs do it together. The harness (ProcessCluster, EntryVm, StandIns, CallerClient, CallerLoad, OutcomeTable) is there for other proofs and measurements to build on.

--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -5,6 +5,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.fescuehook.bench.policy.MeasurePolicy;
+import org.fescuehook.bench.tryout.TryCommand;
 
 /** Runs one measurement by its name. */
 public final class Main {
@@ -12,7 +13,7 @@
   private static final int USAGE = 2;
 
   private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
-      new TreeMap<>(Map.of("policy", MeasurePolicy::new));
+      new TreeMap<>(Map.of("policy", MeasurePolicy::new, "try", TryCommand::new));
 
   private Main() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/caller/CallerConnection.java
@@ -0,0 +1,170 @@
+package org.fescuehook.bench.caller;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+
+/** One connection of a caller; all but {@link #usable} happens on its event loop. */
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+  private final InetSocketAddress address;
+  private final Consumer<CallerConnection> idle;
+  private final ByteBuf body = Unpooled.buffer();
+  private volatile @Nullable ChannelHandlerContext context;
+  private @Nullable CompletableFuture<CallerOutcome> outcome;
+  private @Nullable HttpResponse head;
+  private @Nullable Future<?> timeout;
+  private long sentNanos;
+
+  CallerConnection(InetSocketAddress address, Consumer<CallerConnection> idle) {
+    this.address = address;
+    this.idle = idle;
+  }
+
+  boolean usable() {
+    ChannelHandlerContext c = context;
+    return c != null && c.channel().isActive();
+  }
+
+  void send(CallerRequest request, CompletableFuture<CallerOutcome> into) {
+    ChannelHandlerContext c = context;
+    if (c == null) {
+      into.complete(new CallerOutcome.NotSent("the connection was closed at once"));
+      return;
+    }
+    c.executor().execute(() -> write(c, request, into));
+  }
+
+  void close() {
+    ChannelHandlerContext c = context;
+    if (c != null) {
+      c.close();
+    }
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext added) {
+    context = added;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext c, HttpObject message) {
+    if (message instanceof HttpResponse response) {
+      head = response;
+      body.clear();
+    }
+    if (message instanceof HttpContent content) {
+      body.writeBytes(content.content());
+    }
+    if (message instanceof LastHttpContent) {
+      finish(c);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext c) {
+    end("connection closed");
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+    end(String.valueOf(cause.getMessage()));
+    c.close();
+  }
+
+  private void write(
+      ChannelHandlerContext c, CallerRequest request, CompletableFuture<CallerOutcome> into) {
+    if (!c.channel().isActive()) {
+      into.complete(new CallerOutcome.NotSent("the connection was closed before"));
+      return;
+    }
+    outcome = into;
+    head = null;
+    sentNanos = System.nanoTime();
+    timeout =
+        c.executor()
+            .schedule(() -> giveUp(c), request.timeoutMillis(), TimeUnit.MILLISECONDS);
+    var message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(request.method()),
+            request.path(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set("Host", address.getHostString() + ":" + address.getPort());
+    message.headers().set("Content-Length", request.body().length);
+    request.headers().forEach(message.headers()::set);
+    c.writeAndFlush(message);
+  }
+
+  private void giveUp(ChannelHandlerContext c) {
+    end("no answer in time");
+    c.close();
+  }
+
+  private void finish(ChannelHandlerContext c) {
+    HttpResponse response = head;
+    if (response == null) {
+      return;
+    }
+    long nanos = System.nanoTime() - sentNanos;
+    Map<String, String> headers = new HashMap<>();
+    response
+        .headers()
+        .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+    int status = response.status().code();
+    boolean keep = HttpUtil.isKeepAlive(response);
+    byte[] bytes = ByteBufUtil.getBytes(body);
+    complete(new CallerOutcome.Answered(status, headers, bytes, nanos), c, keep);
+  }
+
+  private void complete(CallerOutcome answered, ChannelHandlerContext c, boolean keep) {
+    CompletableFuture<CallerOutcome> current = release();
+    if (keep) {
+      idle.accept(this);
+    } else {
+      c.close();
+    }
+    if (current != null) {
+      current.complete(answered);
+    }
+  }
+
+  private void end(String detail) {
+    boolean begun = head != null;
+    CompletableFuture<CallerOutcome> current = release();
+    if (current != null) {
+      current.complete(
+          begun ? new CallerOutcome.Cut(detail) : new CallerOutcome.Unanswered(detail));
+    }
+  }
+
+  private @Nullable CompletableFuture<CallerOutcome> release() {
+    CompletableFuture<CallerOutcome> current = outcome;
+    Future<?> running = timeout;
+    if (running != null) {
+      running.cancel(false);
+    }
+    outcome = null;
+    head = null;
+    timeout = null;
+    return current;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/StandIns.java
@@ -0,0 +1,73 @@
+package org.fescuehook.bench.cluster;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.http.HttpClient;
+import java.util.List;
+import java.util.Map;
+import java.util.Properties;
+import org.fescuehook.standins.executor.RequestRun;
+import org.fescuehook.standins.worker.GangAudit;
+import org.fescuehook.standins.worker.WorkerEvent;
+
+/** The stand-ins in their process, seen through their control port. */
+public final class StandIns {
+  private final ChildProcess process;
+  private final Properties ports;
+  private final HttpCalls control;
+
+  StandIns(ChildProcess process, Properties ports, HttpClient client) {
+    this.process = process;
+    this.ports = ports;
+    this.control = new HttpCalls(client, parse(ports.getProperty("control")));
+  }
+
+  /** Returns their process. */
+  public ChildProcess process() {
+    return process;
+  }
+
+  /** Returns where a stand-in listens, as {@code IP:port}. */
+  public String text(String name) {
+    return ports.getProperty(name);
+  }
+
+  /** Returns where a stand-in listens. */
+  public InetSocketAddress address(String name) {
+    return parse(text(name));
+  }
+
+  /** Replaces faults; the argument is the JSON object of the control port as a map. */
+  public void faults(Map<String, ?> faults) throws ClusterException, InterruptedException {
+    HttpCalls.Answer answer = control.post("/faults", faults);
+    if (answer.status() != 200) {
+      throw new ClusterException("set faults", "stand-ins", answer.body().toString());
+    }
+  }
+
+  /** Returns the requests that executors ran. */
+  public List<RequestRun> runs() throws ClusterException, InterruptedException {
+    var journal = control.get("/journal").body().path("executors");
+    return HttpCalls.convert(journal, HttpCalls.listOf(RequestRun.class));
+  }
+
+  /** Returns what happened to leases. */
+  public List<WorkerEvent> leaseEvents() throws ClusterException, InterruptedException {
+    var journal = control.get("/journal").body().path("workers");
+    return HttpCalls.convert(journal, HttpCalls.listOf(WorkerEvent.class));
+  }
+
+  /** Returns what went wrong on workers. */
+  public List<GangAudit.Finding> audit(long maxPartialMillis)
+      throws ClusterException, InterruptedException {
+    var findings = control.get("/audit?part-ms=" + maxPartialMillis).body();
+    return HttpCalls.convert(findings, HttpCalls.listOf(GangAudit.Finding.class));
+  }
+
+  /** Reads {@code IP:port}. */
+  static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    int port = Integer.parseInt(text.substring(colon + 1));
+    return new InetSocketAddress(InetAddress.ofLiteral(text.substring(0, colon)), port);
+  }
+}
