--- a/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
@@ -102,12 +102,12 @@
     return operator.get("/status").body().path("control").path("owner").asText("");
   }
 
-  /** Publishes declarations. */
-  public HttpCalls.Answer publish(long base, String declarations)
+  /** Publishes declarations that are based on a revision, -1 for none. */
+  public HttpCalls.Answer publish(long base, String author, String declarations)
       throws ClusterException, InterruptedException {
     return operator.post(
         "/configuration",
         Map.of(
-            "base", base, "author", "bench", "reason", "bench", "declarations", declarations));
+            "base", base, "author", author, "reason", "bench", "declarations", declarations));
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
@@ -26,7 +26,7 @@
     ProcessCluster cluster = new ProcessCluster(programs.toAbsolutePath(), ClusterSizes.small());
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
     try (CallerClient client = new CallerClient(group)) {
-      new Tour(cluster, client, table).run();
+      new Tour(new TourCluster(cluster, client), table).run();
     } finally {
       cluster.close();
       group.shutdownGracefully();
