--- a/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
@@ -65,8 +65,7 @@
       return;
     }
     Shape shape = largest.get().job().shape();
-    int usable =
-        free.mostMembers(shape, largest.get().avoid()) * shape.perMember().accelerators();
+    int usable = free.mostMembers(shape, largest.get().avoid()) * shape.perMember().accelerators();
     share = 1 - (double) usable / Math.min(accelerators, shape.accelerators());
     scattered = accelerators >= shape.accelerators() && usable < shape.accelerators();
   }
--- a/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -57,7 +57,9 @@
     return breached.size();
   }
 
-  java.util.Set<org.fescuehook.model.job.JobId> breachedIds() { return breached; }
+  java.util.Set<org.fescuehook.model.job.JobId> breachedIds() {
+    return breached;
+  }
 
   /** Returns the times that covered jobs waited, without those that started at once. */
   List<Long> reclaimMillis() {
--- a/bench/src/main/java/org/fescuehook/bench/policy/PolicyTable.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/PolicyTable.java
@@ -83,8 +83,7 @@
 
   /** Returns what a trace holds, in words. */
   String describe(String name, Trace trace, Reference reference) {
-    long jobs =
-        trace.events().stream().filter(e -> e instanceof TraceEvent.Submitted).count();
+    long jobs = trace.events().stream().filter(e -> e instanceof TraceEvent.Submitted).count();
     return "%s: %d workers, %d jobs, %d events; mean slowdown at least %s, pooled reference %s"
         .formatted(
             name,
--- a/bench/src/main/java/org/fescuehook/bench/policy/TraceBuilder.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/TraceBuilder.java
@@ -103,8 +103,7 @@
   void submit(long atMillis, String organisation, JobMix mix, long mostSeconds) {
     OrganisationId id = new OrganisationId(organisation);
     long runs = mix.runSeconds(random, mostSeconds);
-    double declared =
-        runs * habits.get(id) * Math.exp(DECLARED_SPREAD * random.nextGaussian());
+    double declared = runs * habits.get(id) * Math.exp(DECLARED_SPREAD * random.nextGaussian());
     boolean checkpointable = random.nextDouble() < mix.checkpointableShare();
     Job job =
         new Job(
@@ -143,8 +142,7 @@
             "trace");
     events.add(
         new TraceEvent.Submitted(
-            job,
-            new JobCourse(3600, OptionalLong.of(failsAfterSeconds), OptionalLong.empty())));
+            job, new JobCourse(3600, OptionalLong.of(failsAfterSeconds), OptionalLong.empty())));
   }
 
   void event(TraceEvent event) {
@@ -204,8 +202,7 @@
             new Rule(1, List.of(new Condition.Urgent(true)), new Verdict.Admit(10, true)),
             new Rule(2, List.of(), new Verdict.Admit(0, true)));
     Declarations declarations =
-        new Declarations(
-            organisations, guarantees, rules, new Fleet(workers, List.of()), policy);
+        new Declarations(organisations, guarantees, rules, new Fleet(workers, List.of()), policy);
     return new Trace(declarations, WorkerTiming.DEFAULT, events);
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
@@ -60,8 +60,7 @@
     var first = cluster.send(cluster.vm(0), "/charge?ms=50", headers);
     var second = cluster.send(cluster.vm(1), "/charge?ms=50", headers);
     String statuses = first.status() + ", " + second.status();
-    long runs =
-        cluster.standIns().runs().stream().filter(r -> r.path().equals("/charge")).count();
+    long runs = cluster.standIns().runs().stream().filter(r -> r.path().equals("/charge")).count();
     table.addEqual("one request id sent to two VMs", "200, 200", statuses);
     table.addEqual("its second answer", first.text(), second.text());
     table.addEqual("its runs", 1L, runs);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
@@ -134,8 +134,8 @@
   }
 
   /**
-   * Appends a record that counts for nothing, if the last own record has an unknown outcome: reading
-   * it tells what became of those before. Called only while the log can be read.
+   * Appends a record that counts for nothing, if the last own record has an unknown outcome:
+   * reading it tells what became of those before. Called only while the log can be read.
    */
   public void settle(Turn turn) {
     if (unread.isEmpty() || !unread.lastEntry().getValue().unknown()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangRunner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangRunner.java
@@ -150,10 +150,8 @@
             .setReason(fault.reason());
     fault
         .member()
-        .ifPresent(
-            member -> body.setWorker(member.worker.value()).setExitCode(member.exitCode));
-    track.unread =
-        writer.append(ControlRecord.newBuilder().setAttemptStopping(body), epoch, turn);
+        .ifPresent(member -> body.setWorker(member.worker.value()).setExitCode(member.exitCode));
+    track.unread = writer.append(ControlRecord.newBuilder().setAttemptStopping(body), epoch, turn);
   }
 
   /** The leases are released only once this record was read, else the result could be lost. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -68,8 +68,7 @@
   }
 
   /** Only an owner waits, and from when it read the stop, so renewals end with the notice. */
-  private static boolean awaitsCheckpoint(
-      AttemptTrack track, AttemptStopping stopping, Turn turn) {
+  private static boolean awaitsCheckpoint(AttemptTrack track, AttemptStopping stopping, Turn turn) {
     if (!track.awaitsCheckpoint || track.releasing) {
       return false;
     }
@@ -82,7 +81,8 @@
   private static void askForCheckpoint(AttemptTrack track, Turn turn) {
     for (MemberTrack member : track.members) {
       boolean done = member.checkpointed || member.finished;
-      if (done || !turn.passed(member.commandedNanos, ControlLimits.COMMAND_RETRY.multipliedBy(4))) {
+      if (done
+          || !turn.passed(member.commandedNanos, ControlLimits.COMMAND_RETRY.multipliedBy(4))) {
         continue;
       }
       member.commandedNanos = turn.now();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -14,7 +14,9 @@
 import org.fescuehook.wire.OwnerHeartbeat;
 import org.fescuehook.wire.OwnerRelease;
 
-/** Claims ownership when the owner is silent, holds it by heartbeats, and gives it up when asked. */
+/**
+ * Claims ownership when the owner is silent, holds it by heartbeats, and gives it up when asked.
+ */
 public final class OwnerDuty {
   private final VmId vm;
   private final String incarnation;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
@@ -82,8 +82,12 @@
     }
     if (ViewBuilder.gaveUp(job, declarations)) {
       String detail =
-          "failed " + job.facts().getFailures() + " times, last with exit code "
-              + last.getExitCode() + " on " + last.getWorker();
+          "failed "
+              + job.facts().getFailures()
+              + " times, last with exit code "
+              + last.getExitCode()
+              + " on "
+              + last.getWorker();
       return Optional.of(end.setResult(JobResult.JOB_RESULT_FAILED).setDetail(detail));
     }
     return Optional.empty();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
@@ -55,8 +55,7 @@
     }
     lastPlanNanos = turn.now();
     changed = false;
-    Scheduler.View view =
-        ViewBuilder.build(state, declarations, unavailable, turn.wallMillis());
+    Scheduler.View view = ViewBuilder.build(state, declarations, unavailable, turn.wallMillis());
     Scheduler.Plan plan = scheduler.plan(view);
     for (Scheduler.Stop stop : plan.stops()) {
       stop(stop, state, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
@@ -40,15 +40,12 @@
     }
     SlotShares wanted =
         SlotShareDivider.divide(
-            declarations.fleet().executors(),
-            vms,
-            (int) ControlLimits.SHARE_SETTLE.toMillis());
+            declarations.fleet().executors(), vms, (int) ControlLimits.SHARE_SETTLE.toMillis());
     if (state.shares().filter(wanted::equals).isPresent()) {
       stableSince = turn.now();
       return;
     }
     turn.note(ControlLogEvent.SHARES_PUBLISHED, declarations.fleet().executors().size(), vms);
-    unread =
-        writer.append(ControlRecord.newBuilder().setSlotShares(wanted), state.epoch(), turn);
+    unread = writer.append(ControlRecord.newBuilder().setSlotShares(wanted), state.epoch(), turn);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/rule/UnreachableRuleFinder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/rule/UnreachableRuleFinder.java
@@ -38,8 +38,7 @@
     return findings;
   }
 
-  private static Optional<String> reason(
-      Rule rule, List<Rule> earlier, Declarations declarations) {
+  private static Optional<String> reason(Rule rule, List<Rule> earlier, Declarations declarations) {
     Optional<String> contradiction = contradiction(Extent.of(rule), declarations);
     if (contradiction.isPresent()) {
       return contradiction;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
@@ -115,7 +115,8 @@
     if (awaitStops(candidate, avoid)) {
       return true;
     }
-    List<Victim> eligible = must ? victims.forUrgentOrOverdue(candidate) : victims.forMove(candidate);
+    List<Victim> eligible =
+        must ? victims.forUrgentOrOverdue(candidate) : victims.forMove(candidate);
     Room all = state.index().capacity();
     Optional<Selection> selection =
         new VictimSelector(state.index())
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
@@ -41,14 +41,13 @@
   public Plan plan(View view) {
     Known known = known(view);
     RunTimeEstimator estimator = new RunTimeEstimator(view.history(), parts.correction());
-    PlanState state = 
+    PlanState state =
         new PlanState(view, known.index(), estimator, known.homes(), known.isUnusable());
     GuaranteeStep guarantees = new GuaranteeStep(state, known.placer(), parts);
     QuotaStep quotas = new QuotaStep(state);
     JobOrder order = new JobOrder(parts, new RuleMatcher());
     List<Candidate> candidates = order.order(state);
-    BorrowStep borrowing = 
-        new BorrowStep(state, known.placer(), parts, order, guarantees);
+    BorrowStep borrowing = new BorrowStep(state, known.placer(), parts, order, guarantees);
     List<Candidate> others =
         candidates.stream()
             .filter(c -> isAdmitted(c, state, quotas))
@@ -58,8 +57,7 @@
     return state.plan();
   }
 
-  private static boolean isAdmitted(
-      Candidate candidate, PlanState state, QuotaStep quotas) {
+  private static boolean isAdmitted(Candidate candidate, PlanState state, QuotaStep quotas) {
     if (candidate.match().verdict() instanceof Verdict.Refuse(String detail)) {
       state.explain(candidate, "refused by rule: " + detail, 0);
       return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -95,8 +95,7 @@
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
-      Optional<Selection> found =
-          selector.select(job.shape(), state.soon(), home, avoid, eligible);
+      Optional<Selection> found = selector.select(job.shape(), state.soon(), home, avoid, eligible);
       if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
         best = found;
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimSelector.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimSelector.java
@@ -118,8 +118,7 @@
     private final boolean[] inSet;
     private int members;
 
-    Trial(
-        FleetIndex index, Shape shape, Room room, Room bound, boolean[] avoid, int[] racks) {
+    Trial(FleetIndex index, Shape shape, Room room, Room bound, boolean[] avoid, int[] racks) {
       this.index = index;
       this.shape = shape;
       this.room = room.copy();
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/WorkerJudge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/WorkerJudge.java
@@ -60,7 +60,8 @@
     return new Judgement(worker, nowMillis + length, "jobs that ran elsewhere: " + against);
   }
 
-  private static SortedSet<JobId> evidence(WorkerId worker, WorkerRecord record, Scheduler.View view) {
+  private static SortedSet<JobId> evidence(
+      WorkerId worker, WorkerRecord record, Scheduler.View view) {
     SortedSet<JobId> against = new TreeSet<>();
     for (WorkerRecord.Failure f : record.failures()) {
       if (f.confirmed() || survivesElsewhere(f, worker, view)) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
@@ -33,7 +33,8 @@
 
   private static final long TICK_MILLIS = 60_000;
   private static final long MOST_MILLIS_AFTER_TRACE = 30L * 24 * 3600 * 1000;
-  private static final Start NONE = new Start(new JobId("none"), new Placement(List.of()), 0, false);
+  private static final Start NONE =
+      new Start(new JobId("none"), new Placement(List.of()), 0, false);
 
   private final Trace trace;
   private final Scheduler scheduler;
@@ -116,9 +117,7 @@
     var declarations = trace.declarations();
     Verdict verdict = matcher.match(declarations.rules(), job.job, nowMillis, load()).verdict();
     boolean never =
-        feasibility
-            .whyNever(declarations, job.job.organisation(), job.job.shape())
-            .isPresent();
+        feasibility.whyNever(declarations, job.job.organisation(), job.job.shape()).isPresent();
     if (never || verdict instanceof Verdict.Refuse) {
       finish(job, JobOutcome.End.REFUSED);
       return;
@@ -225,8 +224,7 @@
       }
     }
     Optional<WorkerId> failedOn = blamed;
-    var result =
-        blamed.isPresent() ? EndedAttempt.Result.FAILED : EndedAttempt.Result.FINISHED;
+    var result = blamed.isPresent() ? EndedAttempt.Result.FAILED : EndedAttempt.Result.FINISHED;
     int attempt = job.attempts;
     at(job.beganMillis + needed * 1000, () -> endIfLive(job, attempt, result, failedOn));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/trace/TraceParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/TraceParser.java
@@ -75,8 +75,7 @@
     rules.sort(Comparator.comparing(Rule::number));
     workers.sort(Comparator.comparing(Worker::id));
     Fleet fleet = new Fleet(workers, List.of());
-    Declarations declarations =
-        new Declarations(organisations, guarantees, rules, fleet, policy);
+    Declarations declarations = new Declarations(organisations, guarantees, rules, fleet, policy);
     return new Trace(declarations, timing, events);
   }
 
@@ -131,7 +130,10 @@
   private GuaranteedShape guarantee(TraceLine line) throws TraceFormatException {
     GuaranteedShape parsed =
         new GuaranteedShape(
-            newName(line, "guarantee"), organisationOf(line), shape(line), line.integer("count", 1));
+            newName(line, "guarantee"),
+            organisationOf(line),
+            shape(line),
+            line.integer("count", 1));
     line.end(2);
     return parsed;
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
@@ -54,7 +54,8 @@
     s.cluster.log.down = false;
     long back = s.cluster.now();
     s.until(10, "take-over", x -> x.cluster.owner().filter(vm -> vm != old).isPresent());
-    System.out.printf("take-over after an outage: %d ms of virtual time%n",
+    System.out.printf(
+        "take-over after an outage: %d ms of virtual time%n",
         (s.cluster.now() - back) / VirtualCluster.MILLI);
     assertEquals("FINISHED", s.result(job, 400));
     assertEquals(1, s.job(job).attempt().number());
@@ -141,8 +142,7 @@
     JobId job = s.submit(1, "finish 1");
     s.run(10);
     assertEquals("FINISHED", s.result(job, 10));
-    assertEquals(
-        1, s.cluster.workers.values().stream().mapToLong(w -> w.started.size()).sum());
+    assertEquals(1, s.cluster.workers.values().stream().mapToLong(w -> w.started.size()).sum());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
@@ -212,8 +212,7 @@
       case RECORD_LOST -> {}
     }
     if (fault != AppendFault.NONE) {
-      after(
-          1000, () -> deliver(vm, new ControlEvent.AppendFailed(record.getSequence(), false)));
+      after(1000, () -> deliver(vm, new ControlEvent.AppendFailed(record.getSequence(), false)));
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/dispatch/AtMostOnceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/dispatch/AtMostOnceProperties.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -223,7 +224,9 @@
       for (DispatchCommand.AnswerRecorded answer :
           vm.core.all(DispatchCommand.AnswerRecorded.class)) {
         Set<String> given = answers.getOrDefault(keyOf.get(answer.ticket()), Set.of());
-        assertTrue(given.contains(new String(answer.body())), () -> "foreign answer " + answer);
+        assertTrue(
+            given.contains(new String(answer.body(), StandardCharsets.UTF_8)),
+            () -> "foreign answer " + answer);
       }
     }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/dispatch/ClaimDeskTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/dispatch/ClaimDeskTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import org.fescuehook.logic.platform.LogAppender.AppendResult;
@@ -84,7 +85,8 @@
 
     DispatchCommand.AnswerRecorded answer =
         core.last(DispatchCommand.AnswerRecorded.class).orElseThrow();
-    assertEquals("201 theirs", answer.status() + " " + new String(answer.body()));
+    assertEquals(
+        "201 theirs", answer.status() + " " + new String(answer.body(), StandardCharsets.UTF_8));
   }
 
   @Test
@@ -130,7 +132,7 @@
     assertEquals(List.of(1L), core.sentTickets());
     List<DispatchCommand.AnswerRecorded> answers = core.all(DispatchCommand.AnswerRecorded.class);
     assertEquals(List.of(2L, 3L), answers.stream().map(a -> a.ticket()).sorted().toList());
-    assertArrayEquals("mine".getBytes(), answers.getFirst().body());
+    assertArrayEquals("mine".getBytes(StandardCharsets.UTF_8), answers.getFirst().body());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/dispatch/CoreFixture.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/dispatch/CoreFixture.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -157,7 +158,7 @@
   }
 
   static DispatchEnd answered(String body) {
-    return new DispatchEnd.Answered(200, "text/plain", body.getBytes(), true);
+    return new DispatchEnd.Answered(200, "text/plain", body.getBytes(StandardCharsets.UTF_8), true);
   }
 
   static DispatchEnd lost() {
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/BackPressureTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/BackPressureTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
@@ -23,7 +24,7 @@
                   + "\r\nRequest-Token: "
                   + request.token()
                   + "\r\n\r\n";
-          socket.getOutputStream().write(head.getBytes());
+          socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
           for (int i = 0; i < BLOCKS; i++) {
             socket.getOutputStream().write(new byte[BLOCK]);
             written.addAndGet(BLOCK);
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/ForeignAnswersTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/ForeignAnswersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -78,7 +79,7 @@
         (executor, socket, in) -> {
           FakeExecutor.Request request = FakeExecutor.read(in);
           String answer = "HTTP/1.1 200 X\r\nRequest-Token: " + request.token() + "\r\n\r\npartial";
-          socket.getOutputStream().write(answer.getBytes());
+          socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
         };
     try (FakeLog log = new FakeLog();
         FakeExecutor executor = new FakeExecutor(unframed);
@@ -94,7 +95,7 @@
             ("HTTP/1.1 200 X\r\nContent-Length: 99\r\nRequest-Token: "
                     + request.token()
                     + "\r\n\r\n")
-                .getBytes();
+                .getBytes(StandardCharsets.UTF_8);
     try (FakeLog log = new FakeLog();
         FakeExecutor executor = new FakeExecutor(FakeExecutor.answering(head));
         PathFixture fixture = new PathFixture(log, 1, executor);
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/HostileInputProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/HostileInputProperties.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Random;
 import net.jqwik.api.ForAll;
@@ -53,7 +54,9 @@
   private static byte[] hostile(Random random) {
     String body = "x".repeat(random.nextInt(200));
     String fields = PathFixture.ORGANISATION + "Request-Id: r" + random.nextInt(5) + "\r\n";
-    byte[] request = RawCaller.request("POST", "/requests/hostile", fields, body).getBytes();
+    byte[] request =
+        RawCaller.request("POST", "/requests/hostile", fields, body)
+            .getBytes(StandardCharsets.UTF_8);
     switch (random.nextInt(5)) {
       case 0 -> request = Arrays.copyOf(request, random.nextInt(request.length));
       case 1 -> {
