Appends rest after a failure; log events and metrics of the decision core in the catalogues

An append that was refused at once was repeated at once, so a full ring or a log that refuses every append made the decision thread loop (virtual time stood still in the test). No VM now appends within 100 ms of a failure.

--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -103,7 +103,7 @@
       case ControlEvent.CaughtUp(long earliest, long next) -> caughtUp(earliest, next, turn);
       case ControlEvent.LogUnreachable() -> reader.unreachable();
       case ControlEvent.AppendFailed(long sequence, boolean certain) ->
-          resolve(writer.failed(sequence, certain), turn);
+          resolve(writer.failed(sequence, certain, turn), turn);
       case ControlEvent.WorkerAnswered(var reply) -> gangs.answered(reply, turn);
       case ControlEvent.MembersListed(var members) -> peers.listed(members);
       case ControlEvent.PeersHeard(var alive, var reachingLog) -> peers.heard(alive, reachingLog);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
@@ -14,6 +14,9 @@
   /** Requests that wait for room among the unread records, at most. */
   public static final int MOST_QUEUED_REQUESTS = 1000;
 
+  /** Time without appends after one failed. */
+  public static final Duration APPEND_REST = Duration.ofMillis(100);
+
   /** Longest wait of a request for its record; its outcome is unknown to the caller after that. */
   public static final Duration REQUEST_WAIT = Duration.ofSeconds(10);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlStream.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlStream.java
@@ -112,8 +112,9 @@
   }
 
   /**
-   * A decision that this version cannot fold leaves its state behind the others'. It goes on folding
-   * what it knows, but never decides by that state. What needs no owner is harmless to skip.
+   * A decision that this version cannot fold leaves its state behind the others'. It goes on
+   * folding what it knows, but never decides by that state. What needs no owner is harmless to
+   * skip.
    */
   private void takeNewer(ControlRecord newer, LogRecord record, Turn turn) {
     skip(record, "newer", "version " + newer.getVersion(), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/DecisionNotes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/DecisionNotes.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.control;
 
+import org.fescuehook.logic.control.record.WireWords;
 import org.fescuehook.wire.AttemptEnded;
 import org.fescuehook.wire.AttemptPlanned;
 import org.fescuehook.wire.ControlRecord;
@@ -17,7 +18,7 @@
           turn.note(
               ControlLogEvent.JOB_ENDED,
               record.getJobEnded().getJob(),
-              record.getJobEnded().getResult());
+              WireWords.of(record.getJobEnded().getResult()));
       default -> {}
     }
   }
@@ -34,14 +35,14 @@
     turn.note(
         ControlLogEvent.ATTEMPT_ENDED,
         ended.getJob() + "." + ended.getAttempt(),
-        ended.getResult(),
-        ended.getReason(),
+        WireWords.of(ended.getResult()),
+        WireWords.of(ended.getReason()),
         ended.getWorker());
     turn.count(
         "fescuehook.control.attempts.ended",
         "result",
-        ended.getResult().name(),
+        WireWords.of(ended.getResult()),
         "reason",
-        ended.getReason().name());
+        WireWords.of(ended.getReason()));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
@@ -32,6 +32,7 @@
   private final TreeMap<Long, Unread> unread = new TreeMap<>();
   private long lastSequence;
   private long lastAppendNanos = Long.MIN_VALUE / 2;
+  private long lastFailureNanos = Long.MIN_VALUE / 2;
 
   /** Creates a writer that has written nothing. */
   public RecordWriter(VmId vm, String incarnation) {
@@ -40,13 +41,18 @@
   }
 
   /** Tells whether a decision may be appended now. */
-  public boolean hasRoom() {
-    return unread.size() < ControlLimits.MOST_UNREAD;
+  public boolean hasRoom(Turn turn) {
+    return unread.size() < ControlLimits.MOST_UNREAD && rested(turn);
+  }
+
+  /** After a failure the appender or the log gets a rest, however soon the failure came. */
+  private boolean rested(Turn turn) {
+    return turn.passed(lastFailureNanos, ControlLimits.APPEND_REST);
   }
 
   /** Tells whether the record of a request may be appended now. */
-  public boolean hasRoomForRequest() {
-    return unread.size() < ControlLimits.MOST_UNREAD_REQUESTS;
+  public boolean hasRoomForRequest(Turn turn) {
+    return unread.size() < ControlLimits.MOST_UNREAD_REQUESTS && rested(turn);
   }
 
   /** Returns the number of records whose outcome is not known. */
@@ -96,7 +102,8 @@
   }
 
   /** Takes in the word that an append failed; returns what is known by it. */
-  public List<Resolution> failed(long sequence, boolean certain) {
+  public List<Resolution> failed(long sequence, boolean certain, Turn turn) {
+    lastFailureNanos = turn.now();
     Unread entry = unread.get(sequence);
     if (entry == null) {
       return List.of();
@@ -134,14 +141,14 @@
   }
 
   /**
-   * Appends a record that counts for nothing, if the last own record has an unknown outcome: reading
-   * it tells what became of those before. Called only while the log can be read.
+   * Appends a record that counts for nothing, if the last own record has an unknown outcome:
+   * reading it tells what became of those before. Called only while the log can be read.
    */
   public void settle(Turn turn) {
     if (unread.isEmpty() || !unread.lastEntry().getValue().unknown()) {
       return;
     }
-    if (turn.passed(lastAppendNanos, BARRIER_INTERVAL)) {
+    if (rested(turn) && turn.passed(lastAppendNanos, BARRIER_INTERVAL)) {
       append(
           ControlRecord.newBuilder().setOwnerHeartbeat(OwnerHeartbeat.getDefaultInstance()), turn);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
@@ -36,7 +36,8 @@
   }
 
   /**
-   * Puts the configuration of the log in force if it is newer. Implements {@code TakeConfiguration}.
+   * Puts the configuration of the log in force if it is newer. Implements {@code
+   * TakeConfiguration}.
    *
    * @return whether it changed
    */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.fescuehook.logic.control.ControlLogEvent;
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.append.RecordWriter;
 import org.fescuehook.logic.control.ownership.PeerWatch;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangRunner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangRunner.java
@@ -6,6 +6,7 @@
 import org.fescuehook.logic.control.ControlLogEvent;
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.append.RecordWriter;
+import org.fescuehook.logic.control.record.WireWords;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
 import org.fescuehook.model.preferences.ControlPreferences;
@@ -39,7 +40,7 @@
       abandon(track, fault.get(), turn);
       return;
     }
-    if (mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom()) {
+    if (mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom(turn)) {
       if (track.all(member -> member.finished)) {
         finish(track, epoch, turn);
         return;
@@ -138,7 +139,7 @@
     }
     track.abandoned = true;
     String worker = fault.member().map(member -> member.worker.value()).orElse("none");
-    turn.note(ControlLogEvent.GANG_ABANDONED, track.attempt, worker, fault.reason());
+    turn.note(ControlLogEvent.GANG_ABANDONED, track.attempt, worker, WireWords.of(fault.reason()));
   }
 
   /** Implements {@code Stop}. */
@@ -150,10 +151,8 @@
             .setReason(fault.reason());
     fault
         .member()
-        .ifPresent(
-            member -> body.setWorker(member.worker.value()).setExitCode(member.exitCode));
-    track.unread =
-        writer.append(ControlRecord.newBuilder().setAttemptStopping(body), epoch, turn);
+        .ifPresent(member -> body.setWorker(member.worker.value()).setExitCode(member.exitCode));
+    track.unread = writer.append(ControlRecord.newBuilder().setAttemptStopping(body), epoch, turn);
   }
 
   /** The leases are released only once this record was read, else the result could be lost. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
@@ -34,7 +34,7 @@
       keepLeases(track, turn);
       return;
     }
-    if (!writer.hasRoom()) {
+    if (!writer.hasRoom(turn)) {
       return;
     }
     Optional<StopReason> reason = reasonToAbort(track, job, epoch, turn);
@@ -95,8 +95,7 @@
       if (member.granted() && turn.passed(member.renewedNanos, ControlLimits.COMMIT_KEEP)) {
         member.renewedNanos = turn.now();
         turn.send(
-            member.worker,
-            new WorkerCommand.Renew(List.of(member.lease), grantTtl().toMillis()));
+            member.worker, new WorkerCommand.Renew(List.of(member.lease), grantTtl().toMillis()));
       }
     }
   }
@@ -112,8 +111,7 @@
             .setJob(track.attempt.job().value())
             .setAttempt(track.attempt.number());
     track.members.forEach(member -> body.addLeases(member.lease));
-    track.unread =
-        writer.append(ControlRecord.newBuilder().setAttemptCommitted(body), epoch, turn);
+    track.unread = writer.append(ControlRecord.newBuilder().setAttemptCommitted(body), epoch, turn);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.append.RecordWriter;
 import org.fescuehook.logic.control.ownership.PeerWatch;
+import org.fescuehook.logic.control.record.WireWords;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
 import org.fescuehook.model.preferences.ControlPreferences;
@@ -53,7 +54,7 @@
       turn.note(
           ControlLogEvent.ATTEMPT_STOPPING,
           track.attempt,
-          stopping.getReason(),
+          WireWords.of(stopping.getReason()),
           stopping.getWorker());
     }
     if (awaitsCheckpoint(track, stopping, turn)) {
@@ -62,14 +63,13 @@
     }
     release(track, stopping, turn);
     boolean allGone = track.all(member -> member.gone);
-    if (allGone && mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom()) {
+    if (allGone && mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom(turn)) {
       end(track, stopping, epoch, turn);
     }
   }
 
   /** Only an owner waits, and from when it read the stop, so renewals end with the notice. */
-  private static boolean awaitsCheckpoint(
-      AttemptTrack track, AttemptStopping stopping, Turn turn) {
+  private static boolean awaitsCheckpoint(AttemptTrack track, AttemptStopping stopping, Turn turn) {
     if (!track.awaitsCheckpoint || track.releasing) {
       return false;
     }
@@ -82,7 +82,8 @@
   private static void askForCheckpoint(AttemptTrack track, Turn turn) {
     for (MemberTrack member : track.members) {
       boolean done = member.checkpointed || member.finished;
-      if (done || !turn.passed(member.commandedNanos, ControlLimits.COMMAND_RETRY.multipliedBy(4))) {
+      if (done
+          || !turn.passed(member.commandedNanos, ControlLimits.COMMAND_RETRY.multipliedBy(4))) {
         continue;
       }
       member.commandedNanos = turn.now();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/LeaseRenewer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/LeaseRenewer.java
@@ -53,8 +53,7 @@
     add(attempt, turn);
     for (MemberTrack member : attempt.members) {
       long spread = Math.floorMod(member.worker.value().hashCode(), ADOPTION_SPREAD.toMillis());
-      workers.get(member.worker).dueNanos =
-          turn.now() + Duration.ofMillis(spread).toNanos();
+      workers.get(member.worker).dueNanos = turn.now() + Duration.ofMillis(spread).toNanos();
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/WorkerRest.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/WorkerRest.java
@@ -8,7 +8,9 @@
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.model.fleet.WorkerId;
 
-/** Workers that get no requests for leases for a while, since they refused one or gave no answer. */
+/**
+ * Workers that get no requests for leases for a while, since they refused one or gave no answer.
+ */
 final class WorkerRest {
   private final Map<WorkerId, Long> refusedUntil = new HashMap<>();
   private final Map<WorkerId, Long> silentUntil = new HashMap<>();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -14,7 +14,9 @@
 import org.fescuehook.wire.OwnerHeartbeat;
 import org.fescuehook.wire.OwnerRelease;
 
-/** Claims ownership when the owner is silent, holds it by heartbeats, and gives it up when asked. */
+/**
+ * Claims ownership when the owner is silent, holds it by heartbeats, and gives it up when asked.
+ */
 public final class OwnerDuty {
   private final VmId vm;
   private final String incarnation;
@@ -81,7 +83,8 @@
       hold(state, eligible, turn);
       return;
     }
-    if (!handingOver && eligible && !writer.isUnread(claim) && silent(state, turn)) {
+    boolean free = !writer.isUnread(claim) && writer.hasRoom(turn);
+    if (!handingOver && eligible && free && silent(state, turn)) {
       claim(state, turn);
     }
   }
@@ -93,7 +96,7 @@
       return;
     }
     boolean due = turn.passed(writer.lastAppendNanos(), preferences.ownerHeartbeat());
-    if (due && !writer.onItsWay()) {
+    if (due && !writer.onItsWay() && writer.hasRoom(turn)) {
       writer.append(
           ControlRecord.newBuilder().setOwnerHeartbeat(OwnerHeartbeat.getDefaultInstance()),
           state.epoch(),
@@ -102,7 +105,7 @@
   }
 
   private void releaseOnce(ControlState state, Turn turn) {
-    if (writer.isUnread(release)) {
+    if (writer.isUnread(release) || !writer.hasRoom(turn)) {
       return;
     }
     turn.note(ControlLogEvent.RELEASED_OWNERSHIP, state.epoch());
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
@@ -115,7 +115,9 @@
     return vm.equals(self) || folded.getOrDefault(vm, 0L) > offset;
   }
 
-  /** Tells whether every entry VM that may exist is known to have folded the record at an offset. */
+  /**
+   * Tells whether every entry VM that may exist is known to have folded the record at an offset.
+   */
   public boolean allFolded(long offset) {
     if (!listFetched) {
       return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/package-info.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/package-info.java
@@ -1,4 +1,7 @@
-/** Which entry VM decides: claims, heartbeats, take-over, and what this VM knows of its reader and peers. */
+/**
+ * Which entry VM decides: claims, heartbeats, take-over, and what this VM knows of its reader and
+ * peers.
+ */
 @NullMarked
 package org.fescuehook.logic.control.ownership;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
@@ -63,7 +63,7 @@
         continue;
       }
       touched.add(id);
-      if (!writer.isUnread(appended.getOrDefault(id, 0L)) && writer.hasRoom()) {
+      if (!writer.isUnread(appended.getOrDefault(id, 0L)) && writer.hasRoom(turn)) {
         ControlRecord.Builder record =
             ControlRecord.newBuilder().setJobEnded(end.get().setJob(id.value()));
         appended.put(id, writer.append(record, state.epoch(), turn));
@@ -82,8 +82,12 @@
     }
     if (ViewBuilder.gaveUp(job, declarations)) {
       String detail =
-          "failed " + job.facts().getFailures() + " times, last with exit code "
-              + last.getExitCode() + " on " + last.getWorker();
+          "failed "
+              + job.facts().getFailures()
+              + " times, last with exit code "
+              + last.getExitCode()
+              + " on "
+              + last.getWorker();
       return Optional.of(end.setResult(JobResult.JOB_RESULT_FAILED).setDetail(detail));
     }
     return Optional.empty();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
@@ -55,8 +55,7 @@
     }
     lastPlanNanos = turn.now();
     changed = false;
-    Scheduler.View view =
-        ViewBuilder.build(state, declarations, unavailable, turn.wallMillis());
+    Scheduler.View view = ViewBuilder.build(state, declarations, unavailable, turn.wallMillis());
     Scheduler.Plan plan = scheduler.plan(view);
     for (Scheduler.Stop stop : plan.stops()) {
       stop(stop, state, turn);
@@ -77,7 +76,7 @@
   }
 
   private void decide(ControlRecord.Builder record, ControlState state, Turn turn) {
-    if (writer.hasRoom()) {
+    if (writer.hasRoom(turn)) {
       unread.add(writer.append(record, state.epoch(), turn));
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/ViewBuilder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/ViewBuilder.java
@@ -42,8 +42,7 @@
 
   /** Tells whether a waiting job is to have a further attempt. */
   static boolean runnable(JobState job, Declarations declarations) {
-    boolean finished =
-        job.facts().getEnded().getResult() == AttemptResult.ATTEMPT_RESULT_FINISHED;
+    boolean finished = job.facts().getEnded().getResult() == AttemptResult.ATTEMPT_RESULT_FINISHED;
     return !job.facts().getCancelRequested() && !finished && !gaveUp(job, declarations);
   }
 
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/record/WireWords.java
@@ -0,0 +1,31 @@
+package org.fescuehook.logic.control.record;
+
+import java.util.Locale;
+import org.fescuehook.wire.AttemptResult;
+import org.fescuehook.wire.JobResult;
+import org.fescuehook.wire.StopReason;
+
+/** Words for values of records, as used in documents, log lines and metric tags. */
+public final class WireWords {
+
+  private WireWords() {}
+
+  /** Returns the word for how an attempt ended. */
+  public static String of(AttemptResult result) {
+    return slug(result.name(), "ATTEMPT_RESULT_");
+  }
+
+  /** Returns the word for why an attempt was stopped. */
+  public static String of(StopReason reason) {
+    return slug(reason.name(), "STOP_REASON_");
+  }
+
+  /** Returns the word for how a job ended. */
+  public static String of(JobResult result) {
+    return slug(result.name(), "JOB_RESULT_");
+  }
+
+  private static String slug(String name, String prefix) {
+    return name.replace(prefix, "").toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/ExplainDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/ExplainDesk.java
@@ -11,8 +11,8 @@
 import org.fescuehook.model.request.RefusalReason;
 
 /**
- * Explains why a job waits. The policy is pure, so any VM that has read the log can ask it, and gives
- * the answer that the owner would give.
+ * Explains why a job waits. The policy is pure, so any VM that has read the log can ask it, and
+ * gives the answer that the owner would give.
  */
 public final class ExplainDesk {
   private final Scheduler scheduler;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDesk.java
@@ -35,7 +35,11 @@
 
   /** Takes a submission; repeated under the same caller's id it gives the first one's job. */
   public void submit(
-      long ticket, Request.Submit submit, Declarations declarations, ControlState state, Turn turn) {
+      long ticket,
+      Request.Submit submit,
+      Declarations declarations,
+      ControlState state,
+      Turn turn) {
     Optional<JobId> first =
         submit
             .requestId()
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDocument.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/JobDocument.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.Locale;
+import org.fescuehook.logic.control.record.WireWords;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.wire.JobSnapshot;
 
@@ -29,8 +29,8 @@
       node.put("planned", facts.getStartedMillis());
     }
     if (facts.hasEnded()) {
-      node.put("lastResult", slug(facts.getEnded().getResult().name(), "ATTEMPT_RESULT_"));
-      node.put("lastReason", slug(facts.getEnded().getReason().name(), "STOP_REASON_"));
+      node.put("lastResult", WireWords.of(facts.getEnded().getResult()));
+      node.put("lastReason", WireWords.of(facts.getEnded().getReason()));
       node.put("exitCode", facts.getEnded().getExitCode());
     }
     if (job.over()) {
@@ -42,7 +42,7 @@
 
   private static String state(JobState job) {
     if (job.over()) {
-      return slug(job.facts().getJobEnded().getResult().name(), "JOB_RESULT_");
+      return WireWords.of(job.facts().getJobEnded().getResult());
     }
     if (job.stopping()) {
       return "stopping";
@@ -52,8 +52,4 @@
     }
     return job.live() ? "starting" : "waiting";
   }
-
-  private static String slug(String name, String prefix) {
-    return name.replace(prefix, "").toLowerCase(Locale.ROOT).replace('_', '-');
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestDesk.java
@@ -14,7 +14,6 @@
 import org.fescuehook.logic.control.append.Resolution;
 import org.fescuehook.logic.control.ownership.ReaderWatch;
 import org.fescuehook.logic.control.state.ControlState;
-import org.fescuehook.logic.control.state.FoldResult;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.request.RefusalReason;
 import org.fescuehook.wire.ConfigurationPublished;
@@ -23,8 +22,8 @@
 
 /**
  * Appends the records of requests, and answers each request when its record was read. "Not run" is
- * said only where the record was never appended, or surely will not count; a request whose wait ends
- * before that is told that its outcome is unknown.
+ * said only where the record was never appended, or surely will not count; a request whose wait
+ * ends before that is told that its outcome is unknown.
  */
 public final class RequestDesk {
 
@@ -92,8 +91,7 @@
   }
 
   static Answer winner(ConfigurationPublished published, ControlState state) {
-    boolean same =
-        published.getDeclarations().equals(state.configuration().getDeclarations());
+    boolean same = published.getDeclarations().equals(state.configuration().getDeclarations());
     if (same) {
       return new Answer.Published(state.revision());
     }
@@ -107,7 +105,7 @@
       refuseQueued(turn);
       return;
     }
-    while (!queue.isEmpty() && writer.hasRoomForRequest()) {
+    while (!queue.isEmpty() && writer.hasRoomForRequest(turn)) {
       Pending pending = queue.removeFirst();
       if (isVoid(pending.body(), state)) {
         turn.reply(pending.ticket(), overtaken(pending.body(), state));
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
@@ -105,10 +105,7 @@
   private void explain(long ticket, JobId job, Situation situation, Turn turn) {
     Scheduler.View view =
         ViewBuilder.build(
-            situation.state(),
-            declarations(situation),
-            situation.unavailable(),
-            turn.wallMillis());
+            situation.state(), declarations(situation), situation.unavailable(), turn.wallMillis());
     explanations.explain(ticket, job, situation.state().jobs().find(job), view, turn);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
@@ -35,20 +35,17 @@
       stableSince = turn.now();
     }
     boolean stable = turn.passed(stableSince, ControlLimits.SHARE_DEBOUNCE);
-    if (!stable || writer.isUnread(unread) || !writer.hasRoom()) {
+    if (!stable || writer.isUnread(unread) || !writer.hasRoom(turn)) {
       return;
     }
     SlotShares wanted =
         SlotShareDivider.divide(
-            declarations.fleet().executors(),
-            vms,
-            (int) ControlLimits.SHARE_SETTLE.toMillis());
+            declarations.fleet().executors(), vms, (int) ControlLimits.SHARE_SETTLE.toMillis());
     if (state.shares().filter(wanted::equals).isPresent()) {
       stableSince = turn.now();
       return;
     }
     turn.note(ControlLogEvent.SHARES_PUBLISHED, declarations.fleet().executors().size(), vms);
-    unread =
-        writer.append(ControlRecord.newBuilder().setSlotShares(wanted), state.epoch(), turn);
+    unread = writer.append(ControlRecord.newBuilder().setSlotShares(wanted), state.epoch(), turn);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareHolder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareHolder.java
@@ -12,10 +12,11 @@
 import org.fescuehook.wire.SlotShares;
 
 /**
- * Holds the shares that this VM may use. A lowered share is in force as soon as its record is folded.
- * A raised one is in force only when every entry VM that may exist is known to have folded that
- * record, and the settling time has passed. So the shares in use never sum to more than was declared:
- * while one VM has not folded a record, no other uses more than the division before it allowed.
+ * Holds the shares that this VM may use. A lowered share is in force as soon as its record is
+ * folded. A raised one is in force only when every entry VM that may exist is known to have folded
+ * that record, and the settling time has passed. So the shares in use never sum to more than was
+ * declared: while one VM has not folded a record, no other uses more than the division before it
+ * allowed.
  */
 public final class ShareHolder {
 
@@ -23,8 +24,7 @@
     static final Share NONE = new Share(0, 0);
 
     Share least(Share other) {
-      return new Share(
-          Math.min(slots, other.slots), Math.min(connections, other.connections));
+      return new Share(Math.min(slots, other.slots), Math.min(connections, other.connections));
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/SnapshotDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/SnapshotDuty.java
@@ -54,7 +54,7 @@
 
   /** Publishes a snapshot if one is due. */
   public void step(ControlState state, long foldedUntil, Turn turn) {
-    if (!due(foldedUntil, turn) || !writer.hasRoom()) {
+    if (!due(foldedUntil, turn) || !writer.hasRoom(turn)) {
       return;
     }
     lastNanos = turn.now();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/state/JobBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/JobBook.java
@@ -87,8 +87,7 @@
     if (!submitted.getRequestId().isEmpty() && byRequest.containsKey(key)) {
       return NOT_APPLICABLE;
     }
-    put(JobState.of(
-        JobSnapshot.newBuilder().setJob(submitted).setSubmittedOffset(offset).build()));
+    put(JobState.of(JobSnapshot.newBuilder().setJob(submitted).setSubmittedOffset(offset).build()));
     return COUNTED;
   }
 
@@ -123,16 +122,17 @@
     if (!next || !whole || planned.getWorkersList().stream().anyMatch(String::isBlank)) {
       return NOT_APPLICABLE;
     }
-    put(state.with(
-        state.facts().toBuilder()
-            .setPlanned(planned)
-            .clearCommitted()
-            .clearStopping()
-            .clearEnded()
-            .clearCommittedMillis()
-            .setPlannedEpochPlusOne(epoch + 1)
-            .setPlannedOffset(offset)
-            .setStartedMillis(millis)));
+    put(
+        state.with(
+            state.facts().toBuilder()
+                .setPlanned(planned)
+                .clearCommitted()
+                .clearStopping()
+                .clearEnded()
+                .clearCommittedMillis()
+                .setPlannedEpochPlusOne(epoch + 1)
+                .setPlannedOffset(offset)
+                .setStartedMillis(millis)));
     return COUNTED;
   }
 
@@ -147,8 +147,7 @@
     if (!whole || state.plannedEpoch() != epoch) {
       return NOT_APPLICABLE;
     }
-    put(state.with(
-        state.facts().toBuilder().setCommitted(committed).setCommittedMillis(millis)));
+    put(state.with(state.facts().toBuilder().setCommitted(committed).setCommittedMillis(millis)));
     return COUNTED;
   }
 
@@ -200,11 +199,14 @@
     if (found.isEmpty() || !found.get().waiting()) {
       return NOT_APPLICABLE;
     }
-    put(found.get().with(
-        found.get().facts().toBuilder()
-            .setJobEnded(end)
-            .setEndedOffset(offset)
-            .setEndedMillis(millis)));
+    put(
+        found
+            .get()
+            .with(
+                found.get().facts().toBuilder()
+                    .setJobEnded(end)
+                    .setEndedOffset(offset)
+                    .setEndedMillis(millis)));
     forgetEnded(millis);
     return COUNTED;
   }
@@ -238,9 +240,7 @@
   }
 
   private Optional<JobState> findLive(String name, int attempt) {
-    return find(name)
-        .filter(JobState::live)
-        .filter(state -> state.attempt().number() == attempt);
+    return find(name).filter(JobState::live).filter(state -> state.attempt().number() == attempt);
   }
 
   private void put(JobState state) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/CommandEncoder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/CommandEncoder.java
@@ -15,10 +15,7 @@
       case ControlCommand.Append(var record) ->
           new TraceLine("append").add(record.toByteArray()).toString();
       case ControlCommand.Send(var worker, var sent) ->
-          new TraceLine("send")
-              .add(worker.value())
-              .addLine(EventEncoder.command(sent))
-              .toString();
+          new TraceLine("send").add(worker.value()).addLine(EventEncoder.command(sent)).toString();
       case ControlCommand.Reply(long ticket, Answer answer) ->
           new TraceLine("reply").add(ticket).addLine(answer(answer)).toString();
       case ControlCommand.ConfigurationInForce(var configuration) ->
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventEncoder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventEncoder.java
@@ -49,8 +49,7 @@
 
   private static String folded(ControlEvent.PeersFolded folded) {
     TraceLine line = new TraceLine("peers-folded").add(folded.nextOffsets().size());
-    new TreeMap<>(folded.nextOffsets())
-        .forEach((vm, offset) -> line.add(vm.value()).add(offset));
+    new TreeMap<>(folded.nextOffsets()).forEach((vm, offset) -> line.add(vm.value()).add(offset));
     return line.toString();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventParser.java
@@ -91,8 +91,7 @@
     return new ControlEvent.MembersListed(members);
   }
 
-  private static WorkerReply reply(String word, TraceFields fields)
-      throws InvalidTraceException {
+  private static WorkerReply reply(String word, TraceFields fields) throws InvalidTraceException {
     return switch (word) {
       case "granted" ->
           new WorkerReply.Granted(worker(fields), fields.text("key"), fields.text("lease"));
@@ -145,8 +144,7 @@
               fields.text("command"));
       case "renew" -> renew(fields);
       case "checkpoint" -> new WorkerCommand.Checkpoint(fields.text("lease"));
-      case "throttle" ->
-          new WorkerCommand.Throttle(fields.text("lease"), fields.small("percent"));
+      case "throttle" -> new WorkerCommand.Throttle(fields.text("lease"), fields.small("percent"));
       case "release" -> new WorkerCommand.Release(fields.text("lease"));
       default -> throw fields.fault("command", "unknown command " + word);
     };
@@ -187,8 +185,7 @@
     Optional<String> requestId = Optional.of(fields.text("request id")).filter(id -> named);
     int members = fields.small("members");
     Capacity unit =
-        new Capacity(
-            fields.small("accelerators"), fields.small("cores"), fields.number("memory"));
+        new Capacity(fields.small("accelerators"), fields.small("cores"), fields.number("memory"));
     return new Request.Submit(
         organisation,
         requestId,
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ClusterInvariants.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ClusterInvariants.java
@@ -39,8 +39,7 @@
   ControlState observer() {
     for (LogRecord record : cluster.log.read(next, Integer.MAX_VALUE).records()) {
       if (RecordCodec.decode(record.data()) instanceof DecodedRecord.Known(var known)) {
-        FoldResult result =
-            observer.fold(known, record.offset(), record.appendedMillis());
+        FoldResult result = observer.fold(known, record.offset(), record.appendedMillis());
         note(known, result == FoldResult.COUNTED);
       }
       next = record.offset() + 1;
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ControlTraceTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ControlTraceTest.java
@@ -121,8 +121,7 @@
   }
 
   private static void assertFault(String begin, List<String> lines) {
-    InvalidTraceException fault =
-        assertThrows(InvalidTraceException.class, () -> replay(lines));
+    InvalidTraceException fault = assertThrows(InvalidTraceException.class, () -> replay(lines));
     String message = String.valueOf(fault.getMessage());
     assertTrue(message.startsWith(begin), message);
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
@@ -58,8 +58,7 @@
   }
 
   private WorkerReply grant(WorkerCommand.Grant grant) {
-    Capacity wanted =
-        new Capacity(grant.accelerators(), grant.cores(), grant.memoryMegabytes());
+    Capacity wanted = new Capacity(grant.accelerators(), grant.cores(), grant.memoryMegabytes());
     Capacity used = Capacity.NONE;
     for (Lease lease : leases.values()) {
       used = used.plus(lease.capacity);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -97,8 +97,7 @@
     JobId first = s.submit(2, "finish 600");
     s.untilRunning(first);
     s.cluster.sendFault =
-        (vm, c) ->
-            c instanceof WorkerCommand.Release ? SendFault.REPLY_LOST : SendFault.NONE;
+        (vm, c) -> c instanceof WorkerCommand.Release ? SendFault.REPLY_LOST : SendFault.NONE;
     s.cancel(first);
     s.run(10);
     assertTrue(s.job(first).live(), "ended without the word of the workers");
@@ -150,8 +149,7 @@
     JobId job = s.submit(1, "fail 3");
     assertEquals("FAILED", s.result(job, 120));
     assertEquals(3, s.job(job).facts().getFailures());
-    assertEquals(
-        StopReason.STOP_REASON_MEMBER_FAILED, s.job(job).facts().getEnded().getReason());
+    assertEquals(StopReason.STOP_REASON_MEMBER_FAILED, s.job(job).facts().getEnded().getReason());
   }
 
   @Test
@@ -161,8 +159,7 @@
     s.untilRunning(job);
     VirtualVm old = s.owner();
     s.cluster.appendFault =
-        (vm, r) ->
-            vm == old && r.hasAttemptEnded() ? AppendFault.RECORD_LOST : AppendFault.NONE;
+        (vm, r) -> vm == old && r.hasAttemptEnded() ? AppendFault.RECORD_LOST : AppendFault.NONE;
     s.until(30, "end appended", x -> !x.appends(old, r -> r.hasAttemptEnded()).isEmpty());
     s.cluster.run(Duration.ofMillis(20));
     s.cluster.kill(old);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
@@ -54,7 +54,8 @@
     s.cluster.log.down = false;
     long back = s.cluster.now();
     s.until(10, "take-over", x -> x.cluster.owner().filter(vm -> vm != old).isPresent());
-    System.out.printf("take-over after an outage: %d ms of virtual time%n",
+    System.out.printf(
+        "take-over after an outage: %d ms of virtual time%n",
         (s.cluster.now() - back) / VirtualCluster.MILLI);
     assertEquals("FINISHED", s.result(job, 400));
     assertEquals(1, s.job(job).attempt().number());
@@ -102,6 +103,27 @@
     s.until(9, "no member runs", x -> x.running(job) == 0);
   }
 
+  @Test
+  void whileEveryAppendIsRefusedAtOnceNoVmAppendsInALoop() {
+    Scenario s = new Scenario(3, 4);
+    s.cluster.appendMillis = 0;
+    s.cluster.appendFault = (vm, r) -> AppendFault.REFUSED;
+    long ticket = s.cluster.ask(s.standBy(), TestDeclarations.gang(1, "finish 1"));
+    long before = s.cluster.vms.stream().mapToLong(vm -> vm.appended.size()).sum();
+    s.run(30);
+    long appends = s.cluster.vms.stream().mapToLong(vm -> vm.appended.size()).sum() - before;
+    assertTrue(appends < 3 * 30 * 10, () -> appends + " appends in 30 s");
+    Answer answer =
+        s.cluster.vms.stream()
+            .filter(vm -> vm.answers.containsKey(ticket))
+            .map(vm -> vm.answers.get(ticket))
+            .findFirst()
+            .orElseThrow();
+    assertEquals(RefusalReason.LOG_UNAVAILABLE, ((Answer.Refused) answer).reason());
+    s.cluster.appendFault = (vm, r) -> AppendFault.NONE;
+    assertEquals("FINISHED", s.result(s.submit(1, "finish 1"), 20));
+  }
+
   @Test
   void aSubmissionWhoseReplyIsLostIsAcceptedOnceWhenItTookEffect() {
     Scenario s = new Scenario(3, 4);
@@ -141,8 +163,7 @@
     JobId job = s.submit(1, "finish 1");
     s.run(10);
     assertEquals("FINISHED", s.result(job, 10));
-    assertEquals(
-        1, s.cluster.workers.values().stream().mapToLong(w -> w.started.size()).sum());
+    assertEquals(1, s.cluster.workers.values().stream().mapToLong(w -> w.started.size()).sum());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OwnershipTest.java
@@ -31,7 +31,8 @@
       millis.add((s.cluster.now() - died) / VirtualCluster.MILLI);
     }
     Collections.sort(millis);
-    System.out.printf("take-over: least %d, median %d, most %d ms of virtual time%n",
+    System.out.printf(
+        "take-over: least %d, median %d, most %d ms of virtual time%n",
         millis.getFirst(), millis.get(millis.size() / 2), millis.getLast());
     assertTrue(millis.getLast() < 3000, () -> "take-over times " + millis);
   }
@@ -83,7 +84,8 @@
     s.untilRunning(first);
     VirtualVm old = s.owner();
     s.cluster.pause(old);
-    s.until(10, "take-over", x -> x.cluster.vms.stream().anyMatch(vm -> vm != old && vm.core.owner()));
+    s.until(
+        10, "take-over", x -> x.cluster.vms.stream().anyMatch(vm -> vm != old && vm.core.owner()));
     s.cancel(first);
     assertEquals("CANCELLED", s.result(first, 10));
     JobId second = s.submit(2, "finish 60");
@@ -134,8 +136,9 @@
     s.cluster.kill(old);
     s.run(20);
     VirtualVm other = s.cluster.vms.get(1);
-    assertTrue(s.appends(other, ControlRecord::hasOwnerClaim).stream().allMatch(
-        r -> r.getOwnerClaim().getBasedOnEpochPlusOne() == 0));
+    assertTrue(
+        s.appends(other, ControlRecord::hasOwnerClaim).stream()
+            .allMatch(r -> r.getOwnerClaim().getBasedOnEpochPlusOne() == 0));
     assertTrue(other.notes.stream().anyMatch(note -> note.startsWith("NEWER_RECORD")));
   }
 
@@ -181,8 +184,11 @@
     s.cluster.kill(s.owner());
     s.run(10);
     VirtualVm owner = s.owner();
-    assertEquals(1, s.appends(owner, r -> r.hasOwnerClaim()).stream()
-        .filter(r -> r.getOwnerClaim().getBasedOnEpochPlusOne() != 0).count());
+    assertEquals(
+        1,
+        s.appends(owner, r -> r.hasOwnerClaim()).stream()
+            .filter(r -> r.getOwnerClaim().getBasedOnEpochPlusOne() != 0)
+            .count());
     assertEquals(0, s.sent(owner, WorkerCommand.Start.class));
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
@@ -67,7 +67,8 @@
     assertEquals(0, state.jobs().waitingCount() + state.jobs().liveCount(), "jobs left over");
     history.invariants.checkSameState();
     for (VirtualVm vm : cluster.vms) {
-      vm.answers.forEach((ticket, answer) -> checkAnswer(history.submissions, ticket, answer, state));
+      vm.answers.forEach(
+          (ticket, answer) -> checkAnswer(history.submissions, ticket, answer, state));
     }
     long bound = PART_BOUND.toNanos();
     long part = history.invariants.longestPartNanos;
@@ -78,16 +79,14 @@
       Map<Long, String> submissions, long ticket, Answer answer, ControlState state) {
     switch (answer) {
       case Answer.Accepted(JobId job) -> {
-        JobResult result =
-            state.jobs().find(job).orElseThrow().facts().getJobEnded().getResult();
+        JobResult result = state.jobs().find(job).orElseThrow().facts().getJobEnded().getResult();
         assertTrue(EXPECTED.contains(result), () -> job + " ended as " + result);
       }
       case Answer.Refused refused when submissions.containsKey(ticket) -> {
         Optional<JobId> job =
             state
                 .jobs()
-                .findByRequest(
-                    TestDeclarations.ORGANISATION.value(), submissions.get(ticket));
+                .findByRequest(TestDeclarations.ORGANISATION.value(), submissions.get(ticket));
         boolean truthful = refused.reason().ran() != Ran.NO || job.isEmpty();
         assertTrue(truthful, () -> "said not run but accepted: " + refused);
       }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
@@ -133,7 +133,7 @@
       case 14 -> publishRace();
       case 15 -> partWorker(vm, millis);
       case 16 -> {
-        cluster.appendMillis = 100 + random.nextInt(2000);
+        cluster.appendMillis = 100L + random.nextInt(2000);
         cluster.after(millis, () -> cluster.appendMillis = 3);
       }
       default -> stubbornWorker(millis);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/Scenario.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/Scenario.java
@@ -36,7 +36,10 @@
   }
 
   VirtualVm standBy() {
-    return cluster.vms.stream().filter(vm -> !vm.dead && !vm.core.owner()).findFirst().orElseThrow();
+    return cluster.vms.stream()
+        .filter(vm -> !vm.dead && !vm.core.owner())
+        .findFirst()
+        .orElseThrow();
   }
 
   JobId submit(int members, String command) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Comparator;
 import org.fescuehook.model.job.JobId;
+import org.fescuehook.wire.ControlRecord;
 import org.junit.jupiter.api.Test;
 
 class SnapshotTest {
@@ -43,7 +45,9 @@
     s.cluster.log.dropUntil(10);
     s.run(20);
     s.cluster.vms.forEach(vm -> s.cluster.kill(vm));
-    s.cluster.log.dropUntil(lastCovered(s) + 1);
+    s.run(1);
+    long part = s.cluster.log.append(lastPart(s).toByteArray(), VirtualCluster.WALL_START);
+    s.cluster.log.dropUntil(part);
     VirtualVm fresh = s.cluster.addVm("fresh");
     s.run(60);
     assertFalse(fresh.core.summary().current());
@@ -65,11 +69,14 @@
   }
 
   private static long lastCovered(Scenario s) {
+    return lastPart(s).getSnapshotPart().getCoversUntil();
+  }
+
+  private static ControlRecord lastPart(Scenario s) {
     return s.cluster.vms.stream()
         .flatMap(vm -> vm.appended.stream())
-        .filter(r -> r.hasSnapshotPart())
-        .mapToLong(r -> r.getSnapshotPart().getCoversUntil())
-        .max()
+        .filter(ControlRecord::hasSnapshotPart)
+        .max(Comparator.comparingLong(r -> r.getSnapshotPart().getCoversUntil()))
         .orElseThrow();
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
@@ -38,7 +38,8 @@
     NONE,
     REPLY_LOST,
     RECORD_LOST,
-    LATE
+    LATE,
+    REFUSED
   }
 
   /** What becomes of a command to a worker. */
@@ -205,15 +206,18 @@
       return;
     }
     AppendFault fault = appendFault.apply(vm, record);
+    if (fault == AppendFault.REFUSED) {
+      deliver(vm, new ControlEvent.AppendFailed(record.getSequence(), true));
+      return;
+    }
     Runnable landing = () -> log.append(record.toByteArray(), WALL_START + now / MILLI);
     switch (fault) {
       case NONE, REPLY_LOST -> landing.run();
       case LATE -> after(3000, landing);
-      case RECORD_LOST -> {}
+      case RECORD_LOST, REFUSED -> {}
     }
     if (fault != AppendFault.NONE) {
-      after(
-          1000, () -> deliver(vm, new ControlEvent.AppendFailed(record.getSequence(), false)));
+      after(1000, () -> deliver(vm, new ControlEvent.AppendFailed(record.getSequence(), false)));
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
@@ -51,8 +51,7 @@
         shares.clear();
         now.getSharesList().forEach(share -> shares.put(share.getExecutor(), share));
       }
-      case ControlCommand.Note note ->
-          notes.add(note.event() + " " + List.of(note.arguments()));
+      case ControlCommand.Note note -> notes.add(note.event() + " " + List.of(note.arguments()));
       case ControlCommand.Count count -> {}
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/state/ControlStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/state/ControlStateTest.java
@@ -78,8 +78,7 @@
 
   private static ControlRecord.Builder end(AttemptResult result) {
     return ControlRecord.newBuilder()
-        .setAttemptEnded(
-            AttemptEnded.newBuilder().setJob("job").setAttempt(1).setResult(result));
+        .setAttemptEnded(AttemptEnded.newBuilder().setJob("job").setAttempt(1).setResult(result));
   }
 
   private void planned() {
@@ -116,8 +115,7 @@
   void aCommittedAttemptCannotEndAsNeverStarted() {
     planned();
     assertEquals(COUNTED, decide(commit()));
-    assertEquals(
-        NOT_APPLICABLE, decide(end(AttemptResult.ATTEMPT_RESULT_NEVER_STARTED)));
+    assertEquals(NOT_APPLICABLE, decide(end(AttemptResult.ATTEMPT_RESULT_NEVER_STARTED)));
     assertEquals(NOT_APPLICABLE, decide(plan(2)));
     assertEquals(COUNTED, decide(end(AttemptResult.ATTEMPT_RESULT_FINISHED)));
   }
@@ -157,8 +155,7 @@
   void aPublicationCountsOnlyOnTheRevisionInForce() {
     ConfigurationPublished first = ConfigurationPublished.getDefaultInstance();
     assertEquals(COUNTED, fold(ControlRecord.newBuilder().setConfigurationPublished(first)));
-    assertEquals(
-        NOT_APPLICABLE, fold(ControlRecord.newBuilder().setConfigurationPublished(first)));
+    assertEquals(NOT_APPLICABLE, fold(ControlRecord.newBuilder().setConfigurationPublished(first)));
     assertEquals(0, state.revision());
   }
 
