--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStarter.java
@@ -34,7 +34,7 @@
       keepLeases(track, turn);
       return;
     }
-    if (!writer.hasRoom()) {
+    if (!writer.hasRoom(turn)) {
       return;
     }
     Optional<StopReason> reason = reasonToAbort(track, job, epoch, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.append.RecordWriter;
 import org.fescuehook.logic.control.ownership.PeerWatch;
+import org.fescuehook.logic.control.record.WireWords;
 import org.fescuehook.logic.control.state.JobState;
 import org.fescuehook.logic.worker.WorkerPort.WorkerCommand;
 import org.fescuehook.model.preferences.ControlPreferences;
@@ -53,7 +54,7 @@
       turn.note(
           ControlLogEvent.ATTEMPT_STOPPING,
           track.attempt,
-          stopping.getReason(),
+          WireWords.of(stopping.getReason()),
           stopping.getWorker());
     }
     if (awaitsCheckpoint(track, stopping, turn)) {
@@ -62,7 +63,7 @@
     }
     release(track, stopping, turn);
     boolean allGone = track.all(member -> member.gone);
-    if (allGone && mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom()) {
+    if (allGone && mode == Mode.DECIDE && !writer.isUnread(track.unread) && writer.hasRoom(turn)) {
       end(track, stopping, epoch, turn);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/JobEndDuty.java
@@ -63,7 +63,7 @@
         continue;
       }
       touched.add(id);
-      if (!writer.isUnread(appended.getOrDefault(id, 0L)) && writer.hasRoom()) {
+      if (!writer.isUnread(appended.getOrDefault(id, 0L)) && writer.hasRoom(turn)) {
         ControlRecord.Builder record =
             ControlRecord.newBuilder().setJobEnded(end.get().setJob(id.value()));
         appended.put(id, writer.append(record, state.epoch(), turn));
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
@@ -76,7 +76,7 @@
   }
 
   private void decide(ControlRecord.Builder record, ControlState state, Turn turn) {
-    if (writer.hasRoom()) {
+    if (writer.hasRoom(turn)) {
       unread.add(writer.append(record, state.epoch(), turn));
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestDesk.java
@@ -105,7 +105,7 @@
       refuseQueued(turn);
       return;
     }
-    while (!queue.isEmpty() && writer.hasRoomForRequest()) {
+    while (!queue.isEmpty() && writer.hasRoomForRequest(turn)) {
       Pending pending = queue.removeFirst();
       if (isVoid(pending.body(), state)) {
         turn.reply(pending.ticket(), overtaken(pending.body(), state));
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareDuty.java
@@ -35,7 +35,7 @@
       stableSince = turn.now();
     }
     boolean stable = turn.passed(stableSince, ControlLimits.SHARE_DEBOUNCE);
-    if (!stable || writer.isUnread(unread) || !writer.hasRoom()) {
+    if (!stable || writer.isUnread(unread) || !writer.hasRoom(turn)) {
       return;
     }
     SlotShares wanted =
