--- a/bench/src/main/java/org/fescuehook/bench/caller/CallerConnection.java
+++ b/bench/src/main/java/org/fescuehook/bench/caller/CallerConnection.java
@@ -100,8 +100,7 @@
     head = null;
     sentNanos = System.nanoTime();
     timeout =
-        c.executor()
-            .schedule(() -> giveUp(c), request.timeoutMillis(), TimeUnit.MILLISECONDS);
+        c.executor().schedule(() -> giveUp(c), request.timeoutMillis(), TimeUnit.MILLISECONDS);
     var message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -126,9 +125,7 @@
     }
     long nanos = System.nanoTime() - sentNanos;
     Map<String, String> headers = new HashMap<>();
-    response
-        .headers()
-        .forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
+    response.headers().forEach(h -> headers.put(h.getKey().toLowerCase(Locale.ROOT), h.getValue()));
     int status = response.status().code();
     boolean keep = HttpUtil.isKeepAlive(response);
     byte[] bytes = ByteBufUtil.getBytes(body);
--- a/bench/src/main/java/org/fescuehook/bench/caller/CallerLoad.java
+++ b/bench/src/main/java/org/fescuehook/bench/caller/CallerLoad.java
@@ -2,15 +2,17 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.fescuehook.bench.cluster.ClusterException;
+import org.fescuehook.bench.cluster.Waiting;
 
 /**
  * Callers that send one request after another, each to the address that a balancer names, until
@@ -19,11 +21,13 @@
 public final class CallerLoad {
   private static final long MAX_NANOS = 60_000_000_000L;
   private static final int DIGITS = 3;
+  private static final Duration MORE_LIMIT = Duration.ofSeconds(60);
 
   private final CallerClient client;
-  private final Supplier<Optional<InetSocketAddress>> balancer;
+  private final Balancer balancer;
   private final Kind kind;
   private final AtomicLong next = new AtomicLong();
+  private final AtomicLong finished = new AtomicLong();
   private final ConcurrentLinkedQueue<Sent> sent = new ConcurrentLinkedQueue<>();
   private final Histogram nanos = new ConcurrentHistogram(MAX_NANOS, DIGITS);
   private final CountDownLatch running;
@@ -69,8 +73,7 @@
   }
 
   /** Creates callers that do not send yet; no address makes them try again a little later. */
-  public CallerLoad(
-      CallerClient client, Supplier<Optional<InetSocketAddress>> balancer, Kind kind) {
+  public CallerLoad(CallerClient client, Balancer balancer, Kind kind) {
     this.client = client;
     this.balancer = balancer;
     this.kind = kind;
@@ -84,10 +87,21 @@
     }
   }
 
-  /** Lets each caller end after its present request, and waits for that. */
+  /** Waits until so many further requests have an outcome. */
+  public void awaitMore(long count) throws ClusterException, InterruptedException {
+    long wanted = finished.get() + count;
+    Waiting.until(
+        "send " + count + " requests",
+        kind.name(),
+        MORE_LIMIT,
+        () -> Optional.of(finished.get()).filter(n -> n >= wanted));
+  }
+
+  /** Lets each caller end after its present request, waits for that and closes the balancer. */
   public void stop() throws InterruptedException {
     stopping = true;
     running.await();
+    balancer.close();
   }
 
   /** Returns all requests that have an outcome. */
@@ -103,12 +117,7 @@
   private void call() {
     try {
       while (!stopping) {
-        Optional<InetSocketAddress> address = balancer.get();
-        if (address.isPresent()) {
-          sendOne(address.get());
-        } else {
-          Thread.sleep(1);
-        }
+        balancer.next().ifPresent(this::sendOne);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -127,5 +136,6 @@
       nanos.recordValue(Math.min(MAX_NANOS, answered.nanos()));
     }
     sent.add(new Sent(path, address, outcome));
+    finished.incrementAndGet();
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
@@ -12,8 +12,7 @@
 public final class EntryVm {
   /** The log event of a VM that listens on all its ports. */
   private static final Pattern STARTED =
-      Pattern.compile(
-          "event=7001 .*service \\S*/([^,]+), peer \\S*/([^,]+), operator \\S*/(\\S+)");
+      Pattern.compile("event=7001 .*service \\S*/([^,]+), peer \\S*/([^,]+), operator \\S*/(\\S+)");
 
   private final ChildProcess process;
   private final InetSocketAddress service;
@@ -107,7 +106,6 @@
       throws ClusterException, InterruptedException {
     return operator.post(
         "/configuration",
-        Map.of(
-            "base", base, "author", author, "reason", "bench", "declarations", declarations));
+        Map.of("base", base, "author", author, "reason", "bench", "declarations", declarations));
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
@@ -84,11 +84,6 @@
     standIns.faults(Map.of("list", Map.of("remove", List.of(vm.name()))));
   }
 
-  /** Returns how many processes of the cluster run. */
-  public long running() {
-    return children.stream().filter(ChildProcess::alive).count();
-  }
-
   /** Returns where settings and output of the processes are kept until the cluster is closed. */
   public Path directory() {
     return directory;
--- a/bench/src/main/java/org/fescuehook/bench/cluster/Waiting.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/Waiting.java
@@ -2,10 +2,17 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 
-/** Polls for a state of other processes. */
+/** Looks by a timer for a state of other processes. */
 public final class Waiting {
-  private static final long POLL_MILLIS = 20;
+  private static final long INTERVAL_MILLIS = 20;
 
   private Waiting() {}
 
@@ -23,19 +30,33 @@
    */
   public static <T> T until(String step, String peer, Duration limit, Probe<T> probe)
       throws ClusterException, InterruptedException {
-    long deadline = System.nanoTime() + limit.toNanos();
-    String last = "not yet";
-    while (System.nanoTime() < deadline) {
-      try {
-        Optional<T> found = probe.look();
-        if (found.isPresent()) {
-          return found.get();
-        }
-      } catch (ClusterException e) {
-        last = e.getMessage();
-      }
-      Thread.sleep(POLL_MILLIS);
+    CompletableFuture<T> found = new CompletableFuture<>();
+    AtomicReference<String> last = new AtomicReference<>("not there");
+    ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    timer.scheduleWithFixedDelay(
+        () -> look(probe, found, last), 0, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    try {
+      return found.get(limit.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      String detail = "not within " + limit.toMillis() + " ms: " + last.get();
+      throw new ClusterException(step, peer, detail);
+    } catch (ExecutionException e) {
+      throw new ClusterException(step, peer, e.getCause());
+    } finally {
+      timer.shutdownNow();
+    }
+  }
+
+  private static <T> void look(
+      Probe<T> probe, CompletableFuture<T> found, AtomicReference<String> last) {
+    try {
+      probe.look().ifPresent(found::complete);
+    } catch (ClusterException e) {
+      last.set(e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      found.completeExceptionally(e);
     }
-    throw new ClusterException(step, peer, "not within " + limit.toMillis() + " ms: " + last);
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/tryout/ConfigurationSteps.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/ConfigurationSteps.java
@@ -56,8 +56,7 @@
   void raceTwoOperators() throws Exception {
     long base = cluster.vm(0).revision().orElse(NO_REVISION);
     List<Publication> publications = publishAtOnce(base);
-    List<Publication> won =
-        publications.stream().filter(p -> p.answer().status() == OK).toList();
+    List<Publication> won = publications.stream().filter(p -> p.answer().status() == OK).toList();
     List<Publication> lost =
         publications.stream().filter(p -> p.answer().status() == CONFLICT).toList();
     String seen = won.size() + " published, " + lost.size() + " in conflict";
--- a/bench/src/main/java/org/fescuehook/bench/tryout/FaultSteps.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/FaultSteps.java
@@ -19,7 +19,7 @@
   private static final Duration TAKE_OVER_LIMIT = Duration.ofSeconds(10);
   private static final Duration STOP_LIMIT = Duration.ofSeconds(30);
   private static final long RUN_MILLIS = 20;
-  private static final long SETTLE_MILLIS = 700;
+  private static final long REQUESTS = 150;
 
   private final TourCluster cluster;
   private final OutcomeTable table;
@@ -43,12 +43,12 @@
         () -> Optional.of(cluster.started(job)).filter(n -> n == MEMBERS));
     EntryVm victim = owner();
     CallerLoad load = cluster.startLoad("kill", RUN_MILLIS);
-    Thread.sleep(SETTLE_MILLIS);
+    load.awaitMore(REQUESTS);
     victim.process().kill();
     cluster.vms().remove(victim);
     table.addWithin("another VM decides after kill -9", takeOverLimit(), takeOver(victim));
     cluster.processes().takeOffList(victim);
-    Thread.sleep(SETTLE_MILLIS);
+    load.awaitMore(REQUESTS);
     load.stop();
     judgeKill(load, victim);
     judgeGangs(job);
@@ -58,13 +58,13 @@
   void stopGracefully() throws ClusterException, InterruptedException {
     EntryVm leaving = cluster.vm(0);
     CallerLoad load = cluster.startLoad("stop", RUN_MILLIS);
-    Thread.sleep(SETTLE_MILLIS);
+    load.awaitMore(REQUESTS);
     long start = System.nanoTime();
     leaving.process().terminate();
     OptionalInt code = leaving.process().awaitExit(STOP_LIMIT);
     long millis = (System.nanoTime() - start) / 1_000_000;
     cluster.vms().remove(leaving);
-    Thread.sleep(SETTLE_MILLIS);
+    load.awaitMore(REQUESTS);
     load.stop();
     table.addEqual("exit code after SIGTERM", 0, code.orElse(-1));
     table.addWithin("time of the graceful stop", STOP_LIMIT.toMillis(), millis);
--- a/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
@@ -11,7 +11,7 @@
 final class Tour {
   private static final int VMS = 3;
   private static final int MEMBERS = 4;
-  private static final long LOAD_MILLIS = 2000;
+  private static final long REQUESTS = 600;
   private static final long MAX_PARTIAL_MILLIS = 8000;
 
   private final TourCluster cluster;
@@ -49,7 +49,7 @@
   private void sendRequests() throws InterruptedException, ClusterException {
     cluster.awaitService();
     CallerLoad load = cluster.startLoad("plain", 2);
-    Thread.sleep(LOAD_MILLIS);
+    load.awaitMore(REQUESTS);
     load.stop();
     judge.allWhole("requests", load);
     judge.runsAreAsTold("requests", load.sent());
@@ -60,8 +60,7 @@
     var first = cluster.send(cluster.vm(0), "/charge?ms=50", headers);
     var second = cluster.send(cluster.vm(1), "/charge?ms=50", headers);
     String statuses = first.status() + ", " + second.status();
-    long runs =
-        cluster.standIns().runs().stream().filter(r -> r.path().equals("/charge")).count();
+    long runs = cluster.standIns().runs().stream().filter(r -> r.path().equals("/charge")).count();
     table.addEqual("one request id sent to two VMs", "200, 200", statuses);
     table.addEqual("its second answer", first.text(), second.text());
     table.addEqual("its runs", 1L, runs);
--- a/bench/src/main/java/org/fescuehook/bench/tryout/TourCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/TourCluster.java
@@ -98,8 +98,7 @@
     Map<String, String> all = new HashMap<>(headers);
     all.put("Organisation", "bench");
     byte[] body = path.getBytes(StandardCharsets.UTF_8);
-    var request =
-        new CallerRequest("POST", "/requests" + path, all, body, REQUEST_TIMEOUT_MILLIS);
+    var request = new CallerRequest("POST", "/requests" + path, all, body, REQUEST_TIMEOUT_MILLIS);
     CallerOutcome outcome = client.send(vm.service(), request).join();
     if (outcome instanceof CallerOutcome.Answered answered) {
       return answered;
--- a/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
@@ -31,7 +31,8 @@
       cluster.close();
       group.shutdownGracefully();
     }
-    table.addEqual("processes left behind", 0L, cluster.running());
+    long left = ProcessHandle.current().descendants().count();
+    table.addEqual("processes left behind", 0L, left);
     table.print();
     return table.allAsStated() ? 0 : 1;
   }
