--- a/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/DecisionDuty.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.fescuehook.net.caller.RequestPath;
 import org.fescuehook.net.duty.DutyRing;
 import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.SlotShares;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -110,11 +112,7 @@
       return;
     }
     long start = System.nanoTime();
-    try {
-      core.apply(event, start, System.currentTimeMillis()).forEach(this::carryOut);
-    } catch (RuntimeException e) {
-      fault(event, e);
-    }
+    commandsFor(event, start).forEach(this::carryOut);
     state.folded(core.nextOffset());
     if (event instanceof ControlEvent.CaughtUp) {
       state.reachedEnd();
@@ -124,6 +122,15 @@
         .record(System.nanoTime() - start, TimeUnit.NANOSECONDS);
   }
 
+  private List<ControlCommand> commandsFor(ControlEvent event, long nowNanos) {
+    try {
+      return core.apply(event, nowNanos, System.currentTimeMillis());
+    } catch (RuntimeException e) {
+      fault(event, e);
+      return List.of();
+    }
+  }
+
   private void fault(ControlEvent event, RuntimeException fault) {
     meters.counter("fescuehook.decision.fault").increment();
     if (event instanceof ControlEvent.RecordRead read) {
@@ -131,8 +138,7 @@
       halt(read.record().offset(), fault);
       return;
     }
-    EventLog.error(
-        LOGGER, EntryEvent.DECISION_FAULT, event.getClass().getSimpleName(), fault);
+    EventLog.error(LOGGER, EntryEvent.DECISION_FAULT, event.getClass().getSimpleName(), fault);
     if (event instanceof ControlEvent.Asked asked) {
       answer(asked.ticket(), notReady("the decision core met a fault"));
     }
@@ -150,23 +156,37 @@
     return new Answer.Refused(RefusalReason.NOT_READY, detail, RETRY_AFTER_SECONDS);
   }
 
+  /** A command that fails leaves the others to be carried out. */
   private void carryOut(ControlCommand command) {
+    try {
+      perform(command);
+    } catch (RuntimeException e) {
+      meters.counter("fescuehook.decision.fault").increment();
+      EventLog.error(LOGGER, EntryEvent.COMMAND_FAULT, command.getClass().getSimpleName(), e);
+    }
+  }
+
+  private void perform(ControlCommand command) {
     switch (command) {
       case ControlCommand.Append append -> append(append.record());
       case ControlCommand.Send send -> workers.send(send.worker(), send.command());
       case ControlCommand.Reply reply -> answer(reply.ticket(), reply.answer());
       case ControlCommand.ConfigurationInForce inForce ->
           configuration.offer(inForce.configuration(), "log");
-      case ControlCommand.SharesInForce shares -> requests.sharesInForce(shares.shares());
+      case ControlCommand.SharesInForce inForce -> share(inForce.shares());
       case ControlCommand.Note note -> EventLog.info(LOGGER, note.event(), note.arguments());
       case ControlCommand.Count count -> meters.counter(count.name(), count.tags()).increment();
     }
   }
 
+  private void share(SlotShares shares) {
+    requests.sharesInForce(shares);
+    state.shared(shares);
+  }
+
   private void append(ControlRecord record) {
     long sequence = record.getSequence();
-    boolean taken =
-        log.offer(STREAM, record.toByteArray(), result -> appended(sequence, result));
+    boolean taken = log.offer(STREAM, record.toByteArray(), result -> appended(sequence, result));
     if (!taken) {
       followUps.add(new ControlEvent.AppendFailed(sequence, true));
     }
