--- a/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
@@ -26,9 +26,10 @@
 
   private final Path programs;
   private final ClusterSizes sizes;
+  private final boolean keepFiles;
   private final Path directory;
   private final List<ChildProcess> children = new CopyOnWriteArrayList<>();
-  private final Thread lastResort = new Thread(this::killAll, "kill-children");
+  private final Thread lastResort = new Thread(this::end, "end-cluster");
   private final HttpClient client = HttpCalls.sharedClient();
   private final StandIns standIns;
 
@@ -37,11 +38,13 @@
    *
    * @param programs directory that holds the programs {@code fescuehook} and {@code
    *     fescuehook-standins}
+   * @param keepFiles whether settings and output of the processes are left when the cluster ends
    */
-  public ProcessCluster(Path programs, ClusterSizes sizes)
+  public ProcessCluster(Path programs, ClusterSizes sizes, boolean keepFiles)
       throws ClusterException, InterruptedException {
     this.programs = programs;
     this.sizes = sizes;
+    this.keepFiles = keepFiles;
     this.directory = temporaryDirectory();
     Runtime.getRuntime().addShutdownHook(lastResort);
     this.standIns = startStandIns();
@@ -89,12 +92,22 @@
     return directory;
   }
 
-  /** Ends all processes at once and deletes the directory. */
+  /** Ends all processes at once and deletes their files, unless these are to be kept. */
   @Override
   public void close() {
-    killAll();
+    end();
     Runtime.getRuntime().removeShutdownHook(lastResort);
     client.close();
+  }
+
+  private void end() {
+    killAll();
+    if (!keepFiles) {
+      deleteFiles();
+    }
+  }
+
+  private void deleteFiles() {
     try (Stream<Path> files = Files.walk(directory)) {
       for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
         Files.delete(file);
--- a/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/TryCommand.java
@@ -19,11 +19,15 @@
   @Option(name = "--programs", metaVar = "DIR", usage = "directory of the built programs")
   private Path programs = Path.of("target");
 
+  @Option(name = "--keep", usage = "keep settings and output of the processes, and print where")
+  private boolean keep;
+
   @Override
   public int run(String[] arguments) throws Exception {
     new CmdLineParser(this).parseArgument(arguments);
     OutcomeTable table = new OutcomeTable(System.out);
-    ProcessCluster cluster = new ProcessCluster(programs.toAbsolutePath(), ClusterSizes.small());
+    ProcessCluster cluster =
+        new ProcessCluster(programs.toAbsolutePath(), ClusterSizes.small(), keep);
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(LOOPS, NioIoHandler.newFactory());
     try (CallerClient client = new CallerClient(group)) {
       new Tour(new TourCluster(cluster, client), table).run();
@@ -34,6 +38,9 @@
     long left = ProcessHandle.current().descendants().count();
     table.addEqual("processes left behind", 0L, left);
     table.print();
+    if (keep) {
+      System.out.println("settings and output: " + cluster.directory());
+    }
     return table.allAsStated() ? 0 : 1;
   }
 }
