--- a/fescuehook/src/main/java/org/fescuehook/cli/command/JsonText.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/JsonText.java
@@ -14,7 +14,10 @@
 
   private static final String INDENT = "  ";
   private static final String EMPTY = "none";
-  private static final long FIRST_LIKELY_TIME_MILLIS = 1_000_000_000_000L;
+
+  /** Fields of the documents of an entry VM that are milliseconds since 1970; 0 if not known. */
+  private static final Set<String> TIMES =
+      Set.of("submitted", "planned", "ended", "since", "until", "expectedStart", "asOf");
 
   private final StringBuilder text = new StringBuilder();
 
@@ -92,14 +95,14 @@
     if (value.isObject()) {
       return printable(value.toString());
     }
-    if (value.isIntegralNumber() && isTime(name) && value.asLong() >= FIRST_LIKELY_TIME_MILLIS) {
-      return Instant.ofEpochMilli(value.asLong()).toString();
+    if (value.isIntegralNumber() && isTime(name)) {
+      return value.asLong() == 0 ? "not known" : Instant.ofEpochMilli(value.asLong()).toString();
     }
     return printable(value.asText());
   }
 
   private static boolean isTime(String name) {
-    return name.endsWith("Millis") || name.endsWith("Ms") || name.endsWith("At");
+    return name.endsWith("Millis") || TIMES.contains(name);
   }
 
   /** Turns a JSON name into words, as {@code inFlight} into {@code in flight}. */
--- a/fescuehook/src/test/java/org/fescuehook/cli/OperatorCommandsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/cli/OperatorCommandsTest.java
@@ -209,8 +209,8 @@
         """
         {"vm":{"name":"entry-1","ready":true,"inFlight":3,"peers":["entry-2","entry-3"],
         "leaving":[]},
-        "control":{"owner":"entry-2","epoch":17,"sinceMillis":1764700000000,
-        "waiting":[{"job":"j-1","rule":10,"missing":"1 rack"},{"job":"j-22","missing":"8\\u001b[31m"}]}}
+        "control":{"owner":"entry-2","epoch":17,"since":1764700000000,
+        "waiting":[{"job":"j-1","rule":10,"missing":"1 rack","expectedStart":0},{"job":"j-22","missing":"8\\u001b[31m"}]}}
         """);
 
     Approvals.verify(run("status").out());
--- a/fescuehook/src/test/java/org/fescuehook/logic/ini/IniParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/ini/IniParserTest.java
@@ -35,6 +35,15 @@
     assertEquals(List.of(3, 6), section.entries().stream().map(e -> e.place().line()).toList());
   }
 
+  @Test
+  void valueThatGoesOnInTheNextLineIsRefused() {
+    IniDocument document = parse("[s]\na = 1 \\\n# of 2\n");
+
+    assertEquals(
+        "f.ini:2: [s] a = 1 \\: goes on in the next line; accepted: each value on one line",
+        document.faults().getFirst().message());
+  }
+
   @Test
   void textThatIsNotUtf8IsRefusedWithItsPlace() {
     byte[] latin = "[s]\na = Évora\n".getBytes(StandardCharsets.ISO_8859_1);
