--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -0,0 +1,136 @@
+package org.fescuehook.logic.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.scheduling.Scheduler.StopCause;
+import org.fescuehook.logic.scheduling.VictimSelector.Selection;
+import org.fescuehook.logic.scheduling.VictimSelector.Victim;
+import org.fescuehook.model.job.Job;
+import org.fescuehook.model.job.Shape;
+
+/** Starts the jobs that guarantees cover, and has borrowers give way to them. */
+final class GuaranteeStep {
+
+  private static final double URGENT_FACTOR = 100;
+
+  private final PlanState state;
+  private final GangPlacer placer;
+  private final PolicyParts parts;
+  private final StopTerms terms;
+
+  GuaranteeStep(PlanState state, GangPlacer placer, PolicyParts parts) {
+    this.state = state;
+    this.placer = placer;
+    this.parts = parts;
+    this.terms = new StopTerms(state.view().declarations().policy());
+  }
+
+  /**
+   * Starts a job that guarantees cover at its home, or keeps its home for it. A job that can start
+   * as a borrower elsewhere is left to its turn among the others, which spares borrowers a stop.
+   *
+   * @return whether the job was dealt with
+   */
+  boolean accept(Candidate candidate) {
+    List<Room> homes = homes(candidate);
+    if (homes.isEmpty()) {
+      return false;
+    }
+    boolean[] avoid = state.avoid(candidate.waiting().avoid());
+    if (startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid)) {
+      return true;
+    }
+    boolean elsewhere =
+        candidate.mayBorrow() && placer.fits(candidate.job().shape(), state.free(), avoid);
+    return !elsewhere && parts.reclaim() && reclaim(candidate, homes, avoid);
+  }
+
+  /** Has borrowers give way to a job that could not start elsewhere after all. */
+  boolean reclaim(Candidate candidate) {
+    List<Room> homes = parts.reclaim() ? homes(candidate) : List.of();
+    boolean[] avoid = state.avoid(candidate.waiting().avoid());
+    return !homes.isEmpty() && reclaim(candidate, homes, avoid);
+  }
+
+  /** Returns the homes in which the job would be within its guarantee. */
+  private List<Room> homes(Candidate candidate) {
+    List<Room> homes = state.guarantees().roomsFor(candidate.job());
+    if (homes.isEmpty()) {
+      return homes;
+    }
+    boolean[] avoid = state.avoid(candidate.waiting().avoid());
+    homes.removeIf(home -> !placer.fits(candidate.job().shape(), home, avoid));
+    return homes;
+  }
+
+  private boolean startAtHome(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    for (Room home : homes) {
+      Optional<int[]> workers = place(job.shape(), state.free(), home, avoid);
+      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+        state.start(candidate, workers.get(), false);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean awaitStops(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    for (Room home : homes) {
+      Optional<int[]> workers = place(job.shape(), state.soon(), home, avoid);
+      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+        state.hold(job, workers.get());
+        state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean reclaim(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    List<Victim> eligible = victims();
+    VictimSelector selector = new VictimSelector(state.index());
+    Optional<Selection> best = Optional.empty();
+    for (Room home : homes) {
+      Optional<Selection> found = selector.select(job.shape(), state.soon(), home, avoid, eligible);
+      if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
+        best = found;
+      }
+    }
+    if (best.isEmpty()) {
+      return false;
+    }
+    StopCause cause = job.urgent() ? StopCause.URGENT : StopCause.RECLAIMED;
+    for (Victim v : best.get().victims()) {
+      state.stop(v.occupant(), terms.stop(v.occupant().running(), cause, job));
+    }
+    return awaitStops(candidate, homes, avoid);
+  }
+
+  private List<Victim> victims() {
+    List<Victim> victims = new ArrayList<>();
+    for (Occupant o : state.occupants()) {
+      if (o.guaranteed() || state.isStopped(o)) {
+        continue;
+      }
+      double cost = o.stopCost(state.view().nowMillis());
+      victims.add(new Victim(o, o.running().job().urgent() ? cost * URGENT_FACTOR : cost));
+    }
+    return victims;
+  }
+
+  private Optional<int[]> place(Shape shape, Room available, Room bound, boolean[] avoid) {
+    Room room = available.copy();
+    room.lowerTo(bound);
+    var preference = new WorkerPreference(state, shape, false, parts.packing());
+    return placer.place(shape, room, avoid, preference);
+  }
+
+  private long dueMillis() {
+    return state.view().nowMillis()
+        + state.view().declarations().policy().reclaimBound().toMillis();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -0,0 +1,250 @@
+package org.fescuehook.net.caller;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fescuehook.logic.control.ControlPort;
+import org.fescuehook.logic.dispatch.DispatchCore;
+import org.fescuehook.logic.dispatch.DispatchEvent;
+import org.fescuehook.logic.dispatch.OutcomeFetcher;
+import org.fescuehook.logic.dispatch.OwnOutcomes;
+import org.fescuehook.logic.dispatch.RequestEvent;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.platform.LogAppender;
+import org.fescuehook.model.configuration.Configuration;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.log.LogRecord;
+import org.fescuehook.model.preferences.IdentityPreferences;
+import org.fescuehook.model.preferences.RequestPreferences;
+import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.net.executor.ExecutorClient;
+import org.fescuehook.wire.OutcomeReply;
+import org.fescuehook.wire.RequestKey;
+import org.fescuehook.wire.SlotShares;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The request path of one entry VM: the service port, the dispatch of requests, the executors. */
+public final class RequestPath implements AutoCloseable {
+  private static final Logger LOGGER = LoggerFactory.getLogger(RequestPath.class);
+
+  private final EventLoopGroup loops;
+  private final InetSocketAddress serviceAddress;
+  private final RequestMetrics metrics;
+  private final ServiceRequestParser parser;
+  private final JobsEndpoint jobs;
+  private final CallerServer server;
+  private final ExecutorClient executors;
+  private final OwnOutcomes own = new OwnOutcomes();
+  private final CommandPerformer performer;
+  private final DispatchCore core;
+  private final DispatchThread thread;
+  private final Duration probeInterval;
+  private final AtomicLong tickets = new AtomicLong();
+  private volatile int unrecorded;
+  private volatile Optional<RefusalReason> closedBecause = Optional.of(RefusalReason.NOT_READY);
+
+  /**
+   * Creates the path and starts its dispatch thread; no port is opened before {@link #start()}.
+   *
+   * @param incarnation distinguishes starts of the same VM
+   * @param loops event loops for callers and executors, closed by their owner
+   * @param serviceAddress where callers connect; port 0 lets the system choose one
+   */
+  public RequestPath(
+      IdentityPreferences identity,
+      String incarnation,
+      RequestPreferences preferences,
+      EventLoopGroup loops,
+      ControlPort control,
+      LogAppender log,
+      OutcomeFetcher outcomes,
+      MeterRegistry metrics,
+      InetSocketAddress serviceAddress) {
+    this.loops = loops;
+    this.probeInterval = preferences.probeInterval();
+    this.serviceAddress = serviceAddress;
+    this.metrics = new RequestMetrics(metrics);
+    this.parser = new ServiceRequestParser(preferences);
+    this.jobs = new JobsEndpoint(control, preferences);
+    this.server = new CallerServer(loops, preferences, this.metrics, this::received);
+    this.executors = new ExecutorClient(loops, metrics);
+    this.thread =
+        new DispatchThread("dispatch", DispatchThread.RING_SIZE, this::handle, this.metrics);
+    this.performer = new CommandPerformer(executors, log, outcomes, this.metrics, new RingSink());
+    Random jitter = new Random(identity.hashCode() ^ incarnation.hashCode());
+    this.core = new DispatchCore(identity, incarnation, preferences, own, jitter, performer);
+    thread.start();
+  }
+
+  /**
+   * Opens the service port.
+   *
+   * @return the address in use
+   * @throws ServicePortException if it cannot be opened
+   */
+  public InetSocketAddress start() throws ServicePortException {
+    InetSocketAddress address = server.start(serviceAddress);
+    EventLog.info(LOGGER, RequestEvent.SERVICE_PORT_OPEN, address);
+    return address;
+  }
+
+  /** Handles an event on the dispatch thread. */
+  private void handle(DispatchEvent event) {
+    switch (event) {
+      case DispatchEvent.DispatchEnded ended -> performer.dispatchEnded(ended.ticket());
+      case DispatchEvent.Configured configured ->
+          executors.configure(configured.configuration().declarations().fleet().executors());
+      default -> {}
+    }
+    core.handle(event, TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    unrecorded = core.unrecorded();
+    switch (event) {
+      case DispatchEvent.Shared _ -> executors.limitConnections(core.connectionLimits());
+      case DispatchEvent.Tick _ -> executors.probe(probeInterval, this::suspect);
+      default -> {}
+    }
+  }
+
+  /** Takes that a connection to an executor gave no sign of life; called on event loops. */
+  private void suspect(ExecutorId executor) {
+    thread.deliver(new DispatchEvent.PathSuspected(executor), loops.next());
+  }
+
+  /** Takes a whole request of a caller, on its event loop. */
+  private void received(CallerExchange exchange) {
+    boolean handedOn = false;
+    try {
+      ServiceRequest request =
+          parser.parse(exchange.head(), exchange.body(), exchange.receivedNanos());
+      handedOn = handle(exchange, request);
+    } catch (MalformedRequestException e) {
+      exchange.refuse(Refusal.of(e.reason(), e.getMessage()));
+    } finally {
+      if (!handedOn) {
+        exchange.body().release();
+      }
+    }
+  }
+
+  /** Returns whether the body was handed on. */
+  private boolean handle(CallerExchange exchange, ServiceRequest request)
+      throws MalformedRequestException {
+    switch (request) {
+      case ServiceRequest.Pass pass -> {
+        return pass(exchange, pass);
+      }
+      case ServiceRequest.Submit submit -> submit(exchange, submit);
+      case ServiceRequest.Show show -> jobs.show(exchange, show);
+      case ServiceRequest.Cancel cancel -> jobs.cancel(exchange, cancel);
+    }
+    return false;
+  }
+
+  private boolean pass(CallerExchange exchange, ServiceRequest.Pass pass) {
+    long ticket = tickets.incrementAndGet();
+    performer.open(ticket, new OpenExchange(exchange, pass));
+    boolean offered = thread.offer(new DispatchEvent.Arrived(ticket, pass.facts()));
+    if (!offered) {
+      performer.discard(ticket);
+      exchange.refuse(Refusal.of(RefusalReason.QUEUE_FULL, "too many requests at once"));
+      return false;
+    }
+    exchange.whenGone(() -> thread.deliver(new DispatchEvent.Cancelled(ticket), exchange.loop()));
+    return true;
+  }
+
+  private void submit(CallerExchange exchange, ServiceRequest.Submit submit)
+      throws MalformedRequestException {
+    Optional<RefusalReason> closed = closedBecause;
+    if (closed.isPresent()) {
+      exchange.refuse(Refusal.of(closed.get(), "this entry VM takes no jobs now"));
+      return;
+    }
+    jobs.submit(exchange, submit);
+  }
+
+  /** Puts a configuration in force. */
+  public void configurationInForce(Configuration configuration) {
+    thread.put(new DispatchEvent.Configured(configuration));
+  }
+
+  /** Puts shares of executors' slots in force. */
+  public void sharesInForce(SlotShares shares) {
+    thread.put(new DispatchEvent.Shared(shares));
+  }
+
+  /** Names all executors that are leaving; they get nothing new. */
+  public void executorsLeaving(Set<ExecutorId> leaving) {
+    thread.put(new DispatchEvent.Leaving(Set.copyOf(leaving)));
+  }
+
+  /** Takes a record of the stream {@code requests}; called by the thread that reads it. */
+  public void onRequestRecord(LogRecord record) {
+    thread.put(new DispatchEvent.RecordRead(record));
+  }
+
+  /** Tells that a read reached the end of the stream {@code requests}. */
+  public void onRequestsCaughtUp(long earliest, long next) {
+    thread.put(new DispatchEvent.CaughtUp(earliest, next));
+  }
+
+  /** Tells whether the log answers. */
+  public void logReachable(boolean reachable) {
+    thread.put(new DispatchEvent.LogReachable(reachable));
+  }
+
+  /** Returns what this VM knows of a request id that it claimed; empty if it knows nothing. */
+  public Optional<OutcomeReply> outcome(RequestKey key) {
+    return own.find(key);
+  }
+
+  /** Opens or closes the path for new requests; {@code why} is the reason told while closed. */
+  public void ready(boolean ready, RefusalReason why) {
+    closedBecause = ready ? Optional.empty() : Optional.of(why);
+    thread.put(new DispatchEvent.Ready(ready, why));
+  }
+
+  /** Accepts nothing new, answers what is in flight, and asks callers to close. */
+  public void drain() {
+    server.drain();
+    EventLog.info(LOGGER, RequestEvent.SERVICE_PORT_DRAINING, inFlight());
+  }
+
+  /** Returns the requests not yet answered, and the outcomes not yet known to be in the log. */
+  public int inFlight() {
+    return Math.max(metrics.inFlight().get(), performer.openRequests()) + unrecorded;
+  }
+
+  /** Closes all connections at once. */
+  @Override
+  public void close() {
+    server.close();
+    thread.halt();
+    executors.close();
+  }
+
+  private final class RingSink implements CommandPerformer.EventSink {
+    @Override
+    public void deliver(DispatchEvent event, EventLoop loop) {
+      thread.deliver(event, loop);
+    }
+
+    @Override
+    public void put(DispatchEvent event) {
+      thread.put(event);
+    }
+
+    @Override
+    public EventLoop anyLoop() {
+      return loops.next();
+    }
+  }
+}
