--- a/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.fescuehook.logic.scheduling.Scheduler.Plan;
 import org.fescuehook.logic.scheduling.Scheduler.Running;
 import org.fescuehook.logic.scheduling.Scheduler.View;
 import org.fescuehook.logic.scheduling.Scheduler.Waiting;
 import org.fescuehook.logic.trace.ReplayListener;
 import org.fescuehook.model.fleet.Capacity;
+import org.fescuehook.model.fleet.WorkerId;
 import org.fescuehook.model.job.Job;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.job.Shape;
@@ -22,12 +24,12 @@
 /**
  * Measures how long demand waits that its organisation's guarantees cover. All running jobs of an
  * organisation count against its guarantees, borrowed or not, so that a policy is not blamed for
- * what its holder has already; the largest first, as small ones would leave odd remainders.
+ * what its holder has already. What an organisation runs on one worker counts against a slot of its own.
  */
 final class GuaranteeWatch implements ReplayListener {
 
   private final Map<JobId, Long> coveredSince = new HashMap<>();
-  private final Set<JobId> breached = new HashSet<>();
+  final Set<JobId> breached = new HashSet<>();
   private final List<Long> reclaimMillis = new ArrayList<>();
 
   @Override
@@ -57,8 +59,6 @@
     return breached.size();
   }
 
-  java.util.Set<org.fescuehook.model.job.JobId> breachedIds() { return breached; }
-
   /** Returns the times that covered jobs waited, without those that started at once. */
   List<Long> reclaimMillis() {
     return reclaimMillis;
@@ -73,11 +73,7 @@
       }
     }
     QuotaBook quotas = new QuotaBook(view);
-    List<Running> largestFirst = new ArrayList<>(view.running());
-    largestFirst.sort(Comparator.comparingInt(r -> -r.job().shape().accelerators()));
-    for (Running r : largestFirst) {
-      cover(slots.getOrDefault(r.job().organisation(), List.of()), r.job().shape());
-    }
+    usedByWorker(view).forEach((id, used) -> use(slots.getOrDefault(id, List.of()), used));
     Set<JobId> covered = new HashSet<>();
     for (Waiting w : view.waiting()) {
       Job job = w.job();
@@ -90,6 +86,56 @@
     return covered;
   }
 
+  /** Returns for each organisation what it uses on each worker, the most first. */
+  private static Map<OrganisationId, List<Capacity>> usedByWorker(View view) {
+    Map<OrganisationId, Map<WorkerId, Capacity>> sums = new HashMap<>();
+    for (Running r : view.running()) {
+      var own = sums.computeIfAbsent(r.job().organisation(), o -> new TreeMap<>());
+      for (WorkerId w : r.placement().members()) {
+        own.merge(w, r.job().shape().perMember(), Capacity::plus);
+      }
+    }
+    Map<OrganisationId, List<Capacity>> used = new HashMap<>();
+    sums.forEach(
+        (id, own) -> {
+          List<Capacity> largestFirst = new ArrayList<>(own.values());
+          largestFirst.sort(Comparator.comparingInt(c -> -c.accelerators()));
+          used.put(id, largestFirst);
+        });
+    return used;
+  }
+
+  /** Counts work on one worker against one slot that holds it, or else against several. */
+  private static void use(List<Slot> slots, List<Capacity> used) {
+    for (Capacity amount : used) {
+      if (!useOne(slots, amount)) {
+        useSeveral(slots, amount.accelerators());
+      }
+    }
+  }
+
+  private static boolean useOne(List<Slot> slots, Capacity amount) {
+    for (Slot slot : slots) {
+      if (!slot.touched && slot.free.contains(amount)) {
+        slot.free = slot.free.minus(amount);
+        slot.touched = true;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static void useSeveral(List<Slot> slots, int accelerators) {
+    int missing = accelerators;
+    for (Slot slot : slots) {
+      if (missing <= 0) {
+        return;
+      }
+      missing -= slot.free.accelerators();
+      slot.free = Capacity.NONE;
+    }
+  }
+
   private static boolean cover(List<Slot> slots, Shape shape) {
     boolean anywhere = shape.maxRacks() == 0 || shape.members() == 1;
     if (anywhere) {
@@ -125,6 +171,7 @@
     private final String copy;
     private final Shape shape;
     private Capacity free;
+    private boolean touched;
 
     private Slot(String copy, Shape shape) {
       this.copy = copy;
--- a/bench/src/main/java/org/fescuehook/bench/policy/Scenario.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/Scenario.java
@@ -1,5 +1,6 @@
 package org.fescuehook.bench.policy;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -29,6 +30,7 @@
     @Override
     Trace write(long seed) {
       TraceBuilder trace = campus(seed);
+      trace.maxWait(Duration.ofHours(96));
       List<String> all = List.of("bio", "chem", "physics", "history", "earth", "guest");
       submitAtRate(trace, 0, DAY, 0.6, 192, campusMix(), all);
       submitAtRate(trace, DAY, 3 * DAY, 2, 192, campusMix(), all);
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -123,11 +123,24 @@
     return victims;
   }
 
-  private Optional<int[]> place(Shape shape, Room available, Room bound, boolean[] avoid) {
+  /** Places a job at home, first in the slots that have least left, so that others stay whole. */
+  private Optional<int[]> place(Shape shape, Room available, Room home, boolean[] avoid) {
     Room room = available.copy();
-    room.lowerTo(bound);
-    var preference = new WorkerPreference(state, shape, false, parts.packing());
-    return placer.place(shape, room, avoid, preference);
+    room.lowerTo(home);
+    return placer.place(shape, room, avoid, new HomePreference(home));
+  }
+
+  private record HomePreference(Room home) implements GangPlacer.Preference {
+
+    @Override
+    public int ofWorker(int worker) {
+      return Math.max(0, home.accelerators(worker));
+    }
+
+    @Override
+    public int ofRack(int rack, int members) {
+      return members;
+    }
   }
 
   private long dueMillis() {
