--- a/bench/src/main/java/org/fescuehook/bench/outcome/LoadJudge.java
+++ b/bench/src/main/java/org/fescuehook/bench/outcome/LoadJudge.java
@@ -8,19 +8,15 @@
 import org.fescuehook.bench.caller.CallerLoad;
 import org.fescuehook.bench.caller.CallerLoad.Sent;
 import org.fescuehook.bench.caller.CallerOutcome;
-import org.fescuehook.bench.cluster.ClusterException;
-import org.fescuehook.bench.cluster.StandIns;
 import org.fescuehook.standins.executor.RequestRun;
 
 /** Compares what callers were told with what executors ran. */
 public final class LoadJudge {
   private final OutcomeTable table;
-  private final StandIns standIns;
 
   /** Creates a judge that adds outcomes to a table. */
-  public LoadJudge(OutcomeTable table, StandIns standIns) {
+  public LoadJudge(OutcomeTable table) {
     this.table = table;
-    this.standIns = standIns;
   }
 
   /** States that each request was answered whole and right. */
@@ -40,10 +36,9 @@
   }
 
   /** States that nothing ran twice, that "not run" is true, and that no answer was another's. */
-  public void runsAreAsTold(String name, List<Sent> sent)
-      throws ClusterException, InterruptedException {
+  public void runsAreAsTold(String name, List<Sent> sent, List<RequestRun> journal) {
     Map<String, Integer> runs = new HashMap<>();
-    for (RequestRun run : standIns.runs()) {
+    for (RequestRun run : journal) {
       runs.merge(run.path(), 1, Integer::sum);
     }
     long twice = sent.stream().filter(s -> runs.getOrDefault(s.path(), 0) > 1).count();
--- a/bench/src/main/java/org/fescuehook/bench/tryout/FaultSteps.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/FaultSteps.java
@@ -69,7 +69,7 @@
     table.addEqual("exit code after SIGTERM", 0, code.orElse(-1));
     table.addWithin("time of the graceful stop", STOP_LIMIT.toMillis(), millis);
     judge.allWhole("graceful stop", load);
-    judge.runsAreAsTold("graceful stop", load.sent());
+    judge.runsAreAsTold("graceful stop", load.sent(), cluster.standIns().runs());
     table.addEqual("VMs ready after it", (long) cluster.vms().size(), cluster.countReady());
   }
 
@@ -105,7 +105,7 @@
     List<Sent> elsewhere =
         load.sent().stream().filter(s -> !s.to().equals(victim.service())).toList();
     judge.wholeOrNotRun("kill -9: at the other VMs, whole or not run", elsewhere);
-    judge.runsAreAsTold("kill -9", load.sent());
+    judge.runsAreAsTold("kill -9", load.sent(), cluster.standIns().runs());
   }
 
   private void judgeGangs(String job) throws ClusterException, InterruptedException {
--- a/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
@@ -21,7 +21,7 @@
   Tour(TourCluster cluster, OutcomeTable table) {
     this.cluster = cluster;
     this.table = table;
-    this.judge = new LoadJudge(table, cluster.standIns());
+    this.judge = new LoadJudge(table);
   }
 
   void run() throws InterruptedException {
@@ -52,7 +52,7 @@
     load.awaitMore(REQUESTS);
     load.stop();
     judge.allWhole("requests", load);
-    judge.runsAreAsTold("requests", load.sent());
+    judge.runsAreAsTold("requests", load.sent(), cluster.standIns().runs());
   }
 
   private void repeatRequestId() throws ClusterException, InterruptedException {
