--- a/bench/src/main/java/org/fescuehook/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/ChildProcess.java
@@ -89,7 +89,8 @@
 
   private void signal(String signal) throws ClusterException, InterruptedException {
     try {
-      int code = new ProcessBuilder("kill", "-" + signal, Long.toString(pid())).start().waitFor();
+      String command = "kill -" + signal + " " + pid();
+      int code = new ProcessBuilder("sh", "-c", command).start().waitFor();
       if (code != 0) {
         throw new ClusterException("signal " + signal, name, "exit code " + code);
       }
