--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.fescuehook.bench.capacity.MeasureCapacity;
 import org.fescuehook.bench.policy.MeasurePolicy;
 import org.fescuehook.bench.tryout.TryCommand;
 
@@ -13,7 +14,8 @@
   private static final int USAGE = 2;
 
   private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
-      new TreeMap<>(Map.of("policy", MeasurePolicy::new, "try", TryCommand::new));
+      new TreeMap<>(Map.of(
+              "capacity", MeasureCapacity::new, "policy", MeasurePolicy::new, "try", TryCommand::new));
 
   private Main() {}
 
--- a/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
@@ -17,6 +17,7 @@
   private final ChildProcess process;
   private final InetSocketAddress service;
   private final InetSocketAddress peer;
+  private final InetSocketAddress operatorAddress;
   private final HttpCalls operator;
   private final HttpCalls jobs;
 
@@ -24,7 +25,8 @@
     this.process = process;
     this.service = StandIns.parse(started.group(1));
     this.peer = StandIns.parse(started.group(2));
-    this.operator = new HttpCalls(client, StandIns.parse(started.group(3)));
+    this.operatorAddress = StandIns.parse(started.group(3));
+    this.operator = new HttpCalls(client, operatorAddress);
     this.jobs = new HttpCalls(client, service);
   }
 
@@ -63,6 +65,11 @@
     return peer;
   }
 
+  /** Returns its operators' port. */
+  public InetSocketAddress operatorAddress() {
+    return operatorAddress;
+  }
+
   /** Returns calls to its operators' port. */
   public HttpCalls operator() {
     return operator;
