--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
@@ -53,7 +53,10 @@
   /** Shortest interval between two plans of the scheduling policy. */
   public static final Duration FASTEST_PLAN = Duration.ofMillis(100);
 
-  /** Longest interval between two plans of the scheduling policy. */
+  /** Interval between two plans while no job waits and nothing changed. */
+  public static final Duration IDLE_PLAN = Duration.ofSeconds(10);
+
+  /** Longest interval between two plans while a job waits. */
   public static final Duration SLOWEST_PLAN = Duration.ofSeconds(1);
 
   /** Multiple of the owner's timeout while the owner's peer heartbeats say that it has the log. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/append/RecordWriter.java
@@ -24,6 +24,7 @@
 public final class RecordWriter {
 
   private static final Duration BARRIER_INTERVAL = Duration.ofMillis(500);
+  private static final Duration LONG_UNREAD = Duration.ofSeconds(30);
 
   private record Unread(ControlRecord record, boolean unknown) {}
 
@@ -141,14 +142,17 @@
   }
 
   /**
-   * Appends a record that counts for nothing, if the last own record has an unknown outcome:
-   * reading it tells what became of those before. Called only while the log can be read.
+   * Appends a record that counts for nothing, if the last own record has an unknown outcome or was
+   * not read for long, as when it vanished before: reading it tells what became of those before.
+   * Called only while the log can be read.
    */
   public void settle(Turn turn) {
-    if (unread.isEmpty() || !unread.lastEntry().getValue().unknown()) {
+    if (unread.isEmpty() || !rested(turn)) {
       return;
     }
-    if (rested(turn) && turn.passed(lastAppendNanos, BARRIER_INTERVAL)) {
+    boolean unknown = unread.lastEntry().getValue().unknown();
+    Duration wait = unknown ? BARRIER_INTERVAL : LONG_UNREAD;
+    if (turn.passed(lastAppendNanos, wait)) {
       append(
           ControlRecord.newBuilder().setOwnerHeartbeat(OwnerHeartbeat.getDefaultInstance()), turn);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangDuty.java
@@ -31,7 +31,7 @@
  */
 public final class GangDuty {
 
-  private static final Duration FULL_ROUND = Duration.ofMillis(250);
+  private static final Duration FULL_ROUND = Duration.ofMillis(500);
 
   private final LeaseReleaser releaser;
   private final LeaseRenewer renewer;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.control.planning;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -50,7 +51,7 @@
   public void step(
       ControlState state, Declarations declarations, Set<WorkerId> unavailable, Turn turn) {
     unread.removeIf(sequence -> !writer.isUnread(sequence));
-    if (!unread.isEmpty() || !due(turn)) {
+    if (!unread.isEmpty() || !due(state, turn)) {
       return;
     }
     lastPlanNanos = turn.now();
@@ -68,11 +69,13 @@
     }
   }
 
-  private boolean due(Turn turn) {
+  private boolean due(ControlState state, Turn turn) {
     if (changed) {
       return turn.passed(lastPlanNanos, ControlLimits.FASTEST_PLAN);
     }
-    return turn.passed(lastPlanNanos, ControlLimits.SLOWEST_PLAN);
+    boolean waiting = state.jobs().waitingCount() > 0;
+    Duration interval = waiting ? ControlLimits.SLOWEST_PLAN : ControlLimits.IDLE_PLAN;
+    return turn.passed(lastPlanNanos, interval);
   }
 
   private void decide(ControlRecord.Builder record, ControlState state, Turn turn) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -35,6 +35,20 @@
     assertEquals(1, s.job(job).attempt().number());
   }
 
+  @Test
+  void aNewOwnerStartsAGangThatADeadOwnerCommittedAndDidNotStart() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm old = s.owner();
+    s.cluster.sendFault =
+        (vm, c) ->
+            vm == old && c instanceof WorkerCommand.Start ? SendFault.COMMAND_LOST : SendFault.NONE;
+    JobId job = s.submit(2, "finish 30");
+    s.until(5, "committed", x -> x.job(job).committed());
+    s.cluster.kill(old);
+    s.until(6, "all members run", x -> x.running(job) == 2);
+    assertEquals(1, s.job(job).attempt().number());
+  }
+
   @Test
   void anAttemptThatADeadOwnerDidNotCommitNeverStartsAndIsTriedAgain() {
     Scenario s = new Scenario(3, 4);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
@@ -2,9 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Comparator;
+import java.util.List;
+import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.wire.ControlRecord;
 import org.junit.jupiter.api.Test;
@@ -68,6 +71,28 @@
     s.invariants.checkSameState();
   }
 
+  @Test
+  void aVmWhoseOwnRecordsVanishedBeforeItReadThemTakesRequestsAgain() {
+    Scenario s = new Scenario(2, 4);
+    VirtualVm vm = s.standBy();
+    for (int i = 0; i < 40; i++) {
+      s.cluster.ask(vm, TestDeclarations.gang(1, "finish 5"));
+    }
+    s.until(1, "on their way", x -> x.appends(vm, ControlRecord::hasJobSubmitted).size() >= 32);
+    s.cluster.pause(vm);
+    vm.backlog.clear();
+    List<Runnable> buffered = vm.sendBuffer;
+    s.run(1);
+    buffered.forEach(Runnable::run);
+    buffered.clear();
+    s.run(700);
+    s.cluster.log.dropUntil(lastCovered(s));
+    s.cluster.wake(vm);
+    s.run(60);
+    assertInstanceOf(
+        Answer.Accepted.class, s.cluster.answer(vm, TestDeclarations.gang(1, "finish 5")));
+  }
+
   private static long lastCovered(Scenario s) {
     return lastPart(s).getSnapshotPart().getCoversUntil();
   }
