--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
@@ -87,20 +87,25 @@
   }
 
   /**
-   * Counts a job as within its guarantee.
+   * Counts a job as within its guarantee, in one guaranteed shape if it fits so, else over several.
    *
    * @param workers worker of each member, by number
    * @return false if it is not, and nothing was counted
    */
   boolean use(Job job, int[] workers) {
     List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
-    if (own.isEmpty()) {
-      return false;
+    for (GuaranteeCopy copy : own) {
+      if (use(List.of(copy), job.shape(), workers)) {
+        return true;
+      }
     }
-    Shape shape = job.shape();
+    return own.size() > 1 && use(own, job.shape(), workers);
+  }
+
+  private boolean use(List<GuaranteeCopy> copies, Shape shape, int[] workers) {
     List<int[]> taken = new ArrayList<>(workers.length);
     for (int worker : workers) {
-      int[] slot = worker < 0 ? new int[0] : tightestSlot(own, worker, shape.perMember());
+      int[] slot = worker < 0 ? new int[0] : tightestSlot(copies, worker, shape.perMember());
       if (slot.length == 0) {
         taken.forEach(s -> giveBack(s, shape.perMember()));
         return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteedHomes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteedHomes.java
@@ -17,56 +17,69 @@
   /** Number of a worker that could not be found. */
   static final int NOWHERE = -1;
 
+  private static final int MOST_FIRST_RACKS = 16;
+
+  private static final Comparator<GuaranteeCopy> LARGEST_FIRST =
+      Comparator.comparing((GuaranteeCopy c) -> -c.shape().accelerators())
+          .thenComparing(c -> -c.shape().members() * c.shape().perMember().cores());
+
+  private static final Comparator<GuaranteeCopy> WIDEST_MEMBER_FIRST =
+      Comparator.comparing((GuaranteeCopy c) -> -c.shape().perMember().accelerators())
+          .thenComparing(LARGEST_FIRST);
+
+  private static final Comparator<GuaranteeCopy> ADJACENT_FIRST =
+      Comparator.comparing(c -> GuaranteeCopy.isAnywhere(c.shape()));
+
+  /** Orders in which shapes are settled, tried until all find a home. */
+  private static final List<Comparator<GuaranteeCopy>> ORDERS =
+      List.of(
+          ADJACENT_FIRST.thenComparing(LARGEST_FIRST),
+          LARGEST_FIRST,
+          ADJACENT_FIRST.thenComparing(WIDEST_MEMBER_FIRST),
+          WIDEST_MEMBER_FIRST);
+
   private final List<GuaranteeCopy> copies;
   private final int[][] homes;
-  private final boolean complete;
+  private final long homeless;
 
-  private GuaranteedHomes(List<GuaranteeCopy> copies, int[][] homes, boolean complete) {
+  private GuaranteedHomes(List<GuaranteeCopy> copies, int[][] homes) {
     this.copies = copies;
     this.homes = homes;
-    this.complete = complete;
+    this.homeless = copies.stream().filter(c -> !hasHome(c)).count();
   }
 
   /** Finds homes on the whole declared fleet. */
   static GuaranteedHomes find(FleetIndex index, List<GuaranteedShape> guarantees) {
     List<GuaranteeCopy> copies = copies(guarantees);
-    int[][] homes = new int[copies.size()][];
-    return settle(index, copies, copies, homes, index.capacity());
+    return settle(index, copies, copies, new int[copies.size()][], index.capacity());
   }
 
-  /** Finds other homes for the shapes of which a worker is unusable; the rest stay. */
+  /** Finds other homes for the shapes of which a worker is unusable; the rest stay if they can. */
   GuaranteedHomes without(FleetIndex index, boolean[] unusable) {
-    Room left = index.capacity();
+    Room usable = index.capacity();
     for (int w = 0; w < unusable.length; w++) {
       if (unusable[w]) {
-        left.clear(w);
+        usable.clear(w);
       }
     }
     int[][] kept = new int[copies.size()][];
-    List<GuaranteeCopy> homeless = new ArrayList<>();
+    List<GuaranteeCopy> moving = new ArrayList<>();
+    Room left = usable.copy();
     for (GuaranteeCopy copy : copies) {
       int[] own = homes[copy.number()];
       if (Arrays.stream(own).anyMatch(w -> w == NOWHERE || unusable[w])) {
-        homeless.add(copy);
+        moving.add(copy);
       } else {
         kept[copy.number()] = own;
         left.take(own, copy.shape().perMember());
       }
     }
-    GuaranteedHomes moved = settle(index, copies, homeless, kept, left);
-    return moved.complete ? moved : afresh(index, unusable, moved);
-  }
-
-  /** Settles all shapes anew where the homeless ones alone find no place. */
-  private GuaranteedHomes afresh(FleetIndex index, boolean[] unusable, GuaranteedHomes partial) {
-    Room left = index.capacity();
-    for (int w = 0; w < unusable.length; w++) {
-      if (unusable[w]) {
-        left.clear(w);
-      }
+    GuaranteedHomes moved = settle(index, copies, moving, kept, left);
+    if (moved.isComplete()) {
+      return moved;
     }
-    GuaranteedHomes all = settle(index, copies, copies, new int[copies.size()][], left);
-    return all.complete ? all : partial;
+    GuaranteedHomes afresh = settle(index, copies, copies, new int[copies.size()][], usable);
+    return afresh.homeless < moved.homeless ? afresh : moved;
   }
 
   private static List<GuaranteeCopy> copies(List<GuaranteedShape> guarantees) {
@@ -82,26 +95,53 @@
   private static GuaranteedHomes settle(
       FleetIndex index,
       List<GuaranteeCopy> copies,
-      List<GuaranteeCopy> homeless,
-      int[][] homes,
+      List<GuaranteeCopy> moving,
+      int[][] kept,
       Room left) {
-    List<GuaranteeCopy> order = new ArrayList<>(homeless);
-    order.sort(
-        Comparator.comparing((GuaranteeCopy c) -> GuaranteeCopy.isAnywhere(c.shape()))
-            .thenComparing(c -> -c.shape().accelerators())
-            .thenComparing(c -> -c.shape().members() * c.shape().perMember().cores()));
-    boolean complete = true;
-    for (GuaranteeCopy copy : order) {
-      int[] found = settle(index, copy, left);
-      homes[copy.number()] = found;
-      complete &= found[found.length - 1] != NOWHERE;
+    GuaranteedHomes best = new GuaranteedHomes(copies, nowhere(copies, kept));
+    for (int rack = 0; rack < Math.min(MOST_FIRST_RACKS, index.rackCount()); rack++) {
+      for (Comparator<GuaranteeCopy> order : ORDERS) {
+        GuaranteedHomes next = settle(index, copies, moving, kept, left.copy(), order, rack);
+        best = next.homeless < best.homeless ? next : best;
+        if (best.isComplete()) {
+          return best;
+        }
+      }
+    }
+    return best;
+  }
+
+  private static int[][] nowhere(List<GuaranteeCopy> copies, int[][] kept) {
+    int[][] homes = kept.clone();
+    for (GuaranteeCopy copy : copies) {
+      if (homes[copy.number()] == null) {
+        homes[copy.number()] = new int[copy.shape().members()];
+        Arrays.fill(homes[copy.number()], NOWHERE);
+      }
+    }
+    return homes;
+  }
+
+  private static GuaranteedHomes settle(
+      FleetIndex index,
+      List<GuaranteeCopy> copies,
+      List<GuaranteeCopy> moving,
+      int[][] kept,
+      Room left,
+      Comparator<GuaranteeCopy> order,
+      int firstRack) {
+    int[][] homes = kept.clone();
+    List<GuaranteeCopy> ordered = new ArrayList<>(moving);
+    ordered.sort(order);
+    for (GuaranteeCopy copy : ordered) {
+      homes[copy.number()] = settle(index, copy, left, firstRack);
     }
-    return new GuaranteedHomes(copies, homes, complete);
+    return new GuaranteedHomes(copies, homes);
   }
 
   /** Tells whether every guaranteed shape has a home. */
   boolean isComplete() {
-    return complete;
+    return homeless == 0;
   }
 
   List<GuaranteeCopy> copies() {
@@ -120,9 +160,10 @@
   }
 
   /** Settles a shape as tightly as it goes and takes its slots; all slots or none. */
-  private static int[] settle(FleetIndex index, GuaranteeCopy copy, Room left) {
+  private static int[] settle(
+      FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
     int[] found = new int[copy.shape().members()];
-    int[][] areas = areas(index, copy, left);
+    int[][] areas = areas(index, copy, left, firstRack);
     for (int s = 0; s < found.length; s++) {
       found[s] = tightest(areas, copy.shape().perMember(), left);
       if (found[s] == NOWHERE) {
@@ -136,13 +177,14 @@
   }
 
   /** Returns the groups of workers among which slots may stand, the first to be filled first. */
-  private static int[][] areas(FleetIndex index, GuaranteeCopy copy, Room left) {
+  private static int[][] areas(
+      FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
     if (GuaranteeCopy.isAnywhere(copy.shape())) {
       int[] all = new int[index.workerCount()];
       Arrays.setAll(all, w -> w);
       return new int[][] {all};
     }
-    int[] racks = new HomeRacks(index, copy.shape(), left).choose();
+    int[] racks = new HomeRacks(index, copy.shape(), left, firstRack).choose();
     int[][] areas = new int[racks.length][];
     Arrays.setAll(areas, i -> index.workersOfRack(racks[i]));
     return areas;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/HomeRacks.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/HomeRacks.java
@@ -9,8 +9,15 @@
   private final FleetIndex index;
   private final Shape shape;
   private final int[] fits;
+  private final int first;
 
-  HomeRacks(FleetIndex index, Shape shape, Room left) {
+  /**
+   * Prepares the choice.
+   *
+   * @param first number of the rack that is preferred among equals, and the ones after it
+   */
+  HomeRacks(FleetIndex index, Shape shape, Room left, int first) {
+    this.first = first;
     this.index = index;
     this.shape = shape;
     this.fits = new int[index.rackCount()];
@@ -40,7 +47,8 @@
   /** Returns the rack with the least room, then with the fewest workers, that suffices. */
   private int tightest(int members) {
     int best = -1;
-    for (int r = 0; r < fits.length; r++) {
+    for (int i = 0; i < fits.length; i++) {
+      int r = (first + i) % fits.length;
       if (fits[r] >= members && (best < 0 || isTighter(r, best))) {
         best = r;
       }
@@ -56,8 +64,9 @@
   }
 
   private int largest() {
-    int largest = 0;
-    for (int r = 1; r < fits.length; r++) {
+    int largest = first % fits.length;
+    for (int i = 1; i < fits.length; i++) {
+      int r = (first + i) % fits.length;
       if (fits[r] > fits[largest]) {
         largest = r;
       }
--- a/fescuehook/src/test/java/org/fescuehook/logic/scheduling/PlanAuditor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/scheduling/PlanAuditor.java
@@ -142,7 +142,7 @@
     open.removeIf(w -> served.contains(w.job().id()));
     Plan second = scheduler.plan(with(view, open, left));
     if (second.starts().size() != open.size()) {
-      fault(view, "guaranteed shapes cannot be reclaimed: " + second.reasons());
+      fault(view, "guaranteed shapes cannot be reclaimed: " + reclaim + ", then " + second);
     }
   }
 
