--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -14,8 +14,14 @@
   private static final int USAGE = 2;
 
   private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
-      new TreeMap<>(Map.of(
-              "capacity", MeasureCapacity::new, "policy", MeasurePolicy::new, "try", TryCommand::new));
+      new TreeMap<>(
+          Map.of(
+              "capacity",
+              MeasureCapacity::new,
+              "policy",
+              MeasurePolicy::new,
+              "try",
+              TryCommand::new));
 
   private Main() {}
 
--- a/bench/src/main/java/org/fescuehook/bench/capacity/ClusterCost.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/ClusterCost.java
@@ -82,7 +82,8 @@
     for (ChildProcess process : launched) {
       entries.add(cluster.awaitEntry(process));
     }
-    HttpCalls.Answer answer = Waiting.until("publish", "entry-1", LIMIT, () -> publish(cluster, entries));
+    HttpCalls.Answer answer =
+        Waiting.until("publish", "entry-1", LIMIT, () -> publish(cluster, entries));
     if (answer.status() != 200) {
       throw new ClusterException("publish", "entry-1", answer.body().toString());
     }
@@ -103,13 +104,20 @@
     for (int left = tasks; left > 0; left -= MEMBERS) {
       Map<String, Object> job =
           Map.of(
-              "organisation", "bench",
-              "members", Math.min(MEMBERS, left),
-              "accelerators", 0,
-              "cores", CORES,
-              "memoryMegabytes", 1024,
-              "runTimeSeconds", 14_400,
-              "command", "forever");
+              "organisation",
+              "bench",
+              "members",
+              Math.min(MEMBERS, left),
+              "accelerators",
+              0,
+              "cores",
+              CORES,
+              "memoryMegabytes",
+              1024,
+              "runTimeSeconds",
+              14_400,
+              "command",
+              "forever");
       jobs.add(Waiting.until("submit", entry.name(), LIMIT, () -> accepted(entry, job)));
     }
     for (String job : jobs) {
--- a/bench/src/main/java/org/fescuehook/bench/capacity/PlanCost.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/PlanCost.java
@@ -37,8 +37,7 @@
 
   private static List<Running> place(
       GuaranteeScheduler scheduler, Declarations declarations, List<Job> jobs) {
-    View view =
-        new View(NOW, declarations, waiting(jobs), List.of(), Set.of(), History.EMPTY);
+    View view = new View(NOW, declarations, waiting(jobs), List.of(), Set.of(), History.EMPTY);
     Plan plan = scheduler.plan(view);
     List<Running> running = new ArrayList<>();
     for (Start start : plan.starts()) {
--- a/bench/src/main/java/org/fescuehook/bench/capacity/ProcessMeter.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/ProcessMeter.java
@@ -48,7 +48,8 @@
     String stat = Files.readString(directory.resolve("stat"), StandardCharsets.UTF_8);
     // The name of the program, in brackets, may hold spaces; fields are counted after it.
     String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-    double ticks = Double.parseDouble(fields[USER_TIME]) + Double.parseDouble(fields[USER_TIME + 1]);
+    double ticks =
+        Double.parseDouble(fields[USER_TIME]) + Double.parseDouble(fields[USER_TIME + 1]);
     return new Reading(
         System.nanoTime(),
         ticks / TICKS,
--- a/bench/src/main/java/org/fescuehook/bench/capacity/Slope.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/Slope.java
@@ -51,14 +51,7 @@
     }
     return format(
         "| %s | %s | %s | %s| %.4g + %.4g x | %.3g | %.3f |",
-        name,
-        size,
-        unit,
-        measured,
-        atZero(),
-        perUnit(),
-        spread(),
-        regression().getRSquare());
+        name, size, unit, measured, atZero(), perUnit(), spread(), regression().getRSquare());
   }
 
   private SimpleRegression regression() {
--- a/bench/src/main/java/org/fescuehook/bench/capacity/SlopePlot.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/SlopePlot.java
@@ -32,9 +32,7 @@
     double[] sizes = slope.points().stream().mapToDouble(Slope.Point::size).toArray();
     double[] costs = slope.points().stream().mapToDouble(Slope.Point::cost).toArray();
     double[] fitted = slope.points().stream().mapToDouble(p -> slope.at(p.size())).toArray();
-    chart
-        .addSeries("measured", sizes, costs)
-        .setXYSeriesRenderStyle(XYSeriesRenderStyle.Scatter);
+    chart.addSeries("measured", sizes, costs).setXYSeriesRenderStyle(XYSeriesRenderStyle.Scatter);
     chart.addSeries("fit", sizes, fitted).setMarker(SeriesMarkers.NONE);
     Files.createDirectories(directory);
     String file = slope.name().replaceAll("[^a-z0-9]+", "-") + ".png";
--- a/bench/src/main/java/org/fescuehook/bench/capacity/StateCost.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/StateCost.java
@@ -67,9 +67,7 @@
     long least = Long.MAX_VALUE;
     for (int i = 0; i < 4; i++) {
       System.gc();
-      least =
-          Math.min(
-              least, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+      least = Math.min(least, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
     }
     return least;
   }
--- a/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -24,7 +24,8 @@
 /**
  * Measures how long demand waits that its organisation's guarantees cover. All running jobs of an
  * organisation count against its guarantees, borrowed or not, so that a policy is not blamed for
- * what its holder has already. What an organisation runs on one worker counts against a slot of its own.
+ * what its holder has already. What an organisation runs on one worker counts against a slot of its
+ * own.
  */
 final class GuaranteeWatch implements ReplayListener {
 
