--- a/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/EntryVm.java
@@ -12,12 +12,12 @@
 public final class EntryVm {
   /** The log event of a VM that listens on all its ports. */
   private static final Pattern STARTED =
-      Pattern.compile(
-          "event=7001 .*service \\S*/([^,]+), peer \\S*/([^,]+), operator \\S*/(\\S+)");
+      Pattern.compile("event=7001 .*service \\S*/([^,]+), peer \\S*/([^,]+), operator \\S*/(\\S+)");
 
   private final ChildProcess process;
   private final InetSocketAddress service;
   private final InetSocketAddress peer;
+  private final InetSocketAddress operatorAddress;
   private final HttpCalls operator;
   private final HttpCalls jobs;
 
@@ -25,7 +25,8 @@
     this.process = process;
     this.service = StandIns.parse(started.group(1));
     this.peer = StandIns.parse(started.group(2));
-    this.operator = new HttpCalls(client, StandIns.parse(started.group(3)));
+    this.operatorAddress = StandIns.parse(started.group(3));
+    this.operator = new HttpCalls(client, operatorAddress);
     this.jobs = new HttpCalls(client, service);
   }
 
@@ -64,6 +65,11 @@
     return peer;
   }
 
+  /** Returns its operators' port. */
+  public InetSocketAddress operatorAddress() {
+    return operatorAddress;
+  }
+
   /** Returns calls to its operators' port. */
   public HttpCalls operator() {
     return operator;
@@ -107,7 +113,6 @@
       throws ClusterException, InterruptedException {
     return operator.post(
         "/configuration",
-        Map.of(
-            "base", base, "author", author, "reason", "bench", "declarations", declarations));
+        Map.of("base", base, "author", author, "reason", "bench", "declarations", declarations));
   }
 }
