Request path: tests that fail when a safeguard is taken out

Cause: a passing test proves nothing until it was seen to fail.

Each safeguard was taken out in a scratch copy and its test run. Red: retry of a lost non-repeatable request, same executor first, truthful refusals, retry budget, leaving, settling of shares (both ways), urgent queue and slots, weights, organisation share, hopeless deadline, deadline in the queue, ejection, its cap and slow start, path check, shares before requests; dispatch before read-back, losing claim dispatched, first claim wins, digest, release (always, never, of an abandoned claim), lost append, log down, known ids, batching, expiry, gap, newer version, room for answers; token, unframed answer, reuse of an abandoned connection, unsolicited answer, cut answer (silent and ended as whole), loss taken for not sent, body, header, connection and time bounds, pipelining, cancel, drain, progress deadline, probe, back-pressure, connection headers.

Five stayed green at first and their tests were sharpened: reuse of an abandoned connection (the token alone saved it), unsolicited answers, two framings, foreign transfer codings (the bodies were malformed anyway) and HEAD (only a refusal has a body to leave out). Two framings are refused by Netty's strict transfer encoding and by StrictRequestDecoder; red needs both out. 'Decoder failure ignored' and 'no Connection: close at a drain' made the tests hang, not fail.

The callers now connect first. SilentConnectionTest failed once in a baseline run: it asked before the warm connection was back in its pool; it now waits for that.

--- a/fescuehook/src/test/java/org/fescuehook/net/caller/CallerEdgeTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/CallerEdgeTest.java
@@ -48,13 +48,13 @@
         "Content-Length: 4, 5\r\n\r\n",
         "Content-Length: +4\r\n\r\n",
         "Content-Length: -4\r\n\r\n",
-        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
-        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n",
-        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
-        "Transfer-Encoding: gzip, chunked\r\n\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
         "Transfer-Encoding: identity\r\n\r\n",
-        "Transfer-Encoding: xchunked\r\n\r\n",
-        "Transfer-Encoding : chunked\r\n\r\n",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
         "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
         "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n",
         "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
@@ -137,6 +137,16 @@
     assertEquals(1, fixture.refused(RefusalReason.UNKNOWN_ORGANISATION));
   }
 
+  @Test
+  void refusesAHeadRequestWithoutABody() throws Exception {
+    try (RawCaller caller = new RawCaller(fixture.address)) {
+      for (int i = 0; i < 3; i++) {
+        caller.send(RawCaller.request("HEAD", "/requests/x", "Organisation: nobody\r\n", ""));
+        assertEquals(403, caller.readHead().status());
+      }
+    }
+  }
+
   @Test
   void answersPipelinedRequestsInOrder() throws Exception {
     try (RawCaller caller = new RawCaller(fixture.address)) {
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/DrainTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/DrainTest.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class DrainTest {
+  private static final int CALLERS = 8;
 
   @Test
   void answersWhatIsInFlightAndTellsCallersToClose() throws Exception {
@@ -54,7 +54,8 @@
 
   private static void drainUnderLoad() throws Exception {
     List<Throwable> faults = new CopyOnWriteArrayList<>();
-    AtomicInteger answered = new AtomicInteger();
+    // New connections are refused from the drain on, so each caller is connected before.
+    CountDownLatch connected = new CountDownLatch(CALLERS);
     try (FakeLog log = new FakeLog();
         FakeExecutor executor = new FakeExecutor(FakeExecutor.echoing());
         PathFixture fixture = new PathFixture(log, 8, executor)) {
@@ -62,24 +63,26 @@
           Thread.ofVirtual()
               .start(
                   () -> {
-                    Await.until(() -> answered.get() > 100);
+                    Await.until(() -> connected.getCount() == 0);
                     fixture.path.drain();
                   });
-      Concurrently.run(8, 8, i -> callUntilToldToClose(fixture, answered), faults);
+      Concurrently.run(CALLERS, CALLERS, i -> callUntilToldToClose(fixture, connected), faults);
       drain.join();
       assertEquals(List.of(), faults);
       Await.until(() -> fixture.path.inFlight() == 0);
     }
   }
 
-  private static void callUntilToldToClose(PathFixture fixture, AtomicInteger answered)
+  private static void callUntilToldToClose(PathFixture fixture, CountDownLatch connected)
       throws IOException {
     try (RawCaller caller = new RawCaller(fixture.address)) {
-      while (true) {
+      for (boolean first = true; ; first = false) {
         caller.send(RawCaller.request("POST", "/requests/x", PathFixture.ORGANISATION, ""));
         RawCaller.Answer answer = caller.read();
         assertEquals("200 true", answer.status() + " " + answer.whole());
-        answered.incrementAndGet();
+        if (first) {
+          connected.countDown();
+        }
         if ("close".equals(answer.headers().get("Connection"))) {
           return;
         }
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/ForeignAnswersTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/ForeignAnswersTest.java
@@ -44,8 +44,10 @@
         FakeExecutor executor = new FakeExecutor(FakeExecutor.answering(late));
         PathFixture fixture = new PathFixture(log, 1, executor)) {
       RawCaller.Answer slow = fixture.get("/requests/slow", "Request-Timeout-Ms: 150\r\n");
-      givenUp.countDown();
       assertEquals("deadline-after-dispatch unknown", slow.reason() + " " + slow.ran());
+      // The executor is still busy with the first connection: the next request needs another.
+      assertEquals("/while-late", fixture.get("/requests/while-late", "").body());
+      givenUp.countDown();
       for (int i = 0; i < 20; i++) {
         assertEquals("/next-" + i, fixture.get("/requests/next-" + i, "").body());
       }
@@ -69,6 +71,7 @@
         assertEquals("/n" + i, answer.body());
       }
       assertTrue(fixture.count("fescuehook.executors.late.answers") > 0);
+      assertTrue(executor.connections.get() >= 20, "no connection is used again");
     }
   }
 
@@ -91,7 +94,7 @@
   void answersAHeadRequestWithoutABody() throws Exception {
     FakeExecutor.Answering head =
         request ->
-            ("HTTP/1.1 200 X\r\nContent-Length: 99\r\nRequest-Token: "
+            ("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nRequest-Token: "
                     + request.token()
                     + "\r\n\r\n")
                 .getBytes();
@@ -99,10 +102,10 @@
         FakeExecutor executor = new FakeExecutor(FakeExecutor.answering(head));
         PathFixture fixture = new PathFixture(log, 1, executor);
         RawCaller caller = new RawCaller(fixture.address)) {
-      for (int i = 0; i < 2; i++) {
+      for (int i = 0; i < 3; i++) {
         caller.send(RawCaller.request("HEAD", "/requests/x", PathFixture.ORGANISATION, ""));
         RawCaller.Answer answer = caller.readHead();
-        assertEquals("200 99", answer.status() + " " + answer.headers().get("Content-Length"));
+        assertEquals(200, answer.status());
       }
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/SilentConnectionTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/SilentConnectionTest.java
@@ -33,6 +33,7 @@
         FakeExecutor executor = new FakeExecutor(silentAfterOne(silent));
         PathFixture fixture = new PathFixture(log, 2, executor)) {
       fixture.get("/requests/warm", "");
+      Await.until(() -> fixture.path.inFlight() == 0);
       silent.set(true);
       RawCaller.Answer answer =
           fixture.get("/requests/x", "Repeatable: true\r\nRequest-Timeout-Ms: 1000\r\n");
@@ -73,6 +74,7 @@
                 List.of(executor),
                 2)) {
       fixture.get("/requests/warm", "");
+      Await.until(() -> fixture.path.inFlight() == 0);
       silent.set(true);
       Await.until(() -> fixture.count("fescuehook.executors.paths.dead") > 0);
 
