--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ResultWriter.java
@@ -0,0 +1,24 @@
+package org.fescuehook.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Writes a JSON answer in the asked form. */
+final class ResultWriter {
+
+  private final Console console;
+  private final Format format;
+
+  ResultWriter(Console console, Format format) {
+    this.console = console;
+    this.format = format;
+  }
+
+  void write(JsonNode document) {
+    String text =
+        switch (format) {
+          case JSON -> document.toPrettyString() + "\n";
+          case TEXT -> JsonText.write(document);
+        };
+    console.out().print(text);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -0,0 +1,186 @@
+package org.fescuehook.logic.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.scheduling.Scheduler.StopCause;
+import org.fescuehook.logic.scheduling.VictimSelector.Selection;
+import org.fescuehook.logic.scheduling.VictimSelector.Victim;
+import org.fescuehook.model.job.Job;
+import org.fescuehook.model.job.Shape;
+import org.fescuehook.model.organisation.OrganisationId;
+
+/** Starts the jobs that guarantees cover, and has borrowers give way to them. */
+final class GuaranteeStep {
+
+  private static final double URGENT_FACTOR = 100;
+
+  private final PlanState state;
+  private final GangPlacer placer;
+  private final PolicyParts parts;
+  private final StopTerms terms;
+  private final QuotaStep quotas;
+
+  GuaranteeStep(PlanState state, GangPlacer placer, PolicyParts parts, QuotaStep quotas) {
+    this.quotas = quotas;
+    this.state = state;
+    this.placer = placer;
+    this.parts = parts;
+    this.terms = new StopTerms(state.view().declarations().policy());
+  }
+
+  /**
+   * Deals with the jobs that guarantees cover: starts them at their homes or keeps these for them.
+   * A job that can start as a borrower elsewhere is left to its turn among the others, which spares
+   * borrowers a stop. An organisation's urgent job that its guarantees do not cover goes before its
+   * other jobs.
+   *
+   * @return the jobs that are not dealt with, in the same order
+   */
+  List<Candidate> accept(List<Candidate> candidates) {
+    List<Candidate> left = new ArrayList<>();
+    Set<Candidate> open = new HashSet<>();
+    Set<OrganisationId> urgent = new HashSet<>();
+    for (Candidate c : candidates) {
+      boolean yields = !c.job().urgent() && urgent.contains(c.job().organisation());
+      List<Room> homes = yields ? List.of() : homes(c);
+      if (homes.isEmpty()) {
+        left.add(c);
+        if (c.job().urgent()) {
+          urgent.add(c.job().organisation());
+        }
+      } else if (!quotas.allows(c)) {
+        continue;
+      } else if (!startOrAwait(c, homes)) {
+        left.add(c);
+        open.add(c);
+      }
+    }
+    open.forEach(c -> state.protect(c.job().organisation()));
+    left.removeIf(c -> open.contains(c) && !canBorrow(c) && reclaim(c));
+    return left;
+  }
+
+  private boolean startOrAwait(Candidate candidate, List<Room> homes) {
+    boolean[] avoid = state.avoid(candidate.waiting());
+    return startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid);
+  }
+
+  private boolean canBorrow(Candidate candidate) {
+    boolean[] avoid = state.avoid(candidate.waiting());
+    Room room = state.borrowable(state.free());
+    return candidate.mayBorrow() && placer.fits(candidate.job().shape(), room, avoid);
+  }
+
+  /** Has borrowers give way to a job that could not start elsewhere after all. */
+  boolean reclaim(Candidate candidate) {
+    List<Room> homes = parts.reclaim() ? homes(candidate) : List.of();
+    if (homes.isEmpty()) {
+      return false;
+    }
+    boolean[] avoid = state.avoid(candidate.waiting());
+    return awaitStops(candidate, homes, avoid) || reclaim(candidate, homes, avoid);
+  }
+
+  /** Returns the homes in which the job would be within its guarantee. */
+  private List<Room> homes(Candidate candidate) {
+    List<Room> homes = state.guarantees().roomsFor(candidate.job());
+    if (homes.isEmpty()) {
+      return homes;
+    }
+    boolean[] avoid = state.avoid(candidate.waiting());
+    homes.removeIf(home -> !placer.fits(candidate.job().shape(), home, avoid));
+    return homes;
+  }
+
+  private boolean startAtHome(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    for (Room home : homes) {
+      Optional<int[]> workers = place(job.shape(), state.free(), home, avoid);
+      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+        state.start(candidate, workers.get(), false);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean awaitStops(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    for (Room home : homes) {
+      Optional<int[]> workers = place(job.shape(), state.soon(), home, avoid);
+      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+        state.hold(job, workers.get());
+        state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean reclaim(Candidate candidate, List<Room> homes, boolean[] avoid) {
+    Job job = candidate.job();
+    List<Victim> eligible = victims(job);
+    VictimSelector selector = new VictimSelector(state.index());
+    Optional<Selection> best = Optional.empty();
+    for (Room home : homes) {
+      Optional<Selection> found = selector.select(job.shape(), state.soon(), home, avoid, eligible);
+      if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
+        best = found;
+      }
+    }
+    if (best.isEmpty()) {
+      return false;
+    }
+    StopCause cause = job.urgent() ? StopCause.URGENT : StopCause.RECLAIMED;
+    for (Victim v : best.get().victims()) {
+      state.stop(v.occupant(), terms.stop(v.occupant().running(), cause, job));
+    }
+    return awaitStops(candidate, homes, avoid);
+  }
+
+  /** Returns borrowers; urgent ones only as a last resort, those of the same organisation never. */
+  private List<Victim> victims(Job job) {
+    List<Victim> victims = new ArrayList<>();
+    for (Occupant o : state.occupants()) {
+      if (o.guaranteed() || state.isStopped(o) || isOwnUrgent(o, job)) {
+        continue;
+      }
+      double cost = o.stopCost(state.view().nowMillis());
+      victims.add(new Victim(o, o.running().job().urgent() ? cost * URGENT_FACTOR : cost));
+    }
+    return victims;
+  }
+
+  private static boolean isOwnUrgent(Occupant occupant, Job job) {
+    Job other = occupant.running().job();
+    return other.urgent() && other.organisation().equals(job.organisation());
+  }
+
+  /** Places a job at home, first in the slots that have least left, so that others stay whole. */
+  private Optional<int[]> place(Shape shape, Room available, Room home, boolean[] avoid) {
+    Room room = available.copy();
+    room.lowerTo(home);
+    return placer.place(shape, room, avoid, new HomePreference(home));
+  }
+
+  private record HomePreference(Room home) implements GangPlacer.Preference {
+
+    @Override
+    public int ofWorker(int worker) {
+      return Math.max(0, home.accelerators(worker));
+    }
+
+    @Override
+    public int ofRack(int rack, int members) {
+      return members;
+    }
+  }
+
+  private long dueMillis() {
+    return state.view().nowMillis()
+        + state.view().declarations().policy().reclaimBound().toMillis();
+  }
+}
