replay; publications are checked where they are taken

A publication sent past the command was only parsed, so guarantees beyond the fleet could come into force. The owner now checks it as config check does, while a revision that is already in the log is only parsed: a stricter check of a later version must not keep a VM from reading what is in force. Rules that never match are found by logic.rule; the second finder is gone. replay takes traces of the decision core and of jobs.

--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
@@ -12,6 +12,7 @@
 import org.fescuehook.cli.command.ExplainCommand;
 import org.fescuehook.cli.command.JobCancelCommand;
 import org.fescuehook.cli.command.JobShowCommand;
+import org.fescuehook.cli.command.ReplayCommand;
 import org.fescuehook.cli.command.SettingsCheckCommand;
 import org.fescuehook.cli.command.SettingsExampleCommand;
 import org.fescuehook.cli.command.StatusCommand;
@@ -45,6 +46,7 @@
         new CommandSpec("job cancel", "cancel a job", JobCancelCommand::new),
         new CommandSpec("status", "show the state of the system", StatusCommand::new),
         new CommandSpec("drain", "stop an entry VM gracefully", DrainCommand::new),
-        new CommandSpec("explain", "tell why a job waits or was refused", ExplainCommand::new));
+        new CommandSpec("explain", "tell why a job waits or was refused", ExplainCommand::new),
+        new CommandSpec("replay", "replay a recorded trace", ReplayCommand::new));
   }
 }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/JobReplayReport.java
@@ -0,0 +1,48 @@
+package org.fescuehook.cli.command;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.OptionalLong;
+import org.fescuehook.logic.trace.JobOutcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Result of the replay of a trace of jobs. Times are seconds since the beginning of the trace.
+ *
+ * @param jobs what became of each job, in the order of submission
+ */
+record JobReplayReport(List<Row> jobs) {
+
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  /** What became of a job; a time that it did not reach is null. */
+  record Row(
+      String job,
+      String organisation,
+      String outcome,
+      long submittedSeconds,
+      @Nullable Long startedSeconds,
+      @Nullable Long endedSeconds,
+      int attempts,
+      int preemptions) {}
+
+  static JobReplayReport of(List<JobOutcome> outcomes) {
+    return new JobReplayReport(outcomes.stream().map(JobReplayReport::row).toList());
+  }
+
+  private static Row row(JobOutcome outcome) {
+    return new Row(
+        outcome.job().id().value(),
+        outcome.job().organisation().value(),
+        outcome.end().name().toLowerCase(Locale.ROOT).replace('_', '-'),
+        outcome.job().submittedMillis() / MILLIS_PER_SECOND,
+        seconds(outcome.firstStartMillis()),
+        seconds(outcome.endMillis()),
+        outcome.attempts(),
+        outcome.preemptions());
+  }
+
+  private static @Nullable Long seconds(OptionalLong millis) {
+    return millis.isPresent() ? millis.getAsLong() / MILLIS_PER_SECOND : null;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/entry/ParsedDeclarations.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/ParsedDeclarations.java
@@ -17,6 +17,15 @@
   /** Creates a reader. */
   public ParsedDeclarations() {}
 
+  @Override
+  public void check(String text) throws InvalidDeclarationsException {
+    try {
+      parser.check(List.of(IniSource.of(SOURCE, text)));
+    } catch (FaultyInputException e) {
+      throw new InvalidDeclarationsException(e.getMessage());
+    }
+  }
+
   @Override
   public Declarations parse(String text) throws InvalidDeclarationsException {
     try {
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/RuleChecks.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/RuleChecks.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import org.fescuehook.logic.ini.Fault;
+import org.fescuehook.logic.rule.UnreachableRuleFinder;
+import org.fescuehook.logic.rule.UnreachableRuleFinder.Finding;
 import org.fescuehook.model.configuration.Declarations;
 import org.fescuehook.model.rule.Rule;
 
@@ -33,15 +35,14 @@
 
   /** Returns a warning for each rule that can never match. */
   List<Fault> warnings(Declarations declarations) {
-    RuleReach reach = new RuleReach(declarations);
     List<Fault> warnings = new ArrayList<>();
-    for (Placed<Rule> rule : rules) {
-      reach
-          .whyNever(rule.value())
-          .ifPresent(
-              reason ->
-                  warnings.add(
-                      rule.fault("can never match: " + reason, "a rule that some job can reach")));
+    for (Finding finding : new UnreachableRuleFinder().find(declarations)) {
+      for (Placed<Rule> rule : rules) {
+        if (rule.value().number() == finding.rule()) {
+          String problem = "can never match: " + finding.reason();
+          warnings.add(rule.fault(problem, "a rule that some job can reach"));
+        }
+      }
     }
     return warnings;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/DeclarationsReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/DeclarationsReader.java
@@ -13,6 +13,17 @@
    */
   Declarations parse(String text) throws InvalidDeclarationsException;
 
+  /**
+   * Checks declarations that are to be published. It may refuse what {@link #parse} reads, so that
+   * what an earlier version published stays readable.
+   *
+   * @param text the declarations, INI
+   * @throws InvalidDeclarationsException if the declarations are not to be published
+   */
+  default void check(String text) throws InvalidDeclarationsException {
+    parse(text);
+  }
+
   /** The text is no valid declarations. */
   class InvalidDeclarationsException extends Exception {
     private static final long serialVersionUID = 1L;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/PublicationDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/PublicationDesk.java
@@ -27,7 +27,7 @@
    */
   public void publish(long ticket, Request.Publish publish, ControlState state, Turn turn) {
     try {
-      reader.parse(publish.declarations());
+      reader.check(publish.declarations());
     } catch (InvalidDeclarationsException e) {
       String faults = String.valueOf(e.getMessage());
       Refusals.refuse(ticket, RefusalReason.BAD_REQUEST, faults, turn);
