--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.scheduling;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -9,7 +10,6 @@
 import org.fescuehook.logic.scheduling.VictimSelector.Selection;
 import org.fescuehook.logic.scheduling.VictimSelector.Victim;
 import org.fescuehook.model.job.Job;
-import org.fescuehook.model.job.Shape;
 import org.fescuehook.model.organisation.OrganisationId;
 
 /** Starts the jobs that guarantees cover, and has borrowers give way to them. */
@@ -40,29 +40,46 @@
    * @return the jobs that are not dealt with, in the same order
    */
   List<Candidate> accept(List<Candidate> candidates) {
-    List<Candidate> left = new ArrayList<>();
+    List<Candidate> covered = covered(candidates);
+    state.protect(holders(covered));
     Set<Candidate> open = new HashSet<>();
-    Set<OrganisationId> urgent = new HashSet<>();
-    for (Candidate c : candidates) {
-      boolean yields = !c.job().urgent() && urgent.contains(c.job().organisation());
-      List<Room> homes = yields ? List.of() : homes(c);
-      if (homes.isEmpty()) {
-        left.add(c);
-        if (c.job().urgent()) {
-          urgent.add(c.job().organisation());
-        }
-      } else if (!quotas.allows(c)) {
-        continue;
-      } else if (!startOrAwait(c, homes)) {
-        left.add(c);
+    Set<Candidate> done = new HashSet<>();
+    for (Candidate c : covered) {
+      List<Room> homes = homes(c);
+      if (!quotas.allows(c) || !homes.isEmpty() && startOrAwait(c, homes)) {
+        done.add(c);
+      } else if (!homes.isEmpty()) {
         open.add(c);
       }
     }
-    open.forEach(c -> state.protect(c.job().organisation()));
-    left.removeIf(c -> open.contains(c) && !canBorrow(c) && reclaim(c));
+    state.protect(holders(open));
+    List<Candidate> left = new ArrayList<>(candidates);
+    left.removeIf(c -> done.contains(c) || open.contains(c) && !canBorrow(c) && reclaim(c));
     return left;
   }
 
+  /** Returns the jobs that guarantees would cover if each were alone. */
+  private List<Candidate> covered(List<Candidate> candidates) {
+    List<Candidate> covered = new ArrayList<>();
+    Set<OrganisationId> urgent = new HashSet<>();
+    for (Candidate c : candidates) {
+      OrganisationId organisation = c.job().organisation();
+      boolean yields = !c.job().urgent() && urgent.contains(organisation);
+      if (!yields && !homes(c).isEmpty()) {
+        covered.add(c);
+      } else if (c.job().urgent()) {
+        urgent.add(organisation);
+      }
+    }
+    return covered;
+  }
+
+  private static Set<OrganisationId> holders(Collection<Candidate> candidates) {
+    Set<OrganisationId> holders = new HashSet<>();
+    candidates.forEach(c -> holders.add(c.job().organisation()));
+    return holders;
+  }
+
   private boolean startOrAwait(Candidate candidate, List<Room> homes) {
     boolean[] avoid = state.avoid(candidate.waiting());
     return startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid);
@@ -98,7 +115,7 @@
   private boolean startAtHome(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     for (Room home : homes) {
-      Optional<int[]> workers = place(job.shape(), state.free(), home, avoid);
+      Optional<int[]> workers = place(job, state.free(), home, avoid);
       if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
         state.start(candidate, workers.get(), false);
         return true;
@@ -110,7 +127,7 @@
   private boolean awaitStops(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     for (Room home : homes) {
-      Optional<int[]> workers = place(job.shape(), state.soon(), home, avoid);
+      Optional<int[]> workers = place(job, state.soon(), home, avoid);
       if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
         state.hold(job, workers.get());
         state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
@@ -123,11 +140,12 @@
   private boolean reclaim(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     List<Victim> eligible = victims(job);
+    Room soon = state.beside(job.organisation(), state.soon());
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
       Optional<Selection> found =
-          selector.select(job.shape(), state.soon(), home, avoid, eligible);
+          selector.select(job.shape(), soon, home, avoid, eligible);
       if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
         best = found;
       }
@@ -161,10 +179,10 @@
   }
 
   /** Places a job at home, first in the slots that have least left, so that others stay whole. */
-  private Optional<int[]> place(Shape shape, Room available, Room home, boolean[] avoid) {
-    Room room = available.copy();
+  private Optional<int[]> place(Job job, Room available, Room home, boolean[] avoid) {
+    Room room = state.beside(job.organisation(), available);
     room.lowerTo(home);
-    return placer.place(shape, room, avoid, new HomePreference(home));
+    return placer.place(job.shape(), room, avoid, new HomePreference(home));
   }
 
   private record HomePreference(Room home) implements GangPlacer.Preference {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
@@ -44,7 +44,7 @@
 
   private final List<Start> starts = new ArrayList<>();
   private final List<Stop> stops = new ArrayList<>();
-  private final Set<OrganisationId> protectedOrganisations = new HashSet<>();
+  private Set<OrganisationId> protectedHolders = Set.of();
   private final Set<AttemptId> stopped = new HashSet<>();
   private final Map<JobId, Explanation> reasons = new LinkedHashMap<>();
 
@@ -137,18 +137,26 @@
     return free;
   }
 
-  /** Keeps new borrowers off the unused homes of an organisation whose holders wait. */
-  void protect(OrganisationId organisation) {
-    protectedOrganisations.add(organisation);
+  /** Keeps all others off the unused homes of these organisations, whose jobs wait for them. */
+  void protect(Set<OrganisationId> holders) {
+    protectedHolders = Set.copyOf(holders);
   }
 
   /** Returns what borrowers may use of a room: all but protected homes. Not to be changed. */
   Room borrowable(Room room) {
-    if (protectedOrganisations.isEmpty()) {
-      return room;
-    }
+    return protectedHolders.isEmpty() ? room : withoutHomes(room, protectedHolders);
+  }
+
+  /** Returns what a holder may use of a room: all but protected homes of others. */
+  Room beside(OrganisationId holder, Room room) {
+    Set<OrganisationId> others = new HashSet<>(protectedHolders);
+    others.remove(holder);
+    return withoutHomes(room, others);
+  }
+
+  private Room withoutHomes(Room room, Set<OrganisationId> holders) {
     Room homes = Room.empty(index.workerCount());
-    protectedOrganisations.forEach(o -> guarantees.addUnused(o, homes));
+    holders.forEach(o -> guarantees.addUnused(o, homes));
     Room left = room.copy();
     left.takeAll(homes);
     return left;
