Policy: work without accelerators uses no guarantee of accelerators; lighter meters

Cause: a gang without accelerators was counted as covered by the cores of an accelerator guarantee and reclaimed it.

--- a/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
@@ -33,6 +33,11 @@
   @Override
   public void decided(View view, Plan plan) {
     add(view.nowMillis());
+    counts = false;
+    scattered = false;
+    if (view.waiting().size() == plan.starts().size()) {
+      return;
+    }
     FreeCapacity free = new FreeCapacity(view);
     Set<JobId> started = new HashSet<>();
     QuotaBook quotas = new QuotaBook(view);
@@ -60,7 +65,6 @@
   private void measure(FreeCapacity free, Optional<Waiting> largest) {
     int accelerators = free.accelerators();
     counts = largest.isPresent() && accelerators > 0;
-    scattered = false;
     if (!counts) {
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
@@ -56,7 +56,7 @@
 
   /** Returns the rooms in one of which a job has to stand to be within its guarantee. */
   List<Room> roomsFor(Job job) {
-    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
+    List<GuaranteeCopy> own = copiesFor(job);
     if (own.isEmpty()) {
       return new ArrayList<>();
     }
@@ -72,6 +72,18 @@
     return rooms;
   }
 
+  /** Returns the shapes that a job may use: work without accelerators uses none that have any. */
+  private List<GuaranteeCopy> copiesFor(Job job) {
+    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
+    if (own.isEmpty()) {
+      return own;
+    }
+    boolean needsAny = job.shape().accelerators() > 0;
+    List<GuaranteeCopy> matching = new ArrayList<>(own);
+    matching.removeIf(c -> c.shape().accelerators() > 0 != needsAny);
+    return matching;
+  }
+
   /** Returns room for as many members on each worker as its slots hold, each in one slot. */
   private Room room(List<GuaranteeCopy> copies, Shape shape) {
     Room room = Room.empty(workerCount);
@@ -93,7 +105,7 @@
    * @return false if it is not, and nothing was counted
    */
   boolean use(Job job, int[] workers) {
-    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
+    List<GuaranteeCopy> own = copiesFor(job);
     for (GuaranteeCopy copy : own) {
       if (use(List.of(copy), job.shape(), workers)) {
         return true;
