Readiness is told after the service port takes requests

Cause: EntryProgramTest failed on a loaded machine (load 40): /readyz said yes, and the next request was refused with not-ready, as the state that /readyz reads turns fit up to one peer interval before the service port opens. Ruled out: the slot shares (they were in force). Now /readyz says 'opening' until the port is open.

--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -33,6 +33,7 @@
   private volatile boolean draining;
   private volatile boolean halted;
   private volatile boolean hasSlots;
+  private volatile boolean open;
   private volatile long controlNext;
 
   VmState(VmId self, MembershipPreferences preferences, ConfigurationKeeper configuration) {
@@ -91,6 +92,11 @@
     draining = true;
   }
 
+  /** Notes whether the service port takes requests and jobs. */
+  void opened(boolean opened) {
+    open = opened;
+  }
+
   /** Notes that this VM decides nothing any more. */
   void halt() {
     halted = true;
@@ -138,7 +144,8 @@
     if (draining) {
       return Optional.of(NotReady.DRAINING.slug());
     }
-    return unfit();
+    Optional<String> unfit = unfit();
+    return unfit.isEmpty() && !open ? Optional.of("opening") : unfit;
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -114,7 +114,8 @@
     assertEquals(configurations(), checked);
   }
 
-  private Outcome check(String configuration, Compiler compiler) throws IOException, InterruptedException {
+  private Outcome check(String configuration, Compiler compiler)
+      throws IOException, InterruptedException {
     String module = configuration.split("_", 2)[0];
     TlcRunner runner = new TlcRunner(SPECIFICATIONS, scratch);
     Outcome outcome = runner.run(module + ".tla", configuration + ".cfg", compiler);
