Commands give up on answers that stop; reading what is in force skips the checks

An answer that stopped in its middle held a command for good: the client's timeout ends with the head. Sums of memory were printed from an overflowing product. Declarations that were published already are read without the checks of sense, which are for publishers only.

--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandRunner.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandRunner.java
@@ -76,6 +76,10 @@
     } catch (CommandException e) {
       console.err().println("fescuehook: " + e.getMessage());
       return e.exitCode();
+    } catch (RuntimeException e) {
+      console.err().println("fescuehook: fault of the program; report it with these lines");
+      e.printStackTrace(console.err());
+      return ExitCode.INTERNAL;
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/cli/client/EntryClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/client/EntryClient.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -17,7 +16,11 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.fescuehook.logic.ini.Addresses;
+import org.fescuehook.logic.ini.Durations;
 
 /** Sends single requests to one port of an entry VM and reads JSON answers. */
 public final class EntryClient implements AutoCloseable {
@@ -85,21 +88,31 @@
   private Response exchange(HttpRequest request) throws EntryUnreachableException {
     String step = request.method() + " " + request.uri().getRawPath();
     try {
-      HttpResponse<String> response = client.send(request, BodyHandlers.ofString());
+      HttpResponse<String> response =
+          client
+              .sendAsync(request, BodyHandlers.ofString())
+              .get(timeout.toMillis(), TimeUnit.MILLISECONDS);
       return new Response(response.statusCode(), parse(response.body()), retryAfter(response));
     } catch (JsonProcessingException e) {
       throw new EntryUnreachableException(step, peer, "the answer is no JSON");
-    } catch (ConnectException e) {
-      throw new EntryUnreachableException(step, peer, "connection refused");
-    } catch (IOException e) {
-      String problem = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
-      throw new EntryUnreachableException(step, peer, problem);
+    } catch (ExecutionException e) {
+      throw new EntryUnreachableException(step, peer, problem(e.getCause()));
+    } catch (TimeoutException e) {
+      throw new EntryUnreachableException(
+          step, peer, "nothing whole within " + Durations.format(timeout));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new EntryUnreachableException(step, peer, "interrupted");
     }
   }
 
+  private static String problem(Throwable cause) {
+    if (cause instanceof ConnectException) {
+      return "connection refused";
+    }
+    return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+  }
+
   private static JsonNode parse(String body) throws JsonProcessingException {
     return MAPPER.readTree(body);
   }
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigDiffCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ConfigDiffCommand.java
@@ -48,7 +48,7 @@
     String name = "revision " + current.revision();
     try {
       List<IniSource> sources = List.of(IniSource.of(name, current.declarations()));
-      return new DeclarationsParser().parse(sources).declarations();
+      return new DeclarationsParser().read(sources);
     } catch (FaultyInputException e) {
       throw new CommandException(
           ExitCode.REFUSED,
@@ -69,7 +69,12 @@
       return;
     }
     String from = revision < 0 ? "no configuration" : "revision " + revision;
-    String count = differences.isEmpty() ? "no difference" : differences.size() + " differences";
+    String count =
+        switch (differences.size()) {
+          case 0 -> "no difference";
+          case 1 -> "1 difference";
+          default -> differences.size() + " differences";
+        };
     console.out().println(from + " is in force: " + count);
     differences.forEach(difference -> console.out().println(difference.describe()));
     new FaultWriter(console, Format.TEXT).write(wanted.faults(), wanted.warnings());
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/JobCancelCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/JobCancelCommand.java
@@ -21,7 +21,7 @@
     if (format() == Format.JSON) {
       console.out().println(response.body().toPrettyString());
     } else {
-      console.out().println("job " + id + " is cancelled");
+      console.out().println("cancellation of job " + id + " is taken; job show tells its state");
     }
     return ExitCode.DONE;
   }
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/Refusals.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/Refusals.java
@@ -26,7 +26,7 @@
 
   private static String message(Response response) {
     StringBuilder text = new StringBuilder("refused: ").append(reason(response));
-    String detail = response.body().path("detail").asText("");
+    String detail = response.body().path("detail").asText("").replace("\n", " | ");
     if (!detail.isEmpty()) {
       text.append(": ").append(detail);
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/ParsedDeclarations.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/ParsedDeclarations.java
@@ -29,7 +29,7 @@
   @Override
   public Declarations parse(String text) throws InvalidDeclarationsException {
     try {
-      return parser.parse(List.of(IniSource.of(SOURCE, text))).declarations();
+      return parser.read(List.of(IniSource.of(SOURCE, text)));
     } catch (FaultyInputException e) {
       throw new InvalidDeclarationsException(e.getMessage());
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationKeys.java
@@ -54,7 +54,7 @@
       bound(
           "urgent-start-bound",
           PolicyPreferences.DEFAULT.urgentStartBound(),
-          "Longest time from submission to start of an urgent job.");
+          "Longest time from submission to start of an urgent job; below max-wait.");
   static final Key<Duration> MAX_WAIT =
       bound(
           "max-wait",
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/DeclarationsParser.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.ini.IniParser;
 import org.fescuehook.logic.ini.IniSection;
 import org.fescuehook.logic.ini.IniSource;
+import org.fescuehook.model.configuration.Declarations;
 
 /** Parses and checks declarations, which may be spread over files; reports all faults at once. */
 public final class DeclarationsParser {
@@ -35,10 +36,7 @@
    * @throws FaultyInputException if their form is wrong; it names the faults of sense as well
    */
   public CheckedDeclarations parse(List<IniSource> sources) throws FaultyInputException {
-    DeclaredItems items = new DeclaredItems(new IniParser().parse(sources));
-    for (IniSection section : items.document().sections()) {
-      parseSection(section, items);
-    }
+    DeclaredItems items = parseItems(sources);
     DeclarationsChecks checks = new DeclarationsChecks(items);
     List<Fault> faults = checks.faults();
     if (!items.faults().isEmpty()) {
@@ -48,6 +46,27 @@
     return new CheckedDeclarations(items.toDeclarations(), faults, checks.warnings());
   }
 
+  /**
+   * Reads declarations without checking their sense, for what was published already.
+   *
+   * @throws FaultyInputException if their form is wrong
+   */
+  public Declarations read(List<IniSource> sources) throws FaultyInputException {
+    DeclaredItems items = parseItems(sources);
+    if (!items.faults().isEmpty()) {
+      throw new FaultyInputException(items.faults());
+    }
+    return items.toDeclarations();
+  }
+
+  private static DeclaredItems parseItems(List<IniSource> sources) {
+    DeclaredItems items = new DeclaredItems(new IniParser().parse(sources));
+    for (IniSection section : items.document().sections()) {
+      parseSection(section, items);
+    }
+    return items;
+  }
+
   private static void parseSection(IniSection section, DeclaredItems items) {
     SectionsParser sections = new SectionsParser(items);
     FleetParser fleet = new FleetParser(items);
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/Descriptions.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/Descriptions.java
@@ -8,8 +8,6 @@
 /** Puts declared items into an operator's words. */
 final class Descriptions {
 
-  private static final long MEBIBYTE = 1L << 20;
-
   private Descriptions() {}
 
   static String capacity(Capacity capacity) {
@@ -17,7 +15,7 @@
         .formatted(
             plural(capacity.accelerators(), "accelerator"),
             plural(capacity.cores(), "core"),
-            Sizes.format(capacity.memoryMegabytes() * MEBIBYTE));
+            Sizes.formatMebibytes(capacity.memoryMegabytes()));
   }
 
   static String shape(Shape shape) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/RackCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/RackCapacity.java
@@ -37,28 +37,27 @@
 
   /** Takes the resources of a shape and tells whether there was room; takes nothing if not. */
   boolean take(int members, Capacity member, int maxRacks) {
-    List<List<Capacity>> chosen = choose(members, member, maxRacks);
-    int fit =
-        chosen.stream().map(workers -> fit(workers, member)).reduce(0, RackCapacity::cappedSum);
-    if (fit < members) {
+    List<Room> chosen = choose(members, member, maxRacks);
+    if (chosen.stream().map(Room::fit).reduce(0, RackCapacity::cappedSum) < members) {
       return false;
     }
     int left = members;
-    for (List<Capacity> workers : chosen) {
-      left -= takeFromRack(workers, member, left);
+    for (Room room : chosen) {
+      left -= takeFromRack(room.workers(), member, left);
     }
     return true;
   }
 
   /** Prefers the fullest single rack that has room, else the racks with the most room. */
-  private List<List<Capacity>> choose(int members, Capacity member, int maxRacks) {
-    List<List<Capacity>> byRoom =
+  private List<Room> choose(int members, Capacity member, int maxRacks) {
+    List<Room> byRoom =
         racks.values().stream()
-            .sorted(Comparator.comparingInt((List<Capacity> workers) -> fit(workers, member)))
+            .map(workers -> new Room(workers, fit(workers, member)))
+            .sorted(Comparator.comparingInt(Room::fit))
             .toList();
-    for (List<Capacity> workers : byRoom) {
-      if (fit(workers, member) >= members) {
-        return List.of(workers);
+    for (Room room : byRoom) {
+      if (room.fit() >= members) {
+        return List.of(room);
       }
     }
     int most = maxRacks == 0 ? byRoom.size() : Math.min(maxRacks, byRoom.size());
@@ -91,6 +90,9 @@
     return best;
   }
 
+  /** Free resources of a rack's workers and how many members fit there. */
+  private record Room(List<Capacity> workers, int fit) {}
+
   private static int fit(List<Capacity> workers, Capacity member) {
     return workers.stream().map(worker -> worker.fits(member)).reduce(0, RackCapacity::cappedSum);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/SectionsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/SectionsParser.java
@@ -45,6 +45,11 @@
           "a duration below reclaim-bound");
       return;
     }
+    if (urgent.isPresent() && wait.isPresent() && urgent.get().compareTo(wait.get()) >= 0) {
+      reader.fault(
+          DeclarationKeys.URGENT_START_BOUND, "is not below max-wait", "a duration below max-wait");
+      return;
+    }
     if (allPresent(weight, reclaim, notice, urgent, wait, attempts)) {
       items.declarePolicy(
           new PolicyPreferences(
--- a/fescuehook/src/main/java/org/fescuehook/logic/configuration/Total.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/configuration/Total.java
@@ -16,8 +16,6 @@
 
   static final Total NONE = new Total(0, 0, 0);
 
-  private static final long MEBIBYTE = 1L << 20;
-
   static Total ofWorkers(Iterable<Worker> workers) {
     Total total = NONE;
     for (Worker worker : workers) {
@@ -48,7 +46,7 @@
   /** Returns the amounts in an operator's words. */
   String describe() {
     return "%d accelerators, %d cores and %s"
-        .formatted(accelerators, cores, Sizes.format(memoryMegabytes * MEBIBYTE));
+        .formatted(accelerators, cores, Sizes.formatMebibytes(memoryMegabytes));
   }
 
   private Total plus(Capacity capacity, long times) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Sizes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Sizes.java
@@ -11,6 +11,8 @@
   private static final Map<String, Long> BYTES =
       Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30);
 
+  private static final long MEBIBYTES_PER_GIBIBYTE = 1024;
+
   private Sizes() {}
 
   /**
@@ -32,6 +34,12 @@
     return bytes + "B";
   }
 
+  /** Returns a number of MiB as {@link #format} does; for sums beyond what bytes can count. */
+  public static String formatMebibytes(long mebibytes) {
+    boolean whole = mebibytes != 0 && mebibytes % MEBIBYTES_PER_GIBIBYTE == 0;
+    return whole ? mebibytes / MEBIBYTES_PER_GIBIBYTE + "GiB" : mebibytes + "MiB";
+  }
+
   private static long parse(String text, long least, long most, long multiple)
       throws MalformedValueException {
     Matcher matcher = FORM.matcher(text);
