--- a/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
@@ -72,10 +72,13 @@
     lastVerdict = verdict;
     if (verdict.isPresent()) {
       EventLog.info(LOGGER, EntryEvent.NOT_READY, verdict.get());
+      state.opened(false);
       requests.ready(false, RefusalReason.NOT_READY);
       return;
     }
     EventLog.info(LOGGER, EntryEvent.READY);
     requests.ready(true, RefusalReason.NOT_READY);
+    // Only now: a balancer that sees readiness may send at once.
+    state.opened(true);
   }
 }
