Request path: connection shares are lowered at once and raised after settling

Cause: the connections to an executor, summed over all VMs, could pass its declared limit when shares move from one VM to another: a raised share was used at once and idle connections beyond a lowered one stayed open. Connection shares now follow the rule of slot shares, and surplus connections are closed.

ExecutorPoolTest was seen red with each of these taken out in a scratch copy: age of the last sign of life, closing of surplus idle connections, closing of surplus busy ones when they are taken back, the limit itself.

--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/DispatchCore.java
@@ -226,8 +226,8 @@
     return batcher.unrecorded();
   }
 
-  /** Returns the connections that may be opened to each executor. */
+  /** Returns the connections that may be open to each executor now. */
   public Map<ExecutorId, Integer> connectionLimits() {
-    return executors.connectionLimits();
+    return executors.connectionLimits(now);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ExecutorTable.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ExecutorTable.java
@@ -11,6 +11,7 @@
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.SlotShare;
 import org.fescuehook.wire.SlotShares;
 
 /** The executors as this VM sees them: shares, load, health. Chooses one for a request. */
@@ -27,7 +28,7 @@
   private final VmId vm;
   private final FailureDomain domain;
   private final Map<ExecutorId, Entry> entries = new HashMap<>();
-  private Map<ExecutorId, org.fescuehook.wire.SlotShare> shares = Map.of();
+  private Map<ExecutorId, SlotShare> shares = Map.of();
   private Set<ExecutorId> leaving = Set.of();
   private boolean shared;
   private int turn;
@@ -57,8 +58,8 @@
 
   /** Takes shares of slots. */
   void share(SlotShares announced, long nowMillis) {
-    Map<ExecutorId, org.fescuehook.wire.SlotShare> own = new HashMap<>();
-    for (org.fescuehook.wire.SlotShare share : announced.getSharesList()) {
+    Map<ExecutorId, SlotShare> own = new HashMap<>();
+    for (SlotShare share : announced.getSharesList()) {
       if (share.getVm().equals(vm.value())) {
         own.put(new ExecutorId(share.getExecutor()), share);
       }
@@ -70,8 +71,9 @@
   }
 
   private void announce(ExecutorId id, Entry entry, long nowMillis, long settleMillis) {
-    int slots = Optional.ofNullable(shares.get(id)).map(s -> s.getSlots()).orElse(0);
-    entry.share.announce(slots, nowMillis, settleMillis);
+    Optional<SlotShare> own = Optional.ofNullable(shares.get(id));
+    entry.share.announce(own.map(s -> s.getSlots()).orElse(0), nowMillis, settleMillis);
+    entry.connections.announce(own.map(s -> s.getConnections()).orElse(0), nowMillis, settleMillis);
   }
 
   /** Tells whether shares were ever announced. */
@@ -189,16 +191,17 @@
     return ejected + 1 <= declared * EJECTION_CAP;
   }
 
-  /** Returns the connections that may be opened to each executor. */
-  Map<ExecutorId, Integer> connectionLimits() {
+  /** Returns the connections that may be open to each executor now. */
+  Map<ExecutorId, Integer> connectionLimits(long nowMillis) {
     Map<ExecutorId, Integer> limits = new HashMap<>();
-    shares.forEach((id, share) -> limits.put(id, share.getConnections()));
+    entries.forEach((id, entry) -> limits.put(id, entry.connections.slots(nowMillis)));
     return limits;
   }
 
   private static final class Entry {
     private Optional<Executor> declared = Optional.empty();
-    private final SlotShare share = new SlotShare();
+    private final SettlingShare share = new SettlingShare();
+    private final SettlingShare connections = new SettlingShare();
     private final ExecutorHealth health = new ExecutorHealth();
     private int inUse;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/SlotShare.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/SettlingShare.java
@@ -1,7 +1,10 @@
 package org.fescuehook.logic.dispatch;
 
-/** This VM's share of an executor's slots: lowered at once, raised only after a settling time. */
-final class SlotShare {
+/**
+ * This VM's share of an executor's slots or connections: lowered at once, raised only after a
+ * settling time.
+ */
+final class SettlingShare {
   private int inForce;
   private int announced;
   private long raiseAtMillis;
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
@@ -23,7 +23,7 @@
   /** Size of the ring. New requests use only half of it, so that the ends of others find room. */
   static final int RING_SIZE = 1 << 14;
 
-  static final long TICK_MILLIS = 10;
+  static final long TICK_MILLIS = 20;
 
   private static final long AGAIN_MILLIS = 1;
   private static final long WAIT_NANOS = 100_000;
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -108,7 +108,10 @@
     unrecorded = core.unrecorded();
     switch (event) {
       case DispatchEvent.Shared _ -> executors.limitConnections(core.connectionLimits());
-      case DispatchEvent.Tick _ -> executors.probe(probeInterval, this::suspect);
+      case DispatchEvent.Tick _ -> {
+        executors.limitConnections(core.connectionLimits());
+        executors.probe(probeInterval, this::suspect);
+      }
       default -> {}
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorClient.java
@@ -43,7 +43,7 @@
   private final Bootstrap bootstrap;
   private final ExchangeCounters counters;
   private final Map<ExecutorId, ExecutorPool> pools = new HashMap<>();
-  private final Map<ExecutorId, Integer> limits = new HashMap<>();
+  private Map<ExecutorId, Integer> limits = Map.of();
   // Filled by event loops, emptied by the dispatch thread.
   private final Queue<SentRequest> alive = new ConcurrentLinkedQueue<>();
   private long probes;
@@ -79,13 +79,15 @@
     if (pool != null && pool.address().equals(executor.address())) {
       return pool;
     }
-    return new ExecutorPool(executor.address(), counters);
+    ExecutorPool opened = new ExecutorPool(executor.address(), counters);
+    opened.limit(limits.getOrDefault(executor.id(), 0));
+    return opened;
   }
 
   /** Sets the most connections to each executor; others get none. */
   public void limitConnections(Map<ExecutorId, Integer> connections) {
-    limits.clear();
-    limits.putAll(connections);
+    limits = Map.copyOf(connections);
+    pools.forEach((id, pool) -> pool.limit(limits.getOrDefault(id, 0)));
   }
 
   /**
@@ -108,7 +110,7 @@
       pooled.get().send(request, listener);
       return sent;
     }
-    if (!pool.reserve(limits.getOrDefault(executor, 0))) {
+    if (!pool.reserve()) {
       return notSent(sent, loop, listener);
     }
     connect(pool, loop)
--- a/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/executor/ExecutorPool.java
@@ -20,6 +20,7 @@
   private final Deque<ExecutorConnection> idle = new ArrayDeque<>();
   private final AtomicInteger open = new AtomicInteger();
   private boolean retired;
+  private int limit;
 
   ExecutorPool(InetSocketAddress address, ExchangeCounters counters) {
     this.address = address;
@@ -76,7 +77,7 @@
 
   /** Takes back a connection whose exchange ended. */
   void putBack(ExecutorConnection connection) {
-    if (retired) {
+    if (retired || open.get() > limit) {
       connection.channel().close();
       return;
     }
@@ -91,8 +92,17 @@
     closeIdle();
   }
 
+  /** Sets the most connections; idle ones beyond it are closed, others when they are taken back. */
+  void limit(int most) {
+    limit = most;
+    int surplus = open.get() - most;
+    while (surplus > 0 && closeLeastRecent()) {
+      surplus--;
+    }
+  }
+
   /** Reserves room for one more connection, closing an idle one if need be. */
-  boolean reserve(int limit) {
+  boolean reserve() {
     if (open.get() >= limit && !closeLeastRecent()) {
       return false;
     }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/executor/ExecutorPoolTest.java
@@ -0,0 +1,58 @@
+package org.fescuehook.net.executor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.Test;
+
+class ExecutorPoolTest {
+  private final ExchangeCounters counters = ExchangeCounters.in(new SimpleMeterRegistry());
+  private final ExecutorPool pool =
+      new ExecutorPool(new InetSocketAddress("127.0.0.1", 1), counters);
+
+  private EmbeddedChannel idle() {
+    assertTrue(pool.reserve());
+    EmbeddedChannel channel = new EmbeddedChannel();
+    channel.closeFuture().addListener(closed -> pool.released());
+    pool.putBack(new ExecutorConnection(channel, counters));
+    return channel;
+  }
+
+  @Test
+  void givesNoConnectionThatWasSilentForTooLong() {
+    pool.limit(1);
+    EmbeddedChannel channel = idle();
+    // Silent since before now, however short that is.
+    assertTrue(pool.take(channel.eventLoop(), -1).isEmpty());
+    assertTrue(pool.take(channel.eventLoop(), Long.MAX_VALUE).isPresent());
+  }
+
+  @Test
+  void closesIdleConnectionsBeyondALoweredLimitAndTakesBackNoOther() {
+    pool.limit(3);
+    EmbeddedChannel first = idle();
+    EmbeddedChannel second = idle();
+    EmbeddedChannel third = idle();
+    ExecutorConnection busy = pool.take(third.eventLoop(), Long.MAX_VALUE).orElseThrow();
+    pool.limit(1);
+    assertEquals(1, pool.openConnections());
+    assertFalse(first.isActive() || second.isActive());
+
+    pool.limit(0);
+    pool.putBack(busy);
+    assertEquals(0, pool.openConnections());
+  }
+
+  @Test
+  void opensNoConnectionBeyondItsLimitButReplacesAnIdleOne() {
+    pool.limit(1);
+    EmbeddedChannel only = idle();
+    assertTrue(pool.reserve());
+    assertFalse(only.isActive());
+    assertFalse(pool.reserve());
+  }
+}
