--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
@@ -122,13 +122,14 @@
     if (awaitStops(candidate, avoid)) {
       return true;
     }
-    List<Victim> eligible = must ? victims.forUrgentOrOverdue(candidate) : victims.forMove(candidate);
+    List<Victim> eligible =
+        must ? victims.forUrgentOrOverdue(candidate) : victims.forMove(candidate);
     Room all = state.index().capacity();
     Room soon = state.borrowable(state.soon());
     Optional<Selection> selection =
         new VictimSelector(state.index())
             .select(candidate.job().shape(), soon, all, avoid, eligible);
-    if (selection.isEmpty() || !must && !pays(candidate, selection.get(), avoid)) {
+    if (selection.isEmpty() || (!must && !pays(candidate, selection.get(), avoid))) {
       return false;
     }
     StopCause cause = candidate.job().urgent() ? StopCause.URGENT : StopCause.MOVED;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
@@ -48,8 +48,7 @@
     JobOrder order = new JobOrder(parts, new RuleMatcher());
     List<Candidate> admitted =
         order.order(state).stream().filter(c -> isAdmitted(c, state)).toList();
-    BorrowStep borrowing =
-        new BorrowStep(state, known.placer(), parts, order, guarantees, quotas);
+    BorrowStep borrowing = new BorrowStep(state, known.placer(), parts, order, guarantees, quotas);
     guarantees.accept(admitted).forEach(borrowing::accept);
     return state.plan();
   }
@@ -62,6 +61,8 @@
     return true;
   }
 
+  // The cache is by identity: comparing declarations of 810 workers would cost more than a plan.
+  @SuppressWarnings("ReferenceEquality")
   private Known known(View view) {
     if (known.isEmpty() || known.get().declarations() != view.declarations()) {
       FleetIndex index = new FleetIndex(view.declarations().fleet());
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -32,8 +32,8 @@
   }
 
   /**
-   * Deals with the jobs that guarantees cover: starts them at their homes or keeps these for them. A
-   * job that can start as a borrower elsewhere is left to its turn among the others, which spares
+   * Deals with the jobs that guarantees cover: starts them at their homes or keeps these for them.
+   * A job that can start as a borrower elsewhere is left to its turn among the others, which spares
    * borrowers a stop. An organisation's urgent job that its guarantees do not cover goes before its
    * other jobs.
    *
@@ -144,8 +144,7 @@
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
-      Optional<Selection> found =
-          selector.select(job.shape(), soon, home, avoid, eligible);
+      Optional<Selection> found = selector.select(job.shape(), soon, home, avoid, eligible);
       if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
         best = found;
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteedHomes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteedHomes.java
@@ -160,8 +160,7 @@
   }
 
   /** Settles a shape as tightly as it goes and takes its slots; all slots or none. */
-  private static int[] settle(
-      FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
+  private static int[] settle(FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
     int[] found = new int[copy.shape().members()];
     int[][] areas = areas(index, copy, left, firstRack);
     for (int s = 0; s < found.length; s++) {
@@ -177,8 +176,7 @@
   }
 
   /** Returns the groups of workers among which slots may stand, the first to be filled first. */
-  private static int[][] areas(
-      FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
+  private static int[][] areas(FleetIndex index, GuaranteeCopy copy, Room left, int firstRack) {
     if (GuaranteeCopy.isAnywhere(copy.shape())) {
       int[] all = new int[index.workerCount()];
       Arrays.setAll(all, w -> w);
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
@@ -196,8 +196,7 @@
         avoid[worker] = true;
       }
     }
-    boolean elsewhere =
-        new GangPlacer(index).fits(waiting.job().shape(), index.capacity(), avoid);
+    boolean elsewhere = new GangPlacer(index).fits(waiting.job().shape(), index.capacity(), avoid);
     return elsewhere ? avoid : unusable;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimRules.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimRules.java
@@ -25,8 +25,7 @@
 
   /**
    * Returns borrowers that are not urgent, and for an urgent job also guaranteed work of its own
-   * organisation. A job that was overdue when it started is left alone, so that it runs to its
-   * end.
+   * organisation. A job that was overdue when it started is left alone, so that it runs to its end.
    */
   List<Victim> forUrgentOrOverdue(Candidate candidate) {
     List<Victim> victims = new ArrayList<>();
--- a/fescuehook/src/test/java/org/fescuehook/logic/rule/UnreachableRuleFinderTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/rule/UnreachableRuleFinderTest.java
@@ -46,8 +46,7 @@
     assertEquals(
         List.of(1, 2),
         found(
-            new Rule(
-                1, List.of(new Condition.Urgent(true), new Condition.Urgent(false)), ADMIT),
+            new Rule(1, List.of(new Condition.Urgent(true), new Condition.Urgent(false)), ADMIT),
             new Rule(
                 2,
                 List.of(
--- a/fescuehook/src/test/java/org/fescuehook/logic/scheduling/FeasibilityCheckerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/scheduling/FeasibilityCheckerTest.java
@@ -47,8 +47,7 @@
     GuaranteedShape more = new GuaranteedShape("more", BIO, shape(1, 1, 0), 1);
 
     assertEquals(List.of(), checker.unkeepableGuarantees(declarations(List.of(rack))));
-    assertEquals(
-        List.of("more"), checker.unkeepableGuarantees(declarations(List.of(rack, more))));
+    assertEquals(List.of("more"), checker.unkeepableGuarantees(declarations(List.of(rack, more))));
   }
 
   private Optional<String> why(Shape shape) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/scheduling/PlanAuditor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/scheduling/PlanAuditor.java
@@ -76,7 +76,8 @@
     if (members.size() != w.job().shape().members()) {
       fault(view, s.job() + " starts with a part of its members");
     }
-    Set<RackId> racks = members.stream().map(m -> workers.get(m).rack()).collect(Collectors.toSet());
+    Set<RackId> racks =
+        members.stream().map(m -> workers.get(m).rack()).collect(Collectors.toSet());
     int maxRacks = w.job().shape().maxRacks();
     if (maxRacks > 0 && racks.size() > maxRacks) {
       fault(view, s.job() + " is spread over " + racks);
@@ -152,8 +153,7 @@
   }
 
   private static Declarations without(Declarations d, Set<WorkerId> gone) {
-    List<Worker> left =
-        d.fleet().workers().stream().filter(w -> !gone.contains(w.id())).toList();
+    List<Worker> left = d.fleet().workers().stream().filter(w -> !gone.contains(w.id())).toList();
     Fleet fleet = new Fleet(left, List.of());
     return new Declarations(d.organisations(), d.guarantees(), d.rules(), fleet, d.policy());
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/scheduling/RandomHistory.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/scheduling/RandomHistory.java
@@ -89,8 +89,7 @@
             3);
     Fleet fleet = new Fleet(workers, List.of());
     List<GuaranteedShape> kept = new ArrayList<>();
-    Declarations declarations =
-        new Declarations(organisations, kept, List.of(), fleet, policy);
+    Declarations declarations = new Declarations(organisations, kept, List.of(), fleet, policy);
     for (Organisation o : organisations) {
       GuaranteedShape next = new GuaranteedShape("g" + kept.size(), o.id(), shape(), between(1, 2));
       List<GuaranteedShape> tried = new ArrayList<>(kept);
