--- a/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/FragmentationMeter.java
@@ -23,10 +23,13 @@
   private static final double MINUTE_MILLIS = 60_000;
 
   private double share;
+  private int wanted;
   private boolean counts;
   private boolean scattered;
   private long sinceMillis;
   private double shareMillis;
+  private double unusableMillis;
+  private double wantedMillis;
   private double countedMillis;
   private double scatteredMillis;
 
@@ -55,6 +58,8 @@
     if (counts) {
       countedMillis += length;
       shareMillis += share * length;
+      unusableMillis += share * wanted * length;
+      wantedMillis += (double) wanted * length;
     }
     if (scattered) {
       scatteredMillis += length;
@@ -70,7 +75,8 @@
     }
     Shape shape = largest.get().job().shape();
     int usable = free.mostMembers(shape, largest.get().avoid()) * shape.perMember().accelerators();
-    share = 1 - (double) usable / Math.min(accelerators, shape.accelerators());
+    wanted = Math.min(accelerators, shape.accelerators());
+    share = 1 - (double) usable / wanted;
     scattered = accelerators >= shape.accelerators() && usable < shape.accelerators();
   }
 
@@ -95,6 +101,11 @@
     return countedMillis == 0 ? 0 : shareMillis / countedMillis;
   }
 
+  /** Returns the share of all free accelerator hours that such a shape wanted, 0 to 1. */
+  double shareOfHours() {
+    return wantedMillis == 0 ? 0 : unusableMillis / wantedMillis;
+  }
+
   /** Returns the minutes in which the largest shape waited while enough was free but scattered. */
   double scatteredMinutes() {
     return scatteredMillis / MINUTE_MILLIS;
--- a/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/GuaranteeWatch.java
@@ -147,8 +147,8 @@
     }
     Map<String, List<Slot>> copies = new HashMap<>();
     for (Slot s : slots) {
-      if (s.shape.maxRacks() > 0 && s.shape.maxRacks() <= shape.maxRacks()
-          || s.shape.members() == 1) {
+      boolean adjacent = s.shape.maxRacks() > 0 && s.shape.maxRacks() <= shape.maxRacks();
+      if (adjacent || s.shape.members() == 1) {
         copies.computeIfAbsent(s.copy, c -> new ArrayList<>()).add(s);
       }
     }
--- a/bench/src/main/java/org/fescuehook/bench/policy/PolicyTable.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/PolicyTable.java
@@ -14,9 +14,9 @@
 
   private static final String HEADER =
       "| trace | policy | finished | slowdown mean | p50 | p99 | over bound | over pooled"
-          + " | fragmentation | scattered min | breaches | reclaim p99 s | max s | preempted"
-          + " | lost acc h | urgent p99 s | late | longest wait | decision p50 ms | p99 ms |";
-  private static final int COLUMNS = 20;
+          + " | fragmentation | of hours | scattered min | breaches | reclaim p99 s | max s | preempted"
+          + " | lost acc h | urgent p99 s | late | longest wait | decision p50 CPU ms | p99 CPU ms |";
+  private static final int COLUMNS = 21;
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Returns the head of the table. */
@@ -43,6 +43,7 @@
     cells.add(number(mean / reference.bound()));
     cells.add(number(mean / reference.pooled()));
     cells.add(number(100 * run.fragmentation().meanShare()) + "%");
+    cells.add(number(100 * run.fragmentation().shareOfHours()) + "%");
     cells.add(number(run.fragmentation().scatteredMinutes()));
     cells.add(Integer.toString(run.guarantees().breaches()));
     cells.add(number(at(reclaims, 0.99)));
--- a/bench/src/main/java/org/fescuehook/bench/policy/TimedScheduler.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/TimedScheduler.java
@@ -1,12 +1,15 @@
 package org.fescuehook.bench.policy;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import org.HdrHistogram.Histogram;
 import org.fescuehook.logic.scheduling.Scheduler;
 
-/** Measures how long each decision of a policy takes. */
+/** Measures the processor time that each decision of a policy takes. */
 final class TimedScheduler implements Scheduler {
 
   private static final int DIGITS = 3;
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
   private final Scheduler policy;
   private final Histogram nanos = new Histogram(DIGITS);
@@ -17,9 +20,9 @@
 
   @Override
   public Plan plan(View view) {
-    long before = System.nanoTime();
+    long before = THREADS.getCurrentThreadCpuTime();
     Plan plan = policy.plan(view);
-    nanos.recordValue(System.nanoTime() - before);
+    nanos.recordValue(THREADS.getCurrentThreadCpuTime() - before);
     return plan;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -46,7 +46,7 @@
     Set<Candidate> done = new HashSet<>();
     for (Candidate c : covered) {
       List<Room> homes = homes(c);
-      if (!quotas.allows(c) || !homes.isEmpty() && startOrAwait(c, homes)) {
+      if (!quotas.allows(c) || (!homes.isEmpty() && startOrAwait(c, homes))) {
         done.add(c);
       } else if (!homes.isEmpty()) {
         open.add(c);
@@ -54,7 +54,7 @@
     }
     state.protect(holders(open));
     List<Candidate> left = new ArrayList<>(candidates);
-    left.removeIf(c -> done.contains(c) || open.contains(c) && !canBorrow(c) && reclaim(c));
+    left.removeIf(c -> done.contains(c) || (open.contains(c) && !canBorrow(c) && reclaim(c)));
     return left;
   }
 
