--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/TraceFields.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/TraceFields.java
@@ -1,8 +1,5 @@
 package org.fescuehook.logic.control.trace;
 
-import java.net.URLDecoder;
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Iterator;
 import java.util.List;
@@ -22,7 +19,7 @@
 
   /** Encodes text so that it holds no space and is not empty. */
   static String encode(String text) {
-    return text.isEmpty() ? EMPTY : URLEncoder.encode(text, StandardCharsets.UTF_8);
+    return text.isEmpty() ? EMPTY : PercentCode.encode(text);
   }
 
   static String encode(byte[] data) {
@@ -58,7 +55,7 @@
       return "";
     }
     try {
-      return URLDecoder.decode(text, StandardCharsets.UTF_8);
+      return PercentCode.decode(text);
     } catch (IllegalArgumentException e) {
       throw fault(field, "is not percent-encoded");
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -119,6 +119,21 @@
     assertEquals("CANCELLED", s.result(first, 5));
   }
 
+  @Test
+  void aGangWithAMemberThatDoesNotStartIsStoppedAndTriedAgain() {
+    Scenario s = new Scenario(3, 4);
+    s.cluster.sendFault =
+        (vm, c) ->
+            c instanceof WorkerCommand.Start start && start.attempt().endsWith(".1")
+                    && start.member() == 1
+                ? SendFault.COMMAND_LOST
+                : SendFault.NONE;
+    JobId job = s.submit(2, "finish 20");
+    assertEquals("FINISHED", s.result(job, 60));
+    assertEquals(2, s.job(job).attempt().number());
+    assertTrue(s.invariants.longestPartNanos < Duration.ofSeconds(6).toNanos());
+  }
+
   @Test
   void aGangThatAWorkerRefusesIsTriedElsewhere() {
     Scenario s = new Scenario(3, 4);
