--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
@@ -48,6 +48,7 @@
   private final ShowDesk shows = new ShowDesk();
   private final ExplainDesk explanations;
   private final HandOverDesk handOvers = new HandOverDesk();
+  private final UnknownJobDesk unknownJobs;
 
   /** Creates a router with its desks. */
   public RequestRouter(
@@ -61,6 +62,7 @@
     this.vm = vm;
     this.owner = owner;
     desk = new RequestDesk(writer, reader);
+    unknownJobs = new UnknownJobDesk(reader);
     jobs = new JobDesk(vm.value() + "-" + incarnation, desk);
     publications = new PublicationDesk(declarations, desk);
     explanations = new ExplainDesk(scheduler);
@@ -81,9 +83,10 @@
       }
       case Request.Publish publish when situation.readable() ->
           publications.publish(ticket, publish, state, turn);
-      case Request.Show show when situation.readable() -> shows.show(ticket, show, state, turn);
-      case Request.Cancel(JobId job) when situation.readable() ->
-          jobs.cancel(ticket, job, state, turn);
+      case Request.Show show when situation.readable() ->
+          aboutJob(ticket, show.job(), request, state, turn);
+      case Request.Cancel cancel when situation.readable() ->
+          aboutJob(ticket, cancel.job(), request, state, turn);
       case Request.Submit submit when ready(situation) ->
           jobs.submit(ticket, submit, declarations(situation), state, turn);
       case Request.Explain(JobId job) when ready(situation) ->
@@ -94,6 +97,23 @@
     }
   }
 
+  private void aboutJob(
+      long ticket, JobId job, Request request, ControlState state, Turn turn) {
+    if (state.jobs().find(job).isEmpty()) {
+      unknownJobs.take(ticket, job, request, turn);
+      return;
+    }
+    aboutKnownJob(ticket, request, state, turn);
+  }
+
+  private void aboutKnownJob(long ticket, Request request, ControlState state, Turn turn) {
+    switch (request) {
+      case Request.Show show -> shows.show(ticket, show, state, turn);
+      case Request.Cancel(JobId job) -> jobs.cancel(ticket, job, state, turn);
+      default -> throw new IllegalArgumentException("not about a job: " + request);
+    }
+  }
+
   private static boolean ready(Situation situation) {
     return situation.readable() && situation.configuration().isPresent();
   }
@@ -121,6 +141,9 @@
 
   /** Appends, answers and ends waits as is due. */
   public void step(ControlState state, Turn turn) {
+    for (UnknownJobDesk.Found found : unknownJobs.step(state, turn)) {
+      aboutKnownJob(found.ticket(), found.request(), state, turn);
+    }
     desk.step(state, turn);
     shows.step(state, turn);
     handOvers.step(owner.handedOver(state), turn);
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/UnknownJobDesk.java
@@ -0,0 +1,63 @@
+package org.fescuehook.logic.control.request;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.fescuehook.logic.control.ControlPort.Request;
+import org.fescuehook.logic.control.Turn;
+import org.fescuehook.logic.control.ownership.ReaderWatch;
+import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.request.RefusalReason;
+
+/**
+ * Holds requests about jobs that this VM does not know. Another VM may just have accepted the job, so
+ * it is not denied before the reader had time to come upon it, nor while the log cannot be read.
+ */
+final class UnknownJobDesk {
+  private static final Duration WAIT = Duration.ofMillis(500);
+
+  /** A request whose job has turned up. */
+  record Found(long ticket, Request request) {}
+
+  private record Waiter(long ticket, JobId job, Request request, long sinceNanos) {}
+
+  private final ReaderWatch reader;
+  private final List<Waiter> waiters = new ArrayList<>();
+
+  UnknownJobDesk(ReaderWatch reader) {
+    this.reader = reader;
+  }
+
+  void take(long ticket, JobId job, Request request, Turn turn) {
+    waiters.add(new Waiter(ticket, job, request, turn.now()));
+  }
+
+  /** Refuses requests that waited long enough; returns those whose jobs are known by now. */
+  List<Found> step(ControlState state, Turn turn) {
+    List<Found> found = new ArrayList<>();
+    Iterator<Waiter> entries = waiters.iterator();
+    while (entries.hasNext()) {
+      Waiter waiter = entries.next();
+      if (state.jobs().find(waiter.job()).isPresent()) {
+        found.add(new Found(waiter.ticket(), waiter.request()));
+        entries.remove();
+      } else if (turn.passed(waiter.sinceNanos(), WAIT)) {
+        refuse(waiter, turn);
+        entries.remove();
+      }
+    }
+    return found;
+  }
+
+  private void refuse(Waiter waiter, Turn turn) {
+    if (reader.current(turn)) {
+      Refusals.refuse(
+          waiter.ticket(), RefusalReason.NOT_FOUND, "no job " + waiter.job(), turn);
+      return;
+    }
+    String detail = "job " + waiter.job() + " is not known here, and the log is unreachable";
+    Refusals.refuse(waiter.ticket(), RefusalReason.LOG_UNAVAILABLE, detail, turn);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
@@ -8,6 +8,7 @@
 import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.logic.control.ControlPort.Request;
 import org.fescuehook.model.job.JobId;
+import org.fescuehook.model.request.RefusalReason;
 import org.junit.jupiter.api.Test;
 
 class ControlCoreTest {
@@ -26,4 +27,26 @@
     assertTrue(json.contains("\"state\":\"finished\""), json);
     assertEquals(1, cluster.vms.stream().filter(v -> v.core.owner()).count());
   }
+
+  @Test
+  void aVmThatHasNotReadAJobYetWaitsForItAndNeverDeniesItWithoutTheLog() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm late = s.standBy();
+    late.cutFromLog = true;
+    JobId job =
+        assertInstanceOf(
+                Answer.Accepted.class,
+                s.cluster.answer(s.owner(), TestDeclarations.gang(1, "finish 5")))
+            .job();
+    Answer cut = s.cluster.answer(late, new Request.Show(job, 0));
+    assertEquals(
+        RefusalReason.LOG_UNAVAILABLE, assertInstanceOf(Answer.Refused.class, cut).reason());
+    long ticket = s.cluster.ask(late, new Request.Show(job, 0));
+    late.cutFromLog = false;
+    s.run(1);
+    assertInstanceOf(Answer.Document.class, late.answers.get(ticket));
+    Answer unknown = s.cluster.answer(late, new Request.Show(new JobId("never"), 0));
+    assertEquals(
+        RefusalReason.NOT_FOUND, assertInstanceOf(Answer.Refused.class, unknown).reason());
+  }
 }
