--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -55,6 +55,7 @@
   private final ConfigurationHolder configuration;
   private final RequestRouter requests;
   private boolean deciding;
+  private boolean standingIn;
   private boolean current;
 
   /**
@@ -215,7 +216,16 @@
     if (decides) {
       return Mode.DECIDE;
     }
-    return outages.mode(stream.state().owner(), owner.owns(stream.state()), turn);
+    ControlState state = stream.state();
+    boolean owns = owner.owns(state);
+    Mode mode = outages.mode(state.owner(), owns, turn);
+    boolean standsIn = mode == Mode.RENEW && !owns;
+    if (standsIn && !standingIn) {
+      String name = state.owner().map(VmId::value).orElse("none");
+      turn.note(ControlLogEvent.RENEWING_FOR_OWNER, name, state.jobs().liveCount());
+    }
+    standingIn = standsIn;
+    return mode;
   }
 
   private void changeDeciding(boolean decides, Turn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLogEvent.java
@@ -55,7 +55,9 @@
   /** Leases of a gang are renewed no longer, so that it ends as a whole. */
   GANG_ABANDONED(1024, "Attempt {} is renewed no longer: member on {} {}"),
   /** This VM renews for an owner that it does not hear. */
-  RENEWING_FOR_OWNER(1025, "Log and owner {} unreachable; renewing {} attempts");
+  RENEWING_FOR_OWNER(1025, "Log and owner {} unreachable; renewing {} attempts"),
+  /** The scheduling policy failed. */
+  PLAN_FAILED(1026, "The scheduling policy failed, nothing new is decided: {}");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/planning/PlanDuty.java
@@ -57,16 +57,23 @@
     lastPlanNanos = turn.now();
     changed = false;
     Scheduler.View view = ViewBuilder.build(state, declarations, unavailable, turn.wallMillis());
-    Scheduler.Plan plan = scheduler.plan(view);
+    try {
+      decide(scheduler.plan(view), state, turn);
+      judge.judge(view).forEach(judgement -> quarantine(judgement, state, turn));
+    } catch (RuntimeException e) {
+      // A fault of the policy must not keep the leases of running gangs from being renewed.
+      turn.note(ControlLogEvent.PLAN_FAILED, e.toString());
+      turn.count("fescuehook.control.plans.failed");
+    }
+  }
+
+  private void decide(Scheduler.Plan plan, ControlState state, Turn turn) {
     for (Scheduler.Stop stop : plan.stops()) {
       stop(stop, state, turn);
     }
     for (Scheduler.Start start : plan.starts()) {
       start(start, state, turn);
     }
-    for (WorkerJudge.Judgement judgement : judge.judge(view)) {
-      quarantine(judgement, state, turn);
-    }
   }
 
   private boolean due(ControlState state, Turn turn) {
@@ -78,7 +85,7 @@
     return turn.passed(lastPlanNanos, interval);
   }
 
-  private void decide(ControlRecord.Builder record, ControlState state, Turn turn) {
+  private void append(ControlRecord.Builder record, ControlState state, Turn turn) {
     if (writer.hasRoom(turn)) {
       unread.add(writer.append(record, state.epoch(), turn));
     }
@@ -97,7 +104,7 @@
             .setRule(start.rule())
             .setBorrowed(start.borrowed());
     start.placement().members().forEach(worker -> planned.addWorkers(worker.value()));
-    decide(ControlRecord.newBuilder().setAttemptPlanned(planned), state, turn);
+    append(ControlRecord.newBuilder().setAttemptPlanned(planned), state, turn);
   }
 
   private void stop(Scheduler.Stop stop, ControlState state, Turn turn) {
@@ -122,7 +129,7 @@
             .setReason(reason)
             .setCheckpointFirst(stop.checkpointFirst())
             .setNoticeMillis(stop.noticeMillis());
-    decide(ControlRecord.newBuilder().setAttemptStopping(stopping), state, turn);
+    append(ControlRecord.newBuilder().setAttemptStopping(stopping), state, turn);
   }
 
   private static StopReason reason(Scheduler.StopCause cause) {
@@ -146,6 +153,6 @@
             .setUntilMillis(judgement.untilMillis())
             .setEvidence(judgement.evidence())
             .build();
-    decide(ControlRecord.newBuilder().setWorkerJudged(judged), state, turn);
+    append(ControlRecord.newBuilder().setWorkerJudged(judged), state, turn);
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
@@ -49,4 +49,16 @@
     assertEquals(
         RefusalReason.NOT_FOUND, assertInstanceOf(Answer.Refused.class, unknown).reason());
   }
+
+  @Test
+  void aFaultOfThePolicyStopsNoRunningGangAndNoRequest() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(2, "finish 100");
+    s.untilRunning(job);
+    s.cluster.scheduler.failing = true;
+    JobId waiting = s.submit(1, "finish 1");
+    assertEquals("FINISHED", s.result(job, 110));
+    s.cluster.scheduler.failing = false;
+    assertEquals("FINISHED", s.result(waiting, 20));
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/FirstFitScheduler.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/FirstFitScheduler.java
@@ -19,8 +19,13 @@
 final class FirstFitScheduler implements Scheduler {
   final Set<AttemptId> reclaim = new HashSet<>();
 
+  boolean failing;
+
   @Override
   public Plan plan(View view) {
+    if (failing) {
+      throw new IllegalStateException("test");
+    }
     Map<WorkerId, Capacity> free = new HashMap<>();
     for (Worker worker : view.declarations().fleet().workers()) {
       if (!view.unusable().contains(worker.id())) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/OutageTest.java
@@ -51,6 +51,11 @@
     s.cluster.kill(old);
     s.run(540);
     assertEquals(3, s.running(job));
+    long standIns =
+        s.cluster.vms.stream()
+            .filter(vm -> vm.notes.stream().anyMatch(note -> note.startsWith("RENEWING_FOR_OWNER")))
+            .count();
+    assertEquals(1, standIns);
     s.cluster.log.down = false;
     long back = s.cluster.now();
     s.until(10, "take-over", x -> x.cluster.owner().filter(vm -> vm != old).isPresent());
