--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/RequestRouter.java
@@ -97,8 +97,7 @@
     }
   }
 
-  private void aboutJob(
-      long ticket, JobId job, Request request, ControlState state, Turn turn) {
+  private void aboutJob(long ticket, JobId job, Request request, ControlState state, Turn turn) {
     if (state.jobs().find(job).isEmpty()) {
       unknownJobs.take(ticket, job, request, turn);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/request/UnknownJobDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/request/UnknownJobDesk.java
@@ -12,8 +12,8 @@
 import org.fescuehook.model.request.RefusalReason;
 
 /**
- * Holds requests about jobs that this VM does not know. Another VM may just have accepted the job, so
- * it is not denied before the reader had time to come upon it, nor while the log cannot be read.
+ * Holds requests about jobs that this VM does not know. Another VM may just have accepted the job,
+ * so it is not denied before the reader had time to come upon it, nor while the log cannot be read.
  */
 final class UnknownJobDesk {
   private static final Duration WAIT = Duration.ofMillis(500);
@@ -53,8 +53,7 @@
 
   private void refuse(Waiter waiter, Turn turn) {
     if (reader.current(turn)) {
-      Refusals.refuse(
-          waiter.ticket(), RefusalReason.NOT_FOUND, "no job " + waiter.job(), turn);
+      Refusals.refuse(waiter.ticket(), RefusalReason.NOT_FOUND, "no job " + waiter.job(), turn);
       return;
     }
     String detail = "job " + waiter.job() + " is not known here, and the log is unreachable";
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ControlCoreTest.java
@@ -5,10 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.logic.control.ControlPort.Request;
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.wire.ControlRecord;
+import org.fescuehook.wire.WorkerJudged;
 import org.junit.jupiter.api.Test;
 
 class ControlCoreTest {
@@ -46,8 +51,7 @@
     s.run(1);
     assertInstanceOf(Answer.Document.class, late.answers.get(ticket));
     Answer unknown = s.cluster.answer(late, new Request.Show(new JobId("never"), 0));
-    assertEquals(
-        RefusalReason.NOT_FOUND, assertInstanceOf(Answer.Refused.class, unknown).reason());
+    assertEquals(RefusalReason.NOT_FOUND, assertInstanceOf(Answer.Refused.class, unknown).reason());
   }
 
   @Test
@@ -61,4 +65,39 @@
     s.cluster.scheduler.failing = false;
     assertEquals("FINISHED", s.result(waiting, 20));
   }
+
+  @Test
+  void aBurstIsAcceptedUpToTheQueueAndRefusedAsNotRunBeyondIt() {
+    Scenario s = new Scenario(3, 4);
+    VirtualVm vm = s.standBy();
+    for (int i = 0; i < 1200; i++) {
+      s.cluster.ask(vm, TestDeclarations.gang(1, "finish 1"));
+    }
+    s.run(8);
+    Map<String, Long> kinds =
+        vm.answers.values().stream()
+            .map(answer -> answer instanceof Answer.Refused r ? r.reason().slug() : "accepted")
+            .collect(Collectors.groupingBy(kind -> kind, Collectors.counting()));
+    long taken = ControlLimits.MOST_QUEUED_REQUESTS + ControlLimits.MOST_UNREAD_REQUESTS;
+    assertEquals(Map.of("accepted", taken, "queue-full", 1200 - taken), kinds);
+    assertEquals(taken, s.appends(vm, ControlRecord::hasJobSubmitted).size());
+  }
+
+  @Test
+  void aWorkerThatFailsJobsThatRunElsewhereIsQuarantined() {
+    Scenario s = new Scenario(3, 4);
+    s.cluster.workers.get(TestDeclarations.worker(0)).failing = true;
+    JobId first = s.submit(1, "finish 100");
+    s.until(10, "the first job failed there", x -> x.job(first).facts().getFailures() == 1);
+    JobId second = s.submit(1, "finish 100");
+    assertEquals("FINISHED", s.result(first, 200));
+    assertEquals("FINISHED", s.result(second, 200));
+    s.run(5);
+    assertEquals(
+        List.of("worker-0"),
+        s.invariants.observer().judgements().stream().map(WorkerJudged::getWorker).toList());
+    JobId third = s.submit(1, "finish 1");
+    assertEquals("FINISHED", s.result(third, 20));
+    assertEquals(0, s.job(third).facts().getFailures());
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/FakeWorker.java
@@ -35,6 +35,7 @@
   boolean refusing;
   boolean dead;
   boolean ignoresCheckpoint;
+  boolean failing;
 
   FakeWorker(WorkerId id, Capacity capacity, LongSupplier clock) {
     this.id = id;
@@ -81,8 +82,8 @@
       started.add(start.attempt());
       lease.job = start.job();
       lease.attempt = start.attempt();
-      lease.command = start.command();
-      long seconds = Long.parseLong(start.command().split(" ")[1]);
+      lease.command = failing ? "fail 1" : start.command();
+      long seconds = Long.parseLong(lease.command.split(" ")[1]);
       lease.ends = clock.getAsLong() + seconds * SECOND;
     }
     return states(List.of(start.lease()));
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -124,7 +124,8 @@
     Scenario s = new Scenario(3, 4);
     s.cluster.sendFault =
         (vm, c) ->
-            c instanceof WorkerCommand.Start start && start.attempt().endsWith(".1")
+            c instanceof WorkerCommand.Start start
+                    && start.attempt().endsWith(".1")
                     && start.member() == 1
                 ? SendFault.COMMAND_LOST
                 : SendFault.NONE;
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistoriesTest.java
@@ -35,6 +35,7 @@
     long faults = 0;
     long claims = 0;
     long attempts = 0;
+    long snapshots = 0;
     for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
       RandomHistory history = new RandomHistory(seed);
       try {
@@ -47,10 +48,11 @@
       faults += history.faults.size();
       claims += history.invariants.claims;
       attempts += history.invariants.attempts;
+      snapshots += begunFromSnapshot(history);
     }
     System.out.printf(
-        "%d histories, seeds %d to %d: %d faults, %d claims, %d attempts of %d jobs;"
-            + " longest part gang %d ms%n",
+        "%d histories, seeds %d to %d: %d faults, %d claims, %d attempts of %d jobs,"
+            + " %d readers begun from a snapshot; longest part gang %d ms%n",
         HISTORIES,
         FIRST_SEED,
         FIRST_SEED + HISTORIES - 1,
@@ -58,9 +60,16 @@
         claims,
         attempts,
         HISTORIES * RandomHistory.JOBS,
+        snapshots,
         longest / VirtualCluster.MILLI);
   }
 
+  private static long begunFromSnapshot(RandomHistory history) {
+    return history.cluster.vms.stream()
+        .filter(vm -> vm.notes.stream().anyMatch(note -> note.startsWith("SNAPSHOT_TAKEN")))
+        .count();
+  }
+
   private static void checkEnd(RandomHistory history) {
     VirtualCluster cluster = history.cluster;
     ControlState state = history.invariants.observer();
