--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
@@ -44,9 +44,19 @@
     return unused;
   }
 
+  /** Adds what an organisation does not use of its guaranteed shapes, at their homes. */
+  void addUnused(OrganisationId organisation, Room room) {
+    for (GuaranteeCopy copy : copiesOf.getOrDefault(organisation, List.of())) {
+      int[] own = homes.of(copy);
+      for (int slot = 0; slot < own.length; slot++) {
+        room.give(own[slot], left[copy.number()][slot]);
+      }
+    }
+  }
+
   /** Returns the rooms in one of which a job has to stand to be within its guarantee. */
   List<Room> roomsFor(Job job) {
-    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
+    List<GuaranteeCopy> own = copiesFor(job);
     if (own.isEmpty()) {
       return new ArrayList<>();
     }
@@ -62,6 +72,18 @@
     return rooms;
   }
 
+  /** Returns the shapes that a job may use: work without accelerators uses none that have any. */
+  private List<GuaranteeCopy> copiesFor(Job job) {
+    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
+    if (own.isEmpty()) {
+      return own;
+    }
+    boolean needsAny = job.shape().accelerators() > 0;
+    List<GuaranteeCopy> matching = new ArrayList<>(own);
+    matching.removeIf(c -> c.shape().accelerators() > 0 != needsAny);
+    return matching;
+  }
+
   /** Returns room for as many members on each worker as its slots hold, each in one slot. */
   private Room room(List<GuaranteeCopy> copies, Shape shape) {
     Room room = Room.empty(workerCount);
@@ -77,20 +99,25 @@
   }
 
   /**
-   * Counts a job as within its guarantee.
+   * Counts a job as within its guarantee, in one guaranteed shape if it fits so, else over several.
    *
    * @param workers worker of each member, by number
    * @return false if it is not, and nothing was counted
    */
   boolean use(Job job, int[] workers) {
-    List<GuaranteeCopy> own = copiesOf.getOrDefault(job.organisation(), List.of());
-    if (own.isEmpty()) {
-      return false;
+    List<GuaranteeCopy> own = copiesFor(job);
+    for (GuaranteeCopy copy : own) {
+      if (use(List.of(copy), job.shape(), workers)) {
+        return true;
+      }
     }
-    Shape shape = job.shape();
+    return own.size() > 1 && use(own, job.shape(), workers);
+  }
+
+  private boolean use(List<GuaranteeCopy> copies, Shape shape, int[] workers) {
     List<int[]> taken = new ArrayList<>(workers.length);
     for (int worker : workers) {
-      int[] slot = worker < 0 ? new int[0] : tightestSlot(own, worker, shape.perMember());
+      int[] slot = worker < 0 ? new int[0] : tightestSlot(copies, worker, shape.perMember());
       if (slot.length == 0) {
         taken.forEach(s -> giveBack(s, shape.perMember()));
         return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -1,13 +1,16 @@
 package org.fescuehook.logic.scheduling;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.scheduling.Scheduler.StopCause;
 import org.fescuehook.logic.scheduling.VictimSelector.Selection;
 import org.fescuehook.logic.scheduling.VictimSelector.Victim;
 import org.fescuehook.model.job.Job;
-import org.fescuehook.model.job.Shape;
+import org.fescuehook.model.organisation.OrganisationId;
 
 /** Starts the jobs that guarantees cover, and has borrowers give way to them. */
 final class GuaranteeStep {
@@ -18,8 +21,10 @@
   private final GangPlacer placer;
   private final PolicyParts parts;
   private final StopTerms terms;
+  private final QuotaStep quotas;
 
-  GuaranteeStep(PlanState state, GangPlacer placer, PolicyParts parts) {
+  GuaranteeStep(PlanState state, GangPlacer placer, PolicyParts parts, QuotaStep quotas) {
+    this.quotas = quotas;
     this.state = state;
     this.placer = placer;
     this.parts = parts;
@@ -27,30 +32,73 @@
   }
 
   /**
-   * Starts a job that guarantees cover at its home, or keeps its home for it. A job that can start
-   * as a borrower elsewhere is left to its turn among the others, which spares borrowers a stop.
+   * Deals with the jobs that guarantees cover: starts them at their homes or keeps these for them.
+   * A job that can start as a borrower elsewhere is left to its turn among the others, which spares
+   * borrowers a stop. An organisation's urgent job that its guarantees do not cover goes before its
+   * other jobs.
    *
-   * @return whether the job was dealt with
+   * @return the jobs that are not dealt with, in the same order
    */
-  boolean accept(Candidate candidate) {
-    List<Room> homes = homes(candidate);
-    if (homes.isEmpty()) {
-      return false;
+  List<Candidate> accept(List<Candidate> candidates) {
+    List<Candidate> covered = covered(candidates);
+    state.protect(holders(covered));
+    Set<Candidate> open = new HashSet<>();
+    Set<Candidate> done = new HashSet<>();
+    for (Candidate c : covered) {
+      List<Room> homes = homes(c);
+      if (!quotas.allows(c) || (!homes.isEmpty() && startOrAwait(c, homes))) {
+        done.add(c);
+      } else if (!homes.isEmpty()) {
+        open.add(c);
+      }
     }
-    boolean[] avoid = state.avoid(candidate.waiting().avoid());
-    if (startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid)) {
-      return true;
+    state.protect(holders(open));
+    List<Candidate> left = new ArrayList<>(candidates);
+    left.removeIf(c -> done.contains(c) || (open.contains(c) && !canBorrow(c) && reclaim(c)));
+    return left;
+  }
+
+  /** Returns the jobs that guarantees would cover if each were alone. */
+  private List<Candidate> covered(List<Candidate> candidates) {
+    List<Candidate> covered = new ArrayList<>();
+    Set<OrganisationId> urgent = new HashSet<>();
+    for (Candidate c : candidates) {
+      OrganisationId organisation = c.job().organisation();
+      boolean yields = !c.job().urgent() && urgent.contains(organisation);
+      if (!yields && !homes(c).isEmpty()) {
+        covered.add(c);
+      } else if (c.job().urgent()) {
+        urgent.add(organisation);
+      }
     }
-    boolean elsewhere =
-        candidate.mayBorrow() && placer.fits(candidate.job().shape(), state.free(), avoid);
-    return !elsewhere && parts.reclaim() && reclaim(candidate, homes, avoid);
+    return covered;
+  }
+
+  private static Set<OrganisationId> holders(Collection<Candidate> candidates) {
+    Set<OrganisationId> holders = new HashSet<>();
+    candidates.forEach(c -> holders.add(c.job().organisation()));
+    return holders;
+  }
+
+  private boolean startOrAwait(Candidate candidate, List<Room> homes) {
+    boolean[] avoid = state.avoid(candidate.waiting());
+    return startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid);
+  }
+
+  private boolean canBorrow(Candidate candidate) {
+    boolean[] avoid = state.avoid(candidate.waiting());
+    Room room = state.borrowable(state.free());
+    return candidate.mayBorrow() && placer.fits(candidate.job().shape(), room, avoid);
   }
 
   /** Has borrowers give way to a job that could not start elsewhere after all. */
   boolean reclaim(Candidate candidate) {
     List<Room> homes = parts.reclaim() ? homes(candidate) : List.of();
-    boolean[] avoid = state.avoid(candidate.waiting().avoid());
-    return !homes.isEmpty() && reclaim(candidate, homes, avoid);
+    if (homes.isEmpty()) {
+      return false;
+    }
+    boolean[] avoid = state.avoid(candidate.waiting());
+    return awaitStops(candidate, homes, avoid) || reclaim(candidate, homes, avoid);
   }
 
   /** Returns the homes in which the job would be within its guarantee. */
@@ -59,7 +107,7 @@
     if (homes.isEmpty()) {
       return homes;
     }
-    boolean[] avoid = state.avoid(candidate.waiting().avoid());
+    boolean[] avoid = state.avoid(candidate.waiting());
     homes.removeIf(home -> !placer.fits(candidate.job().shape(), home, avoid));
     return homes;
   }
@@ -67,7 +115,7 @@
   private boolean startAtHome(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     for (Room home : homes) {
-      Optional<int[]> workers = place(job.shape(), state.free(), home, avoid);
+      Optional<int[]> workers = place(job, state.free(), home, avoid);
       if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
         state.start(candidate, workers.get(), false);
         return true;
@@ -79,7 +127,7 @@
   private boolean awaitStops(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     for (Room home : homes) {
-      Optional<int[]> workers = place(job.shape(), state.soon(), home, avoid);
+      Optional<int[]> workers = place(job, state.soon(), home, avoid);
       if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
         state.hold(job, workers.get());
         state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
@@ -91,11 +139,12 @@
 
   private boolean reclaim(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
-    List<Victim> eligible = victims();
+    List<Victim> eligible = victims(job);
+    Room soon = state.beside(job.organisation(), state.soon());
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
-      Optional<Selection> found = selector.select(job.shape(), state.soon(), home, avoid, eligible);
+      Optional<Selection> found = selector.select(job.shape(), soon, home, avoid, eligible);
       if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
         best = found;
       }
@@ -110,10 +159,11 @@
     return awaitStops(candidate, homes, avoid);
   }
 
-  private List<Victim> victims() {
+  /** Returns borrowers; urgent ones only as a last resort, those of the same organisation never. */
+  private List<Victim> victims(Job job) {
     List<Victim> victims = new ArrayList<>();
     for (Occupant o : state.occupants()) {
-      if (o.guaranteed() || state.isStopped(o)) {
+      if (o.guaranteed() || state.isStopped(o) || isOwnUrgent(o, job)) {
         continue;
       }
       double cost = o.stopCost(state.view().nowMillis());
@@ -122,11 +172,16 @@
     return victims;
   }
 
+  private static boolean isOwnUrgent(Occupant occupant, Job job) {
+    Job other = occupant.running().job();
+    return other.urgent() && other.organisation().equals(job.organisation());
+  }
+
   /** Places a job at home, first in the slots that have least left, so that others stay whole. */
-  private Optional<int[]> place(Shape shape, Room available, Room home, boolean[] avoid) {
-    Room room = available.copy();
+  private Optional<int[]> place(Job job, Room available, Room home, boolean[] avoid) {
+    Room room = state.beside(job.organisation(), available);
     room.lowerTo(home);
-    return placer.place(shape, room, avoid, new HomePreference(home));
+    return placer.place(job.shape(), room, avoid, new HomePreference(home));
   }
 
   private record HomePreference(Room home) implements GangPlacer.Preference {
--- a/fescuehook/src/test/java/org/fescuehook/entry/PeerAnswersTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/PeerAnswersTest.java
@@ -45,8 +45,7 @@
     answers.configurationReceived(reply(7, "ok"));
 
     assertEquals(
-        Optional.of(8L),
-        answers.configurationAbove(7).map(ConfigurationReply::getRevisionPlusOne));
+        Optional.of(8L), answers.configurationAbove(7).map(ConfigurationReply::getRevisionPlusOne));
     assertEquals(Optional.empty(), answers.configurationAbove(8));
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/VmStateTest.java
@@ -23,6 +23,7 @@
     keeper.offer(configuration(7), "log");
     state.logAnswered(true);
     state.reachedEnd();
+    state.opened(true);
     assertEquals(Optional.empty(), state.notReady());
 
     state.beginDraining();
@@ -31,6 +32,18 @@
     assertEquals(Optional.empty(), state.unfit());
   }
 
+  @Test
+  void aVmIsNotReadyBeforeItsServicePortTakesRequests() {
+    keeper.offer(configuration(7), "log");
+    state.logAnswered(true);
+    state.reachedEnd();
+
+    assertEquals(Optional.of("opening"), state.notReady());
+
+    state.opened(true);
+    assertEquals(Optional.empty(), state.notReady());
+  }
+
   @Test
   void anOlderConfigurationNeverReplacesANewerOne() {
     keeper.offer(configuration(7), "log");
