VMs that vanish without leaving are remembered; isolated VMs give their slot shares up

A VM that the list dropped while it lived, cut from the log and its peers, was taken for gone at once: with it two owners' attempts of one job ran side by side (138 further attempts in ten minutes), and executors got 10 requests for 8 slots. It is now remembered for as long as it may renew or use its shares, and gives its shares up by itself before. A replica of the log that lags is allowed a minute. After an outage longer than the retention time a new VM has the state within seconds.

--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -106,8 +106,9 @@
       case ControlEvent.AppendFailed(long sequence, boolean certain) ->
           resolve(writer.failed(sequence, certain, turn), turn);
       case ControlEvent.WorkerAnswered(var reply) -> gangs.answered(reply, turn);
-      case ControlEvent.MembersListed(var members) -> peers.listed(members);
-      case ControlEvent.PeersHeard(var alive, var reachingLog) -> peers.heard(alive, reachingLog);
+      case ControlEvent.MembersListed(var members) -> peers.listed(members, turn);
+      case ControlEvent.PeersHeard(var alive, var reachingLog) ->
+          peers.heard(alive, reachingLog, turn);
       case ControlEvent.PeersFolded(var nextOffsets) -> peers.folded(nextOffsets);
       case ControlEvent.Asked(long ticket, Request request) -> asked(ticket, request, turn);
       case ControlEvent.Tick() -> {}
@@ -197,6 +198,8 @@
     if (current) {
       shareHolder.step(turn);
       writer.settle(turn);
+    } else {
+      shareHolder.giveUpIfIsolated(turn);
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
@@ -26,6 +26,9 @@
   /** Time without a successful read of the log for which a VM goes on renewing leases. */
   public static final Duration OUTAGE_RIDE = Duration.ofHours(1);
 
+  /** Longest time for which a replica of the log may hide a record. */
+  public static final Duration REPLICA_LAG = Duration.ofMinutes(1);
+
   /** Longest time that a command to a worker is on its way. */
   public static final Duration WORKER_REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
@@ -65,6 +68,12 @@
   /** Shortest time after which a raised slot share is used. */
   public static final Duration SHARE_SETTLE = Duration.ofSeconds(2);
 
+  /** Time without log and peers after which a VM gives its slot shares up. */
+  public static final Duration SHARE_ISOLATION = Duration.ofSeconds(60);
+
+  /** Time for which a VM that vanished may still use its slot shares. */
+  public static final Duration SHARE_MEMORY = Duration.ofSeconds(75);
+
   /** Time for which the set of entry VMs has to stand still before shares are divided anew. */
   public static final Duration SHARE_DEBOUNCE = Duration.ofSeconds(1);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -94,7 +94,8 @@
   /** Implements {@code Release} after a stop that counted. */
   private void release(AttemptTrack track, AttemptStopping stopping, Turn turn) {
     track.releasing = true;
-    if (track.foldedSince.isEmpty() && peers.allFolded(track.stoppingOffset)) {
+    if (track.foldedSince.isEmpty()
+        && peers.allFolded(track.stoppingOffset, ControlLimits.OUTAGE_RIDE, turn)) {
       track.foldedSince = OptionalLong.of(turn.now());
     }
     for (MemberTrack member : track.members) {
@@ -113,7 +114,8 @@
   /**
    * Tells whether the lease of a silent worker must have lapsed. No VM renews what it has read as
    * being stopped, and none goes on for longer than the outage ride without reading. So the lease
-   * lapses its time after the last VM has read the stop, or after the outage ride.
+   * lapses its time after the last VM has read the stop, or after the outage ride and the time for
+   * which a replica of the log may hide a record from a read that succeeds.
    */
   private boolean cannotBeHeld(
       AttemptTrack track, MemberTrack member, AttemptStopping stopping, Turn turn) {
@@ -125,7 +127,8 @@
     if (track.foldedSince.isPresent()) {
       return turn.passed(Math.max(track.foldedSince.getAsLong(), member.renewedNanos), rest);
     }
-    return turn.passed(track.stoppingSince.getAsLong(), rest.plus(ControlLimits.OUTAGE_RIDE));
+    Duration unread = ControlLimits.OUTAGE_RIDE.plus(ControlLimits.REPLICA_LAG);
+    return turn.passed(track.stoppingSince.getAsLong(), rest.plus(unread));
   }
 
   /** Implements {@code End}. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
@@ -1,11 +1,13 @@
 package org.fescuehook.logic.control.ownership;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.platform.MemberList;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.fleet.WorkerId;
@@ -14,12 +16,14 @@
 public final class PeerWatch {
   private final VmId self;
   private final Map<VmId, Long> folded = new HashMap<>();
+  private final Map<VmId, Long> lastSeen = new HashMap<>();
   private Set<VmId> alive = Set.of();
   private Set<VmId> reachingLog = Set.of();
   private Set<VmId> listed = Set.of();
   private Set<VmId> leaving = Set.of();
   private Set<WorkerId> leavingWorkers = Set.of();
   private boolean listFetched;
+  private long lastCompanyNanos = Long.MIN_VALUE / 2;
 
   /** Creates a watch that has heard nothing. */
   public PeerWatch(VmId self) {
@@ -27,9 +31,13 @@
   }
 
   /** Takes in which peers are heard. */
-  public void heard(Set<VmId> alivePeers, Set<VmId> reaching) {
+  public void heard(Set<VmId> alivePeers, Set<VmId> reaching, Turn turn) {
     alive = withoutSelf(alivePeers);
     reachingLog = withoutSelf(reaching);
+    alive.forEach(vm -> lastSeen.put(vm, turn.now()));
+    if (!alive.isEmpty()) {
+      lastCompanyNanos = turn.now();
+    }
   }
 
   private Set<VmId> withoutSelf(Set<VmId> vms) {
@@ -41,11 +49,11 @@
   /** Takes in how far peers have folded the stream. */
   public void folded(Map<VmId, Long> nextOffsets) {
     folded.putAll(nextOffsets);
-    folded.keySet().retainAll(known());
+    folded.keySet().retainAll(lastSeen.keySet());
   }
 
   /** Takes in the list of VMs. */
-  public void listed(List<MemberList.Member> members) {
+  public void listed(List<MemberList.Member> members, Turn turn) {
     listFetched = true;
     Set<VmId> entries = new HashSet<>();
     Set<VmId> leavingEntries = new HashSet<>();
@@ -66,11 +74,28 @@
         case EXECUTOR -> {}
       }
     }
+    forgetThoseThatLeft(entries);
+    entries.forEach(vm -> lastSeen.put(vm, turn.now()));
     listed = Set.copyOf(entries);
     leaving = Set.copyOf(leavingEntries);
     leavingWorkers = Set.copyOf(workers);
   }
 
+  /** A VM that was leaving when it was last listed has stopped; any other may live on unlisted. */
+  private void forgetThoseThatLeft(Set<VmId> entries) {
+    for (VmId vm : leaving) {
+      if (!entries.contains(vm) && !alive.contains(vm)) {
+        lastSeen.remove(vm);
+      }
+    }
+  }
+
+  /** Tells whether other entry VMs are listed and none was heard for a time. */
+  public boolean isolated(Duration time, Turn turn) {
+    boolean others = listed.stream().anyMatch(vm -> !vm.equals(self));
+    return others && turn.passed(lastCompanyNanos, time);
+  }
+
   /** Tells whether a peer is heard. */
   public boolean alive(VmId vm) {
     return alive.contains(vm);
@@ -93,7 +118,7 @@
     return present;
   }
 
-  /** Returns all entry VMs that may exist: listed, heard, and this one, in the order of names. */
+  /** Returns the entry VMs that are listed or heard, and this one, in the order of names. */
   public TreeSet<VmId> known() {
     TreeSet<VmId> known = present();
     known.addAll(listed);
@@ -117,8 +142,10 @@
 
   /**
    * Tells whether every entry VM that may exist is known to have folded the record at an offset.
+   *
+   * @param memory time for which a VM that vanished without leaving may live on
    */
-  public boolean allFolded(long offset) {
+  public boolean allFolded(long offset, Duration memory, Turn turn) {
     if (!listFetched) {
       return false;
     }
@@ -127,6 +154,11 @@
         return false;
       }
     }
+    for (Map.Entry<VmId, Long> seen : lastSeen.entrySet()) {
+      if (!turn.passed(seen.getValue(), memory) && !hasFolded(seen.getKey(), offset)) {
+        return false;
+      }
+    }
     return true;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareHolder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/shares/ShareHolder.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.fescuehook.logic.control.ControlCommand;
+import org.fescuehook.logic.control.ControlLimits;
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.ownership.PeerWatch;
 import org.fescuehook.model.fleet.VmId;
@@ -82,11 +83,22 @@
       return;
     }
     Duration settle = Duration.ofMillis(seen.get().getSettleMillis());
-    if (turn.passed(sinceNanos, settle) && peers.allFolded(offset)) {
+    if (turn.passed(sinceNanos, settle)
+        && peers.allFolded(offset, ControlLimits.SHARE_MEMORY, turn)) {
       put(new TreeMap<>(target), turn);
     }
   }
 
+  /**
+   * Gives all shares up if no peer is heard for long; called only while the log cannot be read. The
+   * others may then take this VM for dead and divide its shares among themselves.
+   */
+  public void giveUpIfIsolated(Turn turn) {
+    if (!inForce.isEmpty() && peers.isolated(ControlLimits.SHARE_ISOLATION, turn)) {
+      put(new TreeMap<>(), turn);
+    }
+  }
+
   private void put(Map<String, Share> shares, Turn turn) {
     if (shares.equals(inForce)) {
       return;
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/GangTest.java
@@ -199,10 +199,20 @@
 
   @Test
   void aJobOnASilentWorkerIsNotStartedAgainWhileACutOwnerMayRenewIt() {
+    assertNotStartedAgain(false);
+  }
+
+  @Test
+  void aCutOwnerThatTheListDroppedMayStillRenew() {
+    assertNotStartedAgain(true);
+  }
+
+  private static void assertNotStartedAgain(boolean unlisted) {
     Scenario s = new Scenario(3, 4);
     JobId job = s.submit(1, "finish 3000");
     s.untilRunning(job);
     VirtualVm old = s.owner();
+    old.unlisted = unlisted;
     old.cutFromLog = true;
     old.cutFromPeers = true;
     s.cluster.sendFault = (vm, c) -> vm == old ? SendFault.NONE : SendFault.COMMAND_LOST;
@@ -211,6 +221,7 @@
     assertEquals(1, s.job(job).attempt().number());
     old.cutFromLog = false;
     old.cutFromPeers = false;
+    old.unlisted = false;
     s.cluster.sendFault = (vm, c) -> SendFault.NONE;
     s.until(60, "stopped", x -> x.job(job).attempt().number() == 2 || x.job(job).waiting());
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/RandomHistory.java
@@ -85,7 +85,15 @@
     return alive.get(random.nextInt(alive.size()));
   }
 
+  private boolean noVm() {
+    return cluster.vms.stream().allMatch(vm -> vm.dead);
+  }
+
   private void submit(String requestId) {
+    if (noVm()) {
+      cluster.after(1000, () -> submit(requestId));
+      return;
+    }
     String command = "finish " + (1 + random.nextInt(60));
     Request.Submit submit =
         TestDeclarations.submit(Optional.of(requestId), 1 + random.nextInt(3), command);
@@ -93,6 +101,9 @@
   }
 
   private void fault() {
+    if (noVm()) {
+      return;
+    }
     int kind = random.nextInt(FAULT_KINDS);
     int millis = 500 + random.nextInt(random.nextInt(3) == 0 ? 90_000 : 10_000);
     VirtualVm vm = random.nextBoolean() ? anyVm() : cluster.owner().orElseGet(this::anyVm);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/SnapshotTest.java
@@ -71,6 +71,25 @@
     s.invariants.checkSameState();
   }
 
+  @Test
+  void afterAnOutageBeyondTheRetentionANewVmHasTheStateWithinSeconds() {
+    Scenario s = new Scenario(3, 4);
+    JobId job = s.submit(2, "finish 900");
+    s.untilRunning(job);
+    s.cluster.log.down = true;
+    s.run(400);
+    s.cluster.log.dropUntil(s.cluster.log.next());
+    s.cluster.kill(s.owner());
+    VirtualVm fresh = s.cluster.addVm("fresh");
+    s.run(10);
+    s.cluster.log.down = false;
+    s.run(10);
+    assertTrue(fresh.core.summary().current());
+    s.invariants.checkSameState();
+    assertEquals("FINISHED", s.result(job, 600));
+    assertEquals(1, s.job(job).attempt().number());
+  }
+
   @Test
   void aVmWhoseOwnRecordsVanishedBeforeItReadThemTakesRequestsAgain() {
     Scenario s = new Scenario(2, 4);
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualVm.java
@@ -32,6 +32,7 @@
   boolean dead;
   boolean cutFromLog;
   boolean cutFromPeers;
+  boolean unlisted;
   long appenderFree;
   long deadSince;
 
