--- a/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -86,6 +86,8 @@
         new Wrong("SilentWorker_late_renewal", FREE, "a renewal arrives after any delay"));
   }
 
+  @TempDir private static Path shared;
+
   @TempDir private Path scratch;
 
   @ParameterizedTest(name = "{0}")
@@ -114,9 +116,10 @@
     assertEquals(configurations(), checked);
   }
 
-  private Outcome check(String configuration, Compiler compiler) throws IOException, InterruptedException {
+  private Outcome check(String configuration, Compiler compiler)
+      throws IOException, InterruptedException {
     String module = configuration.split("_", 2)[0];
-    TlcRunner runner = new TlcRunner(SPECIFICATIONS, scratch);
+    TlcRunner runner = new TlcRunner(SPECIFICATIONS, scratch, shared);
     Outcome outcome = runner.run(module + ".tla", configuration + ".cfg", compiler);
     System.out.printf(
         "spec %s: %d states generated, %d distinct, %s %s%n",
--- a/fescuehook/src/test/java/org/fescuehook/spec/TlcRunner.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/TlcRunner.java
@@ -1,6 +1,8 @@
 package org.fescuehook.spec;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.MatchResult;
 import java.util.regex.Pattern;
+import tlc2.TLC;
 
 /**
  * Runs TLC on one module and configuration.
@@ -26,16 +29,19 @@
 
   private final Path specifications;
   private final Path scratch;
+  private final Path classArchive;
 
   /**
    * Creates a runner.
    *
    * @param specifications directory of the modules and their configurations
    * @param scratch empty directory for the files of TLC
+   * @param shared directory for what later runs can use again
    */
-  TlcRunner(Path specifications, Path scratch) {
+  TlcRunner(Path specifications, Path scratch, Path shared) {
     this.specifications = specifications;
     this.scratch = scratch;
+    this.classArchive = shared.resolve("classes.jsa");
   }
 
   /** How the JVM compiles; a full compilation does not pay in a run that ends early. */
@@ -88,10 +94,13 @@
         compiler.option,
         "-XX:+UseParallelGC",
         "-XX:ParallelGCThreads=2",
+        "-XX:+AutoCreateSharedArchive",
+        "-XX:SharedArchiveFile=" + classArchive,
+        "-Xlog:disable",
         "-Djava.io.tmpdir=" + scratch,
         "-cp",
-        System.getProperty("java.class.path"),
-        "tlc2.TLC",
+        library().toString(),
+        TLC.class.getName(),
         "-workers",
         "4",
         "-metadir",
@@ -101,6 +110,11 @@
         module);
   }
 
+  private static Path library() {
+    URL location = TLC.class.getProtectionDomain().getCodeSource().getLocation();
+    return Path.of(URI.create(location.toString()));
+  }
+
   private static Outcome parse(String output) {
     List<MatchResult> counts = COUNTS.matcher(output).results().toList();
     if (counts.isEmpty()) {
