Specification: how long a request id is remembered

Cause: claims expired by the time of the winning claim, so VMs that began to read at different records disagreed on when an id is free; TLC shows two runs within one window. Rule: each claim holds the id for the window.

--- a/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -30,6 +30,7 @@
   private static final String TEMPORAL = "";
 
   private static final String ONE = "AtMostOneDispatch";
+  private static final String WINDOW = "OneRunInWindow";
   private static final String REVERTS = "NeverReverts";
   private static final String FREE = "FreeIsGone";
 
@@ -42,6 +43,7 @@
         new Holding("Gang_hand_over", "a hand-over changes nothing of that"),
         new Holding("Gang_liveness", "a gang that lost a member stops altogether"),
         new Holding("RequestClaims", "three askings with one id: one dispatch, true answers"),
+        new Holding("ClaimWindow", "readers of any beginning agree when an id is free again"),
         new Holding("Configuration", "no accepted publication is lost, nothing reverts"),
         new Holding("SilentWorker", "a silent worker's lease counts as gone only once it is"));
   }
@@ -72,6 +74,8 @@
             "RequestClaims_lost_claim_wins_later", "DuplicateRunsNothing", "a loser wins later"),
         new Wrong(
             "RequestClaims_outcome_before_answer", "OutcomeIsOfARun", "an outcome is guessed"),
+        new Wrong("ClaimWindow_window_of_winner", WINDOW, "only the winner's time counts"),
+        new Wrong("ClaimWindow_first_record_not_checked", WINDOW, "claims vanished unread"),
         new Wrong("Configuration_publish_without_base", "OneWinnerPerBase", "no base is checked"),
         new Wrong("Configuration_accepted_before_read", "AcceptedHasWon", "accepted when sent"),
         new Wrong("Configuration_gap_not_noticed", "ReadersAgree", "a reader skips a gap"),
