--- a/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/Tour.java
@@ -11,7 +11,7 @@
 final class Tour {
   private static final int VMS = 3;
   private static final int MEMBERS = 4;
-  private static final long LOAD_MILLIS = 2000;
+  private static final long REQUESTS = 600;
   private static final long MAX_PARTIAL_MILLIS = 8000;
 
   private final TourCluster cluster;
@@ -21,7 +21,7 @@
   Tour(TourCluster cluster, OutcomeTable table) {
     this.cluster = cluster;
     this.table = table;
-    this.judge = new LoadJudge(table, cluster.standIns());
+    this.judge = new LoadJudge(table);
   }
 
   void run() throws InterruptedException {
@@ -49,10 +49,10 @@
   private void sendRequests() throws InterruptedException, ClusterException {
     cluster.awaitService();
     CallerLoad load = cluster.startLoad("plain", 2);
-    Thread.sleep(LOAD_MILLIS);
+    load.awaitMore(REQUESTS);
     load.stop();
     judge.allWhole("requests", load);
-    judge.runsAreAsTold("requests", load.sent());
+    judge.runsAreAsTold("requests", load.sent(), cluster.standIns().runs());
   }
 
   private void repeatRequestId() throws ClusterException, InterruptedException {
