--- a/bench/src/main/java/org/fescuehook/bench/policy/Contender.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/Contender.java
@@ -33,7 +33,7 @@
         ours("- reclaim", all.withReclaim(false)),
         ours("- homes", all.withHomes(false)),
         ours("- corrections", all.withCorrection(RunTimeCorrection.NONE)),
-        ours("mean corrections", all.withCorrection(RunTimeCorrection.MEAN)),
+        ours("median corrections", all.withCorrection(RunTimeCorrection.MEDIAN)),
         ours("- reservations", all.withReservations(false)),
         ours("- ordering", all.withOrdering(false)),
         ours("- fairness", all.withFairness(false)),
--- a/bench/src/main/java/org/fescuehook/bench/policy/PolicyRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/PolicyRun.java
@@ -43,6 +43,10 @@
     return this;
   }
 
+  Trace trace() {
+    return trace;
+  }
+
   Contender contender() {
     return contender;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
@@ -15,6 +15,7 @@
 final class BorrowStep {
 
   private static final int MOST_RESERVATIONS = 3;
+  private static final int MOST_MOVE_TRIALS = 8;
 
   private final PlanState state;
   private final GangPlacer placer;
@@ -26,6 +27,7 @@
   private final ReservationPlanner planner;
   private final List<Reservation> reservations = new ArrayList<>();
   private final Set<Blocked> blocked = new HashSet<>();
+  private int moveTrials;
 
   BorrowStep(
       PlanState state,
@@ -115,7 +117,7 @@
   /** Has other attempts give way: to urgent and overdue jobs, else where it pays. */
   private boolean stopOthers(Candidate candidate) {
     boolean must = candidate.job().urgent() || candidate.overdue();
-    if (!must && (!parts.moves() || reservations.size() >= MOST_RESERVATIONS)) {
+    if (!must && !mayMoveOthers()) {
       return false;
     }
     boolean[] avoid = state.avoid(candidate.waiting());
@@ -125,7 +127,7 @@
     List<Victim> eligible =
         must ? victims.forUrgentOrOverdue(candidate) : victims.forMove(candidate);
     Room all = state.index().capacity();
-    Room soon = state.borrowable(state.soon());
+    Room soon = state.borrowable(state.soon(candidate.job()));
     Optional<Selection> selection =
         new VictimSelector(state.index())
             .select(candidate.job().shape(), soon, all, avoid, eligible);
@@ -139,6 +141,13 @@
     return awaitStops(candidate, avoid);
   }
 
+  /** Tells whether moves are still tried; only for the first jobs, to bound a decision's time. */
+  private boolean mayMoveOthers() {
+    return parts.moves()
+        && reservations.size() < MOST_RESERVATIONS
+        && moveTrials++ < MOST_MOVE_TRIALS;
+  }
+
   /** Compares the slowdown that the job is spared with the slowdown that the stops cause. */
   private boolean pays(Candidate candidate, Selection selection, boolean[] avoid) {
     Optional<Reservation> otherwise = planner.reserve(candidate, avoid);
@@ -150,7 +159,7 @@
   }
 
   private boolean awaitStops(Candidate candidate, boolean[] avoid) {
-    Optional<int[]> workers = place(candidate, state.borrowable(state.soon()), avoid);
+    Optional<int[]> workers = place(candidate, state.borrowable(state.soon(candidate.job())), avoid);
     if (workers.isEmpty()) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeScheduler.java
@@ -1,20 +1,24 @@
 package org.fescuehook.logic.scheduling;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehook.logic.rule.RuleMatcher;
 import org.fescuehook.model.configuration.Declarations;
 import org.fescuehook.model.fleet.WorkerId;
+import org.fescuehook.model.job.AttemptId;
 import org.fescuehook.model.rule.Verdict;
 
 /**
  * The scheduling policy: guarantees first, then ordered jobs on what is left. Not for use by two
- * threads; keeps what follows from the declarations alone between plans.
+ * threads. Between plans it keeps what follows from the declarations alone, and which attempts it
+ * stopped at once for urgent jobs; a fresh one that does not know these may stop more than needed.
  */
 public final class GuaranteeScheduler implements Scheduler {
 
   private final PolicyParts parts;
+  private final Set<AttemptId> stoppedAtOnce = new HashSet<>();
   private Optional<Known> known = Optional.empty();
 
   /** Creates the policy with all its parts. */
@@ -41,8 +45,10 @@
   public Plan plan(View view) {
     Known known = known(view);
     RunTimeEstimator estimator = new RunTimeEstimator(view.history(), parts.correction());
+    forgetEnded(view);
     PlanState state =
-        new PlanState(view, known.index(), estimator, known.homes(), known.isUnusable());
+        new PlanState(
+            view, known.index(), estimator, known.homes(), known.isUnusable(), stoppedAtOnce);
     QuotaStep quotas = new QuotaStep(state);
     GuaranteeStep guarantees = new GuaranteeStep(state, known.placer(), parts, quotas);
     JobOrder order = new JobOrder(parts, new RuleMatcher());
@@ -50,7 +56,26 @@
         order.order(state).stream().filter(c -> isAdmitted(c, state)).toList();
     BorrowStep borrowing = new BorrowStep(state, known.placer(), parts, order, guarantees, quotas);
     guarantees.accept(admitted).forEach(borrowing::accept);
-    return state.plan();
+    Plan plan = state.plan();
+    remember(plan);
+    return plan;
+  }
+
+  private void forgetEnded(View view) {
+    if (stoppedAtOnce.isEmpty()) {
+      return;
+    }
+    Set<AttemptId> live = new HashSet<>();
+    view.running().forEach(r -> live.add(r.attempt()));
+    stoppedAtOnce.retainAll(live);
+  }
+
+  private void remember(Plan plan) {
+    for (Stop stop : plan.stops()) {
+      if (stop.cause() == StopCause.URGENT) {
+        stoppedAtOnce.add(stop.attempt());
+      }
+    }
   }
 
   private static boolean isAdmitted(Candidate candidate, PlanState state) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -127,7 +127,7 @@
   private boolean awaitStops(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     for (Room home : homes) {
-      Optional<int[]> workers = place(job, state.soon(), home, avoid);
+      Optional<int[]> workers = place(job, state.soon(job), home, avoid);
       if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
         state.hold(job, workers.get());
         state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
@@ -140,7 +140,7 @@
   private boolean reclaim(Candidate candidate, List<Room> homes, boolean[] avoid) {
     Job job = candidate.job();
     List<Victim> eligible = victims(job);
-    Room soon = state.beside(job.organisation(), state.soon());
+    Room soon = state.beside(job.organisation(), state.soon(job));
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/JobOrder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/JobOrder.java
@@ -26,6 +26,7 @@
           .thenComparing(c -> c.job().submittedMillis())
           .thenComparing(c -> c.job().id());
 
+  private static final double OVERDUE_SHARE = 0.9;
   private static final double LEAST_OVERUSE = 0.25;
   private static final double MOST_OVERUSE = 4;
 
@@ -50,6 +51,15 @@
     return order;
   }
 
+  /**
+   * Tells whether a wait comes near the declared bound. It does so early, as room has yet to be made
+   * for the job.
+   */
+  static boolean isOverdue(long waitedMillis, View view) {
+    long bound = view.declarations().policy().maxWait().toMillis();
+    return waitedMillis >= bound * OVERDUE_SHARE;
+  }
+
   /** Returns the score that a running attempt's job would have if it waited. */
   double score(Occupant occupant, PlanState state) {
     Job job = occupant.running().job();
@@ -71,8 +81,7 @@
     RuleMatcher.Match match =
         matcher.match(view.declarations().rules(), job, view.nowMillis(), state.load());
     long waitedMillis = Math.max(0, view.nowMillis() - job.submittedMillis());
-    boolean overdue =
-        parts.ageing() && waitedMillis >= view.declarations().policy().maxWait().toMillis();
+    boolean overdue = parts.ageing() && isOverdue(waitedMillis, view);
     double left = state.estimator().left(job, waiting.ranSeconds());
     double score = score(job, waitedMillis, left);
     return new Candidate(waiting, match, overdue, left, overdue ? 0 : score);
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.scheduling.Scheduler.Running;
 import org.fescuehook.logic.scheduling.Scheduler.Start;
 import org.fescuehook.logic.scheduling.Scheduler.Stop;
+import org.fescuehook.logic.scheduling.Scheduler.StopCause;
 import org.fescuehook.logic.scheduling.Scheduler.View;
 import org.fescuehook.logic.scheduling.Scheduler.Waiting;
 import org.fescuehook.model.fleet.Capacity;
@@ -36,6 +37,8 @@
   private final int[] freeInRack;
   private final Room free;
   private final Room soon;
+  private final Room verySoon;
+  private final Set<AttemptId> stoppedAtOnce;
   private final GuaranteeBook guarantees;
   private final List<Occupant> occupants = new ArrayList<>();
   private final Map<OrganisationId, int[]> inUse = new HashMap<>();
@@ -52,14 +55,17 @@
    * Opens the books.
    *
    * @param unusable workers that get nothing new, by number; not to be changed
+   * @param stoppedAtOnce attempts that were told to stop within the urgent bound
    */
   PlanState(
       View view,
       FleetIndex index,
       RunTimeEstimator estimator,
       GuaranteedHomes homes,
-      boolean[] unusable) {
+      boolean[] unusable,
+      Set<AttemptId> stoppedAtOnce) {
     this.view = view;
+    this.stoppedAtOnce = stoppedAtOnce;
     this.index = index;
     this.estimator = estimator;
     this.unusable = unusable;
@@ -72,6 +78,7 @@
       }
     }
     this.soon = free.copy();
+    this.verySoon = free.copy();
     this.guarantees = new GuaranteeBook(homes, index.workerCount());
     markSuspects();
     view.declarations().organisations().forEach(o -> organisations.put(o.id(), o));
@@ -104,6 +111,9 @@
     if (!running.stopping()) {
       takeUsable(soon, workers, unit);
     }
+    if (!running.stopping() || !stoppedAtOnce.contains(running.attempt())) {
+      takeUsable(verySoon, workers, unit);
+    }
     countUse(job);
   }
 
@@ -162,9 +172,9 @@
     return left;
   }
 
-  /** Returns what is free once the attempts that were told to stop have ended. */
-  Room soon() {
-    return soon;
+  /** Returns what is free once the attempts have ended that were told to stop in good time. */
+  Room soon(Job job) {
+    return job.urgent() ? verySoon : soon;
   }
 
   /** Returns what holders use of their guaranteed shapes. */
@@ -260,6 +270,7 @@
       freeInRack[index.rackOf(w)] -= job.shape().perMember().accelerators();
     }
     soon.take(workers, job.shape().perMember());
+    verySoon.take(workers, job.shape().perMember());
   }
 
   /** Stops an attempt for the sake of a job. */
@@ -267,9 +278,16 @@
     stops.add(stop);
     stopped.add(stop.attempt());
     Capacity unit = occupant.running().job().shape().perMember();
-    for (int w : occupant.workers()) {
+    giveUsable(soon, occupant.workers(), unit);
+    if (stop.cause() == StopCause.URGENT) {
+      giveUsable(verySoon, occupant.workers(), unit);
+    }
+  }
+
+  private void giveUsable(Room room, int[] workers, Capacity unit) {
+    for (int w : workers) {
       if (w >= 0 && !unusable[w]) {
-        soon.give(w, unit);
+        room.give(w, unit);
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PolicyParts.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PolicyParts.java
@@ -26,7 +26,7 @@
 
   /** All parts. */
   public static final PolicyParts ALL =
-      new PolicyParts(true, true, RunTimeCorrection.MEDIAN, true, true, true, true, true, true);
+      new PolicyParts(true, true, RunTimeCorrection.MEAN, true, true, true, true, true, true);
 
   /** Returns these parts with reclaim set. */
   public PolicyParts withReclaim(boolean value) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimRules.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/VictimRules.java
@@ -11,7 +11,7 @@
 final class VictimRules {
 
   private static final double OWN_GUARANTEED_FACTOR = 4;
-  private static final double LEAST_ADVANTAGE = 2;
+  private static final double LEAST_ADVANTAGE = 3;
   private static final long LEAST_RUN_MILLIS = 300_000;
   private static final double RESTART_SECONDS = 90;
 
@@ -79,6 +79,6 @@
 
   private boolean wasOverdue(Running running) {
     long waited = running.startedMillis() - running.job().submittedMillis();
-    return waited >= state.view().declarations().policy().maxWait().toMillis();
+    return JobOrder.isOverdue(waited, state.view());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/WorkerPreference.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/WorkerPreference.java
@@ -3,17 +3,18 @@
 import org.fescuehook.model.job.Shape;
 
 /**
- * Prefers workers and racks so that borrowers keep off guaranteed homes, work without accelerators
- * keeps off workers with accelerators, and what is filled is filled tightly.
+ * Prefers workers and racks so that work without accelerators keeps off workers with accelerators,
+ * what is filled is filled tightly and, among places that are equally tight, borrowers keep off
+ * guaranteed homes.
  */
 final class WorkerPreference implements GangPlacer.Preference {
 
   private static final int SUSPECT = 1 << 30;
-  private static final int HOME = 1 << 29;
-  private static final int WRONG_KIND = 1 << 28;
+  private static final int HOME = 1 << 19;
+  private static final int WRONG_KIND = 1 << 29;
   private static final int LEFTOVER_SHIFT = 20;
   private static final int MOST_LEFTOVER = 255;
-  private static final int MOST_RACK = (1 << LEFTOVER_SHIFT) - 1;
+  private static final int MOST_RACK = HOME - 1;
 
   private final PlanState state;
   private final Shape shape;
@@ -23,7 +24,7 @@
   /**
    * Creates the preference for one job.
    *
-   * @param offHomes whether homes of guaranteed shapes come last
+   * @param offHomes whether homes of guaranteed shapes come after others that are as tight
    * @param packing whether tight places come first
    */
   WorkerPreference(PlanState state, Shape shape, boolean offHomes, boolean packing) {
