--- a/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
@@ -148,7 +148,8 @@
       return;
     }
     finish(job, JobOutcome.End.CANCELLED);
-    if (waiting.remove(job.order) == null) {
+    boolean waited = waiting.remove(job.order) != null;
+    if (!waited && !job.ending) {
       end(job, EndedAttempt.Result.STOPPED, Optional.empty(), 0);
     }
   }
