--- a/spec/Gang.tla
+++ b/spec/Gang.tla
@@ -3,7 +3,7 @@
 (* worker arrives at any later time, again, or never.                                    *)
 (* Packages org.fescuehook.logic.control.planning (Plan) and .gang: GangStarter (Ask,    *)
 (* Commit, NeverStarted), GangRunner (Start, Stop, End of a finished gang), GangStopper  *)
-(* (MayRelease, End), LeaseRenewer (Renewed).                                            *)
+(* (Release, End), LeaseRenewer (Renewed).                                            *)
 EXTENDS Ownership
 
 CONSTANT Grants  \* how often a request for one lease may arrive at the worker
@@ -76,7 +76,7 @@
 
 (* Any VM, owner or not, that renews and hears that a member is gone releases the rest. A  *)
 (* release that arrives late is no other than a lapse, so only its cause is looked at.     *)
-MayRelease(v, a) ==
+Release(v, a) ==
   LET attempt == Attempt(v, a) IN
   /\ attempt.leases # NoLeases
   /\ \/ attempt.state \in {"stopping", "ended"}
@@ -120,7 +120,7 @@
 FairSpec ==
   /\ Spec
   /\ \A v \in VMs : WF_vars(Read(v) /\ UNCHANGED <<asked, starts, leases>>)
-  /\ \A i \in Ids : WF_vars(EndLease(i) /\ (~Renewed(i) \/ \E v \in VMs : MayRelease(v, i[1])))
+  /\ \A i \in Ids : WF_vars(EndLease(i) /\ (~Renewed(i) \/ \E v \in VMs : Release(v, i[1])))
 
 Symmetry == Permutations(VMs) \cup Permutations(Members) \cup Permutations(Attempts)
 
@@ -141,7 +141,7 @@
 (* A healthy gang is not harmed by a VM that wakes up with an old decision. *)
 ReleaseHasCause ==
   \A v \in VMs, a \in Attempts :
-    MayRelease(v, a) => Last.attempts[a].state \in {"stopping", "ended"} \/ Gone(Last.attempts[a]) # {}
+    Release(v, a) => Last.attempts[a].state \in {"stopping", "ended"} \/ Gone(Last.attempts[a]) # {}
 
 GoneForGood == [][\A i \in Ids : leases[i] = "gone" => leases'[i] = "gone"]_vars
 
