--- a/fescuehook/src/test/java/org/fescuehook/cli/CommandsPage.java
+++ b/fescuehook/src/test/java/org/fescuehook/cli/CommandsPage.java
@@ -31,6 +31,7 @@
     for (ExitCode code : ExitCode.values()) {
       page.append("| %d | %s |\n".formatted(code.code(), code.meaning()));
     }
+    page.append("| 69 | the launcher found no Java 25 |\n");
     for (CommandSpec spec : CommandCatalogue.commands(preferences -> ExitCode.DONE)) {
       page.append("\n## ").append(spec.name()).append("\n\n```text\n");
       page.append(help(spec)).append("```\n");
