--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlStream.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlStream.java
@@ -51,7 +51,7 @@
     return skipped;
   }
 
-  /** Takes in a record; one that was read before is ignored. */
+  /** Takes in a record; one that was read before is ignored. Implements {@code Read}. */
   void read(LogRecord record, Turn turn) {
     if (record.offset() < nextOffset) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
@@ -36,8 +36,8 @@
   }
 
   /**
-   * Puts the configuration of the log in force if it is newer. Implements {@code
-   * TakeConfiguration}.
+   * Puts the configuration of the log in force if it is newer. Implements what {@code Read} of the
+   * module Configuration puts in force.
    *
    * @return whether it changed
    */
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/GangStopper.java
@@ -115,7 +115,8 @@
    * Tells whether the lease of a silent worker must have lapsed. No VM renews what it has read as
    * being stopped, and none goes on for longer than the outage ride without reading. So the lease
    * lapses its time after the last VM has read the stop, or after the outage ride and the time for
-   * which a replica of the log may hide a record from a read that succeeds.
+   * which a replica of the log may hide a record from a read that succeeds. Implements {@code Free}
+   * of the module SilentWorker.
    */
   private boolean cannotBeHeld(
       AttemptTrack track, MemberTrack member, AttemptStopping stopping, Turn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/gang/LeaseRenewer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/gang/LeaseRenewer.java
@@ -89,7 +89,7 @@
     }
   }
 
-  /** Sends the renewals that are due. */
+  /** Sends the renewals that are due. Implements {@code Renew}. */
   void step(Turn turn) {
     workers.forEach((worker, leases) -> renewIfDue(worker, leases, turn));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OutageWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OutageWatch.java
@@ -39,10 +39,11 @@
   }
 
   /**
-   * Returns what this VM may do while it does not decide. Without the log the owner goes on
-   * renewing. If the owner is not heard and nobody heard has the log, the first VM by name renews
-   * in its place. Nobody renews for longer than the outage ride after its last read, and a VM that
-   * is out for that long may have read that an attempt is being stopped only then.
+   * Returns what this VM may do while it does not decide. Its bound is {@code Ride}. Without the
+   * log the owner goes on renewing. If the owner is not heard and nobody heard has the log, the
+   * first VM by name renews in its place. Nobody renews for longer than the outage ride after its
+   * last read, and a VM that is out for that long may have read that an attempt is being stopped
+   * only then.
    */
   public Mode mode(Optional<VmId> owner, boolean owns, Turn turn) {
     boolean ride = !turn.passed(reader.lastReadNanos(), ControlLimits.OUTAGE_RIDE);
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -104,6 +104,7 @@
     }
   }
 
+  /** Implements {@code HandOver}. */
   private void releaseOnce(ControlState state, Turn turn) {
     if (writer.isUnread(release) || !writer.hasRoom(turn)) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/SnapshotDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/SnapshotDuty.java
@@ -52,7 +52,7 @@
     }
   }
 
-  /** Publishes a snapshot if one is due. */
+  /** Publishes a snapshot if one is due. Implements {@code Snapshot}. */
   public void step(ControlState state, long foldedUntil, Turn turn) {
     if (!due(foldedUntil, turn) || !writer.hasRoom(turn)) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/StreamStart.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/snapshot/StreamStart.java
@@ -36,7 +36,10 @@
     assembler.clear();
   }
 
-  /** Holds a record; returns the beginning if it completes a usable snapshot. */
+  /**
+   * Holds a record; returns the beginning if it completes a usable snapshot. Implements {@code
+   * Load}.
+   */
   public Optional<Beginning> add(LogRecord record, Turn turn) {
     held.add(record);
     if (!(RecordCodec.decode(record.data()) instanceof DecodedRecord.Known(ControlRecord known))) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/state/ControlState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/state/ControlState.java
@@ -96,7 +96,8 @@
   }
 
   /**
-   * Folds one record. Records have to come in the order of their offsets.
+   * Folds one record. Records have to come in the order of their offsets. Implements {@code Counts}
+   * and {@code After}.
    *
    * @param millis time of the append by the log's clock
    */
