An unreadable configuration ends no running gang

One configuration in the log that no VM could parse left the system without an owner, so all leases lapsed: 0 of 2 members ran after 60 s. A VM that cannot read it now yields once, claims 5 s later than others, and then keeps gangs going without planning.

--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.control.ownership.PauseWatch;
 import org.fescuehook.logic.control.ownership.PeerWatch;
 import org.fescuehook.logic.control.ownership.ReaderWatch;
+import org.fescuehook.logic.control.ownership.Understanding;
 import org.fescuehook.logic.control.planning.JobEndDuty;
 import org.fescuehook.logic.control.planning.PlanDuty;
 import org.fescuehook.logic.control.request.RequestRouter;
@@ -205,9 +206,9 @@
 
   private void stepDuties(Turn turn) {
     ControlState state = stream.state();
-    boolean eligible = !stream.newerSeen() && configuration.readable(state);
-    owner.step(state, eligible, turn);
-    boolean decides = owner.decides(state, turn) && eligible;
+    Understanding understanding = understanding(state);
+    owner.step(state, understanding, turn);
+    boolean decides = owner.decides(state, turn) && understanding != Understanding.PARTIAL;
     changeDeciding(decides, turn);
     gangs.step(state, mode(decides, turn), stream.nextOffset(), turn);
     if (decides) {
@@ -215,6 +216,13 @@
     }
   }
 
+  private Understanding understanding(ControlState state) {
+    if (stream.newerSeen()) {
+      return Understanding.PARTIAL;
+    }
+    return configuration.unreadable(state) ? Understanding.NO_CONFIGURATION : Understanding.WHOLE;
+  }
+
   private Mode mode(boolean decides, Turn turn) {
     if (decides) {
       return Mode.DECIDE;
@@ -249,7 +257,7 @@
 
   private void decide(ControlState state, Turn turn) {
     snapshots.step(state, stream.nextOffset(), turn);
-    if (configuration.inForce().isEmpty()) {
+    if (configuration.inForce().isEmpty() || !configuration.readable(state)) {
       return;
     }
     Declarations declarations = configuration.inForce().get().declarations();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlLimits.java
@@ -62,6 +62,9 @@
   /** Longest interval between two plans while a job waits. */
   public static final Duration SLOWEST_PLAN = Duration.ofSeconds(1);
 
+  /** Added to the owner's timeout for a VM that cannot read the configuration in force. */
+  public static final Duration UNREADABLE_DELAY = Duration.ofSeconds(5);
+
   /** Multiple of the owner's timeout while the owner's peer heartbeats say that it has the log. */
   public static final int HEARD_OWNER_FACTOR = 10;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/configuration/ConfigurationHolder.java
@@ -29,6 +29,11 @@
     return inForce;
   }
 
+  /** Tells whether the revision in force in the log was tried and cannot be read here. */
+  public boolean unreadable(ControlState state) {
+    return seenRevision == state.revision() && !readable(state);
+  }
+
   /** Tells whether the revision in force in the log is in force here. */
   public boolean readable(ControlState state) {
     return inForce.map(Configuration::revision).orElse(Configuration.NO_REVISION)
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/OwnerDuty.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.control.Turn;
 import org.fescuehook.logic.control.append.RecordWriter;
 import org.fescuehook.logic.control.state.ControlState;
+import org.fescuehook.model.configuration.Configuration;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.ControlPreferences;
 import org.fescuehook.wire.ControlRecord;
@@ -28,6 +29,7 @@
   private long claim;
   private long release;
   private boolean handingOver;
+  private long yieldedRevision = Configuration.NO_REVISION;
 
   /** Creates the duty of a VM that owns nothing. */
   public OwnerDuty(
@@ -73,25 +75,26 @@
   /**
    * Claims, holds or releases ownership as is due. Implements {@code Claim}.
    *
-   * @param eligible whether this VM understands the state well enough to decide by it
+   * @param understanding how far this VM understands the state
    */
-  public void step(ControlState state, boolean eligible, Turn turn) {
+  public void step(ControlState state, Understanding understanding, Turn turn) {
     if (!reader.current(turn)) {
       return;
     }
     if (owns(state)) {
-      hold(state, eligible, turn);
+      hold(state, understanding, turn);
       return;
     }
     boolean free = !writer.isUnread(claim) && writer.hasRoom(turn);
-    if (!handingOver && eligible && free && silent(state, turn)) {
+    boolean may = !handingOver && understanding != Understanding.PARTIAL;
+    if (may && free && silent(state, understanding, turn)) {
       claim(state, turn);
     }
   }
 
   /** A record on its way will show that the owner lives, so a slow log is not filled up. */
-  private void hold(ControlState state, boolean eligible, Turn turn) {
-    if (handingOver || !eligible) {
+  private void hold(ControlState state, Understanding understanding, Turn turn) {
+    if (handingOver || yields(state, understanding)) {
       releaseOnce(state, turn);
       return;
     }
@@ -104,11 +107,21 @@
     }
   }
 
+  /** An unreadable configuration is a reason to yield once: if nobody took over, nobody can. */
+  private boolean yields(ControlState state, Understanding understanding) {
+    return switch (understanding) {
+      case WHOLE -> false;
+      case PARTIAL -> true;
+      case NO_CONFIGURATION -> yieldedRevision != state.revision();
+    };
+  }
+
   /** Implements {@code HandOver}. */
   private void releaseOnce(ControlState state, Turn turn) {
     if (writer.isUnread(release) || !writer.hasRoom(turn)) {
       return;
     }
+    yieldedRevision = state.revision();
     turn.note(ControlLogEvent.RELEASED_OWNERSHIP, state.epoch());
     release =
         writer.append(
@@ -117,13 +130,16 @@
             turn);
   }
 
-  private boolean silent(ControlState state, Turn turn) {
+  private boolean silent(ControlState state, Understanding understanding, Turn turn) {
     Optional<VmId> owner = state.owner();
     long since = Math.max(lastSignNanos, reader.currentSince());
+    Duration delay =
+        understanding == Understanding.WHOLE ? Duration.ZERO : ControlLimits.UNREADABLE_DELAY;
     if (owner.isEmpty()) {
-      return turn.passed(since, preferences.claimStagger().multipliedBy(peers.rank(vm)));
+      Duration stagger = preferences.claimStagger().multipliedBy(peers.rank(vm));
+      return turn.passed(since, delay.plus(stagger));
     }
-    Duration timeout = preferences.ownerTimeout();
+    Duration timeout = preferences.ownerTimeout().plus(delay);
     if (peers.reachesLog(owner.get())) {
       timeout = timeout.multipliedBy(ControlLimits.HEARD_OWNER_FACTOR);
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/ConfigurationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/ConfigurationTest.java
@@ -7,7 +7,10 @@
 import java.util.List;
 import org.fescuehook.logic.control.ControlPort.Answer;
 import org.fescuehook.logic.control.VirtualCluster.AppendFault;
+import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.request.RefusalReason;
+import org.fescuehook.wire.ConfigurationPublished;
+import org.fescuehook.wire.ControlRecord;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationTest {
@@ -98,4 +101,34 @@
     Answer answer = publish(s, 1, s.invariants.observer().revision(), "4 3 second");
     assertEquals(new Answer.Published(s.invariants.observer().revision()), answer);
   }
+
+  @Test
+  void aConfigurationThatNoVmCanReadStopsNoGangAndStartsNone() {
+    Scenario s = new Scenario(3, 4);
+    JobId running = s.submit(2, "finish 100");
+    s.untilRunning(running);
+    ConfigurationPublished unreadable =
+        ConfigurationPublished.newBuilder()
+            .setBaseRevisionPlusOne(s.invariants.observer().revision() + 1)
+            .setDeclarations("bad")
+            .build();
+    ControlRecord record =
+        ControlRecord.newBuilder()
+            .setVersion(1)
+            .setWriter("newer")
+            .setIncarnation("newer")
+            .setSequence(1)
+            .setConfigurationPublished(unreadable)
+            .build();
+    s.cluster.log.append(record.toByteArray(), VirtualCluster.WALL_START);
+    s.run(60);
+    assertEquals(2, s.running(running));
+    JobId waiting = s.submit(1, "finish 1");
+    s.run(10);
+    assertTrue(s.job(waiting).waiting());
+    publish(s, 0, s.invariants.observer().revision(), "4 3 second");
+    assertEquals("FINISHED", s.result(waiting, 20));
+    assertEquals("FINISHED", s.result(running, 60));
+    assertEquals(1, s.job(running).attempt().number());
+  }
 }
