Test of the entry program: an address for each backend server, and no endless loop

It now repeats on 503 only and shows any other answer. The test of a silent link could not end when the link is broken, as a blocked accept is not interruptible: it now has a bound on its tries.

--- a/fescuehook/src/test/java/org/fescuehook/entry/EntryProgramTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/EntryProgramTest.java
@@ -34,6 +34,7 @@
 @Timeout(120)
 class EntryProgramTest {
 
+  private static final int NOT_READY = 503;
   private static final InetSocketAddress ANY_PORT =
       new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
   private static final ControlPreferences FAST_CONTROL =
@@ -160,12 +161,13 @@
     return awaitStatus(200, () -> get(vm.service(), "/jobs/" + job + "?wait-ms=20000")).body();
   }
 
-  /** Asks until the status is as awaited; the time limit of the test is the guard. */
+  /** Asks again while the VM is not ready; the time limit of the test is the guard. */
   private static HttpResponse<String> awaitStatus(int status, Call call) throws Exception {
     HttpResponse<String> answer = call.make();
-    while (answer.statusCode() != status) {
+    while (answer.statusCode() == NOT_READY) {
       answer = call.make();
     }
+    assertEquals(status, answer.statusCode(), answer.body());
     return answer;
   }
 
@@ -198,19 +200,20 @@
         [rule 10]
         then = admit priority=10 borrow=yes
         [worker worker-1]
-        address = ADDRESS
+        address = 127.0.0.1:WORKER
         failure-domain = domain-1
         rack = rack-1
         accelerators = 8
         cores = 64
         memory = 256GiB
         [executor executor-1]
-        address = ADDRESS
+        address = 127.0.0.1:EXECUTOR
         failure-domain = domain-1
         slots = 8
         connections = 64
         """
-        .replace("ADDRESS", "127.0.0.1:" + platform.address().getPort());
+        .replace("WORKER", String.valueOf(platform.address().getPort()))
+        .replace("EXECUTOR", String.valueOf(platform.executorAddress().getPort()));
   }
 
   @FunctionalInterface
--- a/fescuehook/src/test/java/org/fescuehook/entry/FakePlatform.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/FakePlatform.java
@@ -19,12 +19,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Log, list of VMs, one executor and one worker behind one address, in this process. */
+/** Log, list of VMs and one worker behind one address, and one executor, in this process. */
 final class FakePlatform implements AutoCloseable {
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final HttpServer server;
+  private final HttpServer executor;
   private final Map<String, List<byte[]>> streams = new ConcurrentHashMap<>();
   private final Map<String, String> leases = new ConcurrentHashMap<>();
   private final Map<String, InetSocketAddress> entries = new ConcurrentHashMap<>();
@@ -33,20 +34,34 @@
   private final AtomicInteger runs = new AtomicInteger();
 
   FakePlatform() throws IOException {
-    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    server.setExecutor(threads);
+    server = open();
     server.createContext("/streams/", this::log);
     server.createContext("/members", this::members);
     server.createContext("/leases", this::lease);
     server.createContext("/renewals", this::renew);
-    server.createContext("/", this::run);
     server.start();
+    executor = open();
+    executor.createContext("/", this::run);
+    executor.start();
   }
 
+  private HttpServer open() throws IOException {
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    HttpServer opened = HttpServer.create(anyPort, 0);
+    opened.setExecutor(threads);
+    return opened;
+  }
+
+  /** Returns where the log, the list and the worker are. */
   InetSocketAddress address() {
     return server.getAddress();
   }
 
+  /** Returns where the executor is. */
+  InetSocketAddress executorAddress() {
+    return executor.getAddress();
+  }
+
   /** Puts an entry VM on the list. */
   void list(String vm, InetSocketAddress peerPort) {
     entries.put(vm, peerPort);
@@ -65,6 +80,7 @@
   @Override
   public void close() {
     server.stop(0);
+    executor.stop(0);
     threads.shutdownNow();
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/net/peer/PeerLinkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/peer/PeerLinkTest.java
@@ -24,6 +24,7 @@
 @Timeout(60)
 class PeerLinkTest {
 
+  private static final int MOST_BEATS = 1000;
   private static final VmId PEER = new VmId("entry-1");
 
   private final EventLoopGroup loops =
@@ -56,7 +57,7 @@
 
   private Socket beatUntilAccepted(ServerSocket peer) throws IOException {
     peer.setSoTimeout(20);
-    while (true) {
+    for (int beats = 0; beats < MOST_BEATS; beats++) {
       links.heartbeat();
       try {
         return peer.accept();
@@ -64,6 +65,7 @@
         // Not opened yet; the next heartbeat looks again.
       }
     }
+    throw new AssertionError("the link was not opened anew");
   }
 
   private static String hello(Socket socket) throws IOException {
