--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -55,6 +55,7 @@
   private final ConfigurationHolder configuration;
   private final RequestRouter requests;
   private boolean deciding;
+  private boolean standingIn;
   private boolean current;
 
   /**
@@ -105,8 +106,9 @@
       case ControlEvent.AppendFailed(long sequence, boolean certain) ->
           resolve(writer.failed(sequence, certain, turn), turn);
       case ControlEvent.WorkerAnswered(var reply) -> gangs.answered(reply, turn);
-      case ControlEvent.MembersListed(var members) -> peers.listed(members);
-      case ControlEvent.PeersHeard(var alive, var reachingLog) -> peers.heard(alive, reachingLog);
+      case ControlEvent.MembersListed(var members) -> peers.listed(members, turn);
+      case ControlEvent.PeersHeard(var alive, var reachingLog) ->
+          peers.heard(alive, reachingLog, turn);
       case ControlEvent.PeersFolded(var nextOffsets) -> peers.folded(nextOffsets);
       case ControlEvent.Asked(long ticket, Request request) -> asked(ticket, request, turn);
       case ControlEvent.Tick() -> {}
@@ -196,6 +198,8 @@
     if (current) {
       shareHolder.step(turn);
       writer.settle(turn);
+    } else {
+      shareHolder.giveUpIfIsolated(turn);
     }
   }
 
@@ -215,7 +219,16 @@
     if (decides) {
       return Mode.DECIDE;
     }
-    return outages.mode(stream.state().owner(), owner.owns(stream.state()), turn);
+    ControlState state = stream.state();
+    boolean owns = owner.owns(state);
+    Mode mode = outages.mode(state.owner(), owns, turn);
+    boolean standsIn = mode == Mode.RENEW && !owns;
+    if (standsIn && !standingIn) {
+      String name = state.owner().map(VmId::value).orElse("none");
+      turn.note(ControlLogEvent.RENEWING_FOR_OWNER, name, state.jobs().liveCount());
+    }
+    standingIn = standsIn;
+    return mode;
   }
 
   private void changeDeciding(boolean decides, Turn turn) {
--- a/fescuehook/src/test/java/org/fescuehook/entry/EntryProgramTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/EntryProgramTest.java
@@ -200,20 +200,20 @@
         [rule 10]
         then = admit priority=10 borrow=yes
         [worker worker-1]
-        address = 127.0.0.1:WORKER
+        address = WORKER
         failure-domain = domain-1
         rack = rack-1
         accelerators = 8
         cores = 64
         memory = 256GiB
         [executor executor-1]
-        address = 127.0.0.1:EXECUTOR
+        address = ADDRESS
         failure-domain = domain-1
         slots = 8
         connections = 64
         """
-        .replace("WORKER", String.valueOf(platform.address().getPort()))
-        .replace("EXECUTOR", String.valueOf(platform.executorAddress().getPort()));
+        .replace("WORKER", "127.0.0.1:" + platform.workerAddress().getPort())
+        .replace("ADDRESS", "127.0.0.1:" + platform.address().getPort());
   }
 
   @FunctionalInterface
--- a/fescuehook/src/test/java/org/fescuehook/entry/FakePlatform.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/FakePlatform.java
@@ -19,13 +19,13 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Log, list of VMs and one worker behind one address, and one executor, in this process. */
+/** Log, list of VMs and one executor behind one address, and one worker behind another. */
 final class FakePlatform implements AutoCloseable {
 
   private final ObjectMapper mapper = new ObjectMapper();
   private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
   private final HttpServer server;
-  private final HttpServer executor;
+  private final HttpServer worker;
   private final Map<String, List<byte[]>> streams = new ConcurrentHashMap<>();
   private final Map<String, String> leases = new ConcurrentHashMap<>();
   private final Map<String, InetSocketAddress> entries = new ConcurrentHashMap<>();
@@ -34,32 +34,25 @@
   private final AtomicInteger runs = new AtomicInteger();
 
   FakePlatform() throws IOException {
-    server = open();
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
     server.createContext("/streams/", this::log);
     server.createContext("/members", this::members);
-    server.createContext("/leases", this::lease);
-    server.createContext("/renewals", this::renew);
+    server.createContext("/", this::run);
     server.start();
-    executor = open();
-    executor.createContext("/", this::run);
-    executor.start();
+    worker = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    worker.setExecutor(threads);
+    worker.createContext("/leases", this::lease);
+    worker.createContext("/renewals", this::renew);
+    worker.start();
   }
 
-  private HttpServer open() throws IOException {
-    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    HttpServer opened = HttpServer.create(anyPort, 0);
-    opened.setExecutor(threads);
-    return opened;
-  }
-
-  /** Returns where the log, the list and the worker are. */
   InetSocketAddress address() {
     return server.getAddress();
   }
 
-  /** Returns where the executor is. */
-  InetSocketAddress executorAddress() {
-    return executor.getAddress();
+  InetSocketAddress workerAddress() {
+    return worker.getAddress();
   }
 
   /** Puts an entry VM on the list. */
@@ -80,7 +73,7 @@
   @Override
   public void close() {
     server.stop(0);
-    executor.stop(0);
+    worker.stop(0);
     threads.shutdownNow();
   }
 
