--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/BorrowStep.java
@@ -159,7 +159,8 @@
   }
 
   private boolean awaitStops(Candidate candidate, boolean[] avoid) {
-    Optional<int[]> workers = place(candidate, state.borrowable(state.soon(candidate.job())), avoid);
+    Optional<int[]> workers =
+        place(candidate, state.borrowable(state.soon(candidate.job())), avoid);
     if (workers.isEmpty()) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeBook.java
@@ -57,7 +57,7 @@
   /** Returns the rooms in one of which a job has to stand to be within its guarantee. */
   List<Room> roomsFor(Job job) {
     List<GuaranteeCopy> own = copiesFor(job);
-    if (own.isEmpty()) {
+    if (!hasSlots(own, job.shape())) {
       return new ArrayList<>();
     }
     if (GuaranteeCopy.isAnywhere(job.shape())) {
@@ -84,6 +84,17 @@
     return matching;
   }
 
+  /** Tells whether there are slots for all members, on whichever workers. */
+  private boolean hasSlots(List<GuaranteeCopy> copies, Shape shape) {
+    long members = 0;
+    for (GuaranteeCopy copy : copies) {
+      for (Capacity slot : left[copy.number()]) {
+        members += slot.fits(shape.perMember());
+      }
+    }
+    return members >= shape.members();
+  }
+
   /** Returns room for as many members on each worker as its slots hold, each in one slot. */
   private Room room(List<GuaranteeCopy> copies, Shape shape) {
     Room room = Room.empty(workerCount);
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/GuaranteeStep.java
@@ -10,6 +10,7 @@
 import org.fescuehook.logic.scheduling.VictimSelector.Selection;
 import org.fescuehook.logic.scheduling.VictimSelector.Victim;
 import org.fescuehook.model.job.Job;
+import org.fescuehook.model.job.Shape;
 import org.fescuehook.model.organisation.OrganisationId;
 
 /** Starts the jobs that guarantees cover, and has borrowers give way to them. */
@@ -22,6 +23,9 @@
   private final PolicyParts parts;
   private final StopTerms terms;
   private final QuotaStep quotas;
+  private final Set<Demand> withoutStart = new HashSet<>();
+  private final Set<Demand> withoutReclaim = new HashSet<>();
+  private final Set<Shape> withoutRoom = new HashSet<>();
 
   GuaranteeStep(PlanState state, GangPlacer placer, PolicyParts parts, QuotaStep quotas) {
     this.quotas = quotas;
@@ -80,25 +84,64 @@
     return holders;
   }
 
+  /**
+   * What jobs have in common that fare alike. Room only shrinks in the course of a plan, so what
+   * one of them did not get, the next will not get either.
+   */
+  private record Demand(OrganisationId organisation, Shape shape, boolean urgent) {
+
+    static Demand of(Candidate candidate) {
+      Job job = candidate.job();
+      return new Demand(job.organisation(), job.shape(), job.urgent());
+    }
+  }
+
   private boolean startOrAwait(Candidate candidate, List<Room> homes) {
+    Demand demand = Demand.of(candidate);
+    if (withoutStart.contains(demand)) {
+      return false;
+    }
     boolean[] avoid = state.avoid(candidate.waiting());
-    return startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid);
+    if (startAtHome(candidate, homes, avoid) || awaitStops(candidate, homes, avoid)) {
+      return true;
+    }
+    if (candidate.waiting().avoid().isEmpty()) {
+      withoutStart.add(demand);
+    }
+    return false;
   }
 
   private boolean canBorrow(Candidate candidate) {
+    Shape shape = candidate.job().shape();
+    if (!candidate.mayBorrow() || withoutRoom.contains(shape)) {
+      return false;
+    }
     boolean[] avoid = state.avoid(candidate.waiting());
-    Room room = state.borrowable(state.free());
-    return candidate.mayBorrow() && placer.fits(candidate.job().shape(), room, avoid);
+    if (placer.fits(shape, state.borrowable(state.free()), avoid)) {
+      return true;
+    }
+    if (candidate.waiting().avoid().isEmpty()) {
+      withoutRoom.add(shape);
+    }
+    return false;
   }
 
   /** Has borrowers give way to a job that could not start elsewhere after all. */
   boolean reclaim(Candidate candidate) {
-    List<Room> homes = parts.reclaim() ? homes(candidate) : List.of();
-    if (homes.isEmpty()) {
+    Demand demand = Demand.of(candidate);
+    if (!parts.reclaim() || withoutReclaim.contains(demand)) {
       return false;
     }
+    List<Room> homes = homes(candidate);
     boolean[] avoid = state.avoid(candidate.waiting());
-    return awaitStops(candidate, homes, avoid) || reclaim(candidate, homes, avoid);
+    if (!homes.isEmpty()
+        && (awaitStops(candidate, homes, avoid) || reclaim(candidate, homes, avoid))) {
+      return true;
+    }
+    if (candidate.waiting().avoid().isEmpty()) {
+      withoutReclaim.add(demand);
+    }
+    return false;
   }
 
   /** Returns the homes in which the job would be within its guarantee. */
@@ -116,7 +159,7 @@
     Job job = candidate.job();
     for (Room home : homes) {
       Optional<int[]> workers = place(job, state.free(), home, avoid);
-      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+      if (workers.isPresent() && state.useGuarantee(job, workers.get())) {
         state.start(candidate, workers.get(), false);
         return true;
       }
@@ -128,7 +171,7 @@
     Job job = candidate.job();
     for (Room home : homes) {
       Optional<int[]> workers = place(job, state.soon(job), home, avoid);
-      if (workers.isPresent() && state.guarantees().use(job, workers.get())) {
+      if (workers.isPresent() && state.useGuarantee(job, workers.get())) {
         state.hold(job, workers.get());
         state.explain(candidate, "waits for borrowers that were told to stop", dueMillis());
         return true;
@@ -144,7 +187,8 @@
     VictimSelector selector = new VictimSelector(state.index());
     Optional<Selection> best = Optional.empty();
     for (Room home : homes) {
-      Optional<Selection> found = selector.select(job.shape(), soon, home, avoid, eligible);
+      Optional<Selection> found =
+          selector.select(job.shape(), soon, home, avoid, at(home, eligible));
       if (found.isPresent() && (best.isEmpty() || found.get().cost() < best.get().cost())) {
         best = found;
       }
@@ -159,6 +203,20 @@
     return awaitStops(candidate, homes, avoid);
   }
 
+  /** Returns the victims that have a member on a worker of a home. */
+  private static List<Victim> at(Room home, List<Victim> victims) {
+    List<Victim> there = new ArrayList<>();
+    for (Victim v : victims) {
+      for (int w : v.occupant().workers()) {
+        if (w >= 0 && (home.accelerators(w) > 0 || home.cores(w) > 0)) {
+          there.add(v);
+          break;
+        }
+      }
+    }
+    return there;
+  }
+
   /** Returns borrowers; urgent ones only as a last resort, those of the same organisation never. */
   private List<Victim> victims(Job job) {
     List<Victim> victims = new ArrayList<>();
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/JobOrder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/JobOrder.java
@@ -52,8 +52,8 @@
   }
 
   /**
-   * Tells whether a wait comes near the declared bound. It does so early, as room has yet to be made
-   * for the job.
+   * Tells whether a wait comes near the declared bound. It does so early, as room has yet to be
+   * made for the job.
    */
   static boolean isOverdue(long waitedMillis, View view) {
     long bound = view.declarations().policy().maxWait().toMillis();
--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/PlanState.java
@@ -48,6 +48,7 @@
   private final List<Start> starts = new ArrayList<>();
   private final List<Stop> stops = new ArrayList<>();
   private Set<OrganisationId> protectedHolders = Set.of();
+  private Room protectedHomes;
   private final Set<AttemptId> stopped = new HashSet<>();
   private final Map<JobId, Explanation> reasons = new LinkedHashMap<>();
 
@@ -79,6 +80,7 @@
     }
     this.soon = free.copy();
     this.verySoon = free.copy();
+    this.protectedHomes = Room.empty(index.workerCount());
     this.guarantees = new GuaranteeBook(homes, index.workerCount());
     markSuspects();
     view.declarations().organisations().forEach(o -> organisations.put(o.id(), o));
@@ -150,25 +152,42 @@
   /** Keeps all others off the unused homes of these organisations, whose jobs wait for them. */
   void protect(Set<OrganisationId> holders) {
     protectedHolders = Set.copyOf(holders);
+    protectedHomes = Room.empty(index.workerCount());
+    holders.forEach(o -> guarantees.addUnused(o, protectedHomes));
+  }
+
+  /**
+   * Counts a job as within its organisation's guarantees.
+   *
+   * @return false if it is not, and nothing was counted
+   */
+  boolean useGuarantee(Job job, int[] workers) {
+    if (!guarantees.use(job, workers)) {
+      return false;
+    }
+    if (protectedHolders.contains(job.organisation())) {
+      protectedHomes.take(workers, job.shape().perMember());
+    }
+    return true;
   }
 
   /** Returns what borrowers may use of a room: all but protected homes. Not to be changed. */
   Room borrowable(Room room) {
-    return protectedHolders.isEmpty() ? room : withoutHomes(room, protectedHolders);
+    if (protectedHolders.isEmpty()) {
+      return room;
+    }
+    Room left = room.copy();
+    left.takeAll(protectedHomes);
+    return left;
   }
 
   /** Returns what a holder may use of a room: all but protected homes of others. */
   Room beside(OrganisationId holder, Room room) {
-    Set<OrganisationId> others = new HashSet<>(protectedHolders);
-    others.remove(holder);
-    return withoutHomes(room, others);
-  }
-
-  private Room withoutHomes(Room room, Set<OrganisationId> holders) {
-    Room homes = Room.empty(index.workerCount());
-    holders.forEach(o -> guarantees.addUnused(o, homes));
     Room left = room.copy();
-    left.takeAll(homes);
+    left.takeAll(protectedHomes);
+    if (protectedHolders.contains(holder)) {
+      guarantees.addUnused(holder, left);
+    }
     return left;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
@@ -148,7 +148,7 @@
       return;
     }
     finish(job, JobOutcome.End.CANCELLED);
-    if (waiting.remove(job.order) == null) {
+    if (waiting.remove(job.order) == null && !job.ending) {
       end(job, EndedAttempt.Result.STOPPED, Optional.empty(), 0);
     }
   }
