--- a/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/trace/Replayer.java
@@ -148,8 +148,7 @@
       return;
     }
     finish(job, JobOutcome.End.CANCELLED);
-    boolean waited = waiting.remove(job.order) != null;
-    if (!waited && !job.ending) {
+    if (waiting.remove(job.order) == null && !job.ending) {
       end(job, EndedAttempt.Result.STOPPED, Optional.empty(), 0);
     }
   }
