--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.fescuehook.bench.capacity.MeasureCapacity;
 import org.fescuehook.bench.policy.MeasurePolicy;
+import org.fescuehook.bench.proof.ProveCommand;
 import org.fescuehook.bench.tryout.TryCommand;
 
 /** Runs one measurement by its name. */
@@ -20,6 +21,8 @@
               MeasureCapacity::new,
               "policy",
               MeasurePolicy::new,
+              "prove",
+              ProveCommand::new,
               "try",
               TryCommand::new));
 
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/proof/GracefulStopsProof.java
@@ -0,0 +1,59 @@
+package org.fescuehook.bench.proof;
+
+import java.time.Duration;
+import java.util.OptionalInt;
+import org.fescuehook.bench.caller.CallerLoad;
+import org.fescuehook.bench.cluster.ChildProcess;
+import org.fescuehook.bench.cluster.EntryVm;
+import org.fescuehook.bench.tryout.TourCluster;
+
+/** VMs are stopped and replaced one after another while callers send at those that are ready. */
+final class GracefulStopsProof implements Proof {
+  private static final int STOPS = 20;
+  private static final long REQUESTS = 100;
+  private static final Duration LIMIT = Duration.ofSeconds(60);
+
+  @Override
+  public String name() {
+    return "graceful-stops";
+  }
+
+  @Override
+  public String promise() {
+    return "a planned stop cuts no request in flight";
+  }
+
+  @Override
+  public String failure() {
+    return STOPS + " stops by SIGTERM under load";
+  }
+
+  @Override
+  public void run(ProofCluster cluster, Evidence evidence) throws Exception {
+    long cut = 0;
+    for (int i = 0; i < STOPS; i++) {
+      cut += stopOne(cluster, i, evidence);
+    }
+    evidence.remark("stops: " + STOPS + ", requests not answered whole: " + cut);
+    evidence.expect("requests not answered whole", 0L, cut);
+  }
+
+  private static long stopOne(ProofCluster cluster, int round, Evidence evidence) throws Exception {
+    TourCluster tour = cluster.tour();
+    EntryVm leaving = tour.vm(0);
+    ChildProcess next = tour.processes().launchEntry("entry-next-" + round, 1 + round % 2);
+    CallerLoad load = cluster.startReadyLoad("stop-" + round);
+    load.awaitMore(REQUESTS);
+    leaving.process().terminate();
+    OptionalInt code = leaving.process().awaitExit(LIMIT);
+    evidence.expect("exit code of stop " + round, OptionalInt.of(0), code);
+    tour.vms().remove(leaving);
+    load.awaitMore(REQUESTS);
+    load.stop();
+    tour.processes().takeOffList(leaving);
+    EntryVm replacement = tour.processes().awaitEntry(next);
+    replacement.awaitReady(LIMIT);
+    tour.vms().add(replacement);
+    return load.sent().stream().filter(s -> !s.whole()).count();
+  }
+}
--- a/bench/src/main/java/org/fescuehook/bench/tryout/TourCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/tryout/TourCluster.java
@@ -21,7 +21,7 @@
 import org.fescuehook.standins.worker.WorkerEvent;
 
 /** The cluster of the tour, the entry VMs that are left of it, and what callers do with them. */
-final class TourCluster {
+public final class TourCluster {
   private static final Duration LIMIT = Duration.ofSeconds(20);
   private static final long REQUEST_TIMEOUT_MILLIS = 10_000;
   private static final int ACCEPTED = 202;
@@ -31,29 +31,34 @@
   private final CallerClient client;
   private final List<EntryVm> vms = new ArrayList<>();
 
-  TourCluster(ProcessCluster processes, CallerClient client) {
+  /** Creates the cluster around processes, with a client for requests. */
+  public TourCluster(ProcessCluster processes, CallerClient client) {
     this.processes = processes;
     this.client = client;
   }
 
-  ProcessCluster processes() {
+  /** Returns the processes. */
+  public ProcessCluster processes() {
     return processes;
   }
 
-  StandIns standIns() {
+  /** Returns the stand-ins. */
+  public StandIns standIns() {
     return processes.standIns();
   }
 
   /** Returns the VMs that are left. */
-  List<EntryVm> vms() {
+  public List<EntryVm> vms() {
     return vms;
   }
 
-  EntryVm vm(int index) {
+  /** Returns one of the VMs that are left. */
+  public EntryVm vm(int index) {
     return vms.get(index);
   }
 
-  void startVms(int count) throws ClusterException, InterruptedException {
+  /** Starts so many VMs and waits until they listen. */
+  public void startVms(int count) throws ClusterException, InterruptedException {
     List<ChildProcess> launched = new ArrayList<>();
     for (int i = 1; i <= count; i++) {
       launched.add(processes.launchEntry("entry-" + i, i));
@@ -72,7 +77,7 @@
   }
 
   /** Waits until each VM is ready and serves a request. */
-  void awaitService() throws ClusterException, InterruptedException {
+  public void awaitService() throws ClusterException, InterruptedException {
     for (EntryVm vm : vms) {
       vm.awaitReady(LIMIT);
       Waiting.until(
@@ -84,7 +89,7 @@
   }
 
   /** Starts callers of all VMs that are left; each request may run once at most. */
-  CallerLoad startLoad(String name, long runMillis) {
+  public CallerLoad startLoad(String name, long runMillis) {
     Map<String, String> headers = Map.of("Organisation", "bench");
     CallerLoad.Kind kind = new CallerLoad.Kind(name, 6, runMillis, headers);
     CallerLoad load = new CallerLoad(client, new ReadyBalancer(vms), kind);
@@ -93,7 +98,7 @@
   }
 
   /** Sends one request, of which the executor answers the body, which is the path. */
-  CallerOutcome.Answered send(EntryVm vm, String path, Map<String, String> headers)
+  public CallerOutcome.Answered send(EntryVm vm, String path, Map<String, String> headers)
       throws ClusterException {
     Map<String, String> all = new HashMap<>(headers);
     all.put("Organisation", "bench");
@@ -107,7 +112,7 @@
   }
 
   /** Submits a gang job and returns its id. */
-  String submit(EntryVm vm, int members, String command)
+  public String submit(EntryVm vm, int members, String command)
       throws ClusterException, InterruptedException {
     var answer = vm.jobs().post("/jobs", job(members, command));
     if (answer.status() != ACCEPTED) {
@@ -117,7 +122,7 @@
   }
 
   /** Returns the document of a submission. */
-  static Map<String, Object> job(int members, String command) {
+  public static Map<String, Object> job(int members, String command) {
     return Map.of(
         "organisation", "bench",
         "members", members,
@@ -130,13 +135,13 @@
   }
 
   /** Waits for the end of a job and returns its state then. */
-  String awaitEnd(EntryVm vm, String job) throws ClusterException, InterruptedException {
+  public String awaitEnd(EntryVm vm, String job) throws ClusterException, InterruptedException {
     var answer = vm.jobs().get("/jobs/" + job + "?wait-ms=" + LIMIT.toMillis());
     return answer.body().path("state").asText("no state: " + answer);
   }
 
   /** Returns how often a member of a job was started. */
-  long started(String job) throws ClusterException, InterruptedException {
+  public long started(String job) throws ClusterException, InterruptedException {
     return standIns().leaseEvents().stream()
         .filter(e -> e.job().equals(job) && e.kind() == WorkerEvent.Kind.STARTED)
         .count();
