Claims: a claim that loses keeps its id taken for another window

Ruled out: refusing ids at new VMs for a window (they would be of no use for an hour). Now each claim record extends the time of its key.

--- a/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/dispatch/ClaimBook.java
@@ -33,6 +33,10 @@
       long appendedMillis,
       Optional<RequestOutcome> outcome) {
 
+    private Claim at(long millis) {
+      return new Claim(writer, incarnation, token, digest, millis, outcome);
+    }
+
     private Claim with(RequestOutcome settled) {
       return new Claim(writer, incarnation, token, digest, appendedMillis, Optional.of(settled));
     }
@@ -97,8 +101,12 @@
             new RequestDigest(claim.getDigest()),
             logMillis,
             Optional.empty());
-    claims.putIfAbsent(claim.getKey(), fresh);
-    reader.claimRead(claim.getKey(), claim.getToken(), claims.get(claim.getKey()));
+    // Every claim of a key, also one that loses, keeps the key taken for another window. Else a VM
+    // that began reading after the first one vanished would let a later claim win than the others.
+    Optional<Claim> earlier = Optional.ofNullable(claims.remove(claim.getKey()));
+    Claim inForce = earlier.map(e -> e.at(logMillis)).orElse(fresh);
+    claims.put(claim.getKey(), inForce);
+    reader.claimRead(claim.getKey(), claim.getToken(), inForce);
   }
 
   private void fold(RequestOutcome outcome, Reader reader) {
