--- a/standins/src/test/java/org/fescuehook/standins/worker/LeaseBookTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/worker/LeaseBookTest.java
@@ -84,6 +84,18 @@
         List.of(new Finding(Fault.PARTIAL, "j.1", 50, "40 ms")), GangAudit.check(events, 4, 39));
   }
 
+  @Test
+  void auditFindsAWorkerThatHeldMoreThanItHas() {
+    List<WorkerEvent> forged =
+        List.of(
+            new WorkerEvent(0, "w", WorkerEvent.Kind.GRANTED, "a", "j.1/0", "", 3),
+            new WorkerEvent(7, "w", WorkerEvent.Kind.GRANTED, "b", "j.2/0", "", 2));
+
+    assertEquals(List.of(), GangAudit.check(forged, 5, 0));
+    assertEquals(
+        List.of(new Finding(Fault.OVERBOOKED, "w", 7, "5 held")), GangAudit.check(forged, 4, 0));
+  }
+
   private Lease grant(long now, String key) {
     return book.grant(now, key, TWO, 100).orElseThrow();
   }
