--- a/bench/src/main/java/org/fescuehook/bench/policy/MeasurePolicy.java
+++ b/bench/src/main/java/org/fescuehook/bench/policy/MeasurePolicy.java
@@ -79,7 +79,8 @@
     for (Future<PolicyRun> f : futures) {
       runs.add(f.get());
     }
-    PolicyRun ours = runs.stream().filter(r -> r.contender().equals(Contender.OURS)).findFirst().get();
+    PolicyRun ours =
+        runs.stream().filter(r -> r.contender().equals(Contender.OURS)).findFirst().get();
     Reference reference = Reference.of(ours.trace(), ours);
     notes.add(table.describe(name, ours.trace(), reference));
     for (PolicyRun run : runs) {
