--- a/bench/src/main/java/org/fescuehook/bench/proof/GracefulStopsProof.java
+++ b/bench/src/main/java/org/fescuehook/bench/proof/GracefulStopsProof.java
@@ -61,7 +61,7 @@
     load.stop();
     tour.processes().takeOffList(leaving);
     EntryVm replacement = tour.processes().awaitEntry(next);
-    replacement.awaitReady(LIMIT);
+    cluster.awaitReady(replacement);
     tour.vms().add(replacement);
     List<Sent> others = load.sent().stream().filter(s -> !s.whole()).toList();
     others.forEach(s -> evidence.remark(describe(round, s, leaving)));
--- a/bench/src/main/java/org/fescuehook/bench/proof/ProofCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/proof/ProofCluster.java
@@ -58,11 +58,21 @@
             Optional.of(first.publish(NO_REVISION, "ana", declarations))
                 .filter(a -> a.status() == OK));
     for (EntryVm vm : tour.vms()) {
-      vm.awaitReady(LIMIT);
+      awaitReady(vm);
     }
     tour.awaitService();
   }
 
+  /** Waits until a VM is ready; one that stays unready is told with its reason. */
+  void awaitReady(EntryVm vm) throws ClusterException, InterruptedException {
+    try {
+      vm.awaitReady(LIMIT);
+    } catch (ClusterException e) {
+      String reason = vm.operator().get("/readyz").toString();
+      throw new ClusterException("become ready", vm.name(), reason);
+    }
+  }
+
   Rotation rotation() {
     return new Rotation(tour.vms());
   }
