Graceful stop: wait until nothing has been in flight for a while

Ruled out: a request cut in flight (the connection was a reused one). Now the stop goes on after 1.5 s without a request in flight, above the idle time after which a drain closes a connection.

--- a/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
@@ -19,6 +19,7 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(GracefulStop.class);
   private static final Duration IN_FLIGHT_CHECK = Duration.ofMillis(10);
+  private static final Duration QUIET = Duration.ofMillis(1500);
   private static final Duration HAND_OVER_LIMIT = Duration.ofSeconds(5);
 
   private final MembershipPreferences preferences;
@@ -47,21 +48,33 @@
     handOver();
   }
 
+  /**
+   * Waits until nothing has been in flight for a while: a kept-alive connection between two
+   * requests is told to close by its next answer, or is closed once it is idle.
+   */
   private void awaitAnswers() throws InterruptedException {
     long deadline = System.nanoTime() + preferences.drainLimit().toNanos();
-    while (requests.inFlight() > 0) {
+    long quietSince = System.nanoTime();
+    while (System.nanoTime() - quietSince < QUIET.toNanos()) {
+      int inFlight = requests.inFlight();
       if (System.nanoTime() - deadline >= 0) {
-        EventLog.warn(
-            LOGGER,
-            EntryEvent.DRAIN_LIMIT,
-            preferences.drainLimit().toMillis(),
-            requests.inFlight());
+        warnOfLimit(inFlight);
         return;
       }
+      if (inFlight > 0) {
+        quietSince = System.nanoTime();
+      }
       pause(IN_FLIGHT_CHECK);
     }
   }
 
+  private void warnOfLimit(int inFlight) {
+    if (inFlight > 0) {
+      EventLog.warn(
+          LOGGER, EntryEvent.DRAIN_LIMIT, preferences.drainLimit().toMillis(), inFlight);
+    }
+  }
+
   private void handOver() throws InterruptedException {
     CompletableFuture<ControlPort.Answer> done = new CompletableFuture<>();
     if (!control.offer(new ControlPort.Request.HandOver(), done::complete)) {
