--- a/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/GracefulStop.java
@@ -70,8 +70,7 @@
 
   private void warnOfLimit(int inFlight) {
     if (inFlight > 0) {
-      EventLog.warn(
-          LOGGER, EntryEvent.DRAIN_LIMIT, preferences.drainLimit().toMillis(), inFlight);
+      EventLog.warn(LOGGER, EntryEvent.DRAIN_LIMIT, preferences.drainLimit().toMillis(), inFlight);
     }
   }
 
