Scheduler: the contract says that a policy may remember its decisions

Cause: the policy keeps which attempts it stopped for urgent jobs, so the same view alone no longer gives the same plan; the comment said it does.

--- a/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Scheduler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/scheduling/Scheduler.java
@@ -10,7 +10,11 @@
 import org.fescuehook.model.job.JobId;
 import org.fescuehook.model.job.Placement;
 
-/** A scheduling policy. Pure: the same view gives the same plan. */
+/**
+ * A scheduling policy. Deterministic: the same views in the same order give the same plans. It has
+ * no clock and no randomness, but may remember what it decided, so each decision thread has its
+ * own.
+ */
 public interface Scheduler {
 
   /** Decides what to do now. */
