Readiness: every reason stands in the enum NotReady

Cause: the reasons 'opening' and 'decisions-halted' were literals in VmState beside the enum that names the others. The words on the wire are the same.

--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -145,7 +145,7 @@
       return Optional.of(NotReady.DRAINING.slug());
     }
     Optional<String> unfit = unfit();
-    return unfit.isEmpty() && !open ? Optional.of("opening") : unfit;
+    return unfit.isEmpty() && !open ? Optional.of(NotReady.OPENING.slug()) : unfit;
   }
 
   /**
@@ -154,7 +154,7 @@
    */
   Optional<String> unfit() {
     if (halted) {
-      return Optional.of("decisions-halted");
+      return Optional.of(NotReady.DECISIONS_HALTED.slug());
     }
     Readiness.Facts facts =
         new Readiness.Facts(
--- a/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/Readiness.java
@@ -50,6 +50,10 @@
   public enum NotReady {
     /** It is stopping. */
     DRAINING("draining"),
+    /** Its decision core met a fault of the program. */
+    DECISIONS_HALTED("decisions-halted"),
+    /** All is there, but its service port does not take requests yet. */
+    OPENING("opening"),
     /** It has no configuration. */
     NO_CONFIGURATION("no-configuration"),
     /** It has no share of the executors' slots, or does not know its share. */
