--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
@@ -13,6 +13,8 @@
 import org.fescuehook.cli.command.JobCancelCommand;
 import org.fescuehook.cli.command.JobShowCommand;
 import org.fescuehook.cli.command.ReplayCommand;
+import org.fescuehook.cli.command.SchedulerCommand;
+import org.fescuehook.cli.command.SchedulerStarter;
 import org.fescuehook.cli.command.SettingsCheckCommand;
 import org.fescuehook.cli.command.SettingsExampleCommand;
 import org.fescuehook.cli.command.StatusCommand;
@@ -24,9 +26,13 @@
   private CommandCatalogue() {}
 
   /** Returns the commands in the order of the help text. */
-  static List<CommandSpec> commands(EntryStarter starter) {
+  static List<CommandSpec> commands(EntryStarter starter, SchedulerStarter scheduler) {
     return List.of(
         new CommandSpec("entry", "run an entry VM", () -> new EntryCommand(starter)),
+        new CommandSpec(
+            "scheduler",
+            "run a VM that schedules batch jobs",
+            () -> new SchedulerCommand(scheduler)),
         new CommandSpec("settings check", "check a settings file", SettingsCheckCommand::new),
         new CommandSpec(
             "settings example",
--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandRunner.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandRunner.java
@@ -11,6 +11,7 @@
 import org.fescuehook.cli.command.Console;
 import org.fescuehook.cli.command.EntryStarter;
 import org.fescuehook.cli.command.ExitCode;
+import org.fescuehook.cli.command.SchedulerStarter;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.ParserProperties;
@@ -24,8 +25,8 @@
   private final List<CommandSpec> commands;
 
   /** Creates a runner. */
-  public CommandRunner(EntryStarter starter) {
-    this.commands = CommandCatalogue.commands(starter);
+  public CommandRunner(EntryStarter starter, SchedulerStarter scheduler) {
+    this.commands = CommandCatalogue.commands(starter, scheduler);
   }
 
   /** Runs the command; never throws for a fault of the user. */
--- a/fescuehook/src/main/java/org/fescuehook/cli/Main.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/Main.java
@@ -1,12 +1,15 @@
 package org.fescuehook.cli;
 
+import java.io.IOException;
 import org.fescuehook.cli.command.CommandException;
 import org.fescuehook.cli.command.Console;
 import org.fescuehook.cli.command.ExitCode;
 import org.fescuehook.entry.EntryProcess;
 import org.fescuehook.entry.ParsedDeclarations;
+import org.fescuehook.entry.scheduler.SchedulerProcess;
 import org.fescuehook.logic.scheduling.GuaranteeScheduler;
 import org.fescuehook.model.preferences.EntryPreferences;
+import org.fescuehook.model.preferences.SchedulerPreferences;
 
 /** Entry point of the program. */
 public final class Main {
@@ -16,7 +19,8 @@
   /** Runs the command that the arguments name and ends the process with its exit code. */
   public static void main(String[] arguments) {
     Console console = new Console(System.out, System.err, System.getenv());
-    System.exit(new CommandRunner(Main::runEntry).run(arguments, console).code());
+    System.exit(
+        new CommandRunner(Main::runEntry, Main::runScheduler).run(arguments, console).code());
   }
 
   private static ExitCode runEntry(EntryPreferences preferences) throws CommandException {
@@ -27,4 +31,13 @@
     }
     return ExitCode.DONE;
   }
+
+  private static ExitCode runScheduler(SchedulerPreferences preferences) throws CommandException {
+    try {
+      new SchedulerProcess(preferences).run();
+    } catch (IOException e) {
+      throw new CommandException(ExitCode.INTERNAL, "start failed: " + e.getMessage());
+    }
+    return ExitCode.DONE;
+  }
 }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -0,0 +1,103 @@
+package org.fescuehook.entry.scheduler;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchCore;
+import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.ownership.OwnerRecord;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.net.duty.DutyRing;
+import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.PlatformStore;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The decision thread: applies events to the core and carries out its commands. */
+final class BatchDuty implements DutyRing.Handler<BatchRing.Item> {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(BatchDuty.class);
+
+  private final BatchCore core;
+  private final PlatformStore store;
+  private final ExecutorClient executors;
+  private final MeterRegistry meters;
+  private final Consumer<OwnerView> views;
+  private final Map<Long, Consumer<CallAnswer>> open = new HashMap<>();
+  private OwnerView view = OwnerView.NONE;
+
+  BatchDuty(
+      BatchCore core,
+      PlatformStore store,
+      ExecutorClient executors,
+      MeterRegistry meters,
+      Consumer<OwnerView> views) {
+    this.core = core;
+    this.store = store;
+    this.executors = executors;
+    this.meters = meters;
+    this.views = views;
+  }
+
+  @Override
+  public void accept(BatchRing.Item item) {
+    switch (item) {
+      case BatchRing.Item.Happened(BatchEvent event) -> apply(event);
+      case BatchRing.Item.Asked(long ticket, var call, var sink) -> {
+        open.put(ticket, sink);
+        apply(new BatchEvent.Called(ticket, call));
+      }
+    }
+  }
+
+  @Override
+  public void idle() {
+    apply(new BatchEvent.Tick());
+  }
+
+  private void apply(BatchEvent event) {
+    try {
+      core.apply(event, System.nanoTime(), System.currentTimeMillis()).forEach(this::carryOut);
+    } catch (RuntimeException e) {
+      EventLog.error(LOGGER, SchedulerEvent.DECISION_FAULT, event.getClass().getSimpleName(), e);
+    }
+    publishView();
+  }
+
+  private void carryOut(BatchCommand command) {
+    switch (command) {
+      case BatchCommand.Answer(long ticket, CallAnswer answer) ->
+          Optional.ofNullable(open.remove(ticket)).ifPresent(sink -> sink.accept(answer));
+      case BatchCommand.Append append -> store.append(append);
+      case BatchCommand.LoadState(var afterKey) -> store.loadState(afterKey);
+      case BatchCommand.FollowExecutors(boolean following) -> follow(following);
+      case BatchCommand.Order order -> executors.send(order);
+      case BatchCommand.ForgetExecutor(var id) -> executors.forget(id);
+      case BatchCommand.Note(var event, var arguments) ->
+          EventLog.info(LOGGER, event, arguments.toArray());
+      case BatchCommand.Count(String metric, String tag, String value) ->
+          meters.counter(metric, tag, value).increment();
+    }
+  }
+
+  private void follow(boolean following) {
+    store.followExecutors(following);
+    if (!following) {
+      executors.forgetAll();
+    }
+  }
+
+  private void publishView() {
+    OwnerView now =
+        new OwnerView(
+            core.deciding(), core.ownerRecord().map(OwnerRecord::address), core.handedOver());
+    if (!now.equals(view)) {
+      view = now;
+      views.accept(now);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -0,0 +1,116 @@
+package org.fescuehook.entry.scheduler;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.ini.Addresses;
+import org.fescuehook.logic.ini.MalformedValueException;
+import org.fescuehook.net.batch.CallLink;
+import org.fescuehook.net.batch.CallPort;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Brings callers' calls to the owner: this VM, or another one over a link. */
+final class CallGateway implements CallPort {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(CallGateway.class);
+
+  /** Longest time to an answer; callers wait about 3 s and may ask again after it. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1700);
+
+  /** When callers come back while there is no owner; a take-over lasts some 3 s. */
+  private static final long COME_BACK_MILLIS = 1000;
+
+  private final EventLoop loop;
+  private final BatchRing ring;
+  private final MeterRegistry meters;
+  private volatile OwnerView view = OwnerView.NONE;
+  private volatile Optional<CallLink> link = Optional.empty();
+
+  CallGateway(EventLoop loop, BatchRing ring, MeterRegistry meters) {
+    this.loop = loop;
+    this.ring = ring;
+    this.meters = meters;
+  }
+
+  OwnerView view() {
+    return view;
+  }
+
+  /** Takes a newer view; called by the decision thread only. */
+  void update(OwnerView newer) {
+    boolean moved = !newer.address().equals(view.address()) || newer.deciding() != view.deciding();
+    view = newer;
+    if (moved) {
+      link.ifPresent(CallLink::close);
+      link = newer.deciding() ? Optional.empty() : newer.address().flatMap(this::linkTo);
+    }
+  }
+
+  private Optional<CallLink> linkTo(String address) {
+    try {
+      InetSocketAddress owner = Addresses.fromPort(1).reader().read(address);
+      return Optional.of(new CallLink(loop, owner));
+    } catch (MalformedValueException e) {
+      EventLog.warn(LOGGER, SchedulerEvent.NOT_READY, "owner address " + address);
+      return Optional.empty();
+    }
+  }
+
+  @Override
+  public void call(BatchCall call, Consumer<CallAnswer> sink) {
+    Consumer<CallAnswer> once = once(call, sink);
+    loop.schedule(
+        () -> once.accept(new CallAnswer.Undecided(UndecidedCause.STORE_SILENT)),
+        ANSWER_TIMEOUT.toMillis(),
+        TimeUnit.MILLISECONDS);
+    if (view.deciding()) {
+      ring.call(call, once);
+      return;
+    }
+    Optional<CallLink> owner = link;
+    if (owner.isPresent()) {
+      owner.get().call(call, once);
+      return;
+    }
+    once.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS));
+  }
+
+  /** Lets the first answer through and drops others, which come after the timeout. */
+  private Consumer<CallAnswer> once(BatchCall call, Consumer<CallAnswer> sink) {
+    AtomicBoolean answered = new AtomicBoolean();
+    long start = System.nanoTime();
+    return answer -> {
+      if (answered.compareAndSet(false, true)) {
+        note(call, answer, System.nanoTime() - start);
+        sink.accept(answer);
+      }
+    };
+  }
+
+  private void note(BatchCall call, CallAnswer answer, long nanos) {
+    String outcome = answer.getClass().getSimpleName();
+    Timer.builder("fescuehook.batch.calls")
+        .tag("call", call.getClass().getSimpleName())
+        .tag("outcome", outcome)
+        .register(meters)
+        .record(nanos, TimeUnit.NANOSECONDS);
+    boolean unusual =
+        answer instanceof CallAnswer.Refused || answer instanceof CallAnswer.Undecided;
+    if (unusual) {
+      EventLog.info(
+          LOGGER, SchedulerEvent.CALL_ANSWERED, call, answer, TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -0,0 +1,184 @@
+package org.fescuehook.entry.scheduler;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fescuehook.logic.batch.BatchCore;
+import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.ownership.OwnerIdentity;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.ini.Addresses;
+import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.net.batch.CallServer;
+import org.fescuehook.platform.CallerEdge;
+import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.PlatformStore;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A VM that schedules batch jobs: all its parts, their start and their graceful stop. */
+public final class SchedulerProgram {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(SchedulerProgram.class);
+
+  /** Longest pause of the decisions; leases and heartbeats are given in steps of it. */
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  /**
+   * How long a stopping VM goes on taking connections: the balancer asks once a second and gives up
+   * after two misses.
+   */
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(2300);
+
+  /** Longest graceful stop; the platform kills after 6 s. */
+  private static final Duration STOP_LIMIT = Duration.ofMillis(5000);
+
+  private static final Duration STOP_CHECK = Duration.ofMillis(20);
+  private static final Duration RING_END = Duration.ofMillis(200);
+
+  private final SchedulerPreferences preferences;
+  private final String incarnation = UUID.randomUUID().toString().substring(0, 13);
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(
+          1, new DefaultThreadFactory("net", true), NioIoHandler.newFactory());
+  private final BatchRing ring;
+  private final CallGateway gateway;
+  private final CallerEdge callers;
+  private final CallServer peers;
+  private final StatusServer readiness;
+  private final StatusServer metrics;
+  private final PlatformStore store;
+  private final BatchDuty decisions;
+  private final AtomicBoolean stopBegun = new AtomicBoolean();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private volatile boolean configured;
+
+  /** Composes a VM; nothing is opened and no thread runs yet. */
+  public SchedulerProgram(SchedulerPreferences preferences) {
+    this.preferences = preferences;
+    EventLoop loop = loops.next();
+    this.ring = new BatchRing(TICK, meters);
+    this.gateway = new CallGateway(loop, ring, meters);
+    this.callers = new CallerEdge(loops, gateway);
+    this.peers = new CallServer(loops, ring);
+    this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
+    this.metrics =
+        new StatusServer(
+            loops, Map.of("/metrics", () -> new StatusServer.Page(true, meters.scrape())));
+    this.store =
+        new PlatformStore(
+            loop,
+            preferences.addresses().store(),
+            ring::publish,
+            routes -> {
+              callers.route(routes);
+              configured = true;
+            });
+    ExecutorClient executors =
+        new ExecutorClient(
+            loop,
+            (id, number, outcome) -> ring.publish(new BatchEvent.OrderEnded(id, number, outcome)));
+    OwnerIdentity self =
+        new OwnerIdentity(
+            preferences.identity().vm(),
+            incarnation,
+            Addresses.format(preferences.addresses().peers()));
+    BatchCore core = new BatchCore(self, preferences.batch());
+    this.decisions = new BatchDuty(core, store, executors, meters, gateway::update);
+  }
+
+  /**
+   * Opens the ports and starts the threads.
+   *
+   * @throws IOException if a port cannot be opened
+   */
+  public void start() throws IOException {
+    SchedulerPreferences.Addresses addresses = preferences.addresses();
+    peers.start(addresses.peers());
+    readiness.start(addresses.readiness());
+    metrics.start(addresses.metrics());
+    callers.start(addresses.callers());
+    ring.start(decisions);
+    store.start();
+    EventLog.info(
+        LOGGER,
+        SchedulerEvent.STARTED,
+        preferences.identity().vm(),
+        incarnation,
+        addresses.callers(),
+        addresses.peers(),
+        addresses.store(),
+        ManagementFactory.getRuntimeMXBean().getUptime());
+  }
+
+  private StatusServer.Page ready() {
+    if (stopBegun.get()) {
+      return new StatusServer.Page(false, "stopping");
+    }
+    if (!configured) {
+      return new StatusServer.Page(false, "no configuration");
+    }
+    OwnerView view = gateway.view();
+    boolean served = view.deciding() || view.address().isPresent();
+    return new StatusServer.Page(served, served ? "ready" : "no owner");
+  }
+
+  /** Stops gracefully; blocks until all is done. A second call waits for the first. */
+  public void stop() throws InterruptedException {
+    if (!stopBegun.compareAndSet(false, true)) {
+      stopped.await();
+      return;
+    }
+    long start = System.nanoTime();
+    EventLog.info(LOGGER, SchedulerEvent.STOP_BEGAN);
+    callers.beginClose();
+    ring.publish(new BatchEvent.StopBegun());
+    awaitUntil(start, BALANCER_DELAY, () -> false);
+    callers.stopListening();
+    awaitUntil(start, STOP_LIMIT, () -> callers.inFlight() == 0 && gateway.view().handedOver());
+    long millis = Duration.ofNanos(System.nanoTime() - start).toMillis();
+    EventLog.info(LOGGER, SchedulerEvent.STOPPED, millis, callers.inFlight());
+    close();
+    stopped.countDown();
+  }
+
+  private void awaitUntil(long start, Duration limit, Condition condition)
+      throws InterruptedException {
+    while (System.nanoTime() - start < limit.toNanos() && !condition.holds()) {
+      stopped.await(STOP_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void close() {
+    ring.stop(RING_END);
+    store.stop();
+    peers.close();
+    readiness.close();
+    metrics.close();
+    loops.shutdownGracefully(0, RING_END.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Waits until the graceful stop has ended. */
+  public void awaitStop() throws InterruptedException {
+    stopped.await();
+  }
+
+  @FunctionalInterface
+  private interface Condition {
+    boolean holds();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/StatusServer.java
@@ -0,0 +1,118 @@
+package org.fescuehook.entry.scheduler;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** Serves a few short texts, such as readiness or metrics, by HTTP GET. */
+final class StatusServer {
+
+  private static final int MAX_REQUEST_BYTES = 8 << 10;
+  private static final int IDLE_SECONDS = 30;
+
+  private final EventLoopGroup loops;
+  private final Map<String, Supplier<Page>> pages;
+  private Optional<Channel> listening = Optional.empty();
+
+  /** A page and whether it is served with success. */
+  record Page(boolean success, String text) {}
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param pages the pages by path
+   */
+  StatusServer(EventLoopGroup loops, Map<String, Supplier<Page>> pages) {
+    this.loops = loops;
+    this.pages = Map.copyOf(pages);
+  }
+
+  InetSocketAddress start(InetSocketAddress address) throws IOException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new Initializer())
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot bind " + address, bound.cause());
+    }
+    listening = Optional.of(bound.channel());
+    return (InetSocketAddress) bound.channel().localAddress();
+  }
+
+  void close() {
+    listening.ifPresent(Channel::close);
+  }
+
+  private FullHttpResponse answer(String path) {
+    Supplier<Page> found = pages.get(path);
+    if (found == null) {
+      return response(HttpResponseStatus.NOT_FOUND, "no such page");
+    }
+    Page page = found.get();
+    HttpResponseStatus status =
+        page.success() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
+    return response(status, page.text());
+  }
+
+  private static FullHttpResponse response(HttpResponseStatus status, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(bytes));
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+    HttpUtil.setContentLength(response, bytes.length);
+    return response;
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    @Override
+    protected void initChannel(SocketChannel opened) {
+      opened
+          .pipeline()
+          .addLast(new ReadTimeoutHandler(IDLE_SECONDS))
+          .addLast(new HttpServerCodec())
+          .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+          .addLast(new RequestHandler());
+    }
+  }
+
+  private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      context.writeAndFlush(answer(request.uri()));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      // An idle or broken connection of the balancer; it opens another one.
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -0,0 +1,235 @@
+package org.fescuehook.logic.batch;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.ownership.OwnerIdentity;
+import org.fescuehook.logic.batch.ownership.OwnerRecord;
+import org.fescuehook.logic.batch.ownership.OwnershipDuty;
+import org.fescuehook.logic.batch.state.JobBook;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.BatchPreferences;
+
+/**
+ * Decides about batch jobs: while this VM owns them it stores and orders, else it watches the
+ * owner. Single-threaded and without clock or network: the same events at the same times give the
+ * same commands.
+ */
+public final class BatchCore {
+
+  /** When callers come back while no VM decides; a take-over lasts some 3 s. */
+  private static final long COME_BACK_MILLIS = 1000;
+
+  /** Age of the store's last word up to which this owner may say that a job does not exist. */
+  private static final long CURRENT_NANOS = Duration.ofMillis(1800).toNanos();
+
+  /** How long a stopping owner waits for what is on its way to the store. */
+  private static final long STOP_WAIT_NANOS = Duration.ofMillis(1500).toNanos();
+
+  private final BatchPreferences preferences;
+  private final OwnershipDuty ownership;
+  private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
+  private boolean executorsRead;
+  private Optional<BatchConfiguration> configuration = Optional.empty();
+  private Optional<Takeover> takeover = Optional.empty();
+  private Optional<BatchOwner> owner = Optional.empty();
+  private OptionalLong stoppingSince = OptionalLong.empty();
+  private boolean retired;
+
+  /** Creates a core that has read nothing. */
+  public BatchCore(OwnerIdentity self, BatchPreferences preferences) {
+    this.preferences = preferences;
+    this.ownership = new OwnershipDuty(self);
+  }
+
+  /**
+   * Applies one event.
+   *
+   * @param nowNanos monotonic time
+   * @param wallMillis milliseconds since 1970
+   * @return what is to be done, in order
+   */
+  public List<BatchCommand> apply(BatchEvent event, long nowNanos, long wallMillis) {
+    BatchTurn turn = new BatchTurn(nowNanos, wallMillis);
+    take(event, turn);
+    step(turn);
+    return turn.commands();
+  }
+
+  /** Returns the owner's newest record; absent while there is no owner. */
+  public Optional<OwnerRecord> ownerRecord() {
+    return ownership.owner();
+  }
+
+  /** Tells whether this VM decides. */
+  public boolean deciding() {
+    return owner.isPresent();
+  }
+
+  /** Tells whether a stop has handed ownership over, or had none. */
+  public boolean handedOver() {
+    return retired && ownership.epoch().isEmpty();
+  }
+
+  private void take(BatchEvent event, BatchTurn turn) {
+    switch (event) {
+      case BatchEvent.Called(long ticket, BatchCall call) -> called(ticket, call, turn);
+      case BatchEvent.ConfigurationRead(var newer) -> configure(newer, turn);
+      case BatchEvent.Appended(var stream, var position, var outcome) ->
+          appended(stream, position, outcome, turn);
+      case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, turn);
+      case BatchEvent.OwnershipUnreadable unreadable -> ownership.unreadable(turn);
+      case BatchEvent.StateRead(var records, var more) ->
+          takeover.ifPresent(loading -> loading.read(records, more));
+      case BatchEvent.StateUnreadable unreadable ->
+          takeover.ifPresent(loading -> loading.unreadable(turn));
+      case BatchEvent.ExecutorSeen(var profile) -> seen(profile, turn);
+      case BatchEvent.ExecutorUnlisted(var id) -> unlisted(id);
+      case BatchEvent.ExecutorsListed(var profiles) -> listed(profiles, turn);
+      case BatchEvent.OrderEnded(var id, long number, var outcome) ->
+          owner.ifPresent(owning -> owning.orderEnded(id, number, outcome, turn));
+      case BatchEvent.StopBegun begun -> {
+        stoppingSince = OptionalLong.of(turn.nowNanos());
+        owner.ifPresent(BatchOwner::beginStop);
+      }
+      case BatchEvent.Tick tick -> owner.ifPresent(BatchOwner::timePassed);
+    }
+  }
+
+  private void called(long ticket, BatchCall call, BatchTurn turn) {
+    if (owner.isEmpty()) {
+      turn.count("fescuehook.batch.refused", "cause", RefusalCause.NOT_OWNER.tag());
+      CallAnswer refused = new CallAnswer.Refused(RefusalCause.NOT_OWNER, COME_BACK_MILLIS);
+      turn.add(new BatchCommand.Answer(ticket, refused));
+      return;
+    }
+    long seenAt = ownership.confirmedAt().orElse(turn.nowNanos() - CURRENT_NANOS);
+    boolean current = turn.nowNanos() - seenAt < CURRENT_NANOS;
+    owner.get().called(ticket, call, current, turn);
+  }
+
+  private void configure(BatchConfiguration newer, BatchTurn turn) {
+    boolean known = configuration.filter(old -> old.version() >= newer.version()).isPresent();
+    if (known) {
+      return;
+    }
+    configuration = Optional.of(newer);
+    turn.note(
+        BatchLogEvent.CONFIGURATION_IN_FORCE,
+        newer.version(),
+        newer.queues().size(),
+        newer.holders().size());
+    owner.ifPresent(owning -> owning.configure(newer));
+  }
+
+  private void appended(
+      StreamName stream, WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
+    if (stream == StreamName.OWNERSHIP) {
+      ownership.answered(position, outcome, turn);
+      return;
+    }
+    owner.ifPresent(owning -> owning.appended(position, outcome, turn));
+    boolean lost =
+        takeover.filter(loading -> !loading.answered(position, outcome, turn)).isPresent();
+    if (lost) {
+      ownership.abandon("the jobs' stream has a higher epoch", turn);
+    }
+  }
+
+  private void seen(ExecutorProfile profile, BatchTurn turn) {
+    listed.put(profile.id(), profile);
+    owner.ifPresent(owning -> owning.seen(profile, turn));
+  }
+
+  private void unlisted(ExecutorId id) {
+    listed.remove(id);
+    owner.ifPresent(owning -> owning.unlisted(id));
+  }
+
+  private void listed(List<ExecutorProfile> profiles, BatchTurn turn) {
+    List<ExecutorId> before = List.copyOf(listed.keySet());
+    listed.clear();
+    executorsRead = true;
+    profiles.forEach(profile -> seen(profile, turn));
+    before.stream().filter(id -> !listed.containsKey(id)).forEach(this::unlisted);
+  }
+
+  private void step(BatchTurn turn) {
+    if (owner.filter(BatchOwner::fenced).isPresent()) {
+      ownership.abandon("fenced", turn);
+    }
+    retireIfStopping(turn);
+    ownership.step(turn);
+    followOwnership(turn);
+    takeover.ifPresent(loading -> loading.step(turn));
+    beginIfLoaded(turn);
+    if (owner.isPresent()) {
+      owner.get().step(ownership.confirmedAt().orElse(turn.nowNanos()), turn);
+    }
+  }
+
+  private void retireIfStopping(BatchTurn turn) {
+    if (stoppingSince.isEmpty() || retired) {
+      return;
+    }
+    boolean settled = owner.map(BatchOwner::settled).orElse(true);
+    if (settled || turn.nowNanos() - stoppingSince.getAsLong() > STOP_WAIT_NANOS) {
+      retired = true;
+      ownership.retire(turn);
+    }
+  }
+
+  private void followOwnership(BatchTurn turn) {
+    OptionalLong epoch = retired ? OptionalLong.empty() : ownership.epoch();
+    boolean working = takeover.isPresent() || owner.isPresent();
+    if (epoch.isEmpty() && working) {
+      takeover = Optional.empty();
+      owner.ifPresent(owning -> owning.close(turn));
+      owner = Optional.empty();
+      executorsRead = false;
+      listed.clear();
+      turn.add(new BatchCommand.FollowExecutors(false));
+      return;
+    }
+    if (epoch.isPresent() && !working) {
+      takeover = Optional.of(new Takeover(epoch.getAsLong(), turn));
+      turn.add(new BatchCommand.FollowExecutors(true));
+    }
+  }
+
+  private void beginIfLoaded(BatchTurn turn) {
+    boolean loaded = takeover.filter(Takeover::loaded).isPresent();
+    if (!loaded || !executorsRead || configuration.isEmpty()) {
+      return;
+    }
+    Takeover done = takeover.get();
+    takeover = Optional.empty();
+    JobBook book = done.book(turn);
+    turn.note(
+        BatchLogEvent.OWNING,
+        done.epoch(),
+        book.openJobs().size(),
+        Takeover.inheritedRuns(book).size(),
+        (turn.nowNanos() - done.startedAt()) / 1_000_000);
+    owner =
+        Optional.of(
+            new BatchOwner(
+                done.epoch(),
+                preferences,
+                book,
+                configuration.get(),
+                List.copyOf(listed.values()),
+                turn));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -0,0 +1,67 @@
+package org.fescuehook.logic.batch;
+
+import org.fescuehook.model.event.NumberedEvent;
+
+/** Log events of the decisions about batch jobs. */
+public enum BatchLogEvent implements NumberedEvent {
+  /** The newest record of ownership is of another epoch than the one before. */
+  OWNER_SEEN(8000, "Owner is {} at epoch {} by its {}"),
+  /** This VM's claim counts. */
+  OWNERSHIP_WON(8001, "Ownership won at epoch {}"),
+  /** This VM owns no longer. */
+  OWNERSHIP_LOST(8002, "Ownership of epoch {} lost: {}"),
+  /** The jobs are loaded and decisions begin. */
+  OWNING(8003, "Deciding since epoch {}: {} open jobs, {} live runs, loaded in {} ms"),
+  /** A newer configuration is in force. */
+  CONFIGURATION_IN_FORCE(8004, "Configuration {} in force: {} queues, {} organisations"),
+  /** A job is stored. */
+  JOB_ACCEPTED(8010, "Job {} accepted: queue {} organisation {} steps {} work {} core-s"),
+  /** A submission was not taken. */
+  JOB_REFUSED(8011, "Job {} refused: {}, come back after {} ms"),
+  /** What became of a submission is not known. */
+  JOB_UNDECIDED(8012, "Job {} undecided: {}"),
+  /** A job reached its final state. */
+  JOB_ENDED(8013, "Job {} ended {} after {} ms"),
+  /** A run was placed and its start is being stored. */
+  RUN_PLACED(8020, "Run {} placed on {}: {}"),
+  /** An executor took a run. */
+  RUN_STARTED(8021, "Run {} started on {} after {} ms"),
+  /** A run was told to stop. */
+  RUN_STOPPING(8022, "Run {} on {} is stopped: {}"),
+  /** A run has ended. */
+  RUN_ENDED(8023, "Run {} on {} ended {} at {} percent after {} ms"),
+  /** A run is known not to be alive although no end was seen. */
+  RUN_LOST(8024, "Run {} on {} lost: {}"),
+  /** An executor runs what the owner does not know. */
+  RUN_UNKNOWN(8025, "Run {} on {} is not wanted and is stopped"),
+  /** An executor can be reached. */
+  EXECUTOR_REACHED(8030, "Executor {} reached, {} runs there"),
+  /** An executor does not answer. */
+  EXECUTOR_SILENT(8031, "Executor {} silent: {}, {} runs there, leases end in {} ms"),
+  /** An executor is about to leave. */
+  EXECUTOR_LEAVING(8032, "Executor {} is leaving, {} runs there"),
+  /** An executor is gone. */
+  EXECUTOR_GONE(8033, "Executor {} gone: {}, {} runs lost"),
+  /** An executor gets nothing new for a while. */
+  EXECUTOR_RESTED(8034, "Executor {} rests for {} ms: {}"),
+  /** A stored record cannot be read. */
+  RECORD_UNREADABLE(8040, "Record {} cannot be read: {}");
+
+  private final int number;
+  private final String format;
+
+  BatchLogEvent(int number, String format) {
+    this.number = number;
+    this.format = format;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public String format() {
+    return format;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -0,0 +1,375 @@
+package org.fescuehook.logic.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.plan.PlanDuty;
+import org.fescuehook.logic.batch.state.JobBook;
+import org.fescuehook.logic.batch.state.JobCodec;
+import org.fescuehook.logic.batch.state.JobDuty;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.OpenJob;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.CommitLoss;
+import org.fescuehook.logic.batch.store.StateWriter;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.KeyHolder;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.BatchPreferences;
+
+/** The owner's work during one epoch. */
+final class BatchOwner implements RunListener {
+
+  /** When callers come back after a refusal that a store or owner will have mended by then. */
+  private static final long COME_BACK_MILLIS = 1000;
+
+  /** Part of the longest lease that is asked for; the rest covers the order's way. */
+  private static final Duration LEASE_SLACK = Duration.ofMillis(200);
+
+  /**
+   * How long an owner that cannot reach the store goes on renewing leases. An outage of the store
+   * lasts some 10 s; another owner cannot exist while it lasts.
+   */
+  static final Duration ISOLATION_LIMIT = Duration.ofSeconds(10);
+
+  private static final double MILLIS = 1000.0;
+
+  private final BatchPreferences preferences;
+  private final StateWriter writer;
+  private final ExecutorDuty executors;
+  private final JobDuty jobs;
+  private final PlanDuty plans;
+  private final Map<String, Submitting> submitting = new LinkedHashMap<>();
+  private final List<DueCancel> dueCancels = new ArrayList<>();
+  private final List<BatchCommand> ready = new ArrayList<>();
+  private boolean fenced;
+  private boolean stopping;
+
+  /**
+   * A submission on its way to the store.
+   *
+   * @param tickets who waits for its acceptance
+   * @param cancels who has cancelled it meanwhile
+   */
+  private record Submitting(List<Long> tickets, List<Long> cancels) {}
+
+  /** A cancel whose submission has been decided. */
+  private record DueCancel(long ticket, String job) {}
+
+  BatchOwner(
+      long epoch,
+      BatchPreferences preferences,
+      JobBook book,
+      BatchConfiguration configuration,
+      List<ExecutorProfile> listed,
+      BatchTurn turn) {
+    this.preferences = preferences;
+    this.writer = new StateWriter(epoch, turn);
+    Duration lease = preferences.executorLease();
+    this.executors =
+        new ExecutorDuty(
+            epoch,
+            lease.minus(LEASE_SLACK),
+            ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
+            this);
+    this.jobs = new JobDuty(book, writer, executors, configuration);
+    this.plans = new PlanDuty(jobs, executors);
+    listed.forEach(profile -> executors.seen(profile, turn));
+    executors.inherit(Takeover.inheritedRuns(book), turn);
+  }
+
+  /** Tells whether an executor or the store has shown that another VM owns now. */
+  boolean fenced() {
+    return fenced;
+  }
+
+  /** Takes a newer configuration. */
+  void configure(BatchConfiguration newer) {
+    jobs.configure(newer);
+  }
+
+  /** Takes in an entry of the list of executors. */
+  void seen(ExecutorProfile profile, BatchTurn turn) {
+    executors.seen(profile, turn);
+    jobs.changed();
+  }
+
+  /** Takes in that an executor is no longer listed. */
+  void unlisted(ExecutorId id) {
+    executors.unlisted(id);
+  }
+
+  /** Takes what became of an order. */
+  void orderEnded(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
+    executors.ended(id, number, outcome, turn);
+    jobs.changed();
+  }
+
+  /** Takes what became of an append. */
+  void appended(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
+    if (!writer.answered(position, outcome, turn)) {
+      fenced = true;
+    }
+  }
+
+  /** Accepts nothing more and starts nothing more. */
+  void beginStop() {
+    stopping = true;
+  }
+
+  /** Tells whether everything is stored. */
+  boolean settled() {
+    return writer.idle();
+  }
+
+  /**
+   * Does what is due.
+   *
+   * @param storeSeenAt when the store last confirmed this owner, monotonic time
+   */
+  void step(long storeSeenAt, BatchTurn turn) {
+    writer.expire(turn);
+    List<DueCancel> cancels = List.copyOf(dueCancels);
+    dueCancels.clear();
+    cancels.forEach(due -> cancel(due.ticket(), due.job(), true, turn));
+    if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
+      executors.step(turn);
+    }
+    plans.startStored(turn);
+    if (!stopping && jobs.takeChanged()) {
+      plans.step(turn);
+    }
+    forgetEnded(turn);
+    writer.flush(turn);
+    ready.forEach(turn::add);
+    ready.clear();
+  }
+
+  /** Has the next step plan also if nothing changed, for steps that became due. */
+  void timePassed() {
+    jobs.changed();
+  }
+
+  private void forgetEnded(BatchTurn turn) {
+    long before = turn.wallMillis() - preferences.statusRetention().toMillis();
+    Optional<String> forgotten = jobs.book().forgetOneEndedBefore(before);
+    forgotten.ifPresent(id -> writer.put(JobCodec.progressKey(id), Optional::empty, () -> {}));
+  }
+
+  /** Ends the epoch: who still waits is told what is known. */
+  void close(BatchTurn turn) {
+    writer.close();
+    CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
+    dueCancels.forEach(due -> answer(due.ticket(), undecided));
+    ready.forEach(turn::add);
+    ready.clear();
+  }
+
+  /**
+   * Answers a call, at once or once it is stored.
+   *
+   * @param current whether the store has confirmed this owner recently
+   */
+  void called(long ticket, BatchCall call, boolean current, BatchTurn turn) {
+    BatchConfiguration configuration = jobs.configuration();
+    Optional<JobQueue> queue = configuration.queue(call.queue());
+    if (queue.isEmpty()) {
+      answer(ticket, new CallAnswer.NoSuchQueue());
+      return;
+    }
+    Optional<KeyHolder> holder = configuration.holder(call.apiKey());
+    if (!queue.get().open() && holder.isEmpty()) {
+      answer(ticket, new CallAnswer.UnknownKey());
+      return;
+    }
+    switch (call) {
+      case BatchCall.Submit submit ->
+          submit(ticket, submit, queue.get(), holder.map(KeyHolder::name).orElse(""), turn);
+      case BatchCall.Status status -> status(ticket, status.job(), current);
+      case BatchCall.Cancel cancel -> cancel(ticket, cancel.job(), current, turn);
+      case BatchCall.CountPending count ->
+          answer(ticket, new CallAnswer.Pending(jobs.book().pending(count.queue())));
+    }
+  }
+
+  private void answer(long ticket, CallAnswer answer) {
+    ready.add(new BatchCommand.Answer(ticket, answer));
+  }
+
+  private void submit(
+      long ticket, BatchCall.Submit submit, JobQueue queue, String organisation, BatchTurn turn) {
+    String id = submit.job();
+    if (jobs.book().shown(id).isPresent()) {
+      answer(ticket, new CallAnswer.Accepted());
+      return;
+    }
+    Submitting earlier = submitting.get(id);
+    if (earlier != null) {
+      earlier.tickets().add(ticket);
+      return;
+    }
+    Optional<RefusalCause> refusal = refusal(queue, turn);
+    if (refusal.isPresent()) {
+      refuse(ticket, id, refusal.get(), turn);
+      return;
+    }
+    BatchJob job = new BatchJob(id, queue, organisation, turn.wallMillis(), submit.submission());
+    Submitting waiters = new Submitting(new ArrayList<>(List.of(ticket)), new ArrayList<>());
+    submitting.put(id, waiters);
+    writer.putRefusable(
+        JobCodec.jobKey(id),
+        () -> Optional.of(JobCodec.encode(job)),
+        () -> accepted(job),
+        loss -> notAccepted(id, loss),
+        turn);
+  }
+
+  private Optional<RefusalCause> refusal(JobQueue queue, BatchTurn turn) {
+    if (stopping) {
+      return Optional.of(RefusalCause.STOPPING);
+    }
+    if (queue.advised()) {
+      return Optional.of(RefusalCause.UNSUPPORTED);
+    }
+    return writer.storeAway(turn) ? Optional.of(RefusalCause.STORE_AWAY) : Optional.empty();
+  }
+
+  private void refuse(long ticket, String id, RefusalCause cause, BatchTurn turn) {
+    turn.note(BatchLogEvent.JOB_REFUSED, id, cause, COME_BACK_MILLIS);
+    turn.count("fescuehook.batch.refused", "cause", cause.tag());
+    answer(ticket, new CallAnswer.Refused(cause, COME_BACK_MILLIS));
+  }
+
+  private void accepted(BatchJob job) {
+    jobs.book().add(new OpenJob(job));
+    jobs.changed();
+    note(
+        BatchLogEvent.JOB_ACCEPTED,
+        job.id(),
+        job.queue().name(),
+        job.organisation(),
+        job.submission().steps().size(),
+        Math.round(coreSeconds(job)));
+    Submitting waiters = submitting.remove(job.id());
+    waiters.tickets().forEach(ticket -> answer(ticket, new CallAnswer.Accepted()));
+    waiters.cancels().forEach(ticket -> dueCancels.add(new DueCancel(ticket, job.id())));
+  }
+
+  private static double coreSeconds(BatchJob job) {
+    double total = 0;
+    for (BatchStep step : job.submission().steps()) {
+      double seconds = step.estimateMillis() / MILLIS;
+      total += seconds * step.demand().coreEquivalents() * step.count();
+    }
+    return total;
+  }
+
+  private void notAccepted(String id, CommitLoss loss) {
+    CallAnswer answer =
+        switch (loss) {
+          case NOT_STORED -> new CallAnswer.Refused(RefusalCause.STORE_AWAY, COME_BACK_MILLIS);
+          case UNKNOWN -> new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
+        };
+    BatchLogEvent event =
+        loss == CommitLoss.NOT_STORED ? BatchLogEvent.JOB_REFUSED : BatchLogEvent.JOB_UNDECIDED;
+    note(event, id, loss, COME_BACK_MILLIS);
+    Submitting waiters = submitting.remove(id);
+    waiters.tickets().forEach(ticket -> answer(ticket, answer));
+    waiters.cancels().forEach(ticket -> dueCancels.add(new DueCancel(ticket, id)));
+  }
+
+  private void note(BatchLogEvent event, Object... arguments) {
+    ready.add(new BatchCommand.Note(event, List.of(arguments)));
+  }
+
+  private void status(long ticket, String id, boolean current) {
+    Optional<JobPhase> phase = jobs.book().shown(id);
+    if (phase.isPresent()) {
+      answer(ticket, new CallAnswer.Phase(phase.get()));
+    } else if (current) {
+      answer(ticket, new CallAnswer.NoSuchJob());
+    } else {
+      // Another owner may have accepted it meanwhile.
+      answer(ticket, new CallAnswer.Refused(RefusalCause.STORE_AWAY, COME_BACK_MILLIS));
+    }
+  }
+
+  private void cancel(long ticket, String id, boolean current, BatchTurn turn) {
+    Submitting waiters = submitting.get(id);
+    if (waiters != null) {
+      waiters.cancels().add(ticket);
+      return;
+    }
+    Optional<OpenJob> job = jobs.book().open(id);
+    if (job.isEmpty() || !job.get().open()) {
+      boolean known = jobs.book().shown(id).isPresent();
+      if (known) {
+        answer(ticket, new CallAnswer.Cancelled());
+      } else {
+        status(ticket, id, current);
+      }
+      return;
+    }
+    jobs.cancel(job.get(), () -> answer(ticket, new CallAnswer.Cancelled()), turn);
+  }
+
+  @Override
+  public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
+    jobs.ended(run, end, stored, turn);
+  }
+
+  @Override
+  public void strayEnded(EndedRun end, Countdown stored, BatchTurn turn) {
+    jobs.strayEnded(end, stored, turn);
+  }
+
+  @Override
+  public void lost(LiveRun run, String cause, BatchTurn turn) {
+    jobs.lost(run, turn);
+  }
+
+  @Override
+  public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
+    jobs.rejected(run, rejection, turn);
+  }
+
+  @Override
+  public void startGivenUp(LiveRun run, BatchTurn turn) {
+    jobs.startGivenUp(run, turn);
+  }
+
+  @Override
+  public void saved(LiveRun run, String checkpoint) {
+    jobs.saved(run, checkpoint);
+  }
+
+  @Override
+  public void leaving(ExecutorState executor, BatchTurn turn) {
+    jobs.leaving(executor, turn);
+  }
+
+  @Override
+  public void fenced(BatchTurn turn) {
+    fenced = true;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
@@ -0,0 +1,54 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fescuehook.model.event.NumberedEvent;
+
+/** One event being applied: its time, and the commands that it gives. */
+public final class BatchTurn {
+
+  private final long nowNanos;
+  private final long wallMillis;
+  private final List<BatchCommand> commands = new ArrayList<>();
+
+  /**
+   * Begins a turn.
+   *
+   * @param nowNanos monotonic time
+   * @param wallMillis milliseconds since 1970
+   */
+  public BatchTurn(long nowNanos, long wallMillis) {
+    this.nowNanos = nowNanos;
+    this.wallMillis = wallMillis;
+  }
+
+  /** Returns the monotonic time in nanoseconds. */
+  public long nowNanos() {
+    return nowNanos;
+  }
+
+  /** Returns milliseconds since 1970. */
+  public long wallMillis() {
+    return wallMillis;
+  }
+
+  /** Adds a command; commands are carried out in order. */
+  public void add(BatchCommand command) {
+    commands.add(command);
+  }
+
+  /** Has an event logged. */
+  public void note(NumberedEvent event, Object... arguments) {
+    commands.add(new BatchCommand.Note(event, List.of(arguments)));
+  }
+
+  /** Has a counter incremented. */
+  public void count(String metric, String tag, String value) {
+    commands.add(new BatchCommand.Count(metric, tag, value));
+  }
+
+  /** Returns the commands so far. */
+  List<BatchCommand> commands() {
+    return List.copyOf(commands);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -0,0 +1,158 @@
+package org.fescuehook.logic.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.state.JobBook;
+import org.fescuehook.logic.batch.state.JobCodec;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.OpenJob;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.batch.BatchJob;
+
+/**
+ * What a new owner does before it decides: it shuts the former owner out of the jobs' stream by
+ * raising the stream's epoch, and then reads the jobs.
+ */
+final class Takeover {
+
+  /** Pause before a step that the store did not take is repeated. */
+  private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
+
+  private final long epoch;
+  private final long startedAt;
+  private final Map<String, byte[]> records = new LinkedHashMap<>();
+  private boolean fenced;
+  private boolean underWay;
+  private boolean loaded;
+  private Optional<String> afterKey = Optional.empty();
+  private long retryAt;
+
+  Takeover(long epoch, BatchTurn turn) {
+    this.epoch = epoch;
+    this.startedAt = turn.nowNanos();
+    this.retryAt = turn.nowNanos();
+  }
+
+  long epoch() {
+    return epoch;
+  }
+
+  long startedAt() {
+    return startedAt;
+  }
+
+  boolean loaded() {
+    return loaded;
+  }
+
+  void step(BatchTurn turn) {
+    if (underWay || loaded || turn.nowNanos() - retryAt < 0) {
+      return;
+    }
+    underWay = true;
+    if (!fenced) {
+      turn.add(
+          new BatchCommand.Append(
+              StreamName.STATE, new WriterPosition(epoch, 0), OptionalLong.empty(), List.of()));
+      return;
+    }
+    turn.add(new BatchCommand.LoadState(afterKey));
+  }
+
+  /** Takes the outcome of raising the epoch; false if another owner has come. */
+  boolean answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
+    if (position.epoch() != epoch || fenced) {
+      return true;
+    }
+    underWay = false;
+    return switch (outcome) {
+      case AppendOutcome.Stored stored -> {
+        fenced = true;
+        yield true;
+      }
+      case AppendOutcome.Refused refused -> retry(turn);
+      case AppendOutcome.Unanswered unanswered -> retry(turn);
+      case AppendOutcome.Fenced higher -> false;
+      case AppendOutcome.Conflict conflict -> false;
+      case AppendOutcome.OutOfSequence expected -> false;
+    };
+  }
+
+  private boolean retry(BatchTurn turn) {
+    underWay = false;
+    retryAt = turn.nowNanos() + RETRY_NANOS;
+    return true;
+  }
+
+  void read(List<KeyedRecord> page, Optional<String> more) {
+    underWay = false;
+    for (KeyedRecord record : page) {
+      record.value().ifPresent(value -> records.put(record.key(), value));
+    }
+    afterKey = more;
+    loaded = more.isEmpty();
+  }
+
+  void unreadable(BatchTurn turn) {
+    retry(turn);
+  }
+
+  /** Builds the jobs from what was read; a record that cannot be read is left out and logged. */
+  JobBook book(BatchTurn turn) {
+    JobBook book = new JobBook();
+    for (Map.Entry<String, byte[]> entry : records.entrySet()) {
+      try {
+        take(entry.getKey(), entry.getValue(), book, turn);
+      } catch (UnreadableRecordException e) {
+        turn.note(BatchLogEvent.RECORD_UNREADABLE, entry.getKey(), e.getMessage());
+      }
+    }
+    return sorted(book);
+  }
+
+  private void take(String key, byte[] value, JobBook book, BatchTurn turn)
+      throws UnreadableRecordException {
+    Optional<String> accepted = JobCodec.jobOf(key);
+    if (accepted.isPresent()) {
+      BatchJob job = JobCodec.decodeJob(accepted.get(), value);
+      OpenJob open = new OpenJob(job);
+      byte[] progress = records.get(JobCodec.progressKey(job.id()));
+      if (progress != null) {
+        JobCodec.restore(open, progress, turn.nowNanos());
+      }
+      if (open.open()) {
+        book.add(open);
+      }
+      return;
+    }
+    Optional<String> progressOf = JobCodec.progressOf(key);
+    if (progressOf.isPresent()) {
+      JobCodec.decodeEnd(progressOf.get(), value)
+          .ifPresent(end -> book.addEnded(progressOf.get(), end));
+    }
+  }
+
+  /** The store returns keys in its own order; jobs are kept in the order of their acceptance. */
+  private static JobBook sorted(JobBook book) {
+    List<OpenJob> jobs = new ArrayList<>(book.openJobs());
+    jobs.sort(
+        (one, other) -> Long.compare(one.job().acceptedMillis(), other.job().acceptedMillis()));
+    JobBook sorted = book.withoutOpenJobs();
+    jobs.forEach(sorted::add);
+    return sorted;
+  }
+
+  /** Returns the live runs of all jobs. */
+  static List<LiveRun> inheritedRuns(JobBook book) {
+    return book.openJobs().stream().flatMap(job -> job.liveRuns().stream()).toList();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/call/BatchCall.java
@@ -0,0 +1,26 @@
+package org.fescuehook.logic.batch.call;
+
+import org.fescuehook.model.batch.Submission;
+
+/** A caller's request about a batch job. */
+public sealed interface BatchCall {
+
+  /** Returns the name of the queue. */
+  String queue();
+
+  /** Returns the API key; empty if the call carried none. */
+  String apiKey();
+
+  /** Hands a job in. The same id again is the same job. */
+  record Submit(String queue, String apiKey, String job, Submission submission)
+      implements BatchCall {}
+
+  /** Asks for the state of a job. */
+  record Status(String queue, String apiKey, String job) implements BatchCall {}
+
+  /** Cancels a job. */
+  record Cancel(String queue, String apiKey, String job) implements BatchCall {}
+
+  /** Asks how many jobs of the queue wait. */
+  record CountPending(String queue, String apiKey) implements BatchCall {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -0,0 +1,419 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.OrderOutcome.ActiveRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/**
+ * Polls executors, renews their leases and gives them orders until each doubt about a run is
+ * settled.
+ */
+public final class ExecutorDuty {
+
+  /** Longest wait of a poll for an end; renews a lease of about 6 s five times over. */
+  private static final Duration POLL_WAIT = Duration.ofMillis(1000);
+
+  /** Pause after a poll without an answer, which took a timeout already. */
+  private static final long MISSED_POLL_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
+
+  /** Starts of one run before it is given up; with their timeouts half of a gang's patience. */
+  private static final int MAX_STARTS = 3;
+
+  /** Time between repeated stops of a run. */
+  private static final long STOP_REPEAT_NANOS = Duration.ofMillis(600).toNanos();
+
+  /** Rest of an executor that calls itself unhealthy. */
+  private static final Duration UNHEALTHY_REST = Duration.ofSeconds(2);
+
+  /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
+  private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
+
+  /** Orders of different epochs get different numbers, so late outcomes are not mixed up. */
+  private static final int EPOCH_SHIFT = 32;
+
+  private final long epoch;
+  private final Duration lease;
+  private final long inheritedLeaseNanos;
+  private final ExecutorBook book = new ExecutorBook();
+  private final RunListener listener;
+  private final Map<Long, LiveRun> ordered = new HashMap<>();
+  private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
+  private long orphansLostAt;
+  private long orderNumber;
+
+  /**
+   * Creates the duty of an epoch.
+   *
+   * @param lease length of the leases given
+   * @param inheritedLease how long leases of a former owner may last from now on
+   */
+  public ExecutorDuty(long epoch, Duration lease, Duration inheritedLease, RunListener listener) {
+    this.epoch = epoch;
+    this.lease = lease;
+    this.inheritedLeaseNanos = inheritedLease.toNanos();
+    this.listener = listener;
+    this.orderNumber = epoch << EPOCH_SHIFT;
+  }
+
+  /** Returns the executors. */
+  public ExecutorBook book() {
+    return book;
+  }
+
+  /** Takes over runs of a former owner, once, before the first step. */
+  public void inherit(List<LiveRun> runs, BatchTurn turn) {
+    orphansLostAt = turn.nowNanos() + inheritedLeaseNanos;
+    for (LiveRun run : runs) {
+      Optional<ExecutorState> executor = book.find(run.executor());
+      if (executor.isPresent()) {
+        adopt(executor.get(), run, turn);
+      } else {
+        orphans.computeIfAbsent(run.executor(), id -> new ArrayList<>()).add(run);
+      }
+    }
+  }
+
+  private void adopt(ExecutorState executor, LiveRun run, BatchTurn turn) {
+    executor.add(run);
+    executor.leaseMayLastUntil(turn.nowNanos() + inheritedLeaseNanos);
+  }
+
+  /** Takes in an entry of the list. */
+  public void seen(ExecutorProfile profile, BatchTurn turn) {
+    Optional<ExecutorState> found = book.find(profile.id());
+    if (found.isEmpty()) {
+      ExecutorState executor = new ExecutorState(profile);
+      book.add(executor);
+      Optional.ofNullable(orphans.remove(profile.id()))
+          .ifPresent(runs -> runs.forEach(run -> adopt(executor, run, turn)));
+      return;
+    }
+    ExecutorState executor = found.get();
+    boolean wasLeaving = executor.profile().leaving();
+    executor.describe(profile);
+    if (profile.leaving() && !wasLeaving) {
+      turn.note(BatchLogEvent.EXECUTOR_LEAVING, profile.id(), executor.runs().size());
+      listener.leaving(executor, turn);
+    }
+  }
+
+  /** Takes in that an executor is no longer listed. */
+  public void unlisted(ExecutorId id) {
+    book.find(id).ifPresent(ExecutorState::unlisted);
+  }
+
+  /** Sends what is due. */
+  public void step(BatchTurn turn) {
+    for (ExecutorState executor : book.snapshot()) {
+      settleSilence(executor, turn);
+      repeatOrders(executor, turn);
+      poll(executor, turn);
+    }
+    if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
+      List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
+      orphans.clear();
+      lost.forEach(run -> lose(run, "its executor is not listed and its lease has expired", turn));
+    }
+  }
+
+  private void settleSilence(ExecutorState executor, BatchTurn turn) {
+    boolean silent = executor.missedPolls() > 0;
+    if (silent && turn.nowNanos() - executor.leaseUntilNanos() > 0) {
+      loseAll(executor, "silent until its lease had expired", turn);
+    }
+    boolean idle = executor.runs().isEmpty() && executor.poll().isEmpty();
+    if (!executor.listed() && idle && !executor.owesAcknowledgement()) {
+      forget(executor, turn);
+    }
+  }
+
+  private void loseAll(ExecutorState executor, String cause, BatchTurn turn) {
+    for (LiveRun run : List.copyOf(executor.runs())) {
+      executor.remove(run);
+      lose(run, cause, turn);
+    }
+  }
+
+  private void lose(LiveRun run, String cause, BatchTurn turn) {
+    turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), cause);
+    listener.lost(run, cause, turn);
+  }
+
+  private void forget(ExecutorState executor, BatchTurn turn) {
+    book.remove(executor);
+    turn.add(new BatchCommand.ForgetExecutor(executor.profile().id()));
+  }
+
+  private void repeatOrders(ExecutorState executor, BatchTurn turn) {
+    for (LiveRun run : List.copyOf(executor.runs())) {
+      boolean stopOwed = run.stage() == Stage.STOPPING && !run.stopTaken();
+      if (stopOwed && turn.nowNanos() - run.orderedAt() > STOP_REPEAT_NANOS) {
+        sendStop(executor, run, turn);
+      }
+    }
+  }
+
+  private void poll(ExecutorState executor, BatchTurn turn) {
+    boolean needed =
+        !executor.known() || !executor.runs().isEmpty() || executor.owesAcknowledgement();
+    if (!needed || executor.poll().isPresent() || turn.nowNanos() - executor.nextPollAt() < 0) {
+      return;
+    }
+    boolean calm = executor.known() && executor.missedPolls() == 0;
+    OptionalLong leaseUntil = OptionalLong.empty();
+    if (calm) {
+      leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
+    } else if (executor.leaseUntilMillis() > 0) {
+      // Not extended, so that the runs of an executor that stays silent are known to end.
+      leaseUntil = OptionalLong.of(executor.leaseUntilMillis());
+    }
+    boolean waits = calm && !executor.runs().isEmpty();
+    long wait = waits ? POLL_WAIT.toMillis() : 0;
+    long number =
+        send(executor, new ExecutorOrder.Poll(executor.acknowledged(), leaseUntil, wait), turn);
+    executor.pollSent(number, turn.nowNanos());
+  }
+
+  private long send(ExecutorState executor, ExecutorOrder order, BatchTurn turn) {
+    orderNumber++;
+    turn.add(new BatchCommand.Order(executor.profile(), orderNumber, epoch, order));
+    return orderNumber;
+  }
+
+  /** Orders the start of a run whose placement is stored. */
+  public void start(LiveRun run, BatchTurn turn) {
+    Optional<ExecutorState> executor = book.find(run.executor());
+    if (executor.isEmpty() || !executor.get().clockKnown()) {
+      return;
+    }
+    run.enter(Stage.STARTING, turn.nowNanos());
+    sendStart(executor.get(), run, turn);
+  }
+
+  private void sendStart(ExecutorState executor, LiveRun run, BatchTurn turn) {
+    run.ordered(turn.nowNanos());
+    long leaseUntil = executor.extendLease(lease, turn.nowNanos());
+    String spec = run.step().job().job().submission().spec();
+    long number =
+        send(
+            executor, new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), leaseUntil), turn);
+    ordered.put(number, run);
+  }
+
+  /** Orders the end of a run; one that was not started yet is dropped at once. */
+  public void stop(LiveRun run, String cause, BatchTurn turn) {
+    if (run.stage() == Stage.STOPPING) {
+      return;
+    }
+    Optional<ExecutorState> executor = book.find(run.executor());
+    if (executor.flatMap(state -> state.run(run.run())).isEmpty() && !orphaned(run)) {
+      return;
+    }
+    if (run.stage() == Stage.PLACED) {
+      executor.ifPresent(state -> state.remove(run));
+      listener.lost(run, cause, turn);
+      return;
+    }
+    turn.note(BatchLogEvent.RUN_STOPPING, run.run(), run.executor(), cause);
+    run.enter(Stage.STOPPING, turn.nowNanos());
+    executor.ifPresent(state -> sendStop(state, run, turn));
+  }
+
+  private boolean orphaned(LiveRun run) {
+    return orphans.getOrDefault(run.executor(), List.of()).contains(run);
+  }
+
+  private void sendStop(ExecutorState executor, LiveRun run, BatchTurn turn) {
+    run.ordered(turn.nowNanos());
+    long number = send(executor, new ExecutorOrder.Stop(run.run()), turn);
+    ordered.put(number, run);
+  }
+
+  /** Takes in what became of an order. */
+  public void ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
+    Optional<LiveRun> run = Optional.ofNullable(ordered.remove(number));
+    Optional<ExecutorState> found = book.find(id);
+    if (found.isEmpty()) {
+      return;
+    }
+    ExecutorState executor = found.get();
+    if (outcome instanceof OrderOutcome.OtherIncarnation) {
+      turn.note(
+          BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
+      loseAll(executor, "its executor was restarted", turn);
+      forget(executor, turn);
+      return;
+    }
+    if (outcome instanceof OrderOutcome.Rejected(Rejection rejection)
+        && rejection == Rejection.FENCED) {
+      listener.fenced(turn);
+      return;
+    }
+    if (executor.poll().filter(poll -> poll.number() == number).isPresent()) {
+      pollEnded(executor, outcome, turn);
+      return;
+    }
+    // A run that ended or was given up meanwhile holds no capacity any more.
+    run.filter(live -> executor.run(live.run()).isPresent())
+        .ifPresent(live -> orderEnded(executor, live, outcome, turn));
+  }
+
+  private void orderEnded(
+      ExecutorState executor, LiveRun run, OrderOutcome outcome, BatchTurn turn) {
+    if (outcome instanceof OrderOutcome.Done(long clock)) {
+      executor.clockRead(clock, turn.nowNanos());
+    }
+    switch (run.stage()) {
+      case STARTING -> startEnded(executor, run, outcome, turn);
+      case STOPPING -> stopEnded(run, outcome, turn);
+      case PLACED, RUNNING, INHERITED -> {}
+    }
+  }
+
+  private void startEnded(
+      ExecutorState executor, LiveRun run, OrderOutcome outcome, BatchTurn turn) {
+    switch (outcome) {
+      case OrderOutcome.Done done -> {
+        long millis = Duration.ofNanos(turn.nowNanos() - run.placedAt()).toMillis();
+        turn.note(BatchLogEvent.RUN_STARTED, run.run(), run.executor(), millis);
+        run.enter(Stage.RUNNING, turn.nowNanos());
+      }
+      case OrderOutcome.Rejected(Rejection rejection) ->
+          startRejected(executor, run, rejection, turn);
+      case OrderOutcome.Unanswered unanswered -> {
+        run.startBecameUncertain();
+        if (run.orders() < MAX_STARTS) {
+          sendStart(executor, run, turn);
+        } else {
+          listener.startGivenUp(run, turn);
+        }
+      }
+      case OrderOutcome.Polled polled -> {}
+      case OrderOutcome.OtherIncarnation other -> {}
+    }
+  }
+
+  private void startRejected(
+      ExecutorState executor, LiveRun run, Rejection rejection, BatchTurn turn) {
+    turn.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
+    switch (rejection) {
+      case UNHEALTHY -> rest(executor, UNHEALTHY_REST, "it calls itself unhealthy", turn);
+      case NO_ROOM -> rest(executor, NO_ROOM_REST, "it has less room than thought", turn);
+      case FENCED, SUPERSEDED, EXPIRED, OTHER -> {}
+    }
+    if (run.startUncertain()) {
+      listener.startGivenUp(run, turn);
+      return;
+    }
+    executor.remove(run);
+    listener.rejected(run, rejection, turn);
+  }
+
+  /** Gives an executor nothing new for a while. */
+  public void rest(ExecutorState executor, Duration length, String cause, BatchTurn turn) {
+    executor.restUntil(turn.nowNanos() + length.toNanos());
+    turn.note(BatchLogEvent.EXECUTOR_RESTED, executor.profile().id(), length.toMillis(), cause);
+  }
+
+  private static String tag(Rejection rejection) {
+    return rejection.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+  }
+
+  private static void stopEnded(LiveRun run, OrderOutcome outcome, BatchTurn turn) {
+    if (outcome instanceof OrderOutcome.Done) {
+      run.stopTaken(turn.nowNanos());
+    }
+  }
+
+  private void pollEnded(ExecutorState executor, OrderOutcome outcome, BatchTurn turn) {
+    if (outcome instanceof OrderOutcome.Polled polled) {
+      polled(executor, polled, turn);
+      return;
+    }
+    if (executor.missedPolls() == 0) {
+      long left = Duration.ofNanos(executor.leaseUntilNanos() - turn.nowNanos()).toMillis();
+      turn.note(
+          BatchLogEvent.EXECUTOR_SILENT,
+          executor.profile().id(),
+          outcome,
+          executor.runs().size(),
+          left);
+    }
+    executor.pollMissed(turn.nowNanos(), MISSED_POLL_PAUSE_NANOS);
+  }
+
+  private void polled(ExecutorState executor, OrderOutcome.Polled answer, BatchTurn turn) {
+    long sentAt = executor.poll().orElseThrow().sentAt();
+    if (!executor.known() || executor.missedPolls() > 0) {
+      turn.note(BatchLogEvent.EXECUTOR_REACHED, executor.profile().id(), answer.active().size());
+    }
+    executor.pollAnswered(turn.nowNanos());
+    executor.clockRead(answer.clockMillis(), turn.nowNanos());
+    takeEnds(executor, answer.ended(), turn);
+    Set<TaskRun> active = new HashSet<>();
+    for (ActiveRun run : answer.active()) {
+      active.add(run.run());
+      takeActive(executor, run, turn);
+    }
+    for (LiveRun run : List.copyOf(executor.runs())) {
+      if (run.mustBeListed(sentAt) && !active.contains(run.run())) {
+        executor.remove(run);
+        lose(run, "its executor does not list it", turn);
+      }
+    }
+  }
+
+  private void takeEnds(ExecutorState executor, List<EndedRun> ends, BatchTurn turn) {
+    List<EndedRun> fresh = ends.stream().filter(end -> end.number() > executor.seen()).toList();
+    if (fresh.isEmpty()) {
+      return;
+    }
+    long last = fresh.getLast().number();
+    Countdown stored = new Countdown(() -> executor.endsStored(last));
+    for (EndedRun end : fresh) {
+      executor.sawEnd(end.number());
+      Optional<LiveRun> run = executor.run(end.run());
+      if (run.isEmpty()) {
+        listener.strayEnded(end, stored, turn);
+        continue;
+      }
+      executor.remove(run.get());
+      listener.ended(run.get(), end, stored, turn);
+    }
+    stored.release();
+  }
+
+  private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
+    Optional<LiveRun> found = executor.run(active.run());
+    if (found.isEmpty()) {
+      turn.note(BatchLogEvent.RUN_UNKNOWN, active.run(), executor.profile().id());
+      send(executor, new ExecutorOrder.Stop(active.run()), turn);
+      return;
+    }
+    LiveRun run = found.get();
+    run.progressed(active.percent(), turn.nowNanos());
+    listener.saved(run, active.checkpoint());
+    if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
+      run.enter(Stage.RUNNING, turn.nowNanos());
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -0,0 +1,233 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.TaskRun;
+
+/** What the owner knows of one incarnation of an executor. */
+public final class ExecutorState {
+
+  /** An executor's clock may be slow by this share, so its leases last longer on ours. */
+  private static final double SLOWEST_CLOCK = 1.02;
+
+  /** Added to the computed end of a lease, for clock readings that were delayed on their way. */
+  private static final long LEASE_MARGIN_NANOS = Duration.ofMillis(250).toNanos();
+
+  private ExecutorProfile profile;
+  private final Map<TaskRun, LiveRun> runs = new LinkedHashMap<>();
+  private Demand used = Demand.NONE;
+  private boolean listed = true;
+  private boolean known;
+  private int missedPolls;
+  private long silentSince;
+  private Optional<PollUnderWay> poll = Optional.empty();
+  private long nextPollAt;
+  private OptionalLong clockAheadMillis = OptionalLong.empty();
+  private long leaseUntilMillis;
+  private long leaseUntilNanos;
+  private long seen;
+  private long acknowledged;
+  private long acknowledgementSent;
+  private long restUntil;
+  private boolean resting;
+
+  /**
+   * A poll that has not been answered.
+   *
+   * @param number number of the order
+   * @param sentAt monotonic time
+   */
+  public record PollUnderWay(long number, long sentAt) {}
+
+  /** Creates the state of an executor that has not been asked anything. */
+  public ExecutorState(ExecutorProfile profile) {
+    this.profile = profile;
+  }
+
+  /** Returns how the executor describes itself. */
+  public ExecutorProfile profile() {
+    return profile;
+  }
+
+  /** Takes a newer description. */
+  public void describe(ExecutorProfile newer) {
+    profile = newer;
+    listed = true;
+  }
+
+  /** Tells whether the executor is on the list. */
+  public boolean listed() {
+    return listed;
+  }
+
+  /** Remembers that it is no longer on the list. */
+  public void unlisted() {
+    listed = false;
+  }
+
+  /** Returns the runs that may be alive there. */
+  public Collection<LiveRun> runs() {
+    return runs.values();
+  }
+
+  /** Finds a run that may be alive there. */
+  public Optional<LiveRun> run(TaskRun run) {
+    return Optional.ofNullable(runs.get(run));
+  }
+
+  /** Reserves capacity for a run. */
+  public void add(LiveRun run) {
+    if (runs.put(run.run(), run) == null) {
+      used = used.plus(run.demand());
+    }
+  }
+
+  /** Frees the capacity of a run. */
+  public void remove(LiveRun run) {
+    if (runs.remove(run.run(), run)) {
+      used = used.minus(run.demand());
+    }
+  }
+
+  /** Returns what is not reserved. */
+  public Demand free() {
+    return profile.capacity().minus(used);
+  }
+
+  /** Tells whether new runs may be placed there now. */
+  public boolean usable(long nowNanos) {
+    return listed && known && missedPolls == 0 && !profile.leaving() && !rests(nowNanos);
+  }
+
+  /** Tells whether it has answered this owner. */
+  public boolean known() {
+    return known;
+  }
+
+  /** Returns how many polls in a row had no answer. */
+  public int missedPolls() {
+    return missedPolls;
+  }
+
+  /** Returns since when it has not answered, monotonic time; meaningful while polls are missed. */
+  public long silentSince() {
+    return silentSince;
+  }
+
+  /** Returns the poll under way. */
+  public Optional<PollUnderWay> poll() {
+    return poll;
+  }
+
+  /** Returns when the next poll may be sent, monotonic time. */
+  public long nextPollAt() {
+    return nextPollAt;
+  }
+
+  /** Remembers that a poll was sent. */
+  public void pollSent(long number, long nowNanos) {
+    poll = Optional.of(new PollUnderWay(number, nowNanos));
+    acknowledgementSent = acknowledged;
+  }
+
+  /** Remembers that the poll was answered. */
+  public void pollAnswered(long nowNanos) {
+    poll = Optional.empty();
+    known = true;
+    missedPolls = 0;
+    nextPollAt = nowNanos;
+  }
+
+  /** Remembers that the poll had no answer. */
+  public void pollMissed(long nowNanos, long pauseNanos) {
+    if (missedPolls == 0) {
+      silentSince = poll.map(PollUnderWay::sentAt).orElse(nowNanos);
+    }
+    poll = Optional.empty();
+    missedPolls++;
+    nextPollAt = nowNanos + pauseNanos;
+  }
+
+  /** Takes a reading of its clock. It is late by its way here, which shortens leases by as much. */
+  public void clockRead(long clockMillis, long nowNanos) {
+    clockAheadMillis = OptionalLong.of(clockMillis - Duration.ofNanos(nowNanos).toMillis());
+  }
+
+  /** Tells whether its clock has been read, so that leases can be named. */
+  public boolean clockKnown() {
+    return clockAheadMillis.isPresent();
+  }
+
+  /**
+   * Names the end of a lease on the executor's clock and remembers until when it may last.
+   *
+   * @param length length of the lease from now
+   */
+  public long extendLease(Duration length, long nowNanos) {
+    long nowThere = Duration.ofNanos(nowNanos).toMillis() + clockAheadMillis.orElseThrow();
+    leaseUntilMillis = Math.max(leaseUntilMillis, nowThere + length.toMillis());
+    long longest = (long) (length.toNanos() * SLOWEST_CLOCK) + LEASE_MARGIN_NANOS;
+    leaseMayLastUntil(nowNanos + longest);
+    return leaseUntilMillis;
+  }
+
+  /** Remembers that a lease that another owner gave may last until a time. */
+  public void leaseMayLastUntil(long untilNanos) {
+    leaseUntilNanos = Math.max(leaseUntilNanos, untilNanos);
+  }
+
+  /** Returns the end of the newest lease on the executor's clock; 0 if none was given. */
+  public long leaseUntilMillis() {
+    return leaseUntilMillis;
+  }
+
+  /** Returns when the last lease has surely expired, monotonic time. */
+  public long leaseUntilNanos() {
+    return leaseUntilNanos;
+  }
+
+  /** Returns the number of the last end that was taken in. */
+  public long seen() {
+    return seen;
+  }
+
+  /** Remembers that ends up to a number were taken in. */
+  public void sawEnd(long number) {
+    seen = Math.max(seen, number);
+  }
+
+  /** Allows ends up to a number to be acknowledged, since they are stored. */
+  public void endsStored(long number) {
+    acknowledged = Math.max(acknowledged, number);
+  }
+
+  /** Returns the number up to which ends may be acknowledged. */
+  public long acknowledged() {
+    return acknowledged;
+  }
+
+  /** Tells whether ends have been stored that no poll has acknowledged yet. */
+  public boolean owesAcknowledgement() {
+    return acknowledged > acknowledgementSent;
+  }
+
+  /** Gives it nothing new until a time. */
+  public void restUntil(long untilNanos) {
+    resting = true;
+    restUntil = untilNanos;
+  }
+
+  private boolean rests(long nowNanos) {
+    if (resting && nowNanos - restUntil >= 0) {
+      resting = false;
+    }
+    return resting;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -0,0 +1,63 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.util.List;
+import org.fescuehook.model.batch.RunEnd;
+import org.fescuehook.model.batch.TaskRun;
+
+/** What became of an order to an executor. */
+public sealed interface OrderOutcome {
+
+  /** It was carried out. */
+  record Done(long clockMillis) implements OrderOutcome {}
+
+  /**
+   * A poll was answered.
+   *
+   * @param clockMillis the executor's clock
+   * @param active what runs there
+   * @param ended ends that are not acknowledged, in order of their numbers
+   */
+  record Polled(long clockMillis, List<ActiveRun> active, List<EndedRun> ended)
+      implements OrderOutcome {}
+
+  /** The executor did not carry it out and never will. */
+  record Rejected(Rejection rejection) implements OrderOutcome {}
+
+  /** Another incarnation answered: the one meant is gone, with all that ran on it. */
+  record OtherIncarnation() implements OrderOutcome {}
+
+  /** No answer came; it may be carried out now, later or never. */
+  record Unanswered(String reason) implements OrderOutcome {}
+
+  /** Why an order was rejected. */
+  enum Rejection {
+    /** The executor has seen a higher epoch. */
+    FENCED,
+    /** A run with the same or a higher number was stopped or ended there. */
+    SUPERSEDED,
+    /** The lease in the order had expired on arrival. */
+    EXPIRED,
+    /** There is no room. */
+    NO_ROOM,
+    /** The executor is unhealthy and does nothing. */
+    UNHEALTHY,
+    /** Anything else. */
+    OTHER
+  }
+
+  /**
+   * A run at work.
+   *
+   * @param checkpoint newest saved progress; empty for none
+   * @param percent share of the work that is done, 0 to 100
+   */
+  record ActiveRun(TaskRun run, String checkpoint, int percent) {}
+
+  /**
+   * A run that has ended.
+   *
+   * @param number number of the end on this executor, from 1
+   * @param checkpoint newest saved progress; empty for none
+   */
+  record EndedRun(long number, TaskRun run, RunEnd end, String checkpoint) {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -0,0 +1,38 @@
+package org.fescuehook.logic.batch.executor;
+
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.state.LiveRun;
+
+/** Hears what executors say of runs. */
+public interface RunListener {
+
+  /**
+   * A run that holds capacity has ended; the capacity is free.
+   *
+   * @param stored to be held until what follows from the end is stored
+   */
+  void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn);
+
+  /** A run that the owner had given up, or never knew, has ended. */
+  void strayEnded(EndedRun end, Countdown stored, BatchTurn turn);
+
+  /** A run is known not to be alive, and no end of it was seen; its capacity is free. */
+  void lost(LiveRun run, String cause, BatchTurn turn);
+
+  /** An executor rejected a start; it has not run and will not. Its capacity is free. */
+  void rejected(LiveRun run, Rejection rejection, BatchTurn turn);
+
+  /** A start had no answer several times and is being stopped. */
+  void startGivenUp(LiveRun run, BatchTurn turn);
+
+  /** A run has saved progress. */
+  void saved(LiveRun run, String checkpoint);
+
+  /** An executor is about to leave. */
+  void leaving(ExecutorState executor, BatchTurn turn);
+
+  /** An executor has seen a higher epoch: this VM owns no longer. */
+  void fenced(BatchTurn turn);
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
@@ -0,0 +1,56 @@
+package org.fescuehook.logic.batch.ownership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.batch.StoredOwner;
+
+/** Stored form of {@link OwnerRecord}. */
+public final class OwnerCodec {
+
+  /** Key of all records of the stream of ownership. */
+  public static final String KEY = "owner";
+
+  private OwnerCodec() {}
+
+  /** Encodes a record; the epoch of a claim follows from its offset and is left out. */
+  public static byte[] encode(OwnerRecord record) {
+    StoredOwner.Builder stored =
+        StoredOwner.newBuilder()
+            .setVm(record.vm().value())
+            .setIncarnation(record.incarnation())
+            .setAddress(record.address());
+    switch (record.kind()) {
+      case CLAIM -> stored.setKind(StoredOwner.Kind.CLAIM);
+      case HEARTBEAT -> stored.setKind(StoredOwner.Kind.HEARTBEAT).setEpoch(record.epoch());
+      case RELEASE -> stored.setKind(StoredOwner.Kind.RELEASE).setEpoch(record.epoch());
+    }
+    return stored.build().toByteArray();
+  }
+
+  /**
+   * Decodes a record.
+   *
+   * @throws UnreadableRecordException if the bytes are not a record of an owner
+   */
+  public static OwnerRecord decode(byte[] value, long offset) throws UnreadableRecordException {
+    try {
+      StoredOwner stored = StoredOwner.parseFrom(value);
+      OwnerRecord.Kind kind = kind(stored.getKind());
+      long epoch = kind == OwnerRecord.Kind.CLAIM ? offset + 1 : stored.getEpoch();
+      VmId vm = new VmId(stored.getVm());
+      return new OwnerRecord(kind, vm, stored.getIncarnation(), stored.getAddress(), epoch, offset);
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      throw new UnreadableRecordException("owner record at offset " + offset, e);
+    }
+  }
+
+  private static OwnerRecord.Kind kind(StoredOwner.Kind stored) {
+    return switch (stored) {
+      case CLAIM -> OwnerRecord.Kind.CLAIM;
+      case HEARTBEAT -> OwnerRecord.Kind.HEARTBEAT;
+      case RELEASE -> OwnerRecord.Kind.RELEASE;
+      case UNRECOGNIZED -> throw new IllegalArgumentException("unknown kind");
+    };
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerIdentity.java
@@ -0,0 +1,12 @@
+package org.fescuehook.logic.batch.ownership;
+
+import org.fescuehook.model.fleet.VmId;
+
+/**
+ * How this VM names itself in the stream of ownership.
+ *
+ * @param vm name of the VM
+ * @param incarnation distinguishes starts of the same VM
+ * @param address where it takes calls of its peers, IP number and port
+ */
+public record OwnerIdentity(VmId vm, String incarnation, String address) {}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
@@ -0,0 +1,32 @@
+package org.fescuehook.logic.batch.ownership;
+
+import org.fescuehook.model.fleet.VmId;
+
+/**
+ * A record of the stream of ownership.
+ *
+ * @param kind what it says
+ * @param vm name of the VM that wrote it
+ * @param incarnation distinguishes starts of the same VM
+ * @param address where the VM takes calls of its peers, IP number and port
+ * @param epoch epoch of the owner; for a claim its offset + 1
+ * @param offset place in the stream
+ */
+public record OwnerRecord(
+    Kind kind, VmId vm, String incarnation, String address, long epoch, long offset) {
+
+  /** What a record says. */
+  public enum Kind {
+    /** The VM takes ownership over. */
+    CLAIM,
+    /** The VM still owns. */
+    HEARTBEAT,
+    /** The VM gives ownership up. */
+    RELEASE
+  }
+
+  /** Tells whether this VM wrote it in this start. */
+  public boolean by(VmId otherVm, String otherIncarnation) {
+    return vm.equals(otherVm) && incarnation.equals(otherIncarnation);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -0,0 +1,218 @@
+package org.fescuehook.logic.batch.ownership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.WriterPosition;
+
+/**
+ * Decides when this VM claims ownership, keeps it alive by heartbeats and notices its loss.
+ *
+ * <p>A claim is an append that the store takes only if the stream still ends where the claimant has
+ * read it to; its offset makes its epoch, so no two owners share one. The claim raises the epoch of
+ * the stream, and with it shuts out the former owner's heartbeats.
+ */
+public final class OwnershipDuty {
+
+  /** Time between heartbeats; four of them fit into {@link #SILENCE_NANOS}. */
+  private static final long HEARTBEAT_NANOS = Duration.ofMillis(500).toNanos();
+
+  /**
+   * Silence of the owner after which another VM claims. A take-over and the first renewals have to
+   * fit into a lease of 6 s beside it, and a slow store delays heartbeats by some 0.3 s.
+   */
+  private static final long SILENCE_NANOS = Duration.ofMillis(2000).toNanos();
+
+  /** Pause before a claim or heartbeat that the store did not take is repeated. */
+  private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
+
+  /** A claim without an answer may still land; the next one waits this long. */
+  private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
+
+  private final OwnerIdentity self;
+  private Optional<OwnerRecord> newest = Optional.empty();
+  private OptionalLong end = OptionalLong.empty();
+  private OptionalLong epoch = OptionalLong.empty();
+  private long quietSince;
+  private long sequence;
+  private boolean appending;
+  private boolean releasing;
+  private long nextAppendAt;
+  private long heartbeatSentAt;
+  private OptionalLong confirmedAt = OptionalLong.empty();
+  private boolean retired;
+
+  /** Creates the duty of a VM that has read nothing. */
+  public OwnershipDuty(OwnerIdentity self) {
+    this.self = self;
+  }
+
+  /** Returns the epoch if this VM owns as far as it knows. */
+  public OptionalLong epoch() {
+    return epoch;
+  }
+
+  /** Returns the newest record of an owner that has not given up; absent if there is none. */
+  public Optional<OwnerRecord> owner() {
+    return newest.filter(record -> record.kind() != OwnerRecord.Kind.RELEASE);
+  }
+
+  /** Returns when the last heartbeat that the store confirmed was sent. */
+  public OptionalLong confirmedAt() {
+    return confirmedAt;
+  }
+
+  /** Takes in that the stream was read to its end. */
+  public void read(Optional<OwnerRecord> record, long streamEnd, BatchTurn turn) {
+    end = OptionalLong.of(Math.max(streamEnd, end.orElse(0)));
+    if (record.isEmpty()) {
+      return;
+    }
+    OwnerRecord seen = record.get();
+    if (newest.isPresent() && seen.offset() <= newest.get().offset()) {
+      return;
+    }
+    boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
+    newest = record;
+    quietSince = turn.nowNanos();
+    if (changed) {
+      turn.note(BatchLogEvent.OWNER_SEEN, seen.vm(), seen.epoch(), seen.kind());
+    }
+    if (epoch.isPresent() && seen.epoch() > epoch.getAsLong()) {
+      lose(turn, "a claim of " + seen.vm());
+    }
+    boolean ownClaim = seen.kind() == OwnerRecord.Kind.CLAIM && bySelf(seen);
+    if (ownClaim && epoch.isEmpty() && !retired) {
+      win(seen.epoch(), turn);
+    }
+  }
+
+  /** Takes in that the stream could not be read: silence counts anew from here. */
+  public void unreadable(BatchTurn turn) {
+    quietSince = turn.nowNanos();
+  }
+
+  /** Claims or sends a heartbeat if it is time. */
+  public void step(BatchTurn turn) {
+    if (appending || turn.nowNanos() - nextAppendAt < 0) {
+      return;
+    }
+    if (epoch.isPresent()) {
+      OwnerRecord.Kind kind = retired ? OwnerRecord.Kind.RELEASE : OwnerRecord.Kind.HEARTBEAT;
+      append(kind, OptionalLong.empty(), turn);
+      return;
+    }
+    if (!retired && end.isPresent() && ownerGone(turn)) {
+      claim(turn);
+    }
+  }
+
+  private boolean ownerGone(BatchTurn turn) {
+    if (owner().isEmpty()) {
+      return true;
+    }
+    boolean formerSelf = newest.get().vm().equals(self.vm());
+    return formerSelf || turn.nowNanos() - quietSince > SILENCE_NANOS;
+  }
+
+  private void claim(BatchTurn turn) {
+    sequence = 0;
+    append(OwnerRecord.Kind.CLAIM, end, turn);
+  }
+
+  private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchTurn turn) {
+    appending = true;
+    releasing = kind == OwnerRecord.Kind.RELEASE;
+    heartbeatSentAt = turn.nowNanos();
+    long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
+    OwnerRecord record =
+        new OwnerRecord(kind, self.vm(), self.incarnation(), self.address(), appendEpoch, 0);
+    KeyedRecord keyed = new KeyedRecord(OwnerCodec.KEY, Optional.of(OwnerCodec.encode(record)));
+    turn.add(
+        new BatchCommand.Append(
+            StreamName.OWNERSHIP,
+            new WriterPosition(appendEpoch, sequence),
+            expectedEnd,
+            List.of(keyed)));
+  }
+
+  /** Takes the outcome of a claim or a heartbeat. */
+  public void answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
+    appending = false;
+    boolean claimed = position.sequence() == 0;
+    switch (outcome) {
+      case AppendOutcome.Stored stored -> stored(position, claimed, turn);
+      case AppendOutcome.Refused refused -> nextAppendAt = turn.nowNanos() + RETRY_NANOS;
+      case AppendOutcome.Unanswered unanswered ->
+          nextAppendAt = turn.nowNanos() + (claimed ? CLAIM_PAUSE_NANOS : RETRY_NANOS);
+      case AppendOutcome.Fenced fenced -> refusedForGood(position, "a higher epoch", turn);
+      case AppendOutcome.Conflict conflict -> refusedForGood(position, "a later record", turn);
+      case AppendOutcome.OutOfSequence expected ->
+          refusedForGood(position, "another sequence", turn);
+    }
+  }
+
+  private void stored(WriterPosition position, boolean claimed, BatchTurn turn) {
+    if (claimed && epoch.isEmpty() && !retired) {
+      win(position.epoch(), turn);
+    }
+    if (epoch.isEmpty() || epoch.getAsLong() != position.epoch()) {
+      return;
+    }
+    confirmedAt = OptionalLong.of(heartbeatSentAt);
+    sequence = position.sequence() + 1;
+    nextAppendAt = retired ? turn.nowNanos() : heartbeatSentAt + HEARTBEAT_NANOS;
+    if (releasing) {
+      lose(turn, "this VM stops");
+    }
+  }
+
+  private void refusedForGood(WriterPosition position, String cause, BatchTurn turn) {
+    nextAppendAt = turn.nowNanos() + RETRY_NANOS;
+    // Another claim has come first; its record has to be read before this VM may claim again.
+    quietSince = turn.nowNanos();
+    if (epoch.isPresent() && epoch.getAsLong() == position.epoch()) {
+      lose(turn, cause);
+    }
+  }
+
+  private void win(long won, BatchTurn turn) {
+    epoch = OptionalLong.of(won);
+    sequence = 1;
+    confirmedAt = OptionalLong.of(heartbeatSentAt);
+    nextAppendAt = turn.nowNanos() + HEARTBEAT_NANOS;
+    turn.note(BatchLogEvent.OWNERSHIP_WON, won);
+  }
+
+  private void lose(BatchTurn turn, String cause) {
+    turn.note(BatchLogEvent.OWNERSHIP_LOST, epoch.orElse(0), cause);
+    epoch = OptionalLong.empty();
+    confirmedAt = OptionalLong.empty();
+    quietSince = turn.nowNanos();
+  }
+
+  /** Ownership was lost in another stream, or is given up for a fault. */
+  public void abandon(String cause, BatchTurn turn) {
+    if (epoch.isPresent()) {
+      lose(turn, cause);
+    }
+  }
+
+  /** Gives ownership up for good, so that another VM claims at once. */
+  public void retire(BatchTurn turn) {
+    retired = true;
+    nextAppendAt = turn.nowNanos();
+    step(turn);
+  }
+
+  private boolean bySelf(OwnerRecord record) {
+    return record.by(self.vm(), self.incarnation());
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
@@ -0,0 +1,159 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** Chooses which running work gives way so that a step fits. */
+final class Displacer {
+
+  /**
+   * Share of the work of a step that may be thrown away to let it start. Above it, displacing would
+   * slow the others down more than it speeds the step up. Guarantees have no such limit.
+   */
+  private static final double MOST_THROWN_AWAY = 0.5;
+
+  private static final double PERCENT = 100.0;
+
+  private final Function<StepProgress, Rank> ranks;
+
+  Displacer(Function<StepProgress, Rank> ranks) {
+    this.ranks = ranks;
+  }
+
+  /**
+   * Runs that give way together: one task, or all members of a gang.
+   *
+   * @param thrownAway work that has to be done again, in seconds of one core
+   */
+  private record Victim(List<LiveRun> runs, Rank rank, double thrownAway) {}
+
+  /**
+   * Chooses victims.
+   *
+   * @param expected room once all that is being stopped is gone
+   * @return the runs to stop, and the places that they leave; absent if that would not do
+   */
+  Optional<Choice> choose(WaitingStep waiting, Room expected, boolean nearOnly) {
+    double limit =
+        waiting.rank().guaranteed()
+            ? Double.MAX_VALUE
+            : waiting.estimatedCoreSeconds() * MOST_THROWN_AWAY;
+    Optional<Choice> best = Optional.empty();
+    for (List<Slot> group : expected.groups(waiting, nearOnly)) {
+      Optional<Choice> choice = choose(waiting, group, limit);
+      if (choice.isPresent()
+          && best.filter(found -> found.thrownAway() <= choice.get().thrownAway()).isEmpty()) {
+        best = choice;
+      }
+    }
+    return best;
+  }
+
+  /** Victims, what they lose, and the places that the step then has. */
+  record Choice(List<LiveRun> victims, double thrownAway, List<Place> places) {}
+
+  private Optional<Choice> choose(WaitingStep waiting, List<Slot> group, double limit) {
+    List<Slot> copies = group.stream().map(Slot::copy).toList();
+    Map<ExecutorId, Slot> byExecutor = new LinkedHashMap<>();
+    copies.forEach(slot -> byExecutor.put(slot.executor().profile().id(), slot));
+    int wanted = waiting.tasks().size();
+    List<Victim> chosen = new ArrayList<>();
+    double lost = 0;
+    for (Victim victim : victims(waiting, copies)) {
+      if (Room.fits(waiting, copies) >= wanted) {
+        break;
+      }
+      if (lost + victim.thrownAway() > limit) {
+        continue;
+      }
+      chosen.add(victim);
+      lost += victim.thrownAway();
+      give(victim, byExecutor, 1);
+    }
+    if (Room.fits(waiting, copies) < wanted) {
+      return Optional.empty();
+    }
+    lost -= spare(waiting, copies, byExecutor, chosen);
+    List<LiveRun> runs = chosen.stream().flatMap(victim -> victim.runs().stream()).toList();
+    return Optional.of(new Choice(runs, lost, Room.place(waiting, waiting.tasks(), copies)));
+  }
+
+  /** Takes victims out again that turn out not to be needed; returns the work that this saves. */
+  private static double spare(
+      WaitingStep waiting,
+      List<Slot> copies,
+      Map<ExecutorId, Slot> byExecutor,
+      List<Victim> chosen) {
+    double saved = 0;
+    for (Victim victim : List.copyOf(chosen).reversed()) {
+      give(victim, byExecutor, -1);
+      if (Room.fits(waiting, copies) >= waiting.tasks().size()) {
+        chosen.remove(victim);
+        saved += victim.thrownAway();
+      } else {
+        give(victim, byExecutor, 1);
+      }
+    }
+    return saved;
+  }
+
+  private static void give(Victim victim, Map<ExecutorId, Slot> byExecutor, int sign) {
+    for (LiveRun run : victim.runs()) {
+      Optional.ofNullable(byExecutor.get(run.executor()))
+          .ifPresent(slot -> slot.give(run.demand().times(sign)));
+    }
+  }
+
+  /** Returns what may give way, the least important and the least lost first. */
+  private List<Victim> victims(WaitingStep waiting, List<Slot> group) {
+    List<Victim> victims = new ArrayList<>();
+    Set<StepProgress> gangs = new LinkedHashSet<>();
+    for (Slot slot : group) {
+      ExecutorState executor = slot.executor();
+      for (LiveRun run : executor.runs()) {
+        Rank rank = ranks.apply(run.step());
+        boolean movable = run.stage() != Stage.STOPPING && !run.step().done();
+        if (!movable || !waiting.rank().before(rank)) {
+          continue;
+        }
+        if (run.step().spec().gang()) {
+          gangs.add(run.step());
+        } else {
+          victims.add(victim(List.of(run), rank));
+        }
+      }
+    }
+    gangs.forEach(gang -> victims.add(victim(gang.liveRuns(), ranks.apply(gang))));
+    victims.sort(
+        Comparator.comparing(Victim::thrownAway)
+            .thenComparing(Victim::rank, Comparator.reverseOrder()));
+    return victims;
+  }
+
+  private static Victim victim(List<LiveRun> runs, Rank rank) {
+    double lost = 0;
+    for (LiveRun run : runs) {
+      if (!run.step().spec().checkpointing()) {
+        lost += workDone(run);
+      }
+    }
+    return new Victim(runs, rank, lost);
+  }
+
+  private static double workDone(LiveRun run) {
+    double seconds = run.step().spec().estimateMillis() / 1000.0 * run.percent() / PERCENT;
+    return seconds * run.demand().coreEquivalents();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Place.java
@@ -0,0 +1,14 @@
+package org.fescuehook.logic.batch.plan;
+
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+
+/**
+ * Where a task starts.
+ *
+ * @param step the step
+ * @param task the task
+ * @param executor the executor
+ */
+public record Place(StepProgress step, TaskProgress task, ExecutorState executor) {}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -0,0 +1,146 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.JobDuty;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.state.OpenJob;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.TaskRun;
+
+/** Carries plans out: stores each placement, then orders the start. */
+public final class PlanDuty {
+
+  private final JobDuty jobs;
+  private final ExecutorDuty executors;
+  private final Planner planner;
+  private final List<LiveRun> stored = new ArrayList<>();
+  private Map<String, Integer> guaranteedNeed = Map.of();
+
+  /** Creates the duty. */
+  public PlanDuty(JobDuty jobs, ExecutorDuty executors) {
+    this.jobs = jobs;
+    this.executors = executors;
+    this.planner = new Planner(step -> rank(step.job()));
+  }
+
+  /** Plans and carries the plan out. */
+  public void step(BatchTurn turn) {
+    guaranteedNeed = guaranteedNeed();
+    List<WaitingStep> waiting = waiting(turn);
+    if (waiting.isEmpty()) {
+      return;
+    }
+    List<ExecutorState> usable =
+        executors.book().all().stream()
+            .filter(executor -> executor.usable(turn.nowNanos()))
+            .toList();
+    Planner.Plan plan = planner.plan(waiting, usable);
+    plan.stops().forEach(run -> executors.stop(run, "work of a higher rank needs its place", turn));
+    start(plan.starts(), turn);
+  }
+
+  private List<WaitingStep> waiting(BatchTurn turn) {
+    List<WaitingStep> waiting = new ArrayList<>();
+    for (OpenJob job : jobs.book().openJobs()) {
+      if (!job.open()) {
+        continue;
+      }
+      JobQueue queue = jobs.queue(job);
+      for (StepProgress step : job.steps()) {
+        if (!step.done() && job.mayRun(step, turn.wallMillis())) {
+          collect(step, queue, waiting, turn);
+        }
+      }
+    }
+    return waiting;
+  }
+
+  private void collect(
+      StepProgress step, JobQueue queue, List<WaitingStep> waiting, BatchTurn turn) {
+    List<TaskProgress> tasks = step.waiting();
+    boolean complete = !step.spec().gang() || tasks.size() == step.spec().count();
+    if (tasks.isEmpty() || !complete) {
+      return;
+    }
+    long accepted = step.job().job().acceptedMillis();
+    long waited = Math.max(0, turn.wallMillis() - accepted) * 1_000_000;
+    waiting.add(new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, waited));
+  }
+
+  private Rank rank(OpenJob job) {
+    JobQueue queue = jobs.queue(job);
+    String organisation = job.job().organisation();
+    int guaranteed = jobs.configuration().guaranteedAccelerators(organisation);
+    int needed = guaranteedNeed.getOrDefault(organisation, 0);
+    boolean covered = queue.priority() == 0 && needed > 0 && needed <= guaranteed;
+    return covered ? Rank.GUARANTEED : Rank.ofPriority(queue.priority());
+  }
+
+  /** Returns the accelerators that the open jobs of priority 0 need, by organisation. */
+  private Map<String, Integer> guaranteedNeed() {
+    Map<String, Integer> need = new HashMap<>();
+    for (OpenJob job : jobs.book().openJobs()) {
+      if (job.open() && jobs.queue(job).priority() == 0) {
+        int accelerators =
+            job.steps().stream()
+                .filter(step -> !step.done())
+                .mapToInt(step -> step.spec().demand().accelerators() * step.spec().count())
+                .sum();
+        need.merge(job.job().organisation(), accelerators, Integer::sum);
+      }
+    }
+    return need;
+  }
+
+  private void start(List<Place> places, BatchTurn turn) {
+    Set<OpenJob> touched = new LinkedHashSet<>();
+    List<LiveRun> runs = new ArrayList<>();
+    Map<StepProgress, Integer> gangRuns = new HashMap<>();
+    for (Place place : places) {
+      StepProgress step = place.step();
+      boolean gang = step.spec().gang();
+      int number =
+          gang
+              ? gangRuns.computeIfAbsent(step, StepProgress::nextGangRun)
+              : place.task().lastRun() + 1;
+      String checkpoint = gang ? step.gangCheckpoint() : place.task().checkpoint();
+      TaskRun name = new TaskRun(step.name(place.task()), number);
+      LiveRun run =
+          LiveRun.placed(name, place.executor().profile().id(), step, checkpoint, turn.nowNanos());
+      step.begin(place.task(), run);
+      place.executor().add(run);
+      touched.add(step.job());
+      runs.add(run);
+      turn.note(
+          BatchLogEvent.RUN_PLACED, name, run.executor(), rank(step.job()) + " " + checkpoint);
+    }
+    for (OpenJob job : touched) {
+      List<LiveRun> own = runs.stream().filter(run -> run.step().job() == job).toList();
+      jobs.persist(job, () -> stored.addAll(own));
+    }
+  }
+
+  /** Orders the starts whose placements have been stored since the last call. */
+  public void startStored(BatchTurn turn) {
+    for (LiveRun run : stored) {
+      boolean held =
+          executors.book().find(run.executor()).flatMap(state -> state.run(run.run())).isPresent();
+      if (held && run.stage() == Stage.PLACED) {
+        executors.start(run, turn);
+      }
+    }
+    stored.clear();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -0,0 +1,165 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.state.StepProgress;
+
+/**
+ * Decides what starts where and what gives way. Without memory: the same state gives the same plan.
+ */
+public final class Planner {
+
+  /**
+   * How long guaranteed work waits for a place near its data before it starts anywhere. Its bound
+   * is some 2.7 s, of which stopping others takes up to a second.
+   */
+  private static final long GUARANTEED_PATIENCE_NANOS = Duration.ofMillis(1200).toNanos();
+
+  /**
+   * How long other work waits for a place near its data; elsewhere it takes three times as long.
+   */
+  private static final long PATIENCE_NANOS = Duration.ofSeconds(8).toNanos();
+
+  private final Displacer displacer;
+
+  /**
+   * Creates a planner.
+   *
+   * @param ranks precedence of steps that run
+   */
+  public Planner(Function<StepProgress, Rank> ranks) {
+    this.displacer = new Displacer(ranks);
+  }
+
+  /**
+   * What to do.
+   *
+   * @param starts where tasks start
+   * @param stops runs that give way
+   */
+  public record Plan(List<Place> starts, List<LiveRun> stops) {}
+
+  /**
+   * Makes a plan.
+   *
+   * @param waiting steps whose turn has come, in any order
+   * @param executors executors that may get new runs
+   */
+  public Plan plan(Collection<WaitingStep> waiting, Collection<ExecutorState> executors) {
+    List<WaitingStep> order = new ArrayList<>(waiting);
+    order.sort(
+        Comparator.comparing(WaitingStep::rank).thenComparingLong(WaitingStep::acceptedMillis));
+    Pass pass = new Pass(executors);
+    order.forEach(pass::take);
+    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
+  }
+
+  /** One plan being made. */
+  private final class Pass {
+    private final Room free;
+    private final Room expected;
+    private final Room whole;
+    private final List<Place> starts = new ArrayList<>();
+    private final List<LiveRun> stops = new ArrayList<>();
+
+    Pass(Collection<ExecutorState> executors) {
+      free = Room.now(executors);
+      expected = Room.now(executors);
+      whole = Room.empty(executors);
+      for (ExecutorState executor : executors) {
+        for (LiveRun run : executor.runs()) {
+          if (run.stage() == Stage.STOPPING) {
+            expected.give(executor, run.demand());
+          }
+        }
+      }
+    }
+
+    void take(WaitingStep waiting) {
+      if (waiting.step().spec().gang()) {
+        takeGang(waiting);
+      } else {
+        takeTasks(waiting);
+      }
+    }
+
+    private void takeTasks(WaitingStep waiting) {
+      List<Place> places = new ArrayList<>();
+      for (List<Slot> group : free.groups(waiting, nearOnly(waiting))) {
+        places.addAll(Room.place(waiting, waiting.tasks(), group));
+        break;
+      }
+      places.forEach(this::start);
+      boolean incomplete = places.size() < waiting.tasks().size();
+      if (incomplete && waiting.rank().guaranteed()) {
+        displace(waiting.rest(places.size()), nearOnly(waiting));
+      }
+    }
+
+    private void takeGang(WaitingStep waiting) {
+      boolean nearOnly = nearOnly(waiting);
+      Optional<List<Place>> now = tightest(waiting, free, nearOnly);
+      if (now.isPresent()) {
+        now.get().forEach(this::start);
+        return;
+      }
+      displace(waiting, nearOnly);
+    }
+
+    /** Waits for capacity that is being freed, or has other work give way. */
+    private void displace(WaitingStep waiting, boolean nearOnly) {
+      Optional<List<Place>> soon = tightest(waiting, expected, nearOnly);
+      if (soon.isPresent()) {
+        soon.get().forEach(this::reserve);
+        return;
+      }
+      Optional<Displacer.Choice> choice = displacer.choose(waiting, expected, nearOnly);
+      if (choice.isPresent()) {
+        choice.get().victims().forEach(this::stop);
+        choice.get().places().forEach(this::reserve);
+      }
+    }
+
+    /** Tells whether a step has to start near its data: it could, and has not waited long. */
+    private boolean nearOnly(WaitingStep waiting) {
+      long patience = waiting.rank().guaranteed() ? GUARANTEED_PATIENCE_NANOS : PATIENCE_NANOS;
+      if (waiting.waitedNanos() > patience) {
+        return false;
+      }
+      int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+      return whole.groups(waiting, true).stream()
+          .anyMatch(group -> Room.fits(waiting, group) >= wanted);
+    }
+
+    /** Finds the group with the least room to spare in which all tasks fit. */
+    private Optional<List<Place>> tightest(WaitingStep waiting, Room room, boolean nearOnly) {
+      int wanted = waiting.tasks().size();
+      return room.groups(waiting, nearOnly).stream()
+          .filter(group -> Room.fits(waiting, group) >= wanted)
+          .min(Comparator.comparingInt(group -> Room.fits(waiting, group)))
+          .map(group -> Room.place(waiting, waiting.tasks(), group));
+    }
+
+    private void start(Place place) {
+      starts.add(place);
+      reserve(place);
+    }
+
+    private void reserve(Place place) {
+      free.take(place.executor(), place.step().spec().demand());
+      expected.take(place.executor(), place.step().spec().demand());
+    }
+
+    private void stop(LiveRun run) {
+      stops.add(run);
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -0,0 +1,139 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.fleet.RackId;
+
+/** Free capacity of the usable executors while a plan is made. */
+final class Room {
+
+  private final List<Slot> slots;
+
+  Room(List<Slot> slots) {
+    this.slots = slots;
+  }
+
+  /** Returns what is free now. */
+  static Room now(Collection<ExecutorState> executors) {
+    List<Slot> slots = new ArrayList<>();
+    executors.forEach(executor -> slots.add(new Slot(executor, executor.free())));
+    return new Room(slots);
+  }
+
+  /** Returns what the executors have when nothing runs. */
+  static Room empty(Collection<ExecutorState> executors) {
+    List<Slot> slots = new ArrayList<>();
+    executors.forEach(executor -> slots.add(new Slot(executor, executor.profile().capacity())));
+    return new Room(slots);
+  }
+
+  Room copy() {
+    return new Room(slots.stream().map(Slot::copy).toList());
+  }
+
+  List<Slot> slots() {
+    return slots;
+  }
+
+  /** Takes capacity of an executor; what is taken twice makes it negative. */
+  void take(ExecutorState executor, Demand demand) {
+    for (Slot slot : slots) {
+      if (slot.executor() == executor) {
+        slot.take(demand);
+        return;
+      }
+    }
+  }
+
+  /** Gives capacity of an executor back. */
+  void give(ExecutorState executor, Demand demand) {
+    take(executor, Demand.NONE.minus(demand));
+  }
+
+  /** Returns the slots on which a step may run, in groups that count as near to each other. */
+  List<List<Slot>> groups(WaitingStep waiting, boolean nearOnly) {
+    BatchStep spec = waiting.step().spec();
+    List<Slot> suitable = slots.stream().filter(slot -> slot.suits(spec, waiting.pool())).toList();
+    if (!nearOnly) {
+      return List.of(suitable);
+    }
+    if (spec.placement().affinity().isPresent()) {
+      RackId rack = spec.placement().affinity().get();
+      return List.of(suitable.stream().filter(slot -> in(slot, rack)).toList());
+    }
+    if (!spec.placement().sameRack()) {
+      return List.of(suitable);
+    }
+    Map<RackId, List<Slot>> racks = new TreeMap<>();
+    for (Slot slot : suitable) {
+      RackId rack = slot.executor().profile().rack();
+      racks.computeIfAbsent(rack, name -> new ArrayList<>()).add(slot);
+    }
+    return List.copyOf(racks.values());
+  }
+
+  private static boolean in(Slot slot, RackId rack) {
+    return slot.executor().profile().rack().equals(rack);
+  }
+
+  /** Returns how many tasks of a step fit into a group of slots. */
+  static int fits(WaitingStep waiting, List<Slot> group) {
+    long total = 0;
+    for (Slot slot : group) {
+      total += fits(waiting, slot);
+    }
+    return (int) Math.min(total, Integer.MAX_VALUE);
+  }
+
+  private static int fits(WaitingStep waiting, Slot slot) {
+    BatchStep spec = waiting.step().spec();
+    int fitting = slot.free().fits(spec.demand());
+    int most = spec.placement().mostPerExecutor();
+    if (most == 0) {
+      return fitting;
+    }
+    return Math.clamp(most - present(waiting.step(), slot), 0, fitting);
+  }
+
+  private static int present(StepProgress step, Slot slot) {
+    int count = 0;
+    for (var run : slot.executor().runs()) {
+      if (run.step() == step) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /**
+   * Places tasks in a group, the fullest executors first so that whole ones stay free.
+   *
+   * @return the places; fewer than tasks if the group has no room for all
+   */
+  static List<Place> place(WaitingStep waiting, List<TaskProgress> tasks, List<Slot> group) {
+    List<Slot> order = new ArrayList<>(group);
+    order.sort(
+        Comparator.comparingInt((Slot slot) -> slot.free().accelerators())
+            .thenComparingInt(slot -> slot.free().milliCores()));
+    List<Place> places = new ArrayList<>();
+    for (Slot slot : order) {
+      int fitting = fits(waiting, slot);
+      for (int taken = 0; taken < fitting; taken++) {
+        if (places.size() == tasks.size()) {
+          return places;
+        }
+        places.add(new Place(waiting.step(), tasks.get(places.size()), slot.executor()));
+      }
+    }
+    return places;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -0,0 +1,41 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.util.List;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+
+/**
+ * A step whose turn has come and of which tasks need a run.
+ *
+ * @param step the step
+ * @param tasks the tasks that need a run; for a gang all of them
+ * @param pool pool of the executors that may run it
+ * @param rank its precedence
+ * @param acceptedMillis when its job was accepted, milliseconds since 1970
+ * @param waitedNanos how long it has waited
+ */
+public record WaitingStep(
+    StepProgress step,
+    List<TaskProgress> tasks,
+    String pool,
+    Rank rank,
+    long acceptedMillis,
+    long waitedNanos) {
+
+  /** Copies the list. */
+  public WaitingStep {
+    tasks = List.copyOf(tasks);
+  }
+
+  /** Returns the same step without the first tasks. */
+  public WaitingStep rest(int placed) {
+    List<TaskProgress> left = tasks.subList(placed, tasks.size());
+    return new WaitingStep(step, left, pool, rank, acceptedMillis, waitedNanos);
+  }
+
+  /** Returns the work of the waiting tasks by their estimate, in seconds of one core. */
+  public double estimatedCoreSeconds() {
+    double seconds = step.spec().estimateMillis() / 1000.0;
+    return step.spec().demand().coreEquivalents() * seconds * tasks.size();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -0,0 +1,202 @@
+package org.fescuehook.logic.batch.state;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.wire.batch.StoredJob;
+import org.fescuehook.wire.batch.StoredProgress;
+import org.fescuehook.wire.batch.StoredQueue;
+import org.fescuehook.wire.batch.StoredStepProgress;
+import org.fescuehook.wire.batch.StoredTaskProgress;
+
+/** Stored form of jobs and their progress. */
+public final class JobCodec {
+
+  private static final String JOB_PREFIX = "j/";
+  private static final String PROGRESS_PREFIX = "p/";
+
+  private JobCodec() {}
+
+  /** Returns the key of the job as it was accepted. */
+  public static String jobKey(String id) {
+    return JOB_PREFIX + id;
+  }
+
+  /** Returns the key of its progress. */
+  public static String progressKey(String id) {
+    return PROGRESS_PREFIX + id;
+  }
+
+  /** Returns the id in the key of a job; absent if it is the key of something else. */
+  public static Optional<String> jobOf(String key) {
+    return suffix(key, JOB_PREFIX);
+  }
+
+  /** Returns the id in the key of a progress; absent if it is the key of something else. */
+  public static Optional<String> progressOf(String key) {
+    return suffix(key, PROGRESS_PREFIX);
+  }
+
+  private static Optional<String> suffix(String key, String prefix) {
+    return key.startsWith(prefix) ? Optional.of(key.substring(prefix.length())) : Optional.empty();
+  }
+
+  /** Encodes a job. */
+  public static byte[] encode(BatchJob job) {
+    return StoredJob.newBuilder()
+        .setQueue(encode(job.queue()))
+        .setOrganisation(job.organisation())
+        .setAcceptedMillis(job.acceptedMillis())
+        .setSubmission(SubmissionCodec.encode(job.submission()))
+        .build()
+        .toByteArray();
+  }
+
+  /**
+   * Decodes a job.
+   *
+   * @throws UnreadableRecordException if the bytes are not a job
+   */
+  public static BatchJob decodeJob(String id, byte[] value) throws UnreadableRecordException {
+    try {
+      StoredJob stored = StoredJob.parseFrom(value);
+      return new BatchJob(
+          id,
+          decode(stored.getQueue()),
+          stored.getOrganisation(),
+          stored.getAcceptedMillis(),
+          SubmissionCodec.decode(stored.getSubmission()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+      throw new UnreadableRecordException("job " + id, e);
+    }
+  }
+
+  private static StoredQueue encode(JobQueue queue) {
+    return StoredQueue.newBuilder()
+        .setName(queue.name())
+        .setPool(queue.pool())
+        .setPriority(queue.priority())
+        .setMaxAttempts(queue.maxAttempts())
+        .setDeadlineFactor(queue.deadlineFactor())
+        .setTargetLatencyMillis(queue.targetLatencyMillis())
+        .setOpen(queue.open())
+        .setAdvised(queue.advised())
+        .build();
+  }
+
+  private static JobQueue decode(StoredQueue stored) {
+    return new JobQueue(
+        stored.getName(),
+        stored.getPool(),
+        stored.getPriority(),
+        stored.getMaxAttempts(),
+        stored.getDeadlineFactor(),
+        stored.getTargetLatencyMillis(),
+        stored.getOpen(),
+        stored.getAdvised());
+  }
+
+  /** Encodes how far a job is. */
+  public static byte[] encodeProgress(OpenJob job) {
+    StoredProgress.Builder stored =
+        StoredProgress.newBuilder()
+            .setState(state(job.end()))
+            .setEndedMillis(job.endedMillis())
+            .setBegun(job.begun());
+    if (job.open()) {
+      for (StepProgress step : job.steps()) {
+        encodeStep(step).ifPresent(stored::addSteps);
+      }
+    }
+    return stored.build().toByteArray();
+  }
+
+  private static Optional<StoredStepProgress> encodeStep(StepProgress step) {
+    StoredStepProgress.Builder stored =
+        StoredStepProgress.newBuilder()
+            .setOccurrence(step.occurrence())
+            .setStep(step.number())
+            .setDone(step.done())
+            .setGangFailures(step.gangFailures());
+    if (step.done()) {
+      return Optional.of(stored.build());
+    }
+    for (TaskProgress task : step.tasks()) {
+      if (task.lastRun() > 0) {
+        stored.addTasks(encodeTask(task));
+      }
+    }
+    return stored.getTasksCount() == 0 ? Optional.empty() : Optional.of(stored.build());
+  }
+
+  private static StoredTaskProgress encodeTask(TaskProgress task) {
+    return StoredTaskProgress.newBuilder()
+        .setIndex(task.index())
+        .setDone(task.done())
+        .setFailures(task.failures())
+        .setLastRun(task.lastRun())
+        .setCheckpoint(task.done() ? "" : task.checkpoint())
+        .setExecutor(task.live().map(run -> run.executor().value()).orElse(""))
+        .build();
+  }
+
+  /**
+   * Decodes the end of a job.
+   *
+   * @return the end; absent if the job is open
+   * @throws UnreadableRecordException if the bytes are not the progress of a job
+   */
+  public static Optional<JobBook.EndedJob> decodeEnd(String id, byte[] value)
+      throws UnreadableRecordException {
+    StoredProgress stored = parse(id, value);
+    return phase(stored.getState())
+        .map(phase -> new JobBook.EndedJob(phase, stored.getEndedMillis()));
+  }
+
+  /**
+   * Puts stored progress into a fresh job; runs that were live are inherited.
+   *
+   * @throws UnreadableRecordException if the bytes are not the progress of this job
+   */
+  public static void restore(OpenJob job, byte[] value, long nowNanos)
+      throws UnreadableRecordException {
+    StoredProgress stored = parse(job.job().id(), value);
+    ProgressRestorer restorer = new ProgressRestorer(job, nowNanos);
+    for (StoredStepProgress step : stored.getStepsList()) {
+      restorer.restore(step);
+    }
+    job.restore(stored.getBegun(), phase(stored.getState()), stored.getEndedMillis());
+  }
+
+  private static StoredProgress parse(String id, byte[] value) throws UnreadableRecordException {
+    try {
+      return StoredProgress.parseFrom(value);
+    } catch (InvalidProtocolBufferException e) {
+      throw new UnreadableRecordException("progress of job " + id, e);
+    }
+  }
+
+  private static StoredProgress.State state(Optional<JobPhase> end) {
+    if (end.isEmpty()) {
+      return StoredProgress.State.OPEN;
+    }
+    return switch (end.get()) {
+      case COMPLETED -> StoredProgress.State.COMPLETED;
+      case FAILED -> StoredProgress.State.FAILED;
+      case CANCELLED -> StoredProgress.State.CANCELLED;
+      case QUEUED, IN_PROGRESS -> StoredProgress.State.OPEN;
+    };
+  }
+
+  private static Optional<JobPhase> phase(StoredProgress.State state) {
+    return switch (state) {
+      case COMPLETED -> Optional.of(JobPhase.COMPLETED);
+      case FAILED -> Optional.of(JobPhase.FAILED);
+      case CANCELLED -> Optional.of(JobPhase.CANCELLED);
+      case OPEN, UNRECOGNIZED -> Optional.empty();
+    };
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -0,0 +1,224 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.store.StateWriter;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.RunEnd;
+
+/** Changes jobs by what becomes of their runs, and stores each change. */
+public final class JobDuty {
+
+  private final JobBook book;
+  private final StateWriter writer;
+  private final ExecutorDuty executors;
+  private BatchConfiguration configuration;
+  private boolean changed = true;
+
+  /** Creates the duty of an owner that has loaded the jobs. */
+  public JobDuty(
+      JobBook book, StateWriter writer, ExecutorDuty executors, BatchConfiguration configuration) {
+    this.book = book;
+    this.writer = writer;
+    this.executors = executors;
+    this.configuration = configuration;
+  }
+
+  /** Returns the jobs. */
+  public JobBook book() {
+    return book;
+  }
+
+  /** Takes a newer configuration. */
+  public void configure(BatchConfiguration newer) {
+    configuration = newer;
+    changed = true;
+  }
+
+  /** Returns the queue of a job as it is declared now, or was when the job came. */
+  public JobQueue queue(OpenJob job) {
+    JobQueue accepted = job.job().queue();
+    return configuration.queue(accepted.name()).orElse(accepted);
+  }
+
+  /** Returns the configuration in force. */
+  public BatchConfiguration configuration() {
+    return configuration;
+  }
+
+  /** Tells whether a plan may turn out differently since this was asked last. */
+  public boolean takeChanged() {
+    boolean was = changed;
+    changed = false;
+    return was;
+  }
+
+  /** Has the next plan looked at everything anew. */
+  public void changed() {
+    changed = true;
+  }
+
+  /** Stores how far a job is. */
+  public void persist(OpenJob job, Runnable committed) {
+    writer.put(
+        JobCodec.progressKey(job.job().id()),
+        () -> Optional.of(JobCodec.encodeProgress(job)),
+        () -> {
+          job.show();
+          committed.run();
+        });
+  }
+
+  /** Ends a job that its caller cancelled. */
+  public void cancel(OpenJob job, Runnable committed, BatchTurn turn) {
+    end(job, JobPhase.CANCELLED, committed, turn);
+  }
+
+  private void end(OpenJob job, JobPhase phase, Runnable committed, BatchTurn turn) {
+    long millis = turn.wallMillis() - job.job().acceptedMillis();
+    turn.note(BatchLogEvent.JOB_ENDED, job.job().id(), phase, millis);
+    turn.count("fescuehook.batch.jobs.ended", "phase", phase.name());
+    job.end(phase, turn.wallMillis());
+    if (phase != JobPhase.COMPLETED) {
+      job.liveRuns().forEach(run -> executors.stop(run, "its job ended", turn));
+    }
+    persist(
+        job,
+        () -> {
+          book.retire(job);
+          committed.run();
+        });
+    writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
+    changed = true;
+  }
+
+  /** A run has ended. */
+  public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
+    noteEnd(run, end.end(), turn);
+    StepProgress step = run.step();
+    TaskProgress task = step.tasks().get(run.run().task().index());
+    step.end(task);
+    step.saved(task, end.checkpoint());
+    changed = true;
+    if (step.job().shown().ended()) {
+      return;
+    }
+    stored.hold();
+    Runnable committed = stored::release;
+    if (!step.job().open()) {
+      // The end of the job is on its way to the store; this end is acknowledged after it.
+      persist(step.job(), committed);
+      return;
+    }
+    switch (end.end()) {
+      case DONE -> finish(step, task, committed, turn);
+      case FAILED -> fail(run, task, committed, turn);
+      case STOPPED, LEASE_EXPIRED, GANG_BROKEN, GANG_INCOMPLETE -> {
+        breakGang(step, turn);
+        persist(step.job(), committed);
+      }
+    }
+  }
+
+  private static void noteEnd(LiveRun run, RunEnd end, BatchTurn turn) {
+    long millis = (turn.nowNanos() - run.placedAt()) / 1_000_000;
+    turn.note(BatchLogEvent.RUN_ENDED, run.run(), run.executor(), end, run.percent(), millis);
+    turn.count("fescuehook.batch.runs.ended", "how", end.name());
+  }
+
+  private void finish(StepProgress step, TaskProgress task, Runnable committed, BatchTurn turn) {
+    step.finish(task);
+    if (step.job().allDone()) {
+      end(step.job(), JobPhase.COMPLETED, committed, turn);
+    } else {
+      persist(step.job(), committed);
+    }
+  }
+
+  private void fail(LiveRun run, TaskProgress task, Runnable committed, BatchTurn turn) {
+    StepProgress step = run.step();
+    int failures = step.fail(task, run.run().number());
+    if (!step.done() && failures >= queue(step.job()).maxAttempts()) {
+      end(step.job(), JobPhase.FAILED, committed, turn);
+      return;
+    }
+    breakGang(step, turn);
+    persist(step.job(), committed);
+  }
+
+  /** One member is gone, so the others end too and the whole gang is tried again. */
+  private void breakGang(StepProgress step, BatchTurn turn) {
+    if (step.spec().gang() && !step.done()) {
+      step.liveRuns().forEach(run -> executors.stop(run, "a member of its gang ended", turn));
+    }
+  }
+
+  /** A run that was given up has ended; done work counts all the same. */
+  public void strayEnded(EndedRun end, Countdown stored, BatchTurn turn) {
+    if (end.end() != RunEnd.DONE) {
+      return;
+    }
+    Optional<OpenJob> job = book.open(end.run().task().job()).filter(OpenJob::open);
+    Optional<StepProgress> step =
+        job.flatMap(open -> open.step(end.run().task().occurrence(), end.run().task().step()));
+    Optional<TaskProgress> task = step.flatMap(found -> found.task(end.run().task().index()));
+    if (task.isEmpty() || task.get().done()) {
+      return;
+    }
+    stored.hold();
+    finish(step.get(), task.get(), stored::release, turn);
+    // Another run of the task may be under way elsewhere.
+    task.get().live().ifPresent(run -> executors.stop(run, "its task is done", turn));
+  }
+
+  /** A run is gone without an end. */
+  public void lost(LiveRun run, BatchTurn turn) {
+    StepProgress step = run.step();
+    TaskProgress task = step.tasks().get(run.run().task().index());
+    if (task.live().filter(run::equals).isEmpty()) {
+      return;
+    }
+    step.end(task);
+    changed = true;
+    if (step.job().open()) {
+      breakGang(step, turn);
+      persist(step.job(), () -> {});
+    }
+  }
+
+  /** A start was rejected. */
+  public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
+    turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), "rejected: " + rejection);
+    lost(run, turn);
+  }
+
+  /** A start had no answer. */
+  public void startGivenUp(LiveRun run, BatchTurn turn) {
+    executors.stop(run, "its start had no answer", turn);
+    breakGang(run.step(), turn);
+  }
+
+  /** A run has saved progress. */
+  public void saved(LiveRun run, String checkpoint) {
+    StepProgress step = run.step();
+    step.saved(step.tasks().get(run.run().task().index()), checkpoint);
+  }
+
+  /** What saves its progress moves away from an executor that is about to leave. */
+  public void leaving(ExecutorState executor, BatchTurn turn) {
+    for (LiveRun run : executor.runs().stream().toList()) {
+      if (run.step().spec().checkpointing() && !run.step().done()) {
+        executors.stop(run, "its executor is leaving", turn);
+        breakGang(run.step(), turn);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -0,0 +1,184 @@
+package org.fescuehook.logic.batch.state;
+
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** A run that may be alive: it holds capacity of its executor until it is known to be over. */
+public final class LiveRun {
+
+  private final TaskRun run;
+  private final ExecutorId executor;
+  private final StepProgress step;
+  private final String checkpoint;
+  private final long placedAt;
+  private Stage stage;
+  private boolean startUncertain;
+  private boolean stopTaken;
+  private long stopTakenAt;
+  private long stageSince;
+  private long orderedAt;
+  private int orders;
+  private int percent;
+  private long progressAt;
+
+  private LiveRun(
+      TaskRun run,
+      ExecutorId executor,
+      StepProgress step,
+      String checkpoint,
+      Stage stage,
+      long nowNanos) {
+    this.run = run;
+    this.executor = executor;
+    this.step = step;
+    this.checkpoint = checkpoint;
+    this.stage = stage;
+    this.placedAt = nowNanos;
+    this.stageSince = nowNanos;
+    this.progressAt = nowNanos;
+  }
+
+  /**
+   * Creates a run that was just placed.
+   *
+   * @param checkpoint what it goes on from; empty to begin anew
+   */
+  public static LiveRun placed(
+      TaskRun run, ExecutorId executor, StepProgress step, String checkpoint, long nowNanos) {
+    return new LiveRun(run, executor, step, checkpoint, Stage.PLACED, nowNanos);
+  }
+
+  /** Creates a run that a former owner had placed. */
+  public static LiveRun inherited(
+      TaskRun run, ExecutorId executor, StepProgress step, long nowNanos) {
+    return new LiveRun(run, executor, step, "", Stage.INHERITED, nowNanos);
+  }
+
+  /** How far the owner is with a run. */
+  public enum Stage {
+    /** Placed; the placement is being stored and no order was sent. */
+    PLACED,
+    /** A start was ordered and has not been answered. */
+    STARTING,
+    /** The executor said that it runs. */
+    RUNNING,
+    /** Ordered to stop; it may still run. */
+    STOPPING,
+    /** Taken over from a former owner; the executor has not been asked yet. */
+    INHERITED
+  }
+
+  /** Returns the run. */
+  public TaskRun run() {
+    return run;
+  }
+
+  /** Returns the executor. */
+  public ExecutorId executor() {
+    return executor;
+  }
+
+  /** Returns the step that it belongs to. */
+  public StepProgress step() {
+    return step;
+  }
+
+  /** Returns the checkpoint that it goes on from; each start of it carries the same one. */
+  public String checkpoint() {
+    return checkpoint;
+  }
+
+  /** Returns what it holds on the executor. */
+  public Demand demand() {
+    return step.spec().demand();
+  }
+
+  /** Returns the stage. */
+  public Stage stage() {
+    return stage;
+  }
+
+  /** Returns when the stage began, monotonic time. */
+  public long stageSince() {
+    return stageSince;
+  }
+
+  /** Returns when it was placed or taken over, monotonic time. */
+  public long placedAt() {
+    return placedAt;
+  }
+
+  /** Enters a stage. */
+  public void enter(Stage next, long nowNanos) {
+    stage = next;
+    stageSince = nowNanos;
+    orders = 0;
+  }
+
+  /** Counts an order of this stage and remembers when it was sent. */
+  public void ordered(long nowNanos) {
+    orders++;
+    orderedAt = nowNanos;
+  }
+
+  /** Returns how many orders of this stage were sent. */
+  public int orders() {
+    return orders;
+  }
+
+  /** Returns when the last order was sent, monotonic time. */
+  public long orderedAt() {
+    return orderedAt;
+  }
+
+  /** Remembers that a start may still arrive, since one had no answer. */
+  public void startBecameUncertain() {
+    startUncertain = true;
+  }
+
+  /** Tells whether a start may still arrive at the executor. */
+  public boolean startUncertain() {
+    return startUncertain;
+  }
+
+  /** Remembers that the executor took the stop: from then on it starts this run no more. */
+  public void stopTaken(long nowNanos) {
+    stopTaken = true;
+    stopTakenAt = nowNanos;
+    startUncertain = false;
+  }
+
+  /** Tells whether the executor took the stop. */
+  public boolean stopTaken() {
+    return stopTaken;
+  }
+
+  /** Tells whether a poll sent at a time lists it if it is alive. */
+  public boolean mustBeListed(long pollSentAt) {
+    return switch (stage) {
+      case PLACED, STARTING -> false;
+      case INHERITED -> true;
+      case RUNNING -> pollSentAt - stageSince > 0;
+      case STOPPING -> stopTaken && pollSentAt - stopTakenAt > 0;
+    };
+  }
+
+  /** Takes in the progress that the executor reports. */
+  public void progressed(int newPercent, long nowNanos) {
+    if (newPercent != percent) {
+      percent = newPercent;
+      progressAt = nowNanos;
+    }
+  }
+
+  /** Returns the share of the work that is done, 0 to 100. */
+  public int percent() {
+    return percent;
+  }
+
+  /** Returns when the progress last changed, monotonic time. */
+  public long progressAt() {
+    return progressAt;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
@@ -0,0 +1,134 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.batch.TaskName;
+
+/** A job that is kept: open, or ended a while ago. */
+public final class OpenJob {
+
+  private final BatchJob job;
+  private final List<StepProgress> steps;
+  private final int stepsPerOccurrence;
+  private boolean begun;
+  private Optional<JobPhase> end = Optional.empty();
+  private long endedMillis;
+  private JobPhase shown = JobPhase.QUEUED;
+
+  /** Creates a job of which nothing has begun. */
+  public OpenJob(BatchJob job) {
+    this.job = job;
+    Submission submission = job.submission();
+    this.stepsPerOccurrence = submission.steps().size();
+    this.steps = new ArrayList<>();
+    for (int occurrence = 0; occurrence < submission.occurrences(); occurrence++) {
+      for (int number = 0; number < stepsPerOccurrence; number++) {
+        BatchStep spec = submission.steps().get(number);
+        steps.add(new StepProgress(this, occurrence, number, spec));
+      }
+    }
+  }
+
+  /** Returns the job as it was accepted. */
+  public BatchJob job() {
+    return job;
+  }
+
+  /** Returns the steps of all occurrences in order. */
+  public List<StepProgress> steps() {
+    return steps;
+  }
+
+  /** Finds a step. */
+  public Optional<StepProgress> step(int occurrence, int number) {
+    boolean inside =
+        occurrence >= 0
+            && occurrence < job.submission().occurrences()
+            && number >= 0
+            && number < stepsPerOccurrence;
+    return inside
+        ? Optional.of(steps.get(occurrence * stepsPerOccurrence + number))
+        : Optional.empty();
+  }
+
+  /** Finds the progress of a task. */
+  public Optional<TaskProgress> task(TaskName name) {
+    return step(name.occurrence(), name.step()).flatMap(step -> step.task(name.index()));
+  }
+
+  /** Tells whether a step may run: it is due, and the steps that it depends on are done. */
+  public boolean mayRun(StepProgress step, long wallMillis) {
+    Optional<Submission.Schedule> schedule = job.submission().schedule();
+    if (schedule.isPresent() && wallMillis < schedule.get().dueMillis(step.occurrence())) {
+      return false;
+    }
+    for (int dependency : step.spec().dependsOn()) {
+      if (!steps.get(step.occurrence() * stepsPerOccurrence + dependency).done()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Tells whether any task was ever started. */
+  public boolean begun() {
+    return begun;
+  }
+
+  void begin() {
+    begun = true;
+  }
+
+  /** Returns the final state once it has ended. */
+  public Optional<JobPhase> end() {
+    return end;
+  }
+
+  /** Tells whether it has not ended. */
+  public boolean open() {
+    return end.isEmpty();
+  }
+
+  /** Returns when it ended, milliseconds since 1970; 0 while it is open. */
+  public long endedMillis() {
+    return endedMillis;
+  }
+
+  /** Ends the job. */
+  public void end(JobPhase phase, long wallMillis) {
+    end = Optional.of(phase);
+    endedMillis = wallMillis;
+  }
+
+  /** Tells whether all steps of all occurrences are done. */
+  public boolean allDone() {
+    return steps.stream().allMatch(StepProgress::done);
+  }
+
+  /** Returns the state that callers are told: the newest one that is stored. */
+  public JobPhase shown() {
+    return shown;
+  }
+
+  /** Shows callers the present state, which has been stored. */
+  public void show() {
+    shown = end.orElse(begun ? JobPhase.IN_PROGRESS : JobPhase.QUEUED);
+  }
+
+  /** Returns all live runs. */
+  public List<LiveRun> liveRuns() {
+    return steps.stream().flatMap(step -> step.liveRuns().stream()).toList();
+  }
+
+  void restore(boolean wasBegun, Optional<JobPhase> ended, long endedAt) {
+    begun = wasBegun;
+    end = ended;
+    endedMillis = endedAt;
+    show();
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -0,0 +1,58 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.Optional;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.wire.batch.StoredStepProgress;
+import org.fescuehook.wire.batch.StoredTaskProgress;
+
+/** Puts stored steps into a job. */
+final class ProgressRestorer {
+
+  private final OpenJob job;
+  private final long nowNanos;
+
+  ProgressRestorer(OpenJob job, long nowNanos) {
+    this.job = job;
+    this.nowNanos = nowNanos;
+  }
+
+  void restore(StoredStepProgress stored) throws UnreadableRecordException {
+    Optional<StepProgress> found = job.step(stored.getOccurrence(), stored.getStep());
+    if (found.isEmpty()) {
+      throw mismatch("step " + stored.getStep());
+    }
+    StepProgress step = found.get();
+    step.restoreGangFailures(stored.getGangFailures());
+    if (stored.getDone()) {
+      step.restoreDone();
+      return;
+    }
+    for (StoredTaskProgress task : stored.getTasksList()) {
+      restore(step, task);
+    }
+  }
+
+  private void restore(StepProgress step, StoredTaskProgress stored)
+      throws UnreadableRecordException {
+    Optional<TaskProgress> found = step.task(stored.getIndex());
+    if (found.isEmpty()) {
+      throw mismatch("task " + stored.getIndex());
+    }
+    TaskProgress task = found.get();
+    step.restore(
+        task, stored.getDone(), stored.getFailures(), stored.getLastRun(), stored.getCheckpoint());
+    if (!stored.getExecutor().isEmpty()) {
+      TaskRun run = new TaskRun(step.name(task), stored.getLastRun());
+      ExecutorId executor = new ExecutorId(stored.getExecutor());
+      task.begin(LiveRun.inherited(run, executor, step, nowNanos));
+    }
+  }
+
+  private UnreadableRecordException mismatch(String part) {
+    String fault = "the job has no " + part;
+    return new UnreadableRecordException(
+        "progress of job " + job.job().id(), new IllegalArgumentException(fault));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -0,0 +1,181 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.TaskName;
+
+/** How far one step of one occurrence is. */
+public final class StepProgress {
+
+  private final OpenJob job;
+  private final int occurrence;
+  private final int number;
+  private final BatchStep spec;
+  private final List<TaskProgress> tasks;
+  private int gangFailures;
+  private int lastFailedGangRun;
+  private int undone;
+  private long waitingSince;
+
+  StepProgress(OpenJob job, int occurrence, int number, BatchStep spec) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.number = number;
+    this.spec = spec;
+    this.tasks = new ArrayList<>(spec.count());
+    for (int index = 0; index < spec.count(); index++) {
+      tasks.add(new TaskProgress(index));
+    }
+    this.undone = spec.count();
+  }
+
+  /** Returns the job. */
+  public OpenJob job() {
+    return job;
+  }
+
+  /** Returns the number of the occurrence. */
+  public int occurrence() {
+    return occurrence;
+  }
+
+  /** Returns the number of the step in the job. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns what the caller declared. */
+  public BatchStep spec() {
+    return spec;
+  }
+
+  /** Returns the tasks in order. */
+  public List<TaskProgress> tasks() {
+    return tasks;
+  }
+
+  /** Returns a task by its index; absent if there is no such task. */
+  public Optional<TaskProgress> task(int index) {
+    return index >= 0 && index < tasks.size() ? Optional.of(tasks.get(index)) : Optional.empty();
+  }
+
+  /** Tells whether all tasks are done. */
+  public boolean done() {
+    return undone == 0;
+  }
+
+  /** Returns the tasks that are not done. */
+  public int undone() {
+    return undone;
+  }
+
+  /** Returns the failed runs of the gang. */
+  public int gangFailures() {
+    return gangFailures;
+  }
+
+  /** Returns the tasks that need a run. */
+  public List<TaskProgress> waiting() {
+    return tasks.stream().filter(TaskProgress::waiting).toList();
+  }
+
+  /** Tells whether any run of the step may be alive. */
+  public boolean hasLiveRun() {
+    return tasks.stream().anyMatch(task -> task.live().isPresent());
+  }
+
+  /** Returns the live runs. */
+  public List<LiveRun> liveRuns() {
+    return tasks.stream().flatMap(task -> task.live().stream()).toList();
+  }
+
+  /** Returns the number that the next run of the whole gang must have. */
+  public int nextGangRun() {
+    return tasks.stream().mapToInt(TaskProgress::lastRun).max().orElse(0) + 1;
+  }
+
+  /** Returns the newest checkpoint of any member, which holds for the gang; empty if none. */
+  public String gangCheckpoint() {
+    return tasks.getFirst().checkpoint();
+  }
+
+  /** Returns since when the step has had its turn without a live run, monotonic time. */
+  public long waitingSince() {
+    return waitingSince;
+  }
+
+  /** Remembers since when the step waits. */
+  public void waitsSince(long nowNanos) {
+    waitingSince = nowNanos;
+  }
+
+  /** Returns the name of one of its tasks. */
+  public TaskName name(TaskProgress task) {
+    return new TaskName(job.job().id(), occurrence, number, task.index());
+  }
+
+  /** Begins a run. */
+  public void begin(TaskProgress task, LiveRun run) {
+    task.begin(run);
+    job.begin();
+  }
+
+  /** Ends the live run of a task without a result. */
+  public void end(TaskProgress task) {
+    task.end();
+  }
+
+  /** Marks a task done; for a gang one such end stands for all members. */
+  public void finish(TaskProgress task) {
+    if (spec.gang()) {
+      tasks.forEach(TaskProgress::finish);
+      undone = 0;
+      return;
+    }
+    if (!task.done()) {
+      task.finish();
+      undone--;
+    }
+  }
+
+  /** Counts a failed run, once for each run of a gang; returns how often the task has failed. */
+  public int fail(TaskProgress task, int run) {
+    if (!spec.gang()) {
+      task.fail();
+      return task.failures();
+    }
+    if (run > lastFailedGangRun) {
+      lastFailedGangRun = run;
+      gangFailures++;
+    }
+    return gangFailures;
+  }
+
+  /** Keeps the newest checkpoint of a task, or of the whole gang. */
+  public void saved(TaskProgress task, String checkpoint) {
+    if (!spec.gang()) {
+      task.saved(checkpoint);
+      return;
+    }
+    tasks.forEach(member -> member.saved(checkpoint));
+  }
+
+  void restoreGangFailures(int failures) {
+    gangFailures = failures;
+    lastFailedGangRun = 0;
+  }
+
+  void restore(TaskProgress task, boolean done, int failures, int lastRun, String checkpoint) {
+    task.restore(done, failures, lastRun, checkpoint);
+    if (done) {
+      undone--;
+    }
+  }
+
+  void restoreDone() {
+    tasks.forEach(TaskProgress::finish);
+    undone = 0;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -0,0 +1,83 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.Optional;
+
+/** How far one task is. */
+public final class TaskProgress {
+
+  private final int index;
+  private boolean done;
+  private int failures;
+  private int lastRun;
+  private String checkpoint = "";
+  private Optional<LiveRun> live = Optional.empty();
+
+  TaskProgress(int index) {
+    this.index = index;
+  }
+
+  /** Returns the number of the task in its step. */
+  public int index() {
+    return index;
+  }
+
+  /** Tells whether it is done. */
+  public boolean done() {
+    return done;
+  }
+
+  /** Returns its failed runs. */
+  public int failures() {
+    return failures;
+  }
+
+  /** Returns the number of its newest run; 0 if there was none. */
+  public int lastRun() {
+    return lastRun;
+  }
+
+  /** Returns its newest checkpoint; empty if there is none. */
+  public String checkpoint() {
+    return checkpoint;
+  }
+
+  /** Returns its live run. */
+  public Optional<LiveRun> live() {
+    return live;
+  }
+
+  /** Tells whether it needs a run. */
+  public boolean waiting() {
+    return !done && live.isEmpty();
+  }
+
+  void finish() {
+    done = true;
+  }
+
+  void fail() {
+    failures++;
+  }
+
+  void begin(LiveRun run) {
+    live = Optional.of(run);
+    lastRun = Math.max(lastRun, run.run().number());
+  }
+
+  void end() {
+    live = Optional.empty();
+  }
+
+  void saved(String newest) {
+    if (!newest.isEmpty()) {
+      checkpoint = newest;
+    }
+  }
+
+  void restore(boolean wasDone, int failed, int newestRun, String saved) {
+    done = wasDone;
+    failures = failed;
+    lastRun = newestRun;
+    checkpoint = saved;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -0,0 +1,61 @@
+package org.fescuehook.logic.preferences;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import org.fescuehook.logic.ini.Addresses;
+import org.fescuehook.logic.ini.Durations;
+import org.fescuehook.logic.ini.Key;
+
+/** Every key of the settings of a VM that schedules batch jobs. */
+final class SchedulerKeys {
+
+  static final Key<InetSocketAddress> CALLERS =
+      listening("callers", "0.0.0.0:7000", "Where callers connect.");
+  static final Key<InetSocketAddress> READINESS =
+      listening("readiness", "0.0.0.0:7001", "Where the balancer asks whether this VM is ready.");
+  static final Key<InetSocketAddress> PEERS =
+      listening("peers", "10.0.0.5:7002", "Where other VMs connect; named to them as it stands.");
+  static final Key<InetSocketAddress> METRICS =
+      listening("metrics", "0.0.0.0:7003", "Where metrics are served, at /metrics.");
+  static final Key<InetSocketAddress> STORE =
+      Key.required(
+          "addresses",
+          "store",
+          Addresses.fromPort(1),
+          "10.0.0.10:7100",
+          "The shared store, which keeps the jobs.");
+  static final Key<Duration> EXECUTOR_LEASE =
+      Key.optional(
+          "bounds",
+          "executor-lease",
+          Durations.from(Duration.ofSeconds(2)),
+          Duration.ofSeconds(6),
+          "Longest lease that an executor grants.");
+  static final Key<Duration> STATUS_RETENTION =
+      Key.optional(
+          "bounds",
+          "status-retention",
+          Durations.from(Duration.ofSeconds(1)),
+          Duration.ofSeconds(120),
+          "How long the state of an ended job is shown.");
+
+  /** All keys in the order in which they are documented. */
+  static final List<Key<?>> ALL =
+      List.of(
+          SettingKeys.VM,
+          SettingKeys.FAILURE_DOMAIN,
+          CALLERS,
+          READINESS,
+          PEERS,
+          METRICS,
+          STORE,
+          EXECUTOR_LEASE,
+          STATUS_RETENTION);
+
+  private SchedulerKeys() {}
+
+  private static Key<InetSocketAddress> listening(String name, String example, String meaning) {
+    return Key.required("addresses", name, Addresses.fromPort(0), example, meaning);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -0,0 +1,40 @@
+package org.fescuehook.logic.preferences;
+
+import java.util.List;
+import org.fescuehook.logic.ini.FaultyInputException;
+import org.fescuehook.logic.ini.IniParser;
+import org.fescuehook.logic.ini.IniSource;
+import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.IdentityPreferences;
+import org.fescuehook.model.preferences.SchedulerPreferences;
+
+/** Parses the settings of a VM that schedules batch jobs; reports all faults at once. */
+public final class SchedulerSettingsParser {
+
+  /** Creates a parser. */
+  public SchedulerSettingsParser() {}
+
+  /**
+   * Parses a settings file.
+   *
+   * @throws FaultyInputException if anything is wrong with it
+   */
+  public SchedulerPreferences parse(IniSource source) throws FaultyInputException {
+    SettingsValues values =
+        new SettingsValues(
+            SchedulerKeys.ALL, source.file(), new IniParser().parse(List.of(source)));
+    if (!values.faults().isEmpty()) {
+      throw new FaultyInputException(values.faults());
+    }
+    return new SchedulerPreferences(
+        new IdentityPreferences(values.get(SettingKeys.VM), values.get(SettingKeys.FAILURE_DOMAIN)),
+        new SchedulerPreferences.Addresses(
+            values.get(SchedulerKeys.CALLERS),
+            values.get(SchedulerKeys.READINESS),
+            values.get(SchedulerKeys.PEERS),
+            values.get(SchedulerKeys.METRICS),
+            values.get(SchedulerKeys.STORE)),
+        new BatchPreferences(
+            values.get(SchedulerKeys.EXECUTOR_LEASE), values.get(SchedulerKeys.STATUS_RETENTION)));
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsParser.java
@@ -32,7 +32,7 @@
    */
   public EntryPreferences parse(IniSource source) throws FaultyInputException {
     SettingsValues values =
-        new SettingsValues(source.file(), new IniParser().parse(List.of(source)));
+        new SettingsValues(SettingKeys.ALL, source.file(), new IniParser().parse(List.of(source)));
     new SettingsChecks(values, probe).check();
     if (!values.faults().isEmpty()) {
       throw new FaultyInputException(values.faults());
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsValues.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SettingsValues.java
@@ -15,12 +15,14 @@
 /** Values of all keys of one settings file, with the faults of those that are malformed. */
 final class SettingsValues {
 
+  private final List<Key<?>> keys;
   private final Map<Key<?>, Optional<?>> values = new HashMap<>();
   private final Map<Key<?>, SectionReader> readers = new HashMap<>();
   private final List<Fault> faults = new ArrayList<>();
 
-  /** Reads every key of {@link SettingKeys}. */
-  SettingsValues(String file, IniDocument document) {
+  /** Reads every key of a program's settings. */
+  SettingsValues(List<Key<?>> keys, String file, IniDocument document) {
+    this.keys = List.copyOf(keys);
     faults.addAll(document.faults());
     refuseUnknownSections(document);
     for (String section : sections()) {
@@ -54,8 +56,8 @@
     return faults;
   }
 
-  private static List<String> sections() {
-    return SettingKeys.ALL.stream().<String>map(Key::section).distinct().toList();
+  private List<String> sections() {
+    return keys.stream().<String>map(Key::section).distinct().toList();
   }
 
   private void refuseUnknownSections(IniDocument document) {
@@ -70,9 +72,9 @@
   private void readSection(String file, IniDocument document, String name) {
     IniSection absent = new IniSection(new Place(file, 0, name, ""), List.of());
     SectionReader reader = new SectionReader(document.section(name).orElse(absent), faults);
-    List<Key<?>> keys = SettingKeys.ALL.stream().filter(key -> key.section().equals(name)).toList();
-    reader.refuseUnknown(keys);
-    for (Key<?> key : keys) {
+    List<Key<?>> own = keys.stream().filter(key -> key.section().equals(name)).toList();
+    reader.refuseUnknown(own);
+    for (Key<?> key : own) {
       values.put(key, reader.read(key));
       readers.put(key, reader);
     }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/ExecutorProfile.java
@@ -0,0 +1,35 @@
+package org.fescuehook.model.batch;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+
+/**
+ * An executor as it describes itself. A restarted executor has another id.
+ *
+ * @param id its name
+ * @param address where it takes orders
+ * @param pool the pool that it works for
+ * @param domain its failure domain
+ * @param rack its rack
+ * @param labels what it is labelled with, its rack included
+ * @param capacity what its tasks may use together
+ * @param leaving whether it is about to leave and must get nothing new
+ */
+public record ExecutorProfile(
+    ExecutorId id,
+    InetSocketAddress address,
+    String pool,
+    FailureDomain domain,
+    RackId rack,
+    Set<String> labels,
+    Demand capacity,
+    boolean leaving) {
+
+  /** Copies the set. */
+  public ExecutorProfile {
+    labels = Set.copyOf(labels);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
@@ -0,0 +1,39 @@
+package org.fescuehook.model.batch;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a caller hands in.
+ *
+ * @param spec text that is passed to each task unchanged
+ * @param steps the steps, at least one
+ * @param schedule when the steps run; without one they run once, at once
+ */
+public record Submission(String spec, List<BatchStep> steps, Optional<Schedule> schedule) {
+
+  /** Copies the list. */
+  public Submission {
+    steps = List.copyOf(steps);
+  }
+
+  /** Returns how many times the steps run. */
+  public int occurrences() {
+    return schedule.map(Schedule::occurrences).orElse(1);
+  }
+
+  /**
+   * Runs the steps several times.
+   *
+   * @param startMillis when the first occurrence is due, milliseconds since 1970
+   * @param intervalMillis time between two occurrences
+   * @param occurrences how many times, at least 1
+   */
+  public record Schedule(long startMillis, long intervalMillis, int occurrences) {
+
+    /** Returns when an occurrence is due, milliseconds since 1970. */
+    public long dueMillis(int occurrence) {
+      return startMillis + intervalMillis * occurrence;
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
@@ -0,0 +1,11 @@
+package org.fescuehook.model.preferences;
+
+import java.time.Duration;
+
+/**
+ * Bounds of the decisions about batch jobs, as agreed with the operators of the executors.
+ *
+ * @param executorLease longest lease that an executor grants
+ * @param statusRetention how long the state of an ended job is shown
+ */
+public record BatchPreferences(Duration executorLease, Duration statusRetention) {}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
@@ -0,0 +1,30 @@
+package org.fescuehook.model.preferences;
+
+import java.net.InetSocketAddress;
+
+/**
+ * All settings of a VM that schedules batch jobs.
+ *
+ * @param identity who it is
+ * @param addresses where it listens and where the store is
+ * @param batch bounds of the decisions
+ */
+public record SchedulerPreferences(
+    IdentityPreferences identity, Addresses addresses, BatchPreferences batch) {
+
+  /**
+   * Where a VM listens, and where the store is.
+   *
+   * @param callers where callers connect
+   * @param readiness where readiness is asked for
+   * @param peers where other VMs pass calls on
+   * @param metrics where metrics are served
+   * @param store the shared store
+   */
+  public record Addresses(
+      InetSocketAddress callers,
+      InetSocketAddress readiness,
+      InetSocketAddress peers,
+      InetSocketAddress metrics,
+      InetSocketAddress store) {}
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -0,0 +1,106 @@
+package org.fescuehook.net.batch;
+
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.state.SubmissionCodec;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.wire.batch.ForwardedAnswer;
+import org.fescuehook.wire.batch.ForwardedAnswer.Outcome;
+import org.fescuehook.wire.batch.ForwardedCall;
+import org.fescuehook.wire.batch.ForwardedCall.Operation;
+
+/** Messages between entry VMs. */
+final class CallCodec {
+
+  private CallCodec() {}
+
+  static ForwardedCall encode(long number, BatchCall call) {
+    ForwardedCall.Builder message =
+        ForwardedCall.newBuilder().setCall(number).setQueue(call.queue()).setApiKey(call.apiKey());
+    switch (call) {
+      case BatchCall.Submit submit ->
+          message
+              .setOperation(Operation.SUBMIT)
+              .setJob(submit.job())
+              .setSubmission(SubmissionCodec.encode(submit.submission()));
+      case BatchCall.Status status -> message.setOperation(Operation.STATUS).setJob(status.job());
+      case BatchCall.Cancel cancel -> message.setOperation(Operation.CANCEL).setJob(cancel.job());
+      case BatchCall.CountPending count -> message.setOperation(Operation.PENDING);
+    }
+    return message.build();
+  }
+
+  /** Decodes a call; an operation of a newer version is refused by an exception. */
+  static BatchCall decode(ForwardedCall message) {
+    String queue = message.getQueue();
+    String key = message.getApiKey();
+    String job = message.getJob();
+    return switch (message.getOperation()) {
+      case SUBMIT ->
+          new BatchCall.Submit(queue, key, job, SubmissionCodec.decode(message.getSubmission()));
+      case STATUS -> new BatchCall.Status(queue, key, job);
+      case CANCEL -> new BatchCall.Cancel(queue, key, job);
+      case PENDING -> new BatchCall.CountPending(queue, key);
+      case UNRECOGNIZED -> throw new IllegalArgumentException("unknown operation");
+    };
+  }
+
+  static ForwardedAnswer encode(long number, CallAnswer answer) {
+    ForwardedAnswer.Builder message = ForwardedAnswer.newBuilder().setCall(number);
+    switch (answer) {
+      case CallAnswer.Accepted accepted -> message.setOutcome(Outcome.ACCEPTED);
+      case CallAnswer.Phase(JobPhase phase) -> message.setOutcome(outcome(phase));
+      case CallAnswer.Cancelled cancelled -> message.setOutcome(Outcome.CANCELLED);
+      case CallAnswer.Pending(int jobs) ->
+          message.setOutcome(Outcome.PENDING_COUNT).setPending(jobs);
+      case CallAnswer.NoSuchJob none -> message.setOutcome(Outcome.NO_SUCH_JOB);
+      case CallAnswer.NoSuchQueue none -> message.setOutcome(Outcome.NO_SUCH_QUEUE);
+      case CallAnswer.UnknownKey unknown -> message.setOutcome(Outcome.UNKNOWN_KEY);
+      case CallAnswer.Malformed(String reason) ->
+          message.setOutcome(Outcome.MALFORMED).setReason(reason);
+      case CallAnswer.Refused(RefusalCause cause, long retryAfter) ->
+          message
+              .setOutcome(Outcome.REFUSED)
+              .setReason(cause.name())
+              .setRetryAfterMillis((int) retryAfter);
+      case CallAnswer.Undecided(UndecidedCause cause) ->
+          message.setOutcome(Outcome.UNDECIDED).setReason(cause.name());
+    }
+    return message.build();
+  }
+
+  private static Outcome outcome(JobPhase phase) {
+    return switch (phase) {
+      case QUEUED -> Outcome.QUEUED;
+      case IN_PROGRESS -> Outcome.IN_PROGRESS;
+      case COMPLETED -> Outcome.COMPLETED;
+      case FAILED -> Outcome.FAILED;
+      case CANCELLED -> Outcome.CANCELLED_PHASE;
+    };
+  }
+
+  /** Decodes an answer; an outcome of a newer version is refused by an exception. */
+  static CallAnswer decode(ForwardedAnswer message) {
+    return switch (message.getOutcome()) {
+      case ACCEPTED -> new CallAnswer.Accepted();
+      case QUEUED -> new CallAnswer.Phase(JobPhase.QUEUED);
+      case IN_PROGRESS -> new CallAnswer.Phase(JobPhase.IN_PROGRESS);
+      case COMPLETED -> new CallAnswer.Phase(JobPhase.COMPLETED);
+      case FAILED -> new CallAnswer.Phase(JobPhase.FAILED);
+      case CANCELLED_PHASE -> new CallAnswer.Phase(JobPhase.CANCELLED);
+      case CANCELLED -> new CallAnswer.Cancelled();
+      case PENDING_COUNT -> new CallAnswer.Pending(message.getPending());
+      case NO_SUCH_JOB -> new CallAnswer.NoSuchJob();
+      case NO_SUCH_QUEUE -> new CallAnswer.NoSuchQueue();
+      case UNKNOWN_KEY -> new CallAnswer.UnknownKey();
+      case MALFORMED -> new CallAnswer.Malformed(message.getReason());
+      case REFUSED ->
+          new CallAnswer.Refused(
+              RefusalCause.valueOf(message.getReason()), message.getRetryAfterMillis());
+      case UNDECIDED -> new CallAnswer.Undecided(UndecidedCause.valueOf(message.getReason()));
+      case UNRECOGNIZED -> throw new IllegalArgumentException("unknown outcome");
+    };
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallPort.java
@@ -0,0 +1,17 @@
+package org.fescuehook.net.batch;
+
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+
+/** Takes calls about batch jobs. */
+@FunctionalInterface
+public interface CallPort {
+
+  /**
+   * Takes a call and never waits.
+   *
+   * @param sink called once, on any thread
+   */
+  void call(BatchCall call, Consumer<CallAnswer> sink);
+}
--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpCall.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpCall.java
@@ -1,6 +1,8 @@
 package org.fescuehook.net.http;
 
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * A request of a client.
@@ -9,12 +11,28 @@
  * @param target path and query
  * @param contentType type of the body
  * @param body the body, empty for none
+ * @param headers further headers
  */
-public record HttpCall(HttpMethod method, String target, String contentType, byte[] body) {
+public record HttpCall(
+    HttpMethod method,
+    String target,
+    String contentType,
+    byte[] body,
+    Map<String, String> headers) {
 
   private static final String JSON = "application/json";
   private static final byte[] NO_BODY = new byte[0];
 
+  /** Copies the headers. */
+  public HttpCall {
+    headers = Map.copyOf(headers);
+  }
+
+  /** Creates a request without further headers. */
+  public HttpCall(HttpMethod method, String target, String contentType, byte[] body) {
+    this(method, target, contentType, body, Map.of());
+  }
+
   /** Creates a request without a body. */
   public static HttpCall without(HttpMethod method, String target) {
     return new HttpCall(method, target, JSON, NO_BODY);
@@ -25,6 +43,13 @@
     return new HttpCall(method, target, JSON, body);
   }
 
+  /** Returns the same request with a further header. */
+  public HttpCall with(String name, String value) {
+    Map<String, String> more = new HashMap<>(headers);
+    more.put(name, value);
+    return new HttpCall(method, target, contentType, body, more);
+  }
+
   /** Returns the method and the target, for logs and errors. */
   public String step() {
     return method.name() + " " + target;
--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -130,6 +130,7 @@
         .headers()
         .set(HttpHeaderNames.HOST, peer.getAddress().getHostAddress() + ":" + peer.getPort())
         .set(HttpHeaderNames.CONTENT_TYPE, call.contentType());
+    call.headers().forEach(request.headers()::set);
     HttpUtil.setContentLength(request, call.body().length);
     return request;
   }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -0,0 +1,238 @@
+package org.fescuehook.platform;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.net.batch.CallPort;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Where callers connect: reads their requests as calls about batch jobs. */
+public final class CallerEdge {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(CallerEdge.class);
+
+  /** Largest body; the platform's configurations name this limit. */
+  private static final int MAX_BODY_BYTES = 262_144;
+
+  private static final String KEY_HEADER = "Credential";
+  private static final String JOB_ID = "[0-9a-fA-F]{16}";
+
+  /**
+   * When callers come back after a refusal without a configuration, which comes within a second.
+   */
+  private static final long COME_BACK_MILLIS = 1000;
+
+  private final EventLoopGroup loops;
+  private final CallPort port;
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private volatile Optional<RouteTable> routes = Optional.empty();
+  private volatile boolean closing;
+  private Optional<Channel> listening = Optional.empty();
+
+  /** Creates an edge that does not listen yet. */
+  public CallerEdge(EventLoopGroup loops, CallPort port) {
+    this.loops = loops;
+    this.port = port;
+  }
+
+  /** Puts a table of routes in force. */
+  public void route(RouteTable newer) {
+    routes = Optional.of(newer);
+  }
+
+  /**
+   * Listens.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public InetSocketAddress start(InetSocketAddress address) throws IOException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new Initializer());
+    ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot bind " + address, bound.cause());
+    }
+    listening = Optional.of(bound.channel());
+    return (InetSocketAddress) bound.channel().localAddress();
+  }
+
+  /** Has each further answer close its connection, so that callers go to other VMs. */
+  public void beginClose() {
+    closing = true;
+  }
+
+  /** Accepts no further connection. */
+  public void stopListening() {
+    listening.ifPresent(Channel::close);
+  }
+
+  /** Returns the calls that have not been answered. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  /** Reads a request as a call, or answers it at once. */
+  private void take(FullHttpRequest request, Consumer<CallAnswer> sink) {
+    Optional<RouteTable> table = routes;
+    if (table.isEmpty()) {
+      sink.accept(new CallAnswer.Refused(RefusalCause.NO_CONFIGURATION, COME_BACK_MILLIS));
+      return;
+    }
+    String path = new QueryStringDecoder(request.uri()).rawPath();
+    String host = request.headers().get(HttpHeaderNames.HOST, "");
+    Optional<RouteTable.Route> route = table.get().find(hostName(host), path);
+    if (route.isEmpty()) {
+      sink.accept(new CallAnswer.NoSuchQueue());
+      return;
+    }
+    JobQueue queue = route.get().queue();
+    String key = request.headers().get(KEY_HEADER, "");
+    if (!queue.open() && table.get().configuration().holder(key).isEmpty()) {
+      sink.accept(new CallAnswer.UnknownKey());
+      return;
+    }
+    String job = path.substring(route.get().pathPrefix().length());
+    try {
+      port.call(call(request, queue.name(), key, job), sink);
+    } catch (MalformedMessageException e) {
+      sink.accept(new CallAnswer.Malformed(e.getMessage()));
+    } catch (SubmissionParser.UnsupportedJobException e) {
+      EventLog.warn(
+          LOGGER,
+          PlatformEvent.CALL_REFUSED,
+          request.method(),
+          path,
+          "unsupported",
+          e.getMessage());
+      sink.accept(new CallAnswer.Refused(RefusalCause.UNSUPPORTED, 0));
+    }
+  }
+
+  private static String hostName(String host) {
+    int colon = host.indexOf(':');
+    return colon < 0 ? host : host.substring(0, colon);
+  }
+
+  private static BatchCall call(FullHttpRequest request, String queue, String key, String job)
+      throws MalformedMessageException, SubmissionParser.UnsupportedJobException {
+    HttpMethod method = request.method();
+    if (job.isEmpty() && method.equals(HttpMethod.GET)) {
+      return new BatchCall.CountPending(queue, key);
+    }
+    if (!job.matches(JOB_ID)) {
+      throw new MalformedMessageException("job id '" + job + "'");
+    }
+    if (method.equals(HttpMethod.POST)) {
+      byte[] body = ByteBufUtil.getBytes(request.content());
+      return new BatchCall.Submit(queue, key, job, SubmissionParser.parse(body));
+    }
+    if (method.equals(HttpMethod.GET)) {
+      return new BatchCall.Status(queue, key, job);
+    }
+    if (method.equals(HttpMethod.DELETE)) {
+      return new BatchCall.Cancel(queue, key, job);
+    }
+    throw new MalformedMessageException("method " + method);
+  }
+
+  private final class Initializer extends ChannelInitializer<SocketChannel> {
+    /** Idle connections are closed after this; four times the callers' patience. */
+    private static final int IDLE_SECONDS = 15;
+
+    @Override
+    protected void initChannel(SocketChannel opened) {
+      opened
+          .pipeline()
+          .addLast(new IdleStateHandler(0, 0, IDLE_SECONDS))
+          .addLast(new HttpServerCodec())
+          .addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+          .addLast(new RequestHandler());
+    }
+  }
+
+  private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private boolean busy;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      boolean keepAlive = HttpUtil.isKeepAlive(request);
+      inFlight.incrementAndGet();
+      busy = true;
+      if (request.decoderResult().isFailure()) {
+        answer(context, CallerMessages.fault(HttpResponseStatus.BAD_REQUEST, "not HTTP"), false);
+        return;
+      }
+      take(
+          request,
+          answer ->
+              context
+                  .executor()
+                  .execute(() -> answer(context, CallerMessages.encode(answer), keepAlive)));
+    }
+
+    private void answer(
+        ChannelHandlerContext context, FullHttpResponse response, boolean keepAlive) {
+      inFlight.decrementAndGet();
+      busy = false;
+      if (keepAlive && !closing) {
+        context.writeAndFlush(response);
+        return;
+      }
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (!busy) {
+        context.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      EventLog.info(
+          LOGGER,
+          PlatformEvent.CALLER_FAULT,
+          context.channel().remoteAddress(),
+          cause.getMessage());
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -0,0 +1,257 @@
+package org.fescuehook.platform;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.ownership.OwnerCodec;
+import org.fescuehook.logic.batch.ownership.OwnerRecord;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The platform's store as the decisions about batch jobs use it. */
+public final class PlatformStore {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(PlatformStore.class);
+
+  /** A read of the owner's heartbeats waits for one or two of them. */
+  private static final StreamFollower.Pace OWNERSHIP_PACE =
+      new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ofMillis(400));
+
+  /** Changes are due in force within 2 s, also where a connection went silent. */
+  private static final StreamFollower.Pace CONFIGURATION_PACE =
+      new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ZERO);
+
+  /** Some twenty entries a second change, and a leaving executor gets nothing new after 2 s. */
+  private static final StreamFollower.Pace EXECUTORS_PACE =
+      new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ofMillis(400));
+
+  private static final String CONFIGURATION_KEY = "config";
+
+  private final EventLoop loop;
+  private final Consumer<BatchEvent> events;
+  private final Consumer<RouteTable> routes;
+  private final Map<StreamName, StoreClient> writers = new EnumMap<>(StreamName.class);
+  private final StoreClient loader;
+  private final StreamFollower ownership;
+  private final StreamFollower configuration;
+  private final StreamFollower executors;
+  private long configurationVersion = Long.MIN_VALUE;
+
+  /**
+   * Creates the store's side of a VM; nothing is called yet.
+   *
+   * @param events takes what was read and what became of appends, on the event loop
+   * @param routes takes each newer table of routes, on the event loop
+   */
+  public PlatformStore(
+      EventLoop loop,
+      InetSocketAddress address,
+      Consumer<BatchEvent> events,
+      Consumer<RouteTable> routes) {
+    this.loop = loop;
+    this.events = events;
+    this.routes = routes;
+    for (StreamName stream : StreamName.values()) {
+      writers.put(stream, new StoreClient(loop, address));
+    }
+    this.loader = new StoreClient(loop, address);
+    this.ownership =
+        new StreamFollower(loop, address, Topic.OWNERSHIP, OWNERSHIP_PACE, new OwnershipListener());
+    this.configuration =
+        new StreamFollower(
+            loop, address, Topic.OPERATORS, CONFIGURATION_PACE, new ConfigurationListener());
+    this.executors =
+        new StreamFollower(loop, address, Topic.EXECUTORS, EXECUTORS_PACE, new ExecutorsListener());
+  }
+
+  /** Begins to follow the configuration and the owner. */
+  public void start() {
+    configuration.start();
+    ownership.start();
+  }
+
+  /** Stops following. */
+  public void stop() {
+    configuration.stop();
+    ownership.stop();
+    executors.stop();
+  }
+
+  /** Begins or ends to follow the executors. */
+  public void followExecutors(boolean following) {
+    if (following) {
+      executors.start();
+    } else {
+      executors.stop();
+    }
+  }
+
+  /** Appends records. */
+  public void append(BatchCommand.Append append) {
+    loop.execute(
+        () ->
+            writers
+                .get(append.stream())
+                .append(
+                    Topic.of(append.stream()),
+                    append.position(),
+                    append.expectedEnd(),
+                    append.records(),
+                    outcome -> appended(append, outcome)));
+  }
+
+  private void appended(BatchCommand.Append append, AppendOutcome outcome) {
+    if (!(outcome instanceof AppendOutcome.Stored)) {
+      EventLog.warn(
+          LOGGER,
+          PlatformEvent.APPEND_TROUBLE,
+          append.position().epoch(),
+          append.position().sequence(),
+          append.stream(),
+          outcome);
+    }
+    events.accept(new BatchEvent.Appended(append.stream(), append.position(), outcome));
+  }
+
+  /** Reads a page of the jobs' stream. */
+  public void loadState(Optional<String> afterKey) {
+    loop.execute(() -> loader.newest(Topic.STATE, afterKey, this::stateRead));
+  }
+
+  private void stateRead(ReadOutcome outcome) {
+    if (outcome instanceof ReadOutcome.Newest page) {
+      List<KeyedRecord> records =
+          page.records().stream()
+              .map(record -> new KeyedRecord(record.key(), record.value()))
+              .toList();
+      events.accept(new BatchEvent.StateRead(records, page.moreAfter()));
+      return;
+    }
+    EventLog.warn(LOGGER, PlatformEvent.STREAM_LOST, Topic.STATE, "load", outcome);
+    events.accept(new BatchEvent.StateUnreadable());
+  }
+
+  private static void unreadable(Topic topic, String key, Exception cause) {
+    EventLog.warn(LOGGER, PlatformEvent.RECORD_UNREADABLE, key, topic, cause.getMessage());
+  }
+
+  private final class OwnershipListener implements StreamFollower.Listener {
+    @Override
+    public void newest(List<StreamRecord> records, long end) {
+      records(records, end);
+    }
+
+    @Override
+    public void records(List<StreamRecord> records, long end) {
+      Optional<OwnerRecord> newest = Optional.empty();
+      for (StreamRecord record : records) {
+        if (record.key().equals(OwnerCodec.KEY) && record.value().isPresent()) {
+          Optional<OwnerRecord> decoded = decode(record);
+          newest = decoded.isPresent() ? decoded : newest;
+        }
+      }
+      events.accept(new BatchEvent.OwnershipRead(newest, end));
+    }
+
+    private Optional<OwnerRecord> decode(StreamRecord record) {
+      try {
+        return Optional.of(OwnerCodec.decode(record.value().orElseThrow(), record.offset()));
+      } catch (UnreadableRecordException e) {
+        unreadable(Topic.OWNERSHIP, record.key(), e);
+        return Optional.empty();
+      }
+    }
+
+    @Override
+    public void failed() {
+      events.accept(new BatchEvent.OwnershipUnreadable());
+    }
+  }
+
+  private final class ConfigurationListener implements StreamFollower.Listener {
+    @Override
+    public void newest(List<StreamRecord> records, long end) {
+      records(records, end);
+    }
+
+    @Override
+    public void records(List<StreamRecord> records, long end) {
+      for (StreamRecord record : records) {
+        if (record.key().equals(CONFIGURATION_KEY) && record.value().isPresent()) {
+          take(record.value().get());
+        }
+      }
+    }
+
+    private void take(byte[] text) {
+      try {
+        ConfigurationParser.Parsed parsed = ConfigurationParser.parse(text);
+        long version = parsed.configuration().version();
+        if (version > configurationVersion) {
+          configurationVersion = version;
+          routes.accept(parsed.routes());
+          events.accept(new BatchEvent.ConfigurationRead(parsed.configuration()));
+        }
+      } catch (MalformedMessageException e) {
+        unreadable(Topic.OPERATORS, CONFIGURATION_KEY, e);
+      }
+    }
+
+    @Override
+    public void failed() {
+      // The configuration in force stays in force while the store is away.
+    }
+  }
+
+  private final class ExecutorsListener implements StreamFollower.Listener {
+    @Override
+    public void newest(List<StreamRecord> records, long end) {
+      List<ExecutorProfile> profiles = new ArrayList<>();
+      for (StreamRecord record : records) {
+        record.value().flatMap(text -> decode(record.key(), text)).ifPresent(profiles::add);
+      }
+      events.accept(new BatchEvent.ExecutorsListed(profiles));
+    }
+
+    @Override
+    public void records(List<StreamRecord> records, long end) {
+      for (StreamRecord record : records) {
+        if (record.value().isEmpty()) {
+          events.accept(new BatchEvent.ExecutorUnlisted(new ExecutorId(record.key())));
+        } else {
+          decode(record.key(), record.value().get())
+              .ifPresent(profile -> events.accept(new BatchEvent.ExecutorSeen(profile)));
+        }
+      }
+    }
+
+    private Optional<ExecutorProfile> decode(String key, byte[] text) {
+      try {
+        return Optional.of(ExecutorParser.parse(key, text));
+      } catch (MalformedMessageException e) {
+        unreadable(Topic.EXECUTORS, key, e);
+        return Optional.empty();
+      }
+    }
+
+    @Override
+    public void failed() {
+      // Executors are polled directly; the list matters again once the store is back.
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/platform/SubmissionParser.java
@@ -0,0 +1,121 @@
+package org.fescuehook.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.RackId;
+
+/** Reads a job as a caller hands it in. Fields that are 0, false or empty are left out there. */
+final class SubmissionParser {
+
+  /** The page's bound on the text that is passed to tasks. */
+  private static final int MAX_SPEC_BYTES = 4_000;
+
+  /** More than any deployment's largest step; a bound on the memory that one call can take. */
+  private static final int MAX_TASKS = 10_000;
+
+  private SubmissionParser() {}
+
+  /** A job of a kind that this version cannot run. */
+  static final class UnsupportedJobException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    UnsupportedJobException(String kind) {
+      super(kind);
+    }
+  }
+
+  /**
+   * Parses a job.
+   *
+   * @throws MalformedMessageException if it is not a job
+   * @throws UnsupportedJobException if it is of a kind that this version cannot run
+   */
+  static Submission parse(byte[] text) throws MalformedMessageException, UnsupportedJobException {
+    JsonNode body = WireJson.parse(text);
+    String spec = body.path("spec").asText();
+    int specBytes = spec.getBytes(StandardCharsets.UTF_8).length;
+    if (specBytes > MAX_SPEC_BYTES) {
+      throw new MalformedMessageException("spec of " + specBytes + " bytes");
+    }
+    List<BatchStep> steps = new ArrayList<>();
+    int tasks = 0;
+    for (JsonNode step : body.path("steps")) {
+      BatchStep parsed = step(step, steps.size());
+      steps.add(parsed);
+      tasks += parsed.count();
+    }
+    Optional<Submission.Schedule> schedule = schedule(body);
+    int occurrences = schedule.map(Submission.Schedule::occurrences).orElse(1);
+    if (steps.isEmpty() || (long) tasks * occurrences > MAX_TASKS) {
+      throw new MalformedMessageException(steps.size() + " steps with " + tasks + " tasks");
+    }
+    return new Submission(spec, steps, schedule);
+  }
+
+  private static Optional<Submission.Schedule> schedule(JsonNode body) {
+    int times = body.path("repeatCount").asInt();
+    if (times <= 0) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Submission.Schedule(
+            body.path("startAtMs").asLong(), body.path("intervalMs").asLong(), times));
+  }
+
+  private static BatchStep step(JsonNode step, int number)
+      throws MalformedMessageException, UnsupportedJobException {
+    refuseUnsupported(step);
+    int count = step.path("count").asInt();
+    if (count < 1 || count > MAX_TASKS) {
+      throw new MalformedMessageException("step " + number + " has " + count + " tasks");
+    }
+    List<Integer> dependsOn = new ArrayList<>();
+    for (JsonNode earlier : step.path("dependsOn")) {
+      if (!earlier.isInt() || earlier.asInt() < 0 || earlier.asInt() >= number) {
+        throw new MalformedMessageException("step " + number + " depends on " + earlier);
+      }
+      dependsOn.add(earlier.asInt());
+    }
+    return new BatchStep(
+        count,
+        new Demand(step.path("cpu").asInt(), step.path("memMb").asInt(), step.path("gpu").asInt()),
+        step.path("estimateMs").asLong(),
+        dependsOn,
+        placement(step),
+        step.path("checkpointing").asBoolean(),
+        step.path("gang").asBoolean(),
+        step.path("image").asText());
+  }
+
+  private static void refuseUnsupported(JsonNode step) throws UnsupportedJobException {
+    for (String kind : List.of("longRunning", "utilization")) {
+      if (step.path(kind).asBoolean()) {
+        throw new UnsupportedJobException(kind);
+      }
+    }
+  }
+
+  private static BatchStep.PlacementRule placement(JsonNode step) {
+    return new BatchStep.PlacementRule(
+        step.path("sameRack").asBoolean(),
+        label(step.path("requirements")),
+        text(step.path("affinity")).map(RackId::new),
+        step.path("antiAffinity").asInt());
+  }
+
+  /** The requirement is one label, which some messages carry as a list of one. */
+  private static Optional<String> label(JsonNode node) {
+    return node.isArray() ? text(node.path(0)) : text(node);
+  }
+
+  private static Optional<String> text(JsonNode node) {
+    String text = node.asText();
+    return text.isEmpty() ? Optional.empty() : Optional.of(text);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/cli/CommandResult.java
+++ b/fescuehook/src/test/java/org/fescuehook/cli/CommandResult.java
@@ -35,7 +35,8 @@
             new PrintStream(out, true, StandardCharsets.UTF_8),
             new PrintStream(err, true, StandardCharsets.UTF_8),
             environment);
-    ExitCode code = new CommandRunner(starter).run(arguments, console);
+    ExitCode code =
+        new CommandRunner(starter, preferences -> ExitCode.DONE).run(arguments, console);
     return new CommandResult(
         code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
   }
