Ownership: each VM's claims have a sequence of their own

All claims named the same epoch and sequence, and the store answers a repeat of an append as it answered the first, so the conditional append never reached its condition. Ruled out: claims without a writer's position (a late claim would not be shut out by a higher epoch).

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -37,6 +37,13 @@
   private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
 
   private final OwnerIdentity self;
+
+  /**
+   * Sequence of this VM's claims. The store answers a repeated epoch and sequence as it answered
+   * the first, so claimants must not share a sequence: each would read that it has won.
+   */
+  private final long claimSequence;
+
   private Optional<OwnerRecord> newest = Optional.empty();
   private OptionalLong end = OptionalLong.empty();
   private OptionalLong epoch = OptionalLong.empty();
@@ -52,6 +59,7 @@
   /** Creates the duty of a VM that has read nothing. */
   public OwnershipDuty(OwnerIdentity self) {
     this.self = self;
+    this.claimSequence = Integer.toUnsignedLong((self.vm() + self.incarnation()).hashCode());
   }
 
   /** Returns the epoch if this VM owns as far as it knows. */
@@ -123,7 +131,7 @@
   }
 
   private void claim(BatchTurn turn) {
-    sequence = 0;
+    sequence = claimSequence;
     append(OwnerRecord.Kind.CLAIM, end, turn);
   }
 
@@ -146,7 +154,7 @@
   /** Takes the outcome of a claim or a heartbeat. */
   public void answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     appending = false;
-    boolean claimed = position.sequence() == 0;
+    boolean claimed = position.sequence() == claimSequence;
     switch (outcome) {
       case AppendOutcome.Stored stored -> stored(position, claimed, turn);
       case AppendOutcome.Refused refused -> nextAppendAt = turn.nowNanos() + RETRY_NANOS;
@@ -185,7 +193,7 @@
 
   private void win(long won, BatchTurn turn) {
     epoch = OptionalLong.of(won);
-    sequence = 1;
+    sequence = claimSequence + 1;
     confirmedAt = OptionalLong.of(heartbeatSentAt);
     nextAppendAt = turn.nowNanos() + HEARTBEAT_NANOS;
     turn.note(BatchLogEvent.OWNERSHIP_WON, won);
