--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -2,16 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.logic.batch.BatchCommand;
-import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.executor.OrderOutcome.ActiveRun;
@@ -29,9 +26,6 @@
  */
 public final class ExecutorDuty {
 
-  /** Longest wait of a poll for an end; renews a lease of about 6 s five times over. */
-  private static final Duration POLL_WAIT = Duration.ofMillis(1000);
-
   /** Pause after a poll without an answer, which took a timeout already. */
   private static final long MISSED_POLL_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
 
@@ -47,18 +41,12 @@
   /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
   private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
 
-  /** Orders of different epochs get different numbers, so late outcomes are not mixed up. */
-  private static final int EPOCH_SHIFT = 32;
-
-  private final long epoch;
-  private final Duration lease;
+  private final OrderSender orders;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
   private final RunListener listener;
-  private final Map<Long, LiveRun> ordered = new HashMap<>();
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
-  private long orderNumber;
 
   /**
    * Creates the duty of an epoch.
@@ -67,11 +55,9 @@
    * @param inheritedLease how long leases of a former owner may last from now on
    */
   public ExecutorDuty(long epoch, Duration lease, Duration inheritedLease, RunListener listener) {
-    this.epoch = epoch;
-    this.lease = lease;
+    this.orders = new OrderSender(epoch, lease);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
-    this.orderNumber = epoch << EPOCH_SHIFT;
   }
 
   /** Returns the executors. */
@@ -167,7 +153,7 @@
     for (LiveRun run : List.copyOf(executor.runs())) {
       boolean stopOwed = run.stage() == Stage.STOPPING && !run.stopTaken();
       if (stopOwed && turn.nowNanos() - run.orderedAt() > STOP_REPEAT_NANOS) {
-        sendStop(executor, run, turn);
+        orders.stop(executor, run, turn);
       }
     }
   }
@@ -178,25 +164,7 @@
     if (!needed || executor.poll().isPresent() || turn.nowNanos() - executor.nextPollAt() < 0) {
       return;
     }
-    boolean calm = executor.known() && executor.missedPolls() == 0;
-    OptionalLong leaseUntil = OptionalLong.empty();
-    if (calm) {
-      leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
-    } else if (executor.leaseUntilMillis() > 0) {
-      // Not extended, so that the runs of an executor that stays silent are known to end.
-      leaseUntil = OptionalLong.of(executor.leaseUntilMillis());
-    }
-    boolean waits = calm && !executor.runs().isEmpty();
-    long wait = waits ? POLL_WAIT.toMillis() : 0;
-    long number =
-        send(executor, new ExecutorOrder.Poll(executor.acknowledged(), leaseUntil, wait), turn);
-    executor.pollSent(number, turn.nowNanos());
-  }
-
-  private long send(ExecutorState executor, ExecutorOrder order, BatchTurn turn) {
-    orderNumber++;
-    turn.add(new BatchCommand.Order(executor.profile(), orderNumber, epoch, order));
-    return orderNumber;
+    orders.poll(executor, turn);
   }
 
   /** Orders the start of a run whose placement is stored. */
@@ -206,17 +174,7 @@
       return;
     }
     run.enter(Stage.STARTING, turn.nowNanos());
-    sendStart(executor.get(), run, turn);
-  }
-
-  private void sendStart(ExecutorState executor, LiveRun run, BatchTurn turn) {
-    run.ordered(turn.nowNanos());
-    long leaseUntil = executor.extendLease(lease, turn.nowNanos());
-    String spec = run.step().job().job().submission().spec();
-    long number =
-        send(
-            executor, new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), leaseUntil), turn);
-    ordered.put(number, run);
+    orders.start(executor.get(), run, turn);
   }
 
   /** Orders the end of a run; one that was not started yet is dropped at once. */
@@ -235,22 +193,16 @@
     }
     turn.note(BatchLogEvent.RUN_STOPPING, run.run(), run.executor(), cause);
     run.enter(Stage.STOPPING, turn.nowNanos());
-    executor.ifPresent(state -> sendStop(state, run, turn));
+    executor.ifPresent(state -> orders.stop(state, run, turn));
   }
 
   private boolean orphaned(LiveRun run) {
     return orphans.getOrDefault(run.executor(), List.of()).contains(run);
   }
 
-  private void sendStop(ExecutorState executor, LiveRun run, BatchTurn turn) {
-    run.ordered(turn.nowNanos());
-    long number = send(executor, new ExecutorOrder.Stop(run.run()), turn);
-    ordered.put(number, run);
-  }
-
   /** Takes in what became of an order. */
   public void ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
-    Optional<LiveRun> run = Optional.ofNullable(ordered.remove(number));
+    Optional<LiveRun> run = orders.takeRun(number);
     Optional<ExecutorState> found = book.find(id);
     if (found.isEmpty()) {
       return;
@@ -302,7 +254,7 @@
       case OrderOutcome.Unanswered unanswered -> {
         run.startBecameUncertain();
         if (run.orders() < MAX_STARTS) {
-          sendStart(executor, run, turn);
+          orders.start(executor, run, turn);
         } else {
           listener.startGivenUp(run, turn);
         }
@@ -406,7 +358,7 @@
     Optional<LiveRun> found = executor.run(active.run());
     if (found.isEmpty()) {
       turn.note(BatchLogEvent.RUN_UNKNOWN, active.run(), executor.profile().id());
-      send(executor, new ExecutorOrder.Stop(active.run()), turn);
+      orders.stopUnknown(executor, active.run(), turn);
       return;
     }
     LiveRun run = found.get();
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -0,0 +1,91 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.model.batch.TaskRun;
+
+/** Numbers the orders of an epoch and remembers which run each of them is about. */
+final class OrderSender {
+
+  /** Longest wait of a poll for an end; renews a lease of about 6 s five times over. */
+  private static final Duration POLL_WAIT = Duration.ofMillis(1000);
+
+  /** Orders of different epochs get different numbers, so late outcomes are not mixed up. */
+  private static final int EPOCH_SHIFT = 32;
+
+  private final long epoch;
+  private final Duration lease;
+  private final Map<Long, LiveRun> ordered = new HashMap<>();
+  private long lastNumber;
+
+  /**
+   * Creates a sender.
+   *
+   * @param lease length of the leases given
+   */
+  OrderSender(long epoch, Duration lease) {
+    this.epoch = epoch;
+    this.lease = lease;
+    this.lastNumber = epoch << EPOCH_SHIFT;
+  }
+
+  /**
+   * Polls an executor. One that answers has its lease renewed; for one that is silent the lease is
+   * not extended, so that its runs are known to end.
+   */
+  void poll(ExecutorState executor, BatchTurn turn) {
+    boolean calm = executor.known() && executor.missedPolls() == 0;
+    OptionalLong leaseUntil = OptionalLong.empty();
+    if (calm) {
+      leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
+    } else if (executor.leaseUntilMillis() > 0) {
+      leaseUntil = OptionalLong.of(executor.leaseUntilMillis());
+    }
+    boolean waits = calm && !executor.runs().isEmpty();
+    long longestWait = waits ? POLL_WAIT.toMillis() : 0;
+    long number =
+        send(
+            executor,
+            new ExecutorOrder.Poll(executor.acknowledged(), leaseUntil, longestWait),
+            turn);
+    executor.pollSent(number, turn.nowNanos());
+  }
+
+  /** Orders the start of a run. */
+  void start(ExecutorState executor, LiveRun run, BatchTurn turn) {
+    run.ordered(turn.nowNanos());
+    long leaseUntil = executor.extendLease(lease, turn.nowNanos());
+    String spec = run.step().job().job().submission().spec();
+    ExecutorOrder order = new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), leaseUntil);
+    ordered.put(send(executor, order, turn), run);
+  }
+
+  /** Orders the end of a run. */
+  void stop(ExecutorState executor, LiveRun run, BatchTurn turn) {
+    run.ordered(turn.nowNanos());
+    ordered.put(send(executor, new ExecutorOrder.Stop(run.run()), turn), run);
+  }
+
+  /** Orders the end of a run that the owner does not know. */
+  void stopUnknown(ExecutorState executor, TaskRun run, BatchTurn turn) {
+    send(executor, new ExecutorOrder.Stop(run), turn);
+  }
+
+  /** Returns the run that an order was about, once. */
+  Optional<LiveRun> takeRun(long number) {
+    return Optional.ofNullable(ordered.remove(number));
+  }
+
+  private long send(ExecutorState executor, ExecutorOrder order, BatchTurn turn) {
+    lastNumber++;
+    turn.add(new BatchCommand.Order(executor.profile(), lastNumber, epoch, order));
+    return lastNumber;
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/cli/CommandsPage.java
+++ b/fescuehook/src/test/java/org/fescuehook/cli/CommandsPage.java
@@ -32,7 +32,8 @@
       page.append("| %d | %s |\n".formatted(code.code(), code.meaning()));
     }
     page.append("| 69 | the launcher found no Java 25 |\n");
-    for (CommandSpec spec : CommandCatalogue.commands(preferences -> ExitCode.DONE)) {
+    for (CommandSpec spec :
+        CommandCatalogue.commands(preferences -> ExitCode.DONE, preferences -> ExitCode.DONE)) {
       page.append("\n## ").append(spec.name()).append("\n\n```text\n");
       page.append(help(spec)).append("```\n");
     }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -0,0 +1,382 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.ownership.OwnerCodec;
+import org.fescuehook.logic.batch.ownership.OwnerIdentity;
+import org.fescuehook.logic.batch.ownership.OwnerRecord;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.preferences.BatchPreferences;
+
+/** VMs, store and executors on a virtual clock, with faults between them. */
+final class BatchCluster {
+
+  static final String KEY = Declared.KEY;
+  static final String URGENT = Declared.URGENT;
+  static final String NORMAL = Declared.NORMAL;
+  static final String BULK = Declared.BULK;
+
+  private static final long STEP_MILLIS = 20;
+  private static final long WALL_START = 1_700_000_000_000L;
+
+  final FakeStore store = new FakeStore();
+  final VirtualWork work = new VirtualWork();
+  final Map<Long, CallAnswer> answers = new HashMap<>();
+  final Map<String, CallAnswer> submissions = new LinkedHashMap<>();
+  final Map<VmId, Vm> vms = new LinkedHashMap<>();
+  final Map<ExecutorId, FakeExecutor> executors = new LinkedHashMap<>();
+  final ClusterFaults faults = new ClusterFaults();
+  final Random random;
+  private final PriorityQueue<Due> queue = new PriorityQueue<>();
+  private final Map<Long, String> submitTickets = new HashMap<>();
+  private final BatchConfiguration configuration;
+  private long nowMillis;
+  private long order;
+  private long ticket;
+  private int starts;
+
+  /** Something that happens at a time. */
+  private record Due(long at, long order, Runnable action) implements Comparable<Due> {
+    @Override
+    public int compareTo(Due other) {
+      int byTime = Long.compare(at, other.at);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /** One VM. */
+  final class Vm {
+    final VmId id;
+    final int start;
+    BatchCore core;
+    boolean running = true;
+    boolean frozen;
+    private boolean following;
+    private final List<BatchEvent> held = new ArrayList<>();
+
+    Vm(VmId id) {
+      this.id = id;
+      starts++;
+      start = starts;
+      OwnerIdentity self = new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000");
+      core =
+          new BatchCore(self, new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120)));
+    }
+
+    void deliver(BatchEvent event) {
+      if (!running) {
+        return;
+      }
+      if (frozen) {
+        held.add(event);
+        return;
+      }
+      for (BatchCommand command :
+          core.apply(event, nowMillis * 1_000_000, WALL_START + nowMillis)) {
+        carryOut(this, command);
+      }
+    }
+
+    void thaw() {
+      frozen = false;
+      List<BatchEvent> late = List.copyOf(held);
+      held.clear();
+      late.forEach(this::deliver);
+    }
+  }
+
+  BatchCluster(int vmCount, int executorCount, long seed) {
+    random = new Random(seed);
+    configuration = Declared.configuration();
+    for (int i = 0; i < executorCount; i++) {
+      addExecutor("e" + i, "r" + i / 4);
+    }
+    for (int i = 0; i < vmCount; i++) {
+      start(new VmId("vm-" + i));
+    }
+  }
+
+  void addExecutor(String name, String rack) {
+    ExecutorProfile profile = Declared.executor(name, rack);
+    FakeExecutor executor = new FakeExecutor(profile, 1_000_000L + random.nextInt(1000), work);
+    executors.put(profile.id(), executor);
+    work.add(executor);
+    vms.values().stream()
+        .filter(vm -> vm.following)
+        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(profile)));
+  }
+
+  /** An executor loses all its runs and ends; the list tells it a few seconds later. */
+  void crash(ExecutorId id) {
+    FakeExecutor executor = executors.remove(id);
+    executor.crash(nowMillis);
+    work.forget(id);
+    in(4500, () -> unlist(id));
+  }
+
+  private void unlist(ExecutorId id) {
+    vms.values().stream()
+        .filter(vm -> vm.following)
+        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorUnlisted(id)));
+  }
+
+  /** Starts a VM; one that runs again already stays as it is. */
+  Vm start(VmId id) {
+    Vm earlier = vms.get(id);
+    if (earlier != null && earlier.running) {
+      return earlier;
+    }
+    Vm vm = new Vm(id);
+    vms.put(id, vm);
+    vm.deliver(new BatchEvent.ConfigurationRead(configuration));
+    tick(vm);
+    readOwnership(vm);
+    return vm;
+  }
+
+  /** Kills a VM and starts it again after a while. */
+  void restart(VmId id, long downMillis) {
+    vms.get(id).running = false;
+    in(downMillis, () -> start(id));
+  }
+
+  private void tick(Vm vm) {
+    if (vm.running) {
+      vm.deliver(new BatchEvent.Tick());
+      in(50, () -> tick(vm));
+    }
+  }
+
+  private boolean reachesStore(Vm vm) {
+    return !faults.storeDown && !faults.cutFromStore.contains(vm.id);
+  }
+
+  private void readOwnership(Vm vm) {
+    if (!vm.running) {
+      return;
+    }
+    if (!reachesStore(vm)) {
+      vm.deliver(new BatchEvent.OwnershipUnreadable());
+    } else if (!vm.frozen) {
+      vm.deliver(ownership());
+    }
+    in(400, () -> readOwnership(vm));
+  }
+
+  private BatchEvent ownership() {
+    Optional<OwnerRecord> newest =
+        store.newest(StreamName.OWNERSHIP, OwnerCodec.KEY).map(BatchCluster::decode);
+    return new BatchEvent.OwnershipRead(newest, store.end(StreamName.OWNERSHIP));
+  }
+
+  private static OwnerRecord decode(FakeStore.Stored stored) {
+    try {
+      return OwnerCodec.decode(stored.record().value().orElseThrow(), stored.offset());
+    } catch (UnreadableRecordException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void carryOut(Vm vm, BatchCommand command) {
+    switch (command) {
+      case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
+      case BatchCommand.Append append -> append(vm, append);
+      case BatchCommand.LoadState load -> load(vm);
+      case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
+      case BatchCommand.Order command1 -> order(vm, command1);
+      case BatchCommand.ForgetExecutor forget -> {}
+      case BatchCommand.Note note -> {}
+      case BatchCommand.Count count -> {}
+    }
+  }
+
+  private void append(Vm vm, BatchCommand.Append append) {
+    if (!reachesStore(vm)) {
+      AppendOutcome outcome =
+          random.nextBoolean()
+              ? new AppendOutcome.Refused("down")
+              : new AppendOutcome.Unanswered("silent");
+      in(200, () -> vm.deliver(appended(append, outcome)));
+      return;
+    }
+    boolean lost = random.nextDouble() < faults.lostAnswers;
+    long late = lost && random.nextBoolean() ? 1000 + random.nextInt(4000) : faults.storeDelay;
+    in(
+        late,
+        () -> {
+          AppendOutcome outcome =
+              store.append(
+                  append.stream(), append.position(), append.expectedEnd(), append.records());
+          if (!lost) {
+            vm.deliver(appended(append, outcome));
+          }
+        });
+    if (lost) {
+      in(1000, () -> vm.deliver(appended(append, new AppendOutcome.Unanswered("timeout"))));
+    }
+  }
+
+  private static BatchEvent appended(BatchCommand.Append append, AppendOutcome outcome) {
+    return new BatchEvent.Appended(append.stream(), append.position(), outcome);
+  }
+
+  private void load(Vm vm) {
+    in(
+        faults.storeDelay,
+        () ->
+            vm.deliver(
+                reachesStore(vm)
+                    ? new BatchEvent.StateRead(store.newest(StreamName.STATE), Optional.empty())
+                    : new BatchEvent.StateUnreadable()));
+  }
+
+  private void follow(Vm vm, boolean following) {
+    vm.following = following;
+    if (following) {
+      in(
+          faults.storeDelay,
+          () ->
+              vm.deliver(
+                  new BatchEvent.ExecutorsListed(
+                      executors.values().stream().map(FakeExecutor::profile).toList())));
+    }
+  }
+
+  private void order(Vm vm, BatchCommand.Order command) {
+    ExecutorId id = command.executor().id();
+    boolean poll = command.order() instanceof BatchCommand.ExecutorOrder.Poll;
+    boolean reached = executors.containsKey(id) && !faults.silent.contains(id);
+    boolean late = reached && random.nextDouble() < faults.lateOrders;
+    if (!reached || late) {
+      if (late) {
+        in(2000 + random.nextInt(6000), () -> takeLate(id, command));
+      }
+      in(600, () -> ended(vm, command, new OrderOutcome.Unanswered("timeout")));
+      return;
+    }
+    in(
+        1,
+        () -> {
+          FakeExecutor executor = executors.get(id);
+          OrderOutcome outcome =
+              executor == null
+                  ? new OrderOutcome.Unanswered("closed")
+                  : executor.take(command.epoch(), command.order(), nowMillis);
+          in(poll ? 100 : 1, () -> ended(vm, command, outcome));
+        });
+  }
+
+  private void takeLate(ExecutorId id, BatchCommand.Order command) {
+    FakeExecutor executor = executors.get(id);
+    if (executor != null) {
+      executor.take(command.epoch(), command.order(), nowMillis);
+    }
+  }
+
+  private static void ended(Vm vm, BatchCommand.Order command, OrderOutcome outcome) {
+    vm.deliver(new BatchEvent.OrderEnded(command.executor().id(), command.number(), outcome));
+  }
+
+  private void answered(long number, CallAnswer answer) {
+    answers.put(number, answer);
+    String job = submitTickets.get(number);
+    if (job != null) {
+      submissions.put(job, answer);
+    }
+  }
+
+  /** Calls the VM that decides; absent if none does. */
+  Optional<Long> call(BatchCall call) {
+    Optional<Vm> owner = owner();
+    if (owner.isEmpty()) {
+      return Optional.empty();
+    }
+    ticket++;
+    if (call instanceof BatchCall.Submit submit) {
+      submitTickets.put(ticket, submit.job());
+      work.submitted(submit.job(), submit.submission());
+    }
+    owner.get().deliver(new BatchEvent.Called(ticket, call));
+    return Optional.of(ticket);
+  }
+
+  Optional<Vm> owner() {
+    return vms.values().stream()
+        .filter(vm -> vm.running && !vm.frozen && vm.core.deciding())
+        .reduce((first, second) -> second);
+  }
+
+  /** Submits a job and returns its id. */
+  String submit(String queueName, Submission submission) {
+    String id = "%016x".formatted(0xa000L + submissions.size() + ticket);
+    call(new BatchCall.Submit(queueName, KEY, id, submission));
+    return id;
+  }
+
+  /** Returns what callers are told of a job. */
+  Optional<CallAnswer> status(String job) {
+    Optional<Long> asked = call(new BatchCall.Status(NORMAL, KEY, job));
+    return asked.map(answers::get);
+  }
+
+  void in(long millis, Runnable action) {
+    order++;
+    queue.add(new Due(nowMillis + millis, order, action));
+  }
+
+  /** Lets time pass. */
+  void run(long millis) {
+    long until = nowMillis + millis;
+    while (nowMillis < until) {
+      long next = Math.min(until, nowMillis + STEP_MILLIS);
+      while (!queue.isEmpty() && queue.peek().at() <= next) {
+        Due due = queue.remove();
+        nowMillis = Math.max(nowMillis, due.at());
+        due.action().run();
+      }
+      nowMillis = next;
+      List.copyOf(executors.values()).forEach(executor -> executor.pass(nowMillis, STEP_MILLIS));
+    }
+  }
+
+  /** Runs until a condition holds, and fails if it does not in time. */
+  void runUntil(String what, long limitMillis, java.util.function.BooleanSupplier condition) {
+    long until = nowMillis + limitMillis;
+    while (!condition.getAsBoolean()) {
+      assertTrue(nowMillis < until, () -> "not within " + limitMillis + " ms: " + what);
+      run(STEP_MILLIS);
+    }
+  }
+
+  void awaitOwner() {
+    runUntil("an owner", 10_000, () -> owner().isPresent());
+  }
+
+  void assertShown(String job, org.fescuehook.model.batch.JobPhase phase) {
+    assertEquals(Optional.of(new CallAnswer.Phase(phase)), status(job), () -> "state of " + job);
+  }
+
+  long nowMillis() {
+    return nowMillis;
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -0,0 +1,16 @@
+package org.fescuehook.logic.batch;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
+
+/** What goes wrong in a {@link BatchCluster} at present. */
+final class ClusterFaults {
+  boolean storeDown;
+  double lostAnswers;
+  long storeDelay = 4;
+  final Set<VmId> cutFromStore = new HashSet<>();
+  final Set<ExecutorId> silent = new HashSet<>();
+  double lateOrders;
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -0,0 +1,51 @@
+package org.fescuehook.logic.batch;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.KeyHolder;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+
+/** What operators and executors have declared in tests. */
+final class Declared {
+
+  static final String KEY = "key-of-north";
+  static final String URGENT = "urgent";
+  static final String NORMAL = "normal";
+  static final String BULK = "bulk";
+  static final String POOL = "pool";
+
+  /** An executor as the users have them. */
+  static final Demand CAPACITY = new Demand(64_000, 262_144, 8);
+
+  private Declared() {}
+
+  static BatchConfiguration configuration() {
+    Map<String, JobQueue> queues = new HashMap<>();
+    queues.put(URGENT, new JobQueue(URGENT, POOL, 0, 4, 1.5, 250, false, false));
+    queues.put(NORMAL, new JobQueue(NORMAL, POOL, 1, 3, 3, 1000, false, false));
+    queues.put(BULK, new JobQueue(BULK, POOL, 2, 2, 3, 3000, false, false));
+    return new BatchConfiguration(1, queues, List.of(new KeyHolder("north", Set.of(KEY), 24)));
+  }
+
+  static ExecutorProfile executor(String name, String rack) {
+    return new ExecutorProfile(
+        new ExecutorId(name),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        POOL,
+        new FailureDomain("a"),
+        new RackId(rack),
+        Set.of("kind", rack),
+        CAPACITY,
+        false);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -0,0 +1,189 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.RunEnd;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+
+/** An executor by its published rules: epochs, leases, ends until acknowledged. */
+final class FakeExecutor {
+
+  private static final long LONGEST_LEASE_MILLIS = 6000;
+  private static final long CHECKPOINT_MILLIS = 500;
+
+  private final VirtualWork work;
+  private final Map<TaskRun, Active> active = new LinkedHashMap<>();
+  private final Map<TaskName, Integer> closed = new HashMap<>();
+  private final List<OrderOutcome.EndedRun> ended = new ArrayList<>();
+  private final long clockAhead;
+  private ExecutorProfile profile;
+  private long epoch;
+  private long leaseUntil;
+  private long lastEnd;
+  private boolean up = true;
+
+  /** A run that holds room. */
+  private static final class Active {
+    private final String from;
+    private final long startedAt;
+    private long workedMillis;
+
+    Active(String from, long startedAt) {
+      this.from = from;
+      this.startedAt = startedAt;
+    }
+  }
+
+  FakeExecutor(ExecutorProfile profile, long clockAhead, VirtualWork work) {
+    this.profile = profile;
+    this.clockAhead = clockAhead;
+    this.work = work;
+  }
+
+  ExecutorProfile profile() {
+    return profile;
+  }
+
+  void describe(ExecutorProfile newer) {
+    profile = newer;
+  }
+
+  boolean up() {
+    return up;
+  }
+
+  List<TaskRun> running() {
+    return List.copyOf(active.keySet());
+  }
+
+  /** Loses all runs at once, without a word. */
+  void crash(long nowMillis) {
+    up = false;
+    for (TaskRun run : running()) {
+      active.remove(run);
+      work.gone(run, nowMillis);
+    }
+  }
+
+  OrderOutcome take(long orderEpoch, ExecutorOrder order, long nowMillis) {
+    if (orderEpoch < epoch) {
+      return new OrderOutcome.Rejected(Rejection.FENCED);
+    }
+    epoch = orderEpoch;
+    return switch (order) {
+      case ExecutorOrder.Poll poll -> poll(poll, nowMillis);
+      case ExecutorOrder.Start start -> start(start, nowMillis);
+      case ExecutorOrder.Stop stop -> stop(stop.run(), nowMillis);
+    };
+  }
+
+  private OrderOutcome poll(ExecutorOrder.Poll poll, long nowMillis) {
+    ended.removeIf(end -> end.number() <= poll.acknowledged());
+    work.acknowledged(profile.id(), poll.acknowledged());
+    poll.leaseUntilMillis().ifPresent(until -> lease(until, nowMillis));
+    List<OrderOutcome.ActiveRun> runs = new ArrayList<>();
+    active.forEach(
+        (run, state) ->
+            runs.add(
+                new OrderOutcome.ActiveRun(
+                    run, checkpoint(run, state), work.percent(run, state.workedMillis))));
+    return new OrderOutcome.Polled(nowMillis + clockAhead, runs, List.copyOf(ended));
+  }
+
+  private void lease(long untilThere, long nowMillis) {
+    long until = Math.min(untilThere - clockAhead, nowMillis + LONGEST_LEASE_MILLIS);
+    leaseUntil = Math.max(leaseUntil, until);
+  }
+
+  private OrderOutcome start(ExecutorOrder.Start start, long nowMillis) {
+    lease(start.leaseUntilMillis(), nowMillis);
+    TaskRun run = start.run();
+    if (active.containsKey(run)) {
+      return new OrderOutcome.Done(nowMillis + clockAhead);
+    }
+    if (run.number() <= closed.getOrDefault(run.task(), 0)) {
+      return new OrderOutcome.Rejected(Rejection.SUPERSEDED);
+    }
+    if (start.leaseUntilMillis() - clockAhead <= nowMillis) {
+      return new OrderOutcome.Rejected(Rejection.EXPIRED);
+    }
+    if (!free().contains(work.demand(run.task()))) {
+      return new OrderOutcome.Rejected(Rejection.NO_ROOM);
+    }
+    active.put(run, new Active(start.checkpoint(), nowMillis));
+    work.started(run, profile.id(), nowMillis);
+    return new OrderOutcome.Done(nowMillis + clockAhead);
+  }
+
+  private Demand free() {
+    Demand free = profile.capacity();
+    for (TaskRun run : active.keySet()) {
+      free = free.minus(work.demand(run.task()));
+    }
+    return free;
+  }
+
+  private OrderOutcome stop(TaskRun run, long nowMillis) {
+    closed.merge(run.task(), run.number(), Math::max);
+    Optional.ofNullable(active.get(run)).ifPresent(state -> end(run, RunEnd.STOPPED, nowMillis));
+    return new OrderOutcome.Done(nowMillis + clockAhead);
+  }
+
+  /** Ends a run; nothing happens if it is not here. */
+  void end(TaskRun run, RunEnd how, long nowMillis) {
+    Active state = active.remove(run);
+    if (state == null) {
+      return;
+    }
+    closed.merge(run.task(), run.number(), Math::max);
+    lastEnd++;
+    ended.add(new OrderOutcome.EndedRun(lastEnd, run, how, checkpoint(run, state)));
+    work.ended(run, profile.id(), lastEnd, how, nowMillis);
+  }
+
+  private String checkpoint(TaskRun run, Active state) {
+    if (!work.checkpoints(run.task())) {
+      return "";
+    }
+    long saved = saved(state.from) + state.workedMillis / CHECKPOINT_MILLIS * CHECKPOINT_MILLIS;
+    return saved == 0 ? "" : String.valueOf(saved);
+  }
+
+  private static long saved(String checkpoint) {
+    return checkpoint.isEmpty() ? 0 : Long.parseLong(checkpoint);
+  }
+
+  /** Lets runs work for a while. */
+  void pass(long nowMillis, long millis) {
+    if (nowMillis > leaseUntil) {
+      // By the published rules such an end does not count any more, also if it is listed later.
+      work.forget(profile.id());
+    }
+    for (TaskRun run : running()) {
+      Active state = active.get(run);
+      if (state == null) {
+        continue;
+      }
+      if (nowMillis > leaseUntil) {
+        end(run, RunEnd.LEASE_EXPIRED, nowMillis);
+      } else if (work.together(run)) {
+        state.workedMillis += millis;
+        if (saved(state.from) + state.workedMillis >= work.duration(run.task())) {
+          work.finish(run, nowMillis);
+        }
+      } else if (nowMillis - state.startedAt > work.gangPatienceMillis()) {
+        end(run, RunEnd.GANG_INCOMPLETE, nowMillis);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
@@ -0,0 +1,66 @@
+package org.fescuehook.logic.batch;
+
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.Submission;
+
+/** Submissions for tests. */
+final class Jobs {
+
+  private Jobs() {}
+
+  static BatchStep tasks(int count, int accelerators, long millis) {
+    return step(count, accelerators, millis, List.of(), false, false);
+  }
+
+  static BatchStep checkpointed(int count, int accelerators, long millis) {
+    return step(count, accelerators, millis, List.of(), true, false);
+  }
+
+  static BatchStep gang(int count, int accelerators, long millis) {
+    return step(count, accelerators, millis, List.of(), false, true);
+  }
+
+  static BatchStep after(BatchStep step, Integer... earlier) {
+    return new BatchStep(
+        step.count(),
+        step.demand(),
+        step.estimateMillis(),
+        List.of(earlier),
+        step.placement(),
+        step.checkpointing(),
+        step.gang(),
+        step.image());
+  }
+
+  private static BatchStep step(
+      int count,
+      int accelerators,
+      long millis,
+      List<Integer> dependsOn,
+      boolean checkpointing,
+      boolean gang) {
+    return new BatchStep(
+        count,
+        new Demand(4_000, 16_000, accelerators),
+        millis,
+        dependsOn,
+        BatchStep.PlacementRule.ANYWHERE,
+        checkpointing,
+        gang,
+        "image");
+  }
+
+  static Submission of(BatchStep... steps) {
+    return new Submission("spec", List.of(steps), Optional.empty());
+  }
+
+  static Submission repeated(long startMillis, long intervalMillis, int times, BatchStep... steps) {
+    return new Submission(
+        "spec",
+        List.of(steps),
+        Optional.of(new Submission.Schedule(startMillis, intervalMillis, times)));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
@@ -0,0 +1,146 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Histories of several VMs with random faults. While they run, {@link VirtualWork} checks that no
+ * task runs twice, none starts after its end or before its turn, and none that nobody asked for.
+ */
+class RandomBatchHistoriesTest {
+
+  private static final int HISTORIES = Integer.getInteger("histories", 60);
+  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final long DAY_MILLIS = 30_000;
+
+  @Test
+  void noHistoryOfFaultsBreaksAPromise() {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+      List<String> faults = new ArrayList<>();
+      try {
+        play(seed, faults);
+      } catch (AssertionError | RuntimeException e) {
+        throw new AssertionError("seed " + seed + ", faults " + faults, e);
+      }
+    }
+  }
+
+  private static void play(long seed, List<String> faults) {
+    BatchCluster cluster = new BatchCluster(4, 8, seed);
+    scheduleJobs(cluster);
+    int count = 2 + cluster.random.nextInt(6);
+    for (int i = 0; i < count; i++) {
+      long at = 2000L + cluster.random.nextInt(20_000);
+      cluster.in(at, () -> faults.add(fault(cluster)));
+    }
+    cluster.run(DAY_MILLIS);
+    cluster.run(60_000);
+    cluster.awaitOwner();
+    cluster.run(2000);
+    for (Map.Entry<String, CallAnswer> submission : cluster.submissions.entrySet()) {
+      check(cluster, submission.getKey(), submission.getValue());
+    }
+  }
+
+  private static void scheduleJobs(BatchCluster cluster) {
+    for (int i = 0; i < 25; i++) {
+      cluster.in(1500 + cluster.random.nextInt(20_000), () -> submit(cluster));
+    }
+  }
+
+  private static void submit(BatchCluster cluster) {
+    long millis = 500L + cluster.random.nextInt(4000);
+    Submission submission =
+        switch (cluster.random.nextInt(4)) {
+          case 0 -> Jobs.of(Jobs.gang(1 + cluster.random.nextInt(4), 8, millis));
+          case 1 -> Jobs.of(Jobs.checkpointed(1 + cluster.random.nextInt(12), 1, millis));
+          case 2 ->
+              Jobs.of(
+                  Jobs.tasks(1 + cluster.random.nextInt(6), 2, millis),
+                  Jobs.after(Jobs.gang(2, 4, 1000), 0));
+          default -> Jobs.of(Jobs.tasks(1 + cluster.random.nextInt(6), 1, millis));
+        };
+    String[] queues = {BatchCluster.URGENT, BatchCluster.NORMAL, BatchCluster.BULK};
+    cluster.submit(queues[cluster.random.nextInt(queues.length)], submission);
+  }
+
+  private static void check(BatchCluster cluster, String job, CallAnswer answer) {
+    Optional<CallAnswer> status = cluster.status(job);
+    boolean accepted = answer instanceof CallAnswer.Accepted;
+    if (accepted) {
+      assertEquals(Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED)), status, job);
+    }
+    if (answer instanceof CallAnswer.Refused) {
+      assertTrue(
+          cluster.work.starts().stream().noneMatch(run -> run.task().job().equals(job)),
+          () -> job + " was refused and has run");
+    }
+  }
+
+  private static String fault(BatchCluster cluster) {
+    List<VmId> vms = List.copyOf(cluster.vms.keySet());
+    VmId vm = vms.get(cluster.random.nextInt(vms.size()));
+    VmId owner = cluster.owner().map(found -> found.id).orElse(vm);
+    long length = 1000L + cluster.random.nextInt(6000);
+    String when = " at " + cluster.nowMillis() + " for " + length;
+    switch (cluster.random.nextInt(9)) {
+      case 0 -> {
+        cluster.restart(owner, length);
+        return "owner killed" + when;
+      }
+      case 1 -> {
+        BatchCluster.Vm frozen = cluster.vms.get(owner);
+        frozen.frozen = true;
+        cluster.in(length, frozen::thaw);
+        return "owner frozen" + when;
+      }
+      case 2 -> {
+        cluster.faults.storeDown = true;
+        cluster.in(length, () -> cluster.faults.storeDown = false);
+        return "store down" + when;
+      }
+      case 3 -> {
+        cluster.faults.cutFromStore.add(owner);
+        cluster.in(length, () -> cluster.faults.cutFromStore.remove(owner));
+        return "owner cut from the store" + when;
+      }
+      case 4 -> {
+        cluster.faults.lostAnswers = 0.35;
+        cluster.in(length, () -> cluster.faults.lostAnswers = 0);
+        return "answers of the store lost" + when;
+      }
+      case 5 -> {
+        cluster.faults.lateOrders = 0.1;
+        cluster.in(length, () -> cluster.faults.lateOrders = 0);
+        return "orders carried out late" + when;
+      }
+      case 6 -> {
+        List<ExecutorId> executors = List.copyOf(cluster.executors.keySet());
+        ExecutorId silent = executors.get(cluster.random.nextInt(executors.size()));
+        cluster.faults.silent.add(silent);
+        cluster.in(length, () -> cluster.faults.silent.remove(silent));
+        return silent + " cut off" + when;
+      }
+      case 7 -> {
+        vms.forEach(id -> cluster.restart(id, length));
+        return "all VMs lose power" + when;
+      }
+      default -> {
+        cluster.faults.storeDelay = 250;
+        cluster.in(length, () -> cluster.faults.storeDelay = 4);
+        return "store slow" + when;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -0,0 +1,181 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.RunEnd;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** What tasks do, gangs across executors, and an audit of the promises about runs. */
+final class VirtualWork {
+
+  private static final long GANG_PATIENCE_MILLIS = 3000;
+  private static final int PERCENT = 100;
+
+  private final Map<String, Submission> submissions = new HashMap<>();
+  private final Map<TaskRun, ExecutorId> running = new LinkedHashMap<>();
+  private final Map<ExecutorId, FakeExecutor> executors = new HashMap<>();
+  private final Map<ExecutorId, Map<Long, TaskRun>> unacknowledged = new HashMap<>();
+  private final Set<TaskName> finished = new HashSet<>();
+
+  /** Tasks that ever ended done, also where that end must not be counted on any more. */
+  private final Set<TaskName> everFinished = new HashSet<>();
+
+  private final Map<TaskName, Integer> failures = new HashMap<>();
+  private final Set<TaskName> hopeless = new HashSet<>();
+  private final List<TaskRun> starts = new ArrayList<>();
+
+  void submitted(String job, Submission submission) {
+    submissions.put(job, submission);
+  }
+
+  void add(FakeExecutor executor) {
+    executors.put(executor.profile().id(), executor);
+  }
+
+  /** Has every run of a task fail. */
+  void failAlways(TaskName task) {
+    hopeless.add(task);
+  }
+
+  List<TaskRun> starts() {
+    return starts;
+  }
+
+  private BatchStep spec(TaskName task) {
+    return submissions.get(task.job()).steps().get(task.step());
+  }
+
+  Demand demand(TaskName task) {
+    return spec(task).demand();
+  }
+
+  boolean checkpoints(TaskName task) {
+    return spec(task).checkpointing();
+  }
+
+  long duration(TaskName task) {
+    return spec(task).estimateMillis();
+  }
+
+  long gangPatienceMillis() {
+    return GANG_PATIENCE_MILLIS;
+  }
+
+  int percent(TaskRun run, long workedMillis) {
+    return (int) Math.min(PERCENT, workedMillis * PERCENT / duration(run.task()));
+  }
+
+  /** A start: no other run of the task may be alive, and none may have ended done. */
+  void started(TaskRun run, ExecutorId executor, long nowMillis) {
+    assertTrue(submissions.containsKey(run.task().job()), () -> "unasked start of " + run);
+    assertFalse(finished.contains(run.task()), () -> run + " starts although its task is done");
+    for (TaskRun other : running.keySet()) {
+      boolean same = other.task().equals(run.task());
+      assertFalse(same, () -> run + " starts at " + nowMillis + " beside " + other);
+    }
+    for (int earlier : spec(run.task()).dependsOn()) {
+      TaskName task = run.task();
+      int count = submissions.get(task.job()).steps().get(earlier).count();
+      for (int index = 0; index < count; index++) {
+        TaskName needed = new TaskName(task.job(), task.occurrence(), earlier, index);
+        assertTrue(done(needed), () -> run + " starts before " + needed + " is done");
+      }
+    }
+    running.put(run, executor);
+    starts.add(run);
+  }
+
+  private boolean done(TaskName task) {
+    if (!spec(task).gang()) {
+      return everFinished.contains(task);
+    }
+    return everFinished.stream()
+        .anyMatch(other -> other.job().equals(task.job()) && other.step() == task.step());
+  }
+
+  /** Tells whether all members of the run's gang are present. */
+  boolean together(TaskRun run) {
+    return !spec(run.task()).gang() || members(run).size() == spec(run.task()).count();
+  }
+
+  private List<TaskRun> members(TaskRun run) {
+    return running.keySet().stream()
+        .filter(
+            other ->
+                other.number() == run.number()
+                    && other.task().job().equals(run.task().job())
+                    && other.task().occurrence() == run.task().occurrence()
+                    && other.task().step() == run.task().step())
+        .toList();
+  }
+
+  /** The work of a run is over: it ends, and with it its gang. */
+  void finish(TaskRun run, long nowMillis) {
+    RunEnd how = hopeless.contains(run.task()) ? RunEnd.FAILED : RunEnd.DONE;
+    List<TaskRun> members = spec(run.task()).gang() ? members(run) : List.of(run);
+    for (TaskRun member : members) {
+      RunEnd end = how == RunEnd.DONE || member.equals(run) ? how : RunEnd.GANG_BROKEN;
+      executors.get(running.get(member)).end(member, end, nowMillis);
+    }
+  }
+
+  void ended(TaskRun run, ExecutorId executor, long number, RunEnd how, long nowMillis) {
+    boolean gang = spec(run.task()).gang();
+    List<TaskRun> others =
+        gang ? members(run).stream().filter(other -> !other.equals(run)).toList() : List.of();
+    running.remove(run);
+    if (how == RunEnd.DONE) {
+      finished.add(run.task());
+      everFinished.add(run.task());
+      unacknowledged.computeIfAbsent(executor, id -> new HashMap<>()).put(number, run);
+    }
+    if (how == RunEnd.FAILED) {
+      failures.merge(run.task(), 1, Integer::sum);
+    }
+    boolean breaks = how != RunEnd.DONE && how != RunEnd.GANG_BROKEN && how != RunEnd.FAILED;
+    if (breaks) {
+      others.forEach(
+          other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
+    }
+  }
+
+  /** The executor forgets an end: from now on its task must not be lost. */
+  void acknowledged(ExecutorId executor, long number) {
+    Map<Long, TaskRun> ends = unacknowledged.getOrDefault(executor, Map.of());
+    ends.keySet().removeIf(end -> end <= number);
+  }
+
+  /** A run vanished with its executor; what it had done and was not acknowledged is gone. */
+  void gone(TaskRun run, long nowMillis) {
+    List<TaskRun> others = members(run).stream().filter(other -> !other.equals(run)).toList();
+    running.remove(run);
+    if (spec(run.task()).gang()) {
+      others.forEach(
+          other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
+    }
+  }
+
+  /** An executor is gone, with the ends that nobody has taken note of. */
+  void forget(ExecutorId executor) {
+    Map<Long, TaskRun> ends = unacknowledged.getOrDefault(executor, Map.of());
+    ends.values().forEach(run -> finished.remove(run.task()));
+    unacknowledged.remove(executor);
+  }
+
+  int failures(TaskName task) {
+    return failures.getOrDefault(task, 0);
+  }
+}
