Acknowledgements: an end is acknowledged only after all earlier ones are stored

A run ended done at 2.784 s while the store turned the owner away, the task ran again at 4.439 s under the next owner. Cause, read in the code: ends were acknowledged up to the number of the newest batch that needed no record, also while an earlier batch waited for the store; an acknowledgement covers all earlier ends. Ruled out: a commit after the new owner's load (the epoch is raised before the load), a lost placement (stored 11 s before). Test: ExecutorStateTest.aLaterEndIsNotAcknowledgedBeforeAnEarlierOneIsStored failed with the former rule (7 for 0).

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -340,9 +340,9 @@
       return;
     }
     long last = fresh.getLast().number();
+    executor.sawEndsUpTo(last);
     Countdown stored = new Countdown(() -> executor.endsStored(last));
     for (EndedRun end : fresh) {
-      executor.sawEnd(end.number());
       Optional<LiveRun> run = executor.run(end.run());
       if (run.isEmpty()) {
         listener.strayEnded(end, stored, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.ExecutorProfile;
@@ -33,6 +35,10 @@
   private long leaseUntilMillis;
   private long leaseUntilNanos;
   private long seen;
+
+  /** Last numbers of the ends that were taken in together, and whether they are stored. */
+  private final NavigableMap<Long, Boolean> taken = new TreeMap<>();
+
   private long acknowledged;
   private long acknowledgementSent;
   private long restUntil;
@@ -198,14 +204,21 @@
     return seen;
   }
 
-  /** Remembers that ends up to a number were taken in. */
-  public void sawEnd(long number) {
+  /** Remembers that ends up to a number were taken in together; they are not stored yet. */
+  public void sawEndsUpTo(long number) {
     seen = Math.max(seen, number);
+    taken.put(number, false);
   }
 
-  /** Allows ends up to a number to be acknowledged, since they are stored. */
+  /**
+   * Takes in that what follows from the ends that were taken in up to a number is stored. They are
+   * acknowledged once all earlier ones are stored too, since an acknowledgement covers those.
+   */
   public void endsStored(long number) {
-    acknowledged = Math.max(acknowledged, number);
+    taken.put(number, true);
+    while (!taken.isEmpty() && taken.firstEntry().getValue()) {
+      acknowledged = taken.pollFirstEntry().getKey();
+    }
   }
 
   /** Returns the number up to which ends may be acknowledged. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -20,6 +20,7 @@
 
   private static final long LONGEST_LEASE_MILLIS = 6000;
   private static final long CHECKPOINT_MILLIS = 500;
+  private static final long RESTORE_MILLIS = 250;
 
   private final VirtualWork work;
   private final Map<TaskRun, Active> active = new LinkedHashMap<>();
@@ -37,10 +38,13 @@
     private final String from;
     private final long startedAt;
     private long workedMillis;
+    private long waitedMillis;
+    private long restoringMillis;
 
     Active(String from, long startedAt) {
       this.from = from;
       this.startedAt = startedAt;
+      this.restoringMillis = from.isEmpty() ? 0 : RESTORE_MILLIS;
     }
   }
 
@@ -146,6 +150,10 @@
       return;
     }
     closed.merge(run.task(), run.number(), Math::max);
+    boolean kept = how == RunEnd.DONE || how == RunEnd.FAILED;
+    long unsaved =
+        work.checkpoints(run.task()) ? state.workedMillis % CHECKPOINT_MILLIS : state.workedMillis;
+    work.wasted(run, state.waitedMillis + (kept ? 0 : unsaved));
     lastEnd++;
     ended.add(new OrderOutcome.EndedRun(lastEnd, run, how, checkpoint(run, state)));
     work.ended(run, profile.id(), lastEnd, how, nowMillis);
@@ -177,13 +185,23 @@
       if (nowMillis > leaseUntil) {
         end(run, RunEnd.LEASE_EXPIRED, nowMillis);
       } else if (work.together(run)) {
-        state.workedMillis += millis;
+        work(run, state, millis);
         if (saved(state.from) + state.workedMillis >= work.duration(run.task())) {
           work.finish(run, nowMillis);
         }
       } else if (nowMillis - state.startedAt > work.gangPatienceMillis()) {
         end(run, RunEnd.GANG_INCOMPLETE, nowMillis);
+      } else {
+        state.waitedMillis += millis;
       }
     }
   }
+
+  private void work(TaskRun run, Active state, long millis) {
+    if (state.restoringMillis > 0) {
+      state.restoringMillis -= millis;
+      return;
+    }
+    state.workedMillis += (long) (millis * work.speed(run));
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -24,6 +24,9 @@
   private static final long GANG_PATIENCE_MILLIS = 3000;
   private static final int PERCENT = 100;
 
+  /** A task away from its data, or from its gang, takes this many times as long. */
+  private static final double FAR_FACTOR = 3;
+
   private final Map<String, Submission> submissions = new HashMap<>();
   private final Map<TaskRun, ExecutorId> running = new LinkedHashMap<>();
   private final Map<ExecutorId, FakeExecutor> executors = new HashMap<>();
@@ -36,6 +39,8 @@
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> hopeless = new HashSet<>();
   private final List<TaskRun> starts = new ArrayList<>();
+  private final Map<TaskName, Long> durations = new HashMap<>();
+  private double wastedCoreSeconds;
 
   void submitted(String job, Submission submission) {
     submissions.put(job, submission);
@@ -66,8 +71,35 @@
     return spec(task).checkpointing();
   }
 
+  /** Declares how long a task really works; without it as long as its estimate says. */
+  void lasts(TaskName task, long millis) {
+    durations.put(task, millis);
+  }
+
   long duration(TaskName task) {
-    return spec(task).estimateMillis();
+    return durations.getOrDefault(task, spec(task).estimateMillis());
+  }
+
+  /** Returns how fast a run works: slower where its gang is spread over racks. */
+  double speed(TaskRun run) {
+    if (!spec(run.task()).placement().sameRack()) {
+      return 1;
+    }
+    long racks =
+        members(run).stream()
+            .map(member -> executors.get(running.get(member)).profile().rack())
+            .distinct()
+            .count();
+    return racks == 1 ? 1 : 1 / FAR_FACTOR;
+  }
+
+  /** Counts work that has to be done again, or time that a gang waited for its members. */
+  void wasted(TaskRun run, long millis) {
+    wastedCoreSeconds += demand(run.task()).coreEquivalents() * millis / 1000.0;
+  }
+
+  double wastedCoreSeconds() {
+    return wastedCoreSeconds;
   }
 
   long gangPatienceMillis() {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/executor/ExecutorStateTest.java
@@ -0,0 +1,60 @@
+package org.fescuehook.logic.batch.executor;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+import org.junit.jupiter.api.Test;
+
+class ExecutorStateTest {
+
+  private static ExecutorState executor() {
+    return new ExecutorState(
+        new ExecutorProfile(
+            new ExecutorId("e"),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+            "pool",
+            new FailureDomain("a"),
+            new RackId("r"),
+            Set.of(),
+            new Demand(64_000, 262_144, 8),
+            false));
+  }
+
+  /**
+   * An acknowledgement covers all ends up to its number. While the store was away, a later end that
+   * needed no record was acknowledged, and with it an earlier one that was not stored: its task was
+   * done, nobody knew, and it ran again under the next owner.
+   */
+  @Test
+  void aLaterEndIsNotAcknowledgedBeforeAnEarlierOneIsStored() {
+    ExecutorState executor = executor();
+    executor.sawEndsUpTo(5);
+    executor.sawEndsUpTo(7);
+
+    executor.endsStored(7);
+    assertEquals(0, executor.acknowledged());
+
+    executor.endsStored(5);
+    assertEquals(7, executor.acknowledged());
+  }
+
+  @Test
+  void endsAreAcknowledgedAsTheyAreStored() {
+    ExecutorState executor = executor();
+    executor.sawEndsUpTo(2);
+    executor.endsStored(2);
+    assertEquals(2, executor.acknowledged());
+
+    executor.sawEndsUpTo(3);
+    assertEquals(2, executor.acknowledged());
+    executor.endsStored(3);
+    assertEquals(3, executor.acknowledged());
+  }
+}
