--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -103,7 +103,7 @@
         stoppingSince = OptionalLong.of(turn.nowNanos());
         owner.ifPresent(BatchOwner::beginStop);
       }
-      case BatchEvent.Tick tick -> owner.ifPresent(BatchOwner::timePassed);
+      case BatchEvent.Tick tick -> owner.ifPresent(owning -> owning.timePassed(turn));
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -52,6 +52,9 @@
    */
   static final Duration ISOLATION_LIMIT = Duration.ofSeconds(10);
 
+  /** Longest time without a plan; patience and due times are kept to it. */
+  private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
+
   private static final double MILLIS = 1000.0;
 
   private final BatchPreferences preferences;
@@ -64,6 +67,7 @@
   private final List<BatchCommand> ready = new ArrayList<>();
   private boolean fenced;
   private boolean stopping;
+  private long plannedAt;
 
   /**
    * A submission on its way to the store.
@@ -121,8 +125,9 @@
 
   /** Takes what became of an order. */
   void orderEnded(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
-    executors.ended(id, number, outcome, turn);
-    jobs.changed();
+    if (executors.ended(id, number, outcome, turn)) {
+      jobs.changed();
+    }
   }
 
   /** Takes what became of an append. */
@@ -157,6 +162,7 @@
     }
     plans.startStored(turn);
     if (!stopping && jobs.takeChanged()) {
+      plannedAt = turn.nowNanos();
       plans.step(turn);
     }
     forgetEnded(turn);
@@ -166,8 +172,10 @@
   }
 
   /** Has the next step plan also if nothing changed, for steps that became due. */
-  void timePassed() {
-    jobs.changed();
+  void timePassed(BatchTurn turn) {
+    if (turn.nowNanos() - plannedAt > PLAN_ANYWAY_NANOS) {
+      jobs.changed();
+    }
   }
 
   private void forgetEnded(BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -200,12 +200,16 @@
     return orphans.getOrDefault(run.executor(), List.of()).contains(run);
   }
 
-  /** Takes in what became of an order. */
-  public void ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
+  /**
+   * Takes in what became of an order.
+   *
+   * @return whether the executor can be used from now on and could not before
+   */
+  public boolean ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
     Optional<LiveRun> run = orders.takeRun(number);
     Optional<ExecutorState> found = book.find(id);
     if (found.isEmpty()) {
-      return;
+      return false;
     }
     ExecutorState executor = found.get();
     if (outcome instanceof OrderOutcome.OtherIncarnation) {
@@ -213,20 +217,22 @@
           BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
       loseAll(executor, "its executor was restarted", turn);
       forget(executor, turn);
-      return;
+      return false;
     }
     if (outcome instanceof OrderOutcome.Rejected(Rejection rejection)
         && rejection == Rejection.FENCED) {
       listener.fenced(turn);
-      return;
+      return false;
     }
     if (executor.poll().filter(poll -> poll.number() == number).isPresent()) {
+      boolean usable = executor.usable(turn.nowNanos());
       pollEnded(executor, outcome, turn);
-      return;
+      return !usable && executor.usable(turn.nowNanos());
     }
     // A run that ended or was given up meanwhile holds no capacity any more.
     run.filter(live -> executor.run(live.run()).isPresent())
         .ifPresent(live -> orderEnded(executor, live, outcome, turn));
+    return false;
   }
 
   private void orderEnded(
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
@@ -22,14 +22,22 @@
    * Share of the work of a step that may be thrown away to let it start. Above it, displacing would
    * slow the others down more than it speeds the step up. Guarantees have no such limit.
    */
-  private static final double MOST_THROWN_AWAY = 0.5;
+  private static final double MOST_THROWN_AWAY = 1.0;
 
-  private static final double PERCENT = 100.0;
+  /** What a start costs, and for saved work its restoring, on the platform's executors. */
+  private static final double RESTART_SECONDS = 0.3;
+
+  /** Work of a run that saves its progress every half second, in the mean. */
+  private static final double UNSAVED_SECONDS = 0.25;
+
+  private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
+  private final long nowNanos;
 
-  Displacer(Function<StepProgress, Rank> ranks) {
+  Displacer(Function<StepProgress, Rank> ranks, long nowNanos) {
     this.ranks = ranks;
+    this.nowNanos = nowNanos;
   }
 
   /**
@@ -142,18 +150,21 @@
     return victims;
   }
 
-  private static Victim victim(List<LiveRun> runs, Rank rank) {
+  private Victim victim(List<LiveRun> runs, Rank rank) {
     double lost = 0;
     for (LiveRun run : runs) {
-      if (!run.step().spec().checkpointing()) {
-        lost += workDone(run);
-      }
+      double seconds = RESTART_SECONDS + workedSeconds(run);
+      lost += seconds * run.demand().coreEquivalents();
     }
     return new Victim(runs, rank, lost);
   }
 
-  private static double workDone(LiveRun run) {
-    double seconds = run.step().spec().estimateMillis() / 1000.0 * run.percent() / PERCENT;
-    return seconds * run.demand().coreEquivalents();
+  /** Returns the work of a run that is not saved. */
+  private double workedSeconds(LiveRun run) {
+    if (run.stage() != Stage.RUNNING) {
+      return 0;
+    }
+    double seconds = (nowNanos - run.stageSince()) / NANOS_PER_SECOND;
+    return run.step().spec().checkpointing() ? Math.min(seconds, UNSAVED_SECONDS) : seconds;
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -22,6 +22,8 @@
 /** Carries plans out: stores each placement, then orders the start. */
 public final class PlanDuty {
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final JobDuty jobs;
   private final ExecutorDuty executors;
   private final Planner planner;
@@ -46,7 +48,7 @@
         executors.book().all().stream()
             .filter(executor -> executor.usable(turn.nowNanos()))
             .toList();
-    Planner.Plan plan = planner.plan(waiting, usable);
+    Planner.Plan plan = planner.plan(waiting, usable, turn.nowNanos());
     plan.stops().forEach(run -> executors.stop(run, "work of a higher rank needs its place", turn));
     start(plan.starts(), turn);
   }
@@ -76,7 +78,15 @@
     }
     long accepted = step.job().job().acceptedMillis();
     long waited = Math.max(0, turn.wallMillis() - accepted) * 1_000_000;
-    waiting.add(new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, waited));
+    waiting.add(
+        new WaitingStep(
+            step, tasks, queue.pool(), rank(step.job()), accepted, waited, spare(step, queue)));
+  }
+
+  /** Returns the time between a step's estimated work and the objective of its job. */
+  private static long spare(StepProgress step, JobQueue queue) {
+    double beyondWork = step.spec().estimateMillis() * (queue.deadlineFactor() - 1);
+    return (long) ((beyondWork + queue.targetLatencyMillis()) * NANOS_PER_MILLI);
   }
 
   private Rank rank(OpenJob job) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -28,7 +28,13 @@
    */
   private static final long PATIENCE_NANOS = Duration.ofSeconds(8).toNanos();
 
-  private final Displacer displacer;
+  /**
+   * Share of its spare time that work which no guarantee covers and that is not urgent waits before
+   * others give way to it: until then it may start on what comes free by itself.
+   */
+  private static final double SPARE_TIME_WAITED = 0.8;
+
+  private final Function<StepProgress, Rank> ranks;
 
   /**
    * Creates a planner.
@@ -36,7 +42,7 @@
    * @param ranks precedence of steps that run
    */
   public Planner(Function<StepProgress, Rank> ranks) {
-    this.displacer = new Displacer(ranks);
+    this.ranks = ranks;
   }
 
   /**
@@ -53,24 +59,28 @@
    * @param waiting steps whose turn has come, in any order
    * @param executors executors that may get new runs
    */
-  public Plan plan(Collection<WaitingStep> waiting, Collection<ExecutorState> executors) {
+  public Plan plan(
+      Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
     List<WaitingStep> order = new ArrayList<>(waiting);
     order.sort(
         Comparator.comparing(WaitingStep::rank).thenComparingLong(WaitingStep::acceptedMillis));
-    Pass pass = new Pass(executors);
+    Pass pass = new Pass(executors, new Displacer(ranks, nowNanos));
     order.forEach(pass::take);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
   }
 
   /** One plan being made. */
-  private final class Pass {
+  private static final class Pass {
     private final Room free;
     private final Room expected;
     private final Room whole;
     private final List<Place> starts = new ArrayList<>();
     private final List<LiveRun> stops = new ArrayList<>();
 
-    Pass(Collection<ExecutorState> executors) {
+    private final Displacer displacer;
+
+    Pass(Collection<ExecutorState> executors, Displacer displacer) {
+      this.displacer = displacer;
       free = Room.now(executors);
       expected = Room.now(executors);
       whole = Room.empty(executors);
@@ -121,6 +131,9 @@
         soon.get().forEach(this::reserve);
         return;
       }
+      if (!waiting.urgent() && waiting.waitedNanos() < waiting.spareNanos() * SPARE_TIME_WAITED) {
+        return;
+      }
       Optional<Displacer.Choice> choice = displacer.choose(waiting, expected, nearOnly);
       if (choice.isPresent()) {
         choice.get().victims().forEach(this::stop);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -13,6 +13,7 @@
  * @param rank its precedence
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param waitedNanos how long it has waited
+ * @param spareNanos how long it may wait and still meet its objective, by its estimate
  */
 public record WaitingStep(
     StepProgress step,
@@ -20,17 +21,23 @@
     String pool,
     Rank rank,
     long acceptedMillis,
-    long waitedNanos) {
+    long waitedNanos,
+    long spareNanos) {
 
   /** Copies the list. */
   public WaitingStep {
     tasks = List.copyOf(tasks);
   }
 
+  /** Tells whether the step goes first: its queue has priority 0. */
+  public boolean urgent() {
+    return !Rank.ofPriority(0).before(rank);
+  }
+
   /** Returns the same step without the first tasks. */
   public WaitingStep rest(int placed) {
     List<TaskProgress> left = tasks.subList(placed, tasks.size());
-    return new WaitingStep(step, left, pool, rank, acceptedMillis, waitedNanos);
+    return new WaitingStep(step, left, pool, rank, acceptedMillis, waitedNanos, spareNanos);
   }
 
   /** Returns the work of the waiting tasks by their estimate, in seconds of one core. */
