--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -21,13 +21,23 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Brings callers' calls to the owner: this VM, or another one over a link. */
+/**
+ * Brings callers' calls to the owner: this VM, or another one over a link. A call whose fate is not
+ * known is repeated, at the next owner where there is one: every call is idempotent by the id of
+ * its job, and callers may not repeat a call themselves after an undecided answer.
+ */
 final class CallGateway implements CallPort {
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallGateway.class);
 
-  /** Longest time to an answer; callers wait about 3 s and may ask again after it. */
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1700);
+  /** Longest time to an answer; callers wait about 3 s. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(2800);
+
+  /** How long a call is repeated whose fate is not known; a take-over lasts some 2.5 s. */
+  private static final Duration REPEAT_LIMIT = Duration.ofMillis(2500);
+
+  /** Pause before a call is repeated. */
+  private static final Duration REPEAT_PAUSE = Duration.ofMillis(100);
 
   /** When callers come back while there is no owner; a take-over lasts some 3 s. */
   private static final long COME_BACK_MILLIS = 1000;
@@ -75,16 +85,45 @@
         () -> once.accept(new CallAnswer.Undecided(UndecidedCause.STORE_SILENT)),
         ANSWER_TIMEOUT.toMillis(),
         TimeUnit.MILLISECONDS);
+    send(call, once, System.nanoTime(), false);
+  }
+
+  private void send(BatchCall call, Consumer<CallAnswer> sink, long since, boolean perhapsTaken) {
+    Consumer<CallAnswer> answered = answer -> answered(call, answer, sink, since, perhapsTaken);
     if (view.deciding()) {
-      ring.call(call, once);
+      ring.call(call, answered);
       return;
     }
     Optional<CallLink> owner = link;
     if (owner.isPresent()) {
-      owner.get().call(call, once);
+      owner.get().call(call, answered);
       return;
     }
-    once.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS));
+    answered.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS));
+  }
+
+  private void answered(
+      BatchCall call,
+      CallAnswer answer,
+      Consumer<CallAnswer> sink,
+      long since,
+      boolean perhapsTaken) {
+    boolean undecided = answer instanceof CallAnswer.Undecided;
+    // A refusal of a repeated call says nothing of the first one, which may have been taken.
+    boolean unsure = undecided || (perhapsTaken && answer instanceof CallAnswer.Refused);
+    if (!unsure) {
+      sink.accept(answer);
+      return;
+    }
+    if (System.nanoTime() - since > REPEAT_LIMIT.toNanos()) {
+      sink.accept(undecided ? answer : new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST));
+      return;
+    }
+    meters
+        .counter("fescuehook.batch.repeated", "call", call.getClass().getSimpleName())
+        .increment();
+    loop.schedule(
+        () -> send(call, sink, since, true), REPEAT_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /** Lets the first answer through and drops others, which come after the timeout. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -17,6 +17,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.RunEnd;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 
@@ -41,6 +42,15 @@
   /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
   private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
 
+  /**
+   * First rest of an executor on which a run failed. One run in twenty fails by its own fault, and
+   * a sick executor, of which there are few, fails each: after one failure either is as likely.
+   */
+  private static final Duration FAILURE_REST = Duration.ofSeconds(2);
+
+  /** The longest rest is this often doubled: 16 s, somewhat longer than such trouble lasts. */
+  private static final int MOST_REST_DOUBLINGS = 3;
+
   private final OrderSender orders;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
@@ -355,11 +365,27 @@
         continue;
       }
       executor.remove(run.get());
+      judge(executor, run.get(), end.end(), turn);
       listener.ended(run.get(), end, stored, turn);
     }
     stored.release();
   }
 
+  /**
+   * Rests an executor on which runs fail, longer each time, until one is done there. A run that has
+   * failed elsewhere before is no evidence: a hopeless job would rest one executor after the other.
+   */
+  private void judge(ExecutorState executor, LiveRun run, RunEnd end, BatchTurn turn) {
+    if (end == RunEnd.DONE) {
+      executor.succeeded();
+    }
+    if (end != RunEnd.FAILED || run.step().failedElsewhere(run.executor())) {
+      return;
+    }
+    int doublings = Math.min(executor.failed() - 1, MOST_REST_DOUBLINGS);
+    rest(executor, FAILURE_REST.multipliedBy(1L << doublings), "a run failed there", turn);
+  }
+
   private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
     Optional<LiveRun> found = executor.run(active.run());
     if (found.isEmpty()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -43,6 +43,7 @@
   private long acknowledgementSent;
   private long restUntil;
   private boolean resting;
+  private int failuresInRow;
 
   /**
    * A poll that has not been answered.
@@ -231,6 +232,22 @@
     return acknowledged > acknowledgementSent;
   }
 
+  /** Counts a run that failed here; returns how many have failed since one was done. */
+  public int failed() {
+    failuresInRow++;
+    return failuresInRow;
+  }
+
+  /** Tells whether a run has failed here and none was done since. */
+  public boolean suspect() {
+    return failuresInRow > 0;
+  }
+
+  /** Remembers that a run was done here. */
+  public void succeeded() {
+    failuresInRow = 0;
+  }
+
   /** Gives it nothing new until a time. */
   public void restUntil(long untilNanos) {
     resting = true;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -34,6 +34,13 @@
    */
   private static final double SPARE_TIME_WAITED = 0.8;
 
+  /**
+   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
+   * without waiting for others to stop, which takes up to 0.9 s of the 1.5 s that it has to spare.
+   * On heavy days 0.25 was the best of 0 to 0.35 (docs/MEASUREMENTS.md, batch jobs).
+   */
+  private static final double HEADROOM = 0.25;
+
   private final Function<StepProgress, Rank> ranks;
 
   /**
@@ -107,15 +114,20 @@
         places.addAll(Room.place(waiting, waiting.tasks(), group));
         break;
       }
+      int allowed = Math.min(places.size(), allowed(waiting));
+      places = places.subList(0, allowed);
       places.forEach(this::start);
       boolean incomplete = places.size() < waiting.tasks().size();
-      if (incomplete && waiting.rank().guaranteed()) {
+      if (incomplete && waiting.urgent()) {
         displace(waiting.rest(places.size()), nearOnly(waiting));
       }
     }
 
     private void takeGang(WaitingStep waiting) {
       boolean nearOnly = nearOnly(waiting);
+      if (allowed(waiting) < waiting.tasks().size()) {
+        return;
+      }
       Optional<List<Place>> now = tightest(waiting, free, nearOnly);
       if (now.isPresent()) {
         now.get().forEach(this::start);
@@ -141,6 +153,17 @@
       }
     }
 
+    /** Returns how many tasks of a step may start without using up what urgent work may need. */
+    private int allowed(WaitingStep waiting) {
+      int accelerators = waiting.step().spec().demand().accelerators();
+      if (waiting.urgent() || accelerators == 0) {
+        return Integer.MAX_VALUE;
+      }
+      boolean pressed = waiting.waitedNanos() > waiting.spareNanos() * SPARE_TIME_WAITED;
+      double kept = pressed ? 0 : whole.accelerators() * HEADROOM;
+      return (int) Math.max(0, (free.accelerators() - kept) / accelerators);
+    }
+
     /** Tells whether a step has to start near its data: it could, and has not waited long. */
     private boolean nearOnly(WaitingStep waiting) {
       long patience = waiting.rank().guaranteed() ? GUARANTEED_PATIENCE_NANOS : PATIENCE_NANOS;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -44,6 +44,11 @@
     return slots;
   }
 
+  /** Returns the accelerators of all slots together. */
+  int accelerators() {
+    return slots.stream().mapToInt(slot -> Math.max(0, slot.free().accelerators())).sum();
+  }
+
   /** Takes capacity of an executor; what is taken twice makes it negative. */
   void take(ExecutorState executor, Demand demand) {
     for (Slot slot : slots) {
@@ -62,7 +67,8 @@
   /** Returns the slots on which a step may run, in groups that count as near to each other. */
   List<List<Slot>> groups(WaitingStep waiting, boolean nearOnly) {
     BatchStep spec = waiting.step().spec();
-    List<Slot> suitable = slots.stream().filter(slot -> slot.suits(spec, waiting.pool())).toList();
+    List<Slot> suitable =
+        slots.stream().filter(slot -> slot.suits(waiting.step(), waiting.pool())).toList();
     if (!nearOnly) {
       return List.of(suitable);
     }
@@ -115,14 +121,16 @@
   }
 
   /**
-   * Places tasks in a group, the fullest executors first so that whole ones stay free.
+   * Places tasks in a group, the fullest executors first so that whole ones stay free, and those on
+   * which a run has failed last.
    *
    * @return the places; fewer than tasks if the group has no room for all
    */
   static List<Place> place(WaitingStep waiting, List<TaskProgress> tasks, List<Slot> group) {
     List<Slot> order = new ArrayList<>(group);
     order.sort(
-        Comparator.comparingInt((Slot slot) -> slot.free().accelerators())
+        Comparator.comparing((Slot slot) -> slot.executor().suspect())
+            .thenComparingInt(slot -> slot.free().accelerators())
             .thenComparingInt(slot -> slot.free().milliCores()));
     List<Place> places = new ArrayList<>();
     for (Slot slot : order) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -1,7 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.model.batch.Demand;
 
 /** Room on one executor while a plan is made. */
@@ -35,10 +35,18 @@
     return new Slot(executor, free);
   }
 
-  /** Tells whether the step may run here at all, room aside. */
-  boolean suits(BatchStep step, String pool) {
+  /**
+   * Tells whether the step may run here at all, room aside. A step that has failed avoids where it
+   * failed, and where anything has failed since the last run was done: it has few attempts left.
+   */
+  boolean suits(StepProgress step, String pool) {
+    boolean avoided = step.hasFailed() && executor.suspect();
+    if (avoided || step.failedOn(executor.profile().id())) {
+      return false;
+    }
     boolean labelled =
-        step.placement()
+        step.spec()
+            .placement()
             .label()
             .map(label -> executor.profile().labels().contains(label))
             .orElse(true);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -145,7 +145,7 @@
 
   private void fail(LiveRun run, TaskProgress task, Runnable committed, BatchTurn turn) {
     StepProgress step = run.step();
-    int failures = step.fail(task, run.run().number());
+    int failures = step.fail(task, run.run().number(), run.executor());
     if (!step.done() && failures >= queue(step.job()).maxAttempts()) {
       end(step.job(), JobPhase.FAILED, committed, turn);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -1,10 +1,13 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
 
 /** How far one step of one occurrence is. */
 public final class StepProgress {
@@ -14,6 +17,7 @@
   private final int number;
   private final BatchStep spec;
   private final List<TaskProgress> tasks;
+  private final Set<ExecutorId> failedOn = new HashSet<>();
   private int gangFailures;
   private int lastFailedGangRun;
   private int undone;
@@ -140,8 +144,28 @@
     }
   }
 
-  /** Counts a failed run, once for each run of a gang; returns how often the task has failed. */
-  public int fail(TaskProgress task, int run) {
+  /** Tells whether a run of the step has failed. */
+  public boolean hasFailed() {
+    return !failedOn.isEmpty();
+  }
+
+  /** Tells whether a run of the step has failed on an executor. */
+  public boolean failedOn(ExecutorId executor) {
+    return failedOn.contains(executor);
+  }
+
+  /** Tells whether a run of the step has failed on another executor. */
+  public boolean failedElsewhere(ExecutorId executor) {
+    return failedOn.stream().anyMatch(other -> !other.equals(executor));
+  }
+
+  /**
+   * Counts a failed run, once for each run of a gang; returns how often the task has failed.
+   *
+   * @param executor where it failed
+   */
+  public int fail(TaskProgress task, int run, ExecutorId executor) {
+    failedOn.add(executor);
     if (!spec.gang()) {
       task.fail();
       return task.failures();
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -40,8 +40,8 @@
   /** Longest time to connect; the way between failure domains takes about 1 ms. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-  /** Longest time to an answer; callers wait about 3 s and may ask again after it. */
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1500);
+  /** Longest time to an answer; a slow store takes 0.3 s, and callers wait about 3 s in all. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
 
   /** When callers come back after the owner could not be reached. */
   private static final long COME_BACK_MILLIS = 1000;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
@@ -244,4 +244,20 @@
       awaitPhase(cluster, job, JobPhase.COMPLETED, 12_000);
     }
   }
+
+  /** Pattern: some executors fail all that they start, at once, and being empty attract more. */
+  @Test
+  void jobsAreNotFailedByExecutorsThatFailEverything() {
+    BatchCluster cluster = cluster();
+    cluster.work.failAllOn(new ExecutorId("e0"));
+    cluster.work.failAllOn(new ExecutorId("e5"));
+    List<String> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      jobs.add(cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.gang(2, 8, 1000))));
+      cluster.run(300);
+    }
+    for (String job : jobs) {
+      awaitPhase(cluster, job, JobPhase.COMPLETED, 10_000);
+    }
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -39,6 +39,7 @@
     private final long startedAt;
     private long workedMillis;
     private long waitedMillis;
+    private long stopAt = Long.MAX_VALUE;
     private long restoringMillis;
 
     Active(String from, long startedAt) {
@@ -139,7 +140,8 @@
 
   private OrderOutcome stop(TaskRun run, long nowMillis) {
     closed.merge(run.task(), run.number(), Math::max);
-    Optional.ofNullable(active.get(run)).ifPresent(state -> end(run, RunEnd.STOPPED, nowMillis));
+    Optional.ofNullable(active.get(run))
+        .ifPresent(state -> state.stopAt = Math.min(state.stopAt, nowMillis + work.stopMillis()));
     return new OrderOutcome.Done(nowMillis + clockAhead);
   }
 
@@ -184,9 +186,11 @@
       }
       if (nowMillis > leaseUntil) {
         end(run, RunEnd.LEASE_EXPIRED, nowMillis);
+      } else if (nowMillis >= state.stopAt) {
+        end(run, RunEnd.STOPPED, nowMillis);
       } else if (work.together(run)) {
         work(run, state, millis);
-        if (saved(state.from) + state.workedMillis >= work.duration(run.task())) {
+        if (saved(state.from) + state.workedMillis >= work.duration(run)) {
           work.finish(run, nowMillis);
         }
       } else if (nowMillis - state.startedAt > work.gangPatienceMillis()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
@@ -24,6 +24,9 @@
   private static final long BACKLOG_AT = 1_500;
   private static final int RACK_SIZE = 8;
 
+  /** Longest stop of the slower of the two users. */
+  private static final long STOP_MILLIS = 900;
+
   /** Late answers count up to this many times the objective. */
   private static final double LATEST = 3;
 
@@ -116,6 +119,7 @@
     this.cluster = new BatchCluster(2, 0, seed);
     this.random = new Random(seed);
     this.load = load;
+    cluster.work.stopsTake(STOP_MILLIS);
     for (int i = 0; i < executors; i++) {
       cluster.addExecutor("e" + i, "r" + i / RACK_SIZE);
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -22,6 +22,7 @@
 final class VirtualWork {
 
   private static final long GANG_PATIENCE_MILLIS = 3000;
+  private static final long FAILS_AFTER_MILLIS = 200;
   private static final int PERCENT = 100;
 
   /** A task away from its data, or from its gang, takes this many times as long. */
@@ -38,9 +39,11 @@
 
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> hopeless = new HashSet<>();
+  private final Set<ExecutorId> sick = new HashSet<>();
   private final List<TaskRun> starts = new ArrayList<>();
   private final Map<TaskName, Long> durations = new HashMap<>();
   private double wastedCoreSeconds;
+  private long stopMillis = 100;
 
   void submitted(String job, Submission submission) {
     submissions.put(job, submission);
@@ -55,6 +58,11 @@
     hopeless.add(task);
   }
 
+  /** Has every run on an executor fail soon. */
+  void failAllOn(ExecutorId executor) {
+    sick.add(executor);
+  }
+
   List<TaskRun> starts() {
     return starts;
   }
@@ -76,7 +84,13 @@
     durations.put(task, millis);
   }
 
-  long duration(TaskName task) {
+  /** Returns the work after which a run ends. */
+  long duration(TaskRun run) {
+    boolean fails = sick.contains(running.get(run));
+    return fails ? FAILS_AFTER_MILLIS : duration(run.task());
+  }
+
+  private long duration(TaskName task) {
     return durations.getOrDefault(task, spec(task).estimateMillis());
   }
 
@@ -102,6 +116,15 @@
     return wastedCoreSeconds;
   }
 
+  /** Declares how long a stop takes. */
+  void stopsTake(long millis) {
+    stopMillis = millis;
+  }
+
+  long stopMillis() {
+    return stopMillis;
+  }
+
   long gangPatienceMillis() {
     return GANG_PATIENCE_MILLIS;
   }
@@ -156,7 +179,8 @@
 
   /** The work of a run is over: it ends, and with it its gang. */
   void finish(TaskRun run, long nowMillis) {
-    RunEnd how = hopeless.contains(run.task()) ? RunEnd.FAILED : RunEnd.DONE;
+    boolean fails = hopeless.contains(run.task()) || sick.contains(running.get(run));
+    RunEnd how = fails ? RunEnd.FAILED : RunEnd.DONE;
     List<TaskRun> members = spec(run.task()).gang() ? members(run) : List.of(run);
     for (TaskRun member : members) {
       RunEnd end = how == RunEnd.DONE || member.equals(run) ? how : RunEnd.GANG_BROKEN;
