--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -149,7 +149,12 @@
         answer instanceof CallAnswer.Refused || answer instanceof CallAnswer.Undecided;
     if (unusual) {
       EventLog.info(
-          LOGGER, SchedulerEvent.CALL_ANSWERED, call, answer, TimeUnit.NANOSECONDS.toMillis(nanos));
+          LOGGER,
+          SchedulerEvent.CALL_ANSWERED,
+          call.getClass().getSimpleName(),
+          call.subject().isEmpty() ? call.queue() : call.subject(),
+          answer,
+          TimeUnit.NANOSECONDS.toMillis(nanos));
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
@@ -23,7 +23,7 @@
   /** The ring in front of the decisions is full. */
   RING_FULL(8308, "decisions are behind: {} dropped"),
   /** A call was answered. */
-  CALL_ANSWERED(8309, "Call {} answered {} after {} ms");
+  CALL_ANSWERED(8309, "Call {} of {} answered {} after {} ms");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -371,6 +371,11 @@
     jobs.saved(run, checkpoint);
   }
 
+  @Override
+  public void stoodStill(LiveRun run, BatchTurn turn) {
+    jobs.stoodStill(run, turn);
+  }
+
   @Override
   public void leaving(ExecutorState executor, BatchTurn turn) {
     jobs.leaving(executor, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/call/BatchCall.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/call/BatchCall.java
@@ -11,6 +11,16 @@
   /** Returns the API key; empty if the call carried none. */
   String apiKey();
 
+  /** Returns the job that the call is about; empty if it is about a queue. */
+  default String subject() {
+    return switch (this) {
+      case Submit submit -> submit.job();
+      case Status status -> status.job();
+      case Cancel cancel -> cancel.job();
+      case CountPending count -> "";
+    };
+  }
+
   /** Hands a job in. The same id again is the same job. */
   record Submit(String queue, String apiKey, String job, Submission submission)
       implements BatchCall {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -399,5 +399,8 @@
     if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, turn.nowNanos());
     }
+    if (ProgressJudge.judge(executor, run, turn.nowNanos())) {
+      listener.stoodStill(run, turn);
+    }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -44,6 +44,7 @@
   private long restUntil;
   private boolean resting;
   private int failuresInRow;
+  private final SpeedRecord speed = new SpeedRecord();
 
   /**
    * A poll that has not been answered.
@@ -238,9 +239,14 @@
     return failuresInRow;
   }
 
-  /** Tells whether a run has failed here and none was done since. */
-  public boolean suspect() {
-    return failuresInRow > 0;
+  /** Returns what its runs have shown of its speed. */
+  public SpeedRecord speed() {
+    return speed;
+  }
+
+  /** Tells whether a run has failed here and none was done since, or its runs hardly progress. */
+  public boolean suspect(long nowNanos) {
+    return failuresInRow > 0 || speed.slow(nowNanos);
   }
 
   /** Remembers that a run was done here. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -30,6 +30,9 @@
   /** A run has saved progress. */
   void saved(LiveRun run, String checkpoint);
 
+  /** A run hardly progresses on an executor that looks slow, and would be done sooner elsewhere. */
+  void stoodStill(LiveRun run, BatchTurn turn);
+
   /** An executor is about to leave. */
   void leaving(ExecutorState executor, BatchTurn turn);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -67,9 +67,14 @@
     return epoch;
   }
 
-  /** Returns the newest record of an owner that has not given up; absent if there is none. */
+  /**
+   * Returns the newest record of an owner that may decide; absent if there is none, if it has given
+   * up, or if it is this VM itself and has lost its epoch.
+   */
   public Optional<OwnerRecord> owner() {
-    return newest.filter(record -> record.kind() != OwnerRecord.Kind.RELEASE);
+    return newest
+        .filter(record -> record.kind() != OwnerRecord.Kind.RELEASE)
+        .filter(record -> epoch.isPresent() || !bySelf(record));
   }
 
   /** Returns when the last heartbeat that the store confirmed was sent. */
@@ -123,11 +128,11 @@
   }
 
   private boolean ownerGone(BatchTurn turn) {
-    if (owner().isEmpty()) {
+    if (newest.filter(record -> record.kind() != OwnerRecord.Kind.RELEASE).isEmpty()) {
       return true;
     }
-    boolean formerSelf = newest.get().vm().equals(self.vm());
-    return formerSelf || turn.nowNanos() - quietSince > SILENCE_NANOS;
+    boolean formerStart = newest.get().vm().equals(self.vm()) && !bySelf(newest.get());
+    return formerStart || turn.nowNanos() - quietSince > SILENCE_NANOS;
   }
 
   private void claim(BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -71,7 +71,7 @@
     List<WaitingStep> order = new ArrayList<>(waiting);
     order.sort(
         Comparator.comparing(WaitingStep::rank).thenComparingLong(WaitingStep::acceptedMillis));
-    Pass pass = new Pass(executors, new Displacer(ranks, nowNanos));
+    Pass pass = new Pass(executors, new Displacer(ranks, nowNanos), nowNanos);
     order.forEach(pass::take);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
   }
@@ -86,11 +86,11 @@
 
     private final Displacer displacer;
 
-    Pass(Collection<ExecutorState> executors, Displacer displacer) {
+    Pass(Collection<ExecutorState> executors, Displacer displacer, long nowNanos) {
       this.displacer = displacer;
-      free = Room.now(executors);
-      expected = Room.now(executors);
-      whole = Room.empty(executors);
+      free = Room.now(executors, nowNanos);
+      expected = Room.now(executors, nowNanos);
+      whole = Room.empty(executors, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           if (run.stage() == Stage.STOPPING) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Function;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
@@ -16,6 +17,9 @@
 /** Free capacity of the usable executors while a plan is made. */
 final class Room {
 
+  /** Where more than this share are suspects, the jobs are to blame rather than the executors. */
+  private static final double MOST_SUSPECTS = 0.25;
+
   private final List<Slot> slots;
 
   Room(List<Slot> slots) {
@@ -23,25 +27,25 @@
   }
 
   /** Returns what is free now. */
-  static Room now(Collection<ExecutorState> executors) {
-    List<Slot> slots = new ArrayList<>();
-    executors.forEach(executor -> slots.add(new Slot(executor, executor.free())));
-    return new Room(slots);
+  static Room now(Collection<ExecutorState> executors, long nowNanos) {
+    return of(executors, ExecutorState::free, nowNanos);
   }
 
   /** Returns what the executors have when nothing runs. */
-  static Room empty(Collection<ExecutorState> executors) {
-    List<Slot> slots = new ArrayList<>();
-    executors.forEach(executor -> slots.add(new Slot(executor, executor.profile().capacity())));
-    return new Room(slots);
+  static Room empty(Collection<ExecutorState> executors, long nowNanos) {
+    return of(executors, executor -> executor.profile().capacity(), nowNanos);
   }
 
-  Room copy() {
-    return new Room(slots.stream().map(Slot::copy).toList());
-  }
-
-  List<Slot> slots() {
-    return slots;
+  private static Room of(
+      Collection<ExecutorState> executors, Function<ExecutorState, Demand> room, long nowNanos) {
+    long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
+    boolean credible = suspects <= executors.size() * MOST_SUSPECTS;
+    List<Slot> slots = new ArrayList<>();
+    for (ExecutorState executor : executors) {
+      boolean suspect = credible && executor.suspect(nowNanos);
+      slots.add(new Slot(executor, room.apply(executor), suspect));
+    }
+    return new Room(slots);
   }
 
   /** Returns the accelerators of all slots together. */
@@ -129,7 +133,7 @@
   static List<Place> place(WaitingStep waiting, List<TaskProgress> tasks, List<Slot> group) {
     List<Slot> order = new ArrayList<>(group);
     order.sort(
-        Comparator.comparing((Slot slot) -> slot.executor().suspect())
+        Comparator.comparing(Slot::suspect)
             .thenComparingInt(slot -> slot.free().accelerators())
             .thenComparingInt(slot -> slot.free().milliCores()));
     List<Place> places = new ArrayList<>();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -8,11 +8,22 @@
 final class Slot {
 
   private final ExecutorState executor;
+  private final boolean suspect;
   private Demand free;
 
-  Slot(ExecutorState executor, Demand free) {
+  /**
+   * Creates a slot.
+   *
+   * @param suspect whether runs have lately failed there or hardly progressed
+   */
+  Slot(ExecutorState executor, Demand free, boolean suspect) {
     this.executor = executor;
     this.free = free;
+    this.suspect = suspect;
+  }
+
+  boolean suspect() {
+    return suspect;
   }
 
   ExecutorState executor() {
@@ -32,15 +43,16 @@
   }
 
   Slot copy() {
-    return new Slot(executor, free);
+    return new Slot(executor, free, suspect);
   }
 
   /**
    * Tells whether the step may run here at all, room aside. A step that has failed avoids where it
-   * failed, and where anything has failed since the last run was done: it has few attempts left.
+   * failed, and suspects: it has few attempts left. Gangs avoid suspects, since one would hold all
+   * members up.
    */
   boolean suits(StepProgress step, String pool) {
-    boolean avoided = step.hasFailed() && executor.suspect();
+    boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
     if (avoided || step.failedOn(executor.profile().id())) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -206,16 +206,29 @@
     breakGang(run.step(), turn);
   }
 
+  /** A run hardly progresses where it is. */
+  public void stoodStill(LiveRun run, BatchTurn turn) {
+    if (run.step().job().open() && !run.step().done()) {
+      executors.stop(run, "it hardly progresses there", turn);
+      breakGang(run.step(), turn);
+    }
+  }
+
   /** A run has saved progress. */
   public void saved(LiveRun run, String checkpoint) {
     StepProgress step = run.step();
     step.saved(step.tasks().get(run.run().task().index()), checkpoint);
   }
 
-  /** What saves its progress moves away from an executor that is about to leave. */
+  /**
+   * Work moves away from an executor that is about to leave, if it saves its progress or would not
+   * end in time: what is lost with an executor can start again only when its lease has expired.
+   */
   public void leaving(ExecutorState executor, BatchTurn turn) {
     for (LiveRun run : executor.runs().stream().toList()) {
-      if (run.step().spec().checkpointing() && !run.step().done()) {
+      boolean lateThere = run.estimatedLeftMillis() > executor.profile().remainingMillis();
+      boolean moves = run.step().spec().checkpointing() || lateThere;
+      if (moves && !run.step().done()) {
         executors.stop(run, "its executor is leaving", turn);
         breakGang(run.step(), turn);
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -7,6 +7,8 @@
 /** A run that may be alive: it holds capacity of its executor until it is known to be over. */
 public final class LiveRun {
 
+  private static final int WHOLE_PERCENT = 100;
+
   private final TaskRun run;
   private final ExecutorId executor;
   private final StepProgress step;
@@ -20,6 +22,7 @@
   private long orderedAt;
   private int orders;
   private int percent;
+  private boolean judged;
   private long progressAt;
 
   private LiveRun(
@@ -177,6 +180,18 @@
     return percent;
   }
 
+  /** Returns true the first time that it is called, so that a run counts once. */
+  public boolean judgeOnce() {
+    boolean first = !judged;
+    judged = true;
+    return first;
+  }
+
+  /** Returns the time that the work still takes by its estimate and progress, in milliseconds. */
+  public long estimatedLeftMillis() {
+    return step.spec().estimateMillis() * (WHOLE_PERCENT - percent) / WHOLE_PERCENT;
+  }
+
   /** Returns when the progress last changed, monotonic time. */
   public long progressAt() {
     return progressAt;
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/ExecutorProfile.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/ExecutorProfile.java
@@ -17,6 +17,7 @@
  * @param labels what it is labelled with, its rack included
  * @param capacity what its tasks may use together
  * @param leaving whether it is about to leave and must get nothing new
+ * @param remainingMillis least time that it still has while it is leaving
  */
 public record ExecutorProfile(
     ExecutorId id,
@@ -26,7 +27,8 @@
     RackId rack,
     Set<String> labels,
     Demand capacity,
-    boolean leaving) {
+    boolean leaving,
+    long remainingMillis) {
 
   /** Copies the set. */
   public ExecutorProfile {
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorParser.java
@@ -47,7 +47,8 @@
             capacity.path("cpu").asInt(),
             capacity.path("memMb").asInt(),
             capacity.path("gpu").asInt()),
-        body.path("state").asText().equals(STATE_LEAVING));
+        body.path("state").asText().equals(STATE_LEAVING),
+        body.path("remainingMs").asLong());
   }
 
   private static InetSocketAddress address(String text) throws MalformedMessageException {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -126,6 +126,15 @@
         .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(profile)));
   }
 
+  /** An executor tells that it leaves after a while. */
+  void leave(ExecutorId id, long remainingMillis) {
+    ExecutorProfile leaving = Declared.leaving(executors.get(id).profile(), remainingMillis);
+    executors.get(id).describe(leaving);
+    vms.values().stream()
+        .filter(vm -> vm.following)
+        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(leaving)));
+  }
+
   /** An executor loses all its runs and ends; the list tells it a few seconds later. */
   void crash(ExecutorId id) {
     FakeExecutor executor = executors.remove(id);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
@@ -260,4 +260,47 @@
       awaitPhase(cluster, job, JobPhase.COMPLETED, 10_000);
     }
   }
+
+  /** Pattern: executors are taken away some two seconds after their notice. */
+  @Test
+  void workThatWouldNotEndInTimeMovesAwayFromALeavingExecutor() {
+    BatchCluster cluster = cluster();
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(2, 8, 5000)));
+    cluster.run(1000);
+    ExecutorId leaving =
+        cluster.executors.values().stream()
+            .filter(executor -> !executor.running().isEmpty())
+            .findFirst()
+            .orElseThrow()
+            .profile()
+            .id();
+    cluster.leave(leaving, 2000);
+    cluster.in(2100, () -> cluster.crash(leaving));
+    awaitPhase(cluster, job, JobPhase.COMPLETED, 7500);
+  }
+
+  @Test
+  void aFormerOwnerThatCannotReadNamesNoOwner() {
+    BatchCluster cluster = cluster();
+    BatchCluster.Vm former = cluster.owner().orElseThrow();
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.gang(2, 8, 9000)));
+    cluster.run(500);
+    cluster.faults.cutFromStore.add(former.id);
+    cluster.runUntil("the loss", 6000, () -> !former.core.deciding());
+    assertEquals(Optional.empty(), former.core.ownerRecord());
+  }
+
+  /** Pattern: some executors turn slow while they look healthy. */
+  @Test
+  void workThatStandsStillOnASlowExecutorStartsAgainElsewhere() {
+    BatchCluster cluster = cluster();
+    cluster.work.slow(new ExecutorId("e0"), 0.02);
+    List<String> jobs = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      jobs.add(cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(8, 1, 1500))));
+    }
+    for (String job : jobs) {
+      awaitPhase(cluster, job, JobPhase.COMPLETED, 9000);
+    }
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -46,6 +46,20 @@
         new RackId(rack),
         Set.of("kind", rack),
         CAPACITY,
-        false);
+        false,
+        0);
+  }
+
+  static ExecutorProfile leaving(ExecutorProfile profile, long remainingMillis) {
+    return new ExecutorProfile(
+        profile.id(),
+        profile.address(),
+        profile.pool(),
+        profile.domain(),
+        profile.rack(),
+        profile.labels(),
+        profile.capacity(),
+        true,
+        remainingMillis);
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -38,6 +38,7 @@
     private final String from;
     private final long startedAt;
     private long workedMillis;
+    private double partMillis;
     private long waitedMillis;
     private long stopAt = Long.MAX_VALUE;
     private long restoringMillis;
@@ -206,6 +207,7 @@
       state.restoringMillis -= millis;
       return;
     }
-    state.workedMillis += (long) (millis * work.speed(run));
+    state.partMillis += millis * work.speed(run);
+    state.workedMillis = (long) state.partMillis;
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -40,6 +40,7 @@
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> hopeless = new HashSet<>();
   private final Set<ExecutorId> sick = new HashSet<>();
+  private final Map<ExecutorId, Double> slow = new HashMap<>();
   private final List<TaskRun> starts = new ArrayList<>();
   private final Map<TaskName, Long> durations = new HashMap<>();
   private double wastedCoreSeconds;
@@ -58,6 +59,11 @@
     hopeless.add(task);
   }
 
+  /** Has an executor work at a share of its speed. */
+  void slow(ExecutorId executor, double share) {
+    slow.put(executor, share);
+  }
+
   /** Has every run on an executor fail soon. */
   void failAllOn(ExecutorId executor) {
     sick.add(executor);
@@ -96,6 +102,10 @@
 
   /** Returns how fast a run works: slower where its gang is spread over racks. */
   double speed(TaskRun run) {
+    return slow.getOrDefault(running.get(run), 1.0) * nearness(run);
+  }
+
+  private double nearness(TaskRun run) {
     if (!spec(run.task()).placement().sameRack()) {
       return 1;
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/executor/ExecutorStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/executor/ExecutorStateTest.java
@@ -24,7 +24,8 @@
             new RackId("r"),
             Set.of(),
             new Demand(64_000, 262_144, 8),
-            false));
+            false,
+            0));
   }
 
   /**
