--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -199,6 +199,10 @@
    * @param current whether the store has confirmed this owner recently
    */
   void called(long ticket, BatchCall call, boolean current, BatchTurn turn) {
+    // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
+    if (call instanceof BatchCall.Submit submit && joined(ticket, submit.job())) {
+      return;
+    }
     BatchConfiguration configuration = jobs.configuration();
     Optional<JobQueue> queue = configuration.queue(call.queue());
     if (queue.isEmpty()) {
@@ -224,18 +228,23 @@
     ready.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  private void submit(
-      long ticket, BatchCall.Submit submit, JobQueue queue, String organisation, BatchTurn turn) {
-    String id = submit.job();
+  /** Tells whether a submission is a repetition: of a stored job, or of one on its way there. */
+  private boolean joined(long ticket, String id) {
     if (jobs.book().shown(id).isPresent()) {
       answer(ticket, new CallAnswer.Accepted());
-      return;
+      return true;
     }
     Submitting earlier = submitting.get(id);
-    if (earlier != null) {
-      earlier.tickets().add(ticket);
-      return;
+    if (earlier == null) {
+      return false;
     }
+    earlier.tickets().add(ticket);
+    return true;
+  }
+
+  private void submit(
+      long ticket, BatchCall.Submit submit, JobQueue queue, String organisation, BatchTurn turn) {
+    String id = submit.job();
     Optional<RefusalCause> refusal = refusal(queue, turn);
     if (refusal.isPresent()) {
       refuse(ticket, id, refusal.get(), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -17,7 +17,6 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.model.batch.ExecutorProfile;
-import org.fescuehook.model.batch.RunEnd;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 
@@ -42,15 +41,6 @@
   /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
   private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
 
-  /**
-   * First rest of an executor on which a run failed. One run in twenty fails by its own fault, and
-   * a sick executor, of which there are few, fails each: after one failure either is as likely.
-   */
-  private static final Duration FAILURE_REST = Duration.ofSeconds(2);
-
-  /** The longest rest is this often doubled: 16 s, somewhat longer than such trouble lasts. */
-  private static final int MOST_REST_DOUBLINGS = 3;
-
   private final OrderSender orders;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
@@ -284,8 +274,8 @@
       ExecutorState executor, LiveRun run, Rejection rejection, BatchTurn turn) {
     turn.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
     switch (rejection) {
-      case UNHEALTHY -> rest(executor, UNHEALTHY_REST, "it calls itself unhealthy", turn);
-      case NO_ROOM -> rest(executor, NO_ROOM_REST, "it has less room than thought", turn);
+      case UNHEALTHY -> executor.rest(UNHEALTHY_REST, "it calls itself unhealthy", turn);
+      case NO_ROOM -> executor.rest(NO_ROOM_REST, "it has less room than thought", turn);
       case FENCED, SUPERSEDED, EXPIRED, OTHER -> {}
     }
     if (run.startUncertain()) {
@@ -296,12 +286,6 @@
     listener.rejected(run, rejection, turn);
   }
 
-  /** Gives an executor nothing new for a while. */
-  public void rest(ExecutorState executor, Duration length, String cause, BatchTurn turn) {
-    executor.restUntil(turn.nowNanos() + length.toNanos());
-    turn.note(BatchLogEvent.EXECUTOR_RESTED, executor.profile().id(), length.toMillis(), cause);
-  }
-
   private static String tag(Rejection rejection) {
     return rejection.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
   }
@@ -365,27 +349,12 @@
         continue;
       }
       executor.remove(run.get());
-      judge(executor, run.get(), end.end(), turn);
+      ExecutorJudge.ended(executor, run.get(), end.end(), turn);
       listener.ended(run.get(), end, stored, turn);
     }
     stored.release();
   }
 
-  /**
-   * Rests an executor on which runs fail, longer each time, until one is done there. A run that has
-   * failed elsewhere before is no evidence: a hopeless job would rest one executor after the other.
-   */
-  private void judge(ExecutorState executor, LiveRun run, RunEnd end, BatchTurn turn) {
-    if (end == RunEnd.DONE) {
-      executor.succeeded();
-    }
-    if (end != RunEnd.FAILED || run.step().failedElsewhere(run.executor())) {
-      return;
-    }
-    int doublings = Math.min(executor.failed() - 1, MOST_REST_DOUBLINGS);
-    rest(executor, FAILURE_REST.multipliedBy(1L << doublings), "a run failed there", turn);
-  }
-
   private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
     Optional<LiveRun> found = executor.run(active.run());
     if (found.isEmpty()) {
@@ -399,7 +368,7 @@
     if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, turn.nowNanos());
     }
-    if (ProgressJudge.judge(executor, run, turn.nowNanos())) {
+    if (ExecutorJudge.standsStill(executor, run, turn.nowNanos())) {
       listener.stoodStill(run, turn);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.ExecutorProfile;
@@ -254,10 +256,11 @@
     failuresInRow = 0;
   }
 
-  /** Gives it nothing new until a time. */
-  public void restUntil(long untilNanos) {
+  /** Gives it nothing new for a while. */
+  public void rest(Duration length, String cause, BatchTurn turn) {
     resting = true;
-    restUntil = untilNanos;
+    restUntil = turn.nowNanos() + length.toNanos();
+    turn.note(BatchLogEvent.EXECUTOR_RESTED, profile.id(), length.toMillis(), cause);
   }
 
   private boolean rests(long nowNanos) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -169,6 +169,11 @@
     in(downMillis, () -> start(id));
   }
 
+  /** Puts a configuration in force on all VMs. */
+  void configure(BatchConfiguration newer) {
+    vms.values().forEach(vm -> vm.deliver(new BatchEvent.ConfigurationRead(newer)));
+  }
+
   private void tick(Vm vm) {
     if (vm.running) {
       vm.deliver(new BatchEvent.Tick());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
@@ -11,6 +11,7 @@
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
@@ -303,4 +304,27 @@
       awaitPhase(cluster, job, JobPhase.COMPLETED, 9000);
     }
   }
+
+  /**
+   * A VM repeats a submission whose answer was lost at the next owner. Its key was taken away
+   * meanwhile, and the caller was told 401 although the job had been stored and ran.
+   */
+  @Test
+  void aStoredJobIsKnownAlsoWhenItsKeyIsTakenAwayBeforeTheSubmissionIsRepeated() {
+    BatchCluster cluster = cluster();
+    Submission submission = Jobs.of(Jobs.tasks(1, 1, 500));
+    String job = cluster.submit(BatchCluster.NORMAL, submission);
+    cluster.run(50);
+    cluster.configure(Declared.withoutKeys(2));
+    BatchCall repeated =
+        new BatchCall.Submit(BatchCluster.NORMAL, BatchCluster.KEY, job, submission);
+    long known = cluster.call(repeated).orElseThrow();
+    long fresh =
+        cluster
+            .call(new BatchCall.Submit(BatchCluster.NORMAL, BatchCluster.KEY, "f", submission))
+            .orElseThrow();
+    cluster.run(50);
+    assertEquals(new CallAnswer.Accepted(), cluster.answers.get(known));
+    assertEquals(new CallAnswer.UnknownKey(), cluster.answers.get(fresh));
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -37,6 +37,11 @@
     return new BatchConfiguration(1, queues, List.of(new KeyHolder("north", Set.of(KEY), 24)));
   }
 
+  /** The same queues after all keys were taken away. */
+  static BatchConfiguration withoutKeys(long version) {
+    return new BatchConfiguration(version, configuration().queues(), List.of());
+  }
+
   static ExecutorProfile executor(String name, String rack) {
     return new ExecutorProfile(
         new ExecutorId(name),
