--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -29,7 +29,6 @@
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.BatchJob;
-import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
@@ -55,8 +54,6 @@
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
 
-  private static final double MILLIS = 1000.0;
-
   private final BatchPreferences preferences;
   private final StateWriter writer;
   private final ExecutorDuty executors;
@@ -286,21 +283,12 @@
         job.queue().name(),
         job.organisation(),
         job.submission().steps().size(),
-        Math.round(coreSeconds(job)));
+        Math.round(job.submission().estimatedCoreSeconds()));
     Submitting waiters = submitting.remove(job.id());
     waiters.tickets().forEach(ticket -> answer(ticket, new CallAnswer.Accepted()));
     waiters.cancels().forEach(ticket -> dueCancels.add(new DueCancel(ticket, job.id())));
   }
 
-  private static double coreSeconds(BatchJob job) {
-    double total = 0;
-    for (BatchStep step : job.submission().steps()) {
-      double seconds = step.estimateMillis() / MILLIS;
-      total += seconds * step.demand().coreEquivalents() * step.count();
-    }
-    return total;
-  }
-
   private void notAccepted(String id, CommitLoss loss) {
     CallAnswer answer =
         switch (loss) {
@@ -338,16 +326,21 @@
       return;
     }
     Optional<OpenJob> job = jobs.book().open(id);
-    if (job.isEmpty() || !job.get().open()) {
-      boolean known = jobs.book().shown(id).isPresent();
-      if (known) {
+    if (job.isEmpty()) {
+      if (jobs.book().shown(id).isPresent()) {
         answer(ticket, new CallAnswer.Cancelled());
       } else {
         status(ticket, id, current);
       }
       return;
     }
-    jobs.cancel(job.get(), () -> answer(ticket, new CallAnswer.Cancelled()), turn);
+    Runnable stored = () -> answer(ticket, new CallAnswer.Cancelled());
+    if (!job.get().open()) {
+      // Its end may be on its way to the store.
+      jobs.persist(job.get(), stored);
+      return;
+    }
+    jobs.cancel(job.get(), stored, turn);
   }
 
   @Override
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -42,7 +42,6 @@
 
   /** Returns the work of the waiting tasks by their estimate, in seconds of one core. */
   public double estimatedCoreSeconds() {
-    double seconds = step.spec().estimateMillis() / 1000.0;
-    return step.spec().demand().coreEquivalents() * seconds * tasks.size();
+    return step.spec().estimatedCoreSeconds() * tasks.size() / step.spec().count();
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/BatchStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/BatchStep.java
@@ -26,11 +26,18 @@
     boolean gang,
     String image) {
 
+  private static final double MILLIS_PER_SECOND = 1000.0;
+
   /** Copies the list. */
   public BatchStep {
     dependsOn = List.copyOf(dependsOn);
   }
 
+  /** Returns the work of all tasks by their estimate, in seconds of one core. */
+  public double estimatedCoreSeconds() {
+    return demand.coreEquivalents() * estimateMillis / MILLIS_PER_SECOND * count;
+  }
+
   /**
    * Where the tasks of a step may run and where they run well.
    *
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
@@ -17,6 +17,11 @@
     steps = List.copyOf(steps);
   }
 
+  /** Returns the work of one occurrence by its estimates, in seconds of one core. */
+  public double estimatedCoreSeconds() {
+    return steps.stream().mapToDouble(BatchStep::estimatedCoreSeconds).sum();
+  }
+
   /** Returns how many times the steps run. */
   public int occurrences() {
     return schedule.map(Schedule::occurrences).orElse(1);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -23,6 +23,10 @@
 
   private static final long GANG_PATIENCE_MILLIS = 3000;
   private static final long FAILS_AFTER_MILLIS = 200;
+
+  /** Bound on starts after an acknowledged cancel. */
+  private static final long CANCEL_MILLIS = 3000;
+
   private static final int PERCENT = 100;
 
   /** A task away from its data, or from its gang, takes this many times as long. */
@@ -39,6 +43,7 @@
 
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> hopeless = new HashSet<>();
+  private final Map<String, Long> cancelledAt = new HashMap<>();
   private final Set<ExecutorId> sick = new HashSet<>();
   private final Map<ExecutorId, Double> slow = new HashMap<>();
   private final List<TaskRun> starts = new ArrayList<>();
@@ -143,10 +148,21 @@
     return (int) Math.min(PERCENT, workedMillis * PERCENT / duration(run.task()));
   }
 
+  /** A cancel was acknowledged: its job must not start anything much later. */
+  void cancelled(String job, long nowMillis) {
+    cancelledAt.putIfAbsent(job, nowMillis);
+  }
+
+  boolean cancelled(String job) {
+    return cancelledAt.containsKey(job);
+  }
+
   /** A start: no other run of the task may be alive, and none may have ended done. */
   void started(TaskRun run, ExecutorId executor, long nowMillis) {
     assertTrue(submissions.containsKey(run.task().job()), () -> "unasked start of " + run);
     assertFalse(finished.contains(run.task()), () -> run + " starts although its task is done");
+    long since = nowMillis - cancelledAt.getOrDefault(run.task().job(), nowMillis);
+    assertTrue(since <= CANCEL_MILLIS, () -> run + " starts " + since + " ms after its cancel");
     for (TaskRun other : running.keySet()) {
       boolean same = other.task().equals(run.task());
       assertFalse(same, () -> run + " starts at " + nowMillis + " beside " + other);
