Tests of the adapter, its names, the settings and the writer; submissions behind a silent append

Test: StateWriterTest.whatWaitsBehindASilentAppendIsGivenUpBeforeThatTimesOut. PlatformNamesTest found two thread names of the entry program that were names of the platform; they are renamed.

--- a/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/EntryProgram.java
@@ -87,8 +87,7 @@
     this.decisions = new DecisionRing(preferences.control().tick(), meters);
     this.configuration = new ConfigurationKeeper(this::configurationInForce);
     this.state = new VmState(preferences.identity().vm(), membership, configuration);
-    this.appends =
-        new LogAppendRing("log-append", APPEND_RING_SIZE, log(), PLATFORM_TIMEOUT, meters);
+    this.appends = new LogAppendRing("append", APPEND_RING_SIZE, log(), PLATFORM_TIMEOUT, meters);
     PeerAnswers answers = new PeerAnswers(state, configuration, reader, this::outcome);
     this.links =
         new PeerLinks(
@@ -282,8 +281,8 @@
     LogTail control = new LogTail(log(), "control", new ControlSink(decisions, state), meters);
     LogTail claims = new LogTail(log(), "requests", new RequestSink(requests), meters);
     return List.of(
-        new RepeatingDuty("log-read-control", control::step),
-        new RepeatingDuty("log-read-requests", claims::step),
+        new RepeatingDuty("read-control", control::step),
+        new RepeatingDuty("read-requests", claims::step),
         new RepeatingDuty("list", listDuty::step),
         peerDuty);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -133,8 +133,7 @@
       place.executor().add(run);
       touched.add(step.job());
       runs.add(run);
-      turn.note(
-          BatchLogEvent.RUN_PLACED, name, run.executor(), rank(step.job()) + " " + checkpoint);
+      turn.note(BatchLogEvent.RUN_PLACED, name, run.executor(), rank(step.job()));
     }
     for (OpenJob job : touched) {
       List<LiveRun> own = runs.stream().filter(run -> run.step().job() == job).toList();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Rank.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Rank.java
@@ -29,4 +29,9 @@
   public int compareTo(Rank other) {
     return Integer.compare(value, other.value);
   }
+
+  @Override
+  public String toString() {
+    return guaranteed() ? "guaranteed" : "priority " + (value - 1);
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -88,7 +88,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    Sent next = new Sent(new WriterPosition(epoch, nextSequence));
+    Sent next = new Sent(new WriterPosition(epoch, nextSequence), turn.nowNanos());
     fill(next);
     sent = Optional.of(next);
     send(next, turn);
@@ -119,7 +119,11 @@
 
   /** Tells whether the store has taken nothing for a while although asked. */
   public boolean storeAway(BatchTurn turn) {
-    return troubleSince.isPresent() && turn.nowNanos() - troubleSince.getAsLong() > PATIENCE_NANOS;
+    boolean unanswered =
+        sent.filter(current -> turn.nowNanos() - current.since > PATIENCE_NANOS).isPresent();
+    boolean refusing =
+        troubleSince.isPresent() && turn.nowNanos() - troubleSince.getAsLong() > PATIENCE_NANOS;
+    return unanswered || refusing;
   }
 
   /** Takes the outcome of an append; false if ownership is lost by it. */
@@ -229,13 +233,15 @@
   /** The append under way. */
   private static final class Sent {
     private final WriterPosition position;
+    private final long since;
     private final List<KeyedRecord> records = new ArrayList<>();
     private final Map<String, Change> changes = new LinkedHashMap<>();
     private boolean underWay;
     private boolean certain = true;
 
-    Sent(WriterPosition position) {
+    Sent(WriterPosition position, long since) {
       this.position = position;
+      this.since = since;
     }
   }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/store/StateWriterTest.java
@@ -0,0 +1,108 @@
+package org.fescuehook.logic.batch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.junit.jupiter.api.Test;
+
+class StateWriterTest {
+
+  private final List<String> events = new ArrayList<>();
+  private final StateWriter writer = new StateWriter(7, at(0));
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(Duration.ofMillis(millis).toNanos(), 0);
+  }
+
+  private void put(String key) {
+    writer.put(key, () -> Optional.of(new byte[1]), () -> events.add(key + " stored"));
+  }
+
+  private void putRefusable(String key, long millis) {
+    writer.putRefusable(
+        key,
+        () -> Optional.of(new byte[1]),
+        () -> events.add(key + " stored"),
+        loss -> events.add(key + " " + loss),
+        at(millis));
+  }
+
+  private static WriterPosition position(long sequence) {
+    return new WriterPosition(7, sequence);
+  }
+
+  @Test
+  void whatWaitsGoesOutTogetherAndIsStoredTogether() {
+    put("a");
+    put("b");
+    writer.flush(at(0));
+    put("c");
+    assertTrue(writer.answered(position(0), new AppendOutcome.Stored(1), at(5)));
+    assertEquals(List.of("a stored", "b stored"), events);
+    assertFalse(writer.idle());
+  }
+
+  @Test
+  void anAppendWithoutAnAnswerIsRepeatedAndNotCalledLost() {
+    putRefusable("a", 0);
+    writer.flush(at(0));
+    writer.answered(position(0), new AppendOutcome.Unanswered("timeout"), at(1000));
+    writer.expire(at(3000));
+    assertEquals(List.of(), events);
+    writer.flush(at(3000));
+    writer.answered(position(0), new AppendOutcome.Stored(1), at(3005));
+    assertEquals(List.of("a stored"), events);
+  }
+
+  @Test
+  void whatTheStoreRefusedEachTimeIsGivenUpAsNotStored() {
+    putRefusable("a", 0);
+    writer.flush(at(0));
+    writer.answered(position(0), new AppendOutcome.Refused("503"), at(10));
+    writer.expire(at(500));
+    assertEquals(List.of(), events);
+    writer.expire(at(800));
+    assertEquals(List.of("a NOT_STORED"), events);
+    assertTrue(writer.idle());
+  }
+
+  /** Submissions waited until the append before them had timed out, 1.7 s in place of 0.7 s. */
+  @Test
+  void whatWaitsBehindASilentAppendIsGivenUpBeforeThatTimesOut() {
+    put("silent");
+    writer.flush(at(0));
+    putRefusable("behind", 10);
+    writer.expire(at(600));
+    assertEquals(List.of(), events);
+    assertTrue(writer.storeAway(at(720)));
+    writer.expire(at(720));
+    assertEquals(List.of("behind NOT_STORED"), events);
+  }
+
+  @Test
+  void whatAFencedAppendHeldWasNotStored() {
+    putRefusable("sent", 0);
+    writer.flush(at(0));
+    putRefusable("waiting", 1);
+    assertFalse(writer.answered(position(0), new AppendOutcome.Fenced(), at(5)));
+    writer.close();
+    assertEquals(List.of("waiting NOT_STORED", "sent NOT_STORED"), events);
+  }
+
+  @Test
+  void whatWasSentWithoutAnAnswerBeforeStaysUnknown() {
+    putRefusable("sent", 0);
+    writer.flush(at(0));
+    writer.answered(position(0), new AppendOutcome.Unanswered("timeout"), at(1000));
+    writer.flush(at(1200));
+    assertFalse(writer.answered(position(0), new AppendOutcome.Fenced(), at(1205)));
+    writer.close();
+    assertEquals(List.of("sent UNKNOWN"), events);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
@@ -0,0 +1,58 @@
+package org.fescuehook.logic.preferences;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.fescuehook.logic.ini.FaultyInputException;
+import org.fescuehook.logic.ini.IniSource;
+import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.junit.jupiter.api.Test;
+
+class SchedulerSettingsParserTest {
+
+  private static final String COMPLETE =
+      """
+      [identity]
+      vm = vm-1
+      failure-domain = a
+      [addresses]
+      callers = 10.1.0.19:8521
+      readiness = 10.1.0.19:8523
+      peers = 10.1.0.19:7000
+      metrics = 10.1.0.19:7015
+      store = 10.200.1.7:8524
+      [bounds]
+      executor-lease = 6000ms
+      status-retention = 120s
+      """;
+
+  private static SchedulerPreferences parse(String text) throws FaultyInputException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    return new SchedulerSettingsParser().parse(new IniSource("settings.ini", bytes));
+  }
+
+  @Test
+  void completeSettingsAreRead() throws FaultyInputException {
+    SchedulerPreferences preferences = parse(COMPLETE);
+
+    assertEquals("vm-1", preferences.identity().vm().value());
+    assertEquals(7000, preferences.addresses().peers().getPort());
+    assertEquals(Duration.ofSeconds(6), preferences.batch().executorLease());
+    assertEquals(Duration.ofSeconds(120), preferences.batch().statusRetention());
+  }
+
+  @Test
+  void allFaultsAreNamedAtOnce() {
+    String faulty =
+        COMPLETE
+            .replace("store = 10.200.1.7:8524\n", "")
+            .replace("10.1.0.19:7015", "host:7015")
+            .replace("6000ms", "6000")
+            .replace("[bounds]", "[bounds]\nunknown = 1");
+
+    FaultyInputException e = assertThrows(FaultyInputException.class, () -> parse(faulty));
+    assertEquals(4, e.faults().size());
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
@@ -0,0 +1,88 @@
+package org.fescuehook.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.model.batch.RunEnd;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.net.http.HttpCall;
+import org.fescuehook.net.http.HttpResult;
+import org.junit.jupiter.api.Test;
+
+class ExecutorMessagesTest {
+
+  private static final TaskRun RUN = new TaskRun(new TaskName("5c0e7a21d94b36f8", 0, 1, 17), 2);
+  private static final ExecutorOrder POLL = new ExecutorOrder.Poll(57, OptionalLong.of(486_000), 0);
+
+  private static OrderOutcome decode(ExecutorOrder order, int status, String body) {
+    return ExecutorMessages.decode(
+        order, new HttpResult.Answered(status, body.getBytes(StandardCharsets.UTF_8)));
+  }
+
+  @Test
+  void aStartNamesTheTaskTheRunTheEpochAndTheIncarnation() {
+    HttpCall call =
+        ExecutorMessages.encode(
+            new ExecutorId("i-1"), 7, new ExecutorOrder.Start(RUN, "s", "cp", 486_000));
+
+    assertEquals("/-/run-start", call.target());
+    assertEquals("i-1", call.headers().get("Expected-Instance"));
+    assertEquals(
+        "{\"taskId\":\"5c0e7a21d94b36f8.0.1.17\",\"runId\":2,\"spec\":\"s\",\"expiresMs\":486000,"
+            + "\"checkpoint\":\"cp\",\"fencingToken\":7}",
+        new String(call.body(), StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void aPollsAnswerHoldsWhatRunsAndWhatHasEnded() {
+    OrderOutcome outcome =
+        decode(
+            POLL,
+            200,
+            "{\"clockMs\":482113,\"active\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"cp\",41]],"
+                + "\"finished\":[[58,\"5c0e7a21d94b36f8.0.1.17\",1,\"broken\",\"\"]]}");
+
+    TaskRun first = new TaskRun(RUN.task(), 1);
+    assertEquals(
+        new OrderOutcome.Polled(
+            482_113,
+            List.of(new OrderOutcome.ActiveRun(RUN, "cp", 41)),
+            List.of(new OrderOutcome.EndedRun(58, first, RunEnd.GANG_BROKEN, ""))),
+        outcome);
+  }
+
+  @Test
+  void eachKindOfAnswerIsToldApart() {
+    ExecutorOrder stop = new ExecutorOrder.Stop(RUN);
+    assertEquals(new OrderOutcome.Done(5), decode(stop, 200, "{\"clockMs\":5}"));
+    assertEquals(new OrderOutcome.Rejected(Rejection.FENCED), rejected("fence"));
+    assertEquals(new OrderOutcome.Rejected(Rejection.SUPERSEDED), rejected("old"));
+    assertEquals(new OrderOutcome.Rejected(Rejection.EXPIRED), rejected("late"));
+    assertEquals(new OrderOutcome.Rejected(Rejection.NO_ROOM), rejected("room"));
+    assertEquals(new OrderOutcome.Rejected(Rejection.UNHEALTHY), decode(stop, 503, ""));
+    assertEquals(new OrderOutcome.OtherIncarnation(), decode(stop, 421, ""));
+    assertInstanceOf(OrderOutcome.Unanswered.class, decode(stop, 502, ""));
+  }
+
+  private static OrderOutcome rejected(String reason) {
+    return decode(new ExecutorOrder.Stop(RUN), 409, "{\"reason\":\"" + reason + "\"}");
+  }
+
+  @Test
+  void anAnswerThatCannotBeReadLeavesTheOrderUncertain() {
+    assertInstanceOf(OrderOutcome.Unanswered.class, decode(POLL, 200, "{\"active\":[[\"x\",1]]}"));
+    assertInstanceOf(OrderOutcome.Unanswered.class, decode(POLL, 200, "cut"));
+    assertInstanceOf(
+        OrderOutcome.Unanswered.class,
+        ExecutorMessages.decode(POLL, new HttpResult.Failed(new IOException("reset"), true)));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/platform/RecordFramingTest.java
@@ -0,0 +1,63 @@
+package org.fescuehook.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.junit.jupiter.api.Test;
+
+class RecordFramingTest {
+
+  private static byte[] text(String value) {
+    return value.getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** An answer of a read: the end and the first kept offset, then the records. */
+  private static byte[] answer(long end, byte[] records) {
+    return ByteBuffer.allocate(16 + records.length).putLong(end).putLong(0).put(records).array();
+  }
+
+  @Test
+  void aRecordIsItsLengthItsKeyLengthItsKeyAndItsValue() {
+    byte[] framed = RecordFraming.encode(List.of(new KeyedRecord("ab", Optional.of(text("c")))));
+
+    assertArrayEquals(new byte[] {0, 0, 0, 4, 2, 'a', 'b', 'c'}, framed);
+  }
+
+  @Test
+  void whatIsAppendedIsReadWithItsOffsets() throws MalformedMessageException {
+    byte[] framed =
+        RecordFraming.encode(
+            List.of(
+                new KeyedRecord("j/1", Optional.of(text("job"))),
+                new KeyedRecord("j/2", Optional.empty())));
+
+    ReadOutcome.Records read = RecordFraming.decode(answer(9, framed), 7);
+
+    assertEquals(9, read.end());
+    assertEquals(7, read.records().get(0).offset());
+    assertEquals("j/1", read.records().get(0).key());
+    assertArrayEquals(text("job"), read.records().get(0).value().orElseThrow());
+    assertEquals(8, read.records().get(1).offset());
+    assertEquals(Optional.empty(), read.records().get(1).value());
+  }
+
+  @Test
+  void anAnswerThatEndsWithinARecordIsRefused() {
+    byte[] framed = RecordFraming.encode(List.of(new KeyedRecord("k", Optional.of(text("value")))));
+    for (int kept = 1; kept < framed.length; kept++) {
+      byte[] cut = ByteBuffer.allocate(kept).put(framed, 0, kept).array();
+      assertThrows(MalformedMessageException.class, () -> RecordFraming.decode(answer(1, cut), 0));
+    }
+  }
+
+  @Test
+  void anAnswerShorterThanItsHeadIsRefused() {
+    assertThrows(MalformedMessageException.class, () -> RecordFraming.decode(new byte[15], 0));
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/platform/SubmissionParserTest.java
@@ -0,0 +1,89 @@
+package org.fescuehook.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.RackId;
+import org.junit.jupiter.api.Test;
+
+class SubmissionParserTest {
+
+  private static Submission parse(String json)
+      throws MalformedMessageException, SubmissionParser.UnsupportedJobException {
+    return SubmissionParser.parse(json.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void assertMalformed(String json) {
+    assertThrows(MalformedMessageException.class, () -> parse(json), json);
+  }
+
+  @Test
+  void everyFieldOfAStepIsRead() throws Exception {
+    Submission job =
+        parse(
+            """
+            {"spec":"s","steps":[{"count":1,"cpu":1},{"count":4,"cpu":500,"memMb":256,"gpu":2,
+            "estimateMs":900,"affinity":"r1-3","requirements":"a","antiAffinity":2,"gang":true,
+            "sameRack":true,"checkpointing":true,"dependsOn":[0],"image":"i"}]}
+            """);
+
+    BatchStep step = job.steps().get(1);
+    assertEquals(new Demand(500, 256, 2), step.demand());
+    assertEquals(4, step.count());
+    assertEquals(900, step.estimateMillis());
+    assertEquals(List.of(0), step.dependsOn());
+    assertEquals(
+        new BatchStep.PlacementRule(true, Optional.of("a"), Optional.of(new RackId("r1-3")), 2),
+        step.placement());
+    assertTrue(step.checkpointing() && step.gang());
+  }
+
+  @Test
+  void fieldsThatAreLeftOutAreZeroFalseOrEmpty() throws Exception {
+    BatchStep step = parse("{\"spec\":\"s\",\"steps\":[{\"count\":1}]}").steps().getFirst();
+
+    assertEquals(Demand.NONE, step.demand());
+    assertEquals(BatchStep.PlacementRule.ANYWHERE, step.placement());
+    assertTrue(!step.gang() && !step.checkpointing());
+  }
+
+  @Test
+  void aJobWithTimesHasASchedule() throws Exception {
+    Submission job =
+        parse("{\"steps\":[{\"count\":1}],\"repeatCount\":3,\"startAtMs\":1000,\"intervalMs\":50}");
+
+    assertEquals(Optional.of(new Submission.Schedule(1000, 50, 3)), job.schedule());
+    assertEquals(1100, job.schedule().orElseThrow().dueMillis(2));
+  }
+
+  @Test
+  void whatIsNoJobIsRefused() {
+    assertMalformed("");
+    assertMalformed("[]");
+    assertMalformed("{");
+    assertMalformed("{\"spec\":\"s\",\"steps\":[]}");
+    assertMalformed("{\"steps\":[{\"count\":0}]}");
+    assertMalformed("{\"steps\":[{\"count\":-1}]}");
+    assertMalformed("{\"steps\":[{\"count\":1,\"dependsOn\":[0]}]}");
+    assertMalformed("{\"steps\":[{\"count\":1},{\"count\":1,\"dependsOn\":[\"x\"]}]}");
+    assertMalformed("{\"steps\":[{\"count\":9999},{\"count\":9999}]}");
+    assertMalformed("{\"spec\":\"" + "x".repeat(4001) + "\",\"steps\":[{\"count\":1}]}");
+  }
+
+  @Test
+  void kindsThatThisVersionCannotRunAreNamed() {
+    assertThrows(
+        SubmissionParser.UnsupportedJobException.class,
+        () -> parse("{\"steps\":[{\"count\":1,\"longRunning\":true}]}"));
+    assertThrows(
+        SubmissionParser.UnsupportedJobException.class,
+        () -> parse("{\"steps\":[{\"count\":1,\"utilization\":true}]}"));
+  }
+}
