--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
@@ -106,8 +106,14 @@
   /** A job that was asked for. */
   private record Asked(Kind kind, long at, double objective, double share) {}
 
-  /** What a day was worth. */
-  record Result(double credit, double wasted, Map<String, Double> byKind, double guarantees) {}
+  /**
+   * What a day was worth.
+   *
+   * @param credit share of the worth that was earned
+   * @param wasted price of the work thrown away, as a share of the worth
+   * @param byKind share earned by each queue
+   */
+  record Result(double credit, double wasted, Map<String, Double> byKind) {}
 
   private final BatchCluster cluster;
   private final Random random;
@@ -218,7 +224,7 @@
     Map<String, Double> byKind = new LinkedHashMap<>();
     kinds.forEach((name, sums) -> byKind.put(name, sums[1] / sums[0]));
     double wasted = cluster.work.wastedCoreSeconds() * WASTE_PRICE / owed;
-    return new Result(earned / owed, wasted, byKind, 0);
+    return new Result(earned / owed, wasted, byKind);
   }
 
   private static double credit(Asked job, Long completed) {
@@ -246,6 +252,6 @@
       wasted += result.wasted() / days;
       result.byKind().forEach((name, share) -> kinds.merge(name, share / days, Double::sum));
     }
-    return new Result(credit, wasted, kinds, 0);
+    return new Result(credit, wasted, kinds);
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDayTest.java
@@ -4,24 +4,36 @@
 
 import org.junit.jupiter.api.Test;
 
+/**
+ * Heavy days in the users' proportions: a backlog of long gangs and bulk jobs, and a burst of
+ * urgent gangs that arrive while all is full. The bounds stand a few hundredths below what
+ * docs/MEASUREMENTS.md gives, so that a policy that loses the headroom or displaces without limit
+ * fails them.
+ */
 class HeavyDayTest {
 
-  private static final int DAYS = Integer.getInteger("days", 6);
+  private static final int DAYS = 6;
+  private static final int EXECUTORS = 33;
+
+  private static void assertServed(double load, double leastNet, double mostWasted) {
+    HeavyDay.Result result = HeavyDay.mean(DAYS, EXECUTORS, load);
+    double net = result.credit() - result.wasted();
+    assertTrue(net >= leastNet, () -> "load " + load + ": " + result);
+    assertTrue(result.wasted() <= mostWasted, () -> "load " + load + ": " + result);
+  }
+
+  @Test
+  void aDayWithRoomIsServedWhole() {
+    assertServed(0.6, 0.95, 0.02);
+  }
+
+  @Test
+  void aFullDayLosesLittle() {
+    assertServed(1.0, 0.91, 0.03);
+  }
 
   @Test
-  void heavyDaysAreServedWithLittleThrownAway() {
-    for (double load : new double[] {0.6, 1.0, 1.4}) {
-      long start = System.nanoTime();
-      HeavyDay.Result result = HeavyDay.mean(DAYS, 33, load);
-      System.out.printf(
-          "load %.1f: credit %.3f wasted %.3f net %.3f by kind %s (%d ms)%n",
-          load,
-          result.credit(),
-          result.wasted(),
-          result.credit() - result.wasted(),
-          result.byKind(),
-          (System.nanoTime() - start) / 1_000_000);
-      assertTrue(result.credit() > 0.3);
-    }
+  void anOverfullDayThrowsLittleAway() {
+    assertServed(1.4, 0.78, 0.05);
   }
 }
