Batch jobs: order by prospect, room kept for urgent work, patience by duration

Jobs whose objective had passed went before jobs that could still meet theirs. The wait of a later step, or of an occurrence, counted from the acceptance of its job.

Change: Timing (prospect, pressed); WaitingStep.ORDER; headroom 0.35, pressed 0.25, counted by what cores and memory leave usable; displacing throws away at most 0.3 of the work; nearness waits eight durations; idle room is given up after 2 s. A poll is put off while ends are being stored; lost polls are noticed after 1.35 s. Log lines 8010, 8020, 8022 carry chain, objective, rack, wait and the job that needs the place. Dead code removed.

--- a/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/PeerDuty.java
@@ -48,7 +48,8 @@
     state.reviewPeers();
     Set<VmId> alive = state.alivePeers();
     Set<VmId> reachingLog = state.peersReachingLog();
-    decisions.publish(new ControlEvent.PeersHeard(alive, reachingLog));
+    Set<VmId> draining = state.peersDraining();
+    decisions.publish(new ControlEvent.PeersHeard(alive, reachingLog, draining));
     decisions.publish(new ControlEvent.PeersFolded(state.foldedByPeers()));
     fetchConfiguration();
     reviewReadiness();
--- a/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/VmState.java
@@ -119,6 +119,11 @@
     return peers.get().reachingLog(preferences.peerTimeout(), System.nanoTime());
   }
 
+  /** Returns the peers heard within their timeout that are stopping. */
+  Set<VmId> peersDraining() {
+    return peers.get().draining(preferences.peerTimeout(), System.nanoTime());
+  }
+
   /** Returns how far the peers heard within their timeout have folded the control stream. */
   Map<VmId, Long> foldedByPeers() {
     return peers.get().folded(preferences.peerTimeout(), System.nanoTime());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -15,7 +15,9 @@
   /** A newer configuration is in force. */
   CONFIGURATION_IN_FORCE(8004, "Configuration {} in force: {} queues, {} organisations"),
   /** A job is stored. */
-  JOB_ACCEPTED(8010, "Job {} accepted: queue {} organisation {} steps {} work {} core-s"),
+  JOB_ACCEPTED(
+      8010,
+      "Job {} accepted: queue {} organisation {} tasks {} work {} core-s chain {} ms objective {} ms"),
   /** A submission was not taken. */
   JOB_REFUSED(8011, "Job {} refused: {}, come back after {} ms"),
   /** What became of a submission is not known. */
@@ -23,7 +25,7 @@
   /** A job reached its final state. */
   JOB_ENDED(8013, "Job {} ended {} after {} ms"),
   /** A run was placed and its start is being stored. */
-  RUN_PLACED(8020, "Run {} placed on {}: {}"),
+  RUN_PLACED(8020, "Run {} placed on {} in rack {}: {}, waited {} ms of {} ms to spare"),
   /** An executor took a run. */
   RUN_STARTED(8021, "Run {} started on {} after {} ms"),
   /** A run was told to stop. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -284,8 +284,10 @@
         job.id(),
         job.queue().name(),
         job.organisation(),
-        job.submission().steps().size(),
-        Math.round(job.submission().estimatedCoreSeconds()));
+        job.submission().tasks(),
+        Math.round(job.submission().estimatedCoreSeconds()),
+        job.submission().estimatedChainMillis(),
+        job.queue().objectiveMillis(job.submission().estimatedChainMillis()));
     Submitting waiters = submitting.remove(job.id());
     waiters.tickets().forEach(ticket -> answer(ticket, new CallAnswer.Accepted()));
     waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, job.id())));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -26,7 +26,7 @@
  */
 public final class ExecutorDuty {
 
-  /** Pause after a poll without an answer, which took a timeout already. */
+  /** Pause after polls without an answer; after the first one, which may just be lost, none. */
   private static final long MISSED_POLL_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
 
   /** Starts of one run before it is given up; with their timeouts half of a gang's patience. */
@@ -161,10 +161,9 @@
   private void poll(ExecutorState executor, BatchTurn turn) {
     boolean needed =
         !executor.known() || !executor.runs().isEmpty() || executor.owesAcknowledgement();
-    if (!needed || executor.poll().isPresent() || turn.nowNanos() - executor.nextPollAt() < 0) {
-      return;
+    if (needed && executor.pollDue(turn.nowNanos())) {
+      orders.poll(executor, turn);
     }
-    orders.poll(executor, turn);
   }
 
   /** Orders the start of a run whose placement is stored. */
@@ -310,7 +309,8 @@
           executor.runs().size(),
           left);
     }
-    executor.pollMissed(turn.nowNanos(), MISSED_POLL_PAUSE_NANOS);
+    long pause = executor.missedPolls() == 0 ? 0 : MISSED_POLL_PAUSE_NANOS;
+    executor.pollMissed(turn.nowNanos(), pause);
   }
 
   private void polled(ExecutorState executor, OrderOutcome.Polled answer, BatchTurn turn) {
@@ -363,7 +363,7 @@
       return;
     }
     LiveRun run = found.get();
-    run.progressed(active.percent(), turn.nowNanos());
+    run.progressed(active.percent());
     listener.saved(run, active.checkpoint());
     if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, turn.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -24,13 +24,15 @@
   /** Added to the computed end of a lease, for clock readings that were delayed on their way. */
   private static final long LEASE_MARGIN_NANOS = Duration.ofMillis(250).toNanos();
 
+  /** How long a poll is put off for ends that are being stored; an append takes some 10 ms. */
+  private static final long STORE_PATIENCE_NANOS = Duration.ofMillis(80).toNanos();
+
   private ExecutorProfile profile;
   private final Map<TaskRun, LiveRun> runs = new LinkedHashMap<>();
   private Demand used = Demand.NONE;
   private boolean listed = true;
   private boolean known;
   private int missedPolls;
-  private long silentSince;
   private Optional<PollUnderWay> poll = Optional.empty();
   private long nextPollAt;
   private OptionalLong clockAheadMillis = OptionalLong.empty();
@@ -126,19 +128,19 @@
     return missedPolls;
   }
 
-  /** Returns since when it has not answered, monotonic time; meaningful while polls are missed. */
-  public long silentSince() {
-    return silentSince;
-  }
-
   /** Returns the poll under way. */
   public Optional<PollUnderWay> poll() {
     return poll;
   }
 
-  /** Returns when the next poll may be sent, monotonic time. */
-  public long nextPollAt() {
-    return nextPollAt;
+  /**
+   * Tells whether a poll is due. While ends wait to be stored none is, for a moment: it would be
+   * answered at once with the same ends.
+   */
+  public boolean pollDue(long nowNanos) {
+    boolean endsUnstored = !taken.isEmpty() && missedPolls == 0;
+    long notBefore = endsUnstored ? nextPollAt + STORE_PATIENCE_NANOS : nextPollAt;
+    return poll.isEmpty() && nowNanos - notBefore >= 0;
   }
 
   /** Remembers that a poll was sent. */
@@ -157,9 +159,6 @@
 
   /** Remembers that the poll had no answer. */
   public void pollMissed(long nowNanos, long pauseNanos) {
-    if (missedPolls == 0) {
-      silentSince = poll.map(PollUnderWay::sentAt).orElse(nowNanos);
-    }
     poll = Optional.empty();
     missedPolls++;
     nextPollAt = nowNanos + pauseNanos;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
@@ -20,9 +20,10 @@
 
   /**
    * Share of the work of a step that may be thrown away to let it start. Above it, displacing would
-   * slow the others down more than it speeds the step up. Guarantees have no such limit.
+   * slow the others down more than it speeds the step up; on heavy days 0.3 was better than 0.5, 1
+   * and 3. Guarantees have no such limit.
    */
-  private static final double MOST_THROWN_AWAY = 1.0;
+  private static final double MOST_THROWN_AWAY = 0.3;
 
   /** What a start costs, and for saved work its restoring, on the platform's executors. */
   private static final double RESTART_SECONDS = 0.3;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
@@ -17,13 +18,12 @@
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Carries plans out: stores each placement, then orders the start. */
 public final class PlanDuty {
 
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final JobDuty jobs;
   private final ExecutorDuty executors;
   private final Planner planner;
@@ -49,7 +49,12 @@
             .filter(executor -> executor.usable(turn.nowNanos()))
             .toList();
     Planner.Plan plan = planner.plan(waiting, usable, turn.nowNanos());
-    plan.stops().forEach(run -> executors.stop(run, "work of a higher rank needs its place", turn));
+    for (Planner.Displacement stop : plan.stops()) {
+      WaitingStep beneficiary = stop.beneficiary();
+      String job = beneficiary.step().job().job().id();
+      String cause = "job " + job + " needs its place, " + beneficiary.rank();
+      executors.stop(stop.run(), cause, turn);
+    }
     start(plan.starts(), turn);
   }
 
@@ -77,16 +82,24 @@
       return;
     }
     long accepted = step.job().job().acceptedMillis();
-    long waited = Math.max(0, turn.wallMillis() - accepted) * 1_000_000;
-    waiting.add(
-        new WaitingStep(
-            step, tasks, queue.pool(), rank(step.job()), accepted, waited, spare(step, queue)));
+    Timing timing = timing(step, queue, turn);
+    waiting.add(new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, timing));
   }
 
-  /** Returns the time between a step's estimated work and the objective of its job. */
-  private static long spare(StepProgress step, JobQueue queue) {
-    double beyondWork = step.spec().estimateMillis() * (queue.deadlineFactor() - 1);
-    return (long) ((beyondWork + queue.targetLatencyMillis()) * NANOS_PER_MILLI);
+  private static Timing timing(StepProgress step, JobQueue queue, BatchTurn turn) {
+    Submission submission = step.job().job().submission();
+    long due = step.job().job().acceptedMillis();
+    if (submission.schedule().isPresent()) {
+      due = Math.max(due, submission.schedule().get().dueMillis(step.occurrence()));
+    }
+    long objective = queue.objectiveMillis(submission.estimatedChainMillis());
+    long spare = objective - submission.estimatedChainMillis(step.number());
+    long waited = Math.max(0, turn.wallMillis() - due);
+    return new Timing(
+        TimeUnit.MILLISECONDS.toNanos(waited),
+        turn.nowNanos() - step.queuedSince(turn.nowNanos()),
+        TimeUnit.MILLISECONDS.toNanos(spare),
+        TimeUnit.MILLISECONDS.toNanos(objective));
   }
 
   private Rank rank(OpenJob job) {
@@ -129,11 +142,19 @@
       TaskRun name = new TaskRun(step.name(place.task()), number);
       LiveRun run =
           LiveRun.placed(name, place.executor().profile().id(), step, checkpoint, turn.nowNanos());
+      Timing timing = timing(step, jobs.queue(step.job()), turn);
       step.begin(place.task(), run);
       place.executor().add(run);
       touched.add(step.job());
       runs.add(run);
-      turn.note(BatchLogEvent.RUN_PLACED, name, run.executor(), rank(step.job()));
+      turn.note(
+          BatchLogEvent.RUN_PLACED,
+          name,
+          run.executor(),
+          place.executor().profile().rack(),
+          rank(step.job()),
+          TimeUnit.NANOSECONDS.toMillis(timing.waitedNanos()),
+          TimeUnit.NANOSECONDS.toMillis(timing.spareNanos()));
     }
     for (OpenJob job : touched) {
       List<LiveRun> own = runs.stream().filter(run -> run.step().job() == job).toList();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -6,8 +6,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.plan.Timing.Prospect;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
@@ -18,28 +20,42 @@
 public final class Planner {
 
   /**
-   * How long guaranteed work waits for a place near its data before it starts anywhere. Its bound
-   * is some 2.7 s, of which stopping others takes up to a second.
+   * How long guaranteed work waits for a place near its data before its first start, wherever that
+   * is. Its bound is some 2.7 s, of which stopping others takes up to a second.
    */
   private static final long GUARANTEED_PATIENCE_NANOS = Duration.ofMillis(1200).toNanos();
 
   /**
-   * How long other work waits for a place near its data; elsewhere it takes three times as long.
+   * How long other work waits for a place near its data, in its estimated duration. Elsewhere it
+   * takes three times as long and holds its room for as long; on heavy days 8 was better than 2 to
+   * 4 and than the former 8 s for all (docs/MEASUREMENTS.md, heavy days).
    */
-  private static final long PATIENCE_NANOS = Duration.ofSeconds(8).toNanos();
+  private static final int PATIENCE_DURATIONS = 8;
 
   /**
-   * Share of its spare time that work which no guarantee covers and that is not urgent waits before
-   * others give way to it: until then it may start on what comes free by itself.
+   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
+   * without waiting for others to stop. Heavy days: best of 0.2 to 0.45.
    */
-  private static final double SPARE_TIME_WAITED = 0.8;
+  private static final double HEADROOM = 0.35;
 
   /**
-   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
-   * without waiting for others to stop, which takes up to 0.9 s of the 1.5 s that it has to spare.
-   * On heavy days 0.25 was the best of 0 to 0.35 (docs/MEASUREMENTS.md, batch jobs).
+   * The same for work that has hardly any spare time left. What starts in this room is soon thrown
+   * out again by urgent work, so it is not given up altogether.
+   */
+  private static final double PRESSED_HEADROOM = 0.25;
+
+  /**
+   * Work that has waited this long while less than half of the fleet is in use may take what is
+   * kept for urgent work. The users' bound on idle room is 3 s.
+   */
+  private static final long IDLE_PATIENCE_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /**
+   * After this time in an idle fleet it also starts away from its data. Longer than the work of
+   * most jobs, as a start elsewhere after a shorter wait ends later than one near the data after
+   * all.
    */
-  private static final double HEADROOM = 0.25;
+  private static final long IDLE_NEARNESS_NANOS = Duration.ofSeconds(12).toNanos();
 
   private final Function<StepProgress, Rank> ranks;
 
@@ -58,7 +74,15 @@
    * @param starts where tasks start
    * @param stops runs that give way
    */
-  public record Plan(List<Place> starts, List<LiveRun> stops) {}
+  public record Plan(List<Place> starts, List<Displacement> stops) {}
+
+  /**
+   * A run that gives way.
+   *
+   * @param run the run
+   * @param beneficiary the step that needs its place
+   */
+  public record Displacement(LiveRun run, WaitingStep beneficiary) {}
 
   /**
    * Makes a plan.
@@ -69,8 +93,7 @@
   public Plan plan(
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
     List<WaitingStep> order = new ArrayList<>(waiting);
-    order.sort(
-        Comparator.comparing(WaitingStep::rank).thenComparingLong(WaitingStep::acceptedMillis));
+    order.sort(WaitingStep.ORDER);
     Pass pass = new Pass(executors, new Displacer(ranks, nowNanos), nowNanos);
     order.forEach(pass::take);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
@@ -82,7 +105,7 @@
     private final Room expected;
     private final Room whole;
     private final List<Place> starts = new ArrayList<>();
-    private final List<LiveRun> stops = new ArrayList<>();
+    private final List<Displacement> stops = new ArrayList<>();
 
     private final Displacer displacer;
 
@@ -143,12 +166,12 @@
         soon.get().forEach(this::reserve);
         return;
       }
-      if (!waiting.urgent() && waiting.waitedNanos() < waiting.spareNanos() * SPARE_TIME_WAITED) {
+      if (!waiting.urgent() && !pressed(waiting)) {
         return;
       }
       Optional<Displacer.Choice> choice = displacer.choose(waiting, expected, nearOnly);
       if (choice.isPresent()) {
-        choice.get().victims().forEach(this::stop);
+        choice.get().victims().forEach(run -> stops.add(new Displacement(run, waiting)));
         choice.get().places().forEach(this::reserve);
       }
     }
@@ -159,15 +182,26 @@
       if (waiting.urgent() || accelerators == 0) {
         return Integer.MAX_VALUE;
       }
-      boolean pressed = waiting.waitedNanos() > waiting.spareNanos() * SPARE_TIME_WAITED;
-      double kept = pressed ? 0 : whole.accelerators() * HEADROOM;
+      if (idleFor(waiting, IDLE_PATIENCE_NANOS)) {
+        return Integer.MAX_VALUE;
+      }
+      double kept = whole.accelerators() * (pressed(waiting) ? PRESSED_HEADROOM : HEADROOM);
       return (int) Math.max(0, (free.accelerators() - kept) / accelerators);
     }
 
+    /** Tells whether a step has hardly any time left; what comes too late anyway is not pressed. */
+    private static boolean pressed(WaitingStep waiting) {
+      return waiting.timing().pressed() && waiting.timing().prospect() != Prospect.TOO_LATE;
+    }
+
+    /** Tells whether a step has waited for a time although most of the fleet is free. */
+    private boolean idleFor(WaitingStep waiting, long nanos) {
+      return waiting.timing().queuedNanos() > nanos && free.overHalfOf(whole);
+    }
+
     /** Tells whether a step has to start near its data: it could, and has not waited long. */
     private boolean nearOnly(WaitingStep waiting) {
-      long patience = waiting.rank().guaranteed() ? GUARANTEED_PATIENCE_NANOS : PATIENCE_NANOS;
-      if (waiting.waitedNanos() > patience) {
+      if (impatient(waiting)) {
         return false;
       }
       int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
@@ -175,6 +209,19 @@
           .anyMatch(group -> Room.fits(waiting, group) >= wanted);
     }
 
+    private boolean impatient(WaitingStep waiting) {
+      if (idleFor(waiting, IDLE_NEARNESS_NANOS)) {
+        return true;
+      }
+      Timing timing = waiting.timing();
+      boolean due = waiting.rank().guaranteed() && !waiting.step().job().begun();
+      if (due && timing.waitedNanos() > GUARANTEED_PATIENCE_NANOS) {
+        return true;
+      }
+      long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+      return timing.queuedNanos() > duration * PATIENCE_DURATIONS;
+    }
+
     /** Finds the group with the least room to spare in which all tasks fit. */
     private Optional<List<Place>> tightest(WaitingStep waiting, Room room, boolean nearOnly) {
       int wanted = waiting.tasks().size();
@@ -193,9 +240,5 @@
       free.take(place.executor(), place.step().spec().demand());
       expected.take(place.executor(), place.step().spec().demand());
     }
-
-    private void stop(LiveRun run) {
-      stops.add(run);
-    }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
@@ -48,9 +49,36 @@
     return new Room(slots);
   }
 
-  /** Returns the accelerators of all slots together. */
+  /**
+   * Returns the accelerators of all slots together that work can use: where cores or memory are
+   * taken, only as large a share of the accelerators counts as is left of these.
+   */
   int accelerators() {
-    return slots.stream().mapToInt(slot -> Math.max(0, slot.free().accelerators())).sum();
+    return slots.stream().mapToInt(Room::usableAccelerators).sum();
+  }
+
+  private static int usableAccelerators(Slot slot) {
+    Demand free = slot.free();
+    Demand whole = slot.executor().profile().capacity();
+    double share =
+        Math.min(
+            share(free.milliCores(), whole.milliCores()),
+            share(free.memoryMegabytes(), whole.memoryMegabytes()));
+    return (int) Math.max(0, Math.min(free.accelerators(), share * whole.accelerators()));
+  }
+
+  /** Tells whether more than half of what the other room has is here, of accelerators and cores. */
+  boolean overHalfOf(Room whole) {
+    return 2 * sum(Demand::accelerators) > whole.sum(Demand::accelerators)
+        && 2 * sum(Demand::milliCores) > whole.sum(Demand::milliCores);
+  }
+
+  private long sum(ToIntFunction<Demand> resource) {
+    return slots.stream().mapToLong(slot -> resource.applyAsInt(slot.free())).sum();
+  }
+
+  private static double share(int free, int whole) {
+    return whole == 0 ? 1 : (double) free / whole;
   }
 
   /** Takes capacity of an executor; what is taken twice makes it negative. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.plan;
 
+import java.util.Comparator;
 import java.util.List;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
@@ -12,8 +13,7 @@
  * @param pool pool of the executors that may run it
  * @param rank its precedence
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
- * @param waitedNanos how long it has waited
- * @param spareNanos how long it may wait and still meet its objective, by its estimate
+ * @param timing how it stands in time
  */
 public record WaitingStep(
     StepProgress step,
@@ -21,8 +21,16 @@
     String pool,
     Rank rank,
     long acceptedMillis,
-    long waitedNanos,
-    long spareNanos) {
+    Timing timing) {
+
+  /**
+   * Order of planning: by rank, then those that can still meet their objective, then the late ones,
+   * last those that come too late anyway, each in the order of their acceptance.
+   */
+  public static final Comparator<WaitingStep> ORDER =
+      Comparator.comparing(WaitingStep::rank)
+          .thenComparing(waiting -> waiting.timing().prospect())
+          .thenComparingLong(WaitingStep::acceptedMillis);
 
   /** Copies the list. */
   public WaitingStep {
@@ -37,7 +45,7 @@
   /** Returns the same step without the first tasks. */
   public WaitingStep rest(int placed) {
     List<TaskProgress> left = tasks.subList(placed, tasks.size());
-    return new WaitingStep(step, left, pool, rank, acceptedMillis, waitedNanos, spareNanos);
+    return new WaitingStep(step, left, pool, rank, acceptedMillis, timing);
   }
 
   /** Returns the work of the waiting tasks by their estimate, in seconds of one core. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -23,7 +23,6 @@
   private int orders;
   private int percent;
   private boolean judged;
-  private long progressAt;
 
   private LiveRun(
       TaskRun run,
@@ -39,7 +38,6 @@
     this.stage = stage;
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
-    this.progressAt = nowNanos;
   }
 
   /**
@@ -168,11 +166,8 @@
   }
 
   /** Takes in the progress that the executor reports. */
-  public void progressed(int newPercent, long nowNanos) {
-    if (newPercent != percent) {
-      percent = newPercent;
-      progressAt = nowNanos;
-    }
+  public void progressed(int newPercent) {
+    percent = newPercent;
   }
 
   /** Returns the share of the work that is done, 0 to 100. */
@@ -191,9 +186,4 @@
   public long estimatedLeftMillis() {
     return step.spec().estimateMillis() * (WHOLE_PERCENT - percent) / WHOLE_PERCENT;
   }
-
-  /** Returns when the progress last changed, monotonic time. */
-  public long progressAt() {
-    return progressAt;
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.TaskName;
@@ -21,7 +22,7 @@
   private int gangFailures;
   private int lastFailedGangRun;
   private int undone;
-  private long waitingSince;
+  private OptionalLong queuedSince = OptionalLong.empty();
 
   StepProgress(OpenJob job, int occurrence, int number, BatchStep spec) {
     this.job = job;
@@ -85,11 +86,6 @@
     return tasks.stream().filter(TaskProgress::waiting).toList();
   }
 
-  /** Tells whether any run of the step may be alive. */
-  public boolean hasLiveRun() {
-    return tasks.stream().anyMatch(task -> task.live().isPresent());
-  }
-
   /** Returns the live runs. */
   public List<LiveRun> liveRuns() {
     return tasks.stream().flatMap(task -> task.live().stream()).toList();
@@ -105,14 +101,16 @@
     return tasks.getFirst().checkpoint();
   }
 
-  /** Returns since when the step has had its turn without a live run, monotonic time. */
-  public long waitingSince() {
-    return waitingSince;
-  }
-
-  /** Remembers since when the step waits. */
-  public void waitsSince(long nowNanos) {
-    waitingSince = nowNanos;
+  /**
+   * Returns since when it waits: since this was asked first after a run of it was begun last.
+   *
+   * @return monotonic time
+   */
+  public long queuedSince(long nowNanos) {
+    if (queuedSince.isEmpty()) {
+      queuedSince = OptionalLong.of(nowNanos);
+    }
+    return queuedSince.getAsLong();
   }
 
   /** Returns the name of one of its tasks. */
@@ -123,6 +121,7 @@
   /** Begins a run. */
   public void begin(TaskProgress task, LiveRun run) {
     task.begin(run);
+    queuedSince = OptionalLong.empty();
     job.begin();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlCore.java
@@ -108,8 +108,8 @@
           resolve(writer.failed(sequence, certain, turn), turn);
       case ControlEvent.WorkerAnswered(var reply) -> gangs.answered(reply, turn);
       case ControlEvent.MembersListed(var members) -> peers.listed(members, turn);
-      case ControlEvent.PeersHeard(var alive, var reachingLog) ->
-          peers.heard(alive, reachingLog, turn);
+      case ControlEvent.PeersHeard(var alive, var reachingLog, var draining) ->
+          peers.heard(alive, reachingLog, draining, turn);
       case ControlEvent.PeersFolded(var nextOffsets) -> peers.folded(nextOffsets);
       case ControlEvent.Asked(long ticket, Request request) -> asked(ticket, request, turn);
       case ControlEvent.Tick() -> {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ControlEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ControlEvent.java
@@ -30,7 +30,8 @@
   record MembersListed(List<MemberList.Member> members) implements ControlEvent {}
 
   /** Which peers have been heard within their timeout, and which of those reach the log. */
-  record PeersHeard(Set<VmId> alive, Set<VmId> reachingLog) implements ControlEvent {}
+  record PeersHeard(Set<VmId> alive, Set<VmId> reachingLog, Set<VmId> draining)
+      implements ControlEvent {}
 
   /** Offset after the last record that each peer heard lately has folded. */
   record PeersFolded(Map<VmId, Long> nextOffsets) implements ControlEvent {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/ownership/PeerWatch.java
@@ -21,6 +21,10 @@
   private Set<VmId> reachingLog = Set.of();
   private Set<VmId> listed = Set.of();
   private Set<VmId> leaving = Set.of();
+
+  /** VMs that said in their last heartbeat that they are stopping. */
+  private final Set<VmId> stopping = new HashSet<>();
+
   private Set<WorkerId> leavingWorkers = Set.of();
   private boolean listFetched;
   private long lastCompanyNanos = Long.MIN_VALUE / 2;
@@ -31,8 +35,10 @@
   }
 
   /** Takes in which peers are heard. */
-  public void heard(Set<VmId> alivePeers, Set<VmId> reaching, Turn turn) {
+  public void heard(Set<VmId> alivePeers, Set<VmId> reaching, Set<VmId> draining, Turn turn) {
     alive = withoutSelf(alivePeers);
+    stopping.removeAll(alive);
+    stopping.addAll(withoutSelf(draining));
     reachingLog = withoutSelf(reaching);
     alive.forEach(vm -> lastSeen.put(vm, turn.now()));
     if (!alive.isEmpty()) {
@@ -81,11 +87,17 @@
     leavingWorkers = Set.copyOf(workers);
   }
 
-  /** A VM that was leaving when it was last listed has stopped; any other may live on unlisted. */
+  /**
+   * A VM that was leaving when it was last listed, or that was stopping when it was last heard, has
+   * stopped; any other may live on unlisted.
+   */
   private void forgetThoseThatLeft(Set<VmId> entries) {
-    for (VmId vm : leaving) {
+    Set<VmId> left = new HashSet<>(leaving);
+    left.addAll(stopping);
+    for (VmId vm : left) {
       if (!entries.contains(vm) && !alive.contains(vm)) {
         lastSeen.remove(vm);
+        stopping.remove(vm);
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventEncoder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventEncoder.java
@@ -32,8 +32,9 @@
           new TraceLine("append-failed").add(sequence).add(certain).toString();
       case ControlEvent.WorkerAnswered(WorkerReply reply) -> reply(reply);
       case ControlEvent.MembersListed listed -> members(listed);
-      case ControlEvent.PeersHeard(var alive, var reachingLog) ->
-          names(names(new TraceLine("peers-heard"), alive), reachingLog).toString();
+      case ControlEvent.PeersHeard(var alive, var reachingLog, var draining) ->
+          names(names(names(new TraceLine("peers-heard"), alive), reachingLog), draining)
+              .toString();
       case ControlEvent.PeersFolded folded -> folded(folded);
       case ControlEvent.Asked(long ticket, Request request) ->
           new TraceLine("asked").add(ticket).addLine(request(request)).toString();
--- a/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/control/trace/EventParser.java
@@ -50,7 +50,7 @@
       case "append-failed" ->
           new ControlEvent.AppendFailed(fields.number("sequence"), fields.flag("certain"));
       case "members" -> members(fields);
-      case "peers-heard" -> new ControlEvent.PeersHeard(vms(fields), vms(fields));
+      case "peers-heard" -> new ControlEvent.PeersHeard(vms(fields), vms(fields), vms(fields));
       case "peers-folded" -> folded(fields);
       case "asked" -> new ControlEvent.Asked(fields.number("ticket"), request(fields));
       case "tick" -> new ControlEvent.Tick();
--- a/fescuehook/src/main/java/org/fescuehook/logic/membership/PeerTable.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/membership/PeerTable.java
@@ -47,6 +47,11 @@
     return select(timeout, nowNanos, PeerReport::logReachable);
   }
 
+  /** Returns the peers heard within {@code timeout} that are stopping. */
+  public Set<VmId> draining(Duration timeout, long nowNanos) {
+    return select(timeout, nowNanos, PeerReport::draining);
+  }
+
   /** Returns how far the peers heard within {@code timeout} have folded the control stream. */
   public Map<VmId, Long> folded(Duration timeout, long nowNanos) {
     return peers.values().stream()
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/JobQueue.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/JobQueue.java
@@ -21,4 +21,18 @@
     double deadlineFactor,
     long targetLatencyMillis,
     boolean open,
-    boolean advised) {}
+    boolean advised) {
+
+  /** Up to this many times its objective a job is late and still of some use to its caller. */
+  public static final int LATEST_OBJECTIVES = 3;
+
+  /**
+   * Returns the time that a job may take.
+   *
+   * @param chainMillis the longest chain of its work, in milliseconds
+   * @return milliseconds from its first submission to its end
+   */
+  public long objectiveMillis(long chainMillis) {
+    return Math.round(chainMillis * deadlineFactor) + targetLatencyMillis;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
@@ -22,6 +22,31 @@
     return steps.stream().mapToDouble(BatchStep::estimatedCoreSeconds).sum();
   }
 
+  /** Returns the longest chain of work of one occurrence by its estimates, in milliseconds. */
+  public long estimatedChainMillis() {
+    long longest = 0;
+    for (int number = 0; number < steps.size(); number++) {
+      longest = Math.max(longest, estimatedChainMillis(number));
+    }
+    return longest;
+  }
+
+  /** Returns the longest chain of work that begins with a step, in milliseconds. */
+  public long estimatedChainMillis(int first) {
+    long longest = 0;
+    for (int number = first + 1; number < steps.size(); number++) {
+      if (steps.get(number).dependsOn().contains(first)) {
+        longest = Math.max(longest, estimatedChainMillis(number));
+      }
+    }
+    return steps.get(first).estimateMillis() + longest;
+  }
+
+  /** Returns the number of tasks of all occurrences. */
+  public int tasks() {
+    return steps.stream().mapToInt(BatchStep::count).sum() * occurrences();
+  }
+
   /** Returns how many times the steps run. */
   public int occurrences() {
     return schedule.map(Schedule::occurrences).orElse(1);
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/PassingListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/PassingListener.java
@@ -8,6 +8,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import org.fescuehook.logic.dispatch.DispatchEnd;
@@ -15,10 +19,21 @@
 import org.fescuehook.net.executor.ExecutorHeaders;
 import org.fescuehook.net.executor.HopByHopHeaders;
 
-/** Passes the answer to one dispatch on to the caller. */
+/**
+ * Passes the answer to one dispatch on to the caller. A small answer is held until it is whole: one
+ * that the executor cuts is then no answer at all, and a repeatable request can be dispatched
+ * again. All calls come from one event loop.
+ */
 final class PassingListener implements AnswerListener {
+  /** Largest body that is held; a larger answer is passed on as it comes. */
+  private static final int HELD_BYTES = 64 << 10;
+
   private final CallerExchange caller;
   private final BiConsumer<DispatchEnd, Long> whenEnded;
+  private final List<HttpContent> held = new ArrayList<>();
+  private Optional<Runnable> heldHead = Optional.empty();
+  private int heldBytes;
+  private boolean passing;
 
   /**
    * Creates the listener.
@@ -40,16 +55,35 @@
       headers.remove(HttpHeaderNames.CONTENT_LENGTH);
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
-    caller.begin(new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers), flow);
+    HttpResponse passed = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), headers);
+    heldHead = Optional.of(() -> caller.begin(passed, flow));
   }
 
   @Override
   public void onContent(HttpContent content) {
-    caller.pass(content);
+    if (passing) {
+      caller.pass(content);
+      return;
+    }
+    held.add(content);
+    heldBytes += content.content().readableBytes();
+    if (content instanceof LastHttpContent || heldBytes > HELD_BYTES) {
+      passOn();
+    }
+  }
+
+  private void passOn() {
+    passing = true;
+    heldHead.ifPresent(Runnable::run);
+    held.forEach(caller::pass);
+    held.clear();
   }
 
   @Override
-  public void onEnd(DispatchEnd end, long executorNanos) {
+  public void onEnd(DispatchEnd how, long executorNanos) {
+    DispatchEnd end = asTheCallerSees(how);
+    held.forEach(HttpContent::release);
+    held.clear();
     if (end instanceof DispatchEnd.Answered) {
       caller.answered(executorNanos);
     }
@@ -58,4 +92,12 @@
     }
     whenEnded.accept(end, TimeUnit.NANOSECONDS.toMillis(executorNanos));
   }
+
+  /** Of an answer that was held and then cut, the caller has seen nothing. */
+  private DispatchEnd asTheCallerSees(DispatchEnd end) {
+    if (end instanceof DispatchEnd.Failed(var kind, boolean started, boolean fresh)) {
+      return new DispatchEnd.Failed(kind, started && passing, fresh);
+    }
+    return end;
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
@@ -28,8 +28,11 @@
   /** Longest time to the answer of an order, of which three fit into a gang's patience. */
   private static final Duration ORDER_TIMEOUT = Duration.ofMillis(600);
 
-  /** Added to the wait that a poll asks for. */
-  private static final Duration POLL_SLACK = Duration.ofMillis(600);
+  /**
+   * Added to the wait that a poll asks for: some hundred times the way there and back, and a pause
+   * of this VM. Until then ends on an executor whose answer was lost are not seen.
+   */
+  private static final Duration POLL_SLACK = Duration.ofMillis(350);
 
   /** Connections for orders to one executor, so that one silent order does not hold the rest up. */
   private static final int ORDER_CONNECTIONS = 3;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -98,8 +98,12 @@
   }
 
   BatchCluster(int vmCount, int executorCount, long seed) {
+    this(vmCount, executorCount, seed, Declared.configuration());
+  }
+
+  BatchCluster(int vmCount, int executorCount, long seed, BatchConfiguration declared) {
     random = new Random(seed);
-    configuration = Declared.configuration();
+    configuration = declared;
     for (int i = 0; i < executorCount; i++) {
       addExecutor("e" + i, "r" + i / 4);
     }
@@ -346,14 +350,20 @@
 
   /** Submits a job and returns its id. */
   String submit(String queueName, Submission submission) {
+    return submit(queueName, KEY, submission);
+  }
+
+  /** Submits a job of the organisation that holds a key and returns its id. */
+  String submit(String queueName, String key, Submission submission) {
     String id = "%016x".formatted(0xa000L + submissions.size() + ticket);
-    call(new BatchCall.Submit(queueName, KEY, id, submission));
+    call(new BatchCall.Submit(queueName, key, id, submission));
     return id;
   }
 
   /** Returns what callers are told of a job. */
   Optional<CallAnswer> status(String job) {
-    Optional<Long> asked = call(new BatchCall.Status(NORMAL, KEY, job));
+    String key = configuration.holders().getFirst().apiKeys().iterator().next();
+    Optional<Long> asked = call(new BatchCall.Status(NORMAL, key, job));
     return asked.map(answers::get);
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,6 +38,20 @@
     return new BatchConfiguration(1, queues, List.of(new KeyHolder("north", Set.of(KEY), 24)));
   }
 
+  /** The same queues, and several organisations with as many guaranteed accelerators each. */
+  static BatchConfiguration configuration(int organisations, int guaranteedEach) {
+    List<KeyHolder> holders = new ArrayList<>();
+    for (int i = 0; i < organisations; i++) {
+      holders.add(new KeyHolder("org-" + i, Set.of(keyOf(i)), guaranteedEach));
+    }
+    return new BatchConfiguration(1, configuration().queues(), holders);
+  }
+
+  /** Returns the key of one of several organisations. */
+  static String keyOf(int organisation) {
+    return "key-of-org-" + organisation;
+  }
+
   /** The same queues after all keys were taken away. */
   static BatchConfiguration withoutKeys(long version) {
     return new BatchConfiguration(version, configuration().queues(), List.of());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyDay.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
 
 /**
  * A day under heavy load, played on a virtual clock: short urgent gangs, long gangs and wide bulk
@@ -22,10 +24,6 @@
   private static final long DAY_MILLIS = 50_000;
   private static final long AFTER_MILLIS = 20_000;
   private static final long BACKLOG_AT = 1_500;
-  private static final int RACK_SIZE = 8;
-
-  /** Longest stop of the slower of the two users. */
-  private static final long STOP_MILLIS = 900;
 
   /** Late answers count up to this many times the objective. */
   private static final double LATEST = 3;
@@ -36,75 +34,8 @@
   /** What a core-second of thrown-away work costs; the users' price. */
   private static final double WASTE_PRICE = 0.002;
 
-  private static final int[] GANG_ACCELERATORS = {1, 2, 4, 8, 8};
-
-  /** A kind of job. */
-  private record Kind(
-      String queue,
-      double perSecond,
-      double width,
-      double millis,
-      double spread,
-      double estimateOff,
-      Demand unit,
-      double checkpointing,
-      double sameRack,
-      double worth,
-      double lateShare,
-      double factor,
-      long targetMillis,
-      int backlog) {}
-
-  private static final List<Kind> KINDS =
-      List.of(
-          new Kind(
-              Declared.URGENT,
-              1.75,
-              3.4,
-              2500,
-              0.5,
-              0.2,
-              new Demand(7_500, 31_000, 0),
-              0,
-              0.5,
-              4,
-              0.2,
-              1.5,
-              250,
-              0),
-          new Kind(
-              Declared.NORMAL,
-              0.46,
-              5,
-              8500,
-              0.3,
-              0.5,
-              new Demand(26_000, 110_000, 0),
-              0.45,
-              0.5,
-              3,
-              0.3,
-              3,
-              1000,
-              5),
-          new Kind(
-              Declared.BULK,
-              0.54,
-              16,
-              6100,
-              0.3,
-              0.5,
-              new Demand(5_600, 16_000, 1),
-              0.45,
-              0,
-              1,
-              0.3,
-              3,
-              3000,
-              9));
-
   /** A job that was asked for. */
-  private record Asked(Kind kind, long at, double objective, double share) {}
+  private record Asked(DayShape.Kind kind, long at, double objective, double share) {}
 
   /**
    * What a day was worth.
@@ -115,25 +46,28 @@
    */
   record Result(double credit, double wasted, Map<String, Double> byKind) {}
 
+  private final DayShape shape;
   private final BatchCluster cluster;
   private final Random random;
   private final double load;
   private final Map<String, Asked> asked = new LinkedHashMap<>();
   private final Map<String, Long> completedAt = new LinkedHashMap<>();
 
-  HeavyDay(long seed, int executors, double load) {
-    this.cluster = new BatchCluster(2, 0, seed);
+  HeavyDay(DayShape shape, long seed, double load) {
+    this.shape = shape;
+    this.cluster = new BatchCluster(2, 0, seed, shape.configuration());
     this.random = new Random(seed);
     this.load = load;
-    cluster.work.stopsTake(STOP_MILLIS);
-    for (int i = 0; i < executors; i++) {
-      cluster.addExecutor("e" + i, "r" + i / RACK_SIZE);
+    cluster.work.stopsTake(shape.stopMillis());
+    for (int i = 0; i < shape.executors(); i++) {
+      cluster.addExecutor("e" + i, "r" + i / shape.rackSize());
     }
   }
 
   Result play() {
     cluster.awaitOwner();
-    for (Kind kind : KINDS) {
+    shape.troubles().forEach(trouble -> plan(trouble));
+    for (DayShape.Kind kind : shape.kinds()) {
       for (int i = 0; i < kind.backlog(); i++) {
         cluster.in(BACKLOG_AT + random.nextInt(100), () -> submit(kind));
       }
@@ -153,6 +87,23 @@
     return result();
   }
 
+  /** Brings a trouble about on some executors and mends it after a while. */
+  private void plan(DayShape.Trouble trouble) {
+    List<ExecutorId> ids = new ArrayList<>(cluster.executors.keySet());
+    Collections.shuffle(ids, random);
+    List<ExecutorId> hit = ids.subList(0, (int) Math.round(ids.size() * trouble.share()));
+    cluster.in(trouble.atMillis(), () -> hit.forEach(id -> begin(trouble, id)));
+    cluster.in(trouble.atMillis() + trouble.forMillis(), () -> hit.forEach(cluster.work::mend));
+  }
+
+  private void begin(DayShape.Trouble trouble, ExecutorId id) {
+    switch (trouble.kind()) {
+      case SLOW -> cluster.work.slow(id, DayShape.SLOW_SHARE);
+      case HANGING -> cluster.work.slow(id, 0);
+      case FAILING -> cluster.work.failAllOn(id);
+    }
+  }
+
   private void look() {
     for (String job : asked.keySet()) {
       boolean completed =
@@ -168,17 +119,17 @@
     return mean * Math.exp(spread * random.nextGaussian() - spread * spread / 2);
   }
 
-  private void submit(Kind kind) {
+  private void submit(DayShape.Kind kind) {
     boolean bulk = kind.queue().equals(Declared.BULK);
     int width = Math.clamp(Math.round(lognormal(kind.width(), 0.8)), 1, (int) (6 * kind.width()));
-    int accelerators = bulk ? 1 : GANG_ACCELERATORS[random.nextInt(GANG_ACCELERATORS.length)];
-    if (!bulk) {
-      width = Math.min(width, RACK_SIZE);
-    }
+    int accelerators = bulk ? 1 : shape.drawAccelerators(random);
     long millis = Math.max(300, Math.round(lognormal(kind.millis(), kind.spread())));
     long estimate = Math.max(200, Math.round(lognormal(millis, kind.estimateOff())));
     Demand demand =
         new Demand(kind.unit().milliCores(), kind.unit().memoryMegabytes(), accelerators);
+    if (!bulk) {
+      width = Math.min(width, shape.widestGang(demand));
+    }
     boolean gang = !bulk && width > 1;
     BatchStep step =
         new BatchStep(
@@ -194,7 +145,7 @@
             random.nextDouble() < kind.checkpointing(),
             gang,
             "image-" + kind.queue());
-    String job = cluster.submit(kind.queue(), Jobs.of(step));
+    String job = cluster.submit(kind.queue(), shape.drawKey(random), Jobs.of(step));
     for (int index = 0; index < width; index++) {
       cluster.work.lasts(new TaskName(job, 0, 0, index), millis);
     }
@@ -239,13 +190,13 @@
   }
 
   /** Plays several days and returns their means. */
-  static Result mean(int days, int executors, double load) {
+  static Result mean(DayShape shape, int days, double load) {
     double credit = 0;
     double wasted = 0;
     Map<String, Double> kinds = new LinkedHashMap<>();
     List<Result> results = new ArrayList<>();
     for (int seed = 1; seed <= days; seed++) {
-      results.add(new HeavyDay(seed, executors, load).play());
+      results.add(new HeavyDay(shape, seed, load).play());
     }
     for (Result result : results) {
       credit += result.credit() / days;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -69,6 +69,12 @@
     slow.put(executor, share);
   }
 
+  /** Has an executor work well again. */
+  void mend(ExecutorId executor) {
+    slow.remove(executor);
+    sick.remove(executor);
+  }
+
   /** Has every run on an executor fail soon. */
   void failAllOn(ExecutorId executor) {
     sick.add(executor);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/executor/ExecutorStateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/executor/ExecutorStateTest.java
@@ -1,6 +1,8 @@
 package org.fescuehook.logic.batch.executor;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -58,4 +60,31 @@
     executor.endsStored(3);
     assertEquals(3, executor.acknowledged());
   }
+
+  /** Each such poll came back at once with the same ends: over half of all polls of a full day. */
+  @Test
+  void noPollIsDueWhileEndsAreBeingStored() {
+    ExecutorState executor = executor();
+    executor.pollSent(1, 0);
+    executor.sawEndsUpTo(3);
+    executor.pollAnswered(millis(1000));
+    assertFalse(executor.pollDue(millis(1010)));
+
+    executor.endsStored(3);
+    assertTrue(executor.pollDue(millis(1010)));
+  }
+
+  @Test
+  void pollsGoOnWhenTheStoreTakesLong() {
+    ExecutorState executor = executor();
+    executor.pollSent(1, 0);
+    executor.sawEndsUpTo(3);
+    executor.pollAnswered(millis(1000));
+
+    assertTrue(executor.pollDue(millis(1100)));
+  }
+
+  private static long millis(long millis) {
+    return millis * 1_000_000;
+  }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/TimingTest.java
@@ -0,0 +1,34 @@
+package org.fescuehook.logic.batch.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.fescuehook.logic.batch.plan.Timing.Prospect;
+import org.junit.jupiter.api.Test;
+
+class TimingTest {
+
+  /** An objective of 10, of which 6 are spare. */
+  private static Timing waited(long nanos) {
+    return new Timing(nanos, nanos, 6, 10);
+  }
+
+  @Test
+  void workIsInTimeWhileItsSpareTimeLasts() {
+    assertEquals(Prospect.IN_TIME, waited(6).prospect());
+    assertEquals(Prospect.LATE, waited(7).prospect());
+  }
+
+  @Test
+  void workIsOfUseUpToThreeTimesItsObjective() {
+    assertEquals(Prospect.LATE, waited(26).prospect());
+    assertEquals(Prospect.TOO_LATE, waited(27).prospect());
+  }
+
+  @Test
+  void workIsPressedOnceItsSpareTimeIsAlmostOver() {
+    assertFalse(waited(4).pressed());
+    assertTrue(waited(5).pressed());
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/control/VirtualCluster.java
@@ -282,7 +282,7 @@
           }
         }
       }
-      deliver(vm, new ControlEvent.PeersHeard(alive, reaching));
+      deliver(vm, new ControlEvent.PeersHeard(alive, reaching, Set.of()));
       deliver(vm, new ControlEvent.PeersFolded(folded));
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/AtMostOnceTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/AtMostOnceTest.java
@@ -153,6 +153,44 @@
     }
   }
 
+  /** Cuts its first answer in the middle of the body; all later ones are whole. */
+  private static FakeExecutor.Behaviour cuttingTheFirstAnswer() {
+    return (executor, socket, in) -> {
+      FakeExecutor.Request request = FakeExecutor.read(in);
+      executor.journal.add(request);
+      byte[] answer = answer(request, "length");
+      int length = executor.journal.size() == 1 ? answer.length - 3 : answer.length;
+      socket.getOutputStream().write(answer, 0, length);
+    };
+  }
+
+  /** A caller once got the head of an answer and then a cut connection. */
+  @Test
+  void anAnswerThatTheExecutorCutsIsToldAsUnknown() throws Exception {
+    try (FakeLog log = new FakeLog();
+        FakeExecutor executor = new FakeExecutor(cuttingTheFirstAnswer());
+        PathFixture fixture = new PathFixture(log, 4, executor)) {
+      RawCaller.Answer answer = fixture.post("/requests/charge", "", BODY);
+
+      assertTrue(answer.whole(), answer::toString);
+      assertEquals("unknown", answer.ran());
+      assertEquals(1, executor.journal.size());
+    }
+  }
+
+  @Test
+  void aRepeatableRequestIsDispatchedAgainWhenItsAnswerIsCut() throws Exception {
+    try (FakeLog log = new FakeLog();
+        FakeExecutor executor = new FakeExecutor(cuttingTheFirstAnswer());
+        PathFixture fixture = new PathFixture(log, 4, executor)) {
+      RawCaller.Answer answer = fixture.post("/requests/price", "Repeatable: true\r\n", BODY);
+
+      assertEquals(200, answer.status());
+      assertEquals("paid 42", answer.body());
+      assertEquals(2, executor.journal.size());
+    }
+  }
+
   private static byte[] answer(FakeExecutor.Request request, String framing) {
     if (framing.equals("length")) {
       return FakeExecutor.ok(request, "paid 42");
