--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -9,9 +9,9 @@
 import org.fescuehook.logic.batch.BatchCore;
 import org.fescuehook.logic.batch.BatchEvent;
 import org.fescuehook.logic.batch.call.CallAnswer;
-import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.net.duty.DutyRing;
+import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
@@ -25,6 +25,7 @@
   private final BatchCore core;
   private final PlatformStore store;
   private final ExecutorClient executors;
+  private final AdviceClient advice;
   private final MeterRegistry meters;
   private final Consumer<OwnerView> views;
   private final Map<Long, Consumer<CallAnswer>> open = new HashMap<>();
@@ -34,11 +35,13 @@
       BatchCore core,
       PlatformStore store,
       ExecutorClient executors,
+      AdviceClient advice,
       MeterRegistry meters,
       Consumer<OwnerView> views) {
     this.core = core;
     this.store = store;
     this.executors = executors;
+    this.advice = advice;
     this.meters = meters;
     this.views = views;
   }
@@ -76,6 +79,7 @@
       case BatchCommand.LoadState(var afterKey) -> store.loadState(afterKey);
       case BatchCommand.FollowExecutors(boolean following) -> follow(following);
       case BatchCommand.Order order -> executors.send(order);
+      case BatchCommand.AskAdvice question -> advice.ask(question);
       case BatchCommand.ForgetExecutor(var id) -> executors.forget(id);
       case BatchCommand.Note(var event, var arguments) ->
           EventLog.info(LOGGER, event, arguments.toArray());
@@ -92,9 +96,7 @@
   }
 
   private void publishView() {
-    OwnerView now =
-        new OwnerView(
-            core.deciding(), core.ownerRecord().map(OwnerRecord::address), core.handedOver());
+    OwnerView now = new OwnerView(core.deciding(), core.ownerHint(), core.handedOver());
     if (!now.equals(view)) {
       view = now;
       views.accept(now);
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -9,15 +9,18 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.fescuehook.logic.batch.BatchEvent;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.logic.ini.MalformedValueException;
 import org.fescuehook.net.batch.CallLink;
 import org.fescuehook.net.batch.CallPort;
+import org.fescuehook.net.batch.OwnerHints;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,7 +29,7 @@
  * known is repeated, at the next owner where there is one: every call is idempotent by the id of
  * its job, and callers may not repeat a call themselves after an undecided answer.
  */
-final class CallGateway implements CallPort {
+final class CallGateway implements CallPort, OwnerHints {
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallGateway.class);
 
@@ -60,18 +63,32 @@
 
   /** Takes a newer view; called by the decision thread only. */
   void update(OwnerView newer) {
-    boolean moved = !newer.address().equals(view.address()) || newer.deciding() != view.deciding();
+    boolean moved = !address(newer).equals(address(view)) || newer.deciding() != view.deciding();
     view = newer;
     if (moved) {
-      link.ifPresent(CallLink::close);
-      link = newer.deciding() ? Optional.empty() : newer.address().flatMap(this::linkTo);
+      link.ifPresent(former -> former.close(newer.owner()));
+      link = newer.deciding() ? Optional.empty() : address(newer).flatMap(this::linkTo);
     }
   }
 
+  private static Optional<String> address(OwnerView view) {
+    return view.owner().map(OwnerHint::address);
+  }
+
+  @Override
+  public Optional<OwnerHint> known() {
+    return view.owner();
+  }
+
+  @Override
+  public void hinted(OwnerHint hint) {
+    ring.publish(new BatchEvent.OwnerHinted(hint));
+  }
+
   private Optional<CallLink> linkTo(String address) {
     try {
       InetSocketAddress owner = Addresses.fromPort(1).reader().read(address);
-      return Optional.of(new CallLink(loop, owner));
+      return Optional.of(new CallLink(loop, owner, this));
     } catch (MalformedValueException e) {
       EventLog.warn(LOGGER, SchedulerEvent.NOT_READY, "owner address " + address);
       return Optional.empty();
@@ -108,6 +125,9 @@
       Consumer<CallAnswer> sink,
       long since,
       boolean perhapsTaken) {
+    if (answer instanceof CallAnswer.Refused refused && showsOwnerUnfit(refused.cause())) {
+      ring.publish(new BatchEvent.OwnerDoubted());
+    }
     boolean undecided = answer instanceof CallAnswer.Undecided;
     // A refusal of a repeated call says nothing of the first one, which may have been taken.
     boolean unsure = undecided || (perhapsTaken && answer instanceof CallAnswer.Refused);
@@ -126,6 +146,14 @@
         () -> send(call, sink, since, true), REPEAT_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Tells whether a refusal shows that the owner is cut off from the store or cannot be reached.
+   */
+  private boolean showsOwnerUnfit(RefusalCause cause) {
+    boolean passedOn = !view.deciding() && link.isPresent();
+    return passedOn && (cause == RefusalCause.STORE_AWAY || cause == RefusalCause.NO_OWNER);
+  }
+
   /** Lets the first answer through and drops others, which come after the timeout. */
   private Consumer<CallAnswer> once(BatchCall call, Consumer<CallAnswer> sink) {
     AtomicBoolean answered = new AtomicBoolean();
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -22,6 +22,7 @@
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 import org.fescuehook.net.batch.CallServer;
+import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.CallerEdge;
 import org.fescuehook.platform.ExecutorClient;
 import org.fescuehook.platform.PlatformStore;
@@ -74,7 +75,7 @@
     this.ring = new BatchRing(TICK, meters);
     this.gateway = new CallGateway(loop, ring, meters);
     this.callers = new CallerEdge(loops, gateway);
-    this.peers = new CallServer(loops, ring);
+    this.peers = new CallServer(loops, ring, gateway);
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
     this.metrics =
         new StatusServer(
@@ -92,13 +93,18 @@
         new ExecutorClient(
             loop,
             (id, number, outcome) -> ring.publish(new BatchEvent.OrderEnded(id, number, outcome)));
+    AdviceClient advice =
+        new AdviceClient(
+            loop,
+            preferences.addresses().advice(),
+            (number, outcome) -> ring.publish(new BatchEvent.AdviceEnded(number, outcome)));
     OwnerIdentity self =
         new OwnerIdentity(
             preferences.identity().vm(),
             incarnation,
             Addresses.format(preferences.addresses().peers()));
     BatchCore core = new BatchCore(self, preferences.batch());
-    this.decisions = new BatchDuty(core, store, executors, meters, gateway::update);
+    this.decisions = new BatchDuty(core, store, executors, advice, meters, gateway::update);
   }
 
   /**
@@ -133,7 +139,7 @@
       return new StatusServer.Page(false, "no configuration");
     }
     OwnerView view = gateway.view();
-    boolean served = view.deciding() || view.address().isPresent();
+    boolean served = view.deciding() || view.owner().isPresent();
     return new StatusServer.Page(served, served ? "ready" : "no owner");
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -40,6 +40,14 @@
   record Order(ExecutorProfile executor, long number, long epoch, ExecutorOrder order)
       implements BatchCommand {}
 
+  /**
+   * Ask the advice service which executors may run a step; the outcome comes back as {@link
+   * BatchEvent.AdviceEnded}.
+   *
+   * @param step name of the step
+   */
+  record AskAdvice(long number, String step, List<ExecutorId> executors) implements BatchCommand {}
+
   /** Close the connections to an executor that is gone. */
   record ForgetExecutor(ExecutorId executor) implements BatchCommand {}
 
@@ -66,11 +74,20 @@
      * Start a run; idempotent.
      *
      * @param checkpoint saved progress to go on from; empty for none
+     * @param ticket what the advice service gave for this executor; absent where none is needed
      * @param leaseUntilMillis by the executor's clock
      */
-    record Start(TaskRun run, String spec, String checkpoint, long leaseUntilMillis)
+    record Start(
+        TaskRun run, String spec, String checkpoint, Optional<String> ticket, long leaseUntilMillis)
         implements ExecutorOrder {}
 
+    /**
+     * Let a run work at a share of its speed; idempotent.
+     *
+     * @param percent 0 to 100
+     */
+    record Pace(TaskRun run, int percent) implements ExecutorOrder {}
+
     /** Stop a run, also one that has not come yet; idempotent. */
     record Stop(TaskRun run) implements ExecutorOrder {}
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -9,8 +9,8 @@
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
-import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.ownership.OwnershipDuty;
 import org.fescuehook.logic.batch.state.JobBook;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -64,9 +64,9 @@
     return turn.commands();
   }
 
-  /** Returns the owner's newest record; absent while there is no owner. */
-  public Optional<OwnerRecord> ownerRecord() {
-    return ownership.owner();
+  /** Returns the owner to tell peers: this VM if it owns, else the one that it knows. */
+  public Optional<OwnerHint> ownerHint() {
+    return ownership.hint();
   }
 
   /** Tells whether this VM decides. */
@@ -87,6 +87,8 @@
           appended(stream, position, outcome, turn);
       case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, turn);
       case BatchEvent.OwnershipUnreadable unreadable -> ownership.unreadable(turn);
+      case BatchEvent.OwnerDoubted doubted -> ownership.doubted(turn);
+      case BatchEvent.OwnerHinted(var hint) -> ownership.hinted(hint, turn);
       case BatchEvent.StateRead(var records, var more) ->
           takeover.ifPresent(loading -> loading.read(records, more));
       case BatchEvent.StateUnreadable unreadable ->
@@ -96,6 +98,8 @@
       case BatchEvent.ExecutorsListed(var profiles) -> listed(profiles, turn);
       case BatchEvent.OrderEnded(var id, long number, var outcome) ->
           owner.ifPresent(owning -> owning.orderEnded(id, number, outcome, turn));
+      case BatchEvent.AdviceEnded(long number, var outcome) ->
+          owner.ifPresent(owning -> owning.advised(number, outcome, turn));
       case BatchEvent.StopBegun begun -> {
         stoppingSince = OptionalLong.of(turn.nowNanos());
         owner.ifPresent(BatchOwner::beginStop);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
@@ -37,6 +39,15 @@
   /** The stream of ownership could not be read. */
   record OwnershipUnreadable() implements BatchEvent {}
 
+  /**
+   * The owner has told that it cannot reach the store, or it could not be connected to: it may be
+   * replaced sooner than by its silence alone.
+   */
+  record OwnerDoubted() implements BatchEvent {}
+
+  /** A peer knows an owner. */
+  record OwnerHinted(OwnerHint hint) implements BatchEvent {}
+
   /**
    * A page of the jobs' stream.
    *
@@ -59,6 +70,9 @@
   /** An order ended. */
   record OrderEnded(ExecutorId executor, long number, OrderOutcome outcome) implements BatchEvent {}
 
+  /** A question to the advice service ended. */
+  record AdviceEnded(long number, AdviceOutcome outcome) implements BatchEvent {}
+
   /** This VM stops: give ownership up. */
   record StopBegun() implements BatchEvent {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -46,6 +46,12 @@
   EXECUTOR_GONE(8033, "Executor {} gone: {}, {} runs lost"),
   /** An executor gets nothing new for a while. */
   EXECUTOR_RESTED(8034, "Executor {} rests for {} ms: {}"),
+  /** Work on an executor is slowed down, or speeds up again, for tasks that serve users. */
+  WORK_PACED(8035, "Work on {} is paced to {} percent: a task is at {} percent of its bound"),
+  /** The advice service told which executors may run a step. */
+  ADVICE_GIVEN(8036, "Step {} may run on {} of {} executors, for {} ms"),
+  /** The advice service gave no answer. */
+  ADVICE_MISSING(8037, "No advice on step {}: {}"),
   /** A stored record cannot be read. */
   RECORD_UNREADABLE(8040, "Record {} cannot be read: {}");
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fescuehook.logic.batch.advice.AdviceDuty;
+import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -39,9 +41,15 @@
 /** The owner's work during one epoch. */
 final class BatchOwner implements RunListener {
 
-  /** When callers come back after a refusal that a store or owner will have mended by then. */
+  /** When callers come back at the soonest after a refusal. */
   private static final long COME_BACK_MILLIS = 1000;
 
+  /**
+   * When they come back at the latest: their few attempts then span some 12 s, the longest outage
+   * of the store that the users expect.
+   */
+  private static final long LATEST_COME_BACK_MILLIS = 3000;
+
   /** Part of the longest lease that is asked for; the rest covers the order's way. */
   private static final Duration LEASE_SLACK = Duration.ofMillis(200);
 
@@ -61,6 +69,9 @@
    */
   private static final long REACHABLE_NANOS = Duration.ofMillis(1200).toNanos();
 
+  /** Questions of different epochs get different numbers, so late answers are not mixed up. */
+  private static final int QUESTION_EPOCH_SHIFT = 32;
+
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -68,12 +79,14 @@
   private final StateWriter writer;
   private final ExecutorDuty executors;
   private final JobDuty jobs;
+  private final AdviceDuty advice;
   private final PlanDuty plans;
   private final Map<String, Submitting> submitting = new LinkedHashMap<>();
   private final List<Submitting.DueCancel> dueCancels = new ArrayList<>();
   private final List<BatchCommand> ready = new ArrayList<>();
   private boolean fenced;
   private boolean stopping;
+  private long storeAgeMillis;
   private long plannedAt;
 
   BatchOwner(
@@ -93,7 +106,8 @@
             ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
             this);
     this.jobs = new JobDuty(book, writer, executors, configuration);
-    this.plans = new PlanDuty(jobs, executors);
+    this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
+    this.plans = new PlanDuty(jobs, executors, advice);
     listed.forEach(profile -> executors.seen(profile, turn));
     executors.inherit(Takeover.inheritedRuns(book), turn);
   }
@@ -126,6 +140,12 @@
     }
   }
 
+  /** Takes what the advice service told. */
+  void advised(long number, AdviceOutcome outcome, BatchTurn turn) {
+    advice.answered(number, outcome, turn);
+    jobs.changed();
+  }
+
   /** Takes what became of an append. */
   void appended(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     if (!writer.answered(position, outcome, turn)) {
@@ -149,6 +169,7 @@
    * @param storeSeenAt when the store last confirmed this owner, monotonic time
    */
   void step(long storeSeenAt, BatchTurn turn) {
+    storeAgeMillis = Duration.ofNanos(turn.nowNanos() - storeSeenAt).toMillis();
     writer.expire(turn);
     List<Submitting.DueCancel> cancels = List.copyOf(dueCancels);
     dueCancels.clear();
@@ -264,16 +285,21 @@
     if (stopping) {
       return Optional.of(RefusalCause.STOPPING);
     }
-    if (queue.advised()) {
+    if (queue.advised() && !preferences.adviceAvailable()) {
       return Optional.of(RefusalCause.UNSUPPORTED);
     }
     return storeAway ? Optional.of(RefusalCause.STORE_AWAY) : Optional.empty();
   }
 
   private void refuse(long ticket, String id, RefusalCause cause, BatchTurn turn) {
-    turn.note(BatchLogEvent.JOB_REFUSED, id, cause, COME_BACK_MILLIS);
+    turn.note(BatchLogEvent.JOB_REFUSED, id, cause, comeBackMillis());
     turn.count("fescuehook.batch.refused", "cause", cause.tag());
-    answer(ticket, new CallAnswer.Refused(cause, COME_BACK_MILLIS));
+    answer(ticket, new CallAnswer.Refused(cause, comeBackMillis()));
+  }
+
+  /** Returns when to come back: an outage that has lasted a while will last about as long again. */
+  private long comeBackMillis() {
+    return Math.clamp(storeAgeMillis, COME_BACK_MILLIS, LATEST_COME_BACK_MILLIS);
   }
 
   private void accepted(BatchJob job) {
@@ -296,12 +322,12 @@
   private void notAccepted(String id, CommitLoss loss) {
     CallAnswer answer =
         switch (loss) {
-          case NOT_STORED -> new CallAnswer.Refused(RefusalCause.STORE_AWAY, COME_BACK_MILLIS);
+          case NOT_STORED -> new CallAnswer.Refused(RefusalCause.STORE_AWAY, comeBackMillis());
           case UNKNOWN -> new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
         };
     BatchLogEvent event =
         loss == CommitLoss.NOT_STORED ? BatchLogEvent.JOB_REFUSED : BatchLogEvent.JOB_UNDECIDED;
-    note(event, id, loss, COME_BACK_MILLIS);
+    note(event, id, loss, comeBackMillis());
     Submitting waiters = submitting.remove(id);
     waiters.tickets().forEach(ticket -> answer(ticket, answer));
     waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, id)));
@@ -364,6 +390,9 @@
 
   @Override
   public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
+    if (rejection == Rejection.NO_TICKET) {
+      advice.rejected(run.step(), run.executor());
+    }
     jobs.rejected(run, rejection, turn);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
@@ -48,7 +48,7 @@
   }
 
   /** Returns the commands so far. */
-  List<BatchCommand> commands() {
+  public List<BatchCommand> commands() {
     return List.copyOf(commands);
   }
 }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceDuty.java
@@ -0,0 +1,159 @@
+package org.fescuehook.logic.batch.advice;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/**
+ * Asks the advice service which executors may run steps of queues that need its advice, and keeps
+ * the tickets that it gives. The service handles one call of a VM at a time, so one is under way at
+ * most. Which executors may run a step never changes; only tickets expire.
+ */
+public final class AdviceDuty {
+
+  /** Most executors that the service takes in one call. */
+  private static final int MOST_EXECUTORS = 100;
+
+  /** Pause after a call that had no answer; the service refuses while 32 calls wait. */
+  private static final long RETRY_NANOS = Duration.ofMillis(200).toNanos();
+
+  /**
+   * Taken off the time that a ticket holds, for a placement's way to the store and the executor.
+   */
+  private static final long TICKET_MARGIN_NANOS = Duration.ofMillis(300).toNanos();
+
+  private final Map<StepProgress, Known> steps = new HashMap<>();
+  private final long firstNumber;
+  private Optional<Asked> underWay = Optional.empty();
+  private long lastNumber;
+  private long askAgainAt;
+
+  /** A question under way. */
+  private record Asked(long number, StepProgress step, List<ExecutorId> executors) {}
+
+  /** What a start has to carry, and until when it holds; monotonic time. */
+  private record Ticket(String text, long untilNanos) {}
+
+  /** What is known of one step. */
+  private static final class Known {
+    private final Set<ExecutorId> forbidden = new HashSet<>();
+    private final Map<ExecutorId, Ticket> tickets = new HashMap<>();
+  }
+
+  /**
+   * Creates the duty of an epoch.
+   *
+   * @param firstNumber number that no question of an earlier epoch had
+   */
+  public AdviceDuty(long firstNumber, BatchTurn turn) {
+    this.firstNumber = firstNumber;
+    this.lastNumber = firstNumber;
+    this.askAgainAt = turn.nowNanos();
+  }
+
+  /** Returns the executors on which a step may start now. */
+  public Set<ExecutorId> permitted(StepProgress step, long nowNanos) {
+    Set<ExecutorId> permitted = new HashSet<>();
+    Optional.ofNullable(steps.get(step))
+        .ifPresent(
+            known ->
+                known.tickets.forEach(
+                    (executor, ticket) -> {
+                      if (holds(ticket, nowNanos)) {
+                        permitted.add(executor);
+                      }
+                    }));
+    return permitted;
+  }
+
+  /** Returns what a start of a step on an executor has to carry; absent if there is no ticket. */
+  public Optional<String> ticket(StepProgress step, ExecutorId executor, long nowNanos) {
+    return Optional.ofNullable(steps.get(step))
+        .map(known -> known.tickets.get(executor))
+        .filter(ticket -> holds(ticket, nowNanos))
+        .map(Ticket::text);
+  }
+
+  private static boolean holds(Ticket ticket, long nowNanos) {
+    return ticket.untilNanos() - nowNanos > 0;
+  }
+
+  /**
+   * Asks about a step that waits if no question is under way: about executors that were not asked
+   * about yet, or about permitted ones whose tickets have expired.
+   */
+  public void ask(StepProgress step, List<ExecutorId> usable, BatchTurn turn) {
+    if (underWay.isPresent() || turn.nowNanos() - askAgainAt < 0) {
+      return;
+    }
+    Known known = steps.computeIfAbsent(step, name -> new Known());
+    List<ExecutorId> wanted =
+        usable.stream()
+            .filter(executor -> !known.forbidden.contains(executor))
+            .filter(executor -> ticket(step, executor, turn.nowNanos()).isEmpty())
+            .limit(MOST_EXECUTORS)
+            .toList();
+    if (wanted.isEmpty()) {
+      return;
+    }
+    lastNumber++;
+    underWay = Optional.of(new Asked(lastNumber, step, wanted));
+    turn.add(new BatchCommand.AskAdvice(lastNumber, step.name(), wanted));
+  }
+
+  /** Takes an answer; one to a question of an earlier epoch is dropped. */
+  public void answered(long number, AdviceOutcome outcome, BatchTurn turn) {
+    if (number <= firstNumber || underWay.filter(asked -> asked.number() == number).isEmpty()) {
+      return;
+    }
+    Asked asked = underWay.get();
+    underWay = Optional.empty();
+    switch (outcome) {
+      case AdviceOutcome.Given given -> given(asked, given, turn);
+      case AdviceOutcome.Unavailable(String reason) -> {
+        askAgainAt = turn.nowNanos() + RETRY_NANOS;
+        turn.note(BatchLogEvent.ADVICE_MISSING, asked.step().name(), reason);
+        turn.count("fescuehook.batch.advice", "outcome", "unavailable");
+      }
+    }
+  }
+
+  private void given(Asked asked, AdviceOutcome.Given given, BatchTurn turn) {
+    Known known = steps.computeIfAbsent(asked.step(), name -> new Known());
+    long valid = Duration.ofMillis(given.validMillis()).toNanos() - TICKET_MARGIN_NANOS;
+    for (ExecutorId executor : asked.executors()) {
+      String ticket = given.tickets().get(executor);
+      if (ticket == null) {
+        known.forbidden.add(executor);
+      } else {
+        known.tickets.put(executor, new Ticket(ticket, turn.nowNanos() + valid));
+      }
+    }
+    turn.note(
+        BatchLogEvent.ADVICE_GIVEN,
+        asked.step().name(),
+        given.tickets().size(),
+        asked.executors().size(),
+        given.validMillis());
+    turn.count("fescuehook.batch.advice", "outcome", "given");
+  }
+
+  /** An executor did not take a ticket: it is asked about again. */
+  public void rejected(StepProgress step, ExecutorId executor) {
+    Optional.ofNullable(steps.get(step)).ifPresent(known -> known.tickets.remove(executor));
+  }
+
+  /** Forgets steps that need no further start. */
+  public void forgetEnded() {
+    steps.keySet().removeIf(step -> step.done() || !step.job().open());
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -42,6 +42,7 @@
   private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
 
   private final OrderSender orders;
+  private final Pacer pacer;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
   private final RunListener listener;
@@ -56,6 +57,7 @@
    */
   public ExecutorDuty(long epoch, Duration lease, Duration inheritedLease, RunListener listener) {
     this.orders = new OrderSender(epoch, lease);
+    this.pacer = new Pacer(orders);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
   }
@@ -76,6 +78,7 @@
         orphans.computeIfAbsent(run.executor(), id -> new ArrayList<>()).add(run);
       }
     }
+    pacer.inherited(runs, run -> book.find(run.executor()), turn);
   }
 
   private void adopt(ExecutorState executor, LiveRun run, BatchTurn turn) {
@@ -146,6 +149,7 @@
 
   private void forget(ExecutorState executor, BatchTurn turn) {
     book.remove(executor);
+    pacer.forget(executor);
     turn.add(new BatchCommand.ForgetExecutor(executor.profile().id()));
   }
 
@@ -253,6 +257,7 @@
         long millis = Duration.ofNanos(turn.nowNanos() - run.placedAt()).toMillis();
         turn.note(BatchLogEvent.RUN_STARTED, run.run(), run.executor(), millis);
         run.enter(Stage.RUNNING, turn.nowNanos());
+        pacer.started(executor, run, turn);
       }
       case OrderOutcome.Rejected(Rejection rejection) ->
           startRejected(executor, run, rejection, turn);
@@ -275,7 +280,7 @@
     switch (rejection) {
       case UNHEALTHY -> executor.rest(UNHEALTHY_REST, "it calls itself unhealthy", turn);
       case NO_ROOM -> executor.rest(NO_ROOM_REST, "it has less room than thought", turn);
-      case FENCED, SUPERSEDED, EXPIRED, OTHER -> {}
+      case FENCED, SUPERSEDED, EXPIRED, NO_TICKET, OTHER -> {}
     }
     if (run.startUncertain()) {
       listener.startGivenUp(run, turn);
@@ -326,6 +331,7 @@
       active.add(run.run());
       takeActive(executor, run, turn);
     }
+    pacer.look(executor, answer, turn);
     for (LiveRun run : List.copyOf(executor.runs())) {
       if (run.mustBeListed(sentAt) && !active.contains(run.run())) {
         executor.remove(run);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorJudge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorJudge.java
@@ -63,6 +63,8 @@
     boolean comparable =
         run.stage() == Stage.RUNNING
             && run.checkpoint().isEmpty()
+            && run.step().spec().lasting().isEmpty()
+            && !run.wasSlowedDown()
             && !run.step().spec().placement().sameRack();
     double estimate = run.step().spec().estimateMillis();
     double elapsed = Duration.ofNanos(nowNanos - run.stageSince()).toMillis();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -37,6 +37,8 @@
     SUPERSEDED,
     /** The lease in the order had expired on arrival. */
     EXPIRED,
+    /** It has no valid ticket of the advice service. */
+    NO_TICKET,
     /** There is no room. */
     NO_ROOM,
     /** The executor is unhealthy and does nothing. */
@@ -49,9 +51,12 @@
    * A run at work.
    *
    * @param checkpoint newest saved progress; empty for none
-   * @param percent share of the work that is done, 0 to 100
+   * @param percent share of the work that is done, 0 to 100; of a lasting task 100 once it is at
+   *     work
+   * @param load for a task that serves users the tail of its response times, in milliseconds; for
+   *     any other the thousandths of a core in use; both over the last half second
    */
-  record ActiveRun(TaskRun run, String checkpoint, int percent) {}
+  record ActiveRun(TaskRun run, String checkpoint, int percent, long load) {}
 
   /**
    * A run that has ended.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -63,7 +63,8 @@
     run.ordered(turn.nowNanos());
     long leaseUntil = executor.extendLease(lease, turn.nowNanos());
     String spec = run.step().job().job().submission().spec();
-    ExecutorOrder order = new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), leaseUntil);
+    ExecutorOrder order =
+        new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), run.ticket(), leaseUntil);
     ordered.put(send(executor, order, turn), run);
   }
 
@@ -73,6 +74,12 @@
     ordered.put(send(executor, new ExecutorOrder.Stop(run.run()), turn), run);
   }
 
+  /** Orders a run to work at a share of its speed. */
+  void pace(ExecutorState executor, LiveRun run, int percent, BatchTurn turn) {
+    run.slowedDown();
+    send(executor, new ExecutorOrder.Pace(run.run(), percent), turn);
+  }
+
   /** Orders the end of a run that the owner does not know. */
   void stopUnknown(ExecutorState executor, TaskRun run, BatchTurn turn) {
     send(executor, new ExecutorOrder.Stop(run), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -30,6 +30,15 @@
    */
   private static final long SILENCE_NANOS = Duration.ofMillis(2000).toNanos();
 
+  /**
+   * Silence after which an owner is replaced that is doubted: it says itself that it cannot reach
+   * the store, or cannot be connected to. Two heartbeats that a slow store delays fit into it.
+   */
+  private static final long DOUBTED_SILENCE_NANOS = Duration.ofMillis(1000).toNanos();
+
+  /** How long a doubt counts; calls that renew it come several times a second. */
+  private static final long DOUBT_NANOS = Duration.ofMillis(1500).toNanos();
+
   /** Pause before a claim or heartbeat that the store did not take is repeated. */
   private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -39,6 +48,12 @@
    */
   private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
 
+  /** Offset of what a peer told before any record was read. */
+  private static final long BEFORE_FIRST = -1;
+
+  /** Incarnation of an owner that a peer told of. */
+  private static final String UNKNOWN = "";
+
   private final OwnerIdentity self;
 
   /**
@@ -51,6 +66,7 @@
   private OptionalLong end = OptionalLong.empty();
   private OptionalLong epoch = OptionalLong.empty();
   private long quietSince;
+  private OptionalLong doubtedAt = OptionalLong.empty();
   private long sequence;
   private boolean appending;
   private boolean releasing;
@@ -98,6 +114,7 @@
     boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
     newest = record;
     quietSince = turn.nowNanos();
+    doubtedAt = OptionalLong.empty();
     if (changed) {
       turn.note(BatchLogEvent.OWNER_SEEN, seen.vm(), seen.epoch(), seen.kind());
     }
@@ -115,6 +132,43 @@
     quietSince = turn.nowNanos();
   }
 
+  /** Returns the owner to tell others: this VM, or the one that it knows. */
+  public Optional<OwnerHint> hint() {
+    if (epoch.isPresent()) {
+      return Optional.of(new OwnerHint(self.vm(), epoch.getAsLong(), self.address()));
+    }
+    return owner().map(known -> new OwnerHint(known.vm(), known.epoch(), known.address()));
+  }
+
+  /**
+   * Takes a peer's word for a newer owner. It matters while this VM cannot read the stream itself;
+   * what it reads later counts more.
+   */
+  public void hinted(OwnerHint hint, BatchTurn turn) {
+    long known = Math.max(epoch.orElse(0), newest.map(OwnerRecord::epoch).orElse(0L));
+    if (hint.epoch() <= known || hint.vm().equals(self.vm())) {
+      return;
+    }
+    long offset = newest.map(OwnerRecord::offset).orElse(BEFORE_FIRST);
+    OwnerRecord.Kind kind = OwnerRecord.Kind.HEARTBEAT;
+    newest =
+        Optional.of(
+            new OwnerRecord(kind, hint.vm(), UNKNOWN, hint.address(), hint.epoch(), offset));
+    quietSince = turn.nowNanos();
+    doubtedAt = OptionalLong.empty();
+    turn.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
+    if (epoch.isPresent()) {
+      lose(turn, "a peer knows " + hint.vm() + " at epoch " + hint.epoch());
+    }
+  }
+
+  /** Takes in that the owner has shown that it does not decide at present. */
+  public void doubted(BatchTurn turn) {
+    if (epoch.isEmpty()) {
+      doubtedAt = OptionalLong.of(turn.nowNanos());
+    }
+  }
+
   /** Claims or sends a heartbeat if it is time. */
   public void step(BatchTurn turn) {
     if (appending || turn.nowNanos() - nextAppendAt < 0) {
@@ -135,7 +189,13 @@
       return true;
     }
     boolean formerStart = newest.get().vm().equals(self.vm()) && !bySelf(newest.get());
-    return formerStart || turn.nowNanos() - quietSince > SILENCE_NANOS;
+    return formerStart || turn.nowNanos() - quietSince > patienceNanos(turn);
+  }
+
+  private long patienceNanos(BatchTurn turn) {
+    boolean doubted =
+        doubtedAt.isPresent() && turn.nowNanos() - doubtedAt.getAsLong() < DOUBT_NANOS;
+    return doubted ? DOUBTED_SILENCE_NANOS : SILENCE_NANOS;
   }
 
   private void claim(BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -36,6 +37,9 @@
   private final Function<StepProgress, Rank> ranks;
   private final long nowNanos;
 
+  /** Tasks of steps that last which this plan stops already. */
+  private final Map<StepProgress, Integer> planned = new HashMap<>();
+
   Displacer(Function<StepProgress, Rank> ranks, long nowNanos) {
     this.ranks = ranks;
     this.nowNanos = nowNanos;
@@ -70,6 +74,11 @@
     return best;
   }
 
+  /** Remembers that a choice is carried out. */
+  void carriedOut(Choice choice) {
+    choice.victims().forEach(run -> planned.merge(run.step(), 1, Integer::sum));
+  }
+
   /** Victims, what they lose, and the places that the step then has. */
   record Choice(List<LiveRun> victims, double thrownAway, List<Place> places) {}
 
@@ -129,6 +138,7 @@
   private List<Victim> victims(WaitingStep waiting, List<Slot> group) {
     List<Victim> victims = new ArrayList<>();
     Set<StepProgress> gangs = new LinkedHashSet<>();
+    Map<StepProgress, Integer> missed = new HashMap<>(planned);
     for (Slot slot : group) {
       ExecutorState executor = slot.executor();
       for (LiveRun run : executor.runs()) {
@@ -137,6 +147,10 @@
         if (!movable || !waiting.rank().before(rank)) {
           continue;
         }
+        boolean lasting = run.step().spec().lasting().isPresent();
+        if (lasting && missed.merge(run.step(), 1, Integer::sum) > run.step().mayMiss()) {
+          continue;
+        }
         if (run.step().spec().gang()) {
           gangs.add(run.step());
         } else {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -5,10 +5,12 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.advice.AdviceDuty;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.JobDuty;
@@ -17,23 +19,27 @@
 import org.fescuehook.logic.batch.state.OpenJob;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
 
 /** Carries plans out: stores each placement, then orders the start. */
 public final class PlanDuty {
 
   private final JobDuty jobs;
   private final ExecutorDuty executors;
+  private final AdviceDuty advice;
   private final Planner planner;
   private final List<LiveRun> stored = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
   /** Creates the duty. */
-  public PlanDuty(JobDuty jobs, ExecutorDuty executors) {
+  public PlanDuty(JobDuty jobs, ExecutorDuty executors, AdviceDuty advice) {
     this.jobs = jobs;
     this.executors = executors;
+    this.advice = advice;
     this.planner = new Planner(step -> rank(step.job()));
   }
 
@@ -48,6 +54,7 @@
         executors.book().all().stream()
             .filter(executor -> executor.usable(turn.nowNanos()))
             .toList();
+    ask(waiting, usable, turn);
     Planner.Plan plan = planner.plan(waiting, usable, turn.nowNanos());
     for (Planner.Displacement stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
@@ -58,6 +65,22 @@
     start(plan.starts(), turn);
   }
 
+  /** Asks for advice on the first step that lacks it. */
+  private void ask(List<WaitingStep> waiting, List<ExecutorState> usable, BatchTurn turn) {
+    advice.forgetEnded();
+    for (WaitingStep step : waiting.stream().sorted(WaitingStep.ORDER).toList()) {
+      if (step.permitted().isPresent()) {
+        List<ExecutorId> pool =
+            usable.stream()
+                .map(ExecutorState::profile)
+                .filter(executor -> executor.pool().equals(step.pool()))
+                .map(ExecutorProfile::id)
+                .toList();
+        advice.ask(step.step(), pool, turn);
+      }
+    }
+  }
+
   private List<WaitingStep> waiting(BatchTurn turn) {
     List<WaitingStep> waiting = new ArrayList<>();
     for (OpenJob job : jobs.book().openJobs()) {
@@ -83,7 +106,10 @@
     }
     long accepted = step.job().job().acceptedMillis();
     Timing timing = timing(step, queue, turn);
-    waiting.add(new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, timing));
+    Optional<Set<ExecutorId>> permitted =
+        queue.advised() ? Optional.of(advice.permitted(step, turn.nowNanos())) : Optional.empty();
+    waiting.add(
+        new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, timing, permitted));
   }
 
   private static Timing timing(StepProgress step, JobQueue queue, BatchTurn turn) {
@@ -95,9 +121,13 @@
     long objective = queue.objectiveMillis(submission.estimatedChainMillis());
     long spare = objective - submission.estimatedChainMillis(step.number());
     long waited = Math.max(0, turn.wallMillis() - due);
+    long queued = turn.nowNanos() - step.queuedSince(turn.nowNanos());
+    if (step.spec().lasting().isPresent()) {
+      return Timing.ofLasting(queued);
+    }
     return new Timing(
         TimeUnit.MILLISECONDS.toNanos(waited),
-        turn.nowNanos() - step.queuedSince(turn.nowNanos()),
+        queued,
         TimeUnit.MILLISECONDS.toNanos(spare),
         TimeUnit.MILLISECONDS.toNanos(objective));
   }
@@ -140,8 +170,9 @@
               : place.task().lastRun() + 1;
       String checkpoint = gang ? step.gangCheckpoint() : place.task().checkpoint();
       TaskRun name = new TaskRun(step.name(place.task()), number);
-      LiveRun run =
-          LiveRun.placed(name, place.executor().profile().id(), step, checkpoint, turn.nowNanos());
+      ExecutorId executor = place.executor().profile().id();
+      Optional<String> ticket = advice.ticket(step, executor, turn.nowNanos());
+      LiveRun run = LiveRun.placed(name, executor, step, checkpoint, ticket, turn.nowNanos());
       Timing timing = timing(step, jobs.queue(step.job()), turn);
       step.begin(place.task(), run);
       place.executor().add(run);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -171,6 +171,7 @@
       }
       Optional<Displacer.Choice> choice = displacer.choose(waiting, expected, nearOnly);
       if (choice.isPresent()) {
+        displacer.carriedOut(choice.get());
         choice.get().victims().forEach(run -> stops.add(new Displacement(run, waiting)));
         choice.get().places().forEach(this::reserve);
       }
@@ -237,8 +238,8 @@
     }
 
     private void reserve(Place place) {
-      free.take(place.executor(), place.step().spec().demand());
-      expected.take(place.executor(), place.step().spec().demand());
+      free.take(place.executor(), place.step().spec());
+      expected.take(place.executor(), place.step().spec());
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
@@ -29,7 +30,11 @@
 
   /** Returns what is free now. */
   static Room now(Collection<ExecutorState> executors, long nowNanos) {
-    return of(executors, ExecutorState::free, nowNanos);
+    Room room = of(executors, ExecutorState::free, nowNanos);
+    for (Slot slot : room.slots) {
+      slot.executor().runs().forEach(run -> slot.holds(run.step().spec()));
+    }
+    return room;
   }
 
   /** Returns what the executors have when nothing runs. */
@@ -81,26 +86,29 @@
     return whole == 0 ? 1 : (double) free / whole;
   }
 
-  /** Takes capacity of an executor; what is taken twice makes it negative. */
-  void take(ExecutorState executor, Demand demand) {
-    for (Slot slot : slots) {
-      if (slot.executor() == executor) {
-        slot.take(demand);
-        return;
-      }
-    }
+  /** Takes room on an executor for a task; what is taken twice makes it negative. */
+  void take(ExecutorState executor, BatchStep step) {
+    slot(executor).ifPresent(slot -> slot.take(step));
   }
 
   /** Gives capacity of an executor back. */
   void give(ExecutorState executor, Demand demand) {
-    take(executor, Demand.NONE.minus(demand));
+    slot(executor).ifPresent(slot -> slot.give(demand));
+  }
+
+  private Optional<Slot> slot(ExecutorState executor) {
+    for (Slot slot : slots) {
+      if (slot.executor() == executor) {
+        return Optional.of(slot);
+      }
+    }
+    return Optional.empty();
   }
 
   /** Returns the slots on which a step may run, in groups that count as near to each other. */
   List<List<Slot>> groups(WaitingStep waiting, boolean nearOnly) {
     BatchStep spec = waiting.step().spec();
-    List<Slot> suitable =
-        slots.stream().filter(slot -> slot.suits(waiting.step(), waiting.pool())).toList();
+    List<Slot> suitable = slots.stream().filter(slot -> slot.suits(waiting)).toList();
     if (!nearOnly) {
       return List.of(suitable);
     }
@@ -134,6 +142,9 @@
 
   private static int fits(WaitingStep waiting, Slot slot) {
     BatchStep spec = waiting.step().spec();
+    if (slot.disturbs(spec) && !waiting.timing().toleratesOthers()) {
+      return 0;
+    }
     int fitting = slot.free().fits(spec.demand());
     int most = spec.placement().mostPerExecutor();
     if (most == 0) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -2,7 +2,9 @@
 
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.fleet.ExecutorId;
 
 /** Room on one executor while a plan is made. */
 final class Slot {
@@ -10,6 +12,8 @@
   private final ExecutorState executor;
   private final boolean suspect;
   private Demand free;
+  private boolean serving;
+  private boolean filling;
 
   /**
    * Creates a slot.
@@ -34,8 +38,21 @@
     return free;
   }
 
-  void take(Demand demand) {
-    free = free.minus(demand);
+  /** Takes room for a task of a step. */
+  void take(BatchStep step) {
+    free = free.minus(step.demand());
+    holds(step);
+  }
+
+  /** Remembers that a task of a step is here. */
+  void holds(BatchStep step) {
+    serving |= step.serves();
+    filling |= !step.serves();
+  }
+
+  /** Tells whether other work here would lengthen response times: this step's, or by this step. */
+  boolean disturbs(BatchStep step) {
+    return step.serves() ? filling : serving;
   }
 
   void give(Demand demand) {
@@ -43,7 +60,10 @@
   }
 
   Slot copy() {
-    return new Slot(executor, free, suspect);
+    Slot copy = new Slot(executor, free, suspect);
+    copy.serving = serving;
+    copy.filling = filling;
+    return copy;
   }
 
   /**
@@ -51,9 +71,11 @@
    * failed, and suspects: it has few attempts left. Gangs avoid suspects, since one would hold all
    * members up.
    */
-  boolean suits(StepProgress step, String pool) {
+  boolean suits(WaitingStep waiting) {
+    StepProgress step = waiting.step();
     boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
-    if (avoided || step.failedOn(executor.profile().id())) {
+    ExecutorId id = executor.profile().id();
+    if (avoided || step.failedOn(id) || !waiting.permits(id)) {
       return false;
     }
     boolean labelled =
@@ -62,6 +84,6 @@
             .label()
             .map(label -> executor.profile().labels().contains(label))
             .orElse(true);
-    return labelled && executor.profile().pool().equals(pool);
+    return labelled && executor.profile().pool().equals(waiting.pool());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Timing.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Timing.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.plan;
 
+import java.time.Duration;
 import org.fescuehook.model.batch.JobQueue;
 
 /**
@@ -18,6 +19,17 @@
    */
   private static final double SPARE_TIME_WAITED = 0.8;
 
+  /**
+   * How long work that serves users, and work beside it, waits for an executor without the other
+   * kind. Then they share one, and the work beside is paced.
+   */
+  private static final long ALONE_NANOS = Duration.ofSeconds(3).toNanos();
+
+  /** Work without an end is of use whenever it runs, and late from the first moment on. */
+  static Timing ofLasting(long queuedNanos) {
+    return new Timing(queuedNanos, queuedNanos, 0, Long.MAX_VALUE / JobQueue.LATEST_OBJECTIVES);
+  }
+
   /** What its caller can still get. */
   public enum Prospect {
     /** It can still meet its objective. */
@@ -38,6 +50,11 @@
     return useful ? Prospect.LATE : Prospect.TOO_LATE;
   }
 
+  /** Tells whether work that serves and work that does not may come onto one executor. */
+  public boolean toleratesOthers() {
+    return queuedNanos > ALONE_NANOS;
+  }
+
   /** Tells whether hardly any spare time is left. */
   public boolean pressed() {
     return waitedNanos > spareNanos * SPARE_TIME_WAITED;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -2,8 +2,11 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.fleet.ExecutorId;
 
 /**
  * A step whose turn has come and of which tasks need a run.
@@ -14,6 +17,7 @@
  * @param rank its precedence
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing how it stands in time
+ * @param permitted the executors that may run it by external advice; absent if any may
  */
 public record WaitingStep(
     StepProgress step,
@@ -21,7 +25,8 @@
     String pool,
     Rank rank,
     long acceptedMillis,
-    Timing timing) {
+    Timing timing,
+    Optional<Set<ExecutorId>> permitted) {
 
   /**
    * Order of planning: by rank, then those that can still meet their objective, then the late ones,
@@ -45,7 +50,12 @@
   /** Returns the same step without the first tasks. */
   public WaitingStep rest(int placed) {
     List<TaskProgress> left = tasks.subList(placed, tasks.size());
-    return new WaitingStep(step, left, pool, rank, acceptedMillis, timing);
+    return new WaitingStep(step, left, pool, rank, acceptedMillis, timing, permitted);
+  }
+
+  /** Tells whether an executor may run it as far as external advice goes. */
+  public boolean permits(ExecutorId executor) {
+    return permitted.map(executors -> executors.contains(executor)).orElse(true);
   }
 
   /** Returns the work of the waiting tasks by their estimate, in seconds of one core. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -120,7 +120,8 @@
             .setOccurrence(step.occurrence())
             .setStep(step.number())
             .setDone(step.done())
-            .setGangFailures(step.gangFailures());
+            .setGangFailures(step.gangFailures())
+            .setLastFailedGangRun(step.lastFailedGangRun());
     if (step.done()) {
       return Optional.of(stored.build());
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -118,6 +118,11 @@
       persist(step.job(), committed);
       return;
     }
+    if (step.spec().lasting().isPresent()) {
+      // It starts again however it ended.
+      persist(step.job(), committed);
+      return;
+    }
     switch (end.end()) {
       case DONE -> finish(step, task, committed, turn);
       case FAILED -> fail(run, task, committed, turn);
@@ -170,7 +175,7 @@
     Optional<StepProgress> step =
         job.flatMap(open -> open.step(end.run().task().occurrence(), end.run().task().step()));
     Optional<TaskProgress> task = step.flatMap(found -> found.task(end.run().task().index()));
-    if (task.isEmpty() || task.get().done()) {
+    if (task.isEmpty() || task.get().done() || step.get().spec().lasting().isPresent()) {
       return;
     }
     stored.hold();
@@ -227,7 +232,8 @@
   public void leaving(ExecutorState executor, BatchTurn turn) {
     for (LiveRun run : executor.runs().stream().toList()) {
       boolean lateThere = run.estimatedLeftMillis() > executor.profile().remainingMillis();
-      boolean moves = run.step().spec().checkpointing() || lateThere;
+      boolean lasting = run.step().spec().lasting().isPresent();
+      boolean moves = run.step().spec().checkpointing() || lateThere || lasting;
       if (moves && !run.step().done()) {
         executors.stop(run, "its executor is leaving", turn);
         breakGang(run.step(), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.state;
 
+import java.util.Optional;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -13,6 +14,7 @@
   private final ExecutorId executor;
   private final StepProgress step;
   private final String checkpoint;
+  private final Optional<String> ticket;
   private final long placedAt;
   private Stage stage;
   private boolean startUncertain;
@@ -23,18 +25,21 @@
   private int orders;
   private int percent;
   private boolean judged;
+  private boolean paced;
 
   private LiveRun(
       TaskRun run,
       ExecutorId executor,
       StepProgress step,
       String checkpoint,
+      Optional<String> ticket,
       Stage stage,
       long nowNanos) {
     this.run = run;
     this.executor = executor;
     this.step = step;
     this.checkpoint = checkpoint;
+    this.ticket = ticket;
     this.stage = stage;
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
@@ -44,16 +49,22 @@
    * Creates a run that was just placed.
    *
    * @param checkpoint what it goes on from; empty to begin anew
+   * @param ticket what the advice service gave for the executor; absent where none is needed
    */
   public static LiveRun placed(
-      TaskRun run, ExecutorId executor, StepProgress step, String checkpoint, long nowNanos) {
-    return new LiveRun(run, executor, step, checkpoint, Stage.PLACED, nowNanos);
+      TaskRun run,
+      ExecutorId executor,
+      StepProgress step,
+      String checkpoint,
+      Optional<String> ticket,
+      long nowNanos) {
+    return new LiveRun(run, executor, step, checkpoint, ticket, Stage.PLACED, nowNanos);
   }
 
   /** Creates a run that a former owner had placed. */
   public static LiveRun inherited(
       TaskRun run, ExecutorId executor, StepProgress step, long nowNanos) {
-    return new LiveRun(run, executor, step, "", Stage.INHERITED, nowNanos);
+    return new LiveRun(run, executor, step, "", Optional.empty(), Stage.INHERITED, nowNanos);
   }
 
   /** How far the owner is with a run. */
@@ -90,6 +101,11 @@
     return checkpoint;
   }
 
+  /** Returns what its start has to carry for the executor to take it. */
+  public Optional<String> ticket() {
+    return ticket;
+  }
+
   /** Returns what it holds on the executor. */
   public Demand demand() {
     return step.spec().demand();
@@ -175,6 +191,21 @@
     return percent;
   }
 
+  /** Remembers that it was slowed down, so that its progress tells nothing of its executor. */
+  public void slowedDown() {
+    paced = true;
+  }
+
+  /** Tells whether it was ever slowed down. */
+  public boolean wasSlowedDown() {
+    return paced;
+  }
+
+  /** Tells whether it runs and, for a task that lasts, is past its startup. */
+  public boolean atWork() {
+    return stage == Stage.RUNNING && percent == WHOLE_PERCENT;
+  }
+
   /** Returns true the first time that it is called, so that a run counts once. */
   public boolean judgeOnce() {
     boolean first = !judged;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -24,7 +24,7 @@
       throw mismatch("step " + stored.getStep());
     }
     StepProgress step = found.get();
-    step.restoreGangFailures(stored.getGangFailures());
+    step.restoreGangFailures(stored.getGangFailures(), stored.getLastFailedGangRun());
     if (stored.getDone()) {
       step.restoreDone();
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -81,11 +81,26 @@
     return gangFailures;
   }
 
+  /** Returns the number of the newest run of the gang that failed; 0 if none did. */
+  public int lastFailedGangRun() {
+    return lastFailedGangRun;
+  }
+
   /** Returns the tasks that need a run. */
   public List<TaskProgress> waiting() {
     return tasks.stream().filter(TaskProgress::waiting).toList();
   }
 
+  /**
+   * Returns how many more tasks of a step that lasts may be stopped now: those that are not at work
+   * for whatever cause count against the bound.
+   */
+  public int mayMiss() {
+    int atWork = (int) tasks.stream().filter(TaskProgress::atWork).count();
+    int most = spec.lasting().map(BatchStep.Lasting::mostAway).orElse(spec.count());
+    return Math.max(0, most - (spec.count() - atWork));
+  }
+
   /** Returns the live runs. */
   public List<LiveRun> liveRuns() {
     return tasks.stream().flatMap(task -> task.live().stream()).toList();
@@ -113,6 +128,11 @@
     return queuedSince.getAsLong();
   }
 
+  /** Returns its name, which begins the names of its tasks. */
+  public String name() {
+    return job.job().id() + "." + occurrence + "." + number;
+  }
+
   /** Returns the name of one of its tasks. */
   public TaskName name(TaskProgress task) {
     return new TaskName(job.job().id(), occurrence, number, task.index());
@@ -185,9 +205,9 @@
     tasks.forEach(member -> member.saved(checkpoint));
   }
 
-  void restoreGangFailures(int failures) {
+  void restoreGangFailures(int failures, int lastFailedRun) {
     gangFailures = failures;
-    lastFailedGangRun = 0;
+    lastFailedGangRun = lastFailedRun;
   }
 
   void restore(TaskProgress task, boolean done, int failures, int lastRun, String checkpoint) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/SubmissionCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/SubmissionCodec.java
@@ -31,6 +31,7 @@
 
   private static StoredStep encode(BatchStep step) {
     BatchStep.PlacementRule placement = step.placement();
+    Optional<BatchStep.Lasting> lasting = step.lasting();
     return StoredStep.newBuilder()
         .setCount(step.count())
         .setMilliCores(step.demand().milliCores())
@@ -45,6 +46,9 @@
         .setAffinityRack(placement.affinity().map(RackId::value).orElse(""))
         .setMostPerExecutor(placement.mostPerExecutor())
         .setImage(step.image())
+        .setLasting(lasting.isPresent())
+        .setMissAllowed(lasting.map(BatchStep.Lasting::mostAway).orElse(0))
+        .setTargetMillis(lasting.map(BatchStep.Lasting::targetMillis).orElse(0L))
         .build();
   }
 
@@ -75,7 +79,14 @@
         placement,
         stored.getCheckpointing(),
         stored.getGang(),
-        stored.getImage());
+        stored.getImage(),
+        lasting(stored));
+  }
+
+  private static Optional<BatchStep.Lasting> lasting(StoredStep stored) {
+    return stored.getLasting()
+        ? Optional.of(new BatchStep.Lasting(stored.getMissAllowed(), stored.getTargetMillis()))
+        : Optional.empty();
   }
 
   private static Optional<String> nonEmpty(String text) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -46,6 +46,11 @@
     return live;
   }
 
+  /** Tells whether a lasting task is past its startup; it shows that by its percentage. */
+  public boolean atWork() {
+    return live.filter(LiveRun::atWork).isPresent();
+  }
+
   /** Tells whether it needs a run. */
   public boolean waiting() {
     return !done && live.isEmpty();
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Addresses.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Addresses.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -12,6 +13,8 @@
       Pattern.compile("(?:\\[([0-9A-Fa-f:.]+)]|([^:\\[\\]]+)):(\\d{1,5})");
   private static final int LARGEST_PORT = 65_535;
 
+  private static final String NONE = "none";
+
   private Addresses() {}
 
   /** Returns the type of addresses with a port from {@code leastPort} on. */
@@ -22,6 +25,15 @@
     return new ValueType<>(accepted, text -> parse(text, leastPort), Addresses::format);
   }
 
+  /** Returns the type of an address that may be missing, written as {@code none}. */
+  public static ValueType<Optional<InetSocketAddress>> orNone(int leastPort) {
+    ValueType<InetSocketAddress> address = fromPort(leastPort);
+    return new ValueType<>(
+        address.accepted() + ", or " + NONE,
+        text -> text.equals(NONE) ? Optional.empty() : Optional.of(address.reader().read(text)),
+        value -> value.map(address.writer()).orElse(NONE));
+  }
+
   /** Returns the address as {@code IP:port}. */
   public static String format(InetSocketAddress address) {
     String host = address.getAddress().getHostAddress();
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.logic.ini.Durations;
 import org.fescuehook.logic.ini.Key;
@@ -25,6 +26,13 @@
           Addresses.fromPort(1),
           "10.0.0.10:7100",
           "The shared store, which keeps the jobs.");
+  static final Key<Optional<InetSocketAddress>> ADVICE =
+      Key.optional(
+          "addresses",
+          "advice",
+          Addresses.orNone(1),
+          Optional.empty(),
+          "The service that names the executors which may run a step of a queue that asks for it.");
   static final Key<Duration> EXECUTOR_LEASE =
       Key.optional(
           "bounds",
@@ -50,6 +58,7 @@
           PEERS,
           METRICS,
           STORE,
+          ADVICE,
           EXECUTOR_LEASE,
           STATUS_RETENTION);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -33,8 +33,11 @@
             values.get(SchedulerKeys.READINESS),
             values.get(SchedulerKeys.PEERS),
             values.get(SchedulerKeys.METRICS),
-            values.get(SchedulerKeys.STORE)),
+            values.get(SchedulerKeys.STORE),
+            values.get(SchedulerKeys.ADVICE)),
         new BatchPreferences(
-            values.get(SchedulerKeys.EXECUTOR_LEASE), values.get(SchedulerKeys.STATUS_RETENTION)));
+            values.get(SchedulerKeys.EXECUTOR_LEASE),
+            values.get(SchedulerKeys.STATUS_RETENTION),
+            values.get(SchedulerKeys.ADVICE).isPresent()));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/BatchStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/BatchStep.java
@@ -15,6 +15,7 @@
  * @param checkpointing whether its tasks save their progress
  * @param gang whether its tasks run only all together
  * @param image what the tasks run; tasks of one image behave alike
+ * @param lasting present if its tasks run until their job is cancelled
  */
 public record BatchStep(
     int count,
@@ -24,7 +25,8 @@
     PlacementRule placement,
     boolean checkpointing,
     boolean gang,
-    String image) {
+    String image,
+    Optional<Lasting> lasting) {
 
   private static final double MILLIS_PER_SECOND = 1000.0;
 
@@ -33,11 +35,48 @@
     dependsOn = List.copyOf(dependsOn);
   }
 
+  /** Creates a step whose tasks end by themselves. */
+  public BatchStep(
+      int count,
+      Demand demand,
+      long estimateMillis,
+      List<Integer> dependsOn,
+      PlacementRule placement,
+      boolean checkpointing,
+      boolean gang,
+      String image) {
+    this(
+        count,
+        demand,
+        estimateMillis,
+        dependsOn,
+        placement,
+        checkpointing,
+        gang,
+        image,
+        Optional.empty());
+  }
+
+  /** Tells whether its tasks serve users, whose response times other work beside them lengthens. */
+  public boolean serves() {
+    return lasting.filter(work -> work.targetMillis() > 0).isPresent();
+  }
+
   /** Returns the work of all tasks by their estimate, in seconds of one core. */
   public double estimatedCoreSeconds() {
     return demand.coreEquivalents() * estimateMillis / MILLIS_PER_SECOND * count;
   }
 
+  /**
+   * Work without an end of its own: its tasks run until their job is cancelled, and start again
+   * however they end.
+   *
+   * @param mostAway most of its tasks that may be away at once by the scheduler's doing
+   * @param targetMillis bound on the response times of a task that serves users; 0 if it serves
+   *     none
+   */
+  public record Lasting(int mostAway, long targetMillis) {}
+
   /**
    * Where the tasks of a step may run and where they run well.
    *
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
@@ -1,6 +1,7 @@
 package org.fescuehook.model.preferences;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 
 /**
  * All settings of a VM that schedules batch jobs.
@@ -20,11 +21,13 @@
    * @param peers where other VMs pass calls on
    * @param metrics where metrics are served
    * @param store the shared store
+   * @param advice the service that names the executors that may run a step; absent if there is none
    */
   public record Addresses(
       InetSocketAddress callers,
       InetSocketAddress readiness,
       InetSocketAddress peers,
       InetSocketAddress metrics,
-      InetSocketAddress store) {}
+      InetSocketAddress store,
+      Optional<InetSocketAddress> advice) {}
 }
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -4,12 +4,15 @@
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.batch.state.SubmissionCodec;
 import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.wire.batch.ForwardedAnswer;
 import org.fescuehook.wire.batch.ForwardedAnswer.Outcome;
 import org.fescuehook.wire.batch.ForwardedCall;
 import org.fescuehook.wire.batch.ForwardedCall.Operation;
+import org.fescuehook.wire.batch.KnownOwner;
 
 /** Messages between entry VMs. */
 final class CallCodec {
@@ -43,6 +46,7 @@
       case STATUS -> new BatchCall.Status(queue, key, job);
       case CANCEL -> new BatchCall.Cancel(queue, key, job);
       case PENDING -> new BatchCall.CountPending(queue, key);
+      case OWNER_MOVED -> throw new IllegalArgumentException("not a call");
       case UNRECOGNIZED -> throw new IllegalArgumentException("unknown operation");
     };
   }
@@ -71,6 +75,26 @@
     return message.build();
   }
 
+  /** Encodes the word that there is a newer owner. */
+  static ForwardedCall moved(OwnerHint owner) {
+    return ForwardedCall.newBuilder()
+        .setOperation(Operation.OWNER_MOVED)
+        .setOwner(encode(owner))
+        .build();
+  }
+
+  static KnownOwner encode(OwnerHint owner) {
+    return KnownOwner.newBuilder()
+        .setVm(owner.vm().value())
+        .setEpoch(owner.epoch())
+        .setAddress(owner.address())
+        .build();
+  }
+
+  static OwnerHint decode(KnownOwner owner) {
+    return new OwnerHint(new VmId(owner.getVm()), owner.getEpoch(), owner.getAddress());
+  }
+
   private static Outcome outcome(JobPhase phase) {
     return switch (phase) {
       case QUEUED -> Outcome.QUEUED;
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -23,6 +24,7 @@
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.wire.batch.ForwardedAnswer;
 import org.slf4j.Logger;
@@ -48,6 +50,7 @@
 
   private final EventLoop loop;
   private final InetSocketAddress owner;
+  private final OwnerHints hints;
   private final Map<Long, Consumer<CallAnswer>> open = new LinkedHashMap<>();
   private final List<Unsent> unsent = new ArrayList<>();
   private Optional<Channel> channel = Optional.empty();
@@ -59,9 +62,10 @@
   private record Unsent(BatchCall call, Consumer<CallAnswer> sink) {}
 
   /** Creates a link that connects with its first call. */
-  public CallLink(EventLoop loop, InetSocketAddress owner) {
+  public CallLink(EventLoop loop, InetSocketAddress owner, OwnerHints hints) {
     this.loop = loop;
     this.owner = owner;
+    this.hints = hints;
   }
 
   @Override
@@ -69,16 +73,28 @@
     loop.execute(() -> take(call, sink));
   }
 
-  /** Closes the connection; open calls become undecided. */
-  public void close() {
+  /**
+   * Closes the connection; open calls become undecided.
+   *
+   * @param next the newer owner; the former one is told, as it may be cut off from the store
+   */
+  public void close(Optional<OwnerHint> next) {
     loop.execute(
         () -> {
           closed = true;
-          channel.ifPresent(Channel::close);
+          channel.ifPresent(open -> leave(open, next));
           refuseUnsent();
         });
   }
 
+  private static void leave(Channel open, Optional<OwnerHint> next) {
+    if (next.isEmpty()) {
+      open.close();
+      return;
+    }
+    open.writeAndFlush(CallCodec.moved(next.get())).addListener(ChannelFutureListener.CLOSE);
+  }
+
   private void take(BatchCall call, Consumer<CallAnswer> sink) {
     if (closed) {
       sink.accept(unreachable());
@@ -157,6 +173,9 @@
 
   private void answered(ForwardedAnswer message) {
     lastHeard = System.nanoTime();
+    if (message.hasOwner()) {
+      hints.hinted(CallCodec.decode(message.getOwner()));
+    }
     Consumer<CallAnswer> sink = open.remove(message.getCall());
     if (sink != null) {
       sink.accept(CallCodec.decode(message));
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
@@ -13,7 +13,10 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.wire.batch.ForwardedAnswer;
 import org.fescuehook.wire.batch.ForwardedCall;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,12 +28,14 @@
 
   private final EventLoopGroup loops;
   private final CallPort port;
+  private final OwnerHints hints;
   private Optional<Channel> listening = Optional.empty();
 
   /** Creates a server that does not listen yet. */
-  public CallServer(EventLoopGroup loops, CallPort port) {
+  public CallServer(EventLoopGroup loops, CallPort port, OwnerHints hints) {
     this.loops = loops;
     this.port = port;
+    this.hints = hints;
   }
 
   /**
@@ -71,8 +76,22 @@
   private final class CallHandler extends SimpleChannelInboundHandler<ForwardedCall> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, ForwardedCall message) {
+      if (message.getOperation() == ForwardedCall.Operation.OWNER_MOVED) {
+        hints.hinted(CallCodec.decode(message.getOwner()));
+        return;
+      }
       BatchCall call = CallCodec.decode(message);
-      port.call(call, answer -> context.writeAndFlush(CallCodec.encode(message.getCall(), answer)));
+      port.call(call, answer -> context.writeAndFlush(encode(message.getCall(), answer)));
+    }
+
+    /** A refusal names the owner that this VM knows, for callers that cannot read it themselves. */
+    private ForwardedAnswer encode(long number, CallAnswer answer) {
+      ForwardedAnswer message = CallCodec.encode(number, answer);
+      Optional<OwnerHint> known = hints.known();
+      if (answer instanceof CallAnswer.Refused && known.isPresent()) {
+        return message.toBuilder().setOwner(CallCodec.encode(known.get())).build();
+      }
+      return message;
     }
 
     @Override
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/platform/AdviceClient.java
@@ -0,0 +1,89 @@
+package org.fescuehook.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.advice.AdviceOutcome;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.net.http.HttpCall;
+import org.fescuehook.net.http.HttpClientConnection;
+import org.fescuehook.net.http.HttpResult;
+
+/** The one client of the advice service; it has one call under way at most. */
+public final class AdviceClient {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+  /** The service takes its time for each executor named, and handles a VM's calls in turn. */
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+
+  /** Columns of a row of "allowed". */
+  private static final int ALLOWED_EXECUTOR = 0;
+
+  private static final int ALLOWED_TICKET = 1;
+
+  private final Optional<HttpClientConnection> connection;
+  private final BiConsumer<Long, AdviceOutcome> sink;
+
+  /**
+   * Creates a client that has not connected.
+   *
+   * @param service where the service is; absent if there is none
+   * @param sink takes the number of a question and its outcome, on the event loop
+   */
+  public AdviceClient(
+      EventLoop loop, Optional<InetSocketAddress> service, BiConsumer<Long, AdviceOutcome> sink) {
+    this.connection =
+        service.map(address -> new HttpClientConnection(loop, address, CONNECT_TIMEOUT));
+    this.sink = sink;
+  }
+
+  /** Asks a question. */
+  public void ask(BatchCommand.AskAdvice question) {
+    if (connection.isEmpty()) {
+      sink.accept(question.number(), new AdviceOutcome.Unavailable("no service in the settings"));
+      return;
+    }
+    ObjectNode body = WireJson.object().put("stepId", question.step());
+    // The platform calls executors "workers" here.
+    ArrayNode workers = body.putArray("workers");
+    question.executors().forEach(executor -> workers.add(executor.value()));
+    HttpCall call = HttpCall.json(HttpMethod.POST, "/-/advise", WireJson.write(body));
+    connection
+        .get()
+        .send(call, ANSWER_TIMEOUT, result -> sink.accept(question.number(), decode(result)));
+  }
+
+  static AdviceOutcome decode(HttpResult result) {
+    return switch (result) {
+      case HttpResult.Failed failed ->
+          new AdviceOutcome.Unavailable(String.valueOf(failed.cause().getMessage()));
+      case HttpResult.Answered answered when !answered.succeeded() ->
+          new AdviceOutcome.Unavailable("status " + answered.status());
+      case HttpResult.Answered answered -> decode(answered.body());
+    };
+  }
+
+  private static AdviceOutcome decode(byte[] text) {
+    try {
+      JsonNode body = WireJson.parse(text);
+      Map<ExecutorId, String> tickets = new HashMap<>();
+      for (JsonNode row : body.path("allowed")) {
+        tickets.put(
+            new ExecutorId(row.path(ALLOWED_EXECUTOR).asText()), row.path(ALLOWED_TICKET).asText());
+      }
+      return new AdviceOutcome.Given(tickets, body.path("validityMs").asLong());
+    } catch (MalformedMessageException e) {
+      return new AdviceOutcome.Unavailable(String.valueOf(e.getMessage()));
+    }
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -132,15 +132,6 @@
       port.call(call(request, queue.name(), key, job), sink);
     } catch (MalformedMessageException e) {
       sink.accept(new CallAnswer.Malformed(e.getMessage()));
-    } catch (SubmissionParser.UnsupportedJobException e) {
-      EventLog.warn(
-          LOGGER,
-          PlatformEvent.CALL_REFUSED,
-          request.method(),
-          path,
-          "unsupported",
-          e.getMessage());
-      sink.accept(new CallAnswer.Refused(RefusalCause.UNSUPPORTED, 0));
     }
   }
 
@@ -150,7 +141,7 @@
   }
 
   private static BatchCall call(FullHttpRequest request, String queue, String key, String job)
-      throws MalformedMessageException, SubmissionParser.UnsupportedJobException {
+      throws MalformedMessageException {
     HttpMethod method = request.method();
     if (job.isEmpty() && method.equals(HttpMethod.GET)) {
       return new BatchCall.CountPending(queue, key);
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
@@ -28,6 +28,7 @@
   private static final int ACTIVE_RUN = 1;
   private static final int ACTIVE_CHECKPOINT = 2;
   private static final int ACTIVE_PERCENT = 3;
+  private static final int ACTIVE_LOAD = 4;
 
   /** Columns of a row of "finished". */
   private static final int FINISHED_NUMBER = 0;
@@ -59,8 +60,14 @@
             if (!start.checkpoint().isEmpty()) {
               body.put("checkpoint", start.checkpoint());
             }
+            start.ticket().ifPresent(ticket -> body.put("ticket", ticket));
             yield "/-/run-start";
           }
+          case ExecutorOrder.Pace pace -> {
+            put(body, pace.run());
+            body.put("percent", pace.percent());
+            yield "/-/pace";
+          }
           case ExecutorOrder.Stop stop -> {
             put(body, stop.run());
             yield "/-/run-stop";
@@ -112,7 +119,8 @@
           new ActiveRun(
               run(row.path(ACTIVE_TASK), row.path(ACTIVE_RUN)),
               row.path(ACTIVE_CHECKPOINT).asText(),
-              row.path(ACTIVE_PERCENT).asInt()));
+              row.path(ACTIVE_PERCENT).asInt(),
+              row.path(ACTIVE_LOAD).asLong()));
     }
     List<EndedRun> ended = new ArrayList<>();
     for (JsonNode row : body.path("finished")) {
@@ -163,6 +171,7 @@
       case "old" -> Rejection.SUPERSEDED;
       case "late" -> Rejection.EXPIRED;
       case "room" -> Rejection.NO_ROOM;
+      case "ticket" -> Rejection.NO_TICKET;
       default -> Rejection.OTHER;
     };
   }
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -36,9 +36,12 @@
   private static final StreamFollower.Pace CONFIGURATION_PACE =
       new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ZERO);
 
-  /** Some twenty entries a second change, and a leaving executor gets nothing new after 2 s. */
+  /**
+   * Some twenty entries a second change. A leaving executor gets nothing new after 2 s, and one
+   * that is taken away at short notice should get none from the first moment.
+   */
   private static final StreamFollower.Pace EXECUTORS_PACE =
-      new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ofMillis(400));
+      new StreamFollower.Pace(Duration.ofMillis(1000), Duration.ofMillis(150));
 
   private static final String CONFIGURATION_KEY = "config";
 
--- a/fescuehook/src/main/java/org/fescuehook/platform/SubmissionParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/SubmissionParser.java
@@ -21,22 +21,12 @@
 
   private SubmissionParser() {}
 
-  /** A job of a kind that this version cannot run. */
-  static final class UnsupportedJobException extends Exception {
-    private static final long serialVersionUID = 1L;
-
-    UnsupportedJobException(String kind) {
-      super(kind);
-    }
-  }
-
   /**
    * Parses a job.
    *
    * @throws MalformedMessageException if it is not a job
-   * @throws UnsupportedJobException if it is of a kind that this version cannot run
    */
-  static Submission parse(byte[] text) throws MalformedMessageException, UnsupportedJobException {
+  static Submission parse(byte[] text) throws MalformedMessageException {
     JsonNode body = WireJson.parse(text);
     String spec = body.path("spec").asText();
     int specBytes = spec.getBytes(StandardCharsets.UTF_8).length;
@@ -68,9 +58,7 @@
             body.path("startAtMs").asLong(), body.path("intervalMs").asLong(), times));
   }
 
-  private static BatchStep step(JsonNode step, int number)
-      throws MalformedMessageException, UnsupportedJobException {
-    refuseUnsupported(step);
+  private static BatchStep step(JsonNode step, int number) throws MalformedMessageException {
     int count = step.path("count").asInt();
     if (count < 1 || count > MAX_TASKS) {
       throw new MalformedMessageException("step " + number + " has " + count + " tasks");
@@ -84,21 +72,28 @@
     }
     return new BatchStep(
         count,
-        new Demand(step.path("cpu").asInt(), step.path("memMb").asInt(), step.path("gpu").asInt()),
+        demand(step),
         step.path("estimateMs").asLong(),
         dependsOn,
         placement(step),
         step.path("checkpointing").asBoolean(),
         step.path("gang").asBoolean(),
-        step.path("image").asText());
+        step.path("image").asText(),
+        lasting(step));
   }
 
-  private static void refuseUnsupported(JsonNode step) throws UnsupportedJobException {
-    for (String kind : List.of("longRunning", "utilization")) {
-      if (step.path(kind).asBoolean()) {
-        throw new UnsupportedJobException(kind);
-      }
+  /** A step with "utilization" gets cores that others leave unused, and none of its own. */
+  private static Demand demand(JsonNode step) {
+    int cores = step.path("utilization").asBoolean() ? 0 : step.path("cpu").asInt();
+    return new Demand(cores, step.path("memMb").asInt(), step.path("gpu").asInt());
+  }
+
+  private static Optional<BatchStep.Lasting> lasting(JsonNode step) {
+    if (!step.path("longRunning").asBoolean()) {
+      return Optional.empty();
     }
+    return Optional.of(
+        new BatchStep.Lasting(step.path("missAllowed").asInt(), step.path("targetMs").asLong()));
   }
 
   private static BatchStep.PlacementRule placement(JsonNode step) {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/AdvisedWorkTest.java
@@ -0,0 +1,69 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/** Work of queues whose steps run only where the advice service allows it. */
+class AdvisedWorkTest {
+
+  private static final ExecutorId ALLOWED = new ExecutorId("e3");
+
+  private final BatchCluster cluster = new BatchCluster(3, 8, 1);
+
+  private String submit(int tasks, long millis) {
+    return cluster.submit(Declared.ADVISED, Jobs.of(Jobs.tasks(tasks, 1, millis)));
+  }
+
+  private void awaitCompleted(String job, long millis) {
+    Optional<CallAnswer> wanted = Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+    cluster.runUntil(job + " completes", millis, () -> cluster.status(job).equals(wanted));
+  }
+
+  @Test
+  void tasksStartOnlyWhereTheServiceAllowsIt() {
+    cluster.work.advice.allowOnly(Set.of(ALLOWED));
+    cluster.awaitOwner();
+    String job = submit(4, 1000);
+    cluster.run(1000);
+    assertEquals(4, cluster.executors.get(ALLOWED).running().size());
+    awaitCompleted(job, 1500);
+  }
+
+  /** Tickets hold for two seconds, and only some of the tasks fit at once. */
+  @Test
+  void expiredTicketsAreAskedForAgainAndForbiddenExecutorsAreNot() {
+    cluster.work.advice.allowOnly(Set.of(ALLOWED));
+    cluster.awaitOwner();
+    String job = submit(20, 1800);
+    awaitCompleted(job, 9000);
+    List<ExecutorId> asked =
+        cluster.work.advice.questions().stream()
+            .flatMap(question -> question.executors().stream())
+            .toList();
+    assertTrue(Collections.frequency(asked, ALLOWED) > 1);
+    cluster.executors.keySet().stream()
+        .filter(executor -> !executor.equals(ALLOWED))
+        .forEach(executor -> assertEquals(1, Collections.frequency(asked, executor)));
+  }
+
+  @Test
+  void workWaitsWhileTheServiceIsAwayAndStartsOnceItIsBack() {
+    cluster.work.advice.allowOnly(Set.of(ALLOWED));
+    cluster.work.advice.away(true);
+    cluster.awaitOwner();
+    String job = submit(2, 500);
+    cluster.run(3000);
+    assertTrue(cluster.work.starts().isEmpty());
+    cluster.work.advice.away(false);
+    awaitCompleted(job, 2000);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -23,6 +23,10 @@
   static final String URGENT = "urgent";
   static final String NORMAL = "normal";
   static final String BULK = "bulk";
+
+  /** A queue whose steps run only where the advice service allows it. */
+  static final String ADVISED = "advised";
+
   static final String POOL = "pool";
 
   /** An executor as the users have them. */
@@ -35,6 +39,7 @@
     queues.put(URGENT, new JobQueue(URGENT, POOL, 0, 4, 1.5, 250, false, false));
     queues.put(NORMAL, new JobQueue(NORMAL, POOL, 1, 3, 3, 1000, false, false));
     queues.put(BULK, new JobQueue(BULK, POOL, 2, 2, 3, 3000, false, false));
+    queues.put(ADVISED, new JobQueue(ADVISED, POOL, 1, 3, 3, 1000, false, true));
     return new BatchConfiguration(1, queues, List.of(new KeyHolder("north", Set.of(KEY), 24)));
   }
 
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
@@ -0,0 +1,63 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.advice.AdviceOutcome;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** The advice service, and what executors know of its tickets. */
+final class FakeAdvice {
+
+  static final long VALID_MILLIS = 2000;
+
+  private final Map<String, Long> tickets = new HashMap<>();
+  private final List<BatchCommand.AskAdvice> questions = new ArrayList<>();
+  private Optional<Set<ExecutorId>> allowed = Optional.empty();
+  private boolean away;
+
+  /** From now on only these executors may run steps of queues that need advice. */
+  void allowOnly(Set<ExecutorId> executors) {
+    allowed = Optional.of(executors);
+  }
+
+  void away(boolean isAway) {
+    away = isAway;
+  }
+
+  List<BatchCommand.AskAdvice> questions() {
+    return questions;
+  }
+
+  AdviceOutcome answer(BatchCommand.AskAdvice question, long nowMillis) {
+    questions.add(question);
+    if (away) {
+      return new AdviceOutcome.Unavailable("away");
+    }
+    Map<ExecutorId, String> given = new HashMap<>();
+    for (ExecutorId executor : question.executors()) {
+      if (allowed.filter(executors -> !executors.contains(executor)).isEmpty()) {
+        String ticket = question.step() + "@" + executor.value() + "@" + nowMillis;
+        tickets.put(ticket, nowMillis + VALID_MILLIS);
+        given.put(executor, ticket);
+      }
+    }
+    return new AdviceOutcome.Given(given, VALID_MILLIS);
+  }
+
+  /** Tells whether an executor takes a start; where nothing needs advice it always does. */
+  boolean valid(TaskName task, ExecutorId executor, Optional<String> ticket, long nowMillis) {
+    if (allowed.isEmpty()) {
+      return true;
+    }
+    String begin = task.job() + "." + task.occurrence() + "." + task.step() + "@";
+    return ticket
+        .filter(text -> text.startsWith(begin + executor.value() + "@"))
+        .filter(text -> tickets.getOrDefault(text, 0L) > nowMillis)
+        .isPresent();
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeStore.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeStore.java
@@ -7,9 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescuehook.logic.batch.ownership.OwnerCodec;
+import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.batch.store.WriterPosition;
 
 /** The shared store by its published rules: epochs, sequences, repeats and conditional appends. */
@@ -102,4 +105,19 @@
   List<KeyedRecord> newest(StreamName name) {
     return streams.get(name).newest.values().stream().map(Stored::record).toList();
   }
+
+  /** Returns what a VM that reads the stream of ownership to its end is told. */
+  BatchEvent ownership() {
+    Optional<OwnerRecord> newest =
+        newest(StreamName.OWNERSHIP, OwnerCodec.KEY).map(FakeStore::decode);
+    return new BatchEvent.OwnershipRead(newest, end(StreamName.OWNERSHIP));
+  }
+
+  private static OwnerRecord decode(Stored stored) {
+    try {
+      return OwnerCodec.decode(stored.record().value().orElseThrow(), stored.offset());
+    } catch (UnreadableRecordException e) {
+      throw new AssertionError(e);
+    }
+  }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -0,0 +1,123 @@
+package org.fescuehook.logic.batch.ownership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+class OwnershipDutyTest {
+
+  private final OwnershipDuty duty =
+      new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000"));
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(millis * 1_000_000, 0);
+  }
+
+  /** Another VM's record is read. */
+  private void heard(long millis, OwnerRecord.Kind kind, long offset) {
+    OwnerRecord record =
+        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset);
+    duty.read(Optional.of(record), offset + 1, at(millis));
+  }
+
+  private boolean claims(long millis) {
+    BatchTurn turn = at(millis);
+    duty.step(turn);
+    return turn.commands().stream().anyMatch(BatchCommand.Append.class::isInstance);
+  }
+
+  @Test
+  void anOwnerIsReplacedAfterTwoSecondsOfSilence() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    assertFalse(claims(2900));
+    assertTrue(claims(3100));
+  }
+
+  /**
+   * An owner that was cut off from the store refused all submissions until its silence was over.
+   */
+  @Test
+  void anOwnerThatIsCutOffFromTheStoreIsReplacedSooner() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    duty.doubted(at(1800));
+    assertFalse(claims(1900));
+    assertTrue(claims(2100));
+  }
+
+  @Test
+  void aHeartbeatDispelsTheDoubt() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    duty.doubted(at(1800));
+    heard(1900, OwnerRecord.Kind.HEARTBEAT, 1);
+    assertFalse(claims(3000));
+  }
+
+  @Test
+  void anOldDoubtDoesNotCount() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    duty.doubted(at(1100));
+    heard(1200, OwnerRecord.Kind.HEARTBEAT, 1);
+    duty.doubted(at(1300));
+    heard(2500, OwnerRecord.Kind.HEARTBEAT, 2);
+    assertFalse(claims(4000));
+  }
+
+  private static OwnerHint hint(String vm, long epoch) {
+    return new OwnerHint(new VmId(vm), epoch, "10.0.0.3:7000");
+  }
+
+  /** A VM that was cut off from the store refused all calls until it could read again. */
+  @Test
+  void aPeersWordForANewerOwnerCountsUntilTheStreamIsRead() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    duty.hinted(hint("vm-3", 9), at(4000));
+    assertEquals(Optional.of(hint("vm-3", 9)), duty.hint());
+
+    heard(5000, OwnerRecord.Kind.HEARTBEAT, 4);
+    assertEquals(new VmId("vm-2"), duty.hint().orElseThrow().vm());
+  }
+
+  @Test
+  void aPeersWordForAnOlderOwnerCountsNothing() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    duty.hinted(hint("vm-3", 1), at(1100));
+    assertEquals(new VmId("vm-2"), duty.hint().orElseThrow().vm());
+  }
+
+  @Test
+  void anOwnerThatIsToldOfAHigherEpochOwnsNoLonger() {
+    duty.read(Optional.empty(), 5, at(0));
+    duty.step(at(3000));
+    duty.answered(claimOf(3000), new AppendOutcome.Stored(5), at(3010));
+    assertEquals(OptionalLong.of(6), duty.epoch());
+
+    duty.hinted(hint("vm-3", 9), at(4000));
+
+    assertEquals(OptionalLong.empty(), duty.epoch());
+    assertEquals(Optional.of(hint("vm-3", 9)), duty.hint());
+  }
+
+  /** Returns the position of the claim that a duty like this one sends. */
+  private static WriterPosition claimOf(long millis) {
+    OwnershipDuty like =
+        new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000"));
+    like.read(Optional.empty(), 5, at(0));
+    BatchTurn turn = at(millis);
+    like.step(turn);
+    return turn.commands().stream()
+        .filter(BatchCommand.Append.class::isInstance)
+        .map(BatchCommand.Append.class::cast)
+        .findFirst()
+        .orElseThrow()
+        .position();
+  }
+}
