Batch jobs: explain-log, stages measured, dropped log lines counted; submissions have a desk of their own

Change: JobStory and the command explain-log (events of the job, of its executors and of the owner meanwhile, and the longest stage); CountingLogAppender with fescuehook.log.dropped; fescuehook.batch.stage; SubmissionDesk out of BatchOwner.

--- a/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/CommandCatalogue.java
@@ -10,6 +10,7 @@
 import org.fescuehook.cli.command.EntryCommand;
 import org.fescuehook.cli.command.EntryStarter;
 import org.fescuehook.cli.command.ExplainCommand;
+import org.fescuehook.cli.command.ExplainLogCommand;
 import org.fescuehook.cli.command.JobCancelCommand;
 import org.fescuehook.cli.command.JobShowCommand;
 import org.fescuehook.cli.command.ReplayCommand;
@@ -53,6 +54,8 @@
         new CommandSpec("status", "show the state of the system", StatusCommand::new),
         new CommandSpec("drain", "stop an entry VM gracefully", DrainCommand::new),
         new CommandSpec("explain", "tell why a job waits or was refused", ExplainCommand::new),
+        new CommandSpec(
+            "explain-log", "tell the story of a batch job from logs", ExplainLogCommand::new),
         new CommandSpec("replay", "replay a recorded trace", ReplayCommand::new));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -1,10 +1,14 @@
 package org.fescuehook.entry.scheduler;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchCore;
 import org.fescuehook.logic.batch.BatchEvent;
@@ -22,6 +26,12 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(BatchDuty.class);
 
+  /** Buckets of durations: from an append's to that of a job that waited long. */
+  private static final Duration[] BUCKETS =
+      Stream.of(10, 30, 100, 300, 1000, 3000, 10_000, 30_000)
+          .map(Duration::ofMillis)
+          .toArray(Duration[]::new);
+
   private final BatchCore core;
   private final PlatformStore store;
   private final ExecutorClient executors;
@@ -83,6 +93,12 @@
       case BatchCommand.ForgetExecutor(var id) -> executors.forget(id);
       case BatchCommand.Note(var event, var arguments) ->
           EventLog.info(LOGGER, event, arguments.toArray());
+      case BatchCommand.Measure(String metric, String tag, String value, long nanos) ->
+          Timer.builder(metric)
+              .tag(tag, value)
+              .serviceLevelObjectives(BUCKETS)
+              .register(meters)
+              .record(nanos, TimeUnit.NANOSECONDS);
       case BatchCommand.Count(String metric, String tag, String value) ->
           meters.counter(metric, tag, value).increment();
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -1,5 +1,6 @@
 package org.fescuehook.entry.scheduler;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
@@ -72,6 +73,8 @@
   public SchedulerProgram(SchedulerPreferences preferences) {
     this.preferences = preferences;
     EventLoop loop = loops.next();
+    FunctionCounter.builder("fescuehook.log.dropped", this, vm -> CountingLogAppender.dropped())
+        .register(meters);
     this.ring = new BatchRing(TICK, meters);
     this.gateway = new CallGateway(loop, ring, meters);
     this.callers = new CallerEdge(loops, gateway);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -54,6 +54,9 @@
   /** Log an event. */
   record Note(NumberedEvent event, List<Object> arguments) implements BatchCommand {}
 
+  /** Record a duration. */
+  record Measure(String metric, String tag, String value, long nanos) implements BatchCommand {}
+
   /** Increment a counter. */
   record Count(String metric, String tag, String value) implements BatchCommand {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.fescuehook.logic.batch.advice.AdviceDuty;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
@@ -26,11 +24,9 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.OpenJob;
 import org.fescuehook.logic.batch.store.AppendOutcome;
-import org.fescuehook.logic.batch.store.CommitLoss;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
-import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
@@ -81,8 +77,7 @@
   private final JobDuty jobs;
   private final AdviceDuty advice;
   private final PlanDuty plans;
-  private final Map<String, Submitting> submitting = new LinkedHashMap<>();
-  private final List<Submitting.DueCancel> dueCancels = new ArrayList<>();
+  private final SubmissionDesk submissions;
   private final List<BatchCommand> ready = new ArrayList<>();
   private boolean fenced;
   private boolean stopping;
@@ -106,6 +101,7 @@
             ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
             this);
     this.jobs = new JobDuty(book, writer, executors, configuration);
+    this.submissions = new SubmissionDesk(jobs, writer, ready);
     this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
     this.plans = new PlanDuty(jobs, executors, advice);
     listed.forEach(profile -> executors.seen(profile, turn));
@@ -171,9 +167,7 @@
   void step(long storeSeenAt, BatchTurn turn) {
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - storeSeenAt).toMillis();
     writer.expire(turn);
-    List<Submitting.DueCancel> cancels = List.copyOf(dueCancels);
-    dueCancels.clear();
-    cancels.forEach(due -> cancel(due.ticket(), due.job(), true, turn));
+    submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), true, turn));
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
     }
@@ -205,7 +199,7 @@
   void close(BatchTurn turn) {
     writer.close();
     CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
-    dueCancels.forEach(due -> answer(due.ticket(), undecided));
+    submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
     ready.forEach(turn::add);
     ready.clear();
   }
@@ -217,7 +211,7 @@
    */
   void called(long ticket, BatchCall call, long storeAgeNanos, BatchTurn turn) {
     // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
-    if (call instanceof BatchCall.Submit submit && joined(ticket, submit.job())) {
+    if (call instanceof BatchCall.Submit submit && submissions.joined(ticket, submit.job())) {
       return;
     }
     BatchConfiguration configuration = jobs.configuration();
@@ -239,7 +233,8 @@
           refuse(ticket, submit.job(), refusal.get(), turn);
           return;
         }
-        submit(ticket, submit, queue.get(), holder.map(KeyHolder::name).orElse(""), turn);
+        String organisation = holder.map(KeyHolder::name).orElse("");
+        submissions.submit(ticket, submit, queue.get(), organisation, comeBackMillis(), turn);
       }
       case BatchCall.Status status -> status(ticket, status.job(), storeAgeNanos < CURRENT_NANOS);
       case BatchCall.Cancel cancel ->
@@ -253,34 +248,6 @@
     ready.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  /** Tells whether a submission is a repetition: of a stored job, or of one on its way there. */
-  private boolean joined(long ticket, String id) {
-    if (jobs.book().shown(id).isPresent()) {
-      answer(ticket, new CallAnswer.Accepted());
-      return true;
-    }
-    Submitting earlier = submitting.get(id);
-    if (earlier == null) {
-      return false;
-    }
-    earlier.tickets().add(ticket);
-    return true;
-  }
-
-  private void submit(
-      long ticket, BatchCall.Submit submit, JobQueue queue, String organisation, BatchTurn turn) {
-    String id = submit.job();
-    BatchJob job = new BatchJob(id, queue, organisation, turn.wallMillis(), submit.submission());
-    Submitting waiters = new Submitting(new ArrayList<>(List.of(ticket)), new ArrayList<>());
-    submitting.put(id, waiters);
-    writer.putRefusable(
-        JobCodec.jobKey(id),
-        () -> Optional.of(JobCodec.encode(job)),
-        () -> accepted(job),
-        loss -> notAccepted(id, loss),
-        turn);
-  }
-
   private Optional<RefusalCause> refusal(JobQueue queue, boolean storeAway) {
     if (stopping) {
       return Optional.of(RefusalCause.STOPPING);
@@ -302,41 +269,6 @@
     return Math.clamp(storeAgeMillis, COME_BACK_MILLIS, LATEST_COME_BACK_MILLIS);
   }
 
-  private void accepted(BatchJob job) {
-    jobs.book().add(new OpenJob(job));
-    jobs.changed();
-    note(
-        BatchLogEvent.JOB_ACCEPTED,
-        job.id(),
-        job.queue().name(),
-        job.organisation(),
-        job.submission().tasks(),
-        Math.round(job.submission().estimatedCoreSeconds()),
-        job.submission().estimatedChainMillis(),
-        job.queue().objectiveMillis(job.submission().estimatedChainMillis()));
-    Submitting waiters = submitting.remove(job.id());
-    waiters.tickets().forEach(ticket -> answer(ticket, new CallAnswer.Accepted()));
-    waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, job.id())));
-  }
-
-  private void notAccepted(String id, CommitLoss loss) {
-    CallAnswer answer =
-        switch (loss) {
-          case NOT_STORED -> new CallAnswer.Refused(RefusalCause.STORE_AWAY, comeBackMillis());
-          case UNKNOWN -> new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
-        };
-    BatchLogEvent event =
-        loss == CommitLoss.NOT_STORED ? BatchLogEvent.JOB_REFUSED : BatchLogEvent.JOB_UNDECIDED;
-    note(event, id, loss, comeBackMillis());
-    Submitting waiters = submitting.remove(id);
-    waiters.tickets().forEach(ticket -> answer(ticket, answer));
-    waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, id)));
-  }
-
-  private void note(BatchLogEvent event, Object... arguments) {
-    ready.add(new BatchCommand.Note(event, List.of(arguments)));
-  }
-
   private void status(long ticket, String id, boolean current) {
     Optional<JobPhase> phase = jobs.book().shown(id);
     if (phase.isPresent()) {
@@ -350,9 +282,7 @@
   }
 
   private void cancel(long ticket, String id, boolean current, BatchTurn turn) {
-    Submitting waiters = submitting.get(id);
-    if (waiters != null) {
-      waiters.cancels().add(ticket);
+    if (submissions.cancelledMeanwhile(ticket, id)) {
       return;
     }
     Optional<OpenJob> job = jobs.book().open(id);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
@@ -47,6 +47,11 @@
     commands.add(new BatchCommand.Count(metric, tag, value));
   }
 
+  /** Measures how long a stage of a job or run took. */
+  public void stage(String stage, long nanos) {
+    add(new BatchCommand.Measure("fescuehook.batch.stage", "stage", stage, nanos));
+  }
+
   /** Returns the commands so far. */
   public List<BatchCommand> commands() {
     return List.copyOf(commands);
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionDesk.java
@@ -0,0 +1,139 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.state.JobCodec;
+import org.fescuehook.logic.batch.state.JobDuty;
+import org.fescuehook.logic.batch.state.OpenJob;
+import org.fescuehook.logic.batch.store.CommitLoss;
+import org.fescuehook.logic.batch.store.StateWriter;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.JobQueue;
+
+/**
+ * Submissions on their way to the store: accepted once stored, refused if they surely are not, and
+ * undecided otherwise. The same id again joins the submission under way.
+ */
+final class SubmissionDesk {
+
+  private final JobDuty jobs;
+  private final StateWriter writer;
+  private final List<BatchCommand> ready;
+  private final Map<String, Submitting> underWay = new LinkedHashMap<>();
+  private final List<Submitting.DueCancel> dueCancels = new ArrayList<>();
+
+  /**
+   * Creates a desk without submissions.
+   *
+   * @param ready takes answers and events for the next turn
+   */
+  SubmissionDesk(JobDuty jobs, StateWriter writer, List<BatchCommand> ready) {
+    this.jobs = jobs;
+    this.writer = writer;
+    this.ready = ready;
+  }
+
+  /** Tells whether a submission is a repetition: of a stored job, or of one on its way there. */
+  boolean joined(long ticket, String id) {
+    if (jobs.book().shown(id).isPresent()) {
+      answer(ticket, new CallAnswer.Accepted());
+      return true;
+    }
+    Submitting earlier = underWay.get(id);
+    if (earlier == null) {
+      return false;
+    }
+    earlier.tickets().add(ticket);
+    return true;
+  }
+
+  /**
+   * Sends a submission to the store.
+   *
+   * @param comeBackMillis when its caller comes back if the store does not take it
+   */
+  void submit(
+      long ticket,
+      BatchCall.Submit submit,
+      JobQueue queue,
+      String organisation,
+      long comeBackMillis,
+      BatchTurn turn) {
+    String id = submit.job();
+    BatchJob job = new BatchJob(id, queue, organisation, turn.wallMillis(), submit.submission());
+    underWay.put(id, new Submitting(new ArrayList<>(List.of(ticket)), new ArrayList<>()));
+    writer.putRefusable(
+        JobCodec.jobKey(id),
+        () -> Optional.of(JobCodec.encode(job)),
+        () -> accepted(job),
+        loss -> notAccepted(id, loss, comeBackMillis),
+        turn);
+  }
+
+  /** Keeps a cancel of a submission under way until that is decided; false if there is none. */
+  boolean cancelledMeanwhile(long ticket, String id) {
+    Submitting waiters = underWay.get(id);
+    if (waiters == null) {
+      return false;
+    }
+    waiters.cancels().add(ticket);
+    return true;
+  }
+
+  /** Returns, once, the cancels whose submissions have been decided. */
+  List<Submitting.DueCancel> takeDueCancels() {
+    List<Submitting.DueCancel> due = List.copyOf(dueCancels);
+    dueCancels.clear();
+    return due;
+  }
+
+  private void accepted(BatchJob job) {
+    jobs.book().add(new OpenJob(job));
+    jobs.changed();
+    long chain = job.submission().estimatedChainMillis();
+    note(
+        BatchLogEvent.JOB_ACCEPTED,
+        job.id(),
+        job.queue().name(),
+        job.organisation(),
+        job.submission().tasks(),
+        Math.round(job.submission().estimatedCoreSeconds()),
+        chain,
+        job.queue().objectiveMillis(chain));
+    decided(job.id(), new CallAnswer.Accepted());
+  }
+
+  private void notAccepted(String id, CommitLoss loss, long comeBackMillis) {
+    switch (loss) {
+      case NOT_STORED -> {
+        note(BatchLogEvent.JOB_REFUSED, id, loss, comeBackMillis);
+        decided(id, new CallAnswer.Refused(RefusalCause.STORE_AWAY, comeBackMillis));
+      }
+      case UNKNOWN -> {
+        note(BatchLogEvent.JOB_UNDECIDED, id, loss);
+        decided(id, new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST));
+      }
+    }
+  }
+
+  private void decided(String id, CallAnswer answer) {
+    Submitting waiters = underWay.remove(id);
+    waiters.tickets().forEach(ticket -> answer(ticket, answer));
+    waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, id)));
+  }
+
+  private void answer(long ticket, CallAnswer answer) {
+    ready.add(new BatchCommand.Answer(ticket, answer));
+  }
+
+  private void note(BatchLogEvent event, Object... arguments) {
+    ready.add(new BatchCommand.Note(event, List.of(arguments)));
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -254,7 +254,9 @@
       ExecutorState executor, LiveRun run, OrderOutcome outcome, BatchTurn turn) {
     switch (outcome) {
       case OrderOutcome.Done done -> {
-        long millis = Duration.ofNanos(turn.nowNanos() - run.placedAt()).toMillis();
+        long nanos = turn.nowNanos() - run.placedAt();
+        turn.stage("started", nanos);
+        long millis = Duration.ofNanos(nanos).toMillis();
         turn.note(BatchLogEvent.RUN_STARTED, run.run(), run.executor(), millis);
         run.enter(Stage.RUNNING, turn.nowNanos());
         pacer.started(executor, run, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -174,6 +174,7 @@
       Optional<String> ticket = advice.ticket(step, executor, turn.nowNanos());
       LiveRun run = LiveRun.placed(name, executor, step, checkpoint, ticket, turn.nowNanos());
       Timing timing = timing(step, jobs.queue(step.job()), turn);
+      turn.stage("queued", timing.queuedNanos());
       step.begin(place.task(), run);
       place.executor().add(run);
       touched.add(step.job());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.executor.Countdown;
@@ -85,6 +86,7 @@
   private void end(OpenJob job, JobPhase phase, Runnable committed, BatchTurn turn) {
     long millis = turn.wallMillis() - job.job().acceptedMillis();
     turn.note(BatchLogEvent.JOB_ENDED, job.job().id(), phase, millis);
+    turn.stage("whole", Math.max(0, TimeUnit.MILLISECONDS.toNanos(millis)));
     turn.count("fescuehook.batch.jobs.ended", "phase", phase.name());
     job.end(phase, turn.wallMillis());
     if (phase != JobPhase.COMPLETED) {
@@ -136,6 +138,7 @@
   private static void noteEnd(LiveRun run, RunEnd end, BatchTurn turn) {
     long millis = (turn.nowNanos() - run.placedAt()) / 1_000_000;
     turn.note(BatchLogEvent.RUN_ENDED, run.run(), run.executor(), end, run.percent(), millis);
+    turn.stage("ran", turn.nowNanos() - run.placedAt());
     turn.count("fescuehook.batch.runs.ended", "how", end.name());
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -201,8 +201,7 @@
       case BatchCommand.Order command1 -> order(vm, command1);
       case BatchCommand.AskAdvice question -> advise(vm, question);
       case BatchCommand.ForgetExecutor forget -> {}
-      case BatchCommand.Note note -> {}
-      case BatchCommand.Count count -> {}
+      case BatchCommand.Note _, BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
 
@@ -284,12 +283,7 @@
   }
 
   private void advise(Vm vm, BatchCommand.AskAdvice question) {
-    in(
-        ADVICE_MILLIS,
-        () ->
-            vm.deliver(
-                new BatchEvent.AdviceEnded(
-                    question.number(), work.advice.answer(question, nowMillis))));
+    in(ADVICE_MILLIS, () -> vm.deliver(work.advice.ended(question, nowMillis)));
   }
 
   private void takeLate(ExecutorId id, BatchCommand.Order command) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
@@ -33,7 +33,11 @@
     return questions;
   }
 
-  AdviceOutcome answer(BatchCommand.AskAdvice question, long nowMillis) {
+  BatchEvent ended(BatchCommand.AskAdvice question, long nowMillis) {
+    return new BatchEvent.AdviceEnded(question.number(), answer(question, nowMillis));
+  }
+
+  private AdviceOutcome answer(BatchCommand.AskAdvice question, long nowMillis) {
     questions.add(question);
     if (away) {
       return new AdviceOutcome.Unavailable("away");
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/story/JobStoryTest.java
@@ -0,0 +1,66 @@
+package org.fescuehook.logic.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class JobStoryTest {
+
+  private static final String JOB = "613a0aabc6d4ee61";
+  private static final String RUN = JOB + ".0.0.0#1";
+
+  private static LoggedEvent event(long millis, int number, String message) {
+    return new LoggedEvent(millis, "vm-1", number, message);
+  }
+
+  private static final List<LoggedEvent> LOG =
+      List.of(
+          event(5000, 8031, "Executor e2 silent: timeout, 1 runs there, leases end in 5000 ms"),
+          event(3000, 8034, "Executor e9 rests for 2000 ms: a run failed there"),
+          event(1000, 8010, "Job " + JOB + " accepted: queue q organisation o tasks 1"),
+          event(3500, 8020, "Run " + RUN + " placed on e2 in rack r1: guaranteed, waited 2500 ms"),
+          event(3510, 8021, "Run " + RUN + " started on e2 after 10 ms"),
+          event(9600, 8024, "Run " + RUN + " on e2 lost: silent until its lease had expired"),
+          event(6000, 8001, "Ownership won at epoch 7"),
+          event(20_000, 8031, "Executor e2 silent: timeout, 0 runs there"));
+
+  @Test
+  void itHoldsTheJobsEventsThoseOfItsExecutorsAndChangesOfTheOwnerMeanwhile() {
+    List<Integer> numbers =
+        JobStory.of(JOB, LOG).events().stream().map(LoggedEvent::number).toList();
+    assertEquals(List.of(8010, 8020, 8021, 8031, 8001, 8024), numbers);
+  }
+
+  @Test
+  void itNamesTheLongestStage() {
+    JobStory.Stage longest = JobStory.of(JOB, LOG).longestStage().orElseThrow();
+    assertEquals(6090, longest.millis());
+    assertTrue(longest.name().contains("lease"), longest.name());
+  }
+
+  @Test
+  void aJobThatNoLineNamesHasNoStory() {
+    assertTrue(JobStory.of("0000000000000000", LOG).events().isEmpty());
+  }
+
+  @Test
+  void aLineIsReadBehindThePrefixOfACollector() {
+    String line =
+        "  18.2418 edge-3 {\"timestamp\":1796247072211,\"level\":\"INFO\","
+            + "\"kvpList\": [{\"event\":\"8011\"}],\"formattedMessage\":\"Job a refused\"}";
+    assertEquals(
+        Optional.of(new LoggedEvent(1_796_247_072_211L, "edge-3", 8011, "Job a refused")),
+        new LoggedEventParser().parse(line));
+  }
+
+  @Test
+  void linesWithoutANumberedEventAreLeftOut() {
+    LoggedEventParser parser = new LoggedEventParser();
+    assertEquals(Optional.empty(), parser.parse(""));
+    assertEquals(Optional.empty(), parser.parse("{\"timestamp\":1"));
+    assertEquals(Optional.empty(), parser.parse("{\"formattedMessage\":\"of a library\"}"));
+  }
+}
