--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.fescuehook.bench.batch.MeasureBatch;
 import org.fescuehook.bench.capacity.MeasureCapacity;
 import org.fescuehook.bench.policy.MeasurePolicy;
 import org.fescuehook.bench.proof.ProveCommand;
@@ -17,6 +18,8 @@
   private static final Map<String, Supplier<Subcommand>> SUBCOMMANDS =
       new TreeMap<>(
           Map.of(
+              "batch",
+              MeasureBatch::new,
               "capacity",
               MeasureCapacity::new,
               "policy",
--- a/bench/src/main/java/org/fescuehook/bench/capacity/CpuClock.java
+++ b/bench/src/main/java/org/fescuehook/bench/capacity/CpuClock.java
@@ -5,17 +5,18 @@
 import java.util.Arrays;
 
 /** Measures processor time of the calling thread, so that other load on the machine counts less. */
-final class CpuClock {
+public final class CpuClock {
   private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
 
   /** Work that is timed. */
   @FunctionalInterface
-  interface Work {
+  public interface Work {
+    /** Does it once. */
     void run() throws Exception;
   }
 
   /** Returns the median processor time of a run in microseconds, after as many runs to warm up. */
-  double medianMicros(int runs, Work work) throws Exception {
+  public double medianMicros(int runs, Work work) throws Exception {
     for (int i = 0; i < runs; i++) {
       work.run();
     }
@@ -28,7 +29,7 @@
   }
 
   /** Returns the processor time of one run in microseconds. */
-  double micros(Work work) throws Exception {
+  public double micros(Work work) throws Exception {
     long start = threads.getCurrentThreadCpuTime();
     work.run();
     return (threads.getCurrentThreadCpuTime() - start) / 1e3;
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CountingLogAppenderTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CountingLogAppenderTest.java
@@ -7,8 +7,10 @@
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.LoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.AppenderBase;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,6 +18,7 @@
 class CountingLogAppenderTest {
 
   private static final int QUEUE = 10;
+  private static final long PATIENCE_SECONDS = 20;
 
   private final LoggerContext context = new LoggerContext();
   private final CountingLogAppender appender = new CountingLogAppender();
@@ -39,6 +42,7 @@
 
   @BeforeEach
   void start() throws InterruptedException {
+    context.setMDCAdapter(new LogbackMDCAdapter());
     output.setContext(context);
     output.start();
     appender.setContext(context);
@@ -46,7 +50,7 @@
     appender.addAppender(output);
     appender.start();
     log(Level.INFO);
-    output.reached.await();
+    assertTrue(output.reached.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "nothing was logged");
   }
 
   @AfterEach
