Entries of other writers name no executor; runs that the owner does not know are stopped until gone

`ExecutorParser` took an entry without a state, or with an unknown one, as ready, a text as a number and a missing capacity as none; an entry under a blank name threw from the listener and ended the reading of the list for good. A stop of an unknown run was sent once: on an executor without other runs nobody looked again, and the run went on to the end of its lease, beyond the users' bound of 3 s after a late start.

`WireFields` reads by type and names the field; an entry with a fault counts as not listed, so that what runs there is held and nothing new starts; an executor of a pool that no queue names is not contacted; an executor that lists an unknown run is polled until it lists none, and such polls extend no lease. The configuration is refused as a whole.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -104,6 +104,7 @@
     this.submissions = new SubmissionDesk(jobs, writer, ready);
     this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
     this.plans = new PlanDuty(jobs, executors, advice);
+    executors.serve(jobs.pools());
     listed.forEach(profile -> executors.seen(profile, turn));
     executors.inherit(Takeover.inheritedRuns(book), turn);
   }
@@ -116,6 +117,7 @@
   /** Takes a newer configuration. */
   void configure(BatchConfiguration newer) {
     jobs.configure(newer);
+    executors.serve(jobs.pools());
   }
 
   /** Takes in an entry of the list of executors. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -48,6 +48,7 @@
   private final RunListener listener;
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
+  private Set<String> pools = Set.of();
 
   /**
    * Creates the duty of an epoch.
@@ -67,6 +68,14 @@
     return book;
   }
 
+  /**
+   * Names the pools that jobs may run in. An executor of any other pool is not contacted, unless
+   * something runs there.
+   */
+  public void serve(Set<String> newer) {
+    pools = Set.copyOf(newer);
+  }
+
   /** Takes over runs of a former owner, once, before the first step. */
   public void inherit(List<LiveRun> runs, BatchTurn turn) {
     orphansLostAt = turn.nowNanos() + inheritedLeaseNanos;
@@ -129,7 +138,8 @@
     if (silent && turn.nowNanos() - executor.leaseUntilNanos() > 0) {
       loseAll(executor, "silent until its lease had expired", turn);
     }
-    boolean idle = executor.runs().isEmpty() && executor.poll().isEmpty();
+    boolean mayRun = !executor.runs().isEmpty() || (executor.runsUnknown() && !silent);
+    boolean idle = !mayRun && executor.poll().isEmpty();
     if (!executor.listed() && idle && !executor.owesAcknowledgement()) {
       forget(executor, turn);
     }
@@ -163,8 +173,9 @@
   }
 
   private void poll(ExecutorState executor, BatchTurn turn) {
-    boolean needed =
-        !executor.known() || !executor.runs().isEmpty() || executor.owesAcknowledgement();
+    boolean unknown = !executor.known() && pools.contains(executor.profile().pool());
+    boolean holds = !executor.runs().isEmpty() || executor.runsUnknown();
+    boolean needed = unknown || holds || executor.owesAcknowledgement();
     if (needed && executor.pollDue(turn.nowNanos())) {
       orders.poll(executor, turn);
     }
@@ -329,6 +340,7 @@
     executor.clockRead(answer.clockMillis(), turn.nowNanos());
     takeEnds(executor, answer.ended(), turn);
     Set<TaskRun> active = new HashSet<>();
+    executor.unknownRunsSeen(false);
     for (ActiveRun run : answer.active()) {
       active.add(run.run());
       takeActive(executor, run, turn);
@@ -366,6 +378,7 @@
   private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
     Optional<LiveRun> found = executor.run(active.run());
     if (found.isEmpty()) {
+      executor.unknownRunsSeen(true);
       turn.note(BatchLogEvent.RUN_UNKNOWN, active.run(), executor.profile().id());
       orders.stopUnknown(executor, active.run(), turn);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -47,6 +47,7 @@
   private long acknowledgementSent;
   private long restUntil;
   private boolean resting;
+  private boolean runsUnknown;
   private int failuresInRow;
   private final SpeedRecord speed = new SpeedRecord();
 
@@ -108,6 +109,19 @@
     }
   }
 
+  /** Remembers whether the newest report lists a run that the owner does not know. */
+  void unknownRunsSeen(boolean seenAny) {
+    runsUnknown = seenAny;
+  }
+
+  /**
+   * Tells whether it may run something that the owner does not know, such as a start that arrived
+   * after its job was cancelled. It is looked at until a report lists none.
+   */
+  public boolean runsUnknown() {
+    return runsUnknown;
+  }
+
   /** Returns what is not reserved. */
   public Demand free() {
     return profile.capacity().minus(used);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -37,18 +37,19 @@
   }
 
   /**
-   * Polls an executor. One that answers has its lease renewed; for one that is silent the lease is
-   * not extended, so that its runs are known to end.
+   * Polls an executor. One that answers has its lease renewed; for one that is silent, or that runs
+   * only what this owner does not know, the lease is not extended, so that its runs are known to
+   * end.
    */
   void poll(ExecutorState executor, BatchTurn turn) {
     boolean calm = executor.known() && executor.missedPolls() == 0;
     OptionalLong leaseUntil = OptionalLong.empty();
-    if (calm) {
+    if (calm && !executor.runs().isEmpty()) {
       leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
     } else if (executor.leaseUntilMillis() > 0) {
       leaseUntil = OptionalLong.of(executor.leaseUntilMillis());
     }
-    boolean waits = calm && !executor.runs().isEmpty();
+    boolean waits = calm && (!executor.runs().isEmpty() || executor.runsUnknown());
     long longestWait = waits ? POLL_WAIT.toMillis() : 0;
     long number =
         send(
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -1,6 +1,8 @@
 package org.fescuehook.logic.batch.state;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
@@ -55,6 +57,14 @@
     return configuration;
   }
 
+  /** Returns the pools that jobs may run in: those of declared queues, and of jobs kept open. */
+  public Set<String> pools() {
+    Set<String> pools = new HashSet<>();
+    configuration.queues().values().forEach(queue -> pools.add(queue.pool()));
+    book.openJobs().forEach(job -> pools.add(queue(job).pool()));
+    return pools;
+  }
+
   /** Tells whether a plan may turn out differently since this was asked last. */
   public boolean takeChanged() {
     boolean was = changed;
--- a/fescuehook/src/main/java/org/fescuehook/platform/ConfigurationParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ConfigurationParser.java
@@ -1,11 +1,11 @@
 package org.fescuehook.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.JobQueue;
@@ -25,50 +25,46 @@
   record Parsed(BatchConfiguration configuration, RouteTable routes) {}
 
   /**
-   * Parses a configuration.
+   * Parses a configuration. One with a fault is refused as a whole, so that the one in force stays.
    *
-   * @throws MalformedMessageException if it is not a JSON object with a version
+   * @throws MalformedMessageException if it lacks a version or a name, or a field has another type
    */
   static Parsed parse(byte[] text) throws MalformedMessageException {
-    JsonNode body = WireJson.parse(text);
-    if (!body.path("version").canConvertToLong()) {
-      throw new MalformedMessageException("configuration without a version");
-    }
+    WireFields body = new WireFields("configuration", WireJson.parse(text));
+    long version = body.number("version");
     Map<String, JobQueue> queues = new HashMap<>();
     List<RouteTable.Route> routes = new ArrayList<>();
-    for (JsonNode route : body.path("routes")) {
+    for (WireFields route : body.objects("routes")) {
       JobQueue queue = queue(route);
       queues.put(queue.name(), queue);
-      routes.add(
-          new RouteTable.Route(
-              route.path("host").asText(), route.path("pathPrefix").asText(), queue));
+      routes.add(new RouteTable.Route(route.text("host"), route.text("pathPrefix"), queue));
     }
     List<KeyHolder> holders = new ArrayList<>();
-    for (JsonNode tenant : body.path("tenants")) {
+    for (WireFields tenant : body.objects("tenants")) {
       holders.add(holder(tenant));
     }
-    BatchConfiguration configuration =
-        new BatchConfiguration(body.path("version").asLong(), queues, holders);
+    BatchConfiguration configuration = new BatchConfiguration(version, queues, holders);
     return new Parsed(configuration, new RouteTable(configuration, routes));
   }
 
   /** A route is a queue; its "service" names the pool of executors that runs its tasks. */
-  private static JobQueue queue(JsonNode route) {
+  private static JobQueue queue(WireFields route) throws MalformedMessageException {
     return new JobQueue(
-        route.path("name").asText(),
-        route.path("service").asText(),
-        route.path("priority").asInt(),
-        route.path("maxAttempts").asInt(1),
-        route.path("deadlineFactor").asDouble(1),
-        route.path("targetLatencyMs").asLong(),
-        route.path("public").asBoolean(),
-        route.path("recommendation").isObject());
+        route.text("name"),
+        route.text("service"),
+        route.has("priority") ? route.count("priority") : 0,
+        route.has("maxAttempts") ? route.count("maxAttempts") : 1,
+        route.has("deadlineFactor") ? route.positive("deadlineFactor") : 1,
+        route.has("targetLatencyMs") ? route.millis("targetLatencyMs") : 0,
+        route.flag("public"),
+        route.has("recommendation"));
   }
 
-  private static KeyHolder holder(JsonNode tenant) {
-    Set<String> keys = new HashSet<>();
-    tenant.path("apiKeys").forEach(key -> keys.add(key.asText()));
-    return new KeyHolder(
-        tenant.path("name").asText(), keys, tenant.path("guaranteed").path("gpu").asInt());
+  private static KeyHolder holder(WireFields tenant) throws MalformedMessageException {
+    Set<String> keys = new HashSet<>(tenant.has("apiKeys") ? tenant.texts("apiKeys") : List.of());
+    Optional<WireFields> guaranteed = tenant.innerIfPresent("guaranteed");
+    int accelerators =
+        guaranteed.isPresent() && guaranteed.get().has("gpu") ? guaranteed.get().count("gpu") : 0;
+    return new KeyHolder(tenant.text("name"), keys, accelerators);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
@@ -109,7 +109,8 @@
 
   private static OrderOutcome carriedOut(ExecutorOrder order, JsonNode body)
       throws MalformedMessageException {
-    long clock = body.path("clockMs").asLong();
+    WireFields answer = new WireFields("answer", body);
+    long clock = answer.number("clockMs");
     if (!(order instanceof ExecutorOrder.Poll)) {
       return new OrderOutcome.Done(clock);
     }
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorParser.java
@@ -1,8 +1,6 @@
 package org.fescuehook.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import org.fescuehook.logic.ini.Addresses;
@@ -14,9 +12,13 @@
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.RackId;
 
-/** Reads what an executor reports of itself. */
+/**
+ * Reads what an executor reports of itself. Entries may come from other writers: one that lacks a
+ * field, or has one of another type or an unknown state, describes no executor.
+ */
 final class ExecutorParser {
 
+  private static final String STATE_READY = "ready";
   private static final String STATE_LEAVING = "draining";
   private static final ValueType<InetSocketAddress> ADDRESS = Addresses.fromPort(1);
 
@@ -25,30 +27,47 @@
   /**
    * Parses an entry.
    *
-   * @throws MalformedMessageException if it lacks an address or a rack
+   * @throws MalformedMessageException if it does not describe an executor
    */
   static ExecutorProfile parse(String id, byte[] text) throws MalformedMessageException {
-    JsonNode body = WireJson.parse(text);
+    if (id.isBlank()) {
+      throw new MalformedMessageException("an executor without a name");
+    }
+    WireFields fields = new WireFields("executor " + id, WireJson.parse(text));
+    checkUnused(fields);
     // The first label is the executor's kind, the last one its rack.
-    List<String> labels = new ArrayList<>();
-    body.path("labels").forEach(label -> labels.add(label.asText()));
+    List<String> labels = fields.texts("labels");
     if (labels.isEmpty()) {
       throw new MalformedMessageException("executor " + id + " has no rack");
     }
-    JsonNode capacity = body.path("capacity");
+    WireFields capacity = fields.inner("capacity");
     return new ExecutorProfile(
         new ExecutorId(id),
-        address(body.path("address").asText()),
-        body.path("service").asText(),
-        new FailureDomain(body.path("zone").asText("none")),
+        address(fields.text("address")),
+        fields.text("service"),
+        new FailureDomain(fields.text("zone")),
         new RackId(labels.getLast()),
         new HashSet<>(labels),
-        new Demand(
-            capacity.path("cpu").asInt(),
-            capacity.path("memMb").asInt(),
-            capacity.path("gpu").asInt()),
-        body.path("state").asText().equals(STATE_LEAVING),
-        body.path("remainingMs").asLong());
+        new Demand(capacity.count("cpu"), capacity.count("memMb"), capacity.count("gpu")),
+        leaving(fields),
+        fields.has("remainingMs") ? fields.millis("remainingMs") : 0);
+  }
+
+  /** Fields without use here; that one is missing or of another type shows another writer. */
+  private static void checkUnused(WireFields fields) throws MalformedMessageException {
+    fields.text("version");
+    fields.count("slots");
+    fields.millis("coldLeftMs");
+    fields.number("sequence");
+  }
+
+  private static boolean leaving(WireFields fields) throws MalformedMessageException {
+    String state = fields.text("state");
+    return switch (state) {
+      case STATE_READY -> false;
+      case STATE_LEAVING -> true;
+      default -> throw new MalformedMessageException(fields.subject() + ": state '" + state + "'");
+    };
   }
 
   private static InetSocketAddress address(String text) throws MalformedMessageException {
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +17,6 @@
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.event.EventLog;
-import org.fescuehook.model.batch.ExecutorProfile;
-import org.fescuehook.model.fleet.ExecutorId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -149,7 +146,7 @@
     events.accept(new BatchEvent.StateUnreadable());
   }
 
-  private static void unreadable(Topic topic, String key, Exception cause) {
+  static void unreadable(Topic topic, String key, Exception cause) {
     EventLog.warn(LOGGER, PlatformEvent.RECORD_UNREADABLE, key, topic, cause.getMessage());
   }
 
@@ -224,32 +221,12 @@
   private final class ExecutorsListener implements StreamFollower.Listener {
     @Override
     public void newest(List<StreamRecord> records, long end) {
-      List<ExecutorProfile> profiles = new ArrayList<>();
-      for (StreamRecord record : records) {
-        record.value().flatMap(text -> decode(record.key(), text)).ifPresent(profiles::add);
-      }
-      events.accept(new BatchEvent.ExecutorsListed(profiles));
+      events.accept(new BatchEvent.ExecutorsListed(ExecutorEntries.profiles(records)));
     }
 
     @Override
     public void records(List<StreamRecord> records, long end) {
-      for (StreamRecord record : records) {
-        if (record.value().isEmpty()) {
-          events.accept(new BatchEvent.ExecutorUnlisted(new ExecutorId(record.key())));
-        } else {
-          decode(record.key(), record.value().get())
-              .ifPresent(profile -> events.accept(new BatchEvent.ExecutorSeen(profile)));
-        }
-      }
-    }
-
-    private Optional<ExecutorProfile> decode(String key, byte[] text) {
-      try {
-        return Optional.of(ExecutorParser.parse(key, text));
-      } catch (MalformedMessageException e) {
-        unreadable(Topic.EXECUTORS, key, e);
-        return Optional.empty();
-      }
+      records.stream().map(ExecutorEntries::event).flatMap(Optional::stream).forEach(events);
     }
 
     @Override
--- a/fescuehook/src/main/java/org/fescuehook/platform/WireJson.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/WireJson.java
@@ -1,6 +1,7 @@
 package org.fescuehook.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -9,7 +10,8 @@
 /** JSON of the platform's messages. */
 final class WireJson {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
   private WireJson() {}
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -43,6 +43,10 @@
   final Map<VmId, Vm> vms = new LinkedHashMap<>();
   final Map<ExecutorId, FakeExecutor> executors = new LinkedHashMap<>();
   final ClusterFaults faults = new ClusterFaults();
+
+  /** How many orders were sent to each executor. */
+  final Map<ExecutorId, Integer> orders = new HashMap<>();
+
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
   private final Map<Long, String> submitTickets = new HashMap<>();
@@ -112,7 +116,10 @@
   }
 
   void addExecutor(String name, String rack) {
-    ExecutorProfile profile = Declared.executor(name, rack);
+    addExecutor(Declared.executor(name, rack));
+  }
+
+  void addExecutor(ExecutorProfile profile) {
     FakeExecutor executor = new FakeExecutor(profile, 1_000_000L + random.nextInt(1000), work);
     executors.put(profile.id(), executor);
     work.add(executor);
@@ -260,6 +267,12 @@
 
   private void order(Vm vm, BatchCommand.Order command) {
     ExecutorId id = command.executor().id();
+    orders.merge(id, 1, Integer::sum);
+    if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
+      faults.stopsLost++;
+      in(600, () -> ended(vm, command, new OrderOutcome.Unanswered("timeout")));
+      return;
+    }
     boolean poll = command.order() instanceof BatchCommand.ExecutorOrder.Poll;
     boolean reached = executors.containsKey(id) && !faults.silent.contains(id);
     boolean late = reached && random.nextDouble() < faults.lateOrders;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -13,4 +13,9 @@
   final Set<VmId> cutFromStore = new HashSet<>();
   final Set<ExecutorId> silent = new HashSet<>();
   double lateOrders;
+
+  /** Whether stops neither arrive nor are answered. */
+  boolean lostStops;
+
+  int stopsLost;
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -63,10 +63,14 @@
   }
 
   static ExecutorProfile executor(String name, String rack) {
+    return ofPool(name, rack, POOL);
+  }
+
+  static ExecutorProfile ofPool(String name, String rack, String pool) {
     return new ExecutorProfile(
         new ExecutorId(name),
         new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
-        POOL,
+        pool,
         new FailureDomain("a"),
         new RackId(rack),
         Set.of("kind", rack),
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StrayRunTest.java
@@ -0,0 +1,116 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: an executor runs something whose job was cancelled, since a start arrived late, or since
+ * the VM that gave it, and was to stop it, is gone. The users' bound counts from 3 s after such a
+ * start.
+ */
+class StrayRunTest {
+
+  private static final long GONE_WITHIN_MILLIS = 3200;
+
+  private static BatchCluster cluster() {
+    BatchCluster cluster = new BatchCluster(3, 2, 5);
+    cluster.awaitOwner();
+    cluster.run(200);
+    return cluster;
+  }
+
+  private static boolean anythingRuns(BatchCluster cluster) {
+    return cluster.executors.values().stream().anyMatch(one -> !one.running().isEmpty());
+  }
+
+  private static void cancel(BatchCluster cluster, String job) {
+    cluster.call(new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, job));
+    cluster.runUntil("the cancel", 1000, () -> cluster.work.cancelled(job));
+  }
+
+  @Test
+  void aStartThatArrivesAfterTheCancelIsStoppedByTheNextOwner() {
+    BatchCluster cluster = cluster();
+    cluster.faults.lateOrders = 1;
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, 60_000)));
+    cluster.run(100);
+    cluster.faults.lateOrders = 0;
+    cancel(cluster, job);
+    VmId former = cluster.owner().orElseThrow().id;
+    cluster.vms.get(former).running = false;
+    cluster.awaitOwner();
+    cluster.run(9000);
+    assertFalse(anythingRuns(cluster));
+  }
+
+  /** The stop that the next owner sends is lost too; it looks again until nothing runs there. */
+  @Test
+  void aRunWhoseVmWasRemovedRightAfterTheCancelIsStoppedThoughAStopIsLost() {
+    BatchCluster cluster = cluster();
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, 60_000)));
+    cluster.runUntil("the start", 1000, () -> anythingRuns(cluster));
+    cluster.faults.lostStops = true;
+    cancel(cluster, job);
+    VmId former = cluster.owner().orElseThrow().id;
+    cluster.vms.get(former).running = false;
+    cluster.runUntil("the next owner's first stop", 9000, () -> cluster.faults.stopsLost > 1);
+    assertTrue(anythingRuns(cluster));
+    cluster.faults.lostStops = false;
+    cluster.runUntil("the end of the run", 1500, () -> !anythingRuns(cluster));
+  }
+
+  @Test
+  void whatAnOwnerDoesNotKnowIsLookedAtUntilItIsGoneAndItsLeaseIsNotExtended() {
+    ExecutorId id = new ExecutorId("e0");
+    BatchCluster cluster = cluster();
+    FakeExecutor executor = cluster.executors.get(id);
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, 60_000)));
+    cluster.runUntil("the start", 1000, () -> anythingRuns(cluster));
+    cancel(cluster, job);
+    cluster.faults.lostStops = true;
+    cluster.run(GONE_WITHIN_MILLIS);
+    cluster.faults.lostStops = false;
+    cluster.run(GONE_WITHIN_MILLIS);
+    assertEquals(List.of(), executor.running());
+  }
+
+  @Test
+  void anExecutorOfAPoolThatNoQueueNamesIsNotContacted() {
+    BatchCluster cluster = new BatchCluster(1, 0, 5);
+    cluster.awaitOwner();
+    cluster.addExecutor(Declared.ofPool("e9", "r1", "another"));
+    cluster.addExecutor(Declared.executor("e8", "r1"));
+    cluster.run(1000);
+    assertEquals(0, cluster.orders.getOrDefault(new ExecutorId("e9"), 0));
+    assertTrue(cluster.orders.getOrDefault(new ExecutorId("e8"), 0) > 0);
+  }
+
+  /** An entry that became unreadable counts as not listed: see the adapter's tests. */
+  @Test
+  void anExecutorThatIsNoLongerListedKeepsItsRunsAndGetsNoNewOnes() {
+    BatchCluster cluster = new BatchCluster(1, 1, 5);
+    cluster.awaitOwner();
+    cluster.run(200);
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 9000)));
+    cluster.runUntil("the start", 1000, () -> anythingRuns(cluster));
+    ExecutorId id = new ExecutorId("e0");
+    cluster.owner().orElseThrow().deliver(new BatchEvent.ExecutorUnlisted(id));
+    String second = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.run(7500);
+    assertEquals(1, cluster.executors.get(id).running().size());
+    assertEquals(1, cluster.work.starts().size(), () -> "started: " + cluster.work.starts());
+    cluster
+        .owner()
+        .orElseThrow()
+        .deliver(new BatchEvent.ExecutorSeen(Declared.executor("e0", "r0")));
+    cluster.runUntil("the second job", 3000, () -> cluster.work.starts().size() == 2);
+    assertEquals(second, cluster.work.starts().getLast().task().job());
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/platform/ConfigurationParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ConfigurationParserTest.java
@@ -51,7 +51,7 @@
 
   @Test
   void aConfigurationWithoutAVersionIsRefused() {
-    assertThrows(MalformedMessageException.class, () -> parse("{\"routes\":[]}"));
+    assertThrows(MalformedMessageException.class, () -> parse("{\"routes\":[],\"tenants\":[]}"));
     assertThrows(MalformedMessageException.class, () -> parse("nothing"));
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
@@ -23,7 +23,7 @@
 class ExecutorMessagesTest {
 
   private static final TaskRun RUN = new TaskRun(new TaskName("5c0e7a21d94b36f8", 0, 1, 17), 2);
-  private static final ExecutorOrder POLL = new ExecutorOrder.Poll(57, OptionalLong.of(486_000), 0);
+  static final ExecutorOrder POLL = new ExecutorOrder.Poll(57, OptionalLong.of(486_000), 0);
 
   private static OrderOutcome decode(ExecutorOrder order, int status, String body) {
     return ExecutorMessages.decode(
--- a/fescuehook/src/test/java/org/fescuehook/platform/ExecutorParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorParserTest.java
@@ -12,19 +12,25 @@
 
 class ExecutorParserTest {
 
+  private static final String ENTRY =
+      """
+      {"service":"p","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":8,
+      "state":"draining","remainingMs":2100,"coldLeftMs":0,"labels":["k","r1-3"],
+      "capacity":{"cpu":64000,"memMb":262144,"gpu":8},"clockMs":5,"sequence":4}
+      """;
+
   private static ExecutorProfile parse(String json) throws MalformedMessageException {
     return ExecutorParser.parse("i-1", json.getBytes(StandardCharsets.UTF_8));
   }
 
+  private static void assertRefused(String part, String replacement) {
+    String entry = ENTRY.replace(part, replacement);
+    assertThrows(MalformedMessageException.class, () -> parse(entry), entry);
+  }
+
   @Test
   void theLastLabelIsTheRack() throws MalformedMessageException {
-    ExecutorProfile profile =
-        parse(
-            """
-            {"service":"p","address":"10.128.0.9:8080","zone":"a","state":"draining",
-            "remainingMs":2100,"labels":["k","r1-3"],
-            "capacity":{"cpu":64000,"memMb":262144,"gpu":8}}
-            """);
+    ExecutorProfile profile = parse(ENTRY);
 
     assertEquals(new RackId("r1-3"), profile.rack());
     assertTrue(profile.labels().contains("k"));
@@ -36,9 +42,33 @@
 
   @Test
   void anEntryWithoutAddressOrRackIsRefused() {
-    assertThrows(
-        MalformedMessageException.class,
-        () -> parse("{\"address\":\"host:1\",\"labels\":[\"r\"]}"));
-    assertThrows(MalformedMessageException.class, () -> parse("{\"address\":\"10.0.0.1:1\"}"));
+    assertRefused("10.128.0.9:8080", "host:1");
+    assertRefused("10.128.0.9:8080", "10.0.0.1");
+    assertRefused("[\"k\",\"r1-3\"]", "[]");
+    assertRefused("\"labels\"", "\"other\"");
+  }
+
+  @Test
+  void anEntryInAnUnknownStateIsRefused() {
+    assertRefused("draining", "paused");
+    assertRefused("\"draining\"", "7");
+    assertRefused("\"state\"", "\"other\"");
+  }
+
+  @Test
+  void nothingIsReadAsAnotherType() {
+    assertRefused("64000", "\"64000\"");
+    assertRefused("64000", "-1");
+    assertRefused("64000", "1e30");
+    assertRefused("64000", "99999999999999999999");
+    assertRefused("{\"cpu\":64000,\"memMb\":262144,\"gpu\":8}", "8");
+    assertRefused("\"p\"", "null");
+    assertRefused("\"a\"", "[\"a\"]");
+  }
+
+  @Test
+  void anEntryWithoutANameIsRefused() {
+    byte[] entry = ENTRY.getBytes(StandardCharsets.UTF_8);
+    assertThrows(MalformedMessageException.class, () -> ExecutorParser.parse(" ", entry));
   }
 }
