--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -68,7 +68,7 @@
     this.stored = stored;
     this.core =
         new BatchCore(
-            new OwnerIdentity(new VmId("vm"), "start", "10.0.0.1:7000"),
+            new OwnerIdentity(new VmId("vm"), "start", "10.0.0.1:7000", 1000),
             new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), false));
     for (int i = 0; i < executors; i++) {
       fleet.add(executor(i));
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -105,7 +105,8 @@
         new OwnerIdentity(
             preferences.identity().vm(),
             incarnation,
-            Addresses.format(preferences.addresses().peers()));
+            Addresses.format(preferences.addresses().peers()),
+            preferences.processor().milliCores());
     BatchCore core = new BatchCore(self, preferences.batch());
     this.decisions = new BatchDuty(core, store, executors, advice, meters, gateway::update);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -99,7 +99,8 @@
             epoch,
             lease.minus(LEASE_SLACK),
             ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
-            this);
+            this,
+            turn);
     this.jobs = new JobDuty(book, writer, executors, configuration);
     this.submissions = new SubmissionDesk(jobs, writer, ready);
     this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,6 +42,9 @@
   /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
   private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
 
+  /** Time between looks at all executors; half of the tick, which leases and polls are kept to. */
+  private static final long ROUND_NANOS = Duration.ofMillis(25).toNanos();
+
   private final OrderSender orders;
   private final Pacer pacer;
   private final long inheritedLeaseNanos;
@@ -48,6 +52,8 @@
   private final RunListener listener;
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
+  private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
+  private long nextRoundAt;
   private Set<String> pools = Set.of();
 
   /**
@@ -56,7 +62,9 @@
    * @param lease length of the leases given
    * @param inheritedLease how long leases of a former owner may last from now on
    */
-  public ExecutorDuty(long epoch, Duration lease, Duration inheritedLease, RunListener listener) {
+  public ExecutorDuty(
+      long epoch, Duration lease, Duration inheritedLease, RunListener listener, BatchTurn turn) {
+    this.nextRoundAt = turn.nowNanos();
     this.orders = new OrderSender(epoch, lease);
     this.pacer = new Pacer(orders);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
@@ -119,13 +127,19 @@
     book.find(id).ifPresent(ExecutorState::unlisted);
   }
 
-  /** Sends what is due. */
+  /**
+   * Sends what is due: to the executors that were heard of since the last step at once, to all
+   * others in intervals, since a look at each of a large fleet costs more than most events.
+   */
   public void step(BatchTurn turn) {
-    for (ExecutorState executor : book.snapshot()) {
-      settleSilence(executor, turn);
-      repeatOrders(executor, turn);
-      poll(executor, turn);
+    if (turn.nowNanos() - nextRoundAt < 0) {
+      List.copyOf(heardOf).forEach(executor -> look(executor, turn));
+      heardOf.clear();
+      return;
     }
+    nextRoundAt = turn.nowNanos() + ROUND_NANOS;
+    heardOf.clear();
+    book.snapshot().forEach(executor -> look(executor, turn));
     if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
       List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
@@ -133,6 +147,12 @@
     }
   }
 
+  private void look(ExecutorState executor, BatchTurn turn) {
+    settleSilence(executor, turn);
+    repeatOrders(executor, turn);
+    poll(executor, turn);
+  }
+
   private void settleSilence(ExecutorState executor, BatchTurn turn) {
     boolean silent = executor.missedPolls() > 0;
     if (silent && turn.nowNanos() - executor.leaseUntilNanos() > 0) {
@@ -159,6 +179,7 @@
 
   private void forget(ExecutorState executor, BatchTurn turn) {
     book.remove(executor);
+    heardOf.remove(executor);
     pacer.forget(executor);
     turn.add(new BatchCommand.ForgetExecutor(executor.profile().id()));
   }
@@ -226,6 +247,7 @@
       return false;
     }
     ExecutorState executor = found.get();
+    heardOf.add(executor);
     if (outcome instanceof OrderOutcome.OtherIncarnation) {
       turn.note(
           BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
@@ -384,7 +406,7 @@
       return;
     }
     LiveRun run = found.get();
-    run.progressed(active.percent());
+    run.progressed(active.percent(), turn.nowNanos());
     listener.saved(run, active.checkpoint());
     if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, turn.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
@@ -19,7 +19,8 @@
         StoredOwner.newBuilder()
             .setVm(record.vm().value())
             .setIncarnation(record.incarnation())
-            .setAddress(record.address());
+            .setAddress(record.address())
+            .setMilliCores(record.milliCores());
     switch (record.kind()) {
       case CLAIM -> stored.setKind(StoredOwner.Kind.CLAIM);
       case HEARTBEAT -> stored.setKind(StoredOwner.Kind.HEARTBEAT).setEpoch(record.epoch());
@@ -39,7 +40,14 @@
       OwnerRecord.Kind kind = kind(stored.getKind());
       long epoch = kind == OwnerRecord.Kind.CLAIM ? offset + 1 : stored.getEpoch();
       VmId vm = new VmId(stored.getVm());
-      return new OwnerRecord(kind, vm, stored.getIncarnation(), stored.getAddress(), epoch, offset);
+      return new OwnerRecord(
+          kind,
+          vm,
+          stored.getIncarnation(),
+          stored.getAddress(),
+          epoch,
+          offset,
+          stored.getMilliCores());
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       throw new UnreadableRecordException("owner record at offset " + offset, e);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerIdentity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerIdentity.java
@@ -8,5 +8,6 @@
  * @param vm name of the VM
  * @param incarnation distinguishes starts of the same VM
  * @param address where it takes calls of its peers, IP number and port
+ * @param milliCores its processing power, in thousandths of a core of usual speed
  */
-public record OwnerIdentity(VmId vm, String incarnation, String address) {}
+public record OwnerIdentity(VmId vm, String incarnation, String address, int milliCores) {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
@@ -11,9 +11,16 @@
  * @param address where the VM takes calls of its peers, IP number and port
  * @param epoch epoch of the owner; for a claim its offset + 1
  * @param offset place in the stream
+ * @param milliCores processing power of the VM, in thousandths of a core; 0 if it is not known
  */
 public record OwnerRecord(
-    Kind kind, VmId vm, String incarnation, String address, long epoch, long offset) {
+    Kind kind,
+    VmId vm,
+    String incarnation,
+    String address,
+    long epoch,
+    long offset,
+    int milliCores) {
 
   /** What a record says. */
   public enum Kind {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -48,12 +48,26 @@
    */
   private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
 
+  /**
+   * A VM with this many times the processing power of the owner takes over from it. The owner's
+   * work does not shrink with its VM, and on VMs of a third of a core decisions came seconds late.
+   */
+  private static final double MUCH_STRONGER = 1.5;
+
+  /**
+   * How long a much weaker VM than the former owner leaves the claim to others of its kind, if
+   * there are any; they read of a silence within some 0.4 s of each other.
+   */
+  private static final long WEAKER_WAIT_NANOS = Duration.ofMillis(500).toNanos();
+
   /** Offset of what a peer told before any record was read. */
   private static final long BEFORE_FIRST = -1;
 
   /** Incarnation of an owner that a peer told of. */
   private static final String UNKNOWN = "";
 
+  private static final int UNKNOWN_POWER = 0;
+
   private final OwnerIdentity self;
 
   /**
@@ -153,7 +167,8 @@
     OwnerRecord.Kind kind = OwnerRecord.Kind.HEARTBEAT;
     newest =
         Optional.of(
-            new OwnerRecord(kind, hint.vm(), UNKNOWN, hint.address(), hint.epoch(), offset));
+            new OwnerRecord(
+                kind, hint.vm(), UNKNOWN, hint.address(), hint.epoch(), offset, UNKNOWN_POWER));
     quietSince = turn.nowNanos();
     doubtedAt = OptionalLong.empty();
     turn.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
@@ -185,11 +200,22 @@
   }
 
   private boolean ownerGone(BatchTurn turn) {
-    if (newest.filter(record -> record.kind() != OwnerRecord.Kind.RELEASE).isEmpty()) {
+    if (newest.isEmpty()) {
+      return true;
+    }
+    OwnerRecord owner = newest.get();
+    boolean formerStart = owner.vm().equals(self.vm()) && !bySelf(owner);
+    if (formerStart || (owner.milliCores() > 0 && muchStronger(self.milliCores(), owner))) {
       return true;
     }
-    boolean formerStart = newest.get().vm().equals(self.vm()) && !bySelf(newest.get());
-    return formerStart || turn.nowNanos() - quietSince > patienceNanos(turn);
+    boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
+    boolean weaker = self.milliCores() * MUCH_STRONGER <= owner.milliCores();
+    long patience = (released ? 0 : patienceNanos(turn)) + (weaker ? WEAKER_WAIT_NANOS : 0);
+    return patience == 0 || turn.nowNanos() - quietSince > patience;
+  }
+
+  private static boolean muchStronger(int milliCores, OwnerRecord owner) {
+    return milliCores >= owner.milliCores() * MUCH_STRONGER;
   }
 
   private long patienceNanos(BatchTurn turn) {
@@ -209,7 +235,8 @@
     heartbeatSentAt = turn.nowNanos();
     long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
     OwnerRecord record =
-        new OwnerRecord(kind, self.vm(), self.incarnation(), self.address(), appendEpoch, 0);
+        new OwnerRecord(
+            kind, self.vm(), self.incarnation(), self.address(), appendEpoch, 0, self.milliCores());
     KeyedRecord keyed = new KeyedRecord(OwnerCodec.KEY, Optional.of(OwnerCodec.encode(record)));
     turn.add(
         new BatchCommand.Append(
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Displacer.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -83,14 +82,11 @@
   record Choice(List<LiveRun> victims, double thrownAway, List<Place> places) {}
 
   private Optional<Choice> choose(WaitingStep waiting, List<Slot> group, double limit) {
-    List<Slot> copies = group.stream().map(Slot::copy).toList();
-    Map<ExecutorId, Slot> byExecutor = new LinkedHashMap<>();
-    copies.forEach(slot -> byExecutor.put(slot.executor().profile().id(), slot));
-    int wanted = waiting.tasks().size();
+    Trial trial = new Trial(waiting, group);
     List<Victim> chosen = new ArrayList<>();
     double lost = 0;
-    for (Victim victim : victims(waiting, copies)) {
-      if (Room.fits(waiting, copies) >= wanted) {
+    for (Victim victim : victims(waiting, trial.slots)) {
+      if (trial.enough()) {
         break;
       }
       if (lost + victim.thrownAway() > limit) {
@@ -98,39 +94,58 @@
       }
       chosen.add(victim);
       lost += victim.thrownAway();
-      give(victim, byExecutor, 1);
+      trial.give(victim, 1);
     }
-    if (Room.fits(waiting, copies) < wanted) {
+    if (!trial.enough()) {
       return Optional.empty();
     }
-    lost -= spare(waiting, copies, byExecutor, chosen);
+    lost -= spare(trial, chosen);
     List<LiveRun> runs = chosen.stream().flatMap(victim -> victim.runs().stream()).toList();
-    return Optional.of(new Choice(runs, lost, Room.place(waiting, waiting.tasks(), copies)));
+    return Optional.of(new Choice(runs, lost, Room.place(waiting, waiting.tasks(), trial.slots)));
   }
 
   /** Takes victims out again that turn out not to be needed; returns the work that this saves. */
-  private static double spare(
-      WaitingStep waiting,
-      List<Slot> copies,
-      Map<ExecutorId, Slot> byExecutor,
-      List<Victim> chosen) {
+  private static double spare(Trial trial, List<Victim> chosen) {
     double saved = 0;
     for (Victim victim : List.copyOf(chosen).reversed()) {
-      give(victim, byExecutor, -1);
-      if (Room.fits(waiting, copies) >= waiting.tasks().size()) {
+      trial.give(victim, -1);
+      if (trial.enough()) {
         chosen.remove(victim);
         saved += victim.thrownAway();
       } else {
-        give(victim, byExecutor, 1);
+        trial.give(victim, 1);
       }
     }
     return saved;
   }
 
-  private static void give(Victim victim, Map<ExecutorId, Slot> byExecutor, int sign) {
-    for (LiveRun run : victim.runs()) {
-      Optional.ofNullable(byExecutor.get(run.executor()))
-          .ifPresent(slot -> slot.give(run.demand().times(sign)));
+  /** The room of a group without some victims; how many tasks fit is kept up to date. */
+  private static final class Trial {
+    private final WaitingStep waiting;
+    private final List<Slot> slots;
+    private final Map<ExecutorId, Slot> byExecutor = new HashMap<>();
+    private long fitting;
+
+    Trial(WaitingStep waiting, List<Slot> group) {
+      this.waiting = waiting;
+      this.slots = group.stream().map(Slot::copy).toList();
+      slots.forEach(slot -> byExecutor.put(slot.executor().profile().id(), slot));
+      this.fitting = Room.fits(waiting, slots);
+    }
+
+    boolean enough() {
+      return fitting >= waiting.tasks().size();
+    }
+
+    void give(Victim victim, int sign) {
+      for (LiveRun run : victim.runs()) {
+        Slot slot = byExecutor.get(run.executor());
+        if (slot != null) {
+          fitting -= Room.fits(waiting, slot);
+          slot.give(run.demand().times(sign));
+          fitting += Room.fits(waiting, slot);
+        }
+      }
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -68,16 +68,19 @@
   /** Asks for advice on the first step that lacks it. */
   private void ask(List<WaitingStep> waiting, List<ExecutorState> usable, BatchTurn turn) {
     advice.forgetEnded();
-    for (WaitingStep step : waiting.stream().sorted(WaitingStep.ORDER).toList()) {
-      if (step.permitted().isPresent()) {
-        List<ExecutorId> pool =
-            usable.stream()
-                .map(ExecutorState::profile)
-                .filter(executor -> executor.pool().equals(step.pool()))
-                .map(ExecutorProfile::id)
-                .toList();
-        advice.ask(step.step(), pool, turn);
-      }
+    List<WaitingStep> advised =
+        waiting.stream()
+            .filter(step -> step.permitted().isPresent())
+            .sorted(WaitingStep.ORDER)
+            .toList();
+    for (WaitingStep step : advised) {
+      List<ExecutorId> pool =
+          usable.stream()
+              .map(ExecutorState::profile)
+              .filter(executor -> executor.pool().equals(step.pool()))
+              .map(ExecutorProfile::id)
+              .toList();
+      advice.ask(step.step(), pool, turn);
     }
   }
 
@@ -118,8 +121,8 @@
     if (submission.schedule().isPresent()) {
       due = Math.max(due, submission.schedule().get().dueMillis(step.occurrence()));
     }
-    long objective = queue.objectiveMillis(submission.estimatedChainMillis());
-    long spare = objective - submission.estimatedChainMillis(step.number());
+    long objective = queue.objectiveMillis(step.job().estimatedChainMillis());
+    long spare = objective - step.estimatedChainMillis();
     long waited = Math.max(0, turn.wallMillis() - due);
     long queued = turn.nowNanos() - step.queuedSince(turn.nowNanos());
     if (step.spec().lasting().isPresent()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +12,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
 
 /**
  * Decides what starts where and what gives way. Without memory: the same state gives the same plan.
@@ -132,25 +132,28 @@
     }
 
     private void takeTasks(WaitingStep waiting) {
-      List<Place> places = new ArrayList<>();
-      for (List<Slot> group : free.groups(waiting, nearOnly(waiting))) {
-        places.addAll(Room.place(waiting, waiting.tasks(), group));
-        break;
+      int allowed = allowed(waiting);
+      if (allowed == 0) {
+        return;
       }
-      int allowed = Math.min(places.size(), allowed(waiting));
-      places = places.subList(0, allowed);
+      boolean nearOnly = nearOnly(waiting);
+      List<Place> places =
+          free.first(waiting, nearOnly)
+              .map(group -> Room.place(waiting, waiting.tasks(), group))
+              .orElse(List.of());
+      places = places.subList(0, Math.min(places.size(), allowed));
       places.forEach(this::start);
       boolean incomplete = places.size() < waiting.tasks().size();
       if (incomplete && waiting.urgent()) {
-        displace(waiting.rest(places.size()), nearOnly(waiting));
+        displace(waiting.rest(places.size()), nearOnly);
       }
     }
 
     private void takeGang(WaitingStep waiting) {
-      boolean nearOnly = nearOnly(waiting);
       if (allowed(waiting) < waiting.tasks().size()) {
         return;
       }
+      boolean nearOnly = nearOnly(waiting);
       Optional<List<Place>> now = tightest(waiting, free, nearOnly);
       if (now.isPresent()) {
         now.get().forEach(this::start);
@@ -206,8 +209,7 @@
         return false;
       }
       int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
-      return whole.groups(waiting, true).stream()
-          .anyMatch(group -> Room.fits(waiting, group) >= wanted);
+      return whole.tightest(waiting, wanted, true).isPresent();
     }
 
     private boolean impatient(WaitingStep waiting) {
@@ -223,13 +225,12 @@
       return timing.queuedNanos() > duration * PATIENCE_DURATIONS;
     }
 
-    /** Finds the group with the least room to spare in which all tasks fit. */
-    private Optional<List<Place>> tightest(WaitingStep waiting, Room room, boolean nearOnly) {
-      int wanted = waiting.tasks().size();
-      return room.groups(waiting, nearOnly).stream()
-          .filter(group -> Room.fits(waiting, group) >= wanted)
-          .min(Comparator.comparingInt(group -> Room.fits(waiting, group)))
-          .map(group -> Room.place(waiting, waiting.tasks(), group));
+    /** Places all tasks in the group with the least room to spare in which they fit. */
+    private static Optional<List<Place>> tightest(
+        WaitingStep waiting, Room room, boolean nearOnly) {
+      List<TaskProgress> tasks = waiting.tasks();
+      return room.tightest(waiting, tasks.size(), nearOnly)
+          .map(group -> Room.place(waiting, tasks, group));
     }
 
     private void start(Place place) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -3,12 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.ToIntFunction;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
@@ -16,16 +18,44 @@
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.fleet.RackId;
 
-/** Free capacity of the usable executors while a plan is made. */
+/**
+ * Free capacity of the usable executors while a plan is made. Sums are kept up to date, and groups
+ * are remembered by what decides them, so that a step costs as much as its group is large.
+ */
 final class Room {
 
   /** Where more than this share are suspects, the jobs are to blame rather than the executors. */
   private static final double MOST_SUSPECTS = 0.25;
 
   private final List<Slot> slots;
+  private final Map<ExecutorState, Slot> byExecutor = new IdentityHashMap<>();
+  private final Map<GroupKey, List<List<Slot>>> groups = new HashMap<>();
+
+  /** Most tasks of a shape that fitted into one group when that was counted last. */
+  private final Map<Shape, Integer> fitted = new HashMap<>();
+
+  private int usableAccelerators;
+  private long accelerators;
+  private long milliCores;
+
+  /** What decides the groups of a step that has not failed and that nobody advises on. */
+  private record GroupKey(
+      String pool,
+      Optional<String> label,
+      Optional<RackId> affinity,
+      boolean sameRack,
+      boolean gang,
+      boolean nearOnly) {}
+
+  /** What decides how many tasks of a step fit into a group. */
+  private record Shape(GroupKey group, Demand demand, boolean serves, boolean toleratesOthers) {}
 
   Room(List<Slot> slots) {
     this.slots = slots;
+    for (Slot slot : slots) {
+      byExecutor.put(slot.executor(), slot);
+      count(slot, 1);
+    }
   }
 
   /** Returns what is free now. */
@@ -54,12 +84,18 @@
     return new Room(slots);
   }
 
+  private void count(Slot slot, int sign) {
+    usableAccelerators += sign * usableAccelerators(slot);
+    accelerators += sign * slot.free().accelerators();
+    milliCores += sign * slot.free().milliCores();
+  }
+
   /**
    * Returns the accelerators of all slots together that work can use: where cores or memory are
    * taken, only as large a share of the accelerators counts as is left of these.
    */
   int accelerators() {
-    return slots.stream().mapToInt(Room::usableAccelerators).sum();
+    return usableAccelerators;
   }
 
   private static int usableAccelerators(Slot slot) {
@@ -74,12 +110,7 @@
 
   /** Tells whether more than half of what the other room has is here, of accelerators and cores. */
   boolean overHalfOf(Room whole) {
-    return 2 * sum(Demand::accelerators) > whole.sum(Demand::accelerators)
-        && 2 * sum(Demand::milliCores) > whole.sum(Demand::milliCores);
-  }
-
-  private long sum(ToIntFunction<Demand> resource) {
-    return slots.stream().mapToLong(slot -> resource.applyAsInt(slot.free())).sum();
+    return 2 * accelerators > whole.accelerators && 2 * milliCores > whole.milliCores;
   }
 
   private static double share(int free, int whole) {
@@ -88,25 +119,100 @@
 
   /** Takes room on an executor for a task; what is taken twice makes it negative. */
   void take(ExecutorState executor, BatchStep step) {
-    slot(executor).ifPresent(slot -> slot.take(step));
+    change(executor, slot -> slot.take(step));
   }
 
   /** Gives capacity of an executor back. */
   void give(ExecutorState executor, Demand demand) {
-    slot(executor).ifPresent(slot -> slot.give(demand));
+    fitted.clear();
+    change(executor, slot -> slot.give(demand));
   }
 
-  private Optional<Slot> slot(ExecutorState executor) {
-    for (Slot slot : slots) {
-      if (slot.executor() == executor) {
-        return Optional.of(slot);
-      }
+  private void change(ExecutorState executor, Consumer<Slot> change) {
+    Slot slot = byExecutor.get(executor);
+    if (slot == null) {
+      return;
     }
-    return Optional.empty();
+    count(slot, -1);
+    change.accept(slot);
+    count(slot, 1);
   }
 
   /** Returns the slots on which a step may run, in groups that count as near to each other. */
   List<List<Slot>> groups(WaitingStep waiting, boolean nearOnly) {
+    return groupKey(waiting, nearOnly)
+        .map(key -> groups.computeIfAbsent(key, same -> findGroups(waiting, nearOnly)))
+        .orElseGet(() -> findGroups(waiting, nearOnly));
+  }
+
+  private static Optional<GroupKey> groupKey(WaitingStep waiting, boolean nearOnly) {
+    StepProgress step = waiting.step();
+    if (step.hasFailed() || waiting.permitted().isPresent()) {
+      return Optional.empty();
+    }
+    BatchStep.PlacementRule placement = step.spec().placement();
+    return Optional.of(
+        new GroupKey(
+            waiting.pool(),
+            placement.label(),
+            placement.affinity(),
+            placement.sameRack(),
+            step.spec().gang(),
+            nearOnly));
+  }
+
+  private static Optional<Shape> shape(WaitingStep waiting, boolean nearOnly) {
+    BatchStep spec = waiting.step().spec();
+    if (spec.placement().mostPerExecutor() > 0) {
+      return Optional.empty();
+    }
+    boolean tolerates = waiting.timing().toleratesOthers();
+    return groupKey(waiting, nearOnly)
+        .map(group -> new Shape(group, spec.demand(), spec.serves(), tolerates));
+  }
+
+  /** Returns the first group; absent if not one task fits there. */
+  Optional<List<Slot>> first(WaitingStep waiting, boolean nearOnly) {
+    Optional<Shape> shape = shape(waiting, nearOnly);
+    if (shape.map(fitted::get).filter(most -> most == 0).isPresent()) {
+      return Optional.empty();
+    }
+    List<List<Slot>> all = groups(waiting, nearOnly);
+    if (all.isEmpty() || fits(waiting, all.getFirst()) > 0) {
+      return all.stream().findFirst();
+    }
+    if (all.size() == 1) {
+      shape.ifPresent(key -> fitted.put(key, 0));
+    }
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the group with the least room to spare in which a number of tasks fits; absent if there
+   * is none. Room only shrinks while a plan is made, so that what did not fit is not counted again.
+   */
+  Optional<List<Slot>> tightest(WaitingStep waiting, int wanted, boolean nearOnly) {
+    Optional<Shape> shape = shape(waiting, nearOnly);
+    if (shape.map(fitted::get).filter(most -> most < wanted).isPresent()) {
+      return Optional.empty();
+    }
+    Optional<List<Slot>> best = Optional.empty();
+    int least = Integer.MAX_VALUE;
+    int most = 0;
+    for (List<Slot> group : groups(waiting, nearOnly)) {
+      int fitting = fits(waiting, group);
+      most = Math.max(most, fitting);
+      if (fitting >= wanted && (best.isEmpty() || fitting < least)) {
+        best = Optional.of(group);
+        least = fitting;
+      }
+    }
+    int counted = most;
+    shape.ifPresent(key -> fitted.put(key, counted));
+    return best;
+  }
+
+  private List<List<Slot>> findGroups(WaitingStep waiting, boolean nearOnly) {
     BatchStep spec = waiting.step().spec();
     List<Slot> suitable = slots.stream().filter(slot -> slot.suits(waiting)).toList();
     if (!nearOnly) {
@@ -140,7 +246,8 @@
     return (int) Math.min(total, Integer.MAX_VALUE);
   }
 
-  private static int fits(WaitingStep waiting, Slot slot) {
+  /** Returns how many tasks of a step fit into a slot. */
+  static int fits(WaitingStep waiting, Slot slot) {
     BatchStep spec = waiting.step().spec();
     if (slot.disturbs(spec) && !waiting.timing().toleratesOthers()) {
       return 0;
@@ -170,7 +277,12 @@
    * @return the places; fewer than tasks if the group has no room for all
    */
   static List<Place> place(WaitingStep waiting, List<TaskProgress> tasks, List<Slot> group) {
-    List<Slot> order = new ArrayList<>(group);
+    List<Slot> order = new ArrayList<>();
+    for (Slot slot : group) {
+      if (fits(waiting, slot) > 0) {
+        order.add(slot);
+      }
+    }
     order.sort(
         Comparator.comparing(Slot::suspect)
             .thenComparingInt(slot -> slot.free().accelerators())
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.plan;
 
+import java.util.Optional;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.model.batch.BatchStep;
@@ -78,12 +79,8 @@
     if (avoided || step.failedOn(id) || !waiting.permits(id)) {
       return false;
     }
-    boolean labelled =
-        step.spec()
-            .placement()
-            .label()
-            .map(label -> executor.profile().labels().contains(label))
-            .orElse(true);
+    Optional<String> label = step.spec().placement().label();
+    boolean labelled = label.isEmpty() || executor.profile().labels().contains(label.get());
     return labelled && executor.profile().pool().equals(waiting.pool());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -9,6 +9,7 @@
 public final class LiveRun {
 
   private static final int WHOLE_PERCENT = 100;
+  private static final double NANOS_PER_SECOND = 1e9;
 
   private final TaskRun run;
   private final ExecutorId executor;
@@ -24,6 +25,7 @@
   private long orderedAt;
   private int orders;
   private int percent;
+  private long reportedAt;
   private boolean judged;
   private boolean paced;
 
@@ -43,6 +45,7 @@
     this.stage = stage;
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
+    this.reportedAt = nowNanos;
   }
 
   /**
@@ -182,8 +185,14 @@
   }
 
   /** Takes in the progress that the executor reports. */
-  public void progressed(int newPercent) {
+  public void progressed(int newPercent, long nowNanos) {
     percent = newPercent;
+    reportedAt = nowNanos;
+  }
+
+  /** Returns its speed up to its last report, in percent of its work a second. */
+  public double speed() {
+    return percent * NANOS_PER_SECOND / Math.max(1, reportedAt - stageSince);
   }
 
   /** Returns the share of the work that is done, 0 to 100. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
@@ -15,6 +15,7 @@
   private final BatchJob job;
   private final List<StepProgress> steps;
   private final int stepsPerOccurrence;
+  private final long chainMillis;
   private boolean begun;
   private Optional<JobPhase> end = Optional.empty();
   private long endedMillis;
@@ -25,11 +26,13 @@
     this.job = job;
     Submission submission = job.submission();
     this.stepsPerOccurrence = submission.steps().size();
+    this.chainMillis = submission.estimatedChainMillis();
     this.steps = new ArrayList<>();
     for (int occurrence = 0; occurrence < submission.occurrences(); occurrence++) {
       for (int number = 0; number < stepsPerOccurrence; number++) {
         BatchStep spec = submission.steps().get(number);
-        steps.add(new StepProgress(this, occurrence, number, spec));
+        long chain = submission.estimatedChainMillis(number);
+        steps.add(new StepProgress(this, occurrence, number, spec, chain));
       }
     }
   }
@@ -39,6 +42,11 @@
     return job;
   }
 
+  /** Returns the longest chain of work of one occurrence by its estimates, in milliseconds. */
+  public long estimatedChainMillis() {
+    return chainMillis;
+  }
+
   /** Returns the steps of all occurrences in order. */
   public List<StepProgress> steps() {
     return steps;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.model.batch.BatchStep;
@@ -13,10 +14,20 @@
 /** How far one step of one occurrence is. */
 public final class StepProgress {
 
+  /** Runs of a step that is no gang which have to be known before one of them counts as slow. */
+  private static final int FELLOWS = 3;
+
+  /**
+   * How often one task, or the whole gang, is moved since it hardly progresses: a second time its
+   * estimate is to blame, which may be off by ten times.
+   */
+  private static final int MOST_MOVES = 1;
+
   private final OpenJob job;
   private final int occurrence;
   private final int number;
   private final BatchStep spec;
+  private final long chainMillis;
   private final List<TaskProgress> tasks;
   private final Set<ExecutorId> failedOn = new HashSet<>();
   private int gangFailures;
@@ -24,11 +35,12 @@
   private int undone;
   private OptionalLong queuedSince = OptionalLong.empty();
 
-  StepProgress(OpenJob job, int occurrence, int number, BatchStep spec) {
+  StepProgress(OpenJob job, int occurrence, int number, BatchStep spec, long chainMillis) {
     this.job = job;
     this.occurrence = occurrence;
     this.number = number;
     this.spec = spec;
+    this.chainMillis = chainMillis;
     this.tasks = new ArrayList<>(spec.count());
     for (int index = 0; index < spec.count(); index++) {
       tasks.add(new TaskProgress(index));
@@ -51,6 +63,11 @@
     return number;
   }
 
+  /** Returns the longest chain of work that begins here by its estimates, in milliseconds. */
+  public long estimatedChainMillis() {
+    return chainMillis;
+  }
+
   /** Returns what the caller declared. */
   public BatchStep spec() {
     return spec;
@@ -128,6 +145,30 @@
     return queuedSince.getAsLong();
   }
 
+  /**
+   * Returns the usual speed of the other runs of the step, in percent of their work a second;
+   * absent while none shows progress. Members of a gang have the same work, so that one alone is
+   * enough.
+   */
+  public OptionalDouble usualSpeed(LiveRun run) {
+    double[] speeds =
+        liveRuns().stream()
+            .filter(other -> other != run && other.percent() > 0)
+            .mapToDouble(LiveRun::speed)
+            .sorted()
+            .toArray();
+    int least = spec.gang() ? 1 : FELLOWS;
+    return speeds.length < least
+        ? OptionalDouble.empty()
+        : OptionalDouble.of(speeds[speeds.length / 2]);
+  }
+
+  /** Counts a move of a run that hardly progresses; false if it was moved often enough. */
+  public boolean mayMove(LiveRun run) {
+    TaskProgress counted = spec.gang() ? tasks.getFirst() : tasks.get(run.run().task().index());
+    return counted.move() <= MOST_MOVES;
+  }
+
   /** Returns its name, which begins the names of its tasks. */
   public String name() {
     return job.job().id() + "." + occurrence + "." + number;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -9,6 +9,7 @@
   private boolean done;
   private int failures;
   private int lastRun;
+  private int moves;
   private String checkpoint = "";
   private Optional<LiveRun> live = Optional.empty();
 
@@ -56,6 +57,12 @@
     return !done && live.isEmpty();
   }
 
+  /** Counts a move to another executor; returns how many there were. */
+  int move() {
+    moves++;
+    return moves;
+  }
+
   void finish() {
     done = true;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -7,10 +7,14 @@
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.logic.ini.Durations;
 import org.fescuehook.logic.ini.Key;
+import org.fescuehook.logic.ini.Values;
 
 /** Every key of the settings of a VM that schedules batch jobs. */
 final class SchedulerKeys {
 
+  private static final double LEAST_PROCESSOR = 0.01;
+  private static final double MOST_CORES = 1000;
+
   static final Key<InetSocketAddress> CALLERS =
       listening("callers", "0.0.0.0:7000", "Where callers connect.");
   static final Key<InetSocketAddress> READINESS =
@@ -33,6 +37,20 @@
           Addresses.orNone(1),
           Optional.empty(),
           "The service that names the executors which may run a step of a queue that asks for it.");
+  static final Key<Double> PROCESSOR_SHARE =
+      Key.optional(
+          "processor",
+          "share",
+          Values.decimal(LEAST_PROCESSOR, 1),
+          1.0,
+          "Share of a core that this VM may use; the strongest VMs decide.");
+  static final Key<Double> PROCESSOR_CORES =
+      Key.optional(
+          "processor",
+          "cores",
+          Values.decimal(LEAST_PROCESSOR, MOST_CORES),
+          1.0,
+          "Speed of that core, in cores of usual speed.");
   static final Key<Duration> EXECUTOR_LEASE =
       Key.optional(
           "bounds",
@@ -59,6 +77,8 @@
           METRICS,
           STORE,
           ADVICE,
+          PROCESSOR_SHARE,
+          PROCESSOR_CORES,
           EXECUTOR_LEASE,
           STATUS_RETENTION);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -6,6 +6,7 @@
 import org.fescuehook.logic.ini.IniSource;
 import org.fescuehook.model.preferences.BatchPreferences;
 import org.fescuehook.model.preferences.IdentityPreferences;
+import org.fescuehook.model.preferences.ProcessorPreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 
 /** Parses the settings of a VM that schedules batch jobs; reports all faults at once. */
@@ -35,6 +36,8 @@
             values.get(SchedulerKeys.METRICS),
             values.get(SchedulerKeys.STORE),
             values.get(SchedulerKeys.ADVICE)),
+        new ProcessorPreferences(
+            values.get(SchedulerKeys.PROCESSOR_SHARE), values.get(SchedulerKeys.PROCESSOR_CORES)),
         new BatchPreferences(
             values.get(SchedulerKeys.EXECUTOR_LEASE),
             values.get(SchedulerKeys.STATUS_RETENTION),
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
@@ -8,10 +8,14 @@
  *
  * @param identity who it is
  * @param addresses where it listens and where the store is
+ * @param processor what it has for its work
  * @param batch bounds of the decisions
  */
 public record SchedulerPreferences(
-    IdentityPreferences identity, Addresses addresses, BatchPreferences batch) {
+    IdentityPreferences identity,
+    Addresses addresses,
+    ProcessorPreferences processor,
+    BatchPreferences batch) {
 
   /**
    * Where a VM listens, and where the store is.
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -72,7 +72,7 @@
       this.id = id;
       starts++;
       start = starts;
-      OwnerIdentity self = new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000");
+      OwnerIdentity self = new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000", milliCores(id));
       core =
           new BatchCore(
               self, new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), true));
@@ -171,6 +171,11 @@
     in(downMillis, () -> start(id));
   }
 
+  /** VMs whose names begin with "weak" have a quarter of the power of the others. */
+  private static int milliCores(VmId id) {
+    return id.value().startsWith("weak") ? 250 : 1000;
+  }
+
   /** Puts a configuration in force on all VMs. */
   void configure(BatchConfiguration newer) {
     vms.values().forEach(vm -> vm.deliver(new BatchEvent.ConfigurationRead(newer)));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -16,7 +16,7 @@
 class OwnershipDutyTest {
 
   private final OwnershipDuty duty =
-      new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000"));
+      new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 750));
 
   private static BatchTurn at(long millis) {
     return new BatchTurn(millis * 1_000_000, 0);
@@ -25,7 +25,7 @@
   /** Another VM's record is read. */
   private void heard(long millis, OwnerRecord.Kind kind, long offset) {
     OwnerRecord record =
-        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset);
+        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, 750);
     duty.read(Optional.of(record), offset + 1, at(millis));
   }
 
@@ -109,7 +109,7 @@
   /** Returns the position of the claim that a duty like this one sends. */
   private static WriterPosition claimOf(long millis) {
     OwnershipDuty like =
-        new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000"));
+        new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 750));
     like.read(Optional.empty(), 5, at(0));
     BatchTurn turn = at(millis);
     like.step(turn);
@@ -120,4 +120,58 @@
         .orElseThrow()
         .position();
   }
+
+  private static OwnershipDuty ofPower(int milliCores) {
+    return new OwnershipDuty(
+        new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", milliCores));
+  }
+
+  private static void hears(OwnershipDuty duty, OwnerRecord.Kind kind, int milliCores) {
+    OwnerRecord record =
+        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, 0, milliCores);
+    duty.read(Optional.of(record), 1, at(1000));
+  }
+
+  private static boolean claims(OwnershipDuty duty, long millis) {
+    BatchTurn turn = at(millis);
+    duty.step(turn);
+    return turn.commands().stream().anyMatch(BatchCommand.Append.class::isInstance);
+  }
+
+  /** Pattern: a large fleet whose owner happened to be one of the weakest VMs. */
+  @Test
+  void aMuchStrongerVmTakesOverFromAnOwnerThatLives() {
+    OwnershipDuty duty = ofPower(1500);
+    hears(duty, OwnerRecord.Kind.HEARTBEAT, 360);
+    assertTrue(claims(duty, 1010));
+  }
+
+  @Test
+  void aVmThatIsHardlyStrongerDoesNotTakeOver() {
+    OwnershipDuty duty = ofPower(1000);
+    hears(duty, OwnerRecord.Kind.HEARTBEAT, 750);
+    assertFalse(claims(duty, 2900));
+  }
+
+  @Test
+  void anOwnerOfUnknownPowerIsNotReplacedForIt() {
+    OwnershipDuty duty = ofPower(1500);
+    hears(duty, OwnerRecord.Kind.HEARTBEAT, 0);
+    assertFalse(claims(duty, 2900));
+  }
+
+  @Test
+  void aMuchWeakerVmLeavesTheClaimToOthersForAMoment() {
+    OwnershipDuty duty = ofPower(360);
+    hears(duty, OwnerRecord.Kind.RELEASE, 1500);
+    assertFalse(claims(duty, 1400));
+    assertTrue(claims(duty, 1600));
+  }
+
+  @Test
+  void aVmOfTheSamePowerClaimsAReleasedOwnershipAtOnce() {
+    OwnershipDuty duty = ofPower(1500);
+    hears(duty, OwnerRecord.Kind.RELEASE, 1500);
+    assertTrue(claims(duty, 1010));
+  }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FormerPlanner.java
@@ -0,0 +1,245 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.plan.Timing.Prospect;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.state.StepProgress;
+
+/**
+ * Decides what starts where and what gives way. Without memory: the same state gives the same plan.
+ */
+public final class FormerPlanner {
+
+  /**
+   * How long guaranteed work waits for a place near its data before its first start, wherever that
+   * is. Its bound is some 2.7 s, of which stopping others takes up to a second.
+   */
+  private static final long GUARANTEED_PATIENCE_NANOS = Duration.ofMillis(1200).toNanos();
+
+  /**
+   * How long other work waits for a place near its data, in its estimated duration. Elsewhere it
+   * takes three times as long and holds its room for as long; on heavy days 8 was better than 2 to
+   * 4 and than the former 8 s for all (docs/MEASUREMENTS.md, heavy days).
+   */
+  private static final int PATIENCE_DURATIONS = 8;
+
+  /**
+   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
+   * without waiting for others to stop. Heavy days: best of 0.2 to 0.45.
+   */
+  private static final double HEADROOM = 0.35;
+
+  /**
+   * The same for work that has hardly any spare time left. What starts in this room is soon thrown
+   * out again by urgent work, so it is not given up altogether.
+   */
+  private static final double PRESSED_HEADROOM = 0.25;
+
+  /**
+   * Work that has waited this long while less than half of the fleet is in use may take what is
+   * kept for urgent work. The users' bound on idle room is 3 s.
+   */
+  private static final long IDLE_PATIENCE_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /**
+   * After this time in an idle fleet it also starts away from its data. Longer than the work of
+   * most jobs, as a start elsewhere after a shorter wait ends later than one near the data after
+   * all.
+   */
+  private static final long IDLE_NEARNESS_NANOS = Duration.ofSeconds(12).toNanos();
+
+  private final Function<StepProgress, Rank> ranks;
+
+  /**
+   * Creates a planner.
+   *
+   * @param ranks precedence of steps that run
+   */
+  public FormerPlanner(Function<StepProgress, Rank> ranks) {
+    this.ranks = ranks;
+  }
+
+  /**
+   * What to do.
+   *
+   * @param starts where tasks start
+   * @param stops runs that give way
+   */
+  public record Plan(List<Place> starts, List<Displacement> stops) {}
+
+  /**
+   * A run that gives way.
+   *
+   * @param run the run
+   * @param beneficiary the step that needs its place
+   */
+  public record Displacement(LiveRun run, WaitingStep beneficiary) {}
+
+  /**
+   * Makes a plan.
+   *
+   * @param waiting steps whose turn has come, in any order
+   * @param executors executors that may get new runs
+   */
+  public Plan plan(
+      Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
+    List<WaitingStep> order = new ArrayList<>(waiting);
+    order.sort(WaitingStep.ORDER);
+    Pass pass = new Pass(executors, new FormerDisplacer(ranks, nowNanos), nowNanos);
+    order.forEach(pass::take);
+    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
+  }
+
+  /** One plan being made. */
+  private static final class Pass {
+    private final FormerRoom free;
+    private final FormerRoom expected;
+    private final FormerRoom whole;
+    private final List<Place> starts = new ArrayList<>();
+    private final List<Displacement> stops = new ArrayList<>();
+
+    private final FormerDisplacer displacer;
+
+    Pass(Collection<ExecutorState> executors, FormerDisplacer displacer, long nowNanos) {
+      this.displacer = displacer;
+      free = FormerRoom.now(executors, nowNanos);
+      expected = FormerRoom.now(executors, nowNanos);
+      whole = FormerRoom.empty(executors, nowNanos);
+      for (ExecutorState executor : executors) {
+        for (LiveRun run : executor.runs()) {
+          if (run.stage() == Stage.STOPPING) {
+            expected.give(executor, run.demand());
+          }
+        }
+      }
+    }
+
+    void take(WaitingStep waiting) {
+      if (waiting.step().spec().gang()) {
+        takeGang(waiting);
+      } else {
+        takeTasks(waiting);
+      }
+    }
+
+    private void takeTasks(WaitingStep waiting) {
+      List<Place> places = new ArrayList<>();
+      for (List<FormerSlot> group : free.groups(waiting, nearOnly(waiting))) {
+        places.addAll(FormerRoom.place(waiting, waiting.tasks(), group));
+        break;
+      }
+      int allowed = Math.min(places.size(), allowed(waiting));
+      places = places.subList(0, allowed);
+      places.forEach(this::start);
+      boolean incomplete = places.size() < waiting.tasks().size();
+      if (incomplete && waiting.urgent()) {
+        displace(waiting.rest(places.size()), nearOnly(waiting));
+      }
+    }
+
+    private void takeGang(WaitingStep waiting) {
+      boolean nearOnly = nearOnly(waiting);
+      if (allowed(waiting) < waiting.tasks().size()) {
+        return;
+      }
+      Optional<List<Place>> now = tightest(waiting, free, nearOnly);
+      if (now.isPresent()) {
+        now.get().forEach(this::start);
+        return;
+      }
+      displace(waiting, nearOnly);
+    }
+
+    /** Waits for capacity that is being freed, or has other work give way. */
+    private void displace(WaitingStep waiting, boolean nearOnly) {
+      Optional<List<Place>> soon = tightest(waiting, expected, nearOnly);
+      if (soon.isPresent()) {
+        soon.get().forEach(this::reserve);
+        return;
+      }
+      if (!waiting.urgent() && !pressed(waiting)) {
+        return;
+      }
+      Optional<FormerDisplacer.Choice> choice = displacer.choose(waiting, expected, nearOnly);
+      if (choice.isPresent()) {
+        displacer.carriedOut(choice.get());
+        choice.get().victims().forEach(run -> stops.add(new Displacement(run, waiting)));
+        choice.get().places().forEach(this::reserve);
+      }
+    }
+
+    /** Returns how many tasks of a step may start without using up what urgent work may need. */
+    private int allowed(WaitingStep waiting) {
+      int accelerators = waiting.step().spec().demand().accelerators();
+      if (waiting.urgent() || accelerators == 0) {
+        return Integer.MAX_VALUE;
+      }
+      if (idleFor(waiting, IDLE_PATIENCE_NANOS)) {
+        return Integer.MAX_VALUE;
+      }
+      double kept = whole.accelerators() * (pressed(waiting) ? PRESSED_HEADROOM : HEADROOM);
+      return (int) Math.max(0, (free.accelerators() - kept) / accelerators);
+    }
+
+    /** Tells whether a step has hardly any time left; what comes too late anyway is not pressed. */
+    private static boolean pressed(WaitingStep waiting) {
+      return waiting.timing().pressed() && waiting.timing().prospect() != Prospect.TOO_LATE;
+    }
+
+    /** Tells whether a step has waited for a time although most of the fleet is free. */
+    private boolean idleFor(WaitingStep waiting, long nanos) {
+      return waiting.timing().queuedNanos() > nanos && free.overHalfOf(whole);
+    }
+
+    /** Tells whether a step has to start near its data: it could, and has not waited long. */
+    private boolean nearOnly(WaitingStep waiting) {
+      if (impatient(waiting)) {
+        return false;
+      }
+      int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+      return whole.groups(waiting, true).stream()
+          .anyMatch(group -> FormerRoom.fits(waiting, group) >= wanted);
+    }
+
+    private boolean impatient(WaitingStep waiting) {
+      if (idleFor(waiting, IDLE_NEARNESS_NANOS)) {
+        return true;
+      }
+      Timing timing = waiting.timing();
+      boolean due = waiting.rank().guaranteed() && !waiting.step().job().begun();
+      if (due && timing.waitedNanos() > GUARANTEED_PATIENCE_NANOS) {
+        return true;
+      }
+      long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+      return timing.queuedNanos() > duration * PATIENCE_DURATIONS;
+    }
+
+    /** Finds the group with the least room to spare in which all tasks fit. */
+    private Optional<List<Place>> tightest(WaitingStep waiting, FormerRoom room, boolean nearOnly) {
+      int wanted = waiting.tasks().size();
+      return room.groups(waiting, nearOnly).stream()
+          .filter(group -> FormerRoom.fits(waiting, group) >= wanted)
+          .min(Comparator.comparingInt(group -> FormerRoom.fits(waiting, group)))
+          .map(group -> FormerRoom.place(waiting, waiting.tasks(), group));
+    }
+
+    private void start(Place place) {
+      starts.add(place);
+      reserve(place);
+    }
+
+    private void reserve(Place place) {
+      free.take(place.executor(), place.step().spec());
+      expected.take(place.executor(), place.step().spec());
+    }
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FormerSlot.java
@@ -0,0 +1,89 @@
+package org.fescuehook.logic.batch.plan;
+
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** FormerRoom on one executor while a plan is made. */
+final class FormerSlot {
+
+  private final ExecutorState executor;
+  private final boolean suspect;
+  private Demand free;
+  private boolean serving;
+  private boolean filling;
+
+  /**
+   * Creates a slot.
+   *
+   * @param suspect whether runs have lately failed there or hardly progressed
+   */
+  FormerSlot(ExecutorState executor, Demand free, boolean suspect) {
+    this.executor = executor;
+    this.free = free;
+    this.suspect = suspect;
+  }
+
+  boolean suspect() {
+    return suspect;
+  }
+
+  ExecutorState executor() {
+    return executor;
+  }
+
+  Demand free() {
+    return free;
+  }
+
+  /** Takes room for a task of a step. */
+  void take(BatchStep step) {
+    free = free.minus(step.demand());
+    holds(step);
+  }
+
+  /** Remembers that a task of a step is here. */
+  void holds(BatchStep step) {
+    serving |= step.serves();
+    filling |= !step.serves();
+  }
+
+  /** Tells whether other work here would lengthen response times: this step's, or by this step. */
+  boolean disturbs(BatchStep step) {
+    return step.serves() ? filling : serving;
+  }
+
+  void give(Demand demand) {
+    free = free.plus(demand);
+  }
+
+  FormerSlot copy() {
+    FormerSlot copy = new FormerSlot(executor, free, suspect);
+    copy.serving = serving;
+    copy.filling = filling;
+    return copy;
+  }
+
+  /**
+   * Tells whether the step may run here at all, room aside. A step that has failed avoids where it
+   * failed, and suspects: it has few attempts left. Gangs avoid suspects, since one would hold all
+   * members up.
+   */
+  boolean suits(WaitingStep waiting) {
+    StepProgress step = waiting.step();
+    boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
+    ExecutorId id = executor.profile().id();
+    if (avoided || step.failedOn(id) || !waiting.permits(id)) {
+      return false;
+    }
+    boolean labelled =
+        step.spec()
+            .placement()
+            .label()
+            .map(label -> executor.profile().labels().contains(label))
+            .orElse(true);
+    return labelled && executor.profile().pool().equals(waiting.pool());
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -0,0 +1,175 @@
+package org.fescuehook.logic.batch.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.OpenJob;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+
+/**
+ * The planner decides as its former version did, which looked at every executor for each step; that
+ * version is kept here as {@link FormerPlanner}.
+ */
+class PlannerEquivalenceProperties {
+
+  private static final long NOW = Duration.ofHours(1).toNanos();
+  private static final int[] ACCELERATORS = {0, 1, 1, 2, 4, 8};
+
+  /** One fleet with running and waiting work. */
+  private static final class Scene {
+    private final Random random;
+    private final List<ExecutorState> executors = new ArrayList<>();
+    private final Map<StepProgress, Rank> ranks = new HashMap<>();
+    private final List<WaitingStep> waiting = new ArrayList<>();
+    private int jobs;
+
+    Scene(long seed) {
+      random = new Random(seed);
+      int size = 1 + random.nextInt(24);
+      for (int i = 0; i < size; i++) {
+        executors.add(executor(i));
+      }
+      int running = random.nextInt(3 * size);
+      for (int i = 0; i < running; i++) {
+        run();
+      }
+      int steps = 1 + random.nextInt(12);
+      for (int i = 0; i < steps; i++) {
+        waiting.add(waitingStep());
+      }
+    }
+
+    private ExecutorState executor(int number) {
+      String rack = "r" + number / 4;
+      ExecutorState executor =
+          new ExecutorState(
+              new ExecutorProfile(
+                  new ExecutorId("e" + number),
+                  InetSocketAddress.createUnresolved("e", 1),
+                  random.nextInt(6) == 0 ? "other" : "pool",
+                  new FailureDomain("a"),
+                  new RackId(rack),
+                  Set.of(random.nextBoolean() ? "k" : "l", rack),
+                  new Demand(64_000, 262_144, 8),
+                  false,
+                  0));
+      if (random.nextInt(8) == 0) {
+        executor.failed();
+      }
+      return executor;
+    }
+
+    private StepProgress step(boolean urgent) {
+      boolean gang = random.nextBoolean();
+      int count = 1 + random.nextInt(gang ? 4 : 9);
+      boolean lasting = !gang && random.nextInt(8) == 0;
+      BatchStep.PlacementRule placement =
+          new BatchStep.PlacementRule(
+              gang && random.nextInt(3) == 0,
+              random.nextInt(5) == 0 ? Optional.of("k") : Optional.empty(),
+              random.nextInt(5) == 0
+                  ? Optional.of(new RackId("r" + random.nextInt(3)))
+                  : Optional.empty(),
+              random.nextInt(5) == 0 ? 2 : 0);
+      BatchStep spec =
+          new BatchStep(
+              count,
+              new Demand(
+                  random.nextInt(24_000),
+                  random.nextInt(80_000),
+                  ACCELERATORS[random.nextInt(ACCELERATORS.length)]),
+              100 + random.nextInt(9000),
+              List.of(),
+              placement,
+              random.nextBoolean(),
+              gang,
+              "image",
+              lasting
+                  ? Optional.of(new BatchStep.Lasting(1, random.nextBoolean() ? 50 : 0))
+                  : Optional.empty());
+      jobs++;
+      int priority = urgent ? 0 : 1 + random.nextInt(2);
+      JobQueue queue = new JobQueue("q" + priority, "pool", priority, 4, 3, 1000, false, false);
+      Submission submission = new Submission("spec", List.of(spec), Optional.empty());
+      OpenJob job = new OpenJob(new BatchJob("%016x".formatted(jobs), queue, "o", 0, submission));
+      StepProgress step = job.steps().getFirst();
+      boolean guaranteed = urgent && random.nextBoolean();
+      ranks.put(step, guaranteed ? Rank.GUARANTEED : Rank.ofPriority(priority));
+      return step;
+    }
+
+    /** Puts the tasks of a step on executors with room, as far as there is. */
+    private void run() {
+      StepProgress step = step(random.nextInt(4) == 0);
+      for (TaskProgress task : step.tasks()) {
+        ExecutorState executor = executors.get(random.nextInt(executors.size()));
+        if (executor.free().contains(step.spec().demand())) {
+          TaskRun name = new TaskRun(step.name(task), 1);
+          long since = NOW - random.nextInt(8000) * 1_000_000L;
+          LiveRun run =
+              LiveRun.placed(name, executor.profile().id(), step, "", Optional.empty(), since);
+          run.enter(random.nextInt(5) == 0 ? LiveRun.Stage.STOPPING : LiveRun.Stage.RUNNING, since);
+          step.begin(task, run);
+          executor.add(run);
+        }
+      }
+    }
+
+    private WaitingStep waitingStep() {
+      StepProgress step = step(random.nextInt(3) == 0);
+      if (random.nextInt(6) == 0) {
+        ExecutorId failed = executors.get(random.nextInt(executors.size())).profile().id();
+        step.fail(step.tasks().getFirst(), 1, failed);
+      }
+      long second = Duration.ofSeconds(1).toNanos();
+      Timing timing =
+          new Timing(
+              random.nextInt(20) * second / 2,
+              random.nextInt(30) * second,
+              random.nextInt(9) * second,
+              random.nextInt(9) * second);
+      Optional<Set<ExecutorId>> permitted =
+          random.nextInt(8) == 0
+              ? Optional.of(Set.of(new ExecutorId("e0"), new ExecutorId("e3")))
+              : Optional.empty();
+      return new WaitingStep(
+          step, step.waiting(), "pool", ranks.get(step), random.nextInt(9), timing, permitted);
+    }
+  }
+
+  @Property(tries = 3000)
+  void theSamePlanIsMadeAsByTheFormerPlanner(@ForAll long seed) {
+    Scene scene = new Scene(seed);
+    Function<StepProgress, Rank> ranks = scene.ranks::get;
+    FormerPlanner.Plan former = new FormerPlanner(ranks).plan(scene.waiting, scene.executors, NOW);
+    Planner.Plan plan = new Planner(ranks).plan(scene.waiting, scene.executors, NOW);
+    assertEquals(former.starts(), plan.starts());
+    assertEquals(
+        former.stops().stream().map(FormerPlanner.Displacement::run).toList(),
+        plan.stops().stream().map(Planner.Displacement::run).toList());
+  }
+}
