--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -33,6 +33,7 @@
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
  * The decision core as the owner of a fleet, with a store and executors that answer at once, and
@@ -68,13 +69,22 @@
     this.stored = stored;
     this.core =
         new BatchCore(
-            new OwnerIdentity(new VmId("vm"), "start", "10.0.0.1:7000", 1000),
-            new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), false));
+            new OwnerIdentity(new VmId("vm"), "start", "10.0.0.1:7000", 1000), preferences());
     for (int i = 0; i < executors; i++) {
       fleet.add(executor(i));
     }
   }
 
+  private static BatchPreferences preferences() {
+    WorkPreferences work =
+        new WorkPreferences(
+            Duration.ofMillis(500),
+            Duration.ofMillis(250),
+            Duration.ofMillis(200),
+            Duration.ofMillis(2700));
+    return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, false);
+  }
+
   private static ExecutorProfile executor(int number) {
     RackId rack = new RackId("r" + number / RACK);
     return new ExecutorProfile(
--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ExplainLogCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ExplainLogCommand.java
@@ -9,21 +9,28 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import org.fescuehook.logic.story.DayStory;
 import org.fescuehook.logic.story.JobStory;
 import org.fescuehook.logic.story.LoggedEvent;
 import org.fescuehook.logic.story.LoggedEventParser;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
-/** {@code explain-log}: tells the story of a batch job from the logs of the scheduler's VMs. */
+/** {@code explain-log}: tells the story of one or all batch jobs from the logs of the VMs. */
 public final class ExplainLogCommand implements Command {
 
   private static final String STANDARD_INPUT = "-";
   private static final double MILLIS_PER_SECOND = 1000;
 
-  @Argument(metaVar = "ID", required = true, usage = "the job")
+  /** Jobs that are named one by one. */
+  private static final int DEAREST = 10;
+
+  @Argument(metaVar = "ID", usage = "the job; not with --all")
   private String id = "";
 
+  @Option(name = "--all", usage = "sum up where all jobs of the log lost their time")
+  private boolean all;
+
   @Option(
       name = "--log",
       metaVar = "FILE",
@@ -32,11 +39,48 @@
 
   @Override
   public ExitCode run(Console console) throws CommandException {
+    if (all != id.isEmpty()) {
+      throw new CommandException(ExitCode.FAULTY_INPUT, "name one job, or give --all");
+    }
     List<LoggedEvent> log = new ArrayList<>();
     for (String file : files.isEmpty() ? List.of(STANDARD_INPUT) : files) {
       log.addAll(read(file));
     }
-    JobStory story = JobStory.of(id, log);
+    if (all) {
+      return tellAll(DayStory.of(log), console);
+    }
+    return tell(JobStory.of(id, log), console);
+  }
+
+  private ExitCode tellAll(DayStory day, Console console) throws CommandException {
+    if (day.jobs() == 0) {
+      throw new CommandException(
+          ExitCode.REFUSED, "no line tells of an accepted job; give the logs of all VMs");
+    }
+    print(console, "%d jobs accepted, %d late%n", day.jobs(), day.late().size());
+    for (DayStory.Loss loss : day.losses()) {
+      double seconds = loss.lateMillis() / MILLIS_PER_SECOND;
+      print(console, "%9.3f s  %4d  %s  %s%n", seconds, loss.jobs(), loss.queue(), loss.cause());
+    }
+    for (DayStory.LateJob job : day.late().stream().limit(DEAREST).toList()) {
+      print(
+          console,
+          "%s  %s  %d core-s  %.3f s late%s  %s%n",
+          job.id(),
+          job.queue(),
+          job.coreSeconds(),
+          job.lateMillis() / MILLIS_PER_SECOND,
+          job.ended() ? "" : ", not ended",
+          job.cause());
+    }
+    return ExitCode.DONE;
+  }
+
+  private static void print(Console console, String format, Object... arguments) {
+    console.out().printf(Locale.ROOT, format, arguments);
+  }
+
+  private ExitCode tell(JobStory story, Console console) throws CommandException {
     if (story.events().isEmpty()) {
       throw new CommandException(
           ExitCode.REFUSED, "no line names " + id + "; give the logs of all VMs");
@@ -44,27 +88,17 @@
     long first = story.events().getFirst().millis();
     for (LoggedEvent event : story.events()) {
       double seconds = (event.millis() - first) / MILLIS_PER_SECOND;
-      console
-          .out()
-          .printf(
-              Locale.ROOT,
-              "%9.3f s  %s  %d  %s%n",
-              seconds,
-              event.vm(),
-              event.number(),
-              event.message());
+      print(console, "%9.3f s  %s  %d  %s%n", seconds, event.vm(), event.number(), event.message());
     }
     story
         .longestStage()
         .ifPresent(
             stage ->
-                console
-                    .out()
-                    .printf(
-                        Locale.ROOT,
-                        "Longest: %.3f s, %s%n",
-                        stage.millis() / MILLIS_PER_SECOND,
-                        stage.name()));
+                print(
+                    console,
+                    "Longest: %.3f s, %s%n",
+                    stage.millis() / MILLIS_PER_SECOND,
+                    stage.name()));
     return ExitCode.DONE;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -104,7 +104,7 @@
     this.jobs = new JobDuty(book, writer, executors, configuration);
     this.submissions = new SubmissionDesk(jobs, writer, ready);
     this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
-    this.plans = new PlanDuty(jobs, executors, advice);
+    this.plans = new PlanDuty(jobs, executors, advice, preferences.work());
     executors.serve(jobs.pools());
     listed.forEach(profile -> executors.seen(profile, turn));
     executors.inherit(Takeover.inheritedRuns(book), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -12,13 +11,10 @@
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
-import org.fescuehook.logic.batch.executor.OrderOutcome.ActiveRun;
-import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.model.batch.ExecutorProfile;
-import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 
 /**
@@ -47,6 +43,7 @@
 
   private final OrderSender orders;
   private final Pacer pacer;
+  private final ReportReader reports;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
   private final RunListener listener;
@@ -69,6 +66,7 @@
     this.pacer = new Pacer(orders);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
+    this.reports = new ReportReader(orders, pacer, listener);
   }
 
   /** Returns the executors. */
@@ -143,7 +141,8 @@
     if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
       List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
-      lost.forEach(run -> lose(run, "its executor is not listed and its lease has expired", turn));
+      lost.forEach(
+          run -> reports.lose(run, "its executor is not listed and its lease has expired", turn));
     }
   }
 
@@ -168,15 +167,10 @@
   private void loseAll(ExecutorState executor, String cause, BatchTurn turn) {
     for (LiveRun run : List.copyOf(executor.runs())) {
       executor.remove(run);
-      lose(run, cause, turn);
+      reports.lose(run, cause, turn);
     }
   }
 
-  private void lose(LiveRun run, String cause, BatchTurn turn) {
-    turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), cause);
-    listener.lost(run, cause, turn);
-  }
-
   private void forget(ExecutorState executor, BatchTurn turn) {
     book.remove(executor);
     heardOf.remove(executor);
@@ -337,7 +331,7 @@
 
   private void pollEnded(ExecutorState executor, OrderOutcome outcome, BatchTurn turn) {
     if (outcome instanceof OrderOutcome.Polled polled) {
-      polled(executor, polled, turn);
+      reports.take(executor, polled, turn);
       return;
     }
     if (executor.missedPolls() == 0) {
@@ -352,67 +346,4 @@
     long pause = executor.missedPolls() == 0 ? 0 : MISSED_POLL_PAUSE_NANOS;
     executor.pollMissed(turn.nowNanos(), pause);
   }
-
-  private void polled(ExecutorState executor, OrderOutcome.Polled answer, BatchTurn turn) {
-    long sentAt = executor.poll().orElseThrow().sentAt();
-    if (!executor.known() || executor.missedPolls() > 0) {
-      turn.note(BatchLogEvent.EXECUTOR_REACHED, executor.profile().id(), answer.active().size());
-    }
-    executor.pollAnswered(turn.nowNanos());
-    executor.clockRead(answer.clockMillis(), turn.nowNanos());
-    takeEnds(executor, answer.ended(), turn);
-    Set<TaskRun> active = new HashSet<>();
-    executor.unknownRunsSeen(false);
-    for (ActiveRun run : answer.active()) {
-      active.add(run.run());
-      takeActive(executor, run, turn);
-    }
-    pacer.look(executor, answer, turn);
-    for (LiveRun run : List.copyOf(executor.runs())) {
-      if (run.mustBeListed(sentAt) && !active.contains(run.run())) {
-        executor.remove(run);
-        lose(run, "its executor does not list it", turn);
-      }
-    }
-  }
-
-  private void takeEnds(ExecutorState executor, List<EndedRun> ends, BatchTurn turn) {
-    List<EndedRun> fresh = ends.stream().filter(end -> end.number() > executor.seen()).toList();
-    if (fresh.isEmpty()) {
-      return;
-    }
-    long last = fresh.getLast().number();
-    executor.sawEndsUpTo(last);
-    Countdown stored = new Countdown(() -> executor.endsStored(last));
-    for (EndedRun end : fresh) {
-      Optional<LiveRun> run = executor.run(end.run());
-      if (run.isEmpty()) {
-        listener.strayEnded(end, stored, turn);
-        continue;
-      }
-      executor.remove(run.get());
-      ExecutorJudge.ended(executor, run.get(), end.end(), turn);
-      listener.ended(run.get(), end, stored, turn);
-    }
-    stored.release();
-  }
-
-  private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
-    Optional<LiveRun> found = executor.run(active.run());
-    if (found.isEmpty()) {
-      executor.unknownRunsSeen(true);
-      turn.note(BatchLogEvent.RUN_UNKNOWN, active.run(), executor.profile().id());
-      orders.stopUnknown(executor, active.run(), turn);
-      return;
-    }
-    LiveRun run = found.get();
-    run.progressed(active.percent(), turn.nowNanos());
-    listener.saved(run, active.checkpoint());
-    if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
-      run.enter(Stage.RUNNING, turn.nowNanos());
-    }
-    if (ExecutorJudge.standsStill(executor, run, turn.nowNanos())) {
-      listener.stoodStill(run, turn);
-    }
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorJudge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorJudge.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.executor;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
@@ -35,6 +36,12 @@
   /** A run is moved if it would still take this many times its estimate where it is. */
   private static final double WORTH_MOVING = 4;
 
+  /**
+   * Share of the speed of the others of its step below which a run shows that its executor is slow;
+   * tasks of a step differ by a third, and executors by as much.
+   */
+  private static final double SLOWER_THAN_OTHERS = 0.4;
+
   private static final double PERCENT = 100.0;
 
   private ExecutorJudge() {}
@@ -76,13 +83,23 @@
       executor.speed().brisk();
       return false;
     }
-    if (speed >= SLUGGISH) {
+    if (speed >= SLUGGISH || asFastAsOthers(run)) {
       return false;
     }
     if (run.judgeOnce()) {
       executor.speed().sluggish(nowNanos);
     }
     double left = (PERCENT - run.percent()) / Math.max(1, run.percent()) * elapsed;
-    return executor.speed().slow(nowNanos) && left > estimate * WORTH_MOVING;
+    boolean worthMoving = executor.speed().slow(nowNanos) && left > estimate * WORTH_MOVING;
+    return worthMoving && run.step().mayMove(run);
+  }
+
+  /**
+   * Tells whether the other runs of its step are hardly faster: then the estimate is off, which it
+   * may be by ten times, and not the executor. Two executors of a gang are rarely slow at once.
+   */
+  private static boolean asFastAsOthers(LiveRun run) {
+    OptionalDouble usual = run.step().usualSpeed(run);
+    return usual.isPresent() && run.speed() > usual.getAsDouble() * SLOWER_THAN_OTHERS;
   }
 }
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
@@ -0,0 +1,97 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.OrderOutcome.ActiveRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.model.batch.TaskRun;
+
+/** Reads what executors report of their runs: which are at work, and which have ended. */
+final class ReportReader {
+
+  private final OrderSender orders;
+  private final Pacer pacer;
+  private final RunListener listener;
+
+  ReportReader(OrderSender orders, Pacer pacer, RunListener listener) {
+    this.orders = orders;
+    this.pacer = pacer;
+    this.listener = listener;
+  }
+
+  /** Tells that a run that is no longer booked on its executor is gone. */
+  void lose(LiveRun run, String cause, BatchTurn turn) {
+    turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), cause);
+    listener.lost(run, cause, turn);
+  }
+
+  /** Takes in the answer of the poll under way. */
+  void take(ExecutorState executor, OrderOutcome.Polled answer, BatchTurn turn) {
+    long sentAt = executor.poll().orElseThrow().sentAt();
+    if (!executor.known() || executor.missedPolls() > 0) {
+      turn.note(BatchLogEvent.EXECUTOR_REACHED, executor.profile().id(), answer.active().size());
+    }
+    executor.pollAnswered(turn.nowNanos());
+    executor.clockRead(answer.clockMillis(), turn.nowNanos());
+    takeEnds(executor, answer.ended(), turn);
+    Set<TaskRun> active = new HashSet<>();
+    executor.unknownRunsSeen(false);
+    for (ActiveRun run : answer.active()) {
+      active.add(run.run());
+      takeActive(executor, run, turn);
+    }
+    pacer.look(executor, answer, turn);
+    for (LiveRun run : List.copyOf(executor.runs())) {
+      if (run.mustBeListed(sentAt) && !active.contains(run.run())) {
+        executor.remove(run);
+        lose(run, "its executor does not list it", turn);
+      }
+    }
+  }
+
+  private void takeEnds(ExecutorState executor, List<EndedRun> ends, BatchTurn turn) {
+    List<EndedRun> fresh = ends.stream().filter(end -> end.number() > executor.seen()).toList();
+    if (fresh.isEmpty()) {
+      return;
+    }
+    long last = fresh.getLast().number();
+    executor.sawEndsUpTo(last);
+    Countdown stored = new Countdown(() -> executor.endsStored(last));
+    for (EndedRun end : fresh) {
+      Optional<LiveRun> run = executor.run(end.run());
+      if (run.isEmpty()) {
+        listener.strayEnded(end, stored, turn);
+        continue;
+      }
+      executor.remove(run.get());
+      ExecutorJudge.ended(executor, run.get(), end.end(), turn);
+      listener.ended(run.get(), end, stored, turn);
+    }
+    stored.release();
+  }
+
+  private void takeActive(ExecutorState executor, ActiveRun active, BatchTurn turn) {
+    Optional<LiveRun> found = executor.run(active.run());
+    if (found.isEmpty()) {
+      executor.unknownRunsSeen(true);
+      turn.note(BatchLogEvent.RUN_UNKNOWN, active.run(), executor.profile().id());
+      orders.stopUnknown(executor, active.run(), turn);
+      return;
+    }
+    LiveRun run = found.get();
+    run.progressed(active.percent(), turn.nowNanos());
+    listener.saved(run, active.checkpoint());
+    if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
+      run.enter(Stage.RUNNING, turn.nowNanos());
+    }
+    if (ExecutorJudge.standsStill(executor, run, turn.nowNanos())) {
+      listener.stoodStill(run, turn);
+    }
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -24,6 +24,7 @@
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Carries plans out: stores each placement, then orders the start. */
 public final class PlanDuty {
@@ -36,11 +37,11 @@
   private Map<String, Integer> guaranteedNeed = Map.of();
 
   /** Creates the duty. */
-  public PlanDuty(JobDuty jobs, ExecutorDuty executors, AdviceDuty advice) {
+  public PlanDuty(JobDuty jobs, ExecutorDuty executors, AdviceDuty advice, WorkPreferences work) {
     this.jobs = jobs;
     this.executors = executors;
     this.advice = advice;
-    this.planner = new Planner(step -> rank(step.job()));
+    this.planner = new Planner(step -> rank(step.job()), work);
   }
 
   /** Plans and carries the plan out. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
  * Decides what starts where and what gives way. Without memory: the same state gives the same plan.
@@ -20,10 +21,11 @@
 public final class Planner {
 
   /**
-   * How long guaranteed work waits for a place near its data before its first start, wherever that
-   * is. Its bound is some 2.7 s, of which stopping others takes up to a second.
+   * Part of the bound in which guaranteed work has to begin that is left, beside the time of a
+   * stop, once it no longer waits for a place near its data: for a plan that was put off, the store
+   * and a start without an answer.
    */
-  private static final long GUARANTEED_PATIENCE_NANOS = Duration.ofMillis(1200).toNanos();
+  private static final Duration RECLAIM_RESERVE = Duration.ofMillis(1300);
 
   /**
    * How long other work waits for a place near its data, in its estimated duration. Elsewhere it
@@ -58,14 +60,17 @@
   private static final long IDLE_NEARNESS_NANOS = Duration.ofSeconds(12).toNanos();
 
   private final Function<StepProgress, Rank> ranks;
+  private final WorkPreferences work;
 
   /**
    * Creates a planner.
    *
    * @param ranks precedence of steps that run
+   * @param work how work behaves on the executors
    */
-  public Planner(Function<StepProgress, Rank> ranks) {
+  public Planner(Function<StepProgress, Rank> ranks, WorkPreferences work) {
     this.ranks = ranks;
+    this.work = work;
   }
 
   /**
@@ -94,11 +99,18 @@
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
     List<WaitingStep> order = new ArrayList<>(waiting);
     order.sort(WaitingStep.ORDER);
-    Pass pass = new Pass(executors, new Displacer(ranks, nowNanos), nowNanos);
+    Pass pass =
+        new Pass(executors, new Displacer(ranks, work, nowNanos), guaranteedPatience(), nowNanos);
     order.forEach(pass::take);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
   }
 
+  /** Returns how long guaranteed work waits for a place near its data before its first start. */
+  private long guaranteedPatience() {
+    Duration patience = work.reclaimBound().minus(work.stopTime()).minus(RECLAIM_RESERVE);
+    return Math.max(0, patience.toNanos());
+  }
+
   /** One plan being made. */
   private static final class Pass {
     private final Room free;
@@ -108,9 +120,15 @@
     private final List<Displacement> stops = new ArrayList<>();
 
     private final Displacer displacer;
+    private final long guaranteedPatienceNanos;
 
-    Pass(Collection<ExecutorState> executors, Displacer displacer, long nowNanos) {
+    Pass(
+        Collection<ExecutorState> executors,
+        Displacer displacer,
+        long guaranteedPatienceNanos,
+        long nowNanos) {
       this.displacer = displacer;
+      this.guaranteedPatienceNanos = guaranteedPatienceNanos;
       free = Room.now(executors, nowNanos);
       expected = Room.now(executors, nowNanos);
       whole = Room.empty(executors, nowNanos);
@@ -218,7 +236,7 @@
       }
       Timing timing = waiting.timing();
       boolean due = waiting.rank().guaranteed() && !waiting.step().job().begun();
-      if (due && timing.waitedNanos() > GUARANTEED_PATIENCE_NANOS) {
+      if (due && timing.waitedNanos() > guaranteedPatienceNanos) {
         return true;
       }
       long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -66,6 +66,18 @@
           Duration.ofSeconds(120),
           "How long the state of an ended job is shown.");
 
+  static final Key<Duration> CHECKPOINT_INTERVAL =
+      work("checkpoint-interval", Duration.ofMillis(500), "Work between two checkpoints.");
+  static final Key<Duration> RESTORE_TIME =
+      work("restore-time", Duration.ofMillis(250), "Time to go on from a checkpoint.");
+  static final Key<Duration> STOP_TIME =
+      work("stop-time", Duration.ofMillis(200), "Longest time that the stop of a task takes.");
+  static final Key<Duration> RECLAIM_BOUND =
+      work(
+          "reclaim-bound",
+          Duration.ofMillis(2700),
+          "Time from its acceptance in which a job that a guarantee covers has begun.");
+
   /** All keys in the order in which they are documented. */
   static final List<Key<?>> ALL =
       List.of(
@@ -80,10 +92,18 @@
           PROCESSOR_SHARE,
           PROCESSOR_CORES,
           EXECUTOR_LEASE,
-          STATUS_RETENTION);
+          STATUS_RETENTION,
+          CHECKPOINT_INTERVAL,
+          RESTORE_TIME,
+          STOP_TIME,
+          RECLAIM_BOUND);
 
   private SchedulerKeys() {}
 
+  private static Key<Duration> work(String name, Duration fallback, String meaning) {
+    return Key.optional("bounds", name, Durations.from(Duration.ZERO), fallback, meaning);
+  }
+
   private static Key<InetSocketAddress> listening(String name, String example, String meaning) {
     return Key.required("addresses", name, Addresses.fromPort(0), example, meaning);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -8,6 +8,7 @@
 import org.fescuehook.model.preferences.IdentityPreferences;
 import org.fescuehook.model.preferences.ProcessorPreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Parses the settings of a VM that schedules batch jobs; reports all faults at once. */
 public final class SchedulerSettingsParser {
@@ -41,6 +42,11 @@
         new BatchPreferences(
             values.get(SchedulerKeys.EXECUTOR_LEASE),
             values.get(SchedulerKeys.STATUS_RETENTION),
+            new WorkPreferences(
+                values.get(SchedulerKeys.CHECKPOINT_INTERVAL),
+                values.get(SchedulerKeys.RESTORE_TIME),
+                values.get(SchedulerKeys.STOP_TIME),
+                values.get(SchedulerKeys.RECLAIM_BOUND)),
             values.get(SchedulerKeys.ADVICE).isPresent()));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobStory.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobStory.java
@@ -16,6 +16,9 @@
  */
 public final class JobStory {
 
+  /** Name of the stage in which nothing but work passed. */
+  public static final String WORK = "work";
+
   private static final Pattern EXECUTOR =
       Pattern.compile("(?:placed )?on (\\S+?)(?: in rack|:| |$)");
 
@@ -112,7 +115,7 @@
       return "an executor was silent until its lease had expired, or rejected the start";
     }
     boolean stopping = before.number() == BatchLogEvent.RUN_STOPPING.number();
-    return stopping ? "runs were being stopped" : "work";
+    return stopping ? "runs were being stopped" : WORK;
   }
 
   /** Returns the events in the order of their times; empty if no line names the job. */
@@ -120,6 +123,11 @@
     return events;
   }
 
+  /** Returns the stretches between the job's events, in order. */
+  public List<Stage> stages() {
+    return stages;
+  }
+
   /** Returns the longest stretch between two events of the job; absent with fewer than two. */
   public Optional<Stage> longestStage() {
     return stages.stream().max(Comparator.comparingLong(Stage::millis));
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
@@ -7,7 +7,11 @@
  *
  * @param executorLease longest lease that an executor grants
  * @param statusRetention how long the state of an ended job is shown
+ * @param work how work behaves on the executors
  * @param adviceAvailable whether there is a service that names the executors that may run a step
  */
 public record BatchPreferences(
-    Duration executorLease, Duration statusRetention, boolean adviceAvailable) {}
+    Duration executorLease,
+    Duration statusRetention,
+    WorkPreferences work,
+    boolean adviceAvailable) {}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,7 +21,6 @@
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
-import org.fescuehook.model.preferences.BatchPreferences;
 
 /** VMs, store and executors on a virtual clock, with faults between them. */
 final class BatchCluster {
@@ -49,8 +47,7 @@
 
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
-  private final Map<Long, String> submitTickets = new HashMap<>();
-  private final Map<Long, String> cancelTickets = new HashMap<>();
+  private final CallLedger calls = new CallLedger(work, submissions);
   private final BatchConfiguration configuration;
   private long nowMillis;
   private long order;
@@ -73,9 +70,7 @@
       starts++;
       start = starts;
       OwnerIdentity self = new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000", milliCores(id));
-      core =
-          new BatchCore(
-              self, new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), true));
+      core = new BatchCore(self, Declared.preferences());
     }
 
     void deliver(BatchEvent event) {
@@ -317,14 +312,7 @@
 
   private void answered(long number, CallAnswer answer) {
     answers.put(number, answer);
-    String job = submitTickets.get(number);
-    if (job != null) {
-      submissions.put(job, answer);
-    }
-    String cancelled = cancelTickets.get(number);
-    if (cancelled != null && answer instanceof CallAnswer.Cancelled) {
-      work.cancelled(cancelled, nowMillis);
-    }
+    calls.answered(number, answer, nowMillis);
   }
 
   /** Calls the VM that decides; absent if none does. */
@@ -334,19 +322,13 @@
       return Optional.empty();
     }
     ticket++;
-    if (call instanceof BatchCall.Submit submit) {
-      submitTickets.put(ticket, submit.job());
-      work.submitted(submit.job(), submit.submission());
-    }
-    if (call instanceof BatchCall.Cancel cancel) {
-      cancelTickets.put(ticket, cancel.job());
-    }
+    calls.asked(ticket, call);
     owner.get().deliver(new BatchEvent.Called(ticket, call));
     return Optional.of(ticket);
   }
 
   boolean cancelAsked(String job) {
-    return cancelTickets.containsValue(job);
+    return calls.cancelAsked(job);
   }
 
   Optional<Vm> owner() {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCoreTest.java
@@ -386,4 +386,18 @@
     assertEquals(new VmId("vm-1"), cluster.owner().orElseThrow().id);
     assertEquals(8, cluster.work.starts().size());
   }
+
+  /** Pattern: an urgent gang whose estimate is a tenth of its work. */
+  @Test
+  void aGangWhoseEstimateIsFarTooLowIsNotMovedForIt() {
+    BatchCluster cluster = cluster();
+    for (int i = 0; i < 3; i++) {
+      String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(4, 2, 400)));
+      for (int member = 0; member < 4; member++) {
+        cluster.work.lasts(new TaskName(job, 0, 0, member), 8000);
+      }
+    }
+    cluster.run(9500);
+    assertEquals(12, cluster.work.starts().size());
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +16,8 @@
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.RackId;
+import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /** What operators and executors have declared in tests. */
 final class Declared {
@@ -34,6 +37,17 @@
 
   private Declared() {}
 
+  /** Bounds as {@link FakeExecutor} keeps them. */
+  static BatchPreferences preferences() {
+    WorkPreferences work =
+        new WorkPreferences(
+            Duration.ofMillis(500),
+            Duration.ofMillis(250),
+            Duration.ofMillis(200),
+            Duration.ofMillis(2700));
+    return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
+  }
+
   static BatchConfiguration configuration() {
     Map<String, JobQueue> queues = new HashMap<>();
     queues.put(URGENT, new JobQueue(URGENT, POOL, 0, 4, 1.5, 250, false, false));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FormerDisplacer.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FormerDisplacer.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Chooses which running work gives way so that a step fits. */
 final class FormerDisplacer {
@@ -26,22 +27,21 @@
    */
   private static final double MOST_THROWN_AWAY = 0.3;
 
-  /** What a start costs, and for saved work its restoring, on the platform's executors. */
-  private static final double RESTART_SECONDS = 0.3;
-
-  /** Work of a run that saves its progress every half second, in the mean. */
-  private static final double UNSAVED_SECONDS = 0.25;
+  /** What a start costs beside the restoring of saved work: its order, and the store. */
+  private static final double START_SECONDS = 0.05;
 
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
+  private final WorkPreferences work;
   private final long nowNanos;
 
   /** Tasks of steps that last which this plan stops already. */
   private final Map<StepProgress, Integer> planned = new HashMap<>();
 
-  FormerDisplacer(Function<StepProgress, Rank> ranks, long nowNanos) {
+  FormerDisplacer(Function<StepProgress, Rank> ranks, WorkPreferences work, long nowNanos) {
     this.ranks = ranks;
+    this.work = work;
     this.nowNanos = nowNanos;
   }
 
@@ -168,7 +168,8 @@
   private Victim victim(List<LiveRun> runs, Rank rank) {
     double lost = 0;
     for (LiveRun run : runs) {
-      double seconds = RESTART_SECONDS + workedSeconds(run);
+      double restore = run.step().spec().checkpointing() ? work.restoreSeconds() : 0;
+      double seconds = START_SECONDS + restore + workedSeconds(run);
       lost += seconds * run.demand().coreEquivalents();
     }
     return new Victim(runs, rank, lost);
@@ -180,6 +181,6 @@
       return 0;
     }
     double seconds = (nowNanos - run.stageSince()) / NANOS_PER_SECOND;
-    return run.step().spec().checkpointing() ? Math.min(seconds, UNSAVED_SECONDS) : seconds;
+    return run.step().spec().checkpointing() ? Math.min(seconds, work.unsavedSeconds()) : seconds;
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -29,6 +29,7 @@
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.RackId;
+import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
  * The planner decides as its former version did, which looked at every executor for each step; that
@@ -37,6 +38,12 @@
 class PlannerEquivalenceProperties {
 
   private static final long NOW = Duration.ofHours(1).toNanos();
+  private static final WorkPreferences WORK =
+      new WorkPreferences(
+          Duration.ofSeconds(2),
+          Duration.ofMillis(600),
+          Duration.ofMillis(200),
+          Duration.ofMillis(2700));
   private static final int[] ACCELERATORS = {0, 1, 1, 2, 4, 8};
 
   /** One fleet with running and waiting work. */
@@ -165,8 +172,9 @@
   void theSamePlanIsMadeAsByTheFormerPlanner(@ForAll long seed) {
     Scene scene = new Scene(seed);
     Function<StepProgress, Rank> ranks = scene.ranks::get;
-    FormerPlanner.Plan former = new FormerPlanner(ranks).plan(scene.waiting, scene.executors, NOW);
-    Planner.Plan plan = new Planner(ranks).plan(scene.waiting, scene.executors, NOW);
+    FormerPlanner.Plan former =
+        new FormerPlanner(ranks, WORK).plan(scene.waiting, scene.executors, NOW);
+    Planner.Plan plan = new Planner(ranks, WORK).plan(scene.waiting, scene.executors, NOW);
     assertEquals(former.starts(), plan.starts());
     assertEquals(
         former.stops().stream().map(FormerPlanner.Displacement::run).toList(),
