Come back later also while only the jobs' stream is away

The age of an outage counts from the oldest of both: the last confirmation, and the first append of the jobs that was not taken. `StoreOutageTest.callersComeBackLaterAlsoIfOnlyTheJobsCannotBeStored` failed before (1000 ms in place of 2300).

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -168,7 +168,9 @@
    * @param storeSeenAt when the store last confirmed this owner, monotonic time
    */
   void step(long storeSeenAt, BatchTurn turn) {
-    storeAgeMillis = Duration.ofNanos(turn.nowNanos() - storeSeenAt).toMillis();
+    // The stream of the jobs may be away while that of ownership is not.
+    long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
+    storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.expire(turn);
     submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), true, turn));
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -126,6 +126,14 @@
     return unanswered || refusing;
   }
 
+  /**
+   * Returns since when the store has taken nothing although asked, monotonic time; absent if it
+   * takes.
+   */
+  public OptionalLong troubleSince() {
+    return troubleSince;
+  }
+
   /** Takes the outcome of an append; false if ownership is lost by it. */
   public boolean answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     if (sent.filter(current -> current.position.equals(position)).isEmpty()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -214,7 +214,7 @@
 
   private void append(Vm vm, BatchCommand.Append append) {
     claims += append.expectedEnd().isPresent() ? 1 : 0;
-    if (!reachesStore(vm)) {
+    if (!reachesStore(vm) || faults.streamsDown.contains(append.stream())) {
       AppendOutcome outcome =
           random.nextBoolean()
               ? new AppendOutcome.Refused("down")
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StoreOutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StoreOutageTest.java
@@ -5,6 +5,7 @@
 
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.store.StreamName;
 import org.junit.jupiter.api.Test;
 
 /** What callers hear while the store is away. */
@@ -25,6 +26,20 @@
         .retryAfterMillis();
   }
 
+  /** Pattern: the store's stream of jobs is away while ownership is confirmed as ever. */
+  @Test
+  void callersComeBackLaterAlsoIfOnlyTheJobsCannotBeStored() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.faults.streamsDown.add(StreamName.STATE);
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.run(2500);
+
+    assertEquals(2300, comeBackAfter(), 300);
+    cluster.run(2000);
+    assertEquals(3000, comeBackAfter());
+  }
+
   /**
    * Pattern: an outage of some seconds outlasted all attempts of callers that came back at once.
    */
