Runs on lost executors start again after one lease, and leave in time by their own progress

A new owner counted leases of the former one as 16.6 s long (it may renew for 10 s while cut off), also on executors that had taken its own polls since; each further take-over began the count anew. And the gangs had not been moved when the notice came, since their estimates (an eighth of their work) said that they would end in time. Ruled out: room (the same plans placed other urgent gangs within 20 ms).

Once an executor has answered a poll of this epoch it refuses the former owner's, so that no lease there outlasts one lease from then. What a run still takes is counted by its own speed once it shows 3 percent.

Tests, both seen to fail before: `LostExecutorTest` waited 16,140 ms, now under 7,500; the gang was not moved from the leaving executor. A run on an executor that is not listed when an owner begins is still waited for 16.6 s.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -98,6 +98,7 @@
         new ExecutorDuty(
             epoch,
             lease.minus(LEASE_SLACK),
+            lease,
             ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
             this,
             turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -57,16 +57,22 @@
    * Creates the duty of an epoch.
    *
    * @param lease length of the leases given
+   * @param longestLease the longest lease that an executor grants
    * @param inheritedLease how long leases of a former owner may last from now on
    */
   public ExecutorDuty(
-      long epoch, Duration lease, Duration inheritedLease, RunListener listener, BatchTurn turn) {
+      long epoch,
+      Duration lease,
+      Duration longestLease,
+      Duration inheritedLease,
+      RunListener listener,
+      BatchTurn turn) {
     this.nextRoundAt = turn.nowNanos();
     this.orders = new OrderSender(epoch, lease);
     this.pacer = new Pacer(orders);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
-    this.reports = new ReportReader(orders, pacer, listener);
+    this.reports = new ReportReader(orders, pacer, listener, longestLease);
   }
 
   /** Returns the executors. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -196,11 +196,22 @@
   public long extendLease(Duration length, long nowNanos) {
     long nowThere = Duration.ofNanos(nowNanos).toMillis() + clockAheadMillis.orElseThrow();
     leaseUntilMillis = Math.max(leaseUntilMillis, nowThere + length.toMillis());
-    long longest = (long) (length.toNanos() * SLOWEST_CLOCK) + LEASE_MARGIN_NANOS;
-    leaseMayLastUntil(nowNanos + longest);
+    leaseMayLastUntil(nowNanos + longestNanos(length));
     return leaseUntilMillis;
   }
 
+  private static long longestNanos(Duration lease) {
+    return (long) (lease.toNanos() * SLOWEST_CLOCK) + LEASE_MARGIN_NANOS;
+  }
+
+  /**
+   * Remembers that it has taken an order of this owner: no former owner can extend its lease any
+   * more, so that what runs there ends within the longest lease unless this owner extends it.
+   */
+  public void shutFormerOwnersOut(Duration longestLease, long nowNanos) {
+    leaseUntilNanos = Math.min(leaseUntilNanos, nowNanos + longestNanos(longestLease));
+  }
+
   /** Remembers that a lease that another owner gave may last until a time. */
   public void leaseMayLastUntil(long untilNanos) {
     leaseUntilNanos = Math.max(leaseUntilNanos, untilNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.executor;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -18,8 +19,10 @@
   private final OrderSender orders;
   private final Pacer pacer;
   private final RunListener listener;
+  private final Duration longestLease;
 
-  ReportReader(OrderSender orders, Pacer pacer, RunListener listener) {
+  ReportReader(OrderSender orders, Pacer pacer, RunListener listener, Duration longestLease) {
+    this.longestLease = longestLease;
     this.orders = orders;
     this.pacer = pacer;
     this.listener = listener;
@@ -37,6 +40,9 @@
     if (!executor.known() || executor.missedPolls() > 0) {
       turn.note(BatchLogEvent.EXECUTOR_REACHED, executor.profile().id(), answer.active().size());
     }
+    if (!executor.known()) {
+      executor.shutFormerOwnersOut(longestLease, turn.nowNanos());
+    }
     executor.pollAnswered(turn.nowNanos());
     executor.clockRead(answer.clockMillis(), turn.nowNanos());
     takeEnds(executor, answer.ended(), turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -9,7 +9,12 @@
 public final class LiveRun {
 
   private static final int WHOLE_PERCENT = 100;
+
+  /** Progress from which on the speed of a run is known to a third. */
+  private static final int TELLING_PERCENT = 3;
+
   private static final double NANOS_PER_SECOND = 1e9;
+  private static final double MILLIS_PER_SECOND = 1e3;
 
   private final TaskRun run;
   private final ExecutorId executor;
@@ -222,8 +227,17 @@
     return first;
   }
 
-  /** Returns the time that the work still takes by its estimate and progress, in milliseconds. */
+  /**
+   * Returns the time that the work still takes: by its own speed once it shows some progress, and
+   * else by its estimate, which may be off by ten times.
+   *
+   * @return milliseconds
+   */
   public long estimatedLeftMillis() {
-    return step.spec().estimateMillis() * (WHOLE_PERCENT - percent) / WHOLE_PERCENT;
+    int left = WHOLE_PERCENT - percent;
+    if (stage == Stage.RUNNING && percent >= TELLING_PERCENT && checkpoint.isEmpty()) {
+      return Math.round(left / speed() * MILLIS_PER_SECOND);
+    }
+    return step.spec().estimateMillis() * left / WHOLE_PERCENT;
   }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LostExecutorTest.java
@@ -0,0 +1,64 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: executors are taken away at short notice soon after a take-over. A former owner may have
+ * extended leases while it was cut off, but not on executors that have seen the next owner's epoch;
+ * gangs waited for such leases for 16 s, and for as long again after each further take-over.
+ */
+class LostExecutorTest {
+
+  private static final long LEASE_MILLIS = 6000;
+
+  @Test
+  void whatRanOnAnExecutorThatIsLostAfterATakeOverStartsAgainAfterOneLease() {
+    BatchCluster cluster = new BatchCluster(3, 4, 1);
+    cluster.awaitOwner();
+    cluster.run(200);
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(2, 8, 30_000)));
+    cluster.runUntil("the start", 2000, () -> cluster.work.starts().size() == 2);
+    cluster.vms.get(cluster.owner().orElseThrow().id).running = false;
+    cluster.awaitOwner();
+    cluster.run(500);
+    List<ExecutorId> used =
+        cluster.executors.values().stream()
+            .filter(executor -> !executor.running().isEmpty())
+            .map(executor -> executor.profile().id())
+            .toList();
+    cluster.crash(used.getFirst());
+    long crashedAt = cluster.nowMillis();
+    cluster.runUntil("the next start", 20_000, () -> cluster.work.starts().size() == 4);
+    long waited = cluster.nowMillis() - crashedAt;
+    assertTrue(waited < LEASE_MILLIS + 1500, () -> "waited " + waited + " ms");
+  }
+
+  /** Pattern: two seconds of notice, and a gang whose estimate is an eighth of its work. */
+  @Test
+  void workThatItsOwnProgressShowsToEndTooLateMovesAwayFromALeavingExecutor() {
+    BatchCluster cluster = new BatchCluster(1, 4, 1);
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(2, 8, 1000)));
+    cluster.work.lasts(new TaskName(job, 0, 0, 0), 8000);
+    cluster.work.lasts(new TaskName(job, 0, 0, 1), 8000);
+    cluster.runUntil("the start", 2000, () -> cluster.work.starts().size() == 2);
+    cluster.run(2000);
+    ExecutorId leaving =
+        cluster.executors.values().stream()
+            .filter(executor -> !executor.running().isEmpty())
+            .map(executor -> executor.profile().id())
+            .findFirst()
+            .orElseThrow();
+    cluster.leave(leaving, 2000);
+    cluster.run(1000);
+    assertEquals(List.of(), cluster.executors.get(leaving).running());
+    assertEquals(4, cluster.work.starts().size());
+  }
+}
