Ports are opened in one place, epochs numbered in one; a strong VM takes over only while it reads

What earlier work had left behind: three servers bound their ports by the same lines (`ServerPort` now), the shift of an epoch into numbers stood twice (`EpochNumbers`), event 8210 was in the catalogue and never logged. `net.peer`, `net.operator` and `net.caller` still bind by themselves: their errors name another step.

One behaviour changes: a strong VM that cannot read the stream of ownership no longer claims from a weak owner. Read in the code: while the store turned it away it would have repeated its claim ten times a second (`OwnershipDutyTest`, new case).

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/StatusServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/StatusServer.java
@@ -1,16 +1,11 @@
 package org.fescuehook.entry.scheduler;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,8 +20,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Supplier;
+import org.fescuehook.net.listen.ServerPort;
 
 /** Serves a few short texts, such as readiness or metrics, by HTTP GET. */
 final class StatusServer {
@@ -34,9 +29,8 @@
   private static final int MAX_REQUEST_BYTES = 8 << 10;
   private static final int IDLE_SECONDS = 30;
 
-  private final EventLoopGroup loops;
   private final Map<String, Supplier<Page>> pages;
-  private Optional<Channel> listening = Optional.empty();
+  private final ServerPort listener;
 
   /** A page and whether it is served with success. */
   record Page(boolean success, String text) {}
@@ -47,28 +41,16 @@
    * @param pages the pages by path
    */
   StatusServer(EventLoopGroup loops, Map<String, Supplier<Page>> pages) {
-    this.loops = loops;
+    this.listener = new ServerPort(loops, new Initializer());
     this.pages = Map.copyOf(pages);
   }
 
   InetSocketAddress start(InetSocketAddress address) throws IOException {
-    ChannelFuture bound =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childHandler(new Initializer())
-            .bind(address)
-            .awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      throw new IOException("cannot bind " + address, bound.cause());
-    }
-    listening = Optional.of(bound.channel());
-    return (InetSocketAddress) bound.channel().localAddress();
+    return listener.open(address);
   }
 
   void close() {
-    listening.ifPresent(Channel::close);
+    listener.close();
   }
 
   private FullHttpResponse answer(String path) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -65,9 +65,6 @@
    */
   private static final long REACHABLE_NANOS = Duration.ofMillis(1200).toNanos();
 
-  /** Questions of different epochs get different numbers, so late answers are not mixed up. */
-  private static final int QUESTION_EPOCH_SHIFT = 32;
-
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -104,7 +101,7 @@
             turn);
     this.jobs = new JobDuty(book, writer, executors, configuration);
     this.submissions = new SubmissionDesk(jobs, writer, ready);
-    this.advice = new AdviceDuty(epoch << QUESTION_EPOCH_SHIFT, turn);
+    this.advice = new AdviceDuty(EpochNumbers.before(epoch), turn);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work());
     executors.serve(jobs.pools());
     listed.forEach(profile -> executors.seen(profile, turn));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -8,6 +8,7 @@
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
 import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.EpochNumbers;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.model.batch.TaskRun;
 
@@ -17,9 +18,6 @@
   /** Longest wait of a poll for an end; renews a lease of about 6 s five times over. */
   private static final Duration POLL_WAIT = Duration.ofMillis(1000);
 
-  /** Orders of different epochs get different numbers, so late outcomes are not mixed up. */
-  private static final int EPOCH_SHIFT = 32;
-
   private final long epoch;
   private final Duration lease;
   private final Map<Long, LiveRun> ordered = new HashMap<>();
@@ -33,7 +31,7 @@
   OrderSender(long epoch, Duration lease) {
     this.epoch = epoch;
     this.lease = lease;
-    this.lastNumber = epoch << EPOCH_SHIFT;
+    this.lastNumber = EpochNumbers.before(epoch);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
@@ -22,10 +22,10 @@
   private final Duration longestLease;
 
   ReportReader(OrderSender orders, Pacer pacer, RunListener listener, Duration longestLease) {
-    this.longestLease = longestLease;
     this.orders = orders;
     this.pacer = pacer;
     this.listener = listener;
+    this.longestLease = longestLease;
   }
 
   /** Tells that a run that is no longer booked on its executor is gone. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -82,6 +82,7 @@
   private long quietSince;
   private OptionalLong doubtedAt = OptionalLong.empty();
   private long sequence;
+  private boolean readable;
   private boolean appending;
   private boolean releasing;
   private long nextAppendAt;
@@ -118,6 +119,7 @@
   /** Takes in that the stream was read to its end. */
   public void read(Optional<OwnerRecord> record, long streamEnd, BatchTurn turn) {
     end = OptionalLong.of(Math.max(streamEnd, end.orElse(0)));
+    readable = true;
     if (record.isEmpty()) {
       return;
     }
@@ -143,6 +145,7 @@
 
   /** Takes in that the stream could not be read: silence counts anew from here. */
   public void unreadable(BatchTurn turn) {
+    readable = false;
     quietSince = turn.nowNanos();
   }
 
@@ -205,17 +208,18 @@
     }
     OwnerRecord owner = newest.get();
     boolean formerStart = owner.vm().equals(self.vm()) && !bySelf(owner);
-    if (formerStart || (owner.milliCores() > 0 && muchStronger(self.milliCores(), owner))) {
+    if (formerStart || (readable && muchStronger(self.milliCores(), owner.milliCores()))) {
       return true;
     }
     boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
-    boolean weaker = self.milliCores() * MUCH_STRONGER <= owner.milliCores();
+    boolean weaker = muchStronger(owner.milliCores(), self.milliCores());
     long patience = (released ? 0 : patienceNanos(turn)) + (weaker ? WEAKER_WAIT_NANOS : 0);
     return patience == 0 || turn.nowNanos() - quietSince > patience;
   }
 
-  private static boolean muchStronger(int milliCores, OwnerRecord owner) {
-    return milliCores >= owner.milliCores() * MUCH_STRONGER;
+  /** Tells whether one VM has much more power than another; no if one is not known. */
+  private static boolean muchStronger(int milliCores, int otherMilliCores) {
+    return otherMilliCores > UNKNOWN_POWER && milliCores >= otherMilliCores * MUCH_STRONGER;
   }
 
   private long patienceNanos(BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
@@ -1,14 +1,10 @@
 package org.fescuehook.net.batch;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -16,6 +12,7 @@
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.net.listen.ServerPort;
 import org.fescuehook.wire.batch.ForwardedAnswer;
 import org.fescuehook.wire.batch.ForwardedCall;
 import org.slf4j.Logger;
@@ -26,14 +23,13 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallServer.class);
 
-  private final EventLoopGroup loops;
   private final CallPort port;
   private final OwnerHints hints;
-  private Optional<Channel> listening = Optional.empty();
+  private final ServerPort listener;
 
   /** Creates a server that does not listen yet. */
   public CallServer(EventLoopGroup loops, CallPort port, OwnerHints hints) {
-    this.loops = loops;
+    this.listener = new ServerPort(loops, new Initializer());
     this.port = port;
     this.hints = hints;
   }
@@ -45,24 +41,12 @@
    * @throws IOException if the address cannot be bound
    */
   public InetSocketAddress start(InetSocketAddress address) throws IOException {
-    ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new Initializer());
-    var bound = bootstrap.bind(address).awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      throw new IOException("cannot bind " + address, bound.cause());
-    }
-    listening = Optional.of(bound.channel());
-    return (InetSocketAddress) bound.channel().localAddress();
+    return listener.open(address);
   }
 
   /** Stops listening. */
   public void close() {
-    listening.ifPresent(Channel::close);
+    listener.close();
   }
 
   private final class Initializer extends ChannelInitializer<SocketChannel> {
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/net/listen/package-info.java
@@ -0,0 +1,5 @@
+/** Opening of ports. */
+@NullMarked
+package org.fescuehook.net.listen;
+
+import org.jspecify.annotations.NullMarked;
--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -1,17 +1,12 @@
 package org.fescuehook.platform;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -34,6 +29,7 @@
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.net.batch.CallPort;
+import org.fescuehook.net.listen.ServerPort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,16 +49,15 @@
    */
   private static final long COME_BACK_MILLIS = 1000;
 
-  private final EventLoopGroup loops;
   private final CallPort port;
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile Optional<RouteTable> routes = Optional.empty();
   private volatile boolean closing;
-  private Optional<Channel> listening = Optional.empty();
+  private final ServerPort listener;
 
   /** Creates an edge that does not listen yet. */
   public CallerEdge(EventLoopGroup loops, CallPort port) {
-    this.loops = loops;
+    this.listener = new ServerPort(loops, new Initializer());
     this.port = port;
   }
 
@@ -77,19 +72,7 @@
    * @throws IOException if the address cannot be bound
    */
   public InetSocketAddress start(InetSocketAddress address) throws IOException {
-    ServerBootstrap bootstrap =
-        new ServerBootstrap()
-            .group(loops)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new Initializer());
-    ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
-    if (!bound.isSuccess()) {
-      throw new IOException("cannot bind " + address, bound.cause());
-    }
-    listening = Optional.of(bound.channel());
-    return (InetSocketAddress) bound.channel().localAddress();
+    return listener.open(address);
   }
 
   /** Has each further answer close its connection, so that callers go to other VMs. */
@@ -99,7 +82,7 @@
 
   /** Accepts no further connection. */
   public void stopListening() {
-    listening.ifPresent(Channel::close);
+    listener.close();
   }
 
   /** Returns the calls that have not been answered. */
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
@@ -14,8 +14,6 @@
   RECORD_UNREADABLE(8203, "Record {} of stream {} cannot be read: {}"),
   /** An append was not taken. */
   APPEND_TROUBLE(8204, "Append {} {} to stream {}: {}"),
-  /** A call was refused before a decision. */
-  CALL_REFUSED(8210, "Call {} {} refused with {}: {}"),
   /** The port of callers has a fault. */
   CALLER_FAULT(8211, "Connection of caller {} closed: {}");
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -174,4 +174,12 @@
     hears(duty, OwnerRecord.Kind.RELEASE, 1500);
     assertTrue(claims(duty, 1010));
   }
+
+  @Test
+  void aStrongVmThatCannotReadTheStreamDoesNotTakeOver() {
+    OwnershipDuty duty = ofPower(1500);
+    hears(duty, OwnerRecord.Kind.HEARTBEAT, 360);
+    duty.unreadable(at(1005));
+    assertFalse(claims(duty, 1010));
+  }
 }
