An executor that once did not answer is used again, and its ends are acknowledged

A poll that only acknowledged ends had no answer; nothing ran there, so the executor was never polled again, and an executor whose last poll was missed gets nothing new. Its ends stayed unacknowledged as well, since the acknowledgement counted as sent. Ruled out: room (41 to 47 percent of the accelerators in use by the log), rests and suspects (2 of 32).

A listed executor that missed a poll is asked each 0.5 s until it answers; an acknowledgement counts once it was answered; an unlisted executor that is silent is forgotten although it was not told.

`LostExecutorTest.anExecutorThatOnceDidNotAnswerIsUsedAgainAndItsEndsAreAcknowledged` failed before ("not within 1500 ms: the next start").

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -26,6 +26,9 @@
   /** Pause after polls without an answer; after the first one, which may just be lost, none. */
   private static final long MISSED_POLL_PAUSE_NANOS = Duration.ofMillis(150).toNanos();
 
+  /** The same where nothing runs, so that nothing waits but new work. */
+  private static final long IDLE_POLL_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
+
   /** Starts of one run before it is given up; with their timeouts half of a gang's patience. */
   private static final int MAX_STARTS = 3;
 
@@ -165,7 +168,8 @@
     }
     boolean mayRun = !executor.runs().isEmpty() || (executor.runsUnknown() && !silent);
     boolean idle = !mayRun && executor.poll().isEmpty();
-    if (!executor.listed() && idle && !executor.owesAcknowledgement()) {
+    boolean acknowledges = executor.owesAcknowledgement() && !silent;
+    if (!executor.listed() && idle && !acknowledges) {
       forget(executor, turn);
     }
   }
@@ -196,7 +200,9 @@
   private void poll(ExecutorState executor, BatchTurn turn) {
     boolean unknown = !executor.known() && pools.contains(executor.profile().pool());
     boolean holds = !executor.runs().isEmpty() || executor.runsUnknown();
-    boolean needed = unknown || holds || executor.owesAcknowledgement();
+    // One that did not answer is not used, and only an answer shows that it can be used again.
+    boolean doubted = executor.missedPolls() > 0 && executor.listed();
+    boolean needed = unknown || holds || doubted || executor.owesAcknowledgement();
     if (needed && executor.pollDue(turn.nowNanos())) {
       orders.poll(executor, turn);
     }
@@ -349,7 +355,9 @@
           executor.runs().size(),
           left);
     }
-    long pause = executor.missedPolls() == 0 ? 0 : MISSED_POLL_PAUSE_NANOS;
+    boolean idle = executor.runs().isEmpty();
+    long repeated = idle ? IDLE_POLL_PAUSE_NANOS : MISSED_POLL_PAUSE_NANOS;
+    long pause = executor.missedPolls() == 0 ? 0 : repeated;
     executor.pollMissed(turn.nowNanos(), pause);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -45,6 +45,7 @@
 
   private long acknowledged;
   private long acknowledgementSent;
+  private long acknowledgementKnown;
   private long restUntil;
   private boolean resting;
   private boolean runsUnknown;
@@ -166,6 +167,7 @@
   /** Remembers that the poll was answered. */
   public void pollAnswered(long nowNanos) {
     poll = Optional.empty();
+    acknowledgementKnown = acknowledgementSent;
     known = true;
     missedPolls = 0;
     nextPollAt = nowNanos;
@@ -174,6 +176,7 @@
   /** Remembers that the poll had no answer. */
   public void pollMissed(long nowNanos, long pauseNanos) {
     poll = Optional.empty();
+    acknowledgementSent = acknowledgementKnown;
     missedPolls++;
     nextPollAt = nowNanos + pauseNanos;
   }
@@ -254,7 +257,7 @@
     return acknowledged;
   }
 
-  /** Tells whether ends have been stored that no poll has acknowledged yet. */
+  /** Tells whether ends have been stored that no answered poll has acknowledged yet. */
   public boolean owesAcknowledgement() {
     return acknowledged > acknowledgementSent;
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -69,6 +69,11 @@
     return up;
   }
 
+  /** Returns how many ends it still lists. */
+  int unacknowledged() {
+    return ended.size();
+  }
+
   List<TaskRun> running() {
     return List.copyOf(active.keySet());
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LostExecutorTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LostExecutorTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.junit.jupiter.api.Test;
@@ -61,4 +64,26 @@
     assertEquals(List.of(), cluster.executors.get(leaving).running());
     assertEquals(4, cluster.work.starts().size());
   }
+
+  /**
+   * Pattern: orders get no answer while an executor has nothing else to do. It was never asked
+   * again, and so never used again; its last ends were not acknowledged either.
+   */
+  @Test
+  void anExecutorThatOnceDidNotAnswerIsUsedAgainAndItsEndsAreAcknowledged() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(200);
+    ExecutorId id = new ExecutorId("e0");
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    Optional<CallAnswer> done = Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+    cluster.runUntil("the end of the job", 3000, () -> cluster.status(job).equals(done));
+    cluster.faults.silent.add(id);
+    cluster.run(1500);
+    cluster.faults.silent.clear();
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.runUntil("the next start", 1500, () -> cluster.work.starts().size() == 2);
+    cluster.run(3000);
+    assertEquals(0, cluster.executors.get(id).unacknowledged());
+  }
 }
