--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StrayRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StrayRunTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
@@ -18,6 +17,7 @@
 class StrayRunTest {
 
   private static final long GONE_WITHIN_MILLIS = 3200;
+  private static final long LONGEST_LEASE_MILLIS = 6000;
 
   private static BatchCluster cluster() {
     BatchCluster cluster = new BatchCluster(3, 2, 5);
@@ -66,19 +66,34 @@
     cluster.runUntil("the end of the run", 1500, () -> !anythingRuns(cluster));
   }
 
+  /** No stop of it ever arrives: it ends with the last lease that its own owner gave. */
   @Test
-  void whatAnOwnerDoesNotKnowIsLookedAtUntilItIsGoneAndItsLeaseIsNotExtended() {
-    ExecutorId id = new ExecutorId("e0");
+  void theLeaseOfARunThatItsOwnerDoesNotKnowIsNotExtended() {
     BatchCluster cluster = cluster();
-    FakeExecutor executor = cluster.executors.get(id);
     String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, 60_000)));
     cluster.runUntil("the start", 1000, () -> anythingRuns(cluster));
+    cluster.faults.lostStops = true;
     cancel(cluster, job);
+    VmId former = cluster.owner().orElseThrow().id;
+    cluster.vms.get(former).running = false;
+    cluster.run(LONGEST_LEASE_MILLIS);
+    assertTrue(cluster.faults.stopsLost > 1, "the next owner has seen the run");
+    cluster.run(200);
+    assertFalse(anythingRuns(cluster));
+  }
+
+  @Test
+  void aCancelledRunIsStoppedAlsoIfItsFirstStopsAreLost() {
+    BatchCluster cluster = cluster();
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, 60_000)));
+    cluster.runUntil("the start", 1000, () -> anythingRuns(cluster));
     cluster.faults.lostStops = true;
+    cancel(cluster, job);
     cluster.run(GONE_WITHIN_MILLIS);
+    assertTrue(anythingRuns(cluster));
     cluster.faults.lostStops = false;
     cluster.run(GONE_WITHIN_MILLIS);
-    assertEquals(List.of(), executor.running());
+    assertFalse(anythingRuns(cluster));
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -15,21 +15,41 @@
 
 class OwnershipDutyTest {
 
-  private final OwnershipDuty duty =
-      new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 750));
+  /** Processing power of VMs where it does not matter. */
+  private static final int USUAL_MILLI_CORES = 750;
+
+  private final OwnershipDuty duty = ofPower(USUAL_MILLI_CORES);
 
   private static BatchTurn at(long millis) {
     return new BatchTurn(millis * 1_000_000, 0);
   }
 
+  private static OwnershipDuty ofPower(int milliCores) {
+    return new OwnershipDuty(
+        new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", milliCores));
+  }
+
   /** Another VM's record is read. */
   private void heard(long millis, OwnerRecord.Kind kind, long offset) {
+    hears(duty, millis, kind, offset, USUAL_MILLI_CORES);
+  }
+
+  private static void hears(OwnershipDuty duty, OwnerRecord.Kind kind, int milliCores) {
+    hears(duty, 1000, kind, 0, milliCores);
+  }
+
+  private static void hears(
+      OwnershipDuty duty, long millis, OwnerRecord.Kind kind, long offset, int milliCores) {
     OwnerRecord record =
-        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, 750);
+        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, milliCores);
     duty.read(Optional.of(record), offset + 1, at(millis));
   }
 
   private boolean claims(long millis) {
+    return claims(duty, millis);
+  }
+
+  private static boolean claims(OwnershipDuty duty, long millis) {
     BatchTurn turn = at(millis);
     duty.step(turn);
     return turn.commands().stream().anyMatch(BatchCommand.Append.class::isInstance);
@@ -108,8 +128,7 @@
 
   /** Returns the position of the claim that a duty like this one sends. */
   private static WriterPosition claimOf(long millis) {
-    OwnershipDuty like =
-        new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 750));
+    OwnershipDuty like = ofPower(USUAL_MILLI_CORES);
     like.read(Optional.empty(), 5, at(0));
     BatchTurn turn = at(millis);
     like.step(turn);
@@ -121,23 +140,6 @@
         .position();
   }
 
-  private static OwnershipDuty ofPower(int milliCores) {
-    return new OwnershipDuty(
-        new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", milliCores));
-  }
-
-  private static void hears(OwnershipDuty duty, OwnerRecord.Kind kind, int milliCores) {
-    OwnerRecord record =
-        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, 0, milliCores);
-    duty.read(Optional.of(record), 1, at(1000));
-  }
-
-  private static boolean claims(OwnershipDuty duty, long millis) {
-    BatchTurn turn = at(millis);
-    duty.step(turn);
-    return turn.commands().stream().anyMatch(BatchCommand.Append.class::isInstance);
-  }
-
   /** Pattern: a large fleet whose owner happened to be one of the weakest VMs. */
   @Test
   void aMuchStrongerVmTakesOverFromAnOwnerThatLives() {
