--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -74,7 +74,7 @@
     }
 
     void deliver(BatchEvent event) {
-      if (!running) {
+      if (!running || faults.dropped.test(id, event)) {
         return;
       }
       if (frozen) {
@@ -82,7 +82,7 @@
         return;
       }
       for (BatchCommand command :
-          core.apply(event, nowMillis * 1_000_000, WALL_START + nowMillis)) {
+          core.apply(event, nowMillis * 1_000_000, WALL_START + nowMillis + faults.wallAhead)) {
         carryOut(this, command);
       }
     }
@@ -248,7 +248,7 @@
         faults.storeDelay,
         () ->
             vm.deliver(
-                reachesStore(vm)
+                reachesStore(vm) && !faults.cannotLoad.contains(vm.id)
                     ? new BatchEvent.StateRead(store.newest(StreamName.STATE), Optional.empty())
                     : new BatchEvent.StateUnreadable()));
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
@@ -16,6 +17,16 @@
   double lostAnswers;
   long storeDelay = 4;
   final Set<VmId> cutFromStore = new HashSet<>();
+
+  /** VMs that reach the store and cannot load the jobs, as pages come too slowly to them. */
+  final Set<VmId> cannotLoad = new HashSet<>();
+
+  /** Which events do not come to the decisions of a VM. */
+  BiPredicate<VmId, BatchEvent> dropped = (vm, event) -> false;
+
+  /** How far the VMs' clocks of the day have jumped, in milliseconds. */
+  long wallAhead;
+
   final Set<ExecutorId> silent = new HashSet<>();
   double lateOrders;
 
