Test that fails: a page that comes slowly and steadily is thrown away

Seen failing on: "Failed[reason=no answer within 700 ms]" for a page whose last byte comes after 1.4 s. Passes with pieces each 50 ms in place of 200 ms. Cause: StoreClient.newest gives READ_SLACK for the whole answer; StreamFollower and PlatformStore.loadState begin again.

mvn -o -q -B -pl fescuehook -Dtest=SlowPageTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/platform/SlowPageTest.java
@@ -0,0 +1,92 @@
+package org.fescuehook.platform;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: a VM asks for the same page of the jobs again and again and never has it. Its way from the
+ * store carries a whole page in a second or two. Cause: a page has 0.7 s from the request to its
+ * last byte, however steadily it comes; what has come by then is thrown away, so the next try is no
+ * better.
+ */
+class SlowPageTest {
+
+  private static final int PIECES = 8;
+  private static final long PIECE_MILLIS = 200;
+  private static final long PATIENCE_SECONDS = 20;
+  private static final String PAGE = "{\"items\":[],\"hasMore\":false,\"endOffset\":0}";
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ScheduledExecutorService pieces = Executors.newScheduledThreadPool(2);
+  private final ServerSocket server;
+
+  SlowPageTest() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    pieces.shutdownNow();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  /** Answers one request, the body in equal pieces with pauses between. */
+  private void answerSlowly() {
+    try {
+      Socket connection = server.accept();
+      OutputStream out = connection.getOutputStream();
+      byte[] body = PAGE.getBytes(StandardCharsets.UTF_8);
+      String head = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length + "\r\n\r\n";
+      out.write(head.getBytes(StandardCharsets.UTF_8));
+      AtomicInteger piece = new AtomicInteger();
+      pieces.scheduleAtFixedRate(
+          () -> writePiece(out, body, piece.getAndIncrement()),
+          0,
+          PIECE_MILLIS,
+          TimeUnit.MILLISECONDS);
+    } catch (IOException e) {
+      // Closed by the test's end.
+    }
+  }
+
+  private static void writePiece(OutputStream out, byte[] body, int piece) {
+    int from = Math.min(body.length, piece * body.length / PIECES);
+    int to = Math.min(body.length, (piece + 1) * body.length / PIECES);
+    try {
+      out.write(body, from, to - from);
+    } catch (IOException e) {
+      // The client gave up.
+    }
+  }
+
+  @Test
+  void aPageThatComesSlowlyAndSteadilyIsRead() throws Exception {
+    pieces.execute(this::answerSlowly);
+    InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+    BlockingQueue<ReadOutcome> outcomes = new LinkedBlockingQueue<>();
+    new StoreClient(loops.next(), address).newest(Topic.STATE, Optional.empty(), outcomes::add);
+    ReadOutcome outcome = outcomes.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    assertInstanceOf(ReadOutcome.Newest.class, outcome, String.valueOf(outcome));
+  }
+}
