Test that fails: one outcome that never comes stops an owner or a take-over for good

Seen failing on, all five: after a heartbeat or a claim without an outcome and after an append of jobs without one, submissions are refused with STORE_AWAY 15 s later; after the first append or the page of a take-over without one nobody decides within 15 s. Cause: OwnershipDuty.appending, StateWriter.Sent.underWay and Takeover.underWay are taken back by an outcome only.

mvn -o -q -B -pl fescuehook -Dtest=UnansweredOwnerTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnansweredOwnerTest.java
@@ -0,0 +1,74 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.store.StreamName;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: submissions are refused for good because the store is away, and it is not; or no VM
+ * decides. Once, the outcome of something that the core had asked for did not come to it: the ring
+ * in front of the decisions was full, or the turn that asked ended by a fault. Cause: a mark says
+ * that an append or a read is under way until its outcome comes, and nothing takes it back.
+ */
+class UnansweredOwnerTest {
+
+  private static final long LIMIT_MILLIS = 15_000;
+
+  private final BatchCluster cluster = new BatchCluster(1, 4, 1);
+
+  private void dropOne(Predicate<BatchEvent> kind) {
+    AtomicBoolean open = new AtomicBoolean(true);
+    cluster.faults.dropped = (vm, event) -> kind.test(event) && open.getAndSet(false);
+  }
+
+  private static boolean appended(BatchEvent event, StreamName stream) {
+    return event instanceof BatchEvent.Appended outcome && outcome.stream() == stream;
+  }
+
+  private void assertAccepts() {
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.run(200);
+    assertEquals(new CallAnswer.Accepted(), cluster.submissions.get(job));
+  }
+
+  @Test
+  void anOwnerGoesOnAfterAHeartbeatWhoseOutcomeNeverCame() {
+    cluster.awaitOwner();
+    dropOne(event -> appended(event, StreamName.OWNERSHIP));
+    cluster.run(LIMIT_MILLIS);
+    assertAccepts();
+  }
+
+  @Test
+  void anOwnerGoesOnAfterAnAppendOfJobsWhoseOutcomeNeverCame() {
+    cluster.awaitOwner();
+    dropOne(event -> appended(event, StreamName.STATE));
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.run(LIMIT_MILLIS);
+    assertAccepts();
+  }
+
+  @Test
+  void aTakeOverGoesOnAfterItsFirstAppendHadNoOutcome() {
+    dropOne(event -> appended(event, StreamName.STATE));
+    cluster.runUntil("an owner", LIMIT_MILLIS, () -> cluster.owner().isPresent());
+  }
+
+  @Test
+  void aTakeOverGoesOnAfterAPageThatNeverCame() {
+    dropOne(BatchEvent.StateRead.class::isInstance);
+    cluster.runUntil("an owner", LIMIT_MILLIS, () -> cluster.owner().isPresent());
+  }
+
+  @Test
+  void aVmThatMissedTheOutcomeOfItsClaimCanClaimAgain() {
+    dropOne(event -> appended(event, StreamName.OWNERSHIP));
+    cluster.run(LIMIT_MILLIS);
+    cluster.runUntil("an owner", LIMIT_MILLIS, () -> cluster.owner().isPresent());
+    assertAccepts();
+  }
+}
