Tests that fail: an order of a former epoch goes out late and ends the epoch of today

Seen failing on: the owner gives up for the rejection of an order of the epoch before ("gave up"), and an order that waited for a connection is sent after forgetAll (one of four outcomes is Rejected[FENCED]).

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ForgottenOrderTest.java
@@ -0,0 +1,96 @@
+package org.fescuehook.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
+import org.fescuehook.model.fleet.RackId;
+import org.fescuehook.net.http.ScriptedServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: a VM has lost ownership and won it again, and gives it up once more for an executor that
+ * turned an order away. The order was of its former epoch: it waited for a connection to an
+ * executor that did not answer, and went out after the VM had forgotten all executors. Cause: the
+ * connections are closed, but what waits for one of them is kept, and opens it anew.
+ */
+class ForgottenOrderTest {
+
+  /** As many as there are connections for orders to one executor. */
+  private static final int AT_ONCE = 3;
+
+  private static final long PATIENCE_SECONDS = 3;
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<OrderOutcome> outcomes = new LinkedBlockingQueue<>();
+  private final ScriptedServer server;
+
+  ForgottenOrderTest() throws IOException {
+    server = new ScriptedServer();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private BatchCommand.Order stop(int number) {
+    ExecutorProfile executor =
+        new ExecutorProfile(
+            new ExecutorId("e"),
+            server.address(),
+            "pool",
+            new FailureDomain("a"),
+            new RackId("r"),
+            Set.of(),
+            new Demand(1000, 1000, 1),
+            false,
+            0);
+    TaskRun run = new TaskRun(new TaskName("a1", 0, 0, number), 1);
+    return new BatchCommand.Order(executor, number, 7, new BatchCommand.ExecutorOrder.Stop(run));
+  }
+
+  @Test
+  void anOrderThatWaitsIsNotSentOnceItsExecutorIsForgotten() throws Exception {
+    for (int i = 0; i < AT_ONCE; i++) {
+      server.then(new ScriptedServer.Act.Silence());
+    }
+    server.then(new ScriptedServer.Act.Answer(409, "{\"reason\":\"fence\"}"));
+    ExecutorClient client =
+        new ExecutorClient(loops.next(), (id, number, outcome) -> outcomes.add(outcome));
+    for (int number = 0; number <= AT_ONCE; number++) {
+      client.send(stop(number));
+    }
+    client.forgetAll();
+    List<OrderOutcome> heard = new ArrayList<>();
+    for (int i = 0; i <= AT_ONCE; i++) {
+      OrderOutcome outcome = outcomes.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      if (outcome != null) {
+        heard.add(outcome);
+      }
+    }
+    long turnedAway =
+        heard.stream().filter(new OrderOutcome.Rejected(Rejection.FENCED)::equals).count();
+    assertEquals(0, turnedAway, heard::toString);
+  }
+}
