Test that fails: the longest chain of a job with dense dependencies takes exponential time

Seen failing on: "execution timed out after 2000 ms" for 30 steps that each depend on all earlier ones. Cause: Submission.estimatedChainMillis walks each path; it runs on the decision thread when a job is accepted and, by OpenJob, at each take-over.

mvn -o -q -B -pl fescuehook -Dtest=DenseDependenciesTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/model/batch/DenseDependenciesTest.java
@@ -0,0 +1,48 @@
+package org.fescuehook.model.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.function.ThrowingSupplier;
+
+/**
+ * Seen: one VM after the other takes over, falls silent while it loads the jobs, and is replaced;
+ * none decides. One job has some tens of steps, each of which depends on all earlier ones. Cause:
+ * the longest chain of its steps is found by walking every path, twice as many with each step, on
+ * the thread that decides; the owner that accepted the job and each later one walk them.
+ */
+class DenseDependenciesTest {
+
+  private static final int STEPS = 30;
+  private static final Duration LIMIT = Duration.ofSeconds(2);
+
+  private static BatchStep step(int number) {
+    return new BatchStep(
+        1,
+        new Demand(1000, 1000, 0),
+        10,
+        IntStream.range(0, number).boxed().toList(),
+        BatchStep.PlacementRule.ANYWHERE,
+        false,
+        false,
+        "image");
+  }
+
+  @Test
+  void theLongestChainOfManyStepsIsFoundAtOnce() {
+    List<BatchStep> steps = new ArrayList<>();
+    for (int number = 0; number < STEPS; number++) {
+      steps.add(step(number));
+    }
+    Submission submission = new Submission("spec", steps, Optional.empty());
+    ThrowingSupplier<Long> longest = () -> submission.estimatedChainMillis();
+    long found = assertTimeoutPreemptively(LIMIT, longest);
+    assertEquals(10L * STEPS, found);
+  }
+}
