Sight: the wait in front of a duty, and what an owner that does not decide yet waits for

Cause: logs and metrics could not tell an overloaded owner from a take-over that does not end. The fill of a ring was shown, not the age of what is in it; between 8001 and 8003 nothing was told. No decision changes.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -209,8 +209,11 @@
   }
 
   private void beginIfLoaded(BatchTurn turn) {
-    boolean loaded = takeover.filter(Takeover::loaded).isPresent();
-    if (!loaded || !executorsRead || configuration.isEmpty()) {
+    if (takeover.isEmpty()) {
+      return;
+    }
+    if (!takeover.get().loaded() || !executorsRead || configuration.isEmpty()) {
+      takeover.get().tellWhatIsMissing(executorsRead ? "a configuration" : "executors", turn);
       return;
     }
     Takeover done = takeover.get();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -14,6 +14,8 @@
   OWNING(8003, "Deciding since epoch {}: {} open jobs, {} live runs, loaded in {} ms"),
   /** A newer configuration is in force. */
   CONFIGURATION_IN_FORCE(8004, "Configuration {} in force: {} queues, {} organisations"),
+  /** This VM owns and does not decide yet; told once a second. */
+  TAKEOVER_UNDER_WAY(8005, "Take-over of epoch {} not complete after {} ms: waits for {}"),
   /** A job is stored. */
   JOB_ACCEPTED(
       8010,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -27,6 +27,9 @@
   /** Pause before a step that the store did not take is repeated. */
   private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
+  /** Time between two log events that the take-over is not complete. */
+  private static final long TELL_NANOS = Duration.ofSeconds(1).toNanos();
+
   private final long epoch;
   private final long startedAt;
   private final Map<String, byte[]> records = new LinkedHashMap<>();
@@ -35,11 +38,13 @@
   private boolean loaded;
   private Optional<String> afterKey = Optional.empty();
   private long retryAt;
+  private long toldAt;
 
   Takeover(long epoch, BatchTurn turn) {
     this.epoch = epoch;
     this.startedAt = turn.nowNanos();
     this.retryAt = turn.nowNanos();
+    this.toldAt = turn.nowNanos();
   }
 
   long epoch() {
@@ -68,6 +73,24 @@
     turn.add(new BatchCommand.LoadState(afterKey));
   }
 
+  /**
+   * Tells once a second what an owner that does not decide yet waits for.
+   *
+   * @param missing what it lacks besides the jobs; empty if nothing
+   */
+  void tellWhatIsMissing(String missing, BatchTurn turn) {
+    if (turn.nowNanos() - toldAt < TELL_NANOS) {
+      return;
+    }
+    toldAt = turn.nowNanos();
+    long millis = Duration.ofNanos(turn.nowNanos() - startedAt).toMillis();
+    turn.note(BatchLogEvent.TAKEOVER_UNDER_WAY, epoch, millis, loaded ? missing : missingOfJobs());
+  }
+
+  private String missingOfJobs() {
+    return fenced ? "jobs, " + records.size() + " records read" : "the epoch of the jobs' stream";
+  }
+
   /** Takes the outcome of raising the epoch; false if another owner has come. */
   boolean answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     if (position.epoch() != epoch || fenced) {
--- a/fescuehook/src/main/java/org/fescuehook/net/duty/DutyEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyEvent.java
@@ -7,7 +7,9 @@
   /** A step ended by a fault of the program; the duty goes on. */
   STEP_FAULT(7201, "duty {} met a fault and goes on"),
   /** A handler of a ring ended by a fault of the program; the ring goes on. */
-  RING_FAULT(7202, "ring {} met a fault and goes on");
+  RING_FAULT(7202, "ring {} met a fault and goes on"),
+  /** What a ring holds waits for long; told at most once a second. */
+  RING_BEHIND(7203, "ring {} is behind: an item waited {} ms, {} more wait");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
@@ -10,6 +10,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,7 @@
   private final Disruptor<Slot<T>> disruptor;
   private final RingBuffer<Slot<T>> ring;
   private final Counter refused;
+  private final Timer waited;
 
   /**
    * Creates a ring whose thread has not started.
@@ -48,6 +50,7 @@
             new TimeoutBlockingWaitStrategy(idle.toNanos(), TimeUnit.NANOSECONDS));
     this.ring = disruptor.getRingBuffer();
     this.refused = meters.counter("fescuehook.ring.refused", "ring", name);
+    this.waited = Timer.builder("fescuehook.ring.waited").tag("ring", name).register(meters);
     Gauge.builder("fescuehook.ring.used", ring, buffer -> size - buffer.remainingCapacity())
         .tag("ring", name)
         .register(meters);
@@ -56,7 +59,7 @@
   /** Starts the thread. */
   public void start(Handler<T> handler) {
     disruptor.setDefaultExceptionHandler(new FaultLogger<>(name));
-    disruptor.handleEventsWith(new SlotHandler<>(handler));
+    disruptor.handleEventsWith(new SlotHandler(handler));
     disruptor.start();
   }
 
@@ -100,9 +103,15 @@
 
   private static final class Slot<T> {
     private Optional<T> item = Optional.empty();
+    private long offeredAt;
 
     void fill(T given) {
       item = Optional.of(given);
+      offeredAt = System.nanoTime();
+    }
+
+    long offeredAt() {
+      return offeredAt;
     }
 
     Optional<T> take() {
@@ -112,12 +121,30 @@
     }
   }
 
-  private record SlotHandler<T>(Handler<T> handler) implements EventHandler<Slot<T>> {
+  private final class SlotHandler implements EventHandler<Slot<T>> {
+    private final Handler<T> handler;
+    private final WaitWatch watch = new WaitWatch();
+
+    SlotHandler(Handler<T> handler) {
+      this.handler = handler;
+    }
+
     @Override
     public void onEvent(Slot<T> slot, long sequence, boolean endOfBatch) {
+      noteWait(slot.offeredAt(), sequence);
       slot.take().ifPresent(handler::accept);
     }
 
+    private void noteWait(long offeredAt, long sequence) {
+      long now = System.nanoTime();
+      long wait = now - offeredAt;
+      waited.record(wait, TimeUnit.NANOSECONDS);
+      if (watch.tells(wait, now)) {
+        long millis = Duration.ofNanos(wait).toMillis();
+        EventLog.warn(LOGGER, DutyEvent.RING_BEHIND, name, millis, ring.getCursor() - sequence);
+      }
+    }
+
     @Override
     public void onTimeout(long sequence) {
       handler.idle();
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoverProgressTest.java
@@ -0,0 +1,49 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.junit.jupiter.api.Test;
+
+/** What the log tells of an owner that does not decide yet. */
+class TakeoverProgressTest {
+
+  private static final long EPOCH = 7;
+
+  private final Takeover takeover = new Takeover(EPOCH, at(0));
+
+  @Test
+  void nothingIsToldInTheFirstSecond() {
+    assertEquals(List.of(), told(999));
+  }
+
+  @Test
+  void theStepThatHasNotComeIsToldOnceASecond() {
+    assertEquals(List.of(EPOCH, 1000L, "the epoch of the jobs' stream"), told(1000));
+    takeover.answered(new WriterPosition(EPOCH, 0), new AppendOutcome.Stored(3), at(1100));
+    assertEquals(List.of(), told(1999));
+    assertEquals(List.of(EPOCH, 2000L, "jobs, 0 records read"), told(2000));
+    takeover.read(List.of(new KeyedRecord("a", Optional.of(new byte[1]))), Optional.of("a"));
+    assertEquals(List.of(EPOCH, 3000L, "jobs, 1 records read"), told(3000));
+    takeover.read(List.of(), Optional.empty());
+    assertEquals(List.of(EPOCH, 4000L, "executors"), told(4000));
+  }
+
+  private List<Object> told(long millis) {
+    BatchTurn turn = at(millis);
+    takeover.tellWhatIsMissing("executors", turn);
+    return turn.commands().stream()
+        .map(BatchCommand.Note.class::cast)
+        .flatMap(note -> note.arguments().stream())
+        .toList();
+  }
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(Duration.ofMillis(millis).toNanos(), 0);
+  }
+}
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/duty/DutyRingTest.java
@@ -0,0 +1,67 @@
+package org.fescuehook.net.duty;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+class DutyRingTest {
+
+  private static final int SIZE = 4;
+
+  private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+  private final DutyRing<String> ring = new DutyRing<>("test", SIZE, Duration.ofMillis(50), meters);
+
+  @Test
+  void theWaitOfEachItemIsMeasured() throws InterruptedException {
+    CountDownLatch taken = new CountDownLatch(2);
+    ring.start(new Counting(taken));
+    ring.offer("first");
+    ring.offer("second");
+    taken.await();
+    ring.stop(Duration.ofSeconds(1));
+    assertEquals(2, meters.get("fescuehook.ring.waited").tag("ring", "test").timer().count());
+  }
+
+  @Test
+  void aFullRingRefusesAndCountsIt() {
+    CountDownLatch released = new CountDownLatch(1);
+    ring.start(new Blocked(released));
+    for (int i = 0; i < SIZE; i++) {
+      assertTrue(ring.offer("item"));
+    }
+    assertFalse(ring.offer("one too many"));
+    assertEquals(1, meters.get("fescuehook.ring.refused").tag("ring", "test").counter().count());
+    released.countDown();
+    ring.stop(Duration.ofSeconds(1));
+  }
+
+  private record Counting(CountDownLatch taken) implements DutyRing.Handler<String> {
+    @Override
+    public void accept(String item) {
+      taken.countDown();
+    }
+
+    @Override
+    public void idle() {}
+  }
+
+  /** Takes nothing before it is released. */
+  private record Blocked(CountDownLatch released) implements DutyRing.Handler<String> {
+    @Override
+    public void accept(String item) {
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    @Override
+    public void idle() {}
+  }
+}
