Known red: a new owner of a large fleet on a weak VM never reaches all executors, and owners change again and again

The virtual VM works 5 ms on an exchange with an executor and has one thread; without that cost (exchangeMillis 0) the rest of the fakes behave as before.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -4,12 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
@@ -32,6 +34,10 @@
 
   private static final long STEP_MILLIS = 20;
   private static final long ADVICE_MILLIS = 60;
+
+  /** The adapter's time limit of a poll that does not wait. */
+  private static final long EXCHANGE_TIMEOUT_MILLIS = 350;
+
   private static final long WALL_START = 1_700_000_000_000L;
 
   final FakeStore store = new FakeStore();
@@ -45,6 +51,9 @@
   /** How many orders were sent to each executor. */
   final Map<ExecutorId, Integer> orders = new HashMap<>();
 
+  /** Executors whose answer to a poll an owner has read. */
+  final Set<ExecutorId> reached = new HashSet<>();
+
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
   private final CallLedger calls = new CallLedger(work, submissions);
@@ -63,6 +72,7 @@
     boolean running = true;
     boolean frozen;
     private boolean following;
+    private long busyUntil;
     private final List<BatchEvent> held = new ArrayList<>();
 
     Vm(VmId id) {
@@ -87,6 +97,16 @@
       }
     }
 
+    /** Returns how long it takes until this VM has time for something. */
+    long backlogMillis() {
+      return Math.max(0, busyUntil - nowMillis);
+    }
+
+    /** Works on an exchange with an executor after all that it has to do before. */
+    void workOnExchange() {
+      busyUntil = Math.max(busyUntil, nowMillis) + faults.exchangeMillis;
+    }
+
     void thaw() {
       frozen = false;
       List<BatchEvent> late = List.copyOf(held);
@@ -213,6 +233,10 @@
   }
 
   private void append(Vm vm, BatchCommand.Append append) {
+    if (vm.backlogMillis() > 0) {
+      in(vm.backlogMillis(), () -> append(vm, append));
+      return;
+    }
     claims += append.expectedEnd().isPresent() ? 1 : 0;
     if (!reachesStore(vm) || faults.streamsDown.contains(append.stream())) {
       AppendOutcome outcome =
@@ -283,8 +307,16 @@
       in(600, () -> ended(vm, command, new OrderOutcome.Unanswered("timeout")));
       return;
     }
+    vm.workOnExchange();
+    if (vm.backlogMillis() > EXCHANGE_TIMEOUT_MILLIS) {
+      // The time limit passes before the VM has read the answer; the work is spent all the same.
+      in(
+          EXCHANGE_TIMEOUT_MILLIS,
+          () -> ended(vm, command, new OrderOutcome.Unanswered("read too late")));
+      return;
+    }
     in(
-        1,
+        1 + vm.backlogMillis(),
         () -> {
           FakeExecutor executor = executors.get(id);
           OrderOutcome outcome =
@@ -306,7 +338,10 @@
     }
   }
 
-  private static void ended(Vm vm, BatchCommand.Order command, OrderOutcome outcome) {
+  private void ended(Vm vm, BatchCommand.Order command, OrderOutcome outcome) {
+    if (outcome instanceof OrderOutcome.Polled) {
+      reached.add(command.executor().id());
+    }
     vm.deliver(new BatchEvent.OrderEnded(command.executor().id(), command.number(), outcome));
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -16,6 +16,10 @@
   double lostAnswers;
   long storeDelay = 4;
   final Set<VmId> cutFromStore = new HashSet<>();
+
+  /** What an exchange with an executor costs a VM, in milliseconds of its only thread. */
+  long exchangeMillis;
+
   final Set<ExecutorId> silent = new HashSet<>();
   double lateOrders;
 
