A new owner asks as many executors at once as its VM can take in

Cause: a new owner polled its whole fleet at once. On a third of a core the answers of most were read after their limit of 0.35 s; they counted as silent, were asked again on new connections, and heartbeats and calls waited behind that until the next VM took over and began the same. Executors with runs first.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch.executor;
 
+import static java.util.stream.Collectors.partitioningBy;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -53,6 +55,7 @@
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
   private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
+  private final ContactWindow contacts;
   private long nextRoundAt;
   private Set<String> pools = Set.of();
 
@@ -71,6 +74,7 @@
       RunListener listener,
       BatchTurn turn) {
     this.nextRoundAt = turn.nowNanos();
+    this.contacts = new ContactWindow(turn.nowNanos());
     this.orders = new OrderSender(epoch, lease);
     this.pacer = new Pacer(orders);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
@@ -146,7 +150,11 @@
     }
     nextRoundAt = turn.nowNanos() + ROUND_NANOS;
     heardOf.clear();
-    book.snapshot().forEach(executor -> look(executor, turn));
+    // What runs there needs its lease renewed, while the others only wait for work.
+    Map<Boolean, List<ExecutorState>> byNeed =
+        book.snapshot().stream().collect(partitioningBy(executor -> !executor.runs().isEmpty()));
+    byNeed.get(true).forEach(executor -> look(executor, turn));
+    byNeed.get(false).forEach(executor -> look(executor, turn));
     if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
       List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
@@ -203,8 +211,14 @@
     // One that did not answer is not used, and only an answer shows that it can be used again.
     boolean doubted = executor.missedPolls() > 0 && executor.listed();
     boolean needed = unknown || holds || doubted || executor.owesAcknowledgement();
-    if (needed && executor.pollDue(turn.nowNanos())) {
+    if (!needed || !executor.pollDue(turn.nowNanos())) {
+      return;
+    }
+    boolean missed = executor.missedPolls() > 0;
+    if (executor.known() && !missed) {
       orders.poll(executor, turn);
+    } else if (contacts.admits(missed)) {
+      contacts.sent(orders.poll(executor, turn), missed, turn.nowNanos());
     }
   }
 
@@ -248,6 +262,11 @@
    */
   public boolean ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
     Optional<LiveRun> run = orders.takeRun(number);
+    if (outcome instanceof OrderOutcome.Unanswered) {
+      contacts.missed(number);
+    } else {
+      contacts.answered(number, turn.nowNanos());
+    }
     Optional<ExecutorState> found = book.find(id);
     if (found.isEmpty()) {
       return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -38,8 +38,10 @@
    * Polls an executor. One that answers has its lease renewed; for one that is silent, or that runs
    * only what this owner does not know, the lease is not extended, so that its runs are known to
    * end.
+   *
+   * @return the number of the order
    */
-  void poll(ExecutorState executor, BatchTurn turn) {
+  long poll(ExecutorState executor, BatchTurn turn) {
     boolean calm = executor.known() && executor.missedPolls() == 0;
     OptionalLong leaseUntil = OptionalLong.empty();
     if (calm && !executor.runs().isEmpty()) {
@@ -55,6 +57,7 @@
             new ExecutorOrder.Poll(executor.acknowledged(), leaseUntil, longestWait),
             turn);
     executor.pollSent(number, turn.nowNanos());
+    return number;
   }
 
   /** Orders the start of a run. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -26,6 +26,7 @@
 
   /** How far the VMs' clocks of the day have jumped, in milliseconds. */
   long wallAhead;
+
   /** What an exchange with an executor costs a VM, in milliseconds of its only thread. */
   long exchangeMillis;
 
