Test: what is stored of the jobs shows that the store is back (fails)

On a site of 42 VMs the store was silent for 4.2 s (18.0 to 22.2 s). From 22.43 s on the jobs' appends were stored; until 22.86 s the owner refused 16 submissions as `STORE_AWAY`, to come back after 3 s. Four of them had no later attempt and were lost.

`BatchOwner.called` judges the store by the age of the last confirmed heartbeat alone. A heartbeat that was sent before the store returned hangs until its time limit of 1 s; what the stream of the jobs has answered meanwhile is not asked.

The test fails on this code: `Refused[STORE_AWAY, 3000]` in place of `Accepted`. The product is not changed here.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StoreOutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StoreOutageTest.java
@@ -2,15 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
+import java.util.Optional;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.store.StreamName;
+import org.fescuehook.model.batch.JobPhase;
 import org.junit.jupiter.api.Test;
 
 /** What callers hear while the store is away. */
 class StoreOutageTest {
 
+  private static final Optional<CallAnswer> COMPLETED =
+      Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+
   private final BatchCluster cluster = new BatchCluster(3, 8, 1);
 
   private long comeBackAfter() {
@@ -58,4 +64,32 @@
     assertEquals(first + 820, second, 100);
     assertEquals(3000, comeBackAfter());
   }
+
+  /**
+   * Pattern: the store was silent for 4 s. Back again, it took the jobs' appends at once; for half
+   * a second more the owner refused all submissions since the store was away, and told the callers
+   * to come back after 3 s. Some had no time left for that.
+   *
+   * <p>It came about as a heartbeat had been sent just before the store returned: no answer to it
+   * came any more, and the next one was due only after its time limit.
+   *
+   * <p>Cause: the owner takes heartbeats alone for a word of the store. What the store has stored
+   * of the jobs at the owner's epoch shows as well that it can be reached, and by its owner.
+   */
+  @Test
+  void whatIsStoredOfTheJobsShowsThatTheStoreIsBackBeforeAHeartbeatDoes() {
+    cluster.awaitOwner();
+    String running = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 1500)));
+    cluster.run(500);
+    cluster.faults.storeDown = true;
+    cluster.run(4000);
+    assertNotEquals(COMPLETED, cluster.status(running));
+    cluster.faults.streamsDown.add(StreamName.OWNERSHIP);
+    cluster.faults.storeDown = false;
+    cluster.runUntil("its end is stored", 500, () -> cluster.status(running).equals(COMPLETED));
+
+    String next = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 500)));
+    cluster.run(100);
+    assertEquals(new CallAnswer.Accepted(), cluster.submissions.get(next));
+  }
 }
