--- a/fescuehook/src/main/java/org/fescuehook/platform/AdviceClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/AdviceClient.java
@@ -82,7 +82,7 @@
             new ExecutorId(row.path(ALLOWED_EXECUTOR).asText()), row.path(ALLOWED_TICKET).asText());
       }
       return new AdviceOutcome.Given(tickets, body.path("validityMs").asLong());
-    } catch (MalformedMessageException e) {
+    } catch (MalformedMessageException | IllegalArgumentException e) {
       return new AdviceOutcome.Unavailable(String.valueOf(e.getMessage()));
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
@@ -141,7 +141,9 @@
           });
     }
 
+    /** Who forgets an executor waits for none of its outcomes, so what was not sent is dropped. */
     void close() {
+      waiting.clear();
       all.forEach(HttpClientConnection::close);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
@@ -110,8 +110,7 @@
       case ReadOutcome.Records read -> {
         succeeded(read.end());
         next = Math.max(next, read.records().isEmpty() ? next : lastOffset(read) + 1);
-        listener.records(read.records(), read.end());
-        later(pace.pause(), () -> readOn(asked));
+        tell(() -> listener.records(read.records(), read.end()), asked);
       }
       case ReadOutcome.Expired(long firstKept) -> {
         EventLog.info(LOGGER, PlatformEvent.RECORDS_EXPIRED, topic, firstKept);
@@ -144,8 +143,22 @@
     List<StreamRecord> all = pages;
     pages = new ArrayList<>();
     begun = true;
-    listener.newest(all, page.end());
-    later(pace.pause(), () -> readOn(asked));
+    tell(() -> listener.newest(all, page.end()), asked);
+  }
+
+  /**
+   * Tells the listener and goes on. If that ends by a fault, what it was told is lost, so it is
+   * told of the newest records again; without that the topic would not be read any more.
+   */
+  private void tell(Runnable news, long asked) {
+    boolean told = false;
+    try {
+      news.run();
+      told = true;
+    } finally {
+      begun = told;
+      later(told ? pace.pause() : RETRY_PAUSE, () -> resume(asked));
+    }
   }
 
   private void resume(long asked) {
--- a/fescuehook/src/main/java/org/fescuehook/platform/SubmissionParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/SubmissionParser.java
@@ -27,7 +27,15 @@
    * @throws MalformedMessageException if it is not a job
    */
   static Submission parse(byte[] text) throws MalformedMessageException {
-    JsonNode body = WireJson.parse(text);
+    try {
+      return submission(WireJson.parse(text));
+    } catch (IllegalArgumentException e) {
+      // A name or amount that the model does not take, such as a blank rack.
+      throw new MalformedMessageException(String.valueOf(e.getMessage()), e);
+    }
+  }
+
+  private static Submission submission(JsonNode body) throws MalformedMessageException {
     String spec = body.path("spec").asText();
     int specBytes = spec.getBytes(StandardCharsets.UTF_8).length;
     if (specBytes > MAX_SPEC_BYTES) {
