The longest chain of a job is found by looking at each step once

Cause: it was found by walking every path, twice as many with each step that depends on all earlier ones, on the thread that decides: a job of some thirty such steps stopped the owner that accepted it, and each later one while it loaded it. Shown by: DenseDependenciesTest, not within 2 s before.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
@@ -28,11 +28,11 @@
     this.stepsPerOccurrence = submission.steps().size();
     this.chainMillis = submission.estimatedChainMillis();
     this.steps = new ArrayList<>();
+    long[] chains = submission.estimatedChainsMillis();
     for (int occurrence = 0; occurrence < submission.occurrences(); occurrence++) {
       for (int number = 0; number < stepsPerOccurrence; number++) {
         BatchStep spec = submission.steps().get(number);
-        long chain = submission.estimatedChainMillis(number);
-        steps.add(new StepProgress(this, occurrence, number, spec, chain));
+        steps.add(new StepProgress(this, occurrence, number, spec, chains[number]));
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/Submission.java
@@ -1,5 +1,6 @@
 package org.fescuehook.model.batch;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 
@@ -24,22 +25,28 @@
 
   /** Returns the longest chain of work of one occurrence by its estimates, in milliseconds. */
   public long estimatedChainMillis() {
-    long longest = 0;
-    for (int number = 0; number < steps.size(); number++) {
-      longest = Math.max(longest, estimatedChainMillis(number));
-    }
-    return longest;
+    return Arrays.stream(estimatedChainsMillis()).max().orElse(0);
   }
 
   /** Returns the longest chain of work that begins with a step, in milliseconds. */
   public long estimatedChainMillis(int first) {
-    long longest = 0;
-    for (int number = first + 1; number < steps.size(); number++) {
-      if (steps.get(number).dependsOn().contains(first)) {
-        longest = Math.max(longest, estimatedChainMillis(number));
+    return estimatedChainsMillis()[first];
+  }
+
+  /**
+   * Returns the longest chain of work that begins with each step, in milliseconds. Each step is
+   * looked at once, from the last one on, as a step depends on earlier ones only.
+   */
+  public long[] estimatedChainsMillis() {
+    long[] chains = new long[steps.size()];
+    for (int number = steps.size() - 1; number >= 0; number--) {
+      BatchStep step = steps.get(number);
+      chains[number] += step.estimateMillis();
+      for (int earlier : step.dependsOn()) {
+        chains[earlier] = Math.max(chains[earlier], chains[number]);
       }
     }
-    return steps.get(first).estimateMillis() + longest;
+    return chains;
   }
 
   /** Returns the number of tasks of all occurrences. */
