Outcomes always find room in front of the decisions

Cause: a full ring dropped outcomes like calls, and each outcome is told only once, so what waited for it waited for good. Change: the ring has 8,192 places, of which calls leave 6,144 free; the most that can be under way for 810 executors are 3,240 orders and some tens of calls to the store. RingOverflowTest failed before (4,096 of 4,200 taken); its event names an epoch now.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
@@ -19,8 +19,15 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(BatchRing.class);
 
-  /** Events of some seconds at full load; a power of two. */
-  private static final int SIZE = 1 << 12;
+  /**
+   * A power of two. Outcomes of what the decisions have asked for are told only once, so they
+   * always find room: an executor has four orders under way at most, which are 3,240 with 810
+   * executors, and streams and clients some tens.
+   */
+  private static final int SIZE = 1 << 13;
+
+  /** Places that calls leave to outcomes; calls can be refused. */
+  private static final int KEPT_FOR_OUTCOMES = SIZE - (1 << 11);
 
   /** When callers come back after the ring was full. */
   private static final long COME_BACK_MILLIS = 1000;
@@ -48,7 +55,7 @@
 
   @Override
   public void call(BatchCall call, Consumer<CallAnswer> sink) {
-    if (!ring.offer(new Item.Asked(tickets.incrementAndGet(), call, sink))) {
+    if (!ring.offer(new Item.Asked(tickets.incrementAndGet(), call, sink), KEPT_FOR_OUTCOMES)) {
       sink.accept(new CallAnswer.Refused(RefusalCause.OVERLOADED, COME_BACK_MILLIS));
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
@@ -72,6 +72,19 @@
     return taken;
   }
 
+  /**
+   * Hands an item over that leaves some places free for others; false if it would not.
+   *
+   * @param kept places that have to stay free
+   */
+  public boolean offer(T item, int kept) {
+    if (ring.remainingCapacity() <= kept) {
+      refused.increment();
+      return false;
+    }
+    return offer(item);
+  }
+
   /** Lets the thread finish what the ring holds, up to a limit, and ends it. */
   public void stop(Duration limit) {
     try {
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/RingOverflowTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/RingOverflowTest.java
@@ -55,7 +55,7 @@
     SlowHandler handler = new SlowHandler();
     ring.start(handler);
     for (int i = 0; i < EVENTS; i++) {
-      ring.publish(new BatchEvent.StateUnreadable());
+      ring.publish(new BatchEvent.StateUnreadable(1));
     }
     handler.released.countDown();
     ring.stop(Duration.ofSeconds(PATIENCE_SECONDS));
