Nothing that an owner waits for is waited for without end, and one that cannot begin gives ownership up

Cause, one class: a mark says that something is under way, and only its one outcome takes it back, while heartbeats go on and keep every other VM from claiming.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -74,19 +74,28 @@
 
   private void apply(BatchEvent event) {
     try {
-      core.apply(event, System.nanoTime(), System.currentTimeMillis()).forEach(this::carryOut);
+      core.apply(event, System.nanoTime(), System.currentTimeMillis()).forEach(this::tryCarryOut);
     } catch (RuntimeException e) {
       EventLog.error(LOGGER, SchedulerEvent.DECISION_FAULT, event.getClass().getSimpleName(), e);
     }
     publishView();
   }
 
+  /** A command that meets a fault takes none of the others of its turn with it. */
+  private void tryCarryOut(BatchCommand command) {
+    try {
+      carryOut(command);
+    } catch (RuntimeException e) {
+      EventLog.error(LOGGER, SchedulerEvent.DECISION_FAULT, command.getClass().getSimpleName(), e);
+    }
+  }
+
   private void carryOut(BatchCommand command) {
     switch (command) {
       case BatchCommand.Answer(long ticket, CallAnswer answer) ->
           Optional.ofNullable(open.remove(ticket)).ifPresent(sink -> sink.accept(answer));
       case BatchCommand.Append append -> store.append(append);
-      case BatchCommand.LoadState(var afterKey) -> store.loadState(afterKey);
+      case BatchCommand.LoadState load -> store.loadState(load);
       case BatchCommand.FollowExecutors(boolean following) -> follow(following);
       case BatchCommand.Order order -> executors.send(order);
       case BatchCommand.AskAdvice question -> advice.ask(question);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -30,8 +30,12 @@
       List<KeyedRecord> records)
       implements BatchCommand {}
 
-  /** Read a page of the newest records of the jobs' stream, after a key or from the start. */
-  record LoadState(Optional<String> afterKey) implements BatchCommand {}
+  /**
+   * Read a page of the newest records of the jobs' stream, after a key or from the start.
+   *
+   * @param epoch epoch of the take-over that asks; the page names it
+   */
+  record LoadState(long epoch, Optional<String> afterKey) implements BatchCommand {}
 
   /** Begin or end to report executors; only the owner needs them. */
   record FollowExecutors(boolean following) implements BatchCommand {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -34,6 +34,12 @@
   /** How long a stopping owner waits for what is on its way to the store. */
   private static final long STOP_WAIT_NANOS = Duration.ofMillis(1500).toNanos();
 
+  /**
+   * Age of the store's last word up to which other VMs could take over as well; heartbeats come
+   * each 0.5 s and take up to 0.3 s.
+   */
+  private static final long STORE_NEAR_NANOS = Duration.ofMillis(1000).toNanos();
+
   private final BatchPreferences preferences;
   private final OwnershipDuty ownership;
   private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
@@ -89,10 +95,10 @@
       case BatchEvent.OwnershipUnreadable unreadable -> ownership.unreadable(turn);
       case BatchEvent.OwnerDoubted doubted -> ownership.doubted(turn);
       case BatchEvent.OwnerHinted(var hint) -> ownership.hinted(hint, turn);
-      case BatchEvent.StateRead(var records, var more) ->
-          takeover.ifPresent(loading -> loading.read(records, more));
-      case BatchEvent.StateUnreadable unreadable ->
-          takeover.ifPresent(loading -> loading.unreadable(turn));
+      case BatchEvent.StateRead(long epoch, var records, var more) ->
+          takeover.ifPresent(loading -> loading.read(epoch, records, more, turn));
+      case BatchEvent.StateUnreadable(long epoch) ->
+          takeover.ifPresent(loading -> loading.unreadable(epoch, turn));
       case BatchEvent.ExecutorSeen(var profile) -> seen(profile, turn);
       case BatchEvent.ExecutorUnlisted(var id) -> unlisted(id);
       case BatchEvent.ExecutorsListed(var profiles) -> listed(profiles, turn);
@@ -116,7 +122,7 @@
       return;
     }
     long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
-    owner.get().called(ticket, call, turn.nowNanos() - confirmedAt, turn);
+    owner.get().called(ticket, call, confirmedAt, turn);
   }
 
   private void configure(BatchConfiguration newer, BatchTurn turn) {
@@ -170,10 +176,14 @@
       ownership.abandon("fenced", turn);
     }
     retireIfStopping(turn);
-    ownership.step(turn);
+    // Without a configuration nothing can be decided, so there is no claim either.
+    if (configuration.isPresent() || ownership.epoch().isPresent()) {
+      ownership.step(turn);
+    }
     followOwnership(turn);
     takeover.ifPresent(loading -> loading.step(turn));
     beginIfLoaded(turn);
+    yieldIfStalled(turn);
     if (owner.isPresent()) {
       owner.get().step(ownership.confirmedAt().orElse(turn.nowNanos()), turn);
     }
@@ -191,7 +201,7 @@
   }
 
   private void followOwnership(BatchTurn turn) {
-    OptionalLong epoch = retired ? OptionalLong.empty() : ownership.epoch();
+    OptionalLong epoch = ownership.decidingEpoch();
     boolean working = takeover.isPresent() || owner.isPresent();
     if (epoch.isEmpty() && working) {
       takeover = Optional.empty();
@@ -208,6 +218,15 @@
     }
   }
 
+  /** Gives up a take-over that stands still although the store confirms this owner. */
+  private void yieldIfStalled(BatchTurn turn) {
+    long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
+    boolean storeNear = turn.nowNanos() - confirmedAt < STORE_NEAR_NANOS;
+    if (storeNear && takeover.filter(loading -> loading.stalled(turn)).isPresent()) {
+      ownership.yield(turn);
+    }
+  }
+
   private void beginIfLoaded(BatchTurn turn) {
     if (takeover.isEmpty()) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -51,12 +51,14 @@
   /**
    * A page of the jobs' stream.
    *
+   * @param epoch epoch of the take-over that asked for it
    * @param more key after which the next page begins; absent on the last page
    */
-  record StateRead(List<KeyedRecord> records, Optional<String> more) implements BatchEvent {}
+  record StateRead(long epoch, List<KeyedRecord> records, Optional<String> more)
+      implements BatchEvent {}
 
   /** A page of the jobs' stream could not be read. */
-  record StateUnreadable() implements BatchEvent {}
+  record StateUnreadable(long epoch) implements BatchEvent {}
 
   /** An executor is listed, or its entry changed. */
   record ExecutorSeen(ExecutorProfile profile) implements BatchEvent {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -55,9 +55,6 @@
    */
   static final Duration ISOLATION_LIMIT = Duration.ofSeconds(10);
 
-  /** Age of the store's last word up to which this owner may say that a job does not exist. */
-  private static final long CURRENT_NANOS = Duration.ofMillis(1800).toNanos();
-
   /**
    * Age of the store's last word above which a submission is refused and not sent: heartbeats come
    * each 0.5 s and take up to 0.3 s, and what is sent without an answer leaves its caller
@@ -75,6 +72,7 @@
   private final AdviceDuty advice;
   private final PlanDuty plans;
   private final SubmissionDesk submissions;
+  private final UnknownJobDesk unknownJobs = new UnknownJobDesk();
   private final List<BatchCommand> ready = new ArrayList<>();
   private boolean fenced;
   private boolean stopping;
@@ -163,14 +161,16 @@
   /**
    * Does what is due.
    *
-   * @param storeSeenAt when the store last confirmed this owner, monotonic time
+   * @param heartbeatAt when the last heartbeat that the store confirmed was sent, monotonic time
    */
-  void step(long storeSeenAt, BatchTurn turn) {
+  void step(long heartbeatAt, BatchTurn turn) {
+    long storeSeenAt = storeSeenAt(heartbeatAt);
     // The stream of the jobs may be away while that of ownership is not.
     long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.expire(turn);
-    submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), true, turn));
+    submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
+    unknownJobs.step(storeSeenAt, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
     }
@@ -185,6 +185,15 @@
     ready.clear();
   }
 
+  /**
+   * Returns when the store last confirmed this owner: by a heartbeat, or by storing something of
+   * its jobs. After an outage a heartbeat may hang for a second while jobs are stored again.
+   */
+  private long storeSeenAt(long heartbeatAt) {
+    long storedAt = writer.storedAt().orElse(heartbeatAt);
+    return storedAt - heartbeatAt > 0 ? storedAt : heartbeatAt;
+  }
+
   /** Has the next step plan also if nothing changed, for steps that became due. */
   void timePassed(BatchTurn turn) {
     if (turn.nowNanos() - plannedAt > PLAN_ANYWAY_NANOS) {
@@ -193,8 +202,9 @@
   }
 
   private void forgetEnded(BatchTurn turn) {
-    long before = turn.wallMillis() - preferences.statusRetention().toMillis();
-    Optional<String> forgotten = jobs.book().forgetOneEndedBefore(before);
+    Optional<String> forgotten =
+        jobs.book()
+            .forgetOneShownFor(preferences.statusRetention(), turn.nowNanos(), turn.wallMillis());
     forgotten.ifPresent(id -> writer.put(JobCodec.progressKey(id), Optional::empty, () -> {}));
   }
 
@@ -203,6 +213,7 @@
     writer.close();
     CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
     submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
+    unknownJobs.close(turn);
     ready.forEach(turn::add);
     ready.clear();
   }
@@ -210,9 +221,9 @@
   /**
    * Answers a call, at once or once it is stored.
    *
-   * @param storeAgeNanos how long ago the store confirmed this owner
+   * @param heartbeatAt when the last heartbeat that the store confirmed was sent, monotonic time
    */
-  void called(long ticket, BatchCall call, long storeAgeNanos, BatchTurn turn) {
+  void called(long ticket, BatchCall call, long heartbeatAt, BatchTurn turn) {
     // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
     if (call instanceof BatchCall.Submit submit && submissions.joined(ticket, submit.job())) {
       return;
@@ -230,6 +241,7 @@
     }
     switch (call) {
       case BatchCall.Submit submit -> {
+        long storeAgeNanos = turn.nowNanos() - storeSeenAt(heartbeatAt);
         boolean storeAway = storeAgeNanos > REACHABLE_NANOS || writer.storeAway(turn);
         Optional<RefusalCause> refusal = refusal(queue.get(), storeAway);
         if (refusal.isPresent()) {
@@ -239,9 +251,8 @@
         String organisation = holder.map(KeyHolder::name).orElse("");
         submissions.submit(ticket, submit, queue.get(), organisation, comeBackMillis(), turn);
       }
-      case BatchCall.Status status -> status(ticket, status.job(), storeAgeNanos < CURRENT_NANOS);
-      case BatchCall.Cancel cancel ->
-          cancel(ticket, cancel.job(), storeAgeNanos < CURRENT_NANOS, turn);
+      case BatchCall.Status status -> status(ticket, status.job(), turn);
+      case BatchCall.Cancel cancel -> cancel(ticket, cancel.job(), turn);
       case BatchCall.CountPending count ->
           answer(ticket, new CallAnswer.Pending(jobs.book().pending(count.queue())));
     }
@@ -272,19 +283,16 @@
     return Math.clamp(storeAgeMillis, COME_BACK_MILLIS, LATEST_COME_BACK_MILLIS);
   }
 
-  private void status(long ticket, String id, boolean current) {
+  private void status(long ticket, String id, BatchTurn turn) {
     Optional<JobPhase> phase = jobs.book().shown(id);
     if (phase.isPresent()) {
       answer(ticket, new CallAnswer.Phase(phase.get()));
-    } else if (current) {
-      answer(ticket, new CallAnswer.NoSuchJob());
     } else {
-      // Another owner may have accepted it meanwhile.
-      answer(ticket, new CallAnswer.Refused(RefusalCause.STORE_AWAY, COME_BACK_MILLIS));
+      unknownJobs.ask(ticket, turn);
     }
   }
 
-  private void cancel(long ticket, String id, boolean current, BatchTurn turn) {
+  private void cancel(long ticket, String id, BatchTurn turn) {
     if (submissions.cancelledMeanwhile(ticket, id)) {
       return;
     }
@@ -293,7 +301,7 @@
       if (jobs.book().shown(id).isPresent()) {
         answer(ticket, new CallAnswer.Cancelled());
       } else {
-        status(ticket, id, current);
+        unknownJobs.ask(ticket, turn);
       }
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.OpenJob;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.Outstanding;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -27,6 +28,12 @@
   /** Pause before a step that the store did not take is repeated. */
   private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
+  /**
+   * How long a take-over may go without a step forward. A page of 1 MB takes 1.2 s over a link of 7
+   * Mbit/s, and about as long to read on a third of a core.
+   */
+  private static final long STALL_NANOS = Duration.ofSeconds(5).toNanos();
+
   /** Time between two log events that the take-over is not complete. */
   private static final long TELL_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -34,17 +41,19 @@
   private final long startedAt;
   private final Map<String, byte[]> records = new LinkedHashMap<>();
   private boolean fenced;
-  private boolean underWay;
+  private final Outstanding underWay = new Outstanding(Outstanding.PAGE);
   private boolean loaded;
   private Optional<String> afterKey = Optional.empty();
   private long retryAt;
   private long toldAt;
+  private long progressAt;
 
   Takeover(long epoch, BatchTurn turn) {
     this.epoch = epoch;
     this.startedAt = turn.nowNanos();
     this.retryAt = turn.nowNanos();
     this.toldAt = turn.nowNanos();
+    this.progressAt = turn.nowNanos();
   }
 
   long epoch() {
@@ -59,18 +68,23 @@
     return loaded;
   }
 
+  /** Tells whether nothing that it waits for has come for a while. */
+  boolean stalled(BatchTurn turn) {
+    return turn.nowNanos() - progressAt > STALL_NANOS;
+  }
+
   void step(BatchTurn turn) {
-    if (underWay || loaded || turn.nowNanos() - retryAt < 0) {
+    if (underWay.present(turn) || loaded || turn.nowNanos() - retryAt < 0) {
       return;
     }
-    underWay = true;
+    underWay.begin(turn);
     if (!fenced) {
       turn.add(
           new BatchCommand.Append(
               StreamName.STATE, new WriterPosition(epoch, 0), OptionalLong.empty(), List.of()));
       return;
     }
-    turn.add(new BatchCommand.LoadState(afterKey));
+    turn.add(new BatchCommand.LoadState(epoch, afterKey));
   }
 
   /**
@@ -96,10 +110,11 @@
     if (position.epoch() != epoch || fenced) {
       return true;
     }
-    underWay = false;
+    underWay.end();
     return switch (outcome) {
       case AppendOutcome.Stored stored -> {
         fenced = true;
+        progressAt = turn.nowNanos();
         yield true;
       }
       case AppendOutcome.Refused refused -> retry(turn);
@@ -111,13 +126,18 @@
   }
 
   private boolean retry(BatchTurn turn) {
-    underWay = false;
+    underWay.end();
     retryAt = turn.nowNanos() + RETRY_NANOS;
     return true;
   }
 
-  void read(List<KeyedRecord> page, Optional<String> more) {
-    underWay = false;
+  /** Takes a page; one that a former take-over asked for may lack what was accepted since. */
+  void read(long askedIn, List<KeyedRecord> page, Optional<String> more, BatchTurn turn) {
+    if (askedIn != epoch || loaded) {
+      return;
+    }
+    underWay.end();
+    progressAt = turn.nowNanos();
     for (KeyedRecord record : page) {
       record.value().ifPresent(value -> records.put(record.key(), value));
     }
@@ -125,8 +145,10 @@
     loaded = more.isEmpty();
   }
 
-  void unreadable(BatchTurn turn) {
-    retry(turn);
+  void unreadable(long askedIn, BatchTurn turn) {
+    if (askedIn == epoch) {
+      retry(turn);
+    }
   }
 
   /** Builds the jobs from what was read; a record that cannot be read is left out and logged. */
@@ -160,7 +182,7 @@
     Optional<String> progressOf = JobCodec.progressOf(key);
     if (progressOf.isPresent()) {
       JobCodec.decodeEnd(progressOf.get(), value)
-          .ifPresent(end -> book.addEnded(progressOf.get(), end));
+          .ifPresent(end -> book.addEnded(progressOf.get(), end, turn.nowNanos()));
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceDuty.java
@@ -11,6 +11,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.store.Outstanding;
 import org.fescuehook.model.fleet.ExecutorId;
 
 /**
@@ -34,6 +35,7 @@
   private final Map<StepProgress, Known> steps = new HashMap<>();
   private final long firstNumber;
   private Optional<Asked> underWay = Optional.empty();
+  private final Outstanding waiting = new Outstanding(Outstanding.ADVICE);
   private long lastNumber;
   private long askAgainAt;
 
@@ -92,7 +94,7 @@
    * about yet, or about permitted ones whose tickets have expired.
    */
   public void ask(StepProgress step, List<ExecutorId> usable, BatchTurn turn) {
-    if (underWay.isPresent() || turn.nowNanos() - askAgainAt < 0) {
+    if (waiting.present(turn) || turn.nowNanos() - askAgainAt < 0) {
       return;
     }
     Known known = steps.computeIfAbsent(step, name -> new Known());
@@ -106,6 +108,7 @@
       return;
     }
     lastNumber++;
+    waiting.begin(turn);
     underWay = Optional.of(new Asked(lastNumber, step, wanted));
     turn.add(new BatchCommand.AskAdvice(lastNumber, step.name(), wanted));
   }
@@ -117,6 +120,7 @@
     }
     Asked asked = underWay.get();
     underWay = Optional.empty();
+    waiting.end();
     switch (outcome) {
       case AdviceOutcome.Given given -> given(asked, given, turn);
       case AdviceOutcome.Unavailable(String reason) -> {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -31,23 +31,23 @@
   /** The same where nothing runs, so that nothing waits but new work. */
   private static final long IDLE_POLL_PAUSE_NANOS = Duration.ofMillis(500).toNanos();
 
-  /** Starts of one run before it is given up; with their timeouts half of a gang's patience. */
-  private static final int MAX_STARTS = 3;
-
   /** Time between repeated stops of a run. */
   private static final long STOP_REPEAT_NANOS = Duration.ofMillis(600).toNanos();
 
-  /** Rest of an executor that calls itself unhealthy. */
-  private static final Duration UNHEALTHY_REST = Duration.ofSeconds(2);
-
-  /** Rest of an executor that has less room than the owner thinks, until a poll tells why. */
-  private static final Duration NO_ROOM_REST = Duration.ofMillis(300);
+  /**
+   * Wait for the outcome of an order after which it counts as lost on its way to the decisions.
+   * Polls end after 1.4 s; other orders to one executor go out three at a time and end after 0.6 s
+   * each. It is longer than any lag of the decisions that was seen (1.3 s), as outcomes that wait
+   * in front of them are not lost.
+   */
+  private static final long OVERDUE_NANOS = Duration.ofSeconds(10).toNanos();
 
   /** Time between looks at all executors; half of the tick, which leases and polls are kept to. */
   private static final long ROUND_NANOS = Duration.ofMillis(25).toNanos();
 
   private final OrderSender orders;
   private final Pacer pacer;
+  private final StartSettler starts;
   private final ReportReader reports;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
@@ -77,6 +77,7 @@
     this.contacts = new ContactWindow(turn.nowNanos());
     this.orders = new OrderSender(epoch, lease);
     this.pacer = new Pacer(orders);
+    this.starts = new StartSettler(orders, pacer, listener);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
     this.reports = new ReportReader(orders, pacer, listener, longestLease);
@@ -164,6 +165,7 @@
   }
 
   private void look(ExecutorState executor, BatchTurn turn) {
+    missOverduePoll(executor, turn);
     settleSilence(executor, turn);
     repeatOrders(executor, turn);
     poll(executor, turn);
@@ -196,8 +198,24 @@
     turn.add(new BatchCommand.ForgetExecutor(executor.profile().id()));
   }
 
+  private void missOverduePoll(ExecutorState executor, BatchTurn turn) {
+    executor
+        .poll()
+        .filter(poll -> turn.nowNanos() - poll.sentAt() > OVERDUE_NANOS)
+        .ifPresent(
+            poll -> {
+              contacts.missed(poll.number());
+              pollEnded(executor, new OrderOutcome.Unanswered("no outcome came"), turn);
+            });
+  }
+
   private void repeatOrders(ExecutorState executor, BatchTurn turn) {
     for (LiveRun run : List.copyOf(executor.runs())) {
+      boolean overdue = turn.nowNanos() - run.orderedAt() > OVERDUE_NANOS;
+      if (run.stage() == Stage.STARTING && overdue) {
+        starts.ended(executor, run, new OrderOutcome.Unanswered("no outcome came"), turn);
+        continue;
+      }
       boolean stopOwed = run.stage() == Stage.STOPPING && !run.stopTaken();
       if (stopOwed && turn.nowNanos() - run.orderedAt() > STOP_REPEAT_NANOS) {
         orders.stop(executor, run, turn);
@@ -261,6 +279,9 @@
    * @return whether the executor can be used from now on and could not before
    */
   public boolean ended(ExecutorId id, long number, OrderOutcome outcome, BatchTurn turn) {
+    if (!orders.ofThisEpoch(number)) {
+      return false;
+    }
     Optional<LiveRun> run = orders.takeRun(number);
     if (outcome instanceof OrderOutcome.Unanswered) {
       contacts.missed(number);
@@ -302,58 +323,12 @@
       executor.clockRead(clock, turn.nowNanos());
     }
     switch (run.stage()) {
-      case STARTING -> startEnded(executor, run, outcome, turn);
+      case STARTING -> starts.ended(executor, run, outcome, turn);
       case STOPPING -> stopEnded(run, outcome, turn);
       case PLACED, RUNNING, INHERITED -> {}
     }
   }
 
-  private void startEnded(
-      ExecutorState executor, LiveRun run, OrderOutcome outcome, BatchTurn turn) {
-    switch (outcome) {
-      case OrderOutcome.Done done -> {
-        long nanos = turn.nowNanos() - run.placedAt();
-        turn.stage("started", nanos);
-        long millis = Duration.ofNanos(nanos).toMillis();
-        turn.note(BatchLogEvent.RUN_STARTED, run.run(), run.executor(), millis);
-        run.enter(Stage.RUNNING, turn.nowNanos());
-        pacer.started(executor, run, turn);
-      }
-      case OrderOutcome.Rejected(Rejection rejection) ->
-          startRejected(executor, run, rejection, turn);
-      case OrderOutcome.Unanswered unanswered -> {
-        run.startBecameUncertain();
-        if (run.orders() < MAX_STARTS) {
-          orders.start(executor, run, turn);
-        } else {
-          listener.startGivenUp(run, turn);
-        }
-      }
-      case OrderOutcome.Polled polled -> {}
-      case OrderOutcome.OtherIncarnation other -> {}
-    }
-  }
-
-  private void startRejected(
-      ExecutorState executor, LiveRun run, Rejection rejection, BatchTurn turn) {
-    turn.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
-    switch (rejection) {
-      case UNHEALTHY -> executor.rest(UNHEALTHY_REST, "it calls itself unhealthy", turn);
-      case NO_ROOM -> executor.rest(NO_ROOM_REST, "it has less room than thought", turn);
-      case FENCED, SUPERSEDED, EXPIRED, NO_TICKET, OTHER -> {}
-    }
-    if (run.startUncertain()) {
-      listener.startGivenUp(run, turn);
-      return;
-    }
-    executor.remove(run);
-    listener.rejected(run, rejection, turn);
-  }
-
-  private static String tag(Rejection rejection) {
-    return rejection.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-  }
-
   private static void stopEnded(LiveRun run, OrderOutcome outcome, BatchTurn turn) {
     if (outcome instanceof OrderOutcome.Done) {
       run.stopTaken(turn.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -87,6 +87,11 @@
     send(executor, new ExecutorOrder.Stop(run), turn);
   }
 
+  /** Tells whether an order was sent in this epoch; outcomes of former ones tell nothing of it. */
+  boolean ofThisEpoch(long number) {
+    return number > EpochNumbers.before(epoch);
+  }
+
   /** Returns the run that an order was about, once. */
   Optional<LiveRun> takeRun(long number) {
     return Optional.ofNullable(ordered.remove(number));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -9,6 +9,7 @@
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
+import org.fescuehook.logic.batch.store.Outstanding;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
 
@@ -60,6 +61,15 @@
    */
   private static final long WEAKER_WAIT_NANOS = Duration.ofMillis(500).toNanos();
 
+  /**
+   * How long a VM that could not begin to decide claims only where nobody else does; what kept it
+   * from it, such as a thin link, rarely passes sooner.
+   */
+  private static final long YIELD_NANOS = Duration.ofSeconds(60).toNanos();
+
+  /** Longer than any other VM waits, so that each of them claims first. */
+  private static final long YIELD_WAIT_NANOS = Duration.ofMillis(2000).toNanos();
+
   /** Offset of what a peer told before any record was read. */
   private static final long BEFORE_FIRST = -1;
 
@@ -83,12 +93,14 @@
   private OptionalLong doubtedAt = OptionalLong.empty();
   private long sequence;
   private boolean readable;
-  private boolean appending;
+  private final Outstanding appending = new Outstanding(Outstanding.APPEND);
   private boolean releasing;
   private long nextAppendAt;
   private long heartbeatSentAt;
   private OptionalLong confirmedAt = OptionalLong.empty();
   private boolean retired;
+  private boolean yielding;
+  private OptionalLong yieldedAt = OptionalLong.empty();
 
   /** Creates the duty of a VM that has read nothing. */
   public OwnershipDuty(OwnerIdentity self) {
@@ -101,6 +113,11 @@
     return epoch;
   }
 
+  /** Returns the epoch if this VM may decide; it may not while it gives ownership up. */
+  public OptionalLong decidingEpoch() {
+    return retired || yielding ? OptionalLong.empty() : epoch;
+  }
+
   /**
    * Returns the newest record of an owner that may decide; absent if there is none, if it has given
    * up, or if it is this VM itself and has lost its epoch.
@@ -189,11 +206,12 @@
 
   /** Claims or sends a heartbeat if it is time. */
   public void step(BatchTurn turn) {
-    if (appending || turn.nowNanos() - nextAppendAt < 0) {
+    if (appending.present(turn) || turn.nowNanos() - nextAppendAt < 0) {
       return;
     }
     if (epoch.isPresent()) {
-      OwnerRecord.Kind kind = retired ? OwnerRecord.Kind.RELEASE : OwnerRecord.Kind.HEARTBEAT;
+      OwnerRecord.Kind kind =
+          retired || yielding ? OwnerRecord.Kind.RELEASE : OwnerRecord.Kind.HEARTBEAT;
       append(kind, OptionalLong.empty(), turn);
       return;
     }
@@ -208,12 +226,18 @@
     }
     OwnerRecord owner = newest.get();
     boolean formerStart = owner.vm().equals(self.vm()) && !bySelf(owner);
-    if (formerStart || (readable && muchStronger(self.milliCores(), owner.milliCores()))) {
+    boolean yielded =
+        yieldedAt.isPresent() && turn.nowNanos() - yieldedAt.getAsLong() < YIELD_NANOS;
+    boolean displaces = readable && muchStronger(self.milliCores(), owner.milliCores());
+    if (formerStart || (displaces && !yielded)) {
       return true;
     }
     boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
     boolean weaker = muchStronger(owner.milliCores(), self.milliCores());
-    long patience = (released ? 0 : patienceNanos(turn)) + (weaker ? WEAKER_WAIT_NANOS : 0);
+    long patience =
+        (released ? 0 : patienceNanos(turn))
+            + (weaker ? WEAKER_WAIT_NANOS : 0)
+            + (yielded ? YIELD_WAIT_NANOS : 0);
     return patience == 0 || turn.nowNanos() - quietSince > patience;
   }
 
@@ -234,7 +258,7 @@
   }
 
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchTurn turn) {
-    appending = true;
+    appending.begin(turn);
     releasing = kind == OwnerRecord.Kind.RELEASE;
     heartbeatSentAt = turn.nowNanos();
     long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
@@ -252,7 +276,7 @@
 
   /** Takes the outcome of a claim or a heartbeat. */
   public void answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
-    appending = false;
+    appending.end();
     boolean claimed = position.sequence() == claimSequence;
     switch (outcome) {
       case AppendOutcome.Stored stored -> stored(position, claimed, turn);
@@ -275,9 +299,10 @@
     }
     confirmedAt = OptionalLong.of(heartbeatSentAt);
     sequence = position.sequence() + 1;
-    nextAppendAt = retired ? turn.nowNanos() : heartbeatSentAt + HEARTBEAT_NANOS;
+    boolean ending = retired || yielding;
+    nextAppendAt = ending ? turn.nowNanos() : heartbeatSentAt + HEARTBEAT_NANOS;
     if (releasing) {
-      lose(turn, "this VM stops");
+      lose(turn, retired ? "this VM stops" : "this VM could not begin to decide");
     }
   }
 
@@ -300,6 +325,10 @@
 
   private void lose(BatchTurn turn, String cause) {
     turn.note(BatchLogEvent.OWNERSHIP_LOST, epoch.orElse(0), cause);
+    if (yielding) {
+      yielding = false;
+      yieldedAt = OptionalLong.of(turn.nowNanos());
+    }
     epoch = OptionalLong.empty();
     confirmedAt = OptionalLong.empty();
     quietSince = turn.nowNanos();
@@ -312,6 +341,17 @@
     }
   }
 
+  /**
+   * Gives ownership up, so that another VM claims at once, and claims later only where none does.
+   * Its heartbeats would keep the others from claiming while it decides nothing.
+   */
+  public void yield(BatchTurn turn) {
+    if (epoch.isPresent() && !yielding) {
+      yielding = true;
+      nextAppendAt = turn.nowNanos();
+    }
+  }
+
   /** Gives ownership up for good, so that another VM claims at once. */
   public void retire(BatchTurn turn) {
     retired = true;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
@@ -1,6 +1,8 @@
 package org.fescuehook.logic.batch.state;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -11,8 +13,12 @@
 /** All jobs that are kept, open ones in the order of their acceptance. */
 public final class JobBook {
 
+  /** Further than clocks of the day are set by mistake; they are known to jump by seconds. */
+  private static final Duration LARGEST_JUMP = Duration.ofMinutes(10);
+
   private final Map<String, OpenJob> open = new LinkedHashMap<>();
   private final Map<String, EndedJob> ended = new LinkedHashMap<>();
+  private final Map<String, Long> endKnownAt = new HashMap<>();
 
   /** A job that has ended and is still shown. */
   public record EndedJob(JobPhase phase, long endedMillis) {}
@@ -23,14 +29,16 @@
   }
 
   /** Adds a job that had ended. */
-  public void addEnded(String id, EndedJob job) {
+  public void addEnded(String id, EndedJob job, long nowNanos) {
     ended.put(id, job);
+    endKnownAt.put(id, nowNanos);
   }
 
   /** Returns a copy that keeps only the jobs that have ended. */
   public JobBook withoutOpenJobs() {
     JobBook copy = new JobBook();
     copy.ended.putAll(ended);
+    copy.endKnownAt.putAll(endKnownAt);
     return copy;
   }
 
@@ -59,25 +67,35 @@
   }
 
   /** Moves a job whose end is stored to those that are only shown. */
-  public void retire(OpenJob job) {
+  public void retire(OpenJob job, long nowNanos) {
     String id = job.job().id();
     if (open.remove(id, job)) {
-      ended.put(id, new EndedJob(job.end().orElseThrow(), job.endedMillis()));
+      addEnded(id, new EndedJob(job.end().orElseThrow(), job.endedMillis()), nowNanos);
     }
   }
 
-  /** Removes and returns a job that ended before a time; absent if there is none. */
-  public Optional<String> forgetOneEndedBefore(long wallMillis) {
+  /**
+   * Removes and returns a job that has been shown as ended for long enough; absent if there is
+   * none. Clocks of the day jump, so it must have been long ago by the time that has passed here,
+   * or so long ago by the clock that no jump explains it, as it may be with a job of a former
+   * owner.
+   */
+  public Optional<String> forgetOneShownFor(Duration retention, long nowNanos, long wallMillis) {
     Iterator<Map.Entry<String, EndedJob>> entries = ended.entrySet().iterator();
     if (!entries.hasNext()) {
       return Optional.empty();
     }
     Map.Entry<String, EndedJob> oldest = entries.next();
-    if (oldest.getValue().endedMillis() >= wallMillis) {
+    String id = oldest.getKey();
+    long shownNanos = nowNanos - endKnownAt.get(id);
+    long ageMillis = wallMillis - oldest.getValue().endedMillis();
+    boolean longAgo = ageMillis >= retention.plus(LARGEST_JUMP).toMillis();
+    if (shownNanos < retention.toNanos() && !longAgo) {
       return Optional.empty();
     }
     entries.remove();
-    return Optional.of(oldest.getKey());
+    endKnownAt.remove(id);
+    return Optional.of(id);
   }
 
   /** Returns how many jobs of a queue wait: none of their tasks was started. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -105,7 +105,7 @@
     persist(
         job,
         () -> {
-          book.retire(job);
+          book.retire(job, turn.nowNanos());
           committed.run();
         });
     writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -38,6 +38,7 @@
   private long nextSequence;
   private long pausedUntil;
   private OptionalLong troubleSince = OptionalLong.empty();
+  private OptionalLong storedAt = OptionalLong.empty();
 
   /** Creates a writer of an epoch that has not appended anything; time is that of the turn. */
   public StateWriter(long epoch, BatchTurn turn) {
@@ -80,9 +81,7 @@
       return;
     }
     if (sent.isPresent()) {
-      if (!sent.get().underWay) {
-        send(sent.get(), turn);
-      }
+      repeatIfDue(sent.get(), turn);
       return;
     }
     if (waiting.isEmpty()) {
@@ -94,6 +93,15 @@
     send(next, turn);
   }
 
+  private void repeatIfDue(Sent current, BatchTurn turn) {
+    if (current.underWay.present(turn)) {
+      return;
+    }
+    // It may have been taken if its outcome was lost.
+    current.certain = current.certain && !current.unanswered;
+    send(current, turn);
+  }
+
   /** Tells whether nothing waits and nothing is on its way. */
   public boolean idle() {
     return sent.isEmpty() && waiting.isEmpty();
@@ -134,13 +142,21 @@
     return troubleSince;
   }
 
+  /**
+   * Returns when the last append that the store has taken was sent, monotonic time. No other owner
+   * decided then, as it shuts this one's appends out before.
+   */
+  public OptionalLong storedAt() {
+    return storedAt;
+  }
+
   /** Takes the outcome of an append; false if ownership is lost by it. */
   public boolean answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     if (sent.filter(current -> current.position.equals(position)).isEmpty()) {
       return true;
     }
     Sent current = sent.get();
-    current.underWay = false;
+    current.outcomeCame();
     return switch (outcome) {
       case AppendOutcome.Stored stored -> {
         commit(current);
@@ -166,7 +182,7 @@
     waiting.values().forEach(change -> change.lose(CommitLoss.NOT_STORED));
     waiting.clear();
     if (sent.isPresent()) {
-      boolean notStored = sent.get().certain && !sent.get().underWay;
+      boolean notStored = sent.get().certain && !sent.get().unanswered;
       CommitLoss loss = notStored ? CommitLoss.NOT_STORED : CommitLoss.UNKNOWN;
       sent.get().changes.values().forEach(change -> change.lose(loss));
     }
@@ -187,7 +203,9 @@
   }
 
   private void send(Sent current, BatchTurn turn) {
-    current.underWay = true;
+    current.underWay.begin(turn);
+    current.unanswered = true;
+    current.sentAt = turn.nowNanos();
     turn.add(
         new BatchCommand.Append(
             StreamName.STATE, current.position, OptionalLong.empty(), current.records));
@@ -195,6 +213,7 @@
 
   private void commit(Sent current) {
     troubleSince = OptionalLong.empty();
+    storedAt = OptionalLong.of(current.sentAt);
     nextSequence++;
     sent = Optional.empty();
     current.changes.values().forEach(change -> change.committed.forEach(Runnable::run));
@@ -244,12 +263,24 @@
     private final long since;
     private final List<KeyedRecord> records = new ArrayList<>();
     private final Map<String, Change> changes = new LinkedHashMap<>();
-    private boolean underWay;
+    private final Outstanding underWay = new Outstanding(Outstanding.APPEND);
+
+    private long sentAt;
+
+    /** Whether the last send has had no outcome so far. */
+    private boolean unanswered;
+
+    /** Whether all sends with an outcome are known to have done nothing. */
     private boolean certain = true;
 
     Sent(WriterPosition position, long since) {
       this.position = position;
       this.since = since;
     }
+
+    void outcomeCame() {
+      underWay.end();
+      unanswered = false;
+    }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -129,21 +129,24 @@
   }
 
   /** Reads a page of the jobs' stream. */
-  public void loadState(Optional<String> afterKey) {
-    loop.execute(() -> loader.newest(Topic.STATE, afterKey, this::stateRead));
+  public void loadState(BatchCommand.LoadState load) {
+    loop.execute(
+        () ->
+            loader.newest(
+                Topic.STATE, load.afterKey(), outcome -> stateRead(load.epoch(), outcome)));
   }
 
-  private void stateRead(ReadOutcome outcome) {
+  private void stateRead(long epoch, ReadOutcome outcome) {
     if (outcome instanceof ReadOutcome.Newest page) {
       List<KeyedRecord> records =
           page.records().stream()
               .map(record -> new KeyedRecord(record.key(), record.value()))
               .toList();
-      events.accept(new BatchEvent.StateRead(records, page.moreAfter()));
+      events.accept(new BatchEvent.StateRead(epoch, records, page.moreAfter()));
       return;
     }
     EventLog.warn(LOGGER, PlatformEvent.STREAM_LOST, Topic.STATE, "load", outcome);
-    events.accept(new BatchEvent.StateUnreadable());
+    events.accept(new BatchEvent.StateUnreadable(epoch));
   }
 
   static void unreadable(Topic topic, String key, Exception cause) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -34,6 +34,7 @@
 
   private static final long STEP_MILLIS = 20;
   private static final long ADVICE_MILLIS = 60;
+  private static final long ANSWER_LIMIT_MILLIS = 1000;
 
   /** The adapter's time limit of a poll that does not wait. */
   private static final long EXCHANGE_TIMEOUT_MILLIS = 350;
@@ -223,7 +224,7 @@
     switch (command) {
       case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
       case BatchCommand.Append append -> append(vm, append);
-      case BatchCommand.LoadState load -> load(vm);
+      case BatchCommand.LoadState load -> load(vm, load.epoch());
       case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
       case BatchCommand.Order command1 -> order(vm, command1);
       case BatchCommand.AskAdvice question -> advise(vm, question);
@@ -267,14 +268,15 @@
     return new BatchEvent.Appended(append.stream(), append.position(), outcome);
   }
 
-  private void load(Vm vm) {
+  private void load(Vm vm, long epoch) {
     in(
         faults.storeDelay,
         () ->
             vm.deliver(
                 reachesStore(vm) && !faults.cannotLoad.contains(vm.id)
-                    ? new BatchEvent.StateRead(store.newest(StreamName.STATE), Optional.empty())
-                    : new BatchEvent.StateUnreadable()));
+                    ? new BatchEvent.StateRead(
+                        epoch, store.newest(StreamName.STATE), Optional.empty())
+                    : new BatchEvent.StateUnreadable(epoch)));
   }
 
   private void follow(Vm vm, boolean following) {
@@ -384,10 +386,17 @@
     return id;
   }
 
-  /** Returns what callers are told of a job. */
+  /**
+   * Returns what callers are told of a job. The answer that there is none waits for a word of the
+   * store.
+   */
   Optional<CallAnswer> status(String job) {
     String key = configuration.holders().getFirst().apiKeys().iterator().next();
     Optional<Long> asked = call(new BatchCall.Status(NORMAL, key, job));
+    long limit = nowMillis + ANSWER_LIMIT_MILLIS;
+    while (asked.isPresent() && !answers.containsKey(asked.get()) && nowMillis < limit) {
+      run(STEP_MILLIS);
+    }
     return asked.map(answers::get);
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
@@ -21,6 +21,8 @@
  */
 class StalePageTest {
 
+  private static final long FIRST_EPOCH = 1;
+
   private final BatchCore core =
       new BatchCore(
           new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 1500),
@@ -56,13 +58,13 @@
     List<BatchCommand> claim = at(0, new BatchEvent.OwnershipRead(Optional.empty(), 0));
     List<BatchCommand> won = stored(5, StreamName.OWNERSHIP, position(claim, StreamName.OWNERSHIP));
     List<BatchCommand> load = stored(10, StreamName.STATE, position(won, StreamName.STATE));
-    assertTrue(load.contains(new BatchCommand.LoadState(Optional.empty())));
+    assertTrue(load.contains(new BatchCommand.LoadState(FIRST_EPOCH, Optional.empty())));
 
     List<BatchCommand> again =
         at(3000, new BatchEvent.OwnershipRead(Optional.of(claimOfWeakVm()), 5));
     stored(3005, StreamName.OWNERSHIP, position(again, StreamName.OWNERSHIP));
     at(3006, new BatchEvent.ExecutorsListed(List.of()));
-    at(3007, new BatchEvent.StateRead(List.of(), Optional.empty()));
+    at(3007, new BatchEvent.StateRead(FIRST_EPOCH, List.of(), Optional.empty()));
 
     assertFalse(core.deciding(), "decides before the weaker owner is shut out");
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoverProgressTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoverProgressTest.java
@@ -28,12 +28,16 @@
     takeover.answered(new WriterPosition(EPOCH, 0), new AppendOutcome.Stored(3), at(1100));
     assertEquals(List.of(), told(1999));
     assertEquals(List.of(EPOCH, 2000L, "jobs, 0 records read"), told(2000));
-    takeover.read(List.of(new KeyedRecord("a", Optional.of(new byte[1]))), Optional.of("a"));
+    takeover.read(EPOCH, page("a"), Optional.of("a"), at(2000));
     assertEquals(List.of(EPOCH, 3000L, "jobs, 1 records read"), told(3000));
-    takeover.read(List.of(), Optional.empty());
+    takeover.read(EPOCH, List.of(), Optional.empty(), at(3000));
     assertEquals(List.of(EPOCH, 4000L, "executors"), told(4000));
   }
 
+  private static List<KeyedRecord> page(String key) {
+    return List.of(new KeyedRecord(key, Optional.of(new byte[1])));
+  }
+
   private List<Object> told(long millis) {
     BatchTurn turn = at(millis);
     takeover.tellWhatIsMissing("executors", turn);
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnknownJobDeskTest.java
@@ -0,0 +1,60 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.junit.jupiter.api.Test;
+
+class UnknownJobDeskTest {
+
+  private final UnknownJobDesk desk = new UnknownJobDesk();
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(nanos(millis), 0);
+  }
+
+  private static long nanos(long millis) {
+    return Duration.ofMillis(millis).toNanos();
+  }
+
+  private List<BatchCommand> step(long nowMillis, long confirmedMillis) {
+    BatchTurn turn = at(nowMillis);
+    desk.step(nanos(confirmedMillis), turn);
+    return turn.commands();
+  }
+
+  private static BatchCommand answer(long ticket, CallAnswer answer) {
+    return new BatchCommand.Answer(ticket, answer);
+  }
+
+  private static CallAnswer refused(RefusalCause cause) {
+    return new CallAnswer.Refused(cause, 1000);
+  }
+
+  @Test
+  void aJobIsDeniedOnlyAfterAHeartbeatThatWasSentAfterTheQuestion() {
+    desk.ask(1, at(100));
+    assertEquals(List.of(), step(400, 100));
+    assertEquals(List.of(answer(1, new CallAnswer.NoSuchJob())), step(500, 101));
+  }
+
+  @Test
+  void questionsAreRefusedIfTheStoreConfirmsNothing() {
+    desk.ask(1, at(100));
+    desk.ask(2, at(300));
+    assertEquals(List.of(), step(1900, 50));
+    assertEquals(List.of(answer(1, refused(RefusalCause.STORE_AWAY))), step(1901, 50));
+    assertEquals(List.of(answer(2, refused(RefusalCause.STORE_AWAY))), step(2101, 50));
+  }
+
+  @Test
+  void questionsAreRefusedWhenTheEpochEnds() {
+    desk.ask(1, at(100));
+    BatchTurn turn = at(200);
+    desk.close(turn);
+    assertEquals(List.of(answer(1, refused(RefusalCause.NOT_OWNER))), turn.commands());
+  }
+}
