Tests that fail: executors that are back are not asked while others stay silent

Cause: ContactWindow takes only answers to its own contacts for a sign that others answer, so each miss makes it smaller, down to two places for repeated contacts; ExecutorDuty.step looks at executors in one order, so the first that stay silent take both again.

mvn -o -q -B -pl fescuehook -Dtest=SilentFleetTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SilentFleetTest.java
@@ -0,0 +1,78 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: the links to many executors are cut for some seconds, and a few of them stay away. What
+ * runs on the others goes on only if they are asked again before their leases of 6 s expire.
+ *
+ * <p>Cause: executors that have missed a poll share half of the contact window, which each miss
+ * makes smaller where no other contact is answered meanwhile (answers to ordinary polls do not
+ * count), down to two places; and executors are looked at in one fixed order. The first ones that
+ * stay silent are due again before a later one has had its turn, and take both places each time.
+ */
+class SilentFleetTest {
+
+  private static final int EXECUTORS = 40;
+  private static final int STAY_AWAY = 6;
+  private static final long CUT_MILLIS = 3000;
+
+  /** What is left of leases after the cut, less the age of the last poll before it. */
+  private static final long LIMIT_MILLIS = 1500;
+
+  private final BatchCluster cluster = new BatchCluster(1, EXECUTORS, 1);
+  private List<ExecutorId> busy = List.of();
+  private List<ExecutorId> back = List.of();
+
+  /** Cuts all executors with runs off, and all but a few of them only for a while. */
+  private void cut() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(EXECUTORS, 8, 60_000)));
+    cluster.run(3000);
+    busy =
+        cluster.executors.values().stream()
+            .filter(executor -> !executor.running().isEmpty())
+            .map(executor -> executor.profile().id())
+            .toList();
+    assertTrue(busy.size() > 2 * STAY_AWAY, () -> "busy " + busy);
+    back = busy.subList(STAY_AWAY, busy.size());
+    cluster.faults.silent.addAll(busy);
+    cluster.run(CUT_MILLIS);
+    back.forEach(cluster.faults.silent::remove);
+  }
+
+  @Test
+  void executorsThatAreBackAreAskedAlsoIfOthersStaySilent() {
+    cut();
+    Map<ExecutorId, Integer> before = new HashMap<>(cluster.orders);
+    cluster.run(LIMIT_MILLIS);
+    List<ExecutorId> unasked =
+        back.stream().filter(id -> cluster.orders.get(id).equals(before.get(id))).toList();
+    assertEquals(List.of(), unasked);
+  }
+
+  @Test
+  void whatRunsOnExecutorsThatAreBackIsNotLost() {
+    cut();
+    Map<ExecutorId, String> before = running();
+    cluster.run(8000);
+    Map<ExecutorId, String> after = running();
+    List<ExecutorId> lost =
+        back.stream().filter(id -> !before.get(id).equals(after.get(id))).toList();
+    assertEquals(List.of(), lost);
+  }
+
+  private Map<ExecutorId, String> running() {
+    Map<ExecutorId, String> runs = new HashMap<>();
+    back.forEach(id -> runs.put(id, cluster.executors.get(id).running().toString()));
+    return runs;
+  }
+}
