Test that fails: a fleet that answers in time is reached slowly

Seen failing on: 'not within 8000 ms: all executors'; a trial with a longer limit took 25.4 s. Passes with a ContactWindow that admits everything. The fakes gain the time of a poll's answer, which stays 100 ms elsewhere. Cause: answers after 0.2 s make the window smaller also where fewer contacts make them no faster, down to four.

mvn -o -q -B -pl fescuehook -Dtest=LateAnswersTest test

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -325,7 +325,7 @@
               executor == null
                   ? new OrderOutcome.Unanswered("closed")
                   : executor.take(command.epoch(), command.order(), nowMillis);
-          in(poll ? 100 : 1, () -> ended(vm, command, outcome));
+          in(poll ? faults.pollMillis : 1, () -> ended(vm, command, outcome));
         });
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -30,6 +30,9 @@
   /** What an exchange with an executor costs a VM, in milliseconds of its only thread. */
   long exchangeMillis;
 
+  /** How long the answer to a poll takes, whatever else is under way. */
+  long pollMillis = 100;
+
   final Set<ExecutorId> silent = new HashSet<>();
   double lateOrders;
 
