Test that fails: requests to workers have no time limit while their answer drips

Seen failing on: no result within 1200 ms of a limit of 500 ms. Cause: the limit counts from the last part for every user of the connection, not only for pages of the store.

mvn -o -q -B -pl fescuehook -Dtest=DrippedAnswerTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/worker/DrippedAnswerTest.java
@@ -0,0 +1,78 @@
+package org.fescuehook.net.worker;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.net.http.HttpCall;
+import org.fescuehook.net.http.HttpResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: a worker's answer comes in drips. A request to a worker has a time limit that runs from
+ * its sending, whatever comes meanwhile; its client waits no longer.
+ */
+class DrippedAnswerTest {
+
+  private static final Duration LIMIT = Duration.ofMillis(500);
+  private static final int DRIPS = 10;
+  private static final long DRIP_MILLIS = 200;
+  private static final long PATIENCE_MILLIS = 1200;
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ServerSocket server;
+
+  DrippedAnswerTest() throws IOException {
+    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    server.close();
+    loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private void answerInDrips() {
+    try (Socket connection = server.accept()) {
+      OutputStream out = connection.getOutputStream();
+      String head = "HTTP/1.1 200 OK\r\ncontent-length: " + DRIPS + "\r\n\r\n";
+      out.write(head.getBytes(StandardCharsets.UTF_8));
+      for (int i = 0; i < DRIPS; i++) {
+        Thread.sleep(DRIP_MILLIS);
+        out.write('x');
+      }
+    } catch (IOException | InterruptedException e) {
+      // The client gave up, or the test has ended.
+    }
+  }
+
+  @Test
+  void theTimeLimitOfARequestRunsFromItsSending() throws Exception {
+    Thread worker = new Thread(this::answerInDrips);
+    worker.setDaemon(true);
+    worker.start();
+    BlockingQueue<HttpResult> results = new LinkedBlockingQueue<>();
+    InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
+    HttpCall call = HttpCall.without(HttpMethod.GET, "/");
+    new WorkerConnections(loops.next(), address, LIMIT).send(call, results::add);
+    HttpResult result = results.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    assertNotNull(result, "no result within " + PATIENCE_MILLIS + " ms of a limit of " + LIMIT);
+    assertInstanceOf(HttpResult.Failed.class, result);
+  }
+}
