Test that fails: the outcome of a heartbeat confirms a later one

Seen failing on: 'the store confirmed this owner at 6600 ms' by the outcome of the heartbeat of 505 ms. Cause: a heartbeat is sent again when its mark is taken back; OwnershipDuty.stored takes the time of the last send for that of the send whose outcome came.

mvn -o -q -B -pl fescuehook -Dtest=LateHeartbeatTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/LateHeartbeatTest.java
@@ -0,0 +1,53 @@
+package org.fescuehook.logic.batch.ownership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: a VM is paused for six seconds with a heartbeat under way, and on waking the outcome of
+ * that one waits behind another event. The heartbeat is sent again first; the outcome is that of
+ * the one before the pause, and another VM may have claimed since.
+ */
+class LateHeartbeatTest {
+
+  private final OwnershipDuty duty =
+      new OwnershipDuty(new OwnerIdentity(new VmId("vm-1"), "start-1", "10.0.0.1:7000", 1000));
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(Duration.ofMillis(millis).toNanos(), millis);
+  }
+
+  private WriterPosition step(long millis) {
+    BatchTurn turn = at(millis);
+    duty.step(turn);
+    List<BatchCommand.Append> appends =
+        turn.commands().stream()
+            .filter(BatchCommand.Append.class::isInstance)
+            .map(BatchCommand.Append.class::cast)
+            .toList();
+    assertEquals(1, appends.size());
+    return appends.getFirst().position();
+  }
+
+  @Test
+  void theOutcomeOfAnEarlierHeartbeatConfirmsNothingOfTheTimeAfterIt() {
+    duty.read(Optional.empty(), 0, at(0));
+    duty.answered(step(0), new AppendOutcome.Stored(0), at(5));
+    WriterPosition beforeThePause = step(505);
+    WriterPosition afterThePause = step(6600);
+    assertEquals(beforeThePause, afterThePause);
+    duty.answered(beforeThePause, new AppendOutcome.Stored(1), at(6600));
+    long confirmed = duty.confirmedAt().orElseThrow() / 1_000_000;
+    assertTrue(confirmed <= 505, () -> "the store confirmed this owner at " + confirmed + " ms");
+  }
+}
