Test that fails: a job is denied after it was accepted

Seen failing on: 'denied after it was accepted'. Cause: UnknownJobDesk answers NoSuchJob without looking at the book again.

mvn -o -q -B -pl fescuehook -Dtest=LateAcceptanceTest test

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LateAcceptanceTest.java
@@ -0,0 +1,39 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Pattern: a job is asked for while it is on its way to the store. "No such job" is said after the
+ * job was accepted. Cause: the desk answers without looking for the job again.
+ */
+class LateAcceptanceTest {
+
+  private static final String ID = "00000000000000aa";
+
+  private final BatchCluster cluster = new BatchCluster(3, 4, 1);
+
+  @Test
+  void aJobThatWasAcceptedSinceTheQuestionIsNotDenied() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    long asked =
+        cluster.call(new BatchCall.Status(BatchCluster.NORMAL, BatchCluster.KEY, ID)).orElseThrow();
+    long handedIn =
+        cluster
+            .call(
+                new BatchCall.Submit(
+                    BatchCluster.NORMAL, BatchCluster.KEY, ID, Jobs.of(Jobs.tasks(1, 1, 5000))))
+            .orElseThrow();
+    cluster.run(5);
+    assertEquals(new CallAnswer.Accepted(), cluster.answers.get(handedIn));
+    boolean answeredBefore = cluster.answers.containsKey(asked);
+    cluster.run(1500);
+    boolean denied = new CallAnswer.NoSuchJob().equals(cluster.answers.get(asked));
+    assertTrue(answeredBefore || !denied, "denied after it was accepted");
+  }
+}
