The rest of a step asks again whether the fleet is idle, so that nothing is stopped away from its data

Ruled out: other differences from the former planner (below). The same elsewhere in the package: a gang asks once and starts all or nothing; `allowed` only bounds the starts that follow it; `pressed` looks at time alone; the sums and memories of `Room` follow each start.

`nearOnly` is asked again for the rest, as the former planner did.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -154,16 +154,17 @@
       if (allowed == 0) {
         return;
       }
-      boolean nearOnly = nearOnly(waiting);
       List<Place> places =
-          free.first(waiting, nearOnly)
+          free.first(waiting, nearOnly(waiting))
               .map(group -> Room.place(waiting, waiting.tasks(), group))
               .orElse(List.of());
       places = places.subList(0, Math.min(places.size(), allowed));
       places.forEach(this::start);
       boolean incomplete = places.size() < waiting.tasks().size();
       if (incomplete && waiting.urgent()) {
-        displace(waiting.rest(places.size()), nearOnly);
+        // Asked again: these starts may have filled the fleet that was idle before, and only in an
+        // idle fleet is there room to spare for starts away from the data.
+        displace(waiting.rest(places.size()), nearOnly(waiting));
       }
     }
 
