Plans are made once for what came together, and executors are asked fairly

Cause of the plans: each event that changed something was followed by a plan, and so was each entry of an executor, which all write theirs each second or two and mostly the same: 163 plans a second for 245 executors. Change: an entry that tells nothing new changes nothing; while more events wait, plans are 50 ms apart. Change: the window never falls below 16; executors are asked in rounds, those with runs first, then who is due longest.

--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -155,7 +155,7 @@
       case BatchCommand.LoadState load -> {
         List<KeyedRecord> records = new ArrayList<>();
         stored.forEach((key, value) -> records.add(new KeyedRecord(key, Optional.of(value))));
-        events.add(new BatchEvent.StateRead(records, Optional.empty()));
+        events.add(new BatchEvent.StateRead(load.epoch(), records, Optional.empty()));
       }
       case BatchCommand.FollowExecutors following ->
           events.add(new BatchEvent.ExecutorsListed(fleet));
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -58,24 +58,31 @@
 
   @Override
   public void accept(BatchRing.Item item) {
+    accept(item, false);
+  }
+
+  @Override
+  public void accept(BatchRing.Item item, boolean more) {
     switch (item) {
-      case BatchRing.Item.Happened(BatchEvent event) -> apply(event);
-      case BatchRing.Item.OwnershipWaits waits -> {}
+      case BatchRing.Item.Happened(BatchEvent event) -> apply(event, more);
+      // Nothing of its own; the last item of a batch plans for those before.
+      case BatchRing.Item.OwnershipWaits waits -> apply(new BatchEvent.Tick(), more);
       case BatchRing.Item.Asked(long ticket, var call, var sink) -> {
         open.put(ticket, sink);
-        apply(new BatchEvent.Called(ticket, call));
+        apply(new BatchEvent.Called(ticket, call), more);
       }
     }
   }
 
   @Override
   public void idle() {
-    apply(new BatchEvent.Tick());
+    apply(new BatchEvent.Tick(), false);
   }
 
-  private void apply(BatchEvent event) {
+  private void apply(BatchEvent event, boolean more) {
     try {
-      core.apply(event, System.nanoTime(), System.currentTimeMillis()).forEach(this::tryCarryOut);
+      core.apply(event, System.nanoTime(), System.currentTimeMillis(), more)
+          .forEach(this::tryCarryOut);
     } catch (RuntimeException e) {
       EventLog.error(LOGGER, SchedulerEvent.DECISION_FAULT, event.getClass().getSimpleName(), e);
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
@@ -95,21 +95,24 @@
 
     @Override
     public void accept(Item item) {
-      handOverOwnership();
-      if (!(item instanceof Item.OwnershipWaits)) {
-        handler.accept(item);
-      }
+      accept(item, false);
+    }
+
+    @Override
+    public void accept(Item item, boolean more) {
+      handOverOwnership(true);
+      handler.accept(item, more);
     }
 
     @Override
     public void idle() {
-      handOverOwnership();
+      handOverOwnership(false);
       handler.idle();
     }
 
-    private void handOverOwnership() {
+    private void handOverOwnership(boolean more) {
       for (BatchEvent next = ownership.poll(); next != null; next = ownership.poll()) {
-        handler.accept(new Item.Happened(next));
+        handler.accept(new Item.Happened(next), more);
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -64,7 +64,19 @@
    * @return what is to be done, in order
    */
   public List<BatchCommand> apply(BatchEvent event, long nowNanos, long wallMillis) {
-    BatchTurn turn = new BatchTurn(nowNanos, wallMillis);
+    return apply(event, nowNanos, wallMillis, false);
+  }
+
+  /**
+   * Applies one event.
+   *
+   * @param nowNanos monotonic time
+   * @param wallMillis milliseconds since 1970
+   * @param more whether further events wait already; plans then wait for them, for a moment
+   * @return what is to be done, in order
+   */
+  public List<BatchCommand> apply(BatchEvent event, long nowNanos, long wallMillis, boolean more) {
+    BatchTurn turn = new BatchTurn(nowNanos, wallMillis, more);
     take(event, turn);
     step(turn);
     return turn.commands();
@@ -218,11 +230,13 @@
     }
   }
 
-  /** Gives up a take-over that stands still although the store confirms this owner. */
+  /** Gives up a take-over that stands still all the while the store confirms this owner. */
   private void yieldIfStalled(BatchTurn turn) {
     long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
-    boolean storeNear = turn.nowNanos() - confirmedAt < STORE_NEAR_NANOS;
-    if (storeNear && takeover.filter(loading -> loading.stalled(turn)).isPresent()) {
+    if (turn.nowNanos() - confirmedAt >= STORE_NEAR_NANOS) {
+      takeover.ifPresent(loading -> loading.excuse(turn));
+    }
+    if (takeover.filter(loading -> loading.stalled(turn)).isPresent()) {
       ownership.yield(turn);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -65,6 +65,13 @@
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
 
+  /**
+   * Time between plans while more events wait. A plan with hundreds of waiting tasks takes 1 to 3
+   * ms on a third of a core; one for each event of a busy second would leave no time for the
+   * events.
+   */
+  private static final long PLAN_BEHIND_NANOS = Duration.ofMillis(50).toNanos();
+
   private final BatchPreferences preferences;
   private final StateWriter writer;
   private final ExecutorDuty executors;
@@ -117,10 +124,14 @@
     executors.serve(jobs.pools());
   }
 
-  /** Takes in an entry of the list of executors. */
+  /**
+   * Takes in an entry of the list of executors. They write theirs each second or two, mostly the
+   * same; a plan for each of them takes more time than a weak VM has for a large fleet.
+   */
   void seen(ExecutorProfile profile, BatchTurn turn) {
-    executors.seen(profile, turn);
-    jobs.changed();
+    if (executors.seen(profile, turn)) {
+      jobs.changed();
+    }
   }
 
   /** Takes in that an executor is no longer listed. */
@@ -170,12 +181,13 @@
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.expire(turn);
     submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
-    unknownJobs.step(storeSeenAt, turn);
+    unknownJobs.step(heartbeatAt, jobs.book()::shown, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
     }
     plans.startStored(turn);
-    if (!stopping && jobs.takeChanged()) {
+    boolean planNow = !turn.more() || turn.nowNanos() - plannedAt > PLAN_BEHIND_NANOS;
+    if (!stopping && planNow && jobs.takeChanged()) {
       plannedAt = turn.nowNanos();
       plans.step(turn);
     }
@@ -186,8 +198,8 @@
   }
 
   /**
-   * Returns when the store last confirmed this owner: by a heartbeat, or by storing something of
-   * its jobs. After an outage a heartbeat may hang for a second while jobs are stored again.
+   * Returns when the store could last be reached: by a heartbeat, or by an append of the jobs.
+   * After an outage a heartbeat may hang for a second while jobs are stored again.
    */
   private long storeSeenAt(long heartbeatAt) {
     long storedAt = writer.storedAt().orElse(heartbeatAt);
@@ -288,7 +300,7 @@
     if (phase.isPresent()) {
       answer(ticket, new CallAnswer.Phase(phase.get()));
     } else {
-      unknownJobs.ask(ticket, turn);
+      unknownJobs.ask(ticket, id, turn);
     }
   }
 
@@ -301,7 +313,7 @@
       if (jobs.book().shown(id).isPresent()) {
         answer(ticket, new CallAnswer.Cancelled());
       } else {
-        unknownJobs.ask(ticket, turn);
+        unknownJobs.ask(ticket, id, turn);
       }
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchTurn.java
@@ -9,6 +9,7 @@
 
   private final long nowNanos;
   private final long wallMillis;
+  private final boolean more;
   private final List<BatchCommand> commands = new ArrayList<>();
 
   /**
@@ -18,8 +19,25 @@
    * @param wallMillis milliseconds since 1970
    */
   public BatchTurn(long nowNanos, long wallMillis) {
+    this(nowNanos, wallMillis, false);
+  }
+
+  /**
+   * Begins a turn.
+   *
+   * @param nowNanos monotonic time
+   * @param wallMillis milliseconds since 1970
+   * @param more whether further events wait already
+   */
+  public BatchTurn(long nowNanos, long wallMillis, boolean more) {
     this.nowNanos = nowNanos;
     this.wallMillis = wallMillis;
+    this.more = more;
+  }
+
+  /** Tells whether further events wait already, so that costly work may be done once for all. */
+  public boolean more() {
+    return more;
   }
 
   /** Returns the monotonic time in nanoseconds. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ContactWindow.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ContactWindow.java
@@ -15,13 +15,11 @@
 final class ContactWindow {
 
   /**
-   * Size to begin with: at 5 to 8 ms an exchange on a third of a core, answers are read within 130
-   * ms.
+   * Size to begin with, and the least: at 5 to 8 ms an exchange on a third of a core, answers are
+   * read within 130 ms. Even if each takes the 350 ms of a poll's time limit, 45 executors are
+   * asked a second.
    */
-  private static final int FIRST_SIZE = 16;
-
-  /** Keeps contacts going beside executors that stay silent. */
-  private static final int FEWEST = 4;
+  private static final int FEWEST = 16;
 
   /** More than any VM has under way before its answers come late. */
   private static final int MOST = 512;
@@ -33,17 +31,11 @@
   private static final long LATE_NANOS = Duration.ofMillis(200).toNanos();
 
   private final Map<Long, Contact> underWay = new HashMap<>();
-  private int size = FIRST_SIZE;
+  private int size = FEWEST;
   private int repeatsUnderWay;
-  private long lastAnswerAt;
 
   private record Contact(long sentAt, boolean repeated) {}
 
-  /** Creates a window without contacts; time is monotonic. */
-  ContactWindow(long nowNanos) {
-    this.lastAnswerAt = nowNanos;
-  }
-
   /**
    * Tells whether another executor may be asked.
    *
@@ -68,7 +60,6 @@
       return;
     }
     repeatsUnderWay -= contact.repeated() ? 1 : 0;
-    lastAnswerAt = nowNanos;
     long took = nowNanos - contact.sentAt();
     if (took <= PROMPT_NANOS) {
       size = Math.min(MOST, size + 1);
@@ -78,17 +69,13 @@
   }
 
   /**
-   * Takes in that an executor did not answer in time. If others did meanwhile it is silent, and
-   * else this VM has probably read their answers too late.
+   * Takes in that an executor did not answer in time: it is silent, or its answer came too late,
+   * which the answers that come show as well.
    */
   void missed(long number) {
     Contact contact = underWay.remove(number);
-    if (contact == null) {
-      return;
-    }
-    repeatsUnderWay -= contact.repeated() ? 1 : 0;
-    if (lastAnswerAt - contact.sentAt() < 0) {
-      size = Math.max(FEWEST, size - 1);
+    if (contact != null) {
+      repeatsUnderWay -= contact.repeated() ? 1 : 0;
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -1,6 +1,6 @@
 package org.fescuehook.logic.batch.executor;
 
-import static java.util.stream.Collectors.partitioningBy;
+import static java.util.Comparator.comparing;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -55,7 +55,7 @@
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
   private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
-  private final ContactWindow contacts;
+  private final ContactWindow contacts = new ContactWindow();
   private long nextRoundAt;
   private Set<String> pools = Set.of();
 
@@ -74,7 +74,6 @@
       RunListener listener,
       BatchTurn turn) {
     this.nextRoundAt = turn.nowNanos();
-    this.contacts = new ContactWindow(turn.nowNanos());
     this.orders = new OrderSender(epoch, lease);
     this.pacer = new Pacer(orders);
     this.starts = new StartSettler(orders, pacer, listener);
@@ -115,23 +114,29 @@
     executor.leaseMayLastUntil(turn.nowNanos() + inheritedLeaseNanos);
   }
 
-  /** Takes in an entry of the list. */
-  public void seen(ExecutorProfile profile, BatchTurn turn) {
+  /**
+   * Takes in an entry of the list.
+   *
+   * @return whether it tells anything new
+   */
+  public boolean seen(ExecutorProfile profile, BatchTurn turn) {
     Optional<ExecutorState> found = book.find(profile.id());
     if (found.isEmpty()) {
       ExecutorState executor = new ExecutorState(profile);
       book.add(executor);
       Optional.ofNullable(orphans.remove(profile.id()))
           .ifPresent(runs -> runs.forEach(run -> adopt(executor, run, turn)));
-      return;
+      return true;
     }
     ExecutorState executor = found.get();
+    boolean same = executor.listed() && executor.profile().equals(profile);
     boolean wasLeaving = executor.profile().leaving();
     executor.describe(profile);
     if (profile.leaving() && !wasLeaving) {
       turn.note(BatchLogEvent.EXECUTOR_LEAVING, profile.id(), executor.runs().size());
       listener.leaving(executor, turn);
     }
+    return !same;
   }
 
   /** Takes in that an executor is no longer listed. */
@@ -151,11 +156,8 @@
     }
     nextRoundAt = turn.nowNanos() + ROUND_NANOS;
     heardOf.clear();
-    // What runs there needs its lease renewed, while the others only wait for work.
-    Map<Boolean, List<ExecutorState>> byNeed =
-        book.snapshot().stream().collect(partitioningBy(executor -> !executor.runs().isEmpty()));
-    byNeed.get(true).forEach(executor -> look(executor, turn));
-    byNeed.get(false).forEach(executor -> look(executor, turn));
+    book.snapshot().forEach(executor -> look(executor, turn));
+    contact(turn);
     if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
       List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
@@ -164,6 +166,29 @@
     }
   }
 
+  /**
+   * Asks executors that have not answered this owner, or not the last time, as far as the window
+   * admits: first those with runs, whose leases need renewal, and of these first who is due
+   * longest, so that some that stay silent do not take the places of the others each time.
+   */
+  private void contact(BatchTurn turn) {
+    List<ExecutorState> due = new ArrayList<>();
+    for (ExecutorState executor : book.all()) {
+      if (!executor.calm() && needsPoll(executor) && executor.pollDue(turn.nowNanos())) {
+        due.add(executor);
+      }
+    }
+    due.sort(
+        comparing((ExecutorState executor) -> executor.runs().isEmpty())
+            .thenComparingLong(ExecutorState::nextPollAt));
+    for (ExecutorState executor : due) {
+      boolean missed = executor.missedPolls() > 0;
+      if (contacts.admits(missed)) {
+        contacts.sent(orders.poll(executor, turn), missed, turn.nowNanos());
+      }
+    }
+  }
+
   private void look(ExecutorState executor, BatchTurn turn) {
     missOverduePoll(executor, turn);
     settleSilence(executor, turn);
@@ -224,20 +249,17 @@
   }
 
   private void poll(ExecutorState executor, BatchTurn turn) {
+    if (executor.calm() && needsPoll(executor) && executor.pollDue(turn.nowNanos())) {
+      orders.poll(executor, turn);
+    }
+  }
+
+  private boolean needsPoll(ExecutorState executor) {
     boolean unknown = !executor.known() && pools.contains(executor.profile().pool());
     boolean holds = !executor.runs().isEmpty() || executor.runsUnknown();
     // One that did not answer is not used, and only an answer shows that it can be used again.
     boolean doubted = executor.missedPolls() > 0 && executor.listed();
-    boolean needed = unknown || holds || doubted || executor.owesAcknowledgement();
-    if (!needed || !executor.pollDue(turn.nowNanos())) {
-      return;
-    }
-    boolean missed = executor.missedPolls() > 0;
-    if (executor.known() && !missed) {
-      orders.poll(executor, turn);
-    } else if (contacts.admits(missed)) {
-      contacts.sent(orders.poll(executor, turn), missed, turn.nowNanos());
-    }
+    return unknown || holds || doubted || executor.owesAcknowledgement();
   }
 
   /** Orders the start of a run whose placement is stored. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -138,6 +138,16 @@
     return known;
   }
 
+  /** Tells whether it has answered this owner's last poll. */
+  boolean calm() {
+    return known && missedPolls == 0;
+  }
+
+  /** Returns since when a poll is due, monotonic time. */
+  long nextPollAt() {
+    return nextPollAt;
+  }
+
   /** Returns how many polls in a row had no answer. */
   public int missedPolls() {
     return missedPolls;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -42,7 +42,7 @@
    * @return the number of the order
    */
   long poll(ExecutorState executor, BatchTurn turn) {
-    boolean calm = executor.known() && executor.missedPolls() == 0;
+    boolean calm = executor.calm();
     OptionalLong leaseUntil = OptionalLong.empty();
     if (calm && !executor.runs().isEmpty()) {
       leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
--- a/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
@@ -110,6 +110,15 @@
     /** Takes an item. */
     void accept(T item);
 
+    /**
+     * Takes an item.
+     *
+     * @param more whether further items wait already
+     */
+    default void accept(T item, boolean more) {
+      accept(item);
+    }
+
     /** Tells that nothing came for a while. */
     void idle();
   }
@@ -145,7 +154,8 @@
     @Override
     public void onEvent(Slot<T> slot, long sequence, boolean endOfBatch) {
       noteWait(slot.offeredAt(), sequence);
-      slot.take().ifPresent(handler::accept);
+      boolean more = ring.getCursor() > sequence;
+      slot.take().ifPresent(item -> handler.accept(item, more));
     }
 
     private void noteWait(long offeredAt, long sequence) {
