--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -73,6 +73,11 @@
     return turn.nowNanos() - progressAt > STALL_NANOS;
   }
 
+  /** Has the time without a step forward count from now, as nobody could have made one. */
+  void excuse(BatchTurn turn) {
+    progressAt = turn.nowNanos();
+  }
+
   void step(BatchTurn turn) {
     if (underWay.present(turn) || loaded || turn.nowNanos() - retryAt < 0) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -94,7 +94,14 @@
   private long sequence;
   private boolean readable;
   private final Outstanding appending = new Outstanding(Outstanding.APPEND);
-  private boolean releasing;
+
+  /**
+   * What was sent under the present sequence and may have been stored. It is sent again until it
+   * surely is: the store answers a repeated sequence as it answered the first, whatever it carries.
+   */
+  private Optional<OwnerRecord.Kind> unsettled = Optional.empty();
+
+  private boolean unsettledUnsure;
   private long nextAppendAt;
   private long heartbeatSentAt;
   private OptionalLong confirmedAt = OptionalLong.empty();
@@ -210,9 +217,9 @@
       return;
     }
     if (epoch.isPresent()) {
-      OwnerRecord.Kind kind =
+      OwnerRecord.Kind wanted =
           retired || yielding ? OwnerRecord.Kind.RELEASE : OwnerRecord.Kind.HEARTBEAT;
-      append(kind, OptionalLong.empty(), turn);
+      append(unsettled.orElse(wanted), OptionalLong.empty(), turn);
       return;
     }
     if (!retired && end.isPresent() && ownerGone(turn)) {
@@ -254,13 +261,16 @@
 
   private void claim(BatchTurn turn) {
     sequence = claimSequence;
+    settled();
     append(OwnerRecord.Kind.CLAIM, end, turn);
   }
 
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchTurn turn) {
     appending.begin(turn);
-    releasing = kind == OwnerRecord.Kind.RELEASE;
-    heartbeatSentAt = turn.nowNanos();
+    if (unsettled.isEmpty()) {
+      heartbeatSentAt = turn.nowNanos();
+    }
+    unsettled = Optional.of(kind);
     long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
     OwnerRecord record =
         new OwnerRecord(
@@ -280,9 +290,14 @@
     boolean claimed = position.sequence() == claimSequence;
     switch (outcome) {
       case AppendOutcome.Stored stored -> stored(position, claimed, turn);
-      case AppendOutcome.Refused refused -> nextAppendAt = turn.nowNanos() + RETRY_NANOS;
-      case AppendOutcome.Unanswered unanswered ->
-          nextAppendAt = turn.nowNanos() + (claimed ? CLAIM_PAUSE_NANOS : RETRY_NANOS);
+      case AppendOutcome.Refused refused -> {
+        unsettled = unsettledUnsure ? unsettled : Optional.empty();
+        nextAppendAt = turn.nowNanos() + RETRY_NANOS;
+      }
+      case AppendOutcome.Unanswered unanswered -> {
+        unsettledUnsure = true;
+        nextAppendAt = turn.nowNanos() + (claimed ? CLAIM_PAUSE_NANOS : RETRY_NANOS);
+      }
       case AppendOutcome.Fenced fenced -> refusedForGood(position, "a higher epoch", turn);
       case AppendOutcome.Conflict conflict -> refusedForGood(position, "a later record", turn);
       case AppendOutcome.OutOfSequence expected ->
@@ -297,15 +312,22 @@
     if (epoch.isEmpty() || epoch.getAsLong() != position.epoch()) {
       return;
     }
+    boolean released = unsettled.equals(Optional.of(OwnerRecord.Kind.RELEASE));
+    settled();
     confirmedAt = OptionalLong.of(heartbeatSentAt);
     sequence = position.sequence() + 1;
     boolean ending = retired || yielding;
     nextAppendAt = ending ? turn.nowNanos() : heartbeatSentAt + HEARTBEAT_NANOS;
-    if (releasing) {
+    if (released) {
       lose(turn, retired ? "this VM stops" : "this VM could not begin to decide");
     }
   }
 
+  private void settled() {
+    unsettled = Optional.empty();
+    unsettledUnsure = false;
+  }
+
   private void refusedForGood(WriterPosition position, String cause, BatchTurn turn) {
     // Another claim has come first; its record is read before this VM may claim again.
     nextAppendAt = turn.nowNanos() + CLAIM_PAUSE_NANOS;
@@ -316,6 +338,7 @@
   }
 
   private void win(long won, BatchTurn turn) {
+    settled();
     epoch = OptionalLong.of(won);
     sequence = claimSequence + 1;
     confirmedAt = OptionalLong.of(heartbeatSentAt);
@@ -329,6 +352,7 @@
       yielding = false;
       yieldedAt = OptionalLong.of(turn.nowNanos());
     }
+    settled();
     epoch = OptionalLong.empty();
     confirmedAt = OptionalLong.empty();
     quietSince = turn.nowNanos();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -143,8 +143,8 @@
   }
 
   /**
-   * Returns when the last append that the store has taken was sent, monotonic time. No other owner
-   * decided then, as it shuts this one's appends out before.
+   * Returns when the last append that the store has answered as stored was sent, monotonic time:
+   * the store could be reached then.
    */
   public OptionalLong storedAt() {
     return storedAt;
@@ -204,8 +204,11 @@
 
   private void send(Sent current, BatchTurn turn) {
     current.underWay.begin(turn);
+    if (!current.unanswered) {
+      // Otherwise an outcome that still comes may be that of the send before.
+      current.sentAt = turn.nowNanos();
+    }
     current.unanswered = true;
-    current.sentAt = turn.nowNanos();
     turn.add(
         new BatchCommand.Append(
             StreamName.STATE, current.position, OptionalLong.empty(), current.records));
--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -40,11 +40,6 @@
 
   private static final int MAX_ANSWER_BYTES = 8 << 20;
 
-  /**
-   * Longest time to a whole answer: the largest one over a link of 7 Mbit/s takes about as long.
-   */
-  private static final Duration LONGEST_ANSWER = Duration.ofSeconds(10);
-
   private final EventLoop loop;
   private final InetSocketAddress peer;
   private final Duration connectTimeout;
@@ -64,20 +59,37 @@
   /**
    * Sends a request. No other request may be under way.
    *
-   * @param timeout longest time from now, and from each part of the answer, to the next part; an
-   *     answer that comes steadily over a thin link has {@link #LONGEST_ANSWER} in all
+   * @param timeout longest time from now to the whole answer
    * @param sink called once, on the event loop
    */
   public void send(HttpCall call, Duration timeout, Consumer<HttpResult> sink) {
-    loop.execute(() -> start(new Exchange(call, sink), timeout));
+    sendForLargeAnswer(call, timeout, timeout, sink);
   }
 
-  /** Closes the connection; a request under way fails. */
+  /**
+   * Sends a request whose answer may come slowly over a thin link. No other request may be under
+   * way.
+   *
+   * @param pause longest time from now to the first part of the answer, and from each part to the
+   *     next
+   * @param longest longest time from now to the whole answer
+   * @param sink called once, on the event loop
+   */
+  public void sendForLargeAnswer(
+      HttpCall call, Duration pause, Duration longest, Consumer<HttpResult> sink) {
+    loop.execute(() -> start(new Exchange(call, sink), new Patience(pause, longest)));
+  }
+
+  /** Closes the connection, also one that is being opened; a request under way fails. */
   public void close() {
-    loop.execute(this::drop);
+    loop.execute(
+        () -> {
+          current.ifPresent(exchange -> fail(exchange, new IOException("closed by this side")));
+          drop();
+        });
   }
 
-  private void start(Exchange exchange, Duration timeout) {
+  private void start(Exchange exchange, Patience patience) {
     if (current.isPresent()) {
       exchange.sink.accept(
           new HttpResult.Failed(new IllegalStateException("a request is under way"), false));
@@ -85,7 +97,7 @@
     }
     current = Optional.of(exchange);
     heardAt = System.nanoTime();
-    awaitNextPart(exchange, timeout, heardAt, timeout.toNanos());
+    awaitNextPart(exchange, patience, heardAt, patience.pause().toNanos());
     if (channel.isPresent() && channel.get().isActive()) {
       write(exchange, channel.get());
       return;
@@ -93,23 +105,23 @@
     open().addListener((ChannelFuture opened) -> connected(exchange, opened));
   }
 
-  private void awaitNextPart(Exchange exchange, Duration timeout, long since, long nanos) {
+  private void awaitNextPart(Exchange exchange, Patience patience, long since, long nanos) {
     exchange.deadline =
         Optional.of(
             loop.schedule(
-                () -> checkProgress(exchange, timeout, since), nanos, TimeUnit.NANOSECONDS));
+                () -> checkProgress(exchange, patience, since), nanos, TimeUnit.NANOSECONDS));
   }
 
-  private void checkProgress(Exchange exchange, Duration timeout, long since) {
+  private void checkProgress(Exchange exchange, Patience patience, long since) {
     long now = System.nanoTime();
-    long left = timeout.toNanos() - (now - heardAt);
-    boolean tooLong = now - since > LONGEST_ANSWER.toNanos();
-    if (left <= 0 || tooLong) {
-      String late = "no answer within " + timeout.toMillis() + " ms";
+    long pauseLeft = patience.pause().toNanos() - (now - heardAt);
+    long left = Math.min(pauseLeft, patience.longest().toNanos() - (now - since));
+    if (left <= 0) {
+      String late = "no answer within " + Duration.ofNanos(now - since).toMillis() + " ms";
       fail(exchange, new TimeoutException(late));
       return;
     }
-    awaitNextPart(exchange, timeout, since, left);
+    awaitNextPart(exchange, patience, since, left);
   }
 
   private ChannelFuture open() {
@@ -198,6 +210,14 @@
     current.ifPresent(exchange -> fail(exchange, cause));
   }
 
+  /**
+   * How long an answer is waited for.
+   *
+   * @param pause longest time between two parts of it
+   * @param longest longest time to the whole of it
+   */
+  private record Patience(Duration pause, Duration longest) {}
+
   /** One request and where its result goes. */
   private static final class Exchange {
     private final HttpCall call;
--- a/fescuehook/src/main/java/org/fescuehook/platform/StoreClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StoreClient.java
@@ -34,6 +34,9 @@
   /** Added to the wait that a read asks for. */
   private static final Duration READ_SLACK = Duration.ofMillis(700);
 
+  /** Longest time to a whole page: 1 MB takes 1.2 s at 7 Mbit/s, and several pages may share it. */
+  private static final Duration LONGEST_PAGE = Duration.ofSeconds(10);
+
   private static final String PRODUCER = "fescuehook";
   private static final String RAW = "application/octet-stream";
 
@@ -140,7 +143,8 @@
     // The store takes the key that a page continues after under this name.
     afterKey.ifPresent(key -> target.append("&dependsOn=").append(encode(key)));
     HttpCall call = HttpCall.without(HttpMethod.GET, target.toString());
-    connection.send(call, READ_SLACK, result -> sink.accept(newest(result)));
+    connection.sendForLargeAnswer(
+        call, READ_SLACK, LONGEST_PAGE, result -> sink.accept(newest(result)));
   }
 
   private static ReadOutcome newest(HttpResult result) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -4,17 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
-import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
@@ -33,12 +30,8 @@
   static final String BULK = Declared.BULK;
 
   private static final long STEP_MILLIS = 20;
-  private static final long ADVICE_MILLIS = 60;
   private static final long ANSWER_LIMIT_MILLIS = 1000;
 
-  /** The adapter's time limit of a poll that does not wait. */
-  private static final long EXCHANGE_TIMEOUT_MILLIS = 350;
-
   private static final long WALL_START = 1_700_000_000_000L;
 
   final FakeStore store = new FakeStore();
@@ -49,12 +42,7 @@
   final Map<ExecutorId, FakeExecutor> executors = new LinkedHashMap<>();
   final ClusterFaults faults = new ClusterFaults();
 
-  /** How many orders were sent to each executor. */
-  final Map<ExecutorId, Integer> orders = new HashMap<>();
-
-  /** Executors whose answer to a poll an owner has read. */
-  final Set<ExecutorId> reached = new HashSet<>();
-
+  final ClusterOrders orders = new ClusterOrders(this);
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
   private final CallLedger calls = new CallLedger(work, submissions);
@@ -226,8 +214,8 @@
       case BatchCommand.Append append -> append(vm, append);
       case BatchCommand.LoadState load -> load(vm, load.epoch());
       case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
-      case BatchCommand.Order command1 -> order(vm, command1);
-      case BatchCommand.AskAdvice question -> advise(vm, question);
+      case BatchCommand.Order order -> orders.send(vm, order);
+      case BatchCommand.AskAdvice question -> orders.ask(vm, question);
       case BatchCommand.ForgetExecutor forget -> {}
       case BatchCommand.Note _, BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
@@ -291,62 +279,6 @@
     }
   }
 
-  private void order(Vm vm, BatchCommand.Order command) {
-    ExecutorId id = command.executor().id();
-    orders.merge(id, 1, Integer::sum);
-    if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
-      faults.stopsLost++;
-      in(600, () -> ended(vm, command, new OrderOutcome.Unanswered("timeout")));
-      return;
-    }
-    boolean poll = command.order() instanceof BatchCommand.ExecutorOrder.Poll;
-    boolean reached = executors.containsKey(id) && !faults.silent.contains(id);
-    boolean late = reached && random.nextDouble() < faults.lateOrders;
-    if (!reached || late) {
-      if (late) {
-        in(2000 + random.nextInt(6000), () -> takeLate(id, command));
-      }
-      in(600, () -> ended(vm, command, new OrderOutcome.Unanswered("timeout")));
-      return;
-    }
-    vm.workOnExchange();
-    if (vm.backlogMillis() > EXCHANGE_TIMEOUT_MILLIS) {
-      // The time limit passes before the VM has read the answer; the work is spent all the same.
-      in(
-          EXCHANGE_TIMEOUT_MILLIS,
-          () -> ended(vm, command, new OrderOutcome.Unanswered("read too late")));
-      return;
-    }
-    in(
-        1 + vm.backlogMillis(),
-        () -> {
-          FakeExecutor executor = executors.get(id);
-          OrderOutcome outcome =
-              executor == null
-                  ? new OrderOutcome.Unanswered("closed")
-                  : executor.take(command.epoch(), command.order(), nowMillis);
-          in(poll ? faults.pollMillis : 1, () -> ended(vm, command, outcome));
-        });
-  }
-
-  private void advise(Vm vm, BatchCommand.AskAdvice question) {
-    in(ADVICE_MILLIS, () -> vm.deliver(work.advice.ended(question, nowMillis)));
-  }
-
-  private void takeLate(ExecutorId id, BatchCommand.Order command) {
-    FakeExecutor executor = executors.get(id);
-    if (executor != null) {
-      executor.take(command.epoch(), command.order(), nowMillis);
-    }
-  }
-
-  private void ended(Vm vm, BatchCommand.Order command, OrderOutcome outcome) {
-    if (outcome instanceof OrderOutcome.Polled) {
-      reached.add(command.executor().id());
-    }
-    vm.deliver(new BatchEvent.OrderEnded(command.executor().id(), command.number(), outcome));
-  }
-
   private void answered(long number, CallAnswer answer) {
     answers.put(number, answer);
     calls.answered(number, answer, nowMillis);
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -0,0 +1,90 @@
+package org.fescuehook.logic.batch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** The ways between the VMs of a {@link BatchCluster} and its executors. */
+final class ClusterOrders {
+
+  /** The adapter's time limit of a poll that does not wait. */
+  private static final long EXCHANGE_TIMEOUT_MILLIS = 350;
+
+  private static final long ADVICE_MILLIS = 60;
+
+  /** How many orders were sent to each executor. */
+  final Map<ExecutorId, Integer> sent = new HashMap<>();
+
+  /** Executors whose answer to a poll an owner has read. */
+  final Set<ExecutorId> reached = new HashSet<>();
+
+  private final BatchCluster cluster;
+
+  ClusterOrders(BatchCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  void send(BatchCluster.Vm vm, BatchCommand.Order command) {
+    ExecutorId id = command.executor().id();
+    ClusterFaults faults = cluster.faults;
+    sent.merge(id, 1, Integer::sum);
+    if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
+      faults.stopsLost++;
+      unanswered(vm, command, 600, "timeout");
+      return;
+    }
+    boolean there = cluster.executors.containsKey(id) && !faults.silent.contains(id);
+    boolean late = there && cluster.random.nextDouble() < faults.lateOrders;
+    if (!there || late) {
+      if (late) {
+        cluster.in(2000 + cluster.random.nextInt(6000), () -> takeLate(id, command));
+      }
+      unanswered(vm, command, 600, "timeout");
+      return;
+    }
+    vm.workOnExchange();
+    if (vm.backlogMillis() > EXCHANGE_TIMEOUT_MILLIS) {
+      // The time limit passes before the VM has read the answer; the work is spent all the same.
+      unanswered(vm, command, EXCHANGE_TIMEOUT_MILLIS, "read too late");
+      return;
+    }
+    cluster.in(1 + vm.backlogMillis(), () -> take(vm, id, command));
+  }
+
+  private void unanswered(
+      BatchCluster.Vm vm, BatchCommand.Order command, long millis, String reason) {
+    cluster.in(millis, () -> ended(vm, command, new OrderOutcome.Unanswered(reason)));
+  }
+
+  private void take(BatchCluster.Vm vm, ExecutorId id, BatchCommand.Order command) {
+    boolean poll = command.order() instanceof BatchCommand.ExecutorOrder.Poll;
+    FakeExecutor executor = cluster.executors.get(id);
+    OrderOutcome outcome =
+        executor == null
+            ? new OrderOutcome.Unanswered("closed")
+            : executor.take(command.epoch(), command.order(), cluster.nowMillis());
+    cluster.in(poll ? cluster.faults.pollMillis : 1, () -> ended(vm, command, outcome));
+  }
+
+  private void takeLate(ExecutorId id, BatchCommand.Order command) {
+    FakeExecutor executor = cluster.executors.get(id);
+    if (executor != null) {
+      executor.take(command.epoch(), command.order(), cluster.nowMillis());
+    }
+  }
+
+  private void ended(BatchCluster.Vm vm, BatchCommand.Order command, OrderOutcome outcome) {
+    if (outcome instanceof OrderOutcome.Polled) {
+      reached.add(command.executor().id());
+    }
+    vm.deliver(new BatchEvent.OrderEnded(command.executor().id(), command.number(), outcome));
+  }
+
+  void ask(BatchCluster.Vm vm, BatchCommand.AskAdvice question) {
+    cluster.in(
+        ADVICE_MILLIS, () -> vm.deliver(cluster.work.advice.ended(question, cluster.nowMillis())));
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LateAnswersTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LateAnswersTest.java
@@ -23,6 +23,6 @@
     cluster.faults.pollMillis = ANSWER_MILLIS;
     cluster.start(new VmId("weak-0"));
     cluster.awaitOwner();
-    cluster.runUntil("all executors", 8_000, () -> cluster.reached.size() == EXECUTORS);
+    cluster.runUntil("all executors", 8_000, () -> cluster.orders.reached.size() == EXECUTORS);
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/SilentFleetTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SilentFleetTest.java
@@ -52,10 +52,10 @@
   @Test
   void executorsThatAreBackAreAskedAlsoIfOthersStaySilent() {
     cut();
-    Map<ExecutorId, Integer> before = new HashMap<>(cluster.orders);
+    Map<ExecutorId, Integer> before = new HashMap<>(cluster.orders.sent);
     cluster.run(LIMIT_MILLIS);
     List<ExecutorId> unasked =
-        back.stream().filter(id -> cluster.orders.get(id).equals(before.get(id))).toList();
+        back.stream().filter(id -> cluster.orders.sent.get(id).equals(before.get(id))).toList();
     assertEquals(List.of(), unasked);
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StrayRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StrayRunTest.java
@@ -103,8 +103,8 @@
     cluster.addExecutor(Declared.ofPool("e9", "r1", "another"));
     cluster.addExecutor(Declared.executor("e8", "r1"));
     cluster.run(1000);
-    assertEquals(0, cluster.orders.getOrDefault(new ExecutorId("e9"), 0));
-    assertTrue(cluster.orders.getOrDefault(new ExecutorId("e8"), 0) > 0);
+    assertEquals(0, cluster.orders.sent.getOrDefault(new ExecutorId("e9"), 0));
+    assertTrue(cluster.orders.sent.getOrDefault(new ExecutorId("e8"), 0) > 0);
   }
 
   /** An entry that became unreadable counts as not listed: see the adapter's tests. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
@@ -44,7 +44,7 @@
     cluster.faults.exchangeMillis = EXCHANGE_MILLIS;
     startAll();
     cluster.awaitOwner();
-    cluster.runUntil("all executors", 8_000, () -> cluster.reached.size() == EXECUTORS);
+    cluster.runUntil("all executors", 8_000, () -> cluster.orders.reached.size() == EXECUTORS);
   }
 
   @Test
