--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
@@ -10,9 +10,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Seen: after all VMs of a large deployment were killed, questions about accepted jobs had no
- * answer until the day's end, and little was served. One VM after the other owned for a few
- * seconds.
+ * Seen: on a large deployment questions about accepted jobs had no answer at the end of a day, and
+ * little was served. One VM after the other owned for a few seconds.
  *
  * <p>How it came about: a new owner polls all executors at once. On a VM with a third of a core the
  * answers of most are read after their time limit of 0.35 s, so they count as silent, their
@@ -21,7 +20,8 @@
  *
  * <p>Cause: what a new owner asks for at once grows with the fleet and not with what its VM can
  * take in, and its own lateness is taken for the silence of others. Shown by logs of such a day:
- * four owners within 17 s, and hundreds of executors silent a second after each take-over.
+ * four owners within 17 s, and all 245 executors silent a second after each weak one began. Plans for
+ * each event were the other half of it, see {@link BusyOwnerTest}.
  */
 class WeakOwnerTest {
 
