Ownership: what was sent twice is unsure; comments state what bounds the places in front of the decisions

Cause: a mark that was taken back after 5 s left 'unsure' unset, so that a refusal of the second sending would have settled what the first may have stored. Read in the code.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
@@ -27,9 +27,10 @@
   private static final Logger LOGGER = LoggerFactory.getLogger(BatchRing.class);
 
   /**
-   * A power of two. Outcomes of what the decisions have asked for are told only once, so they
-   * always find room: an executor has four orders under way at most, which are 3,240 with 810
-   * executors, and streams and clients some tens.
+   * A power of two. Outcomes of what the decisions have asked for are told only once, so they are
+   * to find room: an executor has four orders under way at a time, which are 3,240 with 810
+   * executors, and streams and clients some tens. {@link SchedulerEvent#RING_FULL} tells if more
+   * come while the decisions stand still.
    */
   private static final int SIZE = 1 << 13;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -37,8 +37,8 @@
   /**
    * Wait for the outcome of an order after which it counts as lost on its way to the decisions.
    * Polls end after 1.4 s; other orders to one executor go out three at a time and end after 0.6 s
-   * each. It is longer than any lag of the decisions that was seen (1.3 s), as outcomes that wait
-   * in front of them are not lost.
+   * each. It is longer than any lag of the decisions that was seen on weak VMs (2.2 s), as outcomes
+   * that wait in front of them are not lost.
    */
   private static final long OVERDUE_NANOS = Duration.ofSeconds(10).toNanos();
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -101,7 +101,9 @@
    */
   private Optional<OwnerRecord.Kind> unsettled = Optional.empty();
 
+  /** Whether it may have been stored before it was sent the last time. */
   private boolean unsettledUnsure;
+
   private long nextAppendAt;
   private long heartbeatSentAt;
   private OptionalLong confirmedAt = OptionalLong.empty();
@@ -270,6 +272,8 @@
     if (unsettled.isEmpty()) {
       heartbeatSentAt = turn.nowNanos();
     }
+    // What is still unsettled had no outcome, or one that leaves it open.
+    unsettledUnsure = unsettled.isPresent();
     unsettled = Optional.of(kind);
     long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
     OwnerRecord record =
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WeakOwnerTest.java
@@ -20,8 +20,8 @@
  *
  * <p>Cause: what a new owner asks for at once grows with the fleet and not with what its VM can
  * take in, and its own lateness is taken for the silence of others. Shown by logs of such a day:
- * four owners within 17 s, and all 245 executors silent a second after each weak one began. Plans for
- * each event were the other half of it, see {@link BusyOwnerTest}.
+ * four owners within 17 s, and all 245 executors silent a second after each weak one began. Plans
+ * for each event were the other half of it, see {@link BusyOwnerTest}.
  */
 class WeakOwnerTest {
 
