--- a/fescuehook/src/test/java/org/fescuehook/net/worker/DrippedAnswerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/worker/DrippedAnswerTest.java
@@ -12,11 +12,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.net.http.HttpCall;
 import org.fescuehook.net.http.HttpResult;
@@ -30,12 +31,15 @@
 class DrippedAnswerTest {
 
   private static final Duration LIMIT = Duration.ofMillis(500);
-  private static final int DRIPS = 10;
+  private static final int MANY = 1000;
   private static final long DRIP_MILLIS = 200;
-  private static final long PATIENCE_MILLIS = 1200;
+
+  /** Ten times the limit; an answer that is waited for as long as it drips takes longer. */
+  private static final long PATIENCE_MILLIS = 5000;
 
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final ScheduledExecutorService worker = Executors.newSingleThreadScheduledExecutor();
   private final ServerSocket server;
 
   DrippedAnswerTest() throws IOException {
@@ -45,28 +49,32 @@
   @AfterEach
   void stop() throws IOException {
     server.close();
+    worker.shutdownNow();
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
   private void answerInDrips() {
-    try (Socket connection = server.accept()) {
-      OutputStream out = connection.getOutputStream();
-      String head = "HTTP/1.1 200 OK\r\ncontent-length: " + DRIPS + "\r\n\r\n";
+    try {
+      OutputStream out = server.accept().getOutputStream();
+      String head = "HTTP/1.1 200 OK\r\ncontent-length: " + MANY + "\r\n\r\n";
       out.write(head.getBytes(StandardCharsets.UTF_8));
-      for (int i = 0; i < DRIPS; i++) {
-        Thread.sleep(DRIP_MILLIS);
-        out.write('x');
-      }
-    } catch (IOException | InterruptedException e) {
-      // The client gave up, or the test has ended.
+      worker.scheduleAtFixedRate(() -> drip(out), DRIP_MILLIS, DRIP_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
+
+  private static void drip(OutputStream out) {
+    try {
+      out.write('x');
+    } catch (IOException e) {
+      // The client gave up.
     }
   }
 
   @Test
   void theTimeLimitOfARequestRunsFromItsSending() throws Exception {
-    Thread worker = new Thread(this::answerInDrips);
-    worker.setDaemon(true);
-    worker.start();
+    worker.execute(this::answerInDrips);
     BlockingQueue<HttpResult> results = new LinkedBlockingQueue<>();
     InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     HttpCall call = HttpCall.without(HttpMethod.GET, "/");
