--- a/fescuehook/src/test/java/org/fescuehook/platform/ForgottenOrderTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ForgottenOrderTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -93,4 +94,16 @@
         heard.stream().filter(new OrderOutcome.Rejected(Rejection.FENCED)::equals).count();
     assertEquals(0, turnedAway, heard::toString);
   }
+
+  /** The connection that the order waits for is being opened when its executor is forgotten. */
+  @Test
+  void anOrderWhoseConnectionIsBeingOpenedIsNotSentOnceItsExecutorIsForgotten() throws Exception {
+    server.then(new ScriptedServer.Act.Answer(409, "{\"reason\":\"fence\"}"));
+    ExecutorClient client =
+        new ExecutorClient(loops.next(), (id, number, outcome) -> outcomes.add(outcome));
+    client.send(stop(0));
+    client.forgetAll();
+    OrderOutcome outcome = outcomes.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    assertNotEquals(new OrderOutcome.Rejected(Rejection.FENCED), outcome);
+  }
 }
