Tests that fail: ends that no store has are acknowledged after their executor was off the list

Seen on the largest site: twenty tasks started again though they had ended and these ends had been acknowledged.

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
@@ -0,0 +1,156 @@
+package org.fescuehook.logic.batch.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
+import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.StateWriter;
+import org.fescuehook.logic.batch.store.WriterPosition;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.RunEnd;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: an end of a run that the owner had given up was acknowledged before anything of its task
+ * was stored. Cause: the task was done, or its job had ended, in memory only, and that was taken for
+ * stored. An acknowledgement may rest on the store alone, as the next owner knows nothing else.
+ */
+class StrayEndTest {
+
+  private static final long EPOCH = 7;
+  private static final String JOB = "00000000000000aa";
+  private static final JobQueue QUEUE = new JobQueue("q", "pool", 1, 3, 3, 1000, false, false);
+  private static final BatchStep TWO_TASKS =
+      new BatchStep(
+          2,
+          new Demand(1000, 1000, 1),
+          1000,
+          List.of(),
+          BatchStep.PlacementRule.ANYWHERE,
+          false,
+          false,
+          "image");
+
+  private final JobBook book = new JobBook();
+  private final StateWriter writer = new StateWriter(EPOCH, at(0));
+  private final JobDuty jobs = jobs();
+  private final List<Integer> acknowledged = new ArrayList<>();
+
+  private JobDuty jobs() {
+    Submission submission = new Submission("spec", List.of(TWO_TASKS), Optional.empty());
+    book.add(new OpenJob(new BatchJob(JOB, QUEUE, "north", 0, submission)));
+    Duration lease = Duration.ofSeconds(6);
+    ExecutorDuty executors =
+        new ExecutorDuty(EPOCH, lease, lease, lease, new DeafListener(), at(0));
+    return new JobDuty(
+        book, writer, executors, new BatchConfiguration(1, Map.of("q", QUEUE), List.of()));
+  }
+
+  private static BatchTurn at(long millis) {
+    return new BatchTurn(Duration.ofMillis(millis).toNanos(), millis);
+  }
+
+  /** Hears of an end as an executor reports it under a number. */
+  private void ended(int number, int task, RunEnd how) {
+    Countdown stored = new Countdown(() -> acknowledged.add(number));
+    TaskRun run = new TaskRun(new TaskName(JOB, 0, 0, task), 1);
+    jobs.strayEnded(new EndedRun(number, run, how, ""), stored, at(0));
+    stored.release();
+  }
+
+  private void store(long sequence) {
+    writer.answered(new WriterPosition(EPOCH, sequence), new AppendOutcome.Stored(0), at(10));
+  }
+
+  @Test
+  void theEndOfATaskThatIsDoneInMemoryIsAcknowledgedOnceThatIsStored() {
+    ended(1, 0, RunEnd.DONE);
+    ended(2, 0, RunEnd.DONE);
+    assertEquals(List.of(), acknowledged);
+    writer.flush(at(0));
+    ended(3, 0, RunEnd.DONE);
+    assertEquals(List.of(), acknowledged);
+    store(0);
+    assertEquals(List.of(1, 2, 3), acknowledged);
+  }
+
+  @Test
+  void theEndOfATaskWhoseJobEndedInMemoryIsAcknowledgedOnceThatIsStored() {
+    ended(1, 0, RunEnd.DONE);
+    ended(2, 1, RunEnd.DONE);
+    ended(3, 1, RunEnd.DONE);
+    assertEquals(List.of(), acknowledged);
+    writer.flush(at(0));
+    store(0);
+    assertEquals(List.of(1, 2, 3), acknowledged);
+  }
+
+  @Test
+  void theEndOfACancelledTaskIsAcknowledgedOnceTheCancelIsStored() {
+    jobs.cancel(book.open(JOB).orElseThrow(), () -> {}, at(0));
+    ended(1, 0, RunEnd.DONE);
+    assertEquals(List.of(), acknowledged);
+    writer.flush(at(0));
+    store(0);
+    assertEquals(List.of(1), acknowledged);
+  }
+
+  /** Nothing has to be written again for what the store has. */
+  @Test
+  void theEndOfATaskWhoseEndIsStoredIsAcknowledgedAtOnce() {
+    ended(1, 0, RunEnd.DONE);
+    writer.flush(at(0));
+    store(0);
+    ended(2, 0, RunEnd.DONE);
+    assertEquals(List.of(1, 2), acknowledged);
+    assertEquals(true, writer.idle());
+  }
+
+  /** No run is known to the executors here, so nothing is heard. */
+  private static final class DeafListener implements RunListener {
+    @Override
+    public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {}
+
+    @Override
+    public void strayEnded(EndedRun end, Countdown stored, BatchTurn turn) {}
+
+    @Override
+    public void lost(LiveRun run, String cause, BatchTurn turn) {}
+
+    @Override
+    public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {}
+
+    @Override
+    public void startGivenUp(LiveRun run, BatchTurn turn) {}
+
+    @Override
+    public void saved(LiveRun run, String checkpoint) {}
+
+    @Override
+    public void stoodStill(LiveRun run, BatchTurn turn) {}
+
+    @Override
+    public void leaving(ExecutorState executor, BatchTurn turn) {}
+
+    @Override
+    public void fenced(BatchTurn turn) {}
+  }
+}
