Ends are acknowledged only by what the store has, also after an executor was off the list

Cause: an executor that left the list while its ends waited to be stored was forgotten, and met again without what had been taken in. Its ends then counted as those of tasks that are done already, and were acknowledged at once, though only this owner's memory had them. The next owner found neither runs nor ends, took the runs for lost and started them again. Ruled out: the store (it had answered nothing), the executor (it lists an end until it is acknowledged), late orders. Change: an executor is forgotten once nothing taken in from it waits to be stored; an end of a task that is done, or whose job has ended, is acknowledged once the newest progress of its job is stored (StateWriter.whenStored), at no write of its own. A forgotten executor leaves a line in the log (8038). Looked for elsewhere: cancels, statuses and repeated submissions rest on what is shown, which is set when it is stored; nothing else found.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -54,6 +54,8 @@
   ADVICE_GIVEN(8036, "Step {} may run on {} of {} executors, for {} ms"),
   /** The advice service gave no answer. */
   ADVICE_MISSING(8037, "No advice on step {}: {}"),
+  /** An executor is not listed any more, and nothing there is open. */
+  EXECUTOR_FORGOTTEN(8038, "Executor {} forgotten: it is not listed, and nothing runs there"),
   /** A stored record cannot be read. */
   RECORD_UNREADABLE(8040, "Record {} cannot be read: {}");
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -204,7 +204,9 @@
     boolean mayRun = !executor.runs().isEmpty() || (executor.runsUnknown() && !silent);
     boolean idle = !mayRun && executor.poll().isEmpty();
     boolean acknowledges = executor.owesAcknowledgement() && !silent;
-    if (!executor.listed() && idle && !acknowledges) {
+    // It may be listed again in a moment, and then lists ends that are on their way to the store.
+    if (!executor.listed() && idle && !acknowledges && !executor.endsUnstored()) {
+      turn.note(BatchLogEvent.EXECUTOR_FORGOTTEN, executor.profile().id());
       forget(executor, turn);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -163,8 +163,8 @@
    * answered at once with the same ends.
    */
   public boolean pollDue(long nowNanos) {
-    boolean endsUnstored = !taken.isEmpty() && missedPolls == 0;
-    long notBefore = endsUnstored ? nextPollAt + STORE_PATIENCE_NANOS : nextPollAt;
+    boolean waits = endsUnstored() && missedPolls == 0;
+    long notBefore = waits ? nextPollAt + STORE_PATIENCE_NANOS : nextPollAt;
     return poll.isEmpty() && nowNanos - notBefore >= 0;
   }
 
@@ -272,6 +272,14 @@
     return acknowledged > acknowledgementSent;
   }
 
+  /**
+   * Tells whether ends that it lists have been taken in and are not stored yet. Without this state
+   * they would be met as new ones.
+   */
+  public boolean endsUnstored() {
+    return !taken.isEmpty();
+  }
+
   /** Counts a run that failed here; returns how many have failed since one was done. */
   public int failed() {
     failuresInRow++;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -184,14 +184,19 @@
     if (end.end() != RunEnd.DONE) {
       return;
     }
-    Optional<OpenJob> job = book.open(end.run().task().job()).filter(OpenJob::open);
+    Optional<OpenJob> job = book.open(end.run().task().job());
     Optional<StepProgress> step =
         job.flatMap(open -> open.step(end.run().task().occurrence(), end.run().task().step()));
     Optional<TaskProgress> task = step.flatMap(found -> found.task(end.run().task().index()));
-    if (task.isEmpty() || task.get().done() || step.get().spec().lasting().isPresent()) {
+    if (task.isEmpty() || step.get().spec().lasting().isPresent()) {
       return;
     }
     stored.hold();
+    if (task.get().done() || !job.get().open()) {
+      // Perhaps known to this owner alone: the next one would not find the end, and start it again.
+      writer.whenStored(JobCodec.progressKey(job.get().job().id()), stored::release);
+      return;
+    }
     finish(step.get(), task.get(), stored::release, turn);
     // Another run of the task may be under way elsewhere.
     task.get().live().ifPresent(run -> executors.stop(run, "its task is done", turn));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -75,6 +75,21 @@
     change.since = turn.nowNanos();
   }
 
+  /**
+   * Calls back once the newest value of a key is stored: at once if none waits and none is on its
+   * way. What is known in memory alone is lost with this owner, so nothing may be confirmed by it.
+   */
+  public void whenStored(String key, Runnable committed) {
+    Optional<Change> pending =
+        Optional.ofNullable(waiting.get(key))
+            .or(() -> sent.map(current -> current.changes.get(key)));
+    if (pending.isEmpty()) {
+      committed.run();
+      return;
+    }
+    pending.get().committed.add(committed);
+  }
+
   /** Sends what waits if no append is under way, or repeats the one under way when it is time. */
   public void flush(BatchTurn turn) {
     if (turn.nowNanos() - pausedUntil < 0) {
