--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -52,6 +52,7 @@
   private long ticket;
   private int starts;
   private int claims;
+  private int ownershipsWon;
 
   /** One VM. */
   final class Vm {
@@ -217,7 +218,8 @@
       case BatchCommand.Order order -> orders.send(vm, order);
       case BatchCommand.AskAdvice question -> orders.ask(vm, question);
       case BatchCommand.ForgetExecutor forget -> {}
-      case BatchCommand.Note _, BatchCommand.Measure _, BatchCommand.Count _ -> {}
+      case BatchCommand.Note note -> ownershipsWon += note.event() == BatchLogEvent.OWNERSHIP_WON ? 1 : 0;
+      case BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
 
@@ -369,6 +371,11 @@
     return claims;
   }
 
+  /** Returns how many owners there have been. */
+  int ownershipsWon() {
+    return ownershipsWon;
+  }
+
   long nowMillis() {
     return nowMillis;
   }
