--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -159,7 +159,15 @@
     in(4500, () -> unlist(id));
   }
 
-  private void unlist(ExecutorId id) {
+  /** The list names an executor again. */
+  void list(ExecutorId id) {
+    vms.values().stream()
+        .filter(vm -> vm.following)
+        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(executors.get(id).profile())));
+  }
+
+  /** The list names an executor no longer. */
+  void unlist(ExecutorId id) {
     vms.values().stream()
         .filter(vm -> vm.following)
         .forEach(vm -> vm.deliver(new BatchEvent.ExecutorUnlisted(id)));
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoversInARowTest.java
@@ -0,0 +1,74 @@
+package org.fescuehook.logic.batch;
+
+import java.util.List;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Histories in which owner follows owner within a second or two, each of them alive and cut off
+ * from the store only for a moment, while the store loses 4 of 10 answers and executors are off the
+ * list now and then. Each point of the way of an end, from the executor through the store to its
+ * acknowledgement, is thus cut somewhere. {@link VirtualWork} checks what may run when.
+ */
+class TakeoversInARowTest {
+
+  private static final int HISTORIES = Integer.getInteger("histories", 40);
+  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final long TROUBLE_MILLIS = 20_000;
+
+  @Test
+  void noHistoryOfTakeoversInARowBreaksAPromise() {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+      try {
+        play(seed);
+      } catch (AssertionError | RuntimeException e) {
+        throw new AssertionError("seed " + seed, e);
+      }
+    }
+  }
+
+  private static void play(long seed) {
+    BatchCluster cluster = new BatchCluster(5, 6, seed);
+    RandomJobs.schedule(cluster);
+    cluster.run(1500);
+    cluster.faults.lostAnswers = 0.4;
+    cluster.faults.lateOrders = 0.02;
+    for (long at = 0; at < TROUBLE_MILLIS; at += 500 + cluster.random.nextInt(1000)) {
+      cluster.in(at, () -> cutOwnerOff(cluster));
+      cluster.in(at + cluster.random.nextInt(500), () -> takeOffTheList(cluster));
+    }
+    cluster.run(TROUBLE_MILLIS + 2000);
+    cluster.faults.lostAnswers = 0;
+    cluster.faults.lateOrders = 0;
+    cluster.run(60_000);
+    cluster.awaitOwner();
+    cluster.run(2000);
+    RandomJobs.check(cluster);
+  }
+
+  /** The owner cannot reach the store for a moment, and says so to the others. */
+  private static void cutOwnerOff(BatchCluster cluster) {
+    cluster
+        .owner()
+        .ifPresent(
+            owner -> {
+              VmId id = owner.id;
+              cluster.faults.cutFromStore.add(id);
+              long millis = 1100L + cluster.random.nextInt(900);
+              cluster.in(millis, () -> cluster.faults.cutFromStore.remove(id));
+              cluster.in(600, () -> doubt(cluster));
+            });
+  }
+
+  private static void doubt(BatchCluster cluster) {
+    cluster.vms.values().forEach(vm -> vm.deliver(new BatchEvent.OwnerDoubted()));
+  }
+
+  private static void takeOffTheList(BatchCluster cluster) {
+    List<ExecutorId> ids = List.copyOf(cluster.executors.keySet());
+    ExecutorId id = ids.get(cluster.random.nextInt(ids.size()));
+    cluster.unlist(id);
+    cluster.in(100 + cluster.random.nextInt(400), () -> cluster.list(id));
+  }
+}
