A rejected repeat of an append says nothing of the sends before it

Change: a rejection counts only if every other send was surely refused; else the append is unanswered, which the decisions repeat and then call undecided.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
@@ -9,7 +9,7 @@
 /**
  * One append that is sent again while its answer is late, beside the sends before it, and has one
  * outcome. The store answers a repeated epoch and sequence as it answered the first, so the first
- * word that decides counts for all sends.
+ * word that it is stored counts for all sends.
  *
  * <p>With 4 of 10 answers lost, all but 7 of 10,000 appends are decided within half a second. With
  * one send, each lost answer is a second in which the owner stores nothing, refuses calls and is
@@ -114,33 +114,41 @@
     if (ended) {
       return;
     }
+    if (!(outcome instanceof AppendOutcome.Refused
+        || outcome instanceof AppendOutcome.Unanswered)) {
+      times.answered(link.nowNanos() - sentAt);
+    }
     switch (outcome) {
-      case AppendOutcome.Refused refused -> undecided(refused);
+      case AppendOutcome.Stored stored -> end(stored);
+      case AppendOutcome.Fenced _, AppendOutcome.Conflict _, AppendOutcome.OutOfSequence _ ->
+          end(surelyNothingElse() ? outcome : unsure());
+      case AppendOutcome.Refused refused -> failed(refused);
       case AppendOutcome.Unanswered lost -> {
         unanswered++;
-        undecided(lost);
-      }
-      case AppendOutcome.Stored _,
-          AppendOutcome.Fenced _,
-          AppendOutcome.Conflict _,
-          AppendOutcome.OutOfSequence _ -> {
-        times.answered(link.nowNanos() - sentAt);
-        end(outcome);
+        failed(lost);
       }
     }
   }
 
+  /**
+   * Tells whether the store has done nothing by any send but the one that has just ended. A
+   * rejection says nothing of the others: one of them may have been stored before another writer
+   * came, and its answer lost.
+   */
+  private boolean surelyNothingElse() {
+    return unanswered == 0 && failed + 1 == sends;
+  }
+
+  private static AppendOutcome unsure() {
+    return new AppendOutcome.Unanswered("another send of it had no answer");
+  }
+
   /** One send has failed; the append has once none is under way any more. */
-  private void undecided(AppendOutcome outcome) {
+  private void failed(AppendOutcome outcome) {
     failed++;
-    if (failed < sends) {
-      return;
+    if (failed == sends) {
+      end(unanswered == 0 ? outcome : unsure());
     }
-    boolean surelyNot = unanswered == 0;
-    end(
-        surelyNot || outcome instanceof AppendOutcome.Unanswered
-            ? outcome
-            : new AppendOutcome.Unanswered("an earlier send had no answer"));
   }
 
   private void end(AppendOutcome outcome) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoversInARowTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TakeoversInARowTest.java
@@ -28,6 +28,12 @@
     }
   }
 
+  /** A submission was called refused after a repeat of its append was rejected, and ran. */
+  @Test
+  void whatMayHaveBeenStoredBeforeATakeoverIsNotCalledRefused() {
+    play(1002);
+  }
+
   private static void play(long seed) {
     BatchCluster cluster = new BatchCluster(5, 6, seed);
     RandomJobs.schedule(cluster);
