--- a/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/spec/SpecificationTest.java
@@ -32,6 +32,7 @@
   private static final String ONE = "AtMostOneDispatch";
   private static final String WINDOW = "OneRunInWindow";
   private static final String REVERTS = "NeverReverts";
+  private static final String TRUE = "NotRunIsTrue";
   private static final String FREE = "FreeIsGone";
 
   /** Configurations that must hold. */
@@ -45,7 +46,8 @@
         new Holding("RequestClaims", "three askings with one id: one dispatch, true answers"),
         new Holding("ClaimWindow", "readers of any beginning agree when an id is free again"),
         new Holding("Configuration", "no accepted publication is lost, nothing reverts"),
-        new Holding("SilentWorker", "a silent worker's lease counts as gone only once it is"));
+        new Holding("SilentWorker", "a silent worker's lease counts as gone only once it is"),
+        new Holding("RepeatedAppend", "an append sent several times has one true outcome"));
   }
 
   /** Variants that break one rule, each with the property that must fail. */
@@ -69,7 +71,7 @@
         new Wrong("RequestClaims_id_used_after_retention", ONE, "an id outlives its claim"),
         new Wrong(
             "RequestClaims_release_after_dispatch", "ReleaseOnlyUndispatched", "release of a run"),
-        new Wrong("RequestClaims_dispatch_after_giving_up", "NotRunIsTrue", "token kept too long"),
+        new Wrong("RequestClaims_dispatch_after_giving_up", TRUE, "token kept too long"),
         new Wrong(
             "RequestClaims_lost_claim_wins_later", "DuplicateRunsNothing", "a loser wins later"),
         new Wrong(
@@ -87,7 +89,9 @@
         new Wrong("SilentWorker_ride_without_bound", FREE, "a VM without the log renews for ever"),
         new Wrong("SilentWorker_lag_ignored", FREE, "a replica's lag is not waited out"),
         new Wrong("SilentWorker_renewer_not_known", FREE, "a VM that may renew is not counted"),
-        new Wrong("SilentWorker_late_renewal", FREE, "a renewal arrives after any delay"));
+        new Wrong("SilentWorker_late_renewal", FREE, "a renewal arrives after any delay"),
+        new Wrong("RepeatedAppend_rejection_counts_for_all", TRUE, "a fenced repeat decides"),
+        new Wrong("RepeatedAppend_refusal_counts_for_all", TRUE, "a refused repeat decides"));
   }
 
   @TempDir private static Path shared;
