Netty names its channels by the VM's id

Without an id of its own Netty looked for a hardware address at each start, found none on small VMs and warned on each of them.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProcess.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.net.listen.MachineId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,6 +17,7 @@
 
   /** Composes the VM; nothing is opened yet. */
   public SchedulerProcess(SchedulerPreferences preferences) {
+    MachineId.use(preferences.identity().vm());
     this.program = new SchedulerProgram(preferences);
   }
 
