--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -12,13 +11,10 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.function.Consumer;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.batch.store.AnswerTimes;
-import org.fescuehook.logic.batch.store.AppendOutcome;
-import org.fescuehook.logic.batch.store.RepeatedAppend;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
@@ -48,6 +44,7 @@
   final ClusterFaults faults = new ClusterFaults();
 
   final ClusterOrders orders = new ClusterOrders(this);
+  private final ClusterAppends appends = new ClusterAppends(this);
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
   private final CallLedger calls = new CallLedger(work, submissions);
@@ -56,7 +53,6 @@
   private long order;
   private long ticket;
   private int starts;
-  private int claims;
   private int ownershipsWon;
 
   /** One VM. */
@@ -66,7 +62,7 @@
     BatchCore core;
     boolean running = true;
     boolean frozen;
-    private final Map<StreamName, AnswerTimes> answerTimes = new EnumMap<>(StreamName.class);
+    final Map<StreamName, AnswerTimes> answerTimes = new EnumMap<>(StreamName.class);
     private boolean following;
     private long busyUntil;
     private final List<BatchEvent> held = new ArrayList<>();
@@ -210,7 +206,7 @@
     }
   }
 
-  private boolean reachesStore(Vm vm) {
+  boolean reachesStore(Vm vm) {
     return !faults.storeDown && !faults.cutFromStore.contains(vm.id);
   }
 
@@ -229,7 +225,7 @@
   private void carryOut(Vm vm, BatchCommand command) {
     switch (command) {
       case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
-      case BatchCommand.Append append -> append(vm, append);
+      case BatchCommand.Append append -> appends.send(vm, append);
       case BatchCommand.LoadState load -> load(vm, load.epoch());
       case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
       case BatchCommand.Order order -> orders.send(vm, order);
@@ -241,72 +237,6 @@
     }
   }
 
-  private void append(Vm vm, BatchCommand.Append append) {
-    if (vm.backlogMillis() > 0) {
-      in(vm.backlogMillis(), () -> append(vm, append));
-      return;
-    }
-    claims += append.expectedEnd().isPresent() ? 1 : 0;
-    if (!reachesStore(vm) || faults.streamsDown.contains(append.stream())) {
-      AppendOutcome outcome =
-          random.nextBoolean()
-              ? new AppendOutcome.Refused("down")
-              : new AppendOutcome.Unanswered("silent");
-      in(200, () -> vm.deliver(appended(append, outcome)));
-      return;
-    }
-    AnswerTimes times = vm.answerTimes.get(append.stream());
-    RepeatedAppend.begin(
-        new StoreLink(vm, append), times, 1000, outcome -> vm.deliver(appended(append, outcome)));
-  }
-
-  /** The way of one append of a VM to the store. */
-  private final class StoreLink implements RepeatedAppend.Link {
-    private final Vm vm;
-    private final BatchCommand.Append append;
-
-    StoreLink(Vm vm, BatchCommand.Append append) {
-      this.vm = vm;
-      this.append = append;
-    }
-
-    @Override
-    public long nowNanos() {
-      return nowMillis * 1_000_000;
-    }
-
-    @Override
-    public Optional<Sending> send(Duration limit, Consumer<AppendOutcome> sink) {
-      boolean lost = random.nextDouble() < faults.lostAnswers;
-      long late = lost && random.nextBoolean() ? 1000 + random.nextInt(4000) : faults.storeDelay;
-      in(late, () -> arrive(lost ? outcome -> {} : sink));
-      if (lost) {
-        in(limit.toMillis(), () -> sink.accept(new AppendOutcome.Unanswered("timeout")));
-      }
-      return Optional.of(() -> {});
-    }
-
-    private void arrive(Consumer<AppendOutcome> sink) {
-      sink.accept(
-          store.append(append.stream(), append.position(), append.expectedEnd(), append.records()));
-    }
-
-    @Override
-    public void after(Duration delay, Runnable action) {
-      in(
-          delay.toMillis(),
-          () -> {
-            if (vm.running && !vm.frozen) {
-              action.run();
-            }
-          });
-    }
-  }
-
-  private static BatchEvent appended(BatchCommand.Append append, AppendOutcome outcome) {
-    return new BatchEvent.Appended(append.stream(), append.position(), outcome);
-  }
-
   private void load(Vm vm, long epoch) {
     in(
         faults.storeDelay,
@@ -417,7 +347,7 @@
   }
 
   int claims() {
-    return claims;
+    return appends.claims();
   }
 
   /** Returns how many owners there have been. */
