A store that takes long for appends is told in the log, once at its beginning and once at its end

Change: SlowStoreWatch, events 8206 and 8207 (150 ms and 50 ms, an append's whole time with its repeats).

--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
@@ -16,6 +16,10 @@
   APPEND_TROUBLE(8204, "Append {} {} to stream {}: {}"),
   /** Configurations came faster than they were put in force. */
   CONFIGURATIONS_SKIPPED(8205, "{} configurations skipped, as version {} came together with them"),
+  /** The store begins to take long for appends. */
+  STORE_SLOW(8206, "Appends to {} are slow: the last one took {} ms"),
+  /** The store is quick again. */
+  STORE_QUICK(8207, "Appends to {} are quick again: the last one took {} ms"),
   /** The port of callers has a fault. */
   CALLER_FAULT(8211, "Connection of caller {} closed: {}");
 
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
@@ -13,6 +13,10 @@
 import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.RepeatedAppend;
+import org.fescuehook.logic.batch.store.SlowStoreWatch;
+import org.fescuehook.logic.event.EventLog;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Appends to one topic. While the store answers in time it uses one connection; an append whose
@@ -20,6 +24,8 @@
  */
 final class StreamAppender {
 
+  private static final Logger LOGGER = LoggerFactory.getLogger(StreamAppender.class);
+
   /** Two appends with all their sends; more than one is under way only around a take-over. */
   private static final int MOST_CONNECTIONS = 16;
 
@@ -28,6 +34,7 @@
   private final Topic topic;
   private final AnswerTimes times = new AnswerTimes();
   private final Deque<StoreClient> idle = new ArrayDeque<>();
+  private final SlowStoreWatch slowness = new SlowStoreWatch();
   private final LongAdder repeated = new LongAdder();
   private int busy;
 
@@ -44,7 +51,25 @@
 
   void append(BatchCommand.Append append, Consumer<AppendOutcome> sink) {
     byte[] body = RecordFraming.encode(append.records());
-    RepeatedAppend.begin(new AppendLink(append, body), times, body.length, sink);
+    long begunAt = System.nanoTime();
+    RepeatedAppend.begin(
+        new AppendLink(append, body),
+        times,
+        body.length,
+        outcome -> {
+          if (outcome instanceof AppendOutcome.Stored) {
+            tellOfSlowness(Duration.ofNanos(System.nanoTime() - begunAt));
+          }
+          sink.accept(outcome);
+        });
+  }
+
+  private void tellOfSlowness(Duration time) {
+    switch (slowness.stored(time)) {
+      case SLOWER -> EventLog.warn(LOGGER, PlatformEvent.STORE_SLOW, topic, time.toMillis());
+      case QUICKER -> EventLog.info(LOGGER, PlatformEvent.STORE_QUICK, topic, time.toMillis());
+      case NONE -> {}
+    }
   }
 
   private final class AppendLink implements RepeatedAppend.Link {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/store/SlowStoreWatchTest.java
@@ -0,0 +1,33 @@
+package org.fescuehook.logic.batch.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.fescuehook.logic.batch.store.SlowStoreWatch.Change;
+import org.junit.jupiter.api.Test;
+
+/** Pattern: the store takes 0.7 s for each append for six seconds, and nothing fails. */
+class SlowStoreWatchTest {
+
+  private final SlowStoreWatch watch = new SlowStoreWatch();
+
+  private List<Change> changes(Integer... millis) {
+    return Stream.of(millis).map(one -> watch.stored(Duration.ofMillis(one))).toList();
+  }
+
+  @Test
+  void theBeginningAndTheEndOfATimeOfSlownessAreToldOnce() {
+    assertEquals(
+        List.of(Change.NONE, Change.SLOWER, Change.NONE, Change.NONE, Change.QUICKER, Change.NONE),
+        changes(4, 700, 690, 710, 5, 4));
+  }
+
+  @Test
+  void aTimeBetweenTheBoundsChangesNothing() {
+    assertEquals(
+        List.of(Change.NONE, Change.SLOWER, Change.NONE, Change.QUICKER),
+        changes(100, 200, 100, 4));
+  }
+}
