Test that fails: a job is shown as ended before its end is stored

Found by looking for the class of the wrong acknowledgement: an answer that rests on memory. An append that was sent before the end is stored after it, and shows the state that the job has by then. Such a job's other ends were acknowledged at once, too.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
@@ -21,6 +21,7 @@
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.RunEnd;
 import org.fescuehook.model.batch.Submission;
@@ -113,6 +114,22 @@
     assertEquals(List.of(1), acknowledged);
   }
 
+  /**
+   * What is shown is what the next owner knows too: a job that is shown as ended must not go on
+   * there. An append that was sent before the end says nothing of the end.
+   */
+  @Test
+  void anEndIsNotShownBeforeItIsStored() {
+    ended(1, 0, RunEnd.DONE);
+    writer.flush(at(0));
+    ended(2, 1, RunEnd.DONE);
+    store(0);
+    assertEquals(Optional.of(JobPhase.QUEUED), book.shown(JOB));
+    writer.flush(at(20));
+    store(1);
+    assertEquals(Optional.of(JobPhase.COMPLETED), book.shown(JOB));
+  }
+
   /** Nothing has to be written again for what the store has. */
   @Test
   void theEndOfATaskWhoseEndIsStoredIsAcknowledgedAtOnce() {
