A job is shown as what is stored of it, not as what it has become since

Cause: a stored append showed the state that its job had by then; one that had ended meanwhile was shown as ended, and further ends of it were acknowledged, though its end was not stored. An owner lost in that moment leaves a caller who saw an end, and a job that goes on. Change: what was encoded is what is shown (JobDuty.Encoded). StrayEndTest.anEndIsNotShownBeforeItIsStored was red, and is green; logic.batch green.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -79,15 +79,39 @@
 
   /** Stores how far a job is. */
   public void persist(OpenJob job, Runnable committed) {
+    Encoded encoded = new Encoded(job);
     writer.put(
         JobCodec.progressKey(job.job().id()),
-        () -> Optional.of(JobCodec.encodeProgress(job)),
+        encoded::encode,
         () -> {
-          job.show();
+          encoded.show();
           committed.run();
         });
   }
 
+  /**
+   * What of a job goes out with an append. The job may have changed again when that is stored, and
+   * nobody may be shown what no store has.
+   */
+  private static final class Encoded {
+    private final OpenJob job;
+    private Optional<JobPhase> phase = Optional.empty();
+
+    Encoded(OpenJob job) {
+      this.job = job;
+    }
+
+    Optional<byte[]> encode() {
+      phase = Optional.of(job.phase());
+      return Optional.of(JobCodec.encodeProgress(job));
+    }
+
+    /** Shows what was encoded; nothing if a newer change of the job went out in its place. */
+    void show() {
+      phase.ifPresent(job::show);
+    }
+  }
+
   /** Ends a job that its caller cancelled. */
   public void cancel(OpenJob job, Runnable committed, BatchTurn turn) {
     end(job, JobPhase.CANCELLED, committed, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
@@ -123,9 +123,14 @@
     return shown;
   }
 
-  /** Shows callers the present state, which has been stored. */
-  public void show() {
-    shown = end.orElse(begun ? JobPhase.IN_PROGRESS : JobPhase.QUEUED);
+  /** Returns the state that it has now, which may not be stored yet. */
+  public JobPhase phase() {
+    return end.orElse(begun ? JobPhase.IN_PROGRESS : JobPhase.QUEUED);
+  }
+
+  /** Shows callers a state that has been stored. */
+  public void show(JobPhase stored) {
+    shown = stored;
   }
 
   /** Returns all live runs. */
@@ -137,6 +142,6 @@
     begun = wasBegun;
     end = ended;
     endedMillis = endedAt;
-    show();
+    show(phase());
   }
 }
