Several appends are under way while the store is slow, so that a job waits for its own

Cause: one append was under way at a time. Where the store takes 0.65 s for each, a job waited for the one before it and for its own, at its acceptance, its placement and its end: 40 of 60 urgent jobs later than three appends, their turns and the work (SlowStoreTest). Ruled out: the fleet (starts came 0.02 s after their placements were stored), changes of owners (none), refusals (none). Change: an append goes out beside those under way once the newest of them is 40 ms old, or a quarter of what the last one took, at most four at a time, where the store remembers five. That one is stored means that all before it are; one that came before its turn did nothing and goes out again as the oldest; what was refused goes back only if nothing of any append under way may be stored. Not before the first append of an epoch is stored, as an epoch may begin at any sequence. A quick store sees no difference: 40 ms is ten of its answers. An append is sent up to 12 times (was 8): a loss of all sends stalled 16 of 300 submissions once. Late is up to 0.8 s (was 0.5 s).

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
@@ -12,8 +12,8 @@
   /** Some fifteen times the usual answer of 4 ms, so that a pause of this VM is no lost answer. */
   private static final Duration SHORTEST = Duration.ofMillis(60);
 
-  /** A slow store takes about 0.3 s; later than this an answer is worth asking for again. */
-  private static final Duration LONGEST = Duration.ofMillis(500);
+  /** A slow store takes up to 0.7 s; later than this an answer is worth asking for again. */
+  private static final Duration LONGEST = Duration.ofMillis(800);
 
   /** Weight of a new answer in the smoothed time, and in the smoothed deviation (RFC 6298). */
   private static final double TIME_WEIGHT = 1.0 / 8;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
@@ -18,10 +18,10 @@
 public final class RepeatedAppend {
 
   /**
-   * Sends of one append: with four of ten answers lost, all are in 7 of 10,000 cases. A store that
+   * Sends of one append: with four of ten answers lost, all are in 2 of 100,000 cases. A store that
    * is silent is asked as often a second by the one owner, where it takes hundreds.
    */
-  private static final int MOST_SENDS = 8;
+  private static final int MOST_SENDS = 12;
 
   /** Longest time to the outcome, without that for the way of the bytes. */
   private static final Duration LIMIT = Duration.ofSeconds(1);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -1,7 +1,9 @@
 package org.fescuehook.logic.batch.store;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -14,9 +16,13 @@
 import org.fescuehook.logic.batch.BatchTurn;
 
 /**
- * Group commit: one append is under way at a time, and what changes meanwhile goes out together
- * with the next. A change is encoded when it is sent, so several changes of one key cost one
- * record.
+ * Group commit: what changes while an append is under way goes out together with the next. A change
+ * is encoded when it is sent, so several changes of one key cost one record.
+ *
+ * <p>While the store answers in time one append is under way. If it takes long, further ones go out
+ * beside, so that a change waits for the store once and not for the append before it as well. The
+ * store takes the sequences of an epoch in their order only: that one is stored means that all
+ * before it are, and one that came before its turn has done nothing.
  */
 public final class StateWriter {
 
@@ -29,16 +35,27 @@
    */
   private static final long PATIENCE_NANOS = Duration.ofMillis(700).toNanos();
 
+  /** Appends under way at most; the store repeats its answers to the last five of a writer. */
+  private static final int MOST_UNDER_WAY = 4;
+
+  /** Age of the newest append from which the next goes out beside it; ten of the usual 4 ms. */
+  private static final long BESIDE_NANOS = Duration.ofMillis(40).toNanos();
+
   /** Most bytes of one append; half of what the store takes, since values are measured alone. */
   private static final int MAX_APPEND_BYTES = 1 << 20;
 
   private final long epoch;
   private final Map<String, Change> waiting = new LinkedHashMap<>();
-  private Optional<Sent> sent = Optional.empty();
+
+  /** Appends that are not known as stored, in the order of their sequences. */
+  private final Deque<Sent> sent = new ArrayDeque<>();
+
   private long nextSequence;
+  private long lastTookNanos;
   private long pausedUntil;
   private OptionalLong troubleSince = OptionalLong.empty();
   private OptionalLong storedAt = OptionalLong.empty();
+  private OptionalLong committedAt = OptionalLong.empty();
 
   /** Creates a writer of an epoch that has not appended anything; time is that of the turn. */
   public StateWriter(long epoch, BatchTurn turn) {
@@ -80,9 +97,7 @@
    * way. What is known in memory alone is lost with this owner, so nothing may be confirmed by it.
    */
   public void whenStored(String key, Runnable committed) {
-    Optional<Change> pending =
-        Optional.ofNullable(waiting.get(key))
-            .or(() -> sent.map(current -> current.changes.get(key)));
+    Optional<Change> pending = newestChange(key);
     if (pending.isEmpty()) {
       committed.run();
       return;
@@ -90,31 +105,60 @@
     pending.get().committed.add(committed);
   }
 
-  /** Sends what waits if no append is under way, or repeats the one under way when it is time. */
+  private Optional<Change> newestChange(String key) {
+    if (waiting.containsKey(key)) {
+      return Optional.of(waiting.get(key));
+    }
+    Iterator<Sent> newestFirst = sent.descendingIterator();
+    while (newestFirst.hasNext()) {
+      Change change = newestFirst.next().changes.get(key);
+      if (change != null) {
+        return Optional.of(change);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Sends what waits if its turn has come, or repeats the oldest append when it is time. */
   public void flush(BatchTurn turn) {
     if (turn.nowNanos() - pausedUntil < 0) {
       return;
     }
-    if (sent.isPresent()) {
-      repeatIfDue(sent.get(), turn);
+    if (!sent.isEmpty() && !sent.getFirst().underWay.present(turn)) {
+      repeat(sent.getFirst(), turn);
       return;
     }
-    if (waiting.isEmpty()) {
-      return;
+    if (!waiting.isEmpty() && (sent.isEmpty() || mayGoBeside(turn))) {
+      sendNext(turn);
+    }
+  }
+
+  /**
+   * Tells whether an append may go out beside those under way. Not before one of the epoch is
+   * stored, as an epoch may begin at any sequence, and not after one that has to be repeated.
+   */
+  private boolean mayGoBeside(BatchTurn turn) {
+    boolean steady = storedAt.isPresent() && troubleSince.isEmpty();
+    if (!steady || sent.size() == MOST_UNDER_WAY) {
+      return false;
     }
+    long apart = Math.max(BESIDE_NANOS, lastTookNanos / MOST_UNDER_WAY);
+    boolean allUnderWay = sent.stream().allMatch(one -> one.underWay.present(turn));
+    return allUnderWay && turn.nowNanos() - sent.getLast().since >= apart;
+  }
+
+  private void sendNext(BatchTurn turn) {
     Sent next = new Sent(new WriterPosition(epoch, nextSequence), turn.nowNanos());
+    nextSequence++;
     fill(next);
-    sent = Optional.of(next);
+    sent.addLast(next);
     send(next, turn);
   }
 
-  private void repeatIfDue(Sent current, BatchTurn turn) {
-    if (current.underWay.present(turn)) {
-      return;
-    }
+  private void repeat(Sent oldest, BatchTurn turn) {
     // It may have been taken if its outcome was lost.
-    current.certain = current.certain && !current.unanswered;
-    send(current, turn);
+    oldest.certain = oldest.certain && !oldest.unanswered;
+    send(oldest, turn);
   }
 
   /** Tells whether nothing waits and nothing is on its way. */
@@ -142,13 +186,19 @@
 
   /** Tells whether the store has taken nothing for a while although asked. */
   public boolean storeAway(BatchTurn turn) {
-    boolean unanswered =
-        sent.filter(current -> turn.nowNanos() - current.since > PATIENCE_NANOS).isPresent();
+    boolean unanswered = !sent.isEmpty() && waitedNanos(turn) > PATIENCE_NANOS;
     boolean refusing =
         troubleSince.isPresent() && turn.nowNanos() - troubleSince.getAsLong() > PATIENCE_NANOS;
     return unanswered || refusing;
   }
 
+  /** Returns how long the oldest append has been the one that all others wait for. */
+  private long waitedNanos(BatchTurn turn) {
+    long since = sent.getFirst().since;
+    boolean behindAnother = committedAt.isPresent() && committedAt.getAsLong() - since > 0;
+    return turn.nowNanos() - (behindAnother ? committedAt.getAsLong() : since);
+  }
+
   /**
    * Returns since when the store has taken nothing although asked, monotonic time; absent if it
    * takes.
@@ -167,18 +217,21 @@
 
   /** Takes the outcome of an append; false if ownership is lost by it. */
   public boolean answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
-    if (sent.filter(current -> current.position.equals(position)).isEmpty()) {
+    Optional<Sent> found =
+        sent.stream().filter(current -> current.position.equals(position)).findFirst();
+    if (found.isEmpty()) {
       return true;
     }
-    Sent current = sent.get();
+    Sent current = found.get();
     current.outcomeCame();
     return switch (outcome) {
       case AppendOutcome.Stored stored -> {
-        commit(current);
+        commitUpTo(current, turn);
         yield true;
       }
       case AppendOutcome.Refused refused -> {
-        refused(current, turn);
+        pause(turn);
+        takeBack();
         yield true;
       }
       case AppendOutcome.Unanswered unanswered -> {
@@ -186,22 +239,30 @@
         pause(turn);
         yield true;
       }
+      case AppendOutcome.OutOfSequence(long expected) -> cameBeforeItsTurn(current, expected, turn);
       case AppendOutcome.Fenced fenced -> false;
       case AppendOutcome.Conflict conflict -> false;
-      case AppendOutcome.OutOfSequence expected -> false;
     };
   }
 
+  /** One that overtook another did nothing and goes out again; else the epoch is another's. */
+  private boolean cameBeforeItsTurn(Sent current, long expected, BatchTurn turn) {
+    boolean overtook = storedAt.isPresent() && expected < current.position.sequence();
+    if (overtook && current == sent.getFirst()) {
+      pause(turn);
+    }
+    return overtook;
+  }
+
   /** Gives up everything that is not known as stored; ownership is lost. */
   public void close() {
     waiting.values().forEach(change -> change.lose(CommitLoss.NOT_STORED));
     waiting.clear();
-    if (sent.isPresent()) {
-      boolean notStored = sent.get().certain && !sent.get().unanswered;
-      CommitLoss loss = notStored ? CommitLoss.NOT_STORED : CommitLoss.UNKNOWN;
-      sent.get().changes.values().forEach(change -> change.lose(loss));
+    for (Sent current : sent) {
+      CommitLoss loss = current.surelyNotStored() ? CommitLoss.NOT_STORED : CommitLoss.UNKNOWN;
+      current.changes.values().forEach(change -> change.lose(loss));
     }
-    sent = Optional.empty();
+    sent.clear();
   }
 
   private void fill(Sent next) {
@@ -229,24 +290,32 @@
             StreamName.STATE, current.position, OptionalLong.empty(), current.records));
   }
 
-  private void commit(Sent current) {
+  /** What one stores, all before it have stored too. */
+  private void commitUpTo(Sent last, BatchTurn turn) {
     troubleSince = OptionalLong.empty();
-    storedAt = OptionalLong.of(current.sentAt);
-    nextSequence++;
-    sent = Optional.empty();
-    current.changes.values().forEach(change -> change.committed.forEach(Runnable::run));
+    storedAt = OptionalLong.of(last.sentAt);
+    committedAt = OptionalLong.of(turn.nowNanos());
+    lastTookNanos = turn.nowNanos() - last.sentAt;
+    boolean more = true;
+    while (more) {
+      Sent stored = sent.removeFirst();
+      more = stored != last;
+      stored.changes.values().forEach(change -> change.committed.forEach(Runnable::run));
+    }
   }
 
-  /** Nothing was done; what was refused each time goes back to what waits. */
-  private void refused(Sent current, BatchTurn turn) {
-    pause(turn);
-    if (!current.certain) {
+  /** What the store surely has nothing of goes back to what waits, all of it or nothing. */
+  private void takeBack() {
+    if (!sent.stream().allMatch(Sent::surelyNotStored)) {
       return;
     }
-    sent = Optional.empty();
     Map<String, Change> newer = new LinkedHashMap<>(waiting);
     waiting.clear();
-    waiting.putAll(current.changes);
+    nextSequence = sent.getFirst().position.sequence();
+    for (Sent refused : sent) {
+      refused.changes.forEach((key, change) -> waiting.merge(key, change, Change::followedBy));
+    }
+    sent.clear();
     newer.forEach((key, change) -> waiting.merge(key, change, Change::followedBy));
   }
 
@@ -296,6 +365,10 @@
       this.since = since;
     }
 
+    boolean surelyNotStored() {
+      return certain && !unanswered;
+    }
+
     void outcomeCame() {
       underWay.end();
       unanswered = false;
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
@@ -27,7 +27,7 @@
   private static final Logger LOGGER = LoggerFactory.getLogger(StreamAppender.class);
 
   /** Two appends with all their sends; more than one is under way only around a take-over. */
-  private static final int MOST_CONNECTIONS = 16;
+  private static final int MOST_CONNECTIONS = 24;
 
   private final EventLoop loop;
   private final InetSocketAddress address;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/store/StateWriterTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/store/StateWriterTest.java
@@ -105,4 +105,107 @@
     writer.close();
     assertEquals(List.of("sent UNKNOWN"), events);
   }
+
+  /** Stores one append, after which others may go out beside each other. */
+  private void storeFirst() {
+    put("first");
+    writer.flush(at(0));
+    writer.answered(position(0), new AppendOutcome.Stored(0), at(700));
+    events.clear();
+  }
+
+  private int appendsOf(BatchTurn turn) {
+    writer.flush(turn);
+    return turn.commands().size();
+  }
+
+  /** Pattern: the store takes 0.7 s for each append; a change waited for two of them, 1.05 s. */
+  @Test
+  void aChangeDoesNotWaitForASlowAppendBeforeIt() {
+    storeFirst();
+    put("a");
+    assertEquals(1, appendsOf(at(1000)));
+    put("b");
+    assertEquals(0, appendsOf(at(1100)));
+    assertEquals(1, appendsOf(at(1180)));
+    writer.answered(position(1), new AppendOutcome.Stored(1), at(1700));
+    assertEquals(List.of("a stored"), events);
+    writer.answered(position(2), new AppendOutcome.Stored(2), at(1880));
+    assertEquals(List.of("a stored", "b stored"), events);
+    assertTrue(writer.idle());
+  }
+
+  /** An epoch may begin at any sequence: what came first would shut the one before it out. */
+  @Test
+  void nothingGoesBesideTheFirstAppendOfAnEpoch() {
+    put("a");
+    writer.flush(at(0));
+    put("b");
+    assertEquals(0, appendsOf(at(900)));
+  }
+
+  @Test
+  void whatIsStoredShowsThatAllBeforeItIs() {
+    storeFirst();
+    put("a");
+    writer.flush(at(1000));
+    put("b");
+    writer.flush(at(1200));
+    writer.answered(position(2), new AppendOutcome.Stored(2), at(1300));
+    assertEquals(List.of("a stored", "b stored"), events);
+    writer.answered(position(1), new AppendOutcome.Unanswered("timeout"), at(2000));
+    assertTrue(writer.idle());
+  }
+
+  @Test
+  void anAppendThatOvertookTheOneBeforeGoesOutAgainAfterIt() {
+    storeFirst();
+    put("a");
+    writer.flush(at(1000));
+    put("b");
+    writer.flush(at(1200));
+    assertTrue(writer.answered(position(2), new AppendOutcome.OutOfSequence(1), at(1210)));
+    assertEquals(0, appendsOf(at(1400)));
+    writer.answered(position(1), new AppendOutcome.Stored(1), at(1700));
+    assertEquals(1, appendsOf(at(1701)));
+    writer.answered(position(2), new AppendOutcome.Stored(2), at(2400));
+    assertEquals(List.of("a stored", "b stored"), events);
+  }
+
+  @Test
+  void aSequenceThatTheStoreIsPastMeansThatTheEpochIsAnothers() {
+    storeFirst();
+    put("a");
+    writer.flush(at(1000));
+    assertFalse(writer.answered(position(1), new AppendOutcome.OutOfSequence(5), at(1010)));
+  }
+
+  @Test
+  void whatTheStoreRefusedOfSeveralIsGivenUpOnlyIfNothingOfThemMayBeStored() {
+    storeFirst();
+    putRefusable("a", 1000);
+    writer.flush(at(1000));
+    putRefusable("b", 1200);
+    writer.flush(at(1200));
+    writer.answered(position(1), new AppendOutcome.Unanswered("timeout"), at(1300));
+    writer.answered(position(2), new AppendOutcome.Refused("503"), at(1300));
+    writer.expire(at(9000));
+    assertEquals(List.of(), events);
+    writer.close();
+    assertEquals(List.of("a UNKNOWN", "b NOT_STORED"), events);
+  }
+
+  @Test
+  void whatTheStoreRefusedOfSeveralGoesOutTogetherAgain() {
+    storeFirst();
+    putRefusable("a", 1000);
+    writer.flush(at(1000));
+    putRefusable("b", 1200);
+    writer.flush(at(1200));
+    writer.answered(position(2), new AppendOutcome.Refused("503"), at(1300));
+    writer.answered(position(1), new AppendOutcome.Refused("503"), at(1300));
+    assertEquals(1, appendsOf(at(1400)));
+    writer.answered(position(1), new AppendOutcome.Stored(1), at(2100));
+    assertEquals(List.of("a stored", "b stored"), events);
+  }
 }
