--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -34,8 +34,8 @@
 
   /**
    * Longest time without a look at the clock: a doubt about the owner is told by an event, and what
-   * comes due meanwhile is late by this at most. On a VM that only stands by it saves 16 of 41
-   * wake-ups a second.
+   * comes due meanwhile is late by this at most. On a VM that only stands by, 20 wake-ups a second
+   * become 4.
    */
   private static final Duration LONGEST_IDLE = Duration.ofMillis(250);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/SlowStoreWatch.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/SlowStoreWatch.java
@@ -9,7 +9,9 @@
  */
 public final class SlowStoreWatch {
 
-  /** Half of the spare time of the shortest urgent jobs, which go through three appends. */
+  /**
+   * Three of them, which each job goes through, use up the spare time of the shortest urgent jobs.
+   */
   private static final Duration SLOW = Duration.ofMillis(150);
 
   /** Some ten times the usual answer of 4 ms. */
