--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
@@ -26,7 +26,7 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(StreamAppender.class);
 
-  /** Two appends with all their sends; more than one is under way only around a take-over. */
+  /** Two appends with all their sends; of the four that a slow store has, few are sent again. */
   private static final int MOST_CONNECTIONS = 24;
 
   private final EventLoop loop;
