--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
@@ -32,6 +32,21 @@
     RELEASE
   }
 
+  /** Incarnation of an owner that a peer told of. */
+  private static final String UNKNOWN = "";
+
+  /** Returns what a peer's word for an owner says, as if it had been read at an offset. */
+  static OwnerRecord ofPeersWord(OwnerHint hint, long offset) {
+    return new OwnerRecord(
+        Kind.HEARTBEAT,
+        hint.vm(),
+        UNKNOWN,
+        hint.address(),
+        hint.epoch(),
+        offset,
+        ProcessingPower.UNKNOWN);
+  }
+
   /** Tells whether this VM wrote it in this start. */
   public boolean by(VmId otherVm, String otherIncarnation) {
     return vm.equals(otherVm) && incarnation.equals(otherIncarnation);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -49,12 +49,6 @@
    */
   private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
 
-  /**
-   * A VM with this many times the processing power of the owner takes over from it. The owner's
-   * work does not shrink with its VM, and on VMs of a third of a core decisions came seconds late.
-   */
-  private static final double MUCH_STRONGER = 1.5;
-
   /**
    * How long a much weaker VM than the former owner leaves the claim to others of its kind, if
    * there are any; they read of a silence within some 0.4 s of each other.
@@ -73,11 +67,6 @@
   /** Offset of what a peer told before any record was read. */
   private static final long BEFORE_FIRST = -1;
 
-  /** Incarnation of an owner that a peer told of. */
-  private static final String UNKNOWN = "";
-
-  private static final int UNKNOWN_POWER = 0;
-
   private final OwnerIdentity self;
 
   /**
@@ -193,11 +182,7 @@
       return;
     }
     long offset = newest.map(OwnerRecord::offset).orElse(BEFORE_FIRST);
-    OwnerRecord.Kind kind = OwnerRecord.Kind.HEARTBEAT;
-    newest =
-        Optional.of(
-            new OwnerRecord(
-                kind, hint.vm(), UNKNOWN, hint.address(), hint.epoch(), offset, UNKNOWN_POWER));
+    newest = Optional.of(OwnerRecord.ofPeersWord(hint, offset));
     quietSince = turn.nowNanos();
     doubtedAt = OptionalLong.empty();
     turn.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
@@ -237,10 +222,9 @@
    */
   public Duration calmFor(long nowNanos) {
     boolean another =
-        newest
-            .filter(owner -> owner.kind() != OwnerRecord.Kind.RELEASE)
+        owner()
             .filter(owner -> !owner.vm().equals(self.vm()))
-            .filter(owner -> !muchStronger(self.milliCores(), owner.milliCores()))
+            .filter(owner -> !ProcessingPower.muchStronger(self.milliCores(), owner.milliCores()))
             .isPresent();
     if (epoch.isPresent() || !another) {
       return Duration.ZERO;
@@ -257,12 +241,13 @@
     boolean formerStart = owner.vm().equals(self.vm()) && !bySelf(owner);
     boolean yielded =
         yieldedAt.isPresent() && turn.nowNanos() - yieldedAt.getAsLong() < YIELD_NANOS;
-    boolean displaces = readable && muchStronger(self.milliCores(), owner.milliCores());
+    boolean displaces =
+        readable && ProcessingPower.muchStronger(self.milliCores(), owner.milliCores());
     if (formerStart || (displaces && !yielded)) {
       return true;
     }
     boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
-    boolean weaker = muchStronger(owner.milliCores(), self.milliCores());
+    boolean weaker = ProcessingPower.muchStronger(owner.milliCores(), self.milliCores());
     long patience =
         (released ? 0 : patienceNanos(turn))
             + (weaker ? WEAKER_WAIT_NANOS : 0)
@@ -270,11 +255,6 @@
     return patience == 0 || turn.nowNanos() - quietSince > patience;
   }
 
-  /** Tells whether one VM has much more power than another; no if one is not known. */
-  private static boolean muchStronger(int milliCores, int otherMilliCores) {
-    return otherMilliCores > UNKNOWN_POWER && milliCores >= otherMilliCores * MUCH_STRONGER;
-  }
-
   private long patienceNanos(BatchTurn turn) {
     boolean doubted =
         doubtedAt.isPresent() && turn.nowNanos() - doubtedAt.getAsLong() < DOUBT_NANOS;
