Test that fails: no owner decides after all VMs come back to a slow store

Callers' questions about accepted jobs had no answer for 14 s and more. A new owner begins by raising the epoch of the jobs' stream; that append needs 1.8 s in a store of 0.9 s an answer and is given up after 1 s, for ever.

The test cluster answered an append also after the limit of its send had passed, so no test could see it; it now gives up at the limit, as connections do. SlowStoreTest, LossyStoreTest and TakeoversInARowTest pass unchanged. SlowReturnTest: "not within 14000 ms: an owner".

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterAppends.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterAppends.java
@@ -70,8 +70,9 @@
       boolean lost = cluster.random.nextDouble() < cluster.faults.lostAnswers;
       boolean late = lost && cluster.random.nextBoolean();
       long delay = late ? 1000 + cluster.random.nextInt(4000) : cluster.faults.storeDelay;
-      cluster.in(delay, () -> arrive(lost ? outcome -> {} : sink));
-      if (lost) {
+      boolean unanswered = lost || delay > limit.toMillis();
+      cluster.in(delay, () -> arrive(unanswered ? outcome -> {} : sink));
+      if (unanswered) {
         cluster.in(limit.toMillis(), () -> sink.accept(new AppendOutcome.Unanswered("timeout")));
       }
       return Optional.of(() -> {});
