A read is waited for as long as the store may be just slow

Cause: a read had 0.7 s beside its wait, and each try closed the connection on which the answer was on its way; the next try met the same store.

Change: RepeatedRead asks again while the answer is late, beside the first ask, which stays under way, and takes the first answer. What is late is estimated from the answers to all reads of the VM (RFC 6298), 0.7 s at least as before. A repeat asks for what there is now, so a store that was silent is found back within 0.7 s in place of 1.9 s. A page that comes steadily is not asked for again, as before. HttpClientConnection loses its limit between parts, which nobody else used.

SlowPageTest makes its read through StoreReader now and also fails if a steady page counts as late. All 675 tests pass.

--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -27,6 +27,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -46,8 +47,13 @@
   private Optional<Channel> channel = Optional.empty();
   private Optional<Exchange> current = Optional.empty();
 
-  /** When the request under way was begun, or when the last part of its answer came. */
-  private long heardAt;
+  /** When the last request was begun. */
+  private long begunAt;
+
+  /** When parts of the answer to it came; absent if none has. */
+  private OptionalLong firstPartAt = OptionalLong.empty();
+
+  private long lastPartAt;
 
   /** Creates a connection that is opened by the first request. */
   public HttpClientConnection(EventLoop loop, InetSocketAddress peer, Duration connectTimeout) {
@@ -63,21 +69,19 @@
    * @param sink called once, on the event loop
    */
   public void send(HttpCall call, Duration timeout, Consumer<HttpResult> sink) {
-    sendForLargeAnswer(call, timeout, timeout, sink);
+    loop.execute(() -> start(new Exchange(call, sink), timeout));
   }
 
-  /**
-   * Sends a request whose answer may come slowly over a thin link. No other request may be under
-   * way.
-   *
-   * @param pause longest time from now to the first part of the answer, and from each part to the
-   *     next
-   * @param longest longest time from now to the whole answer
-   * @param sink called once, on the event loop
-   */
-  public void sendForLargeAnswer(
-      HttpCall call, Duration pause, Duration longest, Consumer<HttpResult> sink) {
-    loop.execute(() -> start(new Exchange(call, sink), new Patience(pause, longest)));
+  /** Tells whether a part of the answer under way has come within a time until now. */
+  public boolean heardWithin(Duration time) {
+    return current.isPresent()
+        && firstPartAt.isPresent()
+        && System.nanoTime() - lastPartAt <= time.toNanos();
+  }
+
+  /** Returns how long the first part of the last answer took; zero if none has come. */
+  public long firstPartNanos() {
+    return firstPartAt.isPresent() ? firstPartAt.getAsLong() - begunAt : 0;
   }
 
   /** Closes the connection, also one that is being opened; a request under way fails. */
@@ -89,15 +93,19 @@
         });
   }
 
-  private void start(Exchange exchange, Patience patience) {
+  private void start(Exchange exchange, Duration timeout) {
     if (current.isPresent()) {
       exchange.sink.accept(
           new HttpResult.Failed(new IllegalStateException("a request is under way"), false));
       return;
     }
     current = Optional.of(exchange);
-    heardAt = System.nanoTime();
-    awaitNextPart(exchange, patience, heardAt, patience.pause().toNanos());
+    begunAt = System.nanoTime();
+    firstPartAt = OptionalLong.empty();
+    exchange.deadline =
+        Optional.of(
+            loop.schedule(
+                () -> timedOut(exchange, timeout), timeout.toNanos(), TimeUnit.NANOSECONDS));
     if (channel.isPresent() && channel.get().isActive()) {
       write(exchange, channel.get());
       return;
@@ -105,23 +113,8 @@
     open().addListener((ChannelFuture opened) -> connected(exchange, opened));
   }
 
-  private void awaitNextPart(Exchange exchange, Patience patience, long since, long nanos) {
-    exchange.deadline =
-        Optional.of(
-            loop.schedule(
-                () -> checkProgress(exchange, patience, since), nanos, TimeUnit.NANOSECONDS));
-  }
-
-  private void checkProgress(Exchange exchange, Patience patience, long since) {
-    long now = System.nanoTime();
-    long pauseLeft = patience.pause().toNanos() - (now - heardAt);
-    long left = Math.min(pauseLeft, patience.longest().toNanos() - (now - since));
-    if (left <= 0) {
-      String late = "no answer within " + Duration.ofNanos(now - since).toMillis() + " ms";
-      fail(exchange, new TimeoutException(late));
-      return;
-    }
-    awaitNextPart(exchange, patience, since, left);
+  private void timedOut(Exchange exchange, Duration timeout) {
+    fail(exchange, new TimeoutException("no answer within " + timeout.toMillis() + " ms"));
   }
 
   private ChannelFuture open() {
@@ -210,14 +203,6 @@
     current.ifPresent(exchange -> fail(exchange, cause));
   }
 
-  /**
-   * How long an answer is waited for.
-   *
-   * @param pause longest time between two parts of it
-   * @param longest longest time to the whole of it
-   */
-  private record Patience(Duration pause, Duration longest) {}
-
   /** One request and where its result goes. */
   private static final class Exchange {
     private final HttpCall call;
@@ -252,7 +237,8 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object part) {
       if (channel.filter(context.channel()::equals).isPresent()) {
-        heardAt = System.nanoTime();
+        lastPartAt = System.nanoTime();
+        firstPartAt = firstPartAt.isPresent() ? firstPartAt : OptionalLong.of(lastPartAt);
       }
       context.fireChannelRead(part);
     }
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.BatchEvent;
 import org.fescuehook.logic.batch.ownership.OwnerCodec;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
+import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StreamName;
@@ -44,7 +45,7 @@
   private final Consumer<BatchEvent> events;
   private final Consumer<RouteTable> routes;
   private final Map<StreamName, StreamAppender> writers = new EnumMap<>(StreamName.class);
-  private final StoreClient loader;
+  private final StoreReader loader;
   private final StreamFollower ownership;
   private final StreamFollower configuration;
   private final StreamFollower executors;
@@ -67,14 +68,17 @@
     for (StreamName stream : StreamName.values()) {
       writers.put(stream, new StreamAppender(loop, address, Topic.of(stream)));
     }
-    this.loader = new StoreClient(loop, address);
+    AnswerTimes reads = new AnswerTimes(RepeatedRead.NEVER_LATE);
+    this.loader = new StoreReader(loop, address, reads);
     this.ownership =
-        new StreamFollower(loop, address, Topic.OWNERSHIP, OWNERSHIP_PACE, new OwnershipListener());
+        new StreamFollower(
+            loop, address, reads, Topic.OWNERSHIP, OWNERSHIP_PACE, new OwnershipListener());
     this.configuration =
         new StreamFollower(
-            loop, address, Topic.OPERATORS, CONFIGURATION_PACE, new ConfigurationListener());
+            loop, address, reads, Topic.OPERATORS, CONFIGURATION_PACE, new ConfigurationListener());
     this.executors =
-        new StreamFollower(loop, address, Topic.EXECUTORS, EXECUTORS_PACE, new ExecutorsListener());
+        new StreamFollower(
+            loop, address, reads, Topic.EXECUTORS, EXECUTORS_PACE, new ExecutorsListener());
   }
 
   /** Begins to follow the configuration and the owner. */
@@ -125,10 +129,27 @@
 
   /** Reads a page of the jobs' stream. */
   public void loadState(BatchCommand.LoadState load) {
-    loop.execute(
-        () ->
-            loader.newest(
-                Topic.STATE, load.afterKey(), outcome -> stateRead(load.epoch(), outcome)));
+    loop.execute(() -> loader.newest(Topic.STATE, load.afterKey(), new Loading(load.epoch())));
+  }
+
+  /** A page of the jobs' stream under way. */
+  private final class Loading implements RepeatedRead.Listener {
+    private final long epoch;
+
+    Loading(long epoch) {
+      this.epoch = epoch;
+    }
+
+    @Override
+    public void late(Duration time) {
+      String late = "late after " + time.toMillis() + " ms, asked again";
+      EventLog.warn(LOGGER, PlatformEvent.STREAM_LOST, Topic.STATE, "load", late);
+    }
+
+    @Override
+    public void ended(ReadOutcome outcome) {
+      stateRead(epoch, outcome);
+    }
   }
 
   private void stateRead(long epoch, ReadOutcome outcome) {
--- a/fescuehook/src/main/java/org/fescuehook/platform/StoreClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StoreClient.java
@@ -27,12 +27,6 @@
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-  /** Added to the wait that a read asks for. */
-  private static final Duration READ_SLACK = Duration.ofMillis(700);
-
-  /** Longest time to a whole page: 1 MB takes 1.2 s at 7 Mbit/s, and several pages may share it. */
-  private static final Duration LONGEST_PAGE = Duration.ofSeconds(10);
-
   private static final String PRODUCER = "fescuehook";
   private static final String RAW = "application/octet-stream";
 
@@ -49,6 +43,16 @@
     connection.close();
   }
 
+  /** Tells whether a part of the answer under way has come within a time until now. */
+  boolean heardWithin(Duration time) {
+    return connection.heardWithin(time);
+  }
+
+  /** Returns how long the first part of the last answer took; zero if none has come. */
+  long firstPartNanos() {
+    return connection.firstPartNanos();
+  }
+
   /** Appends framed records; the whole answer may take up to a limit. */
   void append(
       Topic topic,
@@ -104,12 +108,12 @@
     return new AppendOutcome.OutOfSequence(body.path("sequence").asLong());
   }
 
-  /** Reads records from an offset on; waits up to a time for the first one. */
-  void read(Topic topic, long from, Duration wait, Consumer<ReadOutcome> sink) {
+  /** Reads records from an offset on; the store waits up to a time for the first one. */
+  void read(Topic topic, long from, Duration wait, Duration limit, Consumer<ReadOutcome> sink) {
     String target =
         "/-/log-read?" + partition(topic) + "&startKey=" + from + "&waitMs=" + wait.toMillis();
     HttpCall call = HttpCall.without(HttpMethod.GET, target);
-    connection.send(call, wait.plus(READ_SLACK), result -> sink.accept(read(result, from)));
+    connection.send(call, limit, result -> sink.accept(read(result, from)));
   }
 
   private static ReadOutcome read(HttpResult result, long from) {
@@ -135,13 +139,12 @@
   }
 
   /** Reads a page of the newest record of each key, after a key or from the start. */
-  void newest(Topic topic, Optional<String> afterKey, Consumer<ReadOutcome> sink) {
+  void newest(Topic topic, Optional<String> afterKey, Duration limit, Consumer<ReadOutcome> sink) {
     StringBuilder target = new StringBuilder("/-/log-newest?").append(partition(topic));
     // The store takes the key that a page continues after under this name.
     afterKey.ifPresent(key -> target.append("&dependsOn=").append(encode(key)));
     HttpCall call = HttpCall.without(HttpMethod.GET, target.toString());
-    connection.sendForLargeAnswer(
-        call, READ_SLACK, LONGEST_PAGE, result -> sink.accept(newest(result)));
+    connection.send(call, limit, result -> sink.accept(newest(result)));
   }
 
   private static ReadOutcome newest(HttpResult result) {
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StoreReader.java
@@ -0,0 +1,137 @@
+package org.fescuehook.platform;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.logic.batch.store.AnswerTimes;
+
+/**
+ * Reads the store, one read at a time. While the store answers in time it uses one connection. All
+ * calls are made on its event loop.
+ */
+final class StoreReader {
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final AnswerTimes times;
+  private final Deque<StoreClient> idle = new ArrayDeque<>();
+  private Optional<RepeatedRead> underWay = Optional.empty();
+
+  /**
+   * Creates a reader without a connection.
+   *
+   * @param times what is known of the store's answers to reads, of all readers of this VM
+   */
+  StoreReader(EventLoop loop, InetSocketAddress address, AnswerTimes times) {
+    this.loop = loop;
+    this.address = address;
+    this.times = times;
+  }
+
+  /** Reads a page of the newest record of each key, after a key or from the start. */
+  void newest(Topic topic, Optional<String> afterKey, RepeatedRead.Listener listener) {
+    begin(
+        Duration.ZERO,
+        listener,
+        (client, wait, limit, sink) -> client.newest(topic, afterKey, limit, sink));
+  }
+
+  /** Reads records from an offset on; waits up to a time for the first one. */
+  void read(Topic topic, long from, Duration wait, RepeatedRead.Listener listener) {
+    begin(
+        wait,
+        listener,
+        (client, asked, limit, sink) -> client.read(topic, from, asked, limit, sink));
+  }
+
+  /** Ends the read under way without an outcome, and closes the connections. */
+  void close() {
+    underWay.ifPresent(RepeatedRead::cancel);
+    idle.forEach(StoreClient::close);
+    idle.clear();
+  }
+
+  private void begin(Duration wait, RepeatedRead.Listener listener, Request request) {
+    underWay.ifPresent(RepeatedRead::cancel);
+    underWay = Optional.of(RepeatedRead.begin(new ReadLink(request), times, wait, listener));
+  }
+
+  /** What is asked of the store. */
+  private interface Request {
+    void send(StoreClient client, Duration wait, Duration limit, Consumer<ReadOutcome> sink);
+  }
+
+  private final class ReadLink implements RepeatedRead.Link {
+    private final Request request;
+
+    ReadLink(Request request) {
+      this.request = request;
+    }
+
+    @Override
+    public long nowNanos() {
+      return System.nanoTime();
+    }
+
+    @Override
+    public Asking ask(Duration wait, Duration limit, Consumer<ReadOutcome> sink) {
+      // The connection that was used last is surely open.
+      StoreClient client = idle.isEmpty() ? new StoreClient(loop, address) : idle.removeLast();
+      Exchange exchange = new Exchange(client);
+      request.send(
+          client,
+          wait,
+          limit,
+          outcome -> {
+            exchange.end();
+            sink.accept(outcome);
+          });
+      return exchange;
+    }
+
+    @Override
+    public void after(Duration delay, Runnable action) {
+      loop.schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** One ask over a connection, which is used again if its answer came. */
+  private final class Exchange implements RepeatedRead.Link.Asking {
+    private final StoreClient client;
+    private boolean over;
+
+    Exchange(StoreClient client) {
+      this.client = client;
+    }
+
+    void end() {
+      if (!over) {
+        over = true;
+        idle.addLast(client);
+      }
+    }
+
+    @Override
+    public boolean heardWithin(Duration time) {
+      return client.heardWithin(time);
+    }
+
+    @Override
+    public long firstPartNanos() {
+      return client.firstPartNanos();
+    }
+
+    @Override
+    public void giveUp() {
+      if (!over) {
+        over = true;
+        client.close();
+      }
+    }
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.fescuehook.logic.event.EventLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,10 +26,10 @@
 
   private final EventLoop loop;
   private final InetSocketAddress address;
+  private final StoreReader store;
   private final Topic topic;
   private final Pace pace;
   private final Listener listener;
-  private StoreClient store;
   private List<StreamRecord> pages = new ArrayList<>();
   private boolean begun;
   private long next;
@@ -54,15 +55,25 @@
     /** The records that have come since; none if a read waited in vain. */
     void records(List<StreamRecord> records, long end);
 
-    /** A read failed. */
+    /** A read failed, or its answer is late. */
     void failed();
   }
 
+  /**
+   * Creates a follower that does not run.
+   *
+   * @param times what is known of the store's answers to reads, of all readers of this VM
+   */
   StreamFollower(
-      EventLoop loop, InetSocketAddress address, Topic topic, Pace pace, Listener listener) {
+      EventLoop loop,
+      InetSocketAddress address,
+      AnswerTimes times,
+      Topic topic,
+      Pace pace,
+      Listener listener) {
     this.loop = loop;
     this.address = address;
-    this.store = new StoreClient(loop, address);
+    this.store = new StoreReader(loop, address, times);
     this.topic = topic;
     this.pace = pace;
     this.listener = listener;
@@ -76,7 +87,6 @@
             running = true;
             generation++;
             begun = false;
-            store = new StoreClient(loop, address);
             pages = new ArrayList<>();
             readNewest(Optional.empty(), generation);
           }
@@ -94,11 +104,11 @@
   }
 
   private void readNewest(Optional<String> afterKey, long asked) {
-    store.newest(topic, afterKey, outcome -> took(outcome, asked));
+    store.newest(topic, afterKey, new Reading(asked));
   }
 
   private void readOn(long asked) {
-    store.read(topic, next, pace.longestWait(), outcome -> took(outcome, asked));
+    store.read(topic, next, pace.longestWait(), new Reading(asked));
   }
 
   private void took(ReadOutcome outcome, long asked) {
@@ -197,4 +207,25 @@
     }
     listener.failed();
   }
+
+  /** One read under way. */
+  private final class Reading implements RepeatedRead.Listener {
+    private final long asked;
+
+    Reading(long asked) {
+      this.asked = asked;
+    }
+
+    @Override
+    public void late(Duration time) {
+      if (asked == generation) {
+        StreamFollower.this.failed("no answer within " + time.toMillis() + " ms, asked again");
+      }
+    }
+
+    @Override
+    public void ended(ReadOutcome outcome) {
+      took(outcome, asked);
+    }
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/platform/FaultyListenerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/FaultyListenerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.fescuehook.net.http.ScriptedServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -74,7 +75,14 @@
     Listener listener = new Listener();
     StreamFollower.Pace pace =
         new StreamFollower.Pace(Duration.ofMillis(100), Duration.ofMillis(10));
-    new StreamFollower(loops.next(), server.address(), Topic.OWNERSHIP, pace, listener).start();
+    new StreamFollower(
+            loops.next(),
+            server.address(),
+            new AnswerTimes(RepeatedRead.NEVER_LATE),
+            Topic.OWNERSHIP,
+            pace,
+            listener)
+        .start();
     assertNotNull(listener.told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), "nothing more was read");
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/platform/SlowAnswersTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/SlowAnswersTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.fescuehook.net.http.ScriptedServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -49,7 +50,13 @@
     BlockingQueue<Long> ends = new LinkedBlockingQueue<>();
     StreamFollower.Pace pace =
         new StreamFollower.Pace(Duration.ofMillis(100), Duration.ofMillis(10));
-    new StreamFollower(loops.next(), server.address(), Topic.OWNERSHIP, pace, new Listener(ends))
+    new StreamFollower(
+            loops.next(),
+            server.address(),
+            new AnswerTimes(RepeatedRead.NEVER_LATE),
+            Topic.OWNERSHIP,
+            pace,
+            new Listener(ends))
         .start();
     assertNotNull(ends.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), "the topic was not read");
   }
--- a/fescuehook/src/test/java/org/fescuehook/platform/SlowPageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/SlowPageTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -12,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executors;
@@ -19,6 +21,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fescuehook.logic.batch.store.AnswerTimes;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -85,8 +88,22 @@
     pieces.execute(this::answerSlowly);
     InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     BlockingQueue<ReadOutcome> outcomes = new LinkedBlockingQueue<>();
-    new StoreClient(loops.next(), address).newest(Topic.STATE, Optional.empty(), outcomes::add);
+    EventLoop loop = loops.next();
+    StoreReader reader = new StoreReader(loop, address, new AnswerTimes(RepeatedRead.NEVER_LATE));
+    loop.execute(() -> reader.newest(Topic.STATE, Optional.empty(), new Listener(outcomes)));
     ReadOutcome outcome = outcomes.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
     assertInstanceOf(ReadOutcome.Newest.class, outcome, String.valueOf(outcome));
   }
+
+  private record Listener(BlockingQueue<ReadOutcome> outcomes) implements RepeatedRead.Listener {
+    @Override
+    public void late(Duration time) {
+      outcomes.add(new ReadOutcome.Failed("late after " + time));
+    }
+
+    @Override
+    public void ended(ReadOutcome outcome) {
+      outcomes.add(outcome);
+    }
+  }
 }
