The first append of a VM takes the store's pace from its reads

Its reads have shown the pace by then. Until an answer to an append is seen, the estimate is twice that of reads. AnswerTimesTest holds it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.store;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * How long the store's answers take, estimated from those seen as TCP estimates its round trips
@@ -21,6 +22,7 @@
   private static final int DEVIATIONS = 4;
 
   private final Duration shortest;
+  private final Optional<AnswerTimes> simpler;
   private double smoothedNanos;
   private double deviationNanos;
   private boolean seen;
@@ -31,7 +33,23 @@
    * @param shortest time within which no answer counts as late, also of a store that is quick
    */
   public AnswerTimes(Duration shortest) {
+    this(shortest, Optional.empty());
+  }
+
+  /**
+   * Creates an estimate that has seen no answer, for calls that take up to twice as long as simpler
+   * ones: a store that is slow for those is not pressed by the first of these.
+   *
+   * @param shortest time within which no answer counts as late, also of a store that is quick
+   * @param simpler what is known of simpler calls, which counts until an answer is seen here
+   */
+  public AnswerTimes(Duration shortest, AnswerTimes simpler) {
+    this(shortest, Optional.of(simpler));
+  }
+
+  private AnswerTimes(Duration shortest, Optional<AnswerTimes> simpler) {
     this.shortest = shortest;
+    this.simpler = simpler;
   }
 
   /** Takes in how long the answer to one send took. */
@@ -51,7 +69,11 @@
 
   /** Returns the time after which an answer is late. */
   public Duration late() {
-    double nanos = smoothedNanos + DEVIATIONS * deviationNanos;
+    double nanos = seen ? estimateNanos() : 2 * simpler.map(AnswerTimes::estimateNanos).orElse(0.0);
     return Duration.ofNanos(Math.clamp(Math.round(nanos), shortest.toNanos(), LONGEST.toNanos()));
   }
+
+  private double estimateNanos() {
+    return smoothedNanos + DEVIATIONS * deviationNanos;
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -65,10 +65,10 @@
     this.loop = loop;
     this.events = events;
     this.routes = routes;
+    AnswerTimes reads = new AnswerTimes(RepeatedRead.NEVER_LATE);
     for (StreamName stream : StreamName.values()) {
-      writers.put(stream, new StreamAppender(loop, address, Topic.of(stream)));
+      writers.put(stream, new StreamAppender(loop, address, Topic.of(stream), reads));
     }
-    AnswerTimes reads = new AnswerTimes(RepeatedRead.NEVER_LATE);
     this.loader = new StoreReader(loop, address, reads);
     this.ownership =
         new StreamFollower(
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamAppender.java
@@ -32,16 +32,22 @@
   private final EventLoop loop;
   private final InetSocketAddress address;
   private final Topic topic;
-  private final AnswerTimes times = new AnswerTimes(RepeatedAppend.NEVER_LATE);
+  private final AnswerTimes times;
   private final Deque<StoreClient> idle = new ArrayDeque<>();
   private final SlowStoreWatch slowness = new SlowStoreWatch();
   private final LongAdder repeated = new LongAdder();
   private int busy;
 
-  StreamAppender(EventLoop loop, InetSocketAddress address, Topic topic) {
+  /**
+   * Creates an appender without a connection.
+   *
+   * @param reads what is known of the store's answers to reads; an append takes up to twice as long
+   */
+  StreamAppender(EventLoop loop, InetSocketAddress address, Topic topic, AnswerTimes reads) {
     this.loop = loop;
     this.address = address;
     this.topic = topic;
+    this.times = new AnswerTimes(RepeatedAppend.NEVER_LATE, reads);
   }
 
   /** Returns how many sends were repeats of an append whose answer was late. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/store/AnswerTimesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/store/AnswerTimesTest.java
@@ -42,4 +42,24 @@
     answered(USUAL, 60);
     assertEquals(Duration.ofMillis(60), times.late());
   }
+
+  /** Pattern: a VM has come back to a slow store, and its first append was sent 12 times. */
+  @Test
+  void whatReadsHaveShownOfASlowStoreCountsForTheFirstAppend() {
+    Duration append = SLOW.multipliedBy(2);
+    AnswerTimes appends = new AnswerTimes(RepeatedAppend.NEVER_LATE, times);
+    assertEquals(RepeatedAppend.NEVER_LATE, appends.late());
+    answered(SLOW, 3);
+    assertTrue(appends.late().compareTo(append) > 0, () -> "late after " + appends.late());
+    appends.answered(USUAL.toNanos());
+    assertEquals(RepeatedAppend.NEVER_LATE, appends.late());
+  }
+
+  @Test
+  void anAnswerSoonerThanUsualDoesNotMakeLaterOnesSeemLessLate() {
+    answered(SLOW, 20);
+    Duration before = times.late();
+    answered(USUAL, 1);
+    assertTrue(times.late().compareTo(before) <= 0, () -> before + " became " + times.late());
+  }
 }
