The test cluster's store answers reads of ownership in its time and takes appends one after another

Reads of ownership came at once however slow the store was, and any number of appends were worked on side by side, so tests saw neither the queue of an append nor the age of what a VM reads. A read now waits for a record up to 1 s and is answered after storeDelay; a stream works appendMillis on each append, in turn, refuses what would wait longer than 2 s, and answers after storeDelay. appendMillis is 0 unless a test sets it; SlowReturnTest sets both to 0.9 s, in place of 1.8 s for the answer.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -34,6 +34,12 @@
   private static final long STEP_MILLIS = 20;
   private static final long ANSWER_LIMIT_MILLIS = 1000;
 
+  /** Time between two reads of ownership, and how long each waits for a record. */
+  private static final long READ_PAUSE_MILLIS = 400;
+
+  private static final long READ_WAIT_MILLIS = 1000;
+  private static final long UNREAD = -1;
+
   private static final long WALL_START = 1_700_000_000_000L;
 
   final FakeStore store = new FakeStore();
@@ -180,7 +186,7 @@
     vms.put(id, vm);
     vm.deliver(new BatchEvent.ConfigurationRead(configuration));
     tick(vm);
-    readOwnership(vm);
+    readOwnership(vm, UNREAD, nowMillis);
     return vm;
   }
 
@@ -211,16 +217,25 @@
     return !faults.storeDown && !faults.cutFromStore.contains(vm.id);
   }
 
-  private void readOwnership(Vm vm) {
+  /** Reads the stream of ownership; the store answers once there is news, or after a while. */
+  private void readOwnership(Vm vm, long knownEnd, long until) {
     if (!vm.running) {
       return;
     }
-    if (!reachesStore(vm)) {
-      vm.deliver(new BatchEvent.OwnershipUnreadable());
-    } else if (!vm.frozen) {
-      vm.deliver(store.ownership());
+    long end = store.end(StreamName.OWNERSHIP);
+    if (reachesStore(vm) && end == knownEnd && nowMillis < until) {
+      in(STEP_MILLIS, () -> readOwnership(vm, knownEnd, until));
+      return;
+    }
+    BatchEvent read = reachesStore(vm) ? store.ownership() : new BatchEvent.OwnershipUnreadable();
+    in(faults.storeDelay, () -> ownershipRead(vm, read, end));
+  }
+
+  private void ownershipRead(Vm vm, BatchEvent read, long end) {
+    if (!vm.frozen) {
+      vm.deliver(read);
     }
-    in(400, () -> readOwnership(vm));
+    in(READ_PAUSE_MILLIS, () -> readOwnership(vm, end, nowMillis + READ_WAIT_MILLIS));
   }
 
   private void carryOut(Vm vm, BatchCommand command) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterAppends.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterAppends.java
@@ -1,10 +1,13 @@
 package org.fescuehook.logic.batch;
 
 import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.RepeatedAppend;
+import org.fescuehook.logic.batch.store.StreamName;
 
 /** The ways of appends between the VMs of a {@link BatchCluster} and its store. */
 final class ClusterAppends {
@@ -12,7 +15,14 @@
   /** Size of each append as far as its way is concerned, in bytes. */
   private static final int BYTES = 1000;
 
+  /** Work that a stream has before it beyond which it refuses an append. */
+  private static final long LONGEST_QUEUE_MILLIS = 2000;
+
   private final BatchCluster cluster;
+
+  /** Until when each stream works on the appends that it has, in milliseconds. */
+  private final Map<StreamName, Long> busyUntil = new EnumMap<>(StreamName.class);
+
   private int claims;
 
   ClusterAppends(BatchCluster cluster) {
@@ -69,19 +79,45 @@
     public Optional<Sending> send(Duration limit, Consumer<AppendOutcome> sink) {
       boolean lost = cluster.random.nextDouble() < cluster.faults.lostAnswers;
       boolean late = lost && cluster.random.nextBoolean();
-      long delay = late ? 1000 + cluster.random.nextInt(4000) : cluster.faults.storeDelay;
-      boolean unanswered = lost || delay > limit.toMillis();
-      cluster.in(delay, () -> arrive(unanswered ? outcome -> {} : sink));
-      if (unanswered) {
+      if (late) {
+        cluster.in(1000 + cluster.random.nextInt(4000), this::apply);
+      } else {
+        takeItsTurn(limit, lost ? outcome -> {} : sink);
+      }
+      if (lost) {
         cluster.in(limit.toMillis(), () -> sink.accept(new AppendOutcome.Unanswered("timeout")));
       }
       return Optional.of(() -> {});
     }
 
-    private void arrive(Consumer<AppendOutcome> sink) {
-      sink.accept(
-          cluster.store.append(
-              append.stream(), append.position(), append.expectedEnd(), append.records()));
+    private void takeItsTurn(Duration limit, Consumer<AppendOutcome> sink) {
+      long now = cluster.nowMillis();
+      long turn = Math.max(now, busyUntil.getOrDefault(append.stream(), now));
+      if (turn - now > LONGEST_QUEUE_MILLIS) {
+        answer(cluster.faults.storeDelay, limit, new AppendOutcome.Refused("status 503"), sink);
+        return;
+      }
+      long done = turn + cluster.faults.appendMillis;
+      busyUntil.put(append.stream(), done);
+      cluster.in(
+          done - now,
+          () -> {
+            Duration left = limit.minusMillis(done - now);
+            answer(cluster.faults.storeDelay, left, apply(), sink);
+          });
+    }
+
+    private void answer(
+        long millis, Duration limit, AppendOutcome outcome, Consumer<AppendOutcome> sink) {
+      boolean inTime = millis <= limit.toMillis();
+      cluster.in(
+          inTime ? millis : Math.max(0, limit.toMillis()),
+          () -> sink.accept(inTime ? outcome : new AppendOutcome.Unanswered("timeout")));
+    }
+
+    private AppendOutcome apply() {
+      return cluster.store.append(
+          append.stream(), append.position(), append.expectedEnd(), append.records());
     }
 
     @Override
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -15,7 +15,13 @@
   final Set<StreamName> streamsDown = new HashSet<>();
 
   double lostAnswers;
+
+  /** How long the store's answers take, in milliseconds; they do not wait for each other. */
   long storeDelay = 4;
+
+  /** How long a stream works on one append, in milliseconds; it takes them one after another. */
+  long appendMillis;
+
   final Set<VmId> cutFromStore = new HashSet<>();
 
   /** VMs that reach the store and cannot load the jobs, as pages come too slowly to them. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/SlowReturnTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SlowReturnTest.java
@@ -19,8 +19,8 @@
  */
 class SlowReturnTest {
 
-  /** Twice 0.9 s: an append's own time, and that of its answer. */
-  private static final long APPEND_MILLIS = 1800;
+  /** An append takes twice as long: its own time, and that of its answer. */
+  private static final long ANSWER_MILLIS = 900;
 
   private static final long DOWN_MILLIS = 1200;
 
@@ -36,7 +36,8 @@
     cluster.run(2000);
     assertInstanceOf(CallAnswer.Accepted.class, cluster.submissions.get(job));
 
-    cluster.faults.storeDelay = APPEND_MILLIS;
+    cluster.faults.storeDelay = ANSWER_MILLIS;
+    cluster.faults.appendMillis = ANSWER_MILLIS;
     List.copyOf(cluster.vms.keySet()).forEach((VmId vm) -> cluster.restart(vm, DOWN_MILLIS));
     cluster.run(DOWN_MILLIS);
     cluster.runUntil("an owner", ANSWERED_MILLIS, () -> cluster.owner().isPresent());
