Tests that fail: an owner in a slow store is replaced while it lives and refuses what it could take

Seen by callers: every submission refused as if the store were away while each answer takes 0.3 s and more, and with 0.9 s owners that replace each other while all live.

--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SlowTakeoverTest.java
@@ -0,0 +1,139 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Pattern: all VMs come back while each answer of the store takes 0.3 to 2 s, and an append twice
+ * that. Seen: owners that live replace each other, and the one that decides refuses every
+ * submission as if the store were away. Cause: the limits for the silence of an owner, for the age
+ * of the store's last word and for an append under way were fixed, below what such a store needs.
+ */
+class SlowTakeoverTest {
+
+  private static final long DOWN_MILLIS = 1200;
+  private static final long STEADY_MILLIS = 30_000;
+  private static final long BETWEEN_JOBS_MILLIS = 100;
+
+  /** Least silence before a claim, and how long a read waits for a record. */
+  private static final long SILENCE_MILLIS = 2000;
+
+  private static final long READ_MILLIS = 1400;
+
+  /** Callers wait about 3 s. */
+  private static final long CALLER_MILLIS = 2800;
+
+  /** What callers hear as a share; a store that takes what comes has no reason to refuse. */
+  private static final double SERVED = 0.98;
+
+  private final BatchCluster cluster = new BatchCluster(8, 20, 1);
+  private final Set<String> told = new HashSet<>();
+
+  private void comeBackTo(long answerMillis) {
+    cluster.awaitOwner();
+    cluster.run(2000);
+    cluster.faults.storeDelay = answerMillis;
+    cluster.faults.appendMillis = answerMillis;
+    List.copyOf(cluster.vms.keySet()).forEach((VmId vm) -> cluster.restart(vm, DOWN_MILLIS));
+    cluster.run(DOWN_MILLIS);
+  }
+
+  /**
+   * Returns how long a take-over may last: a first read; the silence, in which a heartbeat that
+   * waits for another append has to be heard of; the claim, the epoch of the jobs' stream and a
+   * page, the claim behind those of other VMs, of which the store lets 2 s wait.
+   */
+  private static long takeoverMillis(long answer) {
+    long append = 2 * answer;
+    long silence = Math.max(SILENCE_MILLIS, append + append + answer + READ_MILLIS);
+    return answer + silence + SILENCE_MILLIS + append + append + answer;
+  }
+
+  /** Tells all VMs, as their callers are, that the owner cannot reach the store. */
+  private void passRefusalsOn() {
+    for (Map.Entry<String, CallAnswer> answer : cluster.submissions.entrySet()) {
+      boolean away =
+          answer.getValue() instanceof CallAnswer.Refused refused
+              && refused.cause() == RefusalCause.STORE_AWAY;
+      if (away && told.add(answer.getKey())) {
+        cluster.vms.values().forEach(vm -> vm.deliver(new BatchEvent.OwnerDoubted()));
+      }
+    }
+  }
+
+  private void submitAllTheWhile() {
+    for (long at = 0; at < STEADY_MILLIS; at += BETWEEN_JOBS_MILLIS) {
+      cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 400)));
+      cluster.run(BETWEEN_JOBS_MILLIS);
+      passRefusalsOn();
+    }
+  }
+
+  private long answered(Class<? extends CallAnswer> kind) {
+    return cluster.submissions.values().stream().filter(kind::isInstance).count();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {4, 100, 300, 500, 900, 2000})
+  void oneOwnerDecidesAndIsNotReplacedWhileItLives(long answerMillis) {
+    comeBackTo(answerMillis);
+    long limit = takeoverMillis(answerMillis);
+    cluster.runUntil("an owner", limit, () -> cluster.owner().isPresent());
+    int owners = cluster.ownershipsWon();
+    submitAllTheWhile();
+    assertEquals(owners, cluster.ownershipsWon(), "no owner was lost, so none is replaced");
+  }
+
+  /** Also of those that restarted none claims, whoever owned before. */
+  @ParameterizedTest
+  @ValueSource(longs = {4, 100, 300, 500, 900, 2000})
+  void anOwnerIsFoundWithoutTheVmThatOwnedBefore(long answerMillis) {
+    cluster.awaitOwner();
+    VmId former = cluster.owner().orElseThrow().id;
+    comeBackTo(answerMillis);
+    cluster.vms.get(former).running = false;
+    cluster.run(1);
+    long limit = takeoverMillis(answerMillis);
+    cluster.runUntil("an owner", limit, () -> cluster.owner().isPresent());
+    int owners = cluster.ownershipsWon();
+    cluster.run(STEADY_MILLIS);
+    assertEquals(owners, cluster.ownershipsWon(), "no owner was lost, so none is replaced");
+  }
+
+  /** With 0.9 s an answer an append takes 1.8 s, and one that waits for another is still in time. */
+  @ParameterizedTest
+  @ValueSource(longs = {4, 100, 300, 500, 900})
+  void whatCanBeStoredWhileCallersWaitIsAccepted(long answerMillis) {
+    comeBackTo(answerMillis);
+    long limit = takeoverMillis(answerMillis);
+    cluster.runUntil("an owner", limit, () -> cluster.owner().isPresent());
+    submitAllTheWhile();
+    cluster.run(CALLER_MILLIS);
+    long asked = STEADY_MILLIS / BETWEEN_JOBS_MILLIS;
+    long accepted = answered(CallAnswer.Accepted.class);
+    assertTrue(accepted >= SERVED * asked, () -> accepted + " of " + asked + " accepted");
+  }
+
+  /** With 2 s an answer an append takes 4 s: no caller waits that long. */
+  @ParameterizedTest
+  @ValueSource(longs = 2000)
+  void whatCannotBeStoredWhileCallersWaitIsRefusedAtOnce(long answerMillis) {
+    comeBackTo(answerMillis);
+    long limit = takeoverMillis(answerMillis);
+    cluster.runUntil("an owner", limit, () -> cluster.owner().isPresent());
+    submitAllTheWhile();
+    long asked = STEADY_MILLIS / BETWEEN_JOBS_MILLIS;
+    long refused = answered(CallAnswer.Refused.class);
+    assertTrue(refused >= SERVED * asked, () -> refused + " of " + asked + " refused at once");
+  }
+}
