The silence of an owner and the age of the store's word follow what a VM has seen of the store

Callers: owners that lived replaced each other in a store of 0.9 s an answer, and a VM that does not load the jobs was never told to leave them in one where a heartbeat takes more than 1 s. Cause: fixed limits (silence 2 s, doubted 1 s, store near 1 s, reachable 1.2 s), below what a heartbeat needs there.

OwnershipPace keeps the longest read, append and gap between heartbeats of the last 10 s that this VM has seen itself; the limits stand at their former values while these are short and grow with them up to 12 s. A silence counts only while reads are not late, and anew from a late one. An owner sends its first heartbeat 0.5 s after its claim was sent and not after it was answered. A take-over stalls after three appends where that is more than 5 s.

Ruled out: the list of executors is asked for as the take-over begins, beside the jobs. LateHeartbeatTest reads the same value through contact(); a missing confirmation would still fail it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.batch.ownership.OwnershipDuty;
+import org.fescuehook.logic.batch.ownership.StoreContact;
 import org.fescuehook.logic.batch.state.JobBook;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
@@ -34,11 +35,8 @@
   /** How long a stopping owner waits for what is on its way to the store. */
   private static final long STOP_WAIT_NANOS = Duration.ofMillis(1500).toNanos();
 
-  /**
-   * Age of the store's last word up to which other VMs could take over as well; heartbeats come
-   * each 0.5 s and take up to 0.3 s.
-   */
-  private static final long STORE_NEAR_NANOS = Duration.ofMillis(1000).toNanos();
+  /** Age of the store's last word up to which other VMs could take over as well. */
+  private static final Duration STORE_NEAR = Duration.ofMillis(1000);
 
   private final BatchPreferences preferences;
   private final OwnershipDuty ownership;
@@ -109,6 +107,7 @@
   }
 
   private void take(BatchEvent event, BatchTurn turn) {
+    ownership.begun(turn);
     switch (event) {
       case BatchEvent.Called(long ticket, BatchCall call) -> called(ticket, call, turn);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, turn);
@@ -144,8 +143,7 @@
       turn.add(new BatchCommand.Answer(ticket, refused));
       return;
     }
-    long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
-    owner.get().called(ticket, call, confirmedAt, turn);
+    owner.get().called(ticket, call, ownership.contact(turn), turn);
   }
 
   private void configure(BatchConfiguration newer, BatchTurn turn) {
@@ -208,7 +206,7 @@
     beginIfLoaded(turn);
     yieldIfStalled(turn);
     if (owner.isPresent()) {
-      owner.get().step(ownership.confirmedAt().orElse(turn.nowNanos()), turn);
+      owner.get().step(ownership.contact(turn), turn);
     }
   }
 
@@ -243,11 +241,11 @@
 
   /** Gives up a take-over that stands still all the while the store confirms this owner. */
   private void yieldIfStalled(BatchTurn turn) {
-    long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
-    if (turn.nowNanos() - confirmedAt >= STORE_NEAR_NANOS) {
+    StoreContact contact = ownership.contact(turn);
+    if (turn.nowNanos() - contact.confirmedAt() >= contact.nearNanos(STORE_NEAR)) {
       takeover.ifPresent(loading -> loading.excuse(turn));
     }
-    if (takeover.filter(loading -> loading.stalled(turn)).isPresent()) {
+    if (takeover.filter(loading -> loading.stalled(contact, turn)).isPresent()) {
       ownership.yield(turn);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -17,6 +17,7 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.ownership.StoreContact;
 import org.fescuehook.logic.batch.plan.PlanDuty;
 import org.fescuehook.logic.batch.state.JobBook;
 import org.fescuehook.logic.batch.state.JobCodec;
@@ -56,11 +57,10 @@
   static final Duration ISOLATION_LIMIT = Duration.ofSeconds(10);
 
   /**
-   * Age of the store's last word above which a submission is refused and not sent: heartbeats come
-   * each 0.5 s and take up to 0.3 s, and what is sent without an answer leaves its caller
-   * uncertain.
+   * Age of the store's last word above which a submission is refused and not sent, while the store
+   * is quick: what is sent without an answer leaves its caller uncertain.
    */
-  private static final long REACHABLE_NANOS = Duration.ofMillis(1200).toNanos();
+  private static final Duration REACHABLE = Duration.ofMillis(1200);
 
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
@@ -172,16 +172,16 @@
   /**
    * Does what is due.
    *
-   * @param heartbeatAt when the last heartbeat that the store confirmed was sent, monotonic time
+   * @param contact what the heartbeats have shown of the store
    */
-  void step(long heartbeatAt, BatchTurn turn) {
-    long storeSeenAt = storeSeenAt(heartbeatAt);
+  void step(StoreContact contact, BatchTurn turn) {
+    long storeSeenAt = storeSeenAt(contact.confirmedAt());
     // The stream of the jobs may be away while that of ownership is not.
     long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.expire(turn);
     submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
-    unknownJobs.step(heartbeatAt, jobs.book()::shown, turn);
+    unknownJobs.step(contact.confirmedAt(), jobs.book()::shown, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
     }
@@ -233,9 +233,9 @@
   /**
    * Answers a call, at once or once it is stored.
    *
-   * @param heartbeatAt when the last heartbeat that the store confirmed was sent, monotonic time
+   * @param contact what the heartbeats have shown of the store
    */
-  void called(long ticket, BatchCall call, long heartbeatAt, BatchTurn turn) {
+  void called(long ticket, BatchCall call, StoreContact contact, BatchTurn turn) {
     // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
     if (call instanceof BatchCall.Submit submit && submissions.joined(ticket, submit.job())) {
       return;
@@ -253,9 +253,7 @@
     }
     switch (call) {
       case BatchCall.Submit submit -> {
-        long storeAgeNanos = turn.nowNanos() - storeSeenAt(heartbeatAt);
-        boolean storeAway = storeAgeNanos > REACHABLE_NANOS || writer.storeAway(turn);
-        Optional<RefusalCause> refusal = refusal(queue.get(), storeAway);
+        Optional<RefusalCause> refusal = refusal(queue.get(), hopeless(contact, turn));
         if (refusal.isPresent()) {
           refuse(ticket, submit.job(), refusal.get(), turn);
           return;
@@ -270,18 +268,24 @@
     }
   }
 
+  /** Tells whether a submission could not be stored while its caller waits. */
+  private boolean hopeless(StoreContact contact, BatchTurn turn) {
+    long ageNanos = turn.nowNanos() - storeSeenAt(contact.confirmedAt());
+    return ageNanos > contact.nearNanos(REACHABLE) || writer.storeAway(turn);
+  }
+
   private void answer(long ticket, CallAnswer answer) {
     ready.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  private Optional<RefusalCause> refusal(JobQueue queue, boolean storeAway) {
+  private Optional<RefusalCause> refusal(JobQueue queue, boolean hopeless) {
     if (stopping) {
       return Optional.of(RefusalCause.STOPPING);
     }
     if (queue.advised() && !preferences.adviceAvailable()) {
       return Optional.of(RefusalCause.UNSUPPORTED);
     }
-    return storeAway ? Optional.of(RefusalCause.STORE_AWAY) : Optional.empty();
+    return hopeless ? Optional.of(RefusalCause.STORE_AWAY) : Optional.empty();
   }
 
   private void refuse(long ticket, String id, RefusalCause cause, BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescuehook.logic.batch.ownership.StoreContact;
 import org.fescuehook.logic.batch.state.JobBook;
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.LiveRun;
@@ -34,6 +35,9 @@
    */
   private static final long STALL_NANOS = Duration.ofSeconds(5).toNanos();
 
+  /** Exchanges with the store that fit into it; a step may wait for its turn, and be repeated. */
+  private static final int STALL_APPENDS = 3;
+
   /** Time between two log events that the take-over is not complete. */
   private static final long TELL_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -69,8 +73,9 @@
   }
 
   /** Tells whether nothing that it waits for has come for a while. */
-  boolean stalled(BatchTurn turn) {
-    return turn.nowNanos() - progressAt > STALL_NANOS;
+  boolean stalled(StoreContact contact, BatchTurn turn) {
+    long longest = Math.max(STALL_NANOS, STALL_APPENDS * contact.appendNanos());
+    return turn.nowNanos() - progressAt > longest;
   }
 
   /** Has the time without a step forward count from now, as nobody could have made one. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -22,33 +22,12 @@
  */
 public final class OwnershipDuty {
 
-  /** Time between heartbeats; four of them fit into {@link #SILENCE_NANOS}. */
-  private static final long HEARTBEAT_NANOS = Duration.ofMillis(500).toNanos();
-
-  /**
-   * Silence of the owner after which another VM claims. A take-over and the first renewals have to
-   * fit into a lease of 6 s beside it, and a slow store delays heartbeats by some 0.3 s.
-   */
-  private static final long SILENCE_NANOS = Duration.ofMillis(2000).toNanos();
-
-  /**
-   * Silence after which an owner is replaced that is doubted: it says itself that it cannot reach
-   * the store, or cannot be connected to. Two heartbeats that a slow store delays fit into it.
-   */
-  private static final long DOUBTED_SILENCE_NANOS = Duration.ofMillis(1000).toNanos();
-
   /** How long a doubt counts; calls that renew it come several times a second. */
   private static final long DOUBT_NANOS = Duration.ofMillis(1500).toNanos();
 
   /** Pause before a claim or heartbeat that the store did not take is repeated. */
   private static final long RETRY_NANOS = Duration.ofMillis(100).toNanos();
 
-  /**
-   * Pause between claims: one without an answer may still land, and of one that came too late the
-   * winner's record is read within some 0.4 s.
-   */
-  private static final long CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
-
   /**
    * How long a much weaker VM than the former owner leaves the claim to others of its kind, if
    * there are any; they read of a silence within some 0.4 s of each other.
@@ -75,10 +54,15 @@
    */
   private final long claimSequence;
 
+  private final OwnershipPace pace = new OwnershipPace();
   private Optional<OwnerRecord> newest = Optional.empty();
   private OptionalLong end = OptionalLong.empty();
   private OptionalLong epoch = OptionalLong.empty();
   private long quietSince;
+
+  /** Whether the silence began with a record of the owner. */
+  private boolean quietSinceHeard;
+
   private OptionalLong doubtedAt = OptionalLong.empty();
   private long sequence;
   private boolean readable;
@@ -94,6 +78,7 @@
   private boolean unsettledUnsure;
 
   private long nextAppendAt;
+  private long sentAt;
   private long heartbeatSentAt;
   private OptionalLong confirmedAt = OptionalLong.empty();
   private boolean retired;
@@ -126,15 +111,24 @@
         .filter(record -> epoch.isPresent() || !bySelf(record));
   }
 
-  /** Returns when the last heartbeat that the store confirmed was sent. */
-  public OptionalLong confirmedAt() {
-    return confirmedAt;
+  /** Returns what is known of this VM's way to the store. */
+  public StoreContact contact(BatchTurn turn) {
+    return pace.contact(confirmedAt.orElse(turn.nowNanos()), turn);
+  }
+
+  /** Takes in that the stream is read from now on; later calls change nothing. */
+  public void begun(BatchTurn turn) {
+    pace.begun(turn);
   }
 
   /** Takes in that the stream was read to its end. */
   public void read(Optional<OwnerRecord> record, long streamEnd, BatchTurn turn) {
     end = OptionalLong.of(Math.max(streamEnd, end.orElse(0)));
     readable = true;
+    if (pace.readLate(turn)) {
+      quietFromNow(false, turn);
+    }
+    pace.read(turn);
     if (record.isEmpty()) {
       return;
     }
@@ -143,8 +137,11 @@
       return;
     }
     boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
+    if (!changed && quietSinceHeard) {
+      pace.heard(turn.nowNanos() - quietSince, turn);
+    }
     newest = record;
-    quietSince = turn.nowNanos();
+    quietFromNow(true, turn);
     doubtedAt = OptionalLong.empty();
     if (changed) {
       turn.note(BatchLogEvent.OWNER_SEEN, seen.vm(), seen.epoch(), seen.kind());
@@ -161,7 +158,13 @@
   /** Takes in that the stream could not be read: silence counts anew from here. */
   public void unreadable(BatchTurn turn) {
     readable = false;
+    pace.unreadable(turn);
+    quietFromNow(false, turn);
+  }
+
+  private void quietFromNow(boolean heard, BatchTurn turn) {
     quietSince = turn.nowNanos();
+    quietSinceHeard = heard;
   }
 
   /** Returns the owner to tell others: this VM, or the one that it knows. */
@@ -183,7 +186,7 @@
     }
     long offset = newest.map(OwnerRecord::offset).orElse(BEFORE_FIRST);
     newest = Optional.of(OwnerRecord.ofPeersWord(hint, offset));
-    quietSince = turn.nowNanos();
+    quietFromNow(false, turn);
     doubtedAt = OptionalLong.empty();
     turn.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
     if (epoch.isPresent()) {
@@ -229,8 +232,7 @@
     if (epoch.isPresent() || !another) {
       return Duration.ZERO;
     }
-    long left = DOUBTED_SILENCE_NANOS - (nowNanos - quietSince);
-    return Duration.ofNanos(Math.max(0, left));
+    return OwnershipPace.calmFor(nowNanos - quietSince);
   }
 
   private boolean ownerGone(BatchTurn turn) {
@@ -252,13 +254,13 @@
         (released ? 0 : patienceNanos(turn))
             + (weaker ? WEAKER_WAIT_NANOS : 0)
             + (yielded ? YIELD_WAIT_NANOS : 0);
-    return patience == 0 || turn.nowNanos() - quietSince > patience;
+    return patience == 0 || (turn.nowNanos() - quietSince > patience && !pace.readLate(turn));
   }
 
   private long patienceNanos(BatchTurn turn) {
     boolean doubted =
         doubtedAt.isPresent() && turn.nowNanos() - doubtedAt.getAsLong() < DOUBT_NANOS;
-    return doubted ? DOUBTED_SILENCE_NANOS : SILENCE_NANOS;
+    return doubted ? pace.doubtedSilenceNanos(turn) : pace.silenceNanos(turn);
   }
 
   private void claim(BatchTurn turn) {
@@ -269,6 +271,7 @@
 
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchTurn turn) {
     appending.begin(turn);
+    sentAt = turn.nowNanos();
     if (unsettled.isEmpty()) {
       heartbeatSentAt = turn.nowNanos();
     }
@@ -291,6 +294,9 @@
   /** Takes the outcome of a claim or a heartbeat. */
   public void answered(WriterPosition position, AppendOutcome outcome, BatchTurn turn) {
     appending.end();
+    if (outcome.ofTheStore()) {
+      pace.appended(turn.nowNanos() - sentAt, turn);
+    }
     boolean claimed = position.sequence() == claimSequence;
     switch (outcome) {
       case AppendOutcome.Stored stored -> stored(position, claimed, turn);
@@ -300,12 +306,11 @@
       }
       case AppendOutcome.Unanswered unanswered -> {
         unsettledUnsure = true;
-        nextAppendAt = turn.nowNanos() + (claimed ? CLAIM_PAUSE_NANOS : RETRY_NANOS);
+        nextAppendAt = turn.nowNanos() + (claimed ? pace.claimPauseNanos(turn) : RETRY_NANOS);
       }
       case AppendOutcome.Fenced fenced -> refusedForGood(position, "a higher epoch", turn);
       case AppendOutcome.Conflict conflict -> refusedForGood(position, "a later record", turn);
-      case AppendOutcome.OutOfSequence expected ->
-          refusedForGood(position, "another sequence", turn);
+      case AppendOutcome.OutOfSequence _ -> refusedForGood(position, "another sequence", turn);
     }
   }
 
@@ -321,7 +326,7 @@
     confirmedAt = OptionalLong.of(heartbeatSentAt);
     sequence = position.sequence() + 1;
     boolean ending = retired || yielding;
-    nextAppendAt = ending ? turn.nowNanos() : heartbeatSentAt + HEARTBEAT_NANOS;
+    nextAppendAt = ending ? turn.nowNanos() : heartbeatSentAt + OwnershipPace.HEARTBEAT_NANOS;
     if (released) {
       lose(turn, retired ? "this VM stops" : "this VM could not begin to decide");
     }
@@ -334,8 +339,8 @@
 
   private void refusedForGood(WriterPosition position, String cause, BatchTurn turn) {
     // Another claim has come first; its record is read before this VM may claim again.
-    nextAppendAt = turn.nowNanos() + CLAIM_PAUSE_NANOS;
-    quietSince = turn.nowNanos();
+    nextAppendAt = turn.nowNanos() + pace.claimPauseNanos(turn);
+    quietFromNow(false, turn);
     if (epoch.isPresent() && epoch.getAsLong() == position.epoch()) {
       lose(turn, cause);
     }
@@ -346,7 +351,8 @@
     epoch = OptionalLong.of(won);
     sequence = claimSequence + 1;
     confirmedAt = OptionalLong.of(heartbeatSentAt);
-    nextAppendAt = turn.nowNanos() + HEARTBEAT_NANOS;
+    // Others have heard nothing since the claim was sent, which a slow store takes long for.
+    nextAppendAt = heartbeatSentAt + OwnershipPace.HEARTBEAT_NANOS;
     turn.note(BatchLogEvent.OWNERSHIP_WON, won);
   }
 
@@ -359,7 +365,7 @@
     settled();
     epoch = OptionalLong.empty();
     confirmedAt = OptionalLong.empty();
-    quietSince = turn.nowNanos();
+    quietFromNow(false, turn);
   }
 
   /** Ownership was lost in another stream, or is given up for a fault. */
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
@@ -0,0 +1,149 @@
+package org.fescuehook.logic.batch.ownership;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.store.RecentTimes;
+
+/**
+ * How long the exchanges about ownership take, as this VM has seen them itself, and the limits that
+ * follow: an owner whose heartbeats the store delays is alive, and one that a VM has not heard of
+ * because its own reads are late may be.
+ *
+ * <p>While the store is quick all limits stand at their least values, so that a dead owner is
+ * replaced as soon as it can be.
+ */
+final class OwnershipPace {
+
+  /** Time between heartbeats; four of them fit into {@link #LEAST_SILENCE_NANOS}. */
+  static final long HEARTBEAT_NANOS = Duration.ofMillis(500).toNanos();
+
+  /**
+   * Silence of the owner after which another VM claims. A take-over and the first renewals have to
+   * fit into a lease of 6 s beside it.
+   */
+  private static final long LEAST_SILENCE_NANOS = Duration.ofMillis(2000).toNanos();
+
+  /**
+   * Silence after which an owner is replaced that is doubted: it says itself that it cannot reach
+   * the store, or cannot be connected to.
+   */
+  private static final long LEAST_DOUBTED_SILENCE_NANOS = Duration.ofMillis(1000).toNanos();
+
+  /**
+   * Pause between claims: one without an answer may still land, and of one that came too late the
+   * winner's record is read within some 0.4 s.
+   */
+  private static final long LEAST_CLAIM_PAUSE_NANOS = Duration.ofMillis(700).toNanos();
+
+  /** Longest silence, however slow the store is; leases have run out by then. */
+  private static final long LONGEST_SILENCE_NANOS = Duration.ofSeconds(12).toNanos();
+
+  /** Heartbeats that fit into the silence after which an owner is replaced. */
+  private static final int HEARTBEATS = 2;
+
+  /** Time between two reads in a quick store: a pause, and the wait for a record. */
+  private static final long READ_NANOS = Duration.ofMillis(1400).toNanos();
+
+  /** How much later a read may be before nothing is made of a silence. */
+  private static final long LEAST_READ_SLACK_NANOS = Duration.ofMillis(700).toNanos();
+
+  private final RecentTimes reads = new RecentTimes();
+  private final RecentTimes appends = new RecentTimes();
+  private final RecentTimes gaps = new RecentTimes();
+  private OptionalLong readAt = OptionalLong.empty();
+  private boolean waited;
+  private long lastAppendNanos;
+
+  /** Takes in that reading begins; later calls change nothing. */
+  void begun(BatchTurn turn) {
+    if (readAt.isEmpty()) {
+      readAt = OptionalLong.of(turn.nowNanos());
+    }
+  }
+
+  /** Takes in a read to the end; the first one of a VM does not wait for a record. */
+  void read(BatchTurn turn) {
+    long since = turn.nowNanos() - readAt.orElse(turn.nowNanos());
+    reads.add(Math.max(0, since - (waited ? READ_NANOS : 0)), turn);
+    restart(turn);
+  }
+
+  /** Takes in that a read has failed, so that nothing is known of how long one takes. */
+  void unreadable(BatchTurn turn) {
+    restart(turn);
+  }
+
+  private void restart(BatchTurn turn) {
+    readAt = OptionalLong.of(turn.nowNanos());
+    waited = true;
+  }
+
+  /** Takes in how long the store took to answer a claim or a heartbeat of this VM. */
+  void appended(long nanos, BatchTurn turn) {
+    lastAppendNanos = nanos;
+    appends.add(nanos, turn);
+  }
+
+  /** Takes in how far apart two heartbeats of the owner were read. */
+  void heard(long gapNanos, BatchTurn turn) {
+    gaps.add(gapNanos, turn);
+  }
+
+  /**
+   * Tells whether the next read is late, by more than is usual at present. A silence says nothing
+   * then: the owner may have written all the while.
+   */
+  boolean readLate(BatchTurn turn) {
+    if (readAt.isEmpty()) {
+      return false;
+    }
+    long slack = Math.max(LEAST_READ_SLACK_NANOS, 2 * reads.longest(turn));
+    return turn.nowNanos() - readAt.getAsLong() > READ_NANOS + slack;
+  }
+
+  /**
+   * Returns what this VM's own appends have shown of the store.
+   *
+   * @param confirmedAt when the last heartbeat that the store confirmed was sent, monotonic time
+   */
+  StoreContact contact(long confirmedAt, BatchTurn turn) {
+    return new StoreContact(confirmedAt, lastAppendNanos, appends.longest(turn));
+  }
+
+  /** Returns the silence after which an owner is replaced. */
+  long silenceNanos(BatchTurn turn) {
+    long needed =
+        Math.max(HEARTBEATS * gaps.longest(turn), heartbeatNanos(turn) + reads.longest(turn));
+    return Math.clamp(needed, LEAST_SILENCE_NANOS, LONGEST_SILENCE_NANOS);
+  }
+
+  /** Returns the silence after which a doubted owner is replaced. */
+  long doubtedSilenceNanos(BatchTurn turn) {
+    long needed = Math.max(gaps.longest(turn) + reads.longest(turn), heartbeatNanos(turn));
+    return Math.clamp(needed, LEAST_DOUBTED_SILENCE_NANOS, LONGEST_SILENCE_NANOS);
+  }
+
+  /** Returns the pause after a claim that the store did not take. */
+  long claimPauseNanos(BatchTurn turn) {
+    return LEAST_CLAIM_PAUSE_NANOS + 2 * reads.longest(turn);
+  }
+
+  /**
+   * Returns how long the least silence lasts, in which nothing is to be done but to hear.
+   *
+   * @param quietNanos how long nothing has been heard
+   */
+  static Duration calmFor(long quietNanos) {
+    return Duration.ofNanos(Math.max(0, LEAST_DOUBTED_SILENCE_NANOS - quietNanos));
+  }
+
+  /**
+   * Returns how long a heartbeat takes until it is read: its append waits for its turn and is then
+   * worked on, either for about as long as a read takes.
+   */
+  private long heartbeatNanos(BatchTurn turn) {
+    long read = reads.longest(turn);
+    return HEARTBEAT_NANOS + Math.max(appends.longest(turn), 2 * read) + read;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AppendOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AppendOutcome.java
@@ -3,6 +3,14 @@
 /** What became of an append. */
 public sealed interface AppendOutcome {
 
+  /** Tells whether the store has worked on the append, so that its time is that of the store. */
+  default boolean ofTheStore() {
+    return switch (this) {
+      case Stored _, Fenced _, Conflict _, OutOfSequence _ -> true;
+      case Refused _, Unanswered _ -> false;
+    };
+  }
+
   /** It is stored. */
   record Stored(long offset) implements AppendOutcome {}
 
