A slow store is given the time of its appends, and what callers cannot wait for is refused at once

Callers: all submissions refused as if the store were away while each append takes more than 0.7 s, though it could be stored in time. The patience for an append under way is now twice the longest seen lately, by the jobs' stream or by heartbeats, and 0.7 s at least. Refused at once is what would take more than 2.8 s to be stored: the last heartbeat's time, and what is left until the next append goes out. Two appends are under way in place of four: a partition takes its appends one after another, so a third and fourth only wait there, and make the estimate of an append grow.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -62,6 +62,9 @@
    */
   private static final Duration REACHABLE = Duration.ofMillis(1200);
 
+  /** How long a VM that asked waits for an answer; its caller waits about 3 s. */
+  private static final long CALLER_NANOS = Duration.ofMillis(2800).toNanos();
+
   /** Longest time without a plan; patience and due times are kept to it. */
   private static final long PLAN_ANYWAY_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -179,6 +182,7 @@
     // The stream of the jobs may be away while that of ownership is not.
     long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
+    writer.othersTake(contact.appendNanos());
     writer.expire(turn);
     submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
     unknownJobs.step(contact.confirmedAt(), jobs.book()::shown, turn);
@@ -271,7 +275,8 @@
   /** Tells whether a submission could not be stored while its caller waits. */
   private boolean hopeless(StoreContact contact, BatchTurn turn) {
     long ageNanos = turn.nowNanos() - storeSeenAt(contact.confirmedAt());
-    return ageNanos > contact.nearNanos(REACHABLE) || writer.storeAway(turn);
+    boolean away = ageNanos > contact.nearNanos(REACHABLE) || writer.storeAway(turn);
+    return away || writer.storedInNanos(contact.lastAppendNanos(), turn) > CALLER_NANOS;
   }
 
   private void answer(long ticket, CallAnswer answer) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -30,13 +30,16 @@
   private static final long RETRY_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
   /**
-   * How long the store may be in trouble before it counts as away. Callers wait about 3 s, and half
-   * of that leaves them time to ask again.
+   * How long the store may be in trouble before it counts as away, if it was quick before. Callers
+   * wait about 3 s, and half of that leaves them time to ask again.
    */
-  private static final long PATIENCE_NANOS = Duration.ofMillis(700).toNanos();
+  private static final long LEAST_PATIENCE_NANOS = Duration.ofMillis(700).toNanos();
 
-  /** Appends under way at most; the store repeats its answers to the last five of a writer. */
-  private static final int MOST_UNDER_WAY = 4;
+  /** Appends under way at most: the store works on one and sends the answer to the other. */
+  private static final int MOST_UNDER_WAY = 2;
+
+  /** Part of an append's time after which the next goes out beside it. */
+  private static final int BESIDE_PART = 4;
 
   /** Age of the newest append from which the next goes out beside it; ten of the usual 4 ms. */
   private static final long BESIDE_NANOS = Duration.ofMillis(40).toNanos();
@@ -51,6 +54,8 @@
   private final Deque<Sent> sent = new ArrayDeque<>();
 
   private long nextSequence;
+  private final RecentTimes appends = new RecentTimes();
+  private long othersTakeNanos;
   private long lastTookNanos;
   private long pausedUntil;
   private OptionalLong troubleSince = OptionalLong.empty();
@@ -142,7 +147,7 @@
     if (!steady || sent.size() == MOST_UNDER_WAY) {
       return false;
     }
-    long apart = Math.max(BESIDE_NANOS, lastTookNanos / MOST_UNDER_WAY);
+    long apart = Math.max(BESIDE_NANOS, lastTookNanos / BESIDE_PART);
     boolean allUnderWay = sent.stream().allMatch(one -> one.underWay.present(turn));
     return allUnderWay && turn.nowNanos() - sent.getLast().since >= apart;
   }
@@ -175,7 +180,7 @@
     Iterator<Change> changes = waiting.values().iterator();
     while (changes.hasNext()) {
       Change change = changes.next();
-      boolean old = turn.nowNanos() - change.since > PATIENCE_NANOS;
+      boolean old = turn.nowNanos() - change.since > patienceNanos(turn);
       if (old && change.lost.isPresent()) {
         given.add(change.lost.get());
         changes.remove();
@@ -186,12 +191,39 @@
 
   /** Tells whether the store has taken nothing for a while although asked. */
   public boolean storeAway(BatchTurn turn) {
-    boolean unanswered = !sent.isEmpty() && waitedNanos(turn) > PATIENCE_NANOS;
+    long patience = patienceNanos(turn);
+    boolean unanswered = !sent.isEmpty() && waitedNanos(turn) > patience;
     boolean refusing =
-        troubleSince.isPresent() && turn.nowNanos() - troubleSince.getAsLong() > PATIENCE_NANOS;
+        troubleSince.isPresent() && turn.nowNanos() - troubleSince.getAsLong() > patience;
     return unanswered || refusing;
   }
 
+  /** An append that waits for another takes twice as long as one alone. */
+  private long patienceNanos(BatchTurn turn) {
+    long append = Math.max(appends.longest(turn), othersTakeNanos);
+    return Math.max(LEAST_PATIENCE_NANOS, 2 * append);
+  }
+
+  /** Takes in how long appends to another stream of the store take at most. */
+  public void othersTake(long nanos) {
+    othersTakeNanos = nanos;
+  }
+
+  /**
+   * Returns how long a change that is put now takes until it is stored, as far as is known.
+   *
+   * @param append how long one append takes, in nanoseconds
+   */
+  public long storedInNanos(long append, BatchTurn turn) {
+    if (sent.isEmpty()) {
+      return append;
+    }
+    boolean full = sent.size() == MOST_UNDER_WAY;
+    Sent awaited = full ? sent.getFirst() : sent.getLast();
+    long turnAfter = full ? append : append / BESIDE_PART;
+    return append + Math.max(0, turnAfter - (turn.nowNanos() - awaited.since));
+  }
+
   /** Returns how long the oldest append has been the one that all others wait for. */
   private long waitedNanos(BatchTurn turn) {
     long since = sent.getFirst().since;
@@ -296,6 +328,7 @@
     storedAt = OptionalLong.of(last.sentAt);
     committedAt = OptionalLong.of(turn.nowNanos());
     lastTookNanos = turn.nowNanos() - last.sentAt;
+    appends.add(lastTookNanos, turn);
     boolean more = true;
     while (more) {
       Sent stored = sent.removeFirst();
@@ -326,24 +359,6 @@
     }
   }
 
-  /** What is to be stored under one key, and who waits for it. */
-  private static final class Change {
-    private final List<Runnable> committed = new ArrayList<>();
-    private Supplier<Optional<byte[]>> encoder = Optional::empty;
-    private Optional<Consumer<CommitLoss>> lost = Optional.empty();
-    private long since;
-
-    /** Returns the newer change, which also tells those who wait for this one. */
-    Change followedBy(Change newer) {
-      newer.committed.addAll(0, committed);
-      return newer;
-    }
-
-    void lose(CommitLoss loss) {
-      lost.ifPresent(waiter -> waiter.accept(loss));
-    }
-  }
-
   /** The append under way. */
   private static final class Sent {
     private final WriterPosition position;
