A cancel at an owner that is replaced is undecided, not forgotten

Callers saw: a cancel that reached an owner just before that lost its epoch had no answer until the caller's time was over; the VM did not repeat it at the next owner if it was the former owner itself.

Cause: BatchOwner.close answered submissions and questions. Who waited for a cancel's append was known to the append's callback alone, and StateWriter.close calls back only what can be refused. The ticket stayed in BatchDuty for good.

Ruled out: telling "cancelled" without the store's word; the job may go on at the next owner.

Change: the owner keeps the tickets of cancels on their way and ends them as undecided, so the VM that holds the call sends it to the next owner; a cancel is idempotent.

Test: CancelAtLostOwnerTest. Without the line that answers them: expected Undecided[cause=OWNERSHIP_LOST] but was null.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceDuty;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -81,6 +83,10 @@
   private final SubmissionDesk submissions;
   private final UnknownJobDesk unknownJobs = new UnknownJobDesk();
   private final List<BatchCommand> ready = new ArrayList<>();
+
+  /** Tickets of cancels that are on their way to the store. */
+  private final Set<Long> cancelling = new LinkedHashSet<>();
+
   private boolean fenced;
   private boolean stopping;
   private long storeAgeMillis;
@@ -225,6 +231,9 @@
     writer.close();
     CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
     submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
+    // Their jobs may have ended in the store or not; the next owner ends them.
+    cancelling.forEach(ticket -> answer(ticket, undecided));
+    cancelling.clear();
     unknownJobs.close(turn);
     ready.forEach(turn::add);
     ready.clear();
@@ -317,7 +326,8 @@
       }
       return;
     }
-    Runnable stored = () -> answer(ticket, new CallAnswer.Cancelled());
+    cancelling.add(ticket);
+    Runnable stored = () -> cancelled(ticket);
     if (!job.get().open()) {
       // Its end may be on its way to the store.
       jobs.persist(job.get(), stored);
@@ -326,6 +336,12 @@
     jobs.cancel(job.get(), stored, turn);
   }
 
+  private void cancelled(long ticket) {
+    if (cancelling.remove(ticket)) {
+      answer(ticket, new CallAnswer.Cancelled());
+    }
+  }
+
   @Override
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
     jobs.ended(run, end, stored, turn);
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CancelAtLostOwnerTest.java
@@ -0,0 +1,38 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: a cancel at an owner that is replaced while it is on its way to the store gets no answer
+ * until its caller gives up, and nothing cancels the job. Cause: an owner that lost its epoch told
+ * the submissions that it had not stored, and forgot who waited for a cancel, so nobody sent it to
+ * the next owner.
+ */
+class CancelAtLostOwnerTest {
+
+  private final BatchCluster cluster = new BatchCluster(2, 4, 1);
+
+  @Test
+  void aCancelOnItsWayIsUndecidedWhenTheOwnerIsReplaced() {
+    cluster.awaitOwner();
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, 60_000)));
+    cluster.runUntil("an acceptance", 1000, () -> cluster.submissions.containsKey(job));
+    VmId former = cluster.owner().orElseThrow().id;
+    cluster.faults.cutFromStore.add(former);
+    BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, job);
+    long ticket = cluster.call(cancel).orElseThrow();
+    cluster.runUntil("another owner", 10_000, () -> cluster.ownershipsWon() > 1);
+    assertEquals(Optional.empty(), Optional.ofNullable(cluster.answers.get(ticket)));
+    cluster.faults.cutFromStore.remove(former);
+    cluster.run(1000);
+    assertEquals(
+        new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST), cluster.answers.get(ticket));
+  }
+}
