A call is held as long as its caller waits, and a slow owner is not taken for a silent one

Callers saw: in a store that takes 0.9 s an answer, cancels and submissions whose append was stored were answered as undecided or came late; a question about a job that the owner does not know was refused again and again; a caller that tells a Deadline-Ms of more than 3 s was given up after 2.8 s, and one of 1 s was held for 2.8 s.

Cause: four fixed limits. A VM gave each call 2.8 s; the link to the owner 0.9 s, and it closed the connection if nothing had come over it meanwhile, so that answers on their way were lost and the same call went to the same owner again; a question about an unknown job waited 0.8 s for a heartbeat that such a store confirms after 1.7 to 2.1 s. All of them take slowness for absence.

Ruled out: a longer fixed limit per try, as a connection that has gone silent is then found later; a second connection for each slow answer, as the owner's VM can say at once that it lives.

Change: platform/CallerPatience reads Deadline-Ms, less 0.2 s for the way, 30 s at most; a call carries its patience through CallPort. CallLink keeps a call open as long as it is of use. While calls are open and nothing comes for 0.2 s it asks the owner's VM for a sign of life, which that answers beside its decisions and its store; a VM of an older version answers too, as the probe is a count of no queue. After two probes in vain the open calls go out over a new connection, and an answer over either counts. UnknownJobDesk waits as long as the answer is of use. A VM that stops answers what it still holds.

Tests: SlowOwnerTest, CallGatewayTest, CallerPatienceTest, UnknownJobDeskTest. UnknownJobDeskTest asked for a refusal at 0.8 s, the limit at fault; it asks now for one 0.1 s before each caller's own end, whatever the order of the questions.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -74,9 +74,9 @@
       case BatchRing.Item.Happened(BatchEvent event) -> apply(event, more);
       // Nothing of its own; the last item of a batch plans for those before.
       case BatchRing.Item.OwnershipWaits waits -> apply(new BatchEvent.Tick(), more);
-      case BatchRing.Item.Asked(long ticket, var call, var sink) -> {
+      case BatchRing.Item.Asked(long ticket, var call, var patience, var sink) -> {
         open.put(ticket, sink);
-        apply(new BatchEvent.Called(ticket, call), more);
+        apply(new BatchEvent.Called(ticket, call, patience), more);
       }
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
@@ -80,8 +80,9 @@
   }
 
   @Override
-  public void call(BatchCall call, Consumer<CallAnswer> sink) {
-    if (!ring.offer(new Item.Asked(tickets.incrementAndGet(), call, sink), KEPT_FOR_OUTCOMES)) {
+  public void call(BatchCall call, Duration patience, Consumer<CallAnswer> sink) {
+    Item asked = new Item.Asked(tickets.incrementAndGet(), call, patience, sink);
+    if (!ring.offer(asked, KEPT_FOR_OUTCOMES)) {
       sink.accept(new CallAnswer.Refused(RefusalCause.OVERLOADED, COME_BACK_MILLIS));
     }
   }
@@ -133,6 +134,7 @@
     record OwnershipWaits() implements Item {}
 
     /** Somebody asks. */
-    record Asked(long ticket, BatchCall call, Consumer<CallAnswer> sink) implements Item {}
+    record Asked(long ticket, BatchCall call, Duration patience, Consumer<CallAnswer> sink)
+        implements Item {}
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -1,13 +1,15 @@
 package org.fescuehook.entry.scheduler;
 
 import io.micrometer.core.instrument.MeterRegistry;
-import io.micrometer.core.instrument.Timer;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchEvent;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -18,42 +20,58 @@
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.logic.ini.MalformedValueException;
-import org.fescuehook.net.batch.CallLink;
 import org.fescuehook.net.batch.CallPort;
 import org.fescuehook.net.batch.OwnerHints;
+import org.fescuehook.net.batch.OwnerLink;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Brings callers' calls to the owner: this VM, or another one over a link. A call whose fate is not
- * known is repeated, at the next owner where there is one: every call is idempotent by the id of
- * its job, and callers may not repeat a call themselves after an undecided answer.
+ * Brings callers' calls to the owner: this VM, or another one over a link. A call is sent again, to
+ * the next owner where there is one, while its caller waits and its fate is not known: every call
+ * is idempotent by the id of its job, and callers may not repeat a call themselves after an
+ * undecided answer.
  */
 final class CallGateway implements CallPort, OwnerHints {
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallGateway.class);
 
-  /** Longest time to an answer; callers wait about 3 s. */
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(2800);
+  /** Pause before a call is sent again for the first time; each further one is twice as long. */
+  private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
 
-  /** How long a call is repeated whose fate is not known; a take-over lasts some 2.5 s. */
-  private static final Duration REPEAT_LIMIT = Duration.ofMillis(2500);
-
-  /** Pause before a call is repeated. */
-  private static final Duration REPEAT_PAUSE = Duration.ofMillis(100);
+  /** Longest pause; a change of the owner ends it sooner. */
+  private static final Duration LONGEST_PAUSE = Duration.ofMillis(400);
 
   /** When callers come back while there is no owner; a take-over lasts some 3 s. */
   private static final long COME_BACK_MILLIS = 1000;
 
   private final EventLoop loop;
-  private final BatchRing ring;
+  private final CallPort local;
+  private final Consumer<BatchEvent> events;
+  private final BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links;
   private final MeterRegistry meters;
+  private final Set<OpenCall> open = ConcurrentHashMap.newKeySet();
+  private final Set<Retry> waiting = ConcurrentHashMap.newKeySet();
   private volatile OwnerView view = OwnerView.NONE;
-  private volatile Optional<CallLink> link = Optional.empty();
+  private volatile Optional<OwnerLink> link = Optional.empty();
 
-  CallGateway(EventLoop loop, BatchRing ring, MeterRegistry meters) {
+  /**
+   * Creates a gateway that knows no owner.
+   *
+   * @param local takes calls while this VM decides
+   * @param events takes what the calls show of the owner
+   * @param links makes the link to the owner at an address
+   */
+  CallGateway(
+      EventLoop loop,
+      CallPort local,
+      Consumer<BatchEvent> events,
+      BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links,
+      MeterRegistry meters) {
     this.loop = loop;
-    this.ring = ring;
+    this.local = local;
+    this.events = events;
+    this.links = links;
     this.meters = meters;
   }
 
@@ -69,6 +87,7 @@
       link.ifPresent(former -> former.close(newer.owner()));
       link = newer.deciding() ? Optional.empty() : address(newer).flatMap(this::linkTo);
     }
+    List.copyOf(waiting).forEach(loop::execute);
   }
 
   private static Optional<String> address(OwnerView view) {
@@ -82,13 +101,12 @@
 
   @Override
   public void hinted(OwnerHint hint) {
-    ring.publish(new BatchEvent.OwnerHinted(hint));
+    events.accept(new BatchEvent.OwnerHinted(hint));
   }
 
-  private Optional<CallLink> linkTo(String address) {
+  private Optional<OwnerLink> linkTo(String address) {
     try {
-      InetSocketAddress owner = Addresses.fromPort(1).reader().read(address);
-      return Optional.of(new CallLink(loop, owner, this));
+      return Optional.of(links.apply(Addresses.fromPort(1).reader().read(address), this));
     } catch (MalformedValueException e) {
       EventLog.warn(LOGGER, SchedulerEvent.NOT_READY, "owner address " + address);
       return Optional.empty();
@@ -96,54 +114,61 @@
   }
 
   @Override
-  public void call(BatchCall call, Consumer<CallAnswer> sink) {
-    Consumer<CallAnswer> once = once(call, sink);
-    loop.schedule(
-        () -> once.accept(new CallAnswer.Undecided(UndecidedCause.STORE_SILENT)),
-        ANSWER_TIMEOUT.toMillis(),
-        TimeUnit.MILLISECONDS);
-    send(call, once, System.nanoTime(), false);
+  public void call(BatchCall call, Duration patience, Consumer<CallAnswer> sink) {
+    OpenCall opened = new OpenCall(call, loop.ticker(), patience, open::remove, sink, meters);
+    open.add(opened);
+    opened.endBy(
+        loop.schedule(
+            () -> opened.answer(new CallAnswer.Undecided(silentCause())),
+            patience.toNanos(),
+            TimeUnit.NANOSECONDS));
+    send(opened, FIRST_PAUSE, false);
+  }
+
+  /** Answers all open calls, as this VM ends before their callers' patience does. */
+  void giveUpAll() {
+    open.forEach(call -> call.answer(new CallAnswer.Undecided(silentCause())));
   }
 
-  private void send(BatchCall call, Consumer<CallAnswer> sink, long since, boolean perhapsTaken) {
-    Consumer<CallAnswer> answered = answer -> answered(call, answer, sink, since, perhapsTaken);
+  private UndecidedCause silentCause() {
+    return view.deciding() ? UndecidedCause.STORE_SILENT : UndecidedCause.OWNER_SILENT;
+  }
+
+  private void send(OpenCall call, Duration pause, boolean perhapsTaken) {
+    Consumer<CallAnswer> answered = answer -> answered(call, answer, pause, perhapsTaken);
+    Optional<OwnerLink> owner = link;
     if (view.deciding()) {
-      ring.call(call, answered);
-      return;
+      local.call(call.call(), call.left(), answered);
+    } else if (owner.isPresent()) {
+      owner.get().call(call.call(), call.left(), answered);
+    } else {
+      answered.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS));
     }
-    Optional<CallLink> owner = link;
-    if (owner.isPresent()) {
-      owner.get().call(call, answered);
-      return;
-    }
-    answered.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS));
   }
 
-  private void answered(
-      BatchCall call,
-      CallAnswer answer,
-      Consumer<CallAnswer> sink,
-      long since,
-      boolean perhapsTaken) {
+  private void answered(OpenCall call, CallAnswer answer, Duration pause, boolean perhapsTaken) {
     if (answer instanceof CallAnswer.Refused refused && showsOwnerUnfit(refused.cause())) {
-      ring.publish(new BatchEvent.OwnerDoubted());
+      events.accept(new BatchEvent.OwnerDoubted());
     }
     boolean undecided = answer instanceof CallAnswer.Undecided;
     // A refusal of a repeated call says nothing of the first one, which may have been taken.
     boolean unsure = undecided || (perhapsTaken && answer instanceof CallAnswer.Refused);
     if (!unsure) {
-      sink.accept(answer);
+      call.answer(answer);
       return;
     }
-    if (System.nanoTime() - since > REPEAT_LIMIT.toNanos()) {
-      sink.accept(undecided ? answer : new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST));
+    if (call.left().compareTo(pause) <= 0) {
+      call.answer(undecided ? answer : new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST));
       return;
     }
-    meters
-        .counter("fescuehook.batch.repeated", "call", call.getClass().getSimpleName())
-        .increment();
-    loop.schedule(
-        () -> send(call, sink, since, true), REPEAT_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+    Retry retry = new Retry(call, longer(pause));
+    waiting.add(retry);
+    loop.schedule(retry, pause.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private static Duration longer(Duration pause) {
+    Duration doubled = pause.multipliedBy(2);
+    return doubled.compareTo(LONGEST_PAUSE) < 0 ? doubled : LONGEST_PAUSE;
   }
 
   /**
@@ -154,35 +179,25 @@
     return passedOn && (cause == RefusalCause.STORE_AWAY || cause == RefusalCause.NO_OWNER);
   }
 
-  /** Lets the first answer through and drops others, which come after the timeout. */
-  private Consumer<CallAnswer> once(BatchCall call, Consumer<CallAnswer> sink) {
-    AtomicBoolean answered = new AtomicBoolean();
-    long start = System.nanoTime();
-    return answer -> {
-      if (answered.compareAndSet(false, true)) {
-        note(call, answer, System.nanoTime() - start);
-        sink.accept(answer);
-      }
-    };
-  }
+  /** Sends a call again, once: after its pause or when the owner changes. */
+  private final class Retry implements Runnable {
+    private final OpenCall call;
+    private final Duration nextPause;
+
+    Retry(OpenCall call, Duration nextPause) {
+      this.call = call;
+      this.nextPause = nextPause;
+    }
 
-  private void note(BatchCall call, CallAnswer answer, long nanos) {
-    String outcome = answer.getClass().getSimpleName();
-    Timer.builder("fescuehook.batch.calls")
-        .tag("call", call.getClass().getSimpleName())
-        .tag("outcome", outcome)
-        .register(meters)
-        .record(nanos, TimeUnit.NANOSECONDS);
-    boolean unusual =
-        answer instanceof CallAnswer.Refused || answer instanceof CallAnswer.Undecided;
-    if (unusual) {
-      EventLog.info(
-          LOGGER,
-          SchedulerEvent.CALL_ANSWERED,
-          call.getClass().getSimpleName(),
-          call.subject().isEmpty() ? call.queue() : call.subject(),
-          answer,
-          TimeUnit.NANOSECONDS.toMillis(nanos));
+    @Override
+    public void run() {
+      if (!waiting.remove(this) || call.ended()) {
+        return;
+      }
+      meters
+          .counter("fescuehook.batch.repeated", "call", call.call().getClass().getSimpleName())
+          .increment();
+      send(call, nextPause, true);
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -22,7 +22,9 @@
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
 import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.net.batch.CallLink;
 import org.fescuehook.net.batch.CallServer;
+import org.fescuehook.net.batch.NettyPeerConnector;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.CallerEdge;
 import org.fescuehook.platform.ExecutorClient;
@@ -76,7 +78,7 @@
     FunctionCounter.builder("fescuehook.log.dropped", this, vm -> CountingLogAppender.dropped())
         .register(meters);
     this.ring = new BatchRing(TICK, meters);
-    this.gateway = new CallGateway(loop, ring, meters);
+    this.gateway = gateway(loop);
     this.callers = new CallerEdge(loops, gateway);
     this.peers = new CallServer(loops, ring, gateway);
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
@@ -114,6 +116,15 @@
     this.decisions = new BatchDuty(core, store, executors, advice, meters, gateway::update);
   }
 
+  private CallGateway gateway(EventLoop loop) {
+    return new CallGateway(
+        loop,
+        ring,
+        ring::publish,
+        (owner, hints) -> new CallLink(loop, owner, new NettyPeerConnector(loop, owner), hints),
+        meters);
+  }
+
   /**
    * Opens the ports and starts the threads.
    *
@@ -165,6 +176,7 @@
     awaitUntil(start, STOP_LIMIT, () -> callers.inFlight() == 0 && gateway.view().handedOver());
     long millis = Duration.ofNanos(System.nanoTime() - start).toMillis();
     EventLog.info(LOGGER, SchedulerEvent.STOPPED, millis, callers.inFlight());
+    gateway.giveUpAll();
     close();
     stopped.countDown();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
@@ -110,7 +109,7 @@
 
   private void take(BatchEvent event, BatchTurn turn) {
     switch (event) {
-      case BatchEvent.Called(long ticket, BatchCall call) -> called(ticket, call, turn);
+      case BatchEvent.Called called -> called(called, turn);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, turn);
       case BatchEvent.Appended(var stream, var position, var outcome) ->
           appended(stream, position, outcome, turn);
@@ -137,15 +136,15 @@
     }
   }
 
-  private void called(long ticket, BatchCall call, BatchTurn turn) {
+  private void called(BatchEvent.Called asked, BatchTurn turn) {
     if (owner.isEmpty()) {
       turn.count("fescuehook.batch.refused", "cause", RefusalCause.NOT_OWNER.tag());
       CallAnswer refused = new CallAnswer.Refused(RefusalCause.NOT_OWNER, COME_BACK_MILLIS);
-      turn.add(new BatchCommand.Answer(ticket, refused));
+      turn.add(new BatchCommand.Answer(asked.ticket(), refused));
       return;
     }
     long confirmedAt = ownership.confirmedAt().orElse(turn.nowNanos());
-    owner.get().called(ticket, call, confirmedAt, turn);
+    owner.get().called(asked, confirmedAt, turn);
   }
 
   private void configure(BatchConfiguration newer, BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
@@ -18,8 +19,12 @@
 /** What the core is told. */
 public sealed interface BatchEvent {
 
-  /** A caller asks; exactly one answer with the same ticket follows. */
-  record Called(long ticket, BatchCall call) implements BatchEvent {}
+  /**
+   * A caller asks; exactly one answer with the same ticket follows.
+   *
+   * @param patience how long an answer is of use
+   */
+  record Called(long ticket, BatchCall call, Duration patience) implements BatchEvent {}
 
   /** A configuration was read; an older one than known is dropped. */
   record ConfigurationRead(BatchConfiguration configuration) implements BatchEvent {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -186,7 +186,7 @@
     long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.expire(turn);
-    submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
+    submissions.takeDueCancels().forEach(due -> cancel(due, turn));
     unknownJobs.step(heartbeatAt, jobs.book()::shown, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
@@ -244,7 +244,10 @@
    *
    * @param heartbeatAt when the last heartbeat that the store confirmed was sent, monotonic time
    */
-  void called(long ticket, BatchCall call, long heartbeatAt, BatchTurn turn) {
+  void called(BatchEvent.Called asked, long heartbeatAt, BatchTurn turn) {
+    long ticket = asked.ticket();
+    BatchCall call = asked.call();
+    long until = turn.nowNanos() + asked.patience().toNanos();
     // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
     if (call instanceof BatchCall.Submit submit && submissions.joined(ticket, submit.job())) {
       return;
@@ -272,8 +275,8 @@
         String organisation = holder.map(KeyHolder::name).orElse("");
         submissions.submit(ticket, submit, queue.get(), organisation, comeBackMillis(), turn);
       }
-      case BatchCall.Status status -> status(ticket, status.job(), turn);
-      case BatchCall.Cancel cancel -> cancel(ticket, cancel.job(), turn);
+      case BatchCall.Status status -> status(new JobQuestion(ticket, status.job(), until), turn);
+      case BatchCall.Cancel cancel -> cancel(new JobQuestion(ticket, cancel.job(), until), turn);
       case BatchCall.CountPending count ->
           answer(ticket, new CallAnswer.Pending(jobs.book().pending(count.queue())));
     }
@@ -304,30 +307,30 @@
     return Math.clamp(storeAgeMillis, COME_BACK_MILLIS, LATEST_COME_BACK_MILLIS);
   }
 
-  private void status(long ticket, String id, BatchTurn turn) {
-    Optional<JobPhase> phase = jobs.book().shown(id);
+  private void status(JobQuestion question, BatchTurn turn) {
+    Optional<JobPhase> phase = jobs.book().shown(question.job());
     if (phase.isPresent()) {
-      answer(ticket, new CallAnswer.Phase(phase.get()));
+      answer(question.ticket(), new CallAnswer.Phase(phase.get()));
     } else {
-      unknownJobs.ask(ticket, id, turn);
+      unknownJobs.ask(question, turn);
     }
   }
 
-  private void cancel(long ticket, String id, BatchTurn turn) {
-    if (submissions.cancelledMeanwhile(ticket, id)) {
+  private void cancel(JobQuestion cancel, BatchTurn turn) {
+    if (submissions.cancelledMeanwhile(cancel)) {
       return;
     }
-    Optional<OpenJob> job = jobs.book().open(id);
+    Optional<OpenJob> job = jobs.book().open(cancel.job());
     if (job.isEmpty()) {
-      if (jobs.book().shown(id).isPresent()) {
-        answer(ticket, new CallAnswer.Cancelled());
+      if (jobs.book().shown(cancel.job()).isPresent()) {
+        answer(cancel.ticket(), new CallAnswer.Cancelled());
       } else {
-        unknownJobs.ask(ticket, id, turn);
+        unknownJobs.ask(cancel, turn);
       }
       return;
     }
-    cancelling.add(ticket);
-    Runnable stored = () -> cancelled(ticket);
+    cancelling.add(cancel.ticket());
+    Runnable stored = () -> cancelled(cancel.ticket());
     if (!job.get().open()) {
       // Its end may be on its way to the store.
       jobs.persist(job.get(), stored);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionDesk.java
@@ -27,7 +27,7 @@
   private final StateWriter writer;
   private final List<BatchCommand> ready;
   private final Map<String, Submitting> underWay = new LinkedHashMap<>();
-  private final List<Submitting.DueCancel> dueCancels = new ArrayList<>();
+  private final List<JobQuestion> dueCancels = new ArrayList<>();
 
   /**
    * Creates a desk without submissions.
@@ -78,18 +78,18 @@
   }
 
   /** Keeps a cancel of a submission under way until that is decided; false if there is none. */
-  boolean cancelledMeanwhile(long ticket, String id) {
-    Submitting waiters = underWay.get(id);
+  boolean cancelledMeanwhile(JobQuestion cancel) {
+    Submitting waiters = underWay.get(cancel.job());
     if (waiters == null) {
       return false;
     }
-    waiters.cancels().add(ticket);
+    waiters.cancels().add(cancel);
     return true;
   }
 
   /** Returns, once, the cancels whose submissions have been decided. */
-  List<Submitting.DueCancel> takeDueCancels() {
-    List<Submitting.DueCancel> due = List.copyOf(dueCancels);
+  List<JobQuestion> takeDueCancels() {
+    List<JobQuestion> due = List.copyOf(dueCancels);
     dueCancels.clear();
     return due;
   }
@@ -126,7 +126,7 @@
   private void decided(String id, CallAnswer answer) {
     Submitting waiters = underWay.remove(id);
     waiters.tickets().forEach(ticket -> answer(ticket, answer));
-    waiters.cancels().forEach(ticket -> dueCancels.add(new Submitting.DueCancel(ticket, id)));
+    dueCancels.addAll(waiters.cancels());
   }
 
   private void answer(long ticket, CallAnswer answer) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Submitting.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Submitting.java
@@ -8,8 +8,4 @@
  * @param tickets who waits for its acceptance
  * @param cancels who has cancelled it meanwhile
  */
-record Submitting(List<Long> tickets, List<Long> cancels) {
-
-  /** A cancel whose submission has been decided. */
-  record DueCancel(long ticket, String job) {}
-}
+record Submitting(List<Long> tickets, List<JobQuestion> cancels) {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/UnknownJobDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/UnknownJobDesk.java
@@ -1,8 +1,9 @@
 package org.fescuehook.logic.batch;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.fescuehook.logic.batch.call.CallAnswer;
@@ -12,25 +13,23 @@
 /**
  * Questions about jobs that this owner does not know. Another VM may have taken over and accepted
  * the job, so "no such job" is said only once the store has confirmed this owner after the question
- * came; that takes one heartbeat, 0.5 s at most.
+ * came. That takes one heartbeat, which a slow store delays by seconds; so a question waits as long
+ * as an answer is of use.
  */
 final class UnknownJobDesk {
 
-  /**
-   * Longest wait for the confirmation: a heartbeat that a slow store delays. VMs that pass calls on
-   * wait 0.9 s for an answer.
-   */
-  private static final long LONGEST_WAIT_NANOS = Duration.ofMillis(800).toNanos();
+  /** The time that a refusal keeps for its way, so that it comes before the caller gives up. */
+  private static final long WAY_NANOS = Duration.ofMillis(100).toNanos();
 
   private static final long COME_BACK_MILLIS = 1000;
 
-  private final Deque<Question> open = new ArrayDeque<>();
+  private final List<Open> open = new ArrayList<>();
 
-  private record Question(long ticket, String job, long askedAt) {}
+  private record Open(JobQuestion question, long askedAt) {}
 
   /** Takes a question. */
-  void ask(long ticket, String job, BatchTurn turn) {
-    open.add(new Question(ticket, job, turn.nowNanos()));
+  void ask(JobQuestion question, BatchTurn turn) {
+    open.add(new Open(question, turn.nowNanos()));
   }
 
   /**
@@ -40,31 +39,32 @@
    * @param shown looks a job up, which may have been accepted since the question
    */
   void step(long confirmedAt, Function<String, Optional<JobPhase>> shown, BatchTurn turn) {
-    while (!open.isEmpty()) {
-      Question oldest = open.peek();
-      if (confirmedAt - oldest.askedAt() > 0) {
-        Optional<CallAnswer> phase = shown.apply(oldest.job()).map(CallAnswer.Phase::new);
-        answer(open.remove(), phase.orElseGet(CallAnswer.NoSuchJob::new), turn);
-      } else if (turn.nowNanos() - oldest.askedAt() > LONGEST_WAIT_NANOS) {
-        answer(open.remove(), refusal(RefusalCause.STORE_AWAY), turn);
-      } else {
-        return;
+    Iterator<Open> questions = open.iterator();
+    while (questions.hasNext()) {
+      Open next = questions.next();
+      JobQuestion question = next.question();
+      if (confirmedAt - next.askedAt() > 0) {
+        Optional<CallAnswer> phase = shown.apply(question.job()).map(CallAnswer.Phase::new);
+        answer(question, phase.orElseGet(CallAnswer.NoSuchJob::new), turn);
+        questions.remove();
+      } else if (turn.nowNanos() - question.until() >= -WAY_NANOS) {
+        answer(question, refusal(RefusalCause.STORE_AWAY), turn);
+        questions.remove();
       }
     }
   }
 
   /** Ends with the epoch: the next owner knows. */
   void close(BatchTurn turn) {
-    while (!open.isEmpty()) {
-      answer(open.remove(), refusal(RefusalCause.NOT_OWNER), turn);
-    }
+    open.forEach(left -> answer(left.question(), refusal(RefusalCause.NOT_OWNER), turn));
+    open.clear();
   }
 
   private static CallAnswer refusal(RefusalCause cause) {
     return new CallAnswer.Refused(cause, COME_BACK_MILLIS);
   }
 
-  private static void answer(Question question, CallAnswer answer, BatchTurn turn) {
+  private static void answer(JobQuestion question, CallAnswer answer, BatchTurn turn) {
     turn.add(new BatchCommand.Answer(question.ticket(), answer));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/BatchNetEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/BatchNetEvent.java
@@ -11,7 +11,9 @@
   /** The owner cannot be reached. */
   OWNER_UNREACHABLE(8102, "Owner at {} unreachable: {}"),
   /** The connection to the owner was closed. */
-  OWNER_DISCONNECTED(8103, "Connection to the owner at {} closed: {}, {} calls open");
+  OWNER_DISCONNECTED(8103, "Connection to the owner at {} closed: {}, {} calls open"),
+  /** The connection is silent: open calls are sent again over a new one. */
+  OWNER_SILENT(8104, "Nothing from the owner at {} for {} ms, {} calls are sent again");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -17,6 +17,9 @@
 /** Messages between entry VMs. */
 final class CallCodec {
 
+  /** Number of a probe; calls begin with 1. */
+  private static final long PROBE = 0;
+
   private CallCodec() {}
 
   static ForwardedCall encode(long number, BatchCall call) {
@@ -35,6 +38,23 @@
     return message.build();
   }
 
+  /**
+   * Encodes the question whether a connection lives. A VM of an older version takes it for a call
+   * about no queue, and answers too.
+   */
+  static ForwardedCall probe() {
+    return ForwardedCall.newBuilder().setCall(PROBE).setOperation(Operation.PENDING).build();
+  }
+
+  static boolean isProbe(ForwardedCall message) {
+    return message.getCall() == PROBE && message.getOperation() == Operation.PENDING;
+  }
+
+  /** Encodes the answer to a probe; no call has its number. */
+  static ForwardedAnswer alive() {
+    return ForwardedAnswer.newBuilder().setCall(PROBE).build();
+  }
+
   /** Decodes a call; an operation of a newer version is refused by an exception. */
   static BatchCall decode(ForwardedCall message) {
     String queue = message.getQueue();
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -1,19 +1,8 @@
 package org.fescuehook.net.batch;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,81 +20,118 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The connection to one owner, kept open. A call that could not be written is refused as not run; a
- * call without an answer is undecided, and ends the connection if nothing came over it meanwhile,
- * since it may have gone silent. All state belongs to one event loop.
+ * The way to one owner. A call waits for its answer as long as its caller does; a call that was
+ * never sent is refused as not run.
+ *
+ * <p>An owner whose store is slow answers late, and a connection that has gone silent never does.
+ * They are told apart by probes, which the owner's VM answers without the store. A silent
+ * connection is replaced by a new one, over which the open calls are sent again; what still comes
+ * over the former one counts too, since calls are idempotent. All state belongs to one event loop.
  */
-public final class CallLink implements CallPort {
+public final class CallLink implements OwnerLink {
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallLink.class);
 
-  /** Longest time to connect; the way between failure domains takes about 1 ms. */
-  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+  /**
+   * Time between looks at the connection while calls are open; probes go out as often. A caller
+   * that waits for 1 s still has its answer over a new connection.
+   */
+  private static final Duration WATCH = Duration.ofMillis(200);
 
-  /** Longest time to an answer; a slow store takes 0.3 s, and callers wait about 3 s in all. */
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(900);
+  /** Probes without an answer after which a connection counts as silent. */
+  private static final int MOST_PROBES = 2;
 
   /** When callers come back after the owner could not be reached. */
   private static final long COME_BACK_MILLIS = 1000;
 
   private final EventLoop loop;
   private final InetSocketAddress owner;
+  private final PeerConnector connector;
   private final OwnerHints hints;
-  private final Map<Long, Consumer<CallAnswer>> open = new LinkedHashMap<>();
-  private final List<Unsent> unsent = new ArrayList<>();
-  private Optional<Channel> channel = Optional.empty();
+  private final PeerConnector.Listener listener = new Listener();
+  private final Map<Long, Open> open = new LinkedHashMap<>();
+  private Optional<Live> current = Optional.empty();
+  private Optional<PeerConnector.Connection> former = Optional.empty();
   private boolean connecting;
   private boolean closed;
   private long lastNumber;
-  private long lastHeard;
 
-  private record Unsent(BatchCall call, Consumer<CallAnswer> sink) {}
+  /** A call without an answer. */
+  private static final class Open {
+    private final BatchCall call;
+    private final Consumer<CallAnswer> sink;
+    private int sends;
+
+    Open(BatchCall call, Consumer<CallAnswer> sink) {
+      this.call = call;
+      this.sink = sink;
+    }
+  }
+
+  /** The connection in use. */
+  private static final class Live {
+    private final PeerConnector.Connection connection;
+    private boolean watched;
+    private long heardAt;
+    private int unanswered;
+
+    Live(PeerConnector.Connection connection) {
+      this.connection = connection;
+    }
+
+    void heard(long now) {
+      heardAt = now;
+      unanswered = 0;
+    }
+  }
 
   /** Creates a link that connects with its first call. */
-  public CallLink(EventLoop loop, InetSocketAddress owner, OwnerHints hints) {
+  public CallLink(
+      EventLoop loop, InetSocketAddress owner, PeerConnector connector, OwnerHints hints) {
     this.loop = loop;
     this.owner = owner;
+    this.connector = connector;
     this.hints = hints;
   }
 
   @Override
-  public void call(BatchCall call, Consumer<CallAnswer> sink) {
-    loop.execute(() -> take(call, sink));
+  public void call(BatchCall call, Duration patience, Consumer<CallAnswer> sink) {
+    loop.execute(() -> take(new Open(call, sink), patience));
   }
 
-  /**
-   * Closes the connection; open calls become undecided.
-   *
-   * @param next the newer owner; the former one is told, as it may be cut off from the store
-   */
+  @Override
   public void close(Optional<OwnerHint> next) {
-    loop.execute(
-        () -> {
-          closed = true;
-          channel.ifPresent(open -> leave(open, next));
-          refuseUnsent();
+    loop.execute(() -> leave(next));
+  }
+
+  private void leave(Optional<OwnerHint> next) {
+    closed = true;
+    current.ifPresent(
+        live -> {
+          next.ifPresent(newer -> live.connection.send(CallCodec.moved(newer)));
+          live.connection.close();
         });
+    current = Optional.empty();
+    closeFormer();
+    giveUpAll();
   }
 
-  private static void leave(Channel open, Optional<OwnerHint> next) {
-    if (next.isEmpty()) {
-      open.close();
-      return;
-    }
-    open.writeAndFlush(CallCodec.moved(next.get())).addListener(ChannelFutureListener.CLOSE);
+  private long now() {
+    return loop.ticker().nanoTime();
   }
 
-  private void take(BatchCall call, Consumer<CallAnswer> sink) {
+  private void take(Open call, Duration patience) {
     if (closed) {
-      sink.accept(unreachable());
-      return;
-    }
-    if (channel.isPresent()) {
-      write(channel.get(), call, sink);
+      call.sink.accept(unreachable());
       return;
     }
-    unsent.add(new Unsent(call, sink));
-    if (!connecting) {
+    lastNumber++;
+    long number = lastNumber;
+    open.put(number, call);
+    loop.schedule(() -> expire(number), patience.toNanos(), TimeUnit.NANOSECONDS);
+    if (current.isPresent()) {
+      send(number, call, current.get());
+    } else {
       connect();
     }
   }
@@ -114,108 +140,158 @@
     return new CallAnswer.Refused(RefusalCause.NO_OWNER, COME_BACK_MILLIS);
   }
 
+  private static CallAnswer silent() {
+    return new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT);
+  }
+
   private void connect() {
-    connecting = true;
-    new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-        .handler(new Initializer())
-        .connect(owner)
-        .addListener((ChannelFuture opened) -> connected(opened));
-  }
-
-  private void connected(ChannelFuture opened) {
-    connecting = false;
-    if (!opened.isSuccess()) {
-      EventLog.warn(LOGGER, BatchNetEvent.OWNER_UNREACHABLE, owner, opened.cause().getMessage());
-      refuseUnsent();
-      return;
-    }
-    if (closed) {
-      opened.channel().close();
-      return;
+    if (!connecting) {
+      connecting = true;
+      connector.connect(listener);
     }
-    EventLog.info(LOGGER, BatchNetEvent.OWNER_CONNECTED, owner);
-    channel = Optional.of(opened.channel());
-    List<Unsent> waiting = List.copyOf(unsent);
-    unsent.clear();
-    waiting.forEach(call -> write(opened.channel(), call.call(), call.sink()));
   }
 
-  private void refuseUnsent() {
-    List<Unsent> refused = List.copyOf(unsent);
-    unsent.clear();
-    refused.forEach(call -> call.sink().accept(unreachable()));
+  private void send(long number, Open call, Live over) {
+    call.sends++;
+    over.connection.send(CallCodec.encode(number, call.call));
+    if (!over.watched) {
+      over.watched = true;
+      over.heard(now());
+      watchLater(over);
+    }
   }
 
-  private void write(Channel to, BatchCall call, Consumer<CallAnswer> sink) {
-    lastNumber++;
-    long number = lastNumber;
-    long sentAt = System.nanoTime();
-    open.put(number, sink);
-    to.writeAndFlush(CallCodec.encode(number, call));
-    loop.schedule(
-        () -> timedOut(to, number, sentAt), ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  private void watchLater(Live live) {
+    loop.schedule(() -> watch(live), WATCH.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void timedOut(Channel to, long number, long sentAt) {
-    Consumer<CallAnswer> sink = open.remove(number);
-    if (sink == null) {
+  private void watch(Live live) {
+    live.watched = !open.isEmpty() && current.filter(live::equals).isPresent();
+    if (!live.watched) {
       return;
     }
-    sink.accept(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT));
-    if (lastHeard - sentAt < 0) {
-      to.close();
+    long quiet = now() - live.heardAt;
+    if (live.unanswered == MOST_PROBES) {
+      replace(live, quiet);
+      return;
+    }
+    if (quiet >= WATCH.toNanos()) {
+      live.unanswered++;
+      live.connection.send(CallCodec.probe());
     }
+    watchLater(live);
   }
 
-  private void answered(ForwardedAnswer message) {
-    lastHeard = System.nanoTime();
-    if (message.hasOwner()) {
-      hints.hinted(CallCodec.decode(message.getOwner()));
-    }
-    Consumer<CallAnswer> sink = open.remove(message.getCall());
-    if (sink != null) {
-      sink.accept(CallCodec.decode(message));
+  private void replace(Live silent, long quietNanos) {
+    long millis = TimeUnit.NANOSECONDS.toMillis(quietNanos);
+    EventLog.warn(LOGGER, BatchNetEvent.OWNER_SILENT, owner, millis, open.size());
+    closeFormer();
+    former = Optional.of(silent.connection);
+    current = Optional.empty();
+    connect();
+  }
+
+  private void closeFormer() {
+    former.ifPresent(PeerConnector.Connection::close);
+    former = Optional.empty();
+  }
+
+  private Optional<Open> remove(long number) {
+    Optional<Open> removed = Optional.ofNullable(open.remove(number));
+    if (open.isEmpty()) {
+      closeFormer();
     }
+    return removed;
+  }
+
+  private void expire(long number) {
+    remove(number).ifPresent(CallLink::giveUp);
+  }
+
+  private static void giveUp(Open call) {
+    call.sink.accept(call.sends == 0 ? unreachable() : silent());
+  }
+
+  private void giveUpAll() {
+    List<Open> given = List.copyOf(open.values());
+    open.clear();
+    given.forEach(CallLink::giveUp);
   }
 
-  private void lost(Channel from, String cause) {
-    if (channel.filter(from::equals).isEmpty()) {
+  private void refuseUnsent() {
+    List<Long> unsent =
+        open.entrySet().stream()
+            .filter(entry -> entry.getValue().sends == 0)
+            .map(Map.Entry::getKey)
+            .toList();
+    unsent.forEach(this::expire);
+  }
+
+  private void answered(ForwardedAnswer message) {
+    Optional<Open> call = remove(message.getCall());
+    if (call.isEmpty()) {
+      // A probe, or a call that the other connection has answered.
       return;
     }
-    channel = Optional.empty();
-    EventLog.warn(LOGGER, BatchNetEvent.OWNER_DISCONNECTED, owner, cause, open.size());
-    List<Consumer<CallAnswer>> undecided = List.copyOf(open.values());
-    open.clear();
-    undecided.forEach(sink -> sink.accept(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT)));
+    CallAnswer answer = CallCodec.decode(message);
+    // A refusal answers one of the sends; another of them may have been taken.
+    boolean unsure = answer instanceof CallAnswer.Refused && call.get().sends > 1;
+    call.get().sink.accept(unsure ? silent() : answer);
   }
 
-  private final class Initializer extends ChannelInitializer<SocketChannel> {
+  private final class Listener implements PeerConnector.Listener {
     @Override
-    protected void initChannel(SocketChannel opened) {
-      CallPipeline.assemble(
-          opened.pipeline(), ForwardedAnswer.getDefaultInstance(), new AnswerHandler());
+    public void opened(PeerConnector.Connection connection) {
+      connecting = false;
+      if (closed) {
+        connection.close();
+        return;
+      }
+      EventLog.info(LOGGER, BatchNetEvent.OWNER_CONNECTED, owner);
+      Live live = new Live(connection);
+      current = Optional.of(live);
+      List.copyOf(open.keySet()).forEach(number -> send(number, open.get(number), live));
     }
-  }
 
-  private final class AnswerHandler extends SimpleChannelInboundHandler<ForwardedAnswer> {
     @Override
-    protected void channelRead0(ChannelHandlerContext context, ForwardedAnswer message) {
-      answered(message);
+    public void failed(String cause) {
+      connecting = false;
+      EventLog.warn(LOGGER, BatchNetEvent.OWNER_UNREACHABLE, owner, cause);
+      refuseUnsent();
+      if (former.isEmpty()) {
+        giveUpAll();
+      } else {
+        loop.schedule(this::connectAgain, WATCH.toMillis(), TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void connectAgain() {
+      if (!closed && !open.isEmpty() && current.isEmpty()) {
+        connect();
+      }
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext context) {
-      lost(context.channel(), "the peer closed it, or it was silent");
+    public void received(PeerConnector.Connection from, ForwardedAnswer message) {
+      current.filter(live -> live.connection.equals(from)).ifPresent(live -> live.heard(now()));
+      if (message.hasOwner()) {
+        hints.hinted(CallCodec.decode(message.getOwner()));
+      }
+      answered(message);
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      lost(context.channel(), String.valueOf(cause.getMessage()));
-      context.close();
+    public void closed(PeerConnector.Connection connection, String cause) {
+      if (former.filter(connection::equals).isPresent()) {
+        former = Optional.empty();
+      } else if (current.filter(live -> live.connection.equals(connection)).isPresent()) {
+        EventLog.warn(LOGGER, BatchNetEvent.OWNER_DISCONNECTED, owner, cause, open.size());
+        current = Optional.empty();
+        giveUpAll();
+      }
+      if (current.isEmpty() && former.isEmpty() && !connecting) {
+        giveUpAll();
+      }
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallPort.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallPort.java
@@ -1,5 +1,6 @@
 package org.fescuehook.net.batch;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
@@ -11,7 +12,8 @@
   /**
    * Takes a call and never waits.
    *
+   * @param patience how long an answer is of use, from now on
    * @param sink called once, on any thread
    */
-  void call(BatchCall call, Consumer<CallAnswer> sink);
+  void call(BatchCall call, Duration patience, Consumer<CallAnswer> sink);
 }
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
@@ -23,6 +24,12 @@
 
   private static final Logger LOGGER = LoggerFactory.getLogger(CallServer.class);
 
+  /**
+   * The VM that passes a call on answers its caller in time, whatever comes; so an answer to it is
+   * of use as long as the most patient caller waits.
+   */
+  private static final Duration PEERS_PATIENCE = Duration.ofSeconds(30);
+
   private final CallPort port;
   private final OwnerHints hints;
   private final ServerPort listener;
@@ -64,8 +71,13 @@
         hints.hinted(CallCodec.decode(message.getOwner()));
         return;
       }
+      if (CallCodec.isProbe(message)) {
+        context.writeAndFlush(CallCodec.alive());
+        return;
+      }
       BatchCall call = CallCodec.decode(message);
-      port.call(call, answer -> context.writeAndFlush(encode(message.getCall(), answer)));
+      port.call(
+          call, PEERS_PATIENCE, answer -> context.writeAndFlush(encode(message.getCall(), answer)));
     }
 
     /** A refusal names the owner that this VM knows, for callers that cannot read it themselves. */
--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -112,7 +112,8 @@
     }
     String job = path.substring(route.get().pathPrefix().length());
     try {
-      port.call(call(request, queue.name(), key, job), sink);
+      BatchCall call = call(request, queue.name(), key, job);
+      port.call(call, CallerPatience.of(request.headers()), sink);
     } catch (MalformedMessageException e) {
       sink.accept(new CallAnswer.Malformed(e.getMessage()));
     }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
@@ -0,0 +1,208 @@
+package org.fescuehook.net.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.OwnerHint;
+import org.fescuehook.wire.batch.ForwardedAnswer;
+import org.fescuehook.wire.batch.ForwardedCall;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seen: a cancel that the owner acknowledges after 1 s, as its store is slow, is answered as
+ * undecided by the VM that passed it on. Cause: the link gave an answer 0.9 s, closed the
+ * connection if nothing had come over it meanwhile, and dropped what came later; the same call was
+ * sent once more and given up again.
+ */
+class SlowOwnerTest {
+
+  private static final BatchCall CALL = new BatchCall.Cancel("q", "key", "a1");
+  private static final Duration PATIENCE = Duration.ofMillis(2800);
+  private static final CallAnswer SILENT = new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT);
+
+  private final EmbeddedChannel clock = new EmbeddedChannel();
+  private final FakePeer peer = new FakePeer();
+  private final List<CallAnswer> answers = new ArrayList<>();
+  private final CallLink link;
+
+  SlowOwnerTest() {
+    clock.freezeTime();
+    link =
+        new CallLink(
+            clock.eventLoop(), InetSocketAddress.createUnresolved("owner", 1), peer, new NoHints());
+  }
+
+  /** Tells nothing. */
+  private static final class NoHints implements OwnerHints {
+    @Override
+    public Optional<OwnerHint> known() {
+      return Optional.empty();
+    }
+
+    @Override
+    public void hinted(OwnerHint hint) {
+      // Not looked at.
+    }
+  }
+
+  /** The owner's VM: answers probes while it is alive, and calls when the test says so. */
+  private static final class FakePeer implements PeerConnector {
+    private final List<FakeConnection> connections = new ArrayList<>();
+    private Optional<Listener> listener = Optional.empty();
+    private boolean alive = true;
+    private boolean reachable = true;
+
+    private final class FakeConnection implements Connection {
+      private final List<ForwardedCall> calls = new ArrayList<>();
+      private boolean closed;
+
+      @Override
+      public void send(ForwardedCall message) {
+        if (!CallCodec.isProbe(message)) {
+          calls.add(message);
+        } else if (alive) {
+          tell(this, CallCodec.alive());
+        }
+      }
+
+      @Override
+      public void close() {
+        closed = true;
+      }
+    }
+
+    @Override
+    public void connect(Listener to) {
+      listener = Optional.of(to);
+      if (!reachable) {
+        to.failed("refused");
+        return;
+      }
+      connections.add(new FakeConnection());
+      to.opened(connections.getLast());
+    }
+
+    private void tell(FakeConnection over, ForwardedAnswer message) {
+      if (!over.closed) {
+        listener.orElseThrow().received(over, message);
+      }
+    }
+
+    private void answer(int connection, CallAnswer answer) {
+      FakeConnection over = connections.get(connection);
+      tell(over, CallCodec.encode(over.calls.getFirst().getCall(), answer));
+    }
+
+    private void breakOff(int connection) {
+      listener.orElseThrow().closed(connections.get(connection), "reset");
+    }
+  }
+
+  private void call() {
+    link.call(CALL, PATIENCE, answers::add);
+    pass(0);
+  }
+
+  private void pass(long millis) {
+    long left = millis;
+    while (left > 0) {
+      long step = Math.min(50, left);
+      clock.advanceTimeBy(step, TimeUnit.MILLISECONDS);
+      clock.runPendingTasks();
+      left -= step;
+    }
+    clock.runPendingTasks();
+  }
+
+  @Test
+  void anAnswerThatASlowStoreDelaysReachesItsCaller() {
+    call();
+    pass(2500);
+    peer.answer(0, new CallAnswer.Cancelled());
+    assertEquals(List.of(new CallAnswer.Cancelled()), answers);
+    assertEquals(1, peer.connections.size(), "an owner that lives keeps its connection");
+    assertEquals(1, peer.connections.getFirst().calls.size(), "and is asked once");
+  }
+
+  @Test
+  void callsOfASilentConnectionAreSentAgainOverANewOne() {
+    call();
+    peer.alive = false;
+    pass(1000);
+    assertEquals(2, peer.connections.size());
+    peer.answer(1, new CallAnswer.Cancelled());
+    assertEquals(List.of(new CallAnswer.Cancelled()), answers);
+  }
+
+  @Test
+  void aConnectionThatFallsSilentLaterIsReplacedAsWell() {
+    call();
+    pass(1500);
+    assertEquals(1, peer.connections.size());
+    peer.alive = false;
+    pass(1000);
+    assertEquals(2, peer.connections.size());
+  }
+
+  @Test
+  void whatComesLateOverTheFormerConnectionCountsToo() {
+    call();
+    peer.alive = false;
+    pass(1000);
+    peer.answer(0, new CallAnswer.Cancelled());
+    assertEquals(List.of(new CallAnswer.Cancelled()), answers);
+    assertTrue(peer.connections.getFirst().closed, "nothing more is awaited over it");
+  }
+
+  @Test
+  void aRefusalOfOneOfTwoSendsLeavesTheCallUndecided() {
+    call();
+    peer.alive = false;
+    pass(1000);
+    peer.answer(1, new CallAnswer.Refused(RefusalCause.STORE_AWAY, 1000));
+    assertEquals(List.of(SILENT), answers);
+  }
+
+  @Test
+  void aCallIsGivenUpWhenItsAnswerIsOfNoUseAnyMore() {
+    call();
+    pass(2750);
+    assertEquals(List.of(), answers);
+    pass(50);
+    assertEquals(List.of(SILENT), answers);
+  }
+
+  @Test
+  void aCallThatWasNeverSentIsRefused() {
+    peer.reachable = false;
+    call();
+    assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
+  }
+
+  @Test
+  void aCallWhoseConnectionBreaksIsUndecidedAtOnce() {
+    call();
+    peer.breakOff(0);
+    assertEquals(List.of(SILENT), answers);
+  }
+
+  @Test
+  void aNewerOwnerEndsTheCallsOfTheFormerOne() {
+    call();
+    link.close(Optional.empty());
+    pass(0);
+    assertEquals(List.of(SILENT), answers);
+    assertTrue(peer.connections.getFirst().closed);
+  }
+}
