--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceDuty;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -62,7 +64,7 @@
    */
   private static final Duration REACHABLE = Duration.ofMillis(1200);
 
-  /** How long a VM that asked waits for an answer; its caller waits about 3 s. */
+  /** How long a caller waits at most; calls that other VMs pass on do not tell it. */
   private static final long CALLER_NANOS = Duration.ofMillis(2800).toNanos();
 
   /** Longest time without a plan; patience and due times are kept to it. */
@@ -84,6 +86,10 @@
   private final SubmissionDesk submissions;
   private final UnknownJobDesk unknownJobs = new UnknownJobDesk();
   private final List<BatchCommand> ready = new ArrayList<>();
+
+  /** Tickets of cancels that are on their way to the store. */
+  private final Set<Long> cancelling = new LinkedHashSet<>();
+
   private boolean fenced;
   private boolean stopping;
   private long storeAgeMillis;
@@ -184,7 +190,7 @@
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.othersTake(contact.appendNanos());
     writer.expire(turn);
-    submissions.takeDueCancels().forEach(due -> cancel(due.ticket(), due.job(), turn));
+    submissions.takeDueCancels().forEach(due -> cancel(due, turn));
     unknownJobs.step(contact.confirmedAt(), jobs.book()::shown, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
@@ -229,6 +235,9 @@
     writer.close();
     CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
     submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
+    // Their jobs may have ended in the store or not; the next owner ends them.
+    cancelling.forEach(ticket -> answer(ticket, undecided));
+    cancelling.clear();
     unknownJobs.close(turn);
     ready.forEach(turn::add);
     ready.clear();
@@ -239,7 +248,10 @@
    *
    * @param contact what the heartbeats have shown of the store
    */
-  void called(long ticket, BatchCall call, StoreContact contact, BatchTurn turn) {
+  void called(BatchEvent.Called asked, StoreContact contact, BatchTurn turn) {
+    long ticket = asked.ticket();
+    BatchCall call = asked.call();
+    long until = turn.nowNanos() + asked.patience().toNanos();
     // Before the key is looked at: a VM may repeat a submission whose key was taken away since.
     if (call instanceof BatchCall.Submit submit && submissions.joined(ticket, submit.job())) {
       return;
@@ -257,7 +269,7 @@
     }
     switch (call) {
       case BatchCall.Submit submit -> {
-        Optional<RefusalCause> refusal = refusal(queue.get(), hopeless(contact, turn));
+        Optional<RefusalCause> refusal = refusal(queue.get(), hopeless(asked, contact, turn));
         if (refusal.isPresent()) {
           refuse(ticket, submit.job(), refusal.get(), turn);
           return;
@@ -265,18 +277,19 @@
         String organisation = holder.map(KeyHolder::name).orElse("");
         submissions.submit(ticket, submit, queue.get(), organisation, comeBackMillis(), turn);
       }
-      case BatchCall.Status status -> status(ticket, status.job(), turn);
-      case BatchCall.Cancel cancel -> cancel(ticket, cancel.job(), turn);
+      case BatchCall.Status status -> status(new JobQuestion(ticket, status.job(), until), turn);
+      case BatchCall.Cancel cancel -> cancel(new JobQuestion(ticket, cancel.job(), until), turn);
       case BatchCall.CountPending count ->
           answer(ticket, new CallAnswer.Pending(jobs.book().pending(count.queue())));
     }
   }
 
   /** Tells whether a submission could not be stored while its caller waits. */
-  private boolean hopeless(StoreContact contact, BatchTurn turn) {
+  private boolean hopeless(BatchEvent.Called asked, StoreContact contact, BatchTurn turn) {
     long ageNanos = turn.nowNanos() - storeSeenAt(contact.confirmedAt());
     boolean away = ageNanos > contact.nearNanos(REACHABLE) || writer.storeAway(turn);
-    return away || writer.storedInNanos(contact.lastAppendNanos(), turn) > CALLER_NANOS;
+    long waitsNanos = Math.min(asked.patience().toNanos(), CALLER_NANOS);
+    return away || writer.storedInNanos(contact.lastAppendNanos(), turn) > waitsNanos;
   }
 
   private void answer(long ticket, CallAnswer answer) {
@@ -304,29 +317,30 @@
     return Math.clamp(storeAgeMillis, COME_BACK_MILLIS, LATEST_COME_BACK_MILLIS);
   }
 
-  private void status(long ticket, String id, BatchTurn turn) {
-    Optional<JobPhase> phase = jobs.book().shown(id);
+  private void status(JobQuestion question, BatchTurn turn) {
+    Optional<JobPhase> phase = jobs.book().shown(question.job());
     if (phase.isPresent()) {
-      answer(ticket, new CallAnswer.Phase(phase.get()));
+      answer(question.ticket(), new CallAnswer.Phase(phase.get()));
     } else {
-      unknownJobs.ask(ticket, id, turn);
+      unknownJobs.ask(question, turn);
     }
   }
 
-  private void cancel(long ticket, String id, BatchTurn turn) {
-    if (submissions.cancelledMeanwhile(ticket, id)) {
+  private void cancel(JobQuestion cancel, BatchTurn turn) {
+    if (submissions.cancelledMeanwhile(cancel)) {
       return;
     }
-    Optional<OpenJob> job = jobs.book().open(id);
+    Optional<OpenJob> job = jobs.book().open(cancel.job());
     if (job.isEmpty()) {
-      if (jobs.book().shown(id).isPresent()) {
-        answer(ticket, new CallAnswer.Cancelled());
+      if (jobs.book().shown(cancel.job()).isPresent()) {
+        answer(cancel.ticket(), new CallAnswer.Cancelled());
       } else {
-        unknownJobs.ask(ticket, id, turn);
+        unknownJobs.ask(cancel, turn);
       }
       return;
     }
-    Runnable stored = () -> answer(ticket, new CallAnswer.Cancelled());
+    cancelling.add(cancel.ticket());
+    Runnable stored = () -> cancelled(cancel.ticket());
     if (!job.get().open()) {
       // Its end may be on its way to the store.
       jobs.persist(job.get(), stored);
@@ -335,6 +349,12 @@
     jobs.cancel(job.get(), stored, turn);
   }
 
+  private void cancelled(long ticket) {
+    if (cancelling.remove(ticket)) {
+      answer(ticket, new CallAnswer.Cancelled());
+    }
+  }
+
   @Override
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
     jobs.ended(run, end, stored, turn);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -40,6 +41,9 @@
   private static final long READ_WAIT_MILLIS = 1000;
   private static final long UNREAD = -1;
 
+  /** How long callers wait, as told to the owner. */
+  static final Duration PATIENCE = Duration.ofMillis(2800);
+
   private static final long WALL_START = 1_700_000_000_000L;
 
   final FakeStore store = new FakeStore();
@@ -70,6 +74,7 @@
     boolean running = true;
     boolean frozen;
     final Map<StreamName, AnswerTimes> answerTimes = new EnumMap<>(StreamName.class);
+    private final AnswerTimes readTimes = new AnswerTimes(RepeatedAppend.NEVER_LATE);
     private boolean following;
     private long busyUntil;
     private final List<BatchEvent> held = new ArrayList<>();
@@ -79,7 +84,7 @@
       starts++;
       start = starts;
       for (StreamName stream : StreamName.values()) {
-        answerTimes.put(stream, new AnswerTimes(RepeatedAppend.NEVER_LATE));
+        answerTimes.put(stream, new AnswerTimes(RepeatedAppend.NEVER_LATE, readTimes));
       }
       OwnerIdentity self = new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000", milliCores(id));
       core = new BatchCore(self, Declared.preferences());
@@ -232,6 +237,9 @@
   }
 
   private void ownershipRead(Vm vm, BatchEvent read, long end) {
+    if (reachesStore(vm)) {
+      vm.readTimes.answered(Duration.ofMillis(faults.storeDelay).toNanos());
+    }
     if (!vm.frozen) {
       vm.deliver(read);
     }
@@ -289,7 +297,7 @@
     }
     ticket++;
     calls.asked(ticket, call);
-    owner.get().deliver(new BatchEvent.Called(ticket, call));
+    owner.get().deliver(new BatchEvent.Called(ticket, call, PATIENCE));
     return Optional.of(ticket);
   }
 
