The measured owner tells how long its callers wait

The module of measurements did not compile: BatchEvent.Called takes the caller's patience since calls are held as long as their callers wait. Its tests pass (mvn -o verify of the module: 22 run, no failure).

--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -41,6 +41,9 @@
  */
 final class LoadedOwner {
 
+  /** How long callers wait. */
+  private static final Duration PATIENCE = Duration.ofMillis(2800);
+
   private static final String KEY = "key";
   private static final String QUEUE = "bulk";
   private static final int RACK = 8;
@@ -127,7 +130,8 @@
               "image");
       Submission submission = new Submission("spec", List.of(step), Optional.empty());
       String id = "%016x".formatted(jobs);
-      events.add(new BatchEvent.Called(jobs, new BatchCall.Submit(QUEUE, KEY, id, submission)));
+      BatchCall call = new BatchCall.Submit(QUEUE, KEY, id, submission);
+      events.add(new BatchEvent.Called(jobs, call, PATIENCE));
     }
     settle();
   }
