--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -73,6 +73,39 @@
     assertTrue(claims(2100));
   }
 
+  /** Heartbeats that come 1.8 s apart made others claim from an owner that lives. */
+  @Test
+  void anOwnerWhoseHeartbeatsTheStoreDelaysIsGivenTheTimeOfTwo() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    heard(2800, OwnerRecord.Kind.HEARTBEAT, 1);
+    duty.read(Optional.empty(), 2, at(4600));
+    assertFalse(claims(6300));
+    assertTrue(claims(6500));
+  }
+
+  /** A doubt counts no sooner than the next heartbeat could be heard of. */
+  @Test
+  void anOwnerWhoseHeartbeatsAreDelayedIsDoubtedLater() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    heard(2800, OwnerRecord.Kind.HEARTBEAT, 1);
+    duty.doubted(at(4000));
+    duty.read(Optional.empty(), 2, at(4600));
+    assertFalse(claims(4900));
+    assertTrue(claims(5100));
+  }
+
+  /** The owner may have written all the while; what was not read says nothing. */
+  @Test
+  void aSilenceCountsAnewFromAReadThatWasLate() {
+    heard(1000, OwnerRecord.Kind.CLAIM, 0);
+    assertFalse(claims(3200));
+    duty.read(Optional.empty(), 1, at(3500));
+    duty.read(Optional.empty(), 1, at(6000));
+    duty.read(Optional.empty(), 1, at(8000));
+    assertFalse(claims(8300));
+    assertTrue(claims(8500));
+  }
+
   @Test
   void aHeartbeatDispelsTheDoubt() {
     heard(1000, OwnerRecord.Kind.CLAIM, 0);
