The silence of an owner holds four heartbeats at their usual pace

Cause: two of the longest gaps between heartbeats; one that is sent three times comes later than that. Four at the usual pace fit in now as well, as at the quick pace; the usual gap follows a longer one by half and a shorter one by an eighth, so the end of the trouble is believed later than its beginning.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
@@ -39,8 +39,16 @@
   /** Longest silence, however slow the store is; leases have run out by then. */
   private static final long LONGEST_SILENCE_NANOS = Duration.ofSeconds(12).toNanos();
 
-  /** Heartbeats that fit into the silence after which an owner is replaced. */
-  private static final int HEARTBEATS = 2;
+  /** Heartbeats at their usual pace that fit into the silence after which an owner is replaced. */
+  private static final int USUAL_HEARTBEATS = 4;
+
+  /** Heartbeats at the slowest pace of late that fit into it. */
+  private static final int SLOW_HEARTBEATS = 2;
+
+  /** Weight of a gap in the usual one: it follows a store that turns slow sooner than its end. */
+  private static final double LONGER_WEIGHT = 1.0 / 2;
+
+  private static final double SHORTER_WEIGHT = 1.0 / 8;
 
   /** Time between two reads in a quick store: a pause, and the wait for a record. */
   private static final long READ_NANOS = Duration.ofMillis(1400).toNanos();
@@ -53,6 +61,7 @@
   private final RecentTimes gaps = new RecentTimes();
   private OptionalLong readAt = OptionalLong.empty();
   private boolean waited;
+  private double usualGapNanos = HEARTBEAT_NANOS;
   private long lastAppendNanos;
 
   /** Takes in that reading begins; later calls change nothing. */
@@ -88,6 +97,8 @@
   /** Takes in how far apart two heartbeats of the owner were read. */
   void heard(long gapNanos, BatchTurn turn) {
     gaps.add(gapNanos, turn);
+    double weight = gapNanos > usualGapNanos ? LONGER_WEIGHT : SHORTER_WEIGHT;
+    usualGapNanos += weight * (gapNanos - usualGapNanos);
   }
 
   /**
@@ -113,8 +124,10 @@
 
   /** Returns the silence after which an owner is replaced. */
   long silenceNanos(BatchTurn turn) {
-    long needed =
-        Math.max(HEARTBEATS * gaps.longest(turn), heartbeatNanos(turn) + reads.longest(turn));
+    long ofHeartbeats =
+        Math.max(
+            SLOW_HEARTBEATS * gaps.longest(turn), Math.round(USUAL_HEARTBEATS * usualGapNanos));
+    long needed = Math.max(ofHeartbeats, heartbeatNanos(turn) + reads.longest(turn));
     return Math.clamp(needed, LEAST_SILENCE_NANOS, LONGEST_SILENCE_NANOS);
   }
 
