A doubt counts only where a VM's own reads are quick; a lost answer of a slow store is asked for sooner

Their heartbeats took 2.9 s, as the first repeat went out after three times the first answer (RFC 6298 takes half of it for its deviation), and they refused what they could not store in time, which made the others doubt them. The estimate begins with a quarter: the first repeat after twice the answer. A VM whose own reads take 0.15 s and more claims no sooner for a doubt: the store explains the owner's trouble, and the claimant would meet it too.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
@@ -39,6 +39,9 @@
   /** Longest silence, however slow the store is; leases have run out by then. */
   private static final long LONGEST_SILENCE_NANOS = Duration.ofSeconds(12).toNanos();
 
+  /** A read in a store that is slow for this VM; some tens of the usual 4 ms. */
+  private static final long SLOW_READ_NANOS = Duration.ofMillis(150).toNanos();
+
   /** Heartbeats at their usual pace that fit into the silence after which an owner is replaced. */
   private static final int USUAL_HEARTBEATS = 4;
 
@@ -131,8 +134,14 @@
     return Math.clamp(needed, LEAST_SILENCE_NANOS, LONGEST_SILENCE_NANOS);
   }
 
-  /** Returns the silence after which a doubted owner is replaced. */
+  /**
+   * Returns the silence after which a doubted owner is replaced. Where this VM's own reads are
+   * slow, the store explains the owner's trouble, and a claimant would do no better.
+   */
   long doubtedSilenceNanos(BatchTurn turn) {
+    if (reads.longest(turn) > SLOW_READ_NANOS) {
+      return silenceNanos(turn);
+    }
     long needed = Math.max(gaps.longest(turn) + reads.longest(turn), heartbeatNanos(turn));
     return Math.clamp(needed, LEAST_DOUBTED_SILENCE_NANOS, LONGEST_SILENCE_NANOS);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
@@ -18,6 +18,12 @@
 
   private static final double DEVIATION_WEIGHT = 1.0 / 4;
 
+  /**
+   * Deviation that the first answer is taken to have, as a part of its time. RFC 6298 takes a half;
+   * one lost answer of a slow store is then asked for again after three answers' time.
+   */
+  private static final double FIRST_DEVIATION = 1.0 / 4;
+
   /** Deviations beyond the smoothed time before an answer counts as late (RFC 6298). */
   private static final int DEVIATIONS = 4;
 
@@ -57,7 +63,7 @@
     if (!seen) {
       seen = true;
       smoothedNanos = nanos;
-      deviationNanos = nanos / 2.0;
+      deviationNanos = nanos * FIRST_DEVIATION;
       return;
     }
     double off = Math.abs(smoothedNanos - nanos);
