Tests that fail: what was slow once counts as slow for too long

Callers of a dead owner wait while leases of 6 s run out. After a silence of 8 s a lost answer to an append is not noticed for a second and more.

The cluster now tells a VM of a first read that counts as late, as the platform does.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -192,6 +192,8 @@
     vm.deliver(new BatchEvent.ConfigurationRead(configuration));
     tick(vm);
     readOwnership(vm, UNREAD, nowMillis);
+    BatchEvent late = new BatchEvent.OwnershipUnreadable();
+    faults.firstReadLateAt().forEach(at -> in(at, () -> vm.deliver(late)));
     return vm;
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -3,12 +3,17 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import java.util.stream.LongStream;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
 
 /** What goes wrong in a {@link BatchCluster} at present. */
 final class ClusterFaults {
+
+  /** Time after which the first read of a VM counts as late, in milliseconds. */
+  private static final long NEVER_LATE_MILLIS = 700;
+
   boolean storeDown;
 
   /** Streams that are away while the others are not. */
@@ -46,4 +51,10 @@
   boolean lostStops;
 
   int stopsLost;
+
+  /** Returns how long after its start a VM counts its first read as late, again and again. */
+  LongStream firstReadLateAt() {
+    return LongStream.iterate(
+        NEVER_LATE_MILLIS, late -> late < storeDelay, late -> late + NEVER_LATE_MILLIS);
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/store/RepeatedAppendTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/store/RepeatedAppendTest.java
@@ -104,6 +104,26 @@
     assertEquals(List.of(STORED), outcomes);
   }
 
+  /**
+   * Pattern: a silent store answers the first send of an append once it is back. That it was silent
+   * says nothing of how long it takes; a lost answer is to be noticed as soon as before.
+   */
+  @Test
+  void aLostAnswerAfterASilenceOfTheStoreIsNotTakenForASlowOne() {
+    link.free = 100;
+    begin();
+    link.answer(0, 4, STORED);
+    link.runUntil(100);
+    begin();
+    link.answer(1, 8100, STORED);
+    link.runUntil(8500);
+    int before = link.sends.size();
+    begin();
+    link.runUntil(9500);
+    int sent = link.sends.size() - before;
+    assertTrue(sent > 1, () -> "sent " + sent + " times in a second without an answer");
+  }
+
   @Test
   void ofManySendsWithoutAnAnswerTheFirstAndTheNewestStayUnderWay() {
     link.free = 100;
