A pause of a VM is not taken for a slow store

VMs that were frozen for 5 s took the time between two reads for that of the store and gave a dead owner 8.1 s. The time between two turns that no VM at work leaves is now left out of a read's; whether a read is late still counts it, so that a VM that wakes does not claim on an old silence. Pauses under 1.5 s still count, as a VM that stands by rests for up to 1 s.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -106,7 +106,7 @@
   }
 
   private void take(BatchEvent event, BatchTurn turn) {
-    ownership.begun(turn);
+    ownership.runs(turn);
     switch (event) {
       case BatchEvent.Called called -> called(called, turn);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -116,9 +116,9 @@
     return pace.contact(confirmedAt.orElse(turn.nowNanos()), turn);
   }
 
-  /** Takes in that the stream is read from now on; later calls change nothing. */
-  public void begun(BatchTurn turn) {
-    pace.begun(turn);
+  /** Takes in that this VM runs. The stream is read from the first call on. */
+  public void runs(BatchTurn turn) {
+    pace.runs(turn);
   }
 
   /** Takes in that the stream was read to its end. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
@@ -56,24 +56,36 @@
   /** How much later a read may be before nothing is made of a silence. */
   private static final long LEAST_READ_SLACK_NANOS = Duration.ofMillis(700).toNanos();
 
+  /** Longest time between two turns of a VM that runs; one that stands by rests for up to 1 s. */
+  private static final long USUAL_TURN_NANOS = Duration.ofMillis(1500).toNanos();
+
   private final RecentTimes reads = new RecentTimes();
   private final RecentTimes appends = new RecentTimes();
   private final RecentTimes gaps = new RecentTimes();
   private OptionalLong readAt = OptionalLong.empty();
   private boolean waited;
+  private OptionalLong ranAt = OptionalLong.empty();
+
+  /** How long this VM did not run since the last read. */
+  private long pausedNanos;
+
   private double usualGapNanos = HEARTBEAT_NANOS;
   private long lastAppendNanos;
 
-  /** Takes in that reading begins; later calls change nothing. */
-  void begun(BatchTurn turn) {
+  /** Takes in that this VM runs. Reading begins with the first turn. */
+  void runs(BatchTurn turn) {
     if (readAt.isEmpty()) {
       readAt = OptionalLong.of(turn.nowNanos());
     }
+    long idle = turn.nowNanos() - ranAt.orElse(turn.nowNanos());
+    pausedNanos += idle > USUAL_TURN_NANOS ? idle : 0;
+    ranAt = OptionalLong.of(turn.nowNanos());
   }
 
   /** Takes in a read to the end; the first one of a VM does not wait for a record. */
   void read(BatchTurn turn) {
-    long since = turn.nowNanos() - readAt.orElse(turn.nowNanos());
+    // A pause of this VM is no time that the store took.
+    long since = turn.nowNanos() - readAt.orElse(turn.nowNanos()) - pausedNanos;
     reads.add(Math.max(0, since - (waited ? READ_NANOS : 0)), turn);
     restart(turn);
   }
@@ -85,6 +97,7 @@
 
   private void restart(BatchTurn turn) {
     readAt = OptionalLong.of(turn.nowNanos());
+    pausedNanos = 0;
     waited = true;
   }
 
