The silence of a store is not taken for the time of its answers

A store that was silent for 8 s answers the first send of the append once it is back, and that one answer raised the estimate so far that a lost answer was not asked for again within a second. One answer now counts as four times the time after which it was late at most; a store that turns slow is so followed in a few answers instead of one. RepeatedAppendTest failed before, off the list. SlowTakeoverTest, LossyStoreTest, SlowLossyStoreTest, SlowStoreTest and AnswerTimesTest pass as before.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
@@ -21,6 +21,12 @@
   /** Deviations beyond the smoothed time before an answer counts as late (RFC 6298). */
   private static final int DEVIATIONS = 4;
 
+  /**
+   * One answer counts as this many times the time after which it was late at most: a store that was
+   * silent answers what has waited for it, and that is no time that it needs.
+   */
+  private static final int MOST_GROWTH = 4;
+
   private final Duration shortest;
   private final Optional<AnswerTimes> simpler;
   private double smoothedNanos;
@@ -60,11 +66,12 @@
       deviationNanos = nanos / 2.0;
       return;
     }
-    double off = Math.abs(smoothedNanos - nanos);
+    long taken = Math.min(nanos, MOST_GROWTH * late().toNanos());
+    double off = Math.abs(smoothedNanos - taken);
     // An answer sooner than expected must not make later ones seem less late.
-    double counted = nanos < smoothedNanos ? Math.min(off, deviationNanos) : off;
+    double counted = taken < smoothedNanos ? Math.min(off, deviationNanos) : off;
     deviationNanos += DEVIATION_WEIGHT * (counted - deviationNanos);
-    smoothedNanos += TIME_WEIGHT * (nanos - smoothedNanos);
+    smoothedNanos += TIME_WEIGHT * (taken - smoothedNanos);
   }
 
   /** Returns the time after which an answer is late. */
