A late append is asked for again at the pace of reads where that is the shorter

The estimate of appends grows with each that waits for another or for repeats, and a lost one was asked for again after up to 5 s, with all others behind it. Reads are not lost and do not wait for each other; twice their estimate is what an append takes alone, and counts where it is the shorter one.

SlowTakeoverTest, SlowLossyStoreTest and LossyStoreTest hold. DeadOwnerAfterSlownessTest passes with 0.5 s an answer too, and stays listed.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/AnswerTimes.java
@@ -53,7 +53,7 @@
    * ones: a store that is slow for those is not pressed by the first of these.
    *
    * @param shortest time within which no answer counts as late, also of a store that is quick
-   * @param simpler what is known of simpler calls, which counts until an answer is seen here
+   * @param simpler what is known of simpler calls
    */
   public AnswerTimes(Duration shortest, AnswerTimes simpler) {
     this(shortest, Optional.of(simpler));
@@ -82,10 +82,25 @@
 
   /** Returns the time after which an answer is late. */
   public Duration late() {
-    double nanos = seen ? estimateNanos() : 2 * simpler.map(AnswerTimes::estimateNanos).orElse(0.0);
+    double own = seen ? estimateNanos() : Double.POSITIVE_INFINITY;
+    double nanos = Math.min(own, simplerNanos());
+    if (nanos == Double.POSITIVE_INFINITY) {
+      return shortest;
+    }
     return Duration.ofNanos(Math.clamp(Math.round(nanos), shortest.toNanos(), LONGEST.toNanos()));
   }
 
+  /**
+   * Returns what the simpler calls say. Own answers are longer where calls wait for each other, or
+   * for repeats of lost ones; to ask again so late would make the next ones wait as well.
+   */
+  private double simplerNanos() {
+    return simpler
+        .filter(calls -> calls.seen)
+        .map(calls -> 2 * calls.estimateNanos())
+        .orElse(Double.POSITIVE_INFINITY);
+  }
+
   private double estimateNanos() {
     return smoothedNanos + DEVIATIONS * deviationNanos;
   }
