A stand-in of the users' platform: its store and its executors of tasks

Change: `fescuehook-standins platform` has the store (a log with conditional appends, fenced writers whose last five answers are repeated, keyed topics, long reads; appends of a partition one after another) and executors (leases on clocks of their own, fencing tokens, incarnations, ends until acknowledged). Faults by the control port: slow, silent, refusing, lost answers with late effects, crashes.

Ruled out: that a slow store holds its partitions for longer as well.

--- a/standins/src/main/java/org/fescuehook/standins/Main.java
+++ b/standins/src/main/java/org/fescuehook/standins/Main.java
@@ -20,7 +20,10 @@
 
 /** Command line of the stand-ins; runs until it is stopped. */
 public final class Main {
-  @Argument(required = true, metaVar = "log|list|executors|workers|all", usage = "what to start")
+  @Argument(
+      required = true,
+      metaVar = "log|list|executors|workers|platform|all",
+      usage = "what to start")
   private StandInProcess.Kind kind = StandInProcess.Kind.ALL;
 
   @Option(name = "--host", metaVar = "IP", usage = "where to listen")
--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -12,6 +12,8 @@
 import org.fescuehook.standins.list.ListStandIn;
 import org.fescuehook.standins.list.Member;
 import org.fescuehook.standins.log.LogStandIn;
+import org.fescuehook.standins.platform.FleetStandIn;
+import org.fescuehook.standins.platform.StoreStandIn;
 import org.fescuehook.standins.worker.WorkerStandIns;
 
 /** All stand-ins of one process, and their control port. */
@@ -30,6 +32,7 @@
     LIST,
     EXECUTORS,
     WORKERS,
+    PLATFORM,
     ALL
   }
 
@@ -51,6 +54,7 @@
       case LIST -> startList(first);
       case EXECUTORS -> startExecutors(first);
       case WORKERS -> startWorkers(first);
+      case PLATFORM -> startPlatform(first);
       case ALL -> {
         startLog(first);
         startExecutors(any);
@@ -88,6 +92,17 @@
     addresses.putAll(workers.addresses());
   }
 
+  /** Starts the users' platform: its store, its executors and a configuration. */
+  private void startPlatform(InetSocketAddress address) throws StandInException {
+    StoreStandIn store = new StoreStandIn(group, address, MONOTONIC);
+    InetSocketAddress any = new InetSocketAddress(address.getAddress(), 0);
+    int count = sizes.executors();
+    standIns.add(store);
+    standIns.add(new FleetStandIn(group, any, count, MONOTONIC, store, sizes.journalLimit()));
+    store.publishConfiguration();
+    addresses.put("store", store.address());
+  }
+
   /** Starts the list with the executors and workers of this process on it. */
   private void startList(InetSocketAddress address) throws StandInException {
     List<Member> members = new ArrayList<>();
--- a/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Exchange.java
@@ -57,6 +57,11 @@
     return values.isEmpty() ? otherwise : Long.parseLong(values.getFirst());
   }
 
+  /** Returns a query parameter as text, or the empty text. */
+  public String text(String name) {
+    return uri.parameters().getOrDefault(name, List.of("")).getFirst();
+  }
+
   /** Returns a header, or the empty text. */
   public String header(String name) {
     return request.headers().get(name, "");
--- a/standins/src/main/java/org/fescuehook/standins/http/Json.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/Json.java
@@ -27,7 +27,8 @@
     return MAPPER.treeToValue(tree, type);
   }
 
-  static byte[] write(Object value) {
+  /** Writes a body. */
+  public static byte[] write(Object value) {
     try {
       return MAPPER.writeValueAsBytes(value);
     } catch (JsonProcessingException e) {
--- /dev/null
+++ b/standins/src/test/java/org/fescuehook/standins/platform/StoreStandInTest.java
@@ -0,0 +1,76 @@
+package org.fescuehook.standins.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.standins.StandInClient;
+import org.fescuehook.standins.StandInException;
+import org.fescuehook.standins.StandInLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class StoreStandInTest {
+
+  private static final String APPEND = "/-/log-append?topic=keyed.own&part=0";
+  private static final String READ = "/-/log-read?topic=keyed.own&part=0";
+  private static final String NEWEST = "/-/log-newest?part=0&topic=";
+  private static final String RECORD = "\0\0\0\3\1ab";
+
+  private final StandInLoops loops = new StandInLoops();
+  private StoreStandIn store;
+  private StandInClient client;
+
+  @BeforeEach
+  void start() throws StandInException {
+    store = new StoreStandIn(loops.group(), loops.anyPort(), () -> System.nanoTime() / 1_000_000);
+    client = new StandInClient(store.address());
+  }
+
+  @AfterEach
+  void stop() {
+    client.close();
+    store.close();
+    loops.close();
+  }
+
+  @Test
+  void aWaitingReadIsAnsweredByTheFirstAppend() throws Exception {
+    var waiting = client.getLater(READ + "&startKey=0&waitMs=30000");
+    StandInLoops.await(() -> store.stats().reads() != 0);
+
+    assertEquals("{\"offset\":0,\"endOffset\":1}", client.post(APPEND, RECORD).body());
+
+    assertTrue(waiting.orTimeout(20, TimeUnit.SECONDS).join().body().endsWith(RECORD));
+  }
+
+  @Test
+  void aRefusingStoreDoesNothing() throws Exception {
+    store.apply(new StoreFaults(1, false, true, 0, false));
+    assertEquals(503, client.post(APPEND, RECORD).statusCode());
+    store.apply(StoreFaults.NONE);
+
+    assertTrue(client.get(NEWEST + "keyed.own").body().contains("\"endOffset\":0"));
+  }
+
+  @Test
+  void anAppendWithoutAnAnswerTakesEffect() throws Exception {
+    store.apply(new StoreFaults(1, false, false, 1000, false));
+
+    var unanswered = client.postLater(APPEND, RECORD);
+    StandInLoops.await(() -> store.stats().lostAnswers() != 0);
+
+    assertFalse(unanswered.isDone());
+    assertTrue(client.get(NEWEST + "keyed.own").body().contains("\"endOffset\":1"));
+  }
+
+  @Test
+  void theOperatorsTopicIsReadButNotWritten() throws Exception {
+    store.publishConfiguration();
+
+    assertTrue(client.get(NEWEST + "keyed.op").body().contains("\"key\":\"config\""));
+    assertEquals(403, client.post("/-/log-append?topic=keyed.op&part=0", RECORD).statusCode());
+  }
+}
--- /dev/null
+++ b/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
@@ -0,0 +1,113 @@
+package org.fescuehook.standins.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TaskExecutorTest {
+
+  private static final String TASK = "00000000000000aa.0.0.0";
+  private static final String OTHER = "00000000000000aa.0.0.1";
+  private static final TaskExecutor.Outcome DONE = new TaskExecutor.Outcome.Done();
+
+  private final List<RunEvent> journal = new ArrayList<>();
+  private final TaskExecutor executor = new TaskExecutor("x1-1", 1, 1, 0, journal::add);
+
+  private static ObjectNode order(long token) {
+    return JsonNodeFactory.instance.objectNode().put("fencingToken", token);
+  }
+
+  private static ObjectNode run(String task, int run, long token) {
+    return order(token).put("taskId", task).put("runId", run);
+  }
+
+  private TaskExecutor.Outcome start(String task, int run, long token, long now) {
+    ObjectNode order =
+        run(task, run, token).put("spec", "run:500 job").put("expiresMs", now + 3000);
+    return executor.start(order, now);
+  }
+
+  private static TaskExecutor.Outcome rejected(String reason) {
+    return new TaskExecutor.Outcome.Rejected(reason);
+  }
+
+  private List<String> events() {
+    return journal.stream().map(e -> e.kind() + " " + e.run() + " " + e.detail()).toList();
+  }
+
+  @Test
+  void aRunEndsAndIsListedUntilItsEndIsAcknowledged() {
+    assertEquals(DONE, start(TASK, 1, 1, 1000));
+    executor.advance(1500);
+    assertEquals(List.of(List.of(1L, TASK, 1, "done", "")), executor.lists(1500).get("finished"));
+
+    executor.hold(order(1).put("ackedUpTo", 1), 1600);
+
+    assertEquals(List.of(), executor.lists(1600).get("finished"));
+    assertEquals(List.of("STARTED 1 run:500 job", "ENDED 1 done", "ACKNOWLEDGED 1 done"), events());
+  }
+
+  @Test
+  void aStartThatIsThereAlreadyStartsNothing() {
+    start(TASK, 1, 1, 1000);
+
+    assertEquals(DONE, start(TASK, 1, 1, 1010));
+    assertEquals(1, journal.size());
+  }
+
+  @Test
+  void aLowerFencingTokenDoesNothing() {
+    executor.hold(order(5), 1000);
+
+    assertEquals(rejected("fence"), start(TASK, 1, 4, 1000));
+  }
+
+  @Test
+  void whatDoesNotFitIsRejected() {
+    start(TASK, 1, 1, 1000);
+
+    assertEquals(rejected("room"), start(OTHER, 1, 1, 1000));
+  }
+
+  @Test
+  void aLeaseThatIsNotExtendedLapsesWithAllThatRuns() {
+    ObjectNode order = run(TASK, 1, 1).put("spec", "run:500 job").put("expiresMs", 1200);
+    executor.start(order, 1000);
+
+    executor.advance(1250);
+
+    assertEquals(List.of("STARTED 1 run:500 job", "LAPSED 0 ", "ENDED 1 lapsed"), events());
+  }
+
+  @Test
+  void aLeaseIsShortenedToTheLongest() {
+    ObjectNode order = run(TASK, 1, 1).put("spec", "run:90000 job").put("expiresMs", 90_000);
+    executor.start(order, 1000);
+
+    executor.advance(7001);
+
+    assertEquals("ENDED 1 lapsed", events().getLast());
+  }
+
+  @Test
+  void aStopTakesAWhileAndRejectsLowerRunsForGood() {
+    start(TASK, 1, 1, 1000);
+    executor.stop(run(TASK, 2, 1), 1100);
+    executor.advance(1300);
+
+    assertEquals("ENDED 1 stopped", events().getLast());
+    assertEquals(rejected("old"), start(TASK, 2, 1, 1400));
+    assertEquals(DONE, start(TASK, 3, 1, 1400));
+  }
+
+  @Test
+  void aStartAfterItsTimeIsRejected() {
+    ObjectNode order = run(TASK, 1, 1).put("spec", "run:500 job").put("expiresMs", 900);
+
+    assertEquals(rejected("late"), executor.start(order, 1000));
+  }
+}
