--- a/bench/src/main/java/org/fescuehook/bench/Main.java
+++ b/bench/src/main/java/org/fescuehook/bench/Main.java
@@ -8,6 +8,7 @@
 import org.fescuehook.bench.capacity.MeasureCapacity;
 import org.fescuehook.bench.policy.MeasurePolicy;
 import org.fescuehook.bench.proof.ProveCommand;
+import org.fescuehook.bench.soak.SoakCommand;
 import org.fescuehook.bench.tryout.TryCommand;
 
 /** Runs one measurement by its name. */
@@ -26,6 +27,8 @@
               MeasurePolicy::new,
               "prove",
               ProveCommand::new,
+              "soak",
+              SoakCommand::new,
               "try",
               TryCommand::new));
 
--- a/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/ProcessCluster.java
@@ -1,19 +1,11 @@
 package org.fescuehook.bench.cluster;
 
-import java.io.IOException;
-import java.io.Reader;
 import java.net.http.HttpClient;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Properties;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.stream.Stream;
 import org.fescuehook.standins.list.Member;
 
 /**
@@ -26,10 +18,7 @@
 
   private final Path programs;
   private final ClusterSizes sizes;
-  private final boolean keepFiles;
-  private final Path directory;
-  private final List<ChildProcess> children = new CopyOnWriteArrayList<>();
-  private final Thread lastResort = new Thread(this::end, "end-cluster");
+  private final ChildProcesses processes;
   private final HttpClient client = HttpCalls.sharedClient();
   private final StandIns standIns;
 
@@ -44,9 +33,7 @@
       throws ClusterException, InterruptedException {
     this.programs = programs;
     this.sizes = sizes;
-    this.keepFiles = keepFiles;
-    this.directory = temporaryDirectory();
-    Runtime.getRuntime().addShutdownHook(lastResort);
+    this.processes = new ChildProcesses(keepFiles);
     this.standIns = startStandIns();
   }
 
@@ -62,10 +49,10 @@
 
   /** Starts an entry VM without waiting for it. */
   public ChildProcess launchEntry(String name, int domain) throws ClusterException {
-    Path settings = write(name + ".ini", settings(name, domain));
+    Path settings = processes.write(name + ".ini", settings(name, domain));
     List<String> command =
         List.of(program("fescuehook"), "entry", "--settings", settings.toString());
-    return launch(name, command, Map.of(JAVA_OPTIONS, sizes.entryHeap()));
+    return processes.launch(name, command, Map.of(JAVA_OPTIONS, sizes.entryHeap()));
   }
 
   /** Waits until a launched entry VM listens, and puts it on the list of VMs. */
@@ -89,46 +76,18 @@
 
   /** Returns where settings and output of the processes are kept until the cluster is closed. */
   public Path directory() {
-    return directory;
+    return processes.directory();
   }
 
   /** Ends all processes at once and deletes their files, unless these are to be kept. */
   @Override
   public void close() {
-    end();
-    Runtime.getRuntime().removeShutdownHook(lastResort);
+    processes.close();
     client.close();
   }
 
-  private void end() {
-    killAll();
-    if (!keepFiles) {
-      deleteFiles();
-    }
-  }
-
-  private void deleteFiles() {
-    try (Stream<Path> files = Files.walk(directory)) {
-      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(file);
-      }
-    } catch (IOException e) {
-      System.err.println("cannot delete " + directory + ": " + e.getMessage());
-    }
-  }
-
-  private void killAll() {
-    for (ChildProcess child : children) {
-      try {
-        child.kill();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-  }
-
   private StandIns startStandIns() throws ClusterException, InterruptedException {
-    Path ports = directory.resolve("ports.properties");
+    Path ports = processes.directory().resolve("ports.properties");
     List<String> command =
         List.of(
             program("fescuehook-standins"),
@@ -139,18 +98,8 @@
             Integer.toString(sizes.executors()),
             "--workers",
             Integer.toString(sizes.workers()));
-    ChildProcess process = launch("stand-ins", command, Map.of(JAVA_OPTIONS, "-Xmx256m"));
-    Properties addresses =
-        Waiting.until("start", "stand-ins", START_LIMIT, () -> readProperties(ports));
-    return new StandIns(process, addresses, client);
-  }
-
-  private ChildProcess launch(String name, List<String> command, Map<String, String> environment)
-      throws ClusterException {
-    Path output = directory.resolve(name + "." + children.size() + ".log");
-    ChildProcess process = ChildProcess.start(name, command, environment, output);
-    children.add(process);
-    return process;
+    ChildProcess process = processes.launch("stand-ins", command, Map.of(JAVA_OPTIONS, "-Xmx256m"));
+    return StandIns.await(process, ports, client, START_LIMIT);
   }
 
   private String program(String name) throws ClusterException {
@@ -178,33 +127,4 @@
             });
     return text.toString();
   }
-
-  private Path write(String file, String text) throws ClusterException {
-    try {
-      return Files.writeString(directory.resolve(file), text);
-    } catch (IOException e) {
-      throw new ClusterException("write", file, e);
-    }
-  }
-
-  private static Optional<Properties> readProperties(Path file) throws ClusterException {
-    if (!Files.exists(file)) {
-      return Optional.empty();
-    }
-    Properties properties = new Properties();
-    try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
-      properties.load(reader);
-    } catch (IOException e) {
-      throw new ClusterException("read", file.toString(), e);
-    }
-    return Optional.of(properties);
-  }
-
-  private static Path temporaryDirectory() throws ClusterException {
-    try {
-      return Files.createTempDirectory("fescuehook-bench");
-    } catch (IOException e) {
-      throw new ClusterException("create", "temporary directory", e);
-    }
-  }
 }
--- a/bench/src/main/java/org/fescuehook/bench/cluster/StandIns.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/StandIns.java
@@ -1,12 +1,20 @@
 package org.fescuehook.bench.cluster;
 
+import java.io.IOException;
+import java.io.Reader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.http.HttpClient;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Properties;
 import org.fescuehook.standins.executor.RequestRun;
+import org.fescuehook.standins.platform.RunEvent;
 import org.fescuehook.standins.worker.GangAudit;
 import org.fescuehook.standins.worker.WorkerEvent;
 
@@ -16,12 +24,34 @@
   private final Properties ports;
   private final HttpCalls control;
 
-  StandIns(ChildProcess process, Properties ports, HttpClient client) {
+  private StandIns(ChildProcess process, Properties ports, HttpClient client) {
     this.process = process;
     this.ports = ports;
     this.control = new HttpCalls(client, parse(ports.getProperty("control")));
   }
 
+  /** Waits until stand-ins have written their addresses to a file. */
+  public static StandIns await(
+      ChildProcess process, Path portsFile, HttpClient client, Duration limit)
+      throws ClusterException, InterruptedException {
+    Properties addresses =
+        Waiting.until("start", process.name(), limit, () -> readProperties(portsFile));
+    return new StandIns(process, addresses, client);
+  }
+
+  private static Optional<Properties> readProperties(Path file) throws ClusterException {
+    if (!Files.exists(file)) {
+      return Optional.empty();
+    }
+    Properties properties = new Properties();
+    try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+      properties.load(reader);
+    } catch (IOException e) {
+      throw new ClusterException("read", file.toString(), e);
+    }
+    return Optional.of(properties);
+  }
+
   /** Returns their process. */
   public ChildProcess process() {
     return process;
@@ -57,6 +87,12 @@
     return HttpCalls.convert(journal, HttpCalls.listOf(WorkerEvent.class));
   }
 
+  /** Returns what happened to runs of tasks on the platform's executors. */
+  public List<RunEvent> taskRuns() throws ClusterException, InterruptedException {
+    var journal = control.get("/journal").body().path("fleet");
+    return HttpCalls.convert(journal, HttpCalls.listOf(RunEvent.class));
+  }
+
   /** Returns what went wrong on workers. */
   public List<GangAudit.Finding> audit(long maxPartialMillis)
       throws ClusterException, InterruptedException {
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -0,0 +1,41 @@
+package org.fescuehook.bench.soak;
+
+import java.util.Set;
+
+/** A fault that is brought about from outside the VMs; durations in ms. */
+sealed interface Fault {
+
+  /** VMs are killed at once and started again after a while. */
+  record KillVms(Set<Integer> vms, long downMillis) implements Fault {}
+
+  /** A VM is asked by SIGTERM to end, and started again once it has. */
+  record StopVm(int vm) implements Fault {}
+
+  /** A VM stands still. */
+  record PauseVm(int vm, long forMillis) implements Fault {}
+
+  /** An answer of the store takes a time; an append takes it twice. */
+  record SlowStore(int answerMillis, long forMillis) implements Fault {}
+
+  /** The store answers nothing. */
+  record SilentStore(long forMillis) implements Fault {}
+
+  /** The store answers 503 to all. */
+  record RefusingStore(long forMillis) implements Fault {}
+
+  /** Some appends get no answer; with late ones their effect comes seconds later. */
+  record LoseAnswers(int permille, boolean late, long forMillis) implements Fault {}
+
+  /** The way from a VM to the store is disturbed. */
+  record BreakLink(int vm, LinkMode mode, long forMillis) implements Fault {}
+
+  /** An executor crashes and comes back as another incarnation. */
+  record CrashExecutor(int number) implements Fault {}
+
+  /**
+   * A fault and when it comes.
+   *
+   * @param atMillis time since the beginning of the faults
+   */
+  record Timed(long atMillis, Fault fault) {}
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -0,0 +1,138 @@
+package org.fescuehook.bench.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Draws the faults of a run; the same seed and sizes give the same faults. */
+final class FaultPlan {
+
+  /** Faults come in the mean once in this time, and so overlap often. */
+  private static final long MEAN_GAP_MILLIS = 2500;
+
+  /** Time without faults at the beginning, in which an owner is found. */
+  private static final long CALM_MILLIS = 3000;
+
+  /** The slowest answer of the store that the users have seen. */
+  private static final int SLOWEST_ANSWER_MILLIS = 900;
+
+  private static final int LEAST_SLOW_ANSWER_MILLIS = 20;
+  private static final int MOST_LOST_PERMILLE = 500;
+  private static final int KINDS = 9;
+
+  /** A planned stop takes some 2.5 s. */
+  private static final long STOP_MILLIS = 4000;
+
+  /** A return of all VMs in a slow store needs this much time to be judged. */
+  private static final long RETURN_MILLIS = 36_000;
+
+  private final SplittableRandom random;
+  private final SoakSizes sizes;
+  private final long length;
+
+  private FaultPlan(SoakSizes sizes) {
+    this.sizes = sizes;
+    this.random = new SplittableRandom(sizes.seed());
+    this.length = sizes.faultTime().toMillis();
+  }
+
+  /** Returns the faults in the order of their times. */
+  static List<Fault.Timed> draw(SoakSizes sizes) {
+    return new FaultPlan(sizes).drawAll();
+  }
+
+  private List<Fault.Timed> drawAll() {
+    List<Fault.Timed> plan = new ArrayList<>();
+    boolean returns = length > CALM_MILLIS + RETURN_MILLIS && random.nextBoolean();
+    long end = returns ? length - RETURN_MILLIS : length;
+    long begin = length > RETURN_MILLIS && random.nextBoolean() ? addRolling(plan) : CALM_MILLIS;
+    for (long at = next(begin); at < end; at = next(at)) {
+      plan.add(new Fault.Timed(at, any(end - at)));
+    }
+    if (returns) {
+      addReturn(plan, end);
+    } else if (random.nextBoolean()) {
+      addShortReturn(plan);
+    }
+    plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
+    return List.copyOf(plan);
+  }
+
+  /** Two VMs are stopped as planned while nothing else disturbs; returns when that is over. */
+  private long addRolling(List<Fault.Timed> plan) {
+    int first = random.nextInt(sizes.vms());
+    int second = (first + 1 + random.nextInt(sizes.vms() - 1)) % sizes.vms();
+    plan.add(new Fault.Timed(CALM_MILLIS, new Fault.StopVm(first)));
+    plan.add(new Fault.Timed(CALM_MILLIS + STOP_MILLIS, new Fault.StopVm(second)));
+    return CALM_MILLIS + 2 * STOP_MILLIS;
+  }
+
+  private long next(long at) {
+    return at + random.nextLong(MEAN_GAP_MILLIS / 4, 2 * MEAN_GAP_MILLIS);
+  }
+
+  /** All VMs come back while the store is slow, and it stays so until callers have to be served. */
+  private void addReturn(List<Fault.Timed> plan, long at) {
+    int answer = random.nextInt(LEAST_SLOW_ANSWER_MILLIS, SLOWEST_ANSWER_MILLIS + 1);
+    plan.add(new Fault.Timed(at, new Fault.SlowStore(answer, length - at)));
+    plan.add(new Fault.Timed(at + random.nextLong(2000), killAll()));
+  }
+
+  /** All VMs come back while the store is slow for a while, among the other faults. */
+  private void addShortReturn(List<Fault.Timed> plan) {
+    long at = random.nextLong(CALM_MILLIS, length - CALM_MILLIS);
+    int answer = random.nextInt(LEAST_SLOW_ANSWER_MILLIS, SLOWEST_ANSWER_MILLIS + 1);
+    plan.add(new Fault.Timed(at, new Fault.SlowStore(answer, length - at)));
+    plan.add(new Fault.Timed(at + random.nextLong(2000), killAll()));
+  }
+
+  private Fault killAll() {
+    Set<Integer> all = IntStream.range(0, sizes.vms()).boxed().collect(Collectors.toSet());
+    return new Fault.KillVms(all, random.nextLong(500, 2500));
+  }
+
+  private Fault any(long left) {
+    long lasting = Math.min(left, random.nextLong(500, 6000));
+    int vm = random.nextInt(sizes.vms());
+    return switch (random.nextInt(KINDS)) {
+      case 0 -> new Fault.KillVms(Set.of(vm), random.nextLong(200, 3000));
+      case 1 -> new Fault.KillVms(several(), random.nextLong(200, 3000));
+      case 2, 3 -> new Fault.StopVm(vm);
+      case 4 -> new Fault.PauseVm(vm, lasting);
+      case 5 -> storeFault(lasting);
+      case 6 ->
+          new Fault.LoseAnswers(
+              1 + random.nextInt(MOST_LOST_PERMILLE), random.nextBoolean(), lasting);
+      case 7 -> new Fault.BreakLink(vm, brokenMode(), lasting);
+      default -> new Fault.CrashExecutor(1 + random.nextInt(sizes.executors()));
+    };
+  }
+
+  private Fault storeFault(long lasting) {
+    return switch (random.nextInt(3)) {
+      case 0 -> new Fault.SilentStore(lasting);
+      case 1 -> new Fault.RefusingStore(lasting);
+      default ->
+          new Fault.SlowStore(
+              random.nextInt(LEAST_SLOW_ANSWER_MILLIS, SLOWEST_ANSWER_MILLIS + 1), lasting);
+    };
+  }
+
+  private Set<Integer> several() {
+    Set<Integer> drawn = new HashSet<>();
+    while (drawn.size() < Math.max(1, sizes.vms() / 2)) {
+      drawn.add(random.nextInt(sizes.vms()));
+    }
+    return Set.copyOf(drawn);
+  }
+
+  private LinkMode brokenMode() {
+    LinkMode[] modes = LinkMode.values();
+    return modes[1 + random.nextInt(modes.length - 1)];
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -0,0 +1,152 @@
+package org.fescuehook.bench.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fescuehook.bench.cluster.ClusterException;
+import org.fescuehook.bench.cluster.StandIns;
+import org.fescuehook.bench.cluster.Waiting;
+import org.fescuehook.bench.soak.judge.Disruption;
+
+/** Brings faults about at their times and keeps what was disturbed when. */
+final class FaultRunner implements AutoCloseable {
+
+  private final List<VmKeeper> keepers = new ArrayList<>();
+  private final List<LoopbackProxy> links;
+  private final StandIns platform;
+  private final StoreTrouble storeTrouble;
+  private final SoakLog log;
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Queue<Disruption> disruptions = new ConcurrentLinkedQueue<>();
+  private final Queue<String> selfEnded = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger pending = new AtomicInteger();
+
+  /** Creates a runner; the links are in the order of the VMs. */
+  FaultRunner(List<SchedulerVm> vms, List<LoopbackProxy> links, StandIns platform, SoakLog log) {
+    this.links = List.copyOf(links);
+    this.platform = platform;
+    this.storeTrouble = new StoreTrouble(platform);
+    this.log = log;
+    vms.forEach(vm -> keepers.add(new VmKeeper(vm, timer, log, disruptions, selfEnded)));
+  }
+
+  /** Begins; the times of the faults count from now on. */
+  void begin(List<Fault.Timed> plan) {
+    pending.addAndGet(plan.size());
+    for (Fault.Timed timed : plan) {
+      timer.schedule(
+          () -> attempt(() -> bringAbout(timed.fault())), timed.atMillis(), TimeUnit.MILLISECONDS);
+    }
+    keepers.forEach(VmKeeper::watch);
+  }
+
+  /** Waits until all faults are over and all VMs listen again. */
+  void awaitEnd(Duration limit) throws ClusterException, InterruptedException {
+    Waiting.until(
+        "end", "faults", limit, () -> pending.get() == 0 ? Optional.of(true) : Optional.empty());
+  }
+
+  /** Returns what was disturbed and is over. */
+  List<Disruption> disruptions() {
+    return List.copyOf(disruptions);
+  }
+
+  /** Returns which processes ended without being told to. */
+  List<String> selfEnded() {
+    return List.copyOf(selfEnded);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+  }
+
+  private void over() {
+    pending.decrementAndGet();
+  }
+
+  private void bringAbout(Fault fault) throws ClusterException, InterruptedException {
+    log.line("fault: " + fault);
+    switch (fault) {
+      case Fault.KillVms kill -> {
+        pending.addAndGet(kill.vms().size() - 1);
+        for (int vm : kill.vms()) {
+          keepers.get(vm).kill(kill.downMillis(), this::over);
+        }
+      }
+      case Fault.StopVm stop -> keepers.get(stop.vm()).stop(this::over);
+      case Fault.PauseVm pause -> keepers.get(pause.vm()).pause(pause.forMillis(), this::over);
+      case Fault.SlowStore slow -> disturbStore(slow, Disruption.Kind.STORE_SLOW, slow.forMillis());
+      case Fault.SilentStore silent ->
+          disturbStore(silent, Disruption.Kind.STORE_AWAY, silent.forMillis());
+      case Fault.RefusingStore refusing ->
+          disturbStore(refusing, Disruption.Kind.STORE_AWAY, refusing.forMillis());
+      case Fault.LoseAnswers lose ->
+          disturbStore(lose, Disruption.Kind.STORE_LOSSY, lose.forMillis());
+      case Fault.BreakLink broken -> disturbLink(broken);
+      case Fault.CrashExecutor crash -> {
+        platform.faults(Map.of("fleet", Map.of("crash", List.of(crash.number()))));
+        long now = SoakLog.now();
+        disruptions.add(new Disruption(Disruption.Kind.EXECUTOR, Disruption.ALL, now, now));
+        over();
+      }
+    }
+  }
+
+  private void disturbStore(Fault fault, Disruption.Kind kind, long forMillis)
+      throws ClusterException, InterruptedException {
+    long begin = SoakLog.now();
+    storeTrouble.add(fault);
+    timer.schedule(
+        () ->
+            attempt(
+                () -> {
+                  storeTrouble.remove(fault);
+                  ended(kind, Disruption.ALL, begin, fault);
+                }),
+        forMillis,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void disturbLink(Fault.BreakLink fault) {
+    long begin = SoakLog.now();
+    links.get(fault.vm()).disturb(fault.mode());
+    timer.schedule(
+        () -> {
+          links.get(fault.vm()).disturb(LinkMode.PASS);
+          ended(Disruption.Kind.LINK, fault.vm(), begin, fault);
+        },
+        fault.forMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void ended(Disruption.Kind kind, int vm, long begin, Fault fault) {
+    disruptions.add(new Disruption(kind, vm, begin, SoakLog.now()));
+    log.line("over: " + fault);
+    over();
+  }
+
+  private void attempt(Step step) {
+    try {
+      step.run();
+    } catch (ClusterException e) {
+      log.line("a fault could not be brought about or ended: " + e.getMessage());
+      over();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @FunctionalInterface
+  private interface Step {
+    void run() throws ClusterException, InterruptedException;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -0,0 +1,232 @@
+package org.fescuehook.bench.soak;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fescuehook.bench.caller.CallerClient;
+import org.fescuehook.bench.caller.CallerOutcome;
+import org.fescuehook.bench.caller.CallerRequest;
+import org.fescuehook.bench.cluster.ClusterException;
+import org.fescuehook.bench.cluster.Waiting;
+import org.fescuehook.bench.soak.judge.JobCall;
+import org.fescuehook.bench.soak.judge.JobCall.Kind;
+import org.fescuehook.bench.soak.judge.PlannedJob;
+import org.fescuehook.standins.platform.PlatformConfiguration;
+
+/**
+ * Callers that hand jobs in, ask for their states until they are over, cancel some and hand some in
+ * again. Each keeps to a VM while its connection lasts. All decisions are made on one timer.
+ */
+final class JobCallers implements AutoCloseable {
+
+  private static final long JOB_INTERVAL_MILLIS = 250;
+
+  /** A caller's time for one answer. */
+  private static final long DEADLINE_MILLIS = 3000;
+
+  /** A caller's time for a submission with all its tries. */
+  private static final long PATIENCE_MILLIS = 8000;
+
+  private static final long ASK_MILLIS = 900;
+
+  /** Pause after a refusal, as the refusals name it. */
+  private static final long COME_BACK_MILLIS = 1000;
+
+  private static final long RETRY_MILLIS = 300;
+  private static final int CALLERS = 12;
+
+  private final Rotation rotation;
+  private final CallerClient client;
+  private final List<InetSocketAddress> vms;
+  private final JobMix mix;
+  private final Random random;
+  private final int[] keptTo = new int[CALLERS];
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final Queue<PlannedJob> jobs = new ConcurrentLinkedQueue<>();
+  private final Queue<JobCall> calls = new ConcurrentLinkedQueue<>();
+  private final Map<String, Boolean> open = new ConcurrentHashMap<>();
+  private volatile boolean quiet;
+  private int next;
+
+  /** Creates callers that do nothing yet. */
+  JobCallers(EventLoopGroup group, List<SchedulerVm> vms, long seed) {
+    this.client = new CallerClient(group);
+    this.vms = vms.stream().map(SchedulerVm::callers).toList();
+    this.rotation = new Rotation(client, vms.stream().map(SchedulerVm::readiness).toList(), timer);
+    this.mix = new JobMix(seed);
+    this.random = new Random(seed);
+  }
+
+  /** Waits until all VMs are ready. */
+  void awaitReady(Duration limit) throws ClusterException, InterruptedException {
+    rotation.start();
+    Waiting.until(
+        "become ready",
+        "VMs",
+        limit,
+        () -> rotation.ready().size() == vms.size() ? Optional.of(true) : Optional.empty());
+  }
+
+  /** Begins to hand jobs in. */
+  void begin() {
+    timer.scheduleAtFixedRate(this::handIn, 0, JOB_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Hands in no further job. */
+  void quieten() {
+    quiet = true;
+  }
+
+  /** Waits until each accepted job was shown to be over; gives up at the limit. */
+  void awaitEnds(Duration limit) throws InterruptedException {
+    try {
+      Waiting.until(
+          "end", "jobs", limit, () -> open.isEmpty() ? Optional.of(true) : Optional.empty());
+    } catch (ClusterException e) {
+      // The judge names the jobs that are open.
+      return;
+    }
+  }
+
+  List<PlannedJob> jobs() {
+    return List.copyOf(jobs);
+  }
+
+  List<JobCall> calls() {
+    return List.copyOf(calls);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    client.close();
+  }
+
+  private void handIn() {
+    if (quiet) {
+      return;
+    }
+    JobMix.Draw draw = mix.next();
+    int caller = next++ % CALLERS;
+    jobs.add(draw.job());
+    submit(draw, caller, SoakLog.now());
+  }
+
+  private void submit(JobMix.Draw draw, int caller, long first) {
+    PlannedJob job = draw.job();
+    call(
+        Kind.SUBMIT,
+        job,
+        caller,
+        call -> {
+          if (call.succeeded()) {
+            accepted(draw, caller);
+          } else if (!quiet && SoakLog.now() - first < PATIENCE_MILLIS) {
+            later(pause(call), () -> submit(draw, caller, first));
+          }
+        });
+  }
+
+  private long pause(JobCall call) {
+    return call.status() == 503 || call.status() == 429
+        ? COME_BACK_MILLIS
+        : random.nextLong(RETRY_MILLIS, 2 * RETRY_MILLIS);
+  }
+
+  private void accepted(JobMix.Draw draw, int caller) {
+    PlannedJob job = draw.job();
+    open.put(job.id(), true);
+    later(random.nextLong(ASK_MILLIS), () -> ask(job, caller));
+    if (draw.cancelAfterMillis() > 0) {
+      later(draw.cancelAfterMillis(), () -> cancel(job, caller));
+    }
+    if (draw.repeatAfterMillis() > 0) {
+      // A repeat may come by any VM.
+      int other = random.nextInt(CALLERS);
+      later(draw.repeatAfterMillis(), () -> call(Kind.SUBMIT, job, other, call -> {}));
+    }
+  }
+
+  private void ask(PlannedJob job, int caller) {
+    call(
+        Kind.STATUS,
+        job,
+        caller,
+        call -> {
+          if (call.showsEnd()) {
+            open.remove(job.id());
+          } else {
+            later(ASK_MILLIS, () -> ask(job, caller));
+          }
+        });
+  }
+
+  private void cancel(PlannedJob job, int caller) {
+    call(
+        Kind.CANCEL,
+        job,
+        caller,
+        call -> {
+          if (!call.succeeded() && call.status() != 410) {
+            later(pause(call), () -> cancel(job, caller));
+          }
+        });
+  }
+
+  private void call(Kind kind, PlannedJob job, int caller, Consumer<JobCall> then) {
+    int vm = keptTo[caller];
+    long sent = SoakLog.now();
+    client
+        .send(vms.get(vm), request(kind, job))
+        .thenAcceptAsync(
+            outcome -> {
+              JobCall.Result result = JobMessages.decode(outcome);
+              JobCall call = new JobCall(kind, job.id(), vm, sent, SoakLog.now(), result);
+              calls.add(call);
+              if (!keeps(outcome)) {
+                keptTo[caller] = rotation.draw(random);
+              }
+              then.accept(call);
+            },
+            timer);
+  }
+
+  /** Tells whether a caller stays with its VM: only if the connection lasts. */
+  private static boolean keeps(CallerOutcome outcome) {
+    return outcome instanceof CallerOutcome.Answered answered
+        && !answered.headers().getOrDefault("connection", "").equalsIgnoreCase("close")
+        && answered.status() / 100 != 5;
+  }
+
+  private static CallerRequest request(Kind kind, PlannedJob job) {
+    String method =
+        switch (kind) {
+          case SUBMIT -> "POST";
+          case STATUS -> "GET";
+          case CANCEL -> "DELETE";
+        };
+    Map<String, String> headers =
+        Map.of(
+            "Host", PlatformConfiguration.HOST,
+            "Credential", PlatformConfiguration.KEY,
+            "Deadline-Ms", Long.toString(DEADLINE_MILLIS));
+    byte[] body = kind == Kind.SUBMIT ? JobMessages.encode(job) : new byte[0];
+    return new CallerRequest(
+        method, PlatformConfiguration.PATH_PREFIX + job.id(), headers, body, DEADLINE_MILLIS);
+  }
+
+  private void later(long millis, Runnable step) {
+    timer.schedule(step, millis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -0,0 +1,64 @@
+package org.fescuehook.bench.soak;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.fescuehook.bench.caller.CallerOutcome;
+import org.fescuehook.bench.soak.judge.JobCall;
+import org.fescuehook.bench.soak.judge.PlannedJob;
+
+/** Messages about jobs as callers of the platform write and read them. */
+final class JobMessages {
+
+  /** What a task asks for: one of the four slots of an executor. */
+  private static final int CORES = 1000;
+
+  private static final int MEMORY = 1024;
+
+  /** How the caller's client words that its time was over. */
+  private static final String TIMED_OUT = "no answer in time";
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private JobMessages() {}
+
+  static byte[] encode(PlannedJob job) {
+    ObjectNode body = MAPPER.createObjectNode().put("spec", job.spec());
+    ArrayNode steps = body.putArray("steps");
+    for (PlannedJob.Step step : job.steps()) {
+      ObjectNode node = steps.addObject().put("count", step.count());
+      node.put("cpu", CORES).put("memMb", MEMORY).put("estimateMs", 500);
+      if (!step.dependsOn().isEmpty()) {
+        ArrayNode earlier = node.putArray("dependsOn");
+        step.dependsOn().forEach(earlier::add);
+      }
+    }
+    try {
+      return MAPPER.writeValueAsBytes(body);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot be written as JSON: " + job, e);
+    }
+  }
+
+  static JobCall.Result decode(CallerOutcome outcome) {
+    return switch (outcome) {
+      case CallerOutcome.Answered answered ->
+          new JobCall.Result.Answered(answered.status(), state(answered.body()));
+      case CallerOutcome.Unanswered none when none.detail().equals(TIMED_OUT) ->
+          new JobCall.Result.TimedOut();
+      case CallerOutcome.Unanswered none -> new JobCall.Result.Broken(none.detail());
+      case CallerOutcome.Cut cut -> new JobCall.Result.Broken(cut.detail());
+      case CallerOutcome.NotSent none -> new JobCall.Result.NotSent();
+    };
+  }
+
+  private static String state(byte[] body) {
+    try {
+      return MAPPER.readTree(body).path("state").asText();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -0,0 +1,38 @@
+package org.fescuehook.bench.soak;
+
+import java.time.Duration;
+
+/**
+ * How large a soak is.
+ *
+ * @param seed all faults and jobs follow from it
+ * @param faultTime how long faults are brought about
+ * @param vms scheduler VMs
+ * @param executors executors of four tasks each
+ */
+public record SoakSizes(long seed, Duration faultTime, int vms, int executors) {
+
+  private static final int LEAST_SECONDS = 10;
+  private static final int MOST_SECONDS = 3600;
+  private static final int LEAST_VMS = 2;
+  private static final int MOST_VMS = 40;
+  private static final int MOST_EXECUTORS = 250;
+
+  /**
+   * Checks the sizes.
+   *
+   * @throws IllegalArgumentException if one of them is out of its range, which it names
+   */
+  public SoakSizes {
+    checkRange("--seconds", faultTime.toSeconds(), LEAST_SECONDS, MOST_SECONDS);
+    checkRange("--vms", vms, LEAST_VMS, MOST_VMS);
+    checkRange("--executors", executors, 1, MOST_EXECUTORS);
+  }
+
+  private static void checkRange(String option, long value, long least, long most) {
+    if (value < least || value > most) {
+      throw new IllegalArgumentException(
+          option + " is " + value + ", not from " + least + " to " + most);
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/StoreTrouble.java
@@ -0,0 +1,60 @@
+package org.fescuehook.bench.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.fescuehook.bench.cluster.ClusterException;
+import org.fescuehook.bench.cluster.StandIns;
+
+/** The faults of the store that are in force; of several that overlap the worst counts. */
+final class StoreTrouble {
+
+  /** Usual time of an answer of the store. */
+  private static final double USUAL_MILLIS = 4;
+
+  private final StandIns platform;
+  private final List<Fault> active = new ArrayList<>();
+
+  StoreTrouble(StandIns platform) {
+    this.platform = platform;
+  }
+
+  void add(Fault fault) throws ClusterException, InterruptedException {
+    active.add(fault);
+    apply();
+  }
+
+  void remove(Fault fault) throws ClusterException, InterruptedException {
+    active.remove(fault);
+    apply();
+  }
+
+  private void apply() throws ClusterException, InterruptedException {
+    double answerMillis = USUAL_MILLIS;
+    boolean silent = false;
+    boolean refusing = false;
+    boolean late = false;
+    int lostPermille = 0;
+    for (Fault fault : active) {
+      switch (fault) {
+        case Fault.SlowStore slow -> answerMillis = Math.max(answerMillis, slow.answerMillis());
+        case Fault.SilentStore none -> silent = true;
+        case Fault.RefusingStore none -> refusing = true;
+        case Fault.LoseAnswers lose -> {
+          lostPermille = Math.max(lostPermille, lose.permille());
+          late |= lose.late();
+        }
+        default -> throw new IllegalArgumentException("no fault of the store: " + fault);
+      }
+    }
+    platform.faults(
+        Map.of(
+            "store",
+            Map.of(
+                "slowFactor", answerMillis / USUAL_MILLIS,
+                "silent", silent,
+                "refusing", refusing,
+                "lostPermille", lostPermille,
+                "late", late)));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
@@ -0,0 +1,41 @@
+package org.fescuehook.bench.soak.judge;
+
+/**
+ * A time in which something was disturbed from outside.
+ *
+ * @param vm number of the VM, or {@link #ALL} for what all depend on
+ * @param fromMillis monotonic time
+ * @param toMillis time at which it was over: for a VM that was ended, when it listened again
+ */
+public record Disruption(Kind kind, int vm, long fromMillis, long toMillis) {
+
+  /** Stands for all VMs. */
+  public static final int ALL = -1;
+
+  /** What was disturbed. */
+  public enum Kind {
+    /** A VM was killed. */
+    KILLED,
+    /** A VM was asked to end, which is planned; over when its process has ended. */
+    STOPPED,
+    /** A VM was started again after a planned stop. */
+    STARTING,
+    /** A VM stood still. */
+    PAUSED,
+    /** The way from a VM to the store was disturbed. */
+    LINK,
+    /** The store was slow. */
+    STORE_SLOW,
+    /** The store did not answer, or refused. */
+    STORE_AWAY,
+    /** The store lost answers. */
+    STORE_LOSSY,
+    /** An executor crashed. */
+    EXECUTOR
+  }
+
+  /** Tells whether it touches a span of time. */
+  public boolean overlaps(long from, long to) {
+    return fromMillis <= to && toMillis >= from;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -0,0 +1,48 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.List;
+import org.fescuehook.standins.platform.RunEvent;
+
+/**
+ * What callers and executors saw of a whole run. All times are of one monotonic clock.
+ *
+ * @param vms how many VMs there are
+ * @param quietMillis when the last fault was over and callers handed in no further job
+ * @param selfEnded what processes did that nobody told them
+ */
+public record History(
+    int vms,
+    List<PlannedJob> jobs,
+    List<JobCall> calls,
+    List<RunEvent> runs,
+    List<Disruption> disruptions,
+    long quietMillis,
+    List<String> selfEnded) {
+
+  /** How long before a moment a VM has to be undisturbed to count as in touch. */
+  static final long CONTACT_MILLIS = 3000;
+
+  /** Copies the lists. */
+  public History {
+    jobs = List.copyOf(jobs);
+    calls = List.copyOf(calls);
+    runs = List.copyOf(runs);
+    disruptions = List.copyOf(disruptions);
+    selfEnded = List.copyOf(selfEnded);
+  }
+
+  /** Tells whether a VM and the store are undisturbed through a span and some time before. */
+  boolean inTouch(int vm, long from, long to) {
+    return disruptions.stream()
+        .filter(d -> d.kind() != Disruption.Kind.EXECUTOR)
+        .filter(d -> d.vm() == vm || d.vm() == Disruption.ALL)
+        .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
+  }
+
+  /** Tells whether nothing but planned stops disturbs any VM or the store. */
+  boolean undisturbed(long from, long to) {
+    return disruptions.stream()
+        .filter(d -> d.kind() != Disruption.Kind.STOPPED && d.kind() != Disruption.Kind.STARTING)
+        .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -0,0 +1,34 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** Checks all promises on the history of a run. */
+public final class Judge {
+
+  private Judge() {}
+
+  /** Judges a history. */
+  public static Findings judge(History history) {
+    Findings findings = new Findings();
+    Map<String, List<JobCall>> calls =
+        history.calls().stream().collect(Collectors.groupingBy(JobCall::job));
+    Map<String, List<TaskRun>> runs = TaskRun.byTask(history.runs());
+    CallChecks callChecks = new CallChecks(history, findings);
+    RunChecks runChecks = new RunChecks(history, runs, findings);
+    for (PlannedJob job : history.jobs()) {
+      List<JobCall> ofJob = calls.getOrDefault(job.id(), List.of());
+      callChecks.check(job, ofJob);
+      runChecks.check(job, ofJob);
+    }
+    runChecks.checkUnasked();
+    callChecks.checkPlannedStops();
+    new RecoveryCheck(history, calls, findings).check();
+    findings.check(
+        Promise.KEEPS_RUNNING,
+        history.selfEnded().isEmpty(),
+        String.join("; ", history.selfEnded()));
+    return findings;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -0,0 +1,38 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * A job as its caller hands it in.
+ *
+ * @param id chosen by the caller
+ * @param spec text that is passed to the tasks
+ */
+public record PlannedJob(String id, String spec, List<Step> steps) {
+
+  /** Copies the list. */
+  public PlannedJob {
+    steps = List.copyOf(steps);
+  }
+
+  /**
+   * Tasks that are alike.
+   *
+   * @param count how many
+   * @param dependsOn numbers of earlier steps that have to be done first
+   */
+  public record Step(int count, List<Integer> dependsOn) {
+    /** Copies the list. */
+    public Step {
+      dependsOn = List.copyOf(dependsOn);
+    }
+  }
+
+  /** Returns the names of the tasks of a step. */
+  public List<String> tasks(int step) {
+    return IntStream.range(0, steps.get(step).count())
+        .mapToObj(index -> id + ".0." + step + "." + index)
+        .toList();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -0,0 +1,53 @@
+package org.fescuehook.bench.soak.judge;
+
+/** What the scheduler promises, as callers and executors can see it. */
+public enum Promise {
+  /** An accepted job is known, and no other end is shown than the caller or its tasks caused. */
+  ACCEPTED_IS_KNOWN("an accepted job is known to the VMs that are in touch"),
+  /** An accepted job ends. */
+  ACCEPTED_ENDS("an accepted job ends"),
+  /** A state is told once the faults are over. */
+  ANSWERED("open jobs are answered within 14 s of a quiet store", true),
+  /** A refused job has not run and never does. */
+  REFUSED_NEVER_RUNS("a refused job never runs"),
+  /** Repeated submissions are one job. */
+  ONE_JOB("repeated submissions of an id are one job"),
+  /** A task has one run at a time, and none after a noted end. */
+  NO_TASK_TWICE("no task runs twice at a time or after its noted end"),
+  /** A step waits for the steps that it depends on. */
+  ORDER("a step starts after the steps it depends on"),
+  /** A job is shown as completed only if it is. */
+  COMPLETED_IS_TRUE("a job shown as completed has ended so"),
+  /** Only what callers sent runs. */
+  ONLY_ASKED("only tasks that callers sent start, with their text"),
+  /** A cancelled job starts nothing more. */
+  CANCEL("no task starts 3 s after its job's cancelling", true),
+  /** A planned stop cuts no answer. */
+  PLANNED_STOP("a planned stop cuts no answer"),
+  /** Requests are served again after all VMs were down. */
+  SERVED_AGAIN("a quarter is served 12 s after all VMs are back", true),
+  /** Processes end only when they are told to. */
+  KEEPS_RUNNING("no process ends by itself");
+
+  private final String text;
+  private final boolean timed;
+
+  Promise(String text) {
+    this(text, false);
+  }
+
+  Promise(String text, boolean timed) {
+    this.text = text;
+    this.timed = timed;
+  }
+
+  /** Tells whether it names a time, which a machine that is too busy can break as well. */
+  public boolean timed() {
+    return timed;
+  }
+
+  /** Returns the promise in words. */
+  public String text() {
+    return text;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -0,0 +1,147 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.fescuehook.bench.soak.judge.JobCall.Kind;
+
+/** Checks what executors ran. */
+final class RunChecks {
+
+  /** From this time after the answer to a cancelling no task of the job may start. */
+  private static final long CANCEL_MILLIS = 3000;
+
+  private final History history;
+  private final Map<String, List<TaskRun>> runs;
+  private final Findings findings;
+
+  RunChecks(History history, Map<String, List<TaskRun>> runs, Findings findings) {
+    this.history = history;
+    this.runs = runs;
+    this.findings = findings;
+  }
+
+  void check(PlannedJob job, List<JobCall> calls) {
+    for (int step = 0; step < job.steps().size(); step++) {
+      for (String task : job.tasks(step)) {
+        List<TaskRun> ofTask = runs.getOrDefault(task, List.of());
+        checkOneAtATime(ofTask);
+        checkOrder(job, step, ofTask);
+        checkCancel(calls, ofTask);
+        checkEndedOnce(calls, ofTask);
+      }
+    }
+    checkRefused(job, calls);
+    checkCompleted(job, calls);
+  }
+
+  private void checkOneAtATime(List<TaskRun> ofTask) {
+    for (TaskRun later : ofTask) {
+      boolean alone =
+          ofTask.stream()
+              .filter(earlier -> !earlier.equals(later) && earlier.number() <= later.number())
+              .allMatch(earlier -> mayFollow(later, earlier));
+      findings.check(Promise.NO_TASK_TWICE, alone, later + " of " + ofTask);
+    }
+  }
+
+  private static boolean mayFollow(TaskRun later, TaskRun earlier) {
+    boolean apart =
+        later.startMillis() >= earlier.endMillis() || later.endMillis() <= earlier.startMillis();
+    boolean afterNoted =
+        earlier.done() && earlier.noted() && later.startMillis() >= earlier.endMillis();
+    return apart && !afterNoted;
+  }
+
+  private void checkOrder(PlannedJob job, int step, List<TaskRun> ofTask) {
+    for (TaskRun run : ofTask) {
+      boolean ordered =
+          job.steps().get(step).dependsOn().stream()
+              .flatMap(earlier -> job.tasks(earlier).stream())
+              .allMatch(task -> doneBy(task, run.startMillis()));
+      findings.check(Promise.ORDER, ordered, run.toString());
+    }
+  }
+
+  private boolean doneBy(String task, long millis) {
+    return runs.getOrDefault(task, List.of()).stream()
+        .anyMatch(run -> run.done() && run.endMillis() <= millis);
+  }
+
+  private void checkCancel(List<JobCall> calls, List<TaskRun> ofTask) {
+    OptionalLong cancelled =
+        calls.stream()
+            .filter(call -> call.kind() == Kind.CANCEL && call.succeeded())
+            .mapToLong(JobCall::endedMillis)
+            .min();
+    if (cancelled.isEmpty()) {
+      return;
+    }
+    for (TaskRun run : ofTask) {
+      boolean late =
+          run.startMillis() > cancelled.getAsLong() + CANCEL_MILLIS
+              && history.undisturbed(run.startMillis(), run.startMillis());
+      findings.check(Promise.CANCEL, !late, run + " cancelled at " + cancelled.getAsLong());
+    }
+  }
+
+  /** A job that was shown as completed starts nothing again, however often it is handed in. */
+  private void checkEndedOnce(List<JobCall> calls, List<TaskRun> ofTask) {
+    OptionalLong shown =
+        calls.stream()
+            .filter(call -> call.state().equals("completed"))
+            .mapToLong(JobCall::endedMillis)
+            .min();
+    if (shown.isEmpty()) {
+      return;
+    }
+    for (TaskRun run : ofTask) {
+      boolean again = run.startMillis() > shown.getAsLong();
+      findings.check(Promise.ONE_JOB, !again, run + " completed at " + shown.getAsLong());
+    }
+  }
+
+  private void checkRefused(PlannedJob job, List<JobCall> calls) {
+    List<JobCall> submissions = calls.stream().filter(c -> c.kind() == Kind.SUBMIT).toList();
+    if (submissions.isEmpty() || !submissions.stream().allMatch(JobCall::refused)) {
+      return;
+    }
+    boolean ran = runs.values().stream().anyMatch(r -> r.getFirst().job().equals(job.id()));
+    findings.check(Promise.REFUSED_NEVER_RUNS, !ran, "job " + job.id());
+  }
+
+  private void checkCompleted(PlannedJob job, List<JobCall> calls) {
+    for (JobCall call : calls) {
+      if (!call.state().equals("completed")) {
+        continue;
+      }
+      boolean whole = true;
+      for (int step = 0; step < job.steps().size(); step++) {
+        whole &= job.tasks(step).stream().allMatch(task -> doneBy(task, call.endedMillis()));
+      }
+      findings.check(Promise.COMPLETED_IS_TRUE, whole, call.toString());
+    }
+  }
+
+  /** Checks that each run belongs to a job that was sent, with the job's text. */
+  void checkUnasked() {
+    Map<String, String> specs = new HashMap<>();
+    Map<String, PlannedJob> jobs = new HashMap<>();
+    history.jobs().forEach(job -> jobs.put(job.id(), job));
+    history.calls().forEach(call -> specs.put(call.job(), jobs.get(call.job()).spec()));
+    for (List<TaskRun> ofTask : runs.values()) {
+      for (TaskRun run : ofTask) {
+        boolean asked = run.spec().equals(specs.get(run.job())) && planned(jobs, run);
+        findings.check(Promise.ONLY_ASKED, asked, run.toString());
+      }
+    }
+  }
+
+  private static boolean planned(Map<String, PlannedJob> jobs, TaskRun run) {
+    PlannedJob job = jobs.get(run.job());
+    return job != null
+        && run.step() < job.steps().size()
+        && job.tasks(run.step()).contains(run.task());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
@@ -0,0 +1,95 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.fescuehook.standins.platform.RunEvent;
+
+/**
+ * A run of a task, put together from what its executor saw.
+ *
+ * @param spec text that it was started with
+ * @param endMillis when it was over, {@link Long#MAX_VALUE} if it is not
+ * @param how how it ended; empty if it is not over or its executor crashed
+ * @param noted whether its end was taken note of before the executor's lease lapsed
+ */
+record TaskRun(
+    String task,
+    int number,
+    String executor,
+    String spec,
+    long startMillis,
+    long endMillis,
+    String how,
+    boolean noted) {
+
+  private static final String DONE = "done";
+
+  boolean done() {
+    return how.equals(DONE);
+  }
+
+  String job() {
+    return task.substring(0, task.indexOf('.'));
+  }
+
+  int step() {
+    return Integer.parseInt(task.split("\\.")[2]);
+  }
+
+  /** Puts the runs together, in the order of their starts, by task. */
+  static Map<String, List<TaskRun>> byTask(List<RunEvent> events) {
+    Map<String, List<RunEvent>> byRun =
+        events.stream()
+            .filter(event -> !event.task().isEmpty())
+            .collect(
+                Collectors.groupingBy(
+                    event -> event.executor() + " " + event.task() + " " + event.run(),
+                    LinkedHashMap::new,
+                    Collectors.toList()));
+    Map<String, List<TaskRun>> byTask = new HashMap<>();
+    for (List<RunEvent> run : byRun.values()) {
+      of(run, events)
+          .ifPresent(r -> byTask.computeIfAbsent(r.task, task -> new ArrayList<>()).add(r));
+    }
+    return byTask;
+  }
+
+  private static Optional<TaskRun> of(List<RunEvent> run, List<RunEvent> all) {
+    Optional<RunEvent> start = find(run, RunEvent.Kind.STARTED);
+    if (start.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<RunEvent> end = find(run, RunEvent.Kind.ENDED);
+    Optional<RunEvent> over = end.or(() -> find(run, RunEvent.Kind.CRASHED));
+    Optional<RunEvent> acknowledged = find(run, RunEvent.Kind.ACKNOWLEDGED);
+    boolean noted =
+        acknowledged.isPresent()
+            && end.isPresent()
+            && all.stream()
+                .filter(event -> event.kind() == RunEvent.Kind.LAPSED)
+                .filter(event -> event.executor().equals(start.get().executor()))
+                .noneMatch(
+                    event ->
+                        event.atMillis() > end.get().atMillis()
+                            && event.atMillis() < acknowledged.get().atMillis());
+    return Optional.of(
+        new TaskRun(
+            start.get().task(),
+            start.get().run(),
+            start.get().executor(),
+            start.get().detail(),
+            start.get().atMillis(),
+            over.map(RunEvent::atMillis).orElse(Long.MAX_VALUE),
+            end.map(RunEvent::detail).orElse(""),
+            noted));
+  }
+
+  private static Optional<RunEvent> find(List<RunEvent> run, RunEvent.Kind kind) {
+    return run.stream().filter(event -> event.kind() == kind).findFirst();
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -0,0 +1,56 @@
+package org.fescuehook.bench.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FaultPlanTest {
+
+  private static final Duration MINUTE = Duration.ofSeconds(60);
+
+  @Test
+  void theSameSeedGivesTheSameFaults() {
+    SoakSizes sizes = new SoakSizes(7, MINUTE, 4, 6);
+
+    assertEquals(FaultPlan.draw(sizes), FaultPlan.draw(sizes));
+    assertNotEquals(FaultPlan.draw(sizes), FaultPlan.draw(new SoakSizes(8, MINUTE, 4, 6)));
+  }
+
+  @Test
+  void faultsBeginWithinTheTimeGiven() {
+    for (long seed = 0; seed < 200; seed++) {
+      List<Fault.Timed> plan = FaultPlan.draw(new SoakSizes(seed, Duration.ofSeconds(10), 2, 1));
+
+      assertFalse(plan.isEmpty(), "seed " + seed);
+      assertTrue(plan.getFirst().atMillis() >= 3000, "seed " + seed);
+      assertTrue(plan.getLast().atMillis() < 10_000, "seed " + seed);
+    }
+  }
+
+  @Test
+  void eachKindOfFaultIsDrawn() {
+    Set<Class<?>> kinds = new HashSet<>();
+    for (long seed = 0; seed < 50; seed++) {
+      FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6))
+          .forEach(timed -> kinds.add(timed.fault().getClass()));
+    }
+
+    assertEquals(Set.of(Fault.class.getPermittedSubclasses()).size(), kinds.size());
+  }
+
+  @Test
+  void impossibleSizesAreNamed() {
+    IllegalArgumentException thrown =
+        assertThrows(IllegalArgumentException.class, () -> new SoakSizes(1, MINUTE, 1, 6));
+
+    assertEquals("--vms is 1, not from 2 to 40", thrown.getMessage());
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -0,0 +1,91 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fescuehook.bench.soak.judge.JobCall.Kind;
+import org.fescuehook.bench.soak.judge.JobCall.Result;
+import org.fescuehook.standins.platform.RunEvent;
+
+/** Puts the history of a run together by hand: two VMs and jobs of one kind. */
+final class HistoryBuilder {
+
+  static final int VMS = 2;
+  static final String EXECUTOR = "x1-1";
+
+  /** When all faults are over. */
+  static final long QUIET = 100_000;
+
+  private final List<PlannedJob> jobs = new ArrayList<>();
+  private final List<JobCall> calls = new ArrayList<>();
+  private final List<RunEvent> runs = new ArrayList<>();
+  private final List<Disruption> disruptions = new ArrayList<>();
+  private final List<String> selfEnded = new ArrayList<>();
+
+  /** A job of two steps of one task each, the second after the first. */
+  HistoryBuilder job(String id) {
+    PlannedJob.Step first = new PlannedJob.Step(1, List.of());
+    PlannedJob.Step second = new PlannedJob.Step(1, List.of(0));
+    jobs.add(new PlannedJob(id, spec(id), List.of(first, second)));
+    return this;
+  }
+
+  static String spec(String id) {
+    return "run:100 " + id;
+  }
+
+  HistoryBuilder call(Kind kind, String job, long sent, int status, String state) {
+    return call(kind, job, 0, sent, sent + 10, new Result.Answered(status, state));
+  }
+
+  HistoryBuilder call(Kind kind, String job, int vm, long sent, long ended, Result result) {
+    calls.add(new JobCall(kind, job, vm, sent, ended, result));
+    return this;
+  }
+
+  /** Hands a job in with success. */
+  HistoryBuilder accepted(String job, long sent) {
+    return job(job).call(Kind.SUBMIT, job, sent, 200, "");
+  }
+
+  HistoryBuilder started(String task, int run, long at) {
+    return startedWith(task, run, spec(task.substring(0, task.indexOf('.'))), at);
+  }
+
+  HistoryBuilder startedWith(String task, int run, String spec, long at) {
+    return event(RunEvent.Kind.STARTED, task, run, spec, at);
+  }
+
+  HistoryBuilder event(RunEvent.Kind kind, String task, int run, String detail, long at) {
+    runs.add(new RunEvent(kind, EXECUTOR, task, run, detail, at));
+    return this;
+  }
+
+  /** A run that ends as done and whose end is taken note of. */
+  HistoryBuilder ran(String task, int run, long from, long to) {
+    return started(task, run, from)
+        .event(RunEvent.Kind.ENDED, task, run, "done", to)
+        .event(RunEvent.Kind.ACKNOWLEDGED, task, run, "done", to + 20);
+  }
+
+  /** A job that is accepted, runs and is shown as completed. */
+  HistoryBuilder whole(String job, long at) {
+    return accepted(job, at)
+        .ran(job + ".0.0.0", 1, at + 50, at + 150)
+        .ran(job + ".0.1.0", 1, at + 200, at + 300)
+        .call(Kind.STATUS, job, at + 1000, 200, "completed");
+  }
+
+  HistoryBuilder disturbed(Disruption.Kind kind, int vm, long from, long to) {
+    disruptions.add(new Disruption(kind, vm, from, to));
+    return this;
+  }
+
+  HistoryBuilder selfEnded(String what) {
+    selfEnded.add(what);
+    return this;
+  }
+
+  Findings judge() {
+    return Judge.judge(new History(VMS, jobs, calls, runs, disruptions, QUIET, selfEnded));
+  }
+}
