--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RecoveryCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RecoveryCheck.java
@@ -25,6 +25,9 @@
   /** A quarter of the requests has to be served. */
   private static final int SERVED_OF = 4;
 
+  /** A VM that is started after a planned stop is down as well. */
+  private static final Set<Kind> DOWN = Set.of(Kind.KILLED, Kind.STARTING);
+
   private static final Set<Kind> BEARABLE = Set.of(Kind.STORE_SLOW, Kind.EXECUTOR);
 
   private final History history;
@@ -38,22 +41,22 @@
   }
 
   void check() {
-    List<Disruption> kills =
-        history.disruptions().stream().filter(d -> d.kind() == Kind.KILLED).toList();
-    for (Disruption last : kills) {
-      if (allDown(kills, last.fromMillis())) {
-        checkAfter(last.fromMillis(), back(kills, last.fromMillis()));
+    List<Disruption> downs =
+        history.disruptions().stream().filter(d -> DOWN.contains(d.kind())).toList();
+    for (Disruption last : downs) {
+      if (allDown(downs, last.fromMillis())) {
+        checkAfter(last.fromMillis(), back(downs, last.fromMillis()));
       }
     }
   }
 
-  private boolean allDown(List<Disruption> kills, long at) {
+  private boolean allDown(List<Disruption> downs, long at) {
     return IntStream.range(0, history.vms())
-        .allMatch(vm -> kills.stream().anyMatch(d -> d.vm() == vm && d.overlaps(at, at)));
+        .allMatch(vm -> downs.stream().anyMatch(d -> d.vm() == vm && d.overlaps(at, at)));
   }
 
-  private static long back(List<Disruption> kills, long at) {
-    return kills.stream()
+  private static long back(List<Disruption> downs, long at) {
+    return downs.stream()
         .filter(d -> d.overlaps(at, at))
         .mapToLong(Disruption::toMillis)
         .max()
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -266,6 +266,16 @@
     assertBroken(Promise.SERVED_AGAIN);
   }
 
+  @Test
+  void aVmThatIsStartedAfterAPlannedStopIsDownLikeTheKilledOnes() {
+    served(0, 10);
+    history.disturbed(Disruption.Kind.STARTING, 0, 19_500, 22_000);
+    history.disturbed(Disruption.Kind.KILLED, 1, 20_000, 22_000);
+    refused(40_000, 10);
+
+    assertBroken(Promise.SERVED_AGAIN);
+  }
+
   @Test
   void callsThatAreServedAfterAllVmsAreBackAreChecked() {
     served(0, 10);
