Names: the longest append of late, and the appends to another stream

Renames alone; a reviewer read lastAppendNanos and appendNanos as the same thing, and the way of an append stood for a duration and for a send.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -188,7 +188,7 @@
     // The stream of the jobs may be away while that of ownership is not.
     long awaySince = Math.min(storeSeenAt, writer.troubleSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
-    writer.othersTake(contact.appendNanos());
+    writer.appendsToAnotherTake(contact.longestAppendNanos());
     writer.expire(turn);
     submissions.takeDueCancels().forEach(due -> cancel(due, turn));
     unknownJobs.step(contact.confirmedAt(), jobs.book()::shown, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -74,7 +74,7 @@
 
   /** Tells whether nothing that it waits for has come for a while. */
   boolean stalled(StoreContact contact, BatchTurn turn) {
-    long longest = Math.max(STALL_NANOS, STALL_APPENDS * contact.appendNanos());
+    long longest = Math.max(STALL_NANOS, STALL_APPENDS * contact.longestAppendNanos());
     return turn.nowNanos() - progressAt > longest;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/StoreContact.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/StoreContact.java
@@ -7,9 +7,9 @@
  *
  * @param confirmedAt when the last heartbeat that the store confirmed was sent, monotonic time
  * @param lastAppendNanos how long the last heartbeat took
- * @param appendNanos how long its heartbeats have taken lately, at most
+ * @param longestAppendNanos how long its heartbeats have taken lately, at most
  */
-public record StoreContact(long confirmedAt, long lastAppendNanos, long appendNanos) {
+public record StoreContact(long confirmedAt, long lastAppendNanos, long longestAppendNanos) {
 
   /**
    * Returns the age of the last confirmed heartbeat up to which the store is at hand: one is under
@@ -18,6 +18,6 @@
    * @param least the age that is usual while the store is quick
    */
   public long nearNanos(Duration least) {
-    return Math.max(least.toNanos(), OwnershipPace.HEARTBEAT_NANOS + 2 * appendNanos);
+    return Math.max(least.toNanos(), OwnershipPace.HEARTBEAT_NANOS + 2 * longestAppendNanos);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RepeatedAppend.java
@@ -110,7 +110,7 @@
     Send send = new Send(link.nowNanos());
     Optional<Link.Sending> sending = link.send(left(), outcome -> ended(send, outcome));
     if (sending.isPresent()) {
-      send.way = sending;
+      send.sending = sending;
       open.add(send);
       sends++;
     }
@@ -146,7 +146,7 @@
   private void giveUp(Send send) {
     open.remove(send);
     unanswered = true;
-    send.way.ifPresent(Link.Sending::giveUp);
+    send.sending.ifPresent(Link.Sending::giveUp);
   }
 
   private void ended(Send send, AppendOutcome outcome) {
@@ -195,14 +195,14 @@
     ended = true;
     List<Send> left = List.copyOf(open);
     open.clear();
-    left.forEach(send -> send.way.ifPresent(Link.Sending::giveUp));
+    left.forEach(send -> send.sending.ifPresent(Link.Sending::giveUp));
     sink.accept(outcome);
   }
 
   /** One send. */
   private static final class Send {
     private final long sentAt;
-    private Optional<Link.Sending> way = Optional.empty();
+    private Optional<Link.Sending> sending = Optional.empty();
 
     Send(long sentAt) {
       this.sentAt = sentAt;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -55,7 +55,7 @@
 
   private long nextSequence;
   private final RecentTimes appends = new RecentTimes();
-  private long othersTakeNanos;
+  private long otherStreamNanos;
   private long lastTookNanos;
   private long pausedUntil;
   private OptionalLong troubleSince = OptionalLong.empty();
@@ -200,13 +200,13 @@
 
   /** An append that waits for another takes twice as long as one alone. */
   private long patienceNanos(BatchTurn turn) {
-    long append = Math.max(appends.longest(turn), othersTakeNanos);
+    long append = Math.max(appends.longest(turn), otherStreamNanos);
     return Math.max(LEAST_PATIENCE_NANOS, 2 * append);
   }
 
   /** Takes in how long appends to another stream of the store take at most. */
-  public void othersTake(long nanos) {
-    othersTakeNanos = nanos;
+  public void appendsToAnotherTake(long nanos) {
+    otherStreamNanos = nanos;
   }
 
   /**
