--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -2,16 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceDuty;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
-import org.fescuehook.logic.batch.call.UndecidedCause;
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
@@ -25,7 +22,6 @@
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobDuty;
 import org.fescuehook.logic.batch.state.LiveRun;
-import org.fescuehook.logic.batch.state.OpenJob;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -85,11 +81,9 @@
   private final PlanDuty plans;
   private final SubmissionDesk submissions;
   private final UnknownJobDesk unknownJobs = new UnknownJobDesk();
+  private final CancelDesk cancels;
   private final List<BatchCommand> ready = new ArrayList<>();
 
-  /** Tickets of cancels that are on their way to the store. */
-  private final Set<Long> cancelling = new LinkedHashSet<>();
-
   private boolean fenced;
   private boolean stopping;
   private long storeAgeMillis;
@@ -115,6 +109,7 @@
             turn);
     this.jobs = new JobDuty(book, writer, executors, configuration);
     this.submissions = new SubmissionDesk(jobs, writer, ready);
+    this.cancels = new CancelDesk(jobs, submissions, unknownJobs, ready);
     this.advice = new AdviceDuty(EpochNumbers.before(epoch), turn);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work());
     executors.serve(jobs.pools());
@@ -190,7 +185,7 @@
     storeAgeMillis = Duration.ofNanos(turn.nowNanos() - awaySince).toMillis();
     writer.appendsToAnotherTake(contact.longestAppendNanos());
     writer.expire(turn);
-    submissions.takeDueCancels().forEach(due -> cancel(due, turn));
+    cancels.step(turn);
     unknownJobs.step(contact.confirmedAt(), jobs.book()::shown, turn);
     if (turn.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(turn);
@@ -233,11 +228,7 @@
   /** Ends the epoch: who still waits is told what is known. */
   void close(BatchTurn turn) {
     writer.close();
-    CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
-    submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
-    // Their jobs may have ended in the store or not; the next owner ends them.
-    cancelling.forEach(ticket -> answer(ticket, undecided));
-    cancelling.clear();
+    cancels.close();
     unknownJobs.close(turn);
     ready.forEach(turn::add);
     ready.clear();
@@ -278,7 +269,8 @@
         submissions.submit(ticket, submit, queue.get(), organisation, comeBackMillis(), turn);
       }
       case BatchCall.Status status -> status(new JobQuestion(ticket, status.job(), until), turn);
-      case BatchCall.Cancel cancel -> cancel(new JobQuestion(ticket, cancel.job(), until), turn);
+      case BatchCall.Cancel cancel ->
+          cancels.cancel(new JobQuestion(ticket, cancel.job(), until), turn);
       case BatchCall.CountPending count ->
           answer(ticket, new CallAnswer.Pending(jobs.book().pending(count.queue())));
     }
@@ -326,35 +318,6 @@
     }
   }
 
-  private void cancel(JobQuestion cancel, BatchTurn turn) {
-    if (submissions.cancelledMeanwhile(cancel)) {
-      return;
-    }
-    Optional<OpenJob> job = jobs.book().open(cancel.job());
-    if (job.isEmpty()) {
-      if (jobs.book().shown(cancel.job()).isPresent()) {
-        answer(cancel.ticket(), new CallAnswer.Cancelled());
-      } else {
-        unknownJobs.ask(cancel, turn);
-      }
-      return;
-    }
-    cancelling.add(cancel.ticket());
-    Runnable stored = () -> cancelled(cancel.ticket());
-    if (!job.get().open()) {
-      // Its end may be on its way to the store.
-      jobs.persist(job.get(), stored);
-      return;
-    }
-    jobs.cancel(job.get(), stored, turn);
-  }
-
-  private void cancelled(long ticket) {
-    if (cancelling.remove(ticket)) {
-      answer(ticket, new CallAnswer.Cancelled());
-    }
-  }
-
   @Override
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
     jobs.ended(run, end, stored, turn);
