--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -38,6 +38,10 @@
   RUN_LOST(8024, "Run {} on {} lost: {}"),
   /** An executor runs what the owner does not know. */
   RUN_UNKNOWN(8025, "Run {} on {} is not wanted and is stopped"),
+  /** A run was on an executor that is lost. */
+  RUN_LOST_WITH_EXECUTOR(
+      8026,
+      "Run {} was on {} when it was lost: {}, age at its last answer {}, {} other runs there"),
   /** An executor can be reached. */
   EXECUTOR_REACHED(8030, "Executor {} reached, {} runs there"),
   /** An executor does not answer. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -212,12 +212,30 @@
   }
 
   private void loseAll(ExecutorState executor, String cause, BatchTurn turn) {
+    int others = executor.runs().size() - 1;
     for (LiveRun run : List.copyOf(executor.runs())) {
+      noteLoss(executor, run, others, turn);
       executor.remove(run);
       reports.lose(run, cause, turn);
     }
   }
 
+  private static void noteLoss(ExecutorState executor, LiveRun run, int others, BatchTurn turn) {
+    long silentSince = executor.silentSince().orElse(turn.nowNanos());
+    String age =
+        run.startOrderedAt().isPresent()
+            ? Duration.ofNanos(silentSince - run.startOrderedAt().getAsLong()).toMillis() + " ms"
+            : "unknown";
+    String seen = run.seenRunning() ? "seen running" : "never seen running";
+    turn.note(
+        BatchLogEvent.RUN_LOST_WITH_EXECUTOR,
+        run.run(),
+        executor.profile().id(),
+        seen,
+        age,
+        others);
+  }
+
   private void forget(ExecutorState executor, BatchTurn turn) {
     book.remove(executor);
     heardOf.remove(executor);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -33,6 +33,7 @@
   private boolean listed = true;
   private boolean known;
   private int missedPolls;
+  private OptionalLong silentSince = OptionalLong.empty();
   private Optional<PollUnderWay> poll = Optional.empty();
   private long nextPollAt;
   private OptionalLong clockAheadMillis = OptionalLong.empty();
@@ -180,6 +181,7 @@
     acknowledgementKnown = acknowledgementSent;
     known = true;
     missedPolls = 0;
+    silentSince = OptionalLong.empty();
     nextPollAt = nowNanos;
   }
 
@@ -189,6 +191,14 @@
     acknowledgementSent = acknowledgementKnown;
     missedPolls++;
     nextPollAt = nowNanos + pauseNanos;
+    if (silentSince.isEmpty()) {
+      silentSince = OptionalLong.of(nowNanos);
+    }
+  }
+
+  /** Returns since when polls have had no answer, monotonic time; absent while they have. */
+  public OptionalLong silentSince() {
+    return silentSince;
   }
 
   /** Takes a reading of its clock. It is late by its way here, which shortens leases by as much. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -33,6 +34,8 @@
   private long reportedAt;
   private boolean judged;
   private boolean paced;
+  private OptionalLong startOrderedAt = OptionalLong.empty();
+  private boolean seenRunning;
 
   private LiveRun(
       TaskRun run,
@@ -139,6 +142,21 @@
     stage = next;
     stageSince = nowNanos;
     orders = 0;
+    switch (next) {
+      case STARTING -> startOrderedAt = OptionalLong.of(nowNanos);
+      case RUNNING -> seenRunning = true;
+      case PLACED, STOPPING, INHERITED -> {}
+    }
+  }
+
+  /** Returns when this owner ordered its start, monotonic time; absent if it did not. */
+  public OptionalLong startOrderedAt() {
+    return startOrderedAt;
+  }
+
+  /** Tells whether the executor ever said that it runs. */
+  public boolean seenRunning() {
+    return seenRunning;
   }
 
   /** Counts an order of this stage and remembers when it was sent. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -64,7 +64,7 @@
   private long order;
   private long ticket;
   private int starts;
-  private int ownershipsWon;
+  private final List<BatchCommand.Note> notes = new ArrayList<>();
 
   /** One VM. */
   final class Vm {
@@ -257,8 +257,7 @@
       case BatchCommand.Order order -> orders.send(vm, order);
       case BatchCommand.AskAdvice question -> orders.ask(vm, question);
       case BatchCommand.ForgetExecutor forget -> {}
-      case BatchCommand.Note note ->
-          ownershipsWon += note.event() == BatchLogEvent.OWNERSHIP_WON ? 1 : 0;
+      case BatchCommand.Note note -> notes.add(note);
       case BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
@@ -378,7 +377,12 @@
 
   /** Returns how many owners there have been. */
   int ownershipsWon() {
-    return ownershipsWon;
+    return notes(BatchLogEvent.OWNERSHIP_WON).size();
+  }
+
+  /** Returns what all VMs have logged of a kind. */
+  List<BatchCommand.Note> notes(BatchLogEvent event) {
+    return notes.stream().filter(note -> note.event() == event).toList();
   }
 
   long nowMillis() {
