--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -55,6 +55,7 @@
   final ClusterFaults faults = new ClusterFaults();
 
   final ClusterOrders orders = new ClusterOrders(this);
+  final ClusterCrashes crashes = new ClusterCrashes(this);
   private final ClusterAppends appends = new ClusterAppends(this);
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
@@ -355,6 +356,7 @@
       }
       nowMillis = next;
       List.copyOf(executors.values()).forEach(executor -> executor.pass(nowMillis, STEP_MILLIS));
+      crashes.bringBack();
     }
   }
 
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
@@ -0,0 +1,72 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.fleet.ExecutorId;
+
+/** Crashes of executors of a {@link BatchCluster} that come back at the same address. */
+final class ClusterCrashes {
+
+  /** How long an executor is away that was crashed by a task. */
+  static final long DOWN_MILLIS = 3200;
+
+  /** Time without a heartbeat after which the list drops an entry. */
+  private static final long LISTED_MILLIS = 4500;
+
+  private final BatchCluster cluster;
+  private final Set<ExecutorId> down = new HashSet<>();
+  private final Set<ExecutorId> replaced = new HashSet<>();
+  private int restarts;
+
+  ClusterCrashes(BatchCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  /** Brings back what tasks have crashed since the last call. */
+  void bringBack() {
+    for (FakeExecutor executor : List.copyOf(cluster.executors.values())) {
+      if (!executor.up()) {
+        restart(executor.profile().id(), DOWN_MILLIS);
+      }
+    }
+  }
+
+  /** Crashes an executor; another incarnation answers at its address after a while. */
+  void restart(ExecutorId id, long downMillis) {
+    FakeExecutor executor = cluster.executors.remove(id);
+    executor.crash(cluster.nowMillis());
+    cluster.work.forget(id);
+    down.add(id);
+    restarts++;
+    ExecutorProfile next = Declared.renamed(executor.profile(), "again-" + restarts);
+    cluster.in(
+        downMillis,
+        () -> {
+          replaced.add(id);
+          cluster.addExecutor(next);
+        });
+    cluster.in(LISTED_MILLIS, () -> cluster.unlist(id));
+  }
+
+  /** Tells whether nothing listens at the address of an executor. */
+  boolean refused(ExecutorId id) {
+    return down.contains(id) && !replaced.contains(id);
+  }
+
+  /** Tells whether another incarnation answers at the address of an executor. */
+  boolean replaced(ExecutorId id) {
+    return replaced.contains(id);
+  }
+
+  /** Returns the executors that answer, by name. */
+  List<ExecutorId> up() {
+    return new ArrayList<>(cluster.executors.keySet());
+  }
+
+  int restarts() {
+    return restarts;
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -36,6 +36,14 @@
       unanswered(vm, command, 600, "timeout");
       return;
     }
+    if (cluster.crashes.replaced(id)) {
+      cluster.in(1, () -> ended(vm, command, new OrderOutcome.OtherIncarnation()));
+      return;
+    }
+    if (cluster.crashes.refused(id)) {
+      unanswered(vm, command, 1, "refused");
+      return;
+    }
     boolean there = cluster.executors.containsKey(id) && !faults.silent.contains(id);
     boolean late = there && cluster.random.nextDouble() < faults.lateOrders;
     if (!there || late) {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingWork.java
@@ -0,0 +1,68 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.batch.TaskRun;
+
+/** Tasks that crash each executor that starts them, and an audit of how often they are started. */
+final class CrashingWork {
+
+  /** Executors that have crashed under a task from which on its starts are counted. */
+  private static final int COUNTED_FROM = 3;
+
+  /** Starts that are too many once that many executors have crashed. */
+  private static final int TOO_MANY_STARTS = 3;
+
+  private final Map<TaskName, Long> ageAtCrash = new HashMap<>();
+  private final Map<TaskName, Integer> crashes = new HashMap<>();
+  private final Map<TaskName, Integer> lateStarts = new HashMap<>();
+
+  /**
+   * Has a task crash its executors.
+   *
+   * @param millis time after the start; 0 for a crash before the start is answered
+   */
+  void crashes(TaskName task, long millis) {
+    ageAtCrash.put(task, millis);
+  }
+
+  boolean atStart(TaskRun run) {
+    return ageAtCrash.getOrDefault(run.task(), Long.MAX_VALUE) == 0;
+  }
+
+  boolean due(TaskRun run, long ageMillis) {
+    return ageMillis >= ageAtCrash.getOrDefault(run.task(), Long.MAX_VALUE);
+  }
+
+  /** A run was there when its executor crashed, whoever caused that. */
+  void crashed(TaskRun run) {
+    crashes.merge(run.task(), 1, Integer::sum);
+  }
+
+  /** Returns how many executors have crashed under a task. */
+  int crashesUnder(TaskName task) {
+    return crashes.getOrDefault(task, 0);
+  }
+
+  /** Returns the most executors that have crashed under one task of a job. */
+  int crashesUnderJob(String job) {
+    return crashes.entrySet().stream()
+        .filter(entry -> entry.getKey().job().equals(job))
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
+  void started(TaskRun run) {
+    if (!ageAtCrash.containsKey(run.task()) || crashesUnder(run.task()) < COUNTED_FROM) {
+      return;
+    }
+    int starts = lateStarts.merge(run.task(), 1, Integer::sum);
+    assertTrue(
+        starts < TOO_MANY_STARTS,
+        () -> run + " starts, the " + starts + "th time after three executors crashed under it");
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -93,6 +93,33 @@
         0);
   }
 
+  /** The same executor in another life. */
+  static ExecutorProfile renamed(ExecutorProfile profile, String name) {
+    return new ExecutorProfile(
+        new ExecutorId(name),
+        profile.address(),
+        profile.pool(),
+        profile.domain(),
+        profile.rack(),
+        profile.labels(),
+        profile.capacity(),
+        false,
+        0);
+  }
+
+  static ExecutorProfile withCapacity(ExecutorProfile profile, Demand capacity) {
+    return new ExecutorProfile(
+        profile.id(),
+        profile.address(),
+        profile.pool(),
+        profile.domain(),
+        profile.rack(),
+        profile.labels(),
+        capacity,
+        profile.leaving(),
+        profile.remainingMillis());
+  }
+
   static ExecutorProfile leaving(ExecutorProfile profile, long remainingMillis) {
     return new ExecutorProfile(
         profile.id(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,12 +24,17 @@
   private static final long CHECKPOINT_MILLIS = 500;
   private static final long RESTORE_MILLIS = 250;
 
+  /** How long a capacity that has shrunk may still be used; the list tells it late. */
+  private static final long SHRINK_MILLIS = 4500;
+
   private final VirtualWork work;
   private final Map<TaskRun, Active> active = new LinkedHashMap<>();
   private final Map<TaskName, Integer> closed = new HashMap<>();
   private final List<OrderOutcome.EndedRun> ended = new ArrayList<>();
   private final long clockAhead;
   private ExecutorProfile profile;
+  private Demand usable;
+  private boolean guards = true;
   private long epoch;
   private long leaseUntil;
   private long lastEnd;
@@ -53,6 +60,7 @@
 
   FakeExecutor(ExecutorProfile profile, long clockAhead, VirtualWork work) {
     this.profile = profile;
+    this.usable = profile.capacity();
     this.clockAhead = clockAhead;
     this.work = work;
   }
@@ -65,6 +73,22 @@
     profile = newer;
   }
 
+  /** Has it start whatever it is told to, also what does not fit. */
+  void startAnything() {
+    guards = false;
+  }
+
+  /** Describes its capacity anew. */
+  void resize(Demand capacity, BatchCluster cluster) {
+    profile = Declared.withCapacity(profile, capacity);
+    if (capacity.contains(usable)) {
+      usable = capacity;
+    } else {
+      cluster.in(SHRINK_MILLIS, () -> usable = profile.capacity());
+    }
+    cluster.list(profile.id());
+  }
+
   boolean up() {
     return up;
   }
@@ -83,6 +107,7 @@
     up = false;
     for (TaskRun run : running()) {
       active.remove(run);
+      work.crashes.crashed(run);
       work.gone(run, nowMillis);
     }
   }
@@ -151,16 +176,22 @@
     if (!work.advice.valid(run.task(), profile.id(), start.ticket(), nowMillis)) {
       return new OrderOutcome.Rejected(Rejection.NO_TICKET);
     }
-    if (!free().contains(work.demand(run.task()))) {
+    boolean fits = free().contains(work.demand(run.task()));
+    if (!fits && guards) {
       return new OrderOutcome.Rejected(Rejection.NO_ROOM);
     }
+    assertTrue(fits, () -> run + " brings " + profile.id() + " over its capacity");
     active.put(run, new Active(start.checkpoint(), nowMillis));
     work.started(run, profile.id(), nowMillis);
+    if (work.crashes.atStart(run)) {
+      crash(nowMillis);
+      return new OrderOutcome.Unanswered("closed");
+    }
     return new OrderOutcome.Done(nowMillis + clockAhead);
   }
 
   private Demand free() {
-    Demand free = profile.capacity();
+    Demand free = guards ? profile.capacity() : usable;
     for (TaskRun run : active.keySet()) {
       free = free.minus(work.demand(run.task()));
     }
@@ -213,6 +244,10 @@
       if (state == null) {
         continue;
       }
+      if (work.crashes.due(run, nowMillis - state.startedAt)) {
+        crash(nowMillis);
+        return;
+      }
       if (nowMillis > leaseUntil) {
         end(run, RunEnd.LEASE_EXPIRED, nowMillis);
       } else if (nowMillis >= state.stopAt) {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ShrinkingCapacityTest.java
@@ -0,0 +1,41 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An executor's capacity may shrink and grow while it runs. One that starts whatever it is told to
+ * is brought over its capacity by a start that was placed before it shrank and is sent after that:
+ * a placement waits for the store, and nobody looked at the capacity again.
+ */
+class ShrinkingCapacityTest {
+
+  private static final Demand HALF = new Demand(32_000, 131_072, 4);
+
+  /** Time that the store takes for an append; the shrunk capacity is binding after 4.5 s. */
+  private static final long SLOW_APPEND_MILLIS = 5000;
+
+  @Test
+  void aStartThatWasPlacedBeforeTheCapacityShrankIsNotSentAfterIt() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(500);
+    FakeExecutor executor = cluster.executors.get(new ExecutorId("e0"));
+    executor.startAnything();
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 4, 1000)));
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 6, 1000)));
+    cluster.runUntil("the first start", 500, () -> cluster.work.starts().size() == 1);
+    cluster.faults.appendMillis = SLOW_APPEND_MILLIS;
+    cluster.runUntil(
+        "both placements", 2000, () -> cluster.notes(BatchLogEvent.RUN_PLACED).size() == 2);
+    executor.resize(HALF, cluster);
+    cluster.run(2 * SLOW_APPEND_MILLIS);
+    assertEquals(1, cluster.work.starts().size());
+    cluster.faults.appendMillis = 0;
+    executor.resize(Declared.CAPACITY, cluster);
+    cluster.runUntil("the start", 15_000, () -> cluster.work.starts().size() == 2);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -52,6 +52,7 @@
   private final List<TaskRun> starts = new ArrayList<>();
   private final Map<TaskName, Long> durations = new HashMap<>();
   final FakeAdvice advice = new FakeAdvice();
+  final CrashingWork crashes = new CrashingWork();
   private double wastedCoreSeconds;
   private long stopMillis = 100;
 
@@ -213,6 +214,7 @@
     }
     running.put(run, executor);
     starts.add(run);
+    crashes.started(run);
   }
 
   private boolean done(TaskName task) {
