--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -10,6 +10,7 @@
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
@@ -333,6 +334,11 @@
     jobs.lost(run, turn);
   }
 
+  @Override
+  public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {
+    jobs.lostWithExecutor(run, evidence, turn);
+  }
+
   @Override
   public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
     if (rejection == Rejection.NO_TICKET) {
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashJudge.java
@@ -0,0 +1,91 @@
+package org.fescuehook.logic.batch.executor;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.model.batch.BatchStep;
+
+/**
+ * Judges which runs may have caused the loss of their executor. Executors are also lost by
+ * themselves, so what counts is how soon after its start a run was lost, and what ran beside it.
+ */
+public final class CrashJudge {
+
+  /**
+   * Age of a run above which the crash of its executor hardly speaks against it. Executors that are
+   * lost by themselves rarely are so just after a certain start, and a silent one is noticed by
+   * polls, which take up to 1.4 s.
+   */
+  public static final Duration SOON = Duration.ofSeconds(2);
+
+  private CrashJudge() {}
+
+  /** How the loss of an executor is known. */
+  enum Loss {
+    /** Another incarnation answers at its address: it has crashed. */
+    RESTARTED,
+    /** It was silent until its leases had expired: it has crashed, or is cut off. */
+    SILENT
+  }
+
+  /** Judges all runs of an executor that is lost. */
+  static Map<LiveRun, CrashEvidence> judge(ExecutorState executor, Loss loss, long nowNanos) {
+    List<LiveRun> runs = List.copyOf(executor.runs());
+    long lostAt = executor.silentSince().orElse(nowNanos);
+    Map<LiveRun, CrashEvidence> evidence = new LinkedHashMap<>();
+    for (LiveRun run : runs) {
+      boolean alone = runs.size() == 1 && !executor.restartedLately(nowNanos);
+      evidence.put(run, judge(executor, run, loss, lostAt, alone));
+    }
+    return evidence;
+  }
+
+  private static CrashEvidence judge(
+      ExecutorState executor, LiveRun run, Loss loss, long lostAt, boolean alone) {
+    boolean neverStarted = run.startOrderedAt().isEmpty() && !run.inherited();
+    if (executor.profile().leaving() || neverStarted) {
+      return CrashEvidence.NONE;
+    }
+    boolean crashedEarly =
+        loss == Loss.RESTARTED
+            && run.seenRunning()
+            && within(run.startOrderedAt(), lostAt, soonNanos(run));
+    if (crashedEarly) {
+      return alone ? CrashEvidence.STRONG_ALONE : CrashEvidence.STRONG;
+    }
+    // A task that lasts outlives many executors, and any of them may be lost by itself.
+    boolean lasting = run.step().spec().lasting().isPresent();
+    boolean longAtWork = run.seenRunning() && !within(run.runningSince(), lostAt, SOON.toNanos());
+    return lasting && longAtWork ? CrashEvidence.NONE : CrashEvidence.WEAK;
+  }
+
+  /** A run that has worked for half of its estimate may have ended before its executor was lost. */
+  private static long soonNanos(LiveRun run) {
+    BatchStep spec = run.step().spec();
+    if (spec.lasting().isPresent()) {
+      return SOON.toNanos();
+    }
+    return Math.min(SOON.toNanos(), TimeUnit.MILLISECONDS.toNanos(spec.estimateMillis()) / 2);
+  }
+
+  private static boolean within(OptionalLong since, long nowNanos, long longestNanos) {
+    return since.isPresent() && nowNanos - since.getAsLong() <= longestNanos;
+  }
+
+  /**
+   * Tells whether a run that may crash its executor has not shown yet that it does not, so that
+   * nothing else should start beside it.
+   */
+  public static boolean onProbation(LiveRun run, long nowNanos) {
+    if (!run.suspect()) {
+      return false;
+    }
+    OptionalLong since = run.inherited() ? OptionalLong.of(run.placedAt()) : run.startOrderedAt();
+    return run.stage() == Stage.PLACED || within(since, nowNanos, SOON.toNanos());
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -2,8 +2,10 @@
 
 import static java.util.Comparator.comparing;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,6 +15,7 @@
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.executor.CrashJudge.Loss;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
@@ -54,6 +57,7 @@
   private final RunListener listener;
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
+  private final Map<InetSocketAddress, Long> restartedAt = new HashMap<>();
   private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
   private final ContactWindow contacts = new ContactWindow();
   private long nextRoundAt;
@@ -123,6 +127,7 @@
     Optional<ExecutorState> found = book.find(profile.id());
     if (found.isEmpty()) {
       ExecutorState executor = new ExecutorState(profile);
+      Optional.ofNullable(restartedAt.remove(profile.address())).ifPresent(executor::restarted);
       book.add(executor);
       Optional.ofNullable(orphans.remove(profile.id()))
           .ifPresent(runs -> runs.forEach(run -> adopt(executor, run, turn)));
@@ -162,7 +167,12 @@
       List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
       lost.forEach(
-          run -> reports.lose(run, "its executor is not listed and its lease has expired", turn));
+          run ->
+              reports.loseWithExecutor(
+                  run,
+                  CrashEvidence.WEAK,
+                  "its executor is not listed and its lease has expired",
+                  turn));
     }
   }
 
@@ -199,7 +209,7 @@
   private void settleSilence(ExecutorState executor, BatchTurn turn) {
     boolean silent = executor.missedPolls() > 0;
     if (silent && turn.nowNanos() - executor.leaseUntilNanos() > 0) {
-      loseAll(executor, "silent until its lease had expired", turn);
+      loseAll(executor, Loss.SILENT, "silent until its lease had expired", turn);
     }
     boolean mayRun = !executor.runs().isEmpty() || (executor.runsUnknown() && !silent);
     boolean idle = !mayRun && executor.poll().isEmpty();
@@ -211,13 +221,25 @@
     }
   }
 
-  private void loseAll(ExecutorState executor, String cause, BatchTurn turn) {
-    int others = executor.runs().size() - 1;
-    for (LiveRun run : List.copyOf(executor.runs())) {
-      noteLoss(executor, run, others, turn);
-      executor.remove(run);
-      reports.lose(run, cause, turn);
+  private void loseAll(ExecutorState executor, Loss loss, String cause, BatchTurn turn) {
+    Map<LiveRun, CrashEvidence> evidence = CrashJudge.judge(executor, loss, turn.nowNanos());
+    for (LiveRun run : evidence.keySet()) {
+      noteLoss(executor, run, evidence.size() - 1, turn);
     }
+    evidence.forEach(
+        (run, against) -> {
+          executor.remove(run);
+          reports.loseWithExecutor(run, against, cause, turn);
+        });
+  }
+
+  /** Remembers that what is, or will be, listed at the address of a crashed executor is new. */
+  private void markRestarted(ExecutorState crashed, BatchTurn turn) {
+    InetSocketAddress address = crashed.profile().address();
+    restartedAt.put(address, turn.nowNanos());
+    book.all().stream()
+        .filter(executor -> executor.profile().address().equals(address))
+        .forEach(executor -> executor.restarted(turn.nowNanos()));
   }
 
   private static void noteLoss(ExecutorState executor, LiveRun run, int others, BatchTurn turn) {
@@ -339,8 +361,11 @@
     if (outcome instanceof OrderOutcome.OtherIncarnation) {
       turn.note(
           BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
-      loseAll(executor, "its executor was restarted", turn);
+      run.filter(live -> live.stage() == Stage.STARTING && live.orders() == 1)
+          .ifPresent(LiveRun::startNeverArrived);
+      loseAll(executor, Loss.RESTARTED, "its executor was restarted", turn);
       forget(executor, turn);
+      markRestarted(executor, turn);
       return false;
     }
     if (outcome instanceof OrderOutcome.Rejected(Rejection rejection)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -27,6 +27,9 @@
   /** How long a poll is put off for ends that are being stored; an append takes some 10 ms. */
   private static final long STORE_PATIENCE_NANOS = Duration.ofMillis(80).toNanos();
 
+  /** How long an executor that has crashed may be about to crash again. */
+  private static final long LATELY_NANOS = Duration.ofSeconds(30).toNanos();
+
   private ExecutorProfile profile;
   private final Map<TaskRun, LiveRun> runs = new LinkedHashMap<>();
   private Demand used = Demand.NONE;
@@ -34,6 +37,7 @@
   private boolean known;
   private int missedPolls;
   private OptionalLong silentSince = OptionalLong.empty();
+  private OptionalLong restartedAt = OptionalLong.empty();
   private Optional<PollUnderWay> poll = Optional.empty();
   private long nextPollAt;
   private OptionalLong clockAheadMillis = OptionalLong.empty();
@@ -196,6 +200,16 @@
     }
   }
 
+  /** Remembers that the incarnation before it, at the same address, is known to have crashed. */
+  void restarted(long nowNanos) {
+    restartedAt = OptionalLong.of(nowNanos);
+  }
+
+  /** Tells whether it crashed not long ago, and so may crash again by itself. */
+  public boolean restartedLately(long nowNanos) {
+    return restartedAt.isPresent() && nowNanos - restartedAt.getAsLong() < LATELY_NANOS;
+  }
+
   /** Returns since when polls have had no answer, monotonic time; absent while they have. */
   public OptionalLong silentSince() {
     return silentSince;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
@@ -34,6 +34,12 @@
     listener.lost(run, cause, turn);
   }
 
+  /** Tells that a run is gone with its executor. */
+  void loseWithExecutor(LiveRun run, CrashEvidence evidence, String cause, BatchTurn turn) {
+    turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), cause);
+    listener.lostWithExecutor(run, evidence, turn);
+  }
+
   /** Takes in the answer of the poll under way. */
   void take(ExecutorState executor, OrderOutcome.Polled answer, BatchTurn turn) {
     long sentAt = executor.poll().orElseThrow().sentAt();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -21,6 +21,9 @@
   /** A run is known not to be alive, and no end of it was seen; its capacity is free. */
   void lost(LiveRun run, String cause, BatchTurn turn);
 
+  /** The same, as its executor is lost; the run may have caused that. */
+  void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn);
+
   /** An executor rejected a start; it has not run and will not. Its capacity is free. */
   void rejected(LiveRun run, Rejection rejection, BatchTurn turn);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -141,6 +141,9 @@
         .setLastRun(task.lastRun())
         .setCheckpoint(task.done() ? "" : task.checkpoint())
         .setExecutor(task.live().map(run -> run.executor().value()).orElse(""))
+        .setEarlyCrashes(task.crashes().early())
+        .setOtherCrashes(task.crashes().other())
+        .setCrashedAlone(task.crashes().alone())
         .build();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
@@ -241,6 +242,34 @@
     }
   }
 
+  /**
+   * A run is gone with its executor. Its task may have caused that, and would do so again wherever
+   * it starts; what speaks against it is stored, so that each owner counts on from there.
+   */
+  public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {
+    StepProgress step = run.step();
+    TaskProgress task = step.tasks().get(run.run().task().index());
+    boolean counts =
+        step.job().open() && !step.done() && task.live().filter(run::equals).isPresent();
+    if (!counts) {
+      lost(run, turn);
+      return;
+    }
+    turn.count("fescuehook.batch.runs.crashed", "evidence", evidence.tag());
+    task.crashed(evidence);
+    if (task.crashes().hopeless()) {
+      step.end(task);
+      turn.note(
+          BatchLogEvent.TASK_GIVEN_UP,
+          run.run().task(),
+          task.crashes().early(),
+          task.crashes().other());
+      end(step.job(), JobPhase.FAILED, () -> {}, turn);
+      return;
+    }
+    lost(run, turn);
+  }
+
   /** A start was rejected. */
   public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
     turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), "rejected: " + rejection);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -23,6 +23,7 @@
   private final String checkpoint;
   private final Optional<String> ticket;
   private final long placedAt;
+  private final boolean inherited;
   private Stage stage;
   private boolean startUncertain;
   private boolean stopTaken;
@@ -35,7 +36,7 @@
   private boolean judged;
   private boolean paced;
   private OptionalLong startOrderedAt = OptionalLong.empty();
-  private boolean seenRunning;
+  private OptionalLong runningSince = OptionalLong.empty();
 
   private LiveRun(
       TaskRun run,
@@ -51,6 +52,7 @@
     this.checkpoint = checkpoint;
     this.ticket = ticket;
     this.stage = stage;
+    this.inherited = stage == Stage.INHERITED;
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
     this.reportedAt = nowNanos;
@@ -144,11 +146,26 @@
     orders = 0;
     switch (next) {
       case STARTING -> startOrderedAt = OptionalLong.of(nowNanos);
-      case RUNNING -> seenRunning = true;
+      case RUNNING -> runningSince = OptionalLong.of(nowNanos);
       case PLACED, STOPPING, INHERITED -> {}
     }
   }
 
+  /** Remembers that no start of it has reached the executor. */
+  public void startNeverArrived() {
+    startOrderedAt = OptionalLong.empty();
+  }
+
+  /** Tells whether a former owner had placed it. */
+  public boolean inherited() {
+    return inherited;
+  }
+
+  /** Tells whether its task may have crashed an executor before. */
+  public boolean suspect() {
+    return step.tasks().get(run.task().index()).crashes().suspect();
+  }
+
   /** Returns when this owner ordered its start, monotonic time; absent if it did not. */
   public OptionalLong startOrderedAt() {
     return startOrderedAt;
@@ -156,7 +173,12 @@
 
   /** Tells whether the executor ever said that it runs. */
   public boolean seenRunning() {
-    return seenRunning;
+    return runningSince.isPresent();
+  }
+
+  /** Returns since when it is known to run, monotonic time; absent if that was never seen. */
+  public OptionalLong runningSince() {
+    return runningSince;
   }
 
   /** Counts an order of this stage and remembers when it was sent. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -43,6 +43,9 @@
     TaskProgress task = found.get();
     step.restore(
         task, stored.getDone(), stored.getFailures(), stored.getLastRun(), stored.getCheckpoint());
+    task.restore(
+        new CrashRecord(
+            stored.getEarlyCrashes(), stored.getOtherCrashes(), stored.getCrashedAlone()));
     if (!stored.getExecutor().isEmpty()) {
       TaskRun run = new TaskRun(step.name(task), stored.getLastRun());
       ExecutorId executor = new ExecutorId(stored.getExecutor());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.Optional;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 
 /** How far one task is. */
 public final class TaskProgress {
@@ -10,6 +11,7 @@
   private int failures;
   private int lastRun;
   private int moves;
+  private CrashRecord crashes = CrashRecord.NONE;
   private String checkpoint = "";
   private Optional<LiveRun> live = Optional.empty();
 
@@ -32,6 +34,11 @@
     return failures;
   }
 
+  /** Returns the executors that were lost under it. */
+  public CrashRecord crashes() {
+    return crashes;
+  }
+
   /** Returns the number of its newest run; 0 if there was none. */
   public int lastRun() {
     return lastRun;
@@ -71,6 +78,10 @@
     failures++;
   }
 
+  void crashed(CrashEvidence evidence) {
+    crashes = crashes.plus(evidence);
+  }
+
   void begin(LiveRun run) {
     live = Optional.of(run);
     lastRun = Math.max(lastRun, run.run().number());
@@ -86,6 +97,10 @@
     }
   }
 
+  void restore(CrashRecord stored) {
+    crashes = stored;
+  }
+
   void restore(boolean wasDone, int failed, int newestRun, String saved) {
     done = wasDone;
     failures = failed;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
@@ -11,7 +11,7 @@
 final class ClusterCrashes {
 
   /** How long an executor is away that was crashed by a task. */
-  static final long DOWN_MILLIS = 3200;
+  private static final long DOWN_MILLIS = 3200;
 
   /** Time without a heartbeat after which the list drops an entry. */
   private static final long LISTED_MILLIS = 4500;
@@ -20,22 +20,28 @@
   private final Set<ExecutorId> down = new HashSet<>();
   private final Set<ExecutorId> replaced = new HashSet<>();
   private int restarts;
+  private long downMillis = DOWN_MILLIS;
 
   ClusterCrashes(BatchCluster cluster) {
     this.cluster = cluster;
   }
 
+  /** Declares how long an executor is away that is crashed by a task. */
+  void returnsAfter(long millis) {
+    downMillis = millis;
+  }
+
   /** Brings back what tasks have crashed since the last call. */
   void bringBack() {
     for (FakeExecutor executor : List.copyOf(cluster.executors.values())) {
       if (!executor.up()) {
-        restart(executor.profile().id(), DOWN_MILLIS);
+        restart(executor.profile().id(), downMillis);
       }
     }
   }
 
   /** Crashes an executor; another incarnation answers at its address after a while. */
-  void restart(ExecutorId id, long downMillis) {
+  void restart(ExecutorId id, long awayMillis) {
     FakeExecutor executor = cluster.executors.remove(id);
     executor.crash(cluster.nowMillis());
     cluster.work.forget(id);
@@ -43,7 +49,7 @@
     restarts++;
     ExecutorProfile next = Declared.renamed(executor.profile(), "again-" + restarts);
     cluster.in(
-        downMillis,
+        awayMillis,
         () -> {
           replaced.add(id);
           cluster.addExecutor(next);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -71,7 +71,7 @@
     boolean poll = command.order() instanceof BatchCommand.ExecutorOrder.Poll;
     FakeExecutor executor = cluster.executors.get(id);
     OrderOutcome outcome =
-        executor == null
+        executor == null || !executor.up()
             ? new OrderOutcome.Unanswered("closed")
             : executor.take(command.epoch(), command.order(), cluster.nowMillis());
     cluster.in(poll ? cluster.faults.pollMillis : 1, () -> ended(vm, command, outcome));
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashVictimsTest.java
@@ -0,0 +1,105 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Executors that crash by themselves, are cut off, or leave: a task that can be done must not be
+ * given up for what was not its doing.
+ */
+class CrashVictimsTest {
+
+  private static final Optional<CallAnswer> COMPLETED =
+      Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+
+  private static final long DOWN_MILLIS = 3000;
+
+  private final BatchCluster cluster = new BatchCluster(2, 8, 1);
+
+  private String submitted(long millis) {
+    cluster.awaitOwner();
+    cluster.run(200);
+    return cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, millis)));
+  }
+
+  private List<ExecutorId> used() {
+    return cluster.executors.values().stream()
+        .filter(executor -> !executor.running().isEmpty())
+        .map(executor -> executor.profile().id())
+        .toList();
+  }
+
+  /** Lets the task run for a while on the next executor, and returns that. */
+  private ExecutorId atWork(int starts, long millis) {
+    cluster.runUntil("a start", 15_000, () -> cluster.work.starts().size() >= starts);
+    cluster.run(millis);
+    return used().getFirst();
+  }
+
+  @Test
+  void aTaskThatWasAtWorkForAWhileWhenThreeOfItsExecutorsCrashedIsDone() {
+    String job = submitted(6000);
+    for (int crash = 1; crash <= 3; crash++) {
+      cluster.crashes.restart(atWork(crash, 3000), DOWN_MILLIS);
+    }
+    cluster.runUntil("the end", 15_000, () -> cluster.status(job).equals(COMPLETED));
+  }
+
+  /** Pattern: one executor crashes again and again by itself; whatever it starts is lost early. */
+  @Test
+  void twoCrashesOfOneExecutorDoNotEndATask() {
+    cluster.executors.keySet().stream()
+        .filter(id -> !id.value().equals("e0"))
+        .toList()
+        .forEach(id -> cluster.leave(id, 600_000));
+    String job = submitted(4000);
+    cluster.crashes.restart(atWork(1, 300), DOWN_MILLIS);
+    cluster.crashes.restart(atWork(2, 300), DOWN_MILLIS);
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+  }
+
+  @Test
+  void aTaskWhoseExecutorsLeaveIsDone() {
+    String job = submitted(4000);
+    for (int left = 1; left <= 4; left++) {
+      ExecutorId id = atWork(left, 300);
+      cluster.leave(id, 60_000);
+      cluster.run(100);
+      cluster.crashes.restart(id, DOWN_MILLIS);
+    }
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+  }
+
+  /** The start is the first order that the next incarnation gets: nothing has run. */
+  @Test
+  void aStartThatFindsItsExecutorRestartedDoesNotCountAgainstTheTask() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    for (ExecutorId id : List.copyOf(cluster.executors.keySet())) {
+      cluster.crashes.restart(id, 0);
+    }
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 1000)));
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+    assertEquals(1, cluster.work.starts().size());
+  }
+
+  /** It runs for months, in which many executors are lost under it. */
+  @Test
+  void aTaskThatLastsAndWasAtWorkSurvivesAnyNumberOfCrashes() {
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.lasting(1, 1, 1, 0)));
+    for (int crash = 1; crash <= 8; crash++) {
+      cluster.crashes.restart(atWork(crash, 5000), DOWN_MILLIS);
+    }
+    cluster.run(8000);
+    assertEquals(Optional.of(new CallAnswer.Phase(JobPhase.IN_PROGRESS)), cluster.status(job));
+    assertEquals(9, cluster.work.starts().size());
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
@@ -23,6 +23,24 @@
     return step(count, accelerators, millis, List.of(), false, true);
   }
 
+  /**
+   * Tasks that run until their job is cancelled.
+   *
+   * @param targetMillis bound on the response times of each; 0 if they serve nobody
+   */
+  static BatchStep lasting(int count, int accelerators, int mostAway, long targetMillis) {
+    return new BatchStep(
+        count,
+        new Demand(4_000, 16_000, accelerators),
+        0,
+        List.of(),
+        BatchStep.PlacementRule.ANYWHERE,
+        false,
+        false,
+        "image",
+        Optional.of(new BatchStep.Lasting(mostAway, targetMillis)));
+  }
+
   static BatchStep after(BatchStep step, Integer... earlier) {
     return new BatchStep(
         step.count(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LastingWorkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LastingWorkTest.java
@@ -8,7 +8,6 @@
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.BatchStep;
-import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -19,19 +18,6 @@
 
   private final BatchCluster cluster = new BatchCluster(3, 8, 1);
 
-  private static BatchStep lasting(int count, int accelerators, int mostAway, long targetMillis) {
-    return new BatchStep(
-        count,
-        new Demand(4_000, 16_000, accelerators),
-        0,
-        List.of(),
-        BatchStep.PlacementRule.ANYWHERE,
-        false,
-        false,
-        "image",
-        Optional.of(new BatchStep.Lasting(mostAway, targetMillis)));
-  }
-
   private String submitted(String queue, BatchStep step) {
     cluster.awaitOwner();
     cluster.run(300);
@@ -49,7 +35,7 @@
 
   @Test
   void tasksRunUntilTheirJobIsCancelled() {
-    String job = submitted(BatchCluster.NORMAL, lasting(4, 1, 1, 0));
+    String job = submitted(BatchCluster.NORMAL, Jobs.lasting(4, 1, 1, 0));
     cluster.run(30_000);
     assertEquals(4, running(job));
     assertEquals(Optional.of(new CallAnswer.Phase(JobPhase.IN_PROGRESS)), cluster.status(job));
@@ -62,7 +48,7 @@
 
   @Test
   void aTaskStartsAgainHoweverOftenItFails() {
-    String job = submitted(BatchCluster.NORMAL, lasting(1, 1, 1, 0));
+    String job = submitted(BatchCluster.NORMAL, Jobs.lasting(1, 1, 1, 0));
     List<ExecutorId> executors = List.copyOf(cluster.executors.keySet());
     executors.forEach(cluster.work::failAllOn);
     cluster.run(8000);
@@ -75,7 +61,7 @@
 
   @Test
   void tasksRunOnUnderTheNextOwner() {
-    String job = submitted(BatchCluster.NORMAL, lasting(3, 1, 0, 0));
+    String job = submitted(BatchCluster.NORMAL, Jobs.lasting(3, 1, 0, 0));
     int starts = cluster.work.starts().size();
     cluster.restart(cluster.owner().orElseThrow().id, 3000);
     cluster.run(8000);
@@ -86,7 +72,7 @@
   /** Pattern: urgent work needs the whole fleet, most of which lasting tasks hold. */
   @Test
   void displacingLeavesAllButTheAllowedTasksAtWork() {
-    String job = submitted(BatchCluster.BULK, lasting(5, 8, 1, 0));
+    String job = submitted(BatchCluster.BULK, Jobs.lasting(5, 8, 1, 0));
     assertEquals(5, running(job));
     for (int i = 0; i < 5; i++) {
       cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 8, 60_000)));
@@ -100,7 +86,7 @@
 
   @Test
   void workThatServesUsersAndOtherWorkKeepApartWhereThereIsRoom() {
-    String serving = submitted(BatchCluster.NORMAL, lasting(2, 1, 1, 90));
+    String serving = submitted(BatchCluster.NORMAL, Jobs.lasting(2, 1, 1, 90));
     cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(20, 1, 3000)));
     cluster.run(1000);
     cluster
@@ -123,7 +109,7 @@
     cluster.run(300);
     List.copyOf(cluster.executors.keySet()).stream().skip(1).forEach(cluster::crash);
     cluster.run(6000);
-    submitted(BatchCluster.NORMAL, lasting(1, 1, 1, 90));
+    submitted(BatchCluster.NORMAL, Jobs.lasting(1, 1, 1, 90));
     String bulk = cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(7, 1, 4000)));
     cluster.run(3000);
     assertEquals(0, running(bulk), "it waits for an executor without such work at first");
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
@@ -43,7 +43,8 @@
     RandomJobs.check(cluster);
   }
 
-  private static String fault(BatchCluster cluster) {
+  /** Has something go wrong and returns what. */
+  static String fault(BatchCluster cluster) {
     List<VmId> vms = List.copyOf(cluster.vms.keySet());
     VmId vm = vms.get(cluster.random.nextInt(vms.size()));
     VmId owner = cluster.owner().map(found -> found.id).orElse(vm);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
@@ -4,11 +4,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.junit.jupiter.api.Test;
 
@@ -55,4 +57,22 @@
     assertEquals(1, same.fail(same.tasks().get(1), 1, new ExecutorId("e2")));
     assertEquals(2, same.fail(same.tasks().get(1), 2, new ExecutorId("e2")));
   }
+
+  /** A new owner that counted from zero would have three more executors crashed. */
+  @Test
+  void whatSpeaksAgainstATaskIsKnownToTheNextOwner() throws Exception {
+    OpenJob former = new OpenJob(job(false, Optional.empty()));
+    StepProgress step = former.steps().getFirst();
+    TaskRun run = new TaskRun(step.name(step.tasks().get(1)), 1);
+    step.begin(step.tasks().get(1), LiveRun.inherited(run, new ExecutorId("e1"), step, 0));
+    step.tasks().get(1).crashed(CrashEvidence.WEAK);
+    step.tasks().get(1).crashed(CrashEvidence.STRONG_ALONE);
+
+    OpenJob restored = new OpenJob(job(false, Optional.empty()));
+    JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
+
+    List<TaskProgress> tasks = restored.steps().getFirst().tasks();
+    assertEquals(new CrashRecord(1, 1, true), tasks.get(1).crashes());
+    assertEquals(CrashRecord.NONE, tasks.get(0).crashes());
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.executor.Countdown;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
@@ -155,6 +156,9 @@
     @Override
     public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {}
 
+    @Override
+    public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {}
+
     @Override
     public void startGivenUp(LiveRun run, BatchTurn turn) {}
 
