--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -2,10 +2,8 @@
 
 import static java.util.Comparator.comparing;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -52,12 +50,12 @@
   private final Pacer pacer;
   private final StartSettler starts;
   private final ReportReader reports;
+  private final LostExecutors lost;
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
   private final RunListener listener;
   private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
   private long orphansLostAt;
-  private final Map<InetSocketAddress, Long> restartedAt = new HashMap<>();
   private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
   private final ContactWindow contacts = new ContactWindow();
   private long nextRoundAt;
@@ -84,6 +82,7 @@
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.listener = listener;
     this.reports = new ReportReader(orders, pacer, listener, longestLease);
+    this.lost = new LostExecutors(book, reports);
   }
 
   /** Returns the executors. */
@@ -127,7 +126,7 @@
     Optional<ExecutorState> found = book.find(profile.id());
     if (found.isEmpty()) {
       ExecutorState executor = new ExecutorState(profile);
-      Optional.ofNullable(restartedAt.remove(profile.address())).ifPresent(executor::restarted);
+      lost.listed(executor);
       book.add(executor);
       Optional.ofNullable(orphans.remove(profile.id()))
           .ifPresent(runs -> runs.forEach(run -> adopt(executor, run, turn)));
@@ -164,9 +163,9 @@
     book.snapshot().forEach(executor -> look(executor, turn));
     contact(turn);
     if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
-      List<LiveRun> lost = orphans.values().stream().flatMap(List::stream).toList();
+      List<LiveRun> gone = orphans.values().stream().flatMap(List::stream).toList();
       orphans.clear();
-      lost.forEach(
+      gone.forEach(
           run ->
               reports.loseWithExecutor(
                   run,
@@ -209,7 +208,7 @@
   private void settleSilence(ExecutorState executor, BatchTurn turn) {
     boolean silent = executor.missedPolls() > 0;
     if (silent && turn.nowNanos() - executor.leaseUntilNanos() > 0) {
-      loseAll(executor, Loss.SILENT, "silent until its lease had expired", turn);
+      lost.loseAll(executor, Loss.SILENT, "silent until its lease had expired", turn);
     }
     boolean mayRun = !executor.runs().isEmpty() || (executor.runsUnknown() && !silent);
     boolean idle = !mayRun && executor.poll().isEmpty();
@@ -221,43 +220,6 @@
     }
   }
 
-  private void loseAll(ExecutorState executor, Loss loss, String cause, BatchTurn turn) {
-    Map<LiveRun, CrashEvidence> evidence = CrashJudge.judge(executor, loss, turn.nowNanos());
-    for (LiveRun run : evidence.keySet()) {
-      noteLoss(executor, run, evidence.size() - 1, turn);
-    }
-    evidence.forEach(
-        (run, against) -> {
-          executor.remove(run);
-          reports.loseWithExecutor(run, against, cause, turn);
-        });
-  }
-
-  /** Remembers that what is, or will be, listed at the address of a crashed executor is new. */
-  private void markRestarted(ExecutorState crashed, BatchTurn turn) {
-    InetSocketAddress address = crashed.profile().address();
-    restartedAt.put(address, turn.nowNanos());
-    book.all().stream()
-        .filter(executor -> executor.profile().address().equals(address))
-        .forEach(executor -> executor.restarted(turn.nowNanos()));
-  }
-
-  private static void noteLoss(ExecutorState executor, LiveRun run, int others, BatchTurn turn) {
-    long silentSince = executor.silentSince().orElse(turn.nowNanos());
-    String age =
-        run.startOrderedAt().isPresent()
-            ? Duration.ofNanos(silentSince - run.startOrderedAt().getAsLong()).toMillis() + " ms"
-            : "unknown";
-    String seen = run.seenRunning() ? "seen running" : "never seen running";
-    turn.note(
-        BatchLogEvent.RUN_LOST_WITH_EXECUTOR,
-        run.run(),
-        executor.profile().id(),
-        seen,
-        age,
-        others);
-  }
-
   private void forget(ExecutorState executor, BatchTurn turn) {
     book.remove(executor);
     heardOf.remove(executor);
@@ -363,9 +325,9 @@
           BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
       run.filter(live -> live.stage() == Stage.STARTING && live.orders() == 1)
           .ifPresent(LiveRun::startNeverArrived);
-      loseAll(executor, Loss.RESTARTED, "its executor was restarted", turn);
+      lost.loseAll(executor, Loss.RESTARTED, "its executor was restarted", turn);
       forget(executor, turn);
-      markRestarted(executor, turn);
+      lost.crashed(executor.profile(), turn);
       return false;
     }
     if (outcome instanceof OrderOutcome.Rejected(Rejection rejection)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -112,8 +112,28 @@
     Timing timing = timing(step, queue, turn);
     Optional<Set<ExecutorId>> permitted =
         queue.advised() ? Optional.of(advice.permitted(step, turn.nowNanos())) : Optional.empty();
-    waiting.add(
-        new WaitingStep(step, tasks, queue.pool(), rank(step.job()), accepted, timing, permitted));
+    for (List<TaskProgress> together : placedTogether(step, tasks)) {
+      waiting.add(
+          new WaitingStep(
+              step, together, queue.pool(), rank(step.job()), accepted, timing, permitted));
+    }
+  }
+
+  /** Tasks that may crash their executors are placed one by one, so that none hides another. */
+  private static List<List<TaskProgress>> placedTogether(
+      StepProgress step, List<TaskProgress> tasks) {
+    if (step.spec().gang() || tasks.stream().noneMatch(task -> task.crashes().suspect())) {
+      return List.of(tasks);
+    }
+    List<List<TaskProgress>> together = new ArrayList<>();
+    List<TaskProgress> others = tasks.stream().filter(task -> !task.crashes().suspect()).toList();
+    if (!others.isEmpty()) {
+      together.add(others);
+    }
+    tasks.stream()
+        .filter(task -> task.crashes().suspect())
+        .forEach(task -> together.add(List.of(task)));
+    return together;
   }
 
   private static Timing timing(StepProgress step, JobQueue queue, BatchTurn turn) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -258,8 +258,8 @@
     }
 
     private void reserve(Place place) {
-      free.take(place.executor(), place.step().spec());
-      expected.take(place.executor(), place.step().spec());
+      free.take(place);
+      expected.take(place);
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -27,6 +27,18 @@
   /** Where more than this share are suspects, the jobs are to blame rather than the executors. */
   private static final double MOST_SUSPECTS = 0.25;
 
+  private static final Comparator<Slot> FULLEST =
+      Comparator.comparing(Slot::suspect)
+          .thenComparingInt(slot -> slot.free().accelerators())
+          .thenComparingInt(slot -> slot.free().milliCores());
+
+  private static final Comparator<Slot> LEAST_LOST =
+      Comparator.comparing(Slot::fragile)
+          .thenComparing(Slot::occupied)
+          .thenComparing(Slot::restartedLately)
+          .thenComparing(Slot::suspect)
+          .thenComparingDouble(slot -> -slot.free().coreEquivalents());
+
   private final List<Slot> slots;
   private final Map<ExecutorState, Slot> byExecutor = new IdentityHashMap<>();
   private final Map<GroupKey, List<List<Slot>>> groups = new HashMap<>();
@@ -62,7 +74,7 @@
   static Room now(Collection<ExecutorState> executors, long nowNanos) {
     Room room = of(executors, ExecutorState::free, nowNanos);
     for (Slot slot : room.slots) {
-      slot.executor().runs().forEach(run -> slot.holds(run.step().spec()));
+      slot.executor().runs().forEach(run -> slot.holds(run, nowNanos));
     }
     return room;
   }
@@ -79,7 +91,8 @@
     List<Slot> slots = new ArrayList<>();
     for (ExecutorState executor : executors) {
       boolean suspect = credible && executor.suspect(nowNanos);
-      slots.add(new Slot(executor, room.apply(executor), suspect));
+      slots.add(
+          new Slot(executor, room.apply(executor), suspect, executor.restartedLately(nowNanos)));
     }
     return new Room(slots);
   }
@@ -118,8 +131,8 @@
   }
 
   /** Takes room on an executor for a task; what is taken twice makes it negative. */
-  void take(ExecutorState executor, BatchStep step) {
-    change(executor, slot -> slot.take(step));
+  void take(Place place) {
+    change(place.executor(), slot -> slot.take(place.step(), place.task()));
   }
 
   /** Gives capacity of an executor back. */
@@ -249,7 +262,7 @@
   /** Returns how many tasks of a step fit into a slot. */
   static int fits(WaitingStep waiting, Slot slot) {
     BatchStep spec = waiting.step().spec();
-    if (slot.disturbs(spec) && !waiting.timing().toleratesOthers()) {
+    if (slot.onProbation() || (slot.disturbs(spec) && !waiting.timing().toleratesOthers())) {
       return 0;
     }
     int fitting = slot.free().fits(spec.demand());
@@ -272,7 +285,8 @@
 
   /**
    * Places tasks in a group, the fullest executors first so that whole ones stay free, and those on
-   * which a run has failed last.
+   * which a run has failed last. Tasks that may crash their executor go where least is lost, and
+   * where a crash tells most.
    *
    * @return the places; fewer than tasks if the group has no room for all
    */
@@ -283,10 +297,7 @@
         order.add(slot);
       }
     }
-    order.sort(
-        Comparator.comparing(Slot::suspect)
-            .thenComparingInt(slot -> slot.free().accelerators())
-            .thenComparingInt(slot -> slot.free().milliCores()));
+    order.sort(waiting.suspect() ? LEAST_LOST : FULLEST);
     List<Place> places = new ArrayList<>();
     for (Slot slot : order) {
       int fitting = fits(waiting, slot);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -1,8 +1,11 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.util.Optional;
+import org.fescuehook.logic.batch.executor.CrashJudge;
 import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.Demand;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -12,25 +15,39 @@
 
   private final ExecutorState executor;
   private final boolean suspect;
+  private final boolean restartedLately;
   private Demand free;
   private boolean serving;
   private boolean filling;
+  private boolean probation;
+  private boolean fragile;
 
   /**
    * Creates a slot.
    *
    * @param suspect whether runs have lately failed there or hardly progressed
+   * @param restartedLately whether it is known to have crashed not long ago
    */
-  Slot(ExecutorState executor, Demand free, boolean suspect) {
+  Slot(ExecutorState executor, Demand free, boolean suspect, boolean restartedLately) {
     this.executor = executor;
     this.free = free;
     this.suspect = suspect;
+    this.restartedLately = restartedLately;
   }
 
   boolean suspect() {
     return suspect;
   }
 
+  boolean restartedLately() {
+    return restartedLately;
+  }
+
+  /** Tells whether any work is here. */
+  boolean occupied() {
+    return serving || filling;
+  }
+
   ExecutorState executor() {
     return executor;
   }
@@ -39,16 +56,34 @@
     return free;
   }
 
-  /** Takes room for a task of a step. */
-  void take(BatchStep step) {
-    free = free.minus(step.demand());
-    holds(step);
+  /** Takes room for a task. */
+  void take(StepProgress step, TaskProgress task) {
+    free = free.minus(step.spec().demand());
+    holds(step.spec());
+    probation |= task.crashes().suspect();
   }
 
   /** Remembers that a task of a step is here. */
   void holds(BatchStep step) {
     serving |= step.serves();
     filling |= !step.serves();
+    fragile |= step.gang() || step.lasting().isPresent();
+  }
+
+  /** Remembers that a run is here, and whether that may crash the executor. */
+  void holds(LiveRun run, long nowNanos) {
+    holds(run.step().spec());
+    probation |= CrashJudge.onProbation(run, nowNanos);
+  }
+
+  /** Tells whether something starts or has just started here that may crash the executor. */
+  boolean onProbation() {
+    return probation;
+  }
+
+  /** Tells whether a crash would cost more than the work that is here: a gang, or lasting work. */
+  boolean fragile() {
+    return fragile;
   }
 
   /** Tells whether other work here would lengthen response times: this step's, or by this step. */
@@ -61,9 +96,11 @@
   }
 
   Slot copy() {
-    Slot copy = new Slot(executor, free, suspect);
+    Slot copy = new Slot(executor, free, suspect, restartedLately);
     copy.serving = serving;
     copy.filling = filling;
+    copy.probation = probation;
+    copy.fragile = fragile;
     return copy;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -47,6 +47,11 @@
     return !Rank.ofPriority(0).before(rank);
   }
 
+  /** Tells whether one of the tasks may crash its executor; of a gang all start or none. */
+  public boolean suspect() {
+    return tasks.stream().anyMatch(task -> task.crashes().suspect());
+  }
+
   /** Returns the same step without the first tasks. */
   public WaitingStep rest(int placed) {
     List<TaskProgress> left = tasks.subList(placed, tasks.size());
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
@@ -0,0 +1,114 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Random histories in which some tasks crash the executors that start them, at once or after a
+ * while, beside executors that crash by themselves and the faults of {@link
+ * RandomBatchHistoriesTest}. No such task may be started too often, and no job may be shown as
+ * failed unless two executors have crashed under one of its tasks.
+ */
+class CrashingHistoriesTest {
+
+  private static final int HISTORIES = Integer.getInteger("histories", 60);
+  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final long DAY_MILLIS = 30_000;
+  private static final int ENOUGH_CRASHES = 2;
+
+  /** Times from a start to the crash, in milliseconds; 0 is before the start is answered. */
+  private static final long[] CRASH_AFTER = {0, 20, 20, 700, 3000};
+
+  private final Set<String> crashing = new HashSet<>();
+
+  @Test
+  void noHistoryOfCrashesBreaksAPromise() {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+      List<String> faults = new ArrayList<>();
+      try {
+        crashing.clear();
+        play(seed, faults);
+      } catch (AssertionError | RuntimeException e) {
+        throw new AssertionError("seed " + seed + ", faults " + faults, e);
+      }
+    }
+  }
+
+  private void play(long seed, List<String> faults) {
+    BatchCluster cluster = new BatchCluster(4, 12, seed);
+    RandomJobs.schedule(cluster);
+    for (int i = 0; i < 3; i++) {
+      cluster.in(2000L + cluster.random.nextInt(20_000), () -> submitCrashing(cluster));
+    }
+    int count = 1 + cluster.random.nextInt(5);
+    for (int i = 0; i < count; i++) {
+      long at = 2000L + cluster.random.nextInt(25_000);
+      cluster.in(at, () -> faults.add(fault(cluster)));
+    }
+    cluster.run(DAY_MILLIS);
+    cluster.run(60_000);
+    cluster.awaitOwner();
+    cluster.run(2000);
+    for (Map.Entry<String, CallAnswer> submission : cluster.submissions.entrySet()) {
+      if (submission.getValue() instanceof CallAnswer.Accepted) {
+        check(cluster, submission.getKey());
+      }
+    }
+  }
+
+  private void submitCrashing(BatchCluster cluster) {
+    int tasks = 1 + cluster.random.nextInt(4);
+    long millis = 1000L + cluster.random.nextInt(4000);
+    boolean gang = cluster.random.nextInt(4) == 0;
+    String job =
+        cluster.submit(
+            cluster.random.nextBoolean() ? BatchCluster.URGENT : BatchCluster.NORMAL,
+            Jobs.of(gang ? Jobs.gang(tasks, 2, millis) : Jobs.tasks(tasks, 2, millis)));
+    long after = CRASH_AFTER[cluster.random.nextInt(CRASH_AFTER.length)];
+    int guilty = 1 + cluster.random.nextInt(tasks);
+    for (int index = 0; index < guilty; index++) {
+      cluster.work.crashes.crashes(new TaskName(job, 0, 0, index), Math.min(after, millis - 100));
+    }
+    crashing.add(job);
+  }
+
+  private static String fault(BatchCluster cluster) {
+    if (cluster.random.nextInt(3) != 0) {
+      return RandomBatchHistoriesTest.fault(cluster);
+    }
+    List<ExecutorId> up = List.copyOf(cluster.executors.keySet());
+    long away = 500L + cluster.random.nextInt(12_000);
+    int first = cluster.random.nextInt(up.size());
+    List<ExecutorId> crashed = up.subList(first, Math.min(up.size(), first + 3));
+    crashed.forEach(id -> cluster.crashes.restart(id, away));
+    return crashed + " crashed at " + cluster.nowMillis() + " for " + away;
+  }
+
+  private void check(BatchCluster cluster, String job) {
+    Optional<CallAnswer> status = cluster.status(job);
+    JobPhase phase =
+        status
+            .filter(CallAnswer.Phase.class::isInstance)
+            .map(shown -> ((CallAnswer.Phase) shown).phase())
+            .orElseThrow(() -> new AssertionError(job + " is shown as " + status));
+    assertTrue(phase.ended(), () -> job + " is " + phase);
+    assertTrue(
+        phase != JobPhase.FAILED || cluster.work.crashes.crashesUnderJob(job) >= ENOUGH_CRASHES,
+        () -> job + " has failed without cause");
+    assertTrue(
+        phase != JobPhase.COMPLETED || !crashing.contains(job), () -> job + " cannot be done");
+    assertTrue(
+        phase != JobPhase.CANCELLED || cluster.cancelAsked(job), () -> job + " was not cancelled");
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Declared.java
@@ -83,7 +83,7 @@
   static ExecutorProfile ofPool(String name, String rack, String pool) {
     return new ExecutorProfile(
         new ExecutorId(name),
-        new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), port(name)),
         pool,
         new FailureDomain("a"),
         new RackId(rack),
@@ -93,6 +93,10 @@
         0);
   }
 
+  private static int port(String name) {
+    return 1 + Math.floorMod(name.hashCode(), 60_000);
+  }
+
   /** The same executor in another life. */
   static ExecutorProfile renamed(ExecutorProfile profile, String name) {
     return new ExecutorProfile(
