--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -266,12 +266,21 @@
     return unknown || holds || doubted || executor.owesAcknowledgement();
   }
 
-  /** Orders the start of a run whose placement is stored. */
+  /**
+   * Orders the start of a run whose placement is stored. Storing takes seconds if the store is
+   * slow; where the executor has less room by now, or is about to leave, another place is looked
+   * for.
+   */
   public void start(LiveRun run, BatchTurn turn) {
     Optional<ExecutorState> executor = book.find(run.executor());
     if (executor.isEmpty() || !executor.get().clockKnown()) {
       return;
     }
+    if (executor.get().overbooked()) {
+      executor.get().remove(run);
+      reports.lose(run, "its executor has no room for it any more", turn);
+      return;
+    }
     run.enter(Stage.STARTING, turn.nowNanos());
     orders.start(executor.get(), run, turn);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -133,6 +133,11 @@
     return profile.capacity().minus(used);
   }
 
+  /** Tells whether its capacity, which may have shrunk, no longer covers what is reserved. */
+  boolean overbooked() {
+    return !profile.capacity().contains(used);
+  }
+
   /** Tells whether new runs may be placed there now. */
   public boolean usable(long nowNanos) {
     return listed && known && missedPolls == 0 && !profile.leaving() && !rests(nowNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartSettler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartSettler.java
@@ -44,7 +44,7 @@
       case OrderOutcome.Rejected(Rejection rejection) -> rejected(executor, run, rejection, turn);
       case OrderOutcome.Unanswered unanswered -> {
         run.startBecameUncertain();
-        if (run.orders() < MAX_STARTS) {
+        if (run.orders() < MAX_STARTS && !executor.overbooked()) {
           orders.start(executor, run, turn);
         } else {
           listener.startGivenUp(run, turn);
--- a/fescuehook/src/main/java/org/fescuehook/model/batch/Demand.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/batch/Demand.java
@@ -60,9 +60,9 @@
   }
 
   private static int fits(int room, int unit) {
-    if (unit <= 0) {
-      return Integer.MAX_VALUE;
+    if (room < 0) {
+      return 0;
     }
-    return Math.max(0, room / unit);
+    return unit <= 0 ? Integer.MAX_VALUE : room / unit;
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -22,15 +22,22 @@
   final Set<ExecutorId> reached = new HashSet<>();
 
   private final BatchCluster cluster;
+  private int starts;
 
   ClusterOrders(BatchCluster cluster) {
     this.cluster = cluster;
   }
 
+  /** Returns how many starts were ordered, repeats included. */
+  int starts() {
+    return starts;
+  }
+
   void send(BatchCluster.Vm vm, BatchCommand.Order command) {
     ExecutorId id = command.executor().id();
     ClusterFaults faults = cluster.faults;
     sent.merge(id, 1, Integer::sum);
+    starts += command.order() instanceof BatchCommand.ExecutorOrder.Start ? 1 : 0;
     if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
       faults.stopsLost++;
       unanswered(vm, command, 600, "timeout");
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ShrinkingCapacityTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ShrinkingCapacityTest.java
@@ -38,4 +38,39 @@
     executor.resize(Declared.CAPACITY, cluster);
     cluster.runUntil("the start", 15_000, () -> cluster.work.starts().size() == 2);
   }
+
+  /** What is stopped holds its room until it has ended, also room that is there no more. */
+  @Test
+  void nothingStartsOnAnExecutorThatHoldsMoreThanItsCapacity() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(500);
+    FakeExecutor executor = cluster.executors.get(new ExecutorId("e0"));
+    executor.startAnything();
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 8, 12_000)));
+    cluster.runUntil("the first start", 500, () -> cluster.work.starts().size() == 1);
+    executor.resize(HALF, cluster);
+    cluster.run(5000);
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 0, 1000)));
+    cluster.run(5000);
+    assertEquals(1, cluster.work.starts().size());
+    cluster.runUntil("the next start", 5000, () -> cluster.work.starts().size() == 2);
+  }
+
+  /** The first start had no answer; a second one would be the first that arrives. */
+  @Test
+  void aStartIsNotRepeatedOnceTheCapacityHasShrunk() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(500);
+    ExecutorId id = new ExecutorId("e0");
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 6, 1000)));
+    cluster.faults.silent.add(id);
+    cluster.runUntil("the order", 1000, () -> cluster.orders.starts() == 1);
+    cluster.executors.get(id).resize(HALF, cluster);
+    cluster.run(1500);
+    cluster.faults.silent.clear();
+    cluster.run(5000);
+    assertEquals(1, cluster.orders.starts());
+  }
 }
