--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -276,7 +276,7 @@
     if (executor.isEmpty() || !executor.get().clockKnown()) {
       return;
     }
-    if (executor.get().overbooked()) {
+    if (executor.get().overbooked() || executor.get().profile().leaving()) {
       executor.get().remove(run);
       reports.lose(run, "its executor has no room for it any more", turn);
       return;
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LeavingExecutorTest.java
@@ -0,0 +1,29 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * An executor tells that it leaves while the placement of a task there is on its way to a slow
+ * store. The start was sent all the same, seconds after the executor was to get nothing new.
+ */
+class LeavingExecutorTest {
+
+  @Test
+  void aStartThatWasPlacedBeforeItsExecutorBeganToLeaveIsNotSentAfterIt() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 4, 1000)));
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 6, 1000)));
+    cluster.runUntil("the first start", 500, () -> cluster.work.starts().size() == 1);
+    cluster.faults.appendMillis = 3000;
+    cluster.runUntil(
+        "both placements", 2000, () -> cluster.notes(BatchLogEvent.RUN_PLACED).size() == 2);
+    cluster.leave(new ExecutorId("e0"), 20_000);
+    cluster.run(6000);
+    assertEquals(1, cluster.work.starts().size());
+  }
+}
