--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -138,9 +138,13 @@
     return !profile.capacity().contains(used);
   }
 
-  /** Tells whether new runs may be placed there now. */
+  /**
+   * Tells whether new runs may be placed there now. Not beside a run that the owner does not know,
+   * which takes room until it has ended.
+   */
   public boolean usable(long nowNanos) {
-    return listed && known && missedPolls == 0 && !profile.leaving() && !rests(nowNanos);
+    boolean answers = listed && known && missedPolls == 0;
+    return answers && !runsUnknown && !profile.leaving() && !rests(nowNanos);
   }
 
   /** Tells whether it has answered this owner. */
