--- a/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/duty/DutyRing.java
@@ -12,6 +12,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.event.EventLog;
 import org.slf4j.Logger;
@@ -32,6 +33,7 @@
   private final RingBuffer<Slot<T>> ring;
   private final Counter refused;
   private final Timer waited;
+  private final CountDownLatch running = new CountDownLatch(1);
   private volatile Optional<Handler<T>> started = Optional.empty();
 
   /**
@@ -94,10 +96,22 @@
 
   /** Lets the thread finish what the ring holds, up to a limit, and ends it. */
   public void stop(Duration limit) {
+    long deadline = System.nanoTime() + limit.toNanos();
     try {
-      disruptor.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS);
+      awaitThread(limit);
+      disruptor.shutdown(Math.max(0, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
     } catch (TimeoutException e) {
       disruptor.halt();
+    } catch (InterruptedException e) {
+      disruptor.halt();
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** The library ends a ring whose thread does not run yet without working off what it holds. */
+  private void awaitThread(Duration limit) throws InterruptedException {
+    if (started.isPresent() && !running.await(limit.toNanos(), TimeUnit.NANOSECONDS)) {
+      EventLog.warn(LOGGER, DutyEvent.RING_NOT_RUNNING, name, limit.toMillis());
     }
   }
 
@@ -168,6 +182,11 @@
       this.handler = handler;
     }
 
+    @Override
+    public void onStart() {
+      running.countDown();
+    }
+
     @Override
     public void onEvent(Slot<T> slot, long sequence, boolean endOfBatch) {
       noteWait(slot.offeredAt(), sequence);
--- a/fescuehook/src/test/java/org/fescuehook/net/duty/DutyRingTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/duty/DutyRingTest.java
@@ -12,6 +12,7 @@
 class DutyRingTest {
 
   private static final int SIZE = 4;
+  private static final int RESTARTS = 300;
 
   private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   private final DutyRing<String> ring = new DutyRing<>("test", SIZE, Duration.ofMillis(50), meters);
@@ -52,6 +53,23 @@
     ring.stop(Duration.ofSeconds(1));
   }
 
+  /**
+   * A ring that is stopped right after its start: its thread may not have run yet, and then what
+   * the ring held was dropped.
+   */
+  @Test
+  void whatTheRingHoldsIsWorkedOffAlsoIfItIsStoppedBeforeItsThreadRuns() {
+    for (int i = 0; i < RESTARTS; i++) {
+      CountDownLatch taken = new CountDownLatch(1);
+      DutyRing<String> young =
+          new DutyRing<>("young", SIZE, Duration.ofMillis(50), new SimpleMeterRegistry());
+      young.start(new Counting(taken));
+      young.offer("item");
+      young.stop(Duration.ofSeconds(20));
+      assertEquals(0, taken.getCount(), "not taken by ring " + i);
+    }
+  }
+
   /**
    * Wants to be left alone for a day, and fails the test by its silence if it is told of nothing.
    */
