--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -16,10 +16,19 @@
   private static final double CANCELLED = 0.15;
   private static final double REPEATED = 0.25;
 
+  /** Part of the jobs whose tasks crash the executors that start them. */
+  private static final double CRASHING = 0.03;
+
+  private static final int LATEST_CRASH_MILLIS = 400;
+
   private final SplittableRandom random;
 
+  /** Drawn apart, so that a seed means the same jobs otherwise. */
+  private final SplittableRandom crashes;
+
   JobMix(long seed) {
     this.random = new SplittableRandom(~seed);
+    this.crashes = new SplittableRandom(seed);
   }
 
   /**
@@ -32,7 +41,8 @@
 
   Draw next() {
     String id = String.format("%016x", random.nextLong());
-    String spec = "run:" + random.nextInt(LEAST_MILLIS, MOST_MILLIS) + " job " + id;
+    String runs = "run:" + random.nextInt(LEAST_MILLIS, MOST_MILLIS);
+    String spec = (crashes.nextDouble() < CRASHING ? crash() : runs) + " job " + id;
     List<PlannedJob.Step> steps = new ArrayList<>();
     int count = 1 + random.nextInt(MOST_STEPS);
     for (int step = 0; step < count; step++) {
@@ -44,4 +54,8 @@
     long repeat = random.nextDouble() < REPEATED ? random.nextLong(1000, 6000) : 0;
     return new Draw(new PlannedJob(id, spec, steps), cancel, repeat);
   }
+
+  private String crash() {
+    return PlannedJob.CRASHES + crashes.nextInt(LATEST_CRASH_MILLIS);
+  }
 }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -15,7 +15,7 @@
     Map<String, List<JobCall>> calls =
         history.calls().stream().collect(Collectors.groupingBy(JobCall::job));
     Map<String, List<TaskRun>> runs = TaskRun.byTask(history.runs());
-    CallChecks callChecks = new CallChecks(history, findings);
+    CallChecks callChecks = new CallChecks(history, runs, findings);
     RunChecks runChecks = new RunChecks(history, runs, findings);
     for (PlannedJob job : history.jobs()) {
       List<JobCall> ofJob = calls.getOrDefault(job.id(), List.of());
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -11,6 +11,9 @@
  */
 public record PlannedJob(String id, String spec, List<Step> steps) {
 
+  /** How the text of a job begins whose tasks crash the executors that start them. */
+  public static final String CRASHES = "crash:";
+
   /** Copies the list. */
   public PlannedJob {
     steps = List.copyOf(steps);
@@ -29,6 +32,11 @@
     }
   }
 
+  /** Tells whether its tasks crash the executors that start them. */
+  boolean crashes() {
+    return spec.startsWith(CRASHES);
+  }
+
   /** Returns the names of the tasks of a step. */
   public List<String> tasks(int step) {
     return IntStream.range(0, steps.get(step).count())
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -22,6 +22,8 @@
   ONLY_ASKED("only tasks that callers sent start, with their text"),
   /** A cancelled job starts nothing more. */
   CANCEL("no task starts 3 s after its job's cancelling", true),
+  /** A task that crashes its executors is given up. */
+  CRASHES_BOUNDED("a task starts at most twice more once three executors crashed under it"),
   /** A planned stop cuts no answer. */
   PLANNED_STOP("a planned stop cuts no answer"),
   /** Requests are served again after all VMs were down. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -12,6 +12,11 @@
   /** From this time after the answer to a cancelling no task of the job may start. */
   private static final long CANCEL_MILLIS = 3000;
 
+  /** Crashes under a task from which on its starts are counted. */
+  private static final int COUNTED_CRASHES = 3;
+
+  private static final int TOO_MANY_STARTS = 3;
+
   private final History history;
   private final Map<String, List<TaskRun>> runs;
   private final Findings findings;
@@ -30,6 +35,9 @@
         checkOrder(job, step, ofTask);
         checkCancel(calls, ofTask);
         checkEndedOnce(calls, ofTask);
+        if (job.crashes()) {
+          checkCrashes(ofTask);
+        }
       }
     }
     checkRefused(job, calls);
@@ -102,6 +110,16 @@
     }
   }
 
+  private void checkCrashes(List<TaskRun> ofTask) {
+    int crashes = 0;
+    int startsAfter = 0;
+    for (TaskRun run : ofTask) {
+      startsAfter += crashes >= COUNTED_CRASHES ? 1 : 0;
+      crashes += run.crashed() ? 1 : 0;
+    }
+    findings.check(Promise.CRASHES_BOUNDED, startsAfter < TOO_MANY_STARTS, ofTask.toString());
+  }
+
   private void checkRefused(PlannedJob job, List<JobCall> calls) {
     List<JobCall> submissions = calls.stream().filter(c -> c.kind() == Kind.SUBMIT).toList();
     if (submissions.isEmpty() || !submissions.stream().allMatch(JobCall::refused)) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
@@ -33,6 +33,11 @@
     return how.equals(DONE);
   }
 
+  /** Tells whether its executor crashed while it ran. */
+  boolean crashed() {
+    return how.isEmpty() && endMillis != Long.MAX_VALUE;
+  }
+
   String job() {
     return task.substring(0, task.indexOf('.'));
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -321,4 +321,31 @@
       history.job(job).call(Kind.SUBMIT, job, from + 100L * i, 503, "");
     }
   }
+
+  @Test
+  void aJobThatFailsAfterOneCrashIsFound() {
+    history.accepted(JOB, 1000).crashed(FIRST, 1, 1100);
+    history.call(Kind.STATUS, JOB, 8000, 200, "failed");
+
+    assertBroken(Promise.ACCEPTED_IS_KNOWN);
+  }
+
+  @Test
+  void aTaskMayBeGivenUpAfterTwoCrashes() {
+    history.accepted(JOB, 1000).crashed(FIRST, 1, 1100).crashed(FIRST, 2, 5000);
+    history.call(Kind.STATUS, JOB, 8000, 200, "failed");
+
+    assertBroken();
+  }
+
+  @Test
+  void aThirdStartAfterThreeCrashesIsFound() {
+    history.acceptedWith(JOB, PlannedJob.CRASHES + "20 job", 1000);
+    for (int run = 1; run <= 6; run++) {
+      history.crashed(FIRST, run, 1000L + 4000L * run);
+    }
+    history.call(Kind.STATUS, JOB, 40_000, 200, "failed");
+
+    assertBroken(Promise.CRASHES_BOUNDED);
+  }
 }
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -113,10 +113,16 @@
     if (executor.advance(clock.getAsLong())) {
       List.copyOf(waiting).forEach(this::finish);
     }
+    if (executor.crashed()) {
+      crash();
+    }
   }
 
   private synchronized void handle(Exchange exchange) throws IOException {
     executor.advance(clock.getAsLong());
+    if (executor.crashed()) {
+      crash();
+    }
     if (!exchange.header("Expected-Instance").equals(executor.id())) {
       exchange.reply(421, clockAnd(Map.of()));
       return;
--- a/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
@@ -110,4 +110,18 @@
 
     assertEquals(rejected("late"), executor.start(order, 1000));
   }
+
+  @Test
+  void aRunMayCrashItsExecutor() {
+    ObjectNode order = run(TASK, 1, 1).put("spec", "crash:20 job").put("expiresMs", 4000);
+    executor.start(order, 1000);
+    executor.advance(1019);
+    assertEquals(false, executor.crashed());
+
+    executor.advance(1020);
+    executor.crash(1020);
+
+    assertEquals(true, executor.crashed());
+    assertEquals(List.of("STARTED 1 crash:20 job", "CRASHED 1 "), events());
+  }
 }
