--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -216,7 +216,12 @@
 
   /** Tells whether it crashed not long ago, and so may crash again by itself. */
   public boolean restartedLately(long nowNanos) {
-    return restartedAt.isPresent() && nowNanos - restartedAt.getAsLong() < LATELY_NANOS;
+    return restartedAt.isPresent() && !longAgo(restartedAt.getAsLong(), nowNanos);
+  }
+
+  /** Tells whether a crash says nothing any more of the executor at its address. */
+  static boolean longAgo(long crashedAt, long nowNanos) {
+    return nowNanos - crashedAt >= LATELY_NANOS;
   }
 
   /** Returns since when polls have had no answer, monotonic time; absent while they have. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutors.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutors.java
@@ -57,6 +57,7 @@
   /** Takes in that an executor has crashed: what is listed at its address is a new incarnation. */
   void crashed(ExecutorProfile profile, BatchTurn turn) {
     InetSocketAddress address = profile.address();
+    crashedAt.values().removeIf(at -> ExecutorState.longAgo(at, turn.nowNanos()));
     Optional<ExecutorState> next =
         book.all().stream()
             .filter(executor -> executor.profile().address().equals(address))
