--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -44,7 +44,8 @@
       "Run {} was on {} when it was lost: {}, age at its last answer {}, {} other runs there"),
   /** A task is started no more, since it seems to crash the executors that start it. */
   TASK_GIVEN_UP(
-      8027, "Task {} given up: {} executors crashed soon after its start, {} were lost otherwise"),
+      8027,
+      "Task {} given up: {} executors crashed soon after its start, {} later, {} were lost otherwise"),
   /** An executor can be reached. */
   EXECUTOR_REACHED(8030, "Executor {} reached, {} runs there"),
   /** An executor does not answer. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvidence.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvidence.java
@@ -6,7 +6,9 @@
 public enum CrashEvidence {
   /** Not at all: the run had not been started there, or the executor was about to leave. */
   NONE,
-  /** It may have been the run: it had run for a while, or it is not known whether it ran. */
+  /** It is not known that the executor crashed, or that it ran the task. */
+  DOUBTFUL,
+  /** The executor crashed after it had run the task for a while. */
   WEAK,
   /** The executor crashed soon after it had started the run, beside others. */
   STRONG,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashJudge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashJudge.java
@@ -51,17 +51,17 @@
     if (executor.profile().leaving() || neverStarted) {
       return CrashEvidence.NONE;
     }
-    boolean crashedEarly =
-        loss == Loss.RESTARTED
-            && run.seenRunning()
-            && within(run.startOrderedAt(), lostAt, soonNanos(run));
-    if (crashedEarly) {
+    boolean crashed = loss == Loss.RESTARTED && run.seenRunning();
+    if (crashed && within(run.startOrderedAt(), lostAt, soonNanos(run))) {
       return alone ? CrashEvidence.STRONG_ALONE : CrashEvidence.STRONG;
     }
     // A task that lasts outlives many executors, and any of them may be lost by itself.
     boolean lasting = run.step().spec().lasting().isPresent();
     boolean longAtWork = run.seenRunning() && !within(run.runningSince(), lostAt, SOON.toNanos());
-    return lasting && longAtWork ? CrashEvidence.NONE : CrashEvidence.WEAK;
+    if (lasting && longAtWork) {
+      return CrashEvidence.NONE;
+    }
+    return crashed ? CrashEvidence.WEAK : CrashEvidence.DOUBTFUL;
   }
 
   /** A run that has worked for half of its estimate may have ended before its executor was lost. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -169,7 +169,7 @@
           run ->
               reports.loseWithExecutor(
                   run,
-                  CrashEvidence.WEAK,
+                  CrashEvidence.DOUBTFUL,
                   "its executor is not listed and its lease has expired",
                   turn));
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -142,8 +142,10 @@
         .setCheckpoint(task.done() ? "" : task.checkpoint())
         .setExecutor(task.live().map(run -> run.executor().value()).orElse(""))
         .setEarlyCrashes(task.crashes().early())
-        .setOtherCrashes(task.crashes().other())
+        .setLateCrashes(task.crashes().late())
+        .setOtherLosses(task.crashes().other())
         .setCrashedAlone(task.crashes().alone())
+        .setThirdLossRun(task.crashes().thirdLossRun())
         .build();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -157,15 +157,19 @@
     }
     if (step.spec().lasting().isPresent()) {
       // It starts again however it ended.
-      persist(step.job(), committed);
+      if (!givenUp(step, task, committed, turn)) {
+        persist(step.job(), committed);
+      }
       return;
     }
     switch (end.end()) {
       case DONE -> finish(step, task, committed, turn);
       case FAILED -> fail(run, task, committed, turn);
       case STOPPED, LEASE_EXPIRED, GANG_BROKEN, GANG_INCOMPLETE -> {
-        breakGang(step, turn);
-        persist(step.job(), committed);
+        if (step.done() || !givenUp(step, task, committed, turn)) {
+          breakGang(step, turn);
+          persist(step.job(), committed);
+        }
       }
     }
   }
@@ -193,8 +197,10 @@
       end(step.job(), JobPhase.FAILED, committed, turn);
       return;
     }
-    breakGang(step, turn);
-    persist(step.job(), committed);
+    if (step.done() || !givenUp(step, task, committed, turn)) {
+      breakGang(step, turn);
+      persist(step.job(), committed);
+    }
   }
 
   /** One member is gone, so the others end too and the whole gang is tried again. */
@@ -236,10 +242,11 @@
     }
     step.end(task);
     changed = true;
-    if (step.job().open()) {
-      breakGang(step, turn);
-      persist(step.job(), () -> {});
+    if (!step.job().open() || (!step.done() && givenUp(step, task, () -> {}, turn))) {
+      return;
     }
+    breakGang(step, turn);
+    persist(step.job(), () -> {});
   }
 
   /**
@@ -256,20 +263,27 @@
       return;
     }
     turn.count("fescuehook.batch.runs.crashed", "evidence", evidence.tag());
-    task.crashed(evidence);
-    if (task.crashes().hopeless()) {
-      step.end(task);
-      turn.note(
-          BatchLogEvent.TASK_GIVEN_UP,
-          run.run().task(),
-          task.crashes().early(),
-          task.crashes().other());
-      end(step.job(), JobPhase.FAILED, () -> {}, turn);
-      return;
-    }
+    task.crashed(evidence, run.run().number());
     lost(run, turn);
   }
 
+  /** Ends the job of a task that must not be started again; false if the task may be. */
+  private boolean givenUp(
+      StepProgress step, TaskProgress task, Runnable committed, BatchTurn turn) {
+    if (!task.hopeless()) {
+      return false;
+    }
+    CrashRecord crashes = task.crashes();
+    turn.note(
+        BatchLogEvent.TASK_GIVEN_UP,
+        step.name(task),
+        crashes.early(),
+        crashes.late(),
+        crashes.other());
+    end(step.job(), JobPhase.FAILED, committed, turn);
+    return true;
+  }
+
   /** A start was rejected. */
   public void rejected(LiveRun run, Rejection rejection, BatchTurn turn) {
     turn.note(BatchLogEvent.RUN_LOST, run.run(), run.executor(), "rejected: " + rejection);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -45,7 +45,11 @@
         task, stored.getDone(), stored.getFailures(), stored.getLastRun(), stored.getCheckpoint());
     task.restore(
         new CrashRecord(
-            stored.getEarlyCrashes(), stored.getOtherCrashes(), stored.getCrashedAlone()));
+            stored.getEarlyCrashes(),
+            stored.getLateCrashes(),
+            stored.getOtherLosses(),
+            stored.getCrashedAlone(),
+            stored.getThirdLossRun()));
     if (!stored.getExecutor().isEmpty()) {
       TaskRun run = new TaskRun(step.name(task), stored.getLastRun());
       ExecutorId executor = new ExecutorId(stored.getExecutor());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -78,8 +78,13 @@
     failures++;
   }
 
-  void crashed(CrashEvidence evidence) {
-    crashes = crashes.plus(evidence);
+  void crashed(CrashEvidence evidence, int run) {
+    crashes = crashes.plus(evidence, run);
+  }
+
+  /** Tells whether it must not be started again, as it seems to crash its executors. */
+  boolean hopeless() {
+    return crashes.hopeless(lastRun);
   }
 
   void begin(LiveRun run) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
@@ -68,6 +68,10 @@
   }
 
   private void submitCrashing(BatchCluster cluster) {
+    if (cluster.owner().isEmpty()) {
+      // Nobody takes it, and the next job would have the same name.
+      return;
+    }
     int tasks = 1 + cluster.random.nextInt(4);
     long millis = 1000L + cluster.random.nextInt(4000);
     boolean gang = cluster.random.nextInt(4) == 0;
