--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipPace.java
@@ -48,12 +48,6 @@
   /** Heartbeats at the slowest pace of late that fit into it. */
   private static final int SLOW_HEARTBEATS = 2;
 
-  /** Longest gap between heartbeats that are regular: the store takes and returns them quickly. */
-  private static final long REGULAR_GAP_NANOS = HEARTBEAT_NANOS * 3 / 2;
-
-  /** Regular gaps in a row that show that the store is quick, whatever it was before. */
-  private static final int REGULAR_GAPS = 3;
-
   /** Weight of a gap in the usual one: it follows a store that turns slow sooner than its end. */
   private static final double LONGER_WEIGHT = 1.0 / 2;
 
@@ -79,7 +73,6 @@
   private long pausedNanos;
 
   private double usualGapNanos = HEARTBEAT_NANOS;
-  private int regularGaps;
   private long lastAppendNanos;
 
   /** Takes in that this VM runs. Reading begins with the first turn. */
@@ -117,18 +110,8 @@
     appends.add(nanos, turn);
   }
 
-  /**
-   * Takes in how far apart two heartbeats of the owner were read. Each that is regular was stored
-   * and read quickly; some of them in a row end what a slow store had taught, so that an owner that
-   * dies from then on is replaced as soon as in a store that was quick all the while.
-   */
+  /** Takes in how far apart two heartbeats of the owner were read. */
   void heard(long gapNanos, BatchTurn turn) {
-    regularGaps = gapNanos <= REGULAR_GAP_NANOS ? regularGaps + 1 : 0;
-    if (regularGaps >= REGULAR_GAPS) {
-      gaps.forget();
-      reads.forget();
-      usualGapNanos = HEARTBEAT_NANOS;
-    }
     gaps.add(gapNanos, turn);
     double weight = gapNanos > usualGapNanos ? LONGER_WEIGHT : SHORTER_WEIGHT;
     usualGapNanos += weight * (gapNanos - usualGapNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RecentTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/RecentTimes.java
@@ -27,11 +27,6 @@
     falling.addLast(new Measured(nanos, turn.nowNanos()));
   }
 
-  /** Leaves out all times so far. */
-  public void forget() {
-    falling.clear();
-  }
-
   /** Returns the longest in nanoseconds; zero if none was measured lately. */
   public long longest(BatchTurn turn) {
     while (!falling.isEmpty() && turn.nowNanos() - falling.getFirst().at() > KEPT_NANOS) {
