--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -263,7 +263,7 @@
       return;
     }
     turn.count("fescuehook.batch.runs.crashed", "evidence", evidence.tag());
-    task.crashed(evidence, run.run().number());
+    task.crashed(step.against(run, evidence), run.run().number());
     lost(run, turn);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -32,6 +33,7 @@
   private final Set<ExecutorId> failedOn = new HashSet<>();
   private int gangFailures;
   private int lastFailedGangRun;
+  private int lastLostGangRun;
   private int undone;
   private OptionalLong queuedSince = OptionalLong.empty();
 
@@ -237,6 +239,16 @@
     return gangFailures;
   }
 
+  /**
+   * Returns what the loss of an executor says against the task of a run. The first crash ends a
+   * whole gang, so that its other members may have ended before their executors crashed too.
+   */
+  CrashEvidence against(LiveRun run, CrashEvidence evidence) {
+    boolean brokenBefore = spec.gang() && run.run().number() == lastLostGangRun;
+    lastLostGangRun = run.run().number();
+    return brokenBefore && evidence != CrashEvidence.NONE ? CrashEvidence.DOUBTFUL : evidence;
+  }
+
   /** Keeps the newest checkpoint of a task, or of the whole gang. */
   public void saved(TaskProgress task, String checkpoint) {
     if (!spec.gang()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashVictimsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashVictimsTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.junit.jupiter.api.Test;
 
@@ -64,6 +65,32 @@
     cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
   }
 
+  /**
+   * Pattern: a rack loses power. The first crash ends the whole gang, so that the other members had
+   * ended when their executors crashed.
+   */
+  @Test
+  void aMemberIsNotBlamedForACrashAfterItsGangWasBroken() {
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(2, 8, 4000)));
+    atWork(2, 300);
+    ExecutorId second = runs(new TaskName(job, 0, 0, 1));
+    cluster.crashes.restart(runs(new TaskName(job, 0, 0, 0)), DOWN_MILLIS);
+    cluster.crashes.restart(second, DOWN_MILLIS);
+    atWork(4, 300);
+    cluster.crashes.restart(runs(new TaskName(job, 0, 0, 1)), DOWN_MILLIS);
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+  }
+
+  private ExecutorId runs(TaskName task) {
+    return cluster.executors.values().stream()
+        .filter(executor -> executor.running().stream().anyMatch(run -> run.task().equals(task)))
+        .map(executor -> executor.profile().id())
+        .findFirst()
+        .orElseThrow();
+  }
+
   @Test
   void aTaskWhoseExecutorsLeaveIsDone() {
     String job = submitted(4000);
