--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashJudge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashJudge.java
@@ -21,7 +21,7 @@
    * lost by themselves rarely are so just after a certain start, and a silent one is noticed by
    * polls, which take up to 1.4 s.
    */
-  public static final Duration SOON = Duration.ofSeconds(2);
+  private static final Duration SOON = Duration.ofSeconds(2);
 
   private CrashJudge() {}
 
@@ -82,7 +82,7 @@
    * nothing else should start beside it.
    */
   public static boolean onProbation(LiveRun run, long nowNanos) {
-    if (!run.suspect()) {
+    if (!run.mayCrash()) {
       return false;
     }
     OptionalLong since = run.inherited() ? OptionalLong.of(run.placedAt()) : run.startOrderedAt();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -276,9 +276,10 @@
     if (executor.isEmpty() || !executor.get().clockKnown()) {
       return;
     }
-    if (executor.get().overbooked() || executor.get().profile().leaving()) {
+    boolean leaving = executor.get().profile().leaving();
+    if (leaving || executor.get().overbooked()) {
       executor.get().remove(run);
-      reports.lose(run, "its executor has no room for it any more", turn);
+      reports.lose(run, leaving ? "its executor leaves" : "its executor has less room now", turn);
       return;
     }
     run.enter(Stage.STARTING, turn.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -122,16 +122,16 @@
   /** Tasks that may crash their executors are placed one by one, so that none hides another. */
   private static List<List<TaskProgress>> placedTogether(
       StepProgress step, List<TaskProgress> tasks) {
-    if (step.spec().gang() || tasks.stream().noneMatch(task -> task.crashes().suspect())) {
+    if (step.spec().gang() || tasks.stream().noneMatch(task -> task.crashes().mayCrash())) {
       return List.of(tasks);
     }
     List<List<TaskProgress>> together = new ArrayList<>();
-    List<TaskProgress> others = tasks.stream().filter(task -> !task.crashes().suspect()).toList();
+    List<TaskProgress> others = tasks.stream().filter(task -> !task.crashes().mayCrash()).toList();
     if (!others.isEmpty()) {
       together.add(others);
     }
     tasks.stream()
-        .filter(task -> task.crashes().suspect())
+        .filter(task -> task.crashes().mayCrash())
         .forEach(task -> together.add(List.of(task)));
     return together;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Room.java
@@ -27,11 +27,13 @@
   /** Where more than this share are suspects, the jobs are to blame rather than the executors. */
   private static final double MOST_SUSPECTS = 0.25;
 
+  /** Keeps whole executors free. */
   private static final Comparator<Slot> FULLEST =
       Comparator.comparing(Slot::suspect)
           .thenComparingInt(slot -> slot.free().accelerators())
           .thenComparingInt(slot -> slot.free().milliCores());
 
+  /** Loses the least if the executor crashes, and leaves no other cause for that. */
   private static final Comparator<Slot> LEAST_LOST =
       Comparator.comparing(Slot::fragile)
           .thenComparing(Slot::occupied)
@@ -297,7 +299,7 @@
         order.add(slot);
       }
     }
-    order.sort(waiting.suspect() ? LEAST_LOST : FULLEST);
+    order.sort(waiting.mayCrash() ? LEAST_LOST : FULLEST);
     List<Place> places = new ArrayList<>();
     for (Slot slot : order) {
       int fitting = fits(waiting, slot);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Slot.java
@@ -60,7 +60,7 @@
   void take(StepProgress step, TaskProgress task) {
     free = free.minus(step.spec().demand());
     holds(step.spec());
-    probation |= task.crashes().suspect();
+    probation |= task.crashes().mayCrash();
   }
 
   /** Remembers that a task of a step is here. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -48,8 +48,8 @@
   }
 
   /** Tells whether one of the tasks may crash its executor; of a gang all start or none. */
-  public boolean suspect() {
-    return tasks.stream().anyMatch(task -> task.crashes().suspect());
+  public boolean mayCrash() {
+    return tasks.stream().anyMatch(task -> task.crashes().mayCrash());
   }
 
   /** Returns the same step without the first tasks. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
@@ -25,14 +25,14 @@
   /** Losses from which on the runs of a task are counted, whatever becomes of them. */
   private static final int COUNTED_LOSSES = 3;
 
-  /** Runs after that loss, and with them losses in all, after which a task is given up. */
+  /** Runs after that loss with which a task is given up; the users' bound is one more. */
   private static final int MOST_COUNTED_RUNS = 2;
 
   /** Executors that are known to have crashed under a task before its runs are counted. */
   private static final int LEAST_CRASHES = 2;
 
-  /** Losses from which on a task counts as a suspect though none of them was early. */
-  private static final int SUSPECT_LOSSES = 2;
+  /** Losses from which on a task may be their cause though none of them was early. */
+  private static final int SUSPICIOUS_LOSSES = 2;
 
   /**
    * Returns the record with one more loss.
@@ -40,9 +40,6 @@
    * @param run number of the run that was lost
    */
   public CrashRecord plus(CrashEvidence evidence, int run) {
-    if (evidence == CrashEvidence.NONE) {
-      return this;
-    }
     int third = losses() + 1 == COUNTED_LOSSES ? run : thirdLossRun;
     return switch (evidence) {
       case NONE -> this;
@@ -74,7 +71,7 @@
   }
 
   /** Tells whether the task may crash its next executor. */
-  public boolean suspect() {
-    return early > 0 || losses() >= SUSPECT_LOSSES;
+  public boolean mayCrash() {
+    return early > 0 || losses() >= SUSPICIOUS_LOSSES;
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -166,7 +166,7 @@
       case DONE -> finish(step, task, committed, turn);
       case FAILED -> fail(run, task, committed, turn);
       case STOPPED, LEASE_EXPIRED, GANG_BROKEN, GANG_INCOMPLETE -> {
-        if (step.done() || !givenUp(step, task, committed, turn)) {
+        if (!givenUp(step, task, committed, turn)) {
           breakGang(step, turn);
           persist(step.job(), committed);
         }
@@ -197,7 +197,7 @@
       end(step.job(), JobPhase.FAILED, committed, turn);
       return;
     }
-    if (step.done() || !givenUp(step, task, committed, turn)) {
+    if (!givenUp(step, task, committed, turn)) {
       breakGang(step, turn);
       persist(step.job(), committed);
     }
@@ -242,7 +242,7 @@
     }
     step.end(task);
     changed = true;
-    if (!step.job().open() || (!step.done() && givenUp(step, task, () -> {}, turn))) {
+    if (!step.job().open() || givenUp(step, task, () -> {}, turn)) {
       return;
     }
     breakGang(step, turn);
@@ -270,7 +270,7 @@
   /** Ends the job of a task that must not be started again; false if the task may be. */
   private boolean givenUp(
       StepProgress step, TaskProgress task, Runnable committed, BatchTurn turn) {
-    if (!task.hopeless()) {
+    if (step.done() || !task.hopeless()) {
       return false;
     }
     CrashRecord crashes = task.crashes();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -161,9 +161,9 @@
     return inherited;
   }
 
-  /** Tells whether its task may have crashed an executor before. */
-  public boolean suspect() {
-    return step.tasks().get(run.task().index()).crashes().suspect();
+  /** Tells whether its task may crash its executor, by what has become of earlier ones. */
+  public boolean mayCrash() {
+    return step.tasks().get(run.task().index()).crashes().mayCrash();
   }
 
   /** Returns when this owner ordered its start, monotonic time; absent if it did not. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -84,7 +84,7 @@
 
   /** Tells whether it must not be started again, as it seems to crash its executors. */
   boolean hopeless() {
-    return crashes.hopeless(lastRun);
+    return !done && crashes.hopeless(lastRun);
   }
 
   void begin(LiveRun run) {
