Logs tell what became of stops and of cancels

A run ran on after its job's cancel was acknowledged, and no line of any VM told whether a stop had been sent, answered or lost, nor what the caller of the cancel had heard. Event 8028 tells what became of each order to stop a run, 8014 that a cancel named a job that the owner does not know, and 8309 the answer to each cancel, also a plain one. With these the three hypotheses of the incident can be told apart: 8022 without a Done in 8028 before a change of the owner; 8014 and an 8010 after it; a run that begins after the next owner's 8030. No decision changes.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
@@ -89,7 +89,8 @@
         .record(nanos, TimeUnit.NANOSECONDS);
     boolean unusual =
         answer instanceof CallAnswer.Refused || answer instanceof CallAnswer.Undecided;
-    if (unusual) {
+    // What callers were told of a cancel decides what may run afterwards.
+    if (unusual || call instanceof BatchCall.Cancel) {
       EventLog.info(
           LOGGER,
           SchedulerEvent.CALL_ANSWERED,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -26,6 +26,8 @@
   JOB_UNDECIDED(8012, "Job {} undecided: {}"),
   /** A job reached its final state. */
   JOB_ENDED(8013, "Job {} ended {} after {} ms"),
+  /** A cancel came for a job that the owner does not know. */
+  UNKNOWN_JOB_CANCELLED(8014, "Cancel of job {}, which is not known"),
   /** A run was placed and its start is being stored. */
   RUN_PLACED(8020, "Run {} placed on {} in rack {}: {}, waited {} ms of {} ms to spare"),
   /** An executor took a run. */
@@ -46,6 +48,8 @@
   TASK_GIVEN_UP(
       8027,
       "Task {} given up: {} executors crashed soon after its start, {} later, {} were lost otherwise"),
+  /** The order to stop a run was answered, or was not in time. */
+  STOP_ORDER_ENDED(8028, "Stop of run {} on {}, order {}: {} after {} ms"),
   /** An executor can be reached. */
   EXECUTOR_REACHED(8030, "Executor {} reached, {} runs there"),
   /** An executor does not answer. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelDesk.java
@@ -51,6 +51,7 @@
       if (jobs.book().shown(cancel.job()).isPresent()) {
         answer(cancel.ticket(), new CallAnswer.Cancelled());
       } else {
+        turn.note(BatchLogEvent.UNKNOWN_JOB_CANCELLED, cancel.job());
         unknownJobs.ask(cancel, turn);
       }
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -369,6 +369,9 @@
   }
 
   private static void stopEnded(LiveRun run, OrderOutcome outcome, BatchTurn turn) {
+    long millis = Duration.ofNanos(turn.nowNanos() - run.stageSince()).toMillis();
+    turn.note(
+        BatchLogEvent.STOP_ORDER_ENDED, run.run(), run.executor(), run.orders(), outcome, millis);
     if (outcome instanceof OrderOutcome.Done) {
       run.stopTaken(turn.nowNanos());
     }
