--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -1,6 +1,8 @@
 package org.fescuehook.logic.batch;
 
 import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.stream.LongStream;
@@ -47,11 +49,22 @@
   final Set<ExecutorId> silent = new HashSet<>();
   double lateOrders;
 
+  /** How late orders are carried out that are late; by chance if absent. */
+  OptionalLong lateMillis = OptionalLong.empty();
+
+  /** Executors that the list does not name to a VM that begins to follow it. */
+  final Set<ExecutorId> unlisted = new HashSet<>();
+
   /** Whether stops neither arrive nor are answered. */
   boolean lostStops;
 
   int stopsLost;
 
+  /** Returns how late an order is carried out. */
+  long lateMillis(Random random) {
+    return lateMillis.orElseGet(() -> 2000 + random.nextInt(6000));
+  }
+
   /** Returns how long after its start a VM counts its first read as late, again and again. */
   LongStream firstReadLateAt() {
     return LongStream.iterate(
