--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -282,7 +282,10 @@
           () ->
               vm.deliver(
                   new BatchEvent.ExecutorsListed(
-                      executors.values().stream().map(FakeExecutor::profile).toList())));
+                      executors.values().stream()
+                          .map(FakeExecutor::profile)
+                          .filter(profile -> !faults.unlisted.contains(profile.id()))
+                          .toList())));
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -39,6 +39,7 @@
   private long leaseUntil;
   private long lastEnd;
   private boolean up = true;
+  private int ignoredStops;
 
   /** A run that holds room. */
   private static final class Active {
@@ -89,6 +90,11 @@
     cluster.list(profile.id());
   }
 
+  /** Has it confirm its next stops and let their runs go on. */
+  void ignoreStops(int count) {
+    ignoredStops = count;
+  }
+
   boolean up() {
     return up;
   }
@@ -199,6 +205,10 @@
   }
 
   private OrderOutcome stop(TaskRun run, long nowMillis) {
+    if (ignoredStops > 0) {
+      ignoredStops--;
+      return new OrderOutcome.Done(nowMillis + clockAhead);
+    }
     closed.merge(run.task(), run.number(), Math::max);
     Optional.ofNullable(active.get(run))
         .ifPresent(state -> state.stopAt = Math.min(state.stopAt, nowMillis + work.stopMillis()));
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -0,0 +1,265 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.BatchConfiguration;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.TaskName;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Runs of a job that has ended, while their owner is replaced: all are gone within the time that
+ * the users give a cancel and a stop, counted from the acknowledgement of the cancel, or from the
+ * end of the last fault if that is later.
+ */
+class OrphanedRunTest {
+
+  private static final long GONE_WITHIN_MILLIS = 3200;
+
+  /** A run that an executor started late may live this much longer, from its start on. */
+  private static final long LATE_START_MILLIS = 3000;
+
+  private static final String LATE_JOB = "00000000000000aa";
+  private static final String SIDE = "side";
+
+  /** How long runs were alive that outlived the bound, by case. */
+  private final Map<String, Long> tooLong = new LinkedHashMap<>();
+
+  private void measure(String name, OrphanedRun history, String job) {
+    measure(name, GONE_WITHIN_MILLIS, history, job);
+  }
+
+  private void measure(String name, long bound, OrphanedRun history, String job) {
+    long millis = history.millisUntilGone(job);
+    if (millis > bound) {
+      tooLong.put(name, millis);
+    }
+  }
+
+  private void assertAllGoneInTime() {
+    Map<String, Long> found = Map.copyOf(tooLong);
+    tooLong.clear();
+    assertEquals(Map.of(), found, "alive for too many ms");
+  }
+
+  private static String submitLong(OrphanedRun history) {
+    return history.submit(BatchCluster.NORMAL, Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS));
+  }
+
+  /** The cases that fail together, as each is a consequence of what owners do not hand on. */
+  @Test
+  void runsOfEndedJobsAreGoneInTimeWhicheverOwnerOwesTheirStops() {
+    assertAll(
+        this::aRunIsGoneInTimeThoughItsOwnerDiesAndTheStoreIsSlow,
+        this::aRunInAPoolWhoseLastQueueIsRemovedIsGoneInTimeThoughItsOwnerDies,
+        this::aSubmissionThatComesAfterItsCancelDoesNotRun,
+        this::aSubmissionThatComesAfterItsCancelDoesNotRunAtTheNextOwner,
+        this::aStopThatIsConfirmedAndNotCarriedOutIsSentAgain);
+  }
+
+  // Guards against: a stop that only the lost owner owed, and a next owner that is slow to look.
+  void aRunIsGoneInTimeThoughItsOwnerDiesAndTheStoreIsSlow() {
+    for (long storeMillis : new long[] {300, 600, 900}) {
+      for (long slowBefore : new long[] {0, 3000}) {
+        OrphanedRun history = new OrphanedRun();
+        String job = submitLong(history);
+        history.cluster.faults.storeDelay = storeMillis;
+        history.cluster.run(slowBefore);
+        history.cancelAndKillOwner(job);
+        measure("store " + storeMillis + " since " + slowBefore, history, job);
+      }
+    }
+    assertAllGoneInTime();
+  }
+
+  // Guards against: a stop that is handed on once, and not by the owner after the next.
+  @Test
+  void aRunIsGoneInTimeThoughSeveralOwnersDieOneAfterTheOther() {
+    for (long storeMillis : new long[] {4, 100, 300}) {
+      for (int owners = 2; owners <= 3; owners++) {
+        OrphanedRun history = new OrphanedRun();
+        String job = submitLong(history);
+        history.cluster.faults.storeDelay = storeMillis;
+        history.cancelAndKillOwner(job);
+        history.killNextOwners(owners - 1);
+        measure(owners + " owners, store " + storeMillis, history, job);
+      }
+    }
+    assertAllGoneInTime();
+  }
+
+  // Guards against: a pool that the next owner does not look at, as no queue names it any more.
+  void aRunInAPoolWhoseLastQueueIsRemovedIsGoneInTimeThoughItsOwnerDies() {
+    BatchConfiguration without = Declared.configuration();
+    Map<String, JobQueue> queues = new HashMap<>(without.queues());
+    queues.put(SIDE, new JobQueue(SIDE, SIDE, 1, 3, 3, 1000, false, false));
+    OrphanedRun history = new OrphanedRun(5, new BatchConfiguration(1, queues, without.holders()));
+    history.cluster.addExecutor(Declared.ofPool("side-0", "r1", SIDE));
+    history.cluster.run(500);
+    String job = history.submit(SIDE, Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS));
+    history.cluster.configure(new BatchConfiguration(2, without.queues(), without.holders()));
+    history.cluster.run(500);
+    history.cancelAndKillOwner(job);
+    measure("pool of no queue", history, job);
+    assertAllGoneInTime();
+  }
+
+  // Guards against: a cancel that is acknowledged and forgotten before its submission arrives.
+  void aSubmissionThatComesAfterItsCancelDoesNotRun() {
+    OrphanedRun history = new OrphanedRun();
+    cancelUnknown(history);
+    assertSubmissionDoesNotRun(history);
+  }
+
+  // Guards against: a cancel that only the owner remembers that acknowledged it.
+  void aSubmissionThatComesAfterItsCancelDoesNotRunAtTheNextOwner() {
+    OrphanedRun history = new OrphanedRun();
+    cancelUnknown(history);
+    history.killOwner();
+    history.cluster.awaitOwner();
+    assertSubmissionDoesNotRun(history);
+  }
+
+  private static void cancelUnknown(OrphanedRun history) {
+    BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
+    assertEquals(new CallAnswer.NoSuchJob(), history.answer(cancel));
+  }
+
+  private static void assertSubmissionDoesNotRun(OrphanedRun history) {
+    BatchCall status = new BatchCall.Status(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
+    assertEquals(new CallAnswer.NoSuchJob(), history.answer(status), "nobody has submitted it");
+    CallAnswer answer =
+        history.answer(
+            new BatchCall.Submit(
+                BatchCluster.NORMAL,
+                BatchCluster.KEY,
+                LATE_JOB,
+                Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS))));
+    long until = history.cluster.nowMillis() + GONE_WITHIN_MILLIS;
+    while (history.cluster.nowMillis() < until) {
+      if (answer instanceof CallAnswer.Accepted) {
+        assertInstanceOf(CallAnswer.Phase.class, history.answer(status), "it was accepted");
+      }
+      history.cluster.run(200);
+    }
+    assertFalse(history.runs(LATE_JOB), "it runs, and its cancel was acknowledged before");
+  }
+
+  // Guards against: a stop that counts as carried out because it was confirmed.
+  void aStopThatIsConfirmedAndNotCarriedOutIsSentAgain() {
+    for (int ignored = 1; ignored <= 3; ignored++) {
+      OrphanedRun history = new OrphanedRun();
+      String job = submitLong(history);
+      history.cluster.executors.get(history.executorOf(job)).ignoreStops(ignored);
+      history.cancel(job);
+      measure(ignored + " ignored", history, job);
+    }
+    assertAllGoneInTime();
+  }
+
+  // Guards against: stops that the next owner takes over for cancels only, not for failed jobs.
+  @Test
+  void theOtherRunsOfAFailedJobAreGoneInTimeThoughTheirOwnerDies() {
+    OrphanedRun history = new OrphanedRun();
+    String job = history.submit(BatchCluster.NORMAL, Jobs.tasks(2, 4, OrphanedRun.LONG_MILLIS));
+    history.cluster.run(200);
+    TaskName task = new TaskName(job, 0, 0, 0);
+    history.cluster.work.failAlways(task);
+    history.cluster.work.lasts(task, 300);
+    history.cluster.faults.lostStops = true;
+    history.awaitEnd(job);
+    history.killOwner();
+    history.cluster.faults.lostStops = false;
+    measure("failed", history, job);
+    assertAllGoneInTime();
+    assertEquals(new CallAnswer.Phase(JobPhase.FAILED), history.cluster.status(job).orElseThrow());
+  }
+
+  // Guards against: a second run of a task that goes on after the first turned out to be done.
+  @Test
+  void theSecondRunOfATaskThatWasDoneIsGoneInTimeThoughItsOwnerDies() {
+    OrphanedRun history = new OrphanedRun();
+    String job = history.submit(BatchCluster.NORMAL, Jobs.tasks(1, 8, 1000));
+    ExecutorId first = history.executorOf(job);
+    history.cluster.faults.silent.add(first);
+    history.cluster.runUntil("the end", 2000, () -> !history.runs(job));
+    history.cluster.work.lasts(new TaskName(job, 0, 0, 0), OrphanedRun.LONG_MILLIS);
+    history.cluster.runUntil("the second run", 12_000, () -> history.runs(job));
+    history.cluster.faults.lostStops = true;
+    history.cluster.faults.silent.clear();
+    history.awaitEnd(job);
+    history.killOwner();
+    history.cluster.faults.lostStops = false;
+    measure("stray end", history, job);
+    assertAllGoneInTime();
+    assertEquals(
+        new CallAnswer.Phase(JobPhase.COMPLETED), history.cluster.status(job).orElseThrow());
+  }
+
+  // Guards against: a planned stop of the owner that drops the stops it still owes.
+  @Test
+  void aRunIsGoneInTimeThoughItsOwnerStopsAsPlannedBeforeItRepeatsTheStop() {
+    OrphanedRun history = new OrphanedRun();
+    String job = submitLong(history);
+    history.cluster.faults.lostStops = true;
+    history.cancel(job);
+    history.cluster.owner().orElseThrow().deliver(new BatchEvent.StopBegun());
+    history.cluster.faults.lostStops = false;
+    measure("planned stop", history, job);
+    assertAllGoneInTime();
+  }
+
+  // Guards against: a next owner that looks only at executors that are listed as it begins.
+  @Test
+  void aRunOnAnExecutorThatIsListedAgainAfterTheTakeOverIsGoneInTime() {
+    OrphanedRun history = new OrphanedRun();
+    String job = submitLong(history);
+    ExecutorId executor = history.executorOf(job);
+    history.cluster.faults.unlisted.add(executor);
+    history.cluster.unlist(executor);
+    history.cancelAndKillOwner(job);
+    history.cluster.awaitOwner();
+    history.cluster.run(2000);
+    history.cluster.faults.unlisted.clear();
+    history.cluster.list(executor);
+    measure("listed again", history, job);
+    assertAllGoneInTime();
+  }
+
+  // Guards against: a start that an executor carries out after the next owner has looked at it.
+  @Test
+  void aLateStartAcrossACancelAndATakeOverIsGoneInTime() {
+    for (long storeMillis : new long[] {4, 300, 600}) {
+      for (long late = 2000; late <= 5000; late += 250) {
+        OrphanedRun history = new OrphanedRun();
+        history.cluster.faults.lateOrders = 1;
+        history.cluster.faults.lateMillis = OptionalLong.of(late);
+        String job =
+            history.cluster.submit(
+                BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
+        history.cluster.run(100);
+        history.cluster.faults.lateOrders = 0;
+        history.cluster.faults.storeDelay = storeMillis;
+        history.cancelAndKillOwner(job);
+        long until = history.cluster.nowMillis() + 6000;
+        while (!history.runs(job) && history.cluster.nowMillis() < until) {
+          history.cluster.run(20);
+        }
+        String name = late + " late, store " + storeMillis + ", " + history.runs(job);
+        measure(name, LATE_START_MILLIS + GONE_WITHIN_MILLIS, history, job);
+      }
+    }
+    assertAllGoneInTime();
+  }
+}
