Runs of ended jobs stay in the store until they are gone

Callers saw a task of a cancelled job run on after the owner had changed. The stops of its runs were owed by the memory of the owner that ended the job: the stored end kept no runs, so the next owner could learn of one only from a report that happened to list it, and of an executor whose pool no queue named any more it asked none.

A job that has ended now keeps its record, and the store the names and executors of what may still run of it, until each of these runs is known to be gone. The next owner inherits them like the runs of open jobs, so it polls their executors first, whichever their pool, and stops what is still listed. The same holds for a second run of a task that is done, and for the members of a gang that has lost one. Leases are not renewed where only runs are left that are to be stopped, so a run that no stop reaches ends with the lease that it has.

JobCodecTest: runs of ended jobs and of done steps were not restored before.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.ownership.OwnershipDuty;
 import org.fescuehook.logic.batch.ownership.StoreContact;
 import org.fescuehook.logic.batch.state.JobBook;
+import org.fescuehook.logic.batch.state.OpenJob;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -263,7 +264,7 @@
     turn.note(
         BatchLogEvent.OWNING,
         done.epoch(),
-        book.openJobs().size(),
+        book.openJobs().stream().filter(OpenJob::open).count(),
         Takeover.inheritedRuns(book).size(),
         (turn.nowNanos() - done.startedAt()) / 1_000_000);
     owner =
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -116,6 +116,7 @@
     executors.serve(jobs.pools());
     listed.forEach(profile -> executors.seen(profile, turn));
     executors.inherit(Takeover.inheritedRuns(book), turn);
+    jobs.retireGone(turn);
   }
 
   /** Tells whether an executor or the store has shown that another VM owns now. */
@@ -352,6 +353,11 @@
     jobs.startGivenUp(run, turn);
   }
 
+  @Override
+  public void foundRunning(LiveRun run, BatchTurn turn) {
+    jobs.foundRunning(run, turn);
+  }
+
   @Override
   public void saved(LiveRun run, String checkpoint) {
     jobs.saved(run, checkpoint);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -184,9 +184,7 @@
       if (progress != null) {
         JobCodec.restore(open, progress, turn.nowNanos());
       }
-      if (open.open()) {
-        book.add(open);
-      }
+      book.add(open);
       return;
     }
     Optional<String> progressOf = JobCodec.progressOf(key);
@@ -206,7 +204,7 @@
     return sorted;
   }
 
-  /** Returns the live runs of all jobs. */
+  /** Returns the live runs of all jobs, also of those that have ended. */
   static List<LiveRun> inheritedRuns(JobBook book) {
     return book.openJobs().stream().flatMap(job -> job.liveRuns().stream()).toList();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -115,6 +115,10 @@
   private void adopt(ExecutorState executor, LiveRun run, BatchTurn turn) {
     executor.add(run);
     executor.leaseMayLastUntil(turn.nowNanos() + inheritedLeaseNanos);
+    if (run.stage() == Stage.STOPPING) {
+      // Its executor was not listed when the stop was decided.
+      orders.stop(executor, run, turn);
+    }
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -10,6 +10,7 @@
 import org.fescuehook.logic.batch.BatchTurn;
 import org.fescuehook.logic.batch.EpochNumbers;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Numbers the orders of an epoch and remembers which run each of them is about. */
@@ -36,15 +37,15 @@
 
   /**
    * Polls an executor. One that answers has its lease renewed; for one that is silent, or that runs
-   * only what this owner does not know, the lease is not extended, so that its runs are known to
-   * end.
+   * only what is to be stopped or what this owner does not know, the lease is not extended, so that
+   * its runs are known to end.
    *
    * @return the number of the order
    */
   long poll(ExecutorState executor, BatchTurn turn) {
     boolean calm = executor.calm();
     OptionalLong leaseUntil = OptionalLong.empty();
-    if (calm && !executor.runs().isEmpty()) {
+    if (calm && executor.runs().stream().anyMatch(run -> run.stage() != Stage.STOPPING)) {
       leaseUntil = OptionalLong.of(executor.extendLease(lease, turn.nowNanos()));
     } else if (executor.leaseUntilMillis() > 0) {
       leaseUntil = OptionalLong.of(executor.leaseUntilMillis());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportReader.java
@@ -99,9 +99,13 @@
     LiveRun run = found.get();
     run.progressed(active.percent(), turn.nowNanos());
     listener.saved(run, active.checkpoint());
-    if (run.stage() == Stage.INHERITED || run.stage() == Stage.STARTING) {
+    boolean inherited = run.stage() == Stage.INHERITED;
+    if (inherited || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, turn.nowNanos());
     }
+    if (inherited) {
+      listener.foundRunning(run, turn);
+    }
     if (ExecutorJudge.standsStill(executor, run, turn.nowNanos())) {
       listener.stoodStill(run, turn);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -30,6 +30,9 @@
   /** A start had no answer several times and is being stopped. */
   void startGivenUp(LiveRun run, BatchTurn turn);
 
+  /** A report lists a run that a former owner had placed. */
+  void foundRunning(LiveRun run, BatchTurn turn);
+
   /** A run has saved progress. */
   void saved(LiveRun run, String checkpoint);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
@@ -23,9 +23,12 @@
   /** A job that has ended and is still shown. */
   public record EndedJob(JobPhase phase, long endedMillis) {}
 
-  /** Adds an open job. */
+  /** Adds a job that is open, or of which something may still run. */
   public void add(OpenJob job) {
-    open.put(job.job().id(), job);
+    String id = job.job().id();
+    open.put(id, job);
+    ended.remove(id);
+    endKnownAt.remove(id);
   }
 
   /** Adds a job that had ended. */
@@ -42,7 +45,7 @@
     return copy;
   }
 
-  /** Finds an open job. */
+  /** Finds a job that has not been retired. */
   public Optional<OpenJob> open(String id) {
     return Optional.ofNullable(open.get(id));
   }
@@ -66,7 +69,7 @@
     return open.values();
   }
 
-  /** Moves a job whose end is stored to those that are only shown. */
+  /** Moves a job whose end is stored, and of which nothing runs, to those that are only shown. */
   public void retire(OpenJob job, long nowNanos) {
     String id = job.job().id();
     if (open.remove(id, job)) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -106,10 +106,9 @@
             .setState(state(job.end()))
             .setEndedMillis(job.endedMillis())
             .setBegun(job.begun());
-    if (job.open()) {
-      for (StepProgress step : job.steps()) {
-        encodeStep(step).ifPresent(stored::addSteps);
-      }
+    for (StepProgress step : job.steps()) {
+      Optional<StoredStepProgress> encoded = job.open() ? encodeStep(step) : encodeRuns(step);
+      encoded.ifPresent(stored::addSteps);
     }
     return stored.build().toByteArray();
   }
@@ -122,15 +121,29 @@
             .setDone(step.done())
             .setGangFailures(step.gangFailures())
             .setLastFailedGangRun(step.lastFailedGangRun());
-    if (step.done()) {
-      return Optional.of(stored.build());
-    }
     for (TaskProgress task : step.tasks()) {
-      if (task.lastRun() > 0) {
+      if (step.done() ? task.live().isPresent() : task.lastRun() > 0) {
         stored.addTasks(encodeTask(task));
       }
     }
-    return stored.getTasksCount() == 0 ? Optional.empty() : Optional.of(stored.build());
+    boolean untouched = stored.getTasksCount() == 0 && !step.done();
+    return untouched ? Optional.empty() : Optional.of(stored.build());
+  }
+
+  /** Encodes only what may still run, for whoever has to stop it. */
+  private static Optional<StoredStepProgress> encodeRuns(StepProgress step) {
+    if (step.liveRuns().isEmpty()) {
+      return Optional.empty();
+    }
+    StoredStepProgress.Builder stored =
+        StoredStepProgress.newBuilder()
+            .setOccurrence(step.occurrence())
+            .setStep(step.number())
+            .setDone(step.done());
+    step.tasks().stream()
+        .filter(task -> task.live().isPresent())
+        .forEach(task -> stored.addTasks(encodeTask(task)));
+    return Optional.of(stored.build());
   }
 
   private static StoredTaskProgress encodeTask(TaskProgress task) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -127,16 +127,41 @@
     if (phase != JobPhase.COMPLETED) {
       job.liveRuns().forEach(run -> executors.stop(run, "its job ended", turn));
     }
-    persist(
-        job,
-        () -> {
-          book.retire(job, turn.nowNanos());
-          committed.run();
-        });
-    writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
+    persist(job, committed);
+    retireIfGone(job, turn);
     changed = true;
   }
 
+  /**
+   * Retires a job that has ended once nothing of it can run any more. Until then the store names
+   * its runs, so that an owner that comes meanwhile knows what it has to stop.
+   */
+  private void retireIfGone(OpenJob job, BatchTurn turn) {
+    if (job.open() || !job.liveRuns().isEmpty()) {
+      return;
+    }
+    persist(job, () -> book.retire(job, turn.nowNanos()));
+    writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
+  }
+
+  /** Retires the jobs of former owners that have ended and of which nothing runs. */
+  public void retireGone(BatchTurn turn) {
+    book.openJobs().forEach(job -> retireIfGone(job, turn));
+  }
+
+  /** A run of a former owner is at work: it is stopped if nobody wants it any more. */
+  public void foundRunning(LiveRun run, BatchTurn turn) {
+    StepProgress step = run.step();
+    if (!step.job().open()) {
+      executors.stop(run, "its job ended", turn);
+    } else if (step.tasks().get(run.run().task().index()).done()) {
+      executors.stop(run, "its task is done", turn);
+    } else if (step.spec().gang() && !step.waiting().isEmpty()) {
+      // The former owner may not have come to stop the others.
+      breakGang(step, turn);
+    }
+  }
+
   /** A run has ended. */
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
     noteEnd(run, end.end(), turn);
@@ -145,16 +170,12 @@
     step.end(task);
     step.saved(task, end.checkpoint());
     changed = true;
-    if (step.job().shown().ended()) {
+    if (!step.job().open()) {
+      endedAfterJob(step.job(), stored, turn);
       return;
     }
     stored.hold();
     Runnable committed = stored::release;
-    if (!step.job().open()) {
-      // The end of the job is on its way to the store; this end is acknowledged after it.
-      persist(step.job(), committed);
-      return;
-    }
     if (step.spec().lasting().isPresent()) {
       // It starts again however it ended.
       if (!givenUp(step, task, committed, turn)) {
@@ -174,6 +195,15 @@
     }
   }
 
+  private void endedAfterJob(OpenJob job, Countdown stored, BatchTurn turn) {
+    if (!job.shown().ended()) {
+      // The end of the job is on its way to the store; this end is acknowledged after it.
+      stored.hold();
+      persist(job, stored::release);
+    }
+    retireIfGone(job, turn);
+  }
+
   private static void noteEnd(LiveRun run, RunEnd end, BatchTurn turn) {
     long millis = (turn.nowNanos() - run.placedAt()) / 1_000_000;
     turn.note(BatchLogEvent.RUN_ENDED, run.run(), run.executor(), end, run.percent(), millis);
@@ -242,7 +272,11 @@
     }
     step.end(task);
     changed = true;
-    if (!step.job().open() || givenUp(step, task, () -> {}, turn)) {
+    if (!step.job().open()) {
+      retireIfGone(step.job(), turn);
+      return;
+    }
+    if (givenUp(step, task, () -> {}, turn)) {
       return;
     }
     breakGang(step, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -27,20 +27,19 @@
     step.restoreGangFailures(stored.getGangFailures(), stored.getLastFailedGangRun());
     if (stored.getDone()) {
       step.restoreDone();
-      return;
     }
-    for (StoredTaskProgress task : stored.getTasksList()) {
-      restore(step, task);
+    for (StoredTaskProgress storedTask : stored.getTasksList()) {
+      TaskProgress task =
+          step.task(storedTask.getIndex())
+              .orElseThrow(() -> mismatch("task " + storedTask.getIndex()));
+      if (!stored.getDone()) {
+        restore(step, task, storedTask);
+      }
+      restoreRun(step, task, storedTask);
     }
   }
 
-  private void restore(StepProgress step, StoredTaskProgress stored)
-      throws UnreadableRecordException {
-    Optional<TaskProgress> found = step.task(stored.getIndex());
-    if (found.isEmpty()) {
-      throw mismatch("task " + stored.getIndex());
-    }
-    TaskProgress task = found.get();
+  private static void restore(StepProgress step, TaskProgress task, StoredTaskProgress stored) {
     step.restore(
         task, stored.getDone(), stored.getFailures(), stored.getLastRun(), stored.getCheckpoint());
     task.restore(
@@ -50,6 +49,9 @@
             stored.getOtherLosses(),
             stored.getCrashedAlone(),
             stored.getThirdLossRun()));
+  }
+
+  private void restoreRun(StepProgress step, TaskProgress task, StoredTaskProgress stored) {
     if (!stored.getExecutor().isEmpty()) {
       TaskRun run = new TaskRun(step.name(task), stored.getLastRun());
       ExecutorId executor = new ExecutorId(stored.getExecutor());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Optional;
@@ -8,6 +9,7 @@
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.Demand;
+import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
@@ -76,4 +78,43 @@
     assertEquals(new CrashRecord(1, 1, 1, true, 4), tasks.get(1).crashes());
     assertEquals(CrashRecord.NONE, tasks.get(0).crashes());
   }
+
+  /** A next owner that does not know them would leave them to their leases. */
+  @Test
+  void whatMayStillRunOfAnEndedJobIsKnownToTheNextOwner() throws Exception {
+    OpenJob former = new OpenJob(job(false, Optional.empty()));
+    LiveRun run = begin(former, 1, 4);
+    former.end(JobPhase.CANCELLED, 17);
+
+    OpenJob restored = new OpenJob(job(false, Optional.empty()));
+    JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
+
+    assertEquals(Optional.of(JobPhase.CANCELLED), restored.end());
+    assertEquals(List.of(run.run()), restored.liveRuns().stream().map(LiveRun::run).toList());
+    assertEquals(run.executor(), restored.liveRuns().getFirst().executor());
+  }
+
+  /** The step is done by another run of the task; the next owner has to stop this one. */
+  @Test
+  void whatMayStillRunOfADoneStepIsKnownToTheNextOwner() throws Exception {
+    OpenJob former = new OpenJob(job(false, Optional.empty()));
+    LiveRun run = begin(former, 2, 1);
+    StepProgress step = former.steps().getFirst();
+    step.tasks().forEach(step::finish);
+
+    OpenJob restored = new OpenJob(job(false, Optional.empty()));
+    JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
+
+    assertTrue(restored.steps().getFirst().done());
+    assertEquals(List.of(run.run()), restored.liveRuns().stream().map(LiveRun::run).toList());
+  }
+
+  private static LiveRun begin(OpenJob job, int task, int number) {
+    StepProgress step = job.steps().getFirst();
+    TaskProgress begun = step.tasks().get(task);
+    TaskRun run = new TaskRun(step.name(begun), number);
+    LiveRun live = LiveRun.inherited(run, new ExecutorId("e1"), step, 0);
+    step.begin(begun, live);
+    return live;
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
@@ -162,6 +162,9 @@
     @Override
     public void startGivenUp(LiveRun run, BatchTurn turn) {}
 
+    @Override
+    public void foundRunning(LiveRun run, BatchTurn turn) {}
+
     @Override
     public void saved(LiveRun run, String checkpoint) {}
 
