--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -123,6 +123,25 @@
     assertSubmissionDoesNotRun(history);
   }
 
+  // Guards against: a cancel that is acknowledged by the state of a job that came meanwhile.
+  @Test
+  void aSubmissionThatComesWhileItsCancelWaitsForTheStoreDoesNotRun() {
+    OrphanedRun history = new OrphanedRun();
+    BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
+    long ticket = history.cluster.call(cancel).orElseThrow();
+    BatchCall submit =
+        new BatchCall.Submit(
+            BatchCluster.NORMAL,
+            BatchCluster.KEY,
+            LATE_JOB,
+            Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
+    history.cluster.call(submit);
+    history.cluster.runUntil(
+        "the answer", 3000, () -> history.cluster.answers.containsKey(ticket));
+    history.cluster.run(GONE_WITHIN_MILLIS);
+    assertFalse(history.runs(LATE_JOB), "it runs, and its cancel was acknowledged");
+  }
+
   private static void cancelUnknown(OrphanedRun history) {
     BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
     assertEquals(new CallAnswer.NoSuchJob(), history.answer(cancel));
