The answer to a start does not count as the answer to the stop after it

A stop was taken for answered when the answer to the start of the same run came after it had been sent, as it does where a job is cancelled in the moment of its start. Such a stop was not repeated if it was lost, and the run went on. The outcome of an order now counts only while the run is in the stage that the order was sent for. Read in the code.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -21,9 +21,16 @@
 
   private final long epoch;
   private final Duration lease;
-  private final Map<Long, LiveRun> ordered = new HashMap<>();
+  private final Map<Long, RunOrder> ordered = new HashMap<>();
   private long lastNumber;
 
+  /**
+   * An order about a run.
+   *
+   * @param stage the stage of the run that it was sent for
+   */
+  private record RunOrder(LiveRun run, Stage stage) {}
+
   /**
    * Creates a sender.
    *
@@ -68,13 +75,14 @@
     String spec = run.step().job().job().submission().spec();
     ExecutorOrder order =
         new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), run.ticket(), leaseUntil);
-    ordered.put(send(executor, order, turn), run);
+    ordered.put(send(executor, order, turn), new RunOrder(run, run.stage()));
   }
 
   /** Orders the end of a run. */
   void stop(ExecutorState executor, LiveRun run, BatchTurn turn) {
     run.ordered(turn.nowNanos());
-    ordered.put(send(executor, new ExecutorOrder.Stop(run.run()), turn), run);
+    ExecutorOrder order = new ExecutorOrder.Stop(run.run());
+    ordered.put(send(executor, order, turn), new RunOrder(run, run.stage()));
   }
 
   /** Orders a run to work at a share of its speed. */
@@ -93,9 +101,14 @@
     return number > EpochNumbers.before(epoch);
   }
 
-  /** Returns the run that an order was about, once. */
+  /**
+   * Returns the run that an order was about, once; absent if the run is in another stage by now,
+   * since the answer to a start says nothing of the stop that was sent after it.
+   */
   Optional<LiveRun> takeRun(long number) {
-    return Optional.ofNullable(ordered.remove(number));
+    return Optional.ofNullable(ordered.remove(number))
+        .filter(order -> order.run().stage() == order.stage())
+        .map(RunOrder::run);
   }
 
   private long send(ExecutorState executor, ExecutorOrder order, BatchTurn turn) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
@@ -136,8 +137,7 @@
             LATE_JOB,
             Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
     history.cluster.call(submit);
-    history.cluster.runUntil(
-        "the answer", 3000, () -> history.cluster.answers.containsKey(ticket));
+    history.cluster.runUntil("the answer", 3000, () -> history.cluster.answers.containsKey(ticket));
     history.cluster.run(GONE_WITHIN_MILLIS);
     assertFalse(history.runs(LATE_JOB), "it runs, and its cancel was acknowledged");
   }
@@ -167,6 +167,36 @@
     assertFalse(history.runs(LATE_JOB), "it runs, and its cancel was acknowledged before");
   }
 
+  // Guards against: a stop that counts as answered by the answer to the start before it.
+  @Test
+  void aStopIsSentAgainThoughTheStartBeforeItIsAnswered() {
+    BatchCluster cluster = new BatchCluster(2, 1, 5);
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job =
+        cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 1, OrphanedRun.LONG_MILLIS)));
+    cluster.faults.dropped =
+        (vm, event) -> {
+          if (answersStart(event)) {
+            cluster.faults.dropped = (other, later) -> false;
+            cluster.faults.lostStops = true;
+            cluster.call(new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, job));
+          }
+          return false;
+        };
+    cluster.run(200);
+    cluster.faults.lostStops = false;
+    cluster.run(500);
+    assertEquals(2, cluster.notes(BatchLogEvent.STOP_ORDER_ENDED).size());
+    cluster.run(200);
+    assertEquals(0, cluster.executors.values().iterator().next().running().size());
+  }
+
+  private static boolean answersStart(BatchEvent event) {
+    return event instanceof BatchEvent.OrderEnded ended
+        && ended.outcome() instanceof OrderOutcome.Done;
+  }
+
   // Guards against: a stop that counts as carried out because it was confirmed.
   @Test
   void aStopThatIsConfirmedAndNotCarriedOutIsSentAgain() {
