Under load the log keeps decisions and tells what it drops

On-call saw no line of any VM that names the request of an incident, and nothing that says how many lines are missing.

Cause: the queue in front of standard output dropped each event of level INFO alike once four fifths were full; all decisions (8000 to 8099) are of that level, as are answered calls (8309) and what a take-over logs for each executor (8030, 8031). The count of what was dropped was in the metrics alone. Logback's worker (AsyncAppenderBase$Worker, read from its bytecode) takes all waiting lines out of the queue before it writes the first of them, so twice the queue's size could wait; and it ends at the first Error, after which a process of 48 MB heap would log nothing more.

Now the appender has its own queue and thread. Ordinary lines find room up to half of the queue, lines about single executors up to three quarters, decisions and what is above INFO up to all of it. 8310 tells how many lines were dropped, how many decisions are among them and from when to when; the writer puts it in once the queue is empty, once in each 1,024 written lines of an overload that lasts, and at the end of a stop. No clock is needed for that bound. The queue holds 1,024 lines, as many as could wait before (512 taken out and 512 behind them), so the worst case of memory stays. The caller never waits: a full queue refuses at once.

Tests: LogUnderLoadTest runs the configuration of the scheduler in front of a stalled pipe.

What remains: a drop that is counted just after the writer has emptied the queue is told with the next line or at the stop. Warnings share the last quarter with decisions, so a flood of warnings can still push decisions out; it is told.

--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/LinePriority.java
@@ -0,0 +1,74 @@
+package org.fescuehook.entry.scheduler;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.event.NumberedEvent;
+import org.slf4j.event.KeyValuePair;
+
+/** What a line of the log is worth while lines have to be dropped. */
+enum LinePriority {
+  /** Normal operation: answered calls, connections, lines of libraries. */
+  ORDINARY(50),
+  /** The state of one executor; a take-over logs such a line for each executor of its fleet. */
+  EXECUTOR(75),
+  /** A decision that touches a request, or the ownership of decisions. */
+  DECISION(100),
+  /** Above level INFO. */
+  TROUBLE(100);
+
+  private static final int FIRST_DECISION = 8000;
+  private static final int LAST_DECISION = 8099;
+
+  private static final Set<Integer> OF_EXECUTORS =
+      Stream.of(
+              BatchLogEvent.EXECUTOR_REACHED,
+              BatchLogEvent.EXECUTOR_SILENT,
+              BatchLogEvent.EXECUTOR_LEAVING,
+              BatchLogEvent.EXECUTOR_GONE,
+              BatchLogEvent.EXECUTOR_RESTED,
+              BatchLogEvent.WORK_PACED,
+              BatchLogEvent.EXECUTOR_FORGOTTEN)
+          .map(NumberedEvent::number)
+          .collect(Collectors.toUnmodifiableSet());
+
+  private final int percent;
+
+  LinePriority(int percent) {
+    this.percent = percent;
+  }
+
+  static LinePriority of(ILoggingEvent event) {
+    if (event.getLevel().toInt() > Level.INFO_INT) {
+      return TROUBLE;
+    }
+    int number = number(event);
+    if (number < FIRST_DECISION || number > LAST_DECISION) {
+      return ORDINARY;
+    }
+    return OF_EXECUTORS.contains(number) ? EXECUTOR : DECISION;
+  }
+
+  private static int number(ILoggingEvent event) {
+    List<KeyValuePair> pairs = event.getKeyValuePairs();
+    if (pairs == null) {
+      return 0;
+    }
+    for (KeyValuePair pair : pairs) {
+      if (pair.key.equals(EventLog.NUMBER_KEY) && pair.value instanceof Integer number) {
+        return number;
+      }
+    }
+    return 0;
+  }
+
+  /** Returns how many lines may wait in a queue when one of this priority is put behind them. */
+  int limit(int capacity) {
+    return (int) ((long) capacity * percent / 100);
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
@@ -23,7 +23,9 @@
   /** The ring in front of the decisions is full. */
   RING_FULL(8308, "decisions are behind: {} dropped"),
   /** A call was answered. */
-  CALL_ANSWERED(8309, "Call {} of {} answered {} after {} ms");
+  CALL_ANSWERED(8309, "Call {} of {} answered {} after {} ms"),
+  /** Standard output took lines too slowly. */
+  LOG_LINES_DROPPED(8310, "{} log lines dropped, {} of them decisions, logged from {} to {}");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CountingLogAppenderTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CountingLogAppenderTest.java
@@ -9,7 +9,10 @@
 import ch.qos.logback.classic.spi.LoggingEvent;
 import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.AppenderBase;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +43,26 @@
     }
   }
 
+  /** Standard output whose first line finds no memory. */
+  private static final class PoorOutput extends AppenderBase<ILoggingEvent> {
+    private final Queue<String> written;
+    private boolean failed;
+
+    PoorOutput(Queue<String> written) {
+      this.written = written;
+      start();
+    }
+
+    @Override
+    protected void append(ILoggingEvent event) {
+      if (!failed) {
+        failed = true;
+        throw new OutOfMemoryError("on purpose");
+      }
+      written.add(event.getFormattedMessage());
+    }
+  }
+
   @BeforeEach
   void start() throws InterruptedException {
     context.setMDCAdapter(new LogbackMDCAdapter());
@@ -59,9 +82,12 @@
     appender.stop();
   }
 
+  private ILoggingEvent event(Level level) {
+    return new LoggingEvent("", context.getLogger("test"), level, "message", null, null);
+  }
+
   private void log(Level level) {
-    appender.doAppend(
-        new LoggingEvent("", context.getLogger("test"), level, "message", null, null));
+    appender.doAppend(event(level));
   }
 
   @Test
@@ -78,4 +104,21 @@
     }
     assertEquals(QUEUE, CountingLogAppender.dropped() - before);
   }
+
+  @Test
+  void aLineThatFindsNoMemoryIsCountedAndThoseAfterItAreWritten() throws InterruptedException {
+    long before = CountingLogAppender.dropped();
+    BlockingQueue<String> written = new LinkedBlockingQueue<>();
+    CountingLogAppender poor = new CountingLogAppender();
+    poor.setContext(context);
+    poor.addAppender(new PoorOutput(written));
+    poor.start();
+    poor.doAppend(event(Level.INFO));
+    poor.doAppend(event(Level.INFO));
+    assertEquals("message", written.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    poor.stop();
+    assertEquals(1, CountingLogAppender.dropped() - before);
+    String told = written.poll();
+    assertTrue(told != null && told.startsWith("1 log lines dropped"), told);
+  }
 }
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/LogUnderLoadTest.java
@@ -0,0 +1,220 @@
+package org.fescuehook.entry.scheduler;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.joran.JoranConfigurator;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.joran.spi.JoranException;
+import ch.qos.logback.core.spi.AppenderAttachable;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.logic.story.LoggedEvent;
+import org.fescuehook.logic.story.LoggedEventParser;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.event.Level;
+
+/** The log of a VM as it is configured, in front of a standard output that is taken slowly. */
+class LogUnderLoadTest {
+
+  private static final int FLOOD = 5000;
+  private static final int NOTICE = 8310;
+  private static final Pattern LOST =
+      Pattern.compile("^(\\d+) log lines dropped, (\\d+) of them decisions");
+  private static final long PATIENCE_SECONDS = 20;
+
+  private final LoggerContext context = new LoggerContext();
+  private final LoggedEventParser parser = new LoggedEventParser();
+  private final SlowPipe pipe = new SlowPipe();
+  private Logger logger = context.getLogger("test");
+
+  /** A pipe whose reader takes as many lines as it is let. */
+  private static final class SlowPipe extends OutputStream {
+    private static final int ALL = 1 << 20;
+
+    final CountDownLatch reached = new CountDownLatch(1);
+    final CountDownLatch told = new CountDownLatch(1);
+    final Semaphore taken = new Semaphore(0);
+    private final Semaphore let = new Semaphore(0);
+    private final List<String> lines = new ArrayList<>();
+
+    @Override
+    public void write(int one) {
+      throw new AssertionError("lines are written whole");
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) {
+      reached.countDown();
+      let.acquireUninterruptibly();
+      String line = new String(bytes, offset, length, StandardCharsets.UTF_8);
+      synchronized (lines) {
+        lines.add(line);
+      }
+      if (line.contains("\"" + NOTICE + "\"")) {
+        told.countDown();
+      }
+      taken.release();
+    }
+
+    void let(int more) {
+      let.release(more);
+    }
+
+    void letAll() {
+      let.release(ALL);
+    }
+
+    List<String> lines() {
+      synchronized (lines) {
+        return List.copyOf(lines);
+      }
+    }
+  }
+
+  @BeforeEach
+  void stall() throws JoranException, InterruptedException {
+    context.setMDCAdapter(new LogbackMDCAdapter());
+    JoranConfigurator configurator = new JoranConfigurator();
+    configurator.setContext(context);
+    configurator.doConfigure(
+        LogUnderLoadTest.class.getClassLoader().getResource("logback-scheduler.xml"));
+    @SuppressWarnings("unchecked")
+    AppenderAttachable<ILoggingEvent> queue =
+        (AppenderAttachable<ILoggingEvent>)
+            context.getLogger(Logger.ROOT_LOGGER_NAME).getAppender("async");
+    ((ConsoleAppender<ILoggingEvent>) queue.getAppender("stdout")).setOutputStream(pipe);
+    logger = context.getLogger("test");
+    callAnswered();
+    assertTrue(pipe.reached.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "nothing was logged");
+  }
+
+  @AfterEach
+  void release() {
+    pipe.letAll();
+    context.stop();
+  }
+
+  private void callAnswered() {
+    EventLog.info(logger, SchedulerEvent.CALL_ANSWERED, "Submit", "j", "Refused", 1);
+  }
+
+  private void jobEnded(String job) {
+    EventLog.info(logger, BatchLogEvent.JOB_ENDED, job, "CANCELLED", 1);
+  }
+
+  private void flood(Runnable line) {
+    for (int i = 0; i < FLOOD; i++) {
+      line.run();
+    }
+  }
+
+  private List<LoggedEvent> events() {
+    return pipe.lines().stream().map(line -> parser.parse(line).orElseThrow()).toList();
+  }
+
+  private List<LoggedEvent> events(int number) {
+    return events().stream().filter(event -> event.number() == number).toList();
+  }
+
+  private long told(int group) {
+    return events(NOTICE).stream()
+        .mapToLong(
+            event -> {
+              Matcher matcher = LOST.matcher(event.message());
+              assertTrue(matcher.find(), event.message());
+              return Long.parseLong(matcher.group(group));
+            })
+        .sum();
+  }
+
+  private void letAllAndStop() {
+    pipe.letAll();
+    context.stop();
+  }
+
+  @Test
+  void aFloodOfAnsweredCallsPushesOutNoDecision() {
+    flood(this::callAnswered);
+    jobEnded("a");
+    letAllAndStop();
+    assertEquals(1, events(BatchLogEvent.JOB_ENDED.number()).size());
+    assertEquals(0, told(2));
+  }
+
+  @Test
+  void linesAboutEachExecutorAfterATakeOverPushOutNoDecision() {
+    flood(() -> EventLog.info(logger, BatchLogEvent.EXECUTOR_REACHED, "e", 0));
+    jobEnded("a");
+    letAllAndStop();
+    assertEquals(1, events(BatchLogEvent.JOB_ENDED.number()).size());
+  }
+
+  @Test
+  void aFloodOfDecisionsIsCutAndSaysHowManyAreMissing() {
+    flood(() -> jobEnded("a"));
+    letAllAndStop();
+    int kept = events(BatchLogEvent.JOB_ENDED.number()).size();
+    assertTrue(kept < FLOOD, () -> "kept " + kept);
+    assertEquals(FLOOD - kept, told(2));
+  }
+
+  @Test
+  void whatWasDroppedIsToldAsSoonAsThereIsRoom() throws InterruptedException {
+    flood(this::callAnswered);
+    pipe.letAll();
+    assertTrue(pipe.told.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "no line tells of the loss");
+  }
+
+  @Test
+  void theLineThatTellsOfTheLossCountsAllOfIt() {
+    flood(this::callAnswered);
+    letAllAndStop();
+    int kept = events(SchedulerEvent.CALL_ANSWERED.number()).size();
+    assertTrue(kept < FLOOD, () -> "kept " + kept);
+    assertEquals(1 + FLOOD - kept, told(1));
+  }
+
+  @Test
+  void overloadThatLastsIsToldAgainAndAgainButRarely() throws InterruptedException {
+    flood(this::callAnswered);
+    for (int i = 0; i < FLOOD; i++) {
+      pipe.let(1);
+      assertTrue(pipe.taken.tryAcquire(PATIENCE_SECONDS, TimeUnit.SECONDS), "nothing is written");
+      callAnswered();
+      callAnswered();
+    }
+    int notices = events(NOTICE).size();
+    assertTrue(notices > 1, () -> "told " + notices + " times");
+    assertTrue(notices <= 1 + FLOOD / 500, () -> "told " + notices + " times");
+  }
+
+  @Test
+  void eachLineIsWrittenWithoutWaitingForTheNext() throws InterruptedException {
+    pipe.let(1);
+    assertTrue(pipe.taken.tryAcquire(PATIENCE_SECONDS, TimeUnit.SECONDS), "the line waits");
+  }
+
+  @Test
+  void nothingIsToldOfALogThatIsWhole() {
+    logger.atLevel(Level.WARN).log("without a number");
+    jobEnded("a");
+    letAllAndStop();
+    assertEquals(3, pipe.lines().size());
+  }
+}
