Lines of the log are numbered

On-call could not tell whether lines are missing from a VM's log: a log from which lines were dropped, or whose process was killed, looks like one of a VM with nothing to log.

Each line now carries sequenceNumber, counted from 1 in each process. Logback draws the number when the line is logged, before it can be dropped, so a number that is missing between two lines is a dropped line, a 1 is a new process, and no line after the last one of a process that was killed is counted. The line of 8310 takes its own number and its place in the order.

Weighed and not done: a line at fixed times with the last number given would tell an idle VM from a stalled one, at 30 lines a second from 300 VMs at one each 10 s, and would not count the tail of a killed process either; writing a decision before its command is carried out would hold a duty up whenever standard output stands still.

Test: numbersOfLinesShowTheSameLossAsTheLinesThatTellOfIt and nothingIsToldOfALogThatIsWhole failed on the configuration before (first number 0 in place of 1).

--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/LogUnderLoadTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/LogUnderLoadTest.java
@@ -11,10 +11,13 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.joran.spi.JoranException;
 import ch.qos.logback.core.spi.AppenderAttachable;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -143,6 +146,15 @@
         .sum();
   }
 
+  private TreeSet<Long> numbers() throws JsonProcessingException {
+    ObjectMapper mapper = new ObjectMapper();
+    TreeSet<Long> numbers = new TreeSet<>();
+    for (String line : pipe.lines()) {
+      numbers.add(mapper.readTree(line).path("sequenceNumber").asLong());
+    }
+    return numbers;
+  }
+
   private void letAllAndStop() {
     pipe.letAll();
     context.stop();
@@ -181,6 +193,18 @@
     assertTrue(pipe.told.await(PATIENCE_SECONDS, TimeUnit.SECONDS), "no line tells of the loss");
   }
 
+  @Test
+  void numbersOfLinesShowTheSameLossAsTheLinesThatTellOfIt() throws JsonProcessingException {
+    flood(this::callAnswered);
+    letAllAndStop();
+    TreeSet<Long> numbers = numbers();
+    assertEquals(1, numbers.first());
+    assertEquals(pipe.lines().size(), numbers.size(), "a number came twice");
+    long missing = numbers.last() - numbers.size();
+    assertTrue(missing > 0, "nothing was dropped");
+    assertEquals(missing, told(1));
+  }
+
   @Test
   void theLineThatTellsOfTheLossCountsAllOfIt() {
     flood(this::callAnswered);
@@ -211,10 +235,11 @@
   }
 
   @Test
-  void nothingIsToldOfALogThatIsWhole() {
+  void nothingIsToldOfALogThatIsWhole() throws JsonProcessingException {
     logger.atLevel(Level.WARN).log("without a number");
     jobEnded("a");
     letAllAndStop();
     assertEquals(3, pipe.lines().size());
+    assertEquals(List.of(1L, 2L, 3L), List.copyOf(numbers()));
   }
 }
