explain-log names the gaps in the time of a job

On-call read the story of a job without knowing that lines of it were missing.

LogGapFinder finds, by the numbers of the lines, what is missing between two lines of a process, processes that ended without 8303 before the next one of the same VM, and VMs that have no more lines. explain-log prints those that touch the time of the job; a job without its end (8013) has no known end. Where no line names the job it says at how many places lines are missing. Lines without numbers tell nothing, as before. Threads that pass each other between number and line are allowed for.

--- a/fescuehook/src/main/java/org/fescuehook/cli/command/ExplainLogCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/ExplainLogCommand.java
@@ -9,8 +9,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import org.fescuehook.entry.scheduler.SchedulerEvent;
+import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.story.DayStory;
 import org.fescuehook.logic.story.JobStory;
+import org.fescuehook.logic.story.LogGap;
+import org.fescuehook.logic.story.LogGapFinder;
+import org.fescuehook.logic.story.LogLine;
 import org.fescuehook.logic.story.LoggedEvent;
 import org.fescuehook.logic.story.LoggedEventParser;
 import org.kohsuke.args4j.Argument;
@@ -42,14 +47,18 @@
     if (all != id.isEmpty()) {
       throw new CommandException(ExitCode.FAULTY_INPUT, "name one job, or give --all");
     }
+    LogGapFinder finder = new LogGapFinder(SchedulerEvent.STOPPED.number());
     List<LoggedEvent> log = new ArrayList<>();
+    List<LogGap> gaps = new ArrayList<>();
     for (String file : files.isEmpty() ? List.of(STANDARD_INPUT) : files) {
-      log.addAll(read(file));
+      List<LogLine> lines = read(file);
+      lines.forEach(line -> line.event().ifPresent(log::add));
+      gaps.addAll(finder.find(file, lines));
     }
     if (all) {
       return tellAll(DayStory.of(log), console);
     }
-    return tell(JobStory.of(id, log), console);
+    return tell(JobStory.of(id, log), gaps, console);
   }
 
   private ExitCode tellAll(DayStory day, Console console) throws CommandException {
@@ -80,10 +89,14 @@
     console.out().printf(Locale.ROOT, format, arguments);
   }
 
-  private ExitCode tell(JobStory story, Console console) throws CommandException {
+  private ExitCode tell(JobStory story, List<LogGap> gaps, Console console)
+      throws CommandException {
     if (story.events().isEmpty()) {
+      long known = gaps.stream().filter(gap -> !(gap instanceof LogGap.Quiet)).count();
+      String missing =
+          known == 0 ? "" : "; in those given, lines are missing at " + known + " places";
       throw new CommandException(
-          ExitCode.REFUSED, "no line names " + id + "; give the logs of all VMs");
+          ExitCode.REFUSED, "no line names " + id + "; give the logs of all VMs" + missing);
     }
     long first = story.events().getFirst().millis();
     for (LoggedEvent event : story.events()) {
@@ -99,19 +112,59 @@
                     "Longest: %.3f s, %s%n",
                     stage.millis() / MILLIS_PER_SECOND,
                     stage.name()));
+    tellGaps(story, gaps, console);
     return ExitCode.DONE;
   }
 
-  private static List<LoggedEvent> read(String file) throws CommandException {
+  /** Names the gaps in the time of the job, which has no known end without the event of it. */
+  private static void tellGaps(JobStory story, List<LogGap> gaps, Console console) {
+    long first = story.events().getFirst().millis();
+    boolean ended =
+        story.events().stream()
+            .anyMatch(event -> event.number() == BatchLogEvent.JOB_ENDED.number());
+    long last = ended ? story.events().getLast().millis() : Long.MAX_VALUE;
+    List<String> quiet = new ArrayList<>();
+    for (LogGap gap : gaps) {
+      if (!gap.touches(first, last)) {
+        continue;
+      }
+      double from = (Math.max(gap.fromMillis(), first) - first) / MILLIS_PER_SECOND;
+      double to = (Math.min(gap.toMillis(), last) - first) / MILLIS_PER_SECOND;
+      switch (gap) {
+        case LogGap.Missing missing ->
+            print(
+                console,
+                "Missing: up to %d lines of %s from %.3f s to %.3f s%n",
+                missing.lines(),
+                missing.vm(),
+                from,
+                to);
+        case LogGap.CutOff cutOff ->
+            print(
+                console,
+                "Missing: perhaps the last lines of %s, which ended unplanned, from %.3f s to %.3f s%n",
+                cutOff.vm(),
+                from,
+                to);
+        case LogGap.Quiet end ->
+            quiet.add(String.format(Locale.ROOT, "%s after %.3f s", end.vm(), from));
+      }
+    }
+    if (!quiet.isEmpty()) {
+      print(console, "No more lines, lost or idle: %s%n", String.join(", ", quiet));
+    }
+  }
+
+  private static List<LogLine> read(String file) throws CommandException {
     LoggedEventParser parser = new LoggedEventParser();
-    List<LoggedEvent> events = new ArrayList<>();
+    List<LogLine> lines = new ArrayList<>();
     try (BufferedReader reader = open(file)) {
-      reader.lines().forEach(line -> parser.parse(line).ifPresent(events::add));
+      reader.lines().forEach(line -> parser.read(line).ifPresent(lines::add));
     } catch (IOException e) {
       throw new CommandException(
           ExitCode.FAULTY_INPUT, "--log " + file + " cannot be read; give its path");
     }
-    return events;
+    return lines;
   }
 
   private static BufferedReader open(String file) throws IOException {
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/LoggedEventParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/LoggedEventParser.java
@@ -11,8 +11,13 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  /** Reads a line; absent if it holds no numbered event, as the lines of libraries. */
+  /** Reads the event of a line; absent if it holds no numbered event, as the lines of libraries. */
   public Optional<LoggedEvent> parse(String line) {
+    return read(line).flatMap(LogLine::event);
+  }
+
+  /** Reads a line; absent if it holds no object. */
+  public Optional<LogLine> read(String line) {
     int begin = line.indexOf('{');
     if (begin < 0) {
       return Optional.empty();
@@ -24,15 +29,18 @@
       // A line that was cut, or of another program; the story is told from the others.
       return Optional.empty();
     }
+    String vm = lastWord(line.substring(0, begin));
+    long millis = object.path("timestamp").asLong();
+    long number = object.path("sequenceNumber").asLong();
+    return Optional.of(new LogLine(vm, millis, number, event(object, vm, millis)));
+  }
+
+  private static Optional<LoggedEvent> event(JsonNode object, String vm, long millis) {
     for (JsonNode pair : object.path("kvpList")) {
       int number = pair.path(EventLog.NUMBER_KEY).asInt();
       if (number > 0) {
-        return Optional.of(
-            new LoggedEvent(
-                object.path("timestamp").asLong(),
-                lastWord(line.substring(0, begin)),
-                number,
-                object.path("formattedMessage").asText()));
+        String message = object.path("formattedMessage").asText();
+        return Optional.of(new LoggedEvent(millis, vm, number, message));
       }
     }
     return Optional.empty();
