A start that was not sent does not count against its task

Callers saw a job shown as failed under whose task one executor had crashed: its starts had met executors that were down and still listed, and each waited some seconds for a lease that nobody held.

Cause: the outcome of an order did not tell a connection that was refused from an answer that was lost, so a start that cannot have run was stopped, waited for and judged as a doubtful loss; five losses end a task.

The HTTP client knows whether it may have written anything of a request. ExecutorMessages turns a failure before that into OrderOutcome.NotSent, any other into Unanswered as before. A run is over at once, and its task planned again, only if all its orders were NotSent: the next order of a run is sent only after the outcome of the one before, and any other failure, also an outcome that never came, sets LiveRun.startUncertain, after which the run waits for the lease and is doubtful as before. So no start of it can arrive beside the next run. As before, an order is tried three times, for ways that lose packets. Such a run is none of the two that a task has after its third loss (CrashRecord.withoutRun): else a wave of crashes would use them up in milliseconds. Orders that were sent count as before.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -351,6 +351,11 @@
     jobs.rejected(run, rejection, turn);
   }
 
+  @Override
+  public void unsent(LiveRun run, BatchTurn turn) {
+    jobs.unsent(run, turn);
+  }
+
   @Override
   public void startGivenUp(LiveRun run, BatchTurn turn) {
     jobs.startGivenUp(run, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -323,10 +323,10 @@
       return false;
     }
     Optional<LiveRun> run = orders.takeRun(number);
-    if (outcome instanceof OrderOutcome.Unanswered) {
-      contacts.missed(number);
-    } else {
+    if (outcome.answered()) {
       contacts.answered(number, turn.nowNanos());
+    } else {
+      contacts.missed(number);
     }
     Optional<ExecutorState> found = book.find(id);
     if (found.isEmpty()) {
@@ -337,7 +337,7 @@
     if (outcome instanceof OrderOutcome.OtherIncarnation) {
       turn.note(
           BatchLogEvent.EXECUTOR_GONE, id, "another incarnation answered", executor.runs().size());
-      run.filter(live -> live.stage() == Stage.STARTING && live.orders() == 1)
+      run.filter(live -> live.stage() == Stage.STARTING && !live.startUncertain())
           .ifPresent(LiveRun::startNeverArrived);
       lost.loseAll(executor, Loss.RESTARTED, "its executor was restarted", turn);
       forget(executor, turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -29,6 +29,17 @@
   /** No answer came; it may be carried out now, later or never. */
   record Unanswered(String reason) implements OrderOutcome {}
 
+  /** No connection was made for it: it has not been carried out and never will be. */
+  record NotSent(String reason) implements OrderOutcome {}
+
+  /** Tells whether an answer came that could be read. */
+  default boolean answered() {
+    return switch (this) {
+      case Done _, Polled _, Rejected _, OtherIncarnation _ -> true;
+      case Unanswered _, NotSent _ -> false;
+    };
+  }
+
   /** Why an order was rejected. */
   enum Rejection {
     /** The executor has seen a higher epoch. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -27,6 +27,9 @@
   /** An executor rejected a start; it has not run and will not. Its capacity is free. */
   void rejected(LiveRun run, Rejection rejection, BatchTurn turn);
 
+  /** No order to start a run was sent; it has not run and will not. Its capacity is free. */
+  void unsent(LiveRun run, BatchTurn turn);
+
   /** A start had no answer several times and is being stopped. */
   void startGivenUp(LiveRun run, BatchTurn turn);
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartSettler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartSettler.java
@@ -16,6 +16,11 @@
   /** Rest of an executor that calls itself unhealthy. */
   private static final Duration UNHEALTHY_REST = Duration.ofSeconds(2);
 
+  /**
+   * Rest of an executor to which no connection can be made; one that crashed is back in seconds.
+   */
+  private static final Duration UNREACHED_REST = Duration.ofSeconds(2);
+
   /** Starts of one run before it is given up; with their timeouts half of a gang's patience. */
   private static final int MAX_STARTS = 3;
 
@@ -43,18 +48,36 @@
       }
       case OrderOutcome.Rejected(Rejection rejection) -> rejected(executor, run, rejection, turn);
       case OrderOutcome.Unanswered unanswered -> {
+        turn.count("fescuehook.batch.starts.unanswered", "sent", "maybe");
         run.startBecameUncertain();
-        if (run.orders() < MAX_STARTS && !executor.overbooked()) {
-          orders.start(executor, run, turn);
-        } else {
-          listener.startGivenUp(run, turn);
-        }
+        repeatOrGiveUp(executor, run, unanswered.reason(), turn);
+      }
+      case OrderOutcome.NotSent notSent -> {
+        turn.count("fescuehook.batch.starts.unanswered", "sent", "no");
+        repeatOrGiveUp(executor, run, notSent.reason(), turn);
       }
       case OrderOutcome.Polled polled -> {}
       case OrderOutcome.OtherIncarnation other -> {}
     }
   }
 
+  private void repeatOrGiveUp(ExecutorState executor, LiveRun run, String reason, BatchTurn turn) {
+    if (run.orders() < MAX_STARTS && !executor.overbooked()) {
+      orders.start(executor, run, turn);
+      return;
+    }
+    if (run.startUncertain()) {
+      listener.startGivenUp(run, turn);
+      return;
+    }
+    // None of its orders was sent, so the task may start elsewhere before the lease has expired.
+    executor.rest(UNREACHED_REST, "no connection to it can be made", turn);
+    executor.remove(run);
+    turn.note(
+        BatchLogEvent.RUN_LOST, run.run(), run.executor(), "its start was not sent: " + reason);
+    listener.unsent(run, turn);
+  }
+
   private void rejected(ExecutorState executor, LiveRun run, Rejection rejection, BatchTurn turn) {
     turn.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
     switch (rejection) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
@@ -9,7 +9,8 @@
  * @param late executors that crashed after it had run for a while
  * @param other executors that may not have crashed, or may not have run it
  * @param alone whether nothing else ran on the executor that crashed early last
- * @param thirdLossRun number of the run with which the third executor was lost; 0 if fewer were
+ * @param thirdLossRun number of the run with which the third executor was lost, and one more for
+ *     each run since that was not sent; 0 if fewer were lost
  */
 public record CrashRecord(int early, int late, int other, boolean alone, int thirdLossRun) {
 
@@ -50,6 +51,11 @@
     };
   }
 
+  /** Returns the record after a run that was not sent, and so is none of those that are counted. */
+  public CrashRecord withoutRun() {
+    return thirdLossRun == 0 ? this : new CrashRecord(early, late, other, alone, thirdLossRun + 1);
+  }
+
   private int losses() {
     return early + late + other;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -350,6 +350,15 @@
     lost(run, turn);
   }
 
+  /** No start of a run was sent, so the run says nothing of its task and does not count. */
+  public void unsent(LiveRun run, BatchTurn turn) {
+    TaskProgress task = run.step().tasks().get(run.run().task().index());
+    if (task.live().filter(run::equals).isPresent()) {
+      task.unsent();
+    }
+    lost(run, turn);
+  }
+
   /** A start had no answer. */
   public void startGivenUp(LiveRun run, BatchTurn turn) {
     executors.stop(run, "its start had no answer", turn);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -82,6 +82,11 @@
     crashes = crashes.plus(evidence, run);
   }
 
+  /** Remembers that its newest run was not sent. */
+  void unsent() {
+    crashes = crashes.withoutRun();
+  }
+
   /** Tells whether it must not be started again, as it seems to crash its executors. */
   boolean hopeless() {
     return !done && crashes.hopeless(lastRun);
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
@@ -86,8 +86,10 @@
   /** Decodes what became of an order. */
   static OrderOutcome decode(ExecutorOrder order, HttpResult result) {
     return switch (result) {
-      case HttpResult.Failed failed ->
-          new OrderOutcome.Unanswered(String.valueOf(failed.cause().getMessage()));
+      case HttpResult.Failed(Throwable cause, boolean maybeSent) ->
+          maybeSent
+              ? new OrderOutcome.Unanswered(String.valueOf(cause.getMessage()))
+              : new OrderOutcome.NotSent(String.valueOf(cause.getMessage()));
       case HttpResult.Answered answered -> decode(order, answered);
     };
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -60,6 +60,9 @@
 
   int stopsLost;
 
+  /** Whether no connection can be made for a start, though polls go over the one that is kept. */
+  boolean startsRefused;
+
   /** Returns how late an order is carried out. */
   long lateMillis(Random random) {
     return lateMillis.orElseGet(() -> 2000 + random.nextInt(6000));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -37,7 +37,8 @@
     ExecutorId id = command.executor().id();
     ClusterFaults faults = cluster.faults;
     sent.merge(id, 1, Integer::sum);
-    starts += command.order() instanceof BatchCommand.ExecutorOrder.Start ? 1 : 0;
+    boolean start = command.order() instanceof BatchCommand.ExecutorOrder.Start;
+    starts += start ? 1 : 0;
     if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
       faults.stopsLost++;
       unanswered(vm, command, 600, "timeout");
@@ -47,8 +48,8 @@
       cluster.in(1, () -> ended(vm, command, new OrderOutcome.OtherIncarnation()));
       return;
     }
-    if (cluster.crashes.refused(id)) {
-      unanswered(vm, command, 1, "refused");
+    if (cluster.crashes.refused(id) || (start && faults.startsRefused)) {
+      cluster.in(1, () -> ended(vm, command, new OrderOutcome.NotSent("refused")));
       return;
     }
     boolean there = cluster.executors.containsKey(id) && !faults.silent.contains(id);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
@@ -54,7 +54,7 @@
 
   /**
    * Executors crash in five waves. A task is placed on idle ones that have crashed and are still
-   * listed; four starts have no answer, as nothing listens there, and count as if they had arrived.
+   * listed; four starts cannot be sent, as nothing listens there, and must not count.
    */
   @Test
   void startsThatMeetExecutorsThatAreDownDoNotEndATask() {
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnsentStartTest.java
@@ -0,0 +1,96 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/** Starts at executors that have crashed and are still listed, where nothing listens. */
+class UnsentStartTest {
+
+  private static final Optional<CallAnswer> COMPLETED =
+      Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+
+  /** Longer than anything here takes. */
+  private static final long DOWN_MILLIS = 60_000;
+
+  /** The least that a lease lasts. */
+  private static final long LEASE_MILLIS = 5000;
+
+  private final BatchCluster cluster = new BatchCluster(2, 8, 1);
+
+  private List<ExecutorId> placements() {
+    return cluster.notes(BatchLogEvent.RUN_PLACED).stream()
+        .map(note -> (ExecutorId) note.arguments().get(1))
+        .toList();
+  }
+
+  private void crashAllBut(ExecutorId spared) {
+    cluster.crashes.up().stream()
+        .filter(id -> !id.equals(spared))
+        .forEach(id -> cluster.crashes.restart(id, DOWN_MILLIS));
+  }
+
+  @Test
+  void aTaskIsPlannedAgainAtOnceUntilItFindsAnExecutorThatListens() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    crashAllBut(new ExecutorId("e7"));
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 1000)));
+    cluster.runUntil("the start", 1000, () -> cluster.work.starts().size() == 1);
+    assertTrue(placements().size() > 1, "no start met an executor that was down");
+    cluster.runUntil("the end", 2000, () -> cluster.status(job).equals(COMPLETED));
+  }
+
+  /** Executors that answer polls all the while would otherwise be tried again without a pause. */
+  @Test
+  void noExecutorIsTriedAgainAtOnce() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.faults.startsRefused = true;
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 1000)));
+    cluster.run(1500);
+    assertEquals(8, placements().size());
+    assertEquals(8, placements().stream().distinct().count());
+  }
+
+  /** After three losses two more runs are the last; these executors are down for a while. */
+  @Test
+  void aTaskThatLostThreeExecutorsIsNotGivenUpForStartsThatMetNobody() {
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 6000)));
+    for (int crash = 1; crash <= 3; crash++) {
+      int starts = crash;
+      cluster.runUntil("a start", 15_000, () -> cluster.work.starts().size() >= starts);
+      cluster.run(3000);
+      cluster.crashes.restart(placements().getLast(), 3000);
+    }
+    cluster.crashes.up().forEach(id -> cluster.crashes.restart(id, 8000));
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+    assertTrue(placements().size() > 5, "few starts met an executor that was down");
+    assertEquals(4, cluster.work.starts().size());
+  }
+
+  /** The first order may have been carried out, though its repeat finds nobody. */
+  @Test
+  void aTaskWhoseStartMayHaveArrivedWaitsForTheLease() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    List<ExecutorId> all = cluster.crashes.up();
+    cluster.faults.silent.addAll(all);
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 1000)));
+    cluster.runUntil("the placement", 500, () -> placements().size() == 1);
+    cluster.run(100);
+    cluster.crashes.restart(placements().getFirst(), DOWN_MILLIS);
+    cluster.faults.silent.clear();
+    cluster.run(LEASE_MILLIS);
+    assertEquals(1, placements().size());
+    cluster.runUntil("the next placement", 5000, () -> placements().size() == 2);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/CrashRecordTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/CrashRecordTest.java
@@ -73,6 +73,19 @@
     assertTrue(record.hopeless(5));
   }
 
+  @Test
+  void aRunAfterTheThirdLossThatWasNotSentIsNotCounted() {
+    CrashRecord record = after(CrashEvidence.WEAK, CrashEvidence.WEAK, CrashEvidence.DOUBTFUL);
+    assertFalse(record.withoutRun().hopeless(5));
+    assertTrue(record.withoutRun().hopeless(6));
+  }
+
+  @Test
+  void aRunBeforeTheThirdLossThatWasNotSentChangesNothing() {
+    CrashRecord record = after(CrashEvidence.WEAK, CrashEvidence.WEAK);
+    assertEquals(record, record.withoutRun());
+  }
+
   /** It was cut off each time, or a former owner had started it: perhaps no executor crashed. */
   @Test
   void runsAreNotCountedWhileNoTwoExecutorsAreKnownToHaveCrashed() {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/StrayEndTest.java
@@ -159,6 +159,9 @@
     @Override
     public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {}
 
+    @Override
+    public void unsent(LiveRun run, BatchTurn turn) {}
+
     @Override
     public void startGivenUp(LiveRun run, BatchTurn turn) {}
 
--- a/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
@@ -110,4 +110,11 @@
         OrderOutcome.Unanswered.class,
         ExecutorMessages.decode(POLL, new HttpResult.Failed(new IOException("reset"), true)));
   }
+
+  @Test
+  void anOrderForWhichNoConnectionWasMadeIsToldApart() {
+    assertEquals(
+        new OrderOutcome.NotSent("refused"),
+        ExecutorMessages.decode(POLL, new HttpResult.Failed(new IOException("refused"), false)));
+  }
 }
