ExecutorDuty and JobDuty hand orphaned runs and the records of jobs to classes of their own

OrphanedRuns keeps the runs of a former owner whose executors are not listed, JobRecords what the store has of jobs.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -4,10 +4,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehook.logic.batch.BatchCommand;
@@ -54,8 +52,7 @@
   private final long inheritedLeaseNanos;
   private final ExecutorBook book = new ExecutorBook();
   private final RunListener listener;
-  private final Map<ExecutorId, List<LiveRun>> orphans = new LinkedHashMap<>();
-  private long orphansLostAt;
+  private final OrphanedRuns orphans;
   private final Set<ExecutorState> heardOf = new LinkedHashSet<>();
   private final ContactWindow contacts = new ContactWindow();
   private long nextRoundAt;
@@ -80,6 +77,7 @@
     this.pacer = new Pacer(orders);
     this.starts = new StartSettler(orders, pacer, listener);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
+    this.orphans = new OrphanedRuns(turn.nowNanos() + inheritedLeaseNanos);
     this.listener = listener;
     this.reports = new ReportReader(orders, pacer, listener, longestLease);
     this.lost = new LostExecutors(book, reports);
@@ -100,13 +98,12 @@
 
   /** Takes over runs of a former owner, once, before the first step. */
   public void inherit(List<LiveRun> runs, BatchTurn turn) {
-    orphansLostAt = turn.nowNanos() + inheritedLeaseNanos;
     for (LiveRun run : runs) {
       Optional<ExecutorState> executor = book.find(run.executor());
       if (executor.isPresent()) {
         adopt(executor.get(), run, turn);
       } else {
-        orphans.computeIfAbsent(run.executor(), id -> new ArrayList<>()).add(run);
+        orphans.add(run);
       }
     }
     pacer.inherited(runs, run -> book.find(run.executor()), turn);
@@ -132,8 +129,7 @@
       ExecutorState executor = new ExecutorState(profile);
       lost.listed(executor);
       book.add(executor);
-      Optional.ofNullable(orphans.remove(profile.id()))
-          .ifPresent(runs -> runs.forEach(run -> adopt(executor, run, turn)));
+      orphans.take(profile.id()).forEach(run -> adopt(executor, run, turn));
       return true;
     }
     ExecutorState executor = found.get();
@@ -166,17 +162,15 @@
     heardOf.clear();
     book.snapshot().forEach(executor -> look(executor, turn));
     contact(turn);
-    if (!orphans.isEmpty() && turn.nowNanos() - orphansLostAt >= 0) {
-      List<LiveRun> gone = orphans.values().stream().flatMap(List::stream).toList();
-      orphans.clear();
-      gone.forEach(
-          run ->
-              reports.loseWithExecutor(
-                  run,
-                  CrashEvidence.DOUBTFUL,
-                  "its executor is not listed and its lease has expired",
-                  turn));
-    }
+    orphans
+        .takeLost(turn.nowNanos())
+        .forEach(
+            run ->
+                reports.loseWithExecutor(
+                    run,
+                    CrashEvidence.DOUBTFUL,
+                    "its executor is not listed and its lease has expired",
+                    turn));
   }
 
   /**
@@ -296,7 +290,7 @@
       return;
     }
     Optional<ExecutorState> executor = book.find(run.executor());
-    if (executor.flatMap(state -> state.run(run.run())).isEmpty() && !orphaned(run)) {
+    if (executor.flatMap(state -> state.run(run.run())).isEmpty() && !orphans.contains(run)) {
       return;
     }
     if (run.stage() == Stage.PLACED) {
@@ -309,10 +303,6 @@
     executor.ifPresent(state -> orders.stop(state, run, turn));
   }
 
-  private boolean orphaned(LiveRun run) {
-    return orphans.getOrDefault(run.executor(), List.of()).contains(run);
-  }
-
   /**
    * Takes in what became of an order.
    *
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -29,7 +29,7 @@
   private static final long UNANSWERED_STOP_NANOS = Duration.ofMillis(2600).toNanos();
 
   private final JobBook book;
-  private final StateWriter writer;
+  private final JobRecords records;
   private final ExecutorDuty executors;
   private BatchConfiguration configuration;
   private boolean changed = true;
@@ -38,7 +38,7 @@
   public JobDuty(
       JobBook book, StateWriter writer, ExecutorDuty executors, BatchConfiguration configuration) {
     this.book = book;
-    this.writer = writer;
+    this.records = new JobRecords(book, writer);
     this.executors = executors;
     this.configuration = configuration;
   }
@@ -87,37 +87,7 @@
 
   /** Stores how far a job is. */
   public void persist(OpenJob job, Runnable committed) {
-    Encoded encoded = new Encoded(job);
-    writer.put(
-        JobCodec.progressKey(job.job().id()),
-        encoded::encode,
-        () -> {
-          encoded.show();
-          committed.run();
-        });
-  }
-
-  /**
-   * What of a job goes out with an append. The job may have changed again when that is stored, and
-   * nobody may be shown what no store has.
-   */
-  private static final class Encoded {
-    private final OpenJob job;
-    private Optional<JobPhase> phase = Optional.empty();
-
-    Encoded(OpenJob job) {
-      this.job = job;
-    }
-
-    Optional<byte[]> encode() {
-      phase = Optional.of(job.phase());
-      return Optional.of(JobCodec.encodeProgress(job));
-    }
-
-    /** Shows what was encoded; nothing if a newer change of the job went out in its place. */
-    void show() {
-      phase.ifPresent(job::show);
-    }
+    records.persist(job, committed);
   }
 
   /** Ends a job that its caller cancelled. */
@@ -127,10 +97,7 @@
 
   /** Remembers the cancel of a job that is not known, as its submission may still come. */
   public void cancelEarly(String id, Runnable committed, BatchTurn turn) {
-    JobBook.EarlyCancel cancel = new JobBook.EarlyCancel(turn.wallMillis());
-    book.addEarlyCancel(id, cancel, turn.nowNanos());
-    byte[] stored = JobCodec.encodeCancelled(cancel.cancelledMillis());
-    writer.put(JobCodec.earlyCancelKey(id), () -> Optional.of(stored), committed);
+    records.cancelEarly(id, committed, turn);
   }
 
   private void end(OpenJob job, JobPhase phase, Runnable committed, BatchTurn turn) {
@@ -143,25 +110,13 @@
       job.liveRuns().forEach(run -> executors.stop(run, "its job ended", turn));
     }
     persist(job, committed);
-    retireIfGone(job, turn);
+    records.retireIfGone(job, turn);
     changed = true;
   }
 
-  /**
-   * Retires a job that has ended once nothing of it can run any more. Until then the store names
-   * its runs, so that an owner that comes meanwhile knows what it has to stop.
-   */
-  private void retireIfGone(OpenJob job, BatchTurn turn) {
-    if (job.open() || !job.liveRuns().isEmpty()) {
-      return;
-    }
-    persist(job, () -> book.retire(job, turn.nowNanos()));
-    writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
-  }
-
   /** Retires the jobs of former owners that have ended and of which nothing runs. */
   public void retireGone(BatchTurn turn) {
-    book.openJobs().forEach(job -> retireIfGone(job, turn));
+    book.openJobs().forEach(job -> records.retireIfGone(job, turn));
   }
 
   /**
@@ -227,7 +182,7 @@
       stored.hold();
       persist(job, stored::release);
     }
-    retireIfGone(job, turn);
+    records.retireIfGone(job, turn);
   }
 
   private static void noteEnd(LiveRun run, RunEnd end, BatchTurn turn) {
@@ -281,7 +236,7 @@
     stored.hold();
     if (task.get().done() || !job.get().open()) {
       // Perhaps known to this owner alone: the next one would not find the end, and start it again.
-      writer.whenStored(JobCodec.progressKey(job.get().job().id()), stored::release);
+      records.whenStored(job.get(), stored::release);
       return;
     }
     finish(step.get(), task.get(), stored::release, turn);
@@ -299,7 +254,7 @@
     step.end(task);
     changed = true;
     if (!step.job().open()) {
-      retireIfGone(step.job(), turn);
+      records.retireIfGone(step.job(), turn);
       return;
     }
     if (givenUp(step, task, () -> {}, turn)) {
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
@@ -0,0 +1,78 @@
+package org.fescuehook.logic.batch.state;
+
+import java.util.Optional;
+import org.fescuehook.logic.batch.BatchTurn;
+import org.fescuehook.logic.batch.store.StateWriter;
+import org.fescuehook.model.batch.JobPhase;
+
+/** Keeps the records of jobs in the store as the book has them. */
+final class JobRecords {
+
+  private final JobBook book;
+  private final StateWriter writer;
+
+  JobRecords(JobBook book, StateWriter writer) {
+    this.book = book;
+    this.writer = writer;
+  }
+
+  /** Stores how far a job is. */
+  void persist(OpenJob job, Runnable committed) {
+    Encoded encoded = new Encoded(job);
+    writer.put(
+        JobCodec.progressKey(job.job().id()),
+        encoded::encode,
+        () -> {
+          encoded.show();
+          committed.run();
+        });
+  }
+
+  /** Calls back once the newest progress of a job is stored. */
+  void whenStored(OpenJob job, Runnable committed) {
+    writer.whenStored(JobCodec.progressKey(job.job().id()), committed);
+  }
+
+  /**
+   * Retires a job that has ended once nothing of it can run any more. Until then the store names
+   * its runs, so that an owner that comes meanwhile knows what it has to stop.
+   */
+  void retireIfGone(OpenJob job, BatchTurn turn) {
+    if (job.open() || !job.liveRuns().isEmpty()) {
+      return;
+    }
+    persist(job, () -> book.retire(job, turn.nowNanos()));
+    writer.put(JobCodec.jobKey(job.job().id()), Optional::empty, () -> {});
+  }
+
+  /** Remembers the cancel of a job that is not known, as its submission may still come. */
+  void cancelEarly(String id, Runnable committed, BatchTurn turn) {
+    JobBook.EarlyCancel cancel = new JobBook.EarlyCancel(turn.wallMillis());
+    book.addEarlyCancel(id, cancel, turn.nowNanos());
+    byte[] stored = JobCodec.encodeCancelled(cancel.cancelledMillis());
+    writer.put(JobCodec.earlyCancelKey(id), () -> Optional.of(stored), committed);
+  }
+
+  /**
+   * What of a job goes out with an append. The job may have changed again when that is stored, and
+   * nobody may be shown what no store has.
+   */
+  private static final class Encoded {
+    private final OpenJob job;
+    private Optional<JobPhase> phase = Optional.empty();
+
+    Encoded(OpenJob job) {
+      this.job = job;
+    }
+
+    Optional<byte[]> encode() {
+      phase = Optional.of(job.phase());
+      return Optional.of(JobCodec.encodeProgress(job));
+    }
+
+    /** Shows what was encoded; nothing if a newer change of the job went out in its place. */
+    void show() {
+      phase.ifPresent(job::show);
+    }
+  }
+}
