Cancels of unknown jobs are remembered up to a bound

Any number of them may come, and each is kept for as long as ended jobs are shown. With more than 10,000 the oldest is forgotten.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
@@ -11,6 +11,9 @@
 /** All jobs that are kept, open ones in the order of their acceptance. */
 public final class JobBook {
 
+  /** Callers may send any number of cancels of jobs that do not exist; these take some 2 MB. */
+  private static final int MOST_EARLY_CANCELS = 10_000;
+
   private final Map<String, OpenJob> open = new LinkedHashMap<>();
   private final RetainedRecords<EndedJob> ended;
   private final RetainedRecords<EarlyCancel> earlyCancels;
@@ -23,7 +26,7 @@
 
   /** Creates a book without jobs. */
   public JobBook() {
-    this(new RetainedRecords<>(), new RetainedRecords<>());
+    this(new RetainedRecords<>(Integer.MAX_VALUE), new RetainedRecords<>(MOST_EARLY_CANCELS));
   }
 
   private JobBook(RetainedRecords<EndedJob> ended, RetainedRecords<EarlyCancel> earlyCancels) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RetainedRecords.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RetainedRecords.java
@@ -18,8 +18,19 @@
 
   private final Map<String, Kept<T>> records = new LinkedHashMap<>();
 
+  private final int most;
+
   private record Kept<T>(T value, long wallMillis, long keptSince) {}
 
+  /**
+   * Creates a set without records.
+   *
+   * @param most how many are kept; with more the oldest is due
+   */
+  RetainedRecords(int most) {
+    this.most = most;
+  }
+
   /**
    * Keeps a record.
    *
@@ -39,9 +50,10 @@
   }
 
   /**
-   * Removes and returns a record that was kept for long enough; absent if there is none. Clocks of
-   * the day jump, so it must have been long ago by the time that has passed here, or so long ago by
-   * the clock that no jump explains it, as it may be with a record of a former owner.
+   * Removes and returns a record that was kept for long enough, or the oldest of too many; absent
+   * if there is none. Clocks of the day jump, so it must have been long ago by the time that has
+   * passed here, or so long ago by the clock that no jump explains it, as it may be with a record
+   * of a former owner.
    */
   Optional<String> forgetOne(Duration retention, long nowNanos, long wallMillis) {
     Iterator<Map.Entry<String, Kept<T>>> entries = records.entrySet().iterator();
@@ -52,7 +64,8 @@
     long keptNanos = nowNanos - oldest.getValue().keptSince();
     long ageMillis = wallMillis - oldest.getValue().wallMillis();
     boolean longAgo = ageMillis >= retention.plus(LARGEST_JUMP).toMillis();
-    if (keptNanos < retention.toNanos() && !longAgo) {
+    boolean tooMany = records.size() > most;
+    if (!tooMany && keptNanos < retention.toNanos() && !longAgo) {
       return Optional.empty();
     }
     entries.remove();
