The audit of all histories: no run of a cancelled job outlives a calm stretch

VirtualWork checked what may start after an acknowledged cancel, not that runs end. Now each history fails in which a run of such a job is alive 3,200 ms (cancel_ms + stopTimeoutMs) after the acknowledgement and after the last moment of a fault, whichever is later; a run whose start was carried out late has 3,000 ms more from its start on. Calm is: no fault active, all VMs up and none frozen. "No such job" counts as an acknowledgement, for this check and for that of starts, as the users' rules have it.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -56,6 +56,7 @@
 
   final ClusterOrders orders = new ClusterOrders(this);
   final ClusterCrashes crashes = new ClusterCrashes(this);
+  private final ClusterCalm calm = new ClusterCalm(this);
   private final ClusterAppends appends = new ClusterAppends(this);
   final Random random;
   private final PriorityQueue<Due> queue = new PriorityQueue<>();
@@ -360,6 +361,7 @@
       nowMillis = next;
       List.copyOf(executors.values()).forEach(executor -> executor.pass(nowMillis, STEP_MILLIS));
       crashes.bringBack();
+      calm.look();
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CallLedger.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CallLedger.java
@@ -34,7 +34,9 @@
       submissions.put(job, answer);
     }
     String cancelled = cancelTickets.get(ticket);
-    if (cancelled != null && answer instanceof CallAnswer.Cancelled) {
+    boolean acknowledged =
+        answer instanceof CallAnswer.Cancelled || answer instanceof CallAnswer.NoSuchJob;
+    if (cancelled != null && acknowledged) {
       work.cancelled(cancelled, nowMillis);
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -16,6 +16,8 @@
   /** Time after which the first read of a VM counts as late, in milliseconds. */
   private static final long NEVER_LATE_MILLIS = 700;
 
+  static final BiPredicate<VmId, BatchEvent> NOTHING_DROPPED = (vm, event) -> false;
+
   boolean storeDown;
 
   /** Streams that are away while the others are not. */
@@ -35,7 +37,7 @@
   final Set<VmId> cannotLoad = new HashSet<>();
 
   /** Which events do not come to the decisions of a VM. */
-  BiPredicate<VmId, BatchEvent> dropped = (vm, event) -> false;
+  BiPredicate<VmId, BatchEvent> dropped = NOTHING_DROPPED;
 
   /** How far the VMs' clocks of the day have jumped, in milliseconds. */
   long wallAhead;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
@@ -8,7 +8,8 @@
 
 /**
  * Histories of several VMs with random faults. While they run, {@link VirtualWork} checks that no
- * task runs twice, none starts after its end or before its turn, and none that nobody asked for.
+ * task runs twice, none starts after its end or before its turn, and none that nobody asked for;
+ * and that none of a cancelled job outlives a calm stretch.
  */
 class RandomBatchHistoriesTest {
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/VirtualWork.java
@@ -28,6 +28,12 @@
   /** Bound on starts after an acknowledged cancel. */
   private static final long CANCEL_MILLIS = 3000;
 
+  /** Bound on the life of runs of a cancelled job, within which the users expect a stop. */
+  private static final long GONE_MILLIS = CANCEL_MILLIS + 200;
+
+  /** A run that begins late, by no fault of the scheduler, may live this much longer. */
+  private static final long LATE_START_MILLIS = 3000;
+
   private static final int PERCENT = 100;
 
   /** Work after which a lasting task is at work. */
@@ -52,6 +58,9 @@
   /** When the order was sent that is being carried out late; absent if none is. */
   private OptionalLong lateSince = OptionalLong.empty();
 
+  /** When runs began whose start was carried out late. */
+  private final Map<TaskRun, Long> lateStarts = new HashMap<>();
+
   private final Set<ExecutorId> sick = new HashSet<>();
   private final Map<ExecutorId, Double> slow = new HashMap<>();
   private final List<TaskRun> starts = new ArrayList<>();
@@ -227,9 +236,30 @@
     }
     running.put(run, executor);
     starts.add(run);
+    lateSince.ifPresent(sentAt -> lateStarts.put(run, nowMillis));
     crashes.started(run);
   }
 
+  /** No run of a job whose cancel was acknowledged may outlive a calm stretch. */
+  void checkEnded(long calmSinceMillis, long nowMillis) {
+    for (TaskRun run : running.keySet()) {
+      long cancelled = cancelledAt.getOrDefault(run.task().job(), nowMillis);
+      Long late = lateStarts.get(run);
+      long from = Math.max(cancelled, calmSinceMillis);
+      long due = late == null ? from : Math.max(from, late + LATE_START_MILLIS);
+      assertTrue(
+          nowMillis <= due + GONE_MILLIS,
+          () ->
+              run
+                  + " is alive at "
+                  + nowMillis
+                  + ", cancelled at "
+                  + cancelled
+                  + ", calm since "
+                  + calmSinceMillis);
+    }
+  }
+
   private boolean done(TaskName task) {
     if (!spec(task).gang()) {
       return everFinished.contains(task);
