Test of a submission that comes before the answer to its cancel

A cancel of an unknown job waited for a word of the store. Its submission came meanwhile; UnknownJobDesk looked only at jobs that are stored, so the cancel was answered NoSuchJob in the same turn in which the submission was accepted, and the job ran. The test takes the place of one of a single time between the two, which it contains.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRun.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRun.java
@@ -87,6 +87,10 @@
     }
   }
 
+  boolean answered(long ticket) {
+    return cluster.answers.containsKey(ticket);
+  }
+
   private boolean acknowledged(long ticket) {
     CallAnswer answer = cluster.answers.get(ticket);
     return answer instanceof CallAnswer.Cancelled || answer instanceof CallAnswer.NoSuchJob;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -124,22 +124,27 @@
     assertSubmissionDoesNotRun(history);
   }
 
-  // Guards against: a cancel that is acknowledged by the state of a job that came meanwhile.
+  // Guards against: "no such job" said of one that is on its way to the store.
   @Test
-  void aSubmissionThatComesWhileItsCancelWaitsForTheStoreDoesNotRun() {
-    OrphanedRun history = new OrphanedRun();
-    BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
-    long ticket = history.cluster.call(cancel).orElseThrow();
-    BatchCall submit =
-        new BatchCall.Submit(
-            BatchCluster.NORMAL,
-            BatchCluster.KEY,
-            LATE_JOB,
-            Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
-    history.cluster.call(submit);
-    history.cluster.runUntil("the answer", 3000, () -> history.cluster.answers.containsKey(ticket));
-    history.cluster.run(GONE_WITHIN_MILLIS);
-    assertFalse(history.runs(LATE_JOB), "it runs, and its cancel was acknowledged");
+  void aSubmissionThatComesBeforeTheAnswerToItsCancelDoesNotRun() {
+    for (long between = 0; between <= 400; between += 20) {
+      OrphanedRun history = new OrphanedRun();
+      BatchCall cancel = new BatchCall.Cancel(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
+      long ticket = history.cluster.call(cancel).orElseThrow();
+      history.cluster.run(between);
+      history.answer(submission());
+      history.cluster.runUntil("an answer", 5000, () -> history.answered(ticket));
+      measure(between + " ms after the cancel was sent", history, LATE_JOB);
+    }
+    assertAllGoneInTime();
+  }
+
+  private static BatchCall submission() {
+    return new BatchCall.Submit(
+        BatchCluster.NORMAL,
+        BatchCluster.KEY,
+        LATE_JOB,
+        Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
   }
 
   private static void cancelUnknown(OrphanedRun history) {
@@ -150,13 +155,7 @@
   private static void assertSubmissionDoesNotRun(OrphanedRun history) {
     BatchCall status = new BatchCall.Status(BatchCluster.NORMAL, BatchCluster.KEY, LATE_JOB);
     assertEquals(new CallAnswer.NoSuchJob(), history.answer(status), "nobody has submitted it");
-    CallAnswer answer =
-        history.answer(
-            new BatchCall.Submit(
-                BatchCluster.NORMAL,
-                BatchCluster.KEY,
-                LATE_JOB,
-                Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS))));
+    CallAnswer answer = history.answer(submission());
     long until = history.cluster.nowMillis() + GONE_WITHIN_MILLIS;
     while (history.cluster.nowMillis() < until) {
       if (answer instanceof CallAnswer.Accepted) {
