--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CancelHistoriesTest.java
@@ -0,0 +1,77 @@
+package org.fescuehook.logic.batch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fescuehook.model.fleet.VmId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Random histories with many cancels of long jobs, and owners that are lost with the stops they
+ * owe. {@link VirtualWork} checks that runs of cancelled jobs are gone after each calm stretch.
+ */
+class CancelHistoriesTest {
+
+  private static final int HISTORIES = Integer.getInteger("histories", 60);
+  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final long DAY_MILLIS = 30_000;
+
+  @Test
+  void noHistoryOfCancelsLeavesARunBehind() {
+    playAll(false);
+  }
+
+  /** Submissions come, also again, after their cancels, and executors ignore stops. */
+  @Test
+  void noHistoryOfOvertakenSubmissionsAndIgnoredStopsLeavesARunBehind() {
+    playAll(true);
+  }
+
+  private static void playAll(boolean overtaking) {
+    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+      List<String> faults = new ArrayList<>();
+      try {
+        play(seed, overtaking, faults);
+      } catch (AssertionError | RuntimeException e) {
+        throw new AssertionError("seed " + seed + ", faults " + faults, e);
+      }
+    }
+  }
+
+  private static void play(long seed, boolean overtaking, List<String> faults) {
+    BatchCluster cluster = new BatchCluster(4, 8, seed);
+    RandomJobs.schedule(cluster);
+    RandomCancels.schedule(cluster, overtaking);
+    int count = 1 + cluster.random.nextInt(4);
+    for (int i = 0; i < count; i++) {
+      long at = 3000L + cluster.random.nextInt(22_000);
+      cluster.in(at, () -> faults.add(fault(cluster, overtaking)));
+    }
+    cluster.run(DAY_MILLIS);
+    cluster.run(60_000);
+    cluster.awaitOwner();
+    cluster.run(2000);
+    RandomJobs.check(cluster);
+  }
+
+  private static String fault(BatchCluster cluster, boolean ignoringStops) {
+    if (ignoringStops && cluster.random.nextInt(4) == 0) {
+      cluster.executors.values().forEach(executor -> executor.ignoreStops(1));
+      return "each executor ignores a stop from " + cluster.nowMillis() + " on";
+    }
+    if (cluster.owner().isEmpty() || cluster.random.nextBoolean()) {
+      return RandomBatchHistoriesTest.fault(cluster);
+    }
+    VmId owner = cluster.owner().orElseThrow().id;
+    long stopsLost = cluster.random.nextInt(1500);
+    long away = 500L + cluster.random.nextInt(3000);
+    cluster.faults.lostStops = true;
+    cluster.in(
+        stopsLost,
+        () -> {
+          cluster.faults.lostStops = false;
+          cluster.restart(owner, away);
+        });
+    String when = " at " + cluster.nowMillis() + " for " + stopsLost;
+    return "stops lost, then their owner, for " + away + when;
+  }
+}
