A record that is renewed does not keep the younger ones

Only the oldest record is looked at, and one that was put again kept its place: whoever cancelled one unknown job again and again kept all cancels that came after it, in memory and in the store.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RetainedRecords.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RetainedRecords.java
@@ -38,6 +38,8 @@
    * @param nowNanos monotonic time
    */
   void put(String id, T value, long wallMillis, long nowNanos) {
+    // Oldest first also if it was there before.
+    records.remove(id);
     records.put(id, new Kept<>(value, wallMillis, nowNanos));
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RetainedRecordsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RetainedRecordsTest.java
@@ -35,4 +35,15 @@
     assertEquals(Optional.of("a"), forget(1));
     assertEquals(Optional.empty(), forget(1));
   }
+
+  /** Else whoever renews one record again and again would keep all that are younger. */
+  @Test
+  void aRecordThatIsRenewedDoesNotKeepTheOthers() {
+    records.put("a", "one", 0, 0);
+    records.put("b", "two", 0, 0);
+    records.put("a", "one", 0, Duration.ofSeconds(100).toNanos());
+    assertEquals(Optional.of("b"), forget(120));
+    assertEquals(Optional.empty(), forget(219));
+    assertEquals(Optional.of("a"), forget(220));
+  }
 }
