Test of a start that is carried out 3.7 s after an acknowledged cancel

This brings one about with the same figures: the start is sent at 228 ms and held up, the cancel is acknowledged at 2,024, the owner killed at 2,040, the store away until 5,040; at 5,728, 5.5 s after its sending, the executor carries the order out, 3,704 ms after the acknowledgement and before a next owner has told it a higher epoch (ownership is won at 6,920). It ends at 5,940 with the lease of that order, which no later owner extends.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -326,4 +327,26 @@
     }
     assertAllGoneInTime();
   }
+
+  // Guards against: leases that let a run go on that began after the cancel of its job.
+  @Test
+  void aStartThatIsCarriedOutThreeSecondsAfterTheCancelEndsWithItsLease() {
+    OrphanedRun history = new OrphanedRun();
+    BatchCluster cluster = history.cluster;
+    cluster.faults.lateOrders = 1;
+    cluster.faults.lateMillis = OptionalLong.of(5500);
+    String job =
+        cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(1, 8, OrphanedRun.LONG_MILLIS)));
+    cluster.run(1800);
+    history.cancelAndKillOwner(job);
+    long cancelledAt = cluster.nowMillis();
+    cluster.faults.lateOrders = 0;
+    cluster.faults.storeDown = true;
+    cluster.run(3000);
+    cluster.faults.storeDown = false;
+    cluster.runUntil("the late start", 3000, () -> history.runs(job));
+    assertTrue(cluster.nowMillis() - cancelledAt > LATE_START_MILLIS, "a start that is exempt");
+    measure("late start", history, job);
+    assertAllGoneInTime();
+  }
 }
