Soak takes a 410 for a cancel's acknowledgement, too

The promise that nothing starts 3 s after a cancel counted from a 2xx only. The users' rule counts from a 2xx or a 410, so a job that is accepted after its cancel was answered as unknown could start without a breach. This is stricter: every job that was judged before still is, from the same moment or an earlier one.

Seen to fail with 410 taken out of JobCall.acknowledgesCancel: JudgeTest.aTaskThatStartsLongAfterTheCancellingOfAnUnknownJobIsFound.

--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/JobCall.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/JobCall.java
@@ -14,6 +14,8 @@
 
   private static final Set<String> FINAL_STATES = Set.of("completed", "failed", "cancelled");
 
+  private static final int GONE = 410;
+
   /** What is asked for. */
   public enum Kind {
     /** Hands the job in. */
@@ -59,6 +61,11 @@
     return result instanceof Result.Answered answered ? answered.state() : "";
   }
 
+  /** Tells whether it acknowledges a cancelling; a job that is unknown cannot run any more. */
+  public boolean acknowledgesCancel() {
+    return kind == Kind.CANCEL && (succeeded() || status() == GONE);
+  }
+
   /** Tells whether the answer shows that the job is over. */
   public boolean showsEnd() {
     return kind == Kind.STATUS && FINAL_STATES.contains(state());
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -79,10 +79,7 @@
 
   private void checkCancel(List<JobCall> calls, List<TaskRun> ofTask) {
     OptionalLong cancelled =
-        calls.stream()
-            .filter(call -> call.kind() == Kind.CANCEL && call.succeeded())
-            .mapToLong(JobCall::endedMillis)
-            .min();
+        calls.stream().filter(JobCall::acknowledgesCancel).mapToLong(JobCall::endedMillis).min();
     if (cancelled.isEmpty()) {
       return;
     }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -235,6 +235,18 @@
     assertBroken();
   }
 
+  @Test
+  void aTaskThatStartsLongAfterTheCancellingOfAnUnknownJobIsFound() {
+    history
+        .job(JOB)
+        .call(Kind.CANCEL, JOB, 2000, 410, "")
+        .call(Kind.SUBMIT, JOB, 2100, 200, "")
+        .ran(FIRST, 1, 5100, 5200)
+        .call(Kind.STATUS, JOB, 6000, 200, "cancelled");
+
+    assertBroken(Promise.CANCEL);
+  }
+
   @Test
   void anAnswerThatAPlannedStopCutsIsFound() {
     history
