Soak promises that no run outlives its job

Callers saw a task of a cancelled job run on to its own end. The promise: a run of a job whose cancel was acknowledged, or that was shown as over, is gone once 3.2 s have passed in which no VM, not the store and not the run's executor was disturbed. Every such stretch counts, not the first one only; a run that begins after the end counts from 3 s after its start; which VM started it makes no difference. The record now lasts until nothing runs any more, so that such runs are seen.

The users' rule excuses planned stops of VMs. Ownership is handed over at these (docs/operators/SCHEDULER.md), so a second line judges the same with planned stops as part of a quiet stretch. JudgeTest.twoRunsOfATaskAtATimeAreFound holds a run that never ends and now expects both lines as well.

--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -95,7 +95,7 @@
       case Fault.CrashExecutor crash -> {
         platform.faults(Map.of("fleet", Map.of("crash", List.of(crash.number()))));
         long now = SoakLog.now();
-        disruptions.add(new Disruption(Disruption.Kind.EXECUTOR, Disruption.ALL, now, now));
+        disruptions.add(new Disruption(Disruption.Kind.EXECUTOR, crash.number(), now, now));
         over();
       }
     }
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -8,15 +8,22 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.fescuehook.bench.cluster.ChildProcess;
 import org.fescuehook.bench.cluster.ChildProcesses;
 import org.fescuehook.bench.cluster.ClusterException;
 import org.fescuehook.bench.cluster.HttpCalls;
 import org.fescuehook.bench.cluster.StandIns;
+import org.fescuehook.bench.cluster.Waiting;
 import org.fescuehook.bench.soak.judge.Findings;
 import org.fescuehook.bench.soak.judge.History;
 import org.fescuehook.bench.soak.judge.Judge;
+import org.fescuehook.standins.platform.RunEvent;
 
 /** One run: starts the processes, brings the faults about, lets the jobs end and judges. */
 public final class SoakRun implements AutoCloseable {
@@ -30,6 +37,13 @@
   /** Some times the 14 s to the first answer, the 6 s of a lease and the work of a few jobs. */
   private static final Duration ENDS_LIMIT = Duration.ofSeconds(60);
 
+  /** A run that is not stopped lasts no longer. */
+  private static final Duration RUN_ENDS_LIMIT = Duration.ofSeconds(15);
+
+  /** What begins or ends a run. */
+  private static final Set<RunEvent.Kind> CHANGES =
+      EnumSet.of(RunEvent.Kind.STARTED, RunEvent.Kind.ENDED, RunEvent.Kind.CRASHED);
+
   private final SoakSizes sizes;
   private final Programs programs;
   private final ChildProcesses processes;
@@ -85,6 +99,7 @@
       callers.quieten();
       log.line("all faults are over; " + callers.jobs().size() + " jobs were sent");
       callers.awaitEnds(ENDS_LIMIT);
+      awaitRunEnds(platform);
       log.line("ends");
       return Judge.judge(
           new History(
@@ -94,10 +109,33 @@
               platform.taskRuns(),
               faults.disruptions(),
               quietMillis,
+              SoakLog.now(),
               faults.selfEnded()));
     }
   }
 
+  /** Waits until nothing runs, so that runs which outlive their jobs are seen to their ends. */
+  private static void awaitRunEnds(StandIns platform) throws InterruptedException {
+    try {
+      Waiting.until(
+          "end",
+          "runs",
+          RUN_ENDS_LIMIT,
+          () -> {
+            Map<Boolean, Long> events =
+                platform.taskRuns().stream()
+                    .filter(event -> CHANGES.contains(event.kind()))
+                    .collect(
+                        Collectors.partitioningBy(
+                            event -> event.kind() == RunEvent.Kind.STARTED, Collectors.counting()));
+            return Optional.of(events).filter(e -> e.get(true).equals(e.get(false)));
+          });
+    } catch (ClusterException e) {
+      // The judge names the runs that are not over.
+      return;
+    }
+  }
+
   private StandIns startPlatform() throws ClusterException, InterruptedException {
     Path ports = processes.directory().resolve("ports.properties");
     List<String> command = new ArrayList<>(programs.standIns());
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
@@ -113,7 +113,7 @@
         continue;
       }
       history.calls().stream()
-          .filter(call -> call.vm() == stop.vm())
+          .filter(call -> call.vm() == stop.number())
           .filter(call -> !(call.result() instanceof JobCall.Result.NotSent))
           .filter(call -> stop.overlaps(call.sentMillis(), call.endedMillis()))
           .filter(call -> history.undisturbed(call.sentMillis(), call.endedMillis()))
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
@@ -3,11 +3,12 @@
 /**
  * A time in which something was disturbed from outside.
  *
- * @param vm number of the VM, or {@link #ALL} for what all depend on
+ * @param number of the VM or, for {@link Kind#EXECUTOR}, the executor; {@link #ALL} for what all
+ *     depend on
  * @param fromMillis monotonic time
  * @param toMillis time at which it was over: for a VM that was ended, when it listened again
  */
-public record Disruption(Kind kind, int vm, long fromMillis, long toMillis) {
+public record Disruption(Kind kind, int number, long fromMillis, long toMillis) {
 
   /** Stands for all VMs. */
   public static final int ALL = -1;
@@ -30,7 +31,7 @@
     STORE_AWAY,
     /** The store lost answers. */
     STORE_LOSSY,
-    /** An executor crashed. */
+    /** An executor crashed, or lost orders or carried them out late. */
     EXECUTOR
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -8,6 +8,7 @@
  *
  * @param vms how many VMs there are
  * @param quietMillis when the last fault was over and callers handed in no further job
+ * @param endMillis when the record ends
  * @param selfEnded what processes did that nobody told them
  */
 public record History(
@@ -17,6 +18,7 @@
     List<RunEvent> runs,
     List<Disruption> disruptions,
     long quietMillis,
+    long endMillis,
     List<String> selfEnded) {
 
   /** How long before a moment a VM has to be undisturbed to count as in touch. */
@@ -35,7 +37,7 @@
   boolean inTouch(int vm, long from, long to) {
     return disruptions.stream()
         .filter(d -> d.kind() != Disruption.Kind.EXECUTOR)
-        .filter(d -> d.vm() == vm || d.vm() == Disruption.ALL)
+        .filter(d -> d.number() == vm || d.number() == Disruption.ALL)
         .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -17,10 +17,12 @@
     Map<String, List<TaskRun>> runs = TaskRun.byTask(history.runs());
     CallChecks callChecks = new CallChecks(history, runs, findings);
     RunChecks runChecks = new RunChecks(history, runs, findings);
+    RunEndCheck runEnds = new RunEndCheck(history, runs, findings);
     for (PlannedJob job : history.jobs()) {
       List<JobCall> ofJob = calls.getOrDefault(job.id(), List.of());
       callChecks.check(job, ofJob);
       runChecks.check(job, ofJob);
+      runEnds.check(job, ofJob);
     }
     runChecks.checkUnasked();
     callChecks.checkPlannedStops();
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -22,6 +22,10 @@
   ONLY_ASKED("only tasks that callers sent start, with their text"),
   /** A cancelled job starts nothing more. */
   CANCEL("no task starts 3 s after its job's cancelling", true),
+  /** A run ends with its job. */
+  RUNS_END("no run outlives its job by a quiet stretch of 3.2 s", true),
+  /** A planned stop of a VM loses no order to stop a run. */
+  RUNS_END_BESIDE_STOPS("the same beside planned stops of VMs", true),
   /** A task that crashes its executors is given up. */
   CRASHES_BOUNDED("a task starts at most twice more once three executors crashed under it"),
   /** A planned stop cuts no answer. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RecoveryCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RecoveryCheck.java
@@ -52,7 +52,7 @@
 
   private boolean allDown(List<Disruption> downs, long at) {
     return IntStream.range(0, history.vms())
-        .allMatch(vm -> downs.stream().anyMatch(d -> d.vm() == vm && d.overlaps(at, at)));
+        .allMatch(vm -> downs.stream().anyMatch(d -> d.number() == vm && d.overlaps(at, at)));
   }
 
   private static long back(List<Disruption> downs, long at) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
@@ -46,6 +46,11 @@
     return Integer.parseInt(task.split("\\.")[2]);
   }
 
+  /** Returns the number of its executor, which all incarnations of that have in common. */
+  int executorNumber() {
+    return Integer.parseInt(executor.substring(1, executor.indexOf('-')));
+  }
+
   /** Puts the runs together, in the order of their starts, by task. */
   static Map<String, List<TaskRun>> byTask(List<RunEvent> events) {
     Map<String, List<RunEvent>> byRun =
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -15,6 +15,9 @@
   /** When all faults are over. */
   static final long QUIET = 100_000;
 
+  /** When the record ends. */
+  static final long END = QUIET + 60_000;
+
   private final List<PlannedJob> jobs = new ArrayList<>();
   private final List<JobCall> calls = new ArrayList<>();
   private final List<RunEvent> runs = new ArrayList<>();
@@ -96,8 +99,8 @@
         .call(Kind.STATUS, job, at + 1000, 200, "completed");
   }
 
-  HistoryBuilder disturbed(Disruption.Kind kind, int vm, long from, long to) {
-    disruptions.add(new Disruption(kind, vm, from, to));
+  HistoryBuilder disturbed(Disruption.Kind kind, int number, long from, long to) {
+    disruptions.add(new Disruption(kind, number, from, to));
     return this;
   }
 
@@ -107,6 +110,6 @@
   }
 
   Findings judge() {
-    return Judge.judge(new History(VMS, jobs, calls, runs, disruptions, QUIET, selfEnded));
+    return Judge.judge(new History(VMS, jobs, calls, runs, disruptions, QUIET, END, selfEnded));
   }
 }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -130,7 +130,7 @@
   void twoRunsOfATaskAtATimeAreFound() {
     history.whole(JOB, 1000).started(FIRST, 2, 1100);
 
-    assertBroken(Promise.NO_TASK_TWICE);
+    assertBroken(Promise.NO_TASK_TWICE, Promise.RUNS_END, Promise.RUNS_END_BESIDE_STOPS);
   }
 
   @Test
