A disturbed executor excuses no start after a cancel in the soak

The check that nothing starts 3 s after a cancel left out each moment within 3 s of a crash of any executor, and so did the check of planned stops. An executor that is gone is no reason to start what is cancelled, nor to cut an answer, and with executors that lose orders for seconds hardly a moment would be left. Stricter: only VMs and the store count as disturbed there now.

Seen to fail with executors among the disturbances again: JudgeTest.anExecutorThatCrashesExcusesNoStartAfterTheCancelling.

--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -1,6 +1,8 @@
 package org.fescuehook.bench.soak.judge;
 
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.fescuehook.standins.platform.RunEvent;
 
 /**
@@ -24,6 +26,9 @@
   /** How long before a moment a VM has to be undisturbed to count as in touch. */
   static final long CONTACT_MILLIS = 3000;
 
+  private static final Set<Disruption.Kind> HARMLESS =
+      EnumSet.of(Disruption.Kind.STOPPED, Disruption.Kind.STARTING, Disruption.Kind.EXECUTOR);
+
   /** Copies the lists. */
   public History {
     jobs = List.copyOf(jobs);
@@ -44,7 +49,7 @@
   /** Tells whether nothing but planned stops disturbs any VM or the store. */
   boolean undisturbed(long from, long to) {
     return disruptions.stream()
-        .filter(d -> d.kind() != Disruption.Kind.STOPPED && d.kind() != Disruption.Kind.STARTING)
+        .filter(d -> !HARMLESS.contains(d.kind()))
         .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
   }
 }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -223,6 +223,18 @@
     assertBroken(Promise.CANCEL);
   }
 
+  @Test
+  void anExecutorThatCrashesExcusesNoStartAfterTheCancelling() {
+    history
+        .accepted(JOB, 1000)
+        .call(Kind.CANCEL, JOB, 2000, 200, "")
+        .ran(FIRST, 1, 5100, 5200)
+        .disturbed(Disruption.Kind.EXECUTOR, 1, 4900, 4900)
+        .call(Kind.STATUS, JOB, 6000, 200, "cancelled");
+
+    assertBroken(Promise.CANCEL);
+  }
+
   @Test
   void aTaskThatStartsLongAfterTheCancellingBesideADisruptionIsAllowed() {
     history
