Executors of the stand-in platform lose orders or carry them out late

The users' executors may answer an order not at all, or carry it out seconds later; the soak had neither. A run that begins so is told apart, and the check that nothing starts 3 s after a cancel leaves it out, as the users' rule does; that it ends again is still checked.

Seen to fail: the check without late starts (JudgeTest.aStartThatItsExecutorCarries- OutLateIsAllowed); losses at all executors (FleetStandInTest.ordersToOtherExecutors- AreAnswered).

--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -85,7 +85,8 @@
     }
     for (TaskRun run : ofTask) {
       boolean late =
-          run.startMillis() > cancelled.getAsLong() + CANCEL_MILLIS
+          !run.late()
+              && run.startMillis() > cancelled.getAsLong() + CANCEL_MILLIS
               && history.undisturbed(run.startMillis(), run.startMillis());
       findings.check(Promise.CANCEL, !late, run + " cancelled at " + cancelled.getAsLong());
     }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
@@ -16,6 +16,7 @@
  * @param endMillis when it was over, {@link Long#MAX_VALUE} if it is not
  * @param how how it ended; empty if it is not over or its executor crashed
  * @param noted whether its end was taken note of before the executor's lease lapsed
+ * @param late whether it began seconds after its order came
  */
 record TaskRun(
     String task,
@@ -25,7 +26,8 @@
     long startMillis,
     long endMillis,
     String how,
-    boolean noted) {
+    boolean noted,
+    boolean late) {
 
   private static final String DONE = "done";
 
@@ -96,7 +98,8 @@
             start.get().atMillis(),
             over.map(RunEvent::atMillis).orElse(Long.MAX_VALUE),
             end.map(RunEvent::detail).orElse(""),
-            noted));
+            noted,
+            find(run, RunEvent.Kind.STARTED_LATE).isPresent()));
   }
 
   private static Optional<RunEvent> find(List<RunEvent> run, RunEvent.Kind kind) {
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -235,6 +235,18 @@
     assertBroken(Promise.CANCEL);
   }
 
+  @Test
+  void aStartThatItsExecutorCarriesOutLateIsAllowed() {
+    history
+        .accepted(JOB, 1000)
+        .call(Kind.CANCEL, JOB, 2000, 200, "")
+        .ran(FIRST, 1, 5100, 5200)
+        .event(RunEvent.Kind.STARTED_LATE, FIRST, 1, "", 5100)
+        .call(Kind.STATUS, JOB, 6000, 200, "cancelled");
+
+    assertBroken();
+  }
+
   @Test
   void aTaskThatStartsLongAfterTheCancellingBesideADisruptionIsAllowed() {
     history
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -50,6 +50,10 @@
 
   @Override
   public void apply(FleetFaults faults) {
+    for (int i = 0; i < members.size(); i++) {
+      int number = i + 1;
+      members.get(i).lose(faults.losses().stream().filter(l -> l.executor() == number).findFirst());
+    }
     faults.crash().forEach(number -> members.get(number - 1).crash());
   }
 
--- a/standins/src/main/java/org/fescuehook/standins/platform/RunEvent.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/RunEvent.java
@@ -17,6 +17,8 @@
   public enum Kind {
     /** The run began. */
     STARTED,
+    /** The run that just began was ordered seconds before. */
+    STARTED_LATE,
     /** The run is over; the end is listed. */
     ENDED,
     /** The end was taken note of. */
--- a/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
@@ -129,6 +129,11 @@
   }
 
   Outcome start(JsonNode order, long now) {
+    return start(order, now, false);
+  }
+
+  /** Carries out an order to start a run, which may have come long before. */
+  Outcome start(JsonNode order, long now, boolean late) {
     if (!admits(order)) {
       return new Outcome.Rejected("fence");
     }
@@ -153,6 +158,9 @@
     highestRuns.put(task, run);
     active.put(task, active(run, spec, now));
     record(RunEvent.Kind.STARTED, task, run, spec, now);
+    if (late) {
+      record(RunEvent.Kind.STARTED_LATE, task, run, "", now);
+    }
     return new Outcome.Done();
   }
 
--- /dev/null
+++ b/standins/src/test/java/org/fescuehook/standins/platform/FleetStandInTest.java
@@ -0,0 +1,91 @@
+package org.fescuehook.standins.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.fescuehook.standins.StandInException;
+import org.fescuehook.standins.StandInLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FleetStandInTest {
+
+  private static final LongSupplier CLOCK = () -> System.nanoTime() / 1_000_000;
+  private static final String START =
+      """
+      {"fencingToken":1,"taskId":"00000000000000aa.0.0.0","runId":1,"spec":"run:500 job",
+      "expiresMs":600000}""";
+
+  private final StandInLoops loops = new StandInLoops();
+  private final HttpClient client = HttpClient.newHttpClient();
+  private StoreStandIn store;
+  private FleetStandIn fleet;
+
+  @BeforeEach
+  void start() throws StandInException {
+    store = new StoreStandIn(loops.group(), loops.anyPort(), CLOCK);
+    fleet = new FleetStandIn(loops.group(), loops.anyPort(), 2, CLOCK, store, 100);
+  }
+
+  @AfterEach
+  void stop() {
+    client.shutdownNow();
+    fleet.close();
+    store.close();
+    loops.close();
+  }
+
+  private CompletableFuture<HttpResponse<String>> order(int executor, String call, String body) {
+    InetSocketAddress address = fleet.servers().get(executor - 1).address();
+    URI uri =
+        URI.create("http://" + address.getHostString() + ":" + address.getPort() + "/-/" + call);
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .version(HttpClient.Version.HTTP_1_1)
+            .header("Expected-Instance", "x" + executor + "-1")
+            .POST(BodyPublishers.ofString(body))
+            .build();
+    return client.sendAsync(request, BodyHandlers.ofString()).orTimeout(20, TimeUnit.SECONDS);
+  }
+
+  private boolean startedLate() {
+    return fleet.journal().stream().anyMatch(e -> e.kind() == RunEvent.Kind.STARTED_LATE);
+  }
+
+  @Test
+  void aLateOrderIsCarriedOutWithoutAnAnswer() {
+    fleet.apply(new FleetFaults(List.of(), List.of(new FleetFaults.OrderLoss(1, 1000, true))));
+
+    var unanswered = order(1, "run-start", START);
+    StandInLoops.await(this::startedLate);
+
+    assertFalse(unanswered.isDone());
+  }
+
+  @Test
+  void ordersToOtherExecutorsAreAnswered() {
+    fleet.apply(new FleetFaults(List.of(), List.of(new FleetFaults.OrderLoss(1, 1000, false))));
+
+    assertEquals(200, order(2, "run-start", START).join().statusCode());
+  }
+
+  @Test
+  void ordersAreAnsweredOnceTheFaultIsOver() {
+    fleet.apply(new FleetFaults(List.of(), List.of(new FleetFaults.OrderLoss(1, 1000, false))));
+    fleet.apply(new FleetFaults(List.of(), List.of()));
+
+    assertEquals(200, order(1, "run-start", START).join().statusCode());
+  }
+}
--- a/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
@@ -111,6 +111,25 @@
     assertEquals(rejected("late"), executor.start(order, 1000));
   }
 
+  @Test
+  void aRunThatBeginsLateIsToldApart() {
+    ObjectNode order = run(TASK, 1, 1).put("spec", "run:500 job").put("expiresMs", 4000);
+
+    assertEquals(DONE, executor.start(order, 1000, true));
+    assertEquals(DONE, executor.start(order, 1100, true));
+
+    assertEquals(List.of("STARTED 1 run:500 job", "STARTED_LATE 1 "), events());
+  }
+
+  @Test
+  void aLateStartOfARunThatWasStoppedIsRejected() {
+    executor.stop(run(TASK, 1, 1), 1000);
+    ObjectNode order = run(TASK, 1, 1).put("spec", "run:500 job").put("expiresMs", 4000);
+
+    assertEquals(rejected("old"), executor.start(order, 1100, true));
+    assertEquals(List.of(), events());
+  }
+
   @Test
   void aRunMayCrashItsExecutor() {
     ObjectNode order = run(TASK, 1, 1).put("spec", "crash:20 job").put("expiresMs", 4000);
