Soak's callers hand in long jobs and give up on some

Tasks lasted 0.1 to 0.9 s, so nothing could outlive its job by 3.2 s, and a cancel came only after the acceptance. Some jobs now last 7 to 12 s, more than half of them are cancelled, and some callers give up: they cancel through another VM while the submission is unanswered, or before it arrives, as one that is held up on its way. All is drawn apart, so that a seed means the same jobs otherwise.

--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -3,11 +3,13 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
@@ -56,6 +58,7 @@
   private final Queue<PlannedJob> jobs = new ConcurrentLinkedQueue<>();
   private final Queue<JobCall> calls = new ConcurrentLinkedQueue<>();
   private final Map<String, Boolean> open = new ConcurrentHashMap<>();
+  private final Set<String> givenUp = new HashSet<>();
   private volatile boolean quiet;
   private int next;
 
@@ -120,7 +123,22 @@
     JobMix.Draw draw = mix.next();
     int caller = next++ % CALLERS;
     jobs.add(draw.job());
+    if (draw.cancelling() instanceof JobMix.Cancelling.Overtaken overtaken) {
+      giveUp(draw.job());
+      later(overtaken.byMillis(), () -> submit(draw, caller, 0));
+      return;
+    }
     submit(draw, caller, SoakLog.now());
+    if (draw.cancelling() instanceof JobMix.Cancelling.GivenUp giveUp) {
+      later(giveUp.afterMillis(), () -> giveUp(draw.job()));
+    }
+  }
+
+  private void giveUp(PlannedJob job) {
+    givenUp.add(job.id());
+    int other = random.nextInt(CALLERS);
+    keptTo[other] = rotation.draw(random);
+    cancel(job, other);
   }
 
   private void submit(JobMix.Draw draw, int caller, long first) {
@@ -132,12 +150,16 @@
         call -> {
           if (call.succeeded()) {
             accepted(draw, caller);
-          } else if (!quiet && SoakLog.now() - first < PATIENCE_MILLIS) {
+          } else if (mayRepeat(job, first)) {
             later(pause(call), () -> submit(draw, caller, first));
           }
         });
   }
 
+  private boolean mayRepeat(PlannedJob job, long first) {
+    return !quiet && !givenUp.contains(job.id()) && SoakLog.now() - first < PATIENCE_MILLIS;
+  }
+
   private long pause(JobCall call) {
     return call.status() == 503 || call.status() == 429
         ? COME_BACK_MILLIS
@@ -148,8 +170,8 @@
     PlannedJob job = draw.job();
     open.put(job.id(), true);
     later(random.nextLong(ASK_MILLIS), () -> ask(job, caller));
-    if (draw.cancelAfterMillis() > 0) {
-      later(draw.cancelAfterMillis(), () -> cancel(job, caller));
+    if (draw.cancelling() instanceof JobMix.Cancelling.Accepted cancelling) {
+      later(cancelling.afterMillis(), () -> cancel(job, caller));
     }
     if (draw.repeatAfterMillis() > 0) {
       // A repeat may come by any VM.
@@ -178,7 +200,7 @@
         job,
         caller,
         call -> {
-          if (!call.succeeded() && call.status() != 410) {
+          if (!call.acknowledgesCancel()) {
             later(pause(call), () -> cancel(job, caller));
           }
         });
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -16,6 +16,21 @@
   private static final double CANCELLED = 0.15;
   private static final double REPEATED = 0.25;
 
+  /** Part of the jobs that last far longer than a lease. */
+  private static final double LONG = 0.08;
+
+  private static final int LEAST_LONG_MILLIS = 7000;
+  private static final int MOST_LONG_MILLIS = 12_000;
+
+  /** Long jobs leave room for the others. */
+  private static final int MOST_LONG_TASKS = 2;
+
+  /** Part of the long jobs that are cancelled. */
+  private static final double LONG_CANCELLED = 0.6;
+
+  /** Part of the jobs whose caller gives up; these are long, too. */
+  private static final double GIVEN_UP = 0.05;
+
   /** Part of the jobs whose tasks crash the executors that start them. */
   private static final double CRASHING = 0.03;
 
@@ -26,18 +41,42 @@
   /** Drawn apart, so that a seed means the same jobs otherwise. */
   private final SplittableRandom crashes;
 
+  private final SplittableRandom longs;
+
   JobMix(long seed) {
     this.random = new SplittableRandom(~seed);
     this.crashes = new SplittableRandom(seed);
+    this.longs = new SplittableRandom(seed).split();
   }
 
   /**
    * A job and what its caller does besides asking for its state.
    *
-   * @param cancelAfterMillis time from its acceptance to its cancelling, 0 for none
    * @param repeatAfterMillis time from its acceptance to another submission, 0 for none
    */
-  record Draw(PlannedJob job, long cancelAfterMillis, long repeatAfterMillis) {}
+  record Draw(PlannedJob job, Cancelling cancelling, long repeatAfterMillis) {}
+
+  /** When a caller cancels its job. */
+  sealed interface Cancelling {
+    /** Not by itself. */
+    record Never() implements Cancelling {}
+
+    /** Some time after its acceptance. */
+    record Accepted(long afterMillis) implements Cancelling {}
+
+    /**
+     * Through another VM, whether or not the submission was answered. The caller does not repeat
+     * that any more.
+     */
+    record GivenUp(long afterMillis) implements Cancelling {}
+
+    /**
+     * Before its submission arrives, which is held up on its way.
+     *
+     * @param byMillis time from the cancelling to the submission, which may come before its answer
+     */
+    record Overtaken(long byMillis) implements Cancelling {}
+  }
 
   Draw next() {
     String id = String.format("%016x", random.nextLong());
@@ -52,7 +91,32 @@
     }
     long cancel = random.nextDouble() < CANCELLED ? random.nextLong(1, 2500) : 0;
     long repeat = random.nextDouble() < REPEATED ? random.nextLong(1000, 6000) : 0;
-    return new Draw(new PlannedJob(id, spec, steps), cancel, repeat);
+    Cancelling cancelling = cancel > 0 ? new Cancelling.Accepted(cancel) : new Cancelling.Never();
+    return lengthen(new Draw(new PlannedJob(id, spec, steps), cancelling, repeat));
+  }
+
+  private Draw lengthen(Draw draw) {
+    double kind = longs.nextDouble();
+    if (kind >= LONG + GIVEN_UP) {
+      return draw;
+    }
+    String id = draw.job().id();
+    String spec = "run:" + longs.nextInt(LEAST_LONG_MILLIS, MOST_LONG_MILLIS) + " job " + id;
+    int tasks = 1 + longs.nextInt(MOST_LONG_TASKS);
+    PlannedJob job = new PlannedJob(id, spec, List.of(new PlannedJob.Step(tasks, List.of())));
+    if (kind >= LONG) {
+      return new Draw(job, giveUp(), draw.repeatAfterMillis());
+    }
+    boolean cancelled = longs.nextDouble() < LONG_CANCELLED;
+    Cancelling cancelling =
+        cancelled ? new Cancelling.Accepted(longs.nextLong(1, 4000)) : new Cancelling.Never();
+    return new Draw(job, cancelling, draw.repeatAfterMillis());
+  }
+
+  private Cancelling giveUp() {
+    return longs.nextBoolean()
+        ? new Cancelling.Overtaken(longs.nextBoolean() ? longs.nextLong(600) : longs.nextLong(6000))
+        : new Cancelling.GivenUp(longs.nextBoolean() ? longs.nextLong(30) : longs.nextLong(3000));
   }
 
   private String crash() {
--- /dev/null
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -0,0 +1,47 @@
+package org.fescuehook.bench.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class JobMixTest {
+
+  private static List<JobMix.Draw> draws(long seed) {
+    return Stream.generate(new JobMix(seed)::next).limit(500).toList();
+  }
+
+  private static long millis(JobMix.Draw draw) {
+    return Long.parseLong(draw.job().spec().split("[: ]")[1]);
+  }
+
+  @Test
+  void theSameSeedGivesTheSameJobs() {
+    assertEquals(draws(7), draws(7));
+  }
+
+  @Test
+  void eachKindOfCancellingIsDrawn() {
+    Set<Class<?>> kinds =
+        draws(7).stream().map(draw -> draw.cancelling().getClass()).collect(Collectors.toSet());
+
+    assertEquals(Set.of(JobMix.Cancelling.class.getPermittedSubclasses()), kinds);
+  }
+
+  @Test
+  void jobsWhoseCallerGivesUpOutlastTheStretchInWhichTheirRunsHaveToEnd() {
+    assertTrue(
+        draws(7).stream()
+            .filter(draw -> draw.cancelling() instanceof JobMix.Cancelling.GivenUp)
+            .allMatch(draw -> millis(draw) > 3000 + 3200));
+  }
+
+  @Test
+  void mostJobsAreShort() {
+    assertTrue(draws(7).stream().filter(draw -> millis(draw) < 1000).count() > 400);
+  }
+}
