The log of a soak keeps all breaches

The kept log now has each breach, which names the run and, for a run that outlived its job, the answer that told the job's end.

--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakLog.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakLog.java
@@ -33,6 +33,15 @@
         String.format(
             Locale.ROOT, "%8.3f (%d) %s", (at - beginMillis) / MILLIS_PER_SECOND, at, text);
     console.println(line);
+    append(line);
+  }
+
+  /** Writes a line without a time to the file only. */
+  synchronized void detail(String text) {
+    append(text);
+  }
+
+  private void append(String line) {
     try {
       Files.writeString(
           file,
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -23,6 +23,7 @@
 import org.fescuehook.bench.soak.judge.Findings;
 import org.fescuehook.bench.soak.judge.History;
 import org.fescuehook.bench.soak.judge.Judge;
+import org.fescuehook.bench.soak.judge.Promise;
 import org.fescuehook.standins.platform.RunEvent;
 
 /** One run: starts the processes, brings the faults about, lets the jobs end and judges. */
@@ -101,16 +102,21 @@
       callers.awaitEnds(ENDS_LIMIT);
       awaitRunEnds(platform);
       log.line("ends");
-      return Judge.judge(
-          new History(
-              sizes.vms(),
-              callers.jobs(),
-              callers.calls(),
-              platform.taskRuns(),
-              faults.disruptions(),
-              quietMillis,
-              SoakLog.now(),
-              faults.selfEnded()));
+      Findings findings =
+          Judge.judge(
+              new History(
+                  sizes.vms(),
+                  callers.jobs(),
+                  callers.calls(),
+                  platform.taskRuns(),
+                  faults.disruptions(),
+                  quietMillis,
+                  SoakLog.now(),
+                  faults.selfEnded()));
+      for (Promise promise : Promise.values()) {
+        findings.broken(promise).forEach(breach -> log.detail(promise + ": " + breach));
+      }
+      return findings;
     }
   }
 
