--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -32,6 +32,12 @@
   /** An executor crashes and comes back as another incarnation. */
   record CrashExecutor(int number) implements Fault {}
 
+  /** Some orders to an executor get no answer; late ones are carried out seconds later. */
+  record LoseOrders(int executor, int permille, boolean late, long forMillis) implements Fault {}
+
+  /** Callers cancel all jobs that are open. */
+  record CancelAll() implements Fault {}
+
   /**
    * A fault and when it comes.
    *
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -43,7 +43,10 @@
 
   /** Returns the faults in the order of their times. */
   static List<Fault.Timed> draw(SoakSizes sizes) {
-    return new FaultPlan(sizes).drawAll();
+    return switch (sizes.plan()) {
+      case MIXED -> new FaultPlan(sizes).drawAll();
+      case CANCELS -> CancelPlan.draw(sizes);
+    };
   }
 
   private List<Fault.Timed> drawAll() {
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -21,8 +20,9 @@
 
   private final List<VmKeeper> keepers = new ArrayList<>();
   private final List<LoopbackProxy> links;
-  private final StandIns platform;
   private final StoreTrouble storeTrouble;
+  private final FleetTrouble fleetTrouble;
+  private final Runnable cancelAll;
   private final SoakLog log;
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final Queue<Disruption> disruptions = new ConcurrentLinkedQueue<>();
@@ -30,10 +30,16 @@
   private final AtomicInteger pending = new AtomicInteger();
 
   /** Creates a runner; the links are in the order of the VMs. */
-  FaultRunner(List<SchedulerVm> vms, List<LoopbackProxy> links, StandIns platform, SoakLog log) {
+  FaultRunner(
+      List<SchedulerVm> vms,
+      List<LoopbackProxy> links,
+      StandIns platform,
+      Runnable cancelAll,
+      SoakLog log) {
     this.links = List.copyOf(links);
-    this.platform = platform;
     this.storeTrouble = new StoreTrouble(platform);
+    this.fleetTrouble = new FleetTrouble(platform);
+    this.cancelAll = cancelAll;
     this.log = log;
     vms.forEach(vm -> keepers.add(new VmKeeper(vm, timer, log, disruptions, selfEnded)));
   }
@@ -93,14 +99,33 @@
           disturbStore(lose, Disruption.Kind.STORE_LOSSY, lose.forMillis());
       case Fault.BreakLink broken -> disturbLink(broken);
       case Fault.CrashExecutor crash -> {
-        platform.faults(Map.of("fleet", Map.of("crash", List.of(crash.number()))));
+        fleetTrouble.crash(crash.number());
         long now = SoakLog.now();
         disruptions.add(new Disruption(Disruption.Kind.EXECUTOR, crash.number(), now, now));
         over();
       }
+      case Fault.LoseOrders lose -> loseOrders(lose);
+      case Fault.CancelAll all -> {
+        cancelAll.run();
+        over();
+      }
     }
   }
 
+  private void loseOrders(Fault.LoseOrders fault) throws ClusterException, InterruptedException {
+    long begin = SoakLog.now();
+    fleetTrouble.add(fault);
+    timer.schedule(
+        () ->
+            attempt(
+                () -> {
+                  fleetTrouble.remove(fault);
+                  ended(Disruption.Kind.EXECUTOR, fault.executor(), begin, fault);
+                }),
+        fault.forMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
   private void disturbStore(Fault fault, Disruption.Kind kind, long forMillis)
       throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
@@ -128,8 +153,8 @@
         TimeUnit.MILLISECONDS);
   }
 
-  private void ended(Disruption.Kind kind, int vm, long begin, Fault fault) {
-    disruptions.add(new Disruption(kind, vm, begin, SoakLog.now()));
+  private void ended(Disruption.Kind kind, int number, long begin, Fault fault) {
+    disruptions.add(new Disruption(kind, number, begin, SoakLog.now()));
     log.line("over: " + fault);
     over();
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -57,18 +57,18 @@
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final Queue<PlannedJob> jobs = new ConcurrentLinkedQueue<>();
   private final Queue<JobCall> calls = new ConcurrentLinkedQueue<>();
-  private final Map<String, Boolean> open = new ConcurrentHashMap<>();
+  private final Map<String, PlannedJob> open = new ConcurrentHashMap<>();
   private final Set<String> givenUp = new HashSet<>();
   private volatile boolean quiet;
   private int next;
 
   /** Creates callers that do nothing yet. */
-  JobCallers(EventLoopGroup group, List<SchedulerVm> vms, long seed) {
+  JobCallers(EventLoopGroup group, List<SchedulerVm> vms, SoakSizes sizes) {
     this.client = new CallerClient(group);
     this.vms = vms.stream().map(SchedulerVm::callers).toList();
     this.rotation = new Rotation(client, vms.stream().map(SchedulerVm::readiness).toList(), timer);
-    this.mix = new JobMix(seed);
-    this.random = new Random(seed);
+    this.mix = new JobMix(sizes.seed(), sizes.plan());
+    this.random = new Random(sizes.seed());
   }
 
   /** Waits until all VMs are ready. */
@@ -86,6 +86,11 @@
     timer.scheduleAtFixedRate(this::handIn, 0, JOB_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Cancels all jobs that are open, each through some VM. */
+  void cancelAll() {
+    timer.execute(() -> open.values().forEach(job -> cancel(job, random.nextInt(CALLERS))));
+  }
+
   /** Hands in no further job. */
   void quieten() {
     quiet = true;
@@ -168,7 +173,7 @@
 
   private void accepted(JobMix.Draw draw, int caller) {
     PlannedJob job = draw.job();
-    open.put(job.id(), true);
+    open.put(job.id(), job);
     later(random.nextLong(ASK_MILLIS), () -> ask(job, caller));
     if (draw.cancelling() instanceof JobMix.Cancelling.Accepted cancelling) {
       later(cancelling.afterMillis(), () -> cancel(job, caller));
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -43,7 +43,11 @@
 
   private final SplittableRandom longs;
 
-  JobMix(long seed) {
+  private final double crashing;
+
+  JobMix(long seed, SoakSizes.Plan plan) {
+    // Runs that are to be stopped would go down with their executors.
+    this.crashing = plan == SoakSizes.Plan.CANCELS ? 0 : CRASHING;
     this.random = new SplittableRandom(~seed);
     this.crashes = new SplittableRandom(seed);
     this.longs = new SplittableRandom(seed).split();
@@ -81,7 +85,7 @@
   Draw next() {
     String id = String.format("%016x", random.nextLong());
     String runs = "run:" + random.nextInt(LEAST_MILLIS, MOST_MILLIS);
-    String spec = (crashes.nextDouble() < CRASHING ? crash() : runs) + " job " + id;
+    String spec = (crashes.nextDouble() < crashing ? crash() : runs) + " job " + id;
     List<PlannedJob.Step> steps = new ArrayList<>();
     int count = 1 + random.nextInt(MOST_STEPS);
     for (int step = 0; step < count; step++) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakCommand.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakCommand.java
@@ -33,6 +33,9 @@
   @Option(name = "--executors", metaVar = "N", usage = "how many executors of four tasks each")
   private int executors = 6;
 
+  @Option(name = "--plan", usage = "mixed faults, or waves of cancels with restarts in series")
+  private SoakSizes.Plan plan = SoakSizes.Plan.MIXED;
+
   @Option(name = "--keep", usage = "keep settings, output and log, and print where")
   private boolean keep;
 
@@ -40,7 +43,7 @@
   public int run(String[] arguments) throws InterruptedException {
     try {
       new CmdLineParser(this).parseArgument(arguments);
-      SoakSizes sizes = new SoakSizes(seed, Duration.ofSeconds(seconds), vms, executors);
+      SoakSizes sizes = new SoakSizes(seed, Duration.ofSeconds(seconds), vms, executors, plan);
       return run(sizes);
     } catch (CmdLineException | IllegalArgumentException e) {
       System.err.println("soak: " + e.getMessage());
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -89,8 +89,8 @@
     log.line("begins: " + sizes);
     StandIns platform = startPlatform();
     startVms(platform);
-    try (JobCallers callers = new JobCallers(group, vms, sizes.seed());
-        FaultRunner faults = new FaultRunner(vms, links, platform, log)) {
+    try (JobCallers callers = new JobCallers(group, vms, sizes);
+        FaultRunner faults = new FaultRunner(vms, links, platform, callers::cancelAll, log)) {
       callers.awaitReady(START_LIMIT);
       log.line("all VMs are ready");
       callers.begin();
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -9,8 +9,17 @@
  * @param faultTime how long faults are brought about
  * @param vms scheduler VMs
  * @param executors executors of four tasks each
+ * @param plan what kind of faults
  */
-public record SoakSizes(long seed, Duration faultTime, int vms, int executors) {
+public record SoakSizes(long seed, Duration faultTime, int vms, int executors, Plan plan) {
+
+  /** A kind of plan of faults. */
+  public enum Plan {
+    /** All kinds of faults at any time. */
+    MIXED,
+    /** Waves of cancels with restarts in series, and quiet times between them. */
+    CANCELS
+  }
 
   private static final int LEAST_SECONDS = 10;
   private static final int MOST_SECONDS = 3600;
@@ -29,6 +38,11 @@
     checkRange("--executors", executors, 1, MOST_EXECUTORS);
   }
 
+  /** Sizes of a run of mixed faults. */
+  public SoakSizes(long seed, Duration faultTime, int vms, int executors) {
+    this(seed, faultTime, vms, executors, Plan.MIXED);
+  }
+
   private static void checkRange(String option, long value, long least, long most) {
     if (value < least || value > most) {
       throw new IllegalArgumentException(
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -41,11 +41,42 @@
     for (long seed = 0; seed < 50; seed++) {
       FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6))
           .forEach(timed -> kinds.add(timed.fault().getClass()));
+      FaultPlan.draw(cancels(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
     }
 
     assertEquals(Set.of(Fault.class.getPermittedSubclasses()).size(), kinds.size());
   }
 
+  private static SoakSizes cancels(long seed) {
+    return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
+  }
+
+  @Test
+  void theSameSeedGivesTheSameWavesOfCancels() {
+    assertEquals(FaultPlan.draw(cancels(7)), FaultPlan.draw(cancels(7)));
+    assertNotEquals(FaultPlan.draw(cancels(7)), FaultPlan.draw(cancels(8)));
+  }
+
+  @Test
+  void eachWaveOfCancelsIsFollowedByAQuietTime() {
+    for (long seed = 0; seed < 200; seed++) {
+      List<Fault.Timed> plan = FaultPlan.draw(cancels(seed));
+      List<Long> waves =
+          plan.stream()
+              .filter(timed -> timed.fault() instanceof Fault.CancelAll)
+              .map(Fault.Timed::atMillis)
+              .toList();
+
+      assertTrue(waves.size() >= 4, "seed " + seed);
+      for (long wave : waves) {
+        assertTrue(
+            plan.stream()
+                .noneMatch(t -> t.atMillis() > wave + 5000 && t.atMillis() < wave + 12_000),
+            "seed " + seed);
+      }
+    }
+  }
+
   @Test
   void impossibleSizesAreNamed() {
     IllegalArgumentException thrown =
--- a/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -7,12 +7,17 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.fescuehook.bench.soak.judge.PlannedJob;
 import org.junit.jupiter.api.Test;
 
 class JobMixTest {
 
   private static List<JobMix.Draw> draws(long seed) {
-    return Stream.generate(new JobMix(seed)::next).limit(500).toList();
+    return draws(seed, SoakSizes.Plan.MIXED);
+  }
+
+  private static List<JobMix.Draw> draws(long seed, SoakSizes.Plan plan) {
+    return Stream.generate(new JobMix(seed, plan)::next).limit(500).toList();
   }
 
   private static long millis(JobMix.Draw draw) {
@@ -40,6 +45,16 @@
             .allMatch(draw -> millis(draw) > 3000 + 3200));
   }
 
+  @Test
+  void onlyWavesOfCancelsHaveNoTasksThatCrashExecutors() {
+    assertTrue(draws(7).stream().anyMatch(JobMixTest::crashes));
+    assertTrue(draws(7, SoakSizes.Plan.CANCELS).stream().noneMatch(JobMixTest::crashes));
+  }
+
+  private static boolean crashes(JobMix.Draw draw) {
+    return draw.job().spec().startsWith(PlannedJob.CRASHES);
+  }
+
   @Test
   void mostJobsAreShort() {
     assertTrue(draws(7).stream().filter(draw -> millis(draw) < 1000).count() > 400);
