A start after a confirmed cancel comes within 3 s (test)

The test held a start back for 5.5 s and asked for it to begin more than 3 s after the cancel was confirmed, which the users' rules exempt. It cannot: the cancel is confirmed only once its stop was answered, which shuts the start out, or its lease is nearly over. The test asks for that now, and for the end of the run as before.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/OrphanedRunTest.java
@@ -30,6 +30,9 @@
 
   private static final long GONE_WITHIN_MILLIS = 3200;
 
+  /** Time after a confirmed cancel from which on nothing may start. */
+  private static final long CANCEL_MILLIS = 3000;
+
   /** A run that an executor started late may live this much longer, from its start on. */
   private static final long LATE_START_MILLIS = 3000;
 
@@ -328,9 +331,9 @@
     assertAllGoneInTime();
   }
 
-  // Guards against: leases that let a run go on that began after the cancel of its job.
+  // Guards against: a cancel that is confirmed while a start may come much later, and go on.
   @Test
-  void aStartThatIsCarriedOutThreeSecondsAfterTheCancelEndsWithItsLease() {
+  void aStartThatIsCarriedOutAfterTheCancelComesSoonAndEndsWithItsLease() {
     OrphanedRun history = new OrphanedRun();
     BatchCluster cluster = history.cluster;
     cluster.faults.lateOrders = 1;
@@ -342,10 +345,9 @@
     long cancelledAt = cluster.nowMillis();
     cluster.faults.lateOrders = 0;
     cluster.faults.storeDown = true;
-    cluster.run(3000);
-    cluster.faults.storeDown = false;
-    cluster.runUntil("the late start", 3000, () -> history.runs(job));
-    assertTrue(cluster.nowMillis() - cancelledAt > LATE_START_MILLIS, "a start that is exempt");
+    cluster.in(3000, () -> cluster.faults.storeDown = false);
+    cluster.runUntil("the late start", 6000, () -> history.runs(job));
+    assertTrue(cluster.nowMillis() - cancelledAt <= CANCEL_MILLIS, "it came too late");
     measure("late start", history, job);
     assertAllGoneInTime();
   }
