--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/OpenJob.java
@@ -9,7 +9,7 @@
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskName;
 
-/** A job that is kept: open, or ended a while ago. */
+/** A job that is kept: open, or ended while something of it may still run. */
 public final class OpenJob {
 
   private final BatchJob job;
