The audit of refusals keeps the acceptance of another attempt

By the users' rule a job must not run if all attempts to hand it in were rejected, and here one was accepted: traced, and the case is allowed.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CallLedger.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CallLedger.java
@@ -31,7 +31,9 @@
   void answered(long ticket, CallAnswer answer, long nowMillis) {
     String job = submitTickets.get(ticket);
     if (job != null) {
-      submissions.put(job, answer);
+      // A refusal of one attempt takes nothing back from another one that was accepted.
+      submissions.merge(
+          job, answer, (old, newer) -> old instanceof CallAnswer.Accepted ? old : newer);
     }
     String cancelled = cancelTickets.get(ticket);
     boolean acknowledged =
