--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -113,9 +113,7 @@
 
   /** Tells whether a run may go on for longer than callers of a cancel expect. */
   public boolean goesOn(LiveRun run, BatchTurn turn) {
-    TaskProgress task = run.step().tasks().get(run.run().task().index());
-    boolean live = task.live().filter(run::equals).isPresent();
-    return live && !executors.book().endsSoon(run, turn.nowNanos());
+    return run.task().isLive(run) && !executors.book().endsSoon(run, turn.nowNanos());
   }
 
   /** A run of a former owner is at work: it is stopped if nobody wants it any more. */
@@ -123,7 +121,7 @@
     StepProgress step = run.step();
     if (!step.job().open()) {
       executors.stop(run, "its job ended", turn);
-    } else if (step.tasks().get(run.run().task().index()).done()) {
+    } else if (run.task().done()) {
       executors.stop(run, "its task is done", turn);
     } else if (step.spec().gang() && !step.waiting().isEmpty()) {
       // The former owner may not have come to stop the others.
@@ -135,7 +133,7 @@
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchTurn turn) {
     noteEnd(run, end.end(), turn);
     StepProgress step = run.step();
-    TaskProgress task = step.tasks().get(run.run().task().index());
+    TaskProgress task = run.task();
     step.end(task);
     step.saved(task, end.checkpoint());
     changed = true;
@@ -235,8 +233,8 @@
   /** A run is gone without an end. */
   public void lost(LiveRun run, BatchTurn turn) {
     StepProgress step = run.step();
-    TaskProgress task = step.tasks().get(run.run().task().index());
-    if (task.live().filter(run::equals).isEmpty()) {
+    TaskProgress task = run.task();
+    if (!task.isLive(run)) {
       return;
     }
     step.end(task);
@@ -258,9 +256,9 @@
    */
   public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {
     StepProgress step = run.step();
-    TaskProgress task = step.tasks().get(run.run().task().index());
+    TaskProgress task = run.task();
     boolean counts =
-        step.job().open() && !step.done() && task.live().filter(run::equals).isPresent();
+        step.job().open() && !step.done() && task.isLive(run);
     if (!counts) {
       lost(run, turn);
       return;
@@ -295,8 +293,8 @@
 
   /** No start of a run was sent, so the run says nothing of its task and does not count. */
   public void unsent(LiveRun run, BatchTurn turn) {
-    TaskProgress task = run.step().tasks().get(run.run().task().index());
-    if (task.live().filter(run::equals).isPresent()) {
+    TaskProgress task = run.task();
+    if (task.isLive(run)) {
       task.unsent();
     }
     lost(run, turn);
@@ -319,7 +317,7 @@
   /** A run has saved progress. */
   public void saved(LiveRun run, String checkpoint) {
     StepProgress step = run.step();
-    step.saved(step.tasks().get(run.run().task().index()), checkpoint);
+    step.saved(run.task(), checkpoint);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -109,6 +109,11 @@
     return step;
   }
 
+  /** Returns the task that it is a run of. */
+  TaskProgress task() {
+    return step.tasks().get(run.task().index());
+  }
+
   /** Returns the checkpoint that it goes on from; each start of it carries the same one. */
   public String checkpoint() {
     return checkpoint;
@@ -163,7 +168,7 @@
 
   /** Tells whether its task may crash its executor, by what has become of earlier ones. */
   public boolean mayCrash() {
-    return step.tasks().get(run.task().index()).crashes().mayCrash();
+    return task().crashes().mayCrash();
   }
 
   /** Returns when this owner ordered its start, monotonic time; absent if it did not. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -54,6 +54,11 @@
     return live;
   }
 
+  /** Tells whether a run is its live one. */
+  boolean isLive(LiveRun run) {
+    return live.filter(run::equals).isPresent();
+  }
+
   /** Tells whether a lasting task is past its startup; it shows that by its percentage. */
   public boolean atWork() {
     return live.filter(LiveRun::atWork).isPresent();
