An early cancel is the end that its job will have

JobBook.EarlyCancel wrapped one time, and each reader turned it into the EndedJob of a cancelled job, or an EndedJob into it. It is an EndedJob from the beginning now, stored and read by the same bytes as before.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionDesk.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionDesk.java
@@ -16,7 +16,6 @@
 import org.fescuehook.logic.batch.store.CommitLoss;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.model.batch.BatchJob;
-import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
 
 /**
@@ -69,9 +68,9 @@
       long comeBackMillis,
       BatchTurn turn) {
     String id = submit.job();
-    Optional<JobBook.EarlyCancel> cancel = jobs.book().earlyCancel(id);
-    if (cancel.isPresent()) {
-      submitCancelled(ticket, id, cancel.get(), comeBackMillis, turn);
+    Optional<JobBook.EndedJob> cancelled = jobs.book().earlyCancel(id);
+    if (cancelled.isPresent()) {
+      submitCancelled(ticket, id, cancelled.get(), comeBackMillis, turn);
       return;
     }
     BatchJob job = new BatchJob(id, queue, organisation, turn.wallMillis(), submit.submission());
@@ -86,14 +85,13 @@
 
   /** Accepts a job whose cancel came before it: it has ended from the beginning. */
   private void submitCancelled(
-      long ticket, String id, JobBook.EarlyCancel cancel, long comeBackMillis, BatchTurn turn) {
-    JobBook.EndedJob ended = new JobBook.EndedJob(JobPhase.CANCELLED, cancel.cancelledMillis());
+      long ticket, String id, JobBook.EndedJob cancelled, long comeBackMillis, BatchTurn turn) {
     underWay.put(id, Submitting.of(ticket));
     writer.putRefusable(
         JobCodec.progressKey(id),
-        () -> Optional.of(JobCodec.encodeCancelled(ended.endedMillis())),
+        () -> Optional.of(JobCodec.encodeEnd(cancelled)),
         () -> {
-          jobs.book().addEnded(id, ended, turn.nowNanos());
+          jobs.book().addEnded(id, cancelled, turn.nowNanos());
           note(BatchLogEvent.CANCELLED_JOB_ACCEPTED, id);
           decided(id, new CallAnswer.Accepted());
         },
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -191,8 +191,7 @@
     Optional<String> cancelled = JobCodec.earlyCancelOf(key);
     if (cancelled.isPresent()) {
       JobCodec.decodeEnd(cancelled.get(), value)
-          .map(end -> new JobBook.EarlyCancel(end.endedMillis()))
-          .ifPresent(cancel -> book.addEarlyCancel(cancelled.get(), cancel, turn.nowNanos()));
+          .ifPresent(end -> book.addEarlyCancel(cancelled.get(), end, turn.nowNanos()));
       return;
     }
     Optional<String> progressOf = JobCodec.progressOf(key);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobBook.java
@@ -16,20 +16,19 @@
 
   private final Map<String, OpenJob> open = new LinkedHashMap<>();
   private final RetainedRecords<EndedJob> ended;
-  private final RetainedRecords<EarlyCancel> earlyCancels;
+
+  /** Ends of jobs that were cancelled before they were known; their submissions may still come. */
+  private final RetainedRecords<EndedJob> earlyCancels;
 
   /** A job that has ended and is still shown. */
   public record EndedJob(JobPhase phase, long endedMillis) {}
 
-  /** A cancel of a job that was not known, and whose submission may still come. */
-  public record EarlyCancel(long cancelledMillis) {}
-
   /** Creates a book without jobs. */
   public JobBook() {
     this(new RetainedRecords<>(Integer.MAX_VALUE), new RetainedRecords<>(MOST_EARLY_CANCELS));
   }
 
-  private JobBook(RetainedRecords<EndedJob> ended, RetainedRecords<EarlyCancel> earlyCancels) {
+  private JobBook(RetainedRecords<EndedJob> ended, RetainedRecords<EndedJob> earlyCancels) {
     this.ended = ended;
     this.earlyCancels = earlyCancels;
   }
@@ -47,12 +46,12 @@
   }
 
   /** Adds a cancel of a job that is not known. */
-  public void addEarlyCancel(String id, EarlyCancel cancel, long nowNanos) {
-    earlyCancels.put(id, cancel, cancel.cancelledMillis(), nowNanos);
+  public void addEarlyCancel(String id, EndedJob cancelled, long nowNanos) {
+    earlyCancels.put(id, cancelled, cancelled.endedMillis(), nowNanos);
   }
 
-  /** Returns the cancel that came before its job; absent if none did. */
-  public Optional<EarlyCancel> earlyCancel(String id) {
+  /** Returns the end that a job has if it is handed in now; absent if no cancel came before it. */
+  public Optional<EndedJob> earlyCancel(String id) {
     return earlyCancels.get(id);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -140,11 +140,11 @@
     return stored.build().toByteArray();
   }
 
-  /** Encodes that a job was cancelled of which nothing has run. */
-  public static byte[] encodeCancelled(long cancelledMillis) {
+  /** Encodes the end of a job of which nothing has run. */
+  public static byte[] encodeEnd(JobBook.EndedJob end) {
     return StoredProgress.newBuilder()
-        .setState(StoredProgress.State.CANCELLED)
-        .setEndedMillis(cancelledMillis)
+        .setState(state(Optional.of(end.phase())))
+        .setEndedMillis(end.endedMillis())
         .build()
         .toByteArray();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
@@ -68,9 +68,9 @@
 
   /** Remembers the cancel of a job that is not known, as its submission may still come. */
   void cancelEarly(String id, Runnable committed, BatchTurn turn) {
-    JobBook.EarlyCancel cancel = new JobBook.EarlyCancel(turn.wallMillis());
-    book.addEarlyCancel(id, cancel, turn.nowNanos());
-    byte[] stored = JobCodec.encodeCancelled(cancel.cancelledMillis());
+    JobBook.EndedJob cancelled = new JobBook.EndedJob(JobPhase.CANCELLED, turn.wallMillis());
+    book.addEarlyCancel(id, cancelled, turn.nowNanos());
+    byte[] stored = JobCodec.encodeEnd(cancelled);
     writer.put(JobCodec.earlyCancelKey(id), () -> Optional.of(stored), committed);
   }
 
