One encoder for the progress of a step, whether its job is open or has ended

encodeRuns repeated the head of encodeStep and half of its rule: of a done step, or of a job that has ended, only what may still run is stored. The records of ended jobs with runs carry the failures of a gang as well now, which nobody reads there.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -134,8 +134,7 @@
             .setEndedMillis(job.endedMillis())
             .setBegun(job.begun());
     for (StepProgress step : job.steps()) {
-      Optional<StoredStepProgress> encoded = job.open() ? encodeStep(step) : encodeRuns(step);
-      encoded.ifPresent(stored::addSteps);
+      encodeStep(step, job.open()).ifPresent(stored::addSteps);
     }
     return stored.build().toByteArray();
   }
@@ -149,7 +148,8 @@
         .toByteArray();
   }
 
-  private static Optional<StoredStepProgress> encodeStep(StepProgress step) {
+  /** Encodes a step; of one that is done, or whose job has ended, only what may still run. */
+  private static Optional<StoredStepProgress> encodeStep(StepProgress step, boolean open) {
     StoredStepProgress.Builder stored =
         StoredStepProgress.newBuilder()
             .setOccurrence(step.occurrence())
@@ -157,29 +157,14 @@
             .setDone(step.done())
             .setGangFailures(step.gangFailures())
             .setLastFailedGangRun(step.lastFailedGangRun());
+    boolean runsOnly = step.done() || !open;
     for (TaskProgress task : step.tasks()) {
-      if (step.done() ? task.live().isPresent() : task.lastRun() > 0) {
+      if (runsOnly ? task.live().isPresent() : task.lastRun() > 0) {
         stored.addTasks(encodeTask(task));
       }
     }
-    boolean untouched = stored.getTasksCount() == 0 && !step.done();
-    return untouched ? Optional.empty() : Optional.of(stored.build());
-  }
-
-  /** Encodes only what may still run, for whoever has to stop it. */
-  private static Optional<StoredStepProgress> encodeRuns(StepProgress step) {
-    if (step.liveRuns().isEmpty()) {
-      return Optional.empty();
-    }
-    StoredStepProgress.Builder stored =
-        StoredStepProgress.newBuilder()
-            .setOccurrence(step.occurrence())
-            .setStep(step.number())
-            .setDone(step.done());
-    step.tasks().stream()
-        .filter(task -> task.live().isPresent())
-        .forEach(task -> stored.addTasks(encodeTask(task)));
-    return Optional.of(stored.build());
+    boolean tells = stored.getTasksCount() > 0 || (step.done() && open);
+    return tells ? Optional.of(stored.build()) : Optional.empty();
   }
 
   private static StoredTaskProgress encodeTask(TaskProgress task) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobDuty.java
@@ -257,8 +257,7 @@
   public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchTurn turn) {
     StepProgress step = run.step();
     TaskProgress task = run.task();
-    boolean counts =
-        step.job().open() && !step.done() && task.isLive(run);
+    boolean counts = step.job().open() && !step.done() && task.isLive(run);
     if (!counts) {
       lost(run, turn);
       return;
