The soak ends a disturbance in one place, and a job names all of its tasks

The timed end of lost orders repeated that of a disturbed store, which the end of a disturbed link resembled; endLater serves the three. The loop over steps and tasks of RunEndCheck stood in CallChecks too; PlannedJob.tasks() serves both. What is checked stays the same.

--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -115,42 +115,39 @@
   private void loseOrders(Fault.LoseOrders fault) throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
     fleetTrouble.add(fault);
-    timer.schedule(
-        () ->
-            attempt(
-                () -> {
-                  fleetTrouble.remove(fault);
-                  ended(Disruption.Kind.EXECUTOR, fault.executor(), begin, fault);
-                }),
+    endLater(
         fault.forMillis(),
-        TimeUnit.MILLISECONDS);
+        () -> {
+          fleetTrouble.remove(fault);
+          ended(Disruption.Kind.EXECUTOR, fault.executor(), begin, fault);
+        });
   }
 
   private void disturbStore(Fault fault, Disruption.Kind kind, long forMillis)
       throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
     storeTrouble.add(fault);
-    timer.schedule(
-        () ->
-            attempt(
-                () -> {
-                  storeTrouble.remove(fault);
-                  ended(kind, Disruption.ALL, begin, fault);
-                }),
+    endLater(
         forMillis,
-        TimeUnit.MILLISECONDS);
+        () -> {
+          storeTrouble.remove(fault);
+          ended(kind, Disruption.ALL, begin, fault);
+        });
   }
 
   private void disturbLink(Fault.BreakLink fault) {
     long begin = SoakLog.now();
     links.get(fault.vm()).disturb(fault.mode());
-    timer.schedule(
+    endLater(
+        fault.forMillis(),
         () -> {
           links.get(fault.vm()).disturb(LinkMode.PASS);
           ended(Disruption.Kind.LINK, fault.vm(), begin, fault);
-        },
-        fault.forMillis(),
-        TimeUnit.MILLISECONDS);
+        });
+  }
+
+  private void endLater(long millis, Step end) {
+    timer.schedule(() -> attempt(end), millis, TimeUnit.MILLISECONDS);
   }
 
   private void ended(Disruption.Kind kind, int number, long begin, Fault fault) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
@@ -71,15 +71,9 @@
   }
 
   private boolean mayBeGivenUp(PlannedJob job) {
-    for (int step = 0; step < job.steps().size(); step++) {
-      for (String task : job.tasks(step)) {
-        List<TaskRun> ofTask = runs.getOrDefault(task, List.of());
-        if (ofTask.stream().filter(TaskRun::crashed).count() >= GIVEN_UP_CRASHES) {
-          return true;
-        }
-      }
-    }
-    return false;
+    return job.tasks().stream()
+        .map(task -> runs.getOrDefault(task, List.of()))
+        .anyMatch(ofTask -> ofTask.stream().filter(TaskRun::crashed).count() >= GIVEN_UP_CRASHES);
   }
 
   private void checkRepeats(PlannedJob job, List<JobCall> calls, long acceptedAt) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -43,4 +43,9 @@
         .mapToObj(index -> id + ".0." + step + "." + index)
         .toList();
   }
+
+  /** Returns the names of all tasks. */
+  public List<String> tasks() {
+    return IntStream.range(0, steps.size()).boxed().flatMap(step -> tasks(step).stream()).toList();
+  }
 }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunEndCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunEndCheck.java
@@ -40,10 +40,8 @@
     if (over.isEmpty()) {
       return;
     }
-    for (int step = 0; step < job.steps().size(); step++) {
-      for (String task : job.tasks(step)) {
-        runs.getOrDefault(task, List.of()).forEach(run -> checkRun(run, over.get()));
-      }
+    for (String task : job.tasks()) {
+      runs.getOrDefault(task, List.of()).forEach(run -> checkRun(run, over.get()));
     }
   }
 
