--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -31,7 +31,9 @@
   /** A job was submitted after it had been cancelled. */
   CANCELLED_JOB_ACCEPTED(8015, "Job {} accepted as cancelled: its cancel came before it"),
   /** A run was placed on an executor, and the placement is being stored. */
-  RUN_PLACED(8020, "Run {} placed on {} in rack {}: {}, waited {} ms of {} ms to spare"),
+  RUN_PLACED(
+      8020,
+      "Run {} placed on {} in rack {}: {}, waited {} ms of {} ms to spare, beside {} of its step, limit {}"),
   /** An executor confirmed the start of a run. */
   RUN_STARTED(8021, "Run {} started on {} after {} ms"),
   /** The owner ordered a run to stop. */
@@ -52,6 +54,8 @@
       "Task {} given up: {} executors crashed soon after its start, {} later, {} were lost otherwise"),
   /** An order to stop a run was answered or timed out. */
   STOP_ORDER_ENDED(8028, "Stop of run {} on {}, order {}: {} after {} ms"),
+  /** An executor runs a task that a placement rule of its step does not allow there. */
+  PLACEMENT_RULE_BROKEN(8029, "Run {} on {} breaks a placement rule of its step: {}"),
   /** An executor answered its first poll, or answers again. */
   EXECUTOR_REACHED(8030, "Executor {} reached, {} runs there"),
   /** An executor does not answer polls. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -9,6 +9,7 @@
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.batch.TaskRun;
@@ -132,6 +133,17 @@
     return runs.values();
   }
 
+  /** Returns how many tasks of a step may be alive on this executor. */
+  public int countTasks(StepProgress step) {
+    return (int) runs.values().stream().filter(run -> run.step() == step).count();
+  }
+
+  /** Returns how many tasks of a step this executor has confirmed to run. */
+  int countRunningTasks(StepProgress step) {
+    return (int)
+        runs.values().stream().filter(run -> run.step() == step && run.seenRunning()).count();
+  }
+
   /** Finds a run that may be alive on this executor. */
   public Optional<LiveRun> run(TaskRun run) {
     return Optional.ofNullable(runs.get(run));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -121,6 +121,7 @@
     boolean inherited = run.stage() == Stage.INHERITED;
     if (inherited || run.stage() == Stage.STARTING) {
       run.enter(Stage.RUNNING, context.nowNanos());
+      PlacementRuleCheck.check(executor, run, context);
     }
     if (inherited) {
       listener.foundRunning(run, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -54,6 +54,7 @@
         long millis = Duration.ofNanos(nanos).toMillis();
         context.note(BatchLogEvent.RUN_STARTED, run.run(), run.incarnation(), millis);
         run.enter(Stage.RUNNING, context.nowNanos());
+        PlacementRuleCheck.check(executor, run, context);
         throttler.runStarted(executor, run, context);
       }
       case OrderOutcome.Rejected(Rejection rejection) ->
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -292,17 +292,7 @@
     if (most == 0) {
       return fitting;
     }
-    return Math.clamp(most - countTasks(waiting.step(), candidate), 0, fitting);
-  }
-
-  private static int countTasks(StepProgress step, CandidateExecutor candidate) {
-    int count = 0;
-    for (var run : candidate.executor().runs()) {
-      if (run.step() == step) {
-        count++;
-      }
-    }
-    return count;
+    return Math.clamp(most - candidate.executor().countTasks(waiting.step()), 0, fitting);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -206,6 +206,7 @@
       LiveRun run = LiveRun.placed(name, executor, step, checkpoint, ticket, context.nowNanos());
       StepTiming timing = timing(step, jobs.queue(step.job()), context);
       context.stage("queued", timing.queuedNanos());
+      int othersOfStep = placement.executor().countTasks(step);
       step.begin(placement.task(), run);
       placement.executor().add(run);
       changedJobs.add(step.job());
@@ -217,7 +218,9 @@
           placement.executor().profile().rack(),
           rank(step.job()),
           TimeUnit.NANOSECONDS.toMillis(timing.waitedNanos()),
-          TimeUnit.NANOSECONDS.toMillis(timing.spareNanos()));
+          TimeUnit.NANOSECONDS.toMillis(timing.spareNanos()),
+          othersOfStep,
+          limitPerExecutor(step));
     }
     for (ActiveJob job : changedJobs) {
       List<LiveRun> runsOfJob = runs.stream().filter(run -> run.step().job() == job).toList();
@@ -225,6 +228,11 @@
     }
   }
 
+  private static String limitPerExecutor(StepProgress step) {
+    int limit = step.spec().placement().maxPerExecutor();
+    return limit == 0 ? "none" : String.valueOf(limit);
+  }
+
   /** Orders the start of the runs whose placements have been stored since the last call. */
   public void startStored(BatchContext context) {
     for (LiveRun run : storedRuns) {
