--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
@@ -54,6 +54,27 @@
         step.image());
   }
 
+  /** Returns the same step with rules for the placement of its tasks. */
+  static BatchStep placed(BatchStep step, BatchStep.PlacementRule rule) {
+    return new BatchStep(
+        step.count(),
+        step.demand(),
+        step.estimateMillis(),
+        step.dependsOn(),
+        rule,
+        step.checkpointing(),
+        step.gang(),
+        step.image(),
+        step.longRunning());
+  }
+
+  /** Returns the same step with a limit on the number of its tasks on one executor. */
+  static BatchStep limited(BatchStep step, int maxPerExecutor) {
+    return placed(
+        step,
+        new BatchStep.PlacementRule(false, Optional.empty(), Optional.empty(), maxPerExecutor));
+  }
+
   private static BatchStep step(
       int count,
       int accelerators,
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -233,7 +233,7 @@
 
   /**
    * Checks and records a start: no other run of the task may be alive, the task must not be done,
-   * and the tasks it depends on must be.
+   * the tasks it depends on must be, and the placement rules of its step must allow it there.
    */
   void recordStart(TaskRun run, ExecutorId executor, long nowMillis) {
     assertTrue(
@@ -259,12 +259,48 @@
         assertTrue(done(needed), () -> run + " starts before " + needed + " is done");
       }
     }
+    checkPlacement(run, executor, nowMillis);
     running.put(run, executor);
     starts.add(run);
     lateOrderSentAt.ifPresent(sentAt -> lateStarts.put(run, nowMillis));
     crashingTasks.checkStart(run);
   }
 
+  private void checkPlacement(TaskRun run, ExecutorId executor, long nowMillis) {
+    BatchStep.PlacementRule rule = stepOf(run.task()).placement();
+    Set<String> labels = executors.get(executor).profile().labels();
+    rule.label()
+        .ifPresent(
+            label ->
+                assertTrue(
+                    labels.contains(label),
+                    () -> run + " starts on " + executor + ", which has no label " + label));
+    long others =
+        running.entrySet().stream()
+            .filter(entry -> entry.getValue().equals(executor))
+            .filter(entry -> ofSameStep(entry.getKey().task(), run.task()))
+            .count();
+    int limit = rule.maxPerExecutor();
+    assertTrue(
+        limit == 0 || others < limit,
+        () ->
+            run
+                + " starts at "
+                + nowMillis
+                + " on "
+                + executor
+                + " beside "
+                + others
+                + " others of its step, limit "
+                + limit);
+  }
+
+  private static boolean ofSameStep(TaskName one, TaskName other) {
+    return one.job().equals(other.job())
+        && one.occurrence() == other.occurrence()
+        && one.step() == other.step();
+  }
+
   /**
    * Checks that no run of a job whose cancel was acknowledged survives a fault-free period longer
    * than the bound.
@@ -303,12 +339,7 @@
 
   private List<TaskRun> members(TaskRun run) {
     return running.keySet().stream()
-        .filter(
-            other ->
-                other.number() == run.number()
-                    && other.task().job().equals(run.task().job())
-                    && other.task().occurrence() == run.task().occurrence()
-                    && other.task().step() == run.task().step())
+        .filter(other -> other.number() == run.number() && ofSameStep(other.task(), run.task()))
         .toList();
   }
 
