A plan counts its own placements against the limit of a step

Cause: the limit was checked against the runs that an executor already has, which change only once the plan is complete. A step under whose tasks executors were lost is planned in several groups, and each group could use the whole limit of an executor again. PlannedTasks now holds what a plan has placed, and every capacity of the plan counts it.

The same cause in one group: an urgent step that had just used an executor's limit reserved capacity there, and preempted other runs, for tasks that must not start there.

The oracle of PlannerEquivalenceProperties counted like the planner; it counts by the names of the tasks now.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -14,6 +14,7 @@
 final class CandidateExecutor {
 
   private final ExecutorState executor;
+  private final PlannedTasks planned;
   private final boolean suspect;
   private final boolean recentlyRestarted;
   private ResourceVector free;
@@ -25,13 +26,19 @@
   /**
    * Creates a candidate.
    *
+   * @param planned what the plan has placed so far
    * @param suspect whether runs have recently failed or been slow there
    * @param recentlyRestarted whether the executor is known to have crashed recently
    */
   CandidateExecutor(
-      ExecutorState executor, ResourceVector free, boolean suspect, boolean recentlyRestarted) {
+      ExecutorState executor,
+      ResourceVector free,
+      PlannedTasks planned,
+      boolean suspect,
+      boolean recentlyRestarted) {
     this.executor = executor;
     this.free = free;
+    this.planned = planned;
     this.suspect = suspect;
     this.recentlyRestarted = recentlyRestarted;
   }
@@ -57,6 +64,11 @@
     return free;
   }
 
+  /** Returns how many tasks of a step are on the executor or have been placed there by the plan. */
+  int countTasks(StepProgress step) {
+    return executor.countTasks(step) + planned.count(step, executor);
+  }
+
   /** Reserves capacity for a task. */
   void reserve(StepProgress step, TaskProgress task) {
     free = free.minus(step.spec().demand());
@@ -103,7 +115,8 @@
   }
 
   CandidateExecutor copy() {
-    CandidateExecutor copy = new CandidateExecutor(executor, free, suspect, recentlyRestarted);
+    CandidateExecutor copy =
+        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted);
     copy.servesUsers = servesUsers;
     copy.runsOtherWork = runsOtherWork;
     copy.onProbation = onProbation;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -80,23 +80,34 @@
     }
   }
 
-  /** Returns the capacity that is free now. */
-  static FleetCapacity available(Collection<ExecutorState> executors, long nowNanos) {
-    FleetCapacity capacity = of(executors, ExecutorState::free, nowNanos);
+  /**
+   * Returns the capacity that is free now.
+   *
+   * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
+   */
+  static FleetCapacity available(
+      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
+    FleetCapacity capacity = of(executors, ExecutorState::free, planned, nowNanos);
     for (CandidateExecutor candidate : capacity.candidates) {
       candidate.executor().runs().forEach(run -> candidate.addWork(run, nowNanos));
     }
     return capacity;
   }
 
-  /** Returns the whole capacity of the executors, as if nothing ran there. */
-  static FleetCapacity total(Collection<ExecutorState> executors, long nowNanos) {
-    return of(executors, executor -> executor.profile().capacity(), nowNanos);
+  /**
+   * Returns the whole capacity of the executors, as if nothing ran there.
+   *
+   * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
+   */
+  static FleetCapacity total(
+      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
+    return of(executors, executor -> executor.profile().capacity(), planned, nowNanos);
   }
 
   private static FleetCapacity of(
       Collection<ExecutorState> executors,
       Function<ExecutorState, ResourceVector> capacity,
+      PlannedTasks planned,
       long nowNanos) {
     long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
@@ -105,7 +116,11 @@
       boolean suspect = credible && executor.suspect(nowNanos);
       candidates.add(
           new CandidateExecutor(
-              executor, capacity.apply(executor), suspect, executor.recentlyRestarted(nowNanos)));
+              executor,
+              capacity.apply(executor),
+              planned,
+              suspect,
+              executor.recentlyRestarted(nowNanos)));
     }
     return new FleetCapacity(candidates);
   }
@@ -292,7 +307,7 @@
     if (most == 0) {
       return fitting;
     }
-    return Math.clamp(most - candidate.executor().countTasks(waiting.step()), 0, fitting);
+    return Math.clamp(most - candidate.countTasks(waiting.step()), 0, fitting);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -125,6 +125,7 @@
     private final FleetCapacity available;
     private final FleetCapacity expected;
     private final FleetCapacity total;
+    private final PlannedTasks planned = new PlannedTasks();
     private final List<TaskPlacement> starts = new ArrayList<>();
     private final List<Preemption> stops = new ArrayList<>();
 
@@ -138,9 +139,9 @@
         long nowNanos) {
       this.preemptor = preemptor;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = FleetCapacity.available(executors, nowNanos);
-      expected = FleetCapacity.available(executors, nowNanos);
-      total = FleetCapacity.total(executors, nowNanos);
+      available = FleetCapacity.available(executors, planned, nowNanos);
+      expected = FleetCapacity.available(executors, planned, nowNanos);
+      total = FleetCapacity.total(executors, planned, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           if (run.stage() == Stage.STOPPING) {
@@ -282,6 +283,7 @@
     }
 
     private void reserve(TaskPlacement placement) {
+      planned.add(placement);
       available.reserve(placement);
       expected.reserve(placement);
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementLimitTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementLimitTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -45,4 +47,18 @@
     cluster.runUntil("the end", 80_000, () -> cluster.status(job).equals(COMPLETED));
     assertEquals(1, cluster.crashes.restarts());
   }
+
+  /** The only executor has cores for one of the two tasks, and may not run the other one. */
+  @Test
+  void nothingIsPreemptedForATaskThatTheLimitKeepsWaiting() {
+    BatchCluster one = new BatchCluster(1, 1, 1);
+    one.awaitOwner();
+    one.run(200);
+    one.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(15, 0, 10_000)));
+    one.runUntil("the first starts", 1000, () -> one.work.starts().size() == 15);
+    one.submit(BatchCluster.URGENT, Jobs.of(Jobs.limited(Jobs.tasks(2, 0, 2000), 1)));
+    one.run(1000);
+    assertEquals(16, one.work.starts().size());
+    assertEquals(List.of(), one.notes(BatchLogEvent.RUN_STOPPING));
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -21,6 +21,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ExecutorProfile;
@@ -191,12 +192,33 @@
     assertSamePlan(1_086_075_471L);
   }
 
+  /** Several groups of tasks of one step are planned together. */
+  @Property(tries = 3000)
+  void planOfDividedStepsEqualsThatOfTheReferencePlanner(@ForAll long seed) {
+    Scenario scenario = new Scenario(seed);
+    assertSamePlan(scenario, DividedSteps.divide(scenario.waiting, new Random(seed)));
+  }
+
+  /** Tasks suspected of crashing executors are planned one by one, beside the others. */
+  @Property(tries = 3000)
+  void noPlanBreaksAPlacementRule(@ForAll long seed) throws UnreadableRecordException {
+    Scenario scenario = new Scenario(seed);
+    List<WaitingStep> waiting = DividedSteps.suspect(scenario.waiting, new Random(seed));
+    Planner.Plan plan =
+        new Planner(scenario.ranks::get, WORK).plan(waiting, scenario.executors, NOW);
+    PlacementRuleAudit.check(plan.starts(), waiting);
+  }
+
   private static void assertSamePlan(long seed) {
     Scenario scenario = new Scenario(seed);
+    assertSamePlan(scenario, scenario.waiting);
+  }
+
+  private static void assertSamePlan(Scenario scenario, List<WaitingStep> waiting) {
     Function<StepProgress, Rank> ranks = scenario.ranks::get;
     ReferencePlanner.Plan expected =
-        new ReferencePlanner(ranks, WORK).plan(scenario.waiting, scenario.executors, NOW);
-    Planner.Plan plan = new Planner(ranks, WORK).plan(scenario.waiting, scenario.executors, NOW);
+        new ReferencePlanner(ranks, WORK).plan(waiting, scenario.executors, NOW);
+    Planner.Plan plan = new Planner(ranks, WORK).plan(waiting, scenario.executors, NOW);
     assertEquals(expected.starts(), plan.starts());
     assertEquals(
         expected.stops().stream().map(ReferencePlanner.Preemption::run).toList(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferenceCandidate.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferenceCandidate.java
@@ -1,15 +1,20 @@
 package org.fescuehook.logic.batch.plan;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
+import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.Incarnation;
 
 /** An executor and its free capacity while a plan is made. */
 final class ReferenceCandidate {
 
   private final ExecutorState executor;
+  private final List<TaskPlacement> planned;
   private final boolean suspect;
   private ResourceVector free;
   private boolean servesUsers;
@@ -18,11 +23,14 @@
   /**
    * Creates a candidate.
    *
+   * @param planned all placements of the plan so far
    * @param suspect whether runs have recently failed or been slow there
    */
-  ReferenceCandidate(ExecutorState executor, ResourceVector free, boolean suspect) {
+  ReferenceCandidate(
+      ExecutorState executor, ResourceVector free, List<TaskPlacement> planned, boolean suspect) {
     this.executor = executor;
     this.free = free;
+    this.planned = planned;
     this.suspect = suspect;
   }
 
@@ -38,6 +46,25 @@
     return free;
   }
 
+  /**
+   * Returns how many tasks of a step would be on the executor if every placement of the plan had
+   * taken effect, by the names of the tasks.
+   */
+  int tasksOf(StepProgress step) {
+    Set<TaskName> tasks = new HashSet<>();
+    executor.runs().forEach(run -> tasks.add(run.run().task()));
+    planned.stream()
+        .filter(placement -> placement.executor() == executor)
+        .forEach(placement -> tasks.add(placement.step().name(placement.task())));
+    return (int) tasks.stream().filter(task -> isOf(step, task)).count();
+  }
+
+  private static boolean isOf(StepProgress step, TaskName task) {
+    return task.job().equals(step.job().job().id())
+        && task.occurrence() == step.occurrence()
+        && task.step() == step.number();
+  }
+
   /** Reserves capacity for a task. */
   void reserve(BatchStep step) {
     free = free.minus(step.demand());
@@ -63,7 +90,7 @@
   }
 
   ReferenceCandidate copy() {
-    ReferenceCandidate copy = new ReferenceCandidate(executor, free, suspect);
+    ReferenceCandidate copy = new ReferenceCandidate(executor, free, planned, suspect);
     copy.servesUsers = servesUsers;
     copy.runsOtherWork = runsOtherWork;
     return copy;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferenceCapacity.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferenceCapacity.java
@@ -10,7 +10,6 @@
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
@@ -31,30 +30,41 @@
     this.candidates = candidates;
   }
 
-  /** Returns the capacity that is free now. */
-  static ReferenceCapacity available(Collection<ExecutorState> executors, long nowNanos) {
-    ReferenceCapacity capacity = of(executors, ExecutorState::free, nowNanos);
+  /**
+   * Returns the capacity that is free now.
+   *
+   * @param planned all placements of the plan so far
+   */
+  static ReferenceCapacity available(
+      Collection<ExecutorState> executors, List<TaskPlacement> planned, long nowNanos) {
+    ReferenceCapacity capacity = of(executors, ExecutorState::free, planned, nowNanos);
     for (ReferenceCandidate candidate : capacity.candidates) {
       candidate.executor().runs().forEach(run -> candidate.addWork(run.step().spec()));
     }
     return capacity;
   }
 
-  /** Returns the whole capacity of the executors, as if nothing ran there. */
-  static ReferenceCapacity total(Collection<ExecutorState> executors, long nowNanos) {
-    return of(executors, executor -> executor.profile().capacity(), nowNanos);
+  /**
+   * Returns the whole capacity of the executors, as if nothing ran there.
+   *
+   * @param planned all placements of the plan so far
+   */
+  static ReferenceCapacity total(
+      Collection<ExecutorState> executors, List<TaskPlacement> planned, long nowNanos) {
+    return of(executors, executor -> executor.profile().capacity(), planned, nowNanos);
   }
 
   private static ReferenceCapacity of(
       Collection<ExecutorState> executors,
       Function<ExecutorState, ResourceVector> capacity,
+      List<TaskPlacement> planned,
       long nowNanos) {
     long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
     List<ReferenceCandidate> candidates = new ArrayList<>();
     for (ExecutorState executor : executors) {
       boolean suspect = credible && executor.suspect(nowNanos);
-      candidates.add(new ReferenceCandidate(executor, capacity.apply(executor), suspect));
+      candidates.add(new ReferenceCandidate(executor, capacity.apply(executor), planned, suspect));
     }
     return new ReferenceCapacity(candidates);
   }
@@ -160,17 +170,7 @@
     if (most == 0) {
       return fitting;
     }
-    return Math.clamp(most - countTasks(waiting.step(), candidate), 0, fitting);
-  }
-
-  private static int countTasks(StepProgress step, ReferenceCandidate candidate) {
-    int count = 0;
-    for (var run : candidate.executor().runs()) {
-      if (run.step() == step) {
-        count++;
-      }
-    }
-    return count;
+    return Math.clamp(most - candidate.tasksOf(waiting.step()), 0, fitting);
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
@@ -125,6 +125,7 @@
     private final ReferenceCapacity available;
     private final ReferenceCapacity expected;
     private final ReferenceCapacity total;
+    private final List<TaskPlacement> planned = new ArrayList<>();
     private final List<TaskPlacement> starts = new ArrayList<>();
     private final List<Preemption> stops = new ArrayList<>();
 
@@ -138,9 +139,9 @@
         long nowNanos) {
       this.preemptor = preemptor;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = ReferenceCapacity.available(executors, nowNanos);
-      expected = ReferenceCapacity.available(executors, nowNanos);
-      total = ReferenceCapacity.total(executors, nowNanos);
+      available = ReferenceCapacity.available(executors, planned, nowNanos);
+      expected = ReferenceCapacity.available(executors, planned, nowNanos);
+      total = ReferenceCapacity.total(executors, planned, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           if (run.stage() == Stage.STOPPING) {
@@ -280,6 +281,7 @@
     }
 
     private void reserve(TaskPlacement placement) {
+      planned.add(placement);
       available.reserve(placement.executor(), placement.step().spec());
       expected.reserve(placement.executor(), placement.step().spec());
     }
