--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -61,7 +61,7 @@
   final Random random;
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final CallTracker calls = new CallTracker(work, submissions);
-  private final BatchConfiguration configuration;
+  private final ClusterConfiguration configuration;
   private long nowMillis;
   private long order;
   private long ticket;
@@ -133,7 +133,7 @@
 
   BatchCluster(int vmCount, int executorCount, long seed, BatchConfiguration declared) {
     random = new Random(seed);
-    configuration = declared;
+    configuration = new ClusterConfiguration(declared, work.placement);
     for (int i = 0; i < executorCount; i++) {
       addExecutor("e" + i, "r" + i / 4);
     }
@@ -200,7 +200,7 @@
     }
     Vm vm = new Vm(id);
     vms.put(id, vm);
-    vm.deliver(new BatchEvent.ConfigurationRead(configuration));
+    vm.deliver(new BatchEvent.ConfigurationRead(configuration.newest()));
     tick(vm);
     readOwnership(vm, NO_KNOWN_END, nowMillis);
     BatchEvent late = new BatchEvent.OwnershipUnreadable();
@@ -216,6 +216,7 @@
 
   /** Delivers a configuration to all VMs. */
   void configure(BatchConfiguration newer) {
+    configuration.replace(newer, nowMillis);
     vms.values().forEach(vm -> vm.deliver(new BatchEvent.ConfigurationRead(newer)));
   }
 
@@ -335,8 +336,7 @@
 
   /** Returns the answer to a status call, which may have to wait for the store; empty if late. */
   Optional<CallAnswer> status(String job) {
-    String key = configuration.organisations().getFirst().apiKeys().iterator().next();
-    Optional<Long> asked = call(new BatchCall.Status(NORMAL, key, job));
+    Optional<Long> asked = call(new BatchCall.Status(NORMAL, configuration.callerKey(), job));
     long limit = nowMillis + ANSWER_LIMIT_MILLIS;
     while (asked.isPresent() && !answers.containsKey(asked.get()) && nowMillis < limit) {
       run(STEP_MILLIS);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CallTracker.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CallTracker.java
@@ -24,7 +24,7 @@
   void recordCall(long ticket, BatchCall call) {
     if (call instanceof BatchCall.Submit submit) {
       submitTickets.put(ticket, submit.job());
-      work.recordSubmission(submit.job(), submit.submission());
+      work.recordSubmission(submit.job(), submit.queue(), submit.submission());
     }
     if (call instanceof BatchCall.Cancel cancel) {
       cancelTickets.put(ticket, cancel.job());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -75,11 +75,13 @@
   private final Map<TaskName, Long> durations = new HashMap<>();
   final FakeAdvice advice = new FakeAdvice();
   final CrashingTasks crashingTasks = new CrashingTasks();
+  final PlacementChecks placement = new PlacementChecks();
   private double wastedCoreSeconds;
   private long stopMillis = 100;
 
-  void recordSubmission(String job, Submission submission) {
+  void recordSubmission(String job, String queue, Submission submission) {
     submissions.put(job, submission);
+    placement.recordSubmission(job, queue);
   }
 
   void add(FakeExecutor executor) {
@@ -259,46 +261,16 @@
         assertTrue(done(needed), () -> run + " starts before " + needed + " is done");
       }
     }
-    checkPlacement(run, executor, nowMillis);
+    placement.checkStart(
+        run, stepOf(run.task()), executors.get(executor).profile(), runningOn(executor), orderedAt);
     running.put(run, executor);
     starts.add(run);
     lateOrderSentAt.ifPresent(sentAt -> lateStarts.put(run, nowMillis));
     crashingTasks.checkStart(run);
   }
 
-  private void checkPlacement(TaskRun run, ExecutorId executor, long nowMillis) {
-    BatchStep.PlacementRule rule = stepOf(run.task()).placement();
-    Set<String> labels = executors.get(executor).profile().labels();
-    rule.label()
-        .ifPresent(
-            label ->
-                assertTrue(
-                    labels.contains(label),
-                    () -> run + " starts on " + executor + ", which has no label " + label));
-    long others =
-        running.entrySet().stream()
-            .filter(entry -> entry.getValue().equals(executor))
-            .filter(entry -> ofSameStep(entry.getKey().task(), run.task()))
-            .count();
-    int limit = rule.maxPerExecutor();
-    assertTrue(
-        limit == 0 || others < limit,
-        () ->
-            run
-                + " starts at "
-                + nowMillis
-                + " on "
-                + executor
-                + " beside "
-                + others
-                + " others of its step, limit "
-                + limit);
-  }
-
-  private static boolean ofSameStep(TaskName one, TaskName other) {
-    return one.job().equals(other.job())
-        && one.occurrence() == other.occurrence()
-        && one.step() == other.step();
+  private List<TaskRun> runningOn(ExecutorId executor) {
+    return running.keySet().stream().filter(run -> running.get(run).equals(executor)).toList();
   }
 
   /**
@@ -339,7 +311,7 @@
 
   private List<TaskRun> members(TaskRun run) {
     return running.keySet().stream()
-        .filter(other -> other.number() == run.number() && ofSameStep(other.task(), run.task()))
+        .filter(other -> other.number() == run.number() && PlacementChecks.ofSameStep(other, run))
         .toList();
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -86,6 +86,25 @@
     return "key-of-org-" + organisation;
   }
 
+  /** Returns the same configuration with all queues moved to another pool. */
+  static BatchConfiguration withPool(long version, String pool) {
+    Map<String, JobQueue> queues = new HashMap<>();
+    configuration().queues().forEach((name, queue) -> queues.put(name, withPool(queue, pool)));
+    return new BatchConfiguration(version, queues, configuration().organisations());
+  }
+
+  private static JobQueue withPool(JobQueue queue, String pool) {
+    return new JobQueue(
+        queue.name(),
+        pool,
+        queue.priority(),
+        queue.maxAttempts(),
+        queue.deadlineFactor(),
+        queue.targetLatencyMillis(),
+        queue.open(),
+        queue.advised());
+  }
+
   /** Returns the same queues without organisations, as after all API keys were removed. */
   static BatchConfiguration withoutKeys(long version) {
     return new BatchConfiguration(version, configuration().queues(), List.of());
