A task is not started in the former pool of its queue

A configuration is in force within 2 s, but a task whose placement was being stored at that time, which takes seconds in a slow store, was started in the pool that its queue had before.

Cause: between placement and start only the capacity and the departure of the executor were checked again. The pool now is too; the task is placed anew, in the new pool.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -221,27 +221,39 @@
 
   /**
    * Orders the start of a run whose placement is stored. Storing takes seconds if the store is
-   * slow. If the executor has too little capacity by then, or is about to leave, the run is given
-   * up and its task is placed elsewhere.
+   * slow. If the run may not start on its executor by then, it is given up and its task is placed
+   * elsewhere.
+   *
+   * @param pool pool of the executors that may run it now
    */
-  public void start(LiveRun run, BatchContext context) {
+  public void start(LiveRun run, String pool, BatchContext context) {
     Optional<ExecutorState> executor = registry.find(run.executor());
     if (executor.isEmpty() || !executor.get().reached()) {
       return;
     }
-    boolean leaving = executor.get().profile().leaving();
-    if (leaving || executor.get().overbooked()) {
+    Optional<String> obstacle = obstacleToStart(executor.get(), pool);
+    if (obstacle.isPresent()) {
       executor.get().remove(run);
-      reportHandler.reportLost(
-          run,
-          leaving ? "its executor is leaving" : "its executor has less free capacity now",
-          context);
+      reportHandler.reportLost(run, obstacle.get(), context);
       return;
     }
     run.enter(Stage.STARTING, context.nowNanos());
     orders.start(executor.get(), run, context);
   }
 
+  private static Optional<String> obstacleToStart(ExecutorState executor, String pool) {
+    if (executor.profile().leaving()) {
+      return Optional.of("its executor is leaving");
+    }
+    if (executor.overbooked()) {
+      return Optional.of("its executor has less free capacity now");
+    }
+    if (!executor.profile().pool().equals(pool)) {
+      return Optional.of("its queue has another pool now");
+    }
+    return Optional.empty();
+  }
+
   /** Orders the stop of a run; one that was not started yet is given up at once. */
   public void stop(LiveRun run, String cause, BatchContext context) {
     if (run.stage() == Stage.STOPPING) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -243,7 +243,7 @@
               .flatMap(state -> state.run(run.run()))
               .isPresent();
       if (stillReserved && run.stage() == Stage.PLACED) {
-        executors.start(run, context);
+        executors.start(run, jobs.queue(run.step().job()).pool(), context);
       }
     }
     storedRuns.clear();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementHistoriesTest.java
@@ -19,6 +19,7 @@
   private static final int HISTORIES = Integer.getInteger("histories", 30);
   private static final long FIRST_SEED = Long.getLong("seed", 1);
   private static final long DAY_MILLIS = 30_000;
+  private static final String OTHER_POOL = "other";
 
   private enum Trouble {
     NONE,
@@ -29,6 +30,7 @@
     CRASHES_BESIDE_SLOW_STORE,
     LEAVING,
     ADVICE,
+    CONFIGURATIONS,
     MIXED
   }
 
@@ -54,6 +56,9 @@
       cluster.in(at, () -> log.add(cause(cluster, trouble) + " at " + cluster.nowMillis()));
     }
     cluster.run(DAY_MILLIS);
+    if (trouble == Trouble.CONFIGURATIONS) {
+      usePool(cluster, TestFixtures.POOL);
+    }
     cluster.run(90_000);
     cluster.awaitOwner();
     cluster.run(2000);
@@ -95,6 +100,7 @@
         yield crash(cluster, away) + " in a slow store";
       }
       case LEAVING -> replaceLeaving(cluster);
+      case CONFIGURATIONS -> changePool(cluster);
       case MIXED ->
           cluster.random.nextBoolean()
               ? RandomBatchHistoriesTest.fault(cluster)
@@ -132,4 +138,24 @@
     }
     return leaving + " leave";
   }
+
+  /** Moves all queues to another pool while the store is slow, and back after a while. */
+  private static String changePool(BatchCluster cluster) {
+    String added = "other-" + cluster.nowMillis();
+    cluster.addExecutor(TestFixtures.ofPool(added + "-0", "r0", OTHER_POOL));
+    cluster.addExecutor(TestFixtures.ofPool(added + "-1", "r1", OTHER_POOL));
+    cluster.faults.appendMillis = 1500;
+    usePool(cluster, OTHER_POOL);
+    cluster.in(
+        4000,
+        () -> {
+          cluster.faults.appendMillis = 0;
+          usePool(cluster, TestFixtures.POOL);
+        });
+    return "queues moved to another pool";
+  }
+
+  private static void usePool(BatchCluster cluster, String pool) {
+    cluster.configure(TestFixtures.withPool(cluster.nowMillis(), pool));
+  }
 }
