A placement that is given up before its start does not count as a run of its task

What callers saw: nothing so far. After three executors were lost under a task, two more of its runs are allowed before its job is shown as failed. Placements that were given up before a start was sent, because the executor began to leave, shrank, was restarted or the queue moved, counted among them, so that a sound job could be failed.

Cause: only a start that the network did not send was taken back from the count; a run in stage PLACED was not.

Evidence: read in the code beside, which adds a case. UnsentStartTest failed before: the task is given up after the second such placement.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -255,6 +255,9 @@
     if (!task.isLive(run)) {
       return;
     }
+    if (run.stage() == LiveRun.Stage.PLACED) {
+      task.startNotSent();
+    }
     step.end(task);
     changed = true;
     if (!step.job().open()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnsentStartTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnsentStartTest.java
@@ -65,6 +65,31 @@
   void aTaskThatLostThreeExecutorsIsNotGivenUpForStartsThatReachedNoExecutor() {
     cluster.awaitOwner();
     cluster.run(200);
+    String job = submitAndLoseThreeExecutors();
+    cluster.crashes.up().forEach(id -> cluster.crashes.restart(id, 8000));
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+    assertTrue(placements().size() > 5, "too few starts were sent to executors that were down");
+    assertEquals(4, cluster.work.starts().size());
+  }
+
+  /** The executors of the next runs begin to leave while the placements are being stored. */
+  @Test
+  void aTaskThatLostThreeExecutorsIsNotGivenUpForPlacementsThatWereGivenUp() {
+    cluster.awaitOwner();
+    cluster.run(200);
+    String job = submitAndLoseThreeExecutors();
+    cluster.faults.appendMillis = 400;
+    for (int placement = 4; placement <= 6; placement++) {
+      int placed = placement;
+      cluster.runUntil("a placement", 15_000, () -> placements().size() == placed);
+      cluster.leave(placements().getLast(), 60_000);
+    }
+    cluster.faults.appendMillis = 0;
+    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
+    assertEquals(4, cluster.work.starts().size());
+  }
+
+  private String submitAndLoseThreeExecutors() {
     String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 1, 6000)));
     for (int crash = 1; crash <= 3; crash++) {
       int starts = crash;
@@ -72,10 +97,7 @@
       cluster.run(3000);
       cluster.crashes.restart(placements().getLast(), 3000);
     }
-    cluster.crashes.up().forEach(id -> cluster.crashes.restart(id, 8000));
-    cluster.runUntil("the end", 20_000, () -> cluster.status(job).equals(COMPLETED));
-    assertTrue(placements().size() > 5, "too few starts were sent to executors that were down");
-    assertEquals(4, cluster.work.starts().size());
+    return job;
   }
 
   /** The first order may have been carried out, although the executor of its repeat is down. */
