The soak has jobs with placement rules, series of crashes and a promise on placement

Part of the jobs have more tasks than the limit of their step leaves room for, or need the label of a rack.

--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -31,13 +31,26 @@
   /** A return of all VMs in a slow store needs this much time to be judged. */
   private static final long RETURN_MILLIS = 36_000;
 
+  /** Crashes of a series come at this distance. */
+  private static final long SERIES_GAP_MILLIS = 2000;
+
+  private static final int MAX_WAVES = 5;
+
+  /** Part of the executors that crashes with each wave of a series. */
+  private static final int WAVE_DIVISOR = 3;
+
   private final SplittableRandom random;
+
+  /** Drawn apart, so that a seed means the same other faults. */
+  private final SplittableRandom series;
+
   private final SoakSizes sizes;
   private final long length;
 
   private FaultPlan(SoakSizes sizes) {
     this.sizes = sizes;
     this.random = new SplittableRandom(sizes.seed());
+    this.series = new SplittableRandom(~sizes.seed());
     this.length = sizes.faultTime().toMillis();
   }
 
@@ -62,6 +75,9 @@
     } else if (random.nextBoolean()) {
       addShortReturn(plan);
     }
+    if (series.nextBoolean()) {
+      addCrashSeries(plan, end);
+    }
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
@@ -94,6 +110,20 @@
     plan.add(new Fault.Timed(at + random.nextLong(2000), killAll()));
   }
 
+  /** A third of the executors crashes at once, several times in a row. */
+  private void addCrashSeries(List<Fault.Timed> plan, long end) {
+    long first = series.nextLong(CALM_MILLIS, end);
+    int waves = 1 + series.nextInt(MAX_WAVES);
+    for (int wave = 0; wave < waves; wave++) {
+      long at = Math.min(end - 1, first + wave * SERIES_GAP_MILLIS);
+      int offset = series.nextInt(sizes.executors());
+      for (int i = 0; i < Math.max(1, sizes.executors() / WAVE_DIVISOR); i++) {
+        int executor = 1 + (offset + i) % sizes.executors();
+        plan.add(new Fault.Timed(at, new Fault.CrashExecutor(executor)));
+      }
+    }
+  }
+
   private Fault killAll() {
     Set<Integer> all = IntStream.range(0, sizes.vms()).boxed().collect(Collectors.toSet());
     return new Fault.KillVms(all, random.nextLong(500, 2500));
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -30,6 +30,10 @@
     for (PlannedJob.Step step : job.steps()) {
       ObjectNode node = steps.addObject().put("count", step.count());
       node.put("cpu", CORES).put("memMb", MEMORY).put("estimateMs", 500);
+      step.placement().label().ifPresent(label -> node.put("requirements", label));
+      if (step.placement().maxPerExecutor() > 0) {
+        node.put("antiAffinity", step.placement().maxPerExecutor());
+      }
       if (!step.dependsOn().isEmpty()) {
         ArrayNode earlier = node.putArray("dependsOn");
         step.dependsOn().forEach(earlier::add);
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.fescuehook.bench.soak.judge.PlannedJob;
+import org.fescuehook.standins.platform.FleetStandIn;
 
 /** Draws the jobs of the callers from a seed. */
 final class JobMix {
@@ -36,6 +38,19 @@
 
   private static final int LATEST_CRASH_MILLIS = 400;
 
+  /** Part of the jobs with placement rules: more tasks than their limits leave room for. */
+  private static final double PLACED = 0.12;
+
+  private static final int MIN_PLACED_TASKS = 6;
+  private static final int MAX_PLACED_TASKS = 16;
+  private static final int MAX_PER_EXECUTOR = 2;
+
+  /** Part of the jobs with placement rules that need a label. */
+  private static final double LABELLED = 0.3;
+
+  private static final int MIN_PLACED_MILLIS = 300;
+  private static final int MAX_PLACED_MILLIS = 1000;
+
   private final SplittableRandom random;
 
   /** Drawn apart, so that a seed means the same jobs otherwise. */
@@ -43,6 +58,8 @@
 
   private final SplittableRandom longs;
 
+  private final SplittableRandom placements;
+
   private final double crashing;
 
   JobMix(long seed, SoakSizes.Plan plan) {
@@ -51,6 +68,7 @@
     this.random = new SplittableRandom(~seed);
     this.crashes = new SplittableRandom(seed);
     this.longs = new SplittableRandom(seed).split();
+    this.placements = new SplittableRandom(~seed).split();
   }
 
   /**
@@ -96,7 +114,31 @@
     long cancel = random.nextDouble() < CANCELLED ? random.nextLong(1, 2500) : 0;
     long repeat = random.nextDouble() < REPEATED ? random.nextLong(1000, 6000) : 0;
     Cancelling cancelling = cancel > 0 ? new Cancelling.Accepted(cancel) : new Cancelling.Never();
-    return lengthen(new Draw(new PlannedJob(id, spec, steps), cancelling, repeat));
+    return place(lengthen(new Draw(new PlannedJob(id, spec, steps), cancelling, repeat)));
+  }
+
+  /** Replaces some jobs by ones whose tasks may not run everywhere. */
+  private Draw place(Draw draw) {
+    boolean ordinary = draw.cancelling() instanceof Cancelling.Never && !draw.job().crashes();
+    if (placements.nextDouble() >= PLACED || !ordinary) {
+      return draw;
+    }
+    String id = draw.job().id();
+    int millis = placements.nextInt(MIN_PLACED_MILLIS, MAX_PLACED_MILLIS);
+    Optional<String> label =
+        placements.nextDouble() < LABELLED ? Optional.of(drawLabel()) : Optional.empty();
+    PlannedJob.Step step =
+        new PlannedJob.Step(
+            placements.nextInt(MIN_PLACED_TASKS, MAX_PLACED_TASKS),
+            List.of(),
+            new PlannedJob.Placement(label, 1 + placements.nextInt(MAX_PER_EXECUTOR)));
+    PlannedJob job = new PlannedJob(id, "run:" + millis + " job " + id, List.of(step));
+    return new Draw(job, draw.cancelling(), draw.repeatAfterMillis());
+  }
+
+  private String drawLabel() {
+    List<String> labels = FleetStandIn.labelsOfExecutor(1 + placements.nextInt(2));
+    return labels.get(placements.nextInt(labels.size()));
   }
 
   private Draw lengthen(Draw draw) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -1,6 +1,7 @@
 package org.fescuehook.bench.soak.judge;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
 
 /**
@@ -24,16 +25,33 @@
    *
    * @param count how many
    * @param dependsOn numbers of earlier steps that have to be done first
+   * @param placement where its tasks may run
    */
-  public record Step(int count, List<Integer> dependsOn) {
+  public record Step(int count, List<Integer> dependsOn, Placement placement) {
     /** Copies the list. */
     public Step {
       dependsOn = List.copyOf(dependsOn);
     }
+
+    /** Creates a step whose tasks may run anywhere. */
+    public Step(int count, List<Integer> dependsOn) {
+      this(count, dependsOn, Placement.ANYWHERE);
+    }
+  }
+
+  /**
+   * Where the tasks of a step may run.
+   *
+   * @param label label that an executor must have; empty for any executor
+   * @param maxPerExecutor largest number of tasks of the step on one executor; 0 for no limit
+   */
+  public record Placement(Optional<String> label, int maxPerExecutor) {
+    /** Permits any placement. */
+    public static final Placement ANYWHERE = new Placement(Optional.empty(), 0);
   }
 
   /** Tells whether its tasks crash the executors that start them. */
-  boolean crashes() {
+  public boolean crashes() {
     return spec.startsWith(CRASHES);
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -16,6 +16,8 @@
   NO_TASK_TWICE("no task runs twice at a time or after its noted end"),
   /** A step waits for the steps that it depends on. */
   ORDER("a step starts after the steps it depends on"),
+  /** A task starts only where its step allows it. */
+  PLACEMENT("a task starts only where the label and the limit of its step allow it"),
   /** A job is shown as completed only if it is. */
   COMPLETED_IS_TRUE("a job shown as completed has ended so"),
   /** Only what callers sent runs. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -20,11 +20,13 @@
   private final History history;
   private final Map<String, List<TaskRun>> runs;
   private final Findings findings;
+  private final PlacementCheck placementCheck;
 
   RunChecks(History history, Map<String, List<TaskRun>> runs, Findings findings) {
     this.history = history;
     this.runs = runs;
     this.findings = findings;
+    this.placementCheck = new PlacementCheck(runs, findings);
   }
 
   void check(PlannedJob job, List<JobCall> calls) {
@@ -40,6 +42,7 @@
         }
       }
     }
+    placementCheck.check(job);
     checkRefused(job, calls);
     checkCompleted(job, calls);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 class FaultPlanTest {
@@ -47,6 +49,20 @@
     assertEquals(Set.of(Fault.class.getPermittedSubclasses()).size(), kinds.size());
   }
 
+  @Test
+  void someRunsHaveExecutorsThatCrashTogetherSeveralTimes() {
+    long series = 0;
+    for (long seed = 0; seed < 50; seed++) {
+      Map<Long, Long> together =
+          FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6)).stream()
+              .filter(timed -> timed.fault() instanceof Fault.CrashExecutor)
+              .collect(Collectors.groupingBy(Fault.Timed::atMillis, Collectors.counting()));
+      series += together.values().stream().filter(count -> count > 1).count() > 1 ? 1 : 0;
+    }
+
+    assertTrue(series > 10, series + " of 50");
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -55,6 +55,22 @@
     return draw.job().spec().startsWith(PlannedJob.CRASHES);
   }
 
+  @Test
+  void eachKindOfPlacementRuleIsDrawn() {
+    List<PlannedJob.Placement> placements =
+        draws(7).stream()
+            .map(draw -> draw.job().steps().getFirst())
+            .filter(step -> step.count() > step.placement().maxPerExecutor())
+            .map(PlannedJob.Step::placement)
+            .toList();
+
+    for (int limit = 0; limit <= 2; limit++) {
+      int wanted = limit;
+      assertTrue(placements.stream().anyMatch(rule -> rule.maxPerExecutor() == wanted));
+    }
+    assertTrue(placements.stream().anyMatch(rule -> rule.label().isPresent()));
+  }
+
   @Test
   void mostJobsAreShort() {
     assertTrue(draws(7).stream().filter(draw -> millis(draw) < 1000).count() > 400);
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -41,6 +41,12 @@
     return this;
   }
 
+  /** Hands in a job with one step with success. */
+  HistoryBuilder accepted(String job, PlannedJob.Step step, long sent) {
+    jobs.add(new PlannedJob(job, spec(job), List.of(step)));
+    return call(Kind.SUBMIT, job, sent, 200, "");
+  }
+
   static String spec(String id) {
     return "run:100 " + id;
   }
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -88,6 +88,11 @@
     return new TaskExecutor(id, born, SLOTS, rate, offset, journal);
   }
 
+  /** Returns the labels of an executor, which all its incarnations have: its kind and its rack. */
+  static List<String> labels(int number) {
+    return List.of("kind-a", "rack-" + number % RACKS);
+  }
+
   StandInServer server() {
     return server;
   }
@@ -131,7 +136,7 @@
             SLOTS * MEMORY_MEGABYTES_PER_SLOT,
             "gpu",
             0));
-    entry.put("labels", List.of("kind-a", "rack-" + number % RACKS));
+    entry.put("labels", labels(number));
     store.putExecutor(executor.id(), Json.write(entry));
   }
 
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -57,6 +57,11 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** Returns the labels of an executor, which all its incarnations have: its kind and its rack. */
+  public static List<String> labelsOfExecutor(int number) {
+    return FleetMember.labels(number);
+  }
+
   @Override
   public void apply(FleetFaults faults) {
     for (int i = 0; i < members.size(); i++) {
