--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -16,6 +16,10 @@
   CONFIGURATION_IN_FORCE(8004, "Configuration {} in force: {} queues, {} organisations"),
   /** This VM is the owner but has not loaded all it needs; logged once a second. */
   TAKEOVER_UNDER_WAY(8005, "Take-over of epoch {} not complete after {} ms: waits for {}"),
+  /** This VM claims ownership. */
+  OWNERSHIP_CLAIMED(
+      8006,
+      "Ownership claimed after {} ms of silence; bounds: longest gap {} ms, usual gap {} ms, delay {} ms"),
   /** A job was accepted and stored. */
   JOB_ACCEPTED(
       8010,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -262,11 +262,22 @@
   }
 
   private void claim(BatchContext context) {
+    SilenceBounds bounds = timeouts.silenceBounds(context);
+    context.note(
+        BatchLogEvent.OWNERSHIP_CLAIMED,
+        millis(context.nowNanos() - silentSince),
+        millis(bounds.ofLongestGap()),
+        millis(bounds.ofUsualGap()),
+        millis(bounds.ofDelay()));
     sequence = claimSequence;
     clearUnconfirmed();
     append(OwnerRecord.Kind.CLAIM, end, context);
   }
 
+  private static long millis(long nanos) {
+    return Duration.ofNanos(nanos).toMillis();
+  }
+
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchContext context) {
     appending.begin(context);
     lastSentAt = context.nowNanos();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipTimeouts.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipTimeouts.java
@@ -158,12 +158,16 @@
 
   /** Returns the silence after which an owner is replaced. */
   long silenceNanos(BatchContext context) {
-    long ofHeartbeats =
-        Math.max(
-            HEARTBEATS_AT_LONGEST_GAP * heartbeatGaps.longest(context),
-            Math.round(HEARTBEATS_AT_USUAL_GAP * usualGapNanos));
-    long needed = Math.max(ofHeartbeats, heartbeatDelayNanos(context) + readTimes.longest(context));
-    return Math.clamp(needed, MIN_SILENCE_NANOS, MAX_SILENCE_NANOS);
+    SilenceBounds bounds = silenceBounds(context);
+    return Math.clamp(bounds.greatest(), MIN_SILENCE_NANOS, MAX_SILENCE_NANOS);
+  }
+
+  /** Returns the bounds from which the silence follows after which an owner is replaced. */
+  SilenceBounds silenceBounds(BatchContext context) {
+    return new SilenceBounds(
+        HEARTBEATS_AT_LONGEST_GAP * heartbeatGaps.longest(context),
+        Math.round(HEARTBEATS_AT_USUAL_GAP * usualGapNanos),
+        heartbeatDelayNanos(context) + readTimes.longest(context));
   }
 
   /**
