A dead owner is replaced in time once the store is fast again

What callers saw: nothing on the users' deployments. If the owner dies within seconds after the store was slow, the next one decided 5.0 to 6.1 s later (answers of 0.9 and 2 s before); leases of 6 s cannot be renewed then, and the stated limit is 4 s.

Gaps alone do not tell a store that is fast again from several late records at once. The owner knows: each record now carries how long the owner's append before it took until the store confirmed it. After three heartbeats in time with appends of 50 ms at most, the silence is limited to 3 s. What was learned is not discarded: the first heartbeat that is late or reports a slower append lifts the limit.

Tried and taken out: discarding the learned gaps after three such heartbeats.

A record of an earlier version reports nothing and limits nothing.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
@@ -20,7 +20,8 @@
             .setVm(record.vm().value())
             .setIncarnation(record.incarnation())
             .setAddress(record.address())
-            .setMilliCores(record.milliCores());
+            .setMilliCores(record.milliCores())
+            .setLastAppendMillis(record.lastAppendMillis());
     switch (record.kind()) {
       case CLAIM -> stored.setKind(StoredOwner.Kind.CLAIM);
       case HEARTBEAT -> stored.setKind(StoredOwner.Kind.HEARTBEAT).setEpoch(record.epoch());
@@ -48,7 +49,8 @@
           stored.getAddress(),
           epoch,
           offset,
-          stored.getMilliCores());
+          stored.getMilliCores(),
+          stored.getLastAppendMillis());
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       throw new UnreadableRecordException("owner record at offset " + offset, e);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
@@ -12,6 +12,8 @@
  * @param epoch epoch of the owner; for a claim its offset + 1
  * @param offset position in the stream
  * @param milliCores processing power of the VM, in thousandths of a core; 0 if unknown
+ * @param lastAppendMillis how long the VM's append before this one took until the store confirmed
+ *     it, in milliseconds rounded up; 0 if unknown
  */
 public record OwnerRecord(
     Kind kind,
@@ -20,7 +22,8 @@
     String address,
     long epoch,
     long offset,
-    int milliCores) {
+    int milliCores,
+    int lastAppendMillis) {
 
   /** The statement of a record. */
   public enum Kind {
@@ -44,7 +47,8 @@
         hint.address(),
         hint.epoch(),
         offset,
-        ProcessingPower.UNKNOWN);
+        ProcessingPower.UNKNOWN,
+        0);
   }
 
   /** Tells whether the given incarnation of a VM wrote the record. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -43,6 +43,8 @@
   /** Delay of such a claim; longer than that of any other VM, so that each claims first. */
   private static final long YIELD_DELAY_NANOS = Duration.ofMillis(2000).toNanos();
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   /** Offset of an owner reported by a peer before any record was read. */
   private static final long BEFORE_FIRST_OFFSET = -1;
 
@@ -81,6 +83,10 @@
   private long lastSentAt;
   private long firstSentAt;
   private OptionalLong confirmedAt = OptionalLong.empty();
+
+  /** How long the last append took until it was confirmed, repeats included; 0 if unknown. */
+  private long lastAppendNanos;
+
   private boolean retired;
   private boolean yielding;
   private OptionalLong yieldedAt = OptionalLong.empty();
@@ -137,7 +143,8 @@
     }
     boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
     if (!changed && silentSinceRecord) {
-      timeouts.heartbeatReceived(context.nowNanos() - silentSince, context);
+      long appendNanos = Duration.ofMillis(seen.lastAppendMillis()).toNanos();
+      timeouts.heartbeatReceived(context.nowNanos() - silentSince, appendNanos, context);
     }
     newest = record;
     restartSilence(true, context);
@@ -274,6 +281,10 @@
     append(OwnerRecord.Kind.CLAIM, end, context);
   }
 
+  private int lastAppendMillis() {
+    return Math.clamp(Math.ceilDiv(lastAppendNanos, NANOS_PER_MILLI), 0, Integer.MAX_VALUE);
+  }
+
   private static long millis(long nanos) {
     return Duration.ofNanos(nanos).toMillis();
   }
@@ -290,7 +301,14 @@
     long appendEpoch = epoch.orElseGet(() -> expectedEnd.getAsLong() + 1);
     OwnerRecord record =
         new OwnerRecord(
-            kind, self.vm(), self.incarnation(), self.address(), appendEpoch, 0, self.milliCores());
+            kind,
+            self.vm(),
+            self.incarnation(),
+            self.address(),
+            appendEpoch,
+            0,
+            self.milliCores(),
+            lastAppendMillis());
     KeyedRecord keyed = new KeyedRecord(OwnerCodec.KEY, Optional.of(OwnerCodec.encode(record)));
     context.add(
         new BatchCommand.Append(
@@ -334,6 +352,7 @@
     }
     boolean released = unconfirmed.equals(Optional.of(OwnerRecord.Kind.RELEASE));
     clearUnconfirmed();
+    lastAppendNanos = context.nowNanos() - firstSentAt;
     confirmedAt = OptionalLong.of(firstSentAt);
     sequence = position.sequence() + 1;
     boolean ending = retired || yielding;
@@ -361,6 +380,7 @@
     clearUnconfirmed();
     epoch = OptionalLong.of(won);
     sequence = claimSequence + 1;
+    lastAppendNanos = 0;
     confirmedAt = OptionalLong.of(firstSentAt);
     // Others have received nothing since the claim was sent, long ago if the store is slow.
     nextAppendAt = firstSentAt + OwnershipTimeouts.HEARTBEAT_NANOS;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipTimeouts.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipTimeouts.java
@@ -39,6 +39,13 @@
   /** Longest silence that is tolerated, however slow the store is; leases have expired by then. */
   private static final long MAX_SILENCE_NANOS = Duration.ofSeconds(12).toNanos();
 
+  /**
+   * Longest silence that is tolerated while the store is shown to be fast, whatever it was like
+   * before. A read with its pause, the claim and the load of the jobs follow it, and the first
+   * lease renewals then still fit into a lease of 6 s.
+   */
+  private static final long MAX_SILENCE_IN_FAST_STORE_NANOS = Duration.ofMillis(3000).toNanos();
+
   /**
    * Duration of a read from which on the store counts as slow for this VM; about 40 times the usual
    * 4 ms.
@@ -62,6 +69,22 @@
 
   private static final double SHORTER_GAP_WEIGHT = 1.0 / 8;
 
+  /**
+   * Longest append of the owner that shows a fast store; some five times the usual one. While the
+   * store loses answers, an append takes longer, since it is repeated.
+   */
+  private static final long FAST_APPEND_NANOS = Duration.ofMillis(50).toNanos();
+
+  /**
+   * Number of consecutive heartbeats in time, each of which reports a fast append, after which the
+   * store counts as fast again. Several records that were stored late may arrive in time as well,
+   * but their appends were slow.
+   */
+  private static final int FAST_HEARTBEATS = 3;
+
+  /** Longest gap between two heartbeats of which the second one is in time. */
+  private static final long IN_TIME_GAP_NANOS = 2 * HEARTBEAT_NANOS;
+
   /** Interval between reads while the store is fast: a pause, and the wait for a record. */
   private static final long READ_INTERVAL_NANOS = Duration.ofMillis(1400).toNanos();
 
@@ -85,6 +108,7 @@
   private long pausedNanos;
 
   private double usualGapNanos = HEARTBEAT_NANOS;
+  private int fastHeartbeats;
   private long lastAppendNanos;
 
   /**
@@ -128,11 +152,19 @@
     appendTimes.add(nanos, context);
   }
 
-  /** Records the gap between the last two heartbeats of the owner. */
-  void heartbeatReceived(long gapNanos, BatchContext context) {
+  /**
+   * Records a heartbeat of the owner.
+   *
+   * @param gapNanos time since the heartbeat before it
+   * @param appendNanos how long the owner's last append took, by its own measure; 0 if unknown
+   */
+  void heartbeatReceived(long gapNanos, long appendNanos, BatchContext context) {
     heartbeatGaps.add(gapNanos, context);
     double weight = gapNanos > usualGapNanos ? LONGER_GAP_WEIGHT : SHORTER_GAP_WEIGHT;
     usualGapNanos += weight * (gapNanos - usualGapNanos);
+    boolean fast =
+        appendNanos > 0 && appendNanos <= FAST_APPEND_NANOS && gapNanos <= IN_TIME_GAP_NANOS;
+    fastHeartbeats = fast ? fastHeartbeats + 1 : 0;
   }
 
   /**
@@ -158,8 +190,9 @@
 
   /** Returns the silence after which an owner is replaced. */
   long silenceNanos(BatchContext context) {
-    SilenceBounds bounds = silenceBounds(context);
-    return Math.clamp(bounds.greatest(), MIN_SILENCE_NANOS, MAX_SILENCE_NANOS);
+    boolean fastStore = fastHeartbeats >= FAST_HEARTBEATS;
+    long longest = fastStore ? MAX_SILENCE_IN_FAST_STORE_NANOS : MAX_SILENCE_NANOS;
+    return Math.clamp(silenceBounds(context).greatest(), MIN_SILENCE_NANOS, longest);
   }
 
   /** Returns the bounds from which the silence follows after which an owner is replaced. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -41,10 +41,37 @@
   private static void readRecord(
       OwnershipDuty duty, long millis, OwnerRecord.Kind kind, long offset, int milliCores) {
     OwnerRecord record =
-        new OwnerRecord(kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, milliCores);
+        new OwnerRecord(
+            kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, milliCores, 0);
     duty.read(Optional.of(record), offset + 1, at(millis));
   }
 
+  /** Lets the duty read a heartbeat that reports how long the append before it took. */
+  private void readHeartbeat(long millis, long offset, int lastAppendMillis) {
+    OwnerRecord record =
+        new OwnerRecord(
+            OwnerRecord.Kind.HEARTBEAT,
+            new VmId("vm-2"),
+            "start-1",
+            "10.0.0.2:7000",
+            1,
+            offset,
+            USUAL_MILLI_CORES,
+            lastAppendMillis);
+    duty.read(Optional.of(record), offset + 1, at(millis));
+  }
+
+  /** Heartbeats 2.5 s apart, and then three that are half a second apart, until 11.5 s. */
+  private void readHeartbeatsAfterASlowStore(int lastAppendMillis) {
+    readRecord(0, OwnerRecord.Kind.CLAIM, 0);
+    for (int heartbeat = 1; heartbeat <= 4; heartbeat++) {
+      readHeartbeat(2500L * heartbeat, heartbeat, 2000);
+    }
+    for (int heartbeat = 1; heartbeat <= 3; heartbeat++) {
+      readHeartbeat(10_000 + 500L * heartbeat, 4 + heartbeat, lastAppendMillis);
+    }
+  }
+
   private boolean claims(long millis) {
     return claims(duty, millis);
   }
@@ -62,6 +89,35 @@
     assertTrue(claims(3100));
   }
 
+  /** Guards against a late takeover from an owner that dies once the store is fast again. */
+  @Test
+  void silenceIsShortOnceTheOwnersAppendsAreFastAgain() {
+    readHeartbeatsAfterASlowStore(10);
+    assertFalse(claims(14_400));
+    assertTrue(claims(14_600));
+  }
+
+  /** Late records may arrive in time for a while although the store is still slow. */
+  @Test
+  void silenceStaysLongWhileTheOwnersAppendsAreSlow() {
+    readHeartbeatsAfterASlowStore(480);
+    assertFalse(claims(16_400));
+  }
+
+  /** An owner of an earlier version does not report how long its appends took. */
+  @Test
+  void silenceStaysLongIfTheOwnerDoesNotReportItsAppends() {
+    readHeartbeatsAfterASlowStore(0);
+    assertFalse(claims(16_400));
+  }
+
+  @Test
+  void oneSlowAppendMakesTheSilenceLongAgain() {
+    readHeartbeatsAfterASlowStore(10);
+    readHeartbeat(12_000, 8, 480);
+    assertFalse(claims(16_900));
+  }
+
   /**
    * Guards against a long outage: an owner that was cut off from the store refused all submissions
    * until its silence had lasted the full time.
