--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -31,13 +31,13 @@
   /** A return of all VMs in a slow store needs this much time to be judged. */
   private static final long RETURN_MILLIS = 36_000;
 
-  /** Crashes of a series come at this distance. */
+  /** Time between two waves of a series of crashes. */
   private static final long SERIES_GAP_MILLIS = 2000;
 
   private static final int MAX_WAVES = 5;
 
-  /** Part of the executors that crashes with each wave of a series. */
-  private static final int WAVE_DIVISOR = 3;
+  /** One in this many executors crashes with each wave. */
+  private static final int EXECUTORS_PER_CRASH = 3;
 
   private final SplittableRandom random;
 
@@ -117,7 +117,7 @@
     for (int wave = 0; wave < waves; wave++) {
       long at = Math.min(end - 1, first + wave * SERIES_GAP_MILLIS);
       int offset = series.nextInt(sizes.executors());
-      for (int i = 0; i < Math.max(1, sizes.executors() / WAVE_DIVISOR); i++) {
+      for (int i = 0; i < Math.max(1, sizes.executors() / EXECUTORS_PER_CRASH); i++) {
         int executor = 1 + (offset + i) % sizes.executors();
         plan.add(new Fault.Timed(at, new Fault.CrashExecutor(executor)));
       }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CancelHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CancelHistoriesTest.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.fescuehook.model.fleet.VmId;
 import org.junit.jupiter.api.Test;
@@ -12,8 +11,7 @@
  */
 class CancelHistoriesTest {
 
-  private static final int HISTORIES = Integer.getInteger("histories", 60);
-  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final int HISTORIES = 60;
   private static final long DAY_MILLIS = 30_000;
 
   @Test
@@ -28,14 +26,7 @@
   }
 
   private static void playAll(boolean reordering) {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      List<String> faults = new ArrayList<>();
-      try {
-        play(seed, reordering, faults);
-      } catch (AssertionError | RuntimeException e) {
-        throw new AssertionError("seed " + seed + ", faults " + faults, e);
-      }
-    }
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, reordering, faults));
   }
 
   private static void play(long seed, boolean reordering, List<String> faults) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingHistoriesTest.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -18,8 +17,7 @@
  */
 class CrashingHistoriesTest {
 
-  private static final int HISTORIES = Integer.getInteger("histories", 60);
-  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final int HISTORIES = 60;
   private static final long DAY_MILLIS = 30_000;
 
   /**
@@ -32,18 +30,14 @@
 
   @Test
   void noHistoryOfCrashesBreaksAPromise() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      check(seed);
-    }
+    Histories.playAll(HISTORIES, this::play);
   }
 
   /** A crash is recognised by the reported start time of the executor, as its id stays the same. */
   @Test
   void noHistoryOfCrashesBreaksAPromiseWhereExecutorsKeepTheirIds() {
     idsKept = true;
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      check(seed);
-    }
+    Histories.playAll(HISTORIES, this::play);
   }
 
   /**
@@ -55,7 +49,7 @@
   @ParameterizedTest
   @ValueSource(longs = {31, 242, 2026, 2678})
   void aSeedThatOnceBrokeAPromisePasses(long seed) {
-    check(seed);
+    Histories.play(seed, this::play);
   }
 
   /**
@@ -64,20 +58,11 @@
    */
   @Test
   void startsSentToExecutorsThatAreDownDoNotFailATask() {
-    check(10_851);
-  }
-
-  private void check(long seed) {
-    List<String> faults = new ArrayList<>();
-    try {
-      crashing.clear();
-      play(seed, faults);
-    } catch (AssertionError | RuntimeException e) {
-      throw new AssertionError("seed " + seed + ", faults " + faults, e);
-    }
+    Histories.play(10_851, this::play);
   }
 
   private void play(long seed, List<String> faults) {
+    crashing.clear();
     BatchCluster cluster = new BatchCluster(4, 12, seed);
     if (idsKept) {
       cluster.crashes.reportStartTimes();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/PlacementHistoriesTest.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.fescuehook.model.batch.ExecutorProfile;
@@ -16,8 +15,7 @@
  */
 class PlacementHistoriesTest {
 
-  private static final int HISTORIES = Integer.getInteger("histories", 30);
-  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final int HISTORIES = 30;
   private static final long DAY_MILLIS = 30_000;
   private static final String OTHER_POOL = "other";
 
@@ -37,23 +35,16 @@
   @ParameterizedTest
   @EnumSource(Trouble.class)
   void noStartBreaksAPlacementRule(Trouble trouble) {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      List<String> log = new ArrayList<>();
-      try {
-        play(seed, trouble, log);
-      } catch (AssertionError | RuntimeException e) {
-        throw new AssertionError("seed " + seed + ", trouble " + log, e);
-      }
-    }
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, trouble, faults));
   }
 
-  private static void play(long seed, Trouble trouble, List<String> log) {
+  private static void play(long seed, Trouble trouble, List<String> faults) {
     BatchCluster cluster = new BatchCluster(3, 8, seed);
     cluster.crashes.reportStartTimes();
     scheduleJobs(cluster, trouble);
     for (int i = 0; i < 4; i++) {
       long at = 3000L + cluster.random.nextInt(20_000);
-      cluster.in(at, () -> log.add(cause(cluster, trouble) + " at " + cluster.nowMillis()));
+      cluster.in(at, () -> faults.add(cause(cluster, trouble) + " at " + cluster.nowMillis()));
     }
     cluster.run(DAY_MILLIS);
     if (trouble == Trouble.CONFIGURATIONS) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RandomBatchHistoriesTest.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
@@ -13,20 +12,12 @@
  */
 class RandomBatchHistoriesTest {
 
-  private static final int HISTORIES = Integer.getInteger("histories", 60);
-  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final int HISTORIES = 60;
   private static final long DAY_MILLIS = 30_000;
 
   @Test
   void noHistoryOfFaultsBreaksAPromise() {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      List<String> faults = new ArrayList<>();
-      try {
-        play(seed, faults);
-      } catch (AssertionError | RuntimeException e) {
-        throw new AssertionError("seed " + seed + ", faults " + faults, e);
-      }
-    }
+    Histories.playAll(HISTORIES, RandomBatchHistoriesTest::play);
   }
 
   private static void play(long seed, List<String> faults) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartHistoriesTest.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
@@ -16,8 +15,7 @@
  */
 class RestartHistoriesTest {
 
-  private static final int HISTORIES = Integer.getInteger("histories", 60);
-  private static final long FIRST_SEED = Long.getLong("seed", 1);
+  private static final int HISTORIES = 60;
   private static final long DAY_MILLIS = 30_000;
 
   /** Differences of the new incarnation's clock from the time of the cluster, in milliseconds. */
@@ -55,14 +53,7 @@
   }
 
   private static void playAll(Function<BatchCluster, String> beside) {
-    for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-      List<String> faults = new ArrayList<>();
-      try {
-        play(seed, beside, faults);
-      } catch (AssertionError | RuntimeException e) {
-        throw new AssertionError("seed " + seed + ", faults " + faults, e);
-      }
-    }
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, beside, faults));
   }
 
   private static void play(long seed, Function<BatchCluster, String> beside, List<String> faults) {
