Split the silence of the owner from OwnershipDuty

OwnerSilence measures the silence, keeps the suspicion and chooses the timeout; OwnershipDuty decides. No behaviour changes.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -22,9 +22,6 @@
  */
 public final class OwnershipDuty {
 
-  /** Duration of a suspicion of the owner; calls renew it several times a second. */
-  private static final long SUSPICION_NANOS = Duration.ofMillis(1500).toNanos();
-
   /** Pause before a claim or heartbeat that was not stored is repeated. */
   private static final long RETRY_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -57,15 +54,10 @@
   private final long claimSequence;
 
   private final OwnershipTimeouts timeouts = new OwnershipTimeouts();
+  private final OwnerSilence silence = new OwnerSilence(timeouts);
   private Optional<OwnerRecord> newest = Optional.empty();
   private OptionalLong end = OptionalLong.empty();
   private OptionalLong epoch = OptionalLong.empty();
-  private long silentSince;
-
-  /** Whether the silence began with a record of the owner. */
-  private boolean silentSinceRecord;
-
-  private OptionalLong suspectedAt = OptionalLong.empty();
   private long sequence;
   private boolean readable;
   private final PendingCall appending = new PendingCall(PendingCall.APPEND_TIMEOUT);
@@ -131,7 +123,7 @@
     end = OptionalLong.of(Math.max(streamEnd, end.orElse(0)));
     readable = true;
     if (timeouts.readOverdue(context)) {
-      restartSilence(false, context);
+      silence.restart(context);
     }
     timeouts.readCompleted(context);
     if (record.isEmpty()) {
@@ -142,13 +134,8 @@
       return;
     }
     boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
-    if (!changed && silentSinceRecord) {
-      long appendNanos = Duration.ofMillis(seen.lastAppendMillis()).toNanos();
-      timeouts.heartbeatReceived(context.nowNanos() - silentSince, appendNanos, context);
-    }
     newest = record;
-    restartSilence(true, context);
-    suspectedAt = OptionalLong.empty();
+    silence.recordRead(seen, !changed, context);
     if (changed) {
       context.note(BatchLogEvent.OWNER_SEEN, seen.vm(), seen.epoch(), seen.kind());
     }
@@ -165,12 +152,7 @@
   public void readFailed(BatchContext context) {
     readable = false;
     timeouts.readFailed(context);
-    restartSilence(false, context);
-  }
-
-  private void restartSilence(boolean byRecord, BatchContext context) {
-    silentSince = context.nowNanos();
-    silentSinceRecord = byRecord;
+    silence.restart(context);
   }
 
   /** Returns the owner to report to peers: this VM, or the one it knows. */
@@ -192,8 +174,7 @@
     }
     long offset = newest.map(OwnerRecord::offset).orElse(BEFORE_FIRST_OFFSET);
     newest = Optional.of(OwnerRecord.fromHint(hint, offset));
-    restartSilence(false, context);
-    suspectedAt = OptionalLong.empty();
+    silence.restartForNewOwner(context);
     context.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
     if (epoch.isPresent()) {
       loseOwnership(context, "a peer knows " + hint.vm() + " at epoch " + hint.epoch());
@@ -203,7 +184,7 @@
   /** Records that the owner has shown that it currently makes no decisions. */
   public void ownerSuspected(BatchContext context) {
     if (epoch.isEmpty()) {
-      suspectedAt = OptionalLong.of(context.nowNanos());
+      silence.suspected(context);
     }
   }
 
@@ -236,7 +217,7 @@
     if (epoch.isPresent() || !another) {
       return Duration.ZERO;
     }
-    return OwnershipTimeouts.minTimeToClaim(nowNanos - silentSince);
+    return OwnershipTimeouts.minTimeToClaim(silence.nanos(nowNanos));
   }
 
   private boolean mayClaim(BatchContext context) {
@@ -255,27 +236,15 @@
     boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
     boolean muchWeaker = ProcessingPower.muchStronger(owner.milliCores(), self.milliCores());
     long delay =
-        (released ? 0 : silenceTimeoutNanos(context))
+        (released ? 0 : silence.timeoutNanos(context))
             + (muchWeaker ? WEAKER_VM_DELAY_NANOS : 0)
             + (yielded ? YIELD_DELAY_NANOS : 0);
     return delay == 0
-        || (context.nowNanos() - silentSince > delay && !timeouts.readOverdue(context));
-  }
-
-  private long silenceTimeoutNanos(BatchContext context) {
-    boolean suspected =
-        suspectedAt.isPresent() && context.nowNanos() - suspectedAt.getAsLong() < SUSPICION_NANOS;
-    return suspected ? timeouts.suspectedSilenceNanos(context) : timeouts.silenceNanos(context);
+        || (silence.nanos(context.nowNanos()) > delay && !timeouts.readOverdue(context));
   }
 
   private void claim(BatchContext context) {
-    SilenceBounds bounds = timeouts.silenceBounds(context);
-    context.note(
-        BatchLogEvent.OWNERSHIP_CLAIMED,
-        millis(context.nowNanos() - silentSince),
-        millis(bounds.ofLongestGap()),
-        millis(bounds.ofUsualGap()),
-        millis(bounds.ofDelay()));
+    silence.noteClaim(context);
     sequence = claimSequence;
     clearUnconfirmed();
     append(OwnerRecord.Kind.CLAIM, end, context);
@@ -285,10 +254,6 @@
     return Math.clamp(Math.ceilDiv(lastAppendNanos, NANOS_PER_MILLI), 0, Integer.MAX_VALUE);
   }
 
-  private static long millis(long nanos) {
-    return Duration.ofNanos(nanos).toMillis();
-  }
-
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchContext context) {
     appending.begin(context);
     lastSentAt = context.nowNanos();
@@ -370,7 +335,7 @@
   private void superseded(WriterPosition position, String cause, BatchContext context) {
     // Another claim was stored first; its record is read before this VM may claim again.
     nextAppendAt = context.nowNanos() + timeouts.claimPauseNanos(context);
-    restartSilence(false, context);
+    silence.restart(context);
     if (epoch.isPresent() && epoch.getAsLong() == position.epoch()) {
       loseOwnership(context, cause);
     }
@@ -396,7 +361,7 @@
     clearUnconfirmed();
     epoch = OptionalLong.empty();
     confirmedAt = OptionalLong.empty();
-    restartSilence(false, context);
+    silence.restart(context);
   }
 
   /** Ends ownership that was lost in another stream, or that is given up because of a fault. */
