--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerSilence.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerSilence.java
@@ -29,8 +29,8 @@
     sinceRecord = false;
   }
 
-  /** Measures the silence anew from now on, since another owner has become known. */
-  void restartForNewOwner(BatchContext context) {
+  /** Measures the silence anew from now on, as there is news of the owner; ends a suspicion. */
+  void restartByNews(BatchContext context) {
     restart(context);
     suspectedAt = OptionalLong.empty();
   }
@@ -45,7 +45,7 @@
       long appendNanos = Duration.ofMillis(record.lastAppendMillis()).toNanos();
       timeouts.heartbeatReceived(nanos(context.nowNanos()), appendNanos, context);
     }
-    restartForNewOwner(context);
+    restartByNews(context);
     sinceRecord = true;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -174,7 +174,7 @@
     }
     long offset = newest.map(OwnerRecord::offset).orElse(BEFORE_FIRST_OFFSET);
     newest = Optional.of(OwnerRecord.fromHint(hint, offset));
-    silence.restartForNewOwner(context);
+    silence.restartByNews(context);
     context.note(BatchLogEvent.OWNER_SEEN, hint.vm(), hint.epoch(), "peer's word");
     if (epoch.isPresent()) {
       loseOwnership(context, "a peer knows " + hint.vm() + " at epoch " + hint.epoch());
