The check of placement rules counts tasks only for steps with a limit

PlacementRuleCheck counted the running tasks of a step at each confirmed start, also for the many steps without a limit, by a method of ExecutorState that nothing else used; the count moves into the check, behind the limit. OwnershipDuty and OwnershipTimeouts both had a field lastAppendNanos, of which one counts from the first send of an append and the other from its last; the first is confirmationNanos now.

No behaviour changes: reports, records and tests stay as they were.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -138,12 +138,6 @@
     return (int) runs.values().stream().filter(run -> run.step() == step).count();
   }
 
-  /** Returns how many tasks of a step this executor has confirmed to run. */
-  int countRunningTasks(StepProgress step) {
-    return (int)
-        runs.values().stream().filter(run -> run.step() == step && run.seenRunning()).count();
-  }
-
   /** Finds a run that may be alive on this executor. */
   public Optional<LiveRun> run(TaskRun run) {
     return Optional.ofNullable(runs.get(run));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/PlacementRuleCheck.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/PlacementRuleCheck.java
@@ -17,10 +17,8 @@
   /** Checks a run that its executor is now known to have started. */
   static void check(ExecutorState executor, LiveRun run, BatchContext context) {
     PlacementRule rule = run.step().spec().placement();
-    int tasks = executor.countRunningTasks(run.step());
-    if (rule.maxPerExecutor() > 0 && tasks > rule.maxPerExecutor()) {
-      String detail = tasks + " of its tasks run there, limit " + rule.maxPerExecutor();
-      report(run, "max-per-executor", detail, context);
+    if (rule.maxPerExecutor() > 0) {
+      checkLimit(executor, run, rule.maxPerExecutor(), context);
     }
     Optional<String> label = rule.label();
     if (label.isPresent() && !executor.profile().labels().contains(label.get())) {
@@ -28,6 +26,18 @@
     }
   }
 
+  private static void checkLimit(
+      ExecutorState executor, LiveRun run, int limit, BatchContext context) {
+    long tasks =
+        executor.runs().stream()
+            .filter(other -> other.step() == run.step() && other.seenRunning())
+            .count();
+    if (tasks > limit) {
+      String detail = tasks + " of its tasks run there, limit " + limit;
+      report(run, "max-per-executor", detail, context);
+    }
+  }
+
   private static void report(LiveRun run, String rule, String detail, BatchContext context) {
     context.note(BatchLogEvent.PLACEMENT_RULE_BROKEN, run.run(), run.incarnation(), detail);
     context.count("fescuehook.batch.placement.rules.broken", "rule", rule);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -77,7 +77,7 @@
   private OptionalLong confirmedAt = OptionalLong.empty();
 
   /** How long the last append took until it was confirmed, repeats included; 0 if unknown. */
-  private long lastAppendNanos;
+  private long confirmationNanos;
 
   private boolean retired;
   private boolean yielding;
@@ -251,7 +251,7 @@
   }
 
   private int lastAppendMillis() {
-    return Math.clamp(Math.ceilDiv(lastAppendNanos, NANOS_PER_MILLI), 0, Integer.MAX_VALUE);
+    return Math.clamp(Math.ceilDiv(confirmationNanos, NANOS_PER_MILLI), 0, Integer.MAX_VALUE);
   }
 
   private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchContext context) {
@@ -317,7 +317,7 @@
     }
     boolean released = unconfirmed.equals(Optional.of(OwnerRecord.Kind.RELEASE));
     clearUnconfirmed();
-    lastAppendNanos = context.nowNanos() - firstSentAt;
+    confirmationNanos = context.nowNanos() - firstSentAt;
     confirmedAt = OptionalLong.of(firstSentAt);
     sequence = position.sequence() + 1;
     boolean ending = retired || yielding;
@@ -345,7 +345,7 @@
     clearUnconfirmed();
     epoch = OptionalLong.of(won);
     sequence = claimSequence + 1;
-    lastAppendNanos = 0;
+    confirmationNanos = 0;
     confirmedAt = OptionalLong.of(firstSentAt);
     // Others have received nothing since the claim was sent, long ago if the store is slow.
     nextAppendAt = firstSentAt + OwnershipTimeouts.HEARTBEAT_NANOS;
