The scripted server of the tests refuses connections once it is closed

Cause: ServerSocket.close returns while the accepting thread may still be in the call to accept, and the kernel goes on accepting until that thread has left it. The product is not concerned.

--- a/fescuehook/src/test/java/org/fescuehook/net/http/ScriptedServer.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/http/ScriptedServer.java
@@ -30,10 +30,11 @@
   private final Queue<String> requests = new ConcurrentLinkedQueue<>();
   private final Queue<Socket> connections = new ConcurrentLinkedQueue<>();
   private final AtomicInteger accepted = new AtomicInteger();
+  private final Thread acceptor;
 
   /** Opens the server on a free port of the loopback. */
   public ScriptedServer() throws IOException {
-    start(this::acceptAll);
+    acceptor = start(this::acceptAll);
   }
 
   /** The reaction to a request. */
@@ -71,14 +72,25 @@
     return accepted.get();
   }
 
+  /** Closes the server; once this returns, connections to its address are refused. */
   @Override
   public void close() throws IOException {
     server.close();
+    awaitAcceptor();
     for (Socket connection : connections) {
       connection.close();
     }
   }
 
+  /** The kernel accepts connections for as long as a thread is still in a call to accept. */
+  private void awaitAcceptor() throws IOException {
+    try {
+      acceptor.join();
+    } catch (InterruptedException e) {
+      throw new InterruptedIOException(e.getMessage());
+    }
+  }
+
   private void acceptAll() {
     try {
       while (!server.isClosed()) {
@@ -152,9 +164,10 @@
     return head.substring(0, head.indexOf(" HTTP/1.1")) + " " + body;
   }
 
-  private static void start(Runnable task) {
+  private static Thread start(Runnable task) {
     Thread thread = new Thread(task, "scripted-server");
     thread.setDaemon(true);
     thread.start();
+    return thread;
   }
 }
