Failing tests: evacuated failure domains are not respected

Operators write op/evacuate/DOMAIN to ask that nothing more be started in a failure domain.

BatchEvent.EvacuationsRead is the event by which the adapter will tell the core; the core ignores it. ClusterEvacuations plays the operators for a BatchCluster: VMs read the set while they reach the store, and each start order is checked against what its VM knows, and against the bound of 5 s for a VM in touch.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -118,6 +118,7 @@
     switch (event) {
       case BatchEvent.Called called -> handleCall(called, context);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, context);
+      case BatchEvent.EvacuationsRead evacuations -> {}
       case BatchEvent.Appended(var stream, var position, var outcome) ->
           appended(stream, position, outcome, context);
       case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
@@ -15,6 +17,7 @@
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
 
 /** An event that {@link BatchCore} applies. */
 public sealed interface BatchEvent {
@@ -29,6 +32,24 @@
   /** A configuration was read; it is ignored unless it is newer than the one in force. */
   record ConfigurationRead(BatchConfiguration configuration) implements BatchEvent {}
 
+  /**
+   * The evacuated failure domains were read. Operators evacuate a failure domain so that no run
+   * starts there until they give it back; runs that are alive there continue.
+   *
+   * @param domains all evacuated failure domains, which replace those known so far
+   * @param streamEnd offset after the last record that was read of the operators' stream
+   * @param unreadNanos time since the previous read of that stream, which bounds the age of a
+   *     change; empty for the first read
+   */
+  record EvacuationsRead(Set<FailureDomain> domains, long streamEnd, OptionalLong unreadNanos)
+      implements BatchEvent {
+
+    /** Copies the set. */
+    public EvacuationsRead {
+      domains = Set.copyOf(domains);
+    }
+  }
+
   /** An append ended, see {@link BatchCommand.Append}. */
   record Appended(StreamName stream, WriterPosition position, AppendOutcome outcome)
       implements BatchEvent {}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
@@ -22,6 +23,7 @@
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.VmId;
 
 /** VMs, the shared store and executors on a virtual clock, with faults injected between them. */
@@ -56,6 +58,7 @@
   final ClusterFaults faults = new ClusterFaults();
   final ClusterOrders orders = new ClusterOrders(this);
   final ClusterCrashes crashes = new ClusterCrashes(this);
+  final ClusterEvacuations evacuations = new ClusterEvacuations(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
   final Random random;
@@ -75,6 +78,10 @@
     BatchCore core;
     boolean running = true;
     boolean frozen;
+
+    /** The evacuated failure domains that this VM has read of; a VM that starts knows none. */
+    Set<FailureDomain> evacuationsRead = Set.of();
+
     final Map<StreamName, ResponseTimeEstimator> answerTimes = new EnumMap<>(StreamName.class);
     private final ResponseTimeEstimator readTimes =
         new ResponseTimeEstimator(RepeatedAppend.NEVER_LATE);
@@ -222,6 +229,7 @@
 
   private void tick(Vm vm) {
     if (vm.running) {
+      evacuations.read(vm);
       vm.deliver(new BatchEvent.Tick());
       in(50, () -> tick(vm));
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -39,6 +39,9 @@
     sent.merge(id, 1, Integer::sum);
     boolean start = command.order() instanceof BatchCommand.ExecutorOrder.Start;
     starts += start ? 1 : 0;
+    if (command.order() instanceof BatchCommand.ExecutorOrder.Start order) {
+      cluster.evacuations.checkOrder(vm, order.run(), command.executor());
+    }
     if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
       faults.lostStopCount++;
       unanswered(vm, command, 600, "timeout");
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -154,6 +154,20 @@
         0);
   }
 
+  /** Returns the same executor in another failure domain. */
+  static ExecutorProfile inDomain(ExecutorProfile profile, FailureDomain domain) {
+    return new ExecutorProfile(
+        profile.incarnation(),
+        profile.address(),
+        profile.pool(),
+        domain,
+        profile.rack(),
+        profile.labels(),
+        profile.capacity(),
+        profile.leaving(),
+        profile.remainingMillis());
+  }
+
   static ExecutorProfile withCapacity(ExecutorProfile profile, ResourceVector capacity) {
     return new ExecutorProfile(
         profile.incarnation(),
