Nothing is started in an evacuated failure domain

What callers saw: tasks were started in a failure domain that operators had evacuated, up to the end of the evacuation. Cause: nothing in the product read op/evacuate/DOMAIN.

The adapter keeps the set of evacuated domains by the operators' topic, which each VM follows already: the newest record of each key replaces the set, so a removal that expired unread counts; records that a page includes already change nothing. The record stands whatever its content. The core keeps the set apart from ownership and gives it to each owner it becomes. A VM that has not read it claims nothing and decides nothing.

An executor of an evacuated domain is not usable, so that no plan, preemption, move, request for advice or share counts it. A placement there whose start was not ordered is given up at once and does not count as a run; a gang is given up whole. An unanswered start is not ordered again; whether it runs is settled by its stop or the lease, as before. Runs that are under way continue. A domain that is given back is planned at once.

Seen from outside: 8041 at each change with the offset and how long it may have been unread, 8042 for a domain without executors, 8043 for a step that fits only with the domain (explain-log names that stage), the page /status, the gauge fescuehook.batch.domains.evacuated.

--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -108,6 +108,7 @@
   void takeOver() {
     JobQueue queue = new JobQueue(QUEUE, "pool", 2, 2, 3, 3000, false, false);
     BatchOrganisation holder = new BatchOrganisation("north", Set.of(KEY), 0);
+    events.add(new BatchEvent.EvacuationsRead(Set.of(), 0, OptionalLong.empty()));
     events.add(
         new BatchEvent.ConfigurationRead(
             new BatchConfiguration(1, Map.of(QUEUE, queue), List.of(holder))));
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -150,7 +150,8 @@
   }
 
   private void publishView() {
-    OwnerView newView = new OwnerView(core.deciding(), core.ownerHint(), core.handedOver());
+    OwnerView newView =
+        new OwnerView(core.deciding(), core.ownerHint(), core.handedOver(), core.evacuated());
     if (!newView.equals(view)) {
       view = newView;
       views.accept(newView);
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -1,6 +1,7 @@
 package org.fescuehook.entry.scheduler;
 
 import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
@@ -12,6 +13,7 @@
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -89,7 +91,12 @@
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
     this.metrics =
         new StatusServer(
-            loops, Map.of("/metrics", () -> new StatusServer.Page(true, meters.scrape())));
+            loops,
+            Map.of(
+                "/metrics", () -> new StatusServer.Page(true, meters.scrape()),
+                "/status", () -> new StatusServer.Page(true, gateway.view().page())));
+    Gauge.builder("fescuehook.batch.domains.evacuated", gateway, SchedulerProgram::evacuated)
+        .register(meters);
     this.store =
         new PlatformStore(
             loop,
@@ -154,6 +161,10 @@
         ManagementFactory.getRuntimeMXBean().getUptime());
   }
 
+  private static double evacuated(CallGateway gateway) {
+    return gateway.view().evacuated().map(Set::size).orElse(0);
+  }
+
   private StatusServer.Page ready() {
     if (stopStarted.get()) {
       return new StatusServer.Page(false, "stopping");
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
@@ -20,6 +21,7 @@
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
 
 /**
@@ -47,6 +49,7 @@
   private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
   private boolean executorsRead;
   private Optional<BatchConfiguration> configuration = Optional.empty();
+  private Optional<Set<FailureDomain>> evacuated = Optional.empty();
   private Optional<Takeover> takeover = Optional.empty();
   private Optional<BatchOwner> owner = Optional.empty();
   private OptionalLong stoppingSince = OptionalLong.empty();
@@ -108,6 +111,11 @@
     return owner.isPresent();
   }
 
+  /** Returns the evacuated failure domains; empty until they have been read. */
+  public Optional<Set<FailureDomain>> evacuated() {
+    return evacuated;
+  }
+
   /** Returns whether this VM, after {@link BatchEvent.StopBegun}, no longer holds ownership. */
   public boolean handedOver() {
     return retired && ownership.epoch().isEmpty();
@@ -118,7 +126,7 @@
     switch (event) {
       case BatchEvent.Called called -> handleCall(called, context);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, context);
-      case BatchEvent.EvacuationsRead evacuations -> {}
+      case BatchEvent.EvacuationsRead read -> evacuationsRead(read, context);
       case BatchEvent.Appended(var stream, var position, var outcome) ->
           appended(stream, position, outcome, context);
       case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, context);
@@ -168,6 +176,23 @@
     owner.ifPresent(owning -> owning.configure(newer));
   }
 
+  private void evacuationsRead(BatchEvent.EvacuationsRead read, BatchContext context) {
+    Set<FailureDomain> before = evacuated.orElse(Set.of());
+    evacuated = Optional.of(read.domains());
+    if (before.equals(read.domains())) {
+      return;
+    }
+    context.note(
+        BatchLogEvent.EVACUATIONS_CHANGED,
+        read.domains().stream().sorted().toList(),
+        before.stream().sorted().toList(),
+        read.streamEnd(),
+        read.unreadNanos().isPresent()
+            ? Duration.ofNanos(read.unreadNanos().getAsLong()).toMillis() + " ms"
+            : "an unknown time");
+    owner.ifPresent(owning -> owning.evacuate(read.domains(), context));
+  }
+
   private void appended(
       StreamName stream, WriterPosition position, AppendOutcome outcome, BatchContext context) {
     if (stream == StreamName.OWNERSHIP) {
@@ -209,8 +234,9 @@
       ownership.abandon("fenced", context);
     }
     retireIfStopping(context);
-    // Without a configuration this VM could not schedule, so it does not claim ownership either.
-    if (configuration.isPresent() || ownership.epoch().isPresent()) {
+    // Without these this VM could not schedule, so it does not claim ownership either.
+    boolean informed = configuration.isPresent() && evacuated.isPresent();
+    if (informed || ownership.epoch().isPresent()) {
       ownership.step(context);
     }
     followOwnership(context);
@@ -266,12 +292,24 @@
     }
   }
 
+  /** Returns what this VM lacks besides the jobs to decide as the owner; empty if nothing. */
+  private Optional<String> missingToDecide() {
+    if (!executorsRead) {
+      return Optional.of("executors");
+    }
+    if (configuration.isEmpty()) {
+      return Optional.of("a configuration");
+    }
+    return evacuated.isEmpty() ? Optional.of("evacuated failure domains") : Optional.empty();
+  }
+
   private void startOwnerIfLoaded(BatchContext context) {
     if (takeover.isEmpty()) {
       return;
     }
-    if (!takeover.get().loaded() || !executorsRead || configuration.isEmpty()) {
-      takeover.get().logProgress(executorsRead ? "a configuration" : "executors", context);
+    Optional<String> missing = missingToDecide();
+    if (!takeover.get().loaded() || missing.isPresent()) {
+      takeover.get().logProgress(missing.orElse("nothing"), context);
       return;
     }
     Takeover done = takeover.get();
@@ -290,6 +328,7 @@
                 preferences,
                 registry,
                 configuration.get(),
+                evacuated.get(),
                 List.copyOf(listed.values()),
                 context));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -81,7 +81,18 @@
   /** An executor restarted under the same id. */
   EXECUTOR_RESTARTED(8039, "Executor {} started again as {}: told by its {}, {} runs there"),
   /** A stored record cannot be decoded. */
-  RECORD_UNREADABLE(8040, "Record {} cannot be read: {}");
+  RECORD_UNREADABLE(8040, "Record {} cannot be read: {}"),
+  /** The operators have evacuated failure domains or given some back. */
+  EVACUATIONS_CHANGED(
+      8041,
+      "Evacuated failure domains: {}, before: {}; operators' stream read to {}, previous read {} ago"),
+  /** No executor that the owner knows is in an evacuated failure domain. */
+  EVACUATED_DOMAIN_UNKNOWN(8042, "No executor is in failure domain {}, which is evacuated"),
+  /**
+   * A job waits because it fits only if executors of evacuated failure domains are used as well.
+   */
+  WAITS_FOR_EVACUATED_DOMAIN(
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -32,6 +33,7 @@
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
 
 /** Schedules the batch jobs during one epoch, in which this VM is their owner. */
@@ -96,6 +98,7 @@
       BatchPreferences preferences,
       JobRegistry registry,
       BatchConfiguration configuration,
+      Set<FailureDomain> evacuated,
       List<ExecutorProfile> listed,
       BatchContext context) {
     this.preferences = preferences;
@@ -113,9 +116,10 @@
     this.submissions = new SubmissionHandler(jobs, writer, outgoing);
     this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
-    this.plans = new PlanDuty(jobs, executors, advice, preferences.work());
+    this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), context);
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
+    executors.evacuate(evacuated, context);
     executors.inherit(Takeover.inheritedRuns(registry), context);
     jobs.retireEnded(context);
   }
@@ -131,6 +135,12 @@
     executors.setPools(jobs.pools());
   }
 
+  /** Replaces the evacuated failure domains. */
+  void evacuate(Set<FailureDomain> domains, BatchContext context) {
+    executors.evacuate(domains, context);
+    jobs.changed();
+  }
+
   /**
    * Applies an entry of the list of executors. Executors rewrite their entries every second or two,
    * mostly unchanged; planning for each of these would overload a weak VM with a large fleet.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.FailureDomain;
 
 /**
  * Polls executors, renews their leases and sends them orders until it is certain what became of
@@ -38,6 +39,9 @@
    */
   private static final long FULL_PASS_INTERVAL_NANOS = Duration.ofMillis(25).toNanos();
 
+  /** Why a placement is given up in an evacuated failure domain. */
+  static final String EVACUATED = "its failure domain is evacuated";
+
   private final OrderSender orders;
   private final ExecutorPoller poller;
   private final Throttler throttler;
@@ -45,6 +49,7 @@
   private final ReportHandler reportHandler;
   private final LostExecutorHandler lostExecutors;
   private final RestartHandler restarts;
+  private final EvacuationHandler evacuations;
   private final long inheritedLeaseNanos;
   private final ExecutorRegistry registry = new ExecutorRegistry();
   private final RunListener listener;
@@ -76,6 +81,7 @@
     this.listener = listener;
     this.reportHandler = new ReportHandler(orders, throttler, listener, longestLease);
     this.lostExecutors = new LostExecutorHandler(registry, reportHandler);
+    this.evacuations = new EvacuationHandler(registry, reportHandler);
     this.restarts =
         new RestartHandler(registry, orders, poller, throttler, reportHandler, longestLease);
   }
@@ -93,6 +99,11 @@
     poller.setPools(pools);
   }
 
+  /** Replaces the evacuated failure domains. */
+  public void evacuate(Set<FailureDomain> domains, BatchContext context) {
+    evacuations.replace(domains, context);
+  }
+
   /** Takes over the runs of a former owner; called once, before the first step. */
   public void inherit(List<LiveRun> runs, BatchContext context) {
     for (LiveRun run : runs) {
@@ -125,6 +136,7 @@
     if (found.isEmpty()) {
       ExecutorState executor = new ExecutorState(profile, orders.baseline());
       lostExecutors.listed(executor);
+      evacuations.update(executor);
       registry.add(executor);
       orphans.take(profile.id()).forEach(run -> adopt(executor, run, context));
       return true;
@@ -136,6 +148,7 @@
     boolean same = executor.listed() && executor.profile().equals(profile);
     boolean wasLeaving = executor.profile().leaving();
     executor.updateProfile(profile);
+    evacuations.update(executor);
     if (profile.leaving() && !wasLeaving) {
       context.note(BatchLogEvent.EXECUTOR_LEAVING, executor.incarnation(), executor.runs().size());
       listener.leaving(executor, context);
@@ -245,6 +258,9 @@
     if (executor.profile().leaving()) {
       return Optional.of("its executor is leaving");
     }
+    if (executor.evacuated()) {
+      return Optional.of(EVACUATED);
+    }
     if (executor.overbooked()) {
       return Optional.of("its executor has less free capacity now");
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -34,6 +34,7 @@
   private final Map<TaskRun, LiveRun> runs = new LinkedHashMap<>();
   private ResourceVector reserved = ResourceVector.NONE;
   private boolean listed = true;
+  private boolean evacuated;
   private boolean reached;
   private int missedPolls;
   private boolean unconfirmed;
@@ -83,6 +84,7 @@
       Incarnation next, PreviousIncarnation previous, OrderBaseline baseline) {
     ExecutorState executor = new ExecutorState(profile, next, baseline, Optional.of(previous));
     executor.listed = listed;
+    executor.evacuated = evacuated;
     executor.lease = new LeaseTracker(lease.expiryNanos());
     return executor;
   }
@@ -128,6 +130,21 @@
     listed = false;
   }
 
+  /** Records whether the failure domain of the executor is evacuated. */
+  void setEvacuated(boolean nowEvacuated) {
+    evacuated = nowEvacuated;
+  }
+
+  /** Tells whether the failure domain of the executor is evacuated, so that no run may start. */
+  public boolean evacuated() {
+    return evacuated;
+  }
+
+  /** Tells whether no start may be ordered any more, not even one that was ordered before. */
+  boolean closedToStarts() {
+    return profile.leaving() || evacuated;
+  }
+
   /** Returns the runs that may be alive on this executor. */
   public Collection<LiveRun> runs() {
     return runs.values();
@@ -181,11 +198,21 @@
   }
 
   /**
-   * Tells whether new runs may be placed here now. They may not while a run that the owner does not
-   * know is here, which takes capacity until it has ended, nor while the profile is that of another
-   * incarnation, whose properties may have differed.
+   * Tells whether new runs may be placed here now. They may not while the failure domain is
+   * evacuated, while a run that the owner does not know is here, which takes capacity until it has
+   * ended, nor while the profile is that of another incarnation, whose properties may have
+   * differed.
    */
   public boolean usable(long nowNanos) {
+    return !evacuated && usableOnceGivenBack(nowNanos);
+  }
+
+  /**
+   * Tells whether new runs could be placed here now if the failure domain were not evacuated.
+   *
+   * @see #usable(long)
+   */
+  public boolean usableOnceGivenBack(long nowNanos) {
     boolean described = !profile.incarnation().differsFrom(incarnation);
     boolean available = listed && described && responsive();
     return available && !hasUnknownRuns && !profile.leaving() && !inBackoff(nowNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -75,7 +75,8 @@
 
   private void retryOrGiveUp(
       ExecutorState executor, LiveRun run, String reason, BatchContext context) {
-    if (run.orders() < MAX_START_ORDERS && !executor.overbooked()) {
+    boolean mayStart = !executor.overbooked() && !executor.closedToStarts();
+    if (run.orders() < MAX_START_ORDERS && mayStart) {
       orders.start(executor, run, context);
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -32,16 +32,22 @@
   private final ExecutorDuty executors;
   private final AdviceCache advice;
   private final Planner planner;
+  private final EvacuationWaits evacuationWaits;
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
   /** Creates the duty. */
   public PlanDuty(
-      JobLifecycle jobs, ExecutorDuty executors, AdviceCache advice, WorkPreferences work) {
+      JobLifecycle jobs,
+      ExecutorDuty executors,
+      AdviceCache advice,
+      WorkPreferences work,
+      BatchContext context) {
     this.jobs = jobs;
     this.executors = executors;
     this.advice = advice;
     this.planner = new Planner(step -> rank(step.job()), work);
+    this.evacuationWaits = new EvacuationWaits(context.nowNanos());
   }
 
   /** Makes a plan and applies it. */
@@ -55,6 +61,7 @@
         executors.registry().all().stream()
             .filter(executor -> executor.usable(context.nowNanos()))
             .toList();
+    evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
     Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
     for (Planner.Preemption stop : plan.stops()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -77,8 +77,8 @@
   }
 
   /**
-   * Tells whether an event is about the owner or one of the job's executors and may so explain a
-   * delay.
+   * Tells whether an event is about the owner, evacuated failure domains or one of the job's
+   * executors and may so explain a delay.
    */
   private static boolean mayExplainDelay(LoggedEvent event, Set<String> executors) {
     int number = event.number();
@@ -86,6 +86,7 @@
         number == BatchLogEvent.OWNERSHIP_WON.number()
             || number == BatchLogEvent.OWNERSHIP_LOST.number()
             || number == BatchLogEvent.OWNING.number();
+    boolean ofFleet = number == BatchLogEvent.EVACUATIONS_CHANGED.number();
     boolean ofExecutor =
         number == BatchLogEvent.EXECUTOR_SILENT.number()
             || number == BatchLogEvent.EXECUTOR_LEAVING.number()
@@ -93,7 +94,9 @@
             || number == BatchLogEvent.EXECUTOR_RESTARTED.number()
             || number == BatchLogEvent.EXECUTOR_RESTED.number()
             || number == BatchLogEvent.WORK_PACED.number();
-    return ofOwner || (ofExecutor && executors.stream().anyMatch(event.message()::contains));
+    return ofOwner
+        || ofFleet
+        || (ofExecutor && executors.stream().anyMatch(event.message()::contains));
   }
 
   private static List<Stage> stages(List<LoggedEvent> jobEvents) {
@@ -107,7 +110,11 @@
 
   /** Returns the name of the stage between two events of a job, which depends on their kinds. */
   private static String stageName(LoggedEvent before, LoggedEvent after) {
-    if (after.number() == BatchLogEvent.RUN_PLACED.number()) {
+    if (before.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
+      return "waited for an evacuated failure domain";
+    }
+    if (after.number() == BatchLogEvent.RUN_PLACED.number()
+        || after.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for room";
     }
     if (after.number() == BatchLogEvent.RUN_STARTED.number()) {
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformEvent.java
@@ -23,6 +23,8 @@
   STORE_SLOW(8206, "Appends to {} are slow: the last one took {} ms"),
   /** Appends to the store are fast again. */
   STORE_QUICK(8207, "Appends to {} are fast again: the last one took {} ms"),
+  /** The record that evacuates a failure domain has content, which has no meaning here. */
+  FIELDS_IGNORED(8208, "Evacuation of failure domain {}: fields {} ignored"),
   /** A caller's connection was closed after an error. */
   CALLER_FAULT(8211, "Connection of caller {} closed: {}");
 
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchEvent;
@@ -18,12 +20,13 @@
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.fleet.FailureDomain;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The platform's store as the scheduler of batch jobs uses it: reads ownership, configuration and
- * executors, and appends to and loads the job state.
+ * The platform's store as the scheduler of batch jobs uses it: reads ownership, configuration,
+ * evacuated failure domains and executors, and appends to and loads the job state.
  */
 public final class PlatformStore {
 
@@ -37,9 +40,10 @@
       new StreamFollower.ReadTiming(Duration.ofMillis(1000), Duration.ofMillis(400));
 
   /**
-   * Configuration changes must take effect within 2 s, even if a connection has stopped responding.
+   * Configurations must be in force within 2 s and evacuations within 5 s, even if a connection has
+   * stopped responding.
    */
-  private static final StreamFollower.ReadTiming CONFIGURATION_TIMING =
+  private static final StreamFollower.ReadTiming OPERATORS_TIMING =
       new StreamFollower.ReadTiming(Duration.ofMillis(1000), Duration.ZERO);
 
   /**
@@ -56,9 +60,10 @@
   private final Map<StreamName, StreamAppender> appenders = new EnumMap<>(StreamName.class);
   private final StoreReader stateReader;
   private final StreamFollower ownership;
-  private final StreamFollower configuration;
+  private final StreamFollower operators;
   private final StreamFollower executors;
   private final ConfigurationEntries configurations = new ConfigurationEntries();
+  private final EvacuationEntries evacuations = new EvacuationEntries();
 
   /**
    * Creates the adapter without sending any request.
@@ -82,28 +87,23 @@
     this.ownership =
         new StreamFollower(
             loop, address, readTimes, Topic.OWNERSHIP, OWNERSHIP_TIMING, new OwnershipListener());
-    this.configuration =
+    this.operators =
         new StreamFollower(
-            loop,
-            address,
-            readTimes,
-            Topic.OPERATORS,
-            CONFIGURATION_TIMING,
-            new ConfigurationListener());
+            loop, address, readTimes, Topic.OPERATORS, OPERATORS_TIMING, new OperatorsListener());
     this.executors =
         new StreamFollower(
             loop, address, readTimes, Topic.EXECUTORS, EXECUTORS_TIMING, new ExecutorsListener());
   }
 
-  /** Starts following the configuration and the ownership records. */
+  /** Starts following the operators' and the ownership records. */
   public void start() {
-    configuration.start();
+    operators.start();
     ownership.start();
   }
 
   /** Stops following all topics. */
   public void stop() {
-    configuration.stop();
+    operators.stop();
     ownership.stop();
     executors.stop();
   }
@@ -218,14 +218,24 @@
     }
   }
 
-  private final class ConfigurationListener implements StreamFollower.Listener {
+  private final class OperatorsListener implements StreamFollower.Listener {
+    private OptionalLong lastReadAt = OptionalLong.empty();
+    private Optional<Set<FailureDomain>> reported = Optional.empty();
+
     @Override
     public void newest(List<StreamRecord> records, long end) {
-      records(records, end);
+      evacuations.replace(records);
+      read(records, end);
     }
 
     @Override
     public void records(List<StreamRecord> records, long end) {
+      evacuations.apply(records);
+      read(records, end);
+    }
+
+    private void read(List<StreamRecord> records, long end) {
+      reportEvacuations(end);
       configurations
           .newest(records)
           .ifPresent(
@@ -235,9 +245,23 @@
               });
     }
 
+    private void reportEvacuations(long end) {
+      long now = System.nanoTime();
+      OptionalLong unreadNanos =
+          lastReadAt.isPresent()
+              ? OptionalLong.of(now - lastReadAt.getAsLong())
+              : OptionalLong.empty();
+      lastReadAt = OptionalLong.of(now);
+      Optional<Set<FailureDomain>> domains = Optional.of(evacuations.domains());
+      if (!domains.equals(reported)) {
+        reported = domains;
+        events.accept(new BatchEvent.EvacuationsRead(domains.get(), end, unreadNanos));
+      }
+    }
+
     @Override
     public void failed() {
-      // The current configuration stays in force while the store is unreachable.
+      // What was read stays in force while the store is unreachable.
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/platform/Topic.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/Topic.java
@@ -4,7 +4,10 @@
 
 /** Topics of the store. Those that begin with "keyed." keep the newest record of each key. */
 enum Topic {
-  /** The operators' writes; the key "config" holds the whole configuration. */
+  /**
+   * The operators' writes; the key "config" holds the whole configuration, and a key "evacuate/"
+   * and a name evacuates a failure domain.
+   */
   OPERATORS("keyed.op"),
   /** The entries in which executors describe themselves, each under the executor's id. */
   EXECUTORS("keyed.servers"),
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
@@ -35,7 +35,8 @@
       new BatchCall.Submit("q", "key", "a1", new Submission("", List.of(), Optional.empty()));
   private static final Duration CALLER_TIMEOUT = Duration.ofMillis(2800);
   private static final CallAnswer QUEUED = new CallAnswer.Phase(JobPhase.QUEUED);
-  private static final OwnerView THIS_VM = new OwnerView(true, Optional.empty(), false);
+  private static final OwnerView THIS_VM =
+      new OwnerView(true, Optional.empty(), false, Optional.empty());
 
   private final EmbeddedChannel clock = new EmbeddedChannel();
   private final FakeOwner local = new FakeOwner();
@@ -88,7 +89,7 @@
 
   private static OwnerView owner(String vm, int port) {
     OwnerHint hint = new OwnerHint(new VmId(vm), port, "10.0.0.1:" + port);
-    return new OwnerView(false, Optional.of(hint), false);
+    return new OwnerView(false, Optional.of(hint), false, Optional.empty());
   }
 
   private void call(BatchCall call) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LeavingExecutorTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LeavingExecutorTest.java
@@ -26,4 +26,18 @@
     cluster.run(6000);
     assertEquals(1, cluster.work.starts().size());
   }
+
+  /** The executor does not answer the first order, which may have been carried out. */
+  @Test
+  void aStartWithoutAnAnswerIsNotOrderedAgainOnceItsExecutorBeginsToLeave() {
+    BatchCluster cluster = new BatchCluster(1, 1, 1);
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.faults.silent.add(new ExecutorId("e0"));
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 8, 1000)));
+    cluster.runUntil("the order", 500, () -> cluster.orders.starts() == 1);
+    cluster.leave(new ExecutorId("e0"), 20_000);
+    cluster.run(4000);
+    assertEquals(1, cluster.orders.starts());
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
@@ -5,6 +5,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -54,6 +56,7 @@
 
   @Test
   void aTakeoverIgnoresAPageRequestedByAnEarlierOne() {
+    at(0, new BatchEvent.EvacuationsRead(Set.of(), 0, OptionalLong.empty()));
     at(0, new BatchEvent.ConfigurationRead(TestFixtures.configuration()));
     List<BatchCommand> claim = at(0, new BatchEvent.OwnershipRead(Optional.empty(), 0));
     List<BatchCommand> won = stored(5, StreamName.OWNERSHIP, position(claim, StreamName.OWNERSHIP));
