An executor that reports an earlier start after its restart is used again

The store tells the order of entries, not their clocks. An entry with an earlier start now makes the owner poll the executor: its answer names the incarnation that lives, and the next entry, within a heartbeat, describes it. If the known incarnation does not answer, the entry counts. A late entry of an earlier incarnation beside one that answers still changes nothing.

RestartWithSameIdTest.anExecutorThatReportsAnEarlierStartAfterItsRestartIsUsed (away for 20, 600 and 2500 ms; the job ends within 5 s) is new, and so is anOutdatedEntryDoesNotReplaceAnIncarnationThatAnswers.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -208,10 +208,6 @@
   }
 
   private void seen(ExecutorProfile profile, BatchContext context) {
-    ExecutorProfile known = listed.get(profile.id());
-    if (known != null && profile.incarnation().startedBefore(known.incarnation())) {
-      return;
-    }
     listed.put(profile.id(), profile);
     owner.ifPresent(owning -> owning.seen(profile, context));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -141,7 +141,11 @@
       orphans.take(profile.id()).forEach(run -> adopt(executor, run, context));
       return true;
     }
-    if (profile.incarnation().startedBefore(found.get().incarnation())) {
+    boolean startedEarlier = profile.incarnation().startedBefore(found.get().incarnation());
+    if (startedEarlier && found.get().missedPolls() == 0) {
+      // Either the entry is outdated or the clock of the executor was set back before it restarted.
+      // The answer to the next poll tells, and the entry is written again every second or two.
+      found.get().markUnconfirmed();
       return false;
     }
     ExecutorState executor = restarts.entryListed(found.get(), profile.incarnation(), context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
@@ -50,10 +50,10 @@
   /**
    * Handles the incarnation that an entry of the executor list names.
    *
-   * @return the state of the newest known incarnation, which is that of the entry or a newer one
+   * @return the state of that incarnation
    */
   ExecutorState entryListed(ExecutorState executor, Incarnation listed, BatchContext context) {
-    if (executor.incarnation().startedBefore(listed)) {
+    if (executor.incarnation().differsFrom(listed)) {
       return replace(executor, listed, "entry", context);
     }
     executor.datedBy(listed.bornMillis());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
@@ -23,6 +23,7 @@
   private long downMillis = DOWN_MILLIS;
   private long listedAfterMillis;
   private boolean idsKept;
+  private long clockBackMillis;
 
   ClusterCrashes(BatchCluster cluster) {
     this.cluster = cluster;
@@ -75,6 +76,11 @@
     idsKept = kept;
   }
 
+  /** Sets how far the wall clock of an executor is set back before it restarts under its id. */
+  void setClockBackMillis(long millis) {
+    clockBackMillis = millis;
+  }
+
   /** Sets how long after its restart an executor is listed again. */
   void setListedAfterMillis(long millis) {
     listedAfterMillis = millis;
@@ -96,7 +102,8 @@
         () -> {
           down.remove(id);
           ExecutorProfile next =
-              TestFixtures.withStartTime(executor.profile(), cluster.wallMillis());
+              TestFixtures.withStartTime(
+                  executor.profile(), cluster.wallMillis() - clockBackMillis);
           cluster.addExecutor(new FakeExecutor(next, clockAhead, cluster.work));
           cluster.in(listedAfterMillis, () -> listIfUp(next));
         });
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.junit.jupiter.api.BeforeEach;
@@ -146,4 +147,38 @@
     List<BatchCommand.Note> lost = cluster.notes(BatchLogEvent.RUN_LOST_WITH_EXECUTOR);
     assertEquals(1, lost.size());
   }
+
+  /** The clock of the day was set back before the restart, so the start time is an earlier one. */
+  @ParameterizedTest
+  @ValueSource(longs = {20, 600, 2500})
+  void anExecutorThatReportsAnEarlierStartAfterItsRestartIsUsed(long awayMillis) {
+    complete(300);
+    cluster.crashes.setClockBackMillis(60_000);
+    cluster.crashes.restartWithSameId(ONLY, awayMillis, NEW_CLOCK_MILLIS - cluster.nowMillis());
+    for (int heartbeat = 1; heartbeat <= 8; heartbeat++) {
+      cluster.in(awayMillis + 1500L * heartbeat, () -> cluster.list(ONLY));
+    }
+    cluster.run(awayMillis + 100);
+    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(2, 1, 300)));
+    cluster.runUntil("the end of the job", 5000, () -> cluster.status(job).equals(DONE));
+
+    assertEquals(4, cluster.work.starts().size());
+  }
+
+  /** Pages of the list are no snapshot, so an entry of an earlier incarnation may come late. */
+  @Test
+  void anOutdatedEntryDoesNotReplaceAnIncarnationThatAnswers() {
+    ExecutorProfile outdated = cluster.executors.get(ONLY).profile();
+    cluster.crashes.restartWithSameId(ONLY, 20, NEW_CLOCK_MILLIS - cluster.nowMillis());
+    cluster.run(1000);
+    cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(2, 1, 3000)));
+    cluster.run(500);
+    int restarts = cluster.notes(BatchLogEvent.EXECUTOR_RESTARTED).size();
+    cluster.owner().orElseThrow().deliver(new BatchEvent.ExecutorSeen(outdated));
+    cluster.run(4000);
+
+    assertEquals(restarts, cluster.notes(BatchLogEvent.EXECUTOR_RESTARTED).size());
+    assertEquals(2, cluster.work.starts().size());
+    complete(300);
+  }
 }
