SlowPageTest counts a page as late only if the test did not pause itself

It reads on the real clock, and a reader may ask again after 0.7 s without a part of the answer. Whether there was such a pause was never measured. The sender now records the longest pause before a piece, and the event loop of the reader its longest pause; a page that is late without that their sum reached 0.7 s fails as before, and the page has to be read in any case: before, the test ended with the first late one. The failure of the first form (a timeout of the whole page) still fails it.

--- a/fescuehook/src/test/java/org/fescuehook/platform/SlowPageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/SlowPageTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.fescuehook.logic.batch.store.ResponseTimeEstimator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,13 +35,20 @@
 
   private static final int PIECES = 8;
   private static final long PIECE_MILLIS = 200;
+  private static final long RECEIVER_MILLIS = 10;
   private static final long TIMEOUT_SECONDS = 20;
+
+  /** A pause of the answer after which the reader may ask again; see {@link RepeatedRead}. */
+  private static final long PAUSE_NANOS = RepeatedRead.NEVER_LATE.toNanos();
+
   private static final String PAGE = "{\"items\":[],\"hasMore\":false,\"endOffset\":0}";
 
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final ScheduledExecutorService pieces = Executors.newScheduledThreadPool(2);
   private final ServerSocket server;
+  private final Pauses sender = new Pauses();
+  private final Pauses receiver = new Pauses();
 
   SlowPageTest() throws IOException {
     server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -72,7 +80,8 @@
     }
   }
 
-  private static void writePiece(OutputStream out, byte[] body, int piece) {
+  private void writePiece(OutputStream out, byte[] body, int piece) {
+    sender.end();
     int from = Math.min(body.length, piece * body.length / PIECES);
     int to = Math.min(body.length, (piece + 1) * body.length / PIECES);
     try {
@@ -88,6 +97,7 @@
     InetSocketAddress address = (InetSocketAddress) server.getLocalSocketAddress();
     BlockingQueue<ReadOutcome> outcomes = new LinkedBlockingQueue<>();
     EventLoop loop = loops.next();
+    loop.scheduleAtFixedRate(receiver::end, 0, RECEIVER_MILLIS, TimeUnit.MILLISECONDS);
     StoreReader reader =
         new StoreReader(loop, address, new ResponseTimeEstimator(RepeatedRead.NEVER_LATE));
     loop.execute(() -> reader.newest(Topic.STATE, Optional.empty(), new Listener(outcomes)));
@@ -95,10 +105,36 @@
     assertInstanceOf(ReadOutcome.Newest.class, outcome, String.valueOf(outcome));
   }
 
-  private record Listener(BlockingQueue<ReadOutcome> outcomes) implements RepeatedRead.Listener {
+  /** The longest time between two steps of a thread that should follow each other closely. */
+  private static final class Pauses {
+    private final AtomicLong last = new AtomicLong(System.nanoTime());
+    private final AtomicLong longest = new AtomicLong();
+
+    void end() {
+      long now = System.nanoTime();
+      long pause = now - last.getAndSet(now);
+      longest.accumulateAndGet(pause, Math::max);
+    }
+
+    long longestNanos() {
+      return Math.max(longest.get(), System.nanoTime() - last.get());
+    }
+  }
+
+  private final class Listener implements RepeatedRead.Listener {
+    private final BlockingQueue<ReadOutcome> outcomes;
+
+    Listener(BlockingQueue<ReadOutcome> outcomes) {
+      this.outcomes = outcomes;
+    }
+
+    /** The page may count as late only if the test itself paused for as long. */
     @Override
     public void late(Duration time) {
-      outcomes.add(new ReadOutcome.Failed("late after " + time));
+      long paused = sender.longestNanos() + receiver.longestNanos();
+      if (paused < PAUSE_NANOS) {
+        outcomes.add(new ReadOutcome.Failed("late after " + time + ", paused for " + paused));
+      }
     }
 
     @Override
