The soak evacuates failure domains, and a promise on it

The stand-in for the platform puts its executors into three zones, writes and removes the operators' records of evacuations, and drops the history of what operators and executors wrote; a reader behind it is told where the log begins (410), which no stand-in played before. Half of the mixed soak runs evacuate up to six times, also overlapping, and drop the history around the end. Promise: no task starts in a failure domain 5 s after it was evacuated, by what executors began; a VM that was killed excuses nothing, one that could not read the store does.

--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -2,7 +2,7 @@
 
 import java.util.Set;
 
-/** A fault that is brought about from outside the VMs; durations in ms. */
+/** A fault, or planned work, that is brought about from outside the VMs; durations in ms. */
 sealed interface Fault {
 
   /** VMs are killed at once and started again after a while. */
@@ -35,6 +35,12 @@
   /** Some orders to an executor get no answer; late ones are carried out seconds later. */
   record LoseOrders(int executor, int permille, boolean late, long forMillis) implements Fault {}
 
+  /** Operators evacuate a failure domain. */
+  record EvacuateDomain(int domain, long forMillis) implements Fault {}
+
+  /** The store drops the history of what operators and executors wrote. */
+  record DropHistory() implements Fault {}
+
   /** Callers cancel all jobs that are open. */
   record CancelAll() implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.fescuehook.standins.platform.FleetStandIn;
 
 /** Draws the faults of a run; the same seed and sizes give the same faults. */
 final class FaultPlan {
@@ -39,11 +40,17 @@
   /** One in this many executors crashes with each wave. */
   private static final int EXECUTORS_PER_CRASH = 3;
 
+  private static final int MAX_EVACUATIONS = 6;
+  private static final long LONGEST_EVACUATION_MILLIS = 20_000;
+
   private final SplittableRandom random;
 
   /** Drawn apart, so that a seed means the same other faults. */
   private final SplittableRandom series;
 
+  /** Drawn apart for the same reason. */
+  private final SplittableRandom evacuations;
+
   private final SoakSizes sizes;
   private final long length;
 
@@ -51,6 +58,7 @@
     this.sizes = sizes;
     this.random = new SplittableRandom(sizes.seed());
     this.series = new SplittableRandom(~sizes.seed());
+    this.evacuations = series.split();
     this.length = sizes.faultTime().toMillis();
   }
 
@@ -78,6 +86,9 @@
     if (series.nextBoolean()) {
       addCrashSeries(plan, end);
     }
+    if (evacuations.nextBoolean()) {
+      addEvacuations(plan);
+    }
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
@@ -124,6 +135,24 @@
     }
   }
 
+  /**
+   * Failure domains are evacuated, several times and at the same time, and the store drops its
+   * history around the end of some evacuations.
+   */
+  private void addEvacuations(List<Fault.Timed> plan) {
+    int count = 1 + evacuations.nextInt(MAX_EVACUATIONS);
+    for (int i = 0; i < count; i++) {
+      long at = evacuations.nextLong(CALM_MILLIS, length);
+      long lasting = Math.min(length - at, evacuations.nextLong(500, LONGEST_EVACUATION_MILLIS));
+      int domain = evacuations.nextInt(FleetStandIn.zones().size());
+      plan.add(new Fault.Timed(at, new Fault.EvacuateDomain(domain, lasting)));
+      long drop = at + lasting + evacuations.nextLong(-1000, 1000);
+      if (evacuations.nextBoolean() && drop > at && drop < length) {
+        plan.add(new Fault.Timed(drop, new Fault.DropHistory()));
+      }
+    }
+  }
+
   private Fault killAll() {
     Set<Integer> all = IntStream.range(0, sizes.vms()).boxed().collect(Collectors.toSet());
     return new Fault.KillVms(all, random.nextLong(500, 2500));
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -105,6 +105,11 @@
         over();
       }
       case Fault.LoseOrders lose -> loseOrders(lose);
+      case Fault.EvacuateDomain evacuation -> evacuate(evacuation);
+      case Fault.DropHistory drop -> {
+        storeTrouble.dropHistory();
+        over();
+      }
       case Fault.CancelAll all -> {
         cancelAll.run();
         over();
@@ -123,6 +128,18 @@
         });
   }
 
+  /** The evacuation counts from its acknowledgement until operators begin to take it back. */
+  private void evacuate(Fault.EvacuateDomain fault) throws ClusterException, InterruptedException {
+    storeTrouble.add(fault);
+    long begin = SoakLog.now();
+    endLater(
+        fault.forMillis(),
+        () -> {
+          ended(Disruption.Kind.EVACUATION, fault.domain(), begin, fault);
+          storeTrouble.remove(fault);
+        });
+  }
+
   private void disturbStore(Fault fault, Disruption.Kind kind, long forMillis)
       throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
--- a/bench/src/main/java/org/fescuehook/bench/soak/StoreTrouble.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/StoreTrouble.java
@@ -3,10 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import org.fescuehook.bench.cluster.ClusterException;
 import org.fescuehook.bench.cluster.StandIns;
+import org.fescuehook.standins.platform.FleetStandIn;
 
-/** The faults of the store that are in force; of several that overlap the worst counts. */
+/**
+ * The faults of the store and the requests of its operators that are in force; of several faults
+ * that overlap the worst counts.
+ */
 final class StoreTrouble {
 
   /** Usual time of an answer of the store. */
@@ -14,6 +20,7 @@
 
   private final StandIns platform;
   private final List<Fault> active = new ArrayList<>();
+  private int historyLosses;
 
   StoreTrouble(StandIns platform) {
     this.platform = platform;
@@ -29,12 +36,18 @@
     apply();
   }
 
+  void dropHistory() throws ClusterException, InterruptedException {
+    historyLosses++;
+    apply();
+  }
+
   private void apply() throws ClusterException, InterruptedException {
     double answerMillis = USUAL_MILLIS;
     boolean silent = false;
     boolean refusing = false;
     boolean late = false;
     int lostPermille = 0;
+    Set<String> evacuated = new TreeSet<>();
     for (Fault fault : active) {
       switch (fault) {
         case Fault.SlowStore slow -> answerMillis = Math.max(answerMillis, slow.answerMillis());
@@ -44,6 +57,8 @@
           lostPermille = Math.max(lostPermille, lose.permille());
           late |= lose.late();
         }
+        case Fault.EvacuateDomain evacuation ->
+            evacuated.add(FleetStandIn.zones().get(evacuation.domain()));
         default -> throw new IllegalArgumentException("no fault of the store: " + fault);
       }
     }
@@ -55,6 +70,8 @@
                 "silent", silent,
                 "refusing", refusing,
                 "lostPermille", lostPermille,
-                "late", late)));
+                "late", late,
+                "historyLosses", historyLosses,
+                "evacuated", evacuated)));
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
@@ -3,8 +3,8 @@
 /**
  * A time in which something was disturbed from outside.
  *
- * @param number of the VM or, for {@link Kind#EXECUTOR}, the executor; {@link #ALL} for what all
- *     depend on
+ * @param number of the VM or, for {@link Kind#EXECUTOR}, the executor or, for {@link
+ *     Kind#EVACUATION}, the failure domain; {@link #ALL} for what all depend on
  * @param fromMillis monotonic time
  * @param toMillis time at which it was over: for a VM that was ended, when it listened again
  */
@@ -31,6 +31,8 @@
     STORE_AWAY,
     /** The store lost answers. */
     STORE_LOSSY,
+    /** Operators evacuated a failure domain, which is planned. */
+    EVACUATION,
     /** An executor crashed, or lost orders or carried them out late. */
     EXECUTOR
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -27,7 +27,23 @@
   static final long CONTACT_MILLIS = 3000;
 
   private static final Set<Disruption.Kind> HARMLESS =
-      EnumSet.of(Disruption.Kind.STOPPED, Disruption.Kind.STARTING, Disruption.Kind.EXECUTOR);
+      EnumSet.of(
+          Disruption.Kind.STOPPED,
+          Disruption.Kind.STARTING,
+          Disruption.Kind.EXECUTOR,
+          Disruption.Kind.EVACUATION);
+
+  private static final Set<Disruption.Kind> KEEPS_FROM_READING =
+      EnumSet.of(
+          Disruption.Kind.PAUSED,
+          Disruption.Kind.LINK,
+          Disruption.Kind.STORE_SLOW,
+          Disruption.Kind.STORE_AWAY,
+          Disruption.Kind.STORE_LOSSY);
+
+  /** Kinds that disturb neither a VM nor its way to the store. */
+  private static final Set<Disruption.Kind> OUTSIDE_VMS =
+      EnumSet.of(Disruption.Kind.EXECUTOR, Disruption.Kind.EVACUATION);
 
   /** Copies the lists. */
   public History {
@@ -41,11 +57,18 @@
   /** Tells whether a VM and the store are undisturbed through a span and some time before. */
   boolean inTouch(int vm, long from, long to) {
     return disruptions.stream()
-        .filter(d -> d.kind() != Disruption.Kind.EXECUTOR)
+        .filter(d -> !OUTSIDE_VMS.contains(d.kind()))
         .filter(d -> d.number() == vm || d.number() == Disruption.ALL)
         .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
   }
 
+  /** Tells whether all VMs that run can read the store, and could for some time before. */
+  boolean storeReadable(long from, long to) {
+    return disruptions.stream()
+        .filter(d -> KEEPS_FROM_READING.contains(d.kind()))
+        .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
+  }
+
   /** Tells whether nothing but planned stops disturbs any VM or the store. */
   boolean undisturbed(long from, long to) {
     return disruptions.stream()
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -18,6 +18,8 @@
   ORDER("a step starts after the steps it depends on"),
   /** A task starts only where its step allows it. */
   PLACEMENT("a task starts only where the label and the limit of its step allow it"),
+  /** Operators rely on an evacuated failure domain getting nothing new, whoever is the owner. */
+  EVACUATION("no task starts in a failure domain 5 s after it was evacuated", true),
   /** A job is shown as completed only if it is. */
   COMPLETED_IS_TRUE("a job shown as completed has ended so"),
   /** Only what callers sent runs. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -21,12 +21,14 @@
   private final Map<String, List<TaskRun>> runs;
   private final Findings findings;
   private final PlacementCheck placementCheck;
+  private final EvacuationCheck evacuationCheck;
 
   RunChecks(History history, Map<String, List<TaskRun>> runs, Findings findings) {
     this.history = history;
     this.runs = runs;
     this.findings = findings;
     this.placementCheck = new PlacementCheck(runs, findings);
+    this.evacuationCheck = new EvacuationCheck(history, findings);
   }
 
   void check(PlannedJob job, List<JobCall> calls) {
@@ -37,6 +39,7 @@
         checkOrder(job, step, ofTask);
         checkCancel(calls, ofTask);
         checkEndedOnce(calls, ofTask);
+        ofTask.forEach(evacuationCheck::check);
         if (job.crashes()) {
           checkCrashes(ofTask);
         }
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.IntStream;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
 import org.fescuehook.standins.http.Json;
@@ -27,6 +28,9 @@
   /** Number of racks; executors are assigned to them in turn. */
   private static final int RACKS = 2;
 
+  /** Number of zones; executors are assigned to them in turn. */
+  private static final int ZONES = 3;
+
   private static final int INCARNATIONS_PER_ID = 2;
   private static final int SLOTS = 4;
   private static final int MILLI_CORES_PER_SLOT = 1000;
@@ -93,6 +97,15 @@
     return List.of("kind-a", "rack-" + number % RACKS);
   }
 
+  /** Returns the zone of an executor, which all its incarnations are in. */
+  static String zone(int number) {
+    return "zone-" + number % ZONES;
+  }
+
+  static List<String> zones() {
+    return IntStream.range(0, ZONES).mapToObj(FleetMember::zone).toList();
+  }
+
   StandInServer server() {
     return server;
   }
@@ -120,7 +133,7 @@
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", PlatformConfiguration.SERVICE);
     entry.put("address", server.address().getHostString() + ":" + server.address().getPort());
-    entry.put("zone", "zone-1");
+    entry.put("zone", zone(number));
     entry.put("version", "1");
     entry.put("slots", SLOTS);
     entry.put("state", "ready");
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -62,6 +62,16 @@
     return FleetMember.labels(number);
   }
 
+  /** Returns the zone of an executor, which all its incarnations are in. */
+  public static String zoneOfExecutor(int number) {
+    return FleetMember.zone(number);
+  }
+
+  /** Returns the names of all zones. */
+  public static List<String> zones() {
+    return FleetMember.zones();
+  }
+
   @Override
   public void apply(FleetFaults faults) {
     for (int i = 0; i < members.size(); i++) {
--- a/standins/src/main/java/org/fescuehook/standins/platform/StorePartition.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StorePartition.java
@@ -9,7 +9,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The single partition of a topic. Keeps all records; none expires. Not thread-safe. */
+/**
+ * The single partition of a topic. Keeps all records until its history is dropped. Not thread-safe.
+ */
 final class StorePartition {
 
   /** Number of a writer's last appends whose response is remembered and repeated to a retry. */
@@ -22,6 +24,7 @@
   private final List<byte[]> records = new ArrayList<>();
   private final TreeMap<String, Newest> newest = new TreeMap<>();
   private final Map<String, Writer> writers = new HashMap<>();
+  private int firstKept;
 
   /** The newest record of a key; its value is encoded as Base64. */
   record Newest(String key, String value, long offset) {}
@@ -51,6 +54,16 @@
     return records.size();
   }
 
+  /** Returns the offset of the first record that is kept. */
+  long firstKept() {
+    return firstKept;
+  }
+
+  /** Drops all records; the newest record of each key can still be read by {@link #newest}. */
+  void dropHistory() {
+    firstKept = records.size();
+  }
+
   /**
    * Appends records, unless the writer's epoch is fenced, its sequence number doesn't follow its
    * last append or the partition doesn't end where the writer expects. A retry of one of the
@@ -126,7 +139,7 @@
       found.add(records.get(i));
       bytes += records.get(i).length;
     }
-    return StoreRecords.encode(end(), found);
+    return StoreRecords.encode(end(), firstKept, found);
   }
 
   /**
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreRecords.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreRecords.java
@@ -24,12 +24,12 @@
   }
 
   /**
-   * Encodes the response to a read: the end offset, the first offset that is kept (always 0), then
-   * the records.
+   * Encodes the response to a read: the end offset, the first offset that is kept, then the
+   * records.
    */
-  static byte[] encode(long end, List<byte[]> records) {
+  static byte[] encode(long end, long firstKept, List<byte[]> records) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    out.writeBytes(ByteBuffer.allocate(2 * Long.BYTES).putLong(end).putLong(0).array());
+    out.writeBytes(ByteBuffer.allocate(2 * Long.BYTES).putLong(end).putLong(firstKept).array());
     for (byte[] payload : records) {
       out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).array());
       out.writeBytes(payload);
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
@@ -25,6 +25,10 @@
 
   private static final String OPERATORS_TOPIC = "keyed.op";
   private static final String EXECUTORS_TOPIC = "keyed.servers";
+  private static final String EVACUATION_KEY_PREFIX = "evacuate/";
+
+  /** Value of the record that evacuates a zone. */
+  private static final byte[] EVACUATION = {'{', '}'};
 
   private static final int MAX_REQUEST_BYTES = 2_097_152;
   private static final int BYTES_PER_KILOBYTE = 1024;
@@ -86,7 +90,29 @@
 
   @Override
   public synchronized void apply(StoreFaults next) {
+    StoreFaults previous = faults;
     faults = next;
+    next.evacuated().stream()
+        .filter(zone -> !previous.evacuated().contains(zone))
+        .forEach(zone -> putEvacuation(zone, EVACUATION));
+    previous.evacuated().stream()
+        .filter(zone -> !next.evacuated().contains(zone))
+        .forEach(zone -> putEvacuation(zone, new byte[0]));
+    if (next.historyLosses() > previous.historyLosses()) {
+      dropHistory(OPERATORS_TOPIC);
+      dropHistory(EXECUTORS_TOPIC);
+    }
+  }
+
+  private void putEvacuation(String zone, byte[] value) {
+    put(OPERATORS_TOPIC, EVACUATION_KEY_PREFIX + zone, value);
+  }
+
+  /** Drops the history of a topic; reads that wait there are answered that it is gone. */
+  private void dropHistory(String name) {
+    Topic topic = topic(name);
+    topic.partition.dropHistory();
+    completeWaitingReads(topic);
   }
 
   @Override
@@ -209,6 +235,11 @@
   }
 
   private void respondToRead(Exchange exchange, Topic topic, long from) {
+    long firstKept = topic.partition.firstKept();
+    if (from < firstKept) {
+      respondAfterDelay(exchange, () -> exchange.reply(410, Map.of("startOffset", firstKept)));
+      return;
+    }
     long bytes = exchange.number("maxKb", DEFAULT_READ_KILOBYTES) * BYTES_PER_KILOBYTE;
     byte[] found = topic.partition.read(from, bytes);
     Map<String, String> fields = Map.of("Content-Type", "application/octet-stream");
--- a/standins/src/test/java/org/fescuehook/standins/platform/StorePartitionTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/StorePartitionTest.java
@@ -102,4 +102,15 @@
     assertEquals("b", StoreRecords.key(record));
     assertTrue(!answer.hasRemaining());
   }
+
+  @Test
+  void theNewestRecordOfEachKeyOutlastsTheHistory() {
+    append(1, 1, -1, "a=1", "b=2");
+
+    partition.dropHistory();
+
+    assertEquals(2, partition.firstKept());
+    assertEquals(2, partition.newest("").items().size());
+    assertEquals(new AppendAnswer.Stored(2, 3), append(1, 2, 2, "a=3"));
+  }
 }
--- a/standins/src/test/java/org/fescuehook/standins/platform/StoreStandInTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/StoreStandInTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.standins.StandInClient;
 import org.fescuehook.standins.StandInException;
@@ -48,7 +49,7 @@
 
   @Test
   void aRefusingStoreAppendsNothing() throws Exception {
-    store.apply(new StoreFaults(1, false, true, 0, false));
+    store.apply(new StoreFaults(1, false, true, 0, false, 0, List.of()));
     assertEquals(503, client.post(APPEND, RECORD).statusCode());
     store.apply(StoreFaults.NONE);
 
@@ -57,7 +58,7 @@
 
   @Test
   void anAppendWithoutAResponseTakesEffect() throws Exception {
-    store.apply(new StoreFaults(1, false, false, 1000, false));
+    store.apply(new StoreFaults(1, false, false, 1000, false, 0, List.of()));
 
     var unanswered = client.postLater(APPEND, RECORD);
     StandInLoops.await(() -> store.stats().lostAnswers() != 0);
@@ -73,4 +74,29 @@
     assertTrue(client.get(NEWEST + "keyed.op").body().contains("\"key\":\"config\""));
     assertEquals(403, client.post("/-/log-append?topic=keyed.op&part=0", RECORD).statusCode());
   }
+
+  private static StoreFaults operators(int historyLosses, String... evacuated) {
+    return new StoreFaults(1, false, false, 0, false, historyLosses, List.of(evacuated));
+  }
+
+  @Test
+  void aZoneIsEvacuatedUntilItIsTakenBack() throws Exception {
+    store.apply(operators(0, "zone-1"));
+    assertTrue(client.get(NEWEST + "keyed.op").body().contains("\"key\":\"evacuate/zone-1\""));
+
+    store.apply(operators(0));
+
+    assertFalse(client.get(NEWEST + "keyed.op").body().contains("evacuate"));
+  }
+
+  @Test
+  void aReaderBehindADroppedHistoryIsToldWhereItBegins() throws Exception {
+    store.apply(operators(0, "zone-1"));
+    store.apply(operators(1));
+
+    var behind = client.get("/-/log-read?topic=keyed.op&part=0&startKey=1");
+
+    assertEquals(410, behind.statusCode());
+    assertEquals("{\"startOffset\":2}", behind.body());
+  }
 }
