Split admission from BatchOwner, and the ownership reads from BatchCluster

Behaviour is unchanged.

Histories of evacuations also restart executors under their ids. The test of an executor that reports an earlier start submits a second job: the first one alone passes without the mend, since its start finds the new incarnation before anybody asks for it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -39,15 +39,6 @@
 /** Schedules the batch jobs during one epoch, in which this VM is their owner. */
 final class BatchOwner implements RunListener {
 
-  /** Shortest delay after which callers retry a refused call. */
-  private static final long MIN_RETRY_AFTER_MILLIS = 1000;
-
-  /**
-   * Longest delay after which callers retry a refused call. With it, their few attempts span about
-   * 12 s, which is the longest outage of the store that the users expect.
-   */
-  private static final long MAX_RETRY_AFTER_MILLIS = 3000;
-
   /** Longest lease less the lease requested; it covers the time that an order takes to arrive. */
   private static final Duration LEASE_MARGIN = Duration.ofMillis(200);
 
@@ -57,16 +48,6 @@
    */
   static final Duration ISOLATION_LIMIT = Duration.ofSeconds(10);
 
-  /**
-   * Age of the last store contact above which a submission is refused instead of being sent to the
-   * store; it is longer while the store is slow. A submission that was sent to the store but not
-   * answered leaves its caller uncertain whether it was accepted.
-   */
-  private static final Duration STORE_REACHABLE_AGE = Duration.ofMillis(1200);
-
-  /** Longest time that a caller waits for an answer; forwarded calls do not state it. */
-  private static final long CALLER_TIMEOUT_NANOS = Duration.ofMillis(2800).toNanos();
-
   /** Longest time between two plans, and so the delay until a due step or preemption is seen. */
   private static final long MAX_PLAN_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
 
@@ -79,6 +60,7 @@
 
   private final BatchPreferences preferences;
   private final StateWriter writer;
+  private final Admission admission;
   private final ExecutorDuty executors;
   private final JobLifecycle jobs;
   private final AdviceCache advice;
@@ -89,8 +71,6 @@
   private final List<BatchCommand> outgoing = new ArrayList<>();
 
   private boolean fenced;
-  private boolean stopping;
-  private long storeAgeMillis;
   private long plannedAt;
 
   BatchOwner(
@@ -103,6 +83,7 @@
       BatchContext context) {
     this.preferences = preferences;
     this.writer = new StateWriter(epoch, context);
+    this.admission = new Admission(writer, preferences);
     Duration lease = preferences.executorLease();
     this.executors =
         new ExecutorDuty(
@@ -178,7 +159,7 @@
 
   /** Refuses submissions and starts no runs from now on. */
   void beginStop() {
-    stopping = true;
+    admission.beginStop();
   }
 
   /** Returns whether all changes are stored. */
@@ -192,10 +173,7 @@
    * @param contact how well the store can be reached, judged by the heartbeats
    */
   void step(StoreReachability contact, BatchContext context) {
-    long storeSeenAt = storeSeenAt(contact.confirmedAt());
-    // The job stream may be unavailable while the ownership stream, with the heartbeats, is not.
-    long unreachableSince = Math.min(storeSeenAt, writer.failingSince().orElse(storeSeenAt));
-    storeAgeMillis = Duration.ofNanos(context.nowNanos() - unreachableSince).toMillis();
+    long storeSeenAt = admission.update(contact, context);
     writer.recordOtherStreamAppend(contact.longestAppendNanos());
     writer.expire(context);
     cancels.step(context);
@@ -206,7 +184,7 @@
     plans.startStored(context);
     boolean planNow =
         !context.moreEventsQueued() || context.nowNanos() - plannedAt > BUSY_PLAN_INTERVAL_NANOS;
-    if (!stopping && planNow && jobs.takeChanged()) {
+    if (!admission.stopping() && planNow && jobs.takeChanged()) {
       plannedAt = context.nowNanos();
       plans.step(context);
     }
@@ -216,15 +194,6 @@
     outgoing.clear();
   }
 
-  /**
-   * Returns when the store was last reached, by a heartbeat or by an append to the job stream.
-   * After an outage a heartbeat may hang for a second while jobs are stored again.
-   */
-  private long storeSeenAt(long heartbeatAt) {
-    long storedAt = writer.lastReachedAt().orElse(heartbeatAt);
-    return storedAt - heartbeatAt > 0 ? storedAt : heartbeatAt;
-  }
-
   /**
    * Requests a plan even if nothing changed, since the scheduled start time of a step may have
    * come.
@@ -283,13 +252,14 @@
     switch (call) {
       case BatchCall.Submit submit -> {
         Optional<RefusalCause> refusal =
-            refusal(queue.get(), cannotStoreInTime(event, contact, context));
+            admission.refusal(queue.get(), event.patience(), contact, context);
         if (refusal.isPresent()) {
           refuse(ticket, submit.job(), refusal.get(), context);
           return;
         }
         String organisation = caller.map(BatchOrganisation::name).orElse("");
-        submissions.submit(ticket, submit, queue.get(), organisation, retryAfterMillis(), context);
+        submissions.submit(
+            ticket, submit, queue.get(), organisation, admission.retryAfterMillis(), context);
       }
       case BatchCall.Status status -> status(new JobQuery(ticket, status.job(), until), context);
       case BatchCall.Cancel cancel ->
@@ -299,40 +269,14 @@
     }
   }
 
-  /** Returns whether a submission cannot be stored within the time that its caller waits. */
-  private boolean cannotStoreInTime(
-      BatchEvent.Called event, StoreReachability contact, BatchContext context) {
-    long ageNanos = context.nowNanos() - storeSeenAt(contact.confirmedAt());
-    boolean away =
-        ageNanos > contact.maxHeartbeatAgeNanos(STORE_REACHABLE_AGE)
-            || writer.storeUnavailable(context);
-    long waitsNanos = Math.min(event.patience().toNanos(), CALLER_TIMEOUT_NANOS);
-    return away || writer.estimatedStoreNanos(contact.lastAppendNanos(), context) > waitsNanos;
-  }
-
   private void answer(long ticket, CallAnswer answer) {
     outgoing.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  private Optional<RefusalCause> refusal(JobQueue queue, boolean cannotStoreInTime) {
-    if (stopping) {
-      return Optional.of(RefusalCause.STOPPING);
-    }
-    if (queue.advised() && !preferences.adviceAvailable()) {
-      return Optional.of(RefusalCause.UNSUPPORTED);
-    }
-    return cannotStoreInTime ? Optional.of(RefusalCause.STORE_AWAY) : Optional.empty();
-  }
-
   private void refuse(long ticket, String id, RefusalCause cause, BatchContext context) {
-    context.note(BatchLogEvent.JOB_REFUSED, id, cause, retryAfterMillis());
+    context.note(BatchLogEvent.JOB_REFUSED, id, cause, admission.retryAfterMillis());
     context.count("fescuehook.batch.refused", "cause", cause.tag());
-    answer(ticket, new CallAnswer.Refused(cause, retryAfterMillis()));
-  }
-
-  /** Returns the retry delay for callers: an outage may last as long again as it has lasted. */
-  private long retryAfterMillis() {
-    return Math.clamp(storeAgeMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
+    answer(ticket, new CallAnswer.Refused(cause, admission.retryAfterMillis()));
   }
 
   private void status(JobQuery query, BatchContext context) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -37,13 +37,6 @@
   private static final long STEP_MILLIS = 20;
   private static final long ANSWER_LIMIT_MILLIS = 1000;
 
-  /** Pause between two reads of the ownership stream, and how long each waits for a new record. */
-  private static final long READ_PAUSE_MILLIS = 400;
-
-  private static final long READ_WAIT_MILLIS = 1000;
-
-  private static final long NO_KNOWN_END = -1;
-
   /** How long callers wait for an answer; each call passes it to the owner. */
   static final Duration CALLER_TIMEOUT = Duration.ofMillis(2800);
 
@@ -61,6 +54,7 @@
   final ClusterEvacuations evacuations = new ClusterEvacuations(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
+  private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
   final Random random;
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final CallTracker calls = new CallTracker(work, submissions);
@@ -83,8 +77,7 @@
     Set<FailureDomain> evacuationsRead = Set.of();
 
     final Map<StreamName, ResponseTimeEstimator> answerTimes = new EnumMap<>(StreamName.class);
-    private final ResponseTimeEstimator readTimes =
-        new ResponseTimeEstimator(RepeatedAppend.NEVER_LATE);
+    final ResponseTimeEstimator readTimes = new ResponseTimeEstimator(RepeatedAppend.NEVER_LATE);
     private boolean following;
     private long busyUntil;
     private final List<BatchEvent> heldEvents = new ArrayList<>();
@@ -209,9 +202,7 @@
     vms.put(id, vm);
     vm.deliver(new BatchEvent.ConfigurationRead(configuration.newest()));
     tick(vm);
-    readOwnership(vm, NO_KNOWN_END, nowMillis);
-    BatchEvent late = new BatchEvent.OwnershipUnreadable();
-    faults.firstReadLateAt().forEach(at -> in(at, () -> vm.deliver(late)));
+    ownershipReads.begin(vm);
     return vm;
   }
 
@@ -239,30 +230,6 @@
     return !faults.storeDown && !faults.cutFromStore.contains(vm.id);
   }
 
-  /** Reads the ownership stream; the store answers once there is a record, or after a while. */
-  private void readOwnership(Vm vm, long knownEnd, long until) {
-    if (!vm.running) {
-      return;
-    }
-    long end = store.end(StreamName.OWNERSHIP);
-    if (reachesStore(vm) && end == knownEnd && nowMillis < until) {
-      in(STEP_MILLIS, () -> readOwnership(vm, knownEnd, until));
-      return;
-    }
-    BatchEvent read = reachesStore(vm) ? store.ownership() : new BatchEvent.OwnershipUnreadable();
-    in(faults.storeDelayMillis, () -> ownershipRead(vm, read, end));
-  }
-
-  private void ownershipRead(Vm vm, BatchEvent read, long end) {
-    if (reachesStore(vm)) {
-      vm.readTimes.answered(Duration.ofMillis(faults.storeDelayMillis).toNanos());
-    }
-    if (!vm.frozen) {
-      vm.deliver(read);
-    }
-    in(READ_PAUSE_MILLIS, () -> readOwnership(vm, end, nowMillis + READ_WAIT_MILLIS));
-  }
-
   private void execute(Vm vm, BatchCommand command) {
     switch (command) {
       case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/EvacuationHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/EvacuationHistoriesTest.java
@@ -29,6 +29,7 @@
     LOSSY_STORE,
     LATE_ORDERS,
     CRASHES,
+    RESTARTS_WITH_SAME_ID,
     MIXED
   }
 
@@ -44,6 +45,10 @@
       cluster.addExecutor(
           TestFixtures.inDomain(TestFixtures.executor("e" + i, "r" + i % DOMAINS), domain(i)));
     }
+    if (trouble == Trouble.RESTARTS_WITH_SAME_ID) {
+      cluster.crashes.reportStartTimes();
+      cluster.crashes.keepIds(true);
+    }
     PlacedJobs.schedule(cluster, BatchCluster.NORMAL, BatchCluster.URGENT, BatchCluster.BULK);
     for (int i = 0; i < EVACUATIONS; i++) {
       long at = 1500L + cluster.random.nextInt(24_000);
@@ -103,7 +108,7 @@
         faults.lateOrderRate = 0.2;
         cluster.in(length, () -> faults.lateOrderRate = 0);
       }
-      case CRASHES ->
+      case CRASHES, RESTARTS_WITH_SAME_ID ->
           cluster.crashes.up().stream().limit(2).forEach(id -> cluster.crashes.restart(id, length));
       case MIXED -> RandomBatchHistoriesTest.fault(cluster);
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
@@ -159,10 +159,11 @@
       cluster.in(awayMillis + 1500L * heartbeat, () -> cluster.list(ONLY));
     }
     cluster.run(awayMillis + 100);
-    String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(2, 1, 300)));
-    cluster.runUntil("the end of the job", 5000, () -> cluster.status(job).equals(DONE));
+    complete(300);
+    String next = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.tasks(2, 1, 300)));
+    cluster.runUntil("the end of the next job", 5000, () -> cluster.status(next).equals(DONE));
 
-    assertEquals(4, cluster.work.starts().size());
+    assertEquals(6, cluster.work.starts().size());
   }
 
   /** Pages of the list are no snapshot, so an entry of an earlier incarnation may come late. */
