A job for which there is room is stored together with its placement

Cause: a job was planned only once it was stored.

A submitted job is planned at once, and its placements go out with the append that stores it. Nothing is ordered before that append is stored, callers are told nothing of the job until then, and nothing is preempted or reserved for it that could not be undone. A job that is not stored is withdrawn with its placements, and its progress with it.

PlacementWithAcceptanceTest.aJobForWhichThereIsRoomStartsAfterOneAppend fails before (two appends). Two tests of EvacuationTest slow the store before the submission now, since the placement is stored with it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -80,13 +80,19 @@
       submitCancelled(ticket, id, cancelled.get(), retryAfterMillis, context);
       return;
     }
-    BatchJob job = new BatchJob(id, queue, organisation, context.wallMillis(), submit.submission());
+    ActiveJob job =
+        ActiveJob.submitted(
+            new BatchJob(id, queue, organisation, context.wallMillis(), submit.submission()));
     pending.put(id, PendingSubmission.of(ticket));
+    jobs.submit(job);
     writer.putExpiring(
         JobCodec.jobKey(id),
-        () -> Optional.of(JobCodec.encode(job)),
+        () -> Optional.of(JobCodec.encode(job.job())),
         () -> accepted(job),
-        loss -> notAccepted(id, loss, retryAfterMillis),
+        loss -> {
+          jobs.withdraw(job);
+          notAccepted(id, loss, retryAfterMillis);
+        },
         context);
   }
 
@@ -131,9 +137,9 @@
     return due;
   }
 
-  private void accepted(BatchJob job) {
-    jobs.registry().add(new ActiveJob(job));
-    jobs.changed();
+  private void accepted(ActiveJob active) {
+    jobs.accept(active);
+    BatchJob job = active.job();
     long chain = job.submission().estimatedChainMillis();
     note(
         BatchLogEvent.JOB_ACCEPTED,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -274,6 +274,11 @@
     return Optional.empty();
   }
 
+  /** Frees the capacity of a placement whose job was not accepted. */
+  public void withdraw(LiveRun placed) {
+    registry.find(placed.executor()).ifPresent(executor -> executor.remove(placed));
+  }
+
   /** Orders the stop of a run; one that was not started yet is given up at once. */
   public void stop(LiveRun run, String cause, BatchContext context) {
     if (run.stage() == Stage.STOPPING) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -194,6 +194,9 @@
 
     /** Reserves capacity that is being freed for the step, or else preempts other runs for it. */
     private void waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
+      if (!waiting.step().job().accepted()) {
+        return;
+      }
       Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, expected, nearOnly);
       if (afterStops.isPresent()) {
         afterStops.get().forEach(this::reserve);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ActiveJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ActiveJob.java
@@ -16,12 +16,20 @@
   private final List<StepProgress> steps;
   private final int stepsPerOccurrence;
   private final long chainMillis;
+  private boolean accepted = true;
   private boolean begun;
   private Optional<JobPhase> end = Optional.empty();
   private long endedMillis;
   private JobPhase storedPhase = JobPhase.QUEUED;
 
-  /** Creates a job of which no task was started. */
+  /** Creates a job whose submission is being stored. */
+  public static ActiveJob submitted(BatchJob job) {
+    ActiveJob submitted = new ActiveJob(job);
+    submitted.accepted = false;
+    return submitted;
+  }
+
+  /** Creates an accepted job of which no task was started. */
   public ActiveJob(BatchJob job) {
     this.job = job;
     Submission submission = job.submission();
@@ -86,6 +94,20 @@
     return true;
   }
 
+  /**
+   * Returns whether the job is stored. Until then its tasks may be placed, so that its placements
+   * are stored with it, but callers are not told that it exists and nothing is done for it that
+   * could not be undone.
+   */
+  public boolean accepted() {
+    return accepted;
+  }
+
+  /** Records that the job is stored. */
+  public void accept() {
+    accepted = true;
+  }
+
   /** Returns whether any task was ever started. */
   public boolean begun() {
     return begun;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -88,6 +88,29 @@
     records.persist(job, committed);
   }
 
+  /**
+   * Adds a job that is about to be stored, so that tasks for which there is room are placed and
+   * stored with it.
+   */
+  public void submit(ActiveJob job) {
+    registry.add(job);
+    changed = true;
+  }
+
+  /** Accepts a submitted job, which is stored. */
+  public void accept(ActiveJob job) {
+    job.accept();
+    changed = true;
+  }
+
+  /** Removes a submitted job that was not stored, with its placements. */
+  public void withdraw(ActiveJob job) {
+    job.liveRuns().forEach(executors::withdraw);
+    registry.withdraw(job);
+    records.withdraw(job);
+    changed = true;
+  }
+
   /** Ends a job that its caller cancelled. */
   public void cancel(ActiveJob job, Runnable committed, BatchContext context) {
     end(job, JobPhase.CANCELLED, committed, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
@@ -28,6 +28,11 @@
         });
   }
 
+  /** Stores no progress of a job that was not accepted. */
+  void withdraw(ActiveJob job) {
+    writer.put(JobCodec.progressKey(job.job().id()), Optional::empty, () -> {});
+  }
+
   /** Calls back once the current progress of a job is stored. */
   void whenStored(ActiveJob job, Runnable committed) {
     writer.whenStored(JobCodec.progressKey(job.job().id()), committed);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRegistry.java
@@ -46,6 +46,11 @@
     ended.remove(id);
   }
 
+  /** Removes a job that was not accepted. */
+  public void withdraw(ActiveJob job) {
+    active.remove(job.job().id(), job);
+  }
+
   /** Adds a job that has ended and has no live runs. */
   public void addEnded(String id, EndedJob job, long nowNanos) {
     ended.put(id, job, job.endedMillis(), nowNanos);
@@ -82,7 +87,7 @@
   /** Returns the state of a job that is reported to callers; empty if there is no such job. */
   public Optional<JobPhase> storedPhase(String id) {
     ActiveJob job = active.get(id);
-    if (job != null) {
+    if (job != null && job.accepted()) {
       return Optional.of(job.storedPhase());
     }
     return ended.get(id).map(EndedJob::phase);
@@ -122,7 +127,8 @@
   public int pendingJobs(String queue) {
     int count = 0;
     for (ActiveJob job : active.values()) {
-      if (job.job().queue().name().equals(queue) && job.open() && !job.begun()) {
+      boolean pending = job.accepted() && job.open() && !job.begun();
+      if (pending && job.job().queue().name().equals(queue)) {
         count++;
       }
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StateWriter.java
@@ -292,8 +292,9 @@
 
   /** Gives up all changes that are not confirmed as stored, since ownership is lost. */
   public void close() {
-    pendingChanges.values().forEach(change -> change.notifyLost(CommitFailure.NOT_STORED));
+    List<PendingChange> unsent = List.copyOf(pendingChanges.values());
     pendingChanges.clear();
+    unsent.forEach(change -> change.notifyLost(CommitFailure.NOT_STORED));
     for (InFlightAppend current : inFlight) {
       CommitFailure loss =
           current.certainlyNotStored() ? CommitFailure.NOT_STORED : CommitFailure.UNKNOWN;
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -120,6 +120,10 @@
     if (after.number() == BatchLogEvent.RUN_STARTED.number()) {
       return "the placement was stored and the start was ordered";
     }
+    boolean placed = before.number() == BatchLogEvent.RUN_PLACED.number();
+    if (after.number() == BatchLogEvent.JOB_ACCEPTED.number() && placed) {
+      return "the job was stored with its placement";
+    }
     if (after.number() == BatchLogEvent.JOB_ACCEPTED.number()) {
       return "refused or undecided, until the caller came back";
     }
