--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
@@ -30,16 +30,13 @@
 
   /**
    * How long other work waits for a placement near its data, in multiples of its estimated
-   * duration. Elsewhere it takes three times as long and occupies its capacity for as long. On days
-   * of heavy load a multiple of 8 gave better results than 2 to 4, or than a wait of 8 s for all
-   * work.
+   * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
    */
   private static final int NEARNESS_WAIT_DURATIONS = 8;
 
   /**
    * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
-   * without waiting for others to stop. On days of heavy load 0.35 gave the best results between
-   * 0.2 and 0.45.
+   * without waiting for others to stop.
    */
   private static final double URGENT_RESERVE_SHARE = 0.35;
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePreemptor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePreemptor.java
@@ -22,8 +22,8 @@
 
   /**
    * Largest share of a step's work that preemption may discard to let the step start. Above it,
-   * preemption would delay other jobs more than it speeds up the step: on days of heavy load 0.3
-   * gave better results than 0.5, 1 and 3. Steps covered by a guarantee have no such limit.
+   * preemption would delay other jobs more than it speeds up the step. Steps covered by a guarantee
+   * have no such limit.
    */
   private static final double MAX_DISCARDED_SHARE = 0.3;
 
