BusyOwnerTest counts the plans of a job from its submission on

A submitted job is planned before it is stored, so the plan follows the call and not the answer of the store. The test looked only at the commands after the latter (three tests failed, expected 1 placement, 0 found). It now counts all commands until the job is stored, and the call itself comes while more events wait, or not, as the test says; the numbers of plans are the same as before.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BusyOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BusyOwnerTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -47,7 +48,7 @@
     accept(new Submission("spec", List.of(Jobs.tasks(1, 1, 60_000)), Optional.of(once)), false);
   }
 
-  /** Submits a job and returns the commands that follow the event by which it is stored. */
+  /** Submits a job and returns the commands that follow from that until it is stored. */
   private List<BatchCommand> accept(boolean moreQueued) {
     return accept(Jobs.of(Jobs.tasks(1, 1, 60_000)), moreQueued);
   }
@@ -57,13 +58,14 @@
     BatchCall call =
         new BatchCall.Submit(
             BatchCluster.NORMAL, BatchCluster.KEY, "%016x".formatted(jobs), submission);
-    List<BatchCommand> sent =
-        apply(new BatchEvent.Called(1, call, BatchCluster.CALLER_TIMEOUT), true);
-    List<BatchCommand> stored = store(sent, moreQueued);
-    for (List<BatchCommand> next = stored; append(next).isPresent(); ) {
-      next = store(next, true);
+    List<BatchCommand> submitted =
+        apply(new BatchEvent.Called(1, call, BatchCluster.CALLER_TIMEOUT), moreQueued);
+    List<BatchCommand> all = new ArrayList<>(submitted);
+    for (List<BatchCommand> next = submitted; append(next).isPresent(); ) {
+      next = store(next, moreQueued);
+      all.addAll(next);
     }
-    return stored;
+    return all;
   }
 
   private List<BatchCommand> store(List<BatchCommand> commands, boolean moreQueued) {
