--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/EvacuationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/EvacuationTest.java
@@ -38,6 +38,13 @@
     cluster.addExecutor(TestFixtures.inDomain(TestFixtures.executor(name, rack), domain));
   }
 
+  /** Waits until an owner decides that knows of the evacuation. */
+  private void beginEvacuated() {
+    cluster.awaitOwner();
+    cluster.evacuations.evacuate(EVACUATED);
+    cluster.run(500);
+  }
+
   private void keepOnly(String... names) {
     Set<String> kept = Set.of(names);
     cluster.executors.keySet().removeIf(id -> !kept.contains(id.value()));
@@ -56,9 +63,7 @@
 
   @Test
   void noTaskStartsInAnEvacuatedFailureDomain() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(40, 1, 3000)));
     cluster.run(1000);
     assertEquals(0, runningIn(EVACUATED));
@@ -82,9 +87,7 @@
 
   @Test
   void aNewOwnerRespectsAnEvacuationThatBeganBeforeIt() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     cluster.restart(cluster.owner().orElseThrow().id, 2000);
     cluster.run(500);
     cluster.awaitOwner();
@@ -97,9 +100,7 @@
 
   @Test
   void aVmThatMissedTheEndOfAnEvacuationUsesTheDomainOnceItReachesTheStore() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     cluster.faults.storeDown = true;
     cluster.run(1000);
     cluster.evacuations.giveBack(EVACUATED);
@@ -178,9 +179,7 @@
   /** Work that is not urgent leaves a share of the accelerators free: of those that can be used. */
   @Test
   void theRestOfTheFleetIsWhatCountsForCapacityKeptFree() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(64, 1, 3000)));
     cluster.run(1000);
     assertEquals(20, runningIn(KEPT));
@@ -188,9 +187,7 @@
 
   @Test
   void aJobThatFitsOnlyWithTheEvacuatedDomainWaitsForItAndSaysSo() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     String job = cluster.submit(BatchCluster.NORMAL, Jobs.of(Jobs.gang(8, 8, 1000)));
     cluster.run(30_000);
     assertEquals(List.of(), cluster.work.starts());
@@ -204,9 +201,7 @@
 
   @Test
   void aFailureDomainThatIsGivenBackIsUsedAtOnce() {
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(64, 1, 3000)));
     cluster.run(1000);
     assertEquals(32, placements());
@@ -218,9 +213,7 @@
   @Test
   void anExecutorThatJoinsAnEvacuatedFailureDomainIsNotUsed() {
     keepOnly("kept-0");
-    cluster.awaitOwner();
-    cluster.evacuations.evacuate(EVACUATED);
-    cluster.run(500);
+    beginEvacuated();
     assertEquals(1, cluster.notes(BatchLogEvent.EVACUATED_DOMAIN_UNKNOWN).size());
     addExecutor("evacuated-9", "r1", EVACUATED);
     cluster.run(500);
