--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -33,13 +33,9 @@
           Disruption.Kind.EXECUTOR,
           Disruption.Kind.EVACUATION);
 
+  /** A slow store answers reads within a second, and a lossy one loses answers to appends only. */
   private static final Set<Disruption.Kind> KEEPS_FROM_READING =
-      EnumSet.of(
-          Disruption.Kind.PAUSED,
-          Disruption.Kind.LINK,
-          Disruption.Kind.STORE_SLOW,
-          Disruption.Kind.STORE_AWAY,
-          Disruption.Kind.STORE_LOSSY);
+      EnumSet.of(Disruption.Kind.PAUSED, Disruption.Kind.LINK, Disruption.Kind.STORE_AWAY);
 
   /** Kinds that disturb neither a VM nor its way to the store. */
   private static final Set<Disruption.Kind> OUTSIDE_VMS =
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/EvacuationJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/EvacuationJudgeTest.java
@@ -70,6 +70,14 @@
     assertFalse(evacuationBroken(EVACUATED_AT + 9000));
   }
 
+  @Test
+  void aSlowStoreExcusesNothing() {
+    evacuate(domainOfExecutor());
+    history.disturbed(
+        Disruption.Kind.STORE_SLOW, Disruption.ALL, EVACUATED_AT, EVACUATED_AT + 9000);
+    assertTrue(evacuationBroken(EVACUATED_AT + 9000));
+  }
+
   /** An owner that was just started has read what is evacuated. */
   @Test
   void aVmThatWasKilledIsNotExcused() {
