--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -24,6 +24,7 @@
 import org.fescuehook.logic.batch.state.JobLifecycle;
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -84,6 +85,7 @@
     this.preferences = preferences;
     this.writer = new StateWriter(epoch, context);
     this.admission = new Admission(writer, preferences);
+    SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
     this.executors =
         new ExecutorDuty(
@@ -92,12 +94,13 @@
             lease,
             ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
             this,
+            statistics,
             context);
-    this.jobs = new JobLifecycle(registry, writer, executors, configuration);
+    this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration);
     this.submissions = new SubmissionHandler(jobs, writer, outgoing);
     this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
-    this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), context);
+    this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
@@ -63,6 +64,7 @@
    * @param lease length of the leases that orders grant
    * @param longestLease the longest lease that an executor grants
    * @param inheritedLease how long leases of a former owner may last from now on
+   * @param statistics receives what the reports of executors show
    */
   public ExecutorDuty(
       long epoch,
@@ -70,6 +72,7 @@
       Duration longestLease,
       Duration inheritedLease,
       RunListener listener,
+      SchedulingStatistics statistics,
       BatchContext context) {
     this.nextFullPassAt = context.nowNanos();
     this.orders = new OrderSender(epoch, lease);
@@ -79,7 +82,7 @@
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.orphans = new OrphanedRuns(context.nowNanos() + inheritedLeaseNanos);
     this.listener = listener;
-    this.reportHandler = new ReportHandler(orders, throttler, listener, longestLease);
+    this.reportHandler = new ReportHandler(orders, throttler, listener, longestLease, statistics);
     this.lostExecutors = new LostExecutorHandler(registry, reportHandler);
     this.evacuations = new EvacuationHandler(registry, reportHandler);
     this.restarts =
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
@@ -5,6 +5,7 @@
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.RunEnd;
 
 /**
@@ -58,7 +59,12 @@
    * until a run is done there. A run that has failed elsewhere before is no evidence: a job that
    * always fails would otherwise make one executor after the other unavailable.
    */
-  static void ended(ExecutorState executor, LiveRun run, RunEnd end, BatchContext context) {
+  static void ended(
+      ExecutorState executor,
+      LiveRun run,
+      RunEnd end,
+      SchedulingStatistics statistics,
+      BatchContext context) {
     if (end == RunEnd.DONE) {
       executor.succeeded();
     }
@@ -74,7 +80,8 @@
    *
    * @return whether the run should be restarted on another executor
    */
-  static boolean shouldMove(ExecutorState executor, LiveRun run, long nowNanos) {
+  static boolean shouldMove(
+      ExecutorState executor, LiveRun run, SchedulingStatistics statistics, long nowNanos) {
     boolean comparable =
         run.stage() == Stage.RUNNING
             && run.checkpoint().isEmpty()
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -11,6 +11,7 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Handles the answers to polls: which runs are alive on an executor, and which have ended. */
@@ -26,13 +27,19 @@
   private final Throttler throttler;
   private final RunListener listener;
   private final Duration longestLease;
+  private final SchedulingStatistics statistics;
 
   ReportHandler(
-      OrderSender orders, Throttler throttler, RunListener listener, Duration longestLease) {
+      OrderSender orders,
+      Throttler throttler,
+      RunListener listener,
+      Duration longestLease,
+      SchedulingStatistics statistics) {
     this.orders = orders;
     this.throttler = throttler;
     this.listener = listener;
     this.longestLease = longestLease;
+    this.statistics = statistics;
   }
 
   /** Reports a run as lost that no longer holds capacity of its executor. */
@@ -98,7 +105,7 @@
       }
       run.get().foundOn(executor.incarnation());
       executor.remove(run.get());
-      ExecutorEvaluator.ended(executor, run.get(), end.end(), context);
+      ExecutorEvaluator.ended(executor, run.get(), end.end(), statistics, context);
       listener.ended(run.get(), end, stored, context);
     }
     stored.release();
@@ -126,7 +133,7 @@
     if (inherited) {
       listener.foundRunning(run, context);
     }
-    if (ExecutorEvaluator.shouldMove(executor, run, context.nowNanos())) {
+    if (ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
       listener.runStalled(run, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -19,6 +19,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
@@ -32,6 +33,7 @@
   private final ExecutorDuty executors;
   private final AdviceCache advice;
   private final Planner planner;
+  private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
@@ -42,11 +44,13 @@
       ExecutorDuty executors,
       AdviceCache advice,
       WorkPreferences work,
+      SchedulingStatistics statistics,
       BatchContext context) {
     this.jobs = jobs;
     this.executors = executors;
     this.advice = advice;
-    this.planner = new Planner(step -> rank(step.job()), work);
+    this.planner = new Planner(step -> rank(step.job()), work, statistics);
+    this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
   }
 
@@ -63,6 +67,7 @@
             .toList();
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
+    statistics.usage().observe(executors.registry().all(), context.nowNanos());
     Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
@@ -61,16 +62,32 @@
 
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
+  private final SchedulingStatistics statistics;
 
   /**
-   * Creates a planner.
+   * Creates a planner that relies on estimates alone.
    *
    * @param ranks returns the precedence of steps that are running
    * @param preferences properties of work on the executors, such as its stop time
    */
   public Planner(Function<StepProgress, Rank> ranks, WorkPreferences preferences) {
+    this(ranks, preferences, SchedulingStatistics.none());
+  }
+
+  /**
+   * Creates a planner.
+   *
+   * @param ranks returns the precedence of steps that are running
+   * @param preferences properties of work on the executors, such as its stop time
+   * @param statistics what the owner has learned; the planner reads it with each plan
+   */
+  public Planner(
+      Function<StepProgress, Rank> ranks,
+      WorkPreferences preferences,
+      SchedulingStatistics statistics) {
     this.ranks = ranks;
     this.preferences = preferences;
+    this.statistics = statistics;
   }
 
   /**
@@ -98,7 +115,7 @@
   public Plan plan(
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
     List<WaitingStep> ordered = new ArrayList<>(waiting);
-    ordered.sort(WaitingStep.ORDER);
+    ordered.sort(WaitingStep.order(statistics.usage()));
     Pass pass =
         new Pass(
             executors,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.OrganisationUsage;
 import org.fescuehook.model.fleet.Incarnation;
 
 /**
@@ -37,6 +38,14 @@
           .thenComparing(waiting -> waiting.timing().prospect())
           .thenComparingLong(WaitingStep::acceptedMillis);
 
+  /** Returns the order of planning, in which organisations with less recent use go first. */
+  static Comparator<WaitingStep> order(OrganisationUsage usage) {
+    return Comparator.comparing(WaitingStep::rank)
+        .thenComparing(waiting -> waiting.timing().prospect())
+        .thenComparingDouble(waiting -> usage.of(waiting.step().job().job().organisation()))
+        .thenComparingLong(WaitingStep::acceptedMillis);
+  }
+
   /** Copies the list. */
   public WaitingStep {
     tasks = List.copyOf(tasks);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.JobPhase;
@@ -24,6 +25,7 @@
   private final JobRegistry registry;
   private final JobRecords records;
   private final ExecutorDuty executors;
+  private final SchedulingStatistics statistics;
   private BatchConfiguration configuration;
   private boolean changed = true;
 
@@ -32,10 +34,12 @@
       JobRegistry registry,
       StateWriter writer,
       ExecutorDuty executors,
+      SchedulingStatistics statistics,
       BatchConfiguration configuration) {
     this.registry = registry;
     this.records = new JobRecords(registry, writer);
     this.executors = executors;
+    this.statistics = statistics;
     this.configuration = configuration;
   }
 
@@ -168,6 +172,7 @@
    */
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchContext context) {
     logEnd(run, end.end(), context);
+    statistics.runTimes().ended(run, end.end(), context.nowNanos());
     StepProgress step = run.step();
     TaskProgress task = run.task();
     step.end(task);
--- a/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/ini/Values.java
@@ -33,6 +33,11 @@
     return new ValueType<>(accepted, text -> parseDecimal(text, least, most), Values::formatNumber);
   }
 
+  /** Returns the type of switches. */
+  public static ValueType<Boolean> onOrOff() {
+    return new ValueType<>("'on' or 'off'", Values::parseSwitch, enabled -> enabled ? "on" : "off");
+  }
+
   /** Returns the type of bearer tokens. */
   public static ValueType<Optional<String>> secret() {
     String accepted = "at least " + MIN_SECRET_LENGTH + " printable characters without spaces";
@@ -57,6 +62,14 @@
     return count;
   }
 
+  private static boolean parseSwitch(String text) throws MalformedValueException {
+    return switch (text) {
+      case "on" -> true;
+      case "off" -> false;
+      default -> throw new MalformedValueException("is neither 'on' nor 'off'");
+    };
+  }
+
   private static double parseDecimal(String text, double least, double most)
       throws MalformedValueException {
     if (!DECIMAL.matcher(text).matches()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -78,6 +78,23 @@
           Duration.ofMillis(2700),
           "Time from its acceptance in which a job that a guarantee covers has begun.");
 
+  static final Key<Boolean> EXECUTOR_SPEEDS =
+      scheduling("executor-speeds", "Learns the speeds of executors, and uses them for placement.");
+  static final Key<Boolean> RUN_TIMES =
+      scheduling(
+          "run-times", "Learns the durations of tasks, and uses them in place of estimates.");
+  static final Key<Boolean> START_RELIABILITY =
+      scheduling("start-reliability", "Starts work where it is likely to succeed.");
+  static final Key<Boolean> FAIR_SHARES =
+      scheduling("fair-shares", "Divides capacity among organisations by their use of it.");
+  static final Key<Boolean> RESERVATIONS =
+      scheduling("reservations", "Reserves capacity for gangs that do not fit yet.");
+  static final Key<Boolean> BACKLOG_ADMISSION =
+      scheduling(
+          "backlog-admission", "Refuses submissions that would surely end too late to be of use.");
+  static final Key<Boolean> MAINTENANCE_WAVES =
+      scheduling("maintenance-waves", "Carries out the operators' maintenance waves.");
+
   /** All keys in the order in which they are documented. */
   static final List<Key<?>> ALL =
       List.of(
@@ -96,7 +113,14 @@
           CHECKPOINT_INTERVAL,
           RESTORE_TIME,
           STOP_TIME,
-          RECLAIM_BOUND);
+          RECLAIM_BOUND,
+          EXECUTOR_SPEEDS,
+          RUN_TIMES,
+          START_RELIABILITY,
+          FAIR_SHARES,
+          RESERVATIONS,
+          BACKLOG_ADMISSION,
+          MAINTENANCE_WAVES);
 
   private SchedulerKeys() {}
 
@@ -104,6 +128,10 @@
     return Key.optional("bounds", name, Durations.from(Duration.ZERO), fallback, meaning);
   }
 
+  private static Key<Boolean> scheduling(String name, String meaning) {
+    return Key.optional("scheduling", name, Values.onOrOff(), false, meaning);
+  }
+
   private static Key<InetSocketAddress> listening(String name, String example, String meaning) {
     return Key.required("addresses", name, Addresses.fromPort(0), example, meaning);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -8,6 +8,7 @@
 import org.fescuehook.model.preferences.IdentityPreferences;
 import org.fescuehook.model.preferences.ProcessorPreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Parses the settings of a VM that schedules batch jobs; reports all faults at once. */
@@ -47,6 +48,18 @@
                 values.get(SchedulerKeys.RESTORE_TIME),
                 values.get(SchedulerKeys.STOP_TIME),
                 values.get(SchedulerKeys.RECLAIM_BOUND)),
-            values.get(SchedulerKeys.ADVICE).isPresent()));
+            values.get(SchedulerKeys.ADVICE).isPresent(),
+            scheduling(values)));
+  }
+
+  private static SchedulingPreferences scheduling(SettingsValues values) {
+    return new SchedulingPreferences(
+        values.get(SchedulerKeys.EXECUTOR_SPEEDS),
+        values.get(SchedulerKeys.RUN_TIMES),
+        values.get(SchedulerKeys.START_RELIABILITY),
+        values.get(SchedulerKeys.FAIR_SHARES),
+        values.get(SchedulerKeys.RESERVATIONS),
+        values.get(SchedulerKeys.BACKLOG_ADMISSION),
+        values.get(SchedulerKeys.MAINTENANCE_WAVES));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
@@ -10,9 +10,21 @@
  * @param work timing of tasks on the executors
  * @param adviceAvailable whether there is an advice service, which names the executors that may run
  *     a step
+ * @param scheduling the optional parts that are in use
  */
 public record BatchPreferences(
     Duration executorLease,
     Duration statusRetention,
     WorkPreferences work,
-    boolean adviceAvailable) {}
+    boolean adviceAvailable,
+    SchedulingPreferences scheduling) {
+
+  /** Creates preferences without optional parts. */
+  public BatchPreferences(
+      Duration executorLease,
+      Duration statusRetention,
+      WorkPreferences work,
+      boolean adviceAvailable) {
+    this(executorLease, statusRetention, work, adviceAvailable, SchedulingPreferences.ALL_OFF);
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RunEndAcknowledgementTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RunEndAcknowledgementTest.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -61,9 +62,14 @@
     registry.add(new ActiveJob(new BatchJob(JOB, QUEUE, "north", 0, submission)));
     Duration lease = Duration.ofSeconds(6);
     ExecutorDuty executors =
-        new ExecutorDuty(EPOCH, lease, lease, lease, new IgnoringListener(), at(0));
+        new ExecutorDuty(
+            EPOCH, lease, lease, lease, new IgnoringListener(), SchedulingStatistics.none(), at(0));
     return new JobLifecycle(
-        registry, writer, executors, new BatchConfiguration(1, Map.of("q", QUEUE), List.of()));
+        registry,
+        writer,
+        executors,
+        SchedulingStatistics.none(),
+        new BatchConfiguration(1, Map.of("q", QUEUE), List.of()));
   }
 
   private static BatchContext at(long millis) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
@@ -8,6 +8,7 @@
 import org.fescuehook.logic.ini.FaultyInputException;
 import org.fescuehook.logic.ini.IniSource;
 import org.fescuehook.model.preferences.SchedulerPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
 
 class SchedulerSettingsParserTest {
@@ -55,4 +56,17 @@
     FaultyInputException e = assertThrows(FaultyInputException.class, () -> parse(faulty));
     assertEquals(4, e.faults().size());
   }
+
+  /** Guards against an optional part that is in use although the settings do not ask for it. */
+  @Test
+  void optionalPartsAreOffUnlessSwitchedOn() throws FaultyInputException {
+    assertEquals(SchedulingPreferences.ALL_OFF, parse(COMPLETE).batch().scheduling());
+
+    SchedulerPreferences preferences =
+        parse(COMPLETE + "[scheduling]\nexecutor-speeds = on\nfair-shares = off\n");
+
+    assertEquals(
+        new SchedulingPreferences(true, false, false, false, false, false, false),
+        preferences.batch().scheduling());
+  }
 }
