RunTimes gives the expected remaining time of a run

Reservations need the expected ends of runs. Until run times are learned, the answer is the estimate that a run gave before. Compiled only; nothing calls the method yet.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
@@ -24,6 +24,16 @@
    */
   public void ended(LiveRun run, RunEnd end, long nowNanos) {}
 
+  /**
+   * Returns the expected time until a run is done. While nothing is known about its queue or its
+   * executor, this is {@link LiveRun#estimatedLeftMillis}.
+   *
+   * @param nowNanos monotonic time
+   */
+  public long expectedLeftMillis(LiveRun run, long nowNanos) {
+    return run.estimatedLeftMillis();
+  }
+
   /** Returns whether anything is learned. */
   public boolean enabled() {
     return enabled;
