Speeds of executors are learned, and steps are placed by them

Cause: an urgent gang advances with its slowest member, and placement ignored speed.

Change: with executor-speeds on, each run gives one observation of its executor, relative to its step and queue. Estimates are drawn towards the fleet's mean by as much as they may be noise, so that equal executors stay equal. Sudden changes count as a temporary slowdown with bounds. Urgent steps take the fastest executors and the rack with the best pace; other steps the slowest with which they meet their objective.

The stand-in lets the members of a gang advance together only in the new profile, so that older figures are unchanged.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,11 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
+  EXECUTOR_SPEED_CHANGED(
+      8050,
+      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -106,6 +106,7 @@
       run.get().foundOn(executor.incarnation());
       executor.remove(run.get());
       ExecutorEvaluator.ended(executor, run.get(), end.end(), statistics, context);
+      statistics.speeds().ended(executor, run.get(), end.end(), context);
       listener.ended(run.get(), end, stored, context);
     }
     stored.release();
@@ -133,6 +134,7 @@
     if (inherited) {
       listener.foundRunning(run, context);
     }
+    statistics.speeds().progressed(executor, run, context);
     if (ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
       listener.runStalled(run, context);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -17,6 +17,7 @@
   private final PlannedTasks planned;
   private final boolean suspect;
   private final boolean recentlyRestarted;
+  private final int speedClass;
   private ResourceVector free;
   private boolean servesUsers;
   private boolean runsOtherWork;
@@ -29,18 +30,26 @@
    * @param planned what the plan has placed so far
    * @param suspect whether runs have recently failed or been slow there
    * @param recentlyRestarted whether the executor is known to have crashed recently
+   * @param speedClass class of its speed; 0 is the usual speed of the fleet
    */
   CandidateExecutor(
       ExecutorState executor,
       ResourceVector free,
       PlannedTasks planned,
       boolean suspect,
-      boolean recentlyRestarted) {
+      boolean recentlyRestarted,
+      int speedClass) {
     this.executor = executor;
     this.free = free;
     this.planned = planned;
     this.suspect = suspect;
     this.recentlyRestarted = recentlyRestarted;
+    this.speedClass = speedClass;
+  }
+
+  /** Returns the class of its speed: executors of one class count as equally fast. */
+  int speedClass() {
+    return speedClass;
   }
 
   boolean suspect() {
@@ -116,7 +125,7 @@
 
   CandidateExecutor copy() {
     CandidateExecutor copy =
-        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted);
+        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted, speedClass);
     copy.servesUsers = servesUsers;
     copy.runsOtherWork = runsOtherWork;
     copy.onProbation = onProbation;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -86,8 +86,11 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity available(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    FleetCapacity capacity = of(executors, ExecutorState::free, planned, nowNanos);
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SpeedClasses speeds,
+      long nowNanos) {
+    FleetCapacity capacity = of(executors, ExecutorState::free, planned, speeds, nowNanos);
     for (CandidateExecutor candidate : capacity.candidates) {
       candidate.executor().runs().forEach(run -> candidate.addWork(run, nowNanos));
     }
@@ -101,30 +104,42 @@
    */
   static FleetCapacity total(
       Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    return of(executors, executor -> executor.profile().capacity(), planned, nowNanos);
+    return of(
+        executors,
+        executor -> executor.profile().capacity(),
+        planned,
+        SpeedClasses.EQUAL,
+        nowNanos);
   }
 
   private static FleetCapacity of(
       Collection<ExecutorState> executors,
       Function<ExecutorState, ResourceVector> capacity,
       PlannedTasks planned,
+      SpeedClasses speeds,
       long nowNanos) {
-    long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
+    long suspects =
+        executors.stream().filter(executor -> suspect(executor, speeds, nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
     List<CandidateExecutor> candidates = new ArrayList<>();
     for (ExecutorState executor : executors) {
-      boolean suspect = credible && executor.suspect(nowNanos);
+      boolean suspect = credible && suspect(executor, speeds, nowNanos);
       candidates.add(
           new CandidateExecutor(
               executor,
               capacity.apply(executor),
               planned,
               suspect,
-              executor.recentlyRestarted(nowNanos)));
+              executor.recentlyRestarted(nowNanos),
+              speeds.of(executor)));
     }
     return new FleetCapacity(candidates);
   }
 
+  private static boolean suspect(ExecutorState executor, SpeedClasses speeds, long nowNanos) {
+    return executor.suspect(nowNanos) || speeds.verySlow(executor);
+  }
+
   private void addToTotals(CandidateExecutor candidate, int sign) {
     usableAccelerators += sign * usableAccelerators(candidate);
     accelerators += sign * candidate.free().accelerators();
@@ -235,8 +250,8 @@
 
   /**
    * Returns the group with the least capacity to spare into which a number of tasks fits; absent if
-   * there is none. Capacity only shrinks while a plan is made, so that a shape which did not fit
-   * need not be counted again.
+   * there is none. Among groups of different speeds, the speed decides first. Capacity only shrinks
+   * while a plan is made, so that a shape which did not fit need not be counted again.
    */
   Optional<List<CandidateExecutor>> tightestGroup(
       WaitingStep waiting, int wanted, boolean nearOnly) {
@@ -245,13 +260,22 @@
       return Optional.empty();
     }
     Optional<List<CandidateExecutor>> best = Optional.empty();
+    PlacementSpeed speed = PlacementSpeed.of(waiting);
+    List<List<CandidateExecutor>> all = groups(waiting, nearOnly);
+    int bestPace = 0;
     int least = Integer.MAX_VALUE;
     int most = 0;
-    for (List<CandidateExecutor> group : groups(waiting, nearOnly)) {
+    for (List<CandidateExecutor> group : all) {
       int fitting = fits(waiting, group);
       most = Math.max(most, fitting);
-      if (fitting >= wanted && (best.isEmpty() || fitting < least)) {
+      if (fitting < wanted) {
+        continue;
+      }
+      int pace = all.size() == 1 ? 0 : PlacementSpeed.pace(waiting, group, wanted);
+      int order = best.isEmpty() ? -1 : speed.compare(pace, bestPace);
+      if (order < 0 || (order == 0 && fitting < least)) {
         best = Optional.of(group);
+        bestPace = pace;
         least = fitting;
       }
     }
@@ -311,9 +335,9 @@
   }
 
   /**
-   * Places tasks in a group. The fullest executors come first, so that whole ones stay free, and
-   * suspect ones last. Tasks suspected of crashing executors go where a crash costs least and
-   * leaves the least doubt about its cause.
+   * Places tasks in a group. Executors of the speed that suits the step come first, among them the
+   * fullest, so that whole ones stay free, and suspect ones last. Tasks suspected of crashing
+   * executors go where a crash costs least and leaves the least doubt about its cause.
    *
    * @return the placements; fewer than tasks if the group has no capacity for all
    */
@@ -325,7 +349,10 @@
         ordered.add(candidate);
       }
     }
-    ordered.sort(waiting.mayCrash() ? LEAST_RISK_FIRST : FULLEST_FIRST);
+    ordered.sort(
+        waiting.mayCrash()
+            ? LEAST_RISK_FIRST
+            : PlacementSpeed.order(waiting, ordered, tasks.size()).thenComparing(FULLEST_FIRST));
     List<TaskPlacement> placements = new ArrayList<>();
     for (CandidateExecutor candidate : ordered) {
       int fitting = fits(waiting, candidate);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -119,6 +119,7 @@
     Pass pass =
         new Pass(
             executors,
+            SpeedClasses.of(executors, statistics.speeds(), nowNanos),
             new Preemptor(ranks, preferences, nowNanos),
             guaranteedNearnessWait(),
             nowNanos);
@@ -148,13 +149,14 @@
 
     Pass(
         Collection<ExecutorState> executors,
+        SpeedClasses speeds,
         Preemptor preemptor,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.preemptor = preemptor;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = FleetCapacity.available(executors, planned, nowNanos);
-      expected = FleetCapacity.available(executors, planned, nowNanos);
+      available = FleetCapacity.available(executors, planned, speeds, nowNanos);
+      expected = FleetCapacity.available(executors, planned, speeds, nowNanos);
       total = FleetCapacity.total(executors, planned, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
@@ -13,6 +13,7 @@
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 
 /**
  * Simulates heavy load on a virtual clock: short urgent gangs, long gangs and wide bulk jobs in the
@@ -56,15 +57,23 @@
   private final Map<String, SubmittedJob> submittedJobs = new LinkedHashMap<>();
   private final Map<String, Long> completedAt = new LinkedHashMap<>();
 
-  HeavyLoadSimulation(WorkloadProfile profile, long seed, double load) {
+  HeavyLoadSimulation(
+      WorkloadProfile profile, SchedulingPreferences scheduling, long seed, double load) {
     this.profile = profile;
-    this.cluster = new BatchCluster(2, 0, seed, profile.configuration());
+    this.cluster =
+        new BatchCluster(2, 0, seed, profile.configuration(), TestFixtures.preferences(scheduling));
     this.random = new Random(seed);
     this.load = load;
     cluster.work.setStopMillis(profile.stopMillis());
     for (int i = 0; i < profile.executors(); i++) {
       cluster.addExecutor("e" + i, "r" + i / profile.rackSize());
     }
+    if (profile.speeds().size() > 1) {
+      cluster.work.advanceGangsWithSlowestMember();
+      for (ExecutorId id : cluster.executors.keySet()) {
+        cluster.work.slowDown(id, profile.speeds().get(random.nextInt(profile.speeds().size())));
+      }
+    }
   }
 
   Result run() {
@@ -153,7 +162,10 @@
             "image-" + jobClass.queue());
     String job = cluster.submit(jobClass.queue(), profile.drawKey(random), Jobs.of(step));
     for (int index = 0; index < width; index++) {
-      cluster.work.setWorkMillis(new TaskName(job, 0, 0, index), millis);
+      boolean isLong = random.nextDouble() < profile.longTaskShare();
+      cluster.work.setWorkMillis(
+          new TaskName(job, 0, 0, index),
+          isLong ? millis * WorkloadProfile.LONG_TASK_FACTOR : millis);
     }
     double share = (double) width * millis / (jobClass.width() * jobClass.millis());
     double objective = jobClass.objectiveFactor() * millis + jobClass.targetMillis();
@@ -197,12 +209,18 @@
 
   /** Runs several simulations with different seeds and returns the mean of their results. */
   static Result mean(WorkloadProfile profile, int simulations, double load) {
+    return mean(profile, SchedulingPreferences.ALL_OFF, simulations, load);
+  }
+
+  /** The same with optional parts of the scheduling. */
+  static Result mean(
+      WorkloadProfile profile, SchedulingPreferences scheduling, int simulations, double load) {
     double credit = 0;
     double wasted = 0;
     Map<String, Double> byQueue = new LinkedHashMap<>();
     List<Result> results = new ArrayList<>();
     for (int seed = 1; seed <= simulations; seed++) {
-      results.add(new HeavyLoadSimulation(profile, seed, load).run());
+      results.add(new HeavyLoadSimulation(profile, scheduling, seed, load).run());
     }
     for (Result result : results) {
       credit += result.credit() / simulations;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -78,6 +78,7 @@
   final PlacementChecks placement = new PlacementChecks();
   private double wastedCoreSeconds;
   private long stopMillis = 100;
+  private boolean gangsAdvanceTogether;
 
   void recordSubmission(String job, String queue, Submission submission) {
     submissions.put(job, submission);
@@ -109,6 +110,11 @@
     failingExecutors.add(executor);
   }
 
+  /** Makes the members of each gang advance together, with the speed of the slowest. */
+  void advanceGangsWithSlowestMember() {
+    gangsAdvanceTogether = true;
+  }
+
   List<TaskRun> starts() {
     return starts;
   }
@@ -168,7 +174,13 @@
    * spread over racks.
    */
   double speed(TaskRun run) {
-    return speeds.getOrDefault(running.get(run), 1.0) * rackFactor(run);
+    boolean together = gangsAdvanceTogether && stepOf(run.task()).gang();
+    List<TaskRun> runs = together ? members(run) : List.of(run);
+    double slowest = Double.MAX_VALUE;
+    for (TaskRun member : runs) {
+      slowest = Math.min(slowest, speeds.getOrDefault(running.get(member), 1.0));
+    }
+    return slowest * rackFactor(run);
   }
 
   private double rackFactor(TaskRun run) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WorkloadProfile.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WorkloadProfile.java
@@ -15,6 +15,9 @@
  * @param organisations number of organisations; 0 for a single one with a small guarantee
  * @param guaranteedShare share of all accelerators that is guaranteed to the organisations together
  * @param narrowGangs whether a gang has at most as many members as a rack has executors
+ * @param speeds speeds of the executors, equally frequent; a gang advances with its slowest member
+ *     unless all are equal
+ * @param longTaskShare share of the tasks that take {@link #LONG_TASK_FACTOR} times as long
  */
 record WorkloadProfile(
     int executors,
@@ -24,27 +27,44 @@
     double guaranteedShare,
     boolean narrowGangs,
     List<JobClass> jobClasses,
-    List<ExecutorFault> executorFaults) {
+    List<ExecutorFault> executorFaults,
+    List<Double> speeds,
+    double longTaskShare) {
 
   /** Speed of a slow executor relative to a healthy one. */
   static final double SLOW_EXECUTOR_SPEED = 0.16;
 
+  /** How much longer a long task takes than the others of its step. */
+  static final int LONG_TASK_FACTOR = 7;
+
   private static final int[] GANG_ACCELERATORS = {1, 2, 4, 8, 8};
   private static final int PER_EXECUTOR = TestFixtures.CAPACITY.accelerators();
 
+  private static final List<Double> EQUAL = List.of(1.0);
+
   /** The workloads of both users combined, with the longer stop time and without faults. */
   static final WorkloadProfile COMBINED =
-      new WorkloadProfile(33, 8, 900, 0, 0, true, createJobClasses(0.5, 0.5), List.of());
+      new WorkloadProfile(33, 8, 900, 0, 0, true, createJobClasses(0.5, 0.5), List.of(), EQUAL, 0);
+
+  /** A fleet with three speeds, without faults. */
+  static final WorkloadProfile THREE_SPEEDS =
+      new WorkloadProfile(
+          48, 8, 900, 0, 0, true, createJobClasses(0.5, 0.5), List.of(), List.of(0.6, 1.0, 1.6), 0);
+
+  /** A fleet of equal executors, where one task in thirty-three takes much longer. */
+  static final WorkloadProfile LONG_TAIL =
+      new WorkloadProfile(
+          33, 8, 900, 0, 0, true, createJobClasses(0.5, 0.5), List.of(), EQUAL, 0.03);
 
   /** Workload of Humidade Viva with slow, hanging and failing executors. */
   static final WorkloadProfile HUMIDADE_VIVA =
       new WorkloadProfile(
-          33, 8, 200, 4, 0.62, false, createJobClasses(0.8, 0.6), createExecutorFaults());
+          33, 8, 200, 4, 0.62, false, createJobClasses(0.8, 0.6), createExecutorFaults(), EQUAL, 0);
 
   /** Workload of Lakeshore Loop with the same faults, smaller racks and slower stops. */
   static final WorkloadProfile LAKESHORE =
       new WorkloadProfile(
-          32, 6, 900, 4, 0.62, false, createJobClasses(0.8, 0.6), createExecutorFaults());
+          32, 6, 900, 4, 0.62, false, createJobClasses(0.8, 0.6), createExecutorFaults(), EQUAL, 0);
 
   /**
    * A class of jobs.
