Run times are learned, and plans use expected durations and ends

Cause: estimates are off, and 3 percent of the tasks take seven times as long; plans knew neither.

Change: with run-times on, each queue and image has a bounded histogram of the ratio of actual to estimated duration at the usual speed. Its median replaces the estimate in spare times and in the wait for a rack. The expected remaining time follows a run's own progress, else the histogram, so that it grows beyond the estimate. Capacity of runs that end within the time of a stop counts as becoming free, such runs are no victims, runs without use cost a preemption nothing, and an urgent gang waits for faster executors if it then ends earlier.

Tests: logic.batch and ArchitectureTest run, none failed.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -199,6 +199,11 @@
     addToTotals(candidate, 1);
   }
 
+  /** Returns the class of the speed of the executor of a placement. */
+  int speedClass(TaskPlacement placement) {
+    return byExecutor.get(placement.executor()).speedClass();
+  }
+
   /** Returns the executors on which a step may run, in groups that count as near to each other. */
   List<List<CandidateExecutor>> groups(WaitingStep waiting, boolean nearOnly) {
     return groupKey(waiting, nearOnly)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -68,7 +68,8 @@
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
     statistics.usage().observe(executors.registry().all(), context.nowNanos());
-    Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
+    Planner.Plan plan =
+        planner.plan(waiting, usable, run -> useless(run, context), context.nowNanos());
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
@@ -155,15 +156,21 @@
     return groups;
   }
 
-  private static StepTiming timing(StepProgress step, JobQueue queue, BatchContext context) {
+  /** Returns when a step was due, milliseconds since 1970. */
+  private static long dueMillis(StepProgress step) {
     Submission submission = step.job().job().submission();
-    long dueMillis = step.job().job().acceptedMillis();
-    if (submission.schedule().isPresent()) {
-      dueMillis = Math.max(dueMillis, submission.schedule().get().dueMillis(step.occurrence()));
-    }
+    long accepted = step.job().job().acceptedMillis();
+    return submission
+        .schedule()
+        .map(schedule -> Math.max(accepted, schedule.dueMillis(step.occurrence())))
+        .orElse(accepted);
+  }
+
+  private StepTiming timing(StepProgress step, JobQueue queue, BatchContext context) {
     long objectiveMillis = queue.objectiveMillis(step.job().estimatedChainMillis());
-    long spareMillis = objectiveMillis - step.estimatedChainMillis();
-    long waitedMillis = Math.max(0, context.wallMillis() - dueMillis);
+    double ratio = statistics.runTimes().expectedRatio(step);
+    long spareMillis = objectiveMillis - Math.round(step.estimatedChainMillis() * ratio);
+    long waitedMillis = Math.max(0, context.wallMillis() - dueMillis(step));
     long queuedNanos = context.nowNanos() - step.queuedSince(context.nowNanos());
     if (step.spec().longRunning().isPresent()) {
       return StepTiming.ofLongRunning(queuedNanos);
@@ -175,6 +182,19 @@
         TimeUnit.MILLISECONDS.toNanos(objectiveMillis));
   }
 
+  /** Tells whether the result of a run will come too late to be of any use to the caller. */
+  private boolean useless(LiveRun run, BatchContext context) {
+    StepProgress step = run.step();
+    if (step.spec().longRunning().isPresent()) {
+      return false;
+    }
+    long leftMillis = statistics.runTimes().expectedLeftMillis(run, context.nowNanos());
+    long objectiveMillis =
+        jobs.queue(step.job()).objectiveMillis(step.job().estimatedChainMillis());
+    long endsAfterMillis = context.wallMillis() - dueMillis(step) + leftMillis;
+    return endsAfterMillis > objectiveMillis * JobQueue.MAX_USEFUL_OBJECTIVES;
+  }
+
   private Rank rank(ActiveJob job) {
     JobQueue queue = jobs.queue(job);
     String organisation = job.job().organisation();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.LiveRun;
@@ -95,8 +96,10 @@
    *
    * @param starts where tasks start
    * @param stops runs that are preempted
+   * @param deferred gangs that could start but wait for faster executors, where they end earlier
    */
-  public record Plan(List<TaskPlacement> starts, List<Preemption> stops) {}
+  public record Plan(
+      List<TaskPlacement> starts, List<Preemption> stops, List<WaitingStep> deferred) {}
 
   /**
    * A run that is preempted.
@@ -114,17 +117,33 @@
    */
   public Plan plan(
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
+    return plan(waiting, executors, run -> false, nowNanos);
+  }
+
+  /**
+   * Makes a plan.
+   *
+   * @param useless tells whether the result of a run will come too late to be of any use
+   */
+  Plan plan(
+      Collection<WaitingStep> waiting,
+      Collection<ExecutorState> executors,
+      Predicate<LiveRun> useless,
+      long nowNanos) {
+    RunForecast forecast = new RunForecast(statistics.runTimes(), useless, nowNanos);
     List<WaitingStep> ordered = new ArrayList<>(waiting);
     ordered.sort(WaitingStep.order(statistics.usage()));
     Pass pass =
         new Pass(
             executors,
             SpeedClasses.of(executors, statistics.speeds(), nowNanos),
-            new Preemptor(ranks, preferences, nowNanos),
+            new Preemptor(ranks, preferences, forecast, nowNanos),
+            forecast,
+            preferences.stopTime().toNanos(),
             guaranteedNearnessWait(),
             nowNanos);
     ordered.forEach(pass::planStep);
-    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
+    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred));
   }
 
   /**
@@ -143,24 +162,32 @@
     private final PlannedTasks planned = new PlannedTasks();
     private final List<TaskPlacement> starts = new ArrayList<>();
     private final List<Preemption> stops = new ArrayList<>();
+    private final List<WaitingStep> deferred = new ArrayList<>();
 
     private final Preemptor preemptor;
+    private final RunForecast forecast;
+    private final FasterPlace fasterPlace;
     private final long guaranteedNearnessWaitNanos;
 
     Pass(
         Collection<ExecutorState> executors,
         SpeedClasses speeds,
         Preemptor preemptor,
+        RunForecast forecast,
+        long stopNanos,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.preemptor = preemptor;
+      this.forecast = forecast;
+      this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
       available = FleetCapacity.available(executors, planned, speeds, nowNanos);
       expected = FleetCapacity.available(executors, planned, speeds, nowNanos);
       total = FleetCapacity.total(executors, planned, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
-          if (run.stage() == Stage.STOPPING) {
+          // What ends by itself is free as early as what is stopped now.
+          if (run.stage() == Stage.STOPPING || forecast.endsWithin(run, stopNanos)) {
             expected.release(executor, run.demand());
           }
         }
@@ -202,7 +229,11 @@
       boolean nearOnly = nearOnly(waiting);
       Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, available, nearOnly);
       if (now.isPresent()) {
-        now.get().forEach(this::start);
+        Optional<List<TaskPlacement>> later =
+            fasterPlace.find(waiting, now.get(), available, nearOnly);
+        later.ifPresent(placements -> deferred.add(waiting));
+        later.ifPresentOrElse(
+            placements -> placements.forEach(this::reserve), () -> now.get().forEach(this::start));
         return;
       }
       waitOrPreempt(waiting, nearOnly);
@@ -283,7 +314,8 @@
       if (firstStart && timing.waitedNanos() > guaranteedNearnessWaitNanos) {
         return true;
       }
-      long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+      long estimate = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+      double duration = estimate * forecast.expectedRatio(waiting);
       return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
     }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
@@ -29,18 +29,30 @@
   /** Cost of a start besides restoring saved work: the order and storing the placement. */
   private static final double START_COST_SECONDS = 0.05;
 
+  /**
+   * Work that would be done within this time counts twice, since its capacity becomes free soon
+   * anyway.
+   */
+  private static final double SOON_SECONDS = 1;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
+  private final RunForecast forecast;
   private final long nowNanos;
 
   /** Numbers of tasks of long-running steps that this plan preempts already. */
   private final Map<StepProgress, Integer> plannedStops = new HashMap<>();
 
-  Preemptor(Function<StepProgress, Rank> ranks, WorkPreferences preferences, long nowNanos) {
+  Preemptor(
+      Function<StepProgress, Rank> ranks,
+      WorkPreferences preferences,
+      RunForecast forecast,
+      long nowNanos) {
     this.ranks = ranks;
     this.preferences = preferences;
+    this.forecast = forecast;
     this.nowNanos = nowNanos;
   }
 
@@ -48,8 +60,9 @@
    * Runs that are preempted together: one task, or all members of a gang.
    *
    * @param discarded work that has to be repeated, in seconds of one core
+   * @param cost the same, less for work without use and more for work that is almost done
    */
-  private record Victim(List<LiveRun> runs, Rank rank, double discarded) {}
+  private record Victim(List<LiveRun> runs, Rank rank, double discarded, double cost) {}
 
   /**
    * Chooses the runs to preempt for a step.
@@ -176,7 +189,8 @@
       ExecutorState executor = candidate.executor();
       for (LiveRun run : executor.runs()) {
         Rank rank = ranks.apply(run.step());
-        boolean preemptible = run.stage() != Stage.STOPPING && !run.step().done();
+        boolean preemptible =
+            run.stage() != Stage.STOPPING && !run.step().done() && !endsByItself(run);
         if (!preemptible || !waiting.rank().before(rank)) {
           continue;
         }
@@ -194,8 +208,7 @@
     }
     gangs.forEach(gang -> victims.add(victim(gang.liveRuns(), ranks.apply(gang))));
     victims.sort(
-        Comparator.comparing(Victim::discarded)
-            .thenComparing(Victim::rank, Comparator.reverseOrder()));
+        Comparator.comparing(Victim::cost).thenComparing(Victim::rank, Comparator.reverseOrder()));
     return victims;
   }
 
@@ -206,7 +219,30 @@
       double seconds = START_COST_SECONDS + restore + discardedSeconds(run);
       discarded += seconds * run.demand().coreEquivalents();
     }
-    return new Victim(runs, rank, discarded);
+    return new Victim(runs, rank, discarded, discarded * costFactor(runs));
+  }
+
+  /** Tells whether the work of a run is done before a stop would free its capacity. */
+  private boolean endsByItself(LiveRun run) {
+    List<LiveRun> runs = run.step().spec().gang() ? run.step().liveRuns() : List.of(run);
+    return forecast.enabled()
+        && runs.stream()
+            .allMatch(live -> forecast.endsWithin(live, preferences.stopTime().toNanos()));
+  }
+
+  /** Returns how much the work of runs counts that are preempted together. */
+  private double costFactor(List<LiveRun> runs) {
+    if (!forecast.enabled()) {
+      return 1;
+    }
+    if (runs.stream().allMatch(forecast::useless)) {
+      return 0;
+    }
+    double left = 0;
+    for (LiveRun run : runs) {
+      left = Math.max(left, forecast.leftNanos(run) / NANOS_PER_SECOND);
+    }
+    return 1 + Math.min(1, SOON_SECONDS / Math.max(SOON_SECONDS, left));
   }
 
   /** Returns the work of a run that is not saved, in seconds. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -263,6 +263,11 @@
     reportedAt = nowNanos;
   }
 
+  /** Returns when its progress was last reported, or when it was placed, monotonic time. */
+  public long reportedAt() {
+    return reportedAt;
+  }
+
   /** Returns its average speed up to the last report, in percent of its work per second. */
   public double speed() {
     return percent * NANOS_PER_SECOND / Math.max(1, reportedAt - stageSince);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
@@ -85,6 +85,11 @@
     return (int) Math.rint(logSpeed / CLASS_WIDTH);
   }
 
+  /** Returns the logarithm of the speed in the middle of a class. */
+  public static double logOfClass(int speedClass) {
+    return speedClass * CLASS_WIDTH;
+  }
+
   /** Returns the lowest class whose middle is at least the given speed. */
   public static int classAtLeast(double logSpeed) {
     return (int) Math.ceil(logSpeed / CLASS_WIDTH);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SchedulingStatistics.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SchedulingStatistics.java
@@ -20,10 +20,11 @@
 
   /** Creates statistics that know nothing yet. */
   public static SchedulingStatistics create(SchedulingPreferences preferences) {
+    ExecutorSpeeds speeds = new ExecutorSpeeds(preferences.executorSpeeds());
     return new SchedulingStatistics(
         preferences,
-        new ExecutorSpeeds(preferences.executorSpeeds()),
-        new RunTimes(preferences.runTimes()),
+        speeds,
+        new RunTimes(preferences.runTimes(), speeds),
         new StartReliability(preferences.startReliability()),
         new OrganisationUsage(preferences.fairShares()));
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
@@ -118,7 +118,8 @@
   }
 
   private void recordCompletions() {
-    for (String job : submittedJobs.keySet()) {
+    // A status that waits for its answer lets further jobs be submitted.
+    for (String job : List.copyOf(submittedJobs.keySet())) {
       boolean completed =
           !completedAt.containsKey(job)
               && cluster.status(job).equals(Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED)));
