Batch plans: fair shares among organisations (switch fair-shares); fair shares whole

A burst of one organisation delayed the jobs of all others for as long as its own were in time, and longer: once it was late, it took all capacity at the limit open to nearly late work (0.25 free), while work that was in time and planned first needed 0.35 and did not start until it was nearly late itself.

Change: OrganisationUsage measures the share of the dominant resource that each organisation holds and has held recently (half-life 20 s), relative to its guarantee plus an equal part of what nobody is guaranteed. PlanOrder considers steps of equal rank and prospect by that use, then acceptance, and counts what the plan places at once. Small differences do not reorder: levels with hysteresis between plans, tenths of a share within one. Work of organisations with less use may go to the limit of nearly late work where such work with more use waits (NearlyLateUse). Among runs that cost about the same to preempt, those of organisations beyond their share are stopped first.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,19 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** An organisation uses more than its share while others wait; its jobs go behind theirs. */
+  SHARE_EXCEEDED(
+      8060,
+      "Organisation {} exceeds its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** An organisation that exceeded its share keeps it again. */
+  SHARE_KEPT(
+      8061,
+      "Organisation {} keeps its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** A step waits behind later ones, since its organisation uses more than theirs. */
+  JOB_DEFERRED(
+      8062,
+      "Job {} waits behind later jobs: step {}, {} uses {} of its share, job {} of {} at {} starts");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -35,6 +35,7 @@
   private final Planner planner;
   private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
+  private final FairShareLog fairShareLog;
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
@@ -52,11 +53,17 @@
     this.planner = new Planner(step -> rank(step.job()), work, statistics);
     this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
+    this.fairShareLog = new FairShareLog(statistics.usage());
   }
 
   /** Makes a plan and applies it. */
   public void step(BatchContext context) {
     guaranteedNeed = guaranteedNeed();
+    // Also while nothing waits, since what runs meanwhile counts for later plans.
+    statistics
+        .usage()
+        .observe(
+            executors.registry().all(), jobs.configuration().organisations(), context.nowNanos());
     List<WaitingStep> waiting = waiting(context);
     if (waiting.isEmpty()) {
       return;
@@ -67,8 +74,8 @@
             .toList();
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
-    statistics.usage().observe(executors.registry().all(), context.nowNanos());
     Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
+    fairShareLog.check(waiting, plan, context);
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
@@ -87,7 +94,7 @@
     List<WaitingStep> advised =
         waiting.stream()
             .filter(step -> step.permitted().isPresent())
-            .sorted(WaitingStep.ORDER)
+            .sorted(WaitingStep.order(statistics.usage()))
             .toList();
     for (WaitingStep step : advised) {
       List<Incarnation> executorsOfPool =
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -114,15 +114,16 @@
    */
   public Plan plan(
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
-    List<WaitingStep> ordered = new ArrayList<>(waiting);
-    ordered.sort(WaitingStep.order(statistics.usage()));
+    PlannedUsage usage = new PlannedUsage(statistics.usage());
     Pass pass =
         new Pass(
             executors,
-            new Preemptor(ranks, preferences, nowNanos),
+            usage,
+            new NearlyLateUse(waiting, usage),
+            new Preemptor(ranks, preferences, statistics.usage(), nowNanos),
             guaranteedNearnessWait(),
             nowNanos);
-    ordered.forEach(pass::planStep);
+    new PlanOrder(waiting, usage).forEach(pass::planStep);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
   }
 
@@ -143,14 +144,20 @@
     private final List<TaskPlacement> starts = new ArrayList<>();
     private final List<Preemption> stops = new ArrayList<>();
 
+    private final PlannedUsage usage;
+    private final NearlyLateUse nearlyLateUse;
     private final Preemptor preemptor;
     private final long guaranteedNearnessWaitNanos;
 
     Pass(
         Collection<ExecutorState> executors,
+        PlannedUsage usage,
+        NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
+      this.usage = usage;
+      this.nearlyLateUse = nearlyLateUse;
       this.preemptor = preemptor;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
       available = FleetCapacity.available(executors, planned, nowNanos);
@@ -216,7 +223,7 @@
         afterStops.get().forEach(this::reserve);
         return;
       }
-      if (!waiting.urgent() && !nearlyLate(waiting)) {
+      if (!waiting.urgent() && !waiting.nearlyLate()) {
         return;
       }
       Optional<Preemptor.Selection> selection = preemptor.choose(waiting, expected, nearOnly);
@@ -241,18 +248,10 @@
       }
       double reserved =
           total.accelerators()
-              * (nearlyLate(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
+              * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
       return (int) Math.max(0, (available.accelerators() - reserved) / accelerators);
     }
 
-    /**
-     * Tells whether the spare time of a step is almost used up. A step that is too late to be of
-     * use is not preferred.
-     */
-    private static boolean nearlyLate(WaitingStep waiting) {
-      return waiting.timing().nearlyLate() && waiting.timing().prospect() != Prospect.TOO_LATE;
-    }
-
     /**
      * Tells whether a step has waited for some time although more than half of the fleet is free.
      */
@@ -303,6 +302,8 @@
       planned.add(placement);
       available.reserve(placement);
       expected.reserve(placement);
+      StepProgress step = placement.step();
+      usage.add(step.job().job().organisation(), step.spec().demand());
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.OrganisationUsage;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -29,18 +30,30 @@
   /** Cost of a start besides restoring saved work: the order and storing the placement. */
   private static final double START_COST_SECONDS = 0.05;
 
+  /**
+   * How much cheaper, at most, a run counts whose organisation uses more than its share. A larger
+   * factor would discard more work than the capacity is worth to others.
+   */
+  private static final double MAX_OVERUSE = 2;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
+  private final OrganisationUsage usage;
   private final long nowNanos;
 
   /** Numbers of tasks of long-running steps that this plan preempts already. */
   private final Map<StepProgress, Integer> plannedStops = new HashMap<>();
 
-  Preemptor(Function<StepProgress, Rank> ranks, WorkPreferences preferences, long nowNanos) {
+  Preemptor(
+      Function<StepProgress, Rank> ranks,
+      WorkPreferences preferences,
+      OrganisationUsage usage,
+      long nowNanos) {
     this.ranks = ranks;
     this.preferences = preferences;
+    this.usage = usage;
     this.nowNanos = nowNanos;
   }
 
@@ -48,8 +61,13 @@
    * Runs that are preempted together: one task, or all members of a gang.
    *
    * @param discarded work that has to be repeated, in seconds of one core
+   * @param overuse use of their organisation relative to its share, at least 1
    */
-  private record Victim(List<LiveRun> runs, Rank rank, double discarded) {}
+  private record Victim(List<LiveRun> runs, Rank rank, double discarded, double overuse) {
+    double cost() {
+      return discarded / overuse;
+    }
+  }
 
   /**
    * Chooses the runs to preempt for a step.
@@ -166,7 +184,8 @@
 
   /**
    * Returns the possible victims, those whose preemption discards the least work first and, among
-   * equals, the least important first.
+   * equals, the least important first. The discarded work of organisations that use more than their
+   * share counts less.
    */
   private List<Victim> victims(WaitingStep waiting, List<CandidateExecutor> group) {
     List<Victim> victims = new ArrayList<>();
@@ -194,8 +213,7 @@
     }
     gangs.forEach(gang -> victims.add(victim(gang.liveRuns(), ranks.apply(gang))));
     victims.sort(
-        Comparator.comparing(Victim::discarded)
-            .thenComparing(Victim::rank, Comparator.reverseOrder()));
+        Comparator.comparing(Victim::cost).thenComparing(Victim::rank, Comparator.reverseOrder()));
     return victims;
   }
 
@@ -206,7 +224,11 @@
       double seconds = START_COST_SECONDS + restore + discardedSeconds(run);
       discarded += seconds * run.demand().coreEquivalents();
     }
-    return new Victim(runs, rank, discarded);
+    return new Victim(runs, rank, discarded, overuse(runs.getFirst()));
+  }
+
+  private double overuse(LiveRun run) {
+    return Math.clamp(usage.level(run.step().job().job().organisation()).use(), 1, MAX_OVERUSE);
   }
 
   /** Returns the work of a run that is not saved, in seconds. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -38,11 +38,15 @@
           .thenComparing(waiting -> waiting.timing().prospect())
           .thenComparingLong(WaitingStep::acceptedMillis);
 
-  /** Returns the order of planning, in which organisations with less recent use go first. */
+  /**
+   * Returns the order in which planning begins: organisations with less recent use go first among
+   * steps of the same rank and prospect. What the plan places then changes the use, see {@link
+   * PlanOrder}.
+   */
   static Comparator<WaitingStep> order(OrganisationUsage usage) {
     return Comparator.comparing(WaitingStep::rank)
         .thenComparing(waiting -> waiting.timing().prospect())
-        .thenComparingDouble(waiting -> usage.of(waiting.step().job().job().organisation()))
+        .thenComparing(waiting -> usage.level(waiting.organisation()))
         .thenComparingLong(WaitingStep::acceptedMillis);
   }
 
@@ -51,6 +55,24 @@
     tasks = List.copyOf(tasks);
   }
 
+  /** Returns the name of the organisation that submitted the job. */
+  String organisation() {
+    return step.job().job().organisation();
+  }
+
+  /** Tells whether only use and acceptance decide between this step and another one. */
+  boolean sameClass(WaitingStep other) {
+    return rank.equals(other.rank) && timing.prospect() == other.timing.prospect();
+  }
+
+  /**
+   * Tells whether the spare time of the step is almost used up. A step that is too late to be of
+   * use is not preferred.
+   */
+  boolean nearlyLate() {
+    return timing.nearlyLate() && timing.prospect() != StepTiming.Prospect.TOO_LATE;
+  }
+
   /** Tells whether the step is urgent: its queue has priority 0. */
   public boolean urgent() {
     return !Rank.ofPriority(0).before(rank);
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -113,7 +113,11 @@
     if (before.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for an evacuated failure domain";
     }
+    if (before.number() == BatchLogEvent.JOB_DEFERRED.number()) {
+      return "waited since its organisation used more than its share";
+    }
     if (after.number() == BatchLogEvent.RUN_PLACED.number()
+        || after.number() == BatchLogEvent.JOB_DEFERRED.number()
         || after.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for room";
     }
