--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -96,7 +96,19 @@
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
-      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent");
+      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent"),
+  /** An organisation uses more than its share while others wait; its jobs go behind theirs. */
+  SHARE_EXCEEDED(
+      8060,
+      "Organisation {} exceeds its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** An organisation that exceeded its share keeps it again. */
+  SHARE_KEPT(
+      8061,
+      "Organisation {} keeps its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** A step waits behind later ones, since its organisation uses more than theirs. */
+  JOB_DEFERRED(
+      8062,
+      "Job {} waits behind later jobs: step {}, {} uses {} of its share, job {} of {} at {} starts");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -9,11 +9,11 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -131,18 +131,19 @@
       Predicate<LiveRun> useless,
       long nowNanos) {
     RunForecast forecast = new RunForecast(statistics.runTimes(), useless, nowNanos);
-    List<WaitingStep> ordered = new ArrayList<>(waiting);
-    ordered.sort(WaitingStep.order(statistics.usage()));
+    PlannedUsage usage = new PlannedUsage(statistics.usage());
     Pass pass =
         new Pass(
             executors,
             SpeedClasses.of(executors, statistics.speeds(), nowNanos),
-            new Preemptor(ranks, preferences, forecast, nowNanos),
+            usage,
+            new NearlyLateUse(waiting, usage),
+            new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
             forecast,
             preferences.stopTime().toNanos(),
             guaranteedNearnessWait(),
             nowNanos);
-    ordered.forEach(pass::planStep);
+    new PlanOrder(waiting, usage).forEach(pass::planStep);
     return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred));
   }
 
@@ -164,6 +165,8 @@
     private final List<Preemption> stops = new ArrayList<>();
     private final List<WaitingStep> deferred = new ArrayList<>();
 
+    private final PlannedUsage usage;
+    private final NearlyLateUse nearlyLateUse;
     private final Preemptor preemptor;
     private final RunForecast forecast;
     private final FasterPlace fasterPlace;
@@ -172,11 +175,15 @@
     Pass(
         Collection<ExecutorState> executors,
         SpeedClasses speeds,
+        PlannedUsage usage,
+        NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         RunForecast forecast,
         long stopNanos,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
+      this.usage = usage;
+      this.nearlyLateUse = nearlyLateUse;
       this.preemptor = preemptor;
       this.forecast = forecast;
       this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
@@ -249,7 +256,7 @@
         afterStops.get().forEach(this::reserve);
         return;
       }
-      if (!waiting.urgent() && !nearlyLate(waiting)) {
+      if (!waiting.urgent() && !waiting.nearlyLate()) {
         return;
       }
       Optional<Preemptor.Selection> selection = preemptor.choose(waiting, expected, nearOnly);
@@ -274,18 +281,10 @@
       }
       double reserved =
           total.accelerators()
-              * (nearlyLate(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
+              * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
       return (int) Math.max(0, (available.accelerators() - reserved) / accelerators);
     }
 
-    /**
-     * Tells whether the spare time of a step is almost used up. A step that is too late to be of
-     * use is not preferred.
-     */
-    private static boolean nearlyLate(WaitingStep waiting) {
-      return waiting.timing().nearlyLate() && waiting.timing().prospect() != Prospect.TOO_LATE;
-    }
-
     /**
      * Tells whether a step has waited for some time although more than half of the fleet is free.
      */
@@ -337,6 +336,8 @@
       planned.add(placement);
       available.reserve(placement);
       expected.reserve(placement);
+      StepProgress step = placement.step();
+      usage.add(step.job().job().organisation(), step.spec().demand());
     }
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.OrganisationUsage;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -35,11 +36,18 @@
    */
   private static final double SOON_SECONDS = 1;
 
+  /**
+   * How much cheaper, at most, a run counts whose organisation uses more than its share. A larger
+   * factor would discard more work than the capacity is worth to others.
+   */
+  private static final double MAX_OVERUSE = 2;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
   private final RunForecast forecast;
+  private final OrganisationUsage usage;
   private final long nowNanos;
 
   /** Numbers of tasks of long-running steps that this plan preempts already. */
@@ -49,10 +57,12 @@
       Function<StepProgress, Rank> ranks,
       WorkPreferences preferences,
       RunForecast forecast,
+      OrganisationUsage usage,
       long nowNanos) {
     this.ranks = ranks;
     this.preferences = preferences;
     this.forecast = forecast;
+    this.usage = usage;
     this.nowNanos = nowNanos;
   }
 
@@ -60,7 +70,8 @@
    * Runs that are preempted together: one task, or all members of a gang.
    *
    * @param discarded work that has to be repeated, in seconds of one core
-   * @param cost the same, less for work without use and more for work that is almost done
+   * @param cost the same, less for work without use and for an organisation that uses more than its
+   *     share, and more for work that is almost done
    */
   private record Victim(List<LiveRun> runs, Rank rank, double discarded, double cost) {}
 
@@ -179,7 +190,8 @@
 
   /**
    * Returns the possible victims, those whose preemption discards the least work first and, among
-   * equals, the least important first.
+   * equals, the least important first. The discarded work of organisations that use more than their
+   * share counts less.
    */
   private List<Victim> victims(WaitingStep waiting, List<CandidateExecutor> group) {
     List<Victim> victims = new ArrayList<>();
@@ -219,7 +231,8 @@
       double seconds = START_COST_SECONDS + restore + discardedSeconds(run);
       discarded += seconds * run.demand().coreEquivalents();
     }
-    return new Victim(runs, rank, discarded, discarded * costFactor(runs));
+    double cost = discarded * costFactor(runs) / overuse(runs.getFirst());
+    return new Victim(runs, rank, discarded, cost);
   }
 
   /** Tells whether the work of a run is done before a stop would free its capacity. */
@@ -245,6 +258,10 @@
     return 1 + Math.min(1, SOON_SECONDS / Math.max(SOON_SECONDS, left));
   }
 
+  private double overuse(LiveRun run) {
+    return Math.clamp(usage.level(run.step().job().job().organisation()).use(), 1, MAX_OVERUSE);
+  }
+
   /** Returns the work of a run that is not saved, in seconds. */
   private double discardedSeconds(LiveRun run) {
     if (run.stage() != Stage.RUNNING) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -26,6 +26,7 @@
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 
 /** VMs, the shared store and executors on a virtual clock, with faults injected between them. */
 final class BatchCluster {
@@ -137,6 +138,15 @@
     this(vmCount, executorCount, seed, declared, TestFixtures.preferences());
   }
 
+  BatchCluster(
+      int vmCount,
+      int executorCount,
+      long seed,
+      BatchConfiguration declared,
+      SchedulingPreferences scheduling) {
+    this(vmCount, executorCount, seed, declared, TestFixtures.preferences(scheduling));
+  }
+
   BatchCluster(
       int vmCount,
       int executorCount,
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -46,7 +46,7 @@
     return preferences(SchedulingPreferences.ALL_OFF);
   }
 
-  /** Returns the same preferences with optional parts of the scheduling. */
+  /** Returns the same preferences with some optional parts of the scheduling in use. */
   static BatchPreferences preferences(SchedulingPreferences scheduling) {
     WorkPreferences work =
         new WorkPreferences(
