Calls that certainly reached no owner are refused as not run, not answered as undecided

Callers got 504 for calls that no owner can have carried out. The paths that lead to an undecided answer, and what is certain of each:

- A write to the owner's connection that fails: the socket did not take the whole message, so the peer cannot decode it.
Certain; refused now.
- A call whose link is still connecting at its timeout: never sent.
The gateway's timer for the same timeout came first and answered 504.
The link refuses such calls 20 ms before the timeout.
- A stopping VM with calls that wait for an owner: never handed to one, or refused by it.
- A peer's call that cannot be decoded closed the connection, which left all its calls undecided.
Only that call is refused now (8105).
- A cancel that waits for its job's submission when the epoch ends: never sent to the store.
Certain; it is refused, and the caller's VM sends it to the next owner.
- Not certain, and still undecided: a call written to a connection that breaks or falls silent, an append without an answer, a call refused by the next owner after the previous one had it (the previous owner may read it late and be the owner again), a call in the queue of a VM that ends.

aStoppingVmAnswersAllOpenCalls expected 504 for a call that reached no owner. It now has an owner that may have carried the call out; a second test expects the refusal of one that reached none.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -124,15 +124,25 @@
     open.add(newCall);
     newCall.setDeadlineTimer(
         loop.schedule(
-            () -> newCall.answer(new CallAnswer.Undecided(timeoutCause())),
+            () -> newCall.answer(unanswered(newCall, RefusalCause.NO_OWNER)),
             patience.toNanos(),
             TimeUnit.NANOSECONDS));
     send(newCall, INITIAL_RETRY_DELAY, false);
   }
 
-  /** Answers all open calls as undecided. Called as this VM stops before their deadlines. */
+  /**
+   * Answers all open calls: as undecided if an owner may have carried them out, else as refused.
+   * Called as this VM stops before their deadlines.
+   */
   void giveUpAll() {
-    open.forEach(call -> call.answer(new CallAnswer.Undecided(timeoutCause())));
+    open.forEach(call -> call.answer(unanswered(call, RefusalCause.STOPPING)));
+  }
+
+  /** Returns the answer to a call for which none has come. */
+  private CallAnswer unanswered(OpenCall call, RefusalCause causeIfNotRun) {
+    return call.mayHaveRun()
+        ? new CallAnswer.Undecided(timeoutCause())
+        : new CallAnswer.Refused(causeIfNotRun, RETRY_AFTER_MILLIS);
   }
 
   private UndecidedCause timeoutCause() {
@@ -142,6 +152,7 @@
   private void send(OpenCall call, Duration delay, boolean mayBeAccepted) {
     Consumer<CallAnswer> onAnswer = answer -> handleAnswer(call, answer, delay, mayBeAccepted);
     Optional<OwnerLink> owner = link;
+    call.sent();
     if (view.deciding()) {
       local.call(call.call(), call.remaining(), onAnswer);
     } else if (owner.isPresent()) {
@@ -153,12 +164,16 @@
 
   private void handleAnswer(
       OpenCall call, CallAnswer answer, Duration delay, boolean mayBeAccepted) {
-    if (answer instanceof CallAnswer.Refused refused && indicatesOwnerFailure(refused.cause())) {
+    if (answer instanceof CallAnswer.Refused refusal && indicatesOwnerFailure(refusal.cause())) {
       events.accept(new BatchEvent.OwnerDoubted());
     }
     boolean undecided = answer instanceof CallAnswer.Undecided;
     // The refusal of a retry says nothing about the earlier sends, which may have been accepted.
-    boolean outcomeUnknown = undecided || (mayBeAccepted && answer instanceof CallAnswer.Refused);
+    boolean refused = answer instanceof CallAnswer.Refused;
+    boolean outcomeUnknown = undecided || (mayBeAccepted && refused);
+    if (refused && !outcomeUnknown) {
+      call.refused();
+    }
     if (!outcomeUnknown && !waitsForOwner(call.call(), answer)) {
       call.answer(answer);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
@@ -32,6 +32,7 @@
   private final MeterRegistry meters;
   private final AtomicBoolean answered = new AtomicBoolean();
   private volatile Optional<Future<?>> deadlineTimer = Optional.empty();
+  private volatile boolean mayHaveRun;
 
   /**
    * Opens a call.
@@ -64,6 +65,21 @@
     return call;
   }
 
+  /** Records that the call is handed to an owner, which may carry it out from now on. */
+  void sent() {
+    mayHaveRun = true;
+  }
+
+  /** Records that no owner has carried out the call, nor will. */
+  void refused() {
+    mayHaveRun = false;
+  }
+
+  /** Returns whether an owner may have carried out the call. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
   boolean answered() {
     return answered.get();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelHandler.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobLifecycle;
@@ -19,6 +20,9 @@
  */
 final class CancelHandler {
 
+  /** Delay after which callers repeat a cancel at the next owner. */
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
   private final JobLifecycle jobs;
   private final SubmissionHandler submissions;
   private final List<BatchCommand> outgoing;
@@ -118,12 +122,13 @@
   }
 
   /**
-   * Ends the epoch and answers all waiting cancels as undecided: whether they were stored may not
-   * be known. The next owner completes those that were.
+   * Ends the epoch and answers all waiting cancels: those that were never sent to the store as
+   * refused, the others as undecided. The next owner completes those that were stored.
    */
   void close() {
+    CallAnswer refused = new CallAnswer.Refused(RefusalCause.NOT_OWNER, RETRY_AFTER_MILLIS);
+    submissions.takeDueCancels().forEach(due -> answer(due.ticket(), refused));
     CallAnswer undecided = new CallAnswer.Undecided(UndecidedCause.OWNERSHIP_LOST);
-    submissions.takeDueCancels().forEach(due -> answer(due.ticket(), undecided));
     awaitingStore.forEach(ticket -> answer(ticket, undecided));
     awaitingStore.clear();
     awaitingStops.forEach(waiting -> answer(waiting.cancel().ticket(), undecided));
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/BatchNetEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/BatchNetEvent.java
@@ -13,7 +13,9 @@
   /** The connection to the owner was closed. */
   OWNER_DISCONNECTED(8103, "Connection to the owner at {} closed: {}, {} calls open"),
   /** The owner answered no probe; open calls are sent again over a new connection. */
-  OWNER_SILENT(8104, "Owner at {} silent for {} ms, resending {} calls");
+  OWNER_SILENT(8104, "Owner at {} silent for {} ms, resending {} calls"),
+  /** A peer sent a call that this VM cannot decode, as one of a newer version may. */
+  CALL_UNKNOWN(8105, "Call {} of a peer refused, it cannot be decoded: {}");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -43,6 +43,12 @@
   /** Number of unanswered probes after which a connection is considered silent. */
   private static final int MAX_UNANSWERED_PROBES = 2;
 
+  /**
+   * How long before its timeout an unsent call is refused. The caller's VM ends the call at the
+   * same timeout, and would answer that the outcome is unknown.
+   */
+  private static final Duration UNSENT_MARGIN = Duration.ofMillis(20);
+
   /** Delay after which callers are told to retry when the owner could not be reached. */
   private static final long RETRY_AFTER_MILLIS = 1000;
 
@@ -110,7 +116,7 @@
     closed = true;
     current.ifPresent(
         active -> {
-          next.ifPresent(newer -> active.connection.send(CallCodec.ownerMoved(newer)));
+          next.ifPresent(newer -> active.connection.send(CallCodec.ownerMoved(newer), () -> {}));
           active.connection.close();
         });
     current = Optional.empty();
@@ -130,6 +136,10 @@
     lastNumber++;
     long number = lastNumber;
     pending.put(number, call);
+    loop.schedule(
+        () -> refuseUnsent(number),
+        Math.max(0, timeout.minus(UNSENT_MARGIN).toNanos()),
+        TimeUnit.NANOSECONDS);
     loop.schedule(() -> expire(number), timeout.toNanos(), TimeUnit.NANOSECONDS);
     if (current.isPresent()) {
       send(number, call, current.get());
@@ -155,7 +165,7 @@
 
   private void send(long number, PendingCall call, ActiveConnection active) {
     call.sends++;
-    active.connection.send(CallCodec.encode(number, call.call));
+    active.connection.send(CallCodec.encode(number, call.call), () -> call.sends--);
     if (!active.monitored) {
       active.monitored = true;
       active.markReceived(now());
@@ -179,7 +189,7 @@
     }
     if (silentNanos >= PROBE_INTERVAL.toNanos()) {
       active.unansweredProbes++;
-      active.connection.send(CallCodec.probe());
+      active.connection.send(CallCodec.probe(), () -> {});
     }
     scheduleCheck(active);
   }
@@ -206,6 +216,13 @@
     return removed;
   }
 
+  private void refuseUnsent(long number) {
+    PendingCall call = pending.get(number);
+    if (call != null && call.sends == 0) {
+      expire(number);
+    }
+  }
+
   private void expire(long number) {
     remove(number).ifPresent(CallLink::resolveUnanswered);
   }
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallServer.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.net.listen.ServerPort;
@@ -30,6 +31,9 @@
    */
   private static final Duration FORWARDED_CALL_TIMEOUT = Duration.ofSeconds(30);
 
+  /** Delay after which callers may retry a call that this VM cannot decode; others may. */
+  private static final long RETRY_AFTER_MILLIS = 1000;
+
   private final CallPort port;
   private final OwnerHints hints;
   private final ServerPort listener;
@@ -75,13 +79,28 @@
         context.writeAndFlush(CallCodec.probeAnswer());
         return;
       }
-      BatchCall call = CallCodec.decode(message);
+      Optional<BatchCall> call = decode(message);
+      if (call.isEmpty()) {
+        // Closing the connection instead would leave the outcome of all its calls unknown.
+        CallAnswer refused = new CallAnswer.Refused(RefusalCause.UNSUPPORTED, RETRY_AFTER_MILLIS);
+        context.writeAndFlush(encode(message.getCall(), refused));
+        return;
+      }
       port.call(
-          call,
+          call.get(),
           FORWARDED_CALL_TIMEOUT,
           answer -> context.writeAndFlush(encode(message.getCall(), answer)));
     }
 
+    private static Optional<BatchCall> decode(ForwardedCall message) {
+      try {
+        return Optional.of(CallCodec.decode(message));
+      } catch (IllegalArgumentException e) {
+        EventLog.warn(LOGGER, BatchNetEvent.CALL_UNKNOWN, message.getCall(), e.getMessage());
+        return Optional.empty();
+      }
+    }
+
     /**
      * Encodes an answer. A refusal carries the owner that this VM knows, since the calling VM may
      * be unable to read the current owner from the store.
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/NettyPeerConnector.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/NettyPeerConnector.java
@@ -55,8 +55,17 @@
   /** A connection over a channel; connections over the same channel are equal. */
   private record ChannelConnection(Channel channel) implements Connection {
     @Override
-    public void send(ForwardedCall message) {
-      channel.writeAndFlush(message);
+    public void send(ForwardedCall message, Runnable onUnsent) {
+      // A write fails only if the socket has not taken the whole message, and a peer cannot decode
+      // a part of one.
+      channel
+          .writeAndFlush(message)
+          .addListener(
+              written -> {
+                if (!written.isSuccess()) {
+                  onUnsent.run();
+                }
+              });
     }
 
     @Override
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/PeerConnector.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/PeerConnector.java
@@ -12,8 +12,13 @@
   /** An open connection. */
   interface Connection {
 
-    /** Sends a message. */
-    void send(ForwardedCall message);
+    /**
+     * Sends a message.
+     *
+     * @param onUnsent called, at most once, if the message was certainly not sent as a whole, so
+     *     that the peer cannot have read it
+     */
+    void send(ForwardedCall message, Runnable onUnsent);
 
     /** Closes the connection once all messages sent before are written. */
     void close();
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
@@ -183,8 +183,27 @@
 
   @Test
   void aStoppingVmAnswersAllOpenCalls() {
+    gateway.update(owner("vm-2", 7001));
     call(STATUS_CALL);
     gateway.giveUpAll();
     assertEquals(List.of(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT)), answers);
   }
+
+  /** Guards against 504 for a call that reached no owner, which its caller may not repeat. */
+  @Test
+  void aStoppingVmRefusesACallThatReachedNoOwner() {
+    call(CANCEL_CALL);
+    gateway.giveUpAll();
+    assertEquals(List.of(refused(RefusalCause.STOPPING)), answers);
+  }
+
+  /** The owner may take a call that it has not answered yet, even if the link closes. */
+  @Test
+  void aStoppingVmLeavesACallUndecidedThatAnOwnerMayHaveCarriedOut() {
+    gateway.update(owner("vm-2", 7001));
+    call(SUBMIT_CALL);
+    links.getFirst().answer(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT));
+    gateway.giveUpAll();
+    assertEquals(List.of(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT)), answers);
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
@@ -61,13 +61,19 @@
     private Optional<Listener> listener = Optional.empty();
     private boolean alive = true;
     private boolean reachable = true;
+    private boolean writable = true;
+    private boolean connects = true;
 
     private final class FakeConnection implements Connection {
       private final List<ForwardedCall> calls = new ArrayList<>();
       private boolean closed;
 
       @Override
-      public void send(ForwardedCall message) {
+      public void send(ForwardedCall message, Runnable onUnsent) {
+        if (!writable) {
+          onUnsent.run();
+          return;
+        }
         if (!CallCodec.isProbe(message)) {
           calls.add(message);
         } else if (alive) {
@@ -84,6 +90,9 @@
     @Override
     public void connect(Listener target) {
       listener = Optional.of(target);
+      if (!connects) {
+        return;
+      }
       if (!reachable) {
         target.failed("refused");
         return;
@@ -196,6 +205,33 @@
     assertEquals(List.of(SILENT), answers);
   }
 
+  /**
+   * Guards against 504 for a call that reached no owner: the connection broke before the call was
+   * written to it.
+   */
+  @Test
+  void refusesACallThatWasNotWrittenBeforeTheConnectionBroke() {
+    peer.writable = false;
+    call();
+    assertEquals(List.of(), answers);
+    peer.breakConnection(0);
+    assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
+  }
+
+  /**
+   * Guards against 504 for a call that was never sent: the caller's VM ends the call at the same
+   * timeout as the link, and does not know whether it was sent.
+   */
+  @Test
+  void refusesAnUnsentCallShortlyBeforeItsTimeout() {
+    peer.connects = false;
+    call();
+    advance(2700);
+    assertEquals(List.of(), answers);
+    advance(80);
+    assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
+  }
+
   @Test
   void answersUndecidedWhenTheLinkClosesForANewerOwner() {
     call();
