401 and 404 only from a VM that has read the operators' records recently

A VM that was cut off from the store while keys changed answered 401 from its own routes, and callers take that as final. The same holds for 404 of a new queue, and for the owner itself.

StreamFollower tells when the last read was sent. A VM whose last read to the end of the operators' stream was sent more than 3 s ago passes a call with an unknown key on to the owner, and refuses one for an unknown queue, whose name it cannot tell. The owner learns of reads by the event OperatorsRead and refuses what it does not know while it is behind (STALE_CONFIGURATION). The age counts from the send of the read: a VM that was paused would otherwise take an answer that waited in its socket for a new one.

VMs of earlier versions cannot decode new causes of refusals and would close the connection, so new ones are sent as the older cause that is nearest. fescuehook.callers.refused counts the 503 answers of each VM by cause.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fescuehook.logic.batch.BatchCore;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
@@ -82,11 +83,12 @@
   public SchedulerProgram(SchedulerPreferences preferences) {
     this.preferences = preferences;
     EventLoop loop = loops.next();
+    ConfigurationAge configurationAge = new ConfigurationAge();
     FunctionCounter.builder("fescuehook.log.dropped", this, vm -> CountingLogAppender.dropped())
         .register(meters);
     this.ring = new BatchRing(TICK, meters);
     this.gateway = gateway(loop);
-    this.callers = new CallerEdge(loops, gateway);
+    this.callers = new CallerEdge(loops, gateway, configurationAge, System::nanoTime, meters);
     this.peers = new CallServer(loops, ring, gateway);
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
     this.metrics =
@@ -105,7 +107,8 @@
             routes -> {
               callers.route(routes);
               configured = true;
-            });
+            },
+            configurationAge);
     FunctionCounter.builder(
             "fescuehook.store.appends.repeated", store, PlatformStore::repeatedAppends)
         .register(meters);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
@@ -48,6 +49,7 @@
   private final OwnershipDuty ownership;
   private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
   private boolean executorsRead;
+  private final ConfigurationAge configurationAge = new ConfigurationAge();
   private Optional<BatchConfiguration> configuration = Optional.empty();
   private Optional<Set<FailureDomain>> evacuated = Optional.empty();
   private Optional<Takeover> takeover = Optional.empty();
@@ -127,6 +129,7 @@
       case BatchEvent.Called called -> handleCall(called, context);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, context);
       case BatchEvent.EvacuationsRead read -> evacuationsRead(read, context);
+      case BatchEvent.OperatorsRead(long sentAt) -> configurationAge.read(sentAt);
       case BatchEvent.Appended(var stream, var position, var outcome) ->
           appended(stream, position, outcome, context);
       case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, context);
@@ -326,6 +329,7 @@
                 configuration.get(),
                 evacuated.get(),
                 List.copyOf(listed.values()),
+                configurationAge,
                 context));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -50,6 +50,14 @@
     }
   }
 
+  /**
+   * The operators' stream was read to its end; configurations and evacuations that the read
+   * returned have been reported before.
+   *
+   * @param sentAt when the read was sent, monotonic time; later changes may be missing
+   */
+  record OperatorsRead(long sentAt) implements BatchEvent {}
+
   /** An append ended, see {@link BatchCommand.Append}. */
   record Appended(StreamName stream, WriterPosition position, AppendOutcome outcome)
       implements BatchEvent {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -60,6 +61,7 @@
   private static final long BUSY_PLAN_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
 
   private final BatchPreferences preferences;
+  private final ConfigurationAge configurationAge;
   private final StateWriter writer;
   private final Admission admission;
   private final ExecutorDuty executors;
@@ -81,8 +83,10 @@
       BatchConfiguration configuration,
       Set<FailureDomain> evacuated,
       List<ExecutorProfile> listed,
+      ConfigurationAge configurationAge,
       BatchContext context) {
     this.preferences = preferences;
+    this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
     this.admission = new Admission(writer, preferences);
     SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
@@ -244,12 +248,12 @@
     BatchConfiguration configuration = jobs.configuration();
     Optional<JobQueue> queue = configuration.queue(call.queue());
     if (queue.isEmpty()) {
-      answer(ticket, new CallAnswer.NoSuchQueue());
+      answerUnknown(event, new CallAnswer.NoSuchQueue(), context);
       return;
     }
     Optional<BatchOrganisation> caller = configuration.organisation(call.apiKey());
     if (!queue.get().open() && caller.isEmpty()) {
-      answer(ticket, new CallAnswer.UnknownKey());
+      answerUnknown(event, new CallAnswer.UnknownKey(), context);
       return;
     }
     switch (call) {
@@ -272,6 +276,18 @@
     }
   }
 
+  /**
+   * Answers that a queue or key does not exist, or refuses the call if one may have been declared
+   * since this VM last read the operators' records.
+   */
+  private void answerUnknown(BatchEvent.Called event, CallAnswer unknown, BatchContext context) {
+    if (configurationAge.current(context.nowNanos())) {
+      answer(event.ticket(), unknown);
+    } else {
+      refuse(event.ticket(), event.call().subject(), RefusalCause.STALE_CONFIGURATION, context);
+    }
+  }
+
   private void answer(long ticket, CallAnswer answer) {
     outgoing.add(new BatchCommand.Answer(ticket, answer));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/call/RefusalCause.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/call/RefusalCause.java
@@ -15,7 +15,11 @@
   /** The VM is stopping. */
   STOPPING,
   /** The job needs a feature that this VM does not support or is not configured for. */
-  UNSUPPORTED;
+  UNSUPPORTED,
+  /** This VM has not read the operators' records for so long that its configuration may be old. */
+  STALE_CONFIGURATION,
+  /** So much work is waiting that the job would surely start too late to be of use. */
+  BACKLOG;
 
   /** Returns the value of the cause in metric tags. */
   public String tag() {
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -87,7 +87,7 @@
       case CallAnswer.Refused(RefusalCause cause, long retryAfter) ->
           message
               .setOutcome(Outcome.REFUSED)
-              .setReason(cause.name())
+              .setReason(wireName(cause))
               .setRetryAfterMillis((int) retryAfter);
       case CallAnswer.Undecided(UndecidedCause cause) ->
           message.setOutcome(Outcome.UNDECIDED).setReason(cause.name());
@@ -115,6 +115,19 @@
     return new OwnerHint(new VmId(owner.getVm()), owner.getEpoch(), owner.getAddress());
   }
 
+  /**
+   * Returns the name of a cause. VMs of earlier versions close the connection, with all its calls,
+   * on a cause that they do not know, so newer causes are sent as the older one that is nearest.
+   */
+  private static String wireName(RefusalCause cause) {
+    return switch (cause) {
+      case STALE_CONFIGURATION -> RefusalCause.NO_CONFIGURATION.name();
+      case BACKLOG -> RefusalCause.OVERLOADED.name();
+      case NO_CONFIGURATION, NO_OWNER, NOT_OWNER, STORE_AWAY, OVERLOADED, STOPPING, UNSUPPORTED ->
+          cause.name();
+    };
+  }
+
   private static Outcome outcome(JobPhase phase) {
     return switch (phase) {
       case QUEUED -> Outcome.QUEUED;
--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -1,5 +1,6 @@
 package org.fescuehook.platform;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -23,6 +24,8 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -54,13 +57,29 @@
   private static final long RETRY_AFTER_MILLIS = 1000;
 
   private final CallPort port;
+  private final ConfigurationAge configurationAge;
+  private final LongSupplier clock;
+  private final MeterRegistry meters;
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile Optional<RouteTable> routes = Optional.empty();
   private volatile boolean closing;
   private final ServerPort listener;
 
-  /** Creates a server that does not listen yet. */
-  public CallerEdge(EventLoopGroup loops, CallPort port) {
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param configurationAge how old the table of routes may be
+   * @param clock monotonic time in nanoseconds
+   */
+  public CallerEdge(
+      EventLoopGroup loops,
+      CallPort port,
+      ConfigurationAge configurationAge,
+      LongSupplier clock,
+      MeterRegistry meters) {
+    this.configurationAge = configurationAge;
+    this.clock = clock;
+    this.meters = meters;
     this.listener = new ServerPort(loops, new Initializer());
     this.port = port;
   }
@@ -104,13 +123,20 @@
     String path = new QueryStringDecoder(request.uri()).rawPath();
     String host = request.headers().get(HttpHeaderNames.HOST, "");
     Optional<RouteTable.Route> route = table.get().find(hostName(host), path);
+    boolean current = configurationAge.current(clock.getAsLong());
     if (route.isEmpty()) {
-      sink.accept(new CallAnswer.NoSuchQueue());
+      sink.accept(
+          current
+              ? new CallAnswer.NoSuchQueue()
+              : new CallAnswer.Refused(RefusalCause.STALE_CONFIGURATION, RETRY_AFTER_MILLIS));
       return;
     }
     JobQueue queue = route.get().queue();
     String key = request.headers().get(API_KEY_HEADER, "");
-    if (!queue.open() && table.get().configuration().organisation(key).isEmpty()) {
+    boolean unknownKey = !queue.open() && table.get().configuration().organisation(key).isEmpty();
+    // A key may have been declared since this VM last read the operators' records; the owner then
+    // decides.
+    if (unknownKey && current) {
       sink.accept(new CallAnswer.UnknownKey());
       return;
     }
@@ -181,10 +207,18 @@
       }
       handle(
           request,
-          answer ->
-              context
-                  .executor()
-                  .execute(() -> answer(context, CallerMessages.encode(answer), keepAlive)));
+          answer -> {
+            count(answer);
+            context
+                .executor()
+                .execute(() -> answer(context, CallerMessages.encode(answer), keepAlive));
+          });
+    }
+
+    private void count(CallAnswer answer) {
+      if (answer instanceof CallAnswer.Refused refused) {
+        meters.counter("fescuehook.callers.refused", "cause", refused.cause().tag()).increment();
+      }
     }
 
     private void answer(
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.ownership.OwnerCodec;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -57,6 +58,7 @@
   private final EventLoop loop;
   private final Consumer<BatchEvent> events;
   private final Consumer<RouteTable> routes;
+  private final ConfigurationAge configurationAge;
   private final Map<StreamName, StreamAppender> appenders = new EnumMap<>(StreamName.class);
   private final StoreReader stateReader;
   private final StreamFollower ownership;
@@ -70,12 +72,15 @@
    *
    * @param events receives what was read and the outcomes of appends, on the event loop
    * @param routes receives each newer table of routes, on the event loop
+   * @param configurationAge is told of each read of the operators' stream
    */
   public PlatformStore(
       EventLoop loop,
       InetSocketAddress address,
       Consumer<BatchEvent> events,
-      Consumer<RouteTable> routes) {
+      Consumer<RouteTable> routes,
+      ConfigurationAge configurationAge) {
+    this.configurationAge = configurationAge;
     this.loop = loop;
     this.events = events;
     this.routes = routes;
@@ -225,16 +230,20 @@
     @Override
     public void newest(List<StreamRecord> records, long end) {
       evacuations.replace(records);
-      read(records, end);
+      apply(records, end);
+      readToEnd();
     }
 
     @Override
     public void records(List<StreamRecord> records, long end) {
       evacuations.apply(records);
-      read(records, end);
+      apply(records, end);
+      if (records.isEmpty() || records.getLast().offset() + 1 >= end) {
+        readToEnd();
+      }
     }
 
-    private void read(List<StreamRecord> records, long end) {
+    private void apply(List<StreamRecord> records, long end) {
       reportEvacuations(end);
       configurations
           .newest(records)
@@ -245,6 +254,12 @@
               });
     }
 
+    /** Reports a read to the end, after what it returned. */
+    private void readToEnd() {
+      configurationAge.read(operators.readSentAt());
+      events.accept(new BatchEvent.OperatorsRead(operators.readSentAt()));
+    }
+
     private void reportEvacuations(long end) {
       long now = System.nanoTime();
       OptionalLong unreadNanos =
--- a/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/StreamFollower.java
@@ -36,6 +36,7 @@
   private List<StreamRecord> pageRecords = new ArrayList<>();
   private boolean initialReadDone;
   private long nextOffset;
+  private long readSentAt;
   private boolean running;
   private long generation;
   private boolean failing;
@@ -106,11 +107,23 @@
         });
   }
 
+  /**
+   * Returns when the read that was last delivered was sent, monotonic time: records appended since
+   * may be missing. For a read of several pages this is the first of them.
+   */
+  long readSentAt() {
+    return readSentAt;
+  }
+
   private void readNewest(Optional<String> afterKey, long readGeneration) {
+    if (afterKey.isEmpty()) {
+      readSentAt = System.nanoTime();
+    }
     store.newest(topic, afterKey, new ReadListener(readGeneration));
   }
 
   private void readNext(long readGeneration) {
+    readSentAt = System.nanoTime();
     store.read(topic, nextOffset, timing.maxWait(), new ReadListener(readGeneration));
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchCore;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
@@ -63,7 +64,7 @@
         new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
     return new BatchDuty(
         new BatchCore(new OwnerIdentity(new VmId("vm-1"), "s", "10.0.0.1:7000", 1000), batch),
-        new PlatformStore(loop, closedPort, event -> {}, routes -> {}),
+        new PlatformStore(loop, closedPort, event -> {}, routes -> {}, new ConfigurationAge()),
         new ExecutorClient(loop, (id, number, outcome) -> {}),
         new AdviceClient(loop, Optional.empty(), (number, outcome) -> {}),
         new FailingRegistry(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -34,6 +34,9 @@
   static final String NORMAL = TestFixtures.NORMAL;
   static final String BULK = TestFixtures.BULK;
 
+  /** Interval of the events that tell a VM of passing time. */
+  static final long TICK_MILLIS = 50;
+
   private static final long STEP_MILLIS = 20;
   private static final long ANSWER_LIMIT_MILLIS = 1000;
 
@@ -222,7 +225,7 @@
     if (vm.running) {
       evacuations.read(vm);
       vm.deliver(new BatchEvent.Tick());
-      in(50, () -> tick(vm));
+      in(TICK_MILLIS, () -> tick(vm));
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
@@ -24,6 +24,9 @@
   /** Time without trouble after which a VM counts as in touch with the store. */
   private static final long CONTACT_MILLIS = 4000;
 
+  /** Interval of the reads of the operators' stream. */
+  private static final long READ_MILLIS = 1000;
+
   private final BatchCluster cluster;
   private final Map<FailureDomain, Long> since = new HashMap<>();
   private final Map<BatchCluster.Vm, Set<FailureDomain>> known = new HashMap<>();
@@ -56,6 +59,9 @@
       return;
     }
     inTouchSince.putIfAbsent(vm, cluster.nowMillis());
+    if (cluster.nowMillis() % READ_MILLIS < BatchCluster.TICK_MILLIS) {
+      vm.deliver(new BatchEvent.OperatorsRead(cluster.nowMillis() * 1_000_000));
+    }
     if (!since.keySet().equals(known.get(vm))) {
       Set<FailureDomain> domains = new HashSet<>(since.keySet());
       known.put(vm, domains);
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
@@ -18,6 +18,8 @@
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.batch.ForwardedAnswer;
+import org.fescuehook.wire.batch.ForwardedCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +36,7 @@
   private final RecordingHints linkHints = new RecordingHints();
   private final BlockingQueue<CallAnswer> answers = new LinkedBlockingQueue<>();
   private volatile CallAnswer serverAnswer = new CallAnswer.Accepted();
+  private InetSocketAddress serverAddress;
   private CallServer server;
   private CallLink link;
 
@@ -56,10 +59,10 @@
   @BeforeEach
   void start() throws Exception {
     server = new CallServer(loops, (call, timeout, sink) -> sink.accept(serverAnswer), serverHints);
-    InetSocketAddress address =
-        server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    serverAddress = server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     EventLoop loop = (EventLoop) loops.next();
-    link = new CallLink(loop, address, new NettyPeerConnector(loop, address), linkHints);
+    link =
+        new CallLink(loop, serverAddress, new NettyPeerConnector(loop, serverAddress), linkHints);
   }
 
   @AfterEach
@@ -94,4 +97,71 @@
     link.close(Optional.of(NEWER));
     assertEquals(NEWER, serverHints.received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
   }
+
+  /** Records the events of one connection. */
+  private static final class RecordingListener implements PeerConnector.Listener {
+    final BlockingQueue<PeerConnector.Connection> opened = new LinkedBlockingQueue<>();
+    final BlockingQueue<ForwardedAnswer> received = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+
+    @Override
+    public void opened(PeerConnector.Connection connection) {
+      opened.add(connection);
+    }
+
+    @Override
+    public void failed(String cause) {
+      ended.add(cause);
+    }
+
+    @Override
+    public void received(PeerConnector.Connection from, ForwardedAnswer message) {
+      received.add(message);
+    }
+
+    @Override
+    public void closed(PeerConnector.Connection connection, String cause) {
+      ended.add(cause);
+    }
+  }
+
+  /**
+   * Guards against a connection that is closed, which leaves the outcome of all its calls unknown,
+   * because a VM of a newer version sent one call that this one cannot decode.
+   */
+  @Test
+  void refusesACallThatItCannotDecodeAndKeepsTheConnection() throws Exception {
+    RecordingListener listener = new RecordingListener();
+    new NettyPeerConnector((EventLoop) loops.next(), serverAddress).connect(listener);
+    PeerConnector.Connection connection = listener.opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    connection.send(ForwardedCall.newBuilder().setCall(7).setOperationValue(99).build(), () -> {});
+    ForwardedAnswer answer = listener.received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    assertEquals(7, answer.getCall());
+    assertEquals(ForwardedAnswer.Outcome.REFUSED, answer.getOutcome());
+    assertEquals(0, listener.ended.size());
+  }
+
+  /** Guards against taking a call for sent that was written to a connection already closed. */
+  @Test
+  void reportsAMessageThatCannotBeWritten() throws Exception {
+    RecordingListener listener = new RecordingListener();
+    new NettyPeerConnector((EventLoop) loops.next(), serverAddress).connect(listener);
+    PeerConnector.Connection connection = listener.opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    connection.close();
+    listener.ended.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    BlockingQueue<String> unsent = new LinkedBlockingQueue<>();
+    connection.send(CallCodec.encode(1, CALL), () -> unsent.add("unsent"));
+    assertEquals("unsent", unsent.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  /**
+   * Guards against a cause that VMs of earlier versions cannot decode: they close the connection.
+   */
+  @Test
+  void newerCausesOfRefusalsAreSentAsOlderOnes() throws Exception {
+    serverAnswer = new CallAnswer.Refused(RefusalCause.BACKLOG, 3000);
+    assertEquals(new CallAnswer.Refused(RefusalCause.OVERLOADED, 3000), call());
+    serverAnswer = new CallAnswer.Refused(RefusalCause.STALE_CONFIGURATION, 1000);
+    assertEquals(new CallAnswer.Refused(RefusalCause.NO_CONFIGURATION, 1000), call());
+  }
 }
