Admission weighs the backlog, and refused callers return when they can be served (backlog-admission)

Admission did not consider load, Retry-After followed the age of an outage alone, and VMs other than the owner answered one second: callers used up their five tries in 4 s of a takeover, and all returned in the same second.

With the switch on (package logic/batch/admission): - LoadMeter measures the waiting work by pool, label, rank, prospect and organisation, and the rate at which it drains, from what runs within its estimate and from the ends of runs. Unknown for 5 s after a takeover; nothing is refused for load until then. - LoadDecision refuses a job whose start lies beyond three times its objective even if the backlog drains a quarter faster and all unusable executors come back. Never while capacity for it is free, nor urgent work of an organisation with a guarantee. - RefusedJobs (2,048 at most, at the cost of the largest organisation) lets who was refused first go first; ReturnSchedule lets at most 100 callers return in one second; OutageRetries lets the tries that a caller has left span an outage of 12 s. RetryDelays does so where no owner decides. - A refusal after the store gave a job up counts in fescuehook.batch.refused as well. With the switch off decisions are as before, with the delay of a job that is not stored as of its submission.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchRing.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -38,17 +39,16 @@
   /** Capacity reserved for outcomes. Calls may not use it, as they can be refused. */
   private static final int RESERVED_FOR_OUTCOMES = CAPACITY - (1 << 11);
 
-  /** Delay after which callers may retry a call that was refused because the queue was full. */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   /** Capacity for events of ownership, of which a few arrive per second. */
   private static final int OWNERSHIP_CAPACITY = 64;
 
   private final Queue<BatchEvent> ownershipEvents = new ArrayBlockingQueue<>(OWNERSHIP_CAPACITY);
   private final DutyRing<Item> ring;
+  private final RetryDelays retryDelays;
   private final AtomicLong tickets = new AtomicLong();
 
-  BatchRing(Duration tick, MeterRegistry meters) {
+  BatchRing(Duration tick, RetryDelays retryDelays, MeterRegistry meters) {
+    this.retryDelays = retryDelays;
     this.ring = new DutyRing<>("batch-decisions", CAPACITY, tick, meters);
   }
 
@@ -84,7 +84,7 @@
   public void call(BatchCall call, Duration patience, Consumer<CallAnswer> sink) {
     Item item = new Item.CallItem(tickets.incrementAndGet(), call, patience, sink);
     if (!ring.offer(item, RESERVED_FOR_OUTCOMES)) {
-      sink.accept(new CallAnswer.Refused(RefusalCause.OVERLOADED, RETRY_AFTER_MILLIS));
+      sink.accept(retryDelays.refusal(RefusalCause.OVERLOADED, call));
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -12,6 +12,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -43,16 +44,11 @@
   /** Upper bound on the retry delay. A change of the owner triggers the retry at once. */
   private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
 
-  /**
-   * Delay after which callers may retry a call that was refused as there is no owner. A take-over
-   * lasts about 3 s.
-   */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   private final EventLoop loop;
   private final CallPort local;
   private final Consumer<BatchEvent> events;
   private final BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links;
+  private final RetryDelays retryDelays;
   private final MeterRegistry meters;
   private final Set<OpenCall> open = ConcurrentHashMap.newKeySet();
   private final Set<Retry> pendingRetries = ConcurrentHashMap.newKeySet();
@@ -65,13 +61,16 @@
    * @param local receives the calls while this VM is the owner
    * @param events receives what the answers to calls reveal about the owner
    * @param links creates a link to the owner at an address
+   * @param retryDelays when callers of refused calls shall retry
    */
   CallGateway(
       EventLoop loop,
       CallPort local,
       Consumer<BatchEvent> events,
       BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links,
+      RetryDelays retryDelays,
       MeterRegistry meters) {
+    this.retryDelays = retryDelays;
     this.loop = loop;
     this.local = local;
     this.events = events;
@@ -142,7 +141,7 @@
   private CallAnswer unanswered(OpenCall call, RefusalCause causeIfNotRun) {
     return call.mayHaveRun()
         ? new CallAnswer.Undecided(timeoutCause())
-        : new CallAnswer.Refused(causeIfNotRun, RETRY_AFTER_MILLIS);
+        : retryDelays.refusal(causeIfNotRun, call.call());
   }
 
   private UndecidedCause timeoutCause() {
@@ -158,7 +157,7 @@
     } else if (owner.isPresent()) {
       owner.get().call(call.call(), call.remaining(), onAnswer);
     } else {
-      onAnswer.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, RETRY_AFTER_MILLIS));
+      onAnswer.accept(retryDelays.refusal(RefusalCause.NO_OWNER, call.call()));
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -21,6 +21,7 @@
 import org.fescuehook.logic.batch.BatchCore;
 import org.fescuehook.logic.batch.BatchEvent;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
@@ -67,6 +68,7 @@
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("net", true), NioIoHandler.newFactory());
+  private final RetryDelays retryDelays;
   private final BatchRing ring;
   private final CallGateway gateway;
   private final CallerEdge callers;
@@ -83,12 +85,14 @@
   public SchedulerProgram(SchedulerPreferences preferences) {
     this.preferences = preferences;
     EventLoop loop = loops.next();
+    this.retryDelays = new RetryDelays(preferences.batch().scheduling().backlogAdmission());
     ConfigurationAge configurationAge = new ConfigurationAge();
     FunctionCounter.builder("fescuehook.log.dropped", this, vm -> CountingLogAppender.dropped())
         .register(meters);
-    this.ring = new BatchRing(TICK, meters);
+    this.ring = new BatchRing(TICK, retryDelays, meters);
     this.gateway = gateway(loop);
-    this.callers = new CallerEdge(loops, gateway, configurationAge, System::nanoTime, meters);
+    this.callers =
+        new CallerEdge(loops, gateway, configurationAge, System::nanoTime, retryDelays, meters);
     this.peers = new CallServer(loops, ring, gateway);
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
     this.metrics =
@@ -136,7 +140,9 @@
         loop,
         ring,
         ring::publish,
-        (owner, hints) -> new CallLink(loop, owner, new NettyPeerConnector(loop, owner), hints),
+        (owner, hints) ->
+            new CallLink(loop, owner, new NettyPeerConnector(loop, owner), hints, retryDelays),
+        retryDelays,
         meters);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
@@ -33,9 +34,6 @@
  */
 public final class BatchCore {
 
-  /** Delay after which callers retry while this VM is not the owner; a takeover takes about 3 s. */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   /** Longest time that a stopping owner waits for its last changes to be stored. */
   private static final long STOP_TIMEOUT_NANOS = Duration.ofMillis(1500).toNanos();
 
@@ -46,6 +44,7 @@
   private static final Duration STORE_REACHABLE_AGE = Duration.ofMillis(1000);
 
   private final BatchPreferences preferences;
+  private final RetryDelays retryDelays;
   private final OwnershipDuty ownership;
   private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
   private boolean executorsRead;
@@ -60,6 +59,7 @@
   /** Creates a core that is not the owner and knows no configuration, owner or executor. */
   public BatchCore(OwnerIdentity self, BatchPreferences preferences) {
     this.preferences = preferences;
+    this.retryDelays = new RetryDelays(preferences.scheduling().backlogAdmission());
     this.ownership = new OwnershipDuty(self);
   }
 
@@ -158,7 +158,7 @@
   private void handleCall(BatchEvent.Called call, BatchContext context) {
     if (owner.isEmpty()) {
       context.count("fescuehook.batch.refused", "cause", RefusalCause.NOT_OWNER.tag());
-      CallAnswer refused = new CallAnswer.Refused(RefusalCause.NOT_OWNER, RETRY_AFTER_MILLIS);
+      CallAnswer refused = retryDelays.refusal(RefusalCause.NOT_OWNER, call.call());
       context.add(new BatchCommand.Answer(call.ticket(), refused));
       return;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,18 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** A submission is refused since its job would start too late to be of use. */
+  START_TOO_LATE(
+      8065,
+      "Job {} of organisation {} would start too late: in {} ms, useful for {} ms; ahead {} pool-s, refused earlier {} pool-s, drained {} pool-s per s"),
+  /** A job that was refused before is admitted. */
+  REFUSED_JOB_ADMITTED(
+      8066, "Job {} of organisation {} admitted after {} refusals, {} ms after the first"),
+  /** More jobs are refused than the owner remembers; logged once a second. */
+  REFUSED_JOBS_FULL(
+      8067,
+      "More than {} refused jobs: the oldest of organisation {} count as new when they return");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fescuehook.logic.batch.admission.Admission;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.LoadMeter;
+import org.fescuehook.logic.batch.admission.NewJob;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -63,6 +66,7 @@
   private final BatchPreferences preferences;
   private final ConfigurationAge configurationAge;
   private final StateWriter writer;
+  private final LoadMeter load;
   private final Admission admission;
   private final ExecutorDuty executors;
   private final JobLifecycle jobs;
@@ -88,7 +92,6 @@
     this.preferences = preferences;
     this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
-    this.admission = new Admission(writer, preferences);
     SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
     this.executors =
@@ -105,6 +108,8 @@
     this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
+    this.load = new LoadMeter(executors.registry(), plans, context);
+    this.admission = new Admission(writer, preferences, load);
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
@@ -257,17 +262,7 @@
       return;
     }
     switch (call) {
-      case BatchCall.Submit submit -> {
-        Optional<RefusalCause> refusal =
-            admission.refusal(queue.get(), event.patience(), contact, context);
-        if (refusal.isPresent()) {
-          refuse(ticket, submit.job(), refusal.get(), context);
-          return;
-        }
-        String organisation = caller.map(BatchOrganisation::name).orElse("");
-        submissions.submit(
-            ticket, submit, queue.get(), organisation, admission.retryAfterMillis(), context);
-      }
+      case BatchCall.Submit submit -> submit(event, submit, queue.get(), caller, contact, context);
       case BatchCall.Status status -> status(new JobQuery(ticket, status.job(), until), context);
       case BatchCall.Cancel cancel ->
           cancels.cancel(new JobQuery(ticket, cancel.job(), until), context);
@@ -276,6 +271,35 @@
     }
   }
 
+  private void submit(
+      BatchEvent.Called event,
+      BatchCall.Submit submit,
+      JobQueue queue,
+      Optional<BatchOrganisation> caller,
+      StoreReachability contact,
+      BatchContext context) {
+    NewJob job =
+        new NewJob(
+            submit.job(),
+            queue,
+            caller.map(BatchOrganisation::name).orElse(""),
+            caller.map(BatchOrganisation::guaranteedAccelerators).orElse(0) > 0,
+            submit.submission());
+    Optional<Admission.Refusal> refusal =
+        admission.refusal(job, event.patience(), contact, context);
+    if (refusal.isPresent()) {
+      refuse(event.ticket(), job.id(), refusal.get(), context);
+      return;
+    }
+    submissions.submit(
+        event.ticket(),
+        submit,
+        queue,
+        job.organisation(),
+        admission.retryIfNotStored(job),
+        context);
+  }
+
   /**
    * Answers that a queue or key does not exist, or refuses the call if one may have been declared
    * since this VM last read the operators' records.
@@ -284,7 +308,9 @@
     if (configurationAge.current(context.nowNanos())) {
       answer(event.ticket(), unknown);
     } else {
-      refuse(event.ticket(), event.call().subject(), RefusalCause.STALE_CONFIGURATION, context);
+      Admission.Refusal refusal =
+          new Admission.Refusal(RefusalCause.STALE_CONFIGURATION, admission.retryAfterMillis());
+      refuse(event.ticket(), event.call().subject(), refusal, context);
     }
   }
 
@@ -292,10 +318,11 @@
     outgoing.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  private void refuse(long ticket, String id, RefusalCause cause, BatchContext context) {
-    context.note(BatchLogEvent.JOB_REFUSED, id, cause, admission.retryAfterMillis());
+  private void refuse(long ticket, String id, Admission.Refusal refusal, BatchContext context) {
+    RefusalCause cause = refusal.cause();
+    context.note(BatchLogEvent.JOB_REFUSED, id, cause, refusal.retryAfterMillis());
     context.count("fescuehook.batch.refused", "cause", cause.tag());
-    answer(ticket, new CallAnswer.Refused(cause, admission.retryAfterMillis()));
+    answer(ticket, new CallAnswer.Refused(cause, refusal.retryAfterMillis()));
   }
 
   private void status(JobQuery query, BatchContext context) {
@@ -309,6 +336,7 @@
 
   @Override
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchContext context) {
+    load.ended(run, end.end());
     jobs.ended(run, end, stored, context);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -65,19 +66,19 @@
   /**
    * Sends a submission to the store.
    *
-   * @param retryAfterMillis delay after which its caller shall retry if it is not stored
+   * @param retryAfter tells the delay after which its caller shall retry, if it is not stored
    */
   void submit(
       long ticket,
       BatchCall.Submit submit,
       JobQueue queue,
       String organisation,
-      long retryAfterMillis,
+      LongSupplier retryAfter,
       BatchContext context) {
     String id = submit.job();
     Optional<JobRegistry.EndedJob> cancelled = jobs.registry().earlyCancel(id);
     if (cancelled.isPresent()) {
-      submitCancelled(ticket, id, cancelled.get(), retryAfterMillis, context);
+      submitCancelled(ticket, id, cancelled.get(), retryAfter, context);
       return;
     }
     ActiveJob job =
@@ -91,7 +92,7 @@
         () -> accepted(job),
         loss -> {
           jobs.withdraw(job);
-          notAccepted(id, loss, retryAfterMillis);
+          notAccepted(id, loss, retryAfter);
         },
         context);
   }
@@ -101,7 +102,7 @@
       long ticket,
       String id,
       JobRegistry.EndedJob cancelled,
-      long retryAfterMillis,
+      LongSupplier retryAfter,
       BatchContext context) {
     pending.put(id, PendingSubmission.of(ticket));
     writer.putExpiring(
@@ -112,7 +113,7 @@
           note(BatchLogEvent.CANCELLED_JOB_ACCEPTED, id);
           complete(id, new CallAnswer.Accepted());
         },
-        loss -> notAccepted(id, loss, retryAfterMillis),
+        loss -> notAccepted(id, loss, retryAfter),
         context);
   }
 
@@ -153,9 +154,12 @@
     complete(job.id(), new CallAnswer.Accepted());
   }
 
-  private void notAccepted(String id, CommitFailure loss, long retryAfterMillis) {
+  private void notAccepted(String id, CommitFailure loss, LongSupplier retryAfter) {
     switch (loss) {
       case NOT_STORED -> {
+        long retryAfterMillis = retryAfter.getAsLong();
+        String cause = RefusalCause.STORE_AWAY.tag();
+        outgoing.add(new BatchCommand.Count("fescuehook.batch.refused", "cause", cause));
         note(BatchLogEvent.JOB_REFUSED, id, loss, retryAfterMillis);
         complete(id, new CallAnswer.Refused(RefusalCause.STORE_AWAY, retryAfterMillis));
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Admission.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/Admission.java
@@ -1,7 +1,9 @@
-package org.fescuehook.logic.batch;
+package org.fescuehook.logic.batch.admission;
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.store.StateWriter;
@@ -9,7 +11,7 @@
 import org.fescuehook.model.preferences.BatchPreferences;
 
 /** Decides which submissions an owner refuses, and when their callers shall come back. */
-final class Admission {
+public final class Admission {
 
   /** Shortest delay after which callers retry a refused call. */
   private static final long MIN_RETRY_AFTER_MILLIS = 1000;
@@ -32,20 +34,38 @@
 
   private final StateWriter writer;
   private final BatchPreferences preferences;
+  private final Optional<BacklogAdmission> backlog;
   private boolean stopping;
   private long storeAgeMillis;
 
-  Admission(StateWriter writer, BatchPreferences preferences) {
+  /**
+   * Creates the decisions of a new owner.
+   *
+   * @param load measures the backlog; not used while the preferences leave it out of account
+   */
+  public Admission(StateWriter writer, BatchPreferences preferences, LoadMeter load) {
     this.writer = writer;
     this.preferences = preferences;
+    this.backlog =
+        preferences.scheduling().backlogAdmission()
+            ? Optional.of(new BacklogAdmission(load, preferences.scheduling().fairShares()))
+            : Optional.empty();
   }
 
+  /**
+   * The refusal of a submission.
+   *
+   * @param retryAfterMillis delay after which the caller shall retry
+   */
+  public record Refusal(RefusalCause cause, long retryAfterMillis) {}
+
   /** Refuses all submissions from now on. */
-  void beginStop() {
+  public void beginStop() {
     stopping = true;
   }
 
-  boolean stopping() {
+  /** Returns whether all submissions are refused. */
+  public boolean stopping() {
     return stopping;
   }
 
@@ -55,11 +75,12 @@
    * @param contact what the heartbeats tell of it
    * @return when the store was last reached, monotonic time
    */
-  long update(StoreReachability contact, BatchContext context) {
+  public long update(StoreReachability contact, BatchContext context) {
     long storeSeenAt = storeSeenAt(contact.confirmedAt());
     // The job stream may be unavailable while the ownership stream, with the heartbeats, is not.
     long unreachableSince = Math.min(storeSeenAt, writer.failingSince().orElse(storeSeenAt));
     storeAgeMillis = Duration.ofNanos(context.nowNanos() - unreachableSince).toMillis();
+    backlog.ifPresent(part -> part.update(context));
     return storeSeenAt;
   }
 
@@ -73,11 +94,22 @@
   }
 
   /**
-   * Returns why a submission is refused; empty if it is not.
+   * Returns how a submission is refused; empty if it is not.
    *
    * @param patience how long its caller waits for the answer
    */
-  Optional<RefusalCause> refusal(
+  public Optional<Refusal> refusal(
+      NewJob job, Duration patience, StoreReachability contact, BatchContext context) {
+    Optional<RefusalCause> cause = cause(job.queue(), patience, contact, context);
+    if (cause.isPresent()) {
+      return Optional.of(new Refusal(cause.get(), retryAfterMillis(job, cause.get(), context)));
+    }
+    return backlog
+        .flatMap(part -> part.refuse(job, context))
+        .map(delay -> new Refusal(RefusalCause.BACKLOG, delay));
+  }
+
+  private Optional<RefusalCause> cause(
       JobQueue queue, Duration patience, StoreReachability contact, BatchContext context) {
     if (stopping) {
       return Optional.of(RefusalCause.STOPPING);
@@ -100,8 +132,29 @@
     return away || writer.estimatedStoreNanos(contact.lastAppendNanos(), context) > waitsNanos;
   }
 
+  private long retryAfterMillis(NewJob job, RefusalCause cause, BatchContext context) {
+    // A caller whose job is not supported here gains nothing by waiting for longer.
+    boolean passes = cause != RefusalCause.UNSUPPORTED;
+    return backlog
+        .filter(part -> passes)
+        .map(part -> part.refuseForStore(job, storeAgeMillis, context.nowNanos()))
+        .orElseGet(this::retryAfterMillis);
+  }
+
   /** Returns the retry delay for callers: an outage may last as long again as it has lasted. */
-  long retryAfterMillis() {
+  public long retryAfterMillis() {
     return Math.clamp(storeAgeMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
   }
+
+  /**
+   * Returns what tells the retry delay of an admitted job if the store turns out not to have stored
+   * it.
+   */
+  public LongSupplier retryIfNotStored(NewJob job) {
+    if (backlog.isEmpty()) {
+      long delay = retryAfterMillis();
+      return () -> delay;
+    }
+    return () -> backlog.get().refuseForStore(job, storeAgeMillis, backlog.get().nowNanos());
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -99,7 +99,8 @@
     }
   }
 
-  private List<WaitingStep> waiting(BatchContext context) {
+  /** Returns the steps that are ready to start. */
+  public List<WaitingStep> waiting(BatchContext context) {
     List<WaitingStep> waiting = new ArrayList<>();
     for (ActiveJob job : jobs.registry().activeJobs()) {
       if (!job.open()) {
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -49,13 +50,11 @@
    */
   private static final Duration UNSENT_MARGIN = Duration.ofMillis(20);
 
-  /** Delay after which callers are told to retry when the owner could not be reached. */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   private final EventLoop loop;
   private final InetSocketAddress owner;
   private final PeerConnector connector;
   private final OwnerHints hints;
+  private final RetryDelays retryDelays;
   private final PeerConnector.Listener listener = new Listener();
   private final Map<Long, PendingCall> pending = new LinkedHashMap<>();
   private Optional<ActiveConnection> current = Optional.empty();
@@ -95,7 +94,12 @@
 
   /** Creates a link that opens its connection with its first call. */
   public CallLink(
-      EventLoop loop, InetSocketAddress owner, PeerConnector connector, OwnerHints hints) {
+      EventLoop loop,
+      InetSocketAddress owner,
+      PeerConnector connector,
+      OwnerHints hints,
+      RetryDelays retryDelays) {
+    this.retryDelays = retryDelays;
     this.loop = loop;
     this.owner = owner;
     this.connector = connector;
@@ -130,7 +134,7 @@
 
   private void submit(PendingCall call, Duration timeout) {
     if (closed) {
-      call.sink.accept(unreachable());
+      call.sink.accept(unreachable(call));
       return;
     }
     lastNumber++;
@@ -148,8 +152,8 @@
     }
   }
 
-  private static CallAnswer unreachable() {
-    return new CallAnswer.Refused(RefusalCause.NO_OWNER, RETRY_AFTER_MILLIS);
+  private CallAnswer unreachable(PendingCall call) {
+    return retryDelays.refusal(RefusalCause.NO_OWNER, call.call);
   }
 
   private static CallAnswer silent() {
@@ -224,17 +228,17 @@
   }
 
   private void expire(long number) {
-    remove(number).ifPresent(CallLink::resolveUnanswered);
+    remove(number).ifPresent(this::resolveUnanswered);
   }
 
-  private static void resolveUnanswered(PendingCall call) {
-    call.sink.accept(call.sends == 0 ? unreachable() : silent());
+  private void resolveUnanswered(PendingCall call) {
+    call.sink.accept(call.sends == 0 ? unreachable(call) : silent());
   }
 
   private void resolveAllUnanswered() {
     List<PendingCall> unanswered = List.copyOf(pending.values());
     pending.clear();
-    unanswered.forEach(CallLink::resolveUnanswered);
+    unanswered.forEach(this::resolveUnanswered);
   }
 
   private void refuseUnsent() {
--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -26,6 +26,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -50,15 +51,10 @@
   private static final String API_KEY_HEADER = "Credential";
   private static final String JOB_ID = "[0-9a-fA-F]{16}";
 
-  /**
-   * Delay after which callers may retry a request that was refused because this VM has no
-   * configuration yet. The configuration is usually read within a second.
-   */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   private final CallPort port;
   private final ConfigurationAge configurationAge;
   private final LongSupplier clock;
+  private final RetryDelays retryDelays;
   private final MeterRegistry meters;
   private final AtomicInteger inFlight = new AtomicInteger();
   private volatile Optional<RouteTable> routes = Optional.empty();
@@ -76,7 +72,9 @@
       CallPort port,
       ConfigurationAge configurationAge,
       LongSupplier clock,
+      RetryDelays retryDelays,
       MeterRegistry meters) {
+    this.retryDelays = retryDelays;
     this.configurationAge = configurationAge;
     this.clock = clock;
     this.meters = meters;
@@ -117,7 +115,7 @@
   private void handle(FullHttpRequest request, Consumer<CallAnswer> sink) {
     Optional<RouteTable> table = routes;
     if (table.isEmpty()) {
-      sink.accept(new CallAnswer.Refused(RefusalCause.NO_CONFIGURATION, RETRY_AFTER_MILLIS));
+      sink.accept(refusal(RefusalCause.NO_CONFIGURATION, request));
       return;
     }
     String path = new QueryStringDecoder(request.uri()).rawPath();
@@ -128,7 +126,7 @@
       sink.accept(
           current
               ? new CallAnswer.NoSuchQueue()
-              : new CallAnswer.Refused(RefusalCause.STALE_CONFIGURATION, RETRY_AFTER_MILLIS));
+              : refusal(RefusalCause.STALE_CONFIGURATION, request));
       return;
     }
     JobQueue queue = route.get().queue();
@@ -149,6 +147,10 @@
     }
   }
 
+  private CallAnswer refusal(RefusalCause cause, FullHttpRequest request) {
+    return retryDelays.refusal(cause, request.method().equals(HttpMethod.POST), request.uri());
+  }
+
   private static String hostName(String host) {
     int colon = host.indexOf(':');
     return colon < 0 ? host : host.substring(0, colon);
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -52,6 +53,7 @@
             local,
             event -> {},
             (address, hints) -> link(),
+            new RetryDelays(false),
             new SimpleMeterRegistry());
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/OwnershipFirstTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/OwnershipFirstTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.net.duty.DutyRing;
 import org.junit.jupiter.api.Test;
 
@@ -24,7 +25,8 @@
   private static final BatchEvent OWNERSHIP_EVENT =
       new BatchEvent.OwnershipRead(Optional.empty(), 7);
 
-  private final BatchRing ring = new BatchRing(Duration.ofSeconds(60), new SimpleMeterRegistry());
+  private final BatchRing ring =
+      new BatchRing(Duration.ofSeconds(60), new RetryDelays(false), new SimpleMeterRegistry());
   private final BlockingRecorder recorder = new BlockingRecorder();
 
   /** Blocks at the first item until released, and records all events in order. */
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/RingOverflowTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/RingOverflowTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.net.duty.DutyRing;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,8 @@
   private static final int OUTCOMES = 4200;
   private static final long TIMEOUT_SECONDS = 20;
 
-  private final BatchRing ring = new BatchRing(Duration.ofSeconds(60), new SimpleMeterRegistry());
+  private final BatchRing ring =
+      new BatchRing(Duration.ofSeconds(60), new RetryDelays(false), new SimpleMeterRegistry());
 
   /** Blocks at the first item until released, and counts all items. */
   private static final class BlockingHandler implements DutyRing.Handler<BatchRing.Item> {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -20,6 +20,7 @@
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Configurations, preferences and executor profiles for tests. */
@@ -40,15 +41,25 @@
 
   private TestFixtures() {}
 
-  /** Returns preferences with the time limits that {@link FakeExecutor} keeps. */
+  /** Refuses submissions by the backlog, and has no other optional part in use. */
+  static final SchedulingPreferences BACKLOG_ADMISSION =
+      new SchedulingPreferences(false, false, false, false, false, true, false);
+
+  /** Returns preferences without optional parts. */
   static BatchPreferences preferences() {
+    return preferences(SchedulingPreferences.ALL_OFF);
+  }
+
+  /** Returns preferences with the time limits that {@link FakeExecutor} keeps. */
+  static BatchPreferences preferences(SchedulingPreferences scheduling) {
     WorkPreferences work =
         new WorkPreferences(
             Duration.ofMillis(500),
             Duration.ofMillis(250),
             Duration.ofMillis(200),
             Duration.ofMillis(2700));
-    return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
+    return new BatchPreferences(
+        Duration.ofSeconds(6), Duration.ofSeconds(120), work, true, scheduling);
   }
 
   /**
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/admission/RefusedJobsTest.java
@@ -0,0 +1,78 @@
+package org.fescuehook.logic.batch.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.plan.Rank;
+import org.junit.jupiter.api.Test;
+
+class RefusedJobsTest {
+
+  private static final JobDemand DEMAND =
+      new JobDemand("pool", Optional.empty(), Rank.ofPriority(1), "north", 2);
+  private static final JobDemand URGENT =
+      new JobDemand("pool", Optional.empty(), Rank.ofPriority(0), "north", 2);
+
+  private final RefusedJobs jobs = new RefusedJobs();
+
+  private static long seconds(long seconds) {
+    return TimeUnit.SECONDS.toNanos(seconds);
+  }
+
+  private Optional<String> refuse(String id, String organisation, long at, long returnAt) {
+    return jobs.refused(id, organisation, Optional.of(DEMAND), seconds(at), seconds(returnAt));
+  }
+
+  @Test
+  void countsRefusalsAndKeepsTheTimeOfTheFirst() {
+    refuse("a", "north", 1, 3);
+    refuse("a", "north", 4, 6);
+    RefusedJobs.RefusedJob known = jobs.find("a").orElseThrow();
+    assertEquals(2, known.refusals());
+    assertEquals(seconds(1), known.firstAt());
+  }
+
+  @Test
+  void onlyWorkThatHasBeenRefusedForLongerGoesBefore() {
+    refuse("a", "north", 1, 10);
+    refuse("b", "north", 2, 10);
+    assertEquals(0, jobs.workBefore("a", DEMAND, seconds(1), seconds(5)));
+    assertEquals(2, jobs.workBefore("b", DEMAND, seconds(2), seconds(5)));
+    assertEquals(4, jobs.workBefore("new", DEMAND, seconds(5), seconds(5)));
+    assertEquals(0, jobs.workBefore("new", URGENT, seconds(5), seconds(5)));
+  }
+
+  /** Guards against capacity that is held for callers who never return. */
+  @Test
+  void nothingIsHeldForACallerThatDoesNotReturn() {
+    refuse("a", "north", 1, 10);
+    assertEquals(2, jobs.workBefore("new", DEMAND, seconds(12), seconds(12)));
+    assertEquals(0, jobs.workBefore("new", DEMAND, seconds(13), seconds(13)));
+    jobs.expire(seconds(21));
+    assertEquals(0, jobs.size());
+  }
+
+  @Test
+  void nothingIsHeldForAJobThatWasAdmittedButItsRefusalsStillCount() {
+    refuse("a", "north", 1, 10);
+    assertEquals(1, jobs.admitted("a", seconds(9)).orElseThrow().refusals());
+    assertEquals(0, jobs.workBefore("new", DEMAND, seconds(9), seconds(9)));
+    refuse("a", "north", 10, 12);
+    assertEquals(2, jobs.refusals("a"));
+  }
+
+  /** Guards against an organisation that displaces the refused jobs of the others. */
+  @Test
+  void theSizeIsBoundedAtTheCostOfTheLargestOrganisation() {
+    refuse("a", "small", 1, 10);
+    Optional<String> evicted = Optional.empty();
+    for (int i = 0; i < 3 * RefusedJobs.MAX_JOBS; i++) {
+      evicted = refuse("job-" + i, "large", 2, 10);
+    }
+    assertEquals(Optional.of("large"), evicted);
+    assertEquals(RefusedJobs.MAX_JOBS, jobs.size());
+    assertTrue(jobs.find("a").isPresent());
+  }
+}
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -62,7 +63,12 @@
     serverAddress = server.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     EventLoop loop = (EventLoop) loops.next();
     link =
-        new CallLink(loop, serverAddress, new NettyPeerConnector(loop, serverAddress), linkHints);
+        new CallLink(
+            loop,
+            serverAddress,
+            new NettyPeerConnector(loop, serverAddress),
+            linkHints,
+            new RetryDelays(false));
   }
 
   @AfterEach
@@ -132,7 +138,7 @@
   @Test
   void refusesACallThatItCannotDecodeAndKeepsTheConnection() throws Exception {
     RecordingListener listener = new RecordingListener();
-    new NettyPeerConnector((EventLoop) loops.next(), serverAddress).connect(listener);
+    new NettyPeerConnector(loops.next(), serverAddress).connect(listener);
     PeerConnector.Connection connection = listener.opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     connection.send(ForwardedCall.newBuilder().setCall(7).setOperationValue(99).build(), () -> {});
     ForwardedAnswer answer = listener.received.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -145,7 +151,7 @@
   @Test
   void reportsAMessageThatCannotBeWritten() throws Exception {
     RecordingListener listener = new RecordingListener();
-    new NettyPeerConnector((EventLoop) loops.next(), serverAddress).connect(listener);
+    new NettyPeerConnector(loops.next(), serverAddress).connect(listener);
     PeerConnector.Connection connection = listener.opened.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     connection.close();
     listener.ended.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -39,7 +40,11 @@
     clock.freezeTime();
     link =
         new CallLink(
-            clock.eventLoop(), InetSocketAddress.createUnresolved("owner", 1), peer, new NoHints());
+            clock.eventLoop(),
+            InetSocketAddress.createUnresolved("owner", 1),
+            peer,
+            new NoHints(),
+            new RetryDelays(false));
   }
 
   /** Knows no owner and ignores hints. */
--- a/fescuehook/src/test/java/org/fescuehook/platform/StaleConfigurationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/StaleConfigurationTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.BatchConfiguration;
@@ -65,6 +66,7 @@
             },
             age,
             now::get,
+            new RetryDelays(false),
             meters);
     address = edge.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     String host = address.getAddress().getHostAddress();
