--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -41,7 +41,11 @@
 
   private TestFixtures() {}
 
-  /** Returns preferences with the time limits that {@link FakeExecutor} keeps. */
+  /** Refuses submissions by the backlog, and has no other optional part in use. */
+  static final SchedulingPreferences BACKLOG_ADMISSION =
+      new SchedulingPreferences(false, false, false, false, false, true, false);
+
+  /** Returns preferences without optional parts. */
   static BatchPreferences preferences() {
     return preferences(SchedulingPreferences.ALL_OFF);
   }
