Maintenance waves: operators' machines go through maintenance by a deadline

Cause: operators want a set of machines maintained by a deadline with at most so many away at once, and a call for a machine ends all that runs there.

Change: package logic/batch/maintenance decides which machine is next, at which pace, when its executor gets no new runs and when its runs are stopped. That a call is about to be made is stored in the job stream first, so a successor counts the machine as away; an unanswered call counts as carried out until the list or a repeated call tells. The platform package reads the waves, lists the machines, makes the calls and writes the states of waves. Off by default; with no wave asked for, no command differs.

Tests: random histories with a fake machine API that checks cap, holder, token, rate and completion at each call that is carried out: 8 for each of 12 kinds of trouble, 200 of the mixed kind, and one of 60 of 245 machines. Found by them and mended: an executor that had ended with its machine was opened again when the machine was back, and got gangs, since idle executors are polled seldom. A successor that forgets the records breaks the cap or ends runs in the histories, as it should.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -17,6 +17,7 @@
 import org.fescuehook.net.duty.DutyRing;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,6 +46,7 @@
   private final PlatformStore store;
   private final ExecutorClient executors;
   private final AdviceClient advice;
+  private final MachineClient machines;
   private final MeterRegistry meters;
   private final Consumer<OwnerView> views;
   private final Map<Long, Consumer<CallAnswer>> pendingCalls = new HashMap<>();
@@ -55,12 +57,14 @@
       PlatformStore store,
       ExecutorClient executors,
       AdviceClient advice,
+      MachineClient machines,
       MeterRegistry meters,
       Consumer<OwnerView> views) {
     this.core = core;
     this.store = store;
     this.executors = executors;
     this.advice = advice;
+    this.machines = machines;
     this.meters = meters;
     this.views = views;
   }
@@ -128,6 +132,9 @@
       case BatchCommand.FollowExecutors(boolean following) -> follow(following);
       case BatchCommand.Order order -> executors.send(order);
       case BatchCommand.AskAdvice question -> advice.ask(question);
+      case BatchCommand.ListMachines request -> machines.list(request);
+      case BatchCommand.BeginMaintenance call -> machines.begin(call);
+      case BatchCommand.ReportWaves report -> store.reportWaves(report);
       case BatchCommand.ForgetExecutor(var id) -> executors.forget(id);
       case BatchCommand.Note(var event, var arguments) ->
           EventLog.info(LOGGER, event, arguments.toArray());
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -30,6 +30,7 @@
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.CallerEdge;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -124,8 +125,16 @@
             incarnation,
             Addresses.format(preferences.addresses().peers()),
             preferences.processor().milliCores());
+    MachineClient machines =
+        new MachineClient(
+            loop,
+            preferences.addresses().machines(),
+            preferences.identity().vm() + "/" + incarnation,
+            preferences.batch().maintenance().readsPerSecond(),
+            ring::publish);
     BatchCore core = new BatchCore(self, preferences.batch());
-    this.decisions = new BatchDuty(core, store, executors, advice, meters, gateway::update);
+    this.decisions =
+        new BatchDuty(core, store, executors, advice, machines, meters, gateway::update);
   }
 
   private CallGateway gateway(EventLoop loop) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -1,14 +1,19 @@
 package org.fescuehook.logic.batch;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.logic.batch.maintenance.WaveState;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.MachineId;
 import org.fescuehook.model.batch.TaskRun;
+import org.fescuehook.model.batch.WaveId;
 import org.fescuehook.model.event.NumberedEvent;
 import org.fescuehook.model.fleet.ExecutorId;
 
@@ -61,6 +66,34 @@
    */
   record AskAdvice(long number, String step, List<ExecutorId> executors) implements BatchCommand {}
 
+  /**
+   * Reads the list of machines; the outcome is reported as {@link BatchEvent.MachinesListed} or
+   * {@link BatchEvent.MachinesUnreadable}.
+   *
+   * @param number number of the request, unique over all epochs
+   */
+  record ListMachines(long number) implements BatchCommand {}
+
+  /**
+   * Begins the maintenance of a machine; the outcome is reported as {@link
+   * BatchEvent.MaintenanceCallEnded}.
+   *
+   * @param number number of the request, unique over all epochs
+   * @param fenceToken the call is refused if one with a higher token has been made about the
+   *     machine
+   * @param timeout how long the answer is awaited
+   */
+  record BeginMaintenance(
+      MachineId machine, WaveId wave, long number, long fenceToken, Duration timeout)
+      implements BatchCommand {}
+
+  /**
+   * Writes the states of waves for operators; the outcome is reported as {@link
+   * BatchEvent.Appended} of the stream of states.
+   */
+  record ReportWaves(WriterPosition position, Map<WaveId, WaveState> states)
+      implements BatchCommand {}
+
   /** Closes the connections to an executor that the owner no longer uses. */
   record ForgetExecutor(ExecutorId executor) implements BatchCommand {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -20,6 +20,7 @@
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
@@ -50,6 +51,10 @@
   private boolean executorsRead;
   private Optional<BatchConfiguration> configuration = Optional.empty();
   private Optional<Set<FailureDomain>> evacuated = Optional.empty();
+
+  /** The waves that operators ask for; they are read before the evacuated failure domains. */
+  private List<MaintenanceWave> waves = List.of();
+
   private Optional<Takeover> takeover = Optional.empty();
   private Optional<BatchOwner> owner = Optional.empty();
   private OptionalLong stoppingSince = OptionalLong.empty();
@@ -144,6 +149,17 @@
           owner.ifPresent(owning -> owning.orderEnded(id, number, outcome, context));
       case BatchEvent.AdviceEnded(long number, var outcome) ->
           owner.ifPresent(owning -> owning.advised(number, outcome, context));
+      case BatchEvent.WavesRead(var asked) -> {
+        waves = asked;
+        owner.ifPresent(owning -> owning.maintenance().ask(asked, context));
+      }
+      case BatchEvent.MachinesListed(long number, var machines) ->
+          owner.ifPresent(owning -> owning.maintenance().listed(number, machines, context));
+      case BatchEvent.MachinesUnreadable(long number, var cause) ->
+          owner.ifPresent(owning -> owning.maintenance().listUnreadable(number, cause, context));
+      case BatchEvent.MaintenanceCallEnded(var machine, long number, var outcome) ->
+          owner.ifPresent(
+              owning -> owning.maintenance().callEnded(machine, number, outcome, context));
       case BatchEvent.StopBegun begun -> {
         stoppingSince = OptionalLong.of(context.nowNanos());
         owner.ifPresent(BatchOwner::beginStop);
@@ -199,6 +215,10 @@
       ownership.appendCompleted(position, outcome, context);
       return;
     }
+    if (stream == StreamName.STATUS) {
+      owner.ifPresent(owning -> owning.maintenance().reported(position, outcome, context));
+      return;
+    }
     owner.ifPresent(owning -> owning.appended(position, outcome, context));
     boolean lost =
         takeover.filter(loading -> !loading.answered(position, outcome, context)).isPresent();
@@ -325,6 +345,8 @@
                 registry,
                 configuration.get(),
                 evacuated.get(),
+                waves,
+                done.waveRecords(),
                 List.copyOf(listed.values()),
                 context));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -8,6 +8,7 @@
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
+import org.fescuehook.logic.batch.maintenance.MaintenanceOutcome;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -16,6 +17,9 @@
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.Machine;
+import org.fescuehook.model.batch.MachineId;
+import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 
@@ -105,6 +109,25 @@
   /** A request to the advice service ended, see {@link BatchCommand.AskAdvice}. */
   record AdviceEnded(long number, AdviceOutcome outcome) implements BatchEvent {}
 
+  /** The maintenance waves that operators ask for were read; they replace those known so far. */
+  record WavesRead(List<MaintenanceWave> waves) implements BatchEvent {
+
+    /** Copies the list. */
+    public WavesRead {
+      waves = List.copyOf(waves);
+    }
+  }
+
+  /** The list of machines was read, see {@link BatchCommand.ListMachines}. */
+  record MachinesListed(long number, List<Machine> machines) implements BatchEvent {}
+
+  /** The list of machines could not be read, see {@link BatchCommand.ListMachines}. */
+  record MachinesUnreadable(long number, String cause) implements BatchEvent {}
+
+  /** A maintenance call ended, see {@link BatchCommand.BeginMaintenance}. */
+  record MaintenanceCallEnded(MachineId machine, long number, MaintenanceOutcome outcome)
+      implements BatchEvent {}
+
   /** This VM is shutting down and has to give up ownership. */
   record StopBegun() implements BatchEvent {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,31 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** Operators ask for a maintenance wave, or have changed it. */
+  WAVE_ASKED(8070, "Maintenance wave {}: {} machines, at most {} away, due in {} ms, {} begun"),
+  /** Operators have withdrawn a maintenance wave. */
+  WAVE_WITHDRAWN(8071, "Maintenance wave {} withdrawn, {} machines may be away"),
+  /** The executor of a machine of a wave gets no new runs. */
+  MACHINE_CLOSED(
+      8072,
+      "Machine {} of wave {} closed: {} has {} runs, idle in {} ms; {} closed, {} of {} away, {} left, due in {} ms, work waits: {}"),
+  /** Runs are stopped so that the maintenance of their machine can begin. */
+  MACHINE_CLEARED(8073, "Machine {} of wave {} cleared of {} runs: {}, {} ms to spare"),
+  /** The maintenance of a machine is called. */
+  MAINTENANCE_CALLED(
+      8074, "Maintenance of machine {} for wave {} called, try {}: {}, {} of {} away"),
+  /** A maintenance call has ended. */
+  MAINTENANCE_CALL_ENDED(8075, "Maintenance of machine {} for wave {}, try {}: {} after {} ms"),
+  /** A machine whose maintenance was called is up. */
+  MACHINE_BACK(8076, "Machine {} of wave {} is up with {} after {} ms, was {}"),
+  /** Each machine of a wave that still exists has begun its maintenance. */
+  WAVE_COMPLETED(8077, "Maintenance wave {} completed after {} ms: {} begun, {} gone"),
+  /** A wave makes no progress, or its deadline has passed; logged every 10 s. */
+  WAVE_DELAYED(
+      8078, "Maintenance wave {} waits: {} left, {} closed, {} of {} away, due in {} ms; {}"),
+  /** The list of machines cannot be read; logged every 10 s. */
+  MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -18,6 +18,7 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.maintenance.MaintenanceDuty;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.plan.PlanDuty;
 import org.fescuehook.logic.batch.state.JobCodec;
@@ -26,6 +27,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
@@ -33,6 +35,7 @@
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
@@ -66,6 +69,7 @@
   private final JobLifecycle jobs;
   private final AdviceCache advice;
   private final PlanDuty plans;
+  private final MaintenanceDuty maintenance;
   private final SubmissionHandler submissions;
   private final UnknownJobHandler unknownJobs = new UnknownJobHandler();
   private final CancelHandler cancels;
@@ -80,6 +84,8 @@
       JobRegistry registry,
       BatchConfiguration configuration,
       Set<FailureDomain> evacuated,
+      List<MaintenanceWave> waves,
+      List<KeyedRecord> waveRecords,
       List<ExecutorProfile> listed,
       BatchContext context) {
     this.preferences = preferences;
@@ -101,6 +107,16 @@
     this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
+    this.maintenance =
+        new MaintenanceDuty(
+            epoch,
+            preferences.maintenance(),
+            executors,
+            registry,
+            writer,
+            waveRecords,
+            waves,
+            context);
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
@@ -108,9 +124,17 @@
     jobs.retireEnded(context);
   }
 
-  /** Returns whether an executor or the store reported a higher epoch, hence a newer owner. */
+  /**
+   * Returns whether an executor, the machine API or the store reported a higher epoch, hence a
+   * newer owner.
+   */
   boolean fenced() {
-    return fenced;
+    return fenced || maintenance.fenced();
+  }
+
+  /** Returns the maintenance of machines. */
+  MaintenanceDuty maintenance() {
+    return maintenance;
   }
 
   /** Applies a newer configuration. */
@@ -184,6 +208,7 @@
     if (context.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(context);
     }
+    maintenance.step(contact, admission.stopping(), context);
     plans.startStored(context);
     boolean planNow =
         !context.moreEventsQueued() || context.nowNanos() - plannedAt > BUSY_PLAN_INTERVAL_NANOS;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescuehook.logic.batch.maintenance.WaveCodec;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobCodec;
@@ -185,6 +186,14 @@
     return sorted(registry);
   }
 
+  /** Returns the loaded records of maintenance waves. */
+  List<KeyedRecord> waveRecords() {
+    return records.entrySet().stream()
+        .filter(entry -> WaveCodec.isWaveKey(entry.getKey()))
+        .map(entry -> new KeyedRecord(entry.getKey(), Optional.of(entry.getValue())))
+        .toList();
+  }
+
   private void decode(String key, byte[] value, JobRegistry registry, BatchContext context)
       throws UnreadableRecordException {
     Optional<String> accepted = JobCodec.jobOf(key);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -35,6 +35,7 @@
   private ResourceVector reserved = ResourceVector.NONE;
   private boolean listed = true;
   private boolean evacuated;
+  private boolean inMaintenance;
   private boolean reached;
   private int missedPolls;
   private boolean unconfirmed;
@@ -85,6 +86,7 @@
     ExecutorState executor = new ExecutorState(profile, next, baseline, Optional.of(previous));
     executor.listed = listed;
     executor.evacuated = evacuated;
+    executor.inMaintenance = inMaintenance;
     executor.lease = new LeaseTracker(lease.expiryNanos());
     return executor;
   }
@@ -140,9 +142,14 @@
     return evacuated;
   }
 
+  /** Sets whether the machine of the executor is about to go through maintenance. */
+  public void setInMaintenance(boolean nowInMaintenance) {
+    inMaintenance = nowInMaintenance;
+  }
+
   /** Tells whether no start may be ordered any more, not even one that was ordered before. */
   boolean closedToStarts() {
-    return profile.leaving() || evacuated;
+    return profile.leaving() || evacuated || inMaintenance;
   }
 
   /** Returns the runs that may be alive on this executor. */
@@ -214,7 +221,7 @@
    */
   public boolean usableOnceGivenBack(long nowNanos) {
     boolean described = !profile.incarnation().differsFrom(incarnation);
-    boolean available = listed && described && responsive();
+    boolean available = listed && described && responsive() && !inMaintenance;
     return available && !hasUnknownRuns && !profile.leaving() && !inBackoff(nowNanos);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StreamName.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/store/StreamName.java
@@ -5,5 +5,7 @@
   /** Claims and heartbeats of owners. */
   OWNERSHIP,
   /** Jobs and their progress, written by the owner only. */
-  STATE
+  STATE,
+  /** States of maintenance waves, written by the owner for operators. */
+  STATUS
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -8,12 +8,15 @@
 import org.fescuehook.logic.ini.Durations;
 import org.fescuehook.logic.ini.Key;
 import org.fescuehook.logic.ini.Values;
+import org.fescuehook.model.preferences.MaintenancePreferences;
 
 /** Defines all keys of the settings of a VM that schedules batch jobs. */
 final class SchedulerKeys {
 
   private static final double MIN_CORE_SHARE = 0.01;
   private static final double MAX_SPEED_FACTOR = 1000;
+  private static final double MIN_PER_SECOND = 0.1;
+  private static final double MAX_PER_SECOND = 100_000;
 
   static final Key<InetSocketAddress> CALLERS =
       listening("callers", "0.0.0.0:7000", "Where callers connect.");
@@ -37,6 +40,13 @@
           Addresses.orNone(1),
           Optional.empty(),
           "The service that names the executors which may run a step of a queue that asks for it.");
+  static final Key<Optional<InetSocketAddress>> MACHINES =
+      Key.optional(
+          "addresses",
+          "machines",
+          Addresses.orNone(1),
+          Optional.empty(),
+          "The service that lists machines and takes them through maintenance.");
   static final Key<Double> PROCESSOR_SHARE =
       Key.optional(
           "processor",
@@ -78,6 +88,26 @@
           Duration.ofMillis(2700),
           "Time from its acceptance in which a job that a guarantee covers has begun.");
 
+  static final Key<Duration> MAINTENANCE_TIME =
+      work(
+          "maintenance-time",
+          MaintenancePreferences.NONE.machineTime(),
+          "How long a machine is away for its maintenance.");
+  static final Key<Duration> AVAILABILITY_NOTICE =
+      work(
+          "availability-notice",
+          MaintenancePreferences.NONE.availabilityNotice(),
+          "Time without work after which a long-running task counts as unavailable.");
+  static final Key<Duration> DUTY_LEASE =
+      work(
+          "duty-lease",
+          MaintenancePreferences.NONE.callerLease(),
+          "Time after a call about a machine in which no other VM may make one.");
+  static final Key<Double> MACHINE_CALLS =
+      perSecond("machine-calls-per-second", "Most maintenance calls per second.");
+  static final Key<Double> MACHINE_READS =
+      perSecond("machine-reads-per-second", "Most reads of the list of machines per second.");
+
   static final Key<Boolean> EXECUTOR_SPEEDS =
       scheduling("executor-speeds", "Learns the speeds of executors, and uses them for placement.");
   static final Key<Boolean> RUN_TIMES =
@@ -106,6 +136,7 @@
           METRICS,
           STORE,
           ADVICE,
+          MACHINES,
           PROCESSOR_SHARE,
           PROCESSOR_CORES,
           EXECUTOR_LEASE,
@@ -114,6 +145,11 @@
           RESTORE_TIME,
           STOP_TIME,
           RECLAIM_BOUND,
+          MAINTENANCE_TIME,
+          AVAILABILITY_NOTICE,
+          DUTY_LEASE,
+          MACHINE_CALLS,
+          MACHINE_READS,
           EXECUTOR_SPEEDS,
           RUN_TIMES,
           START_RELIABILITY,
@@ -128,6 +164,15 @@
     return Key.optional("bounds", name, Durations.from(Duration.ZERO), fallback, meaning);
   }
 
+  private static Key<Double> perSecond(String name, String meaning) {
+    return Key.optional(
+        "bounds",
+        name,
+        Values.decimal(MIN_PER_SECOND, MAX_PER_SECOND),
+        MaintenancePreferences.NONE.callsPerSecond(),
+        meaning);
+  }
+
   private static Key<Boolean> scheduling(String name, String meaning) {
     return Key.optional("scheduling", name, Values.onOrOff(), false, meaning);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -6,6 +6,7 @@
 import org.fescuehook.logic.ini.IniSource;
 import org.fescuehook.model.preferences.BatchPreferences;
 import org.fescuehook.model.preferences.IdentityPreferences;
+import org.fescuehook.model.preferences.MaintenancePreferences;
 import org.fescuehook.model.preferences.ProcessorPreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 import org.fescuehook.model.preferences.SchedulingPreferences;
@@ -37,7 +38,8 @@
             values.get(SchedulerKeys.PEERS),
             values.get(SchedulerKeys.METRICS),
             values.get(SchedulerKeys.STORE),
-            values.get(SchedulerKeys.ADVICE)),
+            values.get(SchedulerKeys.ADVICE),
+            values.get(SchedulerKeys.MACHINES)),
         new ProcessorPreferences(
             values.get(SchedulerKeys.PROCESSOR_SHARE), values.get(SchedulerKeys.PROCESSOR_CORES)),
         new BatchPreferences(
@@ -49,7 +51,21 @@
                 values.get(SchedulerKeys.STOP_TIME),
                 values.get(SchedulerKeys.RECLAIM_BOUND)),
             values.get(SchedulerKeys.ADVICE).isPresent(),
-            scheduling(values)));
+            scheduling(values),
+            maintenance(values)));
+  }
+
+  private static MaintenancePreferences maintenance(SettingsValues values) {
+    boolean used =
+        values.get(SchedulerKeys.MAINTENANCE_WAVES)
+            && values.get(SchedulerKeys.MACHINES).isPresent();
+    return new MaintenancePreferences(
+        used,
+        values.get(SchedulerKeys.MAINTENANCE_TIME),
+        values.get(SchedulerKeys.AVAILABILITY_NOTICE),
+        values.get(SchedulerKeys.DUTY_LEASE),
+        values.get(SchedulerKeys.MACHINE_CALLS),
+        values.get(SchedulerKeys.MACHINE_READS));
   }
 
   private static SchedulingPreferences scheduling(SettingsValues values) {
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/BatchPreferences.java
@@ -11,13 +11,31 @@
  * @param adviceAvailable whether there is an advice service, which names the executors that may run
  *     a step
  * @param scheduling the optional parts that are in use
+ * @param maintenance how maintenance waves are carried out
  */
 public record BatchPreferences(
     Duration executorLease,
     Duration statusRetention,
     WorkPreferences work,
     boolean adviceAvailable,
-    SchedulingPreferences scheduling) {
+    SchedulingPreferences scheduling,
+    MaintenancePreferences maintenance) {
+
+  /** Creates preferences without maintenance. */
+  public BatchPreferences(
+      Duration executorLease,
+      Duration statusRetention,
+      WorkPreferences work,
+      boolean adviceAvailable,
+      SchedulingPreferences scheduling) {
+    this(
+        executorLease,
+        statusRetention,
+        work,
+        adviceAvailable,
+        scheduling,
+        MaintenancePreferences.NONE);
+  }
 
   /** Creates preferences without optional parts. */
   public BatchPreferences(
@@ -25,6 +43,12 @@
       Duration statusRetention,
       WorkPreferences work,
       boolean adviceAvailable) {
-    this(executorLease, statusRetention, work, adviceAvailable, SchedulingPreferences.ALL_OFF);
+    this(
+        executorLease,
+        statusRetention,
+        work,
+        adviceAvailable,
+        SchedulingPreferences.ALL_OFF,
+        MaintenancePreferences.NONE);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
@@ -27,6 +27,8 @@
    * @param store address of the shared store
    * @param advice address of the advice service, which names the executors that may run a step;
    *     absent if there is none
+   * @param machines address of the machine API, which lists machines and maintains them; absent if
+   *     there is none
    */
   public record Addresses(
       InetSocketAddress callers,
@@ -34,5 +36,6 @@
       InetSocketAddress peers,
       InetSocketAddress metrics,
       InetSocketAddress store,
-      Optional<InetSocketAddress> advice) {}
+      Optional<InetSocketAddress> advice,
+      Optional<InetSocketAddress> machines) {}
 }
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.maintenance.WaveState;
 import org.fescuehook.logic.batch.ownership.OwnerCodec;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -20,13 +21,16 @@
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.batch.MaintenanceWave;
+import org.fescuehook.model.batch.WaveId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The platform's store as the scheduler of batch jobs uses it: reads ownership, configuration,
- * evacuated failure domains and executors, and appends to and loads the job state.
+ * evacuated failure domains, maintenance waves and executors, and appends to and loads the job
+ * state.
  */
 public final class PlatformStore {
 
@@ -64,6 +68,7 @@
   private final StreamFollower executors;
   private final ConfigurationEntries configurations = new ConfigurationEntries();
   private final EvacuationEntries evacuations = new EvacuationEntries();
+  private final WaveEntries waves = new WaveEntries();
 
   /**
    * Creates the adapter without sending any request.
@@ -123,6 +128,26 @@
         () -> appenders.get(append.stream()).append(append, outcome -> appended(append, outcome)));
   }
 
+  /** Writes the states of waves for operators; the outcome is reported as an event. */
+  public void reportWaves(BatchCommand.ReportWaves report) {
+    List<KeyedRecord> records =
+        report.states().entrySet().stream()
+            .map(state -> new KeyedRecord(WaveEntries.key(state.getKey()), status(state)))
+            .toList();
+    append(
+        new BatchCommand.Append(
+            StreamName.STATUS, report.position(), OptionalLong.empty(), records));
+  }
+
+  private static Optional<byte[]> status(Map.Entry<WaveId, WaveState> wave) {
+    String state =
+        switch (wave.getValue()) {
+          case IN_PROGRESS -> "in_progress";
+          case COMPLETED -> "completed";
+        };
+    return Optional.of(WireJson.write(WireJson.object().put("state", state)));
+  }
+
   /** Returns how many times an append was sent again because its answer was late. */
   public long repeatedAppends() {
     return appenders.values().stream().mapToLong(StreamAppender::repeatedSends).sum();
@@ -221,20 +246,25 @@
   private final class OperatorsListener implements StreamFollower.Listener {
     private OptionalLong lastReadAt = OptionalLong.empty();
     private Optional<Set<FailureDomain>> reported = Optional.empty();
+    private List<MaintenanceWave> reportedWaves = List.of();
 
     @Override
     public void newest(List<StreamRecord> records, long end) {
       evacuations.replace(records);
+      waves.replace(records);
       read(records, end);
     }
 
     @Override
     public void records(List<StreamRecord> records, long end) {
       evacuations.apply(records);
+      waves.apply(records);
       read(records, end);
     }
 
     private void read(List<StreamRecord> records, long end) {
+      // A VM that knows the evacuated failure domains knows the waves as well.
+      reportWaves();
       reportEvacuations(end);
       configurations
           .newest(records)
@@ -245,6 +275,14 @@
               });
     }
 
+    private void reportWaves() {
+      List<MaintenanceWave> asked = waves.waves();
+      if (!asked.equals(reportedWaves)) {
+        reportedWaves = asked;
+        events.accept(new BatchEvent.WavesRead(asked));
+      }
+    }
+
     private void reportEvacuations(long end) {
       long now = System.nanoTime();
       OptionalLong unreadNanos =
--- a/fescuehook/src/main/java/org/fescuehook/platform/WireFields.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/WireFields.java
@@ -1,6 +1,7 @@
 package org.fescuehook.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,9 @@
  */
 record WireFields(String subject, JsonNode object) {
 
+  private static final double MAX_SECONDS = 1e9;
+  private static final double MILLIS_PER_SECOND = 1e3;
+
   /**
    * Returns a string that is not blank.
    *
@@ -78,6 +82,20 @@
     return value.longValue();
   }
 
+  /**
+   * Returns a duration given in seconds.
+   *
+   * @throws MalformedMessageException if the field is missing, negative, too large or no number
+   */
+  Duration seconds(String field) throws MalformedMessageException {
+    JsonNode value = object.path(field);
+    double seconds = value.doubleValue();
+    if (!value.isNumber() || !(seconds >= 0) || seconds > MAX_SECONDS) {
+      throw fault(field, "a duration in seconds");
+    }
+    return Duration.ofMillis(Math.round(seconds * MILLIS_PER_SECOND));
+  }
+
   /**
    * Returns a number above 0.
    *
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
@@ -25,6 +25,7 @@
 import org.fescuehook.model.preferences.WorkPreferences;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -66,6 +67,7 @@
         new PlatformStore(loop, closedPort, event -> {}, routes -> {}),
         new ExecutorClient(loop, (id, number, outcome) -> {}),
         new AdviceClient(loop, Optional.empty(), (number, outcome) -> {}),
+        new MachineClient(loop, Optional.empty(), "vm-1/s", 1, event -> {}),
         new FailingRegistry(),
         view -> {});
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -52,6 +52,7 @@
   final ClusterOrders orders = new ClusterOrders(this);
   final ClusterCrashes crashes = new ClusterCrashes(this);
   final ClusterEvacuations evacuations = new ClusterEvacuations(this);
+  final ClusterMachines machines = new ClusterMachines(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
   private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
@@ -220,6 +221,7 @@
 
   private void tick(Vm vm) {
     if (vm.running) {
+      machines.read(vm);
       evacuations.read(vm);
       vm.deliver(new BatchEvent.Tick());
       in(50, () -> tick(vm));
@@ -238,12 +240,19 @@
       case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
       case BatchCommand.Order order -> orders.send(vm, order);
       case BatchCommand.AskAdvice question -> orders.askAdvice(vm, question);
+      case BatchCommand.ListMachines request -> machines.list(vm, request);
+      case BatchCommand.BeginMaintenance begin -> machines.begin(vm, begin);
+      case BatchCommand.ReportWaves report -> machines.report(vm, report);
       case BatchCommand.ForgetExecutor forget -> {}
       case BatchCommand.Note note -> notes.add(note);
       case BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
 
+  void sendAppend(Vm vm, BatchCommand.Append append) {
+    appends.send(vm, append);
+  }
+
   private void load(Vm vm, long epoch) {
     in(
         faults.storeDelayMillis,
@@ -251,7 +260,7 @@
             vm.deliver(
                 reachesStore(vm) && !faults.cannotLoad.contains(vm.id)
                     ? new BatchEvent.StateRead(
-                        epoch, store.newest(StreamName.STATE), Optional.empty())
+                        epoch, faults.loaded(store.newest(StreamName.STATE)), Optional.empty())
                     : new BatchEvent.StateUnreadable(epoch)));
   }
 
@@ -355,6 +364,15 @@
     runUntil("an owner", 10_000, () -> owner().isPresent());
   }
 
+  /** Returns how many accepted jobs of a queue have not begun. */
+  int pendingJobs(String queueName) {
+    Optional<Long> asked = call(new BatchCall.CountPending(queueName, configuration.callerKey()));
+    return asked
+        .map(answers::get)
+        .map(answer -> answer instanceof CallAnswer.Pending(int jobs) ? jobs : 0)
+        .orElse(0);
+  }
+
   int claims() {
     return appends.claims();
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -1,11 +1,13 @@
 package org.fescuehook.logic.batch;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.stream.LongStream;
+import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
@@ -41,6 +43,16 @@
   /** VMs that reach the store but cannot load the jobs, because pages arrive too slowly. */
   final Set<VmId> cannotLoad = new HashSet<>();
 
+  /** Whether owners lose what former owners have stored about machines under maintenance. */
+  boolean maintenanceForgotten;
+
+  /** Returns what an owner loads of the records of the job stream. */
+  List<KeyedRecord> loaded(List<KeyedRecord> records) {
+    return records.stream()
+        .filter(record -> !maintenanceForgotten || !record.key().startsWith("m/"))
+        .toList();
+  }
+
   /** Selects the events that are lost before they reach the decisions of a VM. */
   BiPredicate<VmId, BatchEvent> dropped = NOTHING_DROPPED;
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -77,6 +77,7 @@
   final CrashingTasks crashingTasks = new CrashingTasks();
   final PlacementChecks placement = new PlacementChecks();
   private double wastedCoreSeconds;
+  private int gangsBroken;
   private long stopMillis = 100;
 
   void recordSubmission(String job, String queue, Submission submission) {
@@ -342,6 +343,7 @@
     }
     boolean breaks = how != RunEnd.DONE && how != RunEnd.GANG_BROKEN && how != RunEnd.FAILED;
     if (breaks) {
+      gangsBroken += gang ? 1 : 0;
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
@@ -361,6 +363,7 @@
     List<TaskRun> others = members(run).stream().filter(other -> !other.equals(run)).toList();
     running.remove(run);
     if (stepOf(run.task()).gang()) {
+      gangsBroken++;
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
@@ -373,6 +376,11 @@
     unacknowledgedEnds.remove(executor);
   }
 
+  /** Returns how many runs of gangs were stopped or lost before their work was done. */
+  int gangsBroken() {
+    return gangsBroken;
+  }
+
   int failures(TaskName task) {
     return failures.getOrDefault(task, 0);
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -20,6 +20,8 @@
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.MaintenancePreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Configurations, preferences and executor profiles for tests. */
@@ -40,6 +42,11 @@
 
   private TestFixtures() {}
 
+  /** The time limits and rates that {@link ClusterMachines} keeps. */
+  private static final MaintenancePreferences MAINTENANCE =
+      new MaintenancePreferences(
+          true, Duration.ofSeconds(2), Duration.ofMillis(5500), Duration.ofSeconds(3), 60, 60);
+
   /** Returns preferences with the time limits that {@link FakeExecutor} keeps. */
   static BatchPreferences preferences() {
     WorkPreferences work =
@@ -48,7 +55,13 @@
             Duration.ofMillis(250),
             Duration.ofMillis(200),
             Duration.ofMillis(2700));
-    return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
+    return new BatchPreferences(
+        Duration.ofSeconds(6),
+        Duration.ofSeconds(120),
+        work,
+        true,
+        SchedulingPreferences.ALL_OFF,
+        MAINTENANCE);
   }
 
   /**
