--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterMachines.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterMachines.java
@@ -116,6 +116,11 @@
     }
   }
 
+  /** Lets a caller that the cluster does not have call with a token. */
+  void callByOther(MachineId id, long token) {
+    machines.get(id).token = token;
+  }
+
   /** Asks for a wave, or changes it. */
   void ask(MaintenanceWave wave) {
     asked.put(wave.id(), wave);
@@ -137,6 +142,11 @@
     return machines.values().stream().filter(machine -> machine.begun.contains(id)).count();
   }
 
+  /** Returns the executor that runs, or ran last, on a machine. */
+  ExecutorId executor(MachineId id) {
+    return machines.get(id).executor;
+  }
+
   /** Returns the most machines of any wave that were away at the same time by calls. */
   int mostAway() {
     return mostAway;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
@@ -203,18 +203,22 @@
         cluster.in(length / 2, () -> cause(cluster, Trouble.TAKEOVERS));
       }
       case MIXED -> {
-        Trouble[] some = {
-          Trouble.TAKEOVERS,
-          Trouble.TAKEOVERS_WITH_LATE_CALLS,
-          Trouble.LOST_ANSWERS,
-          Trouble.LATE_CALLS,
-          Trouble.SLOW_API,
-          Trouble.TOO_MANY_CALLS
-        };
-        String first = cause(cluster, some[cluster.random.nextInt(some.length)]);
-        return first + " and " + cause(cluster, some[cluster.random.nextInt(some.length)]);
+        return causeTwo(cluster);
       }
     }
     return trouble + " for " + length;
   }
+
+  private static String causeTwo(BatchCluster cluster) {
+    Trouble[] some = {
+      Trouble.TAKEOVERS,
+      Trouble.TAKEOVERS_WITH_LATE_CALLS,
+      Trouble.LOST_ANSWERS,
+      Trouble.LATE_CALLS,
+      Trouble.SLOW_API,
+      Trouble.TOO_MANY_CALLS
+    };
+    String first = cause(cluster, some[cluster.random.nextInt(some.length)]);
+    return first + " and " + cause(cluster, some[cluster.random.nextInt(some.length)]);
+  }
 }
