--- a/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
@@ -2,11 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.fescuehook.logic.ini.FaultyInputException;
 import org.fescuehook.logic.ini.IniSource;
+import org.fescuehook.model.preferences.MaintenancePreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
@@ -69,4 +71,15 @@
         new SchedulingPreferences(true, false, false, false, false, false, false),
         preferences.batch().scheduling());
   }
+
+  /** Guards against maintenance without a service or without the operators' consent. */
+  @Test
+  void machinesAreMaintainedOnlyWithAnAddressAndTheSwitch() throws FaultyInputException {
+    String address = COMPLETE.replace("[bounds]", "machines = 10.200.1.7:8530\n[bounds]");
+    String on = "[scheduling]\nmaintenance-waves = on\n";
+
+    assertEquals(MaintenancePreferences.NONE, parse(COMPLETE + on).batch().maintenance());
+    assertEquals(MaintenancePreferences.NONE, parse(address).batch().maintenance());
+    assertTrue(parse(address + on).batch().maintenance().machineApi());
+  }
 }
