Stand-in of the machine API, with its faults and a record of calls

It lists the machines of the fleet stand-in, takes them through maintenance, asks for waves in the store, and plays 429, busy, lost and late answers, delays and machines that never come back.

--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -13,6 +13,7 @@
 import org.fescuehook.standins.list.Member;
 import org.fescuehook.standins.log.LogStandIn;
 import org.fescuehook.standins.platform.FleetStandIn;
+import org.fescuehook.standins.platform.MachineStandIn;
 import org.fescuehook.standins.platform.StoreStandIn;
 import org.fescuehook.standins.worker.WorkerStandIns;
 
@@ -104,11 +105,17 @@
     InetSocketAddress anyPort = new InetSocketAddress(address.getAddress(), 0);
     int count = sizes.executors();
     standIns.add(store);
-    standIns.add(
+    FleetStandIn fleet =
         new FleetStandIn(
-            group, anyPort, count, MONOTONIC_CLOCK_MILLIS, store, sizes.journalLimit()));
+            group, anyPort, count, MONOTONIC_CLOCK_MILLIS, store, sizes.journalLimit());
+    standIns.add(fleet);
+    MachineStandIn machines =
+        new MachineStandIn(
+            group, anyPort, MONOTONIC_CLOCK_MILLIS, store, fleet, sizes.journalLimit());
+    standIns.add(machines);
     store.publishConfiguration();
     addresses.put("store", store.address());
+    addresses.put("machines", machines.address());
   }
 
   /** Starts the list of VMs, which contains the executors and workers of this process. */
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -62,6 +62,7 @@
   private TaskExecutor executor;
   private Optional<FleetFaults.OrderLoss> orderLoss = Optional.empty();
   private int incarnations;
+  private boolean up = true;
   private long heartbeats;
 
   FleetMember(
@@ -112,23 +113,77 @@
 
   /** Crashes the current incarnation and starts the next one at once. */
   synchronized void crash() {
+    if (!up) {
+      return;
+    }
     executor.crash(clock.getAsLong());
     waitingPolls.clear();
     TaskExecutor crashed = executor;
     executor = next(crashed.bornMillis());
     if (!executor.id().equals(crashed.id())) {
-      group
-          .next()
-          .schedule(
-              () -> store.putExecutor(crashed.id(), new byte[0]),
-              ENTRY_EXPIRY_MILLIS,
-              TimeUnit.MILLISECONDS);
+      removeEntryLater(crashed.id());
+    }
+    heartbeat();
+  }
+
+  int number() {
+    return number;
+  }
+
+  /** Tells whether the machine runs its executor. */
+  synchronized boolean up() {
+    return up;
+  }
+
+  /** Returns how many runs are active on the machine. */
+  synchronized int activeRuns() {
+    return up ? executor.activeRuns() : 0;
+  }
+
+  /** Describes the machine as the platform lists it. */
+  synchronized Map<String, Object> machine() {
+    Map<String, Object> machine = new LinkedHashMap<>();
+    machine.put("machineId", MachineStandIn.machineId(number));
+    machine.put("pool", PlatformConfiguration.SERVICE);
+    machine.put("state", up ? "up" : "upkeep");
+    machine.put("zone", zone(number));
+    machine.put("labels", labels(number));
+    machine.put("id", executor.id());
+    return machine;
+  }
+
+  /** Ends the current incarnation; the machine answers nothing until it comes back. */
+  synchronized void goAway() {
+    up = false;
+    executor.crash(clock.getAsLong());
+    waitingPolls.clear();
+    removeEntryLater(executor.id());
+  }
+
+  /** Starts the next incarnation, which has another id. */
+  synchronized void comeBack() {
+    // An id is used by a pair of incarnations, of which the first one is skipped if it is due.
+    String before = executor.id();
+    executor = next(executor.bornMillis());
+    if (executor.id().equals(before)) {
+      executor = next(executor.bornMillis());
     }
+    up = true;
     heartbeat();
   }
 
+  private void removeEntryLater(String id) {
+    group
+        .next()
+        .schedule(
+            () -> store.putExecutor(id, new byte[0]), ENTRY_EXPIRY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   /** Writes the entry of the current incarnation into the store. */
   synchronized void heartbeat() {
+    if (!up) {
+      return;
+    }
     heartbeats++;
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", PlatformConfiguration.SERVICE);
@@ -155,6 +210,9 @@
 
   /** Ends the runs that are due, responds to waiting polls and restarts a crashed executor. */
   synchronized void advance() {
+    if (!up) {
+      return;
+    }
     if (executor.advance(clock.getAsLong())) {
       List.copyOf(waitingPolls).forEach(this::completePoll);
     }
@@ -180,6 +238,9 @@
 
   /** Executes an order; a late order gets no response. */
   private synchronized void execute(Exchange exchange, boolean late) throws IOException {
+    if (!up) {
+      return;
+    }
     executor.advance(clock.getAsLong());
     if (executor.crashed()) {
       crash();
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -72,6 +72,11 @@
     return FleetMember.zones();
   }
 
+  /** Returns the executors. */
+  List<FleetMember> members() {
+    return List.copyOf(members);
+  }
+
   @Override
   public void apply(FleetFaults faults) {
     for (int i = 0; i < members.size(); i++) {
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
@@ -12,6 +12,7 @@
 import org.fescuehook.standins.StandIn;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
+import org.fescuehook.standins.http.Json;
 import org.fescuehook.standins.http.StandInServer;
 
 /**
@@ -25,6 +26,7 @@
 
   private static final String OPERATORS_TOPIC = "keyed.op";
   private static final String EXECUTORS_TOPIC = "keyed.servers";
+  private static final String WAVE_KEY_PREFIX = "wave/";
   private static final String EVACUATION_KEY_PREFIX = "evacuate/";
 
   /** Value of the record that evacuates a zone. */
@@ -108,6 +110,26 @@
     put(OPERATORS_TOPIC, EVACUATION_KEY_PREFIX + zone, value);
   }
 
+  /** Writes the record that asks for a maintenance wave; faults don't affect this. */
+  synchronized void putWave(MachineFaults.Wave wave) {
+    Map<String, Object> record =
+        Map.of(
+            "wave",
+            wave.wave(),
+            "machines",
+            wave.machines().stream().map(MachineStandIn::machineId).toList(),
+            "deadlineS",
+            wave.deadlineS(),
+            "cap",
+            wave.cap());
+    put(OPERATORS_TOPIC, WAVE_KEY_PREFIX + wave.wave(), Json.write(record));
+  }
+
+  /** Withdraws a maintenance wave; faults don't affect this. */
+  synchronized void removeWave(int wave) {
+    put(OPERATORS_TOPIC, WAVE_KEY_PREFIX + wave, new byte[0]);
+  }
+
   /** Drops the history of a topic; reads that wait there are answered that it is gone. */
   private void dropHistory(String name) {
     Topic topic = topic(name);
--- a/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
@@ -141,6 +141,11 @@
     record(RunEvent.Kind.ENDED, task, endedRun.run, ending, now);
   }
 
+  /** Returns how many runs are active. */
+  int activeRuns() {
+    return activeRuns.size();
+  }
+
   /** Ends this incarnation; its active runs end without being reported by a poll. */
   void crash(long now) {
     activeRuns.forEach(
