The soak asks for maintenance waves and judges them by the API's record

Two promises: no more machines of a wave away than its cap, and rising tokens with 3 s between two holders.

--- a/bench/src/main/java/org/fescuehook/bench/cluster/StandIns.java
+++ b/bench/src/main/java/org/fescuehook/bench/cluster/StandIns.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Properties;
 import org.fescuehook.standins.executor.RequestRun;
+import org.fescuehook.standins.platform.MachineCall;
 import org.fescuehook.standins.platform.RunEvent;
 import org.fescuehook.standins.worker.GangAudit;
 import org.fescuehook.standins.worker.WorkerEvent;
@@ -93,6 +94,12 @@
     return HttpCalls.convert(journal, HttpCalls.listOf(RunEvent.class));
   }
 
+  /** Returns the calls of the platform's machine API. */
+  public List<MachineCall> machineCalls() throws ClusterException, InterruptedException {
+    var journal = control.get("/journal").body().path("machines");
+    return HttpCalls.convert(journal, HttpCalls.listOf(MachineCall.class));
+  }
+
   /** Returns what went wrong on workers. */
   public List<GangAudit.Finding> audit(long maxPartialMillis)
       throws ClusterException, InterruptedException {
--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -1,5 +1,6 @@
 package org.fescuehook.bench.soak;
 
+import java.util.List;
 import java.util.Set;
 
 /** A fault, or planned work, that is brought about from outside the VMs; durations in ms. */
@@ -38,6 +39,22 @@
   /** Operators evacuate a failure domain. */
   record EvacuateDomain(int domain, long forMillis) implements Fault {}
 
+  /**
+   * Operators ask for a maintenance wave, and withdraw it later.
+   *
+   * @param deadlineSeconds time in which its machines should be through
+   * @param cap most machines that may be away at the same time
+   * @param lostPermille how many of a thousand maintenance calls get no answer meanwhile
+   */
+  record MaintainMachines(
+      int wave,
+      List<Integer> machines,
+      int deadlineSeconds,
+      int cap,
+      int lostPermille,
+      long forMillis)
+      implements Fault {}
+
   /** The store drops the history of what operators and executors wrote. */
   record DropHistory() implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -41,6 +41,8 @@
   private static final int EXECUTORS_PER_CRASH = 3;
 
   private static final int MAX_EVACUATIONS = 6;
+  private static final int MAX_MAINTENANCE_WAVES = 3;
+  private static final long MAINTENANCE_SEED = 0x6d61696e74656e61L;
   private static final long LONGEST_EVACUATION_MILLIS = 20_000;
 
   private final SplittableRandom random;
@@ -51,6 +53,9 @@
   /** Drawn apart for the same reason. */
   private final SplittableRandom evacuations;
 
+  /** Drawn apart for the same reason. */
+  private final SplittableRandom maintenance;
+
   private final SoakSizes sizes;
   private final long length;
 
@@ -59,6 +64,7 @@
     this.random = new SplittableRandom(sizes.seed());
     this.series = new SplittableRandom(~sizes.seed());
     this.evacuations = series.split();
+    this.maintenance = new SplittableRandom(sizes.seed() ^ MAINTENANCE_SEED);
     this.length = sizes.faultTime().toMillis();
   }
 
@@ -89,6 +95,9 @@
     if (evacuations.nextBoolean()) {
       addEvacuations(plan);
     }
+    if (maintenance.nextBoolean()) {
+      addMaintenance(plan);
+    }
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
@@ -153,6 +162,25 @@
     }
   }
 
+  /** Waves of machines go through maintenance, which may overlap and share machines. */
+  private void addMaintenance(List<Fault.Timed> plan) {
+    int count = 1 + maintenance.nextInt(MAX_MAINTENANCE_WAVES);
+    for (int wave = 1; wave <= count; wave++) {
+      long at = maintenance.nextLong(CALM_MILLIS, length);
+      List<Integer> machines =
+          IntStream.rangeClosed(1, sizes.executors())
+              .filter(number -> maintenance.nextBoolean())
+              .boxed()
+              .toList();
+      int cap = 1 + maintenance.nextInt(2);
+      int seconds = 10 + maintenance.nextInt(40);
+      int lost = maintenance.nextBoolean() ? maintenance.nextInt(MOST_LOST_PERMILLE) : 0;
+      plan.add(
+          new Fault.Timed(
+              at, new Fault.MaintainMachines(wave, machines, seconds, cap, lost, length - at)));
+    }
+  }
+
   private Fault killAll() {
     Set<Integer> all = IntStream.range(0, sizes.vms()).boxed().collect(Collectors.toSet());
     return new Fault.KillVms(all, random.nextLong(500, 2500));
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -22,6 +22,7 @@
   private final List<LoopbackProxy> links;
   private final StoreTrouble storeTrouble;
   private final FleetTrouble fleetTrouble;
+  private final MachineTrouble machineTrouble;
   private final Runnable cancelAll;
   private final SoakLog log;
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -39,6 +40,7 @@
     this.links = List.copyOf(links);
     this.storeTrouble = new StoreTrouble(platform);
     this.fleetTrouble = new FleetTrouble(platform);
+    this.machineTrouble = new MachineTrouble(platform);
     this.cancelAll = cancelAll;
     this.log = log;
     vms.forEach(vm -> keepers.add(new VmKeeper(vm, timer, log, disruptions, selfEnded)));
@@ -106,6 +108,7 @@
       }
       case Fault.LoseOrders lose -> loseOrders(lose);
       case Fault.EvacuateDomain evacuation -> evacuate(evacuation);
+      case Fault.MaintainMachines wave -> maintain(wave);
       case Fault.DropHistory drop -> {
         storeTrouble.dropHistory();
         over();
@@ -140,6 +143,17 @@
         });
   }
 
+  private void maintain(Fault.MaintainMachines wave) throws ClusterException, InterruptedException {
+    machineTrouble.add(wave);
+    endLater(
+        wave.forMillis(),
+        () -> {
+          machineTrouble.remove(wave);
+          log.line("over: " + wave);
+          over();
+        });
+  }
+
   private void disturbStore(Fault fault, Disruption.Kind kind, long forMillis)
       throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
--- a/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
@@ -29,7 +29,8 @@
       ChildProcesses processes,
       Programs programs,
       FreePorts ports,
-      InetSocketAddress store)
+      InetSocketAddress store,
+      InetSocketAddress machines)
       throws ClusterException {
     this.number = number;
     this.processes = processes;
@@ -50,6 +51,10 @@
             peers = %s
             metrics = %s
             store = %s
+            machines = %s
+
+            [scheduling]
+            maintenance-waves = on
             """
                 .formatted(
                     name(),
@@ -58,7 +63,8 @@
                     text(readiness),
                     text(ports.take()),
                     text(ports.take()),
-                    text(store)));
+                    text(store),
+                    text(machines)));
     this.process = launch();
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -109,6 +109,7 @@
                   callers.jobs(),
                   callers.calls(),
                   platform.taskRuns(),
+                  platform.machineCalls(),
                   faults.disruptions(),
                   quietMillis,
                   SoakLog.now(),
@@ -161,7 +162,9 @@
     for (int number = 0; number < sizes.vms(); number++) {
       LoopbackProxy link = new LoopbackProxy(group, platform.address("store"));
       links.add(link);
-      vms.add(new SchedulerVm(number, processes, programs, ports, link.address()));
+      vms.add(
+          new SchedulerVm(
+              number, processes, programs, ports, link.address(), platform.address("machines")));
     }
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -3,6 +3,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import org.fescuehook.standins.platform.MachineCall;
 import org.fescuehook.standins.platform.RunEvent;
 
 /**
@@ -18,6 +19,7 @@
     List<PlannedJob> jobs,
     List<JobCall> calls,
     List<RunEvent> runs,
+    List<MachineCall> machineCalls,
     List<Disruption> disruptions,
     long quietMillis,
     long endMillis,
@@ -46,6 +48,7 @@
     jobs = List.copyOf(jobs);
     calls = List.copyOf(calls);
     runs = List.copyOf(runs);
+    machineCalls = List.copyOf(machineCalls);
     disruptions = List.copyOf(disruptions);
     selfEnded = List.copyOf(selfEnded);
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -27,6 +27,7 @@
     runChecks.checkUnasked();
     callChecks.checkPlannedStops();
     new RecoveryCheck(history, calls, findings).check();
+    new MaintenanceCheck(history, findings).check();
     findings.check(
         Promise.KEEPS_RUNNING,
         history.selfEnded().isEmpty(),
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -20,6 +20,10 @@
   PLACEMENT("a task starts only where the label and the limit of its step allow it"),
   /** Operators rely on an evacuated failure domain getting nothing new, whoever is the owner. */
   EVACUATION("no task starts in a failure domain 5 s after it was evacuated", true),
+  /** Operators rely on the cap of a wave, whoever is the owner and whichever answers are lost. */
+  MAINTENANCE_CAP("no more machines of a wave are away at once than its cap"),
+  /** One holder with one token orders about a machine. */
+  MAINTENANCE_TOKEN("calls about a machine come with rising tokens and 3 s between two holders"),
   /** A job is shown as completed only if it is. */
   COMPLETED_IS_TRUE("a job shown as completed has ended so"),
   /** Only what callers sent runs. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.fescuehook.bench.soak.judge.JobCall.Kind;
 import org.fescuehook.bench.soak.judge.JobCall.Result;
+import org.fescuehook.standins.platform.MachineCall;
 import org.fescuehook.standins.platform.RunEvent;
 
 /** Puts the history of a run together by hand: two VMs and jobs of one kind. */
@@ -26,6 +27,7 @@
   private final List<PlannedJob> jobs = new ArrayList<>();
   private final List<JobCall> calls = new ArrayList<>();
   private final List<RunEvent> runs = new ArrayList<>();
+  private final List<MachineCall> machineCalls = new ArrayList<>();
   private final List<Disruption> disruptions = new ArrayList<>();
   private final List<String> selfEnded = new ArrayList<>();
 
@@ -134,7 +136,14 @@
         .collect(Collectors.toCollection(() -> EnumSet.noneOf(Promise.class)));
   }
 
+  /** Records a maintenance call that was carried out. */
+  HistoryBuilder maintained(int machine, String holder, long token, int away, int cap, long at) {
+    machineCalls.add(new MachineCall(machine, 1, holder, token, "begun", 0, away, cap, at));
+    return this;
+  }
+
   Findings judge() {
-    return Judge.judge(new History(VMS, jobs, calls, runs, disruptions, QUIET, END, selfEnded));
+    return Judge.judge(
+        new History(VMS, jobs, calls, runs, machineCalls, disruptions, QUIET, END, selfEnded));
   }
 }
