--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -20,6 +20,7 @@
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.MaintenancePreferences;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -45,6 +46,11 @@
   static final SchedulingPreferences BACKLOG_ADMISSION =
       new SchedulingPreferences(false, false, false, false, false, true, false);
 
+  /** The time limits and rates that {@link ClusterMachines} keeps. */
+  private static final MaintenancePreferences MAINTENANCE =
+      new MaintenancePreferences(
+          true, Duration.ofSeconds(2), Duration.ofMillis(5500), Duration.ofSeconds(3), 60, 60);
+
   /** Returns preferences without optional parts. */
   static BatchPreferences preferences() {
     return preferences(SchedulingPreferences.ALL_OFF);
@@ -59,7 +65,7 @@
             Duration.ofMillis(200),
             Duration.ofMillis(2700));
     return new BatchPreferences(
-        Duration.ofSeconds(6), Duration.ofSeconds(120), work, true, scheduling);
+        Duration.ofSeconds(6), Duration.ofSeconds(120), work, true, scheduling, MAINTENANCE);
   }
 
   /**
