Heavy load simulation: no random number is drawn where no task is long

A number was drawn for each task also with a share of long tasks of 0, so that the older profiles had another random stream than before and their values could not be compared with earlier ones. Now it is drawn only if the share is above 0. The tests of plans passed; HeavyLoadTest has not been run yet.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
@@ -163,7 +163,7 @@
             "image-" + jobClass.queue());
     String job = cluster.submit(jobClass.queue(), profile.drawKey(random), Jobs.of(step));
     for (int index = 0; index < width; index++) {
-      boolean isLong = random.nextDouble() < profile.longTaskShare();
+      boolean isLong = profile.longTaskShare() > 0 && random.nextDouble() < profile.longTaskShare();
       cluster.work.setWorkMillis(
           new TaskName(job, 0, 0, index),
           isLong ? millis * WorkloadProfile.LONG_TASK_FACTOR : millis);
