Batch plans: runs are expected to end only by progress that this owner has seen

- The time since a takeover, or since the first report of a run whose start answer was lost, was taken for the whole time of its work, so such runs seemed done at once.
The speed now counts from the progress at which the owner first knew the run; otherwise the estimate counts.
- The expected time grows while a run makes no progress, also at 100 percent, and a run is trusted to end by itself for one stop time.
Hung runs could never be preempted before.
- One answer for a whole gang, cached in the plan, releases capacity and protects from preemption; before, members were released that were then stopped for nothing.
- A run that is of no use costs a quarter, not nothing, and the limit and the choice between groups count the same cost.
Use decides only among victims whose costs differ by a few percent.
- The rank is checked before the expected end, and whether a run is useless is cached.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -130,7 +130,8 @@
       Collection<ExecutorState> executors,
       Predicate<LiveRun> useless,
       long nowNanos) {
-    RunForecast forecast = new RunForecast(statistics.runTimes(), useless, nowNanos);
+    RunForecast forecast =
+        new RunForecast(statistics.runTimes(), useless, preferences.stopTime().toNanos(), nowNanos);
     PlannedUsage usage = new PlannedUsage(statistics.usage());
     Pass pass =
         new Pass(
@@ -140,7 +141,6 @@
             new NearlyLateUse(waiting, usage),
             new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
             forecast,
-            preferences.stopTime().toNanos(),
             guaranteedNearnessWait(),
             nowNanos);
     new PlanOrder(waiting, usage).forEach(pass::planStep);
@@ -179,7 +179,6 @@
         NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         RunForecast forecast,
-        long stopNanos,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.usage = usage;
@@ -194,7 +193,7 @@
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           // What ends by itself is free as early as what is stopped now.
-          if (run.stage() == Stage.STOPPING || forecast.endsWithin(run, stopNanos)) {
+          if (run.stage() == Stage.STOPPING || forecast.endsByItself(run)) {
             expected.release(executor, run.demand());
           }
         }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
@@ -37,11 +37,23 @@
   private static final double SOON_SECONDS = 1;
 
   /**
-   * How much cheaper, at most, a run counts whose organisation uses more than its share. A larger
-   * factor would discard more work than the capacity is worth to others.
+   * Cost of work without use. Not 0, since such a run is started again when capacity is free, so
+   * that stopping one which has worked for long discards as much again.
    */
+  private static final double USELESS_COST = 0.25;
+
+  /** Use above this many times the share of an organisation counts as this. */
   private static final double MAX_OVERUSE = 2;
 
+  /**
+   * Difference of the logarithms of costs within which use decides between victims. A larger one
+   * would let use choose runs whose preemption discards more than the limit allows.
+   */
+  private static final double EQUAL_COST_WIDTH = 0.05;
+
+  private static final Comparator<Victim> BY_COST =
+      Comparator.comparing(Victim::cost).thenComparing(Victim::rank, Comparator.reverseOrder());
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
@@ -69,11 +81,16 @@
   /**
    * Runs that are preempted together: one task, or all members of a gang.
    *
-   * @param discarded work that has to be repeated, in seconds of one core
-   * @param cost the same, less for work without use and for an organisation that uses more than its
-   *     share, and more for work that is almost done
+   * @param cost work that has to be repeated, in seconds of one core; less for work without use and
+   *     more for work that is almost done
+   * @param overuse how much of its share the organisation uses, within bounds
    */
-  private record Victim(List<LiveRun> runs, Rank rank, double discarded, double cost) {}
+  private record Victim(List<LiveRun> runs, Rank rank, double cost, double overuse) {
+    /** Returns the cost in steps of a few percent; within a step, the costs count as equal. */
+    long costLevel() {
+      return Math.round(Math.log(Math.max(cost, Double.MIN_NORMAL)) / EQUAL_COST_WIDTH);
+    }
+  }
 
   /**
    * Chooses the runs to preempt for a step.
@@ -91,7 +108,7 @@
     for (List<CandidateExecutor> group : expected.groups(waiting, nearOnly)) {
       Optional<Selection> choice = choose(waiting, group, limit);
       if (choice.isPresent()
-          && best.filter(found -> found.discarded() <= choice.get().discarded()).isEmpty()) {
+          && best.filter(found -> found.cost() <= choice.get().cost()).isEmpty()) {
         best = choice;
       }
     }
@@ -107,35 +124,35 @@
    * The result of a selection.
    *
    * @param victims the runs to preempt
-   * @param discarded work that has to be repeated, in seconds of one core
+   * @param cost work that has to be repeated, weighted as that of its victims
    * @param placements where the step can start then
    */
-  record Selection(List<LiveRun> victims, double discarded, List<TaskPlacement> placements) {}
+  record Selection(List<LiveRun> victims, double cost, List<TaskPlacement> placements) {}
 
   private Optional<Selection> choose(
       WaitingStep waiting, List<CandidateExecutor> group, double limit) {
     Trial trial = new Trial(waiting, group);
     List<Victim> chosen = new ArrayList<>();
-    double discarded = 0;
+    double cost = 0;
     for (Victim victim : victims(waiting, trial.candidates)) {
       if (trial.allFit()) {
         break;
       }
-      if (discarded + victim.discarded() > limit) {
+      if (cost + victim.cost() > limit) {
         continue;
       }
       chosen.add(victim);
-      discarded += victim.discarded();
+      cost += victim.cost();
       trial.release(victim, 1);
     }
     if (!trial.allFit()) {
       return Optional.empty();
     }
-    discarded -= dropUnneeded(trial, chosen);
+    cost -= dropUnneeded(trial, chosen);
     List<LiveRun> runs = chosen.stream().flatMap(victim -> victim.runs().stream()).toList();
     return Optional.of(
         new Selection(
-            runs, discarded, FleetCapacity.placeTasks(waiting, waiting.tasks(), trial.candidates)));
+            runs, cost, FleetCapacity.placeTasks(waiting, waiting.tasks(), trial.candidates)));
   }
 
   /**
@@ -149,7 +166,7 @@
       trial.release(victim, -1);
       if (trial.allFit()) {
         chosen.remove(victim);
-        saved += victim.discarded();
+        saved += victim.cost();
       } else {
         trial.release(victim, 1);
       }
@@ -190,8 +207,8 @@
 
   /**
    * Returns the possible victims, those whose preemption discards the least work first and, among
-   * equals, the least important first. The discarded work of organisations that use more than their
-   * share counts less.
+   * equals, the least important first. Among those of about equal cost, the runs of organisations
+   * that use more than their share come first.
    */
   private List<Victim> victims(WaitingStep waiting, List<CandidateExecutor> group) {
     List<Victim> victims = new ArrayList<>();
@@ -202,8 +219,11 @@
       for (LiveRun run : executor.runs()) {
         Rank rank = ranks.apply(run.step());
         boolean preemptible =
-            run.stage() != Stage.STOPPING && !run.step().done() && !endsByItself(run);
-        if (!preemptible || !waiting.rank().before(rank)) {
+            run.stage() != Stage.STOPPING
+                && !run.step().done()
+                && waiting.rank().before(rank)
+                && !forecast.endsByItself(run);
+        if (!preemptible) {
           continue;
         }
         boolean lasting = run.step().spec().longRunning().isPresent();
@@ -214,33 +234,28 @@
         if (run.step().spec().gang()) {
           gangs.add(run.step());
         } else {
-          victims.add(victim(List.of(run), rank));
+          victims.add(victim(run.step(), List.of(run), rank));
         }
       }
     }
-    gangs.forEach(gang -> victims.add(victim(gang.liveRuns(), ranks.apply(gang))));
+    gangs.forEach(gang -> victims.add(victim(gang, gang.liveRuns(), ranks.apply(gang))));
     victims.sort(
-        Comparator.comparing(Victim::cost).thenComparing(Victim::rank, Comparator.reverseOrder()));
+        usage.enabled()
+            ? Comparator.comparingLong(Victim::costLevel)
+                .thenComparing(Victim::overuse, Comparator.reverseOrder())
+                .thenComparing(BY_COST)
+            : BY_COST);
     return victims;
   }
 
-  private Victim victim(List<LiveRun> runs, Rank rank) {
+  private Victim victim(StepProgress step, List<LiveRun> runs, Rank rank) {
     double discarded = 0;
     for (LiveRun run : runs) {
       double restore = run.step().spec().checkpointing() ? preferences.restoreSeconds() : 0;
       double seconds = START_COST_SECONDS + restore + discardedSeconds(run);
       discarded += seconds * run.demand().coreEquivalents();
     }
-    double cost = discarded * costFactor(runs) / overuse(runs.getFirst());
-    return new Victim(runs, rank, discarded, cost);
-  }
-
-  /** Tells whether the work of a run is done before a stop would free its capacity. */
-  private boolean endsByItself(LiveRun run) {
-    List<LiveRun> runs = run.step().spec().gang() ? run.step().liveRuns() : List.of(run);
-    return forecast.enabled()
-        && runs.stream()
-            .allMatch(live -> forecast.endsWithin(live, preferences.stopTime().toNanos()));
+    return new Victim(runs, rank, discarded * costFactor(runs), overuse(step));
   }
 
   /** Returns how much the work of runs counts that are preempted together. */
@@ -249,7 +264,7 @@
       return 1;
     }
     if (runs.stream().allMatch(forecast::useless)) {
-      return 0;
+      return USELESS_COST;
     }
     double left = 0;
     for (LiveRun run : runs) {
@@ -258,8 +273,8 @@
     return 1 + Math.min(1, SOON_SECONDS / Math.max(SOON_SECONDS, left));
   }
 
-  private double overuse(LiveRun run) {
-    return Math.clamp(usage.level(run.step().job().job().organisation()).use(), 1, MAX_OVERUSE);
+  private double overuse(StepProgress step) {
+    return Math.clamp(usage.level(step.job().job().organisation()).use(), 1, MAX_OVERUSE);
   }
 
   /** Returns the work of a run that is not saved, in seconds. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/RunForecast.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/RunForecast.java
@@ -1,9 +1,12 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.statistics.RunTimes;
 
 /** The expected ends of runs while a plan is made. Without learned run times it expects nothing. */
@@ -16,17 +19,22 @@
 
   private final RunTimes runTimes;
   private final Predicate<LiveRun> useless;
+  private final long stopNanos;
   private final long nowNanos;
   private final Map<LiveRun, Long> leftNanos = new IdentityHashMap<>();
+  private final Map<LiveRun, Boolean> uselessRuns = new IdentityHashMap<>();
+  private final Map<StepProgress, Boolean> gangsThatEnd = new IdentityHashMap<>();
 
   /**
    * Creates the forecast of one plan.
    *
    * @param useless tells whether the result of a run will come too late to be of any use
+   * @param stopNanos time until a stop frees the capacity of a run
    */
-  RunForecast(RunTimes runTimes, Predicate<LiveRun> useless, long nowNanos) {
+  RunForecast(RunTimes runTimes, Predicate<LiveRun> useless, long stopNanos, long nowNanos) {
     this.runTimes = runTimes;
     this.useless = useless;
+    this.stopNanos = stopNanos;
     this.nowNanos = nowNanos;
   }
 
@@ -41,21 +49,37 @@
   }
 
   /**
-   * Tells whether a run is expected to end by itself within a time, judged by its own recent
-   * progress.
+   * Tells whether the work of a run, or of its whole gang, is done before a stop would free its
+   * capacity. A run is trusted to end for one stop time only; after that it counts as any other.
    */
-  boolean endsWithin(LiveRun run, long nanos) {
-    return enabled()
-        && run.stage() == LiveRun.Stage.RUNNING
-        && run.percent() > 0
-        && nowNanos - run.reportedAt() < MAX_REPORT_AGE_NANOS
-        && run.step().spec().longRunning().isEmpty()
-        && leftNanos(run) <= nanos;
+  boolean endsByItself(LiveRun run) {
+    if (!enabled()) {
+      return false;
+    }
+    return run.step().spec().gang()
+        ? gangsThatEnd.computeIfAbsent(run.step(), gang -> endByThemselves(gang.liveRuns()))
+        : endByThemselves(List.of(run));
+  }
+
+  private boolean endByThemselves(List<LiveRun> runs) {
+    return !runs.isEmpty()
+        && runs.stream().allMatch(this::endsSoon)
+        && runs.stream().allMatch(run -> nowNanos - run.trustEnd(nowNanos) <= stopNanos);
+  }
+
+  private boolean endsSoon(LiveRun run) {
+    if (run.stage() != LiveRun.Stage.RUNNING
+        || nowNanos - run.reportedAt() >= MAX_REPORT_AGE_NANOS
+        || run.step().spec().longRunning().isPresent()) {
+      return false;
+    }
+    OptionalLong left = runTimes.measuredLeftMillis(run, nowNanos);
+    return left.isPresent() && left.getAsLong() * NANOS_PER_MILLI <= stopNanos;
   }
 
   /** Tells whether the result of a run will come too late to be of any use. */
   boolean useless(LiveRun run) {
-    return enabled() && useless.test(run);
+    return enabled() && uselessRuns.computeIfAbsent(run, useless::test);
   }
 
   /** Returns how many times its expected duration a run has taken so far; 0 if unknown. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -34,6 +34,9 @@
   private int orders;
   private int percent;
   private long reportedAt;
+  private int percentWhenRunning;
+  private long percentChangedAt;
+  private OptionalLong endTrustedSince = OptionalLong.empty();
   private boolean evaluated;
   private boolean throttled;
   private OptionalLong startOrderedAt = OptionalLong.empty();
@@ -57,6 +60,7 @@
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
     this.reportedAt = nowNanos;
+    this.percentChangedAt = nowNanos;
   }
 
   /**
@@ -162,7 +166,12 @@
     orders = 0;
     switch (next) {
       case STARTING -> startOrderedAt = OptionalLong.of(nowNanos);
-      case RUNNING -> runningSince = OptionalLong.of(nowNanos);
+      case RUNNING -> {
+        runningSince = OptionalLong.of(nowNanos);
+        // Not 0 if the run is first known from a report, since its work began before that.
+        percentWhenRunning = percent;
+        percentChangedAt = nowNanos;
+      }
       case PLACED, STOPPING, INHERITED -> {}
     }
   }
@@ -259,10 +268,35 @@
 
   /** Records the progress that the executor reports. */
   public void progressed(int newPercent, long nowNanos) {
+    if (newPercent != percent) {
+      percentChangedAt = nowNanos;
+    }
     percent = newPercent;
     reportedAt = nowNanos;
   }
 
+  /** Returns the progress that this owner has seen it make, in percent of its work. */
+  public int seenPercent() {
+    return percent - percentWhenRunning;
+  }
+
+  /** Returns when its progress last changed, monotonic time. */
+  public long percentChangedAt() {
+    return percentChangedAt;
+  }
+
+  /**
+   * Returns since when it is expected to end by itself soon; the first call sets that time.
+   *
+   * @param nowNanos monotonic time
+   */
+  public long trustEnd(long nowNanos) {
+    if (endTrustedSince.isEmpty()) {
+      endTrustedSince = OptionalLong.of(nowNanos);
+    }
+    return endTrustedSince.getAsLong();
+  }
+
   /** Returns when its progress was last reported, or when it was placed, monotonic time. */
   public long reportedAt() {
     return reportedAt;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/DurationRatios.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/DurationRatios.java
@@ -24,10 +24,14 @@
    */
   private static final double BEYOND_ALL = 0.5;
 
+  /** Share of the observations that are below the low quantile. */
+  private static final double LOW_SHARE = 0.1;
+
   private final double[] counts = new double[BINS];
   private double observed;
   private double median;
-  private boolean medianKnown;
+  private double low;
+  private boolean quantilesKnown;
 
   DurationRatios() {
     counts[bin(0)] = INITIAL_COUNT;
@@ -53,16 +57,27 @@
     }
     observed++;
     counts[bin(logRatio)]++;
-    medianKnown = false;
+    quantilesKnown = false;
   }
 
   /** Returns the logarithm of the median ratio. */
   double median() {
-    if (!medianKnown) {
+    findQuantiles();
+    return median;
+  }
+
+  /** Returns the logarithm of a ratio that few observations are below. */
+  double low() {
+    findQuantiles();
+    return low;
+  }
+
+  private void findQuantiles() {
+    if (!quantilesKnown) {
       median = quantile(0.5);
-      medianKnown = true;
+      low = quantile(LOW_SHARE);
+      quantilesKnown = true;
     }
-    return median;
   }
 
   /** Returns a quantile of the logarithm of the ratio. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.WeakHashMap;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
@@ -72,6 +73,7 @@
         end == RunEnd.DONE
             && run.stage() == Stage.RUNNING
             && !run.inherited()
+            && run.seenPercent() == run.percent()
             && run.checkpoint().isEmpty()
             && !run.wasThrottled()
             && spec.longRunning().isEmpty()
@@ -115,6 +117,14 @@
     return find(step).map(known -> Math.exp(known.median())).orElse(1.0);
   }
 
+  /**
+   * Returns the ratio of the actual to the estimated duration that few of the runs like those of a
+   * step stay below; 1 if nothing is known.
+   */
+  public double lowRatio(StepProgress step) {
+    return enabled ? find(step).map(known -> Math.exp(known.low())).orElse(1.0) : 1;
+  }
+
   private Optional<DurationRatios> find(StepProgress step) {
     String queue = step.job().job().queue().name();
     return Optional.ofNullable(distributions.get(new Kind(queue, step.spec().image())))
@@ -124,8 +134,8 @@
 
   /**
    * Returns the expected time until a run is done: by its own progress once there is some, else by
-   * what the runs of its queue or image have taken, and by the speed of its executor. While nothing
-   * is known, this is {@link LiveRun#estimatedLeftMillis}.
+   * what the runs of its queue or image have taken, and by the speed of its executor. It grows
+   * while a run makes no progress. Switched off, this is {@link LiveRun#estimatedLeftMillis}.
    *
    * @param nowNanos monotonic time
    */
@@ -133,30 +143,50 @@
     if (!enabled) {
       return run.estimatedLeftMillis();
     }
-    double sinceReport = (nowNanos - run.reportedAt()) / NANOS_PER_MILLI;
-    boolean ownProgress =
-        run.stage() == Stage.RUNNING
-            && run.percent() >= MIN_PERCENT
-            && run.percent() < WHOLE_PERCENT
-            && run.checkpoint().isEmpty()
-            && !run.inherited()
-            && !run.wasThrottled();
-    if (ownProgress) {
-      return Math.max(0, Math.round(run.estimatedLeftMillis() - sinceReport));
+    OptionalLong measured = measuredLeftMillis(run, nowNanos);
+    if (measured.isPresent()) {
+      return measured.getAsLong();
     }
     Optional<DurationRatios> known = find(run.step());
-    double speed = speeds.speed(run.incarnation(), nowNanos);
-    double estimate = run.step().spec().estimateMillis() / speed;
-    double elapsed = run.seenRunning() ? (nowNanos - run.stageSince()) / NANOS_PER_MILLI : 0;
+    double estimate =
+        run.step().spec().estimateMillis() / speeds.speed(run.incarnation(), nowNanos);
     boolean begun = run.percent() > 0 || !run.checkpoint().isEmpty() || run.inherited();
-    if (known.isEmpty() || run.step().spec().estimateMillis() <= 0) {
-      return Math.round(run.estimatedLeftMillis() / speed);
+    if (!begun && known.isPresent() && estimate > 0) {
+      double elapsed = run.seenRunning() ? millisSince(run.stageSince(), nowNanos) : 0;
+      return Math.round(known.get().expectedLeft(elapsed / estimate) * estimate);
     }
-    if (begun) {
-      double left = 1 - run.percent() / (double) WHOLE_PERCENT;
-      return Math.round(estimate * Math.exp(known.get().median()) * left);
+    double ratio = known.map(ratios -> Math.exp(ratios.median())).orElse(1.0);
+    double left = estimate * ratio * (WHOLE_PERCENT - run.percent()) / WHOLE_PERCENT;
+    double still = run.seenRunning() ? millisSince(run.percentChangedAt(), nowNanos) : 0;
+    return Math.round(Math.max(left, still));
+  }
+
+  /**
+   * Returns the expected time until a run is done, from the progress that this owner has seen it
+   * make; empty if that is too little. The time grows while a run makes no progress, since a run
+   * that hangs would otherwise be expected to end for as long as it hangs.
+   *
+   * @param nowNanos monotonic time
+   */
+  public OptionalLong measuredLeftMillis(LiveRun run, long nowNanos) {
+    boolean measured =
+        enabled
+            && run.stage() == Stage.RUNNING
+            && run.seenPercent() >= MIN_PERCENT
+            && run.checkpoint().isEmpty()
+            && !run.wasThrottled();
+    if (!measured) {
+      return OptionalLong.empty();
     }
-    return Math.round(known.get().expectedLeft(elapsed / estimate) * estimate);
+    double seen = (run.percentChangedAt() - run.stageSince()) / NANOS_PER_MILLI;
+    double perPercent = seen / run.seenPercent();
+    double still = millisSince(run.percentChangedAt(), nowNanos);
+    double left = (WHOLE_PERCENT - run.percent()) * perPercent - still;
+    return OptionalLong.of(Math.round(Math.max(Math.max(0, left), still - 2 * perPercent)));
+  }
+
+  private static double millisSince(long nanos, long nowNanos) {
+    return (nowNanos - nanos) / NANOS_PER_MILLI;
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
@@ -138,7 +138,11 @@
   }
 
   Planner.Plan plan() {
-    return planner.plan(waiting, executors, NOW);
+    return plan(NOW);
+  }
+
+  Planner.Plan plan(long nowNanos) {
+    return planner.plan(waiting, executors, nowNanos);
   }
 
   /** Returns the organisations of the tasks that a plan starts, in the order of placement. */
