Batch plans: very slow executors are no longer suspect, and speed decides less

- Very slow executors counted as suspect: gangs never started where all executors of a rack or label were slow, and the share above which nobody is suspect was reached early.
- An urgent gang that fits onto faster executors already starts there instead of being deferred with each plan; one that may crash, or whose wait is used up, starts where it can.
- Single tasks fill the fullest executors that are fast enough.
Speed decided before fullness, so that small tasks opened whole slow executors.
- Groups are not searched for their pace while all executors are equally fast.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FasterPlace.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FasterPlace.java
@@ -36,26 +36,44 @@
   /** A group at the time at which enough of its capacity is free. */
   private record Opening(long inNanos, double endsInNanos, List<CandidateExecutor> candidates) {}
 
-  /** Returns where a gang should wait to start; absent if it should start now where it can. */
-  Optional<List<TaskPlacement>> find(
+  /**
+   * A better place for a gang.
+   *
+   * @param free whether the gang fits there already, so that it need not wait
+   */
+  record Place(List<TaskPlacement> placements, boolean free) {}
+
+  /** Returns a place where a gang ends earlier; absent if it should start now where it can. */
+  Optional<Place> find(
       WaitingStep waiting, List<TaskPlacement> now, FleetCapacity capacity, boolean nearOnly) {
     StepTiming timing = waiting.timing();
     long duration = timing.objectiveNanos() - timing.spareNanos();
     long left = timing.objectiveNanos() - timing.waitedNanos();
     int pace = now.stream().mapToInt(capacity::speedClass).min().orElse(0);
     double endsNow = duration * slowness(pace);
-    boolean applies = waiting.urgent() && forecast.enabled() && endsNow > left && duration > 0;
+    long longest = Math.min((long) endsNow, longestWaitNanos - timing.waitedNanos());
+    // A gang that may crash goes where a crash costs least, whatever the speed.
+    boolean applies =
+        waiting.urgent()
+            && !waiting.mayCrash()
+            && forecast.enabled()
+            && endsNow > left
+            && duration > 0
+            && longest > 0;
     if (!applies || considered >= MAX_GANGS) {
       return Optional.empty();
     }
     considered++;
-    long longest = Math.min((long) endsNow, longestWaitNanos - timing.waitedNanos());
     double latest = endsNow * (1 - MIN_GAIN_SHARE);
     return capacity.groups(waiting, nearOnly).stream()
         .flatMap(group -> opening(waiting, group, pace, duration, longest).stream())
         .filter(opening -> opening.endsInNanos() < latest)
         .min(Comparator.comparingDouble(Opening::endsInNanos))
-        .map(opening -> FleetCapacity.placeTasks(waiting, waiting.tasks(), opening.candidates()));
+        .map(
+            opening ->
+                new Place(
+                    FleetCapacity.placeTasks(waiting, waiting.tasks(), opening.candidates()),
+                    opening.inNanos() == 0));
   }
 
   /** Returns when a gang could start on the executors of a group that are faster than a pace. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -52,6 +52,7 @@
   /** For each shape, the most tasks that fitted into one group when this was last counted. */
   private final Map<Shape, Integer> maxFittingTasks = new HashMap<>();
 
+  private final boolean equallyFast;
   private int usableAccelerators;
   private long accelerators;
   private long milliCores;
@@ -74,6 +75,7 @@
 
   FleetCapacity(List<CandidateExecutor> candidates) {
     this.candidates = candidates;
+    this.equallyFast = candidates.stream().allMatch(candidate -> candidate.speedClass() == 0);
     for (CandidateExecutor candidate : candidates) {
       byExecutor.put(candidate.executor(), candidate);
       addToTotals(candidate, 1);
@@ -118,12 +120,11 @@
       PlannedTasks planned,
       SpeedClasses speeds,
       long nowNanos) {
-    long suspects =
-        executors.stream().filter(executor -> suspect(executor, speeds, nowNanos)).count();
+    long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
     List<CandidateExecutor> candidates = new ArrayList<>();
     for (ExecutorState executor : executors) {
-      boolean suspect = credible && suspect(executor, speeds, nowNanos);
+      boolean suspect = credible && executor.suspect(nowNanos);
       candidates.add(
           new CandidateExecutor(
               executor,
@@ -136,10 +137,6 @@
     return new FleetCapacity(candidates);
   }
 
-  private static boolean suspect(ExecutorState executor, SpeedClasses speeds, long nowNanos) {
-    return executor.suspect(nowNanos) || speeds.verySlow(executor);
-  }
-
   private void addToTotals(CandidateExecutor candidate, int sign) {
     usableAccelerators += sign * usableAccelerators(candidate);
     accelerators += sign * candidate.free().accelerators();
@@ -276,7 +273,7 @@
       if (fitting < wanted) {
         continue;
       }
-      int pace = all.size() == 1 ? 0 : PlacementSpeed.pace(waiting, group, wanted);
+      int pace = equallyFast || all.size() == 1 ? 0 : PlacementSpeed.pace(waiting, group, wanted);
       int order = best.isEmpty() ? -1 : speed.compare(pace, bestPace);
       if (order < 0 || (order == 0 && fitting < least)) {
         best = Optional.of(group);
@@ -340,9 +337,10 @@
   }
 
   /**
-   * Places tasks in a group. Executors of the speed that suits the step come first, among them the
-   * fullest, so that whole ones stay free, and suspect ones last. Tasks suspected of crashing
-   * executors go where a crash costs least and leaves the least doubt about its cause.
+   * Places tasks in a group. For a gang, executors of the speed that suits it come first, among
+   * them the fullest. Single tasks fill the fullest that are fast enough, so that whole ones stay
+   * free; among equally full ones the speed decides. Suspect executors come last. Tasks suspected
+   * of crashing executors go where a crash costs least and leaves the least doubt about its cause.
    *
    * @return the placements; fewer than tasks if the group has no capacity for all
    */
@@ -357,7 +355,7 @@
     ordered.sort(
         waiting.mayCrash()
             ? LEAST_RISK_FIRST
-            : PlacementSpeed.order(waiting, ordered, tasks.size()).thenComparing(FULLEST_FIRST));
+            : PlacementSpeed.order(waiting, ordered, tasks.size(), FULLEST_FIRST));
     List<TaskPlacement> placements = new ArrayList<>();
     for (CandidateExecutor candidate : ordered) {
       int fitting = fits(waiting, candidate);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -235,11 +235,14 @@
       boolean nearOnly = nearOnly(waiting);
       Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, available, nearOnly);
       if (now.isPresent()) {
-        Optional<List<TaskPlacement>> later =
+        Optional<FasterPlace.Place> faster =
             fasterPlace.find(waiting, now.get(), available, nearOnly);
-        later.ifPresent(placements -> deferred.add(waiting));
-        later.ifPresentOrElse(
-            placements -> placements.forEach(this::reserve), () -> now.get().forEach(this::start));
+        if (faster.isPresent() && !faster.get().free()) {
+          deferred.add(waiting);
+          faster.get().placements().forEach(this::reserve);
+        } else {
+          faster.map(FasterPlace.Place::placements).orElse(now.get()).forEach(this::start);
+        }
         return;
       }
       waitOrPreempt(waiting, nearOnly);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/SpeedClasses.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/SpeedClasses.java
@@ -12,15 +12,9 @@
   /** All executors count as equally fast. */
   static final SpeedClasses EQUAL = new SpeedClasses(Map.of());
 
-  /**
-   * Logarithm of the speed below which an executor is treated like one on which runs have failed: a
-   * task there takes more than twice as long as usual, which no objective allows for.
-   */
-  private static final double VERY_SLOW = Math.log(0.45);
-
   private final Map<ExecutorState, Double> logSpeeds;
 
-  private SpeedClasses(Map<ExecutorState, Double> logSpeeds) {
+  SpeedClasses(Map<ExecutorState, Double> logSpeeds) {
     this.logSpeeds = logSpeeds;
   }
 
@@ -44,9 +38,4 @@
   int of(ExecutorState executor) {
     return ExecutorSpeeds.speedClass(logSpeeds.getOrDefault(executor, 0.0));
   }
-
-  /** Tells whether an executor is much slower than usual. */
-  boolean verySlow(ExecutorState executor) {
-    return logSpeeds.getOrDefault(executor, 0.0) < VERY_SLOW;
-  }
 }
