Batch plans: usual run times neither give up new jobs nor prefer them

The spare time of a step is computed from the median of its queue. A median of 6 made each new job too late to be of use, and one above the objective made all of them nearly late at once, so that they preempted others and used the capacity for urgent work. Now a step is too late only if it would be with a duration that a tenth of the runs stay below, and nearly late by the estimate of its caller if that leaves more time.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -176,7 +176,9 @@
   private StepTiming timing(StepProgress step, JobQueue queue, BatchContext context) {
     long objectiveMillis = queue.objectiveMillis(step.job().estimatedChainMillis());
     double ratio = statistics.runTimes().expectedRatio(step);
-    long spareMillis = objectiveMillis - Math.round(step.estimatedChainMillis() * ratio);
+    double lowRatio = statistics.runTimes().lowRatio(step);
+    long chainMillis = step.estimatedChainMillis();
+    long spareMillis = objectiveMillis - Math.round(chainMillis * ratio);
     long waitedMillis = Math.max(0, context.wallMillis() - dueMillis(step));
     long queuedNanos = context.nowNanos() - step.queuedSince(context.nowNanos());
     if (step.spec().longRunning().isPresent()) {
@@ -186,7 +188,9 @@
         TimeUnit.MILLISECONDS.toNanos(waitedMillis),
         queuedNanos,
         TimeUnit.MILLISECONDS.toNanos(spareMillis),
-        TimeUnit.MILLISECONDS.toNanos(objectiveMillis));
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis - chainMillis),
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis - Math.round(chainMillis * lowRatio)));
   }
 
   /** Tells whether the result of a run will come too late to be of any use to the caller. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StepTiming.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StepTiming.java
@@ -11,8 +11,16 @@
  * @param queuedNanos time since it became ready to start, or since its last run was placed
  * @param spareNanos how long after its acceptance it may start and still meet the objective
  * @param objectiveNanos time from the acceptance of the job to its objective
+ * @param estimatedSpareNanos the spare time by the caller's estimate alone
+ * @param longestSpareNanos the spare time if the step is as short as few of its kind are
  */
-public record StepTiming(long waitedNanos, long queuedNanos, long spareNanos, long objectiveNanos) {
+public record StepTiming(
+    long waitedNanos,
+    long queuedNanos,
+    long spareNanos,
+    long objectiveNanos,
+    long estimatedSpareNanos,
+    long longestSpareNanos) {
 
   /**
    * Share of its spare time for which work waits for free capacity. After that it may use more of
@@ -26,6 +34,11 @@
    */
   private static final long EXCLUSIVE_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
 
+  /** Creates the timing of a step of whose duration only the caller's estimate is known. */
+  public StepTiming(long waitedNanos, long queuedNanos, long spareNanos, long objectiveNanos) {
+    this(waitedNanos, queuedNanos, spareNanos, objectiveNanos, spareNanos, spareNanos);
+  }
+
   /**
    * Creates the timing of a long-running step, which is useful whenever it runs and late from the
    * start.
@@ -51,7 +64,9 @@
     if (lateness <= 0) {
       return Prospect.IN_TIME;
     }
-    boolean useful = lateness <= objectiveNanos * (JobQueue.MAX_USEFUL_OBJECTIVES - 1);
+    // The usual duration is not that of each caller; what may still be of use is not given up.
+    long leastLateness = waitedNanos - Math.max(spareNanos, longestSpareNanos);
+    boolean useful = leastLateness <= objectiveNanos * (JobQueue.MAX_USEFUL_OBJECTIVES - 1);
     return useful ? Prospect.LATE : Prospect.TOO_LATE;
   }
 
@@ -60,8 +75,12 @@
     return queuedNanos > EXCLUSIVE_WAIT_NANOS;
   }
 
-  /** Tells whether the spare time is almost used up. */
+  /**
+   * Tells whether the spare time is almost used up. Work that usually exceeds its estimates is not
+   * nearly late from the start, since it would use the capacity for urgent work and preempt others
+   * at once.
+   */
   public boolean nearlyLate() {
-    return waitedNanos > spareNanos * SPARE_TIME_SHARE;
+    return waitedNanos > Math.max(spareNanos, estimatedSpareNanos) * SPARE_TIME_SHARE;
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StepTimingTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StepTimingTest.java
@@ -26,6 +26,14 @@
     assertEquals(Prospect.TOO_LATE, waited(27).prospect());
   }
 
+  /** Guards against callers who estimate well and whose jobs count as too late from the start. */
+  @Test
+  void workThatUsuallyTakesLongerIsNotGivenUpOrPreferredFromTheStart() {
+    StepTiming timing = new StepTiming(0, 0, -30, 10, 6, 6);
+    assertEquals(Prospect.LATE, timing.prospect());
+    assertFalse(timing.nearlyLate());
+  }
+
   @Test
   void workIsNearlyLateOnceItsSpareTimeIsAlmostUsedUp() {
     assertFalse(waited(4).nearlyLate());
