--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -108,7 +108,8 @@
   /** A step waits behind later ones, since its organisation uses more than theirs. */
   JOB_DEFERRED(
       8062,
-      "Job {} waits behind later jobs: step {}, {} uses {} of its share, job {} of {} at {} starts");
+      "Job {} waits behind later jobs: step {}, {} uses more of its share ({}) than {} ({}), whose"
+          + " job {} starts");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FairShareLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FairShareLog.java
@@ -1,12 +1,9 @@
 package org.fescuehook.logic.batch.plan;
 
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.IdentityHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -16,7 +13,6 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.statistics.OrganisationUsage;
-import org.fescuehook.logic.batch.statistics.PlannedUsage;
 
 /**
  * Logs which organisations use more than their share while others wait, and, once for each step,
@@ -24,6 +20,8 @@
  */
 final class FairShareLog {
 
+  private static final double TENTHS = 10;
+
   private final OrganisationUsage usage;
   private final Set<String> exceeding = new HashSet<>();
   private final Set<StepProgress> deferred = Collections.newSetFromMap(new IdentityHashMap<>());
@@ -32,13 +30,6 @@
     this.usage = usage;
   }
 
-  /** The steps that only use and acceptance tell apart. */
-  private record StepClass(Rank rank, StepTiming.Prospect prospect) {
-    static StepClass of(WaitingStep step) {
-      return new StepClass(step.rank(), step.timing().prospect());
-    }
-  }
-
   /**
    * Logs what a plan shows.
    *
@@ -49,7 +40,7 @@
       return;
     }
     logShares(waiting, context);
-    logDeferred(waiting, plan.starts(), context);
+    logDeferred(plan, context);
     Set<StepProgress> present = Collections.newSetFromMap(new IdentityHashMap<>());
     waiting.forEach(step -> present.add(step.step()));
     deferred.retainAll(present);
@@ -85,53 +76,52 @@
     return String.format(Locale.ROOT, "%.3f", value);
   }
 
-  private void logDeferred(
-      List<WaitingStep> waiting, List<TaskPlacement> starts, BatchContext context) {
-    Set<StepProgress> started = new LinkedHashSet<>();
-    PlannedUsage planned = new PlannedUsage(usage);
-    for (TaskPlacement start : starts) {
-      started.add(start.step());
-      planned.add(start.step().job().job().organisation(), start.step().spec().demand());
-    }
-    Map<StepClass, List<WaitingStep>> startedByClass = new HashMap<>();
-    for (WaitingStep step : waiting) {
-      if (started.contains(step.step())) {
-        startedByClass.computeIfAbsent(StepClass.of(step), same -> new ArrayList<>()).add(step);
-      }
-    }
-    if (startedByClass.isEmpty()) {
+  /**
+   * Logs the steps that did not start although one that was accepted later did, since the latter
+   * was considered before because of use.
+   */
+  private void logDeferred(Planner.Plan plan, BatchContext context) {
+    Set<StepProgress> started = Collections.newSetFromMap(new IdentityHashMap<>());
+    plan.starts().forEach(start -> started.add(start.step()));
+    if (started.isEmpty()) {
       return;
     }
-    for (WaitingStep step : waiting) {
-      if (started.contains(step.step()) || deferred.contains(step.step())) {
-        continue;
+    Map<String, PlanOrder.Considered> latestStarted = new HashMap<>();
+    Optional<WaitingStep> previous = Optional.empty();
+    for (PlanOrder.Considered considered : plan.considered()) {
+      WaitingStep step = considered.step();
+      if (previous.filter(step::sameClass).isEmpty()) {
+        latestStarted.clear();
       }
-      Collection<WaitingStep> equals = startedByClass.getOrDefault(StepClass.of(step), List.of());
-      Optional<WaitingStep> preferred =
-          equals.stream().filter(other -> isPreferred(other, step, planned)).findFirst();
-      if (preferred.isPresent()) {
-        deferred.add(step.step());
-        noteDeferred(step, preferred.get(), context);
+      previous = Optional.of(step);
+      if (started.contains(step.step())) {
+        latestStarted.merge(
+            step.organisation(),
+            considered,
+            (one, other) -> one.position() > other.position() ? one : other);
+      } else if (!deferred.contains(step.step())) {
+        latestStarted.values().stream()
+            .filter(other -> !other.step().organisation().equals(step.organisation()))
+            .filter(other -> other.position() > considered.position())
+            .findFirst()
+            .ifPresent(other -> noteDeferred(considered, other, context));
       }
     }
   }
 
-  /** Tells whether a step of an organisation with less use went before one accepted earlier. */
-  private boolean isPreferred(WaitingStep started, WaitingStep waiting, PlannedUsage planned) {
-    return started.acceptedMillis() > waiting.acceptedMillis()
-        && usage.level(started.organisation()).use() < planned.of(waiting.organisation());
-  }
-
-  private void noteDeferred(WaitingStep step, WaitingStep preferred, BatchContext context) {
+  private void noteDeferred(
+      PlanOrder.Considered waiting, PlanOrder.Considered preferred, BatchContext context) {
+    WaitingStep step = waiting.step();
+    deferred.add(step.step());
     context.count("fescuehook.batch.shares.deferred", "rank", step.rank().toString());
     context.note(
         BatchLogEvent.JOB_DEFERRED,
         step.step().job().job().id(),
         step.step().number(),
         step.organisation(),
-        decimal(usage.of(step.organisation())),
-        preferred.step().job().job().id(),
-        preferred.organisation(),
-        decimal(usage.of(preferred.organisation())));
+        decimal(waiting.use() / TENTHS),
+        preferred.step().organisation(),
+        decimal(preferred.use() / TENTHS),
+        preferred.step().step().job().job().id());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -66,6 +66,7 @@
             executors.registry().all(), jobs.configuration().organisations(), context.nowNanos());
     List<WaitingStep> waiting = waiting(context);
     if (waiting.isEmpty()) {
+      fairShareLog.check(waiting, Planner.Plan.EMPTY, context);
       return;
     }
     List<ExecutorState> usable =
@@ -82,6 +83,7 @@
       String job = beneficiary.step().job().job().id();
       String cause = "job " + job + " needs its place, " + beneficiary.rank();
       executors.stop(stop.run(), cause, context);
+      beneficiary.step().markStopsOrdered();
     }
     start(plan.starts(), context);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -97,9 +97,17 @@
    * @param starts where tasks start
    * @param stops runs that are preempted
    * @param deferred gangs that could start but wait for faster executors, where they end earlier
+   * @param considered the steps in the order in which use let them be considered
    */
   public record Plan(
-      List<TaskPlacement> starts, List<Preemption> stops, List<WaitingStep> deferred) {}
+      List<TaskPlacement> starts,
+      List<Preemption> stops,
+      List<WaitingStep> deferred,
+      List<PlanOrder.Considered> considered) {
+
+    /** The plan while nothing waits. */
+    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of());
+  }
 
   /**
    * A run that is preempted.
@@ -143,8 +151,9 @@
             forecast,
             guaranteedNearnessWait(),
             nowNanos);
-    new PlanOrder(waiting, usage).forEach(pass::planStep);
-    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred));
+    List<PlanOrder.Considered> considered = new PlanOrder(waiting, usage).forEach(pass::planStep);
+    return new Plan(
+        List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred), considered);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -38,6 +38,7 @@
   private int lastFailedGangRun;
   private int lastLostGangRun;
   private int remaining;
+  private boolean stopsOrdered;
   private OptionalLong queuedSince = OptionalLong.empty();
 
   StepProgress(ActiveJob job, int occurrence, int number, BatchStep spec, long chainMillis) {
@@ -193,10 +194,21 @@
     return new TaskName(job.job().id(), occurrence, number, task.index());
   }
 
+  /** Records that other runs are being stopped so that it can start. */
+  public void markStopsOrdered() {
+    stopsOrdered = true;
+  }
+
+  /** Returns whether other runs have been stopped for it since a run of it was last started. */
+  public boolean stopsOrdered() {
+    return stopsOrdered;
+  }
+
   /** Starts a run of a task. */
   public void begin(TaskProgress task, LiveRun run) {
     task.begin(run);
     queuedSince = OptionalLong.empty();
+    stopsOrdered = false;
     job.begin();
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/PlannedUsage.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/PlannedUsage.java
@@ -16,6 +16,9 @@
    */
   private static final double STEP = 0.1;
 
+  /** Keeps a use that is a whole number of steps from being rounded below it. */
+  private static final double ROUNDING = 1e-9;
+
   private final OrganisationUsage usage;
   private final Map<String, ResourceVectorSum> planned = new HashMap<>();
 
@@ -32,16 +35,17 @@
   }
 
   /**
-   * Returns the use of an organisation relative to its entitled share, with what the plan has
-   * placed for it. Differences that are too small to matter are rounded away.
+   * Returns the use of an organisation in tenths of its entitled share, with what the plan has
+   * placed for it. Differences that are too small to matter are rounded away, and equal uses are
+   * equal numbers.
    */
-  public double of(String organisation) {
-    double before = usage.level(organisation).use();
+  public int of(String organisation) {
+    int before = usage.level(organisation).tenths();
     ResourceVectorSum added = planned.get(organisation);
     if (added == null) {
       return before;
     }
-    return before + Math.floor(usage.useOf(added, organisation) / STEP) * STEP;
+    return before + (int) Math.floor(usage.useOf(added, organisation) / STEP + ROUNDING);
   }
 
   /** Returns whether organisations are told apart by their use. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/UsageLevel.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/UsageLevel.java
@@ -12,7 +12,8 @@
   /** No use, or hardly any. */
   public static final UsageLevel NONE = new UsageLevel(0);
 
-  private static final double WIDTH = 0.5;
+  private static final int TENTHS = 5;
+  private static final double WIDTH = TENTHS / 10.0;
 
   /**
    * How far the use must be from the middle of its level, in widths, until the level changes. It
@@ -38,6 +39,11 @@
     return value * WIDTH;
   }
 
+  /** Returns the same in tenths of the entitled share. */
+  int tenths() {
+    return value * TENTHS;
+  }
+
   /** Tells whether the organisation has clearly more than the share that it is entitled to. */
   public boolean exceedsShare() {
     return compareTo(EXCEEDING) >= 0;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FairSharePlanTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FairSharePlanTest.java
@@ -4,12 +4,14 @@
 import static org.fescuehook.logic.batch.plan.PlanFixture.WHOLE_EXECUTOR;
 import static org.fescuehook.logic.batch.plan.PlanFixture.tasks;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
 import java.util.Set;
+import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.model.batch.BatchOrganisation;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
@@ -142,6 +144,32 @@
     assertEquals(List.of("a"), stops.stream().map(FairSharePlanTest::organisation).toList());
   }
 
+  /** Guards against use that lets a preemption discard more than the limit, and so fail. */
+  @Test
+  void useDoesNotOutweighTheWorkThatAPreemptionDiscards() {
+    LiveRun longer = fleet.run("a", 1, tasks(1, WHOLE_EXECUTOR, 1000), 0);
+    longer.enter(LiveRun.Stage.RUNNING, NOW - Duration.ofMillis(1900).toNanos());
+    for (int executor = 1; executor < 8; executor++) {
+      fleet.run("b", 1, tasks(1, WHOLE_EXECUTOR, 1000), executor);
+    }
+    fleet.observe(List.of(organisation("a", 0), organisation("b", 60)), NOW);
+    fleet.submit("b", 0, tasks(1, WHOLE_EXECUTOR, 60_000));
+    assertNotEquals(longer, fleet.plan().stops().getFirst().run());
+  }
+
+  /** Guards against capacity freed for one step that goes to another, so that more is stopped. */
+  @Test
+  void aStepForWhichRunsAreStoppedKeepsItsPlace() {
+    for (int executor = 0; executor < 4; executor++) {
+      fleet.run("a", 1, tasks(1, WHOLE_EXECUTOR, 1000), executor);
+    }
+    fleet.observe(EQUALS, NOW);
+    submit("a", 1);
+    submit("b", 1);
+    fleet.waiting.getFirst().step().markStopsOrdered();
+    assertEquals(List.of("a", "b"), fleet.startedOrganisations());
+  }
+
   private static String organisation(Planner.Preemption stop) {
     return stop.run().step().job().job().organisation();
   }
