--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -97,9 +97,17 @@
    * @param starts where tasks start
    * @param stops runs that are preempted
    * @param deferred gangs that could start but wait for faster executors, where they end earlier
+   * @param considered the steps in the order in which use let them be considered
    */
   public record Plan(
-      List<TaskPlacement> starts, List<Preemption> stops, List<WaitingStep> deferred) {}
+      List<TaskPlacement> starts,
+      List<Preemption> stops,
+      List<WaitingStep> deferred,
+      List<PlanOrder.Considered> considered) {
+
+    /** The plan while nothing waits. */
+    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of());
+  }
 
   /**
    * A run that is preempted.
@@ -130,7 +138,8 @@
       Collection<ExecutorState> executors,
       Predicate<LiveRun> useless,
       long nowNanos) {
-    RunForecast forecast = new RunForecast(statistics.runTimes(), useless, nowNanos);
+    RunForecast forecast =
+        new RunForecast(statistics.runTimes(), useless, preferences.stopTime().toNanos(), nowNanos);
     PlannedUsage usage = new PlannedUsage(statistics.usage());
     Pass pass =
         new Pass(
@@ -140,11 +149,11 @@
             new NearlyLateUse(waiting, usage),
             new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
             forecast,
-            preferences.stopTime().toNanos(),
             guaranteedNearnessWait(),
             nowNanos);
-    new PlanOrder(waiting, usage).forEach(pass::planStep);
-    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred));
+    List<PlanOrder.Considered> considered = new PlanOrder(waiting, usage).forEach(pass::planStep);
+    return new Plan(
+        List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred), considered);
   }
 
   /**
@@ -179,7 +188,6 @@
         NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         RunForecast forecast,
-        long stopNanos,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.usage = usage;
@@ -194,7 +202,7 @@
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           // What ends by itself is free as early as what is stopped now.
-          if (run.stage() == Stage.STOPPING || forecast.endsWithin(run, stopNanos)) {
+          if (run.stage() == Stage.STOPPING || forecast.endsByItself(run)) {
             expected.release(executor, run.demand());
           }
         }
@@ -236,11 +244,14 @@
       boolean nearOnly = nearOnly(waiting);
       Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, available, nearOnly);
       if (now.isPresent()) {
-        Optional<List<TaskPlacement>> later =
+        Optional<FasterPlace.Place> faster =
             fasterPlace.find(waiting, now.get(), available, nearOnly);
-        later.ifPresent(placements -> deferred.add(waiting));
-        later.ifPresentOrElse(
-            placements -> placements.forEach(this::reserve), () -> now.get().forEach(this::start));
+        if (faster.isPresent() && !faster.get().free()) {
+          deferred.add(waiting);
+          faster.get().placements().forEach(this::reserve);
+        } else {
+          faster.map(FasterPlace.Place::placements).orElse(now.get()).forEach(this::start);
+        }
         return;
       }
       waitOrPreempt(waiting, nearOnly);
