--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
@@ -70,6 +70,13 @@
         : 0;
   }
 
+  /** Returns the same without a temporary slowdown. */
+  public double logLastingSpeed(Incarnation executor, long nowNanos) {
+    return enabled
+        ? fleet.find(executor).map(known -> fleet.lasting(known, nowNanos)).orElse(0.0)
+        : 0;
+  }
+
   /** Returns the speed of an executor relative to the usual speed of the fleet. */
   public double speed(Incarnation executor, long nowNanos) {
     return Math.exp(logSpeed(executor, nowNanos));
@@ -175,7 +182,12 @@
       return;
     }
     GangProgress gang = step.gang(run.run().number());
+    boolean together = !gang.separate();
     if (gang.separate(percent)) {
+      if (together) {
+        members.forEach(
+            member -> fleet.estimate(member.incarnation(), context.nowNanos()).withdrawNormal());
+      }
       ProgressWindow window =
           step.windows()
               .computeIfAbsent(run, first -> GangProgress.begin(run, members, context.nowNanos()));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/RunTimes.java
@@ -83,7 +83,7 @@
     double slowest = 0;
     long since = run.stageSince();
     for (LiveRun member : members) {
-      double speed = speeds.logSpeed(member.incarnation(), nowNanos);
+      double speed = speeds.logLastingSpeed(member.incarnation(), nowNanos);
       slowest = member == members.getFirst() ? speed : Math.min(slowest, speed);
       boolean later = member.stage() == Stage.RUNNING && member.stageSince() - since > 0;
       since = later ? member.stageSince() : since;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEstimate.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEstimate.java
@@ -116,6 +116,11 @@
     atLeast(0, nowNanos);
   }
 
+  /** Records that the normal progress of a run here was that of another executor. */
+  void withdrawNormal() {
+    normalAt = NEVER;
+  }
+
   /** Tells whether a run has progressed normally here in the given time. */
   boolean normalWithin(long nanos, long nowNanos) {
     return nowNanos - normalAt < nanos;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEvidence.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEvidence.java
@@ -35,7 +35,10 @@
   private static final long CLEARED_NANOS = Duration.ofMillis(1500).toNanos();
 
   /** Deviation in speed at which an executor is clearly not the slowest one of a gang. */
-  private static final double SLOWEST_SCALE = 0.25;
+  private static final double SLOWEST_SCALE = 0.15;
+
+  /** Share of the slowness of a single run that counts for its executor. */
+  private static final double SINGLE_SHARE = 0.4;
 
   /** Share of the evidence that counts for a member that a fast gang shows to be fast enough. */
   private static final double LOWER_BOUND_SHARE = 0.5;
@@ -60,6 +63,14 @@
     return slowest;
   }
 
+  private double slowestLasting(List<SpeedEstimate> executors, long nowNanos) {
+    double slowest = Double.MAX_VALUE;
+    for (SpeedEstimate executor : executors) {
+      slowest = Math.min(slowest, fleet.lasting(executor, nowNanos));
+    }
+    return slowest;
+  }
+
   /**
    * Learns from the first rate of a run.
    *
@@ -74,9 +85,12 @@
       double spread,
       double rounding,
       long nowNanos) {
-    double slowest = slowest(executors, nowNanos);
-    double noise = step.variance() + spread + rounding;
     double shown = rate + step.bias();
+    double lasting = slowestLasting(executors, nowNanos);
+    double current = slowest(executors, nowNanos);
+    // A run that fits the lasting speeds better shows that a slowdown is over.
+    double slowest = Math.abs(shown - lasting) < Math.abs(shown - current) ? lasting : current;
+    double noise = step.variance() + spread + rounding;
     double surprise = shown - slowest;
     double uncertainty = Math.sqrt(noise + leastVariance(executors, nowNanos));
     boolean outlier = Math.abs(surprise) > Math.max(OUTLIER, OUTLIER_DEVIATIONS * uncertainty);
@@ -122,13 +136,13 @@
   }
 
   /**
-   * Handles a run that is much slower than expected from its start. A single one may be a long
-   * task, so that it counts half; one beside others that progress normally is one.
+   * Handles a run that is much slower than expected from its start. A single one may well be a long
+   * task, so that it counts in part; one beside others that progress normally is one.
    */
   private static void slowStart(List<SpeedEstimate> executors, double surprise, long nowNanos) {
     for (SpeedEstimate executor : suspects(executors, COMPARED_NANOS, nowNanos)) {
       boolean repeated = executor.slowStart(COMPARED_NANOS, nowNanos);
-      double share = repeated ? 1 : 0.5 / executors.size();
+      double share = repeated ? 1 : SINGLE_SHARE / executors.size();
       executor.slowedTo(executor.slowdown(nowNanos) + surprise * share, nowNanos);
     }
   }
