Moves from slowed executors, a limit for overlong runs, wasted work by cause

Cause: a run with checkpoints stayed on an executor that had become slow; runs far beyond their expected time held capacity without limit; no metric told why work was wasted.

Change: a run with checkpoints, or its gang, moves once if it ends a second earlier by that. Overlong runs hold at most a tenth of the fleet while work waits that can still be of use; stopped are only runs with checkpoints or without use, each task once. The timer fescuehook.batch.wasted counts core time by cause. Waits for faster executors, moves and stops are logged (8051 to 8053).

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -96,7 +96,15 @@
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
-      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent");
+      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent"),
+  /** An urgent gang could start, but ends earlier on faster executors that are expected soon. */
+  WAITS_FOR_FASTER_EXECUTORS(
+      8051, "Job {} step {} waits for faster executors; waited {} ms, objective {} ms"),
+  /** A run moves to another executor, since its own has become slow. */
+  RUN_MOVES(8052, "Run {} moves away from {}, which works at {} percent; {} ms left there"),
+  /** A run is stopped because such runs hold too much capacity while others wait. */
+  OVERLONG_RUN_STOPPED(
+      8053, "Run {} on {} has taken {} percent of its expected time; such runs hold {} percent");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -125,6 +125,7 @@
     run.foundOn(executor.incarnation());
     run.progressed(active.percent(), context.nowNanos());
     run.stillListed(sentAt, MAX_STOP_NANOS);
+    run.saved(active.checkpoint(), context.nowNanos());
     listener.checkpointSaved(run, active.checkpoint());
     boolean inherited = run.stage() == Stage.INHERITED;
     if (inherited || run.stage() == Stage.STARTING) {
@@ -135,7 +136,8 @@
       listener.foundRunning(run, context);
     }
     statistics.speeds().progressed(executor, run, context);
-    if (ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
+    if (SpeedMoves.pays(executor, run, statistics, context)
+        || ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
       listener.runStalled(run, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
@@ -19,6 +20,7 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.state.WasteCause;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
@@ -35,6 +37,8 @@
   private final Planner planner;
   private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
+  private final OverlongRuns overlongRuns;
+  private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
@@ -52,6 +56,9 @@
     this.planner = new Planner(step -> rank(step.job()), work, statistics);
     this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
+    this.overlongRuns =
+        new OverlongRuns(
+            statistics.runTimes(), executors, step -> rank(step.job()), context.nowNanos());
   }
 
   /** Makes a plan and applies it. */
@@ -74,11 +81,29 @@
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
       String cause = "job " + job + " needs its place, " + beneficiary.rank();
+      stop.run().wastedBy(WasteCause.PREEMPTED);
       executors.stop(stop.run(), cause, context);
     }
+    noteDeferred(plan.deferred(), context);
+    overlongRuns.limit(waiting, plan, usable, run -> useless(run, context), context);
     start(plan.starts(), context);
   }
 
+  /** Logs once for each step that it waits for faster executors. */
+  private void noteDeferred(List<WaitingStep> deferred, BatchContext context) {
+    for (WaitingStep waiting : deferred) {
+      if (deferredSteps.put(waiting.step(), true) == null) {
+        context.note(
+            BatchLogEvent.WAITS_FOR_FASTER_EXECUTORS,
+            waiting.step().job().job().id(),
+            waiting.step().number(),
+            TimeUnit.NANOSECONDS.toMillis(waiting.timing().waitedNanos()),
+            TimeUnit.NANOSECONDS.toMillis(waiting.timing().objectiveNanos()));
+        context.count("fescuehook.batch.starts.deferred", "cause", "faster-executors");
+      }
+    }
+  }
+
   /**
    * Requests external advice for the steps that need it, in the order in which they are planned.
    */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -125,6 +125,11 @@
     records.cancelEarly(id, committed, context);
   }
 
+  private void stop(LiveRun run, WasteCause cause, BatchContext context) {
+    run.wastedBy(cause);
+    executors.stop(run, cause.text(), context);
+  }
+
   private void end(ActiveJob job, JobPhase phase, Runnable committed, BatchContext context) {
     long millis = context.wallMillis() - job.job().acceptedMillis();
     context.note(BatchLogEvent.JOB_ENDED, job.job().id(), phase, millis);
@@ -132,7 +137,7 @@
     context.count("fescuehook.batch.jobs.ended", "phase", phase.name());
     job.end(phase, context.wallMillis());
     if (phase != JobPhase.COMPLETED) {
-      job.liveRuns().forEach(run -> executors.stop(run, "its job ended", context));
+      job.liveRuns().forEach(run -> stop(run, WasteCause.JOB_ENDED, context));
     }
     records.end(job, committed, context);
     changed = true;
@@ -155,9 +160,9 @@
   public void foundRunning(LiveRun run, BatchContext context) {
     StepProgress step = run.step();
     if (!step.job().open()) {
-      executors.stop(run, "its job ended", context);
+      stop(run, WasteCause.JOB_ENDED, context);
     } else if (run.task().done()) {
-      executors.stop(run, "its task is done", context);
+      stop(run, WasteCause.TASK_DONE, context);
     } else if (step.spec().gang() && !step.waiting().isEmpty()) {
       // A member has ended, and the former owner may have failed before it stopped the others.
       breakGang(step, context);
@@ -172,6 +177,7 @@
    */
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchContext context) {
     logEnd(run, end.end(), context);
+    WastedWork.ended(run, end.end(), context);
     statistics.runTimes().ended(run, end.end(), context.nowNanos());
     StepProgress step = run.step();
     TaskProgress task = run.task();
@@ -245,7 +251,7 @@
   /** Stops the remaining members of a gang that has lost one, so that the whole gang restarts. */
   private void breakGang(StepProgress step, BatchContext context) {
     if (step.spec().gang() && !step.done()) {
-      step.liveRuns().forEach(run -> executors.stop(run, "a member of its gang ended", context));
+      step.liveRuns().forEach(run -> stop(run, WasteCause.GANG_BROKEN, context));
     }
   }
 
@@ -273,7 +279,7 @@
     }
     finish(step.get(), task.get(), stored::release, context);
     // Another run of the task may be live elsewhere.
-    task.get().live().ifPresent(run -> executors.stop(run, "its task is done", context));
+    task.get().live().ifPresent(run -> stop(run, WasteCause.TASK_DONE, context));
   }
 
   /** Handles a run that is lost: it is dead, but its executor reported no end. */
@@ -283,6 +289,7 @@
     if (!task.isLive(run)) {
       return;
     }
+    WastedWork.lost(run, context);
     if (run.stage() == LiveRun.Stage.PLACED) {
       task.startNotSent();
     }
@@ -355,14 +362,14 @@
 
   /** Handles a run whose start was not answered: it may run, so it is stopped. */
   public void startGivenUp(LiveRun run, BatchContext context) {
-    executors.stop(run, "its start had no answer", context);
+    stop(run, WasteCause.UNANSWERED, context);
     breakGang(run.step(), context);
   }
 
   /** Handles a run that makes hardly any progress on its executor: stops it to move it. */
   public void runStalled(LiveRun run, BatchContext context) {
     if (run.step().job().open() && !run.step().done()) {
-      executors.stop(run, "it hardly progresses there", context);
+      stop(run, WasteCause.MOVED, context);
       breakGang(run.step(), context);
     }
   }
@@ -384,7 +391,7 @@
       boolean longRunning = run.step().spec().longRunning().isPresent();
       boolean moves = run.step().spec().checkpointing() || lateThere || longRunning;
       if (moves && !run.step().done()) {
-        executors.stop(run, "its executor is leaving", context);
+        stop(run, WasteCause.LEAVING, context);
         breakGang(run.step(), context);
       }
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -36,6 +36,9 @@
   private long reportedAt;
   private boolean evaluated;
   private boolean throttled;
+  private Optional<WasteCause> wasteCause = Optional.empty();
+  private String lastSaved = "";
+  private OptionalLong savedAt = OptionalLong.empty();
   private OptionalLong startOrderedAt = OptionalLong.empty();
   private OptionalLong runningSince = OptionalLong.empty();
 
@@ -263,6 +266,29 @@
     reportedAt = nowNanos;
   }
 
+  /** Records the newest checkpoint that its executor reports. */
+  public void saved(String newest, long nowNanos) {
+    if (!newest.isEmpty() && !newest.equals(lastSaved)) {
+      lastSaved = newest;
+      savedAt = OptionalLong.of(nowNanos);
+    }
+  }
+
+  /** Returns since when its work is not saved, monotonic time; empty if it is not known to run. */
+  OptionalLong unsavedSince() {
+    return savedAt.isPresent() ? savedAt : runningSince;
+  }
+
+  /** Records why its work is about to be wasted; the first cause counts. */
+  public void wastedBy(WasteCause cause) {
+    wasteCause = wasteCause.or(() -> Optional.of(cause));
+  }
+
+  /** Returns why its work is wasted if it is stopped; empty if that is not known. */
+  Optional<WasteCause> wasteCause() {
+    return wasteCause;
+  }
+
   /** Returns when its progress was last reported, or when it was placed, monotonic time. */
   public long reportedAt() {
     return reportedAt;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/ExecutorSpeedsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/ExecutorSpeedsTest.java
@@ -82,7 +82,9 @@
   @Test
   void gangsShowWhichExecutorsAreNotTheSlowest() {
     work(120, 1, 0.2, speeds(0.6, 1.2, 1.2), true);
-    assertTrue(meanSpeed(0, 3) < 0.8 * meanSpeed(1, 3), () -> "slow: " + meanSpeed(0, 3) + " others: " + meanSpeed(1, 3));
+    assertTrue(
+        meanSpeed(0, 3) < 0.8 * meanSpeed(1, 3),
+        () -> "slow: " + meanSpeed(0, 3) + " others: " + meanSpeed(1, 3));
   }
 
   @Test
