--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FairShareLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FairShareLog.java
@@ -41,6 +41,9 @@
     }
     logShares(waiting, context);
     logDeferred(plan, context);
+    if (deferred.isEmpty()) {
+      return;
+    }
     Set<StepProgress> present = Collections.newSetFromMap(new IdentityHashMap<>());
     waiting.forEach(step -> present.add(step.step()));
     deferred.retainAll(present);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -40,6 +40,7 @@
   private final FairShareLog fairShareLog;
   private final OverlongRuns overlongRuns;
   private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
+  private final ReservationLog reservationLog = new ReservationLog();
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
@@ -85,6 +86,7 @@
     Planner.Plan plan =
         planner.plan(waiting, usable, run -> useless(run, context), context.nowNanos());
     fairShareLog.check(waiting, plan, context);
+    reservationLog.check(waiting, plan, context);
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -18,8 +18,8 @@
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
- * Decides which tasks start where and which runs are preempted. The planner keeps no state: equal
- * input gives equal plans.
+ * Decides which tasks start where and which runs are preempted. Equal input gives equal plans; the
+ * planner remembers only since when gangs have reservations.
  */
 public final class Planner {
 
@@ -64,6 +64,7 @@
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
   private final SchedulingStatistics statistics;
+  private final ReservationBook reservationBook;
 
   /**
    * Creates a planner that relies on estimates alone.
@@ -89,6 +90,7 @@
     this.ranks = ranks;
     this.preferences = preferences;
     this.statistics = statistics;
+    this.reservationBook = new ReservationBook(statistics.preferences().reservations());
   }
 
   /**
@@ -98,15 +100,17 @@
    * @param stops runs that are preempted
    * @param deferred gangs that could start but wait for faster executors, where they end earlier
    * @param considered the steps in the order in which use let them be considered
+   * @param reservations capacity that is reserved for gangs that do not fit yet
    */
   public record Plan(
       List<TaskPlacement> starts,
       List<Preemption> stops,
       List<WaitingStep> deferred,
-      List<PlanOrder.Considered> considered) {
+      List<PlanOrder.Considered> considered,
+      List<Reservation> reservations) {
 
     /** The plan while nothing waits. */
-    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of());
+    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of(), List.of());
   }
 
   /**
@@ -149,11 +153,18 @@
             new NearlyLateUse(waiting, usage),
             new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
             forecast,
+            reservationBook,
             guaranteedNearnessWait(),
             nowNanos);
     List<PlanOrder.Considered> considered = new PlanOrder(waiting, usage).forEach(pass::planStep);
+    List<Reservation> reservations = pass.reservations.made();
+    reservationBook.update(reservations, waiting, nowNanos);
     return new Plan(
-        List.copyOf(pass.starts), List.copyOf(pass.stops), List.copyOf(pass.deferred), considered);
+        List.copyOf(pass.starts),
+        List.copyOf(pass.stops),
+        List.copyOf(pass.deferred),
+        considered,
+        reservations);
   }
 
   /**
@@ -179,8 +190,12 @@
     private final Preemptor preemptor;
     private final RunForecast forecast;
     private final FasterPlace fasterPlace;
+    private final PlanReservations reservations;
     private final long guaranteedNearnessWaitNanos;
 
+    /** Whether reservations limit the step that is being planned. */
+    private boolean limited;
+
     Pass(
         Collection<ExecutorState> executors,
         SpeedClasses speeds,
@@ -188,6 +203,7 @@
         NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         RunForecast forecast,
+        ReservationBook reservationBook,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.usage = usage;
@@ -207,9 +223,18 @@
           }
         }
       }
+      reservations =
+          new PlanReservations(
+              available,
+              expected,
+              total,
+              new ExpectedEnds(executors, nowNanos, PlanReservations.HORIZON_NANOS),
+              reservationBook,
+              nowNanos);
     }
 
     void planStep(WaitingStep waiting) {
+      limited = reservations.limit(waiting) && !idleFor(waiting, IDLE_WAIT_NANOS);
       if (waiting.step().spec().gang()) {
         planGang(waiting);
       } else {
@@ -220,15 +245,17 @@
     private void planTasks(WaitingStep waiting) {
       int allowedStarts = allowedStarts(waiting);
       if (allowedStarts == 0) {
+        reservations.waitingAhead(waiting, waiting.tasks().size());
         return;
       }
       List<TaskPlacement> placements =
-          available
+          open()
               .firstGroup(waiting, nearOnly(waiting))
               .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
               .orElse(List.of());
       placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
       placements.forEach(this::start);
+      reservations.waitingAhead(waiting, waiting.tasks().size() - placements.size());
       boolean incomplete = placements.size() < waiting.tasks().size();
       if (incomplete && waiting.urgent()) {
         // Evaluated again: these starts may have filled a fleet that was idle before, and only an
@@ -239,13 +266,13 @@
 
     private void planGang(WaitingStep waiting) {
       if (allowedStarts(waiting) < waiting.tasks().size()) {
+        blocked(waiting);
         return;
       }
       boolean nearOnly = nearOnly(waiting);
-      Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, available, nearOnly);
+      Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
       if (now.isPresent()) {
-        Optional<FasterPlace.Place> faster =
-            fasterPlace.find(waiting, now.get(), available, nearOnly);
+        Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
         if (faster.isPresent() && !faster.get().free()) {
           deferred.add(waiting);
           faster.get().placements().forEach(this::reserve);
@@ -254,28 +281,47 @@
         }
         return;
       }
-      waitOrPreempt(waiting, nearOnly);
+      if (!waitOrPreempt(waiting, nearOnly)) {
+        blocked(waiting);
+      }
+    }
+
+    private void blocked(WaitingStep waiting) {
+      if (reservations.mayReserve(waiting)) {
+        reservations.reserveLater(waiting, nearOnly(waiting), keptFree(waiting));
+      }
     }
 
-    /** Reserves capacity that is being freed for the step, or else preempts other runs for it. */
-    private void waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
+    /** Returns what is free now for the step that is being planned. */
+    private FleetCapacity open() {
+      return limited ? reservations.available() : available;
+    }
+
+    /**
+     * Keeps capacity that is being freed for the step, or else preempts other runs for it.
+     *
+     * @return whether the step has capacity then
+     */
+    private boolean waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
       if (!waiting.step().job().accepted()) {
-        return;
+        return false;
       }
-      Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, expected, nearOnly);
+      FleetCapacity later = limited ? reservations.expected() : expected;
+      Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, later, nearOnly);
       if (afterStops.isPresent()) {
         afterStops.get().forEach(this::reserve);
-        return;
+        return true;
       }
       if (!waiting.urgent() && !waiting.nearlyLate()) {
-        return;
+        return false;
       }
-      Optional<Preemptor.Selection> selection = preemptor.choose(waiting, expected, nearOnly);
+      Optional<Preemptor.Selection> selection = preemptor.choose(waiting, later, nearOnly);
       if (selection.isPresent()) {
         preemptor.markApplied(selection.get());
         selection.get().victims().forEach(run -> stops.add(new Preemption(run, waiting)));
         selection.get().placements().forEach(this::reserve);
       }
+      return selection.isPresent();
     }
 
     /**
@@ -290,10 +336,18 @@
       if (idleFor(waiting, IDLE_WAIT_NANOS)) {
         return Integer.MAX_VALUE;
       }
-      double reserved =
-          total.accelerators()
-              * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
-      return (int) Math.max(0, (available.accelerators() - reserved) / accelerators);
+      int allowed =
+          (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
+      return limited ? Math.min(allowed, reservations.spareAccelerators() / accelerators) : allowed;
+    }
+
+    /** Returns the accelerators that a step leaves free for urgent work. */
+    private double keptFree(WaitingStep waiting) {
+      if (waiting.urgent()) {
+        return 0;
+      }
+      return total.accelerators()
+          * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
     }
 
     /**
@@ -347,6 +401,7 @@
       planned.add(placement);
       available.reserve(placement);
       expected.reserve(placement);
+      reservations.reserve(placement, limited);
       StepProgress step = placement.step();
       usage.add(step.job().job().organisation(), step.spec().demand());
     }
