Starts avoid executors on which runs are likely to fail (start-reliability)

Cause: one failing member breaks a whole gang, and attempts are few. The backoff after a failure counted each executor by itself, ignored a step that had failed elsewhere, was cleared by runs that had been started before the fault, and MAX_SUSPECT_SHARE lifted all suspicion when a quarter of the fleet was suspect, as in a wave of failures.

Change: StartReliability weighs each failed run as the fault of its executor, of its job or of neither, from the runs of all jobs, and gives a fault probability for each executor. It detects waves of failures and counts rejected, unanswered and stalled starts and crashes as well. StartRequirement states what a step accepts: a step with one attempt left needs executors on which runs have ended well since its last failure, gangs avoid doubted executors, and single tasks try them, a few at a time. With the switch off nothing is learned and every requirement is ANY.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,21 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** Evidence makes it likely that an executor fails the runs that it starts. */
+  EXECUTOR_DOUBTED(8055, "Executor {} is doubted: {}, faulty with a probability of {} percent"),
+  /** Runs that ended well outweigh the evidence against an executor. */
+  EXECUTOR_TRUSTED(8056, "Executor {} is trusted again: runs there have ended well"),
+  /** A step fails on executors that are not faulty, so that its job is the cause. */
+  JOB_FAILS_EVERYWHERE(
+      8057,
+      "Step {} has failed on {} executors and is the cause itself; none of them is doubted for it"),
+  /** Many executors became faulty at the same time. */
+  FAILURE_WAVE(
+      8058, "Runs fail on {} percent of the executors on which runs ended in the last second"),
+  /** A run is placed on a doubted executor. */
+  DOUBTED_EXECUTOR_TRIED(
+      8059, "Run {} is a trial of executor {}, faulty with a probability of {} percent");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -78,7 +78,7 @@
     this.orders = new OrderSender(epoch, lease);
     this.poller = new ExecutorPoller(registry, orders);
     this.throttler = new Throttler(orders);
-    this.startOutcomes = new StartOutcomeHandler(orders, throttler, listener);
+    this.startOutcomes = new StartOutcomeHandler(orders, throttler, listener, statistics);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.orphans = new OrphanedRuns(context.nowNanos() + inheritedLeaseNanos);
     this.listener = listener;
@@ -138,7 +138,7 @@
     Optional<ExecutorState> found = registry.find(profile.id());
     if (found.isEmpty()) {
       ExecutorState executor = new ExecutorState(profile, orders.baseline());
-      lostExecutors.listed(executor);
+      lostExecutors.listed(executor, context);
       evacuations.update(executor);
       registry.add(executor);
       orphans.take(profile.id()).forEach(run -> adopt(executor, run, context));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
@@ -1,11 +1,13 @@
 package org.fescuehook.logic.batch.executor;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.batch.RunEnd;
 
 /**
@@ -58,6 +60,8 @@
    * Backs off from an executor on which a run failed, for twice as long after each further failure,
    * until a run is done there. A run that has failed elsewhere before is no evidence: a job that
    * always fails would otherwise make one executor after the other unavailable.
+   *
+   * <p>If start reliability is in use, the evidence of all jobs decides instead.
    */
   static void ended(
       ExecutorState executor,
@@ -65,6 +69,16 @@
       RunEnd end,
       SchedulingStatistics statistics,
       BatchContext context) {
+    StartReliability reliability = statistics.reliability();
+    if (reliability.enabled()) {
+      reliability.ended(executor.incarnation(), run, end, context);
+      Optional<Duration> backoff =
+          end == RunEnd.FAILED
+              ? reliability.backoff(executor.incarnation().id(), context.nowNanos())
+              : Optional.empty();
+      backoff.ifPresent(length -> executor.backOff(length, "runs of several jobs fail", context));
+      return;
+    }
     if (end == RunEnd.DONE) {
       executor.succeeded();
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
@@ -38,6 +38,9 @@
   void loseAll(ExecutorState executor, Loss loss, String cause, BatchContext context) {
     Map<Boolean, List<LiveRun>> byIncarnation =
         byIncarnation(executor, List.copyOf(executor.runs()));
+    if (!executor.runs().isEmpty() && !mostAreSilent()) {
+      reportHandler.crashed(executor, context);
+    }
     loseWithPreviousIncarnation(executor, byIncarnation.get(false), context);
     lose(
         executor,
@@ -47,6 +50,13 @@
         context);
   }
 
+  /** Tells whether most executors are silent, so that the cause is on the side of this VM. */
+  private boolean mostAreSilent() {
+    long silent =
+        registry.all().stream().filter(executor -> executor.silentSince().isPresent()).count();
+    return silent * 2 > registry.all().size();
+  }
+
   /** Reports runs as lost that an executor should list and does not. */
   void loseUnlisted(ExecutorState executor, List<LiveRun> runs, BatchContext context) {
     Map<Boolean, List<LiveRun>> byIncarnation = byIncarnation(executor, runs);
@@ -125,7 +135,10 @@
             .filter(executor -> executor.profile().address().equals(address))
             .findFirst();
     next.ifPresentOrElse(
-        executor -> executor.restarted(context.nowNanos()),
+        executor -> {
+          executor.restarted(context.nowNanos());
+          reportHandler.crashed(executor, context);
+        },
         () -> unlistedCrashes.put(address, context.nowNanos()));
   }
 
@@ -133,8 +146,12 @@
    * Tells an executor that is listed for the first time whether another one crashed at its address
    * before.
    */
-  void listed(ExecutorState executor) {
+  void listed(ExecutorState executor, BatchContext context) {
     Optional.ofNullable(unlistedCrashes.remove(executor.profile().address()))
-        .ifPresent(executor::restarted);
+        .ifPresent(
+            crashedAt -> {
+              executor.restarted(crashedAt);
+              reportHandler.crashed(executor, context);
+            });
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartEvidence;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Handles the answers to polls: which runs are alive on an executor, and which have ended. */
@@ -55,6 +56,13 @@
     listener.lostWithExecutor(run, evidence, context);
   }
 
+  /** Records that an executor, or the one before it at its address, has crashed. */
+  void crashed(ExecutorState executor, BatchContext context) {
+    if (!executor.profile().leaving()) {
+      statistics.reliability().observed(executor.incarnation(), StartEvidence.CRASHED, context);
+    }
+  }
+
   /**
    * Handles the answer to the poll in flight.
    *
@@ -134,6 +142,9 @@
       listener.foundRunning(run, context);
     }
     if (ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
+      if (run.percent() == 0) {
+        statistics.reliability().observed(executor.incarnation(), StartEvidence.STALLED, context);
+      }
       listener.runStalled(run, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -6,6 +6,8 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartEvidence;
 
 /**
  * Handles the outcomes of start orders: decides whether the run is running, is ordered to start
@@ -37,12 +39,18 @@
   private final OrderSender orders;
   private final Throttler throttler;
   private final RunListener listener;
+  private final SchedulingStatistics statistics;
 
   /** Creates a handler that retries starts through a sender. */
-  StartOutcomeHandler(OrderSender orders, Throttler throttler, RunListener listener) {
+  StartOutcomeHandler(
+      OrderSender orders,
+      Throttler throttler,
+      RunListener listener,
+      SchedulingStatistics statistics) {
     this.orders = orders;
     this.throttler = throttler;
     this.listener = listener;
+    this.statistics = statistics;
   }
 
   /** Handles the outcome of the order to start a run. */
@@ -80,6 +88,9 @@
       orders.start(executor, run, context);
       return;
     }
+    if (mayStart) {
+      observed(executor, StartEvidence.UNANSWERED, context);
+    }
     if (run.startUncertain()) {
       listener.startGivenUp(run, context);
       return;
@@ -97,9 +108,14 @@
       ExecutorState executor, LiveRun run, Rejection rejection, BatchContext context) {
     context.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
     switch (rejection) {
-      case UNHEALTHY -> executor.backOff(UNHEALTHY_BACKOFF, "it reports itself unhealthy", context);
-      case NO_ROOM ->
-          executor.backOff(NO_CAPACITY_BACKOFF, "it has less free capacity than expected", context);
+      case UNHEALTHY -> {
+        observed(executor, StartEvidence.REFUSED, context);
+        executor.backOff(UNHEALTHY_BACKOFF, "it reports itself unhealthy", context);
+      }
+      case NO_ROOM -> {
+        observed(executor, StartEvidence.NO_CAPACITY, context);
+        executor.backOff(NO_CAPACITY_BACKOFF, "it has less free capacity than expected", context);
+      }
       // The lease was computed from a wrong reading of the executor's clock.
       case EXPIRED -> executor.markUnconfirmed();
       case FENCED, SUPERSEDED, NO_TICKET, OTHER -> {}
@@ -112,6 +128,10 @@
     listener.startRejected(run, rejection, context);
   }
 
+  private void observed(ExecutorState executor, StartEvidence evidence, BatchContext context) {
+    statistics.reliability().observed(executor.incarnation(), evidence, context);
+  }
+
   private static String tag(Rejection rejection) {
     return rejection.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -6,6 +6,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.Incarnation;
@@ -17,6 +18,8 @@
   private final PlannedTasks planned;
   private final boolean suspect;
   private final boolean recentlyRestarted;
+  private final ExecutorStanding standing;
+  private int trialsLeft = Integer.MAX_VALUE;
   private ResourceVector free;
   private boolean servesUsers;
   private boolean runsOtherWork;
@@ -29,18 +32,21 @@
    * @param planned what the plan has placed so far
    * @param suspect whether runs have recently failed or been slow there
    * @param recentlyRestarted whether the executor is known to have crashed recently
+   * @param standing how likely runs are to succeed there
    */
   CandidateExecutor(
       ExecutorState executor,
       ResourceVector free,
       PlannedTasks planned,
       boolean suspect,
-      boolean recentlyRestarted) {
+      boolean recentlyRestarted,
+      ExecutorStanding standing) {
     this.executor = executor;
     this.free = free;
     this.planned = planned;
     this.suspect = suspect;
     this.recentlyRestarted = recentlyRestarted;
+    this.standing = standing;
   }
 
   boolean suspect() {
@@ -51,6 +57,38 @@
     return recentlyRestarted;
   }
 
+  /** Tells whether evidence against this very executor makes it likely that runs fail here. */
+  boolean doubted() {
+    return standing.doubted();
+  }
+
+  /** Returns how many more tasks may be placed here, which is limited on a doubted executor. */
+  int trialsLeft() {
+    return trialsLeft;
+  }
+
+  /**
+   * Returns where this executor stands in the order of placement: doubted ones come first for work
+   * that is suited to try them, and last for all other work.
+   */
+  int trialOrder(WaitingStep waiting) {
+    if (!doubted()) {
+      return 0;
+    }
+    return waiting.requirement().trial() ? -1 : 1;
+  }
+
+  /** Limits the tasks on a doubted executor, less those that are being tried there already. */
+  void limitTrials() {
+    if (doubted()) {
+      long tried =
+          executor.runs().stream()
+              .filter(run -> run.placedAt() - standing.doubtedSince() >= 0)
+              .count();
+      trialsLeft = (int) Math.max(0, standing.maxTrials() - tried);
+    }
+  }
+
   /** Tells whether any work is on the executor. */
   boolean occupied() {
     return servesUsers || runsOtherWork;
@@ -72,6 +110,7 @@
   /** Reserves capacity for a task. */
   void reserve(StepProgress step, TaskProgress task) {
     free = free.minus(step.spec().demand());
+    trialsLeft -= doubted() ? 1 : 0;
     addWork(step.spec());
     onProbation |= task.crashes().mayCrash();
   }
@@ -116,7 +155,8 @@
 
   CandidateExecutor copy() {
     CandidateExecutor copy =
-        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted);
+        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted, standing);
+    copy.trialsLeft = trialsLeft;
     copy.servesUsers = servesUsers;
     copy.runsOtherWork = runsOtherWork;
     copy.onProbation = onProbation;
@@ -127,12 +167,16 @@
   /**
    * Tells whether a step may run here at all, regardless of capacity. A step that has failed avoids
    * the executors on which it failed and suspect ones, since it has few attempts left. Gangs avoid
-   * suspect executors, since one slow member delays all others.
+   * suspect executors, since one slow member delays all others. Besides, an executor must be as
+   * reliable as the step requires.
    */
   boolean isEligible(WaitingStep waiting) {
     StepProgress step = waiting.step();
     boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
     Incarnation incarnation = executor.incarnation();
+    if (!waiting.requirement().accepts(standing)) {
+      return false;
+    }
     if (avoided || step.failedOn(incarnation) || !waiting.permits(incarnation)) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/EvacuationWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/EvacuationWaits.java
@@ -10,6 +10,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 
 /**
  * Logs, once for each step, that it waits since it fits only if executors of evacuated failure
@@ -64,7 +65,8 @@
   }
 
   private static FleetCapacity total(List<ExecutorState> executors, BatchContext context) {
-    return FleetCapacity.total(executors, new PlannedTasks(), context.nowNanos());
+    return FleetCapacity.total(
+        executors, new PlannedTasks(), SchedulingStatistics.none(), context.nowNanos());
   }
 
   private static boolean fits(WaitingStep step, FleetCapacity capacity) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.RackId;
@@ -27,7 +28,8 @@
 
   /**
    * If more than this share of the executors is suspect, the jobs are the cause rather than the
-   * executors, and none is treated as suspect.
+   * executors, and none is treated as suspect. This does not apply to the doubts of start
+   * reliability, which tells the two causes apart.
    */
   private static final double MAX_SUSPECT_SHARE = 0.25;
 
@@ -66,7 +68,8 @@
       Optional<RackId> affinity,
       boolean sameRack,
       boolean gang,
-      boolean nearOnly) {}
+      boolean nearOnly,
+      StartRequirement requirement) {}
 
   /** The properties that determine how many tasks of a step fit into a group. */
   private record Shape(
@@ -86,9 +89,13 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity available(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    FleetCapacity capacity = of(executors, ExecutorState::free, planned, nowNanos);
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SchedulingStatistics statistics,
+      long nowNanos) {
+    FleetCapacity capacity = of(executors, ExecutorState::free, planned, statistics, nowNanos);
     for (CandidateExecutor candidate : capacity.candidates) {
+      candidate.limitTrials();
       candidate.executor().runs().forEach(run -> candidate.addWork(run, nowNanos));
     }
     return capacity;
@@ -100,14 +107,18 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity total(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    return of(executors, executor -> executor.profile().capacity(), planned, nowNanos);
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SchedulingStatistics statistics,
+      long nowNanos) {
+    return of(executors, executor -> executor.profile().capacity(), planned, statistics, nowNanos);
   }
 
   private static FleetCapacity of(
       Collection<ExecutorState> executors,
       Function<ExecutorState, ResourceVector> capacity,
       PlannedTasks planned,
+      SchedulingStatistics statistics,
       long nowNanos) {
     long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
@@ -120,7 +131,8 @@
               capacity.apply(executor),
               planned,
               suspect,
-              executor.recentlyRestarted(nowNanos)));
+              executor.recentlyRestarted(nowNanos),
+              statistics.reliability().standing(executor, nowNanos)));
     }
     return new FleetCapacity(candidates);
   }
@@ -204,7 +216,8 @@
             placement.affinity(),
             placement.sameRack(),
             step.spec().gang(),
-            nearOnly));
+            nearOnly,
+            waiting.requirement()));
   }
 
   private static Optional<Shape> shape(WaitingStep waiting, boolean nearOnly) {
@@ -302,7 +315,7 @@
         || (candidate.interferesWith(spec) && !waiting.timing().acceptsSharing())) {
       return 0;
     }
-    int fitting = candidate.free().fits(spec.demand());
+    int fitting = Math.min(candidate.free().fits(spec.demand()), candidate.trialsLeft());
     int most = spec.placement().maxPerExecutor();
     if (most == 0) {
       return fitting;
@@ -325,10 +338,17 @@
         ordered.add(candidate);
       }
     }
-    ordered.sort(waiting.mayCrash() ? LEAST_RISK_FIRST : FULLEST_FIRST);
+    ordered.sort(
+        Comparator.comparingInt((CandidateExecutor candidate) -> candidate.trialOrder(waiting))
+            .thenComparing(waiting.mayCrash() ? LEAST_RISK_FIRST : FULLEST_FIRST));
+    int trials = waiting.requirement().maxTrials(tasks.size());
     List<TaskPlacement> placements = new ArrayList<>();
     for (CandidateExecutor candidate : ordered) {
       int fitting = fits(waiting, candidate);
+      if (candidate.doubted()) {
+        fitting = Math.min(fitting, trials);
+        trials -= fitting;
+      }
       for (int placed = 0; placed < fitting; placed++) {
         if (placements.size() == tasks.size()) {
           return placements;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.partitioningBy;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -19,7 +21,9 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
@@ -29,6 +33,8 @@
 /** Plans the waiting steps, stores each placement and then orders the start of the run. */
 public final class PlanDuty {
 
+  private static final int PERCENT = 100;
+
   private final JobLifecycle jobs;
   private final ExecutorDuty executors;
   private final AdviceCache advice;
@@ -68,6 +74,7 @@
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
     statistics.usage().observe(executors.registry().all(), context.nowNanos());
+    statistics.reliability().observe(context);
     Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
@@ -128,7 +135,7 @@
         queue.advised()
             ? Optional.of(advice.permitted(step, context.nowNanos()))
             : Optional.empty();
-    for (List<TaskProgress> group : placementGroups(step, tasks)) {
+    for (List<TaskProgress> group : placementGroups(step, tasks, statistics.reliability())) {
       waiting.add(
           new WaitingStep(
               step, group, queue.pool(), rank(step.job()), accepted, timing, permitted));
@@ -137,18 +144,25 @@
 
   /**
    * Divides tasks into the groups that are planned together. Tasks suspected of crashing executors
-   * are planned one by one, so that a crash can be attributed to one of them.
+   * are planned one by one, so that a crash can be attributed to one of them. Tasks with one
+   * attempt left are planned apart, since they need more reliable executors.
    */
   private static List<List<TaskProgress>> placementGroups(
-      StepProgress step, List<TaskProgress> tasks) {
-    if (step.spec().gang() || tasks.stream().noneMatch(task -> task.crashes().mayCrash())) {
+      StepProgress step, List<TaskProgress> tasks, StartReliability reliability) {
+    boolean mayCrash = tasks.stream().anyMatch(task -> task.crashes().mayCrash());
+    if (step.spec().gang() || (!mayCrash && !reliability.enabled())) {
       return List.of(tasks);
     }
     List<List<TaskProgress>> groups = new ArrayList<>();
-    List<TaskProgress> others = tasks.stream().filter(task -> !task.crashes().mayCrash()).toList();
-    if (!others.isEmpty()) {
-      groups.add(others);
-    }
+    tasks.stream()
+        .filter(task -> !task.crashes().mayCrash())
+        .collect(
+            partitioningBy(
+                task -> reliability.enabled() && StartRequirement.onLastAttempt(step, task)))
+        .values()
+        .stream()
+        .filter(group -> !group.isEmpty())
+        .forEach(groups::add);
     tasks.stream()
         .filter(task -> task.crashes().mayCrash())
         .forEach(task -> groups.add(List.of(task)));
@@ -222,6 +236,7 @@
       step.begin(placement.task(), run);
       placement.executor().add(run);
       changedJobs.add(step.job());
+      noteTrial(run, context);
       runs.add(run);
       context.note(
           BatchLogEvent.RUN_PLACED,
@@ -240,6 +255,17 @@
     }
   }
 
+  private void noteTrial(LiveRun run, BatchContext context) {
+    ExecutorStanding standing =
+        statistics.reliability().standing(run.executor(), context.nowNanos());
+    if (standing.doubted()) {
+      long percent = Math.round(standing.faultProbability() * PERCENT);
+      context.note(BatchLogEvent.DOUBTED_EXECUTOR_TRIED, run.run(), run.incarnation(), percent);
+      context.count(
+          "fescuehook.batch.trials", "work", run.step().spec().gang() ? "gang" : "single");
+    }
+  }
+
   private static String limitPerExecutor(StepProgress step) {
     int limit = step.spec().placement().maxPerExecutor();
     return limit == 0 ? "none" : String.valueOf(limit);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
@@ -60,6 +61,12 @@
    */
   private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
 
+  /**
+   * How long a step with one attempt left waits for runs to end well somewhere if there is no
+   * proven executor at all. Most runs take less than this time.
+   */
+  private static final long PROOF_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
+
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
   private final SchedulingStatistics statistics;
@@ -120,6 +127,7 @@
         new Pass(
             executors,
             new Preemptor(ranks, preferences, nowNanos),
+            statistics,
             guaranteedNearnessWait(),
             nowNanos);
     ordered.forEach(pass::planStep);
@@ -144,18 +152,21 @@
     private final List<Preemption> stops = new ArrayList<>();
 
     private final Preemptor preemptor;
+    private final SchedulingStatistics statistics;
     private final long guaranteedNearnessWaitNanos;
 
     Pass(
         Collection<ExecutorState> executors,
         Preemptor preemptor,
+        SchedulingStatistics statistics,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
       this.preemptor = preemptor;
+      this.statistics = statistics;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = FleetCapacity.available(executors, planned, nowNanos);
-      expected = FleetCapacity.available(executors, planned, nowNanos);
-      total = FleetCapacity.total(executors, planned, nowNanos);
+      available = FleetCapacity.available(executors, planned, statistics, nowNanos);
+      expected = FleetCapacity.available(executors, planned, statistics, nowNanos);
+      total = FleetCapacity.total(executors, planned, statistics, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           if (run.stage() == Stage.STOPPING) {
@@ -165,7 +176,8 @@
       }
     }
 
-    void planStep(WaitingStep waiting) {
+    void planStep(WaitingStep unrestricted) {
+      WaitingStep waiting = withRequirement(unrestricted);
       if (waiting.step().spec().gang()) {
         planGang(waiting);
       } else {
@@ -173,6 +185,23 @@
       }
     }
 
+    /** Adds how reliable the executors of a step must be. */
+    private WaitingStep withRequirement(WaitingStep waiting) {
+      StartReliability reliability = statistics.reliability();
+      if (!reliability.enabled() || firstStartIsDue(waiting)) {
+        return waiting;
+      }
+      StartRequirement requirement =
+          StartRequirement.of(waiting, reliability.newestFault(waiting.step()));
+      WaitingStep required = waiting.requiring(requirement);
+      boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
+      if (!requirement.proven() || mayBecomeProven) {
+        return required;
+      }
+      boolean possible = total.tightestGroup(required, wanted(waiting), false).isPresent();
+      return possible ? required : waiting.requiring(requirement.withoutProof());
+    }
+
     private void planTasks(WaitingStep waiting) {
       int allowedStarts = allowedStarts(waiting);
       if (allowedStarts == 0) {
@@ -219,6 +248,9 @@
       if (!waiting.urgent() && !nearlyLate(waiting)) {
         return;
       }
+      if (waitsForReliability(waiting, nearOnly)) {
+        return;
+      }
       Optional<Preemptor.Selection> selection = preemptor.choose(waiting, expected, nearOnly);
       if (selection.isPresent()) {
         preemptor.markApplied(selection.get());
@@ -227,6 +259,19 @@
       }
     }
 
+    /**
+     * Tells whether a step would fit if all executors were reliable enough. Doubts are settled
+     * sooner than preempted work is repeated, so that only last attempts preempt because of them.
+     */
+    private boolean waitsForReliability(WaitingStep waiting, boolean nearOnly) {
+      StartRequirement requirement = waiting.requirement();
+      if (requirement.proven() || requirement.equals(StartRequirement.ANY)) {
+        return false;
+      }
+      WaitingStep anywhere = waiting.requiring(StartRequirement.ANY);
+      return expected.tightestGroup(anywhere, waiting.tasks().size(), nearOnly).isPresent();
+    }
+
     /**
      * Returns how many tasks of a step may start without using the capacity reserved for urgent
      * work.
@@ -268,8 +313,18 @@
       if (mayStartAnywhere(waiting)) {
         return false;
       }
-      int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
-      return total.tightestGroup(waiting, wanted, true).isPresent();
+      WaitingStep soon = waiting.requiring(waiting.requirement().expectedSoon());
+      return total.tightestGroup(soon, wanted(waiting), true).isPresent();
+    }
+
+    private static int wanted(WaitingStep waiting) {
+      return waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+    }
+
+    /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
+    private boolean firstStartIsDue(WaitingStep waiting) {
+      boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
+      return firstStart && waiting.timing().waitedNanos() > guaranteedNearnessWaitNanos;
     }
 
     private boolean mayStartAnywhere(WaitingStep waiting) {
@@ -277,17 +332,31 @@
         return true;
       }
       StepTiming timing = waiting.timing();
-      boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
-      if (firstStart && timing.waitedNanos() > guaranteedNearnessWaitNanos) {
+      if (firstStartIsDue(waiting)) {
         return true;
       }
       long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
       return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
     }
 
-    /** Places all tasks in the group with the least capacity to spare into which they fit. */
+    /**
+     * Places all tasks in the group with the least capacity to spare into which they fit; executors
+     * that are less reliable are used only if they do not fit elsewhere.
+     */
     private static Optional<List<TaskPlacement>> placeInTightestGroup(
         WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
+      WaitingStep strict = waiting.requiring(waiting.requirement().strict());
+      if (!strict.requirement().equals(waiting.requirement())) {
+        Optional<List<TaskPlacement>> reliable = place(strict, capacity, nearOnly);
+        if (reliable.isPresent()) {
+          return reliable;
+        }
+      }
+      return place(waiting, capacity, nearOnly);
+    }
+
+    private static Optional<List<TaskPlacement>> place(
+        WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
       List<TaskProgress> tasks = waiting.tasks();
       return capacity
           .tightestGroup(waiting, tasks.size(), nearOnly)
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -0,0 +1,150 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
+import org.fescuehook.model.batch.BatchStep;
+
+/**
+ * How reliable the executors of a step must be.
+ *
+ * @param maxFaultProbability largest fault probability of an executor
+ * @param acceptsUnproven whether executors without evidence against them are accepted in any case,
+ *     also during a wave of failures
+ * @param proven whether runs must have ended well there
+ * @param provenSince when such a run must have been started at the earliest, monotonic; empty if at
+ *     any time
+ * @param trial whether the step is suited to try doubted executors
+ */
+record StartRequirement(
+    double maxFaultProbability,
+    boolean acceptsUnproven,
+    boolean proven,
+    OptionalLong provenSince,
+    boolean trial) {
+
+  /** Any executor is reliable enough. */
+  static final StartRequirement ANY =
+      new StartRequirement(1, true, false, OptionalLong.empty(), false);
+
+  /**
+   * Wait after which a step starts on any executor. It exceeds the duration of two waves of
+   * failures with the return to use after each.
+   */
+  private static final long MAX_WAIT_NANOS = Duration.ofSeconds(15).toNanos();
+
+  /**
+   * Attempts left from which on a gang also starts on executors without any evidence during a wave
+   * of failures: a member on a faulty executor fails soon, and another attempt remains.
+   */
+  private static final int ATTEMPTS_TO_SPARE = 2;
+
+  /**
+   * How long a long-running step waits for reliable executors. It has no objective that tells how
+   * long it may wait.
+   */
+  private static final long LONG_RUNNING_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /** Largest estimate of a task that is cheap although it saves no checkpoints. */
+  private static final long MAX_TRIAL_MILLIS = 10_000;
+
+  /** Share of the tasks of a step that may be placed on doubted executors at the same time. */
+  private static final int TASKS_PER_TRIAL = 8;
+
+  /**
+   * Fault probability up to which a placement near the data may be waited for, since such doubts
+   * are settled within a few seconds.
+   */
+  private static final double SETTLED_SOON = 0.5;
+
+  /**
+   * Returns the requirement of a step.
+   *
+   * @param newestFault when the fault that its last failure may have shown was present, monotonic;
+   *     empty if that is not known
+   */
+  static StartRequirement of(WaitingStep waiting, OptionalLong newestFault) {
+    StepTiming timing = waiting.timing();
+    if (timing.queuedNanos() > MAX_WAIT_NANOS) {
+      return ANY;
+    }
+    BatchStep spec = waiting.step().spec();
+    boolean hurried =
+        spec.longRunning().isPresent()
+            ? timing.queuedNanos() > LONG_RUNNING_WAIT_NANOS
+            // A step that is too late to be of use has no reason to hurry any more.
+            : timing.nearlyLate() && timing.prospect() != Prospect.TOO_LATE;
+    double max = hurried ? ExecutorStanding.TOLERABLE : ExecutorStanding.USABLE;
+    int failures = failures(waiting);
+    int attemptsLeft = waiting.step().job().job().queue().maxAttempts() - failures;
+    if (attemptsLeft <= 1 && spec.longRunning().isEmpty()) {
+      return new StartRequirement(ExecutorStanding.USABLE, false, failures > 0, newestFault, false);
+    }
+    boolean acceptsUnproven = !spec.gang() || attemptsLeft >= ATTEMPTS_TO_SPARE;
+    return new StartRequirement(
+        max, acceptsUnproven, false, OptionalLong.empty(), isCheap(waiting));
+  }
+
+  /** Tells whether another failure of a task, after those it had, would fail its job. */
+  static boolean onLastAttempt(StepProgress step, TaskProgress task) {
+    return task.failures() > 0 && task.failures() + 1 >= step.job().job().queue().maxAttempts();
+  }
+
+  private static int failures(WaitingStep waiting) {
+    if (waiting.step().spec().gang()) {
+      return waiting.step().gangFailures();
+    }
+    return waiting.tasks().stream().mapToInt(task -> task.failures()).max().orElse(0);
+  }
+
+  /** Tells whether little is lost if a run of the step fails. */
+  private static boolean isCheap(WaitingStep waiting) {
+    BatchStep spec = waiting.step().spec();
+    boolean single = !spec.gang() && spec.longRunning().isEmpty();
+    boolean shortWork = spec.checkpointing() || spec.estimateMillis() <= MAX_TRIAL_MILLIS;
+    return single && shortWork && !waiting.urgent() && !waiting.mayCrash();
+  }
+
+  /** Tells whether an executor is reliable enough. */
+  boolean accepts(ExecutorStanding executor) {
+    if (proven && !executor.provenSince(provenSince)) {
+      return false;
+    }
+    if (executor.doubted() ? trial : acceptsUnproven) {
+      return true;
+    }
+    return executor.faultProbability() <= maxFaultProbability;
+  }
+
+  /** Returns how many of some tasks may be placed on doubted executors at the same time. */
+  int maxTrials(int tasks) {
+    return trial ? Math.max(1, tasks / TASKS_PER_TRIAL) : tasks;
+  }
+
+  /** Returns the requirement of work that has time to wait. */
+  StartRequirement strict() {
+    boolean relaxed = !trial && maxFaultProbability > ExecutorStanding.USABLE && !this.equals(ANY);
+    return relaxed
+        ? new StartRequirement(ExecutorStanding.USABLE, acceptsUnproven, proven, provenSince, false)
+        : this;
+  }
+
+  /** Returns the same requirement on executors on which no run is known to have ended well. */
+  StartRequirement withoutProof() {
+    return new StartRequirement(
+        maxFaultProbability, acceptsUnproven, false, OptionalLong.empty(), trial);
+  }
+
+  /** Returns the requirement that executors will meet soon if they are not faulty. */
+  StartRequirement expectedSoon() {
+    return new StartRequirement(
+        Math.max(maxFaultProbability, SETTLED_SOON),
+        acceptsUnproven,
+        false,
+        OptionalLong.empty(),
+        trial);
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -19,6 +19,7 @@
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing its waiting times and objective
  * @param permitted the executors that may run it according to external advice; absent if any may
+ * @param requirement how reliable its executors must be
  */
 public record WaitingStep(
     StepProgress step,
@@ -27,7 +28,8 @@
     Rank rank,
     long acceptedMillis,
     StepTiming timing,
-    Optional<Set<Incarnation>> permitted) {
+    Optional<Set<Incarnation>> permitted,
+    StartRequirement requirement) {
 
   /**
    * Order of planning: by rank, then by whether the step can still meet its objective, is late or
@@ -46,6 +48,18 @@
         .thenComparingLong(WaitingStep::acceptedMillis);
   }
 
+  /** Creates a step that may run on executors of any reliability. */
+  public WaitingStep(
+      StepProgress step,
+      List<TaskProgress> tasks,
+      String pool,
+      Rank rank,
+      long acceptedMillis,
+      StepTiming timing,
+      Optional<Set<Incarnation>> permitted) {
+    this(step, tasks, pool, rank, acceptedMillis, timing, permitted, StartRequirement.ANY);
+  }
+
   /** Copies the list. */
   public WaitingStep {
     tasks = List.copyOf(tasks);
@@ -67,7 +81,13 @@
   /** Returns the same step without the first tasks, which have been placed. */
   public WaitingStep withoutFirst(int placed) {
     List<TaskProgress> remaining = tasks.subList(placed, tasks.size());
-    return new WaitingStep(step, remaining, pool, rank, acceptedMillis, timing, permitted);
+    return new WaitingStep(
+        step, remaining, pool, rank, acceptedMillis, timing, permitted, requirement);
+  }
+
+  /** Returns the same step with another requirement on the reliability of its executors. */
+  WaitingStep requiring(StartRequirement other) {
+    return new WaitingStep(step, tasks, pool, rank, acceptedMillis, timing, permitted, other);
   }
 
   /** Tells whether external advice permits an executor to run the step. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -131,6 +131,7 @@
     context.stage("whole", Math.max(0, TimeUnit.MILLISECONDS.toNanos(millis)));
     context.count("fescuehook.batch.jobs.ended", "phase", phase.name());
     job.end(phase, context.wallMillis());
+    statistics.reliability().ended(job);
     if (phase != JobPhase.COMPLETED) {
       job.liveRuns().forEach(run -> executors.stop(run, "its job ended", context));
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -25,6 +25,7 @@
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 
 /** VMs, the shared store and executors on a virtual clock, with faults injected between them. */
 final class BatchCluster {
@@ -59,6 +60,7 @@
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final CallTracker calls = new CallTracker(work, submissions);
   private final ClusterConfiguration configuration;
+  private final SchedulingPreferences scheduling;
   private long nowMillis;
   private long order;
   private long ticket;
@@ -91,7 +93,7 @@
       }
       OwnerIdentity self =
           new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000", TestFixtures.milliCores(id));
-      core = new BatchCore(self, TestFixtures.preferences());
+      core = new BatchCore(self, TestFixtures.preferences(scheduling));
     }
 
     void deliver(BatchEvent event) {
@@ -132,6 +134,16 @@
   }
 
   BatchCluster(int vmCount, int executorCount, long seed, BatchConfiguration declared) {
+    this(vmCount, executorCount, seed, declared, SchedulingPreferences.ALL_OFF);
+  }
+
+  BatchCluster(
+      int vmCount,
+      int executorCount,
+      long seed,
+      BatchConfiguration declared,
+      SchedulingPreferences scheduling) {
+    this.scheduling = scheduling;
     random = new Random(seed);
     configuration = new ClusterConfiguration(declared, work.placement);
     for (int i = 0; i < executorCount; i++) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.batch.RunEnd;
@@ -61,6 +62,7 @@
 
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> failingTasks = new HashSet<>();
+  private Predicate<TaskRun> failingRuns = run -> false;
   private final Map<String, Long> cancelledAt = new HashMap<>();
 
   /** When the order that is being delivered late was sent; empty if there is none. */
@@ -93,6 +95,11 @@
     failingTasks.add(task);
   }
 
+  /** Selects runs that fail at the end of their work, wherever they run. */
+  void failRuns(Predicate<TaskRun> selected) {
+    failingRuns = selected;
+  }
+
   /** Makes an executor work at a share of its normal speed. */
   void slowDown(ExecutorId executor, double share) {
     speeds.put(executor, share);
@@ -318,7 +325,9 @@
   /** Ends a run whose work is complete, and the other members of its gang with it. */
   void finish(TaskRun run, long nowMillis) {
     boolean fails =
-        failingTasks.contains(run.task()) || failingExecutors.contains(running.get(run));
+        failingTasks.contains(run.task())
+            || failingRuns.test(run)
+            || failingExecutors.contains(running.get(run));
     RunEnd how = fails ? RunEnd.FAILED : RunEnd.DONE;
     List<TaskRun> members = stepOf(run.task()).gang() ? members(run) : List.of(run);
     for (TaskRun member : members) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -20,6 +20,7 @@
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.fleet.VmId;
 import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /** Configurations, preferences and executor profiles for tests. */
@@ -42,13 +43,19 @@
 
   /** Returns preferences with the time limits that {@link FakeExecutor} keeps. */
   static BatchPreferences preferences() {
+    return preferences(SchedulingPreferences.ALL_OFF);
+  }
+
+  /** Returns the same preferences with optional parts of the scheduling. */
+  static BatchPreferences preferences(SchedulingPreferences scheduling) {
     WorkPreferences work =
         new WorkPreferences(
             Duration.ofMillis(500),
             Duration.ofMillis(250),
             Duration.ofMillis(200),
             Duration.ofMillis(2700));
-    return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
+    return new BatchPreferences(
+        Duration.ofSeconds(6), Duration.ofSeconds(120), work, true, scheduling);
   }
 
   /**
