--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -260,16 +260,17 @@
     }
 
     /**
-     * Tells whether a step would fit if all executors were reliable enough. Doubts are settled
-     * sooner than preempted work is repeated, so that only last attempts preempt because of them.
+     * Tells whether a step that has time to wait would fit as soon as the present doubts are
+     * settled. That is sooner than preempted work is repeated. Last attempts do not wait.
      */
     private boolean waitsForReliability(WaitingStep waiting, boolean nearOnly) {
       StartRequirement requirement = waiting.requirement();
-      if (requirement.proven() || requirement.equals(StartRequirement.ANY)) {
+      boolean mayWait = !requirement.equals(StartRequirement.ANY) && !requirement.proven();
+      if (!mayWait || waiting.timing().nearlyLate()) {
         return false;
       }
-      WaitingStep anywhere = waiting.requiring(StartRequirement.ANY);
-      return expected.tightestGroup(anywhere, waiting.tasks().size(), nearOnly).isPresent();
+      WaitingStep soon = waiting.requiring(requirement.expectedSoon());
+      return expected.tightestGroup(soon, waiting.tasks().size(), nearOnly).isPresent();
     }
 
     /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
@@ -8,8 +8,8 @@
 
   /**
    * Loss of suspicion per second without new evidence, as logarithm of the odds. One failed run is
-   * forgotten after 12 s and the worst record after 30 s; faults of executors last about 6 s, and
-   * an executor that is never tried must return as well.
+   * forgotten after 9 s and the worst record after 30 s; faults of executors last about 6 s, and an
+   * executor that is never tried must return as well.
    */
   private static final double DECAY_PER_SECOND = 0.2;
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -11,9 +11,9 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 
 /**
- * Timeline of one job: its own events, and those events of its executors and changes of the owner
- * that were logged between its first and last event. Also lists the stages between the job's own
- * events, which show what it spent its time on.
+ * Timeline of one job: its own events, and those events of its executors, of the fleet and changes
+ * of the owner that were logged between its first and last event. Also lists the stages between the
+ * job's own events, which show what it spent its time on.
  */
 public final class JobTimeline {
 
@@ -77,8 +77,8 @@
   }
 
   /**
-   * Tells whether an event is about the owner, evacuated failure domains or one of the job's
-   * executors and may so explain a delay.
+   * Tells whether an event is about the owner, evacuated failure domains, a wave of failures or one
+   * of the job's executors and may so explain a delay.
    */
   private static boolean mayExplainDelay(LoggedEvent event, Set<String> executors) {
     int number = event.number();
@@ -86,13 +86,17 @@
         number == BatchLogEvent.OWNERSHIP_WON.number()
             || number == BatchLogEvent.OWNERSHIP_LOST.number()
             || number == BatchLogEvent.OWNING.number();
-    boolean ofFleet = number == BatchLogEvent.EVACUATIONS_CHANGED.number();
+    boolean ofFleet =
+        number == BatchLogEvent.EVACUATIONS_CHANGED.number()
+            || number == BatchLogEvent.FAILURE_WAVE.number();
     boolean ofExecutor =
         number == BatchLogEvent.EXECUTOR_SILENT.number()
             || number == BatchLogEvent.EXECUTOR_LEAVING.number()
             || number == BatchLogEvent.EXECUTOR_GONE.number()
             || number == BatchLogEvent.EXECUTOR_RESTARTED.number()
             || number == BatchLogEvent.EXECUTOR_RESTED.number()
+            || number == BatchLogEvent.EXECUTOR_DOUBTED.number()
+            || number == BatchLogEvent.EXECUTOR_TRUSTED.number()
             || number == BatchLogEvent.WORK_PACED.number();
     return ofOwner
         || ofFleet
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StartRequirementTest.java
@@ -0,0 +1,111 @@
+package org.fescuehook.logic.batch.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescuehook.logic.batch.state.ActiveJob;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
+import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.ResourceVector;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.Incarnation;
+import org.junit.jupiter.api.Test;
+
+/** Guards against starts on doubted executors that cost a job its attempts. */
+class StartRequirementTest {
+
+  private static final long SECOND = Duration.ofSeconds(1).toNanos();
+  private static final int ATTEMPTS = 3;
+
+  private static final ExecutorStanding SOUND =
+      new ExecutorStanding(0.02, false, 0, OptionalLong.empty());
+  private static final ExecutorStanding PROVEN =
+      new ExecutorStanding(0.02, false, 0, OptionalLong.of(5 * SECOND));
+  private static final ExecutorStanding IN_WAVE =
+      new ExecutorStanding(0.33, false, 0, OptionalLong.empty());
+  private static final ExecutorStanding DOUBTED =
+      new ExecutorStanding(0.2, true, 0, OptionalLong.empty());
+  private static final ExecutorStanding FAULTY =
+      new ExecutorStanding(0.9, true, 0, OptionalLong.empty());
+
+  private static StepProgress step(boolean gang, int failures) {
+    BatchStep spec =
+        new BatchStep(
+            4,
+            new ResourceVector(1000, 1000, 1),
+            2000,
+            List.of(),
+            BatchStep.PlacementRule.ANYWHERE,
+            false,
+            gang,
+            "image");
+    JobQueue queue = new JobQueue("q", "pool", 2, ATTEMPTS, 3, 1000, false, false);
+    Submission submission = new Submission("spec", List.of(spec), Optional.empty());
+    StepProgress step =
+        new ActiveJob(new BatchJob("%016x".formatted(1), queue, "o", 0, submission))
+            .steps()
+            .getFirst();
+    for (int run = 1; run <= failures; run++) {
+      step.fail(
+          step.tasks().getFirst(), run, Incarnation.ofUnknownStart(new ExecutorId("e" + run)));
+    }
+    return step;
+  }
+
+  private static StartRequirement requirement(
+      StepProgress step, long waitedSeconds, long queuedSeconds) {
+    StepTiming timing =
+        new StepTiming(waitedSeconds * SECOND, queuedSeconds * SECOND, 10 * SECOND, 12 * SECOND);
+    WaitingStep waiting =
+        new WaitingStep(
+            step, step.waiting(), "pool", Rank.ofPriority(2), 0, timing, Optional.empty());
+    return StartRequirement.of(waiting, OptionalLong.of(4 * SECOND));
+  }
+
+  @Test
+  void theLastAttemptStartsOnlyWhereARunHasEndedWellSinceTheLastFailure() {
+    StartRequirement requirement = requirement(step(true, ATTEMPTS - 1), 20, 1);
+    assertTrue(requirement.accepts(PROVEN));
+    assertFalse(requirement.accepts(SOUND));
+    ExecutorStanding provenEarlier =
+        new ExecutorStanding(0.02, false, 0, OptionalLong.of(3 * SECOND));
+    assertFalse(requirement.accepts(provenEarlier));
+    assertTrue(requirement.withoutProof().accepts(SOUND));
+    assertFalse(requirement.withoutProof().accepts(IN_WAVE));
+  }
+
+  @Test
+  void theFirstAttemptOfAGangAvoidsDoubtedExecutorsWhileItHasTime() {
+    StartRequirement early = requirement(step(true, 0), 1, 1);
+    assertTrue(early.accepts(SOUND));
+    assertTrue(early.accepts(IN_WAVE));
+    assertFalse(early.accepts(DOUBTED));
+    StartRequirement late = requirement(step(true, 0), 9, 9);
+    assertTrue(late.accepts(DOUBTED));
+    assertFalse(late.strict().accepts(DOUBTED));
+    assertFalse(late.accepts(FAULTY));
+  }
+
+  @Test
+  void singleTasksWithAnAttemptToSpareTryDoubtedExecutors() {
+    StartRequirement requirement = requirement(step(false, 1), 1, 1);
+    assertTrue(requirement.accepts(FAULTY));
+    assertEquals(1, requirement.maxTrials(4));
+    assertEquals(4, requirement.maxTrials(39));
+    assertFalse(requirement(step(false, ATTEMPTS - 1), 1, 1).accepts(FAULTY));
+  }
+
+  @Test
+  void noStepWaitsForReliableExecutorsForEver() {
+    assertTrue(requirement(step(true, ATTEMPTS - 1), 16, 16).accepts(FAULTY));
+  }
+}
