Waves of failures are recognised in large fleets too

Cause: only the last 32 failed runs were kept, which is below 15 % of the executors on which runs end within a second in a fleet of 810, so that a wave there was never recognised.

Change: the failed runs of the last 6 s are kept, at most 500.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
@@ -45,8 +45,8 @@
   /** Largest share that is assumed to be faulty. */
   private static final double MAX_SHARE = 0.5;
 
-  /** Number of failed runs whose ages are kept. */
-  private static final int MAX_AGES = 32;
+  /** Failed runs that are kept at most; more than a third of the largest fleet. */
+  private static final int MAX_FAILED_RUNS = 500;
 
   /** Number of ages below which nothing is concluded from them. */
   private static final int MIN_AGES = 3;
@@ -73,7 +73,8 @@
   /** Records a run that failed for a reason that its job does not explain. */
   void failed(StepProgress step, ExecutorId executor, long startedAt, long nowNanos) {
     failedRuns.addLast(new FailedRun(step, executor, startedAt, nowNanos));
-    if (failedRuns.size() > MAX_AGES) {
+    while (failedRuns.size() > MAX_FAILED_RUNS
+        || nowNanos - failedRuns.getFirst().failedAt() >= RETENTION_NANOS) {
       failedRuns.removeFirst();
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
@@ -224,6 +224,16 @@
     assertTrue(standing(2).faultProbability() <= ExecutorStanding.USABLE);
   }
 
+  /** Guards against a bound on the failures counted that a large fleet exceeds. */
+  @Test
+  void aWaveIsRecognisedInALargeFleet() {
+    for (int executor = 0; executor < 810; executor++) {
+      LiveRun run = start(job(1, false), 0, executor);
+      end(run, executor % 3 == 0 ? RunEnd.FAILED : RunEnd.DONE);
+    }
+    assertEquals(List.of(BatchLogEvent.FAILURE_WAVE), observe());
+  }
+
   @Test
   void inAWaveARunThatOutlivesTheFailedOnesShowsThatItsExecutorIsNotPartOfIt() {
     beginWave();
