--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartEvidence;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Handles the answers to polls: which runs are alive on an executor, and which have ended. */
@@ -55,6 +56,13 @@
     listener.lostWithExecutor(run, evidence, context);
   }
 
+  /** Records that an executor, or the one before it at its address, has crashed. */
+  void crashed(ExecutorState executor, BatchContext context) {
+    if (!executor.profile().leaving()) {
+      statistics.reliability().observed(executor.incarnation(), StartEvidence.CRASHED, context);
+    }
+  }
+
   /**
    * Handles the answer to the poll in flight.
    *
@@ -136,8 +144,11 @@
       listener.foundRunning(run, context);
     }
     statistics.speeds().progressed(executor, run, context);
-    if (SpeedMoves.pays(executor, run, statistics, context)
-        || ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
+    boolean stalled = ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos());
+    if (stalled && run.percent() == 0) {
+      statistics.reliability().observed(executor.incarnation(), StartEvidence.STALLED, context);
+    }
+    if (stalled || SpeedMoves.pays(executor, run, statistics, context)) {
       listener.runStalled(run, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.RackId;
@@ -27,7 +28,8 @@
 
   /**
    * If more than this share of the executors is suspect, the jobs are the cause rather than the
-   * executors, and none is treated as suspect.
+   * executors, and none is treated as suspect. This does not apply to the doubts of start
+   * reliability, which tells the two causes apart.
    */
   private static final double MAX_SUSPECT_SHARE = 0.25;
 
@@ -67,7 +69,8 @@
       Optional<RackId> affinity,
       boolean sameRack,
       boolean gang,
-      boolean nearOnly) {}
+      boolean nearOnly,
+      StartRequirement requirement) {}
 
   /** The properties that determine how many tasks of a step fit into a group. */
   private record Shape(
@@ -91,9 +94,12 @@
       Collection<ExecutorState> executors,
       PlannedTasks planned,
       SpeedClasses speeds,
+      SchedulingStatistics statistics,
       long nowNanos) {
-    FleetCapacity capacity = of(executors, ExecutorState::free, planned, speeds, nowNanos);
+    FleetCapacity capacity =
+        of(executors, ExecutorState::free, planned, speeds, statistics, nowNanos);
     for (CandidateExecutor candidate : capacity.candidates) {
+      candidate.limitTrials();
       candidate.executor().runs().forEach(run -> candidate.addWork(run, nowNanos));
     }
     return capacity;
@@ -105,12 +111,16 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity total(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SchedulingStatistics statistics,
+      long nowNanos) {
     return of(
         executors,
         executor -> executor.profile().capacity(),
         planned,
         SpeedClasses.EQUAL,
+        statistics,
         nowNanos);
   }
 
@@ -119,6 +129,7 @@
       Function<ExecutorState, ResourceVector> capacity,
       PlannedTasks planned,
       SpeedClasses speeds,
+      SchedulingStatistics statistics,
       long nowNanos) {
     long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
@@ -132,7 +143,8 @@
               planned,
               suspect,
               executor.recentlyRestarted(nowNanos),
-              speeds.of(executor)));
+              speeds.of(executor),
+              statistics.reliability().standing(executor, nowNanos)));
     }
     return new FleetCapacity(candidates);
   }
@@ -231,7 +243,8 @@
             placement.affinity(),
             placement.sameRack(),
             step.spec().gang(),
-            nearOnly));
+            nearOnly,
+            waiting.requirement()));
   }
 
   private static Optional<Shape> shape(WaitingStep waiting, boolean nearOnly) {
@@ -338,7 +351,7 @@
         || (candidate.interferesWith(spec) && !waiting.timing().acceptsSharing())) {
       return 0;
     }
-    int fitting = candidate.free().fits(spec.demand());
+    int fitting = Math.min(candidate.free().fits(spec.demand()), candidate.trialsLeft());
     int most = spec.placement().maxPerExecutor();
     if (most == 0) {
       return fitting;
@@ -363,12 +376,19 @@
       }
     }
     ordered.sort(
-        waiting.mayCrash()
-            ? LEAST_RISK_FIRST
-            : PlacementSpeed.order(waiting, ordered, tasks.size(), FULLEST_FIRST));
+        Comparator.comparingInt((CandidateExecutor candidate) -> candidate.trialOrder(waiting))
+            .thenComparing(
+                waiting.mayCrash()
+                    ? LEAST_RISK_FIRST
+                    : PlacementSpeed.order(waiting, ordered, tasks.size(), FULLEST_FIRST)));
+    int trials = waiting.requirement().maxTrials(tasks.size());
     List<TaskPlacement> placements = new ArrayList<>();
     for (CandidateExecutor candidate : ordered) {
       int fitting = fits(waiting, candidate);
+      if (candidate.doubted()) {
+        fitting = Math.min(fitting, trials);
+        trials -= fitting;
+      }
       for (int placed = 0; placed < fitting; placed++) {
         if (placements.size() == tasks.size()) {
           return placements;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
@@ -61,6 +62,12 @@
    */
   private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
 
+  /**
+   * How long a step with one attempt left waits for runs to end well somewhere if there is no
+   * proven executor at all. Most runs take less than this time.
+   */
+  private static final long PROOF_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
+
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
   private final SchedulingStatistics statistics;
@@ -153,6 +160,7 @@
             new NearlyLateUse(waiting, usage),
             new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
             forecast,
+            statistics,
             reservationBook,
             guaranteedNearnessWait(),
             nowNanos);
@@ -191,6 +199,7 @@
     private final RunForecast forecast;
     private final FasterPlace fasterPlace;
     private final PlanReservations reservations;
+    private final SchedulingStatistics statistics;
     private final long guaranteedNearnessWaitNanos;
 
     /** Whether reservations limit the step that is being planned. */
@@ -203,6 +212,7 @@
         NearlyLateUse nearlyLateUse,
         Preemptor preemptor,
         RunForecast forecast,
+        SchedulingStatistics statistics,
         ReservationBook reservationBook,
         long guaranteedNearnessWaitNanos,
         long nowNanos) {
@@ -211,10 +221,11 @@
       this.preemptor = preemptor;
       this.forecast = forecast;
       this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
+      this.statistics = statistics;
       this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = FleetCapacity.available(executors, planned, speeds, nowNanos);
-      expected = FleetCapacity.available(executors, planned, speeds, nowNanos);
-      total = FleetCapacity.total(executors, planned, nowNanos);
+      available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
+      expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
+      total = FleetCapacity.total(executors, planned, statistics, nowNanos);
       for (ExecutorState executor : executors) {
         for (LiveRun run : executor.runs()) {
           // What ends by itself is free as early as what is stopped now.
@@ -233,7 +244,8 @@
               nowNanos);
     }
 
-    void planStep(WaitingStep waiting) {
+    void planStep(WaitingStep unrestricted) {
+      WaitingStep waiting = withRequirement(unrestricted);
       limited = reservations.limit(waiting) && !idleFor(waiting, IDLE_WAIT_NANOS);
       if (waiting.step().spec().gang()) {
         planGang(waiting);
@@ -242,6 +254,23 @@
       }
     }
 
+    /** Adds how reliable the executors of a step must be. */
+    private WaitingStep withRequirement(WaitingStep waiting) {
+      StartReliability reliability = statistics.reliability();
+      if (!reliability.enabled() || firstStartIsDue(waiting)) {
+        return waiting;
+      }
+      StartRequirement requirement =
+          StartRequirement.of(waiting, reliability.newestFault(waiting.step()));
+      WaitingStep required = waiting.requiring(requirement);
+      boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
+      if (!requirement.proven() || mayBecomeProven) {
+        return required;
+      }
+      boolean possible = total.tightestGroup(required, wanted(waiting), false).isPresent();
+      return possible ? required : waiting.requiring(requirement.withoutProof());
+    }
+
     private void planTasks(WaitingStep waiting) {
       int allowedStarts = allowedStarts(waiting);
       if (allowedStarts == 0) {
@@ -315,6 +344,9 @@
       if (!waiting.urgent() && !waiting.nearlyLate()) {
         return false;
       }
+      if (waitsForReliability(waiting, nearOnly)) {
+        return false;
+      }
       Optional<Preemptor.Selection> selection = preemptor.choose(waiting, later, nearOnly);
       if (selection.isPresent()) {
         preemptor.markApplied(selection.get());
@@ -324,6 +356,20 @@
       return selection.isPresent();
     }
 
+    /**
+     * Tells whether a step that has time to wait would fit as soon as the present doubts are
+     * settled. That is sooner than preempted work is repeated. Last attempts do not wait.
+     */
+    private boolean waitsForReliability(WaitingStep waiting, boolean nearOnly) {
+      StartRequirement requirement = waiting.requirement();
+      boolean mayWait = !requirement.equals(StartRequirement.ANY) && !requirement.proven();
+      if (!mayWait || waiting.timing().nearlyLate()) {
+        return false;
+      }
+      WaitingStep soon = waiting.requiring(requirement.expectedSoon());
+      return expected.tightestGroup(soon, waiting.tasks().size(), nearOnly).isPresent();
+    }
+
     /**
      * Returns how many tasks of a step may start without using the capacity reserved for urgent
      * work.
@@ -365,8 +411,18 @@
       if (mayStartAnywhere(waiting)) {
         return false;
       }
-      int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
-      return total.tightestGroup(waiting, wanted, true).isPresent();
+      WaitingStep soon = waiting.requiring(waiting.requirement().expectedSoon());
+      return total.tightestGroup(soon, wanted(waiting), true).isPresent();
+    }
+
+    private static int wanted(WaitingStep waiting) {
+      return waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+    }
+
+    /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
+    private boolean firstStartIsDue(WaitingStep waiting) {
+      boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
+      return firstStart && waiting.timing().waitedNanos() > guaranteedNearnessWaitNanos;
     }
 
     private boolean mayStartAnywhere(WaitingStep waiting) {
@@ -374,8 +430,7 @@
         return true;
       }
       StepTiming timing = waiting.timing();
-      boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
-      if (firstStart && timing.waitedNanos() > guaranteedNearnessWaitNanos) {
+      if (firstStartIsDue(waiting)) {
         return true;
       }
       long estimate = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
@@ -383,9 +438,24 @@
       return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
     }
 
-    /** Places all tasks in the group with the least capacity to spare into which they fit. */
+    /**
+     * Places all tasks in the group with the least capacity to spare into which they fit; executors
+     * that are less reliable are used only if they do not fit elsewhere.
+     */
     private static Optional<List<TaskPlacement>> placeInTightestGroup(
         WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
+      WaitingStep strict = waiting.requiring(waiting.requirement().strict());
+      if (!strict.requirement().equals(waiting.requirement())) {
+        Optional<List<TaskPlacement>> reliable = place(strict, capacity, nearOnly);
+        if (reliable.isPresent()) {
+          return reliable;
+        }
+      }
+      return place(waiting, capacity, nearOnly);
+    }
+
+    private static Optional<List<TaskPlacement>> place(
+        WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
       List<TaskProgress> tasks = waiting.tasks();
       return capacity
           .tightestGroup(waiting, tasks.size(), nearOnly)
