Caps hold across waves; machines whose executors are not polled; causes in timelines

Random histories with a second wave that shares machines broke the cap of the first one after its completion, while its last machines were away: the cap now holds until all machines of a completed wave have been seen up. Machines of pools without jobs, whose executors are never polled, are called after 5 s with no known run, and those of unlisted executors after 20 s. A job's timeline names stops for maintenance and the closing of its machines.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.EpochNumbers;
 import org.fescuehook.logic.batch.executor.ExecutorRegistry;
+import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.maintenance.MachineProgress.Stage;
 import org.fescuehook.logic.batch.maintenance.MaintenanceOutcome.Reason;
 import org.fescuehook.model.batch.Machine;
@@ -32,6 +33,15 @@
   /** Calls in a row that could not be sent, after which the executor is used again. */
   private static final int MAX_UNSENT = 8;
 
+  /**
+   * Time after which an executor that has never answered this owner counts as idle if no run of it
+   * is known. Executors of pools without jobs are not polled.
+   */
+  private static final long NEVER_POLLED_NANOS = Duration.ofSeconds(5).toNanos();
+
+  /** The same for one that is not in the list of executors; leases of a former owner are over. */
+  private static final long UNLISTED_NANOS = Duration.ofSeconds(20).toNanos();
+
   private final long epoch;
   private final WaveRegistry waves;
   private final MachineReader reader;
@@ -66,7 +76,7 @@
     }
     for (WaveProgress wave : waves.open(context)) {
       for (MachineProgress machine : wave.in(Stage.CLOSED)) {
-        boolean ready = idleAndUp(machine) && reader.fresh(context);
+        boolean ready = idleAndUp(machine, context) && reader.fresh(context);
         if (ready && waves.mayGo(machine.machine(), reader)) {
           int attempt = machine.storing(context.nowNanos());
           long now = context.nowNanos();
@@ -86,31 +96,30 @@
   }
 
   /** Tells whether a machine is up with the executor that was closed, and nothing runs there. */
-  private boolean idleAndUp(MachineProgress machine) {
-    return upAsClosed(machine) && machine.executor().filter(this::idle).isPresent();
-  }
-
-  private boolean upAsClosed(MachineProgress machine) {
+  private boolean idleAndUp(MachineProgress machine, BatchContext context) {
     Optional<Machine> listed = reader.find(machine.machine());
-    return listed.isPresent() && machine.executor().filter(listed.get()::runs).isPresent();
-  }
-
-  private boolean idle(ExecutorId id) {
-    return executors
-        .find(id)
-        .filter(executor -> executor.reached() && executor.runs().isEmpty())
-        .filter(executor -> !executor.hasUnknownRuns())
-        .isPresent();
+    boolean asClosed =
+        listed.isPresent() && machine.executor().filter(listed.get()::runs).isPresent();
+    if (!asClosed) {
+      return false;
+    }
+    long closedNanos = context.nowNanos() - machine.closedAt();
+    Optional<ExecutorState> executor = machine.executor().flatMap(executors::find);
+    if (executor.isEmpty()) {
+      return closedNanos > UNLISTED_NANOS;
+    }
+    boolean heard = executor.get().reached() || closedNanos > NEVER_POLLED_NANOS;
+    return heard && executor.get().runs().isEmpty() && !executor.get().hasUnknownRuns();
   }
 
   private void callOrRelease(WaveProgress wave, MachineProgress machine, BatchContext context) {
     boolean wanted = machine.wanted() && wave.open();
-    if (!machine.mayHaveBegun() && !(wanted && idleAndUp(machine))) {
+    if (!machine.mayHaveBegun() && !(wanted && idleAndUp(machine, context))) {
       release(machine, 0, context);
       return;
     }
     // While the machine is not up, the answer tells whether an earlier call has caused that.
-    boolean safe = idleAndUp(machine) || reader.notUp(machine.machine());
+    boolean safe = idleAndUp(machine, context) || reader.notUp(machine.machine());
     if (wanted && safe && limit.take(context.nowNanos())) {
       call(wave, machine, context);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineProgress.java
@@ -22,6 +22,7 @@
   private int tries;
   private int attempt;
   private long stageSince;
+  private long closedAt;
   private long notBefore;
 
   /** The stages, in their order. */
@@ -48,6 +49,7 @@
   /** Restores what a former owner stored; a call that it did not confirm may be carried out. */
   void restore(WaveCodec.StoredMachine before, long nowNanos) {
     executor = Optional.of(before.executor());
+    closedAt = nowNanos;
     mayHaveBegun = true;
     enter(before.begun() ? Stage.BEGUN : Stage.CALLED, nowNanos);
   }
@@ -73,6 +75,11 @@
     return stageSince;
   }
 
+  /** Returns when its executor was closed last, monotonic time. */
+  long closedAt() {
+    return closedAt;
+  }
+
   /** Returns the executor that the machine ran when it was closed. */
   Optional<ExecutorId> executor() {
     return executor;
@@ -133,6 +140,7 @@
   /** Closes the executor that the machine runs at present. */
   void close(Machine listed, long nowNanos) {
     executor = listed.executor();
+    closedAt = nowNanos;
     enter(Stage.CLOSED, nowNanos);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
@@ -203,6 +203,9 @@
   private void resolveAll(BatchContext context) {
     for (WaveProgress wave : waves.all()) {
       wave.machines().forEach(machine -> resolve(wave, machine, context));
+      if (wave.completed() && waves.away(wave, reader) == 0) {
+        wave.allUp();
+      }
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveProgress.java
@@ -21,6 +21,7 @@
   private boolean withdrawn;
   private boolean completed;
   private Set<MachineId> settled;
+  private boolean over;
   private boolean lateNoted;
   private long notedAt;
 
@@ -55,6 +56,19 @@
     return wave.isPresent() && !completed;
   }
 
+  /**
+   * Tells whether its cap holds: while it is open and, after its completion, until all of its
+   * machines have been seen up at the same time.
+   */
+  boolean limits() {
+    return open() || (wave.isPresent() && !over);
+  }
+
+  /** Records that all of its machines are up after its completion. */
+  void allUp() {
+    over = completed;
+  }
+
   /** Returns the most machines of the wave that may be away at the same time. */
   int cap() {
     return wave.map(MaintenanceWave::cap).orElse(0);
@@ -75,6 +89,7 @@
       completed = false;
     }
     wave = Optional.of(asked);
+    over = false;
     machines.values().forEach(machine -> machine.setWanted(false));
     for (MachineId id : asked.machines()) {
       MachineProgress machine = machine(id, nowNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveRegistry.java
@@ -139,13 +139,13 @@
   }
 
   /**
-   * Tells whether one more machine may go away without exceeding the cap of any open wave that it
-   * is part of.
+   * Tells whether one more machine may go away without exceeding the cap of any wave that it is
+   * part of.
    */
   boolean mayGo(MachineId machine, MachineReader reader) {
     for (MachineProgress part : of(machine)) {
       WaveProgress wave = waves.get(part.wave());
-      boolean limits = part.wanted() && wave.open();
+      boolean limits = part.wanted() && wave.limits();
       if (limits && away(wave, reader) >= wave.cap()) {
         return false;
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveReporter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveReporter.java
@@ -16,7 +16,7 @@
  */
 final class WaveReporter {
 
-  private static final long RETRY_NANOS = Duration.ofMillis(200).toNanos();
+  private static final long RETRY_NANOS = Duration.ofMillis(500).toNanos();
 
   private final long epoch;
   private final PendingCall pending = new PendingCall(PendingCall.APPEND_TIMEOUT);
@@ -66,7 +66,8 @@
       return;
     }
     pending.end();
-    nextAt = context.nowNanos() + RETRY_NANOS;
+    boolean done = outcome instanceof AppendOutcome.Stored;
+    nextAt = done ? context.nowNanos() : context.nowNanos() + RETRY_NANOS;
     switch (outcome) {
       case AppendOutcome.Stored stored -> confirm();
       case AppendOutcome.OutOfSequence(long expected) when expected == sequence + 1 -> confirm();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -53,6 +53,7 @@
   final ClusterCrashes crashes = new ClusterCrashes(this);
   final ClusterEvacuations evacuations = new ClusterEvacuations(this);
   final ClusterMachines machines = new ClusterMachines(this);
+  final LongRunningStops longRunningStops = new LongRunningStops(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
   private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -42,6 +42,9 @@
     if (command.order() instanceof BatchCommand.ExecutorOrder.Start order) {
       cluster.evacuations.checkOrder(vm, order.run(), command.executor());
     }
+    if (command.order() instanceof BatchCommand.ExecutorOrder.Stop order) {
+      cluster.longRunningStops.check(order.run());
+    }
     if (faults.lostStops && command.order() instanceof BatchCommand.ExecutorOrder.Stop) {
       faults.lostStopCount++;
       unanswered(vm, command, 600, "timeout");
--- a/fescuehook/src/test/java/org/fescuehook/logic/story/JobTimelineTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/story/JobTimelineTest.java
@@ -41,6 +41,23 @@
     assertTrue(longest.name().contains("lease"), longest.name());
   }
 
+  /** Guards against a job whose delay by a maintenance wave has no cause in its timeline. */
+  @Test
+  void aStopForMaintenanceIsNamedAndExplained() {
+    List<LoggedEvent> log =
+        List.of(
+            event(1000, 8020, "Run " + RUN + " placed on e2 in rack r1: guaranteed"),
+            event(2000, 8072, "Machine m2 of wave 7 closed: e2 has 1 runs, idle in 1000 ms"),
+            event(
+                2000, 8022, "Run " + RUN + " on e2 is stopped: maintenance of machine m2, wave 7"),
+            event(2900, 8023, "Run " + RUN + " on e2 ended STOPPED at 40 percent after 1900 ms"));
+    JobTimeline timeline = JobTimeline.of(JOB, log);
+    assertTrue(timeline.events().stream().anyMatch(event -> event.number() == 8072));
+    assertEquals(
+        "runs were stopped for the maintenance of their machine",
+        timeline.stages().getLast().name());
+  }
+
   @Test
   void aJobThatNoEventNamesHasAnEmptyTimeline() {
     assertTrue(JobTimeline.of("0000000000000000", LOG).events().isEmpty());
