--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
@@ -209,6 +209,17 @@
         cause(cluster, Trouble.LATE_CALLS);
         cluster.in(length / 2, () -> cause(cluster, Trouble.TAKEOVERS));
       }
+      case SECOND_WAVE, CHANGED_WAVE, EVACUATION -> askByOperators(cluster, trouble, length);
+      case MIXED -> {
+        return causeTwo(cluster);
+      }
+    }
+    return trouble + " for " + length;
+  }
+
+  private static void askByOperators(BatchCluster cluster, Trouble trouble, long length) {
+    ClusterMachines machines = cluster.machines;
+    switch (trouble) {
       case SECOND_WAVE -> {
         WaveId other = new WaveId("other-" + cluster.nowMillis());
         machines.ask(new MaintenanceWave(other, some(cluster, 4), Duration.ofSeconds(60), 1));
@@ -224,11 +235,8 @@
         cluster.evacuations.evacuate(new FailureDomain("a"));
         cluster.in(length, cluster.evacuations::giveBackAll);
       }
-      case MIXED -> {
-        return causeTwo(cluster);
-      }
+      default -> throw new IllegalArgumentException(trouble.name());
     }
-    return trouble + " for " + length;
   }
 
   private static List<MachineId> some(BatchCluster cluster, int count) {
