--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanReservations.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanReservations.java
@@ -16,8 +16,8 @@
  */
 final class PlanReservations {
 
-  /** The second of a rank prepares the next gang while the first one is about to start. */
-  private static final int MAX_PER_RANK = 2;
+  /** A second reservation of a rank would keep much more of the fleet from work of lower ranks. */
+  private static final int MAX_PER_RANK = 1;
 
   /**
    * Searches for a reservation in one plan; each looks at all runs of the fleet in the worst case.
@@ -113,8 +113,8 @@
   }
 
   /**
-   * Tells whether a gang gets a reservation if it is expected to fit soon: it is one of the first
-   * of its rank that the plan can neither start nor make room for.
+   * Tells whether a gang gets a reservation if it is expected to fit soon: it is the first of its
+   * rank that the plan can neither start nor make room for.
    */
   boolean mayReserve(WaitingStep waiting) {
     return waiting.step().job().accepted()
