--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -8,7 +8,6 @@
 import org.fescuehook.logic.batch.admission.Admission;
 import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.admission.LoadMeter;
-import org.fescuehook.logic.batch.admission.NewJob;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -104,12 +103,12 @@
             statistics,
             context);
     this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration);
-    this.submissions = new SubmissionHandler(jobs, writer, outgoing);
-    this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
     this.load = new LoadMeter(executors.registry(), plans, context);
     this.admission = new Admission(writer, preferences, load);
+    this.submissions = new SubmissionHandler(jobs, writer, admission, outgoing);
+    this.cancels = new CancelHandler(jobs, submissions, outgoing);
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
@@ -262,7 +261,8 @@
       return;
     }
     switch (call) {
-      case BatchCall.Submit submit -> submit(event, submit, queue.get(), caller, contact, context);
+      case BatchCall.Submit submit ->
+          submissions.handle(event, submit, queue.get(), caller, contact, context);
       case BatchCall.Status status -> status(new JobQuery(ticket, status.job(), until), context);
       case BatchCall.Cancel cancel ->
           cancels.cancel(new JobQuery(ticket, cancel.job(), until), context);
@@ -271,35 +271,6 @@
     }
   }
 
-  private void submit(
-      BatchEvent.Called event,
-      BatchCall.Submit submit,
-      JobQueue queue,
-      Optional<BatchOrganisation> caller,
-      StoreReachability contact,
-      BatchContext context) {
-    NewJob job =
-        new NewJob(
-            submit.job(),
-            queue,
-            caller.map(BatchOrganisation::name).orElse(""),
-            caller.map(BatchOrganisation::guaranteedAccelerators).orElse(0) > 0,
-            submit.submission());
-    Optional<Admission.Refusal> refusal =
-        admission.refusal(job, event.patience(), contact, context);
-    if (refusal.isPresent()) {
-      refuse(event.ticket(), job.id(), refusal.get(), context);
-      return;
-    }
-    submissions.submit(
-        event.ticket(),
-        submit,
-        queue,
-        job.organisation(),
-        admission.retryIfNotStored(job),
-        context);
-  }
-
   /**
    * Answers that a queue or key does not exist, or refuses the call if one may have been declared
    * since this VM last read the operators' records.
@@ -310,7 +281,7 @@
     } else {
       Admission.Refusal refusal =
           new Admission.Refusal(RefusalCause.STALE_CONFIGURATION, admission.retryAfterMillis());
-      refuse(event.ticket(), event.call().subject(), refusal, context);
+      submissions.refuse(event.ticket(), event.call().subject(), refusal, context);
     }
   }
 
@@ -318,13 +289,6 @@
     outgoing.add(new BatchCommand.Answer(ticket, answer));
   }
 
-  private void refuse(long ticket, String id, Admission.Refusal refusal, BatchContext context) {
-    RefusalCause cause = refusal.cause();
-    context.note(BatchLogEvent.JOB_REFUSED, id, cause, refusal.retryAfterMillis());
-    context.count("fescuehook.batch.refused", "cause", cause.tag());
-    answer(ticket, new CallAnswer.Refused(cause, refusal.retryAfterMillis()));
-  }
-
   private void status(JobQuery query, BatchContext context) {
     Optional<JobPhase> phase = jobs.registry().storedPhase(query.job());
     if (phase.isPresent()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.fescuehook.logic.batch.admission.Admission;
+import org.fescuehook.logic.batch.admission.NewJob;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobLifecycle;
@@ -17,6 +20,7 @@
 import org.fescuehook.logic.batch.store.CommitFailure;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchOrganisation;
 import org.fescuehook.model.batch.JobQueue;
 
 /**
@@ -28,6 +32,7 @@
 
   private final JobLifecycle jobs;
   private final StateWriter writer;
+  private final Admission admission;
   private final List<BatchCommand> outgoing;
   private final Map<String, PendingSubmission> pending = new LinkedHashMap<>();
   private final List<JobQuery> dueCancels = new ArrayList<>();
@@ -35,10 +40,13 @@
   /**
    * Creates a handler without submissions.
    *
+   * @param admission decides which submissions are refused
    * @param outgoing list to which answers and log events are added; the owner sends them with its
    *     next step
    */
-  SubmissionHandler(JobLifecycle jobs, StateWriter writer, List<BatchCommand> outgoing) {
+  SubmissionHandler(
+      JobLifecycle jobs, StateWriter writer, Admission admission, List<BatchCommand> outgoing) {
+    this.admission = admission;
     this.jobs = jobs;
     this.writer = writer;
     this.outgoing = outgoing;
@@ -64,18 +72,46 @@
   }
 
   /**
-   * Sends a submission to the store.
+   * Handles a submission of a job that is not known: refuses it or sends it to the store.
    *
-   * @param retryAfter tells the delay after which its caller shall retry, if it is not stored
+   * @param caller the organisation of its caller; empty if the call carried no known key
+   * @param contact how well the store can be reached, judged by the heartbeats
    */
-  void submit(
-      long ticket,
+  void handle(
+      BatchEvent.Called event,
       BatchCall.Submit submit,
       JobQueue queue,
-      String organisation,
-      LongSupplier retryAfter,
+      Optional<BatchOrganisation> caller,
+      StoreReachability contact,
       BatchContext context) {
-    String id = submit.job();
+    NewJob job =
+        new NewJob(
+            submit.job(),
+            queue,
+            caller.map(BatchOrganisation::name).orElse(""),
+            caller.map(BatchOrganisation::guaranteedAccelerators).orElse(0) > 0,
+            submit.submission());
+    Optional<Admission.Refusal> refusal =
+        admission.refusal(job, event.patience(), contact, context);
+    if (refusal.isPresent()) {
+      refuse(event.ticket(), job.id(), refusal.get(), context);
+    } else {
+      submit(event.ticket(), job, context);
+    }
+  }
+
+  /** Refuses a call. */
+  void refuse(long ticket, String id, Admission.Refusal refusal, BatchContext context) {
+    RefusalCause cause = refusal.cause();
+    context.note(BatchLogEvent.JOB_REFUSED, id, cause, refusal.retryAfterMillis());
+    context.count("fescuehook.batch.refused", "cause", cause.tag());
+    answer(ticket, new CallAnswer.Refused(cause, refusal.retryAfterMillis()));
+  }
+
+  /** Sends a submission to the store. */
+  private void submit(long ticket, NewJob newJob, BatchContext context) {
+    LongSupplier retryAfter = admission.retryIfNotStored(newJob);
+    String id = newJob.id();
     Optional<JobRegistry.EndedJob> cancelled = jobs.registry().earlyCancel(id);
     if (cancelled.isPresent()) {
       submitCancelled(ticket, id, cancelled.get(), retryAfter, context);
@@ -83,7 +119,12 @@
     }
     ActiveJob job =
         ActiveJob.submitted(
-            new BatchJob(id, queue, organisation, context.wallMillis(), submit.submission()));
+            new BatchJob(
+                id,
+                newJob.queue(),
+                newJob.organisation(),
+                context.wallMillis(),
+                newJob.submission()));
     pending.put(id, PendingSubmission.of(ticket));
     jobs.submit(job);
     writer.putExpiring(
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/DrainRate.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/DrainRate.java
@@ -44,7 +44,7 @@
    */
   void add(long from, long until, double work, double occupiedShare) {
     samples.add(new Sample(from, until, work, occupiedShare * (until - from) / NANOS_PER_SECOND));
-    while (until - samples.getFirst().from() > WINDOW_NANOS) {
+    while (samples.size() > 1 && until - samples.getFirst().from() > WINDOW_NANOS) {
       samples.removeFirst();
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -9,6 +9,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.call.RefusalCause;
 
 /**
  * Timeline of one job: its own events, and those events of its executors and changes of the owner
@@ -113,6 +114,12 @@
     if (before.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for an evacuated failure domain";
     }
+    if (before.number() == BatchLogEvent.JOB_REFUSED.number()) {
+      boolean forLoad = before.message().contains(" refused: " + RefusalCause.BACKLOG);
+      return forLoad
+          ? "refused for load, until the caller came back"
+          : "refused, until the caller came back";
+    }
     if (after.number() == BatchLogEvent.RUN_PLACED.number()
         || after.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for room";
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/admission/DrainRateTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/admission/DrainRateTest.java
@@ -42,6 +42,18 @@
     assertEquals(2, rate.perSecond(1).orElseThrow(), EXACT);
   }
 
+  /** Guards against an exception at an owner that stood still for longer than the window. */
+  @Test
+  void anIntervalLongerThanTheWindowLeavesTheRateKnown() {
+    long until = TimeUnit.SECONDS.toNanos(30);
+    rate.add(now, until, 15, 1);
+    now = until;
+    run(1, 1, 1);
+    assertTrue(rate.perSecond(1).isEmpty());
+    run(10, 1, 1);
+    assertEquals(1, rate.perSecond(1).orElseThrow(), EXACT);
+  }
+
   @Test
   void aRateThatRoseCountsSoon() {
     run(20, 0.5, 1);
--- a/fescuehook/src/test/java/org/fescuehook/logic/story/JobTimelineTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/story/JobTimelineTest.java
@@ -41,6 +41,21 @@
     assertTrue(longest.name().contains("lease"), longest.name());
   }
 
+  /** Guards against time lost by refusals for load that is shown as a fault of the store. */
+  @Test
+  void timeLostByARefusalForLoadIsNamed() {
+    List<LoggedEvent> log =
+        List.of(
+            event(
+                1000, 8065, "Job " + JOB + " of organisation o would start too late: in 24000 ms"),
+            event(1000, 8011, "Job " + JOB + " refused: BACKLOG, come back after 5000 ms"),
+            event(6000, 8066, "Job " + JOB + " of organisation o admitted after 1 refusals"),
+            event(6010, 8010, "Job " + JOB + " accepted: queue q organisation o tasks 1"));
+    JobTimeline.Stage longest = JobTimeline.of(JOB, log).longestStage().orElseThrow();
+    assertEquals(5000, longest.millis());
+    assertEquals("refused for load, until the caller came back", longest.name());
+  }
+
   @Test
   void aJobThatNoEventNamesHasAnEmptyTimeline() {
     assertTrue(JobTimeline.of("0000000000000000", LOG).events().isEmpty());
