Tests of callers that come before an outage is noticed, and of VMs that are not the owner

Callers in the first 3 s of an outage of 4, 6 or 12 s: each job is stored in the end, and no second sees more than a quarter of the 500.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RetriesAfterOutageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RetriesAfterOutageTest.java
@@ -1,9 +1,15 @@
 package org.fescuehook.logic.batch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.call.BatchCall;
+import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.model.fleet.VmId;
 import org.junit.jupiter.api.Test;
@@ -77,6 +83,56 @@
     assertServed(MAX_SHARE);
   }
 
+  /**
+   * Callers come from the first moment of the outage, before the owner notices it: some are refused
+   * when their jobs turn out not to be stored, and some jobs are stored late.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {4000, 6000, 12_000})
+  void aCallerThatComesBeforeTheOutageIsNoticedDoesNotUseUpItsTries(long outageMillis) {
+    outage(outageMillis);
+    for (int i = 0; i < CALLERS; i++) {
+      cluster.in(3000L * i / CALLERS, this::submit);
+    }
+    cluster.run(40_000);
+    for (RetryingCallers.Caller caller : callers.callers()) {
+      boolean stored =
+          cluster
+              .status(caller.call.job())
+              .filter(answer -> answer instanceof CallAnswer.Phase)
+              .isPresent();
+      assertTrue(stored, () -> caller.call.job() + " lost after " + caller.refusals);
+      assertTrue(caller.tries <= 5);
+    }
+    assertTrue(
+        callers.busiestSecond() <= CALLERS * MAX_SHARE,
+        () -> "returns by second: " + callers.returnsBySecond());
+  }
+
+  /** Guards against a VM that is not the owner and tells all callers to return after a second. */
+  @Test
+  void aVmThatIsNotTheOwnerSpreadsItsCallersToo() {
+    cluster.awaitOwner();
+    VmId owner = cluster.owner().orElseThrow().id;
+    BatchCluster.Vm other =
+        cluster.vms.values().stream().filter(vm -> !vm.id.equals(owner)).findFirst().orElseThrow();
+    List<Long> delays = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      BatchCall call =
+          new BatchCall.Submit(
+              BatchCluster.NORMAL,
+              BatchCluster.KEY,
+              "%016x".formatted(i),
+              Jobs.of(Jobs.tasks(1, 1, 500)));
+      long ticket = 1_000_000L + i;
+      other.deliver(new BatchEvent.Called(ticket, call, BatchCluster.CALLER_TIMEOUT));
+      delays.add(
+          assertInstanceOf(CallAnswer.Refused.class, cluster.answers.get(ticket))
+              .retryAfterMillis());
+    }
+    assertEquals(Set.of(3000L, 4000L, 5000L, 6000L), Set.copyOf(delays));
+  }
+
   /**
    * The owner is lost with what it remembers of refused callers. They count as new at the next one,
    * whose refusals still leave them tries enough.
