--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -9,6 +9,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.call.RefusalCause;
 
 /**
  * Timeline of one job: its own events, and those events of its executors, of the fleet and changes
@@ -128,6 +129,12 @@
     if (before.number() == BatchLogEvent.RESERVATION_MADE.number()) {
       return "waited for the capacity reserved for it";
     }
+    if (before.number() == BatchLogEvent.JOB_REFUSED.number()) {
+      boolean forLoad = before.message().contains(" refused: " + RefusalCause.BACKLOG);
+      return forLoad
+          ? "refused for load, until the caller came back"
+          : "refused, until the caller came back";
+    }
     if (after.number() == BatchLogEvent.RUN_PLACED.number()
         || after.number() == BatchLogEvent.JOB_DEFERRED.number()
         || after.number() == BatchLogEvent.RESERVATION_MADE.number()
