--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlacementSpeedTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlacementSpeedTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
@@ -32,7 +33,11 @@
             fleet.executors.get(0), Math.log(speed),
             fleet.executors.get(1), Math.log(speed));
     return FleetCapacity.available(
-        fleet.executors, new PlannedTasks(), new SpeedClasses(speeds), NOW);
+        fleet.executors,
+        new PlannedTasks(),
+        new SpeedClasses(speeds),
+        SchedulingStatistics.none(),
+        NOW);
   }
 
   private WaitingStep waiting(int priority, BatchStep spec, StepTiming timing) {
