--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -17,10 +17,12 @@
   /** This VM is the owner but has not loaded all it needs; logged once a second. */
   TAKEOVER_UNDER_WAY(8005, "Take-over of epoch {} not complete after {} ms: waits for {}"),
   /** This VM claims ownership. */
-  OWNERSHIP_CLAIMED(8006,
+  OWNERSHIP_CLAIMED(
+      8006,
       "Ownership claimed after {} ms of silence; bounds: longest gap {} ms, usual gap {} ms, delay {} ms"),
   /** A job was accepted and stored. */
-  JOB_ACCEPTED(8010,
+  JOB_ACCEPTED(
+      8010,
       "Job {} accepted: queue {} organisation {} tasks {} work {} core-s chain {} ms objective {} ms"),
   /** A submission was refused. */
   JOB_REFUSED(8011, "Job {} refused: {}, come back after {} ms"),
@@ -33,7 +35,8 @@
   /** A job was submitted after it had been cancelled. */
   CANCELLED_JOB_ACCEPTED(8015, "Job {} accepted as cancelled: its cancel came before it"),
   /** A run was placed on an executor, and the placement is being stored. */
-  RUN_PLACED(8020,
+  RUN_PLACED(
+      8020,
       "Run {} placed on {} in rack {}: {}, waited {} ms of {} ms to spare, beside {} of its step, limit {}"),
   /** An executor confirmed the start of a run. */
   RUN_STARTED(8021, "Run {} started on {} after {} ms"),
@@ -46,10 +49,12 @@
   /** An executor reported a run that the owner does not know. */
   RUN_UNKNOWN(8025, "Run {} on {} is not wanted and is stopped"),
   /** A run was lost together with its executor. */
-  RUN_LOST_WITH_EXECUTOR(8026,
+  RUN_LOST_WITH_EXECUTOR(
+      8026,
       "Run {} was on {} when it was lost: {}, age at its last answer {}, {} other runs there"),
   /** A task is not started again, since it seems to crash the executors that run it. */
-  TASK_GIVEN_UP(8027,
+  TASK_GIVEN_UP(
+      8027,
       "Task {} given up: {} executors crashed soon after its start, {} later, {} were lost otherwise"),
   /** An order to stop a run was answered or timed out. */
   STOP_ORDER_ENDED(8028, "Stop of run {} on {}, order {}: {} after {} ms"),
@@ -78,68 +83,86 @@
   /** A stored record cannot be decoded. */
   RECORD_UNREADABLE(8040, "Record {} cannot be read: {}"),
   /** The operators have evacuated failure domains or given some back. */
-  EVACUATIONS_CHANGED(8041,
+  EVACUATIONS_CHANGED(
+      8041,
       "Evacuated failure domains: {}, before: {}; operators' stream read to {}, previous read {} ago"),
   /** No executor that the owner knows is in an evacuated failure domain. */
   EVACUATED_DOMAIN_UNKNOWN(8042, "No executor is in failure domain {}, which is evacuated"),
   /**
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
-  WAITS_FOR_EVACUATED_DOMAIN(8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  WAITS_FOR_EVACUATED_DOMAIN(
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
-  EXECUTOR_SPEED_CHANGED(8050,
+  EXECUTOR_SPEED_CHANGED(
+      8050,
       "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent"),
   /** An urgent gang could start, but ends earlier on faster executors that are expected soon. */
-  WAITS_FOR_FASTER_EXECUTORS(8051, "Job {} step {} waits for faster executors; waited {} ms, objective {} ms"),
+  WAITS_FOR_FASTER_EXECUTORS(
+      8051, "Job {} step {} waits for faster executors; waited {} ms, objective {} ms"),
   /** A run moves to another executor, since its own has become slow. */
   RUN_MOVES(8052, "Run {} moves away from {}, which works at {} percent; {} ms left there"),
   /** A run is stopped because such runs hold too much capacity while others wait. */
-  OVERLONG_RUN_STOPPED(8053, "Run {} on {} has taken {} percent of its expected time; such runs hold {} percent"),
+  OVERLONG_RUN_STOPPED(
+      8053, "Run {} on {} has taken {} percent of its expected time; such runs hold {} percent"),
   /** Evidence makes it likely that an executor fails the runs that it starts. */
   EXECUTOR_DOUBTED(8055, "Executor {} is doubted: {}, faulty with a probability of {} percent"),
   /** Runs that ended well outweigh the evidence against an executor. */
   EXECUTOR_TRUSTED(8056, "Executor {} is trusted again: runs there have ended well"),
   /** A step fails on executors that are not faulty, so that its job is the cause. */
-  JOB_FAILS_EVERYWHERE(8057,
+  JOB_FAILS_EVERYWHERE(
+      8057,
       "Step {} has failed on {} executors and is the cause itself; none of them is doubted for it"),
   /** Many executors became faulty at the same time. */
-  FAILURE_WAVE(8058, "Runs fail on {} percent of the executors on which runs ended in the last second"),
+  FAILURE_WAVE(
+      8058, "Runs fail on {} percent of the executors on which runs ended in the last second"),
   /** A run is placed on a doubted executor. */
-  DOUBTED_EXECUTOR_TRIED(8059, "Run {} is a trial of executor {}, faulty with a probability of {} percent"),
+  DOUBTED_EXECUTOR_TRIED(
+      8059, "Run {} is a trial of executor {}, faulty with a probability of {} percent"),
   /** An organisation uses more than its share while others wait; its jobs go behind theirs. */
-  SHARE_EXCEEDED(8060,
+  SHARE_EXCEEDED(
+      8060,
       "Organisation {} exceeds its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
   /** An organisation that exceeded its share keeps it again. */
-  SHARE_KEPT(8061,
+  SHARE_KEPT(
+      8061,
       "Organisation {} keeps its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
   /** A step waits behind later ones, since its organisation uses more than theirs. */
-  JOB_DEFERRED(8062,
+  JOB_DEFERRED(
+      8062,
       "Job {} waits behind later jobs: step {}, {} uses more of its share ({}) than {} ({}), whose"
           + " job {} starts"),
   /** A gang that does not fit yet has a reservation. */
-  RESERVATION_MADE(8063,
+  RESERVATION_MADE(
+      8063,
       "Job {} has a reservation: step {}, {} tasks on {} executors from rack {} on, expected in {} ms"),
   /** A gang has not started although its reservation began some time ago. */
-  RESERVATION_MISSED(8064, "Job {} has missed its reservation: step {}, expected {} ms ago; others go first"),
+  RESERVATION_MISSED(
+      8064, "Job {} has missed its reservation: step {}, expected {} ms ago; others go first"),
   /** A submission is refused since its job would start too late to be of use. */
-  START_TOO_LATE(8065,
+  START_TOO_LATE(
+      8065,
       "Job {} of organisation {} would start too late: in {} ms, useful for {} ms; ahead {} pool-s, refused earlier {} pool-s, drained {} pool-s per s"),
   /** A job that was refused before is admitted. */
-  REFUSED_JOB_ADMITTED(8066, "Job {} of organisation {} admitted after {} refusals, {} ms after the first"),
+  REFUSED_JOB_ADMITTED(
+      8066, "Job {} of organisation {} admitted after {} refusals, {} ms after the first"),
   /** More jobs are refused than the owner remembers; logged once a second. */
-  REFUSED_JOBS_FULL(8067,
+  REFUSED_JOBS_FULL(
+      8067,
       "More than {} refused jobs: the oldest of organisation {} count as new when they return"),
   /** Operators ask for a maintenance wave, or have changed it. */
   WAVE_ASKED(8070, "Maintenance wave {}: {} machines, at most {} away, due in {} ms, {} begun"),
   /** Operators have withdrawn a maintenance wave. */
   WAVE_WITHDRAWN(8071, "Maintenance wave {} withdrawn, {} machines may be away"),
   /** The executor of a machine of a wave gets no new runs. */
-  MACHINE_CLOSED(8072,
+  MACHINE_CLOSED(
+      8072,
       "Machine {} of wave {} closed: {} has {} runs, idle in {} ms; {} closed, {} of {} away, {} left, due in {} ms, work waits: {}"),
   /** Runs are stopped so that the maintenance of their machine can begin. */
   MACHINE_CLEARED(8073, "Machine {} of wave {} cleared of {} runs: {}, {} ms to spare"),
   /** The maintenance of a machine is called. */
-  MAINTENANCE_CALLED(8074, "Maintenance of machine {} for wave {} called, try {}: {}, {} of {} away"),
+  MAINTENANCE_CALLED(
+      8074, "Maintenance of machine {} for wave {} called, try {}: {}, {} of {} away"),
   /** A maintenance call has ended. */
   MAINTENANCE_CALL_ENDED(8075, "Maintenance of machine {} for wave {}, try {}: {} after {} ms"),
   /** A machine whose maintenance was called is up. */
@@ -147,7 +170,8 @@
   /** Each machine of a wave that still exists has begun its maintenance. */
   WAVE_COMPLETED(8077, "Maintenance wave {} completed after {} ms: {} begun, {} gone"),
   /** A wave makes no progress, or its deadline has passed; logged every 10 s. */
-  WAVE_DELAYED(8078, "Maintenance wave {} waits: {} left, {} closed, {} of {} away, due in {} ms; {}"),
+  WAVE_DELAYED(
+      8078, "Maintenance wave {} waits: {} left, {} closed, {} of {} away, due in {} ms; {}"),
   /** The list of machines cannot be read; logged every 10 s. */
   MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}");
 
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -0,0 +1,364 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.PlannedUsage;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
+
+/** The state of one plan while it is made. */
+final class PlanPass {
+
+  /**
+   * How long other work waits for a placement near its data, in multiples of its estimated
+   * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
+   */
+  private static final int NEARNESS_WAIT_DURATIONS = 8;
+
+  /**
+   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
+   * without waiting for others to stop.
+   */
+  private static final double URGENT_RESERVE_SHARE = 0.35;
+
+  /**
+   * The same share for work whose spare time is almost used up. It is not zero, since urgent work
+   * soon preempts what starts in the reserved capacity.
+   */
+  private static final double NEARLY_LATE_RESERVE_SHARE = 0.25;
+
+  /**
+   * Work that has waited this long while more than half of the fleet is free may use the capacity
+   * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
+   */
+  private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
+  /**
+   * Work that has waited this long in an idle fleet may also start away from its data. The time
+   * exceeds the duration of most jobs, since a start elsewhere after a shorter wait would still end
+   * later than one near the data.
+   */
+  private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
+
+  /**
+   * How long a step with one attempt left waits for runs to end well somewhere if there is no
+   * proven executor at all. Most runs take less than this time.
+   */
+  private static final long PROOF_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
+
+  private final FleetCapacity available;
+  private final FleetCapacity expected;
+  private final FleetCapacity total;
+  private final PlannedTasks planned = new PlannedTasks();
+  private final List<TaskPlacement> starts = new ArrayList<>();
+  private final List<Planner.Preemption> stops = new ArrayList<>();
+  private final List<WaitingStep> deferred = new ArrayList<>();
+
+  private final PlannedUsage usage;
+  private final NearlyLateUse nearlyLateUse;
+  private final Preemptor preemptor;
+  private final RunForecast forecast;
+  private final FasterPlace fasterPlace;
+  private final PlanReservations reservations;
+  private final SchedulingStatistics statistics;
+  private final long guaranteedNearnessWaitNanos;
+
+  /** Whether reservations limit the step that is being planned. */
+  private boolean limited;
+
+  PlanPass(
+      Collection<ExecutorState> executors,
+      SpeedClasses speeds,
+      PlannedUsage usage,
+      NearlyLateUse nearlyLateUse,
+      Preemptor preemptor,
+      RunForecast forecast,
+      SchedulingStatistics statistics,
+      ReservationBook reservationBook,
+      long guaranteedNearnessWaitNanos,
+      long nowNanos) {
+    this.usage = usage;
+    this.nearlyLateUse = nearlyLateUse;
+    this.preemptor = preemptor;
+    this.forecast = forecast;
+    this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
+    this.statistics = statistics;
+    this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
+    available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
+    expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
+    total = FleetCapacity.total(executors, planned, statistics, nowNanos);
+    for (ExecutorState executor : executors) {
+      for (LiveRun run : executor.runs()) {
+        // What ends by itself is free as early as what is stopped now.
+        if (run.stage() == Stage.STOPPING || forecast.endsByItself(run)) {
+          expected.release(executor, run.demand());
+        }
+      }
+    }
+    reservations =
+        new PlanReservations(
+            available,
+            expected,
+            total,
+            new ExpectedEnds(executors, nowNanos, PlanReservations.HORIZON_NANOS),
+            reservationBook,
+            nowNanos);
+  }
+
+  void planStep(WaitingStep unrestricted) {
+    WaitingStep waiting = withRequirement(unrestricted);
+    limited = reservations.limit(waiting) && !idleFor(waiting, IDLE_WAIT_NANOS);
+    if (waiting.step().spec().gang()) {
+      planGang(waiting);
+    } else {
+      planTasks(waiting);
+    }
+  }
+
+  /** Adds how reliable the executors of a step must be. */
+  private WaitingStep withRequirement(WaitingStep waiting) {
+    StartReliability reliability = statistics.reliability();
+    if (!reliability.enabled() || firstStartIsDue(waiting)) {
+      return waiting;
+    }
+    StartRequirement requirement =
+        StartRequirement.of(waiting, reliability.newestFault(waiting.step()));
+    WaitingStep required = waiting.requiring(requirement);
+    boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
+    if (!requirement.proven() || mayBecomeProven) {
+      return required;
+    }
+    boolean possible = total.tightestGroup(required, wanted(waiting), false).isPresent();
+    return possible ? required : waiting.requiring(requirement.withoutProof());
+  }
+
+  private void planTasks(WaitingStep waiting) {
+    int allowedStarts = allowedStarts(waiting);
+    if (allowedStarts == 0) {
+      reservations.waitingAhead(waiting, waiting.tasks().size());
+      return;
+    }
+    List<TaskPlacement> placements =
+        open()
+            .firstGroup(waiting, nearOnly(waiting))
+            .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
+            .orElse(List.of());
+    placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
+    placements.forEach(this::start);
+    reservations.waitingAhead(waiting, waiting.tasks().size() - placements.size());
+    boolean incomplete = placements.size() < waiting.tasks().size();
+    if (incomplete && waiting.urgent()) {
+      // Evaluated again: these starts may have filled a fleet that was idle before, and only an
+      // idle fleet has capacity to spare for starts away from the data.
+      waitOrPreempt(waiting.withoutFirst(placements.size()), nearOnly(waiting));
+    }
+  }
+
+  private void planGang(WaitingStep waiting) {
+    if (allowedStarts(waiting) < waiting.tasks().size()) {
+      blocked(waiting);
+      return;
+    }
+    boolean nearOnly = nearOnly(waiting);
+    Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
+    if (now.isPresent()) {
+      Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
+      if (faster.isPresent() && !faster.get().free()) {
+        deferred.add(waiting);
+        faster.get().placements().forEach(this::reserve);
+      } else {
+        faster.map(FasterPlace.Place::placements).orElse(now.get()).forEach(this::start);
+      }
+      return;
+    }
+    if (!waitOrPreempt(waiting, nearOnly)) {
+      blocked(waiting);
+    }
+  }
+
+  private void blocked(WaitingStep waiting) {
+    if (reservations.mayReserve(waiting)) {
+      reservations.reserveLater(waiting, nearOnly(waiting), keptFree(waiting));
+    }
+  }
+
+  /** Returns what is free now for the step that is being planned. */
+  private FleetCapacity open() {
+    return limited ? reservations.available() : available;
+  }
+
+  /**
+   * Keeps capacity that is being freed for the step, or else preempts other runs for it.
+   *
+   * @return whether the step has capacity then
+   */
+  private boolean waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
+    if (!waiting.step().job().accepted()) {
+      return false;
+    }
+    FleetCapacity later = limited ? reservations.expected() : expected;
+    Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, later, nearOnly);
+    if (afterStops.isPresent()) {
+      afterStops.get().forEach(this::reserve);
+      return true;
+    }
+    if (!waiting.urgent() && !waiting.nearlyLate()) {
+      return false;
+    }
+    if (waitsForReliability(waiting, nearOnly)) {
+      return false;
+    }
+    Optional<Preemptor.Selection> selection = preemptor.choose(waiting, later, nearOnly);
+    if (selection.isPresent()) {
+      preemptor.markApplied(selection.get());
+      selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
+      selection.get().placements().forEach(this::reserve);
+    }
+    return selection.isPresent();
+  }
+
+  /**
+   * Tells whether a step that has time to wait would fit as soon as the present doubts are settled.
+   * That is sooner than preempted work is repeated. Last attempts do not wait.
+   */
+  private boolean waitsForReliability(WaitingStep waiting, boolean nearOnly) {
+    StartRequirement requirement = waiting.requirement();
+    boolean mayWait = !requirement.equals(StartRequirement.ANY) && !requirement.proven();
+    if (!mayWait || waiting.timing().nearlyLate()) {
+      return false;
+    }
+    WaitingStep soon = waiting.requiring(requirement.expectedSoon());
+    return expected.tightestGroup(soon, waiting.tasks().size(), nearOnly).isPresent();
+  }
+
+  /**
+   * Returns how many tasks of a step may start without using the capacity reserved for urgent work.
+   */
+  private int allowedStarts(WaitingStep waiting) {
+    int accelerators = waiting.step().spec().demand().accelerators();
+    if (waiting.urgent() || accelerators == 0) {
+      return Integer.MAX_VALUE;
+    }
+    if (idleFor(waiting, IDLE_WAIT_NANOS)) {
+      return Integer.MAX_VALUE;
+    }
+    int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
+    return limited ? Math.min(allowed, reservations.spareAccelerators() / accelerators) : allowed;
+  }
+
+  /** Returns the accelerators that a step leaves free for urgent work. */
+  private double keptFree(WaitingStep waiting) {
+    if (waiting.urgent()) {
+      return 0;
+    }
+    return total.accelerators()
+        * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
+  }
+
+  /** Tells whether a step has waited for some time although more than half of the fleet is free. */
+  private boolean idleFor(WaitingStep waiting, long nanos) {
+    return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total);
+  }
+
+  /**
+   * Tells whether a step has to start near its data: this is possible, and it has not waited for
+   * long.
+   */
+  private boolean nearOnly(WaitingStep waiting) {
+    if (mayStartAnywhere(waiting)) {
+      return false;
+    }
+    WaitingStep soon = waiting.requiring(waiting.requirement().expectedSoon());
+    return total.tightestGroup(soon, wanted(waiting), true).isPresent();
+  }
+
+  private static int wanted(WaitingStep waiting) {
+    return waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+  }
+
+  /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
+  private boolean firstStartIsDue(WaitingStep waiting) {
+    boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
+    return firstStart && waiting.timing().waitedNanos() > guaranteedNearnessWaitNanos;
+  }
+
+  private boolean mayStartAnywhere(WaitingStep waiting) {
+    if (idleFor(waiting, IDLE_NEARNESS_WAIT_NANOS)) {
+      return true;
+    }
+    StepTiming timing = waiting.timing();
+    if (firstStartIsDue(waiting)) {
+      return true;
+    }
+    long estimate = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+    double duration = estimate * forecast.expectedRatio(waiting);
+    return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
+  }
+
+  /**
+   * Places all tasks in the group with the least capacity to spare into which they fit; executors
+   * that are less reliable are used only if they do not fit elsewhere.
+   */
+  private static Optional<List<TaskPlacement>> placeInTightestGroup(
+      WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
+    WaitingStep strict = waiting.requiring(waiting.requirement().strict());
+    if (!strict.requirement().equals(waiting.requirement())) {
+      Optional<List<TaskPlacement>> reliable = place(strict, capacity, nearOnly);
+      if (reliable.isPresent()) {
+        return reliable;
+      }
+    }
+    return place(waiting, capacity, nearOnly);
+  }
+
+  private static Optional<List<TaskPlacement>> place(
+      WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
+    List<TaskProgress> tasks = waiting.tasks();
+    return capacity
+        .tightestGroup(waiting, tasks.size(), nearOnly)
+        .map(group -> FleetCapacity.placeTasks(waiting, tasks, group));
+  }
+
+  private void start(TaskPlacement placement) {
+    starts.add(placement);
+    reserve(placement);
+  }
+
+  private void reserve(TaskPlacement placement) {
+    planned.add(placement);
+    available.reserve(placement);
+    expected.reserve(placement);
+    reservations.reserve(placement, limited);
+    StepProgress step = placement.step();
+    usage.add(step.job().job().organisation(), step.spec().demand());
+  }
+
+  /** Returns where tasks start. */
+  List<TaskPlacement> starts() {
+    return List.copyOf(starts);
+  }
+
+  /** Returns the runs that are preempted. */
+  List<Planner.Preemption> stops() {
+    return List.copyOf(stops);
+  }
+
+  /** Returns the gangs that could start but wait for faster executors. */
+  List<WaitingStep> deferred() {
+    return List.copyOf(deferred);
+  }
+
+  /** Returns the reservations for gangs that do not fit yet. */
+  List<Reservation> reservations() {
+    return reservations.made();
+  }
+}
