A stopping VM never answers "not run" to a call that it sends afterwards

Cause: giveUpAll runs on the stopping thread, send on the event loop. Between the two reads of the call it could be answered with 503 and then be handed to an owner. One atomic state now tells whether a call is not run, may have run or is answered, and send does nothing once it is answered.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -123,7 +123,7 @@
     open.add(newCall);
     newCall.setDeadlineTimer(
         loop.schedule(
-            () -> newCall.answer(unanswered(newCall, RefusalCause.NO_OWNER)),
+            () -> giveUp(newCall, RefusalCause.NO_OWNER),
             patience.toNanos(),
             TimeUnit.NANOSECONDS));
     send(newCall, INITIAL_RETRY_DELAY, false);
@@ -134,14 +134,13 @@
    * Called as this VM stops before their deadlines.
    */
   void giveUpAll() {
-    open.forEach(call -> call.answer(unanswered(call, RefusalCause.STOPPING)));
+    open.forEach(call -> giveUp(call, RefusalCause.STOPPING));
   }
 
-  /** Returns the answer to a call for which none has come. */
-  private CallAnswer unanswered(OpenCall call, RefusalCause causeIfNotRun) {
-    return call.mayHaveRun()
-        ? new CallAnswer.Undecided(timeoutCause())
-        : retryDelays.refusal(causeIfNotRun, call.call());
+  /** Answers a call for which no answer has come. */
+  private void giveUp(OpenCall call, RefusalCause causeIfNotRun) {
+    call.giveUp(
+        new CallAnswer.Undecided(timeoutCause()), retryDelays.refusal(causeIfNotRun, call.call()));
   }
 
   private UndecidedCause timeoutCause() {
@@ -151,7 +150,9 @@
   private void send(OpenCall call, Duration delay, boolean mayBeAccepted) {
     Consumer<CallAnswer> onAnswer = answer -> handleAnswer(call, answer, delay, mayBeAccepted);
     Optional<OwnerLink> owner = link;
-    call.sent();
+    if (!call.beginSend()) {
+      return;
+    }
     if (view.deciding()) {
       local.call(call.call(), call.remaining(), onAnswer);
     } else if (owner.isPresent()) {
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/OpenCall.java
@@ -7,7 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
@@ -30,9 +30,20 @@
   private final Consumer<OpenCall> onAnswered;
   private final Consumer<CallAnswer> sink;
   private final MeterRegistry meters;
-  private final AtomicBoolean answered = new AtomicBoolean();
+
+  /**
+   * One variable for both facts, so that no call is answered as not run and sent to an owner
+   * afterwards.
+   */
+  private final AtomicReference<State> state = new AtomicReference<>(State.NOT_RUN);
+
   private volatile Optional<Future<?>> deadlineTimer = Optional.empty();
-  private volatile boolean mayHaveRun;
+
+  private enum State {
+    NOT_RUN,
+    MAY_HAVE_RUN,
+    ANSWERED
+  }
 
   /**
    * Opens a call.
@@ -65,23 +76,23 @@
     return call;
   }
 
-  /** Records that the call is handed to an owner, which may carry it out from now on. */
-  void sent() {
-    mayHaveRun = true;
+  /**
+   * Records that the call is handed to an owner, which may carry it out from now on.
+   *
+   * @return false if the call has been answered and must not be sent
+   */
+  boolean beginSend() {
+    return state.updateAndGet(now -> now == State.ANSWERED ? now : State.MAY_HAVE_RUN)
+        == State.MAY_HAVE_RUN;
   }
 
   /** Records that no owner has carried out the call, nor will. */
   void refused() {
-    mayHaveRun = false;
-  }
-
-  /** Returns whether an owner may have carried out the call. */
-  boolean mayHaveRun() {
-    return mayHaveRun;
+    state.compareAndSet(State.MAY_HAVE_RUN, State.NOT_RUN);
   }
 
   boolean answered() {
-    return answered.get();
+    return state.get() == State.ANSWERED;
   }
 
   /** Returns the time until the caller's deadline. */
@@ -91,9 +102,26 @@
 
   /** Answers the caller, unless the call has been answered already. */
   void answer(CallAnswer answer) {
-    if (!answered.compareAndSet(false, true)) {
-      return;
+    if (state.getAndSet(State.ANSWERED) != State.ANSWERED) {
+      finish(answer);
     }
+  }
+
+  /**
+   * Ends the call without an answer of an owner, unless it has been answered already.
+   *
+   * @param undecided the answer if an owner may have carried out the call
+   * @param notRun the answer if none has, nor will
+   */
+  void giveUp(CallAnswer undecided, CallAnswer notRun) {
+    switch (state.getAndSet(State.ANSWERED)) {
+      case NOT_RUN -> finish(notRun);
+      case MAY_HAVE_RUN -> finish(undecided);
+      case ANSWERED -> {}
+    }
+  }
+
+  private void finish(CallAnswer answer) {
     deadlineTimer.ifPresent(timer -> timer.cancel(false));
     onAnswered.accept(this);
     recordAnswer(answer, ticker.nanoTime() - startNanos);
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.entry.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -199,6 +200,23 @@
     assertEquals(List.of(refused(RefusalCause.STOPPING)), answers);
   }
 
+  /** Guards against a call that a stopping VM answers as not run and sends afterwards. */
+  @Test
+  void aCallThatWasAnsweredAsNotRunIsNotSent() {
+    OpenCall call =
+        new OpenCall(
+            SUBMIT_CALL,
+            clock.eventLoop().ticker(),
+            CALLER_TIMEOUT,
+            ended -> {},
+            answers::add,
+            new SimpleMeterRegistry());
+    call.giveUp(
+        new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT), refused(RefusalCause.STOPPING));
+    assertFalse(call.beginSend());
+    assertEquals(List.of(refused(RefusalCause.STOPPING)), answers);
+  }
+
   /** The owner may take a call that it has not answered yet, even if the link closes. */
   @Test
   void aStoppingVmLeavesACallUndecidedThatAnOwnerMayHaveCarriedOut() {
