An owner that is behind no longer causes 401 or 404 for a key or queue that the VM knows

Cause: an owner whose last read is up to 3 s old denies a key or queue declared since, and the VM passed that on although its own table has it. Such an answer becomes 503 STALE_CONFIGURATION if the VM has read the operators' records in the last 3 s. An older table proves nothing (the key may have been revoked), so then the answer of the owner stands.

--- a/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/CallerEdge.java
@@ -141,12 +141,26 @@
     String job = path.substring(route.get().pathPrefix().length());
     try {
       BatchCall call = parseCall(request, queue.name(), key, job);
-      port.call(call, CallerDeadline.of(request.headers()), sink);
+      Consumer<CallAnswer> checked =
+          current ? answer -> sink.accept(checked(answer, unknownKey, request)) : sink;
+      port.call(call, CallerDeadline.of(request.headers()), checked);
     } catch (MalformedMessageException e) {
       sink.accept(new CallAnswer.Malformed(e.getMessage()));
     }
   }
 
+  /**
+   * Returns the answer to a call whose queue this VM knows by a recent read. An owner that has not
+   * read the declaration of the queue or key yet denies them for up to 3 s, so the call is refused
+   * for a retry. An older table of this VM proves nothing against the owner.
+   */
+  private CallAnswer checked(CallAnswer answer, boolean unknownKey, FullHttpRequest request) {
+    boolean contradicted =
+        answer instanceof CallAnswer.NoSuchQueue
+            || (answer instanceof CallAnswer.UnknownKey && !unknownKey);
+    return contradicted ? refusal(RefusalCause.STALE_CONFIGURATION, request) : answer;
+  }
+
   private CallAnswer refusal(RefusalCause cause, FullHttpRequest request) {
     return retryDelays.refusal(cause, request.method().equals(HttpMethod.POST), request.uri());
   }
--- a/fescuehook/src/test/java/org/fescuehook/platform/StaleConfigurationTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/StaleConfigurationTest.java
@@ -52,6 +52,7 @@
   private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
   private final BlockingQueue<BatchCall> forwarded = new LinkedBlockingQueue<>();
   private final HttpClient client = HttpClient.newHttpClient();
+  private volatile CallAnswer ownerAnswer = new CallAnswer.Accepted();
   private CallerEdge edge;
   private InetSocketAddress address;
 
@@ -62,7 +63,7 @@
             loops,
             (call, timeout, sink) -> {
               forwarded.add(call);
-              sink.accept(new CallAnswer.Accepted());
+              sink.accept(ownerAnswer);
             },
             age,
             now::get,
@@ -124,4 +125,21 @@
         meters.counter("fescuehook.callers.refused", "cause", "stale-configuration").count();
     assertEquals(1, refused);
   }
+
+  /** Guards against 401 and 404 from an owner that has not read a declaration which the VM has. */
+  @Test
+  void aVmThatKnowsTheKeyAndQueueDoesNotPassOnThatTheOwnerDoesNot() throws Exception {
+    ownerAnswer = new CallAnswer.UnknownKey();
+    assertEquals(SERVICE_UNAVAILABLE, status("/q/00000000000000aa", "key"));
+    ownerAnswer = new CallAnswer.NoSuchQueue();
+    assertEquals(SERVICE_UNAVAILABLE, status("/q/00000000000000aa", "key"));
+  }
+
+  /** A VM with an old table may know a key that has been revoked since. */
+  @Test
+  void anOwnerThatReadTheStoreLaterOverrulesAnOldTable() throws Exception {
+    passSinceLastRead(Duration.ofMillis(3001));
+    ownerAnswer = new CallAnswer.UnknownKey();
+    assertEquals(UNAUTHORIZED, status("/q/00000000000000aa", "key"));
+  }
 }
