Document how refusal causes are forwarded; test a failed write before a refusal

CallCodec states that a forwarded BACKLOG arrives as OVERLOADED and STALE_CONFIGURATION as NO_CONFIGURATION. SlowOwnerTest covers a write that fails on the second connection, followed by a refusal over the first. ClusterEvacuations reports OperatorsRead after the evacuations that the read returned, as the event requires; it did so before them.

--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -117,7 +117,9 @@
 
   /**
    * Returns the name of a cause. VMs of earlier versions close the connection, with all its calls,
-   * on a cause that they do not know, so newer causes are sent as the older one that is nearest.
+   * on a cause that they do not know, so newer causes are sent as the older one that is nearest: a
+   * forwarded BACKLOG reaches the caller as OVERLOADED, STALE_CONFIGURATION as NO_CONFIGURATION.
+   * The log and metrics of the owner name the actual cause.
    */
   private static String wireName(RefusalCause cause) {
     return switch (cause) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
@@ -59,14 +59,17 @@
       return;
     }
     inTouchSince.putIfAbsent(vm, cluster.nowMillis());
-    if (cluster.nowMillis() % READ_MILLIS < BatchCluster.TICK_MILLIS) {
-      vm.deliver(new BatchEvent.OperatorsRead(cluster.nowMillis() * 1_000_000));
-    }
     if (!since.keySet().equals(known.get(vm))) {
       Set<FailureDomain> domains = new HashSet<>(since.keySet());
       known.put(vm, domains);
       cluster.in(cluster.faults.storeDelayMillis, () -> deliver(vm, domains));
     }
+    // After what was read, as the event requires.
+    long sentAt = cluster.nowMillis() * 1_000_000;
+    if (cluster.nowMillis() % READ_MILLIS < BatchCluster.TICK_MILLIS) {
+      cluster.in(
+          cluster.faults.storeDelayMillis, () -> vm.deliver(new BatchEvent.OperatorsRead(sentAt)));
+    }
   }
 
   private void deliver(BatchCluster.Vm vm, Set<FailureDomain> domains) {
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
@@ -223,6 +223,22 @@
     assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
   }
 
+  /**
+   * Guards against 504 for a call that was refused by the only owner that had it: the second
+   * connection did not take the call.
+   */
+  @Test
+  void passesARefusalOnIfTheSecondConnectionDidNotTakeTheCall() {
+    call();
+    peer.alive = false;
+    peer.writable = false;
+    advance(1000);
+    CallAnswer refused = new CallAnswer.Refused(RefusalCause.STORE_AWAY, 1000);
+    peer.answer(0, refused);
+    assertEquals(2, peer.connections.size());
+    assertEquals(List.of(refused), answers);
+  }
+
   /**
    * Guards against 504 for a call that was never sent: the caller's VM ends the call at the same
    * timeout as the link, and does not know whether it was sent.
