Admission: bounded memory, fewer refusals in doubt, refusals counted by try

- LoadMeter copied and extended a list with each admitted job, without bound while capacity is free.
Admitted jobs are kept only while the measured backlog is young enough to be used again.
- Earlier refused work counted against new jobs for up to half of their useful time, whenever its callers were to return.
It now counts from 2 s before to 2 s after that, for at most 4 s of what drains, and else only postpones returns.
Not counted: jobs refused five times, jobs refused for the store, jobs whose useful time has passed.
Before jobs that would overtake late work the former bound stays: without it noMoreIsAcceptedThanCanBeOfUse failed (44 pool-s, at most 39.45).
LoadDecisionTest checks these rules in place of the former one.
- A submission that a VM repeats before its caller was to return counts as the same try and gets the time left.
- A job that returns after its useful time is refused unless capacity is free, with 30 s.
- The guarantee exempts urgent jobs by the rule of the plan: while the need is within it.
- Owners that are behind with the configuration use the delays that span an outage; so do VMs without a recent one.
- admitted.later and event 8066 count stored jobs.
A failed sample of the load is not repeated with each step.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -12,7 +12,6 @@
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
-import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
@@ -280,7 +279,8 @@
       answer(event.ticket(), unknown);
     } else {
       Admission.Refusal refusal =
-          new Admission.Refusal(RefusalCause.STALE_CONFIGURATION, admission.retryAfterMillis());
+          admission.staleConfiguration(
+              event.call(), configurationAge.millis(context.nowNanos()), context);
       submissions.refuse(event.ticket(), event.call().subject(), refusal, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -89,7 +89,6 @@
             submit.job(),
             queue,
             caller.map(BatchOrganisation::name).orElse(""),
-            caller.map(BatchOrganisation::guaranteedAccelerators).orElse(0) > 0,
             submit.submission());
     Optional<Admission.Refusal> refusal =
         admission.refusal(job, event.patience(), contact, context);
@@ -130,7 +129,10 @@
     writer.putExpiring(
         JobCodec.jobKey(id),
         () -> Optional.of(JobCodec.encode(job.job())),
-        () -> accepted(job),
+        () -> {
+          accepted(job);
+          admission.stored(newJob.id(), outgoing);
+        },
         loss -> {
           jobs.withdraw(job);
           notAccepted(id, loss, retryAfter);
@@ -153,6 +155,7 @@
           jobs.registry().addEnded(id, cancelled, context.nowNanos());
           note(BatchLogEvent.CANCELLED_JOB_ACCEPTED, id);
           complete(id, new CallAnswer.Accepted());
+          admission.stored(id, outgoing);
         },
         loss -> notAccepted(id, loss, retryAfter),
         context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/Admission.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/Admission.java
@@ -1,9 +1,12 @@
 package org.fescuehook.logic.batch.admission;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchContext;
+import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.store.StateWriter;
@@ -141,6 +144,24 @@
         .orElseGet(this::retryAfterMillis);
   }
 
+  /**
+   * Returns the refusal of a call whose queue or key may have been declared since the operators'
+   * records were read.
+   */
+  public Refusal staleConfiguration(BatchCall call, long ageMillis, BatchContext context) {
+    long delay =
+        backlog
+            .filter(part -> call instanceof BatchCall.Submit)
+            .map(part -> part.refuseForConfiguration(call.subject(), ageMillis, context.nowNanos()))
+            .orElseGet(this::retryAfterMillis);
+    return new Refusal(RefusalCause.STALE_CONFIGURATION, delay);
+  }
+
+  /** Records that a job is stored. */
+  public void stored(String id, List<BatchCommand> outgoing) {
+    backlog.ifPresent(part -> part.stored(id, outgoing));
+  }
+
   /** Returns the retry delay for callers: an outage may last as long again as it has lasted. */
   public long retryAfterMillis() {
     return Math.clamp(storeAgeMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/BacklogAdmission.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/BacklogAdmission.java
@@ -1,7 +1,9 @@
 package org.fescuehook.logic.batch.admission;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.admission.RefusedJobs.RefusedJob;
@@ -71,25 +73,37 @@
     Optional<JobDemand> demand = load.demand(job);
     Optional<LoadDecision.TooLate> tooLate = demand.flatMap(known -> decide(job, known, context));
     if (tooLate.isPresent()) {
-      long delay = Math.clamp(tooLate.get().capacityMillis(), MIN_DELAY_MILLIS, MAX_DELAY_MILLIS);
+      // A return is of no use once the useful time has passed, so such a caller comes back last.
+      boolean useless = refused.find(job.id()).filter(known -> known.useless(now)).isPresent();
+      long capacity = useless ? MAX_DELAY_MILLIS : tooLate.get().capacityMillis();
+      long delay = Math.clamp(capacity, MIN_DELAY_MILLIS, MAX_DELAY_MILLIS);
       long scheduled = refused(job, demand, delay, now);
       note(job, tooLate.get(), context);
       return Optional.of(scheduled);
     }
-    demand.ifPresent(load::admitted);
-    refused.admitted(job.id(), now).ifPresent(earlier -> noteAdmitted(job, earlier, context));
+    demand.ifPresent(known -> load.admitted(known, now));
+    refused
+        .find(job.id())
+        .filter(known -> known.returnAt() - now > 0)
+        .ifPresent(known -> returns.remove(known.returnAt() / NANOS_PER_MILLI));
+    refused.admitted(job.id(), now);
     return Optional.empty();
   }
 
   private Optional<LoadDecision.TooLate> decide(
       NewJob job, JobDemand demand, BatchContext context) {
-    if (job.mayBeGuaranteed() || load.hasFreeCapacity(job, context)) {
+    if (load.mayBeGuaranteed(job) || load.hasFreeCapacity(job, context)) {
       return Optional.empty();
     }
     long now = context.nowNanos();
-    long firstAt = refused.find(job.id()).map(RefusedJob::firstAt).orElse(now);
-    double before = refused.workBefore(job.id(), demand, firstAt, now);
-    return LoadDecision.decide(demand, times(job), load.state(context), before, fairShares);
+    Optional<RefusedJob> earlier = refused.find(job.id());
+    long firstAt = earlier.map(RefusedJob::firstAt).orElse(now);
+    HeldWork before = refused.workBefore(job.id(), demand, firstAt, now);
+    LoadDecision.Times times =
+        earlier.filter(known -> known.useless(now)).isPresent()
+            ? LoadDecision.Times.PASSED
+            : times(job);
+    return LoadDecision.decide(demand, times, load.state(context), before, fairShares);
   }
 
   private static LoadDecision.Times times(NewJob job) {
@@ -105,15 +119,41 @@
   long refuseForStore(NewJob job, long outageAgeMillis, long now) {
     int refusals = refused.refusals(job.id()) + 1;
     long delay = OutageRetries.minDelayMillis(outageAgeMillis, refusals);
-    return refused(job, load.demand(job), delay, now);
+    return refused(job, Optional.empty(), delay, now);
+  }
+
+  /**
+   * Records that a submission is refused since its queue or key may have been declared while this
+   * VM could not read the operators' records, and returns the delay after which its caller shall
+   * retry.
+   */
+  long refuseForConfiguration(String id, long ageMillis, long now) {
+    long delay = OutageRetries.minDelayMillis(ageMillis, refused.refusals(id) + 1);
+    return refused(id, "", Optional.empty(), delay, now, Long.MAX_VALUE);
   }
 
   private long refused(NewJob job, Optional<JobDemand> demand, long minDelayMillis, long now) {
+    long useful = times(job).usefulMillis() * NANOS_PER_MILLI;
+    return refused(job.id(), job.organisation(), demand, minDelayMillis, now, useful);
+  }
+
+  private long refused(
+      String id,
+      String organisation,
+      Optional<JobDemand> demand,
+      long minDelayMillis,
+      long now,
+      long usefulNanos) {
+    // VMs repeat a submission while its caller waits; a repetition is no try of the caller.
+    Optional<RefusedJob> booked = refused.find(id).filter(known -> known.returnAt() - now > 0);
+    if (booked.isPresent()) {
+      return Math.ceilDiv(booked.get().returnAt() - now, NANOS_PER_MILLI);
+    }
     long delay = returns.add(now / NANOS_PER_MILLI, minDelayMillis);
     long returnAt = now + delay * NANOS_PER_MILLI;
     refused
-        .refused(job.id(), job.organisation(), demand, now, returnAt)
-        .ifPresent(organisation -> evictedFrom = Optional.of(organisation));
+        .refused(id, organisation, demand, now, returnAt, usefulNanos)
+        .ifPresent(largest -> evictedFrom = Optional.of(largest));
     return delay;
   }
 
@@ -129,15 +169,20 @@
         "%.3f".formatted(tooLate.ratePerSecond()));
   }
 
-  private static void noteAdmitted(NewJob job, RefusedJob earlier, BatchContext context) {
-    long millis = (context.nowNanos() - earlier.firstAt()) / NANOS_PER_MILLI;
-    context.note(
-        BatchLogEvent.REFUSED_JOB_ADMITTED,
-        job.id(),
-        job.organisation(),
-        earlier.refusals(),
-        millis);
-    context.count(
-        "fescuehook.batch.admitted.later", "refusals", String.valueOf(earlier.refusals()));
+  /** Tells that a job is stored which was refused before. */
+  void stored(String id, List<BatchCommand> outgoing) {
+    Optional<RefusedJob> earlier = refused.find(id);
+    if (earlier.isEmpty()) {
+      return;
+    }
+    RefusedJob job = earlier.get();
+    long millis = (nowNanos - job.firstAt()) / NANOS_PER_MILLI;
+    outgoing.add(
+        new BatchCommand.Note(
+            BatchLogEvent.REFUSED_JOB_ADMITTED,
+            List.of(id, job.organisation(), job.refusals(), millis)));
+    outgoing.add(
+        new BatchCommand.Count(
+            "fescuehook.batch.admitted.later", "refusals", String.valueOf(job.refusals())));
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/ConfigurationAge.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/ConfigurationAge.java
@@ -30,6 +30,12 @@
             known.isPresent() && known.getAsLong() - sentAt > 0 ? known : OptionalLong.of(sentAt));
   }
 
+  /** Returns the age of the last read; 0 if there was none. */
+  public long millis(long nowNanos) {
+    OptionalLong last = readAt.get();
+    return last.isPresent() ? Duration.ofNanos(nowNanos - last.getAsLong()).toMillis() : 0;
+  }
+
   /**
    * Returns whether the operators' records were read so recently that the configuration counts as
    * current.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadMeter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadMeter.java
@@ -48,6 +48,10 @@
   private Map<String, Double> occupied = Map.of();
   private long sampledAt;
   private LoadState state = LoadState.UNKNOWN;
+
+  /** Jobs admitted since the state was used, while it is young enough to be used again. */
+  private final List<JobDemand> admitted = new ArrayList<>();
+
   private long stateAt;
 
   /** Creates a meter that knows no rate yet. */
@@ -64,6 +68,9 @@
     if (now - sampledAt < SAMPLE_NANOS) {
       return;
     }
+    // Set first, so that a failed measurement is not repeated with each step.
+    long from = sampledAt;
+    sampledAt = now;
     measurePools(now);
     Map<String, Double> done = new HashMap<>(endedWork);
     Map<String, Double> share = new HashMap<>();
@@ -76,19 +83,18 @@
         double taken = pools.get(pool).share(run.demand());
         share.merge(pool, taken, Double::sum);
         if (run.stage() == Stage.RUNNING) {
-          done.merge(pool, taken * estimatedSeconds(run, now), Double::sum);
+          done.merge(pool, taken * estimatedSeconds(run, from, now), Double::sum);
         }
       }
     }
     for (String pool : pools.keySet()) {
       rates
           .computeIfAbsent(pool, name -> new DrainRate())
-          .add(sampledAt, now, done.getOrDefault(pool, 0.0), share.getOrDefault(pool, 0.0));
+          .add(from, now, done.getOrDefault(pool, 0.0), share.getOrDefault(pool, 0.0));
     }
     rates.keySet().retainAll(pools.keySet());
     endedWork.clear();
     occupied = share;
-    sampledAt = now;
   }
 
   private void measurePools(long now) {
@@ -103,17 +109,17 @@
   }
 
   /**
-   * Returns for how long a run worked within its estimate since the last measurement. Beyond its
-   * estimate it works off nothing of the backlog, which is measured in estimates.
+   * Returns for how long a run worked within its estimate in an interval. Beyond its estimate it
+   * works off nothing of the backlog, which is measured in estimates.
    */
-  private double estimatedSeconds(LiveRun run, long until) {
+  private double estimatedSeconds(LiveRun run, long from, long until) {
     if (run.runningSince().isEmpty()) {
       return 0;
     }
     long begun = run.runningSince().getAsLong();
-    long from = Math.max(0, sampledAt - begun);
-    long to = Math.min(until - begun, estimateNanos(run));
-    return Math.max(0, to - from) / NANOS_PER_SECOND;
+    long counted = Math.max(0, from - begun);
+    long worked = Math.min(until - begun, estimateNanos(run));
+    return Math.max(0, worked - counted) / NANOS_PER_SECOND;
   }
 
   private static long estimateNanos(LiveRun run) {
@@ -144,13 +150,37 @@
     if (context.nowNanos() - stateAt >= STATE_NANOS) {
       stateAt = context.nowNanos();
       state = new LoadState(waiting(context), knownRates(), usableShares());
+    } else if (!admitted.isEmpty()) {
+      state = state.with(admitted);
     }
+    admitted.clear();
     return state;
   }
 
-  /** Adds a job that was admitted to the backlog, until it is measured again. */
-  void admitted(JobDemand job) {
-    state = state.with(job);
+  /**
+   * Adds a job that was admitted to the backlog, until it is measured again. Nothing is kept while
+   * no decision needs the backlog, as while capacity is free.
+   */
+  void admitted(JobDemand job, long nowNanos) {
+    if (nowNanos - stateAt < STATE_NANOS) {
+      admitted.add(job);
+    } else {
+      admitted.clear();
+    }
+  }
+
+  /** Returns the number of admitted jobs that the next decision adds to the backlog. */
+  int admittedJobs() {
+    return admitted.size();
+  }
+
+  /** Tells whether the guarantee of its organisation may cover a new job. */
+  boolean mayBeGuaranteed(NewJob job) {
+    int accelerators =
+        job.submission().steps().stream()
+            .mapToInt(step -> step.demand().accelerators() * step.count())
+            .sum();
+    return plans.mayBeGuaranteed(job.organisation(), job.queue(), accelerators);
   }
 
   private List<LoadState.WaitingWork> waiting(BatchContext context) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadState.java
@@ -49,12 +49,19 @@
     }
   }
 
-  /** Returns the same state with a job that has been accepted since. */
-  LoadState with(JobDemand job) {
+  /** Returns the same state with jobs that have been accepted since. */
+  LoadState with(List<JobDemand> jobs) {
     List<WaitingWork> more = new ArrayList<>(waiting);
-    more.add(
-        new WaitingWork(
-            job.pool(), job.label(), job.rank(), Prospect.IN_TIME, job.organisation(), job.work()));
+    for (JobDemand job : jobs) {
+      more.add(
+          new WaitingWork(
+              job.pool(),
+              job.label(),
+              job.rank(),
+              Prospect.IN_TIME,
+              job.organisation(),
+              job.work()));
+    }
     return new LoadState(more, rates, usableShares);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/NewJob.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/NewJob.java
@@ -7,13 +7,5 @@
  * A job that is submitted and not known yet.
  *
  * @param organisation the organisation of its caller; an empty string if the call carried no key
- * @param guarantee whether the organisation is guaranteed accelerators
  */
-public record NewJob(
-    String id, JobQueue queue, String organisation, boolean guarantee, Submission submission) {
-
-  /** Tells whether the organisation's guarantee may cover the job. */
-  boolean mayBeGuaranteed() {
-    return guarantee && queue.priority() == 0;
-  }
-}
+public record NewJob(String id, JobQueue queue, String organisation, Submission submission) {}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/RefusedJobs.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/RefusedJobs.java
@@ -23,7 +23,7 @@
    */
   private static final long RETENTION_NANOS = Duration.ofSeconds(10).toNanos();
 
-  /** Time after its expected return for which capacity is kept for a job. */
+  /** Time before and after its expected return for which capacity is kept for a job. */
   private static final long RESERVATION_NANOS = Duration.ofSeconds(2).toNanos();
 
   private final Map<String, RefusedJob> jobs = new LinkedHashMap<>();
@@ -31,13 +31,31 @@
   /**
    * A refused job.
    *
-   * @param demand what it asks of the fleet; empty if that did not matter for its refusal
+   * @param demand what it asks of the fleet; empty if it was not refused for load
    * @param firstAt when it was first refused, monotonic time
    * @param refusals how often it was refused
    * @param returnAt when its caller is expected to return, monotonic time
+   * @param usefulNanos time from the first refusal after which it is of no use
    */
   record RefusedJob(
-      String organisation, Optional<JobDemand> demand, long firstAt, int refusals, long returnAt) {}
+      String organisation,
+      Optional<JobDemand> demand,
+      long firstAt,
+      int refusals,
+      long returnAt,
+      long usefulNanos) {
+
+    /** Tells whether its result would be of no use any more. */
+    boolean useless(long nowNanos) {
+      return nowNanos - firstAt >= usefulNanos;
+    }
+
+    private boolean expected(long nowNanos) {
+      return nowNanos - returnAt <= RESERVATION_NANOS
+          && refusals < OutageRetries.CALLER_TRIES
+          && !useless(nowNanos);
+    }
+  }
 
   /** Returns how often a job was refused. */
   int refusals(String id) {
@@ -60,12 +78,18 @@
    * @return the organisation that lost a job; empty if none did
    */
   Optional<String> refused(
-      String id, String organisation, Optional<JobDemand> demand, long nowNanos, long returnAt) {
+      String id,
+      String organisation,
+      Optional<JobDemand> demand,
+      long nowNanos,
+      long returnAt,
+      long usefulNanos) {
     Optional<RefusedJob> earlier = find(id);
     long firstAt = earlier.map(RefusedJob::firstAt).orElse(nowNanos);
     // Moves the job to the end of the order.
     jobs.remove(id);
-    jobs.put(id, new RefusedJob(organisation, demand, firstAt, refusals(earlier) + 1, returnAt));
+    int refusals = refusals(earlier) + 1;
+    jobs.put(id, new RefusedJob(organisation, demand, firstAt, refusals, returnAt, usefulNanos));
     return jobs.size() > MAX_JOBS ? Optional.of(evictOne()) : Optional.empty();
   }
 
@@ -107,7 +131,8 @@
                     Optional.empty(),
                     job.firstAt(),
                     job.refusals(),
-                    nowNanos)));
+                    nowNanos,
+                    job.usefulNanos())));
     return known;
   }
 
@@ -119,21 +144,24 @@
   /**
    * Returns the work of the refused jobs that go before a job: they have been refused for longer,
    * are of the same or a better rank and compete for the same executors, and their callers are
-   * still expected.
+   * still expected: they have a try left, and the work is still of use.
    *
    * @param firstAt since when the job has been refused, or the time now if it has not
    */
-  double workBefore(String id, JobDemand job, long firstAt, long nowNanos) {
-    double work = 0;
+  HeldWork workBefore(String id, JobDemand job, long firstAt, long nowNanos) {
+    double due = 0;
+    double all = 0;
     for (Map.Entry<String, RefusedJob> entry : jobs.entrySet()) {
       RefusedJob other = entry.getValue();
-      boolean expected = nowNanos - other.returnAt() <= RESERVATION_NANOS;
+      boolean expected = other.expected(nowNanos);
       boolean longer = other.firstAt() - firstAt < 0 && !entry.getKey().equals(id);
       if (expected && longer && other.demand().filter(demand -> before(demand, job)).isPresent()) {
-        work += other.demand().get().work();
+        double work = other.demand().get().work();
+        all += work;
+        due += other.returnAt() - nowNanos <= RESERVATION_NANOS ? work : 0;
       }
     }
-    return work;
+    return new HeldWork(due, all);
   }
 
   private static boolean before(JobDemand demand, JobDemand job) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/ReturnSchedule.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/ReturnSchedule.java
@@ -49,6 +49,12 @@
     return delay + (best - first) * MILLIS_PER_SECOND;
   }
 
+  /** Removes the return of a caller that came earlier, at the time at which it was expected. */
+  void remove(long returnMillis) {
+    returnsBySecond.computeIfPresent(
+        second(returnMillis), (second, count) -> count > 1 ? count - 1 : null);
+  }
+
   private int returns(long second) {
     return returnsBySecond.getOrDefault(second, 0);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -185,6 +185,17 @@
     return coveredByGuarantee ? Rank.GUARANTEED : Rank.ofPriority(queue.priority());
   }
 
+  /**
+   * Returns whether the guarantee of an organisation may cover a new job, by the rule for the rank
+   * of accepted jobs. The need is that of the last plan; a job without accelerators counts as
+   * covered while it is within the guarantee, so that in doubt it is accepted.
+   */
+  public boolean mayBeGuaranteed(String organisation, JobQueue queue, int accelerators) {
+    int guaranteed = jobs.configuration().guaranteedAccelerators(organisation);
+    int needed = guaranteedNeed.getOrDefault(organisation, 0) + accelerators;
+    return queue.priority() == 0 && guaranteed > 0 && needed <= guaranteed;
+  }
+
   /** Returns the number of accelerators that the open jobs of priority 0 need, by organisation. */
   private Map<String, Integer> guaranteedNeed() {
     Map<String, Integer> need = new HashMap<>();
