Log of reservations: a missed reservation is counted from the reservation that counts in the plan

Cause: ReservationLog measured 8064 from the first reservation that a gang ever had, also if it had lost that one to a gang before it, so 8064 could come while its reservation was in force.

Change: the log follows ReservationBook: it forgets a reservation that the plan no longer makes, and begins anew after the pause. 8063 is still logged once for each step.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReservationLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReservationLog.java
@@ -1,7 +1,6 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.util.Collections;
-import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +15,17 @@
 
   private static final String METRIC = "fescuehook.batch.reservations";
 
+  /** Gangs whose reservation has been logged, as long as they wait. */
+  private final Set<StepProgress> announced = newSet();
+
+  /** The reservations that gangs had first, as {@link ReservationBook} counts them. */
   private final Map<StepProgress, Reservation> first = new IdentityHashMap<>();
-  private final Set<StepProgress> missed = Collections.newSetFromMap(new IdentityHashMap<>());
+
+  private final Set<StepProgress> missed = newSet();
+
+  private static Set<StepProgress> newSet() {
+    return Collections.newSetFromMap(new IdentityHashMap<>());
+  }
 
   /**
    * Logs what a plan shows.
@@ -25,11 +33,22 @@
    * @param waiting the steps that waited when the plan was made
    */
   void check(List<WaitingStep> waiting, Planner.Plan plan, BatchContext context) {
-    if (first.isEmpty() && plan.reservations().isEmpty()) {
+    if (announced.isEmpty() && plan.reservations().isEmpty()) {
       return;
     }
-    plan.reservations().forEach(reservation -> logMade(reservation, context));
-    Set<StepProgress> started = new HashSet<>();
+    Set<StepProgress> reserved = newSet();
+    for (Reservation reservation : plan.reservations()) {
+      StepProgress step = reservation.waiting().step();
+      reserved.add(step);
+      if (missed.remove(step)) {
+        first.remove(step);
+      }
+      first.putIfAbsent(step, reservation);
+      if (announced.add(step)) {
+        logMade(reservation, context);
+      }
+    }
+    Set<StepProgress> started = newSet();
     plan.starts().forEach(start -> started.add(start.step()));
     for (Reservation reservation : List.copyOf(first.values())) {
       StepProgress step = reservation.waiting().step();
@@ -37,26 +56,33 @@
       if (started.contains(step)) {
         count("started", context);
         first.remove(step);
-      } else if (overdue > ReservationBook.GRACE_NANOS && missed.add(step)) {
-        count("missed", context);
-        context.note(
-            BatchLogEvent.RESERVATION_MISSED,
-            step.job().job().id(),
-            step.number(),
-            TimeUnit.NANOSECONDS.toMillis(overdue));
+      } else if (!reserved.contains(step)) {
+        logAbsent(step, overdue, context);
       }
     }
-    Set<StepProgress> present = Collections.newSetFromMap(new IdentityHashMap<>());
+    Set<StepProgress> present = newSet();
     waiting.forEach(step -> present.add(step.step()));
+    announced.retainAll(present);
     first.keySet().retainAll(present);
-    missed.retainAll(first.keySet());
+    missed.retainAll(present);
+  }
+
+  /** Handles a gang that has a reservation no more and does not start. */
+  private void logAbsent(StepProgress step, long overdue, BatchContext context) {
+    if (overdue <= ReservationBook.GRACE_NANOS) {
+      first.remove(step);
+    } else if (missed.add(step)) {
+      count("missed", context);
+      context.note(
+          BatchLogEvent.RESERVATION_MISSED,
+          step.job().job().id(),
+          step.number(),
+          TimeUnit.NANOSECONDS.toMillis(overdue));
+    }
   }
 
   private void logMade(Reservation reservation, BatchContext context) {
     StepProgress step = reservation.waiting().step();
-    if (first.putIfAbsent(step, reservation) != null) {
-      return;
-    }
     count("made", context);
     context.note(
         BatchLogEvent.RESERVATION_MADE,
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReservationPlanTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReservationPlanTest.java
@@ -8,6 +8,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.fescuehook.logic.batch.BatchCommand;
+import org.fescuehook.logic.batch.BatchContext;
+import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.model.event.NumberedEvent;
 import org.fescuehook.model.fleet.RackId;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
@@ -109,6 +113,31 @@
     assertEquals(3, fleet.planAt(NOW + 7 * SECOND).starts().size());
   }
 
+  /**
+   * Guards against a log that repeats a reservation with each plan, or names one as missed early.
+   */
+  @Test
+  void eachMissedReservationIsLoggedOnce() {
+    submitGang(fleet);
+    ReservationLog log = new ReservationLog();
+    assertEquals(List.of(BatchLogEvent.RESERVATION_MADE), logged(log, 0));
+    assertEquals(List.of(), logged(log, 6));
+    assertEquals(List.of(BatchLogEvent.RESERVATION_MISSED), logged(log, 7));
+    assertEquals(List.of(), logged(log, 8));
+    assertEquals(List.of(), logged(log, 12));
+    assertEquals(List.of(), logged(log, 18));
+    assertEquals(List.of(BatchLogEvent.RESERVATION_MISSED), logged(log, 19));
+  }
+
+  private List<NumberedEvent> logged(ReservationLog log, long second) {
+    BatchContext context = new BatchContext(NOW + second * SECOND, 0);
+    log.check(fleet.waiting, fleet.planAt(context.nowNanos()), context);
+    return context.commands().stream()
+        .filter(BatchCommand.Note.class::isInstance)
+        .map(command -> ((BatchCommand.Note) command).event())
+        .toList();
+  }
+
   /** Users accept capacity that is idle for at most 3 s while work waits. */
   @Test
   void workThatWaitsInAnIdleFleetIsNotLimited() {
