--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobRegistry;
+import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -327,5 +328,6 @@
                 evacuated.get(),
                 List.copyOf(listed.values()),
                 context));
+    done.record(SpeedRecord.KEY).ifPresent(owner.get()::restoreSpeeds);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -25,6 +25,7 @@
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -61,6 +62,7 @@
 
   private final BatchPreferences preferences;
   private final StateWriter writer;
+  private final SchedulingStatistics statistics;
   private final Admission admission;
   private final ExecutorDuty executors;
   private final JobLifecycle jobs;
@@ -85,7 +87,7 @@
     this.preferences = preferences;
     this.writer = new StateWriter(epoch, context);
     this.admission = new Admission(writer, preferences);
-    SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
+    this.statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
     this.executors =
         new ExecutorDuty(
@@ -108,6 +110,11 @@
     jobs.retireEnded(context);
   }
 
+  /** Begins with the speeds of executors that a former owner has stored. */
+  void restoreSpeeds(byte[] record) {
+    statistics.speeds().restore(record);
+  }
+
   /** Returns whether an executor or the store reported a higher epoch, hence a newer owner. */
   boolean fenced() {
     return fenced;
@@ -192,6 +199,7 @@
       plans.step(context);
     }
     removeExpired(context);
+    storeSpeeds(context);
     writer.flush(context);
     outgoing.forEach(context::add);
     outgoing.clear();
@@ -207,6 +215,17 @@
     }
   }
 
+  /** Stores the speeds with other changes, so that they cost no append of their own. */
+  private void storeSpeeds(BatchContext context) {
+    if (admission.stopping() || writer.idle()) {
+      return;
+    }
+    statistics
+        .speeds()
+        .nextRecord(context.nowNanos())
+        .ifPresent(record -> writer.put(SpeedRecord.KEY, () -> Optional.of(record), () -> {}));
+  }
+
   private void removeExpired(BatchContext context) {
     Optional<String> removed =
         jobs.registry()
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -185,6 +185,11 @@
     return sorted(registry);
   }
 
+  /** Returns a loaded record by its key; empty if there is none. */
+  Optional<byte[]> record(String key) {
+    return Optional.ofNullable(records.get(key));
+  }
+
   private void decode(String key, byte[] value, JobRegistry registry, BatchContext context)
       throws UnreadableRecordException {
     Optional<String> accepted = JobCodec.jobOf(key);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/RunForecast.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/RunForecast.java
@@ -11,8 +11,11 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  /** Age of the last report from which on the progress of a run says nothing about its end. */
-  private static final long MAX_REPORT_AGE_NANOS = 2_000 * NANOS_PER_MILLI;
+  /**
+   * Time without progress after which the earlier progress of a run says nothing about its end: its
+   * executor reports once a second and may hang.
+   */
+  private static final long MAX_STANDSTILL_NANOS = 1_500 * NANOS_PER_MILLI;
 
   private final RunTimes runTimes;
   private final Predicate<LiveRun> useless;
@@ -48,7 +51,7 @@
     return enabled()
         && run.stage() == LiveRun.Stage.RUNNING
         && run.percent() > 0
-        && nowNanos - run.reportedAt() < MAX_REPORT_AGE_NANOS
+        && nowNanos - run.advancedAt() < MAX_STANDSTILL_NANOS
         && run.step().spec().longRunning().isEmpty()
         && leftNanos(run) <= nanos;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -34,6 +34,7 @@
   private int orders;
   private int percent;
   private long reportedAt;
+  private long advancedAt;
   private boolean evaluated;
   private boolean throttled;
   private Optional<WasteCause> wasteCause = Optional.empty();
@@ -60,6 +61,7 @@
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
     this.reportedAt = nowNanos;
+    this.advancedAt = nowNanos;
   }
 
   /**
@@ -262,6 +264,9 @@
 
   /** Records the progress that the executor reports. */
   public void progressed(int newPercent, long nowNanos) {
+    if (newPercent > percent) {
+      advancedAt = nowNanos;
+    }
     percent = newPercent;
     reportedAt = nowNanos;
   }
@@ -294,6 +299,11 @@
     return reportedAt;
   }
 
+  /** Returns when a report last showed more progress than before, monotonic time. */
+  public long advancedAt() {
+    return advancedAt;
+  }
+
   /** Returns its average speed up to the last report, in percent of its work per second. */
   public double speed() {
     return percent * NANOS_PER_SECOND / Math.max(1, reportedAt - stageSince);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorSpeeds.java
@@ -43,6 +43,13 @@
   private final boolean enabled;
   private final FleetSpeeds fleet = new FleetSpeeds();
   private final SpeedEvidence evidence = new SpeedEvidence(fleet);
+
+  /**
+   * Whether the members of a gang have been seen to progress on their own, as all gangs do then.
+   */
+  private boolean gangsProgressSeparately;
+
+  private final SpeedRecord stored = new SpeedRecord();
   private final Map<String, QueueBias> queues = new LinkedHashMap<>();
   private final Map<StepProgress, StepObservation> steps = new WeakHashMap<>();
 
@@ -66,14 +73,14 @@
    */
   public double logSpeed(Incarnation executor, long nowNanos) {
     return enabled
-        ? fleet.find(executor).map(known -> evidence.speed(known, nowNanos)).orElse(0.0)
+        ? fleet.find(executor, nowNanos).map(known -> evidence.speed(known, nowNanos)).orElse(0.0)
         : 0;
   }
 
   /** Returns the same without a temporary slowdown. */
   public double logLastingSpeed(Incarnation executor, long nowNanos) {
     return enabled
-        ? fleet.find(executor).map(known -> fleet.lasting(known, nowNanos)).orElse(0.0)
+        ? fleet.find(executor, nowNanos).map(known -> fleet.lasting(known, nowNanos)).orElse(0.0)
         : 0;
   }
 
@@ -102,6 +109,20 @@
     return (int) Math.ceil(logSpeed / CLASS_WIDTH);
   }
 
+  /** Begins with the record that a former owner has stored. */
+  public void restore(byte[] record) {
+    if (enabled) {
+      fleet.restore(SpeedRecord.decode(record));
+    }
+  }
+
+  /** Returns the record to store for the next owner; absent if none is due. */
+  public Optional<byte[]> nextRecord(long nowNanos) {
+    return enabled && stored.due(nowNanos)
+        ? stored.next(fleet.classes(nowNanos), fleet.differ(nowNanos), nowNanos)
+        : Optional.empty();
+  }
+
   /** Learns from the reported progress of a run. */
   public void progressed(ExecutorState executor, LiveRun run, BatchContext context) {
     if (!enabled || !comparable(executor, run) || run.percent() >= WHOLE_PERCENT) {
@@ -117,7 +138,7 @@
       return;
     }
     if (run.step().spec().gang()) {
-      GangProgress gang = step(run).gang(run.run().number());
+      GangProgress gang = step(run).gang(run.run().number(), gangsProgressSeparately);
       // The slowest member ends the gang, so that the end shows nothing about the others.
       if (gang.separate() || !gang.firstEnd()) {
         return;
@@ -181,10 +202,11 @@
     if (!complete) {
       return;
     }
-    GangProgress gang = step.gang(run.run().number());
+    GangProgress gang = step.gang(run.run().number(), gangsProgressSeparately);
     boolean together = !gang.separate();
     if (gang.separate(percent)) {
       if (together) {
+        gangsProgressSeparately = true;
         members.forEach(
             member -> fleet.estimate(member.incarnation(), context.nowNanos()).withdrawNormal());
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
@@ -30,6 +30,15 @@
 
   private static final double MIN_VARIANCE = 1e-4;
 
+  /** Variance of a mean that forgets old observations, relative to the inverse of its weight. */
+  private static final double NOISE_SHARE = 0.5;
+
+  /** Weight from which on a speed is worth storing: about two runs. */
+  private static final double MIN_RECORDED_WEIGHT = 5;
+
+  /** Weight of a stored speed, which is less than it had, as the executor may have changed. */
+  private static final double RESTORED_WEIGHT = 15;
+
   private final Map<ExecutorId, SpeedEstimate> estimates =
       new LinkedHashMap<>() {
         @Override
@@ -38,22 +47,57 @@
         }
       };
 
+  /** Classes of speeds that a former owner stored, by the hash of the incarnation. */
+  private Map<Integer, Integer> restored = Map.of();
+
   private double center;
   private double variance = INITIAL_VARIANCE;
   private long spreadAt = Long.MIN_VALUE / 2;
 
+  /** Begins with the speeds that a former owner stored. */
+  void restore(Map<Integer, Integer> classes) {
+    restored = Map.copyOf(classes);
+  }
+
+  /** Tells whether any executor differs from the usual speed by more than the noise. */
+  boolean differ(long nowNanos) {
+    return estimates.values().stream()
+        .anyMatch(estimate -> ExecutorSpeeds.speedClass(lasting(estimate, nowNanos)) != 0);
+  }
+
+  /**
+   * Returns the classes of the speeds of the executors about which enough is known, as observed:
+   * who reads them draws them towards the mean of the fleet again.
+   */
+  Map<Incarnation, Integer> classes(long nowNanos) {
+    Map<Incarnation, Integer> classes = new LinkedHashMap<>();
+    for (SpeedEstimate estimate : estimates.values()) {
+      if (estimate.weight(nowNanos) >= MIN_RECORDED_WEIGHT) {
+        classes.put(estimate.incarnation(), ExecutorSpeeds.speedClass(lasting(estimate, nowNanos)));
+      }
+    }
+    return classes;
+  }
+
   /** Returns the estimate of an executor; begins anew if it has another incarnation. */
   SpeedEstimate estimate(Incarnation incarnation, long nowNanos) {
     SpeedEstimate known = estimates.get(incarnation.id());
     if (known == null || incarnation.differsFrom(known.incarnation())) {
       known = new SpeedEstimate(incarnation, nowNanos);
+      Integer speed = restored.get(SpeedRecord.hash(incarnation));
+      if (speed != null) {
+        known.restore(ExecutorSpeeds.logOfClass(speed), RESTORED_WEIGHT, nowNanos);
+      }
       estimates.put(incarnation.id(), known);
     }
     return known;
   }
 
-  /** Finds the estimate of an executor. */
-  Optional<SpeedEstimate> find(Incarnation incarnation) {
+  /** Finds the estimate of an executor about which something is known. */
+  Optional<SpeedEstimate> find(Incarnation incarnation, long nowNanos) {
+    if (restored.containsKey(SpeedRecord.hash(incarnation))) {
+      return Optional.of(estimate(incarnation, nowNanos));
+    }
     return Optional.ofNullable(estimates.get(incarnation.id()))
         .filter(known -> !incarnation.differsFrom(known.incarnation()));
   }
@@ -89,7 +133,7 @@
       double share = share(estimate, nowNanos);
       if (share > 0) {
         double deviation = estimate.mean() - center;
-        squares += share * (deviation * deviation - 1 / estimate.weight(nowNanos));
+        squares += share * (deviation * deviation - NOISE_SHARE / estimate.weight(nowNanos));
       }
     }
     variance = Math.max(MIN_VARIANCE, squares / (shares + INITIAL_VARIANCE_WEIGHT));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/GangProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/GangProgress.java
@@ -20,8 +20,14 @@
   private boolean ended;
   private Optional<ProgressWindow> window = Optional.empty();
 
-  GangProgress(int run) {
+  /**
+   * Creates the progress of a run of a gang.
+   *
+   * @param separate whether its members are expected to progress on their own
+   */
+  GangProgress(int run, boolean separate) {
     this.run = run;
+    this.separate = separate;
   }
 
   int run() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEstimate.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEstimate.java
@@ -25,6 +25,9 @@
   /** Largest change of the slowdown by one report: a factor of two. */
   private static final double MAX_SLOWDOWN_CHANGE = Math.log(2);
 
+  /** Largest weight, so that the estimate follows about the last ten runs. */
+  private static final double MAX_WEIGHT = 25;
+
   /** After this time without new observations, half of the evidence counts no more. */
   private static final double HALF_LIFE_NANOS = Duration.ofSeconds(120).toNanos();
 
@@ -82,13 +85,20 @@
    * @param precision inverse of the variance of the observation
    */
   void learn(double observed, double precision, long nowNanos) {
-    weight = weight(nowNanos) + precision;
+    weight = Math.min(MAX_WEIGHT, weight(nowNanos) + precision);
     learnedAt = nowNanos;
-    double change = (observed - mean) * precision / weight;
+    double change = (observed - mean) * Math.min(1, precision / weight);
     mean += Math.clamp(change, -MAX_LASTING_CHANGE, MAX_LASTING_CHANGE);
     mean = Math.clamp(mean, -MAX_LASTING, MAX_LASTING);
   }
 
+  /** Begins with what a former owner has learned. */
+  void restore(double storedMean, double storedWeight, long nowNanos) {
+    mean = Math.clamp(storedMean, -MAX_LASTING, MAX_LASTING);
+    weight = storedWeight;
+    learnedAt = nowNanos;
+  }
+
   /** Returns the temporary slowdown as a logarithm; 0 if there is none. */
   double slowdown(long nowNanos) {
     return nowNanos - slowdownSeenAt < SLOWDOWN_RETENTION_NANOS ? slowdown : 0;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEvidence.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedEvidence.java
@@ -40,8 +40,11 @@
   /** Share of the slowness of a single run that counts for its executor. */
   private static final double SINGLE_SHARE = 0.4;
 
-  /** Share of the evidence that counts for a member that a fast gang shows to be fast enough. */
-  private static final double LOWER_BOUND_SHARE = 0.5;
+  /**
+   * Share of the evidence that counts for the slowest member of a gang. A fast gang proves that all
+   * its members are fast, while a slow one leaves open which of them is slow.
+   */
+  private static final double SLOWEST_SHARE = 0.5;
 
   private final FleetSpeeds fleet;
 
@@ -119,9 +122,10 @@
       executor.learn(shown, 1 / noise, nowNanos);
     } else if (speed < shown) {
       // The gang shows that each of its executors is at least as fast as it is.
-      executor.learn(shown, LOWER_BOUND_SHARE / noise, nowNanos);
+      executor.learn(shown, 1 / noise, nowNanos);
     } else if (shown < slowest) {
-      executor.learn(shown, shareOfSlowest(speed, executors, slowest, nowNanos) / noise, nowNanos);
+      double share = SLOWEST_SHARE * shareOfSlowest(speed, executors, slowest, nowNanos);
+      executor.learn(shown, share / noise, nowNanos);
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StepObservation.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StepObservation.java
@@ -15,7 +15,7 @@
 
   private final QueueBias queue;
   private final Map<LiveRun, ProgressWindow> windows = new WeakHashMap<>();
-  private GangProgress gang = new GangProgress(0);
+  private GangProgress gang = new GangProgress(0, false);
   private boolean biasKnown;
   private double bias;
   private double variance;
@@ -58,10 +58,14 @@
     return windows;
   }
 
-  /** Returns the progress of a run of the gang. */
-  GangProgress gang(int run) {
+  /**
+   * Returns the progress of a run of the gang.
+   *
+   * @param separate whether the members of gangs have been seen to progress on their own
+   */
+  GangProgress gang(int run, boolean separate) {
     if (gang.run() != run) {
-      gang = new GangProgress(run);
+      gang = new GangProgress(run, separate);
     }
     return gang;
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Makes the owner fail at a time; another VM takes over and knows nothing of what it learned. */
+  void loseOwnerAt(long millis) {
+    cluster.in(millis, () -> cluster.owner().ifPresent(owner -> cluster.restart(owner.id, 5_000)));
+  }
+
   Result run() {
     cluster.awaitOwner();
     profile.executorFaults().forEach(fault -> scheduleFault(fault));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnevenFleetTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnevenFleetTest.java
@@ -21,6 +21,30 @@
     return HeavyLoadSimulation.mean(WorkloadProfile.THREE_SPEEDS, scheduling, SIMULATIONS, load);
   }
 
+  /** Returns the mean share of urgent work that is earned although the owner is lost. */
+  private static double urgentWithLostOwner(SchedulingPreferences scheduling) {
+    double sum = 0;
+    for (int seed = 1; seed <= SIMULATIONS; seed++) {
+      HeavyLoadSimulation simulation =
+          new HeavyLoadSimulation(WorkloadProfile.THREE_SPEEDS, scheduling, seed, 1);
+      simulation.loseOwnerAt(12_000);
+      simulation.loseOwnerAt(30_000);
+      sum += simulation.run().byQueue().get(TestFixtures.URGENT);
+    }
+    return sum / SIMULATIONS;
+  }
+
+  /**
+   * The owner is lost in the burst, while it learns the speeds, and again later. The difference is
+   * more than that of two series of equal simulations with other seeds.
+   */
+  @Test
+  void nextOwnerLearnsTheSpeedsAgain() {
+    double without = urgentWithLostOwner(SchedulingPreferences.ALL_OFF);
+    double with = urgentWithLostOwner(SPEEDS);
+    assertTrue(with > without + 0.05, () -> without + ", " + with);
+  }
+
   @Test
   void urgentBurstIsServedByFastExecutors() {
     HeavyLoadSimulation.Result without = mean(SchedulingPreferences.ALL_OFF, 1);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/ExecutorSpeedsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/ExecutorSpeedsTest.java
@@ -87,6 +87,37 @@
         () -> "slow: " + meanSpeed(0, 3) + " others: " + meanSpeed(1, 3));
   }
 
+  /** Guards against an owner that begins without the speeds that the former one has stored. */
+  @Test
+  void nextOwnerBeginsWithTheStoredSpeeds() {
+    work(30, 1, 0.5, speeds(0.6, 1, 1.6), false);
+    byte[] record = reported.speeds.nextRecord(reported.nowNanos()).orElseThrow();
+    assertEquals(5 * fleet.size(), record.length);
+    ExecutorSpeeds next = new ExecutorSpeeds(true);
+    next.restore(record);
+    // The spread of the fleet is known once the next owner has seen its executors.
+    fleet.forEach(executor -> next.speed(executor.incarnation(), reported.nowNanos()));
+    reported.pass(600);
+    for (int kind = 0; kind < 3; kind++) {
+      double before = meanSpeed(kind, 3);
+      int first = kind;
+      double after =
+          IntStream.range(0, fleet.size())
+              .filter(i -> i % 3 == first)
+              .mapToDouble(i -> next.speed(fleet.get(i).incarnation(), reported.nowNanos()))
+              .average()
+              .orElseThrow();
+      assertEquals(before, after, 0.25 * before);
+    }
+  }
+
+  @Test
+  void equalExecutorsNeedNoRecord() {
+    work(30, 1, 0.5, speeds(1), false);
+    long apart = fleet.stream().filter(executor -> reported.speedClass(executor) != 0).count();
+    assertEquals(apart > 0, reported.speeds.nextRecord(reported.nowNanos()).isPresent());
+  }
+
   @Test
   void equalExecutorsCountAsEqualDespiteWrongEstimates() {
     work(30, 1, 0.5, speeds(1), false);
