--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -17,6 +17,7 @@
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobRegistry;
+import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
@@ -353,5 +354,6 @@
                 List.copyOf(listed.values()),
                 configurationAge,
                 context));
+    done.record(SpeedRecord.KEY).ifPresent(owner.get()::restoreSpeeds);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -28,6 +28,7 @@
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StateWriter;
@@ -68,6 +69,7 @@
   private final ConfigurationAge configurationAge;
   private final StateWriter writer;
   private final LoadMeter load;
+  private final SchedulingStatistics statistics;
   private final Admission admission;
   private final ExecutorDuty executors;
   private final JobLifecycle jobs;
@@ -96,7 +98,7 @@
     this.preferences = preferences;
     this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
-    SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
+    this.statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
     this.executors =
         new ExecutorDuty(
@@ -131,6 +133,11 @@
     jobs.retireEnded(context);
   }
 
+  /** Begins with the speeds of executors that a former owner has stored. */
+  void restoreSpeeds(byte[] record) {
+    statistics.speeds().restore(record);
+  }
+
   /**
    * Returns whether an executor, the machine API or the store reported a higher epoch, hence a
    * newer owner.
@@ -224,6 +231,7 @@
       plans.step(context);
     }
     removeExpired(context);
+    storeSpeeds(context);
     writer.flush(context);
     outgoing.forEach(context::add);
     outgoing.clear();
@@ -239,6 +247,17 @@
     }
   }
 
+  /** Stores the speeds with other changes, so that they cost no append of their own. */
+  private void storeSpeeds(BatchContext context) {
+    if (admission.stopping() || writer.idle()) {
+      return;
+    }
+    statistics
+        .speeds()
+        .nextRecord(context.nowNanos())
+        .ifPresent(record -> writer.put(SpeedRecord.KEY, () -> Optional.of(record), () -> {}));
+  }
+
   private void removeExpired(BatchContext context) {
     Optional<String> removed =
         jobs.registry()
