A foreign fencing token ends the maintenance calls only, not the ownership

A 409 for the fencing token at the machine API made the owner give up the scheduling of all jobs. With a higher token in the API than the epochs of the store, each new owner gave up again. Now the owner makes no further maintenance call in its epoch, logs 8080, and reopens the executors that no call can have reached. Ownership no longer depends on the machine API or on the status stream that the waves write.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -116,7 +116,10 @@
   WAVE_DELAYED(
       8078, "Maintenance wave {} waits: {} left, {} closed, {} of {} away, due in {} ms; {}"),
   /** The list of machines cannot be read; logged every 10 s. */
-  MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}");
+  MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}"),
+  /** A maintenance call was refused because of a higher token. */
+  MAINTENANCE_STOPPED(
+      8080, "No more maintenance calls by this owner: machine {} was called with a higher token");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -125,11 +125,11 @@
   }
 
   /**
-   * Returns whether an executor, the machine API or the store reported a higher epoch, hence a
-   * newer owner.
+   * Returns whether an executor or the store reported a higher epoch, hence a newer owner. A higher
+   * token at the machine API may come from elsewhere, so it ends the maintenance calls only.
    */
   boolean fenced() {
-    return fenced || maintenance.fenced();
+    return fenced;
   }
 
   /** Returns the maintenance of machines. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
@@ -64,7 +64,7 @@
     this.number = EpochNumbers.before(epoch);
   }
 
-  /** Tells whether a call was refused because of a higher token, hence a newer owner. */
+  /** Tells whether a call was refused because of a higher token, so that no other is made. */
   boolean fenced() {
     return fenced;
   }
@@ -72,6 +72,7 @@
   /** Prepares and sends the calls that are possible now. */
   void step(BatchContext context) {
     if (fenced) {
+      releaseUncalled(context);
       return;
     }
     for (WaveProgress wave : waves.open(context)) {
@@ -95,6 +96,19 @@
     }
   }
 
+  /** Opens the executors of machines that no call may have reached, as no further call is made. */
+  private void releaseUncalled(BatchContext context) {
+    for (WaveProgress wave : waves.all()) {
+      for (MachineProgress machine : wave.machines()) {
+        boolean uncalled =
+            machine.in(Stage.CALLED) && !machine.mayHaveBegun() && !machine.callInFlight();
+        if (uncalled || machine.in(Stage.CLOSED)) {
+          release(machine, 0, context);
+        }
+      }
+    }
+  }
+
   /** Tells whether a machine is up with the executor that was closed, and nothing runs there. */
   private boolean idleAndUp(MachineProgress machine, BatchContext context) {
     Optional<Machine> listed = reader.find(machine.machine());
@@ -187,7 +201,10 @@
   private void refused(MachineProgress machine, Reason reason, BatchContext context) {
     machine.notCarriedOut(RETRY_NANOS, context.nowNanos());
     switch (reason) {
-      case FENCED -> fenced = true;
+      case FENCED -> {
+        fenced = true;
+        context.note(BatchLogEvent.MAINTENANCE_STOPPED, machine.machine());
+      }
       case TOO_MANY_CALLS -> {}
       case NO_SUCH_MACHINE -> release(machine, REOPEN_NANOS, context);
       case BUSY, NOT_IN_WAVE -> {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
@@ -102,11 +102,6 @@
     }
   }
 
-  /** Tells whether the machine API or the store knows a newer owner. */
-  public boolean fenced() {
-    return caller.fenced() || reporter.fenced();
-  }
-
   /** Replaces the waves that operators ask for. */
   public void ask(List<MaintenanceWave> asked, BatchContext context) {
     if (!preferences.machineApi()) {
@@ -172,7 +167,7 @@
         !stopping
             && context.nowNanos() - callsFrom >= 0
             && context.nowNanos() - contact.confirmedAt() < MAX_HEARTBEAT_AGE_NANOS;
-    if (mayCall && reader.fresh(context)) {
+    if (mayCall && !caller.fenced() && reader.fresh(context)) {
       boolean workWaits = workWaits(context);
       waves.open(context).forEach(wave -> chooser.step(wave, workWaits, context));
     }
@@ -228,7 +223,8 @@
       case CALLED -> {
         long since = machine.tries() == 0 ? machine.stageSince() : machine.sentAt();
         boolean over = machine.mayHaveBegun() && context.nowNanos() - since > LATE_CALL_NANOS;
-        if (!machine.callInFlight() && (replaced || (over && same && !wanted(wave, machine)))) {
+        if (!machine.callInFlight()
+            && (replaced || (over && same && (caller.fenced() || !wanted(wave, machine))))) {
           // If the call did it, the next one for this machine is answered so and has no effect.
           noteBack(machine, listed.get(), "not confirmed", context);
           if (!same) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveReporter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveReporter.java
@@ -38,11 +38,6 @@
     waiting.put(wave, new Report(state, written));
   }
 
-  /** Tells whether a newer owner has written. */
-  boolean fenced() {
-    return fenced;
-  }
-
   void step(BatchContext context) {
     if (fenced || pending.isPending(context) || context.nowNanos() - nextAt < 0) {
       return;
