Settings for maintenance waves that cannot be used mean no machine API

The platform fills in the address, rates and times of the machine API. A value of another form, as a host name or a rate of 0, was a fault of the settings and kept the VM from starting, also with the switch off. Other faults stop the start as before. The key duty-lease is named caller-lease. The new test plays seven unusable values with the switch off and on; it was not run against the former parser.

--- a/fescuehook/src/main/java/org/fescuehook/cli/command/SchedulerCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/cli/command/SchedulerCommand.java
@@ -42,6 +42,7 @@
       return ExitCode.FAULTY_INPUT;
     }
     if (check) {
+      preferences.unusable().forEach(fault -> console.err().println("no machine API: " + fault));
       console.out().println(file + ": correct");
       return ExitCode.DONE;
     }
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerEvent.java
@@ -27,7 +27,9 @@
   /** A call was answered. */
   CALL_ANSWERED(8309, "Call {} of {} answered {} after {} ms"),
   /** Log lines were dropped as standard output accepted them too slowly. */
-  LOG_LINES_DROPPED(8310, "{} log lines dropped, {} of them decisions, logged from {} to {}");
+  LOG_LINES_DROPPED(8310, "{} log lines dropped, {} of them decisions, logged from {} to {}"),
+  /** A setting for maintenance waves cannot be used, so none is carried out. */
+  MAINTENANCE_SETTING_UNUSABLE(8311, "No maintenance waves, a setting cannot be used: {}");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -168,6 +168,9 @@
         addresses.peers(),
         addresses.store(),
         ManagementFactory.getRuntimeMXBean().getUptime());
+    for (String fault : preferences.unusable()) {
+      EventLog.warn(LOGGER, SchedulerEvent.MAINTENANCE_SETTING_UNUSABLE, fault);
+    }
   }
 
   private static double evacuated(CallGateway gateway) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -98,9 +98,9 @@
           "availability-notice",
           MaintenancePreferences.NONE.availabilityNotice(),
           "Time without work after which a long-running task counts as unavailable.");
-  static final Key<Duration> DUTY_LEASE =
+  static final Key<Duration> CALLER_LEASE =
       work(
-          "duty-lease",
+          "caller-lease",
           MaintenancePreferences.NONE.callerLease(),
           "Time after a call about a machine in which no other VM may make one.");
   static final Key<Double> MACHINE_CALLS =
@@ -147,7 +147,7 @@
           RECLAIM_BOUND,
           MAINTENANCE_TIME,
           AVAILABILITY_NOTICE,
-          DUTY_LEASE,
+          CALLER_LEASE,
           MACHINE_CALLS,
           MACHINE_READS,
           EXECUTOR_SPEEDS,
@@ -158,6 +158,19 @@
           BACKLOG_ADMISSION,
           MAINTENANCE_WAVES);
 
+  /**
+   * Keys that the platform's settings fill in for maintenance waves. A value of theirs that cannot
+   * be used must not keep a VM from starting, so there are no waves then.
+   */
+  static final List<Key<?>> MAINTENANCE =
+      List.of(
+          MACHINES,
+          MAINTENANCE_TIME,
+          AVAILABILITY_NOTICE,
+          CALLER_LEASE,
+          MACHINE_CALLS,
+          MACHINE_READS);
+
   private SchedulerKeys() {}
 
   private static Key<Duration> work(String name, Duration fallback, String meaning) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -1,6 +1,8 @@
 package org.fescuehook.logic.preferences;
 
 import java.util.List;
+import java.util.Optional;
+import org.fescuehook.logic.ini.Fault;
 import org.fescuehook.logic.ini.FaultyInputException;
 import org.fescuehook.logic.ini.IniParser;
 import org.fescuehook.logic.ini.IniSource;
@@ -19,7 +21,8 @@
   public SchedulerSettingsParser() {}
 
   /**
-   * Parses a settings file.
+   * Parses a settings file. If a value for maintenance waves cannot be used, there is no machine
+   * API.
    *
    * @throws FaultyInputException if there are any faults
    */
@@ -27,9 +30,12 @@
     SettingsValues values =
         new SettingsValues(
             SchedulerKeys.ALL, source.file(), new IniParser().parse(List.of(source)));
-    if (!values.faults().isEmpty()) {
+    List<Fault> unusable =
+        values.faults().stream().filter(SchedulerSettingsParser::concernsMaintenance).toList();
+    if (unusable.size() < values.faults().size()) {
       throw new FaultyInputException(values.faults());
     }
+    boolean usable = unusable.isEmpty();
     return new SchedulerPreferences(
         new IdentityPreferences(values.get(SettingKeys.VM), values.get(SettingKeys.FAILURE_DOMAIN)),
         new SchedulerPreferences.Addresses(
@@ -39,7 +45,7 @@
             values.get(SchedulerKeys.METRICS),
             values.get(SchedulerKeys.STORE),
             values.get(SchedulerKeys.ADVICE),
-            values.get(SchedulerKeys.MACHINES)),
+            usable ? values.get(SchedulerKeys.MACHINES) : Optional.empty()),
         new ProcessorPreferences(
             values.get(SchedulerKeys.PROCESSOR_SHARE), values.get(SchedulerKeys.PROCESSOR_CORES)),
         new BatchPreferences(
@@ -52,7 +58,16 @@
                 values.get(SchedulerKeys.RECLAIM_BOUND)),
             values.get(SchedulerKeys.ADVICE).isPresent(),
             scheduling(values),
-            maintenance(values)));
+            usable ? maintenance(values) : MaintenancePreferences.NONE),
+        unusable.stream().map(Fault::message).toList());
+  }
+
+  private static boolean concernsMaintenance(Fault fault) {
+    return SchedulerKeys.MAINTENANCE.stream()
+        .anyMatch(
+            key ->
+                key.section().equals(fault.location().section())
+                    && key.name().equals(fault.location().key()));
   }
 
   private static MaintenancePreferences maintenance(SettingsValues values) {
@@ -63,7 +78,7 @@
         used,
         values.get(SchedulerKeys.MAINTENANCE_TIME),
         values.get(SchedulerKeys.AVAILABILITY_NOTICE),
-        values.get(SchedulerKeys.DUTY_LEASE),
+        values.get(SchedulerKeys.CALLER_LEASE),
         values.get(SchedulerKeys.MACHINE_CALLS),
         values.get(SchedulerKeys.MACHINE_READS));
   }
--- a/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
+++ b/fescuehook/src/main/java/org/fescuehook/model/preferences/SchedulerPreferences.java
@@ -1,6 +1,7 @@
 package org.fescuehook.model.preferences;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -10,12 +11,19 @@
  * @param addresses addresses on which it listens, and addresses of other services
  * @param processor processing power that it may use
  * @param batch limits for the scheduling of batch jobs
+ * @param unusable faults of settings for maintenance waves, which are not carried out then
  */
 public record SchedulerPreferences(
     IdentityPreferences identity,
     Addresses addresses,
     ProcessorPreferences processor,
-    BatchPreferences batch) {
+    BatchPreferences batch,
+    List<String> unusable) {
+
+  /** Copies the list. */
+  public SchedulerPreferences {
+    unusable = List.copyOf(unusable);
+  }
 
   /**
    * Addresses on which a VM listens, and addresses of the services that it uses.
--- a/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
@@ -1,17 +1,21 @@
 package org.fescuehook.logic.preferences;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import org.fescuehook.logic.ini.FaultyInputException;
 import org.fescuehook.logic.ini.IniSource;
 import org.fescuehook.model.preferences.MaintenancePreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SchedulerSettingsParserTest {
 
@@ -82,4 +86,29 @@
     assertEquals(MaintenancePreferences.NONE, parse(address).batch().maintenance());
     assertTrue(parse(address + on).batch().maintenance().machineApi());
   }
+
+  /** Guards against values of the platform that keep a VM from starting. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "machines = api.example:8530",
+        "machines =",
+        "machines = 10.0.0.1:1\nmachines = 10.0.0.2:1",
+        "machines = 'x'",
+        "[bounds]\nmachine-calls-per-second = 0",
+        "[bounds]\nmachine-reads-per-second = 1e9",
+        "[bounds]\ncaller-lease = -1ms"
+      })
+  void anUnusableValueForMaintenanceMeansThatThereIsNoMachineApi(String line)
+      throws FaultyInputException {
+    String text = COMPLETE.replace("[bounds]", line.contains("[") ? line : line + "\n[bounds]");
+    for (String state : new String[] {"off", "on"}) {
+      SchedulerPreferences preferences =
+          parse(text + "[scheduling]\nmaintenance-waves = " + state + "\n");
+
+      assertEquals(MaintenancePreferences.NONE, preferences.batch().maintenance());
+      assertEquals(Optional.empty(), preferences.addresses().machines());
+      assertFalse(preferences.unusable().isEmpty());
+    }
+  }
 }
