Caps hold for each maintenance call, and short gaps in the list end nothing

A call that was stored or refused before was made again without regard to a cap lowered since. Before each such call the caps are checked; a machine above them is released, or held if an earlier call may have been carried out, until a list 30 s later shows that it was not. Two lists without a machine, 0.4 s apart, made it gone, and an empty list did so for all. It takes five reads over 10 s now, and empty lists are not used. A machine whose unanswered call was followed by a refusal as not part of the wave stayed closed for ever. It is released like that, too, and one of an unwanted wave also if it is not up. New tests lower a cap during 429s, and leave machines out of the list; the refusal as not in the wave has no test.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
@@ -128,12 +128,15 @@
 
   private void callOrRelease(WaveProgress wave, MachineProgress machine, BatchContext context) {
     boolean wanted = machine.wanted() && wave.open();
-    if (!machine.mayHaveBegun() && !(wanted && idleAndUp(machine, context))) {
+    boolean idleAndUp = idleAndUp(machine, context);
+    // Operators may have lowered a cap, or machines may have crashed, since this was stored.
+    boolean within = waves.withinCaps(machine.machine(), reader);
+    if (!machine.mayHaveBegun() && !(wanted && idleAndUp && within)) {
       release(machine, 0, context);
       return;
     }
     // While the machine is not up, the answer tells whether an earlier call has caused that.
-    boolean safe = idleAndUp(machine, context) || reader.notUp(machine.machine());
+    boolean safe = (idleAndUp && within) || reader.notUp(machine.machine());
     if (wanted && safe && limit.take(context.nowNanos())) {
       call(wave, machine, context);
     }
@@ -210,6 +213,9 @@
       case BUSY, NOT_IN_WAVE -> {
         if (!machine.mayHaveBegun()) {
           release(machine, REOPEN_NANOS, context);
+        } else if (reason == Reason.NOT_IN_WAVE) {
+          machine.notInWave();
+          machine.notCarriedOut(REOPEN_NANOS, context.nowNanos());
         }
       }
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineProgress.java
@@ -16,6 +16,8 @@
   private boolean wanted = true;
   private boolean mayHaveBegun;
   private boolean callInFlight;
+  private boolean notInWave;
+  private long uncertainSince;
   private boolean back;
   private long callNumber;
   private long sentAt;
@@ -51,6 +53,7 @@
     executor = Optional.of(before.executor());
     closedAt = nowNanos;
     mayHaveBegun = true;
+    uncertainSince = nowNanos;
     enter(before.begun() ? Stage.BEGUN : Stage.CALLED, nowNanos);
   }
 
@@ -99,6 +102,21 @@
     return mayHaveBegun;
   }
 
+  /** Returns when the last call was sent that may have been carried out, monotonic time. */
+  long uncertainSince() {
+    return uncertainSince;
+  }
+
+  /** Records that the last call was refused as the machine is not part of the wave. */
+  void notInWave() {
+    notInWave = true;
+  }
+
+  /** Tells whether the last call was refused as the machine is not part of the wave. */
+  boolean refusedAsNotInWave() {
+    return notInWave;
+  }
+
   boolean callInFlight() {
     return callInFlight;
   }
@@ -149,6 +167,7 @@
     enter(Stage.PENDING, nowNanos);
     mayHaveBegun = false;
     callInFlight = false;
+    notInWave = false;
     notBefore = nowNanos + pauseNanos;
   }
 
@@ -170,6 +189,7 @@
   void called(long number, long nowNanos) {
     callNumber = number;
     callInFlight = true;
+    notInWave = false;
     sentAt = nowNanos;
     tries++;
   }
@@ -188,6 +208,7 @@
   /** Records that the last call had no answer. */
   void unanswered(long pauseNanos, long nowNanos) {
     mayHaveBegun = true;
+    uncertainSince = sentAt;
     notCarriedOut(pauseNanos, nowNanos);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineReader.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineReader.java
@@ -23,14 +23,19 @@
   /** Age up to which a list is used to begin maintenance; a slow API takes seconds for a read. */
   private static final long MAX_AGE_NANOS = Duration.ofSeconds(6).toNanos();
 
-  /** Reads in a row without a machine after which it no longer exists. */
-  private static final int READS_UNTIL_GONE = 2;
+  /**
+   * Reads in a row, and the time between the first and the last of them, without a machine after
+   * which it no longer exists. The list may lack machines for a moment.
+   */
+  private static final int READS_UNTIL_GONE = 5;
+
+  private static final long GONE_NANOS = Duration.ofSeconds(10).toNanos();
 
   private static final Duration READ_TIMEOUT = Duration.ofSeconds(15);
   private static final long LOG_INTERVAL_NANOS = Duration.ofSeconds(10).toNanos();
 
   private final PendingCall pending = new PendingCall(READ_TIMEOUT);
-  private final Map<MachineId, Integer> readsWithout = new HashMap<>();
+  private final Map<MachineId, Absence> absent = new HashMap<>();
   private Map<MachineId, Machine> newest = Map.of();
   private OptionalLong newestRequestedAt = OptionalLong.empty();
   private OptionalLong loggedAt = OptionalLong.empty();
@@ -38,6 +43,14 @@
   private long requestedAt;
   private long nextAt;
 
+  /** Reads in a row without a machine, and when the first of them was requested. */
+  private record Absence(long since, int reads) {
+
+    Absence more() {
+      return new Absence(since, reads + 1);
+    }
+  }
+
   MachineReader(long epoch, BatchContext context) {
     this.number = EpochNumbers.before(epoch);
     this.nextAt = context.nowNanos();
@@ -59,14 +72,19 @@
     if (ofNumber != number) {
       return false;
     }
+    if (machines.isEmpty()) {
+      // An API that has just started may know no machine yet.
+      failed(ofNumber, "no machine in it", context);
+      return false;
+    }
     pending.end();
     nextAt = context.nowNanos() + PAUSE_NANOS;
     Map<MachineId, Machine> before = newest;
     newest = new HashMap<>();
     machines.forEach(machine -> newest.put(machine.id(), machine));
-    before.keySet().forEach(id -> readsWithout.putIfAbsent(id, 0));
-    newest.keySet().forEach(readsWithout::remove);
-    readsWithout.replaceAll((id, reads) -> reads + 1);
+    before.keySet().forEach(id -> absent.putIfAbsent(id, new Absence(requestedAt, 0)));
+    newest.keySet().forEach(absent::remove);
+    absent.replaceAll((id, absence) -> absence.more());
     newestRequestedAt = OptionalLong.of(requestedAt);
     return true;
   }
@@ -89,7 +107,7 @@
   /** Forgets the list, since it is not read for a while. */
   void pause(BatchContext context) {
     newest = Map.of();
-    readsWithout.clear();
+    absent.clear();
     newestRequestedAt = OptionalLong.empty();
     nextAt = context.nowNanos();
   }
@@ -116,13 +134,15 @@
   }
 
   /**
-   * Tells whether a machine no longer exists, as several reads in a row lacked it. A machine that
-   * this owner has never seen listed counts from its first read on.
+   * Tells whether a machine no longer exists, as reads in a row have lacked it for a while. For a
+   * machine that this owner has never seen listed, that counts from its first read on.
    */
   boolean gone(MachineId id) {
     if (newestRequestedAt.isEmpty() || newest.containsKey(id)) {
       return false;
     }
-    return readsWithout.merge(id, 0, Integer::sum) >= READS_UNTIL_GONE;
+    long last = newestRequestedAt.getAsLong();
+    Absence absence = absent.computeIfAbsent(id, unseen -> new Absence(last, 1));
+    return absence.reads() >= READS_UNTIL_GONE && last - absence.since() >= GONE_NANOS;
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
@@ -44,7 +44,7 @@
    */
   private static final long TAKEOVER_MARGIN_NANOS = Duration.ofSeconds(1).toNanos();
 
-  /** Time after which an unanswered call of a withdrawn wave is certain to be over. */
+  /** Time after which an unanswered call is certain to be over. */
   private static final long LATE_CALL_NANOS = Duration.ofSeconds(30).toNanos();
 
   private static final String CAUSE = "its machine goes through maintenance";
@@ -221,12 +221,11 @@
         }
       }
       case CALLED -> {
-        long since = machine.tries() == 0 ? machine.stageSince() : machine.sentAt();
-        boolean over = machine.mayHaveBegun() && context.nowNanos() - since > LATE_CALL_NANOS;
-        if (!machine.callInFlight()
-            && (replaced || (over && same && (caller.fenced() || !wanted(wave, machine))))) {
+        if (!machine.callInFlight() && (replaced || givenUp(wave, machine, listed.get(), same))) {
           // If the call did it, the next one for this machine is answered so and has no effect.
-          noteBack(machine, listed.get(), "not confirmed", context);
+          if (listed.get().up()) {
+            noteBack(machine, listed.get(), "not confirmed", context);
+          }
           if (!same) {
             machine.executor().ifPresent(ended::add);
           }
@@ -256,6 +255,27 @@
     }
   }
 
+  /**
+   * Tells whether a machine whose call may have been carried out is not called again, and the list
+   * shows that it has not been, or that the machine is away and its wave does not ask for it.
+   */
+  private boolean givenUp(
+      WaveProgress wave, MachineProgress machine, Machine listed, boolean same) {
+    boolean over =
+        machine.mayHaveBegun() && reader.requestedAfter(machine.uncertainSince() + LATE_CALL_NANOS);
+    if (!over) {
+      return false;
+    }
+    if (!wanted(wave, machine)) {
+      return same || !listed.up();
+    }
+    boolean held =
+        caller.fenced()
+            || machine.refusedAsNotInWave()
+            || !waves.withinCaps(machine.machine(), reader);
+    return same && held;
+  }
+
   private static boolean wanted(WaveProgress wave, MachineProgress machine) {
     return wave.open() && machine.wanted();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/WaveRegistry.java
@@ -153,6 +153,17 @@
     return true;
   }
 
+  /** Tells whether no wave that a machine is part of has more machines away than its cap allows. */
+  boolean withinCaps(MachineId machine, MachineReader reader) {
+    for (MachineProgress part : of(machine)) {
+      WaveProgress wave = waves.get(part.wave());
+      if (part.wanted() && wave.limits() && away(wave, reader) > wave.cap()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void store(WaveProgress wave) {
     writer.put(
         WaveCodec.waveKey(wave.id()),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterMachines.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterMachines.java
@@ -68,6 +68,9 @@
   /** Delay of all answers, in milliseconds. */
   long answerMillis = 10;
 
+  /** Machines that the list lacks. */
+  final Set<MachineId> unlisted = new HashSet<>();
+
   /** Whether the API answers nothing and does nothing. */
   boolean down;
 
@@ -191,6 +194,7 @@
         () -> {
           List<Machine> now =
               machines.values().stream()
+                  .filter(m -> !unlisted.contains(m.id))
                   .map(m -> new Machine(m.id, m.state, Optional.of(m.executor)))
                   .toList();
           cluster.in(
@@ -301,7 +305,7 @@
             .filter(machines::containsKey)
             .map(machines::get)
             .filter(machine -> machine.state != Machine.State.UP)
-            .filter(machine -> machine.awayByCall || crashIsKnown(machine))
+            .filter(m -> m.awayByCall || cluster.nowMillis() - m.notUpSince > CRASH_NOTICE_MILLIS)
             .map(machine -> machine.id)
             .toList();
     mostAway = Math.max(mostAway, away.size());
@@ -322,10 +326,6 @@
         .forEach(wave -> over.add(wave.id()));
   }
 
-  private boolean crashIsKnown(FakeMachine machine) {
-    return cluster.nowMillis() - machine.notUpSince > CRASH_NOTICE_MILLIS;
-  }
-
   /** Crashes a machine; it is up again with another executor after some time. */
   void crash(MachineId id, long awayMillis) {
     FakeMachine machine = machines.get(id);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceWaveTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceWaveTest.java
@@ -168,6 +168,36 @@
     assertEquals(2, machines.begun(WAVE));
   }
 
+  /** Guards against machines that count as gone as the list lacks them, or all, for a while. */
+  @Test
+  void aWaveIsNotCompletedWithoutAMachineThatTheListLacksForAWhile() {
+    machines.ask(wave(WAVE, 60, 1, first(2)));
+    cluster.runUntil("a call", 8000, () -> machines.begun(WAVE) == 1);
+    machines.unlisted.addAll(first(2));
+    cluster.run(5000);
+    machines.unlisted.addAll(machines.ids());
+    cluster.run(15_000);
+    machines.unlisted.clear();
+    awaitCompletion(WAVE, 10_000);
+    assertEquals(2, machines.begun(WAVE));
+  }
+
+  /**
+   * Guards against calls that were stored under a higher cap, and repeated without regard to it.
+   */
+  @Test
+  void aLoweredCapHoldsForCallsThatWereRefusedBefore() {
+    machines.tooManyRate = 1;
+    machines.ask(wave(WAVE, 60, 6, machines.ids()));
+    cluster.runUntil(
+        "the calls", 8000, () -> cluster.notes(BatchLogEvent.MAINTENANCE_CALLED).size() >= 6);
+    machines.ask(wave(WAVE, 60, 2, machines.ids()));
+    cluster.run(1000);
+    machines.tooManyRate = 0;
+    awaitCompletion(WAVE, 30_000);
+    assertEquals(2, machines.mostAway());
+  }
+
   @Test
   void aWithdrawnWaveMakesNoFurtherCallsAndItsExecutorsAreUsedAgain() {
     machines.ask(wave(WAVE, 60, 1, first(6)));
