Maintenance calls of a former owner are not sent late

A call could wait for its connection and leave after the first call of a newer owner. Each call has a latest send time now, 2 s after the last confirmed heartbeat, which is checked when it is taken up and just before it is written; the pause of a new owner is longer by the 400 ms of a connection. Besides: an unanswered call is repeated after 250 ms, not at once; a machine that is listed as up without an executor is not chosen; a withdrawn wave is no longer about to be completed; an executor that misses polls counts as idle only 20 s after it was closed. A new test gives a call that is too late.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -82,9 +82,10 @@
    * @param fenceToken the call is refused if one with a higher token has been made about the
    *     machine
    * @param timeout how long the answer is awaited
+   * @param sendBy monotonic time after which the call is not sent, as there may be a newer owner
    */
   record BeginMaintenance(
-      MachineId machine, WaveId wave, long number, long fenceToken, Duration timeout)
+      MachineId machine, WaveId wave, long number, long fenceToken, Duration timeout, long sendBy)
       implements BatchCommand {}
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
@@ -49,6 +49,7 @@
   private final CallLimit limit;
   private long number;
   private boolean fenced;
+  private long sendBy;
 
   MachineCaller(
       long epoch,
@@ -69,8 +70,13 @@
     return fenced;
   }
 
-  /** Prepares and sends the calls that are possible now. */
-  void step(BatchContext context) {
+  /**
+   * Prepares and sends the calls that are possible now.
+   *
+   * @param latestSend monotonic time after which a call must not leave this process
+   */
+  void step(long latestSend, BatchContext context) {
+    sendBy = latestSend;
     if (fenced) {
       releaseUncalled(context);
       return;
@@ -122,7 +128,11 @@
     if (executor.isEmpty()) {
       return closedNanos > UNLISTED_NANOS;
     }
-    boolean heard = executor.get().reached() || closedNanos > NEVER_POLLED_NANOS;
+    boolean reached = executor.get().reached();
+    // One that was reached and is silent now may run what a lost answer told.
+    boolean heard =
+        (reached && executor.get().missedPolls() == 0)
+            || closedNanos > (reached ? UNLISTED_NANOS : NEVER_POLLED_NANOS);
     return heard && executor.get().runs().isEmpty() && !executor.get().hasUnknownRuns();
   }
 
@@ -152,7 +162,8 @@
             machine.wave(),
             number,
             epoch,
-            Duration.ofMillis(Math.min(timeout, MAX_TIMEOUT_MILLIS))));
+            Duration.ofMillis(Math.min(timeout, MAX_TIMEOUT_MILLIS)),
+            sendBy));
     context.note(
         BatchLogEvent.MAINTENANCE_CALLED,
         machine.machine(),
@@ -191,7 +202,8 @@
         waves.find(machine.wave()).ifPresent(wave -> wave.noted(context.nowNanos()));
       }
       case MaintenanceOutcome.Refused(Reason reason) -> refused(machine, reason, context);
-      case MaintenanceOutcome.Unanswered unanswered -> machine.unanswered(0, context.nowNanos());
+      case MaintenanceOutcome.Unanswered unanswered ->
+          machine.unanswered(RETRY_NANOS, context.nowNanos());
       case MaintenanceOutcome.NotSent unsent -> {
         machine.notCarriedOut(RETRY_NANOS, context.nowNanos());
         if (!machine.mayHaveBegun() && machine.tries() >= MAX_UNSENT) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineChooser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineChooser.java
@@ -109,7 +109,12 @@
   private List<MachineProgress> pending(WaveProgress wave, BatchContext context) {
     List<MachineProgress> pending = new ArrayList<>();
     for (MachineProgress machine : wave.in(Stage.PENDING)) {
-      boolean up = reader.find(machine.machine()).filter(listed -> listed.up()).isPresent();
+      // An executor that is not listed cannot be closed, so its machine waits for it.
+      boolean up =
+          reader
+              .find(machine.machine())
+              .filter(listed -> listed.up() && listed.executor().isPresent())
+              .isPresent();
       boolean elsewhere = waves.of(machine.machine()).stream().anyMatch(MachineProgress::closed);
       if (up && !elsewhere && machine.due(context.nowNanos())) {
         pending.add(machine);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
@@ -40,9 +40,9 @@
   /**
    * Added to the time for which another caller has a machine to itself, before the first call of an
    * epoch: the former owner may have called until {@link #MAX_HEARTBEAT_AGE_NANOS} after its last
-   * heartbeat.
+   * heartbeat, and a call takes a connection, hence time to arrive.
    */
-  private static final long TAKEOVER_MARGIN_NANOS = Duration.ofSeconds(1).toNanos();
+  private static final long TAKEOVER_MARGIN_NANOS = Duration.ofMillis(1400).toNanos();
 
   /** Time after which an unanswered call is certain to be over. */
   private static final long LATE_CALL_NANOS = Duration.ofSeconds(30).toNanos();
@@ -108,6 +108,7 @@
       return;
     }
     waves.ask(asked, context);
+    completing.removeIf(wave -> wave.wave().isEmpty());
     for (WaveProgress wave : waves.open(context)) {
       boolean allBegun = wave.in(Stage.BEGUN).size() == wave.wave().orElseThrow().machines().size();
       // Operators may have been told that it is completed just before this owner took over.
@@ -173,7 +174,7 @@
     }
     closeExecutors(context);
     if (mayCall) {
-      caller.step(context);
+      caller.step(contact.confirmedAt() + MAX_HEARTBEAT_AGE_NANOS, context);
     }
     waves.open(context).forEach(wave -> noteDelay(wave, context));
     complete(context);
--- a/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/http/HttpClientConnection.java
@@ -69,7 +69,16 @@
    * @param sink receives the result; called once, on the event loop
    */
   public void send(HttpCall call, Duration timeout, Consumer<HttpResult> sink) {
-    loop.execute(() -> start(new Exchange(call, sink), timeout));
+    loop.execute(() -> start(new Exchange(call, sink, OptionalLong.empty()), timeout));
+  }
+
+  /**
+   * Sends a request unless the connection takes too long to open.
+   *
+   * @param sendBy time after which the request is not written, of {@link System#nanoTime()}
+   */
+  public void sendBy(long sendBy, HttpCall call, Duration timeout, Consumer<HttpResult> sink) {
+    loop.execute(() -> start(new Exchange(call, sink, OptionalLong.of(sendBy)), timeout));
   }
 
   /** Returns whether a part of the current answer has arrived within the given time until now. */
@@ -141,6 +150,10 @@
   }
 
   private void write(Exchange exchange, Channel open) {
+    if (exchange.sendBy.isPresent() && System.nanoTime() - exchange.sendBy.getAsLong() > 0) {
+      fail(exchange, new TimeoutException("too late to be sent"));
+      return;
+    }
     exchange.maybeSent = true;
     open.writeAndFlush(encode(exchange.call))
         .addListener(
@@ -208,11 +221,13 @@
     private final HttpCall call;
     private final Consumer<HttpResult> sink;
     private Optional<ScheduledFuture<?>> deadline = Optional.empty();
+    private final OptionalLong sendBy;
     private boolean maybeSent;
 
-    Exchange(HttpCall call, Consumer<HttpResult> sink) {
+    Exchange(HttpCall call, Consumer<HttpResult> sink, OptionalLong sendBy) {
       this.call = call;
       this.sink = sink;
+      this.sendBy = sendBy;
     }
 
     void end(HttpResult result) {
--- a/fescuehook/src/main/java/org/fescuehook/platform/MachineClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/MachineClient.java
@@ -132,6 +132,10 @@
       ended(call, new MaintenanceOutcome.NotSent("no service in the settings"));
       return;
     }
+    if (System.nanoTime() - call.sendBy() > 0) {
+      ended(call, new MaintenanceOutcome.NotSent("too late to be sent"));
+      return;
+    }
     if (idle.isEmpty() && callConnections == CALL_CONNECTIONS) {
       ended(call, new MaintenanceOutcome.NotSent("all connections are in use"));
       return;
@@ -141,7 +145,8 @@
       idle.addLast(connection(service.get()));
     }
     HttpClientConnection free = idle.removeLast();
-    free.send(
+    free.sendBy(
+        call.sendBy(),
         MachineMessages.begin(call, caller),
         call.timeout(),
         result -> {
--- a/fescuehook/src/test/java/org/fescuehook/platform/MachineClientTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/MachineClientTest.java
@@ -34,7 +34,7 @@
   private static final MachineId MACHINE = new MachineId("m-1");
 
   private static final BatchCommand.BeginMaintenance CALL =
-      new BatchCommand.BeginMaintenance(MACHINE, new WaveId("7"), 5, 42, Duration.ofSeconds(2));
+      call(System.nanoTime() + Duration.ofMinutes(5).toNanos());
 
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -51,6 +51,11 @@
     loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
+  private static BatchCommand.BeginMaintenance call(long sendBy) {
+    return new BatchCommand.BeginMaintenance(
+        MACHINE, new WaveId("7"), 5, 42, Duration.ofSeconds(2), sendBy);
+  }
+
   private BatchEvent event() throws InterruptedException {
     return events.poll(5, TimeUnit.SECONDS);
   }
@@ -64,6 +69,14 @@
     return ended.outcome();
   }
 
+  /** Guards against a former owner's call that leaves after that of its successor. */
+  @Test
+  void aCallThatIsLateIsNotSent() throws InterruptedException {
+    client.begin(call(System.nanoTime() - 1));
+    BatchEvent.MaintenanceCallEnded ended = (BatchEvent.MaintenanceCallEnded) event();
+    assertInstanceOf(MaintenanceOutcome.NotSent.class, ended.outcome());
+  }
+
   @Test
   void allPagesOfTheListAreReadAndAnUnknownStateIsNotUp() throws InterruptedException {
     server.then(
