--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MachineCaller.java
@@ -49,6 +49,7 @@
   private final CallLimit limit;
   private long number;
   private boolean fenced;
+  private long sendBy;
 
   MachineCaller(
       long epoch,
@@ -64,14 +65,20 @@
     this.number = EpochNumbers.before(epoch);
   }
 
-  /** Tells whether a call was refused because of a higher token, hence a newer owner. */
+  /** Tells whether a call was refused because of a higher token, so that no other is made. */
   boolean fenced() {
     return fenced;
   }
 
-  /** Prepares and sends the calls that are possible now. */
-  void step(BatchContext context) {
+  /**
+   * Prepares and sends the calls that are possible now.
+   *
+   * @param latestSend monotonic time after which a call must not leave this process
+   */
+  void step(long latestSend, BatchContext context) {
+    sendBy = latestSend;
     if (fenced) {
+      releaseUncalled(context);
       return;
     }
     for (WaveProgress wave : waves.open(context)) {
@@ -95,6 +102,19 @@
     }
   }
 
+  /** Opens the executors of machines that no call may have reached, as no further call is made. */
+  private void releaseUncalled(BatchContext context) {
+    for (WaveProgress wave : waves.all()) {
+      for (MachineProgress machine : wave.machines()) {
+        boolean uncalled =
+            machine.in(Stage.CALLED) && !machine.mayHaveBegun() && !machine.callInFlight();
+        if (uncalled || machine.in(Stage.CLOSED)) {
+          release(machine, 0, context);
+        }
+      }
+    }
+  }
+
   /** Tells whether a machine is up with the executor that was closed, and nothing runs there. */
   private boolean idleAndUp(MachineProgress machine, BatchContext context) {
     Optional<Machine> listed = reader.find(machine.machine());
@@ -108,18 +128,25 @@
     if (executor.isEmpty()) {
       return closedNanos > UNLISTED_NANOS;
     }
-    boolean heard = executor.get().reached() || closedNanos > NEVER_POLLED_NANOS;
+    boolean reached = executor.get().reached();
+    // One that was reached and is silent now may run what a lost answer told.
+    boolean heard =
+        (reached && executor.get().missedPolls() == 0)
+            || closedNanos > (reached ? UNLISTED_NANOS : NEVER_POLLED_NANOS);
     return heard && executor.get().runs().isEmpty() && !executor.get().hasUnknownRuns();
   }
 
   private void callOrRelease(WaveProgress wave, MachineProgress machine, BatchContext context) {
     boolean wanted = machine.wanted() && wave.open();
-    if (!machine.mayHaveBegun() && !(wanted && idleAndUp(machine, context))) {
+    boolean idleAndUp = idleAndUp(machine, context);
+    // Operators may have lowered a cap, or machines may have crashed, since this was stored.
+    boolean within = waves.withinCaps(machine.machine(), reader);
+    if (!machine.mayHaveBegun() && !(wanted && idleAndUp && within)) {
       release(machine, 0, context);
       return;
     }
     // While the machine is not up, the answer tells whether an earlier call has caused that.
-    boolean safe = idleAndUp(machine, context) || reader.notUp(machine.machine());
+    boolean safe = (idleAndUp && within) || reader.notUp(machine.machine());
     if (wanted && safe && limit.take(context.nowNanos())) {
       call(wave, machine, context);
     }
@@ -135,7 +162,8 @@
             machine.wave(),
             number,
             epoch,
-            Duration.ofMillis(Math.min(timeout, MAX_TIMEOUT_MILLIS))));
+            Duration.ofMillis(Math.min(timeout, MAX_TIMEOUT_MILLIS)),
+            sendBy));
     context.note(
         BatchLogEvent.MAINTENANCE_CALLED,
         machine.machine(),
@@ -174,7 +202,8 @@
         waves.find(machine.wave()).ifPresent(wave -> wave.noted(context.nowNanos()));
       }
       case MaintenanceOutcome.Refused(Reason reason) -> refused(machine, reason, context);
-      case MaintenanceOutcome.Unanswered unanswered -> machine.unanswered(0, context.nowNanos());
+      case MaintenanceOutcome.Unanswered unanswered ->
+          machine.unanswered(RETRY_NANOS, context.nowNanos());
       case MaintenanceOutcome.NotSent unsent -> {
         machine.notCarriedOut(RETRY_NANOS, context.nowNanos());
         if (!machine.mayHaveBegun() && machine.tries() >= MAX_UNSENT) {
@@ -187,12 +216,18 @@
   private void refused(MachineProgress machine, Reason reason, BatchContext context) {
     machine.notCarriedOut(RETRY_NANOS, context.nowNanos());
     switch (reason) {
-      case FENCED -> fenced = true;
+      case FENCED -> {
+        fenced = true;
+        context.note(BatchLogEvent.MAINTENANCE_STOPPED, machine.machine());
+      }
       case TOO_MANY_CALLS -> {}
       case NO_SUCH_MACHINE -> release(machine, REOPEN_NANOS, context);
       case BUSY, NOT_IN_WAVE -> {
         if (!machine.mayHaveBegun()) {
           release(machine, REOPEN_NANOS, context);
+        } else if (reason == Reason.NOT_IN_WAVE) {
+          machine.notInWave();
+          machine.notCarriedOut(REOPEN_NANOS, context.nowNanos());
         }
       }
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/maintenance/MaintenanceDuty.java
@@ -40,11 +40,11 @@
   /**
    * Added to the time for which another caller has a machine to itself, before the first call of an
    * epoch: the former owner may have called until {@link #MAX_HEARTBEAT_AGE_NANOS} after its last
-   * heartbeat.
+   * heartbeat, and a call takes a connection, hence time to arrive.
    */
-  private static final long TAKEOVER_MARGIN_NANOS = Duration.ofSeconds(1).toNanos();
+  private static final long TAKEOVER_MARGIN_NANOS = Duration.ofMillis(1400).toNanos();
 
-  /** Time after which an unanswered call of a withdrawn wave is certain to be over. */
+  /** Time after which an unanswered call is certain to be over. */
   private static final long LATE_CALL_NANOS = Duration.ofSeconds(30).toNanos();
 
   private static final String CAUSE = "its machine goes through maintenance";
@@ -102,17 +102,13 @@
     }
   }
 
-  /** Tells whether the machine API or the store knows a newer owner. */
-  public boolean fenced() {
-    return caller.fenced() || reporter.fenced();
-  }
-
   /** Replaces the waves that operators ask for. */
   public void ask(List<MaintenanceWave> asked, BatchContext context) {
     if (!preferences.machineApi()) {
       return;
     }
     waves.ask(asked, context);
+    completing.removeIf(wave -> wave.wave().isEmpty());
     for (WaveProgress wave : waves.open(context)) {
       boolean allBegun = wave.in(Stage.BEGUN).size() == wave.wave().orElseThrow().machines().size();
       // Operators may have been told that it is completed just before this owner took over.
@@ -168,17 +164,15 @@
       listChanged = false;
       resolveAll(context);
     }
-    boolean mayCall =
-        !stopping
-            && context.nowNanos() - callsFrom >= 0
-            && context.nowNanos() - contact.confirmedAt() < MAX_HEARTBEAT_AGE_NANOS;
-    if (mayCall && reader.fresh(context)) {
+    boolean mayChoose =
+        !stopping && context.nowNanos() - contact.confirmedAt() < MAX_HEARTBEAT_AGE_NANOS;
+    if (mayChoose && !caller.fenced() && reader.fresh(context)) {
       boolean workWaits = workWaits(context);
       waves.open(context).forEach(wave -> chooser.step(wave, workWaits, context));
     }
     closeExecutors(context);
-    if (mayCall) {
-      caller.step(context);
+    if (mayChoose && context.nowNanos() - callsFrom >= 0) {
+      caller.step(contact.confirmedAt() + MAX_HEARTBEAT_AGE_NANOS, context);
     }
     waves.open(context).forEach(wave -> noteDelay(wave, context));
     complete(context);
@@ -226,11 +220,11 @@
         }
       }
       case CALLED -> {
-        long since = machine.tries() == 0 ? machine.stageSince() : machine.sentAt();
-        boolean over = machine.mayHaveBegun() && context.nowNanos() - since > LATE_CALL_NANOS;
-        if (!machine.callInFlight() && (replaced || (over && same && !wanted(wave, machine)))) {
+        if (!machine.callInFlight() && (replaced || givenUp(wave, machine, listed.get(), same))) {
           // If the call did it, the next one for this machine is answered so and has no effect.
-          noteBack(machine, listed.get(), "not confirmed", context);
+          if (listed.get().up()) {
+            noteBack(machine, listed.get(), "not confirmed", context);
+          }
           if (!same) {
             machine.executor().ifPresent(ended::add);
           }
@@ -260,6 +254,27 @@
     }
   }
 
+  /**
+   * Tells whether a machine whose call may have been carried out is not called again, and the list
+   * shows that it has not been, or that the machine is away and its wave does not ask for it.
+   */
+  private boolean givenUp(
+      WaveProgress wave, MachineProgress machine, Machine listed, boolean same) {
+    boolean over =
+        machine.mayHaveBegun() && reader.requestedAfter(machine.uncertainSince() + LATE_CALL_NANOS);
+    if (!over) {
+      return false;
+    }
+    if (!wanted(wave, machine)) {
+      return same || !listed.up();
+    }
+    boolean held =
+        caller.fenced()
+            || machine.refusedAsNotInWave()
+            || !waves.withinCaps(machine.machine(), reader);
+    return same && held;
+  }
+
   private static boolean wanted(WaveProgress wave, MachineProgress machine) {
     return wave.open() && machine.wanted();
   }
