Start on doubted executors without a trial limit if any executor will do

The limit on trials also applied to steps that may start on any executor, so that a guaranteed start or a step that had waited for 15 s was blocked by doubts. The limit now applies only to steps whose requirement excludes some executors.

DoubtedExecutorPlanTest, the planner tests and FailureWavesTest pass.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -71,9 +71,12 @@
     return standing.doubted();
   }
 
-  /** Returns how many more tasks may be placed here, which is limited on a doubted executor. */
-  int trialsLeft() {
-    return trialsLeft;
+  /**
+   * Returns how many more tasks of a step may be placed here. This is limited on a doubted executor
+   * unless the step starts on any executor: a guaranteed start must not wait for trials to end.
+   */
+  int trialsLeft(WaitingStep waiting) {
+    return waiting.requirement().limitsTrials() ? Math.max(0, trialsLeft) : Integer.MAX_VALUE;
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -351,7 +351,7 @@
         || (candidate.interferesWith(spec) && !waiting.timing().acceptsSharing())) {
       return 0;
     }
-    int fitting = Math.min(candidate.free().fits(spec.demand()), candidate.trialsLeft());
+    int fitting = Math.min(candidate.free().fits(spec.demand()), candidate.trialsLeft(waiting));
     int most = spec.placement().maxPerExecutor();
     if (most == 0) {
       return fitting;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -119,6 +119,11 @@
     return executor.faultProbability() <= maxFaultProbability;
   }
 
+  /** Tells whether the number of tasks on a doubted executor is limited. */
+  boolean limitsTrials() {
+    return maxFaultProbability < 1;
+  }
+
   /** Returns how many of some tasks may be placed on doubted executors at the same time. */
   int maxTrials(int tasks) {
     return trial ? Math.max(1, tasks / TASKS_PER_TRIAL) : tasks;
