Count a fault of the owner's network not against the executors

Each unanswered start counted with full weight, so that a short fault of the owner's network put all executors in doubt. A crash counted when the executor was lost and again when it was back. One observation of each kind now counts per executor and second, and one crash per incarnation of known start. Unanswered starts do not count while most executors are silent, or while the executors that do not answer outnumber those on which runs end; those of the last second are taken back then.

StartReliabilityTest, SilentExecutorsTest, LostExecutorTest, UnsentStartTest and FailureWavesTest pass.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -78,7 +78,7 @@
     this.orders = new OrderSender(epoch, lease);
     this.poller = new ExecutorPoller(registry, orders);
     this.throttler = new Throttler(orders);
-    this.startOutcomes = new StartOutcomeHandler(orders, throttler, listener, statistics);
+    this.startOutcomes = new StartOutcomeHandler(registry, orders, throttler, listener, statistics);
     this.inheritedLeaseNanos = inheritedLease.toNanos();
     this.orphans = new OrphanedRuns(context.nowNanos() + inheritedLeaseNanos);
     this.listener = listener;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorRegistry.java
@@ -40,6 +40,13 @@
     return executors.values();
   }
 
+  /** Tells whether most executors are silent, so that the cause is on the side of this VM. */
+  boolean mostAreSilent() {
+    long silent =
+        executors.values().stream().filter(executor -> executor.silentSince().isPresent()).count();
+    return silent * 2 > executors.size();
+  }
+
   /** Returns a copy of all executors, for loops that remove some. */
   public List<ExecutorState> snapshot() {
     return List.copyOf(executors.values());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
@@ -38,7 +38,7 @@
   void loseAll(ExecutorState executor, Loss loss, String cause, BatchContext context) {
     Map<Boolean, List<LiveRun>> byIncarnation =
         byIncarnation(executor, List.copyOf(executor.runs()));
-    if (!executor.runs().isEmpty() && !mostAreSilent()) {
+    if (!executor.runs().isEmpty() && !registry.mostAreSilent()) {
       reportHandler.crashed(executor, context);
     }
     loseWithPreviousIncarnation(executor, byIncarnation.get(false), context);
@@ -50,13 +50,6 @@
         context);
   }
 
-  /** Tells whether most executors are silent, so that the cause is on the side of this VM. */
-  private boolean mostAreSilent() {
-    long silent =
-        registry.all().stream().filter(executor -> executor.silentSince().isPresent()).count();
-    return silent * 2 > registry.all().size();
-  }
-
   /** Reports runs as lost that an executor should list and does not. */
   void loseUnlisted(ExecutorState executor, List<LiveRun> runs, BatchContext context) {
     Map<Boolean, List<LiveRun>> byIncarnation = byIncarnation(executor, runs);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
@@ -92,7 +92,7 @@
         previous.nextIncarnation(
             next, describeEnd(previous, next, context), orders.baselineOfNextIncarnation());
     executor.restarted(context.nowNanos());
-    reportHandler.crashed(executor, context);
+    reportHandler.crashed(previous, context);
     executor.lease().mayLastFor(longestLease, context.nowNanos());
     List<LiveRun> runs = List.copyOf(previous.runs());
     runs.stream().filter(run -> run.stage() != Stage.PLACED).forEach(executor::add);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -36,6 +36,7 @@
    */
   private static final int MAX_START_ORDERS = 3;
 
+  private final ExecutorRegistry registry;
   private final OrderSender orders;
   private final Throttler throttler;
   private final RunListener listener;
@@ -43,10 +44,12 @@
 
   /** Creates a handler that retries starts through a sender. */
   StartOutcomeHandler(
+      ExecutorRegistry registry,
       OrderSender orders,
       Throttler throttler,
       RunListener listener,
       SchedulingStatistics statistics) {
+    this.registry = registry;
     this.orders = orders;
     this.throttler = throttler;
     this.listener = listener;
@@ -88,7 +91,7 @@
       orders.start(executor, run, context);
       return;
     }
-    if (mayStart) {
+    if (mayStart && !registry.mostAreSilent()) {
       observed(executor, StartEvidence.UNANSWERED, context);
     }
     if (run.startUncertain()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
@@ -1,7 +1,11 @@
 package org.fescuehook.logic.batch.statistics;
 
 import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescuehook.model.fleet.Incarnation;
 
 /** The evidence for and against one executor. */
 final class ExecutorRecord {
@@ -30,6 +34,11 @@
 
   private static final double NANOS_PER_SECOND = 1e9;
 
+  /** Time in which several observations of one kind may share a cause, and count once. */
+  private static final long OBSERVATION_PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
+
+  private final Map<StartEvidence, Long> observedAt = new EnumMap<>(StartEvidence.class);
+  private Optional<Incarnation> crashed = Optional.empty();
   private double suspicion;
   private long suspicionAt;
   private long doubtedSince;
@@ -55,6 +64,37 @@
     doubtedSince = nowNanos;
   }
 
+  /**
+   * Adds an observation about an incarnation. One of each kind counts per second, and one crash per
+   * incarnation whose start time is known.
+   *
+   * @return whether it counts
+   */
+  boolean observed(Incarnation incarnation, StartEvidence evidence, long nowNanos) {
+    Long last = observedAt.get(evidence);
+    if (last != null && nowNanos - last < OBSERVATION_PERIOD_NANOS) {
+      return false;
+    }
+    if (evidence == StartEvidence.CRASHED) {
+      boolean dated = incarnation.bornMillis().isPresent();
+      if (dated && crashed.filter(incarnation::equals).isPresent()) {
+        return false;
+      }
+      crashed = Optional.of(incarnation);
+    }
+    observedAt.put(evidence, nowNanos);
+    accuse(evidence.weight(), nowNanos);
+    return true;
+  }
+
+  /** Takes an observation back if it was counted within the last second. */
+  void takeBack(StartEvidence evidence, long nowNanos) {
+    Long last = observedAt.remove(evidence);
+    if (last != null && nowNanos - last < OBSERVATION_PERIOD_NANOS) {
+      exonerate(evidence.weight(), nowNanos);
+    }
+  }
+
   /** Takes evidence back that turned out to have another cause. */
   void exonerate(double weight, long nowNanos) {
     setSuspicion(suspicion(nowNanos) - weight, nowNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -50,6 +51,7 @@
   private final Map<ExecutorId, ExecutorRecord> executors = new HashMap<>();
   private final Map<StepProgress, StepFailures> steps = new IdentityHashMap<>();
   private final FailureWave wave = new FailureWave();
+  private final UnansweredStarts unanswered = new UnansweredStarts();
 
   /**
    * Creates statistics that know nothing yet.
@@ -163,9 +165,33 @@
     if (!enabled) {
       return;
     }
+    if (evidence == StartEvidence.UNANSWERED && causedHere(executor.id(), context.nowNanos())) {
+      return;
+    }
     boolean doubted = standing(executor.id(), context.nowNanos()).doubted();
-    executor(executor.id()).accuse(evidence.weight(), context.nowNanos());
-    noteDoubt(executor, doubted, evidence.tag(), context);
+    if (executor(executor.id()).observed(executor, evidence, context.nowNanos())) {
+      noteDoubt(executor, doubted, evidence.tag(), context);
+    }
+  }
+
+  /**
+   * Tells whether this VM rather than an executor is the cause of an unanswered start. If so, those
+   * of the last second are taken back.
+   */
+  private boolean causedHere(ExecutorId executor, long nowNanos) {
+    unanswered.add(executor, nowNanos);
+    long working =
+        executors.values().stream()
+            .filter(record -> record.endedWithin(UnansweredStarts.PERIOD_NANOS, nowNanos))
+            .count();
+    if (!unanswered.outnumber(working)) {
+      return false;
+    }
+    unanswered.executors().stream()
+        .map(executors::get)
+        .filter(Objects::nonNull)
+        .forEach(record -> record.takeBack(StartEvidence.UNANSWERED, nowNanos));
+    return true;
   }
 
   private void noteDoubt(
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
@@ -199,6 +199,59 @@
     }
   }
 
+  private void observed(Incarnation executor, StartEvidence evidence) {
+    reliability.observed(executor, evidence, new BatchContext(now, 0));
+  }
+
+  /** Guards against four unanswered starts of one second that take an executor out of use. */
+  @Test
+  void observationsOfOneKindCountOncePerSecond() {
+    observed(executor(1), StartEvidence.UNANSWERED);
+    ExecutorStanding once = standing(1);
+    observed(executor(1), StartEvidence.UNANSWERED);
+    assertEquals(once, standing(1));
+    now += SECOND;
+    observed(executor(1), StartEvidence.UNANSWERED);
+    assertTrue(standing(1).faultProbability() > once.faultProbability());
+  }
+
+  /** Guards against a crash that counts again when the executor is back. */
+  @Test
+  void anIncarnationCrashesOnce() {
+    Incarnation crashed = new Incarnation(executor(1).id(), OptionalLong.of(1));
+    observed(crashed, StartEvidence.CRASHED);
+    now += 3 * SECOND;
+    ExecutorStanding once = standing(1);
+    observed(crashed, StartEvidence.CRASHED);
+    assertEquals(once, standing(1));
+    observed(new Incarnation(executor(1).id(), OptionalLong.of(2)), StartEvidence.CRASHED);
+    assertTrue(standing(1).faultProbability() > once.faultProbability());
+  }
+
+  /** Guards against a fault of the network of this VM that puts the whole fleet in doubt. */
+  @Test
+  void startsThatNoExecutorAnswersAreNoEvidence() {
+    for (int executor = 0; executor < 20; executor++) {
+      observed(executor(executor), StartEvidence.UNANSWERED);
+    }
+    for (int executor = 0; executor < 20; executor++) {
+      assertFalse(standing(executor).doubted(), "e" + executor);
+    }
+  }
+
+  /** Executors that hang while others work are at fault themselves. */
+  @Test
+  void unansweredStartsAreEvidenceWhileOtherExecutorsWork() {
+    for (int executor = 20; executor < 40; executor++) {
+      succeed(executor);
+      now -= SECOND / 5;
+    }
+    for (int executor = 0; executor < 10; executor++) {
+      observed(executor(executor), StartEvidence.UNANSWERED);
+      assertTrue(standing(executor).doubted(), "e" + executor);
+    }
+  }
+
   private void beginWave() {
     for (int executor = 10; executor < 15; executor++) {
       fail(job(1, false), executor);
