Count attempts left by the queue as declared now

The requirement on executors took the attempts from the queue as accepted, while a job fails by those of the queue as declared now. WaitingStep now carries the latter.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -173,10 +173,18 @@
         queue.advised()
             ? Optional.of(advice.permitted(step, context.nowNanos()))
             : Optional.empty();
-    for (List<TaskProgress> group : placementGroups(step, tasks, statistics.reliability())) {
+    for (List<TaskProgress> group : placementGroups(step, tasks, queue.maxAttempts())) {
       waiting.add(
           new WaitingStep(
-              step, group, queue.pool(), rank(step.job()), accepted, timing, permitted));
+              step,
+              group,
+              queue.pool(),
+              rank(step.job()),
+              accepted,
+              timing,
+              permitted,
+              queue.maxAttempts(),
+              StartRequirement.ANY));
     }
   }
 
@@ -185,8 +193,9 @@
    * are planned one by one, so that a crash can be attributed to one of them. Tasks with one
    * attempt left are planned apart, since they need more reliable executors.
    */
-  private static List<List<TaskProgress>> placementGroups(
-      StepProgress step, List<TaskProgress> tasks, StartReliability reliability) {
+  private List<List<TaskProgress>> placementGroups(
+      StepProgress step, List<TaskProgress> tasks, int maxAttempts) {
+    StartReliability reliability = statistics.reliability();
     boolean mayCrash = tasks.stream().anyMatch(task -> task.crashes().mayCrash());
     if (step.spec().gang() || (!mayCrash && !reliability.enabled())) {
       return List.of(tasks);
@@ -196,7 +205,7 @@
         .filter(task -> !task.crashes().mayCrash())
         .collect(
             partitioningBy(
-                task -> reliability.enabled() && StartRequirement.onLastAttempt(step, task)))
+                task -> reliability.enabled() && StartRequirement.onLastAttempt(task, maxAttempts)))
         .values()
         .stream()
         .filter(group -> !group.isEmpty())
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
-import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.model.batch.BatchStep;
@@ -79,7 +78,7 @@
             : timing.nearlyLate() && timing.prospect() != Prospect.TOO_LATE;
     double max = hurried ? ExecutorStanding.TOLERABLE : ExecutorStanding.USABLE;
     int failures = failures(waiting);
-    int attemptsLeft = waiting.step().job().job().queue().maxAttempts() - failures;
+    int attemptsLeft = waiting.maxAttempts() - failures;
     if (attemptsLeft <= 1 && spec.longRunning().isEmpty()) {
       return new StartRequirement(ExecutorStanding.USABLE, false, failures > 0, newestFault, false);
     }
@@ -89,8 +88,8 @@
   }
 
   /** Tells whether another failure of a task, after those it had, would fail its job. */
-  static boolean onLastAttempt(StepProgress step, TaskProgress task) {
-    return task.failures() > 0 && task.failures() + 1 >= step.job().job().queue().maxAttempts();
+  static boolean onLastAttempt(TaskProgress task, int maxAttempts) {
+    return task.failures() > 0 && task.failures() + 1 >= maxAttempts;
   }
 
   private static int failures(WaitingStep waiting) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -19,6 +19,7 @@
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing its waiting times and objective
  * @param permitted the executors that may run it according to external advice; absent if any may
+ * @param maxAttempts failures of a task after which its job fails, as its queue is declared now
  * @param requirement how reliable its executors must be
  */
 public record WaitingStep(
@@ -29,6 +30,7 @@
     long acceptedMillis,
     StepTiming timing,
     Optional<Set<Incarnation>> permitted,
+    int maxAttempts,
     StartRequirement requirement) {
 
   /**
@@ -52,7 +54,10 @@
         .thenComparingLong(WaitingStep::acceptedMillis);
   }
 
-  /** Creates a step that may run on executors of any reliability. */
+  /**
+   * Creates a step that may run on executors of any reliability, with the attempts of its queue as
+   * accepted.
+   */
   public WaitingStep(
       StepProgress step,
       List<TaskProgress> tasks,
@@ -61,7 +66,16 @@
       long acceptedMillis,
       StepTiming timing,
       Optional<Set<Incarnation>> permitted) {
-    this(step, tasks, pool, rank, acceptedMillis, timing, permitted, StartRequirement.ANY);
+    this(
+        step,
+        tasks,
+        pool,
+        rank,
+        acceptedMillis,
+        timing,
+        permitted,
+        step.job().job().queue().maxAttempts(),
+        StartRequirement.ANY);
   }
 
   /** Copies the list. */
@@ -104,12 +118,13 @@
   public WaitingStep withoutFirst(int placed) {
     List<TaskProgress> remaining = tasks.subList(placed, tasks.size());
     return new WaitingStep(
-        step, remaining, pool, rank, acceptedMillis, timing, permitted, requirement);
+        step, remaining, pool, rank, acceptedMillis, timing, permitted, maxAttempts, requirement);
   }
 
   /** Returns the same step with another requirement on the reliability of its executors. */
   WaitingStep requiring(StartRequirement other) {
-    return new WaitingStep(step, tasks, pool, rank, acceptedMillis, timing, permitted, other);
+    return new WaitingStep(
+        step, tasks, pool, rank, acceptedMillis, timing, permitted, maxAttempts, other);
   }
 
   /** Tells whether external advice permits an executor to run the step. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StartRequirementTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StartRequirementTest.java
@@ -63,12 +63,16 @@
 
   private static StartRequirement requirement(
       StepProgress step, long waitedSeconds, long queuedSeconds) {
+    return StartRequirement.of(
+        waiting(step, 2, waitedSeconds, queuedSeconds), OptionalLong.of(4 * SECOND));
+  }
+
+  private static WaitingStep waiting(
+      StepProgress step, int priority, long waitedSeconds, long queuedSeconds) {
     StepTiming timing =
         new StepTiming(waitedSeconds * SECOND, queuedSeconds * SECOND, 10 * SECOND, 12 * SECOND);
-    WaitingStep waiting =
-        new WaitingStep(
-            step, step.waiting(), "pool", Rank.ofPriority(2), 0, timing, Optional.empty());
-    return StartRequirement.of(waiting, OptionalLong.of(4 * SECOND));
+    return new WaitingStep(
+        step, step.waiting(), "pool", Rank.ofPriority(priority), 0, timing, Optional.empty());
   }
 
   @Test
@@ -83,6 +87,26 @@
     assertFalse(requirement.withoutProof().accepts(IN_WAVE));
   }
 
+  /** Guards against a limit of attempts that differs from the one by which the job fails. */
+  @Test
+  void theAttemptsLeftFollowFromTheQueueAsDeclaredNow() {
+    StepProgress gang = step(true, 1);
+    WaitingStep accepted = waiting(gang, 2, 1, 1);
+    WaitingStep declared =
+        new WaitingStep(
+            gang,
+            accepted.tasks(),
+            accepted.pool(),
+            accepted.rank(),
+            0,
+            accepted.timing(),
+            Optional.empty(),
+            2,
+            StartRequirement.ANY);
+    assertTrue(StartRequirement.of(accepted, OptionalLong.empty()).accepts(SOUND));
+    assertFalse(StartRequirement.of(declared, OptionalLong.empty()).accepts(SOUND));
+  }
+
   @Test
   void theFirstAttemptOfAGangAvoidsDoubtedExecutorsWhileItHasTime() {
     StartRequirement early = requirement(step(true, 0), 1, 1);
