--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
@@ -21,6 +21,7 @@
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.batch.RunEnd;
@@ -115,6 +116,9 @@
     assertTrue(standing(1).doubted());
     assertTrue(reliability.backoff(executor(1).id(), now).isEmpty());
     assertEquals(1, standing(1).maxTrials());
+    now += SECOND;
+    assertEquals(1, standing(1).maxTrials());
+    now -= SECOND;
     assertEquals(List.of(BatchLogEvent.EXECUTOR_TRUSTED), succeed(1));
     assertFalse(standing(1).doubted());
   }
@@ -199,6 +203,69 @@
     }
   }
 
+  /** Guards against records of ended jobs that nothing removes. */
+  @Test
+  void nothingIsKeptAboutAJobThatHasEnded() {
+    StepProgress step = job(2, false);
+    step.job().end(JobPhase.CANCELLED, 0);
+    reliability.ended(step.job());
+    fail(step, 1);
+    assertEquals(OptionalLong.empty(), reliability.newestFault(step));
+  }
+
+  private void observed(Incarnation executor, StartEvidence evidence) {
+    reliability.observed(executor, evidence, new BatchContext(now, 0));
+  }
+
+  /** Guards against four unanswered starts of one second that take an executor out of use. */
+  @Test
+  void observationsOfOneKindCountOncePerSecond() {
+    observed(executor(1), StartEvidence.UNANSWERED);
+    ExecutorStanding once = standing(1);
+    observed(executor(1), StartEvidence.UNANSWERED);
+    assertEquals(once, standing(1));
+    now += SECOND;
+    observed(executor(1), StartEvidence.UNANSWERED);
+    assertTrue(standing(1).faultProbability() > once.faultProbability());
+  }
+
+  /** Guards against a crash that counts again when the executor is back. */
+  @Test
+  void anIncarnationCrashesOnce() {
+    Incarnation crashed = new Incarnation(executor(1).id(), OptionalLong.of(1));
+    observed(crashed, StartEvidence.CRASHED);
+    now += 3 * SECOND;
+    ExecutorStanding once = standing(1);
+    observed(crashed, StartEvidence.CRASHED);
+    assertEquals(once, standing(1));
+    observed(new Incarnation(executor(1).id(), OptionalLong.of(2)), StartEvidence.CRASHED);
+    assertTrue(standing(1).faultProbability() > once.faultProbability());
+  }
+
+  /** Guards against a fault of the network of this VM that puts the whole fleet in doubt. */
+  @Test
+  void startsThatNoExecutorAnswersAreNoEvidence() {
+    for (int executor = 0; executor < 20; executor++) {
+      observed(executor(executor), StartEvidence.UNANSWERED);
+    }
+    for (int executor = 0; executor < 20; executor++) {
+      assertFalse(standing(executor).doubted(), "e" + executor);
+    }
+  }
+
+  /** Executors that hang while others work are at fault themselves. */
+  @Test
+  void unansweredStartsAreEvidenceWhileOtherExecutorsWork() {
+    for (int executor = 20; executor < 40; executor++) {
+      succeed(executor);
+      now -= SECOND / 5;
+    }
+    for (int executor = 0; executor < 10; executor++) {
+      observed(executor(executor), StartEvidence.UNANSWERED);
+      assertTrue(standing(executor).doubted(), "e" + executor);
+    }
+  }
+
   private void beginWave() {
     for (int executor = 10; executor < 15; executor++) {
       fail(job(1, false), executor);
