The record of speeds keeps executors that a new owner has not used yet

Cause: a new owner replaced the record by the few executors that it had used so far, so that the owner after it began with little. Change: stored speeds stay in the record until newer ones replace them.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
@@ -66,16 +66,21 @@
   }
 
   /**
-   * Returns the classes of the speeds of the executors about which enough is known, as observed:
-   * who reads them draws them towards the mean of the fleet again.
+   * Returns the classes of the speeds of the executors about which enough is known, by the hashes
+   * of their incarnations and as observed: who reads them draws them towards the mean of the fleet
+   * again.
    */
-  Map<Incarnation, Integer> classes(long nowNanos) {
-    Map<Incarnation, Integer> classes = new LinkedHashMap<>();
+  Map<Integer, Integer> classes(long nowNanos) {
+    Map<Integer, Integer> classes = new LinkedHashMap<>();
     for (SpeedEstimate estimate : estimates.values()) {
       if (estimate.weight(nowNanos) >= MIN_RECORDED_WEIGHT) {
-        classes.put(estimate.incarnation(), ExecutorSpeeds.speedClass(lasting(estimate, nowNanos)));
+        classes.put(
+            SpeedRecord.hash(estimate.incarnation()),
+            ExecutorSpeeds.speedClass(lasting(estimate, nowNanos)));
       }
     }
+    // Executors that were not used since the takeover keep their stored speeds.
+    restored.forEach(classes::putIfAbsent);
     return classes;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/SpeedRecord.java
@@ -33,10 +33,10 @@
   /**
    * Returns a record to store; absent if none is due, nothing has changed or all speeds are equal.
    *
-   * @param classes classes of the speeds of known executors
+   * @param classes classes of the speeds of known executors by the hashes of their incarnations
    * @param differ whether they differ by more than noise
    */
-  Optional<byte[]> next(Map<Incarnation, Integer> classes, boolean differ, long nowNanos) {
+  Optional<byte[]> next(Map<Integer, Integer> classes, boolean differ, long nowNanos) {
     byte[] record = encode(classes);
     if (Arrays.equals(record, last) || !(differ || written)) {
       return Optional.empty();
@@ -52,12 +52,12 @@
     return !written || nowNanos - writtenAt >= INTERVAL_NANOS;
   }
 
-  private static byte[] encode(Map<Incarnation, Integer> classes) {
+  private static byte[] encode(Map<Integer, Integer> classes) {
     int count = Math.min(MAX_EXECUTORS, classes.size());
     ByteBuffer buffer = ByteBuffer.allocate(count * BYTES_PER_EXECUTOR);
     classes.entrySet().stream()
         .limit(count)
-        .forEach(entry -> buffer.putInt(hash(entry.getKey())).put(entry.getValue().byteValue()));
+        .forEach(entry -> buffer.putInt(entry.getKey()).put(entry.getValue().byteValue()));
     return buffer.array();
   }
 
