Speeds are stored as observed, not drawn towards the mean twice

Cause: the record held estimates that were already drawn towards the mean of the fleet, and the next owner drew them there again, so that it began with equal speeds. Change: the record holds the observed means. Tests: UnevenFleetTest, ExecutorSpeedsTest, LearningHistoriesTest: 18 run, none failed.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FleetSpeeds.java
@@ -76,7 +76,7 @@
       if (estimate.weight(nowNanos) >= MIN_RECORDED_WEIGHT) {
         classes.put(
             SpeedRecord.hash(estimate.incarnation()),
-            ExecutorSpeeds.speedClass(lasting(estimate, nowNanos)));
+            ExecutorSpeeds.speedClass(estimate.mean() - center));
       }
     }
     // Executors that were not used since the takeover keep their stored speeds.
