--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnevenFleetTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnevenFleetTest.java
@@ -35,14 +35,14 @@
   }
 
   /**
-   * The owner is lost in the burst, while it learns the speeds, and again later. The difference is
-   * more than that of two series of equal simulations with other seeds.
+   * Guards against an owner that knows no speeds after a takeover. The owner is lost in the burst,
+   * while it learns the speeds, and again later.
    */
   @Test
   void nextOwnerLearnsTheSpeedsAgain() {
     double without = urgentWithLostOwner(SchedulingPreferences.ALL_OFF);
     double with = urgentWithLostOwner(SPEEDS);
-    assertTrue(with > without + 0.05, () -> without + ", " + with);
+    assertTrue(with > without + 0.1, () -> without + ", " + with);
   }
 
   @Test
