--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -23,12 +23,10 @@
 import org.fescuehook.logic.batch.maintenance.MaintenanceDuty;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.plan.PlanDuty;
-import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobLifecycle;
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
-import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StateWriter;
@@ -65,7 +63,6 @@
    */
   private static final long BUSY_PLAN_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
 
-  private final BatchPreferences preferences;
   private final ConfigurationAge configurationAge;
   private final StateWriter writer;
   private final LoadMeter load;
@@ -79,6 +76,7 @@
   private final SubmissionHandler submissions;
   private final UnknownJobHandler unknownJobs = new UnknownJobHandler();
   private final CancelHandler cancels;
+  private final RecordMaintenance records;
   private final List<BatchCommand> outgoing = new ArrayList<>();
 
   private boolean fenced;
@@ -95,7 +93,6 @@
       List<ExecutorProfile> listed,
       ConfigurationAge configurationAge,
       BatchContext context) {
-    this.preferences = preferences;
     this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
     this.statistics = SchedulingStatistics.create(preferences.scheduling());
@@ -126,6 +123,8 @@
             context);
     this.submissions = new SubmissionHandler(jobs, writer, admission, outgoing);
     this.cancels = new CancelHandler(jobs, submissions, outgoing);
+    this.records =
+        new RecordMaintenance(registry, statistics.speeds(), writer, preferences.statusRetention());
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
@@ -230,8 +229,7 @@
       plannedAt = context.nowNanos();
       plans.step(context);
     }
-    removeExpired(context);
-    storeSpeeds(context);
+    records.step(admission.stopping(), context);
     writer.flush(context);
     outgoing.forEach(context::add);
     outgoing.clear();
@@ -247,29 +245,6 @@
     }
   }
 
-  /** Stores the speeds with other changes, so that they cost no append of their own. */
-  private void storeSpeeds(BatchContext context) {
-    if (admission.stopping() || writer.idle()) {
-      return;
-    }
-    statistics
-        .speeds()
-        .nextRecord(context.nowNanos())
-        .ifPresent(record -> writer.put(SpeedRecord.KEY, () -> Optional.of(record), () -> {}));
-  }
-
-  private void removeExpired(BatchContext context) {
-    Optional<String> removed =
-        jobs.registry()
-            .removeOneExpiredJob(
-                preferences.statusRetention(), context.nowNanos(), context.wallMillis());
-    removed.ifPresent(id -> writer.put(JobCodec.progressKey(id), Optional::empty, () -> {}));
-    jobs.registry()
-        .removeOneExpiredEarlyCancel(
-            preferences.statusRetention(), context.nowNanos(), context.wallMillis())
-        .ifPresent(id -> writer.put(JobCodec.earlyCancelKey(id), Optional::empty, () -> {}));
-  }
-
   /** Ends the epoch and answers all calls that still wait. */
   void close(BatchContext context) {
     writer.close();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -10,6 +10,7 @@
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.Incarnation;
+import org.fescuehook.model.fleet.RackId;
 
 /** An executor and its free capacity while a plan is made. */
 final class CandidateExecutor {
@@ -161,6 +162,10 @@
     return step.servesUsers() ? runsOtherWork : servesUsers;
   }
 
+  boolean isInRack(RackId rack) {
+    return executor.profile().rack().equals(rack);
+  }
+
   void release(ResourceVector demand) {
     free = free.plus(demand);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -318,7 +318,7 @@
     }
     if (spec.placement().affinity().isPresent()) {
       RackId rack = spec.placement().affinity().get();
-      return List.of(suitable.stream().filter(candidate -> isInRack(candidate, rack)).toList());
+      return List.of(suitable.stream().filter(candidate -> candidate.isInRack(rack)).toList());
     }
     if (!spec.placement().sameRack()) {
       return List.of(suitable);
@@ -331,10 +331,6 @@
     return List.copyOf(racks.values());
   }
 
-  private static boolean isInRack(CandidateExecutor candidate, RackId rack) {
-    return candidate.executor().profile().rack().equals(rack);
-  }
-
   /** Returns how many tasks of a step fit into a group of executors. */
   static int fits(WaitingStep waiting, List<CandidateExecutor> group) {
     long total = 0;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -390,8 +390,7 @@
   public void leaving(ExecutorState executor, BatchContext context) {
     for (LiveRun run : executor.runs().stream().toList()) {
       boolean lateThere = run.estimatedLeftMillis() > executor.profile().remainingMillis();
-      boolean longRunning = run.step().spec().longRunning().isPresent();
-      boolean moves = run.step().spec().checkpointing() || lateThere || longRunning;
+      boolean moves = run.step().spec().checkpointing() || lateThere || run.longRunning();
       if (moves && !run.step().done()) {
         stop(run, WasteCause.LEAVING, context);
         breakGang(run.step(), context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -142,6 +142,11 @@
     return ticket;
   }
 
+  /** Returns whether its task runs until its job is cancelled. */
+  boolean longRunning() {
+    return step.spec().longRunning().isPresent();
+  }
+
   /** Returns the resources that it holds on the executor. */
   public ResourceVector demand() {
     return step.spec().demand();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -61,6 +61,7 @@
   final LongRunningStops longRunningStops = new LongRunningStops(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
+  private final ClusterListing listing = new ClusterListing(this);
   private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
   final Random random;
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
@@ -190,11 +191,7 @@
 
   /** Announces that an executor leaves in {@code remainingMillis}. */
   void leave(ExecutorId id, long remainingMillis) {
-    ExecutorProfile leaving = TestFixtures.leaving(executors.get(id).profile(), remainingMillis);
-    executors.get(id).setProfile(leaving);
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(leaving)));
+    listing.leave(id, remainingMillis);
   }
 
   /** Ends an executor and loses its runs; the list drops its entry 4.5 s later. */
@@ -207,16 +204,12 @@
 
   /** Reports an executor as listed to the VMs that follow the list of executors. */
   void list(ExecutorId id) {
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(executors.get(id).profile())));
+    listing.list(id);
   }
 
   /** Reports an executor as no longer listed to the VMs that follow the list of executors. */
   void unlist(ExecutorId id) {
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorUnlisted(id)));
+    listing.unlist(id);
   }
 
   /** Starts a VM and returns it; returns a VM that is running unchanged. */
@@ -263,7 +256,7 @@
       case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
       case BatchCommand.Append append -> appends.send(vm, append);
       case BatchCommand.LoadState load -> load(vm, load.epoch());
-      case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
+      case BatchCommand.FollowExecutors(boolean following) -> listing.follow(vm, following);
       case BatchCommand.Order order -> orders.send(vm, order);
       case BatchCommand.AskAdvice question -> orders.askAdvice(vm, question);
       case BatchCommand.ListMachines request -> machines.list(vm, request);
@@ -290,21 +283,6 @@
                     : new BatchEvent.StateUnreadable(epoch)));
   }
 
-  private void follow(Vm vm, boolean following) {
-    vm.following = following;
-    if (following) {
-      in(
-          faults.storeDelayMillis,
-          () ->
-              vm.deliver(
-                  new BatchEvent.ExecutorsListed(
-                      executors.values().stream()
-                          .map(FakeExecutor::profile)
-                          .filter(profile -> !faults.unlisted.contains(profile.id()))
-                          .toList())));
-    }
-  }
-
   private void answered(long number, CallAnswer answer) {
     answers.put(number, answer);
     calls.recordAnswer(number, answer, nowMillis);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -234,7 +234,7 @@
     boolean kept = how == RunEnd.DONE || how == RunEnd.FAILED;
     long unsaved =
         work.checkpoints(run.task()) ? state.workedMillis % CHECKPOINT_MILLIS : state.workedMillis;
-    work.addWaste(run, state.waitedMillis + (kept ? 0 : unsaved));
+    work.waste.add(work.demand(run.task()), state.waitedMillis + (kept ? 0 : unsaved));
     lastEnd++;
     ended.add(new OrderOutcome.EndedRun(lastEnd, run, how, checkpoint(run, state)));
     work.recordEnd(run, profile.id(), lastEnd, how, nowMillis);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/HeavyLoadSimulation.java
@@ -198,7 +198,7 @@
     }
     Map<String, Double> byQueue = new LinkedHashMap<>();
     sumsByQueue.forEach((name, sums) -> byQueue.put(name, sums[1] / sums[0]));
-    double wasted = cluster.work.wastedCoreSeconds() * WASTE_PRICE / possible;
+    double wasted = cluster.work.waste.coreSeconds() * WASTE_PRICE / possible;
     return new Result(earned / possible, wasted, byQueue);
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceHistoriesTest.java
@@ -165,7 +165,7 @@
     assertTrue(took <= fleet.deadlineMillis(), () -> "took " + took + " ms");
     assertEquals(Optional.of("COMPLETED"), cluster.machines.toldState(WAVE));
     if (trouble != Trouble.CRASHES) {
-      assertEquals(0, cluster.work.gangsBroken(), "gangs broken");
+      assertEquals(0, cluster.work.waste.gangsBroken(), "gangs broken");
     }
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceWaveTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/MaintenanceWaveTest.java
@@ -86,7 +86,7 @@
     cluster.run(4000);
     assertEquals(3, machines.begun(WAVE));
     awaitCompletion(WAVE, 20_000);
-    assertEquals(0, cluster.work.gangsBroken());
+    assertEquals(0, cluster.work.waste.gangsBroken());
     assertEquals(Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED)), cluster.status(job));
   }
 
@@ -108,7 +108,7 @@
     machines.ask(wave(WAVE, 40, 6, machines.ids()));
     cluster.run(28_000);
     assertEquals(4, machines.begun(WAVE));
-    assertEquals(0, cluster.work.gangsBroken());
+    assertEquals(0, cluster.work.waste.gangsBroken());
     awaitCompletion(WAVE, 12_000);
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -78,8 +78,7 @@
   final FakeAdvice advice = new FakeAdvice();
   final CrashingTasks crashingTasks = new CrashingTasks();
   final PlacementChecks placement = new PlacementChecks();
-  private double wastedCoreSeconds;
-  private int gangsBroken;
+  final WorkWaste waste = new WorkWaste();
   private long stopMillis = 100;
   private boolean gangsAdvanceTogether;
 
@@ -203,15 +202,6 @@
     return racks == 1 ? 1 : 1 / FAR_FACTOR;
   }
 
-  /** Counts work that has to be repeated, and time that a gang spent waiting for its members. */
-  void addWaste(TaskRun run, long millis) {
-    wastedCoreSeconds += demand(run.task()).coreEquivalents() * millis / 1000.0;
-  }
-
-  double wastedCoreSeconds() {
-    return wastedCoreSeconds;
-  }
-
   /** Sets how long a stop takes. */
   void setStopMillis(long millis) {
     stopMillis = millis;
@@ -364,7 +354,9 @@
     }
     boolean breaks = how != RunEnd.DONE && how != RunEnd.GANG_BROKEN && how != RunEnd.FAILED;
     if (breaks) {
-      gangsBroken += gang ? 1 : 0;
+      if (gang) {
+        waste.gangBroken();
+      }
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
@@ -384,7 +376,7 @@
     List<TaskRun> others = members(run).stream().filter(other -> !other.equals(run)).toList();
     running.remove(run);
     if (stepOf(run.task()).gang()) {
-      gangsBroken++;
+      waste.gangBroken();
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
@@ -397,11 +389,6 @@
     unacknowledgedEnds.remove(executor);
   }
 
-  /** Returns how many runs of gangs were stopped or lost before their work was done. */
-  int gangsBroken() {
-    return gangsBroken;
-  }
-
   int failures(TaskName task) {
     return failures.getOrDefault(task, 0);
   }
