--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -87,7 +87,7 @@
 
     final Map<StreamName, ResponseTimeEstimator> answerTimes = new EnumMap<>(StreamName.class);
     final ResponseTimeEstimator readTimes = new ResponseTimeEstimator(RepeatedAppend.NEVER_LATE);
-    private boolean following;
+    boolean following;
     private long busyUntil;
     private final List<BatchEvent> heldEvents = new ArrayList<>();
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterListing.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterListing.java
@@ -1,7 +1,7 @@
 package org.fescuehook.logic.batch;
 
+import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
-import org.fescuehook.model.fleet.ExecutorProfile;
 
 /** The list of executors of a {@link BatchCluster}, as it reaches the VMs that follow it. */
 final class ClusterListing {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WorkWaste.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WorkWaste.java
@@ -1,6 +1,6 @@
 package org.fescuehook.logic.batch;
 
-import org.fescuehook.model.fleet.ResourceVector;
+import org.fescuehook.model.batch.ResourceVector;
 
 /** Counts the work of simulated runs that has to be repeated. */
 final class WorkWaste {
