--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CallGateway.java
@@ -12,6 +12,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -43,16 +44,11 @@
   /** Upper bound on the retry delay. A change of the owner triggers the retry at once. */
   private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
 
-  /**
-   * Delay after which callers may retry a call that was refused as there is no owner. A take-over
-   * lasts about 3 s.
-   */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   private final EventLoop loop;
   private final CallPort local;
   private final Consumer<BatchEvent> events;
   private final BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links;
+  private final RetryDelays retryDelays;
   private final MeterRegistry meters;
   private final Set<OpenCall> open = ConcurrentHashMap.newKeySet();
   private final Set<Retry> pendingRetries = ConcurrentHashMap.newKeySet();
@@ -65,13 +61,16 @@
    * @param local receives the calls while this VM is the owner
    * @param events receives what the answers to calls reveal about the owner
    * @param links creates a link to the owner at an address
+   * @param retryDelays when callers of refused calls shall retry
    */
   CallGateway(
       EventLoop loop,
       CallPort local,
       Consumer<BatchEvent> events,
       BiFunction<InetSocketAddress, OwnerHints, OwnerLink> links,
+      RetryDelays retryDelays,
       MeterRegistry meters) {
+    this.retryDelays = retryDelays;
     this.loop = loop;
     this.local = local;
     this.events = events;
@@ -124,15 +123,24 @@
     open.add(newCall);
     newCall.setDeadlineTimer(
         loop.schedule(
-            () -> newCall.answer(new CallAnswer.Undecided(timeoutCause())),
+            () -> giveUp(newCall, RefusalCause.NO_OWNER),
             patience.toNanos(),
             TimeUnit.NANOSECONDS));
     send(newCall, INITIAL_RETRY_DELAY, false);
   }
 
-  /** Answers all open calls as undecided. Called as this VM stops before their deadlines. */
+  /**
+   * Answers all open calls: as undecided if an owner may have carried them out, else as refused.
+   * Called as this VM stops before their deadlines.
+   */
   void giveUpAll() {
-    open.forEach(call -> call.answer(new CallAnswer.Undecided(timeoutCause())));
+    open.forEach(call -> giveUp(call, RefusalCause.STOPPING));
+  }
+
+  /** Answers a call for which no answer has come. */
+  private void giveUp(OpenCall call, RefusalCause causeIfNotRun) {
+    call.giveUp(
+        new CallAnswer.Undecided(timeoutCause()), retryDelays.refusal(causeIfNotRun, call.call()));
   }
 
   private UndecidedCause timeoutCause() {
@@ -142,23 +150,30 @@
   private void send(OpenCall call, Duration delay, boolean mayBeAccepted) {
     Consumer<CallAnswer> onAnswer = answer -> handleAnswer(call, answer, delay, mayBeAccepted);
     Optional<OwnerLink> owner = link;
+    if (!call.beginSend()) {
+      return;
+    }
     if (view.deciding()) {
       local.call(call.call(), call.remaining(), onAnswer);
     } else if (owner.isPresent()) {
       owner.get().call(call.call(), call.remaining(), onAnswer);
     } else {
-      onAnswer.accept(new CallAnswer.Refused(RefusalCause.NO_OWNER, RETRY_AFTER_MILLIS));
+      onAnswer.accept(retryDelays.refusal(RefusalCause.NO_OWNER, call.call()));
     }
   }
 
   private void handleAnswer(
       OpenCall call, CallAnswer answer, Duration delay, boolean mayBeAccepted) {
-    if (answer instanceof CallAnswer.Refused refused && indicatesOwnerFailure(refused.cause())) {
+    if (answer instanceof CallAnswer.Refused refusal && indicatesOwnerFailure(refusal.cause())) {
       events.accept(new BatchEvent.OwnerDoubted());
     }
     boolean undecided = answer instanceof CallAnswer.Undecided;
     // The refusal of a retry says nothing about the earlier sends, which may have been accepted.
-    boolean outcomeUnknown = undecided || (mayBeAccepted && answer instanceof CallAnswer.Refused);
+    boolean refused = answer instanceof CallAnswer.Refused;
+    boolean outcomeUnknown = undecided || (mayBeAccepted && refused);
+    if (refused && !outcomeUnknown) {
+      call.refused();
+    }
     if (!outcomeUnknown && !waitsForOwner(call.call(), answer)) {
       call.answer(answer);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fescuehook.logic.batch.BatchCore;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
 import org.fescuehook.logic.event.EventLog;
 import org.fescuehook.logic.ini.Addresses;
@@ -30,6 +32,7 @@
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.CallerEdge;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -66,6 +69,7 @@
   private final EventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(
           1, new DefaultThreadFactory("net", true), NioIoHandler.newFactory());
+  private final RetryDelays retryDelays;
   private final BatchRing ring;
   private final CallGateway gateway;
   private final CallerEdge callers;
@@ -82,11 +86,14 @@
   public SchedulerProgram(SchedulerPreferences preferences) {
     this.preferences = preferences;
     EventLoop loop = loops.next();
+    this.retryDelays = new RetryDelays(preferences.batch().scheduling().backlogAdmission());
+    ConfigurationAge configurationAge = new ConfigurationAge();
     FunctionCounter.builder("fescuehook.log.dropped", this, vm -> CountingLogAppender.dropped())
         .register(meters);
-    this.ring = new BatchRing(TICK, meters);
+    this.ring = new BatchRing(TICK, retryDelays, meters);
     this.gateway = gateway(loop);
-    this.callers = new CallerEdge(loops, gateway);
+    this.callers =
+        new CallerEdge(loops, gateway, configurationAge, System::nanoTime, retryDelays, meters);
     this.peers = new CallServer(loops, ring, gateway);
     this.readiness = new StatusServer(loops, Map.of("/-/readyz", this::ready));
     this.metrics =
@@ -105,7 +112,8 @@
             routes -> {
               callers.route(routes);
               configured = true;
-            });
+            },
+            configurationAge);
     FunctionCounter.builder(
             "fescuehook.store.appends.repeated", store, PlatformStore::repeatedAppends)
         .register(meters);
@@ -124,8 +132,16 @@
             incarnation,
             Addresses.format(preferences.addresses().peers()),
             preferences.processor().milliCores());
+    MachineClient machines =
+        new MachineClient(
+            loop,
+            preferences.addresses().machines(),
+            preferences.identity().vm() + "/" + incarnation,
+            preferences.batch().maintenance().readsPerSecond(),
+            ring::publish);
     BatchCore core = new BatchCore(self, preferences.batch());
-    this.decisions = new BatchDuty(core, store, executors, advice, meters, gateway::update);
+    this.decisions =
+        new BatchDuty(core, store, executors, advice, machines, meters, gateway::update);
   }
 
   private CallGateway gateway(EventLoop loop) {
@@ -133,7 +149,9 @@
         loop,
         ring,
         ring::publish,
-        (owner, hints) -> new CallLink(loop, owner, new NettyPeerConnector(loop, owner), hints),
+        (owner, hints) ->
+            new CallLink(loop, owner, new NettyPeerConnector(loop, owner), hints, retryDelays),
+        retryDelays,
         meters);
   }
 
@@ -159,6 +177,9 @@
         addresses.peers(),
         addresses.store(),
         ManagementFactory.getRuntimeMXBean().getUptime());
+    for (String fault : preferences.unusable()) {
+      EventLog.warn(LOGGER, SchedulerEvent.MAINTENANCE_SETTING_UNUSABLE, fault);
+    }
   }
 
   private static double evacuated(CallGateway gateway) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.ownership.OwnerHint;
@@ -15,11 +17,13 @@
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobRegistry;
+import org.fescuehook.logic.batch.statistics.SpeedRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.ExecutorProfile;
+import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
@@ -32,9 +36,6 @@
  */
 public final class BatchCore {
 
-  /** Delay after which callers retry while this VM is not the owner; a takeover takes about 3 s. */
-  private static final long RETRY_AFTER_MILLIS = 1000;
-
   /** Longest time that a stopping owner waits for its last changes to be stored. */
   private static final long STOP_TIMEOUT_NANOS = Duration.ofMillis(1500).toNanos();
 
@@ -45,11 +46,17 @@
   private static final Duration STORE_REACHABLE_AGE = Duration.ofMillis(1000);
 
   private final BatchPreferences preferences;
+  private final RetryDelays retryDelays;
   private final OwnershipDuty ownership;
   private final Map<ExecutorId, ExecutorProfile> listed = new LinkedHashMap<>();
   private boolean executorsRead;
+  private final ConfigurationAge configurationAge = new ConfigurationAge();
   private Optional<BatchConfiguration> configuration = Optional.empty();
   private Optional<Set<FailureDomain>> evacuated = Optional.empty();
+
+  /** The waves that operators ask for; they are read before the evacuated failure domains. */
+  private List<MaintenanceWave> waves = List.of();
+
   private Optional<Takeover> takeover = Optional.empty();
   private Optional<BatchOwner> owner = Optional.empty();
   private OptionalLong stoppingSince = OptionalLong.empty();
@@ -58,6 +65,7 @@
   /** Creates a core that is not the owner and knows no configuration, owner or executor. */
   public BatchCore(OwnerIdentity self, BatchPreferences preferences) {
     this.preferences = preferences;
+    this.retryDelays = new RetryDelays(preferences.scheduling().backlogAdmission());
     this.ownership = new OwnershipDuty(self);
   }
 
@@ -127,6 +135,7 @@
       case BatchEvent.Called called -> handleCall(called, context);
       case BatchEvent.ConfigurationRead(var newer) -> configure(newer, context);
       case BatchEvent.EvacuationsRead read -> evacuationsRead(read, context);
+      case BatchEvent.OperatorsRead(long sentAt) -> configurationAge.read(sentAt);
       case BatchEvent.Appended(var stream, var position, var outcome) ->
           appended(stream, position, outcome, context);
       case BatchEvent.OwnershipRead(var newest, long end) -> ownership.read(newest, end, context);
@@ -144,6 +153,17 @@
           owner.ifPresent(owning -> owning.orderEnded(id, number, outcome, context));
       case BatchEvent.AdviceEnded(long number, var outcome) ->
           owner.ifPresent(owning -> owning.advised(number, outcome, context));
+      case BatchEvent.WavesRead(var asked) -> {
+        waves = asked;
+        owner.ifPresent(owning -> owning.maintenance().ask(asked, context));
+      }
+      case BatchEvent.MachinesListed(long number, var machines) ->
+          owner.ifPresent(owning -> owning.maintenance().listed(number, machines, context));
+      case BatchEvent.MachinesUnreadable(long number, var cause) ->
+          owner.ifPresent(owning -> owning.maintenance().listUnreadable(number, cause, context));
+      case BatchEvent.MaintenanceCallEnded(var machine, long number, var outcome) ->
+          owner.ifPresent(
+              owning -> owning.maintenance().callEnded(machine, number, outcome, context));
       case BatchEvent.StopBegun begun -> {
         stoppingSince = OptionalLong.of(context.nowNanos());
         owner.ifPresent(BatchOwner::beginStop);
@@ -155,7 +175,7 @@
   private void handleCall(BatchEvent.Called call, BatchContext context) {
     if (owner.isEmpty()) {
       context.count("fescuehook.batch.refused", "cause", RefusalCause.NOT_OWNER.tag());
-      CallAnswer refused = new CallAnswer.Refused(RefusalCause.NOT_OWNER, RETRY_AFTER_MILLIS);
+      CallAnswer refused = retryDelays.refusal(RefusalCause.NOT_OWNER, call.call());
       context.add(new BatchCommand.Answer(call.ticket(), refused));
       return;
     }
@@ -199,6 +219,10 @@
       ownership.appendCompleted(position, outcome, context);
       return;
     }
+    if (stream == StreamName.STATUS) {
+      owner.ifPresent(owning -> owning.maintenance().reported(position, outcome, context));
+      return;
+    }
     owner.ifPresent(owning -> owning.appended(position, outcome, context));
     boolean lost =
         takeover.filter(loading -> !loading.answered(position, outcome, context)).isPresent();
@@ -325,7 +349,11 @@
                 registry,
                 configuration.get(),
                 evacuated.get(),
+                waves,
+                done.waveRecords(),
                 List.copyOf(listed.values()),
+                configurationAge,
                 context));
+    done.record(SpeedRecord.KEY).ifPresent(owner.get()::restoreSpeeds);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -92,7 +92,91 @@
    * A job waits because it fits only if executors of evacuated failure domains are used as well.
    */
   WAITS_FOR_EVACUATED_DOMAIN(
-      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks");
+      8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
+  EXECUTOR_SPEED_CHANGED(
+      8050,
+      "Executor {} now works at {} percent of the usual speed; its lasting speed is {} percent"),
+  /** An urgent gang could start, but ends earlier on faster executors that are expected soon. */
+  WAITS_FOR_FASTER_EXECUTORS(
+      8051, "Job {} step {} waits for faster executors; waited {} ms, objective {} ms"),
+  /** A run moves to another executor, since its own has become slow. */
+  RUN_MOVES(8052, "Run {} moves away from {}, which works at {} percent; {} ms left there"),
+  /** A run is stopped because such runs hold too much capacity while others wait. */
+  OVERLONG_RUN_STOPPED(
+      8053, "Run {} on {} has taken {} percent of its expected time; such runs hold {} percent"),
+  /** Evidence makes it likely that an executor fails the runs that it starts. */
+  EXECUTOR_DOUBTED(8055, "Executor {} is doubted: {}, faulty with a probability of {} percent"),
+  /** Runs that ended well outweigh the evidence against an executor. */
+  EXECUTOR_TRUSTED(8056, "Executor {} is trusted again: runs there have ended well"),
+  /** A step fails on executors that are not faulty, so that its job is the cause. */
+  JOB_FAILS_EVERYWHERE(
+      8057,
+      "Step {} has failed on {} executors and is the cause itself; none of them is doubted for it"),
+  /** Many executors became faulty at the same time. */
+  FAILURE_WAVE(
+      8058, "Runs fail on {} percent of the executors on which runs ended in the last second"),
+  /** A run is placed on a doubted executor. */
+  DOUBTED_EXECUTOR_TRIED(
+      8059, "Run {} is a trial of executor {}, faulty with a probability of {} percent"),
+  /** An organisation uses more than its share while others wait; its jobs go behind theirs. */
+  SHARE_EXCEEDED(
+      8060,
+      "Organisation {} exceeds its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** An organisation that exceeded its share keeps it again. */
+  SHARE_KEPT(
+      8061,
+      "Organisation {} keeps its share: uses {} of it, holds {}, held {}, entitled to {} of the fleet"),
+  /** A step waits behind later ones, since its organisation uses more than theirs. */
+  JOB_DEFERRED(
+      8062,
+      "Job {} waits behind later jobs: step {}, {} uses more of its share ({}) than {} ({}), whose"
+          + " job {} starts"),
+  /** A gang that does not fit yet has a reservation. */
+  RESERVATION_MADE(
+      8063,
+      "Job {} has a reservation: step {}, {} tasks on {} executors from rack {} on, expected in {} ms"),
+  /** A gang has not started although its reservation began some time ago. */
+  RESERVATION_MISSED(
+      8064, "Job {} has missed its reservation: step {}, expected {} ms ago; others go first"),
+  /** A submission is refused since its job would start too late to be of use. */
+  START_TOO_LATE(
+      8065,
+      "Job {} of organisation {} would start too late: in {} ms, useful for {} ms; ahead {} pool-s, refused earlier {} pool-s, drained {} pool-s per s"),
+  /** A job that was refused before is admitted. */
+  REFUSED_JOB_ADMITTED(
+      8066, "Job {} of organisation {} admitted after {} refusals, {} ms after the first"),
+  /** More jobs are refused than the owner remembers; logged once a second. */
+  REFUSED_JOBS_FULL(
+      8067,
+      "More than {} refused jobs: the oldest of organisation {} count as new when they return"),
+  /** Operators ask for a maintenance wave, or have changed it. */
+  WAVE_ASKED(8070, "Maintenance wave {}: {} machines, at most {} away, due in {} ms, {} begun"),
+  /** Operators have withdrawn a maintenance wave. */
+  WAVE_WITHDRAWN(8071, "Maintenance wave {} withdrawn, {} machines may be away"),
+  /** The executor of a machine of a wave gets no new runs. */
+  MACHINE_CLOSED(
+      8072,
+      "Machine {} of wave {} closed: {} has {} runs, idle in {} ms; {} closed, {} of {} away, {} left, due in {} ms, work waits: {}"),
+  /** Runs are stopped so that the maintenance of their machine can begin. */
+  MACHINE_CLEARED(8073, "Machine {} of wave {} cleared of {} runs: {}, {} ms to spare"),
+  /** The maintenance of a machine is called. */
+  MAINTENANCE_CALLED(
+      8074, "Maintenance of machine {} for wave {} called, try {}: {}, {} of {} away"),
+  /** A maintenance call has ended. */
+  MAINTENANCE_CALL_ENDED(8075, "Maintenance of machine {} for wave {}, try {}: {} after {} ms"),
+  /** A machine whose maintenance was called is up. */
+  MACHINE_BACK(8076, "Machine {} of wave {} is up with {} after {} ms, was {}"),
+  /** Each machine of a wave that still exists has begun its maintenance. */
+  WAVE_COMPLETED(8077, "Maintenance wave {} completed after {} ms: {} begun, {} gone"),
+  /** A wave makes no progress, or its deadline has passed; logged every 10 s. */
+  WAVE_DELAYED(
+      8078, "Maintenance wave {} waits: {} left, {} closed, {} of {} away, due in {} ms; {}"),
+  /** The list of machines cannot be read; logged every 10 s. */
+  MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}"),
+  /** A maintenance call was refused because of a higher token. */
+  MAINTENANCE_STOPPED(
+      8080, "No more maintenance calls by this owner: machine {} was called with a higher token");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -5,11 +5,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fescuehook.logic.batch.admission.Admission;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.admission.LoadMeter;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
-import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
@@ -18,14 +20,15 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.executor.RunListener;
+import org.fescuehook.logic.batch.maintenance.MaintenanceDuty;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.plan.PlanDuty;
-import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobLifecycle;
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.AppendOutcome;
+import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
@@ -33,6 +36,7 @@
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.preferences.BatchPreferences;
@@ -59,16 +63,20 @@
    */
   private static final long BUSY_PLAN_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
 
-  private final BatchPreferences preferences;
+  private final ConfigurationAge configurationAge;
   private final StateWriter writer;
+  private final LoadMeter load;
+  private final SchedulingStatistics statistics;
   private final Admission admission;
   private final ExecutorDuty executors;
   private final JobLifecycle jobs;
   private final AdviceCache advice;
   private final PlanDuty plans;
+  private final MaintenanceDuty maintenance;
   private final SubmissionHandler submissions;
   private final UnknownJobHandler unknownJobs = new UnknownJobHandler();
   private final CancelHandler cancels;
+  private final RecordMaintenance records;
   private final List<BatchCommand> outgoing = new ArrayList<>();
 
   private boolean fenced;
@@ -80,12 +88,14 @@
       JobRegistry registry,
       BatchConfiguration configuration,
       Set<FailureDomain> evacuated,
+      List<MaintenanceWave> waves,
+      List<KeyedRecord> waveRecords,
       List<ExecutorProfile> listed,
+      ConfigurationAge configurationAge,
       BatchContext context) {
-    this.preferences = preferences;
+    this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
-    this.admission = new Admission(writer, preferences);
-    SchedulingStatistics statistics = SchedulingStatistics.create(preferences.scheduling());
+    this.statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
     this.executors =
         new ExecutorDuty(
@@ -97,10 +107,24 @@
             statistics,
             context);
     this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration);
-    this.submissions = new SubmissionHandler(jobs, writer, outgoing);
-    this.cancels = new CancelHandler(jobs, submissions, outgoing);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
+    this.load = new LoadMeter(executors.registry(), plans, context);
+    this.admission = new Admission(writer, preferences, load);
+    this.maintenance =
+        new MaintenanceDuty(
+            epoch,
+            preferences.maintenance(),
+            executors,
+            registry,
+            writer,
+            waveRecords,
+            waves,
+            context);
+    this.submissions = new SubmissionHandler(jobs, writer, admission, outgoing);
+    this.cancels = new CancelHandler(jobs, submissions, outgoing);
+    this.records =
+        new RecordMaintenance(registry, statistics.speeds(), writer, preferences.statusRetention());
     executors.setPools(jobs.pools());
     listed.forEach(profile -> executors.handleEntry(profile, context));
     executors.evacuate(evacuated, context);
@@ -108,11 +132,24 @@
     jobs.retireEnded(context);
   }
 
-  /** Returns whether an executor or the store reported a higher epoch, hence a newer owner. */
+  /** Begins with the speeds of executors that a former owner has stored. */
+  void restoreSpeeds(byte[] record) {
+    statistics.speeds().restore(record);
+  }
+
+  /**
+   * Returns whether an executor or the store reported a higher epoch, hence a newer owner. A higher
+   * token at the machine API may come from elsewhere, so it ends the maintenance calls only.
+   */
   boolean fenced() {
     return fenced;
   }
 
+  /** Returns the maintenance of machines. */
+  MaintenanceDuty maintenance() {
+    return maintenance;
+  }
+
   /** Applies a newer configuration. */
   void configure(BatchConfiguration newer) {
     jobs.configure(newer);
@@ -184,6 +221,7 @@
     if (context.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(context);
     }
+    maintenance.step(contact, admission.stopping(), context);
     plans.startStored(context);
     boolean planNow =
         !context.moreEventsQueued() || context.nowNanos() - plannedAt > BUSY_PLAN_INTERVAL_NANOS;
@@ -191,7 +229,7 @@
       plannedAt = context.nowNanos();
       plans.step(context);
     }
-    removeExpired(context);
+    records.step(admission.stopping(), context);
     writer.flush(context);
     outgoing.forEach(context::add);
     outgoing.clear();
@@ -207,18 +245,6 @@
     }
   }
 
-  private void removeExpired(BatchContext context) {
-    Optional<String> removed =
-        jobs.registry()
-            .removeOneExpiredJob(
-                preferences.statusRetention(), context.nowNanos(), context.wallMillis());
-    removed.ifPresent(id -> writer.put(JobCodec.progressKey(id), Optional::empty, () -> {}));
-    jobs.registry()
-        .removeOneExpiredEarlyCancel(
-            preferences.statusRetention(), context.nowNanos(), context.wallMillis())
-        .ifPresent(id -> writer.put(JobCodec.earlyCancelKey(id), Optional::empty, () -> {}));
-  }
-
   /** Ends the epoch and answers all calls that still wait. */
   void close(BatchContext context) {
     writer.close();
@@ -244,26 +270,17 @@
     BatchConfiguration configuration = jobs.configuration();
     Optional<JobQueue> queue = configuration.queue(call.queue());
     if (queue.isEmpty()) {
-      answer(ticket, new CallAnswer.NoSuchQueue());
+      answerUnknown(event, new CallAnswer.NoSuchQueue(), context);
       return;
     }
     Optional<BatchOrganisation> caller = configuration.organisation(call.apiKey());
     if (!queue.get().open() && caller.isEmpty()) {
-      answer(ticket, new CallAnswer.UnknownKey());
+      answerUnknown(event, new CallAnswer.UnknownKey(), context);
       return;
     }
     switch (call) {
-      case BatchCall.Submit submit -> {
-        Optional<RefusalCause> refusal =
-            admission.refusal(queue.get(), event.patience(), contact, context);
-        if (refusal.isPresent()) {
-          refuse(ticket, submit.job(), refusal.get(), context);
-          return;
-        }
-        String organisation = caller.map(BatchOrganisation::name).orElse("");
-        submissions.submit(
-            ticket, submit, queue.get(), organisation, admission.retryAfterMillis(), context);
-      }
+      case BatchCall.Submit submit ->
+          submissions.handle(event, submit, queue.get(), caller, contact, context);
       case BatchCall.Status status -> status(new JobQuery(ticket, status.job(), until), context);
       case BatchCall.Cancel cancel ->
           cancels.cancel(new JobQuery(ticket, cancel.job(), until), context);
@@ -272,14 +289,23 @@
     }
   }
 
-  private void answer(long ticket, CallAnswer answer) {
-    outgoing.add(new BatchCommand.Answer(ticket, answer));
+  /**
+   * Answers that a queue or key does not exist, or refuses the call if one may have been declared
+   * since this VM last read the operators' records.
+   */
+  private void answerUnknown(BatchEvent.Called event, CallAnswer unknown, BatchContext context) {
+    if (configurationAge.current(context.nowNanos())) {
+      answer(event.ticket(), unknown);
+    } else {
+      Admission.Refusal refusal =
+          admission.staleConfiguration(
+              event.call(), configurationAge.millis(context.nowNanos()), context);
+      submissions.refuse(event.ticket(), event.call().subject(), refusal, context);
+    }
   }
 
-  private void refuse(long ticket, String id, RefusalCause cause, BatchContext context) {
-    context.note(BatchLogEvent.JOB_REFUSED, id, cause, admission.retryAfterMillis());
-    context.count("fescuehook.batch.refused", "cause", cause.tag());
-    answer(ticket, new CallAnswer.Refused(cause, admission.retryAfterMillis()));
+  private void answer(long ticket, CallAnswer answer) {
+    outgoing.add(new BatchCommand.Answer(ticket, answer));
   }
 
   private void status(JobQuery query, BatchContext context) {
@@ -293,6 +319,7 @@
 
   @Override
   public void ended(LiveRun run, EndedRun end, Countdown stored, BatchContext context) {
+    load.ended(run, end.end());
     jobs.ended(run, end, stored, context);
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -5,10 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.fescuehook.logic.batch.admission.Admission;
+import org.fescuehook.logic.batch.admission.NewJob;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
 import org.fescuehook.logic.batch.call.UndecidedCause;
+import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobLifecycle;
@@ -16,6 +20,7 @@
 import org.fescuehook.logic.batch.store.CommitFailure;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.model.batch.BatchJob;
+import org.fescuehook.model.batch.BatchOrganisation;
 import org.fescuehook.model.batch.JobQueue;
 
 /**
@@ -27,6 +32,7 @@
 
   private final JobLifecycle jobs;
   private final StateWriter writer;
+  private final Admission admission;
   private final List<BatchCommand> outgoing;
   private final Map<String, PendingSubmission> pending = new LinkedHashMap<>();
   private final List<JobQuery> dueCancels = new ArrayList<>();
@@ -34,10 +40,13 @@
   /**
    * Creates a handler without submissions.
    *
+   * @param admission decides which submissions are refused
    * @param outgoing list to which answers and log events are added; the owner sends them with its
    *     next step
    */
-  SubmissionHandler(JobLifecycle jobs, StateWriter writer, List<BatchCommand> outgoing) {
+  SubmissionHandler(
+      JobLifecycle jobs, StateWriter writer, Admission admission, List<BatchCommand> outgoing) {
+    this.admission = admission;
     this.jobs = jobs;
     this.writer = writer;
     this.outgoing = outgoing;
@@ -63,35 +72,70 @@
   }
 
   /**
-   * Sends a submission to the store.
+   * Handles a submission of a job that is not known: refuses it or sends it to the store.
    *
-   * @param retryAfterMillis delay after which its caller shall retry if it is not stored
+   * @param caller the organisation of its caller; empty if the call carried no known key
+   * @param contact how well the store can be reached, judged by the heartbeats
    */
-  void submit(
-      long ticket,
+  void handle(
+      BatchEvent.Called event,
       BatchCall.Submit submit,
       JobQueue queue,
-      String organisation,
-      long retryAfterMillis,
+      Optional<BatchOrganisation> caller,
+      StoreReachability contact,
       BatchContext context) {
-    String id = submit.job();
+    NewJob job =
+        new NewJob(
+            submit.job(),
+            queue,
+            caller.map(BatchOrganisation::name).orElse(""),
+            submit.submission());
+    Optional<Admission.Refusal> refusal =
+        admission.refusal(job, event.patience(), contact, context);
+    if (refusal.isPresent()) {
+      refuse(event.ticket(), job.id(), refusal.get(), context);
+    } else {
+      submit(event.ticket(), job, context);
+    }
+  }
+
+  /** Refuses a call. */
+  void refuse(long ticket, String id, Admission.Refusal refusal, BatchContext context) {
+    RefusalCause cause = refusal.cause();
+    context.note(BatchLogEvent.JOB_REFUSED, id, cause, refusal.retryAfterMillis());
+    context.count("fescuehook.batch.refused", "cause", cause.tag());
+    answer(ticket, new CallAnswer.Refused(cause, refusal.retryAfterMillis()));
+  }
+
+  /** Sends a submission to the store. */
+  private void submit(long ticket, NewJob newJob, BatchContext context) {
+    LongSupplier retryAfter = admission.retryIfNotStored(newJob);
+    String id = newJob.id();
     Optional<JobRegistry.EndedJob> cancelled = jobs.registry().earlyCancel(id);
     if (cancelled.isPresent()) {
-      submitCancelled(ticket, id, cancelled.get(), retryAfterMillis, context);
+      submitCancelled(ticket, id, cancelled.get(), retryAfter, context);
       return;
     }
     ActiveJob job =
         ActiveJob.submitted(
-            new BatchJob(id, queue, organisation, context.wallMillis(), submit.submission()));
+            new BatchJob(
+                id,
+                newJob.queue(),
+                newJob.organisation(),
+                context.wallMillis(),
+                newJob.submission()));
     pending.put(id, PendingSubmission.of(ticket));
     jobs.submit(job);
     writer.putExpiring(
         JobCodec.jobKey(id),
         () -> Optional.of(JobCodec.encode(job.job())),
-        () -> accepted(job),
+        () -> {
+          accepted(job);
+          admission.stored(newJob.id(), outgoing);
+        },
         loss -> {
           jobs.withdraw(job);
-          notAccepted(id, loss, retryAfterMillis);
+          notAccepted(id, loss, retryAfter);
         },
         context);
   }
@@ -101,7 +145,7 @@
       long ticket,
       String id,
       JobRegistry.EndedJob cancelled,
-      long retryAfterMillis,
+      LongSupplier retryAfter,
       BatchContext context) {
     pending.put(id, PendingSubmission.of(ticket));
     writer.putExpiring(
@@ -111,8 +155,9 @@
           jobs.registry().addEnded(id, cancelled, context.nowNanos());
           note(BatchLogEvent.CANCELLED_JOB_ACCEPTED, id);
           complete(id, new CallAnswer.Accepted());
+          admission.stored(id, outgoing);
         },
-        loss -> notAccepted(id, loss, retryAfterMillis),
+        loss -> notAccepted(id, loss, retryAfter),
         context);
   }
 
@@ -153,9 +198,12 @@
     complete(job.id(), new CallAnswer.Accepted());
   }
 
-  private void notAccepted(String id, CommitFailure loss, long retryAfterMillis) {
+  private void notAccepted(String id, CommitFailure loss, LongSupplier retryAfter) {
     switch (loss) {
       case NOT_STORED -> {
+        long retryAfterMillis = retryAfter.getAsLong();
+        String cause = RefusalCause.STORE_AWAY.tag();
+        outgoing.add(new BatchCommand.Count("fescuehook.batch.refused", "cause", cause));
         note(BatchLogEvent.JOB_REFUSED, id, loss, retryAfterMillis);
         complete(id, new CallAnswer.Refused(RefusalCause.STORE_AWAY, retryAfterMillis));
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartEvidence;
 import org.fescuehook.model.batch.TaskRun;
 
 /** Handles the answers to polls: which runs are alive on an executor, and which have ended. */
@@ -55,6 +56,13 @@
     listener.lostWithExecutor(run, evidence, context);
   }
 
+  /** Records that an executor, or the one before it at its address, has crashed. */
+  void crashed(ExecutorState executor, BatchContext context) {
+    if (!executor.profile().leaving()) {
+      statistics.reliability().observed(executor.incarnation(), StartEvidence.CRASHED, context);
+    }
+  }
+
   /**
    * Handles the answer to the poll in flight.
    *
@@ -106,6 +114,7 @@
       run.get().foundOn(executor.incarnation());
       executor.remove(run.get());
       ExecutorEvaluator.ended(executor, run.get(), end.end(), statistics, context);
+      statistics.speeds().ended(executor, run.get(), end.end(), context);
       listener.ended(run.get(), end, stored, context);
     }
     stored.release();
@@ -124,6 +133,7 @@
     run.foundOn(executor.incarnation());
     run.progressed(active.percent(), context.nowNanos());
     run.stillListed(sentAt, MAX_STOP_NANOS);
+    run.saved(active.checkpoint(), context.nowNanos());
     listener.checkpointSaved(run, active.checkpoint());
     boolean inherited = run.stage() == Stage.INHERITED;
     if (inherited || run.stage() == Stage.STARTING) {
@@ -133,7 +143,12 @@
     if (inherited) {
       listener.foundRunning(run, context);
     }
-    if (ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos())) {
+    statistics.speeds().progressed(executor, run, context);
+    boolean stalled = ExecutorEvaluator.shouldMove(executor, run, statistics, context.nowNanos());
+    if (stalled && run.percent() == 0) {
+      statistics.reliability().observed(executor.incarnation(), StartEvidence.STALLED, context);
+    }
+    if (stalled || SpeedMoves.pays(executor, run, statistics, context)) {
       listener.runStalled(run, context);
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -6,9 +6,11 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.Incarnation;
+import org.fescuehook.model.fleet.RackId;
 
 /** An executor and its free capacity while a plan is made. */
 final class CandidateExecutor {
@@ -17,6 +19,9 @@
   private final PlannedTasks planned;
   private final boolean suspect;
   private final boolean recentlyRestarted;
+  private final int speedClass;
+  private final ExecutorStanding standing;
+  private int trialsLeft = Integer.MAX_VALUE;
   private ResourceVector free;
   private boolean servesUsers;
   private boolean runsOtherWork;
@@ -29,18 +34,29 @@
    * @param planned what the plan has placed so far
    * @param suspect whether runs have recently failed or been slow there
    * @param recentlyRestarted whether the executor is known to have crashed recently
+   * @param speedClass class of its speed; 0 is the usual speed of the fleet
+   * @param standing how likely runs are to succeed there
    */
   CandidateExecutor(
       ExecutorState executor,
       ResourceVector free,
       PlannedTasks planned,
       boolean suspect,
-      boolean recentlyRestarted) {
+      boolean recentlyRestarted,
+      int speedClass,
+      ExecutorStanding standing) {
     this.executor = executor;
     this.free = free;
     this.planned = planned;
     this.suspect = suspect;
     this.recentlyRestarted = recentlyRestarted;
+    this.speedClass = speedClass;
+    this.standing = standing;
+  }
+
+  /** Returns the class of its speed: executors of one class count as equally fast. */
+  int speedClass() {
+    return speedClass;
   }
 
   boolean suspect() {
@@ -51,6 +67,41 @@
     return recentlyRestarted;
   }
 
+  /** Tells whether evidence against this very executor makes it likely that runs fail here. */
+  boolean doubted() {
+    return standing.doubted();
+  }
+
+  /**
+   * Returns how many more tasks of a step may be placed here. This is limited on a doubted executor
+   * unless the step starts on any executor: a guaranteed start must not wait for trials to end.
+   */
+  int trialsLeft(WaitingStep waiting) {
+    return waiting.requirement().limitsTrials() ? Math.max(0, trialsLeft) : Integer.MAX_VALUE;
+  }
+
+  /**
+   * Returns where this executor stands in the order of placement: doubted ones come first for work
+   * that is suited to try them, and last for all other work.
+   */
+  int trialOrder(WaitingStep waiting) {
+    if (!doubted()) {
+      return 0;
+    }
+    return waiting.requirement().trial() ? -1 : 1;
+  }
+
+  /** Limits the tasks on a doubted executor, less those that are being tried there already. */
+  void limitTrials() {
+    if (doubted()) {
+      long tried =
+          executor.runs().stream()
+              .filter(run -> run.placedAt() - standing.doubtedSince() >= 0)
+              .count();
+      trialsLeft = (int) Math.max(0, standing.maxTrials() - tried);
+    }
+  }
+
   /** Tells whether any work is on the executor. */
   boolean occupied() {
     return servesUsers || runsOtherWork;
@@ -72,6 +123,7 @@
   /** Reserves capacity for a task. */
   void reserve(StepProgress step, TaskProgress task) {
     free = free.minus(step.spec().demand());
+    trialsLeft -= doubted() ? 1 : 0;
     addWork(step.spec());
     onProbation |= task.crashes().mayCrash();
   }
@@ -110,13 +162,28 @@
     return step.servesUsers() ? runsOtherWork : servesUsers;
   }
 
+  boolean isInRack(RackId rack) {
+    return executor.profile().rack().equals(rack);
+  }
+
   void release(ResourceVector demand) {
     free = free.plus(demand);
   }
 
+  /** Limits the free capacity to some amounts, each resource by itself. */
+  void limitFree(ResourceVector most) {
+    free =
+        new ResourceVector(
+            Math.min(free.milliCores(), most.milliCores()),
+            Math.min(free.memoryMegabytes(), most.memoryMegabytes()),
+            Math.min(free.accelerators(), most.accelerators()));
+  }
+
   CandidateExecutor copy() {
     CandidateExecutor copy =
-        new CandidateExecutor(executor, free, planned, suspect, recentlyRestarted);
+        new CandidateExecutor(
+            executor, free, planned, suspect, recentlyRestarted, speedClass, standing);
+    copy.trialsLeft = trialsLeft;
     copy.servesUsers = servesUsers;
     copy.runsOtherWork = runsOtherWork;
     copy.onProbation = onProbation;
@@ -127,12 +194,16 @@
   /**
    * Tells whether a step may run here at all, regardless of capacity. A step that has failed avoids
    * the executors on which it failed and suspect ones, since it has few attempts left. Gangs avoid
-   * suspect executors, since one slow member delays all others.
+   * suspect executors, since one slow member delays all others. Besides, an executor must be as
+   * reliable as the step requires.
    */
   boolean isEligible(WaitingStep waiting) {
     StepProgress step = waiting.step();
     boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
     Incarnation incarnation = executor.incarnation();
+    if (!waiting.requirement().accepts(standing)) {
+      return false;
+    }
     if (avoided || step.failedOn(incarnation) || !waiting.permits(incarnation)) {
       return false;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -14,6 +14,7 @@
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.fleet.RackId;
@@ -27,7 +28,8 @@
 
   /**
    * If more than this share of the executors is suspect, the jobs are the cause rather than the
-   * executors, and none is treated as suspect.
+   * executors, and none is treated as suspect. This does not apply to the doubts of start
+   * reliability, which tells the two causes apart.
    */
   private static final double MAX_SUSPECT_SHARE = 0.25;
 
@@ -52,6 +54,7 @@
   /** For each shape, the most tasks that fitted into one group when this was last counted. */
   private final Map<Shape, Integer> maxFittingTasks = new HashMap<>();
 
+  private final boolean equallyFast;
   private int usableAccelerators;
   private long accelerators;
   private long milliCores;
@@ -66,7 +69,8 @@
       Optional<RackId> affinity,
       boolean sameRack,
       boolean gang,
-      boolean nearOnly) {}
+      boolean nearOnly,
+      StartRequirement requirement) {}
 
   /** The properties that determine how many tasks of a step fit into a group. */
   private record Shape(
@@ -74,6 +78,7 @@
 
   FleetCapacity(List<CandidateExecutor> candidates) {
     this.candidates = candidates;
+    this.equallyFast = candidates.stream().allMatch(candidate -> candidate.speedClass() == 0);
     for (CandidateExecutor candidate : candidates) {
       byExecutor.put(candidate.executor(), candidate);
       addToTotals(candidate, 1);
@@ -86,9 +91,15 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity available(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    FleetCapacity capacity = of(executors, ExecutorState::free, planned, nowNanos);
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SpeedClasses speeds,
+      SchedulingStatistics statistics,
+      long nowNanos) {
+    FleetCapacity capacity =
+        of(executors, ExecutorState::free, planned, speeds, statistics, nowNanos);
     for (CandidateExecutor candidate : capacity.candidates) {
+      candidate.limitTrials();
       candidate.executor().runs().forEach(run -> candidate.addWork(run, nowNanos));
     }
     return capacity;
@@ -100,14 +111,25 @@
    * @param planned what the plan has placed so far; the capacity reads it whenever it counts tasks
    */
   static FleetCapacity total(
-      Collection<ExecutorState> executors, PlannedTasks planned, long nowNanos) {
-    return of(executors, executor -> executor.profile().capacity(), planned, nowNanos);
+      Collection<ExecutorState> executors,
+      PlannedTasks planned,
+      SchedulingStatistics statistics,
+      long nowNanos) {
+    return of(
+        executors,
+        executor -> executor.profile().capacity(),
+        planned,
+        SpeedClasses.EQUAL,
+        statistics,
+        nowNanos);
   }
 
   private static FleetCapacity of(
       Collection<ExecutorState> executors,
       Function<ExecutorState, ResourceVector> capacity,
       PlannedTasks planned,
+      SpeedClasses speeds,
+      SchedulingStatistics statistics,
       long nowNanos) {
     long suspects = executors.stream().filter(executor -> executor.suspect(nowNanos)).count();
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
@@ -120,7 +142,9 @@
               capacity.apply(executor),
               planned,
               suspect,
-              executor.recentlyRestarted(nowNanos)));
+              executor.recentlyRestarted(nowNanos),
+              speeds.of(executor),
+              statistics.reliability().standing(executor, nowNanos)));
     }
     return new FleetCapacity(candidates);
   }
@@ -174,6 +198,16 @@
     update(executor, candidate -> candidate.release(demand));
   }
 
+  /** Limits the free capacity of an executor to some amounts, each resource by itself. */
+  void limitFree(ExecutorState executor, ResourceVector most) {
+    update(executor, candidate -> candidate.limitFree(most));
+  }
+
+  /** Returns an independent copy. */
+  FleetCapacity copy() {
+    return new FleetCapacity(candidates.stream().map(CandidateExecutor::copy).toList());
+  }
+
   private void update(ExecutorState executor, Consumer<CandidateExecutor> update) {
     CandidateExecutor candidate = byExecutor.get(executor);
     if (candidate == null) {
@@ -184,6 +218,11 @@
     addToTotals(candidate, 1);
   }
 
+  /** Returns the class of the speed of the executor of a placement. */
+  int speedClass(TaskPlacement placement) {
+    return byExecutor.get(placement.executor()).speedClass();
+  }
+
   /** Returns the executors on which a step may run, in groups that count as near to each other. */
   List<List<CandidateExecutor>> groups(WaitingStep waiting, boolean nearOnly) {
     return groupKey(waiting, nearOnly)
@@ -204,7 +243,8 @@
             placement.affinity(),
             placement.sameRack(),
             step.spec().gang(),
-            nearOnly));
+            nearOnly,
+            waiting.requirement()));
   }
 
   private static Optional<Shape> shape(WaitingStep waiting, boolean nearOnly) {
@@ -235,8 +275,8 @@
 
   /**
    * Returns the group with the least capacity to spare into which a number of tasks fits; absent if
-   * there is none. Capacity only shrinks while a plan is made, so that a shape which did not fit
-   * need not be counted again.
+   * there is none. Among groups of different speeds, the speed decides first. Capacity only shrinks
+   * while a plan is made, so that a shape which did not fit need not be counted again.
    */
   Optional<List<CandidateExecutor>> tightestGroup(
       WaitingStep waiting, int wanted, boolean nearOnly) {
@@ -245,13 +285,22 @@
       return Optional.empty();
     }
     Optional<List<CandidateExecutor>> best = Optional.empty();
+    PlacementSpeed speed = PlacementSpeed.of(waiting);
+    List<List<CandidateExecutor>> all = groups(waiting, nearOnly);
+    int bestPace = 0;
     int least = Integer.MAX_VALUE;
     int most = 0;
-    for (List<CandidateExecutor> group : groups(waiting, nearOnly)) {
+    for (List<CandidateExecutor> group : all) {
       int fitting = fits(waiting, group);
       most = Math.max(most, fitting);
-      if (fitting >= wanted && (best.isEmpty() || fitting < least)) {
+      if (fitting < wanted) {
+        continue;
+      }
+      int pace = equallyFast || all.size() == 1 ? 0 : PlacementSpeed.pace(waiting, group, wanted);
+      int order = best.isEmpty() ? -1 : speed.compare(pace, bestPace);
+      if (order < 0 || (order == 0 && fitting < least)) {
         best = Optional.of(group);
+        bestPace = pace;
         least = fitting;
       }
     }
@@ -269,7 +318,7 @@
     }
     if (spec.placement().affinity().isPresent()) {
       RackId rack = spec.placement().affinity().get();
-      return List.of(suitable.stream().filter(candidate -> isInRack(candidate, rack)).toList());
+      return List.of(suitable.stream().filter(candidate -> candidate.isInRack(rack)).toList());
     }
     if (!spec.placement().sameRack()) {
       return List.of(suitable);
@@ -282,10 +331,6 @@
     return List.copyOf(racks.values());
   }
 
-  private static boolean isInRack(CandidateExecutor candidate, RackId rack) {
-    return candidate.executor().profile().rack().equals(rack);
-  }
-
   /** Returns how many tasks of a step fit into a group of executors. */
   static int fits(WaitingStep waiting, List<CandidateExecutor> group) {
     long total = 0;
@@ -302,7 +347,7 @@
         || (candidate.interferesWith(spec) && !waiting.timing().acceptsSharing())) {
       return 0;
     }
-    int fitting = candidate.free().fits(spec.demand());
+    int fitting = Math.min(candidate.free().fits(spec.demand()), candidate.trialsLeft(waiting));
     int most = spec.placement().maxPerExecutor();
     if (most == 0) {
       return fitting;
@@ -311,9 +356,10 @@
   }
 
   /**
-   * Places tasks in a group. The fullest executors come first, so that whole ones stay free, and
-   * suspect ones last. Tasks suspected of crashing executors go where a crash costs least and
-   * leaves the least doubt about its cause.
+   * Places tasks in a group. For a gang, executors of the speed that suits it come first, among
+   * them the fullest. Single tasks fill the fullest that are fast enough, so that whole ones stay
+   * free; among equally full ones the speed decides. Suspect executors come last. Tasks suspected
+   * of crashing executors go where a crash costs least and leaves the least doubt about its cause.
    *
    * @return the placements; fewer than tasks if the group has no capacity for all
    */
@@ -325,10 +371,20 @@
         ordered.add(candidate);
       }
     }
-    ordered.sort(waiting.mayCrash() ? LEAST_RISK_FIRST : FULLEST_FIRST);
+    ordered.sort(
+        Comparator.comparingInt((CandidateExecutor candidate) -> candidate.trialOrder(waiting))
+            .thenComparing(
+                waiting.mayCrash()
+                    ? LEAST_RISK_FIRST
+                    : PlacementSpeed.order(waiting, ordered, tasks.size(), FULLEST_FIRST)));
+    int trials = waiting.requirement().maxTrials(tasks.size());
     List<TaskPlacement> placements = new ArrayList<>();
     for (CandidateExecutor candidate : ordered) {
       int fitting = fits(waiting, candidate);
+      if (candidate.doubted()) {
+        fitting = Math.min(fitting, trials);
+        trials -= fitting;
+      }
       for (int placed = 0; placed < fitting; placed++) {
         if (placements.size() == tasks.size()) {
           return placements;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.partitioningBy;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -7,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
@@ -19,7 +22,10 @@
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.state.WasteCause;
+import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
@@ -29,12 +35,18 @@
 /** Plans the waiting steps, stores each placement and then orders the start of the run. */
 public final class PlanDuty {
 
+  private static final int PERCENT = 100;
+
   private final JobLifecycle jobs;
   private final ExecutorDuty executors;
   private final AdviceCache advice;
   private final Planner planner;
   private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
+  private final FairShareLog fairShareLog;
+  private final OverlongRuns overlongRuns;
+  private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
+  private final ReservationLog reservationLog = new ReservationLog();
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
@@ -52,13 +64,23 @@
     this.planner = new Planner(step -> rank(step.job()), work, statistics);
     this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
+    this.fairShareLog = new FairShareLog(statistics.usage());
+    this.overlongRuns =
+        new OverlongRuns(
+            statistics.runTimes(), executors, step -> rank(step.job()), context.nowNanos());
   }
 
   /** Makes a plan and applies it. */
   public void step(BatchContext context) {
     guaranteedNeed = guaranteedNeed();
+    // Also while nothing waits, since what runs meanwhile counts for later plans.
+    statistics
+        .usage()
+        .observe(
+            executors.registry().all(), jobs.configuration().organisations(), context.nowNanos());
     List<WaitingStep> waiting = waiting(context);
     if (waiting.isEmpty()) {
+      fairShareLog.check(waiting, Planner.Plan.EMPTY, context);
       return;
     }
     List<ExecutorState> usable =
@@ -67,17 +89,39 @@
             .toList();
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     requestAdvice(waiting, usable, context);
-    statistics.usage().observe(executors.registry().all(), context.nowNanos());
-    Planner.Plan plan = planner.plan(waiting, usable, context.nowNanos());
+    statistics.reliability().observe(context);
+    Planner.Plan plan =
+        planner.plan(waiting, usable, run -> useless(run, context), context.nowNanos());
+    fairShareLog.check(waiting, plan, context);
+    reservationLog.check(waiting, plan, context);
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
       String cause = "job " + job + " needs its place, " + beneficiary.rank();
+      stop.run().wastedBy(WasteCause.PREEMPTED);
       executors.stop(stop.run(), cause, context);
+      beneficiary.step().markStopsOrdered();
     }
+    noteDeferred(plan.deferred(), context);
+    overlongRuns.limit(waiting, plan, usable, run -> useless(run, context), context);
     start(plan.starts(), context);
   }
 
+  /** Logs once for each step that it waits for faster executors. */
+  private void noteDeferred(List<WaitingStep> deferred, BatchContext context) {
+    for (WaitingStep waiting : deferred) {
+      if (deferredSteps.put(waiting.step(), true) == null) {
+        context.note(
+            BatchLogEvent.WAITS_FOR_FASTER_EXECUTORS,
+            waiting.step().job().job().id(),
+            waiting.step().number(),
+            TimeUnit.NANOSECONDS.toMillis(waiting.timing().waitedNanos()),
+            TimeUnit.NANOSECONDS.toMillis(waiting.timing().objectiveNanos()));
+        context.count("fescuehook.batch.starts.deferred", "cause", "faster-executors");
+      }
+    }
+  }
+
   /**
    * Requests external advice for the steps that need it, in the order in which they are planned.
    */
@@ -87,7 +131,7 @@
     List<WaitingStep> advised =
         waiting.stream()
             .filter(step -> step.permitted().isPresent())
-            .sorted(WaitingStep.ORDER)
+            .sorted(WaitingStep.order(statistics.usage()))
             .toList();
     for (WaitingStep step : advised) {
       List<Incarnation> executorsOfPool =
@@ -99,7 +143,8 @@
     }
   }
 
-  private List<WaitingStep> waiting(BatchContext context) {
+  /** Returns the steps that are ready to start. */
+  public List<WaitingStep> waiting(BatchContext context) {
     List<WaitingStep> waiting = new ArrayList<>();
     for (ActiveJob job : jobs.registry().activeJobs()) {
       if (!job.open()) {
@@ -128,42 +173,66 @@
         queue.advised()
             ? Optional.of(advice.permitted(step, context.nowNanos()))
             : Optional.empty();
-    for (List<TaskProgress> group : placementGroups(step, tasks)) {
+    for (List<TaskProgress> group : placementGroups(step, tasks, queue.maxAttempts())) {
       waiting.add(
           new WaitingStep(
-              step, group, queue.pool(), rank(step.job()), accepted, timing, permitted));
+              step,
+              group,
+              queue.pool(),
+              rank(step.job()),
+              accepted,
+              timing,
+              permitted,
+              queue.maxAttempts(),
+              StartRequirement.ANY));
     }
   }
 
   /**
    * Divides tasks into the groups that are planned together. Tasks suspected of crashing executors
-   * are planned one by one, so that a crash can be attributed to one of them.
+   * are planned one by one, so that a crash can be attributed to one of them. Tasks with one
+   * attempt left are planned apart, since they need more reliable executors.
    */
-  private static List<List<TaskProgress>> placementGroups(
-      StepProgress step, List<TaskProgress> tasks) {
-    if (step.spec().gang() || tasks.stream().noneMatch(task -> task.crashes().mayCrash())) {
+  private List<List<TaskProgress>> placementGroups(
+      StepProgress step, List<TaskProgress> tasks, int maxAttempts) {
+    StartReliability reliability = statistics.reliability();
+    boolean mayCrash = tasks.stream().anyMatch(task -> task.crashes().mayCrash());
+    if (step.spec().gang() || (!mayCrash && !reliability.enabled())) {
       return List.of(tasks);
     }
     List<List<TaskProgress>> groups = new ArrayList<>();
-    List<TaskProgress> others = tasks.stream().filter(task -> !task.crashes().mayCrash()).toList();
-    if (!others.isEmpty()) {
-      groups.add(others);
-    }
+    tasks.stream()
+        .filter(task -> !task.crashes().mayCrash())
+        .collect(
+            partitioningBy(
+                task -> reliability.enabled() && StartRequirement.onLastAttempt(task, maxAttempts)))
+        .values()
+        .stream()
+        .filter(group -> !group.isEmpty())
+        .forEach(groups::add);
     tasks.stream()
         .filter(task -> task.crashes().mayCrash())
         .forEach(task -> groups.add(List.of(task)));
     return groups;
   }
 
-  private static StepTiming timing(StepProgress step, JobQueue queue, BatchContext context) {
+  /** Returns when a step was due, milliseconds since 1970. */
+  private static long dueMillis(StepProgress step) {
     Submission submission = step.job().job().submission();
-    long dueMillis = step.job().job().acceptedMillis();
-    if (submission.schedule().isPresent()) {
-      dueMillis = Math.max(dueMillis, submission.schedule().get().dueMillis(step.occurrence()));
-    }
+    long accepted = step.job().job().acceptedMillis();
+    return submission
+        .schedule()
+        .map(schedule -> Math.max(accepted, schedule.dueMillis(step.occurrence())))
+        .orElse(accepted);
+  }
+
+  private StepTiming timing(StepProgress step, JobQueue queue, BatchContext context) {
     long objectiveMillis = queue.objectiveMillis(step.job().estimatedChainMillis());
-    long spareMillis = objectiveMillis - step.estimatedChainMillis();
-    long waitedMillis = Math.max(0, context.wallMillis() - dueMillis);
+    double ratio = statistics.runTimes().expectedRatio(step);
+    double lowRatio = statistics.runTimes().lowRatio(step);
+    long chainMillis = step.estimatedChainMillis();
+    long spareMillis = objectiveMillis - Math.round(chainMillis * ratio);
+    long waitedMillis = Math.max(0, context.wallMillis() - dueMillis(step));
     long queuedNanos = context.nowNanos() - step.queuedSince(context.nowNanos());
     if (step.spec().longRunning().isPresent()) {
       return StepTiming.ofLongRunning(queuedNanos);
@@ -172,7 +241,22 @@
         TimeUnit.MILLISECONDS.toNanos(waitedMillis),
         queuedNanos,
         TimeUnit.MILLISECONDS.toNanos(spareMillis),
-        TimeUnit.MILLISECONDS.toNanos(objectiveMillis));
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis - chainMillis),
+        TimeUnit.MILLISECONDS.toNanos(objectiveMillis - Math.round(chainMillis * lowRatio)));
+  }
+
+  /** Tells whether the result of a run will come too late to be of any use to the caller. */
+  private boolean useless(LiveRun run, BatchContext context) {
+    StepProgress step = run.step();
+    if (step.spec().longRunning().isPresent()) {
+      return false;
+    }
+    long leftMillis = statistics.runTimes().expectedLeftMillis(run, context.nowNanos());
+    long objectiveMillis =
+        jobs.queue(step.job()).objectiveMillis(step.job().estimatedChainMillis());
+    long endsAfterMillis = context.wallMillis() - dueMillis(step) + leftMillis;
+    return endsAfterMillis > objectiveMillis * JobQueue.MAX_USEFUL_OBJECTIVES;
   }
 
   private Rank rank(ActiveJob job) {
@@ -184,6 +268,17 @@
     return coveredByGuarantee ? Rank.GUARANTEED : Rank.ofPriority(queue.priority());
   }
 
+  /**
+   * Returns whether the guarantee of an organisation may cover a new job, by the rule for the rank
+   * of accepted jobs. The need is that of the last plan; a job without accelerators counts as
+   * covered while it is within the guarantee, so that in doubt it is accepted.
+   */
+  public boolean mayBeGuaranteed(String organisation, JobQueue queue, int accelerators) {
+    int guaranteed = jobs.configuration().guaranteedAccelerators(organisation);
+    int needed = guaranteedNeed.getOrDefault(organisation, 0) + accelerators;
+    return queue.priority() == 0 && guaranteed > 0 && needed <= guaranteed;
+  }
+
   /** Returns the number of accelerators that the open jobs of priority 0 need, by organisation. */
   private Map<String, Integer> guaranteedNeed() {
     Map<String, Integer> need = new HashMap<>();
@@ -222,6 +317,7 @@
       step.begin(placement.task(), run);
       placement.executor().add(run);
       changedJobs.add(step.job());
+      noteTrial(run, context);
       runs.add(run);
       context.note(
           BatchLogEvent.RUN_PLACED,
@@ -240,6 +336,17 @@
     }
   }
 
+  private void noteTrial(LiveRun run, BatchContext context) {
+    ExecutorStanding standing =
+        statistics.reliability().standing(run.executor(), context.nowNanos());
+    if (standing.doubted()) {
+      long percent = Math.round(standing.faultProbability() * PERCENT);
+      context.note(BatchLogEvent.DOUBTED_EXECUTOR_TRIED, run.run(), run.incarnation(), percent);
+      context.count(
+          "fescuehook.batch.trials", "work", run.step().spec().gang() ? "gang" : "single");
+    }
+  }
+
   private static String limitPerExecutor(StepProgress step) {
     int limit = step.spec().placement().maxPerExecutor();
     return limit == 0 ? "none" : String.valueOf(limit);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -1,24 +1,20 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.LiveRun;
-import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
-import org.fescuehook.logic.batch.state.TaskProgress;
+import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
- * Decides which tasks start where and which runs are preempted. The planner keeps no state: equal
- * input gives equal plans.
+ * Decides which tasks start where and which runs are preempted. Equal input gives equal plans; the
+ * planner remembers only since when gangs have reservations.
  */
 public final class Planner {
 
@@ -29,40 +25,10 @@
    */
   private static final Duration RECLAIM_RESERVE = Duration.ofMillis(1300);
 
-  /**
-   * How long other work waits for a placement near its data, in multiples of its estimated
-   * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
-   */
-  private static final int NEARNESS_WAIT_DURATIONS = 8;
-
-  /**
-   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
-   * without waiting for others to stop.
-   */
-  private static final double URGENT_RESERVE_SHARE = 0.35;
-
-  /**
-   * The same share for work whose spare time is almost used up. It is not zero, since urgent work
-   * soon preempts what starts in the reserved capacity.
-   */
-  private static final double NEARLY_LATE_RESERVE_SHARE = 0.25;
-
-  /**
-   * Work that has waited this long while more than half of the fleet is free may use the capacity
-   * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
-   */
-  private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
-
-  /**
-   * Work that has waited this long in an idle fleet may also start away from its data. The time
-   * exceeds the duration of most jobs, since a start elsewhere after a shorter wait would still end
-   * later than one near the data.
-   */
-  private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
-
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
   private final SchedulingStatistics statistics;
+  private final ReservationBook reservationBook;
 
   /**
    * Creates a planner that relies on estimates alone.
@@ -88,6 +54,7 @@
     this.ranks = ranks;
     this.preferences = preferences;
     this.statistics = statistics;
+    this.reservationBook = new ReservationBook(statistics.preferences().reservations());
   }
 
   /**
@@ -95,8 +62,20 @@
    *
    * @param starts where tasks start
    * @param stops runs that are preempted
+   * @param deferred gangs that could start but wait for faster executors, where they end earlier
+   * @param considered the steps in the order in which use let them be considered
+   * @param reservations capacity that is reserved for gangs that do not fit yet
    */
-  public record Plan(List<TaskPlacement> starts, List<Preemption> stops) {}
+  public record Plan(
+      List<TaskPlacement> starts,
+      List<Preemption> stops,
+      List<WaitingStep> deferred,
+      List<PlanOrder.Considered> considered,
+      List<Reservation> reservations) {
+
+    /** The plan while nothing waits. */
+    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of(), List.of());
+  }
 
   /**
    * A run that is preempted.
@@ -114,16 +93,38 @@
    */
   public Plan plan(
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
-    List<WaitingStep> ordered = new ArrayList<>(waiting);
-    ordered.sort(WaitingStep.order(statistics.usage()));
-    Pass pass =
-        new Pass(
+    return plan(waiting, executors, run -> false, nowNanos);
+  }
+
+  /**
+   * Makes a plan.
+   *
+   * @param useless tells whether the result of a run will come too late to be of any use
+   */
+  Plan plan(
+      Collection<WaitingStep> waiting,
+      Collection<ExecutorState> executors,
+      Predicate<LiveRun> useless,
+      long nowNanos) {
+    RunForecast forecast =
+        new RunForecast(statistics.runTimes(), useless, preferences.stopTime().toNanos(), nowNanos);
+    PlannedUsage usage = new PlannedUsage(statistics.usage());
+    PlanPass pass =
+        new PlanPass(
             executors,
-            new Preemptor(ranks, preferences, nowNanos),
+            SpeedClasses.of(executors, statistics.speeds(), nowNanos),
+            usage,
+            new NearlyLateUse(waiting, usage),
+            new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
+            forecast,
+            statistics,
+            reservationBook,
             guaranteedNearnessWait(),
             nowNanos);
-    ordered.forEach(pass::planStep);
-    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
+    List<PlanOrder.Considered> considered = new PlanOrder(waiting, usage).forEach(pass::planStep);
+    List<Reservation> reservations = pass.reservations();
+    reservationBook.update(reservations, waiting, nowNanos);
+    return new Plan(pass.starts(), pass.stops(), pass.deferred(), considered, reservations);
   }
 
   /**
@@ -133,176 +134,4 @@
     Duration wait = preferences.reclaimBound().minus(preferences.stopTime()).minus(RECLAIM_RESERVE);
     return Math.max(0, wait.toNanos());
   }
-
-  /** The state of one plan while it is made. */
-  private static final class Pass {
-    private final FleetCapacity available;
-    private final FleetCapacity expected;
-    private final FleetCapacity total;
-    private final PlannedTasks planned = new PlannedTasks();
-    private final List<TaskPlacement> starts = new ArrayList<>();
-    private final List<Preemption> stops = new ArrayList<>();
-
-    private final Preemptor preemptor;
-    private final long guaranteedNearnessWaitNanos;
-
-    Pass(
-        Collection<ExecutorState> executors,
-        Preemptor preemptor,
-        long guaranteedNearnessWaitNanos,
-        long nowNanos) {
-      this.preemptor = preemptor;
-      this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
-      available = FleetCapacity.available(executors, planned, nowNanos);
-      expected = FleetCapacity.available(executors, planned, nowNanos);
-      total = FleetCapacity.total(executors, planned, nowNanos);
-      for (ExecutorState executor : executors) {
-        for (LiveRun run : executor.runs()) {
-          if (run.stage() == Stage.STOPPING) {
-            expected.release(executor, run.demand());
-          }
-        }
-      }
-    }
-
-    void planStep(WaitingStep waiting) {
-      if (waiting.step().spec().gang()) {
-        planGang(waiting);
-      } else {
-        planTasks(waiting);
-      }
-    }
-
-    private void planTasks(WaitingStep waiting) {
-      int allowedStarts = allowedStarts(waiting);
-      if (allowedStarts == 0) {
-        return;
-      }
-      List<TaskPlacement> placements =
-          available
-              .firstGroup(waiting, nearOnly(waiting))
-              .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
-              .orElse(List.of());
-      placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
-      placements.forEach(this::start);
-      boolean incomplete = placements.size() < waiting.tasks().size();
-      if (incomplete && waiting.urgent()) {
-        // Evaluated again: these starts may have filled a fleet that was idle before, and only an
-        // idle fleet has capacity to spare for starts away from the data.
-        waitOrPreempt(waiting.withoutFirst(placements.size()), nearOnly(waiting));
-      }
-    }
-
-    private void planGang(WaitingStep waiting) {
-      if (allowedStarts(waiting) < waiting.tasks().size()) {
-        return;
-      }
-      boolean nearOnly = nearOnly(waiting);
-      Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, available, nearOnly);
-      if (now.isPresent()) {
-        now.get().forEach(this::start);
-        return;
-      }
-      waitOrPreempt(waiting, nearOnly);
-    }
-
-    /** Reserves capacity that is being freed for the step, or else preempts other runs for it. */
-    private void waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
-      if (!waiting.step().job().accepted()) {
-        return;
-      }
-      Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, expected, nearOnly);
-      if (afterStops.isPresent()) {
-        afterStops.get().forEach(this::reserve);
-        return;
-      }
-      if (!waiting.urgent() && !nearlyLate(waiting)) {
-        return;
-      }
-      Optional<Preemptor.Selection> selection = preemptor.choose(waiting, expected, nearOnly);
-      if (selection.isPresent()) {
-        preemptor.markApplied(selection.get());
-        selection.get().victims().forEach(run -> stops.add(new Preemption(run, waiting)));
-        selection.get().placements().forEach(this::reserve);
-      }
-    }
-
-    /**
-     * Returns how many tasks of a step may start without using the capacity reserved for urgent
-     * work.
-     */
-    private int allowedStarts(WaitingStep waiting) {
-      int accelerators = waiting.step().spec().demand().accelerators();
-      if (waiting.urgent() || accelerators == 0) {
-        return Integer.MAX_VALUE;
-      }
-      if (idleFor(waiting, IDLE_WAIT_NANOS)) {
-        return Integer.MAX_VALUE;
-      }
-      double reserved =
-          total.accelerators()
-              * (nearlyLate(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
-      return (int) Math.max(0, (available.accelerators() - reserved) / accelerators);
-    }
-
-    /**
-     * Tells whether the spare time of a step is almost used up. A step that is too late to be of
-     * use is not preferred.
-     */
-    private static boolean nearlyLate(WaitingStep waiting) {
-      return waiting.timing().nearlyLate() && waiting.timing().prospect() != Prospect.TOO_LATE;
-    }
-
-    /**
-     * Tells whether a step has waited for some time although more than half of the fleet is free.
-     */
-    private boolean idleFor(WaitingStep waiting, long nanos) {
-      return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total);
-    }
-
-    /**
-     * Tells whether a step has to start near its data: this is possible, and it has not waited for
-     * long.
-     */
-    private boolean nearOnly(WaitingStep waiting) {
-      if (mayStartAnywhere(waiting)) {
-        return false;
-      }
-      int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
-      return total.tightestGroup(waiting, wanted, true).isPresent();
-    }
-
-    private boolean mayStartAnywhere(WaitingStep waiting) {
-      if (idleFor(waiting, IDLE_NEARNESS_WAIT_NANOS)) {
-        return true;
-      }
-      StepTiming timing = waiting.timing();
-      boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
-      if (firstStart && timing.waitedNanos() > guaranteedNearnessWaitNanos) {
-        return true;
-      }
-      long duration = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
-      return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
-    }
-
-    /** Places all tasks in the group with the least capacity to spare into which they fit. */
-    private static Optional<List<TaskPlacement>> placeInTightestGroup(
-        WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
-      List<TaskProgress> tasks = waiting.tasks();
-      return capacity
-          .tightestGroup(waiting, tasks.size(), nearOnly)
-          .map(group -> FleetCapacity.placeTasks(waiting, tasks, group));
-    }
-
-    private void start(TaskPlacement placement) {
-      starts.add(placement);
-      reserve(placement);
-    }
-
-    private void reserve(TaskPlacement placement) {
-      planned.add(placement);
-      available.reserve(placement);
-      expected.reserve(placement);
-    }
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Preemptor.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.OrganisationUsage;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.preferences.WorkPreferences;
 
@@ -29,27 +30,67 @@
   /** Cost of a start besides restoring saved work: the order and storing the placement. */
   private static final double START_COST_SECONDS = 0.05;
 
+  /**
+   * Work that would be done within this time counts twice, since its capacity becomes free soon
+   * anyway.
+   */
+  private static final double SOON_SECONDS = 1;
+
+  /**
+   * Cost of work without use. Not 0, since such a run is started again when capacity is free, so
+   * that stopping one which has worked for long discards as much again.
+   */
+  private static final double USELESS_COST = 0.25;
+
+  /** Use above this many times the share of an organisation counts as this. */
+  private static final double MAX_OVERUSE = 2;
+
+  /**
+   * Difference of the logarithms of costs within which use decides between victims. A larger one
+   * would let use choose runs whose preemption discards more than the limit allows.
+   */
+  private static final double EQUAL_COST_WIDTH = 0.05;
+
+  private static final Comparator<Victim> BY_COST =
+      Comparator.comparing(Victim::cost).thenComparing(Victim::rank, Comparator.reverseOrder());
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final Function<StepProgress, Rank> ranks;
   private final WorkPreferences preferences;
+  private final RunForecast forecast;
+  private final OrganisationUsage usage;
   private final long nowNanos;
 
   /** Numbers of tasks of long-running steps that this plan preempts already. */
   private final Map<StepProgress, Integer> plannedStops = new HashMap<>();
 
-  Preemptor(Function<StepProgress, Rank> ranks, WorkPreferences preferences, long nowNanos) {
+  Preemptor(
+      Function<StepProgress, Rank> ranks,
+      WorkPreferences preferences,
+      RunForecast forecast,
+      OrganisationUsage usage,
+      long nowNanos) {
     this.ranks = ranks;
     this.preferences = preferences;
+    this.forecast = forecast;
+    this.usage = usage;
     this.nowNanos = nowNanos;
   }
 
   /**
    * Runs that are preempted together: one task, or all members of a gang.
    *
-   * @param discarded work that has to be repeated, in seconds of one core
+   * @param cost work that has to be repeated, in seconds of one core; less for work without use and
+   *     more for work that is almost done
+   * @param overuse how much of its share the organisation uses, within bounds
    */
-  private record Victim(List<LiveRun> runs, Rank rank, double discarded) {}
+  private record Victim(List<LiveRun> runs, Rank rank, double cost, double overuse) {
+    /** Returns the cost in steps of a few percent; within a step, the costs count as equal. */
+    long costLevel() {
+      return Math.round(Math.log(Math.max(cost, Double.MIN_NORMAL)) / EQUAL_COST_WIDTH);
+    }
+  }
 
   /**
    * Chooses the runs to preempt for a step.
@@ -67,7 +108,7 @@
     for (List<CandidateExecutor> group : expected.groups(waiting, nearOnly)) {
       Optional<Selection> choice = choose(waiting, group, limit);
       if (choice.isPresent()
-          && best.filter(found -> found.discarded() <= choice.get().discarded()).isEmpty()) {
+          && best.filter(found -> found.cost() <= choice.get().cost()).isEmpty()) {
         best = choice;
       }
     }
@@ -83,35 +124,35 @@
    * The result of a selection.
    *
    * @param victims the runs to preempt
-   * @param discarded work that has to be repeated, in seconds of one core
+   * @param cost work that has to be repeated, weighted as that of its victims
    * @param placements where the step can start then
    */
-  record Selection(List<LiveRun> victims, double discarded, List<TaskPlacement> placements) {}
+  record Selection(List<LiveRun> victims, double cost, List<TaskPlacement> placements) {}
 
   private Optional<Selection> choose(
       WaitingStep waiting, List<CandidateExecutor> group, double limit) {
     Trial trial = new Trial(waiting, group);
     List<Victim> chosen = new ArrayList<>();
-    double discarded = 0;
+    double cost = 0;
     for (Victim victim : victims(waiting, trial.candidates)) {
       if (trial.allFit()) {
         break;
       }
-      if (discarded + victim.discarded() > limit) {
+      if (cost + victim.cost() > limit) {
         continue;
       }
       chosen.add(victim);
-      discarded += victim.discarded();
+      cost += victim.cost();
       trial.release(victim, 1);
     }
     if (!trial.allFit()) {
       return Optional.empty();
     }
-    discarded -= dropUnneeded(trial, chosen);
+    cost -= dropUnneeded(trial, chosen);
     List<LiveRun> runs = chosen.stream().flatMap(victim -> victim.runs().stream()).toList();
     return Optional.of(
         new Selection(
-            runs, discarded, FleetCapacity.placeTasks(waiting, waiting.tasks(), trial.candidates)));
+            runs, cost, FleetCapacity.placeTasks(waiting, waiting.tasks(), trial.candidates)));
   }
 
   /**
@@ -125,7 +166,7 @@
       trial.release(victim, -1);
       if (trial.allFit()) {
         chosen.remove(victim);
-        saved += victim.discarded();
+        saved += victim.cost();
       } else {
         trial.release(victim, 1);
       }
@@ -166,7 +207,8 @@
 
   /**
    * Returns the possible victims, those whose preemption discards the least work first and, among
-   * equals, the least important first.
+   * equals, the least important first. Among those of about equal cost, the runs of organisations
+   * that use more than their share come first.
    */
   private List<Victim> victims(WaitingStep waiting, List<CandidateExecutor> group) {
     List<Victim> victims = new ArrayList<>();
@@ -176,8 +218,12 @@
       ExecutorState executor = candidate.executor();
       for (LiveRun run : executor.runs()) {
         Rank rank = ranks.apply(run.step());
-        boolean preemptible = run.stage() != Stage.STOPPING && !run.step().done();
-        if (!preemptible || !waiting.rank().before(rank)) {
+        boolean preemptible =
+            run.stage() != Stage.STOPPING
+                && !run.step().done()
+                && waiting.rank().before(rank)
+                && !forecast.endsByItself(run);
+        if (!preemptible) {
           continue;
         }
         boolean lasting = run.step().spec().longRunning().isPresent();
@@ -188,25 +234,47 @@
         if (run.step().spec().gang()) {
           gangs.add(run.step());
         } else {
-          victims.add(victim(List.of(run), rank));
+          victims.add(victim(run.step(), List.of(run), rank));
         }
       }
     }
-    gangs.forEach(gang -> victims.add(victim(gang.liveRuns(), ranks.apply(gang))));
+    gangs.forEach(gang -> victims.add(victim(gang, gang.liveRuns(), ranks.apply(gang))));
     victims.sort(
-        Comparator.comparing(Victim::discarded)
-            .thenComparing(Victim::rank, Comparator.reverseOrder()));
+        usage.enabled()
+            ? Comparator.comparingLong(Victim::costLevel)
+                .thenComparing(Victim::overuse, Comparator.reverseOrder())
+                .thenComparing(BY_COST)
+            : BY_COST);
     return victims;
   }
 
-  private Victim victim(List<LiveRun> runs, Rank rank) {
+  private Victim victim(StepProgress step, List<LiveRun> runs, Rank rank) {
     double discarded = 0;
     for (LiveRun run : runs) {
       double restore = run.step().spec().checkpointing() ? preferences.restoreSeconds() : 0;
       double seconds = START_COST_SECONDS + restore + discardedSeconds(run);
       discarded += seconds * run.demand().coreEquivalents();
     }
-    return new Victim(runs, rank, discarded);
+    return new Victim(runs, rank, discarded * costFactor(runs), overuse(step));
+  }
+
+  /** Returns how much the work of runs counts that are preempted together. */
+  private double costFactor(List<LiveRun> runs) {
+    if (!forecast.enabled()) {
+      return 1;
+    }
+    if (runs.stream().allMatch(forecast::useless)) {
+      return USELESS_COST;
+    }
+    double left = 0;
+    for (LiveRun run : runs) {
+      left = Math.max(left, forecast.leftNanos(run) / NANOS_PER_SECOND);
+    }
+    return 1 + Math.min(1, SOON_SECONDS / Math.max(SOON_SECONDS, left));
+  }
+
+  private double overuse(StepProgress step) {
+    return Math.clamp(usage.level(step.job().job().organisation()).use(), 1, MAX_OVERUSE);
   }
 
   /** Returns the work of a run that is not saved, in seconds. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -19,6 +19,8 @@
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing its waiting times and objective
  * @param permitted the executors that may run it according to external advice; absent if any may
+ * @param maxAttempts failures of a task after which its job fails, as its queue is declared now
+ * @param requirement how reliable its executors must be
  */
 public record WaitingStep(
     StepProgress step,
@@ -27,7 +29,9 @@
     Rank rank,
     long acceptedMillis,
     StepTiming timing,
-    Optional<Set<Incarnation>> permitted) {
+    Optional<Set<Incarnation>> permitted,
+    int maxAttempts,
+    StartRequirement requirement) {
 
   /**
    * Order of planning: by rank, then by whether the step can still meet its objective, is late or
@@ -38,19 +42,65 @@
           .thenComparing(waiting -> waiting.timing().prospect())
           .thenComparingLong(WaitingStep::acceptedMillis);
 
-  /** Returns the order of planning, in which organisations with less recent use go first. */
+  /**
+   * Returns the order in which planning begins: organisations with less recent use go first among
+   * steps of the same rank and prospect. What the plan places then changes the use, see {@link
+   * PlanOrder}.
+   */
   static Comparator<WaitingStep> order(OrganisationUsage usage) {
     return Comparator.comparing(WaitingStep::rank)
         .thenComparing(waiting -> waiting.timing().prospect())
-        .thenComparingDouble(waiting -> usage.of(waiting.step().job().job().organisation()))
+        .thenComparing(waiting -> usage.level(waiting.organisation()))
         .thenComparingLong(WaitingStep::acceptedMillis);
   }
 
+  /**
+   * Creates a step that may run on executors of any reliability, with the attempts of its queue as
+   * accepted.
+   */
+  public WaitingStep(
+      StepProgress step,
+      List<TaskProgress> tasks,
+      String pool,
+      Rank rank,
+      long acceptedMillis,
+      StepTiming timing,
+      Optional<Set<Incarnation>> permitted) {
+    this(
+        step,
+        tasks,
+        pool,
+        rank,
+        acceptedMillis,
+        timing,
+        permitted,
+        step.job().job().queue().maxAttempts(),
+        StartRequirement.ANY);
+  }
+
   /** Copies the list. */
   public WaitingStep {
     tasks = List.copyOf(tasks);
   }
 
+  /** Returns the name of the organisation that submitted the job. */
+  String organisation() {
+    return step.job().job().organisation();
+  }
+
+  /** Tells whether only use and acceptance decide between this step and another one. */
+  boolean sameClass(WaitingStep other) {
+    return rank.equals(other.rank) && timing.prospect() == other.timing.prospect();
+  }
+
+  /**
+   * Tells whether the spare time of the step is almost used up. A step that is too late to be of
+   * use is not preferred.
+   */
+  boolean nearlyLate() {
+    return timing.nearlyLate() && timing.prospect() != StepTiming.Prospect.TOO_LATE;
+  }
+
   /** Tells whether the step is urgent: its queue has priority 0. */
   public boolean urgent() {
     return !Rank.ofPriority(0).before(rank);
@@ -67,7 +117,14 @@
   /** Returns the same step without the first tasks, which have been placed. */
   public WaitingStep withoutFirst(int placed) {
     List<TaskProgress> remaining = tasks.subList(placed, tasks.size());
-    return new WaitingStep(step, remaining, pool, rank, acceptedMillis, timing, permitted);
+    return new WaitingStep(
+        step, remaining, pool, rank, acceptedMillis, timing, permitted, maxAttempts, requirement);
+  }
+
+  /** Returns the same step with another requirement on the reliability of its executors. */
+  WaitingStep requiring(StartRequirement other) {
+    return new WaitingStep(
+        step, tasks, pool, rank, acceptedMillis, timing, permitted, maxAttempts, other);
   }
 
   /** Tells whether external advice permits an executor to run the step. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -34,8 +34,14 @@
   private int orders;
   private int percent;
   private long reportedAt;
+  private int percentWhenRunning;
+  private long percentChangedAt;
+  private OptionalLong endTrustedSince = OptionalLong.empty();
   private boolean evaluated;
   private boolean throttled;
+  private Optional<WasteCause> wasteCause = Optional.empty();
+  private String lastSaved = "";
+  private OptionalLong savedAt = OptionalLong.empty();
   private OptionalLong startOrderedAt = OptionalLong.empty();
   private OptionalLong runningSince = OptionalLong.empty();
 
@@ -57,6 +63,7 @@
     this.placedAt = nowNanos;
     this.stageSince = nowNanos;
     this.reportedAt = nowNanos;
+    this.percentChangedAt = nowNanos;
   }
 
   /**
@@ -135,6 +142,11 @@
     return ticket;
   }
 
+  /** Returns whether its task runs until its job is cancelled. */
+  boolean longRunning() {
+    return step.spec().longRunning().isPresent();
+  }
+
   /** Returns the resources that it holds on the executor. */
   public ResourceVector demand() {
     return step.spec().demand();
@@ -162,7 +174,12 @@
     orders = 0;
     switch (next) {
       case STARTING -> startOrderedAt = OptionalLong.of(nowNanos);
-      case RUNNING -> runningSince = OptionalLong.of(nowNanos);
+      case RUNNING -> {
+        runningSince = OptionalLong.of(nowNanos);
+        // Not 0 if the run is first known from a report, since its work began before that.
+        percentWhenRunning = percent;
+        percentChangedAt = nowNanos;
+      }
       case PLACED, STOPPING, INHERITED -> {}
     }
   }
@@ -259,10 +276,63 @@
 
   /** Records the progress that the executor reports. */
   public void progressed(int newPercent, long nowNanos) {
+    if (newPercent != percent) {
+      percentChangedAt = nowNanos;
+    }
     percent = newPercent;
     reportedAt = nowNanos;
   }
 
+  /** Returns the progress that this owner has seen it make, in percent of its work. */
+  public int seenPercent() {
+    return percent - percentWhenRunning;
+  }
+
+  /** Returns when its progress last changed, monotonic time. */
+  public long percentChangedAt() {
+    return percentChangedAt;
+  }
+
+  /**
+   * Returns since when it is expected to end by itself soon; the first call sets that time.
+   *
+   * @param nowNanos monotonic time
+   */
+  public long trustEnd(long nowNanos) {
+    if (endTrustedSince.isEmpty()) {
+      endTrustedSince = OptionalLong.of(nowNanos);
+    }
+    return endTrustedSince.getAsLong();
+  }
+
+  /** Records the newest checkpoint that its executor reports. */
+  public void saved(String newest, long nowNanos) {
+    if (!newest.isEmpty() && !newest.equals(lastSaved)) {
+      lastSaved = newest;
+      savedAt = OptionalLong.of(nowNanos);
+    }
+  }
+
+  /** Returns since when its work is not saved, monotonic time; empty if it is not known to run. */
+  OptionalLong unsavedSince() {
+    return savedAt.isPresent() ? savedAt : runningSince;
+  }
+
+  /** Records why its work is about to be wasted; the first cause counts. */
+  public void wastedBy(WasteCause cause) {
+    wasteCause = wasteCause.or(() -> Optional.of(cause));
+  }
+
+  /** Returns why its work is wasted if it is stopped; empty if that is not known. */
+  Optional<WasteCause> wasteCause() {
+    return wasteCause;
+  }
+
+  /** Returns when its progress was last reported, or when it was placed, monotonic time. */
+  public long reportedAt() {
+    return reportedAt;
+  }
+
   /** Returns its average speed up to the last report, in percent of its work per second. */
   public double speed() {
     return percent * NANOS_PER_SECOND / Math.max(1, reportedAt - stageSince);
--- a/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/story/JobTimeline.java
@@ -9,17 +9,21 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.fescuehook.logic.batch.BatchLogEvent;
+import org.fescuehook.logic.batch.call.RefusalCause;
 
 /**
- * Timeline of one job: its own events, and those events of its executors and changes of the owner
- * that were logged between its first and last event. Also lists the stages between the job's own
- * events, which show what it spent its time on.
+ * Timeline of one job: its own events, and those events of its executors, of the fleet and changes
+ * of the owner that were logged between its first and last event. Also lists the stages between the
+ * job's own events, which show what it spent its time on.
  */
 public final class JobTimeline {
 
   /** Name of a stage in which the job was doing its work. */
   public static final String WORK = "work";
 
+  /** Part of the cause of a stop for a maintenance wave. */
+  private static final String MAINTENANCE = "maintenance of machine";
+
   private static final Pattern EXECUTOR_OF_RUN =
       Pattern.compile("(?:placed )?on ([^\\s@]+?)(?:@\\d+)?(?: in rack|:| |$)");
 
@@ -77,8 +81,8 @@
   }
 
   /**
-   * Tells whether an event is about the owner, evacuated failure domains or one of the job's
-   * executors and may so explain a delay.
+   * Tells whether an event is about the owner, evacuated failure domains, a wave of failures or one
+   * of the job's executors and may so explain a delay.
    */
   private static boolean mayExplainDelay(LoggedEvent event, Set<String> executors) {
     int number = event.number();
@@ -86,14 +90,20 @@
         number == BatchLogEvent.OWNERSHIP_WON.number()
             || number == BatchLogEvent.OWNERSHIP_LOST.number()
             || number == BatchLogEvent.OWNING.number();
-    boolean ofFleet = number == BatchLogEvent.EVACUATIONS_CHANGED.number();
+    boolean ofFleet =
+        number == BatchLogEvent.EVACUATIONS_CHANGED.number()
+            || number == BatchLogEvent.FAILURE_WAVE.number();
     boolean ofExecutor =
         number == BatchLogEvent.EXECUTOR_SILENT.number()
             || number == BatchLogEvent.EXECUTOR_LEAVING.number()
             || number == BatchLogEvent.EXECUTOR_GONE.number()
             || number == BatchLogEvent.EXECUTOR_RESTARTED.number()
             || number == BatchLogEvent.EXECUTOR_RESTED.number()
-            || number == BatchLogEvent.WORK_PACED.number();
+            || number == BatchLogEvent.EXECUTOR_DOUBTED.number()
+            || number == BatchLogEvent.EXECUTOR_TRUSTED.number()
+            || number == BatchLogEvent.WORK_PACED.number()
+            || number == BatchLogEvent.MACHINE_CLOSED.number()
+            || number == BatchLogEvent.MAINTENANCE_CALLED.number();
     return ofOwner
         || ofFleet
         || (ofExecutor && executors.stream().anyMatch(event.message()::contains));
@@ -113,7 +123,21 @@
     if (before.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for an evacuated failure domain";
     }
+    if (before.number() == BatchLogEvent.JOB_DEFERRED.number()) {
+      return "waited since its organisation used more than its share";
+    }
+    if (before.number() == BatchLogEvent.RESERVATION_MADE.number()) {
+      return "waited for the capacity reserved for it";
+    }
+    if (before.number() == BatchLogEvent.JOB_REFUSED.number()) {
+      boolean forLoad = before.message().contains(" refused: " + RefusalCause.BACKLOG);
+      return forLoad
+          ? "refused for load, until the caller came back"
+          : "refused, until the caller came back";
+    }
     if (after.number() == BatchLogEvent.RUN_PLACED.number()
+        || after.number() == BatchLogEvent.JOB_DEFERRED.number()
+        || after.number() == BatchLogEvent.RESERVATION_MADE.number()
         || after.number() == BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN.number()) {
       return "waited for room";
     }
@@ -131,6 +155,9 @@
       return "an executor was silent until its lease had expired, or rejected the start";
     }
     boolean stopping = before.number() == BatchLogEvent.RUN_STOPPING.number();
+    if (stopping && before.message().contains(MAINTENANCE)) {
+      return "runs were stopped for the maintenance of their machine";
+    }
     return stopping ? "runs were being stopped" : WORK;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallLink.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -43,13 +44,17 @@
   /** Number of unanswered probes after which a connection is considered silent. */
   private static final int MAX_UNANSWERED_PROBES = 2;
 
-  /** Delay after which callers are told to retry when the owner could not be reached. */
-  private static final long RETRY_AFTER_MILLIS = 1000;
+  /**
+   * How long before its timeout an unsent call is refused. The caller's VM ends the call at the
+   * same timeout, and would answer that the outcome is unknown.
+   */
+  private static final Duration UNSENT_MARGIN = Duration.ofMillis(20);
 
   private final EventLoop loop;
   private final InetSocketAddress owner;
   private final PeerConnector connector;
   private final OwnerHints hints;
+  private final RetryDelays retryDelays;
   private final PeerConnector.Listener listener = new Listener();
   private final Map<Long, PendingCall> pending = new LinkedHashMap<>();
   private Optional<ActiveConnection> current = Optional.empty();
@@ -89,7 +94,12 @@
 
   /** Creates a link that opens its connection with its first call. */
   public CallLink(
-      EventLoop loop, InetSocketAddress owner, PeerConnector connector, OwnerHints hints) {
+      EventLoop loop,
+      InetSocketAddress owner,
+      PeerConnector connector,
+      OwnerHints hints,
+      RetryDelays retryDelays) {
+    this.retryDelays = retryDelays;
     this.loop = loop;
     this.owner = owner;
     this.connector = connector;
@@ -110,7 +120,7 @@
     closed = true;
     current.ifPresent(
         active -> {
-          next.ifPresent(newer -> active.connection.send(CallCodec.ownerMoved(newer)));
+          next.ifPresent(newer -> active.connection.send(CallCodec.ownerMoved(newer), () -> {}));
           active.connection.close();
         });
     current = Optional.empty();
@@ -124,12 +134,16 @@
 
   private void submit(PendingCall call, Duration timeout) {
     if (closed) {
-      call.sink.accept(unreachable());
+      call.sink.accept(unreachable(call));
       return;
     }
     lastNumber++;
     long number = lastNumber;
     pending.put(number, call);
+    loop.schedule(
+        () -> refuseUnsent(number),
+        Math.max(0, timeout.minus(UNSENT_MARGIN).toNanos()),
+        TimeUnit.NANOSECONDS);
     loop.schedule(() -> expire(number), timeout.toNanos(), TimeUnit.NANOSECONDS);
     if (current.isPresent()) {
       send(number, call, current.get());
@@ -138,8 +152,8 @@
     }
   }
 
-  private static CallAnswer unreachable() {
-    return new CallAnswer.Refused(RefusalCause.NO_OWNER, RETRY_AFTER_MILLIS);
+  private CallAnswer unreachable(PendingCall call) {
+    return retryDelays.refusal(RefusalCause.NO_OWNER, call.call);
   }
 
   private static CallAnswer silent() {
@@ -155,7 +169,7 @@
 
   private void send(long number, PendingCall call, ActiveConnection active) {
     call.sends++;
-    active.connection.send(CallCodec.encode(number, call.call));
+    active.connection.send(CallCodec.encode(number, call.call), () -> call.sends--);
     if (!active.monitored) {
       active.monitored = true;
       active.markReceived(now());
@@ -179,7 +193,7 @@
     }
     if (silentNanos >= PROBE_INTERVAL.toNanos()) {
       active.unansweredProbes++;
-      active.connection.send(CallCodec.probe());
+      active.connection.send(CallCodec.probe(), () -> {});
     }
     scheduleCheck(active);
   }
@@ -206,18 +220,25 @@
     return removed;
   }
 
+  private void refuseUnsent(long number) {
+    PendingCall call = pending.get(number);
+    if (call != null && call.sends == 0) {
+      expire(number);
+    }
+  }
+
   private void expire(long number) {
-    remove(number).ifPresent(CallLink::resolveUnanswered);
+    remove(number).ifPresent(this::resolveUnanswered);
   }
 
-  private static void resolveUnanswered(PendingCall call) {
-    call.sink.accept(call.sends == 0 ? unreachable() : silent());
+  private void resolveUnanswered(PendingCall call) {
+    call.sink.accept(call.sends == 0 ? unreachable(call) : silent());
   }
 
   private void resolveAllUnanswered() {
     List<PendingCall> unanswered = List.copyOf(pending.values());
     pending.clear();
-    unanswered.forEach(CallLink::resolveUnanswered);
+    unanswered.forEach(this::resolveUnanswered);
   }
 
   private void refuseUnsent() {
--- a/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/PlatformStore.java
@@ -12,6 +12,8 @@
 import java.util.function.Consumer;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchEvent;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
+import org.fescuehook.logic.batch.maintenance.WaveState;
 import org.fescuehook.logic.batch.ownership.OwnerCodec;
 import org.fescuehook.logic.batch.ownership.OwnerRecord;
 import org.fescuehook.logic.batch.store.AppendOutcome;
@@ -20,13 +22,16 @@
 import org.fescuehook.logic.batch.store.StreamName;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.logic.event.EventLog;
+import org.fescuehook.model.batch.MaintenanceWave;
+import org.fescuehook.model.batch.WaveId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * The platform's store as the scheduler of batch jobs uses it: reads ownership, configuration,
- * evacuated failure domains and executors, and appends to and loads the job state.
+ * evacuated failure domains, maintenance waves and executors, and appends to and loads the job
+ * state.
  */
 public final class PlatformStore {
 
@@ -57,6 +62,7 @@
   private final EventLoop loop;
   private final Consumer<BatchEvent> events;
   private final Consumer<RouteTable> routes;
+  private final ConfigurationAge configurationAge;
   private final Map<StreamName, StreamAppender> appenders = new EnumMap<>(StreamName.class);
   private final StoreReader stateReader;
   private final StreamFollower ownership;
@@ -64,18 +70,22 @@
   private final StreamFollower executors;
   private final ConfigurationEntries configurations = new ConfigurationEntries();
   private final EvacuationEntries evacuations = new EvacuationEntries();
+  private final WaveEntries waves = new WaveEntries();
 
   /**
    * Creates the adapter without sending any request.
    *
    * @param events receives what was read and the outcomes of appends, on the event loop
    * @param routes receives each newer table of routes, on the event loop
+   * @param configurationAge is told of each read of the operators' stream
    */
   public PlatformStore(
       EventLoop loop,
       InetSocketAddress address,
       Consumer<BatchEvent> events,
-      Consumer<RouteTable> routes) {
+      Consumer<RouteTable> routes,
+      ConfigurationAge configurationAge) {
+    this.configurationAge = configurationAge;
     this.loop = loop;
     this.events = events;
     this.routes = routes;
@@ -123,6 +133,26 @@
         () -> appenders.get(append.stream()).append(append, outcome -> appended(append, outcome)));
   }
 
+  /** Writes the states of waves for operators; the outcome is reported as an event. */
+  public void reportWaves(BatchCommand.ReportWaves report) {
+    List<KeyedRecord> records =
+        report.states().entrySet().stream()
+            .map(state -> new KeyedRecord(WaveEntries.key(state.getKey()), status(state)))
+            .toList();
+    append(
+        new BatchCommand.Append(
+            StreamName.STATUS, report.position(), OptionalLong.empty(), records));
+  }
+
+  private static Optional<byte[]> status(Map.Entry<WaveId, WaveState> wave) {
+    String state =
+        switch (wave.getValue()) {
+          case IN_PROGRESS -> "in_progress";
+          case COMPLETED -> "completed";
+        };
+    return Optional.of(WireJson.write(WireJson.object().put("state", state)));
+  }
+
   /** Returns how many times an append was sent again because its answer was late. */
   public long repeatedAppends() {
     return appenders.values().stream().mapToLong(StreamAppender::repeatedSends).sum();
@@ -221,20 +251,29 @@
   private final class OperatorsListener implements StreamFollower.Listener {
     private OptionalLong lastReadAt = OptionalLong.empty();
     private Optional<Set<FailureDomain>> reported = Optional.empty();
+    private List<MaintenanceWave> reportedWaves = List.of();
 
     @Override
     public void newest(List<StreamRecord> records, long end) {
       evacuations.replace(records);
-      read(records, end);
+      waves.replace(records);
+      apply(records, end);
+      readToEnd();
     }
 
     @Override
     public void records(List<StreamRecord> records, long end) {
       evacuations.apply(records);
-      read(records, end);
+      waves.apply(records);
+      apply(records, end);
+      if (records.isEmpty() || records.getLast().offset() + 1 >= end) {
+        readToEnd();
+      }
     }
 
-    private void read(List<StreamRecord> records, long end) {
+    private void apply(List<StreamRecord> records, long end) {
+      // A VM that knows the evacuated failure domains knows the waves as well.
+      reportWaves();
       reportEvacuations(end);
       configurations
           .newest(records)
@@ -245,6 +284,20 @@
               });
     }
 
+    /** Reports a read to the end, after what it returned. */
+    private void readToEnd() {
+      configurationAge.read(operators.readSentAt());
+      events.accept(new BatchEvent.OperatorsRead(operators.readSentAt()));
+    }
+
+    private void reportWaves() {
+      List<MaintenanceWave> asked = waves.waves();
+      if (!asked.equals(reportedWaves)) {
+        reportedWaves = asked;
+        events.accept(new BatchEvent.WavesRead(asked));
+      }
+    }
+
     private void reportEvacuations(long end) {
       long now = System.nanoTime();
       OptionalLong unreadNanos =
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/CallGatewayTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.entry.scheduler;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -52,6 +54,7 @@
             local,
             event -> {},
             (address, hints) -> link(),
+            new RetryDelays(false),
             new SimpleMeterRegistry());
   }
 
@@ -183,8 +186,44 @@
 
   @Test
   void aStoppingVmAnswersAllOpenCalls() {
+    gateway.update(owner("vm-2", 7001));
     call(STATUS_CALL);
     gateway.giveUpAll();
     assertEquals(List.of(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT)), answers);
   }
+
+  /** Guards against 504 for a call that reached no owner, which its caller may not repeat. */
+  @Test
+  void aStoppingVmRefusesACallThatReachedNoOwner() {
+    call(CANCEL_CALL);
+    gateway.giveUpAll();
+    assertEquals(List.of(refused(RefusalCause.STOPPING)), answers);
+  }
+
+  /** Guards against a call that a stopping VM answers as not run and sends afterwards. */
+  @Test
+  void aCallThatWasAnsweredAsNotRunIsNotSent() {
+    OpenCall call =
+        new OpenCall(
+            SUBMIT_CALL,
+            clock.eventLoop().ticker(),
+            CALLER_TIMEOUT,
+            ended -> {},
+            answers::add,
+            new SimpleMeterRegistry());
+    call.giveUp(
+        new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT), refused(RefusalCause.STOPPING));
+    assertFalse(call.beginSend());
+    assertEquals(List.of(refused(RefusalCause.STOPPING)), answers);
+  }
+
+  /** The owner may take a call that it has not answered yet, even if the link closes. */
+  @Test
+  void aStoppingVmLeavesACallUndecidedThatAnOwnerMayHaveCarriedOut() {
+    gateway.update(owner("vm-2", 7001));
+    call(SUBMIT_CALL);
+    links.getFirst().answer(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT));
+    gateway.giveUpAll();
+    assertEquals(List.of(new CallAnswer.Undecided(UndecidedCause.OWNER_SILENT)), answers);
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchCore;
+import org.fescuehook.logic.batch.admission.ConfigurationAge;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.ownership.OwnerIdentity;
@@ -25,6 +26,7 @@
 import org.fescuehook.model.preferences.WorkPreferences;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -63,9 +65,10 @@
         new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, true);
     return new BatchDuty(
         new BatchCore(new OwnerIdentity(new VmId("vm-1"), "s", "10.0.0.1:7000", 1000), batch),
-        new PlatformStore(loop, closedPort, event -> {}, routes -> {}),
+        new PlatformStore(loop, closedPort, event -> {}, routes -> {}, new ConfigurationAge()),
         new ExecutorClient(loop, (id, number, outcome) -> {}),
         new AdviceClient(loop, Optional.empty(), (number, outcome) -> {}),
+        new MachineClient(loop, Optional.empty(), "vm-1/s", 1, event -> {}),
         new FailingRegistry(),
         view -> {});
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -25,6 +25,8 @@
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.model.preferences.BatchPreferences;
+import org.fescuehook.model.preferences.SchedulingPreferences;
 
 /** VMs, the shared store and executors on a virtual clock, with faults injected between them. */
 final class BatchCluster {
@@ -34,6 +36,9 @@
   static final String NORMAL = TestFixtures.NORMAL;
   static final String BULK = TestFixtures.BULK;
 
+  /** Interval of the events that tell a VM of passing time. */
+  static final long TICK_MILLIS = 50;
+
   private static final long STEP_MILLIS = 20;
   private static final long ANSWER_LIMIT_MILLIS = 1000;
 
@@ -52,13 +57,17 @@
   final ClusterOrders orders = new ClusterOrders(this);
   final ClusterCrashes crashes = new ClusterCrashes(this);
   final ClusterEvacuations evacuations = new ClusterEvacuations(this);
+  final ClusterMachines machines = new ClusterMachines(this);
+  final LongRunningStops longRunningStops = new LongRunningStops(this);
   private final FaultFreePeriod faultFreePeriod = new FaultFreePeriod(this);
   private final ClusterAppends appends = new ClusterAppends(this);
+  private final ClusterListing listing = new ClusterListing(this);
   private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
   final Random random;
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
   private final CallTracker calls = new CallTracker(work, submissions);
   private final ClusterConfiguration configuration;
+  private final BatchPreferences preferences;
   private long nowMillis;
   private long order;
   private long ticket;
@@ -78,7 +87,7 @@
 
     final Map<StreamName, ResponseTimeEstimator> answerTimes = new EnumMap<>(StreamName.class);
     final ResponseTimeEstimator readTimes = new ResponseTimeEstimator(RepeatedAppend.NEVER_LATE);
-    private boolean following;
+    boolean following;
     private long busyUntil;
     private final List<BatchEvent> heldEvents = new ArrayList<>();
 
@@ -91,7 +100,7 @@
       }
       OwnerIdentity self =
           new OwnerIdentity(id, "start-" + start, "10.0.0.1:7000", TestFixtures.milliCores(id));
-      core = new BatchCore(self, TestFixtures.preferences());
+      core = new BatchCore(self, preferences);
     }
 
     void deliver(BatchEvent event) {
@@ -132,6 +141,25 @@
   }
 
   BatchCluster(int vmCount, int executorCount, long seed, BatchConfiguration declared) {
+    this(vmCount, executorCount, seed, declared, TestFixtures.preferences());
+  }
+
+  BatchCluster(
+      int vmCount,
+      int executorCount,
+      long seed,
+      BatchConfiguration declared,
+      SchedulingPreferences scheduling) {
+    this(vmCount, executorCount, seed, declared, TestFixtures.preferences(scheduling));
+  }
+
+  BatchCluster(
+      int vmCount,
+      int executorCount,
+      long seed,
+      BatchConfiguration declared,
+      BatchPreferences preferences) {
+    this.preferences = preferences;
     random = new Random(seed);
     configuration = new ClusterConfiguration(declared, work.placement);
     for (int i = 0; i < executorCount; i++) {
@@ -163,11 +191,7 @@
 
   /** Announces that an executor leaves in {@code remainingMillis}. */
   void leave(ExecutorId id, long remainingMillis) {
-    ExecutorProfile leaving = TestFixtures.leaving(executors.get(id).profile(), remainingMillis);
-    executors.get(id).setProfile(leaving);
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(leaving)));
+    listing.leave(id, remainingMillis);
   }
 
   /** Ends an executor and loses its runs; the list drops its entry 4.5 s later. */
@@ -180,16 +204,12 @@
 
   /** Reports an executor as listed to the VMs that follow the list of executors. */
   void list(ExecutorId id) {
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorSeen(executors.get(id).profile())));
+    listing.list(id);
   }
 
   /** Reports an executor as no longer listed to the VMs that follow the list of executors. */
   void unlist(ExecutorId id) {
-    vms.values().stream()
-        .filter(vm -> vm.following)
-        .forEach(vm -> vm.deliver(new BatchEvent.ExecutorUnlisted(id)));
+    listing.unlist(id);
   }
 
   /** Starts a VM and returns it; returns a VM that is running unchanged. */
@@ -220,9 +240,10 @@
 
   private void tick(Vm vm) {
     if (vm.running) {
+      machines.read(vm);
       evacuations.read(vm);
       vm.deliver(new BatchEvent.Tick());
-      in(50, () -> tick(vm));
+      in(TICK_MILLIS, () -> tick(vm));
     }
   }
 
@@ -235,15 +256,22 @@
       case BatchCommand.Answer(long number, CallAnswer answer) -> answered(number, answer);
       case BatchCommand.Append append -> appends.send(vm, append);
       case BatchCommand.LoadState load -> load(vm, load.epoch());
-      case BatchCommand.FollowExecutors(boolean following) -> follow(vm, following);
+      case BatchCommand.FollowExecutors(boolean following) -> listing.follow(vm, following);
       case BatchCommand.Order order -> orders.send(vm, order);
       case BatchCommand.AskAdvice question -> orders.askAdvice(vm, question);
+      case BatchCommand.ListMachines request -> machines.list(vm, request);
+      case BatchCommand.BeginMaintenance begin -> machines.begin(vm, begin);
+      case BatchCommand.ReportWaves report -> machines.report(vm, report);
       case BatchCommand.ForgetExecutor forget -> {}
       case BatchCommand.Note note -> notes.add(note);
       case BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
 
+  void sendAppend(Vm vm, BatchCommand.Append append) {
+    appends.send(vm, append);
+  }
+
   private void load(Vm vm, long epoch) {
     in(
         faults.storeDelayMillis,
@@ -251,25 +279,10 @@
             vm.deliver(
                 reachesStore(vm) && !faults.cannotLoad.contains(vm.id)
                     ? new BatchEvent.StateRead(
-                        epoch, store.newest(StreamName.STATE), Optional.empty())
+                        epoch, faults.loaded(store.newest(StreamName.STATE)), Optional.empty())
                     : new BatchEvent.StateUnreadable(epoch)));
   }
 
-  private void follow(Vm vm, boolean following) {
-    vm.following = following;
-    if (following) {
-      in(
-          faults.storeDelayMillis,
-          () ->
-              vm.deliver(
-                  new BatchEvent.ExecutorsListed(
-                      executors.values().stream()
-                          .map(FakeExecutor::profile)
-                          .filter(profile -> !faults.unlisted.contains(profile.id()))
-                          .toList())));
-    }
-  }
-
   private void answered(long number, CallAnswer answer) {
     answers.put(number, answer);
     calls.recordAnswer(number, answer, nowMillis);
@@ -355,6 +368,15 @@
     runUntil("an owner", 10_000, () -> owner().isPresent());
   }
 
+  /** Returns how many accepted jobs of a queue have not begun. */
+  int pendingJobs(String queueName) {
+    Optional<Long> asked = call(new BatchCall.CountPending(queueName, configuration.callerKey()));
+    return asked
+        .map(answers::get)
+        .map(answer -> answer instanceof CallAnswer.Pending(int jobs) ? jobs : 0)
+        .orElse(0);
+  }
+
   int claims() {
     return appends.claims();
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterEvacuations.java
@@ -24,6 +24,9 @@
   /** Time without trouble after which a VM counts as in touch with the store. */
   private static final long CONTACT_MILLIS = 4000;
 
+  /** Interval of the reads of the operators' stream. */
+  private static final long READ_MILLIS = 1000;
+
   private final BatchCluster cluster;
   private final Map<FailureDomain, Long> since = new HashMap<>();
   private final Map<BatchCluster.Vm, Set<FailureDomain>> known = new HashMap<>();
@@ -61,6 +64,12 @@
       known.put(vm, domains);
       cluster.in(cluster.faults.storeDelayMillis, () -> deliver(vm, domains));
     }
+    // After what was read, as the event requires.
+    long sentAt = cluster.nowMillis() * 1_000_000;
+    if (cluster.nowMillis() % READ_MILLIS < BatchCluster.TICK_MILLIS) {
+      cluster.in(
+          cluster.faults.storeDelayMillis, () -> vm.deliver(new BatchEvent.OperatorsRead(sentAt)));
+    }
   }
 
   private void deliver(BatchCluster.Vm vm, Set<FailureDomain> domains) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
 import org.fescuehook.model.batch.RunEnd;
@@ -61,6 +62,7 @@
 
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> failingTasks = new HashSet<>();
+  private Predicate<TaskRun> failingRuns = run -> false;
   private final Map<String, Long> cancelledAt = new HashMap<>();
 
   /** When the order that is being delivered late was sent; empty if there is none. */
@@ -76,8 +78,9 @@
   final FakeAdvice advice = new FakeAdvice();
   final CrashingTasks crashingTasks = new CrashingTasks();
   final PlacementChecks placement = new PlacementChecks();
-  private double wastedCoreSeconds;
+  final WorkWaste waste = new WorkWaste();
   private long stopMillis = 100;
+  private boolean gangsAdvanceTogether;
 
   void recordSubmission(String job, String queue, Submission submission) {
     submissions.put(job, submission);
@@ -93,6 +96,11 @@
     failingTasks.add(task);
   }
 
+  /** Selects runs that fail at the end of their work, wherever they run. */
+  void failRuns(Predicate<TaskRun> selected) {
+    failingRuns = selected;
+  }
+
   /** Makes an executor work at a share of its normal speed. */
   void slowDown(ExecutorId executor, double share) {
     speeds.put(executor, share);
@@ -109,6 +117,11 @@
     failingExecutors.add(executor);
   }
 
+  /** Makes the members of each gang advance together, with the speed of the slowest. */
+  void advanceGangsWithSlowestMember() {
+    gangsAdvanceTogether = true;
+  }
+
   List<TaskRun> starts() {
     return starts;
   }
@@ -168,7 +181,13 @@
    * spread over racks.
    */
   double speed(TaskRun run) {
-    return speeds.getOrDefault(running.get(run), 1.0) * rackFactor(run);
+    boolean together = gangsAdvanceTogether && stepOf(run.task()).gang();
+    List<TaskRun> runs = together ? members(run) : List.of(run);
+    double slowest = Double.MAX_VALUE;
+    for (TaskRun member : runs) {
+      slowest = Math.min(slowest, speeds.getOrDefault(running.get(member), 1.0));
+    }
+    return slowest * rackFactor(run);
   }
 
   private double rackFactor(TaskRun run) {
@@ -183,15 +202,6 @@
     return racks == 1 ? 1 : 1 / FAR_FACTOR;
   }
 
-  /** Counts work that has to be repeated, and time that a gang spent waiting for its members. */
-  void addWaste(TaskRun run, long millis) {
-    wastedCoreSeconds += demand(run.task()).coreEquivalents() * millis / 1000.0;
-  }
-
-  double wastedCoreSeconds() {
-    return wastedCoreSeconds;
-  }
-
   /** Sets how long a stop takes. */
   void setStopMillis(long millis) {
     stopMillis = millis;
@@ -318,7 +328,9 @@
   /** Ends a run whose work is complete, and the other members of its gang with it. */
   void finish(TaskRun run, long nowMillis) {
     boolean fails =
-        failingTasks.contains(run.task()) || failingExecutors.contains(running.get(run));
+        failingTasks.contains(run.task())
+            || failingRuns.test(run)
+            || failingExecutors.contains(running.get(run));
     RunEnd how = fails ? RunEnd.FAILED : RunEnd.DONE;
     List<TaskRun> members = stepOf(run.task()).gang() ? members(run) : List.of(run);
     for (TaskRun member : members) {
@@ -342,6 +354,9 @@
     }
     boolean breaks = how != RunEnd.DONE && how != RunEnd.GANG_BROKEN && how != RunEnd.FAILED;
     if (breaks) {
+      if (gang) {
+        waste.gangBroken();
+      }
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
@@ -361,6 +376,7 @@
     List<TaskRun> others = members(run).stream().filter(other -> !other.equals(run)).toList();
     running.remove(run);
     if (stepOf(run.task()).gang()) {
+      waste.gangBroken();
       others.forEach(
           other -> executors.get(running.get(other)).end(other, RunEnd.GANG_BROKEN, nowMillis));
     }
--- a/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/preferences/SchedulerSettingsParserTest.java
@@ -1,15 +1,21 @@
 package org.fescuehook.logic.preferences;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import org.fescuehook.logic.ini.FaultyInputException;
 import org.fescuehook.logic.ini.IniSource;
+import org.fescuehook.model.preferences.MaintenancePreferences;
 import org.fescuehook.model.preferences.SchedulerPreferences;
 import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class SchedulerSettingsParserTest {
 
@@ -69,4 +75,40 @@
         new SchedulingPreferences(true, false, false, false, false, false, false),
         preferences.batch().scheduling());
   }
+
+  /** Guards against maintenance without a service or without the operators' consent. */
+  @Test
+  void machinesAreMaintainedOnlyWithAnAddressAndTheSwitch() throws FaultyInputException {
+    String address = COMPLETE.replace("[bounds]", "machines = 10.200.1.7:8530\n[bounds]");
+    String on = "[scheduling]\nmaintenance-waves = on\n";
+
+    assertEquals(MaintenancePreferences.NONE, parse(COMPLETE + on).batch().maintenance());
+    assertEquals(MaintenancePreferences.NONE, parse(address).batch().maintenance());
+    assertTrue(parse(address + on).batch().maintenance().machineApi());
+  }
+
+  /** Guards against values of the platform that keep a VM from starting. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "machines = api.example:8530",
+        "machines =",
+        "machines = 10.0.0.1:1\nmachines = 10.0.0.2:1",
+        "machines = 'x'",
+        "[bounds]\nmachine-calls-per-second = 0",
+        "[bounds]\nmachine-reads-per-second = 1e9",
+        "[bounds]\ncaller-lease = -1ms"
+      })
+  void anUnusableValueForMaintenanceMeansThatThereIsNoMachineApi(String line)
+      throws FaultyInputException {
+    String text = COMPLETE.replace("[bounds]", line.contains("[") ? line : line + "\n[bounds]");
+    for (String state : new String[] {"off", "on"}) {
+      SchedulerPreferences preferences =
+          parse(text + "[scheduling]\nmaintenance-waves = " + state + "\n");
+
+      assertEquals(MaintenancePreferences.NONE, preferences.batch().maintenance());
+      assertEquals(Optional.empty(), preferences.addresses().machines());
+      assertFalse(preferences.unusable().isEmpty());
+    }
+  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/SlowOwnerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fescuehook.logic.batch.admission.RetryDelays;
 import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
@@ -39,7 +40,11 @@
     clock.freezeTime();
     link =
         new CallLink(
-            clock.eventLoop(), InetSocketAddress.createUnresolved("owner", 1), peer, new NoHints());
+            clock.eventLoop(),
+            InetSocketAddress.createUnresolved("owner", 1),
+            peer,
+            new NoHints(),
+            new RetryDelays(false));
   }
 
   /** Knows no owner and ignores hints. */
@@ -61,13 +66,19 @@
     private Optional<Listener> listener = Optional.empty();
     private boolean alive = true;
     private boolean reachable = true;
+    private boolean writable = true;
+    private boolean connects = true;
 
     private final class FakeConnection implements Connection {
       private final List<ForwardedCall> calls = new ArrayList<>();
       private boolean closed;
 
       @Override
-      public void send(ForwardedCall message) {
+      public void send(ForwardedCall message, Runnable onUnsent) {
+        if (!writable) {
+          onUnsent.run();
+          return;
+        }
         if (!CallCodec.isProbe(message)) {
           calls.add(message);
         } else if (alive) {
@@ -84,6 +95,9 @@
     @Override
     public void connect(Listener target) {
       listener = Optional.of(target);
+      if (!connects) {
+        return;
+      }
       if (!reachable) {
         target.failed("refused");
         return;
@@ -196,6 +210,49 @@
     assertEquals(List.of(SILENT), answers);
   }
 
+  /**
+   * Guards against 504 for a call that reached no owner: the connection broke before the call was
+   * written to it.
+   */
+  @Test
+  void refusesACallThatWasNotWrittenBeforeTheConnectionBroke() {
+    peer.writable = false;
+    call();
+    assertEquals(List.of(), answers);
+    peer.breakConnection(0);
+    assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
+  }
+
+  /**
+   * Guards against 504 for a call that was refused by the only owner that had it: the second
+   * connection did not take the call.
+   */
+  @Test
+  void passesARefusalOnIfTheSecondConnectionDidNotTakeTheCall() {
+    call();
+    peer.alive = false;
+    peer.writable = false;
+    advance(1000);
+    CallAnswer refused = new CallAnswer.Refused(RefusalCause.STORE_AWAY, 1000);
+    peer.answer(0, refused);
+    assertEquals(2, peer.connections.size());
+    assertEquals(List.of(refused), answers);
+  }
+
+  /**
+   * Guards against 504 for a call that was never sent: the caller's VM ends the call at the same
+   * timeout as the link, and does not know whether it was sent.
+   */
+  @Test
+  void refusesAnUnsentCallShortlyBeforeItsTimeout() {
+    peer.connects = false;
+    call();
+    advance(2700);
+    assertEquals(List.of(), answers);
+    advance(80);
+    assertEquals(List.of(new CallAnswer.Refused(RefusalCause.NO_OWNER, 1000)), answers);
+  }
+
   @Test
   void answersUndecidedWhenTheLinkClosesForANewerOwner() {
     call();
