--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/PlannedUsage.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/PlannedUsage.java
@@ -12,7 +12,7 @@
 
   /**
    * Use that the plan adds counts in steps of this part of the entitled share. Smaller than a
-   * {@link UsageLevel}, since it is the same in each plan and does not vary to and fro.
+   * {@link UsageLevel}, since it is the same in each plan and does not alternate.
    */
   private static final double STEP = 0.1;
 
