--- a/review/src/main/java/Executor.java
+++ b/review/src/main/java/Executor.java
@@ -20,9 +20,15 @@
   private static final long HOLD_MAX_MILLIS = 6000;
   private static final long STOP_MILLIS = 200;
   private static final long CHECKPOINT_MILLIS = 500;
+  private static final long FAILS_AFTER_MILLIS = 400;
+  private static final int GPUS = 8;
 
   /** What a task needs and how long it works. */
-  record Work(int cpu, int memMb, long millis, boolean checkpointing) {}
+  record Work(int cpu, int memMb, int gpu, long millis, boolean checkpointing, boolean lasting) {
+    Work(int cpu, int memMb, long millis) {
+      this(cpu, memMb, 0, millis, false, false);
+    }
+  }
 
   /** Something that happened to a run. */
   record Event(String kind, String task, int run, String executor, long atMillis) {}
@@ -35,8 +41,11 @@
   private final Store store;
   private final Record record;
   private final Function<String, Work> works;
-  private final Http.Server server;
-  private final long born = System.currentTimeMillis();
+  private Http.Server server;
+  private long born = System.currentTimeMillis();
+  private boolean crashed;
+  private boolean unhealthy;
+  private boolean failing;
   private final Map<String, Run> active = new LinkedHashMap<>();
   private final Map<String, Integer> highest = new HashMap<>();
   private final Deque<End> ends = new ArrayDeque<>();
@@ -49,6 +58,7 @@
   private long token;
   private long leaseUntil;
   private long lastEnd;
+  private int further;
 
   Executor(String id, String zone, String rack, int cpu, int memMb, Store store, Record record, Function<String, Work> works)
       throws IOException {
@@ -63,6 +73,10 @@
     this.server = new Http.Server(this::handle);
   }
 
+  String rack() {
+    return rack;
+  }
+
   synchronized List<Event> events() {
     return List.copyOf(events);
   }
@@ -75,15 +89,59 @@
     return ends.size();
   }
 
+  /** Ends all runs without a word; from now on it answers nothing. */
+  synchronized void crash() {
+    record.note("executor " + id + " crashes with " + active.size() + " runs");
+    active.values().forEach(run -> event("crashed", run.task, run.run));
+    active.clear();
+    ends.clear();
+    crashed = true;
+    notifyAll();
+  }
+
+  /** Starts again under its id, at another address; it knows nothing of before. */
+  synchronized void startAgainElsewhere() throws IOException {
+    server.close();
+    server = new Http.Server(this::handle);
+    startAgain();
+  }
+
+  /** Starts again under its id; it knows nothing of before. */
+  synchronized void startAgain() {
+    record.note("executor " + id + " starts again under its id at " + server.address());
+    highest.clear();
+    token = 0;
+    leaseUntil = 0;
+    lastEnd = 0;
+    sequence = 0;
+    born = System.currentTimeMillis();
+    crashed = false;
+  }
+
+  /** Sets whether it answers each start with 503 and does nothing. */
+  synchronized void setUnhealthy(boolean nowUnhealthy) {
+    unhealthy = nowUnhealthy;
+    record.note("executor " + id + (nowUnhealthy ? " answers starts with 503 from now on" : " is healthy again"));
+  }
+
+  /** Sets whether each run that starts here ends failed soon. */
+  synchronized void setFailing(boolean nowFailing) {
+    failing = nowFailing;
+    record.note("executor " + id + (nowFailing ? " fails all that it starts from now on" : " is sound again"));
+  }
+
   /** Writes its entry into the store. */
   synchronized void beat() {
+    if (crashed) {
+      return;
+    }
     sequence++;
     store.put(
         "keyed.servers",
         id,
         "{\"service\":\"pool\",\"address\":\"" + server.address() + "\",\"zone\":\"" + zone
             + "\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":" + cpu
-            + ",\"memMb\":" + memMb + ",\"gpu\":8},\"labels\":[\"a\",\"" + rack + "\"],\"clockMs\":" + clock()
+            + ",\"memMb\":" + memMb + ",\"gpu\":" + GPUS + "},\"labels\":[\"a\",\"" + rack + "\"],\"clockMs\":" + clock()
             + ",\"sequence\":" + sequence + ",\"born\":" + born + "}");
   }
 
@@ -93,7 +151,7 @@
 
   private void event(String kind, String task, int run) {
     events.add(new Event(kind, task, run, id, record.millis()));
-    if (kind.equals("started") && run > 1) {
+    if (kind.equals("started") && run > 1 && further++ < 40) {
       record.note("executor " + id + " starts " + task + " run " + run);
     }
   }
@@ -139,6 +197,9 @@
   }
 
   private synchronized Http.Answer handle(Http.Message request) throws Exception {
+    if (crashed) {
+      throw new IOException("crashed");
+    }
     advance();
     String body = request.text();
     if (!request.headers().getOrDefault("expected-instance", id).equals(id)) {
@@ -173,6 +234,9 @@
     if (number(body, "expiresMs") <= clock()) {
       return Http.Answer.json(409, clockOnly(",\"reason\":\"late\""));
     }
+    if (unhealthy) {
+      return Http.Answer.json(503, clockOnly(""));
+    }
     extend(body);
     Run present = active.get(task);
     if (present != null && present.run == run) {
@@ -184,12 +248,18 @@
     Work work = works.apply(task);
     int usedCpu = active.values().stream().mapToInt(other -> other.work.cpu).sum();
     int usedMem = active.values().stream().mapToInt(other -> other.work.memMb).sum();
-    if (usedCpu + work.cpu > cpu || usedMem + work.memMb > memMb) {
+    int usedGpu = active.values().stream().mapToInt(other -> other.work.gpu).sum();
+    if (usedCpu + work.cpu > cpu || usedMem + work.memMb > memMb || usedGpu + work.gpu > GPUS) {
       return Http.Answer.json(409, clockOnly(",\"reason\":\"room\""));
     }
     highest.put(task, run);
     long now = record.millis();
-    active.put(task, new Run(task, run, work, now, now + work.millis, "done"));
+    long endsAt = work.lasting ? Long.MAX_VALUE : now + work.millis;
+    active.put(
+        task,
+        failing
+            ? new Run(task, run, work, now, now + FAILS_AFTER_MILLIS, "failed")
+            : new Run(task, run, work, now, endsAt, "done"));
     event("started", task, run);
     return Http.Answer.json(200, clockOnly(""));
   }
@@ -206,7 +276,7 @@
     return Http.Answer.json(200, clockOnly(""));
   }
 
-  private Http.Answer hold(String body) throws InterruptedException {
+  private Http.Answer hold(String body) throws IOException, InterruptedException {
     long acked = number(body, "ackedUpTo");
     while (!ends.isEmpty() && ends.peekFirst().number <= acked) {
       End first = ends.removeFirst();
@@ -214,14 +284,18 @@
     }
     extend(body);
     long until = record.millis() + Math.min(2000, number(body, "waitMs"));
-    while (ends.isEmpty() && record.millis() < until) {
+    while (!crashed && ends.isEmpty() && record.millis() < until) {
       wait(Math.max(1, until - record.millis()));
       advance();
     }
+    if (crashed) {
+      throw new IOException("crashed");
+    }
     StringBuilder answer = new StringBuilder(clockOnly("").replace("}", ",\"active\":["));
     String comma = "";
     for (Run run : active.values()) {
-      long percent = Math.min(99, (record.millis() - run.startedAt) * 100 / run.work.millis);
+      long worked = (record.millis() - run.startedAt) * 100 / run.work.millis;
+      long percent = Math.min(run.work.lasting ? 100 : 99, worked);
       answer.append(comma).append("[\"").append(run.task).append("\",").append(run.run).append(",\"")
           .append(saved(run)).append("\",").append(percent).append(",").append(run.work.cpu).append("]");
       comma = ",";
--- a/review/src/main/java/ManyEnds.java
+++ b/review/src/main/java/ManyEnds.java
@@ -21,7 +21,7 @@
         return 2;
       }
       String job = "5c0e7a21d94b36f8";
-      trial.work(job, 0, new Executor.Work(100, 100, TASK_MILLIS, false));
+      trial.work(job, 0, new Executor.Work(100, 100, TASK_MILLIS));
       int status =
           trial.submit(job, "{\"spec\":\"sweep\",\"steps\":[{\"count\":" + TASKS + ",\"cpu\":100,\"memMb\":100,\"estimateMs\":" + TASK_MILLIS + "}]}");
       if (status != 200) {
@@ -50,6 +50,7 @@
       trial.record.note(
           "starts: " + trial.count("started") + ", ended done: " + trial.count("done") + ", stopped: " + trial.count("stopped")
               + ", lapsed: " + trial.count("lapsed") + ", acknowledged done: " + trial.count("acked done"));
+      trial.noteEvents(job);
       List<String> twice = trial.startsAfterDone();
       twice.stream().limit(10).forEach(trial.record::note);
       trial.record.note("TWICE: " + twice.size() + " starts after an acknowledged end 'done'");
--- a/review/src/main/java/Review.java
+++ b/review/src/main/java/Review.java
@@ -14,7 +14,11 @@
       result =
           switch (arguments[0]) {
             case "many-ends" -> ManyEnds.play(repository, record, trouble);
+            case "guarantee" -> Guarantee.play(repository, record, trouble);
             case "large-record" -> LargeRecord.play(repository, record, trouble);
+            case "new-address" -> NewAddress.play(repository, record, trouble);
+            case "failed-everywhere" -> FailedEverywhere.play(repository, record, trouble);
+            case "pending" -> Pending.play(repository, record, trouble);
             default -> 2;
           };
     } catch (Exception e) {
--- a/review/src/main/java/Trial.java
+++ b/review/src/main/java/Trial.java
@@ -18,6 +18,14 @@
   static final String PREFIX = "/lohu930/";
   static final String KEY = "d4a3hwrr6x73d3zji9n7";
 
+  /** A queue of priority 0, and the key of another tenant, to which nothing is guaranteed. */
+  static final String URGENT_PREFIX = "/pufi791/";
+
+  static final String OTHER_KEY = "3hh2b9wu3fexd9dnn2ct";
+
+  /** Accelerators that are guaranteed to the tenant of the first key. */
+  static final int GUARANTEED = 160;
+
   /** The work of a step's tasks, by ID.K.STEP. */
   private final Map<String, Executor.Work> works = new ConcurrentHashMap<>();
 
@@ -36,7 +44,7 @@
     store.put("keyed.op", "config", configuration());
     for (int i = 0; i < executorCount; i++) {
       executors.add(
-          new Executor("i-7f3a91%02x".formatted(i), zones[i % 3], "r" + (i % 3 + 1) + "-" + (i / 24 + 1), 64_000, 262_144,
+          new Executor("i-7f3a91c2%02x".formatted(i), zones[i % 3], rack(i), 64_000, 262_144,
               store, record, this::work));
     }
     executors.forEach(Executor::beat);
@@ -49,6 +57,11 @@
     record.note(vmCount + " VMs and " + executorCount + " executors of 64 cores and 256 GB started");
   }
 
+  /** Racks hold up to eight executors of a zone, so a zone of eleven has one rack of three. */
+  static String rack(int executor) {
+    return "r" + (executor % 3 + 1) + "-" + (executor / 24 + 1);
+  }
+
   private Map<String, String> site() {
     Map<String, String> site = new HashMap<>();
     site.put("platform.address", store.address());
@@ -67,13 +80,19 @@
   }
 
   private static String configuration() {
-    return "{\"version\":7,\"routes\":[{\"name\":\"r-ce7ejsm\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"" + PREFIX
-        + "\",\"kind\":\"non_idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":3000,\"priority\":2,"
-        + "\"service\":\"pool\",\"maxAttempts\":2,\"deadlineFactor\":3.0,\"public\":false}],\"services\":[{\"name\":\"pool\","
+    return "{\"version\":7,\"routes\":[" + route("r-ce7ejsm", PREFIX, 2, 3000, 3.0) + ","
+        + route("r-zzyyjsg", URGENT_PREFIX, 0, 250, 1.5) + "],\"services\":[{\"name\":\"pool\","
         + "\"healthPath\":\"/healthz\",\"maxConns\":64,\"protocol\":\"h1\",\"tls\":false,\"constraints\":true,"
         + "\"standby\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
         + "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"kaje80\",\"apiKeys\":[\"" + KEY + "\"],\"priority\":1,"
-        + "\"guaranteed\":{\"gpu\":48}}]}";
+        + "\"guaranteed\":{\"gpu\":" + GUARANTEED + "}},{\"name\":\"lone11\",\"apiKeys\":[\"" + OTHER_KEY
+        + "\"],\"priority\":1,\"guaranteed\":{\"gpu\":0}}]}";
+  }
+
+  private static String route(String name, String prefix, int priority, int targetMillis, double factor) {
+    return "{\"name\":\"" + name + "\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"" + prefix
+        + "\",\"kind\":\"non_idempotent\",\"timeoutMs\":3000,\"targetLatencyMs\":" + targetMillis + ",\"priority\":"
+        + priority + ",\"service\":\"pool\",\"maxAttempts\":4,\"deadlineFactor\":" + factor + ",\"public\":false}";
   }
 
   private Executor.Work work(String task) {
@@ -129,20 +148,28 @@
   }
 
   Http.Result call(Vm vm, String method, String job, String body) {
+    return call(vm, method, PREFIX + job, KEY, body);
+  }
+
+  private Http.Result call(Vm vm, String method, String path, String key, String body) {
     Map<String, String> headers =
-        Map.of("Host", HOST, "Content-Type", "application/json", "Credential", KEY, "Deadline-Ms", "3000");
-    Http.Result answer = Http.call(vm.callers, method, PREFIX + job, headers, body, 3000);
+        Map.of("Host", HOST, "Content-Type", "application/json", "Credential", key, "Deadline-Ms", "3000");
+    Http.Result answer = Http.call(vm.callers, method, path, headers, body, 3000);
     record.noteFew(
-        method + " " + job + " at " + vm.name + ": "
+        method + " " + path + " at " + vm.name + ": "
             + (answer.status() == 0 ? "no answer (" + answer.body() + ")" : answer.status() + " " + answer.body()));
     return answer;
   }
 
   /** Submits a job like a client: five tries, the next one at another VM. Returns the last status. */
   int submit(String job, String body) {
+    return submit(PREFIX + job, KEY, body);
+  }
+
+  int submit(String path, String key, String body) {
     int status = 0;
     for (int attempt = 0; attempt < 5; attempt++) {
-      Http.Result answer = call(vms.get(attempt % vms.size()), "POST", job, body);
+      Http.Result answer = call(vms.get(attempt % vms.size()), "POST", path, key, body);
       status = answer.status();
       if (status != 0 && status != 503 && status != 429 && status != 502 && status != 504) {
         return status;
@@ -159,6 +186,16 @@
     return at < 0 ? "" : body.substring(at + 9, body.indexOf('"', at + 9));
   }
 
+  /** Writes what happened to the runs whose tasks begin with a text. */
+  void noteEvents(String tasks) {
+    for (Executor.Event event : events()) {
+      if (event.task().startsWith(tasks)) {
+        record.note(
+            "  at " + event.atMillis() + " ms " + event.task() + " run " + event.run() + " " + event.kind() + " on " + event.executor());
+      }
+    }
+  }
+
   /** Returns all that happened to runs, ordered by time. */
   List<Executor.Event> events() {
     List<Executor.Event> all = new ArrayList<>();
@@ -167,6 +204,11 @@
     return all;
   }
 
+  /** Returns how many starts of tasks that begin with a text there were. */
+  long starts(String tasks) {
+    return events().stream().filter(event -> event.kind().equals("started") && event.task().startsWith(tasks)).count();
+  }
+
   long count(String kind) {
     return events().stream().filter(event -> event.kind().equals(kind)).count();
   }
--- a/review/src/main/java/Vm.java
+++ b/review/src/main/java/Vm.java
@@ -4,8 +4,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -15,6 +18,9 @@
   private static final Pattern SECTION = Pattern.compile("\\{\\{#([^}]+)}}\\R?(.*?)\\{\\{/\\1}}\\R?", Pattern.DOTALL);
   private static final Pattern VALUE = Pattern.compile("\\{\\{([^}#/]+)}}");
 
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> TAKEN = new HashSet<>();
+
   private final Process process;
   final String name;
   final String callers;
@@ -45,18 +51,21 @@
     builder.environment().put("FESCUEHOOK_CONFIG", settings.toString());
     builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
     this.process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
+  /** Takes free ports below those that the system gives to connections, each of them once. */
+  private static synchronized List<Integer> freePorts(int count) throws IOException {
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    while (ports.size() < count) {
+      int port = 20_000 + RANDOM.nextInt(10_000);
+      if (TAKEN.add(port)) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+          ports.add(socket.getLocalPort());
+        } catch (IOException e) {
+          // Another program uses it.
+        }
+      }
     }
     return ports;
   }
