Log why a step waits beside free capacity

Done: event 8044 and fescuehook.batch.steps.barred name what keeps a step from executors with free capacity, at most every 10 s for each step.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -93,6 +93,10 @@
    */
   WAITS_FOR_EVACUATED_DOMAIN(
       8043, "Job {} waits for evacuated failure domains: step {} needs room for {} tasks"),
+  /** A step keeps waiting beside executors with free capacity that it may not use at present. */
+  BARRED_FROM_FREE_CAPACITY(
+      8044,
+      "Step {} has waited {} ms though {} executors have capacity: runs of it failed on {}, {} are doubted, {} lack advice"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -43,6 +43,7 @@
   private final Planner planner;
   private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
+  private final BarredCapacityLog barredCapacityLog;
   private final FairShareLog fairShareLog;
   private final OverlongRuns overlongRuns;
   private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
@@ -64,6 +65,7 @@
     this.planner = new Planner(step -> rank(step.job()), work, statistics);
     this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
+    this.barredCapacityLog = new BarredCapacityLog(statistics.reliability(), context.nowNanos());
     this.fairShareLog = new FairShareLog(statistics.usage());
     this.overlongRuns =
         new OverlongRuns(
@@ -94,6 +96,7 @@
         planner.plan(waiting, usable, run -> useless(run, context), context.nowNanos());
     fairShareLog.check(waiting, plan, context);
     reservationLog.check(waiting, plan, context);
+    barredCapacityLog.check(waiting, plan, usable, context);
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
