Log what an executor lists when runs are missing there

Cause: 8024 says that an executor does not list a run, but not whether its list of ends was cut, was read before, or the executor had lost the run. Done: event 8045 gives the runs, the live runs and the ends listed, and the number of the last end, before runs are reported as lost.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -97,6 +97,10 @@
   BARRED_FROM_FREE_CAPACITY(
       8044,
       "Step {} has waited {} ms though {} executors have capacity: runs of it failed on {}, {} are doubted, {} lack advice"),
+  /** An executor does not list runs that it would list if they were alive. */
+  RUNS_UNLISTED(
+      8045,
+      "Executor {} does not list {} runs that were there; it lists {} live runs and {} ends, the last one {}"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -88,12 +88,23 @@
       handleActive(executor, run, sentAt, context);
     }
     throttler.evaluate(executor, answer, context);
-    return executor.runs().stream()
-        .filter(run -> !active.contains(run.run()))
-        // Orders sent before the first answer have arrived by then, or are rejected for good by
-        // their fencing token.
-        .filter(run -> first ? run.stage() != Stage.PLACED : run.mustBeListed(sentAt))
-        .toList();
+    List<LiveRun> unlisted =
+        executor.runs().stream()
+            .filter(run -> !active.contains(run.run()))
+            // Orders sent before the first answer have arrived by then, or are rejected for good by
+            // their fencing token.
+            .filter(run -> first ? run.stage() != Stage.PLACED : run.mustBeListed(sentAt))
+            .toList();
+    if (!unlisted.isEmpty()) {
+      context.note(
+          BatchLogEvent.RUNS_UNLISTED,
+          executor.incarnation(),
+          unlisted.size(),
+          active.size(),
+          answer.ended().size(),
+          executor.runEnds().lastRead());
+    }
+    return unlisted;
   }
 
   private void handleEnds(ExecutorState executor, List<EndedRun> ends, BatchContext context) {
