A step uses executors again on which runs of it have failed

Cause: StepProgress kept the executors of all failed runs of a step, without an end and for all its tasks, and CandidateExecutor rejected them whatever else was left. So a label, advice or the size of a gang that leaves few executors barred the step for good, and a wide step lost an executor for each task that failed. Gangs, and steps with a failure, likewise never used a suspect executor, which without start reliability is suspect until a run ends well there. Change: failures are kept for each task, or once for a gang, with their time. For 10 s a task avoids executors on which it has failed, and suspect ones, if it fits elsewhere; otherwise it avoids those that have failed it in the last 2 s, 4 s with two attempts left, and 8 s before its last attempt, which outlasts the usual fault of an executor. Tasks that avoid different executors are planned as groups of their own. Why this works: each avoidance ends by itself, so no set of failures can leave a step without executors, and the growing pauses keep a fault of some seconds from using up all attempts. The same cause was looked for in logic.scheduling: PlanState.avoid already yields if a job fits nowhere else.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
@@ -119,6 +119,7 @@
     int unadvised = 0;
     long fitting = 0;
     long open = 0;
+    Avoidance avoidance = Avoidance.usual(step, nowNanos);
     for (ExecutorState executor : usable) {
       boolean suitable =
           executor.profile().pool().equals(step.pool())
@@ -129,7 +130,7 @@
       }
       executors++;
       fitting += fits;
-      boolean failedThere = step.step().failedOn(executor.incarnation());
+      boolean failedThere = avoidance.failedOn().contains(executor.incarnation());
       boolean doubtedThere = reliability.standing(executor, nowNanos).doubted();
       boolean unadvisedThere = !step.permits(executor.incarnation());
       failed += failedThere ? 1 : 0;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -192,22 +192,18 @@
   }
 
   /**
-   * Tells whether a step may run here at all, regardless of capacity. A step that has failed avoids
-   * the executors on which it failed and suspect ones, since it has few attempts left. Gangs avoid
-   * suspect executors, since one slow member delays all others. Besides, an executor must be as
-   * reliable as the step requires.
+   * Tells whether a step may run here at all, regardless of capacity: it does not avoid the
+   * executor, which is as reliable as the step requires.
    */
   boolean isEligible(WaitingStep waiting) {
-    StepProgress step = waiting.step();
-    boolean avoided = suspect && (step.hasFailed() || step.spec().gang());
     Incarnation incarnation = executor.incarnation();
     if (!waiting.requirement().accepts(standing)) {
       return false;
     }
-    if (avoided || step.failedOn(incarnation) || !waiting.permits(incarnation)) {
+    if (waiting.avoidance().avoids(incarnation, suspect) || !waiting.permits(incarnation)) {
       return false;
     }
-    Optional<String> label = step.spec().placement().label();
+    Optional<String> label = waiting.step().spec().placement().label();
     boolean labelled = label.isEmpty() || executor.profile().labels().contains(label.get());
     return labelled && executor.profile().pool().equals(waiting.pool());
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.fescuehook.logic.batch.executor.ExecutorState;
-import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
@@ -59,18 +58,15 @@
   private long accelerators;
   private long milliCores;
 
-  /**
-   * The properties that determine the groups of a step, as long as none of its runs has failed and
-   * no external advice applies to it.
-   */
+  /** The properties that determine the groups of a step to which no external advice applies. */
   private record GroupKey(
       String pool,
       Optional<String> label,
       Optional<RackId> affinity,
       boolean sameRack,
-      boolean gang,
       boolean nearOnly,
-      StartRequirement requirement) {}
+      StartRequirement requirement,
+      Avoidance avoidance) {}
 
   /** The properties that determine how many tasks of a step fit into a group. */
   private record Shape(
@@ -174,6 +170,11 @@
     return (int) Math.max(0, Math.min(free.accelerators(), share * total.accelerators()));
   }
 
+  /** Tells whether there are suspect executors. */
+  boolean hasSuspects() {
+    return candidates.stream().anyMatch(CandidateExecutor::suspect);
+  }
+
   /** Tells whether this capacity exceeds half of another one, both in accelerators and in cores. */
   boolean exceedsHalfOf(FleetCapacity total) {
     return 2 * accelerators > total.accelerators && 2 * milliCores > total.milliCores;
@@ -231,20 +232,19 @@
   }
 
   private static Optional<GroupKey> groupKey(WaitingStep waiting, boolean nearOnly) {
-    StepProgress step = waiting.step();
-    if (step.hasFailed() || waiting.permitted().isPresent()) {
+    if (waiting.permitted().isPresent()) {
       return Optional.empty();
     }
-    BatchStep.PlacementRule placement = step.spec().placement();
+    BatchStep.PlacementRule placement = waiting.step().spec().placement();
     return Optional.of(
         new GroupKey(
             waiting.pool(),
             placement.label(),
             placement.affinity(),
             placement.sameRack(),
-            step.spec().gang(),
             nearOnly,
-            waiting.requirement()));
+            waiting.requirement(),
+            waiting.avoidance()));
   }
 
   private static Optional<Shape> shape(WaitingStep waiting, boolean nearOnly) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -1,7 +1,5 @@
 package org.fescuehook.logic.batch.plan;
 
-import static java.util.stream.Collectors.partitioningBy;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -25,7 +23,6 @@
 import org.fescuehook.logic.batch.state.WasteCause;
 import org.fescuehook.logic.batch.statistics.ExecutorStanding;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
-import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.batch.TaskRun;
@@ -176,7 +173,14 @@
         queue.advised()
             ? Optional.of(advice.permitted(step, context.nowNanos()))
             : Optional.empty();
-    for (List<TaskProgress> group : placementGroups(step, tasks, queue.maxAttempts())) {
+    List<List<TaskProgress>> groups =
+        PlacementGroups.of(
+            step,
+            tasks,
+            queue.maxAttempts(),
+            statistics.reliability().enabled(),
+            context.nowNanos());
+    for (List<TaskProgress> group : groups) {
       waiting.add(
           new WaitingStep(
               step,
@@ -187,36 +191,9 @@
               timing,
               permitted,
               queue.maxAttempts(),
-              StartRequirement.ANY));
-    }
-  }
-
-  /**
-   * Divides tasks into the groups that are planned together. Tasks suspected of crashing executors
-   * are planned one by one, so that a crash can be attributed to one of them. Tasks with one
-   * attempt left are planned apart, since they need more reliable executors.
-   */
-  private List<List<TaskProgress>> placementGroups(
-      StepProgress step, List<TaskProgress> tasks, int maxAttempts) {
-    StartReliability reliability = statistics.reliability();
-    boolean mayCrash = tasks.stream().anyMatch(task -> task.crashes().mayCrash());
-    if (step.spec().gang() || (!mayCrash && !reliability.enabled())) {
-      return List.of(tasks);
+              StartRequirement.ANY,
+              Avoidance.NONE));
     }
-    List<List<TaskProgress>> groups = new ArrayList<>();
-    tasks.stream()
-        .filter(task -> !task.crashes().mayCrash())
-        .collect(
-            partitioningBy(
-                task -> reliability.enabled() && StartRequirement.onLastAttempt(task, maxAttempts)))
-        .values()
-        .stream()
-        .filter(group -> !group.isEmpty())
-        .forEach(groups::add);
-    tasks.stream()
-        .filter(task -> task.crashes().mayCrash())
-        .forEach(task -> groups.add(List.of(task)));
-    return groups;
   }
 
   /** Returns when a step was due, milliseconds since 1970. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -71,6 +71,8 @@
   private final PlanReservations reservations;
   private final SchedulingStatistics statistics;
   private final long guaranteedNearnessWaitNanos;
+  private final boolean suspectsPresent;
+  private final long nowNanos;
 
   /** Whether reservations limit the step that is being planned. */
   private boolean limited;
@@ -96,6 +98,8 @@
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
+    this.suspectsPresent = total.hasSuspects();
+    this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
       for (LiveRun run : executor.runs()) {
         // What ends by itself is free as early as what is stopped now.
@@ -115,7 +119,7 @@
   }
 
   void planStep(WaitingStep unrestricted) {
-    WaitingStep waiting = withRequirement(unrestricted);
+    WaitingStep waiting = withRequirement(withAvoidance(unrestricted));
     limited = reservations.limit(waiting) && !idleFor(waiting, IDLE_WAIT_NANOS);
     if (waiting.step().spec().gang()) {
       planGang(waiting);
@@ -124,6 +128,17 @@
     }
   }
 
+  /** Adds which executors a step avoids, fewer of them if it fits nowhere else. */
+  private WaitingStep withAvoidance(WaitingStep waiting) {
+    Avoidance usual = Avoidance.usual(waiting, nowNanos);
+    if (usual.failedOn().isEmpty() && !(usual.suspects() && suspectsPresent)) {
+      return waiting;
+    }
+    WaitingStep avoiding = waiting.avoiding(usual);
+    boolean fitsElsewhere = total.tightestGroup(avoiding, wanted(waiting), false).isPresent();
+    return fitsElsewhere ? avoiding : waiting.avoiding(Avoidance.least(waiting, nowNanos));
+  }
+
   /** Adds how reliable the executors of a step must be. */
   private WaitingStep withRequirement(WaitingStep waiting) {
     StartReliability reliability = statistics.reliability();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -77,7 +77,7 @@
             // A step that is too late to be of use has no reason to hurry any more.
             : timing.nearlyLate() && timing.prospect() != Prospect.TOO_LATE;
     double max = hurried ? ExecutorStanding.TOLERABLE : ExecutorStanding.USABLE;
-    int failures = failures(waiting);
+    int failures = waiting.failures();
     int attemptsLeft = waiting.maxAttempts() - failures;
     if (attemptsLeft <= 1 && spec.longRunning().isEmpty()) {
       return new StartRequirement(ExecutorStanding.USABLE, false, failures > 0, newestFault, false);
@@ -92,13 +92,6 @@
     return task.failures() > 0 && task.failures() + 1 >= maxAttempts;
   }
 
-  private static int failures(WaitingStep waiting) {
-    if (waiting.step().spec().gang()) {
-      return waiting.step().gangFailures();
-    }
-    return waiting.tasks().stream().mapToInt(task -> task.failures()).max().orElse(0);
-  }
-
   /** Tells whether little is lost if a run of the step fails. */
   private static boolean isCheap(WaitingStep waiting) {
     BatchStep spec = waiting.step().spec();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -21,6 +21,7 @@
  * @param permitted the executors that may run it according to external advice; absent if any may
  * @param maxAttempts failures of a task after which its job fails, as its queue is declared now
  * @param requirement how reliable its executors must be
+ * @param avoidance the executors that it avoids because of failures
  */
 public record WaitingStep(
     StepProgress step,
@@ -31,7 +32,8 @@
     StepTiming timing,
     Optional<Set<Incarnation>> permitted,
     int maxAttempts,
-    StartRequirement requirement) {
+    StartRequirement requirement,
+    Avoidance avoidance) {
 
   /**
    * Order of planning: by rank, then by whether the step can still meet its objective, is late or
@@ -55,8 +57,8 @@
   }
 
   /**
-   * Creates a step that may run on executors of any reliability, with the attempts of its queue as
-   * accepted.
+   * Creates a step that may run on executors of any reliability and avoids none, with the attempts
+   * of its queue as accepted.
    */
   public WaitingStep(
       StepProgress step,
@@ -75,7 +77,8 @@
         timing,
         permitted,
         step.job().job().queue().maxAttempts(),
-        StartRequirement.ANY);
+        StartRequirement.ANY,
+        Avoidance.NONE);
   }
 
   /** Copies the list. */
@@ -118,13 +121,44 @@
   public WaitingStep withoutFirst(int placed) {
     List<TaskProgress> remaining = tasks.subList(placed, tasks.size());
     return new WaitingStep(
-        step, remaining, pool, rank, acceptedMillis, timing, permitted, maxAttempts, requirement);
+        step,
+        remaining,
+        pool,
+        rank,
+        acceptedMillis,
+        timing,
+        permitted,
+        maxAttempts,
+        requirement,
+        avoidance);
   }
 
   /** Returns the same step with another requirement on the reliability of its executors. */
   WaitingStep requiring(StartRequirement other) {
     return new WaitingStep(
-        step, tasks, pool, rank, acceptedMillis, timing, permitted, maxAttempts, other);
+        step, tasks, pool, rank, acceptedMillis, timing, permitted, maxAttempts, other, avoidance);
+  }
+
+  /** Returns the same step with other executors to avoid. */
+  WaitingStep avoiding(Avoidance other) {
+    return new WaitingStep(
+        step,
+        tasks,
+        pool,
+        rank,
+        acceptedMillis,
+        timing,
+        permitted,
+        maxAttempts,
+        requirement,
+        other);
+  }
+
+  /** Returns how often the gang, or the task that has failed most, has failed. */
+  int failures() {
+    return step.spec().gang()
+        ? step.gangFailures()
+        : tasks.stream().mapToInt(TaskProgress::failures).max().orElse(0);
   }
 
   /** Tells whether external advice permits an executor to run the step. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -1,7 +1,12 @@
 package org.fescuehook.logic.batch.state;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
+import org.fescuehook.model.fleet.Incarnation;
 
 /** The progress of one task. */
 public final class TaskProgress {
@@ -11,6 +16,10 @@
   private int failures;
   private int lastRun;
   private int moves;
+
+  /** When a run last failed on each executor, monotonic time; this owner's knowledge only. */
+  private Map<Incarnation, Long> failedAt = Map.of();
+
   private CrashRecord crashes = CrashRecord.NONE;
   private String checkpoint = "";
   private Optional<LiveRun> live = Optional.empty();
@@ -83,6 +92,26 @@
     failures++;
   }
 
+  void failedOn(Incarnation executor, long nowNanos) {
+    if (failedAt.isEmpty()) {
+      failedAt = new HashMap<>();
+    }
+    failedAt.put(executor, nowNanos);
+  }
+
+  Set<Incarnation> failedOnSince(long earliestNanos) {
+    if (failedAt.isEmpty()) {
+      return Set.of();
+    }
+    Set<Incarnation> failedOn = new HashSet<>(failedAt.keySet());
+    failedOn.removeIf(executor -> failedAt.get(executor) - earliestNanos < 0);
+    return failedOn;
+  }
+
+  boolean failedElsewhere(Incarnation executor) {
+    return failedAt.keySet().stream().anyMatch(other -> !other.equals(executor));
+  }
+
   void crashed(CrashEvidence evidence, int run) {
     crashes = crashes.plus(evidence, run);
   }
