Runs beyond a cut list of ends do not count as lost

Cause: an executor lists at most 500 ends that are not acknowledged, and ends are acknowledged once they are stored. ReportHandler took every run that an answer listed neither as alive nor as ended for lost, also if the list of ends was cut, and its task was placed again. Change: an answer to a poll says whether further ends may wait, which is so from 500 rows on. Then no run counts as lost by it: each keeps its capacity until a whole list shows its end or its absence, for the first answer that a new owner gets as well. 8046 tells that such runs are waited for. Why this works: an acknowledgement lets the executor list the next ends, so the lists become whole once the store answers. Related paths: runs that are being stopped, members of gangs, taken-over runs and those of an earlier incarnation all go through the same check.

--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -191,7 +191,7 @@
     OrderOutcome outcome =
         poll
             ? new OrderOutcome.Polled(
-                OptionalLong.empty(), nowNanos / 1_000_000, List.of(), List.of())
+                OptionalLong.empty(), nowNanos / 1_000_000, List.of(), List.of(), false)
             : new OrderOutcome.Done(nowNanos / 1_000_000);
     events.add(new BatchEvent.OrderEnded(id, order.number(), outcome));
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -101,6 +101,10 @@
   RUNS_UNLISTED(
       8045,
       "Executor {} does not list {} runs that were there; it lists {} live runs and {} ends, the last one {}"),
+  /** An executor does not list runs that may have ended, since its list of ends is cut. */
+  ENDS_CUT(
+      8046,
+      "Executor {} does not list {} runs; it lists {} live runs and {} ends, the last one {}, and may hold more"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -18,10 +18,16 @@
    *     if it does not report that
    * @param clockMillis the current time of the executor's clock
    * @param active the runs that are alive there
-   * @param ended run ends that are not acknowledged yet, in order of their numbers
+   * @param ended the first run ends that are not acknowledged yet, in order of their numbers
+   * @param moreEnded whether further ends may wait, which are listed only once these are
+   *     acknowledged
    */
   record Polled(
-      OptionalLong bornMillis, long clockMillis, List<ActiveRun> active, List<EndedRun> ended)
+      OptionalLong bornMillis,
+      long clockMillis,
+      List<ActiveRun> active,
+      List<EndedRun> ended,
+      boolean moreEnded)
       implements OrderOutcome {}
 
   /** The executor has rejected the order and will never carry it out. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -67,7 +67,7 @@
    * Handles the answer to the poll in flight.
    *
    * @return runs that the owner believes to be on this executor and that it would have listed if
-   *     they were alive
+   *     they were alive or had ended there; none if the list of ends is cut
    */
   List<LiveRun> handle(ExecutorState executor, OrderOutcome.Polled answer, BatchContext context) {
     long sentAt = executor.poll().orElseThrow().sentAt();
@@ -95,18 +95,34 @@
             // their fencing token.
             .filter(run -> first ? run.stage() != Stage.PLACED : run.mustBeListed(sentAt))
             .toList();
-    if (!unlisted.isEmpty()) {
-      context.note(
-          BatchLogEvent.RUNS_UNLISTED,
-          executor.incarnation(),
-          unlisted.size(),
-          active.size(),
-          answer.ended().size(),
-          executor.runEnds().lastRead());
+    boolean mayHaveEnded = answer.moreEnded() && !unlisted.isEmpty();
+    boolean noted = executor.runEnds().hidden();
+    executor.runEnds().setHidden(mayHaveEnded);
+    if (mayHaveEnded && !noted) {
+      noteUnlisted(BatchLogEvent.ENDS_CUT, executor, answer, unlisted.size(), context);
     }
+    if (mayHaveEnded || unlisted.isEmpty()) {
+      return List.of();
+    }
+    noteUnlisted(BatchLogEvent.RUNS_UNLISTED, executor, answer, unlisted.size(), context);
     return unlisted;
   }
 
+  private static void noteUnlisted(
+      BatchLogEvent event,
+      ExecutorState executor,
+      OrderOutcome.Polled answer,
+      int runs,
+      BatchContext context) {
+    context.note(
+        event,
+        executor.incarnation(),
+        runs,
+        answer.active().size(),
+        answer.ended().size(),
+        executor.runEnds().lastRead());
+  }
+
   private void handleEnds(ExecutorState executor, List<EndedRun> ends, BatchContext context) {
     List<EndedRun> newEnds =
         ends.stream().filter(end -> end.number() > executor.runEnds().lastRead()).toList();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunEndTracker.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunEndTracker.java
@@ -16,12 +16,23 @@
   private long lastStored;
   private long lastSent;
   private long lastConfirmed;
+  private boolean hidden;
 
   /** Returns the number of the last end that was read. */
   long lastRead() {
     return lastRead;
   }
 
+  /** Tells whether runs may have ended whose ends the newest list has no room for. */
+  boolean hidden() {
+    return hidden;
+  }
+
+  /** Records whether runs may have ended whose ends the newest list has no room for. */
+  void setHidden(boolean mayBeHidden) {
+    hidden = mayBeHidden;
+  }
+
   /** Records that ends up to a number were read as one batch, which is not stored yet. */
   void readUpTo(long number) {
     lastRead = Math.max(lastRead, number);
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
@@ -38,6 +38,9 @@
   private static final int FINISHED_RESULT = 3;
   private static final int FINISHED_CHECKPOINT = 4;
 
+  /** Number of ended runs at which an executor cuts its list. */
+  private static final int MAX_FINISHED = 500;
+
   private ExecutorMessages() {}
 
   /** Encodes an order as an HTTP request to the executor. */
@@ -134,7 +137,8 @@
               runEnd(row.path(FINISHED_RESULT).asText()),
               row.path(FINISHED_CHECKPOINT).asText()));
     }
-    return new OrderOutcome.Polled(answer.numberIfPresent("born"), clock, active, ended);
+    return new OrderOutcome.Polled(
+        answer.numberIfPresent("born"), clock, active, ended, ended.size() >= MAX_FINISHED);
   }
 
   /** Parses a task name of the form JOB.OCCURRENCE.STEP.INDEX. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -80,6 +80,7 @@
   final PlacementChecks placement = new PlacementChecks();
   final WorkWaste waste = new WorkWaste();
   private long stopMillis = 100;
+  private int endsPerAnswer = 500;
   private boolean gangsAdvanceTogether;
 
   void recordSubmission(String job, String queue, Submission submission) {
@@ -211,6 +212,15 @@
     return stopMillis;
   }
 
+  /** Limits how many ends an executor lists in an answer; the platform's limit is 500. */
+  void setEndsPerAnswer(int limit) {
+    endsPerAnswer = limit;
+  }
+
+  int endsPerAnswer() {
+    return endsPerAnswer;
+  }
+
   long gangTimeoutMillis() {
     return GANG_TIMEOUT_MILLIS;
   }
--- a/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
@@ -72,7 +75,8 @@
         decode(POLL, 200, "{\"clockMs\":5,\"born\":1786115069591,\"active\":[],\"finished\":[]}");
 
     assertEquals(
-        new OrderOutcome.Polled(OptionalLong.of(1_786_115_069_591L), 5, List.of(), List.of()),
+        new OrderOutcome.Polled(
+            OptionalLong.of(1_786_115_069_591L), 5, List.of(), List.of(), false),
         outcome);
   }
 
@@ -98,10 +102,29 @@
             OptionalLong.empty(),
             482_113,
             List.of(new OrderOutcome.ActiveRun(RUN, "cp", 41, 7)),
-            List.of(new OrderOutcome.EndedRun(58, first, RunEnd.GANG_BROKEN, ""))),
+            List.of(new OrderOutcome.EndedRun(58, first, RunEnd.GANG_BROKEN, "")),
+            false),
         outcome);
   }
 
+  /** Guards against a cut list that is taken for a whole one. */
+  @Test
+  void moreRunsMayHaveEndedThanAPollAnswerWith500FinishedRunsLists() {
+    assertFalse(polled(499).moreEnded());
+    OrderOutcome.Polled cut = polled(500);
+    assertEquals(500, cut.ended().size());
+    assertTrue(cut.moreEnded());
+  }
+
+  private static OrderOutcome.Polled polled(int finished) {
+    String rows =
+        IntStream.rangeClosed(1, finished)
+            .mapToObj(number -> "[" + number + ",\"a.0.0." + number + "\",1,\"done\",\"\"]")
+            .collect(Collectors.joining(","));
+    String body = "{\"clockMs\":5,\"active\":[],\"finished\":[" + rows + "]}";
+    return assertInstanceOf(OrderOutcome.Polled.class, decode(POLL, 200, body));
+  }
+
   @Test
   void eachStatusAndRejectionReasonHasItsOutcome() {
     ExecutorOrder stop = new ExecutorOrder.Stop(RUN);
