--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CutListOfEndsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CutListOfEndsTest.java
@@ -69,7 +69,7 @@
   /** The next owner knows the placements only, so that its first answer is a cut list. */
   @Test
   void noTaskRunsAgainForANewOwnerWhoseFirstAnswerIsCut() {
-    cluster.work.setEndsPerAnswer(20);
+    cluster.work.endsPerAnswer = 20;
     String job = submitBeforeOutage(100);
     cluster.run(OUTAGE_MILLIS - 500);
     cluster.restart(cluster.owner().orElseThrow().id, 8000);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -150,13 +150,13 @@
                     checkpoint(run, state),
                     work.percent(run, state.workedMillis),
                     work.load(run, workServingNoUsers()))));
-    int listed = Math.min(ended.size(), work.endsPerAnswer());
+    int listed = Math.min(ended.size(), work.endsPerAnswer);
     return new OrderOutcome.Polled(
         profile.incarnation().bornMillis(),
         nowMillis + clockAhead,
         runs,
         List.copyOf(ended.subList(0, listed)),
-        listed == work.endsPerAnswer());
+        listed == work.endsPerAnswer);
   }
 
   private OrderOutcome pace(ExecutorOrder.Pace pace, long nowMillis) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -79,8 +79,11 @@
   final CrashingTasks crashingTasks = new CrashingTasks();
   final PlacementChecks placement = new PlacementChecks();
   final WorkWaste waste = new WorkWaste();
+
+  /** How many ends an executor lists in an answer. */
+  int endsPerAnswer = 500;
+
   private long stopMillis = 100;
-  private int endsPerAnswer = 500;
   private boolean gangsAdvanceTogether;
 
   void recordSubmission(String job, String queue, Submission submission) {
@@ -212,15 +215,6 @@
     return stopMillis;
   }
 
-  /** Limits how many ends an executor lists in an answer; the platform's limit is 500. */
-  void setEndsPerAnswer(int limit) {
-    endsPerAnswer = limit;
-  }
-
-  int endsPerAnswer() {
-    return endsPerAnswer;
-  }
-
   long gangTimeoutMillis() {
     return GANG_TIMEOUT_MILLIS;
   }
