--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -36,6 +36,14 @@
   /** Some orders to an executor get no answer; late ones are carried out seconds later. */
   record LoseOrders(int executor, int permille, boolean late, long forMillis) implements Fault {}
 
+  /** Executors fail all runs that they start. */
+  record FailRuns(List<Integer> executors, long forMillis) implements Fault {
+    /** Copies the list. */
+    public FailRuns {
+      executors = List.copyOf(executors);
+    }
+  }
+
   /** Operators evacuate a failure domain. */
   record EvacuateDomain(int domain, long forMillis) implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -44,6 +44,11 @@
   private static final int MAX_MAINTENANCE_WAVES = 3;
   private static final long MAINTENANCE_SEED = 0x6d61696e74656e61L;
   private static final long LONGEST_EVACUATION_MILLIS = 20_000;
+  private static final int MAX_FAILURES = 4;
+  private static final long FAILURE_SEED = 0x6661696c757265L;
+
+  /** Longest time for which the users have seen executors fail what they start. */
+  private static final int LONGEST_FAILURE_MILLIS = 6500;
 
   private final SplittableRandom random;
 
@@ -56,6 +61,9 @@
   /** Drawn apart for the same reason. */
   private final SplittableRandom maintenance;
 
+  /** Drawn apart for the same reason. */
+  private final SplittableRandom failures;
+
   private final SoakSizes sizes;
   private final long length;
 
@@ -65,6 +73,7 @@
     this.series = new SplittableRandom(~sizes.seed());
     this.evacuations = series.split();
     this.maintenance = new SplittableRandom(sizes.seed() ^ MAINTENANCE_SEED);
+    this.failures = new SplittableRandom(sizes.seed() ^ FAILURE_SEED);
     this.length = sizes.faultTime().toMillis();
   }
 
@@ -98,10 +107,31 @@
     if (maintenance.nextBoolean()) {
       addMaintenance(plan);
     }
+    if (failures.nextBoolean()) {
+      addFailures(plan);
+    }
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
 
+  /** All executors with a label fail what they start, or one of them, several times. */
+  private void addFailures(List<Fault.Timed> plan) {
+    int count = 1 + failures.nextInt(MAX_FAILURES);
+    for (int i = 0; i < count; i++) {
+      long at = failures.nextLong(CALM_MILLIS, length);
+      int drawn = 1 + failures.nextInt(sizes.executors());
+      String rack = FleetStandIn.labelsOfExecutor(drawn).getLast();
+      List<Integer> ofRack =
+          IntStream.rangeClosed(1, sizes.executors())
+              .filter(number -> FleetStandIn.labelsOfExecutor(number).contains(rack))
+              .boxed()
+              .toList();
+      List<Integer> failing = failures.nextInt(3) > 0 ? ofRack : List.of(drawn);
+      long lasting = Math.min(length - at, 500L + failures.nextInt(LONGEST_FAILURE_MILLIS - 500));
+      plan.add(new Fault.Timed(at, new Fault.FailRuns(failing, lasting)));
+    }
+  }
+
   /** Two VMs are stopped as planned while nothing else disturbs; returns when that is over. */
   private long addRolling(List<Fault.Timed> plan) {
     int first = random.nextInt(sizes.vms());
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -107,6 +107,7 @@
         over();
       }
       case Fault.LoseOrders lose -> loseOrders(lose);
+      case Fault.FailRuns fail -> failRuns(fail);
       case Fault.EvacuateDomain evacuation -> evacuate(evacuation);
       case Fault.MaintainMachines wave -> maintain(wave);
       case Fault.DropHistory drop -> {
@@ -131,6 +132,17 @@
         });
   }
 
+  private void failRuns(Fault.FailRuns fault) throws ClusterException, InterruptedException {
+    fleetTrouble.add(fault);
+    endLater(
+        fault.forMillis(),
+        () -> {
+          fleetTrouble.remove(fault);
+          log.line("over: " + fault);
+          over();
+        });
+  }
+
   /** The evacuation counts from its acknowledgement until operators begin to take it back. */
   private void evacuate(Fault.EvacuateDomain fault) throws ClusterException, InterruptedException {
     storeTrouble.add(fault);
--- a/bench/src/main/java/org/fescuehook/bench/soak/FleetTrouble.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FleetTrouble.java
@@ -6,11 +6,15 @@
 import org.fescuehook.bench.cluster.ClusterException;
 import org.fescuehook.bench.cluster.StandIns;
 
-/** The faults of the executors that are in force; of several at one executor the first counts. */
+/**
+ * The faults of the executors that are in force; of several losses of orders at one executor the
+ * first counts.
+ */
 final class FleetTrouble {
 
   private final StandIns platform;
   private final List<Fault.LoseOrders> active = new ArrayList<>();
+  private final List<Fault.FailRuns> failures = new ArrayList<>();
 
   FleetTrouble(StandIns platform) {
     this.platform = platform;
@@ -26,6 +30,16 @@
     apply(List.of());
   }
 
+  void add(Fault.FailRuns fault) throws ClusterException, InterruptedException {
+    failures.add(fault);
+    apply(List.of());
+  }
+
+  void remove(Fault.FailRuns fault) throws ClusterException, InterruptedException {
+    failures.remove(fault);
+    apply(List.of());
+  }
+
   void crash(int executor) throws ClusterException, InterruptedException {
     apply(List.of(executor));
   }
@@ -40,6 +54,8 @@
                         "permille", fault.permille(),
                         "late", fault.late()))
             .toList();
-    platform.faults(Map.of("fleet", Map.of("crash", crash, "losses", losses)));
+    List<Integer> failing =
+        failures.stream().flatMap(fault -> fault.executors().stream()).distinct().toList();
+    platform.faults(Map.of("fleet", Map.of("crash", crash, "losses", losses, "failing", failing)));
   }
 }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -15,6 +15,9 @@
   /** How the text of a job begins whose tasks crash the executors that start them. */
   public static final String CRASHES = "crash:";
 
+  /** What separates the time of a task from the number of tasks that share a slot. */
+  public static final String SHARING = "/";
+
   /** Copies the list. */
   public PlannedJob {
     steps = List.copyOf(steps);
@@ -55,6 +58,13 @@
     return spec.startsWith(CRASHES);
   }
 
+  /** Returns how many of its tasks share a slot of an executor. */
+  public int tasksPerSlot() {
+    String time = spec.split(" ", 2)[0];
+    int at = time.indexOf(SHARING);
+    return at < 0 ? 1 : Integer.parseInt(time.substring(at + 1));
+  }
+
   /** Returns the names of the tasks of a step. */
   public List<String> tasks(int step) {
     return IntStream.range(0, steps.get(step).count())
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -14,6 +14,10 @@
   ONE_JOB("repeated submissions of an id are one job"),
   /** A task has one run at a time, and none after a noted end. */
   NO_TASK_TWICE("no task runs twice at a time or after its noted end"),
+  /** The same where an executor cannot list all ends at once. */
+  HIDDEN_END_COUNTS("no task runs again whose end waited behind 500 others"),
+  /** A failure on each executor that a task may use does not end its job. */
+  STARTS_AGAIN("a failed task with attempts left starts again"),
   /** A step waits for the steps that it depends on. */
   ORDER("a step starts after the steps it depends on"),
   /** A task starts only where its step allows it. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -46,6 +46,7 @@
       }
     }
     placementCheck.check(job);
+    checkStartsAgain(job, calls);
     checkRefused(job, calls);
     checkCompleted(job, calls);
   }
@@ -58,6 +59,34 @@
               .allMatch(earlier -> mayFollow(later, earlier));
       findings.check(Promise.NO_TASK_TWICE, alone, later + " of " + ofTask);
     }
+    ofTask.stream()
+        .filter(run -> run.hidden() && run.done() && run.noted())
+        .forEach(
+            run ->
+                findings.check(
+                    Promise.HIDDEN_END_COUNTS,
+                    ofTask.stream().noneMatch(later -> later.number() > run.number()),
+                    run + " of " + ofTask));
+  }
+
+  /** Checks an accepted job that nobody has cancelled and no crash has ended. */
+  private void checkStartsAgain(PlannedJob job, List<JobCall> calls) {
+    boolean asked =
+        calls.stream().anyMatch(call -> call.kind() == Kind.SUBMIT && call.succeeded())
+            && calls.stream().noneMatch(call -> call.kind() == Kind.CANCEL);
+    List<List<TaskRun>> byTask =
+        job.tasks().stream().map(task -> runs.getOrDefault(task, List.of())).toList();
+    if (!asked || job.crashes() || byTask.stream().anyMatch(TaskRun::attemptsUsed)) {
+      return;
+    }
+    for (List<TaskRun> ofTask : byTask) {
+      for (TaskRun run : ofTask) {
+        if (run.failed()) {
+          boolean again = ofTask.stream().anyMatch(later -> later.number() > run.number());
+          findings.check(Promise.STARTS_AGAIN, again, run + " of " + ofTask);
+        }
+      }
+    }
   }
 
   private static boolean mayFollow(TaskRun later, TaskRun earlier) {
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -63,6 +63,22 @@
     assertTrue(series > 10, series + " of 50");
   }
 
+  @Test
+  void someRunsHaveAllExecutorsOfARackThatFailWhatTheyStart() {
+    long whole = 0;
+    for (long seed = 0; seed < 50; seed++) {
+      whole +=
+          FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6)).stream()
+                  .map(Fault.Timed::fault)
+                  .filter(Fault.FailRuns.class::isInstance)
+                  .anyMatch(fault -> ((Fault.FailRuns) fault).executors().size() == 3)
+              ? 1
+              : 0;
+    }
+
+    assertTrue(whole > 10, whole + " of 50");
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -110,6 +110,13 @@
         .event(RunEvent.Kind.ACKNOWLEDGED, task, run, "done", to + 20);
   }
 
+  /** A run that fails and whose end is taken note of. */
+  HistoryBuilder failed(String task, int run, long from, long to) {
+    return started(task, run, from)
+        .event(RunEvent.Kind.ENDED, task, run, "failed", to)
+        .event(RunEvent.Kind.ACKNOWLEDGED, task, run, "failed", to + 20);
+  }
+
   /** A job that is accepted, runs and is shown as completed. */
   HistoryBuilder whole(String job, long at) {
     return accepted(job, at)
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetFaults.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetFaults.java
@@ -8,8 +8,9 @@
  * @param crash numbers of the executors that crash now; each restarts at once, under the same id or
  *     a new one
  * @param losses executors some of whose orders get no response
+ * @param failing numbers of the executors that fail every run that they start
  */
-public record FleetFaults(List<Integer> crash, List<OrderLoss> losses) {
+public record FleetFaults(List<Integer> crash, List<OrderLoss> losses, List<Integer> failing) {
 
   /**
    * Share of the orders to an executor that get no response.
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -61,6 +61,7 @@
   private final List<Exchange> waitingPolls = new ArrayList<>();
   private TaskExecutor executor;
   private Optional<FleetFaults.OrderLoss> orderLoss = Optional.empty();
+  private boolean failing;
   private int incarnations;
   private boolean up = true;
   private long heartbeats;
@@ -226,6 +227,11 @@
     orderLoss = orders;
   }
 
+  /** Sets whether this executor and its next incarnations fail every run that they start. */
+  synchronized void setFailing(boolean fails) {
+    failing = fails;
+  }
+
   private synchronized void handle(Exchange exchange) throws IOException {
     ThreadLocalRandom random = ThreadLocalRandom.current();
     if (orderLoss.isEmpty() || random.nextInt(PERMILLE) >= orderLoss.get().permille()) {
@@ -255,7 +261,8 @@
     long now = clock.getAsLong();
     TaskExecutor.Outcome outcome =
         switch (exchange.call()) {
-          case "POST /-/run-start" -> executor.start(order, now, late);
+          case "POST /-/run-start" ->
+              executor.start(order, now, new TaskExecutor.StartConditions(late, failing));
           case "POST /-/run-stop" -> executor.stop(order, now);
           case "POST /-/hold" -> executor.hold(order, now);
           case "POST /-/pace" -> executor.pace(order);
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -84,6 +84,7 @@
       members
           .get(i)
           .setOrderLoss(faults.losses().stream().filter(l -> l.executor() == number).findFirst());
+      members.get(i).setFailing(faults.failing().contains(number));
     }
     faults.crash().forEach(number -> members.get(number - 1).crash());
   }
--- a/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
@@ -16,6 +16,9 @@
   /** API key of the organisation. */
   public static final String KEY = "key-1";
 
+  /** Number of failed runs of a task after which its job fails. */
+  public static final int MAX_ATTEMPTS = 3;
+
   /** Name of the executor pool that runs the queue's tasks. */
   static final String SERVICE = "pool";
 
@@ -35,7 +38,7 @@
             "priority",
             1,
             "maxAttempts",
-            3,
+            MAX_ATTEMPTS,
             "deadlineFactor",
             3.0,
             "targetLatencyMs",
