Steps take turns in starting tasks that may have crashed their executors

Cause: executors with hundreds of runs of one job crashed. Each of these tasks may have crashed its executor, so that nothing starts beside it for 2 s, and the planner gave each executor that became free of suspects to the earliest job, which had 700 more of them. Lost tasks of later jobs waited behind all. Evidence: the owner's log places tasks 741 to 764 of the earlier job one by one, 8026 and 8024 for the later one, and no 8020 for it afterwards. Change: suspected tasks of one class of steps take turns, those of steps with fewer suspects at work first. Why this works: a step without a suspect at work gets the next executor that is free of suspects; nothing else changes its place. Test: SuspectTurnsTest failed before (not within 20 s). Not mended: the job of 700 suspected tasks itself takes minutes, one start for each executor in 2 s.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanOrder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanOrder.java
@@ -13,9 +13,10 @@
 
 /**
  * The order in which a plan considers the waiting steps: by rank, then by prospect, then the
- * organisation with the least use first, then by acceptance. Use does not count for guaranteed
- * work, nor for steps for which other runs are being stopped. The use includes what the plan has
- * placed so far, so each step that is placed may change the order of those that follow.
+ * organisation with the least use first, then by acceptance, with {@link SuspectTurns}. Use does
+ * not count for guaranteed work, nor for steps for which other runs are being stopped. The use
+ * includes what the plan has placed so far, so each step that is placed may change the order of
+ * those that follow.
  *
  * <p>Placing a step changes the use of its own organisation only. One queue for each organisation,
  * ordered by acceptance, and a heap of these queues make that cheap: the heap holds as many entries
@@ -29,6 +30,9 @@
   PlanOrder(Collection<WaitingStep> waiting, PlannedUsage usage) {
     this.byAcceptance = new ArrayList<>(waiting);
     this.byAcceptance.sort(WaitingStep.ORDER);
+    for (int from = 0; from < byAcceptance.size(); from = endOfClass(from)) {
+      SuspectTurns.take(byAcceptance.subList(from, endOfClass(from)));
+    }
     this.usage = usage;
   }
 
@@ -53,10 +57,7 @@
     List<Considered> considered = new ArrayList<>();
     int from = 0;
     while (from < byAcceptance.size()) {
-      int to = from + 1;
-      while (to < byAcceptance.size() && byAcceptance.get(from).sameClass(byAcceptance.get(to))) {
-        to++;
-      }
+      int to = endOfClass(from);
       // Guaranteed work has a bound on its start, which the order by use would put at risk.
       if (byAcceptance.get(from).rank().guaranteed()) {
         byAcceptance.subList(from, to).forEach(action);
@@ -68,6 +69,14 @@
     return considered;
   }
 
+  private int endOfClass(int from) {
+    int to = from + 1;
+    while (to < byAcceptance.size() && byAcceptance.get(from).sameClass(byAcceptance.get(to))) {
+      to++;
+    }
+    return to;
+  }
+
   /** The steps of one organisation that have not been considered yet. */
   private record Queue(String organisation, ArrayDeque<Entry> entries, int use) {
     private static final Comparator<Queue> ORDER =
--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SuspectTurnsTest.java
@@ -0,0 +1,53 @@
+package org.fescuehook.logic.batch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescuehook.logic.batch.call.CallAnswer;
+import org.fescuehook.model.batch.BatchStep;
+import org.fescuehook.model.batch.JobPhase;
+import org.fescuehook.model.batch.ResourceVector;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a job that waits for minutes in an idle fleet because an earlier one has hundreds
+ * of tasks that were lost with their executors. Each of these may have crashed its executor, so
+ * they start one at a time on each executor, and the earlier job took every turn.
+ */
+class SuspectTurnsTest {
+
+  private static final Optional<CallAnswer> COMPLETED =
+      Optional.of(new CallAnswer.Phase(JobPhase.COMPLETED));
+  private static final int WIDE = 240;
+
+  private final BatchCluster cluster = new BatchCluster(1, 3, 1);
+
+  private static BatchStep small(int count) {
+    return new BatchStep(
+        count,
+        new ResourceVector(100, 100, 0),
+        4000,
+        List.of(),
+        BatchStep.PlacementRule.ANYWHERE,
+        false,
+        false,
+        "image");
+  }
+
+  @Test
+  void aLostTaskOfALaterJobStartsBesideHundredsOfAnEarlierOne() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    String wide = cluster.submit(BatchCluster.NORMAL, Jobs.of(small(WIDE)));
+    String later = cluster.submit(BatchCluster.NORMAL, Jobs.of(small(2)));
+    cluster.runUntil("the starts", 3000, () -> cluster.work.starts().size() == WIDE + 2);
+    cluster.run(500);
+    Set.copyOf(cluster.executors.keySet())
+        .forEach((ExecutorId id) -> cluster.crashes.restart(id, 1000));
+    cluster.runUntil("the later job", 20_000, () -> cluster.status(later).equals(COMPLETED));
+    assertTrue(!cluster.status(wide).equals(COMPLETED));
+  }
+}
