The soak judges that open jobs go on after the faults

Cause: the end of a job was awaited for 60 s only, which tells a job that stands still from one of hundreds of suspected tasks neither way. Done: GOES_ON judges, by what executors ran, that an open job has nothing running for at most 3 s from 14 s after the faults on while each executor is half free. JudgeTest's job that never ends breaks both.

--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
@@ -0,0 +1,109 @@
+package org.fescuehook.bench.soak.judge;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.fescuehook.bench.soak.judge.JobCall.Kind;
+
+/**
+ * Checks that an open job has something running once the faults are over for some time, as long as
+ * each executor is half free.
+ */
+final class IdleJobCheck {
+
+  /** From this time after the quiet on jobs have to go on. */
+  private static final long FINISH_MILLIS = 14_000;
+
+  /** For how long a job may have nothing running. */
+  private static final long IDLE_MILLIS = 3000;
+
+  /** A crash makes its executor unknown for the length of a lease. */
+  private static final long LEASE_MILLIS = 6000;
+
+  private static final double HALF_OF_THE_SLOTS = 2;
+
+  private final History history;
+  private final Map<String, List<TaskRun>> runs;
+  private final List<TaskRun> lateRuns;
+  private final Findings findings;
+
+  IdleJobCheck(History history, Map<String, List<TaskRun>> runs, Findings findings) {
+    this.history = history;
+    this.runs = runs;
+    this.findings = findings;
+    this.lateRuns =
+        runs.values().stream()
+            .flatMap(Collection::stream)
+            .filter(run -> run.endMillis() >= history.quietMillis() + FINISH_MILLIS - LEASE_MILLIS)
+            .toList();
+  }
+
+  /** Checks an accepted job that nobody has cancelled. */
+  void check(PlannedJob job, List<JobCall> calls) {
+    OptionalLong accepted =
+        calls.stream()
+            .filter(call -> call.kind() == Kind.SUBMIT && call.succeeded())
+            .mapToLong(JobCall::endedMillis)
+            .min();
+    boolean cancelled = calls.stream().anyMatch(call -> call.kind() == Kind.CANCEL);
+    if (accepted.isEmpty() || cancelled || job.crashes()) {
+      return;
+    }
+    List<TaskRun> ofJob =
+        job.tasks().stream()
+            .flatMap(task -> runs.getOrDefault(task, List.of()).stream())
+            .sorted(Comparator.comparingLong(TaskRun::startMillis))
+            .toList();
+    long from = Math.max(accepted.getAsLong(), history.quietMillis() + FINISH_MILLIS);
+    long to = overAt(job, calls, ofJob);
+    long idleSince = from;
+    for (TaskRun run : ofJob) {
+      checkIdle(job, idleSince, Math.min(run.startMillis(), to));
+      idleSince = Math.max(idleSince, run.endMillis());
+    }
+    checkIdle(job, idleSince, to);
+  }
+
+  /** Returns when nothing of a job is left to run. */
+  private long overAt(PlannedJob job, List<JobCall> calls, List<TaskRun> ofJob) {
+    boolean done =
+        job.tasks().stream()
+            .allMatch(task -> runs.getOrDefault(task, List.of()).stream().anyMatch(TaskRun::done));
+    long shown =
+        calls.stream()
+            .filter(JobCall::showsEnd)
+            .mapToLong(JobCall::endedMillis)
+            .min()
+            .orElse(history.endMillis());
+    return done
+        ? Math.min(shown, ofJob.stream().mapToLong(TaskRun::endMillis).max().orElse(shown))
+        : shown;
+  }
+
+  private void checkIdle(PlannedJob job, long from, long to) {
+    if (to <= from) {
+      return;
+    }
+    boolean idle = to - from > IDLE_MILLIS && fleetIsIdle(from, to);
+    findings.check(
+        Promise.GOES_ON,
+        !idle,
+        "job %s has nothing running from %d to %d".formatted(job.id(), from, to));
+  }
+
+  private boolean fleetIsIdle(long from, long to) {
+    Map<Integer, Double> used = new HashMap<>();
+    for (TaskRun run : lateRuns) {
+      if (run.crashed() && run.endMillis() >= from - LEASE_MILLIS && run.endMillis() <= to) {
+        return false;
+      }
+      if (run.startMillis() < to && run.endMillis() > from) {
+        used.merge(run.executorNumber(), 1.0 / PlannedJob.tasksPerSlot(run.spec()), Double::sum);
+      }
+    }
+    return used.values().stream().allMatch(slots -> slots < HALF_OF_THE_SLOTS);
+  }
+}
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -60,6 +60,10 @@
 
   /** Returns how many of its tasks share a slot of an executor. */
   public int tasksPerSlot() {
+    return tasksPerSlot(spec);
+  }
+
+  static int tasksPerSlot(String spec) {
     String time = spec.split(" ", 2)[0];
     int at = time.indexOf(SHARING);
     return at < 0 ? 1 : Integer.parseInt(time.substring(at + 1));
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -18,6 +18,8 @@
   HIDDEN_END_COUNTS("no task runs again whose end waited behind 500 others"),
   /** A failure on each executor that a task may use does not end its job. */
   STARTS_AGAIN("a failed task with attempts left starts again"),
+  /** Jobs go on after the faults, as long as there is capacity. */
+  GOES_ON("an open job runs something within 3 s, from 14 s after the faults on", true),
   /** A step waits for the steps that it depends on. */
   ORDER("a step starts after the steps it depends on"),
   /** A task starts only where its step allows it. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
@@ -29,7 +29,32 @@
   void aFailedTaskThatNeverStartsAgainIsFound() {
     accepted(1).failed(TASK, 1, 1100, 1300).failed(TASK, 2, 1400, 1600);
 
-    assertBroken(Promise.STARTS_AGAIN, Promise.ACCEPTED_ENDS, Promise.ANSWERED);
+    assertBroken(Promise.STARTS_AGAIN, Promise.GOES_ON, Promise.ACCEPTED_ENDS, Promise.ANSWERED);
+  }
+
+  @Test
+  void aJobThatStandsStillAfterTheFaultsIsFound() {
+    long late = HistoryBuilder.QUIET + 14_000;
+    accepted(1)
+        .failed(TASK, 1, 1100, 1300)
+        .call(Kind.STATUS, JOB, HistoryBuilder.QUIET + 1000, 200, "in_progress")
+        .ran(TASK, 2, late + 3001, late + 4000)
+        .call(Kind.STATUS, JOB, late + 5000, 200, "completed");
+
+    assertBroken(Promise.GOES_ON);
+  }
+
+  @Test
+  void aJobThatWaitsForAnExecutorAfterTheFaultsIsFine() {
+    long late = HistoryBuilder.QUIET + 14_000;
+    accepted(3)
+        .ran(TASK, 1, 1100, 1300)
+        .call(Kind.STATUS, JOB, HistoryBuilder.QUIET + 1000, 200, "in_progress")
+        .ran(JOB + ".0.0.1", 1, late + 3000, late + 4000)
+        .ran(JOB + ".0.0.2", 1, late + 3000, late + 4000)
+        .call(Kind.STATUS, JOB, late + 5000, 200, "completed");
+
+    assertBroken();
   }
 
   @Test
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -73,7 +73,7 @@
         .accepted(JOB, 1000)
         .call(Kind.STATUS, JOB, HistoryBuilder.QUIET + 1000, 200, "in_progress");
 
-    assertBroken(Promise.ACCEPTED_ENDS);
+    assertBroken(Promise.ACCEPTED_ENDS, Promise.GOES_ON);
   }
 
   @Test
