--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
@@ -170,9 +171,9 @@
     return (int) Math.max(0, Math.min(free.accelerators(), share * total.accelerators()));
   }
 
-  /** Tells whether there are suspect executors. */
-  boolean hasSuspects() {
-    return candidates.stream().anyMatch(CandidateExecutor::suspect);
+  /** Returns the share of the executors that have a property. */
+  double share(Predicate<CandidateExecutor> property) {
+    return share((int) candidates.stream().filter(property).count(), candidates.size());
   }
 
   /** Tells whether this capacity exceeds half of another one, both in accelerators and in cores. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -55,6 +55,12 @@
    */
   private static final long PROOF_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
 
+  /**
+   * Share of the executors from which on no further one is used for single tasks that may crash it,
+   * since these keep other work away for a while.
+   */
+  private static final double MAX_PROBATION_SHARE = 0.5;
+
   private final FleetCapacity available;
   private final FleetCapacity expected;
   private final FleetCapacity total;
@@ -98,7 +104,7 @@
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
-    this.suspectsPresent = total.hasSuspects();
+    this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
       for (LiveRun run : executor.runs()) {
@@ -158,7 +164,7 @@
 
   private void planTasks(WaitingStep waiting) {
     int allowedStarts = allowedStarts(waiting);
-    if (allowedStarts == 0) {
+    if (allowedStarts == 0 || waitsForProbation(waiting)) {
       reservations.waitingAhead(waiting, waiting.tasks().size());
       return;
     }
@@ -178,6 +184,12 @@
     }
   }
 
+  /** Tells whether tasks that may crash executors wait, as too many executors are kept for such. */
+  private boolean waitsForProbation(WaitingStep waiting) {
+    return waiting.mayCrash()
+        && available.share(CandidateExecutor::onProbation) >= MAX_PROBATION_SHARE;
+  }
+
   private void planGang(WaitingStep waiting) {
     if (allowedStarts(waiting) < waiting.tasks().size()) {
       blocked(waiting);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
@@ -80,6 +80,14 @@
         || losses() >= LOSSES_BEFORE_RUN_LIMIT + RUN_LIMIT;
   }
 
+  /**
+   * Returns whether the evidence against the task is the least that makes it suspect, which many
+   * tasks share that were lost together.
+   */
+  public boolean slight() {
+    return early <= 1 && losses() <= SUSPICIOUS_LOSSES;
+  }
+
   /** Returns whether the task is suspected to crash its executors. */
   public boolean mayCrash() {
     return early > 0 || losses() >= SUSPICIOUS_LOSSES;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/SuspectTurnsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SuspectTurnsTest.java
@@ -59,6 +59,19 @@
     assertNotEquals(COMPLETED, cluster.status(wide));
   }
 
+  /** Users accept capacity that is idle for at most 3 s while work waits. */
+  @Test
+  void aNewJobStartsBesideHundredsOfTasksThatMayHaveCrashedTheirExecutors() {
+    submitWide();
+    crashAllOnceStarted(WIDE);
+    cluster.run(6000);
+    String added = cluster.submit(BatchCluster.NORMAL, Jobs.of(small(1)));
+    cluster.runUntil(
+        "the new job",
+        3000,
+        () -> cluster.work.starts().stream().anyMatch(run -> run.task().job().equals(added)));
+  }
+
   /** The soak expects each accepted job to end within a minute after the last fault. */
   @Test
   void aJobOfHundredsOfLostTasksEndsWithinAMinute() {
