--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
@@ -78,6 +78,20 @@
     assertBroken();
   }
 
+  /** Another task may have ended the job. */
+  @Test
+  void aFailedTaskOfAJobThatIsGivenUpNeedNotStartAgain() {
+    String other = JOB + ".0.0.1";
+    accepted(2)
+        .failed(TASK, 1, 1100, 1300)
+        .crashed(other, 1, 1100)
+        .restarted()
+        .crashed(other, 2, 1500)
+        .call(Kind.STATUS, JOB, 10_000, 200, "failed");
+
+    assertBroken();
+  }
+
   @Test
   void aJobThatFailsWithAttemptsLeftIsFound() {
     accepted(1)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -119,39 +119,32 @@
 
   /** Returns the same step without the first tasks, which have been placed. */
   public WaitingStep withoutFirst(int placed) {
-    List<TaskProgress> remaining = tasks.subList(placed, tasks.size());
-    return new WaitingStep(
-        step,
-        remaining,
-        pool,
-        rank,
-        acceptedMillis,
-        timing,
-        permitted,
-        maxAttempts,
-        requirement,
-        avoidance);
+    return with(tasks.subList(placed, tasks.size()), requirement, avoidance);
   }
 
   /** Returns the same step with another requirement on the reliability of its executors. */
   WaitingStep requiring(StartRequirement other) {
-    return new WaitingStep(
-        step, tasks, pool, rank, acceptedMillis, timing, permitted, maxAttempts, other, avoidance);
+    return with(tasks, other, avoidance);
   }
 
   /** Returns the same step with other executors to avoid. */
   WaitingStep avoiding(Avoidance other) {
+    return with(tasks, requirement, other);
+  }
+
+  private WaitingStep with(
+      List<TaskProgress> newTasks, StartRequirement newRequirement, Avoidance newAvoidance) {
     return new WaitingStep(
         step,
-        tasks,
+        newTasks,
         pool,
         rank,
         acceptedMillis,
         timing,
         permitted,
         maxAttempts,
-        requirement,
-        other);
+        newRequirement,
+        newAvoidance);
   }
 
   /** Returns how often the gang, or the task that has failed most, has failed. */
