--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/SuspectTurnsTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/SuspectTurnsTest.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import java.util.List;
@@ -46,6 +47,10 @@
   private void crashAllOnceStarted(int tasks) {
     cluster.runUntil("the starts", 3000, () -> cluster.work.starts().size() == tasks);
     cluster.run(500);
+    crashAll();
+  }
+
+  private void crashAll() {
     Set.copyOf(cluster.executors.keySet())
         .forEach((ExecutorId id) -> cluster.crashes.restart(id, 1000));
   }
@@ -79,4 +84,24 @@
     crashAllOnceStarted(WIDE);
     cluster.runUntil("the wide job", 60_000, () -> cluster.status(wide).equals(COMPLETED));
   }
+
+  private boolean ended(String job) {
+    return cluster
+        .status(job)
+        .filter(shown -> shown instanceof CallAnswer.Phase(JobPhase phase) && phase.ended())
+        .isPresent();
+  }
+
+  /** The same for tasks that were lost with their executors twice. */
+  @Test
+  void aJobOfHundredsOfTasksLostTwiceEndsWithinAMinute() {
+    String wide = submitWide();
+    crashAllOnceStarted(WIDE);
+    for (int crash = 0; crash < 2; crash++) {
+      cluster.run(3500);
+      crashAll();
+    }
+    cluster.runUntil("the wide job", 60_000, () -> ended(wide));
+    assertEquals(COMPLETED, cluster.status(wide));
+  }
 }
