--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.fescuehook.bench.caller.CallerClient;
 import org.fescuehook.bench.caller.CallerOutcome;
@@ -59,6 +60,10 @@
   private final Queue<JobCall> calls = new ConcurrentLinkedQueue<>();
   private final Map<String, PlannedJob> open = new ConcurrentHashMap<>();
   private final Set<String> givenUp = new HashSet<>();
+
+  /** Number of jobs whose submission is neither accepted nor given up. */
+  private final AtomicInteger submitting = new AtomicInteger();
+
   private volatile boolean quiet;
   private int next;
 
@@ -96,11 +101,17 @@
     quiet = true;
   }
 
-  /** Waits until each accepted job was shown to be over; gives up at the limit. */
+  /**
+   * Waits until each submission has an outcome and each accepted job was shown to be over; gives up
+   * at the limit.
+   */
   void awaitEnds(Duration limit) throws InterruptedException {
     try {
       Waiting.until(
-          "end", "jobs", limit, () -> open.isEmpty() ? Optional.of(true) : Optional.empty());
+          "end",
+          "jobs",
+          limit,
+          () -> submitting.get() == 0 && open.isEmpty() ? Optional.of(true) : Optional.empty());
     } catch (ClusterException e) {
       // The judge names the jobs that are open.
       return;
@@ -128,6 +139,7 @@
     JobMix.Draw draw = mix.next();
     int caller = next++ % CALLERS;
     jobs.add(draw.job());
+    submitting.incrementAndGet();
     if (draw.cancelling() instanceof JobMix.Cancelling.Overtaken overtaken) {
       giveUp(draw.job());
       later(overtaken.byMillis(), () -> submit(draw, caller, 0));
@@ -153,11 +165,14 @@
         job,
         caller,
         call -> {
+          if (!call.succeeded() && mayRepeat(job, first)) {
+            later(pause(call), () -> submit(draw, caller, first));
+            return;
+          }
           if (call.succeeded()) {
             accepted(draw, caller);
-          } else if (mayRepeat(job, first)) {
-            later(pause(call), () -> submit(draw, caller, first));
           }
+          submitting.decrementAndGet();
         });
   }
 
