What a waiting step needs and what a plan starts are said in one place

PlanOrder looked for the end of each class twice. Change: WaitingStep.suits and startsTogether, Plan.startedSteps, JobCall.acceptedAt and FaultRunner.over(Fault) serve all of them. Behaviour stays as it is; no assertion changed.

--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -77,6 +77,11 @@
     timer.shutdownNow();
   }
 
+  private void over(Fault fault) {
+    log.line("over: " + fault);
+    over();
+  }
+
   private void over() {
     pending.decrementAndGet();
   }
@@ -138,8 +143,7 @@
         fault.forMillis(),
         () -> {
           fleetTrouble.remove(fault);
-          log.line("over: " + fault);
-          over();
+          over(fault);
         });
   }
 
@@ -161,8 +165,7 @@
         wave.forMillis(),
         () -> {
           machineTrouble.remove(wave);
-          log.line("over: " + wave);
-          over();
+          over(wave);
         });
   }
 
@@ -195,8 +198,7 @@
 
   private void ended(Disruption.Kind kind, int number, long begin, Fault fault) {
     disruptions.add(new Disruption(kind, number, begin, SoakLog.now()));
-    log.line("over: " + fault);
-    over();
+    over(fault);
   }
 
   private void attempt(Step step) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/CallChecks.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.bench.soak.judge.JobCall.Kind;
 
@@ -32,14 +32,11 @@
   }
 
   void check(PlannedJob job, List<JobCall> calls) {
-    Optional<JobCall> acceptance =
-        calls.stream()
-            .filter(call -> call.kind() == Kind.SUBMIT && call.succeeded())
-            .min((a, b) -> Long.compare(a.endedMillis(), b.endedMillis()));
+    OptionalLong acceptance = JobCall.acceptedAt(calls);
     if (acceptance.isEmpty()) {
       return;
     }
-    long acceptedAt = acceptance.get().endedMillis();
+    long acceptedAt = acceptance.getAsLong();
     boolean cancelled = calls.stream().anyMatch(call -> call.kind() == Kind.CANCEL);
     checkKnown(job, calls, acceptedAt, cancelled);
     checkRepeats(job, calls, acceptedAt);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
@@ -43,11 +43,7 @@
 
   /** Checks an accepted job that nobody has cancelled. */
   void check(PlannedJob job, List<JobCall> calls) {
-    OptionalLong accepted =
-        calls.stream()
-            .filter(call -> call.kind() == Kind.SUBMIT && call.succeeded())
-            .mapToLong(JobCall::endedMillis)
-            .min();
+    OptionalLong accepted = JobCall.acceptedAt(calls);
     boolean cancelled = calls.stream().anyMatch(call -> call.kind() == Kind.CANCEL);
     if (accepted.isEmpty() || cancelled || job.crashes()) {
       return;
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/JobCall.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/JobCall.java
@@ -1,5 +1,7 @@
 package org.fescuehook.bench.soak.judge;
 
+import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -51,6 +53,14 @@
     return status() / 100 == 2;
   }
 
+  /** Returns when a job was first accepted, by the calls about it; empty if it was not. */
+  static OptionalLong acceptedAt(List<JobCall> calls) {
+    return calls.stream()
+        .filter(call -> call.kind() == Kind.SUBMIT && call.succeeded())
+        .mapToLong(JobCall::endedMillis)
+        .min();
+  }
+
   /** Tells whether the VM said, or the lack of a connection shows, that nothing was accepted. */
   public boolean refused() {
     return status() == 429 || status() == 503 || result instanceof Result.NotSent;
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/RunChecks.java
@@ -72,7 +72,7 @@
   /** Checks an accepted job that nobody has cancelled and that may not have failed. */
   private void checkStartsAgain(PlannedJob job, List<JobCall> calls) {
     boolean asked =
-        calls.stream().anyMatch(call -> call.kind() == Kind.SUBMIT && call.succeeded())
+        JobCall.acceptedAt(calls).isPresent()
             && calls.stream().noneMatch(call -> call.kind() == Kind.CANCEL);
     List<List<TaskRun>> byTask =
         job.tasks().stream().map(task -> runs.getOrDefault(task, List.of())).toList();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
@@ -1,10 +1,8 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
@@ -53,8 +51,7 @@
       return;
     }
     checkedAt = nowNanos;
-    Set<StepProgress> started = new HashSet<>();
-    plan.starts().forEach(placement -> started.add(placement.step()));
+    Set<StepProgress> started = plan.startedSteps();
     for (WaitingStep step : waiting) {
       long waitedNanos = step.timing().queuedNanos();
       if (waitedNanos < MIN_WAIT_NANOS
@@ -97,8 +94,7 @@
       int executors, int failed, int doubted, int unadvised, long fitting, long open) {
 
     boolean keepsWaiting(WaitingStep step) {
-      int needed = step.step().spec().gang() ? step.tasks().size() : 1;
-      return fitting >= needed && open < needed;
+      return fitting >= step.startsTogether() && open < step.startsTogether();
     }
 
     String mainCause() {
@@ -112,7 +108,6 @@
 
   private Barred count(WaitingStep step, List<ExecutorState> usable, long nowNanos) {
     BatchStep spec = step.step().spec();
-    Optional<String> label = spec.placement().label();
     int executors = 0;
     int failed = 0;
     int doubted = 0;
@@ -121,10 +116,7 @@
     long open = 0;
     Avoidance avoidance = Avoidance.usual(step, nowNanos);
     for (ExecutorState executor : usable) {
-      boolean suitable =
-          executor.profile().pool().equals(step.pool())
-              && (label.isEmpty() || executor.profile().labels().contains(label.get()));
-      int fits = suitable ? executor.free().fits(spec.demand()) : 0;
+      int fits = step.suits(executor.profile()) ? executor.free().fits(spec.demand()) : 0;
       if (fits <= 0) {
         continue;
       }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch.plan;
 
-import java.util.Optional;
 import org.fescuehook.logic.batch.executor.CrashEvaluator;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.LiveRun;
@@ -203,8 +202,6 @@
     if (waiting.avoidance().avoids(incarnation, suspect) || !waiting.permits(incarnation)) {
       return false;
     }
-    Optional<String> label = waiting.step().spec().placement().label();
-    boolean labelled = label.isEmpty() || executor.profile().labels().contains(label.get());
-    return labelled && executor.profile().pool().equals(waiting.pool());
+    return waiting.suits(executor.profile());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/EvacuationWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/EvacuationWaits.java
@@ -59,7 +59,7 @@
             BatchLogEvent.WAITS_FOR_EVACUATED_DOMAIN,
             step.step().job().job().id(),
             step.step().number(),
-            required(step));
+            step.startsTogether());
       }
     }
   }
@@ -70,11 +70,6 @@
   }
 
   private static boolean fits(WaitingStep step, FleetCapacity capacity) {
-    return capacity.tightestGroup(step, required(step), false).isPresent();
-  }
-
-  /** Returns how many tasks of a step can only start together. */
-  private static int required(WaitingStep step) {
-    return step.step().spec().gang() ? step.tasks().size() : 1;
+    return capacity.tightestGroup(step, step.startsTogether(), false).isPresent();
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/OverlongRuns.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/OverlongRuns.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -109,8 +108,7 @@
 
   /** Returns the first rank of work that can still be of use and that the plan did not start. */
   private static Optional<Rank> blocked(List<WaitingStep> waiting, Planner.Plan plan) {
-    Set<StepProgress> started = new HashSet<>();
-    plan.starts().forEach(placement -> started.add(placement.step()));
+    Set<StepProgress> started = plan.startedSteps();
     return waiting.stream()
         .filter(step -> step.timing().prospect() != StepTiming.Prospect.TOO_LATE)
         .filter(step -> !started.contains(step.step()))
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanOrder.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanOrder.java
@@ -30,8 +30,11 @@
   PlanOrder(Collection<WaitingStep> waiting, PlannedUsage usage) {
     this.byAcceptance = new ArrayList<>(waiting);
     this.byAcceptance.sort(WaitingStep.ORDER);
-    for (int from = 0; from < byAcceptance.size(); from = endOfClass(from)) {
-      SuspectTurns.take(byAcceptance.subList(from, endOfClass(from)));
+    int from = 0;
+    while (from < byAcceptance.size()) {
+      int to = endOfClass(from);
+      SuspectTurns.take(byAcceptance.subList(from, to));
+      from = to;
     }
     this.usage = usage;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -141,7 +141,8 @@
       return waiting;
     }
     WaitingStep avoiding = waiting.avoiding(usual);
-    boolean fitsElsewhere = total.tightestGroup(avoiding, wanted(waiting), false).isPresent();
+    boolean fitsElsewhere =
+        total.tightestGroup(avoiding, waiting.startsTogether(), false).isPresent();
     return fitsElsewhere ? avoiding : waiting.avoiding(Avoidance.least(waiting, nowNanos));
   }
 
@@ -158,7 +159,7 @@
     if (!requirement.proven() || mayBecomeProven) {
       return required;
     }
-    boolean possible = total.tightestGroup(required, wanted(waiting), false).isPresent();
+    boolean possible = total.tightestGroup(required, waiting.startsTogether(), false).isPresent();
     return possible ? required : waiting.requiring(requirement.withoutProof());
   }
 
@@ -305,11 +306,7 @@
       return false;
     }
     WaitingStep soon = waiting.requiring(waiting.requirement().expectedSoon());
-    return total.tightestGroup(soon, wanted(waiting), true).isPresent();
-  }
-
-  private static int wanted(WaitingStep waiting) {
-    return waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+    return total.tightestGroup(soon, waiting.startsTogether(), true).isPresent();
   }
 
   /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -1,8 +1,11 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
@@ -73,6 +76,11 @@
       List<PlanOrder.Considered> considered,
       List<Reservation> reservations) {
 
+    /** Returns the steps of which tasks start. */
+    Set<StepProgress> startedSteps() {
+      return starts.stream().map(TaskPlacement::step).collect(toSet());
+    }
+
     /** The plan while nothing waits. */
     static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of(), List.of());
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -7,6 +7,7 @@
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.OrganisationUsage;
+import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.Incarnation;
 
 /**
@@ -154,6 +155,18 @@
         : tasks.stream().mapToInt(TaskProgress::failures).max().orElse(0);
   }
 
+  /** Returns how many of its tasks can only start together: all of a gang, or one. */
+  int startsTogether() {
+    return step.spec().gang() ? tasks.size() : 1;
+  }
+
+  /** Tells whether an executor is in its pool and has the label that it asks for. */
+  boolean suits(ExecutorProfile executor) {
+    Optional<String> label = step.spec().placement().label();
+    boolean labelled = label.isEmpty() || executor.labels().contains(label.get());
+    return labelled && executor.pool().equals(pool);
+  }
+
   /** Tells whether external advice permits an executor to run the step. */
   public boolean permits(Incarnation executor) {
     return permitted.map(executors -> executors.contains(executor)).orElse(true);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FewExecutorsHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FewExecutorsHistoriesTest.java
@@ -45,9 +45,7 @@
     FAILURES_AND_OTHERS
   }
 
-  /** The queue and the step of each job. */
   private final Map<String, BatchStep> steps = new HashMap<>();
-
   private final Map<String, JobQueue> queues = new HashMap<>();
 
   @ParameterizedTest
