--- a/review/src-2/Case.java
+++ b/review/src-2/Case.java
@@ -25,7 +25,9 @@
   public static void main(String[] arguments) throws Exception {
     Play play =
         switch (arguments[0]) {
+          case "advice" -> AdviceCase::breaks;
           case "address" -> AddressCase::breaks;
+          case "lasting" -> LastingCase::breaks;
           case "cuts" -> CutsCase::breaks;
           case "pending" -> PendingCase::breaks;
           case "services" -> ServicesCase::breaks;
--- a/review/src-2/Cluster.java
+++ b/review/src-2/Cluster.java
@@ -21,6 +21,9 @@
 
   static final String SERVICE = "pool";
   static final String SMALL_SERVICE = "small-pool";
+
+  /** How the ids of the jobs begin that are handed in on queues which need advice. */
+  static final String ADVISED_JOBS = "ad";
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String HOST = "jobs.example";
   private static final String PREFIX = "/jobs/";
@@ -35,6 +38,7 @@
   private final Path directory;
   private final Record record;
   private final Store store = new Store();
+  private final Advice advice;
   private final List<Executor> executors = new ArrayList<>();
   private final List<Vm> vms = new ArrayList<>();
 
@@ -55,7 +59,7 @@
       metrics = ports[3];
       settings = directory.resolve(name + ".ini");
       String zone = ZONES.get(number % ZONES.size());
-      Files.writeString(settings, template(fields(name, zone, ports, store.address())));
+      Files.writeString(settings, template(fields(name, zone, ports)));
     }
 
     String name() {
@@ -104,6 +108,7 @@
   Cluster(Path directory, Record record, int vmCount) throws IOException {
     this.directory = directory;
     this.record = record;
+    this.advice = new Advice(record);
     store.put("keyed.op", "config", configuration());
     for (int i = 0; i < vmCount; i++) {
       vms.add(new Vm(i));
@@ -125,6 +130,7 @@
             service,
             ZONES.get(number % ZONES.size()),
             store,
+            advice,
             record);
     executors.add(executor);
     return executor;
@@ -172,7 +178,9 @@
         List.of(
             route("queue-1", PREFIX, SERVICE, 1),
             route("queue-0", URGENT_PREFIX, SERVICE, 0),
-            route("queue-small", SMALL_PREFIX, SMALL_SERVICE, 1));
+            route("queue-small", SMALL_PREFIX, SMALL_SERVICE, 1),
+            advised(route("advised-1", "/advised/", SERVICE, 1)),
+            advised(route("advised-0", "/advised-urgent/", SERVICE, 0)));
     return Map.of(
         "version", 1,
         "routes", routes,
@@ -184,6 +192,16 @@
         "tenants", List.of(Map.of("name", "organisation-1", "apiKeys", List.of(KEY))));
   }
 
+  private static Map<String, Object> advised(Map<String, Object> route) {
+    route.put(
+        "recommendation",
+        Map.of(
+            "decisionMs", Advice.DECISION_MILLIS,
+            "periodMs", Advice.PERIOD_MILLIS,
+            "validityMs", Advice.VALIDITY_MILLIS));
+    return route;
+  }
+
   private static Map<String, Object> route(
       String name, String prefix, String service, int priority) {
     Map<String, Object> route = new LinkedHashMap<>();
@@ -277,7 +295,7 @@
     return ports;
   }
 
-  private static Map<String, String> fields(String name, String zone, int[] ports, String store) {
+  private Map<String, String> fields(String name, String zone, int[] ports) {
     Map<String, String> fields = new LinkedHashMap<>();
     fields.put("nodeName", name);
     fields.put("zone", zone);
@@ -286,7 +304,8 @@
     fields.put("ip", "127.0.0.1");
     fields.put("internalPorts.0", String.valueOf(ports[2]));
     fields.put("internalPorts.1", String.valueOf(ports[3]));
-    fields.put("platform.address", store);
+    fields.put("platform.address", store.address());
+    fields.put("recommendation", advice.address());
     fields.put("limits.cpuShare", "0.75");
     fields.put("limits.cores", "1");
     fields.put("bounds.holdMaxMs", "6000");
--- a/review/src-2/Executor.java
+++ b/review/src-2/Executor.java
@@ -29,6 +29,7 @@
   private final String service;
   private final String zone;
   private final Store store;
+  private final Advice advice;
   private final Record record;
   private Life life;
   private boolean refusing;
@@ -67,6 +68,7 @@
       String service,
       String zone,
       Store store,
+      Advice advice,
       Record record)
       throws IOException {
     this.id = id;
@@ -74,6 +76,7 @@
     this.service = service;
     this.zone = zone;
     this.store = store;
+    this.advice = advice;
     this.record = record;
     this.life = new Life();
     Thread.ofVirtual().start(this::beat);
@@ -103,6 +106,17 @@
     notifyAll();
   }
 
+  /** Ends the present life for good; the store drops its entry after three missed heartbeats. */
+  void loseForGood() {
+    crash();
+    Thread.ofVirtual()
+        .start(
+            () -> {
+              sleep(3 * HEARTBEAT_MILLIS);
+              store.put("keyed.servers", id, null);
+            });
+  }
+
   /** Starts the next life under the same id, on another free port. */
   synchronized void restart() throws IOException {
     life = new Life();
@@ -116,6 +130,13 @@
     return (System.nanoTime() - life.extendedNanos) / 1_000_000;
   }
 
+  /** Ends what runs here of a job as failed, as a task may fail at any time. */
+  synchronized void fail(String job) {
+    List.copyOf(life.active.values()).stream()
+        .filter(run -> run.task().startsWith(job))
+        .forEach(run -> end(run, "failed"));
+  }
+
   /** Returns whether a task runs here. */
   synchronized boolean runs(String taskPrefix) {
     return !life.over && life.active.keySet().stream().anyMatch(task -> task.startsWith(taskPrefix));
@@ -274,6 +295,12 @@
     if (number <= life.highestEnded.getOrDefault(task, 0L)) {
       return rejected("old");
     }
+    String step = task.substring(0, task.lastIndexOf('.'));
+    boolean needsTicket = task.startsWith(Cluster.ADVISED_JOBS);
+    if (needsTicket && !advice.permits(step, id, body.path("ticket").asText())) {
+      record.write(id + " rejected " + task + " run " + number + " for want of a ticket");
+      return rejected("ticket");
+    }
     String spec = body.path("spec").asText();
     long work = Long.parseLong(spec.substring(spec.indexOf("ms=") + 3));
     int used = life.active.values().stream().mapToInt(Run::cpu).sum();
