A job is not failed since its executors were cut off

Its executor was cut off five times for somewhat less than a lease and ran on.

Cause: a loss was judged once, when the leases had expired. The owner knows then only that the executor was silent. That the same incarnation answered 50 to 110 ms later never reached the count of lost executors, which gives a task up at five.

Evidence: in the owner's log each of the five losses (8024) is followed by 8030 with the same start time; there is no 8039 (started again), 8033 or 8023 with FAILED, which rules out crashes and failed attempts.

Change: losses are kept one by one, and one by silence is unresolved. Only crashes give a task up. A task that would be given up if its unresolved losses were crashes waits until they are resolved, so that no fourth executor is risked meanwhile; ignoring silence would have done so. Unresolved losses are stored, so the next owner resolves them too; records of an earlier version count as before, and earlier versions read the numbers as before. Event 8047 and a counter tell how a loss was resolved. What stops runs moved from JobLifecycle to RunStops, for size.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -105,6 +105,8 @@
   ENDS_CUT(
       8046,
       "Executor {} does not list {} runs; it lists {} live runs and {} ends, the last one {}, and may hold more"),
+  /** It is known what became of an executor that was lost without a sign of a crash. */
+  LOSS_RESOLVED(8047, "Lost executor {} has {}: {} tasks had run there"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorSign;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
@@ -106,7 +107,7 @@
             this,
             statistics,
             context);
-    this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration);
+    this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration, context);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
     this.load = new LoadMeter(executors.registry(), plans, context);
@@ -221,6 +222,7 @@
     if (context.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(context);
     }
+    jobs.step(context);
     maintenance.step(contact, admission.stopping(), context);
     plans.startStored(context);
     boolean planNow =
@@ -338,6 +340,11 @@
     jobs.lostWithExecutor(run, evidence, context);
   }
 
+  @Override
+  public void observed(ExecutorSign sign, BatchContext context) {
+    jobs.observed(sign, context);
+  }
+
   @Override
   public void startRejected(LiveRun run, Rejection rejection, BatchContext context) {
     if (rejection == Rejection.NO_TICKET) {
@@ -353,12 +360,12 @@
 
   @Override
   public void startGivenUp(LiveRun run, BatchContext context) {
-    jobs.startGivenUp(run, context);
+    jobs.stops().startGivenUp(run, context);
   }
 
   @Override
   public void foundRunning(LiveRun run, BatchContext context) {
-    jobs.foundRunning(run, context);
+    jobs.stops().foundRunning(run, context);
   }
 
   @Override
@@ -368,12 +375,12 @@
 
   @Override
   public void runStalled(LiveRun run, BatchContext context) {
-    jobs.runStalled(run, context);
+    jobs.stops().runStalled(run, context);
   }
 
   @Override
   public void leaving(ExecutorState executor, BatchContext context) {
-    jobs.leaving(executor, context);
+    jobs.stops().leaving(executor, context);
   }
 
   @Override
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvaluator.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvaluator.java
@@ -96,6 +96,9 @@
     if (lasting && ranLong) {
       return CrashEvidence.NONE;
     }
+    if (loss.loss() == Loss.SILENT) {
+      return CrashEvidence.UNRESOLVED;
+    }
     return crashed ? CrashEvidence.WEAK : CrashEvidence.DOUBTFUL;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvidence.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/CrashEvidence.java
@@ -6,7 +6,14 @@
 public enum CrashEvidence {
   /** No evidence: the run had not been started there, or the executor was about to leave. */
   NONE,
-  /** It is unknown whether the executor crashed, or whether it ran the task. */
+  /**
+   * The executor was silent until its leases had expired: it has crashed, or is cut off and runs
+   * on. What it answers later, or that it is listed no more, decides between the two.
+   */
+  UNRESOLVED,
+  /** The same, and the executor is not listed any more: it counts as crashed unless it returns. */
+  GONE,
+  /** The executor is lost for certain; it is unknown whether it crashed while it ran the task. */
   DOUBTFUL,
   /** The executor crashed after it had run the task for a while. */
   WEAK,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -155,6 +155,7 @@
     boolean same = executor.listed() && executor.profile().equals(profile);
     boolean wasLeaving = executor.profile().leaving();
     executor.updateProfile(profile);
+    listener.observed(new ExecutorSign.Listed(executor.incarnation()), context);
     evacuations.update(executor);
     if (profile.leaving() && !wasLeaving) {
       context.note(BatchLogEvent.EXECUTOR_LEAVING, executor.incarnation(), executor.runs().size());
@@ -189,7 +190,7 @@
             run ->
                 reportHandler.reportLostWithExecutor(
                     run,
-                    CrashEvidence.DOUBTFUL,
+                    CrashEvidence.GONE,
                     "its executor is not listed and its lease has expired",
                     context));
   }
@@ -337,7 +338,7 @@
           .ifPresent(LiveRun::startNeverArrived);
       lostExecutors.loseAll(executor, Loss.RESTARTED, "its executor was restarted", context);
       forget(executor, context);
-      lostExecutors.crashed(executor.profile(), context);
+      lostExecutors.crashed(executor, context);
       return false;
     }
     if (outcome instanceof OrderOutcome.Rejected(Rejection rejection)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorRegistry.java
@@ -25,6 +25,11 @@
     return Optional.ofNullable(executors.get(id));
   }
 
+  /** Tells whether an executor is listed. */
+  public boolean listed(ExecutorId id) {
+    return find(id).filter(ExecutorState::listed).isPresent();
+  }
+
   /** Adds an executor. */
   public void add(ExecutorState executor) {
     executors.put(executor.profile().id(), executor);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LostExecutorHandler.java
@@ -12,7 +12,6 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.executor.CrashEvaluator.Loss;
 import org.fescuehook.logic.batch.state.LiveRun;
-import org.fescuehook.model.batch.ExecutorProfile;
 
 /**
  * Handles executors that are lost: reports their runs as lost, and records which addresses
@@ -90,7 +89,8 @@
     evidence.forEach(
         (run, ofRun) -> {
           executor.remove(run);
-          boolean unclear = ofRun != CrashEvidence.NONE && mayHaveEndedBefore(run);
+          boolean counts = ofRun != CrashEvidence.NONE && ofRun != CrashEvidence.UNRESOLVED;
+          boolean unclear = counts && mayHaveEndedBefore(run);
           CrashEvidence adjusted = unclear ? CrashEvidence.DOUBTFUL : ofRun;
           reportHandler.reportLostWithExecutor(run, adjusted, cause, context);
         });
@@ -120,8 +120,9 @@
   }
 
   /** Records that an executor has crashed, for the next incarnation listed at its address. */
-  void crashed(ExecutorProfile profile, BatchContext context) {
-    InetSocketAddress address = profile.address();
+  void crashed(ExecutorState crashed, BatchContext context) {
+    reportHandler.observed(new ExecutorSign.Replaced(crashed.incarnation()), context);
+    InetSocketAddress address = crashed.profile().address();
     unlistedCrashes.values().removeIf(at -> ExecutorState.crashIsStale(at, context.nowNanos()));
     Optional<ExecutorState> next =
         registry.all().stream()
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -56,6 +56,11 @@
     listener.lostWithExecutor(run, evidence, context);
   }
 
+  /** Reports a sign of what became of an executor. */
+  void observed(ExecutorSign sign, BatchContext context) {
+    listener.observed(sign, context);
+  }
+
   /** Records that an executor, or the one before it at its address, has crashed. */
   void crashed(ExecutorState executor, BatchContext context) {
     if (!executor.profile().leaving()) {
@@ -74,6 +79,7 @@
     boolean first = !executor.reached();
     if (first || executor.missedPolls() > 0) {
       context.note(BatchLogEvent.EXECUTOR_REACHED, executor.incarnation(), answer.active().size());
+      observed(new ExecutorSign.Answered(executor.incarnation()), context);
     }
     if (first) {
       executor.lease().excludeFormerOwners(longestLease, context.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
@@ -72,6 +72,7 @@
     // The clocks of two incarnations may differ, so the one that answers counts, whichever started
     // later by its clock.
     if (other || (undated && bornMillis.isPresent())) {
+      reportHandler.observed(new ExecutorSign.Replaced(executor.incarnation()), context);
       replace(executor, answering, "answer", context);
       return true;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RunListener.java
@@ -32,6 +32,9 @@
    */
   void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchContext context);
 
+  /** A sign shows what became of an executor, which may have been lost before. */
+  void observed(ExecutorSign sign, BatchContext context);
+
   /**
    * An executor rejected the start of a run, which has not run and will not. Its capacity is free.
    */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -162,7 +162,7 @@
 
   private void collect(
       StepProgress step, JobQueue queue, List<WaitingStep> waiting, BatchContext context) {
-    List<TaskProgress> tasks = step.waiting();
+    List<TaskProgress> tasks = step.startable();
     boolean complete = !step.spec().gang() || tasks.size() == step.spec().count();
     if (tasks.isEmpty() || !complete) {
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
@@ -1,22 +1,23 @@
 package org.fescuehook.logic.batch.state;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.Incarnation;
 
 /**
- * Counts the executors that were lost while they ran a task, by the strength of the evidence that
- * the task crashed them.
+ * The executors that were lost while they ran a task.
  *
- * @param early executors that crashed soon after they had started the task
- * @param late executors that crashed after the task had run for a while
- * @param other lost executors that may not have crashed, or may not have run the task
- * @param alone whether no other run was on the executor of the latest early crash
- * @param thirdLossRun number of the run with which the third executor was lost, increased by one
- *     for each later run whose start was never sent; 0 if fewer than three executors were lost
+ * @param losses the losses in the order of the runs
  */
-public record CrashRecord(int early, int late, int other, boolean alone, int thirdLossRun) {
+public record CrashRecord(List<ExecutorLoss> losses) {
 
   /** The record of a task under which no executor was lost. */
-  public static final CrashRecord NONE = new CrashRecord(0, 0, 0, false, 0);
+  public static final CrashRecord NONE = new CrashRecord(List.of());
 
   /** Number of early crashes after which a task is given up if it ran alone in the latest one. */
   private static final int EARLY_CRASH_LIMIT_ALONE = 2;
@@ -39,29 +40,132 @@
   /** Number of lost executors from which on a task is suspect although no crash was early. */
   private static final int SUSPICIOUS_LOSSES = 2;
 
+  /** Copies the list. */
+  public CrashRecord {
+    losses = List.copyOf(losses);
+  }
+
+  /**
+   * Returns the record that an earlier version stored, which kept only numbers of losses.
+   *
+   * @param early executors that crashed soon after they had started the task
+   * @param late executors that crashed after the task had run for a while
+   * @param other lost executors that may not have crashed, or may not have run the task
+   * @param alone whether no other run was on the executor of the latest early crash
+   * @param thirdLossRun number of the run with which the third executor was lost; 0 if fewer were
+   */
+  static CrashRecord ofCounts(int early, int late, int other, boolean alone, int thirdLossRun) {
+    List<ExecutorLoss> losses = new ArrayList<>();
+    for (int i = 0; i < early + late + other; i++) {
+      CrashEvidence evidence =
+          i < other
+              ? CrashEvidence.DOUBTFUL
+              : i < other + late
+                  ? CrashEvidence.WEAK
+                  : alone ? CrashEvidence.STRONG_ALONE : CrashEvidence.STRONG;
+      int run = losses.size() + 1 < LOSSES_BEFORE_RUN_LIMIT ? 0 : thirdLossRun;
+      losses.add(ExecutorLoss.certain(run, evidence));
+    }
+    return new CrashRecord(losses);
+  }
+
   /**
    * Returns the record with one more lost executor.
    *
    * @param run number of the run that was on the executor
+   * @param executor the incarnation that was lost
    */
-  public CrashRecord plus(CrashEvidence evidence, int run) {
-    int third = losses() + 1 == LOSSES_BEFORE_RUN_LIMIT ? run : thirdLossRun;
-    return switch (evidence) {
-      case NONE -> this;
-      case DOUBTFUL -> new CrashRecord(early, late, other + 1, alone, third);
-      case WEAK -> new CrashRecord(early, late + 1, other, alone, third);
-      case STRONG -> new CrashRecord(early + 1, late, other, false, third);
-      case STRONG_ALONE -> new CrashRecord(early + 1, late, other, true, third);
-    };
+  public CrashRecord plus(CrashEvidence evidence, int run, Incarnation executor) {
+    if (evidence == CrashEvidence.NONE) {
+      return this;
+    }
+    Optional<Incarnation> mayReturn =
+        switch (evidence) {
+          case UNRESOLVED, GONE -> Optional.of(executor);
+          case NONE, DOUBTFUL, WEAK, STRONG, STRONG_ALONE -> Optional.empty();
+        };
+    List<ExecutorLoss> more = new ArrayList<>(losses);
+    more.add(new ExecutorLoss(run, evidence, mayReturn));
+    return new CrashRecord(more);
   }
 
   /** Returns the record after a run whose start was never sent; such a run does not count. */
   public CrashRecord withoutRun() {
-    return thirdLossRun == 0 ? this : new CrashRecord(early, late, other, alone, thirdLossRun + 1);
+    return losses.size() < LOSSES_BEFORE_RUN_LIMIT
+        ? this
+        : with(loss -> true, ExecutorLoss::withoutRun);
+  }
+
+  /** Returns the record without the losses of an incarnation that has not crashed. */
+  CrashRecord withoutLossesOf(Incarnation alive) {
+    List<ExecutorLoss> others = losses.stream().filter(loss -> !loss.mayReturn(alive)).toList();
+    return others.size() == losses.size() ? this : new CrashRecord(others);
+  }
+
+  /** Returns the record with the losses of an incarnation as crashes. */
+  CrashRecord withCrashOf(Incarnation ended) {
+    return with(loss -> loss.mayReturn(ended), ExecutorLoss::crash);
   }
 
-  private int losses() {
-    return early + late + other;
+  /** Returns the record with the losses of all earlier incarnations of an executor as crashes. */
+  CrashRecord withCrashesBefore(Incarnation alive) {
+    return with(loss -> loss.mayReturn(alive.id()) && !loss.mayReturn(alive), ExecutorLoss::crash);
+  }
+
+  /**
+   * Returns the record with the losses of an executor as crashes unless the executor returns after
+   * all.
+   */
+  CrashRecord withPresumedCrashOf(ExecutorId executor) {
+    return with(loss -> loss.unresolved() && loss.mayReturn(executor), ExecutorLoss::presumedCrash);
+  }
+
+  private CrashRecord with(Predicate<ExecutorLoss> selected, UnaryOperator<ExecutorLoss> change) {
+    if (losses.stream().noneMatch(selected)) {
+      return this;
+    }
+    return new CrashRecord(
+        losses.stream().map(loss -> selected.test(loss) ? change.apply(loss) : loss).toList());
+  }
+
+  /** Returns the executors that may turn out not to have crashed. */
+  List<ExecutorId> executorsThatMayReturn() {
+    return losses.stream().flatMap(loss -> loss.mayReturn().stream()).map(Incarnation::id).toList();
+  }
+
+  /** Returns the number of executors that crashed soon after they had started the task. */
+  public int early() {
+    return count(ExecutorLoss::early);
+  }
+
+  /** Returns the number of executors that crashed after the task had run for a while. */
+  public int late() {
+    return count(loss -> loss.evidence() == CrashEvidence.WEAK);
+  }
+
+  /** Returns the number of lost executors that may not have crashed, or not under the task. */
+  public int other() {
+    return losses.size() - early() - late();
+  }
+
+  /** Returns whether no other run was on the executor of the latest early crash. */
+  public boolean alone() {
+    return losses.reversed().stream()
+        .filter(ExecutorLoss::early)
+        .findFirst()
+        .filter(latest -> latest.evidence() == CrashEvidence.STRONG_ALONE)
+        .isPresent();
+  }
+
+  /** Returns the number of the run with which the third executor was lost; 0 if fewer were. */
+  public int thirdLossRun() {
+    return losses.size() < LOSSES_BEFORE_RUN_LIMIT
+        ? 0
+        : losses.get(LOSSES_BEFORE_RUN_LIMIT - 1).run();
+  }
+
+  private int count(Predicate<ExecutorLoss> selected) {
+    return (int) losses.stream().filter(selected).count();
   }
 
   /**
@@ -70,14 +174,32 @@
    * @param lastRun number of its newest run
    */
   public boolean mustGiveUp(int lastRun) {
+    if (losses.stream().noneMatch(ExecutorLoss::unresolved)) {
+      return limitReached(lastRun);
+    }
+    return new CrashRecord(losses.stream().filter(loss -> !loss.unresolved()).toList())
+        .limitReached(lastRun);
+  }
+
+  /**
+   * Returns whether the task must not be started before it is known what became of an executor: it
+   * would have to be given up if the executors that may have crashed had done so.
+   *
+   * @param lastRun number of its newest run
+   */
+  public boolean mustWait(int lastRun) {
+    return limitReached(lastRun) && !mustGiveUp(lastRun);
+  }
+
+  private boolean limitReached(int lastRun) {
     boolean runLimitReached =
-        thirdLossRun > 0
-            && lastRun - thirdLossRun >= RUN_LIMIT
-            && early + late >= MIN_CERTAIN_CRASHES;
+        losses.size() >= LOSSES_BEFORE_RUN_LIMIT
+            && lastRun - thirdLossRun() >= RUN_LIMIT
+            && early() + late() >= MIN_CERTAIN_CRASHES;
     return runLimitReached
-        || early >= EARLY_CRASH_LIMIT
-        || (early >= EARLY_CRASH_LIMIT_ALONE && alone)
-        || losses() >= LOSSES_BEFORE_RUN_LIMIT + RUN_LIMIT;
+        || early() >= EARLY_CRASH_LIMIT
+        || (early() >= EARLY_CRASH_LIMIT_ALONE && alone())
+        || losses.size() >= LOSSES_BEFORE_RUN_LIMIT + RUN_LIMIT;
   }
 
   /**
@@ -85,11 +207,11 @@
    * tasks share that were lost together.
    */
   public boolean slight() {
-    return early <= 1 && losses() <= SUSPICIOUS_LOSSES;
+    return early() <= 1 && losses.size() <= SUSPICIOUS_LOSSES;
   }
 
   /** Returns whether the task is suspected to crash its executors. */
   public boolean mayCrash() {
-    return early > 0 || losses() >= SUSPICIOUS_LOSSES;
+    return losses.size() >= SUSPICIOUS_LOSSES || early() > 0;
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -6,7 +6,9 @@
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.JobQueue;
+import org.fescuehook.model.fleet.Incarnation;
 import org.fescuehook.wire.batch.StoredJob;
+import org.fescuehook.wire.batch.StoredLoss;
 import org.fescuehook.wire.batch.StoredProgress;
 import org.fescuehook.wire.batch.StoredQueue;
 import org.fescuehook.wire.batch.StoredStepProgress;
@@ -178,16 +180,38 @@
         .setLastRun(task.lastRun())
         .setCheckpoint(task.done() ? "" : task.checkpoint())
         .setExecutor(task.live().map(run -> run.executor().value()).orElse(""))
-        .setExecutorBornMillis(
-            task.live().map(run -> run.incarnation().bornMillis().orElse(0)).orElse(0L))
+        .setExecutorBornMillis(task.live().map(run -> bornMillis(run.incarnation())).orElse(0L))
         .setEarlyCrashes(task.crashes().early())
         .setLateCrashes(task.crashes().late())
         .setOtherLosses(task.crashes().other())
         .setCrashedAlone(task.crashes().alone())
         .setThirdLossRun(task.crashes().thirdLossRun())
+        .addAllLosses(task.crashes().losses().stream().map(JobCodec::encode).toList())
         .build();
   }
 
+  private static StoredLoss encode(ExecutorLoss loss) {
+    return StoredLoss.newBuilder()
+        .setRun(loss.run())
+        .setEvidence(
+            switch (loss.evidence()) {
+              case NONE, UNRESOLVED -> StoredLoss.Evidence.UNRESOLVED;
+              case GONE -> StoredLoss.Evidence.GONE;
+              case DOUBTFUL -> StoredLoss.Evidence.DOUBTFUL;
+              case WEAK -> StoredLoss.Evidence.WEAK;
+              case STRONG -> StoredLoss.Evidence.STRONG;
+              case STRONG_ALONE -> StoredLoss.Evidence.STRONG_ALONE;
+            })
+        .setExecutor(loss.mayReturn().map(executor -> executor.id().value()).orElse(""))
+        .setExecutorBornMillis(loss.mayReturn().map(JobCodec::bornMillis).orElse(0L))
+        .build();
+  }
+
+  /** Returns when an incarnation started; 0 if it does not report it. */
+  private static long bornMillis(Incarnation executor) {
+    return executor.bornMillis().orElse(0);
+  }
+
   /**
    * Decodes the end of a job.
    *
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +10,7 @@
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
-import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.executor.ExecutorSign;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
@@ -25,7 +26,9 @@
   private final JobRegistry registry;
   private final JobRecords records;
   private final ExecutorDuty executors;
+  private final RunStops stops;
   private final SchedulingStatistics statistics;
+  private final UnresolvedLosses unresolvedLosses;
   private BatchConfiguration configuration;
   private boolean changed = true;
 
@@ -35,12 +38,20 @@
       StateWriter writer,
       ExecutorDuty executors,
       SchedulingStatistics statistics,
-      BatchConfiguration configuration) {
+      BatchConfiguration configuration,
+      BatchContext context) {
     this.registry = registry;
     this.records = new JobRecords(registry, writer);
     this.executors = executors;
+    this.stops = new RunStops(executors);
     this.statistics = statistics;
     this.configuration = configuration;
+    this.unresolvedLosses = new UnresolvedLosses(registry.activeJobs(), context.nowNanos());
+  }
+
+  /** Returns what stops runs. */
+  public RunStops stops() {
+    return stops;
   }
 
   /** Returns the jobs. */
@@ -126,11 +137,6 @@
     records.cancelEarly(id, committed, context);
   }
 
-  private void stop(LiveRun run, WasteCause cause, BatchContext context) {
-    run.wastedBy(cause);
-    executors.stop(run, cause.text(), context);
-  }
-
   private void end(ActiveJob job, JobPhase phase, Runnable committed, BatchContext context) {
     long millis = context.wallMillis() - job.job().acceptedMillis();
     context.note(BatchLogEvent.JOB_ENDED, job.job().id(), phase, millis);
@@ -139,7 +145,7 @@
     job.end(phase, context.wallMillis());
     statistics.reliability().ended(job);
     if (phase != JobPhase.COMPLETED) {
-      job.liveRuns().forEach(run -> stop(run, WasteCause.JOB_ENDED, context));
+      job.liveRuns().forEach(run -> stops.stop(run, WasteCause.JOB_ENDED, context));
     }
     records.end(job, committed, context);
     changed = true;
@@ -158,19 +164,6 @@
     return run.task().isLive(run) && !executors.registry().endsSoon(run, context.nowNanos());
   }
 
-  /** Handles a run of a former owner that was found running: stops it if it is no longer needed. */
-  public void foundRunning(LiveRun run, BatchContext context) {
-    StepProgress step = run.step();
-    if (!step.job().open()) {
-      stop(run, WasteCause.JOB_ENDED, context);
-    } else if (run.task().done()) {
-      stop(run, WasteCause.TASK_DONE, context);
-    } else if (step.spec().gang() && !step.waiting().isEmpty()) {
-      // A member has ended, and the former owner may have failed before it stopped the others.
-      breakGang(step, context);
-    }
-  }
-
   /**
    * Handles the end of a run.
    *
@@ -204,7 +197,7 @@
       case FAILED -> fail(run, task, committed, context);
       case STOPPED, LEASE_EXPIRED, GANG_BROKEN, GANG_INCOMPLETE -> {
         if (!giveUpIfCrashing(step, task, committed, context)) {
-          breakGang(step, context);
+          stops.breakGang(step, context);
           persist(step.job(), committed);
         }
       }
@@ -245,18 +238,11 @@
       return;
     }
     if (!giveUpIfCrashing(step, task, committed, context)) {
-      breakGang(step, context);
+      stops.breakGang(step, context);
       persist(step.job(), committed);
     }
   }
 
-  /** Stops the remaining members of a gang that has lost one, so that the whole gang restarts. */
-  private void breakGang(StepProgress step, BatchContext context) {
-    if (step.spec().gang() && !step.done()) {
-      step.liveRuns().forEach(run -> stop(run, WasteCause.GANG_BROKEN, context));
-    }
-  }
-
   /**
    * Handles the end of a run that the owner had given up or does not know. If the run is done, its
    * task is done all the same; any other end is ignored.
@@ -281,7 +267,7 @@
     }
     finish(step.get(), task.get(), stored::release, context);
     // Another run of the task may be live elsewhere.
-    task.get().live().ifPresent(run -> stop(run, WasteCause.TASK_DONE, context));
+    task.get().live().ifPresent(run -> stops.stop(run, WasteCause.TASK_DONE, context));
   }
 
   /** Handles a run that is lost: it is dead, but its executor reported no end. */
@@ -304,7 +290,7 @@
     if (giveUpIfCrashing(step, task, () -> {}, context)) {
       return;
     }
-    breakGang(step, context);
+    stops.breakGang(step, context);
     persist(step.job(), () -> {});
   }
 
@@ -322,10 +308,33 @@
       return;
     }
     context.count("fescuehook.batch.runs.crashed", "evidence", evidence.tag());
-    task.crashed(step.evidenceAgainst(run, evidence), run.run().number());
+    task.crashed(step.evidenceAgainst(run, evidence), run.run().number(), run.incarnation());
+    unresolvedLosses.add(step, task, context.nowNanos());
     lost(run, context);
   }
 
+  /** Handles a sign of what became of an executor, which may have been lost before. */
+  public void observed(ExecutorSign sign, BatchContext context) {
+    lossesResolved(unresolvedLosses.observed(sign, context), context);
+  }
+
+  /** Gives up tasks whose lost executors have not been listed for some time, if they must be. */
+  public void step(BatchContext context) {
+    lossesResolved(unresolvedLosses.expire(executors.registry()::listed, context), context);
+  }
+
+  private void lossesResolved(List<UnresolvedLosses.LostTask> tasks, BatchContext context) {
+    for (UnresolvedLosses.LostTask lost : tasks) {
+      changed = true;
+      StepProgress step = lost.step();
+      boolean givenUp =
+          lost.task().waiting() && giveUpIfCrashing(step, lost.task(), () -> {}, context);
+      if (!givenUp && step.job().open()) {
+        persist(step.job(), () -> {});
+      }
+    }
+  }
+
   /**
    * Fails the job of a task that must not be started again.
    *
@@ -362,39 +371,9 @@
     lost(run, context);
   }
 
-  /** Handles a run whose start was not answered: it may run, so it is stopped. */
-  public void startGivenUp(LiveRun run, BatchContext context) {
-    stop(run, WasteCause.UNANSWERED, context);
-    breakGang(run.step(), context);
-  }
-
-  /** Handles a run that makes hardly any progress on its executor: stops it to move it. */
-  public void runStalled(LiveRun run, BatchContext context) {
-    if (run.step().job().open() && !run.step().done()) {
-      stop(run, WasteCause.MOVED, context);
-      breakGang(run.step(), context);
-    }
-  }
-
   /** Records a checkpoint that a run has saved. */
   public void checkpointSaved(LiveRun run, String checkpoint) {
     StepProgress step = run.step();
     step.checkpointSaved(run.task(), checkpoint);
   }
-
-  /**
-   * Moves runs away from an executor that is about to leave: those that save checkpoints, are
-   * long-running or would not end in time. A run that is lost with its executor can be restarted
-   * only after its lease has expired.
-   */
-  public void leaving(ExecutorState executor, BatchContext context) {
-    for (LiveRun run : executor.runs().stream().toList()) {
-      boolean lateThere = run.estimatedLeftMillis() > executor.profile().remainingMillis();
-      boolean moves = run.step().spec().checkpointing() || lateThere || run.longRunning();
-      if (moves && !run.step().done()) {
-        stop(run, WasteCause.LEAVING, context);
-        breakGang(run.step(), context);
-      }
-    }
-  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -2,10 +2,12 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.Incarnation;
+import org.fescuehook.wire.batch.StoredLoss;
 import org.fescuehook.wire.batch.StoredStepProgress;
 import org.fescuehook.wire.batch.StoredTaskProgress;
 
@@ -44,27 +46,49 @@
   private static void restore(StepProgress step, TaskProgress task, StoredTaskProgress stored) {
     step.restore(
         task, stored.getDone(), stored.getFailures(), stored.getLastRun(), stored.getCheckpoint());
-    task.restore(
-        new CrashRecord(
-            stored.getEarlyCrashes(),
-            stored.getLateCrashes(),
-            stored.getOtherLosses(),
-            stored.getCrashedAlone(),
-            stored.getThirdLossRun()));
+    task.restore(crashes(stored));
+  }
+
+  private static CrashRecord crashes(StoredTaskProgress stored) {
+    if (stored.getLossesCount() > 0) {
+      return new CrashRecord(stored.getLossesList().stream().map(ProgressRestorer::loss).toList());
+    }
+    return CrashRecord.ofCounts(
+        stored.getEarlyCrashes(),
+        stored.getLateCrashes(),
+        stored.getOtherLosses(),
+        stored.getCrashedAlone(),
+        stored.getThirdLossRun());
+  }
+
+  private static ExecutorLoss loss(StoredLoss stored) {
+    CrashEvidence evidence =
+        switch (stored.getEvidence()) {
+          case UNRESOLVED -> CrashEvidence.UNRESOLVED;
+          case GONE -> CrashEvidence.GONE;
+          case WEAK -> CrashEvidence.WEAK;
+          case STRONG -> CrashEvidence.STRONG;
+          case STRONG_ALONE -> CrashEvidence.STRONG_ALONE;
+          case DOUBTFUL, UNRECOGNIZED -> CrashEvidence.DOUBTFUL;
+        };
+    Optional<Incarnation> mayReturn =
+        stored.getExecutor().isEmpty()
+            ? Optional.empty()
+            : Optional.of(incarnation(stored.getExecutor(), stored.getExecutorBornMillis()));
+    return new ExecutorLoss(stored.getRun(), evidence, mayReturn);
   }
 
   private void restoreRun(StepProgress step, TaskProgress task, StoredTaskProgress stored) {
     if (!stored.getExecutor().isEmpty()) {
       TaskRun run = new TaskRun(step.name(task), stored.getLastRun());
-      task.begin(LiveRun.inherited(run, executor(stored), step, nowNanos));
+      Incarnation executor = incarnation(stored.getExecutor(), stored.getExecutorBornMillis());
+      task.begin(LiveRun.inherited(run, executor, step, nowNanos));
     }
   }
 
-  private static Incarnation executor(StoredTaskProgress stored) {
-    long born = stored.getExecutorBornMillis();
+  private static Incarnation incarnation(String id, long bornMillis) {
     return new Incarnation(
-        new ExecutorId(stored.getExecutor()),
-        born == 0 ? OptionalLong.empty() : OptionalLong.of(born));
+        new ExecutorId(id), bornMillis == 0 ? OptionalLong.empty() : OptionalLong.of(bornMillis));
   }
 
   private UnreadableRecordException mismatch(String part) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -115,6 +115,11 @@
     return tasks.stream().filter(TaskProgress::waiting).toList();
   }
 
+  /** Returns the waiting tasks that may be started now. */
+  public List<TaskProgress> startable() {
+    return tasks.stream().filter(task -> task.waiting() && !task.mustWait()).toList();
+  }
+
   /**
    * Returns how many more tasks of a long-running step may be stopped now. Tasks that are not past
    * their startup, for whatever cause, count against the declared limit.
@@ -276,7 +281,10 @@
   CrashEvidence evidenceAgainst(LiveRun run, CrashEvidence evidence) {
     boolean brokenBefore = spec.gang() && run.run().number() == lastLostGangRun;
     lastLostGangRun = run.run().number();
-    return brokenBefore && evidence != CrashEvidence.NONE ? CrashEvidence.DOUBTFUL : evidence;
+    return switch (evidence) {
+      case NONE, UNRESOLVED, GONE, DOUBTFUL -> evidence;
+      case WEAK, STRONG, STRONG_ALONE -> brokenBefore ? CrashEvidence.DOUBTFUL : evidence;
+    };
   }
 
   /** Records the newest checkpoint of a task, or of the whole gang. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/TaskProgress.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.model.fleet.Incarnation;
 
@@ -112,8 +113,19 @@
     return failedAt.keySet().stream().anyMatch(other -> !other.equals(executor));
   }
 
-  void crashed(CrashEvidence evidence, int run) {
-    crashes = crashes.plus(evidence, run);
+  void crashed(CrashEvidence evidence, int run, Incarnation executor) {
+    crashes = crashes.plus(evidence, run, executor);
+  }
+
+  /**
+   * Changes the record of lost executors.
+   *
+   * @return whether it was changed
+   */
+  boolean updateCrashes(UnaryOperator<CrashRecord> change) {
+    CrashRecord before = crashes;
+    crashes = change.apply(before);
+    return !crashes.equals(before);
   }
 
   /** Records that the start of its newest run was never sent. */
@@ -126,6 +138,11 @@
     return !done && crashes.mustGiveUp(lastRun);
   }
 
+  /** Returns whether it must not be started before it is known what became of an executor. */
+  boolean mustWait() {
+    return crashes.mustWait(lastRun);
+  }
+
   void begin(LiveRun run) {
     live = Optional.of(run);
     lastRun = Math.max(lastRun, run.run().number());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
@@ -16,6 +16,9 @@
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.Incarnation;
+import org.fescuehook.wire.batch.StoredProgress;
+import org.fescuehook.wire.batch.StoredStepProgress;
+import org.fescuehook.wire.batch.StoredTaskProgress;
 import org.junit.jupiter.api.Test;
 
 class JobCodecTest {
@@ -69,18 +72,46 @@
     StepProgress step = former.steps().getFirst();
     TaskRun run = new TaskRun(step.name(step.tasks().get(1)), 1);
     step.begin(step.tasks().get(1), LiveRun.inherited(run, incarnation("e1"), step, 0));
-    step.tasks().get(1).crashed(CrashEvidence.DOUBTFUL, 1);
-    step.tasks().get(1).crashed(CrashEvidence.WEAK, 2);
-    step.tasks().get(1).crashed(CrashEvidence.STRONG_ALONE, 4);
+    Incarnation lost = new Incarnation(new ExecutorId("e1"), OptionalLong.of(17));
+    step.tasks().get(1).crashed(CrashEvidence.DOUBTFUL, 1, lost);
+    step.tasks().get(1).crashed(CrashEvidence.WEAK, 2, lost);
+    step.tasks().get(1).crashed(CrashEvidence.STRONG_ALONE, 4, lost);
+    step.tasks().get(1).crashed(CrashEvidence.UNRESOLVED, 5, lost);
 
     ActiveJob restored = new ActiveJob(job(false, Optional.empty()));
     JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
 
     List<TaskProgress> tasks = restored.steps().getFirst().tasks();
-    assertEquals(new CrashRecord(1, 1, 1, true, 4), tasks.get(1).crashes());
+    assertEquals(step.tasks().get(1).crashes(), tasks.get(1).crashes());
+    assertEquals(4, tasks.get(1).crashes().losses().size());
     assertEquals(CrashRecord.NONE, tasks.get(0).crashes());
   }
 
+  /** A version that kept only numbers of losses may have stored the record. */
+  @Test
+  void theCrashRecordOfAnEarlierVersionIsRestored() throws Exception {
+    ActiveJob former = new ActiveJob(job(false, Optional.empty()));
+    begin(former, 1, 4);
+    StoredProgress stored = StoredProgress.parseFrom(JobCodec.encodeProgress(former));
+    StoredTaskProgress.Builder task =
+        stored.getSteps(0).getTasks(0).toBuilder()
+            .setEarlyCrashes(1)
+            .setLateCrashes(1)
+            .setOtherLosses(1)
+            .setCrashedAlone(true)
+            .setThirdLossRun(4);
+    StoredStepProgress.Builder step = stored.getSteps(0).toBuilder().setTasks(0, task);
+    byte[] earlier = stored.toBuilder().setSteps(0, step).build().toByteArray();
+
+    ActiveJob restored = new ActiveJob(job(false, Optional.empty()));
+    JobCodec.restore(restored, earlier, 0);
+
+    CrashRecord crashes = restored.steps().getFirst().tasks().get(1).crashes();
+    assertEquals(List.of(1, 1, 1), List.of(crashes.early(), crashes.late(), crashes.other()));
+    assertTrue(crashes.alone());
+    assertEquals(4, crashes.thirdLossRun());
+  }
+
   /** Runs that the next owner does not know would continue until their leases expire. */
   @Test
   void theLiveRunsOfAnEndedJobAreRestoredByTheNextOwner() throws Exception {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RunEndAcknowledgementTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/RunEndAcknowledgementTest.java
@@ -11,6 +11,7 @@
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
+import org.fescuehook.logic.batch.executor.ExecutorSign;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
@@ -69,7 +70,8 @@
         writer,
         executors,
         SchedulingStatistics.none(),
-        new BatchConfiguration(1, Map.of("q", QUEUE), List.of()));
+        new BatchConfiguration(1, Map.of("q", QUEUE), List.of()),
+        at(0));
   }
 
   private static BatchContext at(long millis) {
@@ -167,6 +169,9 @@
     @Override
     public void lostWithExecutor(LiveRun run, CrashEvidence evidence, BatchContext context) {}
 
+    @Override
+    public void observed(ExecutorSign sign, BatchContext context) {}
+
     @Override
     public void startNotSent(LiveRun run, BatchContext context) {}
 
