A full pool no longer keeps work of an idle one waiting

Cause: one plan for all executors. The accelerators that work without urgency leaves free, and whether the fleet is idle, were counted over all pools: 24 of 120 were free, and 30 to 42 had to stay so. Suspects, probation, reservations and overlong runs were counted in the same way.

Evidence: the log has 8030 for all executors of the idle service, and no 8034, 8055, 8062, 8063 or 8044, which rules out executors that cannot be used, reservations and fair shares. Event 8048 now tells free, kept and all accelerators of the pool.

Change: a plan for each pool, so that nothing in it can count executors of another; use of organisations, nearly late work, victims and reservations are handed in. Counts by pool in one plan were weighed: each count has to remember its pool, and several had not. With one pool plans stay the same. Overlong runs are limited by pool too.

The reference planner of the equivalence test counted all pools as well, which was the fault; it plans by pool now, is otherwise unchanged, and has one more property, with steps of two pools.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -107,6 +107,10 @@
       "Executor {} does not list {} runs; it lists {} live runs and {} ends, the last one {}, and may hold more"),
   /** It is known what became of an executor that was lost without a sign of a crash. */
   LOSS_RESOLVED(8047, "Lost executor {} has {}: {} tasks had run there"),
+  /** A step keeps waiting since the free capacity of its pool is kept for urgent work. */
+  HELD_BACK_FOR_URGENT_WORK(
+      8048,
+      "Step {} has waited {} ms: {} of {} accelerators of pool {} are free, {} stay free for urgent work"),
   /** Reports show that an executor has suddenly become slow, or has its lasting speed again. */
   EXECUTOR_SPEED_CHANGED(
       8050,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/BarredCapacityLog.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,7 +16,8 @@
 
 /**
  * Logs why a step keeps waiting although it would fit: earlier failures, doubts or missing advice
- * bar it from executors with free capacity. A step that waits for capacity is not logged.
+ * bar it from executors with free capacity, or that capacity stays free for urgent work. A step
+ * that waits for capacity is not logged.
  */
 final class BarredCapacityLog {
 
@@ -51,6 +53,8 @@
       return;
     }
     checkedAt = nowNanos;
+    Map<StepProgress, Planner.HeldBack> heldBack = new IdentityHashMap<>();
+    plan.heldBack().forEach(held -> heldBack.put(held.waiting().step(), held));
     Set<StepProgress> started = plan.startedSteps();
     for (WaitingStep step : waiting) {
       long waitedNanos = step.timing().queuedNanos();
@@ -61,20 +65,40 @@
       }
       Barred barred = count(step, usable, nowNanos);
       if (barred.keepsWaiting(step)) {
-        loggedAt.put(step.step(), nowNanos);
-        context.note(
-            BatchLogEvent.BARRED_FROM_FREE_CAPACITY,
-            step.step().name(),
-            TimeUnit.NANOSECONDS.toMillis(waitedNanos),
-            barred.executors(),
-            barred.failed(),
-            barred.doubted(),
-            barred.unadvised());
-        context.count("fescuehook.batch.steps.barred", "cause", barred.mainCause());
+        noteBarred(step, barred, context);
+      } else if (heldBack.containsKey(step.step()) && barred.fits(step)) {
+        noteHeldBack(heldBack.get(step.step()), context);
       }
     }
   }
 
+  private void noteBarred(WaitingStep step, Barred barred, BatchContext context) {
+    loggedAt.put(step.step(), context.nowNanos());
+    context.note(
+        BatchLogEvent.BARRED_FROM_FREE_CAPACITY,
+        step.step().name(),
+        TimeUnit.NANOSECONDS.toMillis(step.timing().queuedNanos()),
+        barred.executors(),
+        barred.failed(),
+        barred.doubted(),
+        barred.unadvised());
+    context.count("fescuehook.batch.steps.barred", "cause", barred.mainCause());
+  }
+
+  private void noteHeldBack(Planner.HeldBack held, BatchContext context) {
+    WaitingStep step = held.waiting();
+    loggedAt.put(step.step(), context.nowNanos());
+    context.note(
+        BatchLogEvent.HELD_BACK_FOR_URGENT_WORK,
+        step.step().name(),
+        TimeUnit.NANOSECONDS.toMillis(step.timing().queuedNanos()),
+        held.free(),
+        held.total(),
+        step.pool(),
+        held.keptFree());
+    context.count("fescuehook.batch.steps.barred", "cause", "urgent-reserve");
+  }
+
   private boolean isLogged(WaitingStep step, long nowNanos) {
     Long last = loggedAt.get(step.step());
     return last != null && nowNanos - last < REPEAT_NANOS;
@@ -93,8 +117,12 @@
   private record Barred(
       int executors, int failed, int doubted, int unadvised, long fitting, long open) {
 
+    boolean fits(WaitingStep step) {
+      return fitting >= step.startsTogether();
+    }
+
     boolean keepsWaiting(WaitingStep step) {
-      return fitting >= step.startsTogether() && open < step.startsTogether();
+      return fits(step) && open < step.startsTogether();
     }
 
     String mainCause() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/OverlongRuns.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/OverlongRuns.java
@@ -1,12 +1,17 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.groupingBy;
+import static java.util.stream.Collectors.toMap;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BinaryOperator;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.fescuehook.logic.batch.BatchContext;
@@ -31,8 +36,8 @@
   private static final double OVERLONG = 3;
 
   /**
-   * Share of the fleet that overlong runs may hold. Where 3 percent of the tasks take seven times
-   * as long, they hold 18 percent of a full fleet in all, but exceed three times their expected
+   * Share of a pool that overlong runs may hold. Where 3 percent of the tasks take seven times as
+   * long, they hold 18 percent of a full fleet in all, but exceed three times their expected
    * duration only in the last four sevenths of that time.
    */
   private static final double MAX_SHARE = 0.1;
@@ -73,14 +78,27 @@
       return;
     }
     checkedAt = context.nowNanos();
-    Optional<Rank> blocked = blocked(waiting, plan);
-    if (blocked.isEmpty()) {
-      return;
-    }
+    Map<String, List<ExecutorState>> pools =
+        usable.stream().collect(groupingBy(executor -> executor.profile().pool()));
+    blocked(waiting, plan)
+        .forEach(
+            (pool, rank) -> limit(rank, pools.getOrDefault(pool, List.of()), useless, context));
+  }
+
+  /**
+   * Limits the overlong runs of a pool.
+   *
+   * @param blocked the first rank of work that waits for the pool
+   */
+  private void limit(
+      Rank blocked,
+      Collection<ExecutorState> pool,
+      Predicate<LiveRun> useless,
+      BatchContext context) {
     double total = 0;
     double held = 0;
     List<LiveRun> overlong = new ArrayList<>();
-    for (ExecutorState executor : usable) {
+    for (ExecutorState executor : pool) {
       total += executor.profile().capacity().coreEquivalents();
       for (LiveRun run : executor.runs()) {
         if (run.stage() == Stage.RUNNING && runTimes.overrun(run, context.nowNanos()) >= OVERLONG) {
@@ -97,7 +115,7 @@
         return;
       }
       boolean loses = !run.step().spec().checkpointing() && !useless.test(run);
-      boolean precedes = ranks.apply(run.step()).before(blocked.get());
+      boolean precedes = ranks.apply(run.step()).before(blocked);
       // Each task yields once, so that it ends some time.
       if (loses || precedes || run.stage() != Stage.RUNNING || !run.step().countMove(run)) {
         continue;
@@ -106,14 +124,21 @@
     }
   }
 
-  /** Returns the first rank of work that can still be of use and that the plan did not start. */
-  private static Optional<Rank> blocked(List<WaitingStep> waiting, Planner.Plan plan) {
+  /**
+   * Returns for each pool the first rank of work that can still be of use and that the plan did not
+   * start.
+   */
+  private static Map<String, Rank> blocked(List<WaitingStep> waiting, Planner.Plan plan) {
     Set<StepProgress> started = plan.startedSteps();
     return waiting.stream()
         .filter(step -> step.timing().prospect() != StepTiming.Prospect.TOO_LATE)
         .filter(step -> !started.contains(step.step()))
-        .map(WaitingStep::rank)
-        .min(Comparator.naturalOrder());
+        .collect(
+            toMap(
+                WaitingStep::pool,
+                WaitingStep::rank,
+                BinaryOperator.minBy(Comparator.naturalOrder()),
+                TreeMap::new));
   }
 
   /** Stops a run with its gang and returns the cores that this frees. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -15,7 +15,7 @@
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.statistics.StartReliability;
 
-/** The state of one plan while it is made. */
+/** The plan of one pool while it is made. */
 final class PlanPass {
 
   /**
@@ -37,13 +37,13 @@
   private static final double NEARLY_LATE_RESERVE_SHARE = 0.25;
 
   /**
-   * Work that has waited this long while more than half of the fleet is free may use the capacity
+   * Work that has waited this long while more than half of the pool is free may use the capacity
    * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
    */
   private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
 
   /**
-   * Work that has waited this long in an idle fleet may also start away from its data. The time
+   * Work that has waited this long in an idle pool may also start away from its data. The time
    * exceeds the duration of most jobs, since a start elsewhere after a shorter wait would still end
    * later than one near the data.
    */
@@ -68,6 +68,7 @@
   private final List<TaskPlacement> starts = new ArrayList<>();
   private final List<Planner.Preemption> stops = new ArrayList<>();
   private final List<WaitingStep> deferred = new ArrayList<>();
+  private final List<Planner.HeldBack> heldBack = new ArrayList<>();
 
   private final PlannedUsage usage;
   private final NearlyLateUse nearlyLateUse;
@@ -280,6 +281,14 @@
       return Integer.MAX_VALUE;
     }
     int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
+    if (allowed < waiting.startsTogether()) {
+      heldBack.add(
+          new Planner.HeldBack(
+              waiting,
+              available.accelerators(),
+              (int) Math.ceil(keptFree(waiting)),
+              total.accelerators()));
+    }
     return limited ? Math.min(allowed, reservations.spareAccelerators() / accelerators) : allowed;
   }
 
@@ -292,7 +301,7 @@
         * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
   }
 
-  /** Tells whether a step has waited for some time although more than half of the fleet is free. */
+  /** Tells whether a step has waited for some time although more than half of the pool is free. */
   private boolean idleFor(WaitingStep waiting, long nanos) {
     return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total);
   }
@@ -366,23 +375,12 @@
     usage.add(step.job().job().organisation(), step.spec().demand());
   }
 
-  /** Returns where tasks start. */
-  List<TaskPlacement> starts() {
-    return List.copyOf(starts);
-  }
-
-  /** Returns the runs that are preempted. */
-  List<Planner.Preemption> stops() {
-    return List.copyOf(stops);
-  }
-
-  /** Returns the gangs that could start but wait for faster executors. */
-  List<WaitingStep> deferred() {
-    return List.copyOf(deferred);
-  }
-
-  /** Returns the reservations for gangs that do not fit yet. */
-  List<Reservation> reservations() {
-    return reservations.made();
+  /**
+   * Returns the plan of the pool.
+   *
+   * @param considered the steps in the order in which they were planned
+   */
+  Planner.Plan plan(List<PlanOrder.Considered> considered) {
+    return new Planner.Plan(starts, stops, deferred, considered, reservations.made(), heldBack);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -1,10 +1,13 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.groupingBy;
 import static java.util.stream.Collectors.toSet;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -16,8 +19,10 @@
 import org.fescuehook.model.preferences.WorkPreferences;
 
 /**
- * Decides which tasks start where and which runs are preempted. Equal input gives equal plans; the
- * planner remembers only since when gangs have reservations.
+ * Decides which tasks start where and which runs are preempted. Each pool is planned by itself, so
+ * that nothing in its plan counts executors of other pools; only what organisations use is counted
+ * over all of them. Equal input gives equal plans; the planner remembers only since when gangs have
+ * reservations.
  */
 public final class Planner {
 
@@ -68,13 +73,38 @@
    * @param deferred gangs that could start but wait for faster executors, where they end earlier
    * @param considered the steps in the order in which use let them be considered
    * @param reservations capacity that is reserved for gangs that do not fit yet
+   * @param heldBack steps that do not start although some of their tasks fit
    */
   public record Plan(
       List<TaskPlacement> starts,
       List<Preemption> stops,
       List<WaitingStep> deferred,
       List<PlanOrder.Considered> considered,
-      List<Reservation> reservations) {
+      List<Reservation> reservations,
+      List<HeldBack> heldBack) {
+
+    /** Copies the lists. */
+    public Plan {
+      starts = List.copyOf(starts);
+      stops = List.copyOf(stops);
+      deferred = List.copyOf(deferred);
+      considered = List.copyOf(considered);
+      reservations = List.copyOf(reservations);
+      heldBack = List.copyOf(heldBack);
+    }
+
+    private static Plan join(List<Plan> plans) {
+      if (plans.size() == 1) {
+        return plans.getFirst();
+      }
+      return new Plan(
+          plans.stream().flatMap(plan -> plan.starts().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.stops().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.deferred().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.considered().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.reservations().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.heldBack().stream()).toList());
+    }
 
     /** Returns the steps of which tasks start. */
     Set<StepProgress> startedSteps() {
@@ -82,9 +112,19 @@
     }
 
     /** The plan while nothing waits. */
-    static final Plan EMPTY = new Plan(List.of(), List.of(), List.of(), List.of(), List.of());
+    static final Plan EMPTY =
+        new Plan(List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
   }
 
+  /**
+   * A step that does not start, since capacity of its pool stays free for urgent work.
+   *
+   * @param free free accelerators of the pool
+   * @param keptFree those that stay free for urgent work
+   * @param total all accelerators of the pool
+   */
+  record HeldBack(WaitingStep waiting, int free, int keptFree, int total) {}
+
   /**
    * A run that is preempted.
    *
@@ -117,22 +157,33 @@
     RunForecast forecast =
         new RunForecast(statistics.runTimes(), useless, preferences.stopTime().toNanos(), nowNanos);
     PlannedUsage usage = new PlannedUsage(statistics.usage());
-    PlanPass pass =
-        new PlanPass(
-            executors,
-            SpeedClasses.of(executors, statistics.speeds(), nowNanos),
-            usage,
-            new NearlyLateUse(waiting, usage),
-            new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos),
-            forecast,
-            statistics,
-            reservationBook,
-            guaranteedNearnessWait(),
-            nowNanos);
-    List<PlanOrder.Considered> considered = new PlanOrder(waiting, usage).forEach(pass::planStep);
-    List<Reservation> reservations = pass.reservations();
-    reservationBook.update(reservations, waiting, nowNanos);
-    return new Plan(pass.starts(), pass.stops(), pass.deferred(), considered, reservations);
+    NearlyLateUse nearlyLateUse = new NearlyLateUse(waiting, usage);
+    Preemptor preemptor = new Preemptor(ranks, preferences, forecast, statistics.usage(), nowNanos);
+    List<Plan> plans = new ArrayList<>();
+    Map<String, List<WaitingStep>> byPool = waiting.stream().collect(groupingBy(WaitingStep::pool));
+    for (String name : byPool.keySet().stream().sorted().toList()) {
+      List<ExecutorState> pool = pool(name, executors);
+      PlanPass pass =
+          new PlanPass(
+              pool,
+              SpeedClasses.of(pool, statistics.speeds(), nowNanos),
+              usage,
+              nearlyLateUse,
+              preemptor,
+              forecast,
+              statistics,
+              reservationBook,
+              guaranteedNearnessWait(),
+              nowNanos);
+      plans.add(pass.plan(new PlanOrder(byPool.get(name), usage).forEach(pass::planStep)));
+    }
+    Plan plan = Plan.join(plans);
+    reservationBook.update(plan.reservations(), waiting, nowNanos);
+    return plan;
+  }
+
+  private static List<ExecutorState> pool(String name, Collection<ExecutorState> executors) {
+    return executors.stream().filter(executor -> executor.profile().pool().equals(name)).toList();
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -203,6 +203,30 @@
     assertSamePlan(scenario, DividedSteps.divide(scenario.waiting, new Random(seed)));
   }
 
+  /** A pool is planned as if the others did not exist. */
+  @Property(tries = 3000)
+  void planOfSeveralPoolsEqualsThatOfTheReferencePlanner(@ForAll long seed) {
+    Scenario scenario = new Scenario(seed);
+    assertSamePlan(scenario, inSeveralPools(scenario.waiting, new Random(seed)));
+  }
+
+  private static List<WaitingStep> inSeveralPools(List<WaitingStep> waiting, Random random) {
+    return waiting.stream()
+        .map(step -> random.nextInt(3) == 0 ? inPool(step, "other") : step)
+        .toList();
+  }
+
+  private static WaitingStep inPool(WaitingStep step, String pool) {
+    return new WaitingStep(
+        step.step(),
+        step.tasks(),
+        pool,
+        step.rank(),
+        step.acceptedMillis(),
+        step.timing(),
+        step.permitted());
+  }
+
   /** Tasks suspected of crashing executors are planned one by one, beside the others. */
   @Property(tries = 3000)
   void noPlanBreaksAPlacementRule(@ForAll long seed) throws UnreadableRecordException {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
@@ -99,14 +99,18 @@
       Collection<WaitingStep> waiting, Collection<ExecutorState> executors, long nowNanos) {
     List<WaitingStep> ordered = new ArrayList<>(waiting);
     ordered.sort(WaitingStep.ORDER);
-    Pass pass =
-        new Pass(
-            executors,
-            new ReferencePreemptor(ranks, preferences, nowNanos),
-            guaranteedNearnessWait(),
-            nowNanos);
-    ordered.forEach(pass::planStep);
-    return new Plan(List.copyOf(pass.starts), List.copyOf(pass.stops));
+    ReferencePreemptor preemptor = new ReferencePreemptor(ranks, preferences, nowNanos);
+    List<TaskPlacement> starts = new ArrayList<>();
+    List<Preemption> stops = new ArrayList<>();
+    for (String pool : ordered.stream().map(WaitingStep::pool).distinct().sorted().toList()) {
+      List<ExecutorState> ofPool =
+          executors.stream().filter(executor -> executor.profile().pool().equals(pool)).toList();
+      Pass pass = new Pass(ofPool, preemptor, guaranteedNearnessWait(), nowNanos);
+      ordered.stream().filter(step -> step.pool().equals(pool)).forEach(pass::planStep);
+      starts.addAll(pass.starts);
+      stops.addAll(pass.stops);
+    }
+    return new Plan(List.copyOf(starts), List.copyOf(stops));
   }
 
   /**
