The soak cuts racks off in series and fills one of two services

Change: half of the mixed runs cut the executors of a rack off in series, each time for about as long as a lease, and some long jobs need that rack. The plan SERVICES adds a service with a sixth of the executors, keeps the first one full of urgent tasks, and judges by what executors ran that jobs of the mostly idle one start within 3 s in calm (SERVICES_APART). The stand-in platform has the second service and its accelerators.

--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -50,6 +50,19 @@
   /** Longest time for which the users have seen executors fail what they start. */
   private static final int LONGEST_FAILURE_MILLIS = 6500;
 
+  private static final long CUT_SEED = 0x63757473L;
+  private static final int ALL_PERMILLE = 1000;
+
+  /** A lease of 5.8 s is renewed each second and has expired for certain after 6.2 s. */
+  private static final long SHORTEST_CUT_MILLIS = 5000;
+
+  private static final long LONGEST_CUT_MILLIS = 8000;
+  private static final long MIN_CUT_GAP_MILLIS = 800;
+  private static final long MAX_CUT_GAP_MILLIS = 3000;
+
+  /** Least time between two faults of a run with few of them. */
+  private static final long GAP_MILLIS = 14_000;
+
   private final SplittableRandom random;
 
   /** Drawn apart, so that a seed means the same other faults. */
@@ -64,6 +77,9 @@
   /** Drawn apart for the same reason. */
   private final SplittableRandom failures;
 
+  /** Drawn apart for the same reason. */
+  private final SplittableRandom cuts;
+
   private final SoakSizes sizes;
   private final long length;
 
@@ -74,6 +90,7 @@
     this.evacuations = series.split();
     this.maintenance = new SplittableRandom(sizes.seed() ^ MAINTENANCE_SEED);
     this.failures = new SplittableRandom(sizes.seed() ^ FAILURE_SEED);
+    this.cuts = new SplittableRandom(sizes.seed() ^ CUT_SEED);
     this.length = sizes.faultTime().toMillis();
   }
 
@@ -82,6 +99,7 @@
     return switch (sizes.plan()) {
       case MIXED -> new FaultPlan(sizes).drawAll();
       case CANCELS -> CancelPlan.draw(sizes);
+      case SERVICES -> new FaultPlan(sizes).drawFew();
     };
   }
 
@@ -110,23 +128,58 @@
     if (failures.nextBoolean()) {
       addFailures(plan);
     }
+    if (cuts.nextBoolean()) {
+      addCuts(plan);
+    }
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
 
+  /** Draws single faults with calm times between them. */
+  private List<Fault.Timed> drawFew() {
+    List<Fault.Timed> plan = new ArrayList<>();
+    for (long at = CALM_MILLIS + random.nextLong(GAP_MILLIS);
+        at < length;
+        at += GAP_MILLIS + random.nextLong(GAP_MILLIS)) {
+      plan.add(new Fault.Timed(at, any(length - at)));
+    }
+    // A run lasts until its last fault is over.
+    plan.add(new Fault.Timed(length - 1, new Fault.CrashExecutor(1)));
+    return List.copyOf(plan);
+  }
+
+  /**
+   * The executors of a rack are cut off in series and run on, each time for about as long as a
+   * lease, so that a task that needs one of them is lost again and again.
+   */
+  private void addCuts(List<Fault.Timed> plan) {
+    List<Integer> ofRack = rack(1 + cuts.nextInt(sizes.executors()));
+    long at = cuts.nextLong(CALM_MILLIS, Math.max(CALM_MILLIS + 1, length / 4));
+    while (at < length) {
+      long lasting = Math.min(length - at, cuts.nextLong(SHORTEST_CUT_MILLIS, LONGEST_CUT_MILLIS));
+      for (int executor : ofRack) {
+        plan.add(new Fault.Timed(at, new Fault.LoseOrders(executor, ALL_PERMILLE, false, lasting)));
+      }
+      at += lasting + cuts.nextLong(MIN_CUT_GAP_MILLIS, MAX_CUT_GAP_MILLIS);
+    }
+  }
+
+  /** Returns the executors in the rack of one of them. */
+  private List<Integer> rack(int executor) {
+    String rack = FleetStandIn.labelsOfExecutor(executor).getLast();
+    return IntStream.rangeClosed(1, sizes.executors())
+        .filter(number -> FleetStandIn.labelsOfExecutor(number).contains(rack))
+        .boxed()
+        .toList();
+  }
+
   /** All executors with a label fail what they start, or one of them, several times. */
   private void addFailures(List<Fault.Timed> plan) {
     int count = 1 + failures.nextInt(MAX_FAILURES);
     for (int i = 0; i < count; i++) {
       long at = failures.nextLong(CALM_MILLIS, length);
       int drawn = 1 + failures.nextInt(sizes.executors());
-      String rack = FleetStandIn.labelsOfExecutor(drawn).getLast();
-      List<Integer> ofRack =
-          IntStream.rangeClosed(1, sizes.executors())
-              .filter(number -> FleetStandIn.labelsOfExecutor(number).contains(rack))
-              .boxed()
-              .toList();
-      List<Integer> failing = failures.nextInt(3) > 0 ? ofRack : List.of(drawn);
+      List<Integer> failing = failures.nextInt(3) > 0 ? rack(drawn) : List.of(drawn);
       long lasting = Math.min(length - at, 500L + failures.nextInt(LONGEST_FAILURE_MILLIS - 500));
       plan.add(new Fault.Timed(at, new Fault.FailRuns(failing, lasting)));
     }
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.fescuehook.bench.caller.CallerClient;
 import org.fescuehook.bench.caller.CallerOutcome;
 import org.fescuehook.bench.caller.CallerRequest;
@@ -52,7 +53,7 @@
   private final Rotation rotation;
   private final CallerClient client;
   private final List<InetSocketAddress> vms;
-  private final JobMix mix;
+  private final Supplier<JobMix.Draw> mix;
   private final Random random;
   private final int[] keptTo = new int[CALLERS];
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -72,7 +73,11 @@
     this.client = new CallerClient(group);
     this.vms = vms.stream().map(SchedulerVm::callers).toList();
     this.rotation = new Rotation(client, vms.stream().map(SchedulerVm::readiness).toList(), timer);
-    this.mix = new JobMix(sizes.seed(), sizes.plan());
+    this.mix =
+        switch (sizes.plan()) {
+          case MIXED, CANCELS -> new JobMix(sizes.seed(), sizes.plan())::next;
+          case SERVICES -> new ServicesMix(sizes)::next;
+        };
     this.random = new Random(sizes.seed());
   }
 
@@ -136,7 +141,7 @@
     if (quiet) {
       return;
     }
-    JobMix.Draw draw = mix.next();
+    JobMix.Draw draw = mix.get();
     int caller = next++ % CALLERS;
     jobs.add(draw.job());
     submitting.incrementAndGet();
@@ -265,7 +270,7 @@
             "Deadline-Ms", Long.toString(DEADLINE_MILLIS));
     byte[] body = kind == Kind.SUBMIT ? JobMessages.encode(job) : new byte[0];
     return new CallerRequest(
-        method, PlatformConfiguration.PATH_PREFIX + job.id(), headers, body, DEADLINE_MILLIS);
+        method, job.queue().prefix() + job.id(), headers, body, DEADLINE_MILLIS);
   }
 
   private void later(long millis, Runnable step) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -31,6 +31,9 @@
       ObjectNode node = steps.addObject().put("count", step.count());
       int sharing = job.tasksPerSlot();
       node.put("cpu", CORES / sharing).put("memMb", MEMORY / sharing).put("estimateMs", 500);
+      if (job.queue() != PlannedJob.Queue.USUAL) {
+        node.put("gpu", 1);
+      }
       step.placement().label().ifPresent(label -> node.put("requirements", label));
       if (step.placement().maxPerExecutor() > 0) {
         node.put("antiAffinity", step.placement().maxPerExecutor());
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -59,6 +59,11 @@
   private static final int MIN_WIDE_MILLIS = 1500;
   private static final int MAX_WIDE_MILLIS = 5000;
   private static final int WIDE_TASKS_PER_SLOT = 250;
+
+  /** Part of the jobs with a long task that needs a rack. */
+  private static final double BOUND = 0.03;
+
+  private static final long BOUND_SEED = 0x626f756e64L;
   private static final long WIDE_SEED = 0x77696465L;
 
   private final SplittableRandom random;
@@ -72,6 +77,9 @@
 
   private final SplittableRandom wides;
 
+  private final SplittableRandom bounds;
+
+  private final double bound;
   private final double crashing;
   private final double wide;
 
@@ -83,6 +91,8 @@
     this.longs = new SplittableRandom(seed).split();
     this.placements = new SplittableRandom(~seed).split();
     this.wides = new SplittableRandom(seed ^ WIDE_SEED);
+    this.bounds = new SplittableRandom(seed ^ BOUND_SEED);
+    this.bound = plan == SoakSizes.Plan.CANCELS ? 0 : BOUND;
     this.wide = plan == SoakSizes.Plan.CANCELS ? 0 : WIDE;
   }
 
@@ -129,7 +139,23 @@
     long cancel = random.nextDouble() < CANCELLED ? random.nextLong(1, 2500) : 0;
     long repeat = random.nextDouble() < REPEATED ? random.nextLong(1000, 6000) : 0;
     Cancelling cancelling = cancel > 0 ? new Cancelling.Accepted(cancel) : new Cancelling.Never();
-    return widen(place(lengthen(new Draw(new PlannedJob(id, spec, steps), cancelling, repeat))));
+    return bind(
+        widen(place(lengthen(new Draw(new PlannedJob(id, spec, steps), cancelling, repeat)))));
+  }
+
+  /** Replaces some jobs by long ones that only the executors of a rack may run. */
+  private Draw bind(Draw draw) {
+    boolean ordinary = draw.cancelling() instanceof Cancelling.Never && !draw.job().crashes();
+    if (bounds.nextDouble() >= bound || !ordinary) {
+      return draw;
+    }
+    String id = draw.job().id();
+    String spec = "run:" + bounds.nextInt(LEAST_LONG_MILLIS, MOST_LONG_MILLIS) + " job " + id;
+    String rack = FleetStandIn.labelsOfExecutor(1 + bounds.nextInt(2)).getLast();
+    PlannedJob.Step step =
+        new PlannedJob.Step(1, List.of(), new PlannedJob.Placement(Optional.of(rack), 0));
+    return new Draw(
+        new PlannedJob(id, spec, List.of(step)), draw.cancelling(), draw.repeatAfterMillis());
   }
 
   /** Replaces some jobs by ones with many small tasks. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -152,7 +152,9 @@
             "--ports-file",
             ports.toString(),
             "--executors",
-            Integer.toString(sizes.executors())));
+            Integer.toString(sizes.executors()),
+            "--small-executors",
+            Integer.toString(sizes.smallExecutors())));
     ChildProcess process = processes.launch("platform", command, programs.standInEnvironment());
     return StandIns.await(process, ports, http, START_LIMIT);
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -8,7 +8,7 @@
  * @param seed all faults and jobs follow from it
  * @param faultTime how long faults are brought about
  * @param vms scheduler VMs
- * @param executors executors of four tasks each
+ * @param executors executors of four tasks each, without those of a second service
  * @param plan what kind of faults
  */
 public record SoakSizes(long seed, Duration faultTime, int vms, int executors, Plan plan) {
@@ -18,9 +18,14 @@
     /** All kinds of faults at any time. */
     MIXED,
     /** Waves of cancels with restarts in series, and quiet times between them. */
-    CANCELS
+    CANCELS,
+    /** Few faults, and two services, one of which is full all the time. */
+    SERVICES
   }
 
+  /** The second service has so small a part of the executors that it is idle within any reserve. */
+  private static final int EXECUTORS_PER_SMALL = 6;
+
   private static final int LEAST_SECONDS = 10;
   private static final int MOST_SECONDS = 3600;
   private static final int LEAST_VMS = 2;
@@ -38,6 +43,11 @@
     checkRange("--executors", executors, 1, MOST_EXECUTORS);
   }
 
+  /** Returns how many executors a second service has; 0 if there is none. */
+  int smallExecutors() {
+    return plan == Plan.SERVICES ? Math.max(1, executors / EXECUTORS_PER_SMALL) : 0;
+  }
+
   /** Sizes of a run of mixed faults. */
   public SoakSizes(long seed, Duration faultTime, int vms, int executors) {
     this(seed, faultTime, vms, executors, Plan.MIXED);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -68,6 +68,11 @@
         .noneMatch(d -> d.overlaps(from - CONTACT_MILLIS, to));
   }
 
+  /** Tells whether nothing at all disturbs any VM, the store or an executor. */
+  boolean calm(long from, long to) {
+    return disruptions.stream().noneMatch(d -> d.overlaps(from, to));
+  }
+
   /** Tells whether nothing but planned stops disturbs any VM or the store. */
   boolean undisturbed(long from, long to) {
     return disruptions.stream()
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -19,12 +19,14 @@
     RunChecks runChecks = new RunChecks(history, runs, findings);
     RunEndCheck runEnds = new RunEndCheck(history, runs, findings);
     IdleJobCheck idleJobs = new IdleJobCheck(history, runs, findings);
+    ServiceCheck services = new ServiceCheck(history, runs, findings);
     for (PlannedJob job : history.jobs()) {
       List<JobCall> ofJob = calls.getOrDefault(job.id(), List.of());
       callChecks.check(job, ofJob);
       runChecks.check(job, ofJob);
       runEnds.check(job, ofJob);
       idleJobs.check(job, ofJob);
+      services.check(job, ofJob);
     }
     runChecks.checkUnasked();
     callChecks.checkPlannedStops();
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import org.fescuehook.standins.platform.PlatformConfiguration;
 
 /**
  * A job as its caller hands it in.
@@ -10,7 +11,33 @@
  * @param id chosen by the caller
  * @param spec text that is passed to the tasks
  */
-public record PlannedJob(String id, String spec, List<Step> steps) {
+public record PlannedJob(String id, String spec, List<Step> steps, Queue queue) {
+
+  /** Where a job is handed in. */
+  public enum Queue {
+    /** Jobs of the usual service, whose tasks need no accelerator. */
+    USUAL(PlatformConfiguration.PATH_PREFIX),
+    /** Urgent jobs of the usual service, with an accelerator for each task. */
+    URGENT(PlatformConfiguration.URGENT_PREFIX),
+    /** Jobs of the small service, with an accelerator for each task. */
+    SMALL(PlatformConfiguration.SMALL_PREFIX);
+
+    private final String prefix;
+
+    Queue(String prefix) {
+      this.prefix = prefix;
+    }
+
+    /** Returns the path prefix of its requests. */
+    public String prefix() {
+      return prefix;
+    }
+  }
+
+  /** Creates a job of the usual queue. */
+  public PlannedJob(String id, String spec, List<Step> steps) {
+    this(id, spec, steps, Queue.USUAL);
+  }
 
   /** How the text of a job begins whose tasks crash the executors that start them. */
   public static final String CRASHES = "crash:";
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -20,6 +20,8 @@
   STARTS_AGAIN("a failed task with attempts left starts again"),
   /** Jobs go on after the faults, as long as there is capacity. */
   GOES_ON("an open job runs something within 3 s, from 14 s after the faults on", true),
+  /** A full service does not hold up the work of another one. */
+  SERVICES_APART("a job of a service that is half idle starts within 3 s in calm", true),
   /** A step waits for the steps that it depends on. */
   ORDER("a step starts after the steps it depends on"),
   /** A task starts only where its step allows it. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -79,6 +79,32 @@
     assertTrue(whole > 10, whole + " of 50");
   }
 
+  @Test
+  void someRunsHaveARackThatIsCutOffAgainAndAgain() {
+    long series = 0;
+    for (long seed = 0; seed < 50; seed++) {
+      List<Fault.Timed> cuts =
+          FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6)).stream()
+              .filter(timed -> timed.fault() instanceof Fault.LoseOrders)
+              .toList();
+      long times = cuts.stream().map(Fault.Timed::atMillis).distinct().count();
+      series += times >= 5 && cuts.size() == 3 * times ? 1 : 0;
+    }
+
+    assertTrue(series > 10, series + " of 50");
+  }
+
+  @Test
+  void faultsBesideAFullServiceLeaveCalmTimes() {
+    for (long seed = 0; seed < 50; seed++) {
+      List<Fault.Timed> plan =
+          FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.SERVICES));
+
+      assertTrue(plan.size() <= 5, "seed " + seed);
+      assertTrue(plan.getLast().atMillis() == MINUTE.toMillis() - 1, "seed " + seed);
+    }
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -80,6 +80,19 @@
     assertTrue(placements.stream().anyMatch(rule -> rule.label().isPresent()));
   }
 
+  @Test
+  void someLongJobsNeedARack() {
+    long bound =
+        draws(7).stream()
+            .filter(draw -> millis(draw) >= 7000)
+            .filter(
+                draw ->
+                    draw.job().steps().getFirst().placement().label().orElse("").startsWith("rack"))
+            .count();
+
+    assertTrue(bound > 5, bound + " of 500");
+  }
+
   @Test
   void mostJobsAreShort() {
     assertTrue(draws(7).stream().filter(draw -> millis(draw) < 1000).count() > 400);
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -49,6 +49,12 @@
     return call(Kind.SUBMIT, job, sent, 200, "");
   }
 
+  /** Hands in a job of the small service with success. */
+  HistoryBuilder acceptedBySmallService(String job, PlannedJob.Step step, long sent) {
+    jobs.add(new PlannedJob(job, spec(job), List.of(step), PlannedJob.Queue.SMALL));
+    return call(Kind.SUBMIT, job, sent, 200, "");
+  }
+
   static String spec(String id) {
     return "run:100 " + id;
   }
--- a/standins/src/main/java/org/fescuehook/standins/Main.java
+++ b/standins/src/main/java/org/fescuehook/standins/Main.java
@@ -38,6 +38,12 @@
   @Option(name = "--executors", metaVar = "N", usage = "how many executors")
   private int executors = 3;
 
+  @Option(
+      name = "--small-executors",
+      metaVar = "N",
+      usage = "further executors of the platform, of a service of their own")
+  private int smallExecutors;
+
   @Option(name = "--slots", metaVar = "N", usage = "slots of each executor")
   private int slots = 8;
 
@@ -99,7 +105,7 @@
     var each = new Resources(accelerators, cores, memoryMegabytes);
     var fleet = new WorkerStandIns.Fleet(firstWorker, workers, each, usageLagMillis);
     var limits = new ExecutorStandIns.Limits(slots, connections);
-    var sizes = new StandInProcess.Sizes(executors, limits, fleet, journalLimit);
+    var sizes = new StandInProcess.Sizes(executors, smallExecutors, limits, fleet, journalLimit);
     var process = new StandInProcess(group, kind, new InetSocketAddress(host, port), sizes);
     String properties = properties(process.addresses());
     if (portsFile != null) {
--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -40,6 +40,7 @@
   /** Numbers and sizes of the stand-ins to start. */
   record Sizes(
       int executors,
+      int smallExecutors,
       ExecutorStandIns.Limits executorLimits,
       WorkerStandIns.Fleet fleet,
       int journalLimit) {}
@@ -103,11 +104,11 @@
   private void startPlatform(InetSocketAddress address) throws StandInException {
     StoreStandIn store = new StoreStandIn(group, address, MONOTONIC_CLOCK_MILLIS);
     InetSocketAddress anyPort = new InetSocketAddress(address.getAddress(), 0);
-    int count = sizes.executors();
+    FleetStandIn.Counts counts = new FleetStandIn.Counts(sizes.executors(), sizes.smallExecutors());
     standIns.add(store);
     FleetStandIn fleet =
         new FleetStandIn(
-            group, anyPort, count, MONOTONIC_CLOCK_MILLIS, store, sizes.journalLimit());
+            group, anyPort, counts, MONOTONIC_CLOCK_MILLIS, store, sizes.journalLimit());
     standIns.add(fleet);
     MachineStandIn machines =
         new MachineStandIn(
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -32,7 +32,7 @@
   private static final int ZONES = 3;
 
   private static final int INCARNATIONS_PER_ID = 2;
-  private static final int SLOTS = 4;
+  static final int SLOTS = 4;
   private static final int MILLI_CORES_PER_SLOT = 1000;
   private static final int MEMORY_MEGABYTES_PER_SLOT = 1024;
 
@@ -53,6 +53,7 @@
   private static final int PERMILLE = 1000;
 
   private final int number;
+  private final Service service;
   private final LongSupplier clock;
   private final StoreStandIn store;
   private final Consumer<RunEvent> journal;
@@ -66,15 +67,24 @@
   private boolean up = true;
   private long heartbeats;
 
+  /**
+   * The service of an executor.
+   *
+   * @param accelerators accelerators of each of its executors
+   */
+  record Service(String name, int accelerators) {}
+
   FleetMember(
       EventLoopGroup group,
       InetSocketAddress address,
       int number,
+      Service service,
       LongSupplier clock,
       StoreStandIn store,
       Consumer<RunEvent> journal)
       throws StandInException {
     this.number = number;
+    this.service = service;
     this.clock = clock;
     this.store = store;
     this.journal = journal;
@@ -145,7 +155,7 @@
   synchronized Map<String, Object> machine() {
     Map<String, Object> machine = new LinkedHashMap<>();
     machine.put("machineId", MachineStandIn.machineId(number));
-    machine.put("pool", PlatformConfiguration.SERVICE);
+    machine.put("pool", service.name());
     machine.put("state", up ? "up" : "upkeep");
     machine.put("zone", zone(number));
     machine.put("labels", labels(number));
@@ -187,7 +197,7 @@
     }
     heartbeats++;
     Map<String, Object> entry = new LinkedHashMap<>();
-    entry.put("service", PlatformConfiguration.SERVICE);
+    entry.put("service", service.name());
     entry.put("address", server.address().getHostString() + ":" + server.address().getPort());
     entry.put("zone", zone(number));
     entry.put("version", "1");
@@ -204,7 +214,7 @@
             "memMb",
             SLOTS * MEMORY_MEGABYTES_PER_SLOT,
             "gpu",
-            0));
+            service.accelerators()));
     entry.put("labels", labels(number));
     store.putExecutor(executor.id(), Json.write(entry));
   }
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetStandIn.java
@@ -25,6 +25,15 @@
   private final List<FleetMember> members = new ArrayList<>();
   private final Journal<RunEvent> journal;
 
+  /**
+   * Numbers of executors.
+   *
+   * @param usual executors of the usual service
+   * @param small executors of the small service, which have the numbers after these; if there are
+   *     any, all executors have an accelerator for each task
+   */
+  public record Counts(int usual, int small) {}
+
   /**
    * Starts the executors and their heartbeats.
    *
@@ -34,15 +43,26 @@
   public FleetStandIn(
       EventLoopGroup group,
       InetSocketAddress address,
-      int count,
+      Counts counts,
       LongSupplier clock,
       StoreStandIn store,
       int journalLimit)
       throws StandInException {
     super("fleet", FleetFaults.class);
     this.journal = new Journal<>(journalLimit);
-    for (int i = 1; i <= count; i++) {
-      members.add(new FleetMember(group, address, i, clock, store, journal::add));
+    int accelerators = counts.small() > 0 ? FleetMember.SLOTS : 0;
+    for (int i = 1; i <= counts.usual() + counts.small(); i++) {
+      String service =
+          i <= counts.usual() ? PlatformConfiguration.SERVICE : PlatformConfiguration.SMALL_SERVICE;
+      members.add(
+          new FleetMember(
+              group,
+              address,
+              i,
+              new FleetMember.Service(service, accelerators),
+              clock,
+              store,
+              journal::add));
     }
     var loop = group.next();
     loop.scheduleWithFixedDelay(
--- a/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
@@ -4,51 +4,64 @@
 import java.util.Map;
 import org.fescuehook.standins.http.Json;
 
-/** Configuration that the operators publish: one queue, which one organisation may use. */
+/**
+ * Configuration that the operators publish: queues of two services, which one organisation may use.
+ */
 public final class PlatformConfiguration {
 
   /** Host name to which callers of the queue send their requests. */
   public static final String HOST = "jobs.example";
 
-  /** Path prefix of the requests to the queue. */
+  /** Path prefix of the requests to the usual queue. */
   public static final String PATH_PREFIX = "/jobs/";
 
+  /** Path prefix of the requests to the queue of urgent jobs, which has the same executors. */
+  public static final String URGENT_PREFIX = "/urgent/";
+
+  /** Path prefix of the requests to the queue of the small service. */
+  public static final String SMALL_PREFIX = "/small/";
+
   /** API key of the organisation. */
   public static final String KEY = "key-1";
 
   /** Number of failed runs of a task after which its job fails. */
   public static final int MAX_ATTEMPTS = 3;
 
-  /** Name of the executor pool that runs the queue's tasks. */
+  /** Name of the executor pool of the usual and the urgent queue. */
   static final String SERVICE = "pool";
 
+  /** Name of the executor pool of the small service. */
+  static final String SMALL_SERVICE = "small-pool";
+
   private PlatformConfiguration() {}
 
   static byte[] text() {
-    Map<String, Object> route =
-        Map.of(
-            "name",
-            "queue-1",
-            "host",
-            HOST,
-            "pathPrefix",
-            PATH_PREFIX,
-            "service",
-            SERVICE,
-            "priority",
-            1,
-            "maxAttempts",
-            MAX_ATTEMPTS,
-            "deadlineFactor",
-            3.0,
-            "targetLatencyMs",
-            1000);
     return Json.write(
         Map.of(
             "version", 1,
-            "routes", List.of(route),
-            "services", List.of(Map.of("name", SERVICE, "constraints", true)),
+            "routes",
+                List.of(
+                    route("queue-1", PATH_PREFIX, SERVICE, 1),
+                    route("queue-0", URGENT_PREFIX, SERVICE, 0),
+                    route("queue-small", SMALL_PREFIX, SMALL_SERVICE, 1)),
+            "services",
+                List.of(
+                    Map.of("name", SERVICE, "constraints", true),
+                    Map.of("name", SMALL_SERVICE, "constraints", true)),
             "limits", Map.of(),
             "tenants", List.of(Map.of("name", "organisation-1", "apiKeys", List.of(KEY)))));
   }
+
+  private static Map<String, Object> route(
+      String name, String prefix, String service, int priority) {
+    return Map.of(
+        "name", name,
+        "host", HOST,
+        "pathPrefix", prefix,
+        "service", service,
+        "priority", priority,
+        "maxAttempts", MAX_ATTEMPTS,
+        "deadlineFactor", 3.0,
+        "targetLatencyMs", 1000);
+  }
 }
--- a/standins/src/test/java/org/fescuehook/standins/platform/FleetStandInTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/FleetStandInTest.java
@@ -41,7 +41,9 @@
   @BeforeEach
   void start() throws StandInException {
     store = new StoreStandIn(loops.group(), loops.anyPort(), CLOCK);
-    fleet = new FleetStandIn(loops.group(), loops.anyPort(), 2, CLOCK, store, 100);
+    fleet =
+        new FleetStandIn(
+            loops.group(), loops.anyPort(), new FleetStandIn.Counts(2, 0), CLOCK, store, 100);
   }
 
   @AfterEach
--- a/standins/src/test/java/org/fescuehook/standins/platform/MachineStandInTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/MachineStandInTest.java
@@ -35,7 +35,9 @@
   @BeforeEach
   void start() throws StandInException {
     store = new StoreStandIn(loops.group(), loops.anyPort(), CLOCK);
-    fleet = new FleetStandIn(loops.group(), loops.anyPort(), 3, CLOCK, store, 100);
+    fleet =
+        new FleetStandIn(
+            loops.group(), loops.anyPort(), new FleetStandIn.Counts(3, 0), CLOCK, store, 100);
     machines = new MachineStandIn(loops.group(), loops.anyPort(), CLOCK, store, fleet, 100);
   }
 
