--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -23,7 +23,7 @@
     SERVICES
   }
 
-  /** The second service has so small a part of the executors that it is idle within any reserve. */
+  /** The part of a second service is smaller than the one that is kept free for urgent work. */
   private static final int EXECUTORS_PER_SMALL = 6;
 
   private static final int LEAST_SECONDS = 10;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -73,7 +73,7 @@
    * @param deferred gangs that could start but wait for faster executors, where they end earlier
    * @param considered the steps in the order in which use let them be considered
    * @param reservations capacity that is reserved for gangs that do not fit yet
-   * @param heldBack steps that do not start although some of their tasks fit
+   * @param heldBack steps that do not start since capacity stays free for urgent work
    */
   public record Plan(
       List<TaskPlacement> starts,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/CrashRecord.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
@@ -58,16 +59,15 @@
     if (early + late + other == 0) {
       return NONE;
     }
+    List<CrashEvidence> evidence = new ArrayList<>();
+    evidence.addAll(Collections.nCopies(other, CrashEvidence.DOUBTFUL));
+    evidence.addAll(Collections.nCopies(late, CrashEvidence.WEAK));
+    evidence.addAll(
+        Collections.nCopies(early, alone ? CrashEvidence.STRONG_ALONE : CrashEvidence.STRONG));
     List<ExecutorLoss> losses = new ArrayList<>();
-    for (int i = 0; i < early + late + other; i++) {
-      CrashEvidence evidence =
-          i < other
-              ? CrashEvidence.DOUBTFUL
-              : i < other + late
-                  ? CrashEvidence.WEAK
-                  : alone ? CrashEvidence.STRONG_ALONE : CrashEvidence.STRONG;
+    for (CrashEvidence ofLoss : evidence) {
       int run = losses.size() + 1 < LOSSES_BEFORE_RUN_LIMIT ? 0 : thirdLossRun;
-      losses.add(ExecutorLoss.certain(run, evidence));
+      losses.add(ExecutorLoss.certain(run, ofLoss));
     }
     return new CrashRecord(losses);
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CutOffExecutorTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CutOffExecutorTest.java
@@ -157,7 +157,7 @@
     awaitCompleted(job);
   }
 
-  /** Each executor has crashed and is back as another incarnation before its lease has expired. */
+  /** Each executor has crashed and is back only after its leases have expired. */
   @Test
   void aTaskIsGivenUpIfEachLostExecutorComesBackAsAnotherIncarnation() {
     cluster.crashes.setDownMillis(8000);
