--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -73,9 +73,9 @@
   /** Runs on an executor are throttled, or released again, to protect tasks that serve users. */
   WORK_PACED(8035, "Work on {} is paced to {} percent: a task is at {} percent of its bound"),
   /** The advice service answered which executors may run a step. */
-  ADVICE_GIVEN(8036, "Step {} may run on {} of {} executors, for {} ms"),
+  ADVICE_GIVEN(8036, "Step {} may run on {} of {} executors, for {} ms, answered after {} ms"),
   /** The advice service did not answer. */
-  ADVICE_MISSING(8037, "No advice on step {}: {}"),
+  ADVICE_MISSING(8037, "No advice on step {} for {} executors: {}"),
   /** An executor was removed: it is no longer listed, and no run of it is unresolved. */
   EXECUTOR_FORGOTTEN(8038, "Executor {} forgotten: it is not listed, and nothing runs there"),
   /** An executor restarted under the same id. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadMeter.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/LoadMeter.java
@@ -187,7 +187,7 @@
     List<LoadState.WaitingWork> waiting = new ArrayList<>();
     for (WaitingStep step : plans.waiting(context)) {
       // Which executors advice leaves to a step is not known in advance.
-      if (step.permitted().isPresent() || !pools.containsKey(step.pool())) {
+      if (step.advice().isPresent() || !pools.containsKey(step.pool())) {
         continue;
       }
       BatchStep spec = step.step().spec();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -161,6 +161,19 @@
     return step.servesUsers() ? runsOtherWork : servesUsers;
   }
 
+  /**
+   * Returns the number of accelerators that can be used together with cores and memory: at most the
+   * share of the accelerators that equals the free share of the cores and of the memory.
+   */
+  int usableAccelerators() {
+    ResourceVector total = executor.profile().capacity();
+    double share =
+        Math.min(
+            FleetCapacity.share(free.milliCores(), total.milliCores()),
+            FleetCapacity.share(free.memoryMegabytes(), total.memoryMegabytes()));
+    return (int) Math.max(0, Math.min(free.accelerators(), share * total.accelerators()));
+  }
+
   boolean isInRack(RackId rack) {
     return executor.profile().rack().equals(rack);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -8,15 +8,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.fescuehook.logic.batch.advice.StepAdvice;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.ResourceVector;
+import org.fescuehook.model.fleet.Incarnation;
 import org.fescuehook.model.fleet.RackId;
 
 /**
@@ -59,9 +62,10 @@
   private long accelerators;
   private long milliCores;
 
-  /** The properties that determine the groups of a step to which no external advice applies. */
+  /** The properties that determine the groups of a step. */
   private record GroupKey(
       String pool,
+      Set<Incarnation> forbidden,
       Optional<String> label,
       Optional<RackId> affinity,
       boolean sameRack,
@@ -147,30 +151,16 @@
   }
 
   private void addToTotals(CandidateExecutor candidate, int sign) {
-    usableAccelerators += sign * usableAccelerators(candidate);
+    usableAccelerators += sign * candidate.usableAccelerators();
     accelerators += sign * candidate.free().accelerators();
     milliCores += sign * candidate.free().milliCores();
   }
 
-  /**
-   * Returns the number of accelerators that can be used together with cores and memory: of each
-   * executor, at most the share of its accelerators that equals the free share of its cores and of
-   * its memory.
-   */
+  /** Returns the number of accelerators that can be used together with cores and memory. */
   int accelerators() {
     return usableAccelerators;
   }
 
-  private static int usableAccelerators(CandidateExecutor candidate) {
-    ResourceVector free = candidate.free();
-    ResourceVector total = candidate.executor().profile().capacity();
-    double share =
-        Math.min(
-            share(free.milliCores(), total.milliCores()),
-            share(free.memoryMegabytes(), total.memoryMegabytes()));
-    return (int) Math.max(0, Math.min(free.accelerators(), share * total.accelerators()));
-  }
-
   /** Returns the share of the executors that have a property. */
   double share(Predicate<CandidateExecutor> property) {
     return share((int) candidates.stream().filter(property).count(), candidates.size());
@@ -181,7 +171,7 @@
     return 2 * accelerators > total.accelerators && 2 * milliCores > total.milliCores;
   }
 
-  private static double share(int free, int total) {
+  static double share(int free, int total) {
     return total == 0 ? 1 : (double) free / total;
   }
 
@@ -232,14 +222,24 @@
         .orElseGet(() -> findGroups(waiting, nearOnly));
   }
 
+  /** Returns the group of a step to which an executor belongs; empty if there is none. */
+  List<CandidateExecutor> groupOf(ExecutorState executor, WaitingStep waiting, boolean nearOnly) {
+    return groups(waiting, nearOnly).stream()
+        .filter(group -> group.stream().anyMatch(member -> member.executor() == executor))
+        .findFirst()
+        .orElse(List.of());
+  }
+
   private static Optional<GroupKey> groupKey(WaitingStep waiting, boolean nearOnly) {
-    if (waiting.permitted().isPresent()) {
+    if (waiting.advice().filter(StepAdvice.Ticketed.class::isInstance).isPresent()) {
+      // Hardly any two steps have the same tickets.
       return Optional.empty();
     }
     BatchStep.PlacementRule placement = waiting.step().spec().placement();
     return Optional.of(
         new GroupKey(
             waiting.pool(),
+            waiting.advice().map(StepAdvice::forbidden).orElse(Set.of()),
             placement.label(),
             placement.affinity(),
             placement.sameRack(),
--- /dev/null
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/NearnessWait.java
@@ -0,0 +1,80 @@
+package org.fescuehook.logic.batch.plan;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+/** Decides for how long the steps of a pool wait for a placement near their data. */
+final class NearnessWait {
+
+  /**
+   * How long other work waits for a placement near its data, in multiples of its estimated
+   * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
+   */
+  private static final int NEARNESS_WAIT_DURATIONS = 8;
+
+  /**
+   * Work that has waited this long in an idle pool may also start away from its data. The time
+   * exceeds the duration of most jobs, since a start elsewhere after a shorter wait would still end
+   * later than one near the data.
+   */
+  private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
+
+  private final FleetCapacity available;
+  private final FleetCapacity total;
+  private final RunForecast forecast;
+  private final long guaranteedWaitNanos;
+
+  /**
+   * Creates the rule for a plan.
+   *
+   * @param available capacity that is free now, without what the plan has placed so far
+   * @param total the whole capacity of the pool
+   * @param guaranteedWaitNanos how long guaranteed work waits before its first start
+   */
+  NearnessWait(
+      FleetCapacity available,
+      FleetCapacity total,
+      RunForecast forecast,
+      long guaranteedWaitNanos) {
+    this.available = available;
+    this.total = total;
+    this.forecast = forecast;
+    this.guaranteedWaitNanos = guaranteedWaitNanos;
+  }
+
+  /**
+   * Tells whether a step has to start near its data: this is possible, and it has not waited for
+   * long.
+   */
+  boolean nearOnly(WaitingStep waiting) {
+    if (mayStartAnywhere(waiting)) {
+      return false;
+    }
+    WaitingStep soon = waiting.anticipatingAdvice().requiring(waiting.requirement().expectedSoon());
+    return total.tightestGroup(soon, waiting.startsTogether(), true).isPresent();
+  }
+
+  /** Tells whether a step has waited for some time although more than half of the pool is free. */
+  boolean idleFor(WaitingStep waiting, long nanos) {
+    return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total);
+  }
+
+  /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
+  boolean firstStartIsDue(WaitingStep waiting) {
+    boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
+    return firstStart && waiting.timing().waitedNanos() > guaranteedWaitNanos;
+  }
+
+  private boolean mayStartAnywhere(WaitingStep waiting) {
+    if (idleFor(waiting, IDLE_NEARNESS_WAIT_NANOS)) {
+      return true;
+    }
+    StepTiming timing = waiting.timing();
+    if (firstStartIsDue(waiting)) {
+      return true;
+    }
+    long estimate = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
+    double duration = estimate * forecast.expectedRatio(waiting);
+    return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
+  }
+}
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.advice.AdviceCache;
+import org.fescuehook.logic.batch.advice.StepAdvice;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.ActiveJob;
@@ -87,7 +88,7 @@
             .filter(executor -> executor.usable(context.nowNanos()))
             .toList();
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
-    requestAdvice(waiting, usable, context);
+    advice.forgetEnded();
     statistics.reliability().observe(context);
     Planner.Plan plan =
         planner.plan(waiting, usable, run -> useless(run, context), context.nowNanos());
@@ -105,6 +106,7 @@
     noteDeferred(plan.deferred(), context);
     overlongRuns.limit(waiting, plan, usable, run -> useless(run, context), context);
     start(plan.starts(), context);
+    advice.request(plan.adviceNeeds(), context);
   }
 
   /** Logs once for each step that it waits for faster executors. */
@@ -122,27 +124,6 @@
     }
   }
 
-  /**
-   * Requests external advice for the steps that need it, in the order in which they are planned.
-   */
-  private void requestAdvice(
-      List<WaitingStep> waiting, List<ExecutorState> usable, BatchContext context) {
-    advice.forgetEnded();
-    List<WaitingStep> advised =
-        waiting.stream()
-            .filter(step -> step.permitted().isPresent())
-            .sorted(WaitingStep.order(statistics.usage()))
-            .toList();
-    for (WaitingStep step : advised) {
-      List<Incarnation> executorsOfPool =
-          usable.stream()
-              .filter(executor -> executor.profile().pool().equals(step.pool()))
-              .map(ExecutorState::incarnation)
-              .toList();
-      advice.ask(step.step(), executorsOfPool, context);
-    }
-  }
-
   /** Returns the steps that are ready to start. */
   public List<WaitingStep> waiting(BatchContext context) {
     List<WaitingStep> waiting = new ArrayList<>();
@@ -169,10 +150,8 @@
     }
     long accepted = step.job().job().acceptedMillis();
     StepTiming timing = timing(step, queue, context);
-    Optional<Set<Incarnation>> permitted =
-        queue.advised()
-            ? Optional.of(advice.permitted(step, context.nowNanos()))
-            : Optional.empty();
+    Optional<StepAdvice> known =
+        queue.advised() ? Optional.of(advice.advice(step, context.nowNanos())) : Optional.empty();
     List<List<TaskProgress>> groups =
         PlacementGroups.of(
             step,
@@ -189,7 +168,7 @@
               rank(step.job()),
               accepted,
               timing,
-              permitted,
+              known,
               queue.maxAttempts(),
               StartRequirement.ANY,
               Avoidance.NONE));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
@@ -18,12 +17,6 @@
 /** The plan of one pool while it is made. */
 final class PlanPass {
 
-  /**
-   * How long other work waits for a placement near its data, in multiples of its estimated
-   * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
-   */
-  private static final int NEARNESS_WAIT_DURATIONS = 8;
-
   /**
    * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
    * without waiting for others to stop.
@@ -42,13 +35,6 @@
    */
   private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
 
-  /**
-   * Work that has waited this long in an idle pool may also start away from its data. The time
-   * exceeds the duration of most jobs, since a start elsewhere after a shorter wait would still end
-   * later than one near the data.
-   */
-  private static final long IDLE_NEARNESS_WAIT_NANOS = Duration.ofSeconds(12).toNanos();
-
   /**
    * How long a step with one attempt left waits for runs to end well somewhere if there is no
    * proven executor at all. Most runs take less than this time.
@@ -69,15 +55,15 @@
   private final List<Planner.Preemption> stops = new ArrayList<>();
   private final List<WaitingStep> deferred = new ArrayList<>();
   private final List<Planner.HeldBack> heldBack = new ArrayList<>();
+  private final AdviceNeeds adviceNeeds = new AdviceNeeds();
 
   private final PlannedUsage usage;
   private final NearlyLateUse nearlyLateUse;
   private final Preemptor preemptor;
-  private final RunForecast forecast;
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
   private final SchedulingStatistics statistics;
-  private final long guaranteedNearnessWaitNanos;
+  private final NearnessWait nearness;
   private final boolean suspectsPresent;
   private final long nowNanos;
 
@@ -98,13 +84,12 @@
     this.usage = usage;
     this.nearlyLateUse = nearlyLateUse;
     this.preemptor = preemptor;
-    this.forecast = forecast;
     this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
     this.statistics = statistics;
-    this.guaranteedNearnessWaitNanos = guaranteedNearnessWaitNanos;
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
+    this.nearness = new NearnessWait(available, total, forecast, guaranteedNearnessWaitNanos);
     this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
@@ -126,8 +111,11 @@
   }
 
   void planStep(WaitingStep unrestricted) {
-    WaitingStep waiting = withRequirement(withAvoidance(unrestricted));
-    limited = reservations.limit(waiting) && !idleFor(waiting, IDLE_WAIT_NANOS);
+    // Where a step has to run must not depend on which tickets it happens to have.
+    WaitingStep waiting =
+        withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
+            .advised(unrestricted.advice());
+    limited = reservations.limit(waiting) && !nearness.idleFor(waiting, IDLE_WAIT_NANOS);
     if (waiting.step().spec().gang()) {
       planGang(waiting);
     } else {
@@ -150,7 +138,7 @@
   /** Adds how reliable the executors of a step must be. */
   private WaitingStep withRequirement(WaitingStep waiting) {
     StartReliability reliability = statistics.reliability();
-    if (!reliability.enabled() || firstStartIsDue(waiting)) {
+    if (!reliability.enabled() || nearness.firstStartIsDue(waiting)) {
       return waiting;
     }
     StartRequirement requirement =
@@ -172,17 +160,22 @@
     }
     List<TaskPlacement> placements =
         open()
-            .firstGroup(waiting, nearOnly(waiting))
+            .firstGroup(waiting, nearness.nearOnly(waiting))
             .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
             .orElse(List.of());
     placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
     placements.forEach(this::start);
     reservations.waitingAhead(waiting, waiting.tasks().size() - placements.size());
-    boolean incomplete = placements.size() < waiting.tasks().size();
-    if (incomplete && waiting.urgent()) {
-      // Evaluated again: these starts may have filled a fleet that was idle before, and only an
-      // idle fleet has capacity to spare for starts away from the data.
-      waitOrPreempt(waiting.withoutFirst(placements.size()), nearOnly(waiting));
+    WaitingStep left = waiting.withoutFirst(placements.size());
+    if (left.tasks().isEmpty() || (!left.urgent() && left.advice().isEmpty())) {
+      return;
+    }
+    // Evaluated again: these starts may have filled a fleet that was idle before, and only an
+    // idle fleet has capacity to spare for starts away from the data.
+    boolean nearOnly = nearness.nearOnly(waiting);
+    int allowed = allowedStarts - placements.size();
+    if (!adviceNeeds.addTasks(left, allowed, open(), nearOnly) && waiting.urgent()) {
+      waitOrPreempt(left, nearOnly);
     }
   }
 
@@ -197,7 +190,7 @@
       blocked(waiting);
       return;
     }
-    boolean nearOnly = nearOnly(waiting);
+    boolean nearOnly = nearness.nearOnly(waiting);
     Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
     if (now.isPresent()) {
       Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
@@ -209,14 +202,30 @@
       }
       return;
     }
-    if (!waitOrPreempt(waiting, nearOnly)) {
+    if (lacksOnlyTickets(waiting, nearOnly) || !waitOrPreempt(waiting, nearOnly)) {
       blocked(waiting);
     }
   }
 
+  /** Tells whether a gang would start if it had tickets, which are requested then. */
+  private boolean lacksOnlyTickets(WaitingStep gang, boolean nearOnly) {
+    if (gang.advice().isEmpty()) {
+      return false;
+    }
+    WaitingStep anticipating = gang.anticipatingAdvice();
+    Optional<List<TaskPlacement>> now = placeInTightestGroup(anticipating, open(), nearOnly);
+    now.ifPresent(found -> adviceNeeds.addAll(anticipating, found, open(), nearOnly));
+    return now.isPresent();
+  }
+
+  /**
+   * Reserves capacity for a gang that does not start. Advice is anticipated, since tickets are
+   * requested only once the gang fits.
+   */
   private void blocked(WaitingStep waiting) {
     if (reservations.mayReserve(waiting)) {
-      reservations.reserveLater(waiting, nearOnly(waiting), keptFree(waiting));
+      reservations.reserveLater(
+          waiting.anticipatingAdvice(), nearness.nearOnly(waiting), keptFree(waiting));
     }
   }
 
@@ -231,28 +240,39 @@
    * @return whether the step has capacity then
    */
   private boolean waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
+    Optional<Preemptor.Selection> selection = makeRoom(waiting, nearOnly);
+    if (selection.isPresent()) {
+      preemptor.markApplied(selection.get());
+      selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
+      selection.get().placements().forEach(this::reserve);
+    }
+    WaitingStep anticipating = waiting.anticipatingAdvice();
+    if (waiting.advice().isPresent()) {
+      selection
+          .or(() -> makeRoom(anticipating, nearOnly))
+          .ifPresent(room -> adviceNeeds.addAll(anticipating, room.placements(), total, nearOnly));
+    }
+    return selection.isPresent();
+  }
+
+  /**
+   * Finds where a step can start after runs have ended that are being stopped, or that the step may
+   * preempt.
+   */
+  private Optional<Preemptor.Selection> makeRoom(WaitingStep waiting, boolean nearOnly) {
     if (!waiting.step().job().accepted()) {
-      return false;
+      return Optional.empty();
     }
     FleetCapacity later = limited ? reservations.expected() : expected;
     Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, later, nearOnly);
     if (afterStops.isPresent()) {
-      afterStops.get().forEach(this::reserve);
-      return true;
-    }
-    if (!waiting.urgent() && !waiting.nearlyLate()) {
-      return false;
+      return Optional.of(new Preemptor.Selection(List.of(), 0, afterStops.get()));
     }
-    if (waitsForReliability(waiting, nearOnly)) {
-      return false;
-    }
-    Optional<Preemptor.Selection> selection = preemptor.choose(waiting, later, nearOnly);
-    if (selection.isPresent()) {
-      preemptor.markApplied(selection.get());
-      selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
-      selection.get().placements().forEach(this::reserve);
+    boolean mayPreempt = waiting.urgent() || waiting.nearlyLate();
+    if (!mayPreempt || waitsForReliability(waiting, nearOnly)) {
+      return Optional.empty();
     }
-    return selection.isPresent();
+    return preemptor.choose(waiting, later, nearOnly);
   }
 
   /**
@@ -277,7 +297,7 @@
     if (waiting.urgent() || accelerators == 0) {
       return Integer.MAX_VALUE;
     }
-    if (idleFor(waiting, IDLE_WAIT_NANOS)) {
+    if (nearness.idleFor(waiting, IDLE_WAIT_NANOS)) {
       return Integer.MAX_VALUE;
     }
     int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
@@ -301,42 +321,6 @@
         * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
   }
 
-  /** Tells whether a step has waited for some time although more than half of the pool is free. */
-  private boolean idleFor(WaitingStep waiting, long nanos) {
-    return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total);
-  }
-
-  /**
-   * Tells whether a step has to start near its data: this is possible, and it has not waited for
-   * long.
-   */
-  private boolean nearOnly(WaitingStep waiting) {
-    if (mayStartAnywhere(waiting)) {
-      return false;
-    }
-    WaitingStep soon = waiting.requiring(waiting.requirement().expectedSoon());
-    return total.tightestGroup(soon, waiting.startsTogether(), true).isPresent();
-  }
-
-  /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
-  private boolean firstStartIsDue(WaitingStep waiting) {
-    boolean firstStart = waiting.rank().guaranteed() && !waiting.step().job().begun();
-    return firstStart && waiting.timing().waitedNanos() > guaranteedNearnessWaitNanos;
-  }
-
-  private boolean mayStartAnywhere(WaitingStep waiting) {
-    if (idleFor(waiting, IDLE_NEARNESS_WAIT_NANOS)) {
-      return true;
-    }
-    StepTiming timing = waiting.timing();
-    if (firstStartIsDue(waiting)) {
-      return true;
-    }
-    long estimate = TimeUnit.MILLISECONDS.toNanos(waiting.step().spec().estimateMillis());
-    double duration = estimate * forecast.expectedRatio(waiting);
-    return timing.queuedNanos() > duration * NEARNESS_WAIT_DURATIONS;
-  }
-
   /**
    * Places all tasks in the group with the least capacity to spare into which they fit; executors
    * that are less reliable are used only if they do not fit elsewhere.
@@ -381,6 +365,7 @@
    * @param considered the steps in the order in which they were planned
    */
   Planner.Plan plan(List<PlanOrder.Considered> considered) {
-    return new Planner.Plan(starts, stops, deferred, considered, reservations.made(), heldBack);
+    return new Planner.Plan(
+        starts, stops, deferred, considered, reservations.made(), heldBack, adviceNeeds.all());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.fescuehook.logic.batch.advice.AdviceNeed;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
@@ -74,6 +75,7 @@
    * @param considered the steps in the order in which use let them be considered
    * @param reservations capacity that is reserved for gangs that do not fit yet
    * @param heldBack steps that do not start since capacity stays free for urgent work
+   * @param adviceNeeds tickets that steps lack to start or to preempt, in the order of planning
    */
   public record Plan(
       List<TaskPlacement> starts,
@@ -81,7 +83,8 @@
       List<WaitingStep> deferred,
       List<PlanOrder.Considered> considered,
       List<Reservation> reservations,
-      List<HeldBack> heldBack) {
+      List<HeldBack> heldBack,
+      List<AdviceNeed> adviceNeeds) {
 
     /** Copies the lists. */
     public Plan {
@@ -91,6 +94,7 @@
       considered = List.copyOf(considered);
       reservations = List.copyOf(reservations);
       heldBack = List.copyOf(heldBack);
+      adviceNeeds = List.copyOf(adviceNeeds);
     }
 
     private static Plan join(List<Plan> plans) {
@@ -103,7 +107,8 @@
           plans.stream().flatMap(plan -> plan.deferred().stream()).toList(),
           plans.stream().flatMap(plan -> plan.considered().stream()).toList(),
           plans.stream().flatMap(plan -> plan.reservations().stream()).toList(),
-          plans.stream().flatMap(plan -> plan.heldBack().stream()).toList());
+          plans.stream().flatMap(plan -> plan.heldBack().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.adviceNeeds().stream()).toList());
     }
 
     /** Returns the steps of which tasks start. */
@@ -113,7 +118,7 @@
 
     /** The plan while nothing waits. */
     static final Plan EMPTY =
-        new Plan(List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+        new Plan(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -3,7 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
+import org.fescuehook.logic.batch.advice.StepAdvice;
 import org.fescuehook.logic.batch.state.StepProgress;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.OrganisationUsage;
@@ -19,7 +19,7 @@
  * @param rank its precedence
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing its waiting times and objective
- * @param permitted the executors that may run it according to external advice; absent if any may
+ * @param advice which executors it may use according to external advice; absent if any
  * @param maxAttempts failures of a task after which its job fails, as its queue is declared now
  * @param requirement how reliable its executors must be
  * @param avoidance the executors that it avoids because of failures
@@ -31,7 +31,7 @@
     Rank rank,
     long acceptedMillis,
     StepTiming timing,
-    Optional<Set<Incarnation>> permitted,
+    Optional<StepAdvice> advice,
     int maxAttempts,
     StartRequirement requirement,
     Avoidance avoidance) {
@@ -68,7 +68,7 @@
       Rank rank,
       long acceptedMillis,
       StepTiming timing,
-      Optional<Set<Incarnation>> permitted) {
+      Optional<StepAdvice> advice) {
     this(
         step,
         tasks,
@@ -76,7 +76,7 @@
         rank,
         acceptedMillis,
         timing,
-        permitted,
+        advice,
         step.job().job().queue().maxAttempts(),
         StartRequirement.ANY,
         Avoidance.NONE);
@@ -120,21 +120,37 @@
 
   /** Returns the same step without the first tasks, which have been placed. */
   public WaitingStep withoutFirst(int placed) {
-    return with(tasks.subList(placed, tasks.size()), requirement, avoidance);
+    return with(tasks.subList(placed, tasks.size()), advice, requirement, avoidance);
   }
 
   /** Returns the same step with another requirement on the reliability of its executors. */
   WaitingStep requiring(StartRequirement other) {
-    return with(tasks, other, avoidance);
+    return with(tasks, advice, other, avoidance);
   }
 
   /** Returns the same step with other executors to avoid. */
   WaitingStep avoiding(Avoidance other) {
-    return with(tasks, requirement, other);
+    return with(tasks, advice, requirement, other);
+  }
+
+  /**
+   * Returns the same step as if it had tickets for all executors but those that external advice
+   * forbids.
+   */
+  WaitingStep anticipatingAdvice() {
+    return advised(advice.map(known -> new StepAdvice.Anticipated(known.forbidden())));
+  }
+
+  /** Returns the same step with other advice. */
+  WaitingStep advised(Optional<StepAdvice> other) {
+    return other.equals(advice) ? this : with(tasks, other, requirement, avoidance);
   }
 
   private WaitingStep with(
-      List<TaskProgress> newTasks, StartRequirement newRequirement, Avoidance newAvoidance) {
+      List<TaskProgress> newTasks,
+      Optional<StepAdvice> newAdvice,
+      StartRequirement newRequirement,
+      Avoidance newAvoidance) {
     return new WaitingStep(
         step,
         newTasks,
@@ -142,7 +158,7 @@
         rank,
         acceptedMillis,
         timing,
-        permitted,
+        newAdvice,
         maxAttempts,
         newRequirement,
         newAvoidance);
@@ -169,7 +185,7 @@
 
   /** Tells whether external advice permits an executor to run the step. */
   public boolean permits(Incarnation executor) {
-    return permitted.map(executors -> executors.contains(executor)).orElse(true);
+    return advice.map(known -> known.permits(executor)).orElse(true);
   }
 
   /** Returns the estimated work of the waiting tasks, in seconds of one core. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -13,8 +13,6 @@
   /** The executor adapter's time limit for a poll that does not wait for news. */
   private static final long EXCHANGE_TIMEOUT_MILLIS = 350;
 
-  private static final long ADVICE_MILLIS = 60;
-
   /** Number of orders sent to each executor. */
   final Map<ExecutorId, Integer> sent = new HashMap<>();
 
@@ -112,7 +110,8 @@
   }
 
   void askAdvice(BatchCluster.Vm vm, BatchCommand.AskAdvice question) {
-    cluster.in(
-        ADVICE_MILLIS, () -> vm.deliver(cluster.work.advice.ended(question, cluster.nowMillis())));
+    FakeAdvice advice = cluster.work.advice;
+    FakeAdvice.CallEnd end = advice.call(vm.id, question.executors().size(), cluster.nowMillis());
+    cluster.in(end.atMillis() - cluster.nowMillis(), () -> vm.deliver(advice.ended(question, end)));
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
@@ -5,15 +5,44 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.model.batch.TaskName;
 import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.fleet.VmId;
 
-/** A fake advice service, which also tells executors whether a ticket is valid. */
+/**
+ * A fake advice service, which also tells executors whether a ticket is valid. It handles the calls
+ * of each VM one after another, also those that the VM no longer waits for.
+ */
 final class FakeAdvice {
 
-  static final long VALID_MILLIS = 2000;
+  /** Longest that a caller waits for an answer. */
+  static final long CALLER_LIMIT_MILLIS = 5000;
+
+  private static final int MAX_WAITING = 32;
+
+  private final Map<VmId, Long> busyUntil = new HashMap<>();
+  private final List<Long> ends = new ArrayList<>();
+  private Timing timing = new Timing(60, 0, 2000);
+
+  /**
+   * How long calls take.
+   *
+   * @param decisionMillis duration of a call
+   * @param periodMillis additional duration for each executor named
+   * @param validMillis how long tickets are valid from the answer on
+   */
+  record Timing(long decisionMillis, long periodMillis, long validMillis) {}
+
+  /**
+   * The end of a call as its caller sees it.
+   *
+   * @param atMillis when it ends
+   * @param answeredMillis when the service answered it; empty if the caller gets no answer
+   */
+  record CallEnd(long atMillis, OptionalLong answeredMillis, String failure) {}
 
   private final Map<String, Long> tickets = new HashMap<>();
   private final List<BatchCommand.AskAdvice> questions = new ArrayList<>();
@@ -29,12 +58,35 @@
     unavailable = isUnavailable;
   }
 
+  void setTiming(Timing newTiming) {
+    timing = newTiming;
+  }
+
+  /** Returns when and how a call ends that arrives now. */
+  CallEnd call(VmId caller, int executors, long nowMillis) {
+    ends.removeIf(end -> end <= nowMillis);
+    if (ends.size() > MAX_WAITING) {
+      return new CallEnd(nowMillis + 1, OptionalLong.empty(), "status 429");
+    }
+    long begin = Math.max(nowMillis, busyUntil.getOrDefault(caller, 0L));
+    long end = begin + timing.decisionMillis() + timing.periodMillis() * executors;
+    busyUntil.put(caller, end);
+    ends.add(end);
+    return end - nowMillis > CALLER_LIMIT_MILLIS
+        ? new CallEnd(nowMillis + CALLER_LIMIT_MILLIS, OptionalLong.empty(), "timeout")
+        : new CallEnd(end, OptionalLong.of(end), "");
+  }
+
   List<BatchCommand.AskAdvice> questions() {
     return questions;
   }
 
-  BatchEvent ended(BatchCommand.AskAdvice question, long nowMillis) {
-    return new BatchEvent.AdviceEnded(question.number(), answer(question, nowMillis));
+  BatchEvent ended(BatchCommand.AskAdvice question, CallEnd end) {
+    return new BatchEvent.AdviceEnded(
+        question.number(),
+        end.answeredMillis().isEmpty()
+            ? new AdviceOutcome.Unavailable(end.failure())
+            : answer(question, end.answeredMillis().getAsLong()));
   }
 
   private AdviceOutcome answer(BatchCommand.AskAdvice question, long nowMillis) {
@@ -46,11 +98,11 @@
     for (ExecutorId executor : question.executors()) {
       if (allowed.filter(executors -> !executors.contains(executor)).isEmpty()) {
         String ticket = question.step() + "@" + executor.value() + "@" + nowMillis;
-        tickets.put(ticket, nowMillis + VALID_MILLIS);
+        tickets.put(ticket, nowMillis + timing.validMillis());
         given.put(executor, ticket);
       }
     }
-    return new AdviceOutcome.Given(given, VALID_MILLIS);
+    return new AdviceOutcome.Given(given, timing.validMillis());
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -35,6 +35,9 @@
   /** A queue whose steps run only where the advice service allows them to. */
   static final String ADVISED = "advised";
 
+  /** The same with priority 0. */
+  static final String ADVISED_URGENT = "advised-urgent";
+
   static final String POOL = "pool";
 
   /** Capacity of an executor as the users run them. */
@@ -81,6 +84,7 @@
     queues.put(URGENT, new JobQueue(URGENT, POOL, 0, 4, 1.5, 250, false, false));
     queues.put(NORMAL, new JobQueue(NORMAL, POOL, 1, 3, 3, 1000, false, false));
     queues.put(BULK, new JobQueue(BULK, POOL, 2, 2, 3, 3000, false, false));
+    queues.put(ADVISED_URGENT, new JobQueue(ADVISED_URGENT, POOL, 0, 3, 1.5, 250, false, true));
     queues.put(ADVISED, new JobQueue(ADVISED, POOL, 1, 3, 3, 1000, false, true));
     return new BatchConfiguration(
         1, queues, List.of(new BatchOrganisation("north", Set.of(KEY), 24)));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/DividedSteps.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/DividedSteps.java
@@ -83,6 +83,6 @@
         step.rank(),
         step.acceptedMillis(),
         step.timing(),
-        step.permitted());
+        step.advice());
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.plan;
 
+import static java.util.stream.Collectors.toSet;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.net.InetSocketAddress;
@@ -15,6 +16,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.fescuehook.logic.batch.advice.StepAdvice;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.executor.OrderBaseline;
 import org.fescuehook.logic.batch.state.ActiveJob;
@@ -173,12 +175,20 @@
               random.nextInt(30) * second,
               random.nextInt(9) * second,
               random.nextInt(9) * second);
-      Optional<Set<Incarnation>> permitted =
+      // The reference planner knows no tickets that can still be requested.
+      Optional<StepAdvice> advice =
           random.nextInt(8) == 0
-              ? Optional.of(Set.of(incarnation("e0"), incarnation("e3")))
+              ? Optional.of(adviceOnAll(Set.of(incarnation("e0"), incarnation("e3"))))
               : Optional.empty();
       return new WaitingStep(
-          step, step.waiting(), "pool", ranks.get(step), random.nextInt(9), timing, permitted);
+          step, step.waiting(), "pool", ranks.get(step), random.nextInt(9), timing, advice);
+    }
+
+    private StepAdvice adviceOnAll(Set<Incarnation> permitted) {
+      Set<Incarnation> forbidden =
+          executors.stream().map(ExecutorState::incarnation).collect(toSet());
+      forbidden.removeAll(permitted);
+      return new StepAdvice.Ticketed(permitted, forbidden);
     }
   }
 
@@ -224,7 +234,7 @@
         step.rank(),
         step.acceptedMillis(),
         step.timing(),
-        step.permitted());
+        step.advice());
   }
 
   /** Tasks suspected of crashing executors are planned one by one, beside the others. */
