--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
 import org.fescuehook.model.batch.TaskName;
@@ -26,6 +27,9 @@
   private final Map<VmId, Long> busyUntil = new HashMap<>();
   private final List<Long> ends = new ArrayList<>();
   private Timing timing = new Timing(60, 0, 2000);
+  private Random random = new Random(0);
+  private double refused;
+  private double lost;
 
   /**
    * How long calls take.
@@ -62,17 +66,30 @@
     timing = newTiming;
   }
 
+  /**
+   * Lets calls fail from now on.
+   *
+   * @param refusedRate probability that a call is refused at once
+   * @param lostRate probability that the answer to a call is lost
+   */
+  void setFailures(Random source, double refusedRate, double lostRate) {
+    random = source;
+    refused = refusedRate;
+    lost = lostRate;
+  }
+
   /** Returns when and how a call ends that arrives now. */
   CallEnd call(VmId caller, int executors, long nowMillis) {
     ends.removeIf(end -> end <= nowMillis);
-    if (ends.size() > MAX_WAITING) {
+    if (ends.size() > MAX_WAITING || (refused > 0 && random.nextDouble() < refused)) {
       return new CallEnd(nowMillis + 1, OptionalLong.empty(), "status 429");
     }
     long begin = Math.max(nowMillis, busyUntil.getOrDefault(caller, 0L));
     long end = begin + timing.decisionMillis() + timing.periodMillis() * executors;
     busyUntil.put(caller, end);
     ends.add(end);
-    return end - nowMillis > CALLER_LIMIT_MILLIS
+    boolean unanswered = lost > 0 && random.nextDouble() < lost;
+    return unanswered || end - nowMillis > CALLER_LIMIT_MILLIS
         ? new CallEnd(nowMillis + CALLER_LIMIT_MILLIS, OptionalLong.empty(), "timeout")
         : new CallEnd(end, OptionalLong.of(end), "");
   }
