--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceCache.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceCache.java
@@ -158,6 +158,7 @@
   /** Returns the executors to name in a call; none if no ticket is missing. */
   private List<Incarnation> executors(AdviceNeed need, long nowNanos) {
     StepProgress step = need.step();
+    // A ticket that expires during the call would be missing after it.
     List<Incarnation> lacking =
         need.intended().stream()
             .filter(executor -> leftNanos(step, executor, nowNanos) <= callNanos)
@@ -236,6 +237,7 @@
     context.count("fescuehook.batch.advice", "outcome", "given");
   }
 
+  /** Accounts for the time of a call, and adapts the size of later calls to it. */
   private void ended(Request request, boolean answered, BatchContext context) {
     long nanos = context.nowNanos() - request.sentAtNanos();
     turns.served(request.step(), Math.max(nanos, RETRY_NANOS));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/AdviceNeeds.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/AdviceNeeds.java
@@ -12,7 +12,7 @@
   private final List<AdviceNeed> needs = new ArrayList<>();
 
   /**
-   * Adds the tickets that tasks lack which would start with them, each task by itself.
+   * Adds the tickets with which tasks would start now, each of them independently of the others.
    *
    * @param waiting the step with the tasks that do not start yet
    * @param allowed largest number of tasks that may start
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/AdviceHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/AdviceHistoriesTest.java
@@ -69,8 +69,7 @@
     advice.setFailures(cluster.random, 0, 0);
     // Each job may need two calls, beside as many about others.
     long callMillis = timing.decisionMillis() + timing.periodMillis() * EXECUTORS;
-    cluster.run(
-        FakeAdvice.CALLER_LIMIT_MILLIS + (MAX_RUN_MILLIS + 4 * callMillis) * jobs.size());
+    cluster.run(FakeAdvice.CALLER_LIMIT_MILLIS + (MAX_RUN_MILLIS + 4 * callMillis) * jobs.size());
     for (String job : jobs) {
       if (cluster.submissions.get(job) instanceof CallAnswer.Accepted) {
         assertEquals(
