Steps for a label and notes of missing tickets have one place each

Reading the change to advice requests once more found: - four tests built the placement rule for a label by hand; Jobs.labelled serves them, FailedOnEveryExecutorTest among them; - each plan copied the refusals of every step that needs advice, and its valid tickets twice; the refusals are an unmodifiable set now that an answer replaces, and the tickets are collected once; - NearnessWait also tells whether the pool has been idle and whether a guaranteed start is due, so it is called PlacementWaits; - a method that was named like a query noted tickets as well.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceCache.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/advice/AdviceCache.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch.advice;
 
+import static java.util.stream.Collectors.toUnmodifiableSet;
+
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
@@ -72,7 +74,9 @@
 
   /** What is known about one step. */
   private static final class StepKnowledge {
-    private final Set<Incarnation> forbidden = new HashSet<>();
+    /** Unmodifiable, as each plan takes it over. */
+    private Set<Incarnation> forbidden = Set.of();
+
     private final Map<Incarnation, Ticket> tickets = new HashMap<>();
   }
 
@@ -93,13 +97,11 @@
     if (knowledge == null) {
       return new StepAdvice.Ticketed(Set.of(), Set.of());
     }
-    Set<Incarnation> permitted = new HashSet<>();
-    knowledge.tickets.forEach(
-        (executor, ticket) -> {
-          if (leftNanos(ticket, nowNanos) > 0) {
-            permitted.add(executor);
-          }
-        });
+    Set<Incarnation> permitted =
+        knowledge.tickets.entrySet().stream()
+            .filter(entry -> leftNanos(entry.getValue(), nowNanos) > 0)
+            .map(Map.Entry::getKey)
+            .collect(toUnmodifiableSet());
     return new StepAdvice.Ticketed(permitted, knowledge.forbidden);
   }
 
@@ -219,14 +221,16 @@
     callNanos = context.nowNanos() - request.sentAtNanos();
     StepKnowledge knowledge = steps.computeIfAbsent(request.step(), step -> new StepKnowledge());
     long valid = Duration.ofMillis(given.validMillis()).toNanos() - TICKET_MARGIN_NANOS;
+    Set<Incarnation> forbidden = new HashSet<>(knowledge.forbidden);
     for (Incarnation executor : request.executors()) {
       String ticket = given.tickets().get(executor.id());
       if (ticket == null) {
-        knowledge.forbidden.add(executor);
+        forbidden.add(executor);
       } else {
         knowledge.tickets.put(executor, new Ticket(ticket, context.nowNanos() + valid));
       }
     }
+    knowledge.forbidden = Set.copyOf(forbidden);
     context.note(
         BatchLogEvent.ADVICE_GIVEN,
         request.step().name(),
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/NearnessWait.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlacementWaits.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
-/** Decides for how long the steps of a pool wait for a placement near their data. */
-final class NearnessWait {
+/** Decides for how long the steps of a pool wait for a good placement before they take another. */
+final class PlacementWaits {
 
   /**
    * How long other work waits for a placement near its data, in multiples of its estimated
@@ -31,7 +31,7 @@
    * @param total the whole capacity of the pool
    * @param guaranteedWaitNanos how long guaranteed work waits before its first start
    */
-  NearnessWait(
+  PlacementWaits(
       FleetCapacity available,
       FleetCapacity total,
       RunForecast forecast,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -63,7 +63,7 @@
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
   private final SchedulingStatistics statistics;
-  private final NearnessWait nearness;
+  private final PlacementWaits waits;
   private final boolean suspectsPresent;
   private final long nowNanos;
 
@@ -89,7 +89,7 @@
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
-    this.nearness = new NearnessWait(available, total, forecast, guaranteedNearnessWaitNanos);
+    this.waits = new PlacementWaits(available, total, forecast, guaranteedNearnessWaitNanos);
     this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
@@ -115,7 +115,7 @@
     WaitingStep waiting =
         withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
             .advised(unrestricted.advice());
-    limited = reservations.limit(waiting) && !nearness.idleFor(waiting, IDLE_WAIT_NANOS);
+    limited = reservations.limit(waiting) && !waits.idleFor(waiting, IDLE_WAIT_NANOS);
     if (waiting.step().spec().gang()) {
       planGang(waiting);
     } else {
@@ -138,7 +138,7 @@
   /** Adds how reliable the executors of a step must be. */
   private WaitingStep withRequirement(WaitingStep waiting) {
     StartReliability reliability = statistics.reliability();
-    if (!reliability.enabled() || nearness.firstStartIsDue(waiting)) {
+    if (!reliability.enabled() || waits.firstStartIsDue(waiting)) {
       return waiting;
     }
     StartRequirement requirement =
@@ -160,7 +160,7 @@
     }
     List<TaskPlacement> placements =
         open()
-            .firstGroup(waiting, nearness.nearOnly(waiting))
+            .firstGroup(waiting, waits.nearOnly(waiting))
             .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
             .orElse(List.of());
     placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
@@ -172,7 +172,7 @@
     }
     // Evaluated again: these starts may have filled a fleet that was idle before, and only an
     // idle fleet has capacity to spare for starts away from the data.
-    boolean nearOnly = nearness.nearOnly(waiting);
+    boolean nearOnly = waits.nearOnly(waiting);
     int allowed = allowedStarts - placements.size();
     if (!adviceNeeds.addTasks(left, allowed, open(), nearOnly) && waiting.urgent()) {
       waitOrPreempt(left, nearOnly);
@@ -190,7 +190,7 @@
       blocked(waiting);
       return;
     }
-    boolean nearOnly = nearness.nearOnly(waiting);
+    boolean nearOnly = waits.nearOnly(waiting);
     Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
     if (now.isPresent()) {
       Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
@@ -202,13 +202,17 @@
       }
       return;
     }
-    if (lacksOnlyTickets(waiting, nearOnly) || !waitOrPreempt(waiting, nearOnly)) {
+    if (needTicketsToStart(waiting, nearOnly) || !waitOrPreempt(waiting, nearOnly)) {
       blocked(waiting);
     }
   }
 
-  /** Tells whether a gang would start if it had tickets, which are requested then. */
-  private boolean lacksOnlyTickets(WaitingStep gang, boolean nearOnly) {
+  /**
+   * Notes the tickets with which a gang would start now.
+   *
+   * @return whether there is capacity that only tickets bar from the gang
+   */
+  private boolean needTicketsToStart(WaitingStep gang, boolean nearOnly) {
     if (gang.advice().isEmpty()) {
       return false;
     }
@@ -225,7 +229,7 @@
   private void blocked(WaitingStep waiting) {
     if (reservations.mayReserve(waiting)) {
       reservations.reserveLater(
-          waiting.anticipatingAdvice(), nearness.nearOnly(waiting), keptFree(waiting));
+          waiting.anticipatingAdvice(), waits.nearOnly(waiting), keptFree(waiting));
     }
   }
 
@@ -246,8 +250,8 @@
       selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
       selection.get().placements().forEach(this::reserve);
     }
-    WaitingStep anticipating = waiting.anticipatingAdvice();
     if (waiting.advice().isPresent()) {
+      WaitingStep anticipating = waiting.anticipatingAdvice();
       selection
           .or(() -> makeRoom(anticipating, nearOnly))
           .ifPresent(room -> adviceNeeds.addAll(anticipating, room.placements(), total, nearOnly));
@@ -297,7 +301,7 @@
     if (waiting.urgent() || accelerators == 0) {
       return Integer.MAX_VALUE;
     }
-    if (nearness.idleFor(waiting, IDLE_WAIT_NANOS)) {
+    if (waits.idleFor(waiting, IDLE_WAIT_NANOS)) {
       return Integer.MAX_VALUE;
     }
     int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/WaitingStep.java
@@ -19,7 +19,7 @@
  * @param rank its precedence
  * @param acceptedMillis when its job was accepted, milliseconds since 1970
  * @param timing its waiting times and objective
- * @param advice which executors it may use according to external advice; absent if any
+ * @param advice which executors it may use according to external advice; absent if it needs none
  * @param maxAttempts failures of a task after which its job fails, as its queue is declared now
  * @param requirement how reliable its executors must be
  * @param avoidance the executors that it avoids because of failures
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/AdviceHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/AdviceHistoriesTest.java
@@ -53,7 +53,13 @@
     faults.add(hopeless + " steps that no executor suits");
     for (int i = 0; i < hopeless; i++) {
       long at = cluster.random.nextInt((int) SUBMISSION_MILLIS);
-      cluster.in(at, () -> submit(cluster, TestFixtures.ADVISED_URGENT, unsuited()));
+      cluster.in(
+          at,
+          () ->
+              submit(
+                  cluster,
+                  TestFixtures.ADVISED_URGENT,
+                  Jobs.labelled(Jobs.tasks(1, 1, 1000), "missing")));
     }
     List<String> jobs = new ArrayList<>();
     for (long at = 1000; at < SUBMISSION_MILLIS; at += 1000 + cluster.random.nextInt(3000)) {
@@ -100,10 +106,4 @@
         ? Optional.empty()
         : Optional.of(cluster.submit(queue, Jobs.of(step)));
   }
-
-  private static BatchStep unsuited() {
-    return Jobs.placed(
-        Jobs.tasks(1, 1, 1000),
-        new BatchStep.PlacementRule(false, Optional.of("missing"), Optional.empty(), 0));
-  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/AdvisedWorkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/AdvisedWorkTest.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fescuehook.logic.batch.call.CallAnswer;
-import org.fescuehook.model.batch.BatchStep;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.junit.jupiter.api.Test;
@@ -81,15 +80,11 @@
     cluster.work.advice.setTiming(new FakeAdvice.Timing(500, 20, 3000));
     cluster.awaitOwner();
     for (int i = 0; i < 6; i++) {
-      cluster.submit(TestFixtures.ADVISED_URGENT, Jobs.of(labelled(Jobs.tasks(1, 1, 1000))));
+      cluster.submit(
+          TestFixtures.ADVISED_URGENT, Jobs.of(Jobs.labelled(Jobs.tasks(1, 1, 1000), "missing")));
     }
     cluster.run(2000);
     String job = submit(2, 1000);
     awaitCompleted(job, 3000);
   }
-
-  private static BatchStep labelled(BatchStep step) {
-    return Jobs.placed(
-        step, new BatchStep.PlacementRule(false, Optional.of("missing"), Optional.empty(), 0));
-  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FailedOnEveryExecutorTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FailedOnEveryExecutorTest.java
@@ -50,8 +50,7 @@
   }
 
   private static BatchStep inRack(BatchStep step) {
-    return Jobs.placed(
-        step, new BatchStep.PlacementRule(false, Optional.of(RACK), Optional.empty(), 0));
+    return Jobs.labelled(step, RACK);
   }
 
   private static void fail(BatchCluster cluster, List<ExecutorId> executors) {
@@ -82,10 +81,8 @@
     cluster.addExecutor("alone", "alone");
     cluster.run(500);
     fail(cluster, List.of(new ExecutorId("alone")));
-    BatchStep.PlacementRule alone =
-        new BatchStep.PlacementRule(false, Optional.of("alone"), Optional.empty(), 0);
     String job =
-        cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.placed(Jobs.tasks(1, 1, 1000), alone)));
+        cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.labelled(Jobs.tasks(1, 1, 1000), "alone")));
     assertCompletes(cluster, job);
     assertEquals(2, cluster.work.starts().size());
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeAdvice.java
@@ -26,6 +26,10 @@
 
   private final Map<VmId, Long> busyUntil = new HashMap<>();
   private final List<Long> ends = new ArrayList<>();
+  private final Map<String, Long> tickets = new HashMap<>();
+  private final List<BatchCommand.AskAdvice> questions = new ArrayList<>();
+  private Optional<Set<ExecutorId>> allowed = Optional.empty();
+  private boolean unavailable;
   private Timing timing = new Timing(60, 0, 2000);
   private Random random = new Random(0);
   private double refused;
@@ -45,14 +49,10 @@
    *
    * @param atMillis when it ends
    * @param answeredMillis when the service answered it; empty if the caller gets no answer
+   * @param failure why the caller gets no answer
    */
   record CallEnd(long atMillis, OptionalLong answeredMillis, String failure) {}
 
-  private final Map<String, Long> tickets = new HashMap<>();
-  private final List<BatchCommand.AskAdvice> questions = new ArrayList<>();
-  private Optional<Set<ExecutorId>> allowed = Optional.empty();
-  private boolean unavailable;
-
   /** Restricts steps of queues that need advice to these executors from now on. */
   void allowOnly(Set<ExecutorId> executors) {
     allowed = Optional.of(executors);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/Jobs.java
@@ -68,6 +68,12 @@
         step.longRunning());
   }
 
+  /** Returns the same step for executors with a label only. */
+  static BatchStep labelled(BatchStep step, String label) {
+    return placed(
+        step, new BatchStep.PlacementRule(false, Optional.of(label), Optional.empty(), 0));
+  }
+
   /** Returns the same step with a limit on the number of its tasks on one executor. */
   static BatchStep limited(BatchStep step, int maxPerExecutor) {
     return placed(
