--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -17,6 +17,7 @@
 import org.fescuehook.net.duty.DutyRing;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.ExecutorProbe;
 import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
@@ -45,6 +46,7 @@
   private final BatchCore core;
   private final PlatformStore store;
   private final ExecutorClient executors;
+  private final ExecutorProbe probe;
   private final AdviceClient advice;
   private final MachineClient machines;
   private final MeterRegistry meters;
@@ -56,6 +58,7 @@
       BatchCore core,
       PlatformStore store,
       ExecutorClient executors,
+      ExecutorProbe probe,
       AdviceClient advice,
       MachineClient machines,
       MeterRegistry meters,
@@ -63,6 +66,7 @@
     this.core = core;
     this.store = store;
     this.executors = executors;
+    this.probe = probe;
     this.advice = advice;
     this.machines = machines;
     this.meters = meters;
@@ -131,6 +135,7 @@
       case BatchCommand.LoadState load -> store.loadState(load);
       case BatchCommand.FollowExecutors(boolean following) -> follow(following);
       case BatchCommand.Order order -> executors.send(order);
+      case BatchCommand.ProbeExecutors request -> probe.probe(request);
       case BatchCommand.AskAdvice question -> advice.ask(question);
       case BatchCommand.ListMachines request -> machines.list(request);
       case BatchCommand.BeginMaintenance call -> machines.begin(call);
--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -32,6 +32,7 @@
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.CallerEdge;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.ExecutorProbe;
 import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.slf4j.Logger;
@@ -124,6 +125,10 @@
         new ExecutorClient(
             loop,
             (id, number, outcome) -> ring.publish(new BatchEvent.OrderEnded(id, number, outcome)));
+    ExecutorProbe probe =
+        new ExecutorProbe(
+            loop,
+            (number, reached) -> ring.publish(new BatchEvent.ExecutorsProbed(number, reached)));
     AdviceClient advice =
         new AdviceClient(
             loop,
@@ -144,7 +149,7 @@
             ring::publish);
     BatchCore core = new BatchCore(self, preferences.batch());
     this.decisions =
-        new BatchDuty(core, store, executors, advice, machines, meters, gateway::update);
+        new BatchDuty(core, store, executors, probe, advice, machines, meters, gateway::update);
   }
 
   private CallGateway gateway(EventLoop loop) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,19 @@
    */
   record AskAdvice(long number, String step, List<ExecutorId> executors) implements BatchCommand {}
 
+  /**
+   * Tries to connect to executors; the outcome is reported as {@link BatchEvent.ExecutorsProbed}.
+   *
+   * @param number number of the probe, rising
+   */
+  record ProbeExecutors(long number, List<InetSocketAddress> addresses) implements BatchCommand {
+
+    /** Copies the list. */
+    public ProbeExecutors {
+      addresses = List.copyOf(addresses);
+    }
+  }
+
   /**
    * Reads the list of machines; the outcome is reported as {@link BatchEvent.MachinesListed} or
    * {@link BatchEvent.MachinesUnreadable}.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -153,6 +153,8 @@
           owner.ifPresent(owning -> owning.orderEnded(id, number, outcome, context));
       case BatchEvent.AdviceEnded(long number, var outcome) ->
           owner.ifPresent(owning -> owning.advised(number, outcome, context));
+      case BatchEvent.ExecutorsProbed(long number, var reached) ->
+          ownership.probed(number, reached, context);
       case BatchEvent.WavesRead(var asked) -> {
         waves = asked;
         owner.ifPresent(owning -> owning.maintenance().ask(asked, context));
@@ -257,7 +259,7 @@
     // Without these this VM could not schedule, so it does not claim ownership either.
     boolean informed = configuration.isPresent() && evacuated.isPresent();
     if (informed || ownership.epoch().isPresent()) {
-      ownership.step(context);
+      ownership.step(() -> owner.flatMap(owning -> owning.reach(context)), context);
     }
     followOwnership(context);
     takeover.ifPresent(loading -> loading.step(context));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchEvent.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -117,6 +118,19 @@
   /** A request to the advice service ended, see {@link BatchCommand.AskAdvice}. */
   record AdviceEnded(long number, AdviceOutcome outcome) implements BatchEvent {}
 
+  /**
+   * A probe of executors ended, see {@link BatchCommand.ProbeExecutors}.
+   *
+   * @param reached addresses at which a connection could be opened
+   */
+  record ExecutorsProbed(long number, Set<InetSocketAddress> reached) implements BatchEvent {
+
+    /** Copies the set. */
+    public ExecutorsProbed {
+      reached = Set.copyOf(reached);
+    }
+  }
+
   /** The maintenance waves that operators ask for were read; they replace those known so far. */
   record WavesRead(List<MaintenanceWave> waves) implements BatchEvent {
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -171,6 +171,13 @@
   REFUSED_JOBS_FULL(
       8067,
       "More than {} refused jobs: the oldest of organisation {} count as new when they return"),
+  /** Connections of the owner to several executors time out; logged every 5 s. */
+  EXECUTORS_UNREACHABLE(
+      8068, "Connections to {} executors time out, {} others are reached; some of the former: {}"),
+  /** A VM has probed executors to find out whether it reaches more of them than the owner. */
+  REACH_COMPARED(
+      8069,
+      "Reaches {} of {} probed executors out of {} that the owner does not reach, and {} of {} out of {} that it reaches: {} than the owner"),
   /** Operators ask for a maintenance wave, or have changed it. */
   WAVE_ASKED(8070, "Maintenance wave {}: {} machines, at most {} away, due in {} ms, {} begun"),
   /** Operators have withdrawn a maintenance wave. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -20,8 +20,10 @@
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
+import org.fescuehook.logic.batch.executor.ReachMonitor;
 import org.fescuehook.logic.batch.executor.RunListener;
 import org.fescuehook.logic.batch.maintenance.MaintenanceDuty;
+import org.fescuehook.logic.batch.ownership.ReachReport;
 import org.fescuehook.logic.batch.ownership.StoreReachability;
 import org.fescuehook.logic.batch.plan.PlanDuty;
 import org.fescuehook.logic.batch.state.JobLifecycle;
@@ -70,6 +72,7 @@
   private final SchedulingStatistics statistics;
   private final Admission admission;
   private final ExecutorDuty executors;
+  private final ReachMonitor reach;
   private final JobLifecycle jobs;
   private final AdviceCache advice;
   private final PlanDuty plans;
@@ -107,6 +110,7 @@
             this,
             statistics,
             context);
+    this.reach = new ReachMonitor(executors.registry());
     this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration, context);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
@@ -146,6 +150,11 @@
     return fenced;
   }
 
+  /** Returns which executors this VM reaches; empty if it reaches nearly all. */
+  Optional<ReachReport> reach(BatchContext context) {
+    return reach.report(context);
+  }
+
   /** Returns the maintenance of machines. */
   MaintenanceDuty maintenance() {
     return maintenance;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/AnswerStatistics.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/AnswerStatistics.java
@@ -104,6 +104,8 @@
     } else if (outcome instanceof OrderOutcome.Unanswered) {
       unanswered();
       orders.unanswered();
+    } else if (outcome instanceof OrderOutcome.NotSent(String _, boolean timedOut) && timedOut) {
+      orders.connectTimeouts().timedOut(context.nowNanos());
     }
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -39,8 +39,12 @@
   /** No answer arrived: the order may be carried out now, later or never. */
   record Unanswered(String reason) implements OrderOutcome {}
 
-  /** No connection could be opened for the order, so it is never carried out. */
-  record NotSent(String reason) implements OrderOutcome {}
+  /**
+   * No connection could be opened for the order, so it is never carried out.
+   *
+   * @param timedOut whether it was not refused either, so that the executor may be cut off
+   */
+  record NotSent(String reason, boolean timedOut) implements OrderOutcome {}
 
   /** Tells whether a readable answer arrived. */
   default boolean answered() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/UnansweredOrders.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/UnansweredOrders.java
@@ -3,6 +3,7 @@
 /** Counts the orders to one executor, polls among them, that were not answered in a row. */
 final class UnansweredOrders {
 
+  private final ConnectTimeouts connectTimeouts = new ConnectTimeouts();
   private int count;
 
   /** Returns how many orders were not answered since the last answer. */
@@ -10,9 +11,15 @@
     return count;
   }
 
+  /** Returns the connections for such orders that timed out. */
+  ConnectTimeouts connectTimeouts() {
+    return connectTimeouts;
+  }
+
   /** Records that an order was answered. */
   void answered() {
     count = 0;
+    connectTimeouts.answered();
   }
 
   /** Records that an order was not answered. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerCodec.java
@@ -1,8 +1,15 @@
 package org.fescuehook.logic.batch.ownership;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
+import org.fescuehook.logic.ini.Addresses;
+import org.fescuehook.logic.ini.MalformedValueException;
 import org.fescuehook.model.fleet.VmId;
+import org.fescuehook.wire.batch.ExecutorReach;
 import org.fescuehook.wire.batch.StoredOwner;
 
 /** Encodes and decodes {@link OwnerRecord} for the store. */
@@ -27,6 +34,7 @@
       case HEARTBEAT -> stored.setKind(StoredOwner.Kind.HEARTBEAT).setEpoch(record.epoch());
       case RELEASE -> stored.setKind(StoredOwner.Kind.RELEASE).setEpoch(record.epoch());
     }
+    record.reach().ifPresent(reach -> stored.setReach(encode(reach)));
     return stored.build().toByteArray();
   }
 
@@ -50,12 +58,51 @@
           epoch,
           offset,
           stored.getMilliCores(),
-          stored.getLastAppendMillis());
+          stored.getLastAppendMillis(),
+          stored.hasReach() ? Optional.of(decode(stored.getReach())) : Optional.empty());
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       throw new UnreadableRecordException("owner record at offset " + offset, e);
     }
   }
 
+  private static ExecutorReach encode(ReachReport report) {
+    return ExecutorReach.newBuilder()
+        .setUnreachable(report.unreachable())
+        .setReachable(report.reachable())
+        .addAllUnreachableAddresses(formatted(report.unreachableSample()))
+        .addAllReachableAddresses(formatted(report.reachableSample()))
+        .build();
+  }
+
+  private static List<String> formatted(List<InetSocketAddress> addresses) {
+    return addresses.stream().map(Addresses::format).toList();
+  }
+
+  private static ReachReport decode(ExecutorReach stored) {
+    return new ReachReport(
+        stored.getUnreachable(),
+        stored.getReachable(),
+        parsed(stored.getUnreachableAddressesList()),
+        parsed(stored.getReachableAddressesList()));
+  }
+
+  private static List<InetSocketAddress> parsed(List<String> addresses) {
+    List<InetSocketAddress> parsed = new ArrayList<>(addresses.size());
+    for (String address : addresses) {
+      parse(address).ifPresent(parsed::add);
+    }
+    return parsed;
+  }
+
+  /** Parses an address; a malformed one must not hide the heartbeat that contains it. */
+  private static Optional<InetSocketAddress> parse(String address) {
+    try {
+      return Optional.of(Addresses.fromPort(1).reader().read(address));
+    } catch (MalformedValueException e) {
+      return Optional.empty();
+    }
+  }
+
   private static OwnerRecord.Kind kind(StoredOwner.Kind stored) {
     return switch (stored) {
       case CLAIM -> OwnerRecord.Kind.CLAIM;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnerRecord.java
@@ -1,5 +1,6 @@
 package org.fescuehook.logic.batch.ownership;
 
+import java.util.Optional;
 import org.fescuehook.model.fleet.VmId;
 
 /**
@@ -14,6 +15,7 @@
  * @param milliCores processing power of the VM, in thousandths of a core; 0 if unknown
  * @param lastAppendMillis how long the VM's append before this one took until the store confirmed
  *     it, in milliseconds rounded up; 0 if unknown
+ * @param reach which executors the owner reaches; empty if it reaches nearly all
  */
 public record OwnerRecord(
     Kind kind,
@@ -23,7 +25,8 @@
     long epoch,
     long offset,
     int milliCores,
-    int lastAppendMillis) {
+    int lastAppendMillis,
+    Optional<ReachReport> reach) {
 
   /** The statement of a record. */
   public enum Kind {
@@ -48,7 +51,8 @@
         hint.epoch(),
         offset,
         ProcessingPower.UNKNOWN,
-        0);
+        0,
+        Optional.empty());
   }
 
   /** Tells whether the given incarnation of a VM wrote the record. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -1,9 +1,12 @@
 package org.fescuehook.logic.batch.ownership;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Supplier;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
@@ -25,21 +28,6 @@
   /** Pause before a claim or heartbeat that was not stored is repeated. */
   private static final long RETRY_PAUSE_NANOS = Duration.ofMillis(100).toNanos();
 
-  /**
-   * Delay after which a VM that is much weaker than the former owner claims, to let stronger VMs
-   * claim first; all VMs notice a silence within about 0.4 s of each other.
-   */
-  private static final long WEAKER_VM_DELAY_NANOS = Duration.ofMillis(500).toNanos();
-
-  /**
-   * How long a VM that could not complete a take-over claims only if no other VM does; the cause,
-   * such as a slow network link, rarely passes sooner.
-   */
-  private static final long YIELD_PERIOD_NANOS = Duration.ofSeconds(60).toNanos();
-
-  /** Delay of such a claim; longer than that of any other VM, so that each claims first. */
-  private static final long YIELD_DELAY_NANOS = Duration.ofMillis(2000).toNanos();
-
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Offset of an owner reported by a peer before any record was read. */
@@ -55,6 +43,8 @@
 
   private final OwnershipTimeouts timeouts = new OwnershipTimeouts();
   private final OwnerSilence silence = new OwnerSilence(timeouts);
+  private final ReachComparison reach;
+  private final ClaimRule claimRule;
   private Optional<OwnerRecord> newest = Optional.empty();
   private OptionalLong end = OptionalLong.empty();
   private OptionalLong epoch = OptionalLong.empty();
@@ -81,11 +71,12 @@
 
   private boolean retired;
   private boolean yielding;
-  private OptionalLong yieldedAt = OptionalLong.empty();
 
   /** Creates the duty of a VM that has not read anything. */
   public OwnershipDuty(OwnerIdentity self) {
     this.self = self;
+    this.reach = new ReachComparison(self);
+    this.claimRule = new ClaimRule(self, timeouts, silence);
     this.claimSequence = Integer.toUnsignedLong((self.vm() + self.incarnation()).hashCode());
   }
 
@@ -136,6 +127,7 @@
     boolean changed = newest.isEmpty() || newest.get().epoch() != seen.epoch();
     newest = record;
     silence.recordRead(seen, !changed, context);
+    reach.ownerSeen(seen, context);
     if (changed) {
       context.note(BatchLogEvent.OWNER_SEEN, seen.vm(), seen.epoch(), seen.kind());
     }
@@ -188,15 +180,32 @@
     }
   }
 
-  /** Sends a claim or a heartbeat if one is due. */
+  /** Handles the outcome of a probe of executors. */
+  public void probed(long number, Set<InetSocketAddress> reached, BatchContext context) {
+    reach.probed(number, reached, context);
+  }
+
+  /** Sends a claim or a heartbeat if one is due, by a VM without executors. */
   public void step(BatchContext context) {
+    step(Optional::empty, context);
+  }
+
+  /**
+   * Sends a claim, a heartbeat or a probe of executors if one is due.
+   *
+   * @param ownReach which executors this VM reaches as the owner, for its heartbeat
+   */
+  public void step(Supplier<Optional<ReachReport>> ownReach, BatchContext context) {
+    if (epoch.isEmpty() && !retired && readable) {
+      reach.step(context);
+    }
     if (appending.isPending(context) || context.nowNanos() - nextAppendAt < 0) {
       return;
     }
     if (epoch.isPresent()) {
       OwnerRecord.Kind wanted =
           retired || yielding ? OwnerRecord.Kind.RELEASE : OwnerRecord.Kind.HEARTBEAT;
-      append(unconfirmed.orElse(wanted), OptionalLong.empty(), context);
+      append(unconfirmed.orElse(wanted), OptionalLong.empty(), ownReach.get(), context);
       return;
     }
     if (!retired && end.isPresent() && mayClaim(context)) {
@@ -214,47 +223,32 @@
             .filter(owner -> !owner.vm().equals(self.vm()))
             .filter(owner -> !ProcessingPower.muchStronger(self.milliCores(), owner.milliCores()))
             .isPresent();
-    if (epoch.isPresent() || !another) {
+    if (epoch.isPresent() || !another || reach.wanted()) {
       return Duration.ZERO;
     }
     return OwnershipTimeouts.minTimeToClaim(silence.nanos(nowNanos));
   }
 
   private boolean mayClaim(BatchContext context) {
-    if (newest.isEmpty()) {
-      return true;
-    }
-    OwnerRecord owner = newest.get();
-    boolean ownPreviousIncarnation = owner.vm().equals(self.vm()) && !bySelf(owner);
-    boolean yielded =
-        yieldedAt.isPresent() && context.nowNanos() - yieldedAt.getAsLong() < YIELD_PERIOD_NANOS;
-    boolean takesOver =
-        readable && ProcessingPower.muchStronger(self.milliCores(), owner.milliCores());
-    if (ownPreviousIncarnation || (takesOver && !yielded)) {
-      return true;
-    }
-    boolean released = owner.kind() == OwnerRecord.Kind.RELEASE;
-    boolean muchWeaker = ProcessingPower.muchStronger(owner.milliCores(), self.milliCores());
-    long delay =
-        (released ? 0 : silence.timeoutNanos(context))
-            + (muchWeaker ? WEAKER_VM_DELAY_NANOS : 0)
-            + (yielded ? YIELD_DELAY_NANOS : 0);
-    return delay == 0
-        || (silence.nanos(context.nowNanos()) > delay && !timeouts.readOverdue(context));
+    return newest.isEmpty() || claimRule.mayClaim(newest.get(), readable, context);
   }
 
   private void claim(BatchContext context) {
     silence.noteClaim(context);
     sequence = claimSequence;
     clearUnconfirmed();
-    append(OwnerRecord.Kind.CLAIM, end, context);
+    append(OwnerRecord.Kind.CLAIM, end, Optional.empty(), context);
   }
 
   private int lastAppendMillis() {
     return Math.clamp(Math.ceilDiv(confirmationNanos, NANOS_PER_MILLI), 0, Integer.MAX_VALUE);
   }
 
-  private void append(OwnerRecord.Kind kind, OptionalLong expectedEnd, BatchContext context) {
+  private void append(
+      OwnerRecord.Kind kind,
+      OptionalLong expectedEnd,
+      Optional<ReachReport> ownReach,
+      BatchContext context) {
     appending.begin(context);
     lastSentAt = context.nowNanos();
     if (unconfirmed.isEmpty()) {
@@ -273,7 +267,8 @@
             appendEpoch,
             0,
             self.milliCores(),
-            lastAppendMillis());
+            lastAppendMillis(),
+            ownReach);
     KeyedRecord keyed = new KeyedRecord(OwnerCodec.KEY, Optional.of(OwnerCodec.encode(record)));
     context.add(
         new BatchCommand.Append(
@@ -356,7 +351,7 @@
     context.note(BatchLogEvent.OWNERSHIP_LOST, epoch.orElse(0), cause);
     if (yielding) {
       yielding = false;
-      yieldedAt = OptionalLong.of(context.nowNanos());
+      claimRule.yielded(context);
     }
     clearUnconfirmed();
     epoch = OptionalLong.empty();
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorMessages.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeoutException;
 import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.executor.OrderOutcome.ActiveRun;
@@ -92,11 +94,16 @@
       case HttpResult.Failed(Throwable cause, boolean maybeSent) ->
           maybeSent
               ? new OrderOutcome.Unanswered(String.valueOf(cause.getMessage()))
-              : new OrderOutcome.NotSent(String.valueOf(cause.getMessage()));
+              : new OrderOutcome.NotSent(String.valueOf(cause.getMessage()), timedOut(cause));
       case HttpResult.Answered answered -> decode(order, answered);
     };
   }
 
+  /** Tells whether a connection was neither opened nor refused, so that the host may be cut off. */
+  private static boolean timedOut(Throwable cause) {
+    return cause instanceof ConnectTimeoutException || cause instanceof TimeoutException;
+  }
+
   private static OrderOutcome decode(ExecutorOrder order, HttpResult.Answered answer) {
     try {
       return switch (answer.status()) {
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/FailingCommandTest.java
@@ -26,6 +26,7 @@
 import org.fescuehook.model.preferences.WorkPreferences;
 import org.fescuehook.platform.AdviceClient;
 import org.fescuehook.platform.ExecutorClient;
+import org.fescuehook.platform.ExecutorProbe;
 import org.fescuehook.platform.MachineClient;
 import org.fescuehook.platform.PlatformStore;
 import org.junit.jupiter.api.AfterEach;
@@ -67,6 +68,7 @@
         new BatchCore(new OwnerIdentity(new VmId("vm-1"), "s", "10.0.0.1:7000", 1000), batch),
         new PlatformStore(loop, closedPort, event -> {}, routes -> {}, new ConfigurationAge()),
         new ExecutorClient(loop, (id, number, outcome) -> {}),
+        new ExecutorProbe(loop, (number, reached) -> {}),
         new AdviceClient(loop, Optional.empty(), (number, outcome) -> {}),
         new MachineClient(loop, Optional.empty(), "vm-1/s", 1, event -> {}),
         new FailingRegistry(),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -258,6 +258,7 @@
       case BatchCommand.LoadState load -> load(vm, load.epoch());
       case BatchCommand.FollowExecutors(boolean following) -> listing.follow(vm, following);
       case BatchCommand.Order order -> orders.send(vm, order);
+      case BatchCommand.ProbeExecutors probe -> orders.probe(vm, probe);
       case BatchCommand.AskAdvice question -> orders.askAdvice(vm, question);
       case BatchCommand.ListMachines request -> machines.list(vm, request);
       case BatchCommand.BeginMaintenance begin -> machines.begin(vm, begin);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterFaults.java
@@ -1,7 +1,9 @@
 package org.fescuehook.logic.batch;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -68,6 +70,12 @@
   /** Executors that neither receive nor answer orders. */
   final Set<ExecutorId> silent = new HashSet<>();
 
+  /** Executors from which some VMs are cut off. */
+  final Map<VmId, Set<ExecutorId>> cutFromExecutors = new HashMap<>();
+
+  /** Probability that a connection from a VM to an executor that it is cut off from times out. */
+  double cutLossRate = 1;
+
   /** Probability that an order is delivered late and its sender sees a timeout. */
   double lateOrderRate;
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -1,9 +1,11 @@
 package org.fescuehook.logic.batch;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.model.fleet.ExecutorId;
 
@@ -16,6 +18,9 @@
   /** Executors whose answer to a poll has reached an owner. */
   final Set<ExecutorId> reached = new HashSet<>();
 
+  private static final long CONNECT_TIMEOUT_MILLIS = 400;
+  private static final int PROBE_CONNECTIONS = 3;
+
   private final BatchCluster cluster;
   private int starts;
 
@@ -50,7 +55,13 @@
       return;
     }
     if (cluster.crashes.refusesConnections(id) || (start && faults.startsRefused)) {
-      cluster.in(1, () -> ended(vm, command, new OrderOutcome.NotSent("refused")));
+      cluster.in(1, () -> ended(vm, command, new OrderOutcome.NotSent("refused", false)));
+      return;
+    }
+    if (!connects(vm, id)) {
+      cluster.in(
+          Math.min(CONNECT_TIMEOUT_MILLIS, command.timeout().toMillis()),
+          () -> ended(vm, command, new OrderOutcome.NotSent("connection timed out", true)));
       return;
     }
     boolean reachable = cluster.executors.containsKey(id) && !faults.silent.contains(id);
@@ -107,6 +118,32 @@
     vm.deliver(new BatchEvent.OrderEnded(command.executor().id(), command.number(), outcome));
   }
 
+  /** Tells whether a connection of a VM to an executor opens, which may be a matter of chance. */
+  private boolean connects(BatchCluster.Vm vm, ExecutorId id) {
+    boolean cut = cluster.faults.cutFromExecutors.getOrDefault(vm.id, Set.of()).contains(id);
+    return !cut || cluster.random.nextDouble() >= cluster.faults.cutLossRate;
+  }
+
+  /** Tells whether each of several connections opens, as a probe requires. */
+  private boolean connectsRepeatedly(BatchCluster.Vm vm, ExecutorId id) {
+    return IntStream.range(0, PROBE_CONNECTIONS).allMatch(connection -> connects(vm, id));
+  }
+
+  void probe(BatchCluster.Vm vm, BatchCommand.ProbeExecutors probe) {
+    Set<InetSocketAddress> reached = new HashSet<>();
+    for (FakeExecutor executor : cluster.executors.values()) {
+      ExecutorId id = executor.profile().id();
+      InetSocketAddress address = executor.profile().address();
+      boolean open = executor.up() && !cluster.faults.silent.contains(id);
+      if (probe.addresses().contains(address) && open && connectsRepeatedly(vm, id)) {
+        reached.add(address);
+      }
+    }
+    cluster.in(
+        CONNECT_TIMEOUT_MILLIS,
+        () -> vm.deliver(new BatchEvent.ExecutorsProbed(probe.number(), reached)));
+  }
+
   void askAdvice(BatchCluster.Vm vm, BatchCommand.AskAdvice question) {
     FakeAdvice advice = cluster.work.advice;
     FakeAdvice.CallEnd end = advice.call(vm.id, question.executors().size(), cluster.nowMillis());
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/StalePageTest.java
@@ -51,7 +51,15 @@
 
   private static OwnerRecord claimOfWeakVm() {
     return new OwnerRecord(
-        OwnerRecord.Kind.CLAIM, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 5, 4, 250, 0);
+        OwnerRecord.Kind.CLAIM,
+        new VmId("vm-2"),
+        "start-1",
+        "10.0.0.2:7000",
+        5,
+        4,
+        250,
+        0,
+        Optional.empty());
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ownership/OwnershipDutyTest.java
@@ -42,7 +42,15 @@
       OwnershipDuty duty, long millis, OwnerRecord.Kind kind, long offset, int milliCores) {
     OwnerRecord record =
         new OwnerRecord(
-            kind, new VmId("vm-2"), "start-1", "10.0.0.2:7000", 1, offset, milliCores, 0);
+            kind,
+            new VmId("vm-2"),
+            "start-1",
+            "10.0.0.2:7000",
+            1,
+            offset,
+            milliCores,
+            0,
+            Optional.empty());
     duty.read(Optional.of(record), offset + 1, at(millis));
   }
 
@@ -57,7 +65,8 @@
             1,
             offset,
             USUAL_MILLI_CORES,
-            lastAppendMillis);
+            lastAppendMillis,
+            Optional.empty());
     duty.read(Optional.of(record), offset + 1, at(millis));
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/platform/ExecutorMessagesTest.java
@@ -5,11 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ConnectTimeoutException;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeoutException;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fescuehook.logic.batch.BatchCommand.ExecutorOrder;
@@ -155,7 +157,20 @@
   @Test
   void anOrderWithoutAConnectionCountsAsNotSent() {
     assertEquals(
-        new OrderOutcome.NotSent("refused"),
+        new OrderOutcome.NotSent("refused", false),
         ExecutorMessages.decode(POLL, new HttpResult.Failed(new IOException("refused"), false)));
   }
+
+  /** A refused connection shows that the host is reached; one that times out does not. */
+  @Test
+  void aConnectionThatTimesOutIsToldFromARefusedOne() {
+    assertEquals(
+        new OrderOutcome.NotSent("timed out", true),
+        ExecutorMessages.decode(
+            POLL, new HttpResult.Failed(new ConnectTimeoutException("timed out"), false)));
+    assertEquals(
+        new OrderOutcome.NotSent("no answer", true),
+        ExecutorMessages.decode(
+            POLL, new HttpResult.Failed(new TimeoutException("no answer"), false)));
+  }
 }
