--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CountingLogAppender.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/CountingLogAppender.java
@@ -8,12 +8,14 @@
 import ch.qos.logback.core.UnsynchronizedAppenderBase;
 import ch.qos.logback.core.spi.AppenderAttachable;
 import ch.qos.logback.core.spi.AppenderAttachableImpl;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 import org.fescuehook.logic.event.EventLog;
 import org.slf4j.event.KeyValuePair;
 
@@ -38,13 +40,21 @@
    */
   private static final long FLUSH_TIMEOUT_MILLIS = 300;
 
+  /** Time after the flush timeout in which the lines that are still queued can be reported. */
+  private static final long REPORT_TIMEOUT_MILLIS = 100;
+
   private static final int DEFAULT_QUEUE_SIZE = 1024;
 
   private final AppenderAttachableImpl<ILoggingEvent> outputs = new AppenderAttachableImpl<>();
   private final AtomicReference<DroppedLines> unreported = new AtomicReference<>(DroppedLines.NONE);
   private final Thread writer = new Thread(this::writeAll, "log-writer");
+  private final LongSupplier nanoTime;
   private int queueSize = DEFAULT_QUEUE_SIZE;
   private BlockingQueue<ILoggingEvent> queue = new ArrayBlockingQueue<>(1);
+
+  /** Monotonic time; published by {@link #stopping}. */
+  private long flushUntil;
+
   private volatile boolean stopping;
 
   /** Confined to the writer thread. */
@@ -52,6 +62,16 @@
 
   /** Creates an appender whose properties Logback sets afterwards. */
   public CountingLogAppender() {
+    this(System::nanoTime);
+  }
+
+  /**
+   * Creates an appender that takes the time from a clock.
+   *
+   * @param nanoTime monotonic time in nanoseconds
+   */
+  CountingLogAppender(LongSupplier nanoTime) {
+    this.nanoTime = nanoTime;
     writer.setDaemon(true);
   }
 
@@ -75,17 +95,21 @@
     writer.start();
   }
 
-  /** Writes the queued lines, as far as standard output accepts them within the flush timeout. */
+  /**
+   * Writes the queued lines, as far as standard output accepts them within the flush timeout. The
+   * others count as dropped.
+   */
   @Override
   public void stop() {
     if (!isStarted()) {
       return;
     }
     super.stop();
+    flushUntil = nanoTime.getAsLong() + Duration.ofMillis(FLUSH_TIMEOUT_MILLIS).toNanos();
     stopping = true;
     writer.interrupt();
     try {
-      writer.join(FLUSH_TIMEOUT_MILLIS);
+      writer.join(FLUSH_TIMEOUT_MILLIS + REPORT_TIMEOUT_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -121,7 +145,11 @@
       // Interrupted by stop(): the queued lines are written below, and the thread ends.
     }
     for (ILoggingEvent event = queue.poll(); event != null; event = queue.poll()) {
-      write(event);
+      if (nanoTime.getAsLong() - flushUntil < 0) {
+        write(event);
+      } else {
+        drop(event);
+      }
     }
     DroppedLines lost = unreported.getAndSet(DroppedLines.NONE);
     if (!lost.isEmpty()) {
--- a/fescuehook/src/test/java/org/fescuehook/entry/scheduler/LogUnderLoadTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/entry/scheduler/LogUnderLoadTest.java
@@ -155,13 +155,23 @@
     return numbers;
   }
 
-  private void unblockAndStop() {
+  /**
+   * Unblocks the pipe and stops the log once all lines are written: lines are written in order, and
+   * the report of the loss comes after all others. The stop itself writes only for a limited time.
+   */
+  private void unblockAndStop() throws InterruptedException {
     pipe.unblock();
+    awaitReport();
     context.stop();
   }
 
+  private void awaitReport() throws InterruptedException {
+    assertTrue(
+        pipe.reported.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "no report of dropped lines");
+  }
+
   @Test
-  void manyAnsweredCallsDropNoDecision() {
+  void manyAnsweredCallsDropNoDecision() throws InterruptedException {
     logMany(this::callAnswered);
     jobEnded("a");
     unblockAndStop();
@@ -170,7 +180,7 @@
   }
 
   @Test
-  void aLineForEachExecutorAfterATakeOverDropsNoDecision() {
+  void aLineForEachExecutorAfterATakeOverDropsNoDecision() throws InterruptedException {
     logMany(() -> EventLog.info(logger, BatchLogEvent.EXECUTOR_REACHED, "e", 0, 0, 0));
     jobEnded("a");
     unblockAndStop();
@@ -178,7 +188,7 @@
   }
 
   @Test
-  void droppedDecisionsAreCounted() {
+  void droppedDecisionsAreCounted() throws InterruptedException {
     logMany(() -> jobEnded("a"));
     unblockAndStop();
     int kept = events(BatchLogEvent.JOB_ENDED.number()).size();
@@ -190,12 +200,12 @@
   void aLossIsReportedAsSoonAsTheQueueHasCapacity() throws InterruptedException {
     logMany(this::callAnswered);
     pipe.unblock();
-    assertTrue(
-        pipe.reported.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "no report of dropped lines");
+    awaitReport();
   }
 
   @Test
-  void gapsInSequenceNumbersMatchTheReportedLoss() throws JsonProcessingException {
+  void gapsInSequenceNumbersMatchTheReportedLoss()
+      throws JsonProcessingException, InterruptedException {
     logMany(this::callAnswered);
     unblockAndStop();
     TreeSet<Long> numbers = numbers();
@@ -207,7 +217,7 @@
   }
 
   @Test
-  void theReportCountsAllDroppedLines() {
+  void theReportCountsAllDroppedLines() throws InterruptedException {
     logMany(this::callAnswered);
     unblockAndStop();
     int kept = events(SchedulerEvent.CALL_ANSWERED.number()).size();
@@ -237,10 +247,13 @@
   }
 
   @Test
-  void noLossIsReportedIfNothingWasDropped() throws JsonProcessingException {
+  void noLossIsReportedIfNothingWasDropped() throws JsonProcessingException, InterruptedException {
     logger.atLevel(Level.WARN).log("without a number");
     jobEnded("a");
-    unblockAndStop();
+    pipe.unblock();
+    assertTrue(
+        pipe.written.tryAcquire(3, TIMEOUT_SECONDS, TimeUnit.SECONDS), "lines are not written");
+    context.stop();
     assertEquals(3, pipe.lines().size());
     assertEquals(List.of(1L, 2L, 3L), List.copyOf(numbers()));
   }
