--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -313,9 +313,9 @@
     if (!orders.ofThisEpoch(number)) {
       return false;
     }
-    if (outcome instanceof OrderOutcome.NotSent) {
-      orders.notSent(number);
-    }
+    orders
+        .neverBegun(number, outcome)
+        .ifPresent(run -> startOutcomes.stoppedUnbegun(run, outcome, context));
     Optional<LiveRun> run = orders.takeRun(number, outcome, context);
     poller.orderCompleted(number, outcome, context);
     Optional<ExecutorState> found = registry.find(id);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -111,15 +111,31 @@
   }
 
   /**
-   * Records that an order was not sent. If it was the start of a run that has been stopped
-   * meanwhile, and no earlier start may still arrive, then the run has never begun.
+   * Records the outcome of an order that may show that a run has never begun: its start is certain
+   * not to be carried out, no earlier start may still arrive, and it has been stopped meanwhile.
+   *
+   * @return the run that has never begun
    */
-  void notSent(long number) {
-    Optional.ofNullable(runOrders.get(number))
-        .filter(order -> order.stage() == Stage.STARTING)
-        .map(RunOrder::run)
-        .filter(run -> run.stage() == Stage.STOPPING && !run.startUncertain())
-        .ifPresent(LiveRun::startNeverArrived);
+  Optional<LiveRun> neverBegun(long number, OrderOutcome outcome) {
+    boolean mayBeCarriedOut =
+        switch (outcome) {
+          case OrderOutcome.NotSent _, OrderOutcome.Rejected _ -> false;
+          case OrderOutcome.Done _,
+              OrderOutcome.Polled _,
+              OrderOutcome.OtherIncarnation _,
+              OrderOutcome.Unanswered _ ->
+              true;
+        };
+    if (mayBeCarriedOut) {
+      return Optional.empty();
+    }
+    Optional<LiveRun> neverBegun =
+        Optional.ofNullable(runOrders.get(number))
+            .filter(order -> order.stage() == Stage.STARTING)
+            .map(RunOrder::run)
+            .filter(run -> run.stage() == Stage.STOPPING && !run.startUncertain());
+    neverBegun.ifPresent(LiveRun::startNeverArrived);
+    return neverBegun;
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.executor;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
@@ -99,12 +100,38 @@
     // None of its start orders was sent, so the task may start elsewhere before the lease has
     // expired.
     executor.backOff(UNREACHABLE_BACKOFF, "no connection to it can be opened", context);
+    neverSent(executor, run, reason, context);
+  }
+
+  private void neverSent(ExecutorState executor, LiveRun run, String reason, BatchContext context) {
     executor.remove(run);
     context.note(
         BatchLogEvent.RUN_LOST, run.run(), run.incarnation(), "its start was not sent: " + reason);
     listener.startNotSent(run, context);
   }
 
+  /**
+   * Handles a run that was stopped while its start was in flight, and has never begun. No stop of
+   * it needs to be confirmed.
+   */
+  void stoppedUnbegun(LiveRun run, OrderOutcome outcome, BatchContext context) {
+    Optional<ExecutorState> executor =
+        registry.find(run.executor()).filter(state -> state.run(run.run()).isPresent());
+    if (executor.isEmpty()) {
+      return;
+    }
+    switch (outcome) {
+      case OrderOutcome.NotSent(String reason, boolean _) ->
+          neverSent(executor.get(), run, reason, context);
+      case OrderOutcome.Rejected(Rejection rejection) ->
+          rejected(executor.get(), run, rejection, context);
+      case OrderOutcome.Done _,
+          OrderOutcome.Polled _,
+          OrderOutcome.OtherIncarnation _,
+          OrderOutcome.Unanswered _ -> {}
+    }
+  }
+
   private void rejected(
       ExecutorState executor, LiveRun run, Rejection rejection, BatchContext context) {
     context.count("fescuehook.batch.starts.rejected", "reason", tag(rejection));
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnsentStartTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnsentStartTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -60,6 +61,25 @@
     assertEquals(8, placements().stream().distinct().count());
   }
 
+  /**
+   * Guards against a gang that waits until a lease expires for a member whose start was never sent,
+   * because the member was stopped before the connection for its start timed out.
+   */
+  @Test
+  void aGangIsPlannedAgainOnceTheConnectionForTheStartOfAStoppedMemberTimesOut() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    ExecutorId cutOff = new ExecutorId("e1");
+    cluster.vms.keySet().forEach(vm -> cluster.faults.cutFromExecutors.put(vm, Set.of(cutOff)));
+    String job = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.gang(2, 8, 1000)));
+    cluster.run(100);
+    assertTrue(placements().contains(cutOff), () -> "placed on " + placements());
+    placements().stream()
+        .filter(executor -> !executor.equals(cutOff))
+        .forEach(executor -> cluster.leave(executor, 500));
+    cluster.runUntil("the end", 2500, () -> cluster.status(job).equals(COMPLETED));
+  }
+
   /** After three losses only two more runs are allowed; the executors of these starts are down. */
   @Test
   void aTaskThatLostThreeExecutorsIsNotGivenUpForStartsThatReachedNoExecutor() {
