--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/ClaimRule.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/ClaimRule.java
@@ -25,12 +25,15 @@
   private final OwnerIdentity self;
   private final OwnershipTimeouts timeouts;
   private final OwnerSilence silence;
+  private final ReachComparison reach;
   private OptionalLong yieldedAt = OptionalLong.empty();
 
-  ClaimRule(OwnerIdentity self, OwnershipTimeouts timeouts, OwnerSilence silence) {
+  ClaimRule(
+      OwnerIdentity self, OwnershipTimeouts timeouts, OwnerSilence silence, ReachComparison reach) {
     this.self = self;
     this.timeouts = timeouts;
     this.silence = silence;
+    this.reach = reach;
   }
 
   /** Records that this VM has given ownership up since it could not begin to decide. */
@@ -49,8 +52,8 @@
     boolean ownPreviousIncarnation = owner.vm().equals(self.vm()) && !bySelf;
     boolean yielded =
         yieldedAt.isPresent() && context.nowNanos() - yieldedAt.getAsLong() < YIELD_PERIOD_NANOS;
-    boolean takesOver =
-        readable && ProcessingPower.muchStronger(self.milliCores(), owner.milliCores());
+    boolean stronger = ProcessingPower.muchStronger(self.milliCores(), owner.milliCores());
+    boolean takesOver = readable && (stronger || reach.reachesMore(context.nowNanos()));
     if (ownPreviousIncarnation || (takesOver && !yielded)) {
       return true;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/ownership/OwnershipDuty.java
@@ -76,7 +76,7 @@
   public OwnershipDuty(OwnerIdentity self) {
     this.self = self;
     this.reach = new ReachComparison(self);
-    this.claimRule = new ClaimRule(self, timeouts, silence);
+    this.claimRule = new ClaimRule(self, timeouts, silence, reach);
     this.claimSequence = Integer.toUnsignedLong((self.vm() + self.incarnation()).hashCode());
   }
 
