--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -112,7 +112,7 @@
 
   /**
    * Records the outcome of an order that may show that a run has never begun: its start is certain
-   * not to be carried out, no earlier start may still arrive, and it has been stopped meanwhile.
+   * not to be carried out, no earlier start may have been, and it has been stopped meanwhile.
    *
    * @return the run that has never begun
    */
@@ -133,7 +133,7 @@
         Optional.ofNullable(runOrders.get(number))
             .filter(order -> order.stage() == Stage.STARTING)
             .map(RunOrder::run)
-            .filter(run -> run.stage() == Stage.STOPPING && !run.startUncertain());
+            .filter(run -> run.stage() == Stage.STOPPING && !run.mayHaveBegun());
     neverBegun.ifPresent(LiveRun::startNeverArrived);
     return neverBegun;
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/StartOutcomeHandler.java
@@ -97,13 +97,13 @@
       listener.startGivenUp(run, context);
       return;
     }
-    // None of its start orders was sent, so the task may start elsewhere before the lease has
-    // expired.
-    executor.backOff(UNREACHABLE_BACKOFF, "no connection to it can be opened", context);
     neverSent(executor, run, reason, context);
   }
 
   private void neverSent(ExecutorState executor, LiveRun run, String reason, BatchContext context) {
+    // None of its start orders was sent, so the task may start elsewhere before the lease has
+    // expired.
+    executor.backOff(UNREACHABLE_BACKOFF, "no connection to it can be opened", context);
     executor.remove(run);
     context.note(
         BatchLogEvent.RUN_LOST, run.run(), run.incarnation(), "its start was not sent: " + reason);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -27,6 +27,7 @@
   private final boolean inherited;
   private Stage stage;
   private boolean startUncertain;
+  private boolean mayHaveBegun;
   private boolean stopAcknowledged;
   private long stopAcknowledgedAt;
   private long stageSince;
@@ -233,6 +234,15 @@
   /** Records that a start was not answered and may still arrive at the executor. */
   public void startBecameUncertain() {
     startUncertain = true;
+    mayHaveBegun = true;
+  }
+
+  /**
+   * Returns whether a start of it may have been carried out. An acknowledged stop does not rule
+   * that out, unlike that it is carried out later.
+   */
+  public boolean mayHaveBegun() {
+    return mayHaveBegun || seenRunning();
   }
 
   /** Returns whether a start may still arrive at the executor. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
@@ -1,5 +1,7 @@
 package org.fescuehook.logic.batch;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.util.ArrayList;
 import java.util.List;
 import org.fescuehook.logic.batch.call.BatchCall;
@@ -51,11 +53,7 @@
   private void deliverStartOutcome(OrderOutcome outcome) {
     cluster.faults.dropped = ClusterFaults.NOTHING_DROPPED;
     cluster.faults.startsRefused = false;
-    BatchEvent.OrderEnded withheld = unsentStarts.getFirst();
-    cluster
-        .owner()
-        .orElseThrow()
-        .deliver(new BatchEvent.OrderEnded(withheld.executor(), withheld.number(), outcome));
+    deliver(unsentStarts.getFirst(), outcome);
   }
 
   private void assertStartsWithin(long millis, int accelerators) {
@@ -80,4 +78,45 @@
     cancelDuringStart(new OrderOutcome.Rejected(Rejection.NO_ROOM));
     assertStartsWithin(1000, 8);
   }
+
+  /**
+   * Guards against a task that runs twice, as a run that an earlier start has begun counts as never
+   * begun. Its stop was acknowledged, which shows only that no start begins it from then on.
+   */
+  @Test
+  void aRunThatAnEarlierStartMayHaveBegunIsNotOverWhenALaterStartIsNotSent() {
+    List<BatchEvent.OrderEnded> answeredStarts = new ArrayList<>();
+    cluster.faults.dropped =
+        (vm, event) -> {
+          boolean started =
+              event instanceof BatchEvent.OrderEnded ended
+                  && ended.outcome() instanceof OrderOutcome.Done;
+          if (started) {
+            answeredStarts.add((BatchEvent.OrderEnded) event);
+          }
+          return started || isPoll(event);
+        };
+    String job = submit(8, 60_000);
+    cluster.runUntil("the first start", 500, () -> answeredStarts.size() == 1);
+    deliver(answeredStarts.get(0), new OrderOutcome.Unanswered("timeout"));
+    cluster.runUntil("the second start", 500, () -> answeredStarts.size() == 2);
+    cluster.faults.dropped = (vm, event) -> isPoll(event);
+    cancel(job);
+    cluster.runUntil(
+        "the stop", 500, () -> !cluster.notes(BatchLogEvent.STOP_ORDER_ENDED).isEmpty());
+    deliver(answeredStarts.get(1), new OrderOutcome.NotSent("timeout", true));
+    cluster.run(100);
+    assertEquals(List.of(), cluster.notes(BatchLogEvent.RUN_LOST));
+  }
+
+  private static boolean isPoll(BatchEvent event) {
+    return event instanceof BatchEvent.OrderEnded ended
+        && ended.outcome() instanceof OrderOutcome.Polled;
+  }
+
+  private void deliver(BatchEvent.OrderEnded order, OrderOutcome outcome) {
+    BatchEvent.OrderEnded ended =
+        new BatchEvent.OrderEnded(order.executor(), order.number(), outcome);
+    cluster.owner().orElseThrow().deliver(ended);
+  }
 }
