--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -94,7 +94,7 @@
         planner.plan(
             waiting,
             usable,
-            UnreachableCapacity.among(executors.registry().all()),
+            UnreachableCapacity.inService(executors.registry().all()),
             run -> useless(run, context),
             context.nowNanos());
     fairShareLog.check(waiting, plan, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -152,13 +152,13 @@
   /**
    * Makes a plan.
    *
-   * @param unreachable executors in service that do not answer
+   * @param inService all executors in service
    * @param useless tells whether the result of a run will come too late to be of any use
    */
   Plan plan(
       Collection<WaitingStep> waiting,
       Collection<ExecutorState> executors,
-      Collection<ExecutorState> unreachable,
+      Collection<ExecutorState> inService,
       Predicate<LiveRun> useless,
       long nowNanos) {
     RunForecast forecast =
@@ -173,7 +173,7 @@
       PlanPass pass =
           new PlanPass(
               pool,
-              UnreachableCapacity.of(pool(name, unreachable)),
+              UnreachableCapacity.of(pool(name, inService), nowNanos),
               SpeedClasses.of(pool, statistics.speeds(), nowNanos),
               usage,
               nearlyLateUse,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnreachableCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnreachableCapacity.java
@@ -3,35 +3,52 @@
 import java.util.Collection;
 import java.util.List;
 import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.state.LiveRun.Stage;
 
 /**
- * Capacity of executors that are in service but do not answer. Users count what is idle there as
- * idle capacity.
+ * Capacity of executors in service that this owner cannot use at present, as they do not answer or
+ * it does not know what became of a run there. Users count what is idle there as idle capacity.
  *
- * @param accelerators their accelerators
- * @param freeAccelerators those that no known run occupies
- * @param milliCores their thousandths of a core
- * @param freeMilliCores those that no known run occupies
+ * @param accelerators accelerators of the executors that are not usable
+ * @param freeAccelerators those that no known run occupies, and those of runs that may not be alive
+ *     on any executor
+ * @param milliCores thousandths of a core of the executors that are not usable
+ * @param freeMilliCores those that no known run occupies, and those of runs that may not be alive
+ *     on any executor
  */
 record UnreachableCapacity(
     long accelerators, long freeAccelerators, long milliCores, long freeMilliCores) {
 
   static final UnreachableCapacity NONE = new UnreachableCapacity(0, 0, 0, 0);
 
-  static UnreachableCapacity of(Collection<ExecutorState> executors) {
+  static UnreachableCapacity of(Collection<ExecutorState> executors, long nowNanos) {
     long accelerators = 0;
     long freeAccelerators = 0;
     long milliCores = 0;
     long freeMilliCores = 0;
     for (ExecutorState executor : executors) {
-      accelerators += executor.profile().capacity().accelerators();
-      freeAccelerators += executor.free().accelerators();
-      milliCores += executor.profile().capacity().milliCores();
-      freeMilliCores += executor.free().milliCores();
+      if (!executor.usable(nowNanos)) {
+        accelerators += executor.profile().capacity().accelerators();
+        freeAccelerators += executor.free().accelerators();
+        milliCores += executor.profile().capacity().milliCores();
+        freeMilliCores += executor.free().milliCores();
+      }
+      for (LiveRun run : executor.runs()) {
+        if (inDoubt(run)) {
+          freeAccelerators += run.demand().accelerators();
+          freeMilliCores += run.demand().milliCores();
+        }
+      }
     }
     return new UnreachableCapacity(accelerators, freeAccelerators, milliCores, freeMilliCores);
   }
 
+  /** Tells whether a run may never have been alive. */
+  private static boolean inDoubt(LiveRun run) {
+    return !run.seenRunning() && (run.stage() == Stage.STOPPING || run.startUncertain());
+  }
+
   /**
    * Tells whether more than half of a pool is free, both in accelerators and in cores, if what its
    * usable executors have is as given.
@@ -45,10 +62,8 @@
         && 2 * (usableFreeMilliCores + freeMilliCores) > usableMilliCores + milliCores;
   }
 
-  /** Selects the executors that are in service but do not answer. */
-  static List<ExecutorState> among(Collection<ExecutorState> executors) {
-    return executors.stream()
-        .filter(executor -> executor.inService() && executor.silent())
-        .toList();
+  /** Selects the executors that are in service. */
+  static List<ExecutorState> inService(Collection<ExecutorState> executors) {
+    return executors.stream().filter(ExecutorState::inService).toList();
   }
 }
