--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -50,6 +50,23 @@
     }
   }
 
+  /**
+   * Some VMs are cut off from some executors, which other VMs reach: new connections time out, and
+   * open ones go silent.
+   *
+   * @param vms numbers of the VMs; the first one is 0
+   * @param executors numbers of the executors; the first one is 1
+   * @param lossPercent how much of what passes is lost; 100 for all
+   */
+  record CutExecutors(List<Integer> vms, List<Integer> executors, int lossPercent, long forMillis)
+      implements Fault {
+    /** Copies the lists. */
+    public CutExecutors {
+      vms = List.copyOf(vms);
+      executors = List.copyOf(executors);
+    }
+  }
+
   /** The advice service is disturbed. */
   record DisturbAdvice(AdviceMode mode, long forMillis) implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -118,6 +118,7 @@
       case SERVICES -> new FaultPlan(sizes).drawFew();
       case PLANNED -> PlannedWorkPlan.draw(sizes);
       case ODD_ENTRIES -> new FaultPlan(sizes).drawOddEntries();
+      case PARTIAL_PARTITION -> PartialPartitionPlan.draw(sizes);
     };
   }
 
@@ -157,7 +158,9 @@
     if (oddEntries.nextBoolean()) {
       addOddEntries(plan);
     }
-    plan.addAll(LateOrdersPlan.drawBesideFaults(sizes));
+    List<Fault.Timed> lateOrders = LateOrdersPlan.drawBesideFaults(sizes);
+    plan.addAll(lateOrders);
+    plan.addAll(PartialPartitionPlan.drawBesideFaults(sizes, !lateOrders.isEmpty()));
     plan.sort(Comparator.comparingLong(Fault.Timed::atMillis));
     return List.copyOf(plan);
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -24,6 +24,7 @@
   private final FleetTrouble fleetTrouble;
   private final MachineTrouble machineTrouble;
   private final AdviceTrouble adviceTrouble;
+  private final LinkTrouble linkTrouble;
   private final Runnable cancelAll;
   private final SoakLog log;
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -43,6 +44,7 @@
     this.fleetTrouble = new FleetTrouble(platform);
     this.machineTrouble = new MachineTrouble(platform);
     this.adviceTrouble = new AdviceTrouble(platform);
+    this.linkTrouble = new LinkTrouble(platform);
     this.cancelAll = cancelAll;
     this.log = log;
     vms.forEach(vm -> keepers.add(new VmKeeper(vm, timer, log, disruptions, selfEnded)));
@@ -118,6 +120,7 @@
       case Fault.LoseOrders lose -> loseOrders(lose);
       case Fault.DelayOrders delay -> delayOrders(delay);
       case Fault.DisturbAdvice disturb -> disturbAdvice(disturb);
+      case Fault.CutExecutors cut -> cutExecutors(cut);
       case Fault.FailRuns fail -> failRuns(fail);
       case Fault.EvacuateDomain evacuation -> evacuate(evacuation);
       case Fault.MaintainMachines wave -> maintain(wave);
@@ -181,6 +184,18 @@
         });
   }
 
+  private void cutExecutors(Fault.CutExecutors fault)
+      throws ClusterException, InterruptedException {
+    long begin = SoakLog.now();
+    linkTrouble.add(fault);
+    endLater(
+        fault.forMillis(),
+        () -> {
+          linkTrouble.remove(fault);
+          ended(Disruption.Kind.EXECUTORS_CUT, Disruption.ALL, begin, fault);
+        });
+  }
+
   private void failRuns(Fault.FailRuns fault) throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
     fleetTrouble.add(fault);
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -91,7 +91,8 @@
     this.rotation = new Rotation(client, vms.stream().map(SchedulerVm::readiness).toList(), timer);
     this.mix =
         switch (sizes.plan()) {
-          case MIXED, CANCELS, PLANNED, ODD_ENTRIES -> new JobMix(sizes.seed(), sizes.plan())::next;
+          case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION ->
+              new JobMix(sizes.seed(), sizes.plan())::next;
           case SERVICES -> new ServicesMix(sizes)::next;
         };
     this.askMillis = sizes.plan() == SoakSizes.Plan.PLANNED ? ASK_OFTEN_MILLIS : ASK_MILLIS;
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -155,7 +155,9 @@
             "--executors",
             Integer.toString(sizes.executors()),
             "--small-executors",
-            Integer.toString(sizes.smallExecutors())));
+            Integer.toString(sizes.smallExecutors()),
+            "--vms",
+            Integer.toString(sizes.vms())));
     ChildProcess process = processes.launch("platform", command, programs.standInEnvironment());
     return StandIns.await(process, ports, http, START_LIMIT);
   }
@@ -163,7 +165,7 @@
   private void startVms(StandIns platform) throws ClusterException {
     FreePorts ports = new FreePorts();
     for (int number = 0; number < sizes.vms(); number++) {
-      LoopbackProxy link = new LoopbackProxy(group, platform.address("store"));
+      LoopbackProxy link = new LoopbackProxy(group, platform.address("store-" + number));
       links.add(link);
       vms.add(new SchedulerVm(number, processes, programs, ports, link.address(), platform));
     }
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -24,7 +24,9 @@
     /** Planned work only: stops, SIGHUP and configurations, in series and overlapping. */
     PLANNED,
     /** Odd entries among those of the executors every few seconds, and few other faults. */
-    ODD_ENTRIES
+    ODD_ENTRIES,
+    /** Long cuts between some VMs and some executors only. */
+    PARTIAL_PARTITION
   }
 
   /** The part of a second service is smaller than the one that is kept free for urgent work. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Disruption.java
@@ -53,6 +53,8 @@
     ORDERS_LATE,
     /** Another writer left odd entries among those of the executors. */
     ODD_ENTRIES,
+    /** Some VMs were cut off from some executors, while other VMs reached all of them. */
+    EXECUTORS_CUT,
     /** An executor crashed, or lost orders or carried them out late. */
     EXECUTOR
   }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -37,6 +37,13 @@
   /** After this time a lease of an executor that was disturbed has expired for certain. */
   static final long LEASE_MILLIS = 7000;
 
+  /**
+   * From this time after the beginning of a cut on, a VM that reaches the executors has to start
+   * what can run: a lease of a run behind the cut has expired, and so has that of an owner that
+   * gives up its ownership.
+   */
+  static final long CUT_NOTICED_MILLIS = 8000;
+
   /** In this time after the last fault of a VM or the store an owner is found. */
   private static final long OWNERLESS_MILLIS = 14_000;
 
@@ -52,6 +59,7 @@
           Disruption.Kind.ADVICE,
           Disruption.Kind.RUNS_FAIL,
           Disruption.Kind.ORDERS_LATE,
+          Disruption.Kind.EXECUTORS_CUT,
           Disruption.Kind.ODD_ENTRIES);
 
   /** A slow store answers reads within a second, and a lossy one loses answers to appends only. */
@@ -69,6 +77,7 @@
           Disruption.Kind.ADVICE,
           Disruption.Kind.RUNS_FAIL,
           Disruption.Kind.ORDERS_LATE,
+          Disruption.Kind.EXECUTORS_CUT,
           Disruption.Kind.ODD_ENTRIES);
 
   /** Copies the lists. */
@@ -105,8 +114,23 @@
 
   /** Tells whether nothing but late orders disturbs any VM, the store or an executor. */
   boolean calmButForLateOrders(long from, long to) {
+    return calmButFor(Disruption.Kind.ORDERS_LATE, from, to);
+  }
+
+  /**
+   * Tells whether nothing but cuts between VMs and executors disturbs any VM, the store or an
+   * executor, and none of these cuts has begun a short time ago.
+   */
+  boolean calmButForCuts(long from, long to) {
+    return calmButFor(Disruption.Kind.EXECUTORS_CUT, from, to)
+        && disruptions.stream()
+            .filter(d -> d.kind() == Disruption.Kind.EXECUTORS_CUT)
+            .noneMatch(d -> d.fromMillis() > from - CUT_NOTICED_MILLIS && d.fromMillis() <= to);
+  }
+
+  private boolean calmButFor(Disruption.Kind kind, long from, long to) {
     return disruptions.stream()
-        .filter(d -> d.kind() != Disruption.Kind.ORDERS_LATE && !CHANGES.contains(d.kind()))
+        .filter(d -> d.kind() != kind && !CHANGES.contains(d.kind()))
         .noneMatch(
             d ->
                 d.overlaps(
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/LateOrdersCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleBesideFaultCheck.java
@@ -12,11 +12,11 @@
 import org.fescuehook.standins.platform.FleetStandIn;
 
 /**
- * Checks that an open job has something running while orders to executors are late, as long as
- * nothing else is disturbed, less than half of the fleet is in use and there is capacity for twice
- * a step whose turn has come.
+ * Checks that an open job has something running while a fault is in force that excuses no idle job,
+ * as long as nothing else is disturbed, less than half of the fleet is in use and there is capacity
+ * for twice a step whose turn has come.
  */
-final class LateOrdersCheck {
+final class IdleBesideFaultCheck {
 
   /** For how long a job may have nothing running. */
   private static final long IDLE_MILLIS = 3000;
@@ -26,13 +26,24 @@
 
   private static final double SLOTS = 4;
 
+  private final FaultInForce fault;
   private final History history;
   private final Map<String, List<TaskRun>> runs;
   private final List<TaskRun> usualRuns;
   private final List<Disruption> stretches;
   private final Findings findings;
 
-  LateOrdersCheck(History history, Map<String, List<TaskRun>> runs, Findings findings) {
+  /** The fault beside which jobs have to go on. */
+  enum FaultInForce {
+    /** Orders to executors are carried out late and have no answer. */
+    LATE_ORDERS,
+    /** Some VMs are cut off from some executors, which other VMs reach. */
+    EXECUTORS_CUT
+  }
+
+  IdleBesideFaultCheck(
+      FaultInForce fault, History history, Map<String, List<TaskRun>> runs, Findings findings) {
+    this.fault = fault;
     this.history = history;
     this.runs = runs;
     this.findings = findings;
@@ -41,10 +52,37 @@
             .flatMap(Collection::stream)
             .filter(run -> run.executorNumber() <= history.executors())
             .toList();
-    this.stretches =
-        history.disruptions().stream()
-            .filter(d -> d.kind() == Disruption.Kind.ORDERS_LATE)
-            .toList();
+    this.stretches = history.disruptions().stream().filter(d -> d.kind() == kind()).toList();
+  }
+
+  private Disruption.Kind kind() {
+    return switch (fault) {
+      case LATE_ORDERS -> Disruption.Kind.ORDERS_LATE;
+      case EXECUTORS_CUT -> Disruption.Kind.EXECUTORS_CUT;
+    };
+  }
+
+  private Promise promise() {
+    return switch (fault) {
+      case LATE_ORDERS -> Promise.GOES_ON_DESPITE_LATE_ORDERS;
+      case EXECUTORS_CUT -> Promise.GOES_ON_DESPITE_CUTS;
+    };
+  }
+
+  /** Returns from when on jobs have to go on in a stretch of the fault. */
+  private long beginOf(Disruption stretch) {
+    return switch (fault) {
+      case LATE_ORDERS -> stretch.fromMillis();
+      case EXECUTORS_CUT -> stretch.fromMillis() + History.CUT_NOTICED_MILLIS;
+    };
+  }
+
+  /** Tells whether nothing but this fault disturbs anything, and jobs have to go on beside it. */
+  private boolean calmButForFault(long from, long to) {
+    return switch (fault) {
+      case LATE_ORDERS -> history.calmButForLateOrders(from, to);
+      case EXECUTORS_CUT -> history.calmButForCuts(from, to);
+    };
   }
 
   /** Checks an accepted job of the usual service that nobody has cancelled. */
@@ -55,12 +93,12 @@
       return;
     }
     List<TaskRun> ofJob = runsOf(job.tasks().stream());
-    if (job.crashes() || ofJob.stream().anyMatch(LateOrdersCheck::mayWait)) {
+    if (job.crashes() || ofJob.stream().anyMatch(IdleBesideFaultCheck::mayWait)) {
       return;
     }
     long over = IdleJobCheck.overAt(history, runs, job, calls);
     for (Disruption stretch : stretches) {
-      long idleSince = Math.max(accepted.getAsLong(), stretch.fromMillis());
+      long idleSince = Math.max(accepted.getAsLong(), beginOf(stretch));
       long to = Math.min(over, stretch.toMillis());
       for (TaskRun run : ofJob) {
         checkIdle(job, idleSince, Math.min(run.startMillis(), to));
@@ -88,7 +126,7 @@
       return;
     }
     findings.check(
-        Promise.GOES_ON_DESPITE_LATE_ORDERS,
+        promise(),
         to - from <= IDLE_MILLIS,
         "job %s has nothing running from %d to %d".formatted(job.id(), from, to));
   }
@@ -100,7 +138,7 @@
         String detail =
             "job %s has nothing running from %d to %d, could run from %d on"
                 .formatted(job.id(), from, to, at);
-        findings.check(Promise.GOES_ON_DESPITE_LATE_ORDERS, false, detail);
+        findings.check(promise(), false, detail);
         return;
       }
     }
@@ -108,7 +146,7 @@
 
   /** Tells whether a step could start in the whole of a span in which its job runs nothing. */
   private boolean mayStart(PlannedJob job, long from, long to) {
-    if (!history.calmButForLateOrders(from, to)) {
+    if (!calmButForFault(from, to)) {
       return false;
     }
     List<TaskRun> near =
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
+import org.fescuehook.bench.soak.judge.IdleBesideFaultCheck.FaultInForce;
 
 /** Checks all promises on the history of a run. */
 public final class Judge {
@@ -19,7 +20,8 @@
     RunChecks runChecks = new RunChecks(history, runs, findings);
     RunEndCheck runEnds = new RunEndCheck(history, runs, findings);
     IdleJobCheck idleJobs = new IdleJobCheck(history, runs, findings);
-    LateOrdersCheck lateOrders = new LateOrdersCheck(history, runs, findings);
+    var lateOrders = new IdleBesideFaultCheck(FaultInForce.LATE_ORDERS, history, runs, findings);
+    var cuts = new IdleBesideFaultCheck(FaultInForce.EXECUTORS_CUT, history, runs, findings);
     GangCheck gangs = new GangCheck(history, runs, findings);
     OddEntryCheck oddEntries = new OddEntryCheck(history, runs, findings);
     ServiceCheck services = new ServiceCheck(history, runs, findings);
@@ -30,6 +32,7 @@
       runEnds.check(job, ofJob);
       idleJobs.check(job, ofJob);
       lateOrders.check(job, ofJob);
+      cuts.check(job, ofJob);
       gangs.check(job, ofJob);
       oddEntries.check(ofJob);
       services.check(job, ofJob);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -24,6 +24,10 @@
   GOES_ON_DESPITE_LATE_ORDERS(
       "an open job runs something within 3 s while orders come late and half the fleet is free",
       true),
+  /** A VM that reaches the executors does what an owner that is cut off from some cannot. */
+  GOES_ON_DESPITE_CUTS(
+      "an open job runs something within 3 s, from 8 s after some VMs were cut off from executors",
+      true),
   /** Odd entries among those of the executors cost no executor its use. */
   USED_BESIDE_ODD_ENTRIES(
       "tasks start within 4 s of a job in calm after odd entries, unless most executors are busy",
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.fescuehook.bench.soak.SoakSizes.Plan;
 import org.junit.jupiter.api.Test;
 
 class FaultPlanTest {
@@ -135,6 +136,66 @@
     }
   }
 
+  private static List<Fault.Timed> cuts(List<Fault.Timed> plan) {
+    return plan.stream().filter(t -> t.fault() instanceof Fault.CutExecutors).toList();
+  }
+
+  /** The promise about cuts is judged only while some VM reaches all executors. */
+  @Test
+  void someVmReachesAllExecutorsThroughTheWholeOfACut() {
+    for (long seed = 0; seed < 200; seed++) {
+      for (SoakSizes.Plan kind : List.of(Plan.MIXED, Plan.PARTIAL_PARTITION)) {
+        long over = 0;
+        for (Fault.Timed cut : cuts(FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6, kind)))) {
+          Fault.CutExecutors fault = (Fault.CutExecutors) cut.fault();
+          assertTrue(cut.atMillis() >= over, kind + ", seed " + seed);
+          assertTrue(fault.vms().size() < 4 && !fault.vms().isEmpty(), kind + ", seed " + seed);
+          assertTrue(fault.executors().size() >= 2, kind + ", seed " + seed);
+          over = cut.atMillis() + fault.forMillis();
+        }
+      }
+    }
+  }
+
+  @Test
+  void longCutsComeOneAfterAnotherAndNothingElseDoes() {
+    long total = 0;
+    long withoutOwner = 0;
+    for (long seed = 0; seed < 100; seed++) {
+      List<Fault.Timed> plan =
+          FaultPlan.draw(new SoakSizes(seed, MINUTE, 9, 32, Plan.PARTIAL_PARTITION));
+      assertEquals(plan, cuts(plan), "seed " + seed);
+      assertTrue(plan.size() >= 2, "seed " + seed);
+      for (Fault.Timed timed : plan) {
+        Fault.CutExecutors cut = (Fault.CutExecutors) timed.fault();
+        assertTrue(cut.forMillis() >= 10_000 && cut.forMillis() <= 20_000, "seed " + seed);
+        total += cut.lossPercent() == 100 ? 1 : 0;
+        withoutOwner += cut.vms().size() < 8 ? 1 : 0;
+      }
+    }
+
+    assertTrue(total > 60 && total < 200, total + " of 200 or more are total");
+    assertTrue(withoutOwner > 20 && withoutOwner < 100, withoutOwner + " leave more VMs");
+  }
+
+  /** Guards against a promise that is never judged in mixed runs. */
+  @Test
+  void someMixedRunsEndWithACutThatNothingElseDisturbs() {
+    long ending = 0;
+    long without = 0;
+    for (long seed = 0; seed < 100; seed++) {
+      List<Fault.Timed> plan = FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6));
+      without += cuts(plan).isEmpty() ? 1 : 0;
+      if (plan.getLast().fault() instanceof Fault.CutExecutors cut) {
+        ending++;
+        assertTrue(cut.forMillis() > 14_000 + 8000, "seed " + seed);
+      }
+    }
+
+    assertTrue(ending > 15, ending + " of 100");
+    assertTrue(without > 35 && without < 65, without + " of 100");
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/standins/src/main/java/org/fescuehook/standins/Main.java
+++ b/standins/src/main/java/org/fescuehook/standins/Main.java
@@ -44,6 +44,13 @@
       usage = "further executors of the platform, of a service of their own")
   private int smallExecutors;
 
+  @Option(
+      name = "--vms",
+      metaVar = "N",
+      usage =
+          "VMs with an address of the platform's store, and ports of its executors, of their own")
+  private int vms;
+
   @Option(name = "--slots", metaVar = "N", usage = "slots of each executor")
   private int slots = 8;
 
@@ -105,7 +112,8 @@
     var each = new Resources(accelerators, cores, memoryMegabytes);
     var fleet = new WorkerStandIns.Fleet(firstWorker, workers, each, usageLagMillis);
     var limits = new ExecutorStandIns.Limits(slots, connections);
-    var sizes = new StandInProcess.Sizes(executors, smallExecutors, limits, fleet, journalLimit);
+    var sizes =
+        new StandInProcess.Sizes(executors, smallExecutors, vms, limits, fleet, journalLimit);
     var process = new StandInProcess(group, kind, new InetSocketAddress(host, port), sizes);
     String properties = properties(process.addresses());
     if (portsFile != null) {
--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -13,6 +13,7 @@
 import org.fescuehook.standins.list.Member;
 import org.fescuehook.standins.log.LogStandIn;
 import org.fescuehook.standins.platform.AdviceStandIn;
+import org.fescuehook.standins.platform.ExecutorLinks;
 import org.fescuehook.standins.platform.FleetStandIn;
 import org.fescuehook.standins.platform.MachineStandIn;
 import org.fescuehook.standins.platform.StoreStandIn;
@@ -38,10 +39,15 @@
     ALL
   }
 
-  /** Numbers and sizes of the stand-ins to start. */
+  /**
+   * Numbers and sizes of the stand-ins to start.
+   *
+   * @param vms how many VMs get an address of the store, and ports of the executors, of their own
+   */
   record Sizes(
       int executors,
       int smallExecutors,
+      int vms,
       ExecutorStandIns.Limits executorLimits,
       WorkerStandIns.Fleet fleet,
       int journalLimit) {}
@@ -117,6 +123,11 @@
     standIns.add(machines);
     AdviceStandIn advice = new AdviceStandIn(group, anyPort, MONOTONIC_CLOCK_MILLIS, fleet);
     standIns.add(advice);
+    ExecutorLinks links = new ExecutorLinks(group, anyPort, sizes.vms(), store, fleet);
+    standIns.add(links);
+    for (int vm = 0; vm < sizes.vms(); vm++) {
+      addresses.put("store-" + vm, links.stores().get(vm));
+    }
     store.publishConfiguration();
     addresses.put("store", store.address());
     addresses.put("machines", machines.address());
--- a/standins/src/main/java/org/fescuehook/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/StandInServer.java
@@ -24,9 +24,12 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.fescuehook.standins.StandInException;
 
-/** An HTTP/1.1 server on a shared event loop group that limits its open connections. */
+/**
+ * An HTTP/1.1 server on a shared event loop group that limits its open connections. It can lose a
+ * share of what reaches it, as if the network did.
+ */
 public final class StandInServer implements AutoCloseable {
-  private static final int ACCEPT_BACKLOG = 1024;
+  private static final int DEFAULT_BACKLOG = 1024;
 
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger openCount = new AtomicInteger();
@@ -34,6 +37,8 @@
   private final Limits limits;
   private final Handler handler;
   private final Channel listener;
+  private final AcceptGate gate;
+  private volatile int lossPercent;
 
   /** Handles requests. It is called on an event loop, so it must not block. */
   @FunctionalInterface
@@ -47,8 +52,15 @@
    *
    * @param connections maximum number of open connections; further ones are closed at accept
    * @param bodyBytes maximum size of a request body; larger ones get the status 413
+   * @param backlog length of the queue of connections that wait to be accepted
    */
-  public record Limits(int connections, int bodyBytes) {}
+  public record Limits(int connections, int bodyBytes, int backlog) {
+
+    /** Limits with a queue that is hardly ever full. */
+    public Limits(int connections, int bodyBytes) {
+      this(connections, bodyBytes, DEFAULT_BACKLOG);
+    }
+  }
 
   /**
    * Binds to an address and starts to serve; port 0 chooses a free port.
@@ -64,13 +76,14 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, limits.backlog())
             .childHandler(new ConnectionInitializer());
     var bound = bootstrap.bind(address).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new StandInException("bind", address.toString(), bound.cause());
     }
     this.listener = bound.channel();
+    this.gate = new AcceptGate(listener, limits.backlog());
   }
 
   /** Returns the address on which the server listens. */
@@ -88,6 +101,15 @@
     return rejectedCount.get();
   }
 
+  /**
+   * Loses a share of what passes from now on, in both directions: data on connections that are open
+   * is late, and connection attempts time out. With 100, nothing passes until the share changes.
+   */
+  public void lose(int percent) {
+    lossPercent = percent;
+    gate.lose(percent);
+  }
+
   /** Drops all further data on the connections that are open now, without closing them. */
   public void silenceOpenConnections() {
     connections.forEach(c -> c.pipeline().get(SilenceHandler.class).silenced = true);
@@ -111,7 +133,8 @@
       }
       channel
           .pipeline()
-          .addLast(new SilenceHandler(), new HttpServerCodec(), new HttpServerKeepAliveHandler())
+          .addLast(new SilenceHandler(), new LossHandler(() -> lossPercent))
+          .addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler())
           .addLast(new HttpObjectAggregator(limits.bodyBytes()), new Dispatcher());
       connections.add(channel);
     }
--- /dev/null
+++ b/standins/src/main/java/org/fescuehook/standins/platform/ExecutorLinks.java
@@ -0,0 +1,99 @@
+package org.fescuehook.standins.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.fescuehook.standins.StandIn;
+import org.fescuehook.standins.StandInException;
+import org.fescuehook.standins.http.StandInServer;
+
+/**
+ * The network between VMs and executors. All of them share one host, so each executor listens on a
+ * port of its own for each VM, and each VM reads the store at an address where the entries of the
+ * executors name the ports for this VM.
+ */
+public final class ExecutorLinks extends StandIn<LinkFaults> {
+
+  /** A cut fills this queue; a VM opens fewer connections to an executor at the same time. */
+  private static final int BACKLOG = 8;
+
+  private static final Pattern ADDRESS = Pattern.compile("(?<=\"address\":\")[^\"]*(?=\")");
+
+  private final List<Link> links = new ArrayList<>();
+  private final List<InetSocketAddress> stores = new ArrayList<>();
+
+  private record Link(int vm, int executor, StandInServer server) {}
+
+  /**
+   * Starts the ports of all executors and the addresses of the store for a number of VMs.
+   *
+   * @param address where to listen; its port is 0
+   */
+  public ExecutorLinks(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      int vms,
+      StoreStandIn store,
+      FleetStandIn fleet)
+      throws StandInException {
+    super("links", LinkFaults.class);
+    var limits =
+        new StandInServer.Limits(
+            FleetMember.MAX_CONNECTIONS, FleetMember.MAX_REQUEST_BYTES, BACKLOG);
+    for (int vm = 0; vm < vms; vm++) {
+      Map<String, String> addresses = new HashMap<>();
+      for (FleetMember member : fleet.members()) {
+        StandInServer server = new StandInServer(group, address, limits, member::handle);
+        links.add(new Link(vm, member.number(), server));
+        addresses.put(text(member.server().address()), text(server.address()));
+      }
+      stores.add(store.addView(address, view(addresses)));
+    }
+  }
+
+  /** Returns the address of the store for each VM. */
+  public List<InetSocketAddress> stores() {
+    return List.copyOf(stores);
+  }
+
+  @Override
+  public void apply(LinkFaults faults) {
+    links.forEach(link -> link.server.lose(faults.lossPercent(link.vm, link.executor)));
+  }
+
+  /** Returns how many connections VMs have open to executors. */
+  @Override
+  public Object stats() {
+    return links.stream().mapToInt(link -> link.server.openConnections()).sum();
+  }
+
+  @Override
+  protected List<StandInServer> servers() {
+    return links.stream().map(Link::server).toList();
+  }
+
+  /** Returns an address as the entries of the executors have it. */
+  static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+
+  /** Returns the view that replaces the addresses in entries; other addresses stay. */
+  private static UnaryOperator<byte[]> view(Map<String, String> addresses) {
+    return entry -> {
+      // Keeps each byte as it is, also those that are no text.
+      Matcher found = ADDRESS.matcher(new String(entry, StandardCharsets.ISO_8859_1));
+      String shown =
+          found.replaceAll(
+              match ->
+                  Matcher.quoteReplacement(addresses.getOrDefault(match.group(), match.group())));
+      return shown.getBytes(StandardCharsets.ISO_8859_1);
+    };
+  }
+}
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -41,8 +41,8 @@
   /** Rate of the slowest executor clock that the platform's protocol allows. */
   private static final double SLOWEST_CLOCK_RATE = 0.98;
 
-  private static final int MAX_REQUEST_BYTES = 65_536;
-  private static final int MAX_CONNECTIONS = 1024;
+  static final int MAX_REQUEST_BYTES = 65_536;
+  static final int MAX_CONNECTIONS = 1024;
   private static final long MAX_POLL_WAIT_MILLIS = 2000;
 
   /** The store removes the entry of an executor that has missed three heartbeats. */
@@ -210,7 +210,7 @@
     heartbeats++;
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", service.name());
-    entry.put("address", server.address().getHostString() + ":" + server.address().getPort());
+    entry.put("address", ExecutorLinks.text(server.address()));
     entry.put("zone", zone(number));
     entry.put("version", "1");
     entry.put("slots", SLOTS);
@@ -254,7 +254,8 @@
     failing = fails;
   }
 
-  private synchronized void handle(Exchange exchange) throws IOException {
+  /** Handles an order, whichever server of this executor received it. */
+  synchronized void handle(Exchange exchange) throws IOException {
     ThreadLocalRandom random = ThreadLocalRandom.current();
     if (orderLoss.isEmpty() || random.nextInt(PERMILLE) >= orderLoss.get().permille()) {
       execute(exchange, false);
--- a/standins/src/main/java/org/fescuehook/standins/platform/StorePartition.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StorePartition.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.UnaryOperator;
 
 /**
  * The single partition of a topic. Keeps all records until its history is dropped. Not thread-safe.
@@ -27,7 +28,13 @@
   private int firstKept;
 
   /** The newest record of a key; its value is encoded as Base64. */
-  record Newest(String key, String value, long offset) {}
+  record Newest(String key, String value, long offset) {
+
+    private Newest seenBy(UnaryOperator<byte[]> view) {
+      byte[] seen = view.apply(Base64.getDecoder().decode(value));
+      return new Newest(key, Base64.getEncoder().encodeToString(seen), offset);
+    }
+  }
 
   /** A page of the newest records, ordered by key. */
   record Page(List<Newest> items, boolean hasMore, long endOffset) {}
@@ -134,26 +141,27 @@
   }
 
   /**
-   * Returns the encoded response to a read from an offset on. Only its last record may exceed the
-   * number of bytes.
+   * Returns the encoded response to a read from an offset on, with each record as the view has it.
+   * Only the last record may exceed the number of bytes.
    */
-  byte[] read(long from, long maxBytes) {
+  byte[] read(long from, long maxBytes, UnaryOperator<byte[]> view) {
     List<byte[]> found = new ArrayList<>();
     long bytes = 0;
     for (int i = (int) from; i < records.size() && bytes < maxBytes; i++) {
-      found.add(records.get(i));
+      found.add(view.apply(records.get(i)));
       bytes += records.get(i).length;
     }
     return StoreRecords.encode(end(), firstKept, found);
   }
 
   /**
-   * Returns the newest record of each key, from the first key after {@code afterKey} on. An empty
-   * {@code afterKey} stands for the start.
+   * Returns the newest record of each key as the view has its value, from the first key after
+   * {@code afterKey} on. An empty {@code afterKey} stands for the start.
    */
-  Page newest(String afterKey) {
+  Page newest(String afterKey, UnaryOperator<byte[]> view) {
     var following = afterKey.isEmpty() ? newest : newest.tailMap(afterKey, false);
-    List<Newest> items = following.values().stream().limit(MAX_PAGE_RECORDS).toList();
+    List<Newest> items =
+        following.values().stream().limit(MAX_PAGE_RECORDS).map(item -> item.seenBy(view)).toList();
     return new Page(items, following.size() > items.size(), end());
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.fescuehook.standins.StandIn;
 import org.fescuehook.standins.StandInException;
 import org.fescuehook.standins.http.Exchange;
@@ -60,7 +62,9 @@
   private static final int PERMILLE = 1000;
 
   private final LongSupplier clock;
+  private final EventLoopGroup group;
   private final StandInServer server;
+  private final List<StandInServer> views = new ArrayList<>();
   private final Map<String, Topic> topics = new HashMap<>();
   private StoreFaults faults = StoreFaults.NONE;
   private Stats stats = new Stats(0, 0, 0, 0);
@@ -79,15 +83,21 @@
     }
   }
 
-  private record WaitingRead(Exchange exchange, long from) {}
+  private record WaitingRead(Exchange exchange, long from, UnaryOperator<byte[]> view) {}
 
   /** Starts the store; the clock returns monotonic milliseconds. */
   public StoreStandIn(EventLoopGroup group, InetSocketAddress address, LongSupplier clock)
       throws StandInException {
     super("store", StoreFaults.class);
     this.clock = clock;
+    this.group = group;
+    this.server = serve(address, UnaryOperator.identity());
+  }
+
+  private StandInServer serve(InetSocketAddress address, UnaryOperator<byte[]> view)
+      throws StandInException {
     var limits = new StandInServer.Limits(Integer.MAX_VALUE, MAX_REQUEST_BYTES);
-    this.server = new StandInServer(group, address, limits, this::handle);
+    return new StandInServer(group, address, limits, exchange -> handle(exchange, view));
   }
 
   /** Returns the address on which the store listens. */
@@ -95,6 +105,14 @@
     return server.address();
   }
 
+  /** Listens on one more address, on which the view shows the entries of the executors. */
+  synchronized InetSocketAddress addView(InetSocketAddress address, UnaryOperator<byte[]> view)
+      throws StandInException {
+    StandInServer added = serve(address, view);
+    views.add(added);
+    return added.address();
+  }
+
   @Override
   public synchronized void apply(StoreFaults next) {
     StoreFaults previous = faults;
@@ -170,8 +188,8 @@
   }
 
   @Override
-  protected List<StandInServer> servers() {
-    return List.of(server);
+  protected synchronized List<StandInServer> servers() {
+    return Stream.concat(Stream.of(server), views.stream()).toList();
   }
 
   /** Writes the operators' first configuration; faults don't affect this write. */
@@ -199,17 +217,19 @@
     return topics.computeIfAbsent(name, n -> new Topic(n.startsWith(KEYED_TOPIC_PREFIX)));
   }
 
-  private synchronized void handle(Exchange exchange) throws IOException {
+  private synchronized void handle(Exchange exchange, UnaryOperator<byte[]> view)
+      throws IOException {
     if (failsByFault(exchange)) {
       return;
     }
     String name = exchange.text("topic");
+    UnaryOperator<byte[]> shown = name.equals(EXECUTORS_TOPIC) ? view : UnaryOperator.identity();
     switch (exchange.call()) {
       case "POST /-/log-append" -> queueAppend(exchange, name);
-      case "GET /-/log-read" -> read(exchange, topic(name));
+      case "GET /-/log-read" -> read(exchange, topic(name), shown);
       case "GET /-/log-newest" -> {
         count(0, 1, 0, 0);
-        StorePartition.Page page = topic(name).partition.newest(exchange.text("dependsOn"));
+        var page = topic(name).partition.newest(exchange.text("dependsOn"), shown);
         respondAfterDelay(exchange, () -> exchange.reply(200, page));
       }
       default -> exchange.error(404, "not-found", exchange.call());
@@ -262,15 +282,15 @@
     }
   }
 
-  private void read(Exchange exchange, Topic topic) {
+  private void read(Exchange exchange, Topic topic, UnaryOperator<byte[]> view) {
     count(0, 1, 0, 0);
     long from = exchange.number("startKey", 0);
     long waitMillis = exchange.number("waitMs", 0);
     if (waitMillis <= 0 || from < topic.partition.end()) {
-      respondToRead(exchange, topic, from);
+      respondToRead(exchange, topic, from, view);
       return;
     }
-    WaitingRead waitingRead = new WaitingRead(exchange, from);
+    WaitingRead waitingRead = new WaitingRead(exchange, from, view);
     topic.waitingReads.add(waitingRead);
     exchange.later(waitMillis, () -> completeRead(topic, waitingRead));
   }
@@ -283,18 +303,19 @@
 
   private synchronized void completeRead(Topic topic, WaitingRead waitingRead) {
     if (topic.waitingReads.remove(waitingRead) && !failsByFault(waitingRead.exchange)) {
-      respondToRead(waitingRead.exchange, topic, waitingRead.from);
+      respondToRead(waitingRead.exchange, topic, waitingRead.from, waitingRead.view);
     }
   }
 
-  private void respondToRead(Exchange exchange, Topic topic, long from) {
+  private void respondToRead(
+      Exchange exchange, Topic topic, long from, UnaryOperator<byte[]> view) {
     long firstKept = topic.partition.firstKept();
     if (from < firstKept) {
       respondAfterDelay(exchange, () -> exchange.reply(410, Map.of("startOffset", firstKept)));
       return;
     }
     long bytes = exchange.number("maxKb", DEFAULT_READ_KILOBYTES) * BYTES_PER_KILOBYTE;
-    byte[] found = topic.partition.read(from, bytes);
+    byte[] found = topic.partition.read(from, bytes, view);
     Map<String, String> fields = Map.of("Content-Type", "application/octet-stream");
     respondAfterDelay(exchange, () -> exchange.reply(200, fields, found));
   }
--- a/standins/src/test/java/org/fescuehook/standins/platform/StorePartitionTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/StorePartitionTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 
 class StorePartitionTest {
@@ -82,18 +83,18 @@
   void theNewestRecordOfEachKeyIsIndexedAndAnEmptyValueRemovesTheKey() {
     append(1, 1, -1, "a=1", "b=2", "a=3", "b=");
 
-    StorePartition.Page page = partition.newest("");
+    StorePartition.Page page = partition.newest("", UnaryOperator.identity());
 
     assertEquals(List.of(new StorePartition.Newest("a", "Mw==", 2)), page.items());
     assertEquals(4, page.endOffset());
-    assertTrue(partition.newest("a").items().isEmpty());
+    assertTrue(partition.newest("a", UnaryOperator.identity()).items().isEmpty());
   }
 
   @Test
   void aReadReturnsTheEndOffsetAndTheRecordsFromAnOffsetOn() {
     append(1, 1, -1, "a=1", "b=2");
 
-    ByteBuffer answer = ByteBuffer.wrap(partition.read(1, 1000));
+    ByteBuffer answer = ByteBuffer.wrap(partition.read(1, 1000, UnaryOperator.identity()));
 
     assertEquals(2, answer.getLong());
     assertEquals(0, answer.getLong());
@@ -110,7 +111,7 @@
     partition.dropHistory();
 
     assertEquals(2, partition.firstKept());
-    assertEquals(2, partition.newest("").items().size());
+    assertEquals(2, partition.newest("", UnaryOperator.identity()).items().size());
     assertEquals(new AppendAnswer.Stored(2, 3), append(1, 2, 2, "a=3"));
   }
 }
