--- a/standins/src/main/java/org/fescuehook/standins/platform/RunEvent.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/RunEvent.java
@@ -36,7 +36,7 @@
     ENDED,
     /** The scheduler has acknowledged the end of the run. */
     ACKNOWLEDGED,
-    /** The executor's lease has expired. */
+    /** The executor's lease has expired while runs were active or ends not acknowledged. */
     LAPSED,
     /** The executor has crashed and the run with it; no poll reports its end. */
     CRASHED
--- a/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
@@ -77,6 +77,9 @@
   private int usedParts;
   private boolean crashed;
 
+  /** Whether the expiry of the current lease has been recorded. */
+  private boolean lapsed;
+
   /** Result of an order. */
   sealed interface Outcome {
     /** The executor executed the order. */
@@ -156,8 +159,10 @@
    */
   boolean advance(long now) {
     long before = lastEndNumber;
-    if (!activeRuns.isEmpty() && clock(now) >= leaseUntil) {
+    boolean endsWait = !lapsed && !unacknowledgedEnds.isEmpty();
+    if (clock(now) >= leaseUntil && (!activeRuns.isEmpty() || endsWait)) {
       record(RunEvent.Kind.LAPSED, "", 0, "", now);
+      lapsed = true;
       List.copyOf(activeRuns.keySet()).forEach(task -> end(task, LAPSED, now));
     }
     for (String task : List.copyOf(activeRuns.keySet())) {
@@ -355,6 +360,7 @@
 
   private void extend(long until, long now) {
     leaseUntil = Math.max(leaseUntil, Math.min(until, clock(now) + MAX_LEASE_MILLIS));
+    lapsed &= clock(now) >= leaseUntil;
   }
 
   private void record(RunEvent.Kind kind, String task, int run, String detail, long now) {
--- a/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/TaskExecutorTest.java
@@ -132,6 +132,30 @@
     assertEquals(DONE, start(TASK, 3, 1, 1400));
   }
 
+  /** Guards against an end that counts as taken note of in time, seconds after the lease. */
+  @Test
+  void aLeaseThatExpiresBeforeAnEndIsAcknowledgedIsRecordedOnce() {
+    start(TASK, 1, 1, 1000);
+    executor.advance(1500);
+    executor.advance(4000);
+    executor.advance(4010);
+    executor.hold(order(1).put("ackedUpTo", 1), 9000);
+
+    assertEquals(
+        List.of("STARTED 1 run:500 job", "ENDED 1 done", "LAPSED 0 ", "ACKNOWLEDGED 1 done"),
+        events());
+  }
+
+  @Test
+  void anEndThatIsAcknowledgedWithinTheLeaseRecordsNoExpiry() {
+    start(TASK, 1, 1, 1000);
+    executor.advance(1500);
+    executor.hold(order(1).put("ackedUpTo", 1), 3900);
+    executor.advance(9000);
+
+    assertEquals(List.of("STARTED 1 run:500 job", "ENDED 1 done", "ACKNOWLEDGED 1 done"), events());
+  }
+
   @Test
   void aStartWithAnExpiredLeaseIsRejected() {
     ObjectNode order = run(TASK, 1, 1).put("spec", "run:500 job").put("expiresMs", 900);
