--- a/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
+++ b/standins/src/main/java/org/fescuehook/standins/StandInProcess.java
@@ -123,7 +123,7 @@
     standIns.add(machines);
     AdviceStandIn advice = new AdviceStandIn(group, anyPort, MONOTONIC_CLOCK_MILLIS, fleet);
     standIns.add(advice);
-    ExecutorLinks links = new ExecutorLinks(group, anyPort, sizes.vms(), store, fleet);
+    ExecutorLinks links = new ExecutorLinks(anyPort, sizes.vms(), store, fleet);
     standIns.add(links);
     for (int vm = 0; vm < sizes.vms(); vm++) {
       addresses.put("store-" + vm, links.stores().get(vm));
--- a/standins/src/main/java/org/fescuehook/standins/http/LossHandler.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/LossHandler.java
@@ -13,7 +13,8 @@
 /**
  * Loses a share of what passes a connection, in both directions. As with TCP, what is lost is sent
  * again after a time that doubles, and what follows waits behind it; it is gone for good if the
- * connection is closed before.
+ * connection is closed before, or the process of the server is replaced, which resets the
+ * connection.
  */
 final class LossHandler extends ChannelDuplexHandler {
 
@@ -23,14 +24,21 @@
   private static final long FIRST_TIMEOUT_MILLIS = 200;
 
   private final IntSupplier lossPercent;
+  private final IntSupplier process;
   private final Deque<Object> heldReads = new ArrayDeque<>();
   private final Deque<HeldWrite> heldWrites = new ArrayDeque<>();
 
   private record HeldWrite(Object message, ChannelPromise promise) {}
 
-  /** Creates a handler; {@code lossPercent} is asked for the share whenever something passes. */
-  LossHandler(IntSupplier lossPercent) {
+  /**
+   * Creates a handler.
+   *
+   * @param lossPercent is asked for the share whenever something passes
+   * @param process is asked for the number of the process that serves
+   */
+  LossHandler(IntSupplier lossPercent, IntSupplier process) {
     this.lossPercent = lossPercent;
+    this.process = process;
   }
 
   @Override
@@ -41,7 +49,7 @@
     }
     heldReads.add(message);
     if (heldReads.size() == 1) {
-      retryReads(context, FIRST_TIMEOUT_MILLIS);
+      retryReads(context, FIRST_TIMEOUT_MILLIS, process.getAsInt());
     }
   }
 
@@ -71,13 +79,17 @@
     return percent > 0 && ThreadLocalRandom.current().nextInt(PERCENT) < percent;
   }
 
-  private void retryReads(ChannelHandlerContext context, long afterMillis) {
+  private void retryReads(ChannelHandlerContext context, long afterMillis, int sentTo) {
     context
         .executor()
         .schedule(
             () -> {
               if (isLost() && !heldReads.isEmpty()) {
-                retryReads(context, 2 * afterMillis);
+                retryReads(context, 2 * afterMillis, sentTo);
+                return;
+              }
+              if (process.getAsInt() != sentTo) {
+                context.close();
                 return;
               }
               while (!heldReads.isEmpty()) {
--- a/standins/src/main/java/org/fescuehook/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/fescuehook/standins/http/StandInServer.java
@@ -34,6 +34,7 @@
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger openCount = new AtomicInteger();
   private final AtomicLong rejectedCount = new AtomicLong();
+  private final AtomicInteger process = new AtomicInteger();
   private final Limits limits;
   private final Handler handler;
   private final Channel listener;
@@ -110,6 +111,13 @@
     gate.lose(percent);
   }
 
+  /**
+   * Replaces the process that serves, so that requests that are held up do not reach the new one.
+   */
+  public void replaceProcess() {
+    process.incrementAndGet();
+  }
+
   /** Drops all further data on the connections that are open now, without closing them. */
   public void silenceOpenConnections() {
     connections.forEach(c -> c.pipeline().get(SilenceHandler.class).silenced = true);
@@ -133,7 +141,7 @@
       }
       channel
           .pipeline()
-          .addLast(new SilenceHandler(), new LossHandler(() -> lossPercent))
+          .addLast(new SilenceHandler(), new LossHandler(() -> lossPercent, process::get))
           .addLast(new HttpServerCodec(), new HttpServerKeepAliveHandler())
           .addLast(new HttpObjectAggregator(limits.bodyBytes()), new Dispatcher());
       connections.add(channel);
--- a/standins/src/main/java/org/fescuehook/standins/platform/ExecutorLinks.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/ExecutorLinks.java
@@ -1,6 +1,5 @@
 package org.fescuehook.standins.platform;
 
-import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -36,21 +35,13 @@
    *
    * @param address where to listen; its port is 0
    */
-  public ExecutorLinks(
-      EventLoopGroup group,
-      InetSocketAddress address,
-      int vms,
-      StoreStandIn store,
-      FleetStandIn fleet)
+  public ExecutorLinks(InetSocketAddress address, int vms, StoreStandIn store, FleetStandIn fleet)
       throws StandInException {
     super("links", LinkFaults.class);
-    var limits =
-        new StandInServer.Limits(
-            FleetMember.MAX_CONNECTIONS, FleetMember.MAX_REQUEST_BYTES, BACKLOG);
     for (int vm = 0; vm < vms; vm++) {
       Map<String, String> addresses = new HashMap<>();
       for (FleetMember member : fleet.members()) {
-        StandInServer server = new StandInServer(group, address, limits, member::handle);
+        StandInServer server = member.addLink(address, BACKLOG);
         links.add(new Link(vm, member.number(), server));
         addresses.put(text(member.server().address()), text(server.address()));
       }
--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -41,8 +42,8 @@
   /** Rate of the slowest executor clock that the platform's protocol allows. */
   private static final double SLOWEST_CLOCK_RATE = 0.98;
 
-  static final int MAX_REQUEST_BYTES = 65_536;
-  static final int MAX_CONNECTIONS = 1024;
+  private static final int MAX_REQUEST_BYTES = 65_536;
+  private static final int MAX_CONNECTIONS = 1024;
   private static final long MAX_POLL_WAIT_MILLIS = 2000;
 
   /** The store removes the entry of an executor that has missed three heartbeats. */
@@ -62,6 +63,7 @@
   private final Gangs gangs;
   private final StandInServer server;
   private final EventLoopGroup group;
+  private final List<StandInServer> linkServers = new CopyOnWriteArrayList<>();
   private final List<Exchange> waitingPolls = new ArrayList<>();
   private TaskExecutor executor;
   private Optional<FleetFaults.OrderLoss> orderLoss = Optional.empty();
@@ -127,12 +129,22 @@
     return server;
   }
 
+  /** Listens on one more port, on which the network can lose a share of what passes. */
+  StandInServer addLink(InetSocketAddress address, int backlog)
+      throws StandInException {
+    var limits = new StandInServer.Limits(MAX_CONNECTIONS, MAX_REQUEST_BYTES, backlog);
+    StandInServer link = new StandInServer(group, address, limits, this::handle);
+    linkServers.add(link);
+    return link;
+  }
+
   /** Crashes the current incarnation and starts the next one at once. */
   synchronized void crash() {
     if (!up) {
       return;
     }
     executor.crash(clock.getAsLong());
+    linkServers.forEach(StandInServer::replaceProcess);
     waitingPolls.clear();
     TaskExecutor crashed = executor;
     executor = next(crashed.bornMillis());
@@ -254,8 +266,7 @@
     failing = fails;
   }
 
-  /** Handles an order, whichever server of this executor received it. */
-  synchronized void handle(Exchange exchange) throws IOException {
+  private synchronized void handle(Exchange exchange) throws IOException {
     ThreadLocalRandom random = ThreadLocalRandom.current();
     if (orderLoss.isEmpty() || random.nextInt(PERMILLE) >= orderLoss.get().permille()) {
       execute(exchange, false);
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
@@ -64,7 +65,7 @@
   private final LongSupplier clock;
   private final EventLoopGroup group;
   private final StandInServer server;
-  private final List<StandInServer> views = new ArrayList<>();
+  private final List<StandInServer> views = new CopyOnWriteArrayList<>();
   private final Map<String, Topic> topics = new HashMap<>();
   private StoreFaults faults = StoreFaults.NONE;
   private Stats stats = new Stats(0, 0, 0, 0);
@@ -106,7 +107,7 @@
   }
 
   /** Listens on one more address, on which the view shows the entries of the executors. */
-  synchronized InetSocketAddress addView(InetSocketAddress address, UnaryOperator<byte[]> view)
+  InetSocketAddress addView(InetSocketAddress address, UnaryOperator<byte[]> view)
       throws StandInException {
     StandInServer added = serve(address, view);
     views.add(added);
@@ -188,7 +189,7 @@
   }
 
   @Override
-  protected synchronized List<StandInServer> servers() {
+  protected List<StandInServer> servers() {
     return Stream.concat(Stream.of(server), views.stream()).toList();
   }
 
--- a/standins/src/test/java/org/fescuehook/standins/platform/ExecutorLinksTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/ExecutorLinksTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -16,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.fescuehook.standins.StandInClient;
@@ -35,6 +37,7 @@
 
   /** Linux repeats a connection attempt that it has dropped after 1 s, 3 s and 7 s. */
   private static final int PATIENT_MILLIS = 20_000;
+
   private static final int TOTAL = 100;
 
   private final StandInLoops loops = new StandInLoops();
@@ -48,7 +51,7 @@
     fleet =
         new FleetStandIn(
             loops.group(), loops.anyPort(), new FleetStandIn.Counts(2, 0), CLOCK, store, 100);
-    links = new ExecutorLinks(loops.group(), loops.anyPort(), 2, store, fleet);
+    links = new ExecutorLinks(loops.anyPort(), 2, store, fleet);
     fleet.members().forEach(FleetMember::heartbeat);
   }
 
@@ -178,6 +181,26 @@
     }
   }
 
+  /** Guards against an order that reaches the next incarnation, whose id may be the same. */
+  @Test
+  void anOrderThatIsHeldUpIsGoneOnceItsExecutorCrashes() throws Exception {
+    InetSocketAddress address = seenBy(0, 1);
+    try (StandInClient client = new StandInClient(address)) {
+      assertNotEquals(0, client.post("/-/hold", "{}").statusCode());
+      cut(0, 1, TOTAL);
+      var held = client.postLater("/-/hold", "{}");
+      assertThrows(SocketTimeoutException.class, () -> connect(address, CONNECT_MILLIS));
+
+      fleet.members().getFirst().crash();
+      heal();
+
+      CompletionException thrown =
+          assertThrows(
+              CompletionException.class, () -> held.orTimeout(20, TimeUnit.SECONDS).join());
+      assertInstanceOf(IOException.class, thrown.getCause());
+    }
+  }
+
   @Test
   void aLossyLinkLetsSomeConnectionsThrough() throws Exception {
     InetSocketAddress address = seenBy(0, 1);
