--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -130,8 +130,7 @@
   }
 
   /** Listens on one more port, on which the network can lose a share of what passes. */
-  StandInServer addLink(InetSocketAddress address, int backlog)
-      throws StandInException {
+  StandInServer addLink(InetSocketAddress address, int backlog) throws StandInException {
     var limits = new StandInServer.Limits(MAX_CONNECTIONS, MAX_REQUEST_BYTES, backlog);
     StandInServer link = new StandInServer(group, address, limits, this::handle);
     linkServers.add(link);
