--- a/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/FleetMember.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -62,6 +63,7 @@
   private final Gangs gangs;
   private final StandInServer server;
   private final EventLoopGroup group;
+  private final List<StandInServer> linkServers = new CopyOnWriteArrayList<>();
   private final List<Exchange> waitingPolls = new ArrayList<>();
   private TaskExecutor executor;
   private Optional<FleetFaults.OrderLoss> orderLoss = Optional.empty();
@@ -127,12 +129,21 @@
     return server;
   }
 
+  /** Listens on one more port, on which the network can lose a share of what passes. */
+  StandInServer addLink(InetSocketAddress address, int backlog) throws StandInException {
+    var limits = new StandInServer.Limits(MAX_CONNECTIONS, MAX_REQUEST_BYTES, backlog);
+    StandInServer link = new StandInServer(group, address, limits, this::handle);
+    linkServers.add(link);
+    return link;
+  }
+
   /** Crashes the current incarnation and starts the next one at once. */
   synchronized void crash() {
     if (!up) {
       return;
     }
     executor.crash(clock.getAsLong());
+    linkServers.forEach(StandInServer::replaceProcess);
     waitingPolls.clear();
     TaskExecutor crashed = executor;
     executor = next(crashed.bornMillis());
@@ -210,7 +221,7 @@
     heartbeats++;
     Map<String, Object> entry = new LinkedHashMap<>();
     entry.put("service", service.name());
-    entry.put("address", server.address().getHostString() + ":" + server.address().getPort());
+    entry.put("address", ExecutorLinks.text(server.address()));
     entry.put("zone", zone(number));
     entry.put("version", "1");
     entry.put("slots", SLOTS);
