--- a/standins/src/main/java/org/fescuehook/standins/platform/ExecutorLinks.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/ExecutorLinks.java
@@ -16,18 +16,21 @@
 /**
  * The network between VMs and executors. All of them share one host, so each executor listens on a
  * port of its own for each VM, and each VM reads the store at an address where the entries of the
- * executors name the ports for this VM.
+ * executors, and the records of VMs that name executors, have the ports for this VM.
  */
 public final class ExecutorLinks extends StandIn<LinkFaults> {
 
   /** A cut fills this queue; a VM opens fewer connections to an executor at the same time. */
   private static final int BACKLOG = 8;
 
-  private static final Pattern ADDRESS = Pattern.compile("(?<=\"address\":\")[^\"]*(?=\")");
+  private static final Pattern ADDRESS = Pattern.compile("\\d+(?:\\.\\d+){3}:\\d{5}(?!\\d)");
 
   private final List<Link> links = new ArrayList<>();
   private final List<InetSocketAddress> stores = new ArrayList<>();
 
+  /** For each executor its own address, and then the one for each VM. */
+  private final List<List<String>> addresses = new ArrayList<>();
+
   private record Link(int vm, int executor, StandInServer server) {}
 
   /**
@@ -38,14 +41,18 @@
   public ExecutorLinks(InetSocketAddress address, int vms, StoreStandIn store, FleetStandIn fleet)
       throws StandInException {
     super("links", LinkFaults.class);
-    for (int vm = 0; vm < vms; vm++) {
-      Map<String, String> addresses = new HashMap<>();
-      for (FleetMember member : fleet.members()) {
+    for (FleetMember member : fleet.members()) {
+      List<String> all = new ArrayList<>();
+      all.add(text(member.server().address()));
+      for (int vm = 0; vm < vms; vm++) {
         StandInServer server = member.addLink(address, BACKLOG);
         links.add(new Link(vm, member.number(), server));
-        addresses.put(text(member.server().address()), text(server.address()));
+        all.add(text(server.address()));
       }
-      stores.add(store.addView(address, view(addresses)));
+      addresses.add(List.copyOf(all));
+    }
+    for (int vm = 0; vm < vms; vm++) {
+      stores.add(store.addView(address, view(vm)));
     }
   }
 
@@ -75,16 +82,25 @@
     return address.getHostString() + ":" + address.getPort();
   }
 
-  /** Returns the view that replaces the addresses in entries; other addresses stay. */
-  private static UnaryOperator<byte[]> view(Map<String, String> addresses) {
-    return entry -> {
+  /**
+   * Returns the view of a VM, which replaces the addresses of executors in records by those for
+   * this VM. Records may be binary, so an address is replaced only by one of the same length.
+   */
+  private UnaryOperator<byte[]> view(int vm) {
+    Map<String, String> shown = new HashMap<>();
+    for (List<String> ofExecutor : addresses) {
+      String forVm = ofExecutor.get(vm + 1);
+      ofExecutor.stream()
+          .filter(other -> other.length() == forVm.length())
+          .forEach(other -> shown.put(other, forVm));
+    }
+    return record -> {
       // Keeps each byte as it is, also those that are no text.
-      Matcher found = ADDRESS.matcher(new String(entry, StandardCharsets.ISO_8859_1));
-      String shown =
+      Matcher found = ADDRESS.matcher(new String(record, StandardCharsets.ISO_8859_1));
+      String replaced =
           found.replaceAll(
-              match ->
-                  Matcher.quoteReplacement(addresses.getOrDefault(match.group(), match.group())));
-      return shown.getBytes(StandardCharsets.ISO_8859_1);
+              match -> Matcher.quoteReplacement(shown.getOrDefault(match.group(), match.group())));
+      return replaced.getBytes(StandardCharsets.ISO_8859_1);
     };
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/StoreStandIn.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
@@ -29,6 +30,11 @@
 
   private static final String OPERATORS_TOPIC = "keyed.op";
   private static final String EXECUTORS_TOPIC = "keyed.servers";
+
+  /** Topics whose records name addresses of executors. */
+  private static final Set<String> VIEWED_TOPICS =
+      Set.of(EXECUTORS_TOPIC, "keyed.fescuehook-owner");
+
   private static final String WAVE_KEY_PREFIX = "wave/";
   private static final String EVACUATION_KEY_PREFIX = "evacuate/";
 
@@ -106,7 +112,7 @@
     return server.address();
   }
 
-  /** Listens on one more address, on which the view shows the entries of the executors. */
+  /** Listens on one more address, on which the view shows the records that name executors. */
   InetSocketAddress addView(InetSocketAddress address, UnaryOperator<byte[]> view)
       throws StandInException {
     StandInServer added = serve(address, view);
@@ -224,7 +230,7 @@
       return;
     }
     String name = exchange.text("topic");
-    UnaryOperator<byte[]> shown = name.equals(EXECUTORS_TOPIC) ? view : UnaryOperator.identity();
+    UnaryOperator<byte[]> shown = VIEWED_TOPICS.contains(name) ? view : UnaryOperator.identity();
     switch (exchange.call()) {
       case "POST /-/log-append" -> queueAppend(exchange, name);
       case "GET /-/log-read" -> read(exchange, topic(name), shown);
