--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
@@ -17,6 +17,9 @@
  */
 class UnconfirmedStopTest {
 
+  /** Longer than any lease, including the margin for the executor's clock. */
+  private static final long LEASE_MILLIS = 6500;
+
   private final BatchCluster cluster = new BatchCluster(1, 1, 1);
 
   /** Starts whose outcomes are withheld from the owner. */
@@ -79,6 +82,30 @@
     assertStartsWithin(1000, 8);
   }
 
+  /** Its lease has expired and was not extended, so a start that arrives now is rejected. */
+  @Test
+  void aStartThatHadNoAnswerHoldsNoCapacityAfterItsLease() {
+    cancelDuringStart(new OrderOutcome.Unanswered("timeout"));
+    cluster.run(LEASE_MILLIS);
+    assertStartsWithin(1000, 8);
+  }
+
+  /** The lease of the executor is extended for the other run, which does not help the start. */
+  @Test
+  void aStartThatHadNoAnswerHoldsNoCapacityAfterItsLeaseBesideAnotherRun() {
+    submit(1, 60_000);
+    cluster.runUntil("the other run", 1000, () -> cluster.work.starts().size() == 1);
+    withholdStarts();
+    String job = submit(4, 1000);
+    cluster.runUntil("the start order", 500, () -> !unsentStarts.isEmpty());
+    cluster.faults.lostStops = true;
+    cancel(job);
+    cluster.run(200);
+    deliverStartOutcome(new OrderOutcome.Unanswered("timeout"));
+    cluster.run(LEASE_MILLIS);
+    assertStartsWithin(1000, 4);
+  }
+
   /**
    * Guards against a task that runs twice, as a run that an earlier start has begun counts as never
    * begun. Its stop was acknowledged, which shows only that no start begins it from then on.
