--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
@@ -37,6 +37,20 @@
     jobs.put(cluster.submit(queue, submission), submission);
   }
 
+  /** Submits a gang, checkpointed tasks or a job of two steps, to any queue. */
+  void submitRandomJob() {
+    long millis = 1000L + cluster.random.nextInt(4000);
+    int width = 1 + cluster.random.nextInt(5);
+    Submission submission =
+        switch (cluster.random.nextInt(3)) {
+          case 0 -> Jobs.of(Jobs.gang(width, 1 << cluster.random.nextInt(4), millis));
+          case 1 -> Jobs.of(Jobs.checkpointed(width, 1, millis));
+          default -> Jobs.of(Jobs.tasks(width, 1, millis), Jobs.after(Jobs.tasks(2, 1, millis), 0));
+        };
+    String[] queues = {BatchCluster.URGENT, BatchCluster.NORMAL, BatchCluster.BULK};
+    submit(queues[cluster.random.nextInt(queues.length)], submission);
+  }
+
   /** Checks from now on until a time. */
   void checkUntil(long endMillis) {
     if (cluster.nowMillis() > endMillis) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LostAnswersHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LostAnswersHistoriesTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
-import org.fescuehook.model.batch.Submission;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -53,7 +52,7 @@
     BatchCluster cluster = new BatchCluster(3, EXECUTORS, seed);
     IdleJobChecks checks = new IdleJobChecks(cluster);
     for (int i = 0; i < 30; i++) {
-      cluster.in(1500 + cluster.random.nextInt(34_000), () -> submit(cluster, checks));
+      cluster.in(1500 + cluster.random.nextInt(34_000), checks::submitRandomJob);
     }
     cluster.in(FAULT_MILLIS, () -> cluster.faults.lateOrderRate = lostShare);
     cluster.in(JUDGED_FROM_MILLIS, () -> checks.checkUntil(DAY_MILLIS));
@@ -63,17 +62,4 @@
     cluster.run(40_000);
     RandomJobs.check(cluster);
   }
-
-  private static void submit(BatchCluster cluster, IdleJobChecks checks) {
-    long millis = 1000L + cluster.random.nextInt(4000);
-    int width = 1 + cluster.random.nextInt(5);
-    Submission submission =
-        switch (cluster.random.nextInt(3)) {
-          case 0 -> Jobs.of(Jobs.gang(width, 1 << cluster.random.nextInt(4), millis));
-          case 1 -> Jobs.of(Jobs.checkpointed(width, 1, millis));
-          default -> Jobs.of(Jobs.tasks(width, 1, millis), Jobs.after(Jobs.tasks(2, 1, millis), 0));
-        };
-    String[] queues = {BatchCluster.URGENT, BatchCluster.NORMAL, BatchCluster.BULK};
-    checks.submit(queues[cluster.random.nextInt(queues.length)], submission);
-  }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/PartialPartitionHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/PartialPartitionHistoriesTest.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.VmId;
 import org.junit.jupiter.api.Test;
@@ -49,7 +48,7 @@
     BatchCluster cluster = new BatchCluster(VMS, EXECUTORS, seed);
     IdleJobChecks checks = new IdleJobChecks(cluster);
     for (int i = 0; i < 40; i++) {
-      cluster.in(1500 + cluster.random.nextInt(40_000), () -> submit(cluster, checks));
+      cluster.in(1500 + cluster.random.nextInt(40_000), checks::submitRandomJob);
     }
     cluster.in(CUT_AT_MILLIS, () -> cut(cluster, cutLossRate, lateOrderRate));
     cluster.in(JUDGED_FROM_MILLIS, () -> checks.checkUntil(DAY_MILLIS));
@@ -74,17 +73,4 @@
       cluster.faults.cutFromExecutors.put(other, unreachable);
     }
   }
-
-  private static void submit(BatchCluster cluster, IdleJobChecks checks) {
-    long millis = 1000L + cluster.random.nextInt(4000);
-    int width = 1 + cluster.random.nextInt(5);
-    Submission submission =
-        switch (cluster.random.nextInt(3)) {
-          case 0 -> Jobs.of(Jobs.gang(width, 1 << cluster.random.nextInt(4), millis));
-          case 1 -> Jobs.of(Jobs.checkpointed(width, 1, millis));
-          default -> Jobs.of(Jobs.tasks(width, 1, millis), Jobs.after(Jobs.tasks(2, 1, millis), 0));
-        };
-    String[] queues = {BatchCluster.URGENT, BatchCluster.NORMAL, BatchCluster.BULK};
-    checks.submit(queues[cluster.random.nextInt(queues.length)], submission);
-  }
 }
