--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -173,7 +173,7 @@
       PlanPass pass =
           new PlanPass(
               pool,
-              UnreachableCapacity.of(pool(name, inService), nowNanos),
+              UnreachableCapacity.of(pool(name, inService)),
               SpeedClasses.of(pool, statistics.speeds(), nowNanos),
               usage,
               nearlyLateUse,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnreachableCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnreachableCapacity.java
@@ -10,10 +10,10 @@
  * Capacity of executors in service that this owner cannot use at present, as they do not answer or
  * it does not know what became of a run there. Users count what is idle there as idle capacity.
  *
- * @param accelerators accelerators of the executors that are not usable
+ * @param accelerators accelerators of the executors that do not answer
  * @param freeAccelerators those that no known run occupies, and those of runs that may not be alive
  *     on any executor
- * @param milliCores thousandths of a core of the executors that are not usable
+ * @param milliCores thousandths of a core of the executors that do not answer
  * @param freeMilliCores those that no known run occupies, and those of runs that may not be alive
  *     on any executor
  */
@@ -22,13 +22,13 @@
 
   static final UnreachableCapacity NONE = new UnreachableCapacity(0, 0, 0, 0);
 
-  static UnreachableCapacity of(Collection<ExecutorState> executors, long nowNanos) {
+  static UnreachableCapacity of(Collection<ExecutorState> executors) {
     long accelerators = 0;
     long freeAccelerators = 0;
     long milliCores = 0;
     long freeMilliCores = 0;
     for (ExecutorState executor : executors) {
-      if (!executor.usable(nowNanos)) {
+      if (executor.silent()) {
         accelerators += executor.profile().capacity().accelerators();
         freeAccelerators += executor.free().accelerators();
         milliCores += executor.profile().capacity().milliCores();
