--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -125,15 +125,6 @@
         new ExecutorClient(
             loop,
             (id, number, outcome) -> ring.publish(new BatchEvent.OrderEnded(id, number, outcome)));
-    ExecutorProbe probe =
-        new ExecutorProbe(
-            loop,
-            (number, reached) -> ring.publish(new BatchEvent.ExecutorsProbed(number, reached)));
-    AdviceClient advice =
-        new AdviceClient(
-            loop,
-            preferences.addresses().advice(),
-            (number, outcome) -> ring.publish(new BatchEvent.AdviceEnded(number, outcome)));
     OwnerIdentity self =
         new OwnerIdentity(
             preferences.identity().vm(),
@@ -149,7 +140,27 @@
             ring::publish);
     BatchCore core = new BatchCore(self, preferences.batch());
     this.decisions =
-        new BatchDuty(core, store, executors, probe, advice, machines, meters, gateway::update);
+        new BatchDuty(
+            core,
+            store,
+            executors,
+            executorProbe(loop),
+            adviceClient(loop),
+            machines,
+            meters,
+            gateway::update);
+  }
+
+  private ExecutorProbe executorProbe(EventLoop loop) {
+    return new ExecutorProbe(
+        loop, (number, reached) -> ring.publish(new BatchEvent.ExecutorsProbed(number, reached)));
+  }
+
+  private AdviceClient adviceClient(EventLoop loop) {
+    return new AdviceClient(
+        loop,
+        preferences.addresses().advice(),
+        (number, outcome) -> ring.publish(new BatchEvent.AdviceEnded(number, outcome)));
   }
 
   private CallGateway gateway(EventLoop loop) {
