--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/SchedulerProgram.java
@@ -125,12 +125,6 @@
         new ExecutorClient(
             loop,
             (id, number, outcome) -> ring.publish(new BatchEvent.OrderEnded(id, number, outcome)));
-    OwnerIdentity self =
-        new OwnerIdentity(
-            preferences.identity().vm(),
-            incarnation,
-            Addresses.format(preferences.addresses().peers()),
-            preferences.processor().milliCores());
     MachineClient machines =
         new MachineClient(
             loop,
@@ -138,7 +132,7 @@
             preferences.identity().vm() + "/" + incarnation,
             preferences.batch().maintenance().readsPerSecond(),
             ring::publish);
-    BatchCore core = new BatchCore(self, preferences.batch());
+    BatchCore core = new BatchCore(identity(), preferences.batch());
     this.decisions =
         new BatchDuty(
             core,
@@ -151,6 +145,14 @@
             gateway::update);
   }
 
+  private OwnerIdentity identity() {
+    return new OwnerIdentity(
+        preferences.identity().vm(),
+        incarnation,
+        Addresses.format(preferences.addresses().peers()),
+        preferences.processor().milliCores());
+  }
+
   private ExecutorProbe executorProbe(EventLoop loop) {
     return new ExecutorProbe(
         loop, (number, reached) -> ring.publish(new BatchEvent.ExecutorsProbed(number, reached)));
