--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -171,7 +171,7 @@
   REFUSED_JOBS_FULL(
       8067,
       "More than {} refused jobs: the oldest of organisation {} count as new when they return"),
-  /** Connections of the owner to several executors time out; logged every 5 s. */
+  /** Connections of the owner to some executors time out; logged every 5 s at most. */
   EXECUTORS_UNREACHABLE(
       8068, "Connections to {} executors time out, {} others are reached; some of the former: {}"),
   /** A VM has probed executors to find out whether it reaches more of them than the owner. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderOutcome.java
@@ -54,6 +54,14 @@
     };
   }
 
+  /** Tells whether the order is certain not to be carried out, now or later. */
+  default boolean neverCarriedOut() {
+    return switch (this) {
+      case NotSent _, Rejected _ -> true;
+      case Done _, Polled _, OtherIncarnation _, Unanswered _ -> false;
+    };
+  }
+
   /** The reason for a rejection. */
   enum Rejection {
     /** The executor has received an order of a higher epoch. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -117,21 +117,9 @@
    * @return the run that has never begun
    */
   Optional<LiveRun> neverBegun(long number, OrderOutcome outcome) {
-    boolean mayBeCarriedOut =
-        switch (outcome) {
-          case OrderOutcome.NotSent _, OrderOutcome.Rejected _ -> false;
-          case OrderOutcome.Done _,
-              OrderOutcome.Polled _,
-              OrderOutcome.OtherIncarnation _,
-              OrderOutcome.Unanswered _ ->
-              true;
-        };
-    if (mayBeCarriedOut) {
-      return Optional.empty();
-    }
     Optional<LiveRun> neverBegun =
         Optional.ofNullable(runOrders.get(number))
-            .filter(order -> order.stage() == Stage.STARTING)
+            .filter(order -> order.stage() == Stage.STARTING && outcome.neverCarriedOut())
             .map(RunOrder::run)
             .filter(run -> run.stage() == Stage.STOPPING && !run.mayHaveBegun());
     neverBegun.ifPresent(LiveRun::startNeverArrived);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReachMonitor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReachMonitor.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.ownership.ReachReport;
@@ -24,7 +25,7 @@
   private static final long LOG_INTERVAL_NANOS = Duration.ofSeconds(5).toNanos();
 
   private final ExecutorRegistry registry;
-  private Optional<Long> loggedAt = Optional.empty();
+  private OptionalLong loggedAt = OptionalLong.empty();
 
   /** Creates a monitor of the executors of a registry. */
   public ReachMonitor(ExecutorRegistry registry) {
@@ -51,19 +52,24 @@
     if (unreachable.size() < SEVERAL && !persistent) {
       return Optional.empty();
     }
-    log(unreachable, reachable.size(), context);
-    return Optional.of(
+    ReachReport report =
         new ReachReport(
-            unreachable.size(), reachable.size(), sample(unreachable), sample(reachable)));
+            unreachable.size(), reachable.size(), sample(unreachable), sample(reachable));
+    log(report, context);
+    return Optional.of(report);
   }
 
-  private void log(List<InetSocketAddress> unreachable, int reachable, BatchContext context) {
-    if (loggedAt.filter(at -> context.nowNanos() - at < LOG_INTERVAL_NANOS).isPresent()) {
+  private void log(ReachReport report, BatchContext context) {
+    long now = context.nowNanos();
+    if (loggedAt.isPresent() && now - loggedAt.getAsLong() < LOG_INTERVAL_NANOS) {
       return;
     }
-    loggedAt = Optional.of(context.nowNanos());
+    loggedAt = OptionalLong.of(now);
     context.note(
-        BatchLogEvent.EXECUTORS_UNREACHABLE, unreachable.size(), reachable, sample(unreachable));
+        BatchLogEvent.EXECUTORS_UNREACHABLE,
+        report.unreachable(),
+        report.reachable(),
+        report.unreachableSample());
   }
 
   /** Returns some addresses, spread evenly over the list. */
