Warnings name jobs that stay idle beside free capacity

Users saw accepted jobs of which nothing ran for 3 s in a service that was less than half in use, and no line of the record named the jobs. What decided about them was logged by the owner at INFO, by step, from a wait of 3 s on and once a second, so that a wait of 3.2 s might leave no line; what extracts keep are warnings, and those were about the change of the owner.

The owner now warns about an accepted job with a step that is ready, of which no started run is known for 2 s, if the step has fitted for 1 s while at most half of its pool was in use. Use is counted as users do: over all listed executors, by what started runs occupy. 8054 names the job, how long nothing of it has run, the step, its failures and the free accelerators; 8081 counts what keeps it from the executors with capacity: rests, unknown runs, silence, doubts, lack of proof, failures, advice, label or rack. At most once in 10 s for each job, checked every 500 ms.

Whether the step fits is counted over the executors that answer and are in service, also those that rest or list unknown runs: users count these as capacity, and a gang that needs them is otherwise not named. The capacity must have been there for 1 s, since capacity that has just become free may be given to runs that have not started.

Commands could log at INFO only; BatchCommand.Warning logs at WARN.

The whole test suite was not run.

--- a/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/entry/scheduler/BatchDuty.java
@@ -143,6 +143,8 @@
       case BatchCommand.ForgetExecutor(var id) -> executors.forget(id);
       case BatchCommand.Note(var event, var arguments) ->
           EventLog.info(LOGGER, event, arguments.toArray());
+      case BatchCommand.Warning(var event, var arguments) ->
+          EventLog.warn(LOGGER, event, arguments.toArray());
       case BatchCommand.Measure(String metric, String tag, String value, long nanos) ->
           Timer.builder(metric)
               .tag(tag, value)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCommand.java
@@ -117,6 +117,9 @@
   /** Logs an event. */
   record Note(NumberedEvent event, List<Object> arguments) implements BatchCommand {}
 
+  /** Logs an event that operators should know about. */
+  record Warning(NumberedEvent event, List<Object> arguments) implements BatchCommand {}
+
   /** Records a duration in a metric. */
   record Measure(String metric, String tag, String value, long nanos) implements BatchCommand {}
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchContext.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchContext.java
@@ -63,6 +63,11 @@
     commands.add(new BatchCommand.Note(event, List.of(arguments)));
   }
 
+  /** Adds a command that logs an event as a warning. */
+  public void warn(NumberedEvent event, Object... arguments) {
+    commands.add(new BatchCommand.Warning(event, List.of(arguments)));
+  }
+
   /** Adds a command that increments a counter. */
   public void count(String metric, String tag, String value) {
     commands.add(new BatchCommand.Count(metric, tag, value));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -126,6 +126,10 @@
   /** A run is stopped because such runs hold too much capacity while others wait. */
   OVERLONG_RUN_STOPPED(
       8053, "Run {} on {} has taken {} percent of its expected time; such runs hold {} percent"),
+  /** Nothing of a job runs although there is capacity and at most half of its pool is in use. */
+  JOB_IDLE(
+      8054,
+      "Job {} has had nothing running for {} ms, with capacity for {} ms: step {}, {} of {} attempts failed; {} of {} accelerators are free, {} of them usable, {} stay free for urgent work"),
   /** Evidence makes it likely that an executor fails the runs that it starts. */
   EXECUTOR_DOUBTED(8055, "Executor {} is doubted: {}, faulty with a probability of {} percent"),
   /** Runs that ended well outweigh the evidence against an executor. */
@@ -204,7 +208,11 @@
   MACHINES_UNREADABLE(8079, "The list of machines cannot be read: {}"),
   /** A maintenance call was refused because of a higher token. */
   MAINTENANCE_STOPPED(
-      8080, "No more maintenance calls by this owner: machine {} was called with a higher token");
+      8080, "No more maintenance calls by this owner: machine {} was called with a higher token"),
+  /** What keeps a job that has nothing running from the executors with capacity for it. */
+  IDLE_JOB_BARRED(
+      8081,
+      "Job {} waits beside {} executors with capacity: {} rest, {} have unknown runs, {} do not answer, {} are closed, {} are doubted, {} lack proof, {} failed runs of it, {} lack advice, {} do not suit, {} are open to it");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -209,17 +209,18 @@
     return !evacuated && usableOnceGivenBack(nowNanos);
   }
 
-  /**
-   * Tells whether new runs could be placed here now if the failure domain were not evacuated.
-   *
-   * @see #usable(long)
-   */
+  /** Tells whether new runs could be placed here now if the failure domain were not evacuated. */
   public boolean usableOnceGivenBack(long nowNanos) {
     boolean described = !profile.incarnation().differsFrom(incarnation);
     boolean available = listed && described && presumedAlive() && !inMaintenance;
     return available && !hasUnknownRuns && !profile.leaving() && !backoff.active(nowNanos);
   }
 
+  /** Tells whether the executor is excluded from new placements for a while. */
+  public boolean resting(long nowNanos) {
+    return backoff.active(nowNanos);
+  }
+
   /** Tells whether the executor has ever answered this owner. */
   public boolean reached() {
     return reached;
@@ -242,7 +243,7 @@
    * Tells whether the executor has answered this owner, no later answer contradicts that, and no
    * more polls have gone unanswered since than may have been lost.
    */
-  boolean presumedAlive() {
+  public boolean presumedAlive() {
     return reached && !silent && !unconfirmed;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -42,6 +42,7 @@
   private final SchedulingStatistics statistics;
   private final EvacuationWaits evacuationWaits;
   private final BarredCapacityLog barredCapacityLog;
+  private final IdleJobLog idleJobLog;
   private final FairShareLog fairShareLog;
   private final OverlongRuns overlongRuns;
   private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
@@ -64,6 +65,7 @@
     this.statistics = statistics;
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
     this.barredCapacityLog = new BarredCapacityLog(statistics.reliability(), context.nowNanos());
+    this.idleJobLog = new IdleJobLog(statistics.reliability(), context.nowNanos());
     this.fairShareLog = new FairShareLog(statistics.usage());
     this.overlongRuns =
         new OverlongRuns(
@@ -79,6 +81,7 @@
         .observe(
             executors.registry().all(), jobs.configuration().organisations(), context.nowNanos());
     List<WaitingStep> waiting = waiting(context);
+    idleJobLog.observe(waiting, context.nowNanos());
     if (waiting.isEmpty()) {
       fairShareLog.check(waiting, Planner.Plan.EMPTY, context);
       return;
@@ -100,6 +103,7 @@
     fairShareLog.check(waiting, plan, context);
     reservationLog.check(waiting, plan, context);
     barredCapacityLog.check(waiting, plan, usable, context);
+    idleJobLog.check(waiting, plan, executors.registry().all(), context);
     for (Planner.Preemption stop : plan.stops()) {
       WaitingStep beneficiary = stop.beneficiary();
       String job = beneficiary.step().job().job().id();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -73,6 +73,7 @@
   private long ticket;
   private int starts;
   private final List<BatchCommand.Note> notes = new ArrayList<>();
+  final List<BatchCommand.Warning> warnings = new ArrayList<>();
 
   /** One start of a VM. */
   final class Vm {
@@ -265,6 +266,7 @@
       case BatchCommand.ReportWaves report -> machines.report(vm, report);
       case BatchCommand.ForgetExecutor forget -> {}
       case BatchCommand.Note note -> notes.add(note);
+      case BatchCommand.Warning warning -> warnings.add(warning);
       case BatchCommand.Measure _, BatchCommand.Count _ -> {}
     }
   }
