A test that the use of accelerators alone keeps the idle warning away

The tests of the idle warning passed with the rule on accelerators removed: in IdleJobLogTest tasks take the same share of cores, and the fleet of the other test had nothing free. With that rule removed, the new test fails.

--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobWarningTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobWarningTest.java
@@ -46,4 +46,17 @@
     cluster.run(25_000);
     assertEquals(List.of(), warnings(BatchLogEvent.JOB_IDLE));
   }
+
+  /** Less than half of the cores is in use. */
+  @Test
+  void aJobThatWaitsBesideMoreThanHalfOfTheAcceleratorsInUseIsNotNamed() {
+    cluster.awaitOwner();
+    cluster.run(500);
+    cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(44, 1, 20_000)));
+    cluster.run(1000);
+    cluster.submit(BatchCluster.BULK, Jobs.of(Jobs.tasks(2, 1, 5000)));
+    cluster.run(4000);
+    assertEquals(44, cluster.work.starts().size());
+    assertEquals(List.of(), warnings(BatchLogEvent.JOB_IDLE));
+  }
 }
