The dispatch thread ends before its connection pools are closed

Cause: RequestPath.close halted the dispatch thread without waiting for it and closed the idle connections of all pools on its own thread. Pools are confined to the dispatch thread, which was probing them in a tick: closeIdle cleared the deque that removeSilent iterated over. Callbacks of closed connections change no pool; they only count.

Change: halt waits until the thread has ended, for at most 5 s, and tells whether it has. Only then the pools are closed by another thread.

--- a/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/DispatchThread.java
@@ -6,6 +6,7 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -31,6 +32,9 @@
   private static final long RETRY_DELAY_MILLIS = 1;
   private static final long PARK_NANOS = 100_000;
 
+  /** Longest wait of {@link #halt()} for the event that is being handled. */
+  private static final Duration HALT_TIMEOUT = Duration.ofSeconds(5);
+
   private static final class Slot {
     private Optional<DispatchEvent> event = Optional.empty();
   }
@@ -40,6 +44,7 @@
   private final Consumer<DispatchEvent> handler;
   private final RequestMetrics metrics;
   private final int ringSize;
+  private volatile Optional<Thread> thread = Optional.empty();
   private volatile boolean halted;
 
   /**
@@ -56,20 +61,41 @@
         new Disruptor<>(
             Slot::new,
             ringSize,
-            task -> new Thread(task, name),
+            task -> newThread(task, name),
             ProducerType.MULTI,
             new TimeoutBlockingWaitStrategy(TICK_MILLIS, TimeUnit.MILLISECONDS));
     disruptor.handleEventsWith(new Handler());
     this.ring = disruptor.getRingBuffer();
   }
 
+  private Thread newThread(Runnable task, String name) {
+    Thread created = new Thread(task, name);
+    thread = Optional.of(created);
+    return created;
+  }
+
   void start() {
     disruptor.start();
   }
 
-  void halt() {
+  /**
+   * Stops the thread and waits until it has ended. Events that it has not begun to handle are lost.
+   *
+   * @return whether the thread has ended, so that what it confined may be used by the caller
+   */
+  boolean halt() {
     halted = true;
     disruptor.halt();
+    return thread.isEmpty() || hasEnded(thread.get());
+  }
+
+  private static boolean hasEnded(Thread thread) {
+    try {
+      return thread.join(HALT_TIMEOUT);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return !thread.isAlive();
+    }
   }
 
   /** Publishes a new request; returns false if the ring is more than half full. */
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -241,8 +241,11 @@
   @Override
   public void close() {
     server.close();
-    thread.halt();
-    executors.close();
+    // Only the dispatch thread may use the client while it runs. If it does not end in time, the
+    // connections to executors end with the event loops.
+    if (thread.halt()) {
+      executors.close();
+    }
   }
 
   private final class RingEventSink implements CommandPerformer.EventSink {
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/DispatchThreadTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/DispatchThreadTest.java
@@ -7,7 +7,10 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescuehook.logic.dispatch.DispatchEvent;
 import org.fescuehook.model.fleet.ExecutorId;
@@ -16,6 +19,8 @@
 class DispatchThreadTest {
   private static final int RING = 8;
   private static final int ENDS = 3 * RING;
+  private static final Set<Thread.State> WAITING_OR_ENDED =
+      EnumSet.of(Thread.State.WAITING, Thread.State.TIMED_WAITING, Thread.State.TERMINATED);
 
   @Test
   void refusesNewRequestsWhenHalfFullAndLosesNoEndOfARequest() throws Exception {
@@ -53,6 +58,41 @@
     loop.shutdownGracefully();
   }
 
+  // Guards against closing what the thread uses, such as the pools of connections, beside an event.
+  @Test
+  void haltWaitsForTheEventThatIsBeingHandled() throws Exception {
+    CountDownLatch begun = new CountDownLatch(1);
+    CountDownLatch free = new CountDownLatch(1);
+    AtomicBoolean handled = new AtomicBoolean();
+    DispatchThread thread =
+        new DispatchThread(
+            "dispatch-test",
+            RING,
+            event -> {
+              begun.countDown();
+              await(free);
+              handled.set(true);
+            },
+            new RequestMetrics(new SimpleMeterRegistry()));
+    thread.start();
+    thread.put(new DispatchEvent.PathSuspected(executor()));
+    begun.await();
+
+    AtomicBoolean ended = new AtomicBoolean();
+    AtomicBoolean handledBefore = new AtomicBoolean();
+    Thread stop =
+        new Thread(
+            () -> {
+              ended.set(thread.halt());
+              handledBefore.set(handled.get());
+            });
+    stop.start();
+    Await.until(() -> WAITING_OR_ENDED.contains(stop.getState()));
+    free.countDown();
+    stop.join();
+    assertTrue(ended.get() && handledBefore.get());
+  }
+
   private static ExecutorId executor() {
     return new ExecutorId("e");
   }
