A request counts as in flight until its answer has been sent whole

What callers saw: one that reads a large answer slowly lost the end of it when the entry VM drained (status 200, body cut). Found by reading while DrainTest was traced, not in use.

Cause: an exchange ended when the last part of its answer was written to the channel, which may buffer 256 KiB and more for a slow reader. From then on the connection counted as idle, so that a drain closed it after 500 ms and the idle timeout after a minute, with what the buffer still held; the request no longer counted as in flight, so that the graceful stop went on after its quiet period and cut it likewise.

Change: the connection has a phase of its own between the last write and the sending of its last byte. In it the request counts as in flight and the drain waits. A caller that takes nothing is closed after the idle timeout, as before; this now holds also for answers that close the connection, which had no such limit.

--- a/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
@@ -38,6 +38,8 @@
     IDLE,
     RECEIVING,
     ANSWERING,
+    /** The answer is complete, but has not been sent whole. */
+    SENDING,
     CLOSING
   }
 
@@ -100,16 +102,18 @@
   }
 
   /**
-   * Closes the connection if it was idle for too long, and refuses a request that did not arrive
-   * whole within the header timeout.
+   * Closes the connection if it was idle for too long or the caller does not take the end of its
+   * answer, and refuses a request that did not arrive whole within the header timeout.
    */
   private void checkTimeouts() {
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - phaseSinceNanos);
-    if (phase == Phase.IDLE) {
-      boolean idleTooLong = elapsedMillis >= idleMillis();
-      if (idleTooLong || drain.closesIdle(elapsedMillis)) {
-        close();
-      }
+    boolean idleTooLong = elapsedMillis >= idleMillis();
+    if (phase == Phase.IDLE && (idleTooLong || drain.closesIdle(elapsedMillis))) {
+      close();
+      return;
+    }
+    if (phase == Phase.SENDING && idleTooLong) {
+      close();
       return;
     }
     if (phase == Phase.RECEIVING && elapsedMillis >= preferences.headerTimeout().toMillis()) {
@@ -121,11 +125,15 @@
   void bytesArrived() {
     if (phase == Phase.IDLE) {
       enter(Phase.RECEIVING);
-    } else if (phase == Phase.ANSWERING) {
+    } else if (isAnswering()) {
       bytesWhileAnswering = true;
     }
   }
 
+  private boolean isAnswering() {
+    return phase == Phase.ANSWERING || phase == Phase.SENDING;
+  }
+
   private void enter(Phase next) {
     phase = next;
     phaseSinceNanos = System.nanoTime();
@@ -134,7 +142,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     HttpObject part = (HttpObject) message;
-    if (phase == Phase.ANSWERING) {
+    if (isAnswering()) {
       pipelined.addLast(part);
       channel.config().setAutoRead(false);
       return;
@@ -220,15 +228,23 @@
   }
 
   /**
-   * Continues with the next request, or closes the connection. Called after the last part of the
-   * answer was written.
+   * Waits until the answer is sent. Called after its last part was written, which may still be in
+   * the channel's buffer if the caller reads slowly.
    */
   void answered() {
     exchange = Optional.empty();
+    enter(Phase.SENDING);
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> answerSent());
+  }
+
+  /** Continues with the next request, or closes the connection. */
+  private void answerSent() {
     metrics.inFlight().decrementAndGet();
+    if (phase == Phase.CLOSING) {
+      return;
+    }
     if (!keepAlive) {
-      enter(Phase.CLOSING);
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      close();
       return;
     }
     enter(bytesWhileAnswering ? Phase.RECEIVING : Phase.IDLE);
@@ -237,7 +253,7 @@
   }
 
   private void readPipelined() {
-    while (!pipelined.isEmpty() && phase != Phase.ANSWERING) {
+    while (!pipelined.isEmpty() && !isAnswering()) {
       read(pipelined.removeFirst());
     }
     if (pipelined.isEmpty() && phase != Phase.CLOSING) {
