A connection is closed as idle only after its socket was read once more

What callers saw: a request that arrived at an entry VM while its event loop was busy got no answer (connection closed, status 0), if the connection had been idle for 500 ms in a drain, or for the idle timeout at any time, when the loop went on.

Cause: the check of the timeouts runs as a due task of the event loop. When the loop was held up while it handled other connections, the check came before the next read and took the connection as idle, with the request unread in the socket.

Change: the check closes nothing by itself. It schedules a close with a delay, which the loop runs after it has read from its sockets again, and which does nothing if bytes have arrived. What remains is a request that is on its way while the connection is closed, which HTTP leaves to the client (RFC 9112, 9.5).

Measured: the new test, whose event loop is held up by another caller's request until the check is due, fails in 3 of 3 runs without the change (0 false instead of 200 true) and passes in 5 of 5 with it.

--- a/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
@@ -43,6 +43,9 @@
     CLOSING
   }
 
+  /** Delay above zero, so that the event loop reads from its sockets before a due close. */
+  private static final long CLOSE_DELAY_MILLIS = 1;
+
   private final Channel channel;
   private final RequestPreferences preferences;
   private final RequestMetrics metrics;
@@ -109,7 +112,7 @@
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - phaseSinceNanos);
     boolean idleTooLong = elapsedMillis >= idleMillis();
     if (phase == Phase.IDLE && (idleTooLong || drain.closesIdle(elapsedMillis))) {
-      close();
+      closeAfterNextRead();
       return;
     }
     if (phase == Phase.SENDING && idleTooLong) {
@@ -121,6 +124,25 @@
     }
   }
 
+  /**
+   * Closes the connection unless a request arrives in the next round of the event loop. A loop that
+   * was busy may run a due check before it reads what has arrived meanwhile; a task with a delay
+   * runs after the loop has read from its sockets once more.
+   */
+  private void closeAfterNextRead() {
+    long idleSinceNanos = phaseSinceNanos;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (phase == Phase.IDLE && phaseSinceNanos == idleSinceNanos) {
+                close();
+              }
+            },
+            CLOSE_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   /** Records that bytes arrived. Called before they are decoded. */
   void bytesArrived() {
     if (phase == Phase.IDLE) {
--- a/fescuehook/src/test/java/org/fescuehook/net/caller/CallerServerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/caller/CallerServerTest.java
@@ -16,6 +16,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescuehook.model.preferences.RequestPreferences;
@@ -33,6 +34,8 @@
   private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final RequestMetrics metrics = new RequestMetrics(new SimpleMeterRegistry());
   private final AtomicInteger answered = new AtomicInteger();
+  private final CountDownLatch blocked = new CountDownLatch(1);
+  private final CountDownLatch free = new CountDownLatch(1);
   private final CallerServer server = new CallerServer(loop, preferences(), metrics, this::answer);
   private InetSocketAddress address;
 
@@ -43,6 +46,7 @@
 
   @AfterEach
   void stop() {
+    free.countDown();
     server.close();
     loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
@@ -67,6 +71,26 @@
     }
   }
 
+  // Guards against closing a connection as idle whose request arrived while the loop was busy.
+  @Test
+  void drainAnswersARequestThatArrivedWhileTheEventLoopWasBusy() throws Exception {
+    try (RawCaller caller = new RawCaller(address);
+        RawCaller blocking = new RawCaller(address)) {
+      caller.send(get("/"));
+      assertEquals("200 true", outcome(caller.read()));
+      long idleSince = System.nanoTime();
+      blocking.send(get("/block"));
+      blocked.await();
+
+      caller.send(get("/"));
+      server.drain();
+      Duration idle = Duration.ofMillis(DrainState.IDLE_MILLIS);
+      awaitElapsed(idleSince, idle.plus(CHECK_INTERVAL));
+      free.countDown();
+      assertEquals("200 true", outcome(caller.read()));
+    }
+  }
+
   private static void awaitElapsed(long sinceNanos, Duration elapsed) {
     Await.until(() -> System.nanoTime() - sinceNanos > elapsed.toNanos());
   }
@@ -92,8 +116,13 @@
         base.claimWindow());
   }
 
+  /** Answers on the event loop, which the request for {@code /block} blocks. */
   private void answer(CallerExchange exchange) {
     exchange.body().release();
+    if (exchange.head().uri().equals("/block")) {
+      blocked.countDown();
+      await(free);
+    }
     int size = exchange.head().uri().equals("/large") ? LARGE_BYTES : 1;
     FullHttpResponse answer =
         new DefaultFullHttpResponse(
@@ -103,6 +132,14 @@
     answered.incrementAndGet();
   }
 
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static String outcome(RawCaller.Answer answer) {
     return answer.status() + " " + answer.whole();
   }
