--- a/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/CallerConnection.java
@@ -38,9 +38,14 @@
     IDLE,
     RECEIVING,
     ANSWERING,
+    /** The answer is complete, but has not been sent whole. */
+    SENDING,
     CLOSING
   }
 
+  /** Delay above zero, so that the event loop reads from its sockets before a due close. */
+  private static final long CLOSE_DELAY_MILLIS = 1;
+
   private final Channel channel;
   private final RequestPreferences preferences;
   private final RequestMetrics metrics;
@@ -100,16 +105,18 @@
   }
 
   /**
-   * Closes the connection if it was idle for too long, and refuses a request that did not arrive
-   * whole within the header timeout.
+   * Closes the connection if it was idle for too long or the caller does not take the end of its
+   * answer, and refuses a request that did not arrive whole within the header timeout.
    */
   private void checkTimeouts() {
     long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - phaseSinceNanos);
-    if (phase == Phase.IDLE) {
-      boolean idleTooLong = elapsedMillis >= idleMillis();
-      if (idleTooLong || drain.closesIdle(elapsedMillis)) {
-        close();
-      }
+    boolean idleTooLong = elapsedMillis >= idleMillis();
+    if (phase == Phase.IDLE && (idleTooLong || drain.closesIdle(elapsedMillis))) {
+      closeAfterNextRead();
+      return;
+    }
+    if (phase == Phase.SENDING && idleTooLong) {
+      close();
       return;
     }
     if (phase == Phase.RECEIVING && elapsedMillis >= preferences.headerTimeout().toMillis()) {
@@ -117,15 +124,38 @@
     }
   }
 
+  /**
+   * Closes the connection unless a request arrives in the next round of the event loop. A loop that
+   * was busy may run a due check before it reads what has arrived meanwhile; a task with a delay
+   * runs after the loop has read from its sockets once more.
+   */
+  private void closeAfterNextRead() {
+    long idleSinceNanos = phaseSinceNanos;
+    channel
+        .eventLoop()
+        .schedule(
+            () -> {
+              if (phase == Phase.IDLE && phaseSinceNanos == idleSinceNanos) {
+                close();
+              }
+            },
+            CLOSE_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS);
+  }
+
   /** Records that bytes arrived. Called before they are decoded. */
   void bytesArrived() {
     if (phase == Phase.IDLE) {
       enter(Phase.RECEIVING);
-    } else if (phase == Phase.ANSWERING) {
+    } else if (isAnswering()) {
       bytesWhileAnswering = true;
     }
   }
 
+  private boolean isAnswering() {
+    return phase == Phase.ANSWERING || phase == Phase.SENDING;
+  }
+
   private void enter(Phase next) {
     phase = next;
     phaseSinceNanos = System.nanoTime();
@@ -134,7 +164,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     HttpObject part = (HttpObject) message;
-    if (phase == Phase.ANSWERING) {
+    if (isAnswering()) {
       pipelined.addLast(part);
       channel.config().setAutoRead(false);
       return;
@@ -220,15 +250,23 @@
   }
 
   /**
-   * Continues with the next request, or closes the connection. Called after the last part of the
-   * answer was written.
+   * Waits until the answer is sent. Called after its last part was written, which may still be in
+   * the channel's buffer if the caller reads slowly.
    */
   void answered() {
     exchange = Optional.empty();
+    enter(Phase.SENDING);
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(sent -> answerSent());
+  }
+
+  /** Continues with the next request, or closes the connection. */
+  private void answerSent() {
     metrics.inFlight().decrementAndGet();
+    if (phase == Phase.CLOSING) {
+      return;
+    }
     if (!keepAlive) {
-      enter(Phase.CLOSING);
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      close();
       return;
     }
     enter(bytesWhileAnswering ? Phase.RECEIVING : Phase.IDLE);
@@ -237,7 +275,7 @@
   }
 
   private void readPipelined() {
-    while (!pipelined.isEmpty() && phase != Phase.ANSWERING) {
+    while (!pipelined.isEmpty() && !isAnswering()) {
       read(pipelined.removeFirst());
     }
     if (pipelined.isEmpty() && phase != Phase.CLOSING) {
--- a/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/caller/RequestPath.java
@@ -226,9 +226,13 @@
     thread.put(new DispatchEvent.Ready(ready, why));
   }
 
-  /** Stops accepting connections, answers the requests in flight and closes idle connections. */
-  public void drain() {
-    server.drain();
+  /**
+   * Stops accepting connections, answers the requests in flight and closes idle connections.
+   *
+   * @param idleLimit time for which a connection must have been idle before it is closed
+   */
+  public void drain(Duration idleLimit) {
+    server.drain(idleLimit);
     EventLog.info(LOGGER, RequestEvent.SERVICE_PORT_DRAINING, inFlight());
   }
 
@@ -241,8 +245,11 @@
   @Override
   public void close() {
     server.close();
-    thread.halt();
-    executors.close();
+    // Only the dispatch thread may use the client while it runs. If it does not end in time, the
+    // connections to executors end with the event loops.
+    if (thread.halt()) {
+      executors.close();
+    }
   }
 
   private final class RingEventSink implements CommandPerformer.EventSink {
