Idle jobs in a calm service start on executors that are not proven

Users saw accepted jobs that had nothing running for 3 s in a service that was less than half in use. A job on its last attempt started only on executors where a run that began after its last failure had ended well. If there was none it waited 3 s, which with the time to store and order the start is more than users accept; if the only ones were busy it waited up to 15 s beside idle executors. After the traffic hardly any run ends, so no executor is proven, and jobs that always fail come to their last attempt. Gangs waited in the same way until a single failure on an executor was forgotten, up to 9 s.

The requirement is now lowered, step by step, once a step has waited 2 s in a service that is mostly idle: first the proof, which says nothing without a wave of failures, since executors without evidence are then as reliable; for steps with attempts to spare also doubts up to one half. Last attempts never use an executor with evidence against it. A new owner knows no wave that began before, so it keeps the longer wait for the 6 s that a wave lasts.

FailureWavesTest holds.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -80,6 +80,7 @@
         .usage()
         .observe(
             executors.registry().all(), jobs.configuration().organisations(), context.nowNanos());
+    statistics.reliability().observe(context);
     List<WaitingStep> waiting = waiting(context);
     idleJobLog.observe(waiting, context.nowNanos());
     if (waiting.isEmpty()) {
@@ -92,7 +93,6 @@
             .toList();
     evacuationWaits.check(waiting, executors.registry().all(), usable, context);
     advice.forgetEnded();
-    statistics.reliability().observe(context);
     Planner.Plan plan =
         planner.plan(
             waiting,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -146,6 +146,11 @@
     StartRequirement requirement =
         StartRequirement.of(waiting, reliability.newestFault(waiting.step()));
     WaitingStep required = waiting.requiring(requirement);
+    boolean relaxable =
+        requirement.proven() ? reliability.knowsWaves(nowNanos) : reliability.calm(nowNanos);
+    if (relaxable && waits.idleFor(waiting, IDLE_WAIT_NANOS)) {
+      return fittingNow(waiting, requirement);
+    }
     boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
     if (!requirement.proven() || mayBecomeProven) {
       return required;
@@ -154,6 +159,17 @@
     return possible ? required : waiting.requiring(requirement.withoutProof());
   }
 
+  /** Lowers how reliable the executors of a step must be until it fits, or nothing is left. */
+  private WaitingStep fittingNow(WaitingStep waiting, StartRequirement usual) {
+    for (StartRequirement requirement : usual.relaxations()) {
+      WaitingStep required = waiting.requiring(requirement);
+      if (available.tightestGroup(required, waiting.startsTogether(), false).isPresent()) {
+        return required;
+      }
+    }
+    return waiting.requiring(usual);
+  }
+
   private void planTasks(WaitingStep waiting) {
     int allowedStarts = allowedStarts(waiting);
     if (allowedStarts == 0 || waitsForProbation(waiting)) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.TaskProgress;
@@ -135,13 +136,24 @@
         maxFaultProbability, acceptsUnproven, false, OptionalLong.empty(), trial);
   }
 
+  /**
+   * Returns this requirement and lower ones, in the order to try them. Last attempts never use an
+   * executor with evidence against it, and others none that is more likely faulty than not.
+   */
+  List<StartRequirement> relaxations() {
+    if (!acceptsUnproven) {
+      return List.of(this, withoutProof());
+    }
+    return List.of(this, accepting(ExecutorStanding.TOLERABLE), accepting(SETTLED_SOON));
+  }
+
+  private StartRequirement accepting(double probability) {
+    return new StartRequirement(
+        Math.max(maxFaultProbability, probability), acceptsUnproven, proven, provenSince, trial);
+  }
+
   /** Returns the requirement that executors will meet soon if they are not faulty. */
   StartRequirement expectedSoon() {
-    return new StartRequirement(
-        Math.max(maxFaultProbability, SETTLED_SOON),
-        acceptsUnproven,
-        false,
-        OptionalLong.empty(),
-        trial);
+    return withoutProof().accepting(SETTLED_SOON);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
@@ -25,7 +25,7 @@
   private static final long PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
 
   /** Time for which a wave counts after it was last seen; such faults last about 6 s. */
-  private static final long RETENTION_NANOS = Duration.ofSeconds(6).toNanos();
+  static final long RETENTION_NANOS = Duration.ofSeconds(6).toNanos();
 
   /** Share of failed executors from which on it is a wave; 2 to 5 % of runs fail by themselves. */
   private static final double MIN_SHARE = 0.15;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
@@ -51,6 +51,7 @@
   private final Map<ExecutorId, ExecutorRecord> executors = new HashMap<>();
   private final Map<StepProgress, StepFailures> steps = new IdentityHashMap<>();
   private final FailureWave wave = new FailureWave();
+  private OptionalLong observedSince = OptionalLong.empty();
   private final UnansweredStarts unanswered = new UnansweredStarts();
 
   /**
@@ -73,6 +74,9 @@
       return;
     }
     long nowNanos = context.nowNanos();
+    if (observedSince.isEmpty()) {
+      observedSince = OptionalLong.of(nowNanos);
+    }
     executors.values().removeIf(executor -> executor.outdated(RETENTION_NANOS, nowNanos));
     if (wave.observe(executors.values(), nowNanos)) {
       context.note(BatchLogEvent.FAILURE_WAVE, Math.round(wave.share() * PERCENT));
@@ -80,6 +84,20 @@
     }
   }
 
+  /** Tells whether there is no wave of failures. */
+  public boolean calm(long nowNanos) {
+    return knowsWaves(nowNanos) && wave.since().isEmpty();
+  }
+
+  /**
+   * Tells whether it would know of a wave of failures. A new owner does not know of one that began
+   * before, so it has to look for as long as a wave lasts.
+   */
+  public boolean knowsWaves(long nowNanos) {
+    return observedSince.isPresent()
+        && nowNanos - observedSince.getAsLong() >= FailureWave.RETENTION_NANOS;
+  }
+
   /** Learns from the end of a run. */
   public void ended(Incarnation executor, LiveRun run, RunEnd end, BatchContext context) {
     if (!enabled) {
