Executors that get no work count as idle capacity for the urgent reserve

Users count all executors of the service when they ask whether less than half of it is in use.

Three questions shared one count. Whether work may use the reserve, and whether a step is idle, now goes by the users' count; whether a step may start away from its data still goes by what the owner can use, which such executors do not add to.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -166,9 +166,9 @@
     return share((int) candidates.stream().filter(property).count(), candidates.size());
   }
 
-  /** Tells whether more than half of a pool is free, both in accelerators and in cores. */
-  boolean exceedsHalfOf(FleetCapacity total, UnreachableCapacity unreachable) {
-    return unreachable.mostFree(accelerators, total.accelerators, milliCores, total.milliCores);
+  /** Tells whether at least half of a pool is free, both in accelerators and in cores. */
+  boolean isHalfOf(FleetCapacity total, UnusableCapacity unusable) {
+    return unusable.halfFree(accelerators, total.accelerators, milliCores, total.milliCores);
   }
 
   static double share(int free, int total) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlacementWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlacementWaits.java
@@ -21,7 +21,8 @@
 
   private final FleetCapacity available;
   private final FleetCapacity total;
-  private final UnreachableCapacity unreachable;
+  private final UnusableCapacity silent;
+  private final UnusableCapacity unusable;
   private final RunForecast forecast;
   private final long guaranteedWaitNanos;
 
@@ -30,18 +31,22 @@
    *
    * @param available capacity that is free now, without what the plan has placed so far
    * @param total the whole capacity of the usable executors of the pool
-   * @param unreachable capacity of its other executors in service
+   * @param silent capacity of its executors that do not answer
+   * @param unusable capacity of all its executors that get no work, those that do not answer among
+   *     them
    * @param guaranteedWaitNanos how long guaranteed work waits before its first start
    */
   PlacementWaits(
       FleetCapacity available,
       FleetCapacity total,
-      UnreachableCapacity unreachable,
+      UnusableCapacity silent,
+      UnusableCapacity unusable,
       RunForecast forecast,
       long guaranteedWaitNanos) {
     this.available = available;
     this.total = total;
-    this.unreachable = unreachable;
+    this.silent = silent;
+    this.unusable = unusable;
     this.forecast = forecast;
     this.guaranteedWaitNanos = guaranteedWaitNanos;
   }
@@ -58,9 +63,12 @@
     return total.tightestGroup(soon, waiting.startsTogether(), true).isPresent();
   }
 
-  /** Tells whether a step has waited for some time although more than half of the pool is free. */
-  boolean idleFor(WaitingStep waiting, long nanos) {
-    return waiting.timing().queuedNanos() > nanos && available.exceedsHalfOf(total, unreachable);
+  /**
+   * Tells whether a step has waited for some time although at most half of the pool is in use, as
+   * users count it: executors that get no work at present count as well.
+   */
+  boolean serviceIdleFor(WaitingStep waiting, long nanos) {
+    return waiting.timing().queuedNanos() > nanos && available.isHalfOf(total, unusable);
   }
 
   /** Tells whether guaranteed work has to start for the first time, wherever there is room. */
@@ -70,10 +78,12 @@
   }
 
   private boolean mayStartAnywhere(WaitingStep waiting) {
-    if (idleFor(waiting, IDLE_NEARNESS_WAIT_NANOS)) {
+    StepTiming timing = waiting.timing();
+    // Executors that rest or are evacuated have no capacity to spare for starts elsewhere.
+    boolean idle = available.isHalfOf(total, silent);
+    if (idle && timing.queuedNanos() > IDLE_NEARNESS_WAIT_NANOS) {
       return true;
     }
-    StepTiming timing = waiting.timing();
     if (firstStartIsDue(waiting)) {
       return true;
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -97,7 +97,7 @@
         planner.plan(
             waiting,
             usable,
-            UnreachableCapacity.inService(executors.registry().all()),
+            executors.registry().all().stream().filter(ExecutorState::listed).toList(),
             run -> useless(run, context),
             context.nowNanos());
     fairShareLog.check(waiting, plan, context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -30,7 +30,7 @@
   private static final double NEARLY_LATE_RESERVE_SHARE = 0.25;
 
   /**
-   * Work that has waited this long while more than half of the pool is free may use the capacity
+   * Work that has waited this long while at least half of the pool is free may use the capacity
    * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
    */
   private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
@@ -72,7 +72,8 @@
 
   PlanPass(
       Collection<ExecutorState> executors,
-      UnreachableCapacity unreachable,
+      UnusableCapacity silent,
+      UnusableCapacity unusable,
       SpeedClasses speeds,
       PlannedUsage usage,
       NearlyLateUse nearlyLateUse,
@@ -91,7 +92,8 @@
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
     this.waits =
-        new PlacementWaits(available, total, unreachable, forecast, guaranteedNearnessWaitNanos);
+        new PlacementWaits(
+            available, total, silent, unusable, forecast, guaranteedNearnessWaitNanos);
     this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
@@ -117,7 +119,7 @@
     WaitingStep waiting =
         withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
             .advised(unrestricted.advice());
-    limited = reservations.limit(waiting) && !waits.idleFor(waiting, IDLE_WAIT_NANOS);
+    limited = reservations.limit(waiting) && !waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS);
     if (waiting.step().spec().gang()) {
       planGang(waiting);
     } else {
@@ -148,7 +150,7 @@
     WaitingStep required = waiting.requiring(requirement);
     boolean relaxable =
         requirement.proven() ? reliability.knowsWaves(nowNanos) : reliability.calm(nowNanos);
-    if (relaxable && waits.idleFor(waiting, IDLE_WAIT_NANOS)) {
+    if (relaxable && waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS)) {
       return fittingNow(waiting, requirement);
     }
     boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
@@ -319,7 +321,7 @@
     if (waiting.urgent() || accelerators == 0) {
       return Integer.MAX_VALUE;
     }
-    if (waits.idleFor(waiting, IDLE_WAIT_NANOS)) {
+    if (waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS)) {
       return Integer.MAX_VALUE;
     }
     int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -152,13 +152,13 @@
   /**
    * Makes a plan.
    *
-   * @param inService all executors in service
+   * @param listed all executors that are listed
    * @param useless tells whether the result of a run will come too late to be of any use
    */
   Plan plan(
       Collection<WaitingStep> waiting,
       Collection<ExecutorState> executors,
-      Collection<ExecutorState> inService,
+      Collection<ExecutorState> listed,
       Predicate<LiveRun> useless,
       long nowNanos) {
     RunForecast forecast =
@@ -173,7 +173,9 @@
       PlanPass pass =
           new PlanPass(
               pool,
-              UnreachableCapacity.of(pool(name, inService)),
+              UnusableCapacity.of(
+                  pool(name, listed), executor -> executor.inService() && executor.silent()),
+              UnusableCapacity.of(pool(name, listed), executor -> !executor.usable(nowNanos)),
               SpeedClasses.of(pool, statistics.speeds(), nowNanos),
               usage,
               nearlyLateUse,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnreachableCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/UnusableCapacity.java
@@ -1,34 +1,39 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.util.Collection;
-import java.util.List;
+import java.util.function.Predicate;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 
 /**
- * Capacity of executors in service that this owner cannot use at present, as they do not answer or
- * it does not know what became of a run there. Users count what is idle there as idle capacity.
+ * Capacity that this owner cannot use at present: of executors that get no work, and of runs of
+ * which it does not know whether they are alive. Users count what is idle there as idle capacity.
  *
- * @param accelerators accelerators of the executors that do not answer
+ * @param accelerators accelerators of the executors that are not usable
  * @param freeAccelerators those that no known run occupies, and those of runs that may not be alive
  *     on any executor
- * @param milliCores thousandths of a core of the executors that do not answer
+ * @param milliCores thousandths of a core of the executors that are not usable
  * @param freeMilliCores those that no known run occupies, and those of runs that may not be alive
  *     on any executor
  */
-record UnreachableCapacity(
+record UnusableCapacity(
     long accelerators, long freeAccelerators, long milliCores, long freeMilliCores) {
 
-  static final UnreachableCapacity NONE = new UnreachableCapacity(0, 0, 0, 0);
-
-  static UnreachableCapacity of(Collection<ExecutorState> executors) {
+  /**
+   * Counts the capacity of a pool.
+   *
+   * @param executors all its executors that count
+   * @param unusable selects those that get no work
+   */
+  static UnusableCapacity of(
+      Collection<ExecutorState> executors, Predicate<ExecutorState> unusable) {
     long accelerators = 0;
     long freeAccelerators = 0;
     long milliCores = 0;
     long freeMilliCores = 0;
     for (ExecutorState executor : executors) {
-      if (executor.silent()) {
+      if (unusable.test(executor)) {
         accelerators += executor.profile().capacity().accelerators();
         freeAccelerators += executor.free().accelerators();
         milliCores += executor.profile().capacity().milliCores();
@@ -41,7 +46,7 @@
         }
       }
     }
-    return new UnreachableCapacity(accelerators, freeAccelerators, milliCores, freeMilliCores);
+    return new UnusableCapacity(accelerators, freeAccelerators, milliCores, freeMilliCores);
   }
 
   /** Tells whether a run may never have been alive. */
@@ -50,20 +55,15 @@
   }
 
   /**
-   * Tells whether more than half of a pool is free, both in accelerators and in cores, if what its
+   * Tells whether at least half of a pool is free, both in accelerators and in cores, if what its
    * usable executors have is as given.
    */
-  boolean mostFree(
+  boolean halfFree(
       long usableFreeAccelerators,
       long usableAccelerators,
       long usableFreeMilliCores,
       long usableMilliCores) {
-    return 2 * (usableFreeAccelerators + freeAccelerators) > usableAccelerators + accelerators
-        && 2 * (usableFreeMilliCores + freeMilliCores) > usableMilliCores + milliCores;
-  }
-
-  /** Selects the executors that are in service. */
-  static List<ExecutorState> inService(Collection<ExecutorState> executors) {
-    return executors.stream().filter(ExecutorState::inService).toList();
+    return 2 * (usableFreeAccelerators + freeAccelerators) >= usableAccelerators + accelerators
+        && 2 * (usableFreeMilliCores + freeMilliCores) >= usableMilliCores + milliCores;
   }
 }
