A start that has expired no longer holds its task and capacity

Callers saw tasks and capacity held until the executor was lost or the owner changed: a start had no answer, no stop of its run had one either, and the executor answered polls without listing the run.

Cause: a stopped run ended only by its listed end, by an acknowledged stop and a poll after it, or by the loss of the executor. A start without an answer whose stops are lost met none of these.

Change: a stopped run also ends when an uncut answer to a poll does not list it and the newest start of it had expired before that poll was sent. This is safe since an executor rejects a start whose expiresMs, a time on the executor's own clock, has passed (409, late), whatever extends the lease of the executor meanwhile, so that a start carried out before is listed in that answer as active or ended, and none is carried out after it. The protocol names the reason late without defining it; that a start is judged by its own expiry, not by the lease that other runs have extended, is how its stand-ins here read it and has not been seen on the platform. Both times are on the clock of the executor, so that its speed does not matter, and the reading is that of the answer before, as an answer may read the clock after its lists. What tells that no start of a stopped run can follow is now in StartExclusion.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LeaseTracker.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/LeaseTracker.java
@@ -22,6 +22,7 @@
   private static final long CLOCK_READING_MARGIN_NANOS = Duration.ofMillis(250).toNanos();
 
   private OptionalLong clockOffsetMillis = OptionalLong.empty();
+  private OptionalLong polledClockMillis = OptionalLong.empty();
   private long grantedUntilMillis;
   private long expiryNanos;
 
@@ -44,6 +45,19 @@
     clockOffsetMillis = OptionalLong.of(clockMillis - Duration.ofNanos(nowNanos).toMillis());
   }
 
+  /**
+   * Records the reading of the executor's clock in the answer to a poll.
+   *
+   * @return the reading in the answer before, a time that had certainly passed when the executor
+   *     received the poll; empty for the first answer
+   */
+  OptionalLong pollAnswered(long clockMillis, long nowNanos) {
+    clockRead(clockMillis, nowNanos);
+    OptionalLong previous = polledClockMillis;
+    polledClockMillis = OptionalLong.of(clockMillis);
+    return previous;
+  }
+
   /**
    * Extends the lease and records how long it may last. The executor's clock must have been read
    * before.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/OrderSender.java
@@ -78,6 +78,7 @@
   void start(ExecutorState executor, LiveRun run, BatchContext context) {
     run.ordered(context.nowNanos());
     long leaseUntil = executor.lease().extend(lease, context.nowNanos());
+    run.startSent(leaseUntil);
     String spec = run.step().job().job().submission().spec();
     ExecutorOrder order =
         new ExecutorOrder.Start(run.run(), spec, run.checkpoint(), run.ticket(), leaseUntil);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ReportHandler.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.BatchLogEvent;
@@ -92,7 +93,9 @@
       executor.lease().excludeFormerOwners(longestLease, context.nowNanos());
     }
     executor.pollAnswered(context.nowNanos());
-    executor.lease().clockRead(answer.clockMillis(), context.nowNanos());
+    // This answer may read the clock after the lists, so only the reading before it is used.
+    OptionalLong clockBefore =
+        executor.lease().pollAnswered(answer.clockMillis(), context.nowNanos());
     handleEnds(executor, answer.ended(), context);
     Set<TaskRun> active = new HashSet<>();
     executor.setHasUnknownRuns(false);
@@ -106,7 +109,8 @@
             .filter(run -> !active.contains(run.run()))
             // Orders sent before the first answer have arrived by then, or are rejected for good by
             // their fencing token.
-            .filter(run -> first ? run.stage() != Stage.PLACED : run.mustBeListed(sentAt))
+            .filter(
+                run -> first ? run.stage() != Stage.PLACED : run.mustBeListed(sentAt, clockBefore))
             .toList();
     boolean mayHaveEnded = answer.moreEnded() && !unlisted.isEmpty();
     boolean noted = executor.runEnds().hidden();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/LiveRun.java
@@ -28,8 +28,7 @@
   private Stage stage;
   private boolean startUncertain;
   private boolean mayHaveBegun;
-  private boolean stopAcknowledged;
-  private long stopAcknowledgedAt;
+  private final StartExclusion startExclusion = new StartExclusion();
   private long stageSince;
   private long orderedAt;
   private int orders;
@@ -215,6 +214,11 @@
     return runningSince;
   }
 
+  /** Records that a start was sent, which expires at a time on the clock of the executor. */
+  public void startSent(long expiresMillis) {
+    startExclusion.startSent(expiresMillis);
+  }
+
   /** Counts an order sent in this stage and records its time. */
   public void ordered(long nowNanos) {
     orders++;
@@ -252,8 +256,7 @@
 
   /** Records that the executor acknowledged the stop: from now on it will not start this run. */
   public void stopAcknowledged(long nowNanos) {
-    stopAcknowledged = true;
-    stopAcknowledgedAt = nowNanos;
+    startExclusion.acknowledgeStop(nowNanos);
     startUncertain = false;
   }
 
@@ -264,23 +267,26 @@
    * @param longestStopNanos longest time that a stop may take
    */
   public void stillListed(long pollSentAt, long longestStopNanos) {
-    if (stopAcknowledged && pollSentAt - stopAcknowledgedAt > longestStopNanos) {
-      stopAcknowledged = false;
-    }
+    startExclusion.stillListed(pollSentAt, longestStopNanos);
   }
 
   /** Returns whether the executor acknowledged the stop. */
   public boolean stopAcknowledged() {
-    return stopAcknowledged;
+    return startExclusion.stopAcknowledged();
   }
 
-  /** Returns whether the answer to a poll sent at the given time must list it if it is alive. */
-  public boolean mustBeListed(long pollSentAt) {
+  /**
+   * Returns whether the answer to a poll must list it if it is alive or may still begin.
+   *
+   * @param pollSentAt monotonic time
+   * @param clockMillis reading of the executor's clock before the poll; empty if none is known
+   */
+  public boolean mustBeListed(long pollSentAt, OptionalLong clockMillis) {
     return switch (stage) {
       case PLACED, STARTING -> false;
       case INHERITED -> true;
       case RUNNING -> pollSentAt - stageSince > 0;
-      case STOPPING -> stopAcknowledged && pollSentAt - stopAcknowledgedAt > 0;
+      case STOPPING -> startExclusion.effectiveAt(pollSentAt, clockMillis);
     };
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnconfirmedStopTest.java
@@ -90,6 +90,17 @@
     assertStartsWithin(1000, 8);
   }
 
+  /** Guards against a task that runs twice: until its lease has expired, the start may arrive. */
+  @Test
+  void aStartThatHadNoAnswerHoldsItsCapacityUntilItsLeaseHasExpired() {
+    cancelDuringStart(new OrderOutcome.Unanswered("timeout"));
+    int before = cluster.work.starts().size();
+    submit(8, 300);
+    cluster.run(LEASE_MILLIS - 1500);
+    assertEquals(before, cluster.work.starts().size());
+    assertEquals(List.of(), cluster.notes(BatchLogEvent.RUN_LOST));
+  }
+
   /** The lease of the executor is extended for the other run, which does not help the start. */
   @Test
   void aStartThatHadNoAnswerHoldsNoCapacityAfterItsLeaseBesideAnotherRun() {
