An executor that restarts under its id at another address is used there

Callers saw jobs wait until another VM became the owner, if only such an executor may run them.

Cause: the client of executors kept its connections by the id of the executor alone, and the first poll of a new incarnation opened them with the profile of the previous one. All later orders went to the former address.

Change: the client opens new connections when an order names another address than those it has. Orders without an answer then end as not sent or unanswered, so that nothing waits for them. An incarnation that an entry of the executor list names is polled at the address in that entry. The simulated cluster refuses orders to a former address.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -151,9 +151,9 @@
       found.get().markUnconfirmed();
       return false;
     }
-    ExecutorState executor = restarts.entryListed(found.get(), profile.incarnation(), context);
-    boolean same = executor.listed() && executor.profile().equals(profile);
-    boolean wasLeaving = executor.profile().leaving();
+    boolean same = found.get().listed() && found.get().profile().equals(profile);
+    boolean wasLeaving = found.get().profile().leaving();
+    ExecutorState executor = restarts.entryListed(found.get(), profile, context);
     executor.updateProfile(profile);
     listener.observed(new ExecutorSign.Listed(executor.incarnation()), context);
     evacuations.update(executor);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/RestartHandler.java
@@ -9,6 +9,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
+import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.Incarnation;
 
 /**
@@ -48,15 +49,16 @@
   }
 
   /**
-   * Handles the incarnation that an entry of the executor list names.
+   * Handles the incarnation that an entry of the executor list names, which may have another
+   * address than the one before.
    *
    * @return the state of that incarnation
    */
-  ExecutorState entryListed(ExecutorState executor, Incarnation listed, BatchContext context) {
-    if (executor.incarnation().differsFrom(listed)) {
-      return replace(executor, listed, "entry", context);
+  ExecutorState entryListed(ExecutorState executor, ExecutorProfile listed, BatchContext context) {
+    if (executor.incarnation().differsFrom(listed.incarnation())) {
+      return replace(executor, listed.incarnation(), listed, "entry", context);
     }
-    executor.datedBy(listed.bornMillis());
+    executor.datedBy(listed.incarnation().bornMillis());
     return executor;
   }
 
@@ -73,15 +75,24 @@
     // later by its clock.
     if (other || (undated && bornMillis.isPresent())) {
       reportHandler.observed(new ExecutorSign.Replaced(executor.incarnation()), context);
-      replace(executor, answering, "answer", context);
+      replace(executor, answering, executor.profile(), "answer", context);
       return true;
     }
     executor.datedBy(bornMillis);
     return false;
   }
 
+  /**
+   * Replaces the state of the previous incarnation and polls the next one.
+   *
+   * @param profile newest profile under the id, which names the address of the poll
+   */
   private ExecutorState replace(
-      ExecutorState previous, Incarnation next, String source, BatchContext context) {
+      ExecutorState previous,
+      Incarnation next,
+      ExecutorProfile profile,
+      String source,
+      BatchContext context) {
     context.note(
         BatchLogEvent.EXECUTOR_RESTARTED,
         previous.incarnation(),
@@ -92,6 +103,7 @@
     ExecutorState executor =
         previous.nextIncarnation(
             next, describeEnd(previous, next, context), orders.baselineOfNextIncarnation());
+    executor.updateProfile(profile);
     executor.restarted(context.nowNanos());
     reportHandler.crashed(previous, context);
     executor.lease().mayLastFor(longestLease, context.nowNanos());
--- a/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
+++ b/fescuehook/src/main/java/org/fescuehook/platform/ExecutorClient.java
@@ -1,6 +1,7 @@
 package org.fescuehook.platform;
 
 import io.netty.channel.EventLoop;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.net.http.HttpClientConnection;
+import org.fescuehook.net.http.HttpResult;
 
 /**
  * Sends orders to executors. Each executor has one connection for polls, which the executor may
@@ -48,13 +50,22 @@
     this.listener = listener;
   }
 
-  /** Sends an order. */
+  /** Sends an order to the address that it names, which may change under the id of an executor. */
   public void send(BatchCommand.Order order) {
-    loop.execute(
-        () ->
-            executors
-                .computeIfAbsent(order.executor().id(), id -> new Connections(order.executor()))
-                .send(order));
+    loop.execute(() -> connectionsTo(order.executor()).send(order));
+  }
+
+  private Connections connectionsTo(ExecutorProfile executor) {
+    Connections known = executors.get(executor.id());
+    if (known != null && known.executor.address().equals(executor.address())) {
+      return known;
+    }
+    Connections opened = new Connections(executor);
+    executors.put(executor.id(), opened);
+    if (known != null) {
+      known.abandon();
+    }
+    return opened;
   }
 
   /** Closes the connections to an executor and drops its queued orders. */
@@ -132,6 +143,18 @@
           });
     }
 
+    /** Closes the connections; each order without an answer ends as not sent or unanswered. */
+    void abandon() {
+      List<BatchCommand.Order> unsent = List.copyOf(waiting);
+      close();
+      HttpResult result =
+          new HttpResult.Failed(new IOException("its executor has another address"), false);
+      for (BatchCommand.Order order : unsent) {
+        listener.ended(
+            executor.id(), order.number(), ExecutorMessages.decode(order.order(), result));
+      }
+    }
+
     /**
      * Drops the orders that have not been sent. Nothing waits for the outcomes of a forgotten
      * executor.
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterCrashes.java
@@ -3,11 +3,15 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.fescuehook.model.batch.ExecutorProfile;
 import org.fescuehook.model.fleet.ExecutorId;
 
-/** Crashes executors of a {@link BatchCluster} and restarts them at the same address. */
+/**
+ * Crashes executors of a {@link BatchCluster} and restarts them, at the same address unless another
+ * port is set.
+ */
 final class ClusterCrashes {
 
   /** How long an executor stays down after a task has crashed it. */
@@ -24,6 +28,7 @@
   private long listedAfterMillis;
   private boolean idsKept;
   private long clockBackMillis;
+  private OptionalInt nextPort = OptionalInt.empty();
 
   ClusterCrashes(BatchCluster cluster) {
     this.cluster = cluster;
@@ -81,6 +86,11 @@
     clockBackMillis = millis;
   }
 
+  /** Sets the port at which executors that restart under their ids listen from then on. */
+  void setNextPort(int port) {
+    nextPort = OptionalInt.of(port);
+  }
+
   /** Sets how long after its restart an executor is listed again. */
   void setListedAfterMillis(long millis) {
     listedAfterMillis = millis;
@@ -101,9 +111,13 @@
         awayMillis,
         () -> {
           down.remove(id);
-          ExecutorProfile next =
+          ExecutorProfile restarted =
               TestFixtures.withStartTime(
                   executor.profile(), cluster.wallMillis() - clockBackMillis);
+          ExecutorProfile next =
+              nextPort.isPresent()
+                  ? TestFixtures.withPort(restarted, nextPort.getAsInt())
+                  : restarted;
           cluster.addExecutor(new FakeExecutor(next, clockAhead, cluster.work));
           cluster.in(listedAfterMillis, () -> listIfUp(next));
         });
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/ClusterOrders.java
@@ -24,6 +24,7 @@
 
   private final BatchCluster cluster;
   private int starts;
+  private int toFormerAddress;
 
   ClusterOrders(BatchCluster cluster) {
     this.cluster = cluster;
@@ -34,6 +35,16 @@
     return starts;
   }
 
+  /** Returns how many orders named an address that their executor had before it restarted. */
+  int toFormerAddress() {
+    return toFormerAddress;
+  }
+
+  private boolean namesFormerAddress(BatchCommand.Order command) {
+    FakeExecutor executor = cluster.executors.get(command.executor().id());
+    return executor != null && !executor.profile().address().equals(command.executor().address());
+  }
+
   void send(BatchCluster.Vm vm, BatchCommand.Order command) {
     ExecutorId id = command.executor().id();
     ClusterFaults faults = cluster.faults;
@@ -59,6 +70,11 @@
       cluster.in(1, () -> ended(vm, command, new OrderOutcome.NotSent("refused", false)));
       return;
     }
+    if (namesFormerAddress(command)) {
+      toFormerAddress++;
+      cluster.in(1, () -> ended(vm, command, new OrderOutcome.NotSent("refused", false)));
+      return;
+    }
     if (!connects(vm, id)) {
       cluster.in(
           Math.min(CONNECT_TIMEOUT_MILLIS, command.timeout().toMillis()),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartHistoriesTest.java
@@ -39,12 +39,23 @@
     playAll(RestartHistoriesTest::slowStore);
   }
 
+  @Test
+  void noHistoryOfRestartsAtOtherAddressesBreaksAPromise() {
+    playAll(RestartHistoriesTest::changeAddress);
+  }
+
   private static String loseOwnerSoon(BatchCluster cluster) {
     long after = cluster.random.nextInt(1500);
     cluster.in(after, () -> cluster.owner().ifPresent(owner -> cluster.restart(owner.id, 2000)));
     return ", owner killed after " + after;
   }
 
+  private static String changeAddress(BatchCluster cluster) {
+    int port = 1 + cluster.random.nextInt(1000);
+    cluster.crashes.setNextPort(port);
+    return ", next port " + port;
+  }
+
   private static String slowStore(BatchCluster cluster) {
     long delay = 100L + cluster.random.nextInt(800);
     cluster.faults.storeDelayMillis = delay;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/RestartWithSameIdTest.java
@@ -104,6 +104,21 @@
     assertEquals(cluster.work.starts().size(), cluster.work.starts().stream().distinct().count());
   }
 
+  /**
+   * Guards against a poll of the new incarnation that is sent to the address of the previous one,
+   * where another executor may answer by now.
+   */
+  @Test
+  void anExecutorThatRestartsAtAnotherAddressIsPolledThere() {
+    complete(300);
+    cluster.crashes.setNextPort(1);
+    cluster.crashes.restartWithSameId(ONLY, 600, NEW_CLOCK_MILLIS - cluster.nowMillis());
+    cluster.run(2000);
+    complete(300);
+
+    assertEquals(0, cluster.orders.toFormerAddress());
+  }
+
   /** Runs are lost with the previous incarnation, which their task may have crashed. */
   @Test
   void runsOfThePreviousIncarnationAreLostWithIt() {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -162,6 +162,20 @@
     return withIncarnation(profile, Incarnation.ofUnknownStart(new ExecutorId(name)));
   }
 
+  /** Returns the same incarnation of an executor at another port of its host. */
+  static ExecutorProfile withPort(ExecutorProfile profile, int port) {
+    return new ExecutorProfile(
+        profile.incarnation(),
+        new InetSocketAddress(profile.address().getAddress(), port),
+        profile.pool(),
+        profile.domain(),
+        profile.rack(),
+        profile.labels(),
+        profile.capacity(),
+        profile.leaving(),
+        profile.remainingMillis());
+  }
+
   private static ExecutorProfile withIncarnation(ExecutorProfile profile, Incarnation incarnation) {
     return new ExecutorProfile(
         incarnation,
