--- /dev/null
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LastAttemptTest.java
@@ -0,0 +1,77 @@
+package org.fescuehook.logic.batch;
+
+import static java.util.stream.Collectors.toSet;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Set;
+import org.fescuehook.model.batch.Submission;
+import org.fescuehook.model.fleet.ExecutorId;
+import org.fescuehook.model.preferences.SchedulingPreferences;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a job that has nothing running for over 3 s in an idle fleet since its next
+ * failure would be its last: it waited for an executor where another run has ended well since it
+ * failed.
+ */
+class LastAttemptTest {
+
+  private static final long MAX_IDLE_MILLIS = 3000;
+
+  /** Longer than an owner looks for a wave of failures that began before it. */
+  private static final long NO_WAVE_MILLIS = 7000;
+
+  private static final SchedulingPreferences LEARNING =
+      new SchedulingPreferences(true, true, true, true, false, true, true);
+
+  private final BatchCluster cluster =
+      new BatchCluster(1, 16, 1, TestFixtures.configuration(), LEARNING);
+
+  /** Submits a job whose first run fails, and waits until it has failed. */
+  private String failOnce(Submission submission) {
+    cluster.awaitOwner();
+    cluster.run(NO_WAVE_MILLIS);
+    String job = cluster.submit(BatchCluster.BULK, submission);
+    cluster.work.failRuns(run -> run.task().job().equals(job) && run.number() == 1);
+    cluster.runUntil("the first run", 1000, () -> running(job) > 0);
+    cluster.runUntil("its failure", 2000, () -> running(job) == 0);
+    return job;
+  }
+
+  private long running(String job) {
+    return cluster.executors.values().stream()
+        .flatMap(executor -> executor.running().stream())
+        .filter(run -> run.task().job().equals(job))
+        .count();
+  }
+
+  private Set<ExecutorId> executorsOf(String job) {
+    return cluster.executors.values().stream()
+        .filter(
+            executor -> executor.running().stream().anyMatch(run -> run.task().job().equals(job)))
+        .map(executor -> executor.profile().id())
+        .collect(toSet());
+  }
+
+  @Test
+  void startsWhileNoExecutorIsProven() {
+    String job = failOnce(Jobs.of(Jobs.tasks(1, 8, 1000)));
+    cluster.runUntil("the last attempt", MAX_IDLE_MILLIS, () -> running(job) == 1);
+  }
+
+  @Test
+  void aGangStartsWhileNoExecutorIsProven() {
+    String job = failOnce(Jobs.of(Jobs.gang(4, 8, 1000)));
+    cluster.runUntil("the last attempt", MAX_IDLE_MILLIS, () -> running(job) == 4);
+  }
+
+  @Test
+  void startsWhileTheOnlyProvenExecutorIsBusy() {
+    String job = failOnce(Jobs.of(Jobs.tasks(1, 8, 1000)));
+    String brief = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 4, 400)));
+    String lasting = cluster.submit(BatchCluster.URGENT, Jobs.of(Jobs.tasks(1, 4, 60_000)));
+    cluster.runUntil("other runs", 300, () -> running(brief) + running(lasting) == 2);
+    assertEquals(executorsOf(brief), executorsOf(lasting));
+    cluster.runUntil("the last attempt", MAX_IDLE_MILLIS, () -> running(job) == 1);
+  }
+}
