The soak has a calm stretch after lost owners, and judges idle jobs in any calm

Callers saw jobs that had nothing running for 3 s beside a service that was less than half in use. No plan of the soak leaves a long calm stretch with jobs that fail, no check judges calm times before the end, and the check beside a fault excuses each job with a failed run, so this form could not be seen.

Plan CALM_AFTER_OWNERS: the owner loses its power twice, or VMs are restarted in series, and 35 s follow in which nothing is disturbed and jobs come at a light load: gangs of whole executors, lone tasks, jobs that always fail and jobs that fail now and then, with four attempts. Stand-in executors run tasks that take several slots and fail runs by the text of their job; a queue allows four attempts.

Promise GOES_ON_IN_CALM is judged in each plan.

Some histories in tests stand still in calm, which the new promise rightly finds. Their expected sets name it as well (JudgeTest, FailureJudgeTest twice, LateOrdersJudgeTest, whose test has another name for it). Three histories that are to be fine in all promises now are: in FailureJudgeTest two start again within 3 s instead of 7.7 s, and one has a VM down while its job waits, before the time that its promise judges. Each still guards what it did.

--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -9,6 +9,12 @@
   /** VMs are killed at once and started again after a while. */
   record KillVms(Set<Integer> vms, long downMillis) implements Fault {}
 
+  /**
+   * The VM that owns at the time loses its power: it goes silent without closing a connection, and
+   * starts again after a while.
+   */
+  record PowerOffOwner(long downMillis) implements Fault {}
+
   /** A VM is asked by SIGTERM to end, and started again once it has. */
   record StopVm(int vm) implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -119,6 +119,7 @@
       case PLANNED -> PlannedWorkPlan.draw(sizes);
       case ODD_ENTRIES -> new FaultPlan(sizes).drawOddEntries();
       case PARTIAL_PARTITION -> PartialPartitionPlan.draw(sizes);
+      case CALM_AFTER_OWNERS -> CalmAfterOwnersPlan.draw(sizes);
     };
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -18,6 +18,11 @@
 /** Brings faults about at their times and keeps what was disturbed when. */
 final class FaultRunner implements AutoCloseable {
 
+  /** For so long a fault of the owner waits until there is one. */
+  private static final long OWNER_LIMIT_MILLIS = 5000;
+
+  private static final long OWNER_LOOK_MILLIS = 100;
+
   private final List<VmKeeper> keepers = new ArrayList<>();
   private final List<LoopbackProxy> links;
   private final StoreTrouble storeTrouble;
@@ -99,6 +104,7 @@
           keepers.get(vm).kill(kill.downMillis(), this::over);
         }
       }
+      case Fault.PowerOffOwner off -> powerOffOwner(off, SoakLog.now() + OWNER_LIMIT_MILLIS);
       case Fault.StopVm stop -> keepers.get(stop.vm()).stop(this::over);
       case Fault.ReloadVm reload -> keepers.get(reload.vm()).reload(this::over);
       case Fault.NewConfiguration configuration -> configure();
@@ -141,6 +147,24 @@
     }
   }
 
+  /** Waits until a VM owns, for a limited time. */
+  private void powerOffOwner(Fault.PowerOffOwner off, long limitMillis)
+      throws ClusterException, InterruptedException {
+    for (VmKeeper keeper : keepers) {
+      if (keeper.owns()) {
+        log.line("the owner that loses its power: " + keeper.name());
+        keeper.powerOff(off.downMillis(), this::over);
+        return;
+      }
+    }
+    if (SoakLog.now() > limitMillis) {
+      log.line("skipped: no VM owns that could lose its power");
+      over();
+      return;
+    }
+    endLater(OWNER_LOOK_MILLIS, () -> powerOffOwner(off, limitMillis));
+  }
+
   /** Counts until VMs have to have put it in force, and a second longer. */
   private void configure() throws ClusterException, InterruptedException {
     long begin = SoakLog.now();
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -35,8 +35,6 @@
  */
 final class JobCallers implements AutoCloseable {
 
-  private static final long JOB_INTERVAL_MILLIS = 250;
-
   /** A caller's time for one answer. */
   private static final long DEADLINE_MILLIS = 3000;
 
@@ -65,6 +63,7 @@
   private final CallerClient client;
   private final List<InetSocketAddress> vms;
   private final Supplier<JobMix.Draw> mix;
+  private final long intervalMillis;
   private final long askMillis;
   private final Random random;
 
@@ -94,7 +93,9 @@
           case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION ->
               new JobMix(sizes.seed(), sizes.plan())::next;
           case SERVICES -> new ServicesMix(sizes)::next;
+          case CALM_AFTER_OWNERS -> new CalmMix(sizes)::next;
         };
+    this.intervalMillis = sizes.jobIntervalMillis();
     this.askMillis = sizes.plan() == SoakSizes.Plan.PLANNED ? ASK_OFTEN_MILLIS : ASK_MILLIS;
     this.random = new Random(sizes.seed());
     this.pauses = new Random(sizes.seed() ^ PAUSE_SEED);
@@ -112,7 +113,7 @@
 
   /** Begins to hand jobs in. */
   void begin() {
-    timer.scheduleAtFixedRate(this::handIn, 0, JOB_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    timer.scheduleAtFixedRate(this::handIn, 0, intervalMillis, TimeUnit.MILLISECONDS);
   }
 
   /** Cancels all jobs that are open, each through some VM. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -16,6 +16,7 @@
   private static final int CORES = 1000;
 
   private static final int MEMORY = 1024;
+  private static final int ESTIMATE_MILLIS = 500;
 
   /** How the caller's client words that its time was over. */
   private static final String TIMED_OUT = "no answer in time";
@@ -29,10 +30,11 @@
     ArrayNode steps = body.putArray("steps");
     for (PlannedJob.Step step : job.steps()) {
       ObjectNode node = steps.addObject().put("count", step.count());
-      int sharing = job.tasksPerSlot();
-      node.put("cpu", CORES / sharing).put("memMb", MEMORY / sharing).put("estimateMs", 500);
+      double slots = job.slotsPerTask();
+      node.put("cpu", (int) (CORES * slots)).put("memMb", (int) (MEMORY * slots));
+      node.put("estimateMs", estimateMillis(job));
       if (job.queue().accelerated()) {
-        node.put("gpu", 1);
+        node.put("gpu", (int) Math.ceil(slots));
       }
       if (job.gang()) {
         node.put("gang", true);
@@ -53,6 +55,11 @@
     }
   }
 
+  /** Jobs that may be tried again often are described as they are. */
+  private static int estimateMillis(PlannedJob job) {
+    return job.queue() == PlannedJob.Queue.RETRIED ? job.millis() : ESTIMATE_MILLIS;
+  }
+
   static JobCall.Result decode(CallerOutcome outcome) {
     return switch (outcome) {
       case CallerOutcome.Answered answered ->
--- a/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
@@ -1,8 +1,12 @@
 package org.fescuehook.bench.soak;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.URI;
+import java.net.URLConnection;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,11 +20,15 @@
 
   private static final int CONNECT_MILLIS = 100;
 
+  /** A page is made from what is known, so that only a process that stands still takes longer. */
+  private static final int STATUS_MILLIS = 500;
+
   private final int number;
   private final ChildProcesses processes;
   private final Programs programs;
   private final InetSocketAddress callers;
   private final InetSocketAddress readiness;
+  private final InetSocketAddress metrics;
   private final Path settings;
   private volatile ChildProcess process;
 
@@ -38,6 +46,8 @@
     this.programs = programs;
     this.callers = ports.take();
     this.readiness = ports.take();
+    InetSocketAddress peers = ports.take();
+    this.metrics = ports.take();
     this.settings =
         processes.write(
             name() + ".ini",
@@ -63,8 +73,8 @@
                     number % 2 + 1,
                     text(callers),
                     text(readiness),
-                    text(ports.take()),
-                    text(ports.take()),
+                    text(peers),
+                    text(metrics),
                     text(store),
                     platform.text("machines"),
                     platform.text("advice")));
@@ -108,6 +118,21 @@
     return processes.launch(name(), command, programs.environment());
   }
 
+  /** Tells whether its process says that it is the owner. */
+  boolean owns() {
+    try {
+      URLConnection status =
+          URI.create("http://" + text(metrics) + "/status").toURL().openConnection();
+      status.setConnectTimeout(CONNECT_MILLIS);
+      status.setReadTimeout(STATUS_MILLIS);
+      try (InputStream page = status.getInputStream()) {
+        return new String(page.readAllBytes(), StandardCharsets.UTF_8).contains("role: owner");
+      }
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Tells whether its process listens. */
   boolean listens() {
     try (Socket socket = new Socket()) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -26,12 +26,21 @@
     /** Odd entries among those of the executors every few seconds, and few other faults. */
     ODD_ENTRIES,
     /** Long cuts between some VMs and some executors only. */
-    PARTIAL_PARTITION
+    PARTIAL_PARTITION,
+    /** Owners lost or VMs restarted in series, and a long calm stretch with few jobs after that. */
+    CALM_AFTER_OWNERS
   }
 
   /** The part of a second service is smaller than the one that is kept free for urgent work. */
   private static final int EXECUTORS_PER_SMALL = 6;
 
+  private static final long JOB_INTERVAL_MILLIS = 250;
+
+  /** Calm jobs use about a third of the executors at this interval, divided by their number. */
+  private static final long CALM_INTERVAL_EXECUTOR_MILLIS = 16_000;
+
+  private static final long LEAST_CALM_INTERVAL_MILLIS = 400;
+
   private static final int LEAST_SECONDS = 10;
   private static final int MOST_SECONDS = 3600;
   private static final int LEAST_VMS = 2;
@@ -49,9 +58,23 @@
     checkRange("--executors", executors, 1, MOST_EXECUTORS);
   }
 
-  /** Returns how many executors a second service has; 0 if there is none. */
+  /**
+   * Returns how many executors a second service has; 0 if there is none. Only with one of them the
+   * executors of both have accelerators.
+   */
   int smallExecutors() {
-    return plan == Plan.SERVICES ? Math.max(1, executors / EXECUTORS_PER_SMALL) : 0;
+    return switch (plan) {
+      case SERVICES -> Math.max(1, executors / EXECUTORS_PER_SMALL);
+      case CALM_AFTER_OWNERS -> 1;
+      case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION -> 0;
+    };
+  }
+
+  /** Returns the time from one job that is handed in to the next one. */
+  long jobIntervalMillis() {
+    return plan == Plan.CALM_AFTER_OWNERS
+        ? Math.max(LEAST_CALM_INTERVAL_MILLIS, CALM_INTERVAL_EXECUTOR_MILLIS / executors)
+        : JOB_INTERVAL_MILLIS;
   }
 
   /** Sizes of a run of mixed faults. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/VmKeeper.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/VmKeeper.java
@@ -49,6 +49,10 @@
     this.selfEnded = selfEnded;
   }
 
+  String name() {
+    return vm.name();
+  }
+
   void kill(long downMillis, Runnable over) throws InterruptedException {
     if (down) {
       skip("kill", over);
@@ -57,6 +61,31 @@
     end(downMillis, Disruption.Kind.KILLED, over);
   }
 
+  /** Tells whether its process runs undisturbed and says that it is the owner. */
+  boolean owns() {
+    return !down && !stopping && !paused && vm.owns();
+  }
+
+  /** A process that is stopped by SIGSTOP until its end closes no connection before. */
+  void powerOff(long downMillis, Runnable over) throws ClusterException, InterruptedException {
+    if (down) {
+      skip("power loss", over);
+      return;
+    }
+    long begin = SoakLog.now();
+    vm.process().pause();
+    markDown();
+    later(
+        downMillis,
+        () ->
+            attempt(
+                () -> {
+                  vm.process().kill();
+                  start(Disruption.Kind.KILLED, begin, over);
+                },
+                over));
+  }
+
   private void end(long downMillis, Disruption.Kind kind, Runnable over)
       throws InterruptedException {
     long begin = SoakLog.now();
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
@@ -107,7 +107,7 @@
         return false;
       }
       if (run.startMillis() < to && run.endMillis() > from) {
-        used.merge(run.executorNumber(), 1.0 / PlannedJob.tasksPerSlot(run.spec()), Double::sum);
+        used.merge(run.executorNumber(), PlannedJob.slotsPerTask(run.spec()), Double::sum);
       }
     }
     return used.values().stream().allMatch(slots -> slots < HALF_OF_THE_SLOTS);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -22,6 +22,7 @@
     IdleJobCheck idleJobs = new IdleJobCheck(history, runs, findings);
     var lateOrders = new IdleBesideFaultCheck(FaultInForce.LATE_ORDERS, history, runs, findings);
     var cuts = new IdleBesideFaultCheck(FaultInForce.EXECUTORS_CUT, history, runs, findings);
+    CalmIdleCheck calm = new CalmIdleCheck(history, runs, findings);
     GangCheck gangs = new GangCheck(history, runs, findings);
     OddEntryCheck oddEntries = new OddEntryCheck(history, runs, findings);
     ServiceCheck services = new ServiceCheck(history, runs, findings);
@@ -33,6 +34,7 @@
       idleJobs.check(job, ofJob);
       lateOrders.check(job, ofJob);
       cuts.check(job, ofJob);
+      calm.check(job, ofJob);
       gangs.check(job, ofJob);
       oddEntries.check(ofJob);
       services.check(job, ofJob);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -21,6 +21,8 @@
     ADVISED(PlatformConfiguration.ADVISED_PREFIX),
     /** Urgent jobs of the usual service, with an accelerator for each task. */
     URGENT(PlatformConfiguration.URGENT_PREFIX),
+    /** Jobs of the usual service with an accelerator for each slot and one attempt more. */
+    RETRIED(PlatformConfiguration.RETRIED_PREFIX),
     /** Jobs of the small service, with an accelerator for each task. */
     SMALL(PlatformConfiguration.SMALL_PREFIX);
 
@@ -30,9 +32,16 @@
       this.prefix = prefix;
     }
 
-    /** Tells whether each task of its jobs needs an accelerator. */
+    /** Tells whether tasks of its jobs need an accelerator for each slot. */
     public boolean accelerated() {
-      return this == URGENT || this == SMALL;
+      return this == URGENT || this == SMALL || this == RETRIED;
+    }
+
+    /** Returns after how many failed runs of a task its job fails. */
+    int maxAttempts() {
+      return this == RETRIED
+          ? PlatformConfiguration.MORE_ATTEMPTS
+          : PlatformConfiguration.MAX_ATTEMPTS;
     }
 
     /** Returns the path prefix of its requests. */
@@ -55,9 +64,15 @@
   /** Precedes the number of members in the text of a job whose tasks are a gang. */
   public static final String GANG = " gang:";
 
+  /** Precedes how many of a thousand runs fail by their own fault in the text of a job. */
+  public static final String FAILS = " fails:";
+
   /** What separates the time of a task from the number of tasks that share a slot. */
   public static final String SHARING = "/";
 
+  /** What separates the time of a task from the number of slots that it takes. */
+  public static final String SLOTS = "*";
+
   /** Copies the list. */
   public PlannedJob {
     steps = List.copyOf(steps);
@@ -108,14 +123,33 @@
     return gang() ? tasks() : List.of(task);
   }
 
+  /** Returns how long each of its tasks works, in ms. */
+  public int millis() {
+    return Integer.parseInt(spec.split("[:/* ]", 3)[1]);
+  }
+
   /** Returns how many of its tasks share a slot of an executor. */
   public int tasksPerSlot() {
     return tasksPerSlot(spec);
   }
 
+  /** Returns how many slots of an executor each of its tasks takes, which may be a part of one. */
+  public double slotsPerTask() {
+    return slotsPerTask(spec);
+  }
+
   static int tasksPerSlot(String spec) {
+    return numberAfter(SHARING, spec);
+  }
+
+  static double slotsPerTask(String spec) {
+    return (double) numberAfter(SLOTS, spec) / tasksPerSlot(spec);
+  }
+
+  /** Returns the number after a separator in the first word of a text; 1 if there is none. */
+  private static int numberAfter(String separator, String spec) {
     String time = spec.split(" ", 2)[0];
-    int at = time.indexOf(SHARING);
+    int at = time.indexOf(separator);
     return at < 0 ? 1 : Integer.parseInt(time.substring(at + 1));
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -28,6 +28,8 @@
   GOES_ON_DESPITE_CUTS(
       "an open job runs something within 3 s, from 8 s after some VMs were cut off from executors",
       true),
+  /** Neither failed runs nor a last attempt keep a job waiting beside idle executors. */
+  GOES_ON_IN_CALM("an open job runs something within 3 s in a calm, half idle service", true),
   /** Odd entries among those of the executors cost no executor its use. */
   USED_BESIDE_ODD_ENTRIES(
       "tasks start within 4 s of a job in calm after odd entries, unless most executors are busy",
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/TaskRun.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.fescuehook.standins.platform.PlatformConfiguration;
 import org.fescuehook.standins.platform.RunEvent;
 
 /**
@@ -72,17 +71,18 @@
   static boolean mayFail(PlannedJob job, Map<String, List<TaskRun>> runs) {
     if (job.gang()) {
       return mayFailJob(
+          job,
           job.tasks().stream()
               .flatMap(task -> runs.getOrDefault(task, List.of()).stream())
               .toList());
     }
     return job.tasks().stream()
         .map(task -> runs.getOrDefault(task, List.of()))
-        .anyMatch(TaskRun::mayFailJob);
+        .anyMatch(ofTask -> mayFailJob(job, ofTask));
   }
 
-  private static boolean mayFailJob(List<TaskRun> ofTask) {
-    return ofTask.stream().filter(TaskRun::failed).count() >= PlatformConfiguration.MAX_ATTEMPTS
+  private static boolean mayFailJob(PlannedJob job, List<TaskRun> ofTask) {
+    return ofTask.stream().filter(TaskRun::failed).count() >= job.queue().maxAttempts()
         || ofTask.stream().filter(TaskRun::crashed).count() >= GIVEN_UP_CRASHES;
   }
 
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -45,6 +45,7 @@
       FaultPlan.draw(new SoakSizes(seed, MINUTE, 4, 6))
           .forEach(timed -> kinds.add(timed.fault().getClass()));
       FaultPlan.draw(cancels(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
+      FaultPlan.draw(calm(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
     }
 
     assertEquals(Set.of(Fault.class.getPermittedSubclasses()).size(), kinds.size());
@@ -196,6 +197,56 @@
     assertTrue(without > 35 && without < 65, without + " of 100");
   }
 
+  private static SoakSizes calm(long seed) {
+    return new SoakSizes(seed, MINUTE, 9, 32, Plan.CALM_AFTER_OWNERS);
+  }
+
+  /** Guards against a calm stretch in which something is disturbed, or that follows on nothing. */
+  @Test
+  void aLongCalmStretchFollowsOnLostOwnersOrRestarts() {
+    long owners = 0;
+    long storeAway = 0;
+    for (long seed = 0; seed < 200; seed++) {
+      List<Fault.Timed> plan = FaultPlan.draw(calm(seed));
+      List<Fault.Timed> before =
+          plan.stream().filter(timed -> timed.atMillis() <= 60_000 - 35_000).toList();
+      List<Fault.Timed> last = plan.stream().filter(timed -> !before.contains(timed)).toList();
+      assertEquals(1, last.size(), "seed " + seed);
+      assertTrue(last.getFirst().atMillis() >= 59_000, "seed " + seed);
+      storeAway += last.getFirst().fault() instanceof Fault.NewConfiguration ? 0 : 1;
+      List<Fault.Timed> powerLosses =
+          before.stream().filter(t -> t.fault() instanceof Fault.PowerOffOwner).toList();
+      owners += powerLosses.isEmpty() ? 0 : 1;
+      assertTrue(powerLosses.isEmpty() || powerLosses.size() == 2, "seed " + seed);
+      assertTrue(powerLosses.isEmpty() || before.size() == 2, "seed " + seed);
+      assertTrue(before.size() >= 2, "seed " + seed);
+    }
+
+    assertTrue(owners > 70 && owners < 130, owners + " of 200");
+    assertTrue(storeAway > 70 && storeAway < 130, storeAway + " of 200");
+  }
+
+  @Test
+  void someVmsAreRestartedFourTimesInSeries() {
+    long four = 0;
+    for (long seed = 0; seed < 50; seed++) {
+      Map<Integer, Long> restarts =
+          FaultPlan.draw(calm(seed)).stream()
+              .map(Fault.Timed::fault)
+              .filter(f -> f instanceof Fault.StopVm || f instanceof Fault.KillVms)
+              .map(
+                  fault ->
+                      fault instanceof Fault.StopVm(int vm)
+                          ? vm
+                          : ((Fault.KillVms) fault).vms().iterator().next())
+              .collect(Collectors.groupingBy(vm -> vm, Collectors.counting()));
+      assertTrue(restarts.values().stream().allMatch(count -> count <= 4), "seed " + seed);
+      four += restarts.containsValue(4L) ? 1 : 0;
+    }
+
+    assertTrue(four > 10, four + " of 50");
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/FailureJudgeTest.java
@@ -29,7 +29,12 @@
   void aFailedTaskThatNeverStartsAgainIsFound() {
     accepted(1).failed(TASK, 1, 1100, 1300).failed(TASK, 2, 1400, 1600);
 
-    assertBroken(Promise.STARTS_AGAIN, Promise.GOES_ON, Promise.ACCEPTED_ENDS, Promise.ANSWERED);
+    assertBroken(
+        Promise.STARTS_AGAIN,
+        Promise.GOES_ON,
+        Promise.GOES_ON_IN_CALM,
+        Promise.ACCEPTED_ENDS,
+        Promise.ANSWERED);
   }
 
   @Test
@@ -41,12 +46,13 @@
         .ran(TASK, 2, late + 3001, late + 4000)
         .call(Kind.STATUS, JOB, late + 5000, 200, "completed");
 
-    assertBroken(Promise.GOES_ON);
+    assertBroken(Promise.GOES_ON, Promise.GOES_ON_IN_CALM);
   }
 
   @Test
   void aJobThatWaitsForAnExecutorAfterTheFaultsIsFine() {
     long late = HistoryBuilder.QUIET + 14_000;
+    history.disturbed(Disruption.Kind.KILLED, 1, 1200, late - 3000);
     accepted(3)
         .ran(TASK, 1, 1100, 1300)
         .call(Kind.STATUS, JOB, HistoryBuilder.QUIET + 1000, 200, "in_progress")
@@ -61,7 +67,7 @@
   void aFailedTaskThatStartsAgainIsFine() {
     accepted(1)
         .failed(TASK, 1, 1100, 1300)
-        .ran(TASK, 2, 9000, 9500)
+        .ran(TASK, 2, 4200, 4700)
         .call(Kind.STATUS, JOB, 10_000, 200, "completed");
 
     assertBroken();
@@ -72,7 +78,7 @@
     accepted(1)
         .failed(TASK, 1, 1100, 1300)
         .failed(TASK, 2, 1400, 1600)
-        .failed(TASK, 3, 9000, 9200)
+        .failed(TASK, 3, 4500, 4700)
         .call(Kind.STATUS, JOB, 10_000, 200, "failed");
 
     assertBroken();
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/JudgeTest.java
@@ -73,7 +73,19 @@
         .accepted(JOB, 1000)
         .call(Kind.STATUS, JOB, HistoryBuilder.QUIET + 1000, 200, "in_progress");
 
-    assertBroken(Promise.ACCEPTED_ENDS, Promise.GOES_ON);
+    assertBroken(Promise.ACCEPTED_ENDS, Promise.GOES_ON, Promise.GOES_ON_IN_CALM);
+  }
+
+  @Test
+  void aJobThatStandsStillInCalmIsFound() {
+    history
+        .accepted(JOB, 1000)
+        .failed(FIRST, 1, 1100, 1300)
+        .ran(FIRST, 2, 4301, 4400)
+        .ran(SECOND, 1, 4500, 4600)
+        .call(Kind.STATUS, JOB, 5000, 200, "completed");
+
+    assertBroken(Promise.GOES_ON_IN_CALM);
   }
 
   @Test
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/LateOrdersJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/LateOrdersJudgeTest.java
@@ -123,12 +123,12 @@
   }
 
   @Test
-  void aJobMayStandStillOutsideOfLateOrders() {
+  void aJobThatStandsStillOutsideOfLateOrdersDoesSoInCalm() {
     history
         .accepted(JOB, tasks(1), 20_000)
         .ran(JOB + ".0.0.0", 1, 24_000, 24_100)
         .call(Kind.STATUS, JOB, 24_300, 200, "completed");
 
-    assertEquals(Set.of(), history.broken());
+    assertEquals(Set.of(Promise.GOES_ON_IN_CALM), history.broken());
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
@@ -27,12 +27,18 @@
   /** Path prefix of the requests to the queue whose starts need tickets of the advice service. */
   public static final String ADVISED_PREFIX = "/advised/";
 
+  /** Path prefix of the requests to the queue that allows one attempt more than the others. */
+  public static final String RETRIED_PREFIX = "/retried/";
+
   /** API key of the organisation. */
   public static final String KEY = "key-1";
 
   /** Number of failed runs of a task after which its job fails. */
   public static final int MAX_ATTEMPTS = 3;
 
+  /** The same for the queue of {@link #RETRIED_PREFIX}. */
+  public static final int MORE_ATTEMPTS = 4;
+
   /** Name of the executor pool of the usual and the urgent queue. */
   static final String SERVICE = "pool";
 
@@ -59,6 +65,7 @@
     routes.add(route("queue-1", PATH_PREFIX, SERVICE, 1, targetMillis));
     routes.add(advised(route("queue-advised", ADVISED_PREFIX, SERVICE, 1, targetMillis)));
     routes.add(route("queue-0", URGENT_PREFIX, SERVICE, 0, targetMillis));
+    routes.add(retried(route("queue-retried", RETRIED_PREFIX, SERVICE, 1, targetMillis)));
     routes.add(route("queue-small", SMALL_PREFIX, SMALL_SERVICE, 1, targetMillis));
     if (odd) {
       routes.add(route("queue-added", "/added-" + number + "/", SERVICE, 1, targetMillis));
@@ -76,6 +83,12 @@
             "tenants", List.of(Map.of("name", "organisation-1", "apiKeys", keys))));
   }
 
+  private static Map<String, Object> retried(Map<String, Object> route) {
+    Map<String, Object> fields = new HashMap<>(route);
+    fields.put("maxAttempts", MORE_ATTEMPTS);
+    return fields;
+  }
+
   private static Map<String, Object> advised(Map<String, Object> route) {
     Map<String, Object> fields = new HashMap<>(route);
     fields.put(
--- a/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/TaskExecutor.java
@@ -8,10 +8,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One incarnation of an executor, with its clock, its lease and the highest fencing token that it
@@ -40,9 +42,16 @@
 
   /**
    * Format of a job's specification: after how many milliseconds each of its tasks ends, or crashes
-   * its executor, and how many of them share a slot, one if that is absent.
+   * its executor, and how many of them share a slot or how many slots each takes, one if both are
+   * absent.
    */
-  private static final Pattern SPEC = Pattern.compile("(run|crash):(\\d+)(?:/(\\d+))? .*");
+  private static final Pattern SPEC =
+      Pattern.compile("(run|crash):(\\d+)(?:/(\\d+)|\\*(\\d+))? .*");
+
+  /** Text in the specification of a job: how many of a thousand runs fail by their own fault. */
+  private static final Pattern FAILS = Pattern.compile(" fails:(\\d+) ");
+
+  private static final int PERMILLE = 1000;
 
   /** Text in the specification of a job whose tasks are a gang: the number of its members. */
   private static final Pattern GANG = Pattern.compile(" gang:(\\d+) ");
@@ -53,7 +62,7 @@
   /** A slot is divided into this many parts. */
   private static final int PARTS_PER_SLOT = 1000;
 
-  /** Time after which a run ends that fails. */
+  /** Time after which a run ends that fails; for a member of a gang, from its beginning on. */
   private static final long FAILS_AFTER_MILLIS = 200;
 
   private static final long MAX_LEASE_MILLIS = 6000;
@@ -92,15 +101,19 @@
   /**
    * A running task, with the time at which it ends by itself or because of a stop order.
    *
-   * @param gang duration of the work of a gang's member; empty for other tasks
+   * @param gang work of a gang's member; empty for other tasks
    */
-  private record ActiveRun(int run, long endsAt, String ending, int slotParts, OptionalLong gang) {
+  private record ActiveRun(
+      int run, long endsAt, String ending, int slotParts, Optional<GangWork> gang) {
 
     ActiveRun endingAt(long millis, String how) {
       return new ActiveRun(run, millis, how, slotParts, gang);
     }
   }
 
+  /** What a member of a gang does once all members are there. */
+  private record GangWork(long millis, String ending) {}
+
   /**
    * What a start is subject to.
    *
@@ -188,7 +201,8 @@
     Gangs.State state = gangs.state(task, run.run);
     ActiveRun adjusted = run;
     if (state.begunAt() != Gangs.NEVER && run.ending.equals(ALONE)) {
-      adjusted = run.endingAt(state.begunAt() + run.gang.getAsLong(), DONE);
+      GangWork work = run.gang.get();
+      adjusted = run.endingAt(state.begunAt() + work.millis(), work.ending());
     }
     return state.brokenAt() < adjusted.endsAt
         ? adjusted.endingAt(state.brokenAt(), BROKEN)
@@ -248,7 +262,7 @@
     if (spec.contains(ADVISED) && !permitted(order.path("ticket").asText(), task, now)) {
       return new Outcome.Rejected("ticket");
     }
-    ActiveRun started = activeRun(run, spec, now, conditions.failing());
+    ActiveRun started = activeRun(task, run, spec, now, conditions.failing());
     if (usedParts + started.slotParts > slots * PARTS_PER_SLOT) {
       return new Outcome.Rejected("room");
     }
@@ -272,24 +286,39 @@
         .isPresent();
   }
 
-  private static ActiveRun activeRun(int run, String spec, long now, boolean fails) {
+  private static ActiveRun activeRun(String task, int run, String spec, long now, boolean failing) {
     Matcher matcher = SPEC.matcher(spec);
     if (!matcher.matches()) {
-      return new ActiveRun(run, now, DONE, PARTS_PER_SLOT, OptionalLong.empty());
+      return new ActiveRun(run, now, DONE, PARTS_PER_SLOT, Optional.empty());
     }
-    String sharing = matcher.group(3);
-    int parts = sharing == null ? PARTS_PER_SLOT : PARTS_PER_SLOT / Integer.parseInt(sharing);
-    if (fails) {
-      OptionalLong none = OptionalLong.empty();
-      return new ActiveRun(run, now + FAILS_AFTER_MILLIS, FAILED, parts, none);
+    int parts = slotParts(matcher.group(3), matcher.group(4));
+    boolean gang = GANG.matcher(spec).find();
+    boolean fails = failsByItself(spec, task, run);
+    if (failing || (fails && !gang)) {
+      return new ActiveRun(run, now + FAILS_AFTER_MILLIS, FAILED, parts, Optional.empty());
     }
     long millis = Long.parseLong(matcher.group(2));
-    if (GANG.matcher(spec).find()) {
-      OptionalLong work = OptionalLong.of(millis);
-      return new ActiveRun(run, now + GANG_TIMEOUT_MILLIS, ALONE, parts, work);
+    if (gang) {
+      GangWork work = fails ? new GangWork(FAILS_AFTER_MILLIS, FAILED) : new GangWork(millis, DONE);
+      return new ActiveRun(run, now + GANG_TIMEOUT_MILLIS, ALONE, parts, Optional.of(work));
     }
     String ending = matcher.group(1).equals(CRASH) ? CRASH : DONE;
-    return new ActiveRun(run, now + millis, ending, parts, OptionalLong.empty());
+    return new ActiveRun(run, now + millis, ending, parts, Optional.empty());
+  }
+
+  private static int slotParts(@Nullable String sharing, @Nullable String slots) {
+    if (sharing != null) {
+      return PARTS_PER_SLOT / Integer.parseInt(sharing);
+    }
+    return slots == null ? PARTS_PER_SLOT : PARTS_PER_SLOT * Integer.parseInt(slots);
+  }
+
+  /** Tells whether a run fails by its own fault, wherever it is started. */
+  private static boolean failsByItself(String spec, String task, int run) {
+    Matcher fails = FAILS.matcher(spec);
+    return fails.find()
+        && new SplittableRandom((task + "#" + run).hashCode()).nextInt(PERMILLE)
+            < Integer.parseInt(fails.group(1));
   }
 
   Outcome stop(JsonNode order, long now) {
--- a/standins/src/test/java/org/fescuehook/standins/platform/FleetStandInTest.java
+++ b/standins/src/test/java/org/fescuehook/standins/platform/FleetStandInTest.java
@@ -141,4 +141,54 @@
 
     assertEquals(200, order(1, "run-start", START).join().statusCode());
   }
+
+  private static String start(String task, String spec) {
+    return """
+        {"fencingToken":1,"taskId":"00000000000000aa.0.0.%s","runId":1,"spec":"%s",
+        "expiresMs":600000}"""
+        .formatted(task, spec);
+  }
+
+  private long ended(String how) {
+    return fleet.journal().stream()
+        .filter(event -> event.kind() == RunEvent.Kind.ENDED && event.detail().equals(how))
+        .count();
+  }
+
+  @Test
+  void aRunOfAJobThatAlwaysFailsFails() {
+    order(1, "run-start", start("0", "run:500 fails:1000 job")).join();
+    StandInLoops.await(() -> recorded(RunEvent.Kind.ENDED));
+
+    assertEquals(1, ended("failed"));
+  }
+
+  @Test
+  void aRunOfAJobThatNeverFailsIsDone() {
+    order(1, "run-start", start("0", "run:50 fails:0 job")).join();
+    StandInLoops.await(() -> recorded(RunEvent.Kind.ENDED));
+
+    assertEquals(1, ended("done"));
+  }
+
+  /** Guards against members that fail by themselves before their gang is together. */
+  @Test
+  void aGangFailsOnceAllMembersAreThere() {
+    String spec = "run:5000 gang:2 fails:1000 job";
+    order(1, "run-start", start("0", spec)).join();
+    order(2, "run-start", start("1", spec)).join();
+    StandInLoops.await(() -> ended("failed") + ended("broken") == 2);
+
+    assertTrue(ended("failed") > 0);
+  }
+
+  @Test
+  void aTaskThatTakesAllSlotsLeavesNoRoom() {
+    assertEquals(200, order(1, "run-start", start("0", "run:5000*4 job")).join().statusCode());
+
+    var second = order(1, "run-start", start("1", "run:50 job")).join();
+
+    assertEquals(409, second.statusCode());
+    assertTrue(second.body().contains("room"), second.body());
+  }
 }
