The calm plan of the soak runs VMs with the deployed scheduling settings

Cause: VMs of the soak have had maintenance-waves only; start-reliability, run-times, executor-speeds, fair-shares and backlog-admission, which the users' deployment switches on, are off in all plans.

Change: CALM_AFTER_OWNERS switches on what the deployment does.

--- a/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SchedulerVm.java
@@ -32,14 +32,19 @@
   private final Path settings;
   private volatile ChildProcess process;
 
-  /** Writes the settings and starts the first process; does not wait for it. */
+  /**
+   * Writes the settings and starts the first process; does not wait for it.
+   *
+   * @param scheduling further settings of the section on scheduling
+   */
   SchedulerVm(
       int number,
       ChildProcesses processes,
       Programs programs,
       FreePorts ports,
       InetSocketAddress store,
-      StandIns platform)
+      StandIns platform,
+      List<String> scheduling)
       throws ClusterException {
     this.number = number;
     this.processes = processes;
@@ -67,6 +72,7 @@
 
             [scheduling]
             maintenance-waves = on
+            %s
             """
                 .formatted(
                     name(),
@@ -77,7 +83,8 @@
                     text(metrics),
                     text(store),
                     platform.text("machines"),
-                    platform.text("advice")));
+                    platform.text("advice"),
+                    String.join("\n", scheduling)));
     this.process = launch();
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -167,7 +167,9 @@
     for (int number = 0; number < sizes.vms(); number++) {
       LoopbackProxy link = new LoopbackProxy(group, platform.address("store-" + number));
       links.add(link);
-      vms.add(new SchedulerVm(number, processes, programs, ports, link.address(), platform));
+      vms.add(
+          new SchedulerVm(
+              number, processes, programs, ports, link.address(), platform, sizes.scheduling()));
     }
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -1,6 +1,7 @@
 package org.fescuehook.bench.soak;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * How large a soak is.
@@ -34,6 +35,16 @@
   /** The part of a second service is smaller than the one that is kept free for urgent work. */
   private static final int EXECUTORS_PER_SMALL = 6;
 
+  /** What the users' deployment switches on. */
+  private static final List<String> AS_DEPLOYED =
+      List.of(
+          "executor-speeds = on",
+          "run-times = on",
+          "start-reliability = on",
+          "fair-shares = on",
+          "reservations = off",
+          "backlog-admission = on");
+
   private static final long JOB_INTERVAL_MILLIS = 250;
 
   /** Calm jobs use about a third of the executors at this interval, divided by their number. */
@@ -70,6 +81,14 @@
     };
   }
 
+  /**
+   * Returns settings of scheduling beside those of all plans. Older plans leave them at their
+   * defaults, so that their seeds stay comparable.
+   */
+  List<String> scheduling() {
+    return plan == Plan.CALM_AFTER_OWNERS ? AS_DEPLOYED : List.of();
+  }
+
   /** Returns the time from one job that is handed in to the next one. */
   long jobIntervalMillis() {
     return plan == Plan.CALM_AFTER_OWNERS
