Failures of a job that always fails make no wave of failures

A step that turns out to be the cause now takes its failures out of the wave, which is over if fewer than three steps are left to show it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
@@ -79,6 +79,18 @@
     }
   }
 
+  /**
+   * Takes back the failed runs of a step that is their cause itself. A wave that too few other
+   * steps show is over.
+   */
+  void exonerate(StepProgress step) {
+    failedRuns.removeIf(run -> run.step() == step);
+    if (failedRuns.stream().map(FailedRun::step).distinct().count() < MIN_STEPS) {
+      since = OptionalLong.empty();
+      share = 0;
+    }
+  }
+
   /**
    * Counts the executors on which runs have ended lately.
    *
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
@@ -176,6 +176,7 @@
     failures
         .takeCharges()
         .forEach((id, weight) -> executor(id).exonerate(weight, context.nowNanos()));
+    wave.exonerate(step);
     if (failures.markBlamed()) {
       context.note(BatchLogEvent.JOB_FAILS_EVERYWHERE, step.name(), failures.executors().size());
       context.count("fescuehook.batch.steps.blamed", "for", "failures");
