Last attempts wait 2.5 s for a proven executor

The 3 s alone used up all that users accept: in the soak, a job had nothing running for 3.05 s within 6 s of the owner's beginning. FailureWavesTest and 60 histories of each form of FailingJobsHistoriesTest hold.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -37,9 +37,10 @@
 
   /**
    * How long a step with one attempt left waits for runs to end well somewhere if there is no
-   * proven executor at all. Most runs take less than this time.
+   * proven executor at all. Users accept 3 s in which nothing of a job runs, and the placement has
+   * to be stored and started within them.
    */
-  private static final long PROOF_WAIT_NANOS = Duration.ofSeconds(3).toNanos();
+  private static final long PROOF_WAIT_NANOS = Duration.ofMillis(2500).toNanos();
 
   /**
    * Share of the executors from which on no further one is used for single tasks that may crash it,
