--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FailingJobsHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FailingJobsHistoriesTest.java
@@ -26,6 +26,7 @@
   private static final int MAX_ATTEMPTS = 4;
   private static final double FAILING_RUNS = 0.05;
   private static final double FAILING_JOBS = 0.08;
+  private static final int LABELS = 2;
   private static final int[] ACCELERATORS = {1, 2, 4, 8, 8};
 
   /** The optional parts that are in use on the users' platform. */
@@ -47,7 +48,18 @@
     Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 8, SchedulingPreferences.ALL_OFF));
   }
 
+  /** Few executors suit such a step, so that those it avoids after failures are soon all. */
+  @Test
+  void noJobIsIdleWhoseStepNeedsALabel() {
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 16, DEPLOYED, 2.0 / 3));
+  }
+
   private static void play(long seed, int executors, SchedulingPreferences scheduling) {
+    play(seed, executors, scheduling, 0);
+  }
+
+  private static void play(
+      long seed, int executors, SchedulingPreferences scheduling, double labelled) {
     BatchCluster cluster =
         new BatchCluster(2, executors, seed, configuration(), TestFixtures.preferences(scheduling));
     IdleJobChecks checks = new IdleJobChecks(cluster);
@@ -56,7 +68,7 @@
     int jobs = 10 + cluster.random.nextInt(40);
     for (int i = 0; i < jobs; i++) {
       long at = 1500L + cluster.random.nextInt(50_000);
-      cluster.in(at, () -> submit(cluster, checks));
+      cluster.in(at, () -> submit(cluster, checks, labelled));
     }
     cluster.in(3000, () -> checks.checkUntil(DAY_MILLIS));
     cluster.run(DAY_MILLIS);
@@ -76,14 +88,17 @@
         name, TestFixtures.POOL, priority, MAX_ATTEMPTS, factor, latencyMillis, false, false);
   }
 
-  private static void submit(BatchCluster cluster, IdleJobChecks checks) {
+  private static void submit(BatchCluster cluster, IdleJobChecks checks, double labelled) {
     long millis = 1000L + cluster.random.nextInt(10_000);
     int accelerators = ACCELERATORS[cluster.random.nextInt(ACCELERATORS.length)];
     int width = 1 + cluster.random.nextInt(6);
-    BatchStep step =
+    BatchStep plain =
         cluster.random.nextBoolean()
             ? Jobs.gang(width, accelerators, millis)
             : Jobs.tasks(width, accelerators, millis);
+    boolean needsLabel = labelled > 0 && cluster.random.nextDouble() < labelled;
+    BatchStep step =
+        needsLabel ? Jobs.labelled(plain, "r" + cluster.random.nextInt(LABELS)) : plain;
     String[] queues = {BatchCluster.URGENT, BatchCluster.NORMAL, BatchCluster.BULK};
     String job = checks.submit(queues[cluster.random.nextInt(queues.length)], Jobs.of(step));
     if (cluster.random.nextDouble() < FAILING_JOBS) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
@@ -119,6 +119,10 @@
     return true;
   }
 
+  private static boolean suits(BatchStep step, FakeExecutor executor) {
+    return step.placement().label().map(executor.profile().labels()::contains).orElse(true);
+  }
+
   private boolean hasSpare(BatchStep step) {
     int needed = step.gang() ? step.count() : 1;
     long fitting = 0;
@@ -126,7 +130,7 @@
     ResourceVector whole = ResourceVector.NONE;
     for (FakeExecutor executor : cluster.executors.values()) {
       ResourceVector free = executor.free();
-      fitting += free.fits(step.demand());
+      fitting += suits(step, executor) ? free.fits(step.demand()) : 0;
       whole = whole.plus(executor.profile().capacity());
       used = used.plus(executor.profile().capacity().minus(free));
     }
