--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingTasks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CrashingTasks.java
@@ -18,6 +18,7 @@
 
   private final Map<TaskName, Long> ageAtCrash = new HashMap<>();
   private final Map<TaskName, Integer> crashes = new HashMap<>();
+  private final Map<TaskName, Long> newestCrashAt = new HashMap<>();
   private final Map<TaskName, Integer> lateStarts = new HashMap<>();
 
   /**
@@ -38,8 +39,14 @@
   }
 
   /** Records that a run was active when its executor crashed, whatever caused the crash. */
-  void recordCrash(TaskRun run) {
+  void recordCrash(TaskRun run, long nowMillis) {
     crashes.merge(run.task(), 1, Integer::sum);
+    newestCrashAt.put(run.task(), nowMillis);
+  }
+
+  /** Tells whether an executor has crashed while it ran a task, after a time. */
+  boolean crashedAfter(TaskName task, long millis) {
+    return newestCrashAt.getOrDefault(task, Long.MIN_VALUE) > millis;
   }
 
   /** Returns how many executors have crashed while they ran a task. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FakeExecutor.java
@@ -119,7 +119,7 @@
     up = false;
     for (TaskRun run : running()) {
       active.remove(run);
-      work.crashingTasks.recordCrash(run);
+      work.crashingTasks.recordCrash(run, nowMillis);
       work.removeLost(run, nowMillis);
     }
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LongRunningStops.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LongRunningStops.java
@@ -47,7 +47,8 @@
 
   /** Users count a task that was lost with its executor as away after the time of notice only. */
   private boolean away(TaskName task) {
-    boolean noticed = !cluster.work.lostAfter(task, cluster.nowMillis() - NOTICE_MILLIS);
+    long noticedUntil = cluster.nowMillis() - NOTICE_MILLIS;
+    boolean noticed = !cluster.work.crashingTasks.crashedAfter(task, noticedUntil);
     return !atWork(task) && noticed;
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -65,9 +65,6 @@
   private Predicate<TaskRun> failingRuns = run -> false;
   private final Map<String, Long> cancelledAt = new HashMap<>();
 
-  /** When the newest run of a task that was lost with its executor was lost. */
-  private final Map<TaskName, Long> lostAt = new HashMap<>();
-
   /** When the order that is being delivered late was sent; empty if there is none. */
   private OptionalLong lateOrderSentAt = OptionalLong.empty();
 
@@ -150,11 +147,6 @@
     durations.put(task, millis);
   }
 
-  /** Tells whether a run of a task was lost with its executor after a time. */
-  boolean lostAfter(TaskName task, long millis) {
-    return lostAt.getOrDefault(task, Long.MIN_VALUE) > millis;
-  }
-
   /** Returns the work after which a run ends. */
   long duration(TaskRun run) {
     boolean fails = failingExecutors.contains(running.get(run));
@@ -388,7 +380,6 @@
   void removeLost(TaskRun run, long nowMillis) {
     List<TaskRun> others = members(run).stream().filter(other -> !other.equals(run)).toList();
     running.remove(run);
-    lostAt.put(run.task(), nowMillis);
     if (stepOf(run.task()).gang()) {
       waste.gangBroken();
       others.forEach(
