Judges of idle jobs and tests share what they wrote again

From reading the whole change: three judges collected and sorted the runs of a job, and two walked through the gaps between them, which PlannedJob.runs and IdleTime.checkGaps do now. IdleJobLog searched tasks for what ActiveJob.liveRuns returns; the planner selected the listed executors of a pool twice in each plan; ExecutorState repeated what resting() tells. IdleJobChecks looked through all log events of a history before cheaper conditions. Two tests had the optional parts of the deployment of their own. Behaviour and checks are the same.

--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/CalmIdleCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/CalmIdleCheck.java
@@ -35,11 +35,7 @@
     if (accepted.isEmpty() || cancelled || job.crashes() || job.queue() == PlannedJob.Queue.SMALL) {
       return;
     }
-    List<TaskRun> ofJob =
-        job.tasks().stream()
-            .flatMap(task -> runs.getOrDefault(task, List.of()).stream())
-            .sorted(Comparator.comparingLong(TaskRun::startMillis))
-            .toList();
+    List<TaskRun> ofJob = job.runs(runs);
     IdleTime idleTime =
         new IdleTime(
             Promise.GOES_ON_IN_CALM,
@@ -48,12 +44,7 @@
             step -> job.gang() ? step.count() : 1,
             findings);
     long to = Math.min(IdleJobCheck.overAt(history, runs, job, calls), attemptsUsedUpAt(job));
-    long idleSince = accepted.getAsLong();
-    for (TaskRun run : ofJob) {
-      idleTime.check(job, idleSince, Math.min(run.startMillis(), to));
-      idleSince = Math.max(idleSince, run.endMillis());
-    }
-    idleTime.check(job, idleSince, to);
+    idleTime.checkGaps(job, ofJob, accepted.getAsLong(), to);
   }
 
   /** A task whose executor crashed is unknown for the time of a lease. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleBesideFaultCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleBesideFaultCheck.java
@@ -1,10 +1,8 @@
 package org.fescuehook.bench.soak.judge;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.stream.Stream;
 import org.fescuehook.bench.soak.judge.JobCall.Kind;
 
 /**
@@ -80,19 +78,14 @@
     if (accepted.isEmpty() || cancelled || job.queue() == PlannedJob.Queue.SMALL) {
       return;
     }
-    List<TaskRun> ofJob = runsOf(job.tasks().stream());
+    List<TaskRun> ofJob = job.runs(runs);
     if (job.crashes() || ofJob.stream().anyMatch(IdleBesideFaultCheck::mayWait)) {
       return;
     }
     long over = IdleJobCheck.overAt(history, runs, job, calls);
     for (Disruption stretch : stretches) {
-      long idleSince = Math.max(accepted.getAsLong(), beginOf(stretch));
-      long to = Math.min(over, stretch.toMillis());
-      for (TaskRun run : ofJob) {
-        idleTime.check(job, idleSince, Math.min(run.startMillis(), to));
-        idleSince = Math.max(idleSince, run.endMillis());
-      }
-      idleTime.check(job, idleSince, to);
+      long from = Math.max(accepted.getAsLong(), beginOf(stretch));
+      idleTime.checkGaps(job, ofJob, from, Math.min(over, stretch.toMillis()));
     }
   }
 
@@ -100,11 +93,4 @@
   private static boolean mayWait(TaskRun run) {
     return run.crashed() || run.failed() || (run.done() && !run.noted());
   }
-
-  private List<TaskRun> runsOf(Stream<String> tasks) {
-    return tasks
-        .flatMap(task -> runs.getOrDefault(task, List.of()).stream())
-        .sorted(Comparator.comparingLong(TaskRun::startMillis))
-        .toList();
-  }
 }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleJobCheck.java
@@ -1,7 +1,6 @@
 package org.fescuehook.bench.soak.judge;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,11 +47,7 @@
     if (accepted.isEmpty() || cancelled || job.crashes()) {
       return;
     }
-    List<TaskRun> ofJob =
-        job.tasks().stream()
-            .flatMap(task -> runs.getOrDefault(task, List.of()).stream())
-            .sorted(Comparator.comparingLong(TaskRun::startMillis))
-            .toList();
+    List<TaskRun> ofJob = job.runs(runs);
     long from = Math.max(accepted.getAsLong(), history.quietMillis() + FINISH_MILLIS);
     long to = overAt(history, runs, job, calls);
     long idleSince = from;
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleTime.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/IdleTime.java
@@ -46,8 +46,22 @@
     this.findings = findings;
   }
 
+  /**
+   * Checks the gaps between the runs of a job in a span.
+   *
+   * @param ofJob all runs of the job in the order of their starts
+   */
+  void checkGaps(PlannedJob job, List<TaskRun> ofJob, long from, long to) {
+    long idleSince = from;
+    for (TaskRun run : ofJob) {
+      check(job, idleSince, Math.min(run.startMillis(), to));
+      idleSince = Math.max(idleSince, run.endMillis());
+    }
+    check(job, idleSince, to);
+  }
+
   /** Checks a span in which a job has nothing running. */
-  void check(PlannedJob job, long from, long to) {
+  private void check(PlannedJob job, long from, long to) {
     if (to <= from) {
       return;
     }
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -1,6 +1,8 @@
 package org.fescuehook.bench.soak.judge;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.fescuehook.standins.platform.PlatformConfiguration;
@@ -164,4 +166,16 @@
   public List<String> tasks() {
     return IntStream.range(0, steps.size()).boxed().flatMap(step -> tasks(step).stream()).toList();
   }
+
+  /**
+   * Returns the runs of all its tasks in the order of their starts.
+   *
+   * @param byTask the runs of all jobs, by the names of tasks
+   */
+  List<TaskRun> runs(Map<String, List<TaskRun>> byTask) {
+    return tasks().stream()
+        .flatMap(task -> byTask.getOrDefault(task, List.of()).stream())
+        .sorted(Comparator.comparingLong(TaskRun::startMillis))
+        .toList();
+  }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -213,7 +213,7 @@
   public boolean usableOnceGivenBack(long nowNanos) {
     boolean described = !profile.incarnation().differsFrom(incarnation);
     boolean available = listed && described && presumedAlive() && !inMaintenance;
-    return available && !hasUnknownRuns && !profile.leaving() && !backoff.active(nowNanos);
+    return available && !hasUnknownRuns && !profile.leaving() && !resting(nowNanos);
   }
 
   /** Tells whether the executor is excluded from new placements for a while. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/IdleJobLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/IdleJobLog.java
@@ -16,7 +16,6 @@
 import org.fescuehook.logic.batch.plan.CapacityBars.Bar;
 import org.fescuehook.logic.batch.state.ActiveJob;
 import org.fescuehook.logic.batch.state.StepProgress;
-import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.StartReliability;
 
 /**
@@ -179,13 +178,6 @@
   }
 
   private static boolean hasStartedRun(ActiveJob job) {
-    for (StepProgress step : job.steps()) {
-      for (TaskProgress task : step.tasks()) {
-        if (task.live().isPresent() && PoolUse.hasStarted(task.live().get())) {
-          return true;
-        }
-      }
-    }
-    return false;
+    return job.liveRuns().stream().anyMatch(PoolUse::hasStarted);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -170,12 +170,13 @@
     Map<String, List<WaitingStep>> byPool = waiting.stream().collect(groupingBy(WaitingStep::pool));
     for (String name : byPool.keySet().stream().sorted().toList()) {
       List<ExecutorState> pool = pool(name, executors);
+      List<ExecutorState> listedInPool = pool(name, listed);
       PlanPass pass =
           new PlanPass(
               pool,
               UnusableCapacity.of(
-                  pool(name, listed), executor -> executor.inService() && executor.silent()),
-              UnusableCapacity.of(pool(name, listed), executor -> !executor.usable(nowNanos)),
+                  listedInPool, executor -> executor.inService() && executor.silent()),
+              UnusableCapacity.of(listedInPool, executor -> !executor.usable(nowNanos)),
               SpeedClasses.of(pool, statistics.speeds(), nowNanos),
               usage,
               nearlyLateUse,
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/FailingJobsHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/FailingJobsHistoriesTest.java
@@ -29,18 +29,14 @@
   private static final int LABELS = 2;
   private static final int[] ACCELERATORS = {1, 2, 4, 8, 8};
 
-  /** The optional parts that are in use on the users' platform. */
-  private static final SchedulingPreferences DEPLOYED =
-      new SchedulingPreferences(true, true, true, true, false, true, true);
-
   @Test
   void noJobIsIdleBesideJobsThatFail() {
-    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 16, DEPLOYED));
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 16, TestFixtures.AS_DEPLOYED));
   }
 
   @Test
   void noJobIsIdleBesideJobsThatFailOnFewExecutors() {
-    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 8, DEPLOYED));
+    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 8, TestFixtures.AS_DEPLOYED));
   }
 
   @Test
@@ -51,7 +47,8 @@
   /** Few executors suit such a step, so that those it avoids after failures are soon all. */
   @Test
   void noJobIsIdleWhoseStepNeedsALabel() {
-    Histories.playAll(HISTORIES, (seed, faults) -> play(seed, 16, DEPLOYED, 2.0 / 3));
+    Histories.playAll(
+        HISTORIES, (seed, faults) -> play(seed, 16, TestFixtures.AS_DEPLOYED, 2.0 / 3));
   }
 
   private static void play(long seed, int executors, SchedulingPreferences scheduling) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
@@ -71,9 +71,9 @@
     boolean accepted = cluster.submissions.get(job) instanceof CallAnswer.Accepted;
     boolean idle =
         accepted
-            && !ended(job)
             && !hasRuns(job)
-            && readyStep(job).filter(this::hasSpare).isPresent();
+            && readyStep(job).filter(this::hasSpare).isPresent()
+            && !ended(job);
     if (!idle) {
       idleSince.remove(job);
       return;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/LastAttemptTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/LastAttemptTest.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import org.fescuehook.model.batch.Submission;
 import org.fescuehook.model.fleet.ExecutorId;
-import org.fescuehook.model.preferences.SchedulingPreferences;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -21,11 +20,8 @@
   /** Longer than an owner looks for a wave of failures that began before it. */
   private static final long NO_WAVE_MILLIS = 7000;
 
-  private static final SchedulingPreferences LEARNING =
-      new SchedulingPreferences(true, true, true, true, false, true, true);
-
   private final BatchCluster cluster =
-      new BatchCluster(1, 16, 1, TestFixtures.configuration(), LEARNING);
+      new BatchCluster(1, 16, 1, TestFixtures.configuration(), TestFixtures.AS_DEPLOYED);
 
   /** Submits a job whose first run fails, and waits until it has failed. */
   private String failOnce(Submission submission) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TestFixtures.java
@@ -49,6 +49,10 @@
   static final SchedulingPreferences BACKLOG_ADMISSION =
       new SchedulingPreferences(false, false, false, false, false, true, false);
 
+  /** The optional parts that are in use on the users' platform. */
+  static final SchedulingPreferences AS_DEPLOYED =
+      new SchedulingPreferences(true, true, true, true, false, true, true);
+
   /** The time limits and rates that {@link ClusterMachines} keeps. */
   private static final MaintenancePreferences MAINTENANCE =
       new MaintenancePreferences(
