--- a/review/src-3/Platform.java
+++ b/review/src-3/Platform.java
@@ -112,10 +112,13 @@
     return Step.job("report " + id, ofJob);
   }
 
-  /** Returns whether there is room for a task of a step twice over. */
+  /** Returns whether there is room for a task of a step twice over, where it may run. */
   boolean roomTwice(Step step) {
     int room = 0;
     for (Server server : servers) {
+      if (!step.requirements().isEmpty() && !step.requirements().equals(server.rack)) {
+        continue;
+      }
       room += server.fits(step, 2) ? 2 : server.fits(step, 1) ? 1 : 0;
     }
     return room >= 2;
