--- a/review/src-3/History.java
+++ b/review/src-3/History.java
@@ -37,7 +37,7 @@
     spans.computeIfAbsent(task, any -> new ArrayList<>()).add(new Span(run, server, journal.millis()));
     started.merge(task.substring(0, 16), 1, Integer::sum);
     if (verbose) {
-      journal.note(server, "started " + task + " run " + run);
+      journal.note(server, "started " + shown(task) + " run " + run);
     }
   }
 
@@ -49,10 +49,15 @@
       }
     }
     if (verbose) {
-      journal.note(server, "ended " + task + " run " + run + " " + how);
+      journal.note(server, "ended " + shown(task) + " run " + run + " " + how);
     }
   }
 
+  /** Returns the name of a task with slashes, as one with dots may look like an address. */
+  private static String shown(String task) {
+    return task.replace('.', '/');
+  }
+
   /** Returns the runs of a task, in the order of their starts. */
   synchronized List<Span> of(String task) {
     return List.copyOf(spans.getOrDefault(task, List.of()));
--- a/review/src-3/Server.java
+++ b/review/src-3/Server.java
@@ -251,7 +251,7 @@
     }
     Step step = tasks.step(task);
     if (step == null) {
-      journal.note(id, "start of " + task + ", which no client sent");
+      journal.note(id, "start of " + task.replace('.', '/') + ", which no client sent");
       return Http.Answer.json(400, Json.map());
     }
     if (!fits(step, 1)) {
--- a/review/src-3/Vms.java
+++ b/review/src-3/Vms.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** The entry VMs: processes that are started by the command of the deploy file. */
@@ -15,6 +17,9 @@
 
   private static final List<String> ZONES = List.of("zone-a", "zone-b", "zone-c");
   private static final int READY_TRIES = 200;
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 31_000;
+  private static final int PORT_TRIES = 100;
 
   private final Path folder;
   private final Journal journal;
@@ -163,9 +168,16 @@
     throw new IOException("no command in deploy/system.toml");
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  /** Returns a free port below those that the system gives to connections. */
+  private static int freePort() throws IOException {
+    for (int i = 0; i < PORT_TRIES; i++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Another process has it.
+      }
     }
+    throw new IOException("no free port");
   }
 }
