Callers are answered about their own jobs only

The second submission got 200 though its tasks never ran, its tenant was shown the other job's state up to `completed`, and a DELETE from the second queue cancelled a job of the first tenant.

Cause: the owner looked jobs up by the id alone, in submit, repeat, status and cancel, and kept cancels that come before their submission by the id alone. Nothing compared the queue or the organisation of the call with those of the job. An ended job had neither.

Change: a job belongs to its queue and to the organisation whose key its submission carried (JobScope), and callers reach jobs through CallerJobs, which compares them. Others get 410, and their DELETE is stored as a cancel of their own job that may still come. Records of ended jobs and of early cancels tell the scope; those of earlier versions, without one, are read as before. Of two designs, jobs of one id beside each other would need other names on executors, where tasks are named by the id alone (runs, checkpoints, ends and advice would mix): so the second submission is refused as `id-in-use` while the first one's state is reported, with Retry-After telling when that ends. Event 8016 names both queues. A queue that is open takes calls without a key, so its organisation is not compared; a queue that is no longer declared may have been renamed, so status and cancel find its jobs by the organisation. What is remembered of refused submissions is kept by queue and id. The calls' handling moved from BatchOwner into CallHandler, as the file was too long.

Forwarded refusals carry their own cause beside the older one that VMs of earlier versions know: else `id-in-use` would reach most callers as `overloaded`. CallLinkTest therefore checks the older name on the wire and the real cause at the caller, in place of the older name at the caller.

Also looked at: the older scheduler's job ids come from the VM, and its request ids are kept by organisation; maintenance waves are named by the operator alone.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -34,6 +34,8 @@
   UNKNOWN_JOB_CANCELLED(8014, "Cancel of job {}, which is not known"),
   /** A job was submitted after it had been cancelled. */
   CANCELLED_JOB_ACCEPTED(8015, "Job {} accepted as cancelled: its cancel came before it"),
+  /** A submission was refused, since a job of another queue or organisation has its id. */
+  JOB_ID_IN_USE(8016, "Job {} of queue {} refused: a job of queue {} has its id"),
   /** A run was placed on an executor, and the placement is being stored. */
   RUN_PLACED(
       8020,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -10,8 +10,6 @@
 import org.fescuehook.logic.batch.admission.LoadMeter;
 import org.fescuehook.logic.batch.advice.AdviceCache;
 import org.fescuehook.logic.batch.advice.AdviceOutcome;
-import org.fescuehook.logic.batch.call.BatchCall;
-import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.executor.Countdown;
 import org.fescuehook.logic.batch.executor.CrashEvidence;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
@@ -35,10 +33,7 @@
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.logic.batch.store.WriterPosition;
 import org.fescuehook.model.batch.BatchConfiguration;
-import org.fescuehook.model.batch.BatchOrganisation;
 import org.fescuehook.model.batch.ExecutorProfile;
-import org.fescuehook.model.batch.JobPhase;
-import org.fescuehook.model.batch.JobQueue;
 import org.fescuehook.model.batch.MaintenanceWave;
 import org.fescuehook.model.fleet.ExecutorId;
 import org.fescuehook.model.fleet.FailureDomain;
@@ -66,7 +61,6 @@
    */
   private static final long BUSY_PLAN_INTERVAL_NANOS = Duration.ofMillis(50).toNanos();
 
-  private final ConfigurationAge configurationAge;
   private final StateWriter writer;
   private final LoadMeter load;
   private final SchedulingStatistics statistics;
@@ -74,12 +68,14 @@
   private final ExecutorDuty executors;
   private final ReachMonitor reach;
   private final JobLifecycle jobs;
+  private final CallerJobs callerJobs;
   private final AdviceCache advice;
   private final PlanDuty plans;
   private final MaintenanceDuty maintenance;
   private final SubmissionHandler submissions;
   private final UnknownJobHandler unknownJobs = new UnknownJobHandler();
   private final CancelHandler cancels;
+  private final CallHandler calls;
   private final RecordMaintenance records;
   private final List<BatchCommand> outgoing = new ArrayList<>();
 
@@ -97,7 +93,6 @@
       List<ExecutorProfile> listed,
       ConfigurationAge configurationAge,
       BatchContext context) {
-    this.configurationAge = configurationAge;
     this.writer = new StateWriter(epoch, context);
     this.statistics = SchedulingStatistics.create(preferences.scheduling());
     Duration lease = preferences.executorLease();
@@ -112,6 +107,7 @@
             context);
     this.reach = new ReachMonitor(executors.registry());
     this.jobs = new JobLifecycle(registry, writer, executors, statistics, configuration, context);
+    this.callerJobs = new CallerJobs(jobs);
     this.advice = new AdviceCache(EpochNumbers.before(epoch), context);
     this.plans = new PlanDuty(jobs, executors, advice, preferences.work(), statistics, context);
     this.load = new LoadMeter(executors.registry(), plans, context);
@@ -126,8 +122,18 @@
             waveRecords,
             waves,
             context);
-    this.submissions = new SubmissionHandler(jobs, writer, admission, outgoing);
-    this.cancels = new CancelHandler(jobs, submissions, outgoing);
+    this.submissions = new SubmissionHandler(jobs, callerJobs, writer, admission, outgoing);
+    this.cancels = new CancelHandler(jobs, callerJobs, submissions, outgoing);
+    this.calls =
+        new CallHandler(
+            jobs,
+            callerJobs,
+            submissions,
+            cancels,
+            unknownJobs,
+            admission,
+            configurationAge,
+            outgoing);
     this.records =
         new RecordMaintenance(registry, statistics.speeds(), writer, preferences.statusRetention());
     executors.setPools(jobs.pools());
@@ -227,7 +233,7 @@
     writer.recordOtherStreamAppend(contact.longestAppendNanos());
     writer.expire(context);
     cancels.step(context);
-    unknownJobs.step(contact.confirmedAt(), jobs.registry()::storedPhase, context);
+    unknownJobs.step(contact.confirmedAt(), callerJobs::storedPhase, context);
     if (context.nowNanos() - storeSeenAt < ISOLATION_LIMIT.toNanos()) {
       executors.step(context);
     }
@@ -271,61 +277,7 @@
    * @param contact how well the store can be reached, judged by the heartbeats
    */
   void handleCall(BatchEvent.Called event, StoreReachability contact, BatchContext context) {
-    long ticket = event.ticket();
-    BatchCall call = event.call();
-    long until = context.nowNanos() + event.patience().toNanos();
-    // Before the API key is checked: a VM may repeat a submission whose key was revoked meanwhile.
-    if (call instanceof BatchCall.Submit submit && submissions.joinExisting(ticket, submit.job())) {
-      return;
-    }
-    BatchConfiguration configuration = jobs.configuration();
-    Optional<JobQueue> queue = configuration.queue(call.queue());
-    if (queue.isEmpty()) {
-      answerUnknown(event, new CallAnswer.NoSuchQueue(), context);
-      return;
-    }
-    Optional<BatchOrganisation> caller = configuration.organisation(call.apiKey());
-    if (!queue.get().open() && caller.isEmpty()) {
-      answerUnknown(event, new CallAnswer.UnknownKey(), context);
-      return;
-    }
-    switch (call) {
-      case BatchCall.Submit submit ->
-          submissions.handle(event, submit, queue.get(), caller, contact, context);
-      case BatchCall.Status status -> status(new JobQuery(ticket, status.job(), until), context);
-      case BatchCall.Cancel cancel ->
-          cancels.cancel(new JobQuery(ticket, cancel.job(), until), context);
-      case BatchCall.CountPending count ->
-          answer(ticket, new CallAnswer.Pending(jobs.registry().pendingJobs(count.queue())));
-    }
-  }
-
-  /**
-   * Answers that a queue or key does not exist, or refuses the call if one may have been declared
-   * since this VM last read the operators' records.
-   */
-  private void answerUnknown(BatchEvent.Called event, CallAnswer unknown, BatchContext context) {
-    if (configurationAge.current(context.nowNanos())) {
-      answer(event.ticket(), unknown);
-    } else {
-      Admission.Refusal refusal =
-          admission.staleConfiguration(
-              event.call(), configurationAge.millis(context.nowNanos()), context);
-      submissions.refuse(event.ticket(), event.call().subject(), refusal, context);
-    }
-  }
-
-  private void answer(long ticket, CallAnswer answer) {
-    outgoing.add(new BatchCommand.Answer(ticket, answer));
-  }
-
-  private void status(JobQuery query, BatchContext context) {
-    Optional<JobPhase> phase = jobs.registry().storedPhase(query.job());
-    if (phase.isPresent()) {
-      answer(query.ticket(), new CallAnswer.Phase(phase.get()));
-    } else {
-      unknownJobs.ask(query, context);
-    }
+    calls.handle(event, contact, context);
   }
 
   @Override
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/CancelHandler.java
@@ -24,6 +24,7 @@
   private static final long RETRY_AFTER_MILLIS = 1000;
 
   private final JobLifecycle jobs;
+  private final CallerJobs callerJobs;
   private final SubmissionHandler submissions;
   private final List<BatchCommand> outgoing;
 
@@ -43,10 +44,16 @@
   /**
    * Creates a handler without cancels.
    *
+   * @param callerJobs the jobs as callers see them
    * @param outgoing list to which answers are added; the owner sends them with its next step
    */
-  CancelHandler(JobLifecycle jobs, SubmissionHandler submissions, List<BatchCommand> outgoing) {
+  CancelHandler(
+      JobLifecycle jobs,
+      CallerJobs callerJobs,
+      SubmissionHandler submissions,
+      List<BatchCommand> outgoing) {
     this.jobs = jobs;
+    this.callerJobs = callerJobs;
     this.submissions = submissions;
     this.outgoing = outgoing;
   }
@@ -76,7 +83,7 @@
     if (submissions.deferCancel(cancel)) {
       return;
     }
-    Optional<ActiveJob> job = jobs.registry().active(cancel.job());
+    Optional<ActiveJob> job = callerJobs.active(cancel);
     if (job.isEmpty()) {
       cancelEarly(cancel, context);
       return;
@@ -97,26 +104,25 @@
    * the caller is told that the job does not exist.
    */
   private void cancelEarly(JobQuery cancel, BatchContext context) {
-    if (jobs.registry().storedPhase(cancel.job()).isPresent()) {
+    if (callerJobs.storedPhase(cancel).isPresent()) {
       answer(cancel.ticket(), new CallAnswer.Cancelled());
       return;
     }
     context.note(BatchLogEvent.UNKNOWN_JOB_CANCELLED, cancel.job());
     awaitingStore.add(cancel.ticket());
-    jobs.cancelEarly(cancel.job(), () -> storedEarly(cancel), context);
+    jobs.cancelEarly(cancel.job(), cancel.scope(), () -> storedEarly(cancel), context);
   }
 
   private void storedEarly(JobQuery cancel) {
     if (awaitingStore.remove(cancel.ticket())) {
-      boolean came = jobs.registry().storedPhase(cancel.job()).isPresent();
+      boolean came = callerJobs.storedPhase(cancel).isPresent();
       answer(cancel.ticket(), came ? new CallAnswer.Cancelled() : new CallAnswer.NoSuchJob());
     }
   }
 
   private void stored(JobQuery cancel) {
     if (awaitingStore.remove(cancel.ticket())) {
-      List<LiveRun> runs =
-          jobs.registry().active(cancel.job()).map(ActiveJob::liveRuns).orElse(List.of());
+      List<LiveRun> runs = callerJobs.active(cancel).map(ActiveJob::liveRuns).orElse(List.of());
       awaitingStops.add(new StoredCancel(cancel, new ArrayList<>(runs)));
     }
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/RecordMaintenance.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/RecordMaintenance.java
@@ -40,7 +40,7 @@
         .ifPresent(id -> writer.put(JobCodec.progressKey(id), Optional::empty, () -> {}));
     registry
         .removeOneExpiredEarlyCancel(retention, context.nowNanos(), context.wallMillis())
-        .ifPresent(id -> writer.put(JobCodec.earlyCancelKey(id), Optional::empty, () -> {}));
+        .ifPresent(key -> writer.put(key, Optional::empty, () -> {}));
     if (!stopping) {
       storeSpeeds(context);
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/SubmissionHandler.java
@@ -17,6 +17,7 @@
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobLifecycle;
 import org.fescuehook.logic.batch.state.JobRegistry;
+import org.fescuehook.logic.batch.state.JobScope;
 import org.fescuehook.logic.batch.store.CommitFailure;
 import org.fescuehook.logic.batch.store.StateWriter;
 import org.fescuehook.model.batch.BatchJob;
@@ -31,6 +32,7 @@
 final class SubmissionHandler {
 
   private final JobLifecycle jobs;
+  private final CallerJobs callerJobs;
   private final StateWriter writer;
   private final Admission admission;
   private final List<BatchCommand> outgoing;
@@ -40,14 +42,20 @@
   /**
    * Creates a handler without submissions.
    *
+   * @param callerJobs the jobs as callers see them
    * @param admission decides which submissions are refused
    * @param outgoing list to which answers and log events are added; the owner sends them with its
    *     next step
    */
   SubmissionHandler(
-      JobLifecycle jobs, StateWriter writer, Admission admission, List<BatchCommand> outgoing) {
+      JobLifecycle jobs,
+      CallerJobs callerJobs,
+      StateWriter writer,
+      Admission admission,
+      List<BatchCommand> outgoing) {
     this.admission = admission;
     this.jobs = jobs;
+    this.callerJobs = callerJobs;
     this.writer = writer;
     this.outgoing = outgoing;
   }
@@ -56,15 +64,16 @@
    * Answers a submission that repeats an accepted job, or joins it to the pending submission of the
    * same job.
    *
+   * @param caller scope of the call; its organisation is empty if the key of the call is not known
    * @return false if it is not a repetition
    */
-  boolean joinExisting(long ticket, String id) {
-    if (jobs.registry().storedPhase(id).isPresent()) {
+  boolean joinExisting(long ticket, String id, JobScope caller) {
+    if (callerJobs.stored(id, caller)) {
       answer(ticket, new CallAnswer.Accepted());
       return true;
     }
     PendingSubmission earlier = pending.get(id);
-    if (earlier == null) {
+    if (earlier == null || !earlier.scope().matches(caller)) {
       return false;
     }
     earlier.tickets().add(ticket);
@@ -90,6 +99,9 @@
             queue,
             caller.map(BatchOrganisation::name).orElse(""),
             submit.submission());
+    if (refuseUsedId(event.ticket(), job, context)) {
+      return;
+    }
     Optional<Admission.Refusal> refusal =
         admission.refusal(job, event.patience(), contact, context);
     if (refusal.isPresent()) {
@@ -99,6 +111,37 @@
     }
   }
 
+  /**
+   * Refuses a submission whose id another job has. Tasks are named by the id alone on executors and
+   * in the store, so the two jobs cannot be kept apart there.
+   *
+   * @return false if no other job has the id
+   */
+  private boolean refuseUsedId(long ticket, NewJob job, BatchContext context) {
+    PendingSubmission undecided = pending.get(job.id());
+    if (undecided != null) {
+      String queue = undecided.scope().queue();
+      refuseUsedId(ticket, job, queue, admission.retryAfterMillis(), context);
+      return true;
+    }
+    Optional<JobRegistry.IdHolder> holder =
+        callerJobs.otherHolder(job.id(), JobScope.of(job.queue(), job.organisation()));
+    if (holder.isEmpty()) {
+      return false;
+    }
+    String queue = holder.get().scope().map(JobScope::queue).orElse("");
+    long retryAfter = admission.retryOfUsedIdMillis(holder.get().endedMillis(), context);
+    refuseUsedId(ticket, job, queue, retryAfter, context);
+    return true;
+  }
+
+  private void refuseUsedId(
+      long ticket, NewJob job, String holderQueue, long retryAfterMillis, BatchContext context) {
+    context.note(BatchLogEvent.JOB_ID_IN_USE, job.id(), job.queue().name(), holderQueue);
+    Admission.Refusal refusal = new Admission.Refusal(RefusalCause.ID_IN_USE, retryAfterMillis);
+    refuse(ticket, job.id(), refusal, context);
+  }
+
   /** Refuses a call. */
   void refuse(long ticket, String id, Admission.Refusal refusal, BatchContext context) {
     RefusalCause cause = refusal.cause();
@@ -111,9 +154,16 @@
   private void submit(long ticket, NewJob newJob, BatchContext context) {
     LongSupplier retryAfter = admission.retryIfNotStored(newJob);
     String id = newJob.id();
-    Optional<JobRegistry.EndedJob> cancelled = jobs.registry().earlyCancel(id);
+    JobScope scope = JobScope.of(newJob.queue(), newJob.organisation());
+    pending.put(id, PendingSubmission.of(scope, ticket));
+    Optional<JobRegistry.EndedJob> cancelled = jobs.registry().earlyCancel(id, scope);
     if (cancelled.isPresent()) {
-      submitCancelled(ticket, id, cancelled.get(), retryAfter, context);
+      JobRegistry.EndedJob end = cancelled.get();
+      submitCancelled(
+          newJob,
+          new JobRegistry.EndedJob(end.phase(), end.endedMillis(), Optional.of(scope)),
+          retryAfter,
+          context);
       return;
     }
     ActiveJob job =
@@ -124,14 +174,13 @@
                 newJob.organisation(),
                 context.wallMillis(),
                 newJob.submission()));
-    pending.put(id, PendingSubmission.of(ticket));
     jobs.submit(job);
     writer.putExpiring(
         JobCodec.jobKey(id),
         () -> Optional.of(JobCodec.encode(job.job())),
         () -> {
           accepted(job);
-          admission.stored(newJob.id(), outgoing);
+          admission.stored(newJob, outgoing);
         },
         loss -> {
           jobs.withdraw(job);
@@ -142,12 +191,11 @@
 
   /** Accepts a job that was cancelled before it was submitted: it is stored as ended. */
   private void submitCancelled(
-      long ticket,
-      String id,
+      NewJob newJob,
       JobRegistry.EndedJob cancelled,
       LongSupplier retryAfter,
       BatchContext context) {
-    pending.put(id, PendingSubmission.of(ticket));
+    String id = newJob.id();
     writer.putExpiring(
         JobCodec.progressKey(id),
         () -> Optional.of(JobCodec.encodeEnd(cancelled)),
@@ -155,7 +203,7 @@
           jobs.registry().addEnded(id, cancelled, context.nowNanos());
           note(BatchLogEvent.CANCELLED_JOB_ACCEPTED, id);
           complete(id, new CallAnswer.Accepted());
-          admission.stored(id, outgoing);
+          admission.stored(newJob, outgoing);
         },
         loss -> notAccepted(id, loss, retryAfter),
         context);
@@ -168,7 +216,7 @@
    */
   boolean deferCancel(JobQuery cancel) {
     PendingSubmission pendingSubmission = pending.get(cancel.job());
-    if (pendingSubmission == null) {
+    if (pendingSubmission == null || !pendingSubmission.scope().matches(cancel.scope())) {
       return false;
     }
     pendingSubmission.cancels().add(cancel);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -214,10 +214,9 @@
       }
       return;
     }
-    Optional<String> cancelled = JobCodec.earlyCancelOf(key);
-    if (cancelled.isPresent()) {
-      JobCodec.decodeEnd(cancelled.get(), value)
-          .ifPresent(end -> registry.addEarlyCancel(cancelled.get(), end, context.nowNanos()));
+    if (JobCodec.isEarlyCancelKey(key)) {
+      JobCodec.decodeEnd(key, value)
+          .ifPresent(end -> registry.addEarlyCancel(key, end, context.nowNanos()));
       return;
     }
     Optional<String> progressOf = JobCodec.progressOf(key);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/UnknownJobHandler.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/UnknownJobHandler.java
@@ -41,13 +41,13 @@
    * @param confirmedAt when the last heartbeat that the store confirmed was sent, monotonic time
    * @param lookup looks up a job, which may have been accepted since the request arrived
    */
-  void step(long confirmedAt, Function<String, Optional<JobPhase>> lookup, BatchContext context) {
+  void step(long confirmedAt, Function<JobQuery, Optional<JobPhase>> lookup, BatchContext context) {
     Iterator<WaitingQuery> queries = waiting.iterator();
     while (queries.hasNext()) {
       WaitingQuery next = queries.next();
       JobQuery query = next.query();
       if (confirmedAt - next.askedAt() > 0) {
-        Optional<CallAnswer> phase = lookup.apply(query.job()).map(CallAnswer.Phase::new);
+        Optional<CallAnswer> phase = lookup.apply(query).map(CallAnswer.Phase::new);
         answer(query, phase.orElseGet(CallAnswer.NoSuchJob::new), context);
         queries.remove();
       } else if (context.nowNanos() - query.until() >= -ANSWER_MARGIN_NANOS) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/Admission.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/Admission.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.fescuehook.logic.batch.BatchCommand;
 import org.fescuehook.logic.batch.BatchContext;
@@ -149,17 +150,30 @@
    * records were read.
    */
   public Refusal staleConfiguration(BatchCall call, long ageMillis, BatchContext context) {
+    String key = NewJob.key(call.queue(), call.subject());
     long delay =
         backlog
             .filter(part -> call instanceof BatchCall.Submit)
-            .map(part -> part.refuseForConfiguration(call.subject(), ageMillis, context.nowNanos()))
+            .map(part -> part.refuseForConfiguration(key, ageMillis, context.nowNanos()))
             .orElseGet(this::retryAfterMillis);
     return new Refusal(RefusalCause.STALE_CONFIGURATION, delay);
   }
 
   /** Records that a job is stored. */
-  public void stored(String id, List<BatchCommand> outgoing) {
-    backlog.ifPresent(part -> part.stored(id, outgoing));
+  public void stored(NewJob job, List<BatchCommand> outgoing) {
+    backlog.ifPresent(part -> part.stored(job, outgoing));
+  }
+
+  /**
+   * Returns the retry delay of a submission whose id another job has: the time until the state of
+   * that job is no longer reported, or the shortest time until then if the job is open.
+   *
+   * @param endedMillis when the other job ended, milliseconds since 1970; empty if it is open
+   */
+  public long retryOfUsedIdMillis(OptionalLong endedMillis, BatchContext context) {
+    long retention = preferences.statusRetention().toMillis();
+    long elapsed = context.wallMillis() - endedMillis.orElse(context.wallMillis());
+    return Math.max(MIN_RETRY_AFTER_MILLIS, retention - Math.max(0, elapsed));
   }
 
   /** Returns the retry delay for callers: an outage may last as long again as it has lasted. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/BacklogAdmission.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/BacklogAdmission.java
@@ -74,7 +74,7 @@
     Optional<LoadDecision.TooLate> tooLate = demand.flatMap(known -> decide(job, known, context));
     if (tooLate.isPresent()) {
       // A return is of no use once the useful time has passed, so such a caller comes back last.
-      boolean useless = refused.find(job.id()).filter(known -> known.useless(now)).isPresent();
+      boolean useless = refused.find(job.key()).filter(known -> known.useless(now)).isPresent();
       long capacity = useless ? MAX_DELAY_MILLIS : tooLate.get().capacityMillis();
       long delay = Math.clamp(capacity, MIN_DELAY_MILLIS, MAX_DELAY_MILLIS);
       long scheduled = refused(job, demand, delay, now);
@@ -83,10 +83,10 @@
     }
     demand.ifPresent(known -> load.admitted(known, now));
     refused
-        .find(job.id())
+        .find(job.key())
         .filter(known -> known.returnAt() - now > 0)
         .ifPresent(known -> returns.remove(known.returnAt() / NANOS_PER_MILLI));
-    refused.admitted(job.id(), now);
+    refused.admitted(job.key(), now);
     return Optional.empty();
   }
 
@@ -96,9 +96,9 @@
       return Optional.empty();
     }
     long now = context.nowNanos();
-    Optional<RefusedJob> earlier = refused.find(job.id());
+    Optional<RefusedJob> earlier = refused.find(job.key());
     long firstAt = earlier.map(RefusedJob::firstAt).orElse(now);
-    HeldWork before = refused.workBefore(job.id(), demand, firstAt, now);
+    HeldWork before = refused.workBefore(job.key(), demand, firstAt, now);
     LoadDecision.Times times =
         earlier.filter(known -> known.useless(now)).isPresent()
             ? LoadDecision.Times.PASSED
@@ -117,7 +117,7 @@
    * caller shall retry.
    */
   long refuseForStore(NewJob job, long outageAgeMillis, long now) {
-    int refusals = refused.refusals(job.id()) + 1;
+    int refusals = refused.refusals(job.key()) + 1;
     long delay = OutageRetries.minDelayMillis(outageAgeMillis, refusals);
     return refused(job, Optional.empty(), delay, now);
   }
@@ -127,32 +127,32 @@
    * VM could not read the operators' records, and returns the delay after which its caller shall
    * retry.
    */
-  long refuseForConfiguration(String id, long ageMillis, long now) {
-    long delay = OutageRetries.minDelayMillis(ageMillis, refused.refusals(id) + 1);
-    return refused(id, "", Optional.empty(), delay, now, Long.MAX_VALUE);
+  long refuseForConfiguration(String key, long ageMillis, long now) {
+    long delay = OutageRetries.minDelayMillis(ageMillis, refused.refusals(key) + 1);
+    return refused(key, "", Optional.empty(), delay, now, Long.MAX_VALUE);
   }
 
   private long refused(NewJob job, Optional<JobDemand> demand, long minDelayMillis, long now) {
     long useful = times(job).usefulMillis() * NANOS_PER_MILLI;
-    return refused(job.id(), job.organisation(), demand, minDelayMillis, now, useful);
+    return refused(job.key(), job.organisation(), demand, minDelayMillis, now, useful);
   }
 
   private long refused(
-      String id,
+      String key,
       String organisation,
       Optional<JobDemand> demand,
       long minDelayMillis,
       long now,
       long usefulNanos) {
     // VMs repeat a submission while its caller waits; a repetition is no try of the caller.
-    Optional<RefusedJob> booked = refused.find(id).filter(known -> known.returnAt() - now > 0);
+    Optional<RefusedJob> booked = refused.find(key).filter(known -> known.returnAt() - now > 0);
     if (booked.isPresent()) {
       return Math.ceilDiv(booked.get().returnAt() - now, NANOS_PER_MILLI);
     }
     long delay = returns.add(now / NANOS_PER_MILLI, minDelayMillis);
     long returnAt = now + delay * NANOS_PER_MILLI;
     refused
-        .refused(id, organisation, demand, now, returnAt, usefulNanos)
+        .refused(key, organisation, demand, now, returnAt, usefulNanos)
         .ifPresent(largest -> evictedFrom = Optional.of(largest));
     return delay;
   }
@@ -170,8 +170,8 @@
   }
 
   /** Tells that a job is stored which was refused before. */
-  void stored(String id, List<BatchCommand> outgoing) {
-    Optional<RefusedJob> earlier = refused.find(id);
+  void stored(NewJob submitted, List<BatchCommand> outgoing) {
+    Optional<RefusedJob> earlier = refused.find(submitted.key());
     if (earlier.isEmpty()) {
       return;
     }
@@ -180,7 +180,7 @@
     outgoing.add(
         new BatchCommand.Note(
             BatchLogEvent.REFUSED_JOB_ADMITTED,
-            List.of(id, job.organisation(), job.refusals(), millis)));
+            List.of(submitted.id(), job.organisation(), job.refusals(), millis)));
     outgoing.add(
         new BatchCommand.Count(
             "fescuehook.batch.admitted.later", "refusals", String.valueOf(job.refusals())));
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/RetryDelays.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/admission/RetryDelays.java
@@ -59,7 +59,7 @@
         switch (cause) {
           case NO_OWNER, STORE_AWAY, NO_CONFIGURATION, STALE_CONFIGURATION -> IN_OUTAGE_MILLIS;
           // The next owner or another VM usually takes the call within a second.
-          case NOT_OWNER, STOPPING, OVERLOADED, UNSUPPORTED, BACKLOG -> SHORTEST_MILLIS;
+          case NOT_OWNER, STOPPING, OVERLOADED, UNSUPPORTED, BACKLOG, ID_IN_USE -> SHORTEST_MILLIS;
         };
     return shortest + MILLIS_PER_SECOND * slot(subject);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/call/RefusalCause.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/call/RefusalCause.java
@@ -19,7 +19,9 @@
   /** This VM has not read the operators' records for so long that its configuration may be old. */
   STALE_CONFIGURATION,
   /** So much work is waiting that the job would surely start too late to be of use. */
-  BACKLOG;
+  BACKLOG,
+  /** A job of another queue or organisation has the id. */
+  ID_IN_USE;
 
   /** Returns the value of the cause in metric tags. */
   public String tag() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -1,7 +1,9 @@
 package org.fescuehook.logic.batch.state;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.UUID;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
 import org.fescuehook.model.batch.BatchJob;
 import org.fescuehook.model.batch.JobPhase;
@@ -39,8 +41,17 @@
     return PROGRESS_PREFIX + id;
   }
 
-  /** Returns the key of the record of a cancel that came before the submission of its job. */
-  public static String earlyCancelKey(String id) {
+  /**
+   * Returns the key of the record of a cancel that came before the submission of its job. The scope
+   * is hashed, since keys of the store are at most 255 bytes long.
+   */
+  public static String earlyCancelKey(String id, JobScope scope) {
+    byte[] names = (scope.queue() + "\0" + scope.organisation()).getBytes(StandardCharsets.UTF_8);
+    return unscopedEarlyCancelKey(id) + "/" + UUID.nameUUIDFromBytes(names);
+  }
+
+  /** Returns the key under which earlier versions stored early cancels, whatever their scope. */
+  static String unscopedEarlyCancelKey(String id) {
     return EARLY_CANCEL_PREFIX + id;
   }
 
@@ -54,9 +65,9 @@
     return suffix(key, ENDED_PREFIX);
   }
 
-  /** Returns the job id in the key of an early cancel; empty if the key is of another kind. */
-  public static Optional<String> earlyCancelOf(String key) {
-    return suffix(key, EARLY_CANCEL_PREFIX);
+  /** Returns whether a key is that of an early cancel. */
+  public static boolean isEarlyCancelKey(String key) {
+    return key.startsWith(EARLY_CANCEL_PREFIX);
   }
 
   /** Returns the job id in the key of an accepted job; empty if the key is of another kind. */
@@ -138,16 +149,31 @@
     for (StepProgress step : job.steps()) {
       encodeStep(step, job.open()).ifPresent(stored::addSteps);
     }
+    if (!job.open()) {
+      // The record of the job itself is removed with its end.
+      encode(JobScope.of(job.job()), stored);
+    }
     return stored.build().toByteArray();
   }
 
+  private static void encode(JobScope scope, StoredProgress.Builder stored) {
+    stored.setQueue(scope.queue()).setOrganisation(scope.organisation());
+  }
+
+  private static Optional<JobScope> scope(StoredProgress stored) {
+    return stored.getQueue().isEmpty()
+        ? Optional.empty()
+        : Optional.of(new JobScope(stored.getQueue(), stored.getOrganisation()));
+  }
+
   /** Encodes the end of a job that had no runs. */
   public static byte[] encodeEnd(JobRegistry.EndedJob end) {
-    return StoredProgress.newBuilder()
-        .setState(state(Optional.of(end.phase())))
-        .setEndedMillis(end.endedMillis())
-        .build()
-        .toByteArray();
+    StoredProgress.Builder stored =
+        StoredProgress.newBuilder()
+            .setState(state(Optional.of(end.phase())))
+            .setEndedMillis(end.endedMillis());
+    end.scope().ifPresent(scope -> encode(scope, stored));
+    return stored.build().toByteArray();
   }
 
   /**
@@ -224,6 +250,7 @@
   /**
    * Decodes the end of a job.
    *
+   * @param id id of the job, or key of the record, for messages
    * @return the end; empty if the job is open
    * @throws UnreadableRecordException if the bytes are not the progress of a job
    */
@@ -231,7 +258,7 @@
       throws UnreadableRecordException {
     StoredProgress stored = parse(id, value);
     return phase(stored.getState())
-        .map(phase -> new JobRegistry.EndedJob(phase, stored.getEndedMillis()));
+        .map(phase -> new JobRegistry.EndedJob(phase, stored.getEndedMillis(), scope(stored)));
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -133,8 +133,8 @@
   }
 
   /** Stores the cancel of a job that is not known, as its submission may still arrive. */
-  public void cancelEarly(String id, Runnable committed, BatchContext context) {
-    records.cancelEarly(id, committed, context);
+  public void cancelEarly(String id, JobScope scope, Runnable committed, BatchContext context) {
+    records.cancelEarly(id, scope, committed, context);
   }
 
   private void end(ActiveJob job, JobPhase phase, Runnable committed, BatchContext context) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRecords.java
@@ -72,12 +72,13 @@
   }
 
   /** Stores the cancel of a job that is not known, as its submission may still arrive. */
-  void cancelEarly(String id, Runnable committed, BatchContext context) {
+  void cancelEarly(String id, JobScope scope, Runnable committed, BatchContext context) {
     JobRegistry.EndedJob cancelled =
-        new JobRegistry.EndedJob(JobPhase.CANCELLED, context.wallMillis());
-    registry.addEarlyCancel(id, cancelled, context.nowNanos());
+        new JobRegistry.EndedJob(JobPhase.CANCELLED, context.wallMillis(), Optional.of(scope));
+    String key = JobCodec.earlyCancelKey(id, scope);
+    registry.addEarlyCancel(key, cancelled, context.nowNanos());
     byte[] stored = JobCodec.encodeEnd(cancelled);
-    writer.put(JobCodec.earlyCancelKey(id), () -> Optional.of(stored), committed);
+    writer.put(key, () -> Optional.of(stored), committed);
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRegistry.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobRegistry.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fescuehook.model.batch.JobPhase;
 import org.fescuehook.model.batch.TaskName;
 
@@ -23,11 +24,29 @@
   private final Map<String, ActiveJob> active = new LinkedHashMap<>();
   private final RetainedRecords<EndedJob> ended;
 
-  /** Jobs that were cancelled before they were submitted; their submissions may still arrive. */
+  /**
+   * Jobs that were cancelled before they were submitted, by the keys of their records; their
+   * submissions may still arrive.
+   */
   private final RetainedRecords<EndedJob> earlyCancels;
 
-  /** A job that has ended and whose state is still reported to callers. */
-  public record EndedJob(JobPhase phase, long endedMillis) {}
+  /**
+   * A job that has ended and whose state is still reported to callers.
+   *
+   * @param endedMillis when it ended, by the clock of its owner, milliseconds since 1970
+   * @param scope within what its id was chosen; empty if an earlier version stored the end
+   */
+  public record EndedJob(JobPhase phase, long endedMillis, Optional<JobScope> scope) {}
+
+  /**
+   * The job that has an id at present.
+   *
+   * @param scope within what the id was chosen; empty if it is not known
+   * @param endedMillis when the job ended, milliseconds since 1970; empty while it is open
+   * @param phase the state that is reported to callers; empty while the job is being stored
+   */
+  public record IdHolder(
+      Optional<JobScope> scope, OptionalLong endedMillis, Optional<JobPhase> phase) {}
 
   /** Creates a registry without jobs. */
   public JobRegistry() {
@@ -56,17 +75,23 @@
     ended.put(id, job, job.endedMillis(), nowNanos);
   }
 
-  /** Adds the cancel of a job that is not known. */
-  public void addEarlyCancel(String id, EndedJob cancelled, long nowNanos) {
-    earlyCancels.put(id, cancelled, cancelled.endedMillis(), nowNanos);
+  /**
+   * Adds the cancel of a job that is not known.
+   *
+   * @param key key of its record
+   */
+  public void addEarlyCancel(String key, EndedJob cancelled, long nowNanos) {
+    earlyCancels.put(key, cancelled, cancelled.endedMillis(), nowNanos);
   }
 
   /**
    * Returns the end that a job has as soon as it is submitted; empty unless it was cancelled before
-   * its submission.
+   * its submission, from the same scope or under an owner of an earlier version.
    */
-  public Optional<EndedJob> earlyCancel(String id) {
-    return earlyCancels.get(id);
+  public Optional<EndedJob> earlyCancel(String id, JobScope scope) {
+    return earlyCancels
+        .get(JobCodec.earlyCancelKey(id, scope))
+        .or(() -> earlyCancels.get(JobCodec.unscopedEarlyCancelKey(id)));
   }
 
   /** Returns a registry with the same ended jobs and early cancels but without active jobs. */
@@ -84,13 +109,27 @@
     return active(name.job()).flatMap(job -> job.task(name));
   }
 
-  /** Returns the state of a job that is reported to callers; empty if there is no such job. */
-  public Optional<JobPhase> storedPhase(String id) {
+  /** Returns the job that has an id, whether or not it is stored yet; empty if none has. */
+  public Optional<IdHolder> holder(String id) {
     ActiveJob job = active.get(id);
-    if (job != null && job.accepted()) {
-      return Optional.of(job.storedPhase());
+    if (job != null) {
+      return Optional.of(
+          new IdHolder(
+              Optional.of(JobScope.of(job.job())),
+              job.open() ? OptionalLong.empty() : OptionalLong.of(job.endedMillis()),
+              job.accepted() ? Optional.of(job.storedPhase()) : Optional.empty()));
     }
-    return ended.get(id).map(EndedJob::phase);
+    return ended
+        .get(id)
+        .map(
+            end ->
+                new IdHolder(
+                    end.scope(), OptionalLong.of(end.endedMillis()), Optional.of(end.phase())));
+  }
+
+  /** Returns the state of a job that is reported to its callers; empty if there is no such job. */
+  public Optional<JobPhase> storedPhase(String id) {
+    return holder(id).flatMap(IdHolder::phase);
   }
 
   /** Returns the active jobs. */
@@ -102,7 +141,8 @@
   public void retire(ActiveJob job, long nowNanos) {
     String id = job.job().id();
     if (active.remove(id, job)) {
-      addEnded(id, new EndedJob(job.end().orElseThrow(), job.endedMillis()), nowNanos);
+      Optional<JobScope> scope = Optional.of(JobScope.of(job.job()));
+      addEnded(id, new EndedJob(job.end().orElseThrow(), job.endedMillis(), scope), nowNanos);
     }
   }
 
@@ -115,8 +155,8 @@
   }
 
   /**
-   * Removes the oldest early cancel if its retention has expired, and returns the id of its job;
-   * empty if none has expired.
+   * Removes the oldest early cancel if its retention has expired, and returns the key of its
+   * record; empty if none has expired.
    */
   public Optional<String> removeOneExpiredEarlyCancel(
       Duration retention, long nowNanos, long wallMillis) {
--- a/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/net/batch/CallCodec.java
@@ -87,7 +87,8 @@
       case CallAnswer.Refused(RefusalCause cause, long retryAfter) ->
           message
               .setOutcome(Outcome.REFUSED)
-              .setReason(wireName(cause))
+              .setReason(olderName(cause))
+              .setCause(cause.name())
               .setRetryAfterMillis((int) retryAfter);
       case CallAnswer.Undecided(UndecidedCause cause) ->
           message.setOutcome(Outcome.UNDECIDED).setReason(cause.name());
@@ -116,20 +117,28 @@
   }
 
   /**
-   * Returns the name of a cause. VMs of earlier versions close the connection, with all its calls,
-   * on a cause that they do not know, so newer causes are sent as the older one that is nearest: a
-   * forwarded BACKLOG reaches the caller as OVERLOADED, STALE_CONFIGURATION as NO_CONFIGURATION.
-   * The log and metrics of the owner name the actual cause.
+   * Returns the name of a cause that VMs of earlier versions know. They close the connection, with
+   * all its calls, on a cause that they do not know.
    */
-  private static String wireName(RefusalCause cause) {
+  private static String olderName(RefusalCause cause) {
     return switch (cause) {
       case STALE_CONFIGURATION -> RefusalCause.NO_CONFIGURATION.name();
-      case BACKLOG -> RefusalCause.OVERLOADED.name();
+      case BACKLOG, ID_IN_USE -> RefusalCause.OVERLOADED.name();
       case NO_CONFIGURATION, NO_OWNER, NOT_OWNER, STORE_AWAY, OVERLOADED, STOPPING, UNSUPPORTED ->
           cause.name();
     };
   }
 
+  /** Returns the cause of a refusal; of an owner of another version, the nearest that is known. */
+  private static RefusalCause refusalCause(ForwardedAnswer message) {
+    for (RefusalCause cause : RefusalCause.values()) {
+      if (cause.name().equals(message.getCause())) {
+        return cause;
+      }
+    }
+    return RefusalCause.valueOf(message.getReason());
+  }
+
   private static Outcome outcome(JobPhase phase) {
     return switch (phase) {
       case QUEUED -> Outcome.QUEUED;
@@ -155,9 +164,7 @@
       case NO_SUCH_QUEUE -> new CallAnswer.NoSuchQueue();
       case UNKNOWN_KEY -> new CallAnswer.UnknownKey();
       case MALFORMED -> new CallAnswer.Malformed(message.getReason());
-      case REFUSED ->
-          new CallAnswer.Refused(
-              RefusalCause.valueOf(message.getReason()), message.getRetryAfterMillis());
+      case REFUSED -> new CallAnswer.Refused(refusalCause(message), message.getRetryAfterMillis());
       case UNDECIDED -> new CallAnswer.Undecided(UndecidedCause.valueOf(message.getReason()));
       case UNRECOGNIZED -> throw new IllegalArgumentException("unknown outcome");
     };
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/BatchCluster.java
@@ -65,7 +65,7 @@
   private final ClusterOwnershipReads ownershipReads = new ClusterOwnershipReads(this);
   final Random random;
   private final PriorityQueue<ScheduledAction> queue = new PriorityQueue<>();
-  private final CallTracker calls = new CallTracker(work, submissions);
+  final CallTracker calls = new CallTracker(work, submissions);
   private final ClusterConfiguration configuration;
   private final BatchPreferences preferences;
   private long nowMillis;
@@ -327,7 +327,7 @@
 
   /** Returns the answer to a status call, which may have to wait for the store; empty if late. */
   Optional<CallAnswer> status(String job) {
-    Optional<Long> asked = call(new BatchCall.Status(NORMAL, configuration.callerKey(), job));
+    Optional<Long> asked = call(calls.statusCall(job, configuration.callerKey()));
     long limit = nowMillis + ANSWER_LIMIT_MILLIS;
     while (asked.isPresent() && !answers.containsKey(asked.get()) && nowMillis < limit) {
       run(STEP_MILLIS);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/CallTracker.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/CallTracker.java
@@ -13,8 +13,15 @@
 
   private final TaskSimulation work;
   private final Map<String, CallAnswer> submissions;
-  private final Map<Long, String> submitTickets = new HashMap<>();
-  private final Map<Long, String> cancelTickets = new HashMap<>();
+  private final Map<Long, BatchCall.Submit> submitTickets = new HashMap<>();
+
+  /** The submission that counts for each job id: the accepted one, or the first one. */
+  private final Map<String, BatchCall.Submit> submitted = new HashMap<>();
+
+  private final Map<Long, BatchCall.Cancel> cancelTickets = new HashMap<>();
+
+  /** When cancels were acknowledged. A cancel may come before the submission of its job. */
+  private final Map<BatchCall.Cancel, Long> cancelled = new HashMap<>();
 
   CallTracker(TaskSimulation work, Map<String, CallAnswer> submissions) {
     this.work = work;
@@ -23,30 +30,68 @@
 
   void recordCall(long ticket, BatchCall call) {
     if (call instanceof BatchCall.Submit submit) {
-      submitTickets.put(ticket, submit.job());
-      work.recordSubmission(submit.job(), submit.queue(), submit.submission());
+      submitTickets.put(ticket, submit);
+      if (!submitted.containsKey(submit.job())) {
+        recordSubmission(submit);
+      }
     }
     if (call instanceof BatchCall.Cancel cancel) {
-      cancelTickets.put(ticket, cancel.job());
+      cancelTickets.put(ticket, cancel);
     }
   }
 
   void recordAnswer(long ticket, CallAnswer answer, long nowMillis) {
-    String job = submitTickets.get(ticket);
-    if (job != null) {
+    BatchCall.Submit submit = submitTickets.get(ticket);
+    if (submit != null) {
+      if (answer instanceof CallAnswer.Accepted) {
+        recordSubmission(submit);
+      }
       // A refused repeat of a submission does not undo an earlier acceptance.
       submissions.merge(
-          job, answer, (old, newer) -> old instanceof CallAnswer.Accepted ? old : newer);
+          submit.job(), answer, (old, newer) -> old instanceof CallAnswer.Accepted ? old : newer);
     }
-    String cancelled = cancelTickets.get(ticket);
+    BatchCall.Cancel cancel = cancelTickets.get(ticket);
     boolean acknowledged =
         answer instanceof CallAnswer.Cancelled || answer instanceof CallAnswer.NoSuchJob;
-    if (cancelled != null && acknowledged) {
-      work.recordCancel(cancelled, nowMillis);
+    if (cancel != null && acknowledged) {
+      cancelled.putIfAbsent(cancel, nowMillis);
+      BatchCall.Submit job = submitted.get(cancel.job());
+      if (job != null && cancelOf(job).equals(cancel)) {
+        work.cancelledAt.putIfAbsent(cancel.job(), nowMillis);
+      }
+    }
+  }
+
+  private void recordSubmission(BatchCall.Submit submit) {
+    submitted.put(submit.job(), submit);
+    work.recordSubmission(submit.job(), submit.queue(), submit.submission());
+    Long cancelledAt = cancelled.get(cancelOf(submit));
+    if (cancelledAt == null) {
+      work.cancelledAt.remove(submit.job());
+    } else {
+      work.cancelledAt.putIfAbsent(submit.job(), cancelledAt);
     }
   }
 
+  /** Returns the cancel of a job; the same id in another queue is another job. */
+  private static BatchCall.Cancel cancelOf(BatchCall.Submit submit) {
+    return new BatchCall.Cancel(submit.queue(), submit.apiKey(), submit.job());
+  }
+
+  /**
+   * Returns the status call of the caller of a job.
+   *
+   * @param key the key to use if the job was not submitted
+   */
+  BatchCall statusCall(String job, String key) {
+    BatchCall.Submit submit = submitted.get(job);
+    return submit == null
+        ? new BatchCall.Status(BatchCluster.NORMAL, key, job)
+        : new BatchCall.Status(submit.queue(), submit.apiKey(), job);
+  }
+
   boolean cancelSent(String job) {
-    return cancelTickets.containsValue(job);
+    BatchCall.Submit submit = submitted.get(job);
+    return submit != null && cancelTickets.containsValue(cancelOf(submit));
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/JobStateChecks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/JobStateChecks.java
@@ -4,8 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import org.fescuehook.logic.batch.call.BatchCall;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.model.batch.BatchConfiguration;
 import org.fescuehook.model.batch.JobPhase;
@@ -64,9 +62,9 @@
     long now = cluster.nowMillis();
     // The acceptance may have come since the last question, so this moment is no earlier.
     boolean due = now > acceptedAt.computeIfAbsent(job, id -> now) + VISIBLE_MILLIS;
-    Optional<Long> ticket =
-        cluster.call(new BatchCall.Status(BatchCluster.NORMAL, BatchCluster.KEY, job));
-    ticket.ifPresent(number -> questions.put(number, new Question(job, now, due)));
+    cluster
+        .call(cluster.calls.statusCall(job, BatchCluster.KEY))
+        .ifPresent(number -> questions.put(number, new Question(job, now, due)));
   }
 
   private boolean checkAnswer(long ticket, Question question) {
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/TaskSimulation.java
@@ -63,7 +63,9 @@
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<TaskName> failingTasks = new HashSet<>();
   private Predicate<TaskRun> failingRuns = run -> false;
-  private final Map<String, Long> cancelledAt = new HashMap<>();
+
+  /** Acknowledged cancels, after which a job may start runs only within a short bound. */
+  final Map<String, Long> cancelledAt = new HashMap<>();
 
   /** When the order that is being delivered late was sent; empty if there is none. */
   private OptionalLong lateOrderSentAt = OptionalLong.empty();
@@ -236,13 +238,6 @@
     lateOrderSentAt = OptionalLong.empty();
   }
 
-  /**
-   * Records an acknowledged cancel, after which the job may start runs only within a short bound.
-   */
-  void recordCancel(String job, long nowMillis) {
-    cancelledAt.putIfAbsent(job, nowMillis);
-  }
-
   boolean cancelled(String job) {
     return cancelledAt.containsKey(job);
   }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/UnknownJobHandlerTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/UnknownJobHandlerTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.fescuehook.logic.batch.call.CallAnswer;
 import org.fescuehook.logic.batch.call.RefusalCause;
+import org.fescuehook.logic.batch.state.JobScope;
 import org.fescuehook.model.batch.JobPhase;
 import org.junit.jupiter.api.Test;
 
@@ -33,12 +34,13 @@
   }
 
   private void ask(long ticket, String job, long nowMillis, long patienceMillis) {
-    handler.ask(new JobQuery(ticket, job, nanos(nowMillis + patienceMillis)), at(nowMillis));
+    long until = nanos(nowMillis + patienceMillis);
+    handler.ask(new JobQuery(ticket, job, new JobScope("q", ""), until), at(nowMillis));
   }
 
   private List<BatchCommand> step(long nowMillis, long confirmedMillis) {
     BatchContext context = at(nowMillis);
-    handler.step(nanos(confirmedMillis), accepted::get, context);
+    handler.step(nanos(confirmedMillis), query -> accepted.get(query.job()), context);
     return context.commands();
   }
 
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.state;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -142,6 +143,45 @@
     assertEquals(List.of(run.run()), restored.liveRuns().stream().map(LiveRun::run).toList());
   }
 
+  /** The record of the job itself is removed with its end. */
+  @Test
+  void theEndOfAJobTellsItsQueueAndOrganisation() throws Exception {
+    ActiveJob job = new ActiveJob(job(false, Optional.empty()));
+    job.end(JobPhase.COMPLETED, 9);
+    JobScope scope = new JobScope("q", "north");
+    assertEquals(
+        Optional.of(new JobRegistry.EndedJob(JobPhase.COMPLETED, 9, Optional.of(scope))),
+        JobCodec.decodeEnd("a1", JobCodec.encodeProgress(job)));
+  }
+
+  /** VMs are replaced one by one, so that an owner reads what an earlier version has stored. */
+  @Test
+  void anEndStoredByAnEarlierVersionHasNoScope() throws Exception {
+    byte[] stored =
+        StoredProgress.newBuilder()
+            .setState(StoredProgress.State.CANCELLED)
+            .setEndedMillis(9)
+            .build()
+            .toByteArray();
+    JobRegistry.EndedJob end = JobCodec.decodeEnd("a1", stored).orElseThrow();
+    assertEquals(new JobRegistry.EndedJob(JobPhase.CANCELLED, 9, Optional.empty()), end);
+
+    JobRegistry registry = new JobRegistry();
+    registry.addEarlyCancel(JobCodec.unscopedEarlyCancelKey("a1"), end, 0);
+    assertEquals(Optional.of(end), registry.earlyCancel("a1", new JobScope("q", "north")));
+  }
+
+  @Test
+  void earlyCancelsOfSeveralScopesHaveKeysOfTheirOwn() {
+    JobScope scope = new JobScope("q", "north");
+    String key = JobCodec.earlyCancelKey("a1", scope);
+    assertTrue(JobCodec.isEarlyCancelKey(key));
+    assertEquals(key, JobCodec.earlyCancelKey("a1", new JobScope("q", "north")));
+    assertNotEquals(key, JobCodec.earlyCancelKey("a1", new JobScope("q", "south")));
+    assertNotEquals(key, JobCodec.earlyCancelKey("a1", new JobScope("p", "north")));
+    assertNotEquals(key, JobCodec.earlyCancelKey("a2", scope));
+  }
+
   private static Incarnation incarnation(String executor) {
     return new Incarnation(new ExecutorId(executor), OptionalLong.of(1_786_115_069_591L));
   }
--- a/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/net/batch/CallLinkTest.java
@@ -164,10 +164,25 @@
    * Guards against a cause that VMs of earlier versions cannot decode: they close the connection.
    */
   @Test
-  void newerCausesOfRefusalsAreSentAsOlderOnes() throws Exception {
-    serverAnswer = new CallAnswer.Refused(RefusalCause.BACKLOG, 3000);
-    assertEquals(new CallAnswer.Refused(RefusalCause.OVERLOADED, 3000), call());
-    serverAnswer = new CallAnswer.Refused(RefusalCause.STALE_CONFIGURATION, 1000);
-    assertEquals(new CallAnswer.Refused(RefusalCause.NO_CONFIGURATION, 1000), call());
+  void newerCausesOfRefusalsAreSentBesideOlderOnes() throws Exception {
+    assertSentBeside(RefusalCause.OVERLOADED, RefusalCause.BACKLOG);
+    assertSentBeside(RefusalCause.OVERLOADED, RefusalCause.ID_IN_USE);
+    assertSentBeside(RefusalCause.NO_CONFIGURATION, RefusalCause.STALE_CONFIGURATION);
+  }
+
+  private void assertSentBeside(RefusalCause older, RefusalCause newer) throws Exception {
+    serverAnswer = new CallAnswer.Refused(newer, 3000);
+    assertEquals(older.name(), CallCodec.encode(1, serverAnswer).getReason());
+    assertEquals(serverAnswer, call());
+  }
+
+  /** Guards against a closed connection when the owner knows causes that this VM does not. */
+  @Test
+  void aCauseOfANewerVersionIsReadAsTheOlderOneBesideIt() {
+    ForwardedAnswer newer =
+        CallCodec.encode(1, new CallAnswer.Refused(RefusalCause.BACKLOG, 3000)).toBuilder()
+            .setCause("UNHEARD_OF")
+            .build();
+    assertEquals(new CallAnswer.Refused(RefusalCause.OVERLOADED, 3000), CallCodec.decode(newer));
   }
 }
