Members of a gang that wait for others are not taken for stalled

Cause, one of two: a gang makes progress only once all its members run, but a member was compared with its estimate from its own start on. While a start elsewhere was ordered again, the members that waited at 0 percent counted as hardly progressing after 0.9 s: one was stopped to be moved, the gang broke, the executors were doubted as stalled, and the next attempt took as much capacity elsewhere.

Change: a member is judged from the time on at which all members are known to run, as learning speeds and run times already do.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorEvaluator.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.fescuehook.logic.batch.BatchContext;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
@@ -102,9 +103,13 @@
             && run.step().spec().longRunning().isEmpty()
             && !run.wasThrottled()
             && !run.step().spec().placement().sameRack();
+    OptionalLong since = comparable ? run.step().ableToProgressSince(run) : OptionalLong.empty();
+    if (since.isEmpty()) {
+      return false;
+    }
     double estimate = run.step().spec().estimateMillis();
-    double elapsed = Duration.ofNanos(nowNanos - run.stageSince()).toMillis();
-    if (!comparable || elapsed < Math.max(MIN_ELAPSED.toMillis(), estimate * MIN_ELAPSED_SHARE)) {
+    double elapsed = Duration.ofNanos(nowNanos - since.getAsLong()).toMillis();
+    if (elapsed < Math.max(MIN_ELAPSED.toMillis(), estimate * MIN_ELAPSED_SHARE)) {
       return false;
     }
     double speed = run.percent() / PERCENT * estimate / elapsed;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -177,6 +177,25 @@
         : OptionalDouble.of(speeds[speeds.length / 2]);
   }
 
+  /**
+   * Returns since when a run can make progress, monotonic time: the members of a gang do so once
+   * all of them run. Empty if it cannot yet.
+   */
+  public OptionalLong ableToProgressSince(LiveRun run) {
+    if (!spec.gang()) {
+      return OptionalLong.of(run.stageSince());
+    }
+    List<LiveRun> members = liveRuns();
+    boolean complete =
+        members.size() == spec.count()
+            && members.stream().allMatch(member -> member.stage() == LiveRun.Stage.RUNNING);
+    return complete
+        ? members.stream()
+            .mapToLong(LiveRun::stageSince)
+            .reduce((one, other) -> other - one > 0 ? other : one)
+        : OptionalLong.empty();
+  }
+
   /**
    * Counts a move of a run that makes hardly any progress.
    *
