A gang that breaks is logged with the member that it lost

Nothing told which member of a gang was lost first, why, how long after its placement and how much capacity the attempt had held: a log had to be read run by run to tell stalls, starts without an answer and lost executors apart. Event 8082 and the counter fescuehook.batch.gangs.broken, by cause, tell it once for each attempt. No decision changes.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -214,7 +214,11 @@
   /** What keeps a job that has nothing running from the executors with capacity for it. */
   IDLE_JOB_BARRED(
       8081,
-      "Job {} waits beside {} executors with capacity: {} rest, {} have unknown runs, {} do not answer, {} are closed, {} are doubted, {} lack proof, {} failed runs of it, {} lack advice, {} do not suit, {} are open to it");
+      "Job {} waits beside {} executors with capacity: {} rest, {} have unknown runs, {} do not answer, {} are closed, {} are doubted, {} lack proof, {} failed runs of it, {} lack advice, {} do not suit, {} are open to it"),
+  /** A gang has lost a member and starts again as a whole. */
+  GANG_BROKEN(
+      8082,
+      "Gang broken by run {} on {}: {}, {} ms after its placement; {} of the other {} members had started, {} accelerators were held");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -197,7 +197,7 @@
       case FAILED -> fail(run, task, committed, context);
       case STOPPED, LEASE_EXPIRED, GANG_BROKEN, GANG_INCOMPLETE -> {
         if (!giveUpIfCrashing(step, task, committed, context)) {
-          stops.breakGang(step, context);
+          stops.breakGang(run, WasteCause.OTHER, context);
           persist(step.job(), committed);
         }
       }
@@ -238,7 +238,7 @@
       return;
     }
     if (!giveUpIfCrashing(step, task, committed, context)) {
-      stops.breakGang(step, context);
+      stops.breakGang(run, WasteCause.FAILED, context);
       persist(step.job(), committed);
     }
   }
@@ -290,7 +290,7 @@
     if (giveUpIfCrashing(step, task, () -> {}, context)) {
       return;
     }
-    stops.breakGang(step, context);
+    stops.breakGang(run, WasteCause.LOST, context);
     persist(step.job(), () -> {});
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RunStops.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/RunStops.java
@@ -1,6 +1,9 @@
 package org.fescuehook.logic.batch.state;
 
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.fescuehook.logic.batch.BatchContext;
+import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 
@@ -27,28 +30,55 @@
       stop(run, WasteCause.TASK_DONE, context);
     } else if (step.spec().gang() && !step.waiting().isEmpty()) {
       // A member has ended, and the former owner may have failed before it stopped the others.
-      breakGang(step, context);
+      stopMembers(step, context);
     }
   }
 
-  /** Stops the remaining members of a gang that has lost one, so that the whole gang restarts. */
-  void breakGang(StepProgress step, BatchContext context) {
-    if (step.spec().gang() && !step.done()) {
-      step.liveRuns().forEach(run -> stop(run, WasteCause.GANG_BROKEN, context));
+  /**
+   * Stops the remaining members of a gang that has lost one, so that the whole gang restarts; does
+   * nothing if the step of the run is no gang.
+   *
+   * @param lost the run that has ended or is being stopped
+   * @param cause why, unless that is known of the run itself
+   */
+  void breakGang(LiveRun lost, WasteCause cause, BatchContext context) {
+    StepProgress step = lost.step();
+    if (!step.spec().gang() || step.done()) {
+      return;
+    }
+    List<LiveRun> others = step.liveRuns().stream().filter(run -> run != lost).toList();
+    boolean first = others.stream().anyMatch(run -> run.stage() != LiveRun.Stage.STOPPING);
+    if (first) {
+      WasteCause known = lost.wasteCause().orElse(cause);
+      context.count("fescuehook.batch.gangs.broken", "cause", known.tag());
+      context.note(
+          BatchLogEvent.GANG_BROKEN,
+          lost.run(),
+          lost.incarnation(),
+          known.text(),
+          TimeUnit.NANOSECONDS.toMillis(context.nowNanos() - lost.placedAt()),
+          others.stream().filter(LiveRun::seenRunning).count(),
+          step.spec().count() - 1,
+          step.spec().count() * step.spec().demand().accelerators());
     }
+    stopMembers(step, context);
+  }
+
+  private void stopMembers(StepProgress step, BatchContext context) {
+    step.liveRuns().forEach(run -> stop(run, WasteCause.GANG_BROKEN, context));
   }
 
   /** Handles a run whose start was not answered: it may run, so it is stopped. */
   public void startGivenUp(LiveRun run, BatchContext context) {
     stop(run, WasteCause.UNANSWERED, context);
-    breakGang(run.step(), context);
+    breakGang(run, WasteCause.UNANSWERED, context);
   }
 
   /** Handles a run that makes hardly any progress on its executor: stops it to move it. */
   public void runStalled(LiveRun run, BatchContext context) {
     if (run.step().job().open() && !run.step().done()) {
       stop(run, WasteCause.MOVED, context);
-      breakGang(run.step(), context);
+      breakGang(run, WasteCause.MOVED, context);
     }
   }
 
@@ -63,7 +93,7 @@
       boolean moves = run.step().spec().checkpointing() || lateThere || run.longRunning();
       if (moves && !run.step().done()) {
         stop(run, WasteCause.LEAVING, context);
-        breakGang(run.step(), context);
+        breakGang(run, WasteCause.LEAVING, context);
       }
     }
   }
