Starts are ordered again until the members of a gang stop waiting

Cause, the other of two: while answers were lost, a start was given up after 1.8 s (12 orders of 150 ms), although the other members of its gang wait 3 s for it. One start in some hundreds that is given up breaks most attempts of gangs of 20 members, and each attempt held its places until its stops were confirmed.

Change: while answers are lost, a start is ordered again until 0.4 s before the members of a gang end for want of it. That time comes from the platform (gang-timeout, 3 s by default) instead of being a half of a constant. Without lost answers nothing changes unless gang-timeout is short. The four times that an owner keeps with executors are one record.

--- a/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
+++ b/bench/src/main/java/org/fescuehook/bench/batch/LoadedOwner.java
@@ -86,6 +86,7 @@
             Duration.ofMillis(500),
             Duration.ofMillis(250),
             Duration.ofMillis(200),
+            Duration.ofMillis(3000),
             Duration.ofMillis(2700));
     return new BatchPreferences(Duration.ofSeconds(6), Duration.ofSeconds(120), work, false);
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -15,6 +15,7 @@
 import org.fescuehook.logic.batch.executor.ExecutorDuty;
 import org.fescuehook.logic.batch.executor.ExecutorSign;
 import org.fescuehook.logic.batch.executor.ExecutorState;
+import org.fescuehook.logic.batch.executor.ExecutorTimes;
 import org.fescuehook.logic.batch.executor.OrderOutcome;
 import org.fescuehook.logic.batch.executor.OrderOutcome.EndedRun;
 import org.fescuehook.logic.batch.executor.OrderOutcome.Rejection;
@@ -99,9 +100,11 @@
     this.executors =
         new ExecutorDuty(
             epoch,
-            lease.minus(LEASE_MARGIN),
-            lease,
-            ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
+            new ExecutorTimes(
+                lease.minus(LEASE_MARGIN),
+                lease,
+                ISOLATION_LIMIT.plus(lease).plus(lease.dividedBy(10)),
+                preferences.work().gangTimeout()),
             this,
             statistics,
             context);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/AnswerStatistics.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/AnswerStatistics.java
@@ -52,17 +52,17 @@
   /** Start orders of one run, at least, before it is given up. */
   private static final int MIN_START_ORDERS = 3;
 
-  /**
-   * Timeout for the answer to an order. Three such timeouts fit into the time that a gang waits for
-   * its members.
-   */
+  /** Timeout for the answer to an order. */
   private static final Duration ORDER_TIMEOUT = Duration.ofMillis(600);
 
   /** The same while answers are lost; well above the time that answers take on any VM. */
   private static final Duration MIN_ORDER_TIMEOUT = Duration.ofMillis(150);
 
-  /** Time in which a start is ordered again; half of the time that a gang waits for its members. */
-  private static final Duration START_LIMIT = ORDER_TIMEOUT.multipliedBy(MIN_START_ORDERS);
+  /**
+   * Time before the members of a gang end for want of another one, in which a start of that one is
+   * not ordered again: it has to arrive, and the owner to learn of it.
+   */
+  private static final Duration GANG_MARGIN = Duration.ofMillis(400);
 
   /**
    * Time added to the wait that a poll requests to get its timeout. It covers a hundred network
@@ -86,12 +86,22 @@
   /** The same for an executor without runs, where only new work would wait. */
   private static final Duration IDLE_RETRY_PAUSE = Duration.ofMillis(500);
 
+  private final Duration gangTimeout;
   private final ResponseTimeEstimator orderTimes = new ResponseTimeEstimator(MIN_ORDER_TIMEOUT);
   private OptionalLong lastAnswerAt = OptionalLong.empty();
   private double lostShare;
   private boolean lossy;
   private int unansweredInRow;
 
+  /**
+   * Creates statistics without answers.
+   *
+   * @param gangTimeout time that a member of a gang waits on its executor for the others
+   */
+  AnswerStatistics(Duration gangTimeout) {
+    this.gangTimeout = gangTimeout;
+  }
+
   /**
    * Records the outcome of an order.
    *
@@ -165,12 +175,22 @@
    * @param nanos time since the first one
    */
   boolean givesUpStart(int orders, long nanos) {
-    boolean tooLate = orders >= MIN_START_ORDERS && nanos >= START_LIMIT.toNanos();
+    boolean tooLate = orders >= MIN_START_ORDERS && nanos >= startLimit().toNanos();
     return tooLate || orders >= maxStartOrders();
   }
 
   private long maxStartOrders() {
-    return lossy ? START_LIMIT.toMillis() / lossyTimeout().toMillis() : MIN_START_ORDERS;
+    return lossy ? startLimit().toMillis() / lossyTimeout().toMillis() : MIN_START_ORDERS;
+  }
+
+  /**
+   * Returns the time in which a start is ordered again. While answers are lost, the next order may
+   * well be carried out, and a gang that is given up loses the starts of all its members.
+   */
+  private Duration startLimit() {
+    Duration untilMembersEnd = gangTimeout.minus(GANG_MARGIN);
+    Duration usual = ORDER_TIMEOUT.multipliedBy(MIN_START_ORDERS);
+    return lossy || untilMembersEnd.compareTo(usual) < 0 ? untilMembersEnd : usual;
   }
 
   /** Returns how many orders it takes until all of them are lost with a probability at most. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorDuty.java
@@ -59,34 +59,31 @@
   /**
    * Creates the duty of an epoch.
    *
-   * @param lease length of the leases that orders grant
-   * @param longestLease the longest lease that an executor grants
-   * @param inheritedLease how long leases of a former owner may last from now on
    * @param statistics receives what the reports of executors show
    */
   public ExecutorDuty(
       long epoch,
-      Duration lease,
-      Duration longestLease,
-      Duration inheritedLease,
+      ExecutorTimes times,
       RunListener listener,
       SchedulingStatistics statistics,
       BatchContext context) {
     this.nextFullPassAt = context.nowNanos();
-    this.answers = new AnswerStatistics();
-    this.orders = new OrderSender(epoch, lease, answers);
+    this.answers = new AnswerStatistics(times.gangTimeout());
+    this.orders = new OrderSender(epoch, times.lease(), answers);
     this.poller = new ExecutorPoller(registry, orders, answers);
     this.throttler = new Throttler(orders);
     this.startOutcomes =
         new StartOutcomeHandler(registry, orders, throttler, listener, statistics, answers);
-    this.inheritedLeaseNanos = inheritedLease.toNanos();
+    this.inheritedLeaseNanos = times.inheritedLease().toNanos();
     this.orphans = new OrphanedRuns(context.nowNanos() + inheritedLeaseNanos);
     this.listener = listener;
-    this.reportHandler = new ReportHandler(orders, throttler, listener, longestLease, statistics);
+    this.reportHandler =
+        new ReportHandler(orders, throttler, listener, times.longestLease(), statistics);
     this.lostExecutors = new LostExecutorHandler(registry, reportHandler);
     this.evacuations = new EvacuationHandler(registry, reportHandler);
     this.restarts =
-        new RestartHandler(registry, orders, poller, throttler, reportHandler, longestLease);
+        new RestartHandler(
+            registry, orders, poller, throttler, reportHandler, times.longestLease());
   }
 
   /** Returns the registry of executors. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerKeys.java
@@ -82,6 +82,13 @@
       work("restore-time", Duration.ofMillis(250), "Time to go on from a checkpoint.");
   static final Key<Duration> STOP_TIME =
       work("stop-time", Duration.ofMillis(200), "Longest time that the stop of a task takes.");
+  static final Key<Duration> GANG_TIMEOUT =
+      Key.optional(
+          "bounds",
+          "gang-timeout",
+          Durations.from(Duration.ofSeconds(1)),
+          Duration.ofSeconds(3),
+          "Time that a member of a gang waits for the others.");
   static final Key<Duration> RECLAIM_BOUND =
       work(
           "reclaim-bound",
@@ -144,6 +151,7 @@
           CHECKPOINT_INTERVAL,
           RESTORE_TIME,
           STOP_TIME,
+          GANG_TIMEOUT,
           RECLAIM_BOUND,
           MAINTENANCE_TIME,
           AVAILABILITY_NOTICE,
--- a/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/preferences/SchedulerSettingsParser.java
@@ -55,6 +55,7 @@
                 values.get(SchedulerKeys.CHECKPOINT_INTERVAL),
                 values.get(SchedulerKeys.RESTORE_TIME),
                 values.get(SchedulerKeys.STOP_TIME),
+                values.get(SchedulerKeys.GANG_TIMEOUT),
                 values.get(SchedulerKeys.RECLAIM_BOUND)),
             values.get(SchedulerKeys.ADVICE).isPresent(),
             scheduling(values),
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FilledFleetTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FilledFleetTest.java
@@ -47,6 +47,7 @@
           Duration.ofSeconds(2),
           Duration.ofMillis(600),
           Duration.ofMillis(200),
+          Duration.ofSeconds(3),
           Duration.ofMillis(2700));
 
   private final ExecutorState near = executor("near", DATA_RACK);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
@@ -38,6 +38,7 @@
           Duration.ofSeconds(2),
           Duration.ofMillis(600),
           Duration.ofMillis(200),
+          Duration.ofSeconds(3),
           Duration.ofMillis(2700));
 
   final List<ExecutorState> executors = new ArrayList<>();
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlannerEquivalenceProperties.java
@@ -51,6 +51,7 @@
           Duration.ofSeconds(2),
           Duration.ofMillis(600),
           Duration.ofMillis(200),
+          Duration.ofSeconds(3),
           Duration.ofMillis(2700));
   private static final int[] ACCELERATORS = {0, 1, 1, 2, 4, 8};
 
