Gangs avoid executors to which connections time out

Cause: a member that is placed on an executor to which only a part of the connections opens mostly does not start within the time that the others wait, and breaks its gang, though there is capacity on executors that are reached well. What is known of timed out connections was forgotten with the next answer, and served to compare owners alone.

Change: an executor to which a connection has timed out within 5 s counts as suspect, whatever share of the fleet that is: gangs avoid it if they fit elsewhere, and other work takes it last. Jobs cannot cause that, so that the limit for suspects by failed runs does not apply.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/ExecutorState.java
@@ -326,7 +326,7 @@
   }
 
   /** Returns the orders to it that were not answered since the last answer. */
-  UnansweredOrders unansweredOrders() {
+  public UnansweredOrders unansweredOrders() {
     return unansweredOrders;
   }
 
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/UnansweredOrders.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/executor/UnansweredOrders.java
@@ -1,7 +1,7 @@
 package org.fescuehook.logic.batch.executor;
 
 /** Counts the orders to one executor, polls among them, that were not answered in a row. */
-final class UnansweredOrders {
+public final class UnansweredOrders {
 
   private final ConnectTimeouts connectTimeouts = new ConnectTimeouts();
   private int count;
@@ -11,6 +11,14 @@
     return count;
   }
 
+  /**
+   * Tells whether a connection to the executor has timed out within the last seconds, even if
+   * others have opened since.
+   */
+  public boolean connectsPoorly(long nowNanos) {
+    return connectTimeouts.lossy(nowNanos);
+  }
+
   /** Returns the connections for such orders that timed out. */
   ConnectTimeouts connectTimeouts() {
     return connectTimeouts;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
@@ -122,7 +122,9 @@
       long nowNanos) {
     StartRequirement requirement = step.requirement();
     Avoidance avoidance = step.avoidance();
-    boolean avoidedAsSuspect = avoidance.suspects() && executor.suspect(nowNanos);
+    boolean avoidedAsSuspect =
+        avoidance.suspects()
+            && (executor.suspect(nowNanos) || executor.unansweredOrders().connectsPoorly(nowNanos));
     boolean unreliable = !requirement.withoutProof().accepts(standing);
     boolean unproven = requirement.proven() && !standing.provenSince(requirement.provenSince());
     Map<Bar, Boolean> applies = new EnumMap<>(Bar.class);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -136,7 +136,8 @@
     boolean credible = suspects <= executors.size() * MAX_SUSPECT_SHARE;
     List<CandidateExecutor> candidates = new ArrayList<>();
     for (ExecutorState executor : executors) {
-      boolean suspect = credible && executor.suspect(nowNanos);
+      boolean badlyReached = executor.unansweredOrders().connectsPoorly(nowNanos);
+      boolean suspect = badlyReached || (credible && executor.suspect(nowNanos));
       candidates.add(
           new CandidateExecutor(
               executor,
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/WideGangsUnderLossHistoriesTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/WideGangsUnderLossHistoriesTest.java
@@ -48,12 +48,18 @@
         HISTORIES, (seed, faults) -> assertEquals(List.of(), breaches(cluster(seed), 0.6, 0)));
   }
 
-  static BatchCluster cluster(long seed) {
+  @Test
+  void noJobIsIdleWhileMostAnswersAreLostAndSomeExecutorsAreCutOff() {
+    Histories.playAll(
+        HISTORIES, (seed, faults) -> assertEquals(List.of(), breaches(cluster(seed), 0.6, 0.2)));
+  }
+
+  private static BatchCluster cluster(long seed) {
     return new BatchCluster(
         3, EXECUTORS, seed, TestFixtures.configuration(), TestFixtures.AS_DEPLOYED);
   }
 
-  static List<String> breaches(BatchCluster cluster, double lostShare, double cutShare) {
+  private static List<String> breaches(BatchCluster cluster, double lostShare, double cutShare) {
     IdleJobChecks checks = new IdleJobChecks(cluster);
     for (int i = 0; i < JOBS; i++) {
       cluster.in(1500 + cluster.random.nextInt(34_000), () -> submit(cluster, checks));
