The soak has callers who share job ids, and judges whom answers are about

The promise OWN_JOB_ONLY judges each of its answers by what the callers saw; the promises on the first job (known, not cancelled without cause, completed only if done) go on to hold.

--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -74,6 +75,12 @@
   private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
   private final Queue<PlannedJob> jobs = new ConcurrentLinkedQueue<>();
   private final Queue<JobCall> calls = new ConcurrentLinkedQueue<>();
+  private final Queue<JobCall> callsOfOthers = new ConcurrentLinkedQueue<>();
+  private final SharedIds sharedIds;
+
+  /** Callers who use the ids of jobs that are not accepted yet. */
+  private final Map<String, SharedIds.Other> others = new HashMap<>();
+
   private final Map<String, PlannedJob> open = new ConcurrentHashMap<>();
   private final Set<String> givenUp = new HashSet<>();
 
@@ -95,6 +102,7 @@
           case SERVICES -> new ServicesMix(sizes)::next;
           case CALM_AFTER_OWNERS -> new CalmMix(sizes)::next;
         };
+    this.sharedIds = new SharedIds(sizes.seed(), sizes.plan(), CALLERS);
     this.intervalMillis = sizes.jobIntervalMillis();
     this.askMillis = sizes.plan() == SoakSizes.Plan.PLANNED ? ASK_OFTEN_MILLIS : ASK_MILLIS;
     this.random = new Random(sizes.seed());
@@ -151,6 +159,11 @@
     return List.copyOf(calls);
   }
 
+  /** Returns the calls about ids of jobs by callers who chose them for jobs of their own. */
+  List<JobCall> callsOfOthers() {
+    return List.copyOf(callsOfOthers);
+  }
+
   @Override
   public void close() {
     timer.shutdownNow();
@@ -165,6 +178,7 @@
     int caller = next++ % CALLERS;
     jobs.add(draw.job());
     submitting.incrementAndGet();
+    sharedIds.draw(draw.job()).ifPresent(other -> shareId(draw.job(), other));
     if (draw.cancelling() instanceof JobMix.Cancelling.Overtaken overtaken) {
       giveUp(draw.job());
       later(overtaken.byMillis(), () -> submit(draw, caller, 0));
@@ -176,6 +190,24 @@
     }
   }
 
+  private void shareId(PlannedJob job, SharedIds.Other other) {
+    others.put(job.id(), other);
+    if (other.cancelsFirst()) {
+      callAsOther(Kind.CANCEL, job, other);
+    }
+  }
+
+  private void scheduleCalls(PlannedJob job, SharedIds.Other other) {
+    for (SharedIds.Call call : other.calls()) {
+      later(call.afterMillis(), () -> callAsOther(call.kind(), job, other));
+    }
+  }
+
+  private void callAsOther(Kind kind, PlannedJob job, SharedIds.Other other) {
+    CallerRequest request = request(kind, job, other.prefix(), other.key());
+    send(kind, job, other.caller(), request, callsOfOthers::add);
+  }
+
   private void giveUp(PlannedJob job) {
     givenUp.add(job.id());
     int other = random.nextInt(CALLERS);
@@ -214,6 +246,7 @@
   private void accepted(JobMix.Draw draw, int caller) {
     PlannedJob job = draw.job();
     open.put(job.id(), job);
+    Optional.ofNullable(others.remove(job.id())).ifPresent(sharing -> scheduleCalls(job, sharing));
     later(random.nextLong(ASK_MILLIS), () -> ask(job, caller));
     if (draw.cancelling() instanceof JobMix.Cancelling.Accepted cancelling) {
       later(cancelling.afterMillis(), () -> cancel(job, caller));
@@ -252,17 +285,30 @@
   }
 
   private void call(Kind kind, PlannedJob job, int caller, Consumer<JobCall> then) {
+    CallerRequest request = request(kind, job, job.queue().prefix(), PlatformConfiguration.KEY);
+    send(
+        kind,
+        job,
+        caller,
+        request,
+        call -> {
+          calls.add(call);
+          then.accept(call);
+        });
+  }
+
+  private void send(
+      Kind kind, PlannedJob job, int caller, CallerRequest request, Consumer<JobCall> then) {
     int vm = keptTo[caller];
     long begun = SoakLog.now();
     AtomicLong sent = new AtomicLong();
     client
-        .send(vms.get(vm), request(kind, job), bodyPause(kind), () -> sent.set(SoakLog.now()))
+        .send(vms.get(vm), request, bodyPause(kind), () -> sent.set(SoakLog.now()))
         .thenAcceptAsync(
             outcome -> {
               JobCall.Result result = result(outcome, sent.get());
               long sentAt = sent.get() == 0 ? begun : sent.get();
               JobCall call = new JobCall(kind, job.id(), vm, sentAt, SoakLog.now(), result);
-              calls.add(call);
               if (!keeps(outcome)) {
                 keptTo[caller] = rotation.draw(random);
               }
@@ -289,7 +335,7 @@
         && answered.status() / 100 != 5;
   }
 
-  private static CallerRequest request(Kind kind, PlannedJob job) {
+  private static CallerRequest request(Kind kind, PlannedJob job, String prefix, String key) {
     String method =
         switch (kind) {
           case SUBMIT -> "POST";
@@ -298,12 +344,14 @@
         };
     Map<String, String> headers =
         Map.of(
-            "Host", PlatformConfiguration.HOST,
-            "Credential", PlatformConfiguration.KEY,
-            "Deadline-Ms", Long.toString(DEADLINE_MILLIS));
+            "Host",
+            PlatformConfiguration.HOST,
+            "Credential",
+            key,
+            "Deadline-Ms",
+            Long.toString(DEADLINE_MILLIS));
     byte[] body = kind == Kind.SUBMIT ? JobMessages.encode(job) : new byte[0];
-    return new CallerRequest(
-        method, job.queue().prefix() + job.id(), headers, body, DEADLINE_MILLIS);
+    return new CallerRequest(method, prefix + job.id(), headers, body, DEADLINE_MILLIS);
   }
 
   private void later(long millis, Runnable step) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakRun.java
@@ -109,6 +109,7 @@
                   sizes.executors(),
                   callers.jobs(),
                   callers.calls(),
+                  callers.callsOfOthers(),
                   platform.taskRuns(),
                   platform.machineCalls(),
                   faults.disruptions(),
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/History.java
@@ -11,6 +11,7 @@
  *
  * @param vms how many VMs there are
  * @param executors how many executors the usual service has, whose numbers begin with 1
+ * @param callsOfOthers calls about ids of jobs by callers who chose them for jobs of their own
  * @param quietMillis when the last fault was over and callers handed in no further job
  * @param endMillis when the record ends
  * @param selfEnded what processes did that nobody told them
@@ -20,6 +21,7 @@
     int executors,
     List<PlannedJob> jobs,
     List<JobCall> calls,
+    List<JobCall> callsOfOthers,
     List<RunEvent> runs,
     List<MachineCall> machineCalls,
     List<Disruption> disruptions,
@@ -84,6 +86,7 @@
   public History {
     jobs = List.copyOf(jobs);
     calls = List.copyOf(calls);
+    callsOfOthers = List.copyOf(callsOfOthers);
     runs = List.copyOf(runs);
     machineCalls = List.copyOf(machineCalls);
     disruptions = List.copyOf(disruptions);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Judge.java
@@ -40,6 +40,8 @@
       services.check(job, ofJob);
     }
     runChecks.checkUnasked();
+    OwnJobCheck ownJobs = new OwnJobCheck(calls, findings);
+    history.callsOfOthers().forEach(ownJobs::check);
     new PlannedWorkCheck(history, findings).check();
     new RecoveryCheck(history, calls, findings).check();
     new MaintenanceCheck(history, findings).check();
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/Promise.java
@@ -12,6 +12,8 @@
   REFUSED_NEVER_RUNS("a refused job never runs"),
   /** Repeated submissions are one job. */
   ONE_JOB("repeated submissions of an id are one job"),
+  /** Callers choose the ids of their jobs, and several may choose the same one. */
+  OWN_JOB_ONLY("a call is answered about a job of its own queue and organisation only"),
   /** A task has one run at a time, and none after a noted end. */
   NO_TASK_TWICE("no task runs twice at a time or after its noted end"),
   /** The same where an executor cannot list all ends at once. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -27,6 +27,7 @@
   private int executors = 1;
   private final List<PlannedJob> jobs = new ArrayList<>();
   private final List<JobCall> calls = new ArrayList<>();
+  private final List<JobCall> callsOfOthers = new ArrayList<>();
   private final List<RunEvent> runs = new ArrayList<>();
   private final List<MachineCall> machineCalls = new ArrayList<>();
   private final List<Disruption> disruptions = new ArrayList<>();
@@ -76,6 +77,13 @@
     return call(kind, job, 0, sent, sent + 10, new Result.Answered(status, state));
   }
 
+  /** Calls about a job from another queue or organisation. */
+  HistoryBuilder callOfOther(Kind kind, String job, long sent, int status, String state) {
+    Result answer = new Result.Answered(status, state);
+    callsOfOthers.add(new JobCall(kind, job, 0, sent, sent + 10, answer));
+    return this;
+  }
+
   HistoryBuilder call(Kind kind, String job, int vm, long sent, long ended, Result result) {
     calls.add(new JobCall(kind, job, vm, sent, ended, result));
     return this;
@@ -176,6 +184,16 @@
   Findings judge() {
     return Judge.judge(
         new History(
-            VMS, executors, jobs, calls, runs, machineCalls, disruptions, QUIET, END, selfEnded));
+            VMS,
+            executors,
+            jobs,
+            calls,
+            callsOfOthers,
+            runs,
+            machineCalls,
+            disruptions,
+            QUIET,
+            END,
+            selfEnded));
   }
 }
--- a/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
@@ -8,7 +8,7 @@
 
 /**
  * Configuration that the operators publish: queues of two services, one of which needs advice, for
- * one organisation.
+ * two organisations.
  */
 public final class PlatformConfiguration {
 
@@ -30,9 +30,12 @@
   /** Path prefix of the requests to the queue that allows one attempt more than the others. */
   public static final String RETRIED_PREFIX = "/retried/";
 
-  /** API key of the organisation. */
+  /** API key of the first organisation. */
   public static final String KEY = "key-1";
 
+  /** API key of the second organisation. */
+  public static final String OTHER_KEY = "key-2";
+
   /** Number of failed runs of a task after which its job fails. */
   public static final int MAX_ATTEMPTS = 3;
 
@@ -80,7 +83,10 @@
                     Map.of("name", SERVICE, "constraints", true),
                     Map.of("name", SMALL_SERVICE, "constraints", true)),
             "limits", Map.of(),
-            "tenants", List.of(Map.of("name", "organisation-1", "apiKeys", keys))));
+            "tenants",
+                List.of(
+                    Map.of("name", "organisation-1", "apiKeys", keys),
+                    Map.of("name", "organisation-2", "apiKeys", List.of(OTHER_KEY)))));
   }
 
   private static Map<String, Object> retried(Map<String, Object> route) {
