--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -98,7 +98,7 @@
     this.mix =
         switch (sizes.plan()) {
           case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION ->
-              new JobMix(sizes.seed(), sizes.plan())::next;
+              new JobMix(sizes.seed(), sizes.plan(), sizes.executors())::next;
           case SERVICES -> new ServicesMix(sizes)::next;
           case CALM_AFTER_OWNERS -> new CalmMix(sizes)::next;
         };
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -71,6 +71,13 @@
 
   private static final int LEAST_MEMBERS = 2;
   private static final int MOST_MEMBERS = 4;
+
+  /** Number of executors from which on half of the gangs are wide. */
+  private static final int EXECUTORS_FOR_WIDE_GANGS = 16;
+
+  private static final int LEAST_WIDE_MEMBERS = 8;
+  private static final int MOST_WIDE_MEMBERS = 32;
+  private static final long WIDE_GANG_SEED = 0x776964656761L;
   private static final long GANG_SEED = 0x67616e67L;
   private static final long ADVICE_SEED = 0x616476696365L;
   private static final long BOUND_SEED = 0x626f756e64L;
@@ -93,13 +100,18 @@
 
   private final SplittableRandom gangs;
 
+  private final SplittableRandom wideGangs;
+
+  private final int executors;
   private final double bound;
   private final double crashing;
   private final double wide;
   private final double advised;
   private final double gang;
 
-  JobMix(long seed, SoakSizes.Plan plan) {
+  JobMix(long seed, SoakSizes.Plan plan, int executors) {
+    this.executors = executors;
+    this.wideGangs = new SplittableRandom(seed ^ WIDE_GANG_SEED);
     // Runs that are to be stopped would go down with their executors.
     this.crashing = plan == SoakSizes.Plan.CANCELS ? 0 : CRASHING;
     this.random = new SplittableRandom(~seed);
@@ -169,7 +181,12 @@
     if (gangs.nextDouble() >= gang || job.crashes() || job.tasksPerSlot() > 1) {
       return draw;
     }
-    int members = gangs.nextInt(LEAST_MEMBERS, MOST_MEMBERS + 1);
+    int few = gangs.nextInt(LEAST_MEMBERS, MOST_MEMBERS + 1);
+    boolean wide = executors >= EXECUTORS_FOR_WIDE_GANGS && wideGangs.nextBoolean();
+    int members =
+        wide
+            ? wideGangs.nextInt(LEAST_WIDE_MEMBERS, Math.min(executors, MOST_WIDE_MEMBERS) + 1)
+            : few;
     String spec = job.spec().replace(" job ", PlannedJob.GANG + members + " job ");
     PlannedJob.Step step = new PlannedJob.Step(members, List.of());
     return new Draw(
--- a/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -17,7 +17,11 @@
   }
 
   private static List<JobMix.Draw> draws(long seed, SoakSizes.Plan plan) {
-    return Stream.generate(new JobMix(seed, plan)::next).limit(500).toList();
+    return draws(seed, plan, 6);
+  }
+
+  private static List<JobMix.Draw> draws(long seed, SoakSizes.Plan plan, int executors) {
+    return Stream.generate(new JobMix(seed, plan, executors)::next).limit(500).toList();
   }
 
   private static long millis(JobMix.Draw draw) {
@@ -126,6 +130,21 @@
     assertTrue(runs > 3 && runs < 17, runs + " of 20");
   }
 
+  @Test
+  void gangsAreWideWhereThereAreExecutorsForThem() {
+    long widest = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      widest =
+          draws(seed, SoakSizes.Plan.MIXED, 32).stream()
+              .map(JobMix.Draw::job)
+              .filter(PlannedJob::gang)
+              .mapToLong(job -> job.tasks().size())
+              .reduce(widest, Math::max);
+    }
+
+    assertTrue(widest > 24 && widest <= 32, "widest gang: " + widest);
+  }
+
   @Test
   void mostJobsAreShort() {
     assertTrue(draws(7).stream().filter(draw -> millis(draw) < 1000).count() > 400);
