Doubts about executors count no longer than their faults last where jobs are idle

Callers saw jobs that had nothing running for up to 15 s beside idle executors, after executors had failed all runs for some seconds. A step with one attempt left used no executor with evidence against it, and such evidence lasts up to 30 s, while executors of this kind are faulty for about 6 s; nothing runs in an idle service that could take the evidence back, so only the bound of 15 s ended the wait. That bound then allowed executors that had just failed other runs, and last attempts were lost on them.

Now an executor's record has the time at which the fault was present that its newest evidence shows. In a service that is half idle, a step that fits nowhere else starts where no fault was seen for 6 s, the least doubted executors first; not while a wave of failures is known. A wave ends 6 s after its last failed run instead of after the last look at it, up to 1 s later, and a backoff lasts no longer than the fault. After 15 s a last attempt uses executors whose fault is over, and any executor after 30 s. The expectation of StartReliabilityTest for the backoff of an executor that failed four jobs was 8 s and is now the end of the expected fault, as a longer backoff keeps sound executors away while jobs are idle.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -81,13 +81,14 @@
 
   /**
    * Returns where this executor stands in the order of placement: doubted ones come first for work
-   * that is suited to try them, and last for all other work.
+   * that is suited to try them, and last for all other work, those that are least likely to be
+   * faulty before the others.
    */
-  int trialOrder(WaitingStep waiting) {
+  double trialOrder(WaitingStep waiting) {
     if (!doubted()) {
       return 0;
     }
-    return waiting.requirement().trial() ? -1 : 1;
+    return waiting.requirement().trial() ? -1 : 1 + standing.faultProbability();
   }
 
   /** Limits the tasks on a doubted executor, less those that are being tried there already. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
@@ -68,7 +68,10 @@
       long nowNanos) {
     StartRequirement requirement =
         reliability.enabled()
-            ? StartRequirement.of(step, reliability.newestFault(step.step()))
+            ? StartRequirement.of(
+                step,
+                reliability.newestFault(step.step()),
+                reliability.presentFaultsSince(nowNanos))
             : StartRequirement.ANY;
     WaitingStep required = step.requiring(requirement).avoiding(Avoidance.usual(step, nowNanos));
     List<ExecutorState> withCapacity = new ArrayList<>();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/FleetCapacity.java
@@ -374,7 +374,7 @@
       }
     }
     ordered.sort(
-        Comparator.comparingInt((CandidateExecutor candidate) -> candidate.trialOrder(waiting))
+        Comparator.comparingDouble((CandidateExecutor candidate) -> candidate.trialOrder(waiting))
             .thenComparing(
                 waiting.mayCrash()
                     ? LEAST_RISK_FIRST
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -12,7 +12,6 @@
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
-import org.fescuehook.logic.batch.statistics.StartReliability;
 
 /** The plan of one pool while it is made. */
 final class PlanPass {
@@ -35,13 +34,6 @@
    */
   private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
 
-  /**
-   * How long a step with one attempt left waits for runs to end well somewhere if there is no
-   * proven executor at all. Users accept 3 s in which nothing of a job runs, and the placement has
-   * to be stored and started within them.
-   */
-  private static final long PROOF_WAIT_NANOS = Duration.ofMillis(2500).toNanos();
-
   /**
    * Share of the executors from which on no further one is used for single tasks that may crash it,
    * since these keep other work away for a while.
@@ -63,8 +55,8 @@
   private final Preemptor preemptor;
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
-  private final SchedulingStatistics statistics;
   private final PlacementWaits waits;
+  private final ReliabilityWaits reliabilityWaits;
   private final boolean suspectsPresent;
   private final long nowNanos;
 
@@ -88,13 +80,15 @@
     this.nearlyLateUse = nearlyLateUse;
     this.preemptor = preemptor;
     this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
-    this.statistics = statistics;
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     expected = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
     total = FleetCapacity.total(executors, planned, statistics, nowNanos);
     this.waits =
         new PlacementWaits(
             available, total, silent, unusable, forecast, guaranteedNearnessWaitNanos);
+    this.reliabilityWaits =
+        new ReliabilityWaits(
+            available, total, waits, statistics.reliability(), IDLE_WAIT_NANOS, nowNanos);
     this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
@@ -118,7 +112,8 @@
   void planStep(WaitingStep unrestricted) {
     // Where a step has to run must not depend on which tickets it happens to have.
     WaitingStep waiting =
-        withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
+        reliabilityWaits
+            .withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
             .advised(unrestricted.advice());
     limited = reservations.limit(waiting) && !waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS);
     if (waiting.step().spec().gang()) {
@@ -140,39 +135,6 @@
     return fitsElsewhere ? avoiding : waiting.avoiding(Avoidance.least(waiting, nowNanos));
   }
 
-  /** Adds how reliable the executors of a step must be. */
-  private WaitingStep withRequirement(WaitingStep waiting) {
-    StartReliability reliability = statistics.reliability();
-    if (!reliability.enabled() || waits.firstStartIsDue(waiting)) {
-      return waiting;
-    }
-    StartRequirement requirement =
-        StartRequirement.of(waiting, reliability.newestFault(waiting.step()));
-    WaitingStep required = waiting.requiring(requirement);
-    boolean relaxable =
-        requirement.proven() ? reliability.knowsWaves(nowNanos) : reliability.calm(nowNanos);
-    if (relaxable && waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS)) {
-      return fittingNow(waiting, requirement);
-    }
-    boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
-    if (!requirement.proven() || mayBecomeProven) {
-      return required;
-    }
-    boolean possible = total.tightestGroup(required, waiting.startsTogether(), false).isPresent();
-    return possible ? required : waiting.requiring(requirement.withoutProof());
-  }
-
-  /** Lowers how reliable the executors of a step must be until it fits, or nothing is left. */
-  private WaitingStep fittingNow(WaitingStep waiting, StartRequirement usual) {
-    for (StartRequirement requirement : usual.relaxations()) {
-      WaitingStep required = waiting.requiring(requirement);
-      if (available.tightestGroup(required, waiting.startsTogether(), false).isPresent()) {
-        return required;
-      }
-    }
-    return waiting.requiring(usual);
-  }
-
   private void planTasks(WaitingStep waiting) {
     int allowedStarts = allowedStarts(waiting);
     if (allowedStarts == 0 || waitsForProbation(waiting)) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -18,17 +18,20 @@
  * @param provenSince when such a run must have been started at the earliest, monotonic; empty if at
  *     any time
  * @param trial whether the step is suited to try doubted executors
+ * @param soundSince doubted executors without evidence of a fault since then are accepted as well,
+ *     monotonic; empty if doubts count without regard to their age
  */
 record StartRequirement(
     double maxFaultProbability,
     boolean acceptsUnproven,
     boolean proven,
     OptionalLong provenSince,
-    boolean trial) {
+    boolean trial,
+    OptionalLong soundSince) {
 
   /** Any executor is reliable enough. */
   static final StartRequirement ANY =
-      new StartRequirement(1, true, false, OptionalLong.empty(), false);
+      new StartRequirement(1, true, false, OptionalLong.empty(), false, OptionalLong.empty());
 
   /**
    * Wait after which a step starts on any executor. It exceeds the duration of two waves of
@@ -36,6 +39,12 @@
    */
   private static final long MAX_WAIT_NANOS = Duration.ofSeconds(15).toNanos();
 
+  /**
+   * The same for a step with one attempt left. Until then it uses only executors whose faults
+   * should be over, so that it is not given up for one that has just failed the runs of others.
+   */
+  private static final long MAX_LAST_ATTEMPT_WAIT_NANOS = Duration.ofSeconds(30).toNanos();
+
   /**
    * Attempts left from which on a gang also starts on executors without any evidence during a wave
    * of failures: a member on a faulty executor fails soon, and another attempt remains.
@@ -65,27 +74,42 @@
    *
    * @param newestFault when the fault that its last failure may have shown was present, monotonic;
    *     empty if that is not known
+   * @param presentFaultsSince time since which a fault must have been seen to be present still,
+   *     monotonic; empty if faults may be present where none was seen
    */
-  static StartRequirement of(WaitingStep waiting, OptionalLong newestFault) {
+  static StartRequirement of(
+      WaitingStep waiting, OptionalLong newestFault, OptionalLong presentFaultsSince) {
     StepTiming timing = waiting.timing();
-    if (timing.queuedNanos() > MAX_WAIT_NANOS) {
+    int failures = waiting.failures();
+    int attemptsLeft = waiting.maxAttempts() - failures;
+    BatchStep spec = waiting.step().spec();
+    boolean lastAttempt = attemptsLeft <= 1 && spec.longRunning().isEmpty();
+    long maxWait = lastAttempt && failures > 0 ? MAX_LAST_ATTEMPT_WAIT_NANOS : MAX_WAIT_NANOS;
+    if (timing.queuedNanos() > maxWait) {
       return ANY;
     }
-    BatchStep spec = waiting.step().spec();
     boolean hurried =
         spec.longRunning().isPresent()
             ? timing.queuedNanos() > LONG_RUNNING_WAIT_NANOS
             // A step that is too late to be of use has no reason to hurry any more.
             : timing.nearlyLate() && timing.prospect() != Prospect.TOO_LATE;
     double max = hurried ? ExecutorStanding.TOLERABLE : ExecutorStanding.USABLE;
-    int failures = waiting.failures();
-    int attemptsLeft = waiting.maxAttempts() - failures;
-    if (attemptsLeft <= 1 && spec.longRunning().isEmpty()) {
-      return new StartRequirement(ExecutorStanding.USABLE, false, failures > 0, newestFault, false);
+    if (lastAttempt) {
+      StartRequirement usual =
+          new StartRequirement(
+              ExecutorStanding.USABLE,
+              false,
+              failures > 0,
+              newestFault,
+              false,
+              OptionalLong.empty());
+      return timing.queuedNanos() > MAX_WAIT_NANOS
+          ? usual.withoutProof().acceptingPastFaults(presentFaultsSince)
+          : usual;
     }
     boolean acceptsUnproven = !spec.gang() || attemptsLeft >= ATTEMPTS_TO_SPARE;
     return new StartRequirement(
-        max, acceptsUnproven, false, OptionalLong.empty(), isCheap(waiting));
+        max, acceptsUnproven, false, OptionalLong.empty(), isCheap(waiting), OptionalLong.empty());
   }
 
   /** Tells whether another failure of a task, after those it had, would fail its job. */
@@ -106,15 +130,19 @@
     if (proven && !executor.provenSince(provenSince)) {
       return false;
     }
-    if (executor.doubted() ? trial : acceptsUnproven) {
+    if (executor.doubted() ? trial || faultIsPast(executor) : acceptsUnproven) {
       return true;
     }
     return executor.faultProbability() <= maxFaultProbability;
   }
 
+  private boolean faultIsPast(ExecutorStanding executor) {
+    return soundSince.isPresent() && executor.soundSince(soundSince.getAsLong());
+  }
+
   /** Tells whether the number of tasks on a doubted executor is limited. */
   boolean limitsTrials() {
-    return maxFaultProbability < 1;
+    return maxFaultProbability < 1 && soundSince.isEmpty();
   }
 
   /** Returns how many of some tasks may be placed on doubted executors at the same time. */
@@ -126,30 +154,44 @@
   StartRequirement strict() {
     boolean relaxed = !trial && maxFaultProbability > ExecutorStanding.USABLE && !this.equals(ANY);
     return relaxed
-        ? new StartRequirement(ExecutorStanding.USABLE, acceptsUnproven, proven, provenSince, false)
+        ? new StartRequirement(
+            ExecutorStanding.USABLE, acceptsUnproven, proven, provenSince, false, soundSince)
         : this;
   }
 
   /** Returns the same requirement on executors on which no run is known to have ended well. */
   StartRequirement withoutProof() {
     return new StartRequirement(
-        maxFaultProbability, acceptsUnproven, false, OptionalLong.empty(), trial);
+        maxFaultProbability, acceptsUnproven, false, OptionalLong.empty(), trial, soundSince);
   }
 
   /**
-   * Returns this requirement and lower ones, in the order to try them. Last attempts never use an
-   * executor with evidence against it, and others none that is more likely faulty than not.
+   * Returns this requirement and lower ones, in the order to try them. Last attempts use no
+   * executor whose fault may be present still, and others none that is more likely faulty than not.
+   *
+   * @param presentFaultsSince as for {@link #of}
    */
-  List<StartRequirement> relaxations() {
+  List<StartRequirement> relaxations(OptionalLong presentFaultsSince) {
+    StartRequirement last = withoutProof().acceptingPastFaults(presentFaultsSince);
     if (!acceptsUnproven) {
-      return List.of(this, withoutProof());
+      return List.of(this, withoutProof(), last);
     }
-    return List.of(this, accepting(ExecutorStanding.TOLERABLE), accepting(SETTLED_SOON));
+    return List.of(this, accepting(ExecutorStanding.TOLERABLE), accepting(SETTLED_SOON), last);
+  }
+
+  private StartRequirement acceptingPastFaults(OptionalLong presentFaultsSince) {
+    return new StartRequirement(
+        maxFaultProbability, acceptsUnproven, proven, provenSince, trial, presentFaultsSince);
   }
 
   private StartRequirement accepting(double probability) {
     return new StartRequirement(
-        Math.max(maxFaultProbability, probability), acceptsUnproven, proven, provenSince, trial);
+        Math.max(maxFaultProbability, probability),
+        acceptsUnproven,
+        proven,
+        provenSince,
+        trial,
+        soundSince);
   }
 
   /** Returns the requirement that executors will meet soon if they are not faulty. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorRecord.java
@@ -29,7 +29,6 @@
   /** First backoff after failures; it doubles with each further one. */
   private static final Duration FIRST_BACKOFF = Duration.ofSeconds(2);
 
-  /** Limits the backoff to 8 s, somewhat longer than such faults last. */
   private static final int MAX_BACKOFF_DOUBLINGS = 2;
 
   private static final double NANOS_PER_SECOND = 1e9;
@@ -42,6 +41,7 @@
   private double suspicion;
   private long suspicionAt;
   private long doubtedSince;
+  private OptionalLong faultSeenAt = OptionalLong.empty();
   private int failuresInRow;
   private OptionalLong failedStart = OptionalLong.empty();
   private OptionalLong provenSince = OptionalLong.empty();
@@ -58,9 +58,14 @@
     suspicionAt = nowNanos;
   }
 
-  /** Adds evidence against the executor. */
-  void accuse(double weight, long nowNanos) {
+  /**
+   * Adds evidence against the executor.
+   *
+   * @param faultAt when the fault that it shows was present
+   */
+  void accuse(double weight, long faultAt, long nowNanos) {
     setSuspicion(suspicion(nowNanos) + weight, nowNanos);
+    faultSeenAt = newer(faultSeenAt, faultAt);
     doubtedSince = nowNanos;
   }
 
@@ -83,7 +88,7 @@
       crashed = Optional.of(incarnation);
     }
     observedAt.put(evidence, nowNanos);
-    accuse(evidence.weight(), nowNanos);
+    accuse(evidence.weight(), nowNanos, nowNanos);
     return true;
   }
 
@@ -106,7 +111,7 @@
    * @param startedAt when the run was started
    */
   void failed(double weight, long startedAt, long nowNanos) {
-    accuse(weight, nowNanos);
+    accuse(weight, StepFailures.faultAt(startedAt, nowNanos), nowNanos);
     failuresInRow++;
     failedStart = newer(failedStart, startedAt);
     provenSince = OptionalLong.empty();
@@ -133,10 +138,21 @@
     return known.isPresent() && known.getAsLong() - nanos > 0 ? known : OptionalLong.of(nanos);
   }
 
-  /** Returns how long the executor gets no runs at all after its latest failure. */
-  Duration backoff() {
+  /**
+   * Returns how long the executor gets no runs at all after its latest failure: at most until the
+   * fault that it shows is over.
+   */
+  Duration backoff(long nowNanos) {
     int doublings = Math.clamp(failuresInRow - 1, 0, MAX_BACKOFF_DOUBLINGS);
-    return FIRST_BACKOFF.multipliedBy(1L << doublings);
+    long faultLeft = faultSeenAt.orElse(nowNanos) + FailureWave.FAULT_NANOS - nowNanos;
+    Duration faultEnd = Duration.ofNanos(Math.max(0, faultLeft));
+    Duration usual = FIRST_BACKOFF.multipliedBy(1L << doublings);
+    return usual.compareTo(faultEnd) < 0 ? usual : faultEnd;
+  }
+
+  /** Returns when the fault that the latest evidence shows was present; empty without evidence. */
+  OptionalLong faultSeenAt() {
+    return faultSeenAt;
   }
 
   long doubtedSince() {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorStanding.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/ExecutorStanding.java
@@ -8,15 +8,21 @@
  * @param faultProbability probability that the executor fails the runs that it starts
  * @param doubted whether evidence against this very executor is the reason for that probability
  * @param doubtedSince time of the latest evidence against it, monotonic; 0 if there is none
+ * @param faultSeenAt when the fault that the latest evidence shows was present, monotonic; empty if
+ *     there is no evidence
  * @param provenSince when the newest run that ended well there was started, monotonic; empty if
  *     none is known
  */
 public record ExecutorStanding(
-    double faultProbability, boolean doubted, long doubtedSince, OptionalLong provenSince) {
+    double faultProbability,
+    boolean doubted,
+    long doubtedSince,
+    OptionalLong faultSeenAt,
+    OptionalLong provenSince) {
 
   /** Nothing is known about the executor. */
   public static final ExecutorStanding UNKNOWN =
-      new ExecutorStanding(0, false, 0, OptionalLong.empty());
+      new ExecutorStanding(0, false, 0, OptionalLong.empty(), OptionalLong.empty());
 
   /**
    * Fault probability up to which an executor counts as usable for gangs and for last attempts. One
@@ -38,7 +44,7 @@
 
   /** Returns the same standing with another fault probability. */
   ExecutorStanding withFaultProbability(double probability) {
-    return new ExecutorStanding(probability, doubted, doubtedSince, provenSince);
+    return new ExecutorStanding(probability, doubted, doubtedSince, faultSeenAt, provenSince);
   }
 
   /** Returns how many tasks may be on a doubted executor that started after the doubt arose. */
@@ -49,6 +55,11 @@
     return faultProbability > TOLERABLE ? 1 : TRIALS_IF_TOLERABLE;
   }
 
+  /** Tells whether there is no evidence of a fault at or after a time. */
+  public boolean soundSince(long nanos) {
+    return faultSeenAt.isEmpty() || faultSeenAt.getAsLong() - nanos < 0;
+  }
+
   /**
    * Tells whether a run is known to have ended well there that was started at or after a time, or
    * at any time if that is empty.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
@@ -24,8 +24,8 @@
    */
   private static final long PERIOD_NANOS = Duration.ofSeconds(1).toNanos();
 
-  /** Time for which a wave counts after it was last seen; such faults last about 6 s. */
-  static final long RETENTION_NANOS = Duration.ofSeconds(6).toNanos();
+  /** How long executors that fail their runs usually stay faulty. */
+  static final long FAULT_NANOS = Duration.ofSeconds(6).toNanos();
 
   /** Share of failed executors from which on it is a wave; 2 to 5 % of runs fail by themselves. */
   private static final double MIN_SHARE = 0.15;
@@ -60,7 +60,10 @@
   private final Deque<FailedRun> failedRuns = new ArrayDeque<>();
   private OptionalLong settledAge = OptionalLong.empty();
   private OptionalLong since = OptionalLong.empty();
+
+  /** When the newest failed run of the wave failed. */
   private long seenAt;
+
   private double share;
 
   /** A run that has failed, with its age then. */
@@ -74,7 +77,7 @@
   void failed(StepProgress step, ExecutorId executor, long startedAt, long nowNanos) {
     failedRuns.addLast(new FailedRun(step, executor, startedAt, nowNanos));
     while (failedRuns.size() > MAX_FAILED_RUNS
-        || nowNanos - failedRuns.getFirst().failedAt() >= RETENTION_NANOS) {
+        || nowNanos - failedRuns.getFirst().failedAt() >= FAULT_NANOS) {
       failedRuns.removeFirst();
     }
   }
@@ -99,7 +102,7 @@
   boolean observe(Collection<ExecutorRecord> records, long nowNanos) {
     long ended =
         records.stream().filter(record -> record.endedWithin(PERIOD_NANOS, nowNanos)).count();
-    if (since.isPresent() && nowNanos - seenAt >= RETENTION_NANOS) {
+    if (since.isPresent() && nowNanos - seenAt >= FAULT_NANOS) {
       since = OptionalLong.empty();
       share = 0;
     }
@@ -110,18 +113,20 @@
 
   private boolean recognise(long ended, long nowNanos) {
     Map<StepProgress, Set<ExecutorId>> executors = new IdentityHashMap<>();
-    failedRuns.stream()
-        .filter(run -> nowNanos - run.failedAt() < PERIOD_NANOS)
-        .forEach(
-            run ->
-                executors.computeIfAbsent(run.step(), step -> new HashSet<>()).add(run.executor()));
+    long newest = nowNanos - PERIOD_NANOS;
+    for (FailedRun run : failedRuns) {
+      if (nowNanos - run.failedAt() < PERIOD_NANOS) {
+        executors.computeIfAbsent(run.step(), step -> new HashSet<>()).add(run.executor());
+        newest = run.failedAt();
+      }
+    }
     int failed =
         executors.values().stream().mapToInt(ofStep -> Math.min(ofStep.size(), MAX_PER_STEP)).sum();
     double seen = (double) failed / (ended + ASSUMED_EXECUTORS);
     if (executors.size() < MIN_STEPS || seen < MIN_SHARE) {
       return false;
     }
-    seenAt = nowNanos;
+    seenAt = newest;
     share = Math.clamp(seen, share, MAX_SHARE);
     if (since.isPresent()) {
       return false;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
@@ -95,7 +95,17 @@
    */
   public boolean knowsWaves(long nowNanos) {
     return observedSince.isPresent()
-        && nowNanos - observedSince.getAsLong() >= FailureWave.RETENTION_NANOS;
+        && nowNanos - observedSince.getAsLong() >= FailureWave.FAULT_NANOS;
+  }
+
+  /**
+   * Returns the time since which a fault must have been seen to be present still; empty during a
+   * wave of failures, which may be present also where it has not been seen.
+   */
+  public OptionalLong presentFaultsSince(long nowNanos) {
+    return calm(nowNanos)
+        ? OptionalLong.of(nowNanos - FailureWave.FAULT_NANOS)
+        : OptionalLong.empty();
   }
 
   /** Learns from the end of a run. */
@@ -239,7 +249,7 @@
   public Optional<Duration> backoff(ExecutorId executor, long nowNanos) {
     ExecutorStanding standing = standing(executor, nowNanos);
     return standing.doubted() && standing.faultProbability() > MORE_LIKELY_THAN_NOT
-        ? Optional.of(executor(executor).backoff())
+        ? Optional.of(executor(executor).backoff(nowNanos))
         : Optional.empty();
   }
 
@@ -273,14 +283,19 @@
     ExecutorRecord known = executors.get(executor);
     if (known == null) {
       return new ExecutorStanding(
-          Math.max(USUAL_FAULTY_SHARE, wave.share()), false, 0, OptionalLong.empty());
+          Math.max(USUAL_FAULTY_SHARE, wave.share()),
+          false,
+          0,
+          OptionalLong.empty(),
+          OptionalLong.empty());
     }
     double suspicion = known.suspicion(nowNanos);
     boolean doubted =
         suspicion > 0 && LogOdds.probability(USUAL_ODDS + suspicion) > ExecutorStanding.USABLE;
     double base = shareWithoutEvidence(known);
     double probability = suspicion > 0 ? LogOdds.probability(LogOdds.of(base) + suspicion) : base;
-    return new ExecutorStanding(probability, doubted, known.doubtedSince(), known.provenSince());
+    return new ExecutorStanding(
+        probability, doubted, known.doubtedSince(), known.faultSeenAt(), known.provenSince());
   }
 
   /** Returns the probability of a fault if there were no evidence against the executor itself. */
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StepFailures.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StepFailures.java
@@ -33,8 +33,13 @@
   void failed(LiveRun run, long startedAt, long nowNanos) {
     int task = step.spec().gang() ? 0 : run.run().task().index();
     executorsByTask.computeIfAbsent(task, index -> new HashSet<>()).add(run.executor());
+    newestFault = OptionalLong.of(faultAt(startedAt, nowNanos));
+  }
+
+  /** Returns when the fault was present that a run shows which has failed now. */
+  static long faultAt(long startedAt, long nowNanos) {
     long recently = nowNanos - FAILS_WITHIN_NANOS;
-    newestFault = OptionalLong.of(startedAt - recently > 0 ? startedAt : recently);
+    return startedAt - recently > 0 ? startedAt : recently;
   }
 
   /** Returns the executors on which a task has failed; for a gang, any member. */
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobChecks.java
@@ -39,6 +39,11 @@
     return job;
   }
 
+  /** Returns what a job consists of that was submitted here. */
+  Submission submission(String job) {
+    return jobs.get(job);
+  }
+
   /** Submits a gang, checkpointed tasks or a job of two steps, to any queue. */
   void submitRandomJob() {
     long millis = 1000L + cluster.random.nextInt(4000);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StartRequirementTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/StartRequirementTest.java
@@ -27,15 +27,20 @@
   private static final int ATTEMPTS = 3;
 
   private static final ExecutorStanding SOUND =
-      new ExecutorStanding(0.02, false, 0, OptionalLong.empty());
+      new ExecutorStanding(0.02, false, 0, OptionalLong.empty(), OptionalLong.empty());
   private static final ExecutorStanding PROVEN =
-      new ExecutorStanding(0.02, false, 0, OptionalLong.of(5 * SECOND));
+      new ExecutorStanding(0.02, false, 0, OptionalLong.empty(), OptionalLong.of(5 * SECOND));
   private static final ExecutorStanding IN_WAVE =
-      new ExecutorStanding(0.33, false, 0, OptionalLong.empty());
+      new ExecutorStanding(0.33, false, 0, OptionalLong.empty(), OptionalLong.empty());
   private static final ExecutorStanding DOUBTED =
-      new ExecutorStanding(0.2, true, 0, OptionalLong.empty());
+      new ExecutorStanding(0.2, true, 0, OptionalLong.empty(), OptionalLong.empty());
+  private static final ExecutorStanding JUST_SEEN_FAULTY =
+      new ExecutorStanding(0.9, true, 0, OptionalLong.of(11 * SECOND), OptionalLong.empty());
   private static final ExecutorStanding FAULTY =
-      new ExecutorStanding(0.9, true, 0, OptionalLong.empty());
+      new ExecutorStanding(0.9, true, 0, OptionalLong.empty(), OptionalLong.empty());
+
+  /** A fault that was seen from then on may be present still. */
+  private static final OptionalLong PRESENT_SINCE = OptionalLong.of(10 * SECOND);
 
   private static StepProgress step(boolean gang, int failures) {
     BatchStep spec =
@@ -64,7 +69,7 @@
   private static StartRequirement requirement(
       StepProgress step, long waitedSeconds, long queuedSeconds) {
     return StartRequirement.of(
-        waiting(step, 2, waitedSeconds, queuedSeconds), OptionalLong.of(4 * SECOND));
+        waiting(step, 2, waitedSeconds, queuedSeconds), OptionalLong.of(4 * SECOND), PRESENT_SINCE);
   }
 
   private static WaitingStep waiting(
@@ -81,7 +86,7 @@
     assertTrue(requirement.accepts(PROVEN));
     assertFalse(requirement.accepts(SOUND));
     ExecutorStanding provenEarlier =
-        new ExecutorStanding(0.02, false, 0, OptionalLong.of(3 * SECOND));
+        new ExecutorStanding(0.02, false, 0, OptionalLong.empty(), OptionalLong.of(3 * SECOND));
     assertFalse(requirement.accepts(provenEarlier));
     assertTrue(requirement.withoutProof().accepts(SOUND));
     assertFalse(requirement.withoutProof().accepts(IN_WAVE));
@@ -104,8 +109,10 @@
             2,
             StartRequirement.ANY,
             Avoidance.NONE);
-    assertTrue(StartRequirement.of(accepted, OptionalLong.empty()).accepts(SOUND));
-    assertFalse(StartRequirement.of(declared, OptionalLong.empty()).accepts(SOUND));
+    assertTrue(
+        StartRequirement.of(accepted, OptionalLong.empty(), OptionalLong.empty()).accepts(SOUND));
+    assertFalse(
+        StartRequirement.of(declared, OptionalLong.empty(), OptionalLong.empty()).accepts(SOUND));
   }
 
   @Test
@@ -132,5 +139,28 @@
   @Test
   void noStepWaitsForReliableExecutorsForEver() {
     assertTrue(requirement(step(true, ATTEMPTS - 1), 16, 16).accepts(FAULTY));
+    assertTrue(requirement(step(true, ATTEMPTS - 1), 31, 31).accepts(JUST_SEEN_FAULTY));
+    assertTrue(requirement(step(true, 0), 16, 16).accepts(JUST_SEEN_FAULTY));
+  }
+
+  /** Guards against a job that is given up for an executor which has just failed other runs. */
+  @Test
+  void theLastAttemptDoesNotStartAfterSomeTimeWhereAFaultMayBePresent() {
+    StepProgress gang = step(true, ATTEMPTS - 1);
+    assertFalse(requirement(gang, 16, 16).accepts(JUST_SEEN_FAULTY));
+    StartRequirement inWave =
+        StartRequirement.of(waiting(gang, 2, 16, 16), OptionalLong.empty(), OptionalLong.empty());
+    assertFalse(inWave.accepts(FAULTY));
+    assertFalse(inWave.accepts(IN_WAVE));
+  }
+
+  /** Guards against a last attempt that waits in an idle service until doubts have faded. */
+  @Test
+  void theLastAttemptMayUseExecutorsWhoseFaultIsPast() {
+    StartRequirement lowest =
+        requirement(step(true, ATTEMPTS - 1), 3, 3).relaxations(PRESENT_SINCE).getLast();
+    assertTrue(lowest.accepts(FAULTY));
+    assertFalse(lowest.accepts(JUST_SEEN_FAULTY));
+    assertFalse(lowest.limitsTrials());
   }
 }
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/statistics/StartReliabilityTest.java
@@ -123,12 +123,13 @@
     assertFalse(standing(1).doubted());
   }
 
+  /** The backoff ends when the fault should be over that the failed run has met at its start. */
   @Test
   void anExecutorThatFailsSeveralJobsReturnsStepByStep() {
     for (int i = 0; i < 4; i++) {
       fail(job(1, false), 1);
     }
-    assertEquals(Optional.of(Duration.ofSeconds(8)), reliability.backoff(executor(1).id(), now));
+    assertEquals(Optional.of(Duration.ofMillis(5800)), reliability.backoff(executor(1).id(), now));
     succeed(1);
     assertEquals(1, standing(1).maxTrials());
     succeed(1);
