The next owner knows from stored times whether there was a wave

What callers saw: after a take-over a job on its last attempt had nothing running for about 6 s beside an idle, sound fleet. Users accept 3 s, after 4 s without disturbance.

Cause: steps in an idle service do without proof only if the owner would know of a wave of failures. A new owner did not know of one that began before it, and so looked for 6 s, although next to nothing had failed. That holds for last attempts while some executor is proven and busy; and, by reading, for tasks and gangs with attempts to spare, for which nothing was lowered in that time.

The 6 s of this commit decide if an executor is proven, as in the new test.

Change: the time at which a run of a step last failed is stored with its progress, also when the job ends. If fewer than three steps failed in the 6 s before the new owner began, there was no wave; otherwise requirements are lowered 6 s after the third newest of these failures instead of 6 s after the beginning. A wave that goes on shows itself by failures as before, the ends that the former owner had not read among them. A time in the future, before the acceptance or not stored by an earlier version counts as now. The executors have been polled before anything is lowered, since the 2 s that a step waits in an idle service begin with the new owner.

Weighed: to store since when a step waits (after 2.5 s a last attempt does without proof, which the new owner would do at once, in a wave too, before it has read the missing ends); to restore when the last fault was present (only later starts of the new owner prove an executor, so it decides nothing); runs inherited as evidence (their starts are not known).

Cost: progress of a gang of four that failed once 30 bytes before, 37 now; an ended job with such a gang 32 and 47; others unchanged.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchCore.java
@@ -357,5 +357,6 @@
                 configurationAge,
                 context));
     done.record(SpeedRecord.KEY).ifPresent(owner.get()::restoreSpeeds);
+    owner.get().restoreFailures(done.failures(registry, context), context);
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchOwner.java
@@ -28,6 +28,7 @@
 import org.fescuehook.logic.batch.state.JobLifecycle;
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.statistics.FormerFailures;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
@@ -151,6 +152,11 @@
     statistics.speeds().restore(record);
   }
 
+  /** Takes over when steps have failed under former owners. */
+  void restoreFailures(FormerFailures failures, BatchContext context) {
+    statistics.reliability().restore(failures, context.nowNanos());
+  }
+
   /**
    * Returns whether an executor or the store reported a higher epoch, hence a newer owner. A higher
    * token at the machine API may come from elsewhere, so it ends the maintenance calls only.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/Takeover.java
@@ -13,6 +13,7 @@
 import org.fescuehook.logic.batch.state.JobCodec;
 import org.fescuehook.logic.batch.state.JobRegistry;
 import org.fescuehook.logic.batch.state.LiveRun;
+import org.fescuehook.logic.batch.statistics.FormerFailures;
 import org.fescuehook.logic.batch.store.AppendOutcome;
 import org.fescuehook.logic.batch.store.KeyedRecord;
 import org.fescuehook.logic.batch.store.PendingCall;
@@ -47,6 +48,7 @@
   private final long epoch;
   private final long startedAt;
   private final Map<String, byte[]> records = new LinkedHashMap<>();
+  private final List<Long> failuresOfEnded = new ArrayList<>();
   private boolean fenced;
   private final PendingCall pendingCall = new PendingCall(PendingCall.PAGE_TIMEOUT);
   private boolean loaded;
@@ -221,9 +223,26 @@
     }
     Optional<String> progressOf = JobCodec.progressOf(key);
     if (progressOf.isPresent()) {
-      JobCodec.decodeEnd(progressOf.get(), value)
-          .ifPresent(end -> registry.addEnded(progressOf.get(), end, context.nowNanos()));
+      Optional<JobRegistry.EndedJob> end = JobCodec.decodeEnd(progressOf.get(), value);
+      if (end.isPresent()) {
+        registry.addEnded(progressOf.get(), end.get(), context.nowNanos());
+        if (FormerFailures.mayCount(end.get().endedMillis(), context)) {
+          failuresOfEnded.addAll(JobCodec.failuresOfEnded(progressOf.get(), value));
+        }
+      }
+    }
+  }
+
+  /** Returns when steps have failed under former owners, known once the records are decoded. */
+  FormerFailures failures(JobRegistry registry, BatchContext context) {
+    List<Long> failures = new ArrayList<>(failuresOfEnded);
+    for (ActiveJob job : registry.activeJobs()) {
+      if (job.open()) {
+        job.steps()
+            .forEach(step -> step.lastFailedMillis(context.wallMillis()).ifPresent(failures::add));
+      }
     }
+    return FormerFailures.of(failures, context);
   }
 
   private ActiveJob job(String id, byte[] value, BatchContext context)
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import org.fescuehook.logic.batch.store.UnreadableRecordException;
@@ -178,7 +179,9 @@
 
   /**
    * Encodes the progress of a step. If the step is done or its job has ended, only the tasks with
-   * live runs are included. Returns empty if there is nothing to store.
+   * live runs are included. The time of the last failure is kept with an ended job as well, as the
+   * next owner learns from it whether executors have been failing lately. Returns empty if there is
+   * nothing to store.
    */
   private static Optional<StoredStepProgress> encodeStep(StepProgress step, boolean open) {
     StoredStepProgress.Builder stored =
@@ -187,14 +190,16 @@
             .setStep(step.number())
             .setDone(step.done())
             .setGangFailures(step.gangFailures())
-            .setLastFailedGangRun(step.lastFailedGangRun());
+            .setLastFailedGangRun(step.lastFailedGangRun())
+            .setLastFailedMillis(step.storedFailureMillis());
     boolean runsOnly = step.done() || !open;
     for (TaskProgress task : step.tasks()) {
       if (runsOnly ? task.live().isPresent() : task.lastRun() > 0) {
         stored.addTasks(encodeTask(task));
       }
     }
-    boolean hasContent = stored.getTasksCount() > 0 || (step.done() && open);
+    boolean hasContent =
+        stored.getTasksCount() > 0 || (step.done() && open) || step.storedFailureMillis() > 0;
     return hasContent ? Optional.of(stored.build()) : Optional.empty();
   }
 
@@ -261,6 +266,25 @@
         .map(phase -> new JobRegistry.EndedJob(phase, stored.getEndedMillis(), scope(stored)));
   }
 
+  /**
+   * Returns when the steps of an ended job last failed, milliseconds since 1970. A job that has
+   * failed without such times counts with its end, since an earlier version may have stored it.
+   *
+   * @param id id of the job, for messages
+   * @throws UnreadableRecordException if the bytes are not the progress of a job
+   */
+  public static List<Long> failuresOfEnded(String id, byte[] value)
+      throws UnreadableRecordException {
+    StoredProgress stored = parse(id, value);
+    List<Long> failures =
+        stored.getStepsList().stream()
+            .map(StoredStepProgress::getLastFailedMillis)
+            .filter(millis -> millis > 0)
+            .toList();
+    boolean unknown = failures.isEmpty() && stored.getState() == StoredProgress.State.FAILED;
+    return unknown ? List.of(stored.getEndedMillis()) : failures;
+  }
+
   /**
    * Restores stored progress into a newly created job; its live runs are restored as inherited
    * runs.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/JobLifecycle.java
@@ -233,6 +233,7 @@
   private void fail(LiveRun run, TaskProgress task, Runnable committed, BatchContext context) {
     StepProgress step = run.step();
     int failures = step.fail(task, run.run().number(), run.incarnation(), context.nowNanos());
+    step.setLastFailedMillis(context.wallMillis());
     if (!step.done() && failures >= queue(step.job()).maxAttempts()) {
       end(step.job(), JobPhase.FAILED, committed, context);
       return;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/ProgressRestorer.java
@@ -29,6 +29,7 @@
     }
     StepProgress step = found.get();
     step.restoreGangFailures(stored.getGangFailures(), stored.getLastFailedGangRun());
+    step.setLastFailedMillis(stored.getLastFailedMillis());
     if (stored.getDone()) {
       step.restoreDone();
     }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/state/StepProgress.java
@@ -35,6 +35,7 @@
   private int gangFailures;
   private int lastFailedGangRun;
   private int lastLostGangRun;
+  private long lastFailedMillis;
   private int remaining;
   private boolean stopsOrdered;
   private OptionalLong queuedSince = OptionalLong.empty();
@@ -110,6 +111,28 @@
     return lastFailedGangRun;
   }
 
+  /**
+   * Returns when a run of the step last failed, milliseconds since 1970; empty if none is known to
+   * have failed. A time before the job was accepted counts as now, since the clock was set or an
+   * earlier version did not store the time.
+   */
+  public OptionalLong lastFailedMillis(long wallMillis) {
+    boolean failed =
+        lastFailedMillis > 0
+            || gangFailures > 0
+            || tasks.stream().anyMatch(task -> task.failures() > 0);
+    if (!failed) {
+      return OptionalLong.empty();
+    }
+    boolean possible = lastFailedMillis >= job.job().acceptedMillis();
+    return OptionalLong.of(possible ? lastFailedMillis : wallMillis);
+  }
+
+  /** Returns the time of the last failure as it is stored; 0 if none is known. */
+  long storedFailureMillis() {
+    return lastFailedMillis;
+  }
+
   /** Returns the tasks that are neither done nor have a live run. */
   public List<TaskProgress> waiting() {
     return tasks.stream().filter(TaskProgress::waiting).toList();
@@ -320,6 +343,11 @@
     lastFailedGangRun = lastFailedRun;
   }
 
+  /** Records when a run of the step last failed, milliseconds since 1970. */
+  void setLastFailedMillis(long wallMillis) {
+    lastFailedMillis = wallMillis;
+  }
+
   void restore(TaskProgress task, boolean done, int failures, int lastRun, String checkpoint) {
     task.restore(done, failures, lastRun, checkpoint);
     if (done) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/StartReliability.java
@@ -51,7 +51,7 @@
   private final Map<ExecutorId, ExecutorRecord> executors = new HashMap<>();
   private final Map<StepProgress, StepFailures> steps = new IdentityHashMap<>();
   private final FailureWave wave = new FailureWave();
-  private OptionalLong observedSince = OptionalLong.empty();
+  private OptionalLong wavesKnownFrom = OptionalLong.empty();
   private final UnansweredStarts unanswered = new UnansweredStarts();
 
   /**
@@ -74,8 +74,8 @@
       return;
     }
     long nowNanos = context.nowNanos();
-    if (observedSince.isEmpty()) {
-      observedSince = OptionalLong.of(nowNanos);
+    if (wavesKnownFrom.isEmpty()) {
+      wavesKnownFrom = OptionalLong.of(nowNanos + FailureWave.FAULT_NANOS);
     }
     executors.values().removeIf(executor -> executor.outdated(RETENTION_NANOS, nowNanos));
     if (wave.observe(executors.values(), nowNanos)) {
@@ -89,13 +89,18 @@
     return knowsWaves(nowNanos) && wave.since().isEmpty();
   }
 
+  /** Takes over when steps have failed under former owners. */
+  public void restore(FormerFailures failures, long nowNanos) {
+    wavesKnownFrom = OptionalLong.of(failures.waveKnownFrom(nowNanos));
+  }
+
   /**
    * Tells whether it would know of a wave of failures. A new owner does not know of one that began
-   * before, so it has to look for as long as a wave lasts.
+   * before. So if several steps failed shortly before, or if it is not known whether they did, it
+   * has to wait until such a wave is over.
    */
   public boolean knowsWaves(long nowNanos) {
-    return observedSince.isPresent()
-        && nowNanos - observedSince.getAsLong() >= FailureWave.FAULT_NANOS;
+    return wavesKnownFrom.isPresent() && nowNanos - wavesKnownFrom.getAsLong() >= 0;
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/state/JobCodecTest.java
@@ -66,6 +66,57 @@
     assertEquals(2, same.fail(same.tasks().get(1), 2, incarnation("e2"), 0));
   }
 
+  @Test
+  void theTimeOfTheLastFailureIsRestoredByTheNextOwner() throws Exception {
+    ActiveJob former = new ActiveJob(job(true, Optional.empty()));
+    StepProgress step = former.steps().getFirst();
+    step.fail(step.tasks().get(0), 1, incarnation("e1"), 0);
+    step.setLastFailedMillis(4000);
+
+    ActiveJob restored = new ActiveJob(job(true, Optional.empty()));
+    JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
+
+    assertEquals(OptionalLong.of(4000), restored.steps().getFirst().lastFailedMillis(5000));
+  }
+
+  /** An earlier version stored failures without their time. */
+  @Test
+  void anUnknownTimeOfAFailureCountsAsNow() throws Exception {
+    ActiveJob former = new ActiveJob(job(true, Optional.empty()));
+    begin(former, 0, 1);
+    StepProgress step = former.steps().getFirst();
+    assertEquals(OptionalLong.empty(), step.lastFailedMillis(5000));
+    step.fail(step.tasks().get(0), 1, incarnation("e1"), 0);
+
+    ActiveJob restored = new ActiveJob(job(true, Optional.empty()));
+    JobCodec.restore(restored, JobCodec.encodeProgress(former), 0);
+
+    assertEquals(OptionalLong.of(5000), restored.steps().getFirst().lastFailedMillis(5000));
+  }
+
+  /** Otherwise the next owner would not know of failures of jobs that have ended since. */
+  @Test
+  void theTimesOfFailuresAreKeptWithAnEndedJob() throws Exception {
+    ActiveJob job = new ActiveJob(job(true, Optional.empty()));
+    StepProgress step = job.steps().getFirst();
+    step.setLastFailedMillis(4000);
+    step.finish(step.tasks().getFirst());
+    job.end(JobPhase.COMPLETED, 4500);
+    assertEquals(List.of(4000L), JobCodec.failuresOfEnded("a1", JobCodec.encodeProgress(job)));
+  }
+
+  @Test
+  void aJobThatFailedUnderAnEarlierVersionCountsWithItsEnd() throws Exception {
+    byte[] stored = ended(StoredProgress.State.FAILED, 4500);
+    assertEquals(List.of(4500L), JobCodec.failuresOfEnded("a1", stored));
+    byte[] completed = ended(StoredProgress.State.COMPLETED, 4500);
+    assertEquals(List.of(), JobCodec.failuresOfEnded("a1", completed));
+  }
+
+  private static byte[] ended(StoredProgress.State state, long millis) {
+    return StoredProgress.newBuilder().setState(state).setEndedMillis(millis).build().toByteArray();
+  }
+
   /** A new owner that counted from zero would let the task crash three more executors. */
   @Test
   void theCrashRecordOfATaskIsRestoredByTheNextOwner() throws Exception {
