Event 8085 names the rule of the plan that keeps an idle job from starting

What operators saw: 8054 and 8081 named a job of which nothing had run for 9 s beside 228 of 256 free accelerators, and counted 18 executors open to it, but not which rule of the plan held it: capacity kept for urgent work, a reservation, nearness, avoidance, lack of proof, doubts, the limit of trials, advice or stops for others.

PlanPass now records for each step of which it starts nothing the rule by which it decided (HeldStep, HeldBy). Where there was no place, the rule is determined only when 8085 is logged, by searches for a place with one rule lifted at a time on what the finished plan leaves free; a plan only takes capacity away, so that a place found then was there before. 8085 also tells how old the newest evidence against a doubted executor with capacity is, and how long ago the owner began. The reserve for urgent work has its own class now, since PlanPass had no room left; its rule is unchanged.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -218,7 +218,11 @@
   /** A gang has lost a member and starts again as a whole. */
   GANG_BROKEN(
       8082,
-      "Gang broken by run {} on {}: {}, {} ms after its placement; {} of the other {} members had started, {} accelerators were held");
+      "Gang broken by run {} on {}: {}, {} ms after its placement; {} of the other {} members had started, {} accelerators were held"),
+  /** Which rule of the plan keeps a job waiting that has nothing running. */
+  IDLE_JOB_HELD(
+      8085,
+      "Job {} is held by {}: step {}, {} tasks; newest evidence against a doubted executor with capacity: {}; this owner began {} ms ago");
 
   private final int number;
   private final String format;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescuehook.logic.batch.executor.ExecutorState;
 import org.fescuehook.logic.batch.statistics.ExecutorStanding;
@@ -21,8 +22,10 @@
  * @param open number of those that are usable and to which no bar applies
  * @param fitting number of tasks that fit onto those that answer, are in service and have its
  *     label, whether or not the owner uses them at present
+ * @param newestEvidence when the newest evidence against one of the doubted was observed, monotonic
  */
-record CapacityBars(int executors, Map<Bar, Integer> counts, int open, long fitting) {
+record CapacityBars(
+    int executors, Map<Bar, Integer> counts, int open, long fitting, OptionalLong newestEvidence) {
 
   /** What may keep a step from an executor. */
   enum Bar {
@@ -90,14 +93,23 @@
     }
     Map<Bar, Integer> counts = new EnumMap<>(Bar.class);
     int open = 0;
+    OptionalLong newestEvidence = OptionalLong.empty();
     for (ExecutorState executor : withCapacity) {
       ExecutorStanding standing = reliability.standing(executor, nowNanos);
       boolean suited = suits(step, executor, fittingInRack);
       Set<Bar> bars = bars(required, executor, standing, suited, nowNanos);
       bars.forEach(bar -> counts.merge(bar, 1, Integer::sum));
+      if (standing.doubted()) {
+        newestEvidence = later(newestEvidence, standing.doubtedSince());
+      }
       open += bars.isEmpty() && executor.usable(nowNanos) ? 1 : 0;
     }
-    return new CapacityBars(withCapacity.size(), counts, open, fitting);
+    return new CapacityBars(withCapacity.size(), counts, open, fitting, newestEvidence);
+  }
+
+  private static OptionalLong later(OptionalLong earlier, long nanos) {
+    boolean newer = earlier.isEmpty() || nanos - earlier.getAsLong() > 0;
+    return newer ? OptionalLong.of(nanos) : earlier;
   }
 
   private static long fits(WaitingStep step, ExecutorState executor) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/IdleJobLog.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/IdleJobLog.java
@@ -7,6 +7,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.TimeUnit;
@@ -45,11 +46,18 @@
   private final Map<ActiveJob, Long> idleSince = new IdentityHashMap<>();
   private final Map<ActiveJob, Long> capacitySince = new IdentityHashMap<>();
   private final Map<ActiveJob, Long> loggedAt = new WeakHashMap<>();
+  private final long beganAt;
   private long observedAt;
   private long checkedAt;
 
+  /**
+   * Creates a log.
+   *
+   * @param nowNanos when this owner began, monotonic
+   */
   IdleJobLog(StartReliability reliability, long nowNanos) {
     this.reliability = reliability;
+    this.beganAt = nowNanos;
     this.observedAt = nowNanos - OBSERVATION_INTERVAL_NANOS;
     this.checkedAt = nowNanos - CHECK_INTERVAL_NANOS;
   }
@@ -119,6 +127,7 @@
         loggedAt.put(job, nowNanos);
         warn(step, pool, keptFree(step, plan), nowNanos - since, capacityNanos, context);
         warn(job, bars, context);
+        warn(step, plan.heldBy(step), bars, context);
       }
     }
     capacitySince.keySet().retainAll(withCapacity);
@@ -162,6 +171,23 @@
         bars.open());
   }
 
+  private void warn(WaitingStep step, HeldBy by, CapacityBars bars, BatchContext context) {
+    long nowNanos = context.nowNanos();
+    OptionalLong newest = bars.newestEvidence();
+    context.warn(
+        BatchLogEvent.IDLE_JOB_HELD,
+        step.step().job().job().id(),
+        by,
+        step.step().number(),
+        step.tasks().size(),
+        newest.isEmpty() ? "none" : millis(nowNanos - newest.getAsLong()) + " ms ago",
+        millis(nowNanos - beganAt));
+  }
+
+  private static long millis(long nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nanos);
+  }
+
   private boolean isLogged(ActiveJob job, long nowNanos) {
     Long last = loggedAt.get(job);
     return last != null && nowNanos - last < REPEAT_NANOS;
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlacementWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlacementWaits.java
@@ -6,6 +6,12 @@
 /** Decides for how long the steps of a pool wait for a good placement before they take another. */
 final class PlacementWaits {
 
+  /**
+   * Work that has waited this long while at least half of the pool is free may use the capacity
+   * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
+   */
+  static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
+
   /**
    * How long other work waits for a placement near its data, in multiples of its estimated
    * duration. Elsewhere it takes three times as long and occupies its capacity for as long.
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -1,6 +1,5 @@
 package org.fescuehook.logic.batch.plan;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -16,30 +15,14 @@
 /** The plan of one pool while it is made. */
 final class PlanPass {
 
-  /**
-   * Share of the accelerators that work which is not urgent leaves free, so that urgent work starts
-   * without waiting for others to stop.
-   */
-  private static final double URGENT_RESERVE_SHARE = 0.35;
-
-  /**
-   * The same share for work whose spare time is almost used up. It is not zero, since urgent work
-   * soon preempts what starts in the reserved capacity.
-   */
-  private static final double NEARLY_LATE_RESERVE_SHARE = 0.25;
-
-  /**
-   * Work that has waited this long while at least half of the pool is free may use the capacity
-   * reserved for urgent work. Users accept capacity that is idle for at most 3 s while work waits.
-   */
-  private static final long IDLE_WAIT_NANOS = Duration.ofSeconds(2).toNanos();
-
   /**
    * Share of the executors from which on no further one is used for single tasks that may crash it,
    * since these keep other work away for a while.
    */
   private static final double MAX_PROBATION_SHARE = 0.5;
 
+  private static final Optional<HeldBy> STARTED = Optional.of(HeldBy.NOTHING);
+
   private final FleetCapacity available;
   private final FleetCapacity expected;
   private final FleetCapacity total;
@@ -47,11 +30,12 @@
   private final List<TaskPlacement> starts = new ArrayList<>();
   private final List<Planner.Preemption> stops = new ArrayList<>();
   private final List<WaitingStep> deferred = new ArrayList<>();
-  private final List<Planner.HeldBack> heldBack = new ArrayList<>();
+  private final List<HeldStep> held = new ArrayList<>();
+  private final List<TaskPlacement> kept = new ArrayList<>();
   private final AdviceNeeds adviceNeeds = new AdviceNeeds();
 
   private final PlannedUsage usage;
-  private final NearlyLateUse nearlyLateUse;
+  private final UrgentReserve urgentReserve;
   private final Preemptor preemptor;
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
@@ -77,7 +61,6 @@
       long guaranteedNearnessWaitNanos,
       long nowNanos) {
     this.usage = usage;
-    this.nearlyLateUse = nearlyLateUse;
     this.preemptor = preemptor;
     this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
     available = FleetCapacity.available(executors, planned, speeds, statistics, nowNanos);
@@ -87,8 +70,8 @@
         new PlacementWaits(
             available, total, silent, unusable, forecast, guaranteedNearnessWaitNanos);
     this.reliabilityWaits =
-        new ReliabilityWaits(
-            available, total, waits, statistics.reliability(), IDLE_WAIT_NANOS, nowNanos);
+        new ReliabilityWaits(available, total, waits, statistics.reliability(), nowNanos);
+    this.urgentReserve = new UrgentReserve(available, total, waits, nearlyLateUse);
     this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
@@ -115,11 +98,14 @@
         reliabilityWaits
             .withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
             .advised(unrestricted.advice());
-    limited = reservations.limit(waiting) && !waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS);
-    if (waiting.step().spec().gang()) {
-      planGang(waiting);
-    } else {
-      planTasks(waiting);
+    limited =
+        reservations.limit(waiting)
+            && !waits.serviceIdleFor(waiting, PlacementWaits.IDLE_WAIT_NANOS);
+    boolean gang = waiting.step().spec().gang();
+    Optional<HeldBy> rule = gang ? planGang(waiting) : planTasks(waiting);
+    if (!rule.equals(STARTED)) {
+      HeldStep.View view = new HeldStep.View(available, open(), kept, waits);
+      held.add(new HeldStep(unrestricted, waiting, rule, view));
     }
   }
 
@@ -135,11 +121,12 @@
     return fitsElsewhere ? avoiding : waiting.avoiding(Avoidance.least(waiting, nowNanos));
   }
 
-  private void planTasks(WaitingStep waiting) {
+  /** Plans single tasks; returns the rule that holds them, or nothing if there is no place. */
+  private Optional<HeldBy> planTasks(WaitingStep waiting) {
     int allowedStarts = allowedStarts(waiting);
     if (allowedStarts == 0 || waitsForProbation(waiting)) {
       reservations.waitingAhead(waiting, waiting.tasks().size());
-      return;
+      return Optional.of(allowedStarts == 0 ? tooFewAllowed(waiting) : HeldBy.CRASH_SUSPICION);
     }
     List<TaskPlacement> placements =
         open()
@@ -149,17 +136,20 @@
     placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
     placements.forEach(this::start);
     reservations.waitingAhead(waiting, waiting.tasks().size() - placements.size());
+    Optional<HeldBy> rule = placements.isEmpty() ? Optional.empty() : STARTED;
     WaitingStep left = waiting.withoutFirst(placements.size());
     if (left.tasks().isEmpty() || (!left.urgent() && left.advice().isEmpty())) {
-      return;
+      return rule;
     }
     // Evaluated again: these starts may have filled a fleet that was idle before, and only an
     // idle fleet has capacity to spare for starts away from the data.
     boolean nearOnly = waits.nearOnly(waiting);
     int allowed = allowedStarts - placements.size();
-    if (!adviceNeeds.addTasks(left, allowed, open(), nearOnly) && waiting.urgent()) {
-      waitOrPreempt(left, nearOnly);
-    }
+    boolean stops =
+        !adviceNeeds.addTasks(left, allowed, open(), nearOnly)
+            && waiting.urgent()
+            && waitOrPreempt(left, nearOnly);
+    return stops && placements.isEmpty() ? Optional.of(HeldBy.STOPS) : rule;
   }
 
   /** Tells whether tasks that may crash executors wait, as too many executors are kept for such. */
@@ -168,10 +158,11 @@
         && available.share(CandidateExecutor::onProbation) >= MAX_PROBATION_SHARE;
   }
 
-  private void planGang(WaitingStep waiting) {
+  /** Plans a gang; returns the rule that holds it, or nothing if there is no place. */
+  private Optional<HeldBy> planGang(WaitingStep waiting) {
     if (allowedStarts(waiting) < waiting.tasks().size()) {
       blocked(waiting);
-      return;
+      return Optional.of(tooFewAllowed(waiting));
     }
     boolean nearOnly = waits.nearOnly(waiting);
     Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
@@ -179,15 +170,21 @@
       Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
       if (faster.isPresent() && !faster.get().free()) {
         deferred.add(waiting);
-        faster.get().placements().forEach(this::reserve);
-      } else {
-        faster.map(FasterPlace.Place::placements).orElse(now.get()).forEach(this::start);
+        keep(faster.get().placements());
+        return Optional.of(HeldBy.FASTER_EXECUTORS);
       }
-      return;
+      faster.map(FasterPlace.Place::placements).orElse(now.get()).forEach(this::start);
+      return STARTED;
     }
-    if (needTicketsToStart(waiting, nearOnly) || !waitOrPreempt(waiting, nearOnly)) {
+    if (needTicketsToStart(waiting, nearOnly)) {
       blocked(waiting);
+      return Optional.of(HeldBy.ADVICE);
+    }
+    if (waitOrPreempt(waiting, nearOnly)) {
+      return Optional.of(HeldBy.STOPS);
     }
+    blocked(waiting);
+    return Optional.empty();
   }
 
   /**
@@ -212,7 +209,7 @@
   private void blocked(WaitingStep waiting) {
     if (reservations.mayReserve(waiting)) {
       reservations.reserveLater(
-          waiting.anticipatingAdvice(), waits.nearOnly(waiting), keptFree(waiting));
+          waiting.anticipatingAdvice(), waits.nearOnly(waiting), urgentReserve.keptFree(waiting));
     }
   }
 
@@ -231,7 +228,7 @@
     if (selection.isPresent()) {
       preemptor.markApplied(selection.get());
       selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
-      selection.get().placements().forEach(this::reserve);
+      keep(selection.get().placements());
     }
     if (waiting.advice().isPresent()) {
       WaitingStep anticipating = waiting.anticipatingAdvice();
@@ -277,35 +274,20 @@
   }
 
   /**
-   * Returns how many tasks of a step may start without using the capacity reserved for urgent work.
+   * Returns how many tasks of a step may start without using the capacity kept for urgent work or
+   * reserved for gangs.
    */
   private int allowedStarts(WaitingStep waiting) {
-    int accelerators = waiting.step().spec().demand().accelerators();
-    if (waiting.urgent() || accelerators == 0) {
-      return Integer.MAX_VALUE;
-    }
-    if (waits.serviceIdleFor(waiting, IDLE_WAIT_NANOS)) {
-      return Integer.MAX_VALUE;
-    }
-    int allowed = (int) Math.max(0, (available.accelerators() - keptFree(waiting)) / accelerators);
-    if (allowed < waiting.startsTogether()) {
-      heldBack.add(
-          new Planner.HeldBack(
-              waiting,
-              available.accelerators(),
-              (int) Math.ceil(keptFree(waiting)),
-              total.accelerators()));
+    int allowed = urgentReserve.allowedStarts(waiting);
+    if (!limited || allowed == Integer.MAX_VALUE) {
+      return allowed;
     }
-    return limited ? Math.min(allowed, reservations.spareAccelerators() / accelerators) : allowed;
+    int accelerators = waiting.step().spec().demand().accelerators();
+    return Math.min(allowed, reservations.spareAccelerators() / accelerators);
   }
 
-  /** Returns the accelerators that a step leaves free for urgent work. */
-  private double keptFree(WaitingStep waiting) {
-    if (waiting.urgent()) {
-      return 0;
-    }
-    return total.accelerators()
-        * (nearlyLateUse.mayUse(waiting) ? NEARLY_LATE_RESERVE_SHARE : URGENT_RESERVE_SHARE);
+  private HeldBy tooFewAllowed(WaitingStep waiting) {
+    return urgentReserve.holdsBack(waiting) ? HeldBy.URGENT_RESERVE : HeldBy.RESERVATION;
   }
 
   /**
@@ -337,6 +319,12 @@
     reserve(placement);
   }
 
+  /** Keeps places for a step that starts there later. */
+  private void keep(List<TaskPlacement> placements) {
+    placements.forEach(this::reserve);
+    kept.addAll(placements);
+  }
+
   private void reserve(TaskPlacement placement) {
     planned.add(placement);
     available.reserve(placement);
@@ -353,6 +341,13 @@
    */
   Planner.Plan plan(List<PlanOrder.Considered> considered) {
     return new Planner.Plan(
-        starts, stops, deferred, considered, reservations.made(), heldBack, adviceNeeds.all());
+        starts,
+        stops,
+        deferred,
+        considered,
+        reservations.made(),
+        urgentReserve.heldBack(),
+        held,
+        adviceNeeds.all());
   }
 }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -75,6 +75,7 @@
    * @param considered the steps in the order in which use let them be considered
    * @param reservations capacity that is reserved for gangs that do not fit yet
    * @param heldBack steps that do not start since capacity stays free for urgent work
+   * @param held all steps of which nothing starts
    * @param adviceNeeds tickets that steps lack to start or to preempt, in the order of planning
    */
   public record Plan(
@@ -84,6 +85,7 @@
       List<PlanOrder.Considered> considered,
       List<Reservation> reservations,
       List<HeldBack> heldBack,
+      List<HeldStep> held,
       List<AdviceNeed> adviceNeeds) {
 
     /** Copies the lists. */
@@ -94,6 +96,7 @@
       considered = List.copyOf(considered);
       reservations = List.copyOf(reservations);
       heldBack = List.copyOf(heldBack);
+      held = List.copyOf(held);
       adviceNeeds = List.copyOf(adviceNeeds);
     }
 
@@ -108,9 +111,20 @@
           plans.stream().flatMap(plan -> plan.considered().stream()).toList(),
           plans.stream().flatMap(plan -> plan.reservations().stream()).toList(),
           plans.stream().flatMap(plan -> plan.heldBack().stream()).toList(),
+          plans.stream().flatMap(plan -> plan.held().stream()).toList(),
           plans.stream().flatMap(plan -> plan.adviceNeeds().stream()).toList());
     }
 
+    /** Returns the rule that keeps a step from starting. */
+    HeldBy heldBy(WaitingStep waiting) {
+      for (HeldStep step : held) {
+        if (step.waiting().equals(waiting)) {
+          return step.by();
+        }
+      }
+      return HeldBy.NOTHING;
+    }
+
     /** Returns the steps of which tasks start. */
     Set<StepProgress> startedSteps() {
       return starts.stream().map(TaskPlacement::step).collect(toSet());
@@ -118,7 +132,8 @@
 
     /** The plan while nothing waits. */
     static final Plan EMPTY =
-        new Plan(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+        new Plan(
+            List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
   }
 
   /**
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
@@ -20,7 +20,6 @@
   private final FleetCapacity total;
   private final PlacementWaits waits;
   private final StartReliability reliability;
-  private final long idleWaitNanos;
   private final long nowNanos;
 
   /**
@@ -28,21 +27,17 @@
    *
    * @param available capacity that is free now, without what the plan has placed so far
    * @param total the whole capacity of the usable executors of the pool
-   * @param idleWaitNanos how long a step waits for reliable executors while at least half of the
-   *     pool is free
    */
   ReliabilityWaits(
       FleetCapacity available,
       FleetCapacity total,
       PlacementWaits waits,
       StartReliability reliability,
-      long idleWaitNanos,
       long nowNanos) {
     this.available = available;
     this.total = total;
     this.waits = waits;
     this.reliability = reliability;
-    this.idleWaitNanos = idleWaitNanos;
     this.nowNanos = nowNanos;
   }
 
@@ -59,7 +54,7 @@
     WaitingStep required = waiting.requiring(requirement);
     boolean relaxable =
         requirement.proven() ? reliability.knowsWaves(nowNanos) : reliability.calm(nowNanos);
-    if (relaxable && waits.serviceIdleFor(waiting, idleWaitNanos)) {
+    if (relaxable && waits.serviceIdleFor(waiting, PlacementWaits.IDLE_WAIT_NANOS)) {
       return fittingNow(waiting, requirement);
     }
     boolean mayBecomeProven = waiting.timing().queuedNanos() <= PROOF_WAIT_NANOS;
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobWarningTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/IdleJobWarningTest.java
@@ -34,6 +34,8 @@
     assertEquals(
         List.of(List.of(job, EXECUTORS, 0, 0, 0, 0, 0, 0, 0, EXECUTORS, 0, 0)),
         warnings(BatchLogEvent.IDLE_JOB_BARRED));
+    List<Object> held = warnings(BatchLogEvent.IDLE_JOB_HELD).getFirst();
+    assertEquals(List.of(job, "lack of advice"), List.of(held.get(0), held.get(1).toString()));
   }
 
   @Test
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/IdleJobLogTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/IdleJobLogTest.java
@@ -12,6 +12,7 @@
 import org.fescuehook.logic.batch.BatchLogEvent;
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.StepProgress;
+import org.fescuehook.logic.batch.statistics.StartEvidence;
 import org.fescuehook.model.batch.TaskRun;
 import org.fescuehook.model.fleet.Incarnation;
 import org.fescuehook.model.preferences.SchedulingPreferences;
@@ -114,6 +115,23 @@
         warning(BatchLogEvent.IDLE_JOB_BARRED));
   }
 
+  /** The line tells which rule of the plan it was, also if no executor is barred. */
+  @Test
+  void theRuleOfThePlanIsLoggedWithTheAgeOfTheNewestEvidence() {
+    WaitingStep waiting = fleet.submit("north", 0, PlanFixture.gang(2, 8, 1000));
+    BatchContext context = new BatchContext(nowNanos(), 0);
+    for (StartEvidence evidence : StartEvidence.values()) {
+      fleet.executors.forEach(
+          executor ->
+              fleet.statistics.reliability().observed(executor.incarnation(), evidence, context));
+    }
+    Planner.Plan plan = fleet.plan();
+    run(2100, plan);
+    assertEquals(
+        List.of(id(waiting), HeldBy.RELIABILITY, 0, 2, "2050 ms ago", 2050L),
+        warning(BatchLogEvent.IDLE_JOB_HELD));
+  }
+
   @Test
   void aJobThatWaitsInAFleetMoreThanHalfInUseIsNotLogged() {
     occupy(EXECUTORS / 2 + 1);
@@ -172,7 +190,14 @@
     run(
         3000,
         new Planner.Plan(
-            List.of(), List.of(), List.of(), List.of(), List.of(), List.of(held), List.of()));
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(held),
+            List.of(),
+            List.of()));
     assertEquals(23, warning(BatchLogEvent.JOB_IDLE).getLast());
     assertEquals(8, warning(BatchLogEvent.IDLE_JOB_BARRED).getLast());
   }
@@ -232,6 +257,6 @@
     run(12_000);
     warning(BatchLogEvent.JOB_IDLE);
     run(1500);
-    assertEquals(4, warnings.size());
+    assertEquals(6, warnings.size());
   }
 }
