An idle job tries one task on a doubted executor whose trial is occupied

What callers saw: a job of 13 small tasks, one of four attempts failed, had nothing running for 9 s beside 228 of 256 free accelerators, with 18 executors open to it.

Cause: a doubted executor is given one task at a time, or four if its fault is unlikely enough, and a run counts as undecided until it ends. A run that takes long thus keeps all other work from an executor of which the rest is free; after faults on most of the fleet one run on each executor keeps a nearly idle service closed for as long as the longest of them takes. Nothing bounded that wait.

A step of which nothing runs, that has waited 2 s in a service at most half in use and that suits trials (cheap single tasks, not a last attempt) now starts one task beyond the limit, on the executor that is least likely to be faulty. One task is what users need to see the job run; what burns at worst is one of several attempts of one cheap task each 2 s, so that gangs and last attempts are as careful as before.

OccupiedTrialsTest fails without the change (no run within 3,000 ms) and passes with it.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CandidateExecutor.java
@@ -91,6 +91,11 @@
     return waiting.requirement().trial() ? -1 : 1 + standing.faultProbability();
   }
 
+  /** Returns the probability that it fails the runs that it starts. */
+  double faultProbability() {
+    return standing.faultProbability();
+  }
+
   /** Limits the tasks on a doubted executor, less those that are being tried there already. */
   void limitTrials() {
     if (doubted()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -133,6 +133,9 @@
             .firstGroup(waiting, waits.nearOnly(waiting))
             .map(group -> FleetCapacity.placeTasks(waiting, waiting.tasks(), group))
             .orElse(List.of());
+    if (placements.isEmpty() && waits.serviceIdleFor(waiting, PlacementWaits.IDLE_WAIT_NANOS)) {
+      placements = ExtraTrial.place(waiting, open(), waits.nearOnly(waiting));
+    }
     placements = placements.subList(0, Math.min(placements.size(), allowedStarts));
     placements.forEach(this::start);
     reservations.waitingAhead(waiting, waiting.tasks().size() - placements.size());
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -159,6 +159,11 @@
         : this;
   }
 
+  /** Returns the same requirement without a limit on the tasks on a doubted executor. */
+  StartRequirement withoutTrialLimit() {
+    return accepting(1);
+  }
+
   /** Returns the same requirement on executors on which no run is known to have ended well. */
   StartRequirement withoutProof() {
     return new StartRequirement(
