A step in an idle service no longer waits beside executors that have failed it

What callers saw: a job that few executors suit (by its label) had nothing running for more than 3 s in a nearly idle service after runs of it had failed on these executors.

Cause: a step avoids executors on which it has failed for 10 s, or, where it fits nowhere else, for 2 to 8 s, whatever is free. Whether it fits elsewhere was decided by what the other executors have in total, not by what is free there.

A step that has waited 2 s in a service at most half in use now avoids no more than lets it start on what is free (AvoidanceChoice): executors that have not failed it come first, then those on which its failures are oldest. A last attempt goes on avoiding, for 8 s at most, the executors that have just failed it. The reference planner of PlannerEquivalenceProperties has the same rule.

AvoidedExecutorsTest fails without the change (no third run within 3,000 ms) and passes with it. FailedOnEveryExecutorTest (10), FailureWavesTest (3), LastAttemptTest (3), OccupiedTrialsTest and PlannerEquivalenceProperties (6) pass.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Avoidance.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Avoidance.java
@@ -1,7 +1,9 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.model.fleet.Incarnation;
@@ -34,6 +36,9 @@
 
   private static final int MAX_HALVINGS = 2;
 
+  /** A failure that counts for less than this is not told apart from newer ones. */
+  private static final Duration SHORTEST = Duration.ofSeconds(1);
+
   /** Copies the set. */
   Avoidance {
     failedOn = Set.copyOf(failedOn);
@@ -55,6 +60,31 @@
     return new Avoidance(failedSince(waiting, nowNanos - counted), false);
   }
 
+  /**
+   * Returns what a step avoids that has waited in an idle service, each less than the one before:
+   * after executors on which it has not failed, those come on which its failures are oldest. A last
+   * attempt goes on avoiding those that have just failed it: where a step has failed on each of the
+   * few executors that suit it, its job counts as the cause, so that nothing else tells that they
+   * are faulty.
+   */
+  static List<Avoidance> relaxations(WaitingStep waiting, long nowNanos) {
+    Avoidance usual = usual(waiting, nowNanos);
+    List<Avoidance> relaxations = new ArrayList<>();
+    relaxations.add(usual);
+    relaxations.add(new Avoidance(usual.failedOn(), false));
+    if (waiting.maxAttempts() - waiting.failures() > 1) {
+      for (Duration counted = USUAL.dividedBy(2);
+          counted.compareTo(SHORTEST) > 0;
+          counted = counted.dividedBy(2)) {
+        relaxations.add(new Avoidance(failedSince(waiting, nowNanos - counted.toNanos()), false));
+      }
+      relaxations.add(NONE);
+    } else {
+      relaxations.add(least(waiting, nowNanos));
+    }
+    return relaxations;
+  }
+
   private static Set<Incarnation> failedSince(WaitingStep waiting, long earliestNanos) {
     Set<Incarnation> failedOn = new HashSet<>();
     for (TaskProgress task : waiting.tasks()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -41,7 +41,7 @@
   private final PlanReservations reservations;
   private final PlacementWaits waits;
   private final ReliabilityWaits reliabilityWaits;
-  private final boolean suspectsPresent;
+  private final AvoidanceChoice avoidances;
   private final long nowNanos;
 
   /** Whether reservations limit the step that is being planned. */
@@ -72,7 +72,7 @@
     this.reliabilityWaits =
         new ReliabilityWaits(available, total, waits, statistics.reliability(), nowNanos);
     this.urgentReserve = new UrgentReserve(available, total, waits, nearlyLateUse);
-    this.suspectsPresent = total.share(CandidateExecutor::suspect) > 0;
+    this.avoidances = new AvoidanceChoice(available, total, waits, nowNanos);
     this.nowNanos = nowNanos;
     for (ExecutorState executor : executors) {
       for (LiveRun run : executor.runs()) {
@@ -95,8 +95,8 @@
   void planStep(WaitingStep unrestricted) {
     // Where a step has to run must not depend on which tickets it happens to have.
     WaitingStep waiting =
-        reliabilityWaits
-            .withRequirement(withAvoidance(unrestricted.anticipatingAdvice()))
+        avoidances
+            .restrict(unrestricted.anticipatingAdvice(), reliabilityWaits::withRequirement)
             .advised(unrestricted.advice());
     limited =
         reservations.limit(waiting)
@@ -109,18 +109,6 @@
     }
   }
 
-  /** Adds which executors a step avoids, fewer of them if it fits nowhere else. */
-  private WaitingStep withAvoidance(WaitingStep waiting) {
-    Avoidance usual = Avoidance.usual(waiting, nowNanos);
-    if (usual.failedOn().isEmpty() && !(usual.suspects() && suspectsPresent)) {
-      return waiting;
-    }
-    WaitingStep avoiding = waiting.avoiding(usual);
-    boolean fitsElsewhere =
-        total.tightestGroup(avoiding, waiting.startsTogether(), false).isPresent();
-    return fitsElsewhere ? avoiding : waiting.avoiding(Avoidance.least(waiting, nowNanos));
-  }
-
   /** Plans single tasks; returns the rule that holds them, or nothing if there is no place. */
   private Optional<HeldBy> planTasks(WaitingStep waiting) {
     int allowedStarts = allowedStarts(waiting);
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/ReferencePlanner.java
@@ -164,8 +164,17 @@
     }
 
     private WaitingStep withAvoidance(WaitingStep waiting) {
-      WaitingStep avoiding = waiting.avoiding(Avoidance.usual(waiting, nowNanos));
       int wanted = waiting.step().spec().gang() ? waiting.tasks().size() : 1;
+      if (idleFor(waiting, IDLE_WAIT_NANOS)) {
+        for (Avoidance avoidance : Avoidance.relaxations(waiting, nowNanos)) {
+          WaitingStep relaxed = waiting.avoiding(avoidance);
+          if (ReferenceCapacity.fits(relaxed, available.groups(relaxed, false).getFirst())
+              >= wanted) {
+            return relaxed;
+          }
+        }
+      }
+      WaitingStep avoiding = waiting.avoiding(Avoidance.usual(waiting, nowNanos));
       return ReferenceCapacity.fits(avoiding, total.groups(avoiding, false).getFirst()) >= wanted
           ? avoiding
           : waiting.avoiding(Avoidance.least(waiting, nowNanos));
