The log tells why a step does not start where runs were stopped for it

What operators saw: runs of other jobs were stopped for a job (8022), round after round, and nothing told why it started in none of the places that became free.

Change: the planner remembers for which step runs are stopped, where, and how often since the step last started (FreedCapacity). Event 8083 and fescuehook.batch.preemption.unused tell once for each round that all its runs have ended and the step has not started: what it requires of executors, how many of those it was planned on it does not accept and why, and which jobs have taken them. No plan changes.

Tests: FreedCapacityLogTest.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/BatchLogEvent.java
@@ -219,6 +219,10 @@
   GANG_BROKEN(
       8082,
       "Gang broken by run {} on {}: {}, {} ms after its placement; {} of the other {} members had started, {} accelerators were held"),
+  /** A step has not started although the runs have ended that were stopped for it. */
+  FREED_CAPACITY_UNUSED(
+      8083,
+      "Job {} step {} does not start where {} runs were stopped for it {} ms ago, round {}: it accepts executors faulty with {} percent at most, {}; of {} executors {} get no work, {} are doubted, {} lack proof, {} are avoided, {} are taken, by {}"),
   /** Which rule of the plan keeps a job waiting that has nothing running. */
   IDLE_JOB_HELD(
       8085,
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/CapacityBars.java
@@ -69,13 +69,7 @@
       Collection<ExecutorState> pool,
       StartReliability reliability,
       long nowNanos) {
-    StartRequirement requirement =
-        reliability.enabled()
-            ? StartRequirement.of(
-                step,
-                reliability.newestFault(step.step()),
-                reliability.presentFaultsSince(nowNanos))
-            : StartRequirement.ANY;
+    StartRequirement requirement = StartRequirement.of(step, reliability, nowNanos);
     WaitingStep required = step.requiring(requirement).avoiding(Avoidance.usual(step, nowNanos));
     List<ExecutorState> withCapacity = new ArrayList<>();
     Map<RackId, Long> fittingInRack = new HashMap<>();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanDuty.java
@@ -47,6 +47,7 @@
   private final OverlongRuns overlongRuns;
   private final Map<StepProgress, Boolean> deferredSteps = new WeakHashMap<>();
   private final ReservationLog reservationLog = new ReservationLog();
+  private final FreedCapacityLog freedCapacityLog;
   private final List<LiveRun> storedRuns = new ArrayList<>();
   private Map<String, Integer> guaranteedNeed = Map.of();
 
@@ -66,6 +67,7 @@
     this.evacuationWaits = new EvacuationWaits(context.nowNanos());
     this.barredCapacityLog = new BarredCapacityLog(statistics.reliability(), context.nowNanos());
     this.idleJobLog = new IdleJobLog(statistics.reliability(), context.nowNanos());
+    this.freedCapacityLog = new FreedCapacityLog(statistics.reliability());
     this.fairShareLog = new FairShareLog(statistics.usage());
     this.overlongRuns =
         new OverlongRuns(
@@ -102,6 +104,7 @@
             context.nowNanos());
     fairShareLog.check(waiting, plan, context);
     reservationLog.check(waiting, plan, context);
+    freedCapacityLog.check(waiting, planner.freedCapacity(), context);
     barredCapacityLog.check(waiting, plan, usable, context);
     idleJobLog.check(waiting, plan, executors.registry().all(), context);
     for (Planner.Preemption stop : plan.stops()) {
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -39,6 +39,7 @@
   private final Preemptor preemptor;
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
+  private final FreedCapacity freedCapacity;
   private final PlacementWaits waits;
   private final ReliabilityWaits reliabilityWaits;
   private final AvoidanceChoice avoidances;
@@ -58,8 +59,10 @@
       RunForecast forecast,
       SchedulingStatistics statistics,
       ReservationBook reservationBook,
+      FreedCapacity freedCapacity,
       long guaranteedNearnessWaitNanos,
       long nowNanos) {
+    this.freedCapacity = freedCapacity;
     this.usage = usage;
     this.preemptor = preemptor;
     this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
@@ -220,6 +223,7 @@
       preemptor.markApplied(selection.get());
       selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
       keep(selection.get().placements());
+      freedCapacity.ordered(waiting, selection.get(), nowNanos);
     }
     if (waiting.advice().isPresent()) {
       WaitingStep anticipating = waiting.anticipatingAdvice();
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -23,7 +23,7 @@
  * Decides which tasks start where and which runs are preempted. Each pool is planned by itself, so
  * that nothing in its plan counts executors of other pools; only what organisations use is counted
  * over all of them. Equal input gives equal plans; the planner remembers only since when gangs have
- * reservations.
+ * reservations, and what is being freed for which step.
  */
 public final class Planner {
 
@@ -38,6 +38,7 @@
   private final WorkPreferences preferences;
   private final SchedulingStatistics statistics;
   private final ReservationBook reservationBook;
+  private final FreedCapacity freedCapacity;
 
   /**
    * Creates a planner that relies on estimates alone.
@@ -64,6 +65,7 @@
     this.preferences = preferences;
     this.statistics = statistics;
     this.reservationBook = new ReservationBook(statistics.preferences().reservations());
+    this.freedCapacity = new FreedCapacity();
   }
 
   /**
@@ -199,15 +201,22 @@
               forecast,
               statistics,
               reservationBook,
+              freedCapacity,
               guaranteedNearnessWait(),
               nowNanos);
       plans.add(pass.plan(new PlanOrder(byPool.get(name), usage).forEach(pass::planStep)));
     }
     Plan plan = Plan.join(plans);
     reservationBook.update(plan.reservations(), waiting, nowNanos);
+    freedCapacity.update(plan, waiting);
     return plan;
   }
 
+  /** Returns what is being freed for the steps that wait. */
+  FreedCapacity freedCapacity() {
+    return freedCapacity;
+  }
+
   private static List<ExecutorState> pool(String name, Collection<ExecutorState> executors) {
     return executors.stream().filter(executor -> executor.profile().pool().equals(name)).toList();
   }
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
@@ -46,11 +46,7 @@
     if (!reliability.enabled() || waits.firstStartIsDue(waiting)) {
       return waiting;
     }
-    StartRequirement requirement =
-        StartRequirement.of(
-            waiting,
-            reliability.newestFault(waiting.step()),
-            reliability.presentFaultsSince(nowNanos));
+    StartRequirement requirement = StartRequirement.of(waiting, reliability, nowNanos);
     WaitingStep required = waiting.requiring(requirement);
     boolean relaxable =
         requirement.proven() ? reliability.knowsWaves(nowNanos) : reliability.calm(nowNanos);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/StartRequirement.java
@@ -6,6 +6,7 @@
 import org.fescuehook.logic.batch.plan.StepTiming.Prospect;
 import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.ExecutorStanding;
+import org.fescuehook.logic.batch.statistics.StartReliability;
 import org.fescuehook.model.batch.BatchStep;
 
 /**
@@ -69,6 +70,16 @@
    */
   private static final double SETTLED_SOON = 0.5;
 
+  /** Returns the requirement of a step by what is known about executors. */
+  static StartRequirement of(WaitingStep waiting, StartReliability reliability, long nowNanos) {
+    return reliability.enabled()
+        ? of(
+            waiting,
+            reliability.newestFault(waiting.step()),
+            reliability.presentFaultsSince(nowNanos))
+        : ANY;
+  }
+
   /**
    * Returns the requirement of a step.
    *
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/PlanFixture.java
@@ -57,6 +57,11 @@
     }
   }
 
+  /** Adds an executor of the same size. */
+  void addExecutor(String rack) {
+    executors.add(executor(executors.size(), rack));
+  }
+
   private static ExecutorState executor(int number, String rack) {
     return new ExecutorState(
         new ExecutorProfile(
@@ -109,8 +114,18 @@
     return submit(organisation, priority, spec, 0);
   }
 
+  /** Adds a step that waits and that a guarantee covers. */
+  WaitingStep submitGuaranteed(BatchStep spec) {
+    return submit("guaranteed", 0, spec, 0, Rank.GUARANTEED);
+  }
+
   /** Adds a step that has waited for some time. */
   WaitingStep submit(String organisation, int priority, BatchStep spec, long queuedNanos) {
+    return submit(organisation, priority, spec, queuedNanos, Rank.ofPriority(priority));
+  }
+
+  private WaitingStep submit(
+      String organisation, int priority, BatchStep spec, long queuedNanos, Rank rank) {
     StepProgress step = step(organisation, priority, spec);
     long objective = Duration.ofMinutes(1).toNanos();
     WaitingStep added =
@@ -118,7 +133,7 @@
             step,
             step.waiting(),
             "pool",
-            Rank.ofPriority(priority),
+            rank,
             jobs,
             new StepTiming(queuedNanos, queuedNanos, objective, objective),
             Optional.empty());
@@ -128,9 +143,13 @@
 
   /** Runs one task on an executor since a second ago. */
   LiveRun run(String organisation, int priority, BatchStep spec, int executor) {
+    return run(organisation, priority, spec, executor, NOW - Duration.ofSeconds(1).toNanos());
+  }
+
+  /** Runs one task on an executor since a time. */
+  LiveRun run(String organisation, int priority, BatchStep spec, int executor, long since) {
     StepProgress step = step(organisation, priority, spec);
     ExecutorState on = executors.get(executor);
-    long since = NOW - Duration.ofSeconds(1).toNanos();
     TaskRun name = new TaskRun(step.name(step.tasks().getFirst()), 1);
     LiveRun run = LiveRun.placed(name, on.incarnation(), step, "", Optional.empty(), since);
     run.enter(LiveRun.Stage.RUNNING, since);
