Capacity that is freed for a step stays kept for it until it starts

What callers saw: jobs of lower rank were stopped again and again for one job, which started in none of the places that became free; the work of the victims was thrown away, and the job waited all the same.

Cause: the plan that orders the stops counts a place as taken for the step, by what the step requires and what is known of executors at that moment. The next plan evaluates requirement, doubts and proof anew. If the step does not accept one of the executors then, that plan keeps nothing for it, what was freed goes to lower ranks, and the plan after that stops these.

Change: FreedCapacity remembers the places. A place stays kept for the stop time and 1 s more, until the step starts, higher ranks take it, or its executor is gone. While a step has all its places kept, nothing more is stopped for it; from the second round on the pauses double, but not before the first start of guaranteed work, which has a bound. Runs that were stopped on executors without proof, as no proven ones were to be had, are not in vain because one is proven meanwhile. Victims on reliable executors are preferred. What searches for room moved from PlanPass to RoomSearch, unchanged otherwise.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/PlanPass.java
@@ -8,7 +8,6 @@
 import org.fescuehook.logic.batch.state.LiveRun;
 import org.fescuehook.logic.batch.state.LiveRun.Stage;
 import org.fescuehook.logic.batch.state.StepProgress;
-import org.fescuehook.logic.batch.state.TaskProgress;
 import org.fescuehook.logic.batch.statistics.PlannedUsage;
 import org.fescuehook.logic.batch.statistics.SchedulingStatistics;
 
@@ -40,6 +39,7 @@
   private final FasterPlace fasterPlace;
   private final PlanReservations reservations;
   private final FreedCapacity freedCapacity;
+  private final RoomSearch roomSearch;
   private final PlacementWaits waits;
   private final ReliabilityWaits reliabilityWaits;
   private final AvoidanceChoice avoidances;
@@ -62,7 +62,6 @@
       FreedCapacity freedCapacity,
       long guaranteedNearnessWaitNanos,
       long nowNanos) {
-    this.freedCapacity = freedCapacity;
     this.usage = usage;
     this.preemptor = preemptor;
     this.fasterPlace = new FasterPlace(forecast, guaranteedNearnessWaitNanos);
@@ -93,13 +92,18 @@
             new ExpectedEnds(executors, nowNanos, PlanReservations.HORIZON_NANOS),
             reservationBook,
             nowNanos);
+    this.freedCapacity = freedCapacity;
+    this.roomSearch = new RoomSearch(preemptor, expected, freedCapacity, nowNanos);
   }
 
   void planStep(WaitingStep unrestricted) {
     // Where a step has to run must not depend on which tickets it happens to have.
     WaitingStep waiting =
-        avoidances
-            .restrict(unrestricted.anticipatingAdvice(), reliabilityWaits::withRequirement)
+        freedCapacity
+            .sinceStops(
+                avoidances.restrict(
+                    unrestricted.anticipatingAdvice(), reliabilityWaits::withRequirement),
+                nowNanos)
             .advised(unrestricted.advice());
     limited =
         reservations.limit(waiting)
@@ -159,7 +163,7 @@
       return Optional.of(tooFewAllowed(waiting));
     }
     boolean nearOnly = waits.nearOnly(waiting);
-    Optional<List<TaskPlacement>> now = placeInTightestGroup(waiting, open(), nearOnly);
+    Optional<List<TaskPlacement>> now = RoomSearch.place(waiting, open(), nearOnly);
     if (now.isPresent()) {
       Optional<FasterPlace.Place> faster = fasterPlace.find(waiting, now.get(), open(), nearOnly);
       if (faster.isPresent() && !faster.get().free()) {
@@ -191,7 +195,7 @@
       return false;
     }
     WaitingStep anticipating = gang.anticipatingAdvice();
-    Optional<List<TaskPlacement>> now = placeInTightestGroup(anticipating, open(), nearOnly);
+    Optional<List<TaskPlacement>> now = RoomSearch.place(anticipating, open(), nearOnly);
     now.ifPresent(found -> adviceNeeds.addAll(anticipating, found, open(), nearOnly));
     return now.isPresent();
   }
@@ -218,54 +222,24 @@
    * @return whether the step has capacity then
    */
   private boolean waitOrPreempt(WaitingStep waiting, boolean nearOnly) {
-    Optional<Preemptor.Selection> selection = makeRoom(waiting, nearOnly);
+    FleetCapacity later = limited ? reservations.expected() : expected;
+    Optional<Preemptor.Selection> selection = roomSearch.find(waiting, later, nearOnly);
     if (selection.isPresent()) {
       preemptor.markApplied(selection.get());
       selection.get().victims().forEach(run -> stops.add(new Planner.Preemption(run, waiting)));
       keep(selection.get().placements());
       freedCapacity.ordered(waiting, selection.get(), nowNanos);
     }
+    List<TaskPlacement> freed =
+        selection.isPresent() ? List.of() : freedCapacity.kept(waiting, nowNanos);
+    keep(freed);
     if (waiting.advice().isPresent()) {
       WaitingStep anticipating = waiting.anticipatingAdvice();
       selection
-          .or(() -> makeRoom(anticipating, nearOnly))
+          .or(() -> roomSearch.find(anticipating, later, nearOnly))
           .ifPresent(room -> adviceNeeds.addAll(anticipating, room.placements(), total, nearOnly));
     }
-    return selection.isPresent();
-  }
-
-  /**
-   * Finds where a step can start after runs have ended that are being stopped, or that the step may
-   * preempt.
-   */
-  private Optional<Preemptor.Selection> makeRoom(WaitingStep waiting, boolean nearOnly) {
-    if (!waiting.step().job().accepted()) {
-      return Optional.empty();
-    }
-    FleetCapacity later = limited ? reservations.expected() : expected;
-    Optional<List<TaskPlacement>> afterStops = placeInTightestGroup(waiting, later, nearOnly);
-    if (afterStops.isPresent()) {
-      return Optional.of(new Preemptor.Selection(List.of(), 0, afterStops.get()));
-    }
-    boolean mayPreempt = waiting.urgent() || waiting.nearlyLate();
-    if (!mayPreempt || waitsForReliability(waiting, nearOnly)) {
-      return Optional.empty();
-    }
-    return preemptor.choose(waiting, later, nearOnly);
-  }
-
-  /**
-   * Tells whether a step that has time to wait would fit as soon as the present doubts are settled.
-   * That is sooner than preempted work is repeated. Last attempts do not wait.
-   */
-  private boolean waitsForReliability(WaitingStep waiting, boolean nearOnly) {
-    StartRequirement requirement = waiting.requirement();
-    boolean mayWait = !requirement.equals(StartRequirement.ANY) && !requirement.proven();
-    if (!mayWait || waiting.timing().nearlyLate()) {
-      return false;
-    }
-    WaitingStep soon = waiting.requiring(requirement.expectedSoon());
-    return expected.tightestGroup(soon, waiting.tasks().size(), nearOnly).isPresent();
+    return selection.isPresent() || !freed.isEmpty();
   }
 
   /**
@@ -285,30 +259,6 @@
     return urgentReserve.holdsBack(waiting) ? HeldBy.URGENT_RESERVE : HeldBy.RESERVATION;
   }
 
-  /**
-   * Places all tasks in the group with the least capacity to spare into which they fit; executors
-   * that are less reliable are used only if they do not fit elsewhere.
-   */
-  private static Optional<List<TaskPlacement>> placeInTightestGroup(
-      WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
-    WaitingStep strict = waiting.requiring(waiting.requirement().strict());
-    if (!strict.requirement().equals(waiting.requirement())) {
-      Optional<List<TaskPlacement>> reliable = place(strict, capacity, nearOnly);
-      if (reliable.isPresent()) {
-        return reliable;
-      }
-    }
-    return place(waiting, capacity, nearOnly);
-  }
-
-  private static Optional<List<TaskPlacement>> place(
-      WaitingStep waiting, FleetCapacity capacity, boolean nearOnly) {
-    List<TaskProgress> tasks = waiting.tasks();
-    return capacity
-        .tightestGroup(waiting, tasks.size(), nearOnly)
-        .map(group -> FleetCapacity.placeTasks(waiting, tasks, group));
-  }
-
   private void start(TaskPlacement placement) {
     starts.add(placement);
     reserve(placement);
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/Planner.java
@@ -65,7 +65,7 @@
     this.preferences = preferences;
     this.statistics = statistics;
     this.reservationBook = new ReservationBook(statistics.preferences().reservations());
-    this.freedCapacity = new FreedCapacity();
+    this.freedCapacity = new FreedCapacity(preferences.stopTime().toNanos());
   }
 
   /**
--- a/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FreedCapacityLogTest.java
+++ b/fescuehook/src/test/java/org/fescuehook/logic/batch/plan/FreedCapacityLogTest.java
@@ -16,11 +16,13 @@
  */
 class FreedCapacityLogTest {
 
+  private static final long STOP_NANOS = Duration.ofSeconds(2).toNanos();
+
   /** Later than the runs of the fixture were placed, which is a second before its time. */
   private static final long BEGINNING = PlanFixture.NOW - Duration.ofMillis(500).toNanos();
 
   private final PlanFixture fixture = new PlanFixture(1, 1, SchedulingPreferences.ALL_OFF);
-  private final FreedCapacity freed = new FreedCapacity();
+  private final FreedCapacity freed = new FreedCapacity(STOP_NANOS);
   private final FreedCapacityLog log = new FreedCapacityLog(fixture.statistics.reliability());
 
   private List<BatchCommand.Note> notesAfter(long millis) {
