Soak plan CALM_AFTER_FAILURES: executors that fail everything, then calm

Users saw accepted jobs with nothing running for over 3 s in a half idle service, on queues that allow two attempts. No plan had such a queue, and none had a long calm time after executors that fail all runs.

The plan has executors fail all runs for 2 to 6.5 s, up to three times, whole racks or 30 to 70 per cent of all, in half of the runs beside a lost or restarted owner or a store that is away, and 20 s of calm after that. Gangs of whole executors, up to half of them, may fail twice; small tasks show which executors fail. The judge knows the new queue; its bounds are as before, and failing executors count as a disturbance only while they fail.

--- /dev/null
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FailuresMix.java
@@ -0,0 +1,91 @@
+package org.fescuehook.bench.soak;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.fescuehook.bench.soak.judge.PlannedJob;
+
+/**
+ * Draws jobs around executors that fail all runs: many small tasks, so that it is known which
+ * executors fail, beside gangs whose members take a whole executor each and may fail twice, and
+ * little or nothing once the failures are over. No run fails by its own fault.
+ */
+final class FailuresMix {
+
+  private static final int SLOTS_PER_EXECUTOR = 4;
+
+  /** Small tasks take about a fifth of the slots. */
+  private static final int EXECUTORS_PER_SMALL_TASK = 4;
+
+  private static final int LEAST_SMALL_MILLIS = 300;
+  private static final int MOST_SMALL_MILLIS = 900;
+  private static final int LEAST_GANG_MILLIS = 500;
+  private static final int MOST_GANG_MILLIS = 1500;
+  private static final int LEAST_MEMBERS = 2;
+
+  /** A gang takes up to half of the executors, and the idle ones have to hold it twice over. */
+  private static final int PART_FOR_A_GANG = 2;
+
+  /** Number of draws from a gang to the next one. */
+  private static final int DRAWS_PER_GANG = 6;
+
+  /** Gangs are handed in from this time before the first failure on. */
+  private static final long GANGS_BEFORE_MILLIS = 1500;
+
+  /** Number of draws in the calm stretch from a job to the next one, if there are any. */
+  private static final int DRAWS_PER_CALM_JOB = 10;
+
+  private static final long SEED = 0x6661696c6a6fL;
+
+  private final SplittableRandom random;
+  private final CalmAfterFailuresPlan.Stretch failures;
+  private final long intervalMillis;
+  private final int executors;
+  private final boolean calmJobs;
+  private long drawn;
+
+  FailuresMix(SoakSizes sizes) {
+    this.random = new SplittableRandom(sizes.seed() ^ SEED);
+    this.failures = CalmAfterFailuresPlan.failures(sizes);
+    this.intervalMillis = sizes.jobIntervalMillis();
+    this.executors = sizes.executors();
+    this.calmJobs = random.nextBoolean();
+  }
+
+  /** Returns the job of the next interval; mostly none once the failures are over. */
+  Optional<JobMix.Draw> next() {
+    long number = drawn;
+    drawn++;
+    long atMillis = number * intervalMillis;
+    if (atMillis > failures.toMillis()) {
+      return calmJobs && number % DRAWS_PER_CALM_JOB == 0
+          ? Optional.of(small(1))
+          : Optional.empty();
+    }
+    boolean gangs = atMillis > failures.fromMillis() - GANGS_BEFORE_MILLIS;
+    return Optional.of(
+        gangs && number % DRAWS_PER_GANG == 0
+            ? gang()
+            : small(Math.max(1, executors / EXECUTORS_PER_SMALL_TASK)));
+  }
+
+  private JobMix.Draw small(int tasks) {
+    String time = "run:" + random.nextInt(LEAST_SMALL_MILLIS, MOST_SMALL_MILLIS);
+    return job(time, tasks, PlannedJob.Queue.RETRIED);
+  }
+
+  private JobMix.Draw gang() {
+    int members =
+        random.nextInt(LEAST_MEMBERS, Math.max(LEAST_MEMBERS, executors / PART_FOR_A_GANG) + 1);
+    String time = "run:" + random.nextInt(LEAST_GANG_MILLIS, MOST_GANG_MILLIS);
+    String whole = time + PlannedJob.SLOTS + SLOTS_PER_EXECUTOR;
+    return job(whole + PlannedJob.GANG + members, members, PlannedJob.Queue.TWO_ATTEMPTS);
+  }
+
+  private JobMix.Draw job(String work, int tasks, PlannedJob.Queue queue) {
+    String id = String.format("%016x", random.nextLong());
+    List<PlannedJob.Step> steps = List.of(new PlannedJob.Step(tasks, List.of()));
+    PlannedJob job = new PlannedJob(id, work + " job " + id, steps, queue);
+    return new JobMix.Draw(job, new JobMix.Cancelling.Never(), 0);
+  }
+}
--- a/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/Fault.java
@@ -18,6 +18,9 @@
   /** A VM is asked by SIGTERM to end, and started again once it has. */
   record StopVm(int vm) implements Fault {}
 
+  /** The VM that owns at the time is asked by SIGTERM to end, and started again once it has. */
+  record RestartOwner() implements Fault {}
+
   /** A VM is told by SIGHUP that its settings have changed, which is planned. */
   record ReloadVm(int vm) implements Fault {}
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultPlan.java
@@ -120,6 +120,7 @@
       case ODD_ENTRIES -> new FaultPlan(sizes).drawOddEntries();
       case PARTIAL_PARTITION -> PartialPartitionPlan.draw(sizes);
       case CALM_AFTER_OWNERS -> CalmAfterOwnersPlan.draw(sizes);
+      case CALM_AFTER_FAILURES -> CalmAfterFailuresPlan.draw(sizes);
     };
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FaultRunner.java
@@ -104,7 +104,14 @@
           keepers.get(vm).kill(kill.downMillis(), this::over);
         }
       }
-      case Fault.PowerOffOwner off -> powerOffOwner(off, SoakLog.now() + OWNER_LIMIT_MILLIS);
+      case Fault.PowerOffOwner off ->
+          withOwner(
+              "loses its power",
+              owner -> owner.powerOff(off.downMillis(), this::over),
+              SoakLog.now() + OWNER_LIMIT_MILLIS);
+      case Fault.RestartOwner restart ->
+          withOwner(
+              "is restarted", owner -> owner.stop(this::over), SoakLog.now() + OWNER_LIMIT_MILLIS);
       case Fault.StopVm stop -> keepers.get(stop.vm()).stop(this::over);
       case Fault.ReloadVm reload -> keepers.get(reload.vm()).reload(this::over);
       case Fault.NewConfiguration configuration -> configure();
@@ -148,21 +155,21 @@
   }
 
   /** Waits until a VM owns, for a limited time. */
-  private void powerOffOwner(Fault.PowerOffOwner off, long limitMillis)
+  private void withOwner(String event, OwnerStep step, long limitMillis)
       throws ClusterException, InterruptedException {
     for (VmKeeper keeper : keepers) {
       if (keeper.owns()) {
-        log.line("the owner that loses its power: " + keeper.name());
-        keeper.powerOff(off.downMillis(), this::over);
+        log.line("the owner that " + event + ": " + keeper.name());
+        step.run(keeper);
         return;
       }
     }
     if (SoakLog.now() > limitMillis) {
-      log.line("skipped: no VM owns that could lose its power");
+      log.line("skipped: no VM owns, so that none " + event);
       over();
       return;
     }
-    endLater(OWNER_LOOK_MILLIS, () -> powerOffOwner(off, limitMillis));
+    endLater(OWNER_LOOK_MILLIS, () -> withOwner(event, step, limitMillis));
   }
 
   /** Counts until VMs have to have put it in force, and a second longer. */
@@ -297,6 +304,11 @@
     }
   }
 
+  @FunctionalInterface
+  private interface OwnerStep {
+    void run(VmKeeper owner) throws ClusterException, InterruptedException;
+  }
+
   @FunctionalInterface
   private interface Step {
     void run() throws ClusterException, InterruptedException;
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobCallers.java
@@ -63,7 +63,7 @@
   private final Rotation rotation;
   private final CallerClient client;
   private final List<InetSocketAddress> vms;
-  private final Supplier<JobMix.Draw> mix;
+  private final Supplier<Optional<JobMix.Draw>> mix;
   private final long intervalMillis;
   private final long askMillis;
   private final Random random;
@@ -98,9 +98,10 @@
     this.mix =
         switch (sizes.plan()) {
           case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION ->
-              new JobMix(sizes.seed(), sizes.plan(), sizes.executors())::next;
-          case SERVICES -> new ServicesMix(sizes)::next;
-          case CALM_AFTER_OWNERS -> new CalmMix(sizes)::next;
+              always(new JobMix(sizes.seed(), sizes.plan(), sizes.executors())::next);
+          case SERVICES -> always(new ServicesMix(sizes)::next);
+          case CALM_AFTER_OWNERS -> always(new CalmMix(sizes)::next);
+          case CALM_AFTER_FAILURES -> new FailuresMix(sizes)::next;
         };
     this.sharedIds = new SharedIds(sizes.seed(), sizes.plan(), CALLERS);
     this.intervalMillis = sizes.jobIntervalMillis();
@@ -109,6 +110,10 @@
     this.pauses = new Random(sizes.seed() ^ PAUSE_SEED);
   }
 
+  private static Supplier<Optional<JobMix.Draw>> always(Supplier<JobMix.Draw> mix) {
+    return () -> Optional.of(mix.get());
+  }
+
   /** Waits until all VMs are ready. */
   void awaitReady(Duration limit) throws ClusterException, InterruptedException {
     rotation.start();
@@ -174,7 +179,10 @@
     if (quiet) {
       return;
     }
-    JobMix.Draw draw = mix.get();
+    mix.get().ifPresent(this::handIn);
+  }
+
+  private void handIn(JobMix.Draw draw) {
     int caller = next++ % CALLERS;
     jobs.add(draw.job());
     submitting.incrementAndGet();
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -55,9 +55,12 @@
     }
   }
 
-  /** Jobs that may be tried again often are described as they are. */
+  /** Jobs that may be tried again more or less often than usual are described as they are. */
   private static int estimateMillis(PlannedJob job) {
-    return job.queue() == PlannedJob.Queue.RETRIED ? job.millis() : ESTIMATE_MILLIS;
+    return switch (job.queue()) {
+      case RETRIED, TWO_ATTEMPTS -> job.millis();
+      case USUAL, ADVISED, URGENT, SMALL -> ESTIMATE_MILLIS;
+    };
   }
 
   static JobCall.Result decode(CallerOutcome outcome) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/SoakSizes.java
@@ -29,7 +29,11 @@
     /** Long cuts between some VMs and some executors only. */
     PARTIAL_PARTITION,
     /** Owners lost or VMs restarted in series, and a long calm stretch with few jobs after that. */
-    CALM_AFTER_OWNERS
+    CALM_AFTER_OWNERS,
+    /**
+     * Executors that fail all runs for seconds, and a long calm stretch with few jobs after that.
+     */
+    CALM_AFTER_FAILURES
   }
 
   /** The part of a second service is smaller than the one that is kept free for urgent work. */
@@ -52,6 +56,9 @@
 
   private static final long LEAST_CALM_INTERVAL_MILLIS = 400;
 
+  /** Small tasks have to reach each executor while it fails. */
+  private static final long FAILURES_INTERVAL_MILLIS = 200;
+
   private static final int LEAST_SECONDS = 10;
   private static final int MOST_SECONDS = 3600;
   private static final int LEAST_VMS = 2;
@@ -76,7 +83,7 @@
   int smallExecutors() {
     return switch (plan) {
       case SERVICES -> Math.max(1, executors / EXECUTORS_PER_SMALL);
-      case CALM_AFTER_OWNERS -> 1;
+      case CALM_AFTER_OWNERS, CALM_AFTER_FAILURES -> 1;
       case MIXED, CANCELS, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION -> 0;
     };
   }
@@ -86,14 +93,20 @@
    * defaults, so that their seeds stay comparable.
    */
   List<String> scheduling() {
-    return plan == Plan.CALM_AFTER_OWNERS ? AS_DEPLOYED : List.of();
+    return switch (plan) {
+      case CALM_AFTER_OWNERS, CALM_AFTER_FAILURES -> AS_DEPLOYED;
+      case MIXED, CANCELS, SERVICES, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION -> List.of();
+    };
   }
 
   /** Returns the time from one job that is handed in to the next one. */
   long jobIntervalMillis() {
-    return plan == Plan.CALM_AFTER_OWNERS
-        ? Math.max(LEAST_CALM_INTERVAL_MILLIS, CALM_INTERVAL_EXECUTOR_MILLIS / executors)
-        : JOB_INTERVAL_MILLIS;
+    return switch (plan) {
+      case CALM_AFTER_OWNERS ->
+          Math.max(LEAST_CALM_INTERVAL_MILLIS, CALM_INTERVAL_EXECUTOR_MILLIS / executors);
+      case CALM_AFTER_FAILURES -> FAILURES_INTERVAL_MILLIS;
+      case MIXED, CANCELS, SERVICES, PLANNED, ODD_ENTRIES, PARTIAL_PARTITION -> JOB_INTERVAL_MILLIS;
+    };
   }
 
   /** Sizes of a run of mixed faults. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -25,6 +25,8 @@
     URGENT(PlatformConfiguration.URGENT_PREFIX),
     /** Jobs of the usual service with an accelerator for each slot and one attempt more. */
     RETRIED(PlatformConfiguration.RETRIED_PREFIX),
+    /** Jobs of the usual service with an accelerator for each slot and one attempt less. */
+    TWO_ATTEMPTS(PlatformConfiguration.TWO_ATTEMPTS_PREFIX),
     /** Jobs of the small service, with an accelerator for each task. */
     SMALL(PlatformConfiguration.SMALL_PREFIX);
 
@@ -36,14 +38,19 @@
 
     /** Tells whether tasks of its jobs need an accelerator for each slot. */
     public boolean accelerated() {
-      return this == URGENT || this == SMALL || this == RETRIED;
+      return switch (this) {
+        case URGENT, SMALL, RETRIED, TWO_ATTEMPTS -> true;
+        case USUAL, ADVISED -> false;
+      };
     }
 
     /** Returns after how many failed runs of a task its job fails. */
     int maxAttempts() {
-      return this == RETRIED
-          ? PlatformConfiguration.MORE_ATTEMPTS
-          : PlatformConfiguration.MAX_ATTEMPTS;
+      return switch (this) {
+        case RETRIED -> PlatformConfiguration.MORE_ATTEMPTS;
+        case TWO_ATTEMPTS -> PlatformConfiguration.FEWER_ATTEMPTS;
+        case USUAL, ADVISED, URGENT, SMALL -> PlatformConfiguration.MAX_ATTEMPTS;
+      };
     }
 
     /** Returns the path prefix of its requests. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FaultPlanTest.java
@@ -46,6 +46,7 @@
           .forEach(timed -> kinds.add(timed.fault().getClass()));
       FaultPlan.draw(cancels(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
       FaultPlan.draw(calm(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
+      FaultPlan.draw(failures(seed)).forEach(timed -> kinds.add(timed.fault().getClass()));
     }
 
     assertEquals(Set.of(Fault.class.getPermittedSubclasses()).size(), kinds.size());
@@ -247,6 +248,52 @@
     assertTrue(four > 10, four + " of 50");
   }
 
+  private static SoakSizes failures(long seed) {
+    return new SoakSizes(seed, MINUTE, 9, 32, Plan.CALM_AFTER_FAILURES);
+  }
+
+  /** Guards against a calm stretch in which something is disturbed, or that follows on nothing. */
+  @Test
+  void aLongCalmStretchFollowsOnExecutorsThatFail() {
+    long beside = 0;
+    long racks = 0;
+    long several = 0;
+    for (long seed = 0; seed < 200; seed++) {
+      List<Fault.Timed> plan = FaultPlan.draw(failures(seed));
+      List<Fault.Timed> before =
+          plan.stream().filter(timed -> timed.atMillis() < 60_000 - 20_000).toList();
+      assertEquals(plan.size() - 1, before.size(), "seed " + seed);
+      assertTrue(plan.getLast().atMillis() >= 59_000, "seed " + seed);
+      List<Fault.Timed> failing =
+          before.stream().filter(t -> t.fault() instanceof Fault.FailRuns).toList();
+      assertTrue(!failing.isEmpty() && failing.size() <= 3, "seed " + seed);
+      for (Fault.Timed timed : failing) {
+        Fault.FailRuns fault = (Fault.FailRuns) timed.fault();
+        assertTrue(fault.forMillis() >= 2000 && fault.forMillis() <= 6500, "seed " + seed);
+        int count = fault.executors().size();
+        assertTrue(count >= 10 && count <= 22, count + " of 32, seed " + seed);
+      }
+      long end =
+          failing.stream()
+              .mapToLong(t -> t.atMillis() + ((Fault.FailRuns) t.fault()).forMillis())
+              .max()
+              .orElseThrow();
+      assertEquals(40_000, end, "seed " + seed);
+      several += failing.size() > 1 ? 1 : 0;
+      racks += failing.stream().anyMatch(t -> isRack((Fault.FailRuns) t.fault())) ? 1 : 0;
+      assertTrue(before.size() - failing.size() <= 1, "seed " + seed);
+      beside += before.size() - failing.size();
+    }
+
+    assertTrue(several > 100 && several < 170, several + " of 200");
+    assertTrue(racks > 80 && racks < 170, racks + " of 200");
+    assertTrue(beside > 70 && beside < 130, beside + " of 200");
+  }
+
+  private static boolean isRack(Fault.FailRuns fault) {
+    return fault.executors().stream().map(number -> number % 2).distinct().count() == 1;
+  }
+
   private static SoakSizes cancels(long seed) {
     return new SoakSizes(seed, MINUTE, 4, 6, SoakSizes.Plan.CANCELS);
   }
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/CalmJudgeTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/CalmJudgeTest.java
@@ -85,6 +85,60 @@
     assertFine();
   }
 
+  /** A gang that allows two attempts and failed once, at {@link #AT}. */
+  private HistoryBuilder gangFailedOnce() {
+    return history
+        .executors(4)
+        .acceptedWithTwoAttempts(JOB, "run:100*4 gang:2 job " + JOB, tasks(2), AT - 900)
+        .failed(TASK, 1, AT - 100, AT)
+        .failed(JOB + ".0.0.1", 1, AT - 100, AT);
+  }
+
+  /** The members start again together after a wait. */
+  private HistoryBuilder gangStartsAgainAfter(long wait) {
+    return gangFailedOnce()
+        .ran(TASK, 2, AT + wait, AT + wait + 100)
+        .ran(JOB + ".0.0.1", 2, AT + wait, AT + wait + 100)
+        .call(Kind.STATUS, JOB, AT + wait + 200, 200, "completed");
+  }
+
+  /** Guards against a last attempt that waits for executors without evidence against them. */
+  @Test
+  void aGangThatWaitsForItsSecondOfTwoAttemptsIsFound() {
+    gangStartsAgainAfter(3001);
+    assertFound();
+  }
+
+  @Test
+  void aGangWhoseSecondOfTwoAttemptsStartsInTimeIsFine() {
+    gangStartsAgainAfter(3000);
+    assertFine();
+    assertTrue(history.judge().checked(Promise.GOES_ON_IN_CALM) > 0);
+  }
+
+  @Test
+  void aGangWhoseTwoAttemptsAreUsedUpIsOver() {
+    gangFailedOnce()
+        .failed(TASK, 2, AT + 500, AT + 600)
+        .call(Kind.STATUS, JOB, AT + 9000, 200, "failed");
+    assertFine();
+  }
+
+  /** Executors that fail disturb while they do so; what they are taken for later is no excuse. */
+  @Test
+  void aGangMayWaitWhileExecutorsFailAndFourSecondsLonger() {
+    history.disturbed(Disruption.Kind.RUNS_FAIL, Disruption.ALL, AT - 4000, AT + 1000);
+    gangStartsAgainAfter(1000 + 4000 + 3000);
+    assertFine();
+  }
+
+  @Test
+  void aGangThatStandsStillOnceExecutorsAreSoundIsFound() {
+    history.disturbed(Disruption.Kind.RUNS_FAIL, Disruption.ALL, AT - 4000, AT + 1000);
+    gangStartsAgainAfter(1000 + 4000 + 3000 + 300);
+    assertFound();
+  }
+
   @Test
   void aJobThatIsShownAsFailedWithAnAttemptLeftIsFound() {
     failedThreeTimes().call(Kind.STATUS, JOB, AT + 500, 200, "failed");
--- a/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/judge/HistoryBuilder.java
@@ -63,6 +63,12 @@
     return call(Kind.SUBMIT, job, sent, 200, "");
   }
 
+  /** Hands in a job of the queue that allows two attempts with success. */
+  HistoryBuilder acceptedWithTwoAttempts(String job, String spec, PlannedJob.Step step, long sent) {
+    jobs.add(new PlannedJob(job, spec, List.of(step), PlannedJob.Queue.TWO_ATTEMPTS));
+    return call(Kind.SUBMIT, job, sent, 200, "");
+  }
+
   /** Hands in a job of the small service with success. */
   HistoryBuilder acceptedBySmallService(String job, PlannedJob.Step step, long sent) {
     jobs.add(new PlannedJob(job, spec(job), List.of(step), PlannedJob.Queue.SMALL));
--- a/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
+++ b/standins/src/main/java/org/fescuehook/standins/platform/PlatformConfiguration.java
@@ -30,6 +30,9 @@
   /** Path prefix of the requests to the queue that allows one attempt more than the others. */
   public static final String RETRIED_PREFIX = "/retried/";
 
+  /** Path prefix of the requests to the queue that allows one attempt less than the others. */
+  public static final String TWO_ATTEMPTS_PREFIX = "/two-attempts/";
+
   /** API key of the first organisation. */
   public static final String KEY = "key-1";
 
@@ -42,6 +45,9 @@
   /** The same for the queue of {@link #RETRIED_PREFIX}. */
   public static final int MORE_ATTEMPTS = 4;
 
+  /** The same for the queue of {@link #TWO_ATTEMPTS_PREFIX}. */
+  public static final int FEWER_ATTEMPTS = 2;
+
   /** Name of the executor pool of the usual and the urgent queue. */
   static final String SERVICE = "pool";
 
@@ -68,7 +74,13 @@
     routes.add(route("queue-1", PATH_PREFIX, SERVICE, 1, targetMillis));
     routes.add(advised(route("queue-advised", ADVISED_PREFIX, SERVICE, 1, targetMillis)));
     routes.add(route("queue-0", URGENT_PREFIX, SERVICE, 0, targetMillis));
-    routes.add(retried(route("queue-retried", RETRIED_PREFIX, SERVICE, 1, targetMillis)));
+    routes.add(
+        withAttempts(
+            MORE_ATTEMPTS, route("queue-retried", RETRIED_PREFIX, SERVICE, 1, targetMillis)));
+    routes.add(
+        withAttempts(
+            FEWER_ATTEMPTS,
+            route("queue-two-attempts", TWO_ATTEMPTS_PREFIX, SERVICE, 1, targetMillis)));
     routes.add(route("queue-small", SMALL_PREFIX, SMALL_SERVICE, 1, targetMillis));
     if (odd) {
       routes.add(route("queue-added", "/added-" + number + "/", SERVICE, 1, targetMillis));
@@ -89,9 +101,9 @@
                     Map.of("name", "organisation-2", "apiKeys", List.of(OTHER_KEY)))));
   }
 
-  private static Map<String, Object> retried(Map<String, Object> route) {
+  private static Map<String, Object> withAttempts(int attempts, Map<String, Object> route) {
     Map<String, Object> fields = new HashMap<>(route);
-    fields.put("maxAttempts", MORE_ATTEMPTS);
+    fields.put("maxAttempts", attempts);
     return fields;
   }
 
