Soak: gangs come as executors begin to fail, and the judge keeps what it counts

Gangs that came evenly were started on executors not known to fail in one to five cases of a run only: those that come as executors begin to fail hit them. The judge counted the use of the fleet anew for each job and each moment, which took over three minutes for a run with a job of 900 tasks; it keeps the counts at starts.

--- a/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
@@ -50,12 +50,21 @@
   private final List<Fault.Timed> plan = new ArrayList<>();
 
   /**
-   * A stretch of a run.
+   * When executors fail all runs; times since the beginning of the faults.
    *
-   * @param fromMillis time since the beginning of the faults
-   * @param toMillis the same
+   * @param beginsMillis when executors begin to fail, the last time first
+   * @param toMillis when all executors are sound for good
    */
-  record Stretch(long fromMillis, long toMillis) {}
+  record Failures(List<Long> beginsMillis, long toMillis) {
+    /** Copies the list. */
+    Failures {
+      beginsMillis = List.copyOf(beginsMillis);
+    }
+
+    long fromMillis() {
+      return Collections.min(beginsMillis);
+    }
+  }
 
   private CalmAfterFailuresPlan(SoakSizes sizes) {
     this.random = new SplittableRandom(sizes.seed() ^ SEED);
@@ -66,7 +75,7 @@
   /** Returns the faults in the order of their times. */
   static List<Fault.Timed> draw(SoakSizes sizes) {
     CalmAfterFailuresPlan drawn = new CalmAfterFailuresPlan(sizes);
-    Stretch failures = drawn.addFailures();
+    Failures failures = drawn.addFailures();
     if (drawn.random.nextBoolean()) {
       drawn.addBeside(failures);
     }
@@ -75,25 +84,25 @@
     return List.copyOf(drawn.plan);
   }
 
-  /** Returns the stretch in which executors fail all runs, gaps included. */
-  static Stretch failures(SoakSizes sizes) {
+  /** Returns when executors fail all runs in the plan of the same sizes. */
+  static Failures failures(SoakSizes sizes) {
     return new CalmAfterFailuresPlan(sizes).addFailures();
   }
 
   /** The last failure ends where the calm stretch begins; those before it may overlap. */
-  private Stretch addFailures() {
+  private Failures addFailures() {
     long end = Math.max(BEGIN_MILLIS + LONGEST_FAILURE_MILLIS, length - CALM_MILLIS);
     int count = 1 + random.nextInt(MOST_FAILURES);
-    long begin = end;
+    List<Long> begins = new ArrayList<>();
     long to = end;
     for (int i = 0; i < count && to >= BEGIN_MILLIS + SHORTEST_FAILURE_MILLIS; i++) {
       long lasting = between(SHORTEST_FAILURE_MILLIS, LONGEST_FAILURE_MILLIS);
       long from = Math.max(BEGIN_MILLIS, to - lasting);
       add(from, new Fault.FailRuns(failingExecutors(), to - from));
-      begin = Math.min(begin, from);
+      begins.add(from);
       to = from + between(-LONGEST_GAP_MILLIS, (to - from) / 2);
     }
-    return new Stretch(begin, end);
+    return new Failures(begins, end);
   }
 
   private List<Integer> failingExecutors() {
@@ -112,7 +121,7 @@
     return all.subList(0, Math.max(1, (int) Math.round(sizes.executors() * share)));
   }
 
-  private void addBeside(Stretch failures) {
+  private void addBeside(Failures failures) {
     long at = between(failures.fromMillis(), failures.toMillis() - SHORTEST_AWAY_MILLIS);
     long away =
         Math.min(failures.toMillis() - at, between(SHORTEST_AWAY_MILLIS, LONGEST_AWAY_MILLIS));
--- a/bench/src/main/java/org/fescuehook/bench/soak/FailuresMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FailuresMix.java
@@ -8,7 +8,9 @@
 /**
  * Draws jobs around executors that fail all runs: many small tasks, so that it is known which
  * executors fail, beside gangs whose members take a whole executor each and may fail twice, and
- * little or nothing once the failures are over. No run fails by its own fault.
+ * little or nothing once the failures are over. Several gangs come as executors begin to fail,
+ * since later ones are started on executors that are not known to fail. No run fails by its own
+ * fault.
  */
 final class FailuresMix {
 
@@ -29,8 +31,19 @@
   /** Number of draws from a gang to the next one. */
   private static final int DRAWS_PER_GANG = 6;
 
-  /** Gangs are handed in from this time before the first failure on. */
-  private static final long GANGS_BEFORE_MILLIS = 1500;
+  /** Each draw is a gang from this time before executors begin to fail on. */
+  private static final long GANGS_BEFORE_MILLIS = 400;
+
+  /** The same until this time after it. */
+  private static final long GANGS_AFTER_MILLIS = 800;
+
+  /** Part of the gangs that are small, so that several of them fit. */
+  private static final double SMALL_GANG = 0.5;
+
+  private static final int PART_FOR_A_SMALL_GANG = 8;
+
+  /** The other gangs take at least this part of the executors, so that few doubts keep them out. */
+  private static final int LEAST_PART_FOR_A_GANG = 4;
 
   /** Number of draws in the calm stretch from a job to the next one, if there are any. */
   private static final int DRAWS_PER_CALM_JOB = 10;
@@ -38,7 +51,7 @@
   private static final long SEED = 0x6661696c6a6fL;
 
   private final SplittableRandom random;
-  private final CalmAfterFailuresPlan.Stretch failures;
+  private final CalmAfterFailuresPlan.Failures failures;
   private final long intervalMillis;
   private final int executors;
   private final boolean calmJobs;
@@ -62,9 +75,15 @@
           ? Optional.of(small(1))
           : Optional.empty();
     }
-    boolean gangs = atMillis > failures.fromMillis() - GANGS_BEFORE_MILLIS;
+    boolean begin =
+        failures.beginsMillis().stream()
+            .anyMatch(
+                from ->
+                    atMillis >= from - GANGS_BEFORE_MILLIS
+                        && atMillis <= from + GANGS_AFTER_MILLIS);
+    boolean gangs = atMillis > failures.fromMillis();
     return Optional.of(
-        gangs && number % DRAWS_PER_GANG == 0
+        begin || (gangs && number % DRAWS_PER_GANG == 0)
             ? gang()
             : small(Math.max(1, executors / EXECUTORS_PER_SMALL_TASK)));
   }
@@ -75,8 +94,11 @@
   }
 
   private JobMix.Draw gang() {
-    int members =
-        random.nextInt(LEAST_MEMBERS, Math.max(LEAST_MEMBERS, executors / PART_FOR_A_GANG) + 1);
+    boolean isSmall = random.nextDouble() < SMALL_GANG;
+    int least =
+        isSmall ? LEAST_MEMBERS : Math.max(LEAST_MEMBERS, executors / LEAST_PART_FOR_A_GANG);
+    int most = Math.max(least, executors / (isSmall ? PART_FOR_A_SMALL_GANG : PART_FOR_A_GANG));
+    int members = random.nextInt(least, most + 1);
     String time = "run:" + random.nextInt(LEAST_GANG_MILLIS, MOST_GANG_MILLIS);
     String whole = time + PlannedJob.SLOTS + SLOTS_PER_EXECUTOR;
     return job(whole + PlannedJob.GANG + members, members, PlannedJob.Queue.TWO_ATTEMPTS);
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/FleetUse.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/FleetUse.java
@@ -17,6 +17,9 @@
   private final Map<String, List<TaskRun>> runs;
   private final List<TaskRun> usualRuns;
 
+  /** Slots in use at starts, kept since the spans of many jobs contain the same starts. */
+  private final Map<Long, Map<Integer, Double>> usedAtStarts = new HashMap<>();
+
   FleetUse(History history, Map<String, List<TaskRun>> runs) {
     this.history = history;
     this.runs = runs;
@@ -36,11 +39,13 @@
             .filter(run -> run.startMillis() < to)
             .filter(run -> run.endMillis() > from - History.LEASE_MILLIS)
             .toList();
-    return Stream.concat(
-            Stream.of(from), near.stream().map(TaskRun::startMillis).filter(start -> start > from))
-        .distinct()
-        .map(at -> used(near, at))
-        .toList();
+    Stream<Map<Integer, Double>> atStarts =
+        near.stream()
+            .map(TaskRun::startMillis)
+            .filter(start -> start > from)
+            .distinct()
+            .map(at -> usedAtStarts.computeIfAbsent(at, start -> used(usualRuns, start)));
+    return Stream.concat(Stream.of(used(near, from)), atStarts).toList();
   }
 
   /** Returns the slots in use by executor; one that crashed counts as full while it is unknown. */
--- a/bench/src/test/java/org/fescuehook/bench/soak/FailuresMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/FailuresMixTest.java
@@ -38,11 +38,11 @@
     int widest = 0;
     for (long seed = 0; seed < 50; seed++) {
       SoakSizes sizes = sizes(seed, 24);
-      CalmAfterFailuresPlan.Stretch failures = CalmAfterFailuresPlan.failures(sizes);
+      CalmAfterFailuresPlan.Failures failures = CalmAfterFailuresPlan.failures(sizes);
       List<PlannedJob> jobs = between(sizes, failures.fromMillis(), failures.toMillis());
       List<PlannedJob> gangs = jobs.stream().filter(PlannedJob::gang).toList();
 
-      assertTrue(!gangs.isEmpty(), "seed " + seed);
+      assertTrue(gangs.size() >= 4, "seed " + seed);
       for (PlannedJob gang : gangs) {
         assertEquals(PlannedJob.Queue.TWO_ATTEMPTS, gang.queue());
         assertEquals(4, gang.slotsPerTask());
@@ -61,7 +61,7 @@
     for (int executors : List.of(6, 24, 32, 64)) {
       for (long seed = 0; seed < 50; seed++) {
         SoakSizes sizes = sizes(seed, executors);
-        CalmAfterFailuresPlan.Stretch failures = CalmAfterFailuresPlan.failures(sizes);
+        CalmAfterFailuresPlan.Failures failures = CalmAfterFailuresPlan.failures(sizes);
         int tasks =
             between(sizes, failures.fromMillis(), failures.toMillis()).stream()
                 .filter(job -> job.queue() == PlannedJob.Queue.RETRIED)
@@ -79,7 +79,7 @@
     int without = 0;
     for (long seed = 0; seed < 50; seed++) {
       SoakSizes sizes = sizes(seed, 24);
-      CalmAfterFailuresPlan.Stretch failures = CalmAfterFailuresPlan.failures(sizes);
+      CalmAfterFailuresPlan.Failures failures = CalmAfterFailuresPlan.failures(sizes);
       List<PlannedJob> jobs = between(sizes, failures.toMillis() + 1, SECONDS * 1000L);
 
       assertTrue(jobs.size() <= 10, "seed " + seed);
