Soak: nothing is handed in late in the failures, and gangs with two attempts in mixed runs

Small tasks that came until the end of the failures ended well on executors that were sound again, so that most gangs on their last attempt started 0.5 to 6 s after the failures, before the calm judge looks. Now nothing comes from 2.5 s after executors begin to fail for the last time. In mixed runs half of the gangs that need no advice may fail twice only.

--- a/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
@@ -52,7 +52,7 @@
   /**
    * When executors fail all runs; times since the beginning of the faults.
    *
-   * @param beginsMillis when executors begin to fail, the last time first
+   * @param beginsMillis when executors begin to fail, in any order
    * @param toMillis when all executors are sound for good
    */
   record Failures(List<Long> beginsMillis, long toMillis) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/FailuresMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/FailuresMix.java
@@ -1,5 +1,6 @@
 package org.fescuehook.bench.soak;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -19,6 +20,7 @@
   /** Small tasks take about a fifth of the slots. */
   private static final int EXECUTORS_PER_SMALL_TASK = 4;
 
+  private static final int LEAST_SMALL_TASKS = 2;
   private static final int LEAST_SMALL_MILLIS = 300;
   private static final int MOST_SMALL_MILLIS = 900;
   private static final int LEAST_GANG_MILLIS = 500;
@@ -37,6 +39,13 @@
   /** The same until this time after it. */
   private static final long GANGS_AFTER_MILLIS = 800;
 
+  /**
+   * For so long after the last time at which executors begin to fail jobs are handed in: later ones
+   * would end well on executors that are sound again, and hide how long evidence is held against
+   * them.
+   */
+  private static final long JOBS_AFTER_MILLIS = 2500;
+
   /** Part of the gangs that are small, so that several of them fit. */
   private static final double SMALL_GANG = 0.5;
 
@@ -52,6 +61,7 @@
 
   private final SplittableRandom random;
   private final CalmAfterFailuresPlan.Failures failures;
+  private final long lastMillis;
   private final long intervalMillis;
   private final int executors;
   private final boolean calmJobs;
@@ -60,18 +70,19 @@
   FailuresMix(SoakSizes sizes) {
     this.random = new SplittableRandom(sizes.seed() ^ SEED);
     this.failures = CalmAfterFailuresPlan.failures(sizes);
+    this.lastMillis = Collections.max(failures.beginsMillis()) + JOBS_AFTER_MILLIS;
     this.intervalMillis = sizes.jobIntervalMillis();
     this.executors = sizes.executors();
     this.calmJobs = random.nextBoolean();
   }
 
-  /** Returns the job of the next interval; mostly none once the failures are over. */
+  /** Returns the job of the next interval; mostly none towards the end of the failures. */
   Optional<JobMix.Draw> next() {
     long number = drawn;
     drawn++;
     long atMillis = number * intervalMillis;
-    if (atMillis > failures.toMillis()) {
-      return calmJobs && number % DRAWS_PER_CALM_JOB == 0
+    if (atMillis > Math.min(lastMillis, failures.toMillis())) {
+      return calmJobs && atMillis > failures.toMillis() && number % DRAWS_PER_CALM_JOB == 0
           ? Optional.of(small(1))
           : Optional.empty();
     }
@@ -85,7 +96,7 @@
     return Optional.of(
         begin || (gangs && number % DRAWS_PER_GANG == 0)
             ? gang()
-            : small(Math.max(1, executors / EXECUTORS_PER_SMALL_TASK)));
+            : small(Math.max(LEAST_SMALL_TASKS, executors / EXECUTORS_PER_SMALL_TASK)));
   }
 
   private JobMix.Draw small(int tasks) {
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMessages.java
@@ -59,7 +59,7 @@
   private static int estimateMillis(PlannedJob job) {
     return switch (job.queue()) {
       case RETRIED, TWO_ATTEMPTS -> job.millis();
-      case USUAL, ADVISED, URGENT, SMALL -> ESTIMATE_MILLIS;
+      case USUAL, ADVISED, URGENT, SMALL, TWO_ATTEMPTS_PLAIN -> ESTIMATE_MILLIS;
     };
   }
 
--- a/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/JobMix.java
@@ -78,6 +78,11 @@
   private static final int LEAST_WIDE_MEMBERS = 8;
   private static final int MOST_WIDE_MEMBERS = 32;
   private static final long WIDE_GANG_SEED = 0x776964656761L;
+
+  /** Part of the gangs that may fail twice only. */
+  private static final double TWO_ATTEMPTS = 0.5;
+
+  private static final long ATTEMPTS_SEED = 0x617474656d7074L;
   private static final long GANG_SEED = 0x67616e67L;
   private static final long ADVICE_SEED = 0x616476696365L;
   private static final long BOUND_SEED = 0x626f756e64L;
@@ -102,6 +107,8 @@
 
   private final SplittableRandom wideGangs;
 
+  private final SplittableRandom attempts;
+
   private final int executors;
   private final double bound;
   private final double crashing;
@@ -112,6 +119,7 @@
   JobMix(long seed, SoakSizes.Plan plan, int executors) {
     this.executors = executors;
     this.wideGangs = new SplittableRandom(seed ^ WIDE_GANG_SEED);
+    this.attempts = new SplittableRandom(seed ^ ATTEMPTS_SEED);
     // Runs that are to be stopped would go down with their executors.
     this.crashing = plan == SoakSizes.Plan.CANCELS ? 0 : CRASHING;
     this.random = new SplittableRandom(~seed);
@@ -189,8 +197,14 @@
             : few;
     String spec = job.spec().replace(" job ", PlannedJob.GANG + members + " job ");
     PlannedJob.Step step = new PlannedJob.Step(members, List.of());
+    PlannedJob.Queue queue =
+        attempts.nextDouble() < TWO_ATTEMPTS
+            ? PlannedJob.Queue.TWO_ATTEMPTS_PLAIN
+            : PlannedJob.Queue.USUAL;
     return new Draw(
-        new PlannedJob(job.id(), spec, List.of(step)), draw.cancelling(), draw.repeatAfterMillis());
+        new PlannedJob(job.id(), spec, List.of(step), queue),
+        draw.cancelling(),
+        draw.repeatAfterMillis());
   }
 
   /** Hands some jobs in at the queue that needs advice. */
--- a/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/judge/PlannedJob.java
@@ -27,6 +27,8 @@
     RETRIED(PlatformConfiguration.RETRIED_PREFIX),
     /** Jobs of the usual service with an accelerator for each slot and one attempt less. */
     TWO_ATTEMPTS(PlatformConfiguration.TWO_ATTEMPTS_PREFIX),
+    /** The same queue for jobs whose tasks need no accelerator. */
+    TWO_ATTEMPTS_PLAIN(PlatformConfiguration.TWO_ATTEMPTS_PREFIX),
     /** Jobs of the small service, with an accelerator for each task. */
     SMALL(PlatformConfiguration.SMALL_PREFIX);
 
@@ -40,7 +42,7 @@
     public boolean accelerated() {
       return switch (this) {
         case URGENT, SMALL, RETRIED, TWO_ATTEMPTS -> true;
-        case USUAL, ADVISED -> false;
+        case USUAL, ADVISED, TWO_ATTEMPTS_PLAIN -> false;
       };
     }
 
@@ -48,7 +50,7 @@
     int maxAttempts() {
       return switch (this) {
         case RETRIED -> PlatformConfiguration.MORE_ATTEMPTS;
-        case TWO_ATTEMPTS -> PlatformConfiguration.FEWER_ATTEMPTS;
+        case TWO_ATTEMPTS, TWO_ATTEMPTS_PLAIN -> PlatformConfiguration.FEWER_ATTEMPTS;
         case USUAL, ADVISED, URGENT, SMALL -> PlatformConfiguration.MAX_ATTEMPTS;
       };
     }
--- a/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
+++ b/bench/src/test/java/org/fescuehook/bench/soak/JobMixTest.java
@@ -130,6 +130,23 @@
     assertTrue(runs > 3 && runs < 17, runs + " of 20");
   }
 
+  /** Guards against mixed runs in which no gang comes to its last attempt after one failure. */
+  @Test
+  void aPartOfTheGangsMayFailTwiceOnly() {
+    long gangs = 0;
+    long twice = 0;
+    for (long seed = 0; seed < 20; seed++) {
+      for (JobMix.Draw draw : draws(seed)) {
+        PlannedJob.Queue queue = draw.job().queue();
+        gangs += draw.job().gang() ? 1 : 0;
+        twice += queue == PlannedJob.Queue.TWO_ATTEMPTS_PLAIN ? 1 : 0;
+        assertTrue(draw.job().gang() || queue != PlannedJob.Queue.TWO_ATTEMPTS_PLAIN);
+      }
+    }
+
+    assertTrue(twice > gangs / 4 && twice < gangs * 3 / 5, twice + " of " + gangs);
+  }
+
   @Test
   void gangsAreWideWhereThereAreExecutorsForThem() {
     long widest = 0;
