--- a/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
+++ b/bench/src/main/java/org/fescuehook/bench/soak/CalmAfterFailuresPlan.java
@@ -27,6 +27,9 @@
   /** Longest time for which the users have seen executors fail what they start. */
   private static final long LONGEST_FAILURE_MILLIS = 6500;
 
+  /** Evidence that is older when the calm stretch begins no longer keeps jobs waiting in it. */
+  private static final long LONGEST_LAST_FAILURE_MILLIS = 3500;
+
   private static final int MOST_FAILURES = 3;
 
   /** Longest time for which no executor fails between two failures. */
@@ -96,7 +99,8 @@
     List<Long> begins = new ArrayList<>();
     long to = end;
     for (int i = 0; i < count && to >= BEGIN_MILLIS + SHORTEST_FAILURE_MILLIS; i++) {
-      long lasting = between(SHORTEST_FAILURE_MILLIS, LONGEST_FAILURE_MILLIS);
+      long longest = i == 0 ? LONGEST_LAST_FAILURE_MILLIS : LONGEST_FAILURE_MILLIS;
+      long lasting = between(SHORTEST_FAILURE_MILLIS, longest);
       long from = Math.max(BEGIN_MILLIS, to - lasting);
       add(from, new Fault.FailRuns(failingExecutors(), to - from));
       begins.add(from);
