--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FailureWave.java
@@ -31,7 +31,7 @@
   private static final double MIN_SHARE = 0.15;
 
   /** Number of steps with failed runs below which single failures may be the cause. */
-  private static final int MIN_STEPS = 3;
+  static final int MIN_STEPS = 3;
 
   /**
    * Executors counted for one step at most, since a job whose tasks all fail at the same time is no
--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FormerFailures.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/statistics/FormerFailures.java
@@ -14,9 +14,6 @@
  */
 public record FormerFailures(List<Long> newestFirst) {
 
-  /** Number of steps that have to fail for a wave to be recognised, as by {@link FailureWave}. */
-  private static final int MIN_STEPS = 3;
-
   /** Copies the list. */
   public FormerFailures {
     newestFirst = List.copyOf(newestFirst);
@@ -51,8 +48,8 @@
    * for as long as a wave lasts.
    */
   long waveKnownFrom(long nowNanos) {
-    return newestFirst.size() < MIN_STEPS
+    return newestFirst.size() < FailureWave.MIN_STEPS
         ? nowNanos
-        : newestFirst.get(MIN_STEPS - 1) + FailureWave.FAULT_NANOS;
+        : newestFirst.get(FailureWave.MIN_STEPS - 1) + FailureWave.FAULT_NANOS;
   }
 }
