A gang that prefers one rack uses executors whose faults are past in one rack

ReliabilityWaits lowers the requirement until the step fits near its data if it has to start there, and only then until it fits anywhere. No other test was run with it; FailureWavesTest and LastAttemptTest have to be.

--- a/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
+++ b/fescuehook/src/main/java/org/fescuehook/logic/batch/plan/ReliabilityWaits.java
@@ -1,6 +1,7 @@
 package org.fescuehook.logic.batch.plan;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescuehook.logic.batch.statistics.StartReliability;
 
@@ -61,15 +62,26 @@
     return possible ? required : waiting.requiring(requirement.withoutProof());
   }
 
-  /** Lowers how reliable the executors of a step must be until it fits, or nothing is left. */
+  /**
+   * Lowers how reliable the executors of a step must be until it fits, or nothing is left. A step
+   * that has to start near its data must fit there, or else it waits although it fits elsewhere.
+   */
   private WaitingStep fittingNow(WaitingStep waiting, StartRequirement usual) {
+    boolean nearOnly = waits.nearOnly(waiting.requiring(usual));
+    return (nearOnly ? fittingNow(waiting, usual, true) : Optional.<WaitingStep>empty())
+        .or(() -> fittingNow(waiting, usual, false))
+        .orElseGet(() -> waiting.requiring(usual));
+  }
+
+  private Optional<WaitingStep> fittingNow(
+      WaitingStep waiting, StartRequirement usual, boolean nearOnly) {
     OptionalLong presentFaultsSince = reliability.presentFaultsSince(nowNanos);
     for (StartRequirement requirement : usual.relaxations(presentFaultsSince)) {
       WaitingStep required = waiting.requiring(requirement);
-      if (available.tightestGroup(required, waiting.startsTogether(), false).isPresent()) {
-        return required;
+      if (available.tightestGroup(required, waiting.startsTogether(), nearOnly).isPresent()) {
+        return Optional.of(required);
       }
     }
-    return waiting.requiring(usual);
+    return Optional.empty();
   }
 }
